--- /dev/null
+++ b/src/main/java/fordridge/Logic.java
@@ -0,0 +1,831 @@
+package fordridge;
+
+import fordridge.door.Door;
+import fordridge.state.Claim;
+import fordridge.state.Claim.End;
+import fordridge.state.Claim.Why;
+import fordridge.state.Machine;
+import fordridge.state.Machine.Listing;
+import fordridge.state.Placer;
+import fordridge.state.Vm;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.zip.CRC32;
+
+/**
+ * All decisions of one placer: utilization-aware placing after UBIS (docs/design.md), with the guards that
+ * its users' five rules need. One object is one instance; it shares nothing and keeps no thread.
+ *
+ * <p>To call it: {@link #at} with the time, then one input ({@link #start} first, {@link #listed} between
+ * {@link #listBegins} and {@link #listEnds}, {@link #arrives}, {@link #bound}, {@link #ended} and so on). It acts
+ * through {@link Door} before the call returns. The state it works on is in {@code fordridge.state}.
+ */
+public final class Logic {
+    /** One step of the list gone through after every input: where the condition holds, the effect follows. */
+    private record Rule(BooleanSupplier when, Runnable then) { }
+
+    private enum Effect { REBUILDABLE, TOKENED, ONE_SHOT }
+
+    /** A flavour's terms, and how long its starts have been taking with the program at hand and without. */
+    private static final class Flavour {
+        int rank;
+        Effect effect;
+        String group;
+        Duration window;
+        Duration target;
+        Duration patience;
+        String kind;
+        String spread;
+        int most;
+        double weight;
+        boolean optedIn;
+        double startWarm;
+        double startCold;
+    }
+
+    private static final double THRESHOLD = 0.85;
+    private static final int SAMPLE = 3;
+    /** Grief from which a machine is left alone, if it also stands out from the fleet by as many times. */
+    private static final double SHUNNED = 3;
+
+    private final Door door;
+    private final Placer me = new Placer();
+    private final Map<String, Flavour> flavours = new HashMap<>();
+    private final CRC32 crc = new CRC32();
+    private final ByteBuffer draw = ByteBuffer.allocate(16);
+    private final List<Rule> rules = List.of(
+            // The list first: nothing is placed on hearsay that the terms no longer count as told.
+            new Rule(this::listWanted, this::askForList),
+            // What can be placed is placed before anything is given up.
+            new Rule(() -> !me.untried.isEmpty(), () -> tryOrHold(me.untried.removeFirst())),
+            new Rule(() -> me.lookAgain && !me.held.isEmpty() && !me.now.equals(me.lookedAt), this::tryHeld),
+            new Rule(() -> staleMachine() != null, () -> probe(staleMachine())),
+            new Rule(() -> !me.held.isEmpty() && me.wakeAt == null, this::setWake));
+    private boolean whole;
+    private Duration settle;
+    private double usedCores = Double.NaN;
+    private double usedMemory = Double.NaN;
+    private double ownUseRatio = 1;
+    private double fleetGrief;
+    private Duration fleetGriefAt;
+
+    public Logic(Door door) {
+        this.door = door;
+    }
+
+    // ---- Inputs ----------------------------------------------------------------------------------------
+
+    public void at(Duration now) {
+        me.now = now;
+    }
+
+    public void start(long seed, Map<String, Object> terms) {
+        me.seed = seed;
+        me.terms = terms;
+        settle = micros("extra.settleUs", 3e6);
+        int lowest = Integer.MAX_VALUE;
+        int n = (int) num("lanes", 0);
+        for (int i = 0; i < n; i++) {
+            lowest = Math.min(lowest, (int) item("extra.precedence", i, 0));
+        }
+        for (int i = 0; i < n; i++) {
+            Flavour f = new Flavour();
+            String lane = "lanes." + i + ".";
+            f.rank = (int) item("extra.precedence", i, 0);
+            f.effect = switch (text(lane + "semantics", "fragile")) {
+                case "retryable" -> Effect.REBUILDABLE;
+                case "dedup" -> Effect.TOKENED;
+                default -> Effect.ONE_SHOT;
+            };
+            f.group = text(lane + "dedupScope", "cell");
+            f.window = micros(lane + "windowUs", 0);
+            f.target = micros(lane + "promiseUs", 1e6);
+            f.patience = micros(lane + "giveUpUs", 5e6);
+            int kind = (int) item("extra.kindByClass", i, -1);
+            f.kind = kind < 0 ? null : (String) list("kinds").get(kind);
+            f.spread = list("extra.classSpread").size() > i ? (String) list("extra.classSpread").get(i) : "off";
+            f.most = (int) item("extra.classMost", i, Integer.MAX_VALUE);
+            f.weight = num(lane + "worth", 1);
+            f.optedIn = true;
+            f.startWarm = seconds(f.target) / 2;
+            f.startCold = 2 * seconds(f.target);
+            flavours.put(text(lane + "name", ""), f);
+        }
+        settleRules();
+    }
+
+    /** A list follows: whole (what it does not name is gone) or changes; {@code old} if it may be out of date. */
+    public void listBegins(boolean isWhole, boolean old) {
+        whole = isWhole;
+        if (!old) {
+            me.asked = false;
+            me.listFailed = false;
+            me.following = true;
+        }
+        me.heardListAt = me.now;
+        if (whole) {
+            me.machines.forEach(m -> m.listedAt = null);
+        }
+    }
+
+    public void listed(Machine m, Listing listing, Duration startedAt) {
+        if (!me.machines.contains(m)) {
+            me.machines.add(m);
+        }
+        if (startedAt != null && !startedAt.equals(m.startedAt)) {
+            m.programs.values().removeIf(p -> p.held == 0);
+            m.reportedAt = null;
+            m.closedUntil = Duration.ZERO;
+        }
+        m.startedAt = startedAt;
+        m.listing = listing;
+        m.listedAt = me.now;
+    }
+
+    public void listEnds() {
+        if (whole) {
+            for (Machine m : me.machines) {
+                if (m.listedAt == null) {
+                    m.listing = Listing.GONE;
+                }
+            }
+        }
+        lookAgain();
+    }
+
+    public void listFailed() {
+        me.asked = false;
+        me.following = false;
+        me.listFailed = true;
+        me.askListAt = me.now.plus(settle.dividedBy(4));
+        settleRules();
+    }
+
+    public void arrives(Vm vm) {
+        me.arrivals++;
+        me.untried.add(vm);
+        settleRules();
+    }
+
+    /** A VM that runs already: it counts as placed by this placer. */
+    public void runsAlready(Vm vm, Machine m) {
+        Claim c = new Claim(vm, m, 0, me.now);
+        vm.claims.add(c);
+        vm.placed = c;
+        c.boundAt = me.now;
+        c.runs = true;
+        holds(c);
+        settleRules();
+    }
+
+    public void bound(Claim c) {
+        c.machine.waitingClaims.remove(c);
+        c.boundAt = me.now;
+        c.vm.placed = c;
+        if (text("extra.saysYes", "running").equals("running")) {
+            started(c);
+        }
+        lookAgain();
+    }
+
+    /** A bound VM runs (told where the yes comes at acceptance). */
+    public void running(Claim c) {
+        if (!c.runs) {
+            started(c);
+        }
+        settleRules();
+    }
+
+    public void usesCores(Claim c, double amount) {
+        if (c.vm.cores > 0) {
+            ownUseRatio += (amount / c.vm.cores - ownUseRatio) / 64;
+        }
+    }
+
+    public void usesMemory(Claim c, double amount) {
+        if (c.vm.memory > 0) {
+            ownUseRatio += (amount / c.vm.memory - ownUseRatio) / 64;
+        }
+    }
+
+    /** A VM is served this share of what it needs. */
+    public void served(Claim c, double share) {
+        grieve(c.machine, (1 - share) / 2);
+    }
+
+    /** Memory of the machine is getting short: this share is in use. */
+    public void pressed(Claim c, double share) {
+        grieve(c.machine, share / 2);
+    }
+
+    public void left(Vm vm) {
+        vm.over = true;
+        me.held.remove(vm);
+        me.untried.remove(vm);
+        settleRules();
+    }
+
+    /** The outcome of a claim; {@code over} if the VM needs no answer any more. */
+    public void ended(Claim c, End end, Why why, boolean over) {
+        Machine m = c.machine;
+        Vm vm = c.vm;
+        boolean wasBound = c.boundAt != null;
+        c.end = end;
+        m.waitingClaims.remove(c);
+        Machine.Program p = m.programs.get(vm.service);
+        p.held--;
+        p.lastHeld = me.now;
+        m.placed.remove(c);
+        if (neverRan(c)) {
+            if (m.binds.remove(c)) {
+                offBooks(m, c);
+            }
+        }
+        blame(c, end, why, wasBound);
+        if (over || wasBound) {
+            vm.over = true;
+            me.held.remove(vm);
+        } else if (!vm.over && vm.out() == 0) {
+            me.untried.add(vm);
+        }
+        lookAgain();
+    }
+
+    public void reported(Machine m) {
+        lookAgain();
+    }
+
+    public void probed(Machine m, boolean ok, boolean told, Duration took) {
+        m.probing = false;
+        if (!ok) {
+            grieve(m, 1);
+        }
+        lookAgain();
+    }
+
+    public void woken() {
+        me.wakeAt = null;
+        lookAgain();
+    }
+
+    private void lookAgain() {
+        me.lookAgain = true;
+        settleRules();
+    }
+
+    private void settleRules() {
+        for (int i = 0; i < rules.size();) {
+            Rule r = rules.get(i);
+            if (r.when().getAsBoolean()) {
+                r.then().run();
+                i = 0;
+            } else {
+                i++;
+            }
+        }
+    }
+
+    // ---- The list of machines --------------------------------------------------------------------------
+
+    private boolean asks() {
+        return text("discovery", "push").equals("ask");
+    }
+
+    private boolean listWanted() {
+        return asks() && !me.following && !me.asked && me.now.compareTo(me.askListAt) >= 0;
+    }
+
+    private void askForList() {
+        me.asked = true;
+        door.follow(true);
+    }
+
+    /** Rule 3 where the list must be asked for: silence for long enough counts as having been told. */
+    private boolean listTrusted() {
+        if (!asks() || me.following) {
+            return true;
+        }
+        Duration trust = micros("obligations.askWithinUs", 1e7);
+        return me.now.minus(me.heardListAt).compareTo(trust) < 0;
+    }
+
+    // ---- Placing ---------------------------------------------------------------------------------------
+
+    private void tryOrHold(Vm vm) {
+        if (hopeless(vm)) {
+            giveUp(vm);
+        } else if (!place(vm)) {
+            me.held.addLast(vm);
+        }
+    }
+
+    /** All that is held is tried once an instant, by priority; one shape that found no room speaks for its like. */
+    private void tryHeld() {
+        me.lookAgain = false;
+        me.lookedAt = me.now;
+        List<Vm> order = new ArrayList<>(me.held);
+        order.sort((a, b) -> Integer.compare(flavour(b).rank, flavour(a).rank));
+        me.held.clear();
+        List<Vm> failed = new ArrayList<>();
+        for (Vm vm : order) {
+            if (hopeless(vm)) {
+                giveUp(vm);
+            } else if (failed.stream().anyMatch(o -> alike(o, vm)) || !place(vm)) {
+                me.held.addLast(vm);
+                if (vm.claims.isEmpty() && flavour(vm).spread.equals("off") && failed.stream().noneMatch(o -> alike(o, vm))) {
+                    failed.add(vm);
+                }
+            }
+        }
+    }
+
+    private static boolean alike(Vm a, Vm b) {
+        return b.claims.isEmpty() && a.flavour.equals(b.flavour) && a.cores == b.cores && a.memory == b.memory;
+    }
+
+    private boolean place(Vm vm) {
+        Machine m = pick(vm);
+        if (m != null) {
+            claim(vm, m);
+        }
+        return m != null;
+    }
+
+    /** Regular room, and only failing that opportunistic room; among what has it, the picker. */
+    private Machine pick(Vm vm) {
+        if (!listTrusted()) {
+            return null;
+        }
+        List<Machine> can = new ArrayList<>();
+        for (Machine m : me.machines) {
+            if (eligible(vm, m)) {
+                can.add(m);
+            }
+        }
+        List<Machine> room = new ArrayList<>();
+        for (Machine m : can) {
+            if (regularRoom(vm, m)) {
+                room.add(m);
+            }
+        }
+        if (room.isEmpty() && flavour(vm).optedIn) {
+            meanUse();
+            for (Machine m : can) {
+                if (opportunisticRoom(vm, m)) {
+                    room.add(m);
+                }
+            }
+        }
+        if (num("prices.fleet", 0) > 0) {
+            room = narrow(room, m -> inUse(m));
+        }
+        room = narrow(room, m -> knowsProgram(m, vm.service));
+        String zone = text("zone", "");
+        if (num("prices.crossZone", 0) > 0) {
+            room = narrow(room, m -> m.zone.equals(zone));
+        }
+        return leastGrieved(room);
+    }
+
+    private static List<Machine> narrow(List<Machine> from, java.util.function.Predicate<Machine> to) {
+        List<Machine> some = new ArrayList<>();
+        for (Machine m : from) {
+            if (to.test(m)) {
+                some.add(m);
+            }
+        }
+        return some.isEmpty() ? from : some;
+    }
+
+    private Machine leastGrieved(List<Machine> room) {
+        Machine best = null;
+        for (int i = 0; i < SAMPLE && !room.isEmpty(); i++) {
+            Machine m = room.remove((int) (chance() * room.size()));
+            if (best == null || grief(m) < grief(best)) {
+                best = m;
+            }
+        }
+        return best;
+    }
+
+    private boolean eligible(Vm vm, Machine m) {
+        Flavour f = flavour(vm);
+        return m.listing == Listing.LIVE
+                && (f.kind == null || f.kind.equals(m.kind))
+                && me.now.compareTo(m.closedUntil) >= 0
+                && allowedAgain(vm, f, m)
+                && spreadKept(vm, f, m)
+                && coldPaceKept(m)
+                && trusted(f, m);
+    }
+
+    private boolean regularRoom(Vm vm, Machine m) {
+        prune(m);
+        return flag("extra.freeInList", false)
+                && m.boundCores + vm.cores <= m.freeCores && m.boundMemory + vm.memory <= m.freeMemory;
+    }
+
+    private boolean opportunisticRoom(Vm vm, Machine m) {
+        double cores = cores(m);
+        double memory = memory(m);
+        double useCores = fresh(m) ? usedCores(m) : usedCores * cores;
+        double useMemory = fresh(m) ? usedMemory(m) : usedMemory * memory;
+        double nextCores = m.boundCores + vm.cores;
+        double nextMemory = m.boundMemory + vm.memory;
+        return useCores + nextCores <= THRESHOLD * cores
+                && useMemory + nextMemory <= THRESHOLD * memory
+                && nextCores <= m.freeCores + (num("extra.admitCores", 1) - 1) * cores
+                && nextMemory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * memory;
+    }
+
+    /** What this placer sent stays on the books at full ask until the list and a report can include it. */
+    private void prune(Machine m) {
+        Duration told = m.reportedAt == null || me.heardListAt.compareTo(m.reportedAt) < 0
+                ? me.heardListAt : m.reportedAt;
+        Duration lag = me.now.minus(told).compareTo(settle) > 0 ? settle.multipliedBy(2) : settle;
+        Duration oldest = me.now.minus(lag);
+        while (!m.binds.isEmpty() && m.binds.peekFirst().sentAt.compareTo(oldest) < 0) {
+            offBooks(m, m.binds.removeFirst());
+        }
+    }
+
+    private void offBooks(Machine m, Claim c) {
+        m.boundCores -= c.vm.cores;
+        m.boundMemory -= c.vm.memory;
+    }
+
+    private double size(Machine m, String of) {
+        int kind = list("kinds").indexOf(m.kind);
+        return kind < 0 ? 0 : item(of, kind, 0);
+    }
+
+    private double cores(Machine m) {
+        return size(m, "extra.cpuOfKind");
+    }
+
+    private double memory(Machine m) {
+        return size(m, "extra.memoryByKind");
+    }
+
+    private boolean fresh(Machine m) {
+        return m.reportedAt != null && !Double.isNaN(m.spareCores)
+                && me.now.minus(m.reportedAt).compareTo(settle.multipliedBy(2)) < 0;
+    }
+
+    private double usedCores(Machine m) {
+        double used = cores(m) - m.spareCores;
+        if (text("extra.reportCounts", "used").equals("asked")) {
+            used *= ownUseRatio;
+        }
+        return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * cores(m));
+    }
+
+    private double usedMemory(Machine m) {
+        double used = memory(m) - m.spareMemory;
+        return text("extra.reportCounts", "used").equals("asked") ? used * ownUseRatio : used;
+    }
+
+    /** Mean of reported use as a share of size, for machines without a report; asks stand in where none reports. */
+    private void meanUse() {
+        double shareCores = 0;
+        double shareMemory = 0;
+        double askedCores = 0;
+        double askedMemory = 0;
+        int n = 0;
+        int live = 0;
+        for (Machine m : me.machines) {
+            if (m.listing != Listing.LIVE || cores(m) <= 0) {
+                continue;
+            }
+            live++;
+            askedCores += 1 - m.freeCores / cores(m);
+            askedMemory += 1 - m.freeMemory / memory(m);
+            if (fresh(m)) {
+                n++;
+                shareCores += usedCores(m) / cores(m);
+                shareMemory += usedMemory(m) / memory(m);
+            }
+        }
+        usedCores = n > 0 ? shareCores / n : live > 0 ? ownUseRatio * askedCores / live : 0;
+        usedMemory = n > 0 ? shareMemory / n : live > 0 ? ownUseRatio * askedMemory / live : 0;
+    }
+
+    private boolean inUse(Machine m) {
+        return !m.placed.isEmpty() || m.freeCores < cores(m) * 0.999;
+    }
+
+    private boolean knowsProgram(Machine m, long service) {
+        Machine.Program p = m.programs.get(service);
+        return p != null && (p.held > 0 || me.now.minus(p.lastHeld).compareTo(settle) < 0);
+    }
+
+    // ---- Claims and the second rule --------------------------------------------------------------------
+
+    private void claim(Vm vm, Machine m) {
+        Claim c = new Claim(vm, m, vm.claims.size(), me.now);
+        c.programKnown = knowsProgram(m, vm.service);
+        c.within = within(vm, c);
+        vm.claims.add(c);
+        m.binds.addLast(c);
+        m.boundCores += vm.cores;
+        m.boundMemory += vm.memory;
+        m.waitingClaims.add(c);
+        m.lastOfferAt = me.now;
+        if (cold(m)) {
+            m.coldOffers.addLast(me.now);
+        }
+        holds(c);
+        door.claim(c, c.within);
+    }
+
+    private void holds(Claim c) {
+        c.machine.placed.add(c);
+        Machine.Program p = c.machine.programs.computeIfAbsent(c.vm.service, s -> new Machine.Program());
+        p.held++;
+        p.lastHeld = me.now;
+    }
+
+    private Duration within(Vm vm, Claim c) {
+        Flavour f = flavour(vm);
+        Duration left = vm.deadline.minus(me.now);
+        double start = c.programKnown ? f.startWarm : f.startCold;
+        Duration wait = f.effect == Effect.REBUILDABLE
+                ? longer(f.target.multipliedBy(2), seconds(4 * start)) : f.patience.dividedBy(2);
+        return wait.compareTo(left) < 0 ? wait : left;
+    }
+
+    private static boolean neverRan(Claim c) {
+        return c.end == End.FULL || c.end == End.UNREACHABLE || c.end == End.MOOT;
+    }
+
+    /** The first claim that may have run, or null. */
+    private static Claim mayHaveRun(Vm vm) {
+        for (Claim c : vm.claims) {
+            if (!neverRan(c)) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    private boolean allowedAgain(Vm vm, Flavour f, Machine m) {
+        Claim ran = mayHaveRun(vm);
+        if (ran == null || f.effect == Effect.REBUILDABLE) {
+            return vm.claims.isEmpty() || vm.claims.get(vm.claims.size() - 1).machine != m;
+        }
+        if (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0) {
+            return false;
+        }
+        for (Claim c : vm.claims) {
+            boolean same = switch (f.group) {
+                case "all" -> true;
+                case "zone" -> c.machine.zone.equals(m.zone);
+                default -> c.machine.cell == m.cell;
+            };
+            if (!neverRan(c) && !same) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean mayDeny(Vm vm) {
+        Flavour f = flavour(vm);
+        return f.effect == Effect.REBUILDABLE || mayHaveRun(vm) == null
+                || f.effect == Effect.TOKENED && f.group.equals("all");
+    }
+
+    /** Nothing more can be done for it, or it was held for as long as a VM is held. */
+    private boolean hopeless(Vm vm) {
+        Flavour f = flavour(vm);
+        if (vm.claims.size() >= num("caps.mostTries", 4)) {
+            return true;
+        }
+        Claim ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
+        if (ran != null && (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0)) {
+            return true;
+        }
+        Duration patience = vm.deadline.minus(vm.arrivedAt);
+        return me.now.compareTo(vm.arrivedAt.plus(patience.dividedBy(2))) >= 0;
+    }
+
+    private void giveUp(Vm vm) {
+        vm.over = true;
+        if (mayDeny(vm)) {
+            door.deny(vm, flag("caps.retryAfter", false) ? flavour(vm).target : Duration.ZERO);
+        } else {
+            door.error(vm);
+        }
+    }
+
+    private void setWake() {
+        Duration in = micros("tickUs", 1000).multipliedBy(20);
+        me.wakeAt = me.now.plus(in);
+        door.wake(in);
+    }
+
+    // ---- Rules three to five ---------------------------------------------------------------------------
+
+    /** Rule 5: what this placer has of the service in one place, with this one, stays within the most. */
+    private boolean spreadKept(Vm vm, Flavour f, Machine m) {
+        if (f.spread.equals("off")) {
+            return true;
+        }
+        int there = 1;
+        for (Machine o : me.machines) {
+            boolean same = switch (f.spread) {
+                case "machine" -> o == m;
+                case "cell" -> o.cell == m.cell;
+                default -> o.zone.equals(m.zone);
+            };
+            Machine.Program p = same ? o.programs.get(vm.service) : null;
+            there += p == null ? 0 : p.held;
+        }
+        return there <= f.most;
+    }
+
+    private boolean cold(Machine m) {
+        return m.startedAt != null
+                && me.now.minus(m.startedAt).compareTo(micros("obligations.warmAfterUs", 2e7)) < 0;
+    }
+
+    /**
+     * Rule 4, and the design's warm-up pace: this placer's part of the offers that a machine which just came
+     * up bears, rising with its age. Where the part is under one, placers take turns by their position.
+     */
+    private boolean coldPaceKept(Machine m) {
+        if (!cold(m)) {
+            return true;
+        }
+        Duration span = micros("obligations.overloadForUs", 1e6);
+        while (!m.coldOffers.isEmpty() && m.coldOffers.peekFirst().plus(span).compareTo(me.now) <= 0) {
+            m.coldOffers.removeFirst();
+        }
+        double age = seconds(me.now.minus(m.startedAt)) / seconds(micros("obligations.warmAfterUs", 2e7));
+        double from = num("obligations.coldFrom", 0.2);
+        double part = num("extra.coldBears", 1) * Math.max(0.5, from + (1 - from) * age) / num("nInstances", 1);
+        if (part >= 1) {
+            return m.coldOffers.size() < (int) part;
+        }
+        long turns = (long) Math.ceil(2 / part);
+        long turn = me.now.minus(m.startedAt).dividedBy(span);
+        return m.coldOffers.isEmpty() && turn % turns == (long) num("position", 0) % turns;
+    }
+
+    // ---- Health ----------------------------------------------------------------------------------------
+
+    private void grieve(Machine m, double by) {
+        m.grief = grief(m) + by;
+        m.griefAt = me.now;
+    }
+
+    /** Recent trouble, halved over each settling time; a claim long without an answer counts while it lasts. */
+    private double grief(Machine m) {
+        double old = m.grief * Math.pow(2, -seconds(me.now.minus(m.griefAt)) / seconds(settle));
+        return m.griefAt == me.now || old < 0.01 && m.grief == 0 ? m.grief : old;
+    }
+
+    private double silence(Machine m) {
+        if (m.waitingClaims.isEmpty()) {
+            return 0;
+        }
+        Claim c = m.waitingClaims.iterator().next();
+        Flavour f = flavour(c.vm);
+        double usual = Math.max(seconds(f.target), 2 * (c.programKnown ? f.startWarm : f.startCold));
+        return seconds(me.now.minus(c.sentAt)) / usual;
+    }
+
+    /** A machine that stands out by its troubles gets one rebuildable VM at a time, until they fade. */
+    private boolean trusted(Flavour f, Machine m) {
+        boolean silent = silence(m) > 1;
+        if (grief(m) < SHUNNED && !silent) {
+            return true;
+        }
+        if (!me.now.equals(fleetGriefAt)) {
+            fleetGriefAt = me.now;
+            fleetGrief = me.machines.stream().filter(o -> o.listing == Listing.LIVE)
+                    .mapToDouble(o -> grief(o) + (silence(o) > 1 ? SHUNNED : 0)).average().orElse(0);
+        }
+        if ((grief(m) + (silent ? SHUNNED : 0)) < SHUNNED * fleetGrief) {
+            return true;
+        }
+        return f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
+                && (m.lastOfferAt == null || me.now.minus(m.lastOfferAt).compareTo(settle.dividedBy(2)) > 0);
+    }
+
+    private void blame(Claim c, End end, Why why, boolean wasBound) {
+        Machine m = c.machine;
+        if (c.vm.moved || end == End.DONE || end == End.CANCELLED || end == End.MOOT) {
+            return;
+        }
+        if (end == End.FULL) {
+            Duration shut = why == Why.LINE_FULL ? flavour(c.vm).target.dividedBy(2) : settle.dividedBy(2);
+            m.closedUntil = me.now.plus(shut);
+            grieve(m, 0.5);
+        } else if (end == End.RESET && wasBound) {
+            grieve(m, why == Why.EVICTED ? 1 : why == Why.UNTOLD ? 0.5 : 0);
+        } else {
+            grieve(m, 2);
+        }
+    }
+
+    private void started(Claim c) {
+        Flavour f = flavour(c.vm);
+        c.runs = true;
+        double took = seconds(me.now.minus(c.sentAt));
+        if (c.programKnown) {
+            f.startWarm += (took - f.startWarm) / 16;
+        } else {
+            f.startCold += (took - f.startCold) / 16;
+        }
+        if (took > seconds(f.target)) {
+            grieve(c.machine, 0.3);
+        } else {
+            c.machine.grief = grief(c.machine) * 0.8;
+            c.machine.griefAt = me.now;
+        }
+    }
+
+    // ---- Probes ----------------------------------------------------------------------------------------
+
+    /** The machine whose report is oldest, if it is old and a probe a VM has been earned. */
+    private Machine staleMachine() {
+        if (!flag("caps.probes", false) || text("loadReport.via", "off").equals("off")
+                || me.probes >= me.arrivals) {
+            return null;
+        }
+        Machine oldest = null;
+        for (Machine m : me.machines) {
+            if (m.listing == Listing.LIVE && !m.probing
+                    && (m.probedAt == null || me.now.minus(m.probedAt).compareTo(settle.dividedBy(2)) > 0)
+                    && (m.reportedAt == null || me.now.minus(m.reportedAt).compareTo(settle.dividedBy(2)) > 0)
+                    && (oldest == null || oldest.reportedAt != null
+                        && (m.reportedAt == null || m.reportedAt.compareTo(oldest.reportedAt) < 0))) {
+                oldest = m;
+            }
+        }
+        return oldest;
+    }
+
+    private void probe(Machine m) {
+        me.probes++;
+        m.probing = true;
+        m.probedAt = me.now;
+        door.probe(m);
+    }
+
+    // ---- Terms, time, chance ---------------------------------------------------------------------------
+
+    private Flavour flavour(Vm vm) {
+        return flavours.get(vm.flavour);
+    }
+
+    private double num(String name, double absent) {
+        return me.terms.get(name) instanceof Number n ? n.doubleValue() : absent;
+    }
+
+    private boolean flag(String name, boolean absent) {
+        return me.terms.get(name) instanceof Boolean b ? b : absent;
+    }
+
+    private String text(String name, String absent) {
+        return me.terms.get(name) instanceof String s ? s : absent;
+    }
+
+    private List<?> list(String name) {
+        return me.terms.get(name) instanceof List<?> l ? l : List.of();
+    }
+
+    private double item(String name, int i, double absent) {
+        return i < list(name).size() && list(name).get(i) instanceof Number n ? n.doubleValue() : absent;
+    }
+
+    private Duration micros(String name, double absent) {
+        return Duration.ofNanos((long) (num(name, absent) * 1000));
+    }
+
+    private static double seconds(Duration d) {
+        return d.toNanos() / 1e9;
+    }
+
+    private static Duration seconds(double s) {
+        return Duration.ofNanos((long) (s * 1e9));
+    }
+
+    private static Duration longer(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    private double chance() {
+        draw.clear();
+        draw.putLong(me.seed).putLong(me.draws++);
+        crc.reset();
+        crc.update(draw.array());
+        return crc.getValue() / 4294967296.0;
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/drill/Seat.java
@@ -0,0 +1,301 @@
+package fordridge.drill;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import fordridge.Logic;
+import fordridge.door.Door;
+import fordridge.state.Claim;
+import fordridge.state.Machine;
+import fordridge.state.Vm;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.temporal.ChronoUnit;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One instance: turns its events into calls of the module, and what the module does into actions. */
+final class Seat implements Door {
+    private final Logic logic = new Logic(this);
+    private final Map<String, Vm> vms = new HashMap<>();
+    private final Map<Long, Machine> machines = new HashMap<>();
+    private JsonGenerator gen;
+
+    private static Duration micros(long us) {
+        return Duration.of(us, ChronoUnit.MICROS);
+    }
+
+    private static long micros(Duration d) {
+        return d.toNanos() / 1000;
+    }
+
+    void event(String msg, Map<String, Object> ev, String at, Duration clock, JsonGenerator to,
+            Map<Long, List<Object>> lists) throws IOException {
+        gen = to;
+        logic.at(clock);
+        switch (msg) {
+            case "create" -> {
+                Map<String, Object> terms = new HashMap<>();
+                flatten("", Wire.object(ev.get("profileData"), at + ".profileData"), terms);
+                logic.start(Wire.whole(ev, "entropy", at), terms);
+            }
+            case "discovery" -> discovery(ev, at, lists);
+            case "arrival" -> {
+                Vm vm = vm(ev, at, clock);
+                vms.put(vm.id, vm);
+                logic.arrives(vm);
+            }
+            case "resident" -> {
+                Vm vm = vm(ev, at, clock);
+                vms.put(vm.id, vm);
+                logic.runsAlready(vm, machine(Wire.whole(ev, "machine", at)));
+            }
+            case "bound" -> {
+                Claim c = claim(ev, at);
+                if (c != null) {
+                    logic.bound(c);
+                }
+            }
+            case "interim" -> {
+                Claim c = claim(ev, at);
+                if (c != null) {
+                    double amount = Wire.number(ev, "amount", at, 0);
+                    switch ((int) Wire.whole(ev, "what", at)) {
+                        case 1 -> logic.running(c);
+                        case 2 -> logic.usesCores(c, amount);
+                        case 3 -> logic.usesMemory(c, amount);
+                        case 4 -> logic.served(c, amount);
+                        case 5 -> logic.pressed(c, amount);
+                        default -> { }
+                    }
+                }
+            }
+            case "response" -> response(ev, at, clock);
+            case "clientGone" -> {
+                Vm vm = vms.get(Wire.text(ev, "req", at));
+                if (vm != null) {
+                    logic.left(vm);
+                    forget(vm);
+                }
+            }
+            case "echo" -> {
+                Machine m = machines.get(Wire.whole(ev, "machine", at));
+                if (m != null) {
+                    boolean ok = Wire.whole(ev, "rc", at) == 200;
+                    boolean told = report(m, ev, at, clock);
+                    logic.probed(m, ok, told, micros(Wire.whole(ev, "elapsedUs", at, 0)));
+                }
+            }
+            case "due" -> {
+                Wire.whole(ev, "handle", at);
+                logic.woken();
+            }
+            default -> { }
+        }
+    }
+
+    private static void flatten(String prefix, Map<String, Object> from, Map<String, Object> into) {
+        for (Map.Entry<String, Object> e : from.entrySet()) {
+            flatten(prefix + e.getKey(), e.getValue(), into);
+        }
+    }
+
+    private static void flatten(String name, Object value, Map<String, Object> into) {
+        if (value instanceof Map) {
+            flatten(name + ".", Wire.object(value, name), into);
+        } else if (value instanceof List<?> list && !list.isEmpty() && list.get(0) instanceof Map) {
+            into.put(name, (long) list.size());
+            for (int i = 0; i < list.size(); i++) {
+                flatten(name + "." + i, list.get(i), into);
+            }
+        } else if (value != null) {
+            into.put(name, value);
+        }
+    }
+
+    private void discovery(Map<String, Object> ev, String at, Map<Long, List<Object>> lists) {
+        String how = Wire.text(ev, "how", at);
+        if (how.equals("error")) {
+            logic.listFailed();
+            return;
+        }
+        List<Object> lines = lists.get(Wire.whole(ev, "slot", at));
+        if (lines == null) {
+            throw new Wire.Malformed(at + ": field 'slot' names a list that never came");
+        }
+        logic.listBegins(!how.equals("diff"), how.equals("disk"));
+        int i = 0;
+        for (Object o : lines) {
+            String where = at + ".lines[" + i++ + "]";
+            Map<String, Object> l = Wire.object(o, where);
+            Machine m = machine(Wire.whole(l, "machine", where));
+            m.zone = Wire.text(l, "site", where, "");
+            m.kind = Wire.text(l, "generationHw", where, "");
+            m.cell = (int) Wire.whole(l, "pod", where, 0);
+            m.freeCores = Wire.number(l, "freeCores", where, 0);
+            m.freeMemory = Wire.number(l, "memoryFree", where, 0);
+            long ready = Wire.whole(l, "readyAtUs", where, 0);
+            String life = Wire.text(l, "lifecycle", where);
+            logic.listed(m, switch (life) {
+                case "live" -> Machine.Listing.LIVE;
+                case "quiescing" -> Machine.Listing.DRAINING;
+                case "dead" -> Machine.Listing.GONE;
+                default -> throw new Wire.Malformed(where + ": field 'lifecycle' is not a known word");
+            }, ready == 0 ? null : micros(ready));
+        }
+        logic.listEnds();
+    }
+
+    private Vm vm(Map<String, Object> ev, String at, Duration clock) {
+        Vm vm = new Vm(Wire.text(ev, "req", at));
+        vm.flavour = Wire.text(ev, "profile", at);
+        Object group = ev.get("clientGroup");
+        vm.customer = group instanceof String s ? s : "";
+        vm.service = Wire.whole(ev, "deployment", at, 0);
+        vm.cores = Wire.number(ev, "wantCores", at, 0);
+        vm.memory = Wire.number(ev, "mem", at, 0);
+        vm.cameBack = Wire.flag(ev, "cameBack", at) || Wire.flag(ev, "retry", at);
+        vm.arrivedAt = clock;
+        vm.deadline = clock.plus(micros(Wire.whole(ev, "patienceLeftUs", at, 0)));
+        long lasts = Wire.whole(ev, "lastsUs", at, 0);
+        vm.lasts = lasts > 0 ? micros(lasts) : null;
+        return vm;
+    }
+
+    private void response(Map<String, Object> ev, String at, Duration clock) {
+        Machine m = machines.get(Wire.whole(ev, "machine", at));
+        if (m != null && report(m, ev, at, clock)) {
+            logic.reported(m);
+        }
+        Claim c = claim(ev, at);
+        if (c == null) {
+            return;
+        }
+        int rc = (int) Wire.whole(ev, "rc", at);
+        Claim.End end = switch (rc) {
+            case 200 -> Claim.End.DONE;
+            case 502 -> Claim.End.ERROR;
+            case 429 -> Claim.End.FULL;
+            case 408 -> Claim.End.TIMEOUT;
+            case 521 -> Claim.End.UNREACHABLE;
+            case 520 -> Claim.End.RESET;
+            case 444 -> Claim.End.CANCELLED;
+            case 409 -> Claim.End.MOOT;
+            default -> throw new Wire.Malformed(at + ": field 'rc' is not a known result");
+        };
+        int info = (int) Wire.whole(ev, "info", at, 0);
+        Claim.Why[] whys = Claim.Why.values();
+        Claim.Why why = info > 0 && info < whys.length ? whys[info] : Claim.Why.UNTOLD;
+        logic.ended(c, end, why, Wire.flag(ev, "noMore", at));
+        forget(c.vm);
+    }
+
+    private boolean report(Machine m, Map<String, Object> ev, String at, Duration clock) {
+        if (ev.get("healthInfo") == null) {
+            return false;
+        }
+        Map<String, Object> r = Wire.object(ev.get("healthInfo"), at + ".healthInfo");
+        m.spareCores = Wire.number(r, "x0", at, Double.NaN);
+        m.spareMemory = Wire.number(r, "x1", at, Double.NaN);
+        m.busy = Wire.number(r, "utilization", at, Double.NaN);
+        m.tasks = Wire.number(r, "outstanding", at, Double.NaN);
+        m.waiting = Wire.number(r, "backlog", at, Double.NaN);
+        m.startMillis = Wire.number(r, "recent_ms", at, Double.NaN);
+        m.startsPerSecond = Wire.number(r, "throughput", at, Double.NaN);
+        m.errorsPerSecond = Wire.number(r, "errors_per_s", at, Double.NaN);
+        m.reportedAt = clock;
+        return true;
+    }
+
+    private Machine machine(long id) {
+        return machines.computeIfAbsent(id, Machine::new);
+    }
+
+    private Claim claim(Map<String, Object> ev, String at) {
+        Vm vm = vms.get(Wire.text(ev, "req", at));
+        int n = (int) Wire.whole(ev, "seqNo", at);
+        return vm == null || n < 0 || n >= vm.claims.size() ? null : vm.claims.get(n);
+    }
+
+    /** A VM that is over and has no claim out will not be heard of again. */
+    private void forget(Vm vm) {
+        if (vm.over && vm.out() == 0) {
+            vms.remove(vm.id);
+        }
+    }
+
+
+    /** Writes one action: its name, then pairs of field and value (a VM's id, a machine's id, a number...). */
+    private void act(String msg, Object... fields) {
+        try {
+            gen.writeStartObject();
+            gen.writeStringField("msg", msg);
+            for (int i = 0; i < fields.length; i += 2) {
+                gen.writeFieldName((String) fields[i]);
+                Object v = fields[i + 1];
+                if (v instanceof Long n) {
+                    gen.writeNumber(n);
+                } else if (v instanceof Boolean b) {
+                    gen.writeBoolean(b);
+                } else {
+                    gen.writeString((String) v);
+                }
+            }
+            gen.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void claim(Claim claim, Duration within) {
+        act("propose", "req", claim.vm.id, "machine", claim.machine.id, "withinUs", micros(within));
+    }
+
+    @Override
+    public void deny(Vm vm, Duration retryAfter) {
+        act("deny", "req", vm.id, "backoffUs", micros(retryAfter));
+        forget(vm);
+    }
+
+    @Override
+    public void error(Vm vm) {
+        act("dropRequest", "req", vm.id);
+        forget(vm);
+    }
+
+    @Override
+    public void move(Vm vm) {
+        act("vacate", "req", vm.id);
+    }
+
+    @Override
+    public void cancel(Claim claim) {
+        act("undoSend", "req", claim.vm.id, "seqNo", (long) claim.number);
+    }
+
+    @Override
+    public void probe(Machine machine) {
+        act("inspect", "machine", machine.id);
+    }
+
+    @Override
+    public void wake(Duration in) {
+        act("after", "inUs", micros(in), "handle", 0L);
+    }
+
+    @Override
+    public void log(String line) {
+        act("journalLine", "reasonText", line);
+    }
+
+    @Override
+    public void follow(boolean on) {
+        act("follow", "enable", on);
+    }
+
+    @Override
+    public void lookup() {
+        act("lookup", new Object[0]);
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/drill/Wire.java
@@ -0,0 +1,151 @@
+package fordridge.drill;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads one line of JSON into plain values, and takes typed fields out of them with plain complaints. */
+final class Wire {
+    /** A line that the wire does not allow; the message says what and where. */
+    static final class Malformed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Malformed(String what) {
+            super(what, null, false, false);
+        }
+    }
+
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private Wire() {
+    }
+
+    static Map<String, Object> line(String text) throws IOException {
+        try (JsonParser in = FACTORY.createParser(text)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new Malformed("the line is not a JSON object");
+            }
+            Map<String, Object> top = object(in);
+            if (in.nextToken() != null) {
+                throw new Malformed("more follows the JSON object");
+            }
+            return top;
+        } catch (JsonProcessingException e) {
+            throw new Malformed("the line is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
+        }
+    }
+
+    private static Map<String, Object> object(JsonParser in) throws IOException {
+        Map<String, Object> map = new LinkedHashMap<>(16);
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+            String name = in.currentName();
+            in.nextToken();
+            map.put(name, value(in));
+        }
+        return map;
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT:
+                return object(in);
+            case START_ARRAY:
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(in));
+                }
+                return list;
+            case VALUE_NUMBER_INT:
+                return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                        ? (Object) in.getDoubleValue() : (Object) in.getLongValue();
+            case VALUE_NUMBER_FLOAT:
+                return in.getDoubleValue();
+            case VALUE_TRUE:
+                return Boolean.TRUE;
+            case VALUE_FALSE:
+                return Boolean.FALSE;
+            case VALUE_NULL:
+                return null;
+            default:
+                return in.getText();
+        }
+    }
+
+    private static Object needed(Map<String, Object> from, String name, String where) {
+        Object v = from.get(name);
+        if (v == null) {
+            throw new Malformed(where + ": field '" + name + "' is missing");
+        }
+        return v;
+    }
+
+    private static Malformed wrong(String name, String where, String wanted) {
+        return new Malformed(where + ": field '" + name + "' is not " + wanted);
+    }
+
+    static long whole(Map<String, Object> from, String name, String where) {
+        if (needed(from, name, where) instanceof Long v) {
+            return v;
+        }
+        throw wrong(name, where, "a whole number");
+    }
+
+    static long whole(Map<String, Object> from, String name, String where, long absent) {
+        return from.get(name) == null ? absent : whole(from, name, where);
+    }
+
+    static double number(Map<String, Object> from, String name, String where) {
+        if (needed(from, name, where) instanceof Number v) {
+            return v.doubleValue();
+        }
+        throw wrong(name, where, "a number");
+    }
+
+    static double number(Map<String, Object> from, String name, String where, double absent) {
+        return from.get(name) == null ? absent : number(from, name, where);
+    }
+
+    static String text(Map<String, Object> from, String name, String where) {
+        if (needed(from, name, where) instanceof String v) {
+            return v;
+        }
+        throw wrong(name, where, "a string");
+    }
+
+    static String text(Map<String, Object> from, String name, String where, String absent) {
+        return from.get(name) == null ? absent : text(from, name, where);
+    }
+
+    static boolean flag(Map<String, Object> from, String name, String where) {
+        Object v = from.get(name);
+        if (v == null) {
+            return false;
+        }
+        if (v instanceof Boolean b) {
+            return b;
+        }
+        throw wrong(name, where, "true or false");
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> object(Object v, String where) {
+        if (v instanceof Map) {
+            return (Map<String, Object>) v;
+        }
+        throw new Malformed(where + " is not an object");
+    }
+
+    @SuppressWarnings("unchecked")
+    static List<Object> list(Map<String, Object> from, String name, String where) {
+        if (needed(from, name, where) instanceof List<?> v) {
+            return (List<Object>) v;
+        }
+        throw wrong(name, where, "an array");
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/state/Machine.java
@@ -0,0 +1,65 @@
+package fordridge.state;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** One machine as this placer knows it. */
+public final class Machine {
+    public enum Listing { LIVE, DRAINING, GONE }
+
+    /** What the placer holds of one service on a machine. */
+    public static final class Program {
+        public int held;
+        public Duration lastHeld;
+    }
+
+    public final long id;
+
+    // As the list tells it.
+    public Listing listing = Listing.GONE;
+    public String zone = "";
+    public String kind = "";
+    public int cell;
+    public double freeCores;
+    public double freeMemory;
+    public Duration startedAt;
+    public Duration listedAt;
+
+    // As its last report tells it; NaN where not told.
+    public double spareCores = Double.NaN;
+    public double spareMemory = Double.NaN;
+    public double busy = Double.NaN;
+    public double tasks = Double.NaN;
+    public double waiting = Double.NaN;
+    public double startMillis = Double.NaN;
+    public double startsPerSecond = Double.NaN;
+    public double errorsPerSecond = Double.NaN;
+    public Duration reportedAt;
+    public Duration probedAt;
+    public boolean probing;
+
+    // What this placer did there.
+    /** Claims that may not be in the list or the reports yet, oldest first. */
+    public final Deque<Claim> binds = new ArrayDeque<>();
+    public double boundCores;
+    public double boundMemory;
+    /** Claims without an answer, oldest first. */
+    public final Set<Claim> waitingClaims = new LinkedHashSet<>();
+    /** When offers were sent while it was recently started. */
+    public final Deque<Duration> coldOffers = new ArrayDeque<>();
+    public final Set<Claim> placed = new LinkedHashSet<>();
+    public final Map<Long, Program> programs = new HashMap<>();
+    public Duration closedUntil = Duration.ZERO;
+    public Duration lastOfferAt;
+    public double grief;
+    public Duration griefAt = Duration.ZERO;
+
+    public Machine(long id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/state/Placer.java
@@ -0,0 +1,36 @@
+package fordridge.state;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+/** What one instance knows for as long as it lives. */
+public final class Placer {
+    public Duration now = Duration.ZERO;
+    public long seed;
+    public long draws;
+    /** What was read at start: names and values, nested names joined by dots. */
+    public Map<String, Object> terms = Map.of();
+    /** Machines in the order in which the list first named them. */
+    public final List<Machine> machines = new ArrayList<>();
+    /** VMs taken and neither placed, out on a claim, nor answered; oldest first. */
+    public final Deque<Vm> held = new ArrayDeque<>();
+    /** VMs not tried yet since they came or their last claim ended. */
+    public final Deque<Vm> untried = new ArrayDeque<>();
+    public long arrivals;
+    public long probes;
+    public Duration wakeAt;
+    /** Room may have grown since the held VMs were last gone through. */
+    public boolean lookAgain;
+    public Duration lookedAt;
+
+    // The list of machines.
+    public boolean following;
+    public boolean asked;
+    public boolean listFailed;
+    public Duration heardListAt = Duration.ZERO;
+    public Duration askListAt = Duration.ZERO;
+}
--- /dev/null
+++ b/src/main/java/fordridge/state/Vm.java
@@ -0,0 +1,41 @@
+package fordridge.state;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One ask to have a VM placed, and the VM itself once it is. */
+public final class Vm {
+    /** The name it bears at the door; the module only hands it back. */
+    public final String id;
+    public String flavour;
+    public String customer = "";
+    public long service;
+    public double cores;
+    public double memory;
+    public boolean cameBack;
+    public Duration arrivedAt;
+    public Duration deadline;
+    /** Expected life, null where not told. */
+    public Duration lasts;
+    public final List<Claim> claims = new ArrayList<>();
+    public Claim placed;
+    /** Final answer given, or the end told. */
+    public boolean over;
+    /** Stopped by a move of ours; what follows is no fault of the machine. */
+    public boolean moved;
+
+    public Vm(String id) {
+        this.id = id;
+    }
+
+    public int out() {
+        int n = 0;
+        for (Claim c : claims) {
+            if (c.out()) {
+                n++;
+            }
+        }
+        return n;
+    }
+}
