Two books of own binds, one for the list and one for reports; spare scarce kinds

Now a bind leaves the report book when a report later than its start came, sums are kept per machine once an instant.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -12,8 +12,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.zip.CRC32;
 
@@ -56,6 +58,8 @@
     private final Door door;
     private final Placer me = new Placer();
     private final Map<String, Flavour> flavours = new HashMap<>();
+    /** Kinds of machine that some flavour cannot do without. */
+    private final Set<String> neededKinds = new HashSet<>();
     private final CRC32 crc = new CRC32();
     private final ByteBuffer draw = ByteBuffer.allocate(16);
     private final List<Rule> rules = List.of(
@@ -72,7 +76,8 @@
     private double usedMemory = Double.NaN;
     private double ownUseRatio = 1;
     private double fleetGrief;
-    private Duration fleetGriefAt;
+    private Duration grievedAt;
+    private Duration summedAt;
 
     public Logic(Door door) {
         this.door = door;
@@ -114,6 +119,9 @@
             f.optedIn = true;
             f.startWarm = seconds(f.target) / 2;
             f.startCold = 2 * seconds(f.target);
+            if (f.kind != null) {
+                neededKinds.add(f.kind);
+            }
             flavours.put(text(lane + "name", ""), f);
         }
         settleRules();
@@ -142,6 +150,9 @@
             m.reportedAt = null;
             m.closedUntil = Duration.ZERO;
         }
+        int kind = list("kinds").indexOf(m.kind);
+        m.cores = kind < 0 ? 0 : item("extra.cpuOfKind", kind, 0);
+        m.memory = kind < 0 ? 0 : item("extra.memoryByKind", kind, 0);
         m.startedAt = startedAt;
         m.listing = listing;
         m.listedAt = me.now;
@@ -179,6 +190,7 @@
         vm.placed = c;
         c.boundAt = me.now;
         c.runs = true;
+        c.runsAt = me.now;
         holds(c);
         settleRules();
     }
@@ -242,9 +254,8 @@
         p.lastHeld = me.now;
         m.placed.remove(c);
         if (neverRan(c)) {
-            if (m.binds.remove(c)) {
-                offBooks(m, c);
-            }
+            m.sinceList.remove(c);
+            m.sinceReport.remove(c);
         }
         blame(c, end, why, wasBound);
         if (over || wasBound) {
@@ -324,7 +335,7 @@
         }
     }
 
-    /** All that is held is tried once an instant, by priority; one shape that found no room speaks for its like. */
+    /** All that is held is tried once an instant, by priority; one that found no room speaks for all as large. */
     private void tryHeld() {
         me.lookAgain = false;
         me.lookedAt = me.now;
@@ -335,17 +346,17 @@
         for (Vm vm : order) {
             if (hopeless(vm)) {
                 giveUp(vm);
-            } else if (failed.stream().anyMatch(o -> alike(o, vm)) || !place(vm)) {
+            } else if (failed.stream().anyMatch(o -> noSmaller(o, vm)) || !place(vm)) {
                 me.held.addLast(vm);
-                if (vm.claims.isEmpty() && flavour(vm).spread.equals("off") && failed.stream().noneMatch(o -> alike(o, vm))) {
+                if (vm.claims.isEmpty() && flavour(vm).spread.equals("off") && failed.stream().noneMatch(o -> noSmaller(o, vm))) {
                     failed.add(vm);
                 }
             }
         }
     }
 
-    private static boolean alike(Vm a, Vm b) {
-        return b.claims.isEmpty() && a.flavour.equals(b.flavour) && a.cores == b.cores && a.memory == b.memory;
+    private static boolean noSmaller(Vm a, Vm b) {
+        return b.claims.isEmpty() && a.flavour.equals(b.flavour) && a.cores <= b.cores && a.memory <= b.memory;
     }
 
     private boolean place(Vm vm) {
@@ -361,6 +372,11 @@
         if (!listTrusted()) {
             return null;
         }
+        if (!me.now.equals(summedAt)) {
+            summedAt = me.now;
+            me.machines.forEach(this::clearBooks);
+            meanUse();
+        }
         List<Machine> can = new ArrayList<>();
         for (Machine m : me.machines) {
             if (eligible(vm, m)) {
@@ -374,13 +390,15 @@
             }
         }
         if (room.isEmpty() && flavour(vm).optedIn) {
-            meanUse();
             for (Machine m : can) {
                 if (opportunisticRoom(vm, m)) {
                     room.add(m);
                 }
             }
         }
+        if (flavour(vm).kind == null) {
+            room = narrow(room, m -> !neededKinds.contains(m.kind));
+        }
         if (num("prices.fleet", 0) > 0) {
             room = narrow(room, m -> inUse(m));
         }
@@ -425,51 +443,29 @@
     }
 
     private boolean regularRoom(Vm vm, Machine m) {
-        prune(m);
-        return flag("extra.freeInList", false)
-                && m.boundCores + vm.cores <= m.freeCores && m.boundMemory + vm.memory <= m.freeMemory;
+        return flag("extra.freeInList", false) && m.sinceList.cores + vm.cores <= m.freeCores
+                && m.sinceList.memory + vm.memory <= m.freeMemory;
     }
 
     private boolean opportunisticRoom(Vm vm, Machine m) {
-        double cores = cores(m);
-        double memory = memory(m);
-        double useCores = fresh(m) ? usedCores(m) : usedCores * cores;
-        double useMemory = fresh(m) ? usedMemory(m) : usedMemory * memory;
-        double nextCores = m.boundCores + vm.cores;
-        double nextMemory = m.boundMemory + vm.memory;
-        return useCores + nextCores <= THRESHOLD * cores
-                && useMemory + nextMemory <= THRESHOLD * memory
-                && nextCores <= m.freeCores + (num("extra.admitCores", 1) - 1) * cores
-                && nextMemory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * memory;
+        double useCores = fresh(m) ? usedCores(m) : usedCores * m.cores;
+        double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
+        return useCores + m.sinceReport.cores + vm.cores <= THRESHOLD * m.cores
+                && useMemory + m.sinceReport.memory + vm.memory <= THRESHOLD * m.memory
+                && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
+                && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
     }
 
-    /** What this placer sent stays on the books at full ask until the list and a report can include it. */
-    private void prune(Machine m) {
-        Duration told = m.reportedAt == null || me.heardListAt.compareTo(m.reportedAt) < 0
-                ? me.heardListAt : m.reportedAt;
-        Duration lag = me.now.minus(told).compareTo(settle) > 0 ? settle.multipliedBy(2) : settle;
-        Duration oldest = me.now.minus(lag);
-        while (!m.binds.isEmpty() && m.binds.peekFirst().sentAt.compareTo(oldest) < 0) {
-            offBooks(m, m.binds.removeFirst());
+    /** Own binds leave the books once a list or report that can include them was heard, and not before. */
+    private void clearBooks(Machine m) {
+        Duration listed = me.heardListAt.minus(settle);
+        while (!m.sinceList.claims.isEmpty()
+                && m.sinceList.claims.peekFirst().sentAt.compareTo(listed) < 0) {
+            m.sinceList.remove(m.sinceList.claims.peekFirst());
         }
-    }
-
-    private void offBooks(Machine m, Claim c) {
-        m.boundCores -= c.vm.cores;
-        m.boundMemory -= c.vm.memory;
-    }
-
-    private double size(Machine m, String of) {
-        int kind = list("kinds").indexOf(m.kind);
-        return kind < 0 ? 0 : item(of, kind, 0);
-    }
-
-    private double cores(Machine m) {
-        return size(m, "extra.cpuOfKind");
-    }
-
-    private double memory(Machine m) {
-        return size(m, "extra.memoryByKind");
+        Duration reported = fresh(m) ? m.reportedAt.minus(settle.dividedBy(6)) : me.now.minus(settle);
+        m.sinceReport.claims.stream().filter(c -> c.end != null || c.runs && c.runsAt.compareTo(reported) < 0)
+                .toList().forEach(m.sinceReport::remove);
     }
 
     private boolean fresh(Machine m) {
@@ -478,15 +474,15 @@
     }
 
     private double usedCores(Machine m) {
-        double used = cores(m) - m.spareCores;
+        double used = m.cores - m.spareCores;
         if (text("extra.reportCounts", "used").equals("asked")) {
             used *= ownUseRatio;
         }
-        return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * cores(m));
+        return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * m.cores);
     }
 
     private double usedMemory(Machine m) {
-        double used = memory(m) - m.spareMemory;
+        double used = m.memory - m.spareMemory;
         return text("extra.reportCounts", "used").equals("asked") ? used * ownUseRatio : used;
     }
 
@@ -499,16 +495,16 @@
         int n = 0;
         int live = 0;
         for (Machine m : me.machines) {
-            if (m.listing != Listing.LIVE || cores(m) <= 0) {
+            if (m.listing != Listing.LIVE || m.cores <= 0) {
                 continue;
             }
             live++;
-            askedCores += 1 - m.freeCores / cores(m);
-            askedMemory += 1 - m.freeMemory / memory(m);
+            askedCores += 1 - m.freeCores / m.cores;
+            askedMemory += 1 - m.freeMemory / m.memory;
             if (fresh(m)) {
                 n++;
-                shareCores += usedCores(m) / cores(m);
-                shareMemory += usedMemory(m) / memory(m);
+                shareCores += usedCores(m) / m.cores;
+                shareMemory += usedMemory(m) / m.memory;
             }
         }
         usedCores = n > 0 ? shareCores / n : live > 0 ? ownUseRatio * askedCores / live : 0;
@@ -516,7 +512,7 @@
     }
 
     private boolean inUse(Machine m) {
-        return !m.placed.isEmpty() || m.freeCores < cores(m) * 0.999;
+        return !m.placed.isEmpty() || m.freeCores < m.cores * 0.999;
     }
 
     private boolean knowsProgram(Machine m, long service) {
@@ -531,9 +527,8 @@
         c.programKnown = knowsProgram(m, vm.service);
         c.within = within(vm, c);
         vm.claims.add(c);
-        m.binds.addLast(c);
-        m.boundCores += vm.cores;
-        m.boundMemory += vm.memory;
+        m.sinceList.add(c);
+        m.sinceReport.add(c);
         m.waitingClaims.add(c);
         m.lastOfferAt = me.now;
         if (cold(m)) {
@@ -706,8 +701,8 @@
         if (grief(m) < SHUNNED && !silent) {
             return true;
         }
-        if (!me.now.equals(fleetGriefAt)) {
-            fleetGriefAt = me.now;
+        if (!me.now.equals(grievedAt)) {
+            grievedAt = me.now;
             fleetGrief = me.machines.stream().filter(o -> o.listing == Listing.LIVE)
                     .mapToDouble(o -> grief(o) + (silence(o) > 1 ? SHUNNED : 0)).average().orElse(0);
         }
@@ -737,6 +732,7 @@
     private void started(Claim c) {
         Flavour f = flavour(c.vm);
         c.runs = true;
+        c.runsAt = me.now;
         double took = seconds(me.now.minus(c.sentAt));
         if (c.programKnown) {
             f.startWarm += (took - f.startWarm) / 16;
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -18,6 +18,26 @@
         public Duration lastHeld;
     }
 
+    /** Own claims at full ask, oldest first, with their sums. */
+    public static final class Book {
+        public final Deque<Claim> claims = new ArrayDeque<>();
+        public double cores;
+        public double memory;
+
+        public void add(Claim c) {
+            claims.addLast(c);
+            cores += c.vm.cores;
+            memory += c.vm.memory;
+        }
+
+        public void remove(Claim c) {
+            if (claims.remove(c)) {
+                cores -= c.vm.cores;
+                memory -= c.vm.memory;
+            }
+        }
+    }
+
     public final long id;
 
     // As the list tells it.
@@ -25,6 +45,8 @@
     public String zone = "";
     public String kind = "";
     public int cell;
+    public double cores;
+    public double memory;
     public double freeCores;
     public double freeMemory;
     public Duration startedAt;
@@ -44,10 +66,10 @@
     public boolean probing;
 
     // What this placer did there.
-    /** Claims that may not be in the list or the reports yet, oldest first. */
-    public final Deque<Claim> binds = new ArrayDeque<>();
-    public double boundCores;
-    public double boundMemory;
+    /** Own claims that the list's free room may not include yet. */
+    public final Book sinceList = new Book();
+    /** Own claims whose use the reports may not include yet. */
+    public final Book sinceReport = new Book();
     /** Claims without an answer, oldest first. */
     public final Set<Claim> waitingClaims = new LinkedHashSet<>();
     /** When offers were sent while it was recently started. */
