--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -402,6 +402,7 @@
         if (num("prices.fleet", 0) > 0) {
             room = narrow(room, m -> inUse(m));
         }
+        room = narrow(room, m -> load(m) <= THRESHOLD);
         room = narrow(room, m -> knowsProgram(m, vm.service));
         String zone = text("zone", "");
         if (num("prices.crossZone", 0) > 0) {
@@ -424,7 +425,7 @@
         Machine best = null;
         for (int i = 0; i < SAMPLE && !room.isEmpty(); i++) {
             Machine m = room.remove((int) (chance() * room.size()));
-            if (best == null || grief(m) < grief(best)) {
+            if (best == null || pressure(m) < pressure(best)) {
                 best = m;
             }
         }
@@ -456,6 +457,19 @@
                 && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
     }
 
+    /** The share of the machine in use, by its last report or the mean, with own binds since as such VMs use. */
+    private double load(Machine m) {
+        double cores = (fresh(m) ? usedCores(m) : usedCores * m.cores) + m.sinceReport.cores * ownUseRatio;
+        double memory = (fresh(m) ? usedMemory(m) : usedMemory * m.memory) + m.sinceReport.memory * ownUseRatio;
+        return Math.max(cores / m.cores, memory / m.memory);
+    }
+
+    /** What the picker compares. A report of use past the threshold weighs like a note of pressure: where no
+     * notes are sent, or none of our own VMs runs there to send one, it is all that tells of a crowd. */
+    private double pressure(Machine m) {
+        return grief(m) + Math.max(0, load(m) - THRESHOLD) / (1 - THRESHOLD);
+    }
+
     /** Own binds leave the books once a list or report that can include them was heard, and not before. */
     private void clearBooks(Machine m) {
         Duration listed = me.heardListAt.minus(settle);
