--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -50,7 +50,7 @@
         double startCold;
     }
 
-    private static final double THRESHOLD = 0.85;
+    private static final double THRESHOLD = 0.9;
     private static final int SAMPLE = 3;
     /** Grief from which a machine is left alone, if it also stands out from the fleet by as many times. */
     private static final double SHUNNED = 3;
