--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -384,24 +384,16 @@
             }
         }
         List<Machine> room = new ArrayList<>();
-        for (Machine m : can) {
-            if (regularRoom(vm, m)) {
-                room.add(m);
-            }
+        if (num("prices.fleet", 0) > 0) {
+            // Where machines in use have a price, an empty one is opened only when none in use has room.
+            room = withRoom(vm, can.stream().filter(this::inUse).toList());
         }
-        if (room.isEmpty() && flavour(vm).optedIn) {
-            for (Machine m : can) {
-                if (opportunisticRoom(vm, m)) {
-                    room.add(m);
-                }
-            }
+        if (room.isEmpty()) {
+            room = withRoom(vm, can);
         }
         if (flavour(vm).kind == null) {
             room = narrow(room, m -> !neededKinds.contains(m.kind));
         }
-        if (num("prices.fleet", 0) > 0) {
-            room = narrow(room, m -> inUse(m));
-        }
         room = narrow(room, m -> load(m) <= THRESHOLD);
         room = narrow(room, m -> knowsProgram(m, vm.service));
         String zone = text("zone", "");
@@ -411,6 +403,17 @@
         return leastGrieved(room);
     }
 
+    /** Regular room first; where none has it, opportunistic room for flavours that are opted in. */
+    private List<Machine> withRoom(Vm vm, List<Machine> can) {
+        List<Machine> room = new ArrayList<>(can);
+        room.removeIf(m -> !regularRoom(vm, m));
+        if (room.isEmpty() && flavour(vm).optedIn) {
+            room.addAll(can);
+            room.removeIf(m -> !opportunisticRoom(vm, m));
+        }
+        return room;
+    }
+
     private static List<Machine> narrow(List<Machine> from, java.util.function.Predicate<Machine> to) {
         List<Machine> some = new ArrayList<>();
         for (Machine m : from) {
