--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -623,7 +623,7 @@
             return true;
         }
         Duration patience = vm.deadline.minus(vm.arrivedAt);
-        return me.now.compareTo(vm.arrivedAt.plus(patience.dividedBy(2))) >= 0;
+        return me.now.compareTo(vm.arrivedAt.plus(patience.multipliedBy(7).dividedBy(8))) >= 0;
     }
 
     private void giveUp(Vm vm) {
