--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -74,7 +74,9 @@
     private Duration settle;
     private double usedCores = Double.NaN;
     private double usedMemory = Double.NaN;
-    private double ownUseRatio = 1;
+    /** What own VMs have been told to use, as a share of their asks. */
+    private double coresRatio = 1;
+    private double memoryRatio = 1;
     private double fleetGrief;
     private Duration grievedAt;
     private Duration summedAt;
@@ -215,13 +217,13 @@
 
     public void usesCores(Claim c, double amount) {
         if (c.vm.cores > 0) {
-            ownUseRatio += (amount / c.vm.cores - ownUseRatio) / 64;
+            coresRatio += (amount / c.vm.cores - coresRatio) / 64;
         }
     }
 
     public void usesMemory(Claim c, double amount) {
         if (c.vm.memory > 0) {
-            ownUseRatio += (amount / c.vm.memory - ownUseRatio) / 64;
+            memoryRatio += (amount / c.vm.memory - memoryRatio) / 64;
         }
     }
 
@@ -454,16 +456,20 @@
     private boolean opportunisticRoom(Vm vm, Machine m) {
         double useCores = fresh(m) ? usedCores(m) : usedCores * m.cores;
         double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
-        return useCores + m.sinceReport.cores + vm.cores <= THRESHOLD * m.cores
-                && useMemory + m.sinceReport.memory + vm.memory <= THRESHOLD * m.memory
+        // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
+        boolean pressing = me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        double byCores = pressing ? Math.min(1, coresRatio) : 1;
+        double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
+        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= THRESHOLD * m.cores
+                && useMemory + (m.sinceReport.memory + vm.memory) * byMemory <= THRESHOLD * m.memory
                 && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
                 && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
     }
 
     /** The share of the machine in use, by its last report or the mean, with own binds since as such VMs use. */
     private double load(Machine m) {
-        double cores = (fresh(m) ? usedCores(m) : usedCores * m.cores) + m.sinceReport.cores * ownUseRatio;
-        double memory = (fresh(m) ? usedMemory(m) : usedMemory * m.memory) + m.sinceReport.memory * ownUseRatio;
+        double cores = (fresh(m) ? usedCores(m) : usedCores * m.cores) + m.sinceReport.cores * coresRatio;
+        double memory = (fresh(m) ? usedMemory(m) : usedMemory * m.memory) + m.sinceReport.memory * memoryRatio;
         return Math.max(cores / m.cores, memory / m.memory);
     }
 
@@ -493,14 +499,14 @@
     private double usedCores(Machine m) {
         double used = m.cores - m.spareCores;
         if (text("extra.reportCounts", "used").equals("asked")) {
-            used *= ownUseRatio;
+            used *= coresRatio;
         }
         return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * m.cores);
     }
 
     private double usedMemory(Machine m) {
         double used = m.memory - m.spareMemory;
-        return text("extra.reportCounts", "used").equals("asked") ? used * ownUseRatio : used;
+        return text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio : used;
     }
 
     /** Mean of reported use as a share of size, for machines without a report; asks stand in where none reports. */
@@ -524,8 +530,8 @@
                 shareMemory += usedMemory(m) / m.memory;
             }
         }
-        usedCores = n > 0 ? shareCores / n : live > 0 ? ownUseRatio * askedCores / live : 0;
-        usedMemory = n > 0 ? shareMemory / n : live > 0 ? ownUseRatio * askedMemory / live : 0;
+        usedCores = n > 0 ? shareCores / n : live > 0 ? coresRatio * askedCores / live : 0;
+        usedMemory = n > 0 ? shareMemory / n : live > 0 ? memoryRatio * askedMemory / live : 0;
     }
 
     private boolean inUse(Machine m) {
