--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -458,7 +458,7 @@
         double useCores = fresh(m) ? usedCores(m) : usedCores * m.cores;
         double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
         // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
-        boolean pressing = flavour(vm).calm >= THRESHOLD && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        boolean pressing = me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
         double threshold = Math.max(LOWEST, Math.min(THRESHOLD, flavour(vm).calm));
@@ -751,6 +751,12 @@
             grieve(m, why == Why.EVICTED ? 1 : why == Why.UNTOLD ? 0.5 : 0);
         } else {
             grieve(m, 2);
+            if (end == End.UNREACHABLE) {
+                // Down for sure, however the rest of the fleet fares: each further knock waits longer, so that
+                // a mass outage does not burn the claims of every VM. A new start in the list opens it at once.
+                double spans = Math.min(grief(m), 4 * SHUNNED) / 4;
+                m.closedUntil = me.now.plus(seconds(spans * seconds(settle) / 2));
+            }
         }
     }
 
