--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -44,14 +44,12 @@
         String kind;
         String spread;
         int most;
-        double calm;
         boolean optedIn;
         double startWarm;
         double startCold;
     }
 
     private static final double THRESHOLD = 0.9;
-    private static final double LOWEST = 0.75;
     private static final int SAMPLE = 3;
     /** Grief from which a machine is left alone, if it also stands out from the fleet by as many times. */
     private static final double SHUNNED = 3;
@@ -96,11 +94,7 @@
         me.seed = seed;
         me.terms = terms;
         settle = micros("extra.settleUs", 3e6);
-        int lowest = Integer.MAX_VALUE;
         int n = (int) num("lanes", 0);
-        for (int i = 0; i < n; i++) {
-            lowest = Math.min(lowest, (int) item("extra.precedence", i, 0));
-        }
         for (int i = 0; i < n; i++) {
             Flavour f = new Flavour();
             String lane = "lanes." + i + ".";
@@ -118,7 +112,6 @@
             f.kind = kind < 0 ? null : (String) list("kinds").get(kind);
             f.spread = list("extra.classSpread").size() > i ? (String) list("extra.classSpread").get(i) : "off";
             f.most = (int) item("extra.classMost", i, Integer.MAX_VALUE);
-            f.calm = item("extra.calmLevel", i, 1);
             f.optedIn = true;
             f.startWarm = seconds(f.target) / 2;
             f.startCold = 2 * seconds(f.target);
@@ -458,11 +451,11 @@
         double useCores = fresh(m) ? usedCores(m) : usedCores * m.cores;
         double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
         // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
-        boolean pressing = me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        // Not where machines push out lower priorities: there a denser fill is paid for in push-outs.
+        boolean pressing = !flag("extra.pushesOut", false) && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
-        double threshold = Math.max(LOWEST, Math.min(THRESHOLD, flavour(vm).calm));
-        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= threshold * m.cores
+        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= THRESHOLD * m.cores
                 && useMemory + (m.sinceReport.memory + vm.memory) * byMemory <= THRESHOLD * m.memory
                 && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
                 && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
