--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -68,7 +68,7 @@
             new Rule(() -> !me.untried.isEmpty(), () -> tryOrHold(me.untried.removeFirst())),
             new Rule(() -> me.lookAgain && !me.held.isEmpty() && !me.now.equals(me.lookedAt), this::tryHeld),
             new Rule(() -> staleMachine() != null, () -> probe(staleMachine())),
-            new Rule(() -> !me.held.isEmpty() && me.wakeAt == null, this::setWake));
+            new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following), this::setWake));
     private boolean whole;
     private Duration settle;
     private double usedCores = Double.NaN;
--- a/src/main/java/fordridge/drill/Seat.java
+++ b/src/main/java/fordridge/drill/Seat.java
@@ -152,11 +152,11 @@
         Object group = ev.get("clientGroup");
         vm.customer = group instanceof String s ? s : "";
         vm.service = Wire.whole(ev, "deployment", at, 0);
-        vm.cores = Wire.number(ev, "wantCores", at, 0);
-        vm.memory = Wire.number(ev, "mem", at, 0);
+        vm.cores = Wire.number(ev, "wantCores", at);
+        vm.memory = Wire.number(ev, "mem", at);
         vm.cameBack = Wire.flag(ev, "cameBack", at) || Wire.flag(ev, "retry", at);
         vm.arrivedAt = clock;
-        vm.deadline = clock.plus(micros(Wire.whole(ev, "patienceLeftUs", at, 0)));
+        vm.deadline = clock.plus(micros(Wire.whole(ev, "patienceLeftUs", at)));
         long lasts = Wire.whole(ev, "lastsUs", at, 0);
         vm.lasts = lasts > 0 ? micros(lasts) : null;
         return vm;
--- /dev/null
+++ b/src/test/java/fordridge/LogicTest.java
@@ -0,0 +1,171 @@
+package fordridge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import fordridge.state.Claim;
+import fordridge.state.Claim.End;
+import fordridge.state.Claim.Why;
+import fordridge.state.Machine;
+import fordridge.state.Machine.Listing;
+import fordridge.state.Vm;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class LogicTest {
+    private static World play(long seed, int machines, boolean pushed, String scope) {
+        World w = new World(pushed, scope);
+        Random r = new Random(seed);
+        w.begin(seed, machines);
+        for (int i = 0; i < 250; i++) {
+            w.happen(r);
+            w.pass(Duration.ofMillis(10L * r.nextInt(12)));
+        }
+        w.pass(Duration.ofSeconds(6));
+        return w;
+    }
+
+    @Property(tries = 150, seed = "4711")
+    void oddSequencesKeepTheFiveRules(@ForAll long seed, @ForAll @IntRange(min = 1, max = 9) int machines,
+            @ForAll boolean pushed, @ForAll @IntRange(max = 2) int scope) {
+        World w = play(seed, machines, pushed, List.of("all", "zone", "cell").get(scope));
+        for (Vm vm : w.vms) {
+            assertThat(w.answered.contains(vm) || vm.over).as(vm.id + " was lost").isTrue();
+        }
+    }
+
+    @Property(tries = 20, seed = "4712")
+    void sameInputsSameActs(@ForAll long seed) {
+        assertThat(play(seed, 6, true, "cell").acts).isEqualTo(play(seed, 6, true, "cell").acts);
+    }
+
+    private static World calm(int machines) {
+        World w = new World(true, "cell");
+        w.begin(1, machines);
+        return w;
+    }
+
+    private static void report(World w, Machine m, double cores, double memory) {
+        m.spareCores = cores;
+        m.spareMemory = memory;
+        m.reportedAt = w.now;
+        w.logic.probed(m, true, true, Duration.ofMillis(2));
+    }
+
+    @Example
+    void regularRoomComesFirst() {
+        World w = calm(3);
+        w.machines.get(0).freeCores = 0;
+        w.machines.get(1).freeCores = 0;
+        report(w, w.machines.get(0), 16, 32);
+        Vm vm = w.arrive("retryable", 2, 2, 1);
+        assertThat(vm.claims.get(0).machine).isSameAs(w.machines.get(2));
+    }
+
+    @Example
+    void opportunisticRoomFollowsReportedUse() {
+        World w = calm(2);
+        w.machines.forEach(m -> m.freeCores = 0);
+        report(w, w.machines.get(0), 1, 32);
+        report(w, w.machines.get(1), 20, 64);
+        Vm vm = w.arrive("retryable", 2, 2, 1);
+        assertThat(vm.claims.get(0).machine).isSameAs(w.machines.get(1));
+    }
+
+    @Example
+    void noRoomIsHeldThenDeniedInTime() {
+        World w = calm(1);
+        w.machines.get(0).freeMemory = -16;
+        Vm vm = w.arrive("retryable", 2, 2, 1);
+        assertThat(vm.claims.isEmpty()).isTrue();
+        w.pass(Duration.ofSeconds(3));
+        assertThat(vm.over).isFalse();
+        w.pass(Duration.ofMillis(1900));
+        assertThat(w.denied).isEqualTo(1);
+    }
+
+    @Example
+    void heldVmGoesAsSoonAsTheListShowsRoom() {
+        World w = calm(1);
+        w.machines.get(0).freeMemory = -16;
+        Vm vm = w.arrive("retryable", 2, 2, 1);
+        w.pass(Duration.ofSeconds(1));
+        w.machines.get(0).freeMemory = 20;
+        w.list(w.machines.get(0), Listing.LIVE, null);
+        w.pass(Duration.ofMillis(50));
+        assertThat(vm.claims.size()).isEqualTo(1);
+    }
+
+    @Example
+    void oneShotThatMayHaveRunIsErroredAtOnce() {
+        World w = calm(4);
+        Vm vm = w.arrive("fragile", 1, 1, 1);
+        w.end(vm.claims.get(0), End.ERROR, Why.UNTOLD);
+        assertThat(w.errored).isEqualTo(1);
+        assertThat(vm.claims.size()).isEqualTo(1);
+    }
+
+    @Example
+    void refusedVmGoesElsewhere() {
+        World w = calm(4);
+        Vm vm = w.arrive("retryable", 1, 1, 1);
+        w.end(vm.claims.get(0), End.FULL, Why.NO_MEMORY);
+        assertThat(vm.claims.size()).isEqualTo(2);
+        assertThat(vm.claims.get(1).machine).isNotSameAs(vm.claims.get(0).machine);
+    }
+
+    /** Most of a fleet dying at once must not burn the claims of every VM on dead machines. */
+    @Example
+    void massOutageDoesNotBurnClaims() {
+        World w = calm(8);
+        for (int i = 0; i < 40; i++) {
+            w.arrive("retryable", 0.5, 1, i);
+            for (Claim c : List.copyOf(w.claims)) {
+                if (c.out() && c.machine != w.machines.get(7)) {
+                    w.end(c, End.UNREACHABLE, Why.UNTOLD);
+                }
+            }
+            w.pass(Duration.ofMillis(20));
+        }
+        long dead = w.claims.stream().filter(c -> c.end == End.UNREACHABLE).count();
+        assertThat(dead < 40).as(dead + " claims burnt").isTrue();
+    }
+
+    /** A machine that keeps silent gets no more than a trial while others answer. */
+    @Example
+    void silentMachineIsLeftAlone() {
+        World w = calm(6);
+        Machine silent = w.machines.get(2);
+        for (int i = 0; i < 300; i++) {
+            w.arrive("retryable", 0.5, 0.5, i);
+            for (Claim c : List.copyOf(w.claims)) {
+                if (c.out() && c.machine != silent) {
+                    if (c.boundAt == null) {
+                        w.bind(c);
+                    }
+                    w.end(c, End.DONE, Why.UNTOLD);
+                }
+            }
+            w.pass(Duration.ofMillis(20));
+        }
+        long late = w.claims.stream().filter(c -> c.machine == silent
+                && c.sentAt.compareTo(Duration.ofSeconds(7)) > 0).count();
+        assertThat(late <= 5).as(late + " claims to the silent machine").isTrue();
+    }
+
+    @Example
+    void listIsAskedForAgainAfterAFailure() {
+        World w = new World(false, "all");
+        w.begin(1, 2);
+        assertThat(w.subscribed).isTrue();
+        w.subscribed = false;
+        w.logic.listFailed();
+        w.pass(Duration.ofSeconds(2));
+        w.arrive("retryable", 1, 1, 1);
+        assertThat(w.subscribed).isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/fordridge/World.java
@@ -0,0 +1,305 @@
+package fordridge;
+
+import fordridge.door.Door;
+import fordridge.state.Claim;
+import fordridge.state.Claim.End;
+import fordridge.state.Claim.Why;
+import fordridge.state.Machine;
+import fordridge.state.Machine.Listing;
+import fordridge.state.Vm;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+/** A door that checks the five rules at every act, and hands on seeded, legal but odd inputs. */
+final class World implements Door {
+    static final Duration GRACE = Duration.ofMillis(500);
+    final Map<String, Object> terms = new HashMap<>();
+    final List<Machine> machines = new ArrayList<>();
+    final Map<Machine, Duration> toldGone = new HashMap<>();
+    final List<Vm> vms = new ArrayList<>();
+    final List<Claim> claims = new ArrayList<>();
+    final Set<Vm> answered = new HashSet<>();
+    final List<String> acts = new ArrayList<>();
+    final Map<Machine, List<Duration>> coldOffers = new HashMap<>();
+    Logic logic = new Logic(this);
+    Duration now = Duration.ofSeconds(5);
+    Duration wakeAt;
+    boolean subscribed;
+    int denied;
+    int errored;
+    int probes;
+
+    World(boolean pushed, String scope) {
+        String[] kinds = {"small", "big"};
+        terms.put("kinds", List.of(kinds));
+        terms.put("discovery", pushed ? "push" : "ask");
+        terms.put("nInstances", 2L);
+        terms.put("position", 1L);
+        terms.put("tickUs", 2000L);
+        terms.put("zone", "z0");
+        terms.put("lanes", 3L);
+        String[] semantics = {"retryable", "dedup", "fragile"};
+        for (int i = 0; i < 3; i++) {
+            String lane = "lanes." + i + ".";
+            terms.put(lane + "name", semantics[i]);
+            terms.put(lane + "semantics", semantics[i]);
+            terms.put(lane + "dedupScope", scope);
+            terms.put(lane + "windowUs", 3000000L);
+            terms.put(lane + "promiseUs", 600000L);
+            terms.put(lane + "giveUpUs", 5000000L);
+        }
+        terms.put("extra.precedence", List.of(0L, 1L, 2L));
+        terms.put("extra.kindByClass", List.of(-1L, -1L, 1L));
+        terms.put("extra.classSpread", List.of("off", "cell", "machine"));
+        terms.put("extra.classMost", List.of(9L, 3L, 2L));
+        terms.put("extra.cpuOfKind", List.of(16L, 32L));
+        terms.put("extra.memoryByKind", List.of(32L, 64L));
+        terms.put("extra.admitCores", 2.5);
+        terms.put("extra.memBooking", 1.5);
+        terms.put("extra.freeInList", true);
+        terms.put("extra.coldBears", 8.0);
+        terms.put("extra.saysYes", "running");
+        terms.put("extra.settleUs", 3000000L);
+        terms.put("caps.mostTries", 3L);
+        terms.put("caps.retryAfter", true);
+        terms.put("caps.maxRetryAfterUs", 3000000L);
+        terms.put("caps.probes", true);
+        terms.put("loadReport.via", "on_probe");
+        terms.put("obligations.drainGraceUs", 500000L);
+        terms.put("obligations.askWithinUs", 10000000L);
+        terms.put("obligations.warmAfterUs", 10000000L);
+        terms.put("obligations.overloadForUs", 1000000L);
+        terms.put("obligations.coldFrom", 0.2);
+    }
+
+    void begin(long seed, int count) {
+        logic.at(now);
+        logic.start(seed, terms);
+        logic.listBegins(true, true);
+        for (int i = 0; i < count; i++) {
+            Machine m = new Machine(100 + i);
+            m.kind = i % 2 == 0 ? "small" : "big";
+            m.zone = "z" + i % 3;
+            m.cell = i % 2;
+            m.freeCores = i % 2 == 0 ? 16 : 32;
+            m.freeMemory = i % 2 == 0 ? 32 : 64;
+            machines.add(m);
+            logic.listed(m, Listing.LIVE, null);
+        }
+        logic.listEnds();
+    }
+
+    void list(Machine m, Listing listing, Duration startedAt) {
+        toldGone.remove(m);
+        if (listing != Listing.LIVE) {
+            toldGone.put(m, now);
+        }
+        if (startedAt != null) {
+            coldOffers.put(m, new ArrayList<>());
+        }
+        logic.listBegins(false, false);
+        logic.listed(m, listing, startedAt);
+        logic.listEnds();
+    }
+
+    Vm arrive(String flavour, double cores, double memory, long service) {
+        Vm vm = new Vm("vm" + vms.size());
+        vm.flavour = flavour;
+        vm.cores = cores;
+        vm.memory = memory;
+        vm.service = service;
+        vm.arrivedAt = now;
+        vm.deadline = now.plusSeconds(5);
+        vms.add(vm);
+        logic.arrives(vm);
+        return vm;
+    }
+
+    /** Lets time pass, in ticks, with wakes in time and time-outs of claims. */
+    void pass(Duration span) {
+        Duration end = now.plus(span);
+        while (now.compareTo(end) < 0) {
+            now = now.plusMillis(10);
+            logic.at(now);
+            for (Claim c : List.copyOf(claims)) {
+                if (c.out() && c.boundAt == null && now.compareTo(c.sentAt.plus(c.within)) >= 0) {
+                    end(c, End.TIMEOUT, Why.UNTOLD);
+                }
+            }
+            if (wakeAt != null && now.compareTo(wakeAt) >= 0) {
+                wakeAt = null;
+                logic.woken();
+            }
+            for (Vm vm : vms) {
+                check(vm.placed != null || vm.over || now.compareTo(vm.deadline.plusMillis(10)) < 0,
+                        "rule 1: " + vm.id + " has no answer in time");
+            }
+        }
+    }
+
+    void bind(Claim c) {
+        answered.add(c.vm);
+        logic.bound(c);
+    }
+
+    void end(Claim c, End how, Why why) {
+        boolean wasBound = c.boundAt != null;
+        logic.ended(c, how, why, wasBound || c.vm.over);
+    }
+
+    /** One odd but legal happening. */
+    void happen(Random r) {
+        logic.at(now);
+        Machine m = machines.get(r.nextInt(machines.size()));
+        List<Claim> open = claims.stream().filter(Claim::out).toList();
+        Claim c = open.isEmpty() ? null : open.get(r.nextInt(open.size()));
+        String[] flavours = {"retryable", "dedup", "fragile"};
+        switch (r.nextInt(12)) {
+            case 0, 1, 2, 3 -> arrive(flavours[r.nextInt(3)], 0.5 + r.nextInt(6), 1 + r.nextInt(9), r.nextInt(5));
+            case 4, 5 -> {
+                if (c != null && c.boundAt == null && !c.vm.over) {
+                    bind(c);
+                }
+            }
+            case 6, 7 -> {
+                if (c != null) {
+                    End[] ends = c.boundAt != null ? new End[] {End.DONE, End.RESET, End.CANCELLED}
+                            : new End[] {End.ERROR, End.FULL, End.UNREACHABLE, End.RESET, End.TIMEOUT, End.MOOT};
+                    end(c, ends[r.nextInt(ends.length)], Why.values()[r.nextInt(Why.values().length)]);
+                }
+            }
+            case 8 -> list(m, Listing.values()[r.nextInt(3)], null);
+            case 9 -> list(m, Listing.LIVE, now.minusMillis(r.nextInt(2000)));
+            case 10 -> {
+                m.spareCores = r.nextDouble() * m.cores;
+                m.spareMemory = r.nextDouble() * m.memory;
+                m.reportedAt = now;
+                logic.probed(m, r.nextBoolean(), true, Duration.ofMillis(2));
+            }
+            default -> {
+                if (r.nextInt(4) == 0) {
+                    logic.listFailed();
+                } else if (!vms.isEmpty()) {
+                    Vm vm = vms.get(r.nextInt(vms.size()));
+                    if (!vm.over) {
+                        answered.add(vm);
+                        logic.left(vm);
+                    }
+                }
+            }
+        }
+    }
+
+    static void check(boolean kept, String what) {
+        if (!kept) {
+            throw new AssertionError(what);
+        }
+    }
+
+    private static boolean neverRan(Claim c) {
+        return c.end == End.FULL || c.end == End.UNREACHABLE || c.end == End.MOOT;
+    }
+
+    private boolean sameGroup(Machine a, Machine b) {
+        return switch ((String) terms.get("lanes.1.dedupScope")) {
+            case "all" -> true;
+            case "zone" -> a.zone.equals(b.zone);
+            default -> a.cell == b.cell;
+        };
+    }
+
+    @Override
+    public void claim(Claim c, Duration within) {
+        acts.add(now + " claim " + c.vm.id + " " + c.machine.id);
+        check(!answered.contains(c.vm), "rule 1: a claim after the answer for " + c.vm.id);
+        Duration told = toldGone.get(c.machine);
+        check(told == null || now.compareTo(told.plus(GRACE)) <= 0, "rule 3: sent to a machine told gone");
+        int inPlace = 1;
+        for (Claim o : claims) {
+            if (o.vm == c.vm && o != c) {
+                check(!o.out(), "rule 2: two claims out at once");
+                if (!neverRan(o) && !c.vm.flavour.equals("retryable")) {
+                    check(c.vm.flavour.equals("dedup"), "rule 2: a one-shot sent again");
+                    check(sameGroup(o.machine, c.machine), "rule 2: out of its group");
+                    check(now.compareTo(o.sentAt.plusSeconds(3)) < 0, "rule 2: out of its window");
+                }
+            }
+            boolean near = c.vm.flavour.equals("fragile") ? o.machine == c.machine : o.machine.cell == c.machine.cell;
+            inPlace += o.out() && o.vm.service == c.vm.service && near ? 1 : 0;
+        }
+        int most = c.vm.flavour.equals("fragile") ? 2 : c.vm.flavour.equals("dedup") ? 3 : Integer.MAX_VALUE;
+        check(inPlace <= most, "rule 5: more of a service in one place than the most");
+        Machine m = c.machine;
+        if (m.startedAt != null && now.minus(m.startedAt).compareTo(Duration.ofSeconds(10)) < 0) {
+            List<Duration> sent = coldOffers.get(m);
+            sent.add(now);
+            long recent = sent.stream().filter(t -> t.compareTo(now.minusSeconds(1)) > 0).count();
+            check(recent <= 4, "rule 4: more than this placer's part of what a cold machine bears");
+        }
+        claims.add(c);
+    }
+
+    private void answer(Vm vm) {
+        acts.add(now + " answer " + vm.id);
+        check(answered.add(vm), "rule 1: a second final answer for " + vm.id);
+        check(now.compareTo(vm.deadline.plusMillis(10)) <= 0, "rule 1: an answer too late");
+    }
+
+    @Override
+    public void deny(Vm vm, Duration retryAfter) {
+        answer(vm);
+        denied++;
+        boolean mayHaveRun = vm.claims.stream().anyMatch(c -> !neverRan(c));
+        check(!mayHaveRun || vm.flavour.equals("retryable")
+                || vm.flavour.equals("dedup") && terms.get("lanes.1.dedupScope").equals("all"), "rule 2: denied");
+    }
+
+    @Override
+    public void error(Vm vm) {
+        answer(vm);
+        errored++;
+    }
+
+    @Override
+    public void move(Vm vm) {
+        check(vm.placed != null, "a move of what is not placed");
+        answered.add(vm);
+    }
+
+    @Override
+    public void cancel(Claim claim) {
+        acts.add(now + " cancel");
+    }
+
+    @Override
+    public void probe(Machine machine) {
+        acts.add(now + " probe " + machine.id);
+        probes++;
+    }
+
+    @Override
+    public void wake(Duration in) {
+        wakeAt = now.plus(in);
+    }
+
+    @Override
+    public void log(String line) {
+        acts.add(line);
+    }
+
+    @Override
+    public void follow(boolean on) {
+        subscribed = on;
+    }
+
+    @Override
+    public void lookup() {
+        acts.add(now + " lookup");
+    }
+}
