--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -44,10 +44,6 @@
         String kind;
         String spread;
         int most;
-        double calm;
-        double fade;
-        double startWorth;
-        double life;
         boolean optedIn;
         double startWarm;
         double startCold;
@@ -116,10 +112,6 @@
             f.kind = kind < 0 ? null : (String) list("kinds").get(kind);
             f.spread = list("extra.classSpread").size() > i ? (String) list("extra.classSpread").get(i) : "off";
             f.most = (int) item("extra.classMost", i, Integer.MAX_VALUE);
-            f.calm = item("extra.calmLevel", i, 1);
-            f.fade = item("extra.fadeSpan", i, 0);
-            f.startWorth = item("extra.startSeconds", i, 0);
-            f.life = Math.max(1, f.startWorth);
             f.optedIn = true;
             f.startWarm = seconds(f.target) / 2;
             f.startCold = 2 * seconds(f.target);
@@ -261,10 +253,6 @@
             m.sinceList.remove(c);
             m.sinceReport.remove(c);
         }
-        if (wasBound && end == End.DONE) {
-            Flavour f = flavour(vm);
-            f.life += (seconds(me.now.minus(c.boundAt)) - f.life) / 16;
-        }
         blame(c, end, why, wasBound);
         if (over || wasBound) {
             vm.over = true;
@@ -467,22 +455,12 @@
         boolean pressing = !flag("extra.pushesOut", false) && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
-        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= (pressing ? crowd(flavour(vm)) : THRESHOLD) * m.cores
+        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= THRESHOLD * m.cores
                 && useMemory + (m.sinceReport.memory + vm.memory) * byMemory <= THRESHOLD * m.memory
                 && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
                 && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
     }
 
-    /**
-     * How busy cores may get for a VM that would miss its target otherwise. Where the settings say that a
-     * flavour's service fades slowly, one more start is worth more than it takes from those that run, up to
-     * the level at which both are equal; a flavour that fades fast gets the threshold.
-     */
-    private double crowd(Flavour f) {
-        double level = (f.calm + f.fade * (1 + f.startWorth / f.life)) / 2;
-        return Math.max(THRESHOLD, Math.min(level, f.calm + f.fade));
-    }
-
     /** The share of the machine in use, by its last report or the mean, with own binds since as such VMs use. */
     private double load(Machine m) {
         double cores = (fresh(m) ? usedCores(m) : usedCores * m.cores) + m.sinceReport.cores * coresRatio;
@@ -801,11 +779,13 @@
                 || me.probes >= me.arrivals) {
             return null;
         }
+        // Where VMs wait for room, news of it is worth more often what a probe costs.
+        Duration stale = settle.dividedBy(me.held.isEmpty() ? 2 : 6);
         Machine oldest = null;
         for (Machine m : me.machines) {
             if (m.listing == Listing.LIVE && !m.probing
-                    && (m.probedAt == null || me.now.minus(m.probedAt).compareTo(settle.dividedBy(2)) > 0)
-                    && (m.reportedAt == null || me.now.minus(m.reportedAt).compareTo(settle.dividedBy(2)) > 0)
+                    && (m.probedAt == null || me.now.minus(m.probedAt).compareTo(stale) > 0)
+                    && (m.reportedAt == null || me.now.minus(m.reportedAt).compareTo(stale) > 0)
                     && (oldest == null || oldest.reportedAt != null
                         && (m.reportedAt == null || m.reportedAt.compareTo(oldest.reportedAt) < 0))) {
                 oldest = m;
