--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -452,7 +452,7 @@
         double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
         // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
         // Not where machines push out lower priorities: there a denser fill is paid for in push-outs.
-        boolean pressing = !flag("extra.pushesOut", false) && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        boolean pressing = !flag("extra.pushesOut", false) ;
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
         return useCores + (m.sinceReport.cores + vm.cores) * byCores <= THRESHOLD * m.cores
