--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -452,7 +452,7 @@
         double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
         // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
         // Not where machines push out lower priorities: there a denser fill is paid for in push-outs.
-        boolean pressing = !flag("extra.pushesOut", false) ;
+        boolean pressing = !flag("extra.pushesOut", false) && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
         return useCores + (m.sinceReport.cores + vm.cores) * byCores <= THRESHOLD * m.cores
@@ -779,13 +779,11 @@
                 || me.probes >= me.arrivals) {
             return null;
         }
-        // Where VMs wait for room, news of it is worth more often what a probe costs.
-        Duration stale = settle.dividedBy(me.held.isEmpty() ? 2 : 6);
         Machine oldest = null;
         for (Machine m : me.machines) {
             if (m.listing == Listing.LIVE && !m.probing
-                    && (m.probedAt == null || me.now.minus(m.probedAt).compareTo(stale) > 0)
-                    && (m.reportedAt == null || me.now.minus(m.reportedAt).compareTo(stale) > 0)
+                    && (m.probedAt == null || me.now.minus(m.probedAt).compareTo(settle.dividedBy(2)) > 0)
+                    && (m.reportedAt == null || me.now.minus(m.reportedAt).compareTo(settle.dividedBy(2)) > 0)
                     && (oldest == null || oldest.reportedAt != null
                         && (m.reportedAt == null || m.reportedAt.compareTo(oldest.reportedAt) < 0))) {
                 oldest = m;
