--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -1,22 +1,13 @@
 package fordridge;
 
 import fordridge.door.Door;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
+import fordridge.state.*;
+import fordridge.state.Claim.*;
 import fordridge.state.Machine.Listing;
-import fordridge.state.Placer;
-import fordridge.state.Vm;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.*;
+import java.util.function.*;
 import java.util.zip.CRC32;
 
 /**
@@ -44,6 +35,12 @@
         String kind;
         String spread;
         int most;
+        double calm;
+        double fade;
+        double startWorth;
+        double life;
+        /** Cores that own VMs of it ask for now. */
+        double askedCores;
         boolean optedIn;
         double startWarm;
         double startCold;
@@ -56,7 +53,7 @@
 
     private final Door door;
     private final Placer me = new Placer();
-    private final Map<String, Flavour> flavours = new HashMap<>();
+    private final Map<String, Flavour> flavours = new TreeMap<>();
     /** Kinds of machine that some flavour cannot do without. */
     private final Set<String> neededKinds = new HashSet<>();
     private final CRC32 crc = new CRC32();
@@ -112,6 +109,10 @@
             f.kind = kind < 0 ? null : (String) list("kinds").get(kind);
             f.spread = list("extra.classSpread").size() > i ? (String) list("extra.classSpread").get(i) : "off";
             f.most = (int) item("extra.classMost", i, Integer.MAX_VALUE);
+            f.calm = item("extra.calmLevel", i, 1);
+            f.fade = item("extra.fadeSpan", i, 0);
+            f.startWorth = item("extra.startSeconds", i, 0);
+            f.life = Math.max(1, f.startWorth);
             f.optedIn = true;
             f.startWarm = seconds(f.target) / 2;
             f.startCold = 2 * seconds(f.target);
@@ -253,6 +254,11 @@
             m.sinceList.remove(c);
             m.sinceReport.remove(c);
         }
+        flavour(vm).askedCores -= vm.cores;
+        if (wasBound && end == End.DONE) {
+            Flavour f = flavour(vm);
+            f.life += (seconds(me.now.minus(c.boundAt)) - f.life) / 16;
+        }
         blame(c, end, why, wasBound);
         if (over || wasBound) {
             vm.over = true;
@@ -410,7 +416,7 @@
         return room;
     }
 
-    private static List<Machine> narrow(List<Machine> from, java.util.function.Predicate<Machine> to) {
+    private static List<Machine> narrow(List<Machine> from, Predicate<Machine> to) {
         List<Machine> some = new ArrayList<>();
         for (Machine m : from) {
             if (to.test(m)) {
@@ -450,17 +456,43 @@
     private boolean opportunisticRoom(Vm vm, Machine m) {
         double useCores = fresh(m) ? usedCores(m) : usedCores * m.cores;
         double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
+        double level = THRESHOLD;
         // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
         // Not where machines push out lower priorities: there a denser fill is paid for in push-outs.
         boolean pressing = !flag("extra.pushesOut", false) && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
-        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= THRESHOLD * m.cores
+        if (me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0) {
+            level = crowd(flavour(vm));
+            useCores *= 1 - lowerShare(flavour(vm)) / 2;
+        }
+        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= level * m.cores
                 && useMemory + (m.sinceReport.memory + vm.memory) * byMemory <= THRESHOLD * m.memory
                 && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
                 && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
     }
 
+    /**
+     * How busy cores may get for a VM that would miss its target otherwise. Where the settings say that a
+     * flavour's service fades slowly, one more start is worth more than it takes from those that run, up to
+     * the level at which both are equal; a flavour that fades fast gets the threshold.
+     */
+    private double crowd(Flavour f) {
+        double level = (f.calm + f.fade * (1 + f.startWorth / f.life)) / 2;
+        return Math.max(THRESHOLD, Math.min(level, f.calm + f.fade));
+    }
+
+    /** The part of own asks that are of lower priority: cores serve those last, so they count by half. */
+    private double lowerShare(Flavour f) {
+        double lower = 0;
+        double all = 0;
+        for (Flavour o : flavours.values()) {
+            all += o.askedCores;
+            lower += o.rank < f.rank ? o.askedCores : 0;
+        }
+        return all > 0 ? lower / all : 0;
+    }
+
     /** The share of the machine in use, by its last report or the mean, with own binds since as such VMs use. */
     private double load(Machine m) {
         double cores = (fresh(m) ? usedCores(m) : usedCores * m.cores) + m.sinceReport.cores * coresRatio;
@@ -558,6 +590,7 @@
 
     private void holds(Claim c) {
         c.machine.placed.add(c);
+        flavour(c.vm).askedCores += c.vm.cores;
         Machine.Program p = c.machine.programs.computeIfAbsent(c.vm.service, s -> new Machine.Program());
         p.held++;
         p.lastHeld = me.now;
