--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -15,8 +15,8 @@
  * its users' five rules need. One object is one instance; it shares nothing and keeps no thread.
  *
  * <p>To call it: {@link #at} with the time, then one input ({@link #start} first, {@link #listed} between
- * {@link #listBegins} and {@link #listEnds}, {@link #arrives}, {@link #bound}, {@link #ended} and so on). It acts
- * through {@link Door} before the call returns. The state it works on is in {@code fordridge.state}.
+ * {@link #listBegins} and {@link #listEnds}, {@link #arrives}, {@link #bound}, {@link #ended} and so on). It
+ * acts through {@link Door} before the call returns. The state it works on is in {@code fordridge.state}.
  */
 public final class Logic {
     /** One step of the list gone through after every input: where the condition holds, the effect follows. */
@@ -65,7 +65,8 @@
             new Rule(() -> !me.untried.isEmpty(), () -> tryOrHold(me.untried.removeFirst())),
             new Rule(() -> me.lookAgain && !me.held.isEmpty() && !me.now.equals(me.lookedAt), this::tryHeld),
             new Rule(() -> staleMachine() != null, () -> probe(staleMachine())),
-            new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following), this::setWake));
+            new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following),
+                    this::setWake));
     private boolean whole;
     private Duration settle;
     private double usedCores = Double.NaN;
@@ -81,8 +82,6 @@
         this.door = door;
     }
 
-    // ---- Inputs ----------------------------------------------------------------------------------------
-
     public void at(Duration now) {
         me.now = now;
     }
@@ -107,7 +106,8 @@
             f.patience = micros(lane + "giveUpUs", 5e6);
             int kind = (int) item("extra.kindByClass", i, -1);
             f.kind = kind < 0 ? null : (String) list("kinds").get(kind);
-            f.spread = list("extra.classSpread").size() > i ? (String) list("extra.classSpread").get(i) : "off";
+            List<?> spreads = list("extra.classSpread");
+            f.spread = spreads.size() > i ? (String) spreads.get(i) : "off";
             f.most = (int) item("extra.classMost", i, Integer.MAX_VALUE);
             f.calm = item("extra.calmLevel", i, 1);
             f.fade = item("extra.fadeSpan", i, 0);
@@ -124,7 +124,7 @@
         settleRules();
     }
 
-    /** A list follows: whole (what it does not name is gone) or changes; {@code old} if it may be out of date. */
+    /** A list follows: whole (what it does not name is gone) or changes; {@code old} if it may be stale. */
     public void listBegins(boolean isWhole, boolean old) {
         whole = isWhole;
         if (!old) {
@@ -303,8 +303,6 @@
         }
     }
 
-    // ---- The list of machines --------------------------------------------------------------------------
-
     private boolean asks() {
         return text("discovery", "push").equals("ask");
     }
@@ -327,8 +325,6 @@
         return me.now.minus(me.heardListAt).compareTo(trust) < 0;
     }
 
-    // ---- Placing ---------------------------------------------------------------------------------------
-
     private void tryOrHold(Vm vm) {
         if (hopeless(vm)) {
             giveUp(vm);
@@ -337,7 +333,7 @@
         }
     }
 
-    /** All that is held is tried once an instant, by priority; one that found no room speaks for all as large. */
+    /** All that is held is tried once an instant, by priority; one without room speaks for all as large. */
     private void tryHeld() {
         me.lookAgain = false;
         me.lookedAt = me.now;
@@ -350,7 +346,7 @@
                 giveUp(vm);
             } else if (failed.stream().anyMatch(o -> noSmaller(o, vm)) || !place(vm)) {
                 me.held.addLast(vm);
-                if (vm.claims.isEmpty() && flavour(vm).spread.equals("off") && failed.stream().noneMatch(o -> noSmaller(o, vm))) {
+                if (vm.claims.isEmpty() && flavour(vm).spread.equals("off")) {
                     failed.add(vm);
                 }
             }
@@ -358,7 +354,8 @@
     }
 
     private static boolean noSmaller(Vm a, Vm b) {
-        return b.claims.isEmpty() && a.flavour.equals(b.flavour) && a.cores <= b.cores && a.memory <= b.memory;
+        return b.claims.isEmpty() && a.flavour.equals(b.flavour)
+                && a.cores <= b.cores && a.memory <= b.memory;
     }
 
     private boolean place(Vm vm) {
@@ -379,28 +376,18 @@
             me.machines.forEach(this::clearBooks);
             meanUse();
         }
-        List<Machine> can = new ArrayList<>();
-        for (Machine m : me.machines) {
-            if (eligible(vm, m)) {
-                can.add(m);
-            }
-        }
-        List<Machine> room = new ArrayList<>();
-        if (num("prices.fleet", 0) > 0) {
-            // Where machines in use have a price, an empty one is opened only when none in use has room.
-            room = withRoom(vm, can.stream().filter(this::inUse).toList());
-        }
-        if (room.isEmpty()) {
-            room = withRoom(vm, can);
-        }
+        List<Machine> can = new ArrayList<>(me.machines);
+        can.removeIf(m -> !eligible(vm, m));
+        // Where machines in use have a price, an empty one is opened only when none in use has room.
+        List<Machine> room = num("prices.fleet", 0) > 0 ? withRoom(vm, narrow(can, this::inUse)) : List.of();
+        room = room.isEmpty() ? withRoom(vm, can) : room;
         if (flavour(vm).kind == null) {
             room = narrow(room, m -> !neededKinds.contains(m.kind));
         }
         room = narrow(room, m -> load(m) <= THRESHOLD);
         room = narrow(room, m -> knowsProgram(m, vm.service));
-        String zone = text("zone", "");
         if (num("prices.crossZone", 0) > 0) {
-            room = narrow(room, m -> m.zone.equals(zone));
+            room = narrow(room, m -> m.zone.equals(text("zone", "")));
         }
         return leastGrieved(room);
     }
@@ -417,12 +404,8 @@
     }
 
     private static List<Machine> narrow(List<Machine> from, Predicate<Machine> to) {
-        List<Machine> some = new ArrayList<>();
-        for (Machine m : from) {
-            if (to.test(m)) {
-                some.add(m);
-            }
-        }
+        List<Machine> some = new ArrayList<>(from);
+        some.removeIf(to.negate());
         return some.isEmpty() ? from : some;
     }
 
@@ -454,22 +437,24 @@
     }
 
     private boolean opportunisticRoom(Vm vm, Machine m) {
-        double useCores = fresh(m) ? usedCores(m) : usedCores * m.cores;
-        double useMemory = fresh(m) ? usedMemory(m) : usedMemory * m.memory;
+        double useCores = useCores(m);
+        double useMemory = useMemory(m);
         double level = THRESHOLD;
-        // Full ask for what is not seen yet, until the VM's target nears: then what such VMs were told to use.
-        // Not where machines push out lower priorities: there a denser fill is paid for in push-outs.
-        boolean pressing = !flag("extra.pushesOut", false) && me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        // Full ask for what is not seen yet, until the VM's target nears: then what such VMs are told to use
+        // (not where machines push out lower priorities: there a denser fill is paid for in push-outs).
+        boolean late = me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        boolean pressing = late && !flag("extra.pushesOut", false);
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
-        if (me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0) {
+        if (late) {
             level = crowd(flavour(vm));
             useCores *= 1 - lowerShare(flavour(vm)) / 2;
         }
         return useCores + (m.sinceReport.cores + vm.cores) * byCores <= level * m.cores
                 && useMemory + (m.sinceReport.memory + vm.memory) * byMemory <= THRESHOLD * m.memory
                 && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
-                && m.sinceList.memory + vm.memory <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
+                && m.sinceList.memory + vm.memory
+                        <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
     }
 
     /**
@@ -484,20 +469,15 @@
 
     /** The part of own asks that are of lower priority: cores serve those last, so they count by half. */
     private double lowerShare(Flavour f) {
-        double lower = 0;
-        double all = 0;
-        for (Flavour o : flavours.values()) {
-            all += o.askedCores;
-            lower += o.rank < f.rank ? o.askedCores : 0;
-        }
+        double all = flavours.values().stream().mapToDouble(o -> o.askedCores).sum();
+        double lower = flavours.values().stream().mapToDouble(o -> o.rank < f.rank ? o.askedCores : 0).sum();
         return all > 0 ? lower / all : 0;
     }
 
-    /** The share of the machine in use, by its last report or the mean, with own binds since as such VMs use. */
+    /** The share of the machine in use, by its last report or the mean, own binds since at learned use. */
     private double load(Machine m) {
-        double cores = (fresh(m) ? usedCores(m) : usedCores * m.cores) + m.sinceReport.cores * coresRatio;
-        double memory = (fresh(m) ? usedMemory(m) : usedMemory * m.memory) + m.sinceReport.memory * memoryRatio;
-        return Math.max(cores / m.cores, memory / m.memory);
+        return Math.max((useCores(m) + m.sinceReport.cores * coresRatio) / m.cores,
+                (useMemory(m) + m.sinceReport.memory * memoryRatio) / m.memory);
     }
 
     /** What the picker compares. A report of use past the threshold weighs like a note of pressure: where no
@@ -523,6 +503,14 @@
                 && me.now.minus(m.reportedAt).compareTo(settle.multipliedBy(2)) < 0;
     }
 
+    private double useCores(Machine m) {
+        return fresh(m) ? usedCores(m) : usedCores * m.cores;
+    }
+
+    private double useMemory(Machine m) {
+        return fresh(m) ? usedMemory(m) : usedMemory * m.memory;
+    }
+
     private double usedCores(Machine m) {
         double used = m.cores - m.spareCores;
         if (text("extra.reportCounts", "used").equals("asked")) {
@@ -536,29 +524,18 @@
         return text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio : used;
     }
 
-    /** Mean of reported use as a share of size, for machines without a report; asks stand in where none reports. */
+    /** Mean of reported use, for machines without a report; asks stand in where none reports. */
     private void meanUse() {
-        double shareCores = 0;
-        double shareMemory = 0;
-        double askedCores = 0;
-        double askedMemory = 0;
-        int n = 0;
-        int live = 0;
-        for (Machine m : me.machines) {
-            if (m.listing != Listing.LIVE || m.cores <= 0) {
-                continue;
-            }
-            live++;
-            askedCores += 1 - m.freeCores / m.cores;
-            askedMemory += 1 - m.freeMemory / m.memory;
-            if (fresh(m)) {
-                n++;
-                shareCores += usedCores(m) / m.cores;
-                shareMemory += usedMemory(m) / m.memory;
-            }
-        }
-        usedCores = n > 0 ? shareCores / n : live > 0 ? coresRatio * askedCores / live : 0;
-        usedMemory = n > 0 ? shareMemory / n : live > 0 ? memoryRatio * askedMemory / live : 0;
+        List<Machine> live = narrow(me.machines, m -> m.listing == Listing.LIVE && m.cores > 0);
+        List<Machine> told = live.stream().filter(this::fresh).toList();
+        usedCores = told.isEmpty() ? mean(live, m -> coresRatio * (1 - m.freeCores / m.cores))
+                : mean(told, m -> usedCores(m) / m.cores);
+        usedMemory = told.isEmpty() ? mean(live, m -> memoryRatio * (1 - m.freeMemory / m.memory))
+                : mean(told, m -> usedMemory(m) / m.memory);
+    }
+
+    private static double mean(List<Machine> of, ToDoubleFunction<Machine> what) {
+        return of.stream().mapToDouble(what).average().orElse(0);
     }
 
     private boolean inUse(Machine m) {
@@ -601,7 +578,7 @@
         Duration left = vm.deadline.minus(me.now);
         double start = c.programKnown ? f.startWarm : f.startCold;
         Duration wait = f.effect == Effect.REBUILDABLE
-                ? longer(f.target.multipliedBy(2), seconds(4 * start)) : f.patience.dividedBy(2);
+                ? seconds(Math.max(2 * seconds(f.target), 4 * start)) : f.patience.dividedBy(2);
         return wait.compareTo(left) < 0 ? wait : left;
     }
 
@@ -653,11 +630,11 @@
             return true;
         }
         Claim ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
-        if (ran != null && (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0)) {
+        if (ran != null && (f.effect == Effect.ONE_SHOT || since(ran.sentAt).compareTo(f.window) >= 0)) {
             return true;
         }
         Duration patience = vm.deadline.minus(vm.arrivedAt);
-        return me.now.compareTo(vm.arrivedAt.plus(patience.multipliedBy(7).dividedBy(8))) >= 0;
+        return since(vm.arrivedAt).multipliedBy(8).compareTo(patience.multipliedBy(7)) >= 0;
     }
 
     private void giveUp(Vm vm) {
@@ -670,9 +647,8 @@
     }
 
     private void setWake() {
-        Duration in = micros("tickUs", 1000).multipliedBy(20);
-        me.wakeAt = me.now.plus(in);
-        door.wake(in);
+        me.wakeAt = me.now.plus(micros("tickUs", 1000).multipliedBy(20));
+        door.wake(me.wakeAt.minus(me.now));
     }
 
     // ---- Rules three to five ---------------------------------------------------------------------------
@@ -714,7 +690,8 @@
         }
         double age = seconds(me.now.minus(m.startedAt)) / seconds(micros("obligations.warmAfterUs", 2e7));
         double from = num("obligations.coldFrom", 0.2);
-        double part = num("extra.coldBears", 1) * Math.max(0.5, from + (1 - from) * age) / num("nInstances", 1);
+        double pace = Math.max(0.5, from + (1 - from) * age);
+        double part = pace * num("extra.coldBears", 1) / num("nInstances", 1);
         if (part >= 1) {
             return m.coldOffers.size() < (int) part;
         }
@@ -730,12 +707,12 @@
         m.griefAt = me.now;
     }
 
-    /** Recent trouble, halved over each settling time; a claim long without an answer counts while it lasts. */
+    /** Recent trouble, halved over each settling time. */
     private double grief(Machine m) {
-        double old = m.grief * Math.pow(2, -seconds(me.now.minus(m.griefAt)) / seconds(settle));
-        return m.griefAt == me.now || old < 0.01 && m.grief == 0 ? m.grief : old;
+        return m.grief == 0 ? 0 : m.grief * Math.pow(2, -seconds(me.now.minus(m.griefAt)) / seconds(settle));
     }
 
+    /** How long the oldest claim there waits for an answer, in usual starts. */
     private double silence(Machine m) {
         if (m.waitingClaims.isEmpty()) {
             return 0;
@@ -748,20 +725,15 @@
 
     /** A machine that stands out by its troubles gets one rebuildable VM at a time, until they fade. */
     private boolean trusted(Flavour f, Machine m) {
-        boolean silent = silence(m) > 1;
-        if (grief(m) < SHUNNED && !silent) {
-            return true;
-        }
+        double sorrow = grief(m) + (silence(m) > 1 ? SHUNNED : 0);
         if (!me.now.equals(grievedAt)) {
             grievedAt = me.now;
             fleetGrief = me.machines.stream().filter(o -> o.listing == Listing.LIVE)
                     .mapToDouble(o -> grief(o) + (silence(o) > 1 ? SHUNNED : 0)).average().orElse(0);
         }
-        if ((grief(m) + (silent ? SHUNNED : 0)) < SHUNNED * fleetGrief) {
-            return true;
-        }
-        return f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
-                && (m.lastOfferAt == null || me.now.minus(m.lastOfferAt).compareTo(settle.dividedBy(2)) > 0);
+        return sorrow < SHUNNED || sorrow < SHUNNED * fleetGrief
+                || f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
+                && since(m.lastOfferAt).compareTo(settle.dividedBy(2)) > 0;
     }
 
     private void blame(Claim c, End end, Why why, boolean wasBound) {
@@ -778,8 +750,8 @@
         } else {
             grieve(m, 2);
             if (end == End.UNREACHABLE) {
-                // Down for sure, however the rest of the fleet fares: each further knock waits longer, so that
-                // a mass outage does not burn the claims of every VM. A new start in the list opens it at once.
+                // Down for sure, however the rest of the fleet fares: each further knock waits longer, so
+                // that a mass outage does not burn every VM's claims. A new start in the list opens it.
                 double spans = Math.min(grief(m), 4 * SHUNNED) / 4;
                 m.closedUntil = me.now.plus(seconds(spans * seconds(settle) / 2));
             }
@@ -804,25 +776,20 @@
         }
     }
 
-    // ---- Probes ----------------------------------------------------------------------------------------
-
     /** The machine whose report is oldest, if it is old and a probe a VM has been earned. */
     private Machine staleMachine() {
         if (!flag("caps.probes", false) || text("loadReport.via", "off").equals("off")
                 || me.probes >= me.arrivals) {
             return null;
         }
-        Machine oldest = null;
-        for (Machine m : me.machines) {
-            if (m.listing == Listing.LIVE && !m.probing
-                    && (m.probedAt == null || me.now.minus(m.probedAt).compareTo(settle.dividedBy(2)) > 0)
-                    && (m.reportedAt == null || me.now.minus(m.reportedAt).compareTo(settle.dividedBy(2)) > 0)
-                    && (oldest == null || oldest.reportedAt != null
-                        && (m.reportedAt == null || m.reportedAt.compareTo(oldest.reportedAt) < 0))) {
-                oldest = m;
-            }
-        }
-        return oldest;
+        Duration stale = settle.dividedBy(2);
+        return me.machines.stream().filter(m -> m.listing == Listing.LIVE && !m.probing
+                && since(m.probedAt).compareTo(stale) > 0 && since(m.reportedAt).compareTo(stale) > 0)
+                .max(Comparator.comparing(m -> since(m.reportedAt))).orElse(null);
+    }
+
+    private Duration since(Duration then) {
+        return then == null ? me.now : me.now.minus(then);
     }
 
     private void probe(Machine m) {
@@ -832,8 +799,6 @@
         door.probe(m);
     }
 
-    // ---- Terms, time, chance ---------------------------------------------------------------------------
-
     private Flavour flavour(Vm vm) {
         return flavours.get(vm.flavour);
     }
@@ -870,10 +835,6 @@
         return Duration.ofNanos((long) (s * 1e9));
     }
 
-    private static Duration longer(Duration a, Duration b) {
-        return a.compareTo(b) > 0 ? a : b;
-    }
-
     private double chance() {
         draw.clear();
         draw.putLong(me.seed).putLong(me.draws++);
