--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -488,7 +488,7 @@
 
     /** Own binds leave the books once a list or report that can include them was heard, and not before. */
     private void clearBooks(Machine m) {
-        Duration listed = me.heardListAt.minus(settle);
+        Duration listed = me.heardListAt.minus(settle.dividedBy(3));
         while (!m.sinceList.claims.isEmpty()
                 && m.sinceList.claims.peekFirst().sentAt.compareTo(listed) < 0) {
             m.sinceList.remove(m.sinceList.claims.peekFirst());
