--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -440,9 +440,9 @@
         double useCores = useCores(m);
         double useMemory = useMemory(m);
         double level = THRESHOLD;
-        // Full ask for what is not seen yet, until the VM's target nears: then what such VMs are told to use
+        // Full ask for what is not seen yet, until the VM was held for a while: then what such VMs are told to use
         // (not where machines push out lower priorities: there a denser fill is paid for in push-outs).
-        boolean late = me.now.compareTo(vm.arrivedAt.plus(flavour(vm).target.dividedBy(2))) >= 0;
+        boolean late = since(vm.arrivedAt).compareTo(flavour(vm).target.dividedBy(8)) >= 0;
         boolean pressing = late && !flag("extra.pushesOut", false);
         double byCores = pressing ? Math.min(1, coresRatio) : 1;
         double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
