--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -440,7 +440,7 @@
         double useCores = useCores(m);
         double useMemory = useMemory(m);
         double level = THRESHOLD;
-        // Full ask for what is not seen yet, until the VM was held for a while: then what such VMs are told to use
+        // Full ask for what is not seen yet, until the VM was held for a while: then what such VMs use
         // (not where machines push out lower priorities: there a denser fill is paid for in push-outs).
         boolean late = since(vm.arrivedAt).compareTo(flavour(vm).target.dividedBy(8)) >= 0;
         boolean pressing = late && !flag("extra.pushesOut", false);
