--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -743,15 +743,6 @@
         }
         if (end == End.FULL) {
             Duration shut = why == Why.LINE_FULL ? flavour(c.vm).target.dividedBy(2) : settle.dividedBy(2);
-            if (why == Why.NO_CORES || why == Why.NO_MEMORY) {
-                // Others were quicker than the list: no more than this ask is left, until the list says otherwise.
-                double left = 0.9;
-                m.freeMemory = Math.min(m.freeMemory, why == Why.NO_MEMORY ? left * c.vm.memory + m.sinceList.memory
-                        - (num("extra.memBooking", 1) - 1) * m.memory : m.freeMemory);
-                m.freeCores = Math.min(m.freeCores, why == Why.NO_CORES ? left * c.vm.cores + m.sinceList.cores
-                        - (num("extra.admitCores", 1) - 1) * m.cores : m.freeCores);
-                shut = Duration.ZERO;
-            }
             m.closedUntil = me.now.plus(shut);
             grieve(m, 0.5);
         } else if (end == End.RESET && wasBound) {
