A full line halves how many own claims may wait there at once

Kept: it answers any crowding of one machine's line; it may slow a burst to a machine whose line was full for other reasons.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -195,6 +195,7 @@
     public void bound(Claim c) {
         c.machine.waitingClaims.remove(c);
         c.boundAt = me.now;
+        c.machine.line += 0.25;
         c.vm.placed = c;
         if (text("extra.saysYes", "running").equals("running")) {
             started(c);
@@ -425,6 +426,7 @@
         return m.listing == Listing.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
                 && me.now.compareTo(m.closedUntil) >= 0
+                && m.waitingClaims.size() < m.line
                 && allowedAgain(vm, f, m)
                 && spreadKept(vm, f, m)
                 && coldPaceKept(m)
@@ -744,6 +746,10 @@
         if (end == End.FULL) {
             Duration shut = why == Why.LINE_FULL ? flavour(c.vm).target.dividedBy(2) : settle.dividedBy(2);
             m.closedUntil = me.now.plus(shut);
+            if (why == Why.LINE_FULL) {
+                // Others wait in that line too: half as many of ours at once, one more for every few that pass.
+                m.line = Math.max(1, m.waitingClaims.size() / 2.0);
+            }
             grieve(m, 0.5);
         } else if (end == End.RESET && wasBound) {
             grieve(m, why == Why.EVICTED ? 1 : why == Why.UNTOLD ? 0.5 : 0);
