--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -747,17 +747,17 @@
             Duration shut = why == Why.LINE_FULL ? flavour(c.vm).target.dividedBy(2) : settle.dividedBy(2);
             m.closedUntil = me.now.plus(shut);
             if (why == Why.LINE_FULL) {
-                // Others wait in that line too: half as many of ours at once, one more for every few that pass.
+                // Others wait in that line too: half as many of ours, more again as they pass.
                 m.line = Math.max(1, m.waitingClaims.size() / 2.0);
             }
             grieve(m, 0.5);
-        } else if (end == End.RESET && wasBound) {
-            grieve(m, why == Why.EVICTED ? 1 : why == Why.UNTOLD ? 0.5 : 0);
+        } else if (end == End.RESET && wasBound && why != Why.UNTOLD) {
+            grieve(m, why == Why.EVICTED ? 1 : 0);
         } else {
-            grieve(m, 2);
-            if (end == End.UNREACHABLE) {
-                // Down for sure, however the rest of the fleet fares: each further knock waits longer, so
-                // that a mass outage does not burn every VM's claims. A new start in the list opens it.
+            grieve(m, wasBound ? 0.5 : 2);
+            if (end == End.UNREACHABLE || wasBound) {
+                // Down, however the rest of the fleet fares (a VM lost without a word tells it first): each
+                // knock waits longer, so that a mass outage burns no claims. A new start opens it.
                 double spans = Math.min(grief(m), 4 * SHUNNED) / 4;
                 m.closedUntil = me.now.plus(seconds(spans * seconds(settle) / 2));
             }
