--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -649,11 +649,12 @@
     }
 
     private void setWake() {
-        me.wakeAt = me.now.plus(micros("tickUs", 1000).multipliedBy(20));
+        // In time for the shortest build timeout: a wake counted in ticks came too late where those are long.
+        double shortest = flavours.values().stream().mapToDouble(f -> seconds(f.patience)).min().orElse(1);
+        me.wakeAt = me.now.plus(seconds(shortest / 128));
         door.wake(me.wakeAt.minus(me.now));
     }
 
-    // ---- Rules three to five ---------------------------------------------------------------------------
 
     /** Rule 5: what this placer has of the service in one place, with this one, stays within the most. */
     private boolean spreadKept(Vm vm, Flavour f, Machine m) {
