Draw the picker's sample by room; fold place tests and claim scans

Cause: at full size many placers see the same late list and draw evenly from the same few machines. The scans of earlier claims and of places share one test of a common place now; same decisions.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -41,7 +41,6 @@
         double life;
         /** Cores that own VMs of it ask for now. */
         double askedCores;
-        boolean optedIn;
         double startWarm;
         double startCold;
     }
@@ -113,7 +112,6 @@
             f.fade = item("extra.fadeSpan", i, 0);
             f.startWorth = item("extra.startSeconds", i, 0);
             f.life = Math.max(1, f.startWorth);
-            f.optedIn = true;
             f.startWarm = seconds(f.target) / 2;
             f.startCold = 2 * seconds(f.target);
             if (f.kind != null) {
@@ -129,7 +127,6 @@
         whole = isWhole;
         if (!old) {
             me.asked = false;
-            me.listFailed = false;
             me.following = true;
         }
         me.heardListAt = me.now;
@@ -169,7 +166,6 @@
     public void listFailed() {
         me.asked = false;
         me.following = false;
-        me.listFailed = true;
         me.askListAt = me.now.plus(settle.dividedBy(4));
         settleRules();
     }
@@ -322,8 +318,7 @@
         if (!asks() || me.following) {
             return true;
         }
-        Duration trust = micros("obligations.askWithinUs", 1e7);
-        return me.now.minus(me.heardListAt).compareTo(trust) < 0;
+        return since(me.heardListAt).compareTo(micros("obligations.askWithinUs", 1e7)) < 0;
     }
 
     private void tryOrHold(Vm vm) {
@@ -390,18 +385,24 @@
         if (num("prices.crossZone", 0) > 0) {
             room = narrow(room, m -> m.zone.equals(text("zone", "")));
         }
-        return leastGrieved(room);
+        return room.isEmpty() ? null : leastGrieved(room);
     }
 
-    /** Regular room first; where none has it, opportunistic room for flavours that are opted in. */
+    /** Regular room first; where none has it, opportunistic room (all flavours are opted in). */
     private List<Machine> withRoom(Vm vm, List<Machine> can) {
-        List<Machine> room = new ArrayList<>(can);
-        room.removeIf(m -> !regularRoom(vm, m));
-        if (room.isEmpty() && flavour(vm).optedIn) {
-            room.addAll(can);
-            room.removeIf(m -> !opportunisticRoom(vm, m));
+        List<Machine> room = having(can, m -> regularRoom(vm, m));
+        return room.isEmpty() ? having(can, m -> opportunisticRoom(vm, m)) : room;
+    }
+
+    private static List<Machine> having(List<Machine> from, ToDoubleFunction<Machine> room) {
+        List<Machine> some = new ArrayList<>();
+        for (Machine m : from) {
+            m.room = room.applyAsDouble(m) * m.cores;
+            if (m.room > 0) {
+                some.add(m);
+            }
         }
-        return room;
+        return some;
     }
 
     private static List<Machine> narrow(List<Machine> from, Predicate<Machine> to) {
@@ -410,12 +411,21 @@
         return some.isEmpty() ? from : some;
     }
 
+    /**
+     * The picker's sample, drawn by room: many placers see the same late list, and where each draws evenly,
+     * or takes the emptiest, all fill the same few machines before the list shows it.
+     */
     private Machine leastGrieved(List<Machine> room) {
         Machine best = null;
-        for (int i = 0; i < SAMPLE && !room.isEmpty(); i++) {
-            Machine m = room.remove((int) (chance() * room.size()));
-            if (best == null || pressure(m) < pressure(best)) {
-                best = m;
+        for (int i = 0; i < SAMPLE; i++) {
+            double at = chance() * room.stream().mapToDouble(m -> m.room).sum();
+            Machine drawn = null;
+            for (int k = 0; k < room.size() && at >= 0; k++) {
+                drawn = room.get(k);
+                at -= drawn.room;
+            }
+            if (best == null || pressure(drawn) < pressure(best)) {
+                best = drawn;
             }
         }
         return best;
@@ -433,12 +443,17 @@
                 && trusted(f, m);
     }
 
-    private boolean regularRoom(Vm vm, Machine m) {
-        return flag("extra.freeInList", false) && m.sinceList.cores + vm.cores <= m.freeCores
-                && m.sinceList.memory + vm.memory <= m.freeMemory;
+    /** Room as a share of the size, by the resource that has least; 0 where the VM does not fit. */
+    private static double room(Vm vm, Machine m, double cores, double memory) {
+        return vm.cores <= cores && vm.memory <= memory ? Math.min(cores / m.cores, memory / m.memory) : 0;
+    }
+
+    private double regularRoom(Vm vm, Machine m) {
+        return flag("extra.freeInList", false)
+                ? room(vm, m, m.freeCores - m.sinceList.cores, m.freeMemory - m.sinceList.memory) : 0;
     }
 
-    private boolean opportunisticRoom(Vm vm, Machine m) {
+    private double opportunisticRoom(Vm vm, Machine m) {
         double useCores = useCores(m);
         double useMemory = useMemory(m);
         double level = THRESHOLD;
@@ -452,11 +467,12 @@
             level = crowd(flavour(vm));
             useCores *= 1 - lowerShare(flavour(vm)) / 2;
         }
-        return useCores + (m.sinceReport.cores + vm.cores) * byCores <= level * m.cores
-                && useMemory + (m.sinceReport.memory + vm.memory) * byMemory <= THRESHOLD * m.memory
-                && m.sinceList.cores + vm.cores <= m.freeCores + (num("extra.admitCores", 1) - 1) * m.cores
-                && m.sinceList.memory + vm.memory
-                        <= m.freeMemory + (num("extra.memBooking", 1) - 1) * m.memory;
+        double moreCores = (num("extra.admitCores", 1) - 1) * m.cores;
+        double moreMemory = (num("extra.memBooking", 1) - 1) * m.memory;
+        double allowed = room(vm, m, m.freeCores + moreCores - m.sinceList.cores,
+                m.freeMemory + moreMemory - m.sinceList.memory);
+        return Math.min(allowed, room(vm, m, (level * m.cores - useCores) / byCores - m.sinceReport.cores,
+                (THRESHOLD * m.memory - useMemory) / byMemory - m.sinceReport.memory));
     }
 
     /**
@@ -577,11 +593,10 @@
 
     private Duration within(Vm vm, Claim c) {
         Flavour f = flavour(vm);
-        Duration left = vm.deadline.minus(me.now);
         double start = c.programKnown ? f.startWarm : f.startCold;
         Duration wait = f.effect == Effect.REBUILDABLE
                 ? seconds(Math.max(2 * seconds(f.target), 4 * start)) : f.patience.dividedBy(2);
-        return wait.compareTo(left) < 0 ? wait : left;
+        return Collections.min(List.of(wait, vm.deadline.minus(me.now)));
     }
 
     private static boolean neverRan(Claim c) {
@@ -590,12 +605,7 @@
 
     /** The first claim that may have run, or null. */
     private static Claim mayHaveRun(Vm vm) {
-        for (Claim c : vm.claims) {
-            if (!neverRan(c)) {
-                return c;
-            }
-        }
-        return null;
+        return vm.claims.stream().filter(c -> !neverRan(c)).findFirst().orElse(null);
     }
 
     private boolean allowedAgain(Vm vm, Flavour f, Machine m) {
@@ -606,17 +616,16 @@
         if (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0) {
             return false;
         }
-        for (Claim c : vm.claims) {
-            boolean same = switch (f.group) {
-                case "all" -> true;
-                case "zone" -> c.machine.zone.equals(m.zone);
-                default -> c.machine.cell == m.cell;
-            };
-            if (!neverRan(c) && !same) {
-                return false;
-            }
-        }
-        return true;
+        return vm.claims.stream().allMatch(c -> neverRan(c) || together(f.group, c.machine, m));
+    }
+
+    private static boolean together(String group, Machine a, Machine b) {
+        return switch (group) {
+            case "all" -> true;
+            case "zone" -> a.zone.equals(b.zone);
+            case "machine" -> a == b;
+            default -> a.cell == b.cell;
+        };
     }
 
     private boolean mayDeny(Vm vm) {
@@ -663,12 +672,7 @@
         }
         int there = 1;
         for (Machine o : me.machines) {
-            boolean same = switch (f.spread) {
-                case "machine" -> o == m;
-                case "cell" -> o.cell == m.cell;
-                default -> o.zone.equals(m.zone);
-            };
-            Machine.Program p = same ? o.programs.get(vm.service) : null;
+            Machine.Program p = together(f.spread, o, m) ? o.programs.get(vm.service) : null;
             there += p == null ? 0 : p.held;
         }
         return there <= f.most;
@@ -726,13 +730,16 @@
         return seconds(me.now.minus(c.sentAt)) / usual;
     }
 
+    private double sorrow(Machine m) {
+        return grief(m) + (silence(m) > 1 ? SHUNNED : 0);
+    }
+
     /** A machine that stands out by its troubles gets one rebuildable VM at a time, until they fade. */
     private boolean trusted(Flavour f, Machine m) {
-        double sorrow = grief(m) + (silence(m) > 1 ? SHUNNED : 0);
+        double sorrow = sorrow(m);
         if (!me.now.equals(grievedAt)) {
             grievedAt = me.now;
-            fleetGrief = me.machines.stream().filter(o -> o.listing == Listing.LIVE)
-                    .mapToDouble(o -> grief(o) + (silence(o) > 1 ? SHUNNED : 0)).average().orElse(0);
+            fleetGrief = mean(me.machines.stream().filter(o -> o.listing == Listing.LIVE).toList(), this::sorrow);
         }
         return sorrow < SHUNNED || sorrow < SHUNNED * fleetGrief
                 || f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
@@ -778,8 +785,7 @@
         if (took > seconds(f.target)) {
             grieve(c.machine, 0.3);
         } else {
-            c.machine.grief = grief(c.machine) * 0.8;
-            c.machine.griefAt = me.now;
+            grieve(c.machine, -grief(c.machine) / 5);
         }
     }
 
--- a/src/main/java/fordridge/state/Claim.java
+++ b/src/main/java/fordridge/state/Claim.java
@@ -20,7 +20,6 @@
     public Duration runsAt;
     public boolean runs;
     public boolean programKnown;
-    public boolean opportunistic;
     public End end;
 
     public Claim(Vm vm, Machine machine, int number, Duration sentAt) {
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -80,6 +80,8 @@
     public final Map<Long, Program> programs = new HashMap<>();
     public Duration closedUntil = Duration.ZERO;
     public Duration lastOfferAt;
+    /** Room found for the VM that is being placed. */
+    public double room;
     public double grief;
     public Duration griefAt = Duration.ZERO;
 
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -30,7 +30,6 @@
     // The list of machines.
     public boolean following;
     public boolean asked;
-    public boolean listFailed;
     public Duration heardListAt = Duration.ZERO;
     public Duration askListAt = Duration.ZERO;
 }
