Regular room is taken only by the part of VMs that it can hold

Cause: regular room comes first, so every placer sends to the few machines whose late list line shows room; at full size over a hundred placers fill them many times over before the list tells (line full within 2 ms, no memory, busiest machine at 5 to 12 times the mean while starts are in time). Change: a VM goes for regular room with the chance that all regular room shown covers what others have bound unseen (asked cores renewed once a life, over the age of the list). Acts only where that is more than the room shown; may hurt where lives are misjudged, as room is passed over.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -70,6 +70,7 @@
     private Duration settle;
     private double usedCores = Double.NaN;
     private double usedMemory = Double.NaN;
+    private double askedCores;
     /** What own VMs have been told to use, as a share of their asks. */
     private double coresRatio = 1;
     private double memoryRatio = 1;
@@ -388,10 +389,24 @@
         return room.isEmpty() ? null : leastGrieved(room);
     }
 
-    /** Regular room first; where none has it, opportunistic room (all flavours are opted in). */
+    /**
+     * Regular room first; where none has it, opportunistic room (all flavours are opted in). What regular room
+     * the list shows, all placers see; where others will have bound more than that before the list tells, only
+     * as large a part of the VMs goes for it as it can hold.
+     */
     private List<Machine> withRoom(Vm vm, List<Machine> can) {
         List<Machine> room = having(can, m -> regularRoom(vm, m));
-        return room.isEmpty() ? having(can, m -> opportunisticRoom(vm, m)) : room;
+        double shown = room.stream().mapToDouble(m -> m.room).sum();
+        if (chance() * unseen(flavour(vm)) < shown) {
+            return room;
+        }
+        return having(can, m -> opportunisticRoom(vm, m));
+    }
+
+    /** Cores that other placers have bound since what the list shows, if all asked for is renewed each life. */
+    private double unseen(Flavour f) {
+        double n = num("nInstances", 1);
+        return askedCores / f.life * (n - 1) / n * seconds(since(me.heardListAt).plus(settle.dividedBy(3)));
     }
 
     private static List<Machine> having(List<Machine> from, ToDoubleFunction<Machine> room) {
@@ -548,6 +563,7 @@
         List<Machine> told = live.stream().filter(this::fresh).toList();
         usedCores = told.isEmpty() ? mean(live, m -> coresRatio * (1 - m.freeCores / m.cores))
                 : mean(told, m -> usedCores(m) / m.cores);
+        askedCores = live.stream().mapToDouble(m -> m.cores - m.freeCores).sum();
         usedMemory = told.isEmpty() ? mean(live, m -> memoryRatio * (1 - m.freeMemory / m.memory))
                 : mean(told, m -> usedMemory(m) / m.memory);
     }
@@ -739,7 +755,8 @@
         double sorrow = sorrow(m);
         if (!me.now.equals(grievedAt)) {
             grievedAt = me.now;
-            fleetGrief = mean(me.machines.stream().filter(o -> o.listing == Listing.LIVE).toList(), this::sorrow);
+            List<Machine> live = me.machines.stream().filter(o -> o.listing == Listing.LIVE).toList();
+            fleetGrief = mean(live, this::sorrow);
         }
         return sorrow < SHUNNED || sorrow < SHUNNED * fleetGrief
                 || f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
