--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -39,8 +39,6 @@
         double fade;
         double startWorth;
         double life;
-        /** Cores that own VMs of it ask for now. */
-        double askedCores;
         double startWarm;
         double startCold;
     }
@@ -252,7 +250,6 @@
             m.sinceList.remove(c);
             m.sinceReport.remove(c);
         }
-        flavour(vm).askedCores -= vm.cores;
         if (wasBound && end == End.DONE) {
             Flavour f = flavour(vm);
             f.life += (seconds(me.now.minus(c.boundAt)) - f.life) / 16;
@@ -472,22 +469,15 @@
         double useCores = useCores(m);
         double useMemory = useMemory(m);
         double level = THRESHOLD;
-        // Full ask for what is not seen yet, until the VM was held for a while: then what such VMs use
-        // (not where machines push out lower priorities: there a denser fill is paid for in push-outs).
-        boolean late = since(vm.arrivedAt).compareTo(flavour(vm).target.dividedBy(8)) >= 0;
-        boolean pressing = late && !flag("extra.pushesOut", false);
-        double byCores = pressing ? Math.min(1, coresRatio) : 1;
-        double byMemory = pressing ? Math.min(1, memoryRatio) : 1;
-        if (late) {
+        if (since(vm.arrivedAt).compareTo(flavour(vm).target.dividedBy(8)) >= 0) {
             level = crowd(flavour(vm));
-            useCores *= 1 - lowerShare(flavour(vm)) / 2;
         }
         double moreCores = (num("extra.admitCores", 1) - 1) * m.cores;
         double moreMemory = (num("extra.memBooking", 1) - 1) * m.memory;
         double allowed = room(vm, m, m.freeCores + moreCores - m.sinceList.cores,
                 m.freeMemory + moreMemory - m.sinceList.memory);
-        return Math.min(allowed, room(vm, m, (level * m.cores - useCores) / byCores - m.sinceReport.cores,
-                (THRESHOLD * m.memory - useMemory) / byMemory - m.sinceReport.memory));
+        return Math.min(allowed, room(vm, m, level * m.cores - useCores - m.sinceReport.cores,
+                THRESHOLD * m.memory - useMemory - m.sinceReport.memory));
     }
 
     /**
@@ -500,13 +490,6 @@
         return Math.max(THRESHOLD, Math.min(level, f.calm + f.fade));
     }
 
-    /** The part of own asks that are of lower priority: cores serve those last, so they count by half. */
-    private double lowerShare(Flavour f) {
-        double all = flavours.values().stream().mapToDouble(o -> o.askedCores).sum();
-        double lower = flavours.values().stream().mapToDouble(o -> o.rank < f.rank ? o.askedCores : 0).sum();
-        return all > 0 ? lower / all : 0;
-    }
-
     /** The share of the machine in use, by its last report or the mean, own binds since at learned use. */
     private double load(Machine m) {
         return Math.max((useCores(m) + m.sinceReport.cores * coresRatio) / m.cores,
@@ -601,7 +584,6 @@
 
     private void holds(Claim c) {
         c.machine.placed.add(c);
-        flavour(c.vm).askedCores += c.vm.cores;
         Machine.Program p = c.machine.programs.computeIfAbsent(c.vm.service, s -> new Machine.Program());
         p.held++;
         p.lastHeld = me.now;
