A refusal without a reason closes the machine for that customer and flavour only

Change: such a refusal closes the machine for VMs of the same customer and flavour, 3 s doubling to 12 s, halved by each VM taken; no grief and nothing closed for others.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -191,6 +191,7 @@
         c.machine.waitingClaims.remove(c);
         c.boundAt = me.now;
         c.machine.line += 0.25;
+        refusal(c.vm, c.machine).span = refusal(c.vm, c.machine).span.dividedBy(2);
         c.vm.placed = c;
         if (text("extra.saysYes", "running").equals("running")) {
             started(c);
@@ -448,6 +449,7 @@
         return m.listing == Listing.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
                 && me.now.compareTo(m.closedUntil) >= 0
+                && (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
                 && m.waitingClaims.size() < m.line
                 && allowedAgain(vm, f, m)
                 && spreadKept(vm, f, m)
@@ -455,6 +457,16 @@
                 && trusted(f, m);
     }
 
+    /**
+     * Refusals without a reason, by customer and flavour: a machine that is truly full says of what, so one that
+     * does not turns these away whatever its room. It is left alone by them for spans that double, and halve
+     * with each VM taken; others go on. It also answers a quota or a wrong limit; it may hurt where reasons are
+     * never told, as room that frees is then found later.
+     */
+    private static Machine.Refusal refusal(Vm vm, Machine m) {
+        return m.refusals.computeIfAbsent(vm.customer + " " + vm.flavour, k -> new Machine.Refusal());
+    }
+
     /** Room as a share of the size, by the resource that has least; 0 where the VM does not fit. */
     private static double room(Vm vm, Machine m, double cores, double memory) {
         return vm.cores <= cores && vm.memory <= memory ? Math.min(cores / m.cores, memory / m.memory) : 0;
@@ -750,7 +762,12 @@
         if (c.vm.moved || end == End.DONE || end == End.CANCELLED || end == End.MOOT) {
             return;
         }
-        if (end == End.FULL) {
+        if (end == End.FULL && why == Why.UNTOLD) {
+            Machine.Refusal r = refusal(c.vm, m);
+            double spans = 2 * seconds(r.span) / seconds(settle);
+            r.span = seconds(Math.max(1, Math.min(spans, 4)) * seconds(settle));
+            r.until = me.now.plus(r.span);
+        } else if (end == End.FULL) {
             Duration shut = why == Why.LINE_FULL ? flavour(c.vm).target.dividedBy(2) : settle.dividedBy(2);
             m.closedUntil = me.now.plus(shut);
             if (why == Why.LINE_FULL) {
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -18,6 +18,12 @@
         public Duration lastHeld;
     }
 
+    /** How long VMs of one customer and flavour stay away after refusals without a reason. */
+    public static final class Refusal {
+        public Duration span = Duration.ZERO;
+        public Duration until = Duration.ZERO;
+    }
+
     /** Own claims at full ask, oldest first, with their sums. */
     public static final class Book {
         public final Deque<Claim> claims = new ArrayDeque<>();
@@ -79,6 +85,7 @@
     public final Set<Claim> placed = new LinkedHashSet<>();
     public final Map<Long, Program> programs = new HashMap<>();
     public Duration closedUntil = Duration.ZERO;
+    public final Map<String, Refusal> refusals = new HashMap<>();
     public Duration lastOfferAt;
     /** Room found for the VM that is being placed. */
     public double room;
