Without a report, use follows what the list says is asked there, not the fleet's mean

Cause: at full size a placer has a fresh report of few machines; the mean of reported use for all others makes a crowded machine look like an empty one. Change: mean reported use per asked core and memory, times what the late list says is asked there.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -532,11 +532,11 @@
     }
 
     private double useCores(Machine m) {
-        return fresh(m) ? usedCores(m) : usedCores * m.cores;
+        return fresh(m) ? usedCores(m) : usedCores * (m.cores - m.freeCores);
     }
 
     private double useMemory(Machine m) {
-        return fresh(m) ? usedMemory(m) : usedMemory * m.memory;
+        return fresh(m) ? usedMemory(m) : usedMemory * (m.memory - m.freeMemory);
     }
 
     private double usedCores(Machine m) {
@@ -552,15 +552,18 @@
         return text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio : used;
     }
 
-    /** Mean of reported use, for machines without a report; asks stand in where none reports. */
+    /**
+     * Mean of reported use, for machines without a report, as a share of what the list says is asked there (of
+     * the size where it does not say); where none reports, the share that own VMs are told to use.
+     */
     private void meanUse() {
         List<Machine> live = narrow(me.machines, m -> m.listing == Listing.LIVE && m.cores > 0);
         List<Machine> told = live.stream().filter(this::fresh).toList();
-        usedCores = told.isEmpty() ? mean(live, m -> coresRatio * (1 - m.freeCores / m.cores))
-                : mean(told, m -> usedCores(m) / m.cores);
-        askedCores = live.stream().mapToDouble(m -> m.cores - m.freeCores).sum();
-        usedMemory = told.isEmpty() ? mean(live, m -> memoryRatio * (1 - m.freeMemory / m.memory))
-                : mean(told, m -> usedMemory(m) / m.memory);
+        askedCores = mean(live, m -> m.cores - m.freeCores) * live.size();
+        usedCores = told.isEmpty() ? coresRatio
+                : mean(told, this::usedCores) / Math.max(mean(told, m -> m.cores - m.freeCores), 1e-9);
+        usedMemory = told.isEmpty() ? memoryRatio
+                : mean(told, this::usedMemory) / Math.max(mean(told, m -> m.memory - m.freeMemory), 1e-9);
     }
 
     private static double mean(List<Machine> of, ToDoubleFunction<Machine> what) {
