CPU at full size: no big decimals in spans, stale machines looked for seldom, fewer wakes

Samples of the running adapter showed Duration's quotients and products (big decimals) in tests made for every machine, the search for a stale machine on every input, and a wake every 40 ms for each placer that holds VMs. Change: spans are scaled in nanoseconds, the search pauses where nothing was stale, the wake is a 32nd of the shortest build timeout.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -61,7 +61,7 @@
             // What can be placed is placed before anything is given up.
             new Rule(() -> !me.untried.isEmpty(), () -> tryOrHold(me.untried.removeFirst())),
             new Rule(() -> me.lookAgain && !me.held.isEmpty() && !me.now.equals(me.lookedAt), this::tryHeld),
-            new Rule(() -> staleMachine() != null, () -> probe(staleMachine())),
+            new Rule(() -> me.now.compareTo(me.probeAt) >= 0, this::probeStale),
             new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following),
                     this::setWake));
     private boolean whole;
@@ -135,7 +135,7 @@
     }
 
     public void listed(Machine m, Listing listing, Duration startedAt) {
-        if (!me.machines.contains(m)) {
+        if (m.listedAt == null && !me.machines.contains(m)) {
             me.machines.add(m);
         }
         if (startedAt != null && !startedAt.equals(m.startedAt)) {
@@ -165,7 +165,7 @@
     public void listFailed() {
         me.asked = false;
         me.following = false;
-        me.askListAt = me.now.plus(settle.dividedBy(4));
+        me.askListAt = me.now.plus(times(settle, 1.0 / 4));
         settleRules();
     }
 
@@ -394,17 +394,24 @@
      */
     private List<Machine> withRoom(Vm vm, List<Machine> can) {
         List<Machine> room = having(can, m -> regularRoom(vm, m));
-        double shown = room.stream().mapToDouble(m -> m.room).sum();
-        if (chance() * unseen(flavour(vm)) < shown) {
+        if (chance() * unseen(flavour(vm)) < shown(room)) {
             return room;
         }
         return having(can, m -> opportunisticRoom(vm, m));
     }
 
+    private static double shown(List<Machine> room) {
+        double sum = 0;
+        for (Machine m : room) {
+            sum += m.room;
+        }
+        return sum;
+    }
+
     /** Cores that other placers have bound since what the list shows, if all asked for is renewed each life. */
     private double unseen(Flavour f) {
         double n = num("nInstances", 1);
-        return askedCores / f.life * (n - 1) / n * seconds(since(me.heardListAt).plus(settle.dividedBy(3)));
+        return askedCores / f.life * (n - 1) / n * seconds(since(me.heardListAt).plus(times(settle, 1.0 / 3)));
     }
 
     private static List<Machine> having(List<Machine> from, ToDoubleFunction<Machine> room) {
@@ -430,8 +437,9 @@
      */
     private Machine leastGrieved(List<Machine> room) {
         Machine best = null;
+        double shown = shown(room);
         for (int i = 0; i < SAMPLE; i++) {
-            double at = chance() * room.stream().mapToDouble(m -> m.room).sum();
+            double at = chance() * shown;
             Machine drawn = null;
             for (int k = 0; k < room.size() && at >= 0; k++) {
                 drawn = room.get(k);
@@ -481,7 +489,7 @@
         double useCores = useCores(m);
         double useMemory = useMemory(m);
         double level = THRESHOLD;
-        if (since(vm.arrivedAt).compareTo(flavour(vm).target.dividedBy(8)) >= 0) {
+        if (since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0) {
             level = crowd(flavour(vm));
         }
         double moreCores = (num("extra.admitCores", 1) - 1) * m.cores;
@@ -516,19 +524,19 @@
 
     /** Own binds leave the books once a list or report that can include them was heard, and not before. */
     private void clearBooks(Machine m) {
-        Duration listed = me.heardListAt.minus(settle.dividedBy(3));
+        Duration listed = me.heardListAt.minus(times(settle, 1.0 / 3));
         while (!m.sinceList.claims.isEmpty()
                 && m.sinceList.claims.peekFirst().sentAt.compareTo(listed) < 0) {
             m.sinceList.remove(m.sinceList.claims.peekFirst());
         }
-        Duration reported = fresh(m) ? m.reportedAt.minus(settle.dividedBy(6)) : me.now.minus(settle);
+        Duration reported = fresh(m) ? m.reportedAt.minus(times(settle, 1.0 / 6)) : me.now.minus(settle);
         m.sinceReport.claims.stream().filter(c -> c.end != null || c.runs && c.runsAt.compareTo(reported) < 0)
                 .toList().forEach(m.sinceReport::remove);
     }
 
     private boolean fresh(Machine m) {
         return m.reportedAt != null && !Double.isNaN(m.spareCores)
-                && me.now.minus(m.reportedAt).compareTo(settle.multipliedBy(2)) < 0;
+                && me.now.minus(m.reportedAt).compareTo(times(settle, 2)) < 0;
     }
 
     private double useCores(Machine m) {
@@ -608,7 +616,7 @@
         Flavour f = flavour(vm);
         double start = c.programKnown ? f.startWarm : f.startCold;
         Duration wait = f.effect == Effect.REBUILDABLE
-                ? seconds(Math.max(2 * seconds(f.target), 4 * start)) : f.patience.dividedBy(2);
+                ? seconds(Math.max(2 * seconds(f.target), 4 * start)) : times(f.patience, 0.5);
         return Collections.min(List.of(wait, vm.deadline.minus(me.now)));
     }
 
@@ -657,8 +665,7 @@
         if (ran != null && (f.effect == Effect.ONE_SHOT || since(ran.sentAt).compareTo(f.window) >= 0)) {
             return true;
         }
-        Duration patience = vm.deadline.minus(vm.arrivedAt);
-        return since(vm.arrivedAt).multipliedBy(8).compareTo(patience.multipliedBy(7)) >= 0;
+        return since(vm.arrivedAt).compareTo(times(vm.deadline.minus(vm.arrivedAt), 7.0 / 8)) >= 0;
     }
 
     private void giveUp(Vm vm) {
@@ -673,7 +680,7 @@
     private void setWake() {
         // In time for the shortest build timeout: a wake counted in ticks came too late where those are long.
         double shortest = flavours.values().stream().mapToDouble(f -> seconds(f.patience)).min().orElse(1);
-        me.wakeAt = me.now.plus(seconds(shortest / 128));
+        me.wakeAt = me.now.plus(seconds(shortest / 32));
         door.wake(me.wakeAt.minus(me.now));
     }
 
@@ -716,7 +723,7 @@
             return m.coldOffers.size() < (int) part;
         }
         long turns = (long) Math.ceil(2 / part);
-        long turn = me.now.minus(m.startedAt).dividedBy(span);
+        long turn = me.now.minus(m.startedAt).toNanos() / span.toNanos();
         return m.coldOffers.isEmpty() && turn % turns == (long) num("position", 0) % turns;
     }
 
@@ -757,7 +764,7 @@
         }
         return sorrow < SHUNNED || sorrow < SHUNNED * fleetGrief
                 || f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
-                && since(m.lastOfferAt).compareTo(settle.dividedBy(2)) > 0;
+                && since(m.lastOfferAt).compareTo(times(settle, 1.0 / 2)) > 0;
     }
 
     private void blame(Claim c, End end, Why why, boolean wasBound) {
@@ -771,7 +778,7 @@
             r.span = seconds(Math.max(1, Math.min(spans, 4)) * seconds(settle));
             r.until = me.now.plus(r.span);
         } else if (end == End.FULL) {
-            Duration shut = why == Why.LINE_FULL ? flavour(c.vm).target.dividedBy(2) : settle.dividedBy(2);
+            Duration shut = why == Why.LINE_FULL ? times(flavour(c.vm).target, 1.0 / 2) : times(settle, 1.0 / 2);
             m.closedUntil = me.now.plus(shut);
             if (why == Why.LINE_FULL) {
                 // Others wait in that line too: half as many of ours, more again as they pass.
@@ -808,29 +815,37 @@
         }
     }
 
-    /** The machine whose report is oldest, if it is old and a probe a VM has been earned. */
-    private Machine staleMachine() {
-        if (!flag("caps.probes", false) || text("loadReport.via", "off").equals("off")
-                || me.probes >= me.arrivals) {
-            return null;
+    /**
+     * Probes the machine whose report is oldest, if it is old and a probe a VM has been earned. Only then is it
+     * looked for, and seldom again where none was stale: no input may cost work that grows with the fleet.
+     */
+    private void probeStale() {
+        Duration stale = times(settle, 1.0 / 2);
+        me.probeAt = me.now.plus(times(stale, 1.0 / 8));
+        if (!flag("caps.probes", false) || text("loadReport.via", "off").equals("off")) {
+            return;
+        }
+        Machine oldest = null;
+        for (Machine m : me.machines) {
+            if (m.listing == Listing.LIVE && !m.probing && since(m.probedAt).compareTo(stale) > 0
+                    && since(m.reportedAt).compareTo(stale) > 0
+                    && (oldest == null || since(m.reportedAt).compareTo(since(oldest.reportedAt)) > 0)) {
+                oldest = m;
+            }
+        }
+        if (oldest != null && me.probes < me.arrivals) {
+            me.probes++;
+            oldest.probing = true;
+            oldest.probedAt = me.now;
+            door.probe(oldest);
+            me.probeAt = me.now.plusNanos(1);
         }
-        Duration stale = settle.dividedBy(2);
-        return me.machines.stream().filter(m -> m.listing == Listing.LIVE && !m.probing
-                && since(m.probedAt).compareTo(stale) > 0 && since(m.reportedAt).compareTo(stale) > 0)
-                .max(Comparator.comparing(m -> since(m.reportedAt))).orElse(null);
     }
 
     private Duration since(Duration then) {
         return then == null ? me.now : me.now.minus(then);
     }
 
-    private void probe(Machine m) {
-        me.probes++;
-        m.probing = true;
-        m.probedAt = me.now;
-        door.probe(m);
-    }
-
     private Flavour flavour(Vm vm) {
         return flavours.get(vm.flavour);
     }
@@ -867,6 +882,11 @@
         return Duration.ofNanos((long) (s * 1e9));
     }
 
+    /** Duration's own product and quotient go through big decimals: dear where each machine is looked at. */
+    private static Duration times(Duration d, double by) {
+        return Duration.ofNanos((long) (d.toNanos() * by));
+    }
+
     private double chance() {
         draw.clear();
         draw.putLong(me.seed).putLong(me.draws++);
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -22,6 +22,7 @@
     public final Deque<Vm> untried = new ArrayDeque<>();
     public long arrivals;
     public long probes;
+    public Duration probeAt = Duration.ZERO;
     public Duration wakeAt;
     /** Room may have grown since the held VMs were last gone through. */
     public boolean lookAgain;
