Use of unreported machines: blend of mean and listed asks; first notes count most

Change: the first notes count most; the mean of reports holds as far as the fleet reports, the list's asks for the rest.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -69,9 +69,14 @@
     private double usedCores = Double.NaN;
     private double usedMemory = Double.NaN;
     private double askedCores;
+    private double knownPart;
+    private double usedPerAsk;
+    private double usedPerAskMemory;
     /** What own VMs have been told to use, as a share of their asks. */
     private double coresRatio = 1;
     private double memoryRatio = 1;
+    private int coreNotes;
+    private int memoryNotes;
     private double fleetGrief;
     private Duration grievedAt;
     private Duration summedAt;
@@ -190,7 +195,6 @@
     public void bound(Claim c) {
         c.machine.waitingClaims.remove(c);
         c.boundAt = me.now;
-        c.machine.line += 0.25;
         refusal(c.vm, c.machine).span = refusal(c.vm, c.machine).span.dividedBy(2);
         c.vm.placed = c;
         if (text("extra.saysYes", "running").equals("running")) {
@@ -209,13 +213,14 @@
 
     public void usesCores(Claim c, double amount) {
         if (c.vm.cores > 0) {
-            coresRatio += (amount / c.vm.cores - coresRatio) / 64;
+            // The first notes count most: a guess kept for long opens machines that are not needed.
+            coresRatio += (amount / c.vm.cores - coresRatio) / Math.min(64, ++coreNotes);
         }
     }
 
     public void usesMemory(Claim c, double amount) {
         if (c.vm.memory > 0) {
-            memoryRatio += (amount / c.vm.memory - memoryRatio) / 64;
+            memoryRatio += (amount / c.vm.memory - memoryRatio) / Math.min(64, ++memoryNotes);
         }
     }
 
@@ -388,9 +393,9 @@
     }
 
     /**
-     * Regular room first; where none has it, opportunistic room (all flavours are opted in). What regular room
-     * the list shows, all placers see; where others will have bound more than that before the list tells, only
-     * as large a part of the VMs goes for it as it can hold.
+     * Regular room first; where none has it, opportunistic room (all flavours are opted in). All placers see
+     * the regular room that the list shows: where others bind more than that before the list tells, only as
+     * large a part of the VMs goes for it as it can hold.
      */
     private List<Machine> withRoom(Vm vm, List<Machine> can) {
         List<Machine> room = having(can, m -> regularRoom(vm, m));
@@ -408,10 +413,11 @@
         return sum;
     }
 
-    /** Cores that other placers have bound since what the list shows, if all asked for is renewed each life. */
+    /** Cores that others have bound since what the list shows, if all asked for is renewed each life. */
     private double unseen(Flavour f) {
         double n = num("nInstances", 1);
-        return askedCores / f.life * (n - 1) / n * seconds(since(me.heardListAt).plus(times(settle, 1.0 / 3)));
+        Duration age = since(me.heardListAt).plus(times(settle, 1.0 / 3));
+        return askedCores / f.life * (n - 1) / n * seconds(age);
     }
 
     private static List<Machine> having(List<Machine> from, ToDoubleFunction<Machine> room) {
@@ -458,7 +464,6 @@
                 && (f.kind == null || f.kind.equals(m.kind))
                 && me.now.compareTo(m.closedUntil) >= 0
                 && (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
-                && m.waitingClaims.size() < m.line
                 && allowedAgain(vm, f, m)
                 && spreadKept(vm, f, m)
                 && coldPaceKept(m)
@@ -466,9 +471,9 @@
     }
 
     /**
-     * Refusals without a reason, by customer and flavour: a machine that is truly full says of what, so one that
-     * does not turns these away whatever its room. It is left alone by them for spans that double, and halve
-     * with each VM taken; others go on. It also answers a quota or a wrong limit; it may hurt where reasons are
+     * Refusals without a reason, by customer and flavour: a machine that is truly full says of what; one that
+     * does not turns these away whatever its room. They leave it alone for spans that double, and halve with
+     * each VM taken; others go on. It also answers a quota or a wrong limit; it may hurt where reasons are
      * never told, as room that frees is then found later.
      */
     private static Machine.Refusal refusal(Vm vm, Machine m) {
@@ -540,11 +545,11 @@
     }
 
     private double useCores(Machine m) {
-        return fresh(m) ? usedCores(m) : usedCores * (m.cores - m.freeCores);
+        return fresh(m) ? usedCores(m) : blend(usedCores, m.cores, m.cores - m.freeCores, usedPerAsk);
     }
 
     private double useMemory(Machine m) {
-        return fresh(m) ? usedMemory(m) : usedMemory * (m.memory - m.freeMemory);
+        return fresh(m) ? usedMemory(m) : blend(usedMemory, m.memory, m.memory - m.freeMemory, usedPerAskMemory);
     }
 
     private double usedCores(Machine m) {
@@ -561,17 +566,26 @@
     }
 
     /**
-     * Mean of reported use, for machines without a report, as a share of what the list says is asked there (of
-     * the size where it does not say); where none reports, the share that own VMs are told to use.
+     * Use of a machine without a report: the mean of reported use, as far as the fleet reports. Where a placer
+     * hears of few machines their mean says little, and what the list tells to be asked counts in its place.
      */
+    private double blend(double meanUsed, double size, double asked, double perAsk) {
+        return knownPart * meanUsed * size + (1 - knownPart) * asked * perAsk;
+    }
+
     private void meanUse() {
         List<Machine> live = narrow(me.machines, m -> m.listing == Listing.LIVE && m.cores > 0);
         List<Machine> told = live.stream().filter(this::fresh).toList();
+        knownPart = told.size() / Math.max(1.0, live.size());
         askedCores = mean(live, m -> m.cores - m.freeCores) * live.size();
-        usedCores = told.isEmpty() ? coresRatio
-                : mean(told, this::usedCores) / Math.max(mean(told, m -> m.cores - m.freeCores), 1e-9);
-        usedMemory = told.isEmpty() ? memoryRatio
-                : mean(told, this::usedMemory) / Math.max(mean(told, m -> m.memory - m.freeMemory), 1e-9);
+        usedCores = mean(told, m -> usedCores(m) / m.cores);
+        usedMemory = mean(told, m -> usedMemory(m) / m.memory);
+        usedPerAsk = perAsk(usedCores, mean(told, m -> 1 - m.freeCores / m.cores), coresRatio);
+        usedPerAskMemory = perAsk(usedMemory, mean(told, m -> 1 - m.freeMemory / m.memory), memoryRatio);
+    }
+
+    private static double perAsk(double used, double asked, double own) {
+        return asked > 0 && used > 0 ? used / asked : own;
     }
 
     private static double mean(List<Machine> of, ToDoubleFunction<Machine> what) {
@@ -778,12 +792,7 @@
             r.span = seconds(Math.max(1, Math.min(spans, 4)) * seconds(settle));
             r.until = me.now.plus(r.span);
         } else if (end == End.FULL) {
-            Duration shut = why == Why.LINE_FULL ? times(flavour(c.vm).target, 1.0 / 2) : times(settle, 1.0 / 2);
-            m.closedUntil = me.now.plus(shut);
-            if (why == Why.LINE_FULL) {
-                // Others wait in that line too: half as many of ours, more again as they pass.
-                m.line = Math.max(1, m.waitingClaims.size() / 2.0);
-            }
+            m.closedUntil = me.now.plus(times(why == Why.LINE_FULL ? flavour(c.vm).target : settle, 0.5));
             grieve(m, 0.5);
         } else if (end == End.RESET && wasBound && why != Why.UNTOLD) {
             grieve(m, why == Why.EVICTED ? 1 : 0);
@@ -816,8 +825,8 @@
     }
 
     /**
-     * Probes the machine whose report is oldest, if it is old and a probe a VM has been earned. Only then is it
-     * looked for, and seldom again where none was stale: no input may cost work that grows with the fleet.
+     * Probes the machine whose report is oldest, if it is old and a probe a VM has been earned. Seldom looked
+     * for again where none was stale: no input may cost work that grows with the fleet.
      */
     private void probeStale() {
         Duration stale = times(settle, 1.0 / 2);
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -78,8 +78,6 @@
     public final Book sinceReport = new Book();
     /** Claims without an answer, oldest first. */
     public final Set<Claim> waitingClaims = new LinkedHashSet<>();
-    /** How many claims may wait there at once, as its refusals have taught. */
-    public double line = Double.MAX_VALUE;
     /** When offers were sent while it was recently started. */
     public final Deque<Duration> coldOffers = new ArrayDeque<>();
     public final Set<Claim> placed = new LinkedHashSet<>();
