--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -381,10 +381,12 @@
         // Where machines in use have a price, an empty one is opened only when none in use has room.
         List<Machine> room = num("prices.fleet", 0) > 0 ? withRoom(vm, narrow(can, this::inUse)) : List.of();
         room = room.isEmpty() ? withRoom(vm, can) : room;
+        room = shared(vm, narrow(room, m -> load(m) <= THRESHOLD), room);
         if (flavour(vm).kind == null) {
-            room = narrow(room, m -> !neededKinds.contains(m.kind));
+            // Kinds that some flavour cannot do without are spared, but not to where the others are the fuller.
+            List<Machine> others = narrow(room, m -> !neededKinds.contains(m.kind));
+            room = mean(others, this::load) <= mean(room, this::load) ? others : room;
         }
-        room = narrow(room, m -> load(m) <= THRESHOLD);
         room = narrow(room, m -> knowsProgram(m, vm.service));
         if (num("prices.crossZone", 0) > 0) {
             room = narrow(room, m -> m.zone.equals(text("zone", "")));
@@ -392,17 +394,18 @@
         return room.isEmpty() ? null : leastGrieved(room);
     }
 
+    /** Regular room first; where none has it, opportunistic room (all flavours are opted in). */
+    private List<Machine> withRoom(Vm vm, List<Machine> can) {
+        List<Machine> room = shared(vm, having(can, m -> regularRoom(vm, m)), List.of());
+        return room.isEmpty() ? having(can, m -> opportunisticRoom(vm, m)) : room;
+    }
+
     /**
-     * Regular room first; where none has it, opportunistic room (all flavours are opted in). All placers see
-     * the regular room that the list shows: where others bind more than that before the list tells, only as
-     * large a part of the VMs goes for it as it can hold.
+     * What all placers prefer by the same late list, others fill before the list tells: where they bind more
+     * than the preferred machines have room for, only as large a part of the VMs goes there as these can hold.
      */
-    private List<Machine> withRoom(Vm vm, List<Machine> can) {
-        List<Machine> room = having(can, m -> regularRoom(vm, m));
-        if (chance() * unseen(flavour(vm)) < shown(room)) {
-            return room;
-        }
-        return having(can, m -> opportunisticRoom(vm, m));
+    private List<Machine> shared(Vm vm, List<Machine> preferred, List<Machine> otherwise) {
+        return chance() * unseen(flavour(vm)) < shown(preferred) ? preferred : otherwise;
     }
 
     private static double shown(List<Machine> room) {
@@ -515,10 +518,15 @@
         return Math.max(THRESHOLD, Math.min(level, f.calm + f.fade));
     }
 
-    /** The share of the machine in use, by its last report or the mean, own binds since at learned use. */
+    /**
+     * The share of the machine in use, by its last report or the mean, own binds since at learned use; or, if
+     * that is more, the share of what it accepts that is asked there: near the top of it others come first.
+     */
     private double load(Machine m) {
-        return Math.max((useCores(m) + m.sinceReport.cores * coresRatio) / m.cores,
-                (useMemory(m) + m.sinceReport.memory * memoryRatio) / m.memory);
+        double asked = Math.max((m.cores - m.freeCores + m.sinceList.cores) / (num("extra.admitCores", 1) * m.cores),
+                (m.memory - m.freeMemory + m.sinceList.memory) / (num("extra.memBooking", 1) * m.memory));
+        return Math.max(asked, Math.max((useCores(m) + m.sinceReport.cores * coresRatio) / m.cores,
+                (useMemory(m) + m.sinceReport.memory * memoryRatio) / m.memory));
     }
 
     /** What the picker compares. A report of use past the threshold weighs like a note of pressure: where no
