--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -1,14 +1,15 @@
 package fordridge;
 
+import static fordridge.state.Terms.seconds;
+import static fordridge.state.Terms.times;
+
 import fordridge.door.Door;
 import fordridge.state.*;
 import fordridge.state.Claim.*;
 import fordridge.state.Machine.Listing;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.*;
 import java.util.function.*;
-import java.util.zip.CRC32;
 
 /**
  * All decisions of one placer: utilization-aware placing after UBIS (docs/design.md), with the guards that
@@ -53,8 +54,6 @@
     private final Map<String, Flavour> flavours = new TreeMap<>();
     /** Kinds of machine that some flavour cannot do without. */
     private final Set<String> neededKinds = new HashSet<>();
-    private final CRC32 crc = new CRC32();
-    private final ByteBuffer draw = ByteBuffer.allocate(16);
     private final List<Rule> rules = List.of(
             // The list first: nothing is placed on hearsay that the terms no longer count as told.
             new Rule(this::listWanted, this::askForList),
@@ -78,7 +77,6 @@
     private int coreNotes;
     private int memoryNotes;
     private double fleetGrief;
-    private Duration grievedAt;
     private Duration summedAt;
 
     public Logic(Door door) {
@@ -90,38 +88,38 @@
     }
 
     public void start(long seed, Map<String, Object> terms) {
-        me.seed = seed;
-        me.terms = terms;
-        settle = micros("extra.settleUs", 3e6);
-        int n = (int) num("lanes", 0);
+        me.chance = new Chance(seed);
+        me.terms = new Terms(terms);
+        settle = me.terms.micros("extra.settleUs", 3e6);
+        int n = (int) me.terms.num("lanes", 0);
         for (int i = 0; i < n; i++) {
             Flavour f = new Flavour();
             String lane = "lanes." + i + ".";
-            f.rank = (int) item("extra.precedence", i, 0);
-            f.effect = switch (text(lane + "semantics", "fragile")) {
+            f.rank = (int) me.terms.item("extra.precedence", i, 0);
+            f.effect = switch (me.terms.text(lane + "semantics", "fragile")) {
                 case "retryable" -> Effect.REBUILDABLE;
                 case "dedup" -> Effect.TOKENED;
                 default -> Effect.ONE_SHOT;
             };
-            f.group = text(lane + "dedupScope", "cell");
-            f.window = micros(lane + "windowUs", 0);
-            f.target = micros(lane + "promiseUs", 1e6);
-            f.patience = micros(lane + "giveUpUs", 5e6);
-            int kind = (int) item("extra.kindByClass", i, -1);
-            f.kind = kind < 0 ? null : (String) list("kinds").get(kind);
-            List<?> spreads = list("extra.classSpread");
+            f.group = me.terms.text(lane + "dedupScope", "cell");
+            f.window = me.terms.micros(lane + "windowUs", 0);
+            f.target = me.terms.micros(lane + "promiseUs", 1e6);
+            f.patience = me.terms.micros(lane + "giveUpUs", 5e6);
+            int kind = (int) me.terms.item("extra.kindByClass", i, -1);
+            f.kind = kind < 0 ? null : (String) me.terms.list("kinds").get(kind);
+            List<?> spreads = me.terms.list("extra.classSpread");
             f.spread = spreads.size() > i ? (String) spreads.get(i) : "off";
-            f.most = (int) item("extra.classMost", i, Integer.MAX_VALUE);
-            f.calm = item("extra.calmLevel", i, 1);
-            f.fade = item("extra.fadeSpan", i, 0);
-            f.startWorth = item("extra.startSeconds", i, 0);
+            f.most = (int) me.terms.item("extra.classMost", i, Integer.MAX_VALUE);
+            f.calm = me.terms.item("extra.calmLevel", i, 1);
+            f.fade = me.terms.item("extra.fadeSpan", i, 0);
+            f.startWorth = me.terms.item("extra.startSeconds", i, 0);
             f.life = Math.max(1, f.startWorth);
             f.startWarm = seconds(f.target) / 2;
             f.startCold = 2 * seconds(f.target);
             if (f.kind != null) {
                 neededKinds.add(f.kind);
             }
-            flavours.put(text(lane + "name", ""), f);
+            flavours.put(me.terms.text(lane + "name", ""), f);
         }
         settleRules();
     }
@@ -148,9 +146,9 @@
             m.reportedAt = null;
             m.closedUntil = Duration.ZERO;
         }
-        int kind = list("kinds").indexOf(m.kind);
-        m.cores = kind < 0 ? 0 : item("extra.cpuOfKind", kind, 0);
-        m.memory = kind < 0 ? 0 : item("extra.memoryByKind", kind, 0);
+        int kind = me.terms.list("kinds").indexOf(m.kind);
+        m.cores = kind < 0 ? 0 : me.terms.item("extra.cpuOfKind", kind, 0);
+        m.memory = kind < 0 ? 0 : me.terms.item("extra.memoryByKind", kind, 0);
         m.startedAt = startedAt;
         m.listing = listing;
         m.listedAt = me.now;
@@ -197,7 +195,7 @@
         c.boundAt = me.now;
         refusal(c.vm, c.machine).span = refusal(c.vm, c.machine).span.dividedBy(2);
         c.vm.placed = c;
-        if (text("extra.saysYes", "running").equals("running")) {
+        if (me.terms.text("extra.saysYes", "running").equals("running")) {
             started(c);
         }
         lookAgain();
@@ -252,7 +250,7 @@
         p.held--;
         p.lastHeld = me.now;
         m.placed.remove(c);
-        if (neverRan(c)) {
+        if (c.neverRan()) {
             m.sinceList.remove(c);
             m.sinceReport.remove(c);
         }
@@ -305,7 +303,7 @@
     }
 
     private boolean asks() {
-        return text("discovery", "push").equals("ask");
+        return me.terms.text("discovery", "push").equals("ask");
     }
 
     private boolean listWanted() {
@@ -322,7 +320,7 @@
         if (!asks() || me.following) {
             return true;
         }
-        return since(me.heardListAt).compareTo(micros("obligations.askWithinUs", 1e7)) < 0;
+        return since(me.heardListAt).compareTo(me.terms.micros("obligations.askWithinUs", 1e7)) < 0;
     }
 
     private void tryOrHold(Vm vm) {
@@ -379,17 +377,18 @@
         List<Machine> can = new ArrayList<>(me.machines);
         can.removeIf(m -> !eligible(vm, m));
         // Where machines in use have a price, an empty one is opened only when none in use has room.
-        List<Machine> room = num("prices.fleet", 0) > 0 ? withRoom(vm, narrow(can, this::inUse)) : List.of();
+        boolean priced = me.terms.num("prices.fleet", 0) > 0;
+        List<Machine> room = priced ? withRoom(vm, narrow(can, this::inUse)) : List.of();
         room = room.isEmpty() ? withRoom(vm, can) : room;
         room = shared(vm, narrow(room, m -> load(m) <= THRESHOLD), room);
         if (flavour(vm).kind == null) {
-            // Kinds that some flavour cannot do without are spared, but not to where the others are the fuller.
+            // Kinds that some flavour cannot do without are spared, but not till the others are fuller.
             List<Machine> others = narrow(room, m -> !neededKinds.contains(m.kind));
             room = mean(others, this::load) <= mean(room, this::load) ? others : room;
         }
         room = narrow(room, m -> knowsProgram(m, vm.service));
-        if (num("prices.crossZone", 0) > 0) {
-            room = narrow(room, m -> m.zone.equals(text("zone", "")));
+        if (me.terms.num("prices.crossZone", 0) > 0) {
+            room = narrow(room, m -> m.zone.equals(me.terms.text("zone", "")));
         }
         return room.isEmpty() ? null : leastGrieved(room);
     }
@@ -402,23 +401,19 @@
 
     /**
      * What all placers prefer by the same late list, others fill before the list tells: where they bind more
-     * than the preferred machines have room for, only as large a part of the VMs goes there as these can hold.
+     * than the preferred machines have room for, only the part of the VMs that these can hold goes there.
      */
     private List<Machine> shared(Vm vm, List<Machine> preferred, List<Machine> otherwise) {
-        return chance() * unseen(flavour(vm)) < shown(preferred) ? preferred : otherwise;
+        return me.chance.next() * unseen(flavour(vm)) < shown(preferred) ? preferred : otherwise;
     }
 
     private static double shown(List<Machine> room) {
-        double sum = 0;
-        for (Machine m : room) {
-            sum += m.room;
-        }
-        return sum;
+        return room.stream().mapToDouble(m -> m.room).sum();
     }
 
     /** Cores that others have bound since what the list shows, if all asked for is renewed each life. */
     private double unseen(Flavour f) {
-        double n = num("nInstances", 1);
+        double n = me.terms.num("nInstances", 1);
         Duration age = since(me.heardListAt).plus(times(settle, 1.0 / 3));
         return askedCores / f.life * (n - 1) / n * seconds(age);
     }
@@ -448,7 +443,7 @@
         Machine best = null;
         double shown = shown(room);
         for (int i = 0; i < SAMPLE; i++) {
-            double at = chance() * shown;
+            double at = me.chance.next() * shown;
             Machine drawn = null;
             for (int k = 0; k < room.size() && at >= 0; k++) {
                 drawn = room.get(k);
@@ -489,23 +484,20 @@
     }
 
     private double regularRoom(Vm vm, Machine m) {
-        return flag("extra.freeInList", false)
+        return me.terms.flag("extra.freeInList", false)
                 ? room(vm, m, m.freeCores - m.sinceList.cores, m.freeMemory - m.sinceList.memory) : 0;
     }
 
     private double opportunisticRoom(Vm vm, Machine m) {
-        double useCores = useCores(m);
-        double useMemory = useMemory(m);
-        double level = THRESHOLD;
-        if (since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0) {
-            level = crowd(flavour(vm));
-        }
-        double moreCores = (num("extra.admitCores", 1) - 1) * m.cores;
-        double moreMemory = (num("extra.memBooking", 1) - 1) * m.memory;
+        // Held for a while without room, it may crowd cores.
+        boolean late = since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0;
+        double level = late ? crowd(flavour(vm)) : THRESHOLD;
+        double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
+        double moreMemory = (me.terms.num("extra.memBooking", 1) - 1) * m.memory;
         double allowed = room(vm, m, m.freeCores + moreCores - m.sinceList.cores,
                 m.freeMemory + moreMemory - m.sinceList.memory);
-        return Math.min(allowed, room(vm, m, level * m.cores - useCores - m.sinceReport.cores,
-                THRESHOLD * m.memory - useMemory - m.sinceReport.memory));
+        return Math.min(allowed, room(vm, m, level * m.cores - useCores(m) - m.sinceReport.cores,
+                THRESHOLD * m.memory - useMemory(m) - m.sinceReport.memory));
     }
 
     /**
@@ -523,8 +515,10 @@
      * that is more, the share of what it accepts that is asked there: near the top of it others come first.
      */
     private double load(Machine m) {
-        double asked = Math.max((m.cores - m.freeCores + m.sinceList.cores) / (num("extra.admitCores", 1) * m.cores),
-                (m.memory - m.freeMemory + m.sinceList.memory) / (num("extra.memBooking", 1) * m.memory));
+        double most = me.terms.num("extra.admitCores", 1) * m.cores;
+        double mostMemory = me.terms.num("extra.memBooking", 1) * m.memory;
+        double asked = Math.max((m.cores - m.freeCores + m.sinceList.cores) / most,
+                (m.memory - m.freeMemory + m.sinceList.memory) / mostMemory);
         return Math.max(asked, Math.max((useCores(m) + m.sinceReport.cores * coresRatio) / m.cores,
                 (useMemory(m) + m.sinceReport.memory * memoryRatio) / m.memory));
     }
@@ -557,12 +551,13 @@
     }
 
     private double useMemory(Machine m) {
-        return fresh(m) ? usedMemory(m) : blend(usedMemory, m.memory, m.memory - m.freeMemory, usedPerAskMemory);
+        return fresh(m) ? usedMemory(m)
+                : blend(usedMemory, m.memory, m.memory - m.freeMemory, usedPerAskMemory);
     }
 
     private double usedCores(Machine m) {
         double used = m.cores - m.spareCores;
-        if (text("extra.reportCounts", "used").equals("asked")) {
+        if (me.terms.text("extra.reportCounts", "used").equals("asked")) {
             used *= coresRatio;
         }
         return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * m.cores);
@@ -570,12 +565,12 @@
 
     private double usedMemory(Machine m) {
         double used = m.memory - m.spareMemory;
-        return text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio : used;
+        return me.terms.text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio : used;
     }
 
     /**
-     * Use of a machine without a report: the mean of reported use, as far as the fleet reports. Where a placer
-     * hears of few machines their mean says little, and what the list tells to be asked counts in its place.
+     * Use of a machine without a report: the mean of reported use, as far as the fleet reports. Where a
+     * placer hears of few machines their mean says little; what the list tells to be asked counts instead.
      */
     private double blend(double meanUsed, double size, double asked, double perAsk) {
         return knownPart * meanUsed * size + (1 - knownPart) * asked * perAsk;
@@ -584,6 +579,7 @@
     private void meanUse() {
         List<Machine> live = narrow(me.machines, m -> m.listing == Listing.LIVE && m.cores > 0);
         List<Machine> told = live.stream().filter(this::fresh).toList();
+        fleetGrief = mean(live, this::sorrow);
         knownPart = told.size() / Math.max(1.0, live.size());
         askedCores = mean(live, m -> m.cores - m.freeCores) * live.size();
         usedCores = mean(told, m -> usedCores(m) / m.cores);
@@ -642,13 +638,9 @@
         return Collections.min(List.of(wait, vm.deadline.minus(me.now)));
     }
 
-    private static boolean neverRan(Claim c) {
-        return c.end == End.FULL || c.end == End.UNREACHABLE || c.end == End.MOOT;
-    }
-
     /** The first claim that may have run, or null. */
     private static Claim mayHaveRun(Vm vm) {
-        return vm.claims.stream().filter(c -> !neverRan(c)).findFirst().orElse(null);
+        return vm.claims.stream().filter(c -> !c.neverRan()).findFirst().orElse(null);
     }
 
     private boolean allowedAgain(Vm vm, Flavour f, Machine m) {
@@ -659,16 +651,7 @@
         if (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0) {
             return false;
         }
-        return vm.claims.stream().allMatch(c -> neverRan(c) || together(f.group, c.machine, m));
-    }
-
-    private static boolean together(String group, Machine a, Machine b) {
-        return switch (group) {
-            case "all" -> true;
-            case "zone" -> a.zone.equals(b.zone);
-            case "machine" -> a == b;
-            default -> a.cell == b.cell;
-        };
+        return vm.claims.stream().allMatch(c -> c.neverRan() || m.together(f.group, c.machine));
     }
 
     private boolean mayDeny(Vm vm) {
@@ -680,7 +663,7 @@
     /** Nothing more can be done for it, or it was held for as long as a VM is held. */
     private boolean hopeless(Vm vm) {
         Flavour f = flavour(vm);
-        if (vm.claims.size() >= num("caps.mostTries", 4)) {
+        if (vm.claims.size() >= me.terms.num("caps.mostTries", 4)) {
             return true;
         }
         Claim ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
@@ -693,7 +676,7 @@
     private void giveUp(Vm vm) {
         vm.over = true;
         if (mayDeny(vm)) {
-            door.deny(vm, flag("caps.retryAfter", false) ? flavour(vm).target : Duration.ZERO);
+            door.deny(vm, me.terms.flag("caps.retryAfter", false) ? flavour(vm).target : Duration.ZERO);
         } else {
             door.error(vm);
         }
@@ -714,7 +697,7 @@
         }
         int there = 1;
         for (Machine o : me.machines) {
-            Machine.Program p = together(f.spread, o, m) ? o.programs.get(vm.service) : null;
+            Machine.Program p = m.together(f.spread, o) ? o.programs.get(vm.service) : null;
             there += p == null ? 0 : p.held;
         }
         return there <= f.most;
@@ -722,7 +705,7 @@
 
     private boolean cold(Machine m) {
         return m.startedAt != null
-                && me.now.minus(m.startedAt).compareTo(micros("obligations.warmAfterUs", 2e7)) < 0;
+                && me.now.minus(m.startedAt).compareTo(me.terms.micros("obligations.warmAfterUs", 2e7)) < 0;
     }
 
     /**
@@ -733,20 +716,20 @@
         if (!cold(m)) {
             return true;
         }
-        Duration span = micros("obligations.overloadForUs", 1e6);
+        Duration span = me.terms.micros("obligations.overloadForUs", 1e6);
         while (!m.coldOffers.isEmpty() && m.coldOffers.peekFirst().plus(span).compareTo(me.now) <= 0) {
             m.coldOffers.removeFirst();
         }
-        double age = seconds(me.now.minus(m.startedAt)) / seconds(micros("obligations.warmAfterUs", 2e7));
-        double from = num("obligations.coldFrom", 0.2);
+        double age = since(m.startedAt).toNanos() / (me.terms.num("obligations.warmAfterUs", 2e7) * 1000);
+        double from = me.terms.num("obligations.coldFrom", 0.2);
         double pace = Math.max(0.5, from + (1 - from) * age);
-        double part = pace * num("extra.coldBears", 1) / num("nInstances", 1);
+        double part = pace * me.terms.num("extra.coldBears", 1) / me.terms.num("nInstances", 1);
         if (part >= 1) {
             return m.coldOffers.size() < (int) part;
         }
         long turns = (long) Math.ceil(2 / part);
         long turn = me.now.minus(m.startedAt).toNanos() / span.toNanos();
-        return m.coldOffers.isEmpty() && turn % turns == (long) num("position", 0) % turns;
+        return m.coldOffers.isEmpty() && turn % turns == (long) me.terms.num("position", 0) % turns;
     }
 
     // ---- Health ----------------------------------------------------------------------------------------
@@ -779,11 +762,6 @@
     /** A machine that stands out by its troubles gets one rebuildable VM at a time, until they fade. */
     private boolean trusted(Flavour f, Machine m) {
         double sorrow = sorrow(m);
-        if (!me.now.equals(grievedAt)) {
-            grievedAt = me.now;
-            List<Machine> live = me.machines.stream().filter(o -> o.listing == Listing.LIVE).toList();
-            fleetGrief = mean(live, this::sorrow);
-        }
         return sorrow < SHUNNED || sorrow < SHUNNED * fleetGrief
                 || f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
                 && since(m.lastOfferAt).compareTo(times(settle, 1.0 / 2)) > 0;
@@ -839,7 +817,7 @@
     private void probeStale() {
         Duration stale = times(settle, 1.0 / 2);
         me.probeAt = me.now.plus(times(stale, 1.0 / 8));
-        if (!flag("caps.probes", false) || text("loadReport.via", "off").equals("off")) {
+        if (!me.terms.flag("caps.probes", false) || me.terms.text("loadReport.via", "off").equals("off")) {
             return;
         }
         Machine oldest = null;
@@ -866,49 +844,4 @@
     private Flavour flavour(Vm vm) {
         return flavours.get(vm.flavour);
     }
-
-    private double num(String name, double absent) {
-        return me.terms.get(name) instanceof Number n ? n.doubleValue() : absent;
-    }
-
-    private boolean flag(String name, boolean absent) {
-        return me.terms.get(name) instanceof Boolean b ? b : absent;
-    }
-
-    private String text(String name, String absent) {
-        return me.terms.get(name) instanceof String s ? s : absent;
-    }
-
-    private List<?> list(String name) {
-        return me.terms.get(name) instanceof List<?> l ? l : List.of();
-    }
-
-    private double item(String name, int i, double absent) {
-        return i < list(name).size() && list(name).get(i) instanceof Number n ? n.doubleValue() : absent;
-    }
-
-    private Duration micros(String name, double absent) {
-        return Duration.ofNanos((long) (num(name, absent) * 1000));
-    }
-
-    private static double seconds(Duration d) {
-        return d.toNanos() / 1e9;
-    }
-
-    private static Duration seconds(double s) {
-        return Duration.ofNanos((long) (s * 1e9));
-    }
-
-    /** Duration's own product and quotient go through big decimals: dear where each machine is looked at. */
-    private static Duration times(Duration d, double by) {
-        return Duration.ofNanos((long) (d.toNanos() * by));
-    }
-
-    private double chance() {
-        draw.clear();
-        draw.putLong(me.seed).putLong(me.draws++);
-        crc.reset();
-        crc.update(draw.array());
-        return crc.getValue() / 4294967296.0;
-    }
 }
--- a/src/main/java/fordridge/Main.java
+++ b/src/main/java/fordridge/Main.java
@@ -11,7 +11,7 @@
         if (args.length == 1 && args[0].equals("drill")) {
             System.exit(new Drill(System.in, System.out, System.err).run());
         }
-        System.err.println("usage: fordridge drill    (decide on the simulator's wire, standard input to output)");
+        System.err.println("usage: fordridge drill    (decide on the simulator's wire, stdin to stdout)");
         System.exit(2);
     }
 }
--- a/src/main/java/fordridge/state/Claim.java
+++ b/src/main/java/fordridge/state/Claim.java
@@ -29,6 +29,11 @@
         this.sentAt = sentAt;
     }
 
+    /** Its outcome proves that it never ran. */
+    public boolean neverRan() {
+        return end == End.FULL || end == End.UNREACHABLE || end == End.MOOT;
+    }
+
     public boolean out() {
         return end == null;
     }
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -93,4 +93,14 @@
     public Machine(long id) {
         this.id = id;
     }
+
+    /** Whether both stand in one place of that kind. */
+    public boolean together(String place, Machine other) {
+        return switch (place) {
+            case "all" -> true;
+            case "zone" -> zone.equals(other.zone);
+            case "machine" -> this == other;
+            default -> cell == other.cell;
+        };
+    }
 }
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -10,10 +10,9 @@
 /** What one instance knows for as long as it lives. */
 public final class Placer {
     public Duration now = Duration.ZERO;
-    public long seed;
-    public long draws;
-    /** What was read at start: names and values, nested names joined by dots. */
-    public Map<String, Object> terms = Map.of();
+    public Chance chance = new Chance(0);
+    /** What was read at start. */
+    public Terms terms = new Terms(Map.of());
     /** Machines in the order in which the list first named them. */
     public final List<Machine> machines = new ArrayList<>();
     /** VMs taken and neither placed, out on a claim, nor answered; oldest first. */
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -58,7 +58,9 @@
 
     @Example
     void regularRoomComesFirst() {
-        World w = calm(3);
+        World w = new World(true, "cell");
+        w.terms.put("nInstances", 1L);
+        w.begin(1, 3);
         w.machines.get(0).freeCores = 0;
         w.machines.get(1).freeCores = 0;
         report(w, w.machines.get(0), 16, 32);
