Reasonless refusals close the machine for 6 s, then up to 24 s

Cause: at full size most placers see little traffic; with 3 s a placer met each false refusal again and again.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -470,7 +470,7 @@
 
     /**
      * Refusals without a reason, by customer and flavour: a machine that is truly full says of what; one that
-     * does not turns these away whatever its room. They leave it alone for spans that double, and halve with
+     * does not turns these away whatever its room. They leave it alone for spans that grow, and halve with
      * each VM taken; others go on. It also answers a quota or a wrong limit; it may hurt where reasons are
      * never told, as room that frees is then found later.
      */
@@ -775,8 +775,8 @@
         }
         if (end == End.FULL && why == Why.UNTOLD) {
             Machine.Refusal r = refusal(c.vm, m);
-            double spans = 2 * seconds(r.span) / seconds(settle);
-            r.span = seconds(Math.max(1, Math.min(spans, 4)) * seconds(settle));
+            double spans = 4 * seconds(r.span) / seconds(settle);
+            r.span = seconds(Math.max(2, Math.min(spans, 8)) * seconds(settle));
             r.until = me.now.plus(r.span);
         } else if (end == End.FULL) {
             m.closedUntil = me.now.plus(times(why == Why.LINE_FULL ? flavour(c.vm).target : settle, 0.5));
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -114,7 +114,7 @@
         w.customer = "other";
         assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims.size()).isEqualTo(1);
         w.customer = "";
-        w.pass(Duration.ofSeconds(2));
+        w.pass(Duration.ofSeconds(5));
         assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims.isEmpty()).isTrue();
         w.pass(Duration.ofSeconds(2));
         assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims.size()).isEqualTo(1);
