While refused without a reason, VMs go first where such a VM was taken lately

Change: while VMs of a customer and flavour were refused without a reason in the last two settling times, machines that took one in the last four come first, regular then opportunistic room. What else: any machine that wrongly turns VMs away; may hurt where the proven machines are few and crowd.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -72,10 +72,8 @@
     private double usedPerAsk;
     private double usedPerAskMemory;
     /** What own VMs have been told to use, as a share of their asks. */
-    private double coresRatio = 1;
-    private double memoryRatio = 1;
-    private int coreNotes;
-    private int memoryNotes;
+    private final Mean coresRatio = new Mean(1);
+    private final Mean memoryRatio = new Mean(1);
     private double fleetGrief;
     private Duration summedAt;
 
@@ -184,7 +182,6 @@
         vm.claims.add(c);
         vm.placed = c;
         c.boundAt = me.now;
-        c.runs = true;
         c.runsAt = me.now;
         holds(c);
         settleRules();
@@ -194,6 +191,7 @@
         c.machine.waitingClaims.remove(c);
         c.boundAt = me.now;
         refusal(c.vm, c.machine).span = refusal(c.vm, c.machine).span.dividedBy(2);
+        refusal(c.vm, c.machine).tookAt = me.now;
         c.vm.placed = c;
         if (me.terms.text("extra.saysYes", "running").equals("running")) {
             started(c);
@@ -203,23 +201,19 @@
 
     /** A bound VM runs (told where the yes comes at acceptance). */
     public void running(Claim c) {
-        if (!c.runs) {
+        if (c.runsAt == null) {
             started(c);
         }
         settleRules();
     }
 
     public void usesCores(Claim c, double amount) {
-        if (c.vm.cores > 0) {
-            // The first notes count most: a guess kept for long opens machines that are not needed.
-            coresRatio += (amount / c.vm.cores - coresRatio) / Math.min(64, ++coreNotes);
-        }
+        // The first notes count most: a guess kept for long opens machines that are not needed.
+        coresRatio.hear(amount / c.vm.cores, 64);
     }
 
     public void usesMemory(Claim c, double amount) {
-        if (c.vm.memory > 0) {
-            memoryRatio += (amount / c.vm.memory - memoryRatio) / Math.min(64, ++memoryNotes);
-        }
+        memoryRatio.hear(amount / c.vm.memory, 64);
     }
 
     /** A VM is served this share of what it needs. */
@@ -376,9 +370,15 @@
         }
         List<Machine> can = new ArrayList<>(me.machines);
         can.removeIf(m -> !eligible(vm, m));
+        // While such VMs are refused without a reason, those that took one lately come first: machines that
+        // refuse stay empty, and by room alone would draw every try.
+        boolean refused = since(me.refusedAt.get(vm.kin())).compareTo(times(settle, 2)) < 0;
+        List<Machine> proven = refused ? can.stream().filter(m -> took(vm, m)).toList() : List.of();
+        List<Machine> room = proven.isEmpty() ? proven : withRoom(vm, proven);
         // Where machines in use have a price, an empty one is opened only when none in use has room.
-        boolean priced = me.terms.num("prices.fleet", 0) > 0;
-        List<Machine> room = priced ? withRoom(vm, narrow(can, this::inUse)) : List.of();
+        if (room.isEmpty() && me.terms.num("prices.fleet", 0) > 0) {
+            room = withRoom(vm, narrow(can, this::inUse));
+        }
         room = room.isEmpty() ? withRoom(vm, can) : room;
         room = shared(vm, narrow(room, m -> load(m) <= THRESHOLD), room);
         if (flavour(vm).kind == null) {
@@ -404,11 +404,8 @@
      * than the preferred machines have room for, only the part of the VMs that these can hold goes there.
      */
     private List<Machine> shared(Vm vm, List<Machine> preferred, List<Machine> otherwise) {
-        return me.chance.next() * unseen(flavour(vm)) < shown(preferred) ? preferred : otherwise;
-    }
-
-    private static double shown(List<Machine> room) {
-        return room.stream().mapToDouble(m -> m.room).sum();
+        double shown = preferred.stream().mapToDouble(m -> m.room).sum();
+        return me.chance.next() * unseen(flavour(vm)) < shown ? preferred : otherwise;
     }
 
     /** Cores that others have bound since what the list shows, if all asked for is renewed each life. */
@@ -441,7 +438,7 @@
      */
     private Machine leastGrieved(List<Machine> room) {
         Machine best = null;
-        double shown = shown(room);
+        double shown = room.stream().mapToDouble(m -> m.room).sum();
         for (int i = 0; i < SAMPLE; i++) {
             double at = me.chance.next() * shown;
             Machine drawn = null;
@@ -475,7 +472,11 @@
      * never told, as room that frees is then found later.
      */
     private static Machine.Refusal refusal(Vm vm, Machine m) {
-        return m.refusals.computeIfAbsent(vm.customer + " " + vm.flavour, k -> new Machine.Refusal());
+        return m.refusals.computeIfAbsent(vm.kin(), k -> new Machine.Refusal());
+    }
+
+    private boolean took(Vm vm, Machine m) {
+        return !m.refusals.isEmpty() && since(refusal(vm, m).tookAt).compareTo(times(settle, 4)) < 0;
     }
 
     /** Room as a share of the size, by the resource that has least; 0 where the VM does not fit. */
@@ -519,8 +520,8 @@
         double mostMemory = me.terms.num("extra.memBooking", 1) * m.memory;
         double asked = Math.max((m.cores - m.freeCores + m.sinceList.cores) / most,
                 (m.memory - m.freeMemory + m.sinceList.memory) / mostMemory);
-        return Math.max(asked, Math.max((useCores(m) + m.sinceReport.cores * coresRatio) / m.cores,
-                (useMemory(m) + m.sinceReport.memory * memoryRatio) / m.memory));
+        return Math.max(asked, Math.max((useCores(m) + m.sinceReport.cores * coresRatio.value) / m.cores,
+                (useMemory(m) + m.sinceReport.memory * memoryRatio.value) / m.memory));
     }
 
     /** What the picker compares. A report of use past the threshold weighs like a note of pressure: where no
@@ -537,8 +538,9 @@
             m.sinceList.remove(m.sinceList.claims.peekFirst());
         }
         Duration reported = fresh(m) ? m.reportedAt.minus(times(settle, 1.0 / 6)) : me.now.minus(settle);
-        m.sinceReport.claims.stream().filter(c -> c.end != null || c.runs && c.runsAt.compareTo(reported) < 0)
-                .toList().forEach(m.sinceReport::remove);
+        m.sinceReport.claims.stream()
+                .filter(c -> c.end != null || c.runsAt != null && c.runsAt.compareTo(reported) < 0).toList()
+                .forEach(m.sinceReport::remove);
     }
 
     private boolean fresh(Machine m) {
@@ -558,14 +560,14 @@
     private double usedCores(Machine m) {
         double used = m.cores - m.spareCores;
         if (me.terms.text("extra.reportCounts", "used").equals("asked")) {
-            used *= coresRatio;
+            used *= coresRatio.value;
         }
         return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * m.cores);
     }
 
     private double usedMemory(Machine m) {
         double used = m.memory - m.spareMemory;
-        return me.terms.text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio : used;
+        return me.terms.text("extra.reportCounts", "used").equals("asked") ? used * memoryRatio.value : used;
     }
 
     /**
@@ -584,12 +586,10 @@
         askedCores = mean(live, m -> m.cores - m.freeCores) * live.size();
         usedCores = mean(told, m -> usedCores(m) / m.cores);
         usedMemory = mean(told, m -> usedMemory(m) / m.memory);
-        usedPerAsk = perAsk(usedCores, mean(told, m -> 1 - m.freeCores / m.cores), coresRatio);
-        usedPerAskMemory = perAsk(usedMemory, mean(told, m -> 1 - m.freeMemory / m.memory), memoryRatio);
-    }
-
-    private static double perAsk(double used, double asked, double own) {
-        return asked > 0 && used > 0 ? used / asked : own;
+        double asked = mean(told, m -> 1 - m.freeCores / m.cores);
+        double askedMemory = mean(told, m -> 1 - m.freeMemory / m.memory);
+        usedPerAsk = asked > 0 ? usedCores / asked : coresRatio.value;
+        usedPerAskMemory = askedMemory > 0 ? usedMemory / askedMemory : memoryRatio.value;
     }
 
     private static double mean(List<Machine> of, ToDoubleFunction<Machine> what) {
@@ -778,6 +778,8 @@
             double spans = 4 * seconds(r.span) / seconds(settle);
             r.span = seconds(Math.max(2, Math.min(spans, 8)) * seconds(settle));
             r.until = me.now.plus(r.span);
+            r.tookAt = null;
+            me.refusedAt.put(c.vm.kin(), me.now);
         } else if (end == End.FULL) {
             m.closedUntil = me.now.plus(times(why == Why.LINE_FULL ? flavour(c.vm).target : settle, 0.5));
             grieve(m, 0.5);
@@ -796,7 +798,6 @@
 
     private void started(Claim c) {
         Flavour f = flavour(c.vm);
-        c.runs = true;
         c.runsAt = me.now;
         double took = seconds(me.now.minus(c.sentAt));
         if (c.programKnown) {
--- a/src/main/java/fordridge/state/Claim.java
+++ b/src/main/java/fordridge/state/Claim.java
@@ -16,9 +16,8 @@
     public final Duration sentAt;
     public Duration within = Duration.ZERO;
     public Duration boundAt;
-    /** When it was told to run. */
+    /** When it was told to run, null before. */
     public Duration runsAt;
-    public boolean runs;
     public boolean programKnown;
     public End end;
 
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -22,6 +22,8 @@
     public static final class Refusal {
         public Duration span = Duration.ZERO;
         public Duration until = Duration.ZERO;
+        /** When it last took one. */
+        public Duration tookAt;
     }
 
     /** Own claims at full ask, oldest first, with their sums. */
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -21,6 +22,8 @@
     public final Deque<Vm> untried = new ArrayDeque<>();
     public long arrivals;
     public long probes;
+    /** When VMs of a customer and flavour were last refused without a reason. */
+    public final Map<String, Duration> refusedAt = new HashMap<>();
     public Duration probeAt = Duration.ZERO;
     public Duration wakeAt;
     /** Room may have grown since the held VMs were last gone through. */
--- a/src/main/java/fordridge/state/Vm.java
+++ b/src/main/java/fordridge/state/Vm.java
@@ -29,6 +29,11 @@
         this.id = id;
     }
 
+    /** What refusals of one customer's VMs of one flavour are booked under. */
+    public String kin() {
+        return customer + " " + flavour;
+    }
+
     public int out() {
         int n = 0;
         for (Claim c : claims) {
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -120,6 +120,21 @@
         assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims.size()).isEqualTo(1);
     }
 
+    /** Machines that refuse stay empty; by room alone they would draw every try while those that take fill. */
+    @Example
+    void whileRefusedWithoutAReasonVmsGoWhereOneWasTaken() {
+        World w = calm(9);
+        w.arrive("retryable", 0.5, 0.5, 1);
+        Machine good = w.claims.get(0).machine;
+        w.bind(w.claims.get(0));
+        good.freeCores = 0;
+        report(w, good, 8, 16);
+        w.pass(Duration.ofSeconds(1));
+        w.end(w.arrive("retryable", 0.5, 0.5, 2).claims.get(0), End.FULL, Why.UNTOLD);
+        assertThat(w.vms.get(1).claims.get(1).machine).isSameAs(good);
+        assertThat(w.arrive("retryable", 0.5, 0.5, 3).claims.get(0).machine).isSameAs(good);
+    }
+
     /** The kind that some flavour needs is spared by others, but not until the other machines are crowded. */
     @Example
     void neededKindsAreSparedWhileTheOthersAreNoFuller() {
