The first guess of use comes from the told accept multiples

Change: the guess is one over the told accept multiple of each resource; the first notes replace it. It may hurt where machines accept far more than they bear.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -72,8 +72,8 @@
     private double usedPerAsk;
     private double usedPerAskMemory;
     /** What own VMs have been told to use, as a share of their asks. */
-    private final Mean coresRatio = new Mean(1);
-    private final Mean memoryRatio = new Mean(1);
+    private Mean coresRatio;
+    private Mean memoryRatio;
     private double fleetGrief;
     private Duration summedAt;
 
@@ -89,6 +89,9 @@
         me.chance = new Chance(seed);
         me.terms = new Terms(terms);
         settle = me.terms.micros("extra.settleUs", 3e6);
+        // Until notes tell, use is what lets a machine bear all it accepts: a high guess opens too many.
+        coresRatio = new Mean(1 / me.terms.num("extra.admitCores", 1));
+        memoryRatio = new Mean(1 / me.terms.num("extra.memBooking", 1));
         int n = (int) me.terms.num("lanes", 0);
         for (int i = 0; i < n; i++) {
             Flavour f = new Flavour();
@@ -208,7 +211,6 @@
     }
 
     public void usesCores(Claim c, double amount) {
-        // The first notes count most: a guess kept for long opens machines that are not needed.
         coresRatio.hear(amount / c.vm.cores, 64);
     }
 
@@ -490,7 +492,6 @@
     }
 
     private double opportunisticRoom(Vm vm, Machine m) {
-        // Held for a while without room, it may crowd cores.
         boolean late = since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0;
         double level = late ? crowd(flavour(vm)) : THRESHOLD;
         double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
@@ -502,9 +503,8 @@
     }
 
     /**
-     * How busy cores may get for a VM that would miss its target otherwise. Where the settings say that a
-     * flavour's service fades slowly, one more start is worth more than it takes from those that run, up to
-     * the level at which both are equal; a flavour that fades fast gets the threshold.
+     * How busy cores may get for a VM held for a while: where its flavour's service fades slowly, up to the
+     * level at which one more start is worth what it takes from those that run; else the threshold.
      */
     private double crowd(Flavour f) {
         double level = (f.calm + f.fade * (1 + f.startWorth / f.life)) / 2;
