--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -348,8 +348,8 @@
     }
 
     private static boolean noSmaller(Vm a, Vm b) {
-        return b.claims.isEmpty() && a.flavour.equals(b.flavour)
-                && a.cores <= b.cores && a.memory <= b.memory;
+        // Also for one claimed before: it may go to no more machines than one that was not.
+        return a.flavour.equals(b.flavour) && a.cores <= b.cores && a.memory <= b.memory;
     }
 
     private boolean place(Vm vm) {
