Held VMs in groups of one shape: work for one input no longer grows with them

Change: held VMs are grouped by customer, flavour, shape, last machine and (where spread is asked) service; each group is asked once through its oldest, one without room speaks for all of its flavour that ask for no less, until an input could have grown room. What is due to be given up comes from an order by time.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -82,6 +82,9 @@
     }
 
     public void at(Duration now) {
+        if (!now.equals(me.now)) {
+            me.without.clear();
+        }
         me.now = now;
     }
 
@@ -283,6 +286,7 @@
 
     private void lookAgain() {
         me.lookAgain = true;
+        me.without.clear();
         settleRules();
     }
 
@@ -320,36 +324,65 @@
     }
 
     private void tryOrHold(Vm vm) {
-        if (hopeless(vm)) {
+        if (me.now.compareTo(hopelessAt(vm)) >= 0) {
             giveUp(vm);
-        } else if (!place(vm)) {
-            me.held.addLast(vm);
+        } else if (spokenFor(vm) || !placeOrTell(vm)) {
+            hold(vm);
         }
     }
 
-    /** All that is held is tried once an instant, by priority; one without room speaks for all as large. */
+    /** In groups of VMs that differ in nothing a machine is chosen by: one without room speaks for all. */
+    private void hold(Vm vm) {
+        Flavour f = flavour(vm);
+        Claim last = vm.claims.isEmpty() ? null : vm.claims.get(vm.claims.size() - 1);
+        // Where a claim may have run, earlier machines bind the choice too: such a VM speaks for itself only.
+        Object own = f.effect != Effect.REBUILDABLE && mayHaveRun(vm) != null ? vm
+                : last == null ? null : last.machine;
+        me.held.add(vm, f.rank, List.of(vm.kin(), vm.cores, vm.memory,
+                f.spread.equals("off") ? 0L : vm.service, Optional.ofNullable(own)), hopelessAt(vm));
+    }
+
+    /**
+     * Once an instant, whatever is due to be given up first; then each group is asked through its oldest VM,
+     * by priority, then by age, and asked again only while its VMs find room. So the work for one input
+     * grows with the number of shapes held, not of VMs.
+     */
     private void tryHeld() {
         me.lookAgain = false;
         me.lookedAt = me.now;
-        List<Vm> order = new ArrayList<>(me.held);
-        order.sort((a, b) -> Integer.compare(flavour(b).rank, flavour(a).rank));
-        me.held.clear();
-        List<Vm> failed = new ArrayList<>();
-        for (Vm vm : order) {
-            if (hopeless(vm)) {
-                giveUp(vm);
-            } else if (failed.stream().anyMatch(o -> noSmaller(o, vm)) || !place(vm)) {
-                me.held.addLast(vm);
-                if (vm.claims.isEmpty() && flavour(vm).spread.equals("off")) {
-                    failed.add(vm);
-                }
+        for (Vm vm = me.held.due(me.now); vm != null; vm = me.held.due(me.now)) {
+            giveUp(vm);
+        }
+        for (Vm vm = me.held.after(null, 0); vm != null; vm = me.held.after(vm, flavour(vm).rank)) {
+            if (!spokenFor(vm) && placeOrTell(vm)) {
+                me.held.remove(vm);
             }
         }
     }
 
-    private static boolean noSmaller(Vm a, Vm b) {
-        // Also for one claimed before: it may go to no more machines than one that was not.
-        return a.flavour.equals(b.flavour) && a.cores <= b.cores && a.memory <= b.memory;
+    private boolean placeOrTell(Vm vm) {
+        boolean placed = place(vm);
+        boolean plain = vm.claims.isEmpty() && flavour(vm).spread.equals("off")
+                && !me.refusedAt.containsKey(vm.kin());
+        if (!placed && (plain || noRoomFor(vm))) {
+            me.without.add(vm);
+        }
+        return placed;
+    }
+
+    /** Not for its claims, refusals or its service's spread, but as no machine has room for so much. */
+    private boolean noRoomFor(Vm vm) {
+        return withRoom(vm, me.machines.stream().filter(m -> open(vm, m)).toList()).isEmpty();
+    }
+
+    /** A VM of the flavour that asks for no more found no room since anything could have grown it. */
+    private boolean spokenFor(Vm vm) {
+        for (Vm o : me.without) {
+            if (o.flavour.equals(vm.flavour) && o.cores <= vm.cores && o.memory <= vm.memory) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean place(Vm vm) {
@@ -456,13 +489,16 @@
     }
 
     private boolean eligible(Vm vm, Machine m) {
+        return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
+                && open(vm, m) && allowedAgain(vm, flavour(vm), m) && spreadKept(vm, flavour(vm), m);
+    }
+
+    /** Open to such VMs, whoever owns them, whatever became of their claims, wherever their service runs. */
+    private boolean open(Vm vm, Machine m) {
         Flavour f = flavour(vm);
         return m.listing == Listing.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
                 && me.now.compareTo(m.closedUntil) >= 0
-                && (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
-                && allowedAgain(vm, f, m)
-                && spreadKept(vm, f, m)
                 && coldPaceKept(m)
                 && trusted(f, m);
     }
@@ -660,17 +696,19 @@
                 || f.effect == Effect.TOKENED && f.group.equals("all");
     }
 
-    /** Nothing more can be done for it, or it was held for as long as a VM is held. */
-    private boolean hopeless(Vm vm) {
+    /** When nothing more can be done for it, or it was held for as long as a VM is held. */
+    private Duration hopelessAt(Vm vm) {
         Flavour f = flavour(vm);
         if (vm.claims.size() >= me.terms.num("caps.mostTries", 4)) {
-            return true;
+            return Duration.ZERO;
         }
+        Duration most = vm.arrivedAt.plus(times(vm.deadline.minus(vm.arrivedAt), 7.0 / 8));
         Claim ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
-        if (ran != null && (f.effect == Effect.ONE_SHOT || since(ran.sentAt).compareTo(f.window) >= 0)) {
-            return true;
+        if (ran == null) {
+            return most;
         }
-        return since(vm.arrivedAt).compareTo(times(vm.deadline.minus(vm.arrivedAt), 7.0 / 8)) >= 0;
+        Duration window = ran.sentAt.plus(f.window);
+        return f.effect == Effect.ONE_SHOT ? Duration.ZERO : window.compareTo(most) < 0 ? window : most;
     }
 
     private void giveUp(Vm vm) {
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -16,8 +16,10 @@
     public Terms terms = new Terms(Map.of());
     /** Machines in the order in which the list first named them. */
     public final List<Machine> machines = new ArrayList<>();
-    /** VMs taken and neither placed, out on a claim, nor answered; oldest first. */
-    public final Deque<Vm> held = new ArrayDeque<>();
+    /** VMs taken and neither placed, out on a claim, nor answered. */
+    public final Held held = new Held();
+    /** VMs that found no room since anything could have grown it. */
+    public final List<Vm> without = new ArrayList<>();
     /** VMs not tried yet since they came or their last claim ended. */
     public final Deque<Vm> untried = new ArrayDeque<>();
     public long arrivals;
--- a/src/main/java/fordridge/state/Vm.java
+++ b/src/main/java/fordridge/state/Vm.java
@@ -20,6 +20,10 @@
     public Duration lasts;
     public final List<Claim> claims = new ArrayList<>();
     public Claim placed;
+    /** Among which VMs it is held, null when it is not; its place in that order, and when it is given up. */
+    Held.Group heldIn;
+    long heldAs;
+    Duration giveUpAt;
     /** Final answer given, or the end told. */
     public boolean over;
     /** Stopped by a move of ours; what follows is no fault of the machine. */
