--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -57,6 +57,7 @@
     private final List<Rule> rules = List.of(
             // The list first: nothing is placed on hearsay that the terms no longer count as told.
             new Rule(this::listWanted, this::askForList),
+            new Rule(() -> me.stopping && !me.held.isEmpty(), () -> giveUp(me.held.takeFirst())),
             // What can be placed is placed before anything is given up.
             new Rule(() -> !me.untried.isEmpty(), () -> tryOrHold(me.untried.removeFirst())),
             new Rule(() -> me.lookAgain && !me.held.isEmpty() && !me.now.equals(me.lookedAt), this::tryHeld),
@@ -279,6 +280,12 @@
         lookAgain();
     }
 
+    /** Nothing more is placed: what is held is answered at once, what is out when its claim ends. */
+    public void stops() {
+        me.stopping = true;
+        settleRules();
+    }
+
     public void woken() {
         me.wakeAt = null;
         lookAgain();
@@ -699,7 +706,7 @@
     /** When nothing more can be done for it, or it was held for as long as a VM is held. */
     private Duration hopelessAt(Vm vm) {
         Flavour f = flavour(vm);
-        if (vm.claims.size() >= me.terms.num("caps.mostTries", 4)) {
+        if (me.stopping || vm.claims.size() >= me.terms.num("caps.mostTries", 4)) {
             return Duration.ZERO;
         }
         Duration most = vm.arrivedAt.plus(times(vm.deadline.minus(vm.arrivedAt), 7.0 / 8));
--- a/src/main/java/fordridge/Main.java
+++ b/src/main/java/fordridge/Main.java
@@ -1,8 +1,9 @@
 package fordridge;
 
+import fordridge.cli.Cli;
 import fordridge.drill.Drill;
 
-/** Entry point: one subcommand for each way of feeding the module. */
+/** Entry point. The drill is started again and again by the bench, so it does not wait for the command line's library. */
 public final class Main {
     private Main() {
     }
@@ -11,7 +12,6 @@
         if (args.length == 1 && args[0].equals("drill")) {
             System.exit(new Drill(System.in, System.out, System.err).run());
         }
-        System.err.println("usage: fordridge drill    (decide on the simulator's wire, stdin to stdout)");
-        System.exit(2);
+        System.exit(Cli.run(args));
     }
 }
--- /dev/null
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -0,0 +1,210 @@
+package fordridge.cli;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import fordridge.drill.Drill;
+import fordridge.obs.Logging;
+import fordridge.placer.PlacerProgram;
+import fordridge.rig.Checker;
+import fordridge.rig.Day;
+import fordridge.settings.Deployment;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The command line: exit code 0 for done, 1 for what went wrong in the doing, 2 for words that make no command. */
+@Command(name = "fordridge", description = "Places VMs on a cluster's machines.", mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class, subcommands = {Cli.Place.class, Cli.Rig.class, Cli.DrillCommand.class,
+            Cli.CheckConfig.class, Cli.ShowVersion.class, AutoComplete.GenerateCompletion.class})
+public final class Cli implements Callable<Integer> {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    /** Runs one command line and gives its exit code. */
+    public static int run(String[] args) {
+        CommandLine line = new CommandLine(new Cli());
+        line.setExecutionExceptionHandler((e, c, parsed) -> {
+            complain(e);
+            return 1;
+        });
+        return line.execute(args);
+    }
+
+    /** One plain line for each complaint; never a stack trace alone. */
+    private static void complain(Exception e) {
+        if (e instanceof Deployment.Refused r) {
+            r.complaints.forEach(c -> System.err.println("fordridge: " + c));
+            return;
+        }
+        Throwable cause = e;
+        while (cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        System.err.println("fordridge: " + (e instanceof IOException ? whole(e, cause) : e.toString()));
+        if (!(e instanceof IOException)) {
+            e.printStackTrace();
+        }
+    }
+
+    private static String whole(Exception e, Throwable cause) {
+        return e.getMessage() + (cause == e ? "" : ": " + cause.getMessage());
+    }
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return 2;
+    }
+
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String v = Cli.class.getPackage().getImplementationVersion();
+            return new String[] {"fordridge " + (v == null ? "(not packaged)" : v)};
+        }
+    }
+
+    @Command(name = "placer", description = "Serves clients and places their VMs.", mixinStandardHelpOptions = true)
+    static final class Place implements Callable<Integer> {
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "Settings, in HOCON.")
+        private File config;
+        @Option(names = "--placers", paramLabel = "N", description = "Instances in this process (placer.count).")
+        private Integer placers;
+        @Option(names = "--ports-file", paramLabel = "FILE",
+                description = "Where to write each instance's name and port once all listen.")
+        private File portsFile;
+
+        @Override
+        public Integer call() throws Exception {
+            Deployment d = read(config, placers == null ? Map.of() : Map.of("placer.count", placers));
+            Logging.start(d.logFormat, d.logLevel);
+            PlacerProgram program = new PlacerProgram(d);
+            if (portsFile != null) {
+                StringBuilder text = new StringBuilder();
+                for (int i = 0; i < program.count(); i++) {
+                    text.append(program.name(i)).append(' ').append(program.port(i)).append('\n');
+                }
+                if (program.metricsPort() >= 0) {
+                    text.append("metrics ").append(program.metricsPort()).append('\n');
+                }
+                File next = new File(portsFile.getPath() + ".next");
+                Files.writeString(next.toPath(), text.toString());
+                Files.move(next.toPath(), portsFile.toPath());
+            }
+            CountDownLatch ended = new CountDownLatch(1);
+            int[] code = {0};
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    code[0] = program.stop() ? 0 : 1;
+                } catch (InterruptedException e) {
+                    code[0] = 1;
+                }
+                ended.countDown();
+                Runtime.getRuntime().halt(code[0]);
+            }, "stop"));
+            ended.await();
+            return code[0];
+        }
+    }
+
+    static Deployment read(File file, Map<String, ?> changes) throws Deployment.Refused {
+        Config own = Deployment.parse(file);
+        return Deployment.read(ConfigFactory.parseMap(changes, "command line").withFallback(own),
+                file.getAbsoluteFile().getParentFile());
+    }
+
+    @Command(name = "check-config", description = "Checks a settings file whole, and its list of machines.",
+            mixinStandardHelpOptions = true)
+    static final class CheckConfig implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        private File file;
+
+        @Override
+        public Integer call() throws Exception {
+            Deployment d = read(file, Map.of());
+            if (d.listFile().isFile()) {
+                int n = fordridge.listing.ListFile.read(d.listFile(), d, 1).entries().size();
+                System.out.println(file + ": fine; " + n + " machines in " + d.listFile());
+            } else {
+                System.out.println(file + ": fine; no list of machines at " + d.listFile() + " yet");
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "rig", description = "Stand-ins, scripted days and their judging.", mixinStandardHelpOptions = true,
+            subcommands = {RigDay.class, RigCheck.class})
+    static final class Rig implements Callable<Integer> {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            spec.commandLine().usage(System.err);
+            return 2;
+        }
+    }
+
+    @Command(name = "day", description = "Plays a scripted day against real placers and judges the five rules.",
+            mixinStandardHelpOptions = true)
+    static final class RigDay implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", description = "The day's script, in HOCON.")
+        private File script;
+        @Option(names = "--out", paramLabel = "DIR", description = "Where tap and logs go (default: ${DEFAULT-VALUE}).")
+        private File out = new File("target/day");
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Changes a key of the script.")
+        private final Map<String, String> changes = new HashMap<>();
+
+        @Override
+        public Integer call() throws Exception {
+            Logging.start("plain", "warn");
+            Day.Outcome o = Day.play(script, changes, out, System.out);
+            System.out.println();
+            System.out.print(o.table());
+            System.out.println();
+            System.out.print(o.verdict().text());
+            System.out.println(o.costs());
+            return o.verdict().kept() ? 0 : 1;
+        }
+    }
+
+    @Command(name = "check", description = "Judges the five rules from a tap.", mixinStandardHelpOptions = true)
+    static final class RigCheck implements Callable<Integer> {
+        @Parameters(paramLabel = "TAP")
+        private File tap;
+
+        @Override
+        public Integer call() throws Exception {
+            Checker.Verdict v = Checker.judge(tap);
+            System.out.print(v.text());
+            return v.kept() ? 0 : 1;
+        }
+    }
+
+    @Command(name = "drill", description = "Decides on the simulator's wire, standard input to standard output.",
+            mixinStandardHelpOptions = true)
+    static final class DrillCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            return new Drill(System.in, System.out, System.err).run();
+        }
+    }
+
+    @Command(name = "version", description = "Prints the version.", mixinStandardHelpOptions = true)
+    static final class ShowVersion implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            System.out.println(new Version().getVersion()[0]);
+            return 0;
+        }
+    }
+}
--- a/src/main/java/fordridge/drill/Seat.java
+++ b/src/main/java/fordridge/drill/Seat.java
@@ -3,22 +3,24 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import fordridge.Logic;
 import fordridge.door.Door;
+import fordridge.feed.Feed;
 import fordridge.state.Claim;
 import fordridge.state.Machine;
+import fordridge.state.Terms;
 import fordridge.state.Vm;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /** One instance: turns its events into calls of the module, and what the module does into actions. */
 final class Seat implements Door {
-    private final Logic logic = new Logic(this);
-    private final Map<String, Vm> vms = new HashMap<>();
-    private final Map<Long, Machine> machines = new HashMap<>();
+    private final Feed<Long> feed = new Feed<>(this, id -> id);
+    private final Logic logic = feed.logic;
     private JsonGenerator gen;
 
     private static Duration micros(long us) {
@@ -36,28 +38,28 @@
         switch (msg) {
             case "create" -> {
                 Map<String, Object> terms = new HashMap<>();
-                flatten("", Wire.object(ev.get("profileData"), at + ".profileData"), terms);
+                Terms.flatten("", Wire.object(ev.get("profileData"), at + ".profileData"), terms);
                 logic.start(Wire.whole(ev, "entropy", at), terms);
             }
             case "discovery" -> discovery(ev, at, lists);
             case "arrival" -> {
                 Vm vm = vm(ev, at, clock);
-                vms.put(vm.id, vm);
+                feed.add(vm);
                 logic.arrives(vm);
             }
             case "resident" -> {
                 Vm vm = vm(ev, at, clock);
-                vms.put(vm.id, vm);
-                logic.runsAlready(vm, machine(Wire.whole(ev, "machine", at)));
+                feed.add(vm);
+                logic.runsAlready(vm, feed.machine(Wire.whole(ev, "machine", at)));
             }
             case "bound" -> {
-                Claim c = claim(ev, at);
+                Claim c = feed.claim(Wire.text(ev, "req", at), (int) Wire.whole(ev, "seqNo", at));
                 if (c != null) {
                     logic.bound(c);
                 }
             }
             case "interim" -> {
-                Claim c = claim(ev, at);
+                Claim c = feed.claim(Wire.text(ev, "req", at), (int) Wire.whole(ev, "seqNo", at));
                 if (c != null) {
                     double amount = Wire.number(ev, "amount", at, 0);
                     switch ((int) Wire.whole(ev, "what", at)) {
@@ -72,14 +74,14 @@
             }
             case "response" -> response(ev, at, clock);
             case "clientGone" -> {
-                Vm vm = vms.get(Wire.text(ev, "req", at));
+                Vm vm = feed.vm(Wire.text(ev, "req", at));
                 if (vm != null) {
                     logic.left(vm);
-                    forget(vm);
+                    feed.forget(vm);
                 }
             }
             case "echo" -> {
-                Machine m = machines.get(Wire.whole(ev, "machine", at));
+                Machine m = feed.known(Wire.whole(ev, "machine", at));
                 if (m != null) {
                     boolean ok = Wire.whole(ev, "rc", at) == 200;
                     boolean told = report(m, ev, at, clock);
@@ -94,25 +96,6 @@
         }
     }
 
-    private static void flatten(String prefix, Map<String, Object> from, Map<String, Object> into) {
-        for (Map.Entry<String, Object> e : from.entrySet()) {
-            flatten(prefix + e.getKey(), e.getValue(), into);
-        }
-    }
-
-    private static void flatten(String name, Object value, Map<String, Object> into) {
-        if (value instanceof Map) {
-            flatten(name + ".", Wire.object(value, name), into);
-        } else if (value instanceof List<?> list && !list.isEmpty() && list.get(0) instanceof Map) {
-            into.put(name, (long) list.size());
-            for (int i = 0; i < list.size(); i++) {
-                flatten(name + "." + i, list.get(i), into);
-            }
-        } else if (value != null) {
-            into.put(name, value);
-        }
-    }
-
     private void discovery(Map<String, Object> ev, String at, Map<Long, List<Object>> lists) {
         String how = Wire.text(ev, "how", at);
         if (how.equals("error")) {
@@ -123,27 +106,23 @@
         if (lines == null) {
             throw new Wire.Malformed(at + ": field 'slot' names a list that never came");
         }
-        logic.listBegins(!how.equals("diff"), how.equals("disk"));
+        List<Feed.Line<Long>> told = new ArrayList<>(lines.size());
         int i = 0;
         for (Object o : lines) {
             String where = at + ".lines[" + i++ + "]";
             Map<String, Object> l = Wire.object(o, where);
-            Machine m = machine(Wire.whole(l, "machine", where));
-            m.zone = Wire.text(l, "site", where, "");
-            m.kind = Wire.text(l, "generationHw", where, "");
-            m.cell = (int) Wire.whole(l, "pod", where, 0);
-            m.freeCores = Wire.number(l, "freeCores", where, 0);
-            m.freeMemory = Wire.number(l, "memoryFree", where, 0);
             long ready = Wire.whole(l, "readyAtUs", where, 0);
-            String life = Wire.text(l, "lifecycle", where);
-            logic.listed(m, switch (life) {
-                case "live" -> Machine.Listing.LIVE;
-                case "quiescing" -> Machine.Listing.DRAINING;
-                case "dead" -> Machine.Listing.GONE;
-                default -> throw new Wire.Malformed(where + ": field 'lifecycle' is not a known word");
-            }, ready == 0 ? null : micros(ready));
+            told.add(new Feed.Line<>(Wire.whole(l, "machine", where), Wire.text(l, "site", where, ""),
+                    Wire.text(l, "generationHw", where, ""), (int) Wire.whole(l, "pod", where, 0),
+                    Wire.number(l, "freeCores", where, 0), Wire.number(l, "memoryFree", where, 0),
+                    switch (Wire.text(l, "lifecycle", where)) {
+                        case "live" -> Machine.Listing.LIVE;
+                        case "quiescing" -> Machine.Listing.DRAINING;
+                        case "dead" -> Machine.Listing.GONE;
+                        default -> throw new Wire.Malformed(where + ": field 'lifecycle' is not a known word");
+                    }, ready == 0 ? null : micros(ready)));
         }
-        logic.listEnds();
+        feed.list(!how.equals("diff"), how.equals("disk"), told);
     }
 
     private Vm vm(Map<String, Object> ev, String at, Duration clock) {
@@ -163,11 +142,11 @@
     }
 
     private void response(Map<String, Object> ev, String at, Duration clock) {
-        Machine m = machines.get(Wire.whole(ev, "machine", at));
+        Machine m = feed.known(Wire.whole(ev, "machine", at));
         if (m != null && report(m, ev, at, clock)) {
             logic.reported(m);
         }
-        Claim c = claim(ev, at);
+        Claim c = feed.claim(Wire.text(ev, "req", at), (int) Wire.whole(ev, "seqNo", at));
         if (c == null) {
             return;
         }
@@ -187,7 +166,7 @@
         Claim.Why[] whys = Claim.Why.values();
         Claim.Why why = info > 0 && info < whys.length ? whys[info] : Claim.Why.UNTOLD;
         logic.ended(c, end, why, Wire.flag(ev, "noMore", at));
-        forget(c.vm);
+        feed.forget(c.vm);
     }
 
     private boolean report(Machine m, Map<String, Object> ev, String at, Duration clock) {
@@ -195,36 +174,16 @@
             return false;
         }
         Map<String, Object> r = Wire.object(ev.get("healthInfo"), at + ".healthInfo");
-        m.spareCores = Wire.number(r, "x0", at, Double.NaN);
-        m.spareMemory = Wire.number(r, "x1", at, Double.NaN);
-        m.busy = Wire.number(r, "utilization", at, Double.NaN);
+        feed.report(m, Wire.number(r, "x0", at, Double.NaN), Wire.number(r, "x1", at, Double.NaN),
+                Wire.number(r, "utilization", at, Double.NaN), clock);
         m.tasks = Wire.number(r, "outstanding", at, Double.NaN);
         m.waiting = Wire.number(r, "backlog", at, Double.NaN);
         m.startMillis = Wire.number(r, "recent_ms", at, Double.NaN);
         m.startsPerSecond = Wire.number(r, "throughput", at, Double.NaN);
         m.errorsPerSecond = Wire.number(r, "errors_per_s", at, Double.NaN);
-        m.reportedAt = clock;
         return true;
     }
 
-    private Machine machine(long id) {
-        return machines.computeIfAbsent(id, Machine::new);
-    }
-
-    private Claim claim(Map<String, Object> ev, String at) {
-        Vm vm = vms.get(Wire.text(ev, "req", at));
-        int n = (int) Wire.whole(ev, "seqNo", at);
-        return vm == null || n < 0 || n >= vm.claims.size() ? null : vm.claims.get(n);
-    }
-
-    /** A VM that is over and has no claim out will not be heard of again. */
-    private void forget(Vm vm) {
-        if (vm.over && vm.out() == 0) {
-            vms.remove(vm.id);
-        }
-    }
-
-
     /** Writes one action: its name, then pairs of field and value (a VM's id, a machine's id, a number...). */
     private void act(String msg, Object... fields) {
         try {
@@ -255,13 +214,13 @@
     @Override
     public void deny(Vm vm, Duration retryAfter) {
         act("deny", "req", vm.id, "backoffUs", micros(retryAfter));
-        forget(vm);
+        feed.forget(vm);
     }
 
     @Override
     public void error(Vm vm) {
         act("dropRequest", "req", vm.id);
-        forget(vm);
+        feed.forget(vm);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/fordridge/listing/ListFile.java
@@ -0,0 +1,162 @@
+package fordridge.listing;
+
+import com.typesafe.config.Config;
+import fordridge.settings.Deployment;
+import fordridge.settings.Reader;
+import fordridge.state.Machine.Listing;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The list of machines in a HOCON file that is looked at again and again. A file that cannot be read leaves the last
+ * good list in force, and says why once for each state of the file. Writers replace it by renaming over it.
+ */
+public final class ListFile implements MachineList {
+    private static final Logger LOG = LoggerFactory.getLogger(ListFile.class);
+
+    private final File file;
+    private final Deployment deployment;
+    private final List<Consumer<Snapshot>> takers = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread t = new Thread(r, "list-file");
+        t.setDaemon(true);
+        return t;
+    });
+    private volatile Snapshot latest;
+    private String seen;
+
+    public ListFile(File file, Deployment deployment) throws Deployment.Refused {
+        this.file = file;
+        this.deployment = deployment;
+        seen = mark();
+        latest = read(file, deployment, 1);
+        long every = deployment.poll.toMillis();
+        looks.scheduleWithFixedDelay(this::look, every, every, TimeUnit.MILLISECONDS);
+    }
+
+    private String mark() {
+        try {
+            BasicFileAttributes a = Files.readAttributes(file.toPath(), BasicFileAttributes.class);
+            return a.lastModifiedTime().to(TimeUnit.NANOSECONDS) + " " + a.size() + " " + a.fileKey();
+        } catch (IOException e) {
+            return "unreadable";
+        }
+    }
+
+    private void look() {
+        try {
+            String mark = mark();
+            if (mark.equals(seen)) {
+                return;
+            }
+            seen = mark;
+            latest = read(file, deployment, latest.version() + 1);
+            for (Consumer<Snapshot> t : takers) {
+                t.accept(latest);
+            }
+        } catch (Deployment.Refused e) {
+            LOG.atError().addKeyValue("list", file.getName()).log("the list of machines stays as it was: "
+                    + String.join("; ", e.complaints));
+        } catch (RuntimeException e) {
+            LOG.error("the list of machines stays as it was", e);
+        }
+    }
+
+    /** Reads the file whole, with every complaint at once. */
+    public static Snapshot read(File file, Deployment d, long version) throws Deployment.Refused {
+        Config c = Deployment.parse(file);
+        List<String> errors = new ArrayList<>();
+        Reader r = new Reader(c, "", errors);
+        if (r.whole("version", 1, 1_000_000) != 1) {
+            r.error("version", "another", "1");
+        }
+        Set<String> kinds = new HashSet<>();
+        d.kinds.forEach(k -> kinds.add(k.name()));
+        List<Entry> entries = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Reader m : r.each("machines", null)) {
+            entries.add(entry(m, kinds, names));
+            m.refuseUnknown();
+        }
+        r.refuseUnknown();
+        if (!errors.isEmpty()) {
+            throw new Deployment.Refused(errors);
+        }
+        return new Snapshot(version, entries);
+    }
+
+    private static Entry entry(Reader m, Set<String> kinds, Set<String> names) {
+        String name = m.text("name", 100);
+        if (!names.add(name)) {
+            m.error("name", "'" + name + "' twice", "each name once");
+        }
+        String kind = m.text("kind", 100);
+        if (!kinds.contains(kind)) {
+            m.error("kind", "'" + kind + "'", "a kind of the settings: " + String.join(", ",
+                    new java.util.TreeSet<>(kinds)));
+        }
+        String address = m.text("address", 300);
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress at = null;
+        try {
+            at = new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            m.error("address", "'" + address + "'", "host:port");
+        }
+        Instant started = null;
+        if (m.has("started")) {
+            String s = m.text("started", 100);
+            try {
+                started = Instant.parse(s);
+            } catch (DateTimeParseException e) {
+                m.error("started", "'" + s + "'", "an instant, as 2026-01-31T12:00:00Z");
+            }
+        }
+        Listing listing = switch (m.word("state", "live", "draining", "gone")) {
+            case "draining" -> Listing.DRAINING;
+            case "gone" -> Listing.GONE;
+            default -> Listing.LIVE;
+        };
+        return new Entry(name, at, kind, m.has("zone") ? m.text("zone", 100) : "",
+                m.has("cell") ? m.whole("cell", 0, 1_000_000) : 0, listing,
+                m.has("free_cores") ? m.number("free_cores", -1e6, 1e6) : 0,
+                m.has("free_memory") ? m.number("free_memory", -1e9, 1e9) : 0, started);
+    }
+
+    @Override
+    public Snapshot latest() {
+        return latest;
+    }
+
+    @Override
+    public void follow(Consumer<Snapshot> taker) {
+        takers.add(taker);
+    }
+
+    @Override
+    public void close() {
+        looks.shutdownNow();
+    }
+
+    /** For writers of such files: how long a change takes to be seen at most, beyond its reading. */
+    public static Duration delay(Deployment d) {
+        return d.poll;
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -0,0 +1,622 @@
+package fordridge.placer;
+
+import fordridge.door.Door;
+import fordridge.feed.Feed;
+import fordridge.link.Link;
+import fordridge.listing.MachineList;
+import fordridge.obs.Meters;
+import fordridge.rpc.ClientService;
+import fordridge.rpc.MachineStream;
+import fordridge.rpc.Telling;
+import fordridge.session.Answer;
+import fordridge.session.Session;
+import fordridge.session.Sessions;
+import fordridge.settings.Deployment;
+import fordridge.settings.ModuleTerms;
+import fordridge.state.Chance;
+import fordridge.state.Claim;
+import fordridge.state.Claim.End;
+import fordridge.state.Claim.Why;
+import fordridge.state.Machine;
+import fordridge.state.Vm;
+import fordridge.v1.FromMachine;
+import fordridge.v1.Holding;
+import fordridge.v1.Note;
+import fordridge.v1.Offer;
+import fordridge.v1.Want;
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+
+/**
+ * One placer: its module, its sessions and its links on one event loop. Inputs are entered one after another in the
+ * order in which the loop met them, each at the time of a clock that only goes forward; what the module does while
+ * one is entered is carried out at once, and what follows from that is entered behind it. It decides nothing.
+ */
+final class Instance implements Door, ClientService.Desk, Link.Fate {
+    private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
+
+    /** A machine as this instance reaches it. */
+    private final class Reach implements MachineStream.Heard, Telling.Further {
+        final String name;
+        final Machine machine;
+        final MachineStream stream;
+        final Link link;
+        Duration tickAt;
+
+        Reach(String name, Machine machine) {
+            this.name = name;
+            this.machine = machine;
+            stream = new MachineStream(Instance.this.name, loop, d.connectTimeout, d.keepalive, d.maxMessage, this,
+                    Instance.this::describe);
+            link = new Link(machine, manners, stream, Instance.this, new Chance(seed ^ machine.id));
+        }
+
+        @Override
+        public void holding(Holding h) {
+            enter(() -> Telling.holding(h, link, now));
+        }
+
+        @Override
+        public void said(FromMachine m) {
+            enter(() -> Telling.said(m, link, stream, this, now));
+        }
+
+        @Override
+        public void ready() {
+            enter(() -> link.ready(now));
+        }
+
+        @Override
+        public void broke(String why) {
+            enter(() -> link.broke(why, now));
+        }
+
+        @Override
+        public void report(double spareCores, double spareMemory, double busy) {
+            feed.report(machine, spareCores, spareMemory, busy, now);
+        }
+
+        @Override
+        public void reported() {
+            feed.logic.reported(machine);
+        }
+
+        @Override
+        public void note(Link.Name named, Note.What what, double amount) {
+            Claim c = link.claim(named);
+            if (c == null) {
+                return;
+            }
+            switch (what) {
+                case CORES -> feed.logic.usesCores(c, amount);
+                case MEMORY -> feed.logic.usesMemory(c, amount);
+                case SERVICE -> feed.logic.served(c, amount);
+                case PRESSURE -> feed.logic.pressed(c, amount);
+                default -> { }
+            }
+        }
+
+        @Override
+        public void wrong(String what) {
+            line(Level.WARN, "machine says what it may not: " + what, null, machine);
+            stream.close("said what it may not");
+            link.broke(what, now);
+        }
+    }
+
+    private final Deployment d;
+    final String name;
+    final EventLoop loop;
+    private final long seed;
+    private final Meters meters;
+    private final Link.Manners manners;
+    private final Feed<String> feed;
+    private final Sessions sessions;
+    private final Map<Session, ClientService.Stream> streams = new LinkedHashMap<>();
+    private final Set<Session> talkative = new LinkedHashSet<>();
+    private final Map<Machine, Reach> reaches = new HashMap<>();
+    /** Whose each VM is. */
+    private final Map<Vm, String> owners = new HashMap<>();
+    private final Deque<Runnable> inputs = new ArrayDeque<>();
+    private final long startedNanos = System.nanoTime();
+    private final Instant startedAt = Instant.now();
+    private Duration now = Duration.ZERO;
+    private boolean inside;
+    private boolean called;
+    private CompletableFuture<Void> stopped;
+
+    Instance(Deployment d, int position, String name, long seed, EventLoop loop, Meters meters) {
+        this.d = d;
+        this.name = name;
+        this.seed = seed;
+        this.loop = loop;
+        this.meters = meters;
+        manners = new Link.Manners(d.connectTimeout, d.idle, d.retryLeast, d.retryMost, d.unsure, d.connectTimeout,
+                d.line, d.yes.equals("accepted"));
+        feed = new Feed<>(this, Instance::number);
+        sessions = new Sessions(new Sessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
+        loop.execute(() -> enter(() -> feed.logic.start(seed, ModuleTerms.of(d, position))));
+        loop.scheduleAtFixedRate(() -> enter(() -> sessions.expire(now)), 1, 1, TimeUnit.SECONDS);
+    }
+
+    /** The same at every placer: placers take turns at cold machines by it. */
+    private static long number(String machine) {
+        CRC32 crc = new CRC32();
+        crc.update(machine.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+
+    // ---- The order of inputs ---------------------------------------------------------------------------
+
+    private void enter(Runnable input) {
+        inputs.addLast(input);
+        if (inside) {
+            return;
+        }
+        inside = true;
+        long from = System.nanoTime();
+        try {
+            for (Runnable next = inputs.pollFirst(); next != null; next = inputs.pollFirst()) {
+                now = clock();
+                feed.logic.at(now);
+                next.run();
+            }
+        } catch (RuntimeException e) {
+            // What was entered is lost to the module; what it knows stays whole enough to answer by time-out.
+            LOG.atError().addKeyValue("placer", name).setCause(e).log("an input failed");
+        } finally {
+            inside = false;
+        }
+        meters.decided(System.nanoTime() - from);
+        while (!talkative.isEmpty()) {
+            Session s = talkative.iterator().next();
+            talkative.remove(s);
+            ClientService.Stream stream = streams.get(s);
+            if (stream != null) {
+                stream.pump();
+            }
+        }
+        if (stopped != null && sessions.inHand() == 0) {
+            stopped.complete(null);
+        }
+    }
+
+    private Duration clock() {
+        return Duration.ofNanos(System.nanoTime() - startedNanos);
+    }
+
+    private void at(Duration in, Runnable input) {
+        loop.schedule(() -> enter(input), Math.max(0, in.toNanos()), TimeUnit.NANOSECONDS);
+    }
+
+    /** Lets a link's own time pass when it is due. */
+    private void watch(Reach r) {
+        Duration due = r.link.due();
+        if (due != null && (r.tickAt == null || due.compareTo(r.tickAt) < 0)) {
+            r.tickAt = due;
+            at(due.minus(now), () -> {
+                r.tickAt = null;
+                r.link.tick(now);
+                watch(r);
+            });
+        }
+    }
+
+    // ---- The list --------------------------------------------------------------------------------------
+
+    void list(MachineList.Snapshot list) {
+        loop.execute(() -> enter(() -> listed(list)));
+    }
+
+    private void listed(MachineList.Snapshot list) {
+        List<Feed.Line<String>> lines = new ArrayList<>(list.entries().size());
+        Map<Machine, Machine.Listing> told = new HashMap<>();
+        for (MachineList.Entry e : list.entries()) {
+            Reach r = reach(e.name());
+            told.put(r.machine, e.listing());
+            r.stream.address(e.address());
+            lines.add(new Feed.Line<>(e.name(), e.zone(), e.kind(), e.cell(), e.freeCores(), e.freeMemory(),
+                    e.listing(), e.started() == null ? null : Duration.between(startedAt, e.started())));
+        }
+        for (Reach r : List.copyOf(reaches.values())) {
+            Machine.Listing listing = told.getOrDefault(r.machine, Machine.Listing.GONE);
+            r.link.listed(listing == Machine.Listing.GONE, now);
+            if (listing != Machine.Listing.LIVE) {
+                r.link.drains();
+            } else if (!called) {
+                // What an earlier life of this placer left running is asked for once, spread over a second.
+                at(Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, 1000L)), () -> {
+                    r.link.call(now);
+                    watch(r);
+                });
+            }
+            watch(r);
+        }
+        called = called || !list.entries().isEmpty();
+        feed.list(true, false, lines);
+    }
+
+    private Reach reach(String machine) {
+        Machine m = feed.machine(machine);
+        return reaches.computeIfAbsent(m, x -> new Reach(machine, x));
+    }
+
+    // ---- Clients ---------------------------------------------------------------------------------------
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public Session hello(String client, String token, long seen, ClientService.Stream stream) {
+        now = clock();
+        Session s = sessions.hello(client, token, seen, now);
+        ClientService.Stream old = streams.put(s, stream);
+        if (old != null && old != stream) {
+            old.replaced();
+        }
+        streams.keySet().removeIf(o -> o != s && o.client.equals(client));
+        return s;
+    }
+
+    @Override
+    public boolean resumed(Session session, String token) {
+        return sessions.resumed(session, token);
+    }
+
+    @Override
+    public boolean acknowledge(Session session, long seen) {
+        return sessions.acknowledge(session, seen);
+    }
+
+    @Override
+    public boolean mayRead(Session session) {
+        return sessions.mayRead(session);
+    }
+
+    @Override
+    public void away(Session session, ClientService.Stream stream) {
+        if (streams.remove(session, stream)) {
+            now = clock();
+            sessions.away(session, now);
+        }
+    }
+
+    @Override
+    public void want(Session s, Want w) {
+        enter(() -> wanted(s, w));
+    }
+
+    private void wanted(Session s, Want w) {
+        Deployment.Flavour f = d.flavours.get(w.getFlavour());
+        Sessions.Taken taken = sessions.want(s, w.getVm(), now);
+        talkative.add(s);
+        if (taken == Sessions.Taken.KNOWN) {
+            return;
+        }
+        String no = taken == Sessions.Taken.OVER ? "too many VMs in hand" : stopped != null ? "the placer is stopping"
+                : f == null ? "flavour '" + w.getFlavour() + "' is not one of " + d.flavours.keySet() : null;
+        if (no != null) {
+            sessions.refuse(s, Answer.denied(w.getVm(), f == null ? Duration.ZERO : f.buildTarget(), no), now);
+            meters.answered("denied");
+            return;
+        }
+        Vm vm = new Vm(s.client + "/" + w.getVm());
+        vm.flavour = f.name();
+        vm.customer = w.getCustomer();
+        vm.service = w.getService();
+        vm.cores = w.getCores();
+        vm.memory = w.getMemory();
+        vm.cameBack = w.getAgain();
+        vm.arrivedAt = now;
+        Duration left = w.getTimeLeftUs() == 0 ? f.buildTimeout() : Duration.ofNanos(w.getTimeLeftUs() * 1000);
+        left = left.compareTo(f.buildTimeout()) > 0 ? f.buildTimeout() : left;
+        vm.deadline = now.plus(left).minus(d.answerMargin);
+        vm.lasts = w.getLastsUs() > 0 ? Duration.ofNanos(w.getLastsUs() * 1000) : null;
+        feed.add(vm);
+        owners.put(vm, s.client);
+        // Should the module fail on an input, nobody is left without an answer: this one promises nothing.
+        at(vm.deadline.minus(now).plus(d.answerMargin.dividedBy(2)), () -> {
+            if (sessions.waits(s.client, w.getVm())) {
+                say(vm, Answer.Kind.ERRORED, Answer.errored(w.getVm(), "no decision in time"));
+                line(Level.ERROR, "no decision in time", vm, null);
+            }
+        });
+        feed.logic.arrives(vm);
+    }
+
+    @Override
+    public void unwant(Session s, String id) {
+        enter(() -> {
+            Vm vm = feed.vm(s.client + "/" + id);
+            sessions.unwant(s, id, now);
+            if (vm == null || vm.over) {
+                return;
+            }
+            for (Claim c : vm.claims) {
+                if (c.out()) {
+                    Reach r = reaches.get(c.machine);
+                    if (c == vm.placed) {
+                        r.link.stop(c, now);
+                    } else {
+                        giveUp(c, End.CANCELLED);
+                    }
+                }
+            }
+            if (vm.placed == null) {
+                feed.logic.left(vm);
+                forget(vm);
+            }
+        });
+    }
+
+    /** The VM's name as its owner knows it. */
+    private static String owned(Vm vm, String client) {
+        return vm.id.substring(client.length() + 1);
+    }
+
+    private void say(Vm vm, Answer.Kind kind, Answer answer) {
+        String client = owners.get(vm);
+        if (client == null) {
+            return;
+        }
+        if (!sessions.say(client, answer, now)) {
+            line(Level.DEBUG, "not said, as the VM has its answer: " + kind, vm, null);
+        }
+        streams.keySet().stream().filter(s -> s.client.equals(client)).forEach(talkative::add);
+    }
+
+    private void forget(Vm vm) {
+        if (feed.forget(vm)) {
+            owners.remove(vm);
+        }
+    }
+
+    // ---- What the module does --------------------------------------------------------------------------
+
+    @Override
+    public void claim(Claim c, Duration within) {
+        meters.offered();
+        inputs.addLast(() -> {
+            if (!c.out()) {
+                return;
+            }
+            Reach r = reaches.get(c.machine);
+            boolean mayRepeat = d.flavours.get(c.vm.flavour).rebuildable();
+            r.link.offer(c, new Link.Name(c.vm.id, c.number), mayRepeat, within, now);
+            watch(r);
+        });
+        at(within, () -> {
+            if (c.out() && c.boundAt == null) {
+                giveUp(c, End.TIMEOUT);
+            }
+        });
+    }
+
+    /** Waits no longer for a claim: known not to have run if its offer was never written. */
+    private void giveUp(Claim c, End end) {
+        Reach r = reaches.get(c.machine);
+        boolean neverWritten = r.link.giveUp(c, now);
+        ended(c, neverWritten ? End.UNREACHABLE : end, Why.UNTOLD);
+        watch(r);
+    }
+
+    private void describe(Claim c, Offer.Builder o) {
+        o.setPriority(d.flavours.get(c.vm.flavour).priority());
+        String client = owners.get(c.vm);
+        o.setClient(client == null ? "" : client);
+    }
+
+    @Override
+    public void deny(Vm vm, Duration retryAfter) {
+        String client = owners.get(vm);
+        say(vm, Answer.Kind.DENIED, Answer.denied(owned(vm, client), retryAfter, "no room found in time"));
+        meters.answered("denied");
+        inputs.addLast(() -> forget(vm));
+    }
+
+    @Override
+    public void error(Vm vm) {
+        String client = owners.get(vm);
+        say(vm, Answer.Kind.ERRORED, Answer.errored(owned(vm, client), "it may have run; its outcome is not known"));
+        meters.answered("errored");
+        inputs.addLast(() -> forget(vm));
+    }
+
+    @Override
+    public void move(Vm vm) {
+        say(vm, Answer.Kind.MOVED, Answer.ended(owned(vm, owners.get(vm)), Answer.Kind.MOVED));
+        reaches.get(vm.placed.machine).link.stop(vm.placed, now);
+    }
+
+    @Override
+    public void cancel(Claim c) {
+        inputs.addLast(() -> {
+            if (c.out() && c.boundAt == null) {
+                giveUp(c, End.CANCELLED);
+            }
+        });
+    }
+
+    @Override
+    public void probe(Machine m) {
+        inputs.addLast(() -> {
+            Reach r = reaches.get(m);
+            r.link.probe(now);
+            watch(r);
+        });
+    }
+
+    @Override
+    public void wake(Duration in) {
+        at(in, feed.logic::woken);
+    }
+
+    @Override
+    public void log(String text) {
+        line(Level.INFO, text, null, null);
+    }
+
+    @Override
+    public void follow(boolean on) {
+        // The list is pushed here.
+    }
+
+    @Override
+    public void lookup() {
+        // The list is pushed here.
+    }
+
+    // ---- What the links conclude -----------------------------------------------------------------------
+
+    @Override
+    public void bound(Claim c, boolean running) {
+        inputs.addLast(() -> {
+            if (!c.out() || c.vm.over) {
+                return;
+            }
+            boolean first = c.boundAt == null;
+            if (first) {
+                Duration took = now.minus(c.vm.arrivedAt);
+                String client = owners.get(c.vm);
+                if (client != null) {
+                    say(c.vm, Answer.Kind.BOUND, Answer.bound(owned(c.vm, client), reaches.get(c.machine).name,
+                            c.number, took));
+                }
+                meters.answered("bound");
+                meters.bound(took);
+                feed.logic.bound(c);
+            }
+            if (running && d.yes.equals("accepted")) {
+                feed.logic.running(c);
+            }
+        });
+    }
+
+    @Override
+    public void ended(Claim c, End end, Why why) {
+        inputs.addLast(() -> {
+            if (!c.out()) {
+                return;
+            }
+            boolean wasBound = c.boundAt != null;
+            meters.ended(end);
+            feed.logic.ended(c, end, why, wasBound || c.vm.over);
+            String client = owners.get(c.vm);
+            if (wasBound && client != null) {
+                say(c.vm, kind(end, why), Answer.ended(owned(c.vm, client), kind(end, why)));
+            }
+            forget(c.vm);
+        });
+    }
+
+    private static Answer.Kind kind(End end, Why why) {
+        return switch (why) {
+            case EVICTED -> Answer.Kind.EVICTED;
+            case PUSHED_OUT -> Answer.Kind.PUSHED_OUT;
+            case SENT_AWAY -> Answer.Kind.SENT_AWAY;
+            default -> end == End.DONE || end == End.CANCELLED ? Answer.Kind.DONE
+                    : end == End.ERROR ? Answer.Kind.FAILED : Answer.Kind.LOST;
+        };
+    }
+
+    @Override
+    public void runsAlready(Link.Held held, Machine machine) {
+        Reach r = reaches.get(machine);
+        if (feed.vm(held.name().vm()) != null || !d.flavours.containsKey(held.flavour())) {
+            // Asked for anew before its machine came back, or of a flavour no longer known: nobody would own it.
+            r.stream.cancel(held.name());
+            return;
+        }
+        Vm vm = new Vm(held.name().vm());
+        vm.flavour = held.flavour();
+        vm.customer = held.customer();
+        vm.service = held.service();
+        vm.cores = held.cores();
+        vm.memory = held.memory();
+        vm.arrivedAt = now;
+        vm.deadline = now;
+        feed.add(vm);
+        feed.logic.runsAlready(vm, machine);
+        r.link.adopt(held.name(), vm.placed);
+        owners.put(vm, held.client());
+        String id = vm.id.startsWith(held.client() + "/") ? owned(vm, held.client()) : vm.id;
+        sessions.found(held.client(), id, Answer.bound(id, r.name, held.name().number(), Duration.ZERO));
+    }
+
+    @Override
+    public void probed(Machine machine, boolean ok, Duration took) {
+        inputs.addLast(() -> feed.logic.probed(machine, ok, ok, took));
+    }
+
+    @Override
+    public void note(String text) {
+        line(Level.INFO, text, null, null);
+    }
+
+    private void line(Level level, String text, Vm vm, Machine machine) {
+        var event = LOG.atLevel(level).addKeyValue("placer", name);
+        if (vm != null) {
+            event = event.addKeyValue("vm", vm.id);
+        }
+        if (machine != null) {
+            event = event.addKeyValue("machine", reaches.get(machine).name);
+        }
+        event.log(text);
+    }
+
+    // ---- Ends ------------------------------------------------------------------------------------------
+
+    /** Takes nothing new; done when each VM in hand has its answer, and by then at the latest. */
+    CompletableFuture<Void> stop(Duration within) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            stopped = done;
+            enter(feed.logic::stops);
+            at(within.multipliedBy(3).dividedBy(4), () -> {
+                for (Reach r : reaches.values()) {
+                    for (Claim c : List.copyOf(r.machine.waitingClaims)) {
+                        giveUp(c, End.TIMEOUT);
+                    }
+                }
+            });
+        });
+        return done;
+    }
+
+    int inHand() {
+        return sessions.inHand();
+    }
+
+    int streamsOpen() {
+        int n = 0;
+        for (Reach r : reaches.values()) {
+            n += r.link.phase() == Link.Phase.GREETED ? 1 : 0;
+        }
+        return n;
+    }
+
+    void close() {
+        for (Reach r : reaches.values()) {
+            r.stream.close("the placer ends");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -0,0 +1,154 @@
+package fordridge.placer;
+
+import fordridge.listing.ListFile;
+import fordridge.listing.MachineList;
+import fordridge.obs.Meters;
+import fordridge.obs.MetricsPort;
+import fordridge.rpc.ClientService;
+import fordridge.settings.Deployment;
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The program {@code fordridge placer}: its instances, their listening ports, the list and the metrics. */
+public final class PlacerProgram implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
+    private static final Duration LAG_EVERY = Duration.ofMillis(20);
+
+    private final Deployment d;
+    private final EventLoopGroup loops;
+    private final MachineList list;
+    private final Meters meters = new Meters();
+    private final List<Instance> instances = new ArrayList<>();
+    private final List<Server> servers = new ArrayList<>();
+    private final MetricsPort metrics;
+
+    /** Starts all; what cannot be had (a port, the list) is said in one line and nothing is left running. */
+    public PlacerProgram(Deployment d) throws IOException, Deployment.Refused {
+        this.d = d;
+        list = new ListFile(d.listFile(), d);
+        int threads = Math.min(d.count, Runtime.getRuntime().availableProcessors());
+        loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        MetricsPort port = null;
+        try {
+            long seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
+            for (int i = 0; i < d.count; i++) {
+                String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
+                Instance it = new Instance(d, d.position + i, name, seed + i, loops.next(), meters);
+                instances.add(it);
+                it.list(list.latest());
+                list.follow(it::list);
+                servers.add(serve(it, d.port == 0 ? 0 : d.port + i));
+            }
+            for (int i = 0; i < Math.min(threads, instances.size()); i++) {
+                watchLag(instances.get(i).loop);
+            }
+            meters.gauge("fordridge.held", () -> instances.stream().mapToInt(Instance::inHand).sum());
+            meters.gauge("fordridge.streams", () -> instances.stream().mapToInt(Instance::streamsOpen).sum());
+            if (d.metricsPort >= 0) {
+                port = new MetricsPort(d.metricsPort, meters, loops);
+            }
+        } catch (IOException | RuntimeException e) {
+            close();
+            throw e;
+        }
+        metrics = port;
+        LOG.atInfo().addKeyValue("seed", d.seed).addKeyValue("instances", d.count)
+                .addKeyValue("machines", list.latest().entries().size()).addKeyValue("port", port(0))
+                .addKeyValue("metrics", metrics == null ? "none" : metrics.port()).log("placing");
+    }
+
+    private Server serve(Instance it, int port) throws IOException {
+        return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port)).bossEventLoopGroup(it.loop)
+                .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
+                .maxInboundMessageSize(d.maxMessage).flowControlWindow(1 << 18)
+                .permitKeepAliveTime(100, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true)
+                .addService(new ClientService(it)).build().start();
+    }
+
+    private void watchLag(EventLoop loop) {
+        long[] due = {System.nanoTime() + LAG_EVERY.toNanos()};
+        loop.scheduleAtFixedRate(() -> {
+            meters.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - due[0])));
+            due[0] = System.nanoTime() + LAG_EVERY.toNanos();
+        }, LAG_EVERY.toNanos(), LAG_EVERY.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    public int port(int instance) {
+        return servers.get(instance).getPort();
+    }
+
+    public int metricsPort() {
+        return metrics == null ? -1 : metrics.port();
+    }
+
+    public String name(int instance) {
+        return instances.get(instance).name;
+    }
+
+    public int count() {
+        return instances.size();
+    }
+
+    public Meters meters() {
+        return meters;
+    }
+
+    public int inHand() {
+        return instances.stream().mapToInt(Instance::inHand).sum();
+    }
+
+    public int streams() {
+        return instances.stream().mapToInt(Instance::streamsOpen).sum();
+    }
+
+    /** Takes nothing new, waits till each VM in hand has its answer, then ends; false if some had none in time. */
+    public boolean stop() throws InterruptedException {
+        List<CompletableFuture<Void>> done = new ArrayList<>();
+        instances.forEach(i -> done.add(i.stop(d.stopWithin)));
+        boolean all = true;
+        try {
+            CompletableFuture.allOf(done.toArray(new CompletableFuture<?>[0])).get(d.stopWithin.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            all = false;
+        }
+        // The last answers are written; a moment for the sockets to carry them.
+        for (Server s : servers) {
+            s.shutdown();
+        }
+        long until = System.nanoTime() + Duration.ofMillis(500).toNanos();
+        for (Server s : servers) {
+            s.awaitTermination(Math.max(1, until - System.nanoTime()), TimeUnit.NANOSECONDS);
+        }
+        LOG.atInfo().addKeyValue("answered", all).log("stopped");
+        close();
+        return all;
+    }
+
+    @Override
+    public void close() {
+        list.close();
+        servers.forEach(Server::shutdownNow);
+        instances.forEach(i -> i.loop.execute(i::close));
+        if (metrics != null) {
+            metrics.close();
+        }
+        loops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/rig/Checker.java
@@ -0,0 +1,509 @@
+package fordridge.rig;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import fordridge.settings.Deployment;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Judges the five rules from a tap alone. What a machine did counts even where its answer was lost; what a placer was
+ * told counts from when the list naming it was published, plus the told time that a placer may take to see it.
+ */
+public final class Checker {
+    /** A rule that was broken, and the line of the tap where. */
+    public record Break(int rule, long line, String what) { }
+
+    /** All that was judged. */
+    public record Verdict(List<Break> breaks, Map<String, Long> figures) {
+        public boolean kept() {
+            return breaks.isEmpty();
+        }
+
+        public String text() {
+            StringBuilder t = new StringBuilder();
+            String[] names = {"", "one answer in time", "no double effect", "drains kept", "no cold machine pushed over",
+                "spread kept"};
+            for (int r = 1; r <= 5; r++) {
+                int rule = r;
+                long n = breaks.stream().filter(b -> b.rule == rule).count();
+                t.append(String.format("rule %d, %s: %s%n", r, names[r], n == 0 ? "kept" : "BROKEN " + n + " times"));
+                breaks.stream().filter(b -> b.rule == rule).limit(5)
+                        .forEach(b -> t.append("    line ").append(b.line).append(": ").append(b.what).append('\n'));
+            }
+            figures.forEach((k, v) -> t.append(String.format("  %-52s %d%n", k, v)));
+            return t.toString();
+        }
+    }
+
+    private record Terms(String effect, String group, long windowUs, String spread, long most) { }
+
+    private static final class Ask {
+        final String flavour;
+        final long at;
+        final long until;
+        String answer;
+        long answerAt;
+        boolean last;
+        boolean unwanted;
+
+        Ask(String flavour, long at, long until) {
+            this.flavour = flavour;
+            this.at = at;
+            this.until = until;
+        }
+    }
+
+    private static final class Try {
+        final String placer;
+        final String machine;
+        final String flavour;
+        final long service;
+        final long at;
+        final long number;
+        final long withinUs;
+        boolean answered;
+        boolean refused;
+        boolean neverRan;
+        boolean started;
+        boolean over;
+        long brokeAt = -1;
+        long cancelledAt = -1;
+        long endedAt = -1;
+
+        Try(String placer, String machine, String flavour, long service, long at, long number, long withinUs) {
+            this.placer = placer;
+            this.machine = machine;
+            this.flavour = flavour;
+            this.service = service;
+            this.at = at;
+            this.number = number;
+            this.withinUs = withinUs;
+        }
+    }
+
+    private static final class Place {
+        String kind = "";
+        String zone = "";
+        long cell;
+        /** Since when every placer must have been told not to use it; -1 if it may be used. */
+        long closedAt = -1;
+        long bornAt = -1;
+        double bears;
+        double multiple;
+        long over;
+        double from;
+        long warm;
+        double rate;
+        final Deque<Long> offers = new ArrayDeque<>();
+    }
+
+    /** Sockets of different ends are not in step: this much is no break. */
+    private static final long SLACK_US = 30_000;
+
+    private final Map<String, Terms> flavours = new HashMap<>();
+    private final Map<String, Ask> asks = new LinkedHashMap<>();
+    private final Map<String, List<Try>> tries = new HashMap<>();
+    private final Map<String, Place> places = new LinkedHashMap<>();
+    private final Map<String, Long> awaySince = new HashMap<>();
+    private final Map<String, Map<String, Integer>> held = new HashMap<>();
+    private final List<Break> breaks = new ArrayList<>();
+    private final Map<String, Long> figures = new LinkedHashMap<>();
+    private long graceUs;
+    private long pollUs;
+    private long line;
+
+    private Checker() {
+    }
+
+    /** What the checker needs to know of the terms; the first lines of a tap. */
+    static void header(Tap tap, DayPlan plan) {
+        Deployment d = plan.deployment;
+        tap.line("rig", "terms", "grace", d.drainGrace.toNanos() / 1000, "poll", d.poll.toNanos() / 1000);
+        for (Deployment.Flavour f : d.flavours.values()) {
+            tap.line("rig", "flavour", "name", f.name(), "effect", f.effect(), "group", f.group(), "window",
+                    f.window().toNanos() / 1000, "spread", f.spread(), "most", f.most());
+        }
+    }
+
+    /** Reads a tap and judges it. */
+    public static Verdict judge(File tap) throws IOException {
+        Checker c = new Checker();
+        JsonFactory factory = new JsonFactory();
+        try (BufferedReader in = Files.newBufferedReader(tap.toPath())) {
+            for (String text = in.readLine(); text != null; text = in.readLine()) {
+                c.line++;
+                if (!text.isBlank()) {
+                    c.take(read(factory, text, c.line));
+                }
+            }
+        }
+        c.closing();
+        return new Verdict(c.breaks, c.figures);
+    }
+
+    private static Map<String, Object> read(JsonFactory factory, String text, long line) throws IOException {
+        Map<String, Object> m = new HashMap<>();
+        try (JsonParser p = factory.createParser(text)) {
+            p.nextToken();
+            while (p.nextToken() == JsonToken.FIELD_NAME) {
+                String name = p.currentName();
+                JsonToken v = p.nextToken();
+                m.put(name, v == JsonToken.VALUE_NUMBER_INT ? (Object) p.getLongValue()
+                        : v == JsonToken.VALUE_NUMBER_FLOAT ? (Object) p.getDoubleValue()
+                        : v == JsonToken.VALUE_TRUE || v == JsonToken.VALUE_FALSE ? (Object) p.getBooleanValue()
+                        : p.getText());
+            }
+        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+            throw new IOException("line " + line + " of the tap is not JSON: " + e.getOriginalMessage());
+        }
+        return m;
+    }
+
+    private static long num(Map<String, Object> m, String key) {
+        return m.get(key) instanceof Number n ? n.longValue() : 0;
+    }
+
+    private static double real(Map<String, Object> m, String key) {
+        return m.get(key) instanceof Number n ? n.doubleValue() : 0;
+    }
+
+    private static String str(Map<String, Object> m, String key) {
+        Object v = m.get(key);
+        return v == null ? "" : v.toString();
+    }
+
+    private void broke(int rule, String what) {
+        breaks.add(new Break(rule, line, what));
+    }
+
+    private void count(String what) {
+        figures.merge(what, 1L, Long::sum);
+    }
+
+    private void most(String what, long value) {
+        figures.merge(what, value, Math::max);
+    }
+
+    private void take(Map<String, Object> m) {
+        long t = num(m, "t");
+        String at = str(m, "at");
+        switch (str(m, "what")) {
+            case "terms" -> {
+                graceUs = num(m, "grace");
+                pollUs = num(m, "poll");
+            }
+            case "flavour" -> flavours.put(str(m, "name"), new Terms(str(m, "effect"), str(m, "group"),
+                    num(m, "window"), str(m, "spread"), num(m, "most")));
+            case "machine" -> {
+                Place p = place(at);
+                p.kind = str(m, "kind");
+                p.zone = str(m, "zone");
+                p.cell = num(m, "cell");
+            }
+            case "listed" -> place(str(m, "machine")).closedAt = str(m, "state").equals("live") ? -1
+                    : place(str(m, "machine")).closedAt >= 0 ? place(str(m, "machine")).closedAt : t;
+            case "born" -> born(place(at), m, t);
+            case "fell" -> broke(4, at + " was pushed over while cold");
+            case "offer" -> offer(m, at, t);
+            case "cancel" -> at(m, at).forEach(x -> x.cancelledAt = x.cancelledAt < 0 ? t : x.cancelledAt);
+            case "accepted" -> at(m, at).forEach(x -> x.answered |= !lost(m));
+            case "refused" -> at(m, at).forEach(x -> {
+                x.refused = true;
+                x.neverRan = true;
+                x.answered |= !lost(m);
+                release(x, t);
+                if (x.started) {
+                    broke(2, "claim " + x.number + " of " + str(m, "vm") + " refused after it was started");
+                }
+            });
+            case "started" -> started(m, at, t);
+            case "finished" -> at(m, at).forEach(x -> {
+                x.neverRan |= m.get("ran") == Boolean.FALSE && str(m, "how").equals("CANCELLED");
+                x.answered |= !lost(m);
+                release(x, t);
+            });
+            case "cut", "stream-closed" -> {
+                if (places.containsKey(at)) {
+                    broken(at, str(m, "placer"), t);
+                } else {
+                    awaySince.put(at, t);
+                }
+            }
+            case "stream-broken" -> awaySince.put(at, t);
+            case "crash" -> crash(at, t);
+            case "welcome" -> {
+                Long since = awaySince.remove(at);
+                if (since != null) {
+                    wasAway.computeIfAbsent(at, k -> new ArrayList<>()).add(new long[] {since, t});
+                }
+            }
+            case "want" -> want(m, at, t);
+            case "unwant" -> {
+                Ask a = asks.get(at + "/" + str(m, "vm"));
+                if (a != null) {
+                    a.unwanted = true;
+                }
+            }
+            case "bound", "denied", "errored" -> answer(m, at, t);
+            case "ended", "moved" -> {
+                Ask a = asks.get(at + "/" + str(m, "vm"));
+                if (a == null || !"bound".equals(a.answer)) {
+                    broke(1, "ended without bound for " + str(m, "vm"));
+                } else if (a.last) {
+                    broke(1, "a second end for " + str(m, "vm"));
+                } else {
+                    a.last = true;
+                }
+            }
+            case "repeated" -> broke(1, "said twice under one number at " + at);
+            default -> { }
+        }
+    }
+
+    private Place place(String name) {
+        return places.computeIfAbsent(name, n -> new Place());
+    }
+
+    private static boolean lost(Map<String, Object> m) {
+        return m.get("lost") == Boolean.TRUE;
+    }
+
+    private List<Try> at(Map<String, Object> m, String machine) {
+        List<Try> some = new ArrayList<>();
+        for (Try x : tries.getOrDefault(str(m, "vm"), List.of())) {
+            if (x.machine.equals(machine) && x.number == num(m, "n") && x.placer.equals(str(m, "placer"))) {
+                some.add(x);
+            }
+        }
+        return some;
+    }
+
+    // ---- Rule 1 ----------------------------------------------------------------------------------------
+
+    private void want(Map<String, Object> m, String at, long t) {
+        count("VMs asked for");
+        asks.put(at + "/" + str(m, "vm"), new Ask(str(m, "flavour"), t, t + num(m, "left")));
+    }
+
+    private void answer(Map<String, Object> m, String at, long t) {
+        String kind = str(m, "what");
+        String vm = at + "/" + str(m, "vm");
+        Ask a = asks.get(vm);
+        count("answers: " + kind);
+        if (a == null) {
+            broke(1, kind + " for " + vm + ", which was not asked for");
+            return;
+        }
+        if (a.answer != null) {
+            broke(1, kind + " after " + a.answer + " for " + vm);
+            return;
+        }
+        a.answer = kind;
+        a.answerAt = t;
+        a.last = !kind.equals("bound");
+        if (t > a.until + SLACK_US && !a.unwanted && !wasAway.getOrDefault(at, List.of()).stream()
+                .anyMatch(w -> w[0] <= a.until + SLACK_US && w[1] >= a.until - SLACK_US)) {
+            broke(1, kind + " for " + vm + " " + (t - a.until) / 1000 + " ms too late");
+        }
+        if (kind.equals("denied")) {
+            Terms f = flavours.get(a.flavour);
+            for (Try x : tries.getOrDefault(vm, List.of())) {
+                if (x.started && f != null && !f.effect.equals("rebuildable")
+                        && !(f.effect.equals("tokened") && f.group.equals("all"))) {
+                    broke(2, vm + " denied though claim " + x.number + " ran on " + x.machine);
+                }
+            }
+        }
+    }
+
+    /** Spans in which a client's stream was broken: it could not have been told then. */
+    private final Map<String, List<long[]>> wasAway = new HashMap<>();
+
+    private void closing() {
+        asks.forEach((vm, a) -> {
+            if (a.answer == null && !a.unwanted) {
+                broke(1, vm + " has no answer");
+            }
+        });
+        figures.put("claims", tries.values().stream().mapToLong(List::size).sum());
+        figures.put("claims started, answers lost or not",
+                tries.values().stream().flatMap(List::stream).filter(x -> x.started).count());
+    }
+
+    // ---- Rule 2 ----------------------------------------------------------------------------------------
+
+    private void offer(Map<String, Object> m, String at, long t) {
+        String vm = str(m, "vm");
+        Try x = new Try(str(m, "placer"), at, str(m, "flavour"), num(m, "service"), t, num(m, "n"),
+                num(m, "within"));
+        Terms f = flavours.get(x.flavour);
+        Place p = place(at);
+        List<Try> earlier = tries.computeIfAbsent(vm, v -> new ArrayList<>(2));
+        for (Try o : earlier) {
+            if (o.number == x.number && o.machine.equals(at)) {
+                broke(2, "claim " + x.number + " of " + vm + " offered twice to " + at);
+                continue;
+            }
+            boolean out = !o.answered && !o.over && o.brokeAt < 0 && o.cancelledAt < 0
+                    && t < o.at + o.withinUs - SLACK_US;
+            if (out || o.started && o.answered && !o.over) {
+                broke(2, "claim " + x.number + " of " + vm + " sent while claim " + o.number + " is out on " + o.machine);
+            }
+            boolean mayHaveRun = !o.neverRan;
+            if (f != null && f.effect.equals("one-shot") && mayHaveRun) {
+                broke(2, "claim " + x.number + " of one-shot " + vm + " sent though claim " + o.number + " on "
+                        + o.machine + " is not known not to have run");
+            }
+            if (f != null && f.effect.equals("tokened") && mayHaveRun) {
+                if (!together(f.group, p, place(o.machine))) {
+                    broke(2, "claim " + x.number + " of tokened " + vm + " sent out of its group");
+                }
+                if (t > o.at + f.windowUs + SLACK_US) {
+                    broke(2, "claim " + x.number + " of tokened " + vm + " sent past its window");
+                }
+            }
+        }
+        earlier.add(x);
+        drained(p, at, x, t);
+        cold(p, at, t);
+        spread(x, f, p, t);
+    }
+
+    private static boolean together(String group, Place a, Place b) {
+        return switch (group) {
+            case "all" -> true;
+            case "zone" -> a.zone.equals(b.zone);
+            case "machine" -> a == b;
+            default -> a.cell == b.cell;
+        };
+    }
+
+    private void started(Map<String, Object> m, String at, long t) {
+        String vm = str(m, "vm");
+        for (Try x : at(m, at)) {
+            if (x.started) {
+                // Said again to a repeat or a returning placer.
+                x.answered |= !lost(m);
+                continue;
+            }
+            x.started = true;
+            x.answered |= !lost(m);
+            Terms f = flavours.get(x.flavour);
+            long runs = tries.get(vm).stream().filter(o -> o.started).count();
+            if (f != null && f.effect.equals("one-shot")) {
+                count("one-shot starts");
+                if (runs > 1) {
+                    broke(2, "one-shot " + vm + " was started " + runs + " times");
+                }
+            } else if (runs > 1) {
+                count("second starts of VMs that may run again");
+            }
+        }
+    }
+
+    private void broken(String machine, String placer, long t) {
+        for (List<Try> some : tries.values()) {
+            for (Try x : some) {
+                if (!x.over && x.machine.equals(machine) && x.placer.equals(placer) && x.brokeAt < 0) {
+                    x.brokeAt = t;
+                }
+            }
+        }
+    }
+
+    private void crash(String machine, long t) {
+        for (List<Try> some : tries.values()) {
+            for (Try x : some) {
+                if (!x.over && x.machine.equals(machine)) {
+                    x.brokeAt = x.brokeAt < 0 ? t : x.brokeAt;
+                    release(x, t);
+                }
+            }
+        }
+    }
+
+    // ---- Rules 3, 4 and 5 ------------------------------------------------------------------------------
+
+    private void drained(Place p, String at, Try x, long t) {
+        if (p.closedAt >= 0) {
+            long late = t - p.closedAt;
+            most("latest offer after a drain was published, us", late);
+            if (late > graceUs + pollUs + SLACK_US) {
+                broke(3, x.placer + " offered to " + at + " " + late / 1000 + " ms after it was listed as closed");
+            }
+        }
+    }
+
+    private void born(Place p, Map<String, Object> m, long t) {
+        p.bornAt = t;
+        p.bears = real(m, "bears");
+        p.multiple = real(m, "multiple");
+        p.over = num(m, "over");
+        p.from = real(m, "from");
+        p.warm = num(m, "warm");
+        p.rate = real(m, "rate");
+        p.offers.clear();
+    }
+
+    private void cold(Place p, String at, long t) {
+        if (p.bornAt < 0 || t - p.bornAt > p.warm) {
+            return;
+        }
+        p.offers.addLast(t);
+        while (p.offers.peekFirst() + p.over < t) {
+            p.offers.removeFirst();
+        }
+        double pace = Math.min(1, p.from + (1 - p.from) * (t - p.bornAt) / (double) Math.max(1, p.warm));
+        double bears = Math.max(p.bears, p.multiple * p.rate * pace * p.over / 1e6);
+        most("most offers to a cold machine within its span", p.offers.size());
+        if (p.offers.size() > bears) {
+            broke(4, p.offers.size() + " offers to " + at + " within its span, " + Math.round((t - p.bornAt) / 1e4) / 100.0
+                    + " s after it came up; it bears " + Math.round(bears * 10) / 10.0);
+        }
+    }
+
+    private void spread(Try x, Terms f, Place p, long t) {
+        if (f == null || f.spread.equals("off")) {
+            return;
+        }
+        String where = switch (f.spread) {
+            case "machine" -> x.machine;
+            case "zone" -> p.zone;
+            default -> "cell " + p.cell;
+        };
+        int n = held.computeIfAbsent(x.placer + " " + x.service, k -> new HashMap<>()).merge(where, 1, Integer::sum);
+        most("most of a service of one placer in one place", n);
+        if (n > f.most) {
+            broke(5, n + " VMs of service " + x.service + " of " + x.placer + " in " + where);
+        }
+    }
+
+    private void release(Try x, long t) {
+        if (x.over) {
+            return;
+        }
+        x.over = true;
+        x.endedAt = t;
+        Terms f = flavours.get(x.flavour);
+        if (f != null && !f.spread.equals("off")) {
+            Place p = place(x.machine);
+            String where = switch (f.spread) {
+                case "machine" -> x.machine;
+                case "zone" -> p.zone;
+                default -> "cell " + p.cell;
+            };
+            held.getOrDefault(x.placer + " " + x.service, new HashMap<>()).merge(where, -1, Integer::sum);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/rig/Day.java
@@ -0,0 +1,338 @@
+package fordridge.rig;
+
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigValueFactory;
+import fordridge.placer.PlacerProgram;
+import fordridge.settings.Deployment;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** One scripted day: real placers against stand-ins on loopback, then the rules judged from the tap. */
+public final class Day {
+    /** What a day came to. */
+    public record Outcome(String table, Checker.Verdict verdict, double inTime, long asked, String costs) { }
+
+    private final DayPlan plan;
+    private final File folder;
+    private final PrintStream out;
+    private final List<StandInMachine> machines = new ArrayList<>();
+    private final List<StandInMachine> spares = new ArrayList<>();
+    private final List<StandInOwner> owners = new ArrayList<>();
+    private final Score score = new Score();
+
+    private Day(DayPlan plan, File folder, PrintStream out) {
+        this.plan = plan;
+        this.folder = folder;
+        this.out = out;
+    }
+
+    /** Reads the script, with changes to its keys from the command line, and plays it. */
+    public static Outcome play(File script, Map<String, ?> changes, File folder, PrintStream out)
+            throws Deployment.Refused, IOException, InterruptedException {
+        return new Day(DayPlan.read(script, changes), folder, out).play();
+    }
+
+    private Outcome play() throws IOException, InterruptedException, Deployment.Refused {
+        Files.createDirectories(folder.toPath());
+        File tapFile = new File(folder, "tap.jsonl");
+        int cores = Runtime.getRuntime().availableProcessors();
+        EventLoopGroup machineLoops = new MultiThreadIoEventLoopGroup(Math.min(cores, 4), NioIoHandler.newFactory());
+        EventLoopGroup ownerLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+        ScheduledExecutorService clock = Executors.newScheduledThreadPool(1, r -> {
+            Thread t = new Thread(r, "faults");
+            t.setDaemon(true);
+            return t;
+        });
+        Placers placers = null;
+        Registry registry = null;
+        Tap tap = new Tap(tapFile);
+        try (tap) {
+            Checker.header(tap, plan);
+            fleet(machineLoops, tap);
+            registry = new Registry(new File(folder, "machines.conf"), tap, plan.registryLate.toNanos() / 1000);
+            for (StandInMachine m : machines) {
+                registry.set(m, "live", null);
+            }
+            registry.start(plan.registryEvery.toMillis());
+            placers = plan.ownProcess ? new ChildPlacers() : new InProcess();
+            owners(placers, ownerLoops, tap);
+            new Faults(plan, new ArrayList<>(machines), spares, owners, registry, clock, tap).schedule();
+            double cpuBefore = placers.cpuSeconds();
+            long begun = System.nanoTime();
+            long until = tap.now() + plan.length.toNanos() / 1000;
+            owners.forEach(o -> o.act(() -> o.arrivals(until)));
+            watch(begun);
+            String costs = placers.costs(cpuBefore, (System.nanoTime() - begun) / 1e9);
+            owners.forEach(o -> o.act(o::close));
+            boolean answered = placers.stop();
+            tap.line("rig", "ends", "answered", answered);
+            Thread.sleep(100);
+            placers = null;
+            registry.close();
+            machines.forEach(m -> m.act(m::close));
+            spares.forEach(m -> m.act(m::close));
+            tap.close();
+            Checker.Verdict verdict = Checker.judge(tapFile);
+            return new Outcome(score.table(), verdict, score.inTimeShare(), score.asked(), costs);
+        } finally {
+            if (placers != null) {
+                placers.stop();
+            }
+            if (registry != null) {
+                registry.close();
+            }
+            clock.shutdownNow();
+            machineLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            ownerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private void watch(long begun) throws InterruptedException {
+        long total = plan.length.plus(plan.settle).toSeconds();
+        long last = -1;
+        while (true) {
+            long s = (System.nanoTime() - begun) / 1_000_000_000L;
+            boolean over = s >= plan.length.toSeconds();
+            int waiting = owners.stream().mapToInt(StandInOwner::waiting).sum();
+            if (s >= total || over && waiting == 0 && s >= plan.length.toSeconds() + 4) {
+                return;
+            }
+            if (s / 5 != last / 5 && s > 0) {
+                out.printf("%3d of %d s: %d VMs asked for, %d waiting, %.1f%% in time%n", s, total, score.asked(),
+                        waiting, 100 * score.inTimeShare());
+            }
+            last = s;
+            Thread.sleep(100);
+        }
+    }
+
+    private void fleet(EventLoopGroup loops, Tap tap) throws IOException {
+        UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed);
+        Deployment d = plan.deployment;
+        long begun = System.nanoTime();
+        double all = d.kinds.stream().mapToDouble(k -> plan.kindShares.get(k.name())).sum();
+        int total = plan.machines + plan.spares;
+        double[] due = new double[d.kinds.size()];
+        for (int i = 0; i < total; i++) {
+            int pick = 0;
+            for (int k = 0; k < due.length; k++) {
+                due[k] += plan.kindShares.get(d.kinds.get(k).name()) / all;
+                pick = due[k] > due[pick] ? k : pick;
+            }
+            due[pick] -= 1;
+            Deployment.Kind kind = d.kinds.get(pick);
+            MachineModel.Make make = new MachineModel.Make(String.format("m%03d", i), kind.name(),
+                    "z" + i % plan.zones, i / plan.cellSize, kind.cores(), kind.memory(), draw(chance, plan.speed),
+                    plan.line, millis(draw(chance, plan.admit)), plan.starts, d.acceptCores, d.acceptMemory,
+                    d.coldFrom, d.warmAfter, d.fallMultiple, d.fallOver, d.coldBears, plan.kept, plan.setup,
+                    plan.sample, plan.preempts, plan.drainManner, millis(draw(chance, plan.work)));
+            StandInMachine m = new StandInMachine(make, plan.uses, plan.seed * 7919 + i, loops.next(), tap, begun);
+            (i < plan.machines ? machines : spares).add(m);
+            tap.line(m.name(), "machine", "kind", make.kind(), "zone", make.zone(), "cell", make.cell(), "cores",
+                    make.cores(), "memory", make.memory());
+        }
+    }
+
+    private static double draw(UniformRandomProvider chance, double[] range) {
+        return range[0] + chance.nextDouble() * (range[1] - range[0]);
+    }
+
+    private static Duration millis(double ms) {
+        return Duration.ofNanos((long) (ms * 1e6));
+    }
+
+    private void owners(Placers placers, EventLoopGroup loops, Tap tap) {
+        UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed ^ 0xabcdef);
+        List<StandInOwner.Service> services = new ArrayList<>();
+        List<Deployment.Flavour> flavours = new ArrayList<>(plan.deployment.flavours.values());
+        double sum = plan.flavourShares.values().stream().mapToDouble(Double::doubleValue).sum();
+        for (int i = 0; i < plan.services; i++) {
+            double at = chance.nextDouble() * sum;
+            Deployment.Flavour f = flavours.get(flavours.size() - 1);
+            for (Deployment.Flavour o : flavours) {
+                at -= plan.flavourShares.get(o.name());
+                if (at < 0) {
+                    f = o;
+                    break;
+                }
+            }
+            String customer = "";
+            double share = chance.nextDouble();
+            for (Deployment.Customer c : plan.deployment.customers) {
+                share -= c.share();
+                if (share < 0 || customer.isEmpty()) {
+                    customer = c.name();
+                }
+                if (share < 0) {
+                    break;
+                }
+            }
+            services.add(new StandInOwner.Service(i + 1, f, customer, plan.shapes.get(chance.nextInt(
+                    plan.shapes.size())), draw(chance, plan.life)));
+        }
+        int n = plan.deployment.count;
+        // Most owners carry little traffic, some far more.
+        double[] weight = new double[n];
+        double whole = 0;
+        for (int i = 0; i < n; i++) {
+            weight[i] = Math.exp(chance.nextDouble() * 2);
+            whole += weight[i];
+        }
+        for (int i = 0; i < n; i++) {
+            StandInOwner o = new StandInOwner(String.format("owner%03d", i), placers.port(i), loops.next(), tap, score,
+                    plan, services, plan.rate * weight[i] / whole, plan.seed * 104729 + i);
+            owners.add(o);
+            o.act(o::open);
+        }
+    }
+
+    // ---- Placers ---------------------------------------------------------------------------------------
+
+    private interface Placers {
+        int port(int i);
+
+        double cpuSeconds();
+
+        String costs(double cpuBefore, double seconds);
+
+        boolean stop() throws InterruptedException;
+    }
+
+    private Deployment settings() throws IOException, Deployment.Refused {
+        String text = plan.deploymentText.root().render(ConfigRenderOptions.defaults().setOriginComments(false)
+                .setJson(false));
+        File file = new File(folder, "placer.conf");
+        Files.writeString(file.toPath(), text);
+        return Deployment.read(file);
+    }
+
+    private final class InProcess implements Placers {
+        private final PlacerProgram program;
+
+        InProcess() throws IOException, Deployment.Refused {
+            program = new PlacerProgram(settings());
+        }
+
+        @Override
+        public int port(int i) {
+            return program.port(i);
+        }
+
+        @Override
+        public double cpuSeconds() {
+            return 0;
+        }
+
+        @Override
+        public String costs(double cpuBefore, double seconds) {
+            return String.format("in one process with the stand-ins; %.0f offers, loop lag p99 %.1f ms, input p99 "
+                    + "%.2f ms, %d streams to machines open", program.meters().offers(),
+                    program.meters().percentile("loop", 0.99), program.meters().percentile("decide", 0.99),
+                    program.streams());
+        }
+
+        @Override
+        public boolean stop() throws InterruptedException {
+            return program.stop();
+        }
+    }
+
+    /** The placers as users run them: a process started from the jar. */
+    private final class ChildPlacers implements Placers {
+        private final Process process;
+        private final List<Integer> ports = new ArrayList<>();
+        private int metrics;
+
+        ChildPlacers() throws IOException, InterruptedException, Deployment.Refused {
+            plan.deploymentText = plan.deploymentText.withValue("metrics.port", ConfigValueFactory.fromAnyRef(0));
+            settings();
+            File portsFile = new File(folder, "ports.txt");
+            Files.deleteIfExists(portsFile.toPath());
+            process = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xmx3g", "-cp",
+                    System.getProperty("java.class.path"), "fordridge.Main", "placer", "--config",
+                    new File(folder, "placer.conf").getPath(), "--ports-file", portsFile.getPath())
+                    .redirectError(new File(folder, "placer.log")).redirectOutput(new File(folder, "placer.out"))
+                    .start();
+            long until = System.nanoTime() + Duration.ofSeconds(60).toNanos();
+            while (!portsFile.exists()) {
+                if (!process.isAlive() || System.nanoTime() > until) {
+                    throw new IOException("the placers did not start: " + Files.readString(
+                            new File(folder, "placer.log").toPath()));
+                }
+                Thread.sleep(50);
+            }
+            for (String l : Files.readAllLines(portsFile.toPath())) {
+                String[] w = l.split(" ");
+                if (w[0].equals("metrics")) {
+                    metrics = Integer.parseInt(w[1]);
+                } else {
+                    ports.add(Integer.parseInt(w[1]));
+                }
+            }
+        }
+
+        @Override
+        public int port(int i) {
+            return ports.get(i);
+        }
+
+        @Override
+        public double cpuSeconds() {
+            return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e9;
+        }
+
+        @Override
+        public String costs(double cpuBefore, double seconds) {
+            double cpu = cpuSeconds() - cpuBefore;
+            String rss = "";
+            String text = "";
+            try {
+                for (String l : Files.readAllLines(new File("/proc/" + process.pid() + "/status").toPath())) {
+                    rss = l.startsWith("VmRSS:") ? l.substring(6).trim() : rss;
+                }
+                text = new String(new java.net.URL("http://127.0.0.1:" + metrics + "/metrics").openStream()
+                        .readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+                Files.writeString(new File(folder, "metrics.txt").toPath(), text);
+            } catch (IOException e) {
+                rss = "memory not read: " + e;
+            }
+            return String.format("placers' process: %.1f s of CPU in %.1f s (%.2f ms a second for each), %s resident;%n"
+                    + "%s", cpu, seconds, 1000 * cpu / seconds / plan.deployment.count, rss, picked(text));
+        }
+
+        private String picked(String text) {
+            StringBuilder b = new StringBuilder();
+            for (String l : text.split("\n")) {
+                if (!l.startsWith("#") && l.matches("fordridge_(bind|loop_lag|decide)_seconds\\{quantile.*"
+                        + "|fordridge_(offers|outcomes).*|fordridge_streams.*")) {
+                    b.append("  ").append(l).append('\n');
+                }
+            }
+            return b.toString();
+        }
+
+        @Override
+        public boolean stop() throws InterruptedException {
+            process.destroy();
+            if (!process.waitFor(30, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+                return false;
+            }
+            return process.exitValue() == 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/rpc/ClientService.java
@@ -0,0 +1,188 @@
+package fordridge.rpc;
+
+import fordridge.session.Session;
+import fordridge.v1.ClientMessage;
+import fordridge.v1.Hello;
+import fordridge.v1.PlacerMessage;
+import fordridge.v1.PlacingGrpc;
+import fordridge.v1.Want;
+import fordridge.v1.Welcome;
+import io.grpc.Status;
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+
+/**
+ * The clients' side of a placer on gRPC. Reading goes by credit: one message is asked for at a time, and none while
+ * the desk says that this client must wait, so that a client that sends and never reads is stopped by HTTP/2's own
+ * flow control. Writing goes by isReady. All of it happens on the placer's loop.
+ */
+public final class ClientService extends PlacingGrpc.PlacingImplBase {
+    /** What the placer does for its clients. */
+    public interface Desk {
+        Session hello(String client, String token, long seen, Stream stream);
+
+        boolean resumed(Session session, String token);
+
+        void want(Session session, Want want);
+
+        void unwant(Session session, String vm);
+
+        boolean acknowledge(Session session, long seen);
+
+        boolean mayRead(Session session);
+
+        void away(Session session, Stream stream);
+
+        String name();
+    }
+
+    private static final int LONGEST_NAME = 200;
+
+    private final Desk desk;
+
+    public ClientService(Desk desk) {
+        this.desk = desk;
+    }
+
+    @Override
+    public StreamObserver<ClientMessage> place(StreamObserver<PlacerMessage> to) {
+        Stream stream = new Stream((ServerCallStreamObserver<PlacerMessage>) to);
+        stream.to.disableAutoRequest();
+        stream.to.setOnReadyHandler(stream::pump);
+        stream.to.setOnCancelHandler(stream::gone);
+        stream.to.request(1);
+        return stream;
+    }
+
+    /** One client's stream. */
+    public final class Stream implements StreamObserver<ClientMessage> {
+        private final ServerCallStreamObserver<PlacerMessage> to;
+        private Session session;
+        private boolean over;
+        private boolean waiting;
+
+        private Stream(ServerCallStreamObserver<PlacerMessage> to) {
+            this.to = to;
+        }
+
+        @Override
+        public void onNext(ClientMessage m) {
+            if (over) {
+                return;
+            }
+            String wrong = wrong(m);
+            if (wrong != null) {
+                refuse(Status.INVALID_ARGUMENT.withDescription(wrong));
+                return;
+            }
+            switch (m.getBodyCase()) {
+                case HELLO -> hello(m.getHello());
+                case WANT -> desk.want(session, m.getWant());
+                case UNWANT -> desk.unwant(session, m.getUnwant().getVm());
+                default -> {
+                    if (!desk.acknowledge(session, m.getAck().getSeen())) {
+                        refuse(Status.INVALID_ARGUMENT.withDescription("ack.seen: " + m.getAck().getSeen()
+                                + " was never sent in this session"));
+                        return;
+                    }
+                }
+            }
+            waiting = true;
+            pump();
+        }
+
+        /** What is wrong with a message for a person to read, or null. */
+        private String wrong(ClientMessage m) {
+            switch (m.getBodyCase()) {
+                case HELLO -> {
+                    return session != null ? "hello: a second one on one stream" : nameWrong("hello.client",
+                            m.getHello().getClient());
+                }
+                case WANT -> {
+                    Want w = m.getWant();
+                    String name = nameWrong("want.vm", w.getVm());
+                    return session == null ? "the first message must be hello" : name != null ? name
+                            : !(w.getCores() > 0 && w.getCores() < 1e6) ? "want.cores: " + w.getCores()
+                            + " is not above 0 and below a million" : !(w.getMemory() > 0 && w.getMemory() < 1e9)
+                            ? "want.memory: " + w.getMemory() + " is not above 0 and below 1e9"
+                            : w.getTimeLeftUs() < 0 || w.getTimeLeftUs() > 3_600_000_000L
+                            ? "want.time_left_us: more than an hour" : null;
+                }
+                case UNWANT -> {
+                    return session == null ? "the first message must be hello"
+                            : nameWrong("unwant.vm", m.getUnwant().getVm());
+                }
+                case ACK -> {
+                    return session == null ? "the first message must be hello" : null;
+                }
+                default -> {
+                    return "a message without a body that this placer knows";
+                }
+            }
+        }
+
+        private String nameWrong(String field, String name) {
+            return name.isEmpty() ? field + ": empty" : name.length() > LONGEST_NAME
+                    ? field + ": " + name.length() + " characters, at most " + LONGEST_NAME : null;
+        }
+
+        private void hello(Hello h) {
+            session = desk.hello(h.getClient(), h.getResumeToken(), h.getSeen(), this);
+            to.onNext(PlacerMessage.newBuilder().setWelcome(Welcome.newBuilder().setPlacer(desk.name())
+                    .setResumeToken(session.token).setResumed(desk.resumed(session, h.getResumeToken()))).build());
+        }
+
+        /** Writes what the session has to say while the transport takes it, then reads on if it may. */
+        public void pump() {
+            if (over || session == null) {
+                return;
+            }
+            while (to.isReady()) {
+                Session.Told told = session.next();
+                if (told == null) {
+                    break;
+                }
+                to.onNext(Words.message(told));
+            }
+            if (waiting && desk.mayRead(session)) {
+                waiting = false;
+                to.request(1);
+            }
+        }
+
+        /** The client came back on another stream. */
+        public void replaced() {
+            refuse(Status.ABORTED.withDescription("the client came back on another stream"));
+        }
+
+        /** Ends the stream with a status; the session stays. */
+        public void refuse(Status why) {
+            if (!over) {
+                gone();
+                to.onError(why.asRuntimeException());
+            }
+        }
+
+        private void gone() {
+            if (!over) {
+                over = true;
+                if (session != null) {
+                    desk.away(session, this);
+                }
+            }
+        }
+
+        @Override
+        public void onError(Throwable t) {
+            gone();
+        }
+
+        @Override
+        public void onCompleted() {
+            if (!over) {
+                gone();
+                to.onCompleted();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/rpc/MachineStream.java
@@ -0,0 +1,201 @@
+package fordridge.rpc;
+
+import fordridge.link.Link;
+import fordridge.state.Claim;
+import fordridge.v1.Cancel;
+import fordridge.v1.FromMachine;
+import fordridge.v1.Greeting;
+import fordridge.v1.MachineGrpc;
+import fordridge.v1.Offer;
+import fordridge.v1.Probe;
+import fordridge.v1.Report;
+import fordridge.v1.Stop;
+import fordridge.v1.ToMachine;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientResponseObserver;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The stream to one machine on gRPC: a channel for each stream, opened and closed as the link says. What happens on
+ * it is handed over with the stream's number, so that a late word of an old stream is known as such.
+ */
+public final class MachineStream implements Link.Line {
+    /** Whom the stream tells; on the placer's loop, in the order of the socket. */
+    public interface Heard {
+        void holding(fordridge.v1.Holding holding);
+
+        void said(FromMachine message);
+
+        void ready();
+
+        void broke(String why);
+    }
+
+    /** How an offer is filled in beyond the claim's own fields. */
+    public interface Describe {
+        void fill(Claim claim, Offer.Builder offer);
+    }
+
+    private final String placer;
+    private final EventLoop loop;
+    private final Duration connectTimeout;
+    private final Duration keepalive;
+    private final int maxMessage;
+    private final Heard heard;
+    private final Describe describe;
+    private InetSocketAddress address;
+    private ManagedChannel channel;
+    private ClientCallStreamObserver<ToMachine> to;
+    private int generation;
+    private long probes;
+
+    public MachineStream(String placer, EventLoop loop, Duration connectTimeout, Duration keepalive, int maxMessage,
+            Heard heard, Describe describe) {
+        this.placer = placer;
+        this.loop = loop;
+        this.connectTimeout = connectTimeout;
+        this.keepalive = keepalive;
+        this.maxMessage = maxMessage;
+        this.heard = heard;
+        this.describe = describe;
+    }
+
+    public void address(InetSocketAddress to) {
+        address = to;
+    }
+
+    @Override
+    public void connect() {
+        int mine = ++generation;
+        channel = NettyChannelBuilder.forAddress(address).eventLoopGroup(loop).channelType(NioSocketChannel.class)
+                .directExecutor().offloadExecutor(loop).usePlaintext().disableRetry()
+                .maxInboundMessageSize(maxMessage).flowControlWindow(1 << 18)
+                .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+                .keepAliveTime(keepalive.toMillis(), TimeUnit.MILLISECONDS)
+                .keepAliveTimeout(keepalive.toMillis(), TimeUnit.MILLISECONDS).build();
+        MachineGrpc.newStub(channel).serve(new ClientResponseObserver<ToMachine, FromMachine>() {
+            private boolean greeted;
+
+            @Override
+            public void beforeStart(ClientCallStreamObserver<ToMachine> stream) {
+                to = stream;
+                stream.disableAutoRequestWithInitial(1);
+                stream.setOnReadyHandler(() -> {
+                    if (mine == generation) {
+                        heard.ready();
+                    }
+                });
+            }
+
+            @Override
+            public void onNext(FromMachine m) {
+                if (mine != generation) {
+                    return;
+                }
+                if (!greeted) {
+                    if (m.getBodyCase() != FromMachine.BodyCase.HOLDING) {
+                        close("its first message was " + m.getBodyCase() + ", not holding");
+                        heard.broke("its first message was not what it holds");
+                        return;
+                    }
+                    greeted = true;
+                    heard.holding(m.getHolding());
+                } else {
+                    heard.said(m);
+                }
+                if (mine == generation) {
+                    to.request(1);
+                }
+            }
+
+            @Override
+            public void onError(Throwable t) {
+                over(Status.fromThrowable(t));
+            }
+
+            @Override
+            public void onCompleted() {
+                over(Status.OK.withDescription("the machine ended the stream"));
+            }
+
+            private void over(Status status) {
+                if (mine == generation) {
+                    drop();
+                    heard.broke(status.getCode() + (status.getDescription() == null ? ""
+                            : ": " + status.getDescription()));
+                }
+            }
+        });
+        if (mine == generation) {
+            to.onNext(ToMachine.newBuilder().setGreeting(Greeting.newBuilder().setPlacer(placer)).build());
+        }
+    }
+
+    private void drop() {
+        generation++;
+        if (channel != null) {
+            channel.shutdownNow();
+        }
+        channel = null;
+        to = null;
+    }
+
+    @Override
+    public void close(String why) {
+        if (to != null) {
+            to.cancel(why, null);
+        }
+        drop();
+    }
+
+    @Override
+    public boolean ready() {
+        return to != null && to.isReady();
+    }
+
+    private void write(ToMachine.Builder m) {
+        if (to != null) {
+            to.onNext(m.build());
+        }
+    }
+
+    @Override
+    public void offer(Claim claim, Link.Name name, Duration within) {
+        Offer.Builder o = Offer.newBuilder().setClaim(Words.name(name)).setFlavour(claim.vm.flavour)
+                .setService(claim.vm.service).setCustomer(claim.vm.customer).setCores(claim.vm.cores)
+                .setMemory(claim.vm.memory).setWithinUs(Words.micros(within));
+        if (claim.vm.lasts != null) {
+            o.setLastsUs(Words.micros(claim.vm.lasts));
+        }
+        describe.fill(claim, o);
+        write(ToMachine.newBuilder().setOffer(o));
+    }
+
+    @Override
+    public void cancel(Link.Name name) {
+        write(ToMachine.newBuilder().setCancel(Cancel.newBuilder().setClaim(Words.name(name))));
+    }
+
+    @Override
+    public void stop(Link.Name name) {
+        write(ToMachine.newBuilder().setStop(Stop.newBuilder().setClaim(Words.name(name))));
+    }
+
+    @Override
+    public void probe() {
+        write(ToMachine.newBuilder().setProbe(Probe.newBuilder().setNumber(++probes)));
+    }
+
+    /** Whether the report answers the newest probe. */
+    public boolean answersProbe(Report report) {
+        return report.getProbe() == probes && probes > 0;
+    }
+}
--- a/src/main/java/fordridge/state/Held.java
+++ b/src/main/java/fordridge/state/Held.java
@@ -74,6 +74,12 @@
         }
     }
 
+    public Vm takeFirst() {
+        Vm vm = dues.first();
+        remove(vm);
+        return vm;
+    }
+
     /** Takes out the next that is due to be given up, or null. */
     public Vm due(Duration now) {
         Vm vm = dues.isEmpty() ? null : dues.first();
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -31,6 +31,8 @@
     /** Room may have grown since the held VMs were last gone through. */
     public boolean lookAgain;
     public Duration lookedAt;
+    /** Told to stop: nothing more is placed. */
+    public boolean stopping;
 
     // The list of machines.
     public boolean following;
--- a/src/main/java/fordridge/state/Terms.java
+++ b/src/main/java/fordridge/state/Terms.java
@@ -12,6 +12,27 @@
         this.values = values;
     }
 
+    /** Nested names joined by dots; a list of objects becomes its length and numbered names. */
+    public static void flatten(String prefix, Map<String, Object> from, Map<String, Object> into) {
+        for (Map.Entry<String, Object> e : from.entrySet()) {
+            flatten(prefix + e.getKey(), e.getValue(), into);
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void flatten(String name, Object value, Map<String, Object> into) {
+        if (value instanceof Map) {
+            flatten(name + ".", (Map<String, Object>) value, into);
+        } else if (value instanceof List<?> list && !list.isEmpty() && list.get(0) instanceof Map) {
+            into.put(name, (long) list.size());
+            for (int i = 0; i < list.size(); i++) {
+                flatten(name + "." + i, list.get(i), into);
+            }
+        } else if (value != null) {
+            into.put(name, value);
+        }
+    }
+
     public double num(String name, double absent) {
         return values.get(name) instanceof Number n ? n.doubleValue() : absent;
     }
