--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -109,6 +109,11 @@
         return meters;
     }
 
+    /** Version of the list in force: rises with each change that could be read. */
+    public long listVersion() {
+        return list.latest().version();
+    }
+
     public int inHand() {
         return instances.stream().mapToInt(Instance::inHand).sum();
     }
--- a/src/main/java/fordridge/rig/Checker.java
+++ b/src/main/java/fordridge/rig/Checker.java
@@ -121,6 +121,7 @@
     private final Map<String, Long> figures = new LinkedHashMap<>();
     private long graceUs;
     private long pollUs;
+    private boolean yesAtAcceptance;
     private long line;
 
     private Checker() {
@@ -129,7 +130,8 @@
     /** What the checker needs to know of the terms; the first lines of a tap. */
     static void header(Tap tap, DayPlan plan) {
         Deployment d = plan.deployment;
-        tap.line("rig", "terms", "grace", d.drainGrace.toNanos() / 1000, "poll", d.poll.toNanos() / 1000);
+        tap.line("rig", "terms", "grace", d.drainGrace.toNanos() / 1000, "poll", d.poll.toNanos() / 1000, "yes",
+                d.yes);
         for (Deployment.Flavour f : d.flavours.values()) {
             tap.line("rig", "flavour", "name", f.name(), "effect", f.effect(), "group", f.group(), "window",
                     f.window().toNanos() / 1000, "spread", f.spread(), "most", f.most());
@@ -202,6 +204,7 @@
             case "terms" -> {
                 graceUs = num(m, "grace");
                 pollUs = num(m, "poll");
+                yesAtAcceptance = str(m, "yes").equals("accepted");
             }
             case "flavour" -> flavours.put(str(m, "name"), new Terms(str(m, "effect"), str(m, "group"),
                     num(m, "window"), str(m, "spread"), num(m, "most")));
@@ -217,7 +220,7 @@
             case "fell" -> broke(4, at + " was pushed over while cold");
             case "offer" -> offer(m, at, t);
             case "cancel" -> at(m, at).forEach(x -> x.cancelledAt = x.cancelledAt < 0 ? t : x.cancelledAt);
-            case "accepted" -> at(m, at).forEach(x -> x.answered |= !lost(m));
+            case "accepted" -> at(m, at).forEach(x -> x.answered |= yesAtAcceptance && !lost(m));
             case "refused" -> at(m, at).forEach(x -> {
                 x.refused = true;
                 x.neverRan = true;
--- /dev/null
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -0,0 +1,388 @@
+package fordridge.placer;
+
+import static fordridge.placer.Peers.until;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import fordridge.placer.Peers.ClientPeer;
+import fordridge.placer.Peers.MachinePeer;
+import fordridge.settings.Deployment;
+import fordridge.v1.Ack;
+import fordridge.v1.ClaimName;
+import fordridge.v1.ClientMessage;
+import fordridge.v1.Finished;
+import fordridge.v1.FromMachine;
+import fordridge.v1.Held;
+import fordridge.v1.Offer;
+import fordridge.v1.PlacerMessage.BodyCase;
+import fordridge.v1.Started;
+import fordridge.v1.ToMachine;
+import io.grpc.Status;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+
+/** The hard cases, each brought about on sockets between a real placer and scripted peers. */
+class PlacerTest {
+    private static Offer only(MachinePeer m) {
+        until(() -> m.offers.size() == 1);
+        return m.offers.get(0);
+    }
+
+    @Example
+    void theClientsStreamBreaksAfterAOneShotsBindWasSentAndBeforeItWasAcknowledged() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            ClientPeer c = p.client("c").open(true).hello();
+            String token = c.token();
+            c.want("v", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            // It came, but the client's process had not taken it in when its stream broke.
+            c.breaks();
+            c.heard.clear();
+            c.open(true).hello(token, 0).want("v", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            MachinePeer m = p.machines.get(0);
+            m.say(FromMachine.newBuilder().setFinished(Finished.newBuilder().setClaim(only(m).getClaim())
+                    .setHow(Finished.How.DONE).setRan(true)).build());
+            until(() -> c.count(BodyCase.ENDED) == 1);
+            assertThat(c.count(BodyCase.BOUND)).isEqualTo(1);
+            assertThat(m.offers.size()).isEqualTo(1);
+        }
+    }
+
+    @Example
+    void aVmIsBoundWhileItsClientIsAwayAndHeardOfOnReturn() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            MachinePeer m = p.machines.get(0);
+            m.onOffer = o -> { };
+            ClientPeer c = p.client("c").open(true).hello();
+            String token = c.token();
+            c.want("v", "once");
+            Offer o = only(m);
+            c.breaks();
+            m.start(o);
+            c.heard.clear();
+            c.open(true).hello(token, 0);
+            until(() -> c.count(BodyCase.BOUND) == 1);
+        }
+    }
+
+    @Example
+    void aMachineSlowsAndTheRestGoesOn() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("");
+            p.machines.get(0).onOffer = o -> { };
+            ClientPeer c = p.client("c").open(true).hello();
+            for (int i = 0; i < 30; i++) {
+                c.want("v" + i, "safe");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 30);
+            assertThat(p.machines.get(1).offers.size()).isEqualTo(30);
+        }
+    }
+
+    @Example
+    void theAnswerIsLostWhileProbesAreAnswered() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("");
+            AtomicInteger started = new AtomicInteger();
+            p.machines.forEach(m -> m.onOffer = o -> started.incrementAndGet());
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.ERRORED) == 1);
+            assertThat(started.get()).isEqualTo(1);
+            assertThat(c.count(BodyCase.DENIED)).isEqualTo(0);
+            // The machine is told to let it go, so that it holds no room for nobody.
+            until(() -> p.machines.stream().anyMatch(m -> m.heard.stream().anyMatch(ToMachine::hasCancel)));
+        }
+    }
+
+    @Example
+    void theStreamBreaksAfterTheOfferAndTheMachineComesBackRunningIt() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("machines { unsure = 10s, retry_least = 20ms }");
+            p.machines.forEach(m -> m.onOffer = o -> {
+                m.holds(o.getClaim(), Held.State.RUNNING);
+                m.cut();
+            });
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            assertThat(p.machines.stream().mapToInt(m -> m.offers.size()).sum()).isEqualTo(1);
+        }
+    }
+
+    @Example
+    void theStreamBreaksBeforeTheOfferWasTakenInAndTheVmGoesElsewhere() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("machines { unsure = 10s, retry_least = 20ms }");
+            AtomicInteger cuts = new AtomicInteger();
+            p.machines.forEach(m -> m.onOffer = o -> {
+                if (cuts.getAndIncrement() == 0) {
+                    m.cut();
+                } else {
+                    m.start(o);
+                }
+            });
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            assertThat(p.machines.stream().mapToInt(m -> m.offers.size()).sum()).isEqualTo(2);
+        }
+    }
+
+    @Example
+    void theStreamBreaksAfterTheOfferAndTheMachineStaysAway() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("machines.unsure = 200ms");
+            AtomicInteger offers = new AtomicInteger();
+            p.machines.forEach(m -> m.onOffer = o -> {
+                offers.incrementAndGet();
+                m.close();
+            });
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.ERRORED) == 1);
+            assertThat(offers.get()).isEqualTo(1);
+        }
+    }
+
+    @Example
+    void anAnswerAndOurCancelCross() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            MachinePeer m = p.machines.get(0);
+            m.onOffer = o -> { };
+            ClientPeer c = p.client("c").open(true).hello().want("v", "safe");
+            Offer o = only(m);
+            c.to.onNext(ClientMessage.newBuilder().setUnwant(fordridge.v1.Unwant.newBuilder().setVm("v")).build());
+            until(() -> m.heard.stream().anyMatch(ToMachine::hasCancel));
+            m.start(o);
+            m.onOffer = m::start;
+            c.want("w", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            assertThat(c.heard.stream().anyMatch(x -> x.hasBound() && x.getBound().getVm().equals("v"))).isFalse();
+        }
+    }
+
+    @Example
+    void aMachineRestartsUnderItsAddressWithNothingRunning() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("machines.retry_least = 20ms");
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            MachinePeer m = p.machines.get(0);
+            m.incarnation++;
+            m.cut();
+            until(() -> c.count(BodyCase.ENDED) == 1);
+            assertThat(c.heard.get(c.heard.size() - 1).getEnded().getHow()).isEqualTo(fordridge.v1.Ended.How.LOST);
+        }
+    }
+
+    @Example
+    void aPlacerThatStartsAnewFindsWhatRunsForIt() throws Exception {
+        try (Peers p = new Peers(1)) {
+            MachinePeer m = p.machines.get(0);
+            m.holds(ClaimName.newBuilder().setVm("c/old").setNumber(1).build(), Held.State.RUNNING);
+            p.place("");
+            until(() -> m.streams == 1);
+            ClientPeer c = p.client("c").open(true).hello().want("old", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            assertThat(m.offers).isEmpty();
+            m.say(FromMachine.newBuilder().setFinished(Finished.newBuilder().setClaim(ClaimName.newBuilder()
+                    .setVm("c/old").setNumber(1)).setHow(Finished.How.DONE).setRan(true)).build());
+            until(() -> c.count(BodyCase.ENDED) == 1);
+        }
+    }
+
+    @Example
+    void aDrainNoticeIsKeptFromTheInstantItIsKnown() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("");
+            ClientPeer c = p.client("c").open(true).hello().want("first", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            p.list("m0 draining");
+            until(() -> p.program.listVersion() > 1);
+            int before = p.machines.get(0).offers.size();
+            for (int i = 0; i < 20; i++) {
+                c.want("v" + i, "safe");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 21);
+            assertThat(p.machines.get(0).offers.size()).isEqualTo(before);
+        }
+    }
+
+    /** The bound: at most sessions.unread answers kept for it, at most sessions.open VMs taken from it. */
+    @Example
+    void aClientThatSendsAndNeverReadsIsLeftWaitingAndTheRestGoesOn() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("sessions { unread = 50, open = 100 }");
+            ClientPeer deaf = p.client("deaf").open(false).hello();
+            deaf.token();
+            String padding = "x".repeat(150);
+            for (int i = 0; i < 5000; i++) {
+                deaf.want(padding + i, "safe");
+            }
+            ClientPeer c = p.client("c").open(true).hello();
+            for (int i = 0; i < 20; i++) {
+                c.want("v" + i, "safe");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 20);
+            int taken = p.machines.get(0).offers.size();
+            assertThat(taken).isLessThan(1200);
+            deaf.to.request(100_000);
+            until(() -> deaf.count(BodyCase.BOUND) > 0);
+            for (long seen = 0; deaf.count(BodyCase.BOUND) < 5000;) {
+                long now = deaf.last();
+                if (now > seen) {
+                    seen = now;
+                    deaf.to.onNext(ClientMessage.newBuilder().setAck(Ack.newBuilder().setSeen(seen)).build());
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Example
+    void aMachineThatTakesTheConnectionAndNeverSpeaks() throws Exception {
+        try (Peers p = new Peers(1); ServerSocket mute = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            p.place("");
+            p.list("", "{ name = mute, address = \"127.0.0.1:" + mute.getLocalPort()
+                    + "\", kind = k, state = live, free_cores = 500, free_memory = 500 }");
+            until(() -> p.program.listVersion() > 1);
+            ClientPeer c = p.client("c").open(true).hello();
+            for (int i = 0; i < 10; i++) {
+                c.want("v" + i, "once");
+            }
+            until(() -> c.count(BodyCase.BOUND) + c.count(BodyCase.DENIED) == 10);
+            assertThat(c.count(BodyCase.ERRORED)).isEqualTo(0);
+            assertThat(c.count(BodyCase.BOUND)).isGreaterThan(0);
+        }
+    }
+
+    @Example
+    void aMessageOverTheLimitEndsItsStreamOnly() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("machines.max_message = 4KiB");
+            ClientPeer big = p.client("big").open(true).hello();
+            big.token();
+            ClientPeer c = p.client("c").open(true).hello();
+            big.want("x".repeat(9000), "safe");
+            until(() -> big.status != null);
+            assertThat(big.status.getCode()).isEqualTo(Status.Code.RESOURCE_EXHAUSTED);
+            c.want("v", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+        }
+    }
+
+    @Example
+    void whatAClientMayNotSayIsRefusedWithTheFieldsName() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            ClientPeer early = p.client("early").open(true).want("v", "safe");
+            until(() -> early.status != null);
+            assertThat(early.status.getCode()).isEqualTo(Status.Code.INVALID_ARGUMENT);
+            assertThat(early.status.getDescription()).contains("hello");
+            ClientPeer odd = p.client("odd").open(true).hello();
+            odd.token();
+            odd.to.onNext(ClientMessage.newBuilder().setWant(fordridge.v1.Want.newBuilder().setVm("v").setFlavour("safe")
+                    .setCores(Double.NaN).setMemory(1)).build());
+            until(() -> odd.status != null);
+            assertThat(odd.status.getDescription()).contains("want.cores");
+            ClientPeer ack = p.client("ack").open(true).hello();
+            ack.to.onNext(ClientMessage.newBuilder().setAck(Ack.newBuilder().setSeen(9)).build());
+            until(() -> ack.status != null);
+            assertThat(ack.status.getDescription()).contains("9 was never sent");
+            ClientPeer c = p.client("c").open(true).hello().want("v", "unheard-of").want("w", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            until(() -> c.count(BodyCase.DENIED) == 1);
+        }
+    }
+
+    @Example
+    void aMachineThatSaysWhatItMayNotIsLeftAndTheRestGoesOn() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("");
+            MachinePeer odd = p.machines.get(0);
+            odd.onOffer = o -> odd.say(FromMachine.getDefaultInstance());
+            ClientPeer c = p.client("c").open(true).hello();
+            for (int i = 0; i < 10; i++) {
+                c.want("v" + i, "safe");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 10);
+        }
+    }
+
+    @Example
+    void aRepeatOfAStartChangesNothing() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            MachinePeer m = p.machines.get(0);
+            m.onOffer = o -> {
+                m.start(o);
+                m.start(o);
+                m.say(FromMachine.newBuilder().setStarted(Started.newBuilder().setClaim(ClaimName.newBuilder()
+                        .setVm("nobody's").setNumber(9))).build());
+            };
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once").want("w", "once");
+            until(() -> c.count(BodyCase.BOUND) == 2);
+            assertThat(c.heard.size()).isEqualTo(3);
+        }
+    }
+
+    @Example
+    void stoppingAnswersEachVmInHandAndTakesNothingNew() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("placer.stop_within = 2s");
+            MachinePeer m = p.machines.get(0);
+            m.onOffer = o -> { };
+            ClientPeer c = p.client("c").open(true).hello().want("out", "once");
+            only(m);
+            c.to.onNext(ClientPeer.wanted("held", "safe", 0).mergeFrom(ClientMessage.newBuilder().setWant(
+                    fordridge.v1.Want.newBuilder().setCores(999)).build()).build());
+            until(() -> p.program.inHand() == 2);
+            assertThat(p.program.stop()).isTrue();
+            until(() -> c.count(BodyCase.ERRORED) + c.count(BodyCase.DENIED) == 2);
+            assertThat(c.count(BodyCase.DENIED)).as("what never went out is denied").isEqualTo(1);
+        }
+    }
+
+    @Example
+    void aMalformedListLeavesTheLastGoodOneInForce() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            java.nio.file.Files.writeString(new java.io.File(p.folder, "list.conf").toPath(), "version = 1\nmachines = [{\n");
+            ClientPeer c = p.client("c").open(true).hello().want("v", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            assertThat(p.program.listVersion()).isEqualTo(1);
+            p.list("m0 gone");
+            until(() -> p.program.listVersion() == 2);
+        }
+    }
+
+    @Example
+    void whatCannotBeHadAtStartIsSaid() throws Exception {
+        try (Peers p = new Peers(0); ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            assertThatThrownBy(() -> p.place("placer.listen.port = " + taken.getLocalPort()))
+                    .hasMessageContaining(String.valueOf(taken.getLocalPort()));
+            assertThatThrownBy(() -> p.place("machines.list = nowhere.conf"))
+                    .isInstanceOf(Deployment.Refused.class).hasMessageContaining("nowhere.conf: no such file");
+        }
+    }
+
+    /** Held at once by a real placer: the loop must stay quick for everyone else. */
+    @Example
+    void sixThousandVmsHeldAtOnceAreAllAnsweredInTime() throws Exception {
+        try (Peers p = new Peers(3)) {
+            p.place("sessions { open = 10000, unread = 10000 }, placer { max_open = 10000, answer_margin = 500ms }");
+            p.machines.forEach(m -> m.onOffer = m::refuse);
+            ClientPeer c = p.client("c").open(true).hello();
+            c.token();
+            for (int i = 0; i < 6000; i++) {
+                c.want("v" + i, List.of("safe", "once").get(i % 2));
+            }
+            until(() -> c.count(BodyCase.DENIED) + c.count(BodyCase.ERRORED) == 6000);
+            assertThat(c.count(BodyCase.ERRORED)).isEqualTo(0);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/fordridge/session/SessionsTest.java
@@ -0,0 +1,167 @@
+package fordridge.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class SessionsTest {
+    private static final Duration T = Duration.ZERO;
+
+    private static Sessions sessions() {
+        return new Sessions(new Sessions.Bounds(50, 20, 8, 30, Duration.ofSeconds(60)), 1);
+    }
+
+    private static List<Answer> drain(Session s) {
+        List<Answer> some = new ArrayList<>();
+        for (Session.Told t = s.next(); t != null; t = s.next()) {
+            some.add(t.answer());
+        }
+        return some;
+    }
+
+    @Example
+    void whatWasNotSeenIsSaidAgainAndNothingElse() {
+        Sessions all = sessions();
+        Session s = all.hello("a", "", 0, T);
+        all.want(s, "1", T);
+        all.want(s, "2", T);
+        all.say("a", Answer.bound("1", "m", 0, T), T);
+        all.say("a", Answer.denied("2", T, ""), T);
+        assertThat(drain(s).size()).isEqualTo(2);
+        all.away(s, T);
+        Session again = all.hello("a", s.token, 1, T);
+        assertThat(again).isSameAs(s);
+        assertThat(drain(again)).extracting(Answer::vm).containsExactly("2");
+        assertThat(drain(again)).isEmpty();
+    }
+
+    @Example
+    void aSecondFinalAnswerIsNotSaid() {
+        Sessions all = sessions();
+        Session s = all.hello("a", "", 0, T);
+        all.want(s, "1", T);
+        assertThat(all.say("a", Answer.denied("1", T, ""), T)).isTrue();
+        assertThat(all.say("a", Answer.errored("1", ""), T)).isFalse();
+        assertThat(all.say("a", Answer.bound("1", "m", 0, T), T)).isFalse();
+        assertThat(drain(s).size()).isEqualTo(1);
+    }
+
+    @Example
+    void aNewProcessUnderTheNameHearsOnlyOfWhatItAsksFor() {
+        Sessions all = sessions();
+        Session s = all.hello("a", "", 0, T);
+        all.want(s, "1", T);
+        all.want(s, "2", T);
+        Session fresh = all.hello("a", "", 0, T);
+        all.say("a", Answer.bound("1", "m", 0, T), T);
+        all.say("a", Answer.bound("2", "m", 0, T), T);
+        assertThat(drain(fresh)).isEmpty();
+        assertThat(all.want(fresh, "2", T)).isEqualTo(Sessions.Taken.KNOWN);
+        assertThat(drain(fresh)).extracting(Answer::vm).containsExactly("2");
+    }
+
+    @Example
+    void boundsHold() {
+        Sessions all = sessions();
+        Session s = all.hello("a", "", 0, T);
+        for (int i = 0; i < 19; i++) {
+            all.want(s, "v" + i, T);
+            assertThat(all.mayRead(s)).isTrue();
+        }
+        all.want(s, "v19", T);
+        assertThat(all.mayRead(s)).as("VMs of one client in hand").isFalse();
+        for (int i = 0; i < 20; i++) {
+            all.say("a", Answer.denied("v" + i, T, ""), T);
+        }
+        assertThat(all.mayRead(s)).as("answers not taken in").isFalse();
+        all.acknowledge(s, 20);
+        assertThat(all.mayRead(s)).isTrue();
+        Session b = all.hello("b", "", 0, T);
+        int taken = 0;
+        for (int i = 0; i < 70; i++) {
+            taken += all.want(b, "w" + i, T) == Sessions.Taken.NEW ? 1 : 0;
+        }
+        assertThat(taken).as("VMs in hand over all clients").isEqualTo(50);
+        for (int i = 0; i < 50; i++) {
+            all.say("b", Answer.denied("w" + i, T, ""), T);
+        }
+        assertThat(all.kept()).as("answers kept").isLessThanOrEqualTo(30);
+    }
+
+    @Example
+    void aNumberThatWasNeverSaidIsRefused() {
+        Sessions all = sessions();
+        Session s = all.hello("a", "", 0, T);
+        assertThat(all.acknowledge(s, 3)).isFalse();
+        assertThat(all.hello("a", s.token, 5, T)).as("a resume past what was said").isNotSameAs(s);
+    }
+
+    @Example
+    void anAbsentClientIsForgottenInTime() {
+        Sessions all = sessions();
+        Session s = all.hello("a", "", 0, T);
+        all.away(s, T);
+        assertThat(all.expire(Duration.ofSeconds(59))).isEmpty();
+        assertThat(all.expire(Duration.ofSeconds(61))).containsExactly("a");
+        assertThat(all.clients()).isEqualTo(0);
+    }
+
+    /** Streams that break at any message: each answer is taken in exactly once, in order. */
+    @Property(tries = 300, seed = "99")
+    void eachAnswerExactlyOnceOverBreaks(@ForAll long seed) {
+        Sessions all = sessions();
+        Random r = new Random(seed);
+        Session s = all.hello("a", "", 0, T);
+        String token = s.token;
+        long seen = 0;
+        Map<String, Integer> heard = new HashMap<>();
+        List<String> open = new ArrayList<>();
+        int made = 0;
+        for (int i = 0; i < 300; i++) {
+            switch (r.nextInt(6)) {
+                case 0, 1 -> {
+                    if (open.size() < 15) {
+                        open.add("v" + made);
+                        all.want(s, "v" + made++, T);
+                    }
+                }
+                case 2 -> {
+                    if (!open.isEmpty()) {
+                        all.say("a", Answer.denied(open.remove(r.nextInt(open.size())), T, ""), T);
+                    }
+                }
+                case 3 -> all.acknowledge(s, seen);
+                case 4 -> {
+                    all.away(s, T);
+                    s = all.hello("a", token, seen, T);
+                    assertThat(s.token).isEqualTo(token);
+                }
+                default -> {
+                    Session.Told t = s.next();
+                    // What is written may be lost with the stream before the client takes it in.
+                    if (t != null && r.nextInt(3) == 0) {
+                        s = all.hello("a", token, seen, T);
+                    } else if (t != null) {
+                        assertThat(t.seq()).isEqualTo(seen + 1);
+                        seen = t.seq();
+                        heard.merge(t.answer().vm(), 1, Integer::sum);
+                    }
+                }
+            }
+        }
+        s = all.hello("a", token, seen, T);
+        for (Session.Told t = s.next(); t != null; t = s.next()) {
+            heard.merge(t.answer().vm(), 1, Integer::sum);
+        }
+        assertThat(heard.size()).isEqualTo(made - open.size());
+        assertThat(heard.values()).allMatch(n -> n == 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/fordridge/settings/DeploymentTest.java
@@ -0,0 +1,91 @@
+package fordridge.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import fordridge.listing.ListFile;
+import fordridge.state.Terms;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.jqwik.api.Example;
+
+class DeploymentTest {
+    private static final String GOOD = "kinds = [{ name = std, cores = 8, memory = 16 }]\n"
+            + "flavours = [{ name = f, effect = rebuildable, build_target = 600ms, build_timeout = 5s }]\n";
+
+    private static File file(String text) throws IOException {
+        Path f = Files.createTempFile("fordridge", ".conf");
+        f.toFile().deleteOnExit();
+        return Files.writeString(f, text).toFile();
+    }
+
+    private static List<String> complaints(String text) throws IOException {
+        try {
+            Deployment.read(file(text));
+            return List.of();
+        } catch (Deployment.Refused e) {
+            return e.complaints;
+        }
+    }
+
+    @Example
+    void goodOnesAreReadWithDefaults() throws Exception {
+        Deployment d = Deployment.read(file(GOOD));
+        assertThat(d.flavours.get("f").rebuildable()).isTrue();
+        Terms t = new Terms(ModuleTerms.of(d, 3));
+        assertThat(t.text("lanes.0.semantics", "")).isEqualTo("retryable");
+        assertThat(t.num("lanes.0.promiseUs", 0)).isEqualTo(600_000.0);
+        assertThat(t.num("position", -1)).isEqualTo(3.0);
+        assertThat(t.item("extra.cpuOfKind", 0, 0)).isEqualTo(8.0);
+    }
+
+    @Example
+    void aForgottenEffectIsTheStrictest() throws Exception {
+        Deployment d = Deployment.read(file(GOOD.replace("effect = rebuildable, ", "")));
+        assertThat(new Terms(ModuleTerms.of(d, 0)).text("lanes.0.semantics", "")).isEqualTo("fragile");
+    }
+
+    @Example
+    void everyErrorComesAtOnceWithPlaceKeyFoundAndAllowed() throws Exception {
+        List<String> c = complaints(GOOD + "placer.max_open = many\nplacer.answr_margin = 60ms\nmachines.line = 0\n"
+                + "machines.idle = 15\ncluster.yes = perhaps\n");
+        assertThat(c.size()).isEqualTo(5);
+        assertThat(c).anyMatch(l -> l.contains(":3: placer.max_open: found many") && l.contains("allowed"));
+        assertThat(c).anyMatch(l -> l.contains(":4: placer.answr_margin: unknown key")
+                && l.contains("placer.answer_margin"));
+        assertThat(c).anyMatch(l -> l.contains(":5: machines.line: found 0"));
+        assertThat(c).anyMatch(l -> l.contains(":6: machines.idle: found 15") && l.contains("250ms"));
+        assertThat(c).anyMatch(l -> l.contains(":7: cluster.yes: found 'perhaps'") && l.contains("running, accepted"));
+    }
+
+    @Example
+    void valuesAreHeldAgainstEachOther() throws Exception {
+        assertThat(complaints(GOOD.replace("effect", "kind = huge, effect"))).anyMatch(l -> l.contains("kind 'huge'"));
+        assertThat(complaints(GOOD.replace("600ms", "6s"))).anyMatch(l -> l.contains("past its build_timeout"));
+        assertThat(complaints(GOOD + "customers = [{name = a, share = 0.7}, {name = b, share = 0.6}]\n"))
+                .anyMatch(l -> l.contains("shares of 1.3"));
+        assertThat(complaints(GOOD + "placer { position = 4, placers = 3 }\n"))
+                .anyMatch(l -> l.contains("placer.position"));
+        assertThat(complaints(GOOD + "flavours = ${flavours} [{ name = f }]\n")).anyMatch(l -> l.contains("twice"));
+    }
+
+    @Example
+    void whatIsNoHoconIsSaidWithItsLine() throws Exception {
+        assertThat(complaints("kinds = [\n{ name = x\n")).anyMatch(l -> l.contains("fordridge") && l.contains(": 3"));
+        assertThatThrownBy(() -> Deployment.read(new File("/nowhere.conf"))).hasMessageContaining("no such file");
+    }
+
+    @Example
+    void aListIsCheckedLineByLine() throws Exception {
+        Deployment d = Deployment.read(file(GOOD));
+        String good = "version = 1\nmachines = [\n{ name = a, address = \"127.0.0.1:1\", kind = std, state = live }\n]\n";
+        assertThat(ListFile.read(file(good), d, 1).entries().size()).isEqualTo(1);
+        assertThatThrownBy(() -> ListFile.read(file(good.replace("kind = std", "kind = odd")), d, 1))
+                .hasMessageContaining(":3: machines[0].kind: found 'odd'");
+        assertThatThrownBy(() -> ListFile.read(file(good.replace("127.0.0.1:1", "here")), d, 1))
+                .hasMessageContaining("host:port");
+    }
+}
