Streams to machines no longer end with the client's call that opened them

Change: machine streams are opened in the root context; reading from a client goes by what it does not read, not by what it has not acknowledged (acks could stand behind wants: a deadlock); messages over the limit are refused in words; stopping twice is harmless.

--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -241,8 +241,8 @@
             if (listing != Machine.Listing.LIVE) {
                 r.link.drains();
             } else if (!called) {
-                // What an earlier life of this placer left running is asked for once, spread over a second.
-                at(Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, 1000L)), () -> {
+                // What an earlier life of this placer left running is asked for once, spread over a settling time.
+                at(Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, d.settle.toMillis())), () -> {
                     r.link.call(now);
                     watch(r);
                 });
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -76,9 +76,9 @@
     private Server serve(Instance it, int port) throws IOException {
         return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port)).bossEventLoopGroup(it.loop)
                 .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
-                .maxInboundMessageSize(d.maxMessage).flowControlWindow(1 << 18)
+                .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage)).flowControlWindow(1 << 18)
                 .permitKeepAliveTime(100, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true)
-                .addService(new ClientService(it)).build().start();
+                .addService(new ClientService(it, d.maxMessage)).build().start();
     }
 
     private void watchLag(EventLoop loop) {
@@ -148,6 +148,9 @@
 
     @Override
     public void close() {
+        if (loops.isShuttingDown()) {
+            return;
+        }
         list.close();
         servers.forEach(Server::shutdownNow);
         instances.forEach(i -> i.loop.execute(i::close));
--- a/src/main/java/fordridge/rpc/ClientService.java
+++ b/src/main/java/fordridge/rpc/ClientService.java
@@ -39,9 +39,19 @@
     private static final int LONGEST_NAME = 200;
 
     private final Desk desk;
+    private final int maxMessage;
 
-    public ClientService(Desk desk) {
+    public ClientService(Desk desk, int maxMessage) {
         this.desk = desk;
+        this.maxMessage = maxMessage;
+    }
+
+    /**
+     * What the transport lets through: it resets a stream over it without a word why, so that what is somewhat over
+     * our own limit is taken in and refused in words.
+     */
+    public static int transportLimit(int maxMessage) {
+        return 4 * maxMessage;
     }
 
     @Override
@@ -70,6 +80,11 @@
             if (over) {
                 return;
             }
+            if (m.getSerializedSize() > maxMessage) {
+                refuse(Status.RESOURCE_EXHAUSTED.withDescription("a message of " + m.getSerializedSize()
+                        + " bytes, at most " + maxMessage));
+                return;
+            }
             String wrong = wrong(m);
             if (wrong != null) {
                 refuse(Status.INVALID_ARGUMENT.withDescription(wrong));
--- a/src/main/java/fordridge/rpc/MachineStream.java
+++ b/src/main/java/fordridge/rpc/MachineStream.java
@@ -11,6 +11,7 @@
 import fordridge.v1.Report;
 import fordridge.v1.Stop;
 import fordridge.v1.ToMachine;
+import io.grpc.Context;
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
 import io.grpc.netty.NettyChannelBuilder;
@@ -74,6 +75,11 @@
 
     @Override
     public void connect() {
+        // Not in the context of the client's call that may have brought this about: its end would end the stream.
+        Context.ROOT.run(this::open);
+    }
+
+    private void open() {
         int mine = ++generation;
         channel = NettyChannelBuilder.forAddress(address).eventLoopGroup(loop).channelType(NioSocketChannel.class)
                 .directExecutor().offloadExecutor(loop).usePlaintext().disableRetry()
@@ -150,10 +156,17 @@
 
     @Override
     public void close(String why) {
-        if (to != null) {
-            to.cancel(why, null);
+        ClientCallStreamObserver<ToMachine> old = to;
+        ManagedChannel its = channel;
+        generation++;
+        to = null;
+        channel = null;
+        if (old != null) {
+            old.cancel(why, null);
+        }
+        if (its != null) {
+            its.shutdownNow();
         }
-        drop();
     }
 
     @Override
--- a/src/main/java/fordridge/session/Session.java
+++ b/src/main/java/fordridge/session/Session.java
@@ -16,6 +16,8 @@
     private final Deque<Told> unread = new ArrayDeque<>();
     private long lastSeq;
     private long written;
+    /** All up to this number is known to be taken in, or was let go. */
+    private long floor;
     int inHand;
     boolean attached;
     Duration awayAt;
@@ -25,8 +27,12 @@
         this.token = token;
     }
 
-    void say(Answer answer) {
+    /** Beyond {@code most} the oldest is let go: a client that never acknowledged it must ask by name. */
+    void say(Answer answer, int most) {
         unread.addLast(new Told(++lastSeq, answer));
+        while (unread.size() > most) {
+            floor = unread.removeFirst().seq;
+        }
     }
 
     /** The next answer that this stream has not carried, or null; it counts as written. */
@@ -50,19 +56,26 @@
         if (seen > lastSeq) {
             return false;
         }
+        floor = Math.max(floor, seen);
         while (!unread.isEmpty() && unread.peekFirst().seq <= seen) {
             unread.removeFirst();
         }
         return true;
     }
 
+    /** Whether all that came after {@code seen} is still there to be said again. */
+    boolean reaches(long seen) {
+        return seen >= floor && seen <= lastSeq;
+    }
+
     /** A new stream: what came after {@code seen} is written again. */
     void rewind(long seen) {
         written = seen;
     }
 
-    public int unread() {
-        return unread.size();
+    /** Said, and not taken by the transport yet. */
+    public long unwritten() {
+        return lastSeq - written;
     }
 
     public int inHand() {
--- a/src/main/java/fordridge/session/Sessions.java
+++ b/src/main/java/fordridge/session/Sessions.java
@@ -61,7 +61,8 @@
     /** A client begins a stream; the second value tells whether its session was found. */
     public Session hello(String client, String token, long seen, Duration now) {
         Session s = sessions.get(client);
-        if (s != null && s.token.equals(token) && s.acknowledge(seen)) {
+        if (s != null && s.token.equals(token) && s.reaches(seen)) {
+            s.acknowledge(seen);
             s.rewind(seen);
         } else {
             Session fresh = new Session(client, Long.toHexString(seed) + "-" + Long.toHexString(++tokens));
@@ -112,10 +113,10 @@
                 s.inHand++;
             }
             if (a.given != null) {
-                s.say(a.given);
+                s.say(a.given, most());
             }
             if (a.last != null && a.last != a.given) {
-                s.say(a.last);
+                s.say(a.last, most());
             }
         }
         return Taken.KNOWN;
@@ -124,7 +125,7 @@
     /** Denies an ask that is not taken to the module; one over the bound is not kept. */
     public void refuse(Session s, Answer denied, Duration now) {
         if (!say(s.client, denied, now)) {
-            s.say(denied);
+            s.say(denied, most());
         }
     }
 
@@ -171,7 +172,7 @@
             over.addLast(a);
         }
         if (a.owner != null) {
-            a.owner.say(answer);
+            a.owner.say(answer, most());
         }
         tidy(now);
         return true;
@@ -216,10 +217,16 @@
 
     /**
      * Whether more may be read from the client. At either bound it is left waiting, and the transport's flow
-     * control with it: nothing it says is lost, and nothing grows here.
+     * control with it: nothing it says is lost, and nothing grows here. It goes by what it does not read, not by
+     * what it has not acknowledged: an acknowledgement may stand behind all that we would refuse to read.
      */
     public boolean mayRead(Session s) {
-        return s.unread() < bounds.unread && s.inHand < bounds.openOfOne;
+        return s.unwritten() < bounds.unread && s.inHand < bounds.openOfOne;
+    }
+
+    /** Answers kept for one client to be said again. */
+    private int most() {
+        return bounds.unread + 2 * bounds.openOfOne;
     }
 
     public int inHand() {
