--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -142,7 +142,7 @@
     }
 
     @Command(name = "rig", description = "Stand-ins, scripted days and their judging.", mixinStandardHelpOptions = true,
-            subcommands = {RigDay.class, RigCheck.class})
+            subcommands = {RigDay.class, RigClimb.class, RigCheck.class})
     static final class Rig implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -177,6 +177,41 @@
         }
     }
 
+    @Command(name = "climb", description = "Plays a day's load at rising rates, till the build target is missed.",
+            mixinStandardHelpOptions = true)
+    static final class RigClimb implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", description = "The day's script, in HOCON.")
+        private File script;
+        @Option(names = "--rates", required = true, split = ",", paramLabel = "N,...", description = "VMs a second.")
+        private double[] rates;
+        @Option(names = "--least", description = "Ends below this share in time (default: ${DEFAULT-VALUE}).")
+        private double least = 0.9;
+        @Option(names = "--out", paramLabel = "DIR", description = "Where taps go (default: ${DEFAULT-VALUE}).")
+        private File out = new File("target/climb");
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Changes a key of the script.")
+        private final Map<String, String> changes = new HashMap<>();
+
+        @Override
+        public Integer call() throws Exception {
+            Logging.start("plain", "warn");
+            boolean kept = true;
+            System.out.printf("%8s %8s %8s %9s %9s  %s%n", "VMs/s", "asked", "in time", "p50 ms", "p99 ms", "rules, costs");
+            for (double rate : rates) {
+                Map<String, Object> with = new HashMap<>(changes);
+                with.put("owners.rate", rate);
+                Day.Outcome o = Day.play(script, with, out, new java.io.PrintStream(
+                        java.io.OutputStream.nullOutputStream()));
+                kept &= o.verdict().kept();
+                System.out.printf("%8.0f %8d %7.1f%% %9.1f %9.1f  %s; %s%n", rate, o.asked(), 100 * o.inTime(),
+                        o.p50(), o.p99(), o.verdict().kept() ? "kept" : "BROKEN", o.costs());
+                if (o.inTime() < least) {
+                    break;
+                }
+            }
+            return kept ? 0 : 1;
+        }
+    }
+
     @Command(name = "check", description = "Judges the five rules from a tap.", mixinStandardHelpOptions = true)
     static final class RigCheck implements Callable<Integer> {
         @Parameters(paramLabel = "TAP")
--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/rig/Day.java
@@ -24,7 +24,8 @@
 /** One scripted day: real placers against stand-ins on loopback, then the rules judged from the tap. */
 public final class Day {
     /** What a day came to. */
-    public record Outcome(String table, Checker.Verdict verdict, double inTime, long asked, String costs) { }
+    public record Outcome(String table, Checker.Verdict verdict, double inTime, double p50, double p99, long asked,
+            String costs) { }
 
     private final DayPlan plan;
     private final File folder;
@@ -87,7 +88,8 @@
             spares.forEach(m -> m.act(m::close));
             tap.close();
             Checker.Verdict verdict = Checker.judge(tapFile);
-            return new Outcome(score.table(), verdict, score.inTimeShare(), score.asked(), costs);
+            return new Outcome(score.table(), verdict, score.inTimeShare(), score.bindMillis(50),
+                    score.bindMillis(99), score.asked(), costs);
         } finally {
             if (placers != null) {
                 placers.stop();
@@ -239,10 +241,10 @@
 
         @Override
         public String costs(double cpuBefore, double seconds) {
-            return String.format("in one process with the stand-ins; %.0f offers, loop lag p99 %.1f ms, input p99 "
-                    + "%.2f ms, %d streams to machines open", program.meters().offers(),
-                    program.meters().percentile("loop", 0.99), program.meters().percentile("decide", 0.99),
-                    program.streams());
+            return String.format("in one process with the stand-ins; %.0f offers, loop lag p99 %.1f ms, input p50 "
+                    + "%.3f and p99 %.2f ms, %d streams to machines open", program.meters().offers(),
+                    program.meters().percentile("loop", 0.99), program.meters().percentile("decide", 0.5),
+                    program.meters().percentile("decide", 0.99), program.streams());
         }
 
         @Override
