--- a/src/main/java/fordridge/link/Link.java
+++ b/src/main/java/fordridge/link/Link.java
@@ -68,7 +68,8 @@
 
         void probed(Machine machine, boolean ok, Duration took);
 
-        void note(String line);
+        /** News of the stream for those on call. */
+        void note(Machine machine, String line);
     }
 
     /** How streams are opened, kept and given up; spans from the settings. */
@@ -336,7 +337,7 @@
             }
         }
         if (was || failures == 1) {
-            fate.note("stream to " + machine.id + " broke: " + why);
+            fate.note(machine, "stream broke: " + why);
         }
         if (gone) {
             lose();
--- a/src/main/java/fordridge/listing/ListFile.java
+++ b/src/main/java/fordridge/listing/ListFile.java
@@ -33,13 +33,13 @@
 
     private final File file;
     private final Deployment deployment;
-    private final List<Consumer<Snapshot>> takers = new CopyOnWriteArrayList<>();
+    private final List<Consumer<Update>> takers = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "list-file");
         t.setDaemon(true);
         return t;
     });
-    private volatile Snapshot latest;
+    private volatile Update latest;
     private String seen;
 
     public ListFile(File file, Deployment deployment) throws Deployment.Refused {
@@ -68,7 +68,7 @@
             }
             seen = mark;
             latest = read(file, deployment, latest.version() + 1);
-            for (Consumer<Snapshot> t : takers) {
+            for (Consumer<Update> t : takers) {
                 t.accept(latest);
             }
         } catch (Deployment.Refused e) {
@@ -80,7 +80,7 @@
     }
 
     /** Reads the file whole, with every complaint at once. */
-    public static Snapshot read(File file, Deployment d, long version) throws Deployment.Refused {
+    public static Update read(File file, Deployment d, long version) throws Deployment.Refused {
         Config c = Deployment.parse(file);
         List<String> errors = new ArrayList<>();
         Reader r = new Reader(c, "", errors);
@@ -99,7 +99,7 @@
         if (!errors.isEmpty()) {
             throw new Deployment.Refused(errors);
         }
-        return new Snapshot(version, entries);
+        return new Update(version, true, false, entries);
     }
 
     private static Entry entry(Reader m, Set<String> kinds, Set<String> names) {
@@ -141,13 +141,16 @@
     }
 
     @Override
-    public Snapshot latest() {
+    public Update latest() {
         return latest;
     }
 
     @Override
-    public void follow(Consumer<Snapshot> taker) {
-        takers.add(taker);
+    public void follow(Consumer<Update> taker) {
+        looks.execute(() -> {
+            takers.add(taker);
+            taker.accept(latest);
+        });
     }
 
     @Override
--- a/src/main/java/fordridge/listing/MachineList.java
+++ b/src/main/java/fordridge/listing/MachineList.java
@@ -12,14 +12,22 @@
     record Entry(String name, InetSocketAddress address, String kind, String zone, int cell, Listing listing,
             double freeCores, double freeMemory, Instant started) { }
 
-    /** A whole list: what it does not name is gone. */
-    record Snapshot(long version, List<Entry> entries) { }
+    /**
+     * A list, whole (what it does not name is gone) or of changes only; {@code old} if it may be stale by more than
+     * its source allows.
+     */
+    record Update(long version, boolean whole, boolean old, List<Entry> entries) { }
 
-    /** The latest list that could be read. */
-    Snapshot latest();
+    /** The latest whole list. */
+    Update latest();
 
-    /** Tells of each newer list, on a thread of its own; the taker hands it to its loop. */
-    void follow(Consumer<Snapshot> taker);
+    /** Tells of the latest list, then of each change, on a thread of its own; the taker hands it to its loop. */
+    void follow(Consumer<Update> taker);
+
+    /** How many placers share the cluster, where the source knows; 0 where it does not. */
+    default int placers() {
+        return 0;
+    }
 
     @Override
     void close();
--- /dev/null
+++ b/src/main/java/fordridge/membership/Keys.java
@@ -0,0 +1,40 @@
+package fordridge.membership;
+
+/** Where what stands in the store: one prefix for a cluster, one folder for each kind of record. */
+public record Keys(String prefix) {
+    static final String MACHINES = "/machines/";
+    static final String DRAINS = "/drains/";
+    static final String TERMS = "/terms/";
+    static final String PLACERS = "/placers/";
+
+    public String machine(String name) {
+        return prefix + MACHINES + name;
+    }
+
+    public String drain(String name) {
+        return prefix + DRAINS + name;
+    }
+
+    public String term(String name) {
+        return prefix + TERMS + name;
+    }
+
+    public String placer(String name) {
+        return prefix + PLACERS + name;
+    }
+
+    public String all() {
+        return prefix + "/";
+    }
+
+    public Believed.Item.Kind kind(String key) {
+        String rest = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
+        return rest.startsWith(MACHINES) ? Believed.Item.Kind.MACHINE : rest.startsWith(DRAINS)
+                ? Believed.Item.Kind.DRAIN : rest.startsWith(TERMS) ? Believed.Item.Kind.TERM
+                : rest.startsWith(PLACERS) ? Believed.Item.Kind.PLACER : Believed.Item.Kind.OTHER;
+    }
+
+    public String name(String key) {
+        return key.substring(key.lastIndexOf('/') + 1);
+    }
+}
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -32,6 +32,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -139,7 +140,8 @@
     private final Instant startedAt = Instant.now();
     private Duration now = Duration.ZERO;
     private boolean inside;
-    private boolean called;
+    /** Machines that were asked once what they hold of this placer. */
+    private final Set<Machine> called = new HashSet<>();
     private CompletableFuture<Void> stopped;
 
     Instance(Deployment d, int position, String name, long seed, EventLoop loop, Meters meters) {
@@ -221,11 +223,11 @@
 
     // ---- The list --------------------------------------------------------------------------------------
 
-    void list(MachineList.Snapshot list) {
+    void list(MachineList.Update list) {
         loop.execute(() -> enter(() -> listed(list)));
     }
 
-    private void listed(MachineList.Snapshot list) {
+    private void listed(MachineList.Update list) {
         List<Feed.Line<String>> lines = new ArrayList<>(list.entries().size());
         Map<Machine, Machine.Listing> told = new HashMap<>();
         for (MachineList.Entry e : list.entries()) {
@@ -235,12 +237,12 @@
             lines.add(new Feed.Line<>(e.name(), e.zone(), e.kind(), e.cell(), e.freeCores(), e.freeMemory(),
                     e.listing(), e.started() == null ? null : Duration.between(startedAt, e.started())));
         }
-        for (Reach r : List.copyOf(reaches.values())) {
+        for (Reach r : list.whole() ? List.copyOf(reaches.values()) : told.keySet().stream().map(reaches::get).toList()) {
             Machine.Listing listing = told.getOrDefault(r.machine, Machine.Listing.GONE);
             r.link.listed(listing == Machine.Listing.GONE, now);
             if (listing != Machine.Listing.LIVE) {
                 r.link.drains();
-            } else if (!called) {
+            } else if (called.add(r.machine)) {
                 // What an earlier life of this placer left running is asked for once, spread over a settling time.
                 at(Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, d.settle.toMillis())), () -> {
                     r.link.call(now);
@@ -249,8 +251,7 @@
             }
             watch(r);
         }
-        called = called || !list.entries().isEmpty();
-        feed.list(true, false, lines);
+        feed.list(list.whole(), list.old(), lines);
     }
 
     private Reach reach(String machine) {
@@ -519,6 +520,10 @@
             }
             boolean wasBound = c.boundAt != null;
             meters.ended(end);
+            if (LOG.isDebugEnabled()) {
+                LOG.atDebug().addKeyValue("placer", name).addKeyValue("vm", c.vm.id).addKeyValue("claim", c.number)
+                        .addKeyValue("machine", reaches.get(c.machine).name).log("ended: " + end + " " + why);
+            }
             feed.logic.ended(c, end, why, wasBound || c.vm.over);
             String client = owners.get(c.vm);
             if (wasBound && client != null) {
@@ -568,8 +573,8 @@
     }
 
     @Override
-    public void note(String text) {
-        line(Level.INFO, text, null, null);
+    public void note(Machine machine, String text) {
+        line(Level.INFO, text, null, machine);
     }
 
     private void line(Level level, String text, Vm vm, Machine machine) {
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -1,5 +1,6 @@
 package fordridge.placer;
 
+import fordridge.etcd.EtcdList;
 import fordridge.listing.ListFile;
 import fordridge.listing.MachineList;
 import fordridge.obs.Meters;
@@ -41,17 +42,17 @@
     /** Starts all; what cannot be had (a port, the list) is said in one line and nothing is left running. */
     public PlacerProgram(Deployment d) throws IOException, Deployment.Refused {
         this.d = d;
-        list = new ListFile(d.listFile(), d);
+        list = d.source.equals("etcd") ? new EtcdList(d, d.name, System.nanoTime()) : new ListFile(d.listFile(), d);
         int threads = Math.min(d.count, Runtime.getRuntime().availableProcessors());
         loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
         MetricsPort port = null;
+        long seed;
         try {
-            long seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
+            seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
             for (int i = 0; i < d.count; i++) {
                 String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
                 Instance it = new Instance(d, d.position + i, name, seed + i, loops.next(), meters);
                 instances.add(it);
-                it.list(list.latest());
                 list.follow(it::list);
                 servers.add(serve(it, d.port == 0 ? 0 : d.port + i));
             }
@@ -68,7 +69,7 @@
             throw e;
         }
         metrics = port;
-        LOG.atInfo().addKeyValue("seed", d.seed).addKeyValue("instances", d.count)
+        LOG.atInfo().addKeyValue("seed", seed).addKeyValue("instances", d.count)
                 .addKeyValue("machines", list.latest().entries().size()).addKeyValue("port", port(0))
                 .addKeyValue("metrics", metrics == null ? "none" : metrics.port()).log("placing");
     }
--- a/src/main/java/fordridge/rig/Registry.java
+++ b/src/main/java/fordridge/rig/Registry.java
@@ -95,8 +95,17 @@
         text.append("]\n");
         File next = new File(file.getPath() + ".next");
         Files.writeString(next.toPath(), text.toString());
+        // A machine may be used as soon as the file stands, and is closed no earlier than that.
+        tell(list, true);
         Files.move(next.toPath(), file.toPath(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        tell(list, false);
+    }
+
+    private void tell(Map<String, Known> list, boolean live) {
         list.forEach((name, k) -> {
+            if (k.state.equals("live") != live) {
+                return;
+            }
             String news = k.state + " " + k.started;
             if (!news.equals(published.put(name, news))) {
                 tap.line("registry", "listed", "machine", name, "state", k.state, "started",
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -56,6 +56,15 @@
     public int keepAnswers;
     public int unread;
     public int open;
+    public String source;
+    public List<String> etcdEndpoints;
+    public String etcdPrefix;
+    public Duration etcdLease;
+    public Duration etcdSilence;
+    public Duration etcdCall;
+    public Duration etcdStart;
+    public int etcdPage;
+    public boolean etcdRegisters;
     public String list;
     public Duration poll;
     public Duration connectTimeout;
@@ -145,6 +154,15 @@
         keepAnswers = r.whole("sessions.keep_answers", 16, 10_000_000);
         unread = r.whole("sessions.unread", 4, 1_000_000);
         open = r.whole("sessions.open", 1, 1_000_000);
+        source = r.word("machines.source", "file", "etcd");
+        etcdEndpoints = r.texts("etcd.endpoints");
+        etcdPrefix = r.text("etcd.prefix", 200);
+        etcdLease = r.span("etcd.lease", Duration.ofSeconds(1), LONG);
+        etcdSilence = r.span("etcd.silence", Duration.ofMillis(50), LONG);
+        etcdCall = r.span("etcd.call", Duration.ofMillis(10), LONG);
+        etcdStart = r.span("etcd.start_within", Duration.ofMillis(100), LONG);
+        etcdPage = r.whole("etcd.page", 1, 100_000);
+        etcdRegisters = r.flag("etcd.register");
         list = r.text("machines.list", 4096);
         poll = r.span("machines.poll", Duration.ofMillis(10), Duration.ofMinutes(1));
         connectTimeout = r.span("machines.connect_timeout", Duration.ofMillis(10), Duration.ofMinutes(1));
@@ -257,6 +275,17 @@
             r.error("placer.position", position + " for " + count + " of " + placers + " placers",
                     "position + count at most placers");
         }
+        for (String e : source.equals("etcd") ? etcdEndpoints : List.<String>of()) {
+            if (!e.matches("[^:]+:[0-9]{1,5}")) {
+                r.error("etcd.endpoints", "'" + e + "'", "host:port");
+            }
+        }
+        if (source.equals("etcd") && etcdEndpoints.isEmpty()) {
+            r.error("etcd.endpoints", "none", "at least one host:port where machines.source is etcd");
+        }
+        if (etcdPrefix.isEmpty() || etcdPrefix.endsWith("/")) {
+            r.error("etcd.prefix", "'" + etcdPrefix + "'", "a path without a slash at its end");
+        }
         if (retryLeast.compareTo(retryMost) > 0) {
             r.error("machines.retry_least", retryLeast.toMillis() + "ms", "at most machines.retry_most");
         }
--- a/src/main/java/fordridge/settings/Reader.java
+++ b/src/main/java/fordridge/settings/Reader.java
@@ -178,6 +178,10 @@
         return some;
     }
 
+    public List<String> texts(String key) {
+        return take(key, List.of(), "a list of texts", () -> from.getStringList(key));
+    }
+
     public void knows(String key) {
         known.add(key);
     }
--- a/src/test/java/fordridge/link/LinkTest.java
+++ b/src/test/java/fordridge/link/LinkTest.java
@@ -137,7 +137,7 @@
         }
 
         @Override
-        public void note(String text) {
+        public void note(Machine m, String text) {
         }
     }
 
