--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -92,6 +92,7 @@
     public void start(long seed, Map<String, Object> terms) {
         me.chance = new Chance(seed);
         me.terms = new Terms(terms);
+        me.placers = me.terms.num("nInstances", 1);
         settle = me.terms.micros("extra.settleUs", 3e6);
         // Until notes tell, use is what lets a machine bear all it accepts: a high guess opens too many.
         coresRatio = new Mean(1 / me.terms.num("extra.admitCores", 1));
@@ -280,6 +281,12 @@
         lookAgain();
     }
 
+    /** So many placers share the cluster from now on. */
+    public void shared(int among) {
+        me.placers = among;
+        lookAgain();
+    }
+
     /** Nothing more is placed: what is held is answered at once, what is out when its claim ends. */
     public void stops() {
         me.stopping = true;
@@ -452,7 +459,7 @@
 
     /** Cores that others have bound since what the list shows, if all asked for is renewed each life. */
     private double unseen(Flavour f) {
-        double n = me.terms.num("nInstances", 1);
+        double n = me.placers;
         Duration age = since(me.heardListAt).plus(times(settle, 1.0 / 3));
         return askedCores / f.life * (n - 1) / n * seconds(age);
     }
@@ -769,7 +776,7 @@
         double age = since(m.startedAt).toNanos() / (me.terms.num("obligations.warmAfterUs", 2e7) * 1000);
         double from = me.terms.num("obligations.coldFrom", 0.2);
         double pace = Math.max(0.5, from + (1 - from) * age);
-        double part = pace * me.terms.num("extra.coldBears", 1) / me.terms.num("nInstances", 1);
+        double part = pace * me.terms.num("extra.coldBears", 1) / me.placers;
         if (part >= 1) {
             return m.coldOffers.size() < (int) part;
         }
--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -23,7 +23,7 @@
 
 /** The command line: exit code 0 for done, 1 for what went wrong in the doing, 2 for words that make no command. */
 @Command(name = "fordridge", description = "Places VMs on a cluster's machines.", mixinStandardHelpOptions = true,
-        versionProvider = Cli.Version.class, subcommands = {Cli.Place.class, Cli.Rig.class, Cli.DrillCommand.class,
+        versionProvider = Cli.Version.class, subcommands = {Cli.Place.class, Cli.Rig.class, CtlCommand.class, Cli.DrillCommand.class,
             Cli.CheckConfig.class, Cli.ShowVersion.class, AutoComplete.GenerateCompletion.class})
 public final class Cli implements Callable<Integer> {
     @CommandLine.Spec
@@ -142,7 +142,7 @@
     }
 
     @Command(name = "rig", description = "Stand-ins, scripted days and their judging.", mixinStandardHelpOptions = true,
-            subcommands = {RigDay.class, RigClimb.class, RigCheck.class})
+            subcommands = {RigDay.class, RigClimb.class, RigCheck.class, RigWatch.class})
     static final class Rig implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -225,6 +225,22 @@
         }
     }
 
+    @Command(name = "watch", description = "Measures what following a stand-in for etcd costs.",
+            mixinStandardHelpOptions = true)
+    static final class RigWatch implements Callable<Integer> {
+        @Option(names = "--machines", split = ",", paramLabel = "N,...", description = "Sizes.")
+        private int[] machines = {100, 1000, 10000};
+        @Option(names = "--lists", description = "Followers (default: ${DEFAULT-VALUE}).")
+        private int lists = 4;
+
+        @Override
+        public Integer call() throws Exception {
+            Logging.start("plain", "error");
+            fordridge.rig.WatchBench.run(machines, lists, System.out);
+            return 0;
+        }
+    }
+
     @Command(name = "drill", description = "Decides on the simulator's wire, standard input to standard output.",
             mixinStandardHelpOptions = true)
     static final class DrillCommand implements Callable<Integer> {
--- a/src/main/java/fordridge/etcd/EtcdList.java
+++ b/src/main/java/fordridge/etcd/EtcdList.java
@@ -40,8 +40,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -66,11 +66,11 @@
     private final List<Consumer<Update>> takers = new CopyOnWriteArrayList<>();
     private final CompletableFuture<Void> first = new CompletableFuture<>();
     private final Map<String, Entry> entries = new LinkedHashMap<>();
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(r -> {
+    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1, r -> {
         Thread t = new Thread(r, "etcd");
         t.setDaemon(true);
         return t;
-    });
+    }, new ThreadPoolExecutor.DiscardPolicy());
     private ManagedChannel channel;
     private ClientCallStreamObserver<WatchRequest> watch;
     private StreamObserver<LeaseKeepAliveRequest> keepAlive;
@@ -113,6 +113,9 @@
     }
 
     private void on(int mine, Runnable what) {
+        if (thread.isShutdown()) {
+            return;
+        }
         thread.execute(() -> {
             if (mine == attempt && !thread.isShutdown()) {
                 try {
@@ -131,7 +134,7 @@
         int mine = ++attempt;
         String[] at = d.etcdEndpoints.get(endpoints.current()).split(":");
         channel = NettyChannelBuilder.forAddress(new InetSocketAddress(at[0], Integer.parseInt(at[1])))
-                .usePlaintext().disableRetry().maxInboundMessageSize(64 << 20)
+                .usePlaintext().disableRetry().userAgent("fordridge/" + self).maxInboundMessageSize(64 << 20)
                 .keepAliveTime(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS)
                 .keepAliveTimeout(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS).build();
         if (believed.revision() > 0 && believed.footing() == Believed.Footing.OLD) {
@@ -375,11 +378,8 @@
     }
 
     private void put() {
-        for (int i = 0; i < d.count; i++) {
-            String name = d.count == 1 ? self : self + "-" + (d.position + i);
-            kv().put(PutRequest.newBuilder().setKey(bytes(keys.placer(name))).setValue(bytes("{\"v\":2}"))
-                    .setLease(lease).build(), new One<>(p -> registering = false, why -> registering = false));
-        }
+        kv().put(PutRequest.newBuilder().setKey(bytes(keys.placer(self))).setValue(bytes("{\"v\":2}"))
+                .setLease(lease).build(), new One<>(p -> registering = false, why -> registering = false));
     }
 
     private void keepLease() {
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -143,6 +143,7 @@
     /** Machines that were asked once what they hold of this placer. */
     private final Set<Machine> called = new HashSet<>();
     private CompletableFuture<Void> stopped;
+    private int shared;
 
     Instance(Deployment d, int position, String name, long seed, EventLoop loop, Meters meters) {
         this.d = d;
@@ -227,6 +228,16 @@
         loop.execute(() -> enter(() -> listed(list)));
     }
 
+    /** How many placers share the cluster, where the list's source counts them. */
+    void shared(int among) {
+        loop.execute(() -> {
+            if (among > 0 && among != shared) {
+                shared = among;
+                enter(() -> feed.logic.shared(among));
+            }
+        });
+    }
+
     private void listed(MachineList.Update list) {
         List<Feed.Line<String>> lines = new ArrayList<>(list.entries().size());
         Map<Machine, Machine.Listing> told = new HashMap<>();
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -33,7 +33,7 @@
 
     private final Deployment d;
     private final EventLoopGroup loops;
-    private final MachineList list;
+    private final List<MachineList> lists = new ArrayList<>();
     private final Meters meters = new Meters();
     private final List<Instance> instances = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
@@ -42,18 +42,27 @@
     /** Starts all; what cannot be had (a port, the list) is said in one line and nothing is left running. */
     public PlacerProgram(Deployment d) throws IOException, Deployment.Refused {
         this.d = d;
-        list = d.source.equals("etcd") ? new EtcdList(d, d.name, System.nanoTime()) : new ListFile(d.listFile(), d);
         int threads = Math.min(d.count, Runtime.getRuntime().availableProcessors());
         loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
         MetricsPort port = null;
         long seed;
         try {
+            boolean etcd = d.source.equals("etcd");
+            if (!etcd) {
+                // One follower of the file serves all: reading it decides nothing.
+                lists.add(new ListFile(d.listFile(), d));
+            }
             seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
             for (int i = 0; i < d.count; i++) {
                 String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
                 Instance it = new Instance(d, d.position + i, name, seed + i, loops.next(), meters);
                 instances.add(it);
+                if (etcd) {
+                    lists.add(new EtcdList(d, name, seed + i));
+                }
+                MachineList list = lists.get(lists.size() - 1);
                 list.follow(it::list);
+                it.loop.scheduleAtFixedRate(() -> it.shared(list.placers()), 200, 200, TimeUnit.MILLISECONDS);
                 servers.add(serve(it, d.port == 0 ? 0 : d.port + i));
             }
             for (int i = 0; i < Math.min(threads, instances.size()); i++) {
@@ -64,13 +73,13 @@
             if (d.metricsPort >= 0) {
                 port = new MetricsPort(d.metricsPort, meters, loops);
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Deployment.Refused e) {
             close();
             throw e;
         }
         metrics = port;
         LOG.atInfo().addKeyValue("seed", seed).addKeyValue("instances", d.count)
-                .addKeyValue("machines", list.latest().entries().size()).addKeyValue("port", port(0))
+                .addKeyValue("machines", lists.get(0).latest().entries().size()).addKeyValue("port", port(0))
                 .addKeyValue("metrics", metrics == null ? "none" : metrics.port()).log("placing");
     }
 
@@ -112,7 +121,7 @@
 
     /** Version of the list in force: rises with each change that could be read. */
     public long listVersion() {
-        return list.latest().version();
+        return lists.get(0).latest().version();
     }
 
     public int inHand() {
@@ -152,7 +161,7 @@
         if (loops.isShuttingDown()) {
             return;
         }
-        list.close();
+        lists.forEach(MachineList::close);
         servers.forEach(Server::shutdownNow);
         instances.forEach(i -> i.loop.execute(i::close));
         if (metrics != null) {
--- a/src/main/java/fordridge/rig/Checker.java
+++ b/src/main/java/fordridge/rig/Checker.java
@@ -216,6 +216,16 @@
             }
             case "listed" -> place(str(m, "machine")).closedAt = str(m, "state").equals("live") ? -1
                     : place(str(m, "machine")).closedAt >= 0 ? place(str(m, "machine")).closedAt : t;
+            case "told-all" -> told.put(str(m, "placer"), new HashMap<>());
+            case "told" -> {
+                Map<String, Long> its = told.computeIfAbsent(str(m, "placer"), k -> new HashMap<>());
+                String key = str(m, "of") + " " + str(m, "machine");
+                if (m.get("closed") == Boolean.TRUE) {
+                    its.putIfAbsent(key, t);
+                } else {
+                    its.remove(key);
+                }
+            }
             case "born" -> born(place(at), m, t);
             case "fell" -> broke(4, at + " was pushed over while cold");
             case "offer" -> offer(m, at, t);
@@ -438,7 +448,22 @@
 
     // ---- Rules 3, 4 and 5 ------------------------------------------------------------------------------
 
+    /** Where each placer is told by itself: since when it knows of drains and of machines that are gone. */
+    private final Map<String, Map<String, Long>> told = new HashMap<>();
+
     private void drained(Place p, String at, Try x, long t) {
+        Map<String, Long> its = told.get(x.placer);
+        if (its != null) {
+            long drain = its.getOrDefault("drain " + at, Long.MAX_VALUE);
+            long since = Math.min(drain, its.getOrDefault("machine " + at, Long.MAX_VALUE));
+            if (since != Long.MAX_VALUE) {
+                most("latest offer after a placer was sent a drain, us", t - since);
+                if (t - since > graceUs) {
+                    broke(3, x.placer + " offered to " + at + " " + (t - since) / 1000 + " ms after it was told");
+                }
+            }
+            return;
+        }
         if (p.closedAt >= 0) {
             long late = t - p.closedAt;
             most("latest offer after a drain was published, us", late);
--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/rig/Day.java
@@ -60,18 +60,27 @@
         });
         Placers placers = null;
         Registry registry = null;
+        StandInEtcd etcd = null;
         Tap tap = new Tap(tapFile);
         try (tap) {
             Checker.header(tap, plan);
             fleet(machineLoops, tap);
-            registry = new Registry(new File(folder, "machines.conf"), tap, plan.registryLate.toNanos() / 1000);
+            if (plan.registryEtcd) {
+                etcd = new StandInEtcd(0, 200);
+                etcd.tap(new Told(tap, plan.deployment.etcdPrefix));
+                plan.deploymentText = plan.deploymentText.withValue("machines.source",
+                        ConfigValueFactory.fromAnyRef("etcd")).withValue("etcd.endpoints",
+                        ConfigValueFactory.fromIterable(List.of("127.0.0.1:" + etcd.port())));
+            }
+            registry = new Registry(new File(folder, "machines.conf"), etcd, plan.deployment.etcdPrefix, tap,
+                    plan.registryLate.toNanos() / 1000);
             for (StandInMachine m : machines) {
                 registry.set(m, "live", null);
             }
             registry.start(plan.registryEvery.toMillis());
             placers = plan.ownProcess ? new ChildPlacers() : new InProcess();
             owners(placers, ownerLoops, tap);
-            new Faults(plan, new ArrayList<>(machines), spares, owners, registry, clock, tap).schedule();
+            new Faults(plan, new ArrayList<>(machines), spares, owners, registry, clock, tap, etcd).schedule();
             double cpuBefore = placers.cpuSeconds();
             long begun = System.nanoTime();
             long until = tap.now() + plan.length.toNanos() / 1000;
@@ -97,6 +106,9 @@
             if (registry != null) {
                 registry.close();
             }
+            if (etcd != null) {
+                etcd.close();
+            }
             clock.shutdownNow();
             machineLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             ownerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -202,6 +214,24 @@
         }
     }
 
+    /** Taps which placer was sent which news of the store. */
+    private record Told(Tap tap, String prefix) implements StandInEtcd.Sent {
+        @Override
+        public void snapshot(String who) {
+            tap.line("etcd", "told-all", "placer", who);
+        }
+
+        @Override
+        public void record(String who, String key, boolean deleted) {
+            String name = key.substring(key.lastIndexOf('/') + 1);
+            if (key.startsWith(prefix + "/drains/")) {
+                tap.line("etcd", "told", "placer", who, "machine", name, "of", "drain", "closed", !deleted);
+            } else if (key.startsWith(prefix + "/machines/")) {
+                tap.line("etcd", "told", "placer", who, "machine", name, "of", "machine", "closed", deleted);
+            }
+        }
+    }
+
     // ---- Placers ---------------------------------------------------------------------------------------
 
     private interface Placers {
--- a/src/main/java/fordridge/rig/DayPlan.java
+++ b/src/main/java/fordridge/rig/DayPlan.java
@@ -23,7 +23,8 @@
     static final List<String> KINDS = List.of("slow", "vanish", "hang", "crash", "fast_errors", "pauses", "neighbour",
             "answer_lost", "throttle", "drain", "deploy", "mass_restart", "preempt", "zone_loss", "grow", "burst",
             "hot_key", "flush", "reconnect", "cut_clients", "cut_machines", "cut_offers", "cut_before_answer",
-            "cut_after_answer", "mute");
+            "cut_after_answer", "mute", "etcd_compact",
+            "etcd_silence", "etcd_cut", "etcd_delay", "etcd_restore", "etcd_leases");
 
     private static final Duration LONG = Duration.ofHours(2);
 
@@ -58,6 +59,7 @@
     int tries;
     Map<String, Double> flavourShares = new LinkedHashMap<>();
     List<Shape> shapes = new ArrayList<>();
+    boolean registryEtcd;
     Duration registryEvery;
     Duration registryLate;
     final List<Fault> faults = new ArrayList<>();
@@ -116,6 +118,7 @@
         life = range(r, "owners.life_s", 0.1, 100_000);
         again = range(r, "owners.again_ms", 1, 1_000_000);
         tries = r.whole("owners.tries", 1, 1000);
+        registryEtcd = r.word("registry.in", "file", "etcd").equals("etcd");
         registryEvery = r.span("registry.every", ms, LONG);
         registryLate = r.span("registry.late", Duration.ZERO, LONG);
         for (Deployment.Flavour f : deployment.flavours.values()) {
--- a/src/main/java/fordridge/rig/Faults.java
+++ b/src/main/java/fordridge/rig/Faults.java
@@ -18,9 +18,11 @@
     private final Registry registry;
     private final ScheduledExecutorService clock;
     private final Tap tap;
+    private final StandInEtcd etcd;
 
     Faults(DayPlan plan, List<StandInMachine> machines, List<StandInMachine> spares, List<StandInOwner> owners,
-            Registry registry, ScheduledExecutorService clock, Tap tap) {
+            Registry registry, ScheduledExecutorService clock, Tap tap, StandInEtcd etcd) {
+        this.etcd = etcd;
         this.plan = plan;
         this.machines = machines;
         this.spares = spares;
@@ -118,6 +120,24 @@
                     (int) Math.max(1, f.size())), m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
             case "cut_after_answer" -> during(f, draw, m -> m.cutAt(StandInMachine.CutAt.AFTER_ANSWER, f.of(),
                     (int) Math.max(1, f.size())), m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
+            case "etcd_compact" -> etcd.compactNow();
+            case "etcd_cut" -> {
+                etcd.leaderless(true);
+                at(f.lasts(), () -> {
+                    etcd.compactNow();
+                    etcd.leaderless(false);
+                });
+            }
+            case "etcd_silence" -> {
+                etcd.silence(true);
+                at(f.lasts(), () -> etcd.silence(false));
+            }
+            case "etcd_delay" -> {
+                etcd.delay((long) f.size());
+                at(f.lasts(), () -> etcd.delay(0));
+            }
+            case "etcd_restore" -> etcd.restore(Math.max(2, etcd.revision() - 50), false);
+            case "etcd_leases" -> etcd.revokeAll();
             default -> throw new IllegalStateException("no such fault: " + f.kind());
         }
     }
--- a/src/main/java/fordridge/rig/Registry.java
+++ b/src/main/java/fordridge/rig/Registry.java
@@ -14,7 +14,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** A stand-in for the registry of machines: writes the list file now and then, late, by renaming over it. */
+/**
+ * A stand-in for the registry of machines: writes what it knows now and then, late, to the list file by renaming over
+ * it, or to a stand-in for etcd key by key.
+ */
 final class Registry implements AutoCloseable {
     /** What it knows of a machine; replaced whole. */
     record Known(StandInMachine machine, String state, Instant started, double freeCores, double freeMemory) { }
@@ -22,6 +25,9 @@
     private record Shot(long at, Map<String, Known> known) { }
 
     private final File file;
+    private final StandInEtcd etcd;
+    private final String prefix;
+    private final Map<String, String> written = new LinkedHashMap<>();
     private final Tap tap;
     private final long lateUs;
     private final Map<String, Known> known = new LinkedHashMap<>();
@@ -33,8 +39,11 @@
         return t;
     });
 
-    Registry(File file, Tap tap, long lateUs) {
+    /** With {@code etcd} the file is not written. */
+    Registry(File file, StandInEtcd etcd, String prefix, Tap tap, long lateUs) {
         this.file = file;
+        this.etcd = etcd;
+        this.prefix = prefix;
         this.tap = tap;
         this.lateUs = lateUs;
     }
@@ -83,6 +92,10 @@
     }
 
     private void write(Map<String, Known> list) throws IOException {
+        if (etcd != null) {
+            put(list);
+            return;
+        }
         StringBuilder text = new StringBuilder("version = 1\nmachines = [\n");
         list.forEach((name, k) -> {
             if (!k.state.equals("unlisted")) {
@@ -101,6 +114,32 @@
         tell(list, false);
     }
 
+    /** Changed records only, in one change; a draining machine keeps its record beside its drain. */
+    private void put(Map<String, Known> list) {
+        Map<String, String> changes = new LinkedHashMap<>();
+        list.forEach((name, k) -> {
+            boolean there = k.state.equals("live") || k.state.equals("draining");
+            change(changes, prefix + "/machines/" + name, !there ? null : String.format(Locale.ROOT,
+                    "{\"v\":2,\"address\":\"127.0.0.1:%d\",\"kind\":\"%s\",\"zone\":\"%s\",\"cell\":%d,\"cores\":%.1f,"
+                    + "\"memory\":%.1f,\"free_cores\":%.1f,\"free_memory\":%.1f%s}", k.machine.port(),
+                    k.machine.make.kind(), k.machine.make.zone(), k.machine.make.cell(), k.machine.make.cores(),
+                    k.machine.make.memory(), k.freeCores, k.freeMemory,
+                    k.started == null ? "" : ",\"started\":\"" + k.started + "\""));
+            change(changes, prefix + "/drains/" + name, k.state.equals("draining") ? "{\"v\":2}" : null);
+        });
+        tell(list, true);
+        if (!changes.isEmpty()) {
+            etcd.putAll(changes);
+        }
+        tell(list, false);
+    }
+
+    private void change(Map<String, String> changes, String key, String value) {
+        if (!java.util.Objects.equals(written.put(key, value), value)) {
+            changes.put(key, value);
+        }
+    }
+
     private void tell(Map<String, Known> list, boolean live) {
         list.forEach((name, k) -> {
             if (k.state.equals("live") != live) {
--- a/src/main/java/fordridge/rig/StandInEtcd.java
+++ b/src/main/java/fordridge/rig/StandInEtcd.java
@@ -30,7 +30,13 @@
 import fordridge.etcd.api.WatchGrpc;
 import fordridge.etcd.api.WatchRequest;
 import fordridge.etcd.api.WatchResponse;
+import io.grpc.Context;
+import io.grpc.Contexts;
+import io.grpc.Metadata;
 import io.grpc.Server;
+import io.grpc.ServerCall;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptor;
 import io.grpc.Status;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.ServerCallStreamObserver;
@@ -64,6 +70,31 @@
         }
     }
 
+    /** Hears what is sent to whom; the name is the client's user agent up to its first space. */
+    interface Sent {
+        void snapshot(String who);
+
+        void record(String who, String key, boolean deleted);
+    }
+
+    private static final Context.Key<String> WHO = Context.key("who");
+
+    private static final class Naming implements ServerInterceptor {
+        @Override
+        public <A, B> ServerCall.Listener<A> interceptCall(ServerCall<A, B> call, Metadata headers,
+                ServerCallHandler<A, B> next) {
+            String agent = headers.get(Metadata.Key.of("user-agent", Metadata.ASCII_STRING_MARSHALLER));
+            String who = agent == null ? "" : agent.split(" ")[0].replace("fordridge/", "");
+            return Contexts.interceptCall(Context.current().withValue(WHO, who), call, headers, next);
+        }
+    }
+
+    private Sent sent;
+
+    synchronized void tap(Sent to) {
+        sent = to;
+    }
+
     /** One watch on one stream. */
     private final class Watcher {
         final Streamer stream;
@@ -129,7 +160,8 @@
 
     public StandInEtcd(int port, long progressEveryMs) throws IOException {
         this.progressEveryMs = progressEveryMs;
-        server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", port)).addService(new Kv())
+        server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", port)).intercept(new Naming())
+                .addService(new Kv())
                 .addService(new Watching()).addService(new Leasing()).maxInboundMessageSize(16 << 20)
                 .permitKeepAliveTime(50, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true).build().start();
         clock.scheduleWithFixedDelay(this::expire, 20, 20, TimeUnit.MILLISECONDS);
@@ -335,10 +367,21 @@
                 ranges++;
                 wait = slowRangeMs;
             }
+            String who = WHO.get();
+            Answering<RangeResponse> ranging = () -> {
+                RangeResponse b = ranged(r);
+                if (sent != null) {
+                    if (r.getRevision() == 0) {
+                        sent.snapshot(who);
+                    }
+                    b.getKvsList().forEach(k -> sent.record(who, k.getKey().toStringUtf8(), false));
+                }
+                return b;
+            };
             if (wait > 0) {
-                clock.schedule(() -> answer(to, () -> ranged(r)), wait, TimeUnit.MILLISECONDS);
+                clock.schedule(() -> answer(to, ranging), wait, TimeUnit.MILLISECONDS);
             } else {
-                answer(to, () -> ranged(r));
+                answer(to, ranging);
             }
         }
 
@@ -464,6 +507,7 @@
         private final ServerCallStreamObserver<WatchResponse> to;
         private final Map<Long, Watcher> watchers = new java.util.TreeMap<>();
         private final Deque<WatchResponse> delayed = new ArrayDeque<>();
+        private final String who = WHO.get();
         private long lastId;
         private boolean over;
         private int parts;
@@ -564,13 +608,21 @@
                     synchronized (StandInEtcd.this) {
                         WatchResponse first = delayed.pollFirst();
                         if (first != null && !over) {
-                            to.onNext(first);
+                            go(first);
                         }
                     }
                 }, Math.max(1, delayMs), TimeUnit.MILLISECONDS);
             } else {
-                to.onNext(r);
+                go(r);
+            }
+        }
+
+        private void go(WatchResponse r) {
+            if (sent != null) {
+                r.getEventsList().forEach(e -> sent.record(who, e.getKv().getKey().toStringUtf8(),
+                        e.getType() == Event.EventType.DELETE));
             }
+            to.onNext(r);
         }
 
         void end(Status why) {
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -14,6 +14,8 @@
     public Chance chance = new Chance(0);
     /** What was read at start. */
     public Terms terms = new Terms(Map.of());
+    /** How many placers share the cluster, this one among them. */
+    public double placers = 1;
     /** Machines in the order in which the list first named them. */
     public final List<Machine> machines = new ArrayList<>();
     /** VMs taken and neither placed, out on a claim, nor answered. */
