etcd: token, refused auth, slow takers and an empty prefix brought about in tests

Need: bad input and falling behind are told plainly. Change: etcd.token as a header, a warning for an empty prefix; tests for a wrong token, a taker slower than the changes (latest state wins, every drain arrives), a wrong prefix.

--- a/src/main/java/fordridge/etcd/EtcdList.java
+++ b/src/main/java/fordridge/etcd/EtcdList.java
@@ -23,11 +23,14 @@
 import fordridge.membership.Keys;
 import fordridge.settings.Deployment;
 import fordridge.state.Chance;
+import io.grpc.ClientInterceptor;
 import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
 import io.grpc.Status;
 import io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
+import io.grpc.stub.MetadataUtils;
 import io.grpc.stub.StreamObserver;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -134,7 +137,7 @@
         int mine = ++attempt;
         String[] at = d.etcdEndpoints.get(endpoints.current()).split(":");
         channel = NettyChannelBuilder.forAddress(new InetSocketAddress(at[0], Integer.parseInt(at[1])))
-                .usePlaintext().disableRetry().userAgent("fordridge/" + self).maxInboundMessageSize(64 << 20)
+                .usePlaintext().disableRetry().userAgent("fordridge/" + self).intercept(token(d.etcdToken)).maxInboundMessageSize(64 << 20)
                 .keepAliveTime(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS)
                 .keepAliveTimeout(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS).build();
         if (believed.revision() > 0 && believed.footing() == Believed.Footing.OLD) {
@@ -147,6 +150,14 @@
         }
     }
 
+    /** The store's own header for a token; without one nothing is added. */
+    private static ClientInterceptor[] token(String token) {
+        Metadata header = new Metadata();
+        header.put(Metadata.Key.of("token", Metadata.ASCII_STRING_MARSHALLER), token);
+        return token.isEmpty() ? new ClientInterceptor[0]
+                : new ClientInterceptor[] {MetadataUtils.newAttachHeadersInterceptor(header)};
+    }
+
     private void failed(String why) {
         if (thread.isShutdown()) {
             return;
@@ -237,6 +248,9 @@
             believed.snapshotEnds(now());
             endpoints.worked();
             tell(true);
+            if (entries.isEmpty()) {
+                LOG.warn("etcd: no machine stands under {}; every VM is held till one does", keys.all());
+            }
             first.complete(null);
             watchFrom(at + 1);
         }
--- a/src/main/java/fordridge/rig/StandInEtcd.java
+++ b/src/main/java/fordridge/rig/StandInEtcd.java
@@ -79,10 +79,15 @@
 
     private static final Context.Key<String> WHO = Context.key("who");
 
-    private static final class Naming implements ServerInterceptor {
+    private final class Naming implements ServerInterceptor {
         @Override
         public <A, B> ServerCall.Listener<A> interceptCall(ServerCall<A, B> call, Metadata headers,
                 ServerCallHandler<A, B> next) {
+            String given = headers.get(Metadata.Key.of("token", Metadata.ASCII_STRING_MARSHALLER));
+            if (token != null && !token.equals(given)) {
+                call.close(Status.UNAUTHENTICATED.withDescription("etcdserver: invalid auth token"), new Metadata());
+                return new ServerCall.Listener<>() { };
+            }
             String agent = headers.get(Metadata.Key.of("user-agent", Metadata.ASCII_STRING_MARSHALLER));
             String who = agent == null ? "" : agent.split(" ")[0].replace("fordridge/", "");
             return Contexts.interceptCall(Context.current().withValue(WHO, who), call, headers, next);
@@ -90,6 +95,12 @@
     }
 
     private Sent sent;
+    private volatile String token;
+
+    /** Calls without this token are refused. */
+    public void requireToken(String wanted) {
+        token = wanted;
+    }
 
     synchronized void tap(Sent to) {
         sent = to;
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -59,6 +59,7 @@
     public String source;
     public List<String> etcdEndpoints;
     public String etcdPrefix;
+    public String etcdToken;
     public Duration etcdLease;
     public Duration etcdSilence;
     public Duration etcdCall;
@@ -157,6 +158,7 @@
         source = r.word("machines.source", "file", "etcd");
         etcdEndpoints = r.texts("etcd.endpoints");
         etcdPrefix = r.text("etcd.prefix", 200);
+        etcdToken = r.text("etcd.token", 4096);
         etcdLease = r.span("etcd.lease", Duration.ofSeconds(1), LONG);
         etcdSilence = r.span("etcd.silence", Duration.ofMillis(50), LONG);
         etcdCall = r.span("etcd.call", Duration.ofMillis(10), LONG);
--- a/src/test/java/fordridge/etcd/EtcdListTest.java
+++ b/src/test/java/fordridge/etcd/EtcdListTest.java
@@ -259,6 +259,57 @@
         }
     }
 
+    /** A taker slower than the changes: the latest state wins, and no drain is dropped on the way. */
+    @Example
+    void fallingBehindEndsAtTheLatestStateWithEveryDrain() throws Exception {
+        try (StandInEtcd etcd = new StandInEtcd()) {
+            fill(etcd, 50);
+            try (EtcdList l = open(etcd, "etcd.silence = 10s")) {
+                List<String> drained = new CopyOnWriteArrayList<>();
+                l.follow(u -> {
+                    u.entries().stream().filter(e -> e.listing() == Listing.DRAINING).forEach(e -> drained.add(e.name()));
+                    java.util.concurrent.locks.LockSupport.parkNanos(3_000_000);
+                });
+                for (int i = 0; i < 600; i++) {
+                    fill(etcd, 50);
+                    if (i % 100 == 50) {
+                        etcd.put("/c/drains/m0000" + i / 100, "{}");
+                    }
+                }
+                etcd.put("/c/machines/m00049", machine(7, 3));
+                until(() -> entry(l, "m00049").address().getPort() == 7);
+                assertThat(drained).contains("m00000", "m00001", "m00002", "m00003", "m00004", "m00005");
+                assertThat(l.resyncs()).isEqualTo(1);
+            }
+        }
+    }
+
+    @Example
+    void aRefusedTokenIsSaidAtStartAndAGoodOneServes() throws Exception {
+        try (StandInEtcd etcd = new StandInEtcd()) {
+            fill(etcd, 1);
+            etcd.requireToken("secret");
+            assertThatThrownBy(() -> open(etcd, "etcd { start_within = 300ms, token = wrong }"))
+                    .isInstanceOf(IOException.class).hasMessageContaining("UNAUTHENTICATED")
+                    .hasMessageContaining("invalid auth token");
+            try (EtcdList l = open(etcd, "etcd.token = secret")) {
+                assertThat(l.latest().entries().size()).isEqualTo(1);
+            }
+        }
+    }
+
+    @Example
+    void aWrongPrefixIsAnEmptyListThatFillsOnceMachinesCome() throws Exception {
+        try (StandInEtcd etcd = new StandInEtcd()) {
+            etcd.put("/elsewhere/machines/a", machine(1, 1));
+            try (EtcdList l = open(etcd, "")) {
+                assertThat(l.latest().entries()).isEmpty();
+                etcd.put("/c/machines/a", machine(1, 1));
+                until(() -> entry(l, "a") != null);
+            }
+        }
+    }
+
     @Example
     void whatCannotBeReachedIsSaidAtStart() throws Exception {
         StandInEtcd etcd = new StandInEtcd();
