--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -352,8 +352,9 @@
         // Where a claim may have run, earlier machines bind the choice too: such a VM speaks for itself only.
         Object own = f.effect != Effect.REBUILDABLE && mayHaveRun(vm) != null ? vm
                 : last == null ? null : last.machine;
-        me.held.add(vm, f.rank, List.of(vm.kin(), vm.cores, vm.memory,
-                f.spread.equals("off") ? 0L : vm.service, Optional.ofNullable(own)), hopelessAt(vm));
+        long service = f.spread.equals("off") && !door.ruled(vm) ? 0L : vm.service;
+        me.held.add(vm, f.rank, List.of(vm.kin(), vm.cores, vm.memory, service, Optional.ofNullable(own)),
+                hopelessAt(vm));
     }
 
     /**
@@ -377,7 +378,7 @@
     private boolean placeOrTell(Vm vm) {
         boolean placed = place(vm);
         boolean plain = vm.claims.isEmpty() && flavour(vm).spread.equals("off")
-                && !me.refusedAt.containsKey(vm.kin());
+                && !me.refusedAt.containsKey(vm.kin()) && !door.ruled(vm);
         if (!placed && (plain || noRoomFor(vm))) {
             me.without.add(vm);
         }
@@ -429,6 +430,9 @@
             room = withRoom(vm, narrow(can, this::inUse));
         }
         room = room.isEmpty() ? withRoom(vm, can) : room;
+        // Customers' preferences among what has room; all alike where there are none.
+        double least = room.stream().mapToDouble(m -> door.unfit(vm, m)).min().orElse(0);
+        room = narrow(room, m -> door.unfit(vm, m) <= least);
         room = shared(vm, narrow(room, m -> load(m) <= THRESHOLD), room);
         if (flavour(vm).kind == null) {
             // Kinds that some flavour cannot do without are spared, but not till the others are fuller.
@@ -504,7 +508,8 @@
 
     private boolean eligible(Vm vm, Machine m) {
         return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
-                && open(vm, m) && allowedAgain(vm, flavour(vm), m) && spreadKept(vm, flavour(vm), m);
+                && open(vm, m) && allowedAgain(vm, flavour(vm), m) && spreadKept(vm, flavour(vm), m)
+                && door.unfit(vm, m) < Double.POSITIVE_INFINITY;
     }
 
     /** Open to such VMs, whoever owns them, whatever became of their claims, wherever their service runs. */
--- /dev/null
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -0,0 +1,483 @@
+package fordridge.constraint;
+
+import fordridge.constraint.Rule.Domain;
+import fordridge.constraint.Rule.Scope;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * A set of rules against one placer's VMs and the machines it knows: which machines a VM may go to, kept as bitmaps and
+ * counters that change as VMs come and go, so that the cost of a placing does not grow with what runs. Free of I/O.
+ *
+ * <p>It counts a VM in its place from the instant its claim is sent until it is known not to be there; so a claim that
+ * may still run keeps its place. What it counts are this placer's VMs: a bound that is meant over all placers is held by
+ * each keeping to its share of it.
+ */
+public final class Book {
+    /** A machine's labels. */
+    public record Spot(String name, String kind, String zone, int cell) { }
+
+    /** Why a VM may not go to a machine, in the customer's words. */
+    public record Reason(Rule rule, String what) { }
+
+    /** A set that promises what no placer can keep. */
+    public static final class Unkeepable extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unkeepable(String what) {
+            super(what);
+        }
+    }
+
+    /** VMs of a scope (and of one service, where each service counts by itself) by domain. */
+    private final class Counter {
+        final Domain per;
+        final Map<String, Integer> at = new HashMap<>();
+        /** Machines of domains that hold any. */
+        final RoaringBitmap occupied = new RoaringBitmap();
+        int total;
+
+        Counter(Domain per) {
+            this.per = per;
+        }
+
+        int count(String domain) {
+            return at.getOrDefault(domain, 0);
+        }
+
+        void add(String domain, int by) {
+            int n = at.merge(domain, by, Integer::sum);
+            total += by;
+            if (n == 0) {
+                at.remove(domain);
+                occupied.andNot(members(per, domain));
+            } else if (n == by) {
+                occupied.or(members(per, domain));
+            }
+        }
+    }
+
+    private record CounterKey(Scope scope, Domain per, long service) { }
+
+    private record Kin(String customer, String flavour, long service) { }
+
+    /** What of the rules touches VMs of one kin; found once. */
+    private static final class Matter {
+        final List<Rule> about = new ArrayList<>();
+        /** Rules of others that keep apart from these. */
+        final List<Rule> against = new ArrayList<>();
+        RoaringBitmap allowed;
+        long allowedAt = -1;
+    }
+
+    private final List<Rule> rules;
+    private final int placers;
+    private final Map<String, Integer> index = new LinkedHashMap<>();
+    private final List<Spot> spots = new ArrayList<>();
+    private final RoaringBitmap present = new RoaringBitmap();
+    private final Map<Domain, Map<String, RoaringBitmap>> members = new HashMap<>();
+    private final Map<Rule, RoaringBitmap> on = new HashMap<>();
+    private final Map<CounterKey, Counter> counters = new HashMap<>();
+    /** Counters that each kin's VMs are counted in. */
+    private final Map<Kin, List<Counter>> countedIn = new HashMap<>();
+    private final Map<Kin, Matter> matters = new HashMap<>();
+    private final Map<Object, Placed> placed = new LinkedHashMap<>();
+    private long version;
+
+    private record Placed(Kin kin, int spot) { }
+
+    /** Takes rules that {@code placers} placers each keep by themselves; refuses what they could not. */
+    public Book(List<Rule> rules, int placers) throws Unkeepable {
+        this.rules = List.copyOf(rules);
+        this.placers = placers;
+        for (Rule r : rules) {
+            if (r.clause() instanceof Rule.Most m && m.overall() && r.required() && m.most() < placers) {
+                throw new Unkeepable("rule '" + r.name() + "' (line " + r.line() + "): at most " + m.most() + " per "
+                        + m.per() + " over all placers cannot be shared among " + placers + " placers that do not talk; "
+                        + "allow at least " + placers + ", or say it of one placer's own VMs");
+            }
+        }
+    }
+
+    public List<Rule> rules() {
+        return rules;
+    }
+
+    // ---- Machines --------------------------------------------------------------------------------------
+
+    /** All machines that there are; VMs on those that left stay counted where they were until they are known gone. */
+    public void machines(Collection<Spot> all) {
+        present.clear();
+        for (Spot s : all) {
+            Integer i = index.get(s.name());
+            if (i == null) {
+                i = spots.size();
+                index.put(s.name(), i);
+                spots.add(s);
+            } else if (!spots.get(i).equals(s)) {
+                spots.set(i, s);
+            }
+            present.add(i);
+        }
+        members.clear();
+        on.clear();
+        for (int i = 0; i < spots.size(); i++) {
+            for (Domain d : Domain.values()) {
+                members.computeIfAbsent(d, x -> new HashMap<>()).computeIfAbsent(domain(i, d), x -> new RoaringBitmap())
+                        .add(i);
+            }
+        }
+        recount();
+    }
+
+    /** After labels changed: every VM is counted where its machine stands now. */
+    private void recount() {
+        counters.clear();
+        countedIn.clear();
+        matters.clear();
+        version++;
+        placed.values().forEach(p -> count(p, 1));
+    }
+
+    private String domain(int spot, Domain per) {
+        Spot s = spots.get(spot);
+        return switch (per) {
+            case MACHINE -> s.name();
+            case CELL -> s.zone() + "/" + s.cell();
+            case ZONE -> s.zone();
+        };
+    }
+
+    private RoaringBitmap members(Domain per, String domain) {
+        return members.getOrDefault(per, Map.of()).getOrDefault(domain, EMPTY);
+    }
+
+    private static final RoaringBitmap EMPTY = new RoaringBitmap();
+
+    // ---- VMs -------------------------------------------------------------------------------------------
+
+    /** A claim for a VM goes out to a machine; {@code id} is the claim's own. */
+    public void goes(Object id, String customer, String flavour, long service, String machine) {
+        Integer spot = index.get(machine);
+        if (spot == null || placed.containsKey(id)) {
+            return;
+        }
+        Placed p = new Placed(new Kin(customer, flavour, service), spot);
+        placed.put(id, p);
+        count(p, 1);
+        version++;
+    }
+
+    /** It is known not to be there any more. */
+    public void gone(Object id) {
+        Placed p = placed.remove(id);
+        if (p != null) {
+            count(p, -1);
+            version++;
+        }
+    }
+
+    public int size() {
+        return placed.size();
+    }
+
+    private void count(Placed p, int by) {
+        for (Counter c : countedIn.computeIfAbsent(p.kin, this::countersOf)) {
+            c.add(domain(p.spot, c.per), by);
+        }
+    }
+
+    private List<Counter> countersOf(Kin k) {
+        List<Counter> some = new ArrayList<>();
+        for (Rule r : rules) {
+            for (CounterKey key : keys(r, k.service)) {
+                if (key.scope.covers(k.customer, k.flavour, k.service)) {
+                    Counter c = counter(key);
+                    if (!some.contains(c)) {
+                        some.add(c);
+                    }
+                }
+            }
+        }
+        return some;
+    }
+
+    private Counter counter(CounterKey key) {
+        return counters.computeIfAbsent(key, k -> new Counter(k.per));
+    }
+
+    /** What a rule counts. */
+    private static List<CounterKey> keys(Rule r, long service) {
+        if (r.clause() instanceof Rule.Near n) {
+            return List.of(new CounterKey(n.other(), n.per(), 0));
+        }
+        if (r.clause() instanceof Rule.Apart a) {
+            return List.of(new CounterKey(a.other(), a.per(), 0), new CounterKey(r.scope(), a.per(), 0));
+        }
+        if (r.clause() instanceof Rule.Most m) {
+            return List.of(new CounterKey(r.scope(), m.per(), m.eachService() ? service : 0));
+        }
+        if (r.clause() instanceof Rule.Skew s) {
+            return List.of(new CounterKey(r.scope(), s.per(), s.eachService() ? service : 0));
+        }
+        return List.of();
+    }
+
+    // ---- Where a VM may go -----------------------------------------------------------------------------
+
+    /** Whether all required rules let it go there. */
+    public boolean allows(String customer, String flavour, long service, String machine) {
+        if (rules.isEmpty()) {
+            return true;
+        }
+        Integer spot = index.get(machine);
+        return spot != null && allowed(new Kin(customer, flavour, service)).contains(spot);
+    }
+
+    private RoaringBitmap allowed(Kin k) {
+        Matter m = matters.computeIfAbsent(k, this::matter);
+        if (m.allowedAt != version) {
+            RoaringBitmap a = present.clone();
+            for (Rule r : m.about) {
+                if (r.required()) {
+                    narrow(a, r, k);
+                }
+            }
+            for (Rule r : m.against) {
+                Rule.Apart apart = (Rule.Apart) r.clause();
+                a.andNot(counter(new CounterKey(r.scope(), apart.per(), 0)).occupied);
+            }
+            m.allowed = a;
+            m.allowedAt = version;
+        }
+        return m.allowed;
+    }
+
+    private Matter matter(Kin k) {
+        Matter m = new Matter();
+        for (Rule r : rules) {
+            if (r.scope().covers(k.customer, k.flavour, k.service)) {
+                m.about.add(r);
+            }
+            if (r.required() && r.clause() instanceof Rule.Apart a && a.other().covers(k.customer, k.flavour, k.service)) {
+                m.against.add(r);
+            }
+        }
+        return m;
+    }
+
+    /** Takes out of {@code a} what the rule keeps a VM of that kin from. */
+    private void narrow(RoaringBitmap a, Rule r, Kin k) {
+        if (r.clause() instanceof Rule.On o) {
+            a.and(on.computeIfAbsent(r, x -> where(o.where())));
+        } else if (r.clause() instanceof Rule.Near n) {
+            Counter c = counter(new CounterKey(n.other(), n.per(), 0));
+            if (c.total > 0) {
+                a.and(c.occupied);
+            }
+        } else if (r.clause() instanceof Rule.Apart ap) {
+            a.andNot(counter(new CounterKey(ap.other(), ap.per(), 0)).occupied);
+        } else if (r.clause() instanceof Rule.Most m) {
+            int most = m.overall() ? Math.max(1, m.most() / placers) : m.most();
+            Counter c = counter(new CounterKey(r.scope(), m.per(), m.eachService() ? k.service : 0));
+            c.at.forEach((domain, n) -> {
+                if (n >= most) {
+                    a.andNot(members(m.per(), domain));
+                }
+            });
+        } else if (r.clause() instanceof Rule.Skew s) {
+            Counter c = counter(new CounterKey(r.scope(), s.per(), s.eachService() ? k.service : 0));
+            int least = least(a, s.per(), c);
+            c.at.forEach((domain, n) -> {
+                if (n + 1 - least > s.skew()) {
+                    a.andNot(members(s.per(), domain));
+                }
+            });
+        }
+    }
+
+    /** The fewest in any domain that the VM could go to by the rules before this one. */
+    private int least(RoaringBitmap a, Domain per, Counter c) {
+        int least = Integer.MAX_VALUE;
+        for (Map.Entry<String, RoaringBitmap> e : members.getOrDefault(per, Map.of()).entrySet()) {
+            int n = c.count(e.getKey());
+            if (n < least && RoaringBitmap.intersects(a, e.getValue())) {
+                least = n;
+            }
+        }
+        return least;
+    }
+
+    private RoaringBitmap where(Rule.Predicate p) {
+        RoaringBitmap b = new RoaringBitmap();
+        for (int i = 0; i < spots.size(); i++) {
+            if (holds(p, spots.get(i))) {
+                b.add(i);
+            }
+        }
+        return b;
+    }
+
+    static boolean holds(Rule.Predicate p, Spot s) {
+        if (p instanceof Rule.Label l) {
+            return l.values().contains(switch (l.field()) {
+                case "kind" -> s.kind();
+                case "zone" -> s.zone();
+                case "cell" -> Integer.toString(s.cell());
+                default -> s.name();
+            });
+        }
+        if (p instanceof Rule.Not n) {
+            return !holds(n.of(), s);
+        }
+        if (p instanceof Rule.Both b) {
+            return holds(b.a(), s) && holds(b.b(), s);
+        }
+        Rule.Either e = (Rule.Either) p;
+        return holds(e.a(), s) || holds(e.b(), s);
+    }
+
+    /** Whether any rule speaks of such VMs. */
+    public boolean touches(String customer, String flavour, long service) {
+        if (rules.isEmpty()) {
+            return false;
+        }
+        Matter m = matters.computeIfAbsent(new Kin(customer, flavour, service), this::matter);
+        return !m.about.isEmpty() || !m.against.isEmpty();
+    }
+
+    /**
+     * A smallest set of required rules that no machine of the list can meet together whatever runs where, each needed
+     * for that; empty where there is a machine that can.
+     */
+    public List<Rule> conflict(String customer, String flavour, long service) {
+        if (rules.isEmpty() || present.isEmpty()) {
+            return List.of();
+        }
+        List<Rule> fixed = new ArrayList<>();
+        for (Rule r : matters.computeIfAbsent(new Kin(customer, flavour, service), this::matter).about) {
+            if (r.required() && r.clause() instanceof Rule.On) {
+                fixed.add(r);
+            }
+        }
+        if (!meets(fixed).isEmpty()) {
+            return List.of();
+        }
+        for (Rule r : List.copyOf(fixed)) {
+            List<Rule> without = new ArrayList<>(fixed);
+            without.remove(r);
+            if (meets(without).isEmpty()) {
+                fixed = without;
+            }
+        }
+        return fixed;
+    }
+
+    private RoaringBitmap meets(List<Rule> fixed) {
+        RoaringBitmap a = present.clone();
+        fixed.forEach(r -> a.and(on.computeIfAbsent(r, x -> where(((Rule.On) r.clause()).where()))));
+        return a;
+    }
+
+    /** The weight of the preferences that a machine goes against; 0 where it meets them all. */
+    public double unfit(String customer, String flavour, long service, String machine) {
+        if (rules.isEmpty()) {
+            return 0;
+        }
+        Kin k = new Kin(customer, flavour, service);
+        Integer spot = index.get(machine);
+        double sum = 0;
+        for (Rule r : matters.computeIfAbsent(k, this::matter).about) {
+            if (!r.required() && spot != null && against(r, k, spot)) {
+                sum += r.weight();
+            }
+        }
+        return sum;
+    }
+
+    private boolean against(Rule r, Kin k, int spot) {
+        RoaringBitmap one = present.clone();
+        narrow(one, r, k);
+        return !one.contains(spot);
+    }
+
+    // ---- For those who ask why -------------------------------------------------------------------------
+
+    /** Every rule, required or preferred, that speaks against the machine; none where it may go there. */
+    public List<Reason> why(String customer, String flavour, long service, String machine) {
+        Kin k = new Kin(customer, flavour, service);
+        Integer spot = index.get(machine);
+        List<Reason> some = new ArrayList<>();
+        if (spot == null || !present.contains(spot)) {
+            some.add(new Reason(null, "no machine '" + machine + "' in the list"));
+            return some;
+        }
+        Matter m = matters.computeIfAbsent(k, this::matter);
+        for (Rule r : m.about) {
+            if (against(r, k, spot)) {
+                some.add(new Reason(r, (r.required() ? "required" : "preferred, weight " + Math.round(r.weight())) + ": "
+                        + r.clause() + detail(r, k, spot)));
+            }
+        }
+        for (Rule r : m.against) {
+            Rule.Apart a = (Rule.Apart) r.clause();
+            Counter c = counter(new CounterKey(r.scope(), a.per(), 0));
+            if (c.occupied.contains(spot)) {
+                some.add(new Reason(r, "required of others: " + r.scope() + " keeps apart from these, and "
+                        + c.count(domain(spot, a.per())) + " of it run in " + a.per() + " " + domain(spot, a.per())));
+            }
+        }
+        return some;
+    }
+
+    private String detail(Rule r, Kin k, int spot) {
+        for (CounterKey key : keys(r, k.service)) {
+            String d = domain(spot, key.per);
+            return " (" + counter(key).count(d) + " in " + key.per + " " + d + ")";
+        }
+        return " (it is kind " + spots.get(spot).kind() + ", zone " + spots.get(spot).zone() + ", cell "
+                + spots.get(spot).cell() + ")";
+    }
+
+    /** VMs that run where a new set, or their machine's new labels, would not let them go: named, not stopped. */
+    public Map<Object, List<Reason>> misfits() {
+        Map<Object, List<Reason>> some = new LinkedHashMap<>();
+        for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
+            Placed p = e.getValue();
+            count(p, -1);
+            version++;
+            List<Reason> why = why(p.kin.customer, p.kin.flavour, p.kin.service, spots.get(p.spot).name());
+            count(p, 1);
+            version++;
+            why.removeIf(x -> x.rule() != null && !x.rule().required());
+            if (!why.isEmpty()) {
+                some.put(e.getKey(), why);
+            }
+        }
+        return some;
+    }
+
+    /** The same VMs and machines under another set; the old book is done with. */
+    public Book with(List<Rule> others, int amongPlacers) throws Unkeepable {
+        Book b = new Book(others, amongPlacers);
+        List<Spot> now = new ArrayList<>();
+        present.forEach((int i) -> now.add(spots.get(i)));
+        b.spots.addAll(spots);
+        b.index.putAll(index);
+        b.placed.putAll(placed);
+        b.machines(now);
+        return b;
+    }
+
+    @Override
+    public String toString() {
+        return rules.size() + " rules, " + present.getCardinality() + " machines, " + placed.size() + " VMs"
+                + Objects.toString(counters.size(), "");
+    }
+}
--- a/src/main/java/fordridge/door/Door.java
+++ b/src/main/java/fordridge/door/Door.java
@@ -10,6 +10,19 @@
     /** Offers the claim's VM to the claim's machine; zero {@code within} waits until the owner stops. */
     void claim(Claim claim, Duration within);
 
+    /**
+     * How much customers' rules speak against the VM's going there: infinite where one forbids it, 0 where nothing
+     * does. Where there are no rules it is 0 throughout.
+     */
+    default double unfit(Vm vm, Machine machine) {
+        return 0;
+    }
+
+    /** Whether any rule speaks of such VMs, so that one of its shape does not speak for others. */
+    default boolean ruled(Vm vm) {
+        return false;
+    }
+
     /** Final answer: no, and asking again does no harm; zero gives no advice on when. */
     void deny(Vm vm, Duration retryAfter);
 
--- a/src/main/java/fordridge/etcd/EtcdList.java
+++ b/src/main/java/fordridge/etcd/EtcdList.java
@@ -85,6 +85,7 @@
     private String lastError = "";
     private final List<Event> fragments = new ArrayList<>();
     private volatile int placers;
+    private volatile Map<String, String> terms = Map.of();
     private volatile long resyncs;
 
     /** Follows the store; returns once a first whole list is there, or says why none is. */
@@ -468,6 +469,9 @@
             changed.add(e);
         }
         toldOld = false;
+        if (believed.takeTermsChanged()) {
+            terms = Map.copyOf(believed.terms());
+        }
         count();
         publish(new Update(++version, whole, false, whole ? List.copyOf(entries.values()) : changed));
     }
@@ -503,6 +507,11 @@
         return placers;
     }
 
+    @Override
+    public String term(String name) {
+        return terms.get(name);
+    }
+
     /** Snapshots taken so far. */
     public long resyncs() {
         return resyncs;
--- a/src/main/java/fordridge/link/Link.java
+++ b/src/main/java/fordridge/link/Link.java
@@ -68,6 +68,9 @@
 
         void probed(Machine machine, boolean ok, Duration took);
 
+        /** A claim that was given up is now known not to be there any more. */
+        void cleared(Claim claim);
+
         /** News of the stream for those on call. */
         void note(Machine machine, String line);
     }
@@ -500,6 +503,9 @@
 
     private void drop(Entry e) {
         entries.remove(e.name);
+        if (e.stage == Stage.ABANDONED) {
+            fate.cleared(e.claim);
+        }
         if (e.stage == Stage.QUEUED) {
             queue.remove(e);
         }
--- a/src/main/java/fordridge/listing/MachineList.java
+++ b/src/main/java/fordridge/listing/MachineList.java
@@ -29,6 +29,11 @@
         return 0;
     }
 
+    /** A term that the source holds under that name, or null. */
+    default String term(String name) {
+        return null;
+    }
+
     @Override
     void close();
 }
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -1,5 +1,7 @@
 package fordridge.placer;
 
+import fordridge.constraint.Book;
+import fordridge.constraint.Rule;
 import fordridge.door.Door;
 import fordridge.feed.Feed;
 import fordridge.link.Link;
@@ -9,6 +11,7 @@
 import fordridge.rpc.MachineStream;
 import fordridge.rpc.Telling;
 import fordridge.session.Answer;
+import fordridge.session.Lateness;
 import fordridge.session.Session;
 import fordridge.session.Sessions;
 import fordridge.settings.Deployment;
@@ -53,6 +56,8 @@
 final class Instance implements Door, ClientService.Desk, Link.Fate {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
+    private static final Duration FEELS = Duration.ofMillis(25);
+
     /** A machine as this instance reaches it. */
     private final class Reach implements MachineStream.Heard, Telling.Further {
         final String name;
@@ -130,6 +135,8 @@
     private final Link.Manners manners;
     private final Feed<String> feed;
     private final Sessions sessions;
+    private final Lateness lateness = new Lateness(Duration.ofSeconds(2));
+    private Book book;
     private final Map<Session, ClientService.Stream> streams = new LinkedHashMap<>();
     private final Set<Session> talkative = new LinkedHashSet<>();
     private final Map<Machine, Reach> reaches = new HashMap<>();
@@ -141,6 +148,7 @@
     private Duration now = Duration.ZERO;
     private boolean inside;
     /** Machines that were asked once what they hold of this placer. */
+    private final Map<String, Book.Spot> spots = new LinkedHashMap<>();
     private final Set<Machine> called = new HashSet<>();
     private CompletableFuture<Void> stopped;
     private int shared;
@@ -154,9 +162,15 @@
         manners = new Link.Manners(d.connectTimeout, d.idle, d.retryLeast, d.retryMost, d.unsure, d.connectTimeout,
                 d.line, d.yes.equals("accepted"));
         feed = new Feed<>(this, Instance::number);
+        try {
+            book = new Book(List.of(), d.allPlacers());
+        } catch (Book.Unkeepable e) {
+            throw new IllegalStateException(e);
+        }
         sessions = new Sessions(new Sessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
         loop.execute(() -> enter(() -> feed.logic.start(seed, ModuleTerms.of(d, position))));
         loop.scheduleAtFixedRate(() -> enter(() -> sessions.expire(now)), 1, 1, TimeUnit.SECONDS);
+        feelLateness();
     }
 
     /** The same at every placer: placers take turns at cold machines by it. */
@@ -201,6 +215,14 @@
         }
     }
 
+    private void feelLateness() {
+        long due = System.nanoTime() + FEELS.toNanos();
+        loop.schedule(() -> {
+            lateness.seen(Duration.ofNanos(Math.max(0, System.nanoTime() - due)), clock());
+            feelLateness();
+        }, FEELS.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     private Duration clock() {
         return Duration.ofNanos(System.nanoTime() - startedNanos);
     }
@@ -262,6 +284,17 @@
             }
             watch(r);
         }
+        List<Book.Spot> spots = new ArrayList<>();
+        if (list.whole() || !list.entries().isEmpty()) {
+            for (MachineList.Entry e : list.entries()) {
+                this.spots.put(e.name(), new Book.Spot(e.name(), e.kind(), e.zone(), e.cell()));
+            }
+            if (list.whole()) {
+                this.spots.keySet().retainAll(list.entries().stream().map(MachineList.Entry::name).toList());
+            }
+            spots.addAll(this.spots.values());
+            book.machines(spots);
+        }
         feed.list(list.whole(), list.old(), lines);
     }
 
@@ -270,6 +303,53 @@
         return reaches.computeIfAbsent(m, x -> new Reach(machine, x));
     }
 
+    // ---- Customers' rules ------------------------------------------------------------------------------
+
+    /** A new set takes effect at once for all that is placed from here on; what runs and no longer fits is named. */
+    void rules(List<Rule> rules, int version) {
+        loop.execute(() -> enter(() -> {
+            try {
+                book = book.with(rules, d.allPlacers());
+                book.misfits().forEach((claim, why) -> line(Level.WARN, "runs where rules of version " + version
+                        + " would not let it go: " + why.get(0).rule().name(), ((Claim) claim).vm,
+                        ((Claim) claim).machine));
+                line(Level.INFO, "rules of version " + version + " in force: " + rules.size(), null, null);
+                feed.logic.reported(null);
+            } catch (Book.Unkeepable e) {
+                line(Level.ERROR, "rules stay as they were: " + e.getMessage(), null, null);
+            }
+        }));
+    }
+
+    @Override
+    public double unfit(Vm vm, Machine m) {
+        if (book.rules().isEmpty()) {
+            return 0;
+        }
+        String machine = reaches.get(m).name;
+        return book.allows(vm.customer, vm.flavour, vm.service, machine)
+                ? book.unfit(vm.customer, vm.flavour, vm.service, machine) : Double.POSITIVE_INFINITY;
+    }
+
+    @Override
+    public boolean ruled(Vm vm) {
+        return book.touches(vm.customer, vm.flavour, vm.service);
+    }
+
+    private void placeTaken(Claim c) {
+        book.goes(c, c.vm.customer, c.vm.flavour, c.vm.service, reaches.get(c.machine).name);
+    }
+
+    @Override
+    public void cleared(Claim c) {
+        inputs.addLast(() -> {
+            if (!c.out()) {
+                book.gone(c);
+                feed.logic.reported(c.machine);
+            }
+        });
+    }
+
     // ---- Clients ---------------------------------------------------------------------------------------
 
     @Override
@@ -325,7 +405,8 @@
             return;
         }
         String no = taken == Sessions.Taken.OVER ? "too many VMs in hand" : stopped != null ? "the placer is stopping"
-                : f == null ? "flavour '" + w.getFlavour() + "' is not one of " + d.flavours.keySet() : null;
+                : f == null ? "flavour '" + w.getFlavour() + "' is not one of " + d.flavours.keySet()
+                : conflict(w);
         if (no != null) {
             sessions.refuse(s, Answer.denied(w.getVm(), f == null ? Duration.ZERO : f.buildTarget(), no), now);
             meters.answered("denied");
@@ -341,7 +422,7 @@
         vm.arrivedAt = now;
         Duration left = w.getTimeLeftUs() == 0 ? f.buildTimeout() : Duration.ofNanos(w.getTimeLeftUs() * 1000);
         left = left.compareTo(f.buildTimeout()) > 0 ? f.buildTimeout() : left;
-        vm.deadline = now.plus(left).minus(d.answerMargin);
+        vm.deadline = now.plus(left).minus(d.answerMargin).minus(lateness.allowance(now));
         vm.lasts = w.getLastsUs() > 0 ? Duration.ofNanos(w.getLastsUs() * 1000) : null;
         feed.add(vm);
         owners.put(vm, s.client);
@@ -380,6 +461,13 @@
         });
     }
 
+    /** What no machine can meet is refused at once, with the rules that cannot be met together; null else. */
+    private String conflict(Want w) {
+        List<Rule> rules = book.conflict(w.getCustomer(), w.getFlavour(), w.getService());
+        return rules.isEmpty() ? null : "no machine meets " + rules.stream().map(r -> "rule '" + r.name() + "' ("
+                + r.clause() + ")").collect(java.util.stream.Collectors.joining(" and "));
+    }
+
     /** The VM's name as its owner knows it. */
     private static String owned(Vm vm, String client) {
         return vm.id.substring(client.length() + 1);
@@ -407,6 +495,7 @@
     @Override
     public void claim(Claim c, Duration within) {
         meters.offered();
+        placeTaken(c);
         inputs.addLast(() -> {
             if (!c.out()) {
                 return;
@@ -530,6 +619,9 @@
                 return;
             }
             boolean wasBound = c.boundAt != null;
+            if (wasBound || end == End.FULL || end == End.UNREACHABLE || end == End.MOOT) {
+                book.gone(c);
+            }
             meters.ended(end);
             if (LOG.isDebugEnabled()) {
                 LOG.atDebug().addKeyValue("placer", name).addKeyValue("vm", c.vm.id).addKeyValue("claim", c.number)
@@ -573,6 +665,7 @@
         feed.add(vm);
         feed.logic.runsAlready(vm, machine);
         r.link.adopt(held.name(), vm.placed);
+        placeTaken(vm.placed);
         owners.put(vm, held.client());
         String id = vm.id.startsWith(held.client() + "/") ? owned(vm, held.client()) : vm.id;
         sessions.found(held.client(), id, Answer.bound(id, r.name, held.name().number(), Duration.ZERO));
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -38,6 +38,7 @@
     private final List<Instance> instances = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
     private final MetricsPort metrics;
+    private Rules rules;
 
     /** Starts all; what cannot be had (a port, the list) is said in one line and nothing is left running. */
     public PlacerProgram(Deployment d) throws IOException, Deployment.Refused {
@@ -68,6 +69,8 @@
             for (int i = 0; i < Math.min(threads, instances.size()); i++) {
                 watchLag(instances.get(i).loop);
             }
+            rules = new Rules(d, lists.get(0));
+            rules.follow((r, v) -> instances.forEach(i -> i.rules(r, v)));
             meters.gauge("fordridge.held", () -> instances.stream().mapToInt(Instance::inHand).sum());
             meters.gauge("fordridge.streams", () -> instances.stream().mapToInt(Instance::streamsOpen).sum());
             if (d.metricsPort >= 0) {
@@ -161,6 +164,9 @@
         if (loops.isShuttingDown()) {
             return;
         }
+        if (rules != null) {
+            rules.close();
+        }
         lists.forEach(MachineList::close);
         servers.forEach(Server::shutdownNow);
         instances.forEach(i -> i.loop.execute(i::close));
--- /dev/null
+++ b/src/main/java/fordridge/placer/Rules.java
@@ -0,0 +1,102 @@
+package fordridge.placer;
+
+import fordridge.constraint.Book;
+import fordridge.constraint.Language;
+import fordridge.constraint.Rule;
+import fordridge.listing.MachineList;
+import fordridge.settings.Deployment;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Customers' rules as they come: from a file, or from the list's source once it has them. A set that cannot be read or
+ * kept is refused whole, with every complaint, and the last good one stays.
+ */
+final class Rules implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger("fordridge.rules");
+    private static final String TERM = "constraints";
+
+    private final Deployment d;
+    private final MachineList list;
+    private final ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread t = new Thread(r, "rules");
+        t.setDaemon(true);
+        return t;
+    });
+    private String seen;
+    private int version;
+
+    Rules(Deployment d, MachineList list) {
+        this.d = d;
+        this.list = list;
+    }
+
+    /** Hands over the set that stands now, if any, then each newer one; a first set that is refused is thrown. */
+    void follow(BiConsumer<List<Rule>, Integer> taker) throws Deployment.Refused {
+        seen = text();
+        if (seen != null) {
+            taker.accept(read(seen, d), ++version);
+        }
+        long every = d.poll.toMillis();
+        looks.scheduleWithFixedDelay(() -> look(taker), every, every, TimeUnit.MILLISECONDS);
+    }
+
+    private void look(BiConsumer<List<Rule>, Integer> taker) {
+        try {
+            String now = text();
+            if (now != null && !now.equals(seen)) {
+                seen = now;
+                taker.accept(read(now, d), ++version);
+            }
+        } catch (Deployment.Refused e) {
+            LOG.error("rules stay as they were: {}", String.join("; ", e.complaints));
+        } catch (RuntimeException e) {
+            LOG.error("rules stay as they were", e);
+        }
+    }
+
+    private String text() throws Deployment.Refused {
+        String term = list.term(TERM);
+        File file = d.constraintsFile();
+        if (term != null || file == null) {
+            return term;
+        }
+        try {
+            return Files.readString(file.toPath());
+        } catch (IOException e) {
+            throw new Deployment.Refused(List.of(file + ": " + e));
+        }
+    }
+
+    /** A set that this deployment's placers can read and keep. */
+    static List<Rule> read(String text, Deployment d) throws Deployment.Refused {
+        Set<String> customers = new HashSet<>();
+        d.customers.forEach(c -> customers.add(c.name()));
+        Set<String> kinds = new HashSet<>();
+        d.kinds.forEach(k -> kinds.add(k.name()));
+        try {
+            List<Rule> rules = Language.read(text, new Language.Names(customers, d.flavours.keySet(), kinds, Set.of()));
+            new Book(rules, d.allPlacers());
+            return rules;
+        } catch (Language.Refused e) {
+            throw new Deployment.Refused(e.complaints);
+        } catch (Book.Unkeepable e) {
+            throw new Deployment.Refused(List.of(e.getMessage()));
+        }
+    }
+
+    @Override
+    public void close() {
+        looks.shutdownNow();
+    }
+}
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -76,6 +76,8 @@
     public Duration unsure;
     public Duration keepalive;
     public int maxMessage;
+    /** Rules of customers: a file, or empty. */
+    public String constraints;
     public double acceptCores;
     public double acceptMemory;
     public String yes;
@@ -175,6 +177,7 @@
         unsure = r.span("machines.unsure", Duration.ZERO, Duration.ofMinutes(1));
         keepalive = r.span("machines.keepalive", Duration.ofMillis(200), LONG);
         maxMessage = r.size("machines.max_message", 1024, 16 << 20);
+        constraints = r.text("constraints.file", 4096);
         acceptCores = r.number("cluster.accept.cores", 0.1, 100);
         acceptMemory = r.number("cluster.accept.memory", 0.1, 100);
         yes = r.word("cluster.yes", "running", "accepted");
@@ -304,6 +307,11 @@
         return f.isAbsolute() ? f : new File(folder, list);
     }
 
+    public File constraintsFile() {
+        File f = new File(constraints);
+        return constraints.isEmpty() ? null : f.isAbsolute() ? f : new File(folder, constraints);
+    }
+
     /** How many placers share the cluster, as the module is told. */
     public int allPlacers() {
         return Math.max(placers, count);
--- a/src/test/java/fordridge/ArrowsTest.java
+++ b/src/test/java/fordridge/ArrowsTest.java
@@ -23,8 +23,9 @@
                 .layer("cli").definedBy("fordridge.cli..")
                 .layer("rig").definedBy("fordridge.rig..")
                 .layer("programs").definedBy("fordridge.placer..", "fordridge.drill..")
-                .layer("transport").definedBy("fordridge.rpc..", "fordridge.obs..")
-                .layer("decisions").definedBy("fordridge.link..", "fordridge.session..", "fordridge.feed..")
+                .layer("transport").definedBy("fordridge.rpc..", "fordridge.obs..", "fordridge.etcd..")
+                .layer("decisions").definedBy("fordridge.link..", "fordridge.session..", "fordridge.feed..",
+                        "fordridge.membership..", "fordridge.constraint..")
                 .layer("state").definedBy("fordridge.state..", "fordridge.door..")
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
                 .whereLayer("rig").mayOnlyBeAccessedByLayers("cli")
@@ -37,12 +38,17 @@
     @Example
     void decisionsAreFreeOfTheWorld() {
         classes().that(resideInAnyPackage("fordridge.link..", "fordridge.session..", "fordridge.feed..",
-                "fordridge.state..", "fordridge.door..")).or().haveFullyQualifiedName("fordridge.Logic")
+                "fordridge.membership..", "fordridge.state..", "fordridge.door..")).or()
+                .haveFullyQualifiedName("fordridge.Logic")
                 .should().onlyDependOnClassesThat(resideInAnyPackage("fordridge.link..", "fordridge.session..",
-                        "fordridge.feed..", "fordridge.state..", "fordridge.door..", "java.lang..", "java.util..",
+                        "fordridge.feed..", "fordridge.membership..", "fordridge.state..", "fordridge.door..",
+                        "java.lang..", "java.util..",
                         "java.time..", "java.nio").or(resideInAPackage("fordridge")))
                 .check(ALL);
-        noClasses().that(resideInAnyPackage("fordridge.link..", "fordridge.session..", "fordridge.state.."))
+        noClasses().that(resideInAnyPackage("fordridge.constraint..")).should().dependOnClassesThat(
+                resideInAnyPackage("io.grpc..", "io.netty..", "java.io..", "java.nio..")).check(ALL);
+        noClasses().that(resideInAnyPackage("fordridge.link..", "fordridge.session..", "fordridge.state..",
+                "fordridge.membership..", "fordridge.constraint.."))
                 .or().haveFullyQualifiedName("fordridge.Logic")
                 .should().dependOnClassesThat().haveFullyQualifiedName("java.time.Instant")
                 .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random")
--- /dev/null
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -0,0 +1,309 @@
+package fordridge.constraint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import fordridge.constraint.Book.Spot;
+import fordridge.constraint.Rule.Domain;
+import fordridge.constraint.Rule.Scope;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class BookTest {
+    private static final List<Spot> FLEET = List.of(new Spot("a", "std", "x", 0), new Spot("b", "big", "x", 0),
+            new Spot("c", "std", "y", 1), new Spot("d", "big", "y", 2), new Spot("e", "std", "z", 3));
+
+    private static Book book(String text) throws Exception {
+        Book b = new Book(Language.read(text, Language.Names.ANY), 1);
+        b.machines(FLEET);
+        return b;
+    }
+
+    private static List<String> open(Book b, String flavour, long service) {
+        List<String> some = new ArrayList<>();
+        for (Spot s : FLEET) {
+            if (b.allows("", flavour, service, s.name())) {
+                some.add(s.name());
+            }
+        }
+        return some;
+    }
+
+    @Example
+    void nearAAndApartFromBWhereBIsWithA() throws Exception {
+        Book b = book("rule n: flavour w require near flavour a per zone;\nrule p: flavour w require apart flavour b per zone;");
+        assertThat(open(b, "w", 1)).as("near nothing yet: anywhere").hasSize(5);
+        b.goes(1, "", "a", 1, "a");
+        assertThat(open(b, "w", 1)).containsExactly("a", "b");
+        b.goes(2, "", "b", 1, "b");
+        assertThat(open(b, "w", 1)).isEmpty();
+        assertThat(b.why("", "w", 1, "a")).extracting(r -> r.rule().name()).containsExactly("p");
+        b.goes(3, "", "a", 1, "d");
+        assertThat(open(b, "w", 1)).containsExactly("c", "d");
+        b.gone(2);
+        assertThat(open(b, "w", 1)).containsExactly("a", "b", "c", "d");
+    }
+
+    @Example
+    void apartHoldsBothWays() throws Exception {
+        Book b = book("rule p: flavour w require apart flavour b per machine;");
+        b.goes(1, "", "w", 1, "a");
+        assertThat(open(b, "b", 1)).doesNotContain("a").hasSize(4);
+        assertThat(b.why("", "b", 1, "a").get(0).what()).contains("keeps apart");
+    }
+
+    @Example
+    void spreadOverThreeZonesWithOneDraining() throws Exception {
+        Book b = book("rule s: flavour w require spread within 1 of each service per zone;");
+        b.goes(1, "", "w", 7, "a");
+        assertThat(open(b, "w", 7)).containsExactly("c", "d", "e");
+        b.goes(2, "", "w", 7, "c");
+        b.machines(FLEET.subList(0, 4));
+        // Zone z left the list: the fewest among what is left counts, else nothing could be placed any more.
+        assertThat(open(b, "w", 7)).containsExactly("a", "b", "c", "d");
+    }
+
+    @Example
+    void aCycleOfNearIsBegunByWhoeverComesFirst() throws Exception {
+        Book b = book("rule x: flavour a require near flavour b per cell;\nrule y: flavour b require near flavour a per cell;");
+        assertThat(open(b, "a", 1)).hasSize(5);
+        b.goes(1, "", "a", 1, "c");
+        assertThat(open(b, "b", 1)).containsExactly("c");
+        b.goes(2, "", "b", 1, "c");
+        assertThat(open(b, "a", 1)).containsExactly("c");
+    }
+
+    @Example
+    void aMachineRelabelledWithVmsOnItIsCountedWhereItStandsNowAndNamed() throws Exception {
+        Book b = book("rule k: flavour w require on kind std;\nrule m: flavour w require spread at most 1 per zone;");
+        b.goes(1, "", "w", 1, "a");
+        List<Spot> other = new ArrayList<>(FLEET);
+        other.set(0, new Spot("a", "big", "y", 1));
+        b.machines(other);
+        assertThat(b.misfits().get(1)).extracting(r -> r.rule().name()).containsExactly("k");
+        assertThat(b.allows("", "w", 2, "c")).as("its zone is y now").isFalse();
+    }
+
+    @Example
+    void aNewSetTakesOverWhatRuns() throws Exception {
+        Book b = book("rule m: flavour w require spread at most 2 per machine;");
+        b.goes(1, "", "w", 1, "a");
+        b.goes(2, "", "w", 1, "a");
+        Book next = b.with(Language.read("rule m: flavour w require spread at most 1 per machine;", Language.Names.ANY), 1);
+        assertThat(next.misfits().keySet()).containsExactly(1, 2);
+        assertThat(next.allows("", "w", 1, "a")).isFalse();
+        next.gone(1);
+        next.gone(2);
+        assertThat(next.allows("", "w", 1, "a")).isTrue();
+    }
+
+    @Example
+    void whatNoMachineMeetsNamesTheFewestRules() throws Exception {
+        Book b = book("rule one: all require on zone x, y;\nrule two: flavour w require on kind big;\n"
+                + "rule three: service 5 require on not kind big;\nrule four: service 5 prefer 3 on zone x;");
+        assertThat(b.conflict("", "w", 5)).extracting(Rule::name).containsExactly("two", "three");
+        assertThat(b.conflict("", "w", 6)).isEmpty();
+        b.machines(FLEET.subList(4, 5));
+        assertThat(b.conflict("", "v", 6)).extracting(Rule::name).containsExactly("one");
+    }
+
+    @Example
+    void whatNoPlacerCanKeepForAllIsRefused() throws Exception {
+        List<Rule> rules = Language.read("rule m: flavour w require spread at most 3 per zone overall;", Language.Names.ANY);
+        assertThatThrownBy(() -> new Book(rules, 4)).isInstanceOf(Book.Unkeepable.class).hasMessageContaining("rule 'm'")
+                .hasMessageContaining("4 placers");
+        Book[] own = {new Book(rules, 3), new Book(rules, 3), new Book(rules, 3)};
+        int n = 0;
+        for (Book b : own) {
+            b.machines(FLEET);
+            for (int i = 0; i < 9; i++) {
+                if (b.allows("", "w", 1, "a")) {
+                    b.goes(i, "", "w", 1, "a");
+                    n++;
+                }
+            }
+        }
+        assertThat(n).as("over all placers").isEqualTo(3);
+    }
+
+    @Example
+    void preferencesWeighAndDoNotBind() throws Exception {
+        Book b = book("rule x: flavour w prefer 5 on zone x;\nrule y: flavour w prefer 2 on kind std;");
+        assertThat(open(b, "w", 1)).hasSize(5);
+        assertThat(b.unfit("", "w", 1, "a")).isEqualTo(0.0);
+        assertThat(b.unfit("", "w", 1, "b")).isEqualTo(2.0);
+        assertThat(b.unfit("", "w", 1, "d")).isEqualTo(7.0);
+    }
+
+    // ---- Against a plain scan --------------------------------------------------------------------------
+
+    private record Vm(String flavour, long service, Spot at) { }
+
+    static Rule rule(Random r, int i) {
+        Scope[] scopes = {Scope.ALL, new Scope(Set.of(), Set.of("f" + r.nextInt(3)), Set.of()),
+            new Scope(Set.of(), Set.of(), Set.of("" + r.nextInt(3))),
+            new Scope(Set.of(), Set.of("f0", "f1"), Set.of("1", "2"))};
+        Scope a = scopes[r.nextInt(4)];
+        Scope b = scopes[1 + r.nextInt(3)];
+        Domain d = Domain.values()[r.nextInt(3)];
+        Rule.Clause c = switch (r.nextInt(5)) {
+            case 0 -> new Rule.Near(b, d);
+            case 1 -> new Rule.Apart(b, d);
+            case 2 -> new Rule.Most(1 + r.nextInt(3), r.nextBoolean(), d, false);
+            case 3 -> new Rule.Skew(1 + r.nextInt(2), r.nextBoolean(), d);
+            default -> new Rule.On(predicate(r, 2));
+        };
+        return new Rule("r" + i, a, r.nextInt(4) == 0 ? 1 + r.nextInt(9) : 0, c, i + 1);
+    }
+
+    private static Rule.Predicate predicate(Random r, int depth) {
+        return switch (depth == 0 ? 3 : r.nextInt(4)) {
+            case 0 -> new Rule.Not(predicate(r, depth - 1));
+            case 1 -> new Rule.Both(predicate(r, depth - 1), predicate(r, depth - 1));
+            case 2 -> new Rule.Either(predicate(r, depth - 1), predicate(r, depth - 1));
+            default -> r.nextBoolean() ? new Rule.Label("kind", Set.of(r.nextBoolean() ? "std" : "big"))
+                    : new Rule.Label("zone", Set.of("x", r.nextBoolean() ? "y" : "z"));
+        };
+    }
+
+    private static String domain(Spot s, Domain d) {
+        return d == Domain.MACHINE ? s.name() : d == Domain.CELL ? s.zone() + s.cell() : s.zone();
+    }
+
+    private static Map<String, Integer> counts(List<Vm> vms, Scope scope, Domain d, long service) {
+        Map<String, Integer> n = new HashMap<>();
+        vms.stream().filter(v -> scope.covers("", v.flavour, v.service) && (service < 0 || v.service == service))
+                .forEach(v -> n.merge(domain(v.at, d), 1, Integer::sum));
+        return n;
+    }
+
+    /** The rules as the page words them, looked at one machine at a time. */
+    private static boolean plain(List<Rule> rules, List<Spot> fleet, List<Vm> vms, String f, long s, Spot at) {
+        return plain(rules, rules.size(), fleet, vms, f, s, at);
+    }
+
+    private static boolean plain(List<Rule> rules, int upTo, List<Spot> fleet, List<Vm> vms, String f, long s, Spot at) {
+        for (int i = 0; i < upTo; i++) {
+            Rule r = rules.get(i);
+            boolean mine = r.scope().covers("", f, s);
+            if (!r.required() || !mine) {
+                continue;
+            }
+            if (r.clause() instanceof Rule.On o && !Book.holds(o.where(), at)) {
+                return false;
+            } else if (r.clause() instanceof Rule.Near n) {
+                Map<String, Integer> c = counts(vms, n.other(), n.per(), -1);
+                if (!c.isEmpty() && !c.containsKey(domain(at, n.per()))) {
+                    return false;
+                }
+            } else if (r.clause() instanceof Rule.Apart a
+                    && counts(vms, a.other(), a.per(), -1).containsKey(domain(at, a.per()))) {
+                return false;
+            } else if (r.clause() instanceof Rule.Most m && counts(vms, r.scope(), m.per(), m.eachService() ? s : -1)
+                    .getOrDefault(domain(at, m.per()), 0) >= m.most()) {
+                return false;
+            } else if (r.clause() instanceof Rule.Skew k) {
+                Map<String, Integer> c = counts(vms, r.scope(), k.per(), k.eachService() ? s : -1);
+                int least = Integer.MAX_VALUE;
+                for (Spot o : fleet) {
+                    if (plain(rules, i, fleet, vms, f, s, o)) {
+                        least = Math.min(least, c.getOrDefault(domain(o, k.per()), 0));
+                    }
+                }
+                int here = c.getOrDefault(domain(at, k.per()), 0);
+                if (here > 0 && here + 1 - least > k.skew()) {
+                    return false;
+                }
+            }
+        }
+        for (int i = 0; i < rules.size() && upTo == rules.size(); i++) {
+            Rule r = rules.get(i);
+            if (r.required() && r.clause() instanceof Rule.Apart a && a.other().covers("", f, s)
+                    && counts(vms, r.scope(), a.per(), -1).containsKey(domain(at, a.per()))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Property(tries = 400, seed = "5150")
+    void saysTheSameAsAPlainScan(@ForAll long seed) throws Exception {
+        Random r = new Random(seed);
+        List<Rule> rules = new ArrayList<>();
+        for (int i = 0; i < 1 + r.nextInt(5); i++) {
+            rules.add(rule(r, i));
+        }
+        Book b = new Book(rules, 1);
+        List<Spot> fleet = FLEET;
+        b.machines(fleet);
+        Map<Integer, Vm> running = new HashMap<>();
+        for (int step = 0; step < 40; step++) {
+            String f = "f" + r.nextInt(3);
+            long s = r.nextInt(3);
+            for (Spot at : fleet) {
+                boolean plain = plain(rules, fleet, List.copyOf(running.values()), f, s, at);
+                assertThat(b.allows("", f, s, at.name())).as(Language.print(rules) + running + f + s + at).isEqualTo(plain);
+                assertThat(b.why("", f, s, at.name()).stream().noneMatch(x -> x.rule().required()
+                        && !(x.rule().clause() instanceof Rule.Skew))).as("why agrees").matches(ok -> ok || !plain);
+            }
+            Spot at = fleet.get(r.nextInt(fleet.size()));
+            if (b.allows("", f, s, at.name())) {
+                b.goes(step, "", f, s, at.name());
+                running.put(step, new Vm(f, s, at));
+            }
+            if (r.nextInt(3) == 0 && !running.isEmpty()) {
+                Integer out = running.keySet().iterator().next();
+                running.remove(out);
+                b.gone(out);
+            }
+        }
+    }
+
+    @Property(tries = 500, seed = "6160")
+    void whatIsPrintedReadsBackToTheSame(@ForAll long seed) throws Exception {
+        Random r = new Random(seed);
+        List<Rule> rules = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            rules.add(rule(r, i));
+        }
+        assertThat(Language.read(Language.print(rules), Language.Names.ANY)).isEqualTo(rules);
+    }
+
+    @Property(tries = 2000, seed = "7170")
+    void noTextCrashesTheReader(@ForAll long seed) {
+        Random r = new Random(seed);
+        String[] words = {"rule", "a", ":", "all", "require", "prefer", "3", "near", "apart", "spread", "at", "most",
+            "within", "per", "machine", "zone", ";", "on", "(", ")", "not", "and", "or", "kind", "\"", ",", "#", "\n",
+            "flavour", "service", "99999999999999999999", "\u0000", "\ud83d"};
+        StringBuilder t = new StringBuilder();
+        for (int i = r.nextInt(40); i >= 0; i--) {
+            t.append(words[r.nextInt(words.length)]).append(r.nextInt(5) > 0 ? " " : "");
+        }
+        try {
+            Language.read(t.toString(), Language.Names.ANY);
+        } catch (Language.Refused e) {
+            assertThat(e.complaints).allMatch(c -> c.matches("(?s)[0-9]+:[0-9]+: .*"));
+        }
+    }
+
+    @Example
+    void errorsNameLineColumnExcerptAndWhatWouldBeRight() {
+        assertThatThrownBy(() -> Language.read("rule a: all require on kind std;\nrule b: flavour w require close flavour x;",
+                Language.Names.ANY)).hasMessageContaining("2:27: in 'rule b: flavour w require close flavour x;'")
+                .hasMessageContaining("'near'");
+        assertThatThrownBy(() -> Language.read("rule a: flavour mtcher require on kind std;", new Language.Names(Set.of(),
+                Set.of("matcher", "lobby"), Set.of("std"), Set.of()))).hasMessageContaining("1:17")
+                .hasMessageContaining("no flavour 'mtcher'; there are lobby, matcher");
+        assertThatThrownBy(() -> Language.read("rule a: all require on kind x;\nrule a: all require on kind y;",
+                Language.Names.ANY)).hasMessageContaining("stands already in line 1");
+        assertThatThrownBy(() -> Language.read("rule a: all require on " + "(".repeat(5000) + "kind x;", Language.Names.ANY))
+                .hasMessageContaining("nested");
+    }
+}
--- a/src/test/java/fordridge/link/LinkTest.java
+++ b/src/test/java/fordridge/link/LinkTest.java
@@ -136,6 +136,11 @@
             acts.add("probed " + ok);
         }
 
+        @Override
+        public void cleared(Claim claim) {
+            assertThat(claim.end).as("cleared before it was given up").isNotNull();
+        }
+
         @Override
         public void note(Machine m, String text) {
         }
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -345,6 +345,87 @@
         }
     }
 
+    private static void rules(Peers p, String text) throws Exception {
+        java.io.File next = new java.io.File(p.folder, "rules.next");
+        java.nio.file.Files.writeString(next.toPath(), text);
+        java.nio.file.Files.move(next.toPath(), new java.io.File(p.folder, "rules.txt").toPath(),
+                java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    @Example
+    void customersRulesAreObeyedAndANewSetTakesOver() throws Exception {
+        try (Peers p = new Peers(3)) {
+            rules(p, "rule one: flavour once require spread at most 1 per machine;\n");
+            p.place("constraints.file = rules.txt");
+            ClientPeer c = p.client("c").open(true).hello();
+            for (int i = 0; i < 3; i++) {
+                c.want("v" + i, "once");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 3);
+            p.machines.forEach(m -> assertThat(m.offers.size()).isEqualTo(1));
+            c.to.onNext(ClientPeer.wanted("fourth", "once", 600_000).build());
+            until(() -> c.count(BodyCase.DENIED) == 1);
+            // A set that cannot be read leaves the old one; a good one takes over for what is placed from then on.
+            rules(p, "rule one: flavour nope require;\n");
+            rules(p, "rule two: flavour once require spread at most 2 per machine;\n");
+            until(() -> {
+                int bound = (int) c.count(BodyCase.BOUND);
+                c.to.onNext(ClientPeer.wanted("w" + System.nanoTime(), "once", 300_000).build());
+                return bound == 6;
+            });
+            p.machines.forEach(m -> assertThat(m.offers.size()).isEqualTo(2));
+        }
+    }
+
+    @Example
+    void aVmWhoseClaimMayStillRunKeepsItsPlace() throws Exception {
+        try (Peers p = new Peers(2)) {
+            rules(p, "rule away: flavour safe require apart flavour once per machine;\n");
+            p.place("constraints.file = rules.txt");
+            p.machines.forEach(m -> m.onOffer = o -> { });
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.ERRORED) == 1);
+            MachinePeer held = p.machines.get(0).offers.isEmpty() ? p.machines.get(1) : p.machines.get(0);
+            MachinePeer free = held == p.machines.get(0) ? p.machines.get(1) : p.machines.get(0);
+            p.machines.forEach(m -> m.onOffer = m::start);
+            for (int i = 0; i < 10; i++) {
+                c.want("w" + i, "safe");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 10);
+            assertThat(held.offers.size()).as("its answer is not known: nothing else may go there").isEqualTo(1);
+            held.say(FromMachine.newBuilder().setFinished(Finished.newBuilder().setClaim(held.offers.get(0).getClaim())
+                    .setHow(Finished.How.CANCELLED)).build());
+            free.onOffer = free::refuse;
+            c.want("last", "safe");
+            until(() -> held.offers.size() == 2);
+        }
+    }
+
+    @Example
+    void whatNoMachineMeetsIsDeniedAtOnceWithTheRules() throws Exception {
+        try (Peers p = new Peers(1)) {
+            rules(p, "rule a: flavour once require on kind k;\nrule b: flavour once require on not kind k;\n");
+            p.place("constraints.file = rules.txt");
+            ClientPeer c = p.client("c").open(true).hello().want("v", "once");
+            until(() -> c.count(BodyCase.DENIED) == 1);
+            String reason = c.heard.get(c.heard.size() - 1).getDenied().getReason();
+            assertThat(reason).as("one of them alone is enough here").contains("rule 'b'").doesNotContain("rule 'a'");
+            assertThat(p.machines.get(0).offers).isEmpty();
+        }
+    }
+
+    @Example
+    void rulesThatCannotBeReadOrKeptStopTheStart() throws Exception {
+        try (Peers p = new Peers(1)) {
+            rules(p, "rule a: flavour nope require on kind k;\n");
+            assertThatThrownBy(() -> p.place("constraints.file = rules.txt")).isInstanceOf(Deployment.Refused.class)
+                    .hasMessageContaining("no flavour 'nope'");
+            rules(p, "rule a: flavour once require spread at most 1 per zone overall;\n");
+            assertThatThrownBy(() -> p.place("constraints.file = rules.txt, placer.placers = 5"))
+                    .hasMessageContaining("5 placers");
+        }
+    }
+
     @Example
     void aMalformedListLeavesTheLastGoodOneInForce() throws Exception {
         try (Peers p = new Peers(1)) {
--- a/src/test/java/fordridge/session/SessionsTest.java
+++ b/src/test/java/fordridge/session/SessionsTest.java
@@ -96,6 +96,17 @@
         assertThat(all.kept()).as("answers kept").isLessThanOrEqualTo(30);
     }
 
+    @Example
+    void latenessIsAllowedForAWhileAndForgotten() {
+        Lateness l = new Lateness(Duration.ofSeconds(2));
+        l.seen(Duration.ofMillis(400), Duration.ofMillis(100));
+        l.seen(Duration.ofMillis(5), Duration.ofMillis(2200));
+        assertThat(l.allowance(Duration.ofMillis(2300))).isEqualTo(Duration.ofMillis(400));
+        l.seen(Duration.ofMillis(7), Duration.ofMillis(4300));
+        assertThat(l.allowance(Duration.ofMillis(4400))).isEqualTo(Duration.ofMillis(7));
+        assertThat(l.allowance(Duration.ofSeconds(60))).isEqualTo(Duration.ZERO);
+    }
+
     @Example
     void aNumberThatWasNeverSaidIsRefused() {
         Sessions all = sessions();
