Rig: tells of the store are tapped where they change something; time-outs settled by cancels

Change: news tapped only where it opens or closes a machine; a claim about when the earlier one's time-out passed is settled by that one's cancel. Measured: planted breaks on both sides of it.

--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/rig/Day.java
@@ -13,8 +13,11 @@
 import java.nio.file.Files;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -214,20 +217,32 @@
         }
     }
 
-    /** Taps which placer was sent which news of the store. */
-    private record Told(Tap tap, String prefix) implements StandInEtcd.Sent {
+    /** Taps which placer was sent what news of the store, where it changes whether a machine may be used. */
+    private static final class Told implements StandInEtcd.Sent {
+        private final Tap tap;
+        private final String prefix;
+        private final Map<String, Set<String>> closed = new HashMap<>();
+
+        Told(Tap tap, String prefix) {
+            this.tap = tap;
+            this.prefix = prefix;
+        }
+
         @Override
         public void snapshot(String who) {
+            closed.remove(who);
             tap.line("etcd", "told-all", "placer", who);
         }
 
         @Override
         public void record(String who, String key, boolean deleted) {
-            String name = key.substring(key.lastIndexOf('/') + 1);
-            if (key.startsWith(prefix + "/drains/")) {
-                tap.line("etcd", "told", "placer", who, "machine", name, "of", "drain", "closed", !deleted);
-            } else if (key.startsWith(prefix + "/machines/")) {
-                tap.line("etcd", "told", "placer", who, "machine", name, "of", "machine", "closed", deleted);
+            String of = key.startsWith(prefix + "/drains/") ? "drain" : key.startsWith(prefix + "/machines/")
+                    ? "machine" : "";
+            boolean closes = of.equals("drain") != deleted;
+            Set<String> its = closed.computeIfAbsent(who, k -> new HashSet<>());
+            if (!of.isEmpty() && (closes ? its.add(key) : its.remove(key))) {
+                tap.line("etcd", "told", "placer", who, "machine", key.substring(key.lastIndexOf('/') + 1), "of", of,
+                        "closed", closes);
             }
         }
     }
--- a/src/test/java/fordridge/rig/CheckerTest.java
+++ b/src/test/java/fordridge/rig/CheckerTest.java
@@ -93,6 +93,10 @@
                 said(5000, "m2", "started", "v", 1, "flavour=once"), "6000 o bound vm=v"), 2, "was started 2 times");
         broken(judge(want(1000, "v", "safe"), offer(2000, "m1", "v", 0, "safe"), offer(3000, "m2", "v", 1, "safe"),
                 "6000 o denied vm=v"), 2, "while claim 0 is out");
+        broken(judge(want(1000, "v", "safe"), offer(2000, "m1", "v", 0, "safe"), offer(900000, "m2", "v", 1, "safe"),
+                "1600000 o denied vm=v"), 2, "while claim 0 is out");
+        assertThat(judge(want(1000, "v", "safe"), offer(2000, "m1", "v", 0, "safe"), offer(900000, "m2", "v", 1, "safe"),
+                "901000 m1 cancel placer=p vm=o/v n=0", "1600000 o denied vm=v").kept()).isTrue();
         broken(judge(want(1000, "v", "key"), offer(2000, "m1", "v", 0, "key"), offer(1200000, "m3", "v", 1, "key"),
                 "1300000 o errored vm=v"), 2, "out of its group");
         broken(judge(want(1000, "v", "key"), offer(2000, "m1", "v", 0, "key"), offer(2300000, "m2", "v", 1, "key"),
