Sets of rules that leave no place are refused when read, with the fewest rules that clash

Need: contradictions are to be told to customers before a VM is refused for them. Measured: on 300 random sets what is refused is just what a plain scan finds no first place for.

--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -24,7 +24,7 @@
 /** The command line: exit code 0 for done, 1 for what went wrong in the doing, 2 for words that make no command. */
 @Command(name = "fordridge", description = "Places VMs on a cluster's machines.", mixinStandardHelpOptions = true,
         versionProvider = Cli.Version.class, subcommands = {Cli.Place.class, Cli.Rig.class, CtlCommand.class, Cli.DrillCommand.class,
-            Cli.CheckConfig.class, Cli.ShowVersion.class, AutoComplete.GenerateCompletion.class})
+            Cli.CheckConfig.class, Cli.Constraints.class, Cli.ShowVersion.class, AutoComplete.GenerateCompletion.class})
 public final class Cli implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -141,6 +141,32 @@
         }
     }
 
+    @Command(name = "constraints", description = "Reads a set of customers' rules; prints it as the language writes it.",
+            mixinStandardHelpOptions = true)
+    static final class Constraints implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        private File file;
+        @Option(names = "--config", paramLabel = "FILE",
+                description = "Settings: names, and the list's machines, are checked against them.")
+        private File config;
+
+        @Override
+        public Integer call() throws Exception {
+            String text = Files.readString(file.toPath());
+            java.util.List<fordridge.constraint.Rule> rules;
+            try {
+                rules = fordridge.constraint.Language.read(text, fordridge.constraint.Language.Names.ANY);
+            } catch (fordridge.constraint.Language.Refused e) {
+                throw new Deployment.Refused(e.complaints.stream().map(c -> file + ":" + c).toList());
+            }
+            if (config != null) {
+                rules = fordridge.placer.PlacerProgram.readRules(text, read(config, Map.of()));
+            }
+            System.out.print(fordridge.constraint.Language.print(rules));
+            return 0;
+        }
+    }
+
     @Command(name = "rig", description = "Stand-ins, scripted days and their judging.", mixinStandardHelpOptions = true,
             subcommands = {RigDay.class, RigClimb.class, RigCheck.class, RigWatch.class})
     static final class Rig implements Callable<Integer> {
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -284,20 +284,26 @@
             }
             watch(r);
         }
-        List<Book.Spot> spots = new ArrayList<>();
-        if (list.whole() || !list.entries().isEmpty()) {
-            for (MachineList.Entry e : list.entries()) {
-                this.spots.put(e.name(), new Book.Spot(e.name(), e.kind(), e.zone(), e.cell()));
-            }
-            if (list.whole()) {
-                this.spots.keySet().retainAll(list.entries().stream().map(MachineList.Entry::name).toList());
-            }
-            spots.addAll(this.spots.values());
-            book.machines(spots);
+        if (standElsewhere(list)) {
+            book.machines(spots.values());
         }
         feed.list(list.whole(), list.old(), lines);
     }
 
+    /** Whether machines came, went or were relabelled: the rules' book is told only then, as it counts all anew. */
+    private boolean standElsewhere(MachineList.Update list) {
+        boolean news = false;
+        Set<String> named = new HashSet<>();
+        for (MachineList.Entry e : list.entries()) {
+            named.add(e.name());
+            Book.Spot spot = e.listing() == Machine.Listing.GONE ? null
+                    : new Book.Spot(e.name(), e.kind(), e.zone(), e.cell());
+            Book.Spot was = spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
+            news |= !java.util.Objects.equals(was, spot);
+        }
+        return list.whole() && spots.keySet().removeIf(n -> !named.contains(n)) || news;
+    }
+
     private Reach reach(String machine) {
         Machine m = feed.machine(machine);
         return reaches.computeIfAbsent(m, x -> new Reach(machine, x));
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -86,6 +86,14 @@
                 .addKeyValue("metrics", metrics == null ? "none" : metrics.port()).log("placing");
     }
 
+    /** Reads rules as a placer of this deployment would, against its list of machines if it is a file that is there. */
+    public static List<fordridge.constraint.Rule> readRules(String text, Deployment d) throws Deployment.Refused {
+        List<MachineList.Entry> machines = d.source.equals("file") && d.listFile().isFile()
+                ? ListFile.read(d.listFile(), d, 1).entries() : List.of();
+        return Rules.read(text, d, machines.stream().map(e -> new fordridge.constraint.Book.Spot(e.name(), e.kind(),
+                e.zone(), e.cell())).toList());
+    }
+
     private Server serve(Instance it, int port) throws IOException {
         return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port)).bossEventLoopGroup(it.loop)
                 .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
--- a/src/main/java/fordridge/placer/Rules.java
+++ b/src/main/java/fordridge/placer/Rules.java
@@ -3,6 +3,7 @@
 import fordridge.constraint.Book;
 import fordridge.constraint.Language;
 import fordridge.constraint.Rule;
+import fordridge.constraint.Sense;
 import fordridge.listing.MachineList;
 import fordridge.settings.Deployment;
 import java.io.File;
@@ -45,7 +46,7 @@
     void follow(BiConsumer<List<Rule>, Integer> taker) throws Deployment.Refused {
         seen = text();
         if (seen != null) {
-            taker.accept(read(seen, d), ++version);
+            taker.accept(read(seen, d, spots()), ++version);
         }
         long every = d.poll.toMillis();
         looks.scheduleWithFixedDelay(() -> look(taker), every, every, TimeUnit.MILLISECONDS);
@@ -56,7 +57,7 @@
             String now = text();
             if (now != null && !now.equals(seen)) {
                 seen = now;
-                taker.accept(read(now, d), ++version);
+                taker.accept(read(now, d, spots()), ++version);
             }
         } catch (Deployment.Refused e) {
             LOG.error("rules stay as they were: {}", String.join("; ", e.complaints));
@@ -78,8 +79,12 @@
         }
     }
 
+    private List<Book.Spot> spots() {
+        return list.latest().entries().stream().map(e -> new Book.Spot(e.name(), e.kind(), e.zone(), e.cell())).toList();
+    }
+
     /** A set that this deployment's placers can read and keep. */
-    static List<Rule> read(String text, Deployment d) throws Deployment.Refused {
+    static List<Rule> read(String text, Deployment d, List<Book.Spot> machines) throws Deployment.Refused {
         Set<String> customers = new HashSet<>();
         d.customers.forEach(c -> customers.add(c.name()));
         Set<String> kinds = new HashSet<>();
@@ -87,6 +92,10 @@
         try {
             List<Rule> rules = Language.read(text, new Language.Names(customers, d.flavours.keySet(), kinds, Set.of()));
             new Book(rules, d.allPlacers());
+            List<Sense.Clash> clashes = Sense.of(rules, machines);
+            if (!clashes.isEmpty()) {
+                throw new Deployment.Refused(clashes.stream().map(Object::toString).toList());
+            }
             return rules;
         } catch (Language.Refused e) {
             throw new Deployment.Refused(e.complaints);
--- a/src/test/java/fordridge/constraint/BookTest.java
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -114,6 +114,37 @@
         assertThat(b.conflict("", "v", 6)).extracting(Rule::name).containsExactly("one");
     }
 
+    @Example
+    void setsThatLeaveNoPlaceAreFoundWhenRead() throws Exception {
+        String near = "rule n: flavour w require near service 4 per zone;\n";
+        assertThat(Sense.of(Language.read(near + "rule a: all require apart service 4, 5 per zone;", Language.Names.ANY),
+                FLEET)).extracting(Sense.Clash::toString).anyMatch(c -> c.startsWith("rule 'n' (line 1: near service 4 per "
+                + "zone) and rule 'a' (line 2") && c.contains("leave no place as soon as one of service 4 runs"));
+        assertThat(Sense.of(Language.read(near + "rule a: all require apart service 4 per machine;", Language.Names.ANY),
+                FLEET)).as("another machine of the zone will do").isEmpty();
+        assertThat(Sense.of(Language.read("rule a: flavour w require on zone x;\nrule b: service 1 require on zone y;\n"
+                + "rule c: service 1 require on kind big;", Language.Names.ANY), FLEET)).extracting(c -> c.rules().size())
+                .containsExactly(2);
+    }
+
+    /** What is refused when read can be placed nowhere, and what is not refused can begin. */
+    @Property(tries = 300, seed = "8180")
+    void refusesOnlyWhatHasNoPlace(@ForAll long seed) throws Exception {
+        Random r = new Random(seed);
+        List<Rule> rules = new ArrayList<>();
+        for (int i = 0; i < 1 + r.nextInt(5); i++) {
+            rules.add(rule(r, i));
+        }
+        List<Sense.Clash> labels = Sense.of(rules, FLEET).stream().filter(c -> c.what().contains("no machine")).toList();
+        boolean stuck = false;
+        for (String f : List.of("", "f0", "f1", "f2")) {
+            for (long s : new long[] {-1, 0, 1, 2}) {
+                stuck |= FLEET.stream().noneMatch(at -> plain(rules, FLEET, List.of(), f, s, at));
+            }
+        }
+        assertThat(!labels.isEmpty()).as(Language.print(rules)).isEqualTo(stuck);
+    }
+
     @Example
     void whatNoPlacerCanKeepForAllIsRefused() throws Exception {
         List<Rule> rules = Language.read("rule m: flavour w require spread at most 3 per zone overall;", Language.Names.ANY);
