ctl explain: where VMs may go by a placer's rules, machine by machine, and what runs against them

Need: an owner or operator asks why here and why not there. Change: an Operating service on the placer's port, answered from the book of rules; ctl explain prints it. Measured: tested on sockets.

--- a/src/main/java/fordridge/cli/CtlCommand.java
+++ b/src/main/java/fordridge/cli/CtlCommand.java
@@ -2,6 +2,14 @@
 
 import fordridge.etcd.Ctl;
 import fordridge.etcd.Schema;
+import fordridge.v1.ExplainReply;
+import fordridge.v1.ExplainRequest;
+import fordridge.v1.OperatingGrpc;
+import io.grpc.ManagedChannel;
+import io.grpc.StatusRuntimeException;
+import io.grpc.netty.NettyChannelBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
@@ -9,6 +17,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -17,7 +26,7 @@
 /** What operators say to the store of machines. */
 @Command(name = "ctl", description = "Looks at and changes the store of machines.", mixinStandardHelpOptions = true,
         subcommands = {CtlCommand.Machines.class, CtlCommand.Drain.class, CtlCommand.Undrain.class,
-            CtlCommand.Terms.class})
+            CtlCommand.Terms.class, CtlCommand.Explain.class})
 final class CtlCommand implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -168,4 +177,44 @@
             return 0;
         }
     }
+
+    @Command(name = "explain", description = "Where VMs of a kind may go by a placer's rules, machine by machine.",
+            mixinStandardHelpOptions = true)
+    static final class Explain implements Callable<Integer> {
+        @Option(names = "--placer", required = true, paramLabel = "HOST:PORT")
+        private String placer;
+        @Option(names = "--customer")
+        private String customer = "";
+        @Option(names = "--flavour")
+        private String flavour = "";
+        @Option(names = "--service")
+        private long service;
+
+        @Override
+        public Integer call() throws Exception {
+            int colon = placer.lastIndexOf(':');
+            if (!placer.matches("[^:]+:[0-9]{1,5}")) {
+                throw new IllegalArgumentException("--placer: '" + placer + "' is not host:port");
+            }
+            ManagedChannel channel = NettyChannelBuilder.forAddress(new InetSocketAddress(placer.substring(0, colon),
+                    Integer.parseInt(placer.substring(colon + 1)))).usePlaintext().maxInboundMessageSize(64 << 20).build();
+            try {
+                ExplainReply r = OperatingGrpc.newBlockingStub(channel).withDeadlineAfter(5, TimeUnit.SECONDS).explain(
+                        ExplainRequest.newBuilder().setCustomer(customer).setFlavour(flavour).setService(service).build());
+                System.out.println("rules of version " + r.getVersion());
+                r.getSpotsList().forEach(s -> {
+                    System.out.printf(Locale.ROOT, "%-24s %-4s %s%n", s.getMachine(), s.getAllowed() ? "may" : "not",
+                            s.getUnfit() > 0 ? "against preferences of weight " + s.getUnfit() : "");
+                    s.getReasonsList().forEach(w -> System.out.println("    " + w));
+                });
+                r.getMisfitsList().forEach(m -> System.out.println(m.getVm() + " runs on " + m.getMachine() + " against "
+                        + String.join("; ", m.getReasonsList())));
+                return 0;
+            } catch (StatusRuntimeException e) {
+                throw new IOException("placer at " + placer + ": " + e.getStatus());
+            } finally {
+                channel.shutdownNow();
+            }
+        }
+    }
 }
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -9,6 +9,7 @@
 import fordridge.obs.Meters;
 import fordridge.rpc.ClientService;
 import fordridge.rpc.MachineStream;
+import fordridge.rpc.OperateService;
 import fordridge.rpc.Telling;
 import fordridge.session.Answer;
 import fordridge.session.Lateness;
@@ -53,7 +54,7 @@
  * order in which the loop met them, each at the time of a clock that only goes forward; what the module does while
  * one is entered is carried out at once, and what follows from that is entered behind it. It decides nothing.
  */
-final class Instance implements Door, ClientService.Desk, Link.Fate {
+final class Instance implements Door, ClientService.Desk, Link.Fate, OperateService.Books {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
     private static final Duration FEELS = Duration.ofMillis(25);
@@ -137,6 +138,7 @@
     private final Sessions sessions;
     private final Lateness lateness = new Lateness(Duration.ofSeconds(2));
     private Book book;
+    private int rulesVersion;
     private final Map<Session, ClientService.Stream> streams = new LinkedHashMap<>();
     private final Set<Session> talkative = new LinkedHashSet<>();
     private final Map<Machine, Reach> reaches = new HashMap<>();
@@ -316,6 +318,7 @@
         loop.execute(() -> enter(() -> {
             try {
                 book = book.with(rules, d.allPlacers());
+                rulesVersion = version;
                 book.misfits().forEach((claim, why) -> line(Level.WARN, "runs where rules of version " + version
                         + " would not let it go: " + why.get(0).rule().name(), ((Claim) claim).vm,
                         ((Claim) claim).machine));
@@ -327,6 +330,27 @@
         }));
     }
 
+    @Override
+    public Book book() {
+        return book;
+    }
+
+    @Override
+    public int rulesVersion() {
+        return rulesVersion;
+    }
+
+    @Override
+    public List<String> machines() {
+        return List.copyOf(spots.keySet());
+    }
+
+    @Override
+    public List<String> named(Object claim) {
+        Claim c = (Claim) claim;
+        return List.of(c.vm.id, reaches.get(c.machine).name);
+    }
+
     @Override
     public double unfit(Vm vm, Machine m) {
         if (book.rules().isEmpty()) {
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -6,6 +6,7 @@
 import fordridge.obs.Meters;
 import fordridge.obs.MetricsPort;
 import fordridge.rpc.ClientService;
+import fordridge.rpc.OperateService;
 import fordridge.settings.Deployment;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
@@ -99,7 +100,7 @@
                 .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
                 .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage)).flowControlWindow(1 << 18)
                 .permitKeepAliveTime(100, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true)
-                .addService(new ClientService(it, d.maxMessage)).build().start();
+                .addService(new ClientService(it, d.maxMessage)).addService(new OperateService(it)).build().start();
     }
 
     private void watchLag(EventLoop loop) {
--- a/src/test/java/fordridge/placer/Peers.java
+++ b/src/test/java/fordridge/placer/Peers.java
@@ -206,6 +206,10 @@
             channel = NettyChannelBuilder.forAddress("127.0.0.1", port).usePlaintext().flowControlWindow(65535).build();
         }
 
+        ManagedChannel channel() {
+            return channel;
+        }
+
         ClientPeer open(boolean reads) {
             status = null;
             PlacingGrpc.newStub(channel).place(new ClientResponseObserver<ClientMessage, PlacerMessage>() {
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -363,6 +363,10 @@
             }
             until(() -> c.count(BodyCase.BOUND) == 3);
             p.machines.forEach(m -> assertThat(m.offers.size()).isEqualTo(1));
+            var why = fordridge.v1.OperatingGrpc.newBlockingStub(c.channel()).explain(
+                    fordridge.v1.ExplainRequest.newBuilder().setFlavour("once").setService(1).build());
+            assertThat(why.getSpotsList()).hasSize(3).allMatch(x -> !x.getAllowed() && x.getReasons(0).contains("rule 'one'")
+                    && x.getReasons(0).contains("1 in machine"));
             c.to.onNext(ClientPeer.wanted("fourth", "once", 600_000).build());
             until(() -> c.count(BodyCase.DENIED) == 1);
             // A set that cannot be read leaves the old one; a good one takes over for what is placed from then on.
