--- a/src/main/java/fordridge/etcd/EtcdList.java
+++ b/src/main/java/fordridge/etcd/EtcdList.java
@@ -138,7 +138,7 @@
         int mine = ++attempt;
         String[] at = d.etcdEndpoints.get(endpoints.current()).split(":");
         channel = NettyChannelBuilder.forAddress(new InetSocketAddress(at[0], Integer.parseInt(at[1])))
-                .usePlaintext().disableRetry().userAgent("fordridge/" + self).intercept(token(d.etcdToken)).maxInboundMessageSize(64 << 20)
+                .usePlaintext().directExecutor().disableRetry().userAgent("fordridge/" + self).intercept(token(d.etcdToken)).maxInboundMessageSize(64 << 20)
                 .keepAliveTime(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS)
                 .keepAliveTimeout(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS).build();
         if (believed.revision() > 0 && believed.footing() == Believed.Footing.OLD) {
@@ -243,6 +243,10 @@
         List<Believed.Item> items = new ArrayList<>(r.getKvsCount());
         r.getKvsList().forEach(k -> items.add(Schema.item(k, keys)));
         believed.snapshotPage(items, now());
+        // What a page tells is passed on at once: a drain does not wait for the pages behind it.
+        if (version > 0) {
+            passOn(false);
+        }
         if (r.getMore() && r.getKvsCount() > 0) {
             page(r.getKvs(r.getKvsCount() - 1).getKey().concat(ByteString.copyFrom(new byte[] {0})), at);
         } else {
@@ -455,6 +459,15 @@
     }
 
     private void tell(boolean whole) {
+        toldOld = false;
+        if (believed.takeTermsChanged()) {
+            terms = Map.copyOf(believed.terms());
+        }
+        count();
+        passOn(whole);
+    }
+
+    private void passOn(boolean whole) {
         believed.takeComplaints().forEach(c -> LOG.warn("etcd: {}", c));
         List<Entry> changed = new ArrayList<>();
         for (Believed.Line l : believed.takeChanges(keys)) {
@@ -468,12 +481,7 @@
             }
             changed.add(e);
         }
-        toldOld = false;
-        if (believed.takeTermsChanged()) {
-            terms = Map.copyOf(believed.terms());
-        }
-        count();
-        publish(new Update(++version, whole, false, whole ? List.copyOf(entries.values()) : changed));
+        publish(new Update(++version, whole, toldOld, whole ? List.copyOf(entries.values()) : changed));
     }
 
     private void tellOld() {
--- a/src/main/java/fordridge/membership/Endpoints.java
+++ b/src/main/java/fordridge/membership/Endpoints.java
@@ -5,7 +5,7 @@
 
 /** Which of several endpoints is tried next, and after what wait: each in turn, then longer and longer rounds. */
 public final class Endpoints {
-    private static final Duration LEAST = Duration.ofMillis(20);
+    private static final Duration LEAST = Duration.ofMillis(100);
     private static final Duration MOST = Duration.ofSeconds(2);
 
     private final int count;
@@ -29,14 +29,14 @@
         failures = 0;
     }
 
-    /** It failed: the next one is in use, after the wait given. The first round through all goes without a wait. */
+    /**
+     * It failed: the next one is in use, after the wait given. The waits of the first round are short, and none is
+     * nothing: hundreds of placers lose one endpoint in the same instant, and must not all ask the next in another.
+     */
     public Duration failed() {
         failures++;
         at = (at + 1) % count;
-        if (failures < count) {
-            return Duration.ZERO;
-        }
-        double full = Math.min(MOST.toNanos(), LEAST.toNanos() * Math.pow(2, Math.min(30, failures - count)));
-        return Duration.ofNanos((long) (full * (0.5 + chance.next() / 2)));
+        double full = Math.min(MOST.toNanos(), LEAST.toNanos() * Math.pow(2, Math.min(30, Math.max(0, failures - count))));
+        return Duration.ofNanos((long) (full * (failures < count ? chance.next() : 0.5 + chance.next() / 2)));
     }
 }
