--- a/src/main/java/fordridge/etcd/EtcdList.java
+++ b/src/main/java/fordridge/etcd/EtcdList.java
@@ -168,10 +168,7 @@
         fragments.clear();
         believed.cutOff();
         headcount.cutOff();
-        if (watch != null) {
-            watch.cancel("failed", null);
-            watch = null;
-        }
+        leaveWatch("failed");
         keepAlive = null;
         if (channel != null) {
             channel.shutdownNow();
@@ -183,6 +180,15 @@
         thread.schedule(() -> on(mine, this::connect), endpoints.failed().toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    /** Nothing may be asked on a cancelled call: progress is asked for on a timer. */
+    private void leaveWatch(String why) {
+        ClientCallStreamObserver<WatchRequest> old = watch;
+        watch = null;
+        if (old != null) {
+            old.cancel(why, null);
+        }
+    }
+
     private KVGrpc.KVStub kv() {
         return KVGrpc.newStub(channel).withDeadlineAfter(d.etcdCall.toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -313,7 +319,7 @@
         if (r.getCanceled()) {
             if (r.getCompactRevision() > 0) {
                 LOG.info("etcd: compacted past revision {}, taking a new snapshot", believed.revision());
-                watch.cancel("compacted", null);
+                leaveWatch("compacted");
                 attempt++;
                 believed.cutOff();
                 tellOld();
@@ -328,7 +334,7 @@
                 || r.getHeader().getClusterId() != believed.clusterId())) {
             believed.cutOff();
             attempt++;
-            watch.cancel("went back", null);
+            leaveWatch("went back");
             snapshot();
             register();
             return;
