--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -191,18 +191,17 @@
         }
         inside = true;
         long from = System.nanoTime();
-        try {
-            for (Runnable next = inputs.pollFirst(); next != null; next = inputs.pollFirst()) {
-                now = clock();
+        for (Runnable next = inputs.pollFirst(); next != null; next = inputs.pollFirst()) {
+            now = clock();
+            try {
                 feed.logic.at(now);
                 next.run();
+            } catch (RuntimeException e) {
+                // This one is lost to the module, those behind it are not; its VM is answered by its time-out.
+                LOG.atError().addKeyValue("placer", name).setCause(e).log("an input failed");
             }
-        } catch (RuntimeException e) {
-            // What was entered is lost to the module; what it knows stays whole enough to answer by time-out.
-            LOG.atError().addKeyValue("placer", name).setCause(e).log("an input failed");
-        } finally {
-            inside = false;
         }
+        inside = false;
         meters.decided(System.nanoTime() - from);
         while (!talkative.isEmpty()) {
             Session s = talkative.iterator().next();
