Asks leave only while the stream takes them; streams cut at binds and greetings

Cause: an ask's time ran while it waited in the owner's own buffer, so at 3,000 a second owners saw late answers. Change: stand-in owners write while ready (said in the protocol), a client's window is 64 KiB; cuts at a chosen message on both sides.

--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -30,6 +30,8 @@
 /** The program {@code fordridge placer}: its instances, their listening ports, the list and the metrics. */
 public final class PlacerProgram implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
+    /** HTTP/2's least default: what a client may have under way unread, and so how old an ask may grow there. */
+    private static final int CLIENT_WINDOW = 65_535;
     private static final Duration LAG_EVERY = Duration.ofMillis(20);
 
     private final Deployment d;
@@ -98,7 +100,7 @@
     private Server serve(Instance it, int port) throws IOException {
         return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port)).bossEventLoopGroup(it.loop)
                 .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
-                .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage)).flowControlWindow(1 << 18)
+                .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage)).flowControlWindow(CLIENT_WINDOW)
                 .permitKeepAliveTime(100, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true)
                 .addService(new ClientService(it, d.maxMessage)).addService(new OperateService(it)).build().start();
     }
--- a/src/main/java/fordridge/rig/DayPlan.java
+++ b/src/main/java/fordridge/rig/DayPlan.java
@@ -23,7 +23,8 @@
     static final List<String> KINDS = List.of("slow", "vanish", "hang", "crash", "fast_errors", "pauses", "neighbour",
             "answer_lost", "throttle", "drain", "deploy", "mass_restart", "preempt", "zone_loss", "grow", "burst",
             "hot_key", "flush", "reconnect", "cut_clients", "cut_machines", "cut_offers", "cut_before_answer",
-            "cut_after_answer", "mute", "etcd_compact",
+            "cut_after_answer", "cut_greetings",
+            "cut_binds", "mute", "etcd_compact",
             "etcd_silence", "etcd_cut", "etcd_delay", "etcd_restore", "etcd_leases");
 
     private static final Duration LONG = Duration.ofHours(2);
--- a/src/main/java/fordridge/rig/Faults.java
+++ b/src/main/java/fordridge/rig/Faults.java
@@ -114,12 +114,17 @@
             case "reconnect" -> owners.forEach(o -> o.act(() -> o.reconnect(f.part(), f.lasts())));
             case "cut_clients" -> cutClients(f, draw);
             case "cut_machines" -> struck(f, draw).forEach(m -> m.act(() -> m.cut(null)));
-            case "cut_offers" -> during(f, draw, m -> m.cutAt(StandInMachine.CutAt.OFFER_READ, f.of(),
-                    (int) Math.max(1, f.size())), m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
-            case "cut_before_answer" -> during(f, draw, m -> m.cutAt(StandInMachine.CutAt.BEFORE_ANSWER, f.of(),
-                    (int) Math.max(1, f.size())), m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
-            case "cut_after_answer" -> during(f, draw, m -> m.cutAt(StandInMachine.CutAt.AFTER_ANSWER, f.of(),
-                    (int) Math.max(1, f.size())), m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
+            case "cut_greetings" -> cutMachinesAt(StandInMachine.CutAt.GREETED, f, draw);
+            case "cut_offers" -> cutMachinesAt(StandInMachine.CutAt.OFFER_READ, f, draw);
+            case "cut_before_answer" -> cutMachinesAt(StandInMachine.CutAt.BEFORE_ANSWER, f, draw);
+            case "cut_after_answer" -> cutMachinesAt(StandInMachine.CutAt.AFTER_ANSWER, f, draw);
+            case "cut_binds" -> {
+                for (StandInOwner o : owners) {
+                    if (draw.nextDouble() < f.part()) {
+                        o.act(() -> o.cutAtBinds((int) Math.max(1, f.size()), Duration.ofMillis((long) f.extra())));
+                    }
+                }
+            }
             case "etcd_compact" -> etcd.compactNow();
             case "etcd_cut" -> {
                 etcd.leaderless(true);
@@ -142,6 +147,11 @@
         }
     }
 
+    private void cutMachinesAt(StandInMachine.CutAt when, DayPlan.Fault f, Random draw) {
+        during(f, draw, m -> m.cutAt(when, f.of(), (int) Math.max(1, f.size())),
+                m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
+    }
+
     private void throttle(StandInMachine m, DayPlan.Fault f) {
         MachineModel.Trouble t = m.trouble();
         boolean customer = plan.deployment.customers.stream().anyMatch(c -> c.name().equals(f.of()));
--- a/src/main/java/fordridge/rig/StandInMachine.java
+++ b/src/main/java/fordridge/rig/StandInMachine.java
@@ -41,7 +41,7 @@
  */
 final class StandInMachine implements MachineModel.Says {
     /** What a cut waits for; it breaks the stream just then. */
-    enum CutAt { NONE, OFFER_READ, BEFORE_ANSWER, AFTER_ANSWER }
+    enum CutAt { NONE, GREETED, OFFER_READ, BEFORE_ANSWER, AFTER_ANSWER }
 
     private static final int LOW_WATER = 4096;
 
@@ -150,6 +150,10 @@
                         tap.line(name(), "greeting", "placer", placer);
                         if (!mute) {
                             streams.put(placer, out);
+                            if (cutNow(CutAt.GREETED, null)) {
+                                cut(placer);
+                                return;
+                            }
                             hold(placer, out);
                         }
                         return;
@@ -397,7 +401,7 @@
     }
 
     private boolean cutNow(CutAt when, String flavour) {
-        if (cutAt != when || cuts <= 0 || cutFlavour != null && !cutFlavour.isEmpty() && !cutFlavour.equals(flavour)) {
+        if (cutAt != when || cuts <= 0 || flavour != null && cutFlavour != null && !cutFlavour.isEmpty() && !cutFlavour.equals(flavour)) {
             return false;
         }
         cuts--;
--- a/src/main/java/fordridge/rig/StandInOwner.java
+++ b/src/main/java/fordridge/rig/StandInOwner.java
@@ -16,7 +16,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,7 +62,7 @@
     private final UniformRandomProvider chance;
     private final Map<String, Wish> waiting = new LinkedHashMap<>();
     private final Map<String, Wish> running = new LinkedHashMap<>();
-    private final List<Wish> unsent = new ArrayList<>();
+    private final Deque<Wish> unsent = new ArrayDeque<>();
     private ManagedChannel channel;
     private ClientCallStreamObserver<ClientMessage> to;
     private int generation;
@@ -73,6 +74,8 @@
     private long number;
     private double rate;
     private long connects;
+    private int cutsLeft;
+    private Duration cutsAway = Duration.ZERO;
 
     StandInOwner(String name, int port, EventLoop loop, Tap tap, Score score, DayPlan plan, List<Service> services,
             double rate, long seed) {
@@ -112,6 +115,11 @@
             @Override
             public void beforeStart(ClientCallStreamObserver<ClientMessage> stream) {
                 to = stream;
+                stream.setOnReadyHandler(() -> {
+                    if (mine == generation) {
+                        sendWhileReady();
+                    }
+                });
             }
 
             @Override
@@ -180,8 +188,19 @@
 
     // ---- What it hears ---------------------------------------------------------------------------------
 
+    /** Breaks the stream at the next binds that arrive, before they are taken in or acknowledged. */
+    void cutAtBinds(int times, Duration away) {
+        cutsLeft = times;
+        cutsAway = away;
+    }
+
     private void heard(PlacerMessage m) {
         long t = tap.now();
+        if (m.hasBound() && cutsLeft > 0) {
+            cutsLeft--;
+            cut(cutsAway);
+            return;
+        }
         if (m.getSeq() > 0) {
             if (m.getSeq() <= seen) {
                 tap.line(name, "repeated", "seq", m.getSeq());
@@ -198,9 +217,7 @@
                 }
                 token = m.getWelcome().getResumeToken();
                 welcome = true;
-                List<Wish> some = List.copyOf(unsent);
-                unsent.clear();
-                some.forEach(this::send);
+                sendWhileReady();
             }
             case BOUND -> bound(m.getBound().getVm(), m.getBound().getMachine(), t);
             case DENIED -> {
@@ -328,10 +345,14 @@
         w.asked++;
         w.vm = w.workload + "." + w.asked;
         w.until = tap.now() + w.service.flavour.buildTimeout().toNanos() / 1000;
-        if (welcome) {
-            send(w);
-        } else {
-            unsent.add(w);
+        unsent.addLast(w);
+        sendWhileReady();
+    }
+
+    /** An ask leaves with the time that is left as it is written, so none waits long behind others in a buffer. */
+    private void sendWhileReady() {
+        while (welcome && to != null && to.isReady() && !unsent.isEmpty()) {
+            send(unsent.removeFirst());
         }
     }
 
