Terms in the store take over while a placer runs, checked whole

Need: terms are followed as machines and drains are. Change: the term 'deployment' is laid over each placer's settings; what VMs in hand rely on may not change under them; the module takes other terms as an input and keeps what it learned of its flavours.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -93,14 +93,27 @@
         me.chance = new Chance(seed);
         me.terms = new Terms(terms);
         me.placers = me.terms.num("nInstances", 1);
-        settle = me.terms.micros("extra.settleUs", 3e6);
         // Until notes tell, use is what lets a machine bear all it accepts: a high guess opens too many.
         coresRatio = new Mean(1 / me.terms.num("extra.admitCores", 1));
         memoryRatio = new Mean(1 / me.terms.num("extra.memBooking", 1));
+        readTerms();
+        settleRules();
+    }
+
+    /** Other terms hold from now on; flavours keep what was learned, and none may leave or change its effect. */
+    public void told(Map<String, Object> terms) {
+        me.terms = new Terms(terms);
+        readTerms();
+        lookAgain();
+    }
+
+    private void readTerms() {
+        settle = me.terms.micros("extra.settleUs", 3e6);
+        neededKinds.clear();
         int n = (int) me.terms.num("lanes", 0);
         for (int i = 0; i < n; i++) {
-            Flavour f = new Flavour();
             String lane = "lanes." + i + ".";
+            Flavour f = flavours.computeIfAbsent(me.terms.text(lane + "name", ""), name -> new Flavour());
             f.rank = (int) me.terms.item("extra.precedence", i, 0);
             f.effect = switch (me.terms.text(lane + "semantics", "fragile")) {
                 case "retryable" -> Effect.REBUILDABLE;
@@ -119,15 +132,15 @@
             f.calm = me.terms.item("extra.calmLevel", i, 1);
             f.fade = me.terms.item("extra.fadeSpan", i, 0);
             f.startWorth = me.terms.item("extra.startSeconds", i, 0);
-            f.life = Math.max(1, f.startWorth);
-            f.startWarm = seconds(f.target) / 2;
-            f.startCold = 2 * seconds(f.target);
+            if (f.life == 0) {
+                f.life = Math.max(1, f.startWorth);
+                f.startWarm = seconds(f.target) / 2;
+                f.startCold = 2 * seconds(f.target);
+            }
             if (f.kind != null) {
                 neededKinds.add(f.kind);
             }
-            flavours.put(me.terms.text(lane + "name", ""), f);
         }
-        settleRules();
     }
 
     /** A list follows: whole (what it does not name is gone) or changes; {@code old} if it may be stale. */
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -132,10 +132,12 @@
         }
     }
 
-    private final Deployment d;
+    /** Its settings under the cluster's terms of now. */
+    private Deployment d;
     final String name;
     final EventLoop loop;
     private final long seed;
+    private final int position;
     private final Meters meters;
     private final Link.Manners manners;
     private final Feed<String> feed;
@@ -175,6 +177,7 @@
             throw new IllegalStateException(e);
         }
         sessions = new Sessions(new Sessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
+        this.position = position;
         loop.execute(() -> enter(() -> feed.logic.start(seed, ModuleTerms.of(d, position))));
         loop.scheduleAtFixedRate(() -> enter(() -> sessions.expire(now)), 1, 1, TimeUnit.SECONDS);
         feelLateness();
@@ -343,6 +346,14 @@
         }));
     }
 
+    /** Other terms of the cluster hold for all that comes from here on. */
+    void terms(Deployment next) {
+        loop.execute(() -> enter(() -> {
+            d = next;
+            feed.logic.told(ModuleTerms.of(next, position));
+        }));
+    }
+
     @Override
     public Book book() {
         return book;
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -51,7 +51,7 @@
         MetricsPort port = null;
         long seed;
         try {
-            boolean etcd = d.source.equals("etcd");
+            boolean etcd = d.listSource.equals("etcd");
             if (!etcd) {
                 // One follower of the file serves all: reading it decides nothing.
                 lists.add(new ListFile(d.listFile(), d));
@@ -74,6 +74,7 @@
             }
             rules = new Rules(d, lists.get(0));
             rules.follow((r, v) -> instances.forEach(i -> i.rules(r, v)));
+            rules.followTerms(t -> instances.forEach(i -> i.terms(t)));
             meters.gauge("fordridge.held", () -> instances.stream().mapToInt(Instance::inHand).sum());
             meters.gauge("fordridge.streams", () -> instances.stream().mapToInt(Instance::streamsOpen).sum());
             if (d.metricsPort >= 0) {
@@ -91,7 +92,7 @@
 
     /** Reads rules as a placer of this deployment would, against its list of machines if it is a file that is there. */
     public static List<fordridge.constraint.Rule> readRules(String text, Deployment d) throws Deployment.Refused {
-        List<MachineList.Entry> machines = d.source.equals("file") && d.listFile().isFile()
+        List<MachineList.Entry> machines = d.listSource.equals("file") && d.listFile().isFile()
                 ? ListFile.read(d.listFile(), d, 1).entries() : List.of();
         return Rules.read(text, d, machines.stream().map(e -> new fordridge.constraint.Book.Spot(e.name(), e.kind(),
                 e.zone(), e.cell())).toList());
--- a/src/main/java/fordridge/placer/Rules.java
+++ b/src/main/java/fordridge/placer/Rules.java
@@ -6,6 +6,7 @@
 import fordridge.constraint.Sense;
 import fordridge.listing.MachineList;
 import fordridge.settings.Deployment;
+import fordridge.settings.TermsChange;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -16,6 +17,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +28,7 @@
 final class Rules implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.rules");
     private static final String TERM = "constraints";
+    private static final String DEPLOYMENT = "deployment";
 
     private final Deployment d;
     private final MachineList list;
@@ -52,6 +55,28 @@
         looks.scheduleWithFixedDelay(() -> look(taker), every, every, TimeUnit.MILLISECONDS);
     }
 
+    /** Hands over the deployment under each new set of terms in the store; one that is refused leaves the last. */
+    void followTerms(Consumer<Deployment> taker) {
+        Deployment[] now = {d};
+        String[] seenTerms = {null};
+        looks.scheduleWithFixedDelay(() -> {
+            String text = list.term(DEPLOYMENT);
+            if (text == null || text.equals(seenTerms[0])) {
+                return;
+            }
+            seenTerms[0] = text;
+            try {
+                now[0] = TermsChange.over(d, now[0], text);
+                taker.accept(now[0]);
+                LOG.info("terms of the cluster taken over");
+            } catch (Deployment.Refused e) {
+                LOG.error("terms stay as they were: {}", String.join("; ", e.complaints));
+            } catch (RuntimeException e) {
+                LOG.error("terms stay as they were", e);
+            }
+        }, 0, d.poll.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void look(BiConsumer<List<Rule>, Integer> taker) {
         try {
             String now = text();
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -56,7 +56,7 @@
     public int keepAnswers;
     public int unread;
     public int open;
-    public String source;
+    public String listSource;
     public List<String> etcdEndpoints;
     public String etcdPrefix;
     public String etcdToken;
@@ -102,6 +102,8 @@
     public String logFormat;
     public String logLevel;
     public int metricsPort;
+    /** The settings as they were written, without defaults. */
+    Config source;
     /** Folder of the file, from which relative paths are taken. */
     public File folder;
 
@@ -130,6 +132,7 @@
         List<String> errors = new ArrayList<>();
         Deployment d = new Deployment();
         d.folder = folder;
+        d.source = own;
         Reader r = new Reader(all, "", errors);
         d.take(r);
         r.refuseUnknown();
@@ -157,7 +160,7 @@
         keepAnswers = r.whole("sessions.keep_answers", 16, 10_000_000);
         unread = r.whole("sessions.unread", 4, 1_000_000);
         open = r.whole("sessions.open", 1, 1_000_000);
-        source = r.word("machines.source", "file", "etcd");
+        listSource = r.word("machines.source", "file", "etcd");
         etcdEndpoints = r.texts("etcd.endpoints");
         etcdPrefix = r.text("etcd.prefix", 200);
         etcdToken = r.text("etcd.token", 4096);
@@ -280,12 +283,12 @@
             r.error("placer.position", position + " for " + count + " of " + placers + " placers",
                     "position + count at most placers");
         }
-        for (String e : source.equals("etcd") ? etcdEndpoints : List.<String>of()) {
+        for (String e : listSource.equals("etcd") ? etcdEndpoints : List.<String>of()) {
             if (!e.matches("[^:]+:[0-9]{1,5}")) {
                 r.error("etcd.endpoints", "'" + e + "'", "host:port");
             }
         }
-        if (source.equals("etcd") && etcdEndpoints.isEmpty()) {
+        if (listSource.equals("etcd") && etcdEndpoints.isEmpty()) {
             r.error("etcd.endpoints", "none", "at least one host:port where machines.source is etcd");
         }
         if (etcdPrefix.isEmpty() || etcdPrefix.endsWith("/")) {
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -166,6 +166,22 @@
         assertThat(seconds).isGreaterThan(4);
     }
 
+    /** Terms can change under way: a longer build timeout and one claim more hold at once, what was learned stays. */
+    @Example
+    void termsToldLaterHoldFromThenOn() {
+        World w = calm(3);
+        w.terms.put("caps.mostTries", 1L);
+        w.logic.told(w.terms);
+        Vm first = w.arrive("retryable", 1, 1, 1);
+        w.end(first.claims.get(0), End.FULL, Why.NO_CORES);
+        assertThat(w.denied).isEqualTo(1);
+        w.terms.put("caps.mostTries", 3L);
+        w.logic.told(w.terms);
+        Vm second = w.arrive("retryable", 1, 1, 1);
+        w.end(second.claims.get(0), End.FULL, Why.NO_CORES);
+        assertThat(second.claims.size()).isEqualTo(2);
+    }
+
     @Example
     void opportunisticRoomFollowsReportedUse() {
         World w = calm(2);
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -453,6 +453,31 @@
         }
     }
 
+    @Example
+    void termsAndRulesInTheStoreTakeOverWhileItRuns() throws Exception {
+        try (Peers p = new Peers(1); fordridge.rig.StandInEtcd etcd = new fordridge.rig.StandInEtcd()) {
+            etcd.put("/c/machines/m0", "{\"v\":2,\"address\":\"127.0.0.1:" + p.machines.get(0).port
+                    + "\",\"kind\":\"k\",\"cores\":16,\"memory\":64}");
+            p.place("machines.source = etcd, etcd { endpoints = [\"127.0.0.1:" + etcd.port() + "\"], prefix = \"/c\" }");
+            ClientPeer c = p.client("c").open(true).hello().want("v", "fresh");
+            until(() -> c.count(BodyCase.DENIED) == 1);
+            String own = "flavours = [{ name = safe, effect = rebuildable, build_target = 300ms, build_timeout = 4s }, "
+                    + "{ name = once, effect = one-shot, build_target = 300ms, build_timeout = 4s }";
+            etcd.put("/c/terms/deployment", "flavours = [{ name = safe }]");
+            etcd.put("/c/terms/deployment", own + ", { name = fresh, effect = rebuildable }]");
+            until(() -> {
+                c.want("w" + System.nanoTime(), "fresh");
+                return c.count(BodyCase.BOUND) > 0;
+            });
+            etcd.put("/c/terms/constraints", "rule none: flavour fresh require on machine elsewhere;");
+            etcd.put("/c/terms/constraints", "rule one: flavour once require spread at most 1 per machine;");
+            until(() -> {
+                c.to.onNext(ClientPeer.wanted("x" + System.nanoTime(), "once", 300_000).build());
+                return c.heard.stream().filter(m -> m.hasDenied() && m.getDenied().getVm().startsWith("x")).count() > 0;
+            });
+        }
+    }
+
     @Example
     void rulesThatCannotBeReadOrKeptStopTheStart() throws Exception {
         try (Peers p = new Peers(1)) {
--- a/src/test/java/fordridge/settings/DeploymentTest.java
+++ b/src/test/java/fordridge/settings/DeploymentTest.java
@@ -88,4 +88,20 @@
         assertThatThrownBy(() -> ListFile.read(file(good.replace("127.0.0.1:1", "here")), d, 1))
                 .hasMessageContaining("host:port");
     }
+
+    @Example
+    void termsOfTheClusterAreLaidOverAndCheckedWhole() throws Exception {
+        Deployment d = Deployment.read(file(GOOD));
+        Deployment next = TermsChange.over(d, d, "cluster.most_claims = 2\nflavours = [{ name = f, effect = rebuildable, "
+                + "build_target = 800ms, build_timeout = 6s }, { name = g, effect = one-shot }]");
+        assertThat(next.mostClaims).isEqualTo(2);
+        assertThat(next.flavours.keySet()).containsExactly("f", "g");
+        assertThatThrownBy(() -> TermsChange.over(d, next, "cluster.most_claims = 2"))
+                .hasMessageContaining("flavour 'g' is missing");
+        assertThatThrownBy(() -> TermsChange.over(d, d, "flavours = [{ name = f, effect = one-shot }]"))
+                .hasMessageContaining("changes its effect");
+        assertThatThrownBy(() -> TermsChange.over(d, d, "placer.name = other")).hasMessageContaining("each placer's own");
+        assertThatThrownBy(() -> TermsChange.over(d, d, "cluster.most_claims = none")).hasMessageContaining("most_claims");
+        assertThatThrownBy(() -> TermsChange.over(d, d, "cluster {")).hasMessageContaining("1");
+    }
 }
