An owner whose stream broke asks again for all that it has no answer to

Change: on Welcome a stand-in owner asks again under the same names, which a placer that heard the first ask knows; the protocol says so.

--- a/src/main/java/fordridge/rig/StandInOwner.java
+++ b/src/main/java/fordridge/rig/StandInOwner.java
@@ -217,6 +217,8 @@
                 }
                 token = m.getWelcome().getResumeToken();
                 welcome = true;
+                // An ask may have been lost with the stream; its name is known to a placer that did hear it.
+                List.copyOf(waiting.values()).forEach(this::write);
                 sendWhileReady();
             }
             case BOUND -> bound(m.getBound().getVm(), m.getBound().getMachine(), t);
@@ -365,6 +367,12 @@
         waiting.put(w.vm, w);
         Service s = w.service;
         tap.line(name, "want", "vm", w.vm, "workload", w.workload, "flavour", s.flavour.name(), "left", left);
+        write(w);
+    }
+
+    private void write(Wish w) {
+        Service s = w.service;
+        long left = Math.max(1, w.until - tap.now());
         write(ClientMessage.newBuilder().setWant(Want.newBuilder().setVm(w.vm).setWorkload(w.workload)
                 .setFlavour(s.flavour.name()).setService(s.number).setCustomer(s.customer).setCores(s.shape.cores())
                 .setMemory(s.shape.memory()).setTimeLeftUs(left).setLastsUs(w.lifeUs).setAgain(w.asked > 1)));
