Groups of VMs are placed whole or not at all

Need: VMs that are of no use one by one. Change: fordridge.group decides, free of I/O: members are held back until all are asked for, go at once, are told of only when all are bound, and are taken back, latest first, on the first failure; each has its one answer at once.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -100,7 +100,7 @@
         settleRules();
     }
 
-    /** Other terms hold from now on; flavours keep what was learned, and none may leave or change its effect. */
+    /** Other terms hold from now on; flavours keep what was learned; none may leave or change its effect. */
     public void told(Map<String, Object> terms) {
         me.terms = new Terms(terms);
         readTerms();
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -4,6 +4,7 @@
 import fordridge.constraint.Rule;
 import fordridge.door.Door;
 import fordridge.feed.Feed;
+import fordridge.group.Group;
 import fordridge.link.Link;
 import fordridge.link.RollCall;
 import fordridge.listing.MachineList;
@@ -45,6 +46,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -142,6 +144,7 @@
     private final Link.Manners manners;
     private final Feed<String> feed;
     private final Sessions sessions;
+    private final Groups groups = new Groups(new Hands());
     private final Lateness lateness = new Lateness(Duration.ofSeconds(2));
     private Book book;
     private int rulesVersion;
@@ -486,7 +489,70 @@
                 line(Level.ERROR, "no decision in time", vm, null);
             }
         });
-        arrives(vm, s, w.getVm(), !f.rebuildable() && s.strayed());
+        if (w.getGroup().isEmpty()) {
+            arrives(vm, s, w.getVm(), !f.rebuildable() && s.strayed());
+            return;
+        }
+        if (!f.rebuildable() && s.strayed() && !rollCall.complete()) {
+            say(vm, Answer.Kind.ERRORED, Answer.errored(w.getVm(), "it may run since before this placer's start"));
+            owners.remove(vm);
+            return;
+        }
+        at(vm.deadline.minus(now).multipliedBy(15).dividedBy(16), () -> groups.due(vm));
+        String apart = groups.join(vm, s.client, w.getGroup(), w.getGroupSize(), f.rebuildable());
+        if (apart != null) {
+            say(vm, Answer.Kind.DENIED, Answer.denied(w.getVm(), Duration.ZERO, apart));
+            owners.remove(vm);
+        }
+    }
+
+    /** What a group does to its members, carried out. */
+    private final class Hands implements Groups.Hands {
+        @Override
+        public void arrive(Vm vm) {
+            feed.add(vm);
+            feed.logic.arrives(vm);
+        }
+
+        @Override
+        public void say(Vm vm, Answer answer) {
+            meters.answered(answer.kind().name().toLowerCase());
+            Instance.this.say(vm, answer.kind(), answer);
+        }
+
+        @Override
+        public void stop(Vm vm) {
+            if (vm.placed != null && vm.placed.out()) {
+                reaches.get(vm.placed.machine).link.stop(vm.placed, now);
+            }
+        }
+
+        @Override
+        public boolean callOff(Vm vm) {
+            feed.logic.left(vm);
+            for (Claim c : List.copyOf(vm.claims)) {
+                if (c.out()) {
+                    giveUp(c, End.CANCELLED);
+                }
+            }
+            return vm.claims.stream().anyMatch(c -> !c.neverRan());
+        }
+
+        @Override
+        public void forget(Vm vm) {
+            inputs.addLast(() -> {
+                groups.drop(vm);
+                Instance.this.forget(vm);
+                if (feed.vm(vm.id) == null) {
+                    owners.remove(vm);
+                }
+            });
+        }
+
+        @Override
+        public String owned(Vm vm) {
+            return Instance.owned(vm, owners.get(vm));
+        }
     }
 
     /**
@@ -514,6 +580,14 @@
         enter(() -> {
             Vm vm = feed.vm(s.client + "/" + id);
             sessions.unwant(s, id, now);
+            Vm member = groups.member(s.client + "/" + id);
+            if (member != null) {
+                group(member, g -> g.left(member.id));
+                if (vm == null) {
+                    groups.drop(member);
+                    owners.remove(member);
+                }
+            }
             if (vm == null || vm.over) {
                 return;
             }
@@ -562,8 +636,13 @@
     }
 
     private void forget(Vm vm) {
+        String client = owners.get(vm);
+        if (groups.of(vm) != null && client != null && sessions.waits(client, owned(vm, client))) {
+            return; // Its group answers it, and comes back here.
+        }
         if (feed.forget(vm)) {
             owners.remove(vm);
+            groups.drop(vm);
         }
     }
 
@@ -605,6 +684,10 @@
 
     @Override
     public void deny(Vm vm, Duration retryAfter) {
+        if (groups.of(vm) != null) {
+            inputs.addLast(() -> group(vm, g -> g.denied(vm.id, "no room found in time")));
+            return;
+        }
         String client = owners.get(vm);
         say(vm, Answer.Kind.DENIED, Answer.denied(owned(vm, client), retryAfter, "no room found in time"));
         meters.answered("denied");
@@ -613,12 +696,23 @@
 
     @Override
     public void error(Vm vm) {
+        if (groups.of(vm) != null) {
+            inputs.addLast(() -> group(vm, g -> g.errored(vm.id, "it may have run; its outcome is not known")));
+            return;
+        }
         String client = owners.get(vm);
         say(vm, Answer.Kind.ERRORED, Answer.errored(owned(vm, client), "it may have run; its outcome is not known"));
         meters.answered("errored");
         inputs.addLast(() -> forget(vm));
     }
 
+    private void group(Vm vm, Consumer<Group> does) {
+        Group g = groups.of(vm);
+        if (g != null) {
+            does.accept(g);
+        }
+    }
+
     @Override
     public void move(Vm vm) {
         say(vm, Answer.Kind.MOVED, Answer.ended(owned(vm, owners.get(vm)), Answer.Kind.MOVED));
@@ -675,13 +769,17 @@
             if (first) {
                 Duration took = now.minus(c.vm.arrivedAt);
                 String client = owners.get(c.vm);
-                if (client != null) {
-                    say(c.vm, Answer.Kind.BOUND, Answer.bound(owned(c.vm, client), reaches.get(c.machine).name,
-                            c.number, took));
-                }
-                meters.answered("bound");
                 meters.bound(took);
                 feed.logic.bound(c);
+                if (client != null) {
+                    Answer bound = Answer.bound(owned(c.vm, client), reaches.get(c.machine).name, c.number, took);
+                    if (groups.of(c.vm) != null) {
+                        groups.bound(c.vm, bound);
+                    } else {
+                        meters.answered("bound");
+                        say(c.vm, Answer.Kind.BOUND, bound);
+                    }
+                }
             }
             if (running && d.yes.equals("accepted")) {
                 feed.logic.running(c);
@@ -706,7 +804,9 @@
             }
             feed.logic.ended(c, end, why, wasBound || c.vm.over);
             String client = owners.get(c.vm);
-            if (wasBound && client != null) {
+            Group g = groups.of(c.vm);
+            boolean kept = wasBound && g != null && g.ended(c.vm.id);
+            if (wasBound && client != null && !kept) {
                 say(c.vm, kind(end, why), Answer.ended(owned(c.vm, client), kind(end, why)));
             }
             forget(c.vm);
--- a/src/main/java/fordridge/rpc/ClientService.java
+++ b/src/main/java/fordridge/rpc/ClientService.java
@@ -37,6 +37,7 @@
     }
 
     private static final int LONGEST_NAME = 200;
+    private static final int LARGEST_GROUP = 100;
 
     private final Desk desk;
     private final int maxMessage;
@@ -121,7 +122,12 @@
                             + " is not above 0 and below a million" : !(w.getMemory() > 0 && w.getMemory() < 1e9)
                             ? "want.memory: " + w.getMemory() + " is not above 0 and below 1e9"
                             : w.getTimeLeftUs() < 0 || w.getTimeLeftUs() > 3_600_000_000L
-                            ? "want.time_left_us: more than an hour" : null;
+                            ? "want.time_left_us: more than an hour"
+                            : w.getGroup().length() > LONGEST_NAME ? "want.group: " + w.getGroup().length()
+                            + " characters, at most " + LONGEST_NAME
+                            : w.getGroup().isEmpty() != (w.getGroupSize() == 0) || w.getGroupSize() == 1
+                            || w.getGroupSize() > LARGEST_GROUP ? "want.group_size: " + w.getGroupSize()
+                            + ", allowed: 2 to " + LARGEST_GROUP + " with a group, 0 without" : null;
                 }
                 case UNWANT -> {
                     return session == null ? "the first message must be hello"
--- a/src/test/java/fordridge/ArrowsTest.java
+++ b/src/test/java/fordridge/ArrowsTest.java
@@ -25,7 +25,7 @@
                 .layer("programs").definedBy("fordridge.placer..", "fordridge.drill..")
                 .layer("transport").definedBy("fordridge.rpc..", "fordridge.obs..", "fordridge.etcd..")
                 .layer("decisions").definedBy("fordridge.link..", "fordridge.session..", "fordridge.feed..",
-                        "fordridge.membership..", "fordridge.constraint..")
+                        "fordridge.membership..", "fordridge.constraint..", "fordridge.group..")
                 .layer("state").definedBy("fordridge.state..", "fordridge.door..")
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
                 .whereLayer("rig").mayOnlyBeAccessedByLayers("cli")
@@ -48,7 +48,7 @@
         noClasses().that(resideInAnyPackage("fordridge.constraint..")).should().dependOnClassesThat(
                 resideInAnyPackage("io.grpc..", "io.netty..", "java.io..", "java.nio..")).check(ALL);
         noClasses().that(resideInAnyPackage("fordridge.link..", "fordridge.session..", "fordridge.state..",
-                "fordridge.membership..", "fordridge.constraint.."))
+                "fordridge.membership..", "fordridge.constraint..", "fordridge.group.."))
                 .or().haveFullyQualifiedName("fordridge.Logic")
                 .should().dependOnClassesThat().haveFullyQualifiedName("java.time.Instant")
                 .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random")
--- a/src/test/java/fordridge/placer/Peers.java
+++ b/src/test/java/fordridge/placer/Peers.java
@@ -266,6 +266,13 @@
                     .setCores(0.001).setMemory(0.001).setTimeLeftUs(leftUs));
         }
 
+        ClientPeer wantTogether(String group, int size, String vm, String flavour) {
+            ClientMessage.Builder m = wanted(vm, flavour, 0);
+            m.getWantBuilder().setGroup(group).setGroupSize(size);
+            to.onNext(m.build());
+            return this;
+        }
+
         String token() {
             until(() -> heard.stream().anyMatch(PlacerMessage::hasWelcome));
             return heard.stream().filter(PlacerMessage::hasWelcome).reduce((a, b) -> b).get().getWelcome()
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -453,6 +453,60 @@
         }
     }
 
+    @Example
+    void aGroupIsHeardOfOnlyWhenAllOfItIsBound() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("");
+            p.machines.forEach(m -> m.onOffer = o -> { });
+            ClientPeer c = p.client("c").open(true).hello();
+            c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once");
+            c.want("alone", "safe");
+            until(() -> p.machines.stream().mapToInt(m -> m.offers.size()).sum() == 1);
+            c.wantTogether("g", 3, "c", "safe");
+            until(() -> p.machines.stream().mapToInt(m -> m.offers.size()).sum() == 4);
+            for (MachinePeer m : p.machines) {
+                m.offers.stream().filter(o -> !o.getClaim().getVm().equals("c/b")).forEach(m::start);
+            }
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            p.machines.forEach(m -> m.offers.stream().filter(o -> o.getClaim().getVm().equals("c/b")).forEach(m::start));
+            until(() -> c.count(BodyCase.BOUND) == 4);
+        }
+    }
+
+    @Example
+    void aGroupOfWhichOneFindsNoPlaceIsTakenBack() throws Exception {
+        try (Peers p = new Peers(2)) {
+            p.place("cluster.most_claims = 1");
+            p.machines.forEach(m -> m.onOffer = o -> {
+                if (o.getClaim().getVm().equals("c/bad")) {
+                    return;
+                }
+                m.start(o);
+            });
+            ClientPeer c = p.client("c").open(true).hello();
+            c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once").wantTogether("g", 3, "bad", "safe");
+            until(() -> p.machines.stream().mapToInt(m -> m.offers.size()).sum() == 3);
+            p.machines.forEach(m -> m.offers.stream().filter(o -> o.getClaim().getVm().equals("c/bad")).forEach(m::refuse));
+            until(() -> c.count(BodyCase.DENIED) == 2 && c.count(BodyCase.ERRORED) == 1);
+            assertThat(c.count(BodyCase.BOUND)).isEqualTo(0);
+            until(() -> p.machines.stream().flatMap(m -> m.heard.stream()).filter(ToMachine::hasStop).count() == 2);
+            assertThat(c.heard.stream().filter(x -> x.hasErrored()).findFirst().get().getErrored().getVm()).isEqualTo("b");
+        }
+    }
+
+    @Example
+    void aGroupThatIsNeverWholeIsDeniedInTime() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            ClientPeer c = p.client("c").open(true).hello();
+            c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once").wantTogether("g", 4, "x", "safe");
+            until(() -> c.count(BodyCase.DENIED) == 3);
+            assertThat(p.machines.get(0).offers).isEmpty();
+            assertThat(c.heard.stream().anyMatch(m -> m.hasDenied() && m.getDenied().getReason().contains("begun with size 3")))
+                    .isTrue();
+        }
+    }
+
     @Example
     void termsAndRulesInTheStoreTakeOverWhileItRuns() throws Exception {
         try (Peers p = new Peers(1); fordridge.rig.StandInEtcd etcd = new fordridge.rig.StandInEtcd()) {
