Groups are planned by a solver; a placing no longer costs the square of the fleet

Need: groups that can never go together were found by time running out; spread was counted over all machines for each machine. Change: Together (Choco, bounded, off the loop) settles whether a group can go and where near holds, refuses with the fewest rules that clash; Logic counts spread over the machines that hold the service.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -157,7 +157,8 @@
     }
 
     public void listed(Machine m, Listing listing, Duration startedAt) {
-        if (m.listedAt == null && !me.machines.contains(m)) {
+        if (!m.known) {
+            m.known = true;
             me.machines.add(m);
         }
         if (startedAt != null && !startedAt.equals(m.startedAt)) {
@@ -261,7 +262,9 @@
         c.end = end;
         m.waitingClaims.remove(c);
         Machine.Program p = m.programs.get(vm.service);
-        p.held--;
+        if (--p.held == 0) {
+            me.hosts.computeIfPresent(vm.service, (s, on) -> on.remove(m) && on.isEmpty() ? null : on);
+        }
         p.lastHeld = me.now;
         m.placed.remove(c);
         if (c.neverRan()) {
@@ -605,6 +608,9 @@
                 && m.sinceList.claims.peekFirst().sentAt.compareTo(listed) < 0) {
             m.sinceList.remove(m.sinceList.claims.peekFirst());
         }
+        if (m.sinceReport.claims.isEmpty()) {
+            return;
+        }
         Duration reported = fresh(m) ? m.reportedAt.minus(times(settle, 1.0 / 6)) : me.now.minus(settle);
         m.sinceReport.claims.stream()
                 .filter(c -> c.end != null || c.runsAt != null && c.runsAt.compareTo(reported) < 0).toList()
@@ -696,6 +702,7 @@
         Machine.Program p = c.machine.programs.computeIfAbsent(c.vm.service, s -> new Machine.Program());
         p.held++;
         p.lastHeld = me.now;
+        me.hosts.computeIfAbsent(c.vm.service, s -> new HashSet<>()).add(c.machine);
     }
 
     private Duration within(Vm vm, Claim c) {
@@ -766,9 +773,8 @@
             return true;
         }
         int there = 1;
-        for (Machine o : me.machines) {
-            Machine.Program p = m.together(f.spread, o) ? o.programs.get(vm.service) : null;
-            there += p == null ? 0 : p.held;
+        for (Machine o : me.hosts.getOrDefault(vm.service, Set.of())) {
+            there += m.together(f.spread, o) ? o.programs.get(vm.service).held : 0;
         }
         return there <= f.most;
     }
--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Function;
 import org.roaringbitmap.RoaringBitmap;
 
 /**
@@ -74,6 +75,9 @@
         final List<Rule> against = new ArrayList<>();
         RoaringBitmap allowed;
         long allowedAt = -1;
+        /** The same but for what it must be near. */
+        RoaringBitmap anyNear;
+        long anyNearAt = -1;
     }
 
     private final List<Rule> rules;
@@ -146,7 +150,10 @@
     }
 
     private String domain(int spot, Domain per) {
-        Spot s = spots.get(spot);
+        return domain(spots.get(spot), per);
+    }
+
+    static String domain(Spot s, Domain per) {
         return switch (per) {
             case MACHINE -> s.name();
             case CELL -> s.zone() + "/" + s.cell();
@@ -240,25 +247,41 @@
         return spot != null && allowed(new Kin(customer, flavour, service)).contains(spot);
     }
 
+    /** As {@link #allows}, for a VM whose place near others is settled by a plan for all of its group. */
+    public boolean allowsButNear(String customer, String flavour, long service, String machine) {
+        Integer spot = index.get(machine);
+        Kin k = new Kin(customer, flavour, service);
+        Matter m = matters.computeIfAbsent(k, this::matter);
+        if (m.anyNearAt != version) {
+            m.anyNear = open(m, k, false);
+            m.anyNearAt = version;
+        }
+        return spot != null && m.anyNear.contains(spot);
+    }
+
     private RoaringBitmap allowed(Kin k) {
         Matter m = matters.computeIfAbsent(k, this::matter);
         if (m.allowedAt != version) {
-            RoaringBitmap a = present.clone();
-            for (Rule r : m.about) {
-                if (r.required()) {
-                    narrow(a, r, k);
-                }
-            }
-            for (Rule r : m.against) {
-                Rule.Apart apart = (Rule.Apart) r.clause();
-                a.andNot(counter(new CounterKey(r.scope(), apart.per(), 0)).occupied);
-            }
-            m.allowed = a;
+            m.allowed = open(m, k, true);
             m.allowedAt = version;
         }
         return m.allowed;
     }
 
+    private RoaringBitmap open(Matter m, Kin k, boolean near) {
+        RoaringBitmap a = present.clone();
+        for (Rule r : m.about) {
+            if (r.required() && (near || !(r.clause() instanceof Rule.Near))) {
+                narrow(a, r, k);
+            }
+        }
+        for (Rule r : m.against) {
+            Rule.Apart apart = (Rule.Apart) r.clause();
+            a.andNot(counter(new CounterKey(r.scope(), apart.per(), 0)).occupied);
+        }
+        return a;
+    }
+
     private Matter matter(Kin k) {
         Matter m = new Matter();
         for (Rule r : rules) {
@@ -284,7 +307,7 @@
         } else if (r.clause() instanceof Rule.Apart ap) {
             a.andNot(counter(new CounterKey(ap.other(), ap.per(), 0)).occupied);
         } else if (r.clause() instanceof Rule.Most m) {
-            int most = m.overall() ? Math.max(1, m.most() / placers) : m.most();
+            int most = share(m, placers);
             Counter c = counter(new CounterKey(r.scope(), m.per(), m.eachService() ? k.service : 0));
             c.at.forEach((domain, n) -> {
                 if (n >= most) {
@@ -302,6 +325,11 @@
         }
     }
 
+    /** How many one placer may have. */
+    static int share(Rule.Most m, int placers) {
+        return m.overall() ? Math.max(1, m.most() / placers) : m.most();
+    }
+
     /** The fewest in any domain that the VM could go to by the rules before this one. */
     private int least(RoaringBitmap a, Domain per, Counter c) {
         int least = Integer.MAX_VALUE;
@@ -385,6 +413,34 @@
         return a;
     }
 
+    /**
+     * The question whether some VMs can run all at once beside what runs now; {@code room} is asked for every machine by
+     * name. It is a copy: what changes later does not bear on it.
+     */
+    public Together together(List<Together.Part> parts, Function<String, Together.Room> room) {
+        List<Rule> some = new ArrayList<>();
+        Map<Together.Held, Map<String, Integer>> held = new HashMap<>();
+        for (Rule r : rules) {
+            boolean speaks = false;
+            for (Together.Part p : parts) {
+                boolean about = r.scope().covers(p.customer(), p.flavour(), p.service());
+                if (r.required() && (about || r.clause() instanceof Rule.Apart a
+                        && a.other().covers(p.customer(), p.flavour(), p.service()))) {
+                    speaks = true;
+                    for (CounterKey key : keys(r, p.service())) {
+                        held.put(new Together.Held(key.scope, key.per, key.service), Map.copyOf(counter(key).at));
+                    }
+                }
+            }
+            if (speaks) {
+                some.add(r);
+            }
+        }
+        List<Spot> now = new ArrayList<>();
+        present.forEach((int i) -> now.add(spots.get(i)));
+        return new Together(now, now.stream().map(s -> room.apply(s.name())).toList(), parts, some, placers, held);
+    }
+
     /** The weight of the preferences that a machine goes against; 0 where it meets them all. */
     public double unfit(String customer, String flavour, long service, String machine) {
         if (rules.isEmpty()) {
--- a/src/main/java/fordridge/group/Group.java
+++ b/src/main/java/fordridge/group/Group.java
@@ -8,7 +8,7 @@
 /**
  * VMs that go together: all of them bound, or none. Free of I/O, threads and clocks.
  *
- * <p>Members are held back until all are here. Then each is placed as any other, but its owner does not hear that it is
+ * <p>Members are held back until all are here and it is known that they can go together. Then each is placed as any other, but its owner does not hear that it is
  * bound until every one is. The first that cannot be bound ends the group: what is bound is stopped, latest first, what
  * is still under way is called off, and each is answered at once by what became of it: denied where it never ran or may
  * run again, errored else. A member that ends before the others are bound ends the group too.
@@ -16,7 +16,10 @@
 public final class Group {
     /** What a group does to its members. */
     public interface Acts {
-        /** All are here: place it now. */
+        /** All are here; {@link #go} or {@link #gaveUp} follows when it is known whether they can go together. */
+        void whole(List<String> members);
+
+        /** Place it now. */
         void place(String vm);
 
         /** All are bound: its owner may hear of it. */
@@ -66,17 +69,22 @@
         }
         members.put(vm, new Member(mayRepeat));
         if (members.size() == size) {
-            for (String m : List.copyOf(members.keySet())) {
-                // One may have ended the group while the ones before it were placed.
-                if (failed == null) {
-                    members.get(m).stage = Stage.OUT;
-                    acts.place(m);
-                }
-            }
+            acts.whole(List.copyOf(members.keySet()));
         }
         return true;
     }
 
+    /** They may all go, best in this order. */
+    public void go(List<String> order) {
+        for (String vm : order) {
+            // One may have ended the group while the ones before it were placed.
+            if (failed == null && members.get(vm).stage == Stage.HERE) {
+                members.get(vm).stage = Stage.OUT;
+                acts.place(vm);
+            }
+        }
+    }
+
     public boolean complete() {
         return members.size() == size;
     }
--- a/src/main/java/fordridge/placer/Groups.java
+++ b/src/main/java/fordridge/placer/Groups.java
@@ -1,16 +1,23 @@
 package fordridge.placer;
 
+import fordridge.constraint.Book;
+import fordridge.constraint.Plan;
 import fordridge.group.Group;
 import fordridge.session.Answer;
 import fordridge.state.Vm;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** The groups of one instance: which VM is in which, and what a group does to it. It decides nothing. */
 final class Groups implements Group.Acts {
     /** What the instance does for a group. */
     interface Hands {
+        /** Finds out whether these can go together; {@code then} is given the plan. */
+        void plan(List<Vm> members, Consumer<Plan> then);
+
         void arrive(Vm vm);
 
         void say(Vm vm, Answer answer);
@@ -45,6 +52,7 @@
     private final Map<Group, Kept> kept = new HashMap<>();
     private final Map<String, Vm> vms = new HashMap<>();
     private final Map<String, Answer> bound = new HashMap<>();
+    private final Map<String, Plan> plans = new HashMap<>();
 
     Groups(Hands hands) {
         this.hands = hands;
@@ -61,11 +69,11 @@
         vms.put(vm.id, vm);
         of.put(vm.id, g);
         k.members++;
-        if (!g.joins(vm.id, mayRepeat)) {
-            drop(vm);
-            return "group '" + name + "' is full or over";
+        if (g.joins(vm.id, mayRepeat)) {
+            return null;
         }
-        return null;
+        drop(vm);
+        return "group '" + name + "' is full or over";
     }
 
     /** A member, also one that is held back; null for others. */
@@ -97,6 +105,7 @@
         Group g = of.remove(vm.id);
         vms.remove(vm.id);
         bound.remove(vm.id);
+        plans.remove(vm.id);
         if (g != null) {
             kept.get(g).members--;
             tidy(g);
@@ -111,6 +120,37 @@
         }
     }
 
+    @Override
+    public void whole(List<String> members) {
+        Group g = of.get(members.get(0));
+        hands.plan(members.stream().map(vms::get).toList(), plan -> {
+            if (plan.refusal() != null) {
+                g.gaveUp(plan.refusal());
+                tidy(g);
+                return;
+            }
+            members.forEach(id -> plans.put(id, plan));
+            g.go(plan.order());
+        });
+    }
+
+    /** What speaks against a machine for a member, by its group's plan. */
+    double unfit(Vm vm, Book.Spot spot) {
+        Plan plan = plans.get(vm.id);
+        return plan == null ? 0 : plan.unfit(vm.id, spot);
+    }
+
+    /** Whether its plan settles what it is near to. */
+    boolean settlesNear(Vm vm) {
+        Plan plan = plans.get(vm.id);
+        return plan != null && plan.settlesNear(vm.id);
+    }
+
+    /** Rules or machines changed: what was planned no longer holds, and the rules alone go on. */
+    void letGoOfPlans() {
+        plans.clear();
+    }
+
     @Override
     public void place(String id) {
         hands.arrive(vms.get(id));
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -1,7 +1,9 @@
 package fordridge.placer;
 
 import fordridge.constraint.Book;
+import fordridge.constraint.Plan;
 import fordridge.constraint.Rule;
+import fordridge.constraint.Together;
 import fordridge.door.Door;
 import fordridge.feed.Feed;
 import fordridge.group.Group;
@@ -45,6 +47,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.zip.CRC32;
@@ -61,6 +65,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
     private static final Duration FEELS = Duration.ofMillis(25);
+    /** Longest that it is looked into whether a group can be placed. */
+    private static final Duration THINKS = Duration.ofSeconds(1);
 
     /** A machine as this instance reaches it. */
     private final class Reach implements MachineStream.Heard, Telling.Further {
@@ -138,6 +144,8 @@
     private Deployment d;
     final String name;
     final EventLoop loop;
+    /** Where long questions are thought about, off the loop. */
+    private final Executor thinker;
     private final long seed;
     private final int position;
     private final Meters meters;
@@ -165,8 +173,9 @@
     private CompletableFuture<Void> stopped;
     private int shared;
 
-    Instance(Deployment d, int position, String name, long seed, EventLoop loop, Meters meters) {
+    Instance(Deployment d, int position, String name, long seed, EventLoop loop, Executor thinker, Meters meters) {
         this.d = d;
+        this.thinker = thinker;
         this.name = name;
         this.seed = seed;
         this.loop = loop;
@@ -307,6 +316,7 @@
         });
         if (standElsewhere(list)) {
             book.machines(spots.values());
+            groups.letGoOfPlans();
         }
         feed.list(list.whole(), list.old(), lines);
     }
@@ -338,6 +348,7 @@
             try {
                 book = book.with(rules, d.allPlacers());
                 rulesVersion = version;
+                groups.letGoOfPlans();
                 book.misfits().forEach((claim, why) -> line(Level.WARN, "runs where rules of version " + version
                         + " would not let it go: " + why.get(0).rule().name(), ((Claim) claim).vm,
                         ((Claim) claim).machine));
@@ -384,8 +395,11 @@
             return 0;
         }
         String machine = reaches.get(m).name;
-        return book.allows(vm.customer, vm.flavour, vm.service, machine)
-                ? book.unfit(vm.customer, vm.flavour, vm.service, machine) : Double.POSITIVE_INFINITY;
+        if (!(groups.settlesNear(vm) ? book.allowsButNear(vm.customer, vm.flavour, vm.service, machine)
+                : book.allows(vm.customer, vm.flavour, vm.service, machine))) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return groups.unfit(vm, spots.get(machine)) + book.unfit(vm.customer, vm.flavour, vm.service, machine);
     }
 
     @Override
@@ -508,6 +522,40 @@
 
     /** What a group does to its members, carried out. */
     private final class Hands implements Groups.Hands {
+        @Override
+        public void plan(List<Vm> members, Consumer<Plan> then) {
+            if (members.stream().noneMatch(Instance.this::ruled)) {
+                then.accept(Plan.free(members.stream().map(v -> v.id).toList()));
+                return;
+            }
+            List<Together.Part> parts = members.stream().map(v -> new Together.Part(v.id, v.customer, v.flavour,
+                    v.service, v.cores, v.memory)).toList();
+            Together spare = book.together(parts, name -> {
+                Machine m = feed.machine(name);
+                return new Together.Room(m.freeCores - m.sinceList.cores, m.freeMemory - m.sinceList.memory);
+            });
+            Together empty = book.together(parts, name -> {
+                Machine m = feed.machine(name);
+                return new Together.Room(m.cores, m.memory);
+            });
+            Book asked = book;
+            long until = System.nanoTime() + THINKS.toNanos();
+            thinker.execute(() -> {
+                Plan plan = Plan.of(spare, empty, parts, () -> System.nanoTime() - until > 0);
+                try {
+                    loop.execute(() -> enter(() -> {
+                        if (book == asked) {
+                            then.accept(plan);
+                        } else {
+                            plan(members, then);
+                        }
+                    }));
+                } catch (RejectedExecutionException e) {
+                    LOG.debug("the placer ended while a group was thought about");
+                }
+            });
+        }
+
         @Override
         public void arrive(Vm vm) {
             feed.add(vm);
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -22,6 +22,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.slf4j.Logger;
@@ -36,6 +38,11 @@
 
     private final Deployment d;
     private final EventLoopGroup loops;
+    private final ExecutorService thinker = Executors.newFixedThreadPool(2, r -> {
+        Thread t = new Thread(r, "groups");
+        t.setDaemon(true);
+        return t;
+    });
     private final List<MachineList> lists = new ArrayList<>();
     private final Meters meters = new Meters();
     private final List<Instance> instances = new ArrayList<>();
@@ -59,7 +66,7 @@
             seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
             for (int i = 0; i < d.count; i++) {
                 String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
-                Instance it = new Instance(d, d.position + i, name, seed + i, loops.next(), meters);
+                Instance it = new Instance(d, d.position + i, name, seed + i, loops.next(), thinker, meters);
                 instances.add(it);
                 if (etcd) {
                     lists.add(new EtcdList(d, name, seed + i));
@@ -185,6 +192,7 @@
         if (metrics != null) {
             metrics.close();
         }
+        thinker.shutdownNow();
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
     }
 }
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -59,6 +59,8 @@
     public double freeMemory;
     public Duration startedAt;
     public Duration listedAt;
+    /** A list has named it. */
+    public boolean known;
 
     // As its last report tells it; NaN where not told.
     public double spareCores = Double.NaN;
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What one instance knows for as long as it lives. */
 public final class Placer {
@@ -18,6 +19,8 @@
     public double placers = 1;
     /** Machines in the order in which the list first named them. */
     public final List<Machine> machines = new ArrayList<>();
+    /** Machines that hold VMs of a service, by service. */
+    public final Map<Long, Set<Machine>> hosts = new HashMap<>();
     /** VMs taken and neither placed, out on a claim, nor answered. */
     public final Held held = new Held();
     /** VMs that found no room since anything could have grown it. */
--- a/src/test/java/fordridge/group/GroupTest.java
+++ b/src/test/java/fordridge/group/GroupTest.java
@@ -54,6 +54,11 @@
             }
         }
 
+        @Override
+        public void whole(List<String> members) {
+            group.go(members);
+        }
+
         @Override
         public void place(String vm) {
             out.add(vm);
--- a/src/test/java/fordridge/placer/Peers.java
+++ b/src/test/java/fordridge/placer/Peers.java
@@ -267,8 +267,12 @@
         }
 
         ClientPeer wantTogether(String group, int size, String vm, String flavour) {
+            return wantTogether(group, size, vm, flavour, 0.001);
+        }
+
+        ClientPeer wantTogether(String group, int size, String vm, String flavour, double cores) {
             ClientMessage.Builder m = wanted(vm, flavour, 0);
-            m.getWantBuilder().setGroup(group).setGroupSize(size);
+            m.getWantBuilder().setGroup(group).setGroupSize(size).setCores(cores);
             to.onNext(m.build());
             return this;
         }
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -507,6 +507,66 @@
         }
     }
 
+    @Example
+    void aGroupThatMustShareAMachineGoesToOneOrIsRefusedAtOnceWhereNoneIsLargeEnough() throws Exception {
+        try (Peers p = new Peers(3)) {
+            rules(p, "rule one: flavour once require near flavour once per machine;\n"
+                    + "rule other: flavour safe require spread at most 9 per machine;\n");
+            p.place("constraints.file = rules.txt");
+            ClientPeer c = p.client("c").open(true).hello();
+            for (String vm : List.of("a", "b", "c")) {
+                c.wantTogether("g", 3, vm, "once");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 3);
+            assertThat(p.machines.stream().filter(m -> !m.offers.isEmpty()).count()).isEqualTo(1);
+            for (int i = 0; i < 3; i++) {
+                c.wantTogether("h", 3, "h" + i, "once", 9);
+            }
+            until(() -> c.count(BodyCase.DENIED) == 3);
+            assertThat(c.heard.get(c.heard.size() - 1).getDenied().getReason())
+                    .contains("rule 'one' (near flavour once per machine) and the size of the machines");
+            assertThat(p.machines.stream().mapToInt(m -> m.offers.size()).sum()).as("none was sent out").isEqualTo(3);
+        }
+    }
+
+    @Example
+    void aRuleThatChangesWhileItsGroupIsHalfBoundHoldsForTheRest() throws Exception {
+        try (Peers p = new Peers(2)) {
+            rules(p, "rule any: all require spread at most 9 per machine;\n");
+            p.place("constraints.file = rules.txt");
+            p.machines.forEach(m -> m.onOffer = o -> {
+                if (!o.getClaim().getVm().equals("c/late")) {
+                    m.start(o);
+                }
+            });
+            ClientPeer c = p.client("c").open(true).hello();
+            c.wantTogether("g", 2, "early", "safe").wantTogether("g", 2, "late", "once");
+            until(() -> p.machines.stream().mapToInt(m -> m.offers.size()).sum() == 2);
+            MachinePeer mine = p.machines.get(0).offers.stream().anyMatch(o -> o.getClaim().getVm().equals("c/early"))
+                    ? p.machines.get(0) : p.machines.get(1);
+            rules(p, "rule off: flavour once require apart flavour safe per machine;\n");
+            until(() -> {
+                var why = fordridge.v1.OperatingGrpc.newBlockingStub(c.channel()).explain(
+                        fordridge.v1.ExplainRequest.newBuilder().setFlavour("once").setService(1).build());
+                return why.getSpotsList().stream().anyMatch(x -> !x.getAllowed());
+            });
+            // Sent away from where it stands, the second goes to the other machine alone.
+            for (MachinePeer m : p.machines) {
+                m.onOffer = o -> {
+                    if (m == mine) {
+                        m.refuse(o);
+                    } else {
+                        m.start(o);
+                    }
+                };
+                m.offers.stream().filter(o -> o.getClaim().getVm().equals("c/late")).forEach(m::refuse);
+            }
+            until(() -> c.count(BodyCase.BOUND) == 2 || c.count(BodyCase.DENIED) == 2);
+            assertThat(c.heard.stream().filter(x -> x.hasBound() && x.getBound().getVm().equals("late"))
+                    .allMatch(x -> !x.getBound().getMachine().equals(mine.name))).isTrue();
+        }
+    }
+
     @Example
     void termsAndRulesInTheStoreTakeOverWhileItRuns() throws Exception {
         try (Peers p = new Peers(1); fordridge.rig.StandInEtcd etcd = new fordridge.rig.StandInEtcd()) {
