--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -403,7 +403,7 @@
 
     /** Not for its claims, refusals or its service's spread, but as no machine has room for so much. */
     private boolean noRoomFor(Vm vm) {
-        return withRoom(vm, me.machines.stream().filter(m -> open(vm, m)).toList()).isEmpty();
+        return withRoom(vm, me.machines.stream().filter(m -> open(flavour(vm), m)).toList()).isEmpty();
     }
 
     /** A VM of the flavour that asks for no more found no room since anything could have grown it. */
@@ -431,11 +431,12 @@
         }
         if (!me.now.equals(summedAt)) {
             summedAt = me.now;
-            me.machines.forEach(this::clearBooks);
+            me.booked.removeIf(this::clearBooks);
             meanUse();
         }
         List<Machine> can = new ArrayList<>(me.machines);
-        can.removeIf(m -> !eligible(vm, m));
+        Flavour f = flavour(vm);
+        can.removeIf(m -> !eligible(vm, f, m));
         // While such VMs are refused without a reason, those that took one lately come first: machines that
         // refuse stay empty, and by room alone would draw every try.
         boolean refused = since(me.refusedAt.get(vm.kin())).compareTo(times(settle, 2)) < 0;
@@ -522,15 +523,14 @@
         return best;
     }
 
-    private boolean eligible(Vm vm, Machine m) {
+    private boolean eligible(Vm vm, Flavour f, Machine m) {
         return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
-                && open(vm, m) && allowedAgain(vm, flavour(vm), m) && spreadKept(vm, flavour(vm), m)
+                && open(f, m) && allowedAgain(vm, f, m) && spreadKept(vm, f, m)
                 && door.unfit(vm, m) < Double.POSITIVE_INFINITY;
     }
 
     /** Open to such VMs, whoever owns them, whatever became of their claims, wherever their service runs. */
-    private boolean open(Vm vm, Machine m) {
-        Flavour f = flavour(vm);
+    private boolean open(Flavour f, Machine m) {
         return m.listing == Listing.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
                 && me.now.compareTo(m.closedUntil) >= 0
@@ -602,19 +602,17 @@
     }
 
     /** Own binds leave the books once a list or report that can include them was heard, and not before. */
-    private void clearBooks(Machine m) {
+    private boolean clearBooks(Machine m) {
         Duration listed = me.heardListAt.minus(times(settle, 1.0 / 3));
         while (!m.sinceList.claims.isEmpty()
                 && m.sinceList.claims.peekFirst().sentAt.compareTo(listed) < 0) {
             m.sinceList.remove(m.sinceList.claims.peekFirst());
         }
-        if (m.sinceReport.claims.isEmpty()) {
-            return;
-        }
         Duration reported = fresh(m) ? m.reportedAt.minus(times(settle, 1.0 / 6)) : me.now.minus(settle);
         m.sinceReport.claims.stream()
                 .filter(c -> c.end != null || c.runsAt != null && c.runsAt.compareTo(reported) < 0).toList()
                 .forEach(m.sinceReport::remove);
+        return m.sinceList.claims.isEmpty() && m.sinceReport.claims.isEmpty();
     }
 
     private boolean fresh(Machine m) {
@@ -688,6 +686,7 @@
         vm.claims.add(c);
         m.sinceList.add(c);
         m.sinceReport.add(c);
+        me.booked.add(m);
         m.waitingClaims.add(c);
         m.lastOfferAt = me.now;
         if (cold(m)) {
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -89,6 +89,7 @@
             enter(() -> {
                 Telling.holding(h, link, now);
                 rollCall.settled(machine);
+                callSome();
             });
         }
 
@@ -104,7 +105,11 @@
 
         @Override
         public void broke(String why) {
-            enter(() -> link.broke(why, now));
+            enter(() -> {
+                link.broke(why, now);
+                rollCall.failed(machine);
+                callSome();
+            });
         }
 
         @Override
@@ -260,6 +265,10 @@
             at(due.minus(now), () -> {
                 r.tickAt = null;
                 r.link.tick(now);
+                if (r.link.phase() == Link.Phase.WAITING) {
+                    rollCall.failed(r.machine);
+                    callSome();
+                }
                 watch(r);
             });
         }
@@ -302,8 +311,8 @@
             } else if (called.add(r.machine)) {
                 // What an earlier life of this placer left running is asked for once, spread over a settling time.
                 at(Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, d.settle.toMillis())), () -> {
-                    r.link.call(now);
-                    watch(r);
+                    rollCall.due(r.machine);
+                    callSome();
                 });
             }
             watch(r);
@@ -335,6 +344,14 @@
         return list.whole() && spots.keySet().removeIf(n -> !named.contains(n)) || news;
     }
 
+    private void callSome() {
+        for (Object m = rollCall.next(); m != null; m = rollCall.next()) {
+            Reach r = reaches.get(m);
+            r.link.call(now);
+            watch(r);
+        }
+    }
+
     private Reach reach(String machine) {
         Machine m = feed.machine(machine);
         return reaches.computeIfAbsent(m, x -> new Reach(machine, x));
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +22,8 @@
     public final List<Machine> machines = new ArrayList<>();
     /** Machines that hold VMs of a service, by service. */
     public final Map<Long, Set<Machine>> hosts = new HashMap<>();
+    /** Machines with claims in their books. */
+    public final Set<Machine> booked = new LinkedHashSet<>();
     /** VMs taken and neither placed, out on a claim, nor answered. */
     public final Held held = new Held();
     /** VMs that found no room since anything could have grown it. */
