Sets that could never be met are refused when read; the tap judges customers' rules

Need: clashes over several kinds of VM came out only as VMs without a place. Change: one VM of each scope must be able to run at once (solver, a second at most), looked at again when machines change; RuleWatch judges each offer in a tap by plain counting.

--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -438,7 +438,7 @@
         }
         List<Spot> now = new ArrayList<>();
         present.forEach((int i) -> now.add(spots.get(i)));
-        return new Together(now, now.stream().map(s -> room.apply(s.name())).toList(), parts, some, placers, held);
+        return new Together(now, now.stream().map(s -> room.apply(s.name())).toList(), parts, some, placers, held, false);
     }
 
     /** The weight of the preferences that a machine goes against; 0 where it meets them all. */
--- a/src/main/java/fordridge/constraint/Sense.java
+++ b/src/main/java/fordridge/constraint/Sense.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
 /**
@@ -29,11 +30,17 @@
         }
     }
 
+    /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
+    private static final int MOST_KINDS = 200;
+
     private Sense() {
     }
 
-    /** All clashes; with no machines known yet only those that hold on any. */
-    public static List<Clash> of(List<Rule> rules, Collection<Book.Spot> machines) {
+    /**
+     * All clashes; with no machines known yet only those that hold on any. {@code stop} ends a long search: what was
+     * found by then is told.
+     */
+    public static List<Clash> of(List<Rule> rules, Collection<Book.Spot> machines, BooleanSupplier stop) {
         Book book;
         try {
             // Shares among placers do not bear on it.
@@ -45,7 +52,7 @@
         Map<String, Clash> found = new LinkedHashMap<>();
         for (String customer : values(rules, 0)) {
             for (String flavour : values(rules, 1)) {
-                for (String service : values(rules, 2)) {
+                for (String service : stop.getAsBoolean() ? Set.<String>of() : values(rules, 2)) {
                     long number = service.isEmpty() ? -1 : Long.parseLong(service);
                     String vms = words(customer, flavour, service);
                     List<Rule> labels = book.conflict(customer, flavour, number);
@@ -57,9 +64,54 @@
                 }
             }
         }
+        if (found.isEmpty()) {
+            oneOfEach(book, rules, stop, found);
+        }
         return List.copyOf(found.values());
     }
 
+    /**
+     * One VM of each scope that the rules name must be able to run at once: by labels, near and apart. How many of a
+     * kind a spread lets run is no clash, nor are VMs of one kind that keep apart from each other.
+     */
+    private static void oneOfEach(Book book, List<Rule> rules, BooleanSupplier stop, Map<String, Clash> found) {
+        Map<String, Together.Part> kinds = new LinkedHashMap<>();
+        for (Rule r : rules) {
+            List<Scope> scopes = new ArrayList<>();
+            if (r.required()) {
+                scopes.add(r.scope());
+                if (r.clause() instanceof Rule.Near n) {
+                    scopes.add(n.other());
+                } else if (r.clause() instanceof Rule.Apart a) {
+                    scopes.add(a.other());
+                }
+            }
+            for (Scope s : scopes) {
+                Together.Part one = new Together.Part(words(first(s.customers()), first(s.flavours()), first(s.services())),
+                        first(s.customers()), first(s.flavours()),
+                        s.services().isEmpty() ? -1 : Long.parseLong(first(s.services())), 0, 0);
+                if (kinds.size() < MOST_KINDS) {
+                    kinds.putIfAbsent(one.id(), one);
+                }
+            }
+        }
+        List<Together.Part> parts = List.copyOf(kinds.values());
+        Together.Outcome o = book.together(parts, m -> new Together.Room(1, 1)).kinds().solve(stop);
+        if (o.verdict() == Together.Verdict.NO) {
+            found.put(names(o.rules()), new Clash(parts.stream().filter(p -> o.rules().stream().anyMatch(r -> speaks(r, p)))
+                    .map(Together.Part::id).collect(Collectors.joining(" and ")), o.rules(),
+                    "leave no places for one of each at once"));
+        }
+    }
+
+    private static boolean speaks(Rule r, Together.Part p) {
+        return r.scope().covers(p.customer(), p.flavour(), p.service());
+    }
+
+    private static String first(Set<String> values) {
+        return values.isEmpty() ? "" : new TreeSet<>(values).first();
+    }
+
     private static void nearAndApart(List<Rule> rules, String customer, String flavour, long service, String vms,
             Map<String, Clash> found) {
         List<Rule> mine = rules.stream().filter(r -> r.required() && r.scope().covers(customer, flavour, service)).toList();
--- a/src/main/java/fordridge/constraint/Together.java
+++ b/src/main/java/fordridge/constraint/Together.java
@@ -48,6 +48,7 @@
     private final List<Part> parts;
     private final List<Rule> rules;
     private final int placers;
+    private final boolean ofKinds;
     /** VMs that run: by rule, side (scope or other) and service, how many are in which domain. */
     private final Map<Held, Map<String, Integer>> held;
     private final Map<Domain, int[]> domains = new EnumMap<>(Domain.class);
@@ -57,7 +58,8 @@
     record Held(Rule.Scope scope, Domain per, long service) { }
 
     Together(List<Book.Spot> spots, List<Room> rooms, List<Part> parts, List<Rule> rules, int placers,
-            Map<Held, Map<String, Integer>> held) {
+            Map<Held, Map<String, Integer>> held, boolean ofKinds) {
+        this.ofKinds = ofKinds;
         this.spots = List.copyOf(spots);
         this.rooms = List.copyOf(rooms);
         this.parts = List.copyOf(parts);
@@ -75,11 +77,19 @@
         }
     }
 
+    /** The same question of kinds of VM in place of VMs: those of one kind need not keep apart from each other. */
+    Together kinds() {
+        return new Together(spots, rooms, parts, rules, placers, held, true);
+    }
+
     /** Answers; {@code stop} is asked now and then, and ends it with what is known by then. */
     public Outcome solve(BooleanSupplier stop) {
         if (spots.isEmpty()) {
             return new Outcome(Verdict.NOT_KNOWN, Map.of(), List.of(), false);
         }
+        if (parts.isEmpty()) {
+            return new Outcome(Verdict.YES, Map.of(), List.of(), false);
+        }
         Outcome all = new Try(rules, true, stop).outcome();
         if (all.verdict != Verdict.NO) {
             return all;
@@ -236,7 +246,7 @@
                     each.add(in(u, a.per()));
                 }
             }
-            if (each.size() > 1) {
+            if (each.size() > 1 && !ofKinds) {
                 model.allDifferent(each.toArray(new IntVar[0])).post();
             }
             for (int u = 0; u < at.length; u++) {
--- a/src/main/java/fordridge/placer/Rules.java
+++ b/src/main/java/fordridge/placer/Rules.java
@@ -10,6 +10,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -37,8 +38,13 @@
         t.setDaemon(true);
         return t;
     });
+    /** Longest that a set is looked into for clashes. */
+    private static final Duration THINKS = Duration.ofSeconds(1);
     private String seen;
     private int version;
+    private List<Rule> inForce = List.of();
+    private Set<Book.Spot> sensedFor = Set.of();
+    private List<String> clashing = List.of();
 
     Rules(Deployment d, MachineList list) {
         this.d = d;
@@ -49,7 +55,8 @@
     void follow(BiConsumer<List<Rule>, Integer> taker) throws Deployment.Refused {
         seen = text();
         if (seen != null) {
-            taker.accept(read(seen, d, spots()), ++version);
+            inForce = read(seen, d, spots());
+            taker.accept(inForce, ++version);
         }
         long every = d.poll.toMillis();
         looks.scheduleWithFixedDelay(() -> look(taker), every, every, TimeUnit.MILLISECONDS);
@@ -82,8 +89,10 @@
             String now = text();
             if (now != null && !now.equals(seen)) {
                 seen = now;
-                taker.accept(read(now, d, spots()), ++version);
+                inForce = read(now, d, spots());
+                taker.accept(inForce, ++version);
             }
+            senseAgain();
         } catch (Deployment.Refused e) {
             LOG.error("rules stay as they were: {}", String.join("; ", e.complaints));
         } catch (RuntimeException e) {
@@ -117,7 +126,7 @@
         try {
             List<Rule> rules = Language.read(text, new Language.Names(customers, d.flavours.keySet(), kinds, Set.of()));
             new Book(rules, d.allPlacers());
-            List<Sense.Clash> clashes = Sense.of(rules, machines);
+            List<Sense.Clash> clashes = clashes(rules, machines);
             if (!clashes.isEmpty()) {
                 throw new Deployment.Refused(clashes.stream().map(Object::toString).toList());
             }
@@ -129,6 +138,26 @@
         }
     }
 
+    private static List<Sense.Clash> clashes(List<Rule> rules, List<Book.Spot> machines) {
+        long until = System.nanoTime() + THINKS.toNanos();
+        return Sense.of(rules, machines, () -> System.nanoTime() - until > 0);
+    }
+
+    /** A set in force that machines coming and going made impossible stays in force, and is named. */
+    private void senseAgain() {
+        List<Book.Spot> spots = spots();
+        if (inForce.isEmpty() || new HashSet<>(spots).equals(sensedFor)) {
+            return;
+        }
+        sensedFor = new HashSet<>(spots);
+        List<String> found = clashes(inForce, spots).stream().map(Object::toString).toList();
+        if (!found.equals(clashing)) {
+            clashing = found;
+            LOG.warn(found.isEmpty() ? "the rules in force can be met again by the machines listed"
+                    : "the rules in force can no longer be met by the machines listed: {}", String.join("; ", found));
+        }
+    }
+
     @Override
     public void close() {
         looks.shutdownNow();
--- a/src/main/java/fordridge/rig/Checker.java
+++ b/src/main/java/fordridge/rig/Checker.java
@@ -17,7 +17,7 @@
 import java.util.Map;
 
 /**
- * Judges the five rules from a tap alone. What a machine did counts even where its answer was lost; what a placer was
+ * Judges the five rules, and as a sixth the customers' own where the tap says them, from a tap alone. What a machine did counts even where its answer was lost; what a placer was
  * told counts from when the list naming it was published, plus the told time that a placer may take to see it.
  */
 public final class Checker {
@@ -33,8 +33,9 @@
         public String text() {
             StringBuilder t = new StringBuilder();
             String[] names = {"", "one answer in time", "no double effect", "drains kept", "no cold machine pushed over",
-                "spread kept"};
-            for (int r = 1; r <= 5; r++) {
+                "spread kept", "customers' rules kept"};
+            boolean judged = figures.containsKey("offers judged by customers' rules");
+            for (int r = 1; r <= (judged ? 6 : 5); r++) {
                 int rule = r;
                 long n = breaks.stream().filter(b -> b.rule == rule).count();
                 t.append(String.format("rule %d, %s: %s%n", r, names[r], n == 0 ? "kept" : "BROKEN " + n + " times"));
@@ -73,6 +74,7 @@
         final long number;
         final long withinUs;
         boolean answered;
+        RuleWatch.Placed placed;
         boolean refused;
         boolean neverRan;
         boolean started;
@@ -117,6 +119,7 @@
     private final Map<String, Place> places = new LinkedHashMap<>();
     private final Map<String, Long> awaySince = new HashMap<>();
     private final Map<String, Map<String, Integer>> held = new HashMap<>();
+    private final RuleWatch customers = new RuleWatch();
     private final List<Break> breaks = new ArrayList<>();
     private final Map<String, Long> figures = new LinkedHashMap<>();
     private long graceUs;
@@ -208,6 +211,7 @@
             }
             case "flavour" -> flavours.put(str(m, "name"), new Terms(str(m, "effect"), str(m, "group"),
                     num(m, "window"), str(m, "spread"), num(m, "most")));
+            case "rules" -> customers.set(str(m, "text"), (int) num(m, "placers"), t);
             case "machine" -> {
                 Place p = place(at);
                 p.kind = str(m, "kind");
@@ -402,6 +406,15 @@
             }
         }
         earlier.add(x);
+        if (customers.judges()) {
+            x.placed = new RuleWatch.Placed(new RuleWatch.Spot(at, p.kind, p.zone, p.cell), str(m, "customer"), x.flavour,
+                    x.service);
+            String broken = customers.offered(x.placer, x.placed, t);
+            count("offers judged by customers' rules");
+            if (broken != null) {
+                broke(6, vm + " offered to " + at + " against " + broken);
+            }
+        }
         drained(p, at, x, t);
         cold(p, at, t);
         spread(x, f, p, t);
@@ -426,6 +439,9 @@
             }
             x.started = true;
             x.answered |= !lost(m);
+            if (x.placed != null) {
+                x.placed.runs = true;
+            }
             Terms f = flavours.get(x.flavour);
             long runs = tries.get(vm).stream().filter(o -> o.started).count();
             if (f != null && f.effect.equals("one-shot")) {
@@ -537,6 +553,10 @@
         }
         x.over = true;
         x.endedAt = t;
+        if (x.placed != null) {
+            x.placed.over = true;
+            x.placed.overAt = t;
+        }
         Terms f = flavours.get(x.flavour);
         if (f != null && !f.spread.equals("off")) {
             Place p = place(x.machine);
--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/rig/Day.java
@@ -67,6 +67,13 @@
         Tap tap = new Tap(tapFile);
         try (tap) {
             Checker.header(tap, plan);
+            if (!plan.rules.isBlank()) {
+                File rules = new File(folder, "rules.txt");
+                Files.writeString(rules.toPath(), plan.rules);
+                plan.deploymentText = plan.deploymentText.withValue("constraints.file",
+                        ConfigValueFactory.fromAnyRef(rules.getAbsolutePath()));
+                tap.line("rig", "rules", "text", plan.rules, "placers", plan.deployment.allPlacers());
+            }
             fleet(machineLoops, tap);
             if (plan.registryEtcd) {
                 etcd = new StandInEtcd(0, 200);
--- a/src/main/java/fordridge/rig/DayPlan.java
+++ b/src/main/java/fordridge/rig/DayPlan.java
@@ -57,6 +57,8 @@
     double batch;
     double[] life;
     double[] again;
+    /** Customers' rules in force all day; empty for none. */
+    String rules;
     int tries;
     Map<String, Double> flavourShares = new LinkedHashMap<>();
     List<Shape> shapes = new ArrayList<>();
@@ -95,6 +97,7 @@
     private void take(Reader r) {
         Duration ms = Duration.ofMillis(1);
         name = r.text("name", 100);
+        rules = r.has("rules") ? r.text("rules", 1_000_000) : "";
         seed = r.any("seed");
         length = r.span("length", Duration.ofSeconds(1), LONG);
         settle = r.span("settle", Duration.ofSeconds(1), LONG);
--- a/src/main/java/fordridge/rig/StandInMachine.java
+++ b/src/main/java/fordridge/rig/StandInMachine.java
@@ -202,7 +202,7 @@
             case OFFER -> {
                 Offer o = m.getOffer();
                 tap.line(name(), "offer", "placer", placer, "vm", o.getClaim().getVm(), "n", o.getClaim().getNumber(),
-                        "flavour", o.getFlavour(), "service", o.getService(), "within", o.getWithinUs());
+                        "flavour", o.getFlavour(), "service", o.getService(), "customer", o.getCustomer(), "within", o.getWithinUs());
                 if (cutNow(CutAt.OFFER_READ, o.getFlavour())) {
                     cut(placer);
                 }
--- a/src/test/java/fordridge/constraint/BookTest.java
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -118,15 +118,34 @@
     void setsThatLeaveNoPlaceAreFoundWhenRead() throws Exception {
         String near = "rule n: flavour w require near service 4 per zone;\n";
         assertThat(Sense.of(Language.read(near + "rule a: all require apart service 4, 5 per zone;", Language.Names.ANY),
-                FLEET)).extracting(Sense.Clash::toString).anyMatch(c -> c.startsWith("rule 'n' (line 1: near service 4 per "
+                FLEET, () -> false)).extracting(Sense.Clash::toString).anyMatch(c -> c.startsWith("rule 'n' (line 1: near service 4 per "
                 + "zone) and rule 'a' (line 2") && c.contains("leave no place as soon as one of service 4 runs"));
         assertThat(Sense.of(Language.read(near + "rule a: all require apart service 4 per machine;", Language.Names.ANY),
-                FLEET)).as("another machine of the zone will do").isEmpty();
+                FLEET, () -> false)).as("another machine of the zone will do").isEmpty();
         assertThat(Sense.of(Language.read("rule a: flavour w require on zone x;\nrule b: service 1 require on zone y;\n"
-                + "rule c: service 1 require on kind big;", Language.Names.ANY), FLEET)).extracting(c -> c.rules().size())
+                + "rule c: service 1 require on kind big;", Language.Names.ANY), FLEET, () -> false)).extracting(c -> c.rules().size())
                 .containsExactly(2);
     }
 
+    @Example
+    void kindsThatCouldNeverRunAtOnceAreFoundWhenReadAndWhenMachinesVanish() throws Exception {
+        List<Rule> circle = Language.read("rule n: flavour w require near flavour a per zone;\n"
+                + "rule p: flavour w require apart flavour b per zone;\nrule q: flavour b require near flavour a per zone;\n"
+                + "rule k: all require on not machine e;\nrule m: all require spread at most 1 per machine;", Language.Names.ANY);
+        List<Sense.Clash> found = Sense.of(circle, FLEET, () -> false);
+        assertThat(found).hasSize(1);
+        assertThat(found.get(0).rules()).extracting(Rule::name).containsExactlyInAnyOrder("n", "p", "q");
+        assertThat(found.get(0).toString()).contains("leave no places for one of each at once");
+        List<Rule> apart = Language.read("rule x: flavour a require apart flavour b per zone;\n"
+                + "rule y: flavour a require apart flavour c per zone;\nrule z: flavour b require apart flavour c per zone;\n"
+                + "rule self: flavour a require apart flavour a per zone;\n"
+                + "rule north: customer north and flavour a require on kind std;", Language.Names.ANY);
+        assertThat(Sense.of(apart, FLEET, () -> false)).as("three zones for three").isEmpty();
+        assertThat(Sense.of(apart, FLEET.subList(0, 4), () -> false).get(0).rules()).extracting(Rule::name)
+                .containsExactlyInAnyOrder("x", "y", "z");
+        assertThat(Sense.of(apart, List.of(), () -> false)).as("nothing is known of machines yet").isEmpty();
+    }
+
     /** What is refused when read can be placed nowhere, and what is not refused can begin. */
     @Property(tries = 300, seed = "8180")
     void refusesOnlyWhatHasNoPlace(@ForAll long seed) throws Exception {
@@ -135,7 +154,7 @@
         for (int i = 0; i < 1 + r.nextInt(5); i++) {
             rules.add(rule(r, i));
         }
-        List<Sense.Clash> labels = Sense.of(rules, FLEET).stream().filter(c -> c.what().contains("no machine")).toList();
+        List<Sense.Clash> labels = Sense.of(rules, FLEET, () -> false).stream().filter(c -> c.what().contains("no machine")).toList();
         boolean stuck = false;
         for (String f : List.of("", "f0", "f1", "f2")) {
             for (long s : new long[] {-1, 0, 1, 2}) {
--- a/src/test/java/fordridge/rig/CheckerTest.java
+++ b/src/test/java/fordridge/rig/CheckerTest.java
@@ -35,7 +35,7 @@
                 int eq = w[i].indexOf('=');
                 String v = w[i].substring(eq + 1);
                 text.append(",\"").append(w[i], 0, eq).append("\":")
-                        .append(v.matches("-?[0-9.]+|true|false") ? v : '"' + v + '"');
+                        .append(v.matches("-?[0-9.]+|true|false") ? v : '"' + v.replace('~', ' ') + '"');
             }
             text.append("}\n");
         }
@@ -138,4 +138,43 @@
         Files.writeString(f.toPath(), "{\"t\":1,\"at\":\"x\",\"what\":\"y\"}\n{\"t\":\n");
         assertThatThrownBy(() -> Checker.judge(f)).hasMessageContaining("line 2");
     }
+
+    private static String rules(long t, String text) {
+        return t + " rig rules placers=2 text=" + text.replace(' ', '~');
+    }
+
+    private static long sixth(Checker.Verdict v) {
+        return v.breaks().stream().filter(b -> b.rule() == 6).count();
+    }
+
+    @Example
+    void whatCustomersForbidIsSeenAtTheOffer() throws Exception {
+        String[] two = {want(1000, "a", "safe"), want(1000, "b", "safe"), offer(2000, "m1", "a", 0, "safe"),
+            said(3000, "m1", "started", "a", 0, ""), offer(4000, "m2", "b", 0, "safe")};
+        java.util.function.Function<String, String[]> under = text -> {
+            List<String> all = new ArrayList<>(List.of(rules(0, text)));
+            all.addAll(Arrays.asList(two));
+            return all.toArray(new String[0]);
+        };
+        assertThat(sixth(judge(under.apply("rule r: all require apart all per zone;")))).isEqualTo(1);
+        assertThat(sixth(judge(under.apply("rule r: all require apart all per machine;")))).isZero();
+        assertThat(sixth(judge(under.apply("rule r: flavour safe require spread at most 1 per cell;")))).isEqualTo(1);
+        assertThat(sixth(judge(under.apply("rule r: all require spread at most 4 per zone overall;")))).isZero();
+        assertThat(sixth(judge(under.apply("rule r: all require spread at most 2 per zone overall;"))))
+                .as("its share is one").isEqualTo(1);
+        assertThat(sixth(judge(under.apply("rule r: all require near flavour safe per machine;")))).isEqualTo(1);
+        assertThat(sixth(judge(under.apply("rule r: all require on machine m1;")))).isEqualTo(1);
+        assertThat(sixth(judge(under.apply("rule r: all prefer 3 on machine m1;")))).isZero();
+    }
+
+    @Example
+    void whatEndedOrIsJustReplacedIsNotHeldAgainstAPlacer() throws Exception {
+        assertThat(sixth(judge(rules(0, "rule r: all require apart all per zone;"), want(1000, "a", "safe"),
+                want(1000, "b", "safe"), offer(2000, "m1", "a", 0, "safe"), said(3000, "m1", "started", "a", 0, ""),
+                said(3500, "m1", "finished", "a", 0, "how=DONE"), offer(4000, "m2", "b", 0, "safe")))).isZero();
+        assertThat(sixth(judge(rules(0, "rule r: all require on machine m1;"), rules(3000, "rule r: all require on machine m2;"),
+                want(1000, "a", "safe"), offer(3500, "m1", "a", 0, "safe")))).as("the set before").isZero();
+        assertThat(sixth(judge(rules(0, "rule r: all require on machine m1;"), rules(3000, "rule r: all require on machine m2;"),
+                want(1000, "a", "safe"), offer(3_000_000, "m1", "a", 0, "safe")))).isEqualTo(1);
+    }
 }
