--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Function;
 import org.roaringbitmap.RoaringBitmap;
 
@@ -39,13 +41,15 @@
     /** VMs of a scope (and of one service, where each service counts by itself) by domain. */
     private final class Counter {
         final Domain per;
+        final boolean sure;
         final Map<String, Integer> at = new HashMap<>();
         /** Machines of domains that hold any. */
         final RoaringBitmap occupied = new RoaringBitmap();
         int total;
 
-        Counter(Domain per) {
+        Counter(Domain per, boolean sure) {
             this.per = per;
+            this.sure = sure;
         }
 
         int count(String domain) {
@@ -64,7 +68,12 @@
         }
     }
 
-    private record CounterKey(Scope scope, Domain per, long service) { }
+    /** With {@code sure}, without those of which it is not known whether they run. */
+    private record CounterKey(Scope scope, Domain per, long service, boolean sure) {
+        CounterKey(Scope scope, Domain per, long service) {
+            this(scope, per, service, false);
+        }
+    }
 
     private record Kin(String customer, String flavour, long service) { }
 
@@ -78,6 +87,9 @@
         /** The same but for what it must be near. */
         RoaringBitmap anyNear;
         long anyNearAt = -1;
+        /** Where each preference is met. */
+        final Map<Rule, RoaringBitmap> met = new LinkedHashMap<>();
+        long metAt = -1;
     }
 
     private final List<Rule> rules;
@@ -92,6 +104,7 @@
     private final Map<Kin, List<Counter>> countedIn = new HashMap<>();
     private final Map<Kin, Matter> matters = new HashMap<>();
     private final Map<Object, Placed> placed = new LinkedHashMap<>();
+    private final Set<Object> doubted = new HashSet<>();
     private long version;
 
     private record Placed(Kin kin, int spot) { }
@@ -146,7 +159,7 @@
         countedIn.clear();
         matters.clear();
         version++;
-        placed.values().forEach(p -> count(p, 1));
+        placed.forEach((id, p) -> count(id, p, 1));
     }
 
     private String domain(int spot, Domain per) {
@@ -177,15 +190,27 @@
         }
         Placed p = new Placed(new Kin(customer, flavour, service), spot);
         placed.put(id, p);
-        count(p, 1);
+        count(id, p, 1);
         version++;
     }
 
+    /** It may run or not, and nobody waits for it: it keeps its place against every bound, but draws no other near. */
+    public void doubted(Object id) {
+        Placed p = placed.get(id);
+        if (p != null && doubted.add(id)) {
+            count(p, -1, true);
+            version++;
+        }
+    }
+
     /** It is known not to be there any more. */
     public void gone(Object id) {
         Placed p = placed.remove(id);
         if (p != null) {
-            count(p, -1);
+            count(p, -1, false);
+            if (!doubted.remove(id)) {
+                count(p, -1, true);
+            }
             version++;
         }
     }
@@ -194,9 +219,19 @@
         return placed.size();
     }
 
-    private void count(Placed p, int by) {
+    private void count(Placed p, int by, boolean sure) {
         for (Counter c : countedIn.computeIfAbsent(p.kin, this::countersOf)) {
-            c.add(domain(p.spot, c.per), by);
+            if (c.sure == sure) {
+                c.add(domain(p.spot, c.per), by);
+            }
+        }
+    }
+
+    /** Counted, or taken out for a while, in all that it counts in. */
+    private void count(Object id, Placed p, int by) {
+        count(p, by, false);
+        if (!doubted.contains(id)) {
+            count(p, by, true);
         }
     }
 
@@ -216,13 +251,13 @@
     }
 
     private Counter counter(CounterKey key) {
-        return counters.computeIfAbsent(key, k -> new Counter(k.per));
+        return counters.computeIfAbsent(key, k -> new Counter(k.per, k.sure));
     }
 
     /** What a rule counts. */
     private static List<CounterKey> keys(Rule r, long service) {
         if (r.clause() instanceof Rule.Near n) {
-            return List.of(new CounterKey(n.other(), n.per(), 0));
+            return List.of(new CounterKey(n.other(), n.per(), 0, true), new CounterKey(n.other(), n.per(), 0));
         }
         if (r.clause() instanceof Rule.Apart a) {
             return List.of(new CounterKey(a.other(), a.per(), 0), new CounterKey(r.scope(), a.per(), 0));
@@ -300,7 +335,7 @@
         if (r.clause() instanceof Rule.On o) {
             a.and(on.computeIfAbsent(r, x -> where(o.where())));
         } else if (r.clause() instanceof Rule.Near n) {
-            Counter c = counter(new CounterKey(n.other(), n.per(), 0));
+            Counter c = nearTo(n);
             if (c.total > 0) {
                 a.and(c.occupied);
             }
@@ -325,6 +360,12 @@
         }
     }
 
+    /** Those that are sure to run or on their way; where there are none, those that may. */
+    private Counter nearTo(Rule.Near n) {
+        Counter sure = counter(new CounterKey(n.other(), n.per(), 0, true));
+        return sure.total > 0 ? sure : counter(new CounterKey(n.other(), n.per(), 0));
+    }
+
     /** How many one placer may have. */
     static int share(Rule.Most m, int placers) {
         return m.overall() ? Math.max(1, m.most() / placers) : m.most();
@@ -427,8 +468,12 @@
                 if (r.required() && (about || r.clause() instanceof Rule.Apart a
                         && a.other().covers(p.customer(), p.flavour(), p.service()))) {
                     speaks = true;
+                    if (r.clause() instanceof Rule.Near n) {
+                        held.put(new Together.Held(n.other(), n.per(), 0, true), Map.copyOf(nearTo(n).at));
+                        continue;
+                    }
                     for (CounterKey key : keys(r, p.service())) {
-                        held.put(new Together.Held(key.scope, key.per, key.service), Map.copyOf(counter(key).at));
+                        held.put(new Together.Held(key.scope, key.per, key.service, false), Map.copyOf(counter(key).at));
                     }
                 }
             }
@@ -448,11 +493,18 @@
         }
         Kin k = new Kin(customer, flavour, service);
         Integer spot = index.get(machine);
+        Matter m = matters.computeIfAbsent(k, this::matter);
+        if (m.metAt != version) {
+            m.metAt = version;
+            m.about.stream().filter(r -> !r.required()).forEach(r -> {
+                RoaringBitmap one = present.clone();
+                narrow(one, r, k);
+                m.met.put(r, one);
+            });
+        }
         double sum = 0;
-        for (Rule r : matters.computeIfAbsent(k, this::matter).about) {
-            if (!r.required() && spot != null && against(r, k, spot)) {
-                sum += r.weight();
-            }
+        for (Map.Entry<Rule, RoaringBitmap> e : m.met.entrySet()) {
+            sum += spot == null || e.getValue().contains(spot) ? 0 : e.getKey().weight();
         }
         return sum;
     }
@@ -506,10 +558,10 @@
         Map<Object, List<Reason>> some = new LinkedHashMap<>();
         for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
             Placed p = e.getValue();
-            count(p, -1);
+            count(e.getKey(), p, -1);
             version++;
             List<Reason> why = why(p.kin.customer, p.kin.flavour, p.kin.service, spots.get(p.spot).name());
-            count(p, 1);
+            count(e.getKey(), p, 1);
             version++;
             why.removeIf(x -> x.rule() != null && !x.rule().required());
             if (!why.isEmpty()) {
@@ -527,6 +579,7 @@
         b.spots.addAll(spots);
         b.index.putAll(index);
         b.placed.putAll(placed);
+        b.doubted.addAll(doubted);
         b.machines(now);
         return b;
     }
--- a/src/main/java/fordridge/constraint/Together.java
+++ b/src/main/java/fordridge/constraint/Together.java
@@ -55,7 +55,7 @@
     private final Map<Domain, List<String>> names = new EnumMap<>(Domain.class);
 
     /** What a count is of. */
-    record Held(Rule.Scope scope, Domain per, long service) { }
+    record Held(Rule.Scope scope, Domain per, long service, boolean near) { }
 
     Together(List<Book.Spot> spots, List<Room> rooms, List<Part> parts, List<Rule> rules, int placers,
             Map<Held, Map<String, Integer>> held, boolean ofKinds) {
@@ -147,7 +147,7 @@
     }
 
     private Map<String, Integer> held(Rule.Scope scope, Domain per, long service) {
-        return held.getOrDefault(new Held(scope, per, service), Map.of());
+        return held.getOrDefault(new Held(scope, per, service, false), Map.of());
     }
 
     private static boolean of(Rule.Scope s, Part p) {
@@ -291,7 +291,7 @@
         }
 
         private void near(Rule r, Rule.Near n) {
-            Map<String, Integer> counts = held(n.other(), n.per(), 0);
+            Map<String, Integer> counts = held.getOrDefault(new Held(n.other(), n.per(), 0, true), Map.of());
             int[] already = java.util.stream.IntStream.range(0, names.get(n.per()).size())
                     .filter(i -> counts.containsKey(names.get(n.per()).get(i))).toArray();
             boolean away = already.length == 0 && !counts.isEmpty();
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -861,6 +861,8 @@
             boolean wasBound = c.boundAt != null;
             if (wasBound || end == End.FULL || end == End.UNREACHABLE || end == End.MOOT) {
                 book.gone(c);
+            } else {
+                book.doubted(c);
             }
             meters.ended(end);
             if (LOG.isDebugEnabled()) {
--- a/src/main/java/fordridge/rig/Checker.java
+++ b/src/main/java/fordridge/rig/Checker.java
@@ -247,6 +247,9 @@
             case "started" -> started(m, at, t);
             case "finished" -> at(m, at).forEach(x -> {
                 x.neverRan |= m.get("ran") == Boolean.FALSE && str(m, "how").equals("CANCELLED");
+                if (x.placed != null) {
+                    x.placed.unheard |= lost(m) && x.answered;
+                }
                 x.answered |= !lost(m);
                 release(x, t);
             });
--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/rig/Day.java
@@ -3,6 +3,10 @@
 import com.typesafe.config.ConfigRenderOptions;
 import com.typesafe.config.ConfigValueFactory;
 import fordridge.placer.PlacerProgram;
+import fordridge.constraint.Book;
+import fordridge.constraint.Language;
+import fordridge.constraint.Rule;
+import fordridge.constraint.Sense;
 import fordridge.settings.Deployment;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -91,6 +95,9 @@
             placers = plan.ownProcess ? new ChildPlacers() : new InProcess();
             owners(placers, ownerLoops, tap);
             new Faults(plan, new ArrayList<>(machines), spares, owners, registry, clock, tap, etcd).schedule();
+            if (plan.sets > 0 && etcd != null) {
+                sets(clock, etcd, tap);
+            }
             double cpuBefore = placers.cpuSeconds();
             long begun = System.nanoTime();
             long until = tap.now() + plan.length.toNanos() / 1000;
@@ -125,6 +132,41 @@
         }
     }
 
+    /** One generated set of rules after another goes to the store; what the language's own check says of each is timed. */
+    private void sets(ScheduledExecutorService clock, StandInEtcd etcd, Tap tap) {
+        RuleSets make = new RuleSets(plan);
+        List<Book.Spot> spots = machines.stream().map(m -> new Book.Spot(m.make.name(), m.make.kind(), m.make.zone(),
+                m.make.cell())).toList();
+        int[] refused = {0};
+        double[] slowest = {0};
+        for (int i = 0; i < plan.sets; i++) {
+            int number = i;
+            clock.schedule(() -> {
+                String text = make.make(number);
+                long from = System.nanoTime();
+                boolean kept;
+                try {
+                    List<Rule> rules = Language.read(text, Language.Names.ANY);
+                    new Book(rules, plan.deployment.allPlacers());
+                    kept = Sense.of(rules, spots, () -> System.nanoTime() - from > 1_000_000_000L).isEmpty();
+                } catch (Language.Refused | Book.Unkeepable e) {
+                    kept = false;
+                }
+                double millis = (System.nanoTime() - from) / 1e6;
+                slowest[0] = Math.max(slowest[0], millis);
+                refused[0] += kept ? 0 : 1;
+                if (kept) {
+                    tap.line("rig", "rules", "text", text, "placers", plan.deployment.allPlacers());
+                }
+                etcd.put(plan.deployment.etcdPrefix + "/terms/constraints", text);
+                if (number + 1 == plan.sets) {
+                    out.printf("%d sets of rules, %d refused; the slowest check took %.0f ms%n", plan.sets, refused[0],
+                            slowest[0]);
+                }
+            }, plan.setEvery.toNanos() * i, TimeUnit.NANOSECONDS);
+        }
+    }
+
     private void watch(long begun) throws InterruptedException {
         long total = plan.length.plus(plan.settle).toSeconds();
         long last = -1;
--- a/src/main/java/fordridge/rig/DayPlan.java
+++ b/src/main/java/fordridge/rig/DayPlan.java
@@ -59,6 +59,9 @@
     double[] again;
     /** Customers' rules in force all day; empty for none. */
     String rules;
+    /** Generated sets that follow each other through the store. */
+    int sets;
+    Duration setEvery;
     int tries;
     Map<String, Double> flavourShares = new LinkedHashMap<>();
     List<Shape> shapes = new ArrayList<>();
@@ -97,6 +100,8 @@
     private void take(Reader r) {
         Duration ms = Duration.ofMillis(1);
         name = r.text("name", 100);
+        sets = r.whole("sets.count", 0, 100_000);
+        setEvery = r.span("sets.every", Duration.ofMillis(10), LONG);
         rules = r.has("rules") ? r.text("rules", 1_000_000) : "";
         seed = r.any("seed");
         length = r.span("length", Duration.ofSeconds(1), LONG);
--- a/src/main/java/fordridge/rig/RuleWatch.java
+++ b/src/main/java/fordridge/rig/RuleWatch.java
@@ -34,6 +34,8 @@
         boolean runs;
         boolean over;
         long overAt;
+        /** Its end was said, but lost on the way: its placer goes on holding it to run. */
+        boolean unheard;
 
         Placed(Spot spot, String customer, String flavour, long service) {
             this.spot = spot;
@@ -71,7 +73,7 @@
     /** What an offer breaks by every set that may be in force, or null; from now on it counts. */
     String offered(String placer, Placed p, long t) {
         List<Placed> own = of.computeIfAbsent(placer, x -> new ArrayList<>());
-        own.removeIf(o -> o.over && o.overAt < t - LATE_US);
+        own.removeIf(o -> o.over && !o.unheard && o.overAt < t - LATE_US);
         String broken = null;
         boolean kept = false;
         if (sets.size() == 2 && t - changedAt > LATE_US) {
--- a/src/test/java/fordridge/constraint/BookTest.java
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -51,6 +51,22 @@
         assertThat(open(b, "w", 1)).containsExactly("a", "b", "c", "d");
     }
 
+    @Example
+    void whatMayRunOrNotKeepsItsPlaceButDrawsNoOtherNear() throws Exception {
+        Book b = book("rule n: flavour w require near flavour a per zone;\nrule p: flavour b require apart flavour a per zone;");
+        b.goes(1, "", "a", 1, "a");
+        b.goes(2, "", "a", 1, "c");
+        b.doubted(1);
+        assertThat(open(b, "w", 1)).containsExactly("c", "d");
+        assertThat(open(b, "b", 1)).containsExactly("e");
+        b.gone(2);
+        assertThat(open(b, "w", 1)).as("better where one may run than where none does").containsExactly("a", "b");
+        b.doubted(1);
+        b.gone(1);
+        assertThat(open(b, "w", 1)).hasSize(5);
+        assertThat(open(b, "b", 1)).hasSize(5);
+    }
+
     @Example
     void apartHoldsBothWays() throws Exception {
         Book b = book("rule p: flavour w require apart flavour b per machine;");
--- /dev/null
+++ b/src/test/java/fordridge/constraint/PlacingCost.java
@@ -0,0 +1,123 @@
+package fordridge.constraint;
+
+import fordridge.constraint.Book.Spot;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/**
+ * What rules add to a placing: one VM leaves, one comes, and every machine is asked about for it, as the module does;
+ * against a scan that counts what runs for each machine anew. Not a test: run its main.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class PlacingCost {
+    @Param({"60", "600", "6000"})
+    public int machines;
+    @Param({"0", "10", "1000"})
+    public int rules;
+
+    private record Placed(String flavour, long service, Spot at) { }
+
+    private final List<Spot> fleet = new ArrayList<>();
+    private final List<Placed> placed = new ArrayList<>();
+    private List<Rule> set;
+    private Book book;
+    private int next;
+
+    @Setup(Level.Trial)
+    public void begin() throws Exception {
+        StringBuilder text = new StringBuilder();
+        String[] clauses = {"require spread at most 40 of each service per cell", "require apart flavour f3 per machine",
+            "prefer 2 near flavour f2 per zone", "require on not kind old", "require spread at most 3 per machine"};
+        for (int i = 0; i < rules; i++) {
+            // Ten rules speak of everyone, the rest each of a service or two: most of a large set is others'.
+            text.append("rule r").append(i).append(": ").append(i < 10 ? "flavour f" + i % 5 : "service " + i / 2).append(' ')
+                    .append(clauses[i % clauses.length]).append(";\n");
+        }
+        set = Language.read(text.toString(), Language.Names.ANY);
+        for (int i = 0; i < machines; i++) {
+            fleet.add(new Spot("m" + i, i % 10 == 0 ? "old" : "std", "z" + i % 3, i / 8));
+        }
+        book = new Book(set, 1);
+        book.machines(fleet);
+        Random r = new Random(7);
+        for (int i = 0; i < 2 * machines; i++) {
+            placed.add(new Placed("f" + r.nextInt(5), r.nextInt(500), fleet.get(r.nextInt(machines))));
+            book.goes(i, "", placed.get(i).flavour, placed.get(i).service, placed.get(i).at.name());
+        }
+    }
+
+    @Benchmark
+    public double byTheBook() {
+        int i = next++ % placed.size();
+        Placed p = placed.get(i);
+        book.gone(i);
+        double sum = 0;
+        if (!book.rules().isEmpty()) {
+            for (Spot s : fleet) {
+                sum += book.allows("", p.flavour, p.service, s.name()) ? book.unfit("", p.flavour, p.service, s.name()) : 1;
+            }
+        }
+        book.goes(i, "", p.flavour, p.service, p.at.name());
+        return sum;
+    }
+
+    @Benchmark
+    public double byAScan() {
+        Placed p = placed.get(next++ % placed.size());
+        double sum = 0;
+        for (Spot s : fleet) {
+            for (Rule r : set) {
+                if (r.scope().covers("", p.flavour, p.service)) {
+                    sum += against(r, p, s) ? 1 : 0;
+                }
+            }
+        }
+        return sum;
+    }
+
+    private boolean against(Rule r, Placed p, Spot s) {
+        if (r.clause() instanceof Rule.On on) {
+            return !Book.holds(on.where(), s);
+        }
+        Rule.Domain per = r.clause() instanceof Rule.Near n ? n.per() : r.clause() instanceof Rule.Apart a ? a.per()
+                : ((Rule.Most) r.clause()).per();
+        Rule.Scope of = r.clause() instanceof Rule.Near n ? n.other() : r.clause() instanceof Rule.Apart a ? a.other()
+                : r.scope();
+        boolean each = r.clause() instanceof Rule.Most m && m.eachService();
+        String here = Book.domain(s, per);
+        int count = 0;
+        for (Placed o : placed) {
+            if (o != p && of.covers("", o.flavour, o.service) && (!each || o.service == p.service)
+                    && Book.domain(o.at, per).equals(here)) {
+                count++;
+            }
+        }
+        return r.clause() instanceof Rule.Near ? count == 0 : r.clause() instanceof Rule.Apart ? count > 0
+                : count >= ((Rule.Most) r.clause()).most();
+    }
+
+    public static void main(String[] args) throws Exception {
+        new Runner(new OptionsBuilder().include(PlacingCost.class.getSimpleName()).build()).run();
+    }
+}
