ctl explain: why a VM runs where it does, and what a shortage put elsewhere

Need: operators ask of one VM, and of preferences that were broken when room was short. Change: explain --vm leaves the VM out of its own count; at most 100 VMs that a machine open to them would serve better now are named. Measured: tests over sockets.

--- a/src/main/java/fordridge/cli/CtlCommand.java
+++ b/src/main/java/fordridge/cli/CtlCommand.java
@@ -189,6 +189,8 @@
         private String flavour = "";
         @Option(names = "--service")
         private long service;
+        @Option(names = "--vm", paramLabel = "CLIENT/VM", description = "A VM that runs, in place of the three above.")
+        private String vm = "";
 
         @Override
         public Integer call() throws Exception {
@@ -200,8 +202,12 @@
                     Integer.parseInt(placer.substring(colon + 1)))).usePlaintext().maxInboundMessageSize(64 << 20).build();
             try {
                 ExplainReply r = OperatingGrpc.newBlockingStub(channel).withDeadlineAfter(5, TimeUnit.SECONDS).explain(
-                        ExplainRequest.newBuilder().setCustomer(customer).setFlavour(flavour).setService(service).build());
+                        ExplainRequest.newBuilder().setCustomer(customer).setFlavour(flavour).setService(service)
+                                .setVm(vm).build());
                 System.out.println("rules of version " + r.getVersion());
+                if (!r.getRunsOn().isEmpty()) {
+                    System.out.println(vm + " runs on " + r.getRunsOn());
+                }
                 r.getSpotsList().forEach(s -> {
                     System.out.printf(Locale.ROOT, "%-24s %-4s %s%n", s.getMachine(), s.getAllowed() ? "may" : "not",
                             s.getUnfit() > 0 ? "against preferences of weight " + s.getUnfit() : "");
@@ -209,6 +215,8 @@
                 });
                 r.getMisfitsList().forEach(m -> System.out.println(m.getVm() + " runs on " + m.getMachine() + " against "
                         + String.join("; ", m.getReasonsList())));
+                r.getStrayedList().forEach(m -> System.out.println(m.getVm() + " runs on " + m.getMachine()
+                        + " for want of a better place then: " + String.join("; ", m.getReasonsList())));
                 return 0;
             } catch (StatusRuntimeException e) {
                 throw new IOException("placer at " + placer + ": " + e.getStatus());
--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -558,11 +558,9 @@
         Map<Object, List<Reason>> some = new LinkedHashMap<>();
         for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
             Placed p = e.getValue();
-            count(e.getKey(), p, -1);
-            version++;
-            List<Reason> why = why(p.kin.customer, p.kin.flavour, p.kin.service, spots.get(p.spot).name());
-            count(e.getKey(), p, 1);
-            version++;
+            List<Reason> why = new ArrayList<>();
+            without(e.getKey(), () -> why.addAll(why(p.kin.customer, p.kin.flavour, p.kin.service,
+                    spots.get(p.spot).name())));
             why.removeIf(x -> x.rule() != null && !x.rule().required());
             if (!why.isEmpty()) {
                 some.put(e.getKey(), why);
@@ -571,6 +569,52 @@
         return some;
     }
 
+    /** Looks at the book as if one VM were not there. */
+    public void without(Object id, Runnable look) {
+        Placed p = placed.get(id);
+        if (p == null) {
+            look.run();
+            return;
+        }
+        count(id, p, -1);
+        version++;
+        look.run();
+        count(id, p, 1);
+        version++;
+    }
+
+    /**
+     * VMs that a shortage put where they go against preferences that a machine open to them would meet better now, at
+     * most so many; with what speaks against where they are, and one of the machines.
+     */
+    public Map<Object, List<Reason>> strayed(int most) {
+        Map<Object, List<Reason>> some = new LinkedHashMap<>();
+        for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
+            Kin k = e.getValue().kin;
+            if (some.size() < most && matters.computeIfAbsent(k, this::matter).about.stream().anyMatch(r -> !r.required())) {
+                without(e.getKey(), () -> stray(e.getKey(), k, spots.get(e.getValue().spot).name(), some));
+            }
+        }
+        return some;
+    }
+
+    private void stray(Object id, Kin k, String here, Map<Object, List<Reason>> some) {
+        double unfit = unfit(k.customer, k.flavour, k.service, here);
+        if (unfit == 0) {
+            return;
+        }
+        for (int spot : allowed(k)) {
+            String there = spots.get(spot).name();
+            if (unfit(k.customer, k.flavour, k.service, there) < unfit) {
+                List<Reason> why = why(k.customer, k.flavour, k.service, here);
+                why.removeIf(r -> r.rule() == null || r.rule().required());
+                why.add(new Reason(null, "machine " + there + " would do better"));
+                some.put(id, why);
+                return;
+            }
+        }
+    }
+
     /** The same VMs and machines under another set; the old book is done with. */
     public Book with(List<Rule> others, int amongPlacers) throws Unkeepable {
         Book b = new Book(others, amongPlacers);
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -406,6 +406,14 @@
         return List.of(c.vm.id, reaches.get(c.machine).name);
     }
 
+    @Override
+    public OperateService.Running running(String id) {
+        Vm vm = feed.vm(id);
+        Claim c = vm == null || vm.claims.isEmpty() ? null : vm.claims.get(vm.claims.size() - 1);
+        return c == null || !c.out() ? null : new OperateService.Running(c, vm.customer, vm.flavour, vm.service,
+                reaches.get(c.machine).name);
+    }
+
     @Override
     public double unfit(Vm vm, Machine m) {
         if (book.rules().isEmpty()) {
--- a/src/main/java/fordridge/rpc/OperateService.java
+++ b/src/main/java/fordridge/rpc/OperateService.java
@@ -6,11 +6,15 @@
 import fordridge.v1.Misfit;
 import fordridge.v1.OperatingGrpc;
 import fordridge.v1.Spot;
+import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 import java.util.List;
 
 /** What operators ask, answered from the book of rules on the placer's loop. */
 public final class OperateService extends OperatingGrpc.OperatingImplBase {
+    /** A VM that runs: its claim, whose it is, what it is one of, and where. */
+    public record Running(Object claim, String customer, String flavour, long service, String machine) { }
+
     /** The placer's side of it. */
     public interface Books {
         Book book();
@@ -22,8 +26,13 @@
 
         /** A VM's name and its machine's, for a claim that the book counts. */
         List<String> named(Object claim);
+
+        /** A VM that is out or runs, by CLIENT/VM; null for others. */
+        Running running(String vm);
     }
 
+    private static final int MOST_STRAYED = 100;
+
     private final Books books;
 
     public OperateService(Books books) {
@@ -34,23 +43,34 @@
     public void explain(ExplainRequest r, StreamObserver<ExplainReply> to) {
         Book book = books.book();
         ExplainReply.Builder b = ExplainReply.newBuilder().setVersion(books.rulesVersion());
-        for (String m : books.machines()) {
-            Spot.Builder s = Spot.newBuilder().setMachine(m)
-                    .setAllowed(book.allows(r.getCustomer(), r.getFlavour(), r.getService(), m))
-                    .setUnfit(book.unfit(r.getCustomer(), r.getFlavour(), r.getService(), m));
-            book.why(r.getCustomer(), r.getFlavour(), r.getService(), m).forEach(w -> s.addReasons(words(w)));
-            b.addSpots(s);
+        Running vm = r.getVm().isEmpty() ? new Running(null, r.getCustomer(), r.getFlavour(), r.getService(), "")
+                : books.running(r.getVm());
+        if (vm == null) {
+            to.onError(Status.NOT_FOUND.withDescription("no VM '" + r.getVm() + "' runs here").asRuntimeException());
+            return;
         }
-        book.misfits().forEach((claim, why) -> {
-            List<String> named = books.named(claim);
-            Misfit.Builder x = Misfit.newBuilder().setVm(named.get(0)).setMachine(named.get(1));
-            why.forEach(w -> x.addReasons(words(w)));
-            b.addMisfits(x);
+        b.setRunsOn(vm.machine);
+        book.without(vm.claim, () -> {
+            for (String m : books.machines()) {
+                Spot.Builder s = Spot.newBuilder().setMachine(m)
+                        .setAllowed(book.allows(vm.customer, vm.flavour, vm.service, m))
+                        .setUnfit(book.unfit(vm.customer, vm.flavour, vm.service, m));
+                book.why(vm.customer, vm.flavour, vm.service, m).forEach(w -> s.addReasons(words(w)));
+                b.addSpots(s);
+            }
         });
+        book.misfits().forEach((claim, why) -> b.addMisfits(misfit(claim, why)));
+        book.strayed(MOST_STRAYED).forEach((claim, why) -> b.addStrayed(misfit(claim, why)));
         to.onNext(b.build());
         to.onCompleted();
     }
 
+    private Misfit misfit(Object claim, List<Book.Reason> why) {
+        List<String> named = books.named(claim);
+        return Misfit.newBuilder().setVm(named.get(0)).setMachine(named.get(1))
+                .addAllReasons(why.stream().map(OperateService::words).toList()).build();
+    }
+
     private static String words(Book.Reason w) {
         return (w.rule() == null ? "" : "rule '" + w.rule().name() + "' ") + w.what();
     }
--- a/src/test/java/fordridge/constraint/BookTest.java
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -199,6 +199,20 @@
         assertThat(n).as("over all placers").isEqualTo(3);
     }
 
+    @Example
+    void whatAShortagePutElsewhereIsNamedOnceABetterPlaceIsOpen() throws Exception {
+        Book b = book("rule x: flavour w prefer 5 on zone x;\nrule m: flavour w require spread at most 1 per machine;");
+        b.goes(1, "", "w", 1, "a");
+        b.goes(2, "", "w", 1, "b");
+        b.goes(3, "", "w", 1, "c");
+        assertThat(b.strayed(9)).as("nothing better is open").isEmpty();
+        b.gone(1);
+        assertThat(b.strayed(9).get(3)).extracting(Book.Reason::what).anyMatch(w -> w.contains("machine a would do better"));
+        assertThat(b.strayed(0)).isEmpty();
+        assertThat(b.allows("", "w", 1, "c")).as("it counts as before").isFalse();
+        b.without(3, () -> assertThat(b.allows("", "w", 1, "c")).isTrue());
+    }
+
     @Example
     void preferencesWeighAndDoNotBind() throws Exception {
         Book b = book("rule x: flavour w prefer 5 on zone x;\nrule y: flavour w prefer 2 on kind std;");
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -397,6 +397,12 @@
                     fordridge.v1.ExplainRequest.newBuilder().setFlavour("once").setService(1).build());
             assertThat(why.getSpotsList()).hasSize(3).allMatch(x -> !x.getAllowed() && x.getReasons(0).contains("rule 'one'")
                     && x.getReasons(0).contains("1 in machine"));
+            var own = fordridge.v1.OperatingGrpc.newBlockingStub(c.channel()).explain(
+                    fordridge.v1.ExplainRequest.newBuilder().setVm("c/v0").build());
+            assertThat(own.getSpotsList().stream().filter(x -> x.getAllowed()).map(x -> x.getMachine()))
+                    .as("it does not stand in its own way").containsExactly(own.getRunsOn());
+            assertThatThrownBy(() -> fordridge.v1.OperatingGrpc.newBlockingStub(c.channel()).explain(
+                    fordridge.v1.ExplainRequest.newBuilder().setVm("c/none").build())).hasMessageContaining("no VM 'c/none'");
             c.to.onNext(ClientPeer.wanted("fourth", "once", 600_000).build());
             until(() -> c.count(BodyCase.DENIED) == 1);
             // A set that cannot be read leaves the old one; a good one takes over for what is placed from then on.
