Draining machines keep no spread waiting; groups half asked for end when a placer stops

Cause: a zone that only drained counted as open to a spread within; members held back kept a stopping placer waiting.

--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -97,6 +97,8 @@
     private final Map<String, Integer> index = new LinkedHashMap<>();
     private final List<Spot> spots = new ArrayList<>();
     private final RoaringBitmap present = new RoaringBitmap();
+    /** Of these, the ones that drain: what runs there counts, and nothing new goes there. */
+    private final RoaringBitmap drains = new RoaringBitmap();
     private final Map<Domain, Map<String, RoaringBitmap>> members = new HashMap<>();
     private final Map<Rule, RoaringBitmap> on = new HashMap<>();
     private final Map<CounterKey, Counter> counters = new HashMap<>();
@@ -153,6 +155,13 @@
         recount();
     }
 
+    /** Which of the machines drain, by name. */
+    public void draining(Collection<String> names) {
+        drains.clear();
+        names.stream().map(index::get).filter(Objects::nonNull).forEach(i -> drains.add((int) i));
+        version++;
+    }
+
     /** After labels changed: every VM is counted where its machine stands now. */
     private void recount() {
         counters.clear();
@@ -304,7 +313,7 @@
     }
 
     private RoaringBitmap open(Matter m, Kin k, boolean near) {
-        RoaringBitmap a = present.clone();
+        RoaringBitmap a = RoaringBitmap.andNot(present, drains);
         for (Rule r : m.about) {
             if (r.required() && (near || !(r.clause() instanceof Rule.Near))) {
                 narrow(a, r, k);
@@ -482,7 +491,7 @@
             }
         }
         List<Spot> now = new ArrayList<>();
-        present.forEach((int i) -> now.add(spots.get(i)));
+        RoaringBitmap.andNot(present, drains).forEach((int i) -> now.add(spots.get(i)));
         return new Together(now, now.stream().map(s -> room.apply(s.name())).toList(), parts, some, placers, held, false);
     }
 
@@ -497,7 +506,7 @@
         if (m.metAt != version) {
             m.metAt = version;
             m.about.stream().filter(r -> !r.required()).forEach(r -> {
-                RoaringBitmap one = present.clone();
+                RoaringBitmap one = RoaringBitmap.andNot(present, drains);
                 narrow(one, r, k);
                 m.met.put(r, one);
             });
@@ -510,7 +519,8 @@
     }
 
     private boolean against(Rule r, Kin k, int spot) {
-        RoaringBitmap one = present.clone();
+        RoaringBitmap one = RoaringBitmap.andNot(present, drains);
+        one.add(spot);
         narrow(one, r, k);
         return !one.contains(spot);
     }
@@ -526,6 +536,9 @@
             some.add(new Reason(null, "no machine '" + machine + "' in the list"));
             return some;
         }
+        if (drains.contains(spot)) {
+            some.add(new Reason(null, "it drains: nothing new goes there"));
+        }
         Matter m = matters.computeIfAbsent(k, this::matter);
         for (Rule r : m.about) {
             if (against(r, k, spot)) {
@@ -561,7 +574,7 @@
             List<Reason> why = new ArrayList<>();
             without(e.getKey(), () -> why.addAll(why(p.kin.customer, p.kin.flavour, p.kin.service,
                     spots.get(p.spot).name())));
-            why.removeIf(x -> x.rule() != null && !x.rule().required());
+            why.removeIf(x -> x.rule() == null ? drains.contains(p.spot) : !x.rule().required());
             if (!why.isEmpty()) {
                 some.put(e.getKey(), why);
             }
@@ -625,6 +638,7 @@
         b.placed.putAll(placed);
         b.doubted.addAll(doubted);
         b.machines(now);
+        b.drains.or(drains);
         return b;
     }
 
--- a/src/main/java/fordridge/placer/Groups.java
+++ b/src/main/java/fordridge/placer/Groups.java
@@ -146,6 +146,16 @@
         return plan != null && plan.settlesNear(vm.id);
     }
 
+    /** Nobody joins any more: groups that are not all here are given up. */
+    void stops() {
+        for (Group g : List.copyOf(groups.values())) {
+            if (!g.complete()) {
+                g.gaveUp("the placer is stopping");
+                tidy(g);
+            }
+        }
+    }
+
     /** Rules or machines changed: what was planned no longer holds, and the rules alone go on. */
     void letGoOfPlans() {
         plans.clear();
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -173,6 +173,7 @@
     private boolean inside;
     /** Machines that were asked once what they hold of this placer. */
     private final Map<String, Book.Spot> spots = new LinkedHashMap<>();
+    private final Set<String> draining = new LinkedHashSet<>();
     private final Set<Machine> called = new HashSet<>();
     private final RollCall rollCall = new RollCall();
     private CompletableFuture<Void> stopped;
@@ -325,12 +326,13 @@
         });
         if (standElsewhere(list)) {
             book.machines(spots.values());
+            book.draining(draining);
             groups.letGoOfPlans();
         }
         feed.list(list.whole(), list.old(), lines);
     }
 
-    /** Whether machines came, went or were relabelled: the rules' book is told only then, as it counts all anew. */
+    /** Whether machines came, went, were relabelled or drain: the rules' book is told only then, as it counts all anew. */
     private boolean standElsewhere(MachineList.Update list) {
         boolean news = false;
         Set<String> named = new HashSet<>();
@@ -340,6 +342,7 @@
                     : new Book.Spot(e.name(), e.kind(), e.zone(), e.cell());
             Book.Spot was = spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
             news |= !java.util.Objects.equals(was, spot);
+            news |= e.listing() == Machine.Listing.DRAINING ? draining.add(e.name()) : draining.remove(e.name());
         }
         return list.whole() && spots.keySet().removeIf(n -> !named.contains(n)) || news;
     }
@@ -954,6 +957,7 @@
         loop.execute(() -> {
             stopped = done;
             enter(feed.logic::stops);
+            enter(groups::stops);
             at(within.multipliedBy(3).dividedBy(4), () -> {
                 for (Reach r : reaches.values()) {
                     for (Claim c : List.copyOf(r.machine.waitingClaims)) {
--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/rig/Day.java
@@ -98,6 +98,7 @@
             if (plan.sets > 0 && etcd != null) {
                 sets(clock, etcd, tap);
             }
+            feelStalls(clock, tap, System.nanoTime());
             double cpuBefore = placers.cpuSeconds();
             long begun = System.nanoTime();
             long until = tap.now() + plan.length.toNanos() / 1000;
@@ -167,6 +168,16 @@
         }
     }
 
+    /** Says in the tap where the rig itself was kept waiting for a core: what it saw late then was not late. */
+    private static void feelStalls(ScheduledExecutorService clock, Tap tap, long due) {
+        long late = (System.nanoTime() - due) / 1000;
+        if (late > 20_000) {
+            tap.line("rig", "stalled", "for", late);
+        }
+        long next = System.nanoTime() + 10_000_000;
+        clock.schedule(() -> feelStalls(clock, tap, next), 10, TimeUnit.MILLISECONDS);
+    }
+
     private void watch(long begun) throws InterruptedException {
         long total = plan.length.plus(plan.settle).toSeconds();
         long last = -1;
--- a/src/test/java/fordridge/constraint/BookTest.java
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -81,6 +81,17 @@
         b.goes(1, "", "w", 7, "a");
         assertThat(open(b, "w", 7)).containsExactly("c", "d", "e");
         b.goes(2, "", "w", 7, "c");
+        b.goes(3, "", "w", 7, "e");
+        b.draining(Set.of("e"));
+        b.goes(4, "", "w", 7, "b");
+        assertThat(open(b, "w", 7)).as("zone z holds one and takes no more: zone y is next").containsExactly("c", "d");
+        b.goes(5, "", "w", 7, "d");
+        assertThat(open(b, "w", 7)).as("the zone that drains keeps nobody waiting").containsExactly("a", "b", "c", "d");
+        assertThat(b.why("", "w", 7, "e")).extracting(Book.Reason::what).anyMatch(w -> w.contains("drains"));
+        assertThat(b.misfits()).isEmpty();
+        for (int i = 3; i <= 5; i++) {
+            b.gone(i);
+        }
         b.machines(FLEET.subList(0, 4));
         // Zone z left the list: the fewest among what is left counts, else nothing could be placed any more.
         assertThat(open(b, "w", 7)).containsExactly("a", "b", "c", "d");
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -513,6 +513,20 @@
         }
     }
 
+    @Example
+    void aGroupThatWaitsForMoreIsDeniedWhenThePlacerStops() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("");
+            ClientPeer c = p.client("c").open(true).hello();
+            c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once").want("alone", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            long from = System.nanoTime();
+            assertThat(p.program.stop()).isTrue();
+            until(() -> c.count(BodyCase.DENIED) == 2);
+            assertThat(System.nanoTime() - from).as("well before their own time is up").isLessThan(3_000_000_000L);
+        }
+    }
+
     @Example
     void aGroupThatMustShareAMachineGoesToOneOrIsRefusedAtOnceWhereNoneIsLargeEnough() throws Exception {
         try (Peers p = new Peers(3)) {
--- a/src/test/java/fordridge/rig/CheckerTest.java
+++ b/src/test/java/fordridge/rig/CheckerTest.java
@@ -139,6 +139,13 @@
         assertThatThrownBy(() -> Checker.judge(f)).hasMessageContaining("line 2");
     }
 
+    @Example
+    void whatCameLateWhileTheRigStoodStillIsNotHeldAgainstAPlacer() throws Exception {
+        assertThat(judge(want(1000, "v", "safe"), "4100000 rig stalled for=120000", "4130000 o denied vm=v").breaks()).isEmpty();
+        broken(judge(want(1000, "v", "safe"), "4100000 rig stalled for=60000", "4130000 o denied vm=v"), 1, "too late");
+        broken(judge(want(1000, "v", "safe"), "3000000 rig stalled for=900000", "4130000 o denied vm=v"), 1, "too late");
+    }
+
     private static String rules(long t, String text) {
         return t + " rig rules placers=2 text=" + text.replace(' ', '~');
     }
