Spans and bounds of groups and rules live with their decisions; thinking has a bounded queue

Cause: on reading the change again, when a group is given up, how long it is thought about and how many strays are told stood in the placer and the transport; a failing solver left its group waiting for its time-out; the queue of groups to be thought about had no bound. Change: Group, Plan, Sense and Book hold the values; a failure is logged and the group goes without a plan, as does one over 1,024 waiting.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -403,7 +403,8 @@
 
     /** Not for its claims, refusals or its service's spread, but as no machine has room for so much. */
     private boolean noRoomFor(Vm vm) {
-        return withRoom(vm, me.machines.stream().filter(m -> open(flavour(vm), m)).toList()).isEmpty();
+        Flavour f = flavour(vm);
+        return withRoom(vm, me.machines.stream().filter(m -> open(f, m)).toList()).isEmpty();
     }
 
     /** A VM of the flavour that asks for no more found no room since anything could have grown it. */
--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -124,6 +124,8 @@
         }
     }
 
+    public static final int MOST_STRAYED = 100;
+
     public List<Rule> rules() {
         return rules;
     }
@@ -598,7 +600,7 @@
 
     /**
      * VMs that a shortage put where they go against preferences that a machine open to them would meet better now, at
-     * most so many; with what speaks against where they are, and one of the machines.
+     * most so many as are of use to a reader ({@link #MOST_STRAYED}); with what speaks against where they are, and one of the machines.
      */
     public Map<Object, List<Reason>> strayed(int most) {
         Map<Object, List<Reason>> some = new LinkedHashMap<>();
--- a/src/main/java/fordridge/constraint/Plan.java
+++ b/src/main/java/fordridge/constraint/Plan.java
@@ -4,6 +4,7 @@
 import fordridge.constraint.Together.Outcome;
 import fordridge.constraint.Together.Part;
 import fordridge.constraint.Together.Verdict;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,9 @@
     /** Machines open to a member, as a multiple of the group's size, under which all of the group are led. */
     private static final int AMPLE = 4;
 
+    /** Longest that it is looked into. */
+    public static final Duration THINKS = Duration.ofSeconds(1);
+
     private record Held(Domain per, String domain) { }
 
     private final Map<String, Held> held = new HashMap<>();
--- a/src/main/java/fordridge/constraint/Sense.java
+++ b/src/main/java/fordridge/constraint/Sense.java
@@ -2,6 +2,7 @@
 
 import fordridge.constraint.Rule.Domain;
 import fordridge.constraint.Rule.Scope;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -30,6 +31,8 @@
         }
     }
 
+    /** Longest that a set is looked into. */
+    public static final Duration THINKS = Duration.ofSeconds(1);
     /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
     private static final int MOST_KINDS = 200;
 
--- a/src/main/java/fordridge/group/Group.java
+++ b/src/main/java/fordridge/group/Group.java
@@ -1,5 +1,6 @@
 package fordridge.group;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -156,6 +157,11 @@
         }
     }
 
+    /** When a group that is not whole is given up: what is left of its first member's time then covers the taking back. */
+    public static Duration gaveUpAfter(Duration left) {
+        return left.multipliedBy(15).dividedBy(16);
+    }
+
     /** Not all came in time, or the group asks for what no machine has. */
     public void gaveUp(String why) {
         if (!told) {
--- a/src/main/java/fordridge/placer/Groups.java
+++ b/src/main/java/fordridge/placer/Groups.java
@@ -35,7 +35,6 @@
 
     private record Named(String client, String group) { }
 
-    private final Hands hands;
     private static final class Kept {
         final Named named;
         final int size;
@@ -47,6 +46,7 @@
         }
     }
 
+    private final Hands hands;
     private final Map<Named, Group> groups = new HashMap<>();
     private final Map<String, Group> of = new HashMap<>();
     private final Map<Group, Kept> kept = new HashMap<>();
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -51,6 +51,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -65,8 +66,6 @@
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
     private static final Duration FEELS = Duration.ofMillis(25);
-    /** Longest that it is looked into whether a group can be placed. */
-    private static final Duration THINKS = Duration.ofSeconds(1);
 
     /** A machine as this instance reaches it. */
     private final class Reach implements MachineStream.Heard, Telling.Further {
@@ -540,7 +539,7 @@
             owners.remove(vm);
             return;
         }
-        at(vm.deadline.minus(now).multipliedBy(15).dividedBy(16), () -> groups.due(vm));
+        at(Group.gaveUpAfter(vm.deadline.minus(now)), () -> groups.due(vm));
         String apart = groups.join(vm, s.client, w.getGroup(), w.getGroupSize(), f.rebuildable());
         if (apart != null) {
             say(vm, Answer.Kind.DENIED, Answer.denied(w.getVm(), Duration.ZERO, apart));
@@ -567,21 +566,37 @@
                 return new Together.Room(m.cores, m.memory);
             });
             Book asked = book;
-            long until = System.nanoTime() + THINKS.toNanos();
-            thinker.execute(() -> {
-                Plan plan = Plan.of(spare, empty, parts, () -> System.nanoTime() - until > 0);
-                try {
-                    loop.execute(() -> enter(() -> {
-                        if (book == asked) {
-                            then.accept(plan);
-                        } else {
-                            plan(members, then);
-                        }
-                    }));
-                } catch (RejectedExecutionException e) {
-                    LOG.debug("the placer ended while a group was thought about");
-                }
-            });
+            long until = System.nanoTime() + Plan.THINKS.toNanos();
+            Plan free = Plan.free(members.stream().map(v -> v.id).toList());
+            try {
+                thinker.execute(() -> think(() -> Plan.of(spare, empty, parts, () -> System.nanoTime() - until > 0),
+                        free, plan -> {
+                            if (book == asked) {
+                                then.accept(plan);
+                            } else {
+                                plan(members, then);
+                            }
+                        }));
+            } catch (RejectedExecutionException e) {
+                // Too many wait to be thought about: these go as VMs that no plan binds.
+                then.accept(free);
+            }
+        }
+
+        private void think(Supplier<Plan> about, Plan otherwise, Consumer<Plan> then) {
+            Plan plan;
+            try {
+                plan = about.get();
+            } catch (RuntimeException e) {
+                LOG.atError().addKeyValue("placer", name).setCause(e).log("a group could not be thought about");
+                plan = otherwise;
+            }
+            Plan settled = plan;
+            try {
+                loop.execute(() -> enter(() -> then.accept(settled)));
+            } catch (RejectedExecutionException e) {
+                LOG.debug("the placer ended while a group was thought about");
+            }
         }
 
         @Override
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -23,7 +23,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.slf4j.Logger;
@@ -38,7 +39,8 @@
 
     private final Deployment d;
     private final EventLoopGroup loops;
-    private final ExecutorService thinker = Executors.newFixedThreadPool(2, r -> {
+    private final ExecutorService thinker = new ThreadPoolExecutor(2, 2, 0, TimeUnit.SECONDS,
+            new ArrayBlockingQueue<>(1024), r -> {
         Thread t = new Thread(r, "groups");
         t.setDaemon(true);
         return t;
--- a/src/main/java/fordridge/placer/Rules.java
+++ b/src/main/java/fordridge/placer/Rules.java
@@ -10,7 +10,6 @@
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -38,8 +37,6 @@
         t.setDaemon(true);
         return t;
     });
-    /** Longest that a set is looked into for clashes. */
-    private static final Duration THINKS = Duration.ofSeconds(1);
     private String seen;
     private int version;
     private List<Rule> inForce = List.of();
@@ -139,7 +136,7 @@
     }
 
     private static List<Sense.Clash> clashes(List<Rule> rules, List<Book.Spot> machines) {
-        long until = System.nanoTime() + THINKS.toNanos();
+        long until = System.nanoTime() + Sense.THINKS.toNanos();
         return Sense.of(rules, machines, () -> System.nanoTime() - until > 0);
     }
 
--- a/src/main/java/fordridge/rpc/OperateService.java
+++ b/src/main/java/fordridge/rpc/OperateService.java
@@ -31,8 +31,6 @@
         Running running(String vm);
     }
 
-    private static final int MOST_STRAYED = 100;
-
     private final Books books;
 
     public OperateService(Books books) {
@@ -60,7 +58,7 @@
             }
         });
         book.misfits().forEach((claim, why) -> b.addMisfits(misfit(claim, why)));
-        book.strayed(MOST_STRAYED).forEach((claim, why) -> b.addStrayed(misfit(claim, why)));
+        book.strayed(Book.MOST_STRAYED).forEach((claim, why) -> b.addStrayed(misfit(claim, why)));
         to.onNext(b.build());
         to.onCompleted();
     }
