--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/Book.java
@@ -68,6 +68,9 @@
         }
     }
 
+    /** Counted over all services: no number that a service has. */
+    static final long ANY = Long.MIN_VALUE;
+
     /** With {@code sure}, without those of which it is not known whether they run. */
     private record CounterKey(Scope scope, Domain per, long service, boolean sure) {
         CounterKey(Scope scope, Domain per, long service) {
@@ -268,16 +271,16 @@
     /** What a rule counts. */
     private static List<CounterKey> keys(Rule r, long service) {
         if (r.clause() instanceof Rule.Near n) {
-            return List.of(new CounterKey(n.other(), n.per(), 0, true), new CounterKey(n.other(), n.per(), 0));
+            return List.of(new CounterKey(n.other(), n.per(), ANY, true), new CounterKey(n.other(), n.per(), ANY));
         }
         if (r.clause() instanceof Rule.Apart a) {
-            return List.of(new CounterKey(a.other(), a.per(), 0), new CounterKey(r.scope(), a.per(), 0));
+            return List.of(new CounterKey(a.other(), a.per(), ANY), new CounterKey(r.scope(), a.per(), ANY));
         }
         if (r.clause() instanceof Rule.Most m) {
-            return List.of(new CounterKey(r.scope(), m.per(), m.eachService() ? service : 0));
+            return List.of(new CounterKey(r.scope(), m.per(), m.eachService() ? service : ANY));
         }
         if (r.clause() instanceof Rule.Skew s) {
-            return List.of(new CounterKey(r.scope(), s.per(), s.eachService() ? service : 0));
+            return List.of(new CounterKey(r.scope(), s.per(), s.eachService() ? service : ANY));
         }
         return List.of();
     }
@@ -323,7 +326,7 @@
         }
         for (Rule r : m.against) {
             Rule.Apart apart = (Rule.Apart) r.clause();
-            a.andNot(counter(new CounterKey(r.scope(), apart.per(), 0)).occupied);
+            a.andNot(counter(new CounterKey(r.scope(), apart.per(), ANY)).occupied);
         }
         return a;
     }
@@ -351,17 +354,17 @@
                 a.and(c.occupied);
             }
         } else if (r.clause() instanceof Rule.Apart ap) {
-            a.andNot(counter(new CounterKey(ap.other(), ap.per(), 0)).occupied);
+            a.andNot(counter(new CounterKey(ap.other(), ap.per(), ANY)).occupied);
         } else if (r.clause() instanceof Rule.Most m) {
             int most = share(m, placers);
-            Counter c = counter(new CounterKey(r.scope(), m.per(), m.eachService() ? k.service : 0));
+            Counter c = counter(new CounterKey(r.scope(), m.per(), m.eachService() ? k.service : ANY));
             c.at.forEach((domain, n) -> {
                 if (n >= most) {
                     a.andNot(members(m.per(), domain));
                 }
             });
         } else if (r.clause() instanceof Rule.Skew s) {
-            Counter c = counter(new CounterKey(r.scope(), s.per(), s.eachService() ? k.service : 0));
+            Counter c = counter(new CounterKey(r.scope(), s.per(), s.eachService() ? k.service : ANY));
             int least = least(a, s.per(), c);
             c.at.forEach((domain, n) -> {
                 if (n + 1 - least > s.skew()) {
@@ -373,8 +376,8 @@
 
     /** Those that are sure to run or on their way; where there are none, those that may. */
     private Counter nearTo(Rule.Near n) {
-        Counter sure = counter(new CounterKey(n.other(), n.per(), 0, true));
-        return sure.total > 0 ? sure : counter(new CounterKey(n.other(), n.per(), 0));
+        Counter sure = counter(new CounterKey(n.other(), n.per(), ANY, true));
+        return sure.total > 0 ? sure : counter(new CounterKey(n.other(), n.per(), ANY));
     }
 
     /** How many one placer may have. */
@@ -480,7 +483,7 @@
                         && a.other().covers(p.customer(), p.flavour(), p.service()))) {
                     speaks = true;
                     if (r.clause() instanceof Rule.Near n) {
-                        held.put(new Together.Held(n.other(), n.per(), 0, true), Map.copyOf(nearTo(n).at));
+                        held.put(new Together.Held(n.other(), n.per(), ANY, true), Map.copyOf(nearTo(n).at));
                         continue;
                     }
                     for (CounterKey key : keys(r, p.service())) {
@@ -550,7 +553,7 @@
         }
         for (Rule r : m.against) {
             Rule.Apart a = (Rule.Apart) r.clause();
-            Counter c = counter(new CounterKey(r.scope(), a.per(), 0));
+            Counter c = counter(new CounterKey(r.scope(), a.per(), ANY));
             if (c.occupied.contains(spot)) {
                 some.add(new Reason(r, "required of others: " + r.scope() + " keeps apart from these, and "
                         + c.count(domain(spot, a.per())) + " of it run in " + a.per() + " " + domain(spot, a.per())));
--- a/src/main/java/fordridge/constraint/Together.java
+++ b/src/main/java/fordridge/constraint/Together.java
@@ -195,10 +195,10 @@
             for (Rule r : some) {
                 if (r.clause() instanceof Rule.Apart a) {
                     if (of(r.scope(), part)) {
-                        forbid(no, a.per(), held(a.other(), a.per(), 0), 1);
+                        forbid(no, a.per(), held(a.other(), a.per(), Book.ANY), 1);
                     }
                     if (of(a.other(), part)) {
-                        forbid(no, a.per(), held(r.scope(), a.per(), 0), 1);
+                        forbid(no, a.per(), held(r.scope(), a.per(), Book.ANY), 1);
                     }
                 } else if (of(r.scope(), part)) {
                     if (r.clause() instanceof Rule.On on) {
@@ -206,7 +206,7 @@
                             no[m] |= !Book.holds(on.where(), spots.get(m));
                         }
                     } else if (r.clause() instanceof Rule.Most most) {
-                        forbid(no, most.per(), held(r.scope(), most.per(), most.eachService() ? part.service : 0),
+                        forbid(no, most.per(), held(r.scope(), most.per(), most.eachService() ? part.service : Book.ANY),
                                 Book.share(most, placers));
                     }
                 }
@@ -264,7 +264,7 @@
             Map<Long, List<Integer>> kin = new TreeMap<>();
             for (int p = 0; p < at.length; p++) {
                 if (of(r.scope(), parts.get(p))) {
-                    kin.computeIfAbsent(m.eachService() ? parts.get(p).service : 0, s -> new ArrayList<>()).add(p);
+                    kin.computeIfAbsent(m.eachService() ? parts.get(p).service : Book.ANY, s -> new ArrayList<>()).add(p);
                 }
             }
             kin.forEach((service, some) -> {
@@ -291,7 +291,7 @@
         }
 
         private void near(Rule r, Rule.Near n) {
-            Map<String, Integer> counts = held.getOrDefault(new Held(n.other(), n.per(), 0, true), Map.of());
+            Map<String, Integer> counts = held.getOrDefault(new Held(n.other(), n.per(), Book.ANY, true), Map.of());
             int[] already = java.util.stream.IntStream.range(0, names.get(n.per()).size())
                     .filter(i -> counts.containsKey(names.get(n.per()).get(i))).toArray();
             boolean away = already.length == 0 && !counts.isEmpty();
--- a/src/test/java/fordridge/constraint/BookTest.java
+++ b/src/test/java/fordridge/constraint/BookTest.java
@@ -67,6 +67,16 @@
         assertThat(open(b, "b", 1)).hasSize(5);
     }
 
+    @Example
+    void aServiceOfNumberZeroIsCountedByItself() throws Exception {
+        Book b = book("rule m: flavour w require spread at most 1 of each service per zone;\n"
+                + "rule n: flavour v require near flavour w per zone;");
+        b.goes(1, "", "w", 5, "a");
+        assertThat(open(b, "w", 0)).as("another service is no bar").hasSize(5);
+        b.goes(2, "", "w", 0, "c");
+        assertThat(open(b, "w", 0)).containsExactly("a", "b", "e");
+    }
+
     @Example
     void apartHoldsBothWays() throws Exception {
         Book b = book("rule p: flavour w require apart flavour b per machine;");
