A group's plan is made anew when rules or machines change while it is thought about

Cause: on reading again, a plan that came back after machines had changed was taken as it was and could pin members to a domain that had left; one that came back after its group had ended was kept for ever. Change: the groups count changes and ask again; an ended group's plan is dropped.

--- a/src/main/java/fordridge/placer/Groups.java
+++ b/src/main/java/fordridge/placer/Groups.java
@@ -53,6 +53,8 @@
     private final Map<String, Vm> vms = new HashMap<>();
     private final Map<String, Answer> bound = new HashMap<>();
     private final Map<String, Plan> plans = new HashMap<>();
+    /** How often rules or machines changed: a plan made before the last change is made anew. */
+    private int changes;
 
     Groups(Hands hands) {
         this.hands = hands;
@@ -123,14 +125,21 @@
     @Override
     public void whole(List<String> members) {
         Group g = of.get(members.get(0));
-        hands.plan(members.stream().map(vms::get).toList(), plan -> {
-            if (plan.refusal() != null) {
+        List<Vm> some = members.stream().map(vms::get).toList();
+        int asked = changes;
+        hands.plan(some, plan -> {
+            if (!members.stream().allMatch(id -> of.get(id) == g)) {
+                return; // It ended while it was thought about.
+            }
+            if (asked != changes) {
+                whole(members);
+            } else if (plan.refusal() != null) {
                 g.gaveUp(plan.refusal());
                 tidy(g);
-                return;
+            } else {
+                members.forEach(id -> plans.put(id, plan));
+                g.go(plan.order());
             }
-            members.forEach(id -> plans.put(id, plan));
-            g.go(plan.order());
         });
     }
 
@@ -158,6 +167,7 @@
 
     /** Rules or machines changed: what was planned no longer holds, and the rules alone go on. */
     void letGoOfPlans() {
+        changes++;
         plans.clear();
     }
 
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -565,18 +565,11 @@
                 Machine m = feed.machine(name);
                 return new Together.Room(m.cores, m.memory);
             });
-            Book asked = book;
             long until = System.nanoTime() + Plan.THINKS.toNanos();
             Plan free = Plan.free(members.stream().map(v -> v.id).toList());
             try {
                 thinker.execute(() -> think(() -> Plan.of(spare, empty, parts, () -> System.nanoTime() - until > 0),
-                        free, plan -> {
-                            if (book == asked) {
-                                then.accept(plan);
-                            } else {
-                                plan(members, then);
-                            }
-                        }));
+                        free, then));
             } catch (RejectedExecutionException e) {
                 // Too many wait to be thought about: these go as VMs that no plan binds.
                 then.accept(free);
