Notes between placers, probes by turns, and a hash of service and machine all share

One of 268 placers sees too few VMs of a service to know where it runs (lines at fault: knowsProgram in pick). Dropped causes: crowding (reports of all machines, after notes, show none), refusals (one in 7,681). probeStale sent all placers to the same first machines of the list (9 of 60 ever reported). Errors before a bind now close a machine to that customer and flavour only. Price of notes still to be mended.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -46,12 +46,16 @@
 
     private static final double THRESHOLD = 0.9;
     private static final int SAMPLE = 3;
+    /** What reports told to other placers may cost, as a part of what all VMs are worth. */
+    private static final double TALK = 0.015;
     /** Grief from which a machine is left alone, if it also stands out from the fleet by as many times. */
     private static final double SHUNNED = 3;
 
     private final Door door;
     private final Placer me = new Placer();
     private final Map<String, Flavour> flavours = new TreeMap<>();
+    /** Customers and flavours as notes number them. */
+    private final List<String> kins = new ArrayList<>();
     /** Kinds of machine that some flavour cannot do without. */
     private final Set<String> neededKinds = new HashSet<>();
     private final List<Rule> rules = List.of(
@@ -62,7 +66,7 @@
             new Rule(() -> !me.untried.isEmpty(), () -> tryOrHold(me.untried.removeFirst())),
             new Rule(() -> me.lookAgain && !me.held.isEmpty() && !me.now.equals(me.lookedAt), this::tryHeld),
             new Rule(() -> me.now.compareTo(me.probeAt) >= 0, this::probeStale),
-            new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following),
+            new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following || turns()),
                     this::setWake));
     private boolean whole;
     private Duration settle;
@@ -75,6 +79,8 @@
     /** What own VMs have been told to use, as a share of their asks. */
     private Mean coresRatio;
     private Mean memoryRatio;
+    /** Seconds that own VMs ran. */
+    private Mean lives;
     private double fleetGrief;
     private Duration summedAt;
 
@@ -97,6 +103,7 @@
         coresRatio = new Mean(1 / me.terms.num("extra.admitCores", 1));
         memoryRatio = new Mean(1 / me.terms.num("extra.memBooking", 1));
         readTerms();
+        lives = new Mean(4 * seconds(settle));
         settleRules();
     }
 
@@ -141,6 +148,11 @@
                 neededKinds.add(f.kind);
             }
         }
+        kins.clear();
+        for (int i = 0; i < Math.max(1, me.terms.num("tenants", 0)); i++) {
+            String customer = me.terms.text("tenants." + i + ".name", "");
+            flavours.keySet().forEach(f -> kins.add(customer + " " + f));
+        }
     }
 
     /** A list follows: whole (what it does not name is gone) or changes; {@code old} if it may be stale. */
@@ -160,6 +172,9 @@
         if (!m.known) {
             m.known = true;
             me.machines.add(m);
+            me.byName.merge(Note.name(m.id), m, (a, b) -> null);
+            m.toldAt = me.now.minus(settle);
+            m.toldBy = (int) (m.id % (long) me.placers);
         }
         if (startedAt != null && !startedAt.equals(m.startedAt)) {
             m.programs.values().removeIf(p -> p.held == 0);
@@ -182,6 +197,7 @@
                 }
             }
         }
+        meanUse();
         lookAgain();
     }
 
@@ -212,9 +228,13 @@
     public void bound(Claim c) {
         c.machine.waitingClaims.remove(c);
         c.boundAt = me.now;
-        refusal(c.vm, c.machine).span = refusal(c.vm, c.machine).span.dividedBy(2);
-        refusal(c.vm, c.machine).tookAt = me.now;
+        Machine.Refusal r = refusal(c.vm.kin(), c.machine);
+        r.span = r.span.dividedBy(2);
+        r.tookAt = me.now;
         c.vm.placed = c;
+        if (notes() && bindsTold()) {
+            door.tell(Note.name(c.machine.id) + Note.size(c.vm.cores) + Note.size(c.vm.memory) + Note.whole(0));
+        }
         if (me.terms.text("extra.saysYes", "running").equals("running")) {
             started(c);
         }
@@ -274,6 +294,7 @@
         if (wasBound && end == End.DONE) {
             Flavour f = flavour(vm);
             f.life += (seconds(me.now.minus(c.boundAt)) - f.life) / 16;
+            lives.hear(seconds(me.now.minus(c.boundAt)), 64);
         }
         blame(c, end, why, wasBound);
         if (over || wasBound) {
@@ -286,17 +307,94 @@
     }
 
     public void reported(Machine m) {
+        m.mutedUntil = Duration.ZERO;
+        if (notes() && since(m.toldAt).compareTo(me.tellEvery) >= 0) {
+            tell(m, "" + Note.share(1 - m.spareCores / m.cores) + Note.share(1 - m.spareMemory / m.memory));
+        }
         lookAgain();
     }
 
     public void probed(Machine m, boolean ok, boolean told, Duration took) {
         m.probing = false;
-        if (!ok) {
+        if (ok && told) {
+            reported(m);
+        } else if (!ok) {
             grieve(m, 1);
+            if (notes()) {
+                tell(m, "");
+            }
         }
         lookAgain();
     }
 
+    private void tell(Machine m, String what) {
+        m.toldAt = me.now;
+        m.toldBy = (int) me.terms.num("position", 0);
+        door.tell(Note.name(m.id) + what);
+    }
+
+    /**
+     * A note from another placer, on a machine that our own list names (else it is passed over): what it tells
+     * goes by its length. None: no answer. One figure: customer and flavour whose VMs it turns away. Two: cores
+     * and memory in use, as good as a report of our own. Three: it took a VM of so many cores and so much memory.
+     */
+    public void heard(int from, String note) {
+        Machine m = note.length() < 3 ? null : me.byName.get(note.substring(0, 3));
+        if (m == null) {
+            return;
+        }
+        String what = note.substring(3);
+        if (what.isEmpty()) {
+            m.mutedUntil = me.now.plus(times(me.tellEvery, 2));
+        } else if (what.length() == 1) {
+            int kin = Note.whole(what.charAt(0));
+            if (kin < kins.size()) {
+                Machine.Refusal r = refusal(kins.get(kin), m);
+                r.until = Collections.max(List.of(r.until, me.now.plus(times(settle, 2))));
+            }
+            return;
+        } else if (what.length() == 2) {
+            m.spareCores = (1 - Note.share(what.charAt(0))) * m.cores;
+            m.spareMemory = (1 - Note.share(what.charAt(1))) * m.memory;
+            m.busy = Double.NaN;
+            m.reportedAt = me.now;
+            m.mutedUntil = Duration.ZERO;
+            me.lookAgain = true;
+        } else {
+            Vm other = new Vm("");
+            other.cores = Note.size(what.charAt(0));
+            other.memory = Note.size(what.charAt(1));
+            Claim c = new Claim(other, m, 0, me.now);
+            c.runsAt = me.now;
+            m.sinceList.add(c);
+            m.sinceReport.add(c);
+            me.booked.add(m);
+            return;
+        }
+        m.toldAt = me.now;
+        m.toldBy = from;
+        settleRules();
+    }
+
+    /** Each bind is told where that costs less than reports may: then nothing that others do stays unseen. */
+    private boolean bindsTold() {
+        return toldToAll(6) < TALK / 3;
+    }
+
+    /** What a note of so many bytes to all others costs, in shares of a VM's worth. */
+    private double toldToAll(int bytes) {
+        return (me.placers - 1) * bytes / 256 * me.terms.num("prices.peer", 0);
+    }
+
+    private boolean notes() {
+        return me.terms.flag("caps.peerMessages", false) && me.placers > 1;
+    }
+
+    /** Machines are probed by turns, each placer telling the others what it hears. */
+    private boolean turns() {
+        return notes() && me.terms.flag("caps.probes", false);
+    }
+
     /** So many placers share the cluster from now on. */
     public void shared(int among) {
         me.placers = among;
@@ -461,7 +559,7 @@
         if (me.terms.num("prices.crossZone", 0) > 0) {
             room = narrow(room, m -> m.zone.equals(me.terms.text("zone", "")));
         }
-        return room.isEmpty() ? null : leastGrieved(room);
+        return room.isEmpty() ? null : leastGrieved(vm, room);
     }
 
     /** Regular room first; where none has it, opportunistic room (all flavours are opted in). */
@@ -481,7 +579,7 @@
 
     /** Cores that others have bound since what the list shows, if all asked for is renewed each life. */
     private double unseen(Flavour f) {
-        double n = me.placers;
+        double n = notes() && bindsTold() ? 1 : me.placers;
         Duration age = since(me.heardListAt).plus(times(settle, 1.0 / 3));
         return askedCores / f.life * (n - 1) / n * seconds(age);
     }
@@ -504,19 +602,21 @@
     }
 
     /**
-     * The picker's sample, drawn by room: many placers see the same late list, and where each draws evenly,
-     * or takes the emptiest, all fill the same few machines before the list shows it.
+     * The picker's sample. Where a start without the program comes too late and none of the machines is known to
+     * have it, the sample is those that rank first for the service, by a hash that all placers share: so they
+     * meet where the service runs without a word. Else it is drawn by room: many placers see the same late list,
+     * and where each draws evenly, or takes the emptiest, all fill the same few machines before the list shows it.
      */
-    private Machine leastGrieved(List<Machine> room) {
+    private Machine leastGrieved(Vm vm, List<Machine> room) {
+        boolean known = knowsProgram(room.get(0), vm.service);
+        if (!known) {
+            room.forEach(m -> m.rank = Chance.of(vm.service, m.id));
+        }
+        List<Machine> left = new ArrayList<>(room);
         Machine best = null;
-        double shown = room.stream().mapToDouble(m -> m.room).sum();
-        for (int i = 0; i < SAMPLE; i++) {
-            double at = me.chance.next() * shown;
-            Machine drawn = null;
-            for (int k = 0; k < room.size() && at >= 0; k++) {
-                drawn = room.get(k);
-                at -= drawn.room;
-            }
+        for (int i = 0; i < SAMPLE && !left.isEmpty(); i++) {
+            Machine drawn = known ? byRoom(room) : Collections.max(left, Comparator.comparingLong(m -> m.rank));
+            left.remove(drawn);
             if (best == null || pressure(drawn) < pressure(best)) {
                 best = drawn;
             }
@@ -524,8 +624,18 @@
         return best;
     }
 
+    private Machine byRoom(List<Machine> room) {
+        double at = me.chance.next() * room.stream().mapToDouble(m -> m.room).sum();
+        Machine drawn = null;
+        for (int k = 0; k < room.size() && at >= 0; k++) {
+            drawn = room.get(k);
+            at -= drawn.room;
+        }
+        return drawn;
+    }
+
     private boolean eligible(Vm vm, Flavour f, Machine m) {
-        return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm, m).until) >= 0)
+        return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm.kin(), m).until) >= 0)
                 && open(f, m) && allowedAgain(vm, f, m) && spreadKept(vm, f, m)
                 && door.unfit(vm, m) < Double.POSITIVE_INFINITY;
     }
@@ -534,7 +644,7 @@
     private boolean open(Flavour f, Machine m) {
         return m.listing == Listing.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
-                && me.now.compareTo(m.closedUntil) >= 0
+                && me.now.compareTo(m.closedUntil) >= 0 && me.now.compareTo(m.mutedUntil) >= 0
                 && coldPaceKept(m)
                 && trusted(f, m);
     }
@@ -545,12 +655,12 @@
      * each VM taken; others go on. It also answers a quota or a wrong limit; it may hurt where reasons are
      * never told, as room that frees is then found later.
      */
-    private static Machine.Refusal refusal(Vm vm, Machine m) {
-        return m.refusals.computeIfAbsent(vm.kin(), k -> new Machine.Refusal());
+    private static Machine.Refusal refusal(String kin, Machine m) {
+        return m.refusals.computeIfAbsent(kin, k -> new Machine.Refusal());
     }
 
     private boolean took(Vm vm, Machine m) {
-        return !m.refusals.isEmpty() && since(refusal(vm, m).tookAt).compareTo(times(settle, 4)) < 0;
+        return !m.refusals.isEmpty() && since(refusal(vm.kin(), m).tookAt).compareTo(times(settle, 4)) < 0;
     }
 
     /** Room as a share of the size, by the resource that has least; 0 where the VM does not fit. */
@@ -661,6 +771,9 @@
         usedMemory = mean(told, m -> usedMemory(m) / m.memory);
         double asked = mean(told, m -> 1 - m.freeCores / m.cores);
         double askedMemory = mean(told, m -> 1 - m.freeMemory / m.memory);
+        double starts = askedCores / Math.max(1e-6, me.terms.num("extra.meanCores", 1)) / lives.value;
+        double every = live.size() * toldToAll(5) / TALK / Math.max(1e-6, starts);
+        me.tellEvery = seconds(seconds(settle) * Math.max(1.0 / 6, Math.min(every / seconds(settle), 1)));
         usedPerAsk = asked > 0 ? usedCores / asked : coresRatio.value;
         usedPerAskMemory = askedMemory > 0 ? usedMemory / askedMemory : memoryRatio.value;
     }
@@ -762,7 +875,7 @@
     private void setWake() {
         // In time for the shortest build timeout: a wake counted in ticks came too late where those are long.
         double shortest = flavours.values().stream().mapToDouble(f -> seconds(f.patience)).min().orElse(1);
-        me.wakeAt = me.now.plus(seconds(shortest / 32));
+        me.wakeAt = me.now.plus(turns() ? times(settle, 1.0 / 48) : seconds(shortest / 32));
         door.wake(me.wakeAt.minus(me.now));
     }
 
@@ -849,13 +962,21 @@
         if (c.vm.moved || end == End.DONE || end == End.CANCELLED || end == End.MOOT) {
             return;
         }
-        if (end == End.FULL && why == Why.UNTOLD) {
-            Machine.Refusal r = refusal(c.vm, m);
+        if (end == End.FULL && why == Why.UNTOLD || end == End.ERROR && !wasBound) {
+            Machine.Refusal r = refusal(c.vm.kin(), m);
             double spans = 4 * seconds(r.span) / seconds(settle);
             r.span = seconds(Math.max(2, Math.min(spans, 8)) * seconds(settle));
             r.until = me.now.plus(r.span);
             r.tookAt = null;
-            me.refusedAt.put(c.vm.kin(), me.now);
+            if (end == End.FULL) {
+                me.refusedAt.put(c.vm.kin(), me.now);
+            } else {
+                grieve(m, 0.5);
+            }
+            int kin = kins.indexOf(c.vm.kin());
+            if (notes() && kin >= 0) {
+                door.tell(Note.name(m.id) + Note.whole(kin));
+            }
         } else if (end == End.FULL) {
             m.closedUntil = me.now.plus(times(why == Why.LINE_FULL ? flavour(c.vm).target : settle, 0.5));
             grieve(m, 0.5);
@@ -863,6 +984,9 @@
             grieve(m, why == Why.EVICTED ? 1 : 0);
         } else {
             grieve(m, wasBound ? 0.5 : 2);
+            if (end == End.UNREACHABLE && notes() && me.now.compareTo(m.mutedUntil) >= 0) {
+                tell(m, "");
+            }
             if (end == End.UNREACHABLE || wasBound) {
                 // Down, however the rest of the fleet fares (a VM lost without a word tells it first): each
                 // knock waits longer, so that a mass outage burns no claims. A new start opens it.
@@ -889,32 +1013,44 @@
     }
 
     /**
-     * Probes the machine whose report is oldest, if it is old and a probe a VM has been earned. Seldom looked
-     * for again where none was stale: no input may cost work that grows with the fleet.
+     * Probes the machine whose probe is most overdue here. Seldom looked for again where none was: no input may
+     * cost work that grows with the fleet. Without notes a probe a VM must have been earned.
      */
     private void probeStale() {
         Duration stale = times(settle, 1.0 / 2);
-        me.probeAt = me.now.plus(times(stale, 1.0 / 8));
+        me.probeAt = me.now.plus(turns() ? times(settle, 1.0 / 50) : times(stale, 1.0 / 8));
         if (!me.terms.flag("caps.probes", false) || me.terms.text("loadReport.via", "off").equals("off")) {
             return;
         }
-        Machine oldest = null;
+        Machine most = null;
+        Duration soonest = Duration.ZERO;
         for (Machine m : me.machines) {
-            if (m.listing == Listing.LIVE && !m.probing && since(m.probedAt).compareTo(stale) > 0
-                    && since(m.reportedAt).compareTo(stale) > 0
-                    && (oldest == null || since(m.reportedAt).compareTo(since(oldest.reportedAt)) > 0)) {
-                oldest = m;
+            if (m.listing == Listing.LIVE && !m.probing && since(m.probedAt).compareTo(turns() ? me.tellEvery : stale) > 0) {
+                Duration late = turns() ? turnLate(m) : since(m.reportedAt).minus(stale);
+                if (late.compareTo(Duration.ZERO) > 0 && (most == null || late.compareTo(soonest) > 0)) {
+                    most = m;
+                    soonest = late;
+                }
             }
         }
-        if (oldest != null && me.probes < me.arrivals) {
+        if (most != null && (turns() || me.probes < me.arrivals)) {
             me.probes++;
-            oldest.probing = true;
-            oldest.probedAt = me.now;
-            door.probe(oldest);
+            most.probing = true;
+            most.probedAt = me.now;
+            door.probe(most);
             me.probeAt = me.now.plusNanos(1);
         }
     }
 
+    /**
+     * How late this placer's turn to probe the machine is. The turn goes from position to position, from
+     * whoever told of it last; one that stands still or is cut off is passed over after a step.
+     */
+    private Duration turnLate(Machine m) {
+        int ahead = Math.floorMod((int) me.terms.num("position", 0) - m.toldBy - 1, (int) me.placers);
+        return since(m.toldAt).minus(me.tellEvery).minus(times(settle, ahead / 24.0));
+    }
+
     private Duration since(Duration then) {
         return then == null ? me.now : me.now.minus(then);
     }
--- a/src/main/java/fordridge/door/Door.java
+++ b/src/main/java/fordridge/door/Door.java
@@ -38,6 +38,10 @@
     /** Asks a machine for a report. */
     void probe(Machine machine);
 
+    /** Sends a note to every other placer; it may be late or lost. Only where the terms allow notes. */
+    default void tell(String note) {
+    }
+
     /** Asks to be woken once, this much later. */
     void wake(Duration in);
 
--- a/src/main/java/fordridge/drill/Seat.java
+++ b/src/main/java/fordridge/drill/Seat.java
@@ -88,6 +88,7 @@
                     logic.probed(m, ok, told, micros(Wire.whole(ev, "elapsedUs", at, 0)));
                 }
             }
+            case "noteFrom" -> logic.heard((int) Wire.whole(ev, "src", at), Wire.text(ev, "data", at));
             case "due" -> {
                 Wire.whole(ev, "handle", at);
                 logic.woken();
@@ -238,6 +239,11 @@
         act("inspect", "machine", machine.id);
     }
 
+    @Override
+    public void tell(String note) {
+        act("memoTo", "addressee", "*", "data", note);
+    }
+
     @Override
     public void wake(Duration in) {
         act("after", "inUs", micros(in), "handle", 0L);
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -74,6 +74,11 @@
     public Duration reportedAt;
     public Duration probedAt;
     public boolean probing;
+    /** When any placer last told the others of it, as far as heard; and that placer's position. */
+    public Duration toldAt;
+    public int toldBy;
+    /** Shut for want of an answer that another placer told of, until one is heard. */
+    public Duration mutedUntil = Duration.ZERO;
 
     // What this placer did there.
     /** Own claims that the list's free room may not include yet. */
@@ -91,6 +96,8 @@
     public Duration lastOfferAt;
     /** Room found for the VM that is being placed. */
     public double room;
+    /** Where it stands for the service of that VM. */
+    public long rank;
     public double grief;
     public Duration griefAt = Duration.ZERO;
 
--- /dev/null
+++ b/src/main/java/fordridge/state/Note.java
@@ -0,0 +1,57 @@
+package fordridge.state;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+
+/**
+ * The alphabet of notes between placers: one printable character holds a figure, three a machine's name. Notes are
+ * paid by the byte at every placer that gets them, so they hold nothing else. It only writes and reads.
+ */
+public final class Note {
+    private static final char FIRST = '!';
+    private static final int DIGITS = '~' - FIRST + 1;
+    /** Steps to a doubling in the figure for a size: a size is read back within 5%. */
+    private static final double FINE = 8;
+    private static final double HALF = DIGITS / 2;
+
+    private Note() {
+    }
+
+    /** Short for a machine's id; two in a fleet may bear the same, then notes on neither are read. */
+    public static String name(long id) {
+        CRC32 crc = new CRC32();
+        crc.update(Long.toString(id).getBytes(StandardCharsets.US_ASCII));
+        long left = crc.getValue();
+        StringBuilder s = new StringBuilder(3);
+        for (int i = 0; i < 3; i++, left /= DIGITS) {
+            s.append(whole((int) (left % DIGITS)));
+        }
+        return s.toString();
+    }
+
+    public static char whole(int n) {
+        return (char) (FIRST + Math.max(0, Math.min(n, DIGITS - 1)));
+    }
+
+    public static int whole(char c) {
+        return c - FIRST;
+    }
+
+    /** A share from 0 to 1. */
+    public static char share(double x) {
+        return whole((int) Math.round(x * (DIGITS - 1)));
+    }
+
+    public static double share(char c) {
+        return whole(c) / (DIGITS - 1.0);
+    }
+
+    /** A size above 0, in units that writer and reader share. */
+    public static char size(double x) {
+        return whole((int) Math.round(HALF + FINE * Math.log(x) / Math.log(2)));
+    }
+
+    public static double size(char c) {
+        return Math.pow(2, (whole(c) - HALF) / FINE);
+    }
+}
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -20,6 +20,10 @@
     public double placers = 1;
     /** Machines in the order in which the list first named them. */
     public final List<Machine> machines = new ArrayList<>();
+    /** Machines by their names in notes; null where two bear one. */
+    public final Map<String, Machine> byName = new HashMap<>();
+    /** How long a machine's report stands before the next is told to the other placers. */
+    public Duration tellEvery = Duration.ZERO;
     /** Machines that hold VMs of a service, by service. */
     public final Map<Long, Set<Machine>> hosts = new HashMap<>();
     /** Machines with claims in their books. */
