--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -45,6 +45,8 @@
     }
 
     private static final double THRESHOLD = 0.9;
+    /** The threshold of flavours under the top rank: those above find the rest, in time, when all is taken. */
+    private static final double SPARING = 0.75;
     private static final int SAMPLE = 3;
     /** What reports told to other placers may cost, as a part of what all VMs are worth. */
     private static final double TALK = 0.005;
@@ -68,6 +70,7 @@
             new Rule(() -> me.now.compareTo(me.probeAt) >= 0, this::probeStale),
             new Rule(() -> me.wakeAt == null && (!me.held.isEmpty() || asks() && !me.following),
                     this::setWake));
+    private int topRank;
     private boolean whole;
     private Duration settle;
     private double usedCores = Double.NaN;
@@ -122,6 +125,7 @@
             String lane = "lanes." + i + ".";
             Flavour f = flavours.computeIfAbsent(me.terms.text(lane + "name", ""), name -> new Flavour());
             f.rank = (int) me.terms.item("extra.precedence", i, 0);
+            topRank = Math.max(topRank, f.rank);
             f.effect = switch (me.terms.text(lane + "semantics", "fragile")) {
                 case "retryable" -> Effect.REBUILDABLE;
                 case "dedup" -> Effect.TOKENED;
@@ -509,8 +513,8 @@
         boolean refused = since(me.refusedAt.get(vm.kin())).compareTo(times(settle, 2)) < 0;
         List<Machine> proven = refused ? can.stream().filter(m -> took(vm, m)).toList() : List.of();
         List<Machine> room = proven.isEmpty() ? proven : withRoom(vm, proven);
-        // Where a start without the program comes too late, so do those where the service runs or should.
-        if (room.isEmpty() && f.startCold > seconds(f.target)) {
+        // So do machines where the service runs or, by a hash that all placers share, should run.
+        if (room.isEmpty()) {
             List<Machine> used = me.terms.num("prices.fleet", 0) > 0 ? narrow(can, this::inUse) : can;
             used.forEach(m -> m.rank = Chance.of(vm.service, m.id));
             List<Machine> homes = used.stream().sorted(Comparator.comparingLong(m -> -m.rank)).limit(SAMPLE).toList();
@@ -650,8 +654,7 @@
 
     private double opportunisticRoom(Vm vm, Machine m) {
         boolean late = since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0;
-        double top = flavours.values().stream().mapToInt(f -> f.rank).max().orElse(0);
-        double mine = flavour(vm).rank < top ? 0.8 : THRESHOLD;
+        double mine = flavour(vm).rank < topRank ? SPARING : THRESHOLD;
         double level = late ? crowd(flavour(vm)) : THRESHOLD;
         double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
         double moreMemory = (me.terms.num("extra.memBooking", 1) - 1) * m.memory;
