--- a/src/main/java/fordridge/obs/Meters.java
+++ b/src/main/java/fordridge/obs/Meters.java
@@ -59,6 +59,15 @@
         decide.record(nanos, java.util.concurrent.TimeUnit.NANOSECONDS);
     }
 
+    /** Something that the settings being watched would have decided otherwise. */
+    public void otherwise(String kind) {
+        registry.counter("fordridge.watch.otherwise", "kind", kind).increment();
+    }
+
+    public double otherwises(String kind) {
+        return registry.counter("fordridge.watch.otherwise", "kind", kind).count();
+    }
+
     public void gauge(String name, Supplier<Number> value) {
         Gauge.builder(name, value).register(registry);
     }
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -1,5 +1,6 @@
 package fordridge.placer;
 
+import fordridge.Logic;
 import fordridge.constraint.Book;
 import fordridge.constraint.Plan;
 import fordridge.constraint.Rule;
@@ -13,6 +14,7 @@
 import fordridge.obs.Meters;
 import fordridge.rpc.ClientService;
 import fordridge.rpc.MachineStream;
+import fordridge.rpc.NotePost;
 import fordridge.rpc.OperateService;
 import fordridge.rpc.Telling;
 import fordridge.session.Answer;
@@ -50,6 +52,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.zip.CRC32;
@@ -114,11 +117,13 @@
         @Override
         public void report(double spareCores, double spareMemory, double busy) {
             feed.report(machine, spareCores, spareMemory, busy, now);
+            seen(w -> w.report(name, spareCores, spareMemory, busy, now));
         }
 
         @Override
         public void reported() {
             feed.logic.reported(machine);
+            seen(w -> w.reported(name));
         }
 
         @Override
@@ -128,10 +133,10 @@
                 return;
             }
             switch (what) {
-                case CORES -> feed.logic.usesCores(c, amount);
-                case MEMORY -> feed.logic.usesMemory(c, amount);
-                case SERVICE -> feed.logic.served(c, amount);
-                case PRESSURE -> feed.logic.pressed(c, amount);
+                case CORES -> both(c, (l, of) -> l.usesCores(of, amount));
+                case MEMORY -> both(c, (l, of) -> l.usesMemory(of, amount));
+                case SERVICE -> both(c, (l, of) -> l.served(of, amount));
+                case PRESSURE -> both(c, (l, of) -> l.pressed(of, amount));
                 default -> { }
             }
         }
@@ -177,8 +182,13 @@
     private final RollCall rollCall = new RollCall();
     private CompletableFuture<Void> stopped;
     private int shared;
+    private boolean listOld = true;
+    /** Looks on under the terms of a move to come; null for none. */
+    private Watch watch;
+    private NotePost notes;
 
-    Instance(Deployment d, int position, String name, long seed, EventLoop loop, Executor thinker, Meters meters) {
+    Instance(Deployment d, Deployment watched, int position, String name, long seed, EventLoop loop, Executor thinker,
+            Meters meters) {
         this.d = d;
         this.thinker = thinker;
         this.name = name;
@@ -195,7 +205,13 @@
         }
         sessions = new Sessions(new Sessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
         this.position = position;
-        loop.execute(() -> enter(() -> feed.logic.start(seed, ModuleTerms.of(d, position))));
+        loop.execute(() -> enter(() -> {
+            feed.logic.start(seed, ModuleTerms.of(d, position));
+            if (watched != null) {
+                watch = new Watch(d, watched, position, seed, Instance::number, meters, this::at,
+                        m -> reaches.get(m).name, m -> feed.machine(m).probing);
+            }
+        }));
         loop.scheduleAtFixedRate(() -> enter(() -> sessions.expire(now)), 1, 1, TimeUnit.SECONDS);
         feelLateness();
     }
@@ -220,6 +236,7 @@
             now = clock();
             try {
                 feed.logic.at(now);
+                seen(w -> w.at(now));
                 next.run();
             } catch (RuntimeException e) {
                 // This one is lost to the module, those behind it are not; its VM is answered by its time-out.
@@ -241,6 +258,23 @@
         }
     }
 
+    /** What the module heard is told to the one that looks on; should it fail, it is let go of and ours goes on. */
+    private void seen(Consumer<Watch> what) {
+        if (watch != null) {
+            try {
+                what.accept(watch);
+            } catch (RuntimeException e) {
+                watch = null;
+                LOG.atError().addKeyValue("placer", name).setCause(e).log("watching ends: it failed on an input");
+            }
+        }
+    }
+
+    private void both(Claim c, BiConsumer<Logic, Claim> what) {
+        what.accept(feed.logic, c);
+        seen(w -> w.told(c.vm, what));
+    }
+
     private void feelLateness() {
         long due = System.nanoTime() + FEELS.toNanos();
         loop.schedule(() -> {
@@ -285,7 +319,10 @@
         loop.execute(() -> {
             if (among > 0 && among != shared) {
                 shared = among;
-                enter(() -> feed.logic.shared(among));
+                enter(() -> {
+                    feed.logic.shared(among);
+                    seen(w -> w.shared(among));
+                });
             }
         });
     }
@@ -329,6 +366,11 @@
             groups.letGoOfPlans();
         }
         feed.list(list.whole(), list.old(), lines);
+        seen(w -> w.list(list.whole(), list.old(), lines));
+        listOld = list.old();
+        if (listOld && d.listComes.equals("ask")) {
+            feed.logic.listFailed();
+        }
     }
 
     /** Whether machines came, went, were relabelled or drain: the rules' book is told only then, as it counts all anew. */
@@ -373,6 +415,7 @@
                         ((Claim) claim).machine));
                 line(Level.INFO, "rules of version " + version + " in force: " + rules.size(), null, null);
                 feed.logic.reported(null);
+                seen(w -> w.reported(null));
             } catch (Book.Unkeepable e) {
                 line(Level.ERROR, "rules stay as they were: " + e.getMessage(), null, null);
             }
@@ -444,6 +487,7 @@
             if (!c.out()) {
                 book.gone(c);
                 feed.logic.reported(c.machine);
+                seen(w -> w.reported(reaches.get(c.machine).name));
             }
         });
     }
@@ -596,6 +640,7 @@
         public void arrive(Vm vm) {
             feed.add(vm);
             feed.logic.arrives(vm);
+            seen(w -> w.arrived(vm));
         }
 
         @Override
@@ -614,6 +659,7 @@
         @Override
         public boolean callOff(Vm vm) {
             feed.logic.left(vm);
+            seen(w -> w.left(vm));
             for (Claim c : List.copyOf(vm.claims)) {
                 if (c.out()) {
                     giveUp(c, End.CANCELLED);
@@ -648,6 +694,7 @@
             if (sessions.waits(s.client, id)) {
                 feed.add(vm);
                 feed.logic.arrives(vm);
+                seen(w -> w.arrived(vm));
             }
         } else if (now.compareTo(vm.deadline) < 0) {
             at(d.poll, () -> arrives(vm, s, id, true));
@@ -687,6 +734,7 @@
             }
             if (vm.placed == null) {
                 feed.logic.left(vm);
+                seen(w -> w.left(vm));
                 forget(vm);
             }
         });
@@ -768,6 +816,7 @@
 
     @Override
     public void deny(Vm vm, Duration retryAfter) {
+        inputs.addLast(() -> seen(w -> w.answered(vm, "denied", retryAfter)));
         if (groups.of(vm) != null) {
             inputs.addLast(() -> group(vm, g -> g.denied(vm.id, "no room found in time")));
             return;
@@ -780,6 +829,7 @@
 
     @Override
     public void error(Vm vm) {
+        inputs.addLast(() -> seen(w -> w.answered(vm, "errored", Duration.ZERO)));
         if (groups.of(vm) != null) {
             inputs.addLast(() -> group(vm, g -> g.errored(vm.id, "it may have run; its outcome is not known")));
             return;
@@ -831,9 +881,35 @@
         line(Level.INFO, text, null, null);
     }
 
+    @Override
+    public void tell(String note) {
+        if (notes != null) {
+            notes.send(note);
+        }
+    }
+
+    /** Where notes go and come from, before anything is placed. */
+    void notes(NotePost post) {
+        notes = post;
+    }
+
+    void heard(String note) {
+        enter(() -> {
+            feed.logic.heard(note);
+            seen(w -> w.heard(note));
+        });
+    }
+
     @Override
     public void follow(boolean on) {
-        // The list is pushed here.
+        // Its source pushes the list; asked for, it says that nothing changed since, or that it cannot tell.
+        inputs.addLast(() -> {
+            if (listOld) {
+                feed.logic.listFailed();
+            } else {
+                feed.list(false, false, List.of());
+            }
+        });
     }
 
     @Override
@@ -855,6 +931,7 @@
                 String client = owners.get(c.vm);
                 meters.bound(took);
                 feed.logic.bound(c);
+                seen(w -> w.bound(c.vm));
                 if (client != null) {
                     Answer bound = Answer.bound(owned(c.vm, client), reaches.get(c.machine).name, c.number, took);
                     if (groups.of(c.vm) != null) {
@@ -866,7 +943,7 @@
                 }
             }
             if (running && d.yes.equals("accepted")) {
-                feed.logic.running(c);
+                both(c, Logic::running);
             }
         });
     }
@@ -889,6 +966,7 @@
                         .addKeyValue("machine", reaches.get(c.machine).name).log("ended: " + end + " " + why);
             }
             feed.logic.ended(c, end, why, wasBound || c.vm.over);
+            seen(w -> w.ended(c, end, why, wasBound));
             String client = owners.get(c.vm);
             Group g = groups.of(c.vm);
             boolean kept = wasBound && g != null && g.ended(c.vm.id);
@@ -990,6 +1068,9 @@
     }
 
     void close() {
+        if (notes != null) {
+            notes.close();
+        }
         for (Reach r : reaches.values()) {
             r.stream.close("the placer ends");
         }
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -7,7 +7,9 @@
 import fordridge.obs.MetricsPort;
 import fordridge.rpc.ClientService;
 import fordridge.rpc.OperateService;
+import fordridge.rpc.NotePost;
 import fordridge.settings.Deployment;
+import fordridge.settings.TermsChange;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import io.netty.channel.EventLoop;
@@ -15,8 +17,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,6 +52,7 @@
     private final List<MachineList> lists = new ArrayList<>();
     private final Meters meters = new Meters();
     private final List<Instance> instances = new ArrayList<>();
+    private final List<NotePost> notePosts = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
     private final MetricsPort metrics;
     private Rules rules;
@@ -65,11 +70,19 @@
                 // One follower of the file serves all: reading it decides nothing.
                 lists.add(new ListFile(d.listFile(), d));
             }
+            Deployment watched = watched(d);
             seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
             for (int i = 0; i < d.count; i++) {
                 String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
-                Instance it = new Instance(d, d.position + i, name, seed + i, loops.next(), thinker, meters);
+                Instance it = new Instance(d, watched, d.position + i, name, seed + i, loops.next(), thinker, meters);
                 instances.add(it);
+                if (d.notes) {
+                    NotePost post = new NotePost(it.loop, new InetSocketAddress(d.notesHost,
+                            d.notesPort == 0 ? 0 : d.notesPort + i), d.notesTo.stream().map(PlacerProgram::address).toList(),
+                            it::heard);
+                    it.loop.execute(() -> it.notes(post));
+                    notePosts.add(post);
+                }
                 if (etcd) {
                     lists.add(new EtcdList(d, name, seed + i));
                 }
@@ -107,6 +120,32 @@
                 e.zone(), e.cell())).toList());
     }
 
+    /** Terms of a move to come, laid over ours and checked as if they were in force; null where none are watched. */
+    static Deployment watched(Deployment d) throws Deployment.Refused, IOException {
+        File f = d.watchFile();
+        if (f == null) {
+            return null;
+        }
+        if (!f.isFile()) {
+            throw new Deployment.Refused(List.of("watch.terms: " + f + ": no such file"));
+        }
+        try {
+            return TermsChange.over(d, d, Files.readString(f.toPath()));
+        } catch (Deployment.Refused e) {
+            throw new Deployment.Refused(e.complaints.stream().map(c -> "watch.terms: " + f + ": " + c).toList());
+        }
+    }
+
+    private static InetSocketAddress address(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
+    }
+
+    /** Where notes to an instance go. */
+    public int notesPort(int instance) {
+        return notePosts.get(instance).port();
+    }
+
     private Server serve(Instance it, int port) throws IOException {
         return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port)).bossEventLoopGroup(it.loop)
                 .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -94,6 +94,17 @@
     public Duration fallOver;
     public double coldBears;
     public Duration mostRetryAfter;
+    public boolean retryAfter;
+    /** push, or ask: only what is asked for is told. */
+    public String listComes;
+    public Duration askWithin;
+    public boolean notes;
+    public double meanCores;
+    public String notesHost;
+    public int notesPort;
+    public List<String> notesTo;
+    /** Terms of a move to come, watched but not acted on: a file, or empty. */
+    public String watchTerms;
     public final Map<String, Double> prices = new LinkedHashMap<>();
     public final Map<String, Double> goal = new LinkedHashMap<>();
     public final List<Kind> kinds = new ArrayList<>();
@@ -197,7 +208,16 @@
         fallOver = r.span("cluster.cold.fall_over", ms, LONG);
         coldBears = r.number("cluster.cold.bears", 0, 1_000_000);
         mostRetryAfter = r.span("cluster.most_retry_after", Duration.ZERO, LONG);
-        for (String p : List.of("machines", "other_zone", "moves", "waste", "probe")) {
+        retryAfter = r.flag("cluster.retry_after");
+        listComes = r.word("cluster.list_comes", "push", "ask");
+        askWithin = r.span("cluster.ask_within", Duration.ofMillis(100), LONG);
+        notes = r.flag("cluster.notes");
+        meanCores = r.number("cluster.mean_cores", 0.001, 1e6);
+        notesHost = r.text("placer.notes.host", 255);
+        notesPort = r.whole("placer.notes.port", 0, 65535);
+        notesTo = r.texts("placer.notes.to");
+        watchTerms = r.text("watch.terms", 4096);
+        for (String p : List.of("machines", "other_zone", "moves", "waste", "probe", "note")) {
             prices.put(p, r.number("prices." + p, 0, 1000));
         }
         for (String g : List.of("whole", "worst_window", "worst_flavour", "worst_customer")) {
@@ -300,6 +320,14 @@
         if (settle.compareTo(drainGrace) < 0) {
             r.error("cluster.settle", settle.toMillis() + "ms", "at least cluster.drain_grace");
         }
+        for (String o : notesTo) {
+            if (!o.matches("[^:]+:[0-9]{1,5}")) {
+                r.error("placer.notes.to", "'" + o + "'", "host:port");
+            }
+        }
+        if (askWithin.compareTo(settle) < 0 && listComes.equals("ask")) {
+            r.error("cluster.ask_within", askWithin.toMillis() + "ms", "at least cluster.settle");
+        }
         if (goal.values().stream().mapToDouble(Double::doubleValue).sum() <= 0) {
             r.error("goal", "weights that sum to 0", "at least one above 0");
         }
@@ -315,6 +343,11 @@
         return constraints.isEmpty() ? null : f.isAbsolute() ? f : new File(folder, constraints);
     }
 
+    public File watchFile() {
+        File f = new File(watchTerms);
+        return watchTerms.isEmpty() ? null : f.isAbsolute() ? f : new File(folder, watchTerms);
+    }
+
     /** How many placers share the cluster, as the module is told. */
     public int allPlacers() {
         return Math.max(placers, count);
--- a/src/main/java/fordridge/settings/ModuleTerms.java
+++ b/src/main/java/fordridge/settings/ModuleTerms.java
@@ -52,7 +52,8 @@
         t.put("extra.settleUs", micros(d.settle));
         t.put("extra.coldBears", d.coldBears);
         t.put("caps.mostTries", (long) d.mostClaims);
-        t.put("caps.retryAfter", true);
+        t.put("caps.retryAfter", d.retryAfter);
+        t.put("caps.peerMessages", d.notes);
         t.put("caps.maxRetryAfterUs", micros(d.mostRetryAfter));
         t.put("caps.probes", d.probes);
         t.put("caps.mayCancel", true);
@@ -68,8 +69,9 @@
         t.put("obligations.warmAfterUs", micros(d.warmAfter));
         t.put("obligations.fallMultiple", d.fallMultiple);
         t.put("obligations.overloadForUs", micros(d.fallOver));
-        t.put("obligations.askWithinUs", micros(Duration.ofSeconds(10)));
-        t.put("discovery", "push");
+        t.put("obligations.askWithinUs", micros(d.askWithin));
+        t.put("discovery", d.listComes);
+        t.put("extra.meanCores", d.meanCores);
         t.put("nInstances", (long) d.allPlacers());
         t.put("position", (long) position);
         t.put("zone", d.zone);
@@ -78,6 +80,7 @@
         t.put("prices.moves", d.prices.get("moves"));
         t.put("prices.waste", d.prices.get("waste"));
         t.put("prices.probe", d.prices.get("probe"));
+        t.put("prices.peer", d.prices.get("note"));
         t.put("goal.whole", d.goal.get("whole"));
         t.put("goal.worstWindow", d.goal.get("worst_window"));
         t.put("goal.worstClass", d.goal.get("worst_flavour"));
