Settings, notes and a watch for the move in the program; tests of module and program

All that the module reads now comes from the configuration: cluster.retry_after, list_comes, ask_within, notes, mean_cores, prices.note, placer.notes; checked, with defaults that leave what was told before. Notes are datagrams between the placers named. watch.terms: a second module under the terms of a move hears what ours hears, acts on nothing, and counts by kind what it would have decided otherwise (fordridge_watch_otherwise); under the same terms it counts nothing. Found by the test on sockets: a machine never told of counted as told at the start of the process, so no note went out in the first seconds (Logic.reported); mended.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -309,7 +309,7 @@
     public void reported(Machine m) {
         if (m != null) {
             m.mutedUntil = Duration.ZERO;
-            if (me.tellEvery != null && since(m.toldAt).compareTo(me.tellEvery) >= 0) {
+            if (me.tellEvery != null && (m.toldAt == null || since(m.toldAt).compareTo(me.tellEvery) >= 0)) {
                 tell(m, "" + Note.share(1 - m.spareCores / m.cores) + Note.share(1 - m.spareMemory / m.memory));
             }
         }
--- a/src/main/java/fordridge/obs/Meters.java
+++ b/src/main/java/fordridge/obs/Meters.java
@@ -59,6 +59,15 @@
         decide.record(nanos, java.util.concurrent.TimeUnit.NANOSECONDS);
     }
 
+    /** A note between placers: sent or heard. */
+    public void note(String way) {
+        registry.counter("fordridge.notes", "way", way).increment();
+    }
+
+    public double notes(String way) {
+        return registry.counter("fordridge.notes", "way", way).count();
+    }
+
     /** Something that the settings being watched would have decided otherwise. */
     public void otherwise(String kind) {
         registry.counter("fordridge.watch.otherwise", "kind", kind).increment();
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -885,6 +885,7 @@
     public void tell(String note) {
         if (notes != null) {
             notes.send(note);
+            meters.note("sent");
         }
     }
 
@@ -894,6 +895,7 @@
     }
 
     void heard(String note) {
+        meters.note("heard");
         enter(() -> {
             feed.logic.heard(note);
             seen(w -> w.heard(note));
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -325,6 +325,9 @@
                 r.error("placer.notes.to", "'" + o + "'", "host:port");
             }
         }
+        if (notes && placers > 1 && notesTo.isEmpty()) {
+            r.error("placer.notes.to", "none", "host:port of each other placer where cluster.notes is on");
+        }
         if (askWithin.compareTo(settle) < 0 && listComes.equals("ask")) {
             r.error("cluster.ask_within", askWithin.toMillis() + "ms", "at least cluster.settle");
         }
--- a/src/test/java/fordridge/DrillTest.java
+++ b/src/test/java/fordridge/DrillTest.java
@@ -40,6 +40,19 @@
         assertThat(said.lines().count()).isEqualTo(2);
     }
 
+    /** A report that comes with an outcome goes to the other placers; a note of theirs stands like one. */
+    @Example
+    void notesPassBothWays() throws Exception {
+        String noting = CREATE.replace("\"extra\":{", "\"nInstances\":2,\"caps\":{\"peerMessages\":true},\"extra\":{");
+        String over = "{\"clockUs\":7000000,\"n\":3,\"groups\":[{\"placerId\":0,\"input\":[{\"msg\":\"noteFrom\",\"src\":1,"
+                + "\"data\":\"what it says nobody knows\"},{\"msg\":\"response\",\"req\":\"r1\",\"seqNo\":0,\"machine\":42,"
+                + "\"rc\":200,\"elapsedUs\":1,\"noMore\":true,\"healthInfo\":{\"x0\":4,\"x1\":8}}]}]}\n";
+        assertThat(drill(noting + ARRIVAL + over)).isEqualTo(0);
+        assertThat(said.contains("\"msg\":\"memoTo\",\"addressee\":\"*\",\"data\":\"")).as(said).isTrue();
+        assertThat(drill(CREATE + ARRIVAL + over)).isEqualTo(0);
+        assertThat(said.contains("memoTo")).as(said).isFalse();
+    }
+
     @Example
     void whatIsNoLongerHeldIsPassedOver() throws Exception {
         String late = "{\"clockUs\":6000000,\"n\":2,\"groups\":[{\"placerId\":0,\"input\":[{\"msg\":\"response\","
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -7,6 +7,7 @@
 import fordridge.state.Claim.Why;
 import fordridge.state.Machine;
 import fordridge.state.Machine.Listing;
+import fordridge.state.Note;
 import fordridge.state.Vm;
 import java.time.Duration;
 import java.util.HashSet;
@@ -301,4 +302,149 @@
         w.arrive("retryable", 1, 1, 1);
         assertThat(w.subscribed).isTrue();
     }
+
+    /** Hundreds of placers see too few VMs of a service each: they meet by a hash, whatever their own chance says. */
+    @Example
+    void aServiceGoesToTheSameMachinesFromEveryPlacer() {
+        World a = new World(true, "cell");
+        a.begin(1, 40);
+        World b = new World(true, "cell");
+        b.terms.put("position", 0L);
+        b.begin(99, 40);
+        Set<Long> used = new HashSet<>();
+        for (int service = 0; service < 30; service++) {
+            long id = a.arrive("retryable", 0.5, 0.5, service).claims.get(0).machine.id;
+            assertThat(b.arrive("retryable", 0.5, 0.5, service).claims.get(0).machine.id).isEqualTo(id);
+            used.add(id);
+        }
+        assertThat(used.size()).isGreaterThan(10);
+    }
+
+    /** A home without regular room comes before another machine that has it: a start without the program is late. */
+    @Example
+    void homesComeBeforeRegularRoomElsewhere() {
+        World w = calm(9);
+        Machine home = w.arrive("retryable", 0.5, 0.5, 1).claims.get(0).machine;
+        w.bind(w.claims.get(0));
+        w.end(w.claims.get(0), End.DONE, Why.UNTOLD);
+        w.pass(Duration.ofSeconds(9));
+        home.freeCores = 0;
+        report(w, home, home.cores / 2, home.memory / 2);
+        Set<Machine> taken = new HashSet<>();
+        for (int i = 0; i < 6; i++) {
+            taken.add(w.arrive("retryable", 0.5, 0.5, 1).claims.get(0).machine);
+        }
+        assertThat(taken.size()).isLessThanOrEqualTo(3);
+    }
+
+    /** Lower flavours fill what use allows first; those above find the rest in time only if it was left. */
+    @Example
+    void flavoursUnderTheTopRankLeaveMemoryToIt() {
+        World w = calm(2);
+        w.machines.forEach(m -> m.freeMemory = 0);
+        report(w, w.machines.get(0), 16, 0.18 * 32);
+        report(w, w.machines.get(1), 32, 0.18 * 64);
+        assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims).isEmpty();
+        assertThat(w.arrive("fragile", 0.5, 0.5, 1).claims.get(0).machine).isSameAs(w.machines.get(1));
+    }
+
+    /** An error before the bind closes the machine to that customer's flavour; others are served there as usual. */
+    @Example
+    void anErrorClosesItForThatCustomersFlavourOnly() {
+        World w = calm(1);
+        w.end(w.arrive("retryable", 0.5, 0.5, 1).claims.get(0), End.ERROR, Why.UNTOLD);
+        assertThat(w.arrive("dedup", 0.5, 0.5, 1).claims.size()).isEqualTo(1);
+        w.pass(Duration.ofSeconds(5));
+        assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims).isEmpty();
+        w.pass(Duration.ofSeconds(2));
+        assertThat(w.vms.get(2).claims.size()).isEqualTo(1);
+    }
+
+    private static World noting(long placers) {
+        World w = new World(true, "cell");
+        w.terms.put("nInstances", placers);
+        w.terms.put("caps.peerMessages", true);
+        w.terms.put("prices.peer", 0.01);
+        w.begin(1, 2);
+        return w;
+    }
+
+    @Example
+    void aReportIsToldOnceInAWhileAndNotAtAllWhereNotesAreDear() {
+        World w = noting(2);
+        report(w, w.machines.get(0), 4, 8);
+        w.pass(Duration.ofMillis(100));
+        report(w, w.machines.get(0), 4, 8);
+        assertThat(w.notes).containsExactly(Note.name(100) + Note.share(0.75) + Note.share(0.75));
+        w.pass(Duration.ofMillis(500));
+        report(w, w.machines.get(0), 4, 8);
+        assertThat(w.notes.size()).isEqualTo(2);
+        World many = noting(270);
+        report(many, many.machines.get(0), 4, 8);
+        assertThat(many.notes).isEmpty();
+    }
+
+    /** What another placer heard stands like a report of our own, on machines that our list names only. */
+    @Example
+    void aReportHeardFromAnotherPlacerStands() {
+        World w = noting(2);
+        w.machines.forEach(m -> m.freeCores = 0);
+        w.logic.heard(Note.name(100) + Note.share(1) + Note.share(0.1));
+        w.logic.heard(Note.name(101) + Note.share(0.1) + Note.share(0.1));
+        w.logic.heard(Note.name(555) + Note.share(0) + Note.share(0));
+        w.logic.heard("?");
+        assertThat(w.arrive("retryable", 2, 2, 1).claims.get(0).machine).isSameAs(w.machines.get(1));
+        assertThat(w.notes).isEmpty();
+    }
+
+    @Example
+    void noAnswerHeardOfShutsTheMachineUntilOneComes() {
+        World w = noting(2);
+        w.logic.heard(Note.name(100));
+        w.logic.heard(Note.name(101));
+        Vm vm = w.arrive("retryable", 2, 2, 1);
+        assertThat(vm.claims).isEmpty();
+        w.logic.heard(Note.name(101) + Note.share(0.1) + Note.share(0.1));
+        w.pass(Duration.ofMillis(200));
+        assertThat(vm.claims.get(0).machine).isSameAs(w.machines.get(1));
+    }
+
+    /** The third of the flavours by name is "retryable"; without customers they are numbered by that alone. */
+    @Example
+    void turnedAwayElsewhereIsTurnedAwayHere() {
+        World w = noting(2);
+        w.logic.heard(Note.name(100) + Note.whole(2));
+        w.logic.heard(Note.name(101) + Note.whole(2));
+        assertThat(w.arrive("retryable", 1, 1, 1).claims).isEmpty();
+        assertThat(w.arrive("dedup", 1, 1, 1).claims.size()).isEqualTo(1);
+        w.end(w.claims.get(0), End.FULL, Why.UNTOLD);
+        assertThat(w.notes).contains(Note.name(w.claims.get(0).machine.id) + Note.whole(0));
+    }
+
+    /** Were all placers to probe from the first of the list on, the same few machines would ever report. */
+    @Example
+    void placersProbeFromDifferentPlaces() {
+        Set<String> first = new HashSet<>();
+        for (int seed = 0; seed < 20; seed++) {
+            World w = new World(true, "cell");
+            w.begin(seed, 20);
+            w.arrive("retryable", 0.5, 0.5, 1);
+            w.pass(Duration.ofMillis(300));
+            w.arrive("retryable", 0.5, 0.5, 1);
+            w.acts.stream().filter(a -> a.contains("probe")).findFirst().ifPresent(a -> first.add(a.split(" ")[2]));
+        }
+        assertThat(first.size()).isGreaterThan(4);
+    }
+
+    /** The rule gives four times as long after a failed ask: a list out of reach for 25 s must not stop placing. */
+    @Example
+    void aListOutOfReachIsTrustedForAsLongAsTheRuleAllows() {
+        World w = new World(false, "all");
+        w.begin(1, 2);
+        w.logic.listFailed();
+        w.pass(Duration.ofSeconds(30));
+        assertThat(w.arrive("retryable", 1, 1, 1).claims.size()).isEqualTo(1);
+        w.pass(Duration.ofSeconds(11));
+        assertThat(w.arrive("retryable", 1, 1, 1).claims).isEmpty();
+    }
 }
--- a/src/test/java/fordridge/World.java
+++ b/src/test/java/fordridge/World.java
@@ -6,6 +6,7 @@
 import fordridge.state.Claim.Why;
 import fordridge.state.Machine;
 import fordridge.state.Machine.Listing;
+import fordridge.state.Note;
 import fordridge.state.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -35,6 +36,7 @@
     int denied;
     int errored;
     int probes;
+    final List<String> notes = new ArrayList<>();
 
     World(boolean pushed, String scope) {
         String[] kinds = {"small", "big"};
@@ -182,7 +184,7 @@
         List<Claim> open = claims.stream().filter(Claim::out).toList();
         Claim c = open.isEmpty() ? null : open.get(r.nextInt(open.size()));
         String[] flavours = {"retryable", "dedup", "fragile"};
-        switch (r.nextInt(50) == 0 ? 12 : r.nextInt(12)) {
+        switch (r.nextInt(50) == 0 ? 13 : r.nextInt(13)) {
             case 0, 1, 2, 3 -> arrive(flavours[r.nextInt(3)], 0.5 + r.nextInt(6), 1 + r.nextInt(9), r.nextInt(5));
             case 4, 5 -> {
                 if (c != null && c.boundAt == null && !c.vm.over) {
@@ -204,7 +206,14 @@
                 m.reportedAt = now;
                 logic.probed(m, r.nextBoolean(), true, Duration.ofMillis(2));
             }
-            case 12 -> resize(machines.size() < 60 && r.nextBoolean());
+            case 11 -> {
+                char[] what = new char[r.nextInt(4)];
+                for (int i = 0; i < what.length; i++) {
+                    what[i] = Note.whole(r.nextInt(94));
+                }
+                logic.heard(Note.name(r.nextInt(3) == 0 ? 7 : m.id) + new String(what));
+            }
+            case 13 -> resize(machines.size() < 60 && r.nextBoolean());
             default -> {
                 if (r.nextInt(4) == 0) {
                     logic.listFailed();
@@ -307,6 +316,12 @@
         probes++;
     }
 
+    @Override
+    public void tell(String note) {
+        check(note.length() >= 3 && note.length() <= 5, "a note of another length");
+        notes.add(note);
+    }
+
     @Override
     public void wake(Duration in) {
         wakeAt = now.plus(in);
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -17,11 +17,18 @@
 import fordridge.v1.PlacerMessage.BodyCase;
 import fordridge.v1.Started;
 import fordridge.v1.ToMachine;
+import fordridge.v1.Report;
 import io.grpc.Status;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import net.jqwik.api.Example;
 
 /** The hard cases, each brought about on sockets between a real placer and scripted peers. */
@@ -667,4 +674,106 @@
                     : m.getErrored().getVm()).distinct().count()).isEqualTo(6000);
         }
     }
+
+    /** A stand-in of another placer hears of a report, and what it tells shuts a machine. */
+    @Example
+    void notesGoBetweenPlacers() throws Exception {
+        try (Peers p = new Peers(2); DatagramSocket other = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                DatagramSocket stranger = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            other.setSoTimeout(20_000);
+            p.place("placer { placers = 2, notes.to = [\"127.0.0.1:" + other.getLocalPort() + "\"] }\n"
+                    + "cluster { notes = true, settle = 60s }");
+            InetSocketAddress to = new InetSocketAddress("127.0.0.1", p.program.notesPort(0));
+            ClientPeer c = p.client("c").open(true).hello();
+            c.want("v", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            MachinePeer took = p.machines.get(p.machines.get(0).offers.isEmpty() ? 1 : 0);
+            took.say(FromMachine.newBuilder().setReport(Report.newBuilder().setSpareCores(8).setSpareMemory(32)
+                    .setBusy(0.5)).build());
+            DatagramPacket heard = new DatagramPacket(new byte[300], 300);
+            other.receive(heard);
+            String note = new String(heard.getData(), 0, heard.getLength(), StandardCharsets.UTF_8);
+            assertThat(note.length()).isEqualTo(5);
+            byte[] noAnswer = note.substring(0, 3).getBytes(StandardCharsets.UTF_8);
+            stranger.send(new DatagramPacket(noAnswer, 3, to));
+            other.send(new DatagramPacket(noAnswer, 3, to));
+            until(() -> p.program.meters().notes("heard") == 1);
+            int before = took.offers.size();
+            c.want("w", "safe");
+            until(() -> c.count(BodyCase.BOUND) == 2);
+            assertThat(took.offers.size()).isEqualTo(before);
+        }
+    }
+
+    private static void watched(Peers p, String terms) throws Exception {
+        Files.writeString(p.folder.toPath().resolve("next.conf"), terms);
+        p.place("watch.terms = next.conf");
+    }
+
+    private static double otherwise(Peers p) {
+        return Stream.of("machine", "hold", "place", "answer", "retry_after", "probe", "note", "list_ask", "move")
+                .mapToDouble(p.program.meters()::otherwises).sum();
+    }
+
+    /** Under the same terms nothing is decided otherwise: what is counted is the terms' doing. */
+    @Example
+    void watchingTheSameTermsCountsNothing() throws Exception {
+        try (Peers p = new Peers(3)) {
+            watched(p, "cluster.most_claims = 3");
+            ClientPeer c = p.client("c").open(true).hello();
+            for (int i = 0; i < 30; i++) {
+                c.want("v" + i, i % 3 == 0 ? "once" : "safe");
+            }
+            until(() -> c.count(BodyCase.BOUND) == 30);
+            c.to.onNext(sized("big", 999));
+            until(() -> c.count(BodyCase.DENIED) == 1);
+            assertThat(otherwise(p)).isEqualTo(0);
+        }
+    }
+
+    private static ClientMessage sized(String vm, double cores) {
+        ClientMessage.Builder m = ClientPeer.wanted(vm, "safe", 1_000_000);
+        m.getWantBuilder().setCores(cores);
+        return m.build();
+    }
+
+    /** The placer decides as before; where the next terms hold a VM that it places, or give no advice, it is counted. */
+    @Example
+    void watchingOtherTermsCountsByKindAndChangesNothing() throws Exception {
+        try (Peers p = new Peers(1)) {
+            watched(p, "cluster { free_in_list = false, retry_after = false, list_comes = ask, ask_within = 10s }");
+            ClientPeer c = p.client("c").open(true).hello();
+            c.to.onNext(sized("fits", 15));
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            c.to.onNext(sized("big", 999));
+            until(() -> c.count(BodyCase.DENIED) == 1);
+            assertThat(c.heard.stream().filter(m -> m.getBodyCase() == BodyCase.DENIED).findFirst().get().getDenied()
+                    .getRetryAfterUs()).isGreaterThan(0);
+            until(() -> p.program.meters().otherwises("retry_after") == 1);
+            assertThat(p.program.meters().otherwises("hold")).isEqualTo(1);
+            assertThat(p.program.meters().otherwises("list_ask")).isEqualTo(1);
+            assertThat(p.program.meters().otherwises("machine")).isEqualTo(0);
+            assertThat(p.program.meters().scrape()).contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
+        }
+    }
+
+    @Example
+    void watchedTermsAreCheckedBeforeAnythingStarts() throws Exception {
+        try (Peers p = new Peers(1)) {
+            assertThatThrownBy(() -> watched(p, "cluster.list_comes = shout")).isInstanceOf(Deployment.Refused.class)
+                    .hasMessageContaining("watch.terms").hasMessageContaining("push, ask");
+            assertThatThrownBy(() -> p.place("watch.terms = nowhere.conf")).hasMessageContaining("no such file");
+        }
+    }
+
+    /** Where the list is asked for, the answer is the list that its source has: VMs are placed from the start. */
+    @Example
+    void aListThatIsAskedForIsAnswered() throws Exception {
+        try (Peers p = new Peers(1)) {
+            p.place("cluster.list_comes = ask");
+            ClientPeer c = p.client("c").open(true).hello();
+            c.want("v", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+        }
+    }
 }
--- a/src/test/java/fordridge/settings/DeploymentTest.java
+++ b/src/test/java/fordridge/settings/DeploymentTest.java
@@ -72,6 +72,35 @@
         assertThat(complaints(GOOD + "flavours = ${flavours} [{ name = f }]\n")).anyMatch(l -> l.contains("twice"));
     }
 
+    /** What the module was told before these could be set stays what it is told by default. */
+    @Example
+    void theShapeOfADeploymentIsPassedOnAndItsDefaultsAreWhatHeldBefore() throws Exception {
+        Terms t = new Terms(ModuleTerms.of(Deployment.read(file(GOOD)), 0));
+        assertThat(t.flag("caps.retryAfter", false)).isTrue();
+        assertThat(t.flag("caps.peerMessages", true)).isFalse();
+        assertThat(t.text("discovery", "")).isEqualTo("push");
+        assertThat(t.num("obligations.askWithinUs", 0)).isEqualTo(10_000_000.0);
+        t = new Terms(ModuleTerms.of(Deployment.read(file(GOOD + "cluster { retry_after = false, list_comes = ask, "
+                + "ask_within = 20s, notes = true, mean_cores = 1.5 }\nprices.note = 0.01\n")), 0));
+        assertThat(t.flag("caps.retryAfter", true)).isFalse();
+        assertThat(t.flag("caps.peerMessages", false)).isTrue();
+        assertThat(t.text("discovery", "")).isEqualTo("ask");
+        assertThat(t.num("obligations.askWithinUs", 0)).isEqualTo(20_000_000.0);
+        assertThat(t.num("extra.meanCores", 0)).isEqualTo(1.5);
+        assertThat(t.num("prices.peer", 0)).isEqualTo(0.01);
+    }
+
+    @Example
+    void theShapeOfADeploymentIsChecked() throws Exception {
+        assertThat(complaints(GOOD + "cluster.list_comes = shout\n")).anyMatch(l -> l.contains("push, ask"));
+        assertThat(complaints(GOOD + "cluster { list_comes = ask, ask_within = 1s }\n"))
+                .anyMatch(l -> l.contains("cluster.ask_within: found 1000ms"));
+        assertThat(complaints(GOOD + "placer.notes.to = [here]\n")).anyMatch(l -> l.contains("'here'"));
+        assertThat(complaints(GOOD + "placer.placers = 2\ncluster.notes = true\n"))
+                .anyMatch(l -> l.contains("placer.notes.to: found none"));
+        assertThat(complaints(GOOD + "cluster.mean_cores = 0\n")).anyMatch(l -> l.contains("cluster.mean_cores"));
+    }
+
     @Example
     void whatIsNoHoconIsSaidWithItsLine() throws Exception {
         assertThat(complaints("kinds = [\n{ name = x\n")).anyMatch(l -> l.contains("fordridge") && l.contains(": 3"));
