--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -45,7 +45,7 @@
     }
 
     private static final double THRESHOLD = 0.9;
-    /** The threshold of flavours under the top rank: those above find the rest, in time, when all is taken. */
+    /** The threshold of flavours under the top rank: those above find the rest, in time, when all is full. */
     private static final double SPARING = 0.75;
     private static final int SAMPLE = 3;
     /** What reports told to other placers may cost, as a part of what all VMs are worth. */
@@ -82,8 +82,6 @@
     /** What own VMs have been told to use, as a share of their asks. */
     private Mean coresRatio;
     private Mean memoryRatio;
-    /** Seconds that own VMs ran. */
-    private Mean lives;
     private double fleetGrief;
     private Duration summedAt;
 
@@ -106,7 +104,6 @@
         coresRatio = new Mean(1 / me.terms.num("extra.admitCores", 1));
         memoryRatio = new Mean(1 / me.terms.num("extra.memBooking", 1));
         readTerms();
-        lives = new Mean(4 * seconds(settle));
         settleRules();
     }
 
@@ -293,7 +290,6 @@
         if (wasBound && end == End.DONE) {
             Flavour f = flavour(vm);
             f.life += (seconds(me.now.minus(c.boundAt)) - f.life) / 16;
-            lives.hear(seconds(me.now.minus(c.boundAt)), 64);
         }
         blame(c, end, why, wasBound);
         if (over || wasBound) {
@@ -307,11 +303,10 @@
 
     /** A report came; null where it is only known that something changed. */
     public void reported(Machine m) {
-        if (m != null) {
-            m.mutedUntil = Duration.ZERO;
-            if (me.tellEvery != null && (m.toldAt == null || since(m.toldAt).compareTo(me.tellEvery) >= 0)) {
-                tell(m, "" + Note.share(1 - m.spareCores / m.cores) + Note.share(1 - m.spareMemory / m.memory));
-            }
+        if (m != null && me.tellEvery != null
+                && (m.toldAt == null || since(m.toldAt).compareTo(me.tellEvery) >= 0)) {
+            tell(m, "" + Note.share(1 - m.spareCores / m.cores)
+                    + Note.share(1 - m.spareMemory / m.memory));
         }
         lookAgain();
     }
@@ -335,9 +330,9 @@
     }
 
     /**
-     * A note from another placer, on a machine that our own list names (else it is passed over): what it tells
-     * goes by its length. None: no answer. One figure: customer and flavour whose VMs it turns away. Two: cores
-     * and memory in use, as good as a report of our own.
+     * A note from another placer, on a machine that our own list names (else it is passed over): what it
+     * tells goes by its length. No figure: no answer. One: customer and flavour whose VMs it turns away. Two:
+     * cores and memory in use, as good as a report of our own.
      */
     public void heard(String note) {
         Machine m = note.length() < 3 || note.length() > 5 ? null : me.byName.get(note.substring(0, 3));
@@ -346,7 +341,7 @@
         }
         String what = note.substring(3);
         if (what.isEmpty()) {
-            m.mutedUntil = me.now.plus(times(settle, 1.0 / 3));
+            m.closedUntil = Collections.max(List.of(m.closedUntil, me.now.plus(times(settle, 1.0 / 3))));
         } else if (what.length() == 1) {
             int kin = Note.whole(what.charAt(0));
             if (kin < kins.size()) {
@@ -359,7 +354,6 @@
             m.spareMemory = (1 - Note.share(what.charAt(1))) * m.memory;
             m.busy = Double.NaN;
             m.reportedAt = me.now;
-            m.mutedUntil = Duration.ZERO;
             me.lookAgain = true;
         }
         m.toldAt = me.now;
@@ -420,41 +414,49 @@
             return true;
         }
         // The rule gives four times as long after a call that failed, and only such calls leave it unheard.
-        return since(me.heardListAt).compareTo(me.terms.micros("obligations.askWithinUs", 1e7).multipliedBy(4)) < 0;
+        Duration told = me.terms.micros("obligations.askWithinUs", 1e7);
+        return since(me.heardListAt).compareTo(told.multipliedBy(4)) < 0;
     }
 
     private void tryOrHold(Vm vm) {
-        if (me.now.compareTo(hopelessAt(vm)) >= 0) {
-            giveUp(vm);
-        } else if (spokenFor(vm) || !placeOrTell(vm)) {
+        if (me.now.compareTo(hopelessAt(vm)) >= 0 || spokenFor(vm) || !placeOrTell(vm)) {
             hold(vm);
         }
     }
 
     /** In groups of VMs that differ in nothing a machine is chosen by: one without room speaks for all. */
     private void hold(Vm vm) {
+        if (me.now.compareTo(hopelessAt(vm)) >= 0) {
+            giveUp(vm);
+            return;
+        }
         Flavour f = flavour(vm);
         Claim last = vm.claims.isEmpty() ? null : vm.claims.get(vm.claims.size() - 1);
         // Where a claim may have run, earlier machines bind the choice too: such a VM speaks for itself only.
         Object own = f.effect != Effect.REBUILDABLE && mayHaveRun(vm) != null ? vm
                 : last == null ? null : last.machine;
         long service = f.spread.equals("off") && !door.ruled(vm) ? 0L : vm.service;
-        me.held.add(vm, f.rank, List.of(vm.kin(), vm.cores, vm.memory, service, Optional.ofNullable(own)),
-                hopelessAt(vm));
+        // Behind the others of its rank once its first start can hardly come in time: kept in the order of
+        // arrival, an overload would make every start late.
+        Duration inTime = vm.arrivedAt.plus(times(f.target, 3.0 / 4));
+        boolean late = vm.cameBack || me.now.compareTo(inTime) >= 0;
+        me.held.add(vm, 2 * f.rank + (late ? 0 : 1),
+                List.of(vm.kin(), vm.cores, vm.memory, service, Optional.ofNullable(own), late),
+                late ? hopelessAt(vm) : Collections.min(List.of(inTime, hopelessAt(vm))));
     }
 
     /**
-     * Once an instant, whatever is due to be given up first; then each group is asked through its oldest VM,
-     * by priority, then by age, and asked again only while its VMs find room. So the work for one input
-     * grows with the number of shapes held, not of VMs.
+     * Once an instant, whatever is due to be given up or to count as late first; then each group is asked
+     * through its oldest VM, by priority, late ones behind, then by age, and asked again only while its VMs
+     * find room. So the work for one input grows with the number of shapes held, not of VMs.
      */
     private void tryHeld() {
         me.lookAgain = false;
         me.lookedAt = me.now;
         for (Vm vm = me.held.due(me.now); vm != null; vm = me.held.due(me.now)) {
-            giveUp(vm);
+            hold(vm);
         }
-        for (Vm vm = me.held.after(null, 0); vm != null; vm = me.held.after(vm, flavour(vm).rank)) {
+        for (Vm vm = me.held.after(null); vm != null; vm = me.held.after(vm)) {
             if (!spokenFor(vm) && placeOrTell(vm)) {
                 me.held.remove(vm);
             }
@@ -508,6 +510,7 @@
         List<Machine> can = new ArrayList<>(me.machines);
         Flavour f = flavour(vm);
         can.removeIf(m -> !eligible(vm, f, m));
+        can.forEach(m -> m.rank = Chance.of(vm.service, m.id));
         // While such VMs are refused without a reason, those that took one lately come first: machines that
         // refuse stay empty, and by room alone would draw every try.
         boolean refused = since(me.refusedAt.get(vm.kin())).compareTo(times(settle, 2)) < 0;
@@ -516,8 +519,7 @@
         // So do machines where the service runs or, by a hash that all placers share, should run.
         if (room.isEmpty()) {
             List<Machine> used = me.terms.num("prices.fleet", 0) > 0 ? narrow(can, this::inUse) : can;
-            used.forEach(m -> m.rank = Chance.of(vm.service, m.id));
-            List<Machine> homes = used.stream().sorted(Comparator.comparingLong(m -> -m.rank)).limit(SAMPLE).toList();
+            List<Machine> homes = ranked(used).subList(0, Math.min(SAMPLE, used.size()));
             room = withRoom(vm, narrow(used, m -> knowsProgram(m, vm.service) || homes.contains(m)));
         }
         // Where machines in use have a price, an empty one is opened only when none in use has room.
@@ -581,21 +583,17 @@
     }
 
     /**
-     * The picker's sample. Where a start without the program comes too late and none of the machines is known to
-     * have it, the sample is those that rank first for the service, by a hash that all placers share: so they
-     * meet where the service runs without a word. Else it is drawn by room: many placers see the same late list,
-     * and where each draws evenly, or takes the emptiest, all fill the same few machines before the list shows it.
+     * The picker's sample. Where none of the machines is known to have the program, those that rank first for
+     * the service, by a hash that all placers share: so they meet where it runs without a word. Else drawn by
+     * room: many placers see the same late list, and where each draws evenly, or takes the emptiest, all fill
+     * the same few machines before the list shows it.
      */
     private Machine leastGrieved(Vm vm, List<Machine> room) {
         boolean known = knowsProgram(room.get(0), vm.service);
-        if (!known) {
-            room.forEach(m -> m.rank = Chance.of(vm.service, m.id));
-        }
-        List<Machine> left = new ArrayList<>(room);
+        List<Machine> ranked = ranked(room);
         Machine best = null;
-        for (int i = 0; i < SAMPLE && !left.isEmpty(); i++) {
-            Machine drawn = known ? byRoom(room) : Collections.max(left, Comparator.comparingLong(m -> m.rank));
-            left.remove(drawn);
+        for (int i = 0; i < SAMPLE && i < room.size(); i++) {
+            Machine drawn = known ? byRoom(room) : ranked.get(i);
             if (best == null || pressure(drawn) < pressure(best)) {
                 best = drawn;
             }
@@ -603,6 +601,10 @@
         return best;
     }
 
+    private static List<Machine> ranked(List<Machine> from) {
+        return from.stream().sorted(Comparator.comparingLong(m -> -m.rank)).toList();
+    }
+
     private Machine byRoom(List<Machine> room) {
         double at = me.chance.next() * room.stream().mapToDouble(m -> m.room).sum();
         Machine drawn = null;
@@ -623,7 +625,7 @@
     private boolean open(Flavour f, Machine m) {
         return m.listing == Listing.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
-                && me.now.compareTo(m.closedUntil) >= 0 && me.now.compareTo(m.mutedUntil) >= 0
+                && me.now.compareTo(m.closedUntil) >= 0
                 && coldPaceKept(m)
                 && trusted(f, m);
     }
@@ -751,8 +753,8 @@
         usedMemory = mean(told, m -> usedMemory(m) / m.memory);
         double asked = mean(told, m -> 1 - m.freeCores / m.cores);
         double askedMemory = mean(told, m -> 1 - m.freeMemory / m.memory);
-        // A note costs as one of at least 16 bytes, at each who hears it.
-        double starts = askedCores / me.terms.num("extra.meanCores", 1) / lives.value;
+        // A note costs as one of 16 bytes or more, to each who hears it; a life is taken as four settling times.
+        double starts = askedCores / me.terms.num("extra.meanCores", 1) / (4 * seconds(settle));
         double note = (me.placers - 1) * 16 / 256 * me.terms.num("prices.peer", 0);
         double every = Math.max(seconds(settle) / 6, live.size() * note / TALK / Math.max(1, starts));
         me.tellEvery = me.placers < 2 || every > seconds(settle) || !me.terms.flag("caps.peerMessages", false)
@@ -967,7 +969,7 @@
             grieve(m, why == Why.EVICTED ? 1 : 0);
         } else {
             grieve(m, wasBound ? 0.5 : 2);
-            if (end == End.UNREACHABLE && me.now.compareTo(m.mutedUntil) >= 0) {
+            if (end == End.UNREACHABLE && me.now.compareTo(m.closedUntil) >= 0) {
                 tell(m, "");
             }
             if (end == End.UNREACHABLE || wasBound) {
--- a/src/main/java/fordridge/state/Held.java
+++ b/src/main/java/fordridge/state/Held.java
@@ -45,6 +45,7 @@
         Group g = groups.computeIfAbsent(shape, s -> new Group(s, rank));
         vm.heldIn = g;
         vm.heldAs = added++;
+        vm.heldRank = rank;
         vm.giveUpAt = giveUpAt;
         if (g.vms.isEmpty()) {
             g.age = vm.heldAs;
@@ -94,8 +95,8 @@
      * The oldest of the group that comes after the one this VM was held in (null: of the first); by rank, then
      * age. A group whose VM was taken out meanwhile comes again where its next oldest stands.
      */
-    public Vm after(Vm vm, int rank) {
-        Group at = new Group(null, rank);
+    public Vm after(Vm vm) {
+        Group at = new Group(null, vm == null ? 0 : vm.heldRank);
         at.age = vm == null ? -1 : vm.heldAs;
         Group g = vm == null ? (order.isEmpty() ? null : order.first()) : order.higher(at);
         return g == null ? null : g.vms.iterator().next();
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -66,18 +66,11 @@
     public double spareCores = Double.NaN;
     public double spareMemory = Double.NaN;
     public double busy = Double.NaN;
-    public double tasks = Double.NaN;
-    public double waiting = Double.NaN;
-    public double startMillis = Double.NaN;
-    public double startsPerSecond = Double.NaN;
-    public double errorsPerSecond = Double.NaN;
     public Duration reportedAt;
     public Duration probedAt;
     public boolean probing;
     /** When any placer last told the others of it, as far as heard. */
     public Duration toldAt;
-    /** Shut for want of an answer that another placer told of, until one is heard. */
-    public Duration mutedUntil = Duration.ZERO;
 
     // What this placer did there.
     /** Own claims that the list's free room may not include yet. */
--- a/src/main/java/fordridge/state/Vm.java
+++ b/src/main/java/fordridge/state/Vm.java
@@ -23,6 +23,7 @@
     /** Among which VMs it is held, null when it is not; its place in that order, and when it is given up. */
     Held.Group heldIn;
     long heldAs;
+    int heldRank;
     Duration giveUpAt;
     /** Final answer given, or the end told. */
     public boolean over;
