--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -131,6 +131,7 @@
         @Override
         public Integer call() throws Exception {
             Deployment d = read(file, Map.of());
+            PlacerProgram.watched(d);
             if (d.listFile().isFile()) {
                 int n = fordridge.listing.ListFile.read(d.listFile(), d, 1).entries().size();
                 System.out.println(file + ": fine; " + n + " machines in " + d.listFile());
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -121,7 +121,7 @@
     }
 
     /** Terms of a move to come, laid over ours and checked as if they were in force; null where none are watched. */
-    static Deployment watched(Deployment d) throws Deployment.Refused, IOException {
+    public static Deployment watched(Deployment d) throws Deployment.Refused, IOException {
         File f = d.watchFile();
         if (f == null) {
             return null;
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -453,15 +453,16 @@
         World w = calm(1);
         Machine m = w.machines.get(0);
         m.freeMemory = -16;
+        report(w, m, 16, 20);
         Vm late = w.arrive("retryable", 1, 1, 1);
         w.pass(Duration.ofMillis(590));
         Vm fresh = w.arrive("retryable", 1, 1, 1);
-        m.freeMemory = 1;
+        m.freeMemory = -15;
         w.list(m, Listing.LIVE, null);
         w.pass(Duration.ofMillis(200));
         assertThat(fresh.claims.size()).isEqualTo(1);
         assertThat(late.claims).isEmpty();
-        m.freeMemory = 2;
+        m.freeMemory = -14;
         w.list(m, Listing.LIVE, null);
         w.pass(Duration.ofMillis(200));
         assertThat(late.claims.size()).isEqualTo(1);
