--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -431,7 +431,7 @@
             return;
         }
         Flavour f = flavour(vm);
-        Claim last = vm.claims.isEmpty() ? null : vm.claims.get(vm.claims.size() - 1);
+        Claim last = vm.last();
         // Where a claim may have run, earlier machines bind the choice too: such a VM speaks for itself only.
         Object own = f.effect != Effect.REBUILDABLE && mayHaveRun(vm) != null ? vm
                 : last == null ? null : last.machine;
@@ -464,13 +464,15 @@
     }
 
     private boolean placeOrTell(Vm vm) {
-        boolean placed = place(vm);
+        Machine m = pick(vm);
         boolean plain = vm.claims.isEmpty() && flavour(vm).spread.equals("off")
                 && !me.refusedAt.containsKey(vm.kin()) && !door.ruled(vm);
-        if (!placed && (plain || noRoomFor(vm))) {
+        if (m != null) {
+            claim(vm, m);
+        } else if (plain || noRoomFor(vm)) {
             me.without.add(vm);
         }
-        return placed;
+        return m != null;
     }
 
     /** Not for its claims, refusals or its service's spread, but as no machine has room for so much. */
@@ -489,17 +491,14 @@
         return false;
     }
 
-    private boolean place(Vm vm) {
-        Machine m = pick(vm);
-        if (m != null) {
-            claim(vm, m);
-        }
-        return m != null;
-    }
-
     /** Regular room, and only failing that opportunistic room; among what has it, the picker. */
     private Machine pick(Vm vm) {
-        if (!listTrusted()) {
+        Claim last = vm.last();
+        // The last claim waits after a refusal: spent at once, all of them fall on the same late list.
+        boolean waits = last != null && last.end == End.FULL
+                && vm.claims.size() + 1 >= me.terms.num("caps.mostTries", 4)
+                && me.now.minus(last.sentAt).compareTo(times(settle, 1.0 / 6)) < 0;
+        if (waits || !listTrusted()) {
             return null;
         }
         if (!me.now.equals(summedAt)) {
@@ -753,7 +752,7 @@
         usedMemory = mean(told, m -> usedMemory(m) / m.memory);
         double asked = mean(told, m -> 1 - m.freeCores / m.cores);
         double askedMemory = mean(told, m -> 1 - m.freeMemory / m.memory);
-        // A note costs as one of 16 bytes or more, to each who hears it; a life is taken as four settling times.
+        // A note costs as one of 16 bytes or more, to each who hears it; a life is taken as four settlings.
         double starts = askedCores / me.terms.num("extra.meanCores", 1) / (4 * seconds(settle));
         double note = (me.placers - 1) * 16 / 256 * me.terms.num("prices.peer", 0);
         double every = Math.max(seconds(settle) / 6, live.size() * note / TALK / Math.max(1, starts));
@@ -819,7 +818,7 @@
     private boolean allowedAgain(Vm vm, Flavour f, Machine m) {
         Claim ran = mayHaveRun(vm);
         if (ran == null || f.effect == Effect.REBUILDABLE) {
-            return vm.claims.isEmpty() || vm.claims.get(vm.claims.size() - 1).machine != m;
+            return vm.last() == null || vm.last().machine != m;
         }
         if (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0) {
             return false;
--- a/src/main/java/fordridge/state/Vm.java
+++ b/src/main/java/fordridge/state/Vm.java
@@ -39,6 +39,11 @@
         return customer + " " + flavour;
     }
 
+    /** Its latest claim, or null. */
+    public Claim last() {
+        return claims.isEmpty() ? null : claims.get(claims.size() - 1);
+    }
+
     public int out() {
         int n = 0;
         for (Claim c : claims) {
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -467,4 +467,19 @@
         w.pass(Duration.ofMillis(200));
         assertThat(late.claims.size()).isEqualTo(1);
     }
+
+    /** All claims spent within milliseconds fall on the same late list; the last one waits for news. */
+    @Example
+    void theLastClaimWaitsAfterARefusal() {
+        World w = calm(8);
+        Vm vm = w.arrive("retryable", 1, 1, 1);
+        w.end(vm.claims.get(0), End.FULL, Why.NO_MEMORY);
+        w.end(vm.claims.get(1), End.FULL, Why.NO_MEMORY);
+        assertThat(vm.claims.size()).isEqualTo(2);
+        assertThat(vm.over).isFalse();
+        w.pass(Duration.ofMillis(800));
+        assertThat(vm.claims.size()).isEqualTo(3);
+        w.end(vm.claims.get(2), End.FULL, Why.NO_MEMORY);
+        assertThat(w.denied).isEqualTo(1);
+    }
 }
