--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -42,10 +42,12 @@
         double life;
         double startWarm;
         double startCold;
+        /** How many came, new or again. */
+        double seen;
     }
 
     private static final double THRESHOLD = 0.9;
-    /** The threshold of flavours under the top rank: those above find the rest, in time, when all is full. */
+    /** That of memory for flavours under the top rank: those above find the rest, in time, when all is full. */
     private static final double SPARING = 0.75;
     private static final int SAMPLE = 3;
     /** What reports told to other placers may cost, as a part of what all VMs are worth. */
@@ -209,6 +211,7 @@
 
     public void arrives(Vm vm) {
         me.arrivals++;
+        flavour(vm).seen++;
         me.untried.add(vm);
         settleRules();
     }
@@ -655,7 +658,9 @@
 
     private double opportunisticRoom(Vm vm, Machine m) {
         boolean late = since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0;
-        double mine = flavour(vm).rank < topRank ? SPARING : THRESHOLD;
+        // The more of what comes is of a lower flavour, the more of it must be kept from filling all.
+        double part = flavour(vm).rank < topRank ? Math.min(1, 2 * flavour(vm).seen / Math.max(1, me.arrivals)) : 0;
+        double mine = THRESHOLD - (THRESHOLD - SPARING) * part;
         double level = late ? crowd(flavour(vm)) : THRESHOLD;
         double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
         double moreMemory = (me.terms.num("extra.memBooking", 1) - 1) * m.memory;
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -348,6 +348,19 @@
         assertThat(w.arrive("fragile", 0.5, 0.5, 1).claims.get(0).machine).isSameAs(w.machines.get(1));
     }
 
+    /** A few large VMs of a lower flavour fill nothing up; held under the lower threshold they would never start. */
+    @Example
+    void aRareLowerFlavourMayFillAsMuchAsTheOthers() {
+        World w = calm(2);
+        w.machines.forEach(m -> m.freeMemory = 0);
+        report(w, w.machines.get(0), 16, 0.18 * 32);
+        report(w, w.machines.get(1), 32, 0.18 * 64);
+        for (int i = 0; i < 40; i++) {
+            w.arrive("fragile", 99, 99, i);
+        }
+        assertThat(w.arrive("retryable", 0.5, 0.5, 1).claims.size()).isEqualTo(1);
+    }
+
     /** An error before the bind closes the machine to that customer's flavour; others are served there as usual. */
     @Example
     void anErrorClosesItForThatCustomersFlavourOnly() {
