--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -47,7 +47,7 @@
     }
 
     private static final double THRESHOLD = 0.9;
-    /** That of memory for flavours under the top rank: those above find the rest, in time, when all is full. */
+    /** That of memory for flavours under the top rank: those above find the rest in time when it is full. */
     private static final double SPARING = 0.75;
     private static final int SAMPLE = 3;
     /** What reports told to other placers may cost, as a part of what all VMs are worth. */
@@ -413,12 +413,9 @@
 
     /** Rule 3 where the list must be asked for: silence for long enough counts as having been told. */
     private boolean listTrusted() {
-        if (!asks() || me.following) {
-            return true;
-        }
         // The rule gives four times as long after a call that failed, and only such calls leave it unheard.
         Duration told = me.terms.micros("obligations.askWithinUs", 1e7);
-        return since(me.heardListAt).compareTo(told.multipliedBy(4)) < 0;
+        return !asks() || me.following || since(me.heardListAt).compareTo(told.multipliedBy(4)) < 0;
     }
 
     private void tryOrHold(Vm vm) {
@@ -657,11 +654,12 @@
     }
 
     private double opportunisticRoom(Vm vm, Machine m) {
-        boolean late = since(vm.arrivedAt).compareTo(times(flavour(vm).target, 1.0 / 8)) >= 0;
+        Flavour f = flavour(vm);
+        boolean late = since(vm.arrivedAt).compareTo(times(f.target, 1.0 / 8)) >= 0;
         // The more of what comes is of a lower flavour, the more of it must be kept from filling all.
-        double part = flavour(vm).rank < topRank ? Math.min(1, 2 * flavour(vm).seen / Math.max(1, me.arrivals)) : 0;
+        double part = f.rank < topRank ? Math.min(1, 2 * f.seen / Math.max(1, me.arrivals)) : 0;
         double mine = THRESHOLD - (THRESHOLD - SPARING) * part;
-        double level = late ? crowd(flavour(vm)) : THRESHOLD;
+        double level = late ? crowd(f) : THRESHOLD;
         double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
         double moreMemory = (me.terms.num("extra.memBooking", 1) - 1) * m.memory;
         double allowed = room(vm, m, m.freeCores + moreCores - m.sinceList.cores,
