Notes that are odd, partial or old do no harm; homes found without sorting the fleet

The watch: customers' rules, VMs that run already, probes' answers and the stop reach it as they reach ours; it decides before ours, so that rules' books are alike; a claim that ended elsewhere no longer stands open.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -119,6 +119,7 @@
     private void readTerms() {
         settle = me.terms.micros("extra.settleUs", 3e6);
         neededKinds.clear();
+        topRank = 0;
         int n = (int) me.terms.num("lanes", 0);
         for (int i = 0; i < n; i++) {
             String lane = "lanes." + i + ".";
@@ -175,7 +176,7 @@
         if (!m.known) {
             m.known = true;
             me.machines.add(m);
-            me.byName.merge(Note.name(m.id), m, (a, b) -> null);
+            me.byName.put(Note.name(m.id), me.byName.containsKey(Note.name(m.id)) ? null : m);
         }
         if (startedAt != null && !startedAt.equals(m.startedAt)) {
             m.programs.values().removeIf(p -> p.held == 0);
@@ -304,10 +305,12 @@
         lookAgain();
     }
 
-    /** A report came; null where it is only known that something changed. */
+    /** Something changed, for a machine or at large; told to the others if it is a report, and whole. */
     public void reported(Machine m) {
-        if (m != null && me.tellEvery != null
+        if (m != null && me.tellEvery != null && me.now.equals(m.reportedAt)
+                && Double.isFinite(m.spareCores + m.spareMemory)
                 && (m.toldAt == null || since(m.toldAt).compareTo(me.tellEvery) >= 0)) {
+            m.toldAt = me.now;
             tell(m, "" + Note.share(1 - m.spareCores / m.cores)
                     + Note.share(1 - m.spareMemory / m.memory));
         }
@@ -327,7 +330,6 @@
 
     private void tell(Machine m, String what) {
         if (me.tellEvery != null) {
-            m.toldAt = me.now;
             door.tell(Note.name(m.id) + what);
         }
     }
@@ -347,20 +349,18 @@
             m.closedUntil = Collections.max(List.of(m.closedUntil, me.now.plus(times(settle, 1.0 / 3))));
         } else if (what.length() == 1) {
             int kin = Note.whole(what.charAt(0));
-            if (kin < kins.size()) {
+            if (kin >= 0 && kin < kins.size()) {
                 Machine.Refusal r = refusal(kins.get(kin), m);
                 r.until = Collections.max(List.of(r.until, me.now.plus(times(settle, 2))));
             }
-            return;
         } else {
             m.spareCores = (1 - Note.share(what.charAt(0))) * m.cores;
             m.spareMemory = (1 - Note.share(what.charAt(1))) * m.memory;
             m.busy = Double.NaN;
             m.reportedAt = me.now;
-            me.lookAgain = true;
+            m.toldAt = me.now;
+            lookAgain();
         }
-        m.toldAt = me.now;
-        settleRules();
     }
 
     /** So many placers share the cluster from now on. */
@@ -509,7 +509,6 @@
         List<Machine> can = new ArrayList<>(me.machines);
         Flavour f = flavour(vm);
         can.removeIf(m -> !eligible(vm, f, m));
-        can.forEach(m -> m.rank = Chance.of(vm.service, m.id));
         // While such VMs are refused without a reason, those that took one lately come first: machines that
         // refuse stay empty, and by room alone would draw every try.
         boolean refused = since(me.refusedAt.get(vm.kin())).compareTo(times(settle, 2)) < 0;
@@ -518,7 +517,7 @@
         // So do machines where the service runs or, by a hash that all placers share, should run.
         if (room.isEmpty()) {
             List<Machine> used = me.terms.num("prices.fleet", 0) > 0 ? narrow(can, this::inUse) : can;
-            List<Machine> homes = ranked(used).subList(0, Math.min(SAMPLE, used.size()));
+            List<Machine> homes = Homes.of(vm.service, used, SAMPLE);
             room = withRoom(vm, narrow(used, m -> knowsProgram(m, vm.service) || homes.contains(m)));
         }
         // Where machines in use have a price, an empty one is opened only when none in use has room.
@@ -589,10 +588,10 @@
      */
     private Machine leastGrieved(Vm vm, List<Machine> room) {
         boolean known = knowsProgram(room.get(0), vm.service);
-        List<Machine> ranked = ranked(room);
+        List<Machine> homes = known ? room : Homes.of(vm.service, room, SAMPLE);
         Machine best = null;
         for (int i = 0; i < SAMPLE && i < room.size(); i++) {
-            Machine drawn = known ? byRoom(room) : ranked.get(i);
+            Machine drawn = known ? byRoom(room) : homes.get(i);
             if (best == null || pressure(drawn) < pressure(best)) {
                 best = drawn;
             }
@@ -600,10 +599,6 @@
         return best;
     }
 
-    private static List<Machine> ranked(List<Machine> from) {
-        return from.stream().sorted(Comparator.comparingLong(m -> -m.rank)).toList();
-    }
-
     private Machine byRoom(List<Machine> room) {
         double at = me.chance.next() * room.stream().mapToDouble(m -> m.room).sum();
         Machine drawn = null;
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -209,7 +209,7 @@
             feed.logic.start(seed, ModuleTerms.of(d, position));
             if (watched != null) {
                 watch = new Watch(d, watched, position, seed, Instance::number, meters, this::at,
-                        m -> reaches.get(m).name, m -> feed.machine(m).probing);
+                        m -> reaches.get(m).name, feed::machine, this);
             }
         }));
         loop.scheduleAtFixedRate(() -> enter(() -> sessions.expire(now)), 1, 1, TimeUnit.SECONDS);
@@ -270,6 +270,12 @@
         }
     }
 
+    private void decide(Vm vm) {
+        seen(w -> w.arrives(vm));
+        feed.logic.arrives(vm);
+        seen(w -> w.arrived(vm));
+    }
+
     private void both(Claim c, BiConsumer<Logic, Claim> what) {
         what.accept(feed.logic, c);
         seen(w -> w.told(c.vm, what));
@@ -639,8 +645,7 @@
         @Override
         public void arrive(Vm vm) {
             feed.add(vm);
-            feed.logic.arrives(vm);
-            seen(w -> w.arrived(vm));
+            decide(vm);
         }
 
         @Override
@@ -693,8 +698,7 @@
         if (!mayRunUnseen || rollCall.complete()) {
             if (sessions.waits(s.client, id)) {
                 feed.add(vm);
-                feed.logic.arrives(vm);
-                seen(w -> w.arrived(vm));
+                decide(vm);
             }
         } else if (now.compareTo(vm.deadline) < 0) {
             at(d.poll, () -> arrives(vm, s, id, true));
@@ -1007,6 +1011,7 @@
         vm.deadline = now;
         feed.add(vm);
         feed.logic.runsAlready(vm, machine);
+        seen(w -> w.runsAlready(vm, r.name));
         r.link.adopt(held.name(), vm.placed);
         placeTaken(vm.placed);
         owners.put(vm, held.client());
@@ -1018,7 +1023,10 @@
 
     @Override
     public void probed(Machine machine, boolean ok, Duration took) {
-        inputs.addLast(() -> feed.logic.probed(machine, ok, ok, took));
+        inputs.addLast(() -> {
+            feed.logic.probed(machine, ok, ok, took);
+            seen(w -> w.probed(reaches.get(machine).name, ok, took));
+        });
     }
 
     @Override
@@ -1044,7 +1052,10 @@
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
             stopped = done;
-            enter(feed.logic::stops);
+            enter(() -> {
+                feed.logic.stops();
+                seen(Watch::stops);
+            });
             enter(groups::stops);
             at(within.multipliedBy(3).dividedBy(4), () -> {
                 for (Reach r : reaches.values()) {
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/placer/PlacerProgram.java
@@ -77,9 +77,12 @@
                 Instance it = new Instance(d, watched, d.position + i, name, seed + i, loops.next(), thinker, meters);
                 instances.add(it);
                 if (d.notes) {
+                    List<InetSocketAddress> others = new ArrayList<>();
+                    for (String o : d.notesTo) {
+                        others.add(address(o));
+                    }
                     NotePost post = new NotePost(it.loop, new InetSocketAddress(d.notesHost,
-                            d.notesPort == 0 ? 0 : d.notesPort + i), d.notesTo.stream().map(PlacerProgram::address).toList(),
-                            it::heard);
+                            d.notesPort == 0 ? 0 : d.notesPort + i), others, it::heard);
                     it.loop.execute(() -> it.notes(post));
                     notePosts.add(post);
                 }
@@ -136,9 +139,14 @@
         }
     }
 
-    private static InetSocketAddress address(String hostPort) {
+    private static InetSocketAddress address(String hostPort) throws Deployment.Refused {
         int colon = hostPort.lastIndexOf(':');
-        return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
+        InetSocketAddress at = new InetSocketAddress(hostPort.substring(0, colon),
+                Integer.parseInt(hostPort.substring(colon + 1)));
+        if (at.isUnresolved()) {
+            throw new Deployment.Refused(List.of("placer.notes.to: '" + hostPort + "': no such host"));
+        }
+        return at;
     }
 
     /** Where notes to an instance go. */
--- a/src/main/java/fordridge/placer/Watch.java
+++ b/src/main/java/fordridge/placer/Watch.java
@@ -18,7 +18,6 @@
 import java.util.Objects;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 /**
@@ -50,18 +49,22 @@
     private final Deployment now;
     private final BiConsumer<Duration, Runnable> later;
     private final Function<Machine, String> nameOf;
-    private final Predicate<String> probedByUs;
+    private final Function<String, Machine> ours;
+    /** Asked what customers' rules say of our VMs. */
+    private final Door rules;
     private final Map<Vm, Twin> byReal = new IdentityHashMap<>();
     private final Map<Vm, Twin> byOwn = new IdentityHashMap<>();
     private final Map<Machine, String> names = new HashMap<>();
 
     Watch(Deployment now, Deployment next, int position, long seed, ToLongFunction<String> number, Meters meters,
-            BiConsumer<Duration, Runnable> later, Function<Machine, String> nameOf, Predicate<String> probedByUs) {
+            BiConsumer<Duration, Runnable> later, Function<Machine, String> nameOf, Function<String, Machine> ours,
+            Door rules) {
         this.now = now;
         this.meters = meters;
         this.later = later;
         this.nameOf = nameOf;
-        this.probedByUs = probedByUs;
+        this.ours = ours;
+        this.rules = rules;
         feed = new Feed<>(this, number);
         feed.logic.start(seed, ModuleTerms.of(next, position));
     }
@@ -93,8 +96,15 @@
         feed.logic.heard(note);
     }
 
-    /** Ours has just decided on a new VM: so does this one, and the two are compared. */
-    void arrived(Vm real) {
+    void stops() {
+        feed.logic.stops();
+    }
+
+    void probed(String machine, boolean ok, Duration took) {
+        feed.logic.probed(feed.machine(machine), ok, ok, took);
+    }
+
+    private Twin twin(Vm real) {
         Vm own = new Vm(real.id);
         own.flavour = real.flavour;
         own.customer = real.customer;
@@ -109,7 +119,25 @@
         byReal.put(real, t);
         byOwn.put(own, t);
         feed.add(own);
-        feed.logic.arrives(own);
+        return t;
+    }
+
+    void runsAlready(Vm real, String machine) {
+        feed.logic.runsAlready(twin(real).own, feed.machine(machine));
+    }
+
+    /** A new VM, before ours decides on it: what rules allow is as ours will find it. */
+    void arrives(Vm real) {
+        feed.logic.arrives(twin(real).own);
+    }
+
+    /** Ours has decided: what both did at once is compared. */
+    void arrived(Vm real) {
+        Twin t = byReal.get(real);
+        if (t == null) {
+            return;
+        }
+        Vm own = t.own;
         if (real.claims.isEmpty() != own.claims.isEmpty()) {
             meters.otherwise(own.claims.isEmpty() ? "hold" : "place");
         } else if (!own.claims.isEmpty() && !Objects.equals(nameOf.apply(real.claims.get(0).machine),
@@ -144,6 +172,8 @@
                 && Objects.equals(nameOf.apply(real.machine), names.get(own.machine));
         if (own != null && (over || sameMachine)) {
             feed.logic.ended(own, end, why, over);
+        } else if (own != null && own.boundAt == null) {
+            feed.logic.bound(own);
         }
         if (over) {
             drop(t);
@@ -192,7 +222,7 @@
     }
 
     private static Claim out(Twin t) {
-        Claim last = t.own.claims.isEmpty() ? null : t.own.claims.get(t.own.claims.size() - 1);
+        Claim last = t.own.last();
         return last != null && last.out() ? last : null;
     }
 
@@ -205,10 +235,6 @@
         feed.forget(t.own);
     }
 
-    int twins() {
-        return byReal.size();
-    }
-
     // ---- What this one would do: nothing of it is done ------------------------------------------------
 
     @Override
@@ -243,17 +269,33 @@
         meters.otherwise("move");
     }
 
+    /** Customers' rules speak to both alike. */
+    @Override
+    public double unfit(Vm own, Machine m) {
+        Twin t = byOwn.get(own);
+        return t == null ? 0 : rules.unfit(t.real, ours.apply(names.get(m)));
+    }
+
+    @Override
+    public boolean ruled(Vm own) {
+        Twin t = byOwn.get(own);
+        return t != null && rules.ruled(t.real);
+    }
+
     @Override
     public void cancel(Claim c) {
     }
 
     @Override
     public void probe(Machine m) {
-        if (!probedByUs.test(names.get(m))) {
-            meters.otherwise("probe");
-        }
-        // Nobody was asked: it is told neither of trouble nor of a report, and may ask again.
-        later.accept(now.connectTimeout, () -> feed.logic.probed(m, true, false, now.connectTimeout));
+        // Ours may ask in the same input, behind this; then its answer is this one's too.
+        later.accept(Duration.ZERO, () -> {
+            if (!ours.apply(names.get(m)).probing) {
+                meters.otherwise("probe");
+                // Nobody was asked: it is told neither of trouble nor of a report, and may ask again.
+                later.accept(now.connectTimeout, () -> feed.logic.probed(m, true, false, now.connectTimeout));
+            }
+        });
     }
 
     @Override
--- a/src/main/java/fordridge/rpc/NotePost.java
+++ b/src/main/java/fordridge/rpc/NotePost.java
@@ -48,6 +48,9 @@
 
     /** What cannot be written at once is lost. */
     public void send(String note) {
+        if (!channel.isWritable()) {
+            return;
+        }
         byte[] bytes = note.getBytes(StandardCharsets.UTF_8);
         for (InetSocketAddress o : others) {
             channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), o));
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/Deployment.java
@@ -321,7 +321,7 @@
             r.error("cluster.settle", settle.toMillis() + "ms", "at least cluster.drain_grace");
         }
         for (String o : notesTo) {
-            if (!o.matches("[^:]+:[0-9]{1,5}")) {
+            if (!o.matches("[^:]+:[0-9]{1,5}") || Integer.parseInt(o.substring(o.lastIndexOf(':') + 1)) > 65535) {
                 r.error("placer.notes.to", "'" + o + "'", "host:port");
             }
         }
--- a/src/main/java/fordridge/state/Chance.java
+++ b/src/main/java/fordridge/state/Chance.java
@@ -21,13 +21,4 @@
         crc.update(draw.array());
         return crc.getValue() / 4294967296.0;
     }
-
-    /** The same number wherever it is asked for; mixed past the CRC, whose linearity would pair up neighbours. */
-    public static long of(long a, long b) {
-        CRC32 crc = new CRC32();
-        crc.update(ByteBuffer.allocate(16).putLong(a).putLong(b).array());
-        long mixed = crc.getValue() * 0x9E3779B97F4A7C15L;
-        mixed = (mixed ^ mixed >>> 32) * 0xD6E8FEB86659FD93L;
-        return mixed ^ mixed >>> 29;
-    }
 }
--- a/src/main/java/fordridge/state/Machine.java
+++ b/src/main/java/fordridge/state/Machine.java
@@ -69,7 +69,7 @@
     public Duration reportedAt;
     public Duration probedAt;
     public boolean probing;
-    /** When any placer last told the others of it, as far as heard. */
+    /** When any placer last told the others its report, as far as heard. */
     public Duration toldAt;
 
     // What this placer did there.
--- a/src/main/java/fordridge/state/Note.java
+++ b/src/main/java/fordridge/state/Note.java
@@ -40,6 +40,6 @@
     }
 
     public static double share(char c) {
-        return whole(c) / (DIGITS - 1.0);
+        return Math.max(0, Math.min(whole(c) / (DIGITS - 1.0), 1));
     }
 }
--- a/src/test/java/fordridge/LogicTest.java
+++ b/src/test/java/fordridge/LogicTest.java
@@ -406,6 +406,9 @@
         w.logic.heard(Note.name(101) + Note.share(0.1) + Note.share(0.1));
         w.logic.heard(Note.name(555) + Note.share(0) + Note.share(0));
         w.logic.heard("?");
+        w.logic.heard(Note.name(100) + " ");
+        w.logic.heard(Note.name(100) + "\u2022");
+        w.logic.heard(Note.name(100) + "\u2022\u2022");
         assertThat(w.arrive("retryable", 2, 2, 1).claims.get(0).machine).isSameAs(w.machines.get(1));
         assertThat(w.notes).isEmpty();
     }
@@ -495,4 +498,62 @@
         w.end(vm.claims.get(2), End.FULL, Why.NO_MEMORY);
         assertThat(w.denied).isEqualTo(1);
     }
+
+    /** A report without cores or memory would be told as an empty machine, one of long ago as one of now. */
+    @Example
+    void onlyANewAndWholeReportIsTold() {
+        World w = noting(2);
+        report(w, w.machines.get(0), Double.NaN, 8);
+        assertThat(w.notes).isEmpty();
+        report(w, w.machines.get(0), 4, 8);
+        w.pass(Duration.ofSeconds(2));
+        w.logic.reported(w.machines.get(0));
+        assertThat(w.notes.size()).isEqualTo(1);
+    }
+
+    /** What is told of one customer must not keep the machine's next report from being told. */
+    @Example
+    void tellingWhoIsTurnedAwayKeepsNoReportBack() {
+        World w = noting(2);
+        Vm vm = w.arrive("retryable", 1, 1, 1);
+        Machine m = vm.claims.get(0).machine;
+        w.end(vm.claims.get(0), End.ERROR, Why.UNTOLD);
+        report(w, m, 4, 8);
+        assertThat(w.notes.size()).isEqualTo(2);
+    }
+
+    /** Three machines of one name in notes: none of them may be taken for another. */
+    @Example
+    void machinesOfOneNameInNotesAreNotSpokenOf() {
+        World w = noting(2);
+        java.util.Map<String, List<Long>> ids = new java.util.HashMap<>();
+        List<Long> alike = null;
+        for (long id = 1000; alike == null; id++) {
+            List<Long> same = ids.computeIfAbsent(Note.name(id), n -> new java.util.ArrayList<>());
+            same.add(id);
+            alike = same.size() == 3 ? same : null;
+        }
+        w.logic.listBegins(false, false);
+        List<Machine> three = alike.stream().map(Machine::new).toList();
+        three.forEach(m -> w.logic.listed(m, Listing.LIVE, null));
+        w.logic.listEnds();
+        w.logic.heard(Note.name(alike.get(0)) + Note.share(1) + Note.share(1));
+        assertThat(three).allMatch(m -> m.reportedAt == null);
+    }
+
+    /** Where owners may not be told when to come back, a denial says nothing of it, and comes no later for that. */
+    @Example
+    void aDenialGivesAdviceOnlyWhereItMay() {
+        World with = calm(1);
+        World without = new World(true, "cell");
+        without.terms.put("caps.retryAfter", false);
+        without.begin(1, 1);
+        for (World w : List.of(with, without)) {
+            w.arrive("retryable", 99, 99, 1);
+            w.pass(Duration.ofMillis(4900));
+        }
+        assertThat(with.advice).containsExactly(Duration.ofMillis(600));
+        assertThat(without.advice).containsExactly(Duration.ZERO);
+        assertThat(without.acts.get(without.acts.size() - 1)).isEqualTo(with.acts.get(with.acts.size() - 1));
+    }
 }
--- a/src/test/java/fordridge/World.java
+++ b/src/test/java/fordridge/World.java
@@ -36,6 +36,7 @@
     int denied;
     int errored;
     int probes;
+    final List<Duration> advice = new ArrayList<>();
     final List<String> notes = new ArrayList<>();
 
     World(boolean pushed, String scope) {
@@ -288,6 +289,7 @@
     public void deny(Vm vm, Duration retryAfter) {
         answer(vm);
         denied++;
+        advice.add(retryAfter);
         boolean mayHaveRun = vm.claims.stream().anyMatch(c -> !neverRan(c));
         check(!mayHaveRun || vm.flavour.equals("retryable")
                 || vm.flavour.equals("dedup") && terms.get("lanes.1.dedupScope").equals("all"), "rule 2: denied");
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/placer/PlacerTest.java
@@ -731,6 +731,29 @@
         }
     }
 
+    /** VMs that run from an earlier life, and customers' rules, are known to the one that looks on as they are to ours. */
+    @Example
+    void watchingTheSameTermsCountsNothingUnderRulesAndAfterARestart() throws Exception {
+        try (Peers p = new Peers(3)) {
+            Files.writeString(p.folder.toPath().resolve("next.conf"), "cluster.most_claims = 3");
+            Files.writeString(p.folder.toPath().resolve("rules.txt"),
+                    "rule few: flavour safe require spread at most 4 per machine;\n");
+            MachinePeer m = p.machines.get(0);
+            m.holds(ClaimName.newBuilder().setVm("c/old").setNumber(1).build(), Held.State.RUNNING);
+            p.place("watch.terms = next.conf\nconstraints.file = rules.txt");
+            until(() -> p.program.streams() > 0 && m.streams == 1);
+            ClientPeer c = p.client("c").open(true).hello().want("old", "once");
+            until(() -> c.count(BodyCase.BOUND) == 1);
+            for (int i = 0; i < 9; i++) {
+                int n = i + 2;
+                c.want("v" + i, "safe");
+                until(() -> c.count(BodyCase.BOUND) >= n);
+            }
+            assertThat(p.machines.stream().mapToInt(x -> x.offers.size()).max().getAsInt()).isLessThanOrEqualTo(4);
+            assertThat(otherwise(p)).isEqualTo(0);
+        }
+    }
+
     /** With time left in microseconds; 0 for the whole build timeout. */
     private static ClientMessage sized(String vm, double cores, long leftUs) {
         ClientMessage.Builder m = ClientPeer.wanted(vm, "safe", leftUs);
--- a/src/test/java/fordridge/settings/DeploymentTest.java
+++ b/src/test/java/fordridge/settings/DeploymentTest.java
@@ -96,6 +96,7 @@
         assertThat(complaints(GOOD + "cluster { list_comes = ask, ask_within = 1s }\n"))
                 .anyMatch(l -> l.contains("cluster.ask_within: found 1000ms"));
         assertThat(complaints(GOOD + "placer.notes.to = [here]\n")).anyMatch(l -> l.contains("'here'"));
+        assertThat(complaints(GOOD + "placer.notes.to = [\"127.0.0.1:70000\"]\n")).anyMatch(l -> l.contains("70000"));
         assertThat(complaints(GOOD + "placer.placers = 2\ncluster.notes = true\n"))
                 .anyMatch(l -> l.contains("placer.notes.to: found none"));
         assertThat(complaints(GOOD + "cluster.mean_cores = 0\n")).anyMatch(l -> l.contains("cluster.mean_cores"));
