--- a/src/main/java/fordridge/Main.java
+++ b/src/main/java/fordridge/Main.java
@@ -2,8 +2,9 @@
 
 import fordridge.cli.Cli;
 import fordridge.drill.Drill;
+import fordridge.node.NodeProgram;
 
-/** Entry point. The drill is started again and again by the bench, so it does not wait for the command line's library. */
+/** Entry point. Drill and serve are started often, or in little memory, so they do without the command line's library. */
 public final class Main {
     private Main() {
     }
@@ -12,6 +13,10 @@
         if (args.length == 1 && args[0].equals("drill")) {
             System.exit(new Drill(System.in, System.out, System.err).run());
         }
+        if (args.length == 1 && args[0].equals("serve")) {
+            // Ends at once: what is written has gone out, and the platform waits for nothing else.
+            Runtime.getRuntime().halt(NodeProgram.run(System.err));
+        }
         System.exit(Cli.run(args));
     }
 }
--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -3,6 +3,7 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import fordridge.drill.Drill;
+import fordridge.node.NodeProgram;
 import fordridge.obs.Logging;
 import fordridge.placer.PlacerProgram;
 import fordridge.rig.Checker;
@@ -23,7 +24,7 @@
 
 /** The command line: exit code 0 for done, 1 for what went wrong in the doing, 2 for words that make no command. */
 @Command(name = "fordridge", description = "Places VMs on a cluster's machines.", mixinStandardHelpOptions = true,
-        versionProvider = Cli.Version.class, subcommands = {Cli.Place.class, Cli.Rig.class, CtlCommand.class, Cli.DrillCommand.class,
+        versionProvider = Cli.Version.class, subcommands = {Cli.Place.class, Cli.Rig.class, CtlCommand.class, Cli.DrillCommand.class, Cli.Serve.class,
             Cli.CheckConfig.class, Cli.Constraints.class, Cli.ShowVersion.class, AutoComplete.GenerateCompletion.class})
 public final class Cli implements Callable<Integer> {
     @CommandLine.Spec
@@ -277,6 +278,15 @@
         }
     }
 
+    @Command(name = "serve", description = "Serves owners on lines of JSON, by the configuration that LB_CONFIG names.",
+            mixinStandardHelpOptions = true)
+    static final class Serve implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            return NodeProgram.run(System.err);
+        }
+    }
+
     @Command(name = "version", description = "Prints the version.", mixinStandardHelpOptions = true)
     static final class ShowVersion implements Callable<Integer> {
         @Override
--- a/src/main/java/fordridge/drill/Drill.java
+++ b/src/main/java/fordridge/drill/Drill.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import fordridge.jsonl.Json;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -39,8 +40,8 @@
             number++;
             byte[] reply;
             try {
-                reply = batch(Wire.line(line));
-            } catch (Wire.Malformed e) {
+                reply = batch(Json.line(line));
+            } catch (Json.Malformed e) {
                 err.println("fordridge drill: line " + number + ": " + e.getMessage());
                 return 1;
             }
@@ -51,26 +52,26 @@
     }
 
     private byte[] batch(Map<String, Object> batch) throws IOException {
-        Duration clock = Duration.of(Wire.whole(batch, "clockUs", "batch"), ChronoUnit.MICROS);
-        long n = Wire.whole(batch, "n", "batch");
+        Duration clock = Duration.of(Json.whole(batch, "clockUs", "batch"), ChronoUnit.MICROS);
+        long n = Json.whole(batch, "n", "batch");
         StringWriter text = new StringWriter(256);
         JsonGenerator gen = FACTORY.createGenerator(text);
         gen.writeStartObject();
         gen.writeNumberField("n", n);
         gen.writeArrayFieldStart("groups");
         int g = 0;
-        for (Object o : Wire.list(batch, "groups", "batch")) {
+        for (Object o : Json.list(batch, "groups", "batch")) {
             String where = "groups[" + g++ + "]";
-            Map<String, Object> group = Wire.object(o, where);
+            Map<String, Object> group = Json.object(o, where);
             if (group.get("placerId") == null) {
                 // A list of machines belongs to no instance; it may stand among the groups by itself.
                 if ("inventory".equals(group.get("msg"))) {
                     inventory(group, where);
                 } else if (group.get("input") != null) {
                     int e = 0;
-                    for (Object event : Wire.list(group, "input", where)) {
+                    for (Object event : Json.list(group, "input", where)) {
                         String at = where + ".input[" + e++ + "]";
-                        inventory(Wire.object(event, at), at);
+                        inventory(Json.object(event, at), at);
                     }
                 }
                 continue;
@@ -85,16 +86,16 @@
 
     private void group(Map<String, Object> group, String where, Duration clock, JsonGenerator gen)
             throws IOException {
-        long placer = Wire.whole(group, "placerId", where);
+        long placer = Json.whole(group, "placerId", where);
         gen.writeStartObject();
         gen.writeNumberField("placerId", placer);
         gen.writeArrayFieldStart("output");
         int e = 0;
         boolean broken = false;
-        for (Object o : Wire.list(group, "input", where)) {
+        for (Object o : Json.list(group, "input", where)) {
             String at = where + ".input[" + e++ + "]";
-            Map<String, Object> event = Wire.object(o, at);
-            String msg = Wire.text(event, "msg", at);
+            Map<String, Object> event = Json.object(o, at);
+            String msg = Json.text(event, "msg", at);
             if (msg.equals("inventory")) {
                 inventory(event, at);
                 continue;
@@ -116,7 +117,7 @@
             }
             try {
                 seat.event(msg, event, at, clock, gen, lists);
-            } catch (Wire.Malformed | IOException malformed) {
+            } catch (Json.Malformed | IOException malformed) {
                 throw malformed;
             } catch (RuntimeException fault) {
                 broken = true;
@@ -133,6 +134,6 @@
     }
 
     private void inventory(Map<String, Object> event, String where) {
-        lists.put(Wire.whole(event, "slot", where), Wire.list(event, "lines", where));
+        lists.put(Json.whole(event, "slot", where), Json.list(event, "lines", where));
     }
 }
--- a/src/main/java/fordridge/drill/Seat.java
+++ b/src/main/java/fordridge/drill/Seat.java
@@ -4,6 +4,7 @@
 import fordridge.Logic;
 import fordridge.door.Door;
 import fordridge.feed.Feed;
+import fordridge.jsonl.Json;
 import fordridge.state.Claim;
 import fordridge.state.Machine;
 import fordridge.state.Terms;
@@ -38,8 +39,8 @@
         switch (msg) {
             case "create" -> {
                 Map<String, Object> terms = new HashMap<>();
-                Terms.flatten("", Wire.object(ev.get("profileData"), at + ".profileData"), terms);
-                logic.start(Wire.whole(ev, "entropy", at), terms);
+                Terms.flatten("", Json.object(ev.get("profileData"), at + ".profileData"), terms);
+                logic.start(Json.whole(ev, "entropy", at), terms);
             }
             case "discovery" -> discovery(ev, at, lists);
             case "arrival" -> {
@@ -50,19 +51,19 @@
             case "resident" -> {
                 Vm vm = vm(ev, at, clock);
                 feed.add(vm);
-                logic.runsAlready(vm, feed.machine(Wire.whole(ev, "machine", at)));
+                logic.runsAlready(vm, feed.machine(Json.whole(ev, "machine", at)));
             }
             case "bound" -> {
-                Claim c = feed.claim(Wire.text(ev, "req", at), (int) Wire.whole(ev, "seqNo", at));
+                Claim c = feed.claim(Json.text(ev, "req", at), (int) Json.whole(ev, "seqNo", at));
                 if (c != null) {
                     logic.bound(c);
                 }
             }
             case "interim" -> {
-                Claim c = feed.claim(Wire.text(ev, "req", at), (int) Wire.whole(ev, "seqNo", at));
+                Claim c = feed.claim(Json.text(ev, "req", at), (int) Json.whole(ev, "seqNo", at));
                 if (c != null) {
-                    double amount = Wire.number(ev, "amount", at, 0);
-                    switch ((int) Wire.whole(ev, "what", at)) {
+                    double amount = Json.number(ev, "amount", at, 0);
+                    switch ((int) Json.whole(ev, "what", at)) {
                         case 1 -> logic.running(c);
                         case 2 -> logic.usesCores(c, amount);
                         case 3 -> logic.usesMemory(c, amount);
@@ -74,23 +75,23 @@
             }
             case "response" -> response(ev, at, clock);
             case "clientGone" -> {
-                Vm vm = feed.vm(Wire.text(ev, "req", at));
+                Vm vm = feed.vm(Json.text(ev, "req", at));
                 if (vm != null) {
                     logic.left(vm);
                     feed.forget(vm);
                 }
             }
             case "echo" -> {
-                Machine m = feed.known(Wire.whole(ev, "machine", at));
+                Machine m = feed.known(Json.whole(ev, "machine", at));
                 if (m != null) {
-                    boolean ok = Wire.whole(ev, "rc", at) == 200;
+                    boolean ok = Json.whole(ev, "rc", at) == 200;
                     boolean told = report(m, ev, at, clock);
-                    logic.probed(m, ok, told, micros(Wire.whole(ev, "elapsedUs", at, 0)));
+                    logic.probed(m, ok, told, micros(Json.whole(ev, "elapsedUs", at, 0)));
                 }
             }
-            case "noteFrom" -> logic.heard(Wire.text(ev, "data", at));
+            case "noteFrom" -> logic.heard(Json.text(ev, "data", at));
             case "due" -> {
-                Wire.whole(ev, "handle", at);
+                Json.whole(ev, "handle", at);
                 logic.woken();
             }
             default -> { }
@@ -98,60 +99,60 @@
     }
 
     private void discovery(Map<String, Object> ev, String at, Map<Long, List<Object>> lists) {
-        String how = Wire.text(ev, "how", at);
+        String how = Json.text(ev, "how", at);
         if (how.equals("error")) {
             logic.listFailed();
             return;
         }
-        List<Object> lines = lists.get(Wire.whole(ev, "slot", at));
+        List<Object> lines = lists.get(Json.whole(ev, "slot", at));
         if (lines == null) {
-            throw new Wire.Malformed(at + ": field 'slot' names a list that never came");
+            throw new Json.Malformed(at + ": field 'slot' names a list that never came");
         }
         List<Feed.Line<Long>> told = new ArrayList<>(lines.size());
         int i = 0;
         for (Object o : lines) {
             String where = at + ".lines[" + i++ + "]";
-            Map<String, Object> l = Wire.object(o, where);
-            long ready = Wire.whole(l, "readyAtUs", where, 0);
-            told.add(new Feed.Line<>(Wire.whole(l, "machine", where), Wire.text(l, "site", where, ""),
-                    Wire.text(l, "generationHw", where, ""), (int) Wire.whole(l, "pod", where, 0),
-                    Wire.number(l, "freeCores", where, 0), Wire.number(l, "memoryFree", where, 0),
-                    switch (Wire.text(l, "lifecycle", where)) {
+            Map<String, Object> l = Json.object(o, where);
+            long ready = Json.whole(l, "readyAtUs", where, 0);
+            told.add(new Feed.Line<>(Json.whole(l, "machine", where), Json.text(l, "site", where, ""),
+                    Json.text(l, "generationHw", where, ""), (int) Json.whole(l, "pod", where, 0),
+                    Json.number(l, "freeCores", where, 0), Json.number(l, "memoryFree", where, 0),
+                    switch (Json.text(l, "lifecycle", where)) {
                         case "live" -> Machine.Listing.LIVE;
                         case "quiescing" -> Machine.Listing.DRAINING;
                         case "dead" -> Machine.Listing.GONE;
-                        default -> throw new Wire.Malformed(where + ": field 'lifecycle' is not a known word");
+                        default -> throw new Json.Malformed(where + ": field 'lifecycle' is not a known word");
                     }, ready == 0 ? null : micros(ready)));
         }
         feed.list(!how.equals("diff"), how.equals("disk"), told);
     }
 
     private Vm vm(Map<String, Object> ev, String at, Duration clock) {
-        Vm vm = new Vm(Wire.text(ev, "req", at));
-        vm.flavour = Wire.text(ev, "profile", at);
+        Vm vm = new Vm(Json.text(ev, "req", at));
+        vm.flavour = Json.text(ev, "profile", at);
         Object group = ev.get("clientGroup");
         vm.customer = group instanceof String s ? s : "";
-        vm.service = Wire.whole(ev, "deployment", at, 0);
-        vm.cores = Wire.number(ev, "wantCores", at);
-        vm.memory = Wire.number(ev, "mem", at);
-        vm.cameBack = Wire.flag(ev, "cameBack", at) || Wire.flag(ev, "retry", at);
+        vm.service = Json.whole(ev, "deployment", at, 0);
+        vm.cores = Json.number(ev, "wantCores", at);
+        vm.memory = Json.number(ev, "mem", at);
+        vm.cameBack = Json.flag(ev, "cameBack", at) || Json.flag(ev, "retry", at);
         vm.arrivedAt = clock;
-        vm.deadline = clock.plus(micros(Wire.whole(ev, "patienceLeftUs", at)));
-        long lasts = Wire.whole(ev, "lastsUs", at, 0);
+        vm.deadline = clock.plus(micros(Json.whole(ev, "patienceLeftUs", at)));
+        long lasts = Json.whole(ev, "lastsUs", at, 0);
         vm.lasts = lasts > 0 ? micros(lasts) : null;
         return vm;
     }
 
     private void response(Map<String, Object> ev, String at, Duration clock) {
-        Machine m = feed.known(Wire.whole(ev, "machine", at));
+        Machine m = feed.known(Json.whole(ev, "machine", at));
         if (m != null && report(m, ev, at, clock)) {
             logic.reported(m);
         }
-        Claim c = feed.claim(Wire.text(ev, "req", at), (int) Wire.whole(ev, "seqNo", at));
+        Claim c = feed.claim(Json.text(ev, "req", at), (int) Json.whole(ev, "seqNo", at));
         if (c == null) {
             return;
         }
-        int rc = (int) Wire.whole(ev, "rc", at);
+        int rc = (int) Json.whole(ev, "rc", at);
         Claim.End end = switch (rc) {
             case 200 -> Claim.End.DONE;
             case 502 -> Claim.End.ERROR;
@@ -161,12 +162,12 @@
             case 520 -> Claim.End.RESET;
             case 444 -> Claim.End.CANCELLED;
             case 409 -> Claim.End.MOOT;
-            default -> throw new Wire.Malformed(at + ": field 'rc' is not a known result");
+            default -> throw new Json.Malformed(at + ": field 'rc' is not a known result");
         };
-        int info = (int) Wire.whole(ev, "info", at, 0);
+        int info = (int) Json.whole(ev, "info", at, 0);
         Claim.Why[] whys = Claim.Why.values();
         Claim.Why why = info > 0 && info < whys.length ? whys[info] : Claim.Why.UNTOLD;
-        logic.ended(c, end, why, Wire.flag(ev, "noMore", at));
+        logic.ended(c, end, why, Json.flag(ev, "noMore", at));
         feed.forget(c.vm);
     }
 
@@ -174,9 +175,9 @@
         if (ev.get("healthInfo") == null) {
             return false;
         }
-        Map<String, Object> r = Wire.object(ev.get("healthInfo"), at + ".healthInfo");
-        feed.report(m, Wire.number(r, "x0", at, Double.NaN), Wire.number(r, "x1", at, Double.NaN),
-                Wire.number(r, "utilization", at, Double.NaN), clock);
+        Map<String, Object> r = Json.object(ev.get("healthInfo"), at + ".healthInfo");
+        feed.report(m, Json.number(r, "x0", at, Double.NaN), Json.number(r, "x1", at, Double.NaN),
+                Json.number(r, "utilization", at, Double.NaN), clock);
         return true;
     }
 
--- a/src/main/java/fordridge/feed/Feed.java
+++ b/src/main/java/fordridge/feed/Feed.java
@@ -5,11 +5,13 @@
 import fordridge.state.Claim;
 import fordridge.state.Machine;
 import fordridge.state.Vm;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToLongFunction;
+import java.util.zip.CRC32;
 
 /**
  * What every feeder of the module needs: VMs by name, machines by key, whole or changed lists, reports. It decides
@@ -32,6 +34,13 @@
         this.idOf = idOf;
     }
 
+    /** The same at every placer: placers take turns at cold machines by it. */
+    public static long number(String machine) {
+        CRC32 crc = new CRC32();
+        crc.update(machine.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+
     public Vm vm(String id) {
         return vms.get(id);
     }
--- /dev/null
+++ b/src/main/java/fordridge/jsonl/Front.java
@@ -0,0 +1,226 @@
+package fordridge.jsonl;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Where owners connect. Every connection is bounded: one read of a line's length at a turn, so that none is read at
+ * the others' cost; output that is not taken in; time without anything asked for; and their number.
+ */
+public final class Front {
+    /** Closed well within the three seconds in which whoever says nothing useful must hear something. */
+    private static final Duration SILENT = Duration.ofMillis(2000);
+    private static final Duration SWEEP = Duration.ofMillis(250);
+    /** Once it has said what can't be used, a connection is read no more and closed after this. */
+    private static final Duration FAREWELL = Duration.ofMillis(500);
+    /** Output that the owner doesn't take in: no more is read from it; at four times as much it is closed. */
+    private static final int UNREAD = 4 * Lines.LONGEST;
+
+    /** Whom the front tells, on its loop, in the order of the sockets. */
+    public interface Desk {
+        void asks(Owner owner, String id, Map<String, Object> fields, String description);
+
+        /** Given up, or ended if it stands. */
+        void ends(Owner owner, String id, int cause);
+
+        boolean ready();
+
+        /** All that is in hand on this connection is given up. */
+        void closed(Owner owner);
+
+        /** Whether anything that was asked for on it is in hand or stands. */
+        boolean busy(Owner owner);
+
+        /** A line that could be read came on it. */
+        default void greets(Owner owner) {
+        }
+    }
+
+    /** One connection of an owner. */
+    public final class Owner extends Lines {
+        private Channel channel;
+        private long usedNanos = System.nanoTime();
+        private boolean dismissed;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            owners.add(this);
+            if (owners.size() > most) {
+                makeRoom(this);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (owners.remove(this)) {
+                desk.closed(this);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            flush();
+            ctx.fireChannelReadComplete();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            ctx.channel().config().setAutoRead(ctx.channel().isWritable() && !dismissed);
+            ctx.fireChannelWritabilityChanged();
+        }
+
+        @Override
+        void said(String type, String id, Map<String, Object> fields, int cause, String description) {
+            if (dismissed) {
+                return;
+            }
+            switch (type) {
+                case "new" -> {
+                    used();
+                    desk.asks(this, id, fields, description);
+                }
+                case "down" -> desk.ends(this, id, cause);
+                case "hb" -> write("hb_ok", id, desk.ready() ? 1 : 0, null);
+                case "ack", "tell", "wait", "hb_ok", "shift" -> { }
+                default -> spoilt("line: field 't' is not a known word");
+            }
+        }
+
+        @Override
+        void unreadable(String why) {
+            close();
+        }
+
+        private void used() {
+            usedNanos = System.nanoTime();
+        }
+
+        /** Nothing more is read from it; what it was told may still reach it. */
+        public void dismiss() {
+            if (!dismissed && channel != null) {
+                dismissed = true;
+                channel.config().setAutoRead(false);
+                channel.eventLoop().schedule(this::close, FAREWELL.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        public void close() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        public void write(String type, String id, int cause, String description, String... fields) {
+            if (channel == null || !channel.isActive()) {
+                return;
+            }
+            ByteBuf line = Lines.line(channel.alloc(), type, id, cause, description, fields);
+            used();
+            channel.write(line, channel.voidPromise());
+            wet.add(this);
+            if (channel.unsafe().outboundBuffer() != null
+                    && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 4L * UNREAD) {
+                close();
+            }
+        }
+
+        private void flush() {
+            if (wet.remove(this)) {
+                channel.flush();
+            }
+        }
+    }
+
+    private final EventLoopGroup loop;
+    private final Desk desk;
+    private final int most;
+    private final Set<Owner> owners = new LinkedHashSet<>();
+    private final Set<Owner> wet = new LinkedHashSet<>();
+    private Channel server;
+
+    /** At most so many connections are held. */
+    public Front(EventLoopGroup loop, Desk desk, int most) {
+        this.loop = loop;
+        this.desk = desk;
+        this.most = most;
+    }
+
+    public ChannelFuture listen(InetSocketAddress at) {
+        ServerBootstrap b = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(4096).maxMessagesPerRead(1))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNREAD / 2, UNREAD))
+                .childHandler(new ChannelInitializer<NioSocketChannel>() {
+                    @Override
+                    protected void initChannel(NioSocketChannel ch) {
+                        new Owner().into(ch.pipeline());
+                    }
+                });
+        loop.next().scheduleAtFixedRate(this::sweep, SWEEP.toMillis(), SWEEP.toMillis(), TimeUnit.MILLISECONDS);
+        ChannelFuture f = b.bind(at);
+        server = f.channel();
+        return f;
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    /** What was written in this turn of the loop goes out. */
+    public void flush() {
+        while (!wet.isEmpty()) {
+            wet.iterator().next().flush();
+        }
+    }
+
+    public int connections() {
+        return owners.size();
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        for (Owner o : List.copyOf(owners)) {
+            if (now - o.usedNanos > SILENT.toNanos() && !desk.busy(o)) {
+                o.close();
+            }
+        }
+    }
+
+    /** Over the bound, the one that has been idle longest goes; the newcomer itself if all are in use. */
+    private void makeRoom(Owner newcomer) {
+        Owner goes = newcomer;
+        for (Owner o : new ArrayList<>(owners)) {
+            if (o != newcomer && !desk.busy(o) && (goes == newcomer || o.usedNanos < goes.usedNanos)) {
+                goes = o;
+            }
+        }
+        goes.close();
+    }
+
+    public void close() {
+        if (server != null) {
+            server.close();
+        }
+        List.copyOf(owners).forEach(Owner::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/jsonl/JournalTail.java
@@ -0,0 +1,167 @@
+package fordridge.jsonl;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Follows the journal from the number held, over any number of connections: broken off, silent or told something that
+ * can't be read, it asks again from there; what is told twice is passed over.
+ */
+public final class JournalTail {
+    /** A number comes every second; without it for this long the journal is taken to have stopped. */
+    private static final Duration SILENT = Duration.ofMillis(1700);
+    private static final Duration RETRY = Duration.ofMillis(100);
+    private static final Duration CONNECT = Duration.ofMillis(1000);
+    private static final int LONGEST = 1 << 20;
+
+    /** Whom it tells. */
+    public interface Reader {
+        /** One change to the list of machines; Malformed if it can't be. */
+        void event(Map<String, Object> hosts);
+    }
+
+    private final class Wire extends SimpleChannelInboundHandler<ByteBuf> {
+        private long heardNanos = System.nanoTime();
+        private Channel channel;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            heardNanos = System.nanoTime();
+            ctx.writeAndFlush(ByteBufUtil.writeUtf8(ctx.alloc(), "tail " + pos + "\n"));
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+            if (this != wire) {
+                return;
+            }
+            heardNanos = System.nanoTime();
+            String text = line.toString(StandardCharsets.UTF_8).trim();
+            try {
+                if (text.startsWith("{")) {
+                    event(Json.line(text));
+                } else if (!text.isEmpty() && Long.parseLong(text) > pos) {
+                    throw new Json.Malformed("the journal is at " + text + ", and told only up to " + pos);
+                }
+            } catch (Json.Malformed | NumberFormatException | IOException e) {
+                log.accept("journal: " + e.getMessage());
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            again(this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private final EventLoopGroup loop;
+    private final Reader reader;
+    private final Consumer<String> log;
+    private InetSocketAddress address;
+    private long pos;
+    private Wire wire;
+    private boolean closed;
+
+    /** To be called on the loop, as all else here. */
+    public JournalTail(EventLoopGroup loop, long pos, Reader reader, Consumer<String> log) {
+        this.loop = loop;
+        this.pos = pos;
+        this.reader = reader;
+        this.log = log;
+        loop.next().scheduleAtFixedRate(this::watch, 200, 200, TimeUnit.MILLISECONDS);
+    }
+
+    public long pos() {
+        return pos;
+    }
+
+    /** Follows it there from now on, from the number held. */
+    public void follow(InetSocketAddress at) {
+        address = at;
+        Wire old = wire;
+        wire = null;
+        if (old != null) {
+            old.channel.close();
+        }
+        connect();
+    }
+
+    public void close() {
+        closed = true;
+        if (wire != null) {
+            wire.channel.close();
+        }
+    }
+
+    private void event(Map<String, Object> event) {
+        long at = Json.whole(event, "pos", "event");
+        if (at > pos) {
+            reader.event(Json.object(event.get("hosts"), "event.hosts"));
+            pos = at;
+        }
+    }
+
+    private void connect() {
+        Wire w = new Wire();
+        wire = w;
+        ChannelFuture f = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(8192).maxMessagesPerRead(1))
+                .handler(new ChannelInitializer<NioSocketChannel>() {
+                    @Override
+                    protected void initChannel(NioSocketChannel ch) {
+                        ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST, true, true), w);
+                    }
+                }).connect(address);
+        w.channel = f.channel();
+        f.addListener(x -> {
+            if (!x.isSuccess()) {
+                again(w);
+            }
+        });
+    }
+
+    private void again(Wire of) {
+        if (of == wire && !closed) {
+            wire = null;
+            loop.next().schedule(() -> {
+                if (wire == null && !closed) {
+                    connect();
+                }
+            }, RETRY.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void watch() {
+        Wire w = wire;
+        if (w != null && w.channel.isActive() && System.nanoTime() - w.heardNanos > SILENT.toNanos()) {
+            log.accept("journal: silent; asked again from " + pos);
+            w.channel.close();
+        }
+    }
+}
--- a/src/main/java/fordridge/drill/Wire.java
+++ b/src/main/java/fordridge/jsonl/Json.java
@@ -1,9 +1,11 @@
-package fordridge.drill;
+package fordridge.jsonl;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -11,23 +13,38 @@
 import java.util.Map;
 
 /** Reads one line of JSON into plain values, and takes typed fields out of them with plain complaints. */
-final class Wire {
+public final class Json {
     /** A line that the wire does not allow; the message says what and where. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        Malformed(String what) {
+        public Malformed(String what) {
             super(what, null, false, false);
         }
     }
 
     private static final JsonFactory FACTORY = new JsonFactory();
+    /** For what strangers send: no name twice, nothing learned from their names, no deep nesting. */
+    private static final JsonFactory STRICT = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES).disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).maxNumberLength(64).build())
+            .build();
 
-    private Wire() {
+    private Json() {
     }
 
-    static Map<String, Object> line(String text) throws IOException {
-        try (JsonParser in = FACTORY.createParser(text)) {
+    public static Map<String, Object> line(String text) throws IOException {
+        return line(FACTORY, text);
+    }
+
+    /** As {@link #line}, of a line that a stranger sent. */
+    public static Map<String, Object> strict(String text) throws IOException {
+        return line(STRICT, text);
+    }
+
+    private static Map<String, Object> line(JsonFactory factory, String text) throws IOException {
+        try (JsonParser in = factory.createParser(text)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new Malformed("the line is not a JSON object");
             }
@@ -89,40 +106,40 @@
         return new Malformed(where + ": field '" + name + "' is not " + wanted);
     }
 
-    static long whole(Map<String, Object> from, String name, String where) {
+    public static long whole(Map<String, Object> from, String name, String where) {
         if (needed(from, name, where) instanceof Long v) {
             return v;
         }
         throw wrong(name, where, "a whole number");
     }
 
-    static long whole(Map<String, Object> from, String name, String where, long absent) {
+    public static long whole(Map<String, Object> from, String name, String where, long absent) {
         return from.get(name) == null ? absent : whole(from, name, where);
     }
 
-    static double number(Map<String, Object> from, String name, String where) {
+    public static double number(Map<String, Object> from, String name, String where) {
         if (needed(from, name, where) instanceof Number v) {
             return v.doubleValue();
         }
         throw wrong(name, where, "a number");
     }
 
-    static double number(Map<String, Object> from, String name, String where, double absent) {
+    public static double number(Map<String, Object> from, String name, String where, double absent) {
         return from.get(name) == null ? absent : number(from, name, where);
     }
 
-    static String text(Map<String, Object> from, String name, String where) {
+    public static String text(Map<String, Object> from, String name, String where) {
         if (needed(from, name, where) instanceof String v) {
             return v;
         }
         throw wrong(name, where, "a string");
     }
 
-    static String text(Map<String, Object> from, String name, String where, String absent) {
+    public static String text(Map<String, Object> from, String name, String where, String absent) {
         return from.get(name) == null ? absent : text(from, name, where);
     }
 
-    static boolean flag(Map<String, Object> from, String name, String where) {
+    public static boolean flag(Map<String, Object> from, String name, String where) {
         Object v = from.get(name);
         if (v == null) {
             return false;
@@ -134,7 +151,7 @@
     }
 
     @SuppressWarnings("unchecked")
-    static Map<String, Object> object(Object v, String where) {
+    public static Map<String, Object> object(Object v, String where) {
         if (v instanceof Map) {
             return (Map<String, Object>) v;
         }
@@ -142,7 +159,7 @@
     }
 
     @SuppressWarnings("unchecked")
-    static List<Object> list(Map<String, Object> from, String name, String where) {
+    public static List<Object> list(Map<String, Object> from, String name, String where) {
         if (needed(from, name, where) instanceof List<?> v) {
             return (List<Object>) v;
         }
--- /dev/null
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -0,0 +1,265 @@
+package fordridge.jsonl;
+
+import fordridge.link.Trunk;
+import fordridge.state.Claim;
+import fordridge.state.Claim.End;
+import fordridge.state.Claim.Why;
+import fordridge.state.Vm;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/** The connections to one machine. It hands over what is said on each, and writes what the trunk wants written. */
+public final class MachineLine implements Trunk.Line {
+    /** Whom the connections tell; on the placer's loop, in the order of the sockets. */
+    public interface Heard {
+        /** Any whole line. */
+        void line();
+
+        void connected(Trunk.Strand s);
+
+        void failed(Trunk.Strand s, boolean refused);
+
+        void broke(Trunk.Strand s, String why);
+
+        void stands(Trunk.Strand s, String vm, String description);
+
+        void ended(Trunk.Strand s, String vm, End before, End after, Why why);
+
+        void probed(Trunk.Strand s, boolean ok, boolean told);
+
+        void note(String vm, String what, double amount);
+
+        void report(Map<String, Double> values, boolean answersProbe);
+    }
+
+    /** How many connections there may be, over all machines. */
+    public static final class Share {
+        private final int most;
+        private int open;
+
+        public Share(int most) {
+            this.most = most;
+        }
+
+        public int open() {
+            return open;
+        }
+    }
+
+    private final class Wire extends Lines {
+        final Trunk.Strand strand;
+        Channel channel;
+        boolean up;
+        boolean over;
+
+        Wire(Trunk.Strand strand) {
+            this.strand = strand;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (!over) {
+                up = true;
+                heard.connected(strand);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (up) {
+                ends("closed by the machine");
+            }
+        }
+
+        void ends(String why) {
+            if (!over) {
+                over = true;
+                channel.close();
+                heard.broke(strand, why);
+            }
+        }
+
+        @Override
+        void heard() {
+            if (!over) {
+                heard.line();
+            }
+        }
+
+        @Override
+        void unreadable(String why) {
+            ends(why);
+        }
+
+        @Override
+        void said(String type, String id, Map<String, Object> fields, int cause, String description) {
+            if (over) {
+                return;
+            }
+            boolean answersProbe = type.equals("hb_ok");
+            if (fields.get("load") instanceof String load) {
+                Map<String, Double> values = new HashMap<>();
+                for (String part : load.split(";")) {
+                    int colon = part.indexOf(':');
+                    if (colon > 0) {
+                        values.put(part.substring(0, colon), number(part.substring(colon + 1)));
+                    }
+                }
+                heard.report(values, answersProbe);
+            }
+            switch (type) {
+                case "up" -> {
+                    if (description == null) {
+                        spoilt("an answer without a description");
+                    } else {
+                        heard.stands(strand, id, description);
+                    }
+                }
+                case "down" -> {
+                    write("ack", id, -1, null);
+                    Why why = WHYS.getOrDefault(String.valueOf(fields.get("note")), Why.UNTOLD);
+                    heard.ended(strand, id, before(cause), after(cause), why);
+                }
+                case "tell" -> heard.note(id, String.valueOf(fields.get("note")),
+                        fields.get("value") instanceof Number n ? n.doubleValue() : number(fields.get("value")));
+                case "hb_ok" -> heard.probed(strand, cause == 1, fields.get("load") instanceof String);
+                case "hb" -> write("hb_ok", id, 1, null);
+                case "wait", "ack", "shift" -> { }
+                default -> spoilt("line: field 't' is not a known word");
+            }
+        }
+
+        void write(String type, String id, int cause, String description, String... fields) {
+            if (channel.isActive()) {
+                channel.writeAndFlush(Lines.line(channel.alloc(), type, id, cause, description, fields),
+                        channel.voidPromise());
+            }
+        }
+    }
+
+    private static final Map<String, Why> WHYS = Map.of("nc", Why.NO_CORES, "nm", Why.NO_MEMORY, "nq", Why.LINE_FULL,
+            "nh", Why.NOT_HERE, "ev", Why.EVICTED, "pre", Why.PUSHED_OUT, "dr", Why.SENT_AWAY);
+
+    private final EventLoopGroup loop;
+    private final Share share;
+    private final Duration timeout;
+    private final Heard heard;
+    private final Function<Vm, Carried> carried;
+    private InetSocketAddress address;
+    private long probes;
+
+    public MachineLine(EventLoopGroup loop, Share share, Duration timeout, Function<Vm, Carried> carried, Heard heard) {
+        this.loop = loop;
+        this.share = share;
+        this.timeout = timeout;
+        this.carried = carried;
+        this.heard = heard;
+    }
+
+    /** Where the next connections go. */
+    public void address(InetSocketAddress at) {
+        address = at;
+    }
+
+    /** Each cause as a set-up ends by it. */
+    private static End before(int cause) {
+        return switch (cause) {
+            case 34 -> End.FULL;
+            case 47 -> End.ERROR;
+            case 102 -> End.MOOT;
+            default -> End.RESET;
+        };
+    }
+
+    /** And as what stands ends by it. */
+    private static End after(int cause) {
+        return switch (cause) {
+            case 16 -> End.DONE;
+            case 31 -> End.CANCELLED;
+            default -> End.RESET;
+        };
+    }
+
+    private static double number(Object text) {
+        try {
+            return text == null ? Double.NaN : Double.parseDouble(text.toString());
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    @Override
+    public boolean mayOpen() {
+        return address != null && share.open < share.most;
+    }
+
+    @Override
+    public void open(Trunk.Strand s) {
+        Wire w = new Wire(s);
+        s.wire = w;
+        share.open++;
+        ChannelFuture f = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (2 * timeout.toMillis()))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(4096).maxMessagesPerRead(1))
+                .handler(new ChannelInitializer<NioSocketChannel>() {
+                    @Override
+                    protected void initChannel(NioSocketChannel ch) {
+                        w.into(ch.pipeline());
+                    }
+                }).connect(address);
+        w.channel = f.channel();
+        w.channel.closeFuture().addListener(x -> share.open--);
+        f.addListener(x -> {
+            if (!x.isSuccess() && !w.over) {
+                w.over = true;
+                heard.failed(s, x.cause() instanceof java.net.ConnectException
+                        && !(x.cause() instanceof io.netty.channel.ConnectTimeoutException));
+            }
+        });
+    }
+
+    @Override
+    public void close(Trunk.Strand s) {
+        Wire w = (Wire) s.wire;
+        w.over = true;
+        w.channel.close();
+    }
+
+    @Override
+    public void setUp(Trunk.Strand s, Claim claim, Duration within) {
+        Carried c = carried.apply(claim.vm);
+        ((Wire) s.wire).write("new", claim.vm.id, -1, c.description, "class", claim.vm.flavour, "key", c.key,
+                "left", Long.toString(Math.max(1, within.toMillis())));
+    }
+
+    @Override
+    public void giveUp(Trunk.Strand s, String vm) {
+        ((Wire) s.wire).write("down", vm, 16, null);
+    }
+
+    @Override
+    public void cut(Trunk.Strand s, String vm) {
+        ((Wire) s.wire).write("down", vm, 31, null);
+    }
+
+    @Override
+    public void probe(Trunk.Strand s) {
+        ((Wire) s.wire).write("hb", String.format("%016x", ++probes), 1, null);
+    }
+
+    /** What is passed on of an ask, byte for byte. */
+    public record Carried(String key, String description) { }
+}
--- /dev/null
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -0,0 +1,478 @@
+package fordridge.link;
+
+import fordridge.state.Claim;
+import fordridge.state.Claim.End;
+import fordridge.state.Claim.Why;
+import fordridge.state.Machine;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What one placer may conclude of its claims on one machine where each set-up is bound to the connection that carries
+ * it (a strand), and what stands is bound to none: which never ran, which may have run, which run. Free of I/O,
+ * threads and clocks: the time comes in, and it acts through {@link Line} and {@link Fate}.
+ *
+ * <p>A set-up that no strand has carried yet never ran. One on a strand that breaks, or says what can't be read, may
+ * have run. So a strand carries one set-up at a time while there are strands to be had: what spoils one takes no other
+ * with it. What stands is lost on the machine's own word, on the list's, or when the machine is dead: it refuses
+ * connections twice in a row, or is silent and lets no connection come up for a while.
+ */
+public final class Trunk {
+    /** One connection to the machine. */
+    public static final class Strand {
+        private enum Stage { OPENING, OPEN, SPENT, CLOSED }
+
+        /** What the transport keeps by it. */
+        public Object wire;
+        private Stage stage = Stage.OPENING;
+        private Duration due;
+        private Duration usedAt;
+        private Duration probeSentAt;
+        private final Map<String, SetUp> setUps = new LinkedHashMap<>();
+
+        private boolean idle() {
+            return setUps.isEmpty() && probeSentAt == null;
+        }
+    }
+
+    /** The connections, as far as the trunk may act on them. */
+    public interface Line {
+        /** Whether there is a descriptor left for one more. */
+        boolean mayOpen();
+
+        /** Begins to connect; what comes of it is told later. */
+        void open(Strand strand);
+
+        void close(Strand strand);
+
+        void setUp(Strand strand, Claim claim, Duration within);
+
+        void giveUp(Strand strand, String vm);
+
+        void cut(Strand strand, String vm);
+
+        void probe(Strand strand);
+    }
+
+    /** What the trunk concludes. */
+    public interface Fate {
+        /** The description is what the machine gave for this VM. */
+        void bound(Claim claim, String description);
+
+        void ended(Claim claim, End end, Why why);
+
+        void probed(Machine machine, boolean ok, boolean told, Duration took);
+    }
+
+    /** Spans from what was read at start. */
+    public record Manners(Duration connectTimeout, Duration settle) {
+        /** Silence after which a machine with VMs is asked for a new connection, to learn whether it is there. */
+        Duration doubted() {
+            return settle.dividedBy(2);
+        }
+
+        /** Silence, with no connection coming up, after which what ran there is lost. */
+        public Duration dead() {
+            return settle.multipliedBy(3).dividedBy(2);
+        }
+
+        /** A strand heard from so lately is taken to be good. */
+        Duration proven() {
+            return settle.dividedBy(12);
+        }
+    }
+
+    private static final class SetUp {
+        final Claim claim;
+        final Duration by;
+
+        SetUp(Claim claim, Duration by) {
+            this.claim = claim;
+            this.by = by;
+        }
+    }
+
+    private final Machine machine;
+    private final Manners manners;
+    private final Line line;
+    private final Fate fate;
+    private final Set<Strand> strands = new LinkedHashSet<>();
+    private final Map<String, Claim> standing = new HashMap<>();
+    /** VMs that their owner has ended, until the machine says so. */
+    private final Map<String, Duration> stopping = new HashMap<>();
+    private boolean gone;
+    private Duration heardAt = Duration.ZERO;
+    private Duration triedAt = Duration.ZERO;
+    private int refusals;
+    private int timeouts;
+
+    public Trunk(Machine machine, Manners manners, Line line, Fate fate) {
+        this.machine = machine;
+        this.manners = manners;
+        this.line = line;
+        this.fate = fate;
+    }
+
+    public int strands() {
+        return strands.size();
+    }
+
+    public int standing() {
+        return standing.size();
+    }
+
+    /** Nothing is known of it any more, and nothing is owed to it. */
+    public boolean over() {
+        return gone && strands.isEmpty() && standing.isEmpty();
+    }
+
+    // ---- What the placer wants -------------------------------------------------------------------------
+
+    public void offer(Claim claim, Duration within, Duration now) {
+        if (gone) {
+            fate.ended(claim, End.MOOT, Why.UNTOLD);
+            return;
+        }
+        Strand s = free(now);
+        if (s == null) {
+            // Every descriptor is taken: not sent at all.
+            fate.ended(claim, End.MOOT, Why.UNTOLD);
+            return;
+        }
+        SetUp u = new SetUp(claim, now.plus(within));
+        s.setUps.put(claim.vm.id, u);
+        if (s.stage == Strand.Stage.OPEN) {
+            carry(s, u, now);
+        }
+    }
+
+    /** The placer waits no longer; ends as {@code how} if a strand has carried it, else it never ran. */
+    public void giveUp(Claim claim, End how, Duration now) {
+        for (Strand s : strands) {
+            SetUp u = s.setUps.get(claim.vm.id);
+            if (u != null && u.claim == claim) {
+                s.setUps.remove(claim.vm.id);
+                boolean carried = s.stage != Strand.Stage.OPENING;
+                if (carried) {
+                    line.giveUp(s, claim.vm.id);
+                    // What comes late on it must not be taken for the answer to a later set-up of the same VM.
+                    s.stage = Strand.Stage.SPENT;
+                }
+                closeIfSpent(s);
+                fate.ended(claim, carried ? how : End.UNREACHABLE, Why.UNTOLD);
+                return;
+            }
+        }
+        if (claim.out() && claim.boundAt == null) {
+            fate.ended(claim, End.MOOT, Why.UNTOLD);
+        }
+    }
+
+    /** Its owner, or a move, ends a VM that stands. The machine's word ends the claim, or its silence does. */
+    public void stop(Claim claim, Duration now) {
+        if (standing.get(claim.vm.id) == claim && !stopping.containsKey(claim.vm.id)) {
+            stopping.put(claim.vm.id, now.plus(manners.doubted()));
+            Strand s = any();
+            if (s != null) {
+                line.cut(s, claim.vm.id);
+            }
+        }
+    }
+
+    public void probe(Duration now) {
+        Strand s = gone ? null : free(now);
+        if (s == null) {
+            fate.probed(machine, false, false, Duration.ZERO);
+            return;
+        }
+        s.probeSentAt = now;
+        if (s.stage == Strand.Stage.OPEN) {
+            sendProbe(s, now);
+        }
+    }
+
+    /** A VM that runs there already. */
+    public void adopt(Claim claim, Duration now) {
+        standing.put(claim.vm.id, claim);
+        if (heardAt.equals(Duration.ZERO)) {
+            heardAt = now;
+        }
+    }
+
+    // ---- What the list says ----------------------------------------------------------------------------
+
+    /** Told that it drains or is gone: what no strand has carried yet is taken back. */
+    public void drains(Duration now) {
+        for (Strand s : List.copyOf(strands)) {
+            if (s.stage == Strand.Stage.OPENING) {
+                for (SetUp u : takeAll(s)) {
+                    fate.ended(u.claim, End.MOOT, Why.UNTOLD);
+                }
+            }
+        }
+    }
+
+    public void listed(boolean isGone, Duration now) {
+        if (isGone && !gone) {
+            drains(now);
+            dies(now);
+        }
+        gone = isGone;
+    }
+
+    /** It started anew at that time: what stood before is no more. */
+    public void restarted(Duration at) {
+        for (Claim c : List.copyOf(standing.values())) {
+            if (c.boundAt != null && c.boundAt.compareTo(at) < 0) {
+                lost(c);
+            }
+        }
+    }
+
+    private void lost(Claim c) {
+        standing.remove(c.vm.id);
+        stopping.remove(c.vm.id);
+        fate.ended(c, End.RESET, Why.UNTOLD);
+    }
+
+    /** The process is no more, or can't be reached: nothing that it held is waited for. */
+    private void dies(Duration now) {
+        for (Strand s : List.copyOf(strands)) {
+            boolean carried = s.stage != Strand.Stage.OPENING;
+            for (SetUp u : takeAll(s)) {
+                fate.ended(u.claim, carried ? End.RESET : End.UNREACHABLE, Why.UNTOLD);
+            }
+            shut(s, now);
+        }
+        for (Claim c : List.copyOf(standing.values())) {
+            lost(c);
+        }
+    }
+
+    // ---- What the strands do ---------------------------------------------------------------------------
+
+    public void connected(Strand s, Duration now) {
+        if (s.stage != Strand.Stage.OPENING) {
+            return;
+        }
+        heard(now);
+        s.stage = Strand.Stage.OPEN;
+        s.due = null;
+        s.usedAt = now;
+        for (SetUp u : List.copyOf(s.setUps.values())) {
+            carry(s, u, now);
+        }
+        if (s.probeSentAt != null) {
+            sendProbe(s, now);
+        }
+    }
+
+    /** Anything at all came from the machine. */
+    public void heard(Duration now) {
+        heardAt = now;
+        refusals = 0;
+        timeouts = 0;
+    }
+
+    /** No connection came up: refused, or no word in time. */
+    public void failed(Strand s, boolean refused, Duration now) {
+        if (!strands.remove(s)) {
+            return;
+        }
+        s.stage = Strand.Stage.CLOSED;
+        refusals = refused ? refusals + 1 : 0;
+        timeouts += refused ? 0 : 1;
+        for (SetUp u : takeAll(s)) {
+            fate.ended(u.claim, End.UNREACHABLE, Why.UNTOLD);
+        }
+        probeFails(s, now);
+        if (refusals >= 2 || timeouts >= 2 && now.minus(heardAt).compareTo(manners.dead()) >= 0) {
+            // Nobody listens there any more, or nothing has come up for long: what ran was cut with the process.
+            dies(now);
+        }
+    }
+
+    /** A strand broke, was closed, or said what can't be read: all that it carried may have run. */
+    public void broke(Strand s, Duration now) {
+        if (s.stage == Strand.Stage.OPENING) {
+            failed(s, true, now);
+            return;
+        }
+        if (!strands.remove(s)) {
+            return;
+        }
+        s.stage = Strand.Stage.CLOSED;
+        for (SetUp u : takeAll(s)) {
+            fate.ended(u.claim, End.RESET, Why.UNTOLD);
+        }
+        probeFails(s, now);
+    }
+
+    /** The machine says that a VM stands; passed over unless this strand carries its set-up. */
+    public void stands(Strand s, String vm, String description, Duration now) {
+        SetUp u = s.setUps.remove(vm);
+        if (u == null) {
+            return;
+        }
+        s.usedAt = now;
+        standing.put(vm, u.claim);
+        fate.bound(u.claim, description);
+        closeIfSpent(s);
+    }
+
+    /** The machine ends a set-up on this strand, or what stands (on any); unknown ids are passed over. */
+    public void ended(Strand s, String vm, End before, End after, Why why, Duration now) {
+        SetUp u = s.setUps.remove(vm);
+        if (u != null) {
+            s.usedAt = now;
+            fate.ended(u.claim, before, why);
+            closeIfSpent(s);
+            return;
+        }
+        Claim c = standing.remove(vm);
+        if (c != null) {
+            stopping.remove(vm);
+            fate.ended(c, after, why);
+        }
+    }
+
+    public void probed(Strand s, boolean ok, boolean told, Duration now) {
+        if (s.probeSentAt != null) {
+            Duration took = now.minus(s.probeSentAt);
+            s.probeSentAt = null;
+            s.usedAt = now;
+            fate.probed(machine, ok, told, took);
+            closeIfSpent(s);
+        }
+    }
+
+    /** The claim that stands there under this name, or null. */
+    public Claim claim(String vm) {
+        return standing.get(vm);
+    }
+
+    // ---- What time does --------------------------------------------------------------------------------
+
+    /** To be called every now and then, a few times within the time a connection may take. */
+    public void tick(Duration now) {
+        boolean kept = false;
+        for (Strand s : List.copyOf(strands)) {
+            if (s.stage == Strand.Stage.OPENING && now.compareTo(s.due) >= 0) {
+                line.close(s);
+                failed(s, false, now);
+            } else if (s.stage != Strand.Stage.OPENING && s.probeSentAt != null
+                    && now.minus(s.probeSentAt).compareTo(manners.connectTimeout) >= 0) {
+                probeFails(s, now);
+                s.stage = Strand.Stage.SPENT;
+                closeIfSpent(s);
+            } else if (s.stage == Strand.Stage.OPEN && s.idle()) {
+                // One is kept, for what the machine has to say of what stands; the others go once unused.
+                if (kept && now.minus(s.usedAt).compareTo(manners.doubted()) >= 0) {
+                    shut(s, now);
+                }
+                kept = true;
+            }
+        }
+        for (Map.Entry<String, Duration> e : List.copyOf(stopping.entrySet())) {
+            if (now.compareTo(e.getValue()) >= 0) {
+                stopping.remove(e.getKey());
+                Claim c = standing.remove(e.getKey());
+                if (c != null) {
+                    fate.ended(c, End.CANCELLED, Why.UNTOLD);
+                }
+            }
+        }
+        boolean silent = now.minus(heardAt).compareTo(manners.doubted()) >= 0;
+        if (!gone && !standing.isEmpty() && (strands.isEmpty() || silent && !opening())
+                && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0 && line.mayOpen()) {
+            open(now);
+        }
+    }
+
+    private boolean opening() {
+        return strands.stream().anyMatch(s -> s.stage == Strand.Stage.OPENING);
+    }
+
+    // ---- Within ----------------------------------------------------------------------------------------
+
+    /** A strand that carries nothing and was good a moment ago; else a new one; else the one that carries least. */
+    private Strand free(Duration now) {
+        Strand least = null;
+        for (Strand s : strands) {
+            if (s.stage == Strand.Stage.OPEN) {
+                if (s.idle() && now.minus(s.usedAt).compareTo(manners.proven()) < 0) {
+                    return s;
+                }
+                if (least == null || s.setUps.size() < least.setUps.size()) {
+                    least = s;
+                }
+            }
+        }
+        return line.mayOpen() ? open(now) : least;
+    }
+
+    private Strand any() {
+        Strand some = null;
+        for (Strand s : strands) {
+            if (s.stage == Strand.Stage.OPEN || s.stage == Strand.Stage.SPENT) {
+                some = s;
+            }
+        }
+        return some;
+    }
+
+    private Strand open(Duration now) {
+        Strand s = new Strand();
+        s.due = now.plus(manners.connectTimeout);
+        s.usedAt = now;
+        triedAt = now;
+        strands.add(s);
+        line.open(s);
+        return s;
+    }
+
+    private void carry(Strand s, SetUp u, Duration now) {
+        Duration left = u.by.minus(now);
+        s.usedAt = now;
+        line.setUp(s, u.claim, left);
+    }
+
+    private void sendProbe(Strand s, Duration now) {
+        line.probe(s);
+    }
+
+    private void probeFails(Strand s, Duration now) {
+        if (s.probeSentAt != null) {
+            Duration took = now.minus(s.probeSentAt);
+            s.probeSentAt = null;
+            fate.probed(machine, false, false, took);
+        }
+    }
+
+    private static List<SetUp> takeAll(Strand s) {
+        List<SetUp> all = new ArrayList<>(s.setUps.values());
+        s.setUps.clear();
+        return all;
+    }
+
+    private void closeIfSpent(Strand s) {
+        if (s.stage == Strand.Stage.SPENT && s.setUps.isEmpty() && strands.remove(s)) {
+            s.stage = Strand.Stage.CLOSED;
+            line.close(s);
+        }
+    }
+
+    private void shut(Strand s, Duration now) {
+        if (strands.remove(s)) {
+            s.stage = Strand.Stage.CLOSED;
+            probeFails(s, now);
+            line.close(s);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -0,0 +1,155 @@
+package fordridge.node;
+
+import fordridge.jsonl.Front;
+import fordridge.jsonl.JournalTail;
+import fordridge.jsonl.Json;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
+
+/** The placer as the platform starts it: configuration, front, journal, signals, on one event loop. */
+public final class NodeProgram implements AutoCloseable {
+    /** After SIGTERM the platform still sends for this long; till then all goes on as before. */
+    private static final Duration LASTS = Duration.ofMillis(750);
+
+    private final PrintStream err;
+    private final Path file;
+    private final EventLoopGroup loop;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private Posting posting;
+    private Station station;
+    private Front front;
+    private JournalTail journal;
+    private boolean stopping;
+
+    public NodeProgram(Path file, PrintStream err) throws IOException {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        this.err = err;
+        this.file = file;
+        posting = Posting.read(file);
+        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    /** Runs the placer of the configuration that the environment names, until it is told to stop. */
+    public static int run(PrintStream err) throws InterruptedException {
+        // Before anything else: a JVM dies of a SIGHUP that nobody has asked for.
+        NodeProgram[] program = new NodeProgram[1];
+        Signal.handle(new Signal("HUP"), s -> {
+            if (program[0] != null) {
+                program[0].reload();
+            }
+        });
+        String config = System.getenv("LB_CONFIG");
+        if (config == null) {
+            err.println("fordridge serve: LB_CONFIG does not name the configuration");
+            return 1;
+        }
+        try {
+            program[0] = new NodeProgram(Path.of(config), err);
+            Signal.handle(new Signal("TERM"), s -> program[0].stop());
+            program[0].start();
+        } catch (IOException | RuntimeException e) {
+            err.println("fordridge serve: " + config + ": " + e.getMessage());
+            if (program[0] != null) {
+                program[0].close();
+            }
+            return 1;
+        }
+        program[0].ended.await();
+        return 0;
+    }
+
+    private void log(String line) {
+        err.println(System.currentTimeMillis() + " " + posting.name + " " + line);
+    }
+
+    public void start() throws IOException, InterruptedException {
+        // Each kind of connection has its share of the descriptors; a quarter is left to the JVM's own files.
+        station = new Station(loop, posting, posting.sockets / 4, this::log);
+        front = new Front(loop, station, posting.sockets * 3 / 8);
+        Throwable[] failed = new Throwable[1];
+        loop.submit(() -> {
+            try {
+                station.begin(posting, front);
+                journal = new JournalTail(loop, posting.pos, station::event, this::log);
+                journal.follow(posting.journal);
+            } catch (RuntimeException e) {
+                failed[0] = e;
+            }
+        }).await();
+        if (failed[0] != null) {
+            throw new IOException(failed[0].getMessage(), failed[0]);
+        }
+        var bound = front.listen(posting.listen).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + posting.listen + ": " + bound.cause().getMessage());
+        }
+        log("serving at " + front.address());
+        loop.next().scheduleAtFixedRate(() -> log(station.state() + ", journal at " + journal.pos()), 5, 5,
+                TimeUnit.SECONDS);
+    }
+
+    public int port() {
+        return front.address().getPort();
+    }
+
+    /** Reads the configuration anew; a bad one changes nothing. */
+    public void reload() {
+        loop.execute(() -> {
+            try {
+                Posting next = Posting.read(file);
+                if (!next.terms.equals(posting.terms)) {
+                    station.terms(next.terms);
+                }
+                posting = next;
+                journal.follow(next.journal);
+                log("configuration read anew; journal " + next.journal);
+            } catch (IOException | Json.Malformed e) {
+                log("configuration not read anew, the old one stays: " + e.getMessage());
+            }
+        });
+    }
+
+    /** Goes on until the platform sends no more, then answers what is in hand and ends. */
+    public void stop() {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            log("stopping; " + station.state());
+            loop.next().schedule(() -> {
+                station.stops();
+                loop.next().scheduleAtFixedRate(() -> {
+                    if (station.inHand() == 0) {
+                        ended.countDown();
+                    }
+                }, 50, 20, TimeUnit.MILLISECONDS);
+            }, LASTS.toMillis(), TimeUnit.MILLISECONDS);
+        });
+    }
+
+    public boolean awaitEnd(Duration most) throws InterruptedException {
+        return ended.await(most.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (journal != null) {
+            loop.execute(journal::close);
+        }
+        if (front != null) {
+            loop.execute(front::close);
+        }
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/placer/Instance.java
@@ -7,6 +7,7 @@
 import fordridge.constraint.Together;
 import fordridge.door.Door;
 import fordridge.feed.Feed;
+import fordridge.feed.Inputs;
 import fordridge.group.Group;
 import fordridge.link.Link;
 import fordridge.link.RollCall;
@@ -35,12 +36,9 @@
 import fordridge.v1.Offer;
 import fordridge.v1.Want;
 import io.netty.channel.EventLoop;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,7 +53,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -170,11 +167,11 @@
     private final Map<Machine, Reach> reaches = new HashMap<>();
     /** Whose each VM is. */
     private final Map<Vm, String> owners = new HashMap<>();
-    private final Deque<Runnable> inputs = new ArrayDeque<>();
-    private final long startedNanos = System.nanoTime();
+    private final Inputs inputs = new Inputs(System::nanoTime, this::turn, e ->
+            // This one is lost to the module, those behind it are not; its VM is answered by its time-out.
+            LOG.atError().addKeyValue("placer", this.name()).setCause(e).log("an input failed"));
     private final Instant startedAt = Instant.now();
     private Duration now = Duration.ZERO;
-    private boolean inside;
     /** Machines that were asked once what they hold of this placer. */
     private final Map<String, Book.Spot> spots = new LinkedHashMap<>();
     private final Set<String> draining = new LinkedHashSet<>();
@@ -197,7 +194,7 @@
         this.meters = meters;
         manners = new Link.Manners(d.connectTimeout, d.idle, d.retryLeast, d.retryMost, d.unsure, d.connectTimeout,
                 d.line, d.yes.equals("accepted"));
-        feed = new Feed<>(this, Instance::number);
+        feed = new Feed<>(this, Feed::number);
         try {
             book = new Book(List.of(), d.allPlacers());
         } catch (Book.Unkeepable e) {
@@ -208,7 +205,7 @@
         loop.execute(() -> enter(() -> {
             feed.logic.start(seed, ModuleTerms.of(d, position));
             if (watched != null) {
-                watch = new Watch(d, watched, position, seed, Instance::number, meters, this::at,
+                watch = new Watch(d, watched, position, seed, Feed::number, meters, this::at,
                         m -> reaches.get(m).name, feed::machine, this);
             }
         }));
@@ -216,34 +213,19 @@
         feelLateness();
     }
 
-    /** The same at every placer: placers take turns at cold machines by it. */
-    private static long number(String machine) {
-        CRC32 crc = new CRC32();
-        crc.update(machine.getBytes(StandardCharsets.UTF_8));
-        return crc.getValue();
-    }
-
     // ---- The order of inputs ---------------------------------------------------------------------------
 
+    private void turn(Duration at) {
+        now = at;
+        feed.logic.at(now);
+        seen(w -> w.at(now));
+    }
+
     private void enter(Runnable input) {
-        inputs.addLast(input);
-        if (inside) {
-            return;
-        }
-        inside = true;
         long from = System.nanoTime();
-        for (Runnable next = inputs.pollFirst(); next != null; next = inputs.pollFirst()) {
-            now = clock();
-            try {
-                feed.logic.at(now);
-                seen(w -> w.at(now));
-                next.run();
-            } catch (RuntimeException e) {
-                // This one is lost to the module, those behind it are not; its VM is answered by its time-out.
-                LOG.atError().addKeyValue("placer", name).setCause(e).log("an input failed");
-            }
+        if (!inputs.enter(input)) {
+            return;
         }
-        inside = false;
         meters.decided(System.nanoTime() - from);
         while (!talkative.isEmpty()) {
             Session s = talkative.iterator().next();
@@ -290,7 +272,7 @@
     }
 
     private Duration clock() {
-        return Duration.ofNanos(System.nanoTime() - startedNanos);
+        return inputs.clock();
     }
 
     private void at(Duration in, Runnable input) {
@@ -489,7 +471,7 @@
 
     @Override
     public void cleared(Claim c) {
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             if (!c.out()) {
                 book.gone(c);
                 feed.logic.reported(c.machine);
@@ -675,7 +657,7 @@
 
         @Override
         public void forget(Vm vm) {
-            inputs.addLast(() -> {
+            inputs.behind(() -> {
                 groups.drop(vm);
                 Instance.this.forget(vm);
                 if (feed.vm(vm.id) == null) {
@@ -788,7 +770,7 @@
     public void claim(Claim c, Duration within) {
         meters.offered();
         placeTaken(c);
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             if (!c.out()) {
                 return;
             }
@@ -820,28 +802,28 @@
 
     @Override
     public void deny(Vm vm, Duration retryAfter) {
-        inputs.addLast(() -> seen(w -> w.answered(vm, "denied", retryAfter)));
+        inputs.behind(() -> seen(w -> w.answered(vm, "denied", retryAfter)));
         if (groups.of(vm) != null) {
-            inputs.addLast(() -> group(vm, g -> g.denied(vm.id, "no room found in time")));
+            inputs.behind(() -> group(vm, g -> g.denied(vm.id, "no room found in time")));
             return;
         }
         String client = owners.get(vm);
         say(vm, Answer.Kind.DENIED, Answer.denied(owned(vm, client), retryAfter, "no room found in time"));
         meters.answered("denied");
-        inputs.addLast(() -> forget(vm));
+        inputs.behind(() -> forget(vm));
     }
 
     @Override
     public void error(Vm vm) {
-        inputs.addLast(() -> seen(w -> w.answered(vm, "errored", Duration.ZERO)));
+        inputs.behind(() -> seen(w -> w.answered(vm, "errored", Duration.ZERO)));
         if (groups.of(vm) != null) {
-            inputs.addLast(() -> group(vm, g -> g.errored(vm.id, "it may have run; its outcome is not known")));
+            inputs.behind(() -> group(vm, g -> g.errored(vm.id, "it may have run; its outcome is not known")));
             return;
         }
         String client = owners.get(vm);
         say(vm, Answer.Kind.ERRORED, Answer.errored(owned(vm, client), "it may have run; its outcome is not known"));
         meters.answered("errored");
-        inputs.addLast(() -> forget(vm));
+        inputs.behind(() -> forget(vm));
     }
 
     private void group(Vm vm, Consumer<Group> does) {
@@ -859,7 +841,7 @@
 
     @Override
     public void cancel(Claim c) {
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             if (c.out() && c.boundAt == null) {
                 giveUp(c, End.CANCELLED);
             }
@@ -868,7 +850,7 @@
 
     @Override
     public void probe(Machine m) {
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             Reach r = reaches.get(m);
             r.link.probe(now);
             watch(r);
@@ -909,7 +891,7 @@
     @Override
     public void follow(boolean on) {
         // Its source pushes the list; asked for, it says that nothing changed since, or that it cannot tell.
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             if (listOld) {
                 feed.logic.listFailed();
             } else {
@@ -927,7 +909,7 @@
 
     @Override
     public void bound(Claim c, boolean running) {
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             if (!c.out() || c.vm.over) {
                 return;
             }
@@ -956,7 +938,7 @@
 
     @Override
     public void ended(Claim c, End end, Why why) {
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             if (!c.out()) {
                 return;
             }
@@ -1023,7 +1005,7 @@
 
     @Override
     public void probed(Machine machine, boolean ok, Duration took) {
-        inputs.addLast(() -> {
+        inputs.behind(() -> {
             feed.logic.probed(machine, ok, ok, took);
             seen(w -> w.probed(reaches.get(machine).name, ok, took));
         });
