--- a/src/main/java/fordridge/jsonl/Front.java
+++ b/src/main/java/fordridge/jsonl/Front.java
@@ -133,7 +133,7 @@
             if (channel == null || !channel.isActive()) {
                 return;
             }
-            ByteBuf line = Lines.line(channel.alloc(), type, id, cause, description, fields);
+            ByteBuf line = Lines.line(channel, type, id, cause, description, fields);
             used();
             channel.write(line, channel.voidPromise());
             wet.add(this);
--- a/src/main/java/fordridge/jsonl/Lines.java
+++ b/src/main/java/fordridge/jsonl/Lines.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufOutputStream;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -29,6 +29,9 @@
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Map<String, Object> NONE = Map.of();
 
+    /** For those on call: -Dfordridge.trace=true writes every line to standard error, both ways. */
+    private static final boolean TRACED = Boolean.getBoolean("fordridge.trace");
+
     private boolean deaf;
 
     void into(ChannelPipeline pipeline) {
@@ -52,6 +55,9 @@
         }
         heard();
         try {
+            if (TRACED) {
+                trace(ctx.channel(), "<", line);
+            }
             read(line);
         } catch (Json.Malformed | IOException e) {
             spoilt(e.getMessage());
@@ -91,8 +97,16 @@
         }
     }
 
+    static void trace(Channel channel, String way, ByteBuf line) {
+        System.err.println(System.currentTimeMillis() + " " + channel.id().asShortText() + " "
+                + channel.remoteAddress() + " " + way + " " + line.toString(StandardCharsets.UTF_8).trim());
+    }
+
     final void spoilt(String why) {
         if (!deaf) {
+            if (TRACED) {
+                System.err.println(System.currentTimeMillis() + " spoilt: " + why);
+            }
             deaf = true;
             unreadable(why);
         }
@@ -105,9 +119,9 @@
     }
 
     /** Writes one line; fields are pairs of name and value, null values left out. */
-    static ByteBuf line(ByteBufAllocator alloc, String type, String id, int cause, String description,
+    static ByteBuf line(Channel to, String type, String id, int cause, String description,
             String... fields) {
-        ByteBuf out = alloc.buffer(256);
+        ByteBuf out = to.alloc().buffer(256);
         try (JsonGenerator gen = FACTORY.createGenerator((OutputStream) new ByteBufOutputStream(out))) {
             gen.writeStartObject();
             gen.writeStringField("t", type);
@@ -130,6 +144,10 @@
             out.release();
             throw new UncheckedIOException(e);
         }
-        return out.writeByte('\n');
+        out.writeByte('\n');
+        if (TRACED) {
+            trace(to, ">", out);
+        }
+        return out;
     }
 }
--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -143,7 +143,7 @@
 
         void write(String type, String id, int cause, String description, String... fields) {
             if (channel.isActive()) {
-                channel.writeAndFlush(Lines.line(channel.alloc(), type, id, cause, description, fields),
+                channel.writeAndFlush(Lines.line(channel, type, id, cause, description, fields),
                         channel.voidPromise());
             }
         }
