Connections to machines closed from here are read to their end; asks that come again told

Trace with openings and closings: the end of VM fell at the very millisecond at which MachineLine.close closed the idle connection of its set-up; the machine's release was in flight and lost with it, and it is not sent again on the next connection. Ruled out: owners' lines (none closed), the list, restarts of machines. Change: only our side is closed and the rest read until the machine closes its own.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -11,4 +11,4 @@
   -Xshare:auto -XX:SharedArchiveFile=target/fordridge.jsa -Xlog:disable -Xlog:all=error:stderr \
   -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true -Dio.netty.noUnsafe=false \
   -Dio.netty.recycler.maxCapacityPerThread=0 -Dio.netty.leakDetection.level=disabled \
-  $FORDRIDGE_JAVA -jar target/fordridge.jar serve
+  -jar target/fordridge.jar serve
--- a/src/main/java/fordridge/jsonl/Lines.java
+++ b/src/main/java/fordridge/jsonl/Lines.java
@@ -102,6 +102,13 @@
                 + channel.remoteAddress() + " " + way + " " + line.toString(StandardCharsets.UTF_8).trim());
     }
 
+    static void trace(Channel channel, String what) {
+        if (TRACED) {
+            System.err.println(System.currentTimeMillis() + " " + channel.id().asShortText() + " "
+                    + channel.remoteAddress() + " " + what);
+        }
+    }
+
     final void spoilt(String why) {
         if (!deaf) {
             if (TRACED) {
--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -13,11 +13,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** The connections to one machine. It hands over what is said on each, and writes what the trunk wants written. */
@@ -62,7 +64,10 @@
         final Trunk.Strand strand;
         Channel channel;
         boolean up;
+        /** Nothing more is to be concluded of it as a connection. */
         boolean over;
+        /** Closed from here, and read to its end. */
+        boolean leaving;
 
         Wire(Trunk.Strand strand) {
             this.strand = strand;
@@ -70,6 +75,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            trace(ctx.channel(), "up");
             if (!over) {
                 up = true;
                 heard.connected(strand);
@@ -78,6 +84,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            trace(ctx.channel(), "inactive, closed by " + (over ? "us" : "the machine"));
             if (up) {
                 ends("closed by the machine");
             }
@@ -93,7 +100,7 @@
 
         @Override
         void heard() {
-            if (!over) {
+            if (!over || leaving) {
                 heard.line();
             }
         }
@@ -105,7 +112,7 @@
 
         @Override
         void said(String type, String id, Map<String, Object> fields, int cause, String description) {
-            if (over) {
+            if (over && !leaving) {
                 return;
             }
             boolean answersProbe = type.equals("hb_ok");
@@ -142,7 +149,7 @@
         }
 
         void write(String type, String id, int cause, String description, String... fields) {
-            if (channel.isActive()) {
+            if (channel.isActive() && !leaving) {
                 channel.writeAndFlush(Lines.line(channel, type, id, cause, description, fields),
                         channel.voidPromise());
             }
@@ -152,6 +159,8 @@
     private static final Map<String, Why> WHYS = Map.of("nc", Why.NO_CORES, "nm", Why.NO_MEMORY, "nq", Why.LINE_FULL,
             "nh", Why.NOT_HERE, "ev", Why.EVICTED, "pre", Why.PUSHED_OUT, "dr", Why.SENT_AWAY);
 
+    private static final Duration LINGERS = Duration.ofMillis(1000);
+
     private final EventLoopGroup loop;
     private final Share share;
     private final Duration timeout;
@@ -183,11 +192,12 @@
         };
     }
 
-    /** And as what stands ends by it. */
+    /** And as what stands ends by it; null for a late word on a set-up that was given up. */
     private static End after(int cause) {
         return switch (cause) {
             case 16 -> End.DONE;
             case 31 -> End.CANCELLED;
+            case 34, 47, 102 -> null;
             default -> End.RESET;
         };
     }
@@ -235,7 +245,16 @@
     public void close(Trunk.Strand s) {
         Wire w = (Wire) s.wire;
         w.over = true;
-        w.channel.close();
+        if (w.channel.isActive()) {
+            // What the machine writes in this moment would be lost with the connection, and a VM's end is told once:
+            // so only our side is closed, and the rest is read until the machine closes its own.
+            w.leaving = true;
+            Lines.trace(w.channel, "closing");
+            ((SocketChannel) w.channel).shutdownOutput();
+            w.channel.eventLoop().schedule(() -> w.channel.close(), LINGERS.toMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            w.channel.close();
+        }
     }
 
     @Override
--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -335,7 +335,7 @@
             closeIfSpent(s);
             return;
         }
-        Claim c = standing.remove(vm);
+        Claim c = after == null ? null : standing.remove(vm);
         if (c != null) {
             stopping.remove(vm);
             fate.ended(c, after, why);
--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -93,7 +93,7 @@
         if (!bound.isSuccess()) {
             throw new IOException("can't listen at " + posting.listen + ": " + bound.cause().getMessage());
         }
-        log("serving at " + front.address());
+        log("serving at " + front.address() + ", " + posting.limits);
         loop.next().scheduleAtFixedRate(() -> log(station.state() + ", journal at " + journal.pos()), 5, 5,
                 TimeUnit.SECONDS);
     }
--- a/src/main/java/fordridge/node/Posting.java
+++ b/src/main/java/fordridge/node/Posting.java
@@ -17,6 +17,8 @@
     public final InetSocketAddress journal;
     public final long seed;
     public final int sockets;
+    /** As told, for the log. */
+    public final Map<String, Object> limits;
     /** The number of the last event known at the start, and the events. */
     public final long pos;
     public final List<Object> known;
@@ -32,7 +34,7 @@
         } catch (NumberFormatException e) {
             throw new Json.Malformed("configuration: field 'seed' is not a number in hex: " + hex);
         }
-        Map<String, Object> limits = Json.object(from.get("limits"), "configuration.limits");
+        limits = Json.object(from.get("limits"), "configuration.limits");
         sockets = (int) Json.whole(limits, "sockets", "configuration.limits");
         if (sockets < 64) {
             throw new Json.Malformed("configuration.limits: too few sockets to serve with: " + sockets);
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -399,7 +399,7 @@
             }
             String service = field(extras, "service");
             vm.service = service == null ? 0 : Long.parseUnsignedLong(service, 16);
-            vm.cameBack = fields.get("retry") != null && !"0".equals(String.valueOf(fields.get("retry")));
+            vm.cameBack = "1".equals(String.valueOf(fields.get("retry"))) || "1".equals(field(extras, "again"));
             double left = Double.parseDouble(String.valueOf(fields.get("left")));
             if (!(left > 0 && left <= 3.6e6) && field(extras, "at") == null) {
                 return "time left out of range";
