--- a/src/main/java/fordridge/Main.java
+++ b/src/main/java/fordridge/Main.java
@@ -3,6 +3,7 @@
 import fordridge.cli.Cli;
 import fordridge.drill.Drill;
 import fordridge.node.NodeProgram;
+import fordridge.node.Rehearsal;
 
 /** Entry point. Drill and serve are started often, or in little memory, so they do without the command line's library. */
 public final class Main {
@@ -17,6 +18,9 @@
             // Ends at once: what is written has gone out, and the platform waits for nothing else.
             Runtime.getRuntime().halt(NodeProgram.run(System.err));
         }
+        if (args.length == 2 && args[0].equals("serve") && args[1].equals("--rehearse")) {
+            System.exit(Rehearsal.run(System.err));
+        }
         System.exit(Cli.run(args));
     }
 }
