--- /dev/null
+++ b/src/test/java/fordridge/session/OwedTest.java
@@ -0,0 +1,117 @@
+package fordridge.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class OwedTest {
+    private static final Duration T = Duration.ofSeconds(10);
+    private final Owed<String> owed = new Owed<>(3, Duration.ofSeconds(8));
+
+    @Example
+    void anAskGetsOneAnswerAndWhatStandsOneRelease() {
+        assertThat(owed.ask("a", "line")).isEqualTo(Owed.Taken.NEW);
+        assertThat(owed.ask("a", "other")).isEqualTo(Owed.Taken.TWICE);
+        assertThat(owed.release("a", 16, T)).isNull();
+        assertThat(owed.answer("a", true)).isEqualTo("line");
+        assertThat(owed.answer("a", false)).isNull();
+        assertThat(owed.release("a", 16, T)).isEqualTo("line");
+        assertThat(owed.release("a", 16, T)).isNull();
+        assertThat(owed.standing()).isZero();
+    }
+
+    @Example
+    void asksBeyondTheBoundAreNotTaken() {
+        for (String vm : List.of("a", "b", "c")) {
+            assertThat(owed.ask(vm, "line")).isEqualTo(Owed.Taken.NEW);
+        }
+        assertThat(owed.ask("d", "line")).isEqualTo(Owed.Taken.OVER);
+        owed.answer("a", false);
+        assertThat(owed.ask("d", "line")).isEqualTo(Owed.Taken.NEW);
+    }
+
+    @Example
+    void aLineThatClosesGivesUpItsAsksAndWhatStandsIsToldOnAnother() {
+        owed.ask("waits", "line");
+        owed.ask("stands", "line");
+        owed.answer("stands", true);
+        owed.ask("other", "second");
+        assertThat(owed.closed("line")).containsExactly("waits");
+        assertThat(owed.answer("waits", true)).isNull();
+        assertThat(owed.release("stands", 16, T)).isEqualTo("second");
+    }
+
+    @Example
+    void aReleaseWithoutAnyLineWaitsForOneAWhile() {
+        owed.stands("one", "line");
+        owed.stands("two", "line");
+        owed.closed("line");
+        assertThat(owed.release("one", 41, T)).isNull();
+        assertThat(owed.release("two", 16, T.plusSeconds(5))).isNull();
+        assertThat(owed.unpark(T.plusSeconds(9))).extracting(Owed.Parked::vm).containsExactly("two");
+        assertThat(owed.unpark(T.plusSeconds(9))).isEmpty();
+    }
+
+    @Example
+    void whatItsOwnerEndedIsOwedNothing() {
+        owed.ask("a", "line");
+        owed.answer("a", true);
+        assertThat(owed.ends("a")).isTrue();
+        assertThat(owed.ends("a")).isFalse();
+        assertThat(owed.release("a", 31, T)).isNull();
+        assertThat(owed.unpark(T)).isEmpty();
+    }
+
+    /** Random lives: one answer each while the line is there, counts that fit, and nothing remembered at the end. */
+    @Property(tries = 200)
+    void nothingIsSaidTwiceOrKept(@ForAll long seed) {
+        Random r = new Random(seed);
+        Owed<Integer> o = new Owed<>(20, Duration.ofSeconds(8));
+        Map<String, Integer> asked = new HashMap<>();
+        Set<String> answered = new HashSet<>();
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            int line = r.nextInt(5);
+            String vm = names.isEmpty() || r.nextInt(3) == 0 ? "vm" + i : names.get(r.nextInt(names.size()));
+            switch (r.nextInt(5)) {
+                case 0 -> {
+                    if (o.ask(vm, line) == Owed.Taken.NEW) {
+                        names.add(vm);
+                        asked.put(vm, line);
+                        answered.remove(vm);
+                    }
+                }
+                case 1 -> {
+                    Integer to = o.answer(vm, r.nextBoolean());
+                    if (to != null) {
+                        assertThat(to).isEqualTo(asked.get(vm));
+                        assertThat(answered.add(vm)).isTrue();
+                    }
+                }
+                case 2 -> o.release(vm, 16, T);
+                case 3 -> o.ends(vm);
+                default -> o.closed(line).forEach(gone -> assertThat(answered).doesNotContain(gone));
+            }
+            assertThat(o.inHand()).isBetween(0, 20);
+        }
+        for (String vm : names) {
+            o.ends(vm);
+        }
+        o.tidy(T.plusSeconds(9));
+        assertThat(o.inHand() + o.standing()).isZero();
+        assertThat(o.unpark(T)).isEmpty();
+        for (int line = 0; line < 5; line++) {
+            assertThat(o.on(line)).isZero();
+        }
+    }
+}
