After SIGTERM the placer goes on for as long as the platform lets it

Change: all goes on till 0.9 s before the earliest SIGKILL. Warming runs 260 asks instead of 400 (C1 compiles after 200), as it is part of every restart.

--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -18,8 +18,11 @@
 
 /** The placer as the platform starts it: configuration, front, journal, signals, on one event loop. */
 public final class NodeProgram implements AutoCloseable {
-    /** After SIGTERM the platform still sends for this long; till then all goes on as before. */
-    private static final Duration LASTS = Duration.ofMillis(750);
+    /** SIGKILL comes no sooner than this after SIGTERM, and than the longest build timeout if that is shorter, plus a rest. */
+    private static final Duration KILLED = Duration.ofSeconds(3);
+    private static final Duration REST = Duration.ofMillis(700);
+    /** The last of it is kept for the answers to what is still held then. */
+    private static final Duration LAST = Duration.ofMillis(900);
 
     /** Before it listens, what all asks go through is run for this long at the most. */
     private static final Duration WARMS = Duration.ofMillis(1500);
@@ -125,7 +128,10 @@
         });
     }
 
-    /** Goes on until the platform sends no more, then answers what is in hand and ends. */
+    /**
+     * Goes on for as long as the platform lets it: what is held may still find room, and what stands may end. Then
+     * nothing more is placed, what is in hand is answered, and the process ends.
+     */
     public void stop() {
         loop.execute(() -> {
             if (stopping) {
@@ -133,6 +139,8 @@
             }
             stopping = true;
             log("stopping; " + station.state());
+            Duration patience = station.longestPatience();
+            Duration lasts = (patience.compareTo(KILLED) < 0 ? patience : KILLED).plus(REST).minus(LAST);
             loop.next().schedule(() -> {
                 station.stops();
                 loop.next().scheduleAtFixedRate(() -> {
@@ -140,7 +148,7 @@
                         ended.countDown();
                     }
                 }, 50, 20, TimeUnit.MILLISECONDS);
-            }, LASTS.toMillis(), TimeUnit.MILLISECONDS);
+            }, lasts.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
 
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -619,6 +619,10 @@
         return owed.inHand();
     }
 
+    Duration longestPatience() {
+        return patience.values().stream().max(Duration::compareTo).orElse(Duration.ZERO);
+    }
+
     String state() {
         return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", machines " + reaches.size()
                 + ", strands " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
--- a/src/main/java/fordridge/node/Warming.java
+++ b/src/main/java/fordridge/node/Warming.java
@@ -24,7 +24,7 @@
  * JVM that has compiled nothing yet reads its first asks most of a second late, and by then hundreds have come.
  */
 final class Warming implements Door, Front.Desk {
-    private static final int VMS = 400;
+    private static final int VMS = 260;
     private static final int MACHINES = 12;
 
     private final Deque<Runnable> follows = new ArrayDeque<>();
--- a/src/test/java/fordridge/node/NodeTest.java
+++ b/src/test/java/fordridge/node/NodeTest.java
@@ -212,7 +212,7 @@
             Peers.Wire m = p.machine.carrying("\"new\"", line);
             p.owner().say(ask(2, "a"));
             p.machine.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d2\""));
-            assertThat(p.program.awaitEnd(Duration.ofMillis(900))).as("one is in hand").isFalse();
+            assertThat(p.program.awaitEnd(Duration.ofMillis(900))).as("the platform lets it go on").isFalse();
             m.say(word("up", 1, ",\"d\":\"d\""));
             assertThat(owner.next("\"up\"")).contains(ref(1));
             assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
