--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Starts the placer within the limits that its configuration tells: heap, direct memory and stacks are held to the
-# told memory, and classes come from the archive that the build made. See docs/service.md.
+# told memory, and classes come from the archive that the build made. See docs/platform.md.
 mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9]*\).*/\1/p' "$LB_CONFIG" | head -n 1)
 heap=$(( ${mb:-64} / 4 ))
 [ "$heap" -ge 10 ] || heap=10
--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -119,6 +119,11 @@
         return loop.submit(front::connections).get();
     }
 
+    /** Asks, VMs and descriptions held now. */
+    public int kept() throws InterruptedException, ExecutionException {
+        return loop.submit(station::kept).get();
+    }
+
     public int port() {
         return front.address().getPort();
     }
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -115,6 +115,7 @@
         @Override
         public void report(Map<String, Double> values, boolean answersProbe) {
             enter(() -> {
+                reports++;
                 feed.report(machine, values.getOrDefault("x0", Double.NaN), values.getOrDefault("x1", Double.NaN),
                         values.getOrDefault("utilization", values.getOrDefault("util", Double.NaN)), now);
                 if (!answersProbe) {
@@ -146,6 +147,11 @@
     private Front front;
     private boolean ready;
     private long bad;
+    /** What the module was told, for holding it against the traffic. */
+    private long reports;
+    private long probesPassed;
+    private long probesFailed;
+    private final Map<End, Long> ends = new java.util.EnumMap<>(End.class);
 
     Station(EventLoopGroup loop, Posting p, int machineSockets, Consumer<String> log) {
         this.loop = loop;
@@ -589,6 +595,7 @@
                 return;
             }
             boolean wasBound = c.boundAt != null;
+            ends.merge(end, 1L, Long::sum);
             feed.logic.ended(c, end, why, wasBound || c.vm.over);
             if (wasBound && end == End.CANCELLED) {
                 owed.ends(c.vm.id);
@@ -605,7 +612,14 @@
 
     @Override
     public void probed(Machine m, boolean ok, boolean told, Duration took) {
-        inputs.behind(() -> feed.logic.probed(m, ok, told, took));
+        inputs.behind(() -> {
+            if (ok) {
+                probesPassed++;
+            } else {
+                probesFailed++;
+            }
+            feed.logic.probed(m, ok, told, took);
+        });
     }
 
     // ---- Ends ------------------------------------------------------------------------------------------
@@ -623,9 +637,15 @@
         return patience.values().stream().max(Duration::compareTo).orElse(Duration.ZERO);
     }
 
+    /** Asks, VMs and descriptions held, of whatever kind. */
+    int kept() {
+        return feed.size() + carried.size() + owed.inHand() + owed.standing();
+    }
+
     String state() {
         return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", machines " + reaches.size()
                 + ", strands " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
-                + ", bad asks " + bad;
+                + ", bad asks " + bad + ", reports " + reports + ", probes passed " + probesPassed + " failed "
+                + probesFailed + ", ends " + ends;
     }
 }
--- a/src/test/java/fordridge/node/NodeTest.java
+++ b/src/test/java/fordridge/node/NodeTest.java
@@ -247,6 +247,30 @@
         }
     }
 
+    /** Many lives, each on an id of its own: nothing of those that are over is kept. */
+    @Example
+    void nothingIsKeptOfLivesThatAreOver() throws Exception {
+        try (Peers p = new Peers()) {
+            p.start();
+            Peers.Wire owner = p.owner();
+            for (int i = 1; i <= 60; i++) {
+                owner.say(ask(i, i % 2 == 0 ? "a" : "once", "4000", "cores:0.5;memory:0.5;service:1", "any"));
+                Peers.Wire m = p.machine.carrying(ref(i), line);
+                if (i % 3 == 0) {
+                    owner.say(word("down", i, ",\"c\":16"));
+                    assertThat(m.next("\"down\"")).contains(ref(i));
+                } else {
+                    m.say(word("up", i, ",\"d\":\"d\""));
+                    m.say(word("down", i, ",\"c\":16"));
+                    m.say(word("down", i, ",\"c\":16"));
+                    assertThat(owner.next("\"up\"")).contains(ref(i));
+                    assertThat(owner.next("\"down\"")).contains(ref(i));
+                }
+            }
+            await().until(() -> p.program.kept() == 0);
+        }
+    }
+
     @Example
     void aBadPostingIsRefusedWithAReason() throws Exception {
         try (Peers p = new Peers()) {
