An ask answered by the backstop is given up; 'at' is read as a field of its own

After the backstop's answer the module still held the VM and might have sent it again. The transport named a wait of its own where too many are in hand; a reload that fails in any way is logged now.

--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -2,7 +2,6 @@
 
 import fordridge.jsonl.Front;
 import fordridge.jsonl.JournalTail;
-import fordridge.jsonl.Json;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -139,7 +138,7 @@
                 posting = next;
                 journal.follow(next.journal);
                 log("configuration read anew; journal " + next.journal);
-            } catch (IOException | Json.Malformed e) {
+            } catch (IOException | RuntimeException e) {
                 log("configuration not read anew, the old one stays: " + e.getMessage());
             }
         });
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -329,13 +329,15 @@
                 refuse(owner, id, wrong);
                 return;
             }
-            if (fields.get("extras") instanceof String x && x.contains("at:")) {
-                runsAlready(owner, vm, field(x, "at"));
+            // Its own field, not any that ends so: what is taken for one that runs already gets no answer.
+            String at = field(String.valueOf(fields.get("extras")), "at");
+            if (at != null) {
+                runsAlready(owner, vm, at);
                 return;
             }
             switch (owed.ask(id, owner)) {
                 case TWICE -> refuse(owner, id, "an id that is in hand already");
-                case OVER -> owner.write("down", id, REFUSED, null, "wait", "1000");
+                case OVER -> owner.write("down", id, REFUSED, null);
                 default -> takes(owner, vm, fields, description);
             }
         });
@@ -350,6 +352,8 @@
             if (owed.waits(vm.id)) {
                 log.accept("no decision in time: " + vm.id);
                 answer(vm, "down", ERRORED, null, false);
+                // After its answer nothing more is sent for it, whatever the module would do.
+                givenUp(vm);
             }
         });
         feed.logic.arrives(vm);
@@ -425,7 +429,7 @@
     }
 
     private void runsAlready(Front.Owner owner, Vm vm, String at) {
-        if (at == null || at.isEmpty() || !owed.stands(vm.id, owner)) {
+        if (at.isEmpty() || !owed.stands(vm.id, owner)) {
             return;
         }
         unpark(owner);
--- a/src/test/java/fordridge/node/NodeTest.java
+++ b/src/test/java/fordridge/node/NodeTest.java
@@ -96,6 +96,17 @@
         }
     }
 
+    @Example
+    void aFieldThatOnlyEndsLikeTheOneOfRunningVmsIsNoSuchField() throws Exception {
+        try (Peers p = new Peers()) {
+            p.start();
+            Peers.Wire owner = p.owner();
+            owner.say(ask(1, "a", "4000", "cores:1;memory:1;service:1;format:x", "any"));
+            p.machine.carrying("\"new\"", line).say(word("up", 1, ",\"d\":\"d\""));
+            assertThat(owner.next("\"up\"")).contains(ref(1));
+        }
+    }
+
     @Example
     void aVmHeldAlreadyIsReleasedWhenItsMachineSaysSo() throws Exception {
         try (Peers p = new Peers()) {
