Cold pace: one part a turn, and a restarted placer's first span counts as spent

Ruled out: `max(0.5, ...)` over the told coldFrom; coldBears is what a cold machine bears in any case, whatever its age, and half of it is all that the turns give out. Causes, both in Logic.coldPaceKept: the part, and with it the number of turns, followed the machine's age within a turn, so that one turn of 3 s was that of up to eight placers; and a restarted placer began with empty coldOffers, so that it sent its part a second time within the span.

Change: age counts in whole turns; for one span after its start a placer sends nothing to a cold machine that is older than itself.

--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/Logic.java
@@ -100,6 +100,7 @@
 
     public void start(long seed, Map<String, Object> terms) {
         me.chance = new Chance(seed);
+        me.startedAt = me.now;
         me.terms = new Terms(terms);
         me.placers = me.terms.num("nInstances", 1);
         // Until notes tell, use is what lets a machine bear all it accepts: a high guess opens too many.
@@ -881,7 +882,7 @@
 
     /**
      * Rule 4, and the design's warm-up pace: this placer's part of the offers that a machine which just came
-     * up bears, rising with its age. Where the part is under one, placers take turns by their position,
+     * up bears, rising with its age from turn to turn. Where it is under one, placers take turns by position,
      * at each machine at another time: else, after an outage, a placer's turn comes everywhere at once.
      */
     private boolean coldPaceKept(Machine m) {
@@ -892,7 +893,12 @@
         while (!m.coldOffers.isEmpty() && m.coldOffers.peekFirst().plus(span).compareTo(me.now) <= 0) {
             m.coldOffers.removeFirst();
         }
-        double age = since(m.startedAt).toNanos() / (me.terms.num("obligations.warmAfterUs", 2e7) * 1000);
+        // What an earlier life of this placer sent there is not known: taken as its part of a span.
+        if (since(me.startedAt).compareTo(span) < 0 && m.startedAt.compareTo(me.startedAt) < 0) {
+            return false;
+        }
+        long turn = me.now.minus(m.startedAt).toNanos() / span.toNanos();
+        double age = turn * seconds(span) / seconds(me.terms.micros("obligations.warmAfterUs", 2e7));
         double from = me.terms.num("obligations.coldFrom", 0.2);
         double pace = Math.max(0.5, from + (1 - from) * age);
         double part = pace * me.terms.num("extra.coldBears", 1) / me.placers;
@@ -900,7 +906,6 @@
             return m.coldOffers.size() < (int) part;
         }
         long turns = (long) Math.ceil(2 / part);
-        long turn = me.now.minus(m.startedAt).toNanos() / span.toNanos();
         return m.coldOffers.isEmpty() && (turn + m.id) % turns == (long) me.terms.num("position", 0) % turns;
     }
 
--- a/src/main/java/fordridge/jsonl/Front.java
+++ b/src/main/java/fordridge/jsonl/Front.java
@@ -7,10 +7,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -32,7 +32,10 @@
     private static final Duration SWEEP = Duration.ofMillis(250);
     /** Once it has said what can't be used, a connection is read no more and closed after this. */
     private static final Duration FAREWELL = Duration.ofMillis(500);
-    /** Output that the owner doesn't take in: no more is read from it; at four times as much it is closed. */
+    /**
+     * Output that the owner doesn't take in: with so much of it the connection is closed. It is read all the while: an
+     * owner that is not read from can't be seen to leave, and what it asked for would go on being offered.
+     */
     private static final int UNREAD = 4 * Lines.LONGEST;
 
     /** Whom the front tells, on its loop, in the order of the sockets. */
@@ -50,8 +53,8 @@
         /** Whether anything that was asked for on it is in hand or stands. */
         boolean busy(Owner owner);
 
-        /** A line that could be read came on it. */
-        default void greets(Owner owner) {
+        /** The owner heard that this is over. */
+        default void hears(Owner owner, String id) {
         }
     }
 
@@ -88,12 +91,6 @@
             ctx.fireChannelReadComplete();
         }
 
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            ctx.channel().config().setAutoRead(ctx.channel().isWritable() && !dismissed);
-            ctx.fireChannelWritabilityChanged();
-        }
-
         @Override
         void said(String type, String id, Map<String, Object> fields, int cause, String description) {
             if (dismissed) {
@@ -106,7 +103,8 @@
                 }
                 case "down" -> desk.ends(this, id, cause);
                 case "hb" -> write("hb_ok", id, desk.ready() ? 1 : 0, null);
-                case "ack", "tell", "wait", "hb_ok", "shift" -> { }
+                case "ack" -> desk.hears(this, id);
+                case "tell", "wait", "hb_ok", "shift" -> { }
                 default -> spoilt("line: field 't' is not a known word");
             }
         }
@@ -120,7 +118,7 @@
             usedNanos = System.nanoTime();
         }
 
-        /** Nothing more is read from it; what it was told may still reach it. */
+        /** Nothing more is read from it, so nothing may be in hand on it; what it was told may still reach it. */
         public void dismiss() {
             if (!dismissed && channel != null) {
                 dismissed = true;
@@ -137,29 +135,37 @@
         }
 
         public void write(String type, String id, int cause, String description, String... fields) {
-            if (channel == null || !channel.isActive()) {
+            if (channel == null) {
+                return;
+            }
+            if (!channel.isActive()) {
+                // Gone, and the loop has not come to say so: whoever is owed something on it has to know now.
+                leaves();
                 return;
             }
             ByteBuf line = Lines.line(channel, type, id, cause, description, fields);
             used();
             channel.write(line, channel.voidPromise());
             wet.add(this);
-            if (channel.unsafe().outboundBuffer() != null
-                    && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 4L * UNREAD) {
-                close();
+            if (channel.unsafe().outboundBuffer().totalPendingWriteBytes() > UNREAD) {
+                flush();
             }
         }
 
         private void flush() {
             if (wet.remove(this)) {
                 channel.flush();
+                ChannelOutboundBuffer left = channel.unsafe().outboundBuffer();
+                if (left != null && left.totalPendingWriteBytes() > UNREAD) {
+                    close();
+                }
             }
         }
     }
 
     private final EventLoopGroup loop;
     private final Desk desk;
-    private final int most;
+    private int most;
     private final Set<Owner> owners = new LinkedHashSet<>();
     private final Set<Owner> wet = new LinkedHashSet<>();
     private Channel server;
@@ -176,7 +182,6 @@
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(4096).maxMessagesPerRead(1))
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNREAD / 2, UNREAD))
                 .childHandler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
                     protected void initChannel(NioSocketChannel ch) {
@@ -207,6 +212,17 @@
         }
     }
 
+    /** Another bound from now on: it holds with the next connection that comes. */
+    public void most(int next) {
+        most = next;
+    }
+
+    /** Whether any connection has not taken in yet what it was told. */
+    public boolean unwritten() {
+        return owners.stream().anyMatch(o -> o.channel.unsafe().outboundBuffer() != null
+                && o.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0);
+    }
+
     public int connections() {
         return owners.size();
     }
--- a/src/main/java/fordridge/jsonl/JournalTail.java
+++ b/src/main/java/fordridge/jsonl/JournalTail.java
@@ -41,6 +41,8 @@
     private final class Wire extends SimpleChannelInboundHandler<ByteBuf> {
         private long heardNanos = System.nanoTime();
         private Channel channel;
+        /** It said what can't be taken: what came behind that in the same breath is asked for again with it. */
+        private boolean spoilt;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -50,7 +52,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            if (this != wire) {
+            if (this != wire || spoilt) {
                 return;
             }
             heardNanos = System.nanoTime();
@@ -63,6 +65,7 @@
                 }
             } catch (Json.Malformed | NumberFormatException | IOException e) {
                 log.accept("journal: " + e.getMessage());
+                spoilt = true;
                 ctx.close();
             }
         }
@@ -83,6 +86,8 @@
     private final Consumer<String> log;
     private InetSocketAddress address;
     private long pos;
+    /** The number after which a gap was seen last. */
+    private long gapAfter = -1;
     private Wire wire;
     private boolean closed;
 
@@ -99,8 +104,11 @@
         return pos;
     }
 
-    /** Follows it there from now on, from the number held. */
+    /** Follows it there from now on, from the number held; where it is followed already, all stays as it is. */
     public void follow(InetSocketAddress at) {
+        if (at.equals(address) && !closed) {
+            return;
+        }
         address = at;
         Wire old = wire;
         wire = null;
@@ -119,10 +127,18 @@
 
     private void event(Map<String, Object> event) {
         long at = Json.whole(event, "pos", "event");
-        if (at > pos) {
-            reader.event(Json.object(event.get("hosts"), "event.hosts"));
-            pos = at;
+        if (at <= pos) {
+            return;
+        }
+        Map<String, Object> hosts = Json.object(event.get("hosts"), "event.hosts");
+        // A gap is asked for once more: what was skipped may be a drain. A whole list needs nothing before it, and a
+        // journal that has no more than that to tell is believed.
+        if (at > pos + 1 && !Json.flag(hosts, "complete", "event.hosts") && gapAfter != pos) {
+            gapAfter = pos;
+            throw new Json.Malformed("the journal went from " + pos + " to " + at);
         }
+        reader.event(hosts);
+        pos = at;
     }
 
     private void connect() {
--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -48,13 +48,17 @@
 
     /** How many connections there may be, over all machines. */
     public static final class Share {
-        private final int most;
+        private int most;
         private int open;
 
         public Share(int most) {
             this.most = most;
         }
 
+        public void most(int next) {
+            most = next;
+        }
+
         public int open() {
             return open;
         }
@@ -163,7 +167,7 @@
 
     private final EventLoopGroup loop;
     private final Share share;
-    private final Duration timeout;
+    private Duration timeout;
     private final Heard heard;
     private final Function<Vm, Carried> carried;
     private InetSocketAddress address;
@@ -177,6 +181,11 @@
         this.heard = heard;
     }
 
+    /** How long the next connections may take to come up. */
+    public void timeout(Duration next) {
+        timeout = next;
+    }
+
     /** Where the next connections go. */
     public void address(InetSocketAddress at) {
         address = at;
--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -99,7 +99,7 @@
     }
 
     private final Machine machine;
-    private final Manners manners;
+    private Manners manners;
     private final Line line;
     private final Fate fate;
     private final Set<Strand> strands = new LinkedHashSet<>();
@@ -107,6 +107,7 @@
     /** VMs that their owner has ended, until the machine says so. */
     private final Map<String, Duration> stopping = new HashMap<>();
     private boolean gone;
+    private boolean draining;
     private Duration heardAt = Duration.ZERO;
     private Duration triedAt = Duration.ZERO;
     private int refusals;
@@ -119,6 +120,11 @@
         this.fate = fate;
     }
 
+    /** Other spans hold from now on. */
+    public void manners(Manners next) {
+        manners = next;
+    }
+
     public int strands() {
         return strands.size();
     }
@@ -135,7 +141,7 @@
     // ---- What the placer wants -------------------------------------------------------------------------
 
     public void offer(Claim claim, Duration within, Duration now) {
-        if (gone) {
+        if (gone || draining) {
             fate.ended(claim, End.MOOT, Why.UNTOLD);
             return;
         }
@@ -207,20 +213,20 @@
 
     // ---- What the list says ----------------------------------------------------------------------------
 
-    /** Told that it drains or is gone: what no strand has carried yet is taken back. */
-    public void drains(Duration now) {
-        for (Strand s : List.copyOf(strands)) {
-            if (s.stage == Strand.Stage.OPENING) {
-                for (SetUp u : takeAll(s)) {
-                    fate.ended(u.claim, End.MOOT, Why.UNTOLD);
+    /** What the list says of it now. Draining or gone, what no strand has carried yet is taken back. */
+    public void listed(Machine.Listing as, Duration now) {
+        draining = as != Machine.Listing.LIVE;
+        if (draining) {
+            for (Strand s : List.copyOf(strands)) {
+                if (s.stage == Strand.Stage.OPENING) {
+                    for (SetUp u : takeAll(s)) {
+                        fate.ended(u.claim, End.MOOT, Why.UNTOLD);
+                    }
                 }
             }
         }
-    }
-
-    public void listed(boolean isGone, Duration now) {
+        boolean isGone = as == Machine.Listing.GONE;
         if (isGone && !gone) {
-            drains(now);
             dies(now);
         }
         gone = isGone;
@@ -268,6 +274,8 @@
         for (SetUp u : List.copyOf(s.setUps.values())) {
             carry(s, u, now);
         }
+        // Said on a connection that broke, or on none: a machine that heard it already passes it over.
+        stopping.keySet().forEach(vm -> line.cut(s, vm));
         if (s.probeSentAt != null) {
             sendProbe(s, now);
         }
@@ -300,16 +308,14 @@
 
     /** A strand broke, was closed, or said what can't be read: all that it carried may have run. */
     public void broke(Strand s, Duration now) {
-        if (s.stage == Strand.Stage.OPENING) {
-            failed(s, true, now);
-            return;
-        }
         if (!strands.remove(s)) {
             return;
         }
+        // It had come up, even where this is heard before that: what it had not carried yet never ran.
+        boolean carried = s.stage != Strand.Stage.OPENING;
         s.stage = Strand.Stage.CLOSED;
         for (SetUp u : takeAll(s)) {
-            fate.ended(u.claim, End.RESET, Why.UNTOLD);
+            fate.ended(u.claim, carried ? End.RESET : End.UNREACHABLE, Why.UNTOLD);
         }
         probeFails(s, now);
     }
--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -11,6 +11,8 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,10 @@
     private static final Duration REST = Duration.ofMillis(700);
     /** The last of it is kept for the answers to what is still held then. */
     private static final Duration LAST = Duration.ofMillis(900);
+    /** Requests go on coming for this long after SIGTERM, however short their time: nobody is left at a closed door. */
+    private static final Duration COME = Duration.ofMillis(650);
+    /** How long what is written and not taken in, or not heard, holds up the end. */
+    private static final Duration LINGERS = Duration.ofMillis(400);
 
     /** Before it listens, what all asks go through is run for this long at the most. */
     private static final Duration WARMS = Duration.ofMillis(1500);
@@ -39,7 +45,11 @@
     private Station station;
     private Front front;
     private JournalTail journal;
-    private boolean stopping;
+    private volatile boolean stopping;
+    /** After SIGTERM, for how long all goes on as before; null until then. */
+    private Duration stopsAt;
+    /** SIGHUP came before there was anything to change. */
+    private boolean reloadWanted;
 
     public NodeProgram(Path file, PrintStream err) throws IOException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
@@ -86,14 +96,17 @@
 
     public void start() throws IOException, InterruptedException {
         // Each kind of connection has its share of the descriptors; a quarter is left to the JVM's own files.
-        station = new Station(loop, posting, posting.sockets / 4, this::log);
-        front = new Front(loop, station, posting.sockets * 3 / 8);
+        station = new Station(loop, posting, machineSockets(posting), this::log);
+        front = new Front(loop, station, ownerSockets(posting));
         Throwable[] failed = new Throwable[1];
         loop.submit(() -> {
             try {
                 station.begin(posting, front);
                 journal = new JournalTail(loop, posting.pos, station::event, this::log);
                 journal.follow(posting.journal);
+                if (reloadWanted) {
+                    reload();
+                }
             } catch (RuntimeException e) {
                 failed[0] = e;
             }
@@ -104,6 +117,9 @@
         long from = System.nanoTime();
         int warmed = Warming.run(posting, WARMS);
         log("warmed up with " + warmed + " asks in " + (System.nanoTime() - from) / 1_000_000 + " ms");
+        if (stopping) {
+            return;
+        }
         var bound = front.listen(posting.listen).await();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen at " + posting.listen + ": " + bound.cause().getMessage());
@@ -113,6 +129,14 @@
                 TimeUnit.SECONDS);
     }
 
+    private static int machineSockets(Posting p) {
+        return p.sockets / 4;
+    }
+
+    private static int ownerSockets(Posting p) {
+        return p.sockets * 3 / 8;
+    }
+
     /** Owners' connections held now. */
     public int connections() throws InterruptedException, ExecutionException {
         return loop.submit(front::connections).get();
@@ -130,10 +154,16 @@
     /** Reads the configuration anew; a bad one changes nothing. */
     public void reload() {
         loop.execute(() -> {
+            if (journal == null) {
+                reloadWanted = true;
+                return;
+            }
             try {
                 Posting next = Posting.read(file);
-                if (!next.terms.equals(posting.terms)) {
-                    station.terms(next.terms);
+                station.told(next, machineSockets(next));
+                front.most(ownerSockets(next));
+                if (!next.listen.equals(posting.listen) || !next.name.equals(posting.name)) {
+                    log("a new name or address needs a restart: " + next.name + " " + next.listen);
                 }
                 posting = next;
                 journal.follow(next.journal);
@@ -149,25 +179,41 @@
      * nothing more is placed, what is in hand is answered, and the process ends.
      */
     public void stop() {
+        long toldNanos = System.nanoTime();
+        stopping = true;
         loop.execute(() -> {
-            if (stopping) {
+            if (stopsAt != null) {
+                return;
+            }
+            if (station == null) {
+                ended.countDown();
                 return;
             }
-            stopping = true;
             log("stopping; " + station.state());
             Duration patience = station.longestPatience();
-            Duration lasts = (patience.compareTo(KILLED) < 0 ? patience : KILLED).plus(REST).minus(LAST);
-            loop.next().schedule(() -> {
+            Duration kill = (patience.compareTo(KILLED) < 0 ? patience : KILLED).plus(REST);
+            stopsAt = Collections.max(List.of(kill.minus(LAST), COME));
+            after(toldNanos, stopsAt, () -> {
                 station.stops();
                 loop.next().scheduleAtFixedRate(() -> {
-                    if (station.inHand() == 0) {
+                    boolean lingers = since(toldNanos).compareTo(stopsAt.plus(LINGERS)) < 0
+                            && (station.untold() > 0 || front.unwritten());
+                    if (station.inHand() == 0 && !lingers) {
                         ended.countDown();
                     }
-                }, 50, 20, TimeUnit.MILLISECONDS);
-            }, lasts.toMillis(), TimeUnit.MILLISECONDS);
+                }, 20, 20, TimeUnit.MILLISECONDS);
+            });
         });
     }
 
+    private static Duration since(long nanos) {
+        return Duration.ofNanos(System.nanoTime() - nanos);
+    }
+
+    private void after(long fromNanos, Duration span, Runnable then) {
+        loop.next().schedule(then, Math.max(0, span.minus(since(fromNanos)).toNanos()), TimeUnit.NANOSECONDS);
+    }
+
     public boolean awaitEnd(Duration most) throws InterruptedException {
         return ended.await(most.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -66,7 +66,7 @@
 
         @Override
         public void connected(Trunk.Strand s) {
-            enter(() -> trunk.connected(s, now));
+            behindReads(() -> trunk.connected(s, now));
         }
 
         @Override
@@ -136,8 +136,9 @@
     private final Map<Machine, Reach> byMachine = new HashMap<>();
     private final Map<String, MachineLine.Carried> carried = new HashMap<>();
     private final MachineLine.Share share;
-    private final Trunk.Manners manners;
+    private Trunk.Manners manners;
     private Terms terms;
+    private Map<String, Object> values;
     private final Set<String> flavours = new HashSet<>();
     private final Set<String> customers = new HashSet<>();
     private final Map<String, Duration> patience = new HashMap<>();
@@ -163,7 +164,6 @@
         });
         share = new MachineLine.Share(machineSockets);
         read(p.terms);
-        manners = new Trunk.Manners(terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
     }
 
     /** On the loop: starts the module with its terms and the list as known, then keeps time. */
@@ -178,14 +178,23 @@
         ready = true;
     }
 
-    /** Other terms hold for all that comes from here on. */
-    void terms(Map<String, Object> next) {
-        read(next);
-        enter(() -> feed.logic.told(next));
+    /** Other terms and limits hold for all that comes from here on. */
+    void told(Posting next, int machineSockets) {
+        share.most(machineSockets);
+        if (!next.terms.equals(values)) {
+            read(next.terms);
+            for (Reach r : reaches.values()) {
+                r.trunk.manners(manners);
+                r.line.timeout(manners.connectTimeout());
+            }
+            enter(() -> feed.logic.told(next.terms));
+        }
     }
 
     private void read(Map<String, Object> values) {
         terms = new Terms(values);
+        this.values = values;
+        manners = new Trunk.Manners(terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
         flavours.clear();
         customers.clear();
         for (int i = 0; i < terms.num("lanes", 0); i++) {
@@ -225,6 +234,14 @@
         loop.next().schedule(() -> enter(input), Math.max(0, in.toNanos()), TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * For what begins an attempt: entered once the loop has read what its sockets had to say in this round, so that an
+     * owner whose leaving or cancelling has come in is known to have gone.
+     */
+    private void behindReads(Runnable input) {
+        loop.next().execute(() -> enter(input));
+    }
+
     private void feelLateness() {
         long due = System.nanoTime() + FEELS.toNanos();
         loop.next().schedule(() -> {
@@ -280,10 +297,7 @@
                 r.line.address(addresses.get(l.key()));
             }
             boolean anew = l.startedAt() != null && !l.startedAt().equals(r.machine.startedAt);
-            if (l.listing() != Machine.Listing.LIVE) {
-                r.trunk.drains(now);
-            }
-            r.trunk.listed(l.listing() == Machine.Listing.GONE, now);
+            r.trunk.listed(l.listing(), now);
             if (anew) {
                 r.trunk.restarted(l.startedAt());
             }
@@ -291,7 +305,7 @@
         if (whole) {
             for (Reach r : List.copyOf(reaches.values())) {
                 if (!named.contains(r.id)) {
-                    r.trunk.listed(true, now);
+                    r.trunk.listed(Machine.Listing.GONE, now);
                 }
             }
         }
@@ -344,7 +358,7 @@
     }
 
     private void takes(Front.Owner owner, Vm vm, Map<String, Object> fields, String description) {
-        unpark(owner);
+        unpark();
         carried.put(vm.id, new MachineLine.Carried(String.valueOf(fields.get("key")), description));
         feed.add(vm);
         at(vm.deadline.minus(now).plus(MARGIN.dividedBy(2)), () -> {
@@ -359,18 +373,26 @@
         feed.logic.arrives(vm);
     }
 
-    private void unpark(Front.Owner owner) {
-        for (Owed.Parked p : owed.unpark(now)) {
-            owner.write("down", p.vm(), p.cause(), null);
+    private void unpark() {
+        for (Owed.Told<Front.Owner> t : owed.unpark(now)) {
+            t.line().write("down", t.release().vm(), t.release().cause(), null);
         }
     }
 
-    /** Says what is wrong and reads no more from whoever sends it. */
+    /** Says what is wrong and reads no more from whoever sends it: what is in hand for it ends with that. */
     private void refuse(Front.Owner owner, String id, String wrong) {
         if (bad++ < 20) {
             log.accept("not taken: " + id + ": " + wrong);
         }
-        owner.write("down", id, ERRORED, null);
+        List<String> inHand = owed.asksOn(owner);
+        if (!inHand.contains(id)) {
+            owner.write("down", id, ERRORED, null);
+        }
+        for (String other : inHand) {
+            Vm vm = feed.vm(other);
+            answer(vm, "down", ERRORED, null, false);
+            givenUp(vm);
+        }
         owner.dismiss();
     }
 
@@ -432,7 +454,7 @@
         if (at.isEmpty() || !owed.stands(vm.id, owner)) {
             return;
         }
-        unpark(owner);
+        unpark();
         feed.add(vm);
         Reach r = reach(at);
         feed.logic.runsAlready(vm, r.machine);
@@ -441,7 +463,7 @@
             // A machine that the list has not named, or no longer does: it gets a while to.
             at(manners.dead(), () -> {
                 if (r.machine.listing == Machine.Listing.GONE && vm.placed.out()) {
-                    r.trunk.listed(true, now);
+                    r.trunk.listed(Machine.Listing.GONE, now);
                     r.trunk.ended(new Trunk.Strand(), vm.id, End.RESET, End.RESET, Why.UNTOLD, now);
                 }
             });
@@ -483,9 +505,15 @@
                     givenUp(vm);
                 }
             }
+            unpark();
         });
     }
 
+    @Override
+    public void hears(Front.Owner owner, String id) {
+        enter(() -> owed.heard(id));
+    }
+
     private void answer(Vm vm, String type, int cause, String description, boolean stands, String... fields) {
         Front.Owner owner = owed.answer(vm.id, stands);
         if (owner != null) {
@@ -505,9 +533,10 @@
 
     @Override
     public void claim(Claim c, Duration within) {
-        inputs.behind(() -> {
+        behindReads(() -> {
             if (c.out()) {
-                byMachine.get(c.machine).trunk.offer(c, within, now);
+                Reach r = byMachine.get(c.machine);
+                r.trunk.offer(c, within.minus(now.minus(c.sentAt)), now);
             }
         });
         at(within, () -> {
@@ -535,6 +564,7 @@
         Front.Owner owner = owed.release(vm.id, LOST, now);
         if (owner != null) {
             owner.write("shift", vm.id, -1, null);
+            owed.heard(vm.id);
         }
         byMachine.get(vm.placed.machine).trunk.stop(vm.placed, now);
     }
@@ -633,6 +663,11 @@
         enter(feed.logic::stops);
     }
 
+    /** Releases that have not been heard yet, or wait for a connection. */
+    int untold() {
+        return owed.untold();
+    }
+
     int inHand() {
         return owed.inHand();
     }
@@ -643,11 +678,11 @@
 
     /** Asks, VMs and descriptions held, of whatever kind. */
     int kept() {
-        return feed.size() + carried.size() + owed.inHand() + owed.standing();
+        return feed.size() + carried.size() + owed.inHand() + owed.standing() + owed.untold();
     }
 
     String state() {
-        return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", machines " + reaches.size()
+        return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", untold " + owed.untold() + ", machines " + reaches.size()
                 + ", strands " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
                 + ", bad asks " + bad + ", reports " + reports + ", probes passed " + probesPassed + " failed "
                 + probesFailed + ", ends " + ends;
--- a/src/main/java/fordridge/session/Owed.java
+++ b/src/main/java/fordridge/session/Owed.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -27,8 +28,11 @@
         OVER
     }
 
-    /** A release that no line could carry yet. */
-    public record Parked(String vm, int cause, Duration until) { }
+    /** That a VM that stood is over, for as long as it is worth telling. */
+    public record Release(String vm, int cause, Duration until) { }
+
+    /** A release, and the line that it goes out on now. */
+    public record Told<L>(L line, Release release) { }
 
     private static final class Duty<L> {
         L line;
@@ -46,10 +50,13 @@
     private final Map<L, Set<String>> lines = new HashMap<>();
     /** Lines that have carried an ask, the latest last. */
     private final LinkedHashSet<L> owners = new LinkedHashSet<>();
-    private final Deque<Parked> parked = new ArrayDeque<>();
+    /** Releases that no line could carry yet. */
+    private final Deque<Release> parked = new ArrayDeque<>();
+    /** Releases that went out and were not heard yet, the oldest first: what closes a line may have met them on the way. */
+    private final Map<String, Told<L>> unheard = new LinkedHashMap<>();
     private int inHand;
 
-    /** At most so many asks in hand, and parked releases kept for so long. */
+    /** At most so many asks in hand and as many releases, and those kept for so long. */
     public Owed(int most, Duration keeps) {
         this.most = most;
         this.keeps = keeps;
@@ -105,18 +112,43 @@
             return null;
         }
         drop(vm, d);
-        L line = d.line;
+        Release r = new Release(vm, cause, now.plus(keeps));
+        L line = d.line == null ? latest() : d.line;
         if (line == null) {
-            for (L l : owners) {
-                line = l;
-            }
+            park(r);
+        } else {
+            goesOut(line, r);
         }
-        if (line == null) {
-            parked.addLast(new Parked(vm, cause, now.plus(keeps)));
+        return line;
+    }
+
+    /** Its owner says that it heard the release. */
+    public void heard(String vm) {
+        unheard.remove(vm);
+    }
+
+    private L latest() {
+        L line = null;
+        for (L l : owners) {
+            line = l;
         }
         return line;
     }
 
+    private void park(Release r) {
+        if (parked.size() >= most) {
+            parked.removeFirst();
+        }
+        parked.addLast(r);
+    }
+
+    private void goesOut(L line, Release r) {
+        if (unheard.size() >= most) {
+            unheard.remove(unheard.keySet().iterator().next());
+        }
+        unheard.put(r.vm, new Told<>(line, r));
+    }
+
     /** Its owner ended it: nothing is owed. True if it was known. */
     public boolean ends(String vm) {
         Duty<L> d = duties.get(vm);
@@ -135,9 +167,19 @@
         return d != null && !d.stands;
     }
 
-    /** The line is no more: its asks are given up (their names come back), what stands goes on without it. */
+    /**
+     * The line is no more: its asks are given up (their names come back), what stands goes on without it, and releases
+     * that were not heard on it wait for another, see {@link #unpark}.
+     */
     public List<String> closed(L line) {
         owners.remove(line);
+        for (Iterator<Told<L>> i = unheard.values().iterator(); i.hasNext();) {
+            Told<L> t = i.next();
+            if (t.line.equals(line)) {
+                i.remove();
+                park(t.release);
+            }
+        }
         Set<String> own = lines.remove(line);
         List<String> asks = new ArrayList<>();
         if (own != null) {
@@ -155,22 +197,26 @@
         return asks;
     }
 
-    /** Releases that waited for a line, for one that has carried an ask now; those too old are let go. */
-    public List<Parked> unpark(Duration now) {
-        List<Parked> due = new ArrayList<>();
-        for (Iterator<Parked> i = parked.iterator(); i.hasNext(); i.remove()) {
-            Parked p = i.next();
-            if (p.until.compareTo(now) > 0) {
-                due.add(p);
-            }
+    /** Releases that waited for a line, if one that has carried an ask is there now; those too old are let go. */
+    public List<Told<L>> unpark(Duration now) {
+        tidy(now);
+        List<Told<L>> due = new ArrayList<>();
+        L line = latest();
+        for (Release r = line == null ? null : parked.pollFirst(); r != null; r = parked.pollFirst()) {
+            goesOut(line, r);
+            due.add(new Told<>(line, r));
         }
         return due;
     }
 
     public void tidy(Duration now) {
-        while (!parked.isEmpty() && parked.peekFirst().until.compareTo(now) <= 0) {
-            parked.removeFirst();
-        }
+        parked.removeIf(r -> r.until.compareTo(now) <= 0);
+        unheard.values().removeIf(t -> t.release.until.compareTo(now) <= 0);
+    }
+
+    /** Releases that wait for a line, or to be heard. */
+    public int untold() {
+        return parked.size() + unheard.size();
     }
 
     /** Asks in hand on the line, and what stands by it. */
@@ -178,6 +224,11 @@
         return lines.getOrDefault(line, Set.of()).size();
     }
 
+    /** The asks in hand on the line. */
+    public List<String> asksOn(L line) {
+        return lines.getOrDefault(line, Set.of()).stream().filter(this::waits).toList();
+    }
+
     public int inHand() {
         return inHand;
     }
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/state/Placer.java
@@ -13,6 +13,8 @@
 /** What one instance knows for as long as it lives. */
 public final class Placer {
     public Duration now = Duration.ZERO;
+    /** When this life of it began. */
+    public Duration startedAt = Duration.ZERO;
     public Chance chance = new Chance(0);
     /** What was read at start. */
     public Terms terms = new Terms(Map.of());
--- a/src/test/java/fordridge/link/TrunkTest.java
+++ b/src/test/java/fordridge/link/TrunkTest.java
@@ -188,8 +188,10 @@
         World w = new World();
         Claim out = w.carried();
         Claim waits = w.offer();
-        w.trunk.drains(w.now);
+        w.trunk.listed(Machine.Listing.DRAINING, w.now);
         assertThat(w.ends).containsExactly(Map.entry(waits, End.MOOT));
+        Claim late = w.offer();
+        assertThat(w.ends.get(late)).as("decided before it was told").isEqualTo(End.MOOT);
         w.trunk.stands(w.open.get(0), out.vm.id, "d", w.now);
         assertThat(w.bound).containsOnlyKeys(out);
     }
@@ -255,6 +257,36 @@
         assertThat(w.ends).containsExactly(Map.entry(c, End.CANCELLED));
     }
 
+    /** Guards a cut that was said on no connection: the machine went on with a VM that nobody owns. */
+    @Example
+    void anOwnersEndThatNoConnectionCouldCarryIsPassedOnByTheNext() {
+        World w = new World();
+        Claim c = w.standing();
+        w.trunk.broke(w.last(), w.now);
+        w.open.clear();
+        w.trunk.stop(c, w.now);
+        w.pass(300);
+        w.trunk.connected(w.last(), w.now);
+        assertThat(w.said.get(w.last())).containsExactly("cut vm0");
+        w.trunk.ended(w.last(), c.vm.id, End.RESET, End.CANCELLED, Why.UNTOLD, w.now);
+        assertThat(w.ends).containsExactly(Map.entry(c, End.CANCELLED));
+    }
+
+    /** Guards two resets in a row of connections just up, taken for a machine where nobody listens. */
+    @Example
+    void aConnectionThatBreaksAsItComesUpSaysNothingOfTheMachine() {
+        World w = new World();
+        w.standing();
+        w.trunk.broke(w.last(), w.now);
+        w.open.clear();
+        for (int i = 0; i < 3; i++) {
+            Claim c = w.offer();
+            w.trunk.broke(w.last(), w.now);
+            assertThat(w.ends.get(c)).as("no strand had carried it").isEqualTo(End.UNREACHABLE);
+        }
+        assertThat(w.trunk.standing()).isEqualTo(1);
+    }
+
     @Example
     void withoutADescriptorLeftSetUpsShareAStrand() {
         World w = new World();
@@ -292,7 +324,7 @@
             switch (r.nextInt(11)) {
                 case 0, 1 -> claims.add(w.offer());
                 case 2 -> w.pass(r.nextInt(400));
-                case 3 -> w.trunk.drains(w.now);
+                case 3 -> w.trunk.listed(r.nextInt(3) == 0 ? Machine.Listing.DRAINING : Machine.Listing.LIVE, w.now);
                 default -> {
                     if (s == null || c == null) {
                         continue;
@@ -314,7 +346,7 @@
                 }
             }
         }
-        w.trunk.listed(true, w.now);
+        w.trunk.listed(Machine.Listing.GONE, w.now);
         assertThat(w.ends.keySet()).containsExactlyInAnyOrderElementsOf(claims);
         assertThat(w.trunk.over()).isTrue();
     }
--- a/src/test/java/fordridge/session/OwedTest.java
+++ b/src/test/java/fordridge/session/OwedTest.java
@@ -58,7 +58,10 @@
         owed.closed("line");
         assertThat(owed.release("one", 41, T)).isNull();
         assertThat(owed.release("two", 16, T.plusSeconds(5))).isNull();
-        assertThat(owed.unpark(T.plusSeconds(9))).extracting(Owed.Parked::vm).containsExactly("two");
+        assertThat(owed.unpark(T.plusSeconds(9))).as("no line is there").isEmpty();
+        owed.ask("new", "another");
+        assertThat(owed.unpark(T.plusSeconds(9))).extracting(t -> t.line() + " " + t.release().vm())
+                .containsExactly("another two");
         assertThat(owed.unpark(T.plusSeconds(9))).isEmpty();
     }
 
