--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -147,6 +147,11 @@
         return loop.submit(station::kept).get();
     }
 
+    /** The number of the last event of the journal that was taken. */
+    public long journalPos() throws InterruptedException, ExecutionException {
+        return loop.submit(journal::pos).get();
+    }
+
     public int port() {
         return front.address().getPort();
     }
--- a/src/test/java/fordridge/node/Peers.java
+++ b/src/test/java/fordridge/node/Peers.java
@@ -62,6 +62,25 @@
             return null;
         }
 
+        /** All that has come until the peer answers a test: what it sent before, it has sent. */
+        List<String> untilTested() throws IOException, InterruptedException {
+            say(word("hb", 0, ",\"c\":0"));
+            List<String> before = new ArrayList<>();
+            for (String l = next(""); l != null && !l.equals(END); l = next("")) {
+                if (l.contains("\"hb_ok\"")) {
+                    return before;
+                }
+                before.add(l);
+            }
+            throw new IOException("no answer to a test; before: " + before);
+        }
+
+        /** A reset, not an orderly end. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
@@ -136,6 +155,50 @@
         }
     }
 
+    /** A listener at which nothing comes up until it is let: its queue of connections is full. */
+    static final class Barrier implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> fillers = new ArrayList<>();
+
+        Barrier() throws IOException {
+            for (boolean full = false; !full;) {
+                Socket s = new Socket();
+                try {
+                    s.connect(server.getLocalSocketAddress(), 200);
+                    fillers.add(s);
+                } catch (java.net.SocketTimeoutException e) {
+                    full = true;
+                    s.close();
+                }
+            }
+        }
+
+        int port() {
+            return server.getLocalPort();
+        }
+
+        /** Lets connections come up; the first that is not one of its own. */
+        Wire lift() throws IOException {
+            List<Integer> own = fillers.stream().map(Socket::getLocalPort).toList();
+            server.setSoTimeout(10_000);
+            while (true) {
+                Socket s = server.accept();
+                if (!own.contains(s.getPort())) {
+                    return new Wire(s);
+                }
+                s.close();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket s : fillers) {
+                s.close();
+            }
+        }
+    }
+
     final Listener machine = new Listener(0);
     final Listener journal = new Listener(0);
     final Path file = Files.createTempFile("posting", ".json");
@@ -173,9 +236,14 @@
     }
 
     void start(String posting) throws Exception {
+        write(posting);
+        program.start();
+    }
+
+    /** The program with this posting, not started yet. */
+    void write(String posting) throws Exception {
         Files.writeString(file, posting);
         program = new NodeProgram(file, new PrintStream(log, true, StandardCharsets.UTF_8));
-        program.start();
     }
 
     Wire owner() throws IOException {
