--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -235,11 +235,12 @@
     }
 
     /**
-     * For what begins an attempt: entered once the loop has read what its sockets had to say in this round, so that an
-     * owner whose leaving or cancelling has come in is known to have gone.
+     * For what begins an attempt: entered once the loop has asked its sockets again and read what they had to say, so
+     * that an owner whose leaving or cancelling has come in is known to have gone. A task that is due at once is taken
+     * up after the next look at the sockets, where one that is only handed over may go before it.
      */
     private void behindReads(Runnable input) {
-        loop.next().execute(() -> enter(input));
+        loop.next().schedule(() -> enter(input), 0, TimeUnit.NANOSECONDS);
     }
 
     private void feelLateness() {
@@ -685,6 +686,6 @@
         return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", untold " + owed.untold() + ", machines " + reaches.size()
                 + ", strands " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
                 + ", bad asks " + bad + ", reports " + reports + ", probes passed " + probesPassed + " failed "
-                + probesFailed + ", ends " + ends;
+                + probesFailed + ", late " + lateness.allowance(inputs.clock()).toMillis() + " ms, ends " + ends;
     }
 }
