Connections to machines: all but the owners' share, visited in turns where there are fewer than machines

Cause: NodeProgram.start gave machines sockets / 4, Trunk kept one idle connection to each machine for good, and a machine with VMs but no connection waited for one that never came free, with what it had to say.

Change: machines get what owners (3/8) and the process itself (48) leave; link.Scarcity has each machine that holds VMs and has no connection visited in turn, those that only listen give way to it, and an eighth stays free for set-ups. A silent machine is looked into after the settling time, 4 s at most, not half of it: each look is a handshake.

--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -50,6 +50,8 @@
     public static final class Share {
         private int most;
         private int open;
+        /** Of these, closed from here and read to their end. */
+        private int leaving;
 
         public Share(int most) {
             this.most = most;
@@ -59,9 +61,18 @@
             most = next;
         }
 
+        public int most() {
+            return most;
+        }
+
         public int open() {
             return open;
         }
+
+        /** Those that go on being used. */
+        public int staying() {
+            return open - leaving;
+        }
     }
 
     private final class Wire extends Lines {
@@ -240,7 +251,10 @@
                     }
                 }).connect(address);
         w.channel = f.channel();
-        w.channel.closeFuture().addListener(x -> share.open--);
+        w.channel.closeFuture().addListener(x -> {
+            share.open--;
+            share.leaving -= w.leaving ? 1 : 0;
+        });
         f.addListener(x -> {
             if (!x.isSuccess() && !w.over) {
                 w.over = true;
@@ -258,6 +272,7 @@
             // What the machine writes in this moment would be lost with the connection, and a VM's end is told once:
             // so only our side is closed, and the rest is read until the machine closes its own.
             w.leaving = true;
+            share.leaving++;
             Lines.trace(w.channel, "closing");
             ((SocketChannel) w.channel).shutdownOutput();
             w.channel.eventLoop().schedule(() -> w.channel.close(), LINGERS.toMillis(), TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/main/java/fordridge/link/Scarcity.java
@@ -0,0 +1,49 @@
+package fordridge.link;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Whose turn it is to be connected to, where there may be fewer connections than machines that hold VMs: what such a
+ * machine has to say waits for a connection, so each is visited in turn, and those that are only kept to listen give way.
+ * Some are always left for set-ups. Free of I/O, threads and clocks.
+ */
+public final class Scarcity {
+    /** So long a connection is kept at least: what the machine had to say has come by then. */
+    private static final Duration STAY = Duration.ofMillis(500);
+
+    private Scarcity() {
+    }
+
+    /** Behind every trunk's tick: of {@code most} connections {@code open} are in use. */
+    public static void relieve(Collection<Trunk> trunks, int open, int most, Duration now) {
+        int free = most - open - Math.max(1, most / 8);
+        List<Trunk> wanting = new ArrayList<>();
+        List<Trunk> idle = new ArrayList<>();
+        for (Trunk t : trunks) {
+            if (t.wants()) {
+                wanting.add(t);
+            }
+        }
+        if (free > 0) {
+            wanting.sort(Comparator.comparing(Trunk::triedAt));
+            // Not all at once: after a start hundreds may want it, and an ask that comes then must not stand behind them.
+            int some = Math.min(free, 2 + wanting.size() / 20);
+            wanting.subList(0, Math.min(some, wanting.size())).forEach(t -> t.visit(now));
+        }
+        int lacking = wanting.size() - free;
+        if (lacking <= 0) {
+            return;
+        }
+        for (Trunk t : trunks) {
+            if (t.idleSince() != null && now.minus(t.idleSince()).compareTo(STAY) >= 0) {
+                idle.add(t);
+            }
+        }
+        idle.sort(Comparator.comparing(Trunk::idleSince));
+        idle.subList(0, Math.min(lacking, idle.size())).forEach(t -> t.spare(now));
+    }
+}
--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -6,11 +6,13 @@
 import fordridge.state.Machine;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -70,16 +72,28 @@
         void probed(Machine machine, boolean ok, boolean told, Duration took);
     }
 
+    /**
+     * What stood and can't be told of has to be told within 8 s of its end: so long a silence is looked into at the
+     * latest, and so long a machine that holds VMs may be left without a connection where there are too few.
+     */
+    private static final Duration SILENT = Duration.ofSeconds(4);
+    private static final Duration VISIT = Duration.ofSeconds(4);
+
     /** Spans from what was read at start. */
     public record Manners(Duration connectTimeout, Duration settle) {
-        /** Silence after which a machine with VMs is asked for a new connection, to learn whether it is there. */
+        /** How long a strand is kept unused beside another, and an ended VM's machine is waited for. */
         Duration doubted() {
             return settle.dividedBy(2);
         }
 
+        /** Silence after which a machine with VMs is asked for a new connection, to learn whether it is there. */
+        Duration silent() {
+            return settle.compareTo(SILENT) < 0 ? settle : SILENT;
+        }
+
         /** Silence, with no connection coming up, after which what ran there is lost. */
         public Duration dead() {
-            return settle.multipliedBy(3).dividedBy(2);
+            return silent().multipliedBy(3).dividedBy(2);
         }
 
         /** A strand heard from so lately is taken to be good. */
@@ -112,6 +126,9 @@
     private Duration triedAt = Duration.ZERO;
     private int refusals;
     private int timeouts;
+    /** It was left without a connection for the others' sake. */
+    private boolean spared;
+    private boolean wants;
 
     public Trunk(Machine machine, Manners manners, Line line, Fate fate) {
         this.machine = machine;
@@ -365,7 +382,7 @@
 
     // ---- What time does --------------------------------------------------------------------------------
 
-    /** To be called every now and then, a few times within the time a connection may take. */
+    /** To be called every now and then, a few times within the time a connection may take; {@link Scarcity} behind it. */
     public void tick(Duration now) {
         boolean kept = false;
         for (Strand s : List.copyOf(strands)) {
@@ -394,13 +411,48 @@
                 }
             }
         }
-        boolean silent = now.minus(heardAt).compareTo(manners.doubted()) >= 0;
-        if (!gone && !standing.isEmpty() && (strands.isEmpty() || silent && !opening())
-                && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0 && line.mayOpen()) {
+        boolean silent = now.minus(heardAt).compareTo(manners.silent()) >= 0;
+        boolean bare = strands.isEmpty() && (!spared || now.minus(triedAt).compareTo(VISIT) >= 0);
+        wants = !gone && !standing.isEmpty() && (bare || silent && !opening())
+                && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0;
+    }
+
+    /** Whether it has to be connected to, by the last tick: there are VMs that may end, and nothing to hear it by. */
+    public boolean wants() {
+        return wants;
+    }
+
+    /** When it was connected to last, or tried to be. */
+    public Duration triedAt() {
+        return triedAt;
+    }
+
+    /** Connects to it if there is a descriptor left. */
+    public void visit(Duration now) {
+        if (line.mayOpen()) {
+            wants = false;
             open(now);
         }
     }
 
+    /** Since when one of its strands has been of no use but for what the machine may say; null: none is. */
+    public Duration idleSince() {
+        return idlest().map(s -> s.usedAt).orElse(null);
+    }
+
+    /** Closes that strand, for another machine's sake. */
+    public void spare(Duration now) {
+        idlest().ifPresent(s -> {
+            shut(s, now);
+            spared = strands.isEmpty();
+        });
+    }
+
+    private Optional<Strand> idlest() {
+        return strands.stream().filter(s -> s.stage == Strand.Stage.OPEN && s.idle())
+                .min(Comparator.comparing(s -> s.usedAt));
+    }
+
     private boolean opening() {
         return strands.stream().anyMatch(s -> s.stage == Strand.Stage.OPENING);
     }
@@ -438,6 +490,7 @@
         s.due = now.plus(manners.connectTimeout);
         s.usedAt = now;
         triedAt = now;
+        spared = false;
         strands.add(s);
         line.open(s);
         return s;
--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -35,6 +35,9 @@
     /** Before it listens, what all asks go through is run for this long at the most. */
     private static final Duration WARMS = Duration.ofMillis(1500);
 
+    /** Descriptors for the process itself: some twenty files, the selector, journal and accepting, and as many again. */
+    private static final int OWN = 48;
+
     private static final Logger NETTY = Logger.getLogger("io.netty");
 
     private final PrintStream err;
@@ -95,7 +98,6 @@
     }
 
     public void start() throws IOException, InterruptedException {
-        // Each kind of connection has its share of the descriptors; a quarter is left to the JVM's own files.
         station = new Station(loop, posting, machineSockets(posting), this::log);
         front = new Front(loop, station, ownerSockets(posting));
         Throwable[] failed = new Throwable[1];
@@ -129,8 +131,9 @@
                 TimeUnit.SECONDS);
     }
 
+    /** All but the owners' share and what the process itself holds: its files, the journal, what is being accepted. */
     private static int machineSockets(Posting p) {
-        return p.sockets / 4;
+        return Math.max(p.sockets / 8, p.sockets - ownerSockets(p) - OWN);
     }
 
     private static int ownerSockets(Posting p) {
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -6,6 +6,7 @@
 import fordridge.jsonl.Front;
 import fordridge.jsonl.Json;
 import fordridge.jsonl.MachineLine;
+import fordridge.link.Scarcity;
 import fordridge.link.Trunk;
 import fordridge.session.Lateness;
 import fordridge.session.Owed;
@@ -134,6 +135,7 @@
     private final Lateness lateness = new Lateness(Duration.ofSeconds(2));
     private final Map<String, Reach> reaches = new HashMap<>();
     private final Map<Machine, Reach> byMachine = new HashMap<>();
+    private final List<Trunk> trunks = new ArrayList<>();
     private final Map<String, MachineLine.Carried> carried = new HashMap<>();
     private final MachineLine.Share share;
     private Trunk.Manners manners;
@@ -255,6 +257,7 @@
         for (Reach r : List.copyOf(reaches.values())) {
             r.trunk.tick(now);
         }
+        Scarcity.relieve(trunks, share.staying(), share.most(), now);
         owed.tidy(now);
     }
 
@@ -319,6 +322,7 @@
             r = new Reach(id);
             reaches.put(id, r);
             byMachine.put(r.machine, r);
+            trunks.add(r.trunk);
         }
         return r;
     }
--- a/src/test/java/fordridge/link/TrunkTest.java
+++ b/src/test/java/fordridge/link/TrunkTest.java
@@ -67,6 +67,7 @@
             while (now.compareTo(until) < 0) {
                 now = now.plus(ms(50));
                 trunk.tick(now);
+                Scarcity.relieve(List.of(trunk), open.size(), most, now);
             }
         }
 
