--- a/src/main/java/fordridge/jsonl/JournalTail.java
+++ b/src/main/java/fordridge/jsonl/JournalTail.java
@@ -31,6 +31,9 @@
     private static final Duration RETRY = Duration.ofMillis(100);
     private static final Duration CONNECT = Duration.ofMillis(1000);
     private static final int LONGEST = 1 << 20;
+    /** Read to its end in each round of the loop: what it told must be known before anything goes out to a machine. */
+    private static final int READ = 1 << 15;
+    private static final int READS = 64;
 
     /** Whom it tells. */
     public interface Reader {
@@ -147,7 +150,7 @@
         ChannelFuture f = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(8192).maxMessagesPerRead(1))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(READS))
                 .handler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
                     protected void initChannel(NioSocketChannel ch) {
--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -384,8 +384,33 @@
 
     /** To be called every now and then, a few times within the time a connection may take; {@link Scarcity} behind it. */
     public void tick(Duration now) {
+        if (!strands.isEmpty()) {
+            look(now);
+        }
+        if (!stopping.isEmpty()) {
+            for (Map.Entry<String, Duration> e : List.copyOf(stopping.entrySet())) {
+                if (now.compareTo(e.getValue()) >= 0) {
+                    stopping.remove(e.getKey());
+                    Claim c = standing.remove(e.getKey());
+                    if (c != null) {
+                        fate.ended(c, End.CANCELLED, Why.UNTOLD);
+                    }
+                }
+            }
+        }
+        if (gone || standing.isEmpty()) {
+            wants = false;
+            return;
+        }
+        boolean silent = now.minus(heardAt).compareTo(manners.silent()) >= 0;
+        boolean bare = strands.isEmpty() && (!spared || now.minus(triedAt).compareTo(VISIT) >= 0);
+        wants = (bare || silent && !opening())
+                && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0;
+    }
+
+    private void look(Duration now) {
         boolean kept = false;
-        for (Strand s : List.copyOf(strands)) {
+        for (Strand s : strands.toArray(new Strand[0])) {
             if (s.stage == Strand.Stage.OPENING && now.compareTo(s.due) >= 0) {
                 line.close(s);
                 failed(s, false, now);
@@ -402,19 +427,6 @@
                 kept = true;
             }
         }
-        for (Map.Entry<String, Duration> e : List.copyOf(stopping.entrySet())) {
-            if (now.compareTo(e.getValue()) >= 0) {
-                stopping.remove(e.getKey());
-                Claim c = standing.remove(e.getKey());
-                if (c != null) {
-                    fate.ended(c, End.CANCELLED, Why.UNTOLD);
-                }
-            }
-        }
-        boolean silent = now.minus(heardAt).compareTo(manners.silent()) >= 0;
-        boolean bare = strands.isEmpty() && (!spared || now.minus(triedAt).compareTo(VISIT) >= 0);
-        wants = !gone && !standing.isEmpty() && (bare || silent && !opening())
-                && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0;
     }
 
     /** Whether it has to be connected to, by the last tick: there are VMs that may end, and nothing to hear it by. */
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -148,6 +148,7 @@
     private double mostMemory;
     private Duration now = Duration.ZERO;
     private Front front;
+    private boolean inRound;
     private boolean ready;
     private long bad;
     /** What the module was told, for holding it against the traffic. */
@@ -221,9 +222,17 @@
 
     // ---- The order of inputs ---------------------------------------------------------------------------
 
+    /**
+     * All that one round of the loop brings bears one time, as the events of one tick do for the module: what is held is
+     * gone through once for them, not once for each, however much comes at once.
+     */
     private void turn(Duration at) {
-        now = at;
-        feed.logic.at(at);
+        if (!inRound) {
+            inRound = true;
+            loop.next().execute(() -> inRound = false);
+            now = at;
+            feed.logic.at(at);
+        }
     }
 
     private void enter(Runnable input) {
--- a/src/test/java/fordridge/node/CrossingTest.java
+++ b/src/test/java/fordridge/node/CrossingTest.java
@@ -109,6 +109,32 @@
         }
     }
 
+    /** Guards drains that waited behind the rest of a long list, some of it in each round of a busy loop. */
+    @Example
+    void aLongTaleOfTheJournalAgainstASend() throws Exception {
+        try (Peers p = new Peers(); Peers.Listener other = new Peers.Listener(0)) {
+            p.start();
+            Peers.Wire tail = p.journal.next();
+            assertThat(tail.next("tail")).isEqualTo("tail 3");
+            Peers.Wire owner = p.owner();
+            assertThat(owner.untilTested()).isEmpty();
+            p.holdLoopAtLog("read anew");
+            p.program.reload();
+            p.held.await();
+            String[] others = new String[300];
+            for (int i = 0; i < others.length; i++) {
+                others[i] = member("s-x" + i, other.port(), "DELETED");
+            }
+            tail.say(event(4, false, others) + "\n" + event(5, false, member("s-1", p.machine.port(), "DRAINING"),
+                    member("s-2", other.port(), "SERVING")));
+            owner.say(ask(1, "a"));
+            p.letGo.countDown();
+            other.carrying(ref(1), line).say(word("up", 1, ",\"d\":\"d\""));
+            assertThat(owner.next(ref(1))).contains("\"up\"");
+            assertThat(find(p, ref(1))).as("told that it drains before the loop could send").isNull();
+        }
+    }
+
     /** What comes behind an event that can't be taken is not taken in its place. */
     @Example
     void aSkippedEventIsAskedForBeforeThoseBehindIt() throws Exception {
--- a/src/test/java/fordridge/node/Peers.java
+++ b/src/test/java/fordridge/node/Peers.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -203,6 +204,10 @@
     final Listener journal = new Listener(0);
     final Path file = Files.createTempFile("posting", ".json");
     final java.io.ByteArrayOutputStream log = new java.io.ByteArrayOutputStream();
+    /** The loop stands at the line of its log that it was to be held at. */
+    final CountDownLatch held = new CountDownLatch(1);
+    final CountDownLatch letGo = new CountDownLatch(1);
+    private volatile String holdAt;
     NodeProgram program;
 
     Peers() throws IOException {
@@ -243,7 +248,27 @@
     /** The program with this posting, not started yet. */
     void write(String posting) throws Exception {
         Files.writeString(file, posting);
-        program = new NodeProgram(file, new PrintStream(log, true, StandardCharsets.UTF_8));
+        program = new NodeProgram(file, new PrintStream(log, true, StandardCharsets.UTF_8) {
+            @Override
+            public void println(String line) {
+                super.println(line);
+                String at = holdAt;
+                if (at != null && line.contains(at)) {
+                    holdAt = null;
+                    held.countDown();
+                    try {
+                        letGo.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }
+            }
+        });
+    }
+
+    /** Holds whoever logs such a line, and with it the loop, till it is let go. */
+    void holdLoopAtLog(String line) {
+        holdAt = line;
     }
 
     Wire owner() throws IOException {
