Set-ups that may be sent again, and probes, go out on connections that are open

Cause: Trunk.free opened a connection for each set-up and probe unless one had been of use within a twelfth of the settling time.

Change: what may simply be sent again (told as `retryable`), and probes, take an open connection that carries nothing if the machine was heard from within half a settling time. Others go by the old rule: only a connection that does not come up proves that nothing ran. CrossingTest.cancelAgainstConnect failed once on a loaded machine: ask and cancel were read in one breath, so nothing was ever connected for; it now waits till the connection is begun.

--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -157,12 +157,16 @@
 
     // ---- What the placer wants -------------------------------------------------------------------------
 
-    public void offer(Claim claim, Duration within, Duration now) {
+    /**
+     * {@code again}: should a connection turn out to be dead, the VM can go elsewhere all the same, so an open one will
+     * do; else only one that proves by not coming up that nothing ran, or was good a moment ago.
+     */
+    public void offer(Claim claim, Duration within, boolean again, Duration now) {
         if (gone || draining) {
             fate.ended(claim, End.MOOT, Why.UNTOLD);
             return;
         }
-        Strand s = free(now);
+        Strand s = free(again, now);
         if (s == null) {
             // Every descriptor is taken: not sent at all.
             fate.ended(claim, End.MOOT, Why.UNTOLD);
@@ -209,7 +213,7 @@
     }
 
     public void probe(Duration now) {
-        Strand s = gone ? null : free(now);
+        Strand s = gone ? null : free(true, now);
         if (s == null) {
             fate.probed(machine, false, false, Duration.ZERO);
             return;
@@ -471,12 +475,17 @@
 
     // ---- Within ----------------------------------------------------------------------------------------
 
-    /** A strand that carries nothing and was good a moment ago; else a new one; else the one that carries least. */
-    private Strand free(Duration now) {
+    /**
+     * A strand that carries nothing and was good a moment ago (or where any will do, of a machine that was heard from of
+     * late: a handshake is the dearest part of most set-ups); else a new one; else the one that carries least.
+     */
+    private Strand free(boolean any, Duration now) {
+        Duration proven = any ? manners.doubted() : manners.proven();
         Strand least = null;
         for (Strand s : strands) {
             if (s.stage == Strand.Stage.OPEN) {
-                if (s.idle() && now.minus(s.usedAt).compareTo(manners.proven()) < 0) {
+                Duration good = any && heardAt.compareTo(s.usedAt) > 0 ? heardAt : s.usedAt;
+                if (s.idle() && now.minus(good).compareTo(proven) < 0) {
                     return s;
                 }
                 if (least == null || s.setUps.size() < least.setUps.size()) {
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -142,6 +142,8 @@
     private Terms terms;
     private Map<String, Object> values;
     private final Set<String> flavours = new HashSet<>();
+    /** Of these, the ones that may simply be sent again. */
+    private final Set<String> again = new HashSet<>();
     private final Set<String> customers = new HashSet<>();
     private final Map<String, Duration> patience = new HashMap<>();
     private double mostCores;
@@ -199,10 +201,14 @@
         this.values = values;
         manners = new Trunk.Manners(terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
         flavours.clear();
+        again.clear();
         customers.clear();
         for (int i = 0; i < terms.num("lanes", 0); i++) {
             String name = terms.text("lanes." + i + ".name", "");
             flavours.add(name);
+            if (terms.text("lanes." + i + ".semantics", "fragile").equals("retryable")) {
+                again.add(name);
+            }
             patience.put(name, terms.micros("lanes." + i + ".giveUpUs", 5e6));
         }
         for (int i = 0; i < terms.num("tenants", 0); i++) {
@@ -246,9 +252,8 @@
     }
 
     /**
-     * For what begins an attempt: entered once the loop has asked its sockets again and read what they had to say, so
-     * that an owner whose leaving or cancelling has come in is known to have gone. A task that is due at once is taken
-     * up after the next look at the sockets, where one that is only handed over may go before it.
+     * For what begins an attempt: entered once the loop has read what its sockets had to say, in this round, or in the
+     * next for what time has brought, so that an owner whose leaving or cancelling has come in is known to have gone.
      */
     private void behindReads(Runnable input) {
         loop.next().schedule(() -> enter(input), 0, TimeUnit.NANOSECONDS);
@@ -550,7 +555,7 @@
         behindReads(() -> {
             if (c.out()) {
                 Reach r = byMachine.get(c.machine);
-                r.trunk.offer(c, within.minus(now.minus(c.sentAt)), now);
+                r.trunk.offer(c, within.minus(now.minus(c.sentAt)), again.contains(c.vm.flavour), now);
             }
         });
         at(within, () -> {
--- a/src/test/java/fordridge/link/ScarcityTest.java
+++ b/src/test/java/fordridge/link/ScarcityTest.java
@@ -122,7 +122,7 @@
                 Place to = places.get(r.nextInt(MACHINES));
                 Claim c = new Claim(new Vm("new" + offered++), to.machine, 0, now);
                 c.vm.claims.add(c);
-                to.trunk.offer(c, Duration.ofSeconds(1), now);
+                to.trunk.offer(c, Duration.ofSeconds(1), t % 4 == 0, now);
             }
             trunks.forEach(x -> x.tick(now));
             Scarcity.relieve(trunks, open - closing, MOST, now);
--- a/src/test/java/fordridge/link/TrunkTest.java
+++ b/src/test/java/fordridge/link/TrunkTest.java
@@ -31,6 +31,7 @@
         Duration now = ms(10_000);
         int most = 100;
         int made;
+        boolean again;
 
         static Duration ms(long n) {
             return Duration.ofMillis(n);
@@ -39,7 +40,7 @@
         Claim offer() {
             Claim c = new Claim(new Vm("vm" + made++), machine, 0, now);
             c.vm.claims.add(c);
-            trunk.offer(c, ms(1000), now);
+            trunk.offer(c, ms(1000), again, now);
             return c;
         }
 
@@ -302,6 +303,21 @@
         assertThat(w.ends.get(w.offer())).isEqualTo(End.MOOT);
     }
 
+    @Example
+    void anOpenConnectionCarriesWhatMayBeSentAgainAndNoOneShot() {
+        World w = new World();
+        w.standing();
+        w.pass(500);
+        w.trunk.heard(w.now);
+        w.pass(500);
+        w.offer();
+        assertThat(w.open).as("half a second after it was used it proves nothing").hasSize(2);
+        w.again = true;
+        w.offer();
+        assertThat(w.open).as("the machine was heard from of late").hasSize(2);
+        assertThat(w.said.get(w.open.get(0))).containsExactly("new vm0", "new vm2");
+    }
+
     @Example
     void aProbeWithoutAnAnswerFails() {
         World w = new World();
--- a/src/test/java/fordridge/node/CrossingTest.java
+++ b/src/test/java/fordridge/node/CrossingTest.java
@@ -37,6 +37,8 @@
             p.start(slowToConnect(p, barrier));
             Peers.Wire owner = p.owner();
             owner.say(ask(1, "a"));
+            // Read, and the connection begun; a cancel in the same breath would leave nothing to connect for.
+            assertThat(owner.untilTested()).isEmpty();
             owner.say(word("down", 1, ",\"c\":16"));
             assertThat(owner.untilTested()).isEmpty();
             assertThat(barrier.lift().untilTested()).as("its owner had cancelled before a connection came up").isEmpty();
