The token of a tokened VM goes on to its machine

Change: an ask's `idem` is carried with key and description and written as it came. Test: NodeTest.theTokenOfAnAskGoesOnUnchanged.., red without (no such entry).

--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -284,7 +284,7 @@
     @Override
     public void setUp(Trunk.Strand s, Claim claim, Duration within) {
         Carried c = carried.apply(claim.vm);
-        ((Wire) s.wire).write("new", claim.vm.id, -1, c.description, "class", claim.vm.flavour, "key", c.key,
+        ((Wire) s.wire).write("new", claim.vm.id, -1, c.description, "class", claim.vm.flavour, "key", c.key, "idem", c.token,
                 "left", Long.toString(Math.max(1, within.toMillis())));
     }
 
@@ -303,6 +303,6 @@
         ((Wire) s.wire).write("hb", String.format("%016x", ++probes), 1, null);
     }
 
-    /** What is passed on of an ask, byte for byte. */
-    public record Carried(String key, String description) { }
+    /** What is passed on of an ask, byte for byte; the token of a tokened one, or null. */
+    public record Carried(String key, String token, String description) { }
 }
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -378,7 +378,8 @@
 
     private void takes(Front.Owner owner, Vm vm, Map<String, Object> fields, String description) {
         unpark();
-        carried.put(vm.id, new MachineLine.Carried(String.valueOf(fields.get("key")), description));
+        carried.put(vm.id, new MachineLine.Carried(String.valueOf(fields.get("key")),
+                fields.get("idem") == null ? null : String.valueOf(fields.get("idem")), description));
         feed.add(vm);
         at(vm.deadline.minus(now).plus(MARGIN.dividedBy(2)), () -> {
             // Should the module fail on an input, nobody is left without an answer: this one promises nothing.
--- a/src/test/java/fordridge/node/NodeTest.java
+++ b/src/test/java/fordridge/node/NodeTest.java
@@ -48,6 +48,21 @@
         }
     }
 
+    /** Guards a tokened VM that machines could not know again: its token was left behind. */
+    @Example
+    void theTokenOfAnAskGoesOnUnchangedAndOthersHaveNone() throws Exception {
+        try (Peers p = new Peers()) {
+            p.start();
+            Peers.Wire owner = p.owner();
+            owner.say(ask(1, "a").replace("\"key\"", "\"idem\":\"T-\\u00e91\",\"key\""));
+            p.machine.carrying(ref(1), line).say(word("up", 1, ",\"d\":\"d\""));
+            assertThat(Json.object(Json.line(line[0]).get("f"), "f")).containsEntry("idem", "T-é1");
+            owner.say(ask(2, "a"));
+            p.machine.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d\""));
+            assertThat(Json.object(Json.line(line[0]).get("f"), "f")).doesNotContainKey("idem");
+        }
+    }
+
     /** Guards the first failure on sockets: a VM's end that fell on the moment of an idle connection's close. */
     @Example
     void anEndWrittenAsTheConnectionClosesIsHeard() throws Exception {
