--- a/src/test/java/fordridge/node/CrossingTest.java
+++ b/src/test/java/fordridge/node/CrossingTest.java
@@ -111,6 +111,28 @@
         }
     }
 
+    /** Guards limits that a reload read and passed over. */
+    @Example
+    void otherLimitsHoldFromTheReloadOn() throws Exception {
+        try (Peers p = new Peers()) {
+            p.start();
+            Files.writeString(p.file, p.posting(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
+                    .replace("\"sockets\":256", "\"sockets\":64"));
+            p.program.reload();
+            await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("read anew"));
+            List<Socket> crowd = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                crowd.add(new Socket(InetAddress.getLoopbackAddress(), p.program.port()));
+            }
+            Peers.Wire owner = p.owner();
+            assertThat(owner.untilTested()).isEmpty();
+            assertThat(p.program.connections()).as("three eighths of the descriptors").isLessThanOrEqualTo(24);
+            for (Socket s : crowd) {
+                s.close();
+            }
+        }
+    }
+
     /** Guards drains that waited behind the rest of a long list, some of it in each round of a busy loop. */
     @Example
     void aLongTaleOfTheJournalAgainstASend() throws Exception {
