A release whose connection is gone goes to an owner that is known to hear

Change: connections on which an owner has acknowledged something come first. Test: OwedTest.aReleaseWhoseLineIsGone.., red without.

--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -531,7 +531,7 @@
 
     @Override
     public void hears(Front.Owner owner, String id) {
-        enter(() -> owed.heard(id));
+        enter(() -> owed.heard(id, owner));
     }
 
     private void answer(Vm vm, String type, int cause, String description, boolean stands, String... fields) {
@@ -584,7 +584,7 @@
         Front.Owner owner = owed.release(vm.id, LOST, now);
         if (owner != null) {
             owner.write("shift", vm.id, -1, null);
-            owed.heard(vm.id);
+            owed.heard(vm.id, owner);
         }
         byMachine.get(vm.placed.machine).trunk.stop(vm.placed, now);
     }
--- a/src/main/java/fordridge/session/Owed.java
+++ b/src/main/java/fordridge/session/Owed.java
@@ -50,6 +50,8 @@
     private final Map<L, Set<String>> lines = new HashMap<>();
     /** Lines that have carried an ask, the latest last. */
     private final LinkedHashSet<L> owners = new LinkedHashSet<>();
+    /** Of these, the ones on which something was said to be heard, the latest last. */
+    private final LinkedHashSet<L> hearing = new LinkedHashSet<>();
     /** Releases that no line could carry yet. */
     private final Deque<Release> parked = new ArrayDeque<>();
     /** Releases that went out and were not heard yet, the oldest first: what closes a line may have met them on the way. */
@@ -122,14 +124,19 @@
         return line;
     }
 
-    /** Its owner says that it heard the release. */
-    public void heard(String vm) {
+    /** Its owner says, on this line, that it heard the release. */
+    public void heard(String vm, L line) {
         unheard.remove(vm);
+        if (owners.contains(line)) {
+            hearing.remove(line);
+            hearing.add(line);
+        }
     }
 
+    /** The line of an owner that is known to hear, else the one that has asked last: not every line that asks listens. */
     private L latest() {
         L line = null;
-        for (L l : owners) {
+        for (L l : hearing.isEmpty() ? owners : hearing) {
             line = l;
         }
         return line;
@@ -173,6 +180,7 @@
      */
     public List<String> closed(L line) {
         owners.remove(line);
+        hearing.remove(line);
         for (Iterator<Told<L>> i = unheard.values().iterator(); i.hasNext();) {
             Told<L> t = i.next();
             if (t.line.equals(line)) {
--- a/src/test/java/fordridge/session/OwedTest.java
+++ b/src/test/java/fordridge/session/OwedTest.java
@@ -65,6 +65,23 @@
         assertThat(owed.unpark(T.plusSeconds(9))).isEmpty();
     }
 
+    /** Guards releases that went to whoever had asked last, which may be one that never listens. */
+    @Example
+    void aReleaseWhoseLineIsGoneGoesToOneThatIsKnownToHear() {
+        owed.ask("one", "line");
+        owed.answer("one", true);
+        owed.ask("two", "hears");
+        owed.answer("two", true);
+        assertThat(owed.release("two", 16, T)).isEqualTo("hears");
+        owed.heard("two", "hears");
+        owed.ask("three", "asks and never listens");
+        owed.closed("line");
+        assertThat(owed.release("one", 16, T)).isEqualTo("hears");
+        owed.closed("hears");
+        assertThat(owed.unpark(T)).extracting(t -> t.line() + " " + t.release().vm())
+                .containsExactly("asks and never listens one");
+    }
+
     @Example
     void whatItsOwnerEndedIsOwedNothing() {
         owed.ask("a", "line");
