--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/jsonl/MachineLine.java
@@ -29,17 +29,17 @@
         /** Any whole line. */
         void line();
 
-        void connected(Trunk.Strand s);
+        void connected(Trunk.Connection s);
 
-        void failed(Trunk.Strand s, boolean refused);
+        void failed(Trunk.Connection s, boolean refused);
 
-        void broke(Trunk.Strand s, String why);
+        void broke(Trunk.Connection s, String why);
 
-        void stands(Trunk.Strand s, String vm, String description);
+        void stands(Trunk.Connection s, String vm, String description);
 
-        void ended(Trunk.Strand s, String vm, End before, End after, Why why);
+        void ended(Trunk.Connection s, String vm, End before, End after, Why why);
 
-        void probed(Trunk.Strand s, boolean ok, boolean told);
+        void probed(Trunk.Connection s, boolean ok, boolean told);
 
         void note(String vm, String what, double amount);
 
@@ -76,7 +76,7 @@
     }
 
     private final class Wire extends Lines {
-        final Trunk.Strand strand;
+        final Trunk.Connection connection;
         Channel channel;
         boolean up;
         /** Nothing more is to be concluded of it as a connection. */
@@ -84,8 +84,8 @@
         /** Closed from here, and read to its end. */
         boolean leaving;
 
-        Wire(Trunk.Strand strand) {
-            this.strand = strand;
+        Wire(Trunk.Connection connection) {
+            this.connection = connection;
         }
 
         @Override
@@ -93,7 +93,7 @@
             trace(ctx.channel(), "up");
             if (!over) {
                 up = true;
-                heard.connected(strand);
+                heard.connected(connection);
             }
         }
 
@@ -109,7 +109,7 @@
             if (!over) {
                 over = true;
                 channel.close();
-                heard.broke(strand, why);
+                heard.broke(connection, why);
             }
         }
 
@@ -146,17 +146,17 @@
                     if (description == null) {
                         spoilt("an answer without a description");
                     } else {
-                        heard.stands(strand, id, description);
+                        heard.stands(connection, id, description);
                     }
                 }
                 case "down" -> {
                     write("ack", id, -1, null);
                     Why why = WHYS.getOrDefault(String.valueOf(fields.get("note")), Why.UNTOLD);
-                    heard.ended(strand, id, before(cause), after(cause), why);
+                    heard.ended(connection, id, before(cause), after(cause), why);
                 }
                 case "tell" -> heard.note(id, String.valueOf(fields.get("note")),
                         fields.get("value") instanceof Number n ? n.doubleValue() : number(fields.get("value")));
-                case "hb_ok" -> heard.probed(strand, cause == 1, fields.get("load") instanceof String);
+                case "hb_ok" -> heard.probed(connection, cause == 1, fields.get("load") instanceof String);
                 case "hb" -> write("hb_ok", id, 1, null);
                 case "wait", "ack", "shift" -> { }
                 default -> spoilt("line: field 't' is not a known word");
@@ -236,7 +236,7 @@
     }
 
     @Override
-    public void open(Trunk.Strand s) {
+    public void open(Trunk.Connection s) {
         Wire w = new Wire(s);
         s.wire = w;
         share.open++;
@@ -265,7 +265,7 @@
     }
 
     @Override
-    public void close(Trunk.Strand s) {
+    public void close(Trunk.Connection s) {
         Wire w = (Wire) s.wire;
         w.over = true;
         if (w.channel.isActive()) {
@@ -282,24 +282,24 @@
     }
 
     @Override
-    public void setUp(Trunk.Strand s, Claim claim, Duration within) {
+    public void setUp(Trunk.Connection s, Claim claim, Duration within) {
         Carried c = carried.apply(claim.vm);
         ((Wire) s.wire).write("new", claim.vm.id, -1, c.description, "class", claim.vm.flavour, "key", c.key, "idem", c.token,
                 "left", Long.toString(Math.max(1, within.toMillis())));
     }
 
     @Override
-    public void giveUp(Trunk.Strand s, String vm) {
+    public void giveUp(Trunk.Connection s, String vm) {
         ((Wire) s.wire).write("down", vm, 16, null);
     }
 
     @Override
-    public void cut(Trunk.Strand s, String vm) {
+    public void cut(Trunk.Connection s, String vm) {
         ((Wire) s.wire).write("down", vm, 31, null);
     }
 
     @Override
-    public void probe(Trunk.Strand s) {
+    public void probe(Trunk.Connection s) {
         ((Wire) s.wire).write("hb", String.format("%016x", ++probes), 1, null);
     }
 
--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/link/Trunk.java
@@ -17,17 +17,17 @@
 
 /**
  * What one placer may conclude of its claims on one machine where each set-up is bound to the connection that carries
- * it (a strand), and what stands is bound to none: which never ran, which may have run, which run. Free of I/O,
+ * it, and what stands is bound to none: which never ran, which may have run, which run. Free of I/O,
  * threads and clocks: the time comes in, and it acts through {@link Line} and {@link Fate}.
  *
- * <p>A set-up that no strand has carried yet never ran. One on a strand that breaks, or says what can't be read, may
- * have run. So a strand carries one set-up at a time while there are strands to be had: what spoils one takes no other
+ * <p>A set-up that no connection has carried yet never ran. One on a connection that breaks, or says what can't be read, may
+ * have run. So a connection carries one set-up at a time while there are connections to be had: what spoils one takes no other
  * with it. What stands is lost on the machine's own word, on the list's, or when the machine is dead: it refuses
  * connections twice in a row, or is silent and lets no connection come up for a while.
  */
 public final class Trunk {
     /** One connection to the machine. */
-    public static final class Strand {
+    public static final class Connection {
         private enum Stage { OPENING, OPEN, SPENT, CLOSED }
 
         /** What the transport keeps by it. */
@@ -49,17 +49,17 @@
         boolean mayOpen();
 
         /** Begins to connect; what comes of it is told later. */
-        void open(Strand strand);
+        void open(Connection connection);
 
-        void close(Strand strand);
+        void close(Connection connection);
 
-        void setUp(Strand strand, Claim claim, Duration within);
+        void setUp(Connection connection, Claim claim, Duration within);
 
-        void giveUp(Strand strand, String vm);
+        void giveUp(Connection connection, String vm);
 
-        void cut(Strand strand, String vm);
+        void cut(Connection connection, String vm);
 
-        void probe(Strand strand);
+        void probe(Connection connection);
     }
 
     /** What the trunk concludes. */
@@ -81,7 +81,7 @@
 
     /** Spans from what was read at start. */
     public record Manners(Duration connectTimeout, Duration settle) {
-        /** How long a strand is kept unused beside another, and an ended VM's machine is waited for. */
+        /** How long a connection is kept unused beside another, and an ended VM's machine is waited for. */
         Duration doubted() {
             return settle.dividedBy(2);
         }
@@ -96,7 +96,7 @@
             return silent().multipliedBy(3).dividedBy(2);
         }
 
-        /** A strand heard from so lately is taken to be good. */
+        /** A connection heard from so lately is taken to be good. */
         Duration proven() {
             return settle.dividedBy(12);
         }
@@ -116,7 +116,7 @@
     private Manners manners;
     private final Line line;
     private final Fate fate;
-    private final Set<Strand> strands = new LinkedHashSet<>();
+    private final Set<Connection> connections = new LinkedHashSet<>();
     private final Map<String, Claim> standing = new HashMap<>();
     /** VMs that their owner has ended, until the machine says so. */
     private final Map<String, Duration> stopping = new HashMap<>();
@@ -142,8 +142,8 @@
         manners = next;
     }
 
-    public int strands() {
-        return strands.size();
+    public int connections() {
+        return connections.size();
     }
 
     public int standing() {
@@ -152,7 +152,7 @@
 
     /** Nothing is known of it any more, and nothing is owed to it. */
     public boolean over() {
-        return gone && strands.isEmpty() && standing.isEmpty();
+        return gone && connections.isEmpty() && standing.isEmpty();
     }
 
     // ---- What the placer wants -------------------------------------------------------------------------
@@ -166,7 +166,7 @@
             fate.ended(claim, End.MOOT, Why.UNTOLD);
             return;
         }
-        Strand s = free(again, now);
+        Connection s = free(again, now);
         if (s == null) {
             // Every descriptor is taken: not sent at all.
             fate.ended(claim, End.MOOT, Why.UNTOLD);
@@ -174,22 +174,22 @@
         }
         SetUp u = new SetUp(claim, now.plus(within));
         s.setUps.put(claim.vm.id, u);
-        if (s.stage == Strand.Stage.OPEN) {
+        if (s.stage == Connection.Stage.OPEN) {
             carry(s, u, now);
         }
     }
 
-    /** The placer waits no longer; ends as {@code how} if a strand has carried it, else it never ran. */
+    /** The placer waits no longer; ends as {@code how} if a connection has carried it, else it never ran. */
     public void giveUp(Claim claim, End how, Duration now) {
-        for (Strand s : strands) {
+        for (Connection s : connections) {
             SetUp u = s.setUps.get(claim.vm.id);
             if (u != null && u.claim == claim) {
                 s.setUps.remove(claim.vm.id);
-                boolean carried = s.stage != Strand.Stage.OPENING;
+                boolean carried = s.stage != Connection.Stage.OPENING;
                 if (carried) {
                     line.giveUp(s, claim.vm.id);
                     // What comes late on it must not be taken for the answer to a later set-up of the same VM.
-                    s.stage = Strand.Stage.SPENT;
+                    s.stage = Connection.Stage.SPENT;
                 }
                 closeIfSpent(s);
                 fate.ended(claim, carried ? how : End.UNREACHABLE, Why.UNTOLD);
@@ -205,7 +205,7 @@
     public void stop(Claim claim, Duration now) {
         if (standing.get(claim.vm.id) == claim && !stopping.containsKey(claim.vm.id)) {
             stopping.put(claim.vm.id, now.plus(manners.doubted()));
-            Strand s = any();
+            Connection s = any();
             if (s != null) {
                 line.cut(s, claim.vm.id);
             }
@@ -213,13 +213,13 @@
     }
 
     public void probe(Duration now) {
-        Strand s = gone ? null : free(true, now);
+        Connection s = gone ? null : free(true, now);
         if (s == null) {
             fate.probed(machine, false, false, Duration.ZERO);
             return;
         }
         s.probeSentAt = now;
-        if (s.stage == Strand.Stage.OPEN) {
+        if (s.stage == Connection.Stage.OPEN) {
             sendProbe(s, now);
         }
     }
@@ -234,12 +234,12 @@
 
     // ---- What the list says ----------------------------------------------------------------------------
 
-    /** What the list says of it now. Draining or gone, what no strand has carried yet is taken back. */
+    /** What the list says of it now. Draining or gone, what no connection has carried yet is taken back. */
     public void listed(Machine.Listing as, Duration now) {
         draining = as != Machine.Listing.LIVE;
         if (draining) {
-            for (Strand s : List.copyOf(strands)) {
-                if (s.stage == Strand.Stage.OPENING) {
+            for (Connection s : List.copyOf(connections)) {
+                if (s.stage == Connection.Stage.OPENING) {
                     for (SetUp u : takeAll(s)) {
                         fate.ended(u.claim, End.MOOT, Why.UNTOLD);
                     }
@@ -270,8 +270,8 @@
 
     /** The process is no more, or can't be reached: nothing that it held is waited for. */
     private void dies(Duration now) {
-        for (Strand s : List.copyOf(strands)) {
-            boolean carried = s.stage != Strand.Stage.OPENING;
+        for (Connection s : List.copyOf(connections)) {
+            boolean carried = s.stage != Connection.Stage.OPENING;
             for (SetUp u : takeAll(s)) {
                 fate.ended(u.claim, carried ? End.RESET : End.UNREACHABLE, Why.UNTOLD);
             }
@@ -282,14 +282,14 @@
         }
     }
 
-    // ---- What the strands do ---------------------------------------------------------------------------
+    // ---- What the connections do ---------------------------------------------------------------------------
 
-    public void connected(Strand s, Duration now) {
-        if (s.stage != Strand.Stage.OPENING) {
+    public void connected(Connection s, Duration now) {
+        if (s.stage != Connection.Stage.OPENING) {
             return;
         }
         heard(now);
-        s.stage = Strand.Stage.OPEN;
+        s.stage = Connection.Stage.OPEN;
         s.due = null;
         s.usedAt = now;
         for (SetUp u : List.copyOf(s.setUps.values())) {
@@ -310,11 +310,11 @@
     }
 
     /** No connection came up: refused, or no word in time. */
-    public void failed(Strand s, boolean refused, Duration now) {
-        if (!strands.remove(s)) {
+    public void failed(Connection s, boolean refused, Duration now) {
+        if (!connections.remove(s)) {
             return;
         }
-        s.stage = Strand.Stage.CLOSED;
+        s.stage = Connection.Stage.CLOSED;
         refusals = refused ? refusals + 1 : 0;
         timeouts += refused ? 0 : 1;
         for (SetUp u : takeAll(s)) {
@@ -327,22 +327,22 @@
         }
     }
 
-    /** A strand broke, was closed, or said what can't be read: all that it carried may have run. */
-    public void broke(Strand s, Duration now) {
-        if (!strands.remove(s)) {
+    /** A connection broke, was closed, or said what can't be read: all that it carried may have run. */
+    public void broke(Connection s, Duration now) {
+        if (!connections.remove(s)) {
             return;
         }
         // It had come up, even where this is heard before that: what it had not carried yet never ran.
-        boolean carried = s.stage != Strand.Stage.OPENING;
-        s.stage = Strand.Stage.CLOSED;
+        boolean carried = s.stage != Connection.Stage.OPENING;
+        s.stage = Connection.Stage.CLOSED;
         for (SetUp u : takeAll(s)) {
             fate.ended(u.claim, carried ? End.RESET : End.UNREACHABLE, Why.UNTOLD);
         }
         probeFails(s, now);
     }
 
-    /** The machine says that a VM stands; passed over unless this strand carries its set-up. */
-    public void stands(Strand s, String vm, String description, Duration now) {
+    /** The machine says that a VM stands; passed over unless this connection carries its set-up. */
+    public void stands(Connection s, String vm, String description, Duration now) {
         SetUp u = s.setUps.remove(vm);
         if (u == null) {
             return;
@@ -353,8 +353,8 @@
         closeIfSpent(s);
     }
 
-    /** The machine ends a set-up on this strand, or what stands (on any); unknown ids are passed over. */
-    public void ended(Strand s, String vm, End before, End after, Why why, Duration now) {
+    /** The machine ends a set-up on this connection, or what stands (on any); unknown ids are passed over. */
+    public void ended(Connection s, String vm, End before, End after, Why why, Duration now) {
         SetUp u = s.setUps.remove(vm);
         if (u != null) {
             s.usedAt = now;
@@ -369,7 +369,7 @@
         }
     }
 
-    public void probed(Strand s, boolean ok, boolean told, Duration now) {
+    public void probed(Connection s, boolean ok, boolean told, Duration now) {
         if (s.probeSentAt != null) {
             Duration took = now.minus(s.probeSentAt);
             s.probeSentAt = null;
@@ -388,7 +388,7 @@
 
     /** To be called every now and then, a few times within the time a connection may take; {@link Scarcity} behind it. */
     public void tick(Duration now) {
-        if (!strands.isEmpty()) {
+        if (!connections.isEmpty()) {
             look(now);
         }
         if (!stopping.isEmpty()) {
@@ -407,23 +407,23 @@
             return;
         }
         boolean silent = now.minus(heardAt).compareTo(manners.silent()) >= 0;
-        boolean bare = strands.isEmpty() && (!spared || now.minus(triedAt).compareTo(VISIT) >= 0);
+        boolean bare = connections.isEmpty() && (!spared || now.minus(triedAt).compareTo(VISIT) >= 0);
         wants = (bare || silent && !opening())
                 && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0;
     }
 
     private void look(Duration now) {
         boolean kept = false;
-        for (Strand s : strands.toArray(new Strand[0])) {
-            if (s.stage == Strand.Stage.OPENING && now.compareTo(s.due) >= 0) {
+        for (Connection s : connections.toArray(new Connection[0])) {
+            if (s.stage == Connection.Stage.OPENING && now.compareTo(s.due) >= 0) {
                 line.close(s);
                 failed(s, false, now);
-            } else if (s.stage != Strand.Stage.OPENING && s.probeSentAt != null
+            } else if (s.stage != Connection.Stage.OPENING && s.probeSentAt != null
                     && now.minus(s.probeSentAt).compareTo(manners.connectTimeout) >= 0) {
                 probeFails(s, now);
-                s.stage = Strand.Stage.SPENT;
+                s.stage = Connection.Stage.SPENT;
                 closeIfSpent(s);
-            } else if (s.stage == Strand.Stage.OPEN && s.idle()) {
+            } else if (s.stage == Connection.Stage.OPEN && s.idle()) {
                 // One is kept, for what the machine has to say of what stands; the others go once unused.
                 if (kept && now.minus(s.usedAt).compareTo(manners.doubted()) >= 0) {
                     shut(s, now);
@@ -451,39 +451,39 @@
         }
     }
 
-    /** Since when one of its strands has been of no use but for what the machine may say; null: none is. */
+    /** Since when one of its connections has been of no use but for what the machine may say; null: none is. */
     public Duration idleSince() {
         return idlest().map(s -> s.usedAt).orElse(null);
     }
 
-    /** Closes that strand, for another machine's sake. */
+    /** Closes that connection, for another machine's sake. */
     public void spare(Duration now) {
         idlest().ifPresent(s -> {
             shut(s, now);
-            spared = strands.isEmpty();
+            spared = connections.isEmpty();
         });
     }
 
-    private Optional<Strand> idlest() {
-        return strands.stream().filter(s -> s.stage == Strand.Stage.OPEN && s.idle())
+    private Optional<Connection> idlest() {
+        return connections.stream().filter(s -> s.stage == Connection.Stage.OPEN && s.idle())
                 .min(Comparator.comparing(s -> s.usedAt));
     }
 
     private boolean opening() {
-        return strands.stream().anyMatch(s -> s.stage == Strand.Stage.OPENING);
+        return connections.stream().anyMatch(s -> s.stage == Connection.Stage.OPENING);
     }
 
     // ---- Within ----------------------------------------------------------------------------------------
 
     /**
-     * A strand that carries nothing and was good a moment ago (or where any will do, of a machine that was heard from of
+     * A connection that carries nothing and was good a moment ago (or where any will do, of a machine that was heard from of
      * late: a handshake is the dearest part of most set-ups); else a new one; else the one that carries least.
      */
-    private Strand free(boolean any, Duration now) {
+    private Connection free(boolean any, Duration now) {
         Duration proven = any ? manners.doubted() : manners.proven();
-        Strand least = null;
-        for (Strand s : strands) {
-            if (s.stage == Strand.Stage.OPEN) {
+        Connection least = null;
+        for (Connection s : connections) {
+            if (s.stage == Connection.Stage.OPEN) {
                 Duration good = any && heardAt.compareTo(s.usedAt) > 0 ? heardAt : s.usedAt;
                 if (s.idle() && now.minus(good).compareTo(proven) < 0) {
                     return s;
@@ -496,38 +496,38 @@
         return line.mayOpen() ? open(now) : least;
     }
 
-    private Strand any() {
-        Strand some = null;
-        for (Strand s : strands) {
-            if (s.stage == Strand.Stage.OPEN || s.stage == Strand.Stage.SPENT) {
+    private Connection any() {
+        Connection some = null;
+        for (Connection s : connections) {
+            if (s.stage == Connection.Stage.OPEN || s.stage == Connection.Stage.SPENT) {
                 some = s;
             }
         }
         return some;
     }
 
-    private Strand open(Duration now) {
-        Strand s = new Strand();
+    private Connection open(Duration now) {
+        Connection s = new Connection();
         s.due = now.plus(manners.connectTimeout);
         s.usedAt = now;
         triedAt = now;
         spared = false;
-        strands.add(s);
+        connections.add(s);
         line.open(s);
         return s;
     }
 
-    private void carry(Strand s, SetUp u, Duration now) {
+    private void carry(Connection s, SetUp u, Duration now) {
         Duration left = u.by.minus(now);
         s.usedAt = now;
         line.setUp(s, u.claim, left);
     }
 
-    private void sendProbe(Strand s, Duration now) {
+    private void sendProbe(Connection s, Duration now) {
         line.probe(s);
     }
 
-    private void probeFails(Strand s, Duration now) {
+    private void probeFails(Connection s, Duration now) {
         if (s.probeSentAt != null) {
             Duration took = now.minus(s.probeSentAt);
             s.probeSentAt = null;
@@ -535,22 +535,22 @@
         }
     }
 
-    private static List<SetUp> takeAll(Strand s) {
+    private static List<SetUp> takeAll(Connection s) {
         List<SetUp> all = new ArrayList<>(s.setUps.values());
         s.setUps.clear();
         return all;
     }
 
-    private void closeIfSpent(Strand s) {
-        if (s.stage == Strand.Stage.SPENT && s.setUps.isEmpty() && strands.remove(s)) {
-            s.stage = Strand.Stage.CLOSED;
+    private void closeIfSpent(Connection s) {
+        if (s.stage == Connection.Stage.SPENT && s.setUps.isEmpty() && connections.remove(s)) {
+            s.stage = Connection.Stage.CLOSED;
             line.close(s);
         }
     }
 
-    private void shut(Strand s, Duration now) {
-        if (strands.remove(s)) {
-            s.stage = Strand.Stage.CLOSED;
+    private void shut(Connection s, Duration now) {
+        if (connections.remove(s)) {
+            s.stage = Connection.Stage.CLOSED;
             probeFails(s, now);
             line.close(s);
         }
--- a/src/main/java/fordridge/node/Posting.java
+++ b/src/main/java/fordridge/node/Configuration.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** Where this placer is posted: its name and address, its limits, the journal, and the terms that the module reads. */
-public final class Posting {
+public final class Configuration {
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress journal;
@@ -24,7 +24,7 @@
     public final List<Object> known;
     public final Map<String, Object> terms = new HashMap<>();
 
-    private Posting(Map<String, Object> from) {
+    private Configuration(Map<String, Object> from) {
         name = Json.text(from, "name", "configuration");
         listen = address(Json.text(from, "listen", "configuration"));
         journal = address(Json.text(from, "journal", "configuration"));
@@ -49,8 +49,8 @@
     }
 
     /** Reads it whole, or says what is wrong with it. */
-    public static Posting read(Path file) throws IOException {
-        return new Posting(Json.line(Files.readString(file)));
+    public static Configuration read(Path file) throws IOException {
+        return new Configuration(Json.line(Files.readString(file)));
     }
 
     static InetSocketAddress address(String hostPort) {
--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/node/NodeProgram.java
@@ -44,7 +44,7 @@
     private final Path file;
     private final EventLoopGroup loop;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private Posting posting;
+    private Configuration configuration;
     private Station station;
     private Front front;
     private JournalTail journal;
@@ -60,7 +60,7 @@
         NETTY.setLevel(Level.OFF);
         this.err = err;
         this.file = file;
-        posting = Posting.read(file);
+        configuration = Configuration.read(file);
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     }
 
@@ -94,18 +94,18 @@
     }
 
     private void log(String line) {
-        err.println(System.currentTimeMillis() + " " + posting.name + " " + line);
+        err.println(System.currentTimeMillis() + " " + configuration.name + " " + line);
     }
 
     public void start() throws IOException, InterruptedException {
-        station = new Station(loop, posting, machineSockets(posting), this::log);
-        front = new Front(loop, station, ownerSockets(posting));
+        station = new Station(loop, configuration, machineSockets(configuration), this::log);
+        front = new Front(loop, station, ownerSockets(configuration));
         Throwable[] failed = new Throwable[1];
         loop.submit(() -> {
             try {
-                station.begin(posting, front);
-                journal = new JournalTail(loop, posting.pos, station::event, this::log);
-                journal.follow(posting.journal);
+                station.begin(configuration, front);
+                journal = new JournalTail(loop, configuration.pos, station::event, this::log);
+                journal.follow(configuration.journal);
                 if (reloadWanted) {
                     reload();
                 }
@@ -117,26 +117,26 @@
             throw new IOException(failed[0].getMessage(), failed[0]);
         }
         long from = System.nanoTime();
-        int warmed = Warming.run(posting, WARMS);
+        int warmed = Warming.run(configuration, WARMS);
         log("warmed up with " + warmed + " asks in " + (System.nanoTime() - from) / 1_000_000 + " ms");
         if (stopping) {
             return;
         }
-        var bound = front.listen(posting.listen).await();
+        var bound = front.listen(configuration.listen).await();
         if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + posting.listen + ": " + bound.cause().getMessage());
+            throw new IOException("can't listen at " + configuration.listen + ": " + bound.cause().getMessage());
         }
-        log("serving at " + front.address() + ", " + posting.limits);
+        log("serving at " + front.address() + ", " + configuration.limits);
         loop.next().scheduleAtFixedRate(() -> log(station.state() + ", journal at " + journal.pos()), 5, 5,
                 TimeUnit.SECONDS);
     }
 
     /** All but the owners' share and what the process itself holds: its files, the journal, what is being accepted. */
-    private static int machineSockets(Posting p) {
+    private static int machineSockets(Configuration p) {
         return Math.max(p.sockets / 8, p.sockets - ownerSockets(p) - OWN);
     }
 
-    private static int ownerSockets(Posting p) {
+    private static int ownerSockets(Configuration p) {
         return p.sockets * 3 / 8;
     }
 
@@ -167,13 +167,13 @@
                 return;
             }
             try {
-                Posting next = Posting.read(file);
+                Configuration next = Configuration.read(file);
                 station.told(next, machineSockets(next));
                 front.most(ownerSockets(next));
-                if (!next.listen.equals(posting.listen) || !next.name.equals(posting.name)) {
+                if (!next.listen.equals(configuration.listen) || !next.name.equals(configuration.name)) {
                     log("a new name or address needs a restart: " + next.name + " " + next.listen);
                 }
-                posting = next;
+                configuration = next;
                 journal.follow(next.journal);
                 log("configuration read anew; journal " + next.journal);
             } catch (IOException | RuntimeException e) {
--- a/src/main/java/fordridge/node/Rehearsal.java
+++ b/src/main/java/fordridge/node/Rehearsal.java
@@ -35,7 +35,7 @@
             serve(journal, (line, out) -> say(out, "7\n"));
             Path file = Files.createTempFile("rehearsal", ".json");
             try {
-                Files.writeString(file, posting(machine.getLocalPort(), journal.getLocalPort()));
+                Files.writeString(file, configuration(machine.getLocalPort(), journal.getLocalPort()));
                 try (NodeProgram program = new NodeProgram(file, err)) {
                     program.start();
                     int stood = owner(program.port());
@@ -130,7 +130,7 @@
         }
     }
 
-    private static String posting(int machine, int journal) {
+    private static String configuration(int machine, int journal) {
         return "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"cores\":1,\"memory_mb\":64,"
                 + "\"sockets\":256},\"journal\":\"127.0.0.1:" + journal + "\",\"known\":{\"pos\":7,\"entries\":[{\"pos\":7,"
                 + "\"hosts\":{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/node/Station.java
@@ -66,32 +66,32 @@
         }
 
         @Override
-        public void connected(Trunk.Strand s) {
+        public void connected(Trunk.Connection s) {
             behindReads(() -> trunk.connected(s, now));
         }
 
         @Override
-        public void failed(Trunk.Strand s, boolean refused) {
+        public void failed(Trunk.Connection s, boolean refused) {
             enter(() -> trunk.failed(s, refused, now));
         }
 
         @Override
-        public void broke(Trunk.Strand s, String why) {
+        public void broke(Trunk.Connection s, String why) {
             enter(() -> trunk.broke(s, now));
         }
 
         @Override
-        public void stands(Trunk.Strand s, String vm, String description) {
+        public void stands(Trunk.Connection s, String vm, String description) {
             enter(() -> trunk.stands(s, vm, description, now));
         }
 
         @Override
-        public void ended(Trunk.Strand s, String vm, End before, End after, Why why) {
+        public void ended(Trunk.Connection s, String vm, End before, End after, Why why) {
             enter(() -> trunk.ended(s, vm, before, after, why, now));
         }
 
         @Override
-        public void probed(Trunk.Strand s, boolean ok, boolean told) {
+        public void probed(Trunk.Connection s, boolean ok, boolean told) {
             enter(() -> trunk.probed(s, ok, told, now));
         }
 
@@ -159,7 +159,7 @@
     private long probesFailed;
     private final Map<End, Long> ends = new java.util.EnumMap<>(End.class);
 
-    Station(EventLoopGroup loop, Posting p, int machineSockets, Consumer<String> log) {
+    Station(EventLoopGroup loop, Configuration p, int machineSockets, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
         inputs = new Inputs(System::nanoTime, this::turn, e -> {
@@ -172,7 +172,7 @@
     }
 
     /** On the loop: starts the module with its terms and the list as known, then keeps time. */
-    void begin(Posting p, Front front) {
+    void begin(Configuration p, Front front) {
         this.front = front;
         enter(() -> feed.logic.start(p.seed, p.terms));
         for (Object event : p.known) {
@@ -184,7 +184,7 @@
     }
 
     /** Other terms and limits hold for all that comes from here on. */
-    void told(Posting next, int machineSockets) {
+    void told(Configuration next, int machineSockets) {
         share.most(machineSockets);
         if (!next.terms.equals(values)) {
             read(next.terms);
@@ -296,7 +296,7 @@
                         default -> throw new Json.Malformed("hosts.members: field 'phase' is not a known word");
                     }, up == 0 ? null : Duration.ofMillis(up - wallStart)));
             if (l.get("host_port") instanceof String at) {
-                addresses.put(id, Posting.address(at));
+                addresses.put(id, Configuration.address(at));
             }
         }
         enter(() -> listed(whole, lines, addresses));
@@ -484,7 +484,7 @@
             at(manners.dead(), () -> {
                 if (r.machine.listing == Machine.Listing.GONE && vm.placed.out()) {
                     r.trunk.listed(Machine.Listing.GONE, now);
-                    r.trunk.ended(new Trunk.Strand(), vm.id, End.RESET, End.RESET, Why.UNTOLD, now);
+                    r.trunk.ended(new Trunk.Connection(), vm.id, End.RESET, End.RESET, Why.UNTOLD, now);
                 }
             });
         }
@@ -703,7 +703,7 @@
 
     String state() {
         return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", untold " + owed.untold() + ", machines " + reaches.size()
-                + ", strands " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
+                + ", connections to machines " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
                 + ", bad asks " + bad + ", reports " + reports + ", probes passed " + probesPassed + " failed "
                 + probesFailed + ", late " + lateness.allowance(inputs.clock()).toMillis() + " ms, ends " + ends;
     }
--- a/src/main/java/fordridge/node/Warming.java
+++ b/src/main/java/fordridge/node/Warming.java
@@ -33,7 +33,7 @@
     private int answers;
 
     /** At most {@code most} long; the result is how many asks were gone through. */
-    static int run(Posting p, Duration most) {
+    static int run(Configuration p, Duration most) {
         Warming w = new Warming();
         long until = System.nanoTime() + most.toNanos();
         w.begin(p.seed, p.terms);
--- a/src/test/java/fordridge/link/ScarcityTest.java
+++ b/src/test/java/fordridge/link/ScarcityTest.java
@@ -30,7 +30,7 @@
     private final class Place implements Trunk.Line, Trunk.Fate {
         final Machine machine;
         final Trunk trunk;
-        final Map<Trunk.Strand, Boolean> strands = new HashMap<>();
+        final Map<Trunk.Connection, Boolean> connections = new HashMap<>();
         Duration longestUnheard = Duration.ZERO;
         Duration heard = now;
 
@@ -41,7 +41,7 @@
         }
 
         void looks() {
-            if (!strands.isEmpty()) {
+            if (!connections.isEmpty()) {
                 heard = now;
             }
             Duration unheard = now.minus(heard);
@@ -54,17 +54,17 @@
         }
 
         @Override
-        public void open(Trunk.Strand s) {
+        public void open(Trunk.Connection s) {
             open++;
             nextTick.add(() -> {
-                strands.put(s, true);
+                connections.put(s, true);
                 trunk.connected(s, now);
             });
         }
 
         @Override
-        public void close(Trunk.Strand s) {
-            strands.remove(s);
+        public void close(Trunk.Connection s) {
+            connections.remove(s);
             closing++;
             nextTick.add(() -> {
                 open--;
@@ -73,20 +73,20 @@
         }
 
         @Override
-        public void setUp(Trunk.Strand s, Claim claim, Duration within) {
+        public void setUp(Trunk.Connection s, Claim claim, Duration within) {
             nextTick.add(() -> trunk.ended(s, claim.vm.id, End.FULL, null, Why.UNTOLD, now));
         }
 
         @Override
-        public void giveUp(Trunk.Strand strand, String vm) {
+        public void giveUp(Trunk.Connection connection, String vm) {
         }
 
         @Override
-        public void cut(Trunk.Strand strand, String vm) {
+        public void cut(Trunk.Connection connection, String vm) {
         }
 
         @Override
-        public void probe(Trunk.Strand strand) {
+        public void probe(Trunk.Connection connection) {
         }
 
         @Override
--- a/src/test/java/fordridge/link/TrunkTest.java
+++ b/src/test/java/fordridge/link/TrunkTest.java
@@ -23,8 +23,8 @@
     private static final class World implements Trunk.Line, Trunk.Fate {
         final Machine machine = new Machine(7);
         final Trunk trunk = new Trunk(machine, new Trunk.Manners(ms(250), ms(3000)), this, this);
-        final List<Trunk.Strand> open = new ArrayList<>();
-        final Map<Trunk.Strand, List<String>> said = new LinkedHashMap<>();
+        final List<Trunk.Connection> open = new ArrayList<>();
+        final Map<Trunk.Connection, List<String>> said = new LinkedHashMap<>();
         final Map<Claim, End> ends = new HashMap<>();
         final Map<Claim, String> bound = new HashMap<>();
         final List<Boolean> probes = new ArrayList<>();
@@ -44,10 +44,10 @@
             return c;
         }
 
-        /** A claim whose set-up a strand has carried. */
+        /** A claim whose set-up a connection has carried. */
         Claim carried() {
             Claim c = offer();
-            for (Trunk.Strand s : List.copyOf(open)) {
+            for (Trunk.Connection s : List.copyOf(open)) {
                 trunk.connected(s, now);
             }
             return c;
@@ -59,7 +59,7 @@
             return c;
         }
 
-        Trunk.Strand last() {
+        Trunk.Connection last() {
             return open.get(open.size() - 1);
         }
 
@@ -78,34 +78,34 @@
         }
 
         @Override
-        public void open(Trunk.Strand s) {
+        public void open(Trunk.Connection s) {
             open.add(s);
             said.put(s, new ArrayList<>());
         }
 
         @Override
-        public void close(Trunk.Strand s) {
+        public void close(Trunk.Connection s) {
             open.remove(s);
         }
 
         @Override
-        public void setUp(Trunk.Strand s, Claim claim, Duration within) {
+        public void setUp(Trunk.Connection s, Claim claim, Duration within) {
             assertThat(ends).doesNotContainKey(claim);
             said.get(s).add("new " + claim.vm.id);
         }
 
         @Override
-        public void giveUp(Trunk.Strand s, String vm) {
+        public void giveUp(Trunk.Connection s, String vm) {
             said.get(s).add("given up " + vm);
         }
 
         @Override
-        public void cut(Trunk.Strand s, String vm) {
+        public void cut(Trunk.Connection s, String vm) {
             said.get(s).add("cut " + vm);
         }
 
         @Override
-        public void probe(Trunk.Strand s) {
+        public void probe(Trunk.Connection s) {
             said.get(s).add("probe");
         }
 
@@ -129,7 +129,7 @@
     }
 
     @Example
-    void whatNoStrandHasCarriedNeverRan() {
+    void whatNoConnectionHasCarriedNeverRan() {
         World w = new World();
         Claim refused = w.offer();
         w.trunk.failed(w.last(), true, w.now);
@@ -143,11 +143,11 @@
     }
 
     @Example
-    void aStrandThatBreaksEndsWhatItCarriesAndNothingElse() {
+    void aConnectionThatBreaksEndsWhatItCarriesAndNothingElse() {
         World w = new World();
         Claim stands = w.standing();
         Claim one = w.carried();
-        Trunk.Strand broken = w.last();
+        Trunk.Connection broken = w.last();
         Claim other = w.carried();
         assertThat(w.last()).isNotSameAs(broken);
         w.trunk.broke(broken, w.now);
@@ -160,7 +160,7 @@
     void lateRepeatedAndUnknownWordsArePassedOver() {
         World w = new World();
         Claim c = w.carried();
-        Trunk.Strand s = w.last();
+        Trunk.Connection s = w.last();
         w.trunk.stands(s, "of somebody else", "x", w.now);
         w.trunk.stands(s, c.vm.id, "d", w.now);
         w.trunk.stands(s, c.vm.id, "d again", w.now);
@@ -173,10 +173,10 @@
     }
 
     @Example
-    void aStrandOnWhichASetUpWasGivenUpCarriesNoOther() {
+    void aConnectionOnWhichASetUpWasGivenUpCarriesNoOther() {
         World w = new World();
         Claim c = w.carried();
-        Trunk.Strand s = w.last();
+        Trunk.Connection s = w.last();
         w.trunk.giveUp(c, End.TIMEOUT, w.now);
         assertThat(w.said.get(s)).containsExactly("new vm0", "given up vm0");
         assertThat(w.open).doesNotContain(s);
@@ -229,7 +229,7 @@
         w.standing();
         for (int i = 0; i < 100; i++) {
             w.pass(100);
-            for (Trunk.Strand s : List.copyOf(w.open)) {
+            for (Trunk.Connection s : List.copyOf(w.open)) {
                 w.trunk.connected(s, w.now);
             }
         }
@@ -284,13 +284,13 @@
         for (int i = 0; i < 3; i++) {
             Claim c = w.offer();
             w.trunk.broke(w.last(), w.now);
-            assertThat(w.ends.get(c)).as("no strand had carried it").isEqualTo(End.UNREACHABLE);
+            assertThat(w.ends.get(c)).as("no connection had carried it").isEqualTo(End.UNREACHABLE);
         }
         assertThat(w.trunk.standing()).isEqualTo(1);
     }
 
     @Example
-    void withoutADescriptorLeftSetUpsShareAStrand() {
+    void withoutADescriptorLeftSetUpsShareAConnection() {
         World w = new World();
         w.most = 1;
         Claim one = w.carried();
@@ -335,7 +335,7 @@
         Random r = new Random(seed);
         List<Claim> claims = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
-            Trunk.Strand s = w.said.isEmpty() ? null
+            Trunk.Connection s = w.said.isEmpty() ? null
                     : new ArrayList<>(w.said.keySet()).get(r.nextInt(w.said.size()));
             Claim c = claims.isEmpty() ? null : claims.get(r.nextInt(claims.size()));
             switch (r.nextInt(11)) {
--- a/src/test/java/fordridge/node/CrossingTest.java
+++ b/src/test/java/fordridge/node/CrossingTest.java
@@ -27,7 +27,7 @@
 
     /** A machine whose connections come up only when let, within a time that allows for that. */
     private static String slowToConnect(Peers p, Peers.Barrier barrier) {
-        return p.posting(p.journal.port(), member("s-1", barrier.port(), "SERVING"))
+        return p.configuration(p.journal.port(), member("s-1", barrier.port(), "SERVING"))
                 .replace("\"connectTimeoutUs\":250000", "\"connectTimeoutUs\":3500000");
     }
 
@@ -82,7 +82,7 @@
             assertThat(tail.next("tail")).isEqualTo("tail 3");
             int port = other.port();
             other.close();
-            Files.writeString(p.file, p.posting(port, member("s-1", p.machine.port(), "SERVING")));
+            Files.writeString(p.file, p.configuration(port, member("s-1", p.machine.port(), "SERVING")));
             p.program.reload();
             assertThat(tail.next(Peers.END)).isEqualTo(Peers.END);
             try (Peers.Listener late = new Peers.Listener(port)) {
@@ -116,7 +116,7 @@
     void otherLimitsHoldFromTheReloadOn() throws Exception {
         try (Peers p = new Peers()) {
             p.start();
-            Files.writeString(p.file, p.posting(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
+            Files.writeString(p.file, p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
                     .replace("\"sockets\":256", "\"sockets\":64"));
             p.program.reload();
             await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("read anew"));
@@ -375,7 +375,7 @@
     @Example
     void stopAgainstRequestWhereBuildTimeoutsAreShort() throws Exception {
         try (Peers p = new Peers()) {
-            p.start(p.posting(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
+            p.start(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
                     .replace("\"giveUpUs\":4000000", "\"giveUpUs\":500000"));
             Peers.Wire owner = p.owner();
             p.program.stop();
@@ -392,7 +392,7 @@
     @Example
     void exitAgainstRelease() throws Exception {
         try (Peers p = new Peers()) {
-            p.start(p.posting(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
+            p.start(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
                     .replace("\"giveUpUs\":4000000", "\"giveUpUs\":500000"));
             Peers.Wire owner = p.owner();
             owner.say(ask(1, "a", "500", "cores:1;memory:1;service:1", "any"));
@@ -418,14 +418,14 @@
     @Example
     void toldToStopOrReloadBeforeItServesItEndsOrReloadsOnceItDoes() throws Exception {
         try (Peers p = new Peers(); Peers.Listener other = new Peers.Listener(0)) {
-            p.write(p.posting(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
-            Files.writeString(p.file, p.posting(other.port(), member("s-1", p.machine.port(), "SERVING")));
+            p.write(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
+            Files.writeString(p.file, p.configuration(other.port(), member("s-1", p.machine.port(), "SERVING")));
             p.program.reload();
             p.program.start();
             assertThat(other.next().next("tail")).isEqualTo("tail 3");
         }
         try (Peers p = new Peers()) {
-            p.write(p.posting(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
+            p.write(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
             p.program.stop();
             assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
         }
--- a/src/test/java/fordridge/node/NodeTest.java
+++ b/src/test/java/fordridge/node/NodeTest.java
@@ -104,7 +104,7 @@
         try (Peers p = new Peers()) {
             int port = p.machine.port();
             p.machine.close();
-            p.start(p.posting(p.journal.port(), member("s-1", port, "SERVING")));
+            p.start(p.configuration(p.journal.port(), member("s-1", port, "SERVING")));
             Peers.Wire owner = p.owner();
             owner.say(ask(1, "once", "3000", "cores:1;memory:1;service:1", "any"));
             assertThat(owner.next("\"t\"")).contains("\"down\"").contains("\"c\":34").contains("\"wait\"");
@@ -248,7 +248,7 @@
             Files.writeString(p.file, "{\"name\":");
             p.program.reload();
             await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("not read anew"));
-            Files.writeString(p.file, p.posting(other.port(), member("s-1", p.machine.port(), "SERVING")));
+            Files.writeString(p.file, p.configuration(other.port(), member("s-1", p.machine.port(), "SERVING")));
             p.program.reload();
             assertThat(other.next().next("tail")).isEqualTo("tail 3");
         }
@@ -298,12 +298,12 @@
     }
 
     @Example
-    void aBadPostingIsRefusedWithAReason() throws Exception {
+    void aBadConfigurationIsRefusedWithAReason() throws Exception {
         try (Peers p = new Peers()) {
             for (String[] bad : new String[][] {{"\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"x\"", "seed"},
                 {"\"sockets\":256", "\"sockets\":8", "sockets"}, {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "address"},
                 {"\"lanes\"", "\"lines\"", "flavours"}}) {
-                String good = p.posting(1, member("s-1", 1, "SERVING"));
+                String good = p.configuration(1, member("s-1", 1, "SERVING"));
                 assertThatThrownBy(() -> p.start(good.replace(bad[0], bad[1]))).hasMessageContaining(bad[2]);
             }
         }
--- a/src/test/java/fordridge/node/Peers.java
+++ b/src/test/java/fordridge/node/Peers.java
@@ -202,7 +202,7 @@
 
     final Listener machine = new Listener(0);
     final Listener journal = new Listener(0);
-    final Path file = Files.createTempFile("posting", ".json");
+    final Path file = Files.createTempFile("configuration", ".json");
     final java.io.ByteArrayOutputStream log = new java.io.ByteArrayOutputStream();
     /** The loop stands at the line of its log that it was to be held at. */
     final CountDownLatch held = new CountDownLatch(1);
@@ -223,8 +223,8 @@
                 + String.join(",", members) + "]}}";
     }
 
-    /** A posting with one machine, one rebuildable flavour 'a' and one that must not run twice, 'once'. */
-    String posting(int journalPort, String member) {
+    /** A configuration with one machine, one rebuildable flavour 'a' and one that must not run twice, 'once'. */
+    String configuration(int journalPort, String member) {
         return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
                 + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:" + journalPort + "\",\"known\":{\"pos\":3,"
                 + "\"entries\":[" + event(3, true, member) + "]},\"settings\":{\"kinds\":[\"k\"],\"lanes\":["
@@ -237,17 +237,17 @@
     }
 
     void start() throws Exception {
-        start(posting(journal.port(), member("s-1", machine.port(), "SERVING")));
+        start(configuration(journal.port(), member("s-1", machine.port(), "SERVING")));
     }
 
-    void start(String posting) throws Exception {
-        write(posting);
+    void start(String configuration) throws Exception {
+        write(configuration);
         program.start();
     }
 
-    /** The program with this posting, not started yet. */
-    void write(String posting) throws Exception {
-        Files.writeString(file, posting);
+    /** The program with this configuration, not started yet. */
+    void write(String configuration) throws Exception {
+        Files.writeString(file, configuration);
         program = new NodeProgram(file, new PrintStream(log, true, StandardCharsets.UTF_8) {
             @Override
             public void println(String line) {
