Property: every release is told until it is heard

The property of Owed covered answers only. Red where a close forgets what was not heard on it (an unheard release is told nowhere).

--- a/src/test/java/fordridge/session/OwedTest.java
+++ b/src/test/java/fordridge/session/OwedTest.java
@@ -134,4 +134,47 @@
             assertThat(o.on(line)).isZero();
         }
     }
+
+    /** Lines come, close and sometimes say that they heard: no release is forgotten, and none told once it was heard. */
+    @Property(tries = 200, seed = "1414")
+    void everyReleaseIsToldUntilItIsHeard(@ForAll long seed) {
+        Random r = new Random(seed);
+        Owed<Integer> o = new Owed<>(500, Duration.ofSeconds(8));
+        Map<String, Integer> standing = new HashMap<>();
+        Map<String, Integer> due = new HashMap<>();
+        Set<Integer> open = new HashSet<>();
+        for (int i = 0; i < 300; i++) {
+            int line = r.nextInt(5);
+            switch (r.nextInt(5)) {
+                case 0, 1 -> {
+                    o.ask("vm" + i, line);
+                    open.add(line);
+                    o.answer("vm" + i, true);
+                    standing.put("vm" + i, line);
+                }
+                case 2 -> standing.keySet().stream().findAny().ifPresent(vm -> {
+                    standing.remove(vm);
+                    due.put(vm, o.release(vm, 16, T));
+                });
+                case 3 -> due.keySet().stream().filter(vm -> due.get(vm) != null).findAny().ifPresent(vm ->
+                        o.heard(vm, due.remove(vm)));
+                default -> {
+                    o.closed(line);
+                    open.remove(line);
+                    due.replaceAll((vm, on) -> on != null && on == line ? null : on);
+                }
+            }
+            for (Owed.Told<Integer> t : o.unpark(T)) {
+                assertThat(open).contains(t.line());
+                assertThat(due).as("waits to be told").containsEntry(t.release().vm(), null);
+                due.put(t.release().vm(), t.line());
+            }
+            if (!open.isEmpty()) {
+                assertThat(due.values()).as("told wherever a line is there").doesNotContainNull();
+            }
+            assertThat(o.untold()).isEqualTo(due.size());
+        }
+        o.tidy(T.plusSeconds(8));
+        assertThat(o.untold()).isZero();
+    }
 }
