--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -2,13 +2,13 @@
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
-import fordridge.drill.Drill;
-import fordridge.node.NodeProgram;
-import fordridge.obs.Logging;
-import fordridge.placer.PlacerProgram;
-import fordridge.rig.Checker;
-import fordridge.rig.Day;
-import fordridge.settings.Deployment;
+import fordridge.simulation.SimulatorAdapter;
+import fordridge.server.json.ServeCommand;
+import fordridge.observability.Logging;
+import fordridge.server.grpc.PlacerCommand;
+import fordridge.emulator.InvariantChecker;
+import fordridge.emulator.Scenario;
+import fordridge.settings.DeploymentSettings;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -42,7 +42,7 @@
 
     /** One plain line for each complaint; never a stack trace alone. */
     private static void complain(Exception e) {
-        if (e instanceof Deployment.Refused r) {
+        if (e instanceof DeploymentSettings.InvalidSettingsException r) {
             r.complaints.forEach(c -> System.err.println("fordridge: " + c));
             return;
         }
@@ -86,9 +86,9 @@
 
         @Override
         public Integer call() throws Exception {
-            Deployment d = read(config, placers == null ? Map.of() : Map.of("placer.count", placers));
+            DeploymentSettings d = read(config, placers == null ? Map.of() : Map.of("placer.count", placers));
             Logging.start(d.logFormat, d.logLevel);
-            PlacerProgram program = new PlacerProgram(d);
+            PlacerCommand program = new PlacerCommand(d);
             if (portsFile != null) {
                 StringBuilder text = new StringBuilder();
                 for (int i = 0; i < program.count(); i++) {
@@ -117,9 +117,9 @@
         }
     }
 
-    static Deployment read(File file, Map<String, ?> changes) throws Deployment.Refused {
-        Config own = Deployment.parse(file);
-        return Deployment.read(ConfigFactory.parseMap(changes, "command line").withFallback(own),
+    static DeploymentSettings read(File file, Map<String, ?> changes) throws DeploymentSettings.InvalidSettingsException {
+        Config own = DeploymentSettings.parse(file);
+        return DeploymentSettings.read(ConfigFactory.parseMap(changes, "command line").withFallback(own),
                 file.getAbsoluteFile().getParentFile());
     }
 
@@ -131,10 +131,10 @@
 
         @Override
         public Integer call() throws Exception {
-            Deployment d = read(file, Map.of());
-            PlacerProgram.watched(d);
+            DeploymentSettings d = read(file, Map.of());
+            PlacerCommand.watched(d);
             if (d.listFile().isFile()) {
-                int n = fordridge.listing.ListFile.read(d.listFile(), d, 1).entries().size();
+                int n = fordridge.discovery.MachineListFile.read(d.listFile(), d, 1).entries().size();
                 System.out.println(file + ": fine; " + n + " machines in " + d.listFile());
             } else {
                 System.out.println(file + ": fine; no list of machines at " + d.listFile() + " yet");
@@ -155,16 +155,16 @@
         @Override
         public Integer call() throws Exception {
             String text = Files.readString(file.toPath());
-            java.util.List<fordridge.constraint.Rule> rules;
+            java.util.List<fordridge.constraint.PlacementConstraint> rules;
             try {
-                rules = fordridge.constraint.Language.read(text, fordridge.constraint.Language.Names.ANY);
-            } catch (fordridge.constraint.Language.Refused e) {
-                throw new Deployment.Refused(e.complaints.stream().map(c -> file + ":" + c).toList());
+                rules = fordridge.constraint.ConstraintParser.read(text, fordridge.constraint.ConstraintParser.Names.ANY);
+            } catch (fordridge.constraint.ConstraintParser.ConstraintSyntaxException e) {
+                throw new DeploymentSettings.InvalidSettingsException(e.complaints.stream().map(c -> file + ":" + c).toList());
             }
             if (config != null) {
-                rules = fordridge.placer.PlacerProgram.readRules(text, read(config, Map.of()));
+                rules = fordridge.server.grpc.PlacerCommand.readRules(text, read(config, Map.of()));
             }
-            System.out.print(fordridge.constraint.Language.print(rules));
+            System.out.print(fordridge.constraint.ConstraintParser.print(rules));
             return 0;
         }
     }
@@ -195,7 +195,7 @@
         @Override
         public Integer call() throws Exception {
             Logging.start("plain", "warn");
-            Day.Outcome o = Day.play(script, changes, out, System.out);
+            Scenario.Outcome o = Scenario.play(script, changes, out, System.out);
             System.out.println();
             System.out.print(o.table());
             System.out.println();
@@ -227,7 +227,7 @@
             for (double rate : rates) {
                 Map<String, Object> with = new HashMap<>(changes);
                 with.put("owners.rate", rate);
-                Day.Outcome o = Day.play(script, with, out, new java.io.PrintStream(
+                Scenario.Outcome o = Scenario.play(script, with, out, new java.io.PrintStream(
                         java.io.OutputStream.nullOutputStream()));
                 kept &= o.verdict().kept();
                 System.out.printf("%8.0f %8d %7.1f%% %9.1f %9.1f  %s; %s%n", rate, o.asked(), 100 * o.inTime(),
@@ -247,7 +247,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Checker.Verdict v = Checker.judge(tap);
+            InvariantChecker.Verdict v = InvariantChecker.judge(tap);
             System.out.print(v.text());
             return v.kept() ? 0 : 1;
         }
@@ -264,7 +264,7 @@
         @Override
         public Integer call() throws Exception {
             Logging.start("plain", "error");
-            fordridge.rig.WatchBench.run(machines, lists, System.out);
+            fordridge.emulator.WatchBenchmark.run(machines, lists, System.out);
             return 0;
         }
     }
@@ -274,7 +274,7 @@
     static final class DrillCommand implements Callable<Integer> {
         @Override
         public Integer call() throws Exception {
-            return new Drill(System.in, System.out, System.err).run();
+            return new SimulatorAdapter(System.in, System.out, System.err).run();
         }
     }
 
@@ -283,7 +283,7 @@
     static final class Serve implements Callable<Integer> {
         @Override
         public Integer call() throws Exception {
-            return NodeProgram.run(System.err);
+            return ServeCommand.run(System.err);
         }
     }
 
--- a/src/main/java/fordridge/cli/CtlCommand.java
+++ b/src/main/java/fordridge/cli/CtlCommand.java
@@ -1,7 +1,7 @@
 package fordridge.cli;
 
-import fordridge.etcd.Ctl;
-import fordridge.etcd.Schema;
+import fordridge.etcd.EtcdAdmin;
+import fordridge.etcd.StoreRecordCodec;
 import fordridge.v1.ExplainReply;
 import fordridge.v1.ExplainRequest;
 import fordridge.v1.OperatingGrpc;
@@ -47,13 +47,13 @@
         @Option(names = "--json", description = "JSON lines in place of a table.")
         private boolean json;
 
-        Ctl open() {
+        EtcdAdmin open() {
             for (String e : endpoints) {
                 if (!e.matches("[^:]+:[0-9]{1,5}")) {
                     throw new IllegalArgumentException("--etcd: '" + e + "' is not host:port");
                 }
             }
-            return new Ctl(endpoints, prefix, Duration.ofSeconds(3));
+            return new EtcdAdmin(endpoints, prefix, Duration.ofSeconds(3));
         }
     }
 
@@ -64,12 +64,12 @@
 
         @Override
         public Integer call() throws Exception {
-            try (Ctl ctl = where.open()) {
+            try (EtcdAdmin ctl = where.open()) {
                 if (!where.json) {
                     System.out.printf("%-24s %-10s %-10s %-8s %5s %10s %10s %-22s %9s  %s%n", "machine", "state", "kind",
                             "zone", "cell", "free cores", "free mem", "address", "revision", "note");
                 }
-                for (Ctl.Row r : ctl.machines()) {
+                for (EtcdAdmin.Row r : ctl.machines()) {
                     if (where.json) {
                         Map<String, Object> f = new LinkedHashMap<>();
                         f.put("machine", r.name());
@@ -82,7 +82,7 @@
                         f.put("address", r.address());
                         f.put("revision", r.revision());
                         f.put("note", r.note());
-                        System.out.println(Schema.write(f));
+                        System.out.println(StoreRecordCodec.write(f));
                     } else {
                         System.out.printf(Locale.ROOT, "%-24s %-10s %-10s %-8s %5d %10.1f %10.1f %-22s %9d  %s%n",
                                 r.name(), r.state(), r.kind(), r.zone(), r.cell(), r.freeCores(), r.freeMemory(),
@@ -106,7 +106,7 @@
 
         @Override
         public Integer call() throws Exception {
-            try (Ctl ctl = where.open()) {
+            try (EtcdAdmin ctl = where.open()) {
                 System.out.println(machine + " drains from revision " + ctl.drain(machine, reason, Instant.now()));
             }
             return 0;
@@ -122,7 +122,7 @@
 
         @Override
         public Integer call() throws Exception {
-            try (Ctl ctl = where.open()) {
+            try (EtcdAdmin ctl = where.open()) {
                 System.out.println(machine + " is used again from revision " + ctl.undrain(machine));
             }
             return 0;
@@ -149,7 +149,7 @@
 
         @Override
         public Integer call() throws Exception {
-            try (Ctl ctl = where.open()) {
+            try (EtcdAdmin ctl = where.open()) {
                 ctl.terms().forEach((name, value) -> System.out.println(name + " = " + value));
             }
             return 0;
@@ -171,7 +171,7 @@
 
         @Override
         public Integer call() throws Exception {
-            try (Ctl ctl = where.open()) {
+            try (EtcdAdmin ctl = where.open()) {
                 System.out.println(name + " is at revision " + ctl.putTerm(name, value, revision));
             }
             return 0;
@@ -184,9 +184,9 @@
         @Option(names = "--placer", required = true, paramLabel = "HOST:PORT")
         private String placer;
         @Option(names = "--customer")
-        private String customer = "";
+        private String tenant = "";
         @Option(names = "--flavour")
-        private String flavour = "";
+        private String priorityClass = "";
         @Option(names = "--service")
         private long service;
         @Option(names = "--vm", paramLabel = "CLIENT/VM", description = "A VM that runs, in place of the three above.")
@@ -202,7 +202,7 @@
                     Integer.parseInt(placer.substring(colon + 1)))).usePlaintext().maxInboundMessageSize(64 << 20).build();
             try {
                 ExplainReply r = OperatingGrpc.newBlockingStub(channel).withDeadlineAfter(5, TimeUnit.SECONDS).explain(
-                        ExplainRequest.newBuilder().setCustomer(customer).setFlavour(flavour).setService(service)
+                        ExplainRequest.newBuilder().setCustomer(tenant).setFlavour(priorityClass).setService(service)
                                 .setVm(vm).build());
                 System.out.println("rules of version " + r.getVersion());
                 if (!r.getRunsOn().isEmpty()) {
--- a/src/main/java/fordridge/constraint/Book.java
+++ b/src/main/java/fordridge/constraint/ConstraintIndex.java
@@ -1,7 +1,7 @@
 package fordridge.constraint;
 
-import fordridge.constraint.Rule.Domain;
-import fordridge.constraint.Rule.Scope;
+import fordridge.constraint.PlacementConstraint.Domain;
+import fordridge.constraint.PlacementConstraint.Scope;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -22,18 +22,18 @@
  * may still run keeps its place. What it counts are this placer's VMs: a bound that is meant over all placers is held by
  * each keeping to its share of it.
  */
-public final class Book {
+public final class ConstraintIndex {
     /** A machine's labels. */
-    public record Spot(String name, String kind, String zone, int cell) { }
+    public record MachineTopology(String name, String kind, String zone, int cell) { }
 
     /** Why a VM may not go to a machine, in the customer's words. */
-    public record Reason(Rule rule, String what) { }
+    public record Reason(PlacementConstraint rule, String what) { }
 
     /** A set that promises what no placer can keep. */
-    public static final class Unkeepable extends Exception {
+    public static final class UnsatisfiableConstraintsException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Unkeepable(String what) {
+        UnsatisfiableConstraintsException(String what) {
             super(what);
         }
     }
@@ -78,49 +78,49 @@
         }
     }
 
-    private record Kin(String customer, String flavour, long service) { }
+    private record VmKind(String tenant, String priorityClass, long service) { }
 
     /** What of the rules touches VMs of one kin; found once. */
-    private static final class Matter {
-        final List<Rule> about = new ArrayList<>();
+    private static final class ConstraintState {
+        final List<PlacementConstraint> about = new ArrayList<>();
         /** Rules of others that keep apart from these. */
-        final List<Rule> against = new ArrayList<>();
+        final List<PlacementConstraint> against = new ArrayList<>();
         RoaringBitmap allowed;
         long allowedAt = -1;
         /** The same but for what it must be near. */
         RoaringBitmap anyNear;
         long anyNearAt = -1;
         /** Where each preference is met. */
-        final Map<Rule, RoaringBitmap> met = new LinkedHashMap<>();
+        final Map<PlacementConstraint, RoaringBitmap> met = new LinkedHashMap<>();
         long metAt = -1;
     }
 
-    private final List<Rule> rules;
+    private final List<PlacementConstraint> rules;
     private final int placers;
     private final Map<String, Integer> index = new LinkedHashMap<>();
-    private final List<Spot> spots = new ArrayList<>();
+    private final List<MachineTopology> spots = new ArrayList<>();
     private final RoaringBitmap present = new RoaringBitmap();
     /** Of these, the ones that drain: what runs there counts, and nothing new goes there. */
     private final RoaringBitmap drains = new RoaringBitmap();
     private final Map<Domain, Map<String, RoaringBitmap>> members = new HashMap<>();
-    private final Map<Rule, RoaringBitmap> on = new HashMap<>();
+    private final Map<PlacementConstraint, RoaringBitmap> on = new HashMap<>();
     private final Map<CounterKey, Counter> counters = new HashMap<>();
     /** Counters that each kin's VMs are counted in. */
-    private final Map<Kin, List<Counter>> countedIn = new HashMap<>();
-    private final Map<Kin, Matter> matters = new HashMap<>();
+    private final Map<VmKind, List<Counter>> countedIn = new HashMap<>();
+    private final Map<VmKind, ConstraintState> matters = new HashMap<>();
     private final Map<Object, Placed> placed = new LinkedHashMap<>();
     private final Set<Object> doubted = new HashSet<>();
     private long version;
 
-    private record Placed(Kin kin, int spot) { }
+    private record Placed(VmKind kin, int spot) { }
 
     /** Takes rules that {@code placers} placers each keep by themselves; refuses what they could not. */
-    public Book(List<Rule> rules, int placers) throws Unkeepable {
+    public ConstraintIndex(List<PlacementConstraint> rules, int placers) throws UnsatisfiableConstraintsException {
         this.rules = List.copyOf(rules);
         this.placers = placers;
-        for (Rule r : rules) {
-            if (r.clause() instanceof Rule.Most m && m.overall() && r.required() && m.most() < placers) {
-                throw new Unkeepable("rule '" + r.name() + "' (line " + r.line() + "): at most " + m.most() + " per "
+        for (PlacementConstraint r : rules) {
+            if (r.clause() instanceof PlacementConstraint.Most m && m.overall() && r.required() && m.most() < placers) {
+                throw new UnsatisfiableConstraintsException("rule '" + r.name() + "' (line " + r.line() + "): at most " + m.most() + " per "
                         + m.per() + " over all placers cannot be shared among " + placers + " placers that do not talk; "
                         + "allow at least " + placers + ", or say it of one placer's own VMs");
             }
@@ -129,16 +129,16 @@
 
     public static final int MOST_STRAYED = 100;
 
-    public List<Rule> rules() {
+    public List<PlacementConstraint> rules() {
         return rules;
     }
 
     // ---- Machines --------------------------------------------------------------------------------------
 
     /** All machines that there are; VMs on those that left stay counted where they were until they are known gone. */
-    public void machines(Collection<Spot> all) {
+    public void machines(Collection<MachineTopology> all) {
         present.clear();
-        for (Spot s : all) {
+        for (MachineTopology s : all) {
             Integer i = index.get(s.name());
             if (i == null) {
                 i = spots.size();
@@ -180,7 +180,7 @@
         return domain(spots.get(spot), per);
     }
 
-    static String domain(Spot s, Domain per) {
+    static String domain(MachineTopology s, Domain per) {
         return switch (per) {
             case MACHINE -> s.name();
             case CELL -> s.zone() + "/" + s.cell();
@@ -197,12 +197,12 @@
     // ---- VMs -------------------------------------------------------------------------------------------
 
     /** A claim for a VM goes out to a machine; {@code id} is the claim's own. */
-    public void goes(Object id, String customer, String flavour, long service, String machine) {
+    public void goes(Object id, String tenant, String priorityClass, long service, String machine) {
         Integer spot = index.get(machine);
         if (spot == null || placed.containsKey(id)) {
             return;
         }
-        Placed p = new Placed(new Kin(customer, flavour, service), spot);
+        Placed p = new Placed(new VmKind(tenant, priorityClass, service), spot);
         placed.put(id, p);
         count(id, p, 1);
         version++;
@@ -249,11 +249,11 @@
         }
     }
 
-    private List<Counter> countersOf(Kin k) {
+    private List<Counter> countersOf(VmKind k) {
         List<Counter> some = new ArrayList<>();
-        for (Rule r : rules) {
+        for (PlacementConstraint r : rules) {
             for (CounterKey key : keys(r, k.service)) {
-                if (key.scope.covers(k.customer, k.flavour, k.service)) {
+                if (key.scope.covers(k.tenant, k.priorityClass, k.service)) {
                     Counter c = counter(key);
                     if (!some.contains(c)) {
                         some.add(c);
@@ -269,17 +269,17 @@
     }
 
     /** What a rule counts. */
-    private static List<CounterKey> keys(Rule r, long service) {
-        if (r.clause() instanceof Rule.Near n) {
+    private static List<CounterKey> keys(PlacementConstraint r, long service) {
+        if (r.clause() instanceof PlacementConstraint.Near n) {
             return List.of(new CounterKey(n.other(), n.per(), ANY, true), new CounterKey(n.other(), n.per(), ANY));
         }
-        if (r.clause() instanceof Rule.Apart a) {
+        if (r.clause() instanceof PlacementConstraint.Apart a) {
             return List.of(new CounterKey(a.other(), a.per(), ANY), new CounterKey(r.scope(), a.per(), ANY));
         }
-        if (r.clause() instanceof Rule.Most m) {
+        if (r.clause() instanceof PlacementConstraint.Most m) {
             return List.of(new CounterKey(r.scope(), m.per(), m.eachService() ? service : ANY));
         }
-        if (r.clause() instanceof Rule.Skew s) {
+        if (r.clause() instanceof PlacementConstraint.Skew s) {
             return List.of(new CounterKey(r.scope(), s.per(), s.eachService() ? service : ANY));
         }
         return List.of();
@@ -288,19 +288,19 @@
     // ---- Where a VM may go -----------------------------------------------------------------------------
 
     /** Whether all required rules let it go there. */
-    public boolean allows(String customer, String flavour, long service, String machine) {
+    public boolean allows(String tenant, String priorityClass, long service, String machine) {
         if (rules.isEmpty()) {
             return true;
         }
         Integer spot = index.get(machine);
-        return spot != null && allowed(new Kin(customer, flavour, service)).contains(spot);
+        return spot != null && allowed(new VmKind(tenant, priorityClass, service)).contains(spot);
     }
 
     /** As {@link #allows}, for a VM whose place near others is settled by a plan for all of its group. */
-    public boolean allowsButNear(String customer, String flavour, long service, String machine) {
+    public boolean allowsButNear(String tenant, String priorityClass, long service, String machine) {
         Integer spot = index.get(machine);
-        Kin k = new Kin(customer, flavour, service);
-        Matter m = matters.computeIfAbsent(k, this::matter);
+        VmKind k = new VmKind(tenant, priorityClass, service);
+        ConstraintState m = matters.computeIfAbsent(k, this::matter);
         if (m.anyNearAt != version) {
             m.anyNear = open(m, k, false);
             m.anyNearAt = version;
@@ -308,8 +308,8 @@
         return spot != null && m.anyNear.contains(spot);
     }
 
-    private RoaringBitmap allowed(Kin k) {
-        Matter m = matters.computeIfAbsent(k, this::matter);
+    private RoaringBitmap allowed(VmKind k) {
+        ConstraintState m = matters.computeIfAbsent(k, this::matter);
         if (m.allowedAt != version) {
             m.allowed = open(m, k, true);
             m.allowedAt = version;
@@ -317,27 +317,27 @@
         return m.allowed;
     }
 
-    private RoaringBitmap open(Matter m, Kin k, boolean near) {
+    private RoaringBitmap open(ConstraintState m, VmKind k, boolean near) {
         RoaringBitmap a = RoaringBitmap.andNot(present, drains);
-        for (Rule r : m.about) {
-            if (r.required() && (near || !(r.clause() instanceof Rule.Near))) {
+        for (PlacementConstraint r : m.about) {
+            if (r.required() && (near || !(r.clause() instanceof PlacementConstraint.Near))) {
                 narrow(a, r, k);
             }
         }
-        for (Rule r : m.against) {
-            Rule.Apart apart = (Rule.Apart) r.clause();
+        for (PlacementConstraint r : m.against) {
+            PlacementConstraint.Apart apart = (PlacementConstraint.Apart) r.clause();
             a.andNot(counter(new CounterKey(r.scope(), apart.per(), ANY)).occupied);
         }
         return a;
     }
 
-    private Matter matter(Kin k) {
-        Matter m = new Matter();
-        for (Rule r : rules) {
-            if (r.scope().covers(k.customer, k.flavour, k.service)) {
+    private ConstraintState matter(VmKind k) {
+        ConstraintState m = new ConstraintState();
+        for (PlacementConstraint r : rules) {
+            if (r.scope().covers(k.tenant, k.priorityClass, k.service)) {
                 m.about.add(r);
             }
-            if (r.required() && r.clause() instanceof Rule.Apart a && a.other().covers(k.customer, k.flavour, k.service)) {
+            if (r.required() && r.clause() instanceof PlacementConstraint.Apart a && a.other().covers(k.tenant, k.priorityClass, k.service)) {
                 m.against.add(r);
             }
         }
@@ -345,17 +345,17 @@
     }
 
     /** Takes out of {@code a} what the rule keeps a VM of that kin from. */
-    private void narrow(RoaringBitmap a, Rule r, Kin k) {
-        if (r.clause() instanceof Rule.On o) {
+    private void narrow(RoaringBitmap a, PlacementConstraint r, VmKind k) {
+        if (r.clause() instanceof PlacementConstraint.On o) {
             a.and(on.computeIfAbsent(r, x -> where(o.where())));
-        } else if (r.clause() instanceof Rule.Near n) {
+        } else if (r.clause() instanceof PlacementConstraint.Near n) {
             Counter c = nearTo(n);
             if (c.total > 0) {
                 a.and(c.occupied);
             }
-        } else if (r.clause() instanceof Rule.Apart ap) {
+        } else if (r.clause() instanceof PlacementConstraint.Apart ap) {
             a.andNot(counter(new CounterKey(ap.other(), ap.per(), ANY)).occupied);
-        } else if (r.clause() instanceof Rule.Most m) {
+        } else if (r.clause() instanceof PlacementConstraint.Most m) {
             int most = share(m, placers);
             Counter c = counter(new CounterKey(r.scope(), m.per(), m.eachService() ? k.service : ANY));
             c.at.forEach((domain, n) -> {
@@ -363,7 +363,7 @@
                     a.andNot(members(m.per(), domain));
                 }
             });
-        } else if (r.clause() instanceof Rule.Skew s) {
+        } else if (r.clause() instanceof PlacementConstraint.Skew s) {
             Counter c = counter(new CounterKey(r.scope(), s.per(), s.eachService() ? k.service : ANY));
             int least = least(a, s.per(), c);
             c.at.forEach((domain, n) -> {
@@ -375,13 +375,13 @@
     }
 
     /** Those that are sure to run or on their way; where there are none, those that may. */
-    private Counter nearTo(Rule.Near n) {
+    private Counter nearTo(PlacementConstraint.Near n) {
         Counter sure = counter(new CounterKey(n.other(), n.per(), ANY, true));
         return sure.total > 0 ? sure : counter(new CounterKey(n.other(), n.per(), ANY));
     }
 
     /** How many one placer may have. */
-    static int share(Rule.Most m, int placers) {
+    static int share(PlacementConstraint.Most m, int placers) {
         return m.overall() ? Math.max(1, m.most() / placers) : m.most();
     }
 
@@ -397,7 +397,7 @@
         return least;
     }
 
-    private RoaringBitmap where(Rule.Predicate p) {
+    private RoaringBitmap where(PlacementConstraint.Predicate p) {
         RoaringBitmap b = new RoaringBitmap();
         for (int i = 0; i < spots.size(); i++) {
             if (holds(p, spots.get(i))) {
@@ -407,8 +407,8 @@
         return b;
     }
 
-    static boolean holds(Rule.Predicate p, Spot s) {
-        if (p instanceof Rule.Label l) {
+    static boolean holds(PlacementConstraint.Predicate p, MachineTopology s) {
+        if (p instanceof PlacementConstraint.Label l) {
             return l.values().contains(switch (l.field()) {
                 case "kind" -> s.kind();
                 case "zone" -> s.zone();
@@ -416,22 +416,22 @@
                 default -> s.name();
             });
         }
-        if (p instanceof Rule.Not n) {
+        if (p instanceof PlacementConstraint.Not n) {
             return !holds(n.of(), s);
         }
-        if (p instanceof Rule.Both b) {
+        if (p instanceof PlacementConstraint.Both b) {
             return holds(b.a(), s) && holds(b.b(), s);
         }
-        Rule.Either e = (Rule.Either) p;
+        PlacementConstraint.Either e = (PlacementConstraint.Either) p;
         return holds(e.a(), s) || holds(e.b(), s);
     }
 
     /** Whether any rule speaks of such VMs. */
-    public boolean touches(String customer, String flavour, long service) {
+    public boolean touches(String tenant, String priorityClass, long service) {
         if (rules.isEmpty()) {
             return false;
         }
-        Matter m = matters.computeIfAbsent(new Kin(customer, flavour, service), this::matter);
+        ConstraintState m = matters.computeIfAbsent(new VmKind(tenant, priorityClass, service), this::matter);
         return !m.about.isEmpty() || !m.against.isEmpty();
     }
 
@@ -439,21 +439,21 @@
      * A smallest set of required rules that no machine of the list can meet together whatever runs where, each needed
      * for that; empty where there is a machine that can.
      */
-    public List<Rule> conflict(String customer, String flavour, long service) {
+    public List<PlacementConstraint> conflict(String tenant, String priorityClass, long service) {
         if (rules.isEmpty() || present.isEmpty()) {
             return List.of();
         }
-        List<Rule> fixed = new ArrayList<>();
-        for (Rule r : matters.computeIfAbsent(new Kin(customer, flavour, service), this::matter).about) {
-            if (r.required() && r.clause() instanceof Rule.On) {
+        List<PlacementConstraint> fixed = new ArrayList<>();
+        for (PlacementConstraint r : matters.computeIfAbsent(new VmKind(tenant, priorityClass, service), this::matter).about) {
+            if (r.required() && r.clause() instanceof PlacementConstraint.On) {
                 fixed.add(r);
             }
         }
         if (!meets(fixed).isEmpty()) {
             return List.of();
         }
-        for (Rule r : List.copyOf(fixed)) {
-            List<Rule> without = new ArrayList<>(fixed);
+        for (PlacementConstraint r : List.copyOf(fixed)) {
+            List<PlacementConstraint> without = new ArrayList<>(fixed);
             without.remove(r);
             if (meets(without).isEmpty()) {
                 fixed = without;
@@ -462,9 +462,9 @@
         return fixed;
     }
 
-    private RoaringBitmap meets(List<Rule> fixed) {
+    private RoaringBitmap meets(List<PlacementConstraint> fixed) {
         RoaringBitmap a = present.clone();
-        fixed.forEach(r -> a.and(on.computeIfAbsent(r, x -> where(((Rule.On) r.clause()).where()))));
+        fixed.forEach(r -> a.and(on.computeIfAbsent(r, x -> where(((PlacementConstraint.On) r.clause()).where()))));
         return a;
     }
 
@@ -472,22 +472,22 @@
      * The question whether some VMs can run all at once beside what runs now; {@code room} is asked for every machine by
      * name. It is a copy: what changes later does not bear on it.
      */
-    public Together together(List<Together.Part> parts, Function<String, Together.Room> room) {
-        List<Rule> some = new ArrayList<>();
-        Map<Together.Held, Map<String, Integer>> held = new HashMap<>();
-        for (Rule r : rules) {
+    public GroupFeasibility together(List<GroupFeasibility.Part> parts, Function<String, GroupFeasibility.Room> room) {
+        List<PlacementConstraint> some = new ArrayList<>();
+        Map<GroupFeasibility.Held, Map<String, Integer>> held = new HashMap<>();
+        for (PlacementConstraint r : rules) {
             boolean speaks = false;
-            for (Together.Part p : parts) {
-                boolean about = r.scope().covers(p.customer(), p.flavour(), p.service());
-                if (r.required() && (about || r.clause() instanceof Rule.Apart a
-                        && a.other().covers(p.customer(), p.flavour(), p.service()))) {
+            for (GroupFeasibility.Part p : parts) {
+                boolean about = r.scope().covers(p.tenant(), p.priorityClass(), p.service());
+                if (r.required() && (about || r.clause() instanceof PlacementConstraint.Apart a
+                        && a.other().covers(p.tenant(), p.priorityClass(), p.service()))) {
                     speaks = true;
-                    if (r.clause() instanceof Rule.Near n) {
-                        held.put(new Together.Held(n.other(), n.per(), ANY, true), Map.copyOf(nearTo(n).at));
+                    if (r.clause() instanceof PlacementConstraint.Near n) {
+                        held.put(new GroupFeasibility.Held(n.other(), n.per(), ANY, true), Map.copyOf(nearTo(n).at));
                         continue;
                     }
                     for (CounterKey key : keys(r, p.service())) {
-                        held.put(new Together.Held(key.scope, key.per, key.service, false), Map.copyOf(counter(key).at));
+                        held.put(new GroupFeasibility.Held(key.scope, key.per, key.service, false), Map.copyOf(counter(key).at));
                     }
                 }
             }
@@ -495,19 +495,19 @@
                 some.add(r);
             }
         }
-        List<Spot> now = new ArrayList<>();
+        List<MachineTopology> now = new ArrayList<>();
         RoaringBitmap.andNot(present, drains).forEach((int i) -> now.add(spots.get(i)));
-        return new Together(now, now.stream().map(s -> room.apply(s.name())).toList(), parts, some, placers, held, false);
+        return new GroupFeasibility(now, now.stream().map(s -> room.apply(s.name())).toList(), parts, some, placers, held, false);
     }
 
     /** The weight of the preferences that a machine goes against; 0 where it meets them all. */
-    public double unfit(String customer, String flavour, long service, String machine) {
+    public double constraintPenalty(String tenant, String priorityClass, long service, String machine) {
         if (rules.isEmpty()) {
             return 0;
         }
-        Kin k = new Kin(customer, flavour, service);
+        VmKind k = new VmKind(tenant, priorityClass, service);
         Integer spot = index.get(machine);
-        Matter m = matters.computeIfAbsent(k, this::matter);
+        ConstraintState m = matters.computeIfAbsent(k, this::matter);
         if (m.metAt != version) {
             m.metAt = version;
             m.about.stream().filter(r -> !r.required()).forEach(r -> {
@@ -517,13 +517,13 @@
             });
         }
         double sum = 0;
-        for (Map.Entry<Rule, RoaringBitmap> e : m.met.entrySet()) {
+        for (Map.Entry<PlacementConstraint, RoaringBitmap> e : m.met.entrySet()) {
             sum += spot == null || e.getValue().contains(spot) ? 0 : e.getKey().weight();
         }
         return sum;
     }
 
-    private boolean against(Rule r, Kin k, int spot) {
+    private boolean against(PlacementConstraint r, VmKind k, int spot) {
         RoaringBitmap one = RoaringBitmap.andNot(present, drains);
         one.add(spot);
         narrow(one, r, k);
@@ -533,8 +533,8 @@
     // ---- For those who ask why -------------------------------------------------------------------------
 
     /** Every rule, required or preferred, that speaks against the machine; none where it may go there. */
-    public List<Reason> why(String customer, String flavour, long service, String machine) {
-        Kin k = new Kin(customer, flavour, service);
+    public List<Reason> why(String tenant, String priorityClass, long service, String machine) {
+        VmKind k = new VmKind(tenant, priorityClass, service);
         Integer spot = index.get(machine);
         List<Reason> some = new ArrayList<>();
         if (spot == null || !present.contains(spot)) {
@@ -544,15 +544,15 @@
         if (drains.contains(spot)) {
             some.add(new Reason(null, "it drains: nothing new goes there"));
         }
-        Matter m = matters.computeIfAbsent(k, this::matter);
-        for (Rule r : m.about) {
+        ConstraintState m = matters.computeIfAbsent(k, this::matter);
+        for (PlacementConstraint r : m.about) {
             if (against(r, k, spot)) {
                 some.add(new Reason(r, (r.required() ? "required" : "preferred, weight " + Math.round(r.weight())) + ": "
                         + r.clause() + detail(r, k, spot)));
             }
         }
-        for (Rule r : m.against) {
-            Rule.Apart a = (Rule.Apart) r.clause();
+        for (PlacementConstraint r : m.against) {
+            PlacementConstraint.Apart a = (PlacementConstraint.Apart) r.clause();
             Counter c = counter(new CounterKey(r.scope(), a.per(), ANY));
             if (c.occupied.contains(spot)) {
                 some.add(new Reason(r, "required of others: " + r.scope() + " keeps apart from these, and "
@@ -562,7 +562,7 @@
         return some;
     }
 
-    private String detail(Rule r, Kin k, int spot) {
+    private String detail(PlacementConstraint r, VmKind k, int spot) {
         for (CounterKey key : keys(r, k.service)) {
             String d = domain(spot, key.per);
             return " (" + counter(key).count(d) + " in " + key.per + " " + d + ")";
@@ -577,7 +577,7 @@
         for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
             Placed p = e.getValue();
             List<Reason> why = new ArrayList<>();
-            without(e.getKey(), () -> why.addAll(why(p.kin.customer, p.kin.flavour, p.kin.service,
+            without(e.getKey(), () -> why.addAll(why(p.kin.tenant, p.kin.priorityClass, p.kin.service,
                     spots.get(p.spot).name())));
             why.removeIf(x -> x.rule() == null ? drains.contains(p.spot) : !x.rule().required());
             if (!why.isEmpty()) {
@@ -608,7 +608,7 @@
     public Map<Object, List<Reason>> strayed(int most) {
         Map<Object, List<Reason>> some = new LinkedHashMap<>();
         for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
-            Kin k = e.getValue().kin;
+            VmKind k = e.getValue().kin;
             if (some.size() < most && matters.computeIfAbsent(k, this::matter).about.stream().anyMatch(r -> !r.required())) {
                 without(e.getKey(), () -> stray(e.getKey(), k, spots.get(e.getValue().spot).name(), some));
             }
@@ -616,15 +616,15 @@
         return some;
     }
 
-    private void stray(Object id, Kin k, String here, Map<Object, List<Reason>> some) {
-        double unfit = unfit(k.customer, k.flavour, k.service, here);
-        if (unfit == 0) {
+    private void stray(Object id, VmKind k, String here, Map<Object, List<Reason>> some) {
+        double constraintPenalty = constraintPenalty(k.tenant, k.priorityClass, k.service, here);
+        if (constraintPenalty == 0) {
             return;
         }
         for (int spot : allowed(k)) {
             String there = spots.get(spot).name();
-            if (unfit(k.customer, k.flavour, k.service, there) < unfit) {
-                List<Reason> why = why(k.customer, k.flavour, k.service, here);
+            if (constraintPenalty(k.tenant, k.priorityClass, k.service, there) < constraintPenalty) {
+                List<Reason> why = why(k.tenant, k.priorityClass, k.service, here);
                 why.removeIf(r -> r.rule() == null || r.rule().required());
                 why.add(new Reason(null, "machine " + there + " would do better"));
                 some.put(id, why);
@@ -634,9 +634,9 @@
     }
 
     /** The same VMs and machines under another set; the old book is done with. */
-    public Book with(List<Rule> others, int amongPlacers) throws Unkeepable {
-        Book b = new Book(others, amongPlacers);
-        List<Spot> now = new ArrayList<>();
+    public ConstraintIndex with(List<PlacementConstraint> others, int amongPlacers) throws UnsatisfiableConstraintsException {
+        ConstraintIndex b = new ConstraintIndex(others, amongPlacers);
+        List<MachineTopology> now = new ArrayList<>();
         present.forEach((int i) -> now.add(spots.get(i)));
         b.spots.addAll(spots);
         b.index.putAll(index);
--- a/src/main/java/fordridge/constraint/Language.java
+++ b/src/main/java/fordridge/constraint/ConstraintParser.java
@@ -19,18 +19,18 @@
 import org.antlr.v4.runtime.Token;
 
 /** Reads and prints sets of rules. */
-public final class Language {
+public final class ConstraintParser {
     /** Names that rules may speak of; an empty set leaves a field unchecked. */
-    public record Names(Set<String> customers, Set<String> flavours, Set<String> kinds, Set<String> zones) {
+    public record Names(Set<String> tenants, Set<String> priorityClasses, Set<String> kinds, Set<String> zones) {
         public static final Names ANY = new Names(Set.of(), Set.of(), Set.of(), Set.of());
     }
 
     /** A set that cannot be read; each complaint with line, column, the line itself and what would be right. */
-    public static final class Refused extends Exception {
+    public static final class ConstraintSyntaxException extends Exception {
         private static final long serialVersionUID = 1L;
         public final transient List<String> complaints;
 
-        Refused(List<String> complaints) {
+        ConstraintSyntaxException(List<String> complaints) {
             super(String.join("\n", complaints));
             this.complaints = List.copyOf(complaints);
         }
@@ -39,12 +39,12 @@
     private static final int MOST_CHARACTERS = 1 << 20;
     private static final int DEEPEST = 200;
 
-    private Language() {
+    private ConstraintParser() {
     }
 
-    public static List<Rule> read(String text, Names names) throws Refused {
+    public static List<PlacementConstraint> read(String text, Names names) throws ConstraintSyntaxException {
         if (text.length() > MOST_CHARACTERS) {
-            throw new Refused(List.of("1:1: " + text.length() + " characters, at most " + MOST_CHARACTERS));
+            throw new ConstraintSyntaxException(List.of("1:1: " + text.length() + " characters, at most " + MOST_CHARACTERS));
         }
         String[] lines = text.split("\n", -1);
         List<String> errors = new ArrayList<>();
@@ -55,7 +55,7 @@
             deepest = Math.max(deepest, depth);
         }
         if (deepest > DEEPEST || text.split("\\bnot\\b", -1).length > 20_000) {
-            throw new Refused(List.of("1:1: nested " + deepest + " deep, at most " + DEEPEST));
+            throw new ConstraintSyntaxException(List.of("1:1: nested " + deepest + " deep, at most " + DEEPEST));
         }
         BaseErrorListener listener = new BaseErrorListener() {
             @Override
@@ -72,13 +72,13 @@
         parser.addErrorListener(listener);
         ConstraintsParser.FileContext file = parser.file();
         if (!errors.isEmpty()) {
-            throw new Refused(errors);
+            throw new ConstraintSyntaxException(errors);
         }
-        List<Rule> rules = new ArrayList<>();
+        List<PlacementConstraint> rules = new ArrayList<>();
         Map<String, Integer> seen = new HashMap<>();
-        Reading reading = new Reading(lines, names, errors);
+        ClauseVisitor reading = new ClauseVisitor(lines, names, errors);
         for (ConstraintsParser.Rule_Context r : file.rule_()) {
-            Rule rule = reading.rule(r);
+            PlacementConstraint rule = reading.rule(r);
             Integer before = seen.putIfAbsent(rule.name(), rule.line());
             if (before != null) {
                 errors.add(place(lines, r.name.getLine(), r.name.getCharPositionInLine()) + "rule '" + rule.name()
@@ -87,13 +87,13 @@
             rules.add(rule);
         }
         if (!errors.isEmpty()) {
-            throw new Refused(errors);
+            throw new ConstraintSyntaxException(errors);
         }
         return rules;
     }
 
     /** One rule a line; reads back to the same. */
-    public static String print(List<Rule> rules) {
+    public static String print(List<PlacementConstraint> rules) {
         StringBuilder s = new StringBuilder();
         rules.forEach(r -> s.append(r).append('\n'));
         return s.toString();
@@ -105,12 +105,12 @@
     }
 
     /** Turns the parser's tree into rules and complains of what the grammar cannot see. */
-    private static final class Reading extends ConstraintsBaseVisitor<Rule.Clause> {
+    private static final class ClauseVisitor extends ConstraintsBaseVisitor<PlacementConstraint.Clause> {
         private final String[] lines;
         private final Names names;
         private final List<String> errors;
 
-        Reading(String[] lines, Names names, List<String> errors) {
+        ClauseVisitor(String[] lines, Names names, List<String> errors) {
             this.lines = lines;
             this.names = names;
             this.errors = errors;
@@ -120,12 +120,12 @@
             errors.add(place(lines, at.getLine(), at.getCharPositionInLine()) + what);
         }
 
-        Rule rule(ConstraintsParser.Rule_Context r) {
+        PlacementConstraint rule(ConstraintsParser.Rule_Context r) {
             double weight = 0;
             if (r.strength().PREFER() != null) {
                 weight = number(r.strength().weight, 1, 1_000_000);
             }
-            return new Rule(r.name.getText(), scope(r.scope()), weight, visit(r.clause()), r.name.getLine());
+            return new PlacementConstraint(r.name.getText(), scope(r.scope()), weight, visit(r.clause()), r.name.getLine());
         }
 
         private int number(Token t, int least, int most) {
@@ -141,14 +141,14 @@
             return least;
         }
 
-        private Rule.Scope scope(ConstraintsParser.ScopeContext c) {
-            Set<String> customers = new LinkedHashSet<>();
-            Set<String> flavours = new LinkedHashSet<>();
+        private PlacementConstraint.Scope scope(ConstraintsParser.ScopeContext c) {
+            Set<String> tenants = new LinkedHashSet<>();
+            Set<String> priorityClasses = new LinkedHashSet<>();
             Set<String> services = new LinkedHashSet<>();
             for (ConstraintsParser.SelectorContext s : c.selector()) {
                 Set<String> into = switch (s.field.getType()) {
-                    case ConstraintsLexer.CUSTOMER -> customers;
-                    case ConstraintsLexer.FLAVOUR -> flavours;
+                    case ConstraintsLexer.CUSTOMER -> tenants;
+                    case ConstraintsLexer.FLAVOUR -> priorityClasses;
                     default -> services;
                 };
                 if (!into.isEmpty()) {
@@ -160,11 +160,11 @@
                     if (into == services && !text.matches("[0-9]{1,19}")) {
                         error(v.start, "service '" + text + "' is not a number");
                     }
-                    known(v.start, text, into == customers ? names.customers : into == flavours ? names.flavours
+                    known(v.start, text, into == tenants ? names.tenants : into == priorityClasses ? names.priorityClasses
                             : Set.of(), s.field.getText());
                 }
             }
-            return new Rule.Scope(Set.copyOf(customers), Set.copyOf(flavours), Set.copyOf(services));
+            return new PlacementConstraint.Scope(Set.copyOf(tenants), Set.copyOf(priorityClasses), Set.copyOf(services));
         }
 
         private void known(Token at, String text, Set<String> names, String field) {
@@ -178,48 +178,48 @@
             return v.STRING() != null ? t.substring(1, t.length() - 1) : t;
         }
 
-        private static Rule.Domain domain(ConstraintsParser.DomainContext d) {
-            return Rule.Domain.valueOf(d.getText().toUpperCase());
+        private static PlacementConstraint.Domain domain(ConstraintsParser.DomainContext d) {
+            return PlacementConstraint.Domain.valueOf(d.getText().toUpperCase());
         }
 
         @Override
-        public Rule.Clause visitNear(ConstraintsParser.NearContext c) {
-            return new Rule.Near(scope(c.scope()), domain(c.domain()));
+        public PlacementConstraint.Clause visitNear(ConstraintsParser.NearContext c) {
+            return new PlacementConstraint.Near(scope(c.scope()), domain(c.domain()));
         }
 
         @Override
-        public Rule.Clause visitApart(ConstraintsParser.ApartContext c) {
-            return new Rule.Apart(scope(c.scope()), domain(c.domain()));
+        public PlacementConstraint.Clause visitApart(ConstraintsParser.ApartContext c) {
+            return new PlacementConstraint.Apart(scope(c.scope()), domain(c.domain()));
         }
 
         @Override
-        public Rule.Clause visitMost(ConstraintsParser.MostContext c) {
-            return new Rule.Most(number(c.most, 1, 1_000_000), c.EACH() != null, domain(c.domain()),
+        public PlacementConstraint.Clause visitMost(ConstraintsParser.MostContext c) {
+            return new PlacementConstraint.Most(number(c.most, 1, 1_000_000), c.EACH() != null, domain(c.domain()),
                     c.reach() != null && c.reach().OVERALL() != null);
         }
 
         @Override
-        public Rule.Clause visitSkew(ConstraintsParser.SkewContext c) {
-            return new Rule.Skew(number(c.skew, 1, 1_000_000), c.EACH() != null, domain(c.domain()));
+        public PlacementConstraint.Clause visitSkew(ConstraintsParser.SkewContext c) {
+            return new PlacementConstraint.Skew(number(c.skew, 1, 1_000_000), c.EACH() != null, domain(c.domain()));
         }
 
         @Override
-        public Rule.Clause visitOn(ConstraintsParser.OnContext c) {
-            return new Rule.On(predicate(c.predicate()));
+        public PlacementConstraint.Clause visitOn(ConstraintsParser.OnContext c) {
+            return new PlacementConstraint.On(predicate(c.predicate()));
         }
 
-        private Rule.Predicate predicate(ParserRuleContext c) {
+        private PlacementConstraint.Predicate predicate(ParserRuleContext c) {
             if (c instanceof ConstraintsParser.NestedContext n) {
                 return predicate(n.predicate());
             }
             if (c instanceof ConstraintsParser.NotContext n) {
-                return new Rule.Not(predicate(n.predicate()));
+                return new PlacementConstraint.Not(predicate(n.predicate()));
             }
             if (c instanceof ConstraintsParser.BothContext b) {
-                return new Rule.Both(predicate(b.predicate(0)), predicate(b.predicate(1)));
+                return new PlacementConstraint.Both(predicate(b.predicate(0)), predicate(b.predicate(1)));
             }
             if (c instanceof ConstraintsParser.EitherContext b) {
-                return new Rule.Either(predicate(b.predicate(0)), predicate(b.predicate(1)));
+                return new PlacementConstraint.Either(predicate(b.predicate(0)), predicate(b.predicate(1)));
             }
             ConstraintsParser.LabelContext l = (ConstraintsParser.LabelContext) c;
             Set<String> values = new LinkedHashSet<>();
@@ -232,7 +232,7 @@
                     error(v.start, "cell '" + text + "' is not a number");
                 }
             }
-            return new Rule.Label(l.field.getText(), Set.copyOf(values));
+            return new PlacementConstraint.Label(l.field.getText(), Set.copyOf(values));
         }
     }
 }
--- a/src/main/java/fordridge/constraint/Sense.java
+++ b/src/main/java/fordridge/constraint/ConstraintValidator.java
@@ -1,7 +1,7 @@
 package fordridge.constraint;
 
-import fordridge.constraint.Rule.Domain;
-import fordridge.constraint.Rule.Scope;
+import fordridge.constraint.PlacementConstraint.Domain;
+import fordridge.constraint.PlacementConstraint.Scope;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -21,9 +21,9 @@
  * room for one); so what can be said for good is: labels that no machine has together, and a VM that must be near what it
  * must also keep apart from, which could go nowhere as soon as one of those runs.
  */
-public final class Sense {
+public final class ConstraintValidator {
     /** VMs of a kind that can go nowhere, and why. */
-    public record Clash(String vms, List<Rule> rules, String what) {
+    public record Conflict(String vms, List<PlacementConstraint> rules, String what) {
         @Override
         public String toString() {
             return rules.stream().map(r -> "rule '" + r.name() + "' (line " + r.line() + ": " + r.clause() + ")")
@@ -36,34 +36,34 @@
     /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
     private static final int MOST_KINDS = 200;
 
-    private Sense() {
+    private ConstraintValidator() {
     }
 
     /**
      * All clashes; with no machines known yet only those that hold on any. {@code stop} ends a long search: what was
      * found by then is told.
      */
-    public static List<Clash> of(List<Rule> rules, Collection<Book.Spot> machines, BooleanSupplier stop) {
-        Book book;
+    public static List<Conflict> of(List<PlacementConstraint> rules, Collection<ConstraintIndex.MachineTopology> machines, BooleanSupplier stop) {
+        ConstraintIndex book;
         try {
             // Shares among placers do not bear on it.
-            book = new Book(rules.stream().filter(r -> !(r.clause() instanceof Rule.Most)).toList(), 1);
-        } catch (Book.Unkeepable e) {
+            book = new ConstraintIndex(rules.stream().filter(r -> !(r.clause() instanceof PlacementConstraint.Most)).toList(), 1);
+        } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
             throw new IllegalStateException(e);
         }
         book.machines(machines);
-        Map<String, Clash> found = new LinkedHashMap<>();
-        for (String customer : values(rules, 0)) {
-            for (String flavour : values(rules, 1)) {
+        Map<String, Conflict> found = new LinkedHashMap<>();
+        for (String tenant : values(rules, 0)) {
+            for (String priorityClass : values(rules, 1)) {
                 for (String service : stop.getAsBoolean() ? Set.<String>of() : values(rules, 2)) {
                     long number = service.isEmpty() ? -1 : Long.parseLong(service);
-                    String vms = words(customer, flavour, service);
-                    List<Rule> labels = book.conflict(customer, flavour, number);
+                    String vms = words(tenant, priorityClass, service);
+                    List<PlacementConstraint> labels = book.conflict(tenant, priorityClass, number);
                     if (!labels.isEmpty()) {
-                        found.putIfAbsent(names(labels), new Clash(vms, labels, labels.size() == 1
+                        found.putIfAbsent(names(labels), new Conflict(vms, labels, labels.size() == 1
                                 ? "is met by no machine" : "are met by no machine together"));
                     }
-                    nearAndApart(rules, customer, flavour, number, vms, found);
+                    nearAndApart(rules, tenant, priorityClass, number, vms, found);
                 }
             }
         }
@@ -77,55 +77,55 @@
      * One VM of each scope that the rules name must be able to run at once: by labels, near and apart. How many of a
      * kind a spread lets run is no clash, nor are VMs of one kind that keep apart from each other.
      */
-    private static void oneOfEach(Book book, List<Rule> rules, BooleanSupplier stop, Map<String, Clash> found) {
-        Map<String, Together.Part> kinds = new LinkedHashMap<>();
-        for (Rule r : rules) {
+    private static void oneOfEach(ConstraintIndex book, List<PlacementConstraint> rules, BooleanSupplier stop, Map<String, Conflict> found) {
+        Map<String, GroupFeasibility.Part> kinds = new LinkedHashMap<>();
+        for (PlacementConstraint r : rules) {
             List<Scope> scopes = new ArrayList<>();
             if (r.required()) {
                 scopes.add(r.scope());
-                if (r.clause() instanceof Rule.Near n) {
+                if (r.clause() instanceof PlacementConstraint.Near n) {
                     scopes.add(n.other());
-                } else if (r.clause() instanceof Rule.Apart a) {
+                } else if (r.clause() instanceof PlacementConstraint.Apart a) {
                     scopes.add(a.other());
                 }
             }
             for (Scope s : scopes) {
-                Together.Part one = new Together.Part(words(first(s.customers()), first(s.flavours()), first(s.services())),
-                        first(s.customers()), first(s.flavours()),
+                GroupFeasibility.Part one = new GroupFeasibility.Part(words(first(s.tenants()), first(s.priorityClasses()), first(s.services())),
+                        first(s.tenants()), first(s.priorityClasses()),
                         s.services().isEmpty() ? -1 : Long.parseLong(first(s.services())), 0, 0);
                 if (kinds.size() < MOST_KINDS) {
                     kinds.putIfAbsent(one.id(), one);
                 }
             }
         }
-        List<Together.Part> parts = List.copyOf(kinds.values());
-        Together.Outcome o = book.together(parts, m -> new Together.Room(1, 1)).kinds().solve(stop);
-        if (o.verdict() == Together.Verdict.NO) {
-            found.put(names(o.rules()), new Clash(parts.stream().filter(p -> o.rules().stream().anyMatch(r -> speaks(r, p)))
-                    .map(Together.Part::id).collect(Collectors.joining(" and ")), o.rules(),
+        List<GroupFeasibility.Part> parts = List.copyOf(kinds.values());
+        GroupFeasibility.Outcome o = book.together(parts, m -> new GroupFeasibility.Room(1, 1)).kinds().solve(stop);
+        if (o.verdict() == GroupFeasibility.Verdict.NO) {
+            found.put(names(o.rules()), new Conflict(parts.stream().filter(p -> o.rules().stream().anyMatch(r -> speaks(r, p)))
+                    .map(GroupFeasibility.Part::id).collect(Collectors.joining(" and ")), o.rules(),
                     "leave no places for one of each at once"));
         }
     }
 
-    private static boolean speaks(Rule r, Together.Part p) {
-        return r.scope().covers(p.customer(), p.flavour(), p.service());
+    private static boolean speaks(PlacementConstraint r, GroupFeasibility.Part p) {
+        return r.scope().covers(p.tenant(), p.priorityClass(), p.service());
     }
 
     private static String first(Set<String> values) {
         return values.isEmpty() ? "" : new TreeSet<>(values).first();
     }
 
-    private static void nearAndApart(List<Rule> rules, String customer, String flavour, long service, String vms,
-            Map<String, Clash> found) {
-        List<Rule> mine = rules.stream().filter(r -> r.required() && r.scope().covers(customer, flavour, service)).toList();
-        for (Rule n : mine) {
-            if (!(n.clause() instanceof Rule.Near near)) {
+    private static void nearAndApart(List<PlacementConstraint> rules, String tenant, String priorityClass, long service, String vms,
+            Map<String, Conflict> found) {
+        List<PlacementConstraint> mine = rules.stream().filter(r -> r.required() && r.scope().covers(tenant, priorityClass, service)).toList();
+        for (PlacementConstraint n : mine) {
+            if (!(n.clause() instanceof PlacementConstraint.Near near)) {
                 continue;
             }
-            for (Rule a : mine) {
-                if (a.clause() instanceof Rule.Apart apart && within(near.other(), apart.other())
+            for (PlacementConstraint a : mine) {
+                if (a.clause() instanceof PlacementConstraint.Apart apart && within(near.other(), apart.other())
                         && atLeast(apart.per(), near.per())) {
-                    found.putIfAbsent(names(List.of(n, a)), new Clash(vms, List.of(n, a),
+                    found.putIfAbsent(names(List.of(n, a)), new Conflict(vms, List.of(n, a),
                             "leave no place as soon as one of " + near.other() + " runs"));
                 }
             }
@@ -134,7 +134,7 @@
 
     /** Every VM of the one scope is of the other. */
     private static boolean within(Scope part, Scope whole) {
-        return within(part.customers(), whole.customers()) && within(part.flavours(), whole.flavours())
+        return within(part.tenants(), whole.tenants()) && within(part.priorityClasses(), whole.priorityClasses())
                 && within(part.services(), whole.services());
     }
 
@@ -148,25 +148,25 @@
     }
 
     /** Values that the rules speak of, and one that none speaks of. */
-    private static Set<String> values(List<Rule> rules, int field) {
+    private static Set<String> values(List<PlacementConstraint> rules, int field) {
         Set<String> some = new TreeSet<>();
         some.add("");
         List<Scope> scopes = new ArrayList<>();
-        for (Rule r : rules) {
+        for (PlacementConstraint r : rules) {
             scopes.add(r.scope());
         }
         for (Scope s : scopes) {
-            some.addAll(field == 0 ? s.customers() : field == 1 ? s.flavours() : s.services());
+            some.addAll(field == 0 ? s.tenants() : field == 1 ? s.priorityClasses() : s.services());
         }
         return some;
     }
 
-    private static String names(List<Rule> rules) {
-        return rules.stream().map(Rule::name).sorted().collect(Collectors.joining(" "));
+    private static String names(List<PlacementConstraint> rules) {
+        return rules.stream().map(PlacementConstraint::name).sorted().collect(Collectors.joining(" "));
     }
 
-    private static String words(String customer, String flavour, String service) {
-        String s = (customer.isEmpty() ? "" : " customer " + customer) + (flavour.isEmpty() ? "" : " flavour " + flavour)
+    private static String words(String tenant, String priorityClass, String service) {
+        String s = (tenant.isEmpty() ? "" : " customer " + tenant) + (priorityClass.isEmpty() ? "" : " flavour " + priorityClass)
                 + (service.isEmpty() ? "" : " service " + service);
         return s.isEmpty() ? "any kind" : s.substring(1);
     }
--- a/src/main/java/fordridge/constraint/Together.java
+++ b/src/main/java/fordridge/constraint/GroupFeasibility.java
@@ -1,6 +1,6 @@
 package fordridge.constraint;
 
-import fordridge.constraint.Rule.Domain;
+import fordridge.constraint.PlacementConstraint.Domain;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -23,9 +23,9 @@
  * {@code spread within} is left out, as it hangs on the order in which VMs are placed; so a no is a no, and a yes is a place
  * for each that the order may still spoil.
  */
-public final class Together {
+public final class GroupFeasibility {
     /** One of the VMs, and what it asks for. */
-    public record Part(String id, String customer, String flavour, long service, double cores, double memory) { }
+    public record Part(String id, String tenant, String priorityClass, long service, double cores, double memory) { }
 
     /** What may be had of a machine. */
     public record Room(double cores, double memory) { }
@@ -37,16 +37,16 @@
      * For YES a machine for each VM, those first that others must be near; for NO the fewest rules that clash ({@code
      * room} if machines are too small beside them), or as few as were found before the end.
      */
-    public record Outcome(Verdict verdict, Map<String, String> machines, List<Rule> rules, boolean room) { }
+    public record Outcome(Verdict verdict, Map<String, String> machines, List<PlacementConstraint> rules, boolean room) { }
 
     /** Fails of the search before it is given up as not known: the bound that does not hang on the machine's speed. */
     private static final int FAILS = 20_000;
     private static final int SCALE = 1000;
 
-    private final List<Book.Spot> spots;
+    private final List<ConstraintIndex.MachineTopology> spots;
     private final List<Room> rooms;
     private final List<Part> parts;
-    private final List<Rule> rules;
+    private final List<PlacementConstraint> rules;
     private final int placers;
     private final boolean ofKinds;
     /** VMs that run: by rule, side (scope or other) and service, how many are in which domain. */
@@ -55,9 +55,9 @@
     private final Map<Domain, List<String>> names = new EnumMap<>(Domain.class);
 
     /** What a count is of. */
-    record Held(Rule.Scope scope, Domain per, long service, boolean near) { }
+    record Held(PlacementConstraint.Scope scope, Domain per, long service, boolean near) { }
 
-    Together(List<Book.Spot> spots, List<Room> rooms, List<Part> parts, List<Rule> rules, int placers,
+    GroupFeasibility(List<ConstraintIndex.MachineTopology> spots, List<Room> rooms, List<Part> parts, List<PlacementConstraint> rules, int placers,
             Map<Held, Map<String, Integer>> held, boolean ofKinds) {
         this.ofKinds = ofKinds;
         this.spots = List.copyOf(spots);
@@ -70,7 +70,7 @@
             int[] of = new int[spots.size()];
             Map<String, Integer> numbers = new LinkedHashMap<>();
             for (int i = 0; i < of.length; i++) {
-                of[i] = numbers.computeIfAbsent(Book.domain(spots.get(i), d), n -> numbers.size());
+                of[i] = numbers.computeIfAbsent(ConstraintIndex.domain(spots.get(i), d), n -> numbers.size());
             }
             domains.put(d, of);
             names.put(d, List.copyOf(numbers.keySet()));
@@ -78,8 +78,8 @@
     }
 
     /** The same question of kinds of VM in place of VMs: those of one kind need not keep apart from each other. */
-    Together kinds() {
-        return new Together(spots, rooms, parts, rules, placers, held, true);
+    GroupFeasibility kinds() {
+        return new GroupFeasibility(spots, rooms, parts, rules, placers, held, true);
     }
 
     /** Answers; {@code stop} is asked now and then, and ends it with what is known by then. */
@@ -95,14 +95,14 @@
             return all;
         }
         // Room is asked first, then the rules: what clashes already without room is the customers' own.
-        List<Rule> some = rules;
+        List<PlacementConstraint> some = rules;
         boolean room = new Try(rules, false, stop).outcome().verdict != Verdict.NO;
         some = fewest(List.of(), List.of(), some, room, stop);
         return new Outcome(Verdict.NO, Map.of(), some, room);
     }
 
     /** The halving search for a smallest clashing set; as it stands when it is stopped, larger than need be. */
-    private List<Rule> fewest(List<Rule> base, List<Rule> added, List<Rule> from, boolean room, BooleanSupplier stop) {
+    private List<PlacementConstraint> fewest(List<PlacementConstraint> base, List<PlacementConstraint> added, List<PlacementConstraint> from, boolean room, BooleanSupplier stop) {
         if (!added.isEmpty() || base.isEmpty() && added.isEmpty() && !from.isEmpty()) {
             if (new Try(base, room, stop).outcome().verdict == Verdict.NO) {
                 return List.of();
@@ -111,15 +111,15 @@
         if (from.size() <= 1) {
             return from;
         }
-        List<Rule> a = from.subList(0, from.size() / 2);
-        List<Rule> b = from.subList(from.size() / 2, from.size());
-        List<Rule> ofB = fewest(plus(base, a), a, b, room, stop);
-        List<Rule> ofA = fewest(plus(base, ofB), ofB, a, room, stop);
+        List<PlacementConstraint> a = from.subList(0, from.size() / 2);
+        List<PlacementConstraint> b = from.subList(from.size() / 2, from.size());
+        List<PlacementConstraint> ofB = fewest(plus(base, a), a, b, room, stop);
+        List<PlacementConstraint> ofA = fewest(plus(base, ofB), ofB, a, room, stop);
         return plus(ofA, ofB);
     }
 
-    private static List<Rule> plus(List<Rule> a, List<Rule> b) {
-        List<Rule> both = new ArrayList<>(a);
+    private static List<PlacementConstraint> plus(List<PlacementConstraint> a, List<PlacementConstraint> b) {
+        List<PlacementConstraint> both = new ArrayList<>(a);
         both.addAll(b);
         return both;
     }
@@ -127,8 +127,8 @@
     /** The smallest kind of domain that a VM must share with another of these; null if it need not. */
     Domain bound(Part p) {
         Domain least = null;
-        for (Rule r : rules) {
-            if (r.clause() instanceof Rule.Near n && parts.stream().anyMatch(o -> o != p
+        for (PlacementConstraint r : rules) {
+            if (r.clause() instanceof PlacementConstraint.Near n && parts.stream().anyMatch(o -> o != p
                     && (of(r.scope(), p) && of(n.other(), o) || of(r.scope(), o) && of(n.other(), p)))) {
                 least = least == null || n.per().compareTo(least) < 0 ? n.per() : least;
             }
@@ -142,16 +142,16 @@
         return Arrays.stream(t.at).mapToInt(IntVar::getDomainSize).min().orElse(0);
     }
 
-    Book.Spot spot(String machine) {
+    ConstraintIndex.MachineTopology spot(String machine) {
         return spots.stream().filter(s -> s.name().equals(machine)).findFirst().orElseThrow();
     }
 
-    private Map<String, Integer> held(Rule.Scope scope, Domain per, long service) {
+    private Map<String, Integer> held(PlacementConstraint.Scope scope, Domain per, long service) {
         return held.getOrDefault(new Held(scope, per, service, false), Map.of());
     }
 
-    private static boolean of(Rule.Scope s, Part p) {
-        return s.covers(p.customer, p.flavour, p.service);
+    private static boolean of(PlacementConstraint.Scope s, Part p) {
+        return s.covers(p.tenant, p.priorityClass, p.service);
     }
 
     /** One run of the solver under some of the rules. */
@@ -162,7 +162,7 @@
         private final BooleanSupplier stop;
         private boolean impossible;
 
-        Try(List<Rule> some, boolean room, BooleanSupplier stop) {
+        Try(List<PlacementConstraint> some, boolean room, BooleanSupplier stop) {
             this.stop = stop;
             for (int p = 0; p < at.length; p++) {
                 at[p] = model.intVar("at" + p, machinesFor(p, some, room));
@@ -170,12 +170,12 @@
             if (impossible) {
                 return;
             }
-            for (Rule r : some) {
-                if (r.clause() instanceof Rule.Apart a) {
+            for (PlacementConstraint r : some) {
+                if (r.clause() instanceof PlacementConstraint.Apart a) {
                     apart(r, a);
-                } else if (r.clause() instanceof Rule.Most m) {
+                } else if (r.clause() instanceof PlacementConstraint.Most m) {
                     most(r, m);
-                } else if (r.clause() instanceof Rule.Near n) {
+                } else if (r.clause() instanceof PlacementConstraint.Near n) {
                     near(r, n);
                 }
             }
@@ -186,28 +186,28 @@
         }
 
         /** Machines that no rule forbids whatever the others do. */
-        private int[] machinesFor(int p, List<Rule> some, boolean room) {
+        private int[] machinesFor(int p, List<PlacementConstraint> some, boolean room) {
             Part part = parts.get(p);
             boolean[] no = new boolean[spots.size()];
             for (int m = 0; room && m < no.length; m++) {
                 no[m] = part.cores > rooms.get(m).cores || part.memory > rooms.get(m).memory;
             }
-            for (Rule r : some) {
-                if (r.clause() instanceof Rule.Apart a) {
+            for (PlacementConstraint r : some) {
+                if (r.clause() instanceof PlacementConstraint.Apart a) {
                     if (of(r.scope(), part)) {
-                        forbid(no, a.per(), held(a.other(), a.per(), Book.ANY), 1);
+                        forbid(no, a.per(), held(a.other(), a.per(), ConstraintIndex.ANY), 1);
                     }
                     if (of(a.other(), part)) {
-                        forbid(no, a.per(), held(r.scope(), a.per(), Book.ANY), 1);
+                        forbid(no, a.per(), held(r.scope(), a.per(), ConstraintIndex.ANY), 1);
                     }
                 } else if (of(r.scope(), part)) {
-                    if (r.clause() instanceof Rule.On on) {
+                    if (r.clause() instanceof PlacementConstraint.On on) {
                         for (int m = 0; m < no.length; m++) {
-                            no[m] |= !Book.holds(on.where(), spots.get(m));
+                            no[m] |= !ConstraintIndex.holds(on.where(), spots.get(m));
                         }
-                    } else if (r.clause() instanceof Rule.Most most) {
-                        forbid(no, most.per(), held(r.scope(), most.per(), most.eachService() ? part.service : Book.ANY),
-                                Book.share(most, placers));
+                    } else if (r.clause() instanceof PlacementConstraint.Most most) {
+                        forbid(no, most.per(), held(r.scope(), most.per(), most.eachService() ? part.service : ConstraintIndex.ANY),
+                                ConstraintIndex.share(most, placers));
                     }
                 }
             }
@@ -222,7 +222,7 @@
                 return;
             }
             for (int m = 0; m < no.length; m++) {
-                no[m] |= counts.getOrDefault(Book.domain(spots.get(m), per), 0) >= most;
+                no[m] |= counts.getOrDefault(ConstraintIndex.domain(spots.get(m), per), 0) >= most;
             }
         }
 
@@ -239,7 +239,7 @@
             return of[p];
         }
 
-        private void apart(Rule r, Rule.Apart a) {
+        private void apart(PlacementConstraint r, PlacementConstraint.Apart a) {
             List<IntVar> each = new ArrayList<>();
             for (int u = 0; u < at.length; u++) {
                 if (of(r.scope(), parts.get(u)) && of(a.other(), parts.get(u))) {
@@ -259,12 +259,12 @@
             }
         }
 
-        private void most(Rule r, Rule.Most m) {
-            int most = Book.share(m, placers);
+        private void most(PlacementConstraint r, PlacementConstraint.Most m) {
+            int most = ConstraintIndex.share(m, placers);
             Map<Long, List<Integer>> kin = new TreeMap<>();
             for (int p = 0; p < at.length; p++) {
                 if (of(r.scope(), parts.get(p))) {
-                    kin.computeIfAbsent(m.eachService() ? parts.get(p).service : Book.ANY, s -> new ArrayList<>()).add(p);
+                    kin.computeIfAbsent(m.eachService() ? parts.get(p).service : ConstraintIndex.ANY, s -> new ArrayList<>()).add(p);
                 }
             }
             kin.forEach((service, some) -> {
@@ -290,8 +290,8 @@
             });
         }
 
-        private void near(Rule r, Rule.Near n) {
-            Map<String, Integer> counts = held.getOrDefault(new Held(n.other(), n.per(), Book.ANY, true), Map.of());
+        private void near(PlacementConstraint r, PlacementConstraint.Near n) {
+            Map<String, Integer> counts = held.getOrDefault(new Held(n.other(), n.per(), ConstraintIndex.ANY, true), Map.of());
             int[] already = java.util.stream.IntStream.range(0, names.get(n.per()).size())
                     .filter(i -> counts.containsKey(names.get(n.per()).get(i))).toArray();
             boolean away = already.length == 0 && !counts.isEmpty();
@@ -371,6 +371,6 @@
     }
 
     private boolean seeks(Part p) {
-        return rules.stream().anyMatch(r -> r.clause() instanceof Rule.Near && of(r.scope(), p));
+        return rules.stream().anyMatch(r -> r.clause() instanceof PlacementConstraint.Near && of(r.scope(), p));
     }
 }
--- a/src/main/java/fordridge/constraint/Plan.java
+++ b/src/main/java/fordridge/constraint/GroupPlan.java
@@ -1,9 +1,9 @@
 package fordridge.constraint;
 
-import fordridge.constraint.Rule.Domain;
-import fordridge.constraint.Together.Outcome;
-import fordridge.constraint.Together.Part;
-import fordridge.constraint.Together.Verdict;
+import fordridge.constraint.PlacementConstraint.Domain;
+import fordridge.constraint.GroupFeasibility.Outcome;
+import fordridge.constraint.GroupFeasibility.Part;
+import fordridge.constraint.GroupFeasibility.Verdict;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -19,7 +19,7 @@
  * held to the domain that was found for it; where few machines are open to a member, all are led to the ones that were
  * found, as a choice made for one could take the last place of another.
  */
-public final class Plan {
+public final class GroupPlan {
     /** Leads to the machine that was found before any preference of a customer. */
     private static final double LED = 1e6;
     /** Machines open to a member, as a multiple of the group's size, under which all of the group are led. */
@@ -35,7 +35,7 @@
     private final List<String> order;
     private final String refusal;
 
-    private Plan(List<String> order, String refusal) {
+    private GroupPlan(List<String> order, String refusal) {
         this.order = order;
         this.refusal = refusal;
     }
@@ -44,26 +44,26 @@
      * Settles it, by the room that there is now, else by the whole of each machine, as room may come free in time; only
      * what not even empty machines could take is refused.
      */
-    public static Plan of(Together now, Together empty, List<Part> parts, BooleanSupplier stop) {
+    public static GroupPlan of(GroupFeasibility now, GroupFeasibility empty, List<Part> parts, BooleanSupplier stop) {
         Outcome o = now.solve(stop);
-        Together of = now;
+        GroupFeasibility of = now;
         if (o.verdict() != Verdict.YES) {
             o = empty.solve(stop);
             of = empty;
         }
         if (o.verdict() == Verdict.NO) {
-            return new Plan(List.of(), refusal(o, parts.size()));
+            return new GroupPlan(List.of(), refusal(o, parts.size()));
         }
         if (o.verdict() == Verdict.NOT_KNOWN) {
-            return new Plan(parts.stream().map(Part::id).toList(), null);
+            return new GroupPlan(parts.stream().map(Part::id).toList(), null);
         }
-        Plan plan = new Plan(List.copyOf(o.machines().keySet()), null);
+        GroupPlan plan = new GroupPlan(List.copyOf(o.machines().keySet()), null);
         boolean scarce = of.fewestOpen() < AMPLE * parts.size();
         for (Part p : parts) {
             String machine = o.machines().get(p.id());
             Domain per = of.bound(p);
             if (per != null) {
-                plan.held.put(p.id(), new Held(per, Book.domain(of.spot(machine), per)));
+                plan.held.put(p.id(), new Held(per, ConstraintIndex.domain(of.spot(machine), per)));
             }
             if (scarce) {
                 plan.led.put(p.id(), machine);
@@ -73,8 +73,8 @@
     }
 
     /** Nothing speaks of these. */
-    public static Plan free(List<String> order) {
-        return new Plan(List.copyOf(order), null);
+    public static GroupPlan free(List<String> order) {
+        return new GroupPlan(List.copyOf(order), null);
     }
 
     private static String refusal(Outcome o, int size) {
@@ -100,9 +100,9 @@
     }
 
     /** What speaks against a machine for a member: infinite where it must not go. */
-    public double unfit(String id, Book.Spot spot) {
+    public double constraintPenalty(String id, ConstraintIndex.MachineTopology spot) {
         Held h = held.get(id);
-        if (h != null && !Book.domain(spot, h.per).equals(h.domain)) {
+        if (h != null && !ConstraintIndex.domain(spot, h.per).equals(h.domain)) {
             return Double.POSITIVE_INFINITY;
         }
         String machine = led.get(id);
--- a/src/main/java/fordridge/constraint/Rule.java
+++ b/src/main/java/fordridge/constraint/PlacementConstraint.java
@@ -9,7 +9,7 @@
  * One sentence of the language: whose VMs, how binding, and what is asked of the machines they go to. What prints here
  * is what the parser reads back to the same.
  */
-public record Rule(String name, Scope scope, double weight, Clause clause, int line) {
+public record PlacementConstraint(String name, Scope scope, double weight, Clause clause, int line) {
     /** Required rules have no weight. */
     public boolean required() {
         return weight == 0;
@@ -26,20 +26,20 @@
     }
 
     /** VMs by customer, flavour and service; an empty set of values is any. */
-    public record Scope(Set<String> customers, Set<String> flavours, Set<String> services) {
+    public record Scope(Set<String> tenants, Set<String> priorityClasses, Set<String> services) {
         public static final Scope ALL = new Scope(Set.of(), Set.of(), Set.of());
 
-        public boolean covers(String customer, String flavour, long service) {
-            return (customers.isEmpty() || customers.contains(customer))
-                    && (flavours.isEmpty() || flavours.contains(flavour))
+        public boolean covers(String tenant, String priorityClass, long service) {
+            return (tenants.isEmpty() || tenants.contains(tenant))
+                    && (priorityClasses.isEmpty() || priorityClasses.contains(priorityClass))
                     && (services.isEmpty() || services.contains(Long.toString(service)));
         }
 
         @Override
         public String toString() {
             StringBuilder s = new StringBuilder();
-            part(s, "customer", customers);
-            part(s, "flavour", flavours);
+            part(s, "customer", tenants);
+            part(s, "flavour", priorityClasses);
             part(s, "service", services);
             return s.length() == 0 ? "all" : s.toString();
         }
@@ -52,7 +52,7 @@
     }
 
     static String values(Set<String> values) {
-        return new TreeSet<>(values).stream().map(Rule::quoted).collect(Collectors.joining(", "));
+        return new TreeSet<>(values).stream().map(PlacementConstraint::quoted).collect(Collectors.joining(", "));
     }
 
     /** Words of the language and odd characters need quotes. */
@@ -114,7 +114,7 @@
     public record Label(String field, Set<String> values) implements Predicate {
         @Override
         public String toString() {
-            return field + " " + Rule.values(values);
+            return field + " " + PlacementConstraint.values(values);
         }
     }
 
--- a/src/main/java/fordridge/listing/ListFile.java
+++ b/src/main/java/fordridge/discovery/MachineListFile.java
@@ -1,9 +1,9 @@
-package fordridge.listing;
+package fordridge.discovery;
 
 import com.typesafe.config.Config;
-import fordridge.settings.Deployment;
-import fordridge.settings.Reader;
-import fordridge.state.Machine.Listing;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.ConfigReader;
+import fordridge.model.Machine.Lifecycle;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -28,11 +28,11 @@
  * The list of machines in a HOCON file that is looked at again and again. A file that cannot be read leaves the last
  * good list in force, and says why once for each state of the file. Writers replace it by renaming over it.
  */
-public final class ListFile implements MachineList {
-    private static final Logger LOG = LoggerFactory.getLogger(ListFile.class);
+public final class MachineListFile implements MachineListSource {
+    private static final Logger LOG = LoggerFactory.getLogger(MachineListFile.class);
 
     private final File file;
-    private final Deployment deployment;
+    private final DeploymentSettings deployment;
     private final List<Consumer<Update>> takers = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "list-file");
@@ -42,7 +42,7 @@
     private volatile Update latest;
     private String seen;
 
-    public ListFile(File file, Deployment deployment) throws Deployment.Refused {
+    public MachineListFile(File file, DeploymentSettings deployment) throws DeploymentSettings.InvalidSettingsException {
         this.file = file;
         this.deployment = deployment;
         seen = mark();
@@ -71,7 +71,7 @@
             for (Consumer<Update> t : takers) {
                 t.accept(latest);
             }
-        } catch (Deployment.Refused e) {
+        } catch (DeploymentSettings.InvalidSettingsException e) {
             LOG.atError().addKeyValue("list", file.getName()).log("the list of machines stays as it was: "
                     + String.join("; ", e.complaints));
         } catch (RuntimeException e) {
@@ -80,10 +80,10 @@
     }
 
     /** Reads the file whole, with every complaint at once. */
-    public static Update read(File file, Deployment d, long version) throws Deployment.Refused {
-        Config c = Deployment.parse(file);
+    public static Update read(File file, DeploymentSettings d, long version) throws DeploymentSettings.InvalidSettingsException {
+        Config c = DeploymentSettings.parse(file);
         List<String> errors = new ArrayList<>();
-        Reader r = new Reader(c, "", errors);
+        ConfigReader r = new ConfigReader(c, "", errors);
         if (r.whole("version", 1, 1_000_000) != 1) {
             r.error("version", "another", "1");
         }
@@ -91,18 +91,18 @@
         d.kinds.forEach(k -> kinds.add(k.name()));
         List<Entry> entries = new ArrayList<>();
         Set<String> names = new HashSet<>();
-        for (Reader m : r.each("machines", null)) {
+        for (ConfigReader m : r.each("machines", null)) {
             entries.add(entry(m, kinds, names));
             m.refuseUnknown();
         }
         r.refuseUnknown();
         if (!errors.isEmpty()) {
-            throw new Deployment.Refused(errors);
+            throw new DeploymentSettings.InvalidSettingsException(errors);
         }
         return new Update(version, true, false, entries);
     }
 
-    private static Entry entry(Reader m, Set<String> kinds, Set<String> names) {
+    private static Entry entry(ConfigReader m, Set<String> kinds, Set<String> names) {
         String name = m.text("name", 100);
         if (!names.add(name)) {
             m.error("name", "'" + name + "' twice", "each name once");
@@ -129,13 +129,13 @@
                 m.error("started", "'" + s + "'", "an instant, as 2026-01-31T12:00:00Z");
             }
         }
-        Listing listing = switch (m.word("state", "live", "draining", "gone")) {
-            case "draining" -> Listing.DRAINING;
-            case "gone" -> Listing.GONE;
-            default -> Listing.LIVE;
+        Lifecycle lifecycle = switch (m.word("state", "live", "draining", "gone")) {
+            case "draining" -> Lifecycle.DRAINING;
+            case "gone" -> Lifecycle.GONE;
+            default -> Lifecycle.LIVE;
         };
         return new Entry(name, at, kind, m.has("zone") ? m.text("zone", 100) : "",
-                m.has("cell") ? m.whole("cell", 0, 1_000_000) : 0, listing,
+                m.has("cell") ? m.whole("cell", 0, 1_000_000) : 0, lifecycle,
                 m.has("free_cores") ? m.number("free_cores", -1e6, 1e6) : 0,
                 m.has("free_memory") ? m.number("free_memory", -1e9, 1e9) : 0, started);
     }
@@ -159,7 +159,7 @@
     }
 
     /** For writers of such files: how long a change takes to be seen at most, beyond its reading. */
-    public static Duration delay(Deployment d) {
+    public static Duration delay(DeploymentSettings d) {
         return d.poll;
     }
 }
--- a/src/main/java/fordridge/listing/MachineList.java
+++ b/src/main/java/fordridge/discovery/MachineListSource.java
@@ -1,15 +1,15 @@
-package fordridge.listing;
+package fordridge.discovery;
 
-import fordridge.state.Machine.Listing;
+import fordridge.model.Machine.Lifecycle;
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.List;
 import java.util.function.Consumer;
 
 /** Where the list of machines comes from. Whatever stands behind it gives whole lists, each newer than the last. */
-public interface MachineList extends AutoCloseable {
+public interface MachineListSource extends AutoCloseable {
     /** One machine; {@code started} is null for long ago, and changes only when the machine starts anew. */
-    record Entry(String name, InetSocketAddress address, String kind, String zone, int cell, Listing listing,
+    record Entry(String name, InetSocketAddress address, String kind, String zone, int cell, Lifecycle lifecycle,
             double freeCores, double freeMemory, Instant started) { }
 
     /**
--- a/src/main/java/fordridge/rig/Score.java
+++ b/src/main/java/fordridge/emulator/ClientOutcomes.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import fordridge.v1.Ended;
 import java.util.Locale;
@@ -7,7 +7,7 @@
 import org.HdrHistogram.Histogram;
 
 /** What owners got, by flavour and by customer; over all owners of a day. */
-final class Score {
+final class ClientOutcomes {
     private static final class Row {
         long asked;
         long served;
@@ -21,20 +21,20 @@
     private final Map<String, Row> rows = new TreeMap<>();
     private final Map<Long, long[]> seconds = new TreeMap<>();
 
-    private Row[] rows(StandInOwner.Service s) {
+    private Row[] rows(EmulatedClient.Service s) {
         return new Row[] {rows.computeIfAbsent("0 all", k -> new Row()),
-            rows.computeIfAbsent("1 flavour " + s.flavour().name(), k -> new Row()),
-            rows.computeIfAbsent("2 customer " + s.customer(), k -> new Row())};
+            rows.computeIfAbsent("1 flavour " + s.priorityClass().name(), k -> new Row()),
+            rows.computeIfAbsent("2 customer " + s.tenant(), k -> new Row())};
     }
 
-    synchronized void asked(StandInOwner.Service s) {
+    synchronized void asked(EmulatedClient.Service s) {
         for (Row r : rows(s)) {
             r.asked++;
         }
     }
 
-    synchronized void served(StandInOwner.Service s, long tookUs, long second) {
-        boolean inTime = tookUs <= s.flavour().buildTarget().toNanos() / 1000;
+    synchronized void served(EmulatedClient.Service s, long tookUs, long second) {
+        boolean inTime = tookUs <= s.priorityClass().buildTarget().toNanos() / 1000;
         for (Row r : rows(s)) {
             r.served++;
             r.inTime += inTime ? 1 : 0;
@@ -45,19 +45,19 @@
         at[1] += inTime ? 1 : 0;
     }
 
-    synchronized void denied(StandInOwner.Service s) {
+    synchronized void denied(EmulatedClient.Service s) {
         for (Row r : rows(s)) {
             r.denied++;
         }
     }
 
-    synchronized void errored(StandInOwner.Service s) {
+    synchronized void errored(EmulatedClient.Service s) {
         for (Row r : rows(s)) {
             r.errored++;
         }
     }
 
-    synchronized void ended(StandInOwner.Service s, Ended.How how) {
+    synchronized void ended(EmulatedClient.Service s, Ended.How how) {
         for (Row r : rows(s)) {
             r.lost += how == Ended.How.DONE ? 0 : 1;
         }
--- a/src/main/java/fordridge/rig/RuleWatch.java
+++ b/src/main/java/fordridge/emulator/ConstraintChecker.java
@@ -1,9 +1,9 @@
-package fordridge.rig;
+package fordridge.emulator;
 
-import fordridge.constraint.Language;
-import fordridge.constraint.Rule;
-import fordridge.constraint.Rule.Domain;
-import fordridge.constraint.Rule.Scope;
+import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.PlacementConstraint.Domain;
+import fordridge.constraint.PlacementConstraint.Scope;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -17,9 +17,9 @@
  * its offer until shortly after its end, as the placer may not have heard yet. {@code spread within} is not judged: it
  * hangs on which machines were open to the placer.
  */
-final class RuleWatch {
+final class ConstraintChecker {
     /** A machine's labels. */
-    record Spot(String name, String kind, String zone, long cell) {
+    record MachineTopology(String name, String kind, String zone, long cell) {
         String domain(Domain per) {
             return per == Domain.MACHINE ? name : per == Domain.ZONE ? zone : zone + "/" + cell;
         }
@@ -27,9 +27,9 @@
 
     /** A claim as the machine saw it. */
     static final class Placed {
-        final Spot spot;
-        final String customer;
-        final String flavour;
+        final MachineTopology spot;
+        final String tenant;
+        final String priorityClass;
         final long service;
         boolean runs;
         boolean over;
@@ -37,10 +37,10 @@
         /** Its end was said, but lost on the way: its placer goes on holding it to run. */
         boolean unheard;
 
-        Placed(Spot spot, String customer, String flavour, long service) {
+        Placed(MachineTopology spot, String tenant, String priorityClass, long service) {
             this.spot = spot;
-            this.customer = customer;
-            this.flavour = flavour;
+            this.tenant = tenant;
+            this.priorityClass = priorityClass;
             this.service = service;
         }
     }
@@ -49,7 +49,7 @@
     private static final long LATE_US = 1_500_000;
     private static final long SET_LATE_US = 700_000;
 
-    private final Deque<List<Rule>> sets = new ArrayDeque<>();
+    private final Deque<List<PlacementConstraint>> sets = new ArrayDeque<>();
     private final Map<String, List<Placed>> of = new HashMap<>();
     private long changedAt;
     private int placers = 1;
@@ -57,8 +57,8 @@
     /** A set is in force; for a while after that the one before it is as good. */
     void set(String text, int among, long t) {
         try {
-            sets.addLast(Language.read(text, Language.Names.ANY));
-        } catch (Language.Refused e) {
+            sets.addLast(ConstraintParser.read(text, ConstraintParser.Names.ANY));
+        } catch (ConstraintParser.ConstraintSyntaxException e) {
             throw new IllegalArgumentException("rules in the tap: " + e.complaints);
         }
         if (sets.size() > 2) {
@@ -81,7 +81,7 @@
         if (sets.size() == 2 && t - changedAt > SET_LATE_US) {
             sets.removeFirst();
         }
-        for (List<Rule> rules : sets) {
+        for (List<PlacementConstraint> rules : sets) {
             String what = broken(rules, own, p);
             broken = what == null ? broken : what;
             kept |= what == null;
@@ -90,8 +90,8 @@
         return kept ? null : broken;
     }
 
-    private String broken(List<Rule> rules, List<Placed> own, Placed p) {
-        for (Rule r : rules) {
+    private String broken(List<PlacementConstraint> rules, List<Placed> own, Placed p) {
+        for (PlacementConstraint r : rules) {
             if (r.required() && !keeps(r, own, p)) {
                 return "rule '" + r.name() + "' (" + r.clause() + ")";
             }
@@ -99,24 +99,24 @@
         return null;
     }
 
-    private boolean keeps(Rule r, List<Placed> own, Placed p) {
+    private boolean keeps(PlacementConstraint r, List<Placed> own, Placed p) {
         boolean about = covers(r.scope(), p);
-        if (r.clause() instanceof Rule.Apart a) {
+        if (r.clause() instanceof PlacementConstraint.Apart a) {
             return own.stream().noneMatch(o -> running(o) && same(o, p, a.per())
                     && (about && covers(a.other(), o) || covers(a.other(), p) && covers(r.scope(), o)));
         }
         if (!about) {
             return true;
         }
-        if (r.clause() instanceof Rule.On on) {
+        if (r.clause() instanceof PlacementConstraint.On on) {
             return holds(on.where(), p.spot);
         }
-        if (r.clause() instanceof Rule.Most m) {
+        if (r.clause() instanceof PlacementConstraint.Most m) {
             int most = m.overall() ? Math.max(1, m.most() / placers) : m.most();
             return own.stream().filter(o -> running(o) && same(o, p, m.per()) && covers(r.scope(), o)
                     && (!m.eachService() || o.service == p.service)).count() < most;
         }
-        if (r.clause() instanceof Rule.Near n) {
+        if (r.clause() instanceof PlacementConstraint.Near n) {
             return own.stream().noneMatch(o -> running(o) && covers(n.other(), o))
                     || own.stream().anyMatch(o -> covers(n.other(), o) && same(o, p, n.per()));
         }
@@ -132,11 +132,11 @@
     }
 
     private static boolean covers(Scope s, Placed p) {
-        return s.covers(p.customer, p.flavour, p.service);
+        return s.covers(p.tenant, p.priorityClass, p.service);
     }
 
-    private static boolean holds(Rule.Predicate p, Spot s) {
-        if (p instanceof Rule.Label l) {
+    private static boolean holds(PlacementConstraint.Predicate p, MachineTopology s) {
+        if (p instanceof PlacementConstraint.Label l) {
             return l.values().contains(switch (l.field()) {
                 case "kind" -> s.kind;
                 case "zone" -> s.zone;
@@ -144,7 +144,7 @@
                 default -> s.name;
             });
         }
-        return p instanceof Rule.Not n ? !holds(n.of(), s) : p instanceof Rule.Both b ? holds(b.a(), s) && holds(b.b(), s)
-                : holds(((Rule.Either) p).a(), s) || holds(((Rule.Either) p).b(), s);
+        return p instanceof PlacementConstraint.Not n ? !holds(n.of(), s) : p instanceof PlacementConstraint.Both b ? holds(b.a(), s) && holds(b.b(), s)
+                : holds(((PlacementConstraint.Either) p).a(), s) || holds(((PlacementConstraint.Either) p).b(), s);
     }
 }
--- a/src/main/java/fordridge/rig/StandInOwner.java
+++ b/src/main/java/fordridge/emulator/EmulatedClient.java
@@ -1,6 +1,6 @@
-package fordridge.rig;
+package fordridge.emulator;
 
-import fordridge.settings.Deployment;
+import fordridge.settings.DeploymentSettings;
 import fordridge.v1.Ack;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.Ended;
@@ -26,12 +26,12 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** A stand-in client: the owner of some VMs, on one stream to one placer, with retries and a resume token. */
-final class StandInOwner {
+final class EmulatedClient {
     /** A service and what its VMs ask for. */
-    record Service(long number, Deployment.Flavour flavour, String customer, DayPlan.Shape shape, double lifeSeconds) { }
+    record Service(long number, DeploymentSettings.PriorityClass priorityClass, String tenant, ScenarioPlan.Shape shape, double lifeSeconds) { }
 
     /** A VM in its owner's eyes, over all the times that it is asked for. */
-    private static final class Wish {
+    private static final class RequestedVm {
         final String workload;
         final Service service;
         final long firstAskedAt;
@@ -42,9 +42,9 @@
         long until;
         boolean waits;
         boolean boundOnce;
-        long boundAt;
+        long acceptedAt;
 
-        Wish(String workload, Service service, long now, long lifeUs) {
+        RequestedVm(String workload, Service service, long now, long lifeUs) {
             this.workload = workload;
             this.service = service;
             this.firstAskedAt = now;
@@ -55,14 +55,14 @@
     final String name;
     private final int port;
     private final EventLoop loop;
-    private final Tap tap;
-    private final Score score;
-    private final DayPlan plan;
+    private final WireRecorder tap;
+    private final ClientOutcomes score;
+    private final ScenarioPlan plan;
     private final List<Service> services;
     private final UniformRandomProvider chance;
-    private final Map<String, Wish> waiting = new LinkedHashMap<>();
-    private final Map<String, Wish> running = new LinkedHashMap<>();
-    private final Deque<Wish> unsent = new ArrayDeque<>();
+    private final Map<String, RequestedVm> waiting = new LinkedHashMap<>();
+    private final Map<String, RequestedVm> running = new LinkedHashMap<>();
+    private final Deque<RequestedVm> unsent = new ArrayDeque<>();
     private ManagedChannel channel;
     private ClientCallStreamObserver<ClientMessage> to;
     private int generation;
@@ -77,7 +77,7 @@
     private int cutsLeft;
     private Duration cutsAway = Duration.ZERO;
 
-    StandInOwner(String name, int port, EventLoop loop, Tap tap, Score score, DayPlan plan, List<Service> services,
+    EmulatedClient(String name, int port, EventLoop loop, WireRecorder tap, ClientOutcomes score, ScenarioPlan plan, List<Service> services,
             double rate, long seed) {
         this.name = name;
         this.port = port;
@@ -224,7 +224,7 @@
             case BOUND -> bound(m.getBound().getVm(), m.getBound().getMachine(), t);
             case DENIED -> {
                 tap.line(name, "denied", "vm", m.getDenied().getVm());
-                Wish w = waiting.remove(m.getDenied().getVm());
+                RequestedVm w = waiting.remove(m.getDenied().getVm());
                 if (w != null) {
                     score.denied(w.service);
                     again(w, Math.max(m.getDenied().getRetryAfterUs(), pause()));
@@ -232,11 +232,11 @@
             }
             case ERRORED -> {
                 tap.line(name, "errored", "vm", m.getErrored().getVm());
-                Wish w = waiting.remove(m.getErrored().getVm());
+                RequestedVm w = waiting.remove(m.getErrored().getVm());
                 if (w != null) {
                     score.errored(w.service);
                     // A careful owner: what must not run twice and may be running is not asked for again.
-                    if (w.service.flavour.rebuildable()) {
+                    if (w.service.priorityClass.rebuildable()) {
                         again(w, pause());
                     }
                 }
@@ -244,7 +244,7 @@
             case ENDED -> ended(m.getEnded().getVm(), m.getEnded().getHow(), t);
             case MOVED -> {
                 tap.line(name, "moved", "vm", m.getMoved().getVm());
-                Wish w = running.remove(m.getMoved().getVm());
+                RequestedVm w = running.remove(m.getMoved().getVm());
                 if (w != null) {
                     again(w, 50_000);
                 }
@@ -259,7 +259,7 @@
 
     private void bound(String vm, String machine, long t) {
         tap.line(name, "bound", "vm", vm, "machine", machine);
-        Wish w = waiting.remove(vm);
+        RequestedVm w = waiting.remove(vm);
         if (w == null) {
             return;
         }
@@ -268,18 +268,18 @@
             w.boundOnce = true;
             score.served(w.service, t - w.firstAskedAt, t / 1_000_000);
         }
-        w.boundAt = t;
+        w.acceptedAt = t;
         running.put(vm, w);
     }
 
     private void ended(String vm, Ended.How how, long t) {
         tap.line(name, "ended", "vm", vm, "how", how);
-        Wish w = running.remove(vm);
+        RequestedVm w = running.remove(vm);
         if (w == null) {
             return;
         }
         score.ended(w.service, how);
-        w.lifeUs -= t - w.boundAt;
+        w.lifeUs -= t - w.acceptedAt;
         if (how != Ended.How.DONE && how != Ended.How.ERROR && w.lifeUs > 1_000_000) {
             again(w, 50_000 + chance.nextInt(300_000));
         }
@@ -289,7 +289,7 @@
         return (long) ((plan.again[0] + chance.nextDouble() * (plan.again[1] - plan.again[0])) * 1000);
     }
 
-    private void again(Wish w, long inUs) {
+    private void again(RequestedVm w, long inUs) {
         if (w.asked >= plan.tries || !wantsStream) {
             return;
         }
@@ -324,7 +324,7 @@
 
     private void wish(Service s) {
         double life = Math.max(1, s.lifeSeconds * -Math.log(1 - chance.nextDouble() * 0.95));
-        Wish w = new Wish(name + "-" + ++number, s, tap.now(), (long) (life * 1e6));
+        RequestedVm w = new RequestedVm(name + "-" + ++number, s, tap.now(), (long) (life * 1e6));
         score.asked(s);
         ask(w);
     }
@@ -333,20 +333,20 @@
     void reconnect(double share, Duration within) {
         for (String vm : List.copyOf(running.keySet())) {
             if (chance.nextDouble() < share) {
-                Wish w = running.remove(vm);
+                RequestedVm w = running.remove(vm);
                 tap.line(name, "unwant", "vm", vm);
                 write(ClientMessage.newBuilder().setUnwant(Unwant.newBuilder().setVm(vm)));
-                if (w.service.flavour.rebuildable()) {
+                if (w.service.priorityClass.rebuildable()) {
                     again(w, 1 + chance.nextInt((int) Math.max(1, within.toNanos() / 1000)));
                 }
             }
         }
     }
 
-    private void ask(Wish w) {
+    private void ask(RequestedVm w) {
         w.asked++;
         w.vm = w.workload + "." + w.asked;
-        w.until = tap.now() + w.service.flavour.buildTimeout().toNanos() / 1000;
+        w.until = tap.now() + w.service.priorityClass.buildTimeout().toNanos() / 1000;
         unsent.addLast(w);
         sendWhileReady();
     }
@@ -358,7 +358,7 @@
         }
     }
 
-    private void send(Wish w) {
+    private void send(RequestedVm w) {
         long left = w.until - tap.now();
         if (left <= 50_000) {
             return;
@@ -366,15 +366,15 @@
         w.waits = true;
         waiting.put(w.vm, w);
         Service s = w.service;
-        tap.line(name, "want", "vm", w.vm, "workload", w.workload, "flavour", s.flavour.name(), "left", left);
+        tap.line(name, "want", "vm", w.vm, "workload", w.workload, "flavour", s.priorityClass.name(), "left", left);
         write(w);
     }
 
-    private void write(Wish w) {
+    private void write(RequestedVm w) {
         Service s = w.service;
         long left = Math.max(1, w.until - tap.now());
         write(ClientMessage.newBuilder().setWant(Want.newBuilder().setVm(w.vm).setWorkload(w.workload)
-                .setFlavour(s.flavour.name()).setService(s.number).setCustomer(s.customer).setCores(s.shape.cores())
+                .setFlavour(s.priorityClass.name()).setService(s.number).setCustomer(s.tenant).setCores(s.shape.cores())
                 .setMemory(s.shape.memory()).setTimeLeftUs(left).setLastsUs(w.lifeUs).setAgain(w.asked > 1)));
     }
 
--- a/src/main/java/fordridge/rig/StandInEtcd.java
+++ b/src/main/java/fordridge/emulator/EmulatedEtcd.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.google.protobuf.ByteString;
 import fordridge.etcd.api.CompactionRequest;
@@ -59,7 +59,7 @@
  * watches over a store in memory, with faults to bring about. One lock guards it all; it is one member that always leads
  * unless told otherwise.
  */
-public final class StandInEtcd implements AutoCloseable {
+public final class EmulatedEtcd implements AutoCloseable {
     private static final class Lease {
         final long ttl;
         long until;
@@ -71,7 +71,7 @@
     }
 
     /** Hears what is sent to whom; the name is the client's user agent up to its first space. */
-    interface Sent {
+    interface WatchListener {
         void snapshot(String who);
 
         void record(String who, String key, boolean deleted);
@@ -79,7 +79,7 @@
 
     private static final Context.Key<String> WHO = Context.key("who");
 
-    private final class Naming implements ServerInterceptor {
+    private final class EndpointInterceptor implements ServerInterceptor {
         @Override
         public <A, B> ServerCall.Listener<A> interceptCall(ServerCall<A, B> call, Metadata headers,
                 ServerCallHandler<A, B> next) {
@@ -94,7 +94,7 @@
         }
     }
 
-    private Sent sent;
+    private WatchListener sent;
     private volatile String token;
 
     /** Calls without this token are refused. */
@@ -102,18 +102,18 @@
         token = wanted;
     }
 
-    synchronized void tap(Sent to) {
+    synchronized void tap(WatchListener to) {
         sent = to;
     }
 
     /** One watch on one stream. */
     private final class Watcher {
-        final Streamer stream;
+        final WatchStream stream;
         final long id;
         final WatchCreateRequest asked;
         long next;
 
-        Watcher(Streamer stream, long id, WatchCreateRequest asked, long next) {
+        Watcher(WatchStream stream, long id, WatchCreateRequest asked, long next) {
             this.stream = stream;
             this.id = id;
             this.asked = asked;
@@ -146,7 +146,7 @@
 
     private final MvccStore store = new MvccStore();
     private final Map<Long, Lease> leases = new HashMap<>();
-    private final List<Streamer> streams = new ArrayList<>();
+    private final List<WatchStream> streams = new ArrayList<>();
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "etcd-stand-in");
         t.setDaemon(true);
@@ -165,15 +165,15 @@
     private long ranges;
     private long progressEveryMs;
 
-    public StandInEtcd() throws IOException {
+    public EmulatedEtcd() throws IOException {
         this(0, 500);
     }
 
-    public StandInEtcd(int port, long progressEveryMs) throws IOException {
+    public EmulatedEtcd(int port, long progressEveryMs) throws IOException {
         this.progressEveryMs = progressEveryMs;
-        server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", port)).intercept(new Naming())
-                .addService(new Kv())
-                .addService(new Watching()).addService(new Leasing()).maxInboundMessageSize(16 << 20)
+        server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", port)).intercept(new EndpointInterceptor())
+                .addService(new KvService())
+                .addService(new WatchService()).addService(new LeaseService()).maxInboundMessageSize(16 << 20)
                 .permitKeepAliveTime(50, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true).build().start();
         clock.scheduleWithFixedDelay(this::expire, 20, 20, TimeUnit.MILLISECONDS);
         clock.scheduleWithFixedDelay(this::progress, progressEveryMs, progressEveryMs, TimeUnit.MILLISECONDS);
@@ -237,7 +237,7 @@
     private void commit() {
         List<Event> events = store.commit();
         if (!events.isEmpty()) {
-            List.copyOf(streams).forEach(Streamer::offer);
+            List.copyOf(streams).forEach(WatchStream::offer);
         }
     }
 
@@ -246,17 +246,17 @@
     public synchronized void compactNow() {
         try {
             store.compact(store.revision());
-        } catch (MvccStore.NoRevision e) {
+        } catch (MvccStore.RevisionUnavailableException e) {
             return;
         }
-        List.copyOf(streams).forEach(Streamer::offer);
+        List.copyOf(streams).forEach(WatchStream::offer);
     }
 
     /** Streams stay open and nothing comes: no events, no progress. */
     public synchronized void silence(boolean on) {
         silent = on;
         if (!on) {
-            List.copyOf(streams).forEach(Streamer::offer);
+            List.copyOf(streams).forEach(WatchStream::offer);
         }
     }
 
@@ -288,7 +288,7 @@
     }
 
     public synchronized void cut() {
-        for (Streamer s : List.copyOf(streams)) {
+        for (WatchStream s : List.copyOf(streams)) {
             s.end(Status.UNAVAILABLE.withDescription("etcdserver: no leader"));
         }
     }
@@ -331,7 +331,7 @@
     }
 
     private synchronized void progress() {
-        for (Streamer s : List.copyOf(streams)) {
+        for (WatchStream s : List.copyOf(streams)) {
             for (Watcher w : List.copyOf(s.watchers.values())) {
                 if (w.asked.getProgressNotify()) {
                     s.progress(w.id);
@@ -346,23 +346,23 @@
         return Status.UNAVAILABLE.withDescription("etcdserver: no leader");
     }
 
-    private static Status noRevision(MvccStore.NoRevision e) {
+    private static Status noRevision(MvccStore.RevisionUnavailableException e) {
         return Status.OUT_OF_RANGE.withDescription(e.compacted
                 ? "etcdserver: mvcc: required revision has been compacted"
                 : "etcdserver: mvcc: required revision is a future revision");
     }
 
-    private final class Kv extends KVGrpc.KVImplBase {
-        private <T> void answer(StreamObserver<T> to, Answering<T> how) {
+    private final class KvService extends KVGrpc.KVImplBase {
+        private <T> void answer(StreamObserver<T> to, Reply<T> how) {
             T reply;
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 if (leaderless) {
                     to.onError(unavailable().asRuntimeException());
                     return;
                 }
                 try {
                     reply = how.answer();
-                } catch (MvccStore.NoRevision e) {
+                } catch (MvccStore.RevisionUnavailableException e) {
                     to.onError(noRevision(e).asRuntimeException());
                     return;
                 }
@@ -374,12 +374,12 @@
         @Override
         public void range(RangeRequest r, StreamObserver<RangeResponse> to) {
             long wait;
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 ranges++;
                 wait = slowRangeMs;
             }
             String who = WHO.get();
-            Answering<RangeResponse> ranging = () -> {
+            Reply<RangeResponse> ranging = () -> {
                 RangeResponse b = ranged(r);
                 if (sent != null) {
                     if (r.getRevision() == 0) {
@@ -398,7 +398,7 @@
 
         @Override
         public void put(PutRequest r, StreamObserver<PutResponse> to) {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 if (r.getLease() != 0 && !leases.containsKey(r.getLease())) {
                     to.onError(Status.NOT_FOUND.withDescription("etcdserver: requested lease not found")
                             .asRuntimeException());
@@ -442,11 +442,11 @@
         }
     }
 
-    private interface Answering<T> {
-        T answer() throws MvccStore.NoRevision;
+    private interface Reply<T> {
+        T answer() throws MvccStore.RevisionUnavailableException;
     }
 
-    private RangeResponse ranged(RangeRequest r) throws MvccStore.NoRevision {
+    private RangeResponse ranged(RangeRequest r) throws MvccStore.RevisionUnavailableException {
         List<KeyValue> all = new ArrayList<>(store.range(r.getKey(), r.getRangeEnd(), r.getRevision()));
         all.removeIf(k -> r.getMinModRevision() > 0 && k.getModRevision() < r.getMinModRevision()
                 || r.getMaxModRevision() > 0 && k.getModRevision() > r.getMaxModRevision());
@@ -480,7 +480,7 @@
         return r.getPrevKv() ? b.addAllPrevKvs(gone) : b;
     }
 
-    private TxnResponse.Builder txnIn(TxnRequest r) throws MvccStore.NoRevision {
+    private TxnResponse.Builder txnIn(TxnRequest r) throws MvccStore.RevisionUnavailableException {
         boolean holds = r.getCompareList().stream().allMatch(store::holds);
         TxnResponse.Builder b = TxnResponse.newBuilder().setSucceeded(holds);
         for (RequestOp op : holds ? r.getSuccessList() : r.getFailureList()) {
@@ -499,11 +499,11 @@
 
     // ---- Watch -----------------------------------------------------------------------------------------
 
-    private final class Watching extends WatchGrpc.WatchImplBase {
+    private final class WatchService extends WatchGrpc.WatchImplBase {
         @Override
         public StreamObserver<WatchRequest> watch(StreamObserver<WatchResponse> to) {
-            Streamer s = new Streamer((ServerCallStreamObserver<WatchResponse>) to);
-            synchronized (StandInEtcd.this) {
+            WatchStream s = new WatchStream((ServerCallStreamObserver<WatchResponse>) to);
+            synchronized (EmulatedEtcd.this) {
                 if (leaderless) {
                     to.onError(unavailable().asRuntimeException());
                 } else {
@@ -514,7 +514,7 @@
         }
     }
 
-    private final class Streamer implements StreamObserver<WatchRequest> {
+    private final class WatchStream implements StreamObserver<WatchRequest> {
         private final ServerCallStreamObserver<WatchResponse> to;
         private final Map<Long, Watcher> watchers = new java.util.TreeMap<>();
         private final Deque<WatchResponse> delayed = new ArrayDeque<>();
@@ -523,13 +523,13 @@
         private boolean over;
         private int parts;
 
-        Streamer(ServerCallStreamObserver<WatchResponse> to) {
+        WatchStream(ServerCallStreamObserver<WatchResponse> to) {
             this.to = to;
             to.setOnCancelHandler(this::gone);
         }
 
         private void gone() {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 over = true;
                 streams.remove(this);
             }
@@ -537,7 +537,7 @@
 
         @Override
         public void onNext(WatchRequest r) {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 switch (r.getRequestUnionCase()) {
                     case CREATE_REQUEST -> create(r.getCreateRequest());
                     case CANCEL_REQUEST -> {
@@ -585,7 +585,7 @@
                     }
                     w.next = Math.max(w.next, store.revision() + 1);
                     split(w, mine);
-                } catch (MvccStore.NoRevision e) {
+                } catch (MvccStore.RevisionUnavailableException e) {
                     watchers.remove(w.id);
                     send(WatchResponse.newBuilder().setHeader(header()).setWatchId(w.id).setCanceled(true)
                             .setCompactRevision(store.compacted()).setCancelReason(
@@ -616,7 +616,7 @@
             if (delayMs > 0 && r.getEventsCount() > 0 || !delayed.isEmpty()) {
                 delayed.addLast(r);
                 clock.schedule(() -> {
-                    synchronized (StandInEtcd.this) {
+                    synchronized (EmulatedEtcd.this) {
                         WatchResponse first = delayed.pollFirst();
                         if (first != null && !over) {
                             go(first);
@@ -651,7 +651,7 @@
 
         @Override
         public void onCompleted() {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 if (!over) {
                     gone();
                     to.onCompleted();
@@ -662,10 +662,10 @@
 
     // ---- Leases ----------------------------------------------------------------------------------------
 
-    private final class Leasing extends LeaseGrpc.LeaseImplBase {
+    private final class LeaseService extends LeaseGrpc.LeaseImplBase {
         @Override
         public void leaseGrant(LeaseGrantRequest r, StreamObserver<LeaseGrantResponse> to) {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 if (leaderless) {
                     to.onError(unavailable().asRuntimeException());
                     return;
@@ -679,7 +679,7 @@
 
         @Override
         public void leaseRevoke(LeaseRevokeRequest r, StreamObserver<LeaseRevokeResponse> to) {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 if (!leases.containsKey(r.getID())) {
                     to.onError(Status.NOT_FOUND.withDescription("etcdserver: requested lease not found")
                             .asRuntimeException());
@@ -697,7 +697,7 @@
             return new StreamObserver<>() {
                 @Override
                 public void onNext(LeaseKeepAliveRequest r) {
-                    synchronized (StandInEtcd.this) {
+                    synchronized (EmulatedEtcd.this) {
                         Lease l = leases.get(r.getID());
                         if (l != null) {
                             l.until = millis() + l.ttl * 1000;
@@ -720,7 +720,7 @@
 
         @Override
         public void leaseTimeToLive(LeaseTimeToLiveRequest r, StreamObserver<LeaseTimeToLiveResponse> to) {
-            synchronized (StandInEtcd.this) {
+            synchronized (EmulatedEtcd.this) {
                 Lease l = leases.get(r.getID());
                 LeaseTimeToLiveResponse.Builder b = LeaseTimeToLiveResponse.newBuilder().setHeader(header())
                         .setID(r.getID()).setTTL(l == null ? -1 : Math.max(0, (l.until - millis()) / 1000))
--- a/src/main/java/fordridge/rig/StandInMachine.java
+++ b/src/main/java/fordridge/emulator/EmulatedMachine.java
@@ -1,8 +1,8 @@
-package fordridge.rig;
+package fordridge.emulator;
 
-import fordridge.rig.MachineModel.How;
-import fordridge.rig.MachineModel.Reason;
-import fordridge.rig.MachineModel.Task;
+import fordridge.emulator.MachineModel.EndKind;
+import fordridge.emulator.MachineModel.Reason;
+import fordridge.emulator.MachineModel.HostedVm;
 import fordridge.v1.Accepted;
 import fordridge.v1.ClaimName;
 import fordridge.v1.Finished;
@@ -39,15 +39,15 @@
  * A stand-in that speaks the machine's side on a loopback port: the model behind real sockets, with faults at the
  * socket. Everything of it happens on one event loop.
  */
-final class StandInMachine implements MachineModel.Says {
+final class EmulatedMachine implements MachineModel.Listener {
     /** What a cut waits for; it breaks the stream just then. */
-    enum CutAt { NONE, GREETED, OFFER_READ, BEFORE_ANSWER, AFTER_ANSWER }
+    enum CutPoint { NONE, GREETED, OFFER_READ, BEFORE_ANSWER, AFTER_ANSWER }
 
     private static final int LOW_WATER = 4096;
 
-    final MachineModel.Make make;
+    final MachineModel.MachineSpec make;
     final EventLoop loop;
-    private final Tap tap;
+    private final WireRecorder tap;
     private final MachineModel model;
     private final UniformRandomProvider chance;
     private final Map<String, ServerCallStreamObserver<FromMachine>> streams = new HashMap<>();
@@ -62,11 +62,11 @@
     private boolean mute;
     private double loses;
     private boolean resets;
-    private CutAt cutAt = CutAt.NONE;
-    private String cutFlavour;
+    private CutPoint cutAt = CutPoint.NONE;
+    private String cutPriorityClass;
     private int cuts;
 
-    StandInMachine(MachineModel.Make make, Map<String, MachineModel.Use> uses, long seed, EventLoop loop, Tap tap,
+    EmulatedMachine(MachineModel.MachineSpec make, Map<String, MachineModel.UsageModel> uses, long seed, EventLoop loop, WireRecorder tap,
             long begun) throws IOException {
         this.make = make;
         this.loop = loop;
@@ -150,7 +150,7 @@
                         tap.line(name(), "greeting", "placer", placer);
                         if (!mute) {
                             streams.put(placer, out);
-                            if (cutNow(CutAt.GREETED, null)) {
+                            if (cutNow(CutPoint.GREETED, null)) {
                                 cut(placer);
                                 return;
                             }
@@ -184,13 +184,13 @@
 
     private void hold(String placer, ServerCallStreamObserver<FromMachine> out) {
         Holding.Builder h = Holding.newBuilder().setMachine(name()).setIncarnation(model.incarnation);
-        for (Task t : model.held(placer)) {
+        for (HostedVm t : model.held(placer)) {
             h.addHeld(Held.newBuilder().setClaim(name(t)).setState(switch (t.state) {
                 case RUNNING -> Held.State.RUNNING;
                 case ENDED -> Held.State.ENDED;
                 case REFUSED -> Held.State.REFUSED;
                 default -> Held.State.IN_LINE;
-            }).setFlavour(t.flavour).setService(t.service).setCustomer(t.customer).setCores(t.cores)
+            }).setFlavour(t.priorityClass).setService(t.service).setCustomer(t.tenant).setCores(t.cores)
                     .setMemory(t.memory).setClient(t.client));
         }
         tap.line(name(), "holding", "placer", placer, "held", h.getHeldCount());
@@ -203,11 +203,11 @@
                 Offer o = m.getOffer();
                 tap.line(name(), "offer", "placer", placer, "vm", o.getClaim().getVm(), "n", o.getClaim().getNumber(),
                         "flavour", o.getFlavour(), "service", o.getService(), "customer", o.getCustomer(), "within", o.getWithinUs());
-                if (cutNow(CutAt.OFFER_READ, o.getFlavour())) {
+                if (cutNow(CutPoint.OFFER_READ, o.getFlavour())) {
                     cut(placer);
                 }
                 Duration now = now();
-                model.offer(new Task(placer, o.getClaim().getVm(), o.getClaim().getNumber(), o.getFlavour(),
+                model.offer(new HostedVm(placer, o.getClaim().getVm(), o.getClaim().getNumber(), o.getFlavour(),
                         o.getCustomer(), o.getClient(), o.getService(), o.getCores(), o.getMemory(), o.getPriority(),
                         now, now.plus(Duration.ofNanos(o.getWithinUs() * 1000)),
                         Duration.ofNanos(o.getLastsUs() * 1000)));
@@ -234,7 +234,7 @@
         return placer + " " + n.getVm() + "#" + n.getNumber();
     }
 
-    private static ClaimName name(Task t) {
+    private static ClaimName name(HostedVm t) {
         return ClaimName.newBuilder().setVm(t.vm).setNumber(t.number).build();
     }
 
@@ -264,13 +264,13 @@
     // ---- What the model says ---------------------------------------------------------------------------
 
     @Override
-    public void accepted(Task t) {
+    public void accepted(HostedVm t) {
         say(t.placer, FromMachine.newBuilder().setAccepted(Accepted.newBuilder().setClaim(name(t))), true, "accepted",
                 "vm", t.vm, "n", t.number);
     }
 
     @Override
-    public void refused(Task t, Reason why) {
+    public void refused(HostedVm t, Reason why) {
         say(t.placer, FromMachine.newBuilder().setRefused(Refused.newBuilder().setClaim(name(t)).setReason(switch (why) {
             case NO_CORES -> Refused.Reason.NO_CORES;
             case NO_MEMORY -> Refused.Reason.NO_MEMORY;
@@ -281,19 +281,19 @@
     }
 
     @Override
-    public void started(Task t) {
-        if (cutNow(CutAt.BEFORE_ANSWER, t.flavour)) {
+    public void started(HostedVm t) {
+        if (cutNow(CutPoint.BEFORE_ANSWER, t.priorityClass)) {
             cut(t.placer);
         }
         say(t.placer, FromMachine.newBuilder().setStarted(Started.newBuilder().setClaim(name(t)).setReport(load(0))),
-                true, "started", "vm", t.vm, "n", t.number, "flavour", t.flavour);
-        if (cutNow(CutAt.AFTER_ANSWER, t.flavour)) {
+                true, "started", "vm", t.vm, "n", t.number, "flavour", t.priorityClass);
+        if (cutNow(CutPoint.AFTER_ANSWER, t.priorityClass)) {
             cut(t.placer);
         }
     }
 
     @Override
-    public void finished(Task t, How how, boolean ran) {
+    public void finished(HostedVm t, EndKind how, boolean ran) {
         say(t.placer, FromMachine.newBuilder().setFinished(Finished.newBuilder().setClaim(name(t)).setRan(ran)
                 .setHow(switch (how) {
                     case DONE -> Finished.How.DONE;
@@ -305,7 +305,7 @@
                 })), true, "finished", "vm", t.vm, "n", t.number, "how", how, "ran", ran);
     }
 
-    private void note(Task t, Note.What what, double amount) {
+    private void note(HostedVm t, Note.What what, double amount) {
         ServerCallStreamObserver<FromMachine> out = streams.get(t.placer);
         // Notes are news, not answers: they give way when the stream is slow.
         if (!hung && out != null && out.isReady()) {
@@ -316,22 +316,22 @@
     }
 
     @Override
-    public void cores(Task t, double amount) {
+    public void cores(HostedVm t, double amount) {
         note(t, Note.What.CORES, amount);
     }
 
     @Override
-    public void memory(Task t, double amount) {
+    public void memory(HostedVm t, double amount) {
         note(t, Note.What.MEMORY, amount);
     }
 
     @Override
-    public void served(Task t, double share) {
+    public void served(HostedVm t, double share) {
         note(t, Note.What.SERVICE, share);
     }
 
     @Override
-    public void pressed(Task t, double share) {
+    public void pressed(HostedVm t, double share) {
         note(t, Note.What.PRESSURE, share);
     }
 
@@ -348,7 +348,7 @@
 
     // ---- Faults, called on the loop --------------------------------------------------------------------
 
-    MachineModel.Trouble trouble() {
+    MachineModel.ActiveFault trouble() {
         return model.trouble;
     }
 
@@ -394,14 +394,14 @@
         resets = reset;
     }
 
-    void cutAt(CutAt when, String flavour, int times) {
+    void cutAt(CutPoint when, String priorityClass, int times) {
         cutAt = when;
-        cutFlavour = flavour;
+        cutPriorityClass = priorityClass;
         cuts = times;
     }
 
-    private boolean cutNow(CutAt when, String flavour) {
-        if (cutAt != when || cuts <= 0 || flavour != null && cutFlavour != null && !cutFlavour.isEmpty() && !cutFlavour.equals(flavour)) {
+    private boolean cutNow(CutPoint when, String priorityClass) {
+        if (cutAt != when || cuts <= 0 || priorityClass != null && cutPriorityClass != null && !cutPriorityClass.isEmpty() && !cutPriorityClass.equals(priorityClass)) {
             return false;
         }
         cuts--;
--- a/src/main/java/fordridge/rig/Registry.java
+++ b/src/main/java/fordridge/emulator/EmulatedRegistry.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import java.io.File;
 import java.io.IOException;
@@ -18,21 +18,21 @@
  * A stand-in for the registry of machines: writes what it knows now and then, late, to the list file by renaming over
  * it, or to a stand-in for etcd key by key.
  */
-final class Registry implements AutoCloseable {
+final class EmulatedRegistry implements AutoCloseable {
     /** What it knows of a machine; replaced whole. */
-    record Known(StandInMachine machine, String state, Instant started, double freeCores, double freeMemory) { }
+    record RegisteredMachine(EmulatedMachine machine, String state, Instant started, double freeCores, double freeMemory) { }
 
-    private record Shot(long at, Map<String, Known> known) { }
+    private record Snapshot(long at, Map<String, RegisteredMachine> known) { }
 
     private final File file;
-    private final StandInEtcd etcd;
+    private final EmulatedEtcd etcd;
     private final String prefix;
     private final Map<String, String> written = new LinkedHashMap<>();
-    private final Tap tap;
+    private final WireRecorder tap;
     private final long lateUs;
-    private final Map<String, Known> known = new LinkedHashMap<>();
+    private final Map<String, RegisteredMachine> known = new LinkedHashMap<>();
     private final Map<String, String> published = new LinkedHashMap<>();
-    private final Deque<Shot> shots = new ArrayDeque<>();
+    private final Deque<Snapshot> shots = new ArrayDeque<>();
     private final ScheduledExecutorService writes = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "registry");
         t.setDaemon(true);
@@ -40,7 +40,7 @@
     });
 
     /** With {@code etcd} the file is not written. */
-    Registry(File file, StandInEtcd etcd, String prefix, Tap tap, long lateUs) {
+    EmulatedRegistry(File file, EmulatedEtcd etcd, String prefix, WireRecorder tap, long lateUs) {
         this.file = file;
         this.etcd = etcd;
         this.prefix = prefix;
@@ -48,16 +48,16 @@
         this.lateUs = lateUs;
     }
 
-    synchronized void set(StandInMachine m, String state, Instant started) {
-        Known old = known.get(m.name());
-        known.put(m.name(), new Known(m, state, started, old == null ? m.make.cores() : old.freeCores(),
+    synchronized void set(EmulatedMachine m, String state, Instant started) {
+        RegisteredMachine old = known.get(m.name());
+        known.put(m.name(), new RegisteredMachine(m, state, started, old == null ? m.make.cores() : old.freeCores(),
                 old == null ? m.make.memory() : old.freeMemory()));
     }
 
     private synchronized void room(String name, double cores, double memory) {
-        Known k = known.get(name);
+        RegisteredMachine k = known.get(name);
         if (k != null) {
-            known.put(name, new Known(k.machine, k.state, k.started, cores, memory));
+            known.put(name, new RegisteredMachine(k.machine, k.state, k.started, cores, memory));
         }
     }
 
@@ -71,14 +71,14 @@
     }
 
     private void round() {
-        Map<String, Known> now;
+        Map<String, RegisteredMachine> now;
         synchronized (this) {
             known.values().forEach(k -> k.machine.act(() -> room(k.machine.name(), k.machine.model().freeCores(),
                     k.machine.model().freeMemory())));
             now = new LinkedHashMap<>(known);
         }
-        shots.addLast(new Shot(tap.now(), now));
-        Shot due = null;
+        shots.addLast(new Snapshot(tap.now(), now));
+        Snapshot due = null;
         while (!shots.isEmpty() && shots.peekFirst().at + lateUs <= tap.now()) {
             due = shots.removeFirst();
         }
@@ -91,7 +91,7 @@
         }
     }
 
-    private void write(Map<String, Known> list) throws IOException {
+    private void write(Map<String, RegisteredMachine> list) throws IOException {
         if (etcd != null) {
             put(list);
             return;
@@ -115,7 +115,7 @@
     }
 
     /** Changed records only, in one change; a draining machine keeps its record beside its drain. */
-    private void put(Map<String, Known> list) {
+    private void put(Map<String, RegisteredMachine> list) {
         Map<String, String> changes = new LinkedHashMap<>();
         list.forEach((name, k) -> {
             boolean there = k.state.equals("live") || k.state.equals("draining");
@@ -140,7 +140,7 @@
         }
     }
 
-    private void tell(Map<String, Known> list, boolean live) {
+    private void tell(Map<String, RegisteredMachine> list, boolean live) {
         list.forEach((name, k) -> {
             if (k.state.equals("live") != live) {
                 return;
--- a/src/main/java/fordridge/rig/Faults.java
+++ b/src/main/java/fordridge/emulator/FaultInjector.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -10,18 +10,18 @@
 import java.util.concurrent.TimeUnit;
 
 /** Plays the script of troubles against stand-ins: who is struck is drawn from the day's seed. */
-final class Faults {
-    private final DayPlan plan;
-    private final List<StandInMachine> machines;
-    private final List<StandInMachine> spares;
-    private final List<StandInOwner> owners;
-    private final Registry registry;
+final class FaultInjector {
+    private final ScenarioPlan plan;
+    private final List<EmulatedMachine> machines;
+    private final List<EmulatedMachine> spares;
+    private final List<EmulatedClient> owners;
+    private final EmulatedRegistry registry;
     private final ScheduledExecutorService clock;
-    private final Tap tap;
-    private final StandInEtcd etcd;
+    private final WireRecorder tap;
+    private final EmulatedEtcd etcd;
 
-    Faults(DayPlan plan, List<StandInMachine> machines, List<StandInMachine> spares, List<StandInOwner> owners,
-            Registry registry, ScheduledExecutorService clock, Tap tap, StandInEtcd etcd) {
+    FaultInjector(ScenarioPlan plan, List<EmulatedMachine> machines, List<EmulatedMachine> spares, List<EmulatedClient> owners,
+            EmulatedRegistry registry, ScheduledExecutorService clock, WireRecorder tap, EmulatedEtcd etcd) {
         this.etcd = etcd;
         this.plan = plan;
         this.machines = machines;
@@ -34,7 +34,7 @@
 
     void schedule() {
         for (int i = 0; i < plan.faults.size(); i++) {
-            DayPlan.Fault f = plan.faults.get(i);
+            ScenarioPlan.Fault f = plan.faults.get(i);
             Random draw = new Random(plan.seed * 1000 + i);
             at(f.at(), () -> {
                 tap.line("faults", "begins", "kind", f.kind());
@@ -54,8 +54,8 @@
     }
 
     /** Those struck: a share of all, or of whole places if the fault says by what. */
-    private List<StandInMachine> struck(DayPlan.Fault f, Random draw) {
-        List<StandInMachine> all = new ArrayList<>(machines);
+    private List<EmulatedMachine> struck(ScenarioPlan.Fault f, Random draw) {
+        List<EmulatedMachine> all = new ArrayList<>(machines);
         all.removeIf(m -> registry.state(m.name()).equals("gone"));
         Collections.shuffle(all, draw);
         int n = Math.max(1, (int) Math.round(f.part() * all.size()));
@@ -69,7 +69,7 @@
         return all.subList(0, Math.min(n, all.size()));
     }
 
-    private static String place(DayPlan.Fault f, StandInMachine m) {
+    private static String place(ScenarioPlan.Fault f, EmulatedMachine m) {
         return switch (f.by()) {
             case "zone" -> m.make.zone();
             case "cell" -> m.make.zone() + m.make.cell();
@@ -77,17 +77,17 @@
         };
     }
 
-    private interface Change {
-        void on(StandInMachine m);
+    private interface FaultAction {
+        void on(EmulatedMachine m);
     }
 
-    private void during(DayPlan.Fault f, Random draw, Change begin, Change end) {
-        List<StandInMachine> some = struck(f, draw);
+    private void during(ScenarioPlan.Fault f, Random draw, FaultAction begin, FaultAction end) {
+        List<EmulatedMachine> some = struck(f, draw);
         some.forEach(m -> m.act(() -> begin.on(m)));
         at(f.lasts(), () -> some.forEach(m -> m.act(() -> end.on(m))));
     }
 
-    private void begin(DayPlan.Fault f, Random draw) {
+    private void begin(ScenarioPlan.Fault f, Random draw) {
         switch (f.kind()) {
             case "slow" -> during(f, draw, m -> m.trouble().slow = Math.max(1, f.size()), m -> m.trouble().slow = 1);
             case "fast_errors" -> during(f, draw, m -> m.trouble().errors = f.size(), m -> m.trouble().errors = 0);
@@ -114,12 +114,12 @@
             case "reconnect" -> owners.forEach(o -> o.act(() -> o.reconnect(f.part(), f.lasts())));
             case "cut_clients" -> cutClients(f, draw);
             case "cut_machines" -> struck(f, draw).forEach(m -> m.act(() -> m.cut(null)));
-            case "cut_greetings" -> cutMachinesAt(StandInMachine.CutAt.GREETED, f, draw);
-            case "cut_offers" -> cutMachinesAt(StandInMachine.CutAt.OFFER_READ, f, draw);
-            case "cut_before_answer" -> cutMachinesAt(StandInMachine.CutAt.BEFORE_ANSWER, f, draw);
-            case "cut_after_answer" -> cutMachinesAt(StandInMachine.CutAt.AFTER_ANSWER, f, draw);
+            case "cut_greetings" -> cutMachinesAt(EmulatedMachine.CutPoint.GREETED, f, draw);
+            case "cut_offers" -> cutMachinesAt(EmulatedMachine.CutPoint.OFFER_READ, f, draw);
+            case "cut_before_answer" -> cutMachinesAt(EmulatedMachine.CutPoint.BEFORE_ANSWER, f, draw);
+            case "cut_after_answer" -> cutMachinesAt(EmulatedMachine.CutPoint.AFTER_ANSWER, f, draw);
             case "cut_binds" -> {
-                for (StandInOwner o : owners) {
+                for (EmulatedClient o : owners) {
                     if (draw.nextDouble() < f.part()) {
                         o.act(() -> o.cutAtBinds((int) Math.max(1, f.size()), Duration.ofMillis((long) f.extra())));
                     }
@@ -147,30 +147,30 @@
         }
     }
 
-    private void cutMachinesAt(StandInMachine.CutAt when, DayPlan.Fault f, Random draw) {
+    private void cutMachinesAt(EmulatedMachine.CutPoint when, ScenarioPlan.Fault f, Random draw) {
         during(f, draw, m -> m.cutAt(when, f.of(), (int) Math.max(1, f.size())),
-                m -> m.cutAt(StandInMachine.CutAt.NONE, "", 0));
+                m -> m.cutAt(EmulatedMachine.CutPoint.NONE, "", 0));
     }
 
-    private void throttle(StandInMachine m, DayPlan.Fault f) {
-        MachineModel.Trouble t = m.trouble();
-        boolean customer = plan.deployment.customers.stream().anyMatch(c -> c.name().equals(f.of()));
-        t.throttled = f.of().isEmpty() && !plan.deployment.customers.isEmpty()
-                ? plan.deployment.customers.get(0).name() : f.of();
-        t.throttleByCustomer = customer || f.of().isEmpty();
+    private void throttle(EmulatedMachine m, ScenarioPlan.Fault f) {
+        MachineModel.ActiveFault t = m.trouble();
+        boolean tenant = plan.deployment.tenants.stream().anyMatch(c -> c.name().equals(f.of()));
+        t.throttled = f.of().isEmpty() && !plan.deployment.tenants.isEmpty()
+                ? plan.deployment.tenants.get(0).name() : f.of();
+        t.throttleByTenant = tenant || f.of().isEmpty();
         t.throttleRate = f.size();
         t.throttleDelay = Duration.ofMillis((long) f.extra());
     }
 
     /** Stands still for {@code size} ms every {@code extra} ms. */
-    private void pauses(DayPlan.Fault f, Random draw) {
+    private void pauses(ScenarioPlan.Fault f, Random draw) {
         long until = System.nanoTime() + f.lasts().toNanos();
-        for (StandInMachine m : struck(f, draw)) {
+        for (EmulatedMachine m : struck(f, draw)) {
             pause(m, f, until);
         }
     }
 
-    private void pause(StandInMachine m, DayPlan.Fault f, long until) {
+    private void pause(EmulatedMachine m, ScenarioPlan.Fault f, long until) {
         m.act(() -> m.trouble().paused = true);
         at(Duration.ofMillis((long) f.size()), () -> m.act(() -> m.trouble().paused = false));
         at(Duration.ofMillis((long) Math.max(f.size() + 50, f.extra())), () -> {
@@ -180,8 +180,8 @@
         });
     }
 
-    private void vanish(List<StandInMachine> some, Duration away) {
-        for (StandInMachine m : some) {
+    private void vanish(List<EmulatedMachine> some, Duration away) {
+        for (EmulatedMachine m : some) {
             m.act(() -> {
                 tap.line(m.name(), "vanish");
                 m.silence(true);
@@ -191,22 +191,22 @@
         }
     }
 
-    private void crash(List<StandInMachine> some, Duration away) {
-        for (StandInMachine m : some) {
+    private void crash(List<EmulatedMachine> some, Duration away) {
+        for (EmulatedMachine m : some) {
             m.act(m::crash);
             at(min(away, Duration.ofSeconds(1)), () -> registry.set(m, "gone", null));
             at(away, () -> rise(m));
         }
     }
 
-    private void rise(StandInMachine m) {
+    private void rise(EmulatedMachine m) {
         m.act(m::rise);
         at(Duration.ofMillis(200), () -> registry.set(m, "live", Instant.now().minusMillis(200)));
     }
 
     /** Drains, dies after the notice, and (unless it is taken away) comes back cold a while later. */
-    private void drain(List<StandInMachine> some, Duration notice, boolean comesBack) {
-        for (StandInMachine m : some) {
+    private void drain(List<EmulatedMachine> some, Duration notice, boolean comesBack) {
+        for (EmulatedMachine m : some) {
             registry.set(m, "draining", null);
             m.act(() -> {
                 tap.line(m.name(), "drain");
@@ -223,33 +223,33 @@
     }
 
     /** All in batches of {@code size} of the fleet, each drained for {@code extra} ms. */
-    private void deploy(DayPlan.Fault f, Random draw) {
-        List<StandInMachine> some = struck(f, draw);
+    private void deploy(ScenarioPlan.Fault f, Random draw) {
+        List<EmulatedMachine> some = struck(f, draw);
         int batch = Math.max(1, (int) Math.round(f.size() * machines.size()));
         int rounds = (some.size() + batch - 1) / batch;
         for (int i = 0; i < rounds; i++) {
-            List<StandInMachine> these = some.subList(i * batch, Math.min(some.size(), (i + 1) * batch));
+            List<EmulatedMachine> these = some.subList(i * batch, Math.min(some.size(), (i + 1) * batch));
             at(f.lasts().multipliedBy(i).dividedBy(Math.max(1, rounds)),
                     () -> drain(these, Duration.ofMillis((long) Math.max(500, f.extra())), true));
         }
     }
 
-    private void grow(DayPlan.Fault f) {
+    private void grow(ScenarioPlan.Fault f) {
         int n = Math.min(spares.size(), (int) Math.max(1, f.size()));
         for (int i = 0; i < n; i++) {
-            StandInMachine m = spares.get(i);
+            EmulatedMachine m = spares.get(i);
             machines.add(m);
             at(f.lasts().multipliedBy(i).dividedBy(n), () -> rise(m));
         }
     }
 
-    private void burst(DayPlan.Fault f) {
+    private void burst(ScenarioPlan.Fault f) {
         owners.forEach(o -> o.act(() -> o.rate(o.rate() * f.size())));
         at(f.lasts(), () -> owners.forEach(o -> o.act(() -> o.rate(o.rate() / f.size()))));
     }
 
-    private void cutClients(DayPlan.Fault f, Random draw) {
-        for (StandInOwner o : owners) {
+    private void cutClients(ScenarioPlan.Fault f, Random draw) {
+        for (EmulatedClient o : owners) {
             if (draw.nextDouble() < f.part()) {
                 Duration away = Duration.ofMillis((long) Math.max(20, f.size()));
                 o.act(() -> o.cut(away));
--- a/src/main/java/fordridge/rig/Checker.java
+++ b/src/main/java/fordridge/emulator/InvariantChecker.java
@@ -1,9 +1,9 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import fordridge.settings.Deployment;
+import fordridge.settings.DeploymentSettings;
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
@@ -20,12 +20,12 @@
  * Judges the five rules, and as a sixth the customers' own where the tap says them, from a tap alone. What a machine did counts even where its answer was lost; what a placer was
  * told counts from when the list naming it was published, plus the told time that a placer may take to see it.
  */
-public final class Checker {
+public final class InvariantChecker {
     /** A rule that was broken, and the line of the tap where. */
-    public record Break(int rule, long line, String what) { }
+    public record Violation(int rule, long line, String what) { }
 
     /** All that was judged. */
-    public record Verdict(List<Break> breaks, Map<String, Long> figures) {
+    public record Verdict(List<Violation> breaks, Map<String, Long> figures) {
         public boolean kept() {
             return breaks.isEmpty();
         }
@@ -47,10 +47,10 @@
         }
     }
 
-    private record Terms(String effect, String group, long windowUs, String spread, long most) { }
+    private record ClassSettings(String effect, String group, long windowUs, String spread, long most) { }
 
-    private static final class Ask {
-        final String flavour;
+    private static final class ObservedRequest {
+        final String priorityClass;
         final long at;
         final long until;
         String answer;
@@ -58,25 +58,25 @@
         boolean last;
         boolean unwanted;
 
-        Ask(String flavour, long at, long until) {
-            this.flavour = flavour;
+        ObservedRequest(String priorityClass, long at, long until) {
+            this.priorityClass = priorityClass;
             this.at = at;
             this.until = until;
         }
     }
 
-    private static final class Try {
+    private static final class ObservedAttempt {
         final String placer;
         final String machine;
-        final String flavour;
+        final String priorityClass;
         final long service;
         final long at;
         final long number;
         final long withinUs;
         boolean answered;
-        RuleWatch.Placed placed;
+        ConstraintChecker.Placed placed;
         boolean refused;
-        boolean neverRan;
+        boolean hasNeverRun;
         boolean started;
         long startedAt;
         boolean over;
@@ -84,10 +84,10 @@
         long cancelledAt = -1;
         long endedAt = -1;
 
-        Try(String placer, String machine, String flavour, long service, long at, long number, long withinUs) {
+        ObservedAttempt(String placer, String machine, String priorityClass, long service, long at, long number, long withinUs) {
             this.placer = placer;
             this.machine = machine;
-            this.flavour = flavour;
+            this.priorityClass = priorityClass;
             this.service = service;
             this.at = at;
             this.number = number;
@@ -95,7 +95,7 @@
         }
     }
 
-    private static final class Place {
+    private static final class ObservedMachine {
         String kind = "";
         String zone = "";
         long cell;
@@ -114,30 +114,30 @@
     /** Sockets of different ends are not in step: this much is no break. */
     private static final long SLACK_US = 30_000;
 
-    private final Map<String, Terms> flavours = new HashMap<>();
-    private final Map<String, Ask> asks = new LinkedHashMap<>();
-    private final Map<String, List<Try>> tries = new HashMap<>();
-    private final Map<String, Place> places = new LinkedHashMap<>();
+    private final Map<String, ClassSettings> priorityClasses = new HashMap<>();
+    private final Map<String, ObservedRequest> asks = new LinkedHashMap<>();
+    private final Map<String, List<ObservedAttempt>> tries = new HashMap<>();
+    private final Map<String, ObservedMachine> places = new LinkedHashMap<>();
     private final Map<String, Long> awaySince = new HashMap<>();
     private final Map<String, Map<String, Integer>> held = new HashMap<>();
     private final Deque<long[]> stalls = new ArrayDeque<>();
-    private final RuleWatch customers = new RuleWatch();
-    private final List<Break> breaks = new ArrayList<>();
+    private final ConstraintChecker tenants = new ConstraintChecker();
+    private final List<Violation> breaks = new ArrayList<>();
     private final Map<String, Long> figures = new LinkedHashMap<>();
     private long graceUs;
     private long pollUs;
     private boolean yesAtAcceptance;
     private long line;
 
-    private Checker() {
+    private InvariantChecker() {
     }
 
     /** What the checker needs to know of the terms; the first lines of a tap. */
-    static void header(Tap tap, DayPlan plan) {
-        Deployment d = plan.deployment;
+    static void header(WireRecorder tap, ScenarioPlan plan) {
+        DeploymentSettings d = plan.deployment;
         tap.line("rig", "terms", "grace", d.drainGrace.toNanos() / 1000, "poll", d.poll.toNanos() / 1000, "yes",
                 d.yes);
-        for (Deployment.Flavour f : d.flavours.values()) {
+        for (DeploymentSettings.PriorityClass f : d.priorityClasses.values()) {
             tap.line("rig", "flavour", "name", f.name(), "effect", f.effect(), "group", f.group(), "window",
                     f.window().toNanos() / 1000, "spread", f.spread(), "most", f.most());
         }
@@ -145,7 +145,7 @@
 
     /** Reads a tap and judges it. */
     public static Verdict judge(File tap) throws IOException {
-        Checker c = new Checker();
+        InvariantChecker c = new InvariantChecker();
         JsonFactory factory = new JsonFactory();
         try (BufferedReader in = Files.newBufferedReader(tap.toPath())) {
             for (String text = in.readLine(); text != null; text = in.readLine()) {
@@ -197,7 +197,7 @@
     }
 
     private void broke(int rule, String what) {
-        breaks.add(new Break(rule, line, what));
+        breaks.add(new Violation(rule, line, what));
     }
 
     private void count(String what) {
@@ -217,15 +217,15 @@
                 pollUs = num(m, "poll");
                 yesAtAcceptance = str(m, "yes").equals("accepted");
             }
-            case "flavour" -> flavours.put(str(m, "name"), new Terms(str(m, "effect"), str(m, "group"),
+            case "flavour" -> priorityClasses.put(str(m, "name"), new ClassSettings(str(m, "effect"), str(m, "group"),
                     num(m, "window"), str(m, "spread"), num(m, "most")));
             case "stalled" -> {
                 stalls.addLast(new long[] {t, num(m, "for")});
                 most("longest that the rig itself stood still, us", num(m, "for"));
             }
-            case "rules" -> customers.set(str(m, "text"), (int) num(m, "placers"), t);
+            case "rules" -> tenants.set(str(m, "text"), (int) num(m, "placers"), t);
             case "machine" -> {
-                Place p = place(at);
+                ObservedMachine p = place(at);
                 p.kind = str(m, "kind");
                 p.zone = str(m, "zone");
                 p.cell = num(m, "cell");
@@ -249,7 +249,7 @@
             case "accepted" -> at(m, at).forEach(x -> x.answered |= yesAtAcceptance && !lost(m));
             case "refused" -> at(m, at).forEach(x -> {
                 x.refused = true;
-                x.neverRan = true;
+                x.hasNeverRun = true;
                 x.answered |= !lost(m);
                 release(x, t);
                 if (x.started) {
@@ -258,7 +258,7 @@
             });
             case "started" -> started(m, at, t);
             case "finished" -> at(m, at).forEach(x -> {
-                x.neverRan |= m.get("ran") == Boolean.FALSE && str(m, "how").equals("CANCELLED");
+                x.hasNeverRun |= m.get("ran") == Boolean.FALSE && str(m, "how").equals("CANCELLED");
                 if (x.placed != null) {
                     x.placed.unheard |= lost(m) && x.answered;
                 }
@@ -282,14 +282,14 @@
             }
             case "want" -> want(m, at, t);
             case "unwant" -> {
-                Ask a = asks.get(at + "/" + str(m, "vm"));
+                ObservedRequest a = asks.get(at + "/" + str(m, "vm"));
                 if (a != null) {
                     a.unwanted = true;
                 }
             }
             case "bound", "denied", "errored" -> answer(m, at, t);
             case "ended", "moved" -> {
-                Ask a = asks.get(at + "/" + str(m, "vm"));
+                ObservedRequest a = asks.get(at + "/" + str(m, "vm"));
                 if (a == null || !"bound".equals(a.answer)) {
                     broke(1, "ended without bound for " + str(m, "vm"));
                 } else if (a.last) {
@@ -303,17 +303,17 @@
         }
     }
 
-    private Place place(String name) {
-        return places.computeIfAbsent(name, n -> new Place());
+    private ObservedMachine place(String name) {
+        return places.computeIfAbsent(name, n -> new ObservedMachine());
     }
 
     private static boolean lost(Map<String, Object> m) {
         return m.get("lost") == Boolean.TRUE;
     }
 
-    private List<Try> at(Map<String, Object> m, String machine) {
-        List<Try> some = new ArrayList<>();
-        for (Try x : tries.getOrDefault(str(m, "vm"), List.of())) {
+    private List<ObservedAttempt> at(Map<String, Object> m, String machine) {
+        List<ObservedAttempt> some = new ArrayList<>();
+        for (ObservedAttempt x : tries.getOrDefault(str(m, "vm"), List.of())) {
             if (x.machine.equals(machine) && x.number == num(m, "n") && x.placer.equals(str(m, "placer"))) {
                 some.add(x);
             }
@@ -325,13 +325,13 @@
 
     private void want(Map<String, Object> m, String at, long t) {
         count("VMs asked for");
-        asks.put(at + "/" + str(m, "vm"), new Ask(str(m, "flavour"), t, t + num(m, "left")));
+        asks.put(at + "/" + str(m, "vm"), new ObservedRequest(str(m, "flavour"), t, t + num(m, "left")));
     }
 
     private void answer(Map<String, Object> m, String at, long t) {
         String kind = str(m, "what");
         String vm = at + "/" + str(m, "vm");
-        Ask a = asks.get(vm);
+        ObservedRequest a = asks.get(vm);
         count("answers: " + kind);
         if (a == null) {
             broke(1, kind + " for " + vm + ", which was not asked for");
@@ -349,8 +349,8 @@
             broke(1, kind + " for " + vm + " " + (t - a.until) / 1000 + " ms too late");
         }
         if (kind.equals("denied")) {
-            Terms f = flavours.get(a.flavour);
-            for (Try x : tries.getOrDefault(vm, List.of())) {
+            ClassSettings f = priorityClasses.get(a.priorityClass);
+            for (ObservedAttempt x : tries.getOrDefault(vm, List.of())) {
                 if (x.started && f != null && !f.effect.equals("rebuildable")
                         && !(f.effect.equals("tokened") && f.group.equals("all"))) {
                     broke(2, vm + " denied though claim " + x.number + " ran on " + x.machine);
@@ -362,14 +362,14 @@
     /** Spans in which a client's stream was broken: it could not have been told then. */
     private final Map<String, List<long[]>> wasAway = new HashMap<>();
 
-    private record Unsettled(long line, Try earlier, long at, String what) { }
+    private record PossibleDuplicate(long line, ObservedAttempt earlier, long at, String what) { }
 
-    private final List<Unsettled> settled = new ArrayList<>();
+    private final List<PossibleDuplicate> settled = new ArrayList<>();
 
     private void closing() {
-        for (Unsettled u : settled) {
+        for (PossibleDuplicate u : settled) {
             if (u.earlier.cancelledAt < 0 || u.earlier.cancelledAt > u.at + 250_000) {
-                breaks.add(new Break(2, u.line, u.what));
+                breaks.add(new Violation(2, u.line, u.what));
             }
         }
         asks.forEach((vm, a) -> {
@@ -386,12 +386,12 @@
 
     private void offer(Map<String, Object> m, String at, long t) {
         String vm = str(m, "vm");
-        Try x = new Try(str(m, "placer"), at, str(m, "flavour"), num(m, "service"), t, num(m, "n"),
+        ObservedAttempt x = new ObservedAttempt(str(m, "placer"), at, str(m, "flavour"), num(m, "service"), t, num(m, "n"),
                 num(m, "within"));
-        Terms f = flavours.get(x.flavour);
-        Place p = place(at);
-        List<Try> earlier = tries.computeIfAbsent(vm, v -> new ArrayList<>(2));
-        for (Try o : earlier) {
+        ClassSettings f = priorityClasses.get(x.priorityClass);
+        ObservedMachine p = place(at);
+        List<ObservedAttempt> earlier = tries.computeIfAbsent(vm, v -> new ArrayList<>(2));
+        for (ObservedAttempt o : earlier) {
             if (o.number == x.number && o.machine.equals(at)) {
                 broke(2, "claim " + x.number + " of " + vm + " offered twice to " + at);
                 continue;
@@ -402,12 +402,12 @@
             if (out && t >= o.at + o.withinUs - 250_000) {
                 // About when its time-out must have passed at the placer, which counts from its decision: a cancel
                 // on its way over another socket settles it.
-                settled.add(new Unsettled(line, o, t, "claim " + x.number + " of " + vm + " sent while claim "
+                settled.add(new PossibleDuplicate(line, o, t, "claim " + x.number + " of " + vm + " sent while claim "
                         + o.number + " is out on " + o.machine));
             } else if (out || o.started && o.answered && !o.over && o.brokeAt < 0 && t > o.startedAt + crossing) {
                 broke(2, "claim " + x.number + " of " + vm + " sent while claim " + o.number + " is out on " + o.machine);
             }
-            boolean mayHaveRun = !o.neverRan;
+            boolean mayHaveRun = !o.hasNeverRun;
             if (f != null && f.effect.equals("one-shot") && mayHaveRun) {
                 broke(2, "claim " + x.number + " of one-shot " + vm + " sent though claim " + o.number + " on "
                         + o.machine + " is not known not to have run");
@@ -422,10 +422,10 @@
             }
         }
         earlier.add(x);
-        if (customers.judges()) {
-            x.placed = new RuleWatch.Placed(new RuleWatch.Spot(at, p.kind, p.zone, p.cell), str(m, "customer"), x.flavour,
+        if (tenants.judges()) {
+            x.placed = new ConstraintChecker.Placed(new ConstraintChecker.MachineTopology(at, p.kind, p.zone, p.cell), str(m, "customer"), x.priorityClass,
                     x.service);
-            String broken = customers.offered(x.placer, x.placed, t);
+            String broken = tenants.offered(x.placer, x.placed, t);
             count("offers judged by customers' rules");
             if (broken != null) {
                 broke(6, vm + " offered to " + at + " against " + broken);
@@ -436,7 +436,7 @@
         spread(x, f, p, t);
     }
 
-    private static boolean together(String group, Place a, Place b) {
+    private static boolean together(String group, ObservedMachine a, ObservedMachine b) {
         return switch (group) {
             case "all" -> true;
             case "zone" -> a.zone.equals(b.zone);
@@ -447,7 +447,7 @@
 
     private void started(Map<String, Object> m, String at, long t) {
         String vm = str(m, "vm");
-        for (Try x : at(m, at)) {
+        for (ObservedAttempt x : at(m, at)) {
             if (x.started) {
                 // Said again to a repeat or a returning placer.
                 x.answered |= !lost(m);
@@ -459,7 +459,7 @@
             if (x.placed != null) {
                 x.placed.runs = true;
             }
-            Terms f = flavours.get(x.flavour);
+            ClassSettings f = priorityClasses.get(x.priorityClass);
             long runs = tries.get(vm).stream().filter(o -> o.started).count();
             if (f != null && f.effect.equals("one-shot")) {
                 count("one-shot starts");
@@ -473,8 +473,8 @@
     }
 
     private void broken(String machine, String placer, long t) {
-        for (List<Try> some : tries.values()) {
-            for (Try x : some) {
+        for (List<ObservedAttempt> some : tries.values()) {
+            for (ObservedAttempt x : some) {
                 if (!x.over && x.machine.equals(machine) && x.placer.equals(placer) && x.brokeAt < 0) {
                     x.brokeAt = t;
                 }
@@ -483,8 +483,8 @@
     }
 
     private void crash(String machine, long t) {
-        for (List<Try> some : tries.values()) {
-            for (Try x : some) {
+        for (List<ObservedAttempt> some : tries.values()) {
+            for (ObservedAttempt x : some) {
                 if (!x.over && x.machine.equals(machine)) {
                     x.brokeAt = x.brokeAt < 0 ? t : x.brokeAt;
                     release(x, t);
@@ -498,7 +498,7 @@
     /** Where each placer is told by itself: since when it knows of drains and of machines that are gone. */
     private final Map<String, Map<String, Long>> told = new HashMap<>();
 
-    private void drained(Place p, String at, Try x, long t) {
+    private void drained(ObservedMachine p, String at, ObservedAttempt x, long t) {
         Map<String, Long> its = told.get(x.placer);
         if (its != null) {
             long drain = its.getOrDefault("drain " + at, Long.MAX_VALUE);
@@ -520,7 +520,7 @@
         }
     }
 
-    private void born(Place p, Map<String, Object> m, long t) {
+    private void born(ObservedMachine p, Map<String, Object> m, long t) {
         p.bornAt = t;
         p.bears = real(m, "bears");
         p.multiple = real(m, "multiple");
@@ -531,7 +531,7 @@
         p.offers.clear();
     }
 
-    private void cold(Place p, String at, long t) {
+    private void cold(ObservedMachine p, String at, long t) {
         if (p.bornAt < 0 || t - p.bornAt > p.warm) {
             return;
         }
@@ -548,7 +548,7 @@
         }
     }
 
-    private void spread(Try x, Terms f, Place p, long t) {
+    private void spread(ObservedAttempt x, ClassSettings f, ObservedMachine p, long t) {
         if (f == null || f.spread.equals("off")) {
             return;
         }
@@ -564,7 +564,7 @@
         }
     }
 
-    private void release(Try x, long t) {
+    private void release(ObservedAttempt x, long t) {
         if (x.over) {
             return;
         }
@@ -574,9 +574,9 @@
             x.placed.over = true;
             x.placed.overAt = t;
         }
-        Terms f = flavours.get(x.flavour);
+        ClassSettings f = priorityClasses.get(x.priorityClass);
         if (f != null && !f.spread.equals("off")) {
-            Place p = place(x.machine);
+            ObservedMachine p = place(x.machine);
             String where = switch (f.spread) {
                 case "machine" -> x.machine;
                 case "zone" -> p.zone;
--- a/src/main/java/fordridge/rig/MachineModel.java
+++ b/src/main/java/fordridge/emulator/MachineModel.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -26,26 +26,26 @@
 final class MachineModel {
     enum Reason { UNTOLD, NO_CORES, NO_MEMORY, LINE_FULL, NOT_HERE }
 
-    enum How { DONE, ERROR, EVICTED, PUSHED_OUT, SENT_AWAY, CANCELLED }
+    enum EndKind { DONE, ERROR, EVICTED, PUSHED_OUT, SENT_AWAY, CANCELLED }
 
     enum State { IN_LINE, STARTING, RUNNING, ENDED, REFUSED }
 
     /** What stands still about a machine; spans and sizes as drawn for the day. */
-    record Make(String name, String kind, String zone, int cell, double cores, double memory, double speed, int line,
+    record MachineSpec(String name, String kind, String zone, int cell, double cores, double memory, double speed, int line,
             Duration admit, int starts, double acceptCores, double acceptMemory, double coldFrom, Duration warmAfter,
             double fallMultiple, Duration fallOver, double coldBears, int kept, double setup, Duration sample,
             boolean preempts, String drainManner, Duration work) { }
 
     /** How VMs of a flavour use what they asked for. */
-    record Use(double cores, double memory, double sigma, double calm, double fade) { }
+    record UsageModel(double cores, double memory, double sigma, double calm, double fade) { }
 
     /** A claim on this machine. */
-    static final class Task {
+    static final class HostedVm {
         final String placer;
         final String vm;
         final int number;
-        final String flavour;
-        final String customer;
+        final String priorityClass;
+        final String tenant;
         final String client;
         final long service;
         final double cores;
@@ -55,19 +55,19 @@
         final Duration by;
         final Duration lasts;
         State state = State.IN_LINE;
-        Duration runsAt;
+        Duration runningSince;
         Duration overAt;
         double coresUse;
         double memoryUse;
         double swing = 1;
 
-        Task(String placer, String vm, int number, String flavour, String customer, String client, long service,
+        HostedVm(String placer, String vm, int number, String priorityClass, String tenant, String client, long service,
                 double cores, double memory, int priority, Duration takenAt, Duration by, Duration lasts) {
             this.placer = placer;
             this.vm = vm;
             this.number = number;
-            this.flavour = flavour;
-            this.customer = customer;
+            this.priorityClass = priorityClass;
+            this.tenant = tenant;
             this.client = client;
             this.service = service;
             this.cores = cores;
@@ -84,22 +84,22 @@
     }
 
     /** What the machine says, to whoever carries it. */
-    interface Says {
-        void accepted(Task t);
+    interface Listener {
+        void accepted(HostedVm t);
 
-        void refused(Task t, Reason why);
+        void refused(HostedVm t, Reason why);
 
-        void started(Task t);
+        void started(HostedVm t);
 
-        void finished(Task t, How how, boolean ran);
+        void finished(HostedVm t, EndKind how, boolean ran);
 
-        void cores(Task t, double amount);
+        void cores(HostedVm t, double amount);
 
-        void memory(Task t, double amount);
+        void memory(HostedVm t, double amount);
 
-        void served(Task t, double share);
+        void served(HostedVm t, double share);
 
-        void pressed(Task t, double share);
+        void pressed(HostedVm t, double share);
 
         void report(String placer, long probe);
 
@@ -108,13 +108,13 @@
     }
 
     /** Troubles in force; whoever plays the day sets them. */
-    static final class Trouble {
+    static final class ActiveFault {
         double slow = 1;
         double errors;
         boolean paused;
         /** Refused without a reason above this rate a second: by customer or by flavour. */
         String throttled;
-        boolean throttleByCustomer;
+        boolean throttleByTenant;
         double throttleRate;
         Duration throttleDelay = Duration.ZERO;
         /** Share of the cores that another program takes. */
@@ -125,24 +125,24 @@
 
     private record Event(Duration at, long order, Runnable what) { }
 
-    private record Item(Task task, String placer, long probe) { }
+    private record Item(HostedVm task, String placer, long probe) { }
 
     private static final Duration REMEMBERS = Duration.ofSeconds(90);
 
-    final Make make;
-    final Trouble trouble = new Trouble();
-    private final Says says;
+    final MachineSpec make;
+    final ActiveFault trouble = new ActiveFault();
+    private final Listener says;
     private final UniformRandomProvider chance;
     private final ContinuousSampler spread;
-    private final Map<String, Use> uses;
+    private final Map<String, UsageModel> uses;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::order));
-    private final Map<String, Task> tasks = new LinkedHashMap<>();
-    private final Deque<Task> past = new ArrayDeque<>();
+    private final Map<String, HostedVm> tasks = new LinkedHashMap<>();
+    private final Deque<HostedVm> past = new ArrayDeque<>();
     private final Deque<Item> line = new ArrayDeque<>();
-    private final Deque<Task> toStart = new ArrayDeque<>();
+    private final Deque<HostedVm> toStart = new ArrayDeque<>();
     private final LinkedHashMap<Long, Duration> kept = new LinkedHashMap<>();
-    private final Deque<Duration> coldOffers = new ArrayDeque<>();
+    private final Deque<Duration> slowStartAttempts = new ArrayDeque<>();
     private final Deque<Duration> throttleTaken = new ArrayDeque<>();
     private long order;
     private int starting;
@@ -155,7 +155,7 @@
     private double sampledMemory;
     long incarnation = 1;
 
-    MachineModel(Make make, Map<String, Use> uses, long seed, Says says) {
+    MachineModel(MachineSpec make, Map<String, UsageModel> uses, long seed, Listener says) {
         this.make = make;
         this.uses = uses;
         this.says = says;
@@ -192,11 +192,11 @@
 
     // ---- What it is asked ------------------------------------------------------------------------------
 
-    void offer(Task t) {
+    void offer(HostedVm t) {
         if (down) {
             return;
         }
-        Task known = tasks.get(t.key());
+        HostedVm known = tasks.get(t.key());
         if (known != null) {
             // A repeat: answered as the first was, and never a second copy.
             repeat(known);
@@ -215,11 +215,11 @@
         look();
     }
 
-    private void repeat(Task known) {
+    private void repeat(HostedVm known) {
         switch (known.state) {
             case RUNNING -> says.started(known);
             case REFUSED -> says.refused(known, Reason.NOT_HERE);
-            case ENDED -> says.finished(known, How.ERROR, true);
+            case ENDED -> says.finished(known, EndKind.ERROR, true);
             default -> { }
         }
     }
@@ -233,20 +233,20 @@
 
     /** Not to start any more, or to stop: the placer waits no longer, or the VM is no longer wanted. */
     void end(String key) {
-        Task t = tasks.get(key);
+        HostedVm t = tasks.get(key);
         if (t == null || down) {
             return;
         }
         switch (t.state) {
-            case RUNNING -> finish(t, How.CANCELLED);
-            case IN_LINE, STARTING -> handBack(t, How.CANCELLED);
-            default -> says.finished(t, How.CANCELLED, t.state == State.ENDED);
+            case RUNNING -> finish(t, EndKind.CANCELLED);
+            case IN_LINE, STARTING -> handBack(t, EndKind.CANCELLED);
+            default -> says.finished(t, EndKind.CANCELLED, t.state == State.ENDED);
         }
     }
 
-    Collection<Task> held(String placer) {
-        List<Task> some = new ArrayList<>();
-        for (Task t : tasks.values()) {
+    Collection<HostedVm> held(String placer) {
+        List<HostedVm> some = new ArrayList<>();
+        for (HostedVm t : tasks.values()) {
             if (t.placer.equals(placer)) {
                 some.add(t);
             }
@@ -278,10 +278,10 @@
         });
     }
 
-    private void admit(Task t) {
+    private void admit(HostedVm t) {
         if (trouble.errors > 0 && chance.nextDouble() < trouble.errors) {
             over(t, State.ENDED);
-            says.finished(t, How.ERROR, false);
+            says.finished(t, EndKind.ERROR, false);
             return;
         }
         if (throttled(t)) {
@@ -299,7 +299,7 @@
         }
         double cores = t.cores;
         double memory = t.memory;
-        for (Task o : tasks.values()) {
+        for (HostedVm o : tasks.values()) {
             boolean counts = o.state == State.RUNNING || o.state == State.STARTING;
             cores += counts ? o.cores : 0;
             memory += counts ? o.memory : 0;
@@ -316,8 +316,8 @@
         startNext();
     }
 
-    private boolean throttled(Task t) {
-        String who = trouble.throttleByCustomer ? t.customer : t.flavour;
+    private boolean throttled(HostedVm t) {
+        String who = trouble.throttleByTenant ? t.tenant : t.priorityClass;
         if (trouble.throttled == null || !trouble.throttled.equals(who)) {
             return false;
         }
@@ -332,13 +332,13 @@
     }
 
     /** Makes room by pushing out lower priorities, latest started first; none is pushed if that is not enough. */
-    private boolean pushOut(Task t, double overCores, double overMemory) {
-        List<Task> lower = new ArrayList<>();
+    private boolean pushOut(HostedVm t, double overCores, double overMemory) {
+        List<HostedVm> lower = new ArrayList<>();
         tasks.values().stream().filter(o -> o.state == State.RUNNING && o.priority < t.priority).forEach(lower::add);
-        lower.sort(Comparator.<Task>comparingInt(o -> o.priority).thenComparing(o -> o.runsAt,
+        lower.sort(Comparator.<HostedVm>comparingInt(o -> o.priority).thenComparing(o -> o.runningSince,
                 Comparator.reverseOrder()));
-        List<Task> out = new ArrayList<>();
-        for (Task o : lower) {
+        List<HostedVm> out = new ArrayList<>();
+        for (HostedVm o : lower) {
             if (overCores <= 1e-9 && overMemory <= 1e-9) {
                 break;
             }
@@ -349,11 +349,11 @@
         if (overCores > 1e-9 || overMemory > 1e-9) {
             return false;
         }
-        out.forEach(o -> finish(o, How.PUSHED_OUT));
+        out.forEach(o -> finish(o, EndKind.PUSHED_OUT));
         return true;
     }
 
-    private void refuse(Task t, Reason why) {
+    private void refuse(HostedVm t, Reason why) {
         over(t, State.REFUSED);
         says.refused(t, why);
     }
@@ -362,7 +362,7 @@
 
     private void startNext() {
         while (starting < make.starts && !toStart.isEmpty()) {
-            Task t = toStart.pollFirst();
+            HostedVm t = toStart.pollFirst();
             if (t.state != State.STARTING) {
                 continue;
             }
@@ -384,27 +384,27 @@
         }
     }
 
-    private void run(Task t) {
+    private void run(HostedVm t) {
         if (now.compareTo(t.by) >= 0) {
             refuse(t, Reason.NOT_HERE);
             return;
         }
-        Use use = uses.get(t.flavour);
+        UsageModel use = uses.get(t.priorityClass);
         t.state = State.RUNNING;
-        t.runsAt = now;
+        t.runningSince = now;
         t.coresUse = Math.min(2.5, use.cores * Math.exp(use.sigma * (spread.sample() - 1)));
         t.memoryUse = Math.min(1.6, use.memory * Math.exp(use.sigma * (spread.sample() - 1)));
         says.started(t);
         if (t.lasts.compareTo(Duration.ZERO) > 0) {
             at(now.plus(t.lasts), () -> {
                 if (t.state == State.RUNNING) {
-                    finish(t, How.DONE);
+                    finish(t, EndKind.DONE);
                 }
             });
         }
     }
 
-    private void finish(Task t, How how) {
+    private void finish(HostedVm t, EndKind how) {
         over(t, State.ENDED);
         kept.remove(t.service);
         kept.put(t.service, now);
@@ -416,20 +416,20 @@
         says.finished(t, how, true);
     }
 
-    private void handBack(Task t, How how) {
+    private void handBack(HostedVm t, EndKind how) {
         line.removeIf(i -> i.task == t);
         over(t, State.REFUSED);
         says.finished(t, how, false);
     }
 
     /** It stays known for a while, so that a repeat and a returning placer are answered by what became of it. */
-    private void over(Task t, State state) {
+    private void over(HostedVm t, State state) {
         t.state = state;
         t.overAt = now;
         tasks.putIfAbsent(t.key(), t);
         past.addLast(t);
         while (!past.isEmpty() && past.peekFirst().overAt.plus(REMEMBERS).compareTo(now) < 0) {
-            Task old = past.removeFirst();
+            HostedVm old = past.removeFirst();
             tasks.remove(old.key(), old);
         }
     }
@@ -457,12 +457,12 @@
         if (!cold()) {
             return;
         }
-        coldOffers.addLast(now);
-        while (coldOffers.peekFirst().plus(make.fallOver).compareTo(now) < 0) {
-            coldOffers.removeFirst();
+        slowStartAttempts.addLast(now);
+        while (slowStartAttempts.peekFirst().plus(make.fallOver).compareTo(now) < 0) {
+            slowStartAttempts.removeFirst();
         }
         double bears = Math.max(make.coldBears, make.fallMultiple * capacity() * make.fallOver.toNanos() / 1e9);
-        if (coldOffers.size() > bears) {
+        if (slowStartAttempts.size() > bears) {
             down = true;
             says.fell();
         }
@@ -470,9 +470,9 @@
 
     private double usedMemoryNow() {
         double used = 0;
-        for (Task t : tasks.values()) {
+        for (HostedVm t : tasks.values()) {
             if (t.state == State.RUNNING) {
-                double grown = Math.min(1, 0.4 + 0.6 * now.minus(t.runsAt).toMillis() / 5000.0);
+                double grown = Math.min(1, 0.4 + 0.6 * now.minus(t.runningSince).toMillis() / 5000.0);
                 used += t.memory * Math.min(1.6, t.memoryUse * trouble.use) * grown;
             }
         }
@@ -481,7 +481,7 @@
 
     private double usedCoresNow() {
         double used = trouble.neighbour * make.cores;
-        for (Task t : tasks.values()) {
+        for (HostedVm t : tasks.values()) {
             used += t.state == State.RUNNING ? t.cores * Math.min(2.5, t.coresUse * t.swing * trouble.use) : 0;
         }
         return used + starting;
@@ -489,15 +489,15 @@
 
     /** Now and then: use moves, reports are refreshed, memory is watched, notes go out. */
     private void sample() {
-        for (Task t : tasks.values()) {
+        for (HostedVm t : tasks.values()) {
             if (t.state == State.RUNNING && chance.nextDouble() < 0.1) {
                 t.swing = 0.75 + chance.nextDouble() / 2;
             }
         }
         sampledMemory = usedMemoryNow();
         while (sampledMemory > make.memory) {
-            Task out = null;
-            for (Task t : tasks.values()) {
+            HostedVm out = null;
+            for (HostedVm t : tasks.values()) {
                 if (t.state == State.RUNNING && (out == null || t.priority < out.priority
                         || t.priority == out.priority && t.memoryUse > out.memoryUse)) {
                     out = t;
@@ -506,7 +506,7 @@
             if (out == null) {
                 break;
             }
-            finish(out, How.EVICTED);
+            finish(out, EndKind.EVICTED);
             sampledMemory = usedMemoryNow();
         }
         sampledCores = usedCoresNow();
@@ -515,10 +515,10 @@
     }
 
     private void notes() {
-        Map<String, Task> worst = new HashMap<>();
+        Map<String, HostedVm> worst = new HashMap<>();
         double busy = sampledCores / make.cores;
         double pressure = sampledMemory / make.memory;
-        for (Task t : List.copyOf(tasks.values())) {
+        for (HostedVm t : List.copyOf(tasks.values())) {
             if (t.state != State.RUNNING) {
                 continue;
             }
@@ -528,8 +528,8 @@
             }
             worst.putIfAbsent(t.placer, t);
         }
-        for (Task t : worst.values()) {
-            Use use = uses.get(t.flavour);
+        for (HostedVm t : worst.values()) {
+            UsageModel use = uses.get(t.priorityClass);
             double share = use.fade <= 0 ? 1 : Math.max(0, Math.min(1, 1 - (busy - use.calm) / use.fade));
             if (share < 0.95 && chance.nextDouble() < 0.3) {
                 says.served(t, share);
@@ -563,7 +563,7 @@
 
     private double asked(boolean ofCores) {
         double sum = 0;
-        for (Task t : tasks.values()) {
+        for (HostedVm t : tasks.values()) {
             if (t.state == State.RUNNING || t.state == State.STARTING) {
                 sum += ofCores ? t.cores : t.memory;
             }
@@ -573,7 +573,7 @@
 
     int running() {
         int n = 0;
-        for (Task t : tasks.values()) {
+        for (HostedVm t : tasks.values()) {
             n += t.state == State.RUNNING ? 1 : 0;
         }
         return n;
@@ -584,17 +584,17 @@
     /** Accepts nothing more; sends away as its manner says: none, at_once, or paced over a span. */
     void drain(Duration over) {
         draining = true;
-        List<Task> running = new ArrayList<>();
+        List<HostedVm> running = new ArrayList<>();
         tasks.values().stream().filter(t -> t.state == State.RUNNING).forEach(running::add);
         if (make.drainManner.equals("none")) {
             return;
         }
         for (int i = 0; i < running.size(); i++) {
-            Task t = running.get(i);
+            HostedVm t = running.get(i);
             Duration when = make.drainManner.equals("at_once") ? now : now.plus(times(over, (i + 1.0) / running.size()));
             at(when, () -> {
                 if (t.state == State.RUNNING) {
-                    finish(t, How.SENT_AWAY);
+                    finish(t, EndKind.SENT_AWAY);
                 }
             });
         }
@@ -614,7 +614,7 @@
         line.clear();
         toStart.clear();
         kept.clear();
-        coldOffers.clear();
+        slowStartAttempts.clear();
         starting = 0;
         looking = false;
         draining = false;
--- a/src/main/java/fordridge/rig/MvccStore.java
+++ b/src/main/java/fordridge/emulator/MvccStore.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.google.protobuf.ByteString;
 import fordridge.etcd.api.Compare;
@@ -17,11 +17,11 @@
 /** Keys with all their revisions since the last compaction, in memory; what the stand-in for etcd answers from. */
 final class MvccStore {
     /** A revision that is no longer, or not yet, there. */
-    static final class NoRevision extends Exception {
+    static final class RevisionUnavailableException extends Exception {
         private static final long serialVersionUID = 1L;
         final boolean compacted;
 
-        NoRevision(boolean compacted) {
+        RevisionUnavailableException(boolean compacted) {
             this.compacted = compacted;
         }
     }
@@ -56,9 +56,9 @@
     }
 
     /** The range as it stood at a revision, in order of keys; 0 for now. */
-    List<KeyValue> range(ByteString key, ByteString end, long at) throws NoRevision {
+    List<KeyValue> range(ByteString key, ByteString end, long at) throws RevisionUnavailableException {
         if (at > revision || at > 0 && at < compacted) {
-            throw new NoRevision(at < compacted);
+            throw new RevisionUnavailableException(at < compacted);
         }
         long when = at == 0 ? revision : at;
         List<KeyValue> found = new ArrayList<>();
@@ -78,9 +78,9 @@
     }
 
     /** Events from a revision on, in order; batches of one revision stay together. */
-    List<List<Event>> since(long from) throws NoRevision {
+    List<List<Event>> since(long from) throws RevisionUnavailableException {
         if (from <= compacted) {
-            throw new NoRevision(true);
+            throw new RevisionUnavailableException(true);
         }
         return new ArrayList<>(history.tailMap(from, true).values());
     }
@@ -166,9 +166,9 @@
     }
 
     /** Forgets what was replaced or deleted before a revision. */
-    void compact(long at) throws NoRevision {
+    void compact(long at) throws RevisionUnavailableException {
         if (at <= compacted || at > revision) {
-            throw new NoRevision(at <= compacted);
+            throw new RevisionUnavailableException(at <= compacted);
         }
         compacted = at;
         history.headMap(at, true).clear();
--- a/src/main/java/fordridge/rig/RuleSets.java
+++ b/src/main/java/fordridge/emulator/RandomConstraints.java
@@ -1,23 +1,23 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Sets of customers' rules by number: the same seed and number give the same set. Some can be met by no fleet. */
-final class RuleSets {
+final class RandomConstraints {
     private final long seed;
-    private final String[] flavours;
-    private final String[] customers;
+    private final String[] priorityClasses;
+    private final String[] tenants;
     private final String[] kinds;
     private final int zones;
     private final int cells;
     private final int services;
     private final int placers;
 
-    RuleSets(DayPlan plan) {
+    RandomConstraints(ScenarioPlan plan) {
         seed = plan.seed;
-        flavours = plan.deployment.flavours.keySet().toArray(new String[0]);
-        customers = plan.deployment.customers.stream().map(c -> c.name()).toArray(String[]::new);
+        priorityClasses = plan.deployment.priorityClasses.keySet().toArray(new String[0]);
+        tenants = plan.deployment.tenants.stream().map(c -> c.name()).toArray(String[]::new);
         kinds = plan.deployment.kinds.stream().map(k -> k.name()).toArray(String[]::new);
         zones = plan.zones;
         cells = Math.max(1, (plan.machines + plan.cellSize - 1) / plan.cellSize);
@@ -38,13 +38,13 @@
     }
 
     private String scope(UniformRandomProvider r) {
-        String flavour = "flavour " + one(r, flavours);
-        String customer = "customer " + one(r, customers);
+        String priorityClass = "flavour " + one(r, priorityClasses);
+        String tenant = "customer " + one(r, tenants);
         return switch (r.nextInt(6)) {
-            case 0 -> flavour + " and " + customer;
-            case 1 -> customer;
+            case 0 -> priorityClass + " and " + tenant;
+            case 1 -> tenant;
             case 2 -> "service " + (1 + r.nextInt(services)) + ", " + (1 + r.nextInt(services));
-            default -> flavour;
+            default -> priorityClass;
         };
     }
 
