--- a/src/main/java/fordridge/rig/Day.java
+++ b/src/main/java/fordridge/emulator/Scenario.java
@@ -1,13 +1,13 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.typesafe.config.ConfigRenderOptions;
 import com.typesafe.config.ConfigValueFactory;
-import fordridge.placer.PlacerProgram;
-import fordridge.constraint.Book;
-import fordridge.constraint.Language;
-import fordridge.constraint.Rule;
-import fordridge.constraint.Sense;
-import fordridge.settings.Deployment;
+import fordridge.server.grpc.PlacerCommand;
+import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.ConstraintValidator;
+import fordridge.settings.DeploymentSettings;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -29,20 +29,20 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** One scripted day: real placers against stand-ins on loopback, then the rules judged from the tap. */
-public final class Day {
+public final class Scenario {
     /** What a day came to. */
-    public record Outcome(String table, Checker.Verdict verdict, double inTime, double p50, double p99, long asked,
+    public record Outcome(String table, InvariantChecker.Verdict verdict, double inTime, double p50, double p99, long asked,
             String costs) { }
 
-    private final DayPlan plan;
+    private final ScenarioPlan plan;
     private final File folder;
     private final PrintStream out;
-    private final List<StandInMachine> machines = new ArrayList<>();
-    private final List<StandInMachine> spares = new ArrayList<>();
-    private final List<StandInOwner> owners = new ArrayList<>();
-    private final Score score = new Score();
+    private final List<EmulatedMachine> machines = new ArrayList<>();
+    private final List<EmulatedMachine> spares = new ArrayList<>();
+    private final List<EmulatedClient> owners = new ArrayList<>();
+    private final ClientOutcomes score = new ClientOutcomes();
 
-    private Day(DayPlan plan, File folder, PrintStream out) {
+    private Scenario(ScenarioPlan plan, File folder, PrintStream out) {
         this.plan = plan;
         this.folder = folder;
         this.out = out;
@@ -50,11 +50,11 @@
 
     /** Reads the script, with changes to its keys from the command line, and plays it. */
     public static Outcome play(File script, Map<String, ?> changes, File folder, PrintStream out)
-            throws Deployment.Refused, IOException, InterruptedException {
-        return new Day(DayPlan.read(script, changes), folder, out).play();
+            throws DeploymentSettings.InvalidSettingsException, IOException, InterruptedException {
+        return new Scenario(ScenarioPlan.read(script, changes), folder, out).play();
     }
 
-    private Outcome play() throws IOException, InterruptedException, Deployment.Refused {
+    private Outcome play() throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
         Files.createDirectories(folder.toPath());
         File tapFile = new File(folder, "tap.jsonl");
         int cores = Runtime.getRuntime().availableProcessors();
@@ -65,12 +65,12 @@
             t.setDaemon(true);
             return t;
         });
-        Placers placers = null;
-        Registry registry = null;
-        StandInEtcd etcd = null;
-        Tap tap = new Tap(tapFile);
+        SchedulerFleet placers = null;
+        EmulatedRegistry registry = null;
+        EmulatedEtcd etcd = null;
+        WireRecorder tap = new WireRecorder(tapFile);
         try (tap) {
-            Checker.header(tap, plan);
+            InvariantChecker.header(tap, plan);
             if (!plan.rules.isBlank()) {
                 File rules = new File(folder, "rules.txt");
                 Files.writeString(rules.toPath(), plan.rules);
@@ -80,21 +80,21 @@
             }
             fleet(machineLoops, tap);
             if (plan.registryEtcd) {
-                etcd = new StandInEtcd(0, 200);
-                etcd.tap(new Told(tap, plan.deployment.etcdPrefix));
+                etcd = new EmulatedEtcd(0, 200);
+                etcd.tap(new WatchDelayRecorder(tap, plan.deployment.etcdPrefix));
                 plan.deploymentText = plan.deploymentText.withValue("machines.source",
                         ConfigValueFactory.fromAnyRef("etcd")).withValue("etcd.endpoints",
                         ConfigValueFactory.fromIterable(List.of("127.0.0.1:" + etcd.port())));
             }
-            registry = new Registry(new File(folder, "machines.conf"), etcd, plan.deployment.etcdPrefix, tap,
+            registry = new EmulatedRegistry(new File(folder, "machines.conf"), etcd, plan.deployment.etcdPrefix, tap,
                     plan.registryLate.toNanos() / 1000);
-            for (StandInMachine m : machines) {
+            for (EmulatedMachine m : machines) {
                 registry.set(m, "live", null);
             }
             registry.start(plan.registryEvery.toMillis());
-            placers = plan.ownProcess ? new ChildPlacers() : new InProcess();
+            placers = plan.ownProcess ? new ChildProcessFleet() : new InProcessFleet();
             owners(placers, ownerLoops, tap);
-            new Faults(plan, new ArrayList<>(machines), spares, owners, registry, clock, tap, etcd).schedule();
+            new FaultInjector(plan, new ArrayList<>(machines), spares, owners, registry, clock, tap, etcd).schedule();
             if (plan.sets > 0 && etcd != null) {
                 sets(clock, etcd, tap);
             }
@@ -114,7 +114,7 @@
             machines.forEach(m -> m.act(m::close));
             spares.forEach(m -> m.act(m::close));
             tap.close();
-            Checker.Verdict verdict = Checker.judge(tapFile);
+            InvariantChecker.Verdict verdict = InvariantChecker.judge(tapFile);
             return new Outcome(score.table(), verdict, score.inTimeShare(), score.bindMillis(50),
                     score.bindMillis(99), score.asked(), costs);
         } finally {
@@ -134,9 +134,9 @@
     }
 
     /** One generated set of rules after another goes to the store; what the language's own check says of each is timed. */
-    private void sets(ScheduledExecutorService clock, StandInEtcd etcd, Tap tap) {
-        RuleSets make = new RuleSets(plan);
-        List<Book.Spot> spots = machines.stream().map(m -> new Book.Spot(m.make.name(), m.make.kind(), m.make.zone(),
+    private void sets(ScheduledExecutorService clock, EmulatedEtcd etcd, WireRecorder tap) {
+        RandomConstraints make = new RandomConstraints(plan);
+        List<ConstraintIndex.MachineTopology> spots = machines.stream().map(m -> new ConstraintIndex.MachineTopology(m.make.name(), m.make.kind(), m.make.zone(),
                 m.make.cell())).toList();
         int[] refused = {0};
         double[] slowest = {0};
@@ -147,10 +147,10 @@
                 long from = System.nanoTime();
                 boolean kept;
                 try {
-                    List<Rule> rules = Language.read(text, Language.Names.ANY);
-                    new Book(rules, plan.deployment.allPlacers());
-                    kept = Sense.of(rules, spots, () -> System.nanoTime() - from > 1_000_000_000L).isEmpty();
-                } catch (Language.Refused | Book.Unkeepable e) {
+                    List<PlacementConstraint> rules = ConstraintParser.read(text, ConstraintParser.Names.ANY);
+                    new ConstraintIndex(rules, plan.deployment.allPlacers());
+                    kept = ConstraintValidator.of(rules, spots, () -> System.nanoTime() - from > 1_000_000_000L).isEmpty();
+                } catch (ConstraintParser.ConstraintSyntaxException | ConstraintIndex.UnsatisfiableConstraintsException e) {
                     kept = false;
                 }
                 double millis = (System.nanoTime() - from) / 1e6;
@@ -169,7 +169,7 @@
     }
 
     /** Says in the tap where the rig itself was kept waiting for a core: what it saw late then was not late. */
-    private static void feelStalls(ScheduledExecutorService clock, Tap tap, long due) {
+    private static void feelStalls(ScheduledExecutorService clock, WireRecorder tap, long due) {
         long late = (System.nanoTime() - due) / 1000;
         if (late > 20_000) {
             tap.line("rig", "stalled", "for", late);
@@ -184,7 +184,7 @@
         while (true) {
             long s = (System.nanoTime() - begun) / 1_000_000_000L;
             boolean over = s >= plan.length.toSeconds();
-            int waiting = owners.stream().mapToInt(StandInOwner::waiting).sum();
+            int waiting = owners.stream().mapToInt(EmulatedClient::waiting).sum();
             if (s >= total || over && waiting == 0 && s >= plan.length.toSeconds() + 4) {
                 return;
             }
@@ -197,9 +197,9 @@
         }
     }
 
-    private void fleet(EventLoopGroup loops, Tap tap) throws IOException {
+    private void fleet(EventLoopGroup loops, WireRecorder tap) throws IOException {
         UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed);
-        Deployment d = plan.deployment;
+        DeploymentSettings d = plan.deployment;
         long begun = System.nanoTime();
         double all = d.kinds.stream().mapToDouble(k -> plan.kindShares.get(k.name())).sum();
         int total = plan.machines + plan.spares;
@@ -211,13 +211,13 @@
                 pick = due[k] > due[pick] ? k : pick;
             }
             due[pick] -= 1;
-            Deployment.Kind kind = d.kinds.get(pick);
-            MachineModel.Make make = new MachineModel.Make(String.format("m%03d", i), kind.name(),
+            DeploymentSettings.Kind kind = d.kinds.get(pick);
+            MachineModel.MachineSpec make = new MachineModel.MachineSpec(String.format("m%03d", i), kind.name(),
                     "z" + i % plan.zones, i / plan.cellSize, kind.cores(), kind.memory(), draw(chance, plan.speed),
                     plan.line, millis(draw(chance, plan.admit)), plan.starts, d.acceptCores, d.acceptMemory,
                     d.coldFrom, d.warmAfter, d.fallMultiple, d.fallOver, d.coldBears, plan.kept, plan.setup,
                     plan.sample, plan.preempts, plan.drainManner, millis(draw(chance, plan.work)));
-            StandInMachine m = new StandInMachine(make, plan.uses, plan.seed * 7919 + i, loops.next(), tap, begun);
+            EmulatedMachine m = new EmulatedMachine(make, plan.uses, plan.seed * 7919 + i, loops.next(), tap, begun);
             (i < plan.machines ? machines : spares).add(m);
             tap.line(m.name(), "machine", "kind", make.kind(), "zone", make.zone(), "cell", make.cell(), "cores",
                     make.cores(), "memory", make.memory());
@@ -232,33 +232,33 @@
         return Duration.ofNanos((long) (ms * 1e6));
     }
 
-    private void owners(Placers placers, EventLoopGroup loops, Tap tap) {
+    private void owners(SchedulerFleet placers, EventLoopGroup loops, WireRecorder tap) {
         UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed ^ 0xabcdef);
-        List<StandInOwner.Service> services = new ArrayList<>();
-        List<Deployment.Flavour> flavours = new ArrayList<>(plan.deployment.flavours.values());
-        double sum = plan.flavourShares.values().stream().mapToDouble(Double::doubleValue).sum();
+        List<EmulatedClient.Service> services = new ArrayList<>();
+        List<DeploymentSettings.PriorityClass> priorityClasses = new ArrayList<>(plan.deployment.priorityClasses.values());
+        double sum = plan.priorityClassShares.values().stream().mapToDouble(Double::doubleValue).sum();
         for (int i = 0; i < plan.services; i++) {
             double at = chance.nextDouble() * sum;
-            Deployment.Flavour f = flavours.get(flavours.size() - 1);
-            for (Deployment.Flavour o : flavours) {
-                at -= plan.flavourShares.get(o.name());
+            DeploymentSettings.PriorityClass f = priorityClasses.get(priorityClasses.size() - 1);
+            for (DeploymentSettings.PriorityClass o : priorityClasses) {
+                at -= plan.priorityClassShares.get(o.name());
                 if (at < 0) {
                     f = o;
                     break;
                 }
             }
-            String customer = "";
+            String tenant = "";
             double share = chance.nextDouble();
-            for (Deployment.Customer c : plan.deployment.customers) {
+            for (DeploymentSettings.Tenant c : plan.deployment.tenants) {
                 share -= c.share();
-                if (share < 0 || customer.isEmpty()) {
-                    customer = c.name();
+                if (share < 0 || tenant.isEmpty()) {
+                    tenant = c.name();
                 }
                 if (share < 0) {
                     break;
                 }
             }
-            services.add(new StandInOwner.Service(i + 1, f, customer, plan.shapes.get(chance.nextInt(
+            services.add(new EmulatedClient.Service(i + 1, f, tenant, plan.shapes.get(chance.nextInt(
                     plan.shapes.size())), draw(chance, plan.life)));
         }
         int n = plan.deployment.count;
@@ -270,7 +270,7 @@
             whole += weight[i];
         }
         for (int i = 0; i < n; i++) {
-            StandInOwner o = new StandInOwner(String.format("owner%03d", i), placers.port(i), loops.next(), tap, score,
+            EmulatedClient o = new EmulatedClient(String.format("owner%03d", i), placers.port(i), loops.next(), tap, score,
                     plan, services, plan.rate * weight[i] / whole, plan.seed * 104729 + i);
             owners.add(o);
             o.act(o::open);
@@ -278,12 +278,12 @@
     }
 
     /** Taps which placer was sent what news of the store, where it changes whether a machine may be used. */
-    private static final class Told implements StandInEtcd.Sent {
-        private final Tap tap;
+    private static final class WatchDelayRecorder implements EmulatedEtcd.WatchListener {
+        private final WireRecorder tap;
         private final String prefix;
         private final Map<String, Set<String>> closed = new HashMap<>();
 
-        Told(Tap tap, String prefix) {
+        WatchDelayRecorder(WireRecorder tap, String prefix) {
             this.tap = tap;
             this.prefix = prefix;
         }
@@ -309,7 +309,7 @@
 
     // ---- Placers ---------------------------------------------------------------------------------------
 
-    private interface Placers {
+    private interface SchedulerFleet {
         int port(int i);
 
         double cpuSeconds();
@@ -319,19 +319,19 @@
         boolean stop() throws InterruptedException;
     }
 
-    private Deployment settings() throws IOException, Deployment.Refused {
+    private DeploymentSettings settings() throws IOException, DeploymentSettings.InvalidSettingsException {
         String text = plan.deploymentText.root().render(ConfigRenderOptions.defaults().setOriginComments(false)
                 .setJson(false));
         File file = new File(folder, "placer.conf");
         Files.writeString(file.toPath(), text);
-        return Deployment.read(file);
+        return DeploymentSettings.read(file);
     }
 
-    private final class InProcess implements Placers {
-        private final PlacerProgram program;
+    private final class InProcessFleet implements SchedulerFleet {
+        private final PlacerCommand program;
 
-        InProcess() throws IOException, Deployment.Refused {
-            program = new PlacerProgram(settings());
+        InProcessFleet() throws IOException, DeploymentSettings.InvalidSettingsException {
+            program = new PlacerCommand(settings());
         }
 
         @Override
@@ -347,9 +347,9 @@
         @Override
         public String costs(double cpuBefore, double seconds) {
             return String.format("in one process with the stand-ins; %.0f offers, loop lag p99 %.1f ms, input p50 "
-                    + "%.3f and p99 %.2f ms, %d streams to machines open", program.meters().offers(),
-                    program.meters().percentile("loop", 0.99), program.meters().percentile("decide", 0.5),
-                    program.meters().percentile("decide", 0.99), program.streams());
+                    + "%.3f and p99 %.2f ms, %d streams to machines open", program.metrics().offers(),
+                    program.metrics().percentile("loop", 0.99), program.metrics().percentile("decide", 0.5),
+                    program.metrics().percentile("decide", 0.99), program.streams());
         }
 
         @Override
@@ -359,12 +359,12 @@
     }
 
     /** The placers as users run them: a process started from the jar. */
-    private final class ChildPlacers implements Placers {
+    private final class ChildProcessFleet implements SchedulerFleet {
         private final Process process;
         private final List<Integer> ports = new ArrayList<>();
-        private int metrics;
+        private int metricsServer;
 
-        ChildPlacers() throws IOException, InterruptedException, Deployment.Refused {
+        ChildProcessFleet() throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
             plan.deploymentText = plan.deploymentText.withValue("metrics.port", ConfigValueFactory.fromAnyRef(0));
             settings();
             File portsFile = new File(folder, "ports.txt");
@@ -385,7 +385,7 @@
             for (String l : Files.readAllLines(portsFile.toPath())) {
                 String[] w = l.split(" ");
                 if (w[0].equals("metrics")) {
-                    metrics = Integer.parseInt(w[1]);
+                    metricsServer = Integer.parseInt(w[1]);
                 } else {
                     ports.add(Integer.parseInt(w[1]));
                 }
@@ -411,7 +411,7 @@
                 for (String l : Files.readAllLines(new File("/proc/" + process.pid() + "/status").toPath())) {
                     rss = l.startsWith("VmRSS:") ? l.substring(6).trim() : rss;
                 }
-                text = new String(new java.net.URL("http://127.0.0.1:" + metrics + "/metrics").openStream()
+                text = new String(new java.net.URL("http://127.0.0.1:" + metricsServer + "/metrics").openStream()
                         .readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
                 Files.writeString(new File(folder, "metrics.txt").toPath(), text);
             } catch (IOException e) {
--- a/src/main/java/fordridge/rig/DayPlan.java
+++ b/src/main/java/fordridge/emulator/ScenarioPlan.java
@@ -1,10 +1,10 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import com.typesafe.config.ConfigValueFactory;
-import fordridge.settings.Deployment;
-import fordridge.settings.Reader;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.ConfigReader;
 import java.io.File;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,7 +13,7 @@
 import java.util.Map;
 
 /** A scripted day, read from HOCON and checked whole: the fleet, the owners, the registry and what goes wrong. */
-final class DayPlan {
+final class ScenarioPlan {
     /** A trouble: kinds and meanings are in docs/rig.md. */
     record Fault(String kind, Duration at, Duration lasts, double part, double size, double extra, String of,
             String by) { }
@@ -35,7 +35,7 @@
     Duration settle;
     boolean ownProcess;
     Config deploymentText;
-    Deployment deployment;
+    DeploymentSettings deployment;
     int machines;
     int spares;
     int zones;
@@ -51,7 +51,7 @@
     boolean preempts;
     String drainManner;
     Map<String, Double> kindShares = new LinkedHashMap<>();
-    Map<String, MachineModel.Use> uses = new LinkedHashMap<>();
+    Map<String, MachineModel.UsageModel> uses = new LinkedHashMap<>();
     double rate;
     int services;
     double batch;
@@ -63,41 +63,41 @@
     int sets;
     Duration setEvery;
     int tries;
-    Map<String, Double> flavourShares = new LinkedHashMap<>();
+    Map<String, Double> priorityClassShares = new LinkedHashMap<>();
     List<Shape> shapes = new ArrayList<>();
     boolean registryEtcd;
     Duration registryEvery;
     Duration registryLate;
     final List<Fault> faults = new ArrayList<>();
 
-    private DayPlan() {
+    private ScenarioPlan() {
     }
 
-    static DayPlan read(File file, Map<String, ?> changes) throws Deployment.Refused {
-        Config own = ConfigFactory.parseMap(changes, "command line").withFallback(Deployment.parse(file)).resolve();
-        Config all = own.withFallback(ConfigFactory.parseResources(DayPlan.class.getClassLoader(),
+    static ScenarioPlan read(File file, Map<String, ?> changes) throws DeploymentSettings.InvalidSettingsException {
+        Config own = ConfigFactory.parseMap(changes, "command line").withFallback(DeploymentSettings.parse(file)).resolve();
+        Config all = own.withFallback(ConfigFactory.parseResources(ScenarioPlan.class.getClassLoader(),
                 "fordridge-day-reference.conf"));
         List<String> errors = new ArrayList<>();
-        DayPlan p = new DayPlan();
-        Reader r = new Reader(all.withoutPath("deployment"), "", errors);
+        ScenarioPlan p = new ScenarioPlan();
+        ConfigReader r = new ConfigReader(all.withoutPath("deployment"), "", errors);
         p.deploymentText = all.getConfig("deployment")
                 .withValue("machines.list", ConfigValueFactory.fromAnyRef("machines.conf"))
                 .withValue("placer.listen.port", ConfigValueFactory.fromAnyRef(0));
         try {
-            p.deployment = Deployment.read(p.deploymentText, new File("."));
-        } catch (Deployment.Refused e) {
+            p.deployment = DeploymentSettings.read(p.deploymentText, new File("."));
+        } catch (DeploymentSettings.InvalidSettingsException e) {
             errors.addAll(e.complaints);
-            throw new Deployment.Refused(errors);
+            throw new DeploymentSettings.InvalidSettingsException(errors);
         }
         p.take(r);
         r.refuseUnknown();
         if (!errors.isEmpty()) {
-            throw new Deployment.Refused(errors);
+            throw new DeploymentSettings.InvalidSettingsException(errors);
         }
         return p;
     }
 
-    private void take(Reader r) {
+    private void take(ConfigReader r) {
         Duration ms = Duration.ofMillis(1);
         name = r.text("name", 100);
         sets = r.whole("sets.count", 0, 100_000);
@@ -130,22 +130,22 @@
         registryEtcd = r.word("registry.in", "file", "etcd").equals("etcd");
         registryEvery = r.span("registry.every", ms, LONG);
         registryLate = r.span("registry.late", Duration.ZERO, LONG);
-        for (Deployment.Flavour f : deployment.flavours.values()) {
+        for (DeploymentSettings.PriorityClass f : deployment.priorityClasses.values()) {
             String key = "flavours." + f.name();
-            flavourShares.put(f.name(), r.has(key + ".share") ? r.number(key + ".share", 0, 1) : 1);
-            uses.put(f.name(), new MachineModel.Use(r.has(key + ".cores_use") ? r.number(key + ".cores_use", 0, 10)
+            priorityClassShares.put(f.name(), r.has(key + ".share") ? r.number(key + ".share", 0, 1) : 1);
+            uses.put(f.name(), new MachineModel.UsageModel(r.has(key + ".cores_use") ? r.number(key + ".cores_use", 0, 10)
                     : 0.5, r.has(key + ".memory_use") ? r.number(key + ".memory_use", 0, 10) : 0.7,
                     r.has(key + ".sigma") ? r.number(key + ".sigma", 0, 5) : 0.5, f.calm(), f.fade()));
         }
-        for (Deployment.Kind k : deployment.kinds) {
+        for (DeploymentSettings.Kind k : deployment.kinds) {
             String key = "fleet.shares." + k.name();
             kindShares.put(k.name(), r.has(key) ? r.number(key, 0, 1) : 1);
         }
-        for (Reader s : r.each("owners.shapes", null)) {
+        for (ConfigReader s : r.each("owners.shapes", null)) {
             shapes.add(new Shape(s.number("cores", 0.01, 1e6), s.number("memory", 0.01, 1e9)));
             s.refuseUnknown();
         }
-        for (Reader f : r.each("faults", "fault_defaults")) {
+        for (ConfigReader f : r.each("faults", "fault_defaults")) {
             faults.add(new Fault(f.word("kind", KINDS.toArray(new String[0])), f.span("at", Duration.ZERO, LONG),
                     f.span("for", Duration.ZERO, LONG), f.number("part", 0, 1), f.number("size", 0, 1e6),
                     f.number("extra", 0, 1e6), f.text("of", 100), f.word("by", "any", "zone", "cell", "kind")));
@@ -156,7 +156,7 @@
         }
     }
 
-    private static double[] range(Reader r, String key, double least, double most) {
+    private static double[] range(ConfigReader r, String key, double least, double most) {
         return new double[] {r.number(key + ".least", least, most), r.number(key + ".most", least, most)};
     }
 }
--- a/src/main/java/fordridge/rig/WatchBench.java
+++ b/src/main/java/fordridge/emulator/WatchBenchmark.java
@@ -1,10 +1,10 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.typesafe.config.ConfigFactory;
-import fordridge.etcd.EtcdList;
-import fordridge.listing.MachineList;
-import fordridge.settings.Deployment;
-import fordridge.state.Machine.Listing;
+import fordridge.etcd.EtcdMachineList;
+import fordridge.discovery.MachineListSource;
+import fordridge.settings.DeploymentSettings;
+import fordridge.model.Machine.Lifecycle;
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -20,10 +20,10 @@
 import org.HdrHistogram.ConcurrentHistogram;
 
 /** What following the stand-in for etcd costs, by the number of machines: news, catching up, resync, memory. */
-public final class WatchBench {
+public final class WatchBenchmark {
     private static final String PREFIX = "/fordridge";
 
-    private WatchBench() {
+    private WatchBenchmark() {
     }
 
     private static String record(int i, int n) {
@@ -37,36 +37,36 @@
 
     /** One row for each size; {@code lists} followers share the process. */
     public static void run(int[] sizes, int lists, PrintStream out)
-            throws IOException, Deployment.Refused, InterruptedException {
+            throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
         out.printf("%9s %6s %11s %11s %12s %11s %13s %12s%n", "machines", "lists", "known p50", "known p99", "catch up",
                 "resync", "CPU a change", "heap a list");
         for (int n : sizes) {
-            try (StandInEtcd etcd = new StandInEtcd(0, 200)) {
+            try (EmulatedEtcd etcd = new EmulatedEtcd(0, 200)) {
                 row(etcd, n, lists, out);
             }
         }
     }
 
-    private static void row(StandInEtcd etcd, int n, int lists, PrintStream out)
-            throws IOException, Deployment.Refused, InterruptedException {
+    private static void row(EmulatedEtcd etcd, int n, int lists, PrintStream out)
+            throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
         Map<String, String> all = new LinkedHashMap<>();
         for (int i = 0; i < n; i++) {
             all.put(key(i), record(i, 0));
         }
         etcd.putAll(all);
-        Deployment d = Deployment.read(ConfigFactory.parseString("kinds = [{ name = k, cores = 28, memory = 60 }]\n"
+        DeploymentSettings d = DeploymentSettings.read(ConfigFactory.parseString("kinds = [{ name = k, cores = 28, memory = 60 }]\n"
                 + "flavours = [{ name = f }]\nmachines.source = etcd\netcd { endpoints = [\"127.0.0.1:" + etcd.port()
                 + "\"], prefix = \"" + PREFIX + "\", register = false, silence = 5s, start_within = 60s, call = 30s }"),
                 new File("."));
         long before = heap();
-        List<EtcdList> some = new ArrayList<>();
+        List<EtcdMachineList> some = new ArrayList<>();
         try {
             ConcurrentHistogram known = new ConcurrentHistogram(60_000_000L, 3);
             Map<String, Long> sentAt = new ConcurrentHashMap<>();
             AtomicInteger drained = new AtomicInteger();
             AtomicInteger changes = new AtomicInteger();
             for (int i = 0; i < lists; i++) {
-                EtcdList l = new EtcdList(d, "p" + i, i + 1);
+                EtcdMachineList l = new EtcdMachineList(d, "p" + i, i + 1);
                 some.add(l);
                 l.follow(u -> heard(u, sentAt, known, drained, changes));
             }
@@ -98,19 +98,19 @@
             long last = etcd.put(PREFIX + "/drains/m000000", "{\"v\":2,\"reason\":\"last\"}");
             String marker = String.format("m%06d", n - 1);
             etcd.delete(PREFIX + "/machines/" + marker);
-            for (EtcdList l : some) {
+            for (EtcdMachineList l : some) {
                 await(() -> l.latest().entries().stream().noneMatch(e -> e.name().equals(marker)));
             }
             double caught = (System.nanoTime() - from) / 1e6;
             double cpuOfChange = (cpu(some.size()) - cpu) / 1e3 / 10_000 / lists;
-            long[] resyncs = some.stream().mapToLong(EtcdList::resyncs).toArray();
+            long[] resyncs = some.stream().mapToLong(EtcdMachineList::resyncs).toArray();
             etcd.leaderless(true);
             etcd.put(PREFIX + "/machines/" + marker, record(n - 1, 3));
             etcd.compactNow();
             from = System.nanoTime();
             etcd.leaderless(false);
             for (int i = 0; i < lists; i++) {
-                EtcdList l = some.get(i);
+                EtcdMachineList l = some.get(i);
                 long was = resyncs[i];
                 await(() -> l.resyncs() > was && l.latest().entries().stream().anyMatch(e -> e.name().equals(marker)));
             }
@@ -118,31 +118,31 @@
                     known.getValueAtPercentile(50) / 1000.0, known.getValueAtPercentile(99) / 1000.0, caught,
                     (System.nanoTime() - from) / 1e6, cpuOfChange, heapOfOne);
         } finally {
-            some.forEach(EtcdList::close);
+            some.forEach(EtcdMachineList::close);
         }
     }
 
-    private static void heard(MachineList.Update u, Map<String, Long> sentAt, ConcurrentHistogram known,
+    private static void heard(MachineListSource.Update u, Map<String, Long> sentAt, ConcurrentHistogram known,
             AtomicInteger drained, AtomicInteger changes) {
         long now = System.nanoTime();
         changes.addAndGet(u.entries().size());
         if (u.whole()) {
             return;
         }
-        for (MachineList.Entry e : u.entries()) {
+        for (MachineListSource.Entry e : u.entries()) {
             Long at = sentAt.get(e.name());
-            if (at != null && (e.listing() == Listing.DRAINING || e.listing() == Listing.LIVE)) {
+            if (at != null && (e.lifecycle() == Lifecycle.DRAINING || e.lifecycle() == Lifecycle.LIVE)) {
                 known.recordValue(Math.min((now - at) / 1000, 60_000_000L));
                 drained.incrementAndGet();
             }
         }
     }
 
-    private interface Holds {
+    private interface Condition {
         boolean now();
     }
 
-    private static void await(Holds what) throws InterruptedException {
+    private static void await(Condition what) throws InterruptedException {
         long until = System.nanoTime() + 120_000_000_000L;
         while (!what.now()) {
             if (System.nanoTime() > until) {
--- a/src/main/java/fordridge/rig/Tap.java
+++ b/src/main/java/fordridge/emulator/WireRecorder.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -14,14 +14,14 @@
  * have t (microseconds since the day began), at (which end), what, and fields of that message. A message that a fault
  * kept from going out is tapped with lost = true: it tells what the machine did.
  */
-final class Tap implements AutoCloseable {
+final class WireRecorder implements AutoCloseable {
     private static final JsonFactory FACTORY = new JsonFactory();
     private final OutputStream out;
     private final JsonGenerator gen;
     private final long begun = System.nanoTime();
     private long lines;
 
-    Tap(File file) throws IOException {
+    WireRecorder(File file) throws IOException {
         out = new BufferedOutputStream(new FileOutputStream(file), 1 << 18);
         gen = FACTORY.createGenerator(out);
         gen.setRootValueSeparator(new com.fasterxml.jackson.core.io.SerializedString("\n"));
--- a/src/main/java/fordridge/etcd/Ctl.java
+++ b/src/main/java/fordridge/etcd/EtcdAdmin.java
@@ -10,8 +10,8 @@
 import fordridge.etcd.api.RangeResponse;
 import fordridge.etcd.api.RequestOp;
 import fordridge.etcd.api.TxnRequest;
-import fordridge.membership.Believed;
-import fordridge.membership.Keys;
+import fordridge.membership.MachineListReplica;
+import fordridge.membership.StoreKeys;
 import io.grpc.ManagedChannel;
 import io.grpc.StatusRuntimeException;
 import io.grpc.netty.NettyChannelBuilder;
@@ -26,28 +26,28 @@
 import java.util.concurrent.TimeUnit;
 
 /** What operators do to the store, each change only if the record still is as it was read. */
-public final class Ctl implements AutoCloseable {
+public final class EtcdAdmin implements AutoCloseable {
     /** One machine as it stands in the store. */
     public record Row(String name, String state, String kind, String zone, int cell, double freeCores,
             double freeMemory, String address, long revision, String note) { }
 
     /** A record that changed between reading and writing it, or is not there. */
-    public static final class Conflict extends IOException {
+    public static final class ConcurrentUpdateException extends IOException {
         private static final long serialVersionUID = 1L;
 
-        Conflict(String what) {
+        ConcurrentUpdateException(String what) {
             super(what);
         }
     }
 
-    private final Keys keys;
+    private final StoreKeys keys;
     private final List<String> endpoints;
     private final Duration within;
     private ManagedChannel channel;
 
-    public Ctl(List<String> endpoints, String prefix, Duration within) {
+    public EtcdAdmin(List<String> endpoints, String prefix, Duration within) {
         this.endpoints = endpoints;
-        this.keys = new Keys(prefix);
+        this.keys = new StoreKeys(prefix);
         this.within = within;
     }
 
@@ -118,10 +118,10 @@
         }
         List<Row> rows = new ArrayList<>();
         for (KeyValue kv : machines) {
-            Believed.Item i = Schema.item(kv, keys);
+            MachineListReplica.StoreRecord i = StoreRecordCodec.item(kv, keys);
             KeyValue drain = drains.get(i.name());
             String note = i.complaint() != null ? i.complaint() : drain == null ? "" : reason(drain);
-            Believed.Machine m = i.machine();
+            MachineListReplica.Machine m = i.machine();
             rows.add(new Row(i.name(), i.complaint() != null ? "unreadable" : drain != null ? "draining" : "live",
                     m == null ? "" : m.kind(), m == null ? "" : m.zone(), m == null ? 0 : m.cell(),
                     m == null ? 0 : m.freeCores(), m == null ? 0 : m.freeMemory(), m == null ? "" : m.address(),
@@ -132,7 +132,7 @@
 
     private static String reason(KeyValue drain) {
         try {
-            Map<String, Object> f = Schema.fields(drain.getValue().toStringUtf8());
+            Map<String, Object> f = StoreRecordCodec.fields(drain.getValue().toStringUtf8());
             return f.getOrDefault("reason", "") + (f.containsKey("since") ? " since " + f.get("since") : "");
         } catch (IllegalArgumentException e) {
             return "unreadable drain: " + e.getMessage();
@@ -142,19 +142,19 @@
     /** Drains a machine that is there and not draining yet; gives the revision. */
     public long drain(String machine, String reason, Instant now) throws IOException {
         if (read(keys.machine(machine)) == null) {
-            throw new Conflict("no machine '" + machine + "' in the store");
+            throw new ConcurrentUpdateException("no machine '" + machine + "' in the store");
         }
         Map<String, Object> f = new LinkedHashMap<>();
-        f.put("v", (long) Schema.CURRENT);
+        f.put("v", (long) StoreRecordCodec.CURRENT);
         f.put("reason", reason);
         f.put("since", now.toString());
-        return swap(keys.drain(machine), 0, Schema.write(f), "machine '" + machine + "' drains already");
+        return swap(keys.drain(machine), 0, StoreRecordCodec.write(f), "machine '" + machine + "' drains already");
     }
 
     public long undrain(String machine) throws IOException {
         KeyValue old = read(keys.drain(machine));
         if (old == null) {
-            throw new Conflict("machine '" + machine + "' does not drain");
+            throw new ConcurrentUpdateException("machine '" + machine + "' does not drain");
         }
         return swap(keys.drain(machine), old.getModRevision(), null, "the drain of '" + machine
                 + "' was changed meanwhile");
@@ -164,7 +164,7 @@
         Map<String, String> t = new LinkedHashMap<>();
         for (KeyValue kv : all()) {
             String key = kv.getKey().toStringUtf8();
-            if (keys.kind(key) == Believed.Item.Kind.TERM) {
+            if (keys.kind(key) == MachineListReplica.StoreRecord.Kind.TERM) {
                 t.put(keys.name(key) + " @" + kv.getModRevision(), kv.getValue().toStringUtf8());
             }
         }
@@ -189,7 +189,7 @@
                         .setKey(bytes(key)))).build()));
         if (!r.getSucceeded()) {
             var now = r.getResponses(0).getResponseRange();
-            throw new Conflict(otherwise + " (it is at " + (now.getKvsCount() == 0 ? "none"
+            throw new ConcurrentUpdateException(otherwise + " (it is at " + (now.getKvsCount() == 0 ? "none"
                     : "revision " + now.getKvs(0).getModRevision()) + ")");
         }
         return r.getHeader().getRevision();
--- a/src/main/java/fordridge/etcd/EtcdList.java
+++ b/src/main/java/fordridge/etcd/EtcdMachineList.java
@@ -16,13 +16,13 @@
 import fordridge.etcd.api.WatchProgressRequest;
 import fordridge.etcd.api.WatchRequest;
 import fordridge.etcd.api.WatchResponse;
-import fordridge.listing.MachineList;
-import fordridge.membership.Believed;
-import fordridge.membership.Endpoints;
-import fordridge.membership.Headcount;
-import fordridge.membership.Keys;
-import fordridge.settings.Deployment;
-import fordridge.state.Chance;
+import fordridge.discovery.MachineListSource;
+import fordridge.membership.MachineListReplica;
+import fordridge.membership.EndpointRotation;
+import fordridge.membership.SchedulerCount;
+import fordridge.membership.StoreKeys;
+import fordridge.settings.DeploymentSettings;
+import fordridge.model.SeededRandom;
 import io.grpc.ClientInterceptor;
 import io.grpc.ManagedChannel;
 import io.grpc.Metadata;
@@ -54,16 +54,16 @@
 /**
  * The list of machines from etcd: a snapshot by pages at one revision, then a watch from the next on; a broken stream
  * resumes where it stood, a compacted or silent one leads to a new snapshot or another endpoint. What is believed is
- * decided in {@link Believed}; this carries messages, on one thread of its own.
+ * decided in {@link MachineListReplica}; this carries messages, on one thread of its own.
  */
-public final class EtcdList implements MachineList {
-    private static final Logger LOG = LoggerFactory.getLogger(EtcdList.class);
-
-    private final Deployment d;
-    private final Keys keys;
-    private final Believed believed;
-    private final Endpoints endpoints;
-    private final Headcount headcount;
+public final class EtcdMachineList implements MachineListSource {
+    private static final Logger LOG = LoggerFactory.getLogger(EtcdMachineList.class);
+
+    private final DeploymentSettings d;
+    private final StoreKeys keys;
+    private final MachineListReplica believed;
+    private final EndpointRotation endpoints;
+    private final SchedulerCount headcount;
     private final String self;
     private final long begun = System.nanoTime();
     private final List<Consumer<Update>> takers = new CopyOnWriteArrayList<>();
@@ -89,13 +89,13 @@
     private volatile long resyncs;
 
     /** Follows the store; returns once a first whole list is there, or says why none is. */
-    public EtcdList(Deployment d, String self, long seed) throws IOException {
+    public EtcdMachineList(DeploymentSettings d, String self, long seed) throws IOException {
         this.d = d;
         this.self = self;
-        keys = new Keys(d.etcdPrefix);
-        believed = new Believed(d.etcdSilence);
-        endpoints = new Endpoints(d.etcdEndpoints.size(), new Chance(seed));
-        headcount = new Headcount(d.allPlacers(), d.etcdLease);
+        keys = new StoreKeys(d.etcdPrefix);
+        believed = new MachineListReplica(d.etcdSilence);
+        endpoints = new EndpointRotation(d.etcdEndpoints.size(), new SeededRandom(seed));
+        headcount = new SchedulerCount(d.allPlacers(), d.etcdLease);
         placers = headcount.counted();
         thread.execute(this::connect);
         long third = Math.max(5, d.etcdSilence.toMillis() / 3);
@@ -141,7 +141,7 @@
                 .usePlaintext().directExecutor().disableRetry().userAgent("fordridge/" + self).intercept(token(d.etcdToken)).maxInboundMessageSize(64 << 20)
                 .keepAliveTime(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS)
                 .keepAliveTimeout(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS).build();
-        if (believed.revision() > 0 && believed.footing() == Believed.Footing.OLD) {
+        if (believed.revision() > 0 && believed.footing() == MachineListReplica.SyncState.OLD) {
             watchFrom(believed.revision() + 1);
         } else {
             snapshot();
@@ -246,8 +246,8 @@
         if (revision == 0) {
             believed.snapshotBegins(r.getHeader().getClusterId(), at, now());
         }
-        List<Believed.Item> items = new ArrayList<>(r.getKvsCount());
-        r.getKvsList().forEach(k -> items.add(Schema.item(k, keys)));
+        List<MachineListReplica.StoreRecord> items = new ArrayList<>(r.getKvsCount());
+        r.getKvsList().forEach(k -> items.add(StoreRecordCodec.item(k, keys)));
         believed.snapshotPage(items, now());
         // What a page tells is passed on at once: a drain does not wait for the pages behind it.
         if (version > 0) {
@@ -345,10 +345,10 @@
             believed.progress(believed.revision(), now());
             return;
         }
-        boolean wasOld = believed.footing() != Believed.Footing.FOLLOWING;
+        boolean wasOld = believed.footing() != MachineListReplica.SyncState.FOLLOWING;
         for (Event e : fragments) {
             KeyValue kv = e.getKv();
-            believed.event(Schema.item(kv, keys), e.getType() == Event.EventType.DELETE, now());
+            believed.event(StoreRecordCodec.item(kv, keys), e.getType() == Event.EventType.DELETE, now());
         }
         boolean some = !fragments.isEmpty();
         fragments.clear();
@@ -363,7 +363,7 @@
 
     private void guarded() {
         try {
-            if (watch != null && believed.footing() == Believed.Footing.FOLLOWING && believed.silent(now())) {
+            if (watch != null && believed.footing() == MachineListReplica.SyncState.FOLLOWING && believed.silent(now())) {
                 failed("silent for " + d.etcdSilence.toMillis() + "ms");
                 return;
             }
@@ -371,7 +371,7 @@
                 watch.onNext(WatchRequest.newBuilder().setProgressRequest(WatchProgressRequest.getDefaultInstance())
                         .build());
             }
-            if (watch != null && believed.footing() == Believed.Footing.OLD
+            if (watch != null && believed.footing() == MachineListReplica.SyncState.OLD
                     && now().minus(believed.heardAt()).compareTo(d.etcdSilence.multipliedBy(2)) > 0) {
                 failed("no word on a resumed watch");
                 return;
@@ -438,7 +438,7 @@
     }
 
     private void count() {
-        if (d.etcdRegisters && believed.footing() == Believed.Footing.FOLLOWING) {
+        if (d.etcdRegisters && believed.footing() == MachineListReplica.SyncState.FOLLOWING) {
             int n = headcount.heard(believed.placers(), now());
             if (n != placers) {
                 LOG.info("etcd: {} placers share the cluster, {} before", n, placers);
@@ -449,9 +449,9 @@
 
     // ---- What follows ----------------------------------------------------------------------------------
 
-    private Entry entry(Believed.Line l) {
+    private Entry entry(MachineListReplica.MachineUpdate l) {
         Entry before = entries.get(l.name());
-        Believed.Machine m = l.machine();
+        MachineListReplica.Machine m = l.machine();
         int colon = m.address().lastIndexOf(':');
         Instant started = m.startedAtMillis() > 0 ? Instant.ofEpochMilli(m.startedAtMillis())
                 : l.anew() ? Instant.now() : before == null ? null : before.started();
@@ -460,7 +460,7 @@
             started = Instant.now();
         }
         return new Entry(l.name(), new InetSocketAddress(m.address().substring(0, colon), Integer.parseInt(
-                m.address().substring(colon + 1))), m.kind(), m.zone(), m.cell(), l.listing(), m.freeCores(),
+                m.address().substring(colon + 1))), m.kind(), m.zone(), m.cell(), l.lifecycle(), m.freeCores(),
                 m.freeMemory(), started);
     }
 
@@ -476,10 +476,10 @@
     private void passOn(boolean whole) {
         believed.takeComplaints().forEach(c -> LOG.warn("etcd: {}", c));
         List<Entry> changed = new ArrayList<>();
-        for (Believed.Line l : believed.takeChanges(keys)) {
+        for (MachineListReplica.MachineUpdate l : believed.takeChanges(keys)) {
             Entry e = entry(l);
             synchronized (entries) {
-                if (l.listing() == fordridge.state.Machine.Listing.GONE) {
+                if (l.lifecycle() == fordridge.model.Machine.Lifecycle.GONE) {
                     entries.remove(l.name());
                 } else {
                     entries.put(l.name(), e);
--- a/src/main/java/fordridge/etcd/Schema.java
+++ b/src/main/java/fordridge/etcd/StoreRecordCodec.java
@@ -7,9 +7,9 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.google.protobuf.ByteString;
 import fordridge.etcd.api.KeyValue;
-import fordridge.membership.Believed;
-import fordridge.membership.Believed.Item;
-import fordridge.membership.Keys;
+import fordridge.membership.MachineListReplica;
+import fordridge.membership.MachineListReplica.StoreRecord;
+import fordridge.membership.StoreKeys;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.nio.ByteBuffer;
@@ -24,20 +24,20 @@
  * Our records in the store, as JSON with a schema number v. Reads 1 (machines without zone and cell) and 2; writes 2.
  * Fields that it does not know are kept where a record is written again.
  */
-public final class Schema {
+public final class StoreRecordCodec {
     public static final int CURRENT = 2;
     private static final int MOST_BYTES = 64 << 10;
     private static final JsonFactory FACTORY = new JsonFactory();
 
-    private Schema() {
+    private StoreRecordCodec() {
     }
 
     /** Reads a key as far as it can be read; what it cannot is a complaint, never an exception. */
-    public static Item item(KeyValue kv, Keys at) {
+    public static StoreRecord item(KeyValue kv, StoreKeys at) {
         String key = kv.getKey().toStringUtf8();
-        Item.Kind kind = at.kind(key);
-        Believed.Machine machine = null;
-        Believed.Drain drain = null;
+        StoreRecord.Kind kind = at.kind(key);
+        MachineListReplica.Machine machine = null;
+        MachineListReplica.Drain drain = null;
         String text = null;
         String complaint = null;
         try {
@@ -48,15 +48,15 @@
                 throw new IllegalArgumentException(kv.getValue().size() + " bytes, at most " + MOST_BYTES);
             }
             text = utf8(kv.getValue());
-            if (kind == Item.Kind.MACHINE) {
+            if (kind == StoreRecord.Kind.MACHINE) {
                 machine = machine(fields(text));
-            } else if (kind == Item.Kind.DRAIN) {
-                drain = new Believed.Drain(String.valueOf(fields(text).getOrDefault("reason", "")));
+            } else if (kind == StoreRecord.Kind.DRAIN) {
+                drain = new MachineListReplica.Drain(String.valueOf(fields(text).getOrDefault("reason", "")));
             }
         } catch (IllegalArgumentException e) {
             complaint = e.getMessage();
         }
-        return new Item(key, kind, at.name(key), kv.getModRevision(), kv.getCreateRevision(), machine, drain,
+        return new StoreRecord(key, kind, at.name(key), kv.getModRevision(), kv.getCreateRevision(), machine, drain,
                 text == null ? "" : text, complaint);
     }
 
@@ -93,7 +93,7 @@
         return m;
     }
 
-    private static Believed.Machine machine(Map<String, Object> f) {
+    private static MachineListReplica.Machine machine(Map<String, Object> f) {
         long v = whole(f, "v", 1);
         if (v > CURRENT) {
             throw new IllegalArgumentException("schema " + v + ", this placer reads up to " + CURRENT);
@@ -104,7 +104,7 @@
         }
         double cores = number(f, "cores", 0);
         double memory = number(f, "memory", 0);
-        return new Believed.Machine(address, text(f, "kind", null), v < 2 ? "" : text(f, "zone", ""),
+        return new MachineListReplica.Machine(address, text(f, "kind", null), v < 2 ? "" : text(f, "zone", ""),
                 v < 2 ? 0 : (int) whole(f, "cell", 0), cores, memory, number(f, "free_cores", cores),
                 number(f, "free_memory", memory), whole(f, "incarnation", 0), started(text(f, "started", "")));
     }
--- a/src/main/java/fordridge/group/Group.java
+++ b/src/main/java/fordridge/group/VmGroup.java
@@ -14,9 +14,9 @@
  * is still under way is called off, and each is answered at once by what became of it: denied where it never ran or may
  * run again, errored else. A member that ends before the others are bound ends the group too.
  */
-public final class Group {
+public final class VmGroup {
     /** What a group does to its members. */
-    public interface Acts {
+    public interface Actions {
         /** All are here; {@link #go} or {@link #gaveUp} follows when it is known whether they can go together. */
         void whole(List<String> members);
 
@@ -51,13 +51,13 @@
 
     private final String name;
     private final int size;
-    private final Acts acts;
+    private final Actions acts;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final List<String> boundOrder = new ArrayList<>();
     private String failed;
     private boolean told;
 
-    public Group(String name, int size, Acts acts) {
+    public VmGroup(String name, int size, Actions acts) {
         this.name = name;
         this.size = size;
         this.acts = acts;
--- a/src/main/java/fordridge/rpc/ClientService.java
+++ b/src/main/java/fordridge/grpc/ClientService.java
@@ -1,6 +1,6 @@
-package fordridge.rpc;
+package fordridge.grpc;
 
-import fordridge.session.Session;
+import fordridge.session.ClientSession;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.Hello;
 import fordridge.v1.PlacerMessage;
@@ -18,20 +18,20 @@
  */
 public final class ClientService extends PlacingGrpc.PlacingImplBase {
     /** What the placer does for its clients. */
-    public interface Desk {
-        Session hello(String client, String token, long seen, Stream stream);
+    public interface RequestHandler {
+        ClientSession hello(String client, String token, long seen, Stream stream);
 
-        boolean resumed(Session session, String token);
+        boolean resumed(ClientSession session, String token);
 
-        void want(Session session, Want want);
+        void want(ClientSession session, Want want);
 
-        void unwant(Session session, String vm);
+        void unwant(ClientSession session, String vm);
 
-        boolean acknowledge(Session session, long seen);
+        boolean acknowledge(ClientSession session, long seen);
 
-        boolean mayRead(Session session);
+        boolean mayRead(ClientSession session);
 
-        void away(Session session, Stream stream);
+        void away(ClientSession session, Stream stream);
 
         String name();
     }
@@ -39,11 +39,11 @@
     private static final int LONGEST_NAME = 200;
     private static final int LARGEST_GROUP = 100;
 
-    private final Desk desk;
+    private final RequestHandler handler;
     private final int maxMessage;
 
-    public ClientService(Desk desk, int maxMessage) {
-        this.desk = desk;
+    public ClientService(RequestHandler handler, int maxMessage) {
+        this.handler = handler;
         this.maxMessage = maxMessage;
     }
 
@@ -68,7 +68,7 @@
     /** One client's stream. */
     public final class Stream implements StreamObserver<ClientMessage> {
         private final ServerCallStreamObserver<PlacerMessage> to;
-        private Session session;
+        private ClientSession session;
         private boolean over;
         private boolean waiting;
 
@@ -93,10 +93,10 @@
             }
             switch (m.getBodyCase()) {
                 case HELLO -> hello(m.getHello());
-                case WANT -> desk.want(session, m.getWant());
-                case UNWANT -> desk.unwant(session, m.getUnwant().getVm());
+                case WANT -> handler.want(session, m.getWant());
+                case UNWANT -> handler.unwant(session, m.getUnwant().getVm());
                 default -> {
-                    if (!desk.acknowledge(session, m.getAck().getSeen())) {
+                    if (!handler.acknowledge(session, m.getAck().getSeen())) {
                         refuse(Status.INVALID_ARGUMENT.withDescription("ack.seen: " + m.getAck().getSeen()
                                 + " was never sent in this session"));
                         return;
@@ -148,9 +148,9 @@
         }
 
         private void hello(Hello h) {
-            session = desk.hello(h.getClient(), h.getResumeToken(), h.getSeen(), this);
-            to.onNext(PlacerMessage.newBuilder().setWelcome(Welcome.newBuilder().setPlacer(desk.name())
-                    .setResumeToken(session.token).setResumed(desk.resumed(session, h.getResumeToken()))).build());
+            session = handler.hello(h.getClient(), h.getResumeToken(), h.getSeen(), this);
+            to.onNext(PlacerMessage.newBuilder().setWelcome(Welcome.newBuilder().setPlacer(handler.name())
+                    .setResumeToken(session.token).setResumed(handler.resumed(session, h.getResumeToken()))).build());
         }
 
         /** Writes what the session has to say while the transport takes it, then reads on if it may. */
@@ -159,13 +159,13 @@
                 return;
             }
             while (to.isReady()) {
-                Session.Told told = session.next();
+                ClientSession.NumberedResponse told = session.next();
                 if (told == null) {
                     break;
                 }
-                to.onNext(Words.message(told));
+                to.onNext(ProtoConversions.message(told));
             }
-            if (waiting && desk.mayRead(session)) {
+            if (waiting && handler.mayRead(session)) {
                 waiting = false;
                 to.request(1);
             }
@@ -188,7 +188,7 @@
             if (!over) {
                 over = true;
                 if (session != null) {
-                    desk.away(session, this);
+                    handler.away(session, this);
                 }
             }
         }
--- a/src/main/java/fordridge/rpc/NotePost.java
+++ b/src/main/java/fordridge/grpc/GossipSocket.java
@@ -1,4 +1,4 @@
-package fordridge.rpc;
+package fordridge.grpc;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -18,13 +18,13 @@
  * Notes between placers, each a datagram: late, lost or doubled ones do no harm, and a placer that is down holds
  * nobody up. Only what comes from a placer that the settings name is read, and nothing longer than a note may be.
  */
-public final class NotePost implements AutoCloseable {
+public final class GossipSocket implements AutoCloseable {
     private static final int MOST = 256;
 
     private final Channel channel;
     private final List<InetSocketAddress> others;
 
-    public NotePost(EventLoop loop, InetSocketAddress at, List<InetSocketAddress> others, Consumer<String> heard)
+    public GossipSocket(EventLoop loop, InetSocketAddress at, List<InetSocketAddress> others, Consumer<String> heard)
             throws IOException {
         this.others = List.copyOf(others);
         try {
@@ -32,7 +32,7 @@
                     .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                         @Override
                         protected void channelRead0(ChannelHandlerContext c, DatagramPacket p) {
-                            if (p.content().readableBytes() <= MOST && NotePost.this.others.contains(p.sender())) {
+                            if (p.content().readableBytes() <= MOST && GossipSocket.this.others.contains(p.sender())) {
                                 heard.accept(p.content().toString(StandardCharsets.UTF_8));
                             }
                         }
--- a/src/main/java/fordridge/rpc/MachineStream.java
+++ b/src/main/java/fordridge/grpc/GrpcMachineTransport.java
@@ -1,7 +1,7 @@
-package fordridge.rpc;
+package fordridge.grpc;
 
-import fordridge.link.Link;
-import fordridge.state.Claim;
+import fordridge.machine.MachineStream;
+import fordridge.model.PlacementAttempt;
 import fordridge.v1.Cancel;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Greeting;
@@ -28,9 +28,9 @@
  * The stream to one machine on gRPC: a channel for each stream, opened and closed as the link says. What happens on
  * it is handed over with the stream's number, so that a late word of an old stream is known as such.
  */
-public final class MachineStream implements Link.Line {
+public final class GrpcMachineTransport implements MachineStream.Transport {
     /** Whom the stream tells; on the placer's loop, in the order of the socket. */
-    public interface Heard {
+    public interface Listener {
         void holding(fordridge.v1.Holding holding);
 
         void said(FromMachine message);
@@ -41,8 +41,8 @@
     }
 
     /** How an offer is filled in beyond the claim's own fields. */
-    public interface Describe {
-        void fill(Claim claim, Offer.Builder offer);
+    public interface VmDescriber {
+        void fill(PlacementAttempt attempt, Offer.Builder offer);
     }
 
     private final String placer;
@@ -50,16 +50,16 @@
     private final Duration connectTimeout;
     private final Duration keepalive;
     private final int maxMessage;
-    private final Heard heard;
-    private final Describe describe;
+    private final Listener heard;
+    private final VmDescriber describe;
     private InetSocketAddress address;
     private ManagedChannel channel;
     private ClientCallStreamObserver<ToMachine> to;
     private int generation;
     private long probes;
 
-    public MachineStream(String placer, EventLoop loop, Duration connectTimeout, Duration keepalive, int maxMessage,
-            Heard heard, Describe describe) {
+    public GrpcMachineTransport(String placer, EventLoop loop, Duration connectTimeout, Duration keepalive, int maxMessage,
+            Listener heard, VmDescriber describe) {
         this.placer = placer;
         this.loop = loop;
         this.connectTimeout = connectTimeout;
@@ -181,25 +181,25 @@
     }
 
     @Override
-    public void offer(Claim claim, Link.Name name, Duration within) {
-        Offer.Builder o = Offer.newBuilder().setClaim(Words.name(name)).setFlavour(claim.vm.flavour)
-                .setService(claim.vm.service).setCustomer(claim.vm.customer).setCores(claim.vm.cores)
-                .setMemory(claim.vm.memory).setWithinUs(Words.micros(within));
-        if (claim.vm.lasts != null) {
-            o.setLastsUs(Words.micros(claim.vm.lasts));
+    public void offer(PlacementAttempt attempt, MachineStream.AttemptId name, Duration within) {
+        Offer.Builder o = Offer.newBuilder().setClaim(ProtoConversions.name(name)).setFlavour(attempt.vm.priorityClass)
+                .setService(attempt.vm.service).setCustomer(attempt.vm.tenant).setCores(attempt.vm.cores)
+                .setMemory(attempt.vm.memory).setWithinUs(ProtoConversions.micros(within));
+        if (attempt.vm.expectedLifetime != null) {
+            o.setLastsUs(ProtoConversions.micros(attempt.vm.expectedLifetime));
         }
-        describe.fill(claim, o);
+        describe.fill(attempt, o);
         write(ToMachine.newBuilder().setOffer(o));
     }
 
     @Override
-    public void cancel(Link.Name name) {
-        write(ToMachine.newBuilder().setCancel(Cancel.newBuilder().setClaim(Words.name(name))));
+    public void cancel(MachineStream.AttemptId name) {
+        write(ToMachine.newBuilder().setCancel(Cancel.newBuilder().setClaim(ProtoConversions.name(name))));
     }
 
     @Override
-    public void stop(Link.Name name) {
-        write(ToMachine.newBuilder().setStop(Stop.newBuilder().setClaim(Words.name(name))));
+    public void stop(MachineStream.AttemptId name) {
+        write(ToMachine.newBuilder().setStop(Stop.newBuilder().setClaim(ProtoConversions.name(name))));
     }
 
     @Override
--- a/src/main/java/fordridge/rpc/OperateService.java
+++ b/src/main/java/fordridge/grpc/OperatorService.java
@@ -1,6 +1,6 @@
-package fordridge.rpc;
+package fordridge.grpc;
 
-import fordridge.constraint.Book;
+import fordridge.constraint.ConstraintIndex;
 import fordridge.v1.ExplainReply;
 import fordridge.v1.ExplainRequest;
 import fordridge.v1.Misfit;
@@ -11,13 +11,13 @@
 import java.util.List;
 
 /** What operators ask, answered from the book of rules on the placer's loop. */
-public final class OperateService extends OperatingGrpc.OperatingImplBase {
+public final class OperatorService extends OperatingGrpc.OperatingImplBase {
     /** A VM that runs: its claim, whose it is, what it is one of, and where. */
-    public record Running(Object claim, String customer, String flavour, long service, String machine) { }
+    public record Running(Object attempt, String tenant, String priorityClass, long service, String machine) { }
 
     /** The placer's side of it. */
-    public interface Books {
-        Book book();
+    public interface ClusterView {
+        ConstraintIndex book();
 
         int rulesVersion();
 
@@ -25,21 +25,21 @@
         List<String> machines();
 
         /** A VM's name and its machine's, for a claim that the book counts. */
-        List<String> named(Object claim);
+        List<String> named(Object attempt);
 
         /** A VM that is out or runs, by CLIENT/VM; null for others. */
         Running running(String vm);
     }
 
-    private final Books books;
+    private final ClusterView books;
 
-    public OperateService(Books books) {
+    public OperatorService(ClusterView books) {
         this.books = books;
     }
 
     @Override
     public void explain(ExplainRequest r, StreamObserver<ExplainReply> to) {
-        Book book = books.book();
+        ConstraintIndex book = books.book();
         ExplainReply.Builder b = ExplainReply.newBuilder().setVersion(books.rulesVersion());
         Running vm = r.getVm().isEmpty() ? new Running(null, r.getCustomer(), r.getFlavour(), r.getService(), "")
                 : books.running(r.getVm());
@@ -48,28 +48,28 @@
             return;
         }
         b.setRunsOn(vm.machine);
-        book.without(vm.claim, () -> {
+        book.without(vm.attempt, () -> {
             for (String m : books.machines()) {
                 Spot.Builder s = Spot.newBuilder().setMachine(m)
-                        .setAllowed(book.allows(vm.customer, vm.flavour, vm.service, m))
-                        .setUnfit(book.unfit(vm.customer, vm.flavour, vm.service, m));
-                book.why(vm.customer, vm.flavour, vm.service, m).forEach(w -> s.addReasons(words(w)));
+                        .setAllowed(book.allows(vm.tenant, vm.priorityClass, vm.service, m))
+                        .setUnfit(book.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, m));
+                book.why(vm.tenant, vm.priorityClass, vm.service, m).forEach(w -> s.addReasons(words(w)));
                 b.addSpots(s);
             }
         });
-        book.misfits().forEach((claim, why) -> b.addMisfits(misfit(claim, why)));
-        book.strayed(Book.MOST_STRAYED).forEach((claim, why) -> b.addStrayed(misfit(claim, why)));
+        book.misfits().forEach((attempt, why) -> b.addMisfits(misfit(attempt, why)));
+        book.strayed(ConstraintIndex.MOST_STRAYED).forEach((attempt, why) -> b.addStrayed(misfit(attempt, why)));
         to.onNext(b.build());
         to.onCompleted();
     }
 
-    private Misfit misfit(Object claim, List<Book.Reason> why) {
-        List<String> named = books.named(claim);
+    private Misfit misfit(Object attempt, List<ConstraintIndex.Reason> why) {
+        List<String> named = books.named(attempt);
         return Misfit.newBuilder().setVm(named.get(0)).setMachine(named.get(1))
-                .addAllReasons(why.stream().map(OperateService::words).toList()).build();
+                .addAllReasons(why.stream().map(OperatorService::words).toList()).build();
     }
 
-    private static String words(Book.Reason w) {
+    private static String words(ConstraintIndex.Reason w) {
         return (w.rule() == null ? "" : "rule '" + w.rule().name() + "' ") + w.what();
     }
 }
--- a/src/main/java/fordridge/jsonl/Front.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -1,4 +1,4 @@
-package fordridge.jsonl;
+package fordridge.json;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -26,7 +26,7 @@
  * Where owners connect. Every connection is bounded: one read of a line's length at a turn, so that none is read at
  * the others' cost; output that is not taken in; time without anything asked for; and their number.
  */
-public final class Front {
+public final class ClientServer {
     /** Closed well within the three seconds in which whoever says nothing useful must hear something. */
     private static final Duration SILENT = Duration.ofMillis(2000);
     private static final Duration SWEEP = Duration.ofMillis(250);
@@ -36,30 +36,30 @@
      * Output that the owner doesn't take in: with so much of it the connection is closed. It is read all the while: an
      * owner that is not read from can't be seen to leave, and what it asked for would go on being offered.
      */
-    private static final int UNREAD = 4 * Lines.LONGEST;
+    private static final int UNREAD = 4 * LineCodec.LONGEST;
 
     /** Whom the front tells, on its loop, in the order of the sockets. */
-    public interface Desk {
-        void asks(Owner owner, String id, Map<String, Object> fields, String description);
+    public interface ClientRequestHandler {
+        void asks(ClientConnection owner, String id, Map<String, Object> fields, String description);
 
         /** Given up, or ended if it stands. */
-        void ends(Owner owner, String id, int cause);
+        void ends(ClientConnection owner, String id, int cause);
 
         boolean ready();
 
         /** All that is in hand on this connection is given up. */
-        void closed(Owner owner);
+        void closed(ClientConnection owner);
 
         /** Whether anything that was asked for on it is in hand or stands. */
-        boolean busy(Owner owner);
+        boolean busy(ClientConnection owner);
 
         /** The owner heard that this is over. */
-        default void hears(Owner owner, String id) {
+        default void hears(ClientConnection owner, String id) {
         }
     }
 
     /** One connection of an owner. */
-    public final class Owner extends Lines {
+    public final class ClientConnection extends LineCodec {
         private Channel channel;
         private long usedNanos = System.nanoTime();
         private boolean dismissed;
@@ -81,7 +81,7 @@
         /** At once, not when the loop gets to it: in a crowd one that is on its way out would make room again and again. */
         private void leaves() {
             if (owners.remove(this)) {
-                desk.closed(this);
+                handler.closed(this);
             }
         }
 
@@ -99,11 +99,11 @@
             switch (type) {
                 case "new" -> {
                     used();
-                    desk.asks(this, id, fields, description);
+                    handler.asks(this, id, fields, description);
                 }
-                case "down" -> desk.ends(this, id, cause);
-                case "hb" -> write("hb_ok", id, desk.ready() ? 1 : 0, null);
-                case "ack" -> desk.hears(this, id);
+                case "down" -> handler.ends(this, id, cause);
+                case "hb" -> write("hb_ok", id, handler.ready() ? 1 : 0, null);
+                case "ack" -> handler.hears(this, id);
                 case "tell", "wait", "hb_ok", "shift" -> { }
                 default -> spoilt("line: field 't' is not a known word");
             }
@@ -143,7 +143,7 @@
                 leaves();
                 return;
             }
-            ByteBuf line = Lines.line(channel, type, id, cause, description, fields);
+            ByteBuf line = LineCodec.line(channel, type, id, cause, description, fields);
             used();
             channel.write(line, channel.voidPromise());
             wet.add(this);
@@ -164,16 +164,16 @@
     }
 
     private final EventLoopGroup loop;
-    private final Desk desk;
+    private final ClientRequestHandler handler;
     private int most;
-    private final Set<Owner> owners = new LinkedHashSet<>();
-    private final Set<Owner> wet = new LinkedHashSet<>();
+    private final Set<ClientConnection> owners = new LinkedHashSet<>();
+    private final Set<ClientConnection> wet = new LinkedHashSet<>();
     private Channel server;
 
     /** At most so many connections are held. */
-    public Front(EventLoopGroup loop, Desk desk, int most) {
+    public ClientServer(EventLoopGroup loop, ClientRequestHandler handler, int most) {
         this.loop = loop;
-        this.desk = desk;
+        this.handler = handler;
         this.most = most;
     }
 
@@ -185,7 +185,7 @@
                 .childHandler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
                     protected void initChannel(NioSocketChannel ch) {
-                        new Owner().into(ch.pipeline());
+                        new ClientConnection().into(ch.pipeline());
                     }
                 });
         loop.next().scheduleAtFixedRate(this::sweep, SWEEP.toMillis(), SWEEP.toMillis(), TimeUnit.MILLISECONDS);
@@ -199,8 +199,8 @@
     }
 
     /** One owner's end of a channel that needs no socket. */
-    public static void embed(Desk desk, ChannelPipeline pipeline) {
-        Owner o = new Front(null, desk, 1).new Owner();
+    public static void embed(ClientRequestHandler handler, ChannelPipeline pipeline) {
+        ClientConnection o = new ClientServer(null, handler, 1).new ClientConnection();
         o.into(pipeline);
         o.channelActive(pipeline.firstContext());
     }
@@ -229,18 +229,18 @@
 
     private void sweep() {
         long now = System.nanoTime();
-        for (Owner o : List.copyOf(owners)) {
-            if (now - o.usedNanos > SILENT.toNanos() && !desk.busy(o)) {
+        for (ClientConnection o : List.copyOf(owners)) {
+            if (now - o.usedNanos > SILENT.toNanos() && !handler.busy(o)) {
                 o.close();
             }
         }
     }
 
     /** Over the bound, the one that has been idle longest goes; the newcomer itself if all are in use. */
-    private void makeRoom(Owner newcomer) {
-        Owner goes = newcomer;
-        for (Owner o : new ArrayList<>(owners)) {
-            if (o != newcomer && !desk.busy(o) && (goes == newcomer || o.usedNanos < goes.usedNanos)) {
+    private void makeRoom(ClientConnection newcomer) {
+        ClientConnection goes = newcomer;
+        for (ClientConnection o : new ArrayList<>(owners)) {
+            if (o != newcomer && !handler.busy(o) && (goes == newcomer || o.usedNanos < goes.usedNanos)) {
                 goes = o;
             }
         }
@@ -251,6 +251,6 @@
         if (server != null) {
             server.close();
         }
-        List.copyOf(owners).forEach(Owner::close);
+        List.copyOf(owners).forEach(ClientConnection::close);
     }
 }
--- a/src/main/java/fordridge/jsonl/JournalTail.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -1,4 +1,4 @@
-package fordridge.jsonl;
+package fordridge.json;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -25,7 +25,7 @@
  * Follows the journal from the number held, over any number of connections: broken off, silent or told something that
  * can't be read, it asks again from there; what is told twice is passed over.
  */
-public final class JournalTail {
+public final class EndpointWatcher {
     /** A number comes every second; without it for this long the journal is taken to have stopped. */
     private static final Duration SILENT = Duration.ofMillis(1700);
     private static final Duration RETRY = Duration.ofMillis(100);
@@ -36,12 +36,12 @@
     private static final int READS = 64;
 
     /** Whom it tells. */
-    public interface Reader {
+    public interface Listener {
         /** One change to the list of machines; Malformed if it can't be. */
         void event(Map<String, Object> hosts);
     }
 
-    private final class Wire extends SimpleChannelInboundHandler<ByteBuf> {
+    private final class ConnectionHandler extends SimpleChannelInboundHandler<ByteBuf> {
         private long heardNanos = System.nanoTime();
         private Channel channel;
         /** It said what can't be taken: what came behind that in the same breath is asked for again with it. */
@@ -62,11 +62,11 @@
             String text = line.toString(StandardCharsets.UTF_8).trim();
             try {
                 if (text.startsWith("{")) {
-                    event(Json.line(text));
+                    event(JsonFields.line(text));
                 } else if (!text.isEmpty() && Long.parseLong(text) > pos) {
-                    throw new Json.Malformed("the journal is at " + text + ", and told only up to " + pos);
+                    throw new JsonFields.MalformedInputException("the journal is at " + text + ", and told only up to " + pos);
                 }
-            } catch (Json.Malformed | NumberFormatException | IOException e) {
+            } catch (JsonFields.MalformedInputException | NumberFormatException | IOException e) {
                 log.accept("journal: " + e.getMessage());
                 spoilt = true;
                 ctx.close();
@@ -85,17 +85,17 @@
     }
 
     private final EventLoopGroup loop;
-    private final Reader reader;
+    private final Listener reader;
     private final Consumer<String> log;
     private InetSocketAddress address;
     private long pos;
     /** The number after which a gap was seen last. */
     private long gapAfter = -1;
-    private Wire wire;
+    private ConnectionHandler wire;
     private boolean closed;
 
     /** To be called on the loop, as all else here. */
-    public JournalTail(EventLoopGroup loop, long pos, Reader reader, Consumer<String> log) {
+    public EndpointWatcher(EventLoopGroup loop, long pos, Listener reader, Consumer<String> log) {
         this.loop = loop;
         this.pos = pos;
         this.reader = reader;
@@ -113,7 +113,7 @@
             return;
         }
         address = at;
-        Wire old = wire;
+        ConnectionHandler old = wire;
         wire = null;
         if (old != null) {
             old.channel.close();
@@ -129,23 +129,23 @@
     }
 
     private void event(Map<String, Object> event) {
-        long at = Json.whole(event, "pos", "event");
+        long at = JsonFields.whole(event, "pos", "event");
         if (at <= pos) {
             return;
         }
-        Map<String, Object> hosts = Json.object(event.get("hosts"), "event.hosts");
+        Map<String, Object> hosts = JsonFields.object(event.get("hosts"), "event.hosts");
         // A gap is asked for once more: what was skipped may be a drain. A whole list needs nothing before it, and a
         // journal that has no more than that to tell is believed.
-        if (at > pos + 1 && !Json.flag(hosts, "complete", "event.hosts") && gapAfter != pos) {
+        if (at > pos + 1 && !JsonFields.flag(hosts, "complete", "event.hosts") && gapAfter != pos) {
             gapAfter = pos;
-            throw new Json.Malformed("the journal went from " + pos + " to " + at);
+            throw new JsonFields.MalformedInputException("the journal went from " + pos + " to " + at);
         }
         reader.event(hosts);
         pos = at;
     }
 
     private void connect() {
-        Wire w = new Wire();
+        ConnectionHandler w = new ConnectionHandler();
         wire = w;
         ChannelFuture f = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -165,7 +165,7 @@
         });
     }
 
-    private void again(Wire of) {
+    private void again(ConnectionHandler of) {
         if (of == wire && !closed) {
             wire = null;
             loop.next().schedule(() -> {
@@ -177,7 +177,7 @@
     }
 
     private void watch() {
-        Wire w = wire;
+        ConnectionHandler w = wire;
         if (w != null && w.channel.isActive() && System.nanoTime() - w.heardNanos > SILENT.toNanos()) {
             log.accept("journal: silent; asked again from " + pos);
             w.channel.close();
--- a/src/main/java/fordridge/jsonl/Json.java
+++ b/src/main/java/fordridge/json/JsonFields.java
@@ -1,4 +1,4 @@
-package fordridge.jsonl;
+package fordridge.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -13,12 +13,12 @@
 import java.util.Map;
 
 /** Reads one line of JSON into plain values, and takes typed fields out of them with plain complaints. */
-public final class Json {
+public final class JsonFields {
     /** A line that the wire does not allow; the message says what and where. */
-    public static final class Malformed extends RuntimeException {
+    public static final class MalformedInputException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        public Malformed(String what) {
+        public MalformedInputException(String what) {
             super(what, null, false, false);
         }
     }
@@ -31,7 +31,7 @@
             .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).maxNumberLength(64).build())
             .build();
 
-    private Json() {
+    private JsonFields() {
     }
 
     public static Map<String, Object> line(String text) throws IOException {
@@ -46,15 +46,15 @@
     private static Map<String, Object> line(JsonFactory factory, String text) throws IOException {
         try (JsonParser in = factory.createParser(text)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
-                throw new Malformed("the line is not a JSON object");
+                throw new MalformedInputException("the line is not a JSON object");
             }
             Map<String, Object> top = object(in);
             if (in.nextToken() != null) {
-                throw new Malformed("more follows the JSON object");
+                throw new MalformedInputException("more follows the JSON object");
             }
             return top;
         } catch (JsonProcessingException e) {
-            throw new Malformed("the line is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
+            throw new MalformedInputException("the line is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
         }
     }
 
@@ -97,13 +97,13 @@
     private static Object needed(Map<String, Object> from, String name, String where) {
         Object v = from.get(name);
         if (v == null) {
-            throw new Malformed(where + ": field '" + name + "' is missing");
+            throw new MalformedInputException(where + ": field '" + name + "' is missing");
         }
         return v;
     }
 
-    private static Malformed wrong(String name, String where, String wanted) {
-        return new Malformed(where + ": field '" + name + "' is not " + wanted);
+    private static MalformedInputException wrong(String name, String where, String wanted) {
+        return new MalformedInputException(where + ": field '" + name + "' is not " + wanted);
     }
 
     public static long whole(Map<String, Object> from, String name, String where) {
@@ -155,7 +155,7 @@
         if (v instanceof Map) {
             return (Map<String, Object>) v;
         }
-        throw new Malformed(where + " is not an object");
+        throw new MalformedInputException(where + " is not an object");
     }
 
     @SuppressWarnings("unchecked")
--- a/src/main/java/fordridge/jsonl/Lines.java
+++ b/src/main/java/fordridge/json/LineCodec.java
@@ -1,4 +1,4 @@
-package fordridge.jsonl;
+package fordridge.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -21,7 +21,7 @@
  * One end of a connection of JSON lines: bounded lines, strict UTF-8 and JSON, ids of 16 hex digits. What can't be
  * read is told once, and nothing after it is looked at.
  */
-abstract class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+abstract class LineCodec extends SimpleChannelInboundHandler<ByteBuf> {
     /** The longest line, its line feed not counted. */
     static final int LONGEST = 16 * 1024;
 
@@ -59,32 +59,32 @@
                 trace(ctx.channel(), "<", line);
             }
             read(line);
-        } catch (Json.Malformed | IOException e) {
+        } catch (JsonFields.MalformedInputException | IOException e) {
             spoilt(e.getMessage());
         }
     }
 
     private void read(ByteBuf line) throws IOException {
         String text = text(line);
-        Map<String, Object> m = Json.strict(text);
-        String type = Json.text(m, "t", "line");
-        String id = Json.text(m, "ref", "line");
+        Map<String, Object> m = JsonFields.strict(text);
+        String type = JsonFields.text(m, "t", "line");
+        String id = JsonFields.text(m, "ref", "line");
         if (!ID.matcher(id).matches()) {
-            throw new Json.Malformed("line: field 'ref' is not 16 hex digits");
+            throw new JsonFields.MalformedInputException("line: field 'ref' is not 16 hex digits");
         }
-        Map<String, Object> fields = m.get("f") == null ? NONE : Json.object(m.get("f"), "line.f");
+        Map<String, Object> fields = m.get("f") == null ? NONE : JsonFields.object(m.get("f"), "line.f");
         for (Object v : fields.values()) {
             if (!(v instanceof String) && !(v instanceof Number)) {
-                throw new Json.Malformed("line.f: a field is neither a string nor a number");
+                throw new JsonFields.MalformedInputException("line.f: a field is neither a string nor a number");
             }
         }
-        long cause = Json.whole(m, "c", "line", -1);
+        long cause = JsonFields.whole(m, "c", "line", -1);
         if (cause < -1 || cause > 127) {
-            throw new Json.Malformed("line: field 'c' is out of range");
+            throw new JsonFields.MalformedInputException("line: field 'c' is out of range");
         }
-        String d = Json.text(m, "d", "line", null);
+        String d = JsonFields.text(m, "d", "line", null);
         if (d != null && !StandardCharsets.UTF_8.newEncoder().canEncode(d)) {
-            throw new Json.Malformed("line: field 'd' has half a character");
+            throw new JsonFields.MalformedInputException("line: field 'd' has half a character");
         }
         said(type, id, fields, (int) cause, d);
     }
@@ -93,7 +93,7 @@
         try {
             return StandardCharsets.UTF_8.newDecoder().decode(line.nioBuffer()).toString();
         } catch (CharacterCodingException e) {
-            throw new Json.Malformed("the line is not UTF-8");
+            throw new JsonFields.MalformedInputException("the line is not UTF-8");
         }
     }
 
--- a/src/main/java/fordridge/jsonl/MachineLine.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -1,10 +1,10 @@
-package fordridge.jsonl;
+package fordridge.json;
 
-import fordridge.link.Trunk;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Vm;
+import fordridge.machine.MachineConnectionPool;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Vm;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -23,23 +23,23 @@
 import java.util.function.Function;
 
 /** The connections to one machine. It hands over what is said on each, and writes what the trunk wants written. */
-public final class MachineLine implements Trunk.Line {
+public final class MachineClient implements MachineConnectionPool.Transport {
     /** Whom the connections tell; on the placer's loop, in the order of the sockets. */
-    public interface Heard {
+    public interface Listener {
         /** Any whole line. */
         void line();
 
-        void connected(Trunk.Connection s);
+        void connected(MachineConnectionPool.Connection s);
 
-        void failed(Trunk.Connection s, boolean refused);
+        void failed(MachineConnectionPool.Connection s, boolean refused);
 
-        void broke(Trunk.Connection s, String why);
+        void broke(MachineConnectionPool.Connection s, String why);
 
-        void stands(Trunk.Connection s, String vm, String description);
+        void stands(MachineConnectionPool.Connection s, String vm, String description);
 
-        void ended(Trunk.Connection s, String vm, End before, End after, Why why);
+        void ended(MachineConnectionPool.Connection s, String vm, Outcome before, Outcome after, OutcomeReason why);
 
-        void probed(Trunk.Connection s, boolean ok, boolean told);
+        void probed(MachineConnectionPool.Connection s, boolean ok, boolean told);
 
         void note(String vm, String what, double amount);
 
@@ -47,13 +47,13 @@
     }
 
     /** How many connections there may be, over all machines. */
-    public static final class Share {
+    public static final class ConnectionQuota {
         private int most;
         private int open;
         /** Of these, closed from here and read to their end. */
         private int leaving;
 
-        public Share(int most) {
+        public ConnectionQuota(int most) {
             this.most = most;
         }
 
@@ -75,8 +75,8 @@
         }
     }
 
-    private final class Wire extends Lines {
-        final Trunk.Connection connection;
+    private final class ConnectionHandler extends LineCodec {
+        final MachineConnectionPool.Connection connection;
         Channel channel;
         boolean up;
         /** Nothing more is to be concluded of it as a connection. */
@@ -84,7 +84,7 @@
         /** Closed from here, and read to its end. */
         boolean leaving;
 
-        Wire(Trunk.Connection connection) {
+        ConnectionHandler(MachineConnectionPool.Connection connection) {
             this.connection = connection;
         }
 
@@ -151,7 +151,7 @@
                 }
                 case "down" -> {
                     write("ack", id, -1, null);
-                    Why why = WHYS.getOrDefault(String.valueOf(fields.get("note")), Why.UNTOLD);
+                    OutcomeReason why = WHYS.getOrDefault(String.valueOf(fields.get("note")), OutcomeReason.UNSPECIFIED);
                     heard.ended(connection, id, before(cause), after(cause), why);
                 }
                 case "tell" -> heard.note(id, String.valueOf(fields.get("note")),
@@ -165,26 +165,26 @@
 
         void write(String type, String id, int cause, String description, String... fields) {
             if (channel.isActive() && !leaving) {
-                channel.writeAndFlush(Lines.line(channel, type, id, cause, description, fields),
+                channel.writeAndFlush(LineCodec.line(channel, type, id, cause, description, fields),
                         channel.voidPromise());
             }
         }
     }
 
-    private static final Map<String, Why> WHYS = Map.of("nc", Why.NO_CORES, "nm", Why.NO_MEMORY, "nq", Why.LINE_FULL,
-            "nh", Why.NOT_HERE, "ev", Why.EVICTED, "pre", Why.PUSHED_OUT, "dr", Why.SENT_AWAY);
+    private static final Map<String, OutcomeReason> WHYS = Map.of("nc", OutcomeReason.INSUFFICIENT_CORES, "nm", OutcomeReason.INSUFFICIENT_MEMORY, "nq", OutcomeReason.QUEUE_FULL,
+            "nh", OutcomeReason.NOT_ELIGIBLE, "ev", OutcomeReason.EVICTED, "pre", OutcomeReason.PREEMPTED, "dr", OutcomeReason.DRAINED);
 
     private static final Duration LINGERS = Duration.ofMillis(1000);
 
     private final EventLoopGroup loop;
-    private final Share share;
+    private final ConnectionQuota share;
     private Duration timeout;
-    private final Heard heard;
-    private final Function<Vm, Carried> carried;
+    private final Listener heard;
+    private final Function<Vm, RequestPayload> carried;
     private InetSocketAddress address;
     private long probes;
 
-    public MachineLine(EventLoopGroup loop, Share share, Duration timeout, Function<Vm, Carried> carried, Heard heard) {
+    public MachineClient(EventLoopGroup loop, ConnectionQuota share, Duration timeout, Function<Vm, RequestPayload> carried, Listener heard) {
         this.loop = loop;
         this.share = share;
         this.timeout = timeout;
@@ -203,22 +203,22 @@
     }
 
     /** Each cause as a set-up ends by it. */
-    private static End before(int cause) {
+    private static Outcome before(int cause) {
         return switch (cause) {
-            case 34 -> End.FULL;
-            case 47 -> End.ERROR;
-            case 102 -> End.MOOT;
-            default -> End.RESET;
+            case 34 -> Outcome.FULL;
+            case 47 -> Outcome.ERROR;
+            case 102 -> Outcome.MOOT;
+            default -> Outcome.RESET;
         };
     }
 
     /** And as what stands ends by it; null for a late word on a set-up that was given up. */
-    private static End after(int cause) {
+    private static Outcome after(int cause) {
         return switch (cause) {
-            case 16 -> End.DONE;
-            case 31 -> End.CANCELLED;
+            case 16 -> Outcome.DONE;
+            case 31 -> Outcome.CANCELLED;
             case 34, 47, 102 -> null;
-            default -> End.RESET;
+            default -> Outcome.RESET;
         };
     }
 
@@ -236,8 +236,8 @@
     }
 
     @Override
-    public void open(Trunk.Connection s) {
-        Wire w = new Wire(s);
+    public void open(MachineConnectionPool.Connection s) {
+        ConnectionHandler w = new ConnectionHandler(s);
         s.wire = w;
         share.open++;
         ChannelFuture f = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -265,15 +265,15 @@
     }
 
     @Override
-    public void close(Trunk.Connection s) {
-        Wire w = (Wire) s.wire;
+    public void close(MachineConnectionPool.Connection s) {
+        ConnectionHandler w = (ConnectionHandler) s.wire;
         w.over = true;
         if (w.channel.isActive()) {
             // What the machine writes in this moment would be lost with the connection, and a VM's end is told once:
             // so only our side is closed, and the rest is read until the machine closes its own.
             w.leaving = true;
             share.leaving++;
-            Lines.trace(w.channel, "closing");
+            LineCodec.trace(w.channel, "closing");
             ((SocketChannel) w.channel).shutdownOutput();
             w.channel.eventLoop().schedule(() -> w.channel.close(), LINGERS.toMillis(), TimeUnit.MILLISECONDS);
         } else {
@@ -282,27 +282,27 @@
     }
 
     @Override
-    public void setUp(Trunk.Connection s, Claim claim, Duration within) {
-        Carried c = carried.apply(claim.vm);
-        ((Wire) s.wire).write("new", claim.vm.id, -1, c.description, "class", claim.vm.flavour, "key", c.key, "idem", c.token,
+    public void setUp(MachineConnectionPool.Connection s, PlacementAttempt attempt, Duration within) {
+        RequestPayload c = carried.apply(attempt.vm);
+        ((ConnectionHandler) s.wire).write("new", attempt.vm.id, -1, c.description, "class", attempt.vm.priorityClass, "key", c.key, "idem", c.token,
                 "left", Long.toString(Math.max(1, within.toMillis())));
     }
 
     @Override
-    public void giveUp(Trunk.Connection s, String vm) {
-        ((Wire) s.wire).write("down", vm, 16, null);
+    public void giveUp(MachineConnectionPool.Connection s, String vm) {
+        ((ConnectionHandler) s.wire).write("down", vm, 16, null);
     }
 
     @Override
-    public void cut(Trunk.Connection s, String vm) {
-        ((Wire) s.wire).write("down", vm, 31, null);
+    public void cut(MachineConnectionPool.Connection s, String vm) {
+        ((ConnectionHandler) s.wire).write("down", vm, 31, null);
     }
 
     @Override
-    public void probe(Trunk.Connection s) {
-        ((Wire) s.wire).write("hb", String.format("%016x", ++probes), 1, null);
+    public void probe(MachineConnectionPool.Connection s) {
+        ((ConnectionHandler) s.wire).write("hb", String.format("%016x", ++probes), 1, null);
     }
 
     /** What is passed on of an ask, byte for byte; the token of a tokened one, or null. */
-    public record Carried(String key, String token, String description) { }
+    public record RequestPayload(String key, String token, String description) { }
 }
--- a/src/main/java/fordridge/link/Trunk.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -1,9 +1,9 @@
-package fordridge.link;
+package fordridge.machine;
 
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -25,7 +25,7 @@
  * with it. What stands is lost on the machine's own word, on the list's, or when the machine is dead: it refuses
  * connections twice in a row, or is silent and lets no connection come up for a while.
  */
-public final class Trunk {
+public final class MachineConnectionPool {
     /** One connection to the machine. */
     public static final class Connection {
         private enum Stage { OPENING, OPEN, SPENT, CLOSED }
@@ -36,7 +36,7 @@
         private Duration due;
         private Duration usedAt;
         private Duration probeSentAt;
-        private final Map<String, SetUp> setUps = new LinkedHashMap<>();
+        private final Map<String, PlacementRequest> setUps = new LinkedHashMap<>();
 
         private boolean idle() {
             return setUps.isEmpty() && probeSentAt == null;
@@ -44,7 +44,7 @@
     }
 
     /** The connections, as far as the trunk may act on them. */
-    public interface Line {
+    public interface Transport {
         /** Whether there is a descriptor left for one more. */
         boolean mayOpen();
 
@@ -53,7 +53,7 @@
 
         void close(Connection connection);
 
-        void setUp(Connection connection, Claim claim, Duration within);
+        void setUp(Connection connection, PlacementAttempt attempt, Duration within);
 
         void giveUp(Connection connection, String vm);
 
@@ -63,11 +63,11 @@
     }
 
     /** What the trunk concludes. */
-    public interface Fate {
+    public interface AttemptListener {
         /** The description is what the machine gave for this VM. */
-        void bound(Claim claim, String description);
+        void bound(PlacementAttempt attempt, String description);
 
-        void ended(Claim claim, End end, Why why);
+        void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why);
 
         void probed(Machine machine, boolean ok, boolean told, Duration took);
     }
@@ -80,7 +80,7 @@
     private static final Duration VISIT = Duration.ofSeconds(4);
 
     /** Spans from what was read at start. */
-    public record Manners(Duration connectTimeout, Duration settle) {
+    public record ConnectionTimeouts(Duration connectTimeout, Duration settle) {
         /** How long a connection is kept unused beside another, and an ended VM's machine is waited for. */
         Duration doubted() {
             return settle.dividedBy(2);
@@ -102,22 +102,22 @@
         }
     }
 
-    private static final class SetUp {
-        final Claim claim;
+    private static final class PlacementRequest {
+        final PlacementAttempt attempt;
         final Duration by;
 
-        SetUp(Claim claim, Duration by) {
-            this.claim = claim;
+        PlacementRequest(PlacementAttempt attempt, Duration by) {
+            this.attempt = attempt;
             this.by = by;
         }
     }
 
     private final Machine machine;
-    private Manners manners;
-    private final Line line;
-    private final Fate fate;
+    private ConnectionTimeouts connectionTimeouts;
+    private final Transport line;
+    private final AttemptListener fate;
     private final Set<Connection> connections = new LinkedHashSet<>();
-    private final Map<String, Claim> standing = new HashMap<>();
+    private final Map<String, PlacementAttempt> standing = new HashMap<>();
     /** VMs that their owner has ended, until the machine says so. */
     private final Map<String, Duration> stopping = new HashMap<>();
     private boolean gone;
@@ -130,16 +130,16 @@
     private boolean spared;
     private boolean wants;
 
-    public Trunk(Machine machine, Manners manners, Line line, Fate fate) {
+    public MachineConnectionPool(Machine machine, ConnectionTimeouts connectionTimeouts, Transport line, AttemptListener fate) {
         this.machine = machine;
-        this.manners = manners;
+        this.connectionTimeouts = connectionTimeouts;
         this.line = line;
         this.fate = fate;
     }
 
     /** Other spans hold from now on. */
-    public void manners(Manners next) {
-        manners = next;
+    public void connectionTimeouts(ConnectionTimeouts next) {
+        connectionTimeouts = next;
     }
 
     public int connections() {
@@ -161,53 +161,53 @@
      * {@code again}: should a connection turn out to be dead, the VM can go elsewhere all the same, so an open one will
      * do; else only one that proves by not coming up that nothing ran, or was good a moment ago.
      */
-    public void offer(Claim claim, Duration within, boolean again, Duration now) {
+    public void offer(PlacementAttempt attempt, Duration within, boolean again, Duration now) {
         if (gone || draining) {
-            fate.ended(claim, End.MOOT, Why.UNTOLD);
+            fate.ended(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
             return;
         }
         Connection s = free(again, now);
         if (s == null) {
             // Every descriptor is taken: not sent at all.
-            fate.ended(claim, End.MOOT, Why.UNTOLD);
+            fate.ended(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
             return;
         }
-        SetUp u = new SetUp(claim, now.plus(within));
-        s.setUps.put(claim.vm.id, u);
+        PlacementRequest u = new PlacementRequest(attempt, now.plus(within));
+        s.setUps.put(attempt.vm.id, u);
         if (s.stage == Connection.Stage.OPEN) {
             carry(s, u, now);
         }
     }
 
     /** The placer waits no longer; ends as {@code how} if a connection has carried it, else it never ran. */
-    public void giveUp(Claim claim, End how, Duration now) {
+    public void giveUp(PlacementAttempt attempt, Outcome how, Duration now) {
         for (Connection s : connections) {
-            SetUp u = s.setUps.get(claim.vm.id);
-            if (u != null && u.claim == claim) {
-                s.setUps.remove(claim.vm.id);
+            PlacementRequest u = s.setUps.get(attempt.vm.id);
+            if (u != null && u.attempt == attempt) {
+                s.setUps.remove(attempt.vm.id);
                 boolean carried = s.stage != Connection.Stage.OPENING;
                 if (carried) {
-                    line.giveUp(s, claim.vm.id);
+                    line.giveUp(s, attempt.vm.id);
                     // What comes late on it must not be taken for the answer to a later set-up of the same VM.
                     s.stage = Connection.Stage.SPENT;
                 }
                 closeIfSpent(s);
-                fate.ended(claim, carried ? how : End.UNREACHABLE, Why.UNTOLD);
+                fate.ended(attempt, carried ? how : Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
                 return;
             }
         }
-        if (claim.out() && claim.boundAt == null) {
-            fate.ended(claim, End.MOOT, Why.UNTOLD);
+        if (attempt.isInFlight() && attempt.acceptedAt == null) {
+            fate.ended(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
         }
     }
 
     /** Its owner, or a move, ends a VM that stands. The machine's word ends the claim, or its silence does. */
-    public void stop(Claim claim, Duration now) {
-        if (standing.get(claim.vm.id) == claim && !stopping.containsKey(claim.vm.id)) {
-            stopping.put(claim.vm.id, now.plus(manners.doubted()));
+    public void stop(PlacementAttempt attempt, Duration now) {
+        if (standing.get(attempt.vm.id) == attempt && !stopping.containsKey(attempt.vm.id)) {
+            stopping.put(attempt.vm.id, now.plus(connectionTimeouts.doubted()));
             Connection s = any();
             if (s != null) {
-                line.cut(s, claim.vm.id);
+                line.cut(s, attempt.vm.id);
             }
         }
     }
@@ -225,8 +225,8 @@
     }
 
     /** A VM that runs there already. */
-    public void adopt(Claim claim, Duration now) {
-        standing.put(claim.vm.id, claim);
+    public void adopt(PlacementAttempt attempt, Duration now) {
+        standing.put(attempt.vm.id, attempt);
         if (heardAt.equals(Duration.ZERO)) {
             heardAt = now;
         }
@@ -235,18 +235,18 @@
     // ---- What the list says ----------------------------------------------------------------------------
 
     /** What the list says of it now. Draining or gone, what no connection has carried yet is taken back. */
-    public void listed(Machine.Listing as, Duration now) {
-        draining = as != Machine.Listing.LIVE;
+    public void listed(Machine.Lifecycle as, Duration now) {
+        draining = as != Machine.Lifecycle.LIVE;
         if (draining) {
             for (Connection s : List.copyOf(connections)) {
                 if (s.stage == Connection.Stage.OPENING) {
-                    for (SetUp u : takeAll(s)) {
-                        fate.ended(u.claim, End.MOOT, Why.UNTOLD);
+                    for (PlacementRequest u : takeAll(s)) {
+                        fate.ended(u.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
                     }
                 }
             }
         }
-        boolean isGone = as == Machine.Listing.GONE;
+        boolean isGone = as == Machine.Lifecycle.GONE;
         if (isGone && !gone) {
             dies(now);
         }
@@ -255,29 +255,29 @@
 
     /** It started anew at that time: what stood before is no more. */
     public void restarted(Duration at) {
-        for (Claim c : List.copyOf(standing.values())) {
-            if (c.boundAt != null && c.boundAt.compareTo(at) < 0) {
+        for (PlacementAttempt c : List.copyOf(standing.values())) {
+            if (c.acceptedAt != null && c.acceptedAt.compareTo(at) < 0) {
                 lost(c);
             }
         }
     }
 
-    private void lost(Claim c) {
+    private void lost(PlacementAttempt c) {
         standing.remove(c.vm.id);
         stopping.remove(c.vm.id);
-        fate.ended(c, End.RESET, Why.UNTOLD);
+        fate.ended(c, Outcome.RESET, OutcomeReason.UNSPECIFIED);
     }
 
     /** The process is no more, or can't be reached: nothing that it held is waited for. */
     private void dies(Duration now) {
         for (Connection s : List.copyOf(connections)) {
             boolean carried = s.stage != Connection.Stage.OPENING;
-            for (SetUp u : takeAll(s)) {
-                fate.ended(u.claim, carried ? End.RESET : End.UNREACHABLE, Why.UNTOLD);
+            for (PlacementRequest u : takeAll(s)) {
+                fate.ended(u.attempt, carried ? Outcome.RESET : Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
             }
             shut(s, now);
         }
-        for (Claim c : List.copyOf(standing.values())) {
+        for (PlacementAttempt c : List.copyOf(standing.values())) {
             lost(c);
         }
     }
@@ -292,7 +292,7 @@
         s.stage = Connection.Stage.OPEN;
         s.due = null;
         s.usedAt = now;
-        for (SetUp u : List.copyOf(s.setUps.values())) {
+        for (PlacementRequest u : List.copyOf(s.setUps.values())) {
             carry(s, u, now);
         }
         // Said on a connection that broke, or on none: a machine that heard it already passes it over.
@@ -317,11 +317,11 @@
         s.stage = Connection.Stage.CLOSED;
         refusals = refused ? refusals + 1 : 0;
         timeouts += refused ? 0 : 1;
-        for (SetUp u : takeAll(s)) {
-            fate.ended(u.claim, End.UNREACHABLE, Why.UNTOLD);
+        for (PlacementRequest u : takeAll(s)) {
+            fate.ended(u.attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
         }
         probeFails(s, now);
-        if (refusals >= 2 || timeouts >= 2 && now.minus(heardAt).compareTo(manners.dead()) >= 0) {
+        if (refusals >= 2 || timeouts >= 2 && now.minus(heardAt).compareTo(connectionTimeouts.dead()) >= 0) {
             // Nobody listens there any more, or nothing has come up for long: what ran was cut with the process.
             dies(now);
         }
@@ -335,34 +335,34 @@
         // It had come up, even where this is heard before that: what it had not carried yet never ran.
         boolean carried = s.stage != Connection.Stage.OPENING;
         s.stage = Connection.Stage.CLOSED;
-        for (SetUp u : takeAll(s)) {
-            fate.ended(u.claim, carried ? End.RESET : End.UNREACHABLE, Why.UNTOLD);
+        for (PlacementRequest u : takeAll(s)) {
+            fate.ended(u.attempt, carried ? Outcome.RESET : Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
         }
         probeFails(s, now);
     }
 
     /** The machine says that a VM stands; passed over unless this connection carries its set-up. */
     public void stands(Connection s, String vm, String description, Duration now) {
-        SetUp u = s.setUps.remove(vm);
+        PlacementRequest u = s.setUps.remove(vm);
         if (u == null) {
             return;
         }
         s.usedAt = now;
-        standing.put(vm, u.claim);
-        fate.bound(u.claim, description);
+        standing.put(vm, u.attempt);
+        fate.bound(u.attempt, description);
         closeIfSpent(s);
     }
 
     /** The machine ends a set-up on this connection, or what stands (on any); unknown ids are passed over. */
-    public void ended(Connection s, String vm, End before, End after, Why why, Duration now) {
-        SetUp u = s.setUps.remove(vm);
+    public void ended(Connection s, String vm, Outcome before, Outcome after, OutcomeReason why, Duration now) {
+        PlacementRequest u = s.setUps.remove(vm);
         if (u != null) {
             s.usedAt = now;
-            fate.ended(u.claim, before, why);
+            fate.ended(u.attempt, before, why);
             closeIfSpent(s);
             return;
         }
-        Claim c = after == null ? null : standing.remove(vm);
+        PlacementAttempt c = after == null ? null : standing.remove(vm);
         if (c != null) {
             stopping.remove(vm);
             fate.ended(c, after, why);
@@ -380,13 +380,13 @@
     }
 
     /** The claim that stands there under this name, or null. */
-    public Claim claim(String vm) {
+    public PlacementAttempt attempt(String vm) {
         return standing.get(vm);
     }
 
     // ---- What time does --------------------------------------------------------------------------------
 
-    /** To be called every now and then, a few times within the time a connection may take; {@link Scarcity} behind it. */
+    /** To be called every now and then, a few times within the time a connection may take; {@link ConnectionBudget} behind it. */
     public void tick(Duration now) {
         if (!connections.isEmpty()) {
             look(now);
@@ -395,9 +395,9 @@
             for (Map.Entry<String, Duration> e : List.copyOf(stopping.entrySet())) {
                 if (now.compareTo(e.getValue()) >= 0) {
                     stopping.remove(e.getKey());
-                    Claim c = standing.remove(e.getKey());
+                    PlacementAttempt c = standing.remove(e.getKey());
                     if (c != null) {
-                        fate.ended(c, End.CANCELLED, Why.UNTOLD);
+                        fate.ended(c, Outcome.CANCELLED, OutcomeReason.UNSPECIFIED);
                     }
                 }
             }
@@ -406,10 +406,10 @@
             wants = false;
             return;
         }
-        boolean silent = now.minus(heardAt).compareTo(manners.silent()) >= 0;
+        boolean silent = now.minus(heardAt).compareTo(connectionTimeouts.silent()) >= 0;
         boolean bare = connections.isEmpty() && (!spared || now.minus(triedAt).compareTo(VISIT) >= 0);
         wants = (bare || silent && !opening())
-                && now.minus(triedAt).compareTo(manners.connectTimeout) >= 0;
+                && now.minus(triedAt).compareTo(connectionTimeouts.connectTimeout) >= 0;
     }
 
     private void look(Duration now) {
@@ -419,13 +419,13 @@
                 line.close(s);
                 failed(s, false, now);
             } else if (s.stage != Connection.Stage.OPENING && s.probeSentAt != null
-                    && now.minus(s.probeSentAt).compareTo(manners.connectTimeout) >= 0) {
+                    && now.minus(s.probeSentAt).compareTo(connectionTimeouts.connectTimeout) >= 0) {
                 probeFails(s, now);
                 s.stage = Connection.Stage.SPENT;
                 closeIfSpent(s);
             } else if (s.stage == Connection.Stage.OPEN && s.idle()) {
                 // One is kept, for what the machine has to say of what stands; the others go once unused.
-                if (kept && now.minus(s.usedAt).compareTo(manners.doubted()) >= 0) {
+                if (kept && now.minus(s.usedAt).compareTo(connectionTimeouts.doubted()) >= 0) {
                     shut(s, now);
                 }
                 kept = true;
@@ -480,7 +480,7 @@
      * late: a handshake is the dearest part of most set-ups); else a new one; else the one that carries least.
      */
     private Connection free(boolean any, Duration now) {
-        Duration proven = any ? manners.doubted() : manners.proven();
+        Duration proven = any ? connectionTimeouts.doubted() : connectionTimeouts.proven();
         Connection least = null;
         for (Connection s : connections) {
             if (s.stage == Connection.Stage.OPEN) {
@@ -508,7 +508,7 @@
 
     private Connection open(Duration now) {
         Connection s = new Connection();
-        s.due = now.plus(manners.connectTimeout);
+        s.due = now.plus(connectionTimeouts.connectTimeout);
         s.usedAt = now;
         triedAt = now;
         spared = false;
@@ -517,10 +517,10 @@
         return s;
     }
 
-    private void carry(Connection s, SetUp u, Duration now) {
+    private void carry(Connection s, PlacementRequest u, Duration now) {
         Duration left = u.by.minus(now);
         s.usedAt = now;
-        line.setUp(s, u.claim, left);
+        line.setUp(s, u.attempt, left);
     }
 
     private void sendProbe(Connection s, Duration now) {
@@ -535,8 +535,8 @@
         }
     }
 
-    private static List<SetUp> takeAll(Connection s) {
-        List<SetUp> all = new ArrayList<>(s.setUps.values());
+    private static List<PlacementRequest> takeAll(Connection s) {
+        List<PlacementRequest> all = new ArrayList<>(s.setUps.values());
         s.setUps.clear();
         return all;
     }
--- a/src/main/java/fordridge/link/Link.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -1,11 +1,11 @@
-package fordridge.link;
-
-import fordridge.state.Chance;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Terms;
+package fordridge.machine;
+
+import fordridge.model.SeededRandom;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.SchedulerSettings;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -27,21 +27,21 @@
  * says whether it holds it. A VM that runs is lost only on the machine's own word or on the list's, never because a
  * stream broke: it may well run on behind a broken path.
  */
-public final class Link {
+public final class MachineStream {
     /** Closed: no stream wanted. Waiting: a try failed, the next is due later. Greeted: Holding has come. */
     public enum Phase { CLOSED, CONNECTING, GREETED, WAITING }
 
     /** A claim as both sides name it. */
-    public record Name(String vm, int number) { }
+    public record AttemptId(String vm, int number) { }
 
     /** One line of what a machine says it holds. */
-    public record Held(Name name, State state, String flavour, long service, String customer, double cores,
+    public record ReportedVm(AttemptId name, State state, String priorityClass, long service, String tenant, double cores,
             double memory, String client) {
         public enum State { IN_LINE, RUNNING, ENDED, REFUSED }
     }
 
     /** The stream, as far as the link may act on it. */
-    public interface Line {
+    public interface Transport {
         void connect();
 
         void close(String why);
@@ -49,59 +49,59 @@
         /** Whether a message would be written now rather than queue up. */
         boolean ready();
 
-        void offer(Claim claim, Name name, Duration within);
+        void offer(PlacementAttempt attempt, AttemptId name, Duration within);
 
-        void cancel(Name name);
+        void cancel(AttemptId name);
 
-        void stop(Name name);
+        void stop(AttemptId name);
 
         void probe();
     }
 
     /** What the link concludes, handed to the module. */
-    public interface Fate {
-        void bound(Claim claim, boolean running);
+    public interface AttemptListener {
+        void bound(PlacementAttempt attempt, boolean running);
 
-        void ended(Claim claim, End end, Why why);
+        void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why);
 
-        void runsAlready(Held held, Machine machine);
+        void runsAlready(ReportedVm held, Machine machine);
 
         void probed(Machine machine, boolean ok, Duration took);
 
         /** A claim that was given up is now known not to be there any more. */
-        void cleared(Claim claim);
+        void cleared(PlacementAttempt attempt);
 
         /** News of the stream for those on call. */
         void note(Machine machine, String line);
     }
 
     /** How streams are opened, kept and given up; spans from the settings. */
-    public record Manners(Duration connectTimeout, Duration idle, Duration retryLeast, Duration retryMost,
+    public record ConnectionTimeouts(Duration connectTimeout, Duration idle, Duration retryLeast, Duration retryMost,
             Duration unsure, Duration probeTimeout, int line, boolean yesAtAcceptance) { }
 
     private enum Stage { QUEUED, WRITTEN, UNSURE, BOUND, ABANDONED }
 
     private static final class Entry {
-        final Name name;
-        final Claim claim;
+        final AttemptId name;
+        final PlacementAttempt attempt;
         final boolean mayRepeat;
         Duration by;
         Stage stage = Stage.QUEUED;
         Duration unsureUntil;
 
-        Entry(Name name, Claim claim, boolean mayRepeat) {
+        Entry(AttemptId name, PlacementAttempt attempt, boolean mayRepeat) {
             this.name = name;
-            this.claim = claim;
+            this.attempt = attempt;
             this.mayRepeat = mayRepeat;
         }
     }
 
     private final Machine machine;
-    private final Manners manners;
-    private final Line line;
-    private final Fate fate;
-    private final Chance chance;
-    private final Map<Name, Entry> entries = new LinkedHashMap<>();
+    private final ConnectionTimeouts connectionTimeouts;
+    private final Transport line;
+    private final AttemptListener fate;
+    private final SeededRandom chance;
+    private final Map<AttemptId, Entry> entries = new LinkedHashMap<>();
     private final Deque<Entry> queue = new ArrayDeque<>();
     private Phase phase = Phase.CLOSED;
     private boolean gone;
@@ -114,9 +114,9 @@
     private Duration retryAt;
     private Duration usedAt = Duration.ZERO;
 
-    public Link(Machine machine, Manners manners, Line line, Fate fate, Chance chance) {
+    public MachineStream(Machine machine, ConnectionTimeouts connectionTimeouts, Transport line, AttemptListener fate, SeededRandom chance) {
         this.machine = machine;
-        this.manners = manners;
+        this.connectionTimeouts = connectionTimeouts;
         this.line = line;
         this.fate = fate;
         this.chance = chance;
@@ -126,7 +126,7 @@
         return phase;
     }
 
-    public int claims() {
+    public int attempts() {
         return entries.size();
     }
 
@@ -137,15 +137,15 @@
     // ---- What the placer wants -------------------------------------------------------------------------
 
     /** Offers a claim; {@code mayRepeat} if a second run does no harm. */
-    public void offer(Claim claim, Name name, boolean mayRepeat, Duration within, Duration now) {
+    public void offer(PlacementAttempt attempt, AttemptId name, boolean mayRepeat, Duration within, Duration now) {
         usedAt = now;
         if (phase == Phase.WAITING || gone) {
             // The last try failed a moment ago: known not to have run, and no cheaper word for it.
-            fate.ended(claim, End.UNREACHABLE, Why.UNTOLD);
-        } else if (queue.size() >= manners.line) {
-            fate.ended(claim, End.FULL, Why.LINE_FULL);
+            fate.ended(attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
+        } else if (queue.size() >= connectionTimeouts.line) {
+            fate.ended(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
         } else {
-            Entry e = new Entry(name, claim, mayRepeat);
+            Entry e = new Entry(name, attempt, mayRepeat);
             e.by = now.plus(within);
             entries.put(name, e);
             queue.addLast(e);
@@ -155,8 +155,8 @@
     }
 
     /** The placer waits no longer; true if the machine was never offered the claim. */
-    public boolean giveUp(Claim claim, Duration now) {
-        Entry e = entryOf(claim);
+    public boolean giveUp(PlacementAttempt attempt, Duration now) {
+        Entry e = entryOf(attempt);
         if (e == null) {
             return false;
         }
@@ -169,8 +169,8 @@
     }
 
     /** Stops a bound VM. */
-    public void stop(Claim claim, Duration now) {
-        Entry e = entryOf(claim);
+    public void stop(PlacementAttempt attempt, Duration now) {
+        Entry e = entryOf(attempt);
         if (e != null && phase == Phase.GREETED) {
             line.stop(e.name);
         }
@@ -204,7 +204,7 @@
     public void drains() {
         for (Entry e : List.copyOf(queue)) {
             drop(e);
-            fate.ended(e.claim, End.MOOT, Why.UNTOLD);
+            fate.ended(e.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
         }
     }
 
@@ -237,7 +237,7 @@
         for (Entry e : List.copyOf(entries.values())) {
             drop(e);
             if (e.stage != Stage.ABANDONED) {
-                fate.ended(e.claim, e.stage == Stage.QUEUED ? End.UNREACHABLE : End.RESET, Why.UNTOLD);
+                fate.ended(e.attempt, e.stage == Stage.QUEUED ? Outcome.UNREACHABLE : Outcome.RESET, OutcomeReason.UNSPECIFIED);
             }
         }
     }
@@ -245,7 +245,7 @@
     // ---- What the stream does --------------------------------------------------------------------------
 
     /** The first word of a stream: what the machine holds of ours. */
-    public void holding(long itsIncarnation, Collection<Held> helds, Duration now) {
+    public void holding(long itsIncarnation, Collection<ReportedVm> helds, Duration now) {
         if (phase != Phase.CONNECTING) {
             return;
         }
@@ -256,15 +256,15 @@
         usedAt = now;
         boolean restarted = incarnation >= 0 && incarnation != itsIncarnation;
         incarnation = itsIncarnation;
-        Set<Name> named = new HashSet<>();
-        for (Held h : helds) {
+        Set<AttemptId> named = new HashSet<>();
+        for (ReportedVm h : helds) {
             named.add(h.name);
             Entry e = entries.get(h.name);
             if (e != null) {
                 resume(e, h, now);
-            } else if (h.state == Held.State.RUNNING) {
+            } else if (h.state == ReportedVm.State.RUNNING) {
                 fate.runsAlready(h, machine);
-            } else if (h.state == Held.State.IN_LINE) {
+            } else if (h.state == ReportedVm.State.IN_LINE) {
                 // Offered by an earlier life of this placer: nobody waits for it.
                 line.cancel(h.name);
             }
@@ -279,9 +279,9 @@
     }
 
     /** The machine still knows a claim of ours. */
-    private void resume(Entry e, Held h, Duration now) {
+    private void resume(Entry e, ReportedVm h, Duration now) {
         if (e.stage == Stage.ABANDONED) {
-            if (h.state == Held.State.RUNNING || h.state == Held.State.IN_LINE) {
+            if (h.state == ReportedVm.State.RUNNING || h.state == ReportedVm.State.IN_LINE) {
                 line.cancel(e.name);
             } else {
                 drop(e);
@@ -295,8 +295,8 @@
                     e.stage = Stage.WRITTEN;
                 }
             }
-            case ENDED -> finished(e.name, e.stage == Stage.BOUND ? End.DONE : End.ERROR, Why.UNTOLD, now);
-            case REFUSED -> refused(e.name, Why.UNTOLD, now);
+            case ENDED -> finished(e.name, e.stage == Stage.BOUND ? Outcome.DONE : Outcome.ERROR, OutcomeReason.UNSPECIFIED, now);
+            case REFUSED -> refused(e.name, OutcomeReason.UNSPECIFIED, now);
             default -> throw new IllegalStateException(h.state.name());
         }
     }
@@ -304,10 +304,10 @@
     /** The machine knows nothing of a claim that was written to it. */
     private void missing(Entry e, boolean restarted) {
         if (e.stage == Stage.BOUND) {
-            fate.ended(e.claim, End.RESET, Why.UNTOLD);
+            fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
         } else if (e.stage != Stage.ABANDONED) {
             // It remembers what it took in since its start: the offer never reached it, unless it started anew.
-            fate.ended(e.claim, restarted ? End.RESET : End.MOOT, Why.UNTOLD);
+            fate.ended(e.attempt, restarted ? Outcome.RESET : Outcome.MOOT, OutcomeReason.UNSPECIFIED);
         }
     }
 
@@ -330,13 +330,13 @@
         for (Entry e : List.copyOf(entries.values())) {
             if (e.stage == Stage.QUEUED) {
                 drop(e);
-                fate.ended(e.claim, End.UNREACHABLE, Why.UNTOLD);
+                fate.ended(e.attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
             } else if (e.stage == Stage.WRITTEN && e.mayRepeat) {
                 e.stage = Stage.ABANDONED;
-                fate.ended(e.claim, End.RESET, Why.UNTOLD);
+                fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
             } else if (e.stage == Stage.WRITTEN) {
                 e.stage = Stage.UNSURE;
-                e.unsureUntil = min(now.plus(manners.unsure), e.by);
+                e.unsureUntil = min(now.plus(connectionTimeouts.unsure), e.by);
             }
         }
         if (was || failures == 1) {
@@ -348,54 +348,54 @@
         }
     }
 
-    public void accepted(Name name, Duration now) {
+    public void accepted(AttemptId name, Duration now) {
         Entry e = entries.get(name);
-        if (e != null && e.stage == Stage.WRITTEN && manners.yesAtAcceptance) {
+        if (e != null && e.stage == Stage.WRITTEN && connectionTimeouts.yesAtAcceptance) {
             e.stage = Stage.BOUND;
-            fate.bound(e.claim, false);
+            fate.bound(e.attempt, false);
         }
     }
 
-    public void started(Name name, Duration now) {
+    public void started(AttemptId name, Duration now) {
         Entry e = entries.get(name);
         if (e == null || e.stage == Stage.ABANDONED) {
             return;
         }
         e.stage = Stage.BOUND;
-        fate.bound(e.claim, true);
+        fate.bound(e.attempt, true);
     }
 
-    public void refused(Name name, Why why, Duration now) {
+    public void refused(AttemptId name, OutcomeReason why, Duration now) {
         Entry e = entries.get(name);
         if (e != null) {
             drop(e);
             if (e.stage != Stage.ABANDONED) {
-                fate.ended(e.claim, e.stage == Stage.BOUND ? End.RESET : End.FULL, why);
+                fate.ended(e.attempt, e.stage == Stage.BOUND ? Outcome.RESET : Outcome.FULL, why);
             }
         }
         usedAt = now;
     }
 
-    public void finished(Name name, End end, Why why, Duration now) {
+    public void finished(AttemptId name, Outcome end, OutcomeReason why, Duration now) {
         Entry e = entries.get(name);
         if (e != null) {
             drop(e);
             if (e.stage != Stage.ABANDONED) {
-                fate.ended(e.claim, end, why);
+                fate.ended(e.attempt, end, why);
             }
         }
         usedAt = now;
     }
 
     /** The claim that goes by that name and is still ours to hear of, or null. */
-    public Claim claim(Name name) {
+    public PlacementAttempt attempt(AttemptId name) {
         Entry e = entries.get(name);
-        return e == null || e.stage == Stage.ABANDONED ? null : e.claim;
+        return e == null || e.stage == Stage.ABANDONED ? null : e.attempt;
     }
 
     /** A VM of an earlier life runs there: from now on it is one of ours. */
-    public void adopt(Name name, Claim claim) {
-        Entry e = new Entry(name, claim, false);
+    public void adopt(AttemptId name, PlacementAttempt attempt) {
+        Entry e = new Entry(name, attempt, false);
         e.stage = Stage.BOUND;
         entries.put(name, e);
     }
@@ -419,14 +419,14 @@
             }
         }
         if (probeSentAt != null) {
-            due = min(due, probeSentAt.plus(manners.probeTimeout));
+            due = min(due, probeSentAt.plus(connectionTimeouts.probeTimeout));
         }
         if (phase == Phase.CONNECTING) {
             due = min(due, connectBy);
         } else if (phase == Phase.WAITING) {
             due = min(due, retryAt);
         } else if (phase == Phase.GREETED && entries.isEmpty()) {
-            due = min(due, usedAt.plus(manners.idle));
+            due = min(due, usedAt.plus(connectionTimeouts.idle));
         }
         return due;
     }
@@ -435,10 +435,10 @@
         for (Entry e : List.copyOf(entries.values())) {
             if (e.stage == Stage.UNSURE && now.compareTo(e.unsureUntil) >= 0) {
                 e.stage = Stage.ABANDONED;
-                fate.ended(e.claim, End.RESET, Why.UNTOLD);
+                fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
             }
         }
-        if (probeSentAt != null && now.compareTo(probeSentAt.plus(manners.probeTimeout)) >= 0) {
+        if (probeSentAt != null && now.compareTo(probeSentAt.plus(connectionTimeouts.probeTimeout)) >= 0) {
             probeFailed(now);
         }
         if (phase == Phase.CONNECTING && now.compareTo(connectBy) >= 0) {
@@ -450,7 +450,7 @@
                 wantStream(now);
             }
         } else if (phase == Phase.GREETED && entries.isEmpty()
-                && now.compareTo(usedAt.plus(manners.idle)) >= 0) {
+                && now.compareTo(usedAt.plus(connectionTimeouts.idle)) >= 0) {
             line.close("idle");
             phase = Phase.CLOSED;
         }
@@ -461,7 +461,7 @@
     private void wantStream(Duration now) {
         if (phase == Phase.CLOSED) {
             phase = Phase.CONNECTING;
-            connectBy = now.plus(manners.connectTimeout);
+            connectBy = now.plus(connectionTimeouts.connectTimeout);
             line.connect();
         }
     }
@@ -474,7 +474,7 @@
             Entry e = queue.removeFirst();
             e.stage = Stage.WRITTEN;
             Duration left = e.by.minus(now);
-            line.offer(e.claim, e.name, left.isNegative() ? Duration.ZERO : left);
+            line.offer(e.attempt, e.name, left.isNegative() ? Duration.ZERO : left);
         }
         if (probeQueued && line.ready()) {
             probeQueued = false;
@@ -504,16 +504,16 @@
     private void drop(Entry e) {
         entries.remove(e.name);
         if (e.stage == Stage.ABANDONED) {
-            fate.cleared(e.claim);
+            fate.cleared(e.attempt);
         }
         if (e.stage == Stage.QUEUED) {
             queue.remove(e);
         }
     }
 
-    private Entry entryOf(Claim claim) {
+    private Entry entryOf(PlacementAttempt attempt) {
         for (Entry e : entries.values()) {
-            if (e.claim == claim) {
+            if (e.attempt == attempt) {
                 return e;
             }
         }
@@ -522,9 +522,9 @@
 
     /** Doubles with each failure from the least to the most, drawn from its upper half. */
     private Duration wait(int after) {
-        double most = Terms.seconds(manners.retryMost);
-        double full = Math.min(most, Terms.seconds(manners.retryLeast) * Math.pow(2, Math.min(after - 1, 30)));
-        return Terms.seconds(full * (0.5 + chance.next() / 2));
+        double most = SchedulerSettings.seconds(connectionTimeouts.retryMost);
+        double full = Math.min(most, SchedulerSettings.seconds(connectionTimeouts.retryLeast) * Math.pow(2, Math.min(after - 1, 30)));
+        return SchedulerSettings.seconds(full * (0.5 + chance.next() / 2));
     }
 
     private static Duration min(Duration a, Duration b) {
@@ -532,8 +532,8 @@
     }
 
     /** Names of what the machine may still hold though the placer gave it up, for those on call. */
-    public List<Name> abandoned() {
-        List<Name> some = new ArrayList<>();
+    public List<AttemptId> abandoned() {
+        List<AttemptId> some = new ArrayList<>();
         entries.values().stream().filter(e -> e.stage == Stage.ABANDONED).forEach(e -> some.add(e.name));
         return some;
     }
--- a/src/main/java/fordridge/link/RollCall.java
+++ b/src/main/java/fordridge/machine/ReconnectPacer.java
@@ -1,4 +1,4 @@
-package fordridge.link;
+package fordridge.machine;
 
 import java.util.HashSet;
 import java.util.Iterator;
@@ -14,7 +14,7 @@
  * many there are. To open a stream costs the loop a millisecond or two, and thousands due in one span would keep every VM
  * waiting behind them.
  */
-public final class RollCall {
+public final class ReconnectPacer {
     /** Calls without a word as yet; ten or so milliseconds of the loop's work at most stand before a VM. */
     private static final int AT_ONCE = 8;
 
--- a/src/main/java/fordridge/membership/Endpoints.java
+++ b/src/main/java/fordridge/membership/EndpointRotation.java
@@ -1,19 +1,19 @@
 package fordridge.membership;
 
-import fordridge.state.Chance;
+import fordridge.model.SeededRandom;
 import java.time.Duration;
 
 /** Which of several endpoints is tried next, and after what wait: each in turn, then longer and longer rounds. */
-public final class Endpoints {
+public final class EndpointRotation {
     private static final Duration LEAST = Duration.ofMillis(100);
     private static final Duration MOST = Duration.ofSeconds(2);
 
     private final int count;
-    private final Chance chance;
+    private final SeededRandom chance;
     private int at;
     private int failures;
 
-    public Endpoints(int count, Chance chance) {
+    public EndpointRotation(int count, SeededRandom chance) {
         this.count = count;
         this.chance = chance;
         at = (int) (chance.next() * count);
--- a/src/main/java/fordridge/membership/Believed.java
+++ b/src/main/java/fordridge/membership/MachineListReplica.java
@@ -1,6 +1,6 @@
 package fordridge.membership;
 
-import fordridge.state.Machine.Listing;
+import fordridge.model.Machine.Lifecycle;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,7 +22,7 @@
  * deleted meanwhile, and what was made anew since is another machine under an old name. What was told to drain stays so
  * until the store says otherwise.
  */
-public final class Believed {
+public final class MachineListReplica {
     /** A machine's record as its owner wrote it. */
     public record Machine(String address, String kind, String zone, int cell, double cores, double memory,
             double freeCores, double freeMemory, long incarnation, long startedAtMillis) { }
@@ -31,18 +31,18 @@
     public record Drain(String reason) { }
 
     /** One key of the store, read as far as it can be. Exactly one of the values, or a complaint. */
-    public record Item(String key, Kind kind, String name, long modRevision, long createRevision, Machine machine,
+    public record StoreRecord(String key, Kind kind, String name, long modRevision, long createRevision, Machine machine,
             Drain drain, String text, String complaint) {
         public enum Kind { MACHINE, DRAIN, TERM, PLACER, OTHER }
     }
 
     /** A change of what is believed, for the placer. */
-    public record Line(String name, Listing listing, Machine machine, boolean anew) { }
+    public record MachineUpdate(String name, Lifecycle lifecycle, Machine machine, boolean anew) { }
 
     /** How far the belief can be relied on. */
-    public enum Footing { NONE, SNAPSHOT_COMING, FOLLOWING, OLD }
+    public enum SyncState { NONE, SNAPSHOT_COMING, FOLLOWING, OLD }
 
-    private static final class Known {
+    private static final class TrackedMachine {
         long modRevision;
         long createRevision;
         Machine machine;
@@ -52,15 +52,15 @@
     }
 
     private final Duration silence;
-    private final Map<String, Known> keys = new HashMap<>();
+    private final Map<String, TrackedMachine> keys = new HashMap<>();
     /** Names of machines to the revision at which the record of that name was last made. */
     private final Map<String, Long> made = new HashMap<>();
-    private final Map<String, Line> told = new LinkedHashMap<>();
+    private final Map<String, MachineUpdate> told = new LinkedHashMap<>();
     private final Set<String> touched = new LinkedHashSet<>();
     private final TreeMap<String, String> terms = new TreeMap<>();
     private final Set<String> placers = new HashSet<>();
     private final List<String> complaints = new ArrayList<>();
-    private Footing footing = Footing.NONE;
+    private SyncState footing = SyncState.NONE;
     private long clusterId;
     private long revision;
     private long snapshotRevision;
@@ -69,11 +69,11 @@
     private boolean termsChanged;
     private boolean placersChanged;
 
-    public Believed(Duration silence) {
+    public MachineListReplica(Duration silence) {
         this.silence = silence;
     }
 
-    public Footing footing() {
+    public SyncState footing() {
         return footing;
     }
 
@@ -109,13 +109,13 @@
         snapshotRevision = atRevision;
         snapshotNamed = new HashSet<>();
         heardAt = now;
-        footing = Footing.SNAPSHOT_COMING;
+        footing = SyncState.SNAPSHOT_COMING;
     }
 
     /** A page; pages of another revision than the snapshot's are the caller's fault. */
-    public void snapshotPage(List<Item> items, Duration now) {
+    public void snapshotPage(List<StoreRecord> items, Duration now) {
         heardAt = now;
-        for (Item i : items) {
+        for (StoreRecord i : items) {
             snapshotNamed.add(i.key());
             put(i);
         }
@@ -123,8 +123,8 @@
 
     /** What it did not name and was last heard of before it is gone. */
     public void snapshotEnds(Duration now) {
-        for (Map.Entry<String, Known> e : keys.entrySet()) {
-            Known k = e.getValue();
+        for (Map.Entry<String, TrackedMachine> e : keys.entrySet()) {
+            TrackedMachine k = e.getValue();
             if (k.there && !snapshotNamed.contains(e.getKey()) && k.modRevision <= snapshotRevision) {
                 delete(e.getKey(), snapshotRevision);
             }
@@ -132,13 +132,13 @@
         snapshotNamed = null;
         revision = snapshotRevision;
         heardAt = now;
-        footing = Footing.FOLLOWING;
+        footing = SyncState.FOLLOWING;
     }
 
     // ---- Events ----------------------------------------------------------------------------------------
 
     /** One event of the watch; {@code deleted} names no value. */
-    public void event(Item item, boolean deleted, Duration now) {
+    public void event(StoreRecord item, boolean deleted, Duration now) {
         heardAt = now;
         if (deleted) {
             delete(item.key(), item.modRevision());
@@ -152,23 +152,23 @@
     public void progress(long upTo, Duration now) {
         heardAt = now;
         revision = Math.max(revision, upTo);
-        if (footing == Footing.OLD) {
-            footing = Footing.FOLLOWING;
+        if (footing == SyncState.OLD) {
+            footing = SyncState.FOLLOWING;
         }
     }
 
     /** The stream broke or was refused: what is believed may be old from here on. */
     public void cutOff() {
-        if (footing == Footing.FOLLOWING || footing == Footing.SNAPSHOT_COMING) {
-            footing = Footing.OLD;
+        if (footing == SyncState.FOLLOWING || footing == SyncState.SNAPSHOT_COMING) {
+            footing = SyncState.OLD;
             snapshotNamed = null;
         }
     }
 
     /** Whether nothing was heard for longer than the bound; the belief then counts as old. */
     public boolean silent(Duration now) {
-        if (footing == Footing.FOLLOWING && now.minus(heardAt).compareTo(silence) >= 0) {
-            footing = Footing.OLD;
+        if (footing == SyncState.FOLLOWING && now.minus(heardAt).compareTo(silence) >= 0) {
+            footing = SyncState.OLD;
             return true;
         }
         return false;
@@ -180,8 +180,8 @@
 
     // ---- Keys ------------------------------------------------------------------------------------------
 
-    private void put(Item i) {
-        Known k = keys.computeIfAbsent(i.key(), x -> new Known());
+    private void put(StoreRecord i) {
+        TrackedMachine k = keys.computeIfAbsent(i.key(), x -> new TrackedMachine());
         if (i.modRevision() <= k.modRevision) {
             return;
         }
@@ -190,7 +190,7 @@
             // The last good record stands; that the key is there is known all the same.
             complaints.add(i.key() + " at revision " + i.modRevision() + ": " + i.complaint());
             k.there = k.there || k.machine != null || k.drain != null;
-            if (i.kind() == Item.Kind.DRAIN && !k.there) {
+            if (i.kind() == StoreRecord.Kind.DRAIN && !k.there) {
                 // A drain that cannot be read is a drain: the careful reading.
                 k.there = true;
                 k.drain = new Drain("unreadable");
@@ -223,7 +223,7 @@
     }
 
     private void delete(String key, long atRevision) {
-        Known k = keys.computeIfAbsent(key, x -> new Known());
+        TrackedMachine k = keys.computeIfAbsent(key, x -> new TrackedMachine());
         if (atRevision < k.modRevision || atRevision == k.modRevision && !k.there) {
             return;
         }
@@ -236,9 +236,9 @@
         k.machine = null;
         k.drain = null;
         k.text = null;
-        if (key.contains(Keys.TERMS)) {
+        if (key.contains(StoreKeys.TERMS)) {
             termsChanged |= terms.remove(name) != null;
-        } else if (key.contains(Keys.PLACERS)) {
+        } else if (key.contains(StoreKeys.PLACERS)) {
             placersChanged |= placers.remove(name);
         }
     }
@@ -246,38 +246,38 @@
     // ---- What follows ----------------------------------------------------------------------------------
 
     /** Lines that changed since they were last taken; a machine's drain and record count together. */
-    public List<Line> takeChanges(Keys at) {
-        List<Line> some = new ArrayList<>();
+    public List<MachineUpdate> takeChanges(StoreKeys at) {
+        List<MachineUpdate> some = new ArrayList<>();
         for (String name : touched) {
-            Line before = told.get(name);
-            Line now = line(name, at, before);
+            MachineUpdate before = told.get(name);
+            MachineUpdate now = line(name, at, before);
             if (now != null && !now.equals(before)) {
                 some.add(now);
-                told.put(name, new Line(now.name, now.listing, now.machine, false));
+                told.put(name, new MachineUpdate(now.name, now.lifecycle, now.machine, false));
             }
         }
         touched.clear();
         return some;
     }
 
-    private Line line(String name, Keys at, Line before) {
-        Known m = keys.get(at.machine(name));
-        Known d = keys.get(at.drain(name));
+    private MachineUpdate line(String name, StoreKeys at, MachineUpdate before) {
+        TrackedMachine m = keys.get(at.machine(name));
+        TrackedMachine d = keys.get(at.drain(name));
         if (m == null || !m.there || m.machine == null) {
-            return before == null ? null : new Line(name, Listing.GONE, before.machine, false);
+            return before == null ? null : new MachineUpdate(name, Lifecycle.GONE, before.machine, false);
         }
         boolean drained = d != null && d.there;
-        boolean anew = before != null && (before.listing == Listing.GONE || before.machine == null
+        boolean anew = before != null && (before.lifecycle == Lifecycle.GONE || before.machine == null
                 || before.machine.incarnation() != m.machine.incarnation()
                 || !Objects.equals(madeAt.put(name, made.get(name)), made.get(name)));
         madeAt.putIfAbsent(name, made.get(name));
-        return new Line(name, drained ? Listing.DRAINING : Listing.LIVE, m.machine, anew);
+        return new MachineUpdate(name, drained ? Lifecycle.DRAINING : Lifecycle.LIVE, m.machine, anew);
     }
 
     private final Map<String, Long> madeAt = new HashMap<>();
 
     /** Everything that is believed, as a whole list. */
-    public List<Line> all() {
+    public List<MachineUpdate> all() {
         return List.copyOf(told.values());
     }
 
--- a/src/main/java/fordridge/membership/Headcount.java
+++ b/src/main/java/fordridge/membership/SchedulerCount.java
@@ -7,14 +7,14 @@
  * already be sending. Fewer count only when they have been fewer for longer than a lease and its keeper's errors can
  * last, so that a placer whose registration expired while it still runs does not find its share given away.
  */
-public final class Headcount {
+public final class SchedulerCount {
     private final Duration surelyOut;
     private int counted;
     private int most;
     private Duration fewerSince;
 
     /** {@code told} is what the settings say; registrations never count below one. */
-    public Headcount(int told, Duration lease) {
+    public SchedulerCount(int told, Duration lease) {
         counted = Math.max(1, told);
         surelyOut = lease.multipliedBy(2);
     }
--- a/src/main/java/fordridge/membership/Keys.java
+++ b/src/main/java/fordridge/membership/StoreKeys.java
@@ -1,7 +1,7 @@
 package fordridge.membership;
 
 /** Where what stands in the store: one prefix for a cluster, one folder for each kind of record. */
-public record Keys(String prefix) {
+public record StoreKeys(String prefix) {
     static final String MACHINES = "/machines/";
     static final String DRAINS = "/drains/";
     static final String TERMS = "/terms/";
@@ -27,11 +27,11 @@
         return prefix + "/";
     }
 
-    public Believed.Item.Kind kind(String key) {
+    public MachineListReplica.StoreRecord.Kind kind(String key) {
         String rest = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
-        return rest.startsWith(MACHINES) ? Believed.Item.Kind.MACHINE : rest.startsWith(DRAINS)
-                ? Believed.Item.Kind.DRAIN : rest.startsWith(TERMS) ? Believed.Item.Kind.TERM
-                : rest.startsWith(PLACERS) ? Believed.Item.Kind.PLACER : Believed.Item.Kind.OTHER;
+        return rest.startsWith(MACHINES) ? MachineListReplica.StoreRecord.Kind.MACHINE : rest.startsWith(DRAINS)
+                ? MachineListReplica.StoreRecord.Kind.DRAIN : rest.startsWith(TERMS) ? MachineListReplica.StoreRecord.Kind.TERM
+                : rest.startsWith(PLACERS) ? MachineListReplica.StoreRecord.Kind.PLACER : MachineListReplica.StoreRecord.Kind.OTHER;
     }
 
     public String name(String key) {
--- a/src/main/java/fordridge/state/Note.java
+++ b/src/main/java/fordridge/model/GossipCodec.java
@@ -1,4 +1,4 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32;
@@ -7,11 +7,11 @@
  * The alphabet of notes between placers: one printable character holds a figure, three a machine's name. Notes are
  * paid by the byte at every placer that gets them, so they hold nothing else. It only writes and reads.
  */
-public final class Note {
+public final class GossipCodec {
     private static final char FIRST = '!';
     private static final int DIGITS = '~' - FIRST + 1;
 
-    private Note() {
+    private GossipCodec() {
     }
 
     /** Short for a machine's id; two in a fleet may bear the same, then notes on neither are read. */
--- a/src/main/java/fordridge/state/Held.java
+++ b/src/main/java/fordridge/model/PendingQueue.java
@@ -1,4 +1,4 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.time.Duration;
 import java.util.Comparator;
@@ -9,7 +9,7 @@
 import java.util.TreeSet;
 
 /** VMs held for want of room: in groups, by rank and age, and by the time at which each is given up. */
-public final class Held {
+public final class PendingQueue {
     /** VMs of one shape, oldest first; where it stands among the groups goes by its oldest. */
     static final class Group {
         private final Object shape;
--- a/src/main/java/fordridge/state/Homes.java
+++ b/src/main/java/fordridge/model/RendezvousHashing.java
@@ -1,11 +1,11 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** The machines that stand foremost for a service, by a hash that is the same wherever it is asked for (rendezvous). */
-public final class Homes {
-    private Homes() {
+public final class RendezvousHashing {
+    private RendezvousHashing() {
     }
 
     /** At most so many, the foremost first. Goes through them once and keeps no more: it is asked for each placing. */
--- a/src/main/java/fordridge/state/Mean.java
+++ b/src/main/java/fordridge/model/RunningMean.java
@@ -1,11 +1,11 @@
-package fordridge.state;
+package fordridge.model;
 
 /** A running mean: plain over the first values, then over about as many as its user says. */
-public final class Mean {
+public final class RunningMean {
     public double value;
     private int heard;
 
-    public Mean(double guess) {
+    public RunningMean(double guess) {
         value = guess;
     }
 
--- a/src/main/java/fordridge/state/Terms.java
+++ b/src/main/java/fordridge/model/SchedulerSettings.java
@@ -1,14 +1,14 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
 /** What was read at start, by name, nested names joined by dots; and spans of time. It only reads. */
-public final class Terms {
+public final class SchedulerSettings {
     private final Map<String, Object> values;
 
-    public Terms(Map<String, Object> values) {
+    public SchedulerSettings(Map<String, Object> values) {
         this.values = values;
     }
 
--- a/src/main/java/fordridge/state/Placer.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -1,4 +1,4 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -11,13 +11,13 @@
 import java.util.Set;
 
 /** What one instance knows for as long as it lives. */
-public final class Placer {
+public final class SchedulerState {
     public Duration now = Duration.ZERO;
     /** When this life of it began. */
     public Duration startedAt = Duration.ZERO;
-    public Chance chance = new Chance(0);
+    public SeededRandom chance = new SeededRandom(0);
     /** What was read at start. */
-    public Terms terms = new Terms(Map.of());
+    public SchedulerSettings terms = new SchedulerSettings(Map.of());
     /** How many placers share the cluster, this one among them. */
     public double placers = 1;
     /** Machines in the order in which the list first named them. */
@@ -31,7 +31,7 @@
     /** Machines with claims in their books. */
     public final Set<Machine> booked = new LinkedHashSet<>();
     /** VMs taken and neither placed, out on a claim, nor answered. */
-    public final Held held = new Held();
+    public final PendingQueue held = new PendingQueue();
     /** VMs that found no room since anything could have grown it. */
     public final List<Vm> without = new ArrayList<>();
     /** VMs not tried yet since they came or their last claim ended. */
--- a/src/main/java/fordridge/state/Chance.java
+++ b/src/main/java/fordridge/model/SeededRandom.java
@@ -1,16 +1,16 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32;
 
 /** Numbers from 0 to under 1, drawn from the instance's seed and a counter. */
-public final class Chance {
+public final class SeededRandom {
     private final CRC32 crc = new CRC32();
     private final ByteBuffer draw = ByteBuffer.allocate(16);
     private final long seed;
     private long draws;
 
-    public Chance(long seed) {
+    public SeededRandom(long seed) {
         this.seed = seed;
     }
 
--- a/src/main/java/fordridge/state/Vm.java
+++ b/src/main/java/fordridge/model/Vm.java
@@ -1,4 +1,4 @@
-package fordridge.state;
+package fordridge.model;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,46 +8,46 @@
 public final class Vm {
     /** The name it bears at the door; the module only hands it back. */
     public final String id;
-    public String flavour;
-    public String customer = "";
+    public String priorityClass;
+    public String tenant = "";
     public long service;
     public double cores;
     public double memory;
-    public boolean cameBack;
+    public boolean isClientRetry;
     public Duration arrivedAt;
     public Duration deadline;
     /** Expected life, null where not told. */
-    public Duration lasts;
-    public final List<Claim> claims = new ArrayList<>();
-    public Claim placed;
+    public Duration expectedLifetime;
+    public final List<PlacementAttempt> attempts = new ArrayList<>();
+    public PlacementAttempt acceptedAttempt;
     /** Among which VMs it is held, null when it is not; its place in that order, and when it is given up. */
-    Held.Group heldIn;
+    PendingQueue.Group heldIn;
     long heldAs;
     int heldRank;
     Duration giveUpAt;
     /** Final answer given, or the end told. */
-    public boolean over;
+    public boolean isFinished;
     /** Stopped by a move of ours; what follows is no fault of the machine. */
-    public boolean moved;
+    public boolean isMigrating;
 
     public Vm(String id) {
         this.id = id;
     }
 
     /** What refusals of one customer's VMs of one flavour are booked under. */
-    public String kin() {
-        return customer + " " + flavour;
+    public String tenantClass() {
+        return tenant + " " + priorityClass;
     }
 
     /** Its latest claim, or null. */
-    public Claim last() {
-        return claims.isEmpty() ? null : claims.get(claims.size() - 1);
+    public PlacementAttempt lastAttempt() {
+        return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
     }
 
-    public int out() {
+    public int inFlightAttempts() {
         int n = 0;
-        for (Claim c : claims) {
-            if (c.out()) {
+        for (PlacementAttempt c : attempts) {
+            if (c.isInFlight()) {
                 n++;
             }
         }
--- a/src/main/java/fordridge/obs/Logging.java
+++ b/src/main/java/fordridge/observability/Logging.java
@@ -1,4 +1,4 @@
-package fordridge.obs;
+package fordridge.observability;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
--- a/src/main/java/fordridge/obs/Meters.java
+++ b/src/main/java/fordridge/observability/Metrics.java
@@ -1,6 +1,6 @@
-package fordridge.obs;
+package fordridge.observability;
 
-import fordridge.state.Claim.End;
+import fordridge.model.PlacementAttempt.Outcome;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
@@ -12,17 +12,17 @@
 import java.util.function.Supplier;
 
 /** What a process counts, over all its instances. Percentiles come from Micrometer's HdrHistograms. */
-public final class Meters {
+public final class Metrics {
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Counter offers = registry.counter("fordridge.offers");
-    private final Map<End, Counter> outcomes = new EnumMap<>(End.class);
+    private final Map<Outcome, Counter> outcomes = new EnumMap<>(Outcome.class);
     private final Map<String, Counter> answers = new java.util.TreeMap<>();
     private final Timer bind = timer("fordridge.bind");
     private final Timer lag = timer("fordridge.loop.lag");
     private final Timer decide = timer("fordridge.decide");
 
-    public Meters() {
-        for (End e : End.values()) {
+    public Metrics() {
+        for (Outcome e : Outcome.values()) {
             outcomes.put(e, registry.counter("fordridge.outcomes", "kind", e.name().toLowerCase()));
         }
         for (String a : new String[] {"bound", "denied", "errored"}) {
@@ -38,7 +38,7 @@
         offers.increment();
     }
 
-    public void ended(End how) {
+    public void ended(Outcome how) {
         outcomes.get(how).increment();
     }
 
@@ -86,7 +86,7 @@
     }
 
     public double ended(String kind) {
-        return outcomes.get(End.valueOf(kind)).count();
+        return outcomes.get(Outcome.valueOf(kind)).count();
     }
 
     /** In milliseconds, of the last minutes: loop, decide or bind. */
--- a/src/main/java/fordridge/obs/MetricsPort.java
+++ b/src/main/java/fordridge/observability/MetricsServer.java
@@ -1,4 +1,4 @@
-package fordridge.obs;
+package fordridge.observability;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -22,16 +22,16 @@
 import java.nio.charset.StandardCharsets;
 
 /** The plain metrics of a process on a loopback port. */
-public final class MetricsPort implements AutoCloseable {
+public final class MetricsServer implements AutoCloseable {
     private final Channel channel;
 
-    public MetricsPort(int port, Meters meters, EventLoopGroup loops) {
+    public MetricsServer(int port, Metrics metrics, EventLoopGroup loops) {
         channel = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel c) {
                         c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(8192),
-                                new Answering(meters));
+                                new RequestHandler(metrics));
                     }
                 }).bind(InetAddress.getLoopbackAddress(), port).syncUninterruptibly().channel();
     }
@@ -45,11 +45,11 @@
         channel.close();
     }
 
-    private static final class Answering extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Meters meters;
+    private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Metrics metrics;
 
-        Answering(Meters meters) {
-            this.meters = meters;
+        RequestHandler(Metrics metrics) {
+            this.metrics = metrics;
         }
 
         @Override
@@ -57,7 +57,7 @@
             boolean known = request.uri().equals("/metrics");
             FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     known ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND,
-                    Unpooled.copiedBuffer(known ? meters.scrape() : "only /metrics is here\n", StandardCharsets.UTF_8));
+                    Unpooled.copiedBuffer(known ? metrics.scrape() : "only /metrics is here\n", StandardCharsets.UTF_8));
             r.headers().set("content-type", "text/plain; version=0.0.4; charset=utf-8");
             r.headers().setInt("content-length", r.content().readableBytes());
             ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/fordridge/session/Lateness.java
+++ b/src/main/java/fordridge/runtime/EventLoopLag.java
@@ -1,4 +1,4 @@
-package fordridge.session;
+package fordridge.runtime;
 
 import java.time.Duration;
 
@@ -7,13 +7,13 @@
  * runs from when it asked, and the placer's from when it read; under load the difference is the loop's own lateness,
  * and answers must be early by as much. Free of clocks: lateness comes in.
  */
-public final class Lateness {
+public final class EventLoopLag {
     private final Duration remembers;
     private Duration now = Duration.ZERO;
     private Duration before = Duration.ZERO;
     private Duration since = Duration.ZERO;
 
-    public Lateness(Duration remembers) {
+    public EventLoopLag(Duration remembers) {
         this.remembers = remembers;
     }
 
--- a/src/main/java/fordridge/feed/Inputs.java
+++ b/src/main/java/fordridge/runtime/EventSequencer.java
@@ -1,4 +1,4 @@
-package fordridge.feed;
+package fordridge.runtime;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -10,7 +10,7 @@
  * The order in which a feeder's inputs are entered, and their clock: one after another as they were met, each at the
  * time of a clock that only goes forward; what follows from one is entered behind it. For one thread.
  */
-public final class Inputs {
+public final class EventSequencer {
     private final LongSupplier nanos;
     private final Consumer<Duration> before;
     private final Consumer<RuntimeException> failed;
@@ -19,7 +19,7 @@
     private boolean inside;
 
     /** {@code before} hears the time of each input; {@code failed} of one that threw, and those behind it go on. */
-    public Inputs(LongSupplier nanos, Consumer<Duration> before, Consumer<RuntimeException> failed) {
+    public EventSequencer(LongSupplier nanos, Consumer<Duration> before, Consumer<RuntimeException> failed) {
         this.nanos = nanos;
         this.before = before;
         this.failed = failed;
--- a/src/main/java/fordridge/feed/Feed.java
+++ b/src/main/java/fordridge/runtime/SchedulerInputs.java
@@ -1,10 +1,10 @@
-package fordridge.feed;
+package fordridge.runtime;
 
-import fordridge.Logic;
-import fordridge.door.Door;
-import fordridge.state.Claim;
-import fordridge.state.Machine;
-import fordridge.state.Vm;
+import fordridge.scheduling.Scheduler;
+import fordridge.scheduling.SchedulerActions;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
@@ -19,18 +19,18 @@
  *
  * @param <K> what names a machine where the inputs come from
  */
-public final class Feed<K> {
+public final class SchedulerInputs<K> {
     /** One line of a list of machines. */
-    public record Line<K>(K key, String zone, String kind, int cell, double freeCores, double freeMemory,
-            Machine.Listing listing, Duration startedAt) { }
+    public record ListedMachine<K>(K key, String zone, String kind, int cell, double freeCores, double freeMemory,
+            Machine.Lifecycle lifecycle, Duration startedAt) { }
 
-    public final Logic logic;
+    public final Scheduler scheduler;
     private final ToLongFunction<K> idOf;
     private final Map<String, Vm> vms = new HashMap<>();
     private final Map<K, Machine> machines = new HashMap<>();
 
-    public Feed(Door door, ToLongFunction<K> idOf) {
-        this.logic = new Logic(door);
+    public SchedulerInputs(SchedulerActions actions, ToLongFunction<K> idOf) {
+        this.scheduler = new Scheduler(actions);
         this.idOf = idOf;
     }
 
@@ -54,14 +54,14 @@
     }
 
     /** The claim of that number, or null where its VM is no longer held. */
-    public Claim claim(String id, int number) {
+    public PlacementAttempt attempt(String id, int number) {
         Vm vm = vms.get(id);
-        return vm == null || number < 0 || number >= vm.claims.size() ? null : vm.claims.get(number);
+        return vm == null || number < 0 || number >= vm.attempts.size() ? null : vm.attempts.get(number);
     }
 
     /** A VM that is over and has no claim out will not be heard of again. */
     public boolean forget(Vm vm) {
-        return vm.over && vm.out() == 0 && vms.remove(vm.id) != null;
+        return vm.isFinished && vm.inFlightAttempts() == 0 && vms.remove(vm.id) != null;
     }
 
     public Machine machine(K key) {
@@ -72,25 +72,25 @@
         return machines.get(key);
     }
 
-    public void list(boolean whole, boolean old, List<Line<K>> lines) {
-        logic.listBegins(whole, old);
-        for (Line<K> l : lines) {
+    public void list(boolean whole, boolean old, List<ListedMachine<K>> lines) {
+        scheduler.machineListStarted(whole, old);
+        for (ListedMachine<K> l : lines) {
             Machine m = machine(l.key);
             m.zone = l.zone;
             m.kind = l.kind;
             m.cell = l.cell;
             m.freeCores = l.freeCores;
             m.freeMemory = l.freeMemory;
-            logic.listed(m, l.listing, l.startedAt);
+            scheduler.machineListed(m, l.lifecycle, l.startedAt);
         }
-        logic.listEnds();
+        scheduler.machineListCompleted();
     }
 
     /** A load report that came with what the module is told next. */
     public void report(Machine m, double spareCores, double spareMemory, double busy, Duration now) {
         m.spareCores = spareCores;
         m.spareMemory = spareMemory;
-        m.busy = busy;
+        m.utilization = busy;
         m.reportedAt = now;
     }
 }
