--- a/src/main/java/fordridge/Logic.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -1,12 +1,12 @@
-package fordridge;
+package fordridge.scheduling;
 
-import static fordridge.state.Terms.seconds;
-import static fordridge.state.Terms.times;
+import static fordridge.model.SchedulerSettings.seconds;
+import static fordridge.model.SchedulerSettings.times;
 
-import fordridge.door.Door;
-import fordridge.state.*;
-import fordridge.state.Claim.*;
-import fordridge.state.Machine.Listing;
+import fordridge.scheduling.SchedulerActions;
+import fordridge.model.*;
+import fordridge.model.PlacementAttempt.*;
+import fordridge.model.Machine.Lifecycle;
 import java.time.Duration;
 import java.util.*;
 import java.util.function.*;
@@ -17,16 +17,16 @@
  *
  * <p>To call it: {@link #at} with the time, then one input ({@link #start} first, {@link #listed} between
  * {@link #listBegins} and {@link #listEnds}, {@link #arrives}, {@link #bound}, {@link #ended} and so on). It
- * acts through {@link Door} before the call returns. The state it works on is in {@code fordridge.state}.
+ * acts through {@link SchedulerActions} before the call returns. The state it works on is in {@code fordridge.model}.
  */
-public final class Logic {
+public final class Scheduler {
     /** One step of the list gone through after every input: where the condition holds, the effect follows. */
     private record Rule(BooleanSupplier when, Runnable then) { }
 
     private enum Effect { REBUILDABLE, TOKENED, ONE_SHOT }
 
     /** A flavour's terms, and how long its starts have been taking with the program at hand and without. */
-    private static final class Flavour {
+    private static final class PriorityClass {
         int rank;
         Effect effect;
         String group;
@@ -55,9 +55,9 @@
     /** Grief from which a machine is left alone, if it also stands out from the fleet by as many times. */
     private static final double SHUNNED = 3;
 
-    private final Door door;
-    private final Placer me = new Placer();
-    private final Map<String, Flavour> flavours = new TreeMap<>();
+    private final SchedulerActions actions;
+    private final SchedulerState me = new SchedulerState();
+    private final Map<String, PriorityClass> priorityClasses = new TreeMap<>();
     /** Customers and flavours as notes number them. */
     private final List<String> kins = new ArrayList<>();
     /** Kinds of machine that some flavour cannot do without. */
@@ -82,16 +82,16 @@
     private double usedPerAsk;
     private double usedPerAskMemory;
     /** What own VMs have been told to use, as a share of their asks. */
-    private Mean coresRatio;
-    private Mean memoryRatio;
+    private RunningMean coresRatio;
+    private RunningMean memoryRatio;
     private double fleetGrief;
     private Duration summedAt;
 
-    public Logic(Door door) {
-        this.door = door;
+    public Scheduler(SchedulerActions actions) {
+        this.actions = actions;
     }
 
-    public void at(Duration now) {
+    public void advanceTo(Duration now) {
         if (!now.equals(me.now)) {
             me.without.clear();
         }
@@ -99,20 +99,20 @@
     }
 
     public void start(long seed, Map<String, Object> terms) {
-        me.chance = new Chance(seed);
+        me.chance = new SeededRandom(seed);
         me.startedAt = me.now;
-        me.terms = new Terms(terms);
+        me.terms = new SchedulerSettings(terms);
         me.placers = me.terms.num("nInstances", 1);
         // Until notes tell, use is what lets a machine bear all it accepts: a high guess opens too many.
-        coresRatio = new Mean(1 / me.terms.num("extra.admitCores", 1));
-        memoryRatio = new Mean(1 / me.terms.num("extra.memBooking", 1));
+        coresRatio = new RunningMean(1 / me.terms.num("extra.admitCores", 1));
+        memoryRatio = new RunningMean(1 / me.terms.num("extra.memBooking", 1));
         readTerms();
         settleRules();
     }
 
     /** Other terms hold from now on; flavours keep what was learned; none may leave or change its effect. */
-    public void told(Map<String, Object> terms) {
-        me.terms = new Terms(terms);
+    public void settingsChanged(Map<String, Object> terms) {
+        me.terms = new SchedulerSettings(terms);
         readTerms();
         lookAgain();
     }
@@ -124,7 +124,7 @@
         int n = (int) me.terms.num("lanes", 0);
         for (int i = 0; i < n; i++) {
             String lane = "lanes." + i + ".";
-            Flavour f = flavours.computeIfAbsent(me.terms.text(lane + "name", ""), name -> new Flavour());
+            PriorityClass f = priorityClasses.computeIfAbsent(me.terms.text(lane + "name", ""), name -> new PriorityClass());
             f.rank = (int) me.terms.item("extra.precedence", i, 0);
             topRank = Math.max(topRank, f.rank);
             f.effect = switch (me.terms.text(lane + "semantics", "fragile")) {
@@ -155,13 +155,13 @@
         }
         kins.clear();
         for (int i = 0; i < Math.max(1, me.terms.num("tenants", 0)); i++) {
-            String customer = me.terms.text("tenants." + i + ".name", "");
-            flavours.keySet().forEach(f -> kins.add(customer + " " + f));
+            String tenant = me.terms.text("tenants." + i + ".name", "");
+            priorityClasses.keySet().forEach(f -> kins.add(tenant + " " + f));
         }
     }
 
     /** A list follows: whole (what it does not name is gone) or changes; {@code old} if it may be stale. */
-    public void listBegins(boolean isWhole, boolean old) {
+    public void machineListStarted(boolean isWhole, boolean old) {
         whole = isWhole;
         if (!old) {
             me.asked = false;
@@ -173,30 +173,30 @@
         }
     }
 
-    public void listed(Machine m, Listing listing, Duration startedAt) {
-        if (!m.known) {
-            m.known = true;
+    public void machineListed(Machine m, Lifecycle lifecycle, Duration startedAt) {
+        if (!m.isListed) {
+            m.isListed = true;
             me.machines.add(m);
-            me.byName.put(Note.name(m.id), me.byName.containsKey(Note.name(m.id)) ? null : m);
+            me.byName.put(GossipCodec.name(m.id), me.byName.containsKey(GossipCodec.name(m.id)) ? null : m);
         }
         if (startedAt != null && !startedAt.equals(m.startedAt)) {
             m.programs.values().removeIf(p -> p.held == 0);
             m.reportedAt = null;
-            m.closedUntil = Duration.ZERO;
+            m.ejectedUntil = Duration.ZERO;
         }
         int kind = me.terms.list("kinds").indexOf(m.kind);
         m.cores = kind < 0 ? 0 : me.terms.item("extra.cpuOfKind", kind, 0);
         m.memory = kind < 0 ? 0 : me.terms.item("extra.memoryByKind", kind, 0);
         m.startedAt = startedAt;
-        m.listing = listing;
+        m.lifecycle = lifecycle;
         m.listedAt = me.now;
     }
 
-    public void listEnds() {
+    public void machineListCompleted() {
         if (whole) {
             for (Machine m : me.machines) {
                 if (m.listedAt == null) {
-                    m.listing = Listing.GONE;
+                    m.lifecycle = Lifecycle.GONE;
                 }
             }
         }
@@ -204,38 +204,38 @@
         lookAgain();
     }
 
-    public void listFailed() {
+    public void machineListFailed() {
         me.asked = false;
         me.following = false;
         me.askListAt = me.now.plus(times(settle, 1.0 / 4));
         settleRules();
     }
 
-    public void arrives(Vm vm) {
+    public void vmRequested(Vm vm) {
         me.arrivals++;
-        flavour(vm).seen++;
+        priorityClass(vm).seen++;
         me.untried.add(vm);
         settleRules();
     }
 
     /** A VM that runs already: it counts as placed by this placer. */
-    public void runsAlready(Vm vm, Machine m) {
-        Claim c = new Claim(vm, m, 0, me.now);
-        vm.claims.add(c);
-        vm.placed = c;
-        c.boundAt = me.now;
-        c.runsAt = me.now;
+    public void vmAdopted(Vm vm, Machine m) {
+        PlacementAttempt c = new PlacementAttempt(vm, m, 0, me.now);
+        vm.attempts.add(c);
+        vm.acceptedAttempt = c;
+        c.acceptedAt = me.now;
+        c.runningSince = me.now;
         holds(c);
         settleRules();
     }
 
-    public void bound(Claim c) {
-        c.machine.waitingClaims.remove(c);
-        c.boundAt = me.now;
-        Machine.Refusal r = refusal(c.vm.kin(), c.machine);
+    public void attemptAccepted(PlacementAttempt c) {
+        c.machine.unansweredAttempts.remove(c);
+        c.acceptedAt = me.now;
+        Machine.RejectionBackoff r = refusal(c.vm.tenantClass(), c.machine);
         r.span = r.span.dividedBy(2);
         r.tookAt = me.now;
-        c.vm.placed = c;
+        c.vm.acceptedAttempt = c;
         if (me.terms.text("extra.saysYes", "running").equals("running")) {
             started(c);
         }
@@ -243,87 +243,87 @@
     }
 
     /** A bound VM runs (told where the yes comes at acceptance). */
-    public void running(Claim c) {
-        if (c.runsAt == null) {
+    public void vmStarted(PlacementAttempt c) {
+        if (c.runningSince == null) {
             started(c);
         }
         settleRules();
     }
 
-    public void usesCores(Claim c, double amount) {
+    public void coreUsageReported(PlacementAttempt c, double amount) {
         coresRatio.hear(amount / c.vm.cores, 64);
     }
 
-    public void usesMemory(Claim c, double amount) {
+    public void memoryUsageReported(PlacementAttempt c, double amount) {
         memoryRatio.hear(amount / c.vm.memory, 64);
     }
 
     /** A VM is served this share of what it needs. */
-    public void served(Claim c, double share) {
-        grieve(c.machine, (1 - share) / 2);
+    public void serviceLevelReported(PlacementAttempt c, double share) {
+        recordFault(c.machine, (1 - share) / 2);
     }
 
     /** Memory of the machine is getting short: this share is in use. */
-    public void pressed(Claim c, double share) {
-        grieve(c.machine, share / 2);
+    public void memoryPressureReported(PlacementAttempt c, double share) {
+        recordFault(c.machine, share / 2);
     }
 
-    public void left(Vm vm) {
-        vm.over = true;
+    public void clientLeft(Vm vm) {
+        vm.isFinished = true;
         me.held.remove(vm);
         me.untried.remove(vm);
         settleRules();
     }
 
     /** The outcome of a claim; {@code over} if the VM needs no answer any more. */
-    public void ended(Claim c, End end, Why why, boolean over) {
+    public void attemptEnded(PlacementAttempt c, Outcome end, OutcomeReason why, boolean over) {
         Machine m = c.machine;
         Vm vm = c.vm;
-        boolean wasBound = c.boundAt != null;
-        c.end = end;
-        m.waitingClaims.remove(c);
-        Machine.Program p = m.programs.get(vm.service);
+        boolean wasBound = c.acceptedAt != null;
+        c.outcome = end;
+        m.unansweredAttempts.remove(c);
+        Machine.HostedService p = m.programs.get(vm.service);
         if (--p.held == 0) {
             me.hosts.computeIfPresent(vm.service, (s, on) -> on.remove(m) && on.isEmpty() ? null : on);
         }
         p.lastHeld = me.now;
-        m.placed.remove(c);
-        if (c.neverRan()) {
-            m.sinceList.remove(c);
-            m.sinceReport.remove(c);
+        m.hostedAttempts.remove(c);
+        if (c.hasNeverRun()) {
+            m.reservedSinceList.remove(c);
+            m.reservedSinceReport.remove(c);
         }
-        if (wasBound && end == End.DONE) {
-            Flavour f = flavour(vm);
-            f.life += (seconds(me.now.minus(c.boundAt)) - f.life) / 16;
+        if (wasBound && end == Outcome.DONE) {
+            PriorityClass f = priorityClass(vm);
+            f.life += (seconds(me.now.minus(c.acceptedAt)) - f.life) / 16;
         }
         blame(c, end, why, wasBound);
         if (over || wasBound) {
-            vm.over = true;
+            vm.isFinished = true;
             me.held.remove(vm);
-        } else if (!vm.over && vm.out() == 0) {
+        } else if (!vm.isFinished && vm.inFlightAttempts() == 0) {
             me.untried.add(vm);
         }
         lookAgain();
     }
 
     /** Something changed, for a machine or at large; told to the others if it is a report, and whole. */
-    public void reported(Machine m) {
+    public void loadReported(Machine m) {
         if (m != null && me.tellEvery != null && me.now.equals(m.reportedAt)
                 && Double.isFinite(m.spareCores + m.spareMemory)
-                && (m.toldAt == null || since(m.toldAt).compareTo(me.tellEvery) >= 0)) {
-            m.toldAt = me.now;
-            tell(m, "" + Note.share(1 - m.spareCores / m.cores)
-                    + Note.share(1 - m.spareMemory / m.memory));
+                && (m.gossipedAt == null || since(m.gossipedAt).compareTo(me.tellEvery) >= 0)) {
+            m.gossipedAt = me.now;
+            tell(m, "" + GossipCodec.share(1 - m.spareCores / m.cores)
+                    + GossipCodec.share(1 - m.spareMemory / m.memory));
         }
         lookAgain();
     }
 
-    public void probed(Machine m, boolean ok, boolean told, Duration took) {
+    public void probeCompleted(Machine m, boolean ok, boolean told, Duration took) {
         m.probing = false;
         if (ok && told) {
-            reported(m);
+            loadReported(m);
         } else if (!ok) {
-            grieve(m, 1);
+            recordFault(m, 1);
             tell(m, "");
         }
         lookAgain();
@@ -331,7 +331,7 @@
 
     private void tell(Machine m, String what) {
         if (me.tellEvery != null) {
-            door.tell(Note.name(m.id) + what);
+            actions.gossip(GossipCodec.name(m.id) + what);
         }
     }
 
@@ -340,43 +340,43 @@
      * tells goes by its length. No figure: no answer. One: customer and flavour whose VMs it turns away. Two:
      * cores and memory in use, as good as a report of our own.
      */
-    public void heard(String note) {
+    public void gossipReceived(String note) {
         Machine m = note.length() < 3 || note.length() > 5 ? null : me.byName.get(note.substring(0, 3));
         if (m == null) {
             return;
         }
         String what = note.substring(3);
         if (what.isEmpty()) {
-            m.closedUntil = Collections.max(List.of(m.closedUntil, me.now.plus(times(settle, 1.0 / 3))));
+            m.ejectedUntil = Collections.max(List.of(m.ejectedUntil, me.now.plus(times(settle, 1.0 / 3))));
         } else if (what.length() == 1) {
-            int kin = Note.whole(what.charAt(0));
+            int kin = GossipCodec.whole(what.charAt(0));
             if (kin >= 0 && kin < kins.size()) {
-                Machine.Refusal r = refusal(kins.get(kin), m);
+                Machine.RejectionBackoff r = refusal(kins.get(kin), m);
                 r.until = Collections.max(List.of(r.until, me.now.plus(times(settle, 2))));
             }
         } else {
-            m.spareCores = (1 - Note.share(what.charAt(0))) * m.cores;
-            m.spareMemory = (1 - Note.share(what.charAt(1))) * m.memory;
-            m.busy = Double.NaN;
+            m.spareCores = (1 - GossipCodec.share(what.charAt(0))) * m.cores;
+            m.spareMemory = (1 - GossipCodec.share(what.charAt(1))) * m.memory;
+            m.utilization = Double.NaN;
             m.reportedAt = me.now;
-            m.toldAt = me.now;
+            m.gossipedAt = me.now;
             lookAgain();
         }
     }
 
     /** So many placers share the cluster from now on. */
-    public void shared(int among) {
+    public void schedulerCountChanged(int among) {
         me.placers = among;
         lookAgain();
     }
 
     /** Nothing more is placed: what is held is answered at once, what is out when its claim ends. */
-    public void stops() {
+    public void shutdownStarted() {
         me.stopping = true;
         settleRules();
     }
 
-    public void woken() {
+    public void timerFired() {
         me.wakeAt = null;
         lookAgain();
     }
@@ -409,7 +409,7 @@
 
     private void askForList() {
         me.asked = true;
-        door.follow(true);
+        actions.watchMachineList(true);
     }
 
     /** Rule 3 where the list must be asked for: silence for long enough counts as having been told. */
@@ -431,18 +431,18 @@
             giveUp(vm);
             return;
         }
-        Flavour f = flavour(vm);
-        Claim last = vm.last();
+        PriorityClass f = priorityClass(vm);
+        PlacementAttempt last = vm.lastAttempt();
         // Where a claim may have run, earlier machines bind the choice too: such a VM speaks for itself only.
         Object own = f.effect != Effect.REBUILDABLE && mayHaveRun(vm) != null ? vm
                 : last == null ? null : last.machine;
-        long service = f.spread.equals("off") && !door.ruled(vm) ? 0L : vm.service;
+        long service = f.spread.equals("off") && !actions.isConstrained(vm) ? 0L : vm.service;
         // Behind the others of its rank once its first start can hardly come in time: kept in the order of
         // arrival, an overload would make every start late.
         Duration inTime = vm.arrivedAt.plus(times(f.target, 3.0 / 4));
-        boolean late = vm.cameBack || me.now.compareTo(inTime) >= 0;
+        boolean late = vm.isClientRetry || me.now.compareTo(inTime) >= 0;
         me.held.add(vm, 2 * f.rank + (late ? 0 : 1),
-                List.of(vm.kin(), vm.cores, vm.memory, service, Optional.ofNullable(own), late),
+                List.of(vm.tenantClass(), vm.cores, vm.memory, service, Optional.ofNullable(own), late),
                 late ? hopelessAt(vm) : Collections.min(List.of(inTime, hopelessAt(vm))));
     }
 
@@ -466,10 +466,10 @@
 
     private boolean placeOrTell(Vm vm) {
         Machine m = pick(vm);
-        boolean plain = vm.claims.isEmpty() && flavour(vm).spread.equals("off")
-                && !me.refusedAt.containsKey(vm.kin()) && !door.ruled(vm);
+        boolean plain = vm.attempts.isEmpty() && priorityClass(vm).spread.equals("off")
+                && !me.refusedAt.containsKey(vm.tenantClass()) && !actions.isConstrained(vm);
         if (m != null) {
-            claim(vm, m);
+            attempt(vm, m);
         } else if (plain || noRoomFor(vm)) {
             me.without.add(vm);
         }
@@ -478,14 +478,14 @@
 
     /** Not for its claims, refusals or its service's spread, but as no machine has room for so much. */
     private boolean noRoomFor(Vm vm) {
-        Flavour f = flavour(vm);
+        PriorityClass f = priorityClass(vm);
         return withRoom(vm, me.machines.stream().filter(m -> open(f, m)).toList()).isEmpty();
     }
 
     /** A VM of the flavour that asks for no more found no room since anything could have grown it. */
     private boolean spokenFor(Vm vm) {
         for (Vm o : me.without) {
-            if (o.flavour.equals(vm.flavour) && o.cores <= vm.cores && o.memory <= vm.memory) {
+            if (o.priorityClass.equals(vm.priorityClass) && o.cores <= vm.cores && o.memory <= vm.memory) {
                 return true;
             }
         }
@@ -494,10 +494,10 @@
 
     /** Regular room, and only failing that opportunistic room; among what has it, the picker. */
     private Machine pick(Vm vm) {
-        Claim last = vm.last();
+        PlacementAttempt last = vm.lastAttempt();
         // The last claim waits after a refusal: spent at once, all of them fall on the same late list.
-        boolean waits = last != null && last.end == End.FULL
-                && vm.claims.size() + 1 >= me.terms.num("caps.mostTries", 4)
+        boolean waits = last != null && last.outcome == Outcome.FULL
+                && vm.attempts.size() + 1 >= me.terms.num("caps.mostTries", 4)
                 && me.now.minus(last.sentAt).compareTo(times(settle, 1.0 / 6)) < 0;
         if (waits || !listTrusted()) {
             return null;
@@ -508,17 +508,17 @@
             meanUse();
         }
         List<Machine> can = new ArrayList<>(me.machines);
-        Flavour f = flavour(vm);
+        PriorityClass f = priorityClass(vm);
         can.removeIf(m -> !eligible(vm, f, m));
         // While such VMs are refused without a reason, those that took one lately come first: machines that
         // refuse stay empty, and by room alone would draw every try.
-        boolean refused = since(me.refusedAt.get(vm.kin())).compareTo(times(settle, 2)) < 0;
+        boolean refused = since(me.refusedAt.get(vm.tenantClass())).compareTo(times(settle, 2)) < 0;
         List<Machine> proven = refused ? can.stream().filter(m -> took(vm, m)).toList() : List.of();
         List<Machine> room = proven.isEmpty() ? proven : withRoom(vm, proven);
         // So do machines where the service runs or, by a hash that all placers share, should run.
         if (room.isEmpty()) {
             List<Machine> used = me.terms.num("prices.fleet", 0) > 0 ? narrow(can, this::inUse) : can;
-            List<Machine> homes = Homes.of(vm.service, used, SAMPLE);
+            List<Machine> homes = RendezvousHashing.of(vm.service, used, SAMPLE);
             room = withRoom(vm, narrow(used, m -> knowsProgram(m, vm.service) || homes.contains(m)));
         }
         // Where machines in use have a price, an empty one is opened only when none in use has room.
@@ -527,10 +527,10 @@
         }
         room = room.isEmpty() ? withRoom(vm, can) : room;
         // Customers' preferences among what has room; all alike where there are none.
-        double least = room.stream().mapToDouble(m -> door.unfit(vm, m)).min().orElse(0);
-        room = narrow(room, m -> door.unfit(vm, m) <= least);
+        double least = room.stream().mapToDouble(m -> actions.constraintPenalty(vm, m)).min().orElse(0);
+        room = narrow(room, m -> actions.constraintPenalty(vm, m) <= least);
         room = shared(vm, narrow(room, m -> load(m) <= THRESHOLD), room);
-        if (flavour(vm).kind == null) {
+        if (priorityClass(vm).kind == null) {
             // Kinds that some flavour cannot do without are spared, but not till the others are fuller.
             List<Machine> others = narrow(room, m -> !neededKinds.contains(m.kind));
             room = mean(others, this::load) <= mean(room, this::load) ? others : room;
@@ -554,11 +554,11 @@
      */
     private List<Machine> shared(Vm vm, List<Machine> preferred, List<Machine> otherwise) {
         double shown = preferred.stream().mapToDouble(m -> m.room).sum();
-        return me.chance.next() * unseen(flavour(vm)) < shown ? preferred : otherwise;
+        return me.chance.next() * unseen(priorityClass(vm)) < shown ? preferred : otherwise;
     }
 
     /** Cores that others have bound since what the list shows, if all asked for is renewed each life. */
-    private double unseen(Flavour f) {
+    private double unseen(PriorityClass f) {
         double n = me.placers;
         Duration age = since(me.heardListAt).plus(times(settle, 1.0 / 3));
         return askedCores / f.life * (n - 1) / n * seconds(age);
@@ -589,7 +589,7 @@
      */
     private Machine leastGrieved(Vm vm, List<Machine> room) {
         boolean known = knowsProgram(room.get(0), vm.service);
-        List<Machine> homes = known ? room : Homes.of(vm.service, room, SAMPLE);
+        List<Machine> homes = known ? room : RendezvousHashing.of(vm.service, room, SAMPLE);
         Machine best = null;
         for (int i = 0; i < SAMPLE && i < room.size(); i++) {
             Machine drawn = known ? byRoom(room) : homes.get(i);
@@ -610,17 +610,17 @@
         return drawn;
     }
 
-    private boolean eligible(Vm vm, Flavour f, Machine m) {
-        return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm.kin(), m).until) >= 0)
+    private boolean eligible(Vm vm, PriorityClass f, Machine m) {
+        return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm.tenantClass(), m).until) >= 0)
                 && open(f, m) && allowedAgain(vm, f, m) && spreadKept(vm, f, m)
-                && door.unfit(vm, m) < Double.POSITIVE_INFINITY;
+                && actions.constraintPenalty(vm, m) < Double.POSITIVE_INFINITY;
     }
 
     /** Open to such VMs, whoever owns them, whatever became of their claims, wherever their service runs. */
-    private boolean open(Flavour f, Machine m) {
-        return m.listing == Listing.LIVE
+    private boolean open(PriorityClass f, Machine m) {
+        return m.lifecycle == Lifecycle.LIVE
                 && (f.kind == null || f.kind.equals(m.kind))
-                && me.now.compareTo(m.closedUntil) >= 0
+                && me.now.compareTo(m.ejectedUntil) >= 0
                 && coldPaceKept(m)
                 && trusted(f, m);
     }
@@ -631,12 +631,12 @@
      * each VM taken; others go on. It also answers a quota or a wrong limit; it may hurt where reasons are
      * never told, as room that frees is then found later.
      */
-    private static Machine.Refusal refusal(String kin, Machine m) {
-        return m.refusals.computeIfAbsent(kin, k -> new Machine.Refusal());
+    private static Machine.RejectionBackoff refusal(String kin, Machine m) {
+        return m.refusals.computeIfAbsent(kin, k -> new Machine.RejectionBackoff());
     }
 
     private boolean took(Vm vm, Machine m) {
-        return !m.refusals.isEmpty() && since(refusal(vm.kin(), m).tookAt).compareTo(times(settle, 4)) < 0;
+        return !m.refusals.isEmpty() && since(refusal(vm.tenantClass(), m).tookAt).compareTo(times(settle, 4)) < 0;
     }
 
     /** Room as a share of the size, by the resource that has least; 0 where the VM does not fit. */
@@ -646,11 +646,11 @@
 
     private double regularRoom(Vm vm, Machine m) {
         return me.terms.flag("extra.freeInList", false)
-                ? room(vm, m, m.freeCores - m.sinceList.cores, m.freeMemory - m.sinceList.memory) : 0;
+                ? room(vm, m, m.freeCores - m.reservedSinceList.cores, m.freeMemory - m.reservedSinceList.memory) : 0;
     }
 
     private double opportunisticRoom(Vm vm, Machine m) {
-        Flavour f = flavour(vm);
+        PriorityClass f = priorityClass(vm);
         boolean late = since(vm.arrivedAt).compareTo(times(f.target, 1.0 / 8)) >= 0;
         // The more of what comes is of a lower flavour, the more of it must be kept from filling all.
         double part = f.rank < topRank ? Math.min(1, 2 * f.seen / Math.max(1, me.arrivals)) : 0;
@@ -658,17 +658,17 @@
         double level = late ? crowd(f) : THRESHOLD;
         double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
         double moreMemory = (me.terms.num("extra.memBooking", 1) - 1) * m.memory;
-        double allowed = room(vm, m, m.freeCores + moreCores - m.sinceList.cores,
-                m.freeMemory + moreMemory - m.sinceList.memory);
-        return Math.min(allowed, room(vm, m, level * m.cores - useCores(m) - m.sinceReport.cores,
-                mine * m.memory - useMemory(m) - m.sinceReport.memory));
+        double allowed = room(vm, m, m.freeCores + moreCores - m.reservedSinceList.cores,
+                m.freeMemory + moreMemory - m.reservedSinceList.memory);
+        return Math.min(allowed, room(vm, m, level * m.cores - useCores(m) - m.reservedSinceReport.cores,
+                mine * m.memory - useMemory(m) - m.reservedSinceReport.memory));
     }
 
     /**
      * How busy cores may get for a VM held for a while: where its flavour's service fades slowly, up to the
      * level at which one more start is worth what it takes from those that run; else the threshold.
      */
-    private double crowd(Flavour f) {
+    private double crowd(PriorityClass f) {
         double level = (f.calm + f.fade * (1 + f.startWorth / f.life)) / 2;
         return Math.max(THRESHOLD, Math.min(level, f.calm + f.fade));
     }
@@ -680,30 +680,30 @@
     private double load(Machine m) {
         double most = me.terms.num("extra.admitCores", 1) * m.cores;
         double mostMemory = me.terms.num("extra.memBooking", 1) * m.memory;
-        double asked = Math.max((m.cores - m.freeCores + m.sinceList.cores) / most,
-                (m.memory - m.freeMemory + m.sinceList.memory) / mostMemory);
-        return Math.max(asked, Math.max((useCores(m) + m.sinceReport.cores * coresRatio.value) / m.cores,
-                (useMemory(m) + m.sinceReport.memory * memoryRatio.value) / m.memory));
+        double asked = Math.max((m.cores - m.freeCores + m.reservedSinceList.cores) / most,
+                (m.memory - m.freeMemory + m.reservedSinceList.memory) / mostMemory);
+        return Math.max(asked, Math.max((useCores(m) + m.reservedSinceReport.cores * coresRatio.value) / m.cores,
+                (useMemory(m) + m.reservedSinceReport.memory * memoryRatio.value) / m.memory));
     }
 
     /** What the picker compares. A report of use past the threshold weighs like a note of pressure: where no
      * notes are sent, or none of our own VMs runs there to send one, it is all that tells of a crowd. */
     private double pressure(Machine m) {
-        return grief(m) + Math.max(0, load(m) - THRESHOLD) / (1 - THRESHOLD);
+        return faultScore(m) + Math.max(0, load(m) - THRESHOLD) / (1 - THRESHOLD);
     }
 
     /** Own binds leave the books once a list or report that can include them was heard, and not before. */
     private boolean clearBooks(Machine m) {
         Duration listed = me.heardListAt.minus(times(settle, 1.0 / 3));
-        while (!m.sinceList.claims.isEmpty()
-                && m.sinceList.claims.peekFirst().sentAt.compareTo(listed) < 0) {
-            m.sinceList.remove(m.sinceList.claims.peekFirst());
+        while (!m.reservedSinceList.attempts.isEmpty()
+                && m.reservedSinceList.attempts.peekFirst().sentAt.compareTo(listed) < 0) {
+            m.reservedSinceList.remove(m.reservedSinceList.attempts.peekFirst());
         }
         Duration reported = fresh(m) ? m.reportedAt.minus(times(settle, 1.0 / 6)) : me.now.minus(settle);
-        m.sinceReport.claims.stream()
-                .filter(c -> c.end != null || c.runsAt != null && c.runsAt.compareTo(reported) < 0).toList()
-                .forEach(m.sinceReport::remove);
-        return m.sinceList.claims.isEmpty() && m.sinceReport.claims.isEmpty();
+        m.reservedSinceReport.attempts.stream()
+                .filter(c -> c.outcome != null || c.runningSince != null && c.runningSince.compareTo(reported) < 0).toList()
+                .forEach(m.reservedSinceReport::remove);
+        return m.reservedSinceList.attempts.isEmpty() && m.reservedSinceReport.attempts.isEmpty();
     }
 
     private boolean fresh(Machine m) {
@@ -725,7 +725,7 @@
         if (me.terms.text("extra.reportCounts", "used").equals("asked")) {
             used *= coresRatio.value;
         }
-        return Double.isNaN(m.busy) ? used : Math.max(used, m.busy * m.cores);
+        return Double.isNaN(m.utilization) ? used : Math.max(used, m.utilization * m.cores);
     }
 
     private double usedMemory(Machine m) {
@@ -742,7 +742,7 @@
     }
 
     private void meanUse() {
-        List<Machine> live = narrow(me.machines, m -> m.listing == Listing.LIVE && m.cores > 0);
+        List<Machine> live = narrow(me.machines, m -> m.lifecycle == Lifecycle.LIVE && m.cores > 0);
         List<Machine> told = live.stream().filter(this::fresh).toList();
         fleetGrief = mean(live, this::sorrow);
         knownPart = told.size() / Math.max(1.0, live.size());
@@ -766,79 +766,79 @@
     }
 
     private boolean inUse(Machine m) {
-        return !m.placed.isEmpty() || m.freeCores < m.cores * 0.999;
+        return !m.hostedAttempts.isEmpty() || m.freeCores < m.cores * 0.999;
     }
 
     private boolean knowsProgram(Machine m, long service) {
-        Machine.Program p = m.programs.get(service);
+        Machine.HostedService p = m.programs.get(service);
         return p != null && (p.held > 0 || me.now.minus(p.lastHeld).compareTo(settle) < 0);
     }
 
     // ---- Claims and the second rule --------------------------------------------------------------------
 
-    private void claim(Vm vm, Machine m) {
-        Claim c = new Claim(vm, m, vm.claims.size(), me.now);
-        c.programKnown = knowsProgram(m, vm.service);
-        c.within = within(vm, c);
-        vm.claims.add(c);
-        m.sinceList.add(c);
-        m.sinceReport.add(c);
+    private void attempt(Vm vm, Machine m) {
+        PlacementAttempt c = new PlacementAttempt(vm, m, vm.attempts.size(), me.now);
+        c.isWarmStart = knowsProgram(m, vm.service);
+        c.timeout = within(vm, c);
+        vm.attempts.add(c);
+        m.reservedSinceList.add(c);
+        m.reservedSinceReport.add(c);
         me.booked.add(m);
-        m.waitingClaims.add(c);
-        m.lastOfferAt = me.now;
+        m.unansweredAttempts.add(c);
+        m.lastAttemptAt = me.now;
         if (cold(m)) {
-            m.coldOffers.addLast(me.now);
+            m.slowStartAttempts.addLast(me.now);
         }
         holds(c);
-        door.claim(c, c.within);
+        actions.sendAttempt(c, c.timeout);
     }
 
-    private void holds(Claim c) {
-        c.machine.placed.add(c);
-        Machine.Program p = c.machine.programs.computeIfAbsent(c.vm.service, s -> new Machine.Program());
+    private void holds(PlacementAttempt c) {
+        c.machine.hostedAttempts.add(c);
+        Machine.HostedService p = c.machine.programs.computeIfAbsent(c.vm.service, s -> new Machine.HostedService());
         p.held++;
         p.lastHeld = me.now;
         me.hosts.computeIfAbsent(c.vm.service, s -> new HashSet<>()).add(c.machine);
     }
 
-    private Duration within(Vm vm, Claim c) {
-        Flavour f = flavour(vm);
-        double start = c.programKnown ? f.startWarm : f.startCold;
+    private Duration within(Vm vm, PlacementAttempt c) {
+        PriorityClass f = priorityClass(vm);
+        double start = c.isWarmStart ? f.startWarm : f.startCold;
         Duration wait = f.effect == Effect.REBUILDABLE
                 ? seconds(Math.max(2 * seconds(f.target), 4 * start)) : times(f.patience, 0.5);
         return Collections.min(List.of(wait, vm.deadline.minus(me.now)));
     }
 
     /** The first claim that may have run, or null. */
-    private static Claim mayHaveRun(Vm vm) {
-        return vm.claims.stream().filter(c -> !c.neverRan()).findFirst().orElse(null);
+    private static PlacementAttempt mayHaveRun(Vm vm) {
+        return vm.attempts.stream().filter(c -> !c.hasNeverRun()).findFirst().orElse(null);
     }
 
-    private boolean allowedAgain(Vm vm, Flavour f, Machine m) {
-        Claim ran = mayHaveRun(vm);
+    private boolean allowedAgain(Vm vm, PriorityClass f, Machine m) {
+        PlacementAttempt ran = mayHaveRun(vm);
         if (ran == null || f.effect == Effect.REBUILDABLE) {
-            return vm.last() == null || vm.last().machine != m;
+            return vm.lastAttempt() == null || vm.lastAttempt().machine != m;
         }
         if (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0) {
             return false;
         }
-        return vm.claims.stream().allMatch(c -> c.neverRan() || m.together(f.group, c.machine));
+        return vm.attempts.stream().allMatch(c -> c.hasNeverRun() || m.together(f.group, c.machine));
     }
 
     private boolean mayDeny(Vm vm) {
-        Flavour f = flavour(vm);
+        PriorityClass f = priorityClass(vm);
         return f.effect == Effect.REBUILDABLE || mayHaveRun(vm) == null
                 || f.effect == Effect.TOKENED && f.group.equals("all");
     }
 
     /** When nothing more can be done for it, or it was held for as long as a VM is held. */
     private Duration hopelessAt(Vm vm) {
-        Flavour f = flavour(vm);
-        if (me.stopping || vm.claims.size() >= me.terms.num("caps.mostTries", 4)) {
+        PriorityClass f = priorityClass(vm);
+        if (me.stopping || vm.attempts.size() >= me.terms.num("caps.mostTries", 4)) {
             return Duration.ZERO;
         }
         Duration most = vm.arrivedAt.plus(times(vm.deadline.minus(vm.arrivedAt), 7.0 / 8));
-        Claim ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
+        PlacementAttempt ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
         if (ran == null) {
             return most;
         }
@@ -847,24 +847,24 @@
     }
 
     private void giveUp(Vm vm) {
-        vm.over = true;
+        vm.isFinished = true;
         if (mayDeny(vm)) {
-            door.deny(vm, me.terms.flag("caps.retryAfter", false) ? flavour(vm).target : Duration.ZERO);
+            actions.reject(vm, me.terms.flag("caps.retryAfter", false) ? priorityClass(vm).target : Duration.ZERO);
         } else {
-            door.error(vm);
+            actions.fail(vm);
         }
     }
 
     private void setWake() {
         // In time for the shortest build timeout: a wake counted in ticks came too late where those are long.
-        double shortest = flavours.values().stream().mapToDouble(f -> seconds(f.patience)).min().orElse(1);
+        double shortest = priorityClasses.values().stream().mapToDouble(f -> seconds(f.patience)).min().orElse(1);
         me.wakeAt = me.now.plus(seconds(shortest / 32));
-        door.wake(me.wakeAt.minus(me.now));
+        actions.scheduleTimer(me.wakeAt.minus(me.now));
     }
 
 
     /** Rule 5: what this placer has of the service in one place, with this one, stays within the most. */
-    private boolean spreadKept(Vm vm, Flavour f, Machine m) {
+    private boolean spreadKept(Vm vm, PriorityClass f, Machine m) {
         if (f.spread.equals("off")) {
             return true;
         }
@@ -890,8 +890,8 @@
             return true;
         }
         Duration span = me.terms.micros("obligations.overloadForUs", 1e6);
-        while (!m.coldOffers.isEmpty() && m.coldOffers.peekFirst().plus(span).compareTo(me.now) <= 0) {
-            m.coldOffers.removeFirst();
+        while (!m.slowStartAttempts.isEmpty() && m.slowStartAttempts.peekFirst().plus(span).compareTo(me.now) <= 0) {
+            m.slowStartAttempts.removeFirst();
         }
         // What an earlier life of this placer sent there is not known: taken as its part of a span.
         if (since(me.startedAt).compareTo(span) < 0 && m.startedAt.compareTo(me.startedAt) < 0) {
@@ -903,99 +903,99 @@
         double pace = Math.max(0.5, from + (1 - from) * age);
         double part = pace * me.terms.num("extra.coldBears", 1) / me.placers;
         if (part >= 1) {
-            return m.coldOffers.size() < (int) part;
+            return m.slowStartAttempts.size() < (int) part;
         }
         long turns = (long) Math.ceil(2 / part);
-        return m.coldOffers.isEmpty() && (turn + m.id) % turns == (long) me.terms.num("position", 0) % turns;
+        return m.slowStartAttempts.isEmpty() && (turn + m.id) % turns == (long) me.terms.num("position", 0) % turns;
     }
 
     // ---- Health ----------------------------------------------------------------------------------------
 
-    private void grieve(Machine m, double by) {
-        m.grief = grief(m) + by;
-        m.griefAt = me.now;
+    private void recordFault(Machine m, double by) {
+        m.faultScore = faultScore(m) + by;
+        m.faultScoreAt = me.now;
     }
 
     /** Recent trouble, halved over each settling time. */
-    private double grief(Machine m) {
-        return m.grief == 0 ? 0 : m.grief * Math.pow(2, -seconds(me.now.minus(m.griefAt)) / seconds(settle));
+    private double faultScore(Machine m) {
+        return m.faultScore == 0 ? 0 : m.faultScore * Math.pow(2, -seconds(me.now.minus(m.faultScoreAt)) / seconds(settle));
     }
 
     /** How long the oldest claim there waits for an answer, in usual starts. */
     private double silence(Machine m) {
-        if (m.waitingClaims.isEmpty()) {
+        if (m.unansweredAttempts.isEmpty()) {
             return 0;
         }
-        Claim c = m.waitingClaims.iterator().next();
-        Flavour f = flavour(c.vm);
-        double usual = Math.max(seconds(f.target), 2 * (c.programKnown ? f.startWarm : f.startCold));
+        PlacementAttempt c = m.unansweredAttempts.iterator().next();
+        PriorityClass f = priorityClass(c.vm);
+        double usual = Math.max(seconds(f.target), 2 * (c.isWarmStart ? f.startWarm : f.startCold));
         return seconds(me.now.minus(c.sentAt)) / usual;
     }
 
     private double sorrow(Machine m) {
-        return grief(m) + (silence(m) > 1 ? SHUNNED : 0);
+        return faultScore(m) + (silence(m) > 1 ? SHUNNED : 0);
     }
 
     /** A machine that stands out by its troubles gets one rebuildable VM at a time, until they fade. */
-    private boolean trusted(Flavour f, Machine m) {
+    private boolean trusted(PriorityClass f, Machine m) {
         double sorrow = sorrow(m);
         return sorrow < SHUNNED || sorrow < SHUNNED * fleetGrief
-                || f.effect == Effect.REBUILDABLE && m.waitingClaims.isEmpty()
-                && since(m.lastOfferAt).compareTo(times(settle, 1.0 / 2)) > 0;
+                || f.effect == Effect.REBUILDABLE && m.unansweredAttempts.isEmpty()
+                && since(m.lastAttemptAt).compareTo(times(settle, 1.0 / 2)) > 0;
     }
 
-    private void blame(Claim c, End end, Why why, boolean wasBound) {
+    private void blame(PlacementAttempt c, Outcome end, OutcomeReason why, boolean wasBound) {
         Machine m = c.machine;
-        if (c.vm.moved || end == End.DONE || end == End.CANCELLED || end == End.MOOT) {
+        if (c.vm.isMigrating || end == Outcome.DONE || end == Outcome.CANCELLED || end == Outcome.MOOT) {
             return;
         }
-        if (end == End.FULL && why == Why.UNTOLD || end == End.ERROR && !wasBound) {
-            Machine.Refusal r = refusal(c.vm.kin(), m);
+        if (end == Outcome.FULL && why == OutcomeReason.UNSPECIFIED || end == Outcome.ERROR && !wasBound) {
+            Machine.RejectionBackoff r = refusal(c.vm.tenantClass(), m);
             double spans = 4 * seconds(r.span) / seconds(settle);
             r.span = seconds(Math.max(2, Math.min(spans, 8)) * seconds(settle));
             r.until = me.now.plus(r.span);
             r.tookAt = null;
-            if (end == End.FULL) {
-                me.refusedAt.put(c.vm.kin(), me.now);
+            if (end == Outcome.FULL) {
+                me.refusedAt.put(c.vm.tenantClass(), me.now);
             } else {
-                grieve(m, 0.5);
+                recordFault(m, 0.5);
             }
-            int kin = kins.indexOf(c.vm.kin());
+            int kin = kins.indexOf(c.vm.tenantClass());
             if (kin >= 0) {
-                tell(m, "" + Note.whole(kin));
+                tell(m, "" + GossipCodec.whole(kin));
             }
-        } else if (end == End.FULL) {
-            m.closedUntil = me.now.plus(times(why == Why.LINE_FULL ? flavour(c.vm).target : settle, 0.5));
-            grieve(m, 0.5);
-        } else if (end == End.RESET && wasBound && why != Why.UNTOLD) {
-            grieve(m, why == Why.EVICTED ? 1 : 0);
+        } else if (end == Outcome.FULL) {
+            m.ejectedUntil = me.now.plus(times(why == OutcomeReason.QUEUE_FULL ? priorityClass(c.vm).target : settle, 0.5));
+            recordFault(m, 0.5);
+        } else if (end == Outcome.RESET && wasBound && why != OutcomeReason.UNSPECIFIED) {
+            recordFault(m, why == OutcomeReason.EVICTED ? 1 : 0);
         } else {
-            grieve(m, wasBound ? 0.5 : 2);
-            if (end == End.UNREACHABLE && me.now.compareTo(m.closedUntil) >= 0) {
+            recordFault(m, wasBound ? 0.5 : 2);
+            if (end == Outcome.UNREACHABLE && me.now.compareTo(m.ejectedUntil) >= 0) {
                 tell(m, "");
             }
-            if (end == End.UNREACHABLE || wasBound) {
+            if (end == Outcome.UNREACHABLE || wasBound) {
                 // Down, however the rest of the fleet fares (a VM lost without a word tells it first): each
                 // knock waits longer, so that a mass outage burns no claims. A new start opens it.
-                double spans = Math.min(grief(m), 4 * SHUNNED) / 4;
-                m.closedUntil = me.now.plus(seconds(spans * seconds(settle) / 2));
+                double spans = Math.min(faultScore(m), 4 * SHUNNED) / 4;
+                m.ejectedUntil = me.now.plus(seconds(spans * seconds(settle) / 2));
             }
         }
     }
 
-    private void started(Claim c) {
-        Flavour f = flavour(c.vm);
-        c.runsAt = me.now;
+    private void started(PlacementAttempt c) {
+        PriorityClass f = priorityClass(c.vm);
+        c.runningSince = me.now;
         double took = seconds(me.now.minus(c.sentAt));
-        if (c.programKnown) {
+        if (c.isWarmStart) {
             f.startWarm += (took - f.startWarm) / 16;
         } else {
             f.startCold += (took - f.startCold) / 16;
         }
         if (took > seconds(f.target)) {
-            grieve(c.machine, 0.3);
+            recordFault(c.machine, 0.3);
         } else {
-            grieve(c.machine, -grief(c.machine) / 5);
+            recordFault(c.machine, -faultScore(c.machine) / 5);
         }
     }
 
@@ -1014,7 +1014,7 @@
         int from = (int) (me.chance.next() * me.machines.size());
         for (int i = 0; i < me.machines.size(); i++) {
             Machine m = me.machines.get((from + i) % me.machines.size());
-            if (m.listing == Listing.LIVE && !m.probing && since(m.probedAt).compareTo(stale) > 0
+            if (m.lifecycle == Lifecycle.LIVE && !m.probing && since(m.probedAt).compareTo(stale) > 0
                     && since(m.reportedAt).compareTo(stale) > 0
                     && (oldest == null || since(m.reportedAt).compareTo(since(oldest.reportedAt)) > 0)) {
                 oldest = m;
@@ -1024,7 +1024,7 @@
             me.probes++;
             oldest.probing = true;
             oldest.probedAt = me.now;
-            door.probe(oldest);
+            actions.probe(oldest);
             me.probeAt = me.now.plusNanos(1);
         }
     }
@@ -1033,7 +1033,7 @@
         return then == null ? me.now : me.now.minus(then);
     }
 
-    private Flavour flavour(Vm vm) {
-        return flavours.get(vm.flavour);
+    private PriorityClass priorityClass(Vm vm) {
+        return priorityClasses.get(vm.priorityClass);
     }
 }
--- a/src/main/java/fordridge/placer/Rules.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -1,12 +1,12 @@
-package fordridge.placer;
+package fordridge.server.grpc;
 
-import fordridge.constraint.Book;
-import fordridge.constraint.Language;
-import fordridge.constraint.Rule;
-import fordridge.constraint.Sense;
-import fordridge.listing.MachineList;
-import fordridge.settings.Deployment;
-import fordridge.settings.TermsChange;
+import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.ConstraintValidator;
+import fordridge.discovery.MachineListSource;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.SettingsUpdate;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -25,13 +25,13 @@
  * Customers' rules as they come: from a file, or from the list's source once it has them. A set that cannot be read or
  * kept is refused whole, with every complaint, and the last good one stays.
  */
-final class Rules implements AutoCloseable {
+final class ConstraintUpdater implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.rules");
     private static final String TERM = "constraints";
     private static final String DEPLOYMENT = "deployment";
 
-    private final Deployment d;
-    private final MachineList list;
+    private final DeploymentSettings d;
+    private final MachineListSource list;
     private final ScheduledExecutorService looks = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "rules");
         t.setDaemon(true);
@@ -39,17 +39,17 @@
     });
     private String seen;
     private int version;
-    private List<Rule> inForce = List.of();
-    private Set<Book.Spot> sensedFor = Set.of();
+    private List<PlacementConstraint> inForce = List.of();
+    private Set<ConstraintIndex.MachineTopology> sensedFor = Set.of();
     private List<String> clashing = List.of();
 
-    Rules(Deployment d, MachineList list) {
+    ConstraintUpdater(DeploymentSettings d, MachineListSource list) {
         this.d = d;
         this.list = list;
     }
 
     /** Hands over the set that stands now, if any, then each newer one; a first set that is refused is thrown. */
-    void follow(BiConsumer<List<Rule>, Integer> taker) throws Deployment.Refused {
+    void follow(BiConsumer<List<PlacementConstraint>, Integer> taker) throws DeploymentSettings.InvalidSettingsException {
         seen = text();
         if (seen != null) {
             inForce = read(seen, d, spots());
@@ -60,8 +60,8 @@
     }
 
     /** Hands over the deployment under each new set of terms in the store; one that is refused leaves the last. */
-    void followTerms(Consumer<Deployment> taker) {
-        Deployment[] now = {d};
+    void followTerms(Consumer<DeploymentSettings> taker) {
+        DeploymentSettings[] now = {d};
         String[] seenTerms = {null};
         looks.scheduleWithFixedDelay(() -> {
             String text = list.term(DEPLOYMENT);
@@ -70,10 +70,10 @@
             }
             seenTerms[0] = text;
             try {
-                now[0] = TermsChange.over(d, now[0], text);
+                now[0] = SettingsUpdate.over(d, now[0], text);
                 taker.accept(now[0]);
                 LOG.info("terms of the cluster taken over");
-            } catch (Deployment.Refused e) {
+            } catch (DeploymentSettings.InvalidSettingsException e) {
                 LOG.error("terms stay as they were: {}", String.join("; ", e.complaints));
             } catch (RuntimeException e) {
                 LOG.error("terms stay as they were", e);
@@ -81,7 +81,7 @@
         }, 0, d.poll.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void look(BiConsumer<List<Rule>, Integer> taker) {
+    private void look(BiConsumer<List<PlacementConstraint>, Integer> taker) {
         try {
             String now = text();
             if (now != null && !now.equals(seen)) {
@@ -90,14 +90,14 @@
                 taker.accept(inForce, ++version);
             }
             senseAgain();
-        } catch (Deployment.Refused e) {
+        } catch (DeploymentSettings.InvalidSettingsException e) {
             LOG.error("rules stay as they were: {}", String.join("; ", e.complaints));
         } catch (RuntimeException e) {
             LOG.error("rules stay as they were", e);
         }
     }
 
-    private String text() throws Deployment.Refused {
+    private String text() throws DeploymentSettings.InvalidSettingsException {
         String term = list.term(TERM);
         File file = d.constraintsFile();
         if (term != null || file == null) {
@@ -106,43 +106,43 @@
         try {
             return Files.readString(file.toPath());
         } catch (IOException e) {
-            throw new Deployment.Refused(List.of(file + ": " + e));
+            throw new DeploymentSettings.InvalidSettingsException(List.of(file + ": " + e));
         }
     }
 
-    private List<Book.Spot> spots() {
-        return list.latest().entries().stream().map(e -> new Book.Spot(e.name(), e.kind(), e.zone(), e.cell())).toList();
+    private List<ConstraintIndex.MachineTopology> spots() {
+        return list.latest().entries().stream().map(e -> new ConstraintIndex.MachineTopology(e.name(), e.kind(), e.zone(), e.cell())).toList();
     }
 
     /** A set that this deployment's placers can read and keep. */
-    static List<Rule> read(String text, Deployment d, List<Book.Spot> machines) throws Deployment.Refused {
-        Set<String> customers = new HashSet<>();
-        d.customers.forEach(c -> customers.add(c.name()));
+    static List<PlacementConstraint> read(String text, DeploymentSettings d, List<ConstraintIndex.MachineTopology> machines) throws DeploymentSettings.InvalidSettingsException {
+        Set<String> tenants = new HashSet<>();
+        d.tenants.forEach(c -> tenants.add(c.name()));
         Set<String> kinds = new HashSet<>();
         d.kinds.forEach(k -> kinds.add(k.name()));
         try {
-            List<Rule> rules = Language.read(text, new Language.Names(customers, d.flavours.keySet(), kinds, Set.of()));
-            new Book(rules, d.allPlacers());
-            List<Sense.Clash> clashes = clashes(rules, machines);
+            List<PlacementConstraint> rules = ConstraintParser.read(text, new ConstraintParser.Names(tenants, d.priorityClasses.keySet(), kinds, Set.of()));
+            new ConstraintIndex(rules, d.allPlacers());
+            List<ConstraintValidator.Conflict> clashes = clashes(rules, machines);
             if (!clashes.isEmpty()) {
-                throw new Deployment.Refused(clashes.stream().map(Object::toString).toList());
+                throw new DeploymentSettings.InvalidSettingsException(clashes.stream().map(Object::toString).toList());
             }
             return rules;
-        } catch (Language.Refused e) {
-            throw new Deployment.Refused(e.complaints);
-        } catch (Book.Unkeepable e) {
-            throw new Deployment.Refused(List.of(e.getMessage()));
+        } catch (ConstraintParser.ConstraintSyntaxException e) {
+            throw new DeploymentSettings.InvalidSettingsException(e.complaints);
+        } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+            throw new DeploymentSettings.InvalidSettingsException(List.of(e.getMessage()));
         }
     }
 
-    private static List<Sense.Clash> clashes(List<Rule> rules, List<Book.Spot> machines) {
-        long until = System.nanoTime() + Sense.THINKS.toNanos();
-        return Sense.of(rules, machines, () -> System.nanoTime() - until > 0);
+    private static List<ConstraintValidator.Conflict> clashes(List<PlacementConstraint> rules, List<ConstraintIndex.MachineTopology> machines) {
+        long until = System.nanoTime() + ConstraintValidator.THINKS.toNanos();
+        return ConstraintValidator.of(rules, machines, () -> System.nanoTime() - until > 0);
     }
 
     /** A set in force that machines coming and going made impossible stays in force, and is named. */
     private void senseAgain() {
-        List<Book.Spot> spots = spots();
+        List<ConstraintIndex.MachineTopology> spots = spots();
         if (inForce.isEmpty() || new HashSet<>(spots).equals(sensedFor)) {
             return;
         }
--- a/src/main/java/fordridge/placer/Groups.java
+++ b/src/main/java/fordridge/server/grpc/GroupCoordinator.java
@@ -1,10 +1,10 @@
-package fordridge.placer;
+package fordridge.server.grpc;
 
-import fordridge.constraint.Book;
-import fordridge.constraint.Plan;
-import fordridge.group.Group;
-import fordridge.session.Answer;
-import fordridge.state.Vm;
+import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.GroupPlan;
+import fordridge.group.VmGroup;
+import fordridge.session.ClientResponse;
+import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -12,15 +12,15 @@
 import java.util.function.Consumer;
 
 /** The groups of one instance: which VM is in which, and what a group does to it. It decides nothing. */
-final class Groups implements Group.Acts {
+final class GroupCoordinator implements VmGroup.Actions {
     /** What the instance does for a group. */
-    interface Hands {
+    interface Actions {
         /** Finds out whether these can go together; {@code then} is given the plan. */
-        void plan(List<Vm> members, Consumer<Plan> then);
+        void plan(List<Vm> members, Consumer<GroupPlan> then);
 
         void arrive(Vm vm);
 
-        void say(Vm vm, Answer answer);
+        void say(Vm vm, ClientResponse answer);
 
         void stop(Vm vm);
 
@@ -35,36 +35,36 @@
 
     private record Named(String client, String group) { }
 
-    private static final class Kept {
+    private static final class TrackedGroup {
         final Named named;
         final int size;
         int members;
 
-        Kept(Named named, int size) {
+        TrackedGroup(Named named, int size) {
             this.named = named;
             this.size = size;
         }
     }
 
-    private final Hands hands;
-    private final Map<Named, Group> groups = new HashMap<>();
-    private final Map<String, Group> of = new HashMap<>();
-    private final Map<Group, Kept> kept = new HashMap<>();
+    private final Actions hands;
+    private final Map<Named, VmGroup> groups = new HashMap<>();
+    private final Map<String, VmGroup> of = new HashMap<>();
+    private final Map<VmGroup, TrackedGroup> kept = new HashMap<>();
     private final Map<String, Vm> vms = new HashMap<>();
-    private final Map<String, Answer> bound = new HashMap<>();
-    private final Map<String, Plan> plans = new HashMap<>();
+    private final Map<String, ClientResponse> bound = new HashMap<>();
+    private final Map<String, GroupPlan> plans = new HashMap<>();
     /** How often rules or machines changed: a plan made before the last change is made anew. */
     private int changes;
 
-    Groups(Hands hands) {
+    GroupCoordinator(Actions hands) {
         this.hands = hands;
     }
 
     /** Puts a VM into its group; why not, or null. */
     String join(Vm vm, String client, String name, int size, boolean mayRepeat) {
         Named key = new Named(client, name);
-        Group g = groups.computeIfAbsent(key, k -> new Group(name, size, this));
-        Kept k = kept.computeIfAbsent(g, x -> new Kept(key, size));
+        VmGroup g = groups.computeIfAbsent(key, k -> new VmGroup(name, size, this));
+        TrackedGroup k = kept.computeIfAbsent(g, x -> new TrackedGroup(key, size));
         if (k.size != size) {
             return "group '" + name + "' was begun with size " + k.size + ", not " + size;
         }
@@ -83,19 +83,19 @@
         return vms.get(id);
     }
 
-    Group of(Vm vm) {
+    VmGroup of(Vm vm) {
         return of.get(vm.id);
     }
 
     /** Bound, and heard of by its owner once all are. */
-    void bound(Vm vm, Answer answer) {
+    void bound(Vm vm, ClientResponse answer) {
         bound.put(vm.id, answer);
         of.get(vm.id).bound(vm.id);
     }
 
     /** Time is nearly up for its first member. */
     void due(Vm vm) {
-        Group g = of.get(vm.id);
+        VmGroup g = of.get(vm.id);
         if (g != null) {
             g.gaveUp(g.complete() ? "not all were bound in time" : "not all of it were asked for in time");
             tidy(g);
@@ -104,7 +104,7 @@
 
     /** Lets go of a VM that was answered and is heard of no more. */
     void drop(Vm vm) {
-        Group g = of.remove(vm.id);
+        VmGroup g = of.remove(vm.id);
         vms.remove(vm.id);
         bound.remove(vm.id);
         plans.remove(vm.id);
@@ -114,8 +114,8 @@
         }
     }
 
-    private void tidy(Group g) {
-        Kept k = kept.get(g);
+    private void tidy(VmGroup g) {
+        TrackedGroup k = kept.get(g);
         if (k != null && g.over() && k.members == 0) {
             groups.remove(k.named);
             kept.remove(g);
@@ -124,7 +124,7 @@
 
     @Override
     public void whole(List<String> members) {
-        Group g = of.get(members.get(0));
+        VmGroup g = of.get(members.get(0));
         List<Vm> some = members.stream().map(vms::get).toList();
         int asked = changes;
         hands.plan(some, plan -> {
@@ -144,20 +144,20 @@
     }
 
     /** What speaks against a machine for a member, by its group's plan. */
-    double unfit(Vm vm, Book.Spot spot) {
-        Plan plan = plans.get(vm.id);
-        return plan == null ? 0 : plan.unfit(vm.id, spot);
+    double constraintPenalty(Vm vm, ConstraintIndex.MachineTopology spot) {
+        GroupPlan plan = plans.get(vm.id);
+        return plan == null ? 0 : plan.constraintPenalty(vm.id, spot);
     }
 
     /** Whether its plan settles what it is near to. */
     boolean settlesNear(Vm vm) {
-        Plan plan = plans.get(vm.id);
+        GroupPlan plan = plans.get(vm.id);
         return plan != null && plan.settlesNear(vm.id);
     }
 
     /** Nobody joins any more: groups that are not all here are given up. */
     void stops() {
-        for (Group g : List.copyOf(groups.values())) {
+        for (VmGroup g : List.copyOf(groups.values())) {
             if (!g.complete()) {
                 g.gaveUp("the placer is stopping");
                 tidy(g);
@@ -189,7 +189,7 @@
     @Override
     public void callOff(String id) {
         Vm vm = vms.get(id);
-        Group g = of.get(id);
+        VmGroup g = of.get(id);
         if (hands.callOff(vm)) {
             g.errored(id, "called off");
         } else {
@@ -200,14 +200,14 @@
     @Override
     public void deny(String id, String why) {
         Vm vm = vms.get(id);
-        hands.say(vm, Answer.denied(hands.owned(vm), Duration.ZERO, why));
+        hands.say(vm, ClientResponse.denied(hands.owned(vm), Duration.ZERO, why));
         hands.forget(vm);
     }
 
     @Override
     public void error(String id, String why) {
         Vm vm = vms.get(id);
-        hands.say(vm, Answer.errored(hands.owned(vm), why));
+        hands.say(vm, ClientResponse.errored(hands.owned(vm), why));
         hands.forget(vm);
     }
 }
--- a/src/main/java/fordridge/placer/Instance.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -1,35 +1,35 @@
-package fordridge.placer;
-
-import fordridge.Logic;
-import fordridge.constraint.Book;
-import fordridge.constraint.Plan;
-import fordridge.constraint.Rule;
-import fordridge.constraint.Together;
-import fordridge.door.Door;
-import fordridge.feed.Feed;
-import fordridge.feed.Inputs;
-import fordridge.group.Group;
-import fordridge.link.Link;
-import fordridge.link.RollCall;
-import fordridge.listing.MachineList;
-import fordridge.obs.Meters;
-import fordridge.rpc.ClientService;
-import fordridge.rpc.MachineStream;
-import fordridge.rpc.NotePost;
-import fordridge.rpc.OperateService;
-import fordridge.rpc.Telling;
-import fordridge.session.Answer;
-import fordridge.session.Lateness;
-import fordridge.session.Session;
-import fordridge.session.Sessions;
-import fordridge.settings.Deployment;
-import fordridge.settings.ModuleTerms;
-import fordridge.state.Chance;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Vm;
+package fordridge.server.grpc;
+
+import fordridge.scheduling.Scheduler;
+import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.GroupPlan;
+import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.GroupFeasibility;
+import fordridge.scheduling.SchedulerActions;
+import fordridge.runtime.SchedulerInputs;
+import fordridge.runtime.EventSequencer;
+import fordridge.group.VmGroup;
+import fordridge.machine.MachineStream;
+import fordridge.machine.ReconnectPacer;
+import fordridge.discovery.MachineListSource;
+import fordridge.observability.Metrics;
+import fordridge.grpc.ClientService;
+import fordridge.grpc.GrpcMachineTransport;
+import fordridge.grpc.GossipSocket;
+import fordridge.grpc.OperatorService;
+import fordridge.grpc.MachineMessageDispatcher;
+import fordridge.session.ClientResponse;
+import fordridge.runtime.EventLoopLag;
+import fordridge.session.ClientSession;
+import fordridge.session.ClientSessions;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.SchedulerSettingsMapper;
+import fordridge.model.SeededRandom;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Holding;
 import fordridge.v1.Note;
@@ -62,31 +62,31 @@
  * order in which the loop met them, each at the time of a clock that only goes forward; what the module does while
  * one is entered is carried out at once, and what follows from that is entered behind it. It decides nothing.
  */
-final class Instance implements Door, ClientService.Desk, Link.Fate, OperateService.Books {
+final class GrpcSchedulerServer implements SchedulerActions, ClientService.RequestHandler, MachineStream.AttemptListener, OperatorService.ClusterView {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
     private static final Duration FEELS = Duration.ofMillis(25);
 
     /** A machine as this instance reaches it. */
-    private final class Reach implements MachineStream.Heard, Telling.Further {
+    private final class MachineHandle implements GrpcMachineTransport.Listener, MachineMessageDispatcher.Listener {
         final String name;
         final Machine machine;
-        final MachineStream stream;
-        final Link link;
+        final GrpcMachineTransport stream;
+        final MachineStream link;
         Duration tickAt;
 
-        Reach(String name, Machine machine) {
+        MachineHandle(String name, Machine machine) {
             this.name = name;
             this.machine = machine;
-            stream = new MachineStream(Instance.this.name, loop, d.connectTimeout, d.keepalive, d.maxMessage, this,
-                    Instance.this::describe);
-            link = new Link(machine, manners, stream, Instance.this, new Chance(seed ^ machine.id));
+            stream = new GrpcMachineTransport(GrpcSchedulerServer.this.name, loop, d.connectTimeout, d.keepalive, d.maxMessage, this,
+                    GrpcSchedulerServer.this::describe);
+            link = new MachineStream(machine, connectionTimeouts, stream, GrpcSchedulerServer.this, new SeededRandom(seed ^ machine.id));
         }
 
         @Override
         public void holding(Holding h) {
             enter(() -> {
-                Telling.holding(h, link, now);
+                MachineMessageDispatcher.holding(h, link, now);
                 rollCall.settled(machine);
                 callSome();
             });
@@ -94,7 +94,7 @@
 
         @Override
         public void said(FromMachine m) {
-            enter(() -> Telling.said(m, link, stream, this, now));
+            enter(() -> MachineMessageDispatcher.said(m, link, stream, this, now));
         }
 
         @Override
@@ -113,27 +113,27 @@
 
         @Override
         public void report(double spareCores, double spareMemory, double busy) {
-            feed.report(machine, spareCores, spareMemory, busy, now);
+            inputs.report(machine, spareCores, spareMemory, busy, now);
             seen(w -> w.report(name, spareCores, spareMemory, busy, now));
         }
 
         @Override
         public void reported() {
-            feed.logic.reported(machine);
+            inputs.scheduler.loadReported(machine);
             seen(w -> w.reported(name));
         }
 
         @Override
-        public void note(Link.Name named, Note.What what, double amount) {
-            Claim c = link.claim(named);
+        public void note(MachineStream.AttemptId named, Note.What what, double amount) {
+            PlacementAttempt c = link.attempt(named);
             if (c == null) {
                 return;
             }
             switch (what) {
-                case CORES -> both(c, (l, of) -> l.usesCores(of, amount));
-                case MEMORY -> both(c, (l, of) -> l.usesMemory(of, amount));
-                case SERVICE -> both(c, (l, of) -> l.served(of, amount));
-                case PRESSURE -> both(c, (l, of) -> l.pressed(of, amount));
+                case CORES -> both(c, (l, of) -> l.coreUsageReported(of, amount));
+                case MEMORY -> both(c, (l, of) -> l.memoryUsageReported(of, amount));
+                case SERVICE -> both(c, (l, of) -> l.serviceLevelReported(of, amount));
+                case PRESSURE -> both(c, (l, of) -> l.memoryPressureReported(of, amount));
                 default -> { }
             }
         }
@@ -147,66 +147,66 @@
     }
 
     /** Its settings under the cluster's terms of now. */
-    private Deployment d;
+    private DeploymentSettings d;
     final String name;
     final EventLoop loop;
     /** Where long questions are thought about, off the loop. */
     private final Executor thinker;
     private final long seed;
     private final int position;
-    private final Meters meters;
-    private final Link.Manners manners;
-    private final Feed<String> feed;
-    private final Sessions sessions;
-    private final Groups groups = new Groups(new Hands());
-    private final Lateness lateness = new Lateness(Duration.ofSeconds(2));
-    private Book book;
+    private final Metrics metrics;
+    private final MachineStream.ConnectionTimeouts connectionTimeouts;
+    private final SchedulerInputs<String> inputs;
+    private final ClientSessions sessions;
+    private final GroupCoordinator groups = new GroupCoordinator(new GroupActions());
+    private final EventLoopLag lateness = new EventLoopLag(Duration.ofSeconds(2));
+    private ConstraintIndex book;
     private int rulesVersion;
-    private final Map<Session, ClientService.Stream> streams = new LinkedHashMap<>();
-    private final Set<Session> talkative = new LinkedHashSet<>();
-    private final Map<Machine, Reach> reaches = new HashMap<>();
+    private final Map<ClientSession, ClientService.Stream> streams = new LinkedHashMap<>();
+    private final Set<ClientSession> talkative = new LinkedHashSet<>();
+    private final Map<Machine, MachineHandle> machineHandles = new HashMap<>();
     /** Whose each VM is. */
     private final Map<Vm, String> owners = new HashMap<>();
-    private final Inputs inputs = new Inputs(System::nanoTime, this::turn, e ->
+    private final EventSequencer sequencer = new EventSequencer(System::nanoTime, this::turn, e ->
             // This one is lost to the module, those behind it are not; its VM is answered by its time-out.
             LOG.atError().addKeyValue("placer", this.name()).setCause(e).log("an input failed"));
     private final Instant startedAt = Instant.now();
     private Duration now = Duration.ZERO;
     /** Machines that were asked once what they hold of this placer. */
-    private final Map<String, Book.Spot> spots = new LinkedHashMap<>();
+    private final Map<String, ConstraintIndex.MachineTopology> spots = new LinkedHashMap<>();
     private final Set<String> draining = new LinkedHashSet<>();
     private final Set<Machine> called = new HashSet<>();
-    private final RollCall rollCall = new RollCall();
+    private final ReconnectPacer rollCall = new ReconnectPacer();
     private CompletableFuture<Void> stopped;
     private int shared;
     private boolean listOld = true;
     /** Looks on under the terms of a move to come; null for none. */
-    private Watch watch;
-    private NotePost notes;
+    private ShadowScheduler watch;
+    private GossipSocket notes;
 
-    Instance(Deployment d, Deployment watched, int position, String name, long seed, EventLoop loop, Executor thinker,
-            Meters meters) {
+    GrpcSchedulerServer(DeploymentSettings d, DeploymentSettings watched, int position, String name, long seed, EventLoop loop, Executor thinker,
+            Metrics metrics) {
         this.d = d;
         this.thinker = thinker;
         this.name = name;
         this.seed = seed;
         this.loop = loop;
-        this.meters = meters;
-        manners = new Link.Manners(d.connectTimeout, d.idle, d.retryLeast, d.retryMost, d.unsure, d.connectTimeout,
+        this.metrics = metrics;
+        connectionTimeouts = new MachineStream.ConnectionTimeouts(d.connectTimeout, d.idle, d.retryLeast, d.retryMost, d.unsure, d.connectTimeout,
                 d.line, d.yes.equals("accepted"));
-        feed = new Feed<>(this, Feed::number);
+        inputs = new SchedulerInputs<>(this, SchedulerInputs::number);
         try {
-            book = new Book(List.of(), d.allPlacers());
-        } catch (Book.Unkeepable e) {
+            book = new ConstraintIndex(List.of(), d.allPlacers());
+        } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
             throw new IllegalStateException(e);
         }
-        sessions = new Sessions(new Sessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
+        sessions = new ClientSessions(new ClientSessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
         this.position = position;
         loop.execute(() -> enter(() -> {
-            feed.logic.start(seed, ModuleTerms.of(d, position));
+            inputs.scheduler.start(seed, SchedulerSettingsMapper.of(d, position));
             if (watched != null) {
-                watch = new Watch(d, watched, position, seed, Feed::number, meters, this::at,
-                        m -> reaches.get(m).name, feed::machine, this);
+                watch = new ShadowScheduler(d, watched, position, seed, SchedulerInputs::number, metrics, this::at,
+                        m -> machineHandles.get(m).name, inputs::machine, this);
             }
         }));
         loop.scheduleAtFixedRate(() -> enter(() -> sessions.expire(now)), 1, 1, TimeUnit.SECONDS);
@@ -217,18 +217,18 @@
 
     private void turn(Duration at) {
         now = at;
-        feed.logic.at(now);
+        inputs.scheduler.advanceTo(now);
         seen(w -> w.at(now));
     }
 
     private void enter(Runnable input) {
         long from = System.nanoTime();
-        if (!inputs.enter(input)) {
+        if (!sequencer.enter(input)) {
             return;
         }
-        meters.decided(System.nanoTime() - from);
+        metrics.decided(System.nanoTime() - from);
         while (!talkative.isEmpty()) {
-            Session s = talkative.iterator().next();
+            ClientSession s = talkative.iterator().next();
             talkative.remove(s);
             ClientService.Stream stream = streams.get(s);
             if (stream != null) {
@@ -241,7 +241,7 @@
     }
 
     /** What the module heard is told to the one that looks on; should it fail, it is let go of and ours goes on. */
-    private void seen(Consumer<Watch> what) {
+    private void seen(Consumer<ShadowScheduler> what) {
         if (watch != null) {
             try {
                 what.accept(watch);
@@ -254,12 +254,12 @@
 
     private void decide(Vm vm) {
         seen(w -> w.arrives(vm));
-        feed.logic.arrives(vm);
+        inputs.scheduler.vmRequested(vm);
         seen(w -> w.arrived(vm));
     }
 
-    private void both(Claim c, BiConsumer<Logic, Claim> what) {
-        what.accept(feed.logic, c);
+    private void both(PlacementAttempt c, BiConsumer<Scheduler, PlacementAttempt> what) {
+        what.accept(inputs.scheduler, c);
         seen(w -> w.told(c.vm, what));
     }
 
@@ -272,7 +272,7 @@
     }
 
     private Duration clock() {
-        return inputs.clock();
+        return sequencer.clock();
     }
 
     private void at(Duration in, Runnable input) {
@@ -280,14 +280,14 @@
     }
 
     /** Lets a link's own time pass when it is due. */
-    private void watch(Reach r) {
+    private void watch(MachineHandle r) {
         Duration due = r.link.due();
         if (due != null && (r.tickAt == null || due.compareTo(r.tickAt) < 0)) {
             r.tickAt = due;
             at(due.minus(now), () -> {
                 r.tickAt = null;
                 r.link.tick(now);
-                if (r.link.phase() == Link.Phase.WAITING) {
+                if (r.link.phase() == MachineStream.Phase.WAITING) {
                     rollCall.failed(r.machine);
                     callSome();
                 }
@@ -298,7 +298,7 @@
 
     // ---- The list --------------------------------------------------------------------------------------
 
-    void list(MachineList.Update list) {
+    void list(MachineListSource.Update list) {
         loop.execute(() -> enter(() -> listed(list)));
     }
 
@@ -308,30 +308,30 @@
             if (among > 0 && among != shared) {
                 shared = among;
                 enter(() -> {
-                    feed.logic.shared(among);
+                    inputs.scheduler.schedulerCountChanged(among);
                     seen(w -> w.shared(among));
                 });
             }
         });
     }
 
-    private void listed(MachineList.Update list) {
-        List<Feed.Line<String>> lines = new ArrayList<>(list.entries().size());
-        Map<Machine, Machine.Listing> told = new HashMap<>();
-        for (MachineList.Entry e : list.entries()) {
-            Reach r = reach(e.name());
-            told.put(r.machine, e.listing());
+    private void listed(MachineListSource.Update list) {
+        List<SchedulerInputs.ListedMachine<String>> lines = new ArrayList<>(list.entries().size());
+        Map<Machine, Machine.Lifecycle> told = new HashMap<>();
+        for (MachineListSource.Entry e : list.entries()) {
+            MachineHandle r = reach(e.name());
+            told.put(r.machine, e.lifecycle());
             r.stream.address(e.address());
-            lines.add(new Feed.Line<>(e.name(), e.zone(), e.kind(), e.cell(), e.freeCores(), e.freeMemory(),
-                    e.listing(), e.started() == null ? null : Duration.between(startedAt, e.started())));
+            lines.add(new SchedulerInputs.ListedMachine<>(e.name(), e.zone(), e.kind(), e.cell(), e.freeCores(), e.freeMemory(),
+                    e.lifecycle(), e.started() == null ? null : Duration.between(startedAt, e.started())));
         }
-        for (Reach r : list.whole() ? List.copyOf(reaches.values()) : told.keySet().stream().map(reaches::get).toList()) {
-            Machine.Listing listing = told.getOrDefault(r.machine, Machine.Listing.GONE);
-            r.link.listed(listing == Machine.Listing.GONE, now);
-            if (listing != Machine.Listing.LIVE) {
+        for (MachineHandle r : list.whole() ? List.copyOf(machineHandles.values()) : told.keySet().stream().map(machineHandles::get).toList()) {
+            Machine.Lifecycle lifecycle = told.getOrDefault(r.machine, Machine.Lifecycle.GONE);
+            r.link.listed(lifecycle == Machine.Lifecycle.GONE, now);
+            if (lifecycle != Machine.Lifecycle.LIVE) {
                 r.link.drains();
             }
-            if (listing == Machine.Listing.GONE) {
+            if (lifecycle == Machine.Lifecycle.GONE) {
                 rollCall.settled(r.machine);
             } else if (called.add(r.machine)) {
                 // What an earlier life of this placer left running is asked for once, spread over a settling time.
@@ -343,8 +343,8 @@
             watch(r);
         }
         rollCall.begins(told.keySet());
-        told.forEach((m, listing) -> {
-            if (listing == Machine.Listing.GONE) {
+        told.forEach((m, lifecycle) -> {
+            if (lifecycle == Machine.Lifecycle.GONE) {
                 rollCall.settled(m);
             }
         });
@@ -353,73 +353,73 @@
             book.draining(draining);
             groups.letGoOfPlans();
         }
-        feed.list(list.whole(), list.old(), lines);
+        inputs.list(list.whole(), list.old(), lines);
         seen(w -> w.list(list.whole(), list.old(), lines));
         listOld = list.old();
         if (listOld && d.listComes.equals("ask")) {
-            feed.logic.listFailed();
+            inputs.scheduler.machineListFailed();
         }
     }
 
     /** Whether machines came, went, were relabelled or drain: the rules' book is told only then, as it counts all anew. */
-    private boolean standElsewhere(MachineList.Update list) {
+    private boolean standElsewhere(MachineListSource.Update list) {
         boolean news = false;
         Set<String> named = new HashSet<>();
-        for (MachineList.Entry e : list.entries()) {
+        for (MachineListSource.Entry e : list.entries()) {
             named.add(e.name());
-            Book.Spot spot = e.listing() == Machine.Listing.GONE ? null
-                    : new Book.Spot(e.name(), e.kind(), e.zone(), e.cell());
-            Book.Spot was = spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
+            ConstraintIndex.MachineTopology spot = e.lifecycle() == Machine.Lifecycle.GONE ? null
+                    : new ConstraintIndex.MachineTopology(e.name(), e.kind(), e.zone(), e.cell());
+            ConstraintIndex.MachineTopology was = spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
             news |= !java.util.Objects.equals(was, spot);
-            news |= e.listing() == Machine.Listing.DRAINING ? draining.add(e.name()) : draining.remove(e.name());
+            news |= e.lifecycle() == Machine.Lifecycle.DRAINING ? draining.add(e.name()) : draining.remove(e.name());
         }
         return list.whole() && spots.keySet().removeIf(n -> !named.contains(n)) || news;
     }
 
     private void callSome() {
         for (Object m = rollCall.next(); m != null; m = rollCall.next()) {
-            Reach r = reaches.get(m);
+            MachineHandle r = machineHandles.get(m);
             r.link.call(now);
             watch(r);
         }
     }
 
-    private Reach reach(String machine) {
-        Machine m = feed.machine(machine);
-        return reaches.computeIfAbsent(m, x -> new Reach(machine, x));
+    private MachineHandle reach(String machine) {
+        Machine m = inputs.machine(machine);
+        return machineHandles.computeIfAbsent(m, x -> new MachineHandle(machine, x));
     }
 
     // ---- Customers' rules ------------------------------------------------------------------------------
 
     /** A new set takes effect at once for all that is placed from here on; what runs and no longer fits is named. */
-    void rules(List<Rule> rules, int version) {
+    void rules(List<PlacementConstraint> rules, int version) {
         loop.execute(() -> enter(() -> {
             try {
                 book = book.with(rules, d.allPlacers());
                 rulesVersion = version;
                 groups.letGoOfPlans();
-                book.misfits().forEach((claim, why) -> line(Level.WARN, "runs where rules of version " + version
-                        + " would not let it go: " + why.get(0).rule().name(), ((Claim) claim).vm,
-                        ((Claim) claim).machine));
+                book.misfits().forEach((attempt, why) -> line(Level.WARN, "runs where rules of version " + version
+                        + " would not let it go: " + why.get(0).rule().name(), ((PlacementAttempt) attempt).vm,
+                        ((PlacementAttempt) attempt).machine));
                 line(Level.INFO, "rules of version " + version + " in force: " + rules.size(), null, null);
-                feed.logic.reported(null);
+                inputs.scheduler.loadReported(null);
                 seen(w -> w.reported(null));
-            } catch (Book.Unkeepable e) {
+            } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
                 line(Level.ERROR, "rules stay as they were: " + e.getMessage(), null, null);
             }
         }));
     }
 
     /** Other terms of the cluster hold for all that comes from here on. */
-    void terms(Deployment next) {
+    void terms(DeploymentSettings next) {
         loop.execute(() -> enter(() -> {
             d = next;
-            feed.logic.told(ModuleTerms.of(next, position));
+            inputs.scheduler.settingsChanged(SchedulerSettingsMapper.of(next, position));
         }));
     }
 
     @Override
-    public Book book() {
+    public ConstraintIndex book() {
         return book;
     }
 
@@ -434,48 +434,48 @@
     }
 
     @Override
-    public List<String> named(Object claim) {
-        Claim c = (Claim) claim;
-        return List.of(c.vm.id, reaches.get(c.machine).name);
+    public List<String> named(Object attempt) {
+        PlacementAttempt c = (PlacementAttempt) attempt;
+        return List.of(c.vm.id, machineHandles.get(c.machine).name);
     }
 
     @Override
-    public OperateService.Running running(String id) {
-        Vm vm = feed.vm(id);
-        Claim c = vm == null || vm.claims.isEmpty() ? null : vm.claims.get(vm.claims.size() - 1);
-        return c == null || !c.out() ? null : new OperateService.Running(c, vm.customer, vm.flavour, vm.service,
-                reaches.get(c.machine).name);
+    public OperatorService.Running running(String id) {
+        Vm vm = inputs.vm(id);
+        PlacementAttempt c = vm == null || vm.attempts.isEmpty() ? null : vm.attempts.get(vm.attempts.size() - 1);
+        return c == null || !c.isInFlight() ? null : new OperatorService.Running(c, vm.tenant, vm.priorityClass, vm.service,
+                machineHandles.get(c.machine).name);
     }
 
     @Override
-    public double unfit(Vm vm, Machine m) {
+    public double constraintPenalty(Vm vm, Machine m) {
         if (book.rules().isEmpty()) {
             return 0;
         }
-        String machine = reaches.get(m).name;
-        if (!(groups.settlesNear(vm) ? book.allowsButNear(vm.customer, vm.flavour, vm.service, machine)
-                : book.allows(vm.customer, vm.flavour, vm.service, machine))) {
+        String machine = machineHandles.get(m).name;
+        if (!(groups.settlesNear(vm) ? book.allowsButNear(vm.tenant, vm.priorityClass, vm.service, machine)
+                : book.allows(vm.tenant, vm.priorityClass, vm.service, machine))) {
             return Double.POSITIVE_INFINITY;
         }
-        return groups.unfit(vm, spots.get(machine)) + book.unfit(vm.customer, vm.flavour, vm.service, machine);
+        return groups.constraintPenalty(vm, spots.get(machine)) + book.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, machine);
     }
 
     @Override
-    public boolean ruled(Vm vm) {
-        return book.touches(vm.customer, vm.flavour, vm.service);
+    public boolean isConstrained(Vm vm) {
+        return book.touches(vm.tenant, vm.priorityClass, vm.service);
     }
 
-    private void placeTaken(Claim c) {
-        book.goes(c, c.vm.customer, c.vm.flavour, c.vm.service, reaches.get(c.machine).name);
+    private void placeTaken(PlacementAttempt c) {
+        book.goes(c, c.vm.tenant, c.vm.priorityClass, c.vm.service, machineHandles.get(c.machine).name);
     }
 
     @Override
-    public void cleared(Claim c) {
-        inputs.behind(() -> {
-            if (!c.out()) {
+    public void cleared(PlacementAttempt c) {
+        sequencer.behind(() -> {
+            if (!c.isInFlight()) {
                 book.gone(c);
-                feed.logic.reported(c.machine);
-                seen(w -> w.reported(reaches.get(c.machine).name));
+                inputs.scheduler.loadReported(c.machine);
+                seen(w -> w.reported(machineHandles.get(c.machine).name));
             }
         });
     }
@@ -488,9 +488,9 @@
     }
 
     @Override
-    public Session hello(String client, String token, long seen, ClientService.Stream stream) {
+    public ClientSession hello(String client, String token, long seen, ClientService.Stream stream) {
         now = clock();
-        Session s = sessions.hello(client, token, seen, now);
+        ClientSession s = sessions.hello(client, token, seen, now);
         ClientService.Stream old = streams.put(s, stream);
         if (old != null && old != stream) {
             old.replaced();
@@ -500,22 +500,22 @@
     }
 
     @Override
-    public boolean resumed(Session session, String token) {
+    public boolean resumed(ClientSession session, String token) {
         return sessions.resumed(session, token);
     }
 
     @Override
-    public boolean acknowledge(Session session, long seen) {
+    public boolean acknowledge(ClientSession session, long seen) {
         return sessions.acknowledge(session, seen);
     }
 
     @Override
-    public boolean mayRead(Session session) {
+    public boolean mayRead(ClientSession session) {
         return sessions.mayRead(session);
     }
 
     @Override
-    public void away(Session session, ClientService.Stream stream) {
+    public void away(ClientSession session, ClientService.Stream stream) {
         if (streams.remove(session, stream)) {
             now = clock();
             sessions.away(session, now);
@@ -523,42 +523,42 @@
     }
 
     @Override
-    public void want(Session s, Want w) {
+    public void want(ClientSession s, Want w) {
         enter(() -> wanted(s, w));
     }
 
-    private void wanted(Session s, Want w) {
-        Deployment.Flavour f = d.flavours.get(w.getFlavour());
-        Sessions.Taken taken = sessions.want(s, w.getVm(), now);
+    private void wanted(ClientSession s, Want w) {
+        DeploymentSettings.PriorityClass f = d.priorityClasses.get(w.getFlavour());
+        ClientSessions.Admission taken = sessions.want(s, w.getVm(), now);
         talkative.add(s);
-        if (taken == Sessions.Taken.KNOWN) {
+        if (taken == ClientSessions.Admission.KNOWN) {
             return;
         }
-        String no = taken == Sessions.Taken.OVER ? "too many VMs in hand" : stopped != null ? "the placer is stopping"
-                : f == null ? "flavour '" + w.getFlavour() + "' is not one of " + d.flavours.keySet()
+        String no = taken == ClientSessions.Admission.OVER ? "too many VMs in hand" : stopped != null ? "the placer is stopping"
+                : f == null ? "flavour '" + w.getFlavour() + "' is not one of " + d.priorityClasses.keySet()
                 : conflict(w);
         if (no != null) {
-            sessions.refuse(s, Answer.denied(w.getVm(), f == null ? Duration.ZERO : f.buildTarget(), no), now);
-            meters.answered("denied");
+            sessions.refuse(s, ClientResponse.denied(w.getVm(), f == null ? Duration.ZERO : f.buildTarget(), no), now);
+            metrics.answered("denied");
             return;
         }
         Vm vm = new Vm(s.client + "/" + w.getVm());
-        vm.flavour = f.name();
-        vm.customer = w.getCustomer();
+        vm.priorityClass = f.name();
+        vm.tenant = w.getCustomer();
         vm.service = w.getService();
         vm.cores = w.getCores();
         vm.memory = w.getMemory();
-        vm.cameBack = w.getAgain();
+        vm.isClientRetry = w.getAgain();
         vm.arrivedAt = now;
         Duration left = w.getTimeLeftUs() == 0 ? f.buildTimeout() : Duration.ofNanos(w.getTimeLeftUs() * 1000);
         left = left.compareTo(f.buildTimeout()) > 0 ? f.buildTimeout() : left;
         vm.deadline = now.plus(left).minus(d.answerMargin).minus(lateness.allowance(now));
-        vm.lasts = w.getLastsUs() > 0 ? Duration.ofNanos(w.getLastsUs() * 1000) : null;
+        vm.expectedLifetime = w.getLastsUs() > 0 ? Duration.ofNanos(w.getLastsUs() * 1000) : null;
         owners.put(vm, s.client);
         // Should the module fail on an input, nobody is left without an answer: this one promises nothing.
         at(vm.deadline.minus(now).plus(d.answerMargin.dividedBy(2)), () -> {
             if (sessions.waits(s.client, w.getVm())) {
-                say(vm, Answer.Kind.ERRORED, Answer.errored(w.getVm(), "no decision in time"));
+                say(vm, ClientResponse.Kind.ERRORED, ClientResponse.errored(w.getVm(), "no decision in time"));
                 line(Level.ERROR, "no decision in time", vm, null);
             }
         });
@@ -567,40 +567,40 @@
             return;
         }
         if (!f.rebuildable() && s.strayed() && !rollCall.complete()) {
-            say(vm, Answer.Kind.ERRORED, Answer.errored(w.getVm(), "it may run since before this placer's start"));
+            say(vm, ClientResponse.Kind.ERRORED, ClientResponse.errored(w.getVm(), "it may run since before this placer's start"));
             owners.remove(vm);
             return;
         }
-        at(Group.gaveUpAfter(vm.deadline.minus(now)), () -> groups.due(vm));
+        at(VmGroup.gaveUpAfter(vm.deadline.minus(now)), () -> groups.due(vm));
         String apart = groups.join(vm, s.client, w.getGroup(), w.getGroupSize(), f.rebuildable());
         if (apart != null) {
-            say(vm, Answer.Kind.DENIED, Answer.denied(w.getVm(), Duration.ZERO, apart));
+            say(vm, ClientResponse.Kind.DENIED, ClientResponse.denied(w.getVm(), Duration.ZERO, apart));
             owners.remove(vm);
         }
     }
 
     /** What a group does to its members, carried out. */
-    private final class Hands implements Groups.Hands {
+    private final class GroupActions implements GroupCoordinator.Actions {
         @Override
-        public void plan(List<Vm> members, Consumer<Plan> then) {
-            if (members.stream().noneMatch(Instance.this::ruled)) {
-                then.accept(Plan.free(members.stream().map(v -> v.id).toList()));
+        public void plan(List<Vm> members, Consumer<GroupPlan> then) {
+            if (members.stream().noneMatch(GrpcSchedulerServer.this::isConstrained)) {
+                then.accept(GroupPlan.free(members.stream().map(v -> v.id).toList()));
                 return;
             }
-            List<Together.Part> parts = members.stream().map(v -> new Together.Part(v.id, v.customer, v.flavour,
+            List<GroupFeasibility.Part> parts = members.stream().map(v -> new GroupFeasibility.Part(v.id, v.tenant, v.priorityClass,
                     v.service, v.cores, v.memory)).toList();
-            Together spare = book.together(parts, name -> {
-                Machine m = feed.machine(name);
-                return new Together.Room(m.freeCores - m.sinceList.cores, m.freeMemory - m.sinceList.memory);
+            GroupFeasibility spare = book.together(parts, name -> {
+                Machine m = inputs.machine(name);
+                return new GroupFeasibility.Room(m.freeCores - m.reservedSinceList.cores, m.freeMemory - m.reservedSinceList.memory);
             });
-            Together empty = book.together(parts, name -> {
-                Machine m = feed.machine(name);
-                return new Together.Room(m.cores, m.memory);
+            GroupFeasibility empty = book.together(parts, name -> {
+                Machine m = inputs.machine(name);
+                return new GroupFeasibility.Room(m.cores, m.memory);
             });
-            long until = System.nanoTime() + Plan.THINKS.toNanos();
-            Plan free = Plan.free(members.stream().map(v -> v.id).toList());
+            long until = System.nanoTime() + GroupPlan.THINKS.toNanos();
+            GroupPlan free = GroupPlan.free(members.stream().map(v -> v.id).toList());
             try {
-                thinker.execute(() -> think(() -> Plan.of(spare, empty, parts, () -> System.nanoTime() - until > 0),
+                thinker.execute(() -> think(() -> GroupPlan.of(spare, empty, parts, () -> System.nanoTime() - until > 0),
                         free, then));
             } catch (RejectedExecutionException e) {
                 // Too many wait to be thought about: these go as VMs that no plan binds.
@@ -608,15 +608,15 @@
             }
         }
 
-        private void think(Supplier<Plan> about, Plan otherwise, Consumer<Plan> then) {
-            Plan plan;
+        private void think(Supplier<GroupPlan> about, GroupPlan otherwise, Consumer<GroupPlan> then) {
+            GroupPlan plan;
             try {
                 plan = about.get();
             } catch (RuntimeException e) {
                 LOG.atError().addKeyValue("placer", name).setCause(e).log("a group could not be thought about");
                 plan = otherwise;
             }
-            Plan settled = plan;
+            GroupPlan settled = plan;
             try {
                 loop.execute(() -> enter(() -> then.accept(settled)));
             } catch (RejectedExecutionException e) {
@@ -626,41 +626,41 @@
 
         @Override
         public void arrive(Vm vm) {
-            feed.add(vm);
+            inputs.add(vm);
             decide(vm);
         }
 
         @Override
-        public void say(Vm vm, Answer answer) {
-            meters.answered(answer.kind().name().toLowerCase());
-            Instance.this.say(vm, answer.kind(), answer);
+        public void say(Vm vm, ClientResponse answer) {
+            metrics.answered(answer.kind().name().toLowerCase());
+            GrpcSchedulerServer.this.say(vm, answer.kind(), answer);
         }
 
         @Override
         public void stop(Vm vm) {
-            if (vm.placed != null && vm.placed.out()) {
-                reaches.get(vm.placed.machine).link.stop(vm.placed, now);
+            if (vm.acceptedAttempt != null && vm.acceptedAttempt.isInFlight()) {
+                machineHandles.get(vm.acceptedAttempt.machine).link.stop(vm.acceptedAttempt, now);
             }
         }
 
         @Override
         public boolean callOff(Vm vm) {
-            feed.logic.left(vm);
+            inputs.scheduler.clientLeft(vm);
             seen(w -> w.left(vm));
-            for (Claim c : List.copyOf(vm.claims)) {
-                if (c.out()) {
-                    giveUp(c, End.CANCELLED);
+            for (PlacementAttempt c : List.copyOf(vm.attempts)) {
+                if (c.isInFlight()) {
+                    giveUp(c, Outcome.CANCELLED);
                 }
             }
-            return vm.claims.stream().anyMatch(c -> !c.neverRan());
+            return vm.attempts.stream().anyMatch(c -> !c.hasNeverRun());
         }
 
         @Override
         public void forget(Vm vm) {
-            inputs.behind(() -> {
+            sequencer.behind(() -> {
                 groups.drop(vm);
-                Instance.this.forget(vm);
-                if (feed.vm(vm.id) == null) {
+                GrpcSchedulerServer.this.forget(vm);
+                if (inputs.vm(vm.id) == null) {
                     owners.remove(vm);
                 }
             });
@@ -668,7 +668,7 @@
 
         @Override
         public String owned(Vm vm) {
-            return Instance.owned(vm, owners.get(vm));
+            return GrpcSchedulerServer.owned(vm, owners.get(vm));
         }
     }
 
@@ -676,26 +676,26 @@
      * Hands a VM to the module; one that an earlier life of this placer may have started, and that must not run twice,
      * only once every machine has said what it holds.
      */
-    private void arrives(Vm vm, Session s, String id, boolean mayRunUnseen) {
+    private void arrives(Vm vm, ClientSession s, String id, boolean mayRunUnseen) {
         if (!mayRunUnseen || rollCall.complete()) {
             if (sessions.waits(s.client, id)) {
-                feed.add(vm);
+                inputs.add(vm);
                 decide(vm);
             }
         } else if (now.compareTo(vm.deadline) < 0) {
             at(d.poll, () -> arrives(vm, s, id, true));
         } else if (sessions.waits(s.client, id)) {
-            meters.answered("errored");
-            say(vm, Answer.Kind.ERRORED, Answer.errored(id, "it may run since before this placer's start; not every "
+            metrics.answered("errored");
+            say(vm, ClientResponse.Kind.ERRORED, ClientResponse.errored(id, "it may run since before this placer's start; not every "
                     + "machine has said what it holds"));
             owners.remove(vm);
         }
     }
 
     @Override
-    public void unwant(Session s, String id) {
+    public void unwant(ClientSession s, String id) {
         enter(() -> {
-            Vm vm = feed.vm(s.client + "/" + id);
+            Vm vm = inputs.vm(s.client + "/" + id);
             sessions.unwant(s, id, now);
             Vm member = groups.member(s.client + "/" + id);
             if (member != null) {
@@ -705,21 +705,21 @@
                     owners.remove(member);
                 }
             }
-            if (vm == null || vm.over) {
+            if (vm == null || vm.isFinished) {
                 return;
             }
-            for (Claim c : vm.claims) {
-                if (c.out()) {
-                    Reach r = reaches.get(c.machine);
-                    if (c == vm.placed) {
+            for (PlacementAttempt c : vm.attempts) {
+                if (c.isInFlight()) {
+                    MachineHandle r = machineHandles.get(c.machine);
+                    if (c == vm.acceptedAttempt) {
                         r.link.stop(c, now);
                     } else {
-                        giveUp(c, End.CANCELLED);
+                        giveUp(c, Outcome.CANCELLED);
                     }
                 }
             }
-            if (vm.placed == null) {
-                feed.logic.left(vm);
+            if (vm.acceptedAttempt == null) {
+                inputs.scheduler.clientLeft(vm);
                 seen(w -> w.left(vm));
                 forget(vm);
             }
@@ -728,7 +728,7 @@
 
     /** What no machine can meet is refused at once, with the rules that cannot be met together; null else. */
     private String conflict(Want w) {
-        List<Rule> rules = book.conflict(w.getCustomer(), w.getFlavour(), w.getService());
+        List<PlacementConstraint> rules = book.conflict(w.getCustomer(), w.getFlavour(), w.getService());
         return rules.isEmpty() ? null : "no machine meets " + rules.stream().map(r -> "rule '" + r.name() + "' ("
                 + r.clause() + ")").collect(java.util.stream.Collectors.joining(" and "));
     }
@@ -738,7 +738,7 @@
         return vm.id.substring(client.length() + 1);
     }
 
-    private void say(Vm vm, Answer.Kind kind, Answer answer) {
+    private void say(Vm vm, ClientResponse.Kind kind, ClientResponse answer) {
         String client = owners.get(vm);
         if (client == null) {
             return;
@@ -758,7 +758,7 @@
         if (groups.of(vm) != null && client != null && sessions.waits(client, owned(vm, client))) {
             return; // Its group answers it, and comes back here.
         }
-        if (feed.forget(vm)) {
+        if (inputs.forget(vm)) {
             owners.remove(vm);
             groups.drop(vm);
         }
@@ -767,99 +767,99 @@
     // ---- What the module does --------------------------------------------------------------------------
 
     @Override
-    public void claim(Claim c, Duration within) {
-        meters.offered();
+    public void sendAttempt(PlacementAttempt c, Duration within) {
+        metrics.offered();
         placeTaken(c);
-        inputs.behind(() -> {
-            if (!c.out()) {
+        sequencer.behind(() -> {
+            if (!c.isInFlight()) {
                 return;
             }
-            Reach r = reaches.get(c.machine);
-            boolean mayRepeat = d.flavours.get(c.vm.flavour).rebuildable();
-            r.link.offer(c, new Link.Name(c.vm.id, c.number), mayRepeat, within, now);
+            MachineHandle r = machineHandles.get(c.machine);
+            boolean mayRepeat = d.priorityClasses.get(c.vm.priorityClass).rebuildable();
+            r.link.offer(c, new MachineStream.AttemptId(c.vm.id, c.number), mayRepeat, within, now);
             watch(r);
         });
         at(within, () -> {
-            if (c.out() && c.boundAt == null) {
-                giveUp(c, End.TIMEOUT);
+            if (c.isInFlight() && c.acceptedAt == null) {
+                giveUp(c, Outcome.TIMEOUT);
             }
         });
     }
 
     /** Waits no longer for a claim: known not to have run if its offer was never written. */
-    private void giveUp(Claim c, End end) {
-        Reach r = reaches.get(c.machine);
+    private void giveUp(PlacementAttempt c, Outcome end) {
+        MachineHandle r = machineHandles.get(c.machine);
         boolean neverWritten = r.link.giveUp(c, now);
-        ended(c, neverWritten ? End.UNREACHABLE : end, Why.UNTOLD);
+        ended(c, neverWritten ? Outcome.UNREACHABLE : end, OutcomeReason.UNSPECIFIED);
         watch(r);
     }
 
-    private void describe(Claim c, Offer.Builder o) {
-        o.setPriority(d.flavours.get(c.vm.flavour).priority());
+    private void describe(PlacementAttempt c, Offer.Builder o) {
+        o.setPriority(d.priorityClasses.get(c.vm.priorityClass).priority());
         String client = owners.get(c.vm);
         o.setClient(client == null ? "" : client);
     }
 
     @Override
-    public void deny(Vm vm, Duration retryAfter) {
-        inputs.behind(() -> seen(w -> w.answered(vm, "denied", retryAfter)));
+    public void reject(Vm vm, Duration retryAfter) {
+        sequencer.behind(() -> seen(w -> w.answered(vm, "denied", retryAfter)));
         if (groups.of(vm) != null) {
-            inputs.behind(() -> group(vm, g -> g.denied(vm.id, "no room found in time")));
+            sequencer.behind(() -> group(vm, g -> g.denied(vm.id, "no room found in time")));
             return;
         }
         String client = owners.get(vm);
-        say(vm, Answer.Kind.DENIED, Answer.denied(owned(vm, client), retryAfter, "no room found in time"));
-        meters.answered("denied");
-        inputs.behind(() -> forget(vm));
+        say(vm, ClientResponse.Kind.DENIED, ClientResponse.denied(owned(vm, client), retryAfter, "no room found in time"));
+        metrics.answered("denied");
+        sequencer.behind(() -> forget(vm));
     }
 
     @Override
-    public void error(Vm vm) {
-        inputs.behind(() -> seen(w -> w.answered(vm, "errored", Duration.ZERO)));
+    public void fail(Vm vm) {
+        sequencer.behind(() -> seen(w -> w.answered(vm, "errored", Duration.ZERO)));
         if (groups.of(vm) != null) {
-            inputs.behind(() -> group(vm, g -> g.errored(vm.id, "it may have run; its outcome is not known")));
+            sequencer.behind(() -> group(vm, g -> g.errored(vm.id, "it may have run; its outcome is not known")));
             return;
         }
         String client = owners.get(vm);
-        say(vm, Answer.Kind.ERRORED, Answer.errored(owned(vm, client), "it may have run; its outcome is not known"));
-        meters.answered("errored");
-        inputs.behind(() -> forget(vm));
+        say(vm, ClientResponse.Kind.ERRORED, ClientResponse.errored(owned(vm, client), "it may have run; its outcome is not known"));
+        metrics.answered("errored");
+        sequencer.behind(() -> forget(vm));
     }
 
-    private void group(Vm vm, Consumer<Group> does) {
-        Group g = groups.of(vm);
+    private void group(Vm vm, Consumer<VmGroup> does) {
+        VmGroup g = groups.of(vm);
         if (g != null) {
             does.accept(g);
         }
     }
 
     @Override
-    public void move(Vm vm) {
-        say(vm, Answer.Kind.MOVED, Answer.ended(owned(vm, owners.get(vm)), Answer.Kind.MOVED));
-        reaches.get(vm.placed.machine).link.stop(vm.placed, now);
+    public void migrate(Vm vm) {
+        say(vm, ClientResponse.Kind.MOVED, ClientResponse.ended(owned(vm, owners.get(vm)), ClientResponse.Kind.MOVED));
+        machineHandles.get(vm.acceptedAttempt.machine).link.stop(vm.acceptedAttempt, now);
     }
 
     @Override
-    public void cancel(Claim c) {
-        inputs.behind(() -> {
-            if (c.out() && c.boundAt == null) {
-                giveUp(c, End.CANCELLED);
+    public void cancelAttempt(PlacementAttempt c) {
+        sequencer.behind(() -> {
+            if (c.isInFlight() && c.acceptedAt == null) {
+                giveUp(c, Outcome.CANCELLED);
             }
         });
     }
 
     @Override
     public void probe(Machine m) {
-        inputs.behind(() -> {
-            Reach r = reaches.get(m);
+        sequencer.behind(() -> {
+            MachineHandle r = machineHandles.get(m);
             r.link.probe(now);
             watch(r);
         });
     }
 
     @Override
-    public void wake(Duration in) {
-        at(in, feed.logic::woken);
+    public void scheduleTimer(Duration in) {
+        at(in, inputs.scheduler::timerFired);
     }
 
     @Override
@@ -868,146 +868,146 @@
     }
 
     @Override
-    public void tell(String note) {
+    public void gossip(String note) {
         if (notes != null) {
             notes.send(note);
-            meters.note("sent");
+            metrics.note("sent");
         }
     }
 
     /** Where notes go and come from, before anything is placed. */
-    void notes(NotePost post) {
+    void notes(GossipSocket post) {
         notes = post;
     }
 
     void heard(String note) {
-        meters.note("heard");
+        metrics.note("heard");
         enter(() -> {
-            feed.logic.heard(note);
+            inputs.scheduler.gossipReceived(note);
             seen(w -> w.heard(note));
         });
     }
 
     @Override
-    public void follow(boolean on) {
+    public void watchMachineList(boolean on) {
         // Its source pushes the list; asked for, it says that nothing changed since, or that it cannot tell.
-        inputs.behind(() -> {
+        sequencer.behind(() -> {
             if (listOld) {
-                feed.logic.listFailed();
+                inputs.scheduler.machineListFailed();
             } else {
-                feed.list(false, false, List.of());
+                inputs.list(false, false, List.of());
             }
         });
     }
 
     @Override
-    public void lookup() {
+    public void fetchMachineList() {
         // The list is pushed here.
     }
 
     // ---- What the links conclude -----------------------------------------------------------------------
 
     @Override
-    public void bound(Claim c, boolean running) {
-        inputs.behind(() -> {
-            if (!c.out() || c.vm.over) {
+    public void bound(PlacementAttempt c, boolean running) {
+        sequencer.behind(() -> {
+            if (!c.isInFlight() || c.vm.isFinished) {
                 return;
             }
-            boolean first = c.boundAt == null;
+            boolean first = c.acceptedAt == null;
             if (first) {
                 Duration took = now.minus(c.vm.arrivedAt);
                 String client = owners.get(c.vm);
-                meters.bound(took);
-                feed.logic.bound(c);
+                metrics.bound(took);
+                inputs.scheduler.attemptAccepted(c);
                 seen(w -> w.bound(c.vm));
                 if (client != null) {
-                    Answer bound = Answer.bound(owned(c.vm, client), reaches.get(c.machine).name, c.number, took);
+                    ClientResponse bound = ClientResponse.bound(owned(c.vm, client), machineHandles.get(c.machine).name, c.number, took);
                     if (groups.of(c.vm) != null) {
                         groups.bound(c.vm, bound);
                     } else {
-                        meters.answered("bound");
-                        say(c.vm, Answer.Kind.BOUND, bound);
+                        metrics.answered("bound");
+                        say(c.vm, ClientResponse.Kind.BOUND, bound);
                     }
                 }
             }
             if (running && d.yes.equals("accepted")) {
-                both(c, Logic::running);
+                both(c, Scheduler::vmStarted);
             }
         });
     }
 
     @Override
-    public void ended(Claim c, End end, Why why) {
-        inputs.behind(() -> {
-            if (!c.out()) {
+    public void ended(PlacementAttempt c, Outcome end, OutcomeReason why) {
+        sequencer.behind(() -> {
+            if (!c.isInFlight()) {
                 return;
             }
-            boolean wasBound = c.boundAt != null;
-            if (wasBound || end == End.FULL || end == End.UNREACHABLE || end == End.MOOT) {
+            boolean wasBound = c.acceptedAt != null;
+            if (wasBound || end == Outcome.FULL || end == Outcome.UNREACHABLE || end == Outcome.MOOT) {
                 book.gone(c);
             } else {
                 book.doubted(c);
             }
-            meters.ended(end);
+            metrics.ended(end);
             if (LOG.isDebugEnabled()) {
                 LOG.atDebug().addKeyValue("placer", name).addKeyValue("vm", c.vm.id).addKeyValue("claim", c.number)
-                        .addKeyValue("machine", reaches.get(c.machine).name).log("ended: " + end + " " + why);
+                        .addKeyValue("machine", machineHandles.get(c.machine).name).log("ended: " + end + " " + why);
             }
-            feed.logic.ended(c, end, why, wasBound || c.vm.over);
+            inputs.scheduler.attemptEnded(c, end, why, wasBound || c.vm.isFinished);
             seen(w -> w.ended(c, end, why, wasBound));
             String client = owners.get(c.vm);
-            Group g = groups.of(c.vm);
+            VmGroup g = groups.of(c.vm);
             boolean kept = wasBound && g != null && g.ended(c.vm.id);
             if (wasBound && client != null && !kept) {
-                say(c.vm, kind(end, why), Answer.ended(owned(c.vm, client), kind(end, why)));
+                say(c.vm, kind(end, why), ClientResponse.ended(owned(c.vm, client), kind(end, why)));
             }
             forget(c.vm);
         });
     }
 
-    private static Answer.Kind kind(End end, Why why) {
+    private static ClientResponse.Kind kind(Outcome end, OutcomeReason why) {
         return switch (why) {
-            case EVICTED -> Answer.Kind.EVICTED;
-            case PUSHED_OUT -> Answer.Kind.PUSHED_OUT;
-            case SENT_AWAY -> Answer.Kind.SENT_AWAY;
-            default -> end == End.DONE || end == End.CANCELLED ? Answer.Kind.DONE
-                    : end == End.ERROR ? Answer.Kind.FAILED : Answer.Kind.LOST;
+            case EVICTED -> ClientResponse.Kind.EVICTED;
+            case PREEMPTED -> ClientResponse.Kind.PUSHED_OUT;
+            case DRAINED -> ClientResponse.Kind.SENT_AWAY;
+            default -> end == Outcome.DONE || end == Outcome.CANCELLED ? ClientResponse.Kind.DONE
+                    : end == Outcome.ERROR ? ClientResponse.Kind.FAILED : ClientResponse.Kind.LOST;
         };
     }
 
     @Override
-    public void runsAlready(Link.Held held, Machine machine) {
-        Reach r = reaches.get(machine);
-        if (feed.vm(held.name().vm()) != null || !d.flavours.containsKey(held.flavour())) {
+    public void runsAlready(MachineStream.ReportedVm held, Machine machine) {
+        MachineHandle r = machineHandles.get(machine);
+        if (inputs.vm(held.name().vm()) != null || !d.priorityClasses.containsKey(held.priorityClass())) {
             // Asked for anew before its machine came back, or of a flavour no longer known: nobody would own it.
             r.stream.cancel(held.name());
             return;
         }
         Vm vm = new Vm(held.name().vm());
-        vm.flavour = held.flavour();
-        vm.customer = held.customer();
+        vm.priorityClass = held.priorityClass();
+        vm.tenant = held.tenant();
         vm.service = held.service();
         vm.cores = held.cores();
         vm.memory = held.memory();
         vm.arrivedAt = now;
         vm.deadline = now;
-        feed.add(vm);
-        feed.logic.runsAlready(vm, machine);
+        inputs.add(vm);
+        inputs.scheduler.vmAdopted(vm, machine);
         seen(w -> w.runsAlready(vm, r.name));
-        r.link.adopt(held.name(), vm.placed);
-        placeTaken(vm.placed);
+        r.link.adopt(held.name(), vm.acceptedAttempt);
+        placeTaken(vm.acceptedAttempt);
         owners.put(vm, held.client());
         String id = vm.id.startsWith(held.client() + "/") ? owned(vm, held.client()) : vm.id;
-        sessions.found(held.client(), id, Answer.bound(id, r.name, held.name().number(), Duration.ZERO),
+        sessions.found(held.client(), id, ClientResponse.bound(id, r.name, held.name().number(), Duration.ZERO),
                 now);
         talkOf(held.client());
     }
 
     @Override
     public void probed(Machine machine, boolean ok, Duration took) {
-        inputs.behind(() -> {
-            feed.logic.probed(machine, ok, ok, took);
-            seen(w -> w.probed(reaches.get(machine).name, ok, took));
+        sequencer.behind(() -> {
+            inputs.scheduler.probeCompleted(machine, ok, ok, took);
+            seen(w -> w.probed(machineHandles.get(machine).name, ok, took));
         });
     }
 
@@ -1022,7 +1022,7 @@
             event = event.addKeyValue("vm", vm.id);
         }
         if (machine != null) {
-            event = event.addKeyValue("machine", reaches.get(machine).name);
+            event = event.addKeyValue("machine", machineHandles.get(machine).name);
         }
         event.log(text);
     }
@@ -1035,14 +1035,14 @@
         loop.execute(() -> {
             stopped = done;
             enter(() -> {
-                feed.logic.stops();
-                seen(Watch::stops);
+                inputs.scheduler.shutdownStarted();
+                seen(ShadowScheduler::stops);
             });
             enter(groups::stops);
             at(within.multipliedBy(3).dividedBy(4), () -> {
-                for (Reach r : reaches.values()) {
-                    for (Claim c : List.copyOf(r.machine.waitingClaims)) {
-                        giveUp(c, End.TIMEOUT);
+                for (MachineHandle r : machineHandles.values()) {
+                    for (PlacementAttempt c : List.copyOf(r.machine.unansweredAttempts)) {
+                        giveUp(c, Outcome.TIMEOUT);
                     }
                 }
             });
@@ -1056,8 +1056,8 @@
 
     int streamsOpen() {
         int n = 0;
-        for (Reach r : reaches.values()) {
-            n += r.link.phase() == Link.Phase.GREETED ? 1 : 0;
+        for (MachineHandle r : machineHandles.values()) {
+            n += r.link.phase() == MachineStream.Phase.GREETED ? 1 : 0;
         }
         return n;
     }
@@ -1066,7 +1066,7 @@
         if (notes != null) {
             notes.close();
         }
-        for (Reach r : reaches.values()) {
+        for (MachineHandle r : machineHandles.values()) {
             r.stream.close("the placer ends");
         }
     }
--- a/src/main/java/fordridge/placer/PlacerProgram.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -1,15 +1,15 @@
-package fordridge.placer;
-
-import fordridge.etcd.EtcdList;
-import fordridge.listing.ListFile;
-import fordridge.listing.MachineList;
-import fordridge.obs.Meters;
-import fordridge.obs.MetricsPort;
-import fordridge.rpc.ClientService;
-import fordridge.rpc.OperateService;
-import fordridge.rpc.NotePost;
-import fordridge.settings.Deployment;
-import fordridge.settings.TermsChange;
+package fordridge.server.grpc;
+
+import fordridge.etcd.EtcdMachineList;
+import fordridge.discovery.MachineListFile;
+import fordridge.discovery.MachineListSource;
+import fordridge.observability.Metrics;
+import fordridge.observability.MetricsServer;
+import fordridge.grpc.ClientService;
+import fordridge.grpc.OperatorService;
+import fordridge.grpc.GossipSocket;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.SettingsUpdate;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import io.netty.channel.EventLoop;
@@ -35,13 +35,13 @@
 import org.slf4j.LoggerFactory;
 
 /** The program {@code fordridge placer}: its instances, their listening ports, the list and the metrics. */
-public final class PlacerProgram implements AutoCloseable {
+public final class PlacerCommand implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
     /** HTTP/2's least default: what a client may have under way unread, and so how old an ask may grow there. */
     private static final int CLIENT_WINDOW = 65_535;
     private static final Duration LAG_EVERY = Duration.ofMillis(20);
 
-    private final Deployment d;
+    private final DeploymentSettings d;
     private final EventLoopGroup loops;
     private final ExecutorService thinker = new ThreadPoolExecutor(2, 2, 0, TimeUnit.SECONDS,
             new ArrayBlockingQueue<>(1024), r -> {
@@ -49,47 +49,47 @@
         t.setDaemon(true);
         return t;
     });
-    private final List<MachineList> lists = new ArrayList<>();
-    private final Meters meters = new Meters();
-    private final List<Instance> instances = new ArrayList<>();
-    private final List<NotePost> notePosts = new ArrayList<>();
+    private final List<MachineListSource> lists = new ArrayList<>();
+    private final Metrics metrics = new Metrics();
+    private final List<GrpcSchedulerServer> instances = new ArrayList<>();
+    private final List<GossipSocket> notePosts = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
-    private final MetricsPort metrics;
-    private Rules rules;
+    private final MetricsServer metricsServer;
+    private ConstraintUpdater rules;
 
     /** Starts all; what cannot be had (a port, the list) is said in one line and nothing is left running. */
-    public PlacerProgram(Deployment d) throws IOException, Deployment.Refused {
+    public PlacerCommand(DeploymentSettings d) throws IOException, DeploymentSettings.InvalidSettingsException {
         this.d = d;
         int threads = Math.min(d.count, Runtime.getRuntime().availableProcessors());
         loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
-        MetricsPort port = null;
+        MetricsServer port = null;
         long seed;
         try {
             boolean etcd = d.listSource.equals("etcd");
             if (!etcd) {
                 // One follower of the file serves all: reading it decides nothing.
-                lists.add(new ListFile(d.listFile(), d));
+                lists.add(new MachineListFile(d.listFile(), d));
             }
-            Deployment watched = watched(d);
+            DeploymentSettings watched = watched(d);
             seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
             for (int i = 0; i < d.count; i++) {
                 String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
-                Instance it = new Instance(d, watched, d.position + i, name, seed + i, loops.next(), thinker, meters);
+                GrpcSchedulerServer it = new GrpcSchedulerServer(d, watched, d.position + i, name, seed + i, loops.next(), thinker, metrics);
                 instances.add(it);
                 if (d.notes) {
                     List<InetSocketAddress> others = new ArrayList<>();
                     for (String o : d.notesTo) {
                         others.add(address(o));
                     }
-                    NotePost post = new NotePost(it.loop, new InetSocketAddress(d.notesHost,
+                    GossipSocket post = new GossipSocket(it.loop, new InetSocketAddress(d.notesHost,
                             d.notesPort == 0 ? 0 : d.notesPort + i), others, it::heard);
                     it.loop.execute(() -> it.notes(post));
                     notePosts.add(post);
                 }
                 if (etcd) {
-                    lists.add(new EtcdList(d, name, seed + i));
+                    lists.add(new EtcdMachineList(d, name, seed + i));
                 }
-                MachineList list = lists.get(lists.size() - 1);
+                MachineListSource list = lists.get(lists.size() - 1);
                 list.follow(it::list);
                 it.loop.scheduleAtFixedRate(() -> it.shared(list.placers()), 200, 200, TimeUnit.MILLISECONDS);
                 servers.add(serve(it, d.port == 0 ? 0 : d.port + i));
@@ -97,54 +97,54 @@
             for (int i = 0; i < Math.min(threads, instances.size()); i++) {
                 watchLag(instances.get(i).loop);
             }
-            rules = new Rules(d, lists.get(0));
+            rules = new ConstraintUpdater(d, lists.get(0));
             rules.follow((r, v) -> instances.forEach(i -> i.rules(r, v)));
             rules.followTerms(t -> instances.forEach(i -> i.terms(t)));
-            meters.gauge("fordridge.held", () -> instances.stream().mapToInt(Instance::inHand).sum());
-            meters.gauge("fordridge.streams", () -> instances.stream().mapToInt(Instance::streamsOpen).sum());
+            metrics.gauge("fordridge.held", () -> instances.stream().mapToInt(GrpcSchedulerServer::inHand).sum());
+            metrics.gauge("fordridge.streams", () -> instances.stream().mapToInt(GrpcSchedulerServer::streamsOpen).sum());
             if (d.metricsPort >= 0) {
-                port = new MetricsPort(d.metricsPort, meters, loops);
+                port = new MetricsServer(d.metricsPort, metrics, loops);
             }
-        } catch (IOException | RuntimeException | Deployment.Refused e) {
+        } catch (IOException | RuntimeException | DeploymentSettings.InvalidSettingsException e) {
             close();
             throw e;
         }
-        metrics = port;
+        metricsServer = port;
         LOG.atInfo().addKeyValue("seed", seed).addKeyValue("instances", d.count)
                 .addKeyValue("machines", lists.get(0).latest().entries().size()).addKeyValue("port", port(0))
-                .addKeyValue("metrics", metrics == null ? "none" : metrics.port()).log("placing");
+                .addKeyValue("metrics", metricsServer == null ? "none" : metricsServer.port()).log("placing");
     }
 
     /** Reads rules as a placer of this deployment would, against its list of machines if it is a file that is there. */
-    public static List<fordridge.constraint.Rule> readRules(String text, Deployment d) throws Deployment.Refused {
-        List<MachineList.Entry> machines = d.listSource.equals("file") && d.listFile().isFile()
-                ? ListFile.read(d.listFile(), d, 1).entries() : List.of();
-        return Rules.read(text, d, machines.stream().map(e -> new fordridge.constraint.Book.Spot(e.name(), e.kind(),
+    public static List<fordridge.constraint.PlacementConstraint> readRules(String text, DeploymentSettings d) throws DeploymentSettings.InvalidSettingsException {
+        List<MachineListSource.Entry> machines = d.listSource.equals("file") && d.listFile().isFile()
+                ? MachineListFile.read(d.listFile(), d, 1).entries() : List.of();
+        return ConstraintUpdater.read(text, d, machines.stream().map(e -> new fordridge.constraint.ConstraintIndex.MachineTopology(e.name(), e.kind(),
                 e.zone(), e.cell())).toList());
     }
 
     /** Terms of a move to come, laid over ours and checked as if they were in force; null where none are watched. */
-    public static Deployment watched(Deployment d) throws Deployment.Refused, IOException {
+    public static DeploymentSettings watched(DeploymentSettings d) throws DeploymentSettings.InvalidSettingsException, IOException {
         File f = d.watchFile();
         if (f == null) {
             return null;
         }
         if (!f.isFile()) {
-            throw new Deployment.Refused(List.of("watch.terms: " + f + ": no such file"));
+            throw new DeploymentSettings.InvalidSettingsException(List.of("watch.terms: " + f + ": no such file"));
         }
         try {
-            return TermsChange.over(d, d, Files.readString(f.toPath()));
-        } catch (Deployment.Refused e) {
-            throw new Deployment.Refused(e.complaints.stream().map(c -> "watch.terms: " + f + ": " + c).toList());
+            return SettingsUpdate.over(d, d, Files.readString(f.toPath()));
+        } catch (DeploymentSettings.InvalidSettingsException e) {
+            throw new DeploymentSettings.InvalidSettingsException(e.complaints.stream().map(c -> "watch.terms: " + f + ": " + c).toList());
         }
     }
 
-    private static InetSocketAddress address(String hostPort) throws Deployment.Refused {
+    private static InetSocketAddress address(String hostPort) throws DeploymentSettings.InvalidSettingsException {
         int colon = hostPort.lastIndexOf(':');
         InetSocketAddress at = new InetSocketAddress(hostPort.substring(0, colon),
                 Integer.parseInt(hostPort.substring(colon + 1)));
         if (at.isUnresolved()) {
-            throw new Deployment.Refused(List.of("placer.notes.to: '" + hostPort + "': no such host"));
+            throw new DeploymentSettings.InvalidSettingsException(List.of("placer.notes.to: '" + hostPort + "': no such host"));
         }
         return at;
     }
@@ -154,18 +154,18 @@
         return notePosts.get(instance).port();
     }
 
-    private Server serve(Instance it, int port) throws IOException {
+    private Server serve(GrpcSchedulerServer it, int port) throws IOException {
         return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port)).bossEventLoopGroup(it.loop)
                 .workerEventLoopGroup(it.loop).channelType(NioServerSocketChannel.class).directExecutor()
                 .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage)).flowControlWindow(CLIENT_WINDOW)
                 .permitKeepAliveTime(100, TimeUnit.MILLISECONDS).permitKeepAliveWithoutCalls(true)
-                .addService(new ClientService(it, d.maxMessage)).addService(new OperateService(it)).build().start();
+                .addService(new ClientService(it, d.maxMessage)).addService(new OperatorService(it)).build().start();
     }
 
     private void watchLag(EventLoop loop) {
         long[] due = {System.nanoTime() + LAG_EVERY.toNanos()};
         loop.scheduleAtFixedRate(() -> {
-            meters.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - due[0])));
+            metrics.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - due[0])));
             due[0] = System.nanoTime() + LAG_EVERY.toNanos();
         }, LAG_EVERY.toNanos(), LAG_EVERY.toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -175,7 +175,7 @@
     }
 
     public int metricsPort() {
-        return metrics == null ? -1 : metrics.port();
+        return metricsServer == null ? -1 : metricsServer.port();
     }
 
     public String name(int instance) {
@@ -186,8 +186,8 @@
         return instances.size();
     }
 
-    public Meters meters() {
-        return meters;
+    public Metrics metrics() {
+        return metrics;
     }
 
     /** Version of the list in force: rises with each change that could be read. */
@@ -196,11 +196,11 @@
     }
 
     public int inHand() {
-        return instances.stream().mapToInt(Instance::inHand).sum();
+        return instances.stream().mapToInt(GrpcSchedulerServer::inHand).sum();
     }
 
     public int streams() {
-        return instances.stream().mapToInt(Instance::streamsOpen).sum();
+        return instances.stream().mapToInt(GrpcSchedulerServer::streamsOpen).sum();
     }
 
     /** Takes nothing new, waits till each VM in hand has its answer, then ends; false if some had none in time. */
@@ -235,11 +235,11 @@
         if (rules != null) {
             rules.close();
         }
-        lists.forEach(MachineList::close);
+        lists.forEach(MachineListSource::close);
         servers.forEach(Server::shutdownNow);
         instances.forEach(i -> i.loop.execute(i::close));
-        if (metrics != null) {
-            metrics.close();
+        if (metricsServer != null) {
+            metricsServer.close();
         }
         thinker.shutdownNow();
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
--- a/src/main/java/fordridge/placer/Watch.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -1,15 +1,15 @@
-package fordridge.placer;
-
-import fordridge.door.Door;
-import fordridge.feed.Feed;
-import fordridge.obs.Meters;
-import fordridge.settings.Deployment;
-import fordridge.settings.ModuleTerms;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Vm;
+package fordridge.server.grpc;
+
+import fordridge.scheduling.SchedulerActions;
+import fordridge.runtime.SchedulerInputs;
+import fordridge.observability.Metrics;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.SchedulerSettingsMapper;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -28,9 +28,9 @@
  * {@code list_ask}. A VM's fate on a machine is ours; where the two chose different machines it counts as if the
  * other had taken it too. So the counts tell of decisions, not of what would have come of them.
  */
-final class Watch implements Door {
+final class ShadowScheduler implements SchedulerActions {
     /** A VM as the watching module has it, and what both said of it in the end. */
-    private static final class Twin {
+    private static final class ShadowVm {
         final Vm real;
         final Vm own;
         String realAnswer;
@@ -38,142 +38,142 @@
         Duration realAdvice;
         Duration ownAdvice;
 
-        Twin(Vm real, Vm own) {
+        ShadowVm(Vm real, Vm own) {
             this.real = real;
             this.own = own;
         }
     }
 
-    private final Feed<String> feed;
-    private final Meters meters;
-    private final Deployment now;
+    private final SchedulerInputs<String> inputs;
+    private final Metrics metrics;
+    private final DeploymentSettings now;
     private final BiConsumer<Duration, Runnable> later;
     private final Function<Machine, String> nameOf;
     private final Function<String, Machine> ours;
     /** Asked what customers' rules say of our VMs. */
-    private final Door rules;
-    private final Map<Vm, Twin> byReal = new IdentityHashMap<>();
-    private final Map<Vm, Twin> byOwn = new IdentityHashMap<>();
+    private final SchedulerActions rules;
+    private final Map<Vm, ShadowVm> byReal = new IdentityHashMap<>();
+    private final Map<Vm, ShadowVm> byOwn = new IdentityHashMap<>();
     private final Map<Machine, String> names = new HashMap<>();
 
-    Watch(Deployment now, Deployment next, int position, long seed, ToLongFunction<String> number, Meters meters,
+    ShadowScheduler(DeploymentSettings now, DeploymentSettings next, int position, long seed, ToLongFunction<String> number, Metrics metrics,
             BiConsumer<Duration, Runnable> later, Function<Machine, String> nameOf, Function<String, Machine> ours,
-            Door rules) {
+            SchedulerActions rules) {
         this.now = now;
-        this.meters = meters;
+        this.metrics = metrics;
         this.later = later;
         this.nameOf = nameOf;
         this.ours = ours;
         this.rules = rules;
-        feed = new Feed<>(this, number);
-        feed.logic.start(seed, ModuleTerms.of(next, position));
+        inputs = new SchedulerInputs<>(this, number);
+        inputs.scheduler.start(seed, SchedulerSettingsMapper.of(next, position));
     }
 
     // ---- What the placer's own module heard ------------------------------------------------------------
 
     void at(Duration clock) {
-        feed.logic.at(clock);
+        inputs.scheduler.advanceTo(clock);
     }
 
     void shared(int among) {
-        feed.logic.shared(among);
+        inputs.scheduler.schedulerCountChanged(among);
     }
 
-    void list(boolean whole, boolean old, List<Feed.Line<String>> lines) {
-        lines.forEach(l -> names.put(feed.machine(l.key()), l.key()));
-        feed.list(whole, old, lines);
+    void list(boolean whole, boolean old, List<SchedulerInputs.ListedMachine<String>> lines) {
+        lines.forEach(l -> names.put(inputs.machine(l.key()), l.key()));
+        inputs.list(whole, old, lines);
     }
 
     void report(String machine, double spareCores, double spareMemory, double busy, Duration at) {
-        feed.report(feed.machine(machine), spareCores, spareMemory, busy, at);
+        inputs.report(inputs.machine(machine), spareCores, spareMemory, busy, at);
     }
 
     void reported(String machine) {
-        feed.logic.reported(machine == null ? null : feed.machine(machine));
+        inputs.scheduler.loadReported(machine == null ? null : inputs.machine(machine));
     }
 
     void heard(String note) {
-        feed.logic.heard(note);
+        inputs.scheduler.gossipReceived(note);
     }
 
     void stops() {
-        feed.logic.stops();
+        inputs.scheduler.shutdownStarted();
     }
 
     void probed(String machine, boolean ok, Duration took) {
-        feed.logic.probed(feed.machine(machine), ok, ok, took);
+        inputs.scheduler.probeCompleted(inputs.machine(machine), ok, ok, took);
     }
 
-    private Twin twin(Vm real) {
+    private ShadowVm twin(Vm real) {
         Vm own = new Vm(real.id);
-        own.flavour = real.flavour;
-        own.customer = real.customer;
+        own.priorityClass = real.priorityClass;
+        own.tenant = real.tenant;
         own.service = real.service;
         own.cores = real.cores;
         own.memory = real.memory;
-        own.cameBack = real.cameBack;
+        own.isClientRetry = real.isClientRetry;
         own.arrivedAt = real.arrivedAt;
         own.deadline = real.deadline;
-        own.lasts = real.lasts;
-        Twin t = new Twin(real, own);
+        own.expectedLifetime = real.expectedLifetime;
+        ShadowVm t = new ShadowVm(real, own);
         byReal.put(real, t);
         byOwn.put(own, t);
-        feed.add(own);
+        inputs.add(own);
         return t;
     }
 
     void runsAlready(Vm real, String machine) {
-        feed.logic.runsAlready(twin(real).own, feed.machine(machine));
+        inputs.scheduler.vmAdopted(twin(real).own, inputs.machine(machine));
     }
 
     /** A new VM, before ours decides on it: what rules allow is as ours will find it. */
     void arrives(Vm real) {
-        feed.logic.arrives(twin(real).own);
+        inputs.scheduler.vmRequested(twin(real).own);
     }
 
     /** Ours has decided: what both did at once is compared. */
     void arrived(Vm real) {
-        Twin t = byReal.get(real);
+        ShadowVm t = byReal.get(real);
         if (t == null) {
             return;
         }
         Vm own = t.own;
-        if (real.claims.isEmpty() != own.claims.isEmpty()) {
-            meters.otherwise(own.claims.isEmpty() ? "hold" : "place");
-        } else if (!own.claims.isEmpty() && !Objects.equals(nameOf.apply(real.claims.get(0).machine),
-                names.get(own.claims.get(0).machine))) {
-            meters.otherwise("machine");
+        if (real.attempts.isEmpty() != own.attempts.isEmpty()) {
+            metrics.otherwise(own.attempts.isEmpty() ? "hold" : "place");
+        } else if (!own.attempts.isEmpty() && !Objects.equals(nameOf.apply(real.attempts.get(0).machine),
+                names.get(own.attempts.get(0).machine))) {
+            metrics.otherwise("machine");
         }
     }
 
     void bound(Vm real) {
-        Twin t = byReal.get(real);
-        Claim own = t == null ? null : out(t);
-        if (own != null && own.boundAt == null) {
-            feed.logic.bound(own);
+        ShadowVm t = byReal.get(real);
+        PlacementAttempt own = t == null ? null : out(t);
+        if (own != null && own.acceptedAt == null) {
+            inputs.scheduler.attemptAccepted(own);
         }
     }
 
     /** A note on a VM that runs. */
-    void told(Vm real, BiConsumer<fordridge.Logic, Claim> what) {
-        Twin t = byReal.get(real);
-        if (t != null && t.own.placed != null && t.own.placed.out()) {
-            what.accept(feed.logic, t.own.placed);
+    void told(Vm real, BiConsumer<fordridge.scheduling.Scheduler, PlacementAttempt> what) {
+        ShadowVm t = byReal.get(real);
+        if (t != null && t.own.acceptedAttempt != null && t.own.acceptedAttempt.isInFlight()) {
+            what.accept(inputs.scheduler, t.own.acceptedAttempt);
         }
     }
 
-    void ended(Claim real, End end, Why why, boolean over) {
-        Twin t = byReal.get(real.vm);
+    void ended(PlacementAttempt real, Outcome end, OutcomeReason why, boolean over) {
+        ShadowVm t = byReal.get(real.vm);
         if (t == null) {
             return;
         }
-        Claim own = out(t);
+        PlacementAttempt own = out(t);
         boolean sameMachine = own != null
                 && Objects.equals(nameOf.apply(real.machine), names.get(own.machine));
         if (own != null && (over || sameMachine)) {
-            feed.logic.ended(own, end, why, over);
-        } else if (own != null && own.boundAt == null) {
-            feed.logic.bound(own);
+            inputs.scheduler.attemptEnded(own, end, why, over);
+        } else if (own != null && own.acceptedAt == null) {
+            inputs.scheduler.attemptAccepted(own);
         }
         if (over) {
             drop(t);
@@ -181,12 +181,12 @@
     }
 
     void left(Vm real) {
-        Twin t = byReal.get(real);
+        ShadowVm t = byReal.get(real);
         if (t != null) {
-            Claim own = out(t);
-            feed.logic.left(t.own);
+            PlacementAttempt own = out(t);
+            inputs.scheduler.clientLeft(t.own);
             if (own != null) {
-                feed.logic.ended(own, End.CANCELLED, Why.UNTOLD, true);
+                inputs.scheduler.attemptEnded(own, Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, true);
             }
             drop(t);
         }
@@ -194,7 +194,7 @@
 
     /** Ours gave its final answer without a bind. */
     void answered(Vm real, String how, Duration advice) {
-        Twin t = byReal.get(real);
+        ShadowVm t = byReal.get(real);
         if (t != null) {
             t.realAnswer = how;
             t.realAdvice = advice;
@@ -202,61 +202,61 @@
         }
     }
 
-    private void compare(Twin t) {
+    private void compare(ShadowVm t) {
         if (t.realAnswer == null && t.ownAnswer == null || !byReal.containsKey(t.real)) {
             return;
         }
         boolean ownPlaced = t.ownAnswer == null && out(t) != null;
-        boolean realPlaced = t.realAnswer == null && t.real.out() > 0;
+        boolean realPlaced = t.realAnswer == null && t.real.inFlightAttempts() > 0;
         if (ownPlaced || realPlaced) {
-            meters.otherwise("answer");
+            metrics.otherwise("answer");
             left(t.real);
         } else if (t.realAnswer != null && t.ownAnswer != null) {
             if (!t.realAnswer.equals(t.ownAnswer)) {
-                meters.otherwise("answer");
+                metrics.otherwise("answer");
             } else if (!t.realAdvice.equals(t.ownAdvice)) {
-                meters.otherwise("retry_after");
+                metrics.otherwise("retry_after");
             }
             drop(t);
         }
     }
 
-    private static Claim out(Twin t) {
-        Claim last = t.own.last();
-        return last != null && last.out() ? last : null;
+    private static PlacementAttempt out(ShadowVm t) {
+        PlacementAttempt last = t.own.lastAttempt();
+        return last != null && last.isInFlight() ? last : null;
     }
 
-    private void drop(Twin t) {
-        if (out(t) == null && !t.own.over) {
-            feed.logic.left(t.own);
+    private void drop(ShadowVm t) {
+        if (out(t) == null && !t.own.isFinished) {
+            inputs.scheduler.clientLeft(t.own);
         }
         byReal.remove(t.real);
         byOwn.remove(t.own);
-        feed.forget(t.own);
+        inputs.forget(t.own);
     }
 
     // ---- What this one would do: nothing of it is done ------------------------------------------------
 
     @Override
-    public void claim(Claim c, Duration within) {
-        Twin t = byOwn.get(c.vm);
+    public void sendAttempt(PlacementAttempt c, Duration within) {
+        ShadowVm t = byOwn.get(c.vm);
         if (t != null && t.realAnswer != null) {
             later.accept(Duration.ZERO, () -> compare(t));
         }
     }
 
     @Override
-    public void deny(Vm own, Duration retryAfter) {
+    public void reject(Vm own, Duration retryAfter) {
         answers(own, "denied", retryAfter);
     }
 
     @Override
-    public void error(Vm own) {
+    public void fail(Vm own) {
         answers(own, "errored", Duration.ZERO);
     }
 
     private void answers(Vm own, String how, Duration advice) {
-        Twin t = byOwn.get(own);
+        ShadowVm t = byOwn.get(own);
         if (t != null) {
             t.ownAnswer = how;
             t.ownAdvice = advice;
@@ -265,25 +265,25 @@
     }
 
     @Override
-    public void move(Vm own) {
-        meters.otherwise("move");
+    public void migrate(Vm own) {
+        metrics.otherwise("move");
     }
 
     /** Customers' rules speak to both alike. */
     @Override
-    public double unfit(Vm own, Machine m) {
-        Twin t = byOwn.get(own);
-        return t == null ? 0 : rules.unfit(t.real, ours.apply(names.get(m)));
+    public double constraintPenalty(Vm own, Machine m) {
+        ShadowVm t = byOwn.get(own);
+        return t == null ? 0 : rules.constraintPenalty(t.real, ours.apply(names.get(m)));
     }
 
     @Override
-    public boolean ruled(Vm own) {
-        Twin t = byOwn.get(own);
-        return t != null && rules.ruled(t.real);
+    public boolean isConstrained(Vm own) {
+        ShadowVm t = byOwn.get(own);
+        return t != null && rules.isConstrained(t.real);
     }
 
     @Override
-    public void cancel(Claim c) {
+    public void cancelAttempt(PlacementAttempt c) {
     }
 
     @Override
@@ -291,23 +291,23 @@
         // Ours may ask in the same input, behind this; then its answer is this one's too.
         later.accept(Duration.ZERO, () -> {
             if (!ours.apply(names.get(m)).probing) {
-                meters.otherwise("probe");
+                metrics.otherwise("probe");
                 // Nobody was asked: it is told neither of trouble nor of a report, and may ask again.
-                later.accept(now.connectTimeout, () -> feed.logic.probed(m, true, false, now.connectTimeout));
+                later.accept(now.connectTimeout, () -> inputs.scheduler.probeCompleted(m, true, false, now.connectTimeout));
             }
         });
     }
 
     @Override
-    public void tell(String note) {
+    public void gossip(String note) {
         if (!now.notes) {
-            meters.otherwise("note");
+            metrics.otherwise("note");
         }
     }
 
     @Override
-    public void wake(Duration in) {
-        later.accept(in, feed.logic::woken);
+    public void scheduleTimer(Duration in) {
+        later.accept(in, inputs.scheduler::timerFired);
     }
 
     @Override
@@ -315,14 +315,14 @@
     }
 
     @Override
-    public void follow(boolean on) {
+    public void watchMachineList(boolean on) {
         if (now.listComes.equals("push")) {
-            meters.otherwise("list_ask");
+            metrics.otherwise("list_ask");
         }
-        later.accept(Duration.ZERO, () -> feed.list(false, false, List.of()));
+        later.accept(Duration.ZERO, () -> inputs.list(false, false, List.of()));
     }
 
     @Override
-    public void lookup() {
+    public void fetchMachineList() {
     }
 }
--- a/src/main/java/fordridge/node/Rehearsal.java
+++ b/src/main/java/fordridge/server/json/ClassArchiveTraining.java
@@ -1,4 +1,4 @@
-package fordridge.node;
+package fordridge.server.json;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -20,23 +20,23 @@
  * once, to record the classes that serving needs: read from an archive, they cost a starting placer less of its part
  * of a core.
  */
-public final class Rehearsal {
+public final class ClassArchiveTraining {
     private static final int ASKS = 40;
     private static final Pattern REF = Pattern.compile("\"ref\":\"([0-9a-f]+)\"");
 
-    private Rehearsal() {
+    private ClassArchiveTraining() {
     }
 
     /** The exit code: 0 if every ask was answered with a VM that stands. */
     public static int run(PrintStream err) throws IOException, InterruptedException {
         try (ServerSocket machine = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
                 ServerSocket journal = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            serve(machine, Rehearsal::machine);
+            serve(machine, ClassArchiveTraining::machine);
             serve(journal, (line, out) -> say(out, "7\n"));
             Path file = Files.createTempFile("rehearsal", ".json");
             try {
                 Files.writeString(file, configuration(machine.getLocalPort(), journal.getLocalPort()));
-                try (NodeProgram program = new NodeProgram(file, err)) {
+                try (ServeCommand program = new ServeCommand(file, err)) {
                     program.start();
                     int stood = owner(program.port());
                     program.reload();
@@ -51,11 +51,11 @@
         }
     }
 
-    private interface Says {
+    private interface LineWriter {
         void answer(String line, OutputStream out) throws IOException;
     }
 
-    private static void serve(ServerSocket at, Says says) {
+    private static void serve(ServerSocket at, LineWriter says) {
         Thread accepts = new Thread(() -> {
             while (!at.isClosed()) {
                 try {
@@ -72,7 +72,7 @@
         accepts.start();
     }
 
-    private static void read(Socket s, Says says) {
+    private static void read(Socket s, LineWriter says) {
         try (s; BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(),
                 StandardCharsets.UTF_8))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
--- a/src/main/java/fordridge/node/Station.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -1,21 +1,21 @@
-package fordridge.node;
-
-import fordridge.door.Door;
-import fordridge.feed.Feed;
-import fordridge.feed.Inputs;
-import fordridge.jsonl.Front;
-import fordridge.jsonl.Json;
-import fordridge.jsonl.MachineLine;
-import fordridge.link.Scarcity;
-import fordridge.link.Trunk;
-import fordridge.session.Lateness;
-import fordridge.session.Owed;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Terms;
-import fordridge.state.Vm;
+package fordridge.server.json;
+
+import fordridge.scheduling.SchedulerActions;
+import fordridge.runtime.SchedulerInputs;
+import fordridge.runtime.EventSequencer;
+import fordridge.json.ClientServer;
+import fordridge.json.JsonFields;
+import fordridge.json.MachineClient;
+import fordridge.machine.ConnectionBudget;
+import fordridge.machine.MachineConnectionPool;
+import fordridge.runtime.EventLoopLag;
+import fordridge.session.PendingResponses;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.SchedulerSettings;
+import fordridge.model.Vm;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -31,7 +31,7 @@
  * One placer on lines of JSON: its module, who is owed what, and a trunk to each machine, on one event loop. It turns
  * lines into calls of the module, and what the module does into lines. It decides nothing.
  */
-final class Station implements Door, Front.Desk, Trunk.Fate {
+final class JsonSchedulerServer implements SchedulerActions, ClientServer.ClientRequestHandler, MachineConnectionPool.AttemptListener {
     private static final Duration FEELS = Duration.ofMillis(25);
     private static final Duration TICK = Duration.ofMillis(50);
     /** What an answer may take from here to its owner. */
@@ -47,67 +47,67 @@
     private static final int LOST = 41;
 
     /** A machine as this placer reaches it. */
-    private final class Reach implements MachineLine.Heard {
+    private final class MachineHandle implements MachineClient.Listener {
         final String id;
         final Machine machine;
-        final MachineLine line;
-        final Trunk trunk;
+        final MachineClient line;
+        final MachineConnectionPool connectionPool;
 
-        Reach(String id) {
+        MachineHandle(String id) {
             this.id = id;
-            machine = feed.machine(id);
-            line = new MachineLine(loop, share, manners.connectTimeout(), vm -> carried.get(vm.id), this);
-            trunk = new Trunk(machine, manners, line, Station.this);
+            machine = inputs.machine(id);
+            line = new MachineClient(loop, share, connectionTimeouts.connectTimeout(), vm -> carried.get(vm.id), this);
+            connectionPool = new MachineConnectionPool(machine, connectionTimeouts, line, JsonSchedulerServer.this);
         }
 
         @Override
         public void line() {
-            trunk.heard(inputs.clock());
+            connectionPool.heard(sequencer.clock());
         }
 
         @Override
-        public void connected(Trunk.Connection s) {
-            behindReads(() -> trunk.connected(s, now));
+        public void connected(MachineConnectionPool.Connection s) {
+            behindReads(() -> connectionPool.connected(s, now));
         }
 
         @Override
-        public void failed(Trunk.Connection s, boolean refused) {
-            enter(() -> trunk.failed(s, refused, now));
+        public void failed(MachineConnectionPool.Connection s, boolean refused) {
+            enter(() -> connectionPool.failed(s, refused, now));
         }
 
         @Override
-        public void broke(Trunk.Connection s, String why) {
-            enter(() -> trunk.broke(s, now));
+        public void broke(MachineConnectionPool.Connection s, String why) {
+            enter(() -> connectionPool.broke(s, now));
         }
 
         @Override
-        public void stands(Trunk.Connection s, String vm, String description) {
-            enter(() -> trunk.stands(s, vm, description, now));
+        public void stands(MachineConnectionPool.Connection s, String vm, String description) {
+            enter(() -> connectionPool.stands(s, vm, description, now));
         }
 
         @Override
-        public void ended(Trunk.Connection s, String vm, End before, End after, Why why) {
-            enter(() -> trunk.ended(s, vm, before, after, why, now));
+        public void ended(MachineConnectionPool.Connection s, String vm, Outcome before, Outcome after, OutcomeReason why) {
+            enter(() -> connectionPool.ended(s, vm, before, after, why, now));
         }
 
         @Override
-        public void probed(Trunk.Connection s, boolean ok, boolean told) {
-            enter(() -> trunk.probed(s, ok, told, now));
+        public void probed(MachineConnectionPool.Connection s, boolean ok, boolean told) {
+            enter(() -> connectionPool.probed(s, ok, told, now));
         }
 
         @Override
         public void note(String vm, String what, double amount) {
             enter(() -> {
-                Claim c = trunk.claim(vm);
+                PlacementAttempt c = connectionPool.attempt(vm);
                 if (c == null || !Double.isFinite(amount) && !what.equals("live")) {
                     return;
                 }
                 switch (what) {
-                    case "live" -> feed.logic.running(c);
-                    case "c" -> feed.logic.usesCores(c, amount);
-                    case "m" -> feed.logic.usesMemory(c, amount);
-                    case "s" -> feed.logic.served(c, amount);
-                    case "p" -> feed.logic.pressed(c, amount);
+                    case "live" -> inputs.scheduler.vmStarted(c);
+                    case "c" -> inputs.scheduler.coreUsageReported(c, amount);
+                    case "m" -> inputs.scheduler.memoryUsageReported(c, amount);
+                    case "s" -> inputs.scheduler.serviceLevelReported(c, amount);
+                    case "p" -> inputs.scheduler.memoryPressureReported(c, amount);
                     default -> { }
                 }
             });
@@ -117,10 +117,10 @@
         public void report(Map<String, Double> values, boolean answersProbe) {
             enter(() -> {
                 reports++;
-                feed.report(machine, values.getOrDefault("x0", Double.NaN), values.getOrDefault("x1", Double.NaN),
+                inputs.report(machine, values.getOrDefault("x0", Double.NaN), values.getOrDefault("x1", Double.NaN),
                         values.getOrDefault("utilization", values.getOrDefault("util", Double.NaN)), now);
                 if (!answersProbe) {
-                    feed.logic.reported(machine);
+                    inputs.scheduler.loadReported(machine);
                 }
             });
         }
@@ -129,27 +129,27 @@
     private final EventLoopGroup loop;
     private final Consumer<String> log;
     private final long wallStart = System.currentTimeMillis();
-    private final Inputs inputs;
-    private final Feed<String> feed = new Feed<>(this, Feed::number);
-    private final Owed<Front.Owner> owed = new Owed<>(MOST, KEEPS);
-    private final Lateness lateness = new Lateness(Duration.ofSeconds(2));
-    private final Map<String, Reach> reaches = new HashMap<>();
-    private final Map<Machine, Reach> byMachine = new HashMap<>();
-    private final List<Trunk> trunks = new ArrayList<>();
-    private final Map<String, MachineLine.Carried> carried = new HashMap<>();
-    private final MachineLine.Share share;
-    private Trunk.Manners manners;
-    private Terms terms;
+    private final EventSequencer sequencer;
+    private final SchedulerInputs<String> inputs = new SchedulerInputs<>(this, SchedulerInputs::number);
+    private final PendingResponses<ClientServer.ClientConnection> pendingResponses = new PendingResponses<>(MOST, KEEPS);
+    private final EventLoopLag lateness = new EventLoopLag(Duration.ofSeconds(2));
+    private final Map<String, MachineHandle> machineHandles = new HashMap<>();
+    private final Map<Machine, MachineHandle> byMachine = new HashMap<>();
+    private final List<MachineConnectionPool> connectionPools = new ArrayList<>();
+    private final Map<String, MachineClient.RequestPayload> carried = new HashMap<>();
+    private final MachineClient.ConnectionQuota share;
+    private MachineConnectionPool.ConnectionTimeouts connectionTimeouts;
+    private SchedulerSettings terms;
     private Map<String, Object> values;
-    private final Set<String> flavours = new HashSet<>();
+    private final Set<String> priorityClasses = new HashSet<>();
     /** Of these, the ones that may simply be sent again. */
     private final Set<String> again = new HashSet<>();
-    private final Set<String> customers = new HashSet<>();
+    private final Set<String> tenants = new HashSet<>();
     private final Map<String, Duration> patience = new HashMap<>();
     private double mostCores;
     private double mostMemory;
     private Duration now = Duration.ZERO;
-    private Front front;
+    private ClientServer front;
     private boolean inRound;
     private boolean ready;
     private long bad;
@@ -157,26 +157,26 @@
     private long reports;
     private long probesPassed;
     private long probesFailed;
-    private final Map<End, Long> ends = new java.util.EnumMap<>(End.class);
+    private final Map<Outcome, Long> ends = new java.util.EnumMap<>(Outcome.class);
 
-    Station(EventLoopGroup loop, Configuration p, int machineSockets, Consumer<String> log) {
+    JsonSchedulerServer(EventLoopGroup loop, ServerConfiguration p, int machineSockets, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
-        inputs = new Inputs(System::nanoTime, this::turn, e -> {
+        sequencer = new EventSequencer(System::nanoTime, this::turn, e -> {
             // This one is lost to the module, those behind it are not; its VM is answered by its time-out.
             log.accept("an input failed: " + e);
             e.printStackTrace();
         });
-        share = new MachineLine.Share(machineSockets);
+        share = new MachineClient.ConnectionQuota(machineSockets);
         read(p.terms);
     }
 
     /** On the loop: starts the module with its terms and the list as known, then keeps time. */
-    void begin(Configuration p, Front front) {
+    void begin(ServerConfiguration p, ClientServer front) {
         this.front = front;
-        enter(() -> feed.logic.start(p.seed, p.terms));
+        enter(() -> inputs.scheduler.start(p.seed, p.terms));
         for (Object event : p.known) {
-            event(Json.object(Json.object(event, "known").get("hosts"), "known.hosts"));
+            event(JsonFields.object(JsonFields.object(event, "known").get("hosts"), "known.hosts"));
         }
         loop.next().scheduleAtFixedRate(() -> enter(this::tick), TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
         feelLateness();
@@ -184,35 +184,35 @@
     }
 
     /** Other terms and limits hold for all that comes from here on. */
-    void told(Configuration next, int machineSockets) {
+    void told(ServerConfiguration next, int machineSockets) {
         share.most(machineSockets);
         if (!next.terms.equals(values)) {
             read(next.terms);
-            for (Reach r : reaches.values()) {
-                r.trunk.manners(manners);
-                r.line.timeout(manners.connectTimeout());
+            for (MachineHandle r : machineHandles.values()) {
+                r.connectionPool.connectionTimeouts(connectionTimeouts);
+                r.line.timeout(connectionTimeouts.connectTimeout());
             }
-            enter(() -> feed.logic.told(next.terms));
+            enter(() -> inputs.scheduler.settingsChanged(next.terms));
         }
     }
 
     private void read(Map<String, Object> values) {
-        terms = new Terms(values);
+        terms = new SchedulerSettings(values);
         this.values = values;
-        manners = new Trunk.Manners(terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
-        flavours.clear();
+        connectionTimeouts = new MachineConnectionPool.ConnectionTimeouts(terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
+        priorityClasses.clear();
         again.clear();
-        customers.clear();
+        tenants.clear();
         for (int i = 0; i < terms.num("lanes", 0); i++) {
             String name = terms.text("lanes." + i + ".name", "");
-            flavours.add(name);
+            priorityClasses.add(name);
             if (terms.text("lanes." + i + ".semantics", "fragile").equals("retryable")) {
                 again.add(name);
             }
             patience.put(name, terms.micros("lanes." + i + ".giveUpUs", 5e6));
         }
         for (int i = 0; i < terms.num("tenants", 0); i++) {
-            customers.add(terms.text("tenants." + i + ".name", ""));
+            tenants.add(terms.text("tenants." + i + ".name", ""));
         }
         mostCores = most("extra.cpuOfKind");
         mostMemory = most("extra.memoryByKind");
@@ -237,12 +237,12 @@
             inRound = true;
             loop.next().execute(() -> inRound = false);
             now = at;
-            feed.logic.at(at);
+            inputs.scheduler.advanceTo(at);
         }
     }
 
     private void enter(Runnable input) {
-        if (inputs.enter(input) && front != null) {
+        if (sequencer.enter(input) && front != null) {
             front.flush();
         }
     }
@@ -262,41 +262,41 @@
     private void feelLateness() {
         long due = System.nanoTime() + FEELS.toNanos();
         loop.next().schedule(() -> {
-            lateness.seen(Duration.ofNanos(Math.max(0, System.nanoTime() - due)), inputs.clock());
+            lateness.seen(Duration.ofNanos(Math.max(0, System.nanoTime() - due)), sequencer.clock());
             feelLateness();
         }, FEELS.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     private void tick() {
-        for (Reach r : List.copyOf(reaches.values())) {
-            r.trunk.tick(now);
+        for (MachineHandle r : List.copyOf(machineHandles.values())) {
+            r.connectionPool.tick(now);
         }
-        Scarcity.relieve(trunks, share.staying(), share.most(), now);
-        owed.tidy(now);
+        ConnectionBudget.relieve(connectionPools, share.staying(), share.most(), now);
+        pendingResponses.tidy(now);
     }
 
     // ---- The list --------------------------------------------------------------------------------------
 
     /** One event of the journal; what is wrong with it is thrown before anything is done. */
     void event(Map<String, Object> hosts) {
-        boolean whole = Json.flag(hosts, "complete", "hosts");
-        List<Feed.Line<String>> lines = new ArrayList<>();
+        boolean whole = JsonFields.flag(hosts, "complete", "hosts");
+        List<SchedulerInputs.ListedMachine<String>> lines = new ArrayList<>();
         Map<String, java.net.InetSocketAddress> addresses = new HashMap<>();
-        for (Object o : Json.list(hosts, "members", "hosts")) {
-            Map<String, Object> l = Json.object(o, "hosts.members");
-            String id = Json.text(l, "id", "hosts.members");
+        for (Object o : JsonFields.list(hosts, "members", "hosts")) {
+            Map<String, Object> l = JsonFields.object(o, "hosts.members");
+            String id = JsonFields.text(l, "id", "hosts.members");
             List<?> unasked = l.get("unasked") instanceof List<?> u ? u : List.of();
-            long up = Json.whole(l, "up_since_ms", "hosts.members", 0);
-            lines.add(new Feed.Line<>(id, Json.text(l, "locality", "hosts.members", ""),
-                    Json.text(l, "flavor", "hosts.members", ""), (int) Json.whole(l, "cell", "hosts.members", 0),
-                    amount(unasked, 0), amount(unasked, 1), switch (Json.text(l, "phase", "hosts.members")) {
-                        case "SERVING" -> Machine.Listing.LIVE;
-                        case "DRAINING" -> Machine.Listing.DRAINING;
-                        case "DELETED" -> Machine.Listing.GONE;
-                        default -> throw new Json.Malformed("hosts.members: field 'phase' is not a known word");
+            long up = JsonFields.whole(l, "up_since_ms", "hosts.members", 0);
+            lines.add(new SchedulerInputs.ListedMachine<>(id, JsonFields.text(l, "locality", "hosts.members", ""),
+                    JsonFields.text(l, "flavor", "hosts.members", ""), (int) JsonFields.whole(l, "cell", "hosts.members", 0),
+                    amount(unasked, 0), amount(unasked, 1), switch (JsonFields.text(l, "phase", "hosts.members")) {
+                        case "SERVING" -> Machine.Lifecycle.LIVE;
+                        case "DRAINING" -> Machine.Lifecycle.DRAINING;
+                        case "DELETED" -> Machine.Lifecycle.GONE;
+                        default -> throw new JsonFields.MalformedInputException("hosts.members: field 'phase' is not a known word");
                     }, up == 0 ? null : Duration.ofMillis(up - wallStart)));
             if (l.get("host_port") instanceof String at) {
-                addresses.put(id, Configuration.address(at));
+                addresses.put(id, ServerConfiguration.address(at));
             }
         }
         enter(() -> listed(whole, lines, addresses));
@@ -306,37 +306,37 @@
         return of.size() > i && of.get(i) instanceof Number n ? n.doubleValue() : 0;
     }
 
-    private void listed(boolean whole, List<Feed.Line<String>> lines, Map<String, java.net.InetSocketAddress> addresses) {
+    private void listed(boolean whole, List<SchedulerInputs.ListedMachine<String>> lines, Map<String, java.net.InetSocketAddress> addresses) {
         Set<String> named = new HashSet<>();
-        for (Feed.Line<String> l : lines) {
-            Reach r = reach(l.key());
+        for (SchedulerInputs.ListedMachine<String> l : lines) {
+            MachineHandle r = reach(l.key());
             named.add(l.key());
             if (addresses.containsKey(l.key())) {
                 r.line.address(addresses.get(l.key()));
             }
             boolean anew = l.startedAt() != null && !l.startedAt().equals(r.machine.startedAt);
-            r.trunk.listed(l.listing(), now);
+            r.connectionPool.listed(l.lifecycle(), now);
             if (anew) {
-                r.trunk.restarted(l.startedAt());
+                r.connectionPool.restarted(l.startedAt());
             }
         }
         if (whole) {
-            for (Reach r : List.copyOf(reaches.values())) {
+            for (MachineHandle r : List.copyOf(machineHandles.values())) {
                 if (!named.contains(r.id)) {
-                    r.trunk.listed(Machine.Listing.GONE, now);
+                    r.connectionPool.listed(Machine.Lifecycle.GONE, now);
                 }
             }
         }
-        feed.list(whole, false, lines);
+        inputs.list(whole, false, lines);
     }
 
-    private Reach reach(String id) {
-        Reach r = reaches.get(id);
+    private MachineHandle reach(String id) {
+        MachineHandle r = machineHandles.get(id);
         if (r == null) {
-            r = new Reach(id);
-            reaches.put(id, r);
+            r = new MachineHandle(id);
+            machineHandles.put(id, r);
             byMachine.put(r.machine, r);
-            trunks.add(r.trunk);
+            connectionPools.add(r.connectionPool);
         }
         return r;
     }
@@ -349,12 +349,12 @@
     }
 
     @Override
-    public boolean busy(Front.Owner owner) {
-        return owed.on(owner) > 0;
+    public boolean busy(ClientServer.ClientConnection owner) {
+        return pendingResponses.on(owner) > 0;
     }
 
     @Override
-    public void asks(Front.Owner owner, String id, Map<String, Object> fields, String description) {
+    public void asks(ClientServer.ClientConnection owner, String id, Map<String, Object> fields, String description) {
         enter(() -> {
             Vm vm = new Vm(id);
             String wrong = vm(vm, fields, description);
@@ -368,7 +368,7 @@
                 runsAlready(owner, vm, at);
                 return;
             }
-            switch (owed.ask(id, owner)) {
+            switch (pendingResponses.ask(id, owner)) {
                 case TWICE -> refuse(owner, id, "an id that is in hand already");
                 case OVER -> owner.write("down", id, REFUSED, null);
                 default -> takes(owner, vm, fields, description);
@@ -376,40 +376,40 @@
         });
     }
 
-    private void takes(Front.Owner owner, Vm vm, Map<String, Object> fields, String description) {
+    private void takes(ClientServer.ClientConnection owner, Vm vm, Map<String, Object> fields, String description) {
         unpark();
-        carried.put(vm.id, new MachineLine.Carried(String.valueOf(fields.get("key")),
+        carried.put(vm.id, new MachineClient.RequestPayload(String.valueOf(fields.get("key")),
                 fields.get("idem") == null ? null : String.valueOf(fields.get("idem")), description));
-        feed.add(vm);
+        inputs.add(vm);
         at(vm.deadline.minus(now).plus(MARGIN.dividedBy(2)), () -> {
             // Should the module fail on an input, nobody is left without an answer: this one promises nothing.
-            if (owed.waits(vm.id)) {
+            if (pendingResponses.waits(vm.id)) {
                 log.accept("no decision in time: " + vm.id);
                 answer(vm, "down", ERRORED, null, false);
                 // After its answer nothing more is sent for it, whatever the module would do.
                 givenUp(vm);
             }
         });
-        feed.logic.arrives(vm);
+        inputs.scheduler.vmRequested(vm);
     }
 
     private void unpark() {
-        for (Owed.Told<Front.Owner> t : owed.unpark(now)) {
+        for (PendingResponses.AddressedNotice<ClientServer.ClientConnection> t : pendingResponses.unpark(now)) {
             t.line().write("down", t.release().vm(), t.release().cause(), null);
         }
     }
 
     /** Says what is wrong and reads no more from whoever sends it: what is in hand for it ends with that. */
-    private void refuse(Front.Owner owner, String id, String wrong) {
+    private void refuse(ClientServer.ClientConnection owner, String id, String wrong) {
         if (bad++ < 20) {
             log.accept("not taken: " + id + ": " + wrong);
         }
-        List<String> inHand = owed.asksOn(owner);
+        List<String> inHand = pendingResponses.asksOn(owner);
         if (!inHand.contains(id)) {
             owner.write("down", id, ERRORED, null);
         }
         for (String other : inHand) {
-            Vm vm = feed.vm(other);
+            Vm vm = inputs.vm(other);
             answer(vm, "down", ERRORED, null, false);
             givenUp(vm);
         }
@@ -428,12 +428,12 @@
     /** Fills in what is asked for, or says what is wrong with it. */
     private String vm(Vm vm, Map<String, Object> fields, String description) {
         try {
-            vm.flavour = String.valueOf(fields.get("class"));
-            if (!flavours.contains(vm.flavour)) {
+            vm.priorityClass = String.valueOf(fields.get("class"));
+            if (!priorityClasses.contains(vm.priorityClass)) {
                 return "no such flavour";
             }
-            vm.customer = fields.get("tenant") == null ? "" : String.valueOf(fields.get("tenant"));
-            if (!customers.isEmpty() && !customers.contains(vm.customer)) {
+            vm.tenant = fields.get("tenant") == null ? "" : String.valueOf(fields.get("tenant"));
+            if (!tenants.isEmpty() && !tenants.contains(vm.tenant)) {
                 return "no such customer";
             }
             if (description == null) {
@@ -451,18 +451,18 @@
             }
             String service = field(extras, "service");
             vm.service = service == null ? 0 : Long.parseUnsignedLong(service, 16);
-            vm.cameBack = "1".equals(String.valueOf(fields.get("retry"))) || "1".equals(field(extras, "again"));
+            vm.isClientRetry = "1".equals(String.valueOf(fields.get("retry"))) || "1".equals(field(extras, "again"));
             double left = Double.parseDouble(String.valueOf(fields.get("left")));
             if (!(left > 0 && left <= 3.6e6) && field(extras, "at") == null) {
                 return "time left out of range";
             }
             Duration time = Duration.ofNanos((long) (left * 1e6));
-            Duration most = patience.get(vm.flavour);
+            Duration most = patience.get(vm.priorityClass);
             vm.arrivedAt = now;
             vm.deadline = now.plus(time.compareTo(most) > 0 ? most : time).minus(MARGIN).minus(lateness.allowance(now));
             if (fields.get("hint") != null) {
                 double hint = Double.parseDouble(String.valueOf(fields.get("hint")));
-                vm.lasts = hint > 0 && hint < 1e9 ? Duration.ofNanos((long) (hint * 1e6)) : null;
+                vm.expectedLifetime = hint > 0 && hint < 1e9 ? Duration.ofNanos((long) (hint * 1e6)) : null;
             }
             return null;
         } catch (NumberFormatException e) {
@@ -470,36 +470,36 @@
         }
     }
 
-    private void runsAlready(Front.Owner owner, Vm vm, String at) {
-        if (at.isEmpty() || !owed.stands(vm.id, owner)) {
+    private void runsAlready(ClientServer.ClientConnection owner, Vm vm, String at) {
+        if (at.isEmpty() || !pendingResponses.stands(vm.id, owner)) {
             return;
         }
         unpark();
-        feed.add(vm);
-        Reach r = reach(at);
-        feed.logic.runsAlready(vm, r.machine);
-        r.trunk.adopt(vm.placed, now);
-        if (!r.machine.known || r.machine.listing == Machine.Listing.GONE) {
+        inputs.add(vm);
+        MachineHandle r = reach(at);
+        inputs.scheduler.vmAdopted(vm, r.machine);
+        r.connectionPool.adopt(vm.acceptedAttempt, now);
+        if (!r.machine.isListed || r.machine.lifecycle == Machine.Lifecycle.GONE) {
             // A machine that the list has not named, or no longer does: it gets a while to.
-            at(manners.dead(), () -> {
-                if (r.machine.listing == Machine.Listing.GONE && vm.placed.out()) {
-                    r.trunk.listed(Machine.Listing.GONE, now);
-                    r.trunk.ended(new Trunk.Connection(), vm.id, End.RESET, End.RESET, Why.UNTOLD, now);
+            at(connectionTimeouts.dead(), () -> {
+                if (r.machine.lifecycle == Machine.Lifecycle.GONE && vm.acceptedAttempt.isInFlight()) {
+                    r.connectionPool.listed(Machine.Lifecycle.GONE, now);
+                    r.connectionPool.ended(new MachineConnectionPool.Connection(), vm.id, Outcome.RESET, Outcome.RESET, OutcomeReason.UNSPECIFIED, now);
                 }
             });
         }
     }
 
     @Override
-    public void ends(Front.Owner owner, String id, int cause) {
+    public void ends(ClientServer.ClientConnection owner, String id, int cause) {
         enter(() -> {
-            Vm vm = feed.vm(id);
-            if (vm == null || !owed.ends(id)) {
+            Vm vm = inputs.vm(id);
+            if (vm == null || !pendingResponses.ends(id)) {
                 return;
             }
-            if (vm.placed != null) {
+            if (vm.acceptedAttempt != null) {
                 owner.write("ack", id, -1, null);
-                byMachine.get(vm.placed.machine).trunk.stop(vm.placed, now);
+                byMachine.get(vm.acceptedAttempt.machine).connectionPool.stop(vm.acceptedAttempt, now);
             } else {
                 givenUp(vm);
             }
@@ -507,21 +507,21 @@
     }
 
     private void givenUp(Vm vm) {
-        feed.logic.left(vm);
-        for (Claim c : List.copyOf(vm.claims)) {
-            if (c.out()) {
-                byMachine.get(c.machine).trunk.giveUp(c, End.CANCELLED, now);
+        inputs.scheduler.clientLeft(vm);
+        for (PlacementAttempt c : List.copyOf(vm.attempts)) {
+            if (c.isInFlight()) {
+                byMachine.get(c.machine).connectionPool.giveUp(c, Outcome.CANCELLED, now);
             }
         }
         forget(vm);
     }
 
     @Override
-    public void closed(Front.Owner owner) {
+    public void closed(ClientServer.ClientConnection owner) {
         enter(() -> {
-            for (String id : owed.closed(owner)) {
-                Vm vm = feed.vm(id);
-                if (vm != null && vm.placed == null) {
+            for (String id : pendingResponses.closed(owner)) {
+                Vm vm = inputs.vm(id);
+                if (vm != null && vm.acceptedAttempt == null) {
                     givenUp(vm);
                 }
             }
@@ -530,20 +530,20 @@
     }
 
     @Override
-    public void hears(Front.Owner owner, String id) {
-        enter(() -> owed.heard(id, owner));
+    public void hears(ClientServer.ClientConnection owner, String id) {
+        enter(() -> pendingResponses.heard(id, owner));
     }
 
     private void answer(Vm vm, String type, int cause, String description, boolean stands, String... fields) {
-        Front.Owner owner = owed.answer(vm.id, stands);
+        ClientServer.ClientConnection owner = pendingResponses.answer(vm.id, stands);
         if (owner != null) {
             owner.write(type, vm.id, cause, description, fields);
         }
     }
 
     private void forget(Vm vm) {
-        inputs.behind(() -> {
-            if (feed.forget(vm) || feed.vm(vm.id) == null) {
+        sequencer.behind(() -> {
+            if (inputs.forget(vm) || inputs.vm(vm.id) == null) {
                 carried.remove(vm.id);
             }
         });
@@ -552,60 +552,60 @@
     // ---- What the module does --------------------------------------------------------------------------
 
     @Override
-    public void claim(Claim c, Duration within) {
+    public void sendAttempt(PlacementAttempt c, Duration within) {
         behindReads(() -> {
-            if (c.out()) {
-                Reach r = byMachine.get(c.machine);
-                r.trunk.offer(c, within.minus(now.minus(c.sentAt)), again.contains(c.vm.flavour), now);
+            if (c.isInFlight()) {
+                MachineHandle r = byMachine.get(c.machine);
+                r.connectionPool.offer(c, within.minus(now.minus(c.sentAt)), again.contains(c.vm.priorityClass), now);
             }
         });
         at(within, () -> {
-            if (c.out() && c.boundAt == null) {
-                byMachine.get(c.machine).trunk.giveUp(c, End.TIMEOUT, now);
+            if (c.isInFlight() && c.acceptedAt == null) {
+                byMachine.get(c.machine).connectionPool.giveUp(c, Outcome.TIMEOUT, now);
             }
         });
     }
 
     @Override
-    public void deny(Vm vm, Duration retryAfter) {
+    public void reject(Vm vm, Duration retryAfter) {
         answer(vm, "down", REFUSED, null, false, "wait", retryAfter.isZero() ? null
                 : Long.toString(retryAfter.toMillis()));
         forget(vm);
     }
 
     @Override
-    public void error(Vm vm) {
+    public void fail(Vm vm) {
         answer(vm, "down", ERRORED, null, false);
         forget(vm);
     }
 
     @Override
-    public void move(Vm vm) {
-        Front.Owner owner = owed.release(vm.id, LOST, now);
+    public void migrate(Vm vm) {
+        ClientServer.ClientConnection owner = pendingResponses.release(vm.id, LOST, now);
         if (owner != null) {
             owner.write("shift", vm.id, -1, null);
-            owed.heard(vm.id, owner);
+            pendingResponses.heard(vm.id, owner);
         }
-        byMachine.get(vm.placed.machine).trunk.stop(vm.placed, now);
+        byMachine.get(vm.acceptedAttempt.machine).connectionPool.stop(vm.acceptedAttempt, now);
     }
 
     @Override
-    public void cancel(Claim c) {
-        inputs.behind(() -> {
-            if (c.out() && c.boundAt == null) {
-                byMachine.get(c.machine).trunk.giveUp(c, End.CANCELLED, now);
+    public void cancelAttempt(PlacementAttempt c) {
+        sequencer.behind(() -> {
+            if (c.isInFlight() && c.acceptedAt == null) {
+                byMachine.get(c.machine).connectionPool.giveUp(c, Outcome.CANCELLED, now);
             }
         });
     }
 
     @Override
     public void probe(Machine m) {
-        inputs.behind(() -> byMachine.get(m).trunk.probe(now));
+        sequencer.behind(() -> byMachine.get(m).connectionPool.probe(now));
     }
 
     @Override
-    public void wake(Duration in) {
-        at(in, feed.logic::woken);
+    public void scheduleTimer(Duration in) {
+        at(in, inputs.scheduler::timerFired);
     }
 
     @Override
@@ -614,48 +614,48 @@
     }
 
     @Override
-    public void follow(boolean on) {
+    public void watchMachineList(boolean on) {
         // The journal pushes every change.
-        inputs.behind(() -> feed.list(false, false, List.of()));
+        sequencer.behind(() -> inputs.list(false, false, List.of()));
     }
 
     @Override
-    public void lookup() {
+    public void fetchMachineList() {
         // The list is pushed here.
     }
 
     // ---- What the trunks conclude ----------------------------------------------------------------------
 
     @Override
-    public void bound(Claim c, String description) {
-        inputs.behind(() -> {
-            if (!c.out()) {
+    public void bound(PlacementAttempt c, String description) {
+        sequencer.behind(() -> {
+            if (!c.isInFlight()) {
                 return;
             }
-            if (c.vm.over) {
-                byMachine.get(c.machine).trunk.stop(c, now);
+            if (c.vm.isFinished) {
+                byMachine.get(c.machine).connectionPool.stop(c, now);
                 return;
             }
-            feed.logic.bound(c);
+            inputs.scheduler.attemptAccepted(c);
             carried.remove(c.vm.id);
             answer(c.vm, "up", -1, description, true);
         });
     }
 
     @Override
-    public void ended(Claim c, End end, Why why) {
-        inputs.behind(() -> {
-            if (!c.out()) {
+    public void ended(PlacementAttempt c, Outcome end, OutcomeReason why) {
+        sequencer.behind(() -> {
+            if (!c.isInFlight()) {
                 return;
             }
-            boolean wasBound = c.boundAt != null;
+            boolean wasBound = c.acceptedAt != null;
             ends.merge(end, 1L, Long::sum);
-            feed.logic.ended(c, end, why, wasBound || c.vm.over);
-            if (wasBound && end == End.CANCELLED) {
-                owed.ends(c.vm.id);
+            inputs.scheduler.attemptEnded(c, end, why, wasBound || c.vm.isFinished);
+            if (wasBound && end == Outcome.CANCELLED) {
+                pendingResponses.ends(c.vm.id);
             } else if (wasBound) {
-                int cause = end == End.DONE ? DONE : LOST;
-                Front.Owner owner = owed.release(c.vm.id, cause, now);
+                int cause = end == Outcome.DONE ? DONE : LOST;
+                ClientServer.ClientConnection owner = pendingResponses.release(c.vm.id, cause, now);
                 if (owner != null) {
                     owner.write("down", c.vm.id, cause, null);
                 }
@@ -666,13 +666,13 @@
 
     @Override
     public void probed(Machine m, boolean ok, boolean told, Duration took) {
-        inputs.behind(() -> {
+        sequencer.behind(() -> {
             if (ok) {
                 probesPassed++;
             } else {
                 probesFailed++;
             }
-            feed.logic.probed(m, ok, told, took);
+            inputs.scheduler.probeCompleted(m, ok, told, took);
         });
     }
 
@@ -680,16 +680,16 @@
 
     /** Nothing more is placed from here on: what is held is answered at once, what is out when its claim ends. */
     void stops() {
-        enter(feed.logic::stops);
+        enter(inputs.scheduler::shutdownStarted);
     }
 
     /** Releases that have not been heard yet, or wait for a connection. */
     int untold() {
-        return owed.untold();
+        return pendingResponses.untold();
     }
 
     int inHand() {
-        return owed.inHand();
+        return pendingResponses.inHand();
     }
 
     Duration longestPatience() {
@@ -698,13 +698,13 @@
 
     /** Asks, VMs and descriptions held, of whatever kind. */
     int kept() {
-        return feed.size() + carried.size() + owed.inHand() + owed.standing() + owed.untold();
+        return inputs.size() + carried.size() + pendingResponses.inHand() + pendingResponses.standing() + pendingResponses.untold();
     }
 
     String state() {
-        return "in hand " + owed.inHand() + ", standing " + owed.standing() + ", untold " + owed.untold() + ", machines " + reaches.size()
+        return "in hand " + pendingResponses.inHand() + ", standing " + pendingResponses.standing() + ", untold " + pendingResponses.untold() + ", machines " + machineHandles.size()
                 + ", connections to machines " + share.open() + ", owners' lines " + (front == null ? 0 : front.connections())
                 + ", bad asks " + bad + ", reports " + reports + ", probes passed " + probesPassed + " failed "
-                + probesFailed + ", late " + lateness.allowance(inputs.clock()).toMillis() + " ms, ends " + ends;
+                + probesFailed + ", late " + lateness.allowance(sequencer.clock()).toMillis() + " ms, ends " + ends;
     }
 }
--- a/src/main/java/fordridge/node/NodeProgram.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -1,7 +1,7 @@
-package fordridge.node;
+package fordridge.server.json;
 
-import fordridge.jsonl.Front;
-import fordridge.jsonl.JournalTail;
+import fordridge.json.ClientServer;
+import fordridge.json.EndpointWatcher;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -21,7 +21,7 @@
 import sun.misc.Signal;
 
 /** The placer as the platform starts it: configuration, front, journal, signals, on one event loop. */
-public final class NodeProgram implements AutoCloseable {
+public final class ServeCommand implements AutoCloseable {
     /** SIGKILL comes no sooner than this after SIGTERM, and than the longest build timeout if that is shorter, plus a rest. */
     private static final Duration KILLED = Duration.ofSeconds(3);
     private static final Duration REST = Duration.ofMillis(700);
@@ -44,30 +44,30 @@
     private final Path file;
     private final EventLoopGroup loop;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private Configuration configuration;
-    private Station station;
-    private Front front;
-    private JournalTail journal;
+    private ServerConfiguration configuration;
+    private JsonSchedulerServer station;
+    private ClientServer front;
+    private EndpointWatcher journal;
     private volatile boolean stopping;
     /** After SIGTERM, for how long all goes on as before; null until then. */
     private Duration stopsAt;
     /** SIGHUP came before there was anything to change. */
     private boolean reloadWanted;
 
-    public NodeProgram(Path file, PrintStream err) throws IOException {
+    public ServeCommand(Path file, PrintStream err) throws IOException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         // Its formatter opens a file for the time zone; with no descriptor left that took the event loop's thread down.
         NETTY.setLevel(Level.OFF);
         this.err = err;
         this.file = file;
-        configuration = Configuration.read(file);
+        configuration = ServerConfiguration.read(file);
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     }
 
     /** Runs the placer of the configuration that the environment names, until it is told to stop. */
     public static int run(PrintStream err) throws InterruptedException {
         // Before anything else: a JVM dies of a SIGHUP that nobody has asked for.
-        NodeProgram[] program = new NodeProgram[1];
+        ServeCommand[] program = new ServeCommand[1];
         Signal.handle(new Signal("HUP"), s -> {
             if (program[0] != null) {
                 program[0].reload();
@@ -79,7 +79,7 @@
             return 1;
         }
         try {
-            program[0] = new NodeProgram(Path.of(config), err);
+            program[0] = new ServeCommand(Path.of(config), err);
             Signal.handle(new Signal("TERM"), s -> program[0].stop());
             program[0].start();
         } catch (IOException | RuntimeException e) {
@@ -98,13 +98,13 @@
     }
 
     public void start() throws IOException, InterruptedException {
-        station = new Station(loop, configuration, machineSockets(configuration), this::log);
-        front = new Front(loop, station, ownerSockets(configuration));
+        station = new JsonSchedulerServer(loop, configuration, machineSockets(configuration), this::log);
+        front = new ClientServer(loop, station, ownerSockets(configuration));
         Throwable[] failed = new Throwable[1];
         loop.submit(() -> {
             try {
                 station.begin(configuration, front);
-                journal = new JournalTail(loop, configuration.pos, station::event, this::log);
+                journal = new EndpointWatcher(loop, configuration.pos, station::event, this::log);
                 journal.follow(configuration.journal);
                 if (reloadWanted) {
                     reload();
@@ -117,7 +117,7 @@
             throw new IOException(failed[0].getMessage(), failed[0]);
         }
         long from = System.nanoTime();
-        int warmed = Warming.run(configuration, WARMS);
+        int warmed = WarmUp.run(configuration, WARMS);
         log("warmed up with " + warmed + " asks in " + (System.nanoTime() - from) / 1_000_000 + " ms");
         if (stopping) {
             return;
@@ -132,11 +132,11 @@
     }
 
     /** All but the owners' share and what the process itself holds: its files, the journal, what is being accepted. */
-    private static int machineSockets(Configuration p) {
+    private static int machineSockets(ServerConfiguration p) {
         return Math.max(p.sockets / 8, p.sockets - ownerSockets(p) - OWN);
     }
 
-    private static int ownerSockets(Configuration p) {
+    private static int ownerSockets(ServerConfiguration p) {
         return p.sockets * 3 / 8;
     }
 
@@ -167,7 +167,7 @@
                 return;
             }
             try {
-                Configuration next = Configuration.read(file);
+                ServerConfiguration next = ServerConfiguration.read(file);
                 station.told(next, machineSockets(next));
                 front.most(ownerSockets(next));
                 if (!next.listen.equals(configuration.listen) || !next.name.equals(configuration.name)) {
--- a/src/main/java/fordridge/session/Session.java
+++ b/src/main/java/fordridge/session/ClientSession.java
@@ -6,14 +6,14 @@
 import java.util.Iterator;
 
 /** One client of a placer, over any number of streams. */
-public final class Session {
+public final class ClientSession {
     /** An answer under the number that the client acknowledges. */
-    public record Told(long seq, Answer answer) { }
+    public record NumberedResponse(long seq, ClientResponse answer) { }
 
     public final String client;
     public final String token;
     /** Said and not known to be taken in, in order. */
-    private final Deque<Told> unread = new ArrayDeque<>();
+    private final Deque<NumberedResponse> unread = new ArrayDeque<>();
     private long lastSeq;
     private long written;
     /** All up to this number is known to be taken in, or was let go. */
@@ -24,26 +24,26 @@
     boolean strayed;
     Duration awayAt;
 
-    Session(String client, String token) {
+    ClientSession(String client, String token) {
         this.client = client;
         this.token = token;
     }
 
     /** Beyond {@code most} the oldest is let go: a client that never acknowledged it must ask by name. */
-    void say(Answer answer, int most) {
-        unread.addLast(new Told(++lastSeq, answer));
+    void say(ClientResponse answer, int most) {
+        unread.addLast(new NumberedResponse(++lastSeq, answer));
         while (unread.size() > most) {
             floor = unread.removeFirst().seq;
         }
     }
 
     /** The next answer that this stream has not carried, or null; it counts as written. */
-    public Told next() {
+    public NumberedResponse next() {
         if (written >= lastSeq) {
             return null;
         }
-        for (Iterator<Told> i = unread.iterator(); i.hasNext();) {
-            Told t = i.next();
+        for (Iterator<NumberedResponse> i = unread.iterator(); i.hasNext();) {
+            NumberedResponse t = i.next();
             if (t.seq > written) {
                 written = t.seq;
                 return t;
@@ -66,7 +66,7 @@
     }
 
     /** Whether all that came after {@code seen} is still there to be said again. */
-    boolean reaches(long seen) {
+    boolean machineHandles(long seen) {
         return seen >= floor && seen <= lastSeq;
     }
 
