--- a/src/main/java/fordridge/session/Sessions.java
+++ b/src/main/java/fordridge/session/ClientSessions.java
@@ -16,12 +16,12 @@
  * <p>Its bounds: VMs in hand over all clients and of one client, answers that one client has not taken in, answers
  * kept in all, and how long a client may be away. What happens at each is said where it is checked.
  */
-public final class Sessions {
+public final class ClientSessions {
     /** The bounds, from the settings. */
     public record Bounds(int open, int openOfOne, int unread, int kept, Duration keep) { }
 
     /** What becomes of an ask. */
-    public enum Taken {
+    public enum Admission {
         /** New: it goes to the module. */
         NEW,
         /** Known: what was said of it is said again, and what comes will be said. */
@@ -30,15 +30,15 @@
         OVER
     }
 
-    private static final class Ask {
+    private static final class Request {
         final String client;
         final String vm;
-        Session owner;
-        Answer given;
-        Answer last;
+        ClientSession owner;
+        ClientResponse given;
+        ClientResponse last;
         Duration overAt;
 
-        Ask(String client, String vm, Session owner) {
+        Request(String client, String vm, ClientSession owner) {
             this.client = client;
             this.vm = vm;
             this.owner = owner;
@@ -46,26 +46,26 @@
     }
 
     private final Bounds bounds;
-    private final Map<String, Session> sessions = new LinkedHashMap<>();
-    private final Map<String, Map<String, Ask>> asks = new HashMap<>();
-    private final Deque<Ask> over = new ArrayDeque<>();
+    private final Map<String, ClientSession> sessions = new LinkedHashMap<>();
+    private final Map<String, Map<String, Request>> asks = new HashMap<>();
+    private final Deque<Request> over = new ArrayDeque<>();
     private int inHand;
     private long tokens;
     private final long seed;
 
-    public Sessions(Bounds bounds, long seed) {
+    public ClientSessions(Bounds bounds, long seed) {
         this.bounds = bounds;
         this.seed = seed;
     }
 
     /** A client begins a stream; the second value tells whether its session was found. */
-    public Session hello(String client, String token, long seen, Duration now) {
-        Session s = sessions.get(client);
-        if (s != null && s.token.equals(token) && s.reaches(seen)) {
+    public ClientSession hello(String client, String token, long seen, Duration now) {
+        ClientSession s = sessions.get(client);
+        if (s != null && s.token.equals(token) && s.machineHandles(seen)) {
             s.acknowledge(seen);
             s.rewind(seen);
         } else {
-            Session fresh = new Session(client, Long.toHexString(seed) + "-" + Long.toHexString(++tokens));
+            ClientSession fresh = new ClientSession(client, Long.toHexString(seed) + "-" + Long.toHexString(++tokens));
             if (s != null) {
                 // A new process under the same name: what it asked for before stays in hand, and is spoken of
                 // only if it asks for it again.
@@ -80,32 +80,32 @@
         return s;
     }
 
-    public boolean resumed(Session s, String token) {
+    public boolean resumed(ClientSession s, String token) {
         return s.token.equals(token);
     }
 
-    public void away(Session s, Duration now) {
+    public void away(ClientSession s, Duration now) {
         s.attached = false;
         s.awayAt = now;
     }
 
     /** False for a number that this session never said. */
-    public boolean acknowledge(Session s, long seen) {
+    public boolean acknowledge(ClientSession s, long seen) {
         return s.acknowledge(seen);
     }
 
     /** A client asks for a VM. */
-    public Taken want(Session s, String vm, Duration now) {
-        Map<String, Ask> own = asks.computeIfAbsent(s.client, c -> new HashMap<>());
-        Ask a = own.get(vm);
+    public Admission want(ClientSession s, String vm, Duration now) {
+        Map<String, Request> own = asks.computeIfAbsent(s.client, c -> new HashMap<>());
+        Request a = own.get(vm);
         if (a == null) {
             if (inHand >= bounds.open || s.inHand >= bounds.openOfOne) {
-                return Taken.OVER;
+                return Admission.OVER;
             }
-            own.put(vm, new Ask(s.client, vm, s));
+            own.put(vm, new Request(s.client, vm, s));
             inHand++;
             s.inHand++;
-            return Taken.NEW;
+            return Admission.NEW;
         }
         if (a.owner != s) {
             // Asked for in an earlier life of the client: said again, under this session's numbers.
@@ -120,11 +120,11 @@
                 s.say(a.last, most());
             }
         }
-        return Taken.KNOWN;
+        return Admission.KNOWN;
     }
 
     /** Denies an ask that is not taken to the module; one over the bound is not kept. */
-    public void refuse(Session s, Answer denied, Duration now) {
+    public void refuse(ClientSession s, ClientResponse denied, Duration now) {
         if (!say(s.client, denied, now)) {
             s.say(denied, most());
         }
@@ -132,13 +132,13 @@
 
     /** Whether the VM is in hand: asked for and not answered. */
     public boolean waits(String client, String vm) {
-        Ask a = asks.getOrDefault(client, Map.of()).get(vm);
+        Request a = asks.getOrDefault(client, Map.of()).get(vm);
         return a != null && a.given == null && a.overAt == null;
     }
 
     /** The client no longer wants it: nothing more is said of one without an answer. */
-    public void unwant(Session s, String vm, Duration now) {
-        Ask a = asks.getOrDefault(s.client, Map.of()).get(vm);
+    public void unwant(ClientSession s, String vm, Duration now) {
+        Request a = asks.getOrDefault(s.client, Map.of()).get(vm);
         if (a != null && a.given == null && a.overAt == null) {
             close(a, now);
         }
@@ -148,12 +148,12 @@
      * A VM that runs since an earlier life of this placer; its owner hears of it when it asks for it again, or now if
      * it has asked.
      */
-    public void found(String client, String vm, Answer bound, Duration now) {
+    public void found(String client, String vm, ClientResponse bound, Duration now) {
         if (waits(client, vm)) {
             say(client, bound, now);
             return;
         }
-        Ask a = new Ask(client, vm, null);
+        Request a = new Request(client, vm, null);
         a.given = bound;
         asks.computeIfAbsent(client, c -> new HashMap<>()).putIfAbsent(vm, a);
     }
@@ -162,8 +162,8 @@
      * Says something of a VM. False if it may not be said: a second final answer, or anything after the last; the
      * session's owner would see a broken rule, so it is refused here whatever the cause.
      */
-    public boolean say(String client, Answer answer, Duration now) {
-        Ask a = asks.getOrDefault(client, Map.of()).get(answer.vm());
+    public boolean say(String client, ClientResponse answer, Duration now) {
+        Request a = asks.getOrDefault(client, Map.of()).get(answer.vm());
         if (a == null || a.overAt != null || answer.kind().isFinal() == (a.given != null)) {
             return false;
         }
@@ -186,7 +186,7 @@
         return true;
     }
 
-    private void close(Ask a, Duration now) {
+    private void close(Request a, Duration now) {
         inHand--;
         if (a.owner != null) {
             a.owner.inHand--;
@@ -199,7 +199,7 @@
     private void tidy(Duration now) {
         while (over.size() > bounds.kept || !over.isEmpty()
                 && over.peekFirst().overAt.plus(bounds.keep).compareTo(now) <= 0) {
-            Ask a = over.removeFirst();
+            Request a = over.removeFirst();
             asks.getOrDefault(a.client, Map.of()).remove(a.vm, a);
         }
     }
@@ -207,10 +207,10 @@
     /** Clients away for too long with nothing in hand are forgotten; the result names them. */
     public List<String> expire(Duration now) {
         List<String> gone = new ArrayList<>();
-        for (Session s : List.copyOf(sessions.values())) {
+        for (ClientSession s : List.copyOf(sessions.values())) {
             if (!s.attached && s.inHand == 0 && s.awayAt.plus(bounds.keep).compareTo(now) <= 0) {
                 sessions.remove(s.client);
-                Map<String, Ask> own = asks.get(s.client);
+                Map<String, Request> own = asks.get(s.client);
                 if (own != null) {
                     own.values().removeIf(a -> a.overAt != null);
                     own.values().forEach(a -> a.owner = null);
@@ -228,7 +228,7 @@
      * control with it: nothing it says is lost, and nothing grows here. It goes by what it does not read, not by
      * what it has not acknowledged: an acknowledgement may stand behind all that we would refuse to read.
      */
-    public boolean mayRead(Session s) {
+    public boolean mayRead(ClientSession s) {
         return s.unwritten() < bounds.unread;
     }
 
--- a/src/main/java/fordridge/session/Owed.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -18,9 +18,9 @@
  *
  * @param <L> an owner's connection
  */
-public final class Owed<L> {
+public final class PendingResponses<L> {
     /** What becomes of an ask. */
-    public enum Taken {
+    public enum Admission {
         NEW,
         /** An ask under this name is in hand, or stands. */
         TWICE,
@@ -29,16 +29,16 @@
     }
 
     /** That a VM that stood is over, for as long as it is worth telling. */
-    public record Release(String vm, int cause, Duration until) { }
+    public record TerminationNotice(String vm, int cause, Duration until) { }
 
     /** A release, and the line that it goes out on now. */
-    public record Told<L>(L line, Release release) { }
+    public record AddressedNotice<L>(L line, TerminationNotice release) { }
 
-    private static final class Duty<L> {
+    private static final class PendingResponse<L> {
         L line;
         boolean stands;
 
-        Duty(L line, boolean stands) {
+        PendingResponse(L line, boolean stands) {
             this.line = line;
             this.stands = stands;
         }
@@ -46,34 +46,34 @@
 
     private final int most;
     private final Duration keeps;
-    private final Map<String, Duty<L>> duties = new HashMap<>();
+    private final Map<String, PendingResponse<L>> duties = new HashMap<>();
     private final Map<L, Set<String>> lines = new HashMap<>();
     /** Lines that have carried an ask, the latest last. */
     private final LinkedHashSet<L> owners = new LinkedHashSet<>();
     /** Of these, the ones on which something was said to be heard, the latest last. */
     private final LinkedHashSet<L> hearing = new LinkedHashSet<>();
     /** Releases that no line could carry yet. */
-    private final Deque<Release> parked = new ArrayDeque<>();
+    private final Deque<TerminationNotice> parked = new ArrayDeque<>();
     /** Releases that went out and were not heard yet, the oldest first: what closes a line may have met them on the way. */
-    private final Map<String, Told<L>> unheard = new LinkedHashMap<>();
+    private final Map<String, AddressedNotice<L>> unheard = new LinkedHashMap<>();
     private int inHand;
 
     /** At most so many asks in hand and as many releases, and those kept for so long. */
-    public Owed(int most, Duration keeps) {
+    public PendingResponses(int most, Duration keeps) {
         this.most = most;
         this.keeps = keeps;
     }
 
-    public Taken ask(String vm, L line) {
+    public Admission ask(String vm, L line) {
         if (duties.containsKey(vm)) {
-            return Taken.TWICE;
+            return Admission.TWICE;
         }
         if (inHand >= most) {
-            return Taken.OVER;
+            return Admission.OVER;
         }
         inHand++;
         put(vm, line, false);
-        return Taken.NEW;
+        return Admission.NEW;
     }
 
     /** A VM that runs already: no answer is owed, its end is. False if it is known already. */
@@ -86,7 +86,7 @@
     }
 
     private void put(String vm, L line, boolean stands) {
-        duties.put(vm, new Duty<>(line, stands));
+        duties.put(vm, new PendingResponse<>(line, stands));
         lines.computeIfAbsent(line, l -> new LinkedHashSet<>()).add(vm);
         owners.remove(line);
         owners.add(line);
@@ -94,7 +94,7 @@
 
     /** The line to be told the one answer; null if none is owed (any more). From then on it stands, or is over. */
     public L answer(String vm, boolean stands) {
-        Duty<L> d = duties.get(vm);
+        PendingResponse<L> d = duties.get(vm);
         if (d == null || d.stands) {
             return null;
         }
@@ -109,12 +109,12 @@
 
     /** What stood is over: the line to be told; null if nothing is owed, or no line is there and it is parked. */
     public L release(String vm, int cause, Duration now) {
-        Duty<L> d = duties.get(vm);
+        PendingResponse<L> d = duties.get(vm);
         if (d == null || !d.stands) {
             return null;
         }
         drop(vm, d);
-        Release r = new Release(vm, cause, now.plus(keeps));
+        TerminationNotice r = new TerminationNotice(vm, cause, now.plus(keeps));
         L line = d.line == null ? latest() : d.line;
         if (line == null) {
             park(r);
@@ -142,23 +142,23 @@
         return line;
     }
 
-    private void park(Release r) {
+    private void park(TerminationNotice r) {
         if (parked.size() >= most) {
             parked.removeFirst();
         }
         parked.addLast(r);
     }
 
-    private void goesOut(L line, Release r) {
+    private void goesOut(L line, TerminationNotice r) {
         if (unheard.size() >= most) {
             unheard.remove(unheard.keySet().iterator().next());
         }
-        unheard.put(r.vm, new Told<>(line, r));
+        unheard.put(r.vm, new AddressedNotice<>(line, r));
     }
 
     /** Its owner ended it: nothing is owed. True if it was known. */
     public boolean ends(String vm) {
-        Duty<L> d = duties.get(vm);
+        PendingResponse<L> d = duties.get(vm);
         if (d == null) {
             return false;
         }
@@ -170,7 +170,7 @@
     }
 
     public boolean waits(String vm) {
-        Duty<L> d = duties.get(vm);
+        PendingResponse<L> d = duties.get(vm);
         return d != null && !d.stands;
     }
 
@@ -181,8 +181,8 @@
     public List<String> closed(L line) {
         owners.remove(line);
         hearing.remove(line);
-        for (Iterator<Told<L>> i = unheard.values().iterator(); i.hasNext();) {
-            Told<L> t = i.next();
+        for (Iterator<AddressedNotice<L>> i = unheard.values().iterator(); i.hasNext();) {
+            AddressedNotice<L> t = i.next();
             if (t.line.equals(line)) {
                 i.remove();
                 park(t.release);
@@ -192,7 +192,7 @@
         List<String> asks = new ArrayList<>();
         if (own != null) {
             for (String vm : own) {
-                Duty<L> d = duties.get(vm);
+                PendingResponse<L> d = duties.get(vm);
                 if (d.stands) {
                     d.line = null;
                 } else {
@@ -206,13 +206,13 @@
     }
 
     /** Releases that waited for a line, if one that has carried an ask is there now; those too old are let go. */
-    public List<Told<L>> unpark(Duration now) {
+    public List<AddressedNotice<L>> unpark(Duration now) {
         tidy(now);
-        List<Told<L>> due = new ArrayList<>();
+        List<AddressedNotice<L>> due = new ArrayList<>();
         L line = latest();
-        for (Release r = line == null ? null : parked.pollFirst(); r != null; r = parked.pollFirst()) {
+        for (TerminationNotice r = line == null ? null : parked.pollFirst(); r != null; r = parked.pollFirst()) {
             goesOut(line, r);
-            due.add(new Told<>(line, r));
+            due.add(new AddressedNotice<>(line, r));
         }
         return due;
     }
@@ -245,7 +245,7 @@
         return duties.size() - inHand;
     }
 
-    private void drop(String vm, Duty<L> d) {
+    private void drop(String vm, PendingResponse<L> d) {
         duties.remove(vm);
         Set<String> own = d.line == null ? null : lines.get(d.line);
         if (own != null) {
--- a/src/main/java/fordridge/settings/Reader.java
+++ b/src/main/java/fordridge/settings/ConfigReader.java
@@ -21,13 +21,13 @@
  * Takes typed values out of one HOCON object and keeps every complaint, each with file, line, key, what was found
  * and what is allowed. A wrong value reads as null or 0, so that reading goes on and all errors come at once.
  */
-public final class Reader {
+public final class ConfigReader {
     private final Config from;
     private final String prefix;
     private final List<String> errors;
     private final Set<String> known = new HashSet<>();
 
-    public Reader(Config from, String prefix, List<String> errors) {
+    public ConfigReader(Config from, String prefix, List<String> errors) {
         this.from = from;
         this.prefix = prefix;
         this.errors = errors;
@@ -60,11 +60,11 @@
         return v == null ? "nothing" : v.unwrapped() + " (" + v.valueType().name().toLowerCase() + ")";
     }
 
-    private interface Taking<T> {
+    private interface ValueReader<T> {
         T take();
     }
 
-    private <T> T take(String key, T instead, String allowed, Taking<T> taking) {
+    private <T> T take(String key, T instead, String allowed, ValueReader<T> taking) {
         known.add(key);
         try {
             return taking.take();
@@ -157,9 +157,9 @@
     }
 
     /** The objects of a list, each read over the defaults under another key (null for none). */
-    public List<Reader> each(String key, String defaults) {
+    public List<ConfigReader> each(String key, String defaults) {
         known.add(key);
-        List<Reader> some = new ArrayList<>();
+        List<ConfigReader> some = new ArrayList<>();
         Config base = defaults == null ? null : from.getConfig(defaults);
         ConfigValue v = valueAt(key);
         if (!(v instanceof ConfigList list)) {
@@ -169,7 +169,7 @@
         for (int i = 0; i < list.size(); i++) {
             String name = prefix + key + "[" + i + "].";
             if (list.get(i) instanceof ConfigObject o) {
-                some.add(new Reader(base == null ? o.toConfig() : o.toConfig().withFallback(base), name, errors));
+                some.add(new ConfigReader(base == null ? o.toConfig() : o.toConfig().withFallback(base), name, errors));
             } else {
                 errors.add(place(list.get(i).origin()) + prefix + key + "[" + i + "]: found "
                         + list.get(i).unwrapped() + ", allowed: an object");
--- a/src/main/java/fordridge/settings/Deployment.java
+++ b/src/main/java/fordridge/settings/DeploymentSettings.java
@@ -15,19 +15,19 @@
 import java.util.Set;
 
 /** What a placer was told at start, checked whole: every value within its range and in step with the others. */
-public final class Deployment {
+public final class DeploymentSettings {
     /** A settings file that cannot be used; every complaint is a line of its own. */
-    public static final class Refused extends Exception {
+    public static final class InvalidSettingsException extends Exception {
         private static final long serialVersionUID = 1L;
         public final transient List<String> complaints;
 
-        public Refused(List<String> complaints) {
+        public InvalidSettingsException(List<String> complaints) {
             super(String.join("\n", complaints));
             this.complaints = List.copyOf(complaints);
         }
     }
 
-    public record Flavour(String name, String effect, String group, Duration window, Duration buildTarget,
+    public record PriorityClass(String name, String effect, String group, Duration window, Duration buildTarget,
             Duration buildTimeout, int priority, String kind, String spread, int most, double calm, double fade,
             double startWorth, double revenue) {
         public boolean rebuildable() {
@@ -37,7 +37,7 @@
 
     public record Kind(String name, double cores, double memory) { }
 
-    public record Customer(String name, double share) { }
+    public record Tenant(String name, double share) { }
 
     private static final Duration LONG = Duration.ofHours(1);
 
@@ -84,7 +84,7 @@
     public String reports;
     public String reportCounts;
     public boolean freeInList;
-    public int mostClaims;
+    public int mostAttempts;
     public boolean probes;
     public Duration settle;
     public Duration drainGrace;
@@ -108,8 +108,8 @@
     public final Map<String, Double> prices = new LinkedHashMap<>();
     public final Map<String, Double> goal = new LinkedHashMap<>();
     public final List<Kind> kinds = new ArrayList<>();
-    public final Map<String, Flavour> flavours = new LinkedHashMap<>();
-    public final List<Customer> customers = new ArrayList<>();
+    public final Map<String, PriorityClass> priorityClasses = new LinkedHashMap<>();
+    public final List<Tenant> tenants = new ArrayList<>();
     public String logFormat;
     public String logLevel;
     public int metricsPort;
@@ -118,43 +118,43 @@
     /** Folder of the file, from which relative paths are taken. */
     public File folder;
 
-    private Deployment() {
+    private DeploymentSettings() {
     }
 
-    public static Deployment read(File file) throws Refused {
+    public static DeploymentSettings read(File file) throws InvalidSettingsException {
         return read(parse(file), file.getAbsoluteFile().getParentFile());
     }
 
     /** The file as HOCON, or a plain complaint. */
-    public static Config parse(File file) throws Refused {
+    public static Config parse(File file) throws InvalidSettingsException {
         if (!file.isFile()) {
-            throw new Refused(List.of(file + ": no such file"));
+            throw new InvalidSettingsException(List.of(file + ": no such file"));
         }
         try {
             return ConfigFactory.parseFile(file, ConfigParseOptions.defaults().setSyntax(ConfigSyntax.CONF)).resolve();
         } catch (ConfigException e) {
-            throw new Refused(List.of(e.getMessage()));
+            throw new InvalidSettingsException(List.of(e.getMessage()));
         }
     }
 
-    public static Deployment read(Config own, File folder) throws Refused {
-        Config all = own.withFallback(ConfigFactory.parseResources(Deployment.class.getClassLoader(),
+    public static DeploymentSettings read(Config own, File folder) throws InvalidSettingsException {
+        Config all = own.withFallback(ConfigFactory.parseResources(DeploymentSettings.class.getClassLoader(),
                 "fordridge-reference.conf"));
         List<String> errors = new ArrayList<>();
-        Deployment d = new Deployment();
+        DeploymentSettings d = new DeploymentSettings();
         d.folder = folder;
         d.source = own;
-        Reader r = new Reader(all, "", errors);
+        ConfigReader r = new ConfigReader(all, "", errors);
         d.take(r);
         r.refuseUnknown();
         d.crossCheck(r);
         if (!errors.isEmpty()) {
-            throw new Refused(errors);
+            throw new InvalidSettingsException(errors);
         }
         return d;
     }
 
-    private void take(Reader r) {
+    private void take(ConfigReader r) {
         Duration ms = Duration.ofMillis(1);
         name = r.text("placer.name", 100);
         count = r.whole("placer.count", 1, 1000);
@@ -198,7 +198,7 @@
         reports = r.word("cluster.reports", "answers", "probes", "none");
         reportCounts = r.word("cluster.report_counts", "used", "asked");
         freeInList = r.flag("cluster.free_in_list");
-        mostClaims = r.whole("cluster.most_claims", 1, 100);
+        mostAttempts = r.whole("cluster.most_claims", 1, 100);
         probes = r.flag("cluster.probes");
         settle = r.span("cluster.settle", Duration.ofMillis(100), LONG);
         drainGrace = r.span("cluster.drain_grace", ms, LONG);
@@ -223,20 +223,20 @@
         for (String g : List.of("whole", "worst_window", "worst_flavour", "worst_customer")) {
             goal.put(g, r.number("goal." + g, 0, 1000));
         }
-        for (Reader k : r.each("kinds", null)) {
+        for (ConfigReader k : r.each("kinds", null)) {
             kinds.add(new Kind(k.text("name", 100), k.number("cores", 0.01, 1e6), k.number("memory", 0.01, 1e9)));
             k.refuseUnknown();
         }
-        flavour(new Reader(defaults(r), "flavour_defaults.", new ArrayList<>()), r);
-        for (Reader f : r.each("flavours", "flavour_defaults")) {
-            Flavour it = flavour(f, null);
-            if (flavours.put(it.name, it) != null) {
+        priorityClass(new ConfigReader(defaults(r), "flavour_defaults.", new ArrayList<>()), r);
+        for (ConfigReader f : r.each("flavours", "flavour_defaults")) {
+            PriorityClass it = priorityClass(f, null);
+            if (priorityClasses.put(it.name, it) != null) {
                 f.error("name", "'" + it.name + "' twice", "each name once");
             }
             f.refuseUnknown();
         }
-        for (Reader c : r.each("customers", null)) {
-            customers.add(new Customer(c.text("name", 100), c.number("share", 0, 1)));
+        for (ConfigReader c : r.each("customers", null)) {
+            tenants.add(new Tenant(c.text("name", 100), c.number("share", 0, 1)));
             c.refuseUnknown();
         }
         logFormat = r.word("logging.format", "plain", "json");
@@ -244,15 +244,15 @@
         metricsPort = r.whole("metrics.port", -1, 65535);
     }
 
-    private static Config defaults(Reader r) {
-        return ConfigFactory.parseResources(Deployment.class.getClassLoader(), "fordridge-reference.conf")
+    private static Config defaults(ConfigReader r) {
+        return ConfigFactory.parseResources(DeploymentSettings.class.getClassLoader(), "fordridge-reference.conf")
                 .getConfig("flavour_defaults").withFallback(ConfigFactory.parseMap(Map.of("name", "")));
     }
 
     /** One flavour; {@code into} also learns the names of the defaults' keys. */
-    private static Flavour flavour(Reader f, Reader into) {
+    private static PriorityClass priorityClass(ConfigReader f, ConfigReader into) {
         Duration ms = Duration.ofMillis(1);
-        Flavour it = new Flavour(f.text("name", 100), f.word("effect", "one-shot", "tokened", "rebuildable"),
+        PriorityClass it = new PriorityClass(f.text("name", 100), f.word("effect", "one-shot", "tokened", "rebuildable"),
                 f.word("group", "cell", "zone", "all"), f.span("window", Duration.ZERO, LONG),
                 f.span("build_target", ms, LONG), f.span("build_timeout", ms, LONG), f.whole("priority", 0, 3),
                 f.text("kind", 100), f.word("spread", "off", "machine", "cell", "zone"),
@@ -268,7 +268,7 @@
     }
 
     /** What one value alone cannot tell. */
-    private void crossCheck(Reader r) {
+    private void crossCheck(ConfigReader r) {
         Set<String> kindNames = new HashSet<>();
         for (Kind k : kinds) {
             if (!kindNames.add(k.name)) {
@@ -278,10 +278,10 @@
         if (kinds.isEmpty()) {
             r.error("kinds", "none", "at least one kind of machine");
         }
-        if (flavours.isEmpty()) {
+        if (priorityClasses.isEmpty()) {
             r.error("flavours", "none", "at least one flavour");
         }
-        for (Flavour f : flavours.values()) {
+        for (PriorityClass f : priorityClasses.values()) {
             if (!f.kind.isEmpty() && !kindNames.contains(f.kind)) {
                 r.error("flavours", "'" + f.name + "' needs kind '" + f.kind + "'", "a kind that some machine has: "
                         + String.join(", ", new java.util.TreeSet<>(kindNames)));
@@ -295,7 +295,7 @@
                         + " of '" + f.name + "', " + f.buildTimeout.toMillis() + "ms");
             }
         }
-        double shares = customers.stream().mapToDouble(Customer::share).sum();
+        double shares = tenants.stream().mapToDouble(Tenant::share).sum();
         if (shares > 1.0001) {
             r.error("customers", "shares of " + Math.round(shares * 1000) / 1000.0 + " in all", "at most 1 in all");
         }
--- a/src/main/java/fordridge/settings/ModuleTerms.java
+++ b/src/main/java/fordridge/settings/SchedulerSettingsMapper.java
@@ -1,6 +1,6 @@
 package fordridge.settings;
 
-import fordridge.state.Terms;
+import fordridge.model.SchedulerSettings;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,20 +9,20 @@
 import java.util.Map;
 
 /** The one place where a deployment in our words becomes the plain map of terms that the module reads. */
-public final class ModuleTerms {
-    private ModuleTerms() {
+public final class SchedulerSettingsMapper {
+    private SchedulerSettingsMapper() {
     }
 
     private static long micros(Duration d) {
         return d.toNanos() / 1000;
     }
 
-    public static Map<String, Object> of(Deployment d, int position) {
+    public static Map<String, Object> of(DeploymentSettings d, int position) {
         Map<String, Object> t = new LinkedHashMap<>();
         List<Object> kinds = new ArrayList<>();
         List<Object> cores = new ArrayList<>();
         List<Object> memory = new ArrayList<>();
-        for (Deployment.Kind k : d.kinds) {
+        for (DeploymentSettings.Kind k : d.kinds) {
             kinds.add(k.name());
             cores.add(k.cores());
             memory.add(k.memory());
@@ -32,7 +32,7 @@
         t.put("extra.memoryByKind", memory);
         Map<String, List<Object>> columns = new LinkedHashMap<>();
         List<Object> lanes = new ArrayList<>();
-        for (Deployment.Flavour f : d.flavours.values()) {
+        for (DeploymentSettings.PriorityClass f : d.priorityClasses.values()) {
             lanes.add(lane(f));
             column(columns, "precedence", (long) f.priority());
             column(columns, "kindByClass", f.kind().isEmpty() ? -1L : (long) kinds.indexOf(f.kind()));
@@ -51,7 +51,7 @@
         t.put("extra.freeInList", d.freeInList);
         t.put("extra.settleUs", micros(d.settle));
         t.put("extra.coldBears", d.coldBears);
-        t.put("caps.mostTries", (long) d.mostClaims);
+        t.put("caps.mostTries", (long) d.mostAttempts);
         t.put("caps.retryAfter", d.retryAfter);
         t.put("caps.peerMessages", d.notes);
         t.put("caps.maxRetryAfterUs", micros(d.mostRetryAfter));
@@ -86,10 +86,10 @@
         t.put("goal.worstClass", d.goal.get("worst_flavour"));
         t.put("goal.worstTenant", d.goal.get("worst_customer"));
         List<Object> tenants = new ArrayList<>();
-        d.customers.forEach(c -> tenants.add(Map.of("name", c.name(), "share", c.share())));
+        d.tenants.forEach(c -> tenants.add(Map.of("name", c.name(), "share", c.share())));
         t.put("tenants", tenants);
         Map<String, Object> flat = new HashMap<>();
-        Terms.flatten("", t, flat);
+        SchedulerSettings.flatten("", t, flat);
         return flat;
     }
 
@@ -97,7 +97,7 @@
         columns.computeIfAbsent(name, n -> new ArrayList<>()).add(value);
     }
 
-    private static Map<String, Object> lane(Deployment.Flavour f) {
+    private static Map<String, Object> lane(DeploymentSettings.PriorityClass f) {
         Map<String, Object> lane = new LinkedHashMap<>();
         lane.put("name", f.name());
         lane.put("semantics", switch (f.effect()) {
--- a/src/main/java/fordridge/settings/TermsChange.java
+++ b/src/main/java/fordridge/settings/SettingsUpdate.java
@@ -12,21 +12,21 @@
  * Terms of the cluster laid over a placer's own settings while it runs. They are checked whole, as the settings are, and
  * refused whole: where they name what is each placer's own, and where they would pull the ground from under VMs in hand.
  */
-public final class TermsChange {
+public final class SettingsUpdate {
     /** What is the cluster's, and so the same for all its placers. */
     private static final Set<String> SHARED = Set.of("kinds", "flavours", "flavour_defaults", "customers", "cluster",
             "prices", "goal");
 
-    private TermsChange() {
+    private SettingsUpdate() {
     }
 
     /** The deployment under these terms, or every complaint. */
-    public static Deployment over(Deployment own, Deployment now, String text) throws Deployment.Refused {
+    public static DeploymentSettings over(DeploymentSettings own, DeploymentSettings now, String text) throws DeploymentSettings.InvalidSettingsException {
         Config terms;
         try {
             terms = ConfigFactory.parseString(text).resolve();
         } catch (ConfigException e) {
-            throw new Deployment.Refused(List.of(e.getMessage()));
+            throw new DeploymentSettings.InvalidSettingsException(List.of(e.getMessage()));
         }
         List<String> errors = new ArrayList<>();
         for (String key : new TreeSet<>(terms.root().keySet())) {
@@ -36,11 +36,11 @@
             }
         }
         if (!errors.isEmpty()) {
-            throw new Deployment.Refused(errors);
+            throw new DeploymentSettings.InvalidSettingsException(errors);
         }
-        Deployment next = Deployment.read(terms.withFallback(own.source), own.folder);
-        for (Deployment.Flavour f : now.flavours.values()) {
-            Deployment.Flavour g = next.flavours.get(f.name());
+        DeploymentSettings next = DeploymentSettings.read(terms.withFallback(own.source), own.folder);
+        for (DeploymentSettings.PriorityClass f : now.priorityClasses.values()) {
+            DeploymentSettings.PriorityClass g = next.priorityClasses.get(f.name());
             if (g == null) {
                 errors.add("flavour '" + f.name() + "' is missing: VMs of it may be in hand");
             } else if (!g.effect().equals(f.effect()) || !g.group().equals(f.group()) || !g.window().equals(f.window())
@@ -49,7 +49,7 @@
                         + "by the old one; give the new one another name");
             }
         }
-        for (Deployment.Kind k : now.kinds) {
+        for (DeploymentSettings.Kind k : now.kinds) {
             if (next.kinds.stream().noneMatch(x -> x.name().equals(k.name()))) {
                 errors.add("kind '" + k.name() + "' is missing: machines of it may be listed");
             }
@@ -58,7 +58,7 @@
             errors.add("cluster.yes changes: claims under way would be read wrongly");
         }
         if (!errors.isEmpty()) {
-            throw new Deployment.Refused(errors);
+            throw new DeploymentSettings.InvalidSettingsException(errors);
         }
         return next;
     }
--- a/src/main/java/fordridge/drill/Drill.java
+++ b/src/main/java/fordridge/simulation/SimulatorAdapter.java
@@ -1,8 +1,8 @@
-package fordridge.drill;
+package fordridge.simulation;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import fordridge.jsonl.Json;
+import fordridge.json.JsonFields;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,16 +18,16 @@
 import java.util.TreeMap;
 
 /** The simulator's wire: batches of events in, one reply of actions for each out. Decides nothing. */
-public final class Drill {
+public final class SimulatorAdapter {
     private static final JsonFactory FACTORY = new JsonFactory();
 
     private final BufferedReader in;
     private final OutputStream out;
     private final PrintStream err;
-    private final Map<Long, Seat> seats = new TreeMap<>();
+    private final Map<Long, SimulatedScheduler> seats = new TreeMap<>();
     private final Map<Long, List<Object>> lists = new TreeMap<>();
 
-    public Drill(InputStream in, OutputStream out, PrintStream err) {
+    public SimulatorAdapter(InputStream in, OutputStream out, PrintStream err) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.out = out;
         this.err = err;
@@ -40,8 +40,8 @@
             number++;
             byte[] reply;
             try {
-                reply = batch(Json.line(line));
-            } catch (Json.Malformed e) {
+                reply = batch(JsonFields.line(line));
+            } catch (JsonFields.MalformedInputException e) {
                 err.println("fordridge drill: line " + number + ": " + e.getMessage());
                 return 1;
             }
@@ -52,26 +52,26 @@
     }
 
     private byte[] batch(Map<String, Object> batch) throws IOException {
-        Duration clock = Duration.of(Json.whole(batch, "clockUs", "batch"), ChronoUnit.MICROS);
-        long n = Json.whole(batch, "n", "batch");
+        Duration clock = Duration.of(JsonFields.whole(batch, "clockUs", "batch"), ChronoUnit.MICROS);
+        long n = JsonFields.whole(batch, "n", "batch");
         StringWriter text = new StringWriter(256);
         JsonGenerator gen = FACTORY.createGenerator(text);
         gen.writeStartObject();
         gen.writeNumberField("n", n);
         gen.writeArrayFieldStart("groups");
         int g = 0;
-        for (Object o : Json.list(batch, "groups", "batch")) {
+        for (Object o : JsonFields.list(batch, "groups", "batch")) {
             String where = "groups[" + g++ + "]";
-            Map<String, Object> group = Json.object(o, where);
+            Map<String, Object> group = JsonFields.object(o, where);
             if (group.get("placerId") == null) {
                 // A list of machines belongs to no instance; it may stand among the groups by itself.
                 if ("inventory".equals(group.get("msg"))) {
                     inventory(group, where);
                 } else if (group.get("input") != null) {
                     int e = 0;
-                    for (Object event : Json.list(group, "input", where)) {
+                    for (Object event : JsonFields.list(group, "input", where)) {
                         String at = where + ".input[" + e++ + "]";
-                        inventory(Json.object(event, at), at);
+                        inventory(JsonFields.object(event, at), at);
                     }
                 }
                 continue;
@@ -86,25 +86,25 @@
 
     private void group(Map<String, Object> group, String where, Duration clock, JsonGenerator gen)
             throws IOException {
-        long placer = Json.whole(group, "placerId", where);
+        long placer = JsonFields.whole(group, "placerId", where);
         gen.writeStartObject();
         gen.writeNumberField("placerId", placer);
         gen.writeArrayFieldStart("output");
         int e = 0;
         boolean broken = false;
-        for (Object o : Json.list(group, "input", where)) {
+        for (Object o : JsonFields.list(group, "input", where)) {
             String at = where + ".input[" + e++ + "]";
-            Map<String, Object> event = Json.object(o, at);
-            String msg = Json.text(event, "msg", at);
+            Map<String, Object> event = JsonFields.object(o, at);
+            String msg = JsonFields.text(event, "msg", at);
             if (msg.equals("inventory")) {
                 inventory(event, at);
                 continue;
             }
             at = at + " (" + msg + ")";
             if (msg.equals("create")) {
-                seats.put(placer, new Seat());
+                seats.put(placer, new SimulatedScheduler());
             }
-            Seat seat = seats.get(placer);
+            SimulatedScheduler seat = seats.get(placer);
             if (seat == null) {
                 continue;
             }
@@ -117,7 +117,7 @@
             }
             try {
                 seat.event(msg, event, at, clock, gen, lists);
-            } catch (Json.Malformed | IOException malformed) {
+            } catch (JsonFields.MalformedInputException | IOException malformed) {
                 throw malformed;
             } catch (RuntimeException fault) {
                 broken = true;
@@ -134,6 +134,6 @@
     }
 
     private void inventory(Map<String, Object> event, String where) {
-        lists.put(Json.whole(event, "slot", where), Json.list(event, "lines", where));
+        lists.put(JsonFields.whole(event, "slot", where), JsonFields.list(event, "lines", where));
     }
 }
--- a/src/test/java/fordridge/ArrowsTest.java
+++ b/src/test/java/fordridge/ArchitectureTest.java
@@ -13,7 +13,7 @@
 import net.jqwik.api.Example;
 
 /** Arrows between packages point down, and what decides stays free of sockets, files, threads and clocks. */
-class ArrowsTest {
+class ArchitectureTest {
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("fordridge");
 
--- a/src/test/java/fordridge/constraint/TogetherTest.java
+++ b/src/test/java/fordridge/constraint/GroupFeasibilityTest.java
@@ -2,13 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.constraint.Book.Spot;
-import fordridge.constraint.Rule.Domain;
-import fordridge.constraint.Rule.Scope;
-import fordridge.constraint.Together.Outcome;
-import fordridge.constraint.Together.Part;
-import fordridge.constraint.Together.Room;
-import fordridge.constraint.Together.Verdict;
+import fordridge.constraint.ConstraintIndex.MachineTopology;
+import fordridge.constraint.PlacementConstraint.Domain;
+import fordridge.constraint.PlacementConstraint.Scope;
+import fordridge.constraint.GroupFeasibility.Outcome;
+import fordridge.constraint.GroupFeasibility.Part;
+import fordridge.constraint.GroupFeasibility.Room;
+import fordridge.constraint.GroupFeasibility.Verdict;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,30 +18,30 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class TogetherTest {
-    private static final List<Spot> FLEET = List.of(new Spot("a", "std", "x", 0), new Spot("b", "big", "x", 0),
-            new Spot("c", "std", "y", 1), new Spot("d", "big", "y", 2));
+class GroupFeasibilityTest {
+    private static final List<MachineTopology> FLEET = List.of(new MachineTopology("a", "std", "x", 0), new MachineTopology("b", "big", "x", 0),
+            new MachineTopology("c", "std", "y", 1), new MachineTopology("d", "big", "y", 2));
 
-    private static Book book(String text) throws Exception {
-        Book b = new Book(Language.read(text, Language.Names.ANY), 1);
+    private static ConstraintIndex book(String text) throws Exception {
+        ConstraintIndex b = new ConstraintIndex(ConstraintParser.read(text, ConstraintParser.Names.ANY), 1);
         b.machines(FLEET);
         return b;
     }
 
-    private static List<Part> group(String... flavours) {
+    private static List<Part> group(String... priorityClasses) {
         List<Part> some = new ArrayList<>();
-        for (String f : flavours) {
+        for (String f : priorityClasses) {
             some.add(new Part("p" + some.size(), "", f, some.size(), 8, 8));
         }
         return some;
     }
 
-    private static Outcome solve(Book b, List<Part> group) {
+    private static Outcome solve(ConstraintIndex b, List<Part> group) {
         return b.together(group, m -> new Room(16, 16)).solve(() -> false);
     }
 
     private static List<String> names(Outcome o) {
-        return o.rules().stream().map(Rule::name).toList();
+        return o.rules().stream().map(PlacementConstraint::name).toList();
     }
 
     @Example
@@ -57,7 +57,7 @@
 
     @Example
     void aGroupLargerThanAnyMachineIsRefusedForRoom() throws Exception {
-        Book b = book("rule n: flavour w require near flavour w per machine;\nrule s: flavour w require on kind std;");
+        ConstraintIndex b = book("rule n: flavour w require near flavour w per machine;\nrule s: flavour w require on kind std;");
         Outcome o = solve(b, group("w", "w", "w"));
         assertThat(o.verdict()).isEqualTo(Verdict.NO);
         assertThat(o.room()).isTrue();
@@ -68,7 +68,7 @@
 
     @Example
     void whatRunsAlreadyTakesItsPlace() throws Exception {
-        Book b = book("rule m: flavour w require spread at most 1 per zone;\nrule k: all require on kind std;");
+        ConstraintIndex b = book("rule m: flavour w require spread at most 1 per zone;\nrule k: all require on kind std;");
         assertThat(solve(b, group("w", "w")).verdict()).isEqualTo(Verdict.YES);
         b.goes("x", "", "w", 9, "b");
         Outcome o = solve(b, group("w", "w"));
@@ -81,7 +81,7 @@
 
     @Example
     void itStopsWhenItIsToldTo() throws Exception {
-        Book b = book("rule m: flavour w require spread at most 1 per cell;");
+        ConstraintIndex b = book("rule m: flavour w require spread at most 1 per cell;");
         assertThat(b.together(group("w", "w", "w", "w"), m -> new Room(16, 16)).solve(() -> true).verdict())
                 .isNotEqualTo(Verdict.YES);
     }
@@ -95,13 +95,13 @@
         for (int i = 0; i < n; i++) {
             text.append("rule r").append(i).append(": ").append(scope(r)).append(" require ").append(clause(r)).append(";\n");
         }
-        List<Rule> rules = Language.read(text.toString(), Language.Names.ANY);
-        List<Spot> fleet = new ArrayList<>();
+        List<PlacementConstraint> rules = ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
+        List<MachineTopology> fleet = new ArrayList<>();
         int machines = 1 + r.nextInt(5);
         for (int i = 0; i < machines; i++) {
-            fleet.add(new Spot("m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
+            fleet.add(new MachineTopology("m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
         }
-        Book b = new Book(rules, 1);
+        ConstraintIndex b = new ConstraintIndex(rules, 1);
         b.machines(fleet);
         List<Part> running = new ArrayList<>();
         Map<String, String> at = new LinkedHashMap<>();
@@ -109,7 +109,7 @@
             Part p = new Part("old" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1, 1);
             running.add(p);
             at.put(p.id(), "m" + r.nextInt(machines));
-            b.goes(p.id(), "", p.flavour(), p.service(), at.get(p.id()));
+            b.goes(p.id(), "", p.priorityClass(), p.service(), at.get(p.id()));
         }
         List<Part> group = new ArrayList<>();
         for (int i = 1 + r.nextInt(4); i > 0; i--) {
@@ -126,8 +126,8 @@
         } else {
             double room = o.room() ? most : 1e6;
             assertThat(any(o.rules(), fleet, running, group, at, 0, room)).as("what is named clashes").isFalse();
-            for (Rule x : o.rules()) {
-                List<Rule> fewer = new ArrayList<>(o.rules());
+            for (PlacementConstraint x : o.rules()) {
+                List<PlacementConstraint> fewer = new ArrayList<>(o.rules());
                 fewer.remove(x);
                 assertThat(any(fewer, fleet, running, group, at, 0, room)).as(text + ": " + x + " is needed").isTrue();
             }
@@ -149,12 +149,12 @@
         };
     }
 
-    private static boolean any(List<Rule> rules, List<Spot> fleet, List<Part> running, List<Part> group,
+    private static boolean any(List<PlacementConstraint> rules, List<MachineTopology> fleet, List<Part> running, List<Part> group,
             Map<String, String> at, int next, double most) {
         if (next == group.size()) {
             return keeps(rules, fleet, running, group, at, most);
         }
-        for (Spot s : fleet) {
+        for (MachineTopology s : fleet) {
             Map<String, String> with = new LinkedHashMap<>(at);
             with.put(group.get(next).id(), s.name());
             if (any(rules, fleet, running, group, with, next + 1, most)) {
@@ -165,39 +165,39 @@
     }
 
     /** By the words of the language alone: what the group's VMs do against each other and against what ran. */
-    static boolean keeps(List<Rule> rules, List<Spot> fleet, List<Part> running, List<Part> group,
+    static boolean keeps(List<PlacementConstraint> rules, List<MachineTopology> fleet, List<Part> running, List<Part> group,
             Map<String, String> at, double most) {
         List<Part> all = new ArrayList<>(running);
         all.addAll(group);
-        for (Spot s : fleet) {
+        for (MachineTopology s : fleet) {
             if (group.stream().filter(p -> at.get(p.id()).equals(s.name())).mapToDouble(Part::cores).sum() > most) {
                 return false;
             }
         }
-        for (Rule rule : rules) {
+        for (PlacementConstraint rule : rules) {
             for (Part u : group) {
                 boolean about = covers(rule.scope(), u);
-                if (rule.clause() instanceof Rule.Apart a) {
+                if (rule.clause() instanceof PlacementConstraint.Apart a) {
                     for (Part w : all) {
                         boolean one = about && covers(a.other(), w) || covers(a.other(), u) && covers(rule.scope(), w);
                         if (w != u && one && where(fleet, at, w, a.per()).equals(where(fleet, at, u, a.per()))) {
                             return false;
                         }
                     }
-                } else if (about && rule.clause() instanceof Rule.Near n) {
+                } else if (about && rule.clause() instanceof PlacementConstraint.Near n) {
                     List<Part> others = all.stream().filter(w -> w != u && covers(n.other(), w)).toList();
                     if (!others.isEmpty() && others.stream().noneMatch(w -> where(fleet, at, w, n.per())
                             .equals(where(fleet, at, u, n.per())))) {
                         return false;
                     }
-                } else if (about && rule.clause() instanceof Rule.Most m) {
+                } else if (about && rule.clause() instanceof PlacementConstraint.Most m) {
                     long count = all.stream().filter(w -> covers(rule.scope(), w)
                             && (!m.eachService() || w.service() == u.service())
                             && where(fleet, at, w, m.per()).equals(where(fleet, at, u, m.per()))).count();
                     if (count > m.most()) {
                         return false;
                     }
-                } else if (about && rule.clause() instanceof Rule.On on && !Book.holds(on.where(), spot(fleet, at, u))) {
+                } else if (about && rule.clause() instanceof PlacementConstraint.On on && !ConstraintIndex.holds(on.where(), spot(fleet, at, u))) {
                     return false;
                 }
             }
@@ -206,15 +206,15 @@
     }
 
     private static boolean covers(Scope s, Part p) {
-        return s.covers(p.customer(), p.flavour(), p.service());
+        return s.covers(p.tenant(), p.priorityClass(), p.service());
     }
 
-    private static Spot spot(List<Spot> fleet, Map<String, String> at, Part p) {
+    private static MachineTopology spot(List<MachineTopology> fleet, Map<String, String> at, Part p) {
         return fleet.stream().filter(s -> s.name().equals(at.get(p.id()))).findFirst().orElseThrow();
     }
 
-    private static String where(List<Spot> fleet, Map<String, String> at, Part p, Domain per) {
-        Spot s = spot(fleet, at, p);
+    private static String where(List<MachineTopology> fleet, Map<String, String> at, Part p, Domain per) {
+        MachineTopology s = spot(fleet, at, p);
         return per == Domain.MACHINE ? s.name() : per == Domain.ZONE ? s.zone() : s.zone() + "/" + s.cell();
     }
 }
--- a/src/test/java/fordridge/constraint/PlanTest.java
+++ b/src/test/java/fordridge/constraint/GroupPlanTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.constraint.Book.Spot;
-import fordridge.constraint.Together.Part;
-import fordridge.constraint.Together.Room;
+import fordridge.constraint.ConstraintIndex.MachineTopology;
+import fordridge.constraint.GroupFeasibility.Part;
+import fordridge.constraint.GroupFeasibility.Room;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,36 +14,36 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class PlanTest {
-    private static List<Spot> fleet(Random r, int machines) {
-        List<Spot> some = new ArrayList<>();
+class GroupPlanTest {
+    private static List<MachineTopology> fleet(Random r, int machines) {
+        List<MachineTopology> some = new ArrayList<>();
         for (int i = 0; i < machines; i++) {
-            some.add(new Spot("m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
+            some.add(new MachineTopology("m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
         }
         return some;
     }
 
-    private static Plan plan(Book b, List<Part> group, double now, double empty) {
-        return Plan.of(b.together(group, m -> new Room(now, 100)), b.together(group, m -> new Room(empty, 100)), group,
+    private static GroupPlan plan(ConstraintIndex b, List<Part> group, double now, double empty) {
+        return GroupPlan.of(b.together(group, m -> new Room(now, 100)), b.together(group, m -> new Room(empty, 100)), group,
                 () -> false);
     }
 
     /** Places as the module does: any machine that is allowed and least unfit. Null if one finds none. */
-    private static Map<String, String> place(Book b, Plan plan, List<Part> group, List<Spot> fleet, Random r) {
+    private static Map<String, String> place(ConstraintIndex b, GroupPlan plan, List<Part> group, List<MachineTopology> fleet, Random r) {
         Map<String, String> at = new HashMap<>();
         for (String id : plan.order()) {
             Part p = group.stream().filter(x -> x.id().equals(id)).findFirst().orElseThrow();
             List<String> best = new ArrayList<>();
             double least = Double.POSITIVE_INFINITY;
-            for (Spot s : fleet) {
-                boolean open = plan.settlesNear(id) ? b.allowsButNear("", p.flavour(), p.service(), s.name())
-                        : b.allows("", p.flavour(), p.service(), s.name());
-                double unfit = open ? plan.unfit(id, s) : Double.POSITIVE_INFINITY;
-                if (unfit < least) {
-                    least = unfit;
+            for (MachineTopology s : fleet) {
+                boolean open = plan.settlesNear(id) ? b.allowsButNear("", p.priorityClass(), p.service(), s.name())
+                        : b.allows("", p.priorityClass(), p.service(), s.name());
+                double constraintPenalty = open ? plan.constraintPenalty(id, s) : Double.POSITIVE_INFINITY;
+                if (constraintPenalty < least) {
+                    least = constraintPenalty;
                     best.clear();
                 }
-                if (unfit == least && unfit < Double.POSITIVE_INFINITY) {
+                if (constraintPenalty == least && constraintPenalty < Double.POSITIVE_INFINITY) {
                     best.add(s.name());
                 }
             }
@@ -51,7 +51,7 @@
                 return null;
             }
             at.put(id, best.get(r.nextInt(best.size())));
-            b.goes(id, "", p.flavour(), p.service(), at.get(id));
+            b.goes(id, "", p.priorityClass(), p.service(), at.get(id));
         }
         return at;
     }
@@ -71,18 +71,18 @@
     private static void played(Random r, int machines, boolean whole) throws Exception {
         StringBuilder text = new StringBuilder();
         for (int i = 1 + r.nextInt(5); i > 0; i--) {
-            text.append("rule r").append(i).append(": ").append(TogetherTest.scope(r)).append(" require ")
-                    .append(TogetherTest.clause(r)).append(";\n");
+            text.append("rule r").append(i).append(": ").append(GroupFeasibilityTest.scope(r)).append(" require ")
+                    .append(GroupFeasibilityTest.clause(r)).append(";\n");
         }
-        List<Rule> rules = Language.read(text.toString(), Language.Names.ANY);
-        List<Spot> fleet = fleet(r, machines);
-        Book b = new Book(rules, 1);
+        List<PlacementConstraint> rules = ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
+        List<MachineTopology> fleet = fleet(r, machines);
+        ConstraintIndex b = new ConstraintIndex(rules, 1);
         b.machines(fleet);
         List<Part> group = new ArrayList<>();
         for (int i = 2 + r.nextInt(3); i > 0; i--) {
             group.add(new Part("new" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1, 1));
         }
-        Plan plan = plan(b, group, 100, 100);
+        GroupPlan plan = plan(b, group, 100, 100);
         if (plan.refusal() != null) {
             return;
         }
@@ -91,19 +91,19 @@
             assertThat(at).as(text + " " + fleet + " " + group).isNotNull();
         }
         if (at != null) {
-            assertThat(TogetherTest.keeps(rules, fleet, List.of(), group, at, 1e6)).as(text + " " + fleet + " " + group + at)
+            assertThat(GroupFeasibilityTest.keeps(rules, fleet, List.of(), group, at, 1e6)).as(text + " " + fleet + " " + group + at)
                     .isTrue();
         }
     }
 
     @Example
     void roomThatMayComeFreeIsNoReasonToRefuse() throws Exception {
-        Book b = new Book(Language.read("rule n: flavour w require near flavour w per machine;", Language.Names.ANY), 1);
-        b.machines(List.of(new Spot("a", "std", "x", 0), new Spot("b", "std", "x", 0)));
+        ConstraintIndex b = new ConstraintIndex(ConstraintParser.read("rule n: flavour w require near flavour w per machine;", ConstraintParser.Names.ANY), 1);
+        b.machines(List.of(new MachineTopology("a", "std", "x", 0), new MachineTopology("b", "std", "x", 0)));
         List<Part> group = List.of(new Part("1", "", "w", 1, 8, 8), new Part("2", "", "w", 1, 8, 8));
         assertThat(plan(b, group, 10, 16).refusal()).as("full now").isNull();
         assertThat(plan(b, group, 10, 10).refusal()).contains("rule 'n'").contains("the size of the machines");
-        assertThat(Plan.of(b.together(group, m -> new Room(10, 100)), b.together(group, m -> new Room(10, 100)), group,
+        assertThat(GroupPlan.of(b.together(group, m -> new Room(10, 100)), b.together(group, m -> new Room(10, 100)), group,
                 () -> true).refusal()).as("stopped before it was known").isNull();
     }
 }
--- a/src/test/java/fordridge/constraint/PlacingCost.java
+++ b/src/test/java/fordridge/constraint/PlacementBenchmark.java
@@ -1,6 +1,6 @@
 package fordridge.constraint;
 
-import fordridge.constraint.Book.Spot;
+import fordridge.constraint.ConstraintIndex.MachineTopology;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -30,18 +30,18 @@
 @Warmup(iterations = 2, time = 1)
 @Measurement(iterations = 3, time = 1)
 @Fork(1)
-public class PlacingCost {
+public class PlacementBenchmark {
     @Param({"60", "600", "6000"})
     public int machines;
     @Param({"0", "10", "1000"})
     public int rules;
 
-    private record Placed(String flavour, long service, Spot at) { }
+    private record Placed(String priorityClass, long service, MachineTopology at) { }
 
-    private final List<Spot> fleet = new ArrayList<>();
+    private final List<MachineTopology> fleet = new ArrayList<>();
     private final List<Placed> placed = new ArrayList<>();
-    private List<Rule> set;
-    private Book book;
+    private List<PlacementConstraint> set;
+    private ConstraintIndex book;
     private int next;
 
     @Setup(Level.Trial)
@@ -54,16 +54,16 @@
             text.append("rule r").append(i).append(": ").append(i < 10 ? "flavour f" + i % 5 : "service " + i / 2).append(' ')
                     .append(clauses[i % clauses.length]).append(";\n");
         }
-        set = Language.read(text.toString(), Language.Names.ANY);
+        set = ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
         for (int i = 0; i < machines; i++) {
-            fleet.add(new Spot("m" + i, i % 10 == 0 ? "old" : "std", "z" + i % 3, i / 8));
+            fleet.add(new MachineTopology("m" + i, i % 10 == 0 ? "old" : "std", "z" + i % 3, i / 8));
         }
-        book = new Book(set, 1);
+        book = new ConstraintIndex(set, 1);
         book.machines(fleet);
         Random r = new Random(7);
         for (int i = 0; i < 2 * machines; i++) {
             placed.add(new Placed("f" + r.nextInt(5), r.nextInt(500), fleet.get(r.nextInt(machines))));
-            book.goes(i, "", placed.get(i).flavour, placed.get(i).service, placed.get(i).at.name());
+            book.goes(i, "", placed.get(i).priorityClass, placed.get(i).service, placed.get(i).at.name());
         }
     }
 
@@ -74,11 +74,11 @@
         book.gone(i);
         double sum = 0;
         if (!book.rules().isEmpty()) {
-            for (Spot s : fleet) {
-                sum += book.allows("", p.flavour, p.service, s.name()) ? book.unfit("", p.flavour, p.service, s.name()) : 1;
+            for (MachineTopology s : fleet) {
+                sum += book.allows("", p.priorityClass, p.service, s.name()) ? book.constraintPenalty("", p.priorityClass, p.service, s.name()) : 1;
             }
         }
-        book.goes(i, "", p.flavour, p.service, p.at.name());
+        book.goes(i, "", p.priorityClass, p.service, p.at.name());
         return sum;
     }
 
@@ -86,9 +86,9 @@
     public double byAScan() {
         Placed p = placed.get(next++ % placed.size());
         double sum = 0;
-        for (Spot s : fleet) {
-            for (Rule r : set) {
-                if (r.scope().covers("", p.flavour, p.service)) {
+        for (MachineTopology s : fleet) {
+            for (PlacementConstraint r : set) {
+                if (r.scope().covers("", p.priorityClass, p.service)) {
                     sum += against(r, p, s) ? 1 : 0;
                 }
             }
@@ -96,28 +96,28 @@
         return sum;
     }
 
-    private boolean against(Rule r, Placed p, Spot s) {
-        if (r.clause() instanceof Rule.On on) {
-            return !Book.holds(on.where(), s);
+    private boolean against(PlacementConstraint r, Placed p, MachineTopology s) {
+        if (r.clause() instanceof PlacementConstraint.On on) {
+            return !ConstraintIndex.holds(on.where(), s);
         }
-        Rule.Domain per = r.clause() instanceof Rule.Near n ? n.per() : r.clause() instanceof Rule.Apart a ? a.per()
-                : ((Rule.Most) r.clause()).per();
-        Rule.Scope of = r.clause() instanceof Rule.Near n ? n.other() : r.clause() instanceof Rule.Apart a ? a.other()
+        PlacementConstraint.Domain per = r.clause() instanceof PlacementConstraint.Near n ? n.per() : r.clause() instanceof PlacementConstraint.Apart a ? a.per()
+                : ((PlacementConstraint.Most) r.clause()).per();
+        PlacementConstraint.Scope of = r.clause() instanceof PlacementConstraint.Near n ? n.other() : r.clause() instanceof PlacementConstraint.Apart a ? a.other()
                 : r.scope();
-        boolean each = r.clause() instanceof Rule.Most m && m.eachService();
-        String here = Book.domain(s, per);
+        boolean each = r.clause() instanceof PlacementConstraint.Most m && m.eachService();
+        String here = ConstraintIndex.domain(s, per);
         int count = 0;
         for (Placed o : placed) {
-            if (o != p && of.covers("", o.flavour, o.service) && (!each || o.service == p.service)
-                    && Book.domain(o.at, per).equals(here)) {
+            if (o != p && of.covers("", o.priorityClass, o.service) && (!each || o.service == p.service)
+                    && ConstraintIndex.domain(o.at, per).equals(here)) {
                 count++;
             }
         }
-        return r.clause() instanceof Rule.Near ? count == 0 : r.clause() instanceof Rule.Apart ? count > 0
-                : count >= ((Rule.Most) r.clause()).most();
+        return r.clause() instanceof PlacementConstraint.Near ? count == 0 : r.clause() instanceof PlacementConstraint.Apart ? count > 0
+                : count >= ((PlacementConstraint.Most) r.clause()).most();
     }
 
     public static void main(String[] args) throws Exception {
-        new Runner(new OptionsBuilder().include(PlacingCost.class.getSimpleName()).build()).run();
+        new Runner(new OptionsBuilder().include(PlacementBenchmark.class.getSimpleName()).build()).run();
     }
 }
--- a/src/test/java/fordridge/rig/CheckerTest.java
+++ b/src/test/java/fordridge/emulator/InvariantCheckerTest.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -12,7 +12,7 @@
 import net.jqwik.api.Example;
 
 /** A sound tap is passed, and for each rule a corrupted one is flagged. */
-class CheckerTest {
+class InvariantCheckerTest {
     private static final String[] TERMS = {
         "0 rig terms grace=500000 poll=100000 yes=running",
         "0 rig flavour name=safe effect=rebuildable group=all window=0 spread=off most=1",
@@ -21,7 +21,7 @@
         "0 m1 machine kind=k zone=a cell=0", "0 m2 machine kind=k zone=a cell=0", "0 m3 machine kind=k zone=b cell=1"};
 
     /** Lines as "t at what name=value ..."; whole numbers and true, false as such. */
-    private static Checker.Verdict judge(String... lines) throws IOException {
+    private static InvariantChecker.Verdict judge(String... lines) throws IOException {
         File f = Files.createTempFile("tap", ".jsonl").toFile();
         f.deleteOnExit();
         List<String> all = new ArrayList<>(Arrays.asList(TERMS));
@@ -40,15 +40,15 @@
             text.append("}\n");
         }
         Files.writeString(f.toPath(), text);
-        return Checker.judge(f);
+        return InvariantChecker.judge(f);
     }
 
-    private static String want(long t, String vm, String flavour) {
-        return t + " o want vm=" + vm + " flavour=" + flavour + " left=4000000";
+    private static String want(long t, String vm, String priorityClass) {
+        return t + " o want vm=" + vm + " flavour=" + priorityClass + " left=4000000";
     }
 
-    private static String offer(long t, String machine, String vm, int n, String flavour) {
-        return t + " " + machine + " offer placer=p vm=o/" + vm + " n=" + n + " flavour=" + flavour
+    private static String offer(long t, String machine, String vm, int n, String priorityClass) {
+        return t + " " + machine + " offer placer=p vm=o/" + vm + " n=" + n + " flavour=" + priorityClass
                 + " service=1 within=1000000";
     }
 
@@ -56,14 +56,14 @@
         return t + " " + machine + " " + what + " placer=p vm=o/" + vm + " n=" + n + " lost=false " + more;
     }
 
-    private static void broken(Checker.Verdict v, int rule, String words) {
+    private static void broken(InvariantChecker.Verdict v, int rule, String words) {
         assertThat(v.breaks()).as(v.text()).anyMatch(b -> b.rule() == rule && b.what().contains(words));
         assertThat(v.kept()).isFalse();
     }
 
     @Example
     void aSoundTapIsPassed() throws IOException {
-        Checker.Verdict v = judge(want(1000, "v", "once"), offer(2000, "m1", "v", 0, "once"),
+        InvariantChecker.Verdict v = judge(want(1000, "v", "once"), offer(2000, "m1", "v", 0, "once"),
                 said(9000, "m1", "refused", "v", 0, "why=NO_CORES"), offer(10000, "m2", "v", 1, "once"),
                 said(90000, "m2", "started", "v", 1, "flavour=once"), "91000 o bound vm=v machine=m2",
                 said(900000, "m2", "finished", "v", 1, "how=DONE ran=true"), "901000 o ended vm=v how=DONE");
@@ -136,7 +136,7 @@
         File f = Files.createTempFile("tap", ".jsonl").toFile();
         f.deleteOnExit();
         Files.writeString(f.toPath(), "{\"t\":1,\"at\":\"x\",\"what\":\"y\"}\n{\"t\":\n");
-        assertThatThrownBy(() -> Checker.judge(f)).hasMessageContaining("line 2");
+        assertThatThrownBy(() -> InvariantChecker.judge(f)).hasMessageContaining("line 2");
     }
 
     @Example
@@ -150,12 +150,12 @@
         return t + " rig rules placers=2 text=" + text.replace(' ', '~');
     }
 
-    private static long sixth(Checker.Verdict v) {
+    private static long sixth(InvariantChecker.Verdict v) {
         return v.breaks().stream().filter(b -> b.rule() == 6).count();
     }
 
     @Example
-    void whatCustomersForbidIsSeenAtTheOffer() throws Exception {
+    void whatTenantsForbidIsSeenAtTheOffer() throws Exception {
         String[] two = {want(1000, "a", "safe"), want(1000, "b", "safe"), offer(2000, "m1", "a", 0, "safe"),
             said(3000, "m1", "started", "a", 0, ""), offer(4000, "m2", "b", 0, "safe")};
         java.util.function.Function<String, String[]> under = text -> {
--- a/src/test/java/fordridge/rig/DayTest.java
+++ b/src/test/java/fordridge/emulator/ScenarioTest.java
@@ -1,4 +1,4 @@
-package fordridge.rig;
+package fordridge.emulator;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,12 +9,12 @@
 import java.util.Map;
 import net.jqwik.api.Example;
 
-class DayTest {
+class ScenarioTest {
     /** Real placers against stand-ins through some of every kind of trouble, judged in full. */
     @Example
     void theSmallBadDayKeepsTheFiveRules() throws Exception {
         File out = Files.createTempDirectory("day").toFile();
-        Day.Outcome o = Day.play(new File("deploy/days/small.conf"), Map.of(), out,
+        Scenario.Outcome o = Scenario.play(new File("deploy/days/small.conf"), Map.of(), out,
                 new PrintStream(OutputStream.nullOutputStream()));
         assertThat(o.verdict().breaks()).as(o.verdict().text()).isEmpty();
         assertThat(o.asked()).isGreaterThan(300);
--- a/src/test/java/fordridge/etcd/JetcdTest.java
+++ b/src/test/java/fordridge/etcd/JetcdTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.rig.StandInEtcd;
+import fordridge.emulator.EmulatedEtcd;
 import io.etcd.jetcd.ByteSequence;
 import io.etcd.jetcd.Client;
 import io.etcd.jetcd.Watch;
@@ -35,7 +35,7 @@
 
     @Example
     void putGetTxnLeaseAndWatch() throws Exception {
-        try (StandInEtcd etcd = new StandInEtcd();
+        try (EmulatedEtcd etcd = new EmulatedEtcd();
                 Client client = Client.builder().endpoints("http://127.0.0.1:" + etcd.port()).build()) {
             List<String> seen = new CopyOnWriteArrayList<>();
             Watch.Watcher watcher = client.getWatchClient().watch(b("a/"), WatchOption.builder().isPrefix(true)
--- a/src/test/java/fordridge/group/GroupTest.java
+++ b/src/test/java/fordridge/group/VmGroupTest.java
@@ -15,10 +15,10 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class GroupTest {
+class VmGroupTest {
     /** Machines that do as told, later; answers are counted. */
-    private static final class World implements Group.Acts {
-        final Group group;
+    private static final class World implements VmGroup.Actions {
+        final VmGroup group;
         final Map<String, Boolean> mayRepeat = new HashMap<>();
         final Set<String> out = new HashSet<>();
         final Set<String> running = new HashSet<>();
@@ -28,7 +28,7 @@
         final Deque<Runnable> later = new ArrayDeque<>();
 
         World(int size) {
-            group = new Group("g", size, this);
+            group = new VmGroup("g", size, this);
         }
 
         void join(String vm, boolean again) {
--- a/src/test/java/fordridge/link/ScarcityTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -1,12 +1,12 @@
-package fordridge.link;
+package fordridge.machine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Vm;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,7 +16,7 @@
 import net.jqwik.api.Example;
 
 /** More machines that hold VMs than connections: each is listened to in turns, and set-ups find a way. */
-class ScarcityTest {
+class ConnectionBudgetTest {
     private static final Duration TICK = Duration.ofMillis(50);
     private static final int MACHINES = 208;
     private static final int MOST = 60;
@@ -27,17 +27,17 @@
     private int unsent;
     private final List<Runnable> nextTick = new ArrayList<>();
 
-    private final class Place implements Trunk.Line, Trunk.Fate {
+    private final class Place implements MachineConnectionPool.Transport, MachineConnectionPool.AttemptListener {
         final Machine machine;
-        final Trunk trunk;
-        final Map<Trunk.Connection, Boolean> connections = new HashMap<>();
+        final MachineConnectionPool connectionPool;
+        final Map<MachineConnectionPool.Connection, Boolean> connections = new HashMap<>();
         Duration longestUnheard = Duration.ZERO;
         Duration heard = now;
 
         Place(int i) {
             machine = new Machine(i);
-            trunk = new Trunk(machine, new Trunk.Manners(Duration.ofMillis(250), Duration.ofSeconds(3)), this, this);
-            trunk.adopt(new Claim(new Vm("runs" + i), machine, 0, now), now);
+            connectionPool = new MachineConnectionPool(machine, new MachineConnectionPool.ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3)), this, this);
+            connectionPool.adopt(new PlacementAttempt(new Vm("runs" + i), machine, 0, now), now);
         }
 
         void looks() {
@@ -54,16 +54,16 @@
         }
 
         @Override
-        public void open(Trunk.Connection s) {
+        public void open(MachineConnectionPool.Connection s) {
             open++;
             nextTick.add(() -> {
                 connections.put(s, true);
-                trunk.connected(s, now);
+                connectionPool.connected(s, now);
             });
         }
 
         @Override
-        public void close(Trunk.Connection s) {
+        public void close(MachineConnectionPool.Connection s) {
             connections.remove(s);
             closing++;
             nextTick.add(() -> {
@@ -73,30 +73,30 @@
         }
 
         @Override
-        public void setUp(Trunk.Connection s, Claim claim, Duration within) {
-            nextTick.add(() -> trunk.ended(s, claim.vm.id, End.FULL, null, Why.UNTOLD, now));
+        public void setUp(MachineConnectionPool.Connection s, PlacementAttempt attempt, Duration within) {
+            nextTick.add(() -> connectionPool.ended(s, attempt.vm.id, Outcome.FULL, null, OutcomeReason.UNSPECIFIED, now));
         }
 
         @Override
-        public void giveUp(Trunk.Connection connection, String vm) {
+        public void giveUp(MachineConnectionPool.Connection connection, String vm) {
         }
 
         @Override
-        public void cut(Trunk.Connection connection, String vm) {
+        public void cut(MachineConnectionPool.Connection connection, String vm) {
         }
 
         @Override
-        public void probe(Trunk.Connection connection) {
+        public void probe(MachineConnectionPool.Connection connection) {
         }
 
         @Override
-        public void bound(Claim claim, String description) {
+        public void bound(PlacementAttempt attempt, String description) {
         }
 
         @Override
-        public void ended(Claim claim, End end, Why why) {
-            assertThat(claim.vm.id).as("nothing that runs is taken for lost").startsWith("new");
-            unsent += end == End.MOOT ? 1 : 0;
+        public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+            assertThat(attempt.vm.id).as("nothing that runs is taken for lost").startsWith("new");
+            unsent += end == Outcome.MOOT ? 1 : 0;
         }
 
         @Override
@@ -110,7 +110,7 @@
         for (int i = 0; i < MACHINES; i++) {
             places.add(new Place(i));
         }
-        List<Trunk> trunks = places.stream().map(p -> p.trunk).toList();
+        List<MachineConnectionPool> connectionPools = places.stream().map(p -> p.connectionPool).toList();
         Random r = new Random(5);
         int offered = 0;
         for (int t = 0; t < 1200; t++) {
@@ -120,12 +120,12 @@
             due.forEach(Runnable::run);
             if (t > 20 && t % 2 == 0) {
                 Place to = places.get(r.nextInt(MACHINES));
-                Claim c = new Claim(new Vm("new" + offered++), to.machine, 0, now);
-                c.vm.claims.add(c);
-                to.trunk.offer(c, Duration.ofSeconds(1), t % 4 == 0, now);
+                PlacementAttempt c = new PlacementAttempt(new Vm("new" + offered++), to.machine, 0, now);
+                c.vm.attempts.add(c);
+                to.connectionPool.offer(c, Duration.ofSeconds(1), t % 4 == 0, now);
             }
-            trunks.forEach(x -> x.tick(now));
-            Scarcity.relieve(trunks, open - closing, MOST, now);
+            connectionPools.forEach(x -> x.tick(now));
+            ConnectionBudget.relieve(connectionPools, open - closing, MOST, now);
             places.forEach(Place::looks);
             assertThat(open).isLessThanOrEqualTo(MOST);
         }
--- a/src/test/java/fordridge/link/LinkTest.java
+++ b/src/test/java/fordridge/machine/MachineStreamTest.java
@@ -1,13 +1,13 @@
-package fordridge.link;
+package fordridge.machine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.state.Chance;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Vm;
+import fordridge.model.SeededRandom;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,17 +20,17 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class LinkTest {
+class MachineStreamTest {
     /** A line and a fate that keep what they were told, and complain of what may never happen. */
-    private static final class World implements Link.Line, Link.Fate {
+    private static final class World implements MachineStream.Transport, MachineStream.AttemptListener {
         final Machine machine = new Machine(7);
-        final Link link = new Link(machine, new Link.Manners(ms(250), ms(5000), ms(100), ms(2000), ms(400), ms(250), 3,
-                false), this, this, new Chance(1));
+        final MachineStream link = new MachineStream(machine, new MachineStream.ConnectionTimeouts(ms(250), ms(5000), ms(100), ms(2000), ms(400), ms(250), 3,
+                false), this, this, new SeededRandom(1));
         final List<String> acts = new ArrayList<>();
-        final Map<Claim, End> ends = new HashMap<>();
-        final Set<Claim> bound = new HashSet<>();
-        final Set<Link.Name> offered = new HashSet<>();
-        final List<Link.Held> adopted = new ArrayList<>();
+        final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
+        final Set<PlacementAttempt> bound = new HashSet<>();
+        final Set<MachineStream.AttemptId> offered = new HashSet<>();
+        final List<MachineStream.ReportedVm> adopted = new ArrayList<>();
         boolean open;
         boolean ready = true;
         Duration now = Duration.ZERO;
@@ -40,24 +40,24 @@
             return Duration.ofMillis(n);
         }
 
-        Claim offer(boolean mayRepeat) {
+        PlacementAttempt offer(boolean mayRepeat) {
             Vm vm = new Vm("vm" + made++);
-            Claim c = new Claim(vm, machine, 0, now);
-            vm.claims.add(c);
+            PlacementAttempt c = new PlacementAttempt(vm, machine, 0, now);
+            vm.attempts.add(c);
             link.offer(c, name(c), mayRepeat, ms(1000), now);
             return c;
         }
 
-        static Link.Name name(Claim c) {
-            return new Link.Name(c.vm.id, 0);
+        static MachineStream.AttemptId name(PlacementAttempt c) {
+            return new MachineStream.AttemptId(c.vm.id, 0);
         }
 
-        void holding(long incarnation, Link.Held... held) {
+        void holding(long incarnation, MachineStream.ReportedVm... held) {
             link.holding(incarnation, List.of(held), now);
         }
 
-        static Link.Held held(Claim c, Link.Held.State state) {
-            return new Link.Held(name(c), state, "f", 1, "", 1, 1, "owner");
+        static MachineStream.ReportedVm held(PlacementAttempt c, MachineStream.ReportedVm.State state) {
+            return new MachineStream.ReportedVm(name(c), state, "f", 1, "", 1, 1, "owner");
         }
 
         void pass(long millis) {
@@ -93,18 +93,18 @@
         }
 
         @Override
-        public void offer(Claim claim, Link.Name name, Duration within) {
-            assertThat(claim.end).as("offered after its end").isNull();
+        public void offer(PlacementAttempt attempt, MachineStream.AttemptId name, Duration within) {
+            assertThat(attempt.outcome).as("offered after its end").isNull();
             assertThat(offered.add(name)).as("offered twice").isTrue();
         }
 
         @Override
-        public void cancel(Link.Name name) {
+        public void cancel(MachineStream.AttemptId name) {
             acts.add("cancel " + name.vm());
         }
 
         @Override
-        public void stop(Link.Name name) {
+        public void stop(MachineStream.AttemptId name) {
             acts.add("stop " + name.vm());
         }
 
@@ -114,20 +114,20 @@
         }
 
         @Override
-        public void bound(Claim claim, boolean running) {
-            assertThat(claim.end).as("bound after its end").isNull();
-            bound.add(claim);
+        public void bound(PlacementAttempt attempt, boolean running) {
+            assertThat(attempt.outcome).as("bound after its end").isNull();
+            bound.add(attempt);
         }
 
         @Override
-        public void ended(Claim claim, End end, Why why) {
-            assertThat(claim.end).as("a second end").isNull();
-            claim.end = end;
-            ends.put(claim, end);
+        public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+            assertThat(attempt.outcome).as("a second end").isNull();
+            attempt.outcome = end;
+            ends.put(attempt, end);
         }
 
         @Override
-        public void runsAlready(Link.Held held, Machine m) {
+        public void runsAlready(MachineStream.ReportedVm held, Machine m) {
             adopted.add(held);
         }
 
@@ -137,8 +137,8 @@
         }
 
         @Override
-        public void cleared(Claim claim) {
-            assertThat(claim.end).as("cleared before it was given up").isNotNull();
+        public void cleared(PlacementAttempt attempt) {
+            assertThat(attempt.outcome).as("cleared before it was given up").isNotNull();
         }
 
         @Override
@@ -149,30 +149,30 @@
     @Example
     void anOfferThatWasNeverWrittenNeverRan() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.breaks();
-        assertThat(c.end).isEqualTo(End.UNREACHABLE);
+        assertThat(c.outcome).isEqualTo(Outcome.UNREACHABLE);
         assertThat(w.offered).isEmpty();
     }
 
     @Example
     void aMachineThatNeverSpeaksIsGivenUp() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.pass(260);
-        assertThat(c.end).isEqualTo(End.UNREACHABLE);
+        assertThat(c.outcome).isEqualTo(Outcome.UNREACHABLE);
         assertThat(w.acts).contains("close");
     }
 
     @Example
     void aRepeatableOneMayHaveRunAtOnceAndIsCalledOffOnReturn() {
         World w = new World();
-        Claim c = w.offer(true);
+        PlacementAttempt c = w.offer(true);
         w.holding(1);
         w.breaks();
-        assertThat(c.end).isEqualTo(End.RESET);
+        assertThat(c.outcome).isEqualTo(Outcome.RESET);
         w.pass(150);
-        w.holding(1, World.held(c, Link.Held.State.RUNNING));
+        w.holding(1, World.held(c, MachineStream.ReportedVm.State.RUNNING));
         assertThat(w.acts).contains("cancel vm0");
         assertThat(w.bound).isEmpty();
     }
@@ -180,67 +180,67 @@
     @Example
     void aOneShotWaitsForTheStreamToComeBackAndGoesOn() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.holding(1);
         w.breaks();
-        assertThat(c.end).isNull();
+        assertThat(c.outcome).isNull();
         w.pass(150);
-        w.holding(1, World.held(c, Link.Held.State.RUNNING));
+        w.holding(1, World.held(c, MachineStream.ReportedVm.State.RUNNING));
         assertThat(w.bound).contains(c);
-        assertThat(c.end).isNull();
+        assertThat(c.outcome).isNull();
     }
 
     @Example
     void aOneShotThatTheMachineNeverGotIsFree() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.holding(1);
         w.breaks();
         w.pass(150);
         w.holding(1);
-        assertThat(c.end).isEqualTo(End.MOOT);
-        assertThat(c.neverRan()).isTrue();
+        assertThat(c.outcome).isEqualTo(Outcome.MOOT);
+        assertThat(c.hasNeverRun()).isTrue();
     }
 
     @Example
     void aOneShotOnAMachineThatStartedAnewMayHaveRun() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.holding(1);
         w.breaks();
         w.pass(150);
         w.holding(2);
-        assertThat(c.end).isEqualTo(End.RESET);
+        assertThat(c.outcome).isEqualTo(Outcome.RESET);
     }
 
     @Example
     void aOneShotWhoseStreamStaysAwayMayHaveRun() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.holding(1);
         w.breaks();
         w.pass(410);
-        assertThat(c.end).isEqualTo(End.RESET);
+        assertThat(c.outcome).isEqualTo(Outcome.RESET);
     }
 
     @Example
     void whatRunsIsLostOnlyOnTheMachinesWordOrTheLists() {
         World w = new World();
-        Claim stays = w.offer(true);
-        Claim lost = w.offer(true);
+        PlacementAttempt stays = w.offer(true);
+        PlacementAttempt lost = w.offer(true);
         w.holding(1);
         w.link.started(World.name(stays), w.now);
         w.link.started(World.name(lost), w.now);
         w.breaks();
         w.pass(60);
-        assertThat(stays.end).isNull();
+        assertThat(stays.outcome).isNull();
         w.pass(60);
-        w.holding(1, World.held(stays, Link.Held.State.RUNNING));
-        assertThat(stays.end).isNull();
-        assertThat(lost.end).isEqualTo(End.RESET);
+        w.holding(1, World.held(stays, MachineStream.ReportedVm.State.RUNNING));
+        assertThat(stays.outcome).isNull();
+        assertThat(lost.outcome).isEqualTo(Outcome.RESET);
         w.breaks();
         w.link.listed(true, w.now);
-        assertThat(stays.end).isEqualTo(End.RESET);
+        assertThat(stays.outcome).isEqualTo(Outcome.RESET);
     }
 
     @Example
@@ -248,10 +248,10 @@
         World w = new World();
         w.ready = false;
         for (int i = 0; i < 3; i++) {
-            assertThat(w.offer(true).end).isNull();
+            assertThat(w.offer(true).outcome).isNull();
         }
         w.holding(1);
-        assertThat(w.offer(true).end).isEqualTo(End.FULL);
+        assertThat(w.offer(true).outcome).isEqualTo(Outcome.FULL);
         w.ready = true;
         w.link.ready(w.now);
         assertThat(w.offered.size()).isEqualTo(3);
@@ -261,10 +261,10 @@
     void aDrainTakesBackWhatIsDecidedButNotWritten() {
         World w = new World();
         w.ready = false;
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.holding(1);
         w.link.drains();
-        assertThat(c.end).isEqualTo(End.MOOT);
+        assertThat(c.outcome).isEqualTo(Outcome.MOOT);
         w.ready = true;
         w.link.ready(w.now);
         assertThat(w.offered).isEmpty();
@@ -273,22 +273,22 @@
     @Example
     void anAnswerThatCrossesOurCancelIsNotHeard() {
         World w = new World();
-        Claim c = w.offer(false);
+        PlacementAttempt c = w.offer(false);
         w.holding(1);
         assertThat(w.link.giveUp(c, w.now)).isFalse();
-        c.end = End.TIMEOUT;
+        c.outcome = Outcome.TIMEOUT;
         w.link.started(World.name(c), w.now);
-        w.link.finished(World.name(c), End.CANCELLED, Why.UNTOLD, w.now);
+        w.link.finished(World.name(c), Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, w.now);
         assertThat(w.bound).isEmpty();
-        assertThat(w.link.claims()).isEqualTo(0);
+        assertThat(w.link.attempts()).isEqualTo(0);
     }
 
     @Example
     void whatAnEarlierLifeLeftRunningIsAdoptedAndItsLineCalledOff() {
         World w = new World();
         w.link.call(w.now);
-        w.holding(4, new Link.Held(new Link.Name("old", 2), Link.Held.State.RUNNING, "f", 1, "", 1, 1, "o"),
-                new Link.Held(new Link.Name("queued", 0), Link.Held.State.IN_LINE, "f", 1, "", 1, 1, "o"));
+        w.holding(4, new MachineStream.ReportedVm(new MachineStream.AttemptId("old", 2), MachineStream.ReportedVm.State.RUNNING, "f", 1, "", 1, 1, "o"),
+                new MachineStream.ReportedVm(new MachineStream.AttemptId("queued", 0), MachineStream.ReportedVm.State.IN_LINE, "f", 1, "", 1, 1, "o"));
         assertThat(w.adopted.size()).isEqualTo(1);
         assertThat(w.acts).contains("cancel queued");
     }
@@ -298,8 +298,8 @@
         World w = new World();
         List<Long> tries = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            while (w.link.phase() == Link.Phase.WAITING) {
-                assertThat(w.offer(true).end).isEqualTo(End.UNREACHABLE);
+            while (w.link.phase() == MachineStream.Phase.WAITING) {
+                assertThat(w.offer(true).outcome).isEqualTo(Outcome.UNREACHABLE);
                 w.pass(20);
             }
             tries.add(w.now.toMillis());
@@ -314,46 +314,46 @@
 
     /** A machine that keeps the contract, and any order of breaks, answers and lists: no claim is left in doubt. */
     @Property(tries = 400, seed = "77")
-    void everyClaimEndsOnceAndNeverRunIsTrue(@ForAll long seed) {
+    void everyAttemptEndsOnceAndNeverRunIsTrue(@ForAll long seed) {
         World w = new World();
         Random r = new Random(seed);
-        Map<Link.Name, Link.Held.State> there = new HashMap<>();
-        Set<Link.Name> ran = new HashSet<>();
-        List<Claim> all = new ArrayList<>();
+        Map<MachineStream.AttemptId, MachineStream.ReportedVm.State> there = new HashMap<>();
+        Set<MachineStream.AttemptId> ran = new HashSet<>();
+        List<PlacementAttempt> all = new ArrayList<>();
         long incarnation = 1;
-        Set<Link.Name> taken = new HashSet<>();
+        Set<MachineStream.AttemptId> taken = new HashSet<>();
         for (int i = 0; i < 120; i++) {
             // Offers reach the machine while the stream stands; some are lost with it.
-            for (Link.Name n : w.offered) {
+            for (MachineStream.AttemptId n : w.offered) {
                 if (taken.add(n) && (w.open || r.nextBoolean())) {
-                    there.put(n, Link.Held.State.IN_LINE);
+                    there.put(n, MachineStream.ReportedVm.State.IN_LINE);
                 }
             }
-            Claim c = all.isEmpty() ? null : all.get(r.nextInt(all.size()));
-            Link.Name n = c == null ? null : World.name(c);
+            PlacementAttempt c = all.isEmpty() ? null : all.get(r.nextInt(all.size()));
+            MachineStream.AttemptId n = c == null ? null : World.name(c);
             switch (r.nextInt(9)) {
                 case 0, 1 -> all.add(w.offer(r.nextBoolean()));
                 case 2 -> {
-                    if (w.link.phase() == Link.Phase.CONNECTING) {
-                        List<Link.Held> held = new ArrayList<>();
-                        there.forEach((k, s) -> held.add(new Link.Held(k, s, "f", 1, "", 1, 1, "o")));
+                    if (w.link.phase() == MachineStream.Phase.CONNECTING) {
+                        List<MachineStream.ReportedVm> held = new ArrayList<>();
+                        there.forEach((k, s) -> held.add(new MachineStream.ReportedVm(k, s, "f", 1, "", 1, 1, "o")));
                         w.link.holding(incarnation, held, w.now);
                     }
                 }
                 case 3 -> {
-                    if (n != null && there.get(n) == Link.Held.State.IN_LINE) {
-                        there.put(n, Link.Held.State.RUNNING);
+                    if (n != null && there.get(n) == MachineStream.ReportedVm.State.IN_LINE) {
+                        there.put(n, MachineStream.ReportedVm.State.RUNNING);
                         ran.add(n);
-                        if (w.link.phase() == Link.Phase.GREETED && r.nextInt(3) > 0) {
+                        if (w.link.phase() == MachineStream.Phase.GREETED && r.nextInt(3) > 0) {
                             w.link.started(n, w.now);
                         }
                     }
                 }
                 case 4 -> {
-                    if (n != null && there.get(n) == Link.Held.State.IN_LINE) {
-                        there.put(n, Link.Held.State.REFUSED);
-                        if (w.link.phase() == Link.Phase.GREETED) {
-                            w.link.refused(n, Why.NO_CORES, w.now);
+                    if (n != null && there.get(n) == MachineStream.ReportedVm.State.IN_LINE) {
+                        there.put(n, MachineStream.ReportedVm.State.REFUSED);
+                        if (w.link.phase() == MachineStream.Phase.GREETED) {
+                            w.link.refused(n, OutcomeReason.INSUFFICIENT_CORES, w.now);
                         }
                     }
                 }
@@ -367,25 +367,25 @@
                     }
                 }
                 case 6 -> {
-                    if (c != null && c.end == null && !w.bound.contains(c)) {
+                    if (c != null && c.outcome == null && !w.bound.contains(c)) {
                         boolean never = w.link.giveUp(c, w.now);
-                        w.ended(c, never ? End.UNREACHABLE : End.TIMEOUT, Why.UNTOLD);
-                        there.computeIfPresent(n, (k, s) -> s == Link.Held.State.IN_LINE ? Link.Held.State.REFUSED : s);
+                        w.ended(c, never ? Outcome.UNREACHABLE : Outcome.TIMEOUT, OutcomeReason.UNSPECIFIED);
+                        there.computeIfPresent(n, (k, s) -> s == MachineStream.ReportedVm.State.IN_LINE ? MachineStream.ReportedVm.State.REFUSED : s);
                     }
                 }
                 case 7 -> w.ready = r.nextInt(4) > 0;
                 default -> w.pass(r.nextInt(300));
             }
-            for (Claim o : all) {
-                assertThat(o.neverRan() && ran.contains(World.name(o))).as("said never to have run, but ran").isFalse();
+            for (PlacementAttempt o : all) {
+                assertThat(o.hasNeverRun() && ran.contains(World.name(o))).as("said never to have run, but ran").isFalse();
             }
         }
         if (w.open) {
             w.breaks();
         }
         w.link.listed(true, w.now);
-        for (Claim o : all) {
-            assertThat(o.end).as("left in doubt").isNotNull();
+        for (PlacementAttempt o : all) {
+            assertThat(o.outcome).as("left in doubt").isNotNull();
         }
     }
 }
--- a/src/test/java/fordridge/link/RollCallTest.java
+++ b/src/test/java/fordridge/machine/ReconnectPacerTest.java
@@ -1,4 +1,4 @@
-package fordridge.link;
+package fordridge.machine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,12 +10,12 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class RollCallTest {
+class ReconnectPacerTest {
     /** Whatever answers, fails or leaves: each is called once, few at a time, and none is left out. */
     @Property(tries = 200, seed = "4711")
     void everyMachineIsCalledOnceAndFewAtATime(@ForAll long seed) {
         Random r = new Random(seed);
-        RollCall roll = new RollCall();
+        ReconnectPacer roll = new ReconnectPacer();
         Set<Object> all = new HashSet<>();
         for (int i = 0; i < 100; i++) {
             all.add("m" + i);
--- a/src/test/java/fordridge/World.java
+++ b/src/test/java/fordridge/scheduling/SchedulerFixture.java
@@ -1,13 +1,13 @@
-package fordridge;
+package fordridge.scheduling;
 
-import fordridge.door.Door;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Machine.Listing;
-import fordridge.state.Note;
-import fordridge.state.Vm;
+import fordridge.scheduling.SchedulerActions;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.Machine.Lifecycle;
+import fordridge.model.GossipCodec;
+import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,28 +18,28 @@
 import java.util.Set;
 
 /** A door that checks the five rules at every act, and hands on seeded, legal but odd inputs. */
-final class World implements Door {
+final class SchedulerFixture implements SchedulerActions {
     static final Duration GRACE = Duration.ofMillis(500);
     final Map<String, Object> terms = new HashMap<>();
     final List<Machine> machines = new ArrayList<>();
     final Map<Machine, Duration> toldGone = new HashMap<>();
     final List<Vm> vms = new ArrayList<>();
-    final List<Claim> claims = new ArrayList<>();
+    final List<PlacementAttempt> attempts = new ArrayList<>();
     final Set<Vm> answered = new HashSet<>();
     final List<String> acts = new ArrayList<>();
-    final Map<Machine, List<Duration>> coldOffers = new HashMap<>();
-    Logic logic = new Logic(this);
+    final Map<Machine, List<Duration>> slowStartAttempts = new HashMap<>();
+    Scheduler scheduler = new Scheduler(this);
     Duration now = Duration.ofSeconds(5);
     Duration wakeAt;
     boolean subscribed;
-    String customer = "";
+    String tenant = "";
     int denied;
     int errored;
     int probes;
     final List<Duration> advice = new ArrayList<>();
     final List<String> notes = new ArrayList<>();
 
-    World(boolean pushed, String scope) {
+    SchedulerFixture(boolean pushed, String scope) {
         String[] kinds = {"small", "big"};
         terms.put("kinds", List.of(kinds));
         terms.put("discovery", pushed ? "push" : "ask");
@@ -83,13 +83,13 @@
     }
 
     void begin(long seed, int count) {
-        logic.at(now);
-        logic.start(seed, terms);
-        logic.listBegins(true, true);
+        scheduler.advanceTo(now);
+        scheduler.start(seed, terms);
+        scheduler.machineListStarted(true, true);
         for (int i = 0; i < count; i++) {
-            logic.listed(machine(i), Listing.LIVE, null);
+            scheduler.machineListed(machine(i), Lifecycle.LIVE, null);
         }
-        logic.listEnds();
+        scheduler.machineListCompleted();
     }
 
     private Machine machine(int i) {
@@ -105,44 +105,44 @@
 
     /** One change of the list: the fleet doubles with cold machines, or most of it goes. */
     private void resize(boolean grow) {
-        logic.listBegins(false, false);
+        scheduler.machineListStarted(false, false);
         for (int i = 0, n = Math.min(machines.size(), 12); i < n; i++) {
             Machine m = grow ? machine(machines.size()) : machines.get(i);
             toldGone.remove(m);
             if (grow) {
-                coldOffers.put(m, new ArrayList<>());
+                slowStartAttempts.put(m, new ArrayList<>());
             } else {
                 toldGone.put(m, now);
             }
-            logic.listed(m, grow ? Listing.LIVE : Listing.GONE, grow ? now : null);
+            scheduler.machineListed(m, grow ? Lifecycle.LIVE : Lifecycle.GONE, grow ? now : null);
         }
-        logic.listEnds();
+        scheduler.machineListCompleted();
     }
 
-    void list(Machine m, Listing listing, Duration startedAt) {
+    void list(Machine m, Lifecycle lifecycle, Duration startedAt) {
         toldGone.remove(m);
-        if (listing != Listing.LIVE) {
+        if (lifecycle != Lifecycle.LIVE) {
             toldGone.put(m, now);
         }
         if (startedAt != null) {
-            coldOffers.put(m, new ArrayList<>());
+            slowStartAttempts.put(m, new ArrayList<>());
         }
-        logic.listBegins(false, false);
-        logic.listed(m, listing, startedAt);
-        logic.listEnds();
+        scheduler.machineListStarted(false, false);
+        scheduler.machineListed(m, lifecycle, startedAt);
+        scheduler.machineListCompleted();
     }
 
-    Vm arrive(String flavour, double cores, double memory, long service) {
+    Vm arrive(String priorityClass, double cores, double memory, long service) {
         Vm vm = new Vm("vm" + vms.size());
-        vm.flavour = flavour;
-        vm.customer = customer;
+        vm.priorityClass = priorityClass;
+        vm.tenant = tenant;
         vm.cores = cores;
         vm.memory = memory;
         vm.service = service;
         vm.arrivedAt = now;
         vm.deadline = now.plusSeconds(5);
         vms.add(vm);
-        logic.arrives(vm);
+        scheduler.vmRequested(vm);
         return vm;
     }
 
@@ -151,78 +151,78 @@
         Duration end = now.plus(span);
         while (now.compareTo(end) < 0) {
             now = now.plusMillis(10);
-            logic.at(now);
-            for (Claim c : List.copyOf(claims)) {
-                if (c.out() && c.boundAt == null && now.compareTo(c.sentAt.plus(c.within)) >= 0) {
-                    end(c, End.TIMEOUT, Why.UNTOLD);
+            scheduler.advanceTo(now);
+            for (PlacementAttempt c : List.copyOf(attempts)) {
+                if (c.isInFlight() && c.acceptedAt == null && now.compareTo(c.sentAt.plus(c.timeout)) >= 0) {
+                    end(c, Outcome.TIMEOUT, OutcomeReason.UNSPECIFIED);
                 }
             }
             if (wakeAt != null && now.compareTo(wakeAt) >= 0) {
                 wakeAt = null;
-                logic.woken();
+                scheduler.timerFired();
             }
             for (Vm vm : vms) {
-                check(vm.placed != null || vm.over || now.compareTo(vm.deadline.plusMillis(10)) < 0,
+                check(vm.acceptedAttempt != null || vm.isFinished || now.compareTo(vm.deadline.plusMillis(10)) < 0,
                         "rule 1: " + vm.id + " has no answer in time");
             }
         }
     }
 
-    void bind(Claim c) {
+    void bind(PlacementAttempt c) {
         answered.add(c.vm);
-        logic.bound(c);
+        scheduler.attemptAccepted(c);
     }
 
-    void end(Claim c, End how, Why why) {
-        boolean wasBound = c.boundAt != null;
-        logic.ended(c, how, why, wasBound || c.vm.over);
+    void end(PlacementAttempt c, Outcome how, OutcomeReason why) {
+        boolean wasBound = c.acceptedAt != null;
+        scheduler.attemptEnded(c, how, why, wasBound || c.vm.isFinished);
     }
 
     /** One odd but legal happening. */
     void happen(Random r) {
-        logic.at(now);
+        scheduler.advanceTo(now);
         Machine m = machines.get(r.nextInt(machines.size()));
-        List<Claim> open = claims.stream().filter(Claim::out).toList();
-        Claim c = open.isEmpty() ? null : open.get(r.nextInt(open.size()));
-        String[] flavours = {"retryable", "dedup", "fragile"};
+        List<PlacementAttempt> open = attempts.stream().filter(PlacementAttempt::isInFlight).toList();
+        PlacementAttempt c = open.isEmpty() ? null : open.get(r.nextInt(open.size()));
+        String[] priorityClasses = {"retryable", "dedup", "fragile"};
         switch (r.nextInt(50) == 0 ? 13 : r.nextInt(13)) {
-            case 0, 1, 2, 3 -> arrive(flavours[r.nextInt(3)], 0.5 + r.nextInt(6), 1 + r.nextInt(9), r.nextInt(5));
+            case 0, 1, 2, 3 -> arrive(priorityClasses[r.nextInt(3)], 0.5 + r.nextInt(6), 1 + r.nextInt(9), r.nextInt(5));
             case 4, 5 -> {
-                if (c != null && c.boundAt == null && !c.vm.over) {
+                if (c != null && c.acceptedAt == null && !c.vm.isFinished) {
                     bind(c);
                 }
             }
             case 6, 7 -> {
                 if (c != null) {
-                    End[] ends = c.boundAt != null ? new End[] {End.DONE, End.RESET, End.CANCELLED}
-                            : new End[] {End.ERROR, End.FULL, End.UNREACHABLE, End.RESET, End.TIMEOUT, End.MOOT};
-                    end(c, ends[r.nextInt(ends.length)], Why.values()[r.nextInt(Why.values().length)]);
+                    Outcome[] ends = c.acceptedAt != null ? new Outcome[] {Outcome.DONE, Outcome.RESET, Outcome.CANCELLED}
+                            : new Outcome[] {Outcome.ERROR, Outcome.FULL, Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT, Outcome.MOOT};
+                    end(c, ends[r.nextInt(ends.length)], OutcomeReason.values()[r.nextInt(OutcomeReason.values().length)]);
                 }
             }
-            case 8 -> list(m, Listing.values()[r.nextInt(3)], null);
-            case 9 -> list(m, Listing.LIVE, now.minusMillis(r.nextInt(2000)));
+            case 8 -> list(m, Lifecycle.values()[r.nextInt(3)], null);
+            case 9 -> list(m, Lifecycle.LIVE, now.minusMillis(r.nextInt(2000)));
             case 10 -> {
                 m.spareCores = r.nextDouble() * m.cores;
                 m.spareMemory = r.nextDouble() * m.memory;
                 m.reportedAt = now;
-                logic.probed(m, r.nextBoolean(), true, Duration.ofMillis(2));
+                scheduler.probeCompleted(m, r.nextBoolean(), true, Duration.ofMillis(2));
             }
             case 11 -> {
                 char[] what = new char[r.nextInt(4)];
                 for (int i = 0; i < what.length; i++) {
-                    what[i] = Note.whole(r.nextInt(94));
+                    what[i] = GossipCodec.whole(r.nextInt(94));
                 }
-                logic.heard(Note.name(r.nextInt(3) == 0 ? 7 : m.id) + new String(what));
+                scheduler.gossipReceived(GossipCodec.name(r.nextInt(3) == 0 ? 7 : m.id) + new String(what));
             }
             case 13 -> resize(machines.size() < 60 && r.nextBoolean());
             default -> {
                 if (r.nextInt(4) == 0) {
-                    logic.listFailed();
+                    scheduler.machineListFailed();
                 } else if (!vms.isEmpty()) {
                     Vm vm = vms.get(r.nextInt(vms.size()));
-                    if (!vm.over) {
+                    if (!vm.isFinished) {
                         answered.add(vm);
-                        logic.left(vm);
+                        scheduler.clientLeft(vm);
                     }
                 }
             }
@@ -235,8 +235,8 @@
         }
     }
 
-    private static boolean neverRan(Claim c) {
-        return c.end == End.FULL || c.end == End.UNREACHABLE || c.end == End.MOOT;
+    private static boolean hasNeverRun(PlacementAttempt c) {
+        return c.outcome == Outcome.FULL || c.outcome == Outcome.UNREACHABLE || c.outcome == Outcome.MOOT;
     }
 
     private boolean sameGroup(Machine a, Machine b) {
@@ -248,35 +248,35 @@
     }
 
     @Override
-    public void claim(Claim c, Duration within) {
+    public void sendAttempt(PlacementAttempt c, Duration within) {
         acts.add(now + " claim " + c.vm.id + " " + c.machine.id);
         check(!answered.contains(c.vm), "rule 1: a claim after the answer for " + c.vm.id);
         Duration told = toldGone.get(c.machine);
         check(told == null || now.compareTo(told.plus(GRACE)) <= 0, "rule 3: sent to a machine told gone");
         int inPlace = 1;
-        for (Claim o : claims) {
+        for (PlacementAttempt o : attempts) {
             if (o.vm == c.vm && o != c) {
-                check(!o.out(), "rule 2: two claims out at once");
-                if (!neverRan(o) && !c.vm.flavour.equals("retryable")) {
-                    check(c.vm.flavour.equals("dedup"), "rule 2: a one-shot sent again");
+                check(!o.isInFlight(), "rule 2: two claims out at once");
+                if (!hasNeverRun(o) && !c.vm.priorityClass.equals("retryable")) {
+                    check(c.vm.priorityClass.equals("dedup"), "rule 2: a one-shot sent again");
                     check(sameGroup(o.machine, c.machine), "rule 2: out of its group");
                     check(now.compareTo(o.sentAt.plusSeconds(3)) < 0, "rule 2: out of its window");
                 }
             }
-            boolean near = c.vm.flavour.equals("fragile") ? o.machine == c.machine : o.machine.cell == c.machine.cell;
-            inPlace += o.out() && o.vm.service == c.vm.service && near ? 1 : 0;
+            boolean near = c.vm.priorityClass.equals("fragile") ? o.machine == c.machine : o.machine.cell == c.machine.cell;
+            inPlace += o.isInFlight() && o.vm.service == c.vm.service && near ? 1 : 0;
         }
-        int most = c.vm.flavour.equals("fragile") ? 2 : c.vm.flavour.equals("dedup") ? 3 : Integer.MAX_VALUE;
+        int most = c.vm.priorityClass.equals("fragile") ? 2 : c.vm.priorityClass.equals("dedup") ? 3 : Integer.MAX_VALUE;
         check(inPlace <= most, "rule 5: more of a service in one place than the most");
         Machine m = c.machine;
         if (m.startedAt != null && now.minus(m.startedAt).compareTo(Duration.ofSeconds(10)) < 0) {
-            List<Duration> sent = coldOffers.get(m);
+            List<Duration> sent = slowStartAttempts.get(m);
             sent.add(now);
             boolean hundreds = terms.get("nInstances").equals(300L);
             long recent = sent.stream().filter(t -> t.compareTo(now.minusSeconds(hundreds ? 10 : 1)) > 0).count();
             check(recent <= (hundreds ? 1 : 4), "rule 4: more than this placer's part of what a cold machine bears");
         }
-        claims.add(c);
+        attempts.add(c);
     }
 
     private void answer(Vm vm) {
@@ -286,29 +286,29 @@
     }
 
     @Override
-    public void deny(Vm vm, Duration retryAfter) {
+    public void reject(Vm vm, Duration retryAfter) {
         answer(vm);
         denied++;
         advice.add(retryAfter);
-        boolean mayHaveRun = vm.claims.stream().anyMatch(c -> !neverRan(c));
-        check(!mayHaveRun || vm.flavour.equals("retryable")
-                || vm.flavour.equals("dedup") && terms.get("lanes.1.dedupScope").equals("all"), "rule 2: denied");
+        boolean mayHaveRun = vm.attempts.stream().anyMatch(c -> !hasNeverRun(c));
+        check(!mayHaveRun || vm.priorityClass.equals("retryable")
+                || vm.priorityClass.equals("dedup") && terms.get("lanes.1.dedupScope").equals("all"), "rule 2: denied");
     }
 
     @Override
-    public void error(Vm vm) {
+    public void fail(Vm vm) {
         answer(vm);
         errored++;
     }
 
     @Override
-    public void move(Vm vm) {
-        check(vm.placed != null, "a move of what is not placed");
+    public void migrate(Vm vm) {
+        check(vm.acceptedAttempt != null, "a move of what is not placed");
         answered.add(vm);
     }
 
     @Override
-    public void cancel(Claim claim) {
+    public void cancelAttempt(PlacementAttempt attempt) {
         acts.add(now + " cancel");
     }
 
@@ -319,13 +319,13 @@
     }
 
     @Override
-    public void tell(String note) {
+    public void gossip(String note) {
         check(note.length() >= 3 && note.length() <= 5, "a note of another length");
         notes.add(note);
     }
 
     @Override
-    public void wake(Duration in) {
+    public void scheduleTimer(Duration in) {
         wakeAt = now.plus(in);
     }
 
@@ -335,12 +335,12 @@
     }
 
     @Override
-    public void follow(boolean on) {
+    public void watchMachineList(boolean on) {
         subscribed = on;
     }
 
     @Override
-    public void lookup() {
+    public void fetchMachineList() {
         acts.add(now + " lookup");
     }
 }
--- a/src/test/java/fordridge/ColdFleetTest.java
+++ b/src/test/java/fordridge/scheduling/SlowStartFleetTest.java
@@ -1,13 +1,13 @@
-package fordridge;
+package fordridge.scheduling;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.door.Door;
-import fordridge.state.Claim;
-import fordridge.state.Claim.End;
-import fordridge.state.Claim.Why;
-import fordridge.state.Machine;
-import fordridge.state.Vm;
+import fordridge.scheduling.SchedulerActions;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,7 +25,7 @@
  * Rule 4 for the fleet: what all placers together send to a machine that has just come up, each a module of its own
  * with a clock of its own, that hears of the start late and may be restarted in between.
  */
-class ColdFleetTest {
+class SlowStartFleetTest {
     private static final Duration STEP = Duration.ofMillis(20);
     private static final Duration WARM = Duration.ofSeconds(10);
 
@@ -87,15 +87,15 @@
     }
 
     /** One placer's life: its clock runs from its own start, and is off by some milliseconds against the others'. */
-    private static final class Instance implements Door {
+    private static final class Instance implements SchedulerActions {
         final Fleet fleet;
-        final Logic logic = new Logic(this);
+        final Scheduler scheduler = new Scheduler(this);
         final Duration origin;
         /** How far its wall clock, by which starts are told, is off. */
         final Duration skew;
         final Duration hears;
         final Machine[] machines = new Machine[3];
-        final List<Claim> out = new ArrayList<>();
+        final List<PlacementAttempt> out = new ArrayList<>();
         boolean told;
         Duration wakeAt;
         int asked;
@@ -124,8 +124,8 @@
             terms.put("obligations.warmAfterUs", WARM.toNanos() / 1000);
             terms.put("obligations.overloadForUs", fleet.span.toNanos() / 1000);
             terms.put("obligations.coldFrom", 0.2);
-            logic.at(now());
-            logic.start(fleet.r.nextLong(), terms);
+            scheduler.advanceTo(now());
+            scheduler.start(fleet.r.nextLong(), terms);
         }
 
         private Duration now() {
@@ -133,41 +133,41 @@
         }
 
         void step() {
-            logic.at(now());
+            scheduler.advanceTo(now());
             if (!told && fleet.clock.compareTo(hears) >= 0) {
                 told = true;
-                logic.listBegins(true, false);
+                scheduler.machineListStarted(true, false);
                 for (int m = 0; m < machines.length; m++) {
                     machines[m] = new Machine(1000 + 7 * m);
                     machines[m].kind = "k";
                     machines[m].zone = "z";
                     machines[m].freeCores = 1e6;
                     machines[m].freeMemory = 1e6;
-                    logic.listed(machines[m], Machine.Listing.LIVE, fleet.startedAt.get(m).plus(skew).minus(origin));
+                    scheduler.machineListed(machines[m], Machine.Lifecycle.LIVE, fleet.startedAt.get(m).plus(skew).minus(origin));
                 }
-                logic.listEnds();
+                scheduler.machineListCompleted();
             }
-            for (Claim c : List.copyOf(out)) {
+            for (PlacementAttempt c : List.copyOf(out)) {
                 out.remove(c);
-                logic.bound(c);
-                logic.ended(c, End.DONE, Why.UNTOLD, true);
+                scheduler.attemptAccepted(c);
+                scheduler.attemptEnded(c, Outcome.DONE, OutcomeReason.UNSPECIFIED, true);
             }
             Vm vm = new Vm("v" + asked++);
-            vm.flavour = "f";
+            vm.priorityClass = "f";
             vm.cores = 1;
             vm.memory = 1;
             vm.service = fleet.r.nextInt(50);
             vm.arrivedAt = now();
             vm.deadline = now().plusSeconds(2);
-            logic.arrives(vm);
+            scheduler.vmRequested(vm);
             if (wakeAt != null && now().compareTo(wakeAt) >= 0) {
                 wakeAt = null;
-                logic.woken();
+                scheduler.timerFired();
             }
         }
 
         @Override
-        public void claim(Claim c, Duration within) {
+        public void sendAttempt(PlacementAttempt c, Duration within) {
             for (int m = 0; m < machines.length; m++) {
                 if (machines[m] == c.machine) {
                     fleet.sent.get(m).add(fleet.clock);
@@ -177,24 +177,24 @@
         }
 
         @Override
-        public void wake(Duration in) {
+        public void scheduleTimer(Duration in) {
             wakeAt = now().plus(in);
         }
 
         @Override
-        public void deny(Vm vm, Duration retryAfter) {
+        public void reject(Vm vm, Duration retryAfter) {
         }
 
         @Override
-        public void error(Vm vm) {
+        public void fail(Vm vm) {
         }
 
         @Override
-        public void move(Vm vm) {
+        public void migrate(Vm vm) {
         }
 
         @Override
-        public void cancel(Claim claim) {
+        public void cancelAttempt(PlacementAttempt attempt) {
         }
 
         @Override
@@ -206,11 +206,11 @@
         }
 
         @Override
-        public void follow(boolean on) {
+        public void watchMachineList(boolean on) {
         }
 
         @Override
-        public void lookup() {
+        public void fetchMachineList() {
         }
     }
 
--- a/src/test/java/fordridge/placer/GroupsTest.java
+++ b/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
@@ -1,10 +1,10 @@
-package fordridge.placer;
+package fordridge.server.grpc;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.constraint.Plan;
-import fordridge.session.Answer;
-import fordridge.state.Vm;
+import fordridge.constraint.GroupPlan;
+import fordridge.session.ClientResponse;
+import fordridge.model.Vm;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -13,12 +13,12 @@
 import net.jqwik.api.Example;
 
 /** What happens between a group being whole and its plan being known. */
-class GroupsTest {
-    private final Deque<Consumer<Plan>> thinking = new ArrayDeque<>();
+class GroupPlacementTest {
+    private final Deque<Consumer<GroupPlan>> thinking = new ArrayDeque<>();
     private final List<String> done = new ArrayList<>();
-    private final Groups groups = new Groups(new Groups.Hands() {
+    private final GroupCoordinator groups = new GroupCoordinator(new GroupCoordinator.Actions() {
         @Override
-        public void plan(List<Vm> members, Consumer<Plan> then) {
+        public void plan(List<Vm> members, Consumer<GroupPlan> then) {
             thinking.add(then);
         }
 
@@ -28,7 +28,7 @@
         }
 
         @Override
-        public void say(Vm vm, Answer answer) {
+        public void say(Vm vm, ClientResponse answer) {
             done.add(answer.kind() + " " + vm.id);
         }
 
@@ -53,7 +53,7 @@
         }
     });
 
-    private Groups groups() {
+    private GroupCoordinator groups() {
         return groups;
     }
 
@@ -68,9 +68,9 @@
         join("a");
         join("b");
         groups.letGoOfPlans();
-        thinking.remove().accept(Plan.free(List.of("a", "b")));
+        thinking.remove().accept(GroupPlan.free(List.of("a", "b")));
         assertThat(done).isEmpty();
-        thinking.remove().accept(Plan.free(List.of("b", "a")));
+        thinking.remove().accept(GroupPlan.free(List.of("b", "a")));
         assertThat(done).containsExactly("place b", "place a");
     }
 
@@ -82,8 +82,8 @@
         assertThat(done).containsExactly("DENIED a", "DENIED b");
         assertThat(groups.of(b)).isNull();
         join("a");
-        Consumer<Plan> old = thinking.remove();
-        old.accept(Plan.free(List.of("a", "b")));
+        Consumer<GroupPlan> old = thinking.remove();
+        old.accept(GroupPlan.free(List.of("a", "b")));
         assertThat(done).as("its name was used again: the old plan is not the new group's").hasSize(2);
     }
 }
--- a/src/test/java/fordridge/placer/PlacerTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcServerTest.java
@@ -1,12 +1,12 @@
-package fordridge.placer;
+package fordridge.server.grpc;
 
-import static fordridge.placer.Peers.until;
+import static fordridge.server.grpc.GrpcTestPeers.until;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import fordridge.placer.Peers.ClientPeer;
-import fordridge.placer.Peers.MachinePeer;
-import fordridge.settings.Deployment;
+import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
+import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
+import fordridge.settings.DeploymentSettings;
 import fordridge.v1.Ack;
 import fordridge.v1.ClaimName;
 import fordridge.v1.ClientMessage;
@@ -32,7 +32,7 @@
 import net.jqwik.api.Example;
 
 /** The hard cases, each brought about on sockets between a real placer and scripted peers. */
-class PlacerTest {
+class GrpcServerTest {
     private static Offer only(MachinePeer m) {
         until(() -> m.offers.size() == 1);
         return m.offers.get(0);
@@ -40,7 +40,7 @@
 
     @Example
     void theClientsStreamBreaksAfterAOneShotsBindWasSentAndBeforeItWasAcknowledged() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             ClientPeer c = p.client("c").open(true).hello();
             String token = c.token();
@@ -62,7 +62,7 @@
 
     @Example
     void aVmIsBoundWhileItsClientIsAwayAndHeardOfOnReturn() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             MachinePeer m = p.machines.get(0);
             m.onOffer = o -> { };
@@ -80,7 +80,7 @@
 
     @Example
     void aMachineSlowsAndTheRestGoesOn() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("");
             p.machines.get(0).onOffer = o -> { };
             ClientPeer c = p.client("c").open(true).hello();
@@ -94,7 +94,7 @@
 
     @Example
     void theAnswerIsLostWhileProbesAreAnswered() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("");
             AtomicInteger started = new AtomicInteger();
             p.machines.forEach(m -> m.onOffer = o -> started.incrementAndGet());
@@ -109,7 +109,7 @@
 
     @Example
     void theStreamBreaksAfterTheOfferAndTheMachineComesBackRunningIt() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("machines { unsure = 10s, retry_least = 20ms }");
             p.machines.forEach(m -> m.onOffer = o -> {
                 m.holds(o.getClaim(), Held.State.RUNNING);
@@ -123,7 +123,7 @@
 
     @Example
     void theStreamBreaksBeforeTheOfferWasTakenInAndTheVmGoesElsewhere() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("machines { unsure = 10s, retry_least = 20ms }");
             AtomicInteger cuts = new AtomicInteger();
             p.machines.forEach(m -> m.onOffer = o -> {
@@ -141,7 +141,7 @@
 
     @Example
     void theStreamBreaksAfterTheOfferAndTheMachineStaysAway() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("machines.unsure = 200ms");
             AtomicInteger offers = new AtomicInteger();
             p.machines.forEach(m -> m.onOffer = o -> {
@@ -156,7 +156,7 @@
 
     @Example
     void anAnswerAndOurCancelCross() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             MachinePeer m = p.machines.get(0);
             m.onOffer = o -> { };
@@ -174,7 +174,7 @@
 
     @Example
     void aMachineRestartsUnderItsAddressWithNothingRunning() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("machines.retry_least = 20ms");
             ClientPeer c = p.client("c").open(true).hello().want("v", "once");
             until(() -> c.count(BodyCase.BOUND) == 1);
@@ -188,7 +188,7 @@
 
     @Example
     void aPlacerThatStartsAnewFindsWhatRunsForIt() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             MachinePeer m = p.machines.get(0);
             m.holds(ClaimName.newBuilder().setVm("c/old").setNumber(1).build(), Held.State.RUNNING);
             p.place("");
@@ -206,7 +206,7 @@
     /** The one machine that may still run it cannot be reached yet: nothing is placed until it has spoken. */
     @Example
     void aOneShotOfAnEarlierLifeWaitsForEveryMachinesWord() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             MachinePeer away = p.machines.get(0);
             away.down();
             away.holds(ClaimName.newBuilder().setVm("c/old").build(), Held.State.RUNNING);
@@ -223,7 +223,7 @@
 
     @Example
     void aOneShotOfAnEarlierLifeIsErroredWhereAMachineStaysAway() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.machines.get(0).down();
             p.place("cluster.settle = 600ms, cluster.drain_grace = 100ms");
             ClientPeer c = p.client("c").open(true).hello("from an earlier life", 7).want("old", "once").want("safe", "safe");
@@ -235,7 +235,7 @@
 
     @Example
     void aDrainNoticeIsKeptFromTheInstantItIsKnown() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("");
             ClientPeer c = p.client("c").open(true).hello().want("first", "safe");
             until(() -> c.count(BodyCase.BOUND) == 1);
@@ -253,7 +253,7 @@
     /** The bound: at most sessions.unread answers kept for it, at most sessions.open VMs taken from it. */
     @Example
     void aClientThatSendsAndNeverReadsIsLeftWaitingAndTheRestGoesOn() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("sessions { unread = 50, open = 100 }");
             ClientPeer deaf = p.client("deaf").open(false).hello();
             deaf.token();
@@ -280,7 +280,7 @@
 
     @Example
     void aMachineThatTakesTheConnectionAndNeverSpeaks() throws Exception {
-        try (Peers p = new Peers(1); ServerSocket mute = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1); ServerSocket mute = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             p.place("machines.connect_timeout = 700ms");
             p.list("", "{ name = mute, address = \"127.0.0.1:" + mute.getLocalPort()
                     + "\", kind = k, state = live, free_cores = 500, free_memory = 500 }");
@@ -297,7 +297,7 @@
 
     @Example
     void aMessageOverTheLimitEndsItsStreamOnly() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("machines.max_message = 4KiB");
             ClientPeer big = p.client("big").open(true).hello();
             big.token();
@@ -312,7 +312,7 @@
 
     @Example
     void whatAClientMayNotSayIsRefusedWithTheFieldsName() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             ClientPeer early = p.client("early").open(true).want("v", "safe");
             until(() -> early.status != null);
@@ -336,7 +336,7 @@
 
     @Example
     void aMachineThatSaysWhatItMayNotIsLeftAndTheRestGoesOn() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("");
             MachinePeer odd = p.machines.get(0);
             odd.onOffer = o -> odd.say(FromMachine.getDefaultInstance());
@@ -350,7 +350,7 @@
 
     @Example
     void aRepeatOfAStartChangesNothing() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             MachinePeer m = p.machines.get(0);
             m.onOffer = o -> {
@@ -367,7 +367,7 @@
 
     @Example
     void stoppingAnswersEachVmInHandAndTakesNothingNew() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("placer.stop_within = 2s");
             MachinePeer m = p.machines.get(0);
             m.onOffer = o -> { };
@@ -382,7 +382,7 @@
         }
     }
 
-    private static void rules(Peers p, String text) throws Exception {
+    private static void rules(GrpcTestPeers p, String text) throws Exception {
         java.io.File next = new java.io.File(p.folder, "rules.next");
         java.nio.file.Files.writeString(next.toPath(), text);
         java.nio.file.Files.move(next.toPath(), new java.io.File(p.folder, "rules.txt").toPath(),
@@ -390,8 +390,8 @@
     }
 
     @Example
-    void customersRulesAreObeyedAndANewSetTakesOver() throws Exception {
-        try (Peers p = new Peers(3)) {
+    void tenantsRulesAreObeyedAndANewSetTakesOver() throws Exception {
+        try (GrpcTestPeers p = new GrpcTestPeers(3)) {
             rules(p, "rule one: flavour once require spread at most 1 per machine;\n");
             p.place("constraints.file = rules.txt");
             ClientPeer c = p.client("c").open(true).hello();
@@ -425,8 +425,8 @@
     }
 
     @Example
-    void aVmWhoseClaimMayStillRunKeepsItsPlace() throws Exception {
-        try (Peers p = new Peers(2)) {
+    void aVmWhoseAttemptMayStillRunKeepsItsPlace() throws Exception {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             rules(p, "rule away: flavour safe require apart flavour once per machine;\n");
             p.place("constraints.file = rules.txt");
             p.machines.forEach(m -> m.onOffer = o -> { });
@@ -451,7 +451,7 @@
     /** A set that could be met when it was read, until the machine for it left the list. */
     @Example
     void whatNoMachineMeetsAnyMoreIsDeniedAtOnceWithTheRules() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             rules(p, "rule a: flavour once require on machine m1;\n");
             p.place("constraints.file = rules.txt");
             ClientPeer c = p.client("c").open(true).hello().want("v", "once");
@@ -468,7 +468,7 @@
 
     @Example
     void aGroupIsHeardOfOnlyWhenAllOfItIsBound() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("");
             p.machines.forEach(m -> m.onOffer = o -> { });
             ClientPeer c = p.client("c").open(true).hello();
@@ -488,7 +488,7 @@
 
     @Example
     void aGroupOfWhichOneFindsNoPlaceIsTakenBack() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             p.place("cluster.most_claims = 1");
             p.machines.forEach(m -> m.onOffer = o -> {
                 if (o.getClaim().getVm().equals("c/bad")) {
@@ -509,7 +509,7 @@
 
     @Example
     void aGroupThatIsNeverWholeIsDeniedInTime() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             ClientPeer c = p.client("c").open(true).hello();
             c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once").wantTogether("g", 4, "x", "safe");
@@ -522,7 +522,7 @@
 
     @Example
     void aGroupThatWaitsForMoreIsDeniedWhenThePlacerStops() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             ClientPeer c = p.client("c").open(true).hello();
             c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once").want("alone", "safe");
@@ -536,7 +536,7 @@
 
     @Example
     void aGroupThatMustShareAMachineGoesToOneOrIsRefusedAtOnceWhereNoneIsLargeEnough() throws Exception {
-        try (Peers p = new Peers(3)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(3)) {
             rules(p, "rule one: flavour once require near flavour once per machine;\n"
                     + "rule other: flavour safe require spread at most 9 per machine;\n");
             p.place("constraints.file = rules.txt");
@@ -558,7 +558,7 @@
 
     @Example
     void aRuleThatChangesWhileItsGroupIsHalfBoundHoldsForTheRest() throws Exception {
-        try (Peers p = new Peers(2)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(2)) {
             rules(p, "rule any: all require spread at most 9 per machine;\n");
             p.place("constraints.file = rules.txt");
             p.machines.forEach(m -> m.onOffer = o -> {
@@ -596,7 +596,7 @@
 
     @Example
     void termsAndRulesInTheStoreTakeOverWhileItRuns() throws Exception {
-        try (Peers p = new Peers(1); fordridge.rig.StandInEtcd etcd = new fordridge.rig.StandInEtcd()) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1); fordridge.emulator.EmulatedEtcd etcd = new fordridge.emulator.EmulatedEtcd()) {
             etcd.put("/c/machines/m0", "{\"v\":2,\"address\":\"127.0.0.1:" + p.machines.get(0).port
                     + "\",\"kind\":\"k\",\"cores\":16,\"memory\":64}");
             p.place("machines.source = etcd, etcd { endpoints = [\"127.0.0.1:" + etcd.port() + "\"], prefix = \"/c\" }");
@@ -621,9 +621,9 @@
 
     @Example
     void rulesThatCannotBeReadOrKeptStopTheStart() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             rules(p, "rule a: flavour nope require on kind k;\n");
-            assertThatThrownBy(() -> p.place("constraints.file = rules.txt")).isInstanceOf(Deployment.Refused.class)
+            assertThatThrownBy(() -> p.place("constraints.file = rules.txt")).isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
                     .hasMessageContaining("no flavour 'nope'");
             rules(p, "rule a: flavour once require on kind k;\nrule b: service 3 require on not kind k;\n");
             assertThatThrownBy(() -> p.place("constraints.file = rules.txt"))
@@ -636,7 +636,7 @@
 
     @Example
     void aMalformedListLeavesTheLastGoodOneInForce() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("");
             java.nio.file.Files.writeString(new java.io.File(p.folder, "list.conf").toPath(), "version = 1\nmachines = [{\n");
             ClientPeer c = p.client("c").open(true).hello().want("v", "safe");
@@ -649,18 +649,18 @@
 
     @Example
     void whatCannotBeHadAtStartIsSaid() throws Exception {
-        try (Peers p = new Peers(0); ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        try (GrpcTestPeers p = new GrpcTestPeers(0); ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             assertThatThrownBy(() -> p.place("placer.listen.port = " + taken.getLocalPort()))
                     .hasMessageContaining(String.valueOf(taken.getLocalPort()));
             assertThatThrownBy(() -> p.place("machines.list = nowhere.conf"))
-                    .isInstanceOf(Deployment.Refused.class).hasMessageContaining("nowhere.conf: no such file");
+                    .isInstanceOf(DeploymentSettings.InvalidSettingsException.class).hasMessageContaining("nowhere.conf: no such file");
         }
     }
 
     /** Held at once by a real placer: the loop must stay quick for everyone else. */
     @Example
     void sixThousandVmsHeldAtOnceAreAllAnsweredInTime() throws Exception {
-        try (Peers p = new Peers(3)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(3)) {
             p.place("sessions { open = 10000, unread = 10000 }, placer { max_open = 10000, answer_margin = 500ms }");
             p.machines.forEach(m -> m.onOffer = m::refuse);
             ClientPeer c = p.client("c").open(true).hello();
@@ -678,7 +678,7 @@
     /** A stand-in of another placer hears of a report, and what it tells shuts a machine. */
     @Example
     void notesGoBetweenPlacers() throws Exception {
-        try (Peers p = new Peers(2); DatagramSocket other = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+        try (GrpcTestPeers p = new GrpcTestPeers(2); DatagramSocket other = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
                 DatagramSocket stranger = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             other.setSoTimeout(20_000);
             p.place("placer { placers = 2, notes.to = [\"127.0.0.1:" + other.getLocalPort() + "\"] }\n"
@@ -697,7 +697,7 @@
             byte[] noAnswer = note.substring(0, 3).getBytes(StandardCharsets.UTF_8);
             stranger.send(new DatagramPacket(noAnswer, 3, to));
             other.send(new DatagramPacket(noAnswer, 3, to));
-            until(() -> p.program.meters().notes("heard") == 1);
+            until(() -> p.program.metrics().notes("heard") == 1);
             int before = took.offers.size();
             c.want("w", "safe");
             until(() -> c.count(BodyCase.BOUND) == 2);
@@ -705,20 +705,20 @@
         }
     }
 
-    private static void watched(Peers p, String terms) throws Exception {
+    private static void watched(GrpcTestPeers p, String terms) throws Exception {
         Files.writeString(p.folder.toPath().resolve("next.conf"), terms);
         p.place("watch.terms = next.conf");
     }
 
-    private static double otherwise(Peers p) {
+    private static double otherwise(GrpcTestPeers p) {
         return Stream.of("machine", "hold", "place", "answer", "retry_after", "probe", "note", "list_ask", "move")
-                .mapToDouble(p.program.meters()::otherwises).sum();
+                .mapToDouble(p.program.metrics()::otherwises).sum();
     }
 
     /** Under the same terms nothing is decided otherwise: what is counted is the terms' doing. */
     @Example
     void watchingTheSameTermsCountsNothing() throws Exception {
-        try (Peers p = new Peers(3)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(3)) {
             watched(p, "cluster.most_claims = 3");
             ClientPeer c = p.client("c").open(true).hello();
             for (int i = 0; i < 30; i++) {
@@ -734,7 +734,7 @@
     /** VMs that run from an earlier life, and customers' rules, are known to the one that looks on as they are to ours. */
     @Example
     void watchingTheSameTermsCountsNothingUnderRulesAndAfterARestart() throws Exception {
-        try (Peers p = new Peers(3)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(3)) {
             Files.writeString(p.folder.toPath().resolve("next.conf"), "cluster.most_claims = 3");
             Files.writeString(p.folder.toPath().resolve("rules.txt"),
                     "rule few: flavour safe require spread at most 4 per machine;\n");
@@ -764,7 +764,7 @@
     /** The placer decides as before; where the next terms hold a VM that it places, or give no advice, it is counted. */
     @Example
     void watchingOtherTermsCountsByKindAndChangesNothing() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             watched(p, "cluster { free_in_list = false, retry_after = false, list_comes = ask, ask_within = 10s }");
             ClientPeer c = p.client("c").open(true).hello();
             c.to.onNext(sized("fits", 15, 0));
@@ -773,18 +773,18 @@
             until(() -> c.count(BodyCase.DENIED) == 1);
             assertThat(c.heard.stream().filter(m -> m.getBodyCase() == BodyCase.DENIED).findFirst().get().getDenied()
                     .getRetryAfterUs()).isGreaterThan(0);
-            until(() -> p.program.meters().otherwises("retry_after") == 1);
-            assertThat(p.program.meters().otherwises("hold")).isEqualTo(1);
-            assertThat(p.program.meters().otherwises("list_ask")).isEqualTo(1);
-            assertThat(p.program.meters().otherwises("machine")).isEqualTo(0);
-            assertThat(p.program.meters().scrape()).contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
+            until(() -> p.program.metrics().otherwises("retry_after") == 1);
+            assertThat(p.program.metrics().otherwises("hold")).isEqualTo(1);
+            assertThat(p.program.metrics().otherwises("list_ask")).isEqualTo(1);
+            assertThat(p.program.metrics().otherwises("machine")).isEqualTo(0);
+            assertThat(p.program.metrics().scrape()).contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
         }
     }
 
     @Example
     void watchedTermsAreCheckedBeforeAnythingStarts() throws Exception {
-        try (Peers p = new Peers(1)) {
-            assertThatThrownBy(() -> watched(p, "cluster.list_comes = shout")).isInstanceOf(Deployment.Refused.class)
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
+            assertThatThrownBy(() -> watched(p, "cluster.list_comes = shout")).isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
                     .hasMessageContaining("watch.terms").hasMessageContaining("push, ask");
             assertThatThrownBy(() -> p.place("watch.terms = nowhere.conf")).hasMessageContaining("no such file");
         }
@@ -793,7 +793,7 @@
     /** Where the list is asked for, the answer is the list that its source has: VMs are placed from the start. */
     @Example
     void aListThatIsAskedForIsAnswered() throws Exception {
-        try (Peers p = new Peers(1)) {
+        try (GrpcTestPeers p = new GrpcTestPeers(1)) {
             p.place("cluster.list_comes = ask");
             ClientPeer c = p.client("c").open(true).hello();
             c.want("v", "once");
--- a/src/test/java/fordridge/placer/Peers.java
+++ b/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
@@ -1,9 +1,9 @@
-package fordridge.placer;
+package fordridge.server.grpc;
 
 import static org.awaitility.Awaitility.await;
 
 import com.typesafe.config.ConfigFactory;
-import fordridge.settings.Deployment;
+import fordridge.settings.DeploymentSettings;
 import fordridge.v1.ClaimName;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.FromMachine;
@@ -40,13 +40,13 @@
 import java.util.function.Consumer;
 
 /** Scripted peers of a real placer on loopback: they do just what a test tells them. */
-final class Peers implements AutoCloseable {
+final class GrpcTestPeers implements AutoCloseable {
     final File folder;
     final List<MachinePeer> machines = new ArrayList<>();
     private final List<AutoCloseable> open = new ArrayList<>();
-    PlacerProgram program;
+    PlacerCommand program;
 
-    Peers(int machines) throws Exception {
+    GrpcTestPeers(int machines) throws Exception {
         folder = Files.createTempDirectory("fordridge").toFile();
         for (int i = 0; i < machines; i++) {
             MachinePeer m = new MachinePeer("m" + i);
@@ -59,9 +59,9 @@
         await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(5)).until(what);
     }
 
-    void place(String more) throws IOException, Deployment.Refused {
+    void place(String more) throws IOException, DeploymentSettings.InvalidSettingsException {
         list("");
-        program = new PlacerProgram(Deployment.read(ConfigFactory.parseString(more).withFallback(
+        program = new PlacerCommand(DeploymentSettings.read(ConfigFactory.parseString(more).withFallback(
                 ConfigFactory.parseString("kinds = [{ name = k, cores = 16, memory = 64 }]\n"
                 + "flavours = [{ name = safe, effect = rebuildable, build_target = 300ms, build_timeout = 4s },\n"
                 + "{ name = once, effect = one-shot, build_target = 300ms, build_timeout = 4s }]\n"
@@ -171,8 +171,8 @@
             out.onNext(m);
         }
 
-        void holds(ClaimName claim, Held.State state) {
-            holds.add(Held.newBuilder().setClaim(claim).setState(state).setFlavour("once").setCores(1).setMemory(1)
+        void holds(ClaimName attempt, Held.State state) {
+            holds.add(Held.newBuilder().setClaim(attempt).setState(state).setFlavour("once").setCores(1).setMemory(1)
                     .setClient("c").build());
         }
 
@@ -256,22 +256,22 @@
             return this;
         }
 
-        ClientPeer want(String vm, String flavour) {
-            to.onNext(wanted(vm, flavour, 0).build());
+        ClientPeer want(String vm, String priorityClass) {
+            to.onNext(wanted(vm, priorityClass, 0).build());
             return this;
         }
 
-        static ClientMessage.Builder wanted(String vm, String flavour, long leftUs) {
-            return ClientMessage.newBuilder().setWant(Want.newBuilder().setVm(vm).setFlavour(flavour).setService(1)
+        static ClientMessage.Builder wanted(String vm, String priorityClass, long leftUs) {
+            return ClientMessage.newBuilder().setWant(Want.newBuilder().setVm(vm).setFlavour(priorityClass).setService(1)
                     .setCores(0.001).setMemory(0.001).setTimeLeftUs(leftUs));
         }
 
-        ClientPeer wantTogether(String group, int size, String vm, String flavour) {
-            return wantTogether(group, size, vm, flavour, 0.001);
+        ClientPeer wantTogether(String group, int size, String vm, String priorityClass) {
+            return wantTogether(group, size, vm, priorityClass, 0.001);
         }
 
-        ClientPeer wantTogether(String group, int size, String vm, String flavour, double cores) {
-            ClientMessage.Builder m = wanted(vm, flavour, 0);
+        ClientPeer wantTogether(String group, int size, String vm, String priorityClass, double cores) {
+            ClientMessage.Builder m = wanted(vm, priorityClass, 0);
             m.getWantBuilder().setGroup(group).setGroupSize(size).setCores(cores);
             to.onNext(m.build());
             return this;
--- a/src/test/java/fordridge/node/CrossingTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -1,10 +1,10 @@
-package fordridge.node;
+package fordridge.server.json;
 
-import static fordridge.node.Peers.ask;
-import static fordridge.node.Peers.event;
-import static fordridge.node.Peers.member;
-import static fordridge.node.Peers.ref;
-import static fordridge.node.Peers.word;
+import static fordridge.server.json.JsonTestPeers.ask;
+import static fordridge.server.json.JsonTestPeers.event;
+import static fordridge.server.json.JsonTestPeers.member;
+import static fordridge.server.json.JsonTestPeers.ref;
+import static fordridge.server.json.JsonTestPeers.word;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
@@ -22,20 +22,20 @@
  * Two things that meet at the wrong instant, on real sockets: the peers hold one of them back and let it go once the
  * other is under way, so that the crossing happens every time.
  */
-class CrossingTest {
+class JsonServerRaceTest {
     private final String[] line = new String[1];
 
     /** A machine whose connections come up only when let, within a time that allows for that. */
-    private static String slowToConnect(Peers p, Peers.Barrier barrier) {
+    private static String slowToConnect(JsonTestPeers p, JsonTestPeers.Barrier barrier) {
         return p.configuration(p.journal.port(), member("s-1", barrier.port(), "SERVING"))
                 .replace("\"connectTimeoutUs\":250000", "\"connectTimeoutUs\":3500000");
     }
 
     @Example
     void cancelAgainstConnect() throws Exception {
-        try (Peers p = new Peers(); Peers.Barrier barrier = new Peers.Barrier()) {
+        try (JsonTestPeers p = new JsonTestPeers(); JsonTestPeers.Barrier barrier = new JsonTestPeers.Barrier()) {
             p.start(slowToConnect(p, barrier));
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "a"));
             // Read, and the connection begun; a cancel in the same breath would leave nothing to connect for.
             assertThat(owner.untilTested()).isEmpty();
@@ -47,9 +47,9 @@
 
     @Example
     void closeAgainstConnect() throws Exception {
-        try (Peers p = new Peers(); Peers.Barrier barrier = new Peers.Barrier()) {
+        try (JsonTestPeers p = new JsonTestPeers(); JsonTestPeers.Barrier barrier = new JsonTestPeers.Barrier()) {
             p.start(slowToConnect(p, barrier));
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "once"));
             assertThat(owner.untilTested()).isEmpty();
             owner.close();
@@ -60,10 +60,10 @@
 
     @Example
     void drainAgainstConnect() throws Exception {
-        try (Peers p = new Peers(); Peers.Barrier barrier = new Peers.Barrier()) {
+        try (JsonTestPeers p = new JsonTestPeers(); JsonTestPeers.Barrier barrier = new JsonTestPeers.Barrier()) {
             p.start(slowToConnect(p, barrier));
-            Peers.Wire tail = p.journal.next();
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire tail = p.journal.next();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "once"));
             assertThat(owner.untilTested()).isEmpty();
             tail.say(event(4, false, member("s-1", barrier.port(), "DRAINING"), member("s-2", p.machine.port(), "SERVING")));
@@ -76,21 +76,21 @@
     /** A drain told between the old journal's last word and the new one's first, with the new one slow to come up. */
     @Example
     void journalLossAgainstReload() throws Exception {
-        try (Peers p = new Peers(); Peers.Listener other = new Peers.Listener(0)) {
+        try (JsonTestPeers p = new JsonTestPeers(); JsonTestPeers.Listener other = new JsonTestPeers.Listener(0)) {
             p.start();
-            Peers.Wire tail = p.journal.next();
+            JsonTestPeers.Wire tail = p.journal.next();
             assertThat(tail.next("tail")).isEqualTo("tail 3");
             int port = other.port();
             other.close();
             Files.writeString(p.file, p.configuration(port, member("s-1", p.machine.port(), "SERVING")));
             p.program.reload();
-            assertThat(tail.next(Peers.END)).isEqualTo(Peers.END);
-            try (Peers.Listener late = new Peers.Listener(port)) {
-                Peers.Wire there = late.next();
+            assertThat(tail.next(JsonTestPeers.END)).isEqualTo(JsonTestPeers.END);
+            try (JsonTestPeers.Listener late = new JsonTestPeers.Listener(port)) {
+                JsonTestPeers.Wire there = late.next();
                 assertThat(there.next("tail")).isEqualTo("tail 3");
                 there.say(event(4, false, member("s-1", p.machine.port(), "DRAINING")));
                 await().until(() -> p.program.journalPos() == 4);
-                Peers.Wire owner = p.owner();
+                JsonTestPeers.Wire owner = p.owner();
                 owner.say(ask(1, "a", "700", "cores:1;memory:1;service:1", "any"));
                 assertThat(owner.next(ref(1))).as("nothing is left to place on").contains("\"down\"").contains("\"c\":34");
             }
@@ -99,9 +99,9 @@
 
     @Example
     void aReloadThatNamesTheSameJournalLeavesItsConnectionAlone() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire tail = p.journal.next();
+            JsonTestPeers.Wire tail = p.journal.next();
             assertThat(tail.next("tail")).isEqualTo("tail 3");
             p.program.reload();
             await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("read anew"));
@@ -114,7 +114,7 @@
     /** Guards limits that a reload read and passed over. */
     @Example
     void otherLimitsHoldFromTheReloadOn() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
             Files.writeString(p.file, p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
                     .replace("\"sockets\":256", "\"sockets\":64"));
@@ -124,7 +124,7 @@
             for (int i = 0; i < 60; i++) {
                 crowd.add(new Socket(InetAddress.getLoopbackAddress(), p.program.port()));
             }
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             assertThat(owner.untilTested()).isEmpty();
             assertThat(p.program.connections()).as("three eighths of the descriptors").isLessThanOrEqualTo(24);
             for (Socket s : crowd) {
@@ -136,11 +136,11 @@
     /** Guards drains that waited behind the rest of a long list, some of it in each round of a busy loop. */
     @Example
     void aLongTaleOfTheJournalAgainstASend() throws Exception {
-        try (Peers p = new Peers(); Peers.Listener other = new Peers.Listener(0)) {
+        try (JsonTestPeers p = new JsonTestPeers(); JsonTestPeers.Listener other = new JsonTestPeers.Listener(0)) {
             p.start();
-            Peers.Wire tail = p.journal.next();
+            JsonTestPeers.Wire tail = p.journal.next();
             assertThat(tail.next("tail")).isEqualTo("tail 3");
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             assertThat(owner.untilTested()).isEmpty();
             p.holdLoopAtLog("read anew");
             p.program.reload();
@@ -162,17 +162,17 @@
     /** What comes behind an event that can't be taken is not taken in its place. */
     @Example
     void aSkippedEventIsAskedForBeforeThoseBehindIt() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
             String drains = event(4, false, member("s-1", p.machine.port(), "DRAINING"));
             String joins = event(5, false, member("s-2", p.machine.port(), "SERVING"));
-            Peers.Wire tail = p.journal.next();
+            JsonTestPeers.Wire tail = p.journal.next();
             assertThat(tail.next("tail")).isEqualTo("tail 3");
             tail.say(joins + "\n" + joins);
-            Peers.Wire second = p.journal.next();
+            JsonTestPeers.Wire second = p.journal.next();
             assertThat(second.next("tail")).isEqualTo("tail 3");
             second.say(drains.replace("DRAINING", "DRAI") + "\n" + joins);
-            Peers.Wire third = p.journal.next();
+            JsonTestPeers.Wire third = p.journal.next();
             assertThat(third.next("tail")).isEqualTo("tail 3");
             third.say(drains + "\n" + joins);
             await().until(() -> p.program.journalPos() == 5);
@@ -184,11 +184,11 @@
 
     @Example
     void timeOutAgainstAnswer() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "once", "1000", "cores:1;memory:1;service:1", "any"));
-            Peers.Wire m = p.machine.carrying("\"new\"", line);
+            JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
             // Held back until the placer has given it up; then the answer is on its way the other way round.
             assertThat(m.next("\"down\"")).contains(ref(1)).contains("\"c\":16");
             m.say(word("up", 1, ",\"d\":\"late\""));
@@ -200,14 +200,14 @@
     /** The machine has read the set-up, and its process is gone before it says a word. */
     @Example
     void killAfterAccept() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "once"));
             p.machine.carrying("\"new\"", line).reset();
             assertThat(owner.next(ref(1))).as("it may have run").contains("\"down\"").contains("\"c\":47");
             assertThat(owner.untilTested()).isEmpty();
-            List<Peers.Wire> others;
+            List<JsonTestPeers.Wire> others;
             synchronized (p.machine.all) {
                 others = List.copyOf(p.machine.all);
             }
@@ -217,25 +217,25 @@
 
     @Example
     void requestsAndAnswersInPiecesOfAByte() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             bytes(owner, ask(1, "a", "4000", "cores:1;memory:1;service:1", "d\\u00e9") + "\n");
-            Peers.Wire m = p.machine.carrying("\"new\"", line);
+            JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
             assertThat(line[0]).contains(ref(1));
             bytes(m, word("up", 1, ",\"d\":\"€\"") + "\n");
             assertThat(owner.next(ref(1))).contains("\"up\"").contains("€");
             bytes(m, word("down", 1, ",\"c\":16") + "\n");
             assertThat(owner.next(ref(1))).contains("\"down\"").contains("\"c\":16");
             // Half a request, and gone: nothing of it is taken.
-            Peers.Wire half = p.owner();
+            JsonTestPeers.Wire half = p.owner();
             bytes(half, ask(2, "a").substring(0, 60));
             half.close();
             assertThat(owner.untilTested()).isEmpty();
         }
     }
 
-    private static void bytes(Peers.Wire to, String text) throws Exception {
+    private static void bytes(JsonTestPeers.Wire to, String text) throws Exception {
         to.socket.setTcpNoDelay(true);
         OutputStream out = to.socket.getOutputStream();
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
@@ -247,14 +247,14 @@
     /** Guards a release that was written into a connection which its owner was closing. */
     @Example
     void aReleaseThatACloseMeetsOnItsWayIsToldOnAnotherConnection() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "a"));
-            Peers.Wire m = p.machine.carrying("\"new\"", line);
+            JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
             m.say(word("up", 1, ",\"d\":\"d\""));
             assertThat(owner.next(ref(1))).contains("\"up\"");
-            Peers.Wire other = p.owner();
+            JsonTestPeers.Wire other = p.owner();
             other.say(ask(2, "a"));
             p.machine.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d\""));
             assertThat(other.next(ref(2))).contains("\"up\"");
@@ -272,11 +272,11 @@
     /** Guards an owner that could not be seen to leave, as nothing was read from it while its answers piled up. */
     @Example
     void anOwnerThatReadsNothingIsSeenToLeave() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire held = p.owner();
+            JsonTestPeers.Wire held = p.owner();
             held.say(ask(0, "a"));
-            Peers.Wire first = p.machine.carrying(ref(0), line);
+            JsonTestPeers.Wire first = p.machine.carrying(ref(0), line);
             // No reader on this one.
             try (Socket s = new Socket()) {
                 s.setReceiveBufferSize(4096);
@@ -284,12 +284,12 @@
                 OutputStream out = s.getOutputStream();
                 String big = "x".repeat(15_000);
                 out.write((ask(1, "once") + "\n").getBytes(StandardCharsets.UTF_8));
-                Peers.Wire m = p.machine.carrying(ref(1), line);
+                JsonTestPeers.Wire m = p.machine.carrying(ref(1), line);
                 boolean open = true;
                 for (int i = 2; open && i < 900; i++) {
                     out.write((ask(i, "a", "4000", "cores:0.01;memory:0.01;service:1", "x") + "\n")
                             .getBytes(StandardCharsets.UTF_8));
-                    Peers.Wire to = null;
+                    JsonTestPeers.Wire to = null;
                     for (int n = 0; open && to == null; n++) {
                         to = find(p, ref(i));
                         Thread.onSpinWait();
@@ -310,12 +310,12 @@
         }
     }
 
-    private static Peers.Wire find(Peers p, String ref) {
-        List<Peers.Wire> all;
+    private static JsonTestPeers.Wire find(JsonTestPeers p, String ref) {
+        List<JsonTestPeers.Wire> all;
         synchronized (p.machine.all) {
             all = List.copyOf(p.machine.all);
         }
-        for (Peers.Wire w : all) {
+        for (JsonTestPeers.Wire w : all) {
             for (String l : w.lines) {
                 if (l.contains(ref) && l.contains("\"new\"")) {
                     w.lines.remove(l);
@@ -329,24 +329,24 @@
     /** A second ask under an id in hand: one refusal for both, and what was out is given up. */
     @Example
     void anIdAskedForTwiceIsAnsweredOnceAndNeverServed() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "a"));
-            Peers.Wire m = p.machine.carrying("\"new\"", line);
+            JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
             owner.say(ask(1, "a", "4000", "cores:1;memory:1;service:2", "another"));
             assertThat(owner.next(ref(1))).contains("\"down\"").contains("\"c\":47");
             m.say(word("up", 1, ",\"d\":\"d\""));
             assertThat(m.next("\"down\"")).contains(ref(1)).contains("\"c\":16");
-            assertThat(owner.next(ref(1))).as("no second answer").isEqualTo(Peers.END);
+            assertThat(owner.next(ref(1))).as("no second answer").isEqualTo(JsonTestPeers.END);
         }
     }
 
     @Example
     void idleOwnersUpToTheLimitLeaveTheJournalItsConnection() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start();
-            Peers.Wire tail = p.journal.next();
+            JsonTestPeers.Wire tail = p.journal.next();
             assertThat(tail.next("tail")).isEqualTo("tail 3");
             int port = p.journal.port();
             p.journal.server.close();
@@ -355,13 +355,13 @@
                 idle.add(new Socket(InetAddress.getLoopbackAddress(), p.program.port()));
             }
             tail.close();
-            try (Peers.Listener back = new Peers.Listener(port)) {
-                Peers.Wire again = back.next();
+            try (JsonTestPeers.Listener back = new JsonTestPeers.Listener(port)) {
+                JsonTestPeers.Wire again = back.next();
                 assertThat(again.next("tail")).isEqualTo("tail 3");
                 again.say(event(4, false, member("s-2", p.machine.port(), "SERVING")));
                 await().until(() -> p.program.journalPos() == 4);
             }
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "a"));
             p.machine.carrying(ref(1), line).say(word("up", 1, ",\"d\":\"d\""));
             assertThat(owner.next(ref(1))).contains("\"up\"");
@@ -374,10 +374,10 @@
     /** Guards an end that came before the last requests: with a short build timeout the placer left too soon. */
     @Example
     void stopAgainstRequestWhereBuildTimeoutsAreShort() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
                     .replace("\"giveUpUs\":4000000", "\"giveUpUs\":500000"));
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             p.program.stop();
             p.program.stop();
             assertThat(p.program.awaitEnd(Duration.ofMillis(550))).as("requests come for 0.6 s").isFalse();
@@ -391,12 +391,12 @@
     /** A release that falls on the end: written before it, and heard or given some time to be. */
     @Example
     void exitAgainstRelease() throws Exception {
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.start(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
                     .replace("\"giveUpUs\":4000000", "\"giveUpUs\":500000"));
-            Peers.Wire owner = p.owner();
+            JsonTestPeers.Wire owner = p.owner();
             owner.say(ask(1, "a", "500", "cores:1;memory:1;service:1", "any"));
-            Peers.Wire m = p.machine.carrying(ref(1), line);
+            JsonTestPeers.Wire m = p.machine.carrying(ref(1), line);
             m.say(word("up", 1, ",\"d\":\"d\""));
             assertThat(owner.next(ref(1))).contains("\"up\"");
             owner.close();
@@ -405,7 +405,7 @@
             m.say(word("down", 1, ",\"c\":16"));
             assertThat(m.next("ack")).contains(ref(1));
             assertThat(p.program.awaitEnd(Duration.ofMillis(450))).isFalse();
-            Peers.Wire other = p.owner();
+            JsonTestPeers.Wire other = p.owner();
             other.say(ask(2, "a", "500", "cores:1;memory:1;service:1", "any"));
             assertThat(other.next(ref(1))).as("waited for a connection that has asked").contains("\"down\"").contains("\"c\":16");
             other.say(word("ack", 1, ""));
@@ -417,14 +417,14 @@
 
     @Example
     void toldToStopOrReloadBeforeItServesItEndsOrReloadsOnceItDoes() throws Exception {
-        try (Peers p = new Peers(); Peers.Listener other = new Peers.Listener(0)) {
+        try (JsonTestPeers p = new JsonTestPeers(); JsonTestPeers.Listener other = new JsonTestPeers.Listener(0)) {
             p.write(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
             Files.writeString(p.file, p.configuration(other.port(), member("s-1", p.machine.port(), "SERVING")));
             p.program.reload();
             p.program.start();
             assertThat(other.next().next("tail")).isEqualTo("tail 3");
         }
-        try (Peers p = new Peers()) {
+        try (JsonTestPeers p = new JsonTestPeers()) {
             p.write(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
             p.program.stop();
             assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
--- a/src/test/java/fordridge/node/Peers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -1,4 +1,4 @@
-package fordridge.node;
+package fordridge.server.json;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -18,7 +18,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Scripted peers of a real placer on loopback: they do just what a test tells them. */
-final class Peers implements AutoCloseable {
+final class JsonTestPeers implements AutoCloseable {
     static final String END = "(closed)";
 
     /** One connection, its lines as they come, {@link #END} last. */
@@ -208,9 +208,9 @@
     final CountDownLatch held = new CountDownLatch(1);
     final CountDownLatch letGo = new CountDownLatch(1);
     private volatile String holdAt;
-    NodeProgram program;
+    ServeCommand program;
 
-    Peers() throws IOException {
+    JsonTestPeers() throws IOException {
     }
 
     static String member(String id, int port, String phase) {
@@ -248,7 +248,7 @@
     /** The program with this configuration, not started yet. */
     void write(String configuration) throws Exception {
         Files.writeString(file, configuration);
-        program = new NodeProgram(file, new PrintStream(log, true, StandardCharsets.UTF_8) {
+        program = new ServeCommand(file, new PrintStream(log, true, StandardCharsets.UTF_8) {
             @Override
             public void println(String line) {
                 super.println(line);
@@ -275,12 +275,12 @@
         return new Wire(new Socket(InetAddress.getLoopbackAddress(), program.port()));
     }
 
-    static String ask(int n, String flavour) {
-        return ask(n, flavour, "4000", "cores:1;memory:1;service:00000000b4d65521", "any");
+    static String ask(int n, String priorityClass) {
+        return ask(n, priorityClass, "4000", "cores:1;memory:1;service:00000000b4d65521", "any");
     }
 
-    static String ask(int n, String flavour, String left, String extras, String description) {
-        return "{\"t\":\"new\",\"ref\":\"" + ref(n) + "\",\"f\":{\"class\":\"" + flavour + "\",\"left\":\"" + left
+    static String ask(int n, String priorityClass, String left, String extras, String description) {
+        return "{\"t\":\"new\",\"ref\":\"" + ref(n) + "\",\"f\":{\"class\":\"" + priorityClass + "\",\"left\":\"" + left
                 + "\",\"tenant\":\"acme\",\"key\":\"7f3a9c21e0b4d655\",\"extras\":\"" + extras + "\"},\"d\":\""
                 + description + "\"}";
     }
--- a/src/test/java/fordridge/node/ServeScriptTest.java
+++ b/src/test/java/fordridge/server/json/ServeScriptTest.java
@@ -1,4 +1,4 @@
-package fordridge.node;
+package fordridge.server.json;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/fordridge/session/SessionsTest.java
+++ b/src/test/java/fordridge/session/ClientSessionsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import fordridge.runtime.EventLoopLag;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,16 +13,16 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class SessionsTest {
+class ClientSessionsTest {
     private static final Duration T = Duration.ZERO;
 
-    private static Sessions sessions() {
-        return new Sessions(new Sessions.Bounds(50, 20, 8, 30, Duration.ofSeconds(60)), 1);
+    private static ClientSessions sessions() {
+        return new ClientSessions(new ClientSessions.Bounds(50, 20, 8, 30, Duration.ofSeconds(60)), 1);
     }
 
-    private static List<Answer> drain(Session s) {
-        List<Answer> some = new ArrayList<>();
-        for (Session.Told t = s.next(); t != null; t = s.next()) {
+    private static List<ClientResponse> drain(ClientSession s) {
+        List<ClientResponse> some = new ArrayList<>();
+        for (ClientSession.NumberedResponse t = s.next(); t != null; t = s.next()) {
             some.add(t.answer());
         }
         return some;
@@ -29,76 +30,76 @@
 
     @Example
     void whatWasNotSeenIsSaidAgainAndNothingElse() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         all.want(s, "1", T);
         all.want(s, "2", T);
-        all.say("a", Answer.bound("1", "m", 0, T), T);
-        all.say("a", Answer.denied("2", T, ""), T);
+        all.say("a", ClientResponse.bound("1", "m", 0, T), T);
+        all.say("a", ClientResponse.denied("2", T, ""), T);
         assertThat(drain(s).size()).isEqualTo(2);
         all.away(s, T);
-        Session again = all.hello("a", s.token, 1, T);
+        ClientSession again = all.hello("a", s.token, 1, T);
         assertThat(again).isSameAs(s);
-        assertThat(drain(again)).extracting(Answer::vm).containsExactly("2");
+        assertThat(drain(again)).extracting(ClientResponse::vm).containsExactly("2");
         assertThat(drain(again)).isEmpty();
     }
 
     @Example
     void aSecondFinalAnswerIsNotSaid() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         all.want(s, "1", T);
-        assertThat(all.say("a", Answer.denied("1", T, ""), T)).isTrue();
-        assertThat(all.say("a", Answer.errored("1", ""), T)).isFalse();
-        assertThat(all.say("a", Answer.bound("1", "m", 0, T), T)).isFalse();
+        assertThat(all.say("a", ClientResponse.denied("1", T, ""), T)).isTrue();
+        assertThat(all.say("a", ClientResponse.errored("1", ""), T)).isFalse();
+        assertThat(all.say("a", ClientResponse.bound("1", "m", 0, T), T)).isFalse();
         assertThat(drain(s).size()).isEqualTo(1);
     }
 
     @Example
     void aNewProcessUnderTheNameHearsOnlyOfWhatItAsksFor() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         all.want(s, "1", T);
         all.want(s, "2", T);
-        Session fresh = all.hello("a", "", 0, T);
-        all.say("a", Answer.bound("1", "m", 0, T), T);
-        all.say("a", Answer.bound("2", "m", 0, T), T);
+        ClientSession fresh = all.hello("a", "", 0, T);
+        all.say("a", ClientResponse.bound("1", "m", 0, T), T);
+        all.say("a", ClientResponse.bound("2", "m", 0, T), T);
         assertThat(drain(fresh)).isEmpty();
-        assertThat(all.want(fresh, "2", T)).isEqualTo(Sessions.Taken.KNOWN);
-        assertThat(drain(fresh)).extracting(Answer::vm).containsExactly("2");
+        assertThat(all.want(fresh, "2", T)).isEqualTo(ClientSessions.Admission.KNOWN);
+        assertThat(drain(fresh)).extracting(ClientResponse::vm).containsExactly("2");
     }
 
     @Example
     void boundsHold() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         for (int i = 0; i < 19; i++) {
             all.want(s, "v" + i, T);
             assertThat(all.mayRead(s)).isTrue();
         }
         all.want(s, "v19", T);
-        assertThat(all.want(s, "v20", T)).as("VMs of one client in hand").isEqualTo(Sessions.Taken.OVER);
+        assertThat(all.want(s, "v20", T)).as("VMs of one client in hand").isEqualTo(ClientSessions.Admission.OVER);
         for (int i = 0; i < 20; i++) {
-            all.say("a", Answer.denied("v" + i, T, ""), T);
+            all.say("a", ClientResponse.denied("v" + i, T, ""), T);
         }
         assertThat(all.mayRead(s)).as("answers not read").isFalse();
         drain(s);
         assertThat(all.mayRead(s)).isTrue();
-        Session b = all.hello("b", "", 0, T);
+        ClientSession b = all.hello("b", "", 0, T);
         int taken = 0;
         for (int i = 0; i < 70; i++) {
-            taken += all.want(b, "w" + i, T) == Sessions.Taken.NEW ? 1 : 0;
+            taken += all.want(b, "w" + i, T) == ClientSessions.Admission.NEW ? 1 : 0;
         }
         assertThat(taken).as("VMs in hand of one client").isEqualTo(20);
         for (int i = 0; i < 20; i++) {
-            all.say("b", Answer.denied("w" + i, T, ""), T);
+            all.say("b", ClientResponse.denied("w" + i, T, ""), T);
         }
         assertThat(all.kept()).as("answers kept").isLessThanOrEqualTo(30);
     }
 
     @Example
     void latenessIsAllowedForAWhileAndForgotten() {
-        Lateness l = new Lateness(Duration.ofSeconds(2));
+        EventLoopLag l = new EventLoopLag(Duration.ofSeconds(2));
         l.seen(Duration.ofMillis(400), Duration.ofMillis(100));
         l.seen(Duration.ofMillis(5), Duration.ofMillis(2200));
         assertThat(l.allowance(Duration.ofMillis(2300))).isEqualTo(Duration.ofMillis(400));
@@ -109,8 +110,8 @@
 
     @Example
     void aNumberThatWasNeverSaidIsRefused() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         assertThat(all.acknowledge(s, 3)).isFalse();
         assertThat(all.hello("a", s.token, 5, T)).as("a resume past what was said").isNotSameAs(s);
     }
@@ -118,23 +119,23 @@
     /** One that never acknowledges costs no more than the bound; a resume past it is told, and names still help. */
     @Example
     void whatWasLetGoIsNotResumedButKnownByName() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         for (int i = 0; i < 60; i++) {
             all.want(s, "v" + i, T);
-            all.say("a", Answer.denied("v" + i, T, ""), T);
+            all.say("a", ClientResponse.denied("v" + i, T, ""), T);
         }
         assertThat(all.hello("a", s.token, 59, T)).isSameAs(s);
-        Session fresh = all.hello("a", s.token, 2, T);
+        ClientSession fresh = all.hello("a", s.token, 2, T);
         assertThat(fresh).isNotSameAs(s);
-        assertThat(all.want(fresh, "v59", T)).isEqualTo(Sessions.Taken.KNOWN);
-        assertThat(drain(fresh)).extracting(Answer::vm).containsExactly("v59");
+        assertThat(all.want(fresh, "v59", T)).isEqualTo(ClientSessions.Admission.KNOWN);
+        assertThat(drain(fresh)).extracting(ClientResponse::vm).containsExactly("v59");
     }
 
     @Example
     void anAbsentClientIsForgottenInTime() {
-        Sessions all = sessions();
-        Session s = all.hello("a", "", 0, T);
+        ClientSessions all = sessions();
+        ClientSession s = all.hello("a", "", 0, T);
         all.away(s, T);
         assertThat(all.expire(Duration.ofSeconds(59))).isEmpty();
         assertThat(all.expire(Duration.ofSeconds(61))).containsExactly("a");
@@ -144,9 +145,9 @@
     /** Streams that break at any message: each answer is taken in exactly once, in order. */
     @Property(tries = 300, seed = "99")
     void eachAnswerExactlyOnceOverBreaks(@ForAll long seed) {
-        Sessions all = sessions();
+        ClientSessions all = sessions();
         Random r = new Random(seed);
-        Session s = all.hello("a", "", 0, T);
+        ClientSession s = all.hello("a", "", 0, T);
         String token = s.token;
         long seen = 0;
         Map<String, Integer> heard = new HashMap<>();
@@ -162,7 +163,7 @@
                 }
                 case 2 -> {
                     if (!open.isEmpty()) {
-                        all.say("a", Answer.denied(open.remove(r.nextInt(open.size())), T, ""), T);
+                        all.say("a", ClientResponse.denied(open.remove(r.nextInt(open.size())), T, ""), T);
                     }
                 }
                 case 3 -> all.acknowledge(s, seen);
@@ -172,7 +173,7 @@
                     assertThat(s.token).isEqualTo(token);
                 }
                 default -> {
-                    Session.Told t = s.next();
+                    ClientSession.NumberedResponse t = s.next();
                     // What is written may be lost with the stream before the client takes it in.
                     if (t != null && r.nextInt(3) == 0) {
                         s = all.hello("a", token, seen, T);
@@ -185,7 +186,7 @@
             }
         }
         s = all.hello("a", token, seen, T);
-        for (Session.Told t = s.next(); t != null; t = s.next()) {
+        for (ClientSession.NumberedResponse t = s.next(); t != null; t = s.next()) {
             heard.merge(t.answer().vm(), 1, Integer::sum);
         }
         assertThat(heard.size()).isEqualTo(made - open.size());
--- a/src/test/java/fordridge/session/OwedTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -14,89 +14,89 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-class OwedTest {
+class PendingResponsesTest {
     private static final Duration T = Duration.ofSeconds(10);
-    private final Owed<String> owed = new Owed<>(3, Duration.ofSeconds(8));
+    private final PendingResponses<String> pendingResponses = new PendingResponses<>(3, Duration.ofSeconds(8));
 
     @Example
     void anAskGetsOneAnswerAndWhatStandsOneRelease() {
-        assertThat(owed.ask("a", "line")).isEqualTo(Owed.Taken.NEW);
-        assertThat(owed.ask("a", "other")).isEqualTo(Owed.Taken.TWICE);
-        assertThat(owed.release("a", 16, T)).isNull();
-        assertThat(owed.answer("a", true)).isEqualTo("line");
-        assertThat(owed.answer("a", false)).isNull();
-        assertThat(owed.release("a", 16, T)).isEqualTo("line");
-        assertThat(owed.release("a", 16, T)).isNull();
-        assertThat(owed.standing()).isZero();
+        assertThat(pendingResponses.ask("a", "line")).isEqualTo(PendingResponses.Admission.NEW);
+        assertThat(pendingResponses.ask("a", "other")).isEqualTo(PendingResponses.Admission.TWICE);
+        assertThat(pendingResponses.release("a", 16, T)).isNull();
+        assertThat(pendingResponses.answer("a", true)).isEqualTo("line");
+        assertThat(pendingResponses.answer("a", false)).isNull();
+        assertThat(pendingResponses.release("a", 16, T)).isEqualTo("line");
+        assertThat(pendingResponses.release("a", 16, T)).isNull();
+        assertThat(pendingResponses.standing()).isZero();
     }
 
     @Example
     void asksBeyondTheBoundAreNotTaken() {
         for (String vm : List.of("a", "b", "c")) {
-            assertThat(owed.ask(vm, "line")).isEqualTo(Owed.Taken.NEW);
+            assertThat(pendingResponses.ask(vm, "line")).isEqualTo(PendingResponses.Admission.NEW);
         }
-        assertThat(owed.ask("d", "line")).isEqualTo(Owed.Taken.OVER);
-        owed.answer("a", false);
-        assertThat(owed.ask("d", "line")).isEqualTo(Owed.Taken.NEW);
+        assertThat(pendingResponses.ask("d", "line")).isEqualTo(PendingResponses.Admission.OVER);
+        pendingResponses.answer("a", false);
+        assertThat(pendingResponses.ask("d", "line")).isEqualTo(PendingResponses.Admission.NEW);
     }
 
     @Example
     void aLineThatClosesGivesUpItsAsksAndWhatStandsIsToldOnAnother() {
-        owed.ask("waits", "line");
-        owed.ask("stands", "line");
-        owed.answer("stands", true);
-        owed.ask("other", "second");
-        assertThat(owed.closed("line")).containsExactly("waits");
-        assertThat(owed.answer("waits", true)).isNull();
-        assertThat(owed.release("stands", 16, T)).isEqualTo("second");
+        pendingResponses.ask("waits", "line");
+        pendingResponses.ask("stands", "line");
+        pendingResponses.answer("stands", true);
+        pendingResponses.ask("other", "second");
+        assertThat(pendingResponses.closed("line")).containsExactly("waits");
+        assertThat(pendingResponses.answer("waits", true)).isNull();
+        assertThat(pendingResponses.release("stands", 16, T)).isEqualTo("second");
     }
 
     @Example
     void aReleaseWithoutAnyLineWaitsForOneAWhile() {
-        owed.stands("one", "line");
-        owed.stands("two", "line");
-        owed.closed("line");
-        assertThat(owed.release("one", 41, T)).isNull();
-        assertThat(owed.release("two", 16, T.plusSeconds(5))).isNull();
-        assertThat(owed.unpark(T.plusSeconds(9))).as("no line is there").isEmpty();
-        owed.ask("new", "another");
-        assertThat(owed.unpark(T.plusSeconds(9))).extracting(t -> t.line() + " " + t.release().vm())
+        pendingResponses.stands("one", "line");
+        pendingResponses.stands("two", "line");
+        pendingResponses.closed("line");
+        assertThat(pendingResponses.release("one", 41, T)).isNull();
+        assertThat(pendingResponses.release("two", 16, T.plusSeconds(5))).isNull();
+        assertThat(pendingResponses.unpark(T.plusSeconds(9))).as("no line is there").isEmpty();
+        pendingResponses.ask("new", "another");
+        assertThat(pendingResponses.unpark(T.plusSeconds(9))).extracting(t -> t.line() + " " + t.release().vm())
                 .containsExactly("another two");
-        assertThat(owed.unpark(T.plusSeconds(9))).isEmpty();
+        assertThat(pendingResponses.unpark(T.plusSeconds(9))).isEmpty();
     }
 
     /** Guards releases that went to whoever had asked last, which may be one that never listens. */
     @Example
     void aReleaseWhoseLineIsGoneGoesToOneThatIsKnownToHear() {
-        owed.ask("one", "line");
-        owed.answer("one", true);
-        owed.ask("two", "hears");
-        owed.answer("two", true);
-        assertThat(owed.release("two", 16, T)).isEqualTo("hears");
-        owed.heard("two", "hears");
-        owed.ask("three", "asks and never listens");
-        owed.closed("line");
-        assertThat(owed.release("one", 16, T)).isEqualTo("hears");
-        owed.closed("hears");
-        assertThat(owed.unpark(T)).extracting(t -> t.line() + " " + t.release().vm())
+        pendingResponses.ask("one", "line");
+        pendingResponses.answer("one", true);
+        pendingResponses.ask("two", "hears");
+        pendingResponses.answer("two", true);
+        assertThat(pendingResponses.release("two", 16, T)).isEqualTo("hears");
+        pendingResponses.heard("two", "hears");
+        pendingResponses.ask("three", "asks and never listens");
+        pendingResponses.closed("line");
+        assertThat(pendingResponses.release("one", 16, T)).isEqualTo("hears");
+        pendingResponses.closed("hears");
+        assertThat(pendingResponses.unpark(T)).extracting(t -> t.line() + " " + t.release().vm())
                 .containsExactly("asks and never listens one");
     }
 
     @Example
     void whatItsOwnerEndedIsOwedNothing() {
-        owed.ask("a", "line");
-        owed.answer("a", true);
-        assertThat(owed.ends("a")).isTrue();
-        assertThat(owed.ends("a")).isFalse();
-        assertThat(owed.release("a", 31, T)).isNull();
-        assertThat(owed.unpark(T)).isEmpty();
+        pendingResponses.ask("a", "line");
+        pendingResponses.answer("a", true);
+        assertThat(pendingResponses.ends("a")).isTrue();
+        assertThat(pendingResponses.ends("a")).isFalse();
+        assertThat(pendingResponses.release("a", 31, T)).isNull();
+        assertThat(pendingResponses.unpark(T)).isEmpty();
     }
 
     /** Random lives: one answer each while the line is there, counts that fit, and nothing remembered at the end. */
     @Property(tries = 200, seed = "1212")
     void nothingIsSaidTwiceOrKept(@ForAll long seed) {
         Random r = new Random(seed);
-        Owed<Integer> o = new Owed<>(20, Duration.ofSeconds(8));
+        PendingResponses<Integer> o = new PendingResponses<>(20, Duration.ofSeconds(8));
         Map<String, Integer> asked = new HashMap<>();
         Set<String> answered = new HashSet<>();
         List<String> names = new ArrayList<>();
@@ -105,7 +105,7 @@
             String vm = names.isEmpty() || r.nextInt(3) == 0 ? "vm" + i : names.get(r.nextInt(names.size()));
             switch (r.nextInt(5)) {
                 case 0 -> {
-                    if (o.ask(vm, line) == Owed.Taken.NEW) {
+                    if (o.ask(vm, line) == PendingResponses.Admission.NEW) {
                         names.add(vm);
                         asked.put(vm, line);
                         answered.remove(vm);
@@ -139,7 +139,7 @@
     @Property(tries = 200, seed = "1414")
     void everyReleaseIsToldUntilItIsHeard(@ForAll long seed) {
         Random r = new Random(seed);
-        Owed<Integer> o = new Owed<>(500, Duration.ofSeconds(8));
+        PendingResponses<Integer> o = new PendingResponses<>(500, Duration.ofSeconds(8));
         Map<String, Integer> standing = new HashMap<>();
         Map<String, Integer> due = new HashMap<>();
         Set<Integer> open = new HashSet<>();
@@ -164,7 +164,7 @@
                     due.replaceAll((vm, on) -> on != null && on == line ? null : on);
                 }
             }
-            for (Owed.Told<Integer> t : o.unpark(T)) {
+            for (PendingResponses.AddressedNotice<Integer> t : o.unpark(T)) {
                 assertThat(open).contains(t.line());
                 assertThat(due).as("waits to be told").containsEntry(t.release().vm(), null);
                 due.put(t.release().vm(), t.line());
--- a/src/test/java/fordridge/settings/DeploymentTest.java
+++ b/src/test/java/fordridge/settings/DeploymentSettingsTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import fordridge.listing.ListFile;
-import fordridge.state.Terms;
+import fordridge.discovery.MachineListFile;
+import fordridge.model.SchedulerSettings;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,7 +12,7 @@
 import java.util.List;
 import net.jqwik.api.Example;
 
-class DeploymentTest {
+class DeploymentSettingsTest {
     private static final String GOOD = "kinds = [{ name = std, cores = 8, memory = 16 }]\n"
             + "flavours = [{ name = f, effect = rebuildable, build_target = 600ms, build_timeout = 5s }]\n";
 
@@ -24,18 +24,18 @@
 
     private static List<String> complaints(String text) throws IOException {
         try {
-            Deployment.read(file(text));
+            DeploymentSettings.read(file(text));
             return List.of();
-        } catch (Deployment.Refused e) {
+        } catch (DeploymentSettings.InvalidSettingsException e) {
             return e.complaints;
         }
     }
 
     @Example
     void goodOnesAreReadWithDefaults() throws Exception {
-        Deployment d = Deployment.read(file(GOOD));
-        assertThat(d.flavours.get("f").rebuildable()).isTrue();
-        Terms t = new Terms(ModuleTerms.of(d, 3));
+        DeploymentSettings d = DeploymentSettings.read(file(GOOD));
+        assertThat(d.priorityClasses.get("f").rebuildable()).isTrue();
+        SchedulerSettings t = new SchedulerSettings(SchedulerSettingsMapper.of(d, 3));
         assertThat(t.text("lanes.0.semantics", "")).isEqualTo("retryable");
         assertThat(t.num("lanes.0.promiseUs", 0)).isEqualTo(600_000.0);
         assertThat(t.num("position", -1)).isEqualTo(3.0);
@@ -44,8 +44,8 @@
 
     @Example
     void aForgottenEffectIsTheStrictest() throws Exception {
-        Deployment d = Deployment.read(file(GOOD.replace("effect = rebuildable, ", "")));
-        assertThat(new Terms(ModuleTerms.of(d, 0)).text("lanes.0.semantics", "")).isEqualTo("fragile");
+        DeploymentSettings d = DeploymentSettings.read(file(GOOD.replace("effect = rebuildable, ", "")));
+        assertThat(new SchedulerSettings(SchedulerSettingsMapper.of(d, 0)).text("lanes.0.semantics", "")).isEqualTo("fragile");
     }
 
     @Example
@@ -75,12 +75,12 @@
     /** What the module was told before these could be set stays what it is told by default. */
     @Example
     void theShapeOfADeploymentIsPassedOnAndItsDefaultsAreWhatHeldBefore() throws Exception {
-        Terms t = new Terms(ModuleTerms.of(Deployment.read(file(GOOD)), 0));
+        SchedulerSettings t = new SchedulerSettings(SchedulerSettingsMapper.of(DeploymentSettings.read(file(GOOD)), 0));
         assertThat(t.flag("caps.retryAfter", false)).isTrue();
         assertThat(t.flag("caps.peerMessages", true)).isFalse();
         assertThat(t.text("discovery", "")).isEqualTo("push");
         assertThat(t.num("obligations.askWithinUs", 0)).isEqualTo(10_000_000.0);
-        t = new Terms(ModuleTerms.of(Deployment.read(file(GOOD + "cluster { retry_after = false, list_comes = ask, "
+        t = new SchedulerSettings(SchedulerSettingsMapper.of(DeploymentSettings.read(file(GOOD + "cluster { retry_after = false, list_comes = ask, "
                 + "ask_within = 20s, notes = true, mean_cores = 1.5 }\nprices.note = 0.01\n")), 0));
         assertThat(t.flag("caps.retryAfter", true)).isFalse();
         assertThat(t.flag("caps.peerMessages", false)).isTrue();
@@ -105,33 +105,33 @@
     @Example
     void whatIsNoHoconIsSaidWithItsLine() throws Exception {
         assertThat(complaints("kinds = [\n{ name = x\n")).anyMatch(l -> l.contains("fordridge") && l.contains(": 3"));
-        assertThatThrownBy(() -> Deployment.read(new File("/nowhere.conf"))).hasMessageContaining("no such file");
+        assertThatThrownBy(() -> DeploymentSettings.read(new File("/nowhere.conf"))).hasMessageContaining("no such file");
     }
 
     @Example
     void aListIsCheckedLineByLine() throws Exception {
-        Deployment d = Deployment.read(file(GOOD));
+        DeploymentSettings d = DeploymentSettings.read(file(GOOD));
         String good = "version = 1\nmachines = [\n{ name = a, address = \"127.0.0.1:1\", kind = std, state = live }\n]\n";
-        assertThat(ListFile.read(file(good), d, 1).entries().size()).isEqualTo(1);
-        assertThatThrownBy(() -> ListFile.read(file(good.replace("kind = std", "kind = odd")), d, 1))
+        assertThat(MachineListFile.read(file(good), d, 1).entries().size()).isEqualTo(1);
+        assertThatThrownBy(() -> MachineListFile.read(file(good.replace("kind = std", "kind = odd")), d, 1))
                 .hasMessageContaining(":3: machines[0].kind: found 'odd'");
-        assertThatThrownBy(() -> ListFile.read(file(good.replace("127.0.0.1:1", "here")), d, 1))
+        assertThatThrownBy(() -> MachineListFile.read(file(good.replace("127.0.0.1:1", "here")), d, 1))
                 .hasMessageContaining("host:port");
     }
 
     @Example
     void termsOfTheClusterAreLaidOverAndCheckedWhole() throws Exception {
-        Deployment d = Deployment.read(file(GOOD));
-        Deployment next = TermsChange.over(d, d, "cluster.most_claims = 2\nflavours = [{ name = f, effect = rebuildable, "
+        DeploymentSettings d = DeploymentSettings.read(file(GOOD));
+        DeploymentSettings next = SettingsUpdate.over(d, d, "cluster.most_claims = 2\nflavours = [{ name = f, effect = rebuildable, "
                 + "build_target = 800ms, build_timeout = 6s }, { name = g, effect = one-shot }]");
-        assertThat(next.mostClaims).isEqualTo(2);
-        assertThat(next.flavours.keySet()).containsExactly("f", "g");
-        assertThatThrownBy(() -> TermsChange.over(d, next, "cluster.most_claims = 2"))
+        assertThat(next.mostAttempts).isEqualTo(2);
+        assertThat(next.priorityClasses.keySet()).containsExactly("f", "g");
+        assertThatThrownBy(() -> SettingsUpdate.over(d, next, "cluster.most_claims = 2"))
                 .hasMessageContaining("flavour 'g' is missing");
-        assertThatThrownBy(() -> TermsChange.over(d, d, "flavours = [{ name = f, effect = one-shot }]"))
+        assertThatThrownBy(() -> SettingsUpdate.over(d, d, "flavours = [{ name = f, effect = one-shot }]"))
                 .hasMessageContaining("changes its effect");
-        assertThatThrownBy(() -> TermsChange.over(d, d, "placer.name = other")).hasMessageContaining("each placer's own");
-        assertThatThrownBy(() -> TermsChange.over(d, d, "cluster.most_claims = none")).hasMessageContaining("most_claims");
-        assertThatThrownBy(() -> TermsChange.over(d, d, "cluster {")).hasMessageContaining("1");
+        assertThatThrownBy(() -> SettingsUpdate.over(d, d, "placer.name = other")).hasMessageContaining("each placer's own");
+        assertThatThrownBy(() -> SettingsUpdate.over(d, d, "cluster.most_claims = none")).hasMessageContaining("most_claims");
+        assertThatThrownBy(() -> SettingsUpdate.over(d, d, "cluster {")).hasMessageContaining("1");
     }
 }
--- a/src/test/java/fordridge/DrillTest.java
+++ b/src/test/java/fordridge/simulation/SimulatorAdapterTest.java
@@ -1,15 +1,15 @@
-package fordridge;
+package fordridge.simulation;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.drill.Drill;
+import fordridge.simulation.SimulatorAdapter;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Example;
 
-class DrillTest {
+class SimulatorAdapterTest {
     private static final String CREATE = "{\"clockUs\":5000000,\"n\":1,\"groups\":[{\"placerId\":0,\"input\":["
             + "{\"msg\":\"create\",\"entropy\":7,\"profileData\":{\"kinds\":[\"k\"],\"lanes\":[{\"name\":\"f\","
             + "\"semantics\":\"retryable\",\"promiseUs\":600000,\"giveUpUs\":5000000}],\"extra\":{\"cpuOfKind\":[8],"
@@ -26,7 +26,7 @@
     private int drill(String lines) throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int code = new Drill(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out,
+        int code = new SimulatorAdapter(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out,
                 new PrintStream(err, true)).run();
         said = out.toString(StandardCharsets.UTF_8);
         complained = err.toString(StandardCharsets.UTF_8);
