--- a/src/main/java/fordridge/constraint/ConstraintValidator.java
+++ b/src/main/java/fordridge/constraint/ConstraintValidator.java
@@ -14,160 +14,213 @@
 import java.util.stream.Collectors;
 
 /**
- * Finds in a set of rules what no placing could ever meet, before any VM is refused for it. Looks at one VM of each kind
- * that the rules tell apart, and names a smallest set of rules that clash.
+ * Finds in a set of rules what no placing could ever meet, before any VM is refused for it. Looks
+ * at one VM of each kind that the rules tell apart, and names a smallest set of rules that clash.
  *
- * <p>By counts alone nothing is impossible for the first VM (near holds while there is none of the other, a spread has
- * room for one); so what can be said for good is: labels that no machine has together, and a VM that must be near what it
- * must also keep apart from, which could go nowhere as soon as one of those runs.
+ * <p>By counts alone nothing is impossible for the first VM (near holds while there is none of the
+ * other, a spread has room for one); so what can be said for good is: labels that no machine has
+ * together, and a VM that must be near what it must also keep apart from, which could go nowhere as
+ * soon as one of those runs.
  */
 public final class ConstraintValidator {
-    /** VMs of a kind that can go nowhere, and why. */
-    public record Conflict(String vms, List<PlacementConstraint> rules, String what) {
-        @Override
-        public String toString() {
-            return rules.stream().map(r -> "rule '" + r.name() + "' (line " + r.line() + ": " + r.clause() + ")")
-                    .collect(Collectors.joining(" and ")) + " " + what + ", for VMs of " + vms;
-        }
+  /** VMs of a kind that can go nowhere, and why. */
+  public record Conflict(String vms, List<PlacementConstraint> rules, String what) {
+    @Override
+    public String toString() {
+      return rules.stream()
+              .map(r -> "rule '" + r.name() + "' (line " + r.line() + ": " + r.clause() + ")")
+              .collect(Collectors.joining(" and "))
+          + " "
+          + what
+          + ", for VMs of "
+          + vms;
     }
+  }
 
-    /** Longest that a set is looked into. */
-    public static final Duration THINKS = Duration.ofSeconds(1);
-    /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
-    private static final int MOST_KINDS = 200;
+  /** Longest that a set is looked into. */
+  public static final Duration THINKS = Duration.ofSeconds(1);
 
-    private ConstraintValidator() {
-    }
+  /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
+  private static final int MOST_KINDS = 200;
 
-    /**
-     * All clashes; with no machines known yet only those that hold on any. {@code stop} ends a long search: what was
-     * found by then is told.
-     */
-    public static List<Conflict> of(List<PlacementConstraint> rules, Collection<ConstraintIndex.MachineTopology> machines, BooleanSupplier stop) {
-        ConstraintIndex book;
-        try {
-            // Shares among placers do not bear on it.
-            book = new ConstraintIndex(rules.stream().filter(r -> !(r.clause() instanceof PlacementConstraint.Most)).toList(), 1);
-        } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
-            throw new IllegalStateException(e);
-        }
-        book.machines(machines);
-        Map<String, Conflict> found = new LinkedHashMap<>();
-        for (String tenant : values(rules, 0)) {
-            for (String priorityClass : values(rules, 1)) {
-                for (String service : stop.getAsBoolean() ? Set.<String>of() : values(rules, 2)) {
-                    long number = service.isEmpty() ? -1 : Long.parseLong(service);
-                    String vms = words(tenant, priorityClass, service);
-                    List<PlacementConstraint> labels = book.conflict(tenant, priorityClass, number);
-                    if (!labels.isEmpty()) {
-                        found.putIfAbsent(names(labels), new Conflict(vms, labels, labels.size() == 1
-                                ? "is met by no machine" : "are met by no machine together"));
-                    }
-                    nearAndApart(rules, tenant, priorityClass, number, vms, found);
-                }
-            }
-        }
-        if (found.isEmpty()) {
-            oneOfEach(book, rules, stop, found);
+  private ConstraintValidator() {}
+
+  /**
+   * All clashes; with no machines known yet only those that hold on any. {@code stop} ends a long
+   * search: what was found by then is told.
+   */
+  public static List<Conflict> of(
+      List<PlacementConstraint> rules,
+      Collection<ConstraintIndex.MachineTopology> machines,
+      BooleanSupplier stop) {
+    ConstraintIndex book;
+    try {
+      // Shares among placers do not bear on it.
+      book =
+          new ConstraintIndex(
+              rules.stream()
+                  .filter(r -> !(r.clause() instanceof PlacementConstraint.Most))
+                  .toList(),
+              1);
+    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+      throw new IllegalStateException(e);
+    }
+    book.machines(machines);
+    Map<String, Conflict> found = new LinkedHashMap<>();
+    for (String tenant : values(rules, 0)) {
+      for (String priorityClass : values(rules, 1)) {
+        for (String service : stop.getAsBoolean() ? Set.<String>of() : values(rules, 2)) {
+          long number = service.isEmpty() ? -1 : Long.parseLong(service);
+          String vms = words(tenant, priorityClass, service);
+          List<PlacementConstraint> labels = book.conflict(tenant, priorityClass, number);
+          if (!labels.isEmpty()) {
+            found.putIfAbsent(
+                names(labels),
+                new Conflict(
+                    vms,
+                    labels,
+                    labels.size() == 1
+                        ? "is met by no machine"
+                        : "are met by no machine together"));
+          }
+          nearAndApart(rules, tenant, priorityClass, number, vms, found);
         }
-        return List.copyOf(found.values());
+      }
+    }
+    if (found.isEmpty()) {
+      oneOfEach(book, rules, stop, found);
     }
+    return List.copyOf(found.values());
+  }
 
-    /**
-     * One VM of each scope that the rules name must be able to run at once: by labels, near and apart. How many of a
-     * kind a spread lets run is no clash, nor are VMs of one kind that keep apart from each other.
-     */
-    private static void oneOfEach(ConstraintIndex book, List<PlacementConstraint> rules, BooleanSupplier stop, Map<String, Conflict> found) {
-        Map<String, GroupFeasibility.Part> kinds = new LinkedHashMap<>();
-        for (PlacementConstraint r : rules) {
-            List<Scope> scopes = new ArrayList<>();
-            if (r.required()) {
-                scopes.add(r.scope());
-                if (r.clause() instanceof PlacementConstraint.Near n) {
-                    scopes.add(n.other());
-                } else if (r.clause() instanceof PlacementConstraint.Apart a) {
-                    scopes.add(a.other());
-                }
-            }
-            for (Scope s : scopes) {
-                GroupFeasibility.Part one = new GroupFeasibility.Part(words(first(s.tenants()), first(s.priorityClasses()), first(s.services())),
-                        first(s.tenants()), first(s.priorityClasses()),
-                        s.services().isEmpty() ? -1 : Long.parseLong(first(s.services())), 0, 0);
-                if (kinds.size() < MOST_KINDS) {
-                    kinds.putIfAbsent(one.id(), one);
-                }
-            }
+  /**
+   * One VM of each scope that the rules name must be able to run at once: by labels, near and
+   * apart. How many of a kind a spread lets run is no clash, nor are VMs of one kind that keep
+   * apart from each other.
+   */
+  private static void oneOfEach(
+      ConstraintIndex book,
+      List<PlacementConstraint> rules,
+      BooleanSupplier stop,
+      Map<String, Conflict> found) {
+    Map<String, GroupFeasibility.Part> kinds = new LinkedHashMap<>();
+    for (PlacementConstraint r : rules) {
+      List<Scope> scopes = new ArrayList<>();
+      if (r.required()) {
+        scopes.add(r.scope());
+        if (r.clause() instanceof PlacementConstraint.Near n) {
+          scopes.add(n.other());
+        } else if (r.clause() instanceof PlacementConstraint.Apart a) {
+          scopes.add(a.other());
         }
-        List<GroupFeasibility.Part> parts = List.copyOf(kinds.values());
-        GroupFeasibility.Outcome o = book.together(parts, m -> new GroupFeasibility.Room(1, 1)).kinds().solve(stop);
-        if (o.verdict() == GroupFeasibility.Verdict.NO) {
-            found.put(names(o.rules()), new Conflict(parts.stream().filter(p -> o.rules().stream().anyMatch(r -> speaks(r, p)))
-                    .map(GroupFeasibility.Part::id).collect(Collectors.joining(" and ")), o.rules(),
-                    "leave no places for one of each at once"));
+      }
+      for (Scope s : scopes) {
+        GroupFeasibility.Part one =
+            new GroupFeasibility.Part(
+                words(first(s.tenants()), first(s.priorityClasses()), first(s.services())),
+                first(s.tenants()),
+                first(s.priorityClasses()),
+                s.services().isEmpty() ? -1 : Long.parseLong(first(s.services())),
+                0,
+                0);
+        if (kinds.size() < MOST_KINDS) {
+          kinds.putIfAbsent(one.id(), one);
         }
+      }
     }
-
-    private static boolean speaks(PlacementConstraint r, GroupFeasibility.Part p) {
-        return r.scope().covers(p.tenant(), p.priorityClass(), p.service());
+    List<GroupFeasibility.Part> parts = List.copyOf(kinds.values());
+    GroupFeasibility.Outcome o =
+        book.together(parts, m -> new GroupFeasibility.Room(1, 1)).kinds().solve(stop);
+    if (o.verdict() == GroupFeasibility.Verdict.NO) {
+      found.put(
+          names(o.rules()),
+          new Conflict(
+              parts.stream()
+                  .filter(p -> o.rules().stream().anyMatch(r -> speaks(r, p)))
+                  .map(GroupFeasibility.Part::id)
+                  .collect(Collectors.joining(" and ")),
+              o.rules(),
+              "leave no places for one of each at once"));
     }
+  }
 
-    private static String first(Set<String> values) {
-        return values.isEmpty() ? "" : new TreeSet<>(values).first();
-    }
+  private static boolean speaks(PlacementConstraint r, GroupFeasibility.Part p) {
+    return r.scope().covers(p.tenant(), p.priorityClass(), p.service());
+  }
 
-    private static void nearAndApart(List<PlacementConstraint> rules, String tenant, String priorityClass, long service, String vms,
-            Map<String, Conflict> found) {
-        List<PlacementConstraint> mine = rules.stream().filter(r -> r.required() && r.scope().covers(tenant, priorityClass, service)).toList();
-        for (PlacementConstraint n : mine) {
-            if (!(n.clause() instanceof PlacementConstraint.Near near)) {
-                continue;
-            }
-            for (PlacementConstraint a : mine) {
-                if (a.clause() instanceof PlacementConstraint.Apart apart && within(near.other(), apart.other())
-                        && atLeast(apart.per(), near.per())) {
-                    found.putIfAbsent(names(List.of(n, a)), new Conflict(vms, List.of(n, a),
-                            "leave no place as soon as one of " + near.other() + " runs"));
-                }
-            }
+  private static String first(Set<String> values) {
+    return values.isEmpty() ? "" : new TreeSet<>(values).first();
+  }
+
+  private static void nearAndApart(
+      List<PlacementConstraint> rules,
+      String tenant,
+      String priorityClass,
+      long service,
+      String vms,
+      Map<String, Conflict> found) {
+    List<PlacementConstraint> mine =
+        rules.stream()
+            .filter(r -> r.required() && r.scope().covers(tenant, priorityClass, service))
+            .toList();
+    for (PlacementConstraint n : mine) {
+      if (!(n.clause() instanceof PlacementConstraint.Near near)) {
+        continue;
+      }
+      for (PlacementConstraint a : mine) {
+        if (a.clause() instanceof PlacementConstraint.Apart apart
+            && within(near.other(), apart.other())
+            && atLeast(apart.per(), near.per())) {
+          found.putIfAbsent(
+              names(List.of(n, a)),
+              new Conflict(
+                  vms,
+                  List.of(n, a),
+                  "leave no place as soon as one of " + near.other() + " runs"));
         }
+      }
     }
+  }
 
-    /** Every VM of the one scope is of the other. */
-    private static boolean within(Scope part, Scope whole) {
-        return within(part.tenants(), whole.tenants()) && within(part.priorityClasses(), whole.priorityClasses())
-                && within(part.services(), whole.services());
-    }
+  /** Every VM of the one scope is of the other. */
+  private static boolean within(Scope part, Scope whole) {
+    return within(part.tenants(), whole.tenants())
+        && within(part.priorityClasses(), whole.priorityClasses())
+        && within(part.services(), whole.services());
+  }
 
-    private static boolean within(Set<String> part, Set<String> whole) {
-        return whole.isEmpty() || !part.isEmpty() && whole.containsAll(part);
-    }
+  private static boolean within(Set<String> part, Set<String> whole) {
+    return whole.isEmpty() || !part.isEmpty() && whole.containsAll(part);
+  }
 
-    /** A domain of the first kind holds the whole of any of the second that it touches. */
-    private static boolean atLeast(Domain large, Domain small) {
-        return large.ordinal() >= small.ordinal();
-    }
+  /** A domain of the first kind holds the whole of any of the second that it touches. */
+  private static boolean atLeast(Domain large, Domain small) {
+    return large.ordinal() >= small.ordinal();
+  }
 
-    /** Values that the rules speak of, and one that none speaks of. */
-    private static Set<String> values(List<PlacementConstraint> rules, int field) {
-        Set<String> some = new TreeSet<>();
-        some.add("");
-        List<Scope> scopes = new ArrayList<>();
-        for (PlacementConstraint r : rules) {
-            scopes.add(r.scope());
-        }
-        for (Scope s : scopes) {
-            some.addAll(field == 0 ? s.tenants() : field == 1 ? s.priorityClasses() : s.services());
-        }
-        return some;
+  /** Values that the rules speak of, and one that none speaks of. */
+  private static Set<String> values(List<PlacementConstraint> rules, int field) {
+    Set<String> some = new TreeSet<>();
+    some.add("");
+    List<Scope> scopes = new ArrayList<>();
+    for (PlacementConstraint r : rules) {
+      scopes.add(r.scope());
     }
-
-    private static String names(List<PlacementConstraint> rules) {
-        return rules.stream().map(PlacementConstraint::name).sorted().collect(Collectors.joining(" "));
+    for (Scope s : scopes) {
+      some.addAll(field == 0 ? s.tenants() : field == 1 ? s.priorityClasses() : s.services());
     }
+    return some;
+  }
 
-    private static String words(String tenant, String priorityClass, String service) {
-        String s = (tenant.isEmpty() ? "" : " customer " + tenant) + (priorityClass.isEmpty() ? "" : " flavour " + priorityClass)
-                + (service.isEmpty() ? "" : " service " + service);
-        return s.isEmpty() ? "any kind" : s.substring(1);
-    }
+  private static String names(List<PlacementConstraint> rules) {
+    return rules.stream().map(PlacementConstraint::name).sorted().collect(Collectors.joining(" "));
+  }
+
+  private static String words(String tenant, String priorityClass, String service) {
+    String s =
+        (tenant.isEmpty() ? "" : " customer " + tenant)
+            + (priorityClass.isEmpty() ? "" : " flavour " + priorityClass)
+            + (service.isEmpty() ? "" : " service " + service);
+    return s.isEmpty() ? "any kind" : s.substring(1);
+  }
 }
--- a/src/main/java/fordridge/constraint/GroupFeasibility.java
+++ b/src/main/java/fordridge/constraint/GroupFeasibility.java
@@ -16,361 +16,423 @@
 import org.chocosolver.solver.variables.IntVar;
 
 /**
- * Whether some VMs can run all at once, on machines and beside VMs as they were when the question was put: a whole of its
- * own, which may be answered on another thread. Free of I/O and clocks; who asks says when to stop.
+ * Whether some VMs can run all at once, on machines and beside VMs as they were when the question
+ * was put: a whole of its own, which may be answered on another thread. Free of I/O and clocks; who
+ * asks says when to stop.
  *
- * <p>It is judged where the VMs end up. {@code near} holds among the VMs themselves, and with what ran already;
- * {@code spread within} is left out, as it hangs on the order in which VMs are placed; so a no is a no, and a yes is a place
- * for each that the order may still spoil.
+ * <p>It is judged where the VMs end up. {@code near} holds among the VMs themselves, and with what
+ * ran already; {@code spread within} is left out, as it hangs on the order in which VMs are placed;
+ * so a no is a no, and a yes is a place for each that the order may still spoil.
  */
 public final class GroupFeasibility {
-    /** One of the VMs, and what it asks for. */
-    public record Part(String id, String tenant, String priorityClass, long service, double cores, double memory) { }
-
-    /** What may be had of a machine. */
-    public record Room(double cores, double memory) { }
-
-    /** How it came out. */
-    public enum Verdict { YES, NO, NOT_KNOWN }
-
-    /**
-     * For YES a machine for each VM, those first that others must be near; for NO the fewest rules that clash ({@code
-     * room} if machines are too small beside them), or as few as were found before the end.
-     */
-    public record Outcome(Verdict verdict, Map<String, String> machines, List<PlacementConstraint> rules, boolean room) { }
-
-    /** Fails of the search before it is given up as not known: the bound that does not hang on the machine's speed. */
-    private static final int FAILS = 20_000;
-    private static final int SCALE = 1000;
-
-    private final List<ConstraintIndex.MachineTopology> spots;
-    private final List<Room> rooms;
-    private final List<Part> parts;
-    private final List<PlacementConstraint> rules;
-    private final int placers;
-    private final boolean ofKinds;
-    /** VMs that run: by rule, side (scope or other) and service, how many are in which domain. */
-    private final Map<Held, Map<String, Integer>> held;
-    private final Map<Domain, int[]> domains = new EnumMap<>(Domain.class);
-    private final Map<Domain, List<String>> names = new EnumMap<>(Domain.class);
-
-    /** What a count is of. */
-    record Held(PlacementConstraint.Scope scope, Domain per, long service, boolean near) { }
-
-    GroupFeasibility(List<ConstraintIndex.MachineTopology> spots, List<Room> rooms, List<Part> parts, List<PlacementConstraint> rules, int placers,
-            Map<Held, Map<String, Integer>> held, boolean ofKinds) {
-        this.ofKinds = ofKinds;
-        this.spots = List.copyOf(spots);
-        this.rooms = List.copyOf(rooms);
-        this.parts = List.copyOf(parts);
-        this.rules = List.copyOf(rules);
-        this.placers = placers;
-        this.held = held;
-        for (Domain d : Domain.values()) {
-            int[] of = new int[spots.size()];
-            Map<String, Integer> numbers = new LinkedHashMap<>();
-            for (int i = 0; i < of.length; i++) {
-                of[i] = numbers.computeIfAbsent(ConstraintIndex.domain(spots.get(i), d), n -> numbers.size());
-            }
-            domains.put(d, of);
-            names.put(d, List.copyOf(numbers.keySet()));
-        }
-    }
+  /** One of the VMs, and what it asks for. */
+  public record Part(
+      String id, String tenant, String priorityClass, long service, double cores, double memory) {}
 
-    /** The same question of kinds of VM in place of VMs: those of one kind need not keep apart from each other. */
-    GroupFeasibility kinds() {
-        return new GroupFeasibility(spots, rooms, parts, rules, placers, held, true);
-    }
+  /** What may be had of a machine. */
+  public record Room(double cores, double memory) {}
 
-    /** Answers; {@code stop} is asked now and then, and ends it with what is known by then. */
-    public Outcome solve(BooleanSupplier stop) {
-        if (spots.isEmpty()) {
-            return new Outcome(Verdict.NOT_KNOWN, Map.of(), List.of(), false);
-        }
-        if (parts.isEmpty()) {
-            return new Outcome(Verdict.YES, Map.of(), List.of(), false);
-        }
-        Outcome all = new Try(rules, true, stop).outcome();
-        if (all.verdict != Verdict.NO) {
-            return all;
-        }
-        // Room is asked first, then the rules: what clashes already without room is the customers' own.
-        List<PlacementConstraint> some = rules;
-        boolean room = new Try(rules, false, stop).outcome().verdict != Verdict.NO;
-        some = fewest(List.of(), List.of(), some, room, stop);
-        return new Outcome(Verdict.NO, Map.of(), some, room);
-    }
+  /** How it came out. */
+  public enum Verdict {
+    YES,
+    NO,
+    NOT_KNOWN
+  }
 
-    /** The halving search for a smallest clashing set; as it stands when it is stopped, larger than need be. */
-    private List<PlacementConstraint> fewest(List<PlacementConstraint> base, List<PlacementConstraint> added, List<PlacementConstraint> from, boolean room, BooleanSupplier stop) {
-        if (!added.isEmpty() || base.isEmpty() && added.isEmpty() && !from.isEmpty()) {
-            if (new Try(base, room, stop).outcome().verdict == Verdict.NO) {
-                return List.of();
-            }
-        }
-        if (from.size() <= 1) {
-            return from;
-        }
-        List<PlacementConstraint> a = from.subList(0, from.size() / 2);
-        List<PlacementConstraint> b = from.subList(from.size() / 2, from.size());
-        List<PlacementConstraint> ofB = fewest(plus(base, a), a, b, room, stop);
-        List<PlacementConstraint> ofA = fewest(plus(base, ofB), ofB, a, room, stop);
-        return plus(ofA, ofB);
-    }
+  /**
+   * For YES a machine for each VM, those first that others must be near; for NO the fewest rules
+   * that clash ({@code room} if machines are too small beside them), or as few as were found before
+   * the end.
+   */
+  public record Outcome(
+      Verdict verdict,
+      Map<String, String> machines,
+      List<PlacementConstraint> rules,
+      boolean room) {}
 
-    private static List<PlacementConstraint> plus(List<PlacementConstraint> a, List<PlacementConstraint> b) {
-        List<PlacementConstraint> both = new ArrayList<>(a);
-        both.addAll(b);
-        return both;
-    }
+  /**
+   * Fails of the search before it is given up as not known: the bound that does not hang on the
+   * machine's speed.
+   */
+  private static final int FAILS = 20_000;
 
-    /** The smallest kind of domain that a VM must share with another of these; null if it need not. */
-    Domain bound(Part p) {
-        Domain least = null;
-        for (PlacementConstraint r : rules) {
-            if (r.clause() instanceof PlacementConstraint.Near n && parts.stream().anyMatch(o -> o != p
-                    && (of(r.scope(), p) && of(n.other(), o) || of(r.scope(), o) && of(n.other(), p)))) {
-                least = least == null || n.per().compareTo(least) < 0 ? n.per() : least;
-            }
-        }
-        return least;
-    }
+  private static final int SCALE = 1000;
+
+  private final List<ConstraintIndex.MachineTopology> spots;
+  private final List<Room> rooms;
+  private final List<Part> parts;
+  private final List<PlacementConstraint> rules;
+  private final int placers;
+  private final boolean ofKinds;
+
+  /** VMs that run: by rule, side (scope or other) and service, how many are in which domain. */
+  private final Map<Held, Map<String, Integer>> held;
 
-    /** Machines open to the VM that has the fewest. */
-    int fewestOpen() {
-        Try t = new Try(rules, true, () -> false);
-        return Arrays.stream(t.at).mapToInt(IntVar::getDomainSize).min().orElse(0);
+  private final Map<Domain, int[]> domains = new EnumMap<>(Domain.class);
+  private final Map<Domain, List<String>> names = new EnumMap<>(Domain.class);
+
+  /** What a count is of. */
+  record Held(PlacementConstraint.Scope scope, Domain per, long service, boolean near) {}
+
+  GroupFeasibility(
+      List<ConstraintIndex.MachineTopology> spots,
+      List<Room> rooms,
+      List<Part> parts,
+      List<PlacementConstraint> rules,
+      int placers,
+      Map<Held, Map<String, Integer>> held,
+      boolean ofKinds) {
+    this.ofKinds = ofKinds;
+    this.spots = List.copyOf(spots);
+    this.rooms = List.copyOf(rooms);
+    this.parts = List.copyOf(parts);
+    this.rules = List.copyOf(rules);
+    this.placers = placers;
+    this.held = held;
+    for (Domain d : Domain.values()) {
+      int[] of = new int[spots.size()];
+      Map<String, Integer> numbers = new LinkedHashMap<>();
+      for (int i = 0; i < of.length; i++) {
+        of[i] =
+            numbers.computeIfAbsent(ConstraintIndex.domain(spots.get(i), d), n -> numbers.size());
+      }
+      domains.put(d, of);
+      names.put(d, List.copyOf(numbers.keySet()));
     }
+  }
+
+  /**
+   * The same question of kinds of VM in place of VMs: those of one kind need not keep apart from
+   * each other.
+   */
+  GroupFeasibility kinds() {
+    return new GroupFeasibility(spots, rooms, parts, rules, placers, held, true);
+  }
 
-    ConstraintIndex.MachineTopology spot(String machine) {
-        return spots.stream().filter(s -> s.name().equals(machine)).findFirst().orElseThrow();
+  /** Answers; {@code stop} is asked now and then, and ends it with what is known by then. */
+  public Outcome solve(BooleanSupplier stop) {
+    if (spots.isEmpty()) {
+      return new Outcome(Verdict.NOT_KNOWN, Map.of(), List.of(), false);
+    }
+    if (parts.isEmpty()) {
+      return new Outcome(Verdict.YES, Map.of(), List.of(), false);
+    }
+    Outcome all = new Try(rules, true, stop).outcome();
+    if (all.verdict != Verdict.NO) {
+      return all;
     }
+    // Room is asked first, then the rules: what clashes already without room is the customers' own.
+    List<PlacementConstraint> some = rules;
+    boolean room = new Try(rules, false, stop).outcome().verdict != Verdict.NO;
+    some = fewest(List.of(), List.of(), some, room, stop);
+    return new Outcome(Verdict.NO, Map.of(), some, room);
+  }
 
-    private Map<String, Integer> held(PlacementConstraint.Scope scope, Domain per, long service) {
-        return held.getOrDefault(new Held(scope, per, service, false), Map.of());
+  /**
+   * The halving search for a smallest clashing set; as it stands when it is stopped, larger than
+   * need be.
+   */
+  private List<PlacementConstraint> fewest(
+      List<PlacementConstraint> base,
+      List<PlacementConstraint> added,
+      List<PlacementConstraint> from,
+      boolean room,
+      BooleanSupplier stop) {
+    if (!added.isEmpty() || base.isEmpty() && added.isEmpty() && !from.isEmpty()) {
+      if (new Try(base, room, stop).outcome().verdict == Verdict.NO) {
+        return List.of();
+      }
     }
+    if (from.size() <= 1) {
+      return from;
+    }
+    List<PlacementConstraint> a = from.subList(0, from.size() / 2);
+    List<PlacementConstraint> b = from.subList(from.size() / 2, from.size());
+    List<PlacementConstraint> ofB = fewest(plus(base, a), a, b, room, stop);
+    List<PlacementConstraint> ofA = fewest(plus(base, ofB), ofB, a, room, stop);
+    return plus(ofA, ofB);
+  }
+
+  private static List<PlacementConstraint> plus(
+      List<PlacementConstraint> a, List<PlacementConstraint> b) {
+    List<PlacementConstraint> both = new ArrayList<>(a);
+    both.addAll(b);
+    return both;
+  }
 
-    private static boolean of(PlacementConstraint.Scope s, Part p) {
-        return s.covers(p.tenant, p.priorityClass, p.service);
+  /**
+   * The smallest kind of domain that a VM must share with another of these; null if it need not.
+   */
+  Domain bound(Part p) {
+    Domain least = null;
+    for (PlacementConstraint r : rules) {
+      if (r.clause() instanceof PlacementConstraint.Near n
+          && parts.stream()
+              .anyMatch(
+                  o ->
+                      o != p
+                          && (of(r.scope(), p) && of(n.other(), o)
+                              || of(r.scope(), o) && of(n.other(), p)))) {
+        least = least == null || n.per().compareTo(least) < 0 ? n.per() : least;
+      }
     }
+    return least;
+  }
 
-    /** One run of the solver under some of the rules. */
-    private final class Try {
-        private final Model model = new Model("together");
-        private final IntVar[] at = new IntVar[parts.size()];
-        private final Map<Domain, IntVar[]> in = new EnumMap<>(Domain.class);
-        private final BooleanSupplier stop;
-        private boolean impossible;
-
-        Try(List<PlacementConstraint> some, boolean room, BooleanSupplier stop) {
-            this.stop = stop;
-            for (int p = 0; p < at.length; p++) {
-                at[p] = model.intVar("at" + p, machinesFor(p, some, room));
-            }
-            if (impossible) {
-                return;
-            }
-            for (PlacementConstraint r : some) {
-                if (r.clause() instanceof PlacementConstraint.Apart a) {
-                    apart(r, a);
-                } else if (r.clause() instanceof PlacementConstraint.Most m) {
-                    most(r, m);
-                } else if (r.clause() instanceof PlacementConstraint.Near n) {
-                    near(r, n);
-                }
-            }
-            if (room) {
-                pack(p -> parts.get(p).cores, m -> rooms.get(m).cores);
-                pack(p -> parts.get(p).memory, m -> rooms.get(m).memory);
-            }
-        }
+  /** Machines open to the VM that has the fewest. */
+  int fewestOpen() {
+    Try t = new Try(rules, true, () -> false);
+    return Arrays.stream(t.at).mapToInt(IntVar::getDomainSize).min().orElse(0);
+  }
 
-        /** Machines that no rule forbids whatever the others do. */
-        private int[] machinesFor(int p, List<PlacementConstraint> some, boolean room) {
-            Part part = parts.get(p);
-            boolean[] no = new boolean[spots.size()];
-            for (int m = 0; room && m < no.length; m++) {
-                no[m] = part.cores > rooms.get(m).cores || part.memory > rooms.get(m).memory;
-            }
-            for (PlacementConstraint r : some) {
-                if (r.clause() instanceof PlacementConstraint.Apart a) {
-                    if (of(r.scope(), part)) {
-                        forbid(no, a.per(), held(a.other(), a.per(), ConstraintIndex.ANY), 1);
-                    }
-                    if (of(a.other(), part)) {
-                        forbid(no, a.per(), held(r.scope(), a.per(), ConstraintIndex.ANY), 1);
-                    }
-                } else if (of(r.scope(), part)) {
-                    if (r.clause() instanceof PlacementConstraint.On on) {
-                        for (int m = 0; m < no.length; m++) {
-                            no[m] |= !ConstraintIndex.holds(on.where(), spots.get(m));
-                        }
-                    } else if (r.clause() instanceof PlacementConstraint.Most most) {
-                        forbid(no, most.per(), held(r.scope(), most.per(), most.eachService() ? part.service : ConstraintIndex.ANY),
-                                ConstraintIndex.share(most, placers));
-                    }
-                }
-            }
-            int[] open = java.util.stream.IntStream.range(0, no.length).filter(m -> !no[m]).toArray();
-            impossible |= open.length == 0;
-            return open.length == 0 ? new int[] {0} : open;
+  ConstraintIndex.MachineTopology spot(String machine) {
+    return spots.stream().filter(s -> s.name().equals(machine)).findFirst().orElseThrow();
+  }
+
+  private Map<String, Integer> held(PlacementConstraint.Scope scope, Domain per, long service) {
+    return held.getOrDefault(new Held(scope, per, service, false), Map.of());
+  }
+
+  private static boolean of(PlacementConstraint.Scope s, Part p) {
+    return s.covers(p.tenant, p.priorityClass, p.service);
+  }
+
+  /** One run of the solver under some of the rules. */
+  private final class Try {
+    private final Model model = new Model("together");
+    private final IntVar[] at = new IntVar[parts.size()];
+    private final Map<Domain, IntVar[]> in = new EnumMap<>(Domain.class);
+    private final BooleanSupplier stop;
+    private boolean impossible;
+
+    Try(List<PlacementConstraint> some, boolean room, BooleanSupplier stop) {
+      this.stop = stop;
+      for (int p = 0; p < at.length; p++) {
+        at[p] = model.intVar("at" + p, machinesFor(p, some, room));
+      }
+      if (impossible) {
+        return;
+      }
+      for (PlacementConstraint r : some) {
+        if (r.clause() instanceof PlacementConstraint.Apart a) {
+          apart(r, a);
+        } else if (r.clause() instanceof PlacementConstraint.Most m) {
+          most(r, m);
+        } else if (r.clause() instanceof PlacementConstraint.Near n) {
+          near(r, n);
         }
+      }
+      if (room) {
+        pack(p -> parts.get(p).cores, m -> rooms.get(m).cores);
+        pack(p -> parts.get(p).memory, m -> rooms.get(m).memory);
+      }
+    }
 
-        /** Closes domains that hold so many already. */
-        private void forbid(boolean[] no, Domain per, Map<String, Integer> counts, int most) {
-            if (counts.isEmpty()) {
-                return;
-            }
+    /** Machines that no rule forbids whatever the others do. */
+    private int[] machinesFor(int p, List<PlacementConstraint> some, boolean room) {
+      Part part = parts.get(p);
+      boolean[] no = new boolean[spots.size()];
+      for (int m = 0; room && m < no.length; m++) {
+        no[m] = part.cores > rooms.get(m).cores || part.memory > rooms.get(m).memory;
+      }
+      for (PlacementConstraint r : some) {
+        if (r.clause() instanceof PlacementConstraint.Apart a) {
+          if (of(r.scope(), part)) {
+            forbid(no, a.per(), held(a.other(), a.per(), ConstraintIndex.ANY), 1);
+          }
+          if (of(a.other(), part)) {
+            forbid(no, a.per(), held(r.scope(), a.per(), ConstraintIndex.ANY), 1);
+          }
+        } else if (of(r.scope(), part)) {
+          if (r.clause() instanceof PlacementConstraint.On on) {
             for (int m = 0; m < no.length; m++) {
-                no[m] |= counts.getOrDefault(ConstraintIndex.domain(spots.get(m), per), 0) >= most;
+              no[m] |= !ConstraintIndex.holds(on.where(), spots.get(m));
             }
+          } else if (r.clause() instanceof PlacementConstraint.Most most) {
+            forbid(
+                no,
+                most.per(),
+                held(
+                    r.scope(), most.per(), most.eachService() ? part.service : ConstraintIndex.ANY),
+                ConstraintIndex.share(most, placers));
+          }
         }
+      }
+      int[] open = java.util.stream.IntStream.range(0, no.length).filter(m -> !no[m]).toArray();
+      impossible |= open.length == 0;
+      return open.length == 0 ? new int[] {0} : open;
+    }
 
-        private IntVar in(int p, Domain per) {
-            if (per == Domain.MACHINE) {
-                return at[p];
-            }
-            IntVar[] of = in.computeIfAbsent(per, d -> new IntVar[parts.size()]);
-            if (of[p] == null) {
-                int[] table = domains.get(per);
-                of[p] = model.intVar(per + "" + p, 0, names.get(per).size() - 1);
-                model.element(of[p], table, at[p]).post();
-            }
-            return of[p];
-        }
+    /** Closes domains that hold so many already. */
+    private void forbid(boolean[] no, Domain per, Map<String, Integer> counts, int most) {
+      if (counts.isEmpty()) {
+        return;
+      }
+      for (int m = 0; m < no.length; m++) {
+        no[m] |= counts.getOrDefault(ConstraintIndex.domain(spots.get(m), per), 0) >= most;
+      }
+    }
 
-        private void apart(PlacementConstraint r, PlacementConstraint.Apart a) {
-            List<IntVar> each = new ArrayList<>();
-            for (int u = 0; u < at.length; u++) {
-                if (of(r.scope(), parts.get(u)) && of(a.other(), parts.get(u))) {
-                    each.add(in(u, a.per()));
-                }
-            }
-            if (each.size() > 1 && !ofKinds) {
-                model.allDifferent(each.toArray(new IntVar[0])).post();
-            }
-            for (int u = 0; u < at.length; u++) {
-                for (int w = 0; w < at.length; w++) {
-                    boolean both = of(r.scope(), parts.get(w)) && of(a.other(), parts.get(u));
-                    if (u != w && of(r.scope(), parts.get(u)) && of(a.other(), parts.get(w)) && !both) {
-                        model.arithm(in(u, a.per()), "!=", in(w, a.per())).post();
-                    }
-                }
-            }
-        }
+    private IntVar in(int p, Domain per) {
+      if (per == Domain.MACHINE) {
+        return at[p];
+      }
+      IntVar[] of = in.computeIfAbsent(per, d -> new IntVar[parts.size()]);
+      if (of[p] == null) {
+        int[] table = domains.get(per);
+        of[p] = model.intVar(per + "" + p, 0, names.get(per).size() - 1);
+        model.element(of[p], table, at[p]).post();
+      }
+      return of[p];
+    }
 
-        private void most(PlacementConstraint r, PlacementConstraint.Most m) {
-            int most = ConstraintIndex.share(m, placers);
-            Map<Long, List<Integer>> kin = new TreeMap<>();
-            for (int p = 0; p < at.length; p++) {
-                if (of(r.scope(), parts.get(p))) {
-                    kin.computeIfAbsent(m.eachService() ? parts.get(p).service : ConstraintIndex.ANY, s -> new ArrayList<>()).add(p);
-                }
-            }
-            kin.forEach((service, some) -> {
-                Map<String, Integer> counts = held(r.scope(), m.per(), service);
-                int fewestLeft = most - counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
-                if (some.size() <= fewestLeft) {
-                    return;
-                }
-                IntVar[] vars = some.stream().map(p -> in(p, m.per())).toArray(IntVar[]::new);
-                if (most == 1) {
-                    model.allDifferent(vars).post();
-                    return;
-                }
-                List<String> all = names.get(m.per());
-                int[] values = new int[all.size()];
-                IntVar[] times = new IntVar[values.length];
-                for (int i = 0; i < values.length; i++) {
-                    values[i] = i;
-                    times[i] = model.intVar(0, Math.max(0, Math.min(some.size(),
-                            most - counts.getOrDefault(all.get(i), 0))));
-                }
-                model.globalCardinality(vars, values, times, false).post();
-            });
+    private void apart(PlacementConstraint r, PlacementConstraint.Apart a) {
+      List<IntVar> each = new ArrayList<>();
+      for (int u = 0; u < at.length; u++) {
+        if (of(r.scope(), parts.get(u)) && of(a.other(), parts.get(u))) {
+          each.add(in(u, a.per()));
         }
-
-        private void near(PlacementConstraint r, PlacementConstraint.Near n) {
-            Map<String, Integer> counts = held.getOrDefault(new Held(n.other(), n.per(), ConstraintIndex.ANY, true), Map.of());
-            int[] already = java.util.stream.IntStream.range(0, names.get(n.per()).size())
-                    .filter(i -> counts.containsKey(names.get(n.per()).get(i))).toArray();
-            boolean away = already.length == 0 && !counts.isEmpty();
-            for (int u = 0; u < at.length; u++) {
-                if (!of(r.scope(), parts.get(u))) {
-                    continue;
-                }
-                List<Constraint> ways = new ArrayList<>();
-                if (already.length > 0) {
-                    ways.add(model.member(in(u, n.per()), already));
-                }
-                for (int w = 0; w < at.length; w++) {
-                    if (w != u && of(n.other(), parts.get(w))) {
-                        ways.add(model.arithm(in(u, n.per()), "=", in(w, n.per())));
-                    }
-                }
-                if (ways.size() == 1) {
-                    ways.get(0).post();
-                } else if (!ways.isEmpty()) {
-                    model.or(ways.stream().map(Constraint::reify).toArray(BoolVar[]::new)).post();
-                } else if (away) {
-                    impossible = true;
-                }
-            }
+      }
+      if (each.size() > 1 && !ofKinds) {
+        model.allDifferent(each.toArray(new IntVar[0])).post();
+      }
+      for (int u = 0; u < at.length; u++) {
+        for (int w = 0; w < at.length; w++) {
+          boolean both = of(r.scope(), parts.get(w)) && of(a.other(), parts.get(u));
+          if (u != w && of(r.scope(), parts.get(u)) && of(a.other(), parts.get(w)) && !both) {
+            model.arithm(in(u, a.per()), "!=", in(w, a.per())).post();
+          }
         }
+      }
+    }
 
-        private interface OfPart {
-            double of(int part);
+    private void most(PlacementConstraint r, PlacementConstraint.Most m) {
+      int most = ConstraintIndex.share(m, placers);
+      Map<Long, List<Integer>> kin = new TreeMap<>();
+      for (int p = 0; p < at.length; p++) {
+        if (of(r.scope(), parts.get(p))) {
+          kin.computeIfAbsent(
+                  m.eachService() ? parts.get(p).service : ConstraintIndex.ANY,
+                  s -> new ArrayList<>())
+              .add(p);
         }
-
-        /** No machine takes more than it has; only where that could happen at all. */
-        private void pack(OfPart size, OfPart has) {
-            int[] sizes = new int[at.length];
-            long sum = 0;
-            for (int p = 0; p < sizes.length; p++) {
-                sizes[p] = (int) Math.floor(size.of(p) * SCALE);
-                sum += sizes[p];
+      }
+      kin.forEach(
+          (service, some) -> {
+            Map<String, Integer> counts = held(r.scope(), m.per(), service);
+            int fewestLeft =
+                most - counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+            if (some.size() <= fewestLeft) {
+              return;
             }
-            IntVar[] loads = new IntVar[spots.size()];
-            boolean tight = false;
-            for (int m = 0; m < loads.length; m++) {
-                long most = Math.max(0, (long) Math.ceil(Math.min(has.of(m), 1e6) * SCALE));
-                tight |= most < sum;
-                loads[m] = model.intVar(0, (int) Math.min(most, Math.min(sum, Integer.MAX_VALUE / 4)));
+            IntVar[] vars = some.stream().map(p -> in(p, m.per())).toArray(IntVar[]::new);
+            if (most == 1) {
+              model.allDifferent(vars).post();
+              return;
             }
-            if (tight) {
-                model.binPacking(at, sizes, loads, 0).post();
+            List<String> all = names.get(m.per());
+            int[] values = new int[all.size()];
+            IntVar[] times = new IntVar[values.length];
+            for (int i = 0; i < values.length; i++) {
+              values[i] = i;
+              times[i] =
+                  model.intVar(
+                      0,
+                      Math.max(
+                          0, Math.min(some.size(), most - counts.getOrDefault(all.get(i), 0))));
             }
-        }
+            model.globalCardinality(vars, values, times, false).post();
+          });
+    }
 
-        Outcome outcome() {
-            if (impossible) {
-                return new Outcome(Verdict.NO, Map.of(), List.of(), false);
-            }
-            model.getSolver().setSearch(Search.domOverWDegSearch(at));
-            model.getSolver().limitFail(FAILS);
-            model.getSolver().addStopCriterion(stop::getAsBoolean);
-            if (model.getSolver().solve()) {
-                return new Outcome(Verdict.YES, inOrder(), List.of(), false);
-            }
-            return new Outcome(model.getSolver().isStopCriterionMet() ? Verdict.NOT_KNOWN : Verdict.NO, Map.of(),
-                    List.of(), false);
+    private void near(PlacementConstraint r, PlacementConstraint.Near n) {
+      Map<String, Integer> counts =
+          held.getOrDefault(new Held(n.other(), n.per(), ConstraintIndex.ANY, true), Map.of());
+      int[] already =
+          java.util.stream.IntStream.range(0, names.get(n.per()).size())
+              .filter(i -> counts.containsKey(names.get(n.per()).get(i)))
+              .toArray();
+      boolean away = already.length == 0 && !counts.isEmpty();
+      for (int u = 0; u < at.length; u++) {
+        if (!of(r.scope(), parts.get(u))) {
+          continue;
         }
-
-        /** Those without a near first: others look for them. */
-        private Map<String, String> inOrder() {
-            Map<String, String> places = new LinkedHashMap<>();
-            for (boolean seeks : new boolean[] {false, true}) {
-                for (int p = 0; p < at.length; p++) {
-                    if (seeks(parts.get(p)) == seeks) {
-                        places.put(parts.get(p).id, spots.get(at[p].getValue()).name());
-                    }
-                }
-            }
-            return places;
+        List<Constraint> ways = new ArrayList<>();
+        if (already.length > 0) {
+          ways.add(model.member(in(u, n.per()), already));
+        }
+        for (int w = 0; w < at.length; w++) {
+          if (w != u && of(n.other(), parts.get(w))) {
+            ways.add(model.arithm(in(u, n.per()), "=", in(w, n.per())));
+          }
+        }
+        if (ways.size() == 1) {
+          ways.get(0).post();
+        } else if (!ways.isEmpty()) {
+          model.or(ways.stream().map(Constraint::reify).toArray(BoolVar[]::new)).post();
+        } else if (away) {
+          impossible = true;
         }
+      }
     }
 
-    private boolean seeks(Part p) {
-        return rules.stream().anyMatch(r -> r.clause() instanceof PlacementConstraint.Near && of(r.scope(), p));
+    private interface OfPart {
+      double of(int part);
     }
+
+    /** No machine takes more than it has; only where that could happen at all. */
+    private void pack(OfPart size, OfPart has) {
+      int[] sizes = new int[at.length];
+      long sum = 0;
+      for (int p = 0; p < sizes.length; p++) {
+        sizes[p] = (int) Math.floor(size.of(p) * SCALE);
+        sum += sizes[p];
+      }
+      IntVar[] loads = new IntVar[spots.size()];
+      boolean tight = false;
+      for (int m = 0; m < loads.length; m++) {
+        long most = Math.max(0, (long) Math.ceil(Math.min(has.of(m), 1e6) * SCALE));
+        tight |= most < sum;
+        loads[m] = model.intVar(0, (int) Math.min(most, Math.min(sum, Integer.MAX_VALUE / 4)));
+      }
+      if (tight) {
+        model.binPacking(at, sizes, loads, 0).post();
+      }
+    }
+
+    Outcome outcome() {
+      if (impossible) {
+        return new Outcome(Verdict.NO, Map.of(), List.of(), false);
+      }
+      model.getSolver().setSearch(Search.domOverWDegSearch(at));
+      model.getSolver().limitFail(FAILS);
+      model.getSolver().addStopCriterion(stop::getAsBoolean);
+      if (model.getSolver().solve()) {
+        return new Outcome(Verdict.YES, inOrder(), List.of(), false);
+      }
+      return new Outcome(
+          model.getSolver().isStopCriterionMet() ? Verdict.NOT_KNOWN : Verdict.NO,
+          Map.of(),
+          List.of(),
+          false);
+    }
+
+    /** Those without a near first: others look for them. */
+    private Map<String, String> inOrder() {
+      Map<String, String> places = new LinkedHashMap<>();
+      for (boolean seeks : new boolean[] {false, true}) {
+        for (int p = 0; p < at.length; p++) {
+          if (seeks(parts.get(p)) == seeks) {
+            places.put(parts.get(p).id, spots.get(at[p].getValue()).name());
+          }
+        }
+      }
+      return places;
+    }
+  }
+
+  private boolean seeks(Part p) {
+    return rules.stream()
+        .anyMatch(r -> r.clause() instanceof PlacementConstraint.Near && of(r.scope(), p));
+  }
 }
--- a/src/main/java/fordridge/emulator/ScenarioPlan.java
+++ b/src/main/java/fordridge/emulator/ScenarioPlan.java
@@ -3,8 +3,8 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import com.typesafe.config.ConfigValueFactory;
-import fordridge.settings.DeploymentSettings;
 import fordridge.settings.ConfigReader;
+import fordridge.settings.DeploymentSettings;
 import java.io.File;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,151 +12,213 @@
 import java.util.List;
 import java.util.Map;
 
-/** A scripted day, read from HOCON and checked whole: the fleet, the owners, the registry and what goes wrong. */
+/**
+ * A scripted day, read from HOCON and checked whole: the fleet, the owners, the registry and what
+ * goes wrong.
+ */
 final class ScenarioPlan {
-    /** A trouble: kinds and meanings are in docs/rig.md. */
-    record Fault(String kind, Duration at, Duration lasts, double part, double size, double extra, String of,
-            String by) { }
+  /** A trouble: kinds and meanings are in docs/rig.md. */
+  record Fault(
+      String kind,
+      Duration at,
+      Duration lasts,
+      double part,
+      double size,
+      double extra,
+      String of,
+      String by) {}
 
-    record Shape(double cores, double memory) { }
+  record Shape(double cores, double memory) {}
 
-    static final List<String> KINDS = List.of("slow", "vanish", "hang", "crash", "fast_errors", "pauses", "neighbour",
-            "answer_lost", "throttle", "drain", "deploy", "mass_restart", "preempt", "zone_loss", "grow", "burst",
-            "hot_key", "flush", "reconnect", "cut_clients", "cut_machines", "cut_offers", "cut_before_answer",
-            "cut_after_answer", "cut_greetings",
-            "cut_binds", "mute", "etcd_compact",
-            "etcd_silence", "etcd_cut", "etcd_delay", "etcd_restore", "etcd_leases");
+  static final List<String> KINDS =
+      List.of(
+          "slow",
+          "vanish",
+          "hang",
+          "crash",
+          "fast_errors",
+          "pauses",
+          "neighbour",
+          "answer_lost",
+          "throttle",
+          "drain",
+          "deploy",
+          "mass_restart",
+          "preempt",
+          "zone_loss",
+          "grow",
+          "burst",
+          "hot_key",
+          "flush",
+          "reconnect",
+          "cut_clients",
+          "cut_machines",
+          "cut_offers",
+          "cut_before_answer",
+          "cut_after_answer",
+          "cut_greetings",
+          "cut_binds",
+          "mute",
+          "etcd_compact",
+          "etcd_silence",
+          "etcd_cut",
+          "etcd_delay",
+          "etcd_restore",
+          "etcd_leases");
 
-    private static final Duration LONG = Duration.ofHours(2);
+  private static final Duration LONG = Duration.ofHours(2);
 
-    String name;
-    long seed;
-    Duration length;
-    Duration settle;
-    boolean ownProcess;
-    Config deploymentText;
-    DeploymentSettings deployment;
-    int machines;
-    int spares;
-    int zones;
-    int cellSize;
-    double[] admit;
-    double[] work;
-    double[] speed;
-    int line;
-    int starts;
-    int kept;
-    double setup;
-    Duration sample;
-    boolean preempts;
-    String drainManner;
-    Map<String, Double> kindShares = new LinkedHashMap<>();
-    Map<String, MachineModel.UsageModel> uses = new LinkedHashMap<>();
-    double rate;
-    int services;
-    double batch;
-    double[] life;
-    double[] again;
-    /** Customers' rules in force all day; empty for none. */
-    String rules;
-    /** Generated sets that follow each other through the store. */
-    int sets;
-    Duration setEvery;
-    int tries;
-    Map<String, Double> priorityClassShares = new LinkedHashMap<>();
-    List<Shape> shapes = new ArrayList<>();
-    boolean registryEtcd;
-    Duration registryEvery;
-    Duration registryLate;
-    final List<Fault> faults = new ArrayList<>();
+  String name;
+  long seed;
+  Duration length;
+  Duration settle;
+  boolean ownProcess;
+  Config deploymentText;
+  DeploymentSettings deployment;
+  int machines;
+  int spares;
+  int zones;
+  int cellSize;
+  double[] admit;
+  double[] work;
+  double[] speed;
+  int line;
+  int starts;
+  int kept;
+  double setup;
+  Duration sample;
+  boolean preempts;
+  String drainManner;
+  Map<String, Double> kindShares = new LinkedHashMap<>();
+  Map<String, MachineModel.UsageModel> uses = new LinkedHashMap<>();
+  double rate;
+  int services;
+  double batch;
+  double[] life;
+  double[] again;
 
-    private ScenarioPlan() {
-    }
+  /** Customers' rules in force all day; empty for none. */
+  String rules;
 
-    static ScenarioPlan read(File file, Map<String, ?> changes) throws DeploymentSettings.InvalidSettingsException {
-        Config own = ConfigFactory.parseMap(changes, "command line").withFallback(DeploymentSettings.parse(file)).resolve();
-        Config all = own.withFallback(ConfigFactory.parseResources(ScenarioPlan.class.getClassLoader(),
-                "fordridge-day-reference.conf"));
-        List<String> errors = new ArrayList<>();
-        ScenarioPlan p = new ScenarioPlan();
-        ConfigReader r = new ConfigReader(all.withoutPath("deployment"), "", errors);
-        p.deploymentText = all.getConfig("deployment")
-                .withValue("machines.list", ConfigValueFactory.fromAnyRef("machines.conf"))
-                .withValue("placer.listen.port", ConfigValueFactory.fromAnyRef(0));
-        try {
-            p.deployment = DeploymentSettings.read(p.deploymentText, new File("."));
-        } catch (DeploymentSettings.InvalidSettingsException e) {
-            errors.addAll(e.complaints);
-            throw new DeploymentSettings.InvalidSettingsException(errors);
-        }
-        p.take(r);
-        r.refuseUnknown();
-        if (!errors.isEmpty()) {
-            throw new DeploymentSettings.InvalidSettingsException(errors);
-        }
-        return p;
-    }
+  /** Generated sets that follow each other through the store. */
+  int sets;
+
+  Duration setEvery;
+  int tries;
+  Map<String, Double> priorityClassShares = new LinkedHashMap<>();
+  List<Shape> shapes = new ArrayList<>();
+  boolean registryEtcd;
+  Duration registryEvery;
+  Duration registryLate;
+  final List<Fault> faults = new ArrayList<>();
+
+  private ScenarioPlan() {}
 
-    private void take(ConfigReader r) {
-        Duration ms = Duration.ofMillis(1);
-        name = r.text("name", 100);
-        sets = r.whole("sets.count", 0, 100_000);
-        setEvery = r.span("sets.every", Duration.ofMillis(10), LONG);
-        rules = r.has("rules") ? r.text("rules", 1_000_000) : "";
-        seed = r.any("seed");
-        length = r.span("length", Duration.ofSeconds(1), LONG);
-        settle = r.span("settle", Duration.ofSeconds(1), LONG);
-        ownProcess = r.flag("own_process");
-        machines = r.whole("fleet.machines", 1, 10_000);
-        spares = r.whole("fleet.spares", 0, 10_000);
-        zones = r.whole("fleet.zones", 1, 100);
-        cellSize = r.whole("fleet.cell_size", 1, 1000);
-        admit = range(r, "fleet.admit_ms", 0.1, 10_000);
-        work = range(r, "fleet.work_ms", 0.1, 100_000);
-        speed = range(r, "fleet.speed", 0.01, 100);
-        line = r.whole("fleet.line", 1, 10_000);
-        starts = r.whole("fleet.starts", 1, 1000);
-        kept = r.whole("fleet.kept", 0, 10_000);
-        setup = r.number("fleet.setup", 1, 1000);
-        sample = r.span("fleet.sample", Duration.ofMillis(10), LONG);
-        preempts = r.flag("fleet.preempts");
-        drainManner = r.word("fleet.drain_sends", "at_once", "paced", "none");
-        rate = r.number("owners.rate", 0.01, 1e6);
-        services = r.whole("owners.services", 1, 100_000);
-        batch = r.number("owners.batch", 1, 1000);
-        life = range(r, "owners.life_s", 0.1, 100_000);
-        again = range(r, "owners.again_ms", 1, 1_000_000);
-        tries = r.whole("owners.tries", 1, 1000);
-        registryEtcd = r.word("registry.in", "file", "etcd").equals("etcd");
-        registryEvery = r.span("registry.every", ms, LONG);
-        registryLate = r.span("registry.late", Duration.ZERO, LONG);
-        for (DeploymentSettings.PriorityClass f : deployment.priorityClasses.values()) {
-            String key = "flavours." + f.name();
-            priorityClassShares.put(f.name(), r.has(key + ".share") ? r.number(key + ".share", 0, 1) : 1);
-            uses.put(f.name(), new MachineModel.UsageModel(r.has(key + ".cores_use") ? r.number(key + ".cores_use", 0, 10)
-                    : 0.5, r.has(key + ".memory_use") ? r.number(key + ".memory_use", 0, 10) : 0.7,
-                    r.has(key + ".sigma") ? r.number(key + ".sigma", 0, 5) : 0.5, f.calm(), f.fade()));
-        }
-        for (DeploymentSettings.Kind k : deployment.kinds) {
-            String key = "fleet.shares." + k.name();
-            kindShares.put(k.name(), r.has(key) ? r.number(key, 0, 1) : 1);
-        }
-        for (ConfigReader s : r.each("owners.shapes", null)) {
-            shapes.add(new Shape(s.number("cores", 0.01, 1e6), s.number("memory", 0.01, 1e9)));
-            s.refuseUnknown();
-        }
-        for (ConfigReader f : r.each("faults", "fault_defaults")) {
-            faults.add(new Fault(f.word("kind", KINDS.toArray(new String[0])), f.span("at", Duration.ZERO, LONG),
-                    f.span("for", Duration.ZERO, LONG), f.number("part", 0, 1), f.number("size", 0, 1e6),
-                    f.number("extra", 0, 1e6), f.text("of", 100), f.word("by", "any", "zone", "cell", "kind")));
-            f.refuseUnknown();
-        }
-        for (String key : List.of("kind", "at", "for", "part", "size", "extra", "of", "by")) {
-            r.knows("fault_defaults." + key);
-        }
+  static ScenarioPlan read(File file, Map<String, ?> changes)
+      throws DeploymentSettings.InvalidSettingsException {
+    Config own =
+        ConfigFactory.parseMap(changes, "command line")
+            .withFallback(DeploymentSettings.parse(file))
+            .resolve();
+    Config all =
+        own.withFallback(
+            ConfigFactory.parseResources(
+                ScenarioPlan.class.getClassLoader(), "fordridge-day-reference.conf"));
+    List<String> errors = new ArrayList<>();
+    ScenarioPlan p = new ScenarioPlan();
+    ConfigReader r = new ConfigReader(all.withoutPath("deployment"), "", errors);
+    p.deploymentText =
+        all.getConfig("deployment")
+            .withValue("machines.list", ConfigValueFactory.fromAnyRef("machines.conf"))
+            .withValue("placer.listen.port", ConfigValueFactory.fromAnyRef(0));
+    try {
+      p.deployment = DeploymentSettings.read(p.deploymentText, new File("."));
+    } catch (DeploymentSettings.InvalidSettingsException e) {
+      errors.addAll(e.complaints);
+      throw new DeploymentSettings.InvalidSettingsException(errors);
     }
+    p.take(r);
+    r.refuseUnknown();
+    if (!errors.isEmpty()) {
+      throw new DeploymentSettings.InvalidSettingsException(errors);
+    }
+    return p;
+  }
 
-    private static double[] range(ConfigReader r, String key, double least, double most) {
-        return new double[] {r.number(key + ".least", least, most), r.number(key + ".most", least, most)};
+  private void take(ConfigReader r) {
+    Duration ms = Duration.ofMillis(1);
+    name = r.text("name", 100);
+    sets = r.whole("sets.count", 0, 100_000);
+    setEvery = r.span("sets.every", Duration.ofMillis(10), LONG);
+    rules = r.has("rules") ? r.text("rules", 1_000_000) : "";
+    seed = r.any("seed");
+    length = r.span("length", Duration.ofSeconds(1), LONG);
+    settle = r.span("settle", Duration.ofSeconds(1), LONG);
+    ownProcess = r.flag("own_process");
+    machines = r.whole("fleet.machines", 1, 10_000);
+    spares = r.whole("fleet.spares", 0, 10_000);
+    zones = r.whole("fleet.zones", 1, 100);
+    cellSize = r.whole("fleet.cell_size", 1, 1000);
+    admit = range(r, "fleet.admit_ms", 0.1, 10_000);
+    work = range(r, "fleet.work_ms", 0.1, 100_000);
+    speed = range(r, "fleet.speed", 0.01, 100);
+    line = r.whole("fleet.line", 1, 10_000);
+    starts = r.whole("fleet.starts", 1, 1000);
+    kept = r.whole("fleet.kept", 0, 10_000);
+    setup = r.number("fleet.setup", 1, 1000);
+    sample = r.span("fleet.sample", Duration.ofMillis(10), LONG);
+    preempts = r.flag("fleet.preempts");
+    drainManner = r.word("fleet.drain_sends", "at_once", "paced", "none");
+    rate = r.number("owners.rate", 0.01, 1e6);
+    services = r.whole("owners.services", 1, 100_000);
+    batch = r.number("owners.batch", 1, 1000);
+    life = range(r, "owners.life_s", 0.1, 100_000);
+    again = range(r, "owners.again_ms", 1, 1_000_000);
+    tries = r.whole("owners.tries", 1, 1000);
+    registryEtcd = r.word("registry.in", "file", "etcd").equals("etcd");
+    registryEvery = r.span("registry.every", ms, LONG);
+    registryLate = r.span("registry.late", Duration.ZERO, LONG);
+    for (DeploymentSettings.PriorityClass f : deployment.priorityClasses.values()) {
+      String key = "flavours." + f.name();
+      priorityClassShares.put(f.name(), r.has(key + ".share") ? r.number(key + ".share", 0, 1) : 1);
+      uses.put(
+          f.name(),
+          new MachineModel.UsageModel(
+              r.has(key + ".cores_use") ? r.number(key + ".cores_use", 0, 10) : 0.5,
+              r.has(key + ".memory_use") ? r.number(key + ".memory_use", 0, 10) : 0.7,
+              r.has(key + ".sigma") ? r.number(key + ".sigma", 0, 5) : 0.5,
+              f.calm(),
+              f.fade()));
+    }
+    for (DeploymentSettings.Kind k : deployment.kinds) {
+      String key = "fleet.shares." + k.name();
+      kindShares.put(k.name(), r.has(key) ? r.number(key, 0, 1) : 1);
+    }
+    for (ConfigReader s : r.each("owners.shapes", null)) {
+      shapes.add(new Shape(s.number("cores", 0.01, 1e6), s.number("memory", 0.01, 1e9)));
+      s.refuseUnknown();
     }
+    for (ConfigReader f : r.each("faults", "fault_defaults")) {
+      faults.add(
+          new Fault(
+              f.word("kind", KINDS.toArray(new String[0])),
+              f.span("at", Duration.ZERO, LONG),
+              f.span("for", Duration.ZERO, LONG),
+              f.number("part", 0, 1),
+              f.number("size", 0, 1e6),
+              f.number("extra", 0, 1e6),
+              f.text("of", 100),
+              f.word("by", "any", "zone", "cell", "kind")));
+      f.refuseUnknown();
+    }
+    for (String key : List.of("kind", "at", "for", "part", "size", "extra", "of", "by")) {
+      r.knows("fault_defaults." + key);
+    }
+  }
+
+  private static double[] range(ConfigReader r, String key, double least, double most) {
+    return new double[] {
+      r.number(key + ".least", least, most), r.number(key + ".most", least, most)
+    };
+  }
 }
--- a/src/main/java/fordridge/grpc/ProtoConversions.java
+++ b/src/main/java/fordridge/grpc/ProtoConversions.java
@@ -1,10 +1,10 @@
 package fordridge.grpc;
 
 import fordridge.machine.MachineStream;
-import fordridge.session.ClientResponse;
-import fordridge.session.ClientSession;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.session.ClientResponse;
+import fordridge.session.ClientSession;
 import fordridge.v1.Bound;
 import fordridge.v1.ClaimName;
 import fordridge.v1.Denied;
@@ -19,79 +19,100 @@
 
 /** The protocol's messages and our own words for the same, and nothing else. */
 final class ProtoConversions {
-    private ProtoConversions() {
-    }
+  private ProtoConversions() {}
 
-    static long micros(Duration d) {
-        return d.isNegative() ? 0 : d.toNanos() / 1000;
-    }
+  static long micros(Duration d) {
+    return d.isNegative() ? 0 : d.toNanos() / 1000;
+  }
 
-    static MachineStream.AttemptId name(ClaimName n) {
-        return new MachineStream.AttemptId(n.getVm(), n.getNumber());
-    }
+  static MachineStream.AttemptId name(ClaimName n) {
+    return new MachineStream.AttemptId(n.getVm(), n.getNumber());
+  }
 
-    static ClaimName name(MachineStream.AttemptId n) {
-        return ClaimName.newBuilder().setVm(n.vm()).setNumber(n.number()).build();
-    }
+  static ClaimName name(MachineStream.AttemptId n) {
+    return ClaimName.newBuilder().setVm(n.vm()).setNumber(n.number()).build();
+  }
 
-    static MachineStream.ReportedVm held(Held h) {
-        MachineStream.ReportedVm.State state = switch (h.getState()) {
-            case RUNNING -> MachineStream.ReportedVm.State.RUNNING;
-            case ENDED -> MachineStream.ReportedVm.State.ENDED;
-            case REFUSED -> MachineStream.ReportedVm.State.REFUSED;
-            default -> MachineStream.ReportedVm.State.IN_LINE;
+  static MachineStream.ReportedVm held(Held h) {
+    MachineStream.ReportedVm.State state =
+        switch (h.getState()) {
+          case RUNNING -> MachineStream.ReportedVm.State.RUNNING;
+          case ENDED -> MachineStream.ReportedVm.State.ENDED;
+          case REFUSED -> MachineStream.ReportedVm.State.REFUSED;
+          default -> MachineStream.ReportedVm.State.IN_LINE;
         };
-        return new MachineStream.ReportedVm(name(h.getClaim()), state, h.getFlavour(), h.getService(), h.getCustomer(), h.getCores(),
-                h.getMemory(), h.getClient());
-    }
+    return new MachineStream.ReportedVm(
+        name(h.getClaim()),
+        state,
+        h.getFlavour(),
+        h.getService(),
+        h.getCustomer(),
+        h.getCores(),
+        h.getMemory(),
+        h.getClient());
+  }
 
-    static OutcomeReason why(Refused.Reason reason) {
-        return switch (reason) {
-            case NO_CORES -> OutcomeReason.INSUFFICIENT_CORES;
-            case NO_MEMORY -> OutcomeReason.INSUFFICIENT_MEMORY;
-            case LINE_FULL -> OutcomeReason.QUEUE_FULL;
-            case NOT_HERE -> OutcomeReason.NOT_ELIGIBLE;
-            default -> OutcomeReason.UNSPECIFIED;
-        };
-    }
+  static OutcomeReason why(Refused.Reason reason) {
+    return switch (reason) {
+      case NO_CORES -> OutcomeReason.INSUFFICIENT_CORES;
+      case NO_MEMORY -> OutcomeReason.INSUFFICIENT_MEMORY;
+      case LINE_FULL -> OutcomeReason.QUEUE_FULL;
+      case NOT_HERE -> OutcomeReason.NOT_ELIGIBLE;
+      default -> OutcomeReason.UNSPECIFIED;
+    };
+  }
 
-    static Outcome end(Finished f) {
-        return switch (f.getHow()) {
-            case DONE -> Outcome.DONE;
-            case CANCELLED -> f.getRan() ? Outcome.CANCELLED : Outcome.MOOT;
-            case EVICTED, PUSHED_OUT, SENT_AWAY -> f.getRan() ? Outcome.RESET : Outcome.FULL;
-            default -> Outcome.ERROR;
-        };
-    }
+  static Outcome end(Finished f) {
+    return switch (f.getHow()) {
+      case DONE -> Outcome.DONE;
+      case CANCELLED -> f.getRan() ? Outcome.CANCELLED : Outcome.MOOT;
+      case EVICTED, PUSHED_OUT, SENT_AWAY -> f.getRan() ? Outcome.RESET : Outcome.FULL;
+      default -> Outcome.ERROR;
+    };
+  }
 
-    static OutcomeReason why(Finished.How how) {
-        return switch (how) {
-            case EVICTED -> OutcomeReason.EVICTED;
-            case PUSHED_OUT -> OutcomeReason.PREEMPTED;
-            case SENT_AWAY -> OutcomeReason.DRAINED;
-            default -> OutcomeReason.UNSPECIFIED;
-        };
-    }
+  static OutcomeReason why(Finished.How how) {
+    return switch (how) {
+      case EVICTED -> OutcomeReason.EVICTED;
+      case PUSHED_OUT -> OutcomeReason.PREEMPTED;
+      case SENT_AWAY -> OutcomeReason.DRAINED;
+      default -> OutcomeReason.UNSPECIFIED;
+    };
+  }
 
-    static PlacerMessage message(ClientSession.NumberedResponse told) {
-        PlacerMessage.Builder m = PlacerMessage.newBuilder().setSeq(told.seq());
-        ClientResponse a = told.answer();
-        switch (a.kind()) {
-            case BOUND -> m.setBound(Bound.newBuilder().setVm(a.vm()).setMachine(a.machine()).setClaim(a.attempt())
-                    .setTookUs(micros(a.span())));
-            case DENIED -> m.setDenied(Denied.newBuilder().setVm(a.vm()).setRetryAfterUs(micros(a.span()))
-                    .setReason(a.reason()));
-            case ERRORED -> m.setErrored(Errored.newBuilder().setVm(a.vm()).setReason(a.reason()));
-            case MOVED -> m.setMoved(Moved.newBuilder().setVm(a.vm()));
-            default -> m.setEnded(Ended.newBuilder().setVm(a.vm()).setHow(switch (a.kind()) {
-                case EVICTED -> Ended.How.EVICTED;
-                case PUSHED_OUT -> Ended.How.PUSHED_OUT;
-                case SENT_AWAY -> Ended.How.SENT_AWAY;
-                case LOST -> Ended.How.LOST;
-                case FAILED -> Ended.How.ERROR;
-                default -> Ended.How.DONE;
-            }));
-        }
-        return m.build();
+  static PlacerMessage message(ClientSession.NumberedResponse told) {
+    PlacerMessage.Builder m = PlacerMessage.newBuilder().setSeq(told.seq());
+    ClientResponse a = told.answer();
+    switch (a.kind()) {
+      case BOUND ->
+          m.setBound(
+              Bound.newBuilder()
+                  .setVm(a.vm())
+                  .setMachine(a.machine())
+                  .setClaim(a.attempt())
+                  .setTookUs(micros(a.span())));
+      case DENIED ->
+          m.setDenied(
+              Denied.newBuilder()
+                  .setVm(a.vm())
+                  .setRetryAfterUs(micros(a.span()))
+                  .setReason(a.reason()));
+      case ERRORED -> m.setErrored(Errored.newBuilder().setVm(a.vm()).setReason(a.reason()));
+      case MOVED -> m.setMoved(Moved.newBuilder().setVm(a.vm()));
+      default ->
+          m.setEnded(
+              Ended.newBuilder()
+                  .setVm(a.vm())
+                  .setHow(
+                      switch (a.kind()) {
+                        case EVICTED -> Ended.How.EVICTED;
+                        case PUSHED_OUT -> Ended.How.PUSHED_OUT;
+                        case SENT_AWAY -> Ended.How.SENT_AWAY;
+                        case LOST -> Ended.How.LOST;
+                        case FAILED -> Ended.How.ERROR;
+                        default -> Ended.How.DONE;
+                      }));
     }
+    return m.build();
+  }
 }
--- a/src/main/java/fordridge/machine/ReconnectPacer.java
+++ b/src/main/java/fordridge/machine/ReconnectPacer.java
@@ -6,60 +6,64 @@
 import java.util.Set;
 
 /**
- * Whether every machine that was listed when this placer started has said what it still holds of an earlier life of it.
- * Until then a VM that was asked for in that life may run somewhere unseen. A machine is settled by its word, or by the
- * list's that it is gone; one that cannot be reached is not.
+ * Whether every machine that was listed when this placer started has said what it still holds of an
+ * earlier life of it. Until then a VM that was asked for in that life may run somewhere unseen. A
+ * machine is settled by its word, or by the list's that it is gone; one that cannot be reached is
+ * not.
  *
- * <p>It goes by turns: a few machines are called at once and the next when one of these has answered or failed, however
- * many there are. To open a stream costs the loop a millisecond or two, and thousands due in one span would keep every VM
- * waiting behind them.
+ * <p>It goes by turns: a few machines are called at once and the next when one of these has
+ * answered or failed, however many there are. To open a stream costs the loop a millisecond or two,
+ * and thousands due in one span would keep every VM waiting behind them.
  */
 public final class ReconnectPacer {
-    /** Calls without a word as yet; ten or so milliseconds of the loop's work at most stand before a VM. */
-    private static final int AT_ONCE = 8;
+  /**
+   * Calls without a word as yet; ten or so milliseconds of the loop's work at most stand before a
+   * VM.
+   */
+  private static final int AT_ONCE = 8;
 
-    private final Set<Object> open = new HashSet<>();
-    private final Set<Object> due = new LinkedHashSet<>();
-    private final Set<Object> called = new HashSet<>();
-    private boolean begun;
+  private final Set<Object> open = new HashSet<>();
+  private final Set<Object> due = new LinkedHashSet<>();
+  private final Set<Object> called = new HashSet<>();
+  private boolean begun;
 
-    /** The first list: these are the machines that an earlier life may have used. */
-    public void begins(Set<?> machines) {
-        if (!begun) {
-            begun = true;
-            open.addAll(machines);
-        }
+  /** The first list: these are the machines that an earlier life may have used. */
+  public void begins(Set<?> machines) {
+    if (!begun) {
+      begun = true;
+      open.addAll(machines);
     }
+  }
 
-    /** It is to be called when its turn comes. */
-    public void due(Object machine) {
-        due.add(machine);
-    }
+  /** It is to be called when its turn comes. */
+  public void due(Object machine) {
+    due.add(machine);
+  }
 
-    /** The next to call now; null while enough are under way, or none is due. */
-    public Object next() {
-        Iterator<Object> first = due.iterator();
-        if (called.size() >= AT_ONCE || !first.hasNext()) {
-            return null;
-        }
-        Object machine = first.next();
-        first.remove();
-        called.add(machine);
-        return machine;
+  /** The next to call now; null while enough are under way, or none is due. */
+  public Object next() {
+    Iterator<Object> first = due.iterator();
+    if (called.size() >= AT_ONCE || !first.hasNext()) {
+      return null;
     }
+    Object machine = first.next();
+    first.remove();
+    called.add(machine);
+    return machine;
+  }
 
-    /** Its stream broke, or took too long: others get their turn while its link tries on. */
-    public void failed(Object machine) {
-        called.remove(machine);
-    }
+  /** Its stream broke, or took too long: others get their turn while its link tries on. */
+  public void failed(Object machine) {
+    called.remove(machine);
+  }
 
-    public void settled(Object machine) {
-        open.remove(machine);
-        due.remove(machine);
-        called.remove(machine);
-    }
+  public void settled(Object machine) {
+    open.remove(machine);
+    due.remove(machine);
+    called.remove(machine);
+  }
 
-    public boolean complete() {
-        return begun && open.isEmpty();
-    }
+  public boolean complete() {
+    return begun && open.isEmpty();
+  }
 }
--- a/src/main/java/fordridge/model/Vm.java
+++ b/src/main/java/fordridge/model/Vm.java
@@ -6,51 +6,61 @@
 
 /** One ask to have a VM placed, and the VM itself once it is. */
 public final class Vm {
-    /** The name it bears at the door; the module only hands it back. */
-    public final String id;
-    public String priorityClass;
-    public String tenant = "";
-    public long service;
-    public double cores;
-    public double memory;
-    public boolean isClientRetry;
-    public Duration arrivedAt;
-    public Duration deadline;
-    /** Expected life, null where not told. */
-    public Duration expectedLifetime;
-    public final List<PlacementAttempt> attempts = new ArrayList<>();
-    public PlacementAttempt acceptedAttempt;
-    /** Among which VMs it is held, null when it is not; its place in that order, and when it is given up. */
-    PendingQueue.Group heldIn;
-    long heldAs;
-    int heldRank;
-    Duration giveUpAt;
-    /** Final answer given, or the end told. */
-    public boolean isFinished;
-    /** Stopped by a move of ours; what follows is no fault of the machine. */
-    public boolean isMigrating;
-
-    public Vm(String id) {
-        this.id = id;
-    }
+  /** The name it bears at the door; the module only hands it back. */
+  public final String id;
 
-    /** What refusals of one customer's VMs of one flavour are booked under. */
-    public String tenantClass() {
-        return tenant + " " + priorityClass;
-    }
+  public String priorityClass;
+  public String tenant = "";
+  public long service;
+  public double cores;
+  public double memory;
+  public boolean isClientRetry;
+  public Duration arrivedAt;
+  public Duration deadline;
 
-    /** Its latest claim, or null. */
-    public PlacementAttempt lastAttempt() {
-        return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
-    }
+  /** Expected life, null where not told. */
+  public Duration expectedLifetime;
+
+  public final List<PlacementAttempt> attempts = new ArrayList<>();
+  public PlacementAttempt acceptedAttempt;
+
+  /**
+   * Among which VMs it is held, null when it is not; its place in that order, and when it is given
+   * up.
+   */
+  PendingQueue.Group heldIn;
+
+  long heldAs;
+  int heldRank;
+  Duration giveUpAt;
+
+  /** Final answer given, or the end told. */
+  public boolean isFinished;
+
+  /** Stopped by a move of ours; what follows is no fault of the machine. */
+  public boolean isMigrating;
+
+  public Vm(String id) {
+    this.id = id;
+  }
+
+  /** What refusals of one customer's VMs of one flavour are booked under. */
+  public String tenantClass() {
+    return tenant + " " + priorityClass;
+  }
+
+  /** Its latest claim, or null. */
+  public PlacementAttempt lastAttempt() {
+    return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
+  }
 
-    public int inFlightAttempts() {
-        int n = 0;
-        for (PlacementAttempt c : attempts) {
-            if (c.isInFlight()) {
-                n++;
-            }
-        }
-        return n;
+  public int inFlightAttempts() {
+    int n = 0;
+    for (PlacementAttempt c : attempts) {
+      if (c.isInFlight()) {
+        n++;
+      }
     }
+    return n;
+  }
 }
--- a/src/main/java/fordridge/runtime/EventSequencer.java
+++ b/src/main/java/fordridge/runtime/EventSequencer.java
@@ -7,50 +7,57 @@
 import java.util.function.LongSupplier;
 
 /**
- * The order in which a feeder's inputs are entered, and their clock: one after another as they were met, each at the
- * time of a clock that only goes forward; what follows from one is entered behind it. For one thread.
+ * The order in which a feeder's inputs are entered, and their clock: one after another as they were
+ * met, each at the time of a clock that only goes forward; what follows from one is entered behind
+ * it. For one thread.
  */
 public final class EventSequencer {
-    private final LongSupplier nanos;
-    private final Consumer<Duration> before;
-    private final Consumer<RuntimeException> failed;
-    private final long startedNanos;
-    private final Deque<Runnable> waiting = new ArrayDeque<>();
-    private boolean inside;
+  private final LongSupplier nanos;
+  private final Consumer<Duration> before;
+  private final Consumer<RuntimeException> failed;
+  private final long startedNanos;
+  private final Deque<Runnable> waiting = new ArrayDeque<>();
+  private boolean inside;
 
-    /** {@code before} hears the time of each input; {@code failed} of one that threw, and those behind it go on. */
-    public EventSequencer(LongSupplier nanos, Consumer<Duration> before, Consumer<RuntimeException> failed) {
-        this.nanos = nanos;
-        this.before = before;
-        this.failed = failed;
-        startedNanos = nanos.getAsLong();
-    }
+  /**
+   * {@code before} hears the time of each input; {@code failed} of one that threw, and those behind
+   * it go on.
+   */
+  public EventSequencer(
+      LongSupplier nanos, Consumer<Duration> before, Consumer<RuntimeException> failed) {
+    this.nanos = nanos;
+    this.before = before;
+    this.failed = failed;
+    startedNanos = nanos.getAsLong();
+  }
 
-    public Duration clock() {
-        return Duration.ofNanos(nanos.getAsLong() - startedNanos);
-    }
+  public Duration clock() {
+    return Duration.ofNanos(nanos.getAsLong() - startedNanos);
+  }
 
-    /** Enters one and all that follows from it; false if it stands behind one that is being entered. */
-    public boolean enter(Runnable input) {
-        waiting.addLast(input);
-        if (inside) {
-            return false;
-        }
-        inside = true;
-        for (Runnable next = waiting.pollFirst(); next != null; next = waiting.pollFirst()) {
-            try {
-                before.accept(clock());
-                next.run();
-            } catch (RuntimeException e) {
-                failed.accept(e);
-            }
-        }
-        inside = false;
-        return true;
+  /**
+   * Enters one and all that follows from it; false if it stands behind one that is being entered.
+   */
+  public boolean enter(Runnable input) {
+    waiting.addLast(input);
+    if (inside) {
+      return false;
     }
-
-    /** To be entered behind the one that is being entered. */
-    public void behind(Runnable input) {
-        waiting.addLast(input);
+    inside = true;
+    for (Runnable next = waiting.pollFirst(); next != null; next = waiting.pollFirst()) {
+      try {
+        before.accept(clock());
+        next.run();
+      } catch (RuntimeException e) {
+        failed.accept(e);
+      }
     }
+    inside = false;
+    return true;
+  }
+
+  /** To be entered behind the one that is being entered. */
+  public void behind(Runnable input) {
+    waiting.addLast(input);
+  }
 }
--- a/src/test/java/fordridge/constraint/ConstraintParserFuzz.java
+++ b/src/test/java/fordridge/constraint/ConstraintParserFuzz.java
@@ -4,31 +4,32 @@
 import java.util.List;
 
 /**
- * For a coverage-guided fuzzer (jazzer calls this with its inputs; {@code docs/constraints.md} has the command): whatever
- * the text, it is read and prints to what reads the same, or is refused with every complaint placed.
+ * For a coverage-guided fuzzer (jazzer calls this with its inputs; {@code docs/constraints.md} has
+ * the command): whatever the text, it is read and prints to what reads the same, or is refused with
+ * every complaint placed.
  */
 public final class ConstraintParserFuzz {
-    private ConstraintParserFuzz() {
-    }
+  private ConstraintParserFuzz() {}
 
-    public static void fuzzerTestOneInput(byte[] input) {
-        String text = new String(input, StandardCharsets.UTF_8);
-        try {
-            List<PlacementConstraint> rules = ConstraintParser.read(text, ConstraintParser.Names.ANY);
-            String printed = ConstraintParser.print(rules);
-            String again = ConstraintParser.print(ConstraintParser.read(printed, ConstraintParser.Names.ANY));
-            if (!again.equals(printed)) {
-                throw new IllegalStateException("prints as '" + printed + "', then as '" + again + "'");
-            }
-        } catch (ConstraintParser.ConstraintSyntaxException e) {
-            for (String c : e.complaints) {
-                if (!c.matches("(?s)\\d+:\\d+: .+")) {
-                    throw new IllegalStateException("not placed: " + c);
-                }
-            }
-            if (e.complaints.isEmpty()) {
-                throw new IllegalStateException("refused without a complaint");
-            }
+  public static void fuzzerTestOneInput(byte[] input) {
+    String text = new String(input, StandardCharsets.UTF_8);
+    try {
+      List<PlacementConstraint> rules = ConstraintParser.read(text, ConstraintParser.Names.ANY);
+      String printed = ConstraintParser.print(rules);
+      String again =
+          ConstraintParser.print(ConstraintParser.read(printed, ConstraintParser.Names.ANY));
+      if (!again.equals(printed)) {
+        throw new IllegalStateException("prints as '" + printed + "', then as '" + again + "'");
+      }
+    } catch (ConstraintParser.ConstraintSyntaxException e) {
+      for (String c : e.complaints) {
+        if (!c.matches("(?s)\\d+:\\d+: .+")) {
+          throw new IllegalStateException("not placed: " + c);
         }
+      }
+      if (e.complaints.isEmpty()) {
+        throw new IllegalStateException("refused without a complaint");
+      }
     }
+  }
 }
--- a/src/test/java/fordridge/constraint/GroupPlanTest.java
+++ b/src/test/java/fordridge/constraint/GroupPlanTest.java
@@ -15,95 +15,130 @@
 import net.jqwik.api.Property;
 
 class GroupPlanTest {
-    private static List<MachineTopology> fleet(Random r, int machines) {
-        List<MachineTopology> some = new ArrayList<>();
-        for (int i = 0; i < machines; i++) {
-            some.add(new MachineTopology("m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
-        }
-        return some;
+  private static List<MachineTopology> fleet(Random r, int machines) {
+    List<MachineTopology> some = new ArrayList<>();
+    for (int i = 0; i < machines; i++) {
+      some.add(
+          new MachineTopology(
+              "m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
     }
+    return some;
+  }
 
-    private static GroupPlan plan(ConstraintIndex b, List<Part> group, double now, double empty) {
-        return GroupPlan.of(b.together(group, m -> new Room(now, 100)), b.together(group, m -> new Room(empty, 100)), group,
-                () -> false);
-    }
+  private static GroupPlan plan(ConstraintIndex b, List<Part> group, double now, double empty) {
+    return GroupPlan.of(
+        b.together(group, m -> new Room(now, 100)),
+        b.together(group, m -> new Room(empty, 100)),
+        group,
+        () -> false);
+  }
 
-    /** Places as the module does: any machine that is allowed and least unfit. Null if one finds none. */
-    private static Map<String, String> place(ConstraintIndex b, GroupPlan plan, List<Part> group, List<MachineTopology> fleet, Random r) {
-        Map<String, String> at = new HashMap<>();
-        for (String id : plan.order()) {
-            Part p = group.stream().filter(x -> x.id().equals(id)).findFirst().orElseThrow();
-            List<String> best = new ArrayList<>();
-            double least = Double.POSITIVE_INFINITY;
-            for (MachineTopology s : fleet) {
-                boolean open = plan.settlesNear(id) ? b.allowsButNear("", p.priorityClass(), p.service(), s.name())
-                        : b.allows("", p.priorityClass(), p.service(), s.name());
-                double constraintPenalty = open ? plan.constraintPenalty(id, s) : Double.POSITIVE_INFINITY;
-                if (constraintPenalty < least) {
-                    least = constraintPenalty;
-                    best.clear();
-                }
-                if (constraintPenalty == least && constraintPenalty < Double.POSITIVE_INFINITY) {
-                    best.add(s.name());
-                }
-            }
-            if (best.isEmpty()) {
-                return null;
-            }
-            at.put(id, best.get(r.nextInt(best.size())));
-            b.goes(id, "", p.priorityClass(), p.service(), at.get(id));
+  /**
+   * Places as the module does: any machine that is allowed and least unfit. Null if one finds none.
+   */
+  private static Map<String, String> place(
+      ConstraintIndex b, GroupPlan plan, List<Part> group, List<MachineTopology> fleet, Random r) {
+    Map<String, String> at = new HashMap<>();
+    for (String id : plan.order()) {
+      Part p = group.stream().filter(x -> x.id().equals(id)).findFirst().orElseThrow();
+      List<String> best = new ArrayList<>();
+      double least = Double.POSITIVE_INFINITY;
+      for (MachineTopology s : fleet) {
+        boolean open =
+            plan.settlesNear(id)
+                ? b.allowsButNear("", p.priorityClass(), p.service(), s.name())
+                : b.allows("", p.priorityClass(), p.service(), s.name());
+        double constraintPenalty = open ? plan.constraintPenalty(id, s) : Double.POSITIVE_INFINITY;
+        if (constraintPenalty < least) {
+          least = constraintPenalty;
+          best.clear();
         }
-        return at;
+        if (constraintPenalty == least && constraintPenalty < Double.POSITIVE_INFINITY) {
+          best.add(s.name());
+        }
+      }
+      if (best.isEmpty()) {
+        return null;
+      }
+      at.put(id, best.get(r.nextInt(best.size())));
+      b.goes(id, "", p.priorityClass(), p.service(), at.get(id));
     }
+    return at;
+  }
 
-    /** Where machines are few, what the solver found is what is placed: every member, and every rule kept at the end. */
-    @Property(tries = 400, seed = "4711")
-    void aPlannedGroupIsPlacedWholeWhereMachinesAreFew(@ForAll long seed) throws Exception {
-        played(new Random(seed), 1 + new Random(seed).nextInt(5), true);
-    }
+  /**
+   * Where machines are few, what the solver found is what is placed: every member, and every rule
+   * kept at the end.
+   */
+  @Property(tries = 400, seed = "4711")
+  void aPlannedGroupIsPlacedWholeWhereMachinesAreFew(@ForAll long seed) throws Exception {
+    played(new Random(seed), 1 + new Random(seed).nextInt(5), true);
+  }
 
-    /** Where they are many the choice is free but for near; what is placed whole keeps every rule. */
-    @Property(tries = 400, seed = "4711")
-    void aPlannedGroupKeepsTheRulesWhereMachinesAreMany(@ForAll long seed) throws Exception {
-        played(new Random(seed), 20, false);
-    }
+  /** Where they are many the choice is free but for near; what is placed whole keeps every rule. */
+  @Property(tries = 400, seed = "4711")
+  void aPlannedGroupKeepsTheRulesWhereMachinesAreMany(@ForAll long seed) throws Exception {
+    played(new Random(seed), 20, false);
+  }
 
-    private static void played(Random r, int machines, boolean whole) throws Exception {
-        StringBuilder text = new StringBuilder();
-        for (int i = 1 + r.nextInt(5); i > 0; i--) {
-            text.append("rule r").append(i).append(": ").append(GroupFeasibilityTest.scope(r)).append(" require ")
-                    .append(GroupFeasibilityTest.clause(r)).append(";\n");
-        }
-        List<PlacementConstraint> rules = ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
-        List<MachineTopology> fleet = fleet(r, machines);
-        ConstraintIndex b = new ConstraintIndex(rules, 1);
-        b.machines(fleet);
-        List<Part> group = new ArrayList<>();
-        for (int i = 2 + r.nextInt(3); i > 0; i--) {
-            group.add(new Part("new" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1, 1));
-        }
-        GroupPlan plan = plan(b, group, 100, 100);
-        if (plan.refusal() != null) {
-            return;
-        }
-        Map<String, String> at = place(b, plan, group, fleet, r);
-        if (whole) {
-            assertThat(at).as(text + " " + fleet + " " + group).isNotNull();
-        }
-        if (at != null) {
-            assertThat(GroupFeasibilityTest.keeps(rules, fleet, List.of(), group, at, 1e6)).as(text + " " + fleet + " " + group + at)
-                    .isTrue();
-        }
+  private static void played(Random r, int machines, boolean whole) throws Exception {
+    StringBuilder text = new StringBuilder();
+    for (int i = 1 + r.nextInt(5); i > 0; i--) {
+      text.append("rule r")
+          .append(i)
+          .append(": ")
+          .append(GroupFeasibilityTest.scope(r))
+          .append(" require ")
+          .append(GroupFeasibilityTest.clause(r))
+          .append(";\n");
     }
-
-    @Example
-    void roomThatMayComeFreeIsNoReasonToRefuse() throws Exception {
-        ConstraintIndex b = new ConstraintIndex(ConstraintParser.read("rule n: flavour w require near flavour w per machine;", ConstraintParser.Names.ANY), 1);
-        b.machines(List.of(new MachineTopology("a", "std", "x", 0), new MachineTopology("b", "std", "x", 0)));
-        List<Part> group = List.of(new Part("1", "", "w", 1, 8, 8), new Part("2", "", "w", 1, 8, 8));
-        assertThat(plan(b, group, 10, 16).refusal()).as("full now").isNull();
-        assertThat(plan(b, group, 10, 10).refusal()).contains("rule 'n'").contains("the size of the machines");
-        assertThat(GroupPlan.of(b.together(group, m -> new Room(10, 100)), b.together(group, m -> new Room(10, 100)), group,
-                () -> true).refusal()).as("stopped before it was known").isNull();
+    List<PlacementConstraint> rules =
+        ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
+    List<MachineTopology> fleet = fleet(r, machines);
+    ConstraintIndex b = new ConstraintIndex(rules, 1);
+    b.machines(fleet);
+    List<Part> group = new ArrayList<>();
+    for (int i = 2 + r.nextInt(3); i > 0; i--) {
+      group.add(new Part("new" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1, 1));
+    }
+    GroupPlan plan = plan(b, group, 100, 100);
+    if (plan.refusal() != null) {
+      return;
     }
+    Map<String, String> at = place(b, plan, group, fleet, r);
+    if (whole) {
+      assertThat(at).as(text + " " + fleet + " " + group).isNotNull();
+    }
+    if (at != null) {
+      assertThat(GroupFeasibilityTest.keeps(rules, fleet, List.of(), group, at, 1e6))
+          .as(text + " " + fleet + " " + group + at)
+          .isTrue();
+    }
+  }
+
+  @Example
+  void roomThatMayComeFreeIsNoReasonToRefuse() throws Exception {
+    ConstraintIndex b =
+        new ConstraintIndex(
+            ConstraintParser.read(
+                "rule n: flavour w require near flavour w per machine;",
+                ConstraintParser.Names.ANY),
+            1);
+    b.machines(
+        List.of(new MachineTopology("a", "std", "x", 0), new MachineTopology("b", "std", "x", 0)));
+    List<Part> group = List.of(new Part("1", "", "w", 1, 8, 8), new Part("2", "", "w", 1, 8, 8));
+    assertThat(plan(b, group, 10, 16).refusal()).as("full now").isNull();
+    assertThat(plan(b, group, 10, 10).refusal())
+        .contains("rule 'n'")
+        .contains("the size of the machines");
+    assertThat(
+            GroupPlan.of(
+                    b.together(group, m -> new Room(10, 100)),
+                    b.together(group, m -> new Room(10, 100)),
+                    group,
+                    () -> true)
+                .refusal())
+        .as("stopped before it was known")
+        .isNull();
+  }
 }
