A VM that ran and ended before its answer came has failed and is not placed again

A machine notes something only of a VM that stands, so its release was the end of the VM; Trunk.ended took every release before the answer for a reset of the set-up, and the module placed the VM once more.

Change: Trunk remembers that an open set-up was noted; a release that follows ends the VM (Fate.endedUnanswered), and Station answers its client at once with cause 47, as it did run.

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -49,7 +49,7 @@
 
     void probed(MachineConnectionPool.Connection s, boolean ok, boolean told);
 
-    void note(String vm, String what, double amount);
+    void note(MachineConnectionPool.Connection s, String vm, String what, double amount);
 
     void report(Map<String, Double> values, boolean answersProbe);
   }
@@ -168,6 +168,7 @@
         }
         case "tell" ->
             heard.note(
+                connection,
                 id,
                 String.valueOf(fields.get("note")),
                 fields.get("value") instanceof Number n
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -77,6 +77,12 @@
 
     void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why);
 
+    /**
+     * The VM ran on the machine and is over there, and the answer to its set-up never came: it must
+     * not be placed again, and its owner has to hear at once that it failed.
+     */
+    void endedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why);
+
     void probed(Machine machine, boolean ok, boolean told, Duration took);
   }
 
@@ -121,6 +127,12 @@
     final PlacementAttempt attempt;
     final Duration by;
 
+    /**
+     * The machine has said something that it says only of a VM that runs there; its answer is still
+     * to come.
+     */
+    boolean running;
+
     PlacementRequest(PlacementAttempt attempt, Duration by) {
       this.attempt = attempt;
       this.by = by;
@@ -396,6 +408,17 @@
     closeIfSpent(s);
   }
 
+  /**
+   * The machine notes something on a VM, as it does only of one that runs: its answer may be late
+   * or lost.
+   */
+  public void noted(Connection s, String vm) {
+    PlacementRequest u = s.setUps.get(vm);
+    if (u != null) {
+      u.running = true;
+    }
+  }
+
   /**
    * The machine ends a set-up on this connection, or what stands (on any); unknown ids are passed
    * over.
@@ -405,7 +428,11 @@
     PlacementRequest u = s.setUps.remove(vm);
     if (u != null) {
       s.usedAt = now;
-      fate.ended(u.attempt, before, why);
+      if (u.running && after != null) {
+        fate.endedUnanswered(u.attempt, after, why);
+      } else {
+        fate.ended(u.attempt, before, why);
+      }
       closeIfSpent(s);
       return;
     }
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -111,9 +111,10 @@
     }
 
     @Override
-    public void note(String vm, String what, double amount) {
+    public void note(MachineConnectionPool.Connection s, String vm, String what, double amount) {
       enter(
           () -> {
+            connectionPool.noted(s, vm);
             PlacementAttempt c = connectionPool.attempt(vm);
             if (c == null || !Double.isFinite(amount) && !what.equals("live")) {
               return;
@@ -772,6 +773,25 @@
         });
   }
 
+  @Override
+  public void endedUnanswered(PlacementAttempt c, Outcome end, OutcomeReason why) {
+    sequencer.behind(
+        () -> {
+          if (!c.isInFlight()) {
+            return;
+          }
+          ends.merge(end, 1L, Long::sum);
+          inputs.scheduler.attemptEnded(c, end, why, true);
+          if (pendingResponses.waits(c.vm.id)) {
+            answer(c.vm, "down", ERRORED, null, false);
+            // After its answer nothing more is sent for it.
+            givenUp(c.vm);
+          } else {
+            forget(c.vm);
+          }
+        });
+  }
+
   @Override
   public void probed(Machine m, boolean ok, boolean told, Duration took) {
     sequencer.behind(
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -111,6 +111,11 @@
       unsent += end == Outcome.MOOT ? 1 : 0;
     }
 
+    @Override
+    public void endedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+      throw new AssertionError("nothing is noted on a VM here");
+    }
+
     @Override
     public void probed(Machine m, boolean ok, boolean told, Duration took) {}
   }
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -30,6 +30,7 @@
     final Map<MachineConnectionPool.Connection, List<String>> said = new LinkedHashMap<>();
     final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
     final Map<PlacementAttempt, String> bound = new HashMap<>();
+    final List<PlacementAttempt> unanswered = new ArrayList<>();
     final List<Boolean> probes = new ArrayList<>();
     Duration now = ms(10_000);
     int most = 100;
@@ -126,6 +127,12 @@
       attempt.outcome = end;
     }
 
+    @Override
+    public void endedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+      unanswered.add(attempt);
+      ended(attempt, end, why);
+    }
+
     @Override
     public void probed(Machine m, boolean ok, boolean told, Duration took) {
       probes.add(ok);
@@ -178,6 +185,40 @@
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.DONE));
   }
 
+  /**
+   * Guards a VM that ran, was cut before its late answer came, and was placed once more elsewhere.
+   */
+  @Example
+  void aReleaseOfAVmThatItsMachineHadNotedIsNoResetOfItsSetUp() {
+    for (Outcome after : List.of(Outcome.DONE, Outcome.RESET)) {
+      World w = new World();
+      PlacementAttempt noted = w.carried();
+      w.connectionPool.noted(w.last(), noted.vm.id);
+      w.connectionPool.ended(
+          w.last(), noted.vm.id, Outcome.RESET, after, OutcomeReason.DRAINED, w.now);
+      assertThat(w.ends.get(noted)).isEqualTo(after);
+      assertThat(w.unanswered).containsExactly(noted);
+      w.connectionPool.stands(w.last(), noted.vm.id, "late", w.now);
+      assertThat(w.bound).isEmpty();
+      assertThat(w.connectionPool.standing()).isZero();
+    }
+  }
+
+  @Example
+  void aReleaseWithoutANoteOrThatSaysItNeverRanEndsTheSetUpAlone() {
+    World w = new World();
+    PlacementAttempt unnoted = w.carried();
+    w.connectionPool.noted(w.last(), "another");
+    w.connectionPool.ended(
+        w.last(), unnoted.vm.id, Outcome.RESET, Outcome.RESET, OutcomeReason.UNSPECIFIED, w.now);
+    PlacementAttempt refused = w.carried();
+    w.connectionPool.noted(w.last(), refused.vm.id);
+    w.connectionPool.ended(
+        w.last(), refused.vm.id, Outcome.FULL, null, OutcomeReason.UNSPECIFIED, w.now);
+    assertThat(w.ends).containsEntry(unnoted, Outcome.RESET).containsEntry(refused, Outcome.FULL);
+    assertThat(w.unanswered).isEmpty();
+  }
+
   @Example
   void aConnectionOnWhichASetUpWasGivenUpCarriesNoOther() {
     World w = new World();
--- a/src/test/java/fordridge/server/json/JsonServerTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerTest.java
@@ -150,6 +150,45 @@
     }
   }
 
+  /**
+   * Guards a VM that was cut on a draining machine before its late answer came: its owner heard of
+   * it too late.
+   */
+  @Example
+  void aVmThatRanAndIsOverBeforeItsAnswerCameHasFailedAndIsNotPlacedAgain() throws Exception {
+    for (String cause : List.of("16", "41")) {
+      try (JsonTestPeers p = new JsonTestPeers();
+          JsonTestPeers.Listener other = new JsonTestPeers.Listener(0)) {
+        p.start();
+        JsonTestPeers.Wire tail = p.journal.next();
+        JsonTestPeers.Wire owner = p.owner();
+        owner.say(ask(1, "a"));
+        JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
+        m.say(
+            "{\"t\":\"tell\",\"ref\":\"" + ref(1) + "\",\"f\":{\"note\":\"c\",\"value\":\"0.3\"}}");
+        m.untilTested();
+        tail.say(
+            event(
+                4,
+                false,
+                member("s-1", p.machine.port(), "DRAINING"),
+                member("s-2", other.port(), "SERVING")));
+        await().until(() -> p.program.journalPos() == 4);
+        m.say(word("down", 1, ",\"c\":" + cause));
+        assertThat(owner.next("\"t\"")).contains("\"down\"").contains(ref(1)).contains("\"c\":47");
+        m.say(word("up", 1, ",\"d\":\"late\""));
+        m.untilTested();
+        assertThat(owner.untilTested()).isEmpty();
+        // What is asked for next goes there; nothing of the first went before it.
+        owner.say(ask(2, "a"));
+        JsonTestPeers.Wire next = other.carrying("\"new\"", line);
+        assertThat(line[0]).contains(ref(2));
+        next.say(word("up", 2, ",\"d\":\"d\""));
+        assertThat(owner.next("\"up\"")).contains(ref(2));
+      }
+    }
+  }
+
   @Example
   void aVmHeldAlreadyIsReleasedWhenItsMachineSaysSo() throws Exception {
     try (JsonTestPeers p = new JsonTestPeers()) {
