The watch of the machine list is read while a long round of the loop goes on

Offers, and set-ups whose connection has come up, run as tasks behind all the reads of their round, each with a pass of the module, and Netty does not select again before they are done. A drain that is told within a round is therefore unknown to every offer of that round, however long it takes.

A read from within a line of the watch, or from within an input, is not begun. The line of state gains "latest offer after a drain": the latest write to a machine, counted from the last read of the watch that did not know of its drain, so an upper bound.

--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import java.io.IOException;
@@ -69,6 +70,15 @@
         return;
       }
       heardNanos = System.nanoTime();
+      taking = true;
+      try {
+        take(ctx, line);
+      } finally {
+        taking = false;
+      }
+    }
+
+    private void take(ChannelHandlerContext ctx, ByteBuf line) {
       String text = line.toString(StandardCharsets.UTF_8).trim();
       try {
         if (text.startsWith("{")) {
@@ -107,6 +117,9 @@
   private ConnectionHandler wire;
   private boolean closed;
 
+  /** A line is being taken: nothing more may be read from within. */
+  private boolean taking;
+
   /** To be called on the loop, as all else here. */
   public EndpointWatcher(EventLoopGroup loop, long pos, Listener reader, Consumer<String> log) {
     this.loop = loop;
@@ -137,6 +150,19 @@
     connect();
   }
 
+  /**
+   * Reads what has come by now, not only when the loop gets to this connection; nothing if none is
+   * up.
+   */
+  public void readNow() {
+    if (!taking
+        && wire != null
+        && wire.channel instanceof AbstractNioChannel nio
+        && nio.isActive()) {
+      nio.unsafe().read();
+    }
+  }
+
   public void close() {
     closed = true;
     if (wire != null) {
--- a/src/main/java/fordridge/runtime/EventSequencer.java
+++ b/src/main/java/fordridge/runtime/EventSequencer.java
@@ -18,6 +18,10 @@
   private final long startedNanos;
   private final Deque<Runnable> waiting = new ArrayDeque<>();
   private boolean inside;
+  private Runnable readWatch = () -> {};
+  private Duration watchEvery = Duration.ZERO;
+  private Duration watchReadAt = Duration.ZERO;
+  private boolean readingWatch;
 
   /**
    * {@code before} hears the time of each input; {@code failed} of one that threw, and those behind
@@ -35,10 +39,40 @@
     return Duration.ofNanos(nanos.getAsLong() - startedNanos);
   }
 
+  /**
+   * Before an input, {@code read} is run if it was last run {@code every} ago or longer: what the
+   * watch has to say is known to whatever begins then, however many inputs wait. What it reads may
+   * be entered from within.
+   */
+  public void watch(Runnable read, Duration every) {
+    readWatch = read;
+    watchEvery = every;
+  }
+
+  /** When the watch was last read to its end; while it is read, when it was read before that. */
+  public Duration watchReadAt() {
+    return watchReadAt;
+  }
+
+  private void readWatchIfDue() {
+    Duration at = clock();
+    if (inside || readingWatch || at.minus(watchReadAt).compareTo(watchEvery) < 0) {
+      return;
+    }
+    readingWatch = true;
+    try {
+      readWatch.run();
+    } finally {
+      readingWatch = false;
+    }
+    watchReadAt = at;
+  }
+
   /**
    * Enters one and all that follows from it; false if it stands behind one that is being entered.
    */
   public boolean enter(Runnable input) {
+    readWatchIfDue();
     waiting.addLast(input);
     if (inside) {
       return false;
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -37,6 +37,13 @@
         ClientServer.ClientRequestHandler,
         MachineConnectionPool.AttemptListener {
   private static final Duration FEELS = Duration.ofMillis(25);
+
+  /**
+   * How old what is known of the machines may be when an input is entered, on this placer's own
+   * clock.
+   */
+  private static final Duration READ_WATCH = Duration.ofMillis(10);
+
   private static final Duration TICK = Duration.ofMillis(50);
 
   /** What an answer may take from here to its owner. */
@@ -60,16 +67,24 @@
     final MachineClient line;
     final MachineConnectionPool connectionPool;
 
+    /** When a set-up was last written to it. */
+    Duration offeredAt;
+
     MachineHandle(String id) {
       this.id = id;
       machine = inputs.machine(id);
       line =
-          new MachineClient(
-              loop, share, connectionTimeouts.connectTimeout(), vm -> carried.get(vm.id), this);
+          new MachineClient(loop, share, connectionTimeouts.connectTimeout(), this::offered, this);
       connectionPool =
           new MachineConnectionPool(machine, connectionTimeouts, line, JsonSchedulerServer.this);
     }
 
+    /** At the instant of the write. */
+    private MachineClient.RequestPayload offered(Vm vm) {
+      offeredAt = sequencer.clock();
+      return carried.get(vm.id);
+    }
+
     @Override
     public void line() {
       connectionPool.heard(sequencer.clock());
@@ -185,6 +200,12 @@
 
   private long probesPassed;
   private long probesFailed;
+
+  /**
+   * How long after a drain was told the latest offer to its machine may have been written, at most.
+   */
+  private Duration latestOffer = Duration.ZERO;
+
   private final Map<Outcome, Long> ends = new java.util.EnumMap<>(Outcome.class);
 
   JsonSchedulerServer(
@@ -219,6 +240,14 @@
     ready = true;
   }
 
+  /**
+   * How the watch of the machine list is read at once; it is, every so often, whatever else there
+   * is to read.
+   */
+  void watch(Runnable read) {
+    sequencer.watch(read, READ_WATCH);
+  }
+
   /** Other terms and limits hold for all that comes from here on. */
   void told(ServerConfiguration next, int machineSockets) {
     share.most(machineSockets);
@@ -373,6 +402,10 @@
       if (addresses.containsKey(l.key())) {
         r.line.address(addresses.get(l.key()));
       }
+      if (l.lifecycle() != Machine.Lifecycle.LIVE
+          && r.machine.lifecycle == Machine.Lifecycle.LIVE) {
+        noteLatestOffer(r);
+      }
       boolean anew = l.startedAt() != null && !l.startedAt().equals(r.machine.startedAt);
       r.connectionPool.listed(l.lifecycle(), now);
       if (anew) {
@@ -389,6 +422,17 @@
     inputs.list(whole, false, lines);
   }
 
+  /**
+   * It drains or is gone since some time after the watch was read before: what was offered since
+   * may have come later.
+   */
+  private void noteLatestOffer(MachineHandle r) {
+    if (r.offeredAt != null) {
+      Duration after = r.offeredAt.minus(sequencer.watchReadAt());
+      latestOffer = after.compareTo(latestOffer) > 0 ? after : latestOffer;
+    }
+  }
+
   private MachineHandle reach(String id) {
     MachineHandle r = machineHandles.get(id);
     if (r == null) {
@@ -861,6 +905,8 @@
         + probesFailed
         + ", late "
         + lateness.allowance(sequencer.clock()).toMillis()
+        + " ms, latest offer after a drain "
+        + latestOffer.toMillis()
         + " ms, ends "
         + ends;
   }
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -128,6 +128,7 @@
                 station.begin(configuration, front);
                 journal = new EndpointWatcher(loop, configuration.pos, station::event, this::log);
                 journal.follow(configuration.journal);
+                station.watch(journal::readNow);
                 if (reloadWanted) {
                   reload();
                 }
--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -197,6 +197,53 @@
     }
   }
 
+  /**
+   * Guards a drain that is told within a round of the loop, behind whose other reads an offer
+   * waits.
+   */
+  @Example
+  void aDrainToldWithinARoundAgainstAnOfferOfThatRound() throws Exception {
+    try (JsonTestPeers p = new JsonTestPeers();
+        JsonTestPeers.Listener other = new JsonTestPeers.Listener(0)) {
+      p.start();
+      JsonTestPeers.Wire tail = p.journal.next();
+      assertThat(tail.next("tail")).isEqualTo("tail 3");
+      JsonTestPeers.Wire owner = p.owner();
+      JsonTestPeers.Wire bad = p.owner();
+      assertThat(bad.untilTested()).isEmpty();
+      owner.say(ask(1, "a"));
+      JsonTestPeers.Wire open = p.machine.carrying(ref(1), line);
+      open.say(word("up", 1, ",\"d\":\"d\""));
+      assertThat(owner.next(ref(1))).contains("\"up\"");
+      open.untilTested();
+      p.holdLoopAtLog("read anew");
+      p.program.reload();
+      p.held.await();
+      // Read in one round; one of the two takes the loop long, and the drain is told meanwhile.
+      owner.say(ask(2, "a"));
+      bad.say(ask(3, "no such flavour"));
+      p.atLog(
+          "not taken",
+          () -> {
+            try {
+              tail.say(
+                  event(
+                      4,
+                      false,
+                      member("s-1", p.machine.port(), "DRAINING"),
+                      member("s-2", other.port(), "SERVING")));
+              Thread.sleep(50);
+            } catch (java.io.IOException | InterruptedException e) {
+              throw new IllegalStateException(e);
+            }
+          });
+      p.letGo.countDown();
+      other.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d\""));
+      assertThat(owner.next(ref(2))).contains("\"up\"");
+      assertThat(find(p, ref(2))).as("told that it drains before the offer was written").isNull();
+    }
+  }
+
   /** What comes behind an event that can't be taken is not taken in its place. */
   @Example
   void aSkippedEventIsAskedForBeforeThoseBehindIt() throws Exception {
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -215,6 +215,8 @@
 
   final CountDownLatch letGo = new CountDownLatch(1);
   private volatile String holdAt;
+  private volatile String actAt;
+  private volatile Runnable action;
   ServeCommand program;
 
   JsonTestPeers() throws IOException {}
@@ -281,6 +283,11 @@
               @Override
               public void println(String line) {
                 super.println(line);
+                String acts = actAt;
+                if (acts != null && line.contains(acts)) {
+                  actAt = null;
+                  action.run();
+                }
                 String at = holdAt;
                 if (at != null && line.contains(at)) {
                   holdAt = null;
@@ -300,6 +307,12 @@
     holdAt = line;
   }
 
+  /** Whoever logs such a line next, the loop mostly, first does this. */
+  void atLog(String line, Runnable then) {
+    action = then;
+    actAt = line;
+  }
+
   Wire owner() throws IOException {
     return new Wire(new Socket(InetAddress.getLoopbackAddress(), program.port()));
   }
