--- a/src/main/java/fordridge/grpc/GrpcMachineTransport.java
+++ b/src/main/java/fordridge/grpc/GrpcMachineTransport.java
@@ -1,6 +1,7 @@
 package fordridge.grpc;
 
-import fordridge.machine.MachineStream;
+import fordridge.machine.AttemptId;
+import fordridge.machine.MachineStreamTransport;
 import fordridge.model.PlacementAttempt;
 import fordridge.v1.Cancel;
 import fordridge.v1.FromMachine;
@@ -29,16 +30,16 @@
  * What happens on it is handed over with the stream's number, so that a late word of an old stream
  * is known as such.
  */
-public final class GrpcMachineTransport implements MachineStream.Transport {
+public final class GrpcMachineTransport implements MachineStreamTransport {
   /** Whom the stream tells; on the placer's loop, in the order of the socket. */
   public interface Listener {
-    void holding(fordridge.v1.Holding holding);
+    void inventoryReceived(fordridge.v1.Holding holding);
 
-    void said(FromMachine message);
+    void messageReceived(FromMachine message);
 
-    void ready();
+    void transportReady();
 
-    void broke(String why);
+    void connectionLost(String why);
   }
 
   /** How an offer is filled in beyond the claim's own fields. */
@@ -76,7 +77,7 @@
     this.describe = describe;
   }
 
-  public void address(InetSocketAddress to) {
+  public void setAddress(InetSocketAddress to) {
     address = to;
   }
 
@@ -115,7 +116,7 @@
                 stream.setOnReadyHandler(
                     () -> {
                       if (mine == generation) {
-                        heard.ready();
+                        heard.transportReady();
                       }
                     });
               }
@@ -128,13 +129,13 @@
                 if (!greeted) {
                   if (m.getBodyCase() != FromMachine.BodyCase.HOLDING) {
                     close("its first message was " + m.getBodyCase() + ", not holding");
-                    heard.broke("its first message was not what it holds");
+                    heard.connectionLost("its first message was not what it holds");
                     return;
                   }
                   greeted = true;
-                  heard.holding(m.getHolding());
+                  heard.inventoryReceived(m.getHolding());
                 } else {
-                  heard.said(m);
+                  heard.messageReceived(m);
                 }
                 if (mine == generation) {
                   to.request(1);
@@ -154,7 +155,7 @@
               private void over(Status status) {
                 if (mine == generation) {
                   drop();
-                  heard.broke(
+                  heard.connectionLost(
                       status.getCode()
                           + (status.getDescription() == null
                               ? ""
@@ -193,7 +194,7 @@
   }
 
   @Override
-  public boolean ready() {
+  public boolean isReady() {
     return to != null && to.isReady();
   }
 
@@ -204,10 +205,10 @@
   }
 
   @Override
-  public void offer(PlacementAttempt attempt, MachineStream.AttemptId name, Duration within) {
+  public void offer(PlacementAttempt attempt, AttemptId attemptId, Duration within) {
     Offer.Builder o =
         Offer.newBuilder()
-            .setClaim(ProtoConversions.name(name))
+            .setClaim(ProtoConversions.name(attemptId))
             .setFlavour(attempt.vm.priorityClass)
             .setService(attempt.vm.service)
             .setCustomer(attempt.vm.tenant)
@@ -222,15 +223,17 @@
   }
 
   @Override
-  public void cancel(MachineStream.AttemptId name) {
+  public void cancel(AttemptId attemptId) {
     write(
         ToMachine.newBuilder()
-            .setCancel(Cancel.newBuilder().setClaim(ProtoConversions.name(name))));
+            .setCancel(Cancel.newBuilder().setClaim(ProtoConversions.name(attemptId))));
   }
 
   @Override
-  public void stop(MachineStream.AttemptId name) {
-    write(ToMachine.newBuilder().setStop(Stop.newBuilder().setClaim(ProtoConversions.name(name))));
+  public void terminate(AttemptId attemptId) {
+    write(
+        ToMachine.newBuilder()
+            .setStop(Stop.newBuilder().setClaim(ProtoConversions.name(attemptId))));
   }
 
   @Override
--- a/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
+++ b/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
@@ -1,6 +1,10 @@
 package fordridge.grpc;
 
+import fordridge.machine.AttemptId;
+import fordridge.machine.LoadReport;
 import fordridge.machine.MachineStream;
+import fordridge.machine.ReportedVm;
+import fordridge.machine.VmReportKind;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Holding;
 import fordridge.v1.Note;
@@ -16,37 +20,37 @@
 public final class MachineMessageDispatcher {
   /** Takes what is not the link's matter. */
   public interface Listener {
-    void report(double spareCores, double spareMemory, double busy);
+    void loadReported(LoadReport report);
 
     /** A report stands by itself: nothing else follows that the module is told. */
-    void reported();
+    void loadReportCompleted();
 
-    void note(MachineStream.AttemptId name, Note.What what, double amount);
+    void vmReported(AttemptId attemptId, VmReportKind kind, double value);
 
-    void wrong(String what);
+    void protocolViolated(String reason);
   }
 
   private MachineMessageDispatcher() {}
 
-  public static void holding(Holding h, MachineStream link, Duration now) {
-    List<MachineStream.ReportedVm> held = new ArrayList<>(h.getHeldCount());
+  public static void dispatchInventory(Holding h, MachineStream link, Duration now) {
+    List<ReportedVm> held = new ArrayList<>(h.getHeldCount());
     h.getHeldList().forEach(x -> held.add(ProtoConversions.held(x)));
-    link.holding(h.getIncarnation(), held, now);
+    link.inventoryReceived(h.getIncarnation(), held, now);
   }
 
-  public static void said(
+  public static void dispatch(
       FromMachine m,
       MachineStream link,
       GrpcMachineTransport stream,
       Listener further,
       Duration now) {
     switch (m.getBodyCase()) {
-      case ACCEPTED -> link.accepted(ProtoConversions.name(m.getAccepted().getClaim()), now);
+      case ACCEPTED -> link.attemptAccepted(ProtoConversions.name(m.getAccepted().getClaim()), now);
       case REFUSED -> {
         if (m.getRefused().hasReport()) {
           report(m.getRefused().getReport(), further);
         }
-        link.refused(
+        link.attemptRejected(
             ProtoConversions.name(m.getRefused().getClaim()),
             ProtoConversions.why(m.getRefused().getReason()),
             now);
@@ -55,34 +59,46 @@
         if (m.getStarted().hasReport()) {
           report(m.getStarted().getReport(), further);
         }
-        link.started(ProtoConversions.name(m.getStarted().getClaim()), now);
+        link.vmStarted(ProtoConversions.name(m.getStarted().getClaim()), now);
       }
       case FINISHED ->
-          link.finished(
+          link.attemptEnded(
               ProtoConversions.name(m.getFinished().getClaim()),
               ProtoConversions.end(m.getFinished()),
               ProtoConversions.why(m.getFinished().getHow()),
               now);
       case NOTE ->
-          further.note(
+          further.vmReported(
               ProtoConversions.name(m.getNote().getClaim()),
-              m.getNote().getWhat(),
+              kind(m.getNote().getWhat()),
               m.getNote().getAmount());
       case REPORT -> {
         report(m.getReport(), further);
         if (m.getReport().getProbe() > 0) {
-          link.reported(stream.answersProbe(m.getReport()), now);
+          link.loadReported(stream.answersProbe(m.getReport()), now);
         } else {
-          further.reported();
+          further.loadReportCompleted();
         }
       }
       default ->
-          further.wrong("a message out of order or without a known body: " + m.getBodyCase());
+          further.protocolViolated(
+              "a message out of order or without a known body: " + m.getBodyCase());
     }
   }
 
   private static void report(Report r, Listener further) {
-    further.report(
-        r.getSpareCores(), r.getSpareMemory(), r.getBusy() < 0 ? Double.NaN : r.getBusy());
+    further.loadReported(
+        new LoadReport(
+            r.getSpareCores(), r.getSpareMemory(), r.getBusy() < 0 ? Double.NaN : r.getBusy()));
+  }
+
+  private static VmReportKind kind(Note.What what) {
+    return switch (what) {
+      case CORES -> VmReportKind.CORE_USAGE;
+      case MEMORY -> VmReportKind.MEMORY_USAGE;
+      case SERVICE -> VmReportKind.SERVICE_LEVEL;
+      case PRESSURE -> VmReportKind.MEMORY_PRESSURE;
+      default -> VmReportKind.UNKNOWN;
+    };
   }
 }
--- a/src/main/java/fordridge/grpc/ProtoConversions.java
+++ b/src/main/java/fordridge/grpc/ProtoConversions.java
@@ -1,6 +1,7 @@
 package fordridge.grpc;
 
-import fordridge.machine.MachineStream;
+import fordridge.machine.AttemptId;
+import fordridge.machine.ReportedVm;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.session.ClientResponse;
@@ -25,23 +26,23 @@
     return d.isNegative() ? 0 : d.toNanos() / 1000;
   }
 
-  static MachineStream.AttemptId name(ClaimName n) {
-    return new MachineStream.AttemptId(n.getVm(), n.getNumber());
+  static AttemptId name(ClaimName n) {
+    return new AttemptId(n.getVm(), n.getNumber());
   }
 
-  static ClaimName name(MachineStream.AttemptId n) {
-    return ClaimName.newBuilder().setVm(n.vm()).setNumber(n.number()).build();
+  static ClaimName name(AttemptId n) {
+    return ClaimName.newBuilder().setVm(n.vmId()).setNumber(n.number()).build();
   }
 
-  static MachineStream.ReportedVm held(Held h) {
-    MachineStream.ReportedVm.State state =
+  static ReportedVm held(Held h) {
+    ReportedVm.State state =
         switch (h.getState()) {
-          case RUNNING -> MachineStream.ReportedVm.State.RUNNING;
-          case ENDED -> MachineStream.ReportedVm.State.ENDED;
-          case REFUSED -> MachineStream.ReportedVm.State.REFUSED;
-          default -> MachineStream.ReportedVm.State.IN_LINE;
+          case RUNNING -> ReportedVm.State.RUNNING;
+          case ENDED -> ReportedVm.State.ENDED;
+          case REFUSED -> ReportedVm.State.REJECTED;
+          default -> ReportedVm.State.QUEUED;
         };
-    return new MachineStream.ReportedVm(
+    return new ReportedVm(
         name(h.getClaim()),
         state,
         h.getFlavour(),
--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -1,8 +1,11 @@
 package fordridge.json;
 
-import fordridge.machine.MachineConnectionPool;
+import fordridge.machine.LoadReport;
+import fordridge.machine.MachineConnection;
+import fordridge.machine.MachineTransport;
+import fordridge.machine.VmReportKind;
+import fordridge.machine.VmTermination;
 import fordridge.model.PlacementAttempt;
-import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
 import io.netty.bootstrap.Bootstrap;
@@ -26,66 +29,32 @@
  * The connections to one machine. It hands over what is said on each, and writes what the trunk
  * wants written.
  */
-public final class MachineClient implements MachineConnectionPool.Transport {
-  /** Whom the connections tell; on the placer's loop, in the order of the sockets. */
+public final class MachineClient implements MachineTransport {
+  /** Receives what the machine sends; on the event loop, in the order of the sockets. */
   public interface Listener {
-    /** Any whole line. */
-    void line();
+    /** A whole line came, whatever it says. */
+    void messageReceived();
 
-    void connected(MachineConnectionPool.Connection s);
+    void connectionEstablished(MachineConnection connection);
 
-    void failed(MachineConnectionPool.Connection s, boolean refused);
+    void connectionFailed(MachineConnection connection, boolean refused);
 
-    void broke(MachineConnectionPool.Connection s, String why);
+    void connectionLost(MachineConnection connection, String reason);
 
-    void stands(MachineConnectionPool.Connection s, String vm, String description);
+    void vmAccepted(MachineConnection connection, String vmId, String description);
 
-    void ended(
-        MachineConnectionPool.Connection s,
-        String vm,
-        Outcome before,
-        Outcome after,
-        OutcomeReason why);
+    void vmTerminated(MachineConnection connection, VmTermination termination);
 
-    void probed(MachineConnectionPool.Connection s, boolean ok, boolean told);
+    void probeAnswered(MachineConnection connection, boolean healthy, boolean withLoadReport);
 
-    void note(String vm, String what, double amount);
+    /** The value is NaN where the line has none that is a number. */
+    void vmReported(String vmId, VmReportKind kind, double value);
 
-    void report(Map<String, Double> values, boolean answersProbe);
-  }
-
-  /** How many connections there may be, over all machines. */
-  public static final class ConnectionQuota {
-    private int most;
-    private int open;
-
-    /** Of these, closed from here and read to their end. */
-    private int leaving;
-
-    public ConnectionQuota(int most) {
-      this.most = most;
-    }
-
-    public void most(int next) {
-      most = next;
-    }
-
-    public int most() {
-      return most;
-    }
-
-    public int open() {
-      return open;
-    }
-
-    /** Those that go on being used. */
-    public int staying() {
-      return open - leaving;
-    }
+    void loadReported(LoadReport report, boolean answersProbe);
   }
 
   private final class ConnectionHandler extends LineCodec {
-    final MachineConnectionPool.Connection connection;
+    final MachineConnection connection;
     Channel channel;
     boolean up;
 
@@ -95,7 +64,7 @@
     /** Closed from here, and read to its end. */
     boolean leaving;
 
-    ConnectionHandler(MachineConnectionPool.Connection connection) {
+    ConnectionHandler(MachineConnection connection) {
       this.connection = connection;
     }
 
@@ -104,7 +73,7 @@
       trace(ctx.channel(), "up");
       if (!over) {
         up = true;
-        heard.connected(connection);
+        heard.connectionEstablished(connection);
       }
     }
 
@@ -120,14 +89,14 @@
       if (!over) {
         over = true;
         channel.close();
-        heard.broke(connection, why);
+        heard.connectionLost(connection, why);
       }
     }
 
     @Override
     void heard() {
       if (!over || leaving) {
-        heard.line();
+        heard.messageReceived();
       }
     }
 
@@ -150,30 +119,36 @@
             values.put(part.substring(0, colon), number(part.substring(colon + 1)));
           }
         }
-        heard.report(values, answersProbe);
+        heard.loadReported(loadReport(values), answersProbe);
       }
       switch (type) {
         case "up" -> {
           if (description == null) {
             spoilt("an answer without a description");
           } else {
-            heard.stands(connection, id, description);
+            heard.vmAccepted(connection, id, description);
           }
         }
         case "down" -> {
           write("ack", id, -1, null);
           OutcomeReason why =
               WHYS.getOrDefault(String.valueOf(fields.get("note")), OutcomeReason.UNSPECIFIED);
-          heard.ended(connection, id, before(cause), after(cause), why);
+          TerminationCause termination = TerminationCause.fromCode(cause);
+          heard.vmTerminated(
+              connection,
+              new VmTermination(
+                  id, termination.outcomeIfPending(), termination.outcomeIfRunning(), why));
         }
         case "tell" ->
-            heard.note(
+            heard.vmReported(
                 id,
-                String.valueOf(fields.get("note")),
+                VM_REPORT_KINDS.getOrDefault(
+                    String.valueOf(fields.get("note")), VmReportKind.UNKNOWN),
                 fields.get("value") instanceof Number n
                     ? n.doubleValue()
                     : number(fields.get("value")));
-        case "hb_ok" -> heard.probed(connection, cause == 1, fields.get("load") instanceof String);
+        case "hb_ok" ->
+            heard.probeAnswered(connection, cause == 1, fields.get("load") instanceof String);
         case "hb" -> write("hb_ok", id, 1, null);
         case "wait", "ack", "shift" -> {}
         default -> spoilt("line: field 't' is not a known word");
@@ -205,6 +180,14 @@
           "dr",
           OutcomeReason.DRAINED);
 
+  private static final Map<String, VmReportKind> VM_REPORT_KINDS =
+      Map.of(
+          "live", VmReportKind.STARTED,
+          "c", VmReportKind.CORE_USAGE,
+          "m", VmReportKind.MEMORY_USAGE,
+          "s", VmReportKind.SERVICE_LEVEL,
+          "p", VmReportKind.MEMORY_PRESSURE);
+
   private static final Duration LINGERS = Duration.ofMillis(1000);
 
   private final EventLoopGroup loop;
@@ -229,33 +212,20 @@
   }
 
   /** How long the next connections may take to come up. */
-  public void timeout(Duration next) {
+  public void setConnectTimeout(Duration next) {
     timeout = next;
   }
 
   /** Where the next connections go. */
-  public void address(InetSocketAddress at) {
+  public void setAddress(InetSocketAddress at) {
     address = at;
   }
 
-  /** Each cause as a set-up ends by it. */
-  private static Outcome before(int cause) {
-    return switch (cause) {
-      case 34 -> Outcome.FULL;
-      case 47 -> Outcome.ERROR;
-      case 102 -> Outcome.MOOT;
-      default -> Outcome.RESET;
-    };
-  }
-
-  /** And as what stands ends by it; null for a late word on a set-up that was given up. */
-  private static Outcome after(int cause) {
-    return switch (cause) {
-      case 16 -> Outcome.DONE;
-      case 31 -> Outcome.CANCELLED;
-      case 34, 47, 102 -> null;
-      default -> Outcome.RESET;
-    };
+  private static LoadReport loadReport(Map<String, Double> values) {
+    return new LoadReport(
+        values.getOrDefault("x0", Double.NaN),
+        values.getOrDefault("x1", Double.NaN),
+        values.getOrDefault("utilization", values.getOrDefault("util", Double.NaN)));
   }
 
   private static double number(Object text) {
@@ -267,15 +237,15 @@
   }
 
   @Override
-  public boolean mayOpen() {
-    return address != null && share.open < share.most;
+  public boolean canOpen() {
+    return address != null && !share.isExhausted();
   }
 
   @Override
-  public void open(MachineConnectionPool.Connection s) {
+  public void open(MachineConnection s) {
     ConnectionHandler w = new ConnectionHandler(s);
-    s.wire = w;
-    share.open++;
+    s.handle = w;
+    share.connectionOpened();
     ChannelFuture f =
         new Bootstrap()
             .group(loop)
@@ -294,18 +264,12 @@
                 })
             .connect(address);
     w.channel = f.channel();
-    w.channel
-        .closeFuture()
-        .addListener(
-            x -> {
-              share.open--;
-              share.leaving -= w.leaving ? 1 : 0;
-            });
+    w.channel.closeFuture().addListener(x -> share.connectionClosed(w.leaving));
     f.addListener(
         x -> {
           if (!x.isSuccess() && !w.over) {
             w.over = true;
-            heard.failed(
+            heard.connectionFailed(
                 s,
                 x.cause() instanceof java.net.ConnectException
                     && !(x.cause() instanceof io.netty.channel.ConnectTimeoutException));
@@ -314,15 +278,15 @@
   }
 
   @Override
-  public void close(MachineConnectionPool.Connection s) {
-    ConnectionHandler w = (ConnectionHandler) s.wire;
+  public void close(MachineConnection s) {
+    ConnectionHandler w = (ConnectionHandler) s.handle;
     w.over = true;
     if (w.channel.isActive()) {
       // What the machine writes in this moment would be lost with the connection, and a VM's end is
       // told once:
       // so only our side is closed, and the rest is read until the machine closes its own.
       w.leaving = true;
-      share.leaving++;
+      share.connectionClosing();
       LineCodec.trace(w.channel, "closing");
       ((SocketChannel) w.channel).shutdownOutput();
       w.channel
@@ -334,39 +298,36 @@
   }
 
   @Override
-  public void setUp(MachineConnectionPool.Connection s, PlacementAttempt attempt, Duration within) {
+  public void requestPlacement(MachineConnection s, PlacementAttempt attempt, Duration within) {
     RequestPayload c = carried.apply(attempt.vm);
-    ((ConnectionHandler) s.wire)
+    ((ConnectionHandler) s.handle)
         .write(
             "new",
             attempt.vm.id,
             -1,
-            c.description,
+            c.description(),
             "class",
             attempt.vm.priorityClass,
             "key",
-            c.key,
+            c.key(),
             "idem",
-            c.token,
+            c.idempotencyKey(),
             "left",
             Long.toString(Math.max(1, within.toMillis())));
   }
 
   @Override
-  public void giveUp(MachineConnectionPool.Connection s, String vm) {
-    ((ConnectionHandler) s.wire).write("down", vm, 16, null);
+  public void cancel(MachineConnection s, String vm) {
+    ((ConnectionHandler) s.handle).write("down", vm, TerminationCause.DONE.code(), null);
   }
 
   @Override
-  public void cut(MachineConnectionPool.Connection s, String vm) {
-    ((ConnectionHandler) s.wire).write("down", vm, 31, null);
+  public void terminate(MachineConnection s, String vm) {
+    ((ConnectionHandler) s.handle).write("down", vm, TerminationCause.CANCELLED.code(), null);
   }
 
   @Override
-  public void probe(MachineConnectionPool.Connection s) {
-    ((ConnectionHandler) s.wire).write("hb", String.format("%016x", ++probes), 1, null);
+  public void probe(MachineConnection s) {
+    ((ConnectionHandler) s.handle).write("hb", String.format("%016x", ++probes), 1, null);
   }
-
-  /** What is passed on of an ask, byte for byte; the token of a tokened one, or null. */
-  public record RequestPayload(String key, String token, String description) {}
 }
--- a/src/main/java/fordridge/machine/ConnectionBudget.java
+++ b/src/main/java/fordridge/machine/ConnectionBudget.java
@@ -19,33 +19,33 @@
   private ConnectionBudget() {}
 
   /** Behind every trunk's tick: of {@code most} connections {@code open} are in use. */
-  public static void relieve(
+  public static void rebalance(
       Collection<MachineConnectionPool> connectionPools, int open, int most, Duration now) {
     int free = most - open - Math.max(1, most / 8);
     List<MachineConnectionPool> wanting = new ArrayList<>();
     List<MachineConnectionPool> idle = new ArrayList<>();
     for (MachineConnectionPool t : connectionPools) {
-      if (t.wants()) {
+      if (t.needsConnection()) {
         wanting.add(t);
       }
     }
     if (free > 0) {
-      wanting.sort(Comparator.comparing(MachineConnectionPool::triedAt));
+      wanting.sort(Comparator.comparing(MachineConnectionPool::lastConnectAttemptAt));
       // Not all at once: after a start hundreds may want it, and an ask that comes then must not
       // stand behind them.
       int some = Math.min(free, 2 + wanting.size() / 20);
-      wanting.subList(0, Math.min(some, wanting.size())).forEach(t -> t.visit(now));
+      wanting.subList(0, Math.min(some, wanting.size())).forEach(t -> t.reconnect(now));
     }
     int lacking = wanting.size() - free;
     if (lacking <= 0) {
       return;
     }
     for (MachineConnectionPool t : connectionPools) {
-      if (t.idleSince() != null && now.minus(t.idleSince()).compareTo(STAY) >= 0) {
+      if (t.idleSince().filter(since -> now.minus(since).compareTo(STAY) >= 0).isPresent()) {
         idle.add(t);
       }
     }
-    idle.sort(Comparator.comparing(MachineConnectionPool::idleSince));
-    idle.subList(0, Math.min(lacking, idle.size())).forEach(t -> t.spare(now));
+    idle.sort(Comparator.comparing(t -> t.idleSince().orElseThrow()));
+    idle.subList(0, Math.min(lacking, idle.size())).forEach(t -> t.closeIdleConnection(now));
   }
 }
--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -15,12 +15,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
  * What one placer may conclude of its claims on one machine from what its stream to it does: which
  * never ran, which may have run, which run. Free of I/O, threads and clocks: the time comes in, and
- * it acts through {@link Line} and {@link Fate}.
+ * it acts through {@link MachineStreamTransport} and {@link Listener}.
  *
  * <p>A claim whose offer was not written never ran. One whose offer was written and not answered
  * when the stream broke may have run; if it must not run twice, the stream gets a short while to
@@ -29,84 +30,33 @@
  * broken path.
  */
 public final class MachineStream {
-  /**
-   * Closed: no stream wanted. Waiting: a try failed, the next is due later. Greeted: Holding has
-   * come.
-   */
-  public enum Phase {
+  /** Where the stream is in its life cycle. */
+  public enum State {
+    /** No stream is wanted. */
     CLOSED,
+    /** The stream is being opened, or the machine has not sent its inventory yet. */
     CONNECTING,
-    GREETED,
-    WAITING
+    /** The machine has sent its inventory. */
+    ESTABLISHED,
+    /** The last stream failed; the next is opened after a pause. */
+    BACKING_OFF
   }
 
-  /** A claim as both sides name it. */
-  public record AttemptId(String vm, int number) {}
-
-  /** One line of what a machine says it holds. */
-  public record ReportedVm(
-      AttemptId name,
-      State state,
-      String priorityClass,
-      long service,
-      String tenant,
-      double cores,
-      double memory,
-      String client) {
-    public enum State {
-      IN_LINE,
-      RUNNING,
-      ENDED,
-      REFUSED
-    }
-  }
-
-  /** The stream, as far as the link may act on it. */
-  public interface Transport {
-    void connect();
-
-    void close(String why);
-
-    /** Whether a message would be written now rather than queue up. */
-    boolean ready();
-
-    void offer(PlacementAttempt attempt, AttemptId name, Duration within);
+  /** Receives what is concluded from the stream to a machine. */
+  public interface Listener extends AttemptListener {
+    /** The machine accepted the VM or, if {@code running}, has started it. */
+    void attemptAccepted(PlacementAttempt attempt, boolean running);
 
-    void cancel(AttemptId name);
+    /** The machine runs a VM of an earlier incarnation of this scheduler. */
+    void unknownVmReported(ReportedVm reportedVm, Machine machine);
 
-    void stop(AttemptId name);
+    /** A cancelled attempt is now known to hold nothing on its machine any more. */
+    void attemptReleased(PlacementAttempt attempt);
 
-    void probe();
+    /** The stream broke, or the first attempt to connect failed. */
+    void connectionLost(Machine machine, String reason);
   }
 
-  /** What the link concludes, handed to the module. */
-  public interface AttemptListener {
-    void bound(PlacementAttempt attempt, boolean running);
-
-    void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why);
-
-    void runsAlready(ReportedVm held, Machine machine);
-
-    void probed(Machine machine, boolean ok, Duration took);
-
-    /** A claim that was given up is now known not to be there any more. */
-    void cleared(PlacementAttempt attempt);
-
-    /** News of the stream for those on call. */
-    void note(Machine machine, String line);
-  }
-
-  /** How streams are opened, kept and given up; spans from the settings. */
-  public record ConnectionTimeouts(
-      Duration connectTimeout,
-      Duration idle,
-      Duration retryLeast,
-      Duration retryMost,
-      Duration unsure,
-      Duration probeTimeout,
-      int line,
-      boolean yesAtAcceptance) {}
-
   private enum Stage {
     QUEUED,
     WRITTEN,
@@ -131,13 +81,13 @@
   }
 
   private final Machine machine;
-  private final ConnectionTimeouts connectionTimeouts;
-  private final Transport line;
-  private final AttemptListener fate;
+  private final MachineStreamSettings settings;
+  private final MachineStreamTransport transport;
+  private final Listener listener;
   private final SeededRandom chance;
   private final Map<AttemptId, Entry> entries = new LinkedHashMap<>();
   private final Deque<Entry> queue = new ArrayDeque<>();
-  private Phase phase = Phase.CLOSED;
+  private State state = State.CLOSED;
   private boolean gone;
   private boolean callWanted;
   private boolean probeQueued;
@@ -150,26 +100,26 @@
 
   public MachineStream(
       Machine machine,
-      ConnectionTimeouts connectionTimeouts,
-      Transport line,
-      AttemptListener fate,
+      MachineStreamSettings settings,
+      MachineStreamTransport transport,
+      Listener listener,
       SeededRandom chance) {
     this.machine = machine;
-    this.connectionTimeouts = connectionTimeouts;
-    this.line = line;
-    this.fate = fate;
+    this.settings = settings;
+    this.transport = transport;
+    this.listener = listener;
     this.chance = chance;
   }
 
-  public Phase phase() {
-    return phase;
+  public State state() {
+    return state;
   }
 
-  public int attempts() {
+  public int attemptCount() {
     return entries.size();
   }
 
-  public int queued() {
+  public int queuedCount() {
     return queue.size();
   }
 
@@ -180,11 +130,11 @@
   public void offer(
       PlacementAttempt attempt, AttemptId name, boolean mayRepeat, Duration within, Duration now) {
     usedAt = now;
-    if (phase == Phase.WAITING || gone) {
+    if (state == State.BACKING_OFF || gone) {
       // The last try failed a moment ago: known not to have run, and no cheaper word for it.
-      fate.ended(attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-    } else if (queue.size() >= connectionTimeouts.line) {
-      fate.ended(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
+      listener.attemptEnded(attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
+    } else if (queue.size() >= settings.maxQueuedOffers()) {
+      listener.attemptEnded(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
     } else {
       Entry e = new Entry(name, attempt, mayRepeat);
       e.by = now.plus(within);
@@ -196,7 +146,7 @@
   }
 
   /** The placer waits no longer; true if the machine was never offered the claim. */
-  public boolean giveUp(PlacementAttempt attempt, Duration now) {
+  public boolean cancel(PlacementAttempt attempt, Duration now) {
     Entry e = entryOf(attempt);
     if (e == null) {
       return false;
@@ -210,18 +160,18 @@
   }
 
   /** Stops a bound VM. */
-  public void stop(PlacementAttempt attempt, Duration now) {
+  public void terminate(PlacementAttempt attempt, Duration now) {
     Entry e = entryOf(attempt);
-    if (e != null && phase == Phase.GREETED) {
-      line.stop(e.name);
+    if (e != null && state == State.ESTABLISHED) {
+      transport.terminate(e.name);
     }
     usedAt = now;
   }
 
   public void probe(Duration now) {
     usedAt = now;
-    if (phase == Phase.WAITING || gone) {
-      fate.probed(machine, false, Duration.ZERO);
+    if (state == State.BACKING_OFF || gone) {
+      listener.probeCompleted(machine, false, false, Duration.ZERO);
       return;
     }
     probeQueued = true;
@@ -231,10 +181,10 @@
   }
 
   /** Opens a stream only to learn what the machine holds, as after the placer's own start. */
-  public void call(Duration now) {
+  public void reconcile(Duration now) {
     callWanted = true;
     usedAt = now;
-    if (phase == Phase.CLOSED && !gone) {
+    if (state == State.CLOSED && !gone) {
       wantStream(now);
     }
   }
@@ -245,32 +195,32 @@
   /**
    * Told that it drains: what was decided but not yet written is taken back, and goes elsewhere.
    */
-  public void drains() {
+  public void machineDraining() {
     for (Entry e : List.copyOf(queue)) {
       drop(e);
-      fate.ended(e.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(e.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
     }
   }
 
   /** Told that it is gone, or listed again. */
-  public void listed(boolean isGone, Duration now) {
+  public void machineListed(boolean isGone, Duration now) {
     boolean news = isGone != gone;
     gone = isGone;
     if (!news) {
       return;
     }
     if (gone) {
-      drains();
-      if (phase != Phase.GREETED) {
+      machineDraining();
+      if (state != State.ESTABLISHED) {
         lose();
-        if (phase == Phase.CONNECTING) {
-          line.close("the machine is listed as gone");
+        if (state == State.CONNECTING) {
+          transport.close("the machine is listed as gone");
         }
-        phase = Phase.CLOSED;
+        state = State.CLOSED;
       }
     } else {
       failures = 0;
-      if (phase == Phase.WAITING) {
+      if (state == State.BACKING_OFF) {
         retryAt = now;
       }
     }
@@ -284,7 +234,7 @@
     for (Entry e : List.copyOf(entries.values())) {
       drop(e);
       if (e.stage != Stage.ABANDONED) {
-        fate.ended(
+        listener.attemptEnded(
             e.attempt,
             e.stage == Stage.QUEUED ? Outcome.UNREACHABLE : Outcome.RESET,
             OutcomeReason.UNSPECIFIED);
@@ -296,11 +246,11 @@
   // --------------------------------------------------------------------------
 
   /** The first word of a stream: what the machine holds of ours. */
-  public void holding(long itsIncarnation, Collection<ReportedVm> helds, Duration now) {
-    if (phase != Phase.CONNECTING) {
+  public void inventoryReceived(long itsIncarnation, Collection<ReportedVm> helds, Duration now) {
+    if (state != State.CONNECTING) {
       return;
     }
-    phase = Phase.GREETED;
+    state = State.ESTABLISHED;
     failures = 0;
     callWanted = false;
     connectBy = null;
@@ -309,15 +259,15 @@
     incarnation = itsIncarnation;
     Set<AttemptId> named = new HashSet<>();
     for (ReportedVm h : helds) {
-      named.add(h.name);
-      Entry e = entries.get(h.name);
+      named.add(h.attemptId());
+      Entry e = entries.get(h.attemptId());
       if (e != null) {
         resume(e, h, now);
-      } else if (h.state == ReportedVm.State.RUNNING) {
-        fate.runsAlready(h, machine);
-      } else if (h.state == ReportedVm.State.IN_LINE) {
+      } else if (h.state() == ReportedVm.State.RUNNING) {
+        listener.unknownVmReported(h, machine);
+      } else if (h.state() == ReportedVm.State.QUEUED) {
         // Offered by an earlier life of this placer: nobody waits for it.
-        line.cancel(h.name);
+        transport.cancel(h.attemptId());
       }
     }
     for (Entry e : List.copyOf(entries.values())) {
@@ -332,54 +282,55 @@
   /** The machine still knows a claim of ours. */
   private void resume(Entry e, ReportedVm h, Duration now) {
     if (e.stage == Stage.ABANDONED) {
-      if (h.state == ReportedVm.State.RUNNING || h.state == ReportedVm.State.IN_LINE) {
-        line.cancel(e.name);
+      if (h.state() == ReportedVm.State.RUNNING || h.state() == ReportedVm.State.QUEUED) {
+        transport.cancel(e.name);
       } else {
         drop(e);
       }
       return;
     }
-    switch (h.state) {
-      case RUNNING -> started(e.name, now);
-      case IN_LINE -> {
+    switch (h.state()) {
+      case RUNNING -> vmStarted(e.name, now);
+      case QUEUED -> {
         if (e.stage != Stage.BOUND) {
           e.stage = Stage.WRITTEN;
         }
       }
       case ENDED ->
-          finished(
+          attemptEnded(
               e.name,
               e.stage == Stage.BOUND ? Outcome.DONE : Outcome.ERROR,
               OutcomeReason.UNSPECIFIED,
               now);
-      case REFUSED -> refused(e.name, OutcomeReason.UNSPECIFIED, now);
-      default -> throw new IllegalStateException(h.state.name());
+      case REJECTED -> attemptRejected(e.name, OutcomeReason.UNSPECIFIED, now);
+      default -> throw new IllegalStateException(h.state().name());
     }
   }
 
   /** The machine knows nothing of a claim that was written to it. */
   private void missing(Entry e, boolean restarted) {
     if (e.stage == Stage.BOUND) {
-      fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
     } else if (e.stage != Stage.ABANDONED) {
       // It remembers what it took in since its start: the offer never reached it, unless it started
       // anew.
-      fate.ended(e.attempt, restarted ? Outcome.RESET : Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(
+          e.attempt, restarted ? Outcome.RESET : Outcome.MOOT, OutcomeReason.UNSPECIFIED);
     }
   }
 
   /** More can be written. */
-  public void ready(Duration now) {
+  public void transportReady(Duration now) {
     pump(now);
   }
 
   /** The stream broke, could not be opened, or said what it may not. */
-  public void broke(String why, Duration now) {
-    if (phase != Phase.CONNECTING && phase != Phase.GREETED) {
+  public void connectionLost(String why, Duration now) {
+    if (state != State.CONNECTING && state != State.ESTABLISHED) {
       return;
     }
-    boolean was = phase == Phase.GREETED;
-    phase = Phase.WAITING;
+    boolean was = state == State.ESTABLISHED;
+    state = State.BACKING_OFF;
     failures++;
     connectBy = null;
     retryAt = now.plus(wait(failures));
@@ -387,67 +338,68 @@
     for (Entry e : List.copyOf(entries.values())) {
       if (e.stage == Stage.QUEUED) {
         drop(e);
-        fate.ended(e.attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
+        listener.attemptEnded(e.attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
       } else if (e.stage == Stage.WRITTEN && e.mayRepeat) {
         e.stage = Stage.ABANDONED;
-        fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
+        listener.attemptEnded(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
       } else if (e.stage == Stage.WRITTEN) {
         e.stage = Stage.UNSURE;
-        e.unsureUntil = min(now.plus(connectionTimeouts.unsure), e.by);
+        e.unsureUntil = min(now.plus(settings.resumeTimeout()), e.by);
       }
     }
     if (was || failures == 1) {
-      fate.note(machine, "stream broke: " + why);
+      listener.connectionLost(machine, why);
     }
     if (gone) {
       lose();
-      phase = Phase.CLOSED;
+      state = State.CLOSED;
     }
   }
 
-  public void accepted(AttemptId name, Duration now) {
+  public void attemptAccepted(AttemptId name, Duration now) {
     Entry e = entries.get(name);
-    if (e != null && e.stage == Stage.WRITTEN && connectionTimeouts.yesAtAcceptance) {
+    if (e != null && e.stage == Stage.WRITTEN && settings.acceptanceIsFinal()) {
       e.stage = Stage.BOUND;
-      fate.bound(e.attempt, false);
+      listener.attemptAccepted(e.attempt, false);
     }
   }
 
-  public void started(AttemptId name, Duration now) {
+  public void vmStarted(AttemptId name, Duration now) {
     Entry e = entries.get(name);
     if (e == null || e.stage == Stage.ABANDONED) {
       return;
     }
     e.stage = Stage.BOUND;
-    fate.bound(e.attempt, true);
+    listener.attemptAccepted(e.attempt, true);
   }
 
-  public void refused(AttemptId name, OutcomeReason why, Duration now) {
+  public void attemptRejected(AttemptId name, OutcomeReason why, Duration now) {
     Entry e = entries.get(name);
     if (e != null) {
       drop(e);
       if (e.stage != Stage.ABANDONED) {
-        fate.ended(e.attempt, e.stage == Stage.BOUND ? Outcome.RESET : Outcome.FULL, why);
+        listener.attemptEnded(
+            e.attempt, e.stage == Stage.BOUND ? Outcome.RESET : Outcome.FULL, why);
       }
     }
     usedAt = now;
   }
 
-  public void finished(AttemptId name, Outcome end, OutcomeReason why, Duration now) {
+  public void attemptEnded(AttemptId name, Outcome end, OutcomeReason why, Duration now) {
     Entry e = entries.get(name);
     if (e != null) {
       drop(e);
       if (e.stage != Stage.ABANDONED) {
-        fate.ended(e.attempt, end, why);
+        listener.attemptEnded(e.attempt, end, why);
       }
     }
     usedAt = now;
   }
 
-  /** The claim that goes by that name and is still ours to hear of, or null. */
-  public PlacementAttempt attempt(AttemptId name) {
+  /** The claim that goes by that name and is still ours to hear of. */
+  public Optional<PlacementAttempt> findAttempt(AttemptId name) {
     Entry e = entries.get(name);
-    return e == null || e.stage == Stage.ABANDONED ? null : e.attempt;
+    return e == null || e.stage == Stage.ABANDONED ? Optional.empty() : Optional.of(e.attempt);
   }
 
   /** A VM of an earlier life runs there: from now on it is one of ours. */
@@ -457,19 +409,19 @@
     entries.put(name, e);
   }
 
-  public void reported(boolean answersProbe, Duration now) {
+  public void loadReported(boolean answersProbe, Duration now) {
     if (answersProbe && probeSentAt != null) {
       Duration took = now.minus(probeSentAt);
       probeSentAt = null;
-      fate.probed(machine, true, took);
+      listener.probeCompleted(machine, true, true, took);
     }
   }
 
   // ---- What time does
   // --------------------------------------------------------------------------------
 
-  /** When {@link #tick} has something to do, or null. */
-  public Duration due() {
+  /** When {@link #tick} has something to do, if ever. */
+  public Optional<Duration> nextDeadline() {
     Duration due = null;
     for (Entry e : entries.values()) {
       if (e.stage == Stage.UNSURE) {
@@ -477,42 +429,41 @@
       }
     }
     if (probeSentAt != null) {
-      due = min(due, probeSentAt.plus(connectionTimeouts.probeTimeout));
+      due = min(due, probeSentAt.plus(settings.probeTimeout()));
     }
-    if (phase == Phase.CONNECTING) {
+    if (state == State.CONNECTING) {
       due = min(due, connectBy);
-    } else if (phase == Phase.WAITING) {
+    } else if (state == State.BACKING_OFF) {
       due = min(due, retryAt);
-    } else if (phase == Phase.GREETED && entries.isEmpty()) {
-      due = min(due, usedAt.plus(connectionTimeouts.idle));
+    } else if (state == State.ESTABLISHED && entries.isEmpty()) {
+      due = min(due, usedAt.plus(settings.idleTimeout()));
     }
-    return due;
+    return Optional.ofNullable(due);
   }
 
   public void tick(Duration now) {
     for (Entry e : List.copyOf(entries.values())) {
       if (e.stage == Stage.UNSURE && now.compareTo(e.unsureUntil) >= 0) {
         e.stage = Stage.ABANDONED;
-        fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
+        listener.attemptEnded(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
       }
     }
-    if (probeSentAt != null
-        && now.compareTo(probeSentAt.plus(connectionTimeouts.probeTimeout)) >= 0) {
+    if (probeSentAt != null && now.compareTo(probeSentAt.plus(settings.probeTimeout())) >= 0) {
       probeFailed(now);
     }
-    if (phase == Phase.CONNECTING && now.compareTo(connectBy) >= 0) {
-      line.close("no word from the machine in time");
-      broke("no word from the machine in time", now);
-    } else if (phase == Phase.WAITING && now.compareTo(retryAt) >= 0) {
-      phase = Phase.CLOSED;
+    if (state == State.CONNECTING && now.compareTo(connectBy) >= 0) {
+      transport.close("no word from the machine in time");
+      connectionLost("no word from the machine in time", now);
+    } else if (state == State.BACKING_OFF && now.compareTo(retryAt) >= 0) {
+      state = State.CLOSED;
       if ((callWanted || !entries.isEmpty()) && !gone) {
         wantStream(now);
       }
-    } else if (phase == Phase.GREETED
+    } else if (state == State.ESTABLISHED
         && entries.isEmpty()
-        && now.compareTo(usedAt.plus(connectionTimeouts.idle)) >= 0) {
-      line.close("idle");
-      phase = Phase.CLOSED;
+        && now.compareTo(usedAt.plus(settings.idleTimeout())) >= 0) {
+      transport.close("idle");
+      state = State.CLOSED;
     }
   }
 
@@ -520,26 +471,26 @@
   // ----------------------------------------------------------------------------------------
 
   private void wantStream(Duration now) {
-    if (phase == Phase.CLOSED) {
-      phase = Phase.CONNECTING;
-      connectBy = now.plus(connectionTimeouts.connectTimeout);
-      line.connect();
+    if (state == State.CLOSED) {
+      state = State.CONNECTING;
+      connectBy = now.plus(settings.connectTimeout());
+      transport.connect();
     }
   }
 
   private void pump(Duration now) {
-    if (phase != Phase.GREETED) {
+    if (state != State.ESTABLISHED) {
       return;
     }
-    while (!queue.isEmpty() && line.ready()) {
+    while (!queue.isEmpty() && transport.isReady()) {
       Entry e = queue.removeFirst();
       e.stage = Stage.WRITTEN;
       Duration left = e.by.minus(now);
-      line.offer(e.attempt, e.name, left.isNegative() ? Duration.ZERO : left);
+      transport.offer(e.attempt, e.name, left.isNegative() ? Duration.ZERO : left);
     }
-    if (probeQueued && line.ready()) {
+    if (probeQueued && transport.isReady()) {
       probeQueued = false;
-      line.probe();
+      transport.probe();
     }
   }
 
@@ -548,8 +499,8 @@
       return;
     }
     e.stage = Stage.ABANDONED;
-    if (phase == Phase.GREETED) {
-      line.cancel(e.name);
+    if (state == State.ESTABLISHED) {
+      transport.cancel(e.name);
     }
   }
 
@@ -558,14 +509,14 @@
     if (probeSentAt != null) {
       Duration took = now.minus(probeSentAt);
       probeSentAt = null;
-      fate.probed(machine, false, took);
+      listener.probeCompleted(machine, false, false, took);
     }
   }
 
   private void drop(Entry e) {
     entries.remove(e.name);
     if (e.stage == Stage.ABANDONED) {
-      fate.cleared(e.attempt);
+      listener.attemptReleased(e.attempt);
     }
     if (e.stage == Stage.QUEUED) {
       queue.remove(e);
@@ -583,11 +534,11 @@
 
   /** Doubles with each failure from the least to the most, drawn from its upper half. */
   private Duration wait(int after) {
-    double most = SchedulerSettings.seconds(connectionTimeouts.retryMost);
+    double most = SchedulerSettings.seconds(settings.maxBackoff());
     double full =
         Math.min(
             most,
-            SchedulerSettings.seconds(connectionTimeouts.retryLeast)
+            SchedulerSettings.seconds(settings.minBackoff())
                 * Math.pow(2, Math.min(after - 1, 30)));
     return SchedulerSettings.seconds(full * (0.5 + chance.next() / 2));
   }
@@ -597,7 +548,7 @@
   }
 
   /** Names of what the machine may still hold though the placer gave it up, for those on call. */
-  public List<AttemptId> abandoned() {
+  public List<AttemptId> abandonedAttempts() {
     List<AttemptId> some = new ArrayList<>();
     entries.values().stream()
         .filter(e -> e.stage == Stage.ABANDONED)
--- /dev/null
+++ b/src/main/java/fordridge/machine/MachineTransport.java
@@ -0,0 +1,28 @@
+package fordridge.machine;
+
+import fordridge.model.PlacementAttempt;
+import java.time.Duration;
+
+/** Output port of a {@link MachineConnectionPool}: what it may do with connections to a machine. */
+public interface MachineTransport {
+  /** Whether the address is known and the process may open one more connection. */
+  boolean canOpen();
+
+  /** Starts to connect; the outcome is reported to the pool later. */
+  void open(MachineConnection connection);
+
+  /** Closes the connection; nothing more is reported of it as a connection. */
+  void close(MachineConnection connection);
+
+  /** Sends a placement request that the machine has to answer within {@code timeLeft}. */
+  void requestPlacement(MachineConnection connection, PlacementAttempt attempt, Duration timeLeft);
+
+  /** Withdraws a placement request that has no answer yet. */
+  void cancel(MachineConnection connection, String vmId);
+
+  /** Asks the machine to terminate a running VM. */
+  void terminate(MachineConnection connection, String vmId);
+
+  /** Sends a health check. */
+  void probe(MachineConnection connection);
+}
--- a/src/main/java/fordridge/machine/ReconnectPacer.java
+++ b/src/main/java/fordridge/machine/ReconnectPacer.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -15,20 +16,20 @@
  * answered or failed, however many there are. To open a stream costs the loop a millisecond or two,
  * and thousands due in one span would keep every VM waiting behind them.
  */
-public final class ReconnectPacer {
+public final class ReconnectPacer<M> {
   /**
    * Calls without a word as yet; ten or so milliseconds of the loop's work at most stand before a
    * VM.
    */
   private static final int AT_ONCE = 8;
 
-  private final Set<Object> open = new HashSet<>();
-  private final Set<Object> due = new LinkedHashSet<>();
-  private final Set<Object> called = new HashSet<>();
+  private final Set<M> open = new HashSet<>();
+  private final Set<M> due = new LinkedHashSet<>();
+  private final Set<M> called = new HashSet<>();
   private boolean begun;
 
   /** The first list: these are the machines that an earlier life may have used. */
-  public void begins(Set<?> machines) {
+  public void start(Set<? extends M> machines) {
     if (!begun) {
       begun = true;
       open.addAll(machines);
@@ -36,34 +37,34 @@
   }
 
   /** It is to be called when its turn comes. */
-  public void due(Object machine) {
+  public void schedule(M machine) {
     due.add(machine);
   }
 
-  /** The next to call now; null while enough are under way, or none is due. */
-  public Object next() {
-    Iterator<Object> first = due.iterator();
+  /** The next to call now; empty while enough are under way, or none is due. */
+  public Optional<M> next() {
+    Iterator<M> first = due.iterator();
     if (called.size() >= AT_ONCE || !first.hasNext()) {
-      return null;
+      return Optional.empty();
     }
-    Object machine = first.next();
+    M machine = first.next();
     first.remove();
     called.add(machine);
-    return machine;
+    return Optional.of(machine);
   }
 
   /** Its stream broke, or took too long: others get their turn while its link tries on. */
-  public void failed(Object machine) {
+  public void connectionFailed(M machine) {
     called.remove(machine);
   }
 
-  public void settled(Object machine) {
+  public void reconciled(M machine) {
     open.remove(machine);
     due.remove(machine);
     called.remove(machine);
   }
 
-  public boolean complete() {
+  public boolean isComplete() {
     return begun && open.isEmpty();
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/machine/VmTermination.java
@@ -0,0 +1,19 @@
+package fordridge.machine;
+
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import java.util.Optional;
+
+/**
+ * A machine's notice that a VM is over. What it means for the attempt depends on whether the VM's
+ * placement request was still pending on that connection or the VM was running.
+ *
+ * @param outcomeIfPending the outcome of a placement request that had no answer yet
+ * @param outcomeIfRunning the outcome of a running VM; empty if the notice is about a placement
+ *     request alone, and thus late if the VM runs
+ */
+public record VmTermination(
+    String vmId,
+    Outcome outcomeIfPending,
+    Optional<Outcome> outcomeIfRunning,
+    OutcomeReason reason) {}
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -11,8 +11,13 @@
 import fordridge.grpc.GrpcMachineTransport;
 import fordridge.grpc.MachineMessageDispatcher;
 import fordridge.grpc.OperatorService;
+import fordridge.machine.AttemptId;
+import fordridge.machine.LoadReport;
 import fordridge.machine.MachineStream;
+import fordridge.machine.MachineStreamSettings;
 import fordridge.machine.ReconnectPacer;
+import fordridge.machine.ReportedVm;
+import fordridge.machine.VmReportKind;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -32,7 +37,6 @@
 import fordridge.settings.SchedulerSettingsMapper;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Holding;
-import fordridge.v1.Note;
 import fordridge.v1.Offer;
 import fordridge.v1.Want;
 import io.netty.channel.EventLoop;
@@ -66,7 +70,7 @@
 final class GrpcSchedulerServer
     implements SchedulerActions,
         ClientService.RequestHandler,
-        MachineStream.AttemptListener,
+        MachineStream.Listener,
         OperatorService.ClusterView {
   private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
@@ -96,74 +100,77 @@
       link =
           new MachineStream(
               machine,
-              connectionTimeouts,
+              streamSettings,
               stream,
               GrpcSchedulerServer.this,
               new SeededRandom(seed ^ machine.id));
     }
 
     @Override
-    public void holding(Holding h) {
+    public void inventoryReceived(Holding h) {
       enter(
           () -> {
-            MachineMessageDispatcher.holding(h, link, now);
-            rollCall.settled(machine);
+            MachineMessageDispatcher.dispatchInventory(h, link, now);
+            rollCall.reconciled(machine);
             callSome();
           });
     }
 
     @Override
-    public void said(FromMachine m) {
-      enter(() -> MachineMessageDispatcher.said(m, link, stream, this, now));
+    public void messageReceived(FromMachine m) {
+      enter(() -> MachineMessageDispatcher.dispatch(m, link, stream, this, now));
     }
 
     @Override
-    public void ready() {
-      enter(() -> link.ready(now));
+    public void transportReady() {
+      enter(() -> link.transportReady(now));
     }
 
     @Override
-    public void broke(String why) {
+    public void connectionLost(String why) {
       enter(
           () -> {
-            link.broke(why, now);
-            rollCall.failed(machine);
+            link.connectionLost(why, now);
+            rollCall.connectionFailed(machine);
             callSome();
           });
     }
 
     @Override
-    public void report(double spareCores, double spareMemory, double busy) {
-      inputs.report(machine, spareCores, spareMemory, busy, now);
-      seen(w -> w.report(name, spareCores, spareMemory, busy, now));
+    public void loadReported(LoadReport report) {
+      double spareCores = report.spareCores();
+      double spareMemory = report.spareMemory();
+      double utilization = report.utilization();
+      inputs.report(machine, spareCores, spareMemory, utilization, now);
+      seen(w -> w.report(name, spareCores, spareMemory, utilization, now));
     }
 
     @Override
-    public void reported() {
+    public void loadReportCompleted() {
       inputs.scheduler.loadReported(machine);
       seen(w -> w.reported(name));
     }
 
     @Override
-    public void note(MachineStream.AttemptId named, Note.What what, double amount) {
-      PlacementAttempt c = link.attempt(named);
+    public void vmReported(AttemptId named, VmReportKind kind, double amount) {
+      PlacementAttempt c = link.findAttempt(named).orElse(null);
       if (c == null) {
         return;
       }
-      switch (what) {
-        case CORES -> both(c, (l, of) -> l.coreUsageReported(of, amount));
-        case MEMORY -> both(c, (l, of) -> l.memoryUsageReported(of, amount));
-        case SERVICE -> both(c, (l, of) -> l.serviceLevelReported(of, amount));
-        case PRESSURE -> both(c, (l, of) -> l.memoryPressureReported(of, amount));
+      switch (kind) {
+        case CORE_USAGE -> both(c, (l, of) -> l.coreUsageReported(of, amount));
+        case MEMORY_USAGE -> both(c, (l, of) -> l.memoryUsageReported(of, amount));
+        case SERVICE_LEVEL -> both(c, (l, of) -> l.serviceLevelReported(of, amount));
+        case MEMORY_PRESSURE -> both(c, (l, of) -> l.memoryPressureReported(of, amount));
         default -> {}
       }
     }
 
     @Override
-    public void wrong(String what) {
+    public void protocolViolated(String what) {
       line(Level.WARN, "machine says what it may not: " + what, null, machine);
       stream.close("said what it may not");
-      link.broke(what, now);
+      link.connectionLost(what, now);
     }
   }
 
@@ -179,7 +186,7 @@
   private final long seed;
   private final int position;
   private final Metrics metrics;
-  private final MachineStream.ConnectionTimeouts connectionTimeouts;
+  private final MachineStreamSettings streamSettings;
   private final SchedulerInputs<String> inputs;
   private final ClientSessions sessions;
   private final GroupCoordinator groups = new GroupCoordinator(new GroupActions());
@@ -209,7 +216,7 @@
 
   private final Set<String> draining = new LinkedHashSet<>();
   private final Set<Machine> called = new HashSet<>();
-  private final ReconnectPacer rollCall = new ReconnectPacer();
+  private final ReconnectPacer<Machine> rollCall = new ReconnectPacer<>();
   private CompletableFuture<Void> stopped;
   private int shared;
   private boolean listOld = true;
@@ -234,8 +241,8 @@
     this.seed = seed;
     this.loop = loop;
     this.metrics = metrics;
-    connectionTimeouts =
-        new MachineStream.ConnectionTimeouts(
+    streamSettings =
+        new MachineStreamSettings(
             d.connectTimeout,
             d.idle,
             d.retryLeast,
@@ -356,7 +363,7 @@
 
   /** Lets a link's own time pass when it is due. */
   private void watch(MachineHandle r) {
-    Duration due = r.link.due();
+    Duration due = r.link.nextDeadline().orElse(null);
     if (due != null && (r.tickAt == null || due.compareTo(r.tickAt) < 0)) {
       r.tickAt = due;
       at(
@@ -364,8 +371,8 @@
           () -> {
             r.tickAt = null;
             r.link.tick(now);
-            if (r.link.phase() == MachineStream.Phase.WAITING) {
-              rollCall.failed(r.machine);
+            if (r.link.state() == MachineStream.State.BACKING_OFF) {
+              rollCall.connectionFailed(r.machine);
               callSome();
             }
             watch(r);
@@ -401,7 +408,7 @@
     for (MachineListSource.Entry e : list.entries()) {
       MachineHandle r = reach(e.name());
       told.put(r.machine, e.lifecycle());
-      r.stream.address(e.address());
+      r.stream.setAddress(e.address());
       lines.add(
           new SchedulerInputs.ListedMachine<>(
               e.name(),
@@ -418,29 +425,29 @@
             ? List.copyOf(machineHandles.values())
             : told.keySet().stream().map(machineHandles::get).toList()) {
       Machine.Lifecycle lifecycle = told.getOrDefault(r.machine, Machine.Lifecycle.GONE);
-      r.link.listed(lifecycle == Machine.Lifecycle.GONE, now);
+      r.link.machineListed(lifecycle == Machine.Lifecycle.GONE, now);
       if (lifecycle != Machine.Lifecycle.LIVE) {
-        r.link.drains();
+        r.link.machineDraining();
       }
       if (lifecycle == Machine.Lifecycle.GONE) {
-        rollCall.settled(r.machine);
+        rollCall.reconciled(r.machine);
       } else if (called.add(r.machine)) {
         // What an earlier life of this placer left running is asked for once, spread over a
         // settling time.
         at(
             Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, d.settle.toMillis())),
             () -> {
-              rollCall.due(r.machine);
+              rollCall.schedule(r.machine);
               callSome();
             });
       }
       watch(r);
     }
-    rollCall.begins(told.keySet());
+    rollCall.start(told.keySet());
     told.forEach(
         (m, lifecycle) -> {
           if (lifecycle == Machine.Lifecycle.GONE) {
-            rollCall.settled(m);
+            rollCall.reconciled(m);
           }
         });
     if (standElsewhere(list)) {
@@ -481,9 +488,9 @@
   }
 
   private void callSome() {
-    for (Object m = rollCall.next(); m != null; m = rollCall.next()) {
+    for (Machine m = rollCall.next().orElse(null); m != null; m = rollCall.next().orElse(null)) {
       MachineHandle r = machineHandles.get(m);
-      r.link.call(now);
+      r.link.reconcile(now);
       watch(r);
     }
   }
@@ -601,7 +608,7 @@
   }
 
   @Override
-  public void cleared(PlacementAttempt c) {
+  public void attemptReleased(PlacementAttempt c) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
@@ -714,7 +721,7 @@
       arrives(vm, s, w.getVm(), !f.rebuildable() && s.strayed());
       return;
     }
-    if (!f.rebuildable() && s.strayed() && !rollCall.complete()) {
+    if (!f.rebuildable() && s.strayed() && !rollCall.isComplete()) {
       say(
           vm,
           ClientResponse.Kind.ERRORED,
@@ -810,7 +817,7 @@
     @Override
     public void stop(Vm vm) {
       if (vm.acceptedAttempt != null && vm.acceptedAttempt.isInFlight()) {
-        machineHandles.get(vm.acceptedAttempt.machine).link.stop(vm.acceptedAttempt, now);
+        machineHandles.get(vm.acceptedAttempt.machine).link.terminate(vm.acceptedAttempt, now);
       }
     }
 
@@ -849,7 +856,7 @@
    * must not run twice, only once every machine has said what it holds.
    */
   private void arrives(Vm vm, ClientSession s, String id, boolean mayRunUnseen) {
-    if (!mayRunUnseen || rollCall.complete()) {
+    if (!mayRunUnseen || rollCall.isComplete()) {
       if (sessions.waits(s.client, id)) {
         inputs.add(vm);
         decide(vm);
@@ -890,7 +897,7 @@
             if (c.isInFlight()) {
               MachineHandle r = machineHandles.get(c.machine);
               if (c == vm.acceptedAttempt) {
-                r.link.stop(c, now);
+                r.link.terminate(c, now);
               } else {
                 giveUp(c, Outcome.CANCELLED);
               }
@@ -964,7 +971,7 @@
           }
           MachineHandle r = machineHandles.get(c.machine);
           boolean mayRepeat = d.priorityClasses.get(c.vm.priorityClass).rebuildable();
-          r.link.offer(c, new MachineStream.AttemptId(c.vm.id, c.number), mayRepeat, within, now);
+          r.link.offer(c, new AttemptId(c.vm.id, c.number), mayRepeat, within, now);
           watch(r);
         });
     at(
@@ -979,8 +986,8 @@
   /** Waits no longer for a claim: known not to have run if its offer was never written. */
   private void giveUp(PlacementAttempt c, Outcome end) {
     MachineHandle r = machineHandles.get(c.machine);
-    boolean neverWritten = r.link.giveUp(c, now);
-    ended(c, neverWritten ? Outcome.UNREACHABLE : end, OutcomeReason.UNSPECIFIED);
+    boolean neverWritten = r.link.cancel(c, now);
+    attemptEnded(c, neverWritten ? Outcome.UNREACHABLE : end, OutcomeReason.UNSPECIFIED);
     watch(r);
   }
 
@@ -1036,7 +1043,7 @@
         vm,
         ClientResponse.Kind.MOVED,
         ClientResponse.ended(owned(vm, owners.get(vm)), ClientResponse.Kind.MOVED));
-    machineHandles.get(vm.acceptedAttempt.machine).link.stop(vm.acceptedAttempt, now);
+    machineHandles.get(vm.acceptedAttempt.machine).link.terminate(vm.acceptedAttempt, now);
   }
 
   @Override
@@ -1114,7 +1121,7 @@
   // -----------------------------------------------------------------------
 
   @Override
-  public void bound(PlacementAttempt c, boolean running) {
+  public void attemptAccepted(PlacementAttempt c, boolean running) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight() || c.vm.isFinished) {
@@ -1146,7 +1153,7 @@
   }
 
   @Override
-  public void ended(PlacementAttempt c, Outcome end, OutcomeReason why) {
+  public void attemptEnded(PlacementAttempt c, Outcome end, OutcomeReason why) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
@@ -1195,16 +1202,16 @@
   }
 
   @Override
-  public void runsAlready(MachineStream.ReportedVm held, Machine machine) {
+  public void unknownVmReported(ReportedVm held, Machine machine) {
     MachineHandle r = machineHandles.get(machine);
-    if (inputs.vm(held.name().vm()) != null
+    if (inputs.vm(held.attemptId().vmId()) != null
         || !d.priorityClasses.containsKey(held.priorityClass())) {
       // Asked for anew before its machine came back, or of a flavour no longer known: nobody would
       // own it.
-      r.stream.cancel(held.name());
+      r.stream.cancel(held.attemptId());
       return;
     }
-    Vm vm = new Vm(held.name().vm());
+    Vm vm = new Vm(held.attemptId().vmId());
     vm.priorityClass = held.priorityClass();
     vm.tenant = held.tenant();
     vm.service = held.service();
@@ -1215,30 +1222,30 @@
     inputs.add(vm);
     inputs.scheduler.vmAdopted(vm, machine);
     seen(w -> w.runsAlready(vm, r.name));
-    r.link.adopt(held.name(), vm.acceptedAttempt);
+    r.link.adopt(held.attemptId(), vm.acceptedAttempt);
     placeTaken(vm.acceptedAttempt);
     owners.put(vm, held.client());
     String id = vm.id.startsWith(held.client() + "/") ? owned(vm, held.client()) : vm.id;
     sessions.found(
         held.client(),
         id,
-        ClientResponse.bound(id, r.name, held.name().number(), Duration.ZERO),
+        ClientResponse.bound(id, r.name, held.attemptId().number(), Duration.ZERO),
         now);
     talkOf(held.client());
   }
 
   @Override
-  public void probed(Machine machine, boolean ok, Duration took) {
+  public void probeCompleted(Machine machine, boolean ok, boolean withLoadReport, Duration took) {
     sequencer.behind(
         () -> {
-          inputs.scheduler.probeCompleted(machine, ok, ok, took);
+          inputs.scheduler.probeCompleted(machine, ok, withLoadReport, took);
           seen(w -> w.probed(machineHandles.get(machine).name, ok, took));
         });
   }
 
   @Override
-  public void note(Machine machine, String text) {
-    line(Level.INFO, text, null, machine);
+  public void connectionLost(Machine machine, String reason) {
+    line(Level.INFO, "machine connection lost: " + reason, null, machine);
   }
 
   private void line(Level level, String text, Vm vm, Machine machine) {
@@ -1287,7 +1294,7 @@
   int streamsOpen() {
     int n = 0;
     for (MachineHandle r : machineHandles.values()) {
-      n += r.link.phase() == MachineStream.Phase.GREETED ? 1 : 0;
+      n += r.link.state() == MachineStream.State.ESTABLISHED ? 1 : 0;
     }
     return n;
   }
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -1,10 +1,17 @@
 package fordridge.server.json;
 
 import fordridge.json.ClientServer;
+import fordridge.json.ConnectionQuota;
 import fordridge.json.JsonFields;
 import fordridge.json.MachineClient;
+import fordridge.json.RequestPayload;
 import fordridge.machine.ConnectionBudget;
+import fordridge.machine.ConnectionTimeouts;
+import fordridge.machine.LoadReport;
+import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineConnectionPool;
+import fordridge.machine.VmReportKind;
+import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -33,9 +40,7 @@
  * decides nothing.
  */
 final class JsonSchedulerServer
-    implements SchedulerActions,
-        ClientServer.ClientRequestHandler,
-        MachineConnectionPool.AttemptListener {
+    implements SchedulerActions, ClientServer.ClientRequestHandler, MachineConnectionPool.Listener {
   private static final Duration FEELS = Duration.ofMillis(25);
   private static final Duration TICK = Duration.ofMillis(50);
 
@@ -71,75 +76,66 @@
     }
 
     @Override
-    public void line() {
-      connectionPool.heard(sequencer.clock());
+    public void messageReceived() {
+      connectionPool.messageReceived(sequencer.clock());
     }
 
     @Override
-    public void connected(MachineConnectionPool.Connection s) {
-      behindReads(() -> connectionPool.connected(s, now));
+    public void connectionEstablished(MachineConnection s) {
+      behindReads(() -> connectionPool.connectionEstablished(s, now));
     }
 
     @Override
-    public void failed(MachineConnectionPool.Connection s, boolean refused) {
-      enter(() -> connectionPool.failed(s, refused, now));
+    public void connectionFailed(MachineConnection s, boolean refused) {
+      enter(() -> connectionPool.connectionFailed(s, refused, now));
     }
 
     @Override
-    public void broke(MachineConnectionPool.Connection s, String why) {
-      enter(() -> connectionPool.broke(s, now));
+    public void connectionLost(MachineConnection s, String why) {
+      enter(() -> connectionPool.connectionLost(s, now));
     }
 
     @Override
-    public void stands(MachineConnectionPool.Connection s, String vm, String description) {
-      enter(() -> connectionPool.stands(s, vm, description, now));
+    public void vmAccepted(MachineConnection s, String vm, String description) {
+      enter(() -> connectionPool.vmAccepted(s, vm, description, now));
     }
 
     @Override
-    public void ended(
-        MachineConnectionPool.Connection s,
-        String vm,
-        Outcome before,
-        Outcome after,
-        OutcomeReason why) {
-      enter(() -> connectionPool.ended(s, vm, before, after, why, now));
+    public void vmTerminated(MachineConnection s, VmTermination termination) {
+      enter(() -> connectionPool.vmTerminated(s, termination, now));
     }
 
     @Override
-    public void probed(MachineConnectionPool.Connection s, boolean ok, boolean told) {
-      enter(() -> connectionPool.probed(s, ok, told, now));
+    public void probeAnswered(MachineConnection s, boolean ok, boolean told) {
+      enter(() -> connectionPool.probeAnswered(s, ok, told, now));
     }
 
     @Override
-    public void note(String vm, String what, double amount) {
+    public void vmReported(String vm, VmReportKind kind, double amount) {
       enter(
           () -> {
-            PlacementAttempt c = connectionPool.attempt(vm);
-            if (c == null || !Double.isFinite(amount) && !what.equals("live")) {
+            PlacementAttempt c = connectionPool.findRunningAttempt(vm).orElse(null);
+            if (c == null || !Double.isFinite(amount) && kind != VmReportKind.STARTED) {
               return;
             }
-            switch (what) {
-              case "live" -> inputs.scheduler.vmStarted(c);
-              case "c" -> inputs.scheduler.coreUsageReported(c, amount);
-              case "m" -> inputs.scheduler.memoryUsageReported(c, amount);
-              case "s" -> inputs.scheduler.serviceLevelReported(c, amount);
-              case "p" -> inputs.scheduler.memoryPressureReported(c, amount);
+            switch (kind) {
+              case STARTED -> inputs.scheduler.vmStarted(c);
+              case CORE_USAGE -> inputs.scheduler.coreUsageReported(c, amount);
+              case MEMORY_USAGE -> inputs.scheduler.memoryUsageReported(c, amount);
+              case SERVICE_LEVEL -> inputs.scheduler.serviceLevelReported(c, amount);
+              case MEMORY_PRESSURE -> inputs.scheduler.memoryPressureReported(c, amount);
               default -> {}
             }
           });
     }
 
     @Override
-    public void report(Map<String, Double> values, boolean answersProbe) {
+    public void loadReported(LoadReport report, boolean answersProbe) {
       enter(
           () -> {
             reports++;
             inputs.report(
-                machine,
-                values.getOrDefault("x0", Double.NaN),
-                values.getOrDefault("x1", Double.NaN),
-                values.getOrDefault("utilization", values.getOrDefault("util", Double.NaN)),
-                now);
+                machine, report.spareCores(), report.spareMemory(), report.utilization(), now);
             if (!answersProbe) {
               inputs.scheduler.loadReported(machine);
             }
@@ -159,9 +155,9 @@
   private final Map<String, MachineHandle> machineHandles = new HashMap<>();
   private final Map<Machine, MachineHandle> byMachine = new HashMap<>();
   private final List<MachineConnectionPool> connectionPools = new ArrayList<>();
-  private final Map<String, MachineClient.RequestPayload> carried = new HashMap<>();
-  private final MachineClient.ConnectionQuota share;
-  private MachineConnectionPool.ConnectionTimeouts connectionTimeouts;
+  private final Map<String, RequestPayload> carried = new HashMap<>();
+  private final ConnectionQuota share;
+  private ConnectionTimeouts connectionTimeouts;
   private SchedulerSettings terms;
   private Map<String, Object> values;
   private final Set<String> priorityClasses = new HashSet<>();
@@ -200,7 +196,7 @@
               log.accept("an input failed: " + e);
               e.printStackTrace();
             });
-    share = new MachineClient.ConnectionQuota(machineSockets);
+    share = new ConnectionQuota(machineSockets);
     read(p.terms);
   }
 
@@ -220,12 +216,12 @@
 
   /** Other terms and limits hold for all that comes from here on. */
   void told(ServerConfiguration next, int machineSockets) {
-    share.most(machineSockets);
+    share.setLimit(machineSockets);
     if (!next.terms.equals(values)) {
       read(next.terms);
       for (MachineHandle r : machineHandles.values()) {
-        r.connectionPool.connectionTimeouts(connectionTimeouts);
-        r.line.timeout(connectionTimeouts.connectTimeout());
+        r.connectionPool.setTimeouts(connectionTimeouts);
+        r.line.setConnectTimeout(connectionTimeouts.connectTimeout());
       }
       enter(() -> inputs.scheduler.settingsChanged(next.terms));
     }
@@ -235,7 +231,7 @@
     terms = new SchedulerSettings(values);
     this.values = values;
     connectionTimeouts =
-        new MachineConnectionPool.ConnectionTimeouts(
+        new ConnectionTimeouts(
             terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
     priorityClasses.clear();
     again.clear();
@@ -316,7 +312,7 @@
     for (MachineHandle r : List.copyOf(machineHandles.values())) {
       r.connectionPool.tick(now);
     }
-    ConnectionBudget.relieve(connectionPools, share.staying(), share.most(), now);
+    ConnectionBudget.rebalance(connectionPools, share.inUseCount(), share.limit(), now);
     pendingResponses.tidy(now);
   }
 
@@ -370,18 +366,18 @@
       MachineHandle r = reach(l.key());
       named.add(l.key());
       if (addresses.containsKey(l.key())) {
-        r.line.address(addresses.get(l.key()));
+        r.line.setAddress(addresses.get(l.key()));
       }
       boolean anew = l.startedAt() != null && !l.startedAt().equals(r.machine.startedAt);
-      r.connectionPool.listed(l.lifecycle(), now);
+      r.connectionPool.machineListed(l.lifecycle(), now);
       if (anew) {
-        r.connectionPool.restarted(l.startedAt());
+        r.connectionPool.machineRestarted(l.startedAt());
       }
     }
     if (whole) {
       for (MachineHandle r : List.copyOf(machineHandles.values())) {
         if (!named.contains(r.id)) {
-          r.connectionPool.listed(Machine.Lifecycle.GONE, now);
+          r.connectionPool.machineListed(Machine.Lifecycle.GONE, now);
         }
       }
     }
@@ -446,7 +442,7 @@
     unpark();
     carried.put(
         vm.id,
-        new MachineClient.RequestPayload(
+        new RequestPayload(
             String.valueOf(fields.get("key")),
             fields.get("idem") == null ? null : String.valueOf(fields.get("idem")),
             description));
@@ -563,17 +559,11 @@
     if (!r.machine.isListed || r.machine.lifecycle == Machine.Lifecycle.GONE) {
       // A machine that the list has not named, or no longer does: it gets a while to.
       at(
-          connectionTimeouts.dead(),
+          connectionTimeouts.failureTimeout(),
           () -> {
             if (r.machine.lifecycle == Machine.Lifecycle.GONE && vm.acceptedAttempt.isInFlight()) {
-              r.connectionPool.listed(Machine.Lifecycle.GONE, now);
-              r.connectionPool.ended(
-                  new MachineConnectionPool.Connection(),
-                  vm.id,
-                  Outcome.RESET,
-                  Outcome.RESET,
-                  OutcomeReason.UNSPECIFIED,
-                  now);
+              r.connectionPool.machineListed(Machine.Lifecycle.GONE, now);
+              r.connectionPool.vmLost(vm.id);
             }
           });
     }
@@ -589,7 +579,10 @@
           }
           if (vm.acceptedAttempt != null) {
             owner.write("ack", id, -1, null);
-            byMachine.get(vm.acceptedAttempt.machine).connectionPool.stop(vm.acceptedAttempt, now);
+            byMachine
+                .get(vm.acceptedAttempt.machine)
+                .connectionPool
+                .terminate(vm.acceptedAttempt, now);
           } else {
             givenUp(vm);
           }
@@ -600,7 +593,7 @@
     inputs.scheduler.clientLeft(vm);
     for (PlacementAttempt c : List.copyOf(vm.attempts)) {
       if (c.isInFlight()) {
-        byMachine.get(c.machine).connectionPool.giveUp(c, Outcome.CANCELLED, now);
+        byMachine.get(c.machine).connectionPool.cancel(c, Outcome.CANCELLED, now);
       }
     }
     forget(vm);
@@ -659,7 +652,7 @@
         within,
         () -> {
           if (c.isInFlight() && c.acceptedAt == null) {
-            byMachine.get(c.machine).connectionPool.giveUp(c, Outcome.TIMEOUT, now);
+            byMachine.get(c.machine).connectionPool.cancel(c, Outcome.TIMEOUT, now);
           }
         });
   }
@@ -690,7 +683,7 @@
       owner.write("shift", vm.id, -1, null);
       pendingResponses.heard(vm.id, owner);
     }
-    byMachine.get(vm.acceptedAttempt.machine).connectionPool.stop(vm.acceptedAttempt, now);
+    byMachine.get(vm.acceptedAttempt.machine).connectionPool.terminate(vm.acceptedAttempt, now);
   }
 
   @Override
@@ -698,7 +691,7 @@
     sequencer.behind(
         () -> {
           if (c.isInFlight() && c.acceptedAt == null) {
-            byMachine.get(c.machine).connectionPool.giveUp(c, Outcome.CANCELLED, now);
+            byMachine.get(c.machine).connectionPool.cancel(c, Outcome.CANCELLED, now);
           }
         });
   }
@@ -733,14 +726,14 @@
   // ----------------------------------------------------------------------
 
   @Override
-  public void bound(PlacementAttempt c, String description) {
+  public void attemptAccepted(PlacementAttempt c, String description) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
             return;
           }
           if (c.vm.isFinished) {
-            byMachine.get(c.machine).connectionPool.stop(c, now);
+            byMachine.get(c.machine).connectionPool.terminate(c, now);
             return;
           }
           inputs.scheduler.attemptAccepted(c);
@@ -750,7 +743,7 @@
   }
 
   @Override
-  public void ended(PlacementAttempt c, Outcome end, OutcomeReason why) {
+  public void attemptEnded(PlacementAttempt c, Outcome end, OutcomeReason why) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
@@ -773,7 +766,7 @@
   }
 
   @Override
-  public void probed(Machine m, boolean ok, boolean told, Duration took) {
+  public void probeCompleted(Machine m, boolean ok, boolean told, Duration took) {
     sequencer.behind(
         () -> {
           if (ok) {
@@ -828,7 +821,7 @@
         + ", machines "
         + machineHandles.size()
         + ", connections to machines "
-        + share.open()
+        + share.openCount()
         + ", owners' lines "
         + (front == null ? 0 : front.connections())
         + ", bad asks "
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.Example;
 
@@ -30,11 +31,10 @@
   private int unsent;
   private final List<Runnable> nextTick = new ArrayList<>();
 
-  private final class Place
-      implements MachineConnectionPool.Transport, MachineConnectionPool.AttemptListener {
+  private final class Place implements MachineTransport, MachineConnectionPool.Listener {
     final Machine machine;
     final MachineConnectionPool connectionPool;
-    final Map<MachineConnectionPool.Connection, Boolean> connections = new HashMap<>();
+    final Map<MachineConnection, Boolean> connections = new HashMap<>();
     Duration longestUnheard = Duration.ZERO;
     Duration heard = now;
 
@@ -43,8 +43,7 @@
       connectionPool =
           new MachineConnectionPool(
               machine,
-              new MachineConnectionPool.ConnectionTimeouts(
-                  Duration.ofMillis(250), Duration.ofSeconds(3)),
+              new ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3)),
               this,
               this);
       connectionPool.adopt(new PlacementAttempt(new Vm("runs" + i), machine, 0, now), now);
@@ -59,22 +58,22 @@
     }
 
     @Override
-    public boolean mayOpen() {
+    public boolean canOpen() {
       return open < MOST;
     }
 
     @Override
-    public void open(MachineConnectionPool.Connection s) {
+    public void open(MachineConnection s) {
       open++;
       nextTick.add(
           () -> {
             connections.put(s, true);
-            connectionPool.connected(s, now);
+            connectionPool.connectionEstablished(s, now);
           });
     }
 
     @Override
-    public void close(MachineConnectionPool.Connection s) {
+    public void close(MachineConnection s) {
       connections.remove(s);
       closing++;
       nextTick.add(
@@ -85,34 +84,37 @@
     }
 
     @Override
-    public void setUp(
-        MachineConnectionPool.Connection s, PlacementAttempt attempt, Duration within) {
+    public void requestPlacement(MachineConnection s, PlacementAttempt attempt, Duration within) {
       nextTick.add(
           () ->
-              connectionPool.ended(
-                  s, attempt.vm.id, Outcome.FULL, null, OutcomeReason.UNSPECIFIED, now));
+              connectionPool.vmTerminated(
+                  s,
+                  new VmTermination(
+                      attempt.vm.id, Outcome.FULL, Optional.empty(), OutcomeReason.UNSPECIFIED),
+                  now));
     }
 
     @Override
-    public void giveUp(MachineConnectionPool.Connection connection, String vm) {}
+    public void cancel(MachineConnection connection, String vm) {}
 
     @Override
-    public void cut(MachineConnectionPool.Connection connection, String vm) {}
+    public void terminate(MachineConnection connection, String vm) {}
 
     @Override
-    public void probe(MachineConnectionPool.Connection connection) {}
+    public void probe(MachineConnection connection) {}
 
     @Override
-    public void bound(PlacementAttempt attempt, String description) {}
+    public void attemptAccepted(PlacementAttempt attempt, String description) {}
 
     @Override
-    public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+    public void attemptEnded(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       assertThat(attempt.vm.id).as("nothing that runs is taken for lost").startsWith("new");
       unsent += end == Outcome.MOOT ? 1 : 0;
     }
 
     @Override
-    public void probed(Machine m, boolean ok, boolean told, Duration took) {}
+    public void probeCompleted(
+        Machine m, boolean healthy, boolean withLoadReport, Duration roundTrip) {}
   }
 
   @Example
@@ -137,7 +139,7 @@
         to.connectionPool.offer(c, Duration.ofSeconds(1), t % 4 == 0, now);
       }
       connectionPools.forEach(x -> x.tick(now));
-      ConnectionBudget.relieve(connectionPools, open - closing, MOST, now);
+      ConnectionBudget.rebalance(connectionPools, open - closing, MOST, now);
       places.forEach(Place::looks);
       assertThat(open).isLessThanOrEqualTo(MOST);
     }
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -20,14 +21,12 @@
 
 class MachineConnectionPoolTest {
   /** A line and a fate that keep what they were told, and complain of what may never happen. */
-  private static final class World
-      implements MachineConnectionPool.Transport, MachineConnectionPool.AttemptListener {
+  private static final class World implements MachineTransport, MachineConnectionPool.Listener {
     final Machine machine = new Machine(7);
     final MachineConnectionPool connectionPool =
-        new MachineConnectionPool(
-            machine, new MachineConnectionPool.ConnectionTimeouts(ms(250), ms(3000)), this, this);
-    final List<MachineConnectionPool.Connection> open = new ArrayList<>();
-    final Map<MachineConnectionPool.Connection, List<String>> said = new LinkedHashMap<>();
+        new MachineConnectionPool(machine, new ConnectionTimeouts(ms(250), ms(3000)), this, this);
+    final List<MachineConnection> open = new ArrayList<>();
+    final Map<MachineConnection, List<String>> said = new LinkedHashMap<>();
     final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
     final Map<PlacementAttempt, String> bound = new HashMap<>();
     final List<Boolean> probes = new ArrayList<>();
@@ -50,19 +49,19 @@
     /** A claim whose set-up a connection has carried. */
     PlacementAttempt carried() {
       PlacementAttempt c = offer();
-      for (MachineConnectionPool.Connection s : List.copyOf(open)) {
-        connectionPool.connected(s, now);
+      for (MachineConnection s : List.copyOf(open)) {
+        connectionPool.connectionEstablished(s, now);
       }
       return c;
     }
 
     PlacementAttempt standing() {
       PlacementAttempt c = carried();
-      connectionPool.stands(last(), c.vm.id, "d", now);
+      connectionPool.vmAccepted(last(), c.vm.id, "d", now);
       return c;
     }
 
-    MachineConnectionPool.Connection last() {
+    MachineConnection last() {
       return open.get(open.size() - 1);
     }
 
@@ -71,78 +70,84 @@
       while (now.compareTo(until) < 0) {
         now = now.plus(ms(50));
         connectionPool.tick(now);
-        ConnectionBudget.relieve(List.of(connectionPool), open.size(), most, now);
+        ConnectionBudget.rebalance(List.of(connectionPool), open.size(), most, now);
       }
     }
 
     @Override
-    public boolean mayOpen() {
+    public boolean canOpen() {
       return open.size() < most;
     }
 
     @Override
-    public void open(MachineConnectionPool.Connection s) {
+    public void open(MachineConnection s) {
       open.add(s);
       said.put(s, new ArrayList<>());
     }
 
     @Override
-    public void close(MachineConnectionPool.Connection s) {
+    public void close(MachineConnection s) {
       open.remove(s);
     }
 
     @Override
-    public void setUp(
-        MachineConnectionPool.Connection s, PlacementAttempt attempt, Duration within) {
+    public void requestPlacement(MachineConnection s, PlacementAttempt attempt, Duration within) {
       assertThat(ends).doesNotContainKey(attempt);
       said.get(s).add("new " + attempt.vm.id);
     }
 
     @Override
-    public void giveUp(MachineConnectionPool.Connection s, String vm) {
+    public void cancel(MachineConnection s, String vm) {
       said.get(s).add("given up " + vm);
     }
 
     @Override
-    public void cut(MachineConnectionPool.Connection s, String vm) {
+    public void terminate(MachineConnection s, String vm) {
       said.get(s).add("cut " + vm);
     }
 
     @Override
-    public void probe(MachineConnectionPool.Connection s) {
+    public void probe(MachineConnection s) {
       said.get(s).add("probe");
     }
 
     @Override
-    public void bound(PlacementAttempt attempt, String description) {
+    public void attemptAccepted(PlacementAttempt attempt, String description) {
       assertThat(ends).doesNotContainKey(attempt);
       assertThat(bound.put(attempt, description)).isNull();
       attempt.acceptedAt = now;
     }
 
     @Override
-    public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+    public void attemptEnded(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       assertThat(ends.put(attempt, end)).as("a second end of " + attempt.vm.id).isNull();
       attempt.outcome = end;
     }
 
     @Override
-    public void probed(Machine m, boolean ok, boolean told, Duration took) {
-      probes.add(ok);
+    public void probeCompleted(
+        Machine m, boolean healthy, boolean withLoadReport, Duration roundTrip) {
+      probes.add(healthy);
     }
   }
 
+  private static VmTermination termination(
+      PlacementAttempt attempt, Outcome ifPending, Outcome ifRunning) {
+    return new VmTermination(
+        attempt.vm.id, ifPending, Optional.ofNullable(ifRunning), OutcomeReason.UNSPECIFIED);
+  }
+
   @Example
   void whatNoConnectionHasCarriedNeverRan() {
     World w = new World();
     PlacementAttempt refused = w.offer();
-    w.connectionPool.failed(w.last(), true, w.now);
+    w.connectionPool.connectionFailed(w.last(), true, w.now);
     assertThat(w.ends.get(refused)).isEqualTo(Outcome.UNREACHABLE);
     PlacementAttempt slow = w.offer();
     w.pass(300);
     assertThat(w.ends.get(slow)).isEqualTo(Outcome.UNREACHABLE);
     PlacementAttempt givenUp = w.offer();
-    w.connectionPool.giveUp(givenUp, Outcome.TIMEOUT, w.now);
+    w.connectionPool.cancel(givenUp, Outcome.TIMEOUT, w.now);
     assertThat(w.ends.get(givenUp)).isEqualTo(Outcome.UNREACHABLE);
   }
 
@@ -151,12 +156,12 @@
     World w = new World();
     PlacementAttempt stands = w.standing();
     PlacementAttempt one = w.carried();
-    MachineConnectionPool.Connection broken = w.last();
+    MachineConnection broken = w.last();
     PlacementAttempt other = w.carried();
     assertThat(w.last()).isNotSameAs(broken);
-    w.connectionPool.broke(broken, w.now);
+    w.connectionPool.connectionLost(broken, w.now);
     assertThat(w.ends).containsOnlyKeys(one).containsEntry(one, Outcome.RESET);
-    w.connectionPool.stands(w.last(), other.vm.id, "d", w.now);
+    w.connectionPool.vmAccepted(w.last(), other.vm.id, "d", w.now);
     assertThat(w.bound).containsOnlyKeys(stands, other);
   }
 
@@ -164,17 +169,15 @@
   void lateRepeatedAndUnknownWordsArePassedOver() {
     World w = new World();
     PlacementAttempt c = w.carried();
-    MachineConnectionPool.Connection s = w.last();
-    w.connectionPool.stands(s, "of somebody else", "x", w.now);
-    w.connectionPool.stands(s, c.vm.id, "d", w.now);
-    w.connectionPool.stands(s, c.vm.id, "d again", w.now);
+    MachineConnection s = w.last();
+    w.connectionPool.vmAccepted(s, "of somebody else", "x", w.now);
+    w.connectionPool.vmAccepted(s, c.vm.id, "d", w.now);
+    w.connectionPool.vmAccepted(s, c.vm.id, "d again", w.now);
     assertThat(w.bound).containsExactly(Map.entry(c, "d"));
-    w.connectionPool.ended(s, c.vm.id, Outcome.FULL, null, OutcomeReason.UNSPECIFIED, w.now);
+    w.connectionPool.vmTerminated(s, termination(c, Outcome.FULL, null), w.now);
     assertThat(w.ends).isEmpty();
-    w.connectionPool.ended(
-        s, c.vm.id, Outcome.RESET, Outcome.DONE, OutcomeReason.UNSPECIFIED, w.now);
-    w.connectionPool.ended(
-        s, c.vm.id, Outcome.RESET, Outcome.DONE, OutcomeReason.UNSPECIFIED, w.now);
+    w.connectionPool.vmTerminated(s, termination(c, Outcome.RESET, Outcome.DONE), w.now);
+    w.connectionPool.vmTerminated(s, termination(c, Outcome.RESET, Outcome.DONE), w.now);
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.DONE));
   }
 
@@ -182,11 +185,11 @@
   void aConnectionOnWhichASetUpWasGivenUpCarriesNoOther() {
     World w = new World();
     PlacementAttempt c = w.carried();
-    MachineConnectionPool.Connection s = w.last();
-    w.connectionPool.giveUp(c, Outcome.TIMEOUT, w.now);
+    MachineConnection s = w.last();
+    w.connectionPool.cancel(c, Outcome.TIMEOUT, w.now);
     assertThat(w.said.get(s)).containsExactly("new vm0", "given up vm0");
     assertThat(w.open).doesNotContain(s);
-    w.connectionPool.stands(s, c.vm.id, "late", w.now);
+    w.connectionPool.vmAccepted(s, c.vm.id, "late", w.now);
     assertThat(w.bound).isEmpty();
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.TIMEOUT));
   }
@@ -196,11 +199,11 @@
     World w = new World();
     PlacementAttempt out = w.carried();
     PlacementAttempt waits = w.offer();
-    w.connectionPool.listed(Machine.Lifecycle.DRAINING, w.now);
+    w.connectionPool.machineListed(Machine.Lifecycle.DRAINING, w.now);
     assertThat(w.ends).containsExactly(Map.entry(waits, Outcome.MOOT));
     PlacementAttempt late = w.offer();
     assertThat(w.ends.get(late)).as("decided before it was told").isEqualTo(Outcome.MOOT);
-    w.connectionPool.stands(w.open.get(0), out.vm.id, "d", w.now);
+    w.connectionPool.vmAccepted(w.open.get(0), out.vm.id, "d", w.now);
     assertThat(w.bound).containsOnlyKeys(out);
   }
 
@@ -208,13 +211,13 @@
   void whatStandsIsLostWhenNobodyListens() {
     World w = new World();
     PlacementAttempt c = w.standing();
-    w.connectionPool.broke(w.last(), w.now);
+    w.connectionPool.connectionLost(w.last(), w.now);
     w.open.clear();
     w.pass(300);
-    w.connectionPool.failed(w.last(), true, w.now);
+    w.connectionPool.connectionFailed(w.last(), true, w.now);
     assertThat(w.ends).as("one refusal may be chance").isEmpty();
     w.pass(300);
-    w.connectionPool.failed(w.last(), true, w.now);
+    w.connectionPool.connectionFailed(w.last(), true, w.now);
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.RESET));
   }
 
@@ -235,8 +238,8 @@
     w.standing();
     for (int i = 0; i < 100; i++) {
       w.pass(100);
-      for (MachineConnectionPool.Connection s : List.copyOf(w.open)) {
-        w.connectionPool.connected(s, w.now);
+      for (MachineConnection s : List.copyOf(w.open)) {
+        w.connectionPool.connectionEstablished(s, w.now);
       }
     }
     assertThat(w.ends).isEmpty();
@@ -249,17 +252,17 @@
     PlacementAttempt before = w.standing();
     w.now = w.now.plusMillis(100);
     PlacementAttempt after = w.standing();
-    w.connectionPool.restarted(w.now.minusMillis(50));
+    w.connectionPool.machineRestarted(w.now.minusMillis(50));
     assertThat(w.ends).containsExactly(Map.entry(before, Outcome.RESET));
-    assertThat(w.connectionPool.attempt(after.vm.id)).isSameAs(after);
+    assertThat(w.connectionPool.findRunningAttempt(after.vm.id)).containsSame(after);
   }
 
   @Example
   void anOwnersEndIsPassedOnAndConcludedWithoutAWordToo() {
     World w = new World();
     PlacementAttempt c = w.standing();
-    w.connectionPool.stop(c, w.now);
-    w.connectionPool.stop(c, w.now);
+    w.connectionPool.terminate(c, w.now);
+    w.connectionPool.terminate(c, w.now);
     assertThat(w.said.get(w.last())).containsExactly("new vm0", "cut vm0");
     w.pass(1600);
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.CANCELLED));
@@ -272,14 +275,14 @@
   void anOwnersEndThatNoConnectionCouldCarryIsPassedOnByTheNext() {
     World w = new World();
     PlacementAttempt c = w.standing();
-    w.connectionPool.broke(w.last(), w.now);
+    w.connectionPool.connectionLost(w.last(), w.now);
     w.open.clear();
-    w.connectionPool.stop(c, w.now);
+    w.connectionPool.terminate(c, w.now);
     w.pass(300);
-    w.connectionPool.connected(w.last(), w.now);
+    w.connectionPool.connectionEstablished(w.last(), w.now);
     assertThat(w.said.get(w.last())).containsExactly("cut vm0");
-    w.connectionPool.ended(
-        w.last(), c.vm.id, Outcome.RESET, Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, w.now);
+    w.connectionPool.vmTerminated(
+        w.last(), termination(c, Outcome.RESET, Outcome.CANCELLED), w.now);
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.CANCELLED));
   }
 
@@ -290,14 +293,14 @@
   void aConnectionThatBreaksAsItComesUpSaysNothingOfTheMachine() {
     World w = new World();
     w.standing();
-    w.connectionPool.broke(w.last(), w.now);
+    w.connectionPool.connectionLost(w.last(), w.now);
     w.open.clear();
     for (int i = 0; i < 3; i++) {
       PlacementAttempt c = w.offer();
-      w.connectionPool.broke(w.last(), w.now);
+      w.connectionPool.connectionLost(w.last(), w.now);
       assertThat(w.ends.get(c)).as("no connection had carried it").isEqualTo(Outcome.UNREACHABLE);
     }
-    assertThat(w.connectionPool.standing()).isEqualTo(1);
+    assertThat(w.connectionPool.runningVmCount()).isEqualTo(1);
   }
 
   @Example
@@ -307,7 +310,7 @@
     PlacementAttempt one = w.carried();
     PlacementAttempt two = w.offer();
     assertThat(w.said.get(w.last())).containsExactly("new vm0", "new vm1");
-    w.connectionPool.broke(w.last(), w.now);
+    w.connectionPool.connectionLost(w.last(), w.now);
     w.open.clear();
     assertThat(w.ends).containsOnlyKeys(one, two);
     w.most = 0;
@@ -319,7 +322,7 @@
     World w = new World();
     w.standing();
     w.pass(500);
-    w.connectionPool.heard(w.now);
+    w.connectionPool.messageReceived(w.now);
     w.pass(500);
     w.offer();
     assertThat(w.open).as("half a second after it was used it proves nothing").hasSize(2);
@@ -333,7 +336,7 @@
   void aProbeWithoutAnAnswerFails() {
     World w = new World();
     w.connectionPool.probe(w.now);
-    w.connectionPool.connected(w.last(), w.now);
+    w.connectionPool.connectionEstablished(w.last(), w.now);
     assertThat(w.said.get(w.last())).containsExactly("probe");
     w.pass(300);
     assertThat(w.probes).containsExactly(false);
@@ -349,44 +352,39 @@
     Random r = new Random(seed);
     List<PlacementAttempt> attempts = new ArrayList<>();
     for (int i = 0; i < 200; i++) {
-      MachineConnectionPool.Connection s =
+      MachineConnection s =
           w.said.isEmpty() ? null : new ArrayList<>(w.said.keySet()).get(r.nextInt(w.said.size()));
       PlacementAttempt c = attempts.isEmpty() ? null : attempts.get(r.nextInt(attempts.size()));
       switch (r.nextInt(11)) {
         case 0, 1 -> attempts.add(w.offer());
         case 2 -> w.pass(r.nextInt(400));
         case 3 ->
-            w.connectionPool.listed(
+            w.connectionPool.machineListed(
                 r.nextInt(3) == 0 ? Machine.Lifecycle.DRAINING : Machine.Lifecycle.LIVE, w.now);
         default -> {
           if (s == null || c == null) {
             continue;
           }
           switch (r.nextInt(9)) {
-            case 0, 1 -> w.connectionPool.connected(s, w.now);
-            case 2 -> w.connectionPool.failed(s, r.nextBoolean(), w.now);
-            case 3 -> w.connectionPool.broke(s, w.now);
-            case 4, 5 -> w.connectionPool.stands(s, c.vm.id, "d", w.now);
+            case 0, 1 -> w.connectionPool.connectionEstablished(s, w.now);
+            case 2 -> w.connectionPool.connectionFailed(s, r.nextBoolean(), w.now);
+            case 3 -> w.connectionPool.connectionLost(s, w.now);
+            case 4, 5 -> w.connectionPool.vmAccepted(s, c.vm.id, "d", w.now);
             case 6 ->
-                w.connectionPool.ended(
-                    s,
-                    c.vm.id,
-                    Outcome.FULL,
-                    r.nextBoolean() ? Outcome.DONE : null,
-                    OutcomeReason.UNSPECIFIED,
-                    w.now);
-            case 7 -> w.connectionPool.stop(c, w.now);
+                w.connectionPool.vmTerminated(
+                    s, termination(c, Outcome.FULL, r.nextBoolean() ? Outcome.DONE : null), w.now);
+            case 7 -> w.connectionPool.terminate(c, w.now);
             default -> {
               if (c.isInFlight() && c.acceptedAt == null) {
-                w.connectionPool.giveUp(c, Outcome.TIMEOUT, w.now);
+                w.connectionPool.cancel(c, Outcome.TIMEOUT, w.now);
               }
             }
           }
         }
       }
     }
-    w.connectionPool.listed(Machine.Lifecycle.GONE, w.now);
+    w.connectionPool.machineListed(Machine.Lifecycle.GONE, w.now);
     assertThat(w.ends.keySet()).containsExactlyInAnyOrderElementsOf(attempts);
-    assertThat(w.connectionPool.over()).isTrue();
+    assertThat(w.connectionPool.isRetired()).isTrue();
   }
 }
--- a/src/test/java/fordridge/machine/MachineStreamTest.java
+++ b/src/test/java/fordridge/machine/MachineStreamTest.java
@@ -22,13 +22,12 @@
 
 class MachineStreamTest {
   /** A line and a fate that keep what they were told, and complain of what may never happen. */
-  private static final class World
-      implements MachineStream.Transport, MachineStream.AttemptListener {
+  private static final class World implements MachineStreamTransport, MachineStream.Listener {
     final Machine machine = new Machine(7);
     final MachineStream link =
         new MachineStream(
             machine,
-            new MachineStream.ConnectionTimeouts(
+            new MachineStreamSettings(
                 ms(250), ms(5000), ms(100), ms(2000), ms(400), ms(250), 3, false),
             this,
             this,
@@ -36,8 +35,8 @@
     final List<String> acts = new ArrayList<>();
     final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
     final Set<PlacementAttempt> bound = new HashSet<>();
-    final Set<MachineStream.AttemptId> offered = new HashSet<>();
-    final List<MachineStream.ReportedVm> adopted = new ArrayList<>();
+    final Set<AttemptId> offered = new HashSet<>();
+    final List<ReportedVm> adopted = new ArrayList<>();
     boolean open;
     boolean ready = true;
     Duration now = Duration.ZERO;
@@ -55,21 +54,23 @@
       return c;
     }
 
-    static MachineStream.AttemptId name(PlacementAttempt c) {
-      return new MachineStream.AttemptId(c.vm.id, 0);
+    static AttemptId name(PlacementAttempt c) {
+      return new AttemptId(c.vm.id, 0);
     }
 
-    void holding(long incarnation, MachineStream.ReportedVm... held) {
-      link.holding(incarnation, List.of(held), now);
+    void holding(long incarnation, ReportedVm... held) {
+      link.inventoryReceived(incarnation, List.of(held), now);
     }
 
-    static MachineStream.ReportedVm held(PlacementAttempt c, MachineStream.ReportedVm.State state) {
-      return new MachineStream.ReportedVm(name(c), state, "f", 1, "", 1, 1, "owner");
+    static ReportedVm held(PlacementAttempt c, ReportedVm.State state) {
+      return new ReportedVm(name(c), state, "f", 1, "", 1, 1, "owner");
     }
 
     void pass(long millis) {
       Duration end = now.plus(ms(millis));
-      for (Duration due = link.due(); due != null && due.compareTo(end) <= 0; due = link.due()) {
+      for (Duration due = link.nextDeadline().orElse(null);
+          due != null && due.compareTo(end) <= 0;
+          due = link.nextDeadline().orElse(null)) {
         now = due.compareTo(now) > 0 ? due : now;
         link.tick(now);
       }
@@ -91,28 +92,28 @@
 
     void breaks() {
       open = false;
-      link.broke("test", now);
+      link.connectionLost("test", now);
     }
 
     @Override
-    public boolean ready() {
+    public boolean isReady() {
       return ready;
     }
 
     @Override
-    public void offer(PlacementAttempt attempt, MachineStream.AttemptId name, Duration within) {
+    public void offer(PlacementAttempt attempt, AttemptId attemptId, Duration within) {
       assertThat(attempt.outcome).as("offered after its end").isNull();
-      assertThat(offered.add(name)).as("offered twice").isTrue();
+      assertThat(offered.add(attemptId)).as("offered twice").isTrue();
     }
 
     @Override
-    public void cancel(MachineStream.AttemptId name) {
-      acts.add("cancel " + name.vm());
+    public void cancel(AttemptId attemptId) {
+      acts.add("cancel " + attemptId.vmId());
     }
 
     @Override
-    public void stop(MachineStream.AttemptId name) {
-      acts.add("stop " + name.vm());
+    public void terminate(AttemptId attemptId) {
+      acts.add("stop " + attemptId.vmId());
     }
 
     @Override
@@ -121,35 +122,36 @@
     }
 
     @Override
-    public void bound(PlacementAttempt attempt, boolean running) {
+    public void attemptAccepted(PlacementAttempt attempt, boolean running) {
       assertThat(attempt.outcome).as("bound after its end").isNull();
       bound.add(attempt);
     }
 
     @Override
-    public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+    public void attemptEnded(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       assertThat(attempt.outcome).as("a second end").isNull();
       attempt.outcome = end;
       ends.put(attempt, end);
     }
 
     @Override
-    public void runsAlready(MachineStream.ReportedVm held, Machine m) {
+    public void unknownVmReported(ReportedVm held, Machine m) {
       adopted.add(held);
     }
 
     @Override
-    public void probed(Machine m, boolean ok, Duration took) {
-      acts.add("probed " + ok);
+    public void probeCompleted(
+        Machine m, boolean healthy, boolean withLoadReport, Duration roundTrip) {
+      acts.add("probed " + healthy);
     }
 
     @Override
-    public void cleared(PlacementAttempt attempt) {
+    public void attemptReleased(PlacementAttempt attempt) {
       assertThat(attempt.outcome).as("cleared before it was given up").isNotNull();
     }
 
     @Override
-    public void note(Machine m, String text) {}
+    public void connectionLost(Machine m, String reason) {}
   }
 
   @Example
@@ -178,7 +180,7 @@
     w.breaks();
     assertThat(c.outcome).isEqualTo(Outcome.RESET);
     w.pass(150);
-    w.holding(1, World.held(c, MachineStream.ReportedVm.State.RUNNING));
+    w.holding(1, World.held(c, ReportedVm.State.RUNNING));
     assertThat(w.acts).contains("cancel vm0");
     assertThat(w.bound).isEmpty();
   }
@@ -191,7 +193,7 @@
     w.breaks();
     assertThat(c.outcome).isNull();
     w.pass(150);
-    w.holding(1, World.held(c, MachineStream.ReportedVm.State.RUNNING));
+    w.holding(1, World.held(c, ReportedVm.State.RUNNING));
     assertThat(w.bound).contains(c);
     assertThat(c.outcome).isNull();
   }
@@ -235,17 +237,17 @@
     PlacementAttempt stays = w.offer(true);
     PlacementAttempt lost = w.offer(true);
     w.holding(1);
-    w.link.started(World.name(stays), w.now);
-    w.link.started(World.name(lost), w.now);
+    w.link.vmStarted(World.name(stays), w.now);
+    w.link.vmStarted(World.name(lost), w.now);
     w.breaks();
     w.pass(60);
     assertThat(stays.outcome).isNull();
     w.pass(60);
-    w.holding(1, World.held(stays, MachineStream.ReportedVm.State.RUNNING));
+    w.holding(1, World.held(stays, ReportedVm.State.RUNNING));
     assertThat(stays.outcome).isNull();
     assertThat(lost.outcome).isEqualTo(Outcome.RESET);
     w.breaks();
-    w.link.listed(true, w.now);
+    w.link.machineListed(true, w.now);
     assertThat(stays.outcome).isEqualTo(Outcome.RESET);
   }
 
@@ -259,7 +261,7 @@
     w.holding(1);
     assertThat(w.offer(true).outcome).isEqualTo(Outcome.FULL);
     w.ready = true;
-    w.link.ready(w.now);
+    w.link.transportReady(w.now);
     assertThat(w.offered.size()).isEqualTo(3);
   }
 
@@ -269,10 +271,10 @@
     w.ready = false;
     PlacementAttempt c = w.offer(false);
     w.holding(1);
-    w.link.drains();
+    w.link.machineDraining();
     assertThat(c.outcome).isEqualTo(Outcome.MOOT);
     w.ready = true;
-    w.link.ready(w.now);
+    w.link.transportReady(w.now);
     assertThat(w.offered).isEmpty();
   }
 
@@ -281,38 +283,22 @@
     World w = new World();
     PlacementAttempt c = w.offer(false);
     w.holding(1);
-    assertThat(w.link.giveUp(c, w.now)).isFalse();
+    assertThat(w.link.cancel(c, w.now)).isFalse();
     c.outcome = Outcome.TIMEOUT;
-    w.link.started(World.name(c), w.now);
-    w.link.finished(World.name(c), Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, w.now);
+    w.link.vmStarted(World.name(c), w.now);
+    w.link.attemptEnded(World.name(c), Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, w.now);
     assertThat(w.bound).isEmpty();
-    assertThat(w.link.attempts()).isEqualTo(0);
+    assertThat(w.link.attemptCount()).isEqualTo(0);
   }
 
   @Example
   void whatAnEarlierLifeLeftRunningIsAdoptedAndItsLineCalledOff() {
     World w = new World();
-    w.link.call(w.now);
+    w.link.reconcile(w.now);
     w.holding(
         4,
-        new MachineStream.ReportedVm(
-            new MachineStream.AttemptId("old", 2),
-            MachineStream.ReportedVm.State.RUNNING,
-            "f",
-            1,
-            "",
-            1,
-            1,
-            "o"),
-        new MachineStream.ReportedVm(
-            new MachineStream.AttemptId("queued", 0),
-            MachineStream.ReportedVm.State.IN_LINE,
-            "f",
-            1,
-            "",
-            1,
-            1,
-            "o"));
+        new ReportedVm(new AttemptId("old", 2), ReportedVm.State.RUNNING, "f", 1, "", 1, 1, "o"),
+        new ReportedVm(new AttemptId("queued", 0), ReportedVm.State.QUEUED, "f", 1, "", 1, 1, "o"));
     assertThat(w.adopted.size()).isEqualTo(1);
     assertThat(w.acts).contains("cancel queued");
   }
@@ -322,7 +308,7 @@
     World w = new World();
     List<Long> tries = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
-      while (w.link.phase() == MachineStream.Phase.WAITING) {
+      while (w.link.state() == MachineStream.State.BACKING_OFF) {
         assertThat(w.offer(true).outcome).isEqualTo(Outcome.UNREACHABLE);
         w.pass(20);
       }
@@ -345,44 +331,43 @@
   void everyAttemptEndsOnceAndNeverRunIsTrue(@ForAll long seed) {
     World w = new World();
     Random r = new Random(seed);
-    Map<MachineStream.AttemptId, MachineStream.ReportedVm.State> there = new HashMap<>();
-    Set<MachineStream.AttemptId> ran = new HashSet<>();
+    Map<AttemptId, ReportedVm.State> there = new HashMap<>();
+    Set<AttemptId> ran = new HashSet<>();
     List<PlacementAttempt> all = new ArrayList<>();
     long incarnation = 1;
-    Set<MachineStream.AttemptId> taken = new HashSet<>();
+    Set<AttemptId> taken = new HashSet<>();
     for (int i = 0; i < 120; i++) {
       // Offers reach the machine while the stream stands; some are lost with it.
-      for (MachineStream.AttemptId n : w.offered) {
+      for (AttemptId n : w.offered) {
         if (taken.add(n) && (w.open || r.nextBoolean())) {
-          there.put(n, MachineStream.ReportedVm.State.IN_LINE);
+          there.put(n, ReportedVm.State.QUEUED);
         }
       }
       PlacementAttempt c = all.isEmpty() ? null : all.get(r.nextInt(all.size()));
-      MachineStream.AttemptId n = c == null ? null : World.name(c);
+      AttemptId n = c == null ? null : World.name(c);
       switch (r.nextInt(9)) {
         case 0, 1 -> all.add(w.offer(r.nextBoolean()));
         case 2 -> {
-          if (w.link.phase() == MachineStream.Phase.CONNECTING) {
-            List<MachineStream.ReportedVm> held = new ArrayList<>();
-            there.forEach(
-                (k, s) -> held.add(new MachineStream.ReportedVm(k, s, "f", 1, "", 1, 1, "o")));
-            w.link.holding(incarnation, held, w.now);
+          if (w.link.state() == MachineStream.State.CONNECTING) {
+            List<ReportedVm> held = new ArrayList<>();
+            there.forEach((k, s) -> held.add(new ReportedVm(k, s, "f", 1, "", 1, 1, "o")));
+            w.link.inventoryReceived(incarnation, held, w.now);
           }
         }
         case 3 -> {
-          if (n != null && there.get(n) == MachineStream.ReportedVm.State.IN_LINE) {
-            there.put(n, MachineStream.ReportedVm.State.RUNNING);
+          if (n != null && there.get(n) == ReportedVm.State.QUEUED) {
+            there.put(n, ReportedVm.State.RUNNING);
             ran.add(n);
-            if (w.link.phase() == MachineStream.Phase.GREETED && r.nextInt(3) > 0) {
-              w.link.started(n, w.now);
+            if (w.link.state() == MachineStream.State.ESTABLISHED && r.nextInt(3) > 0) {
+              w.link.vmStarted(n, w.now);
             }
           }
         }
         case 4 -> {
-          if (n != null && there.get(n) == MachineStream.ReportedVm.State.IN_LINE) {
-            there.put(n, MachineStream.ReportedVm.State.REFUSED);
-            if (w.link.phase() == MachineStream.Phase.GREETED) {
-              w.link.refused(n, OutcomeReason.INSUFFICIENT_CORES, w.now);
+          if (n != null && there.get(n) == ReportedVm.State.QUEUED) {
+            there.put(n, ReportedVm.State.REJECTED);
+            if (w.link.state() == MachineStream.State.ESTABLISHED) {
+              w.link.attemptRejected(n, OutcomeReason.INSUFFICIENT_CORES, w.now);
             }
           }
         }
@@ -397,14 +382,11 @@
         }
         case 6 -> {
           if (c != null && c.outcome == null && !w.bound.contains(c)) {
-            boolean never = w.link.giveUp(c, w.now);
-            w.ended(c, never ? Outcome.UNREACHABLE : Outcome.TIMEOUT, OutcomeReason.UNSPECIFIED);
+            boolean never = w.link.cancel(c, w.now);
+            w.attemptEnded(
+                c, never ? Outcome.UNREACHABLE : Outcome.TIMEOUT, OutcomeReason.UNSPECIFIED);
             there.computeIfPresent(
-                n,
-                (k, s) ->
-                    s == MachineStream.ReportedVm.State.IN_LINE
-                        ? MachineStream.ReportedVm.State.REFUSED
-                        : s);
+                n, (k, s) -> s == ReportedVm.State.QUEUED ? ReportedVm.State.REJECTED : s);
           }
         }
         case 7 -> w.ready = r.nextInt(4) > 0;
@@ -419,7 +401,7 @@
     if (w.open) {
       w.breaks();
     }
-    w.link.listed(true, w.now);
+    w.link.machineListed(true, w.now);
     for (PlacementAttempt o : all) {
       assertThat(o.outcome).as("left in doubt").isNotNull();
     }
--- a/src/test/java/fordridge/machine/ReconnectPacerTest.java
+++ b/src/test/java/fordridge/machine/ReconnectPacerTest.java
@@ -17,19 +17,19 @@
   @Property(tries = 200, seed = "4711")
   void everyMachineIsCalledOnceAndFewAtATime(@ForAll long seed) {
     Random r = new Random(seed);
-    ReconnectPacer roll = new ReconnectPacer();
+    ReconnectPacer<Object> roll = new ReconnectPacer<>();
     Set<Object> all = new HashSet<>();
     for (int i = 0; i < 100; i++) {
       all.add("m" + i);
     }
-    roll.begins(all);
-    all.forEach(roll::due);
+    roll.start(all);
+    all.forEach(roll::schedule);
     List<Object> out = new ArrayList<>();
     Set<Object> seen = new HashSet<>();
     Set<Object> failed = new HashSet<>();
     Set<Object> gone = new HashSet<>();
     while (true) {
-      for (Object m = roll.next(); m != null; m = roll.next()) {
+      for (Object m = roll.next().orElse(null); m != null; m = roll.next().orElse(null)) {
         assertThat(seen.add(m)).isTrue();
         assertThat(gone).doesNotContain(m);
         out.add(m);
@@ -40,14 +40,14 @@
       }
       Object m = out.remove(r.nextInt(out.size()));
       if (r.nextInt(4) == 0) {
-        roll.failed(m);
+        roll.connectionFailed(m);
         failed.add(m);
       } else {
-        roll.settled(m);
+        roll.reconciled(m);
       }
       if (r.nextInt(10) == 0) {
         Object leaves = "m" + r.nextInt(100);
-        roll.settled(leaves);
+        roll.reconciled(leaves);
         gone.add(leaves);
         failed.remove(leaves);
         out.remove(leaves);
@@ -55,8 +55,8 @@
     }
     seen.addAll(gone);
     assertThat(seen).isEqualTo(all);
-    assertThat(roll.complete()).isEqualTo(failed.isEmpty());
-    failed.forEach(roll::settled);
-    assertThat(roll.complete()).isTrue();
+    assertThat(roll.isComplete()).isEqualTo(failed.isEmpty());
+    failed.forEach(roll::reconciled);
+    assertThat(roll.isComplete()).isTrue();
   }
 }
