--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -48,7 +48,7 @@
     void probeAnswered(MachineConnection connection, boolean healthy, boolean withLoadReport);
 
     /** The value is NaN where the line has none that is a number. */
-    void vmReported(String vmId, VmReportKind kind, double value);
+    void vmReported(MachineConnection connection, String vmId, VmReportKind kind, double value);
 
     void loadReported(LoadReport report, boolean answersProbe);
   }
@@ -141,6 +141,7 @@
         }
         case "tell" ->
             heard.vmReported(
+                connection,
                 id,
                 VM_REPORT_KINDS.getOrDefault(
                     String.valueOf(fields.get("note")), VmReportKind.UNKNOWN),
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -112,6 +112,12 @@
       unsent += end == Outcome.MOOT ? 1 : 0;
     }
 
+    @Override
+    public void attemptEndedUnanswered(
+        PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
+      throw new AssertionError("no machine reports on a VM here");
+    }
+
     @Override
     public void probeCompleted(
         Machine m, boolean healthy, boolean withLoadReport, Duration roundTrip) {}
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -29,6 +29,7 @@
     final Map<MachineConnection, List<String>> said = new LinkedHashMap<>();
     final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
     final Map<PlacementAttempt, String> bound = new HashMap<>();
+    final List<PlacementAttempt> unanswered = new ArrayList<>();
     final List<Boolean> probes = new ArrayList<>();
     Duration now = ms(10_000);
     int most = 100;
@@ -124,6 +125,13 @@
       attempt.outcome = end;
     }
 
+    @Override
+    public void attemptEndedUnanswered(
+        PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
+      unanswered.add(attempt);
+      attemptEnded(attempt, outcome, reason);
+    }
+
     @Override
     public void probeCompleted(
         Machine m, boolean healthy, boolean withLoadReport, Duration roundTrip) {
@@ -181,6 +189,41 @@
     assertThat(w.ends).containsExactly(Map.entry(c, Outcome.DONE));
   }
 
+  /**
+   * Guards a VM that ran, was cut before its late answer came, and was placed once more elsewhere.
+   */
+  @Example
+  void aReleaseOfAVmThatItsMachineHadNotedIsNoResetOfItsSetUp() {
+    for (Outcome after : List.of(Outcome.DONE, Outcome.RESET)) {
+      World w = new World();
+      PlacementAttempt noted = w.carried();
+      w.connectionPool.vmReported(w.last(), noted.vm.id);
+      w.connectionPool.vmTerminated(
+          w.last(),
+          new VmTermination(noted.vm.id, Outcome.RESET, Optional.of(after), OutcomeReason.DRAINED),
+          w.now);
+      assertThat(w.ends.get(noted)).isEqualTo(after);
+      assertThat(w.unanswered).containsExactly(noted);
+      w.connectionPool.vmAccepted(w.last(), noted.vm.id, "late", w.now);
+      assertThat(w.bound).isEmpty();
+      assertThat(w.connectionPool.runningVmCount()).isZero();
+    }
+  }
+
+  @Example
+  void aReleaseWithoutANoteOrThatSaysItNeverRanEndsTheSetUpAlone() {
+    World w = new World();
+    PlacementAttempt unnoted = w.carried();
+    w.connectionPool.vmReported(w.last(), "another");
+    w.connectionPool.vmTerminated(
+        w.last(), termination(unnoted, Outcome.RESET, Outcome.RESET), w.now);
+    PlacementAttempt refused = w.carried();
+    w.connectionPool.vmReported(w.last(), refused.vm.id);
+    w.connectionPool.vmTerminated(w.last(), termination(refused, Outcome.FULL, null), w.now);
+    assertThat(w.ends).containsEntry(unnoted, Outcome.RESET).containsEntry(refused, Outcome.FULL);
+    assertThat(w.unanswered).isEmpty();
+  }
+
   @Example
   void aConnectionOnWhichASetUpWasGivenUpCarriesNoOther() {
     World w = new World();
