--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import fordridge.machine.ConnectionTimeouts;
+import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineConnectionPool;
+import fordridge.machine.MachineTransport;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -27,58 +30,59 @@
   private static final int OFFERS = 400;
 
   /** The machine's connections, and when a set-up was written on one. */
-  private final class Line implements MachineConnectionPool.Transport {
-    final List<MachineConnectionPool.Connection> opening = new ArrayList<>();
+  private final class Line implements MachineTransport {
+    final List<MachineConnection> opening = new ArrayList<>();
     final List<Duration> writtenAt = new ArrayList<>();
 
     @Override
-    public boolean mayOpen() {
+    public boolean canOpen() {
       return true;
     }
 
     @Override
-    public void open(MachineConnectionPool.Connection connection) {
+    public void open(MachineConnection connection) {
       opening.add(connection);
     }
 
     @Override
-    public void close(MachineConnectionPool.Connection connection) {}
+    public void close(MachineConnection connection) {}
 
     @Override
-    public void setUp(
-        MachineConnectionPool.Connection connection, PlacementAttempt attempt, Duration within) {
+    public void requestPlacement(
+        MachineConnection connection, PlacementAttempt attempt, Duration within) {
       writtenAt.add(time);
     }
 
     @Override
-    public void giveUp(MachineConnectionPool.Connection connection, String vm) {}
+    public void cancel(MachineConnection connection, String vm) {}
 
     @Override
-    public void cut(MachineConnectionPool.Connection connection, String vm) {}
+    public void terminate(MachineConnection connection, String vm) {}
 
     @Override
-    public void probe(MachineConnectionPool.Connection connection) {}
+    public void probe(MachineConnection connection) {}
   }
 
   /** How each claim ended. */
-  private static final class Ends implements MachineConnectionPool.AttemptListener {
+  private static final class Ends implements MachineConnectionPool.Listener {
     final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
 
     @Override
-    public void bound(PlacementAttempt attempt, String description) {}
+    public void attemptAccepted(PlacementAttempt attempt, String description) {}
 
     @Override
-    public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+    public void attemptEnded(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       ends.put(attempt, end);
     }
 
     @Override
-    public void endedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
+    public void attemptEndedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       ends.put(attempt, end);
     }
 
     @Override
-    public void probed(Machine machine, boolean ok, boolean told, Duration took) {}
+    public void probeCompleted(
+        Machine machine, boolean healthy, boolean withLoadReport, Duration roundTrip) {}
   }
 
   private final Line line = new Line();
@@ -87,8 +91,7 @@
   private final MachineConnectionPool connectionPool =
       new MachineConnectionPool(
           machine,
-          new MachineConnectionPool.ConnectionTimeouts(
-              Duration.ofMillis(250), Duration.ofSeconds(3)),
+          new ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3)),
           line,
           ends);
   private Duration time = Duration.ZERO;
@@ -112,7 +115,7 @@
   private void readWatch() {
     if (time.compareTo(DRAINED_AT) >= 0 && !drainRead) {
       drainRead = true;
-      sequencer.enter(() -> connectionPool.listed(Machine.Lifecycle.DRAINING, time));
+      sequencer.enter(() -> connectionPool.machineListed(Machine.Lifecycle.DRAINING, time));
     }
   }
 
@@ -129,8 +132,8 @@
           false,
           time);
     }
-    for (MachineConnectionPool.Connection connection : List.copyOf(line.opening)) {
-      costly(() -> connectionPool.connected(connection, time));
+    for (MachineConnection connection : List.copyOf(line.opening)) {
+      costly(() -> connectionPool.connectionEstablished(connection, time));
     }
     Duration latest = line.writtenAt.get(line.writtenAt.size() - 1);
     assertThat(latest)
