--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -122,11 +122,11 @@
       PlacerCommand program = new PlacerCommand(d);
       if (portsFile != null) {
         StringBuilder text = new StringBuilder();
-        for (int i = 0; i < program.count(); i++) {
+        for (int i = 0; i < program.instanceCount(); i++) {
           text.append(program.name(i)).append(' ').append(program.port(i)).append('\n');
         }
-        if (program.metricsPort() >= 0) {
-          text.append("metrics ").append(program.metricsPort()).append('\n');
+        if (program.metricsPort().isPresent()) {
+          text.append("metrics ").append(program.metricsPort().getAsInt()).append('\n');
         }
         File next = new File(portsFile.getPath() + ".next");
         Files.writeString(next.toPath(), text.toString());
@@ -139,7 +139,7 @@
               new Thread(
                   () -> {
                     try {
-                      code[0] = program.stop() ? 0 : 1;
+                      code[0] = program.shutdown() ? 0 : 1;
                     } catch (InterruptedException e) {
                       code[0] = 1;
                     }
@@ -171,7 +171,7 @@
     @Override
     public Integer call() throws Exception {
       DeploymentSettings d = read(file, Map.of());
-      PlacerCommand.watched(d);
+      PlacerCommand.readShadowSettings(d);
       if (d.listFile().isFile()) {
         int n = fordridge.discovery.MachineListFile.read(d.listFile(), d, 1).entries().size();
         System.out.println(file + ": fine; " + n + " machines in " + d.listFile());
@@ -209,7 +209,7 @@
             e.complaints.stream().map(c -> file + ":" + c).toList());
       }
       if (config != null) {
-        rules = fordridge.server.grpc.PlacerCommand.readRules(text, read(config, Map.of()));
+        rules = fordridge.server.grpc.PlacerCommand.readConstraints(text, read(config, Map.of()));
       }
       System.out.print(fordridge.constraint.ConstraintParser.print(rules));
       return 0;
--- a/src/main/java/fordridge/emulator/Scenario.java
+++ b/src/main/java/fordridge/emulator/Scenario.java
@@ -468,12 +468,12 @@
           program.metrics().percentile("loop", 0.99),
           program.metrics().percentile("decide", 0.5),
           program.metrics().percentile("decide", 0.99),
-          program.streams());
+          program.establishedStreams());
     }
 
     @Override
     public boolean stop() throws InterruptedException {
-      return program.stop();
+      return program.shutdown();
     }
   }
 
--- a/src/main/java/fordridge/grpc/OperatorService.java
+++ b/src/main/java/fordridge/grpc/OperatorService.java
@@ -9,82 +9,117 @@
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 import java.util.List;
+import java.util.Optional;
 
-/** What operators ask, answered from the book of rules on the placer's loop. */
+/**
+ * Operators' queries on constraints: where VMs of a kind may go and why not elsewhere, and which
+ * running VMs violate a constraint or could be placed better. On the scheduler's event loop.
+ */
 public final class OperatorService extends OperatingGrpc.OperatingImplBase {
-  /** A VM that runs: its claim, whose it is, what it is one of, and where. */
-  public record Running(
-      Object attempt, String tenant, String priorityClass, long service, String machine) {}
+  /**
+   * A VM with an attempt in flight or running.
+   *
+   * @param attempt what the constraint index counts it by
+   * @param id the scheduler's id of the VM, CLIENT/VM
+   * @param machine the name of the attempt's machine
+   */
+  public record RunningVm(
+      Object attempt,
+      String id,
+      String tenant,
+      String priorityClass,
+      long service,
+      String machine) {}
 
-  /** The placer's side of it. */
+  /** What the queries read of a scheduler; called on its event loop. */
   public interface ClusterView {
-    ConstraintIndex book();
+    /** The constraints in force. */
+    ConstraintIndex constraints();
 
-    int rulesVersion();
+    /** The version of the constraints in force. */
+    int constraintsVersion();
 
-    /** Machines in the list now. */
-    List<String> machines();
+    /** The machines listed now. */
+    List<String> machineNames();
 
-    /** A VM's name and its machine's, for a claim that the book counts. */
-    List<String> named(Object attempt);
+    /** The VM and the machine of an attempt that the constraint index counts. */
+    RunningVm describeAttempt(Object attempt);
 
-    /** A VM that is out or runs, by CLIENT/VM; null for others. */
-    Running running(String vm);
+    /** The VM of that id, CLIENT/VM, if it runs or has an attempt in flight. */
+    Optional<RunningVm> findRunningVm(String id);
   }
 
-  private final ClusterView books;
+  private final ClusterView cluster;
 
-  public OperatorService(ClusterView books) {
-    this.books = books;
+  /** Creates the service for one scheduler instance. */
+  public OperatorService(ClusterView cluster) {
+    this.cluster = cluster;
   }
 
   @Override
-  public void explain(ExplainRequest r, StreamObserver<ExplainReply> to) {
-    ConstraintIndex book = books.book();
-    ExplainReply.Builder b = ExplainReply.newBuilder().setVersion(books.rulesVersion());
-    Running vm =
-        r.getVm().isEmpty()
-            ? new Running(null, r.getCustomer(), r.getFlavour(), r.getService(), "")
-            : books.running(r.getVm());
-    if (vm == null) {
-      to.onError(
+  public void explain(ExplainRequest request, StreamObserver<ExplainReply> responses) {
+    Optional<RunningVm> vm = subject(request);
+    if (vm.isEmpty()) {
+      responses.onError(
           Status.NOT_FOUND
-              .withDescription("no VM '" + r.getVm() + "' runs here")
+              .withDescription("no VM '" + request.getVm() + "' runs here")
               .asRuntimeException());
       return;
     }
-    b.setRunsOn(vm.machine);
-    book.without(
-        vm.attempt,
-        () -> {
-          for (String m : books.machines()) {
-            Spot.Builder s =
-                Spot.newBuilder()
-                    .setMachine(m)
-                    .setAllowed(book.allows(vm.tenant, vm.priorityClass, vm.service, m))
-                    .setUnfit(book.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, m));
-            book.why(vm.tenant, vm.priorityClass, vm.service, m)
-                .forEach(w -> s.addReasons(words(w)));
-            b.addSpots(s);
-          }
-        });
-    book.misfits().forEach((attempt, why) -> b.addMisfits(misfit(attempt, why)));
-    book.strayed(ConstraintIndex.MOST_STRAYED)
-        .forEach((attempt, why) -> b.addStrayed(misfit(attempt, why)));
-    to.onNext(b.build());
-    to.onCompleted();
+    responses.onNext(explain(vm.get()));
+    responses.onCompleted();
   }
 
-  private Misfit misfit(Object attempt, List<ConstraintIndex.Reason> why) {
-    List<String> named = books.named(attempt);
+  /** The VM that the request names, or a hypothetical one of the kind that it describes. */
+  private Optional<RunningVm> subject(ExplainRequest request) {
+    if (!request.getVm().isEmpty()) {
+      return cluster.findRunningVm(request.getVm());
+    }
+    return Optional.of(
+        new RunningVm(
+            null, "", request.getCustomer(), request.getFlavour(), request.getService(), ""));
+  }
+
+  private ExplainReply explain(RunningVm vm) {
+    ConstraintIndex constraints = cluster.constraints();
+    ExplainReply.Builder reply =
+        ExplainReply.newBuilder().setVersion(cluster.constraintsVersion()).setRunsOn(vm.machine());
+    constraints.without(
+        vm.attempt(),
+        () -> cluster.machineNames().forEach(machine -> reply.addSpots(spot(vm, machine))));
+    constraints.misfits().forEach((attempt, reasons) -> reply.addMisfits(misfit(attempt, reasons)));
+    constraints
+        .strayed(ConstraintIndex.MOST_STRAYED)
+        .forEach((attempt, reasons) -> reply.addStrayed(misfit(attempt, reasons)));
+    return reply.build();
+  }
+
+  private Spot spot(RunningVm vm, String machine) {
+    ConstraintIndex constraints = cluster.constraints();
+    return Spot.newBuilder()
+        .setMachine(machine)
+        .setAllowed(constraints.allows(vm.tenant(), vm.priorityClass(), vm.service(), machine))
+        .setUnfit(
+            constraints.constraintPenalty(vm.tenant(), vm.priorityClass(), vm.service(), machine))
+        .addAllReasons(
+            texts(constraints.why(vm.tenant(), vm.priorityClass(), vm.service(), machine)))
+        .build();
+  }
+
+  private Misfit misfit(Object attempt, List<ConstraintIndex.Reason> reasons) {
+    RunningVm vm = cluster.describeAttempt(attempt);
     return Misfit.newBuilder()
-        .setVm(named.get(0))
-        .setMachine(named.get(1))
-        .addAllReasons(why.stream().map(OperatorService::words).toList())
+        .setVm(vm.id())
+        .setMachine(vm.machine())
+        .addAllReasons(texts(reasons))
         .build();
   }
 
-  private static String words(ConstraintIndex.Reason w) {
-    return (w.rule() == null ? "" : "rule '" + w.rule().name() + "' ") + w.what();
+  private static List<String> texts(List<ConstraintIndex.Reason> reasons) {
+    return reasons.stream().map(OperatorService::text).toList();
+  }
+
+  private static String text(ConstraintIndex.Reason reason) {
+    return (reason.rule() == null ? "" : "rule '" + reason.rule().name() + "' ") + reason.what();
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
@@ -0,0 +1,268 @@
+package fordridge.server.grpc;
+
+import fordridge.group.VmGroup;
+import fordridge.grpc.ClientService;
+import fordridge.grpc.ClientService.ClientStream;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.Vm;
+import fordridge.session.ClientResponse.Failed;
+import fordridge.session.ClientResponse.Rejected;
+import fordridge.session.ClientSession;
+import fordridge.session.ClientSessions;
+import fordridge.settings.DeploymentSettings;
+import fordridge.settings.DeploymentSettings.PriorityClass;
+import fordridge.v1.Want;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Takes in what clients send: admits placement requests or rejects them at once, hands them to the
+ * scheduler, and withdraws them. Confined to the event loop.
+ */
+final class ClientRequestIntake implements ClientService.RequestHandler {
+  private final InstanceContext context;
+
+  ClientRequestIntake(InstanceContext context) {
+    this.context = context;
+  }
+
+  @Override
+  public String schedulerName() {
+    return context.name;
+  }
+
+  @Override
+  public ClientSession clientConnected(
+      String client, String resumeToken, long lastSeen, ClientStream stream) {
+    return context.clients.connected(client, resumeToken, lastSeen, stream);
+  }
+
+  @Override
+  public boolean isResumed(ClientSession session, String resumeToken) {
+    return sessions().isResumed(session, resumeToken);
+  }
+
+  @Override
+  public boolean acknowledge(ClientSession session, long sequence) {
+    return sessions().acknowledge(session, sequence);
+  }
+
+  @Override
+  public boolean mayReadMore(ClientSession session) {
+    return sessions().mayReadMore(session);
+  }
+
+  @Override
+  public void streamClosed(ClientSession session, ClientStream stream) {
+    context.clients.disconnected(session, stream);
+  }
+
+  @Override
+  public void placementRequested(ClientSession session, Want request) {
+    context.loop.process(() -> receive(session, request));
+  }
+
+  @Override
+  public void requestWithdrawn(ClientSession session, String vm) {
+    context.loop.process(() -> withdraw(session, vm));
+  }
+
+  private void receive(ClientSession session, Want request) {
+    ClientSessions.Admission admission = sessions().requestReceived(session, request.getVm());
+    context.clients.writeSoon(session);
+    if (admission == ClientSessions.Admission.DUPLICATE) {
+      return;
+    }
+    PriorityClass priorityClass = settings().priorityClasses.get(request.getFlavour());
+    Optional<String> rejection = rejectionReason(admission, priorityClass, request);
+    if (rejection.isPresent()) {
+      reject(session, request, priorityClass, rejection.get());
+      return;
+    }
+    Vm vm = newVm(session, request, priorityClass);
+    context.clients.register(vm, session.client());
+    scheduleBackstop(vm, session, request.getVm());
+    boolean mayAlreadyRun = !priorityClass.rebuildable() && session.isFromEarlierIncarnation();
+    if (request.getGroup().isEmpty()) {
+      scheduleOnceReconciled(vm, session, request.getVm(), mayAlreadyRun);
+    } else {
+      joinGroup(vm, session, request, priorityClass, mayAlreadyRun);
+    }
+  }
+
+  private Optional<String> rejectionReason(
+      ClientSessions.Admission admission, PriorityClass priorityClass, Want request) {
+    if (admission == ClientSessions.Admission.LIMIT_EXCEEDED) {
+      return Optional.of("too many VMs in hand");
+    }
+    if (context.shutdown.hasStarted()) {
+      return Optional.of("the placer is stopping");
+    }
+    if (priorityClass == null) {
+      return Optional.of(
+          "flavour '"
+              + request.getFlavour()
+              + "' is not one of "
+              + settings().priorityClasses.keySet());
+    }
+    return context.constraints.unsatisfiableReason(request);
+  }
+
+  private void reject(
+      ClientSession session, Want request, PriorityClass priorityClass, String reason) {
+    Duration retryAfter = priorityClass == null ? Duration.ZERO : priorityClass.buildTarget();
+    sessions()
+        .reject(session, new Rejected(request.getVm(), retryAfter, reason), context.loop.now());
+    context.metrics.answered("denied");
+  }
+
+  private Vm newVm(ClientSession session, Want request, PriorityClass priorityClass) {
+    Vm vm = new Vm(ClientConnections.vmId(session.client(), request.getVm()));
+    vm.priorityClass = priorityClass.name();
+    vm.tenant = request.getCustomer();
+    vm.service = request.getService();
+    vm.cores = request.getCores();
+    vm.memory = request.getMemory();
+    vm.isClientRetry = request.getAgain();
+    vm.arrivedAt = context.loop.now();
+    vm.deadline = deadline(request, priorityClass);
+    vm.expectedLifetime = request.getLastsUs() > 0 ? ofMicros(request.getLastsUs()) : null;
+    return vm;
+  }
+
+  /** The client's deadline, less what the response and a late event loop may take of it. */
+  private Duration deadline(Want request, PriorityClass priorityClass) {
+    Duration startDeadline = priorityClass.buildTimeout();
+    Duration timeLeft =
+        request.getTimeLeftUs() == 0 ? startDeadline : ofMicros(request.getTimeLeftUs());
+    Duration bounded = timeLeft.compareTo(startDeadline) > 0 ? startDeadline : timeLeft;
+    return context
+        .loop
+        .now()
+        .plus(bounded)
+        .minus(settings().answerMargin)
+        .minus(context.loop.lagAllowance());
+  }
+
+  private static Duration ofMicros(long micros) {
+    return Duration.ofNanos(micros * 1000);
+  }
+
+  /**
+   * Should the scheduler fail on an input, no client is left without a response: this one promises
+   * nothing, and so is always allowed.
+   */
+  private void scheduleBackstop(Vm vm, ClientSession session, String name) {
+    Duration answerMargin = settings().answerMargin;
+    context.loop.schedule(
+        vm.deadline.minus(context.loop.now()).plus(answerMargin.dividedBy(2)),
+        () -> {
+          if (sessions().isPending(session.client(), name)) {
+            context.clients.respond(vm, its -> new Failed(its, "no decision in time"));
+            context
+                .log
+                .error()
+                .addKeyValue("vm", vm.id)
+                .log("request failed: no decision before its deadline");
+          }
+        });
+  }
+
+  /**
+   * Hands a VM to the scheduler; one that an earlier incarnation may have started, and that must
+   * not run twice, only once every machine has sent its inventory.
+   */
+  private void scheduleOnceReconciled(
+      Vm vm, ClientSession session, String name, boolean mayAlreadyRun) {
+    boolean isPending = sessions().isPending(session.client(), name);
+    if (!mayAlreadyRun || context.machines.isReconciled()) {
+      if (isPending) {
+        context.scheduler.vmRequested(vm);
+      }
+    } else if (context.loop.now().compareTo(vm.deadline) < 0) {
+      context.loop.schedule(settings().poll, () -> scheduleOnceReconciled(vm, session, name, true));
+    } else if (isPending) {
+      context.metrics.answered("errored");
+      failUnreconciled(vm, "; not every machine has said what it holds");
+    }
+  }
+
+  private void failUnreconciled(Vm vm, String detail) {
+    String reason = "it may run since before this placer's start" + detail;
+    context.clients.respond(vm, name -> new Failed(name, reason));
+    context.clients.unregister(vm);
+  }
+
+  private void joinGroup(
+      Vm vm,
+      ClientSession session,
+      Want request,
+      PriorityClass priorityClass,
+      boolean mayAlreadyRun) {
+    if (mayAlreadyRun && !context.machines.isReconciled()) {
+      failUnreconciled(vm, "");
+      return;
+    }
+    Duration timeLeft = vm.deadline.minus(context.loop.now());
+    context.loop.schedule(
+        VmGroup.formationTimeout(timeLeft), () -> context.groups.formationTimedOut(vm));
+    GroupCoordinator.GroupId group =
+        new GroupCoordinator.GroupId(session.client(), request.getGroup());
+    context
+        .groups
+        .join(vm, group, request.getGroupSize(), priorityClass.rebuildable())
+        .ifPresent(
+            reason -> {
+              context.clients.respond(vm, name -> new Rejected(name, Duration.ZERO, reason));
+              context.clients.unregister(vm);
+            });
+  }
+
+  private void withdraw(ClientSession session, String name) {
+    String id = ClientConnections.vmId(session.client(), name);
+    Vm vm = context.scheduler.inputs().vm(id);
+    sessions().requestWithdrawn(session, name, context.loop.now());
+    withdrawFromGroup(id, vm != null);
+    if (vm == null || vm.isFinished) {
+      return;
+    }
+    for (PlacementAttempt attempt : vm.attempts) {
+      if (attempt.isInFlight()) {
+        withdrawAttempt(attempt);
+      }
+    }
+    if (vm.acceptedAttempt == null) {
+      context.scheduler.clientLeft(vm);
+      context.forget(vm);
+    }
+  }
+
+  private void withdrawFromGroup(String id, boolean isKnownToScheduler) {
+    Optional<Vm> member = context.groups.findMember(id);
+    if (member.isEmpty()) {
+      return;
+    }
+    context.groups.memberWithdrawn(member.get());
+    if (!isKnownToScheduler) {
+      context.groups.drop(member.get());
+      context.clients.unregister(member.get());
+    }
+  }
+
+  private void withdrawAttempt(PlacementAttempt attempt) {
+    if (attempt == attempt.vm.acceptedAttempt) {
+      context.machines.get(attempt.machine).stream().terminate(attempt, context.loop.now());
+    } else {
+      context.attempts.abandon(attempt, Outcome.CANCELLED);
+    }
+  }
+
+  private ClientSessions sessions() {
+    return context.clients.sessions();
+  }
+
+  private DeploymentSettings settings() {
+    return context.settings();
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/grpc/ConstraintState.java
@@ -0,0 +1,186 @@
+package fordridge.server.grpc;
+
+import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.ConstraintIndex.MachineTopology;
+import fordridge.constraint.PlacementConstraint;
+import fordridge.discovery.MachineListSource;
+import fordridge.model.Machine;
+import fordridge.model.Machine.Lifecycle;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.Vm;
+import fordridge.v1.Want;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * The tenants' constraints in force at one instance, with the machines and the attempts that they
+ * count. Confined to the event loop.
+ */
+final class ConstraintState {
+  private final InstanceContext context;
+  private final Map<String, MachineTopology> topology = new LinkedHashMap<>();
+  private final Set<String> drainingMachines = new LinkedHashSet<>();
+  private ConstraintIndex index;
+  private int version;
+
+  ConstraintState(InstanceContext context) {
+    this.context = context;
+    try {
+      index = new ConstraintIndex(List.of(), context.settings().allPlacers());
+    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+      throw new IllegalStateException("an empty set of constraints can be satisfied", e);
+    }
+  }
+
+  ConstraintIndex index() {
+    return index;
+  }
+
+  int version() {
+    return version;
+  }
+
+  /** Names of the machines listed now. */
+  List<String> machineNames() {
+    return List.copyOf(topology.keySet());
+  }
+
+  /** A new set holds for all that is placed from here on; what runs and violates it is logged. */
+  void constraintsReceived(List<PlacementConstraint> constraints, int newVersion) {
+    try {
+      index = index.with(constraints, context.settings().allPlacers());
+    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+      context
+          .log
+          .error()
+          .addKeyValue("version", newVersion)
+          .addKeyValue("reason", e.getMessage())
+          .log("constraints rejected, the previous ones stay in force");
+      return;
+    }
+    version = newVersion;
+    context.groups.discardPlans();
+    index
+        .misfits()
+        .forEach(
+            (attempt, reasons) ->
+                logViolation((PlacementAttempt) attempt, reasons.get(0).rule().name()));
+    context
+        .log
+        .info()
+        .addKeyValue("version", newVersion)
+        .addKeyValue("count", constraints.size())
+        .log("constraints applied");
+    context.scheduler.capacityMayHaveChanged();
+  }
+
+  private void logViolation(PlacementAttempt attempt, String constraint) {
+    context
+        .log
+        .warn()
+        .addKeyValue("vm", attempt.vm.id)
+        .addKeyValue("machine", context.machines.nameOf(attempt.machine))
+        .addKeyValue("version", version)
+        .addKeyValue("constraint", constraint)
+        .log("running vm violates a constraint");
+  }
+
+  /**
+   * The index is updated only when machines came, went, were relabelled or drain, as it counts
+   * everything anew.
+   */
+  void machineListReceived(MachineListSource.Update list) {
+    if (updateTopology(list)) {
+      index.machines(topology.values());
+      index.draining(drainingMachines);
+      context.groups.discardPlans();
+    }
+  }
+
+  private boolean updateTopology(MachineListSource.Update list) {
+    boolean hasChanged = false;
+    Set<String> listed = new HashSet<>();
+    for (MachineListSource.Entry entry : list.entries()) {
+      listed.add(entry.name());
+      hasChanged |= updateLabels(entry);
+      hasChanged |= updateDraining(entry);
+    }
+    return (list.whole() && topology.keySet().removeIf(name -> !listed.contains(name)))
+        || hasChanged;
+  }
+
+  private boolean updateLabels(MachineListSource.Entry entry) {
+    if (entry.lifecycle() == Lifecycle.GONE) {
+      return topology.remove(entry.name()) != null;
+    }
+    MachineTopology labels =
+        new MachineTopology(entry.name(), entry.kind(), entry.zone(), entry.cell());
+    return !Objects.equals(topology.put(entry.name(), labels), labels);
+  }
+
+  private boolean updateDraining(MachineListSource.Entry entry) {
+    return entry.lifecycle() == Lifecycle.DRAINING
+        ? drainingMachines.add(entry.name())
+        : drainingMachines.remove(entry.name());
+  }
+
+  /** How much speaks against the machine: infinite where a constraint or its group forbids it. */
+  double penalty(Vm vm, Machine machine) {
+    if (index.rules().isEmpty()) {
+      return 0;
+    }
+    String name = context.machines.nameOf(machine);
+    boolean isAllowed =
+        context.groups.hasPlannedDomain(vm)
+            ? index.allowsButNear(vm.tenant, vm.priorityClass, vm.service, name)
+            : index.allows(vm.tenant, vm.priorityClass, vm.service, name);
+    if (!isAllowed) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return context.groups.planPenalty(vm, topology.get(name))
+        + index.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, name);
+  }
+
+  /** Whether any constraint is about such VMs. */
+  boolean isConstrained(Vm vm) {
+    return index.touches(vm.tenant, vm.priorityClass, vm.service);
+  }
+
+  /** Why no listed machine can take the VM: the constraints that can't be met together. */
+  Optional<String> unsatisfiableReason(Want request) {
+    List<PlacementConstraint> conflicting =
+        index.conflict(request.getCustomer(), request.getFlavour(), request.getService());
+    if (conflicting.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        "no machine meets "
+            + conflicting.stream()
+                .map(constraint -> "rule '" + constraint.name() + "' (" + constraint.clause() + ")")
+                .collect(Collectors.joining(" and ")));
+  }
+
+  /** An attempt occupies its machine from now on. */
+  void attemptSent(PlacementAttempt attempt) {
+    Vm vm = attempt.vm;
+    String machine = context.machines.nameOf(attempt.machine);
+    index.goes(attempt, vm.tenant, vm.priorityClass, vm.service, machine);
+  }
+
+  /** An attempt is known not to run any more. */
+  void attemptReleased(PlacementAttempt attempt) {
+    index.gone(attempt);
+  }
+
+  /** An attempt ended and may still run: it counts until it is released. */
+  void attemptOutcomeUnknown(PlacementAttempt attempt) {
+    index.doubted(attempt);
+  }
+}
--- a/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -1,6 +1,7 @@
 package fordridge.server.grpc;
 
 import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.ConstraintIndex.MachineTopology;
 import fordridge.constraint.ConstraintParser;
 import fordridge.constraint.ConstraintValidator;
 import fordridge.constraint.PlacementConstraint;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -22,99 +24,133 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Customers' rules as they come: from a file, or from the list's source once it has them. A set
- * that cannot be read or kept is refused whole, with every complaint, and the last good one stays.
+ * Watches tenants' constraints, in a file or in the machine list's store, and the settings in that
+ * store. A version that cannot be read or satisfied is rejected as a whole, with every error, and
+ * the last good one stays in force. Listeners are called on this updater's thread.
  */
 final class ConstraintUpdater implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger("fordridge.rules");
-  private static final String TERM = "constraints";
-  private static final String DEPLOYMENT = "deployment";
+  private static final Logger LOG = LoggerFactory.getLogger("fordridge.constraints");
 
-  private final DeploymentSettings d;
-  private final MachineListSource list;
-  private final ScheduledExecutorService looks =
+  /** Names under which the store keeps shared settings. */
+  private static final String CONSTRAINTS_KEY = "constraints";
+
+  private static final String DEPLOYMENT_KEY = "deployment";
+
+  private final DeploymentSettings settings;
+  private final MachineListSource machineList;
+  private final ScheduledExecutorService poller =
       Executors.newSingleThreadScheduledExecutor(
-          r -> {
-            Thread t = new Thread(r, "rules");
-            t.setDaemon(true);
-            return t;
+          task -> {
+            Thread thread = new Thread(task, "constraints");
+            thread.setDaemon(true);
+            return thread;
           });
-  private String seen;
+
+  /** The text read last, also one that was rejected; null before the first. */
+  private String latestText;
+
   private int version;
   private List<PlacementConstraint> inForce = List.of();
-  private Set<ConstraintIndex.MachineTopology> sensedFor = Set.of();
-  private List<String> clashing = List.of();
 
-  ConstraintUpdater(DeploymentSettings d, MachineListSource list) {
-    this.d = d;
-    this.list = list;
+  /** The machines for which the constraints in force were validated last. */
+  private Set<MachineTopology> validatedFor = Set.of();
+
+  private List<String> conflicts = List.of();
+
+  ConstraintUpdater(DeploymentSettings settings, MachineListSource machineList) {
+    this.settings = settings;
+    this.machineList = machineList;
   }
 
   /**
-   * Hands over the set that stands now, if any, then each newer one; a first set that is refused is
-   * thrown.
+   * Passes the constraints of now, if there are any, and then each newer version to the listener; a
+   * first version that is rejected is thrown.
    */
-  void follow(BiConsumer<List<PlacementConstraint>, Integer> taker)
+  void watchConstraints(BiConsumer<List<PlacementConstraint>, Integer> listener)
       throws DeploymentSettings.InvalidSettingsException {
-    seen = text();
-    if (seen != null) {
-      inForce = read(seen, d, spots());
-      taker.accept(inForce, ++version);
+    String text = readText();
+    if (text != null) {
+      apply(text, listener);
     }
-    long every = d.poll.toMillis();
-    looks.scheduleWithFixedDelay(() -> look(taker), every, every, TimeUnit.MILLISECONDS);
+    poll(settings.poll.toMillis(), () -> updateConstraints(listener));
   }
 
-  /**
-   * Hands over the deployment under each new set of terms in the store; one that is refused leaves
-   * the last.
-   */
-  void followTerms(Consumer<DeploymentSettings> taker) {
-    DeploymentSettings[] now = {d};
-    String[] seenTerms = {null};
-    looks.scheduleWithFixedDelay(
-        () -> {
-          String text = list.term(DEPLOYMENT);
-          if (text == null || text.equals(seenTerms[0])) {
-            return;
-          }
-          seenTerms[0] = text;
-          try {
-            now[0] = SettingsUpdate.over(d, now[0], text);
-            taker.accept(now[0]);
-            LOG.info("terms of the cluster taken over");
-          } catch (DeploymentSettings.InvalidSettingsException e) {
-            LOG.error("terms stay as they were: {}", String.join("; ", e.complaints));
-          } catch (RuntimeException e) {
-            LOG.error("terms stay as they were", e);
-          }
-        },
-        0,
-        d.poll.toMillis(),
-        TimeUnit.MILLISECONDS);
+  /** Passes the settings under each new version in the store to the listener. */
+  void watchSettings(Consumer<DeploymentSettings> listener) {
+    StoredSettings stored = new StoredSettings(listener);
+    poll(0, stored::update);
   }
 
-  private void look(BiConsumer<List<PlacementConstraint>, Integer> taker) {
+  /** The tasks guard themselves: one that threw would not run again. */
+  private void poll(long initialDelayMillis, Runnable task) {
+    long intervalMillis = settings.poll.toMillis();
+    Future<?> unused =
+        poller.scheduleWithFixedDelay(
+            task, initialDelayMillis, intervalMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** The settings in the store, each version laid over the one before. */
+  private final class StoredSettings {
+    private final Consumer<DeploymentSettings> listener;
+    private DeploymentSettings latest = settings;
+
+    /** The text read last, also one that was rejected; null before the first. */
+    private String latestText;
+
+    StoredSettings(Consumer<DeploymentSettings> listener) {
+      this.listener = listener;
+    }
+
+    void update() {
+      String text = machineList.term(DEPLOYMENT_KEY);
+      if (text == null || text.equals(latestText)) {
+        return;
+      }
+      latestText = text;
+      try {
+        latest = SettingsUpdate.over(settings, latest, text);
+        listener.accept(latest);
+        LOG.info("settings applied");
+      } catch (DeploymentSettings.InvalidSettingsException e) {
+        LOG.atError()
+            .addKeyValue("reason", String.join("; ", e.complaints))
+            .log("settings rejected, the previous ones stay in force");
+      } catch (RuntimeException e) {
+        LOG.error("settings rejected, the previous ones stay in force", e);
+      }
+    }
+  }
+
+  private void updateConstraints(BiConsumer<List<PlacementConstraint>, Integer> listener) {
     try {
-      String now = text();
-      if (now != null && !now.equals(seen)) {
-        seen = now;
-        inForce = read(now, d, spots());
-        taker.accept(inForce, ++version);
+      String text = readText();
+      if (text != null && !text.equals(latestText)) {
+        apply(text, listener);
       }
-      senseAgain();
+      validateAgain();
     } catch (DeploymentSettings.InvalidSettingsException e) {
-      LOG.error("rules stay as they were: {}", String.join("; ", e.complaints));
+      LOG.atError()
+          .addKeyValue("reason", String.join("; ", e.complaints))
+          .log("constraints rejected, the previous ones stay in force");
     } catch (RuntimeException e) {
-      LOG.error("rules stay as they were", e);
+      LOG.error("constraints rejected, the previous ones stay in force", e);
     }
   }
 
-  private String text() throws DeploymentSettings.InvalidSettingsException {
-    String term = list.term(TERM);
-    File file = d.constraintsFile();
-    if (term != null || file == null) {
-      return term;
+  private void apply(String text, BiConsumer<List<PlacementConstraint>, Integer> listener)
+      throws DeploymentSettings.InvalidSettingsException {
+    latestText = text;
+    inForce = read(text, settings, topology());
+    version++;
+    listener.accept(inForce, version);
+  }
+
+  /** The constraints' text in the store, or else in the file; null where there is neither. */
+  private String readText() throws DeploymentSettings.InvalidSettingsException {
+    String stored = machineList.term(CONSTRAINTS_KEY);
+    File file = settings.constraintsFile();
+    if (stored != null || file == null) {
+      return stored;
     }
     try {
       return Files.readString(file.toPath());
@@ -123,32 +159,31 @@
     }
   }
 
-  private List<ConstraintIndex.MachineTopology> spots() {
-    return list.latest().entries().stream()
-        .map(e -> new ConstraintIndex.MachineTopology(e.name(), e.kind(), e.zone(), e.cell()))
+  private List<MachineTopology> topology() {
+    return topology(machineList.latest().entries());
+  }
+
+  static List<MachineTopology> topology(List<MachineListSource.Entry> machines) {
+    return machines.stream()
+        .map(
+            machine ->
+                new MachineTopology(machine.name(), machine.kind(), machine.zone(), machine.cell()))
         .toList();
   }
 
-  /** A set that this deployment's placers can read and keep. */
+  /** Reads constraints that this deployment's schedulers can satisfy on these machines. */
   static List<PlacementConstraint> read(
-      String text, DeploymentSettings d, List<ConstraintIndex.MachineTopology> machines)
+      String text, DeploymentSettings settings, List<MachineTopology> machines)
       throws DeploymentSettings.InvalidSettingsException {
-    Set<String> tenants = new HashSet<>();
-    d.tenants.forEach(c -> tenants.add(c.name()));
-    Set<String> kinds = new HashSet<>();
-    d.kinds.forEach(k -> kinds.add(k.name()));
     try {
-      List<PlacementConstraint> rules =
-          ConstraintParser.read(
-              text,
-              new ConstraintParser.Names(tenants, d.priorityClasses.keySet(), kinds, Set.of()));
-      new ConstraintIndex(rules, d.allPlacers());
-      List<ConstraintValidator.Conflict> clashes = clashes(rules, machines);
-      if (!clashes.isEmpty()) {
-        throw new DeploymentSettings.InvalidSettingsException(
-            clashes.stream().map(Object::toString).toList());
+      List<PlacementConstraint> constraints = ConstraintParser.read(text, knownNames(settings));
+      // Only to find out whether the schedulers' shares of each limit can be satisfied.
+      ConstraintIndex unused = new ConstraintIndex(constraints, settings.allPlacers());
+      List<String> conflicts = findConflicts(constraints, machines);
+      if (!conflicts.isEmpty()) {
+        throw new DeploymentSettings.InvalidSettingsException(conflicts);
       }
-      return rules;
+      return constraints;
     } catch (ConstraintParser.ConstraintSyntaxException e) {
       throw new DeploymentSettings.InvalidSettingsException(e.complaints);
     } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
@@ -156,32 +191,48 @@
     }
   }
 
-  private static List<ConstraintValidator.Conflict> clashes(
-      List<PlacementConstraint> rules, List<ConstraintIndex.MachineTopology> machines) {
-    long until = System.nanoTime() + ConstraintValidator.THINKS.toNanos();
-    return ConstraintValidator.of(rules, machines, () -> System.nanoTime() - until > 0);
+  private static ConstraintParser.Names knownNames(DeploymentSettings settings) {
+    Set<String> tenants = new HashSet<>();
+    settings.tenants.forEach(tenant -> tenants.add(tenant.name()));
+    Set<String> kinds = new HashSet<>();
+    settings.kinds.forEach(kind -> kinds.add(kind.name()));
+    return new ConstraintParser.Names(tenants, settings.priorityClasses.keySet(), kinds, Set.of());
+  }
+
+  private static List<String> findConflicts(
+      List<PlacementConstraint> constraints, List<MachineTopology> machines) {
+    long deadlineNanos = System.nanoTime() + ConstraintValidator.THINKS.toNanos();
+    return ConstraintValidator.of(
+            constraints, machines, () -> System.nanoTime() - deadlineNanos > 0)
+        .stream()
+        .map(Object::toString)
+        .toList();
   }
 
-  /** A set in force that machines coming and going made impossible stays in force, and is named. */
-  private void senseAgain() {
-    List<ConstraintIndex.MachineTopology> spots = spots();
-    if (inForce.isEmpty() || new HashSet<>(spots).equals(sensedFor)) {
+  /** Constraints that a change of machines made unsatisfiable stay in force, and are logged. */
+  private void validateAgain() {
+    List<MachineTopology> machines = topology();
+    Set<MachineTopology> machineSet = new HashSet<>(machines);
+    if (inForce.isEmpty() || machineSet.equals(validatedFor)) {
+      return;
+    }
+    validatedFor = machineSet;
+    List<String> found = findConflicts(inForce, machines);
+    if (found.equals(conflicts)) {
       return;
     }
-    sensedFor = new HashSet<>(spots);
-    List<String> found = clashes(inForce, spots).stream().map(Object::toString).toList();
-    if (!found.equals(clashing)) {
-      clashing = found;
-      LOG.warn(
-          found.isEmpty()
-              ? "the rules in force can be met again by the machines listed"
-              : "the rules in force can no longer be met by the machines listed: {}",
-          String.join("; ", found));
+    conflicts = found;
+    if (found.isEmpty()) {
+      LOG.warn("constraints in force can be satisfied again by the listed machines");
+    } else {
+      LOG.atWarn()
+          .addKeyValue("conflicts", String.join("; ", found))
+          .log("constraints in force can't be satisfied by the listed machines");
     }
   }
 
   @Override
   public void close() {
-    looks.shutdownNow();
+    poller.shutdownNow();
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/server/grpc/GroupActions.java
@@ -0,0 +1,148 @@
+package fordridge.server.grpc;
+
+import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.GroupFeasibility;
+import fordridge.constraint.GroupPlan;
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.Vm;
+import fordridge.session.ClientResponse;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Carries out what groups do with their members. Plans are computed on the planner's threads, from
+ * copies; everything else is confined to the event loop.
+ */
+final class GroupActions implements GroupCoordinator.Actions {
+  private final InstanceContext context;
+  private final Executor planner;
+
+  GroupActions(InstanceContext context, Executor planner) {
+    this.context = context;
+    this.planner = planner;
+  }
+
+  @Override
+  public void plan(List<Vm> members, Consumer<GroupPlan> listener) {
+    GroupPlan withoutConstraints = GroupPlan.free(members.stream().map(vm -> vm.id).toList());
+    if (members.stream().noneMatch(context.constraints::isConstrained)) {
+      listener.accept(withoutConstraints);
+      return;
+    }
+    Supplier<GroupPlan> computation = computation(members);
+    try {
+      planner.execute(() -> compute(computation, withoutConstraints, listener));
+    } catch (RejectedExecutionException e) {
+      context.log.debug().setCause(e).log("group planner overloaded, placing without a plan");
+      listener.accept(withoutConstraints);
+    }
+  }
+
+  private Supplier<GroupPlan> computation(List<Vm> members) {
+    List<GroupFeasibility.Part> parts = members.stream().map(GroupActions::part).toList();
+    ConstraintIndex index = context.constraints.index();
+    GroupFeasibility withFreeCapacity = index.together(parts, this::freeCapacity);
+    GroupFeasibility withFullCapacity = index.together(parts, this::fullCapacity);
+    long deadlineNanos = System.nanoTime() + GroupPlan.THINKS.toNanos();
+    return () ->
+        GroupPlan.of(
+            withFreeCapacity, withFullCapacity, parts, () -> System.nanoTime() - deadlineNanos > 0);
+  }
+
+  private static GroupFeasibility.Part part(Vm vm) {
+    return new GroupFeasibility.Part(
+        vm.id, vm.tenant, vm.priorityClass, vm.service, vm.cores, vm.memory);
+  }
+
+  private GroupFeasibility.Room freeCapacity(String machineName) {
+    Machine machine = context.scheduler.inputs().machine(machineName);
+    return new GroupFeasibility.Room(
+        machine.freeCores - machine.reservedSinceList.cores,
+        machine.freeMemory - machine.reservedSinceList.memory);
+  }
+
+  private GroupFeasibility.Room fullCapacity(String machineName) {
+    Machine machine = context.scheduler.inputs().machine(machineName);
+    return new GroupFeasibility.Room(machine.cores, machine.memory);
+  }
+
+  /** On a planner's thread. */
+  private void compute(
+      Supplier<GroupPlan> computation, GroupPlan fallback, Consumer<GroupPlan> listener) {
+    GroupPlan plan = computeOr(fallback, computation);
+    try {
+      context.loop.submit(() -> listener.accept(plan));
+    } catch (RejectedExecutionException e) {
+      context.log.debug().setCause(e).log("group plan dropped: the event loop has ended");
+    }
+  }
+
+  private GroupPlan computeOr(GroupPlan fallback, Supplier<GroupPlan> computation) {
+    try {
+      return computation.get();
+    } catch (RuntimeException e) {
+      context.log.error().setCause(e).log("group planning failed, placing without a plan");
+      return fallback;
+    }
+  }
+
+  @Override
+  public void schedule(Vm vm) {
+    context.scheduler.vmRequested(vm);
+  }
+
+  @Override
+  public void respond(Vm vm, ClientResponse response) {
+    context.metrics.answered(metricTag(response));
+    context.clients.respond(vm, name -> response);
+  }
+
+  private static String metricTag(ClientResponse response) {
+    return switch (response.kind()) {
+      case ACCEPTED -> "bound";
+      case REJECTED -> "denied";
+      case FAILED -> "errored";
+      case TERMINATED -> throw new IllegalArgumentException("not a final response: " + response);
+    };
+  }
+
+  @Override
+  public void stop(Vm vm) {
+    if (vm.acceptedAttempt != null && vm.acceptedAttempt.isInFlight()) {
+      context.attempts.terminate(vm.acceptedAttempt);
+    }
+  }
+
+  @Override
+  public boolean cancel(Vm vm) {
+    context.scheduler.clientLeft(vm);
+    for (PlacementAttempt attempt : List.copyOf(vm.attempts)) {
+      if (attempt.isInFlight()) {
+        context.attempts.abandon(attempt, Outcome.CANCELLED);
+      }
+    }
+    return vm.attempts.stream().anyMatch(attempt -> !attempt.hasNeverRun());
+  }
+
+  @Override
+  public void forget(Vm vm) {
+    context.loop.processBehind(
+        () -> {
+          context.groups.drop(vm);
+          context.forget(vm);
+          if (context.scheduler.inputs().vm(vm.id) == null) {
+            context.clients.unregister(vm);
+          }
+        });
+  }
+
+  @Override
+  public String nameAtClient(Vm vm) {
+    return context.clients.nameAtClient(vm);
+  }
+}
--- a/src/main/java/fordridge/server/grpc/GroupCoordinator.java
+++ b/src/main/java/fordridge/server/grpc/GroupCoordinator.java
@@ -1,6 +1,6 @@
 package fordridge.server.grpc;
 
-import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.ConstraintIndex.MachineTopology;
 import fordridge.constraint.GroupPlan;
 import fordridge.group.VmGroup;
 import fordridge.model.Vm;
@@ -9,212 +9,273 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
- * The groups of one instance: which VM is in which, and what a group does to it. It decides
- * nothing.
+ * The groups of one instance: which VM is a member of which, the groups' plans, and the acceptances
+ * that wait for the rest of their group. Confined to the event loop.
  */
 final class GroupCoordinator implements VmGroup.MemberActions {
-  /** What the instance does for a group. */
+  /** What the instance does for a group's members. */
   interface Actions {
-    /** Finds out whether these can go together; {@code then} is given the plan. */
-    void plan(List<Vm> members, Consumer<GroupPlan> then);
+    /** Computes how these can be placed together; the listener is called later or at once. */
+    void plan(List<Vm> members, Consumer<GroupPlan> listener);
 
-    void arrive(Vm vm);
+    /** Hands the member to the scheduler. */
+    void schedule(Vm vm);
 
-    void say(Vm vm, ClientResponse answer);
+    /** Sends the member's final response to its client. */
+    void respond(Vm vm, ClientResponse response);
 
+    /** Stops the member if it runs. */
     void stop(Vm vm);
 
-    /** Calls off what is out; whether it may have run. */
-    boolean callOff(Vm vm);
+    /** Cancels the member's placement; returns whether it may have run. */
+    boolean cancel(Vm vm);
 
+    /** Drops what is kept of the member once it has ended. */
     void forget(Vm vm);
 
-    /** The VM's name as its owner knows it. */
-    String owned(Vm vm);
+    /** The VM's name as its client knows it. */
+    String nameAtClient(Vm vm);
   }
 
-  private record Named(String client, String group) {}
+  /** A group's name counts for its client alone. */
+  record GroupId(String client, String name) {}
 
+  /** A group, and how many of its members are still kept here. */
   private static final class TrackedGroup {
-    final Named named;
+    final GroupId id;
     final int size;
-    int members;
+    final VmGroup group;
+    int keptMembers;
 
-    TrackedGroup(Named named, int size) {
-      this.named = named;
+    TrackedGroup(GroupId id, int size, VmGroup.MemberActions actions) {
+      this.id = id;
       this.size = size;
+      group = new VmGroup(id.name(), size, actions);
     }
   }
 
-  private final Actions hands;
-  private final Map<Named, VmGroup> groups = new HashMap<>();
-  private final Map<String, VmGroup> of = new HashMap<>();
-  private final Map<VmGroup, TrackedGroup> kept = new HashMap<>();
-  private final Map<String, Vm> vms = new HashMap<>();
-  private final Map<String, ClientResponse> bound = new HashMap<>();
-  private final Map<String, GroupPlan> plans = new HashMap<>();
+  /** A member that is kept: its VM, and what is known of it so far. */
+  private static final class TrackedMember {
+    final Vm vm;
+    final TrackedGroup tracked;
+    Optional<GroupPlan> plan = Optional.empty();
 
-  /** How often rules or machines changed: a plan made before the last change is made anew. */
-  private int changes;
+    /** The acceptance that its client is to be notified of once all members are accepted. */
+    Optional<ClientResponse.Accepted> acceptance = Optional.empty();
 
-  GroupCoordinator(Actions hands) {
-    this.hands = hands;
+    TrackedMember(Vm vm, TrackedGroup tracked) {
+      this.vm = vm;
+      this.tracked = tracked;
+    }
+  }
+
+  private final Actions actions;
+  private final Map<GroupId, TrackedGroup> groups = new HashMap<>();
+  private final Map<String, TrackedMember> membersByVmId = new HashMap<>();
+
+  /** Rises when constraints or machines change: a plan made before the last change is outdated. */
+  private int planVersion;
+
+  GroupCoordinator(Actions actions) {
+    this.actions = actions;
   }
 
-  /** Puts a VM into its group; why not, or null. */
-  String join(Vm vm, String client, String name, int size, boolean mayRepeat) {
-    Named key = new Named(client, name);
-    VmGroup g = groups.computeIfAbsent(key, k -> new VmGroup(name, size, this));
-    TrackedGroup k = kept.computeIfAbsent(g, x -> new TrackedGroup(key, size));
-    if (k.size != size) {
-      return "group '" + name + "' was begun with size " + k.size + ", not " + size;
+  /** A member of a group was requested; returns why it can't join, or empty if it has. */
+  Optional<String> join(Vm vm, GroupId id, int size, boolean mayRunAgain) {
+    TrackedGroup tracked = groups.computeIfAbsent(id, key -> new TrackedGroup(key, size, this));
+    if (tracked.size != size) {
+      return Optional.of(
+          "group '" + id.name() + "' was begun with size " + tracked.size + ", not " + size);
     }
-    vms.put(vm.id, vm);
-    of.put(vm.id, g);
-    k.members++;
-    if (g.memberJoined(vm.id, mayRepeat)) {
-      return null;
+    membersByVmId.put(vm.id, new TrackedMember(vm, tracked));
+    tracked.keptMembers++;
+    if (tracked.group.memberJoined(vm.id, mayRunAgain)) {
+      return Optional.empty();
     }
     drop(vm);
-    return "group '" + name + "' is full or over";
+    return Optional.of("group '" + id.name() + "' is full or over");
   }
 
-  /** A member, also one that is held back; null for others. */
-  Vm member(String id) {
-    return vms.get(id);
+  /** A member by its VM's id, also one that is held back from the scheduler. */
+  Optional<Vm> findMember(String vmId) {
+    return find(vmId).map(member -> member.vm);
   }
 
-  VmGroup of(Vm vm) {
-    return of.get(vm.id);
+  boolean isMember(Vm vm) {
+    return membersByVmId.containsKey(vm.id);
   }
 
-  /** Bound, and heard of by its owner once all are. */
-  void bound(Vm vm, ClientResponse answer) {
-    bound.put(vm.id, answer);
-    of.get(vm.id).memberAccepted(vm.id);
+  /** A machine accepted a member; its client is notified once all members are accepted. */
+  void memberAccepted(Vm vm, ClientResponse.Accepted acceptance) {
+    TrackedMember member = membersByVmId.get(vm.id);
+    member.acceptance = Optional.of(acceptance);
+    member.tracked.group.memberAccepted(vm.id);
   }
 
-  /** Time is nearly up for its first member. */
-  void due(Vm vm) {
-    VmGroup g = of.get(vm.id);
-    if (g != null) {
-      g.abandon(
-          g.isComplete() ? "not all were bound in time" : "not all of it were asked for in time");
-      tidy(g);
+  /** The scheduler rejected the VM; without effect if it is no member. */
+  void memberRejected(Vm vm, String reason) {
+    groupOf(vm).ifPresent(group -> group.memberRejected(vm.id, reason));
+  }
+
+  /** The scheduler failed the VM; without effect if it is no member. */
+  void memberFailed(Vm vm, String reason) {
+    groupOf(vm).ifPresent(group -> group.memberFailed(vm.id, reason));
+  }
+
+  /** The client no longer wants the VM; without effect if it is no member. */
+  void memberWithdrawn(Vm vm) {
+    groupOf(vm).ifPresent(group -> group.memberWithdrawn(vm.id));
+  }
+
+  /**
+   * An accepted VM terminated; true if its client must not be notified, as its group never was
+   * accepted as a whole.
+   */
+  boolean memberTerminated(Vm vm) {
+    return groupOf(vm).map(group -> group.memberTerminated(vm.id)).orElse(false);
+  }
+
+  /** The time in which the VM's group has to form is up. */
+  void formationTimedOut(Vm vm) {
+    TrackedMember member = membersByVmId.get(vm.id);
+    if (member == null) {
+      return;
     }
+    VmGroup group = member.tracked.group;
+    group.abandon(
+        group.isComplete() ? "not all were bound in time" : "not all of it were asked for in time");
+    removeIfOver(member.tracked);
   }
 
-  /** Lets go of a VM that was answered and is heard of no more. */
+  /** Drops a VM that has its final response and of which nothing more is expected. */
   void drop(Vm vm) {
-    VmGroup g = of.remove(vm.id);
-    vms.remove(vm.id);
-    bound.remove(vm.id);
-    plans.remove(vm.id);
-    if (g != null) {
-      kept.get(g).members--;
-      tidy(g);
+    TrackedMember member = membersByVmId.remove(vm.id);
+    if (member != null) {
+      member.tracked.keptMembers--;
+      removeIfOver(member.tracked);
     }
   }
 
-  private void tidy(VmGroup g) {
-    TrackedGroup k = kept.get(g);
-    if (k != null && g.isOver() && k.members == 0) {
-      groups.remove(k.named);
-      kept.remove(g);
+  /** No more members will be requested: groups that wait for some are abandoned. */
+  void shutdownStarted() {
+    for (TrackedGroup tracked : List.copyOf(groups.values())) {
+      if (!tracked.group.isComplete()) {
+        tracked.group.abandon("the placer is stopping");
+        removeIfOver(tracked);
+      }
     }
   }
 
+  /** Constraints or machines changed: plans no longer hold, and the constraints alone go on. */
+  void discardPlans() {
+    planVersion++;
+    membersByVmId.values().forEach(member -> member.plan = Optional.empty());
+  }
+
+  /** What speaks against a machine for a member, by its group's plan; 0 without one. */
+  double planPenalty(Vm vm, MachineTopology machine) {
+    return planOf(vm).map(plan -> plan.constraintPenalty(vm.id, machine)).orElse(0.0);
+  }
+
+  /** Whether the VM's group has a plan that fixes the domain which its affinity asks for. */
+  boolean hasPlannedDomain(Vm vm) {
+    return planOf(vm).map(plan -> plan.settlesNear(vm.id)).orElse(false);
+  }
+
   @Override
   public void allMembersJoined(List<String> members) {
-    VmGroup g = of.get(members.get(0));
-    List<Vm> some = members.stream().map(vms::get).toList();
-    int asked = changes;
-    hands.plan(
-        some,
-        plan -> {
-          if (!members.stream().allMatch(id -> of.get(id) == g)) {
-            return; // It ended while it was thought about.
-          }
-          if (asked != changes) {
-            allMembersJoined(members);
-          } else if (plan.refusal() != null) {
-            g.abandon(plan.refusal());
-            tidy(g);
-          } else {
-            members.forEach(id -> plans.put(id, plan));
-            g.planFound(plan.order());
-          }
-        });
-  }
-
-  /** What speaks against a machine for a member, by its group's plan. */
-  double constraintPenalty(Vm vm, ConstraintIndex.MachineTopology spot) {
-    GroupPlan plan = plans.get(vm.id);
-    return plan == null ? 0 : plan.constraintPenalty(vm.id, spot);
-  }
-
-  /** Whether its plan settles what it is near to. */
-  boolean settlesNear(Vm vm) {
-    GroupPlan plan = plans.get(vm.id);
-    return plan != null && plan.settlesNear(vm.id);
-  }
-
-  /** Nobody joins any more: groups that are not all here are given up. */
-  void stops() {
-    for (VmGroup g : List.copyOf(groups.values())) {
-      if (!g.isComplete()) {
-        g.abandon("the placer is stopping");
-        tidy(g);
-      }
-    }
+    TrackedGroup tracked = membersByVmId.get(members.get(0)).tracked;
+    List<Vm> vms = members.stream().map(id -> membersByVmId.get(id).vm).toList();
+    int version = planVersion;
+    actions.plan(vms, plan -> planComputed(tracked, members, version, plan));
   }
 
-  /** Rules or machines changed: what was planned no longer holds, and the rules alone go on. */
-  void letGoOfPlans() {
-    changes++;
-    plans.clear();
+  private void planComputed(
+      TrackedGroup tracked, List<String> members, int version, GroupPlan plan) {
+    if (!members.stream().allMatch(id -> isMemberOf(id, tracked))) {
+      return; // The group ended while its plan was computed.
+    }
+    if (version != planVersion) {
+      allMembersJoined(members);
+    } else if (plan.refusal() != null) {
+      tracked.group.abandon(plan.refusal());
+      removeIfOver(tracked);
+    } else {
+      members.forEach(id -> membersByVmId.get(id).plan = Optional.of(plan));
+      tracked.group.planFound(plan.order());
+    }
   }
 
   @Override
-  public void place(String id) {
-    hands.arrive(vms.get(id));
+  public void place(String vmId) {
+    actions.schedule(vm(vmId));
   }
 
   @Override
-  public void reportAccepted(String id) {
-    hands.say(vms.get(id), bound.remove(id));
+  public void reportAccepted(String vmId) {
+    TrackedMember member = membersByVmId.get(vmId);
+    ClientResponse.Accepted acceptance = member.acceptance.orElseThrow();
+    member.acceptance = Optional.empty();
+    actions.respond(member.vm, acceptance);
   }
 
   @Override
-  public void stop(String id) {
-    hands.stop(vms.get(id));
+  public void stop(String vmId) {
+    actions.stop(vm(vmId));
   }
 
   @Override
-  public void cancel(String id) {
-    Vm vm = vms.get(id);
-    VmGroup g = of.get(id);
-    if (hands.callOff(vm)) {
-      g.memberFailed(id, "called off");
+  public void cancel(String vmId) {
+    Vm vm = vm(vmId);
+    if (actions.cancel(vm)) {
+      memberFailed(vm, "called off");
     } else {
-      g.memberRejected(id, "called off");
+      memberRejected(vm, "called off");
     }
   }
 
   @Override
-  public void reject(String id, String why) {
-    Vm vm = vms.get(id);
-    hands.say(vm, new ClientResponse.Rejected(hands.owned(vm), Duration.ZERO, why));
-    hands.forget(vm);
+  public void reject(String vmId, String reason) {
+    Vm vm = vm(vmId);
+    actions.respond(
+        vm, new ClientResponse.Rejected(actions.nameAtClient(vm), Duration.ZERO, reason));
+    actions.forget(vm);
   }
 
   @Override
-  public void fail(String id, String why) {
-    Vm vm = vms.get(id);
-    hands.say(vm, new ClientResponse.Failed(hands.owned(vm), why));
-    hands.forget(vm);
+  public void fail(String vmId, String reason) {
+    Vm vm = vm(vmId);
+    actions.respond(vm, new ClientResponse.Failed(actions.nameAtClient(vm), reason));
+    actions.forget(vm);
+  }
+
+  private Optional<TrackedMember> find(String vmId) {
+    return Optional.ofNullable(membersByVmId.get(vmId));
+  }
+
+  private Optional<VmGroup> groupOf(Vm vm) {
+    return find(vm.id).map(member -> member.tracked.group);
+  }
+
+  private Optional<GroupPlan> planOf(Vm vm) {
+    return find(vm.id).flatMap(member -> member.plan);
+  }
+
+  private Vm vm(String vmId) {
+    return membersByVmId.get(vmId).vm;
+  }
+
+  private boolean isMemberOf(String vmId, TrackedGroup tracked) {
+    return find(vmId).filter(member -> member.tracked == tracked).isPresent();
+  }
+
+  private void removeIfOver(TrackedGroup tracked) {
+    if (tracked.group.isOver() && tracked.keptMembers == 0) {
+      groups.remove(tracked.id, tracked);
+    }
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
@@ -0,0 +1,161 @@
+package fordridge.server.grpc;
+
+import fordridge.machine.AttemptId;
+import fordridge.machine.MachineStream;
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.Vm;
+import fordridge.scheduling.SchedulerActions;
+import fordridge.session.ClientResponse.Failed;
+import fordridge.session.ClientResponse.Rejected;
+import fordridge.session.ClientResponse.Terminated;
+import fordridge.session.ClientResponse.TerminationCause;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Carries out what the scheduler decides, on the machines' and the clients' streams. What follows
+ * from an action is queued behind the input that the scheduler is processing. Confined to the event
+ * loop.
+ */
+final class GrpcSchedulerActions implements SchedulerActions {
+  private static final String NO_CAPACITY = "no room found in time";
+  private static final String OUTCOME_UNKNOWN = "it may have run; its outcome is not known";
+
+  private final InstanceContext context;
+  private final Gossip gossip;
+
+  GrpcSchedulerActions(InstanceContext context, Gossip gossip) {
+    this.context = context;
+    this.gossip = gossip;
+  }
+
+  @Override
+  public void sendAttempt(PlacementAttempt attempt, Duration within) {
+    context.metrics.offered();
+    context.constraints.attemptSent(attempt);
+    context.loop.processBehind(
+        () -> {
+          if (attempt.isInFlight()) {
+            offer(attempt, within);
+          }
+        });
+    context.loop.schedule(
+        within,
+        () -> {
+          if (isUnanswered(attempt)) {
+            context.attempts.abandon(attempt, Outcome.TIMEOUT);
+          }
+        });
+  }
+
+  private void offer(PlacementAttempt attempt, Duration within) {
+    MachineHandle machine = context.machines.get(attempt.machine);
+    boolean mayRunAgain =
+        context.settings().priorityClasses.get(attempt.vm.priorityClass).rebuildable();
+    AttemptId id = new AttemptId(attempt.vm.id, attempt.number);
+    MachineStream stream = machine.stream();
+    stream.offer(attempt, id, mayRunAgain, within, context.loop.now());
+    machine.scheduleTick();
+  }
+
+  private static boolean isUnanswered(PlacementAttempt attempt) {
+    return attempt.isInFlight() && attempt.acceptedAt == null;
+  }
+
+  @Override
+  public double constraintPenalty(Vm vm, Machine machine) {
+    return context.constraints.penalty(vm, machine);
+  }
+
+  @Override
+  public boolean isConstrained(Vm vm) {
+    return context.constraints.isConstrained(vm);
+  }
+
+  @Override
+  public void reject(Vm vm, Duration retryAfter) {
+    context.loop.processBehind(() -> context.scheduler.vmRejected(vm, retryAfter));
+    if (context.groups.isMember(vm)) {
+      context.loop.processBehind(() -> context.groups.memberRejected(vm, NO_CAPACITY));
+      return;
+    }
+    context.clients.respond(vm, name -> new Rejected(name, retryAfter, NO_CAPACITY));
+    context.metrics.answered("denied");
+    context.loop.processBehind(() -> context.forget(vm));
+  }
+
+  @Override
+  public void fail(Vm vm) {
+    context.loop.processBehind(() -> context.scheduler.vmFailed(vm));
+    if (context.groups.isMember(vm)) {
+      context.loop.processBehind(() -> context.groups.memberFailed(vm, OUTCOME_UNKNOWN));
+      return;
+    }
+    context.clients.respond(vm, name -> new Failed(name, OUTCOME_UNKNOWN));
+    context.metrics.answered("errored");
+    context.loop.processBehind(() -> context.forget(vm));
+  }
+
+  @Override
+  public void migrate(Vm vm) {
+    context.clients.respond(vm, name -> new Terminated(name, TerminationCause.MIGRATED));
+    context.attempts.terminate(vm.acceptedAttempt);
+  }
+
+  @Override
+  public void cancelAttempt(PlacementAttempt attempt) {
+    context.loop.processBehind(
+        () -> {
+          if (isUnanswered(attempt)) {
+            context.attempts.abandon(attempt, Outcome.CANCELLED);
+          }
+        });
+  }
+
+  @Override
+  public void probe(Machine machine) {
+    context.loop.processBehind(
+        () -> {
+          MachineHandle handle = context.machines.get(machine);
+          handle.stream().probe(context.loop.now());
+          handle.scheduleTick();
+        });
+  }
+
+  @Override
+  public void gossip(String message) {
+    gossip.send(message);
+  }
+
+  @Override
+  public void scheduleTimer(Duration delay) {
+    context.loop.schedule(delay, context.scheduler.inputs().scheduler::timerFired);
+  }
+
+  @Override
+  public void log(String line) {
+    context.log.info().log(line);
+  }
+
+  /**
+   * The source pushes the list; the answer to a request for it is that nothing changed since, or
+   * that the list may be stale.
+   */
+  @Override
+  public void watchMachineList(boolean isWanted) {
+    context.loop.processBehind(
+        () -> {
+          if (context.machineList.isStale()) {
+            context.scheduler.inputs().scheduler.machineListFailed();
+          } else {
+            context.scheduler.inputs().list(false, false, List.of());
+          }
+        });
+  }
+
+  /** Nothing to do: the source pushes the list. */
+  @Override
+  public void fetchMachineList() {}
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/grpc/InputLoop.java
@@ -0,0 +1,143 @@
+package fordridge.server.grpc;
+
+import fordridge.observability.Metrics;
+import fordridge.runtime.EventLoopLag;
+import fordridge.runtime.EventSequencer;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The order and the time of a scheduler's inputs on its event loop: one after another as they were
+ * met, each at the time of a clock that only goes forward, and what follows from one behind it.
+ * {@link #submit} may be called on any thread, everything else on the event loop only.
+ */
+final class InputLoop {
+  /** How often the event loop's lag is measured. */
+  private static final Duration LAG_SAMPLE_INTERVAL = Duration.ofMillis(25);
+
+  /** How long a measured lag counts. */
+  private static final Duration LAG_WINDOW = Duration.ofSeconds(2);
+
+  private final EventLoop eventLoop;
+  private final Metrics metrics;
+  private final SchedulerLog log;
+  private final EventSequencer sequencer;
+  private final Runnable afterInputs;
+  private final EventLoopLag lag = new EventLoopLag(LAG_WINDOW);
+  private Duration now = Duration.ZERO;
+
+  /**
+   * Creates the loop.
+   *
+   * @param beforeInput gets the time of each input before it is processed
+   * @param afterInputs runs when an input and all that followed from it are processed
+   */
+  InputLoop(
+      EventLoop eventLoop,
+      Metrics metrics,
+      SchedulerLog log,
+      Consumer<Duration> beforeInput,
+      Runnable afterInputs) {
+    this.eventLoop = eventLoop;
+    this.metrics = metrics;
+    this.log = log;
+    this.afterInputs = afterInputs;
+    sequencer =
+        new EventSequencer(
+            System::nanoTime,
+            time -> {
+              now = time;
+              beforeInput.accept(time);
+            },
+            this::inputFailed);
+  }
+
+  /** Begins to measure the event loop's lag. */
+  void startLagSampling() {
+    long dueNanos = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
+    runAfter(
+        LAG_SAMPLE_INTERVAL,
+        () -> {
+          Duration late = Duration.ofNanos(Math.max(0, System.nanoTime() - dueNanos));
+          lag.seen(late, sequencer.clock());
+          startLagSampling();
+        });
+  }
+
+  /** The time of the input that is being processed, since the start. */
+  Duration now() {
+    return now;
+  }
+
+  /** Sets {@link #now} to the present, for events that are no inputs of the scheduler. */
+  void refreshNow() {
+    now = sequencer.clock();
+  }
+
+  /** How long a message may have waited to be read, to be taken off its time. */
+  Duration lagAllowance() {
+    return lag.allowance(now);
+  }
+
+  /** Runs a task on the event loop as it is; from any thread. */
+  void execute(Runnable task) {
+    eventLoop.execute(task);
+  }
+
+  /** Processes an input on the event loop; from any thread. */
+  void submit(Runnable input) {
+    execute(() -> process(input));
+  }
+
+  /** Processes an input and all that follows from it, or queues it behind the current one. */
+  void process(Runnable input) {
+    long startNanos = System.nanoTime();
+    if (!sequencer.enter(input)) {
+      return;
+    }
+    metrics.decided(System.nanoTime() - startNanos);
+    afterInputs.run();
+  }
+
+  /** Queues an input behind the one that is being processed. */
+  void processBehind(Runnable input) {
+    sequencer.behind(input);
+  }
+
+  /** Processes an input after a delay; a negative delay counts as none. */
+  void schedule(Duration delay, Runnable input) {
+    runAfter(delay, () -> process(input));
+  }
+
+  /** Processes an input again and again. */
+  void scheduleAtFixedRate(Duration interval, Runnable input) {
+    logFailure(
+        eventLoop.scheduleAtFixedRate(
+            () -> process(input), interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS));
+  }
+
+  private void runAfter(Duration delay, Runnable task) {
+    logFailure(eventLoop.schedule(task, Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS));
+  }
+
+  /** Without this a task that threw outside of its input would leave no trace. */
+  private void logFailure(Future<?> task) {
+    task.addListener(
+        done -> {
+          if (done.cause() != null && !done.isCancelled()) {
+            log.error().setCause(done.cause()).log("event loop task failed");
+          }
+        });
+  }
+
+  /**
+   * This input is lost to the scheduler, those behind it are not; its VM is answered when its time
+   * is up.
+   */
+  private void inputFailed(RuntimeException cause) {
+    log.error().setCause(cause).log("scheduler input failed");
+  }
+}
--- a/src/main/java/fordridge/server/grpc/PlacerCommand.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -1,5 +1,6 @@
 package fordridge.server.grpc;
 
+import fordridge.constraint.PlacementConstraint;
 import fordridge.discovery.MachineListFile;
 import fordridge.discovery.MachineListSource;
 import fordridge.etcd.EtcdMachineList;
@@ -24,6 +25,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -35,282 +38,364 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The program {@code fordridge placer}: its instances, their listening ports, the list and the
- * metrics.
+ * The program {@code fordridge placer}: the scheduler instances of one process, their listening
+ * ports, machine lists, constraints, gossip sockets and metrics. Owns all of them until {@link
+ * #shutdown} or {@link #close}.
  */
 public final class PlacerCommand implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
+  private static final Logger LOG = LoggerFactory.getLogger("fordridge.scheduler");
 
   /**
-   * HTTP/2's least default: what a client may have under way unread, and so how old an ask may grow
-   * there.
+   * The smallest default of HTTP/2, in bytes: what a client may have sent and not yet been read,
+   * and so how old a request may grow there.
    */
-  private static final int CLIENT_WINDOW = 65_535;
-
-  private static final Duration LAG_EVERY = Duration.ofMillis(20);
-
-  private final DeploymentSettings d;
-  private final EventLoopGroup loops;
-  private final ExecutorService thinker =
-      new ThreadPoolExecutor(
-          2,
-          2,
-          0,
-          TimeUnit.SECONDS,
-          new ArrayBlockingQueue<>(1024),
-          r -> {
-            Thread t = new Thread(r, "groups");
-            t.setDaemon(true);
-            return t;
-          });
-  private final List<MachineListSource> lists = new ArrayList<>();
+  private static final int CLIENT_FLOW_CONTROL_WINDOW = 65_535;
+
+  /** Clients may send keepalives this often. */
+  private static final Duration MIN_CLIENT_KEEPALIVE = Duration.ofMillis(100);
+
+  private static final Duration LAG_SAMPLE_INTERVAL = Duration.ofMillis(20);
+  private static final Duration SCHEDULER_COUNT_INTERVAL = Duration.ofMillis(200);
+
+  /** Time for the sockets to carry the last responses. */
+  private static final Duration RESPONSE_FLUSH_TIMEOUT = Duration.ofMillis(500);
+
+  private static final int GROUP_PLANNER_THREADS = 2;
+  private static final int MAX_QUEUED_GROUP_PLANS = 1024;
+
+  private final DeploymentSettings settings;
+  private final long seed;
+  private final EventLoopGroup eventLoops;
+  private final ExecutorService groupPlanner = newGroupPlanner();
   private final Metrics metrics = new Metrics();
+  private final List<MachineListSource> machineLists = new ArrayList<>();
   private final List<GrpcSchedulerServer> instances = new ArrayList<>();
-  private final List<GossipSocket> notePosts = new ArrayList<>();
+  private final List<GossipSocket> gossipSockets = new ArrayList<>();
   private final List<Server> servers = new ArrayList<>();
-  private final MetricsServer metricsServer;
-  private ConstraintUpdater rules;
+  private Optional<ConstraintUpdater> constraintUpdater = Optional.empty();
+  private Optional<MetricsServer> metricsServer = Optional.empty();
 
   /**
-   * Starts all; what cannot be had (a port, the list) is said in one line and nothing is left
-   * running.
+   * Starts everything. If something cannot be had (a port, the machine list), the exception says
+   * what in one line, and nothing is left running.
    */
-  public PlacerCommand(DeploymentSettings d)
+  public PlacerCommand(DeploymentSettings settings)
       throws IOException, DeploymentSettings.InvalidSettingsException {
-    this.d = d;
-    int threads = Math.min(d.count, Runtime.getRuntime().availableProcessors());
-    loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
-    MetricsServer port = null;
-    long seed;
+    this.settings = settings;
+    seed = settings.seed != 0 ? settings.seed : System.nanoTime() ^ ProcessHandle.current().pid();
+    int threads = Math.min(settings.count, Runtime.getRuntime().availableProcessors());
+    eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
     try {
-      boolean etcd = d.listSource.equals("etcd");
-      if (!etcd) {
-        // One follower of the file serves all: reading it decides nothing.
-        lists.add(new MachineListFile(d.listFile(), d));
-      }
-      DeploymentSettings watched = watched(d);
-      seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
-      for (int i = 0; i < d.count; i++) {
-        String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
-        GrpcSchedulerServer it =
-            new GrpcSchedulerServer(
-                d, watched, d.position + i, name, seed + i, loops.next(), thinker, metrics);
-        instances.add(it);
-        if (d.notes) {
-          List<InetSocketAddress> others = new ArrayList<>();
-          for (String o : d.notesTo) {
-            others.add(address(o));
-          }
-          GossipSocket post =
-              new GossipSocket(
-                  it.loop,
-                  new InetSocketAddress(d.notesHost, d.notesPort == 0 ? 0 : d.notesPort + i),
-                  others,
-                  it::heard);
-          it.loop.execute(() -> it.notes(post));
-          notePosts.add(post);
-        }
-        if (etcd) {
-          lists.add(new EtcdMachineList(d, name, seed + i));
-        }
-        MachineListSource list = lists.get(lists.size() - 1);
-        list.follow(it::list);
-        it.loop.scheduleAtFixedRate(
-            () -> it.shared(list.placers()), 200, 200, TimeUnit.MILLISECONDS);
-        servers.add(serve(it, d.port == 0 ? 0 : d.port + i));
-      }
-      for (int i = 0; i < Math.min(threads, instances.size()); i++) {
-        watchLag(instances.get(i).loop);
-      }
-      rules = new ConstraintUpdater(d, lists.get(0));
-      rules.follow((r, v) -> instances.forEach(i -> i.rules(r, v)));
-      rules.followTerms(t -> instances.forEach(i -> i.terms(t)));
-      metrics.gauge(
-          "fordridge.held", () -> instances.stream().mapToInt(GrpcSchedulerServer::inHand).sum());
-      metrics.gauge(
-          "fordridge.streams",
-          () -> instances.stream().mapToInt(GrpcSchedulerServer::streamsOpen).sum());
-      if (d.metricsPort >= 0) {
-        port = new MetricsServer(d.metricsPort, metrics, loops);
-      }
+      startInstances();
+      startLagMetrics(threads);
+      watchConstraintsAndSettings();
+      startMetrics();
     } catch (IOException | RuntimeException | DeploymentSettings.InvalidSettingsException e) {
       close();
       throw e;
     }
-    metricsServer = port;
-    LOG.atInfo()
-        .addKeyValue("seed", seed)
-        .addKeyValue("instances", d.count)
-        .addKeyValue("machines", lists.get(0).latest().entries().size())
-        .addKeyValue("port", port(0))
-        .addKeyValue("metrics", metricsServer == null ? "none" : metricsServer.port())
-        .log("placing");
+    logStart();
   }
 
-  /**
-   * Reads rules as a placer of this deployment would, against its list of machines if it is a file
-   * that is there.
-   */
-  public static List<fordridge.constraint.PlacementConstraint> readRules(
-      String text, DeploymentSettings d) throws DeploymentSettings.InvalidSettingsException {
-    List<MachineListSource.Entry> machines =
-        d.listSource.equals("file") && d.listFile().isFile()
-            ? MachineListFile.read(d.listFile(), d, 1).entries()
-            : List.of();
-    return ConstraintUpdater.read(
-        text,
-        d,
-        machines.stream()
-            .map(
-                e ->
-                    new fordridge.constraint.ConstraintIndex.MachineTopology(
-                        e.name(), e.kind(), e.zone(), e.cell()))
-            .toList());
+  private static ExecutorService newGroupPlanner() {
+    return new ThreadPoolExecutor(
+        GROUP_PLANNER_THREADS,
+        GROUP_PLANNER_THREADS,
+        0,
+        TimeUnit.SECONDS,
+        new ArrayBlockingQueue<>(MAX_QUEUED_GROUP_PLANS),
+        task -> {
+          Thread thread = new Thread(task, "group-planner");
+          thread.setDaemon(true);
+          return thread;
+        });
   }
 
-  /**
-   * Terms of a move to come, laid over ours and checked as if they were in force; null where none
-   * are watched.
-   */
-  public static DeploymentSettings watched(DeploymentSettings d)
-      throws DeploymentSettings.InvalidSettingsException, IOException {
-    File f = d.watchFile();
-    if (f == null) {
-      return null;
+  private void startInstances() throws IOException, DeploymentSettings.InvalidSettingsException {
+    if (!isListInEtcd()) {
+      // One watcher of the file serves all instances.
+      machineLists.add(new MachineListFile(settings.listFile(), settings));
     }
-    if (!f.isFile()) {
-      throw new DeploymentSettings.InvalidSettingsException(
-          List.of("watch.terms: " + f + ": no such file"));
+    Optional<DeploymentSettings> shadowSettings = readShadowSettings(settings);
+    for (int i = 0; i < settings.count; i++) {
+      startInstance(i, shadowSettings);
     }
-    try {
-      return SettingsUpdate.over(d, d, Files.readString(f.toPath()));
-    } catch (DeploymentSettings.InvalidSettingsException e) {
-      throw new DeploymentSettings.InvalidSettingsException(
-          e.complaints.stream().map(c -> "watch.terms: " + f + ": " + c).toList());
+  }
+
+  private void startInstance(int index, Optional<DeploymentSettings> shadowSettings)
+      throws IOException, DeploymentSettings.InvalidSettingsException {
+    int position = settings.position + index;
+    String name = settings.count == 1 ? settings.name : settings.name + "-" + position;
+    GrpcSchedulerServer instance =
+        new GrpcSchedulerServer(
+            settings,
+            shadowSettings,
+            position,
+            name,
+            seed + index,
+            eventLoops.next(),
+            groupPlanner,
+            metrics);
+    instances.add(instance);
+    if (settings.notes) {
+      openGossipSocket(instance, portOfInstance(settings.notesPort, index));
+    }
+    if (isListInEtcd()) {
+      machineLists.add(new EtcdMachineList(settings, name, seed + index));
+    }
+    watchMachineList(instance, machineLists.get(machineLists.size() - 1));
+    servers.add(startServer(instance, portOfInstance(settings.port, index)));
+  }
+
+  private boolean isListInEtcd() {
+    return settings.listSource.equals("etcd");
+  }
+
+  /** The instances' ports follow each other; port 0 is any free one for each. */
+  private static int portOfInstance(int firstPort, int index) {
+    return firstPort == 0 ? 0 : firstPort + index;
+  }
+
+  private void openGossipSocket(GrpcSchedulerServer instance, int port)
+      throws IOException, DeploymentSettings.InvalidSettingsException {
+    List<InetSocketAddress> peers = new ArrayList<>();
+    for (String peer : settings.notesTo) {
+      peers.add(resolve(peer));
     }
+    GossipSocket socket =
+        new GossipSocket(
+            instance.eventLoop(),
+            new InetSocketAddress(settings.notesHost, port),
+            peers,
+            instance::gossipReceived);
+    instance.gossipSocketOpened(socket);
+    gossipSockets.add(socket);
   }
 
-  private static InetSocketAddress address(String hostPort)
+  private static InetSocketAddress resolve(String hostAndPort)
       throws DeploymentSettings.InvalidSettingsException {
-    int colon = hostPort.lastIndexOf(':');
-    InetSocketAddress at =
+    int colon = hostAndPort.lastIndexOf(':');
+    InetSocketAddress address =
         new InetSocketAddress(
-            hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
-    if (at.isUnresolved()) {
+            hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
+    if (address.isUnresolved()) {
       throw new DeploymentSettings.InvalidSettingsException(
-          List.of("placer.notes.to: '" + hostPort + "': no such host"));
+          List.of("placer.notes.to: '" + hostAndPort + "': no such host"));
     }
-    return at;
+    return address;
   }
 
-  /** Where notes to an instance go. */
-  public int notesPort(int instance) {
-    return notePosts.get(instance).port();
+  private static void watchMachineList(GrpcSchedulerServer instance, MachineListSource list) {
+    list.follow(instance::machineListReceived);
+    runPeriodically(
+        instance.eventLoop(),
+        SCHEDULER_COUNT_INTERVAL,
+        () -> instance.schedulerCountReceived(list.placers()));
   }
 
-  private Server serve(GrpcSchedulerServer it, int port) throws IOException {
-    return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port))
-        .bossEventLoopGroup(it.loop)
-        .workerEventLoopGroup(it.loop)
+  private Server startServer(GrpcSchedulerServer instance, int port) throws IOException {
+    return NettyServerBuilder.forAddress(new InetSocketAddress(settings.host, port))
+        .bossEventLoopGroup(instance.eventLoop())
+        .workerEventLoopGroup(instance.eventLoop())
         .channelType(NioServerSocketChannel.class)
         .directExecutor()
-        .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage))
-        .flowControlWindow(CLIENT_WINDOW)
-        .permitKeepAliveTime(100, TimeUnit.MILLISECONDS)
+        .maxInboundMessageSize(ClientService.transportLimit(settings.maxMessage))
+        .flowControlWindow(CLIENT_FLOW_CONTROL_WINDOW)
+        .permitKeepAliveTime(MIN_CLIENT_KEEPALIVE.toMillis(), TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(new ClientService(it, d.maxMessage))
-        .addService(new OperatorService(it))
+        .addService(new ClientService(instance.requestHandler(), settings.maxMessage))
+        .addService(new OperatorService(instance.clusterView()))
         .build()
         .start();
   }
 
-  private void watchLag(EventLoop loop) {
-    long[] due = {System.nanoTime() + LAG_EVERY.toNanos()};
-    loop.scheduleAtFixedRate(
+  private void startLagMetrics(int threads) {
+    instances.stream().limit(threads).forEach(instance -> measureLag(instance.eventLoop()));
+  }
+
+  private void measureLag(EventLoop eventLoop) {
+    long[] dueNanos = {System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos()};
+    runPeriodically(
+        eventLoop,
+        LAG_SAMPLE_INTERVAL,
         () -> {
-          metrics.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - due[0])));
-          due[0] = System.nanoTime() + LAG_EVERY.toNanos();
-        },
-        LAG_EVERY.toNanos(),
-        LAG_EVERY.toNanos(),
-        TimeUnit.NANOSECONDS);
+          metrics.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - dueNanos[0])));
+          dueNanos[0] = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
+        });
   }
 
-  public int port(int instance) {
-    return servers.get(instance).getPort();
+  /** Until the event loop ends; a task that threw is logged and not run again. */
+  private static void runPeriodically(EventLoop eventLoop, Duration interval, Runnable task) {
+    eventLoop
+        .scheduleAtFixedRate(task, interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS)
+        .addListener(
+            done -> {
+              if (!done.isCancelled() && done.cause() != null) {
+                LOG.atError().setCause(done.cause()).log("event loop task failed");
+              }
+            });
   }
 
-  public int metricsPort() {
-    return metricsServer == null ? -1 : metricsServer.port();
+  private void watchConstraintsAndSettings() throws DeploymentSettings.InvalidSettingsException {
+    ConstraintUpdater updater = new ConstraintUpdater(settings, machineLists.get(0));
+    constraintUpdater = Optional.of(updater);
+    updater.watchConstraints(
+        (constraints, version) ->
+            instances.forEach(instance -> instance.constraintsReceived(constraints, version)));
+    updater.watchSettings(next -> instances.forEach(instance -> instance.settingsReceived(next)));
   }
 
-  public String name(int instance) {
-    return instances.get(instance).name;
+  private void startMetrics() throws IOException {
+    metrics.gauge("fordridge.held", this::pendingRequests);
+    metrics.gauge("fordridge.streams", this::establishedStreams);
+    if (settings.metricsPort >= 0) {
+      metricsServer = Optional.of(new MetricsServer(settings.metricsPort, metrics, eventLoops));
+    }
   }
 
-  public int count() {
+  private void logStart() {
+    String port = metricsServer.map(server -> String.valueOf(server.port())).orElse("none");
+    LOG.atInfo()
+        .addKeyValue("seed", seed)
+        .addKeyValue("instances", settings.count)
+        .addKeyValue("machines", machineLists.get(0).latest().entries().size())
+        .addKeyValue("port", port(0))
+        .addKeyValue("metrics_port", port)
+        .log("scheduler started");
+  }
+
+  /**
+   * Reads constraints as the schedulers of this deployment would, against its machine list if that
+   * is a file that is there.
+   */
+  public static List<PlacementConstraint> readConstraints(String text, DeploymentSettings settings)
+      throws DeploymentSettings.InvalidSettingsException {
+    List<MachineListSource.Entry> machines =
+        settings.listSource.equals("file") && settings.listFile().isFile()
+            ? MachineListFile.read(settings.listFile(), settings, 1).entries()
+            : List.of();
+    return ConstraintUpdater.read(text, settings, ConstraintUpdater.topology(machines));
+  }
+
+  /**
+   * The settings of the shadow scheduler: those of the file that the settings name, laid over them
+   * and checked as if they were in force; empty where none is named.
+   */
+  public static Optional<DeploymentSettings> readShadowSettings(DeploymentSettings settings)
+      throws DeploymentSettings.InvalidSettingsException, IOException {
+    File file = settings.watchFile();
+    if (file == null) {
+      return Optional.empty();
+    }
+    if (!file.isFile()) {
+      throw new DeploymentSettings.InvalidSettingsException(
+          List.of("watch.terms: " + file + ": no such file"));
+    }
+    try {
+      return Optional.of(SettingsUpdate.over(settings, settings, Files.readString(file.toPath())));
+    } catch (DeploymentSettings.InvalidSettingsException e) {
+      throw new DeploymentSettings.InvalidSettingsException(
+          e.complaints.stream().map(error -> "watch.terms: " + file + ": " + error).toList());
+    }
+  }
+
+  /** Instances in this process. */
+  public int instanceCount() {
     return instances.size();
   }
 
+  /** The name of an instance. */
+  public String name(int instance) {
+    return instances.get(instance).name();
+  }
+
+  /** The port on which an instance serves clients. */
+  public int port(int instance) {
+    return servers.get(instance).getPort();
+  }
+
+  /** The UDP port on which an instance receives gossip. */
+  public int gossipPort(int instance) {
+    return gossipSockets.get(instance).port();
+  }
+
+  /** The port of the metrics, if they are served. */
+  public OptionalInt metricsPort() {
+    return metricsServer.isPresent()
+        ? OptionalInt.of(metricsServer.get().port())
+        : OptionalInt.empty();
+  }
+
+  /** The metrics over all instances. */
   public Metrics metrics() {
     return metrics;
   }
 
-  /** Version of the list in force: rises with each change that could be read. */
-  public long listVersion() {
-    return lists.get(0).latest().version();
+  /** Version of the machine list in force: rises with each change that could be read. */
+  public long machineListVersion() {
+    return machineLists.get(0).latest().version();
   }
 
-  public int inHand() {
-    return instances.stream().mapToInt(GrpcSchedulerServer::inHand).sum();
+  /** Placement requests without a final response, over all instances. */
+  public int pendingRequests() {
+    return instances.stream().mapToInt(GrpcSchedulerServer::pendingRequests).sum();
   }
 
-  public int streams() {
-    return instances.stream().mapToInt(GrpcSchedulerServer::streamsOpen).sum();
+  /** Established streams to machines, over all instances. */
+  public int establishedStreams() {
+    return instances.stream().mapToInt(GrpcSchedulerServer::establishedStreams).sum();
   }
 
   /**
-   * Takes nothing new, waits till each VM in hand has its answer, then ends; false if some had none
-   * in time.
+   * Shuts down gracefully: rejects new requests, waits until each pending one has its final
+   * response, then closes. False if some had none in time.
    */
-  public boolean stop() throws InterruptedException {
-    List<CompletableFuture<Void>> done = new ArrayList<>();
-    instances.forEach(i -> done.add(i.stop(d.stopWithin)));
-    boolean all = true;
-    try {
-      CompletableFuture.allOf(done.toArray(new CompletableFuture<?>[0]))
-          .get(d.stopWithin.toMillis(), TimeUnit.MILLISECONDS);
-    } catch (TimeoutException | ExecutionException e) {
-      all = false;
-    }
-    // The last answers are written; a moment for the sockets to carry them.
-    for (Server s : servers) {
-      s.shutdown();
+  public boolean shutdown() throws InterruptedException {
+    boolean allAnswered = awaitFinalResponses();
+    // The last responses are written: a moment for the sockets to carry them.
+    servers.forEach(Server::shutdown);
+    long deadlineNanos = System.nanoTime() + RESPONSE_FLUSH_TIMEOUT.toNanos();
+    for (Server server : servers) {
+      server.awaitTermination(Math.max(1, deadlineNanos - System.nanoTime()), TimeUnit.NANOSECONDS);
     }
-    long until = System.nanoTime() + Duration.ofMillis(500).toNanos();
-    for (Server s : servers) {
-      s.awaitTermination(Math.max(1, until - System.nanoTime()), TimeUnit.NANOSECONDS);
-    }
-    LOG.atInfo().addKeyValue("answered", all).log("stopped");
+    LOG.atInfo().addKeyValue("all_answered", allAnswered).log("scheduler stopped");
     close();
-    return all;
+    return allAnswered;
+  }
+
+  private boolean awaitFinalResponses() throws InterruptedException {
+    CompletableFuture<?>[] completions =
+        instances.stream()
+            .map(instance -> instance.shutdown(settings.stopWithin))
+            .toArray(CompletableFuture<?>[]::new);
+    try {
+      CompletableFuture.allOf(completions)
+          .get(settings.stopWithin.toMillis(), TimeUnit.MILLISECONDS);
+      return true;
+    } catch (TimeoutException e) {
+      LOG.atWarn()
+          .addKeyValue("timeout", settings.stopWithin)
+          .addKeyValue("pending", pendingRequests())
+          .log("shutdown timed out with requests pending");
+      return false;
+    } catch (ExecutionException e) {
+      LOG.atError().setCause(e).log("shutdown failed");
+      return false;
+    }
   }
 
   @Override
   public void close() {
-    if (loops.isShuttingDown()) {
+    if (eventLoops.isShuttingDown()) {
       return;
     }
-    if (rules != null) {
-      rules.close();
-    }
-    lists.forEach(MachineListSource::close);
+    constraintUpdater.ifPresent(ConstraintUpdater::close);
+    machineLists.forEach(MachineListSource::close);
     servers.forEach(Server::shutdownNow);
-    instances.forEach(i -> i.loop.execute(i::close));
-    if (metricsServer != null) {
-      metricsServer.close();
-    }
-    thinker.shutdownNow();
-    loops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+    instances.forEach(GrpcSchedulerServer::close);
+    metricsServer.ifPresent(MetricsServer::close);
+    groupPlanner.shutdownNow();
+    // Daemon-like: its own two seconds are enough, and nobody waits for its end.
+    var unused = eventLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
   }
 }
--- a/src/main/java/fordridge/server/grpc/ShadowScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -1,5 +1,6 @@
 package fordridge.server.grpc;
 
+import fordridge.machine.LoadReport;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -7,7 +8,9 @@
 import fordridge.model.Vm;
 import fordridge.observability.Metrics;
 import fordridge.runtime.SchedulerInputs;
+import fordridge.scheduling.Scheduler;
 import fordridge.scheduling.SchedulerActions;
+import fordridge.session.ClientResponse;
 import fordridge.settings.DeploymentSettings;
 import fordridge.settings.SchedulerSettingsMapper;
 import java.time.Duration;
@@ -16,326 +19,374 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Function;
-import java.util.function.ToLongFunction;
 
 /**
- * A second module under the settings of a move to come. It hears what the placer's own module
- * hears, acts on nothing, and what it would have done otherwise is counted by kind: {@code machine}
- * (another machine), {@code hold} (ours placed at once, it would not), {@code place} (the other way
- * round), {@code answer} (another final answer, or one where ours placed), {@code retry_after}, and
- * what ours does not do at all: {@code probe}, {@code note}, {@code list_ask}. A VM's fate on a
- * machine is ours; where the two chose different machines it counts as if the other had taken it
- * too. So the counts tell of decisions, not of what would have come of them.
+ * A second scheduler under the settings of a planned migration: it gets the primary scheduler's
+ * inputs, acts on nothing, and what it would have decided differently is counted by kind: {@code
+ * machine} (another machine), {@code hold} (the primary placed at once, it would not), {@code
+ * place} (the other way round), {@code answer} (another final response, or one where the other
+ * placed), {@code retry_after}, and what the primary does not do at all: {@code probe}, {@code
+ * note}, {@code list_ask}, {@code move}.
+ *
+ * <p>What happens to a VM on a machine is the primary's; where the two chose different machines it
+ * counts as if the shadow's had accepted it too. So the counts compare decisions, not what would
+ * have come of them. Confined to the event loop.
  */
 final class ShadowScheduler implements SchedulerActions {
-  /** A VM as the watching module has it, and what both said of it in the end. */
-  private static final class ShadowVm {
-    final Vm real;
-    final Vm own;
-    String realAnswer;
-    String ownAnswer;
-    Duration realAdvice;
-    Duration ownAdvice;
-
-    ShadowVm(Vm real, Vm own) {
-      this.real = real;
-      this.own = own;
-    }
+  /** The scheduler that this one is compared with, and its surroundings. */
+  interface Primary {
+    /** Processes an input after a delay, behind those of now. */
+    void schedule(Duration delay, Runnable input);
+
+    /** The name of one of the primary's machines. */
+    String nameOf(Machine machine);
+
+    /** The primary's machine of that name. */
+    Machine machine(String name);
+
+    /** What the constraints say of one of the primary's VMs on one of its machines. */
+    double constraintPenalty(Vm vm, Machine machine);
+
+    /** Whether any constraint is about one of the primary's VMs. */
+    boolean isConstrained(Vm vm);
   }
 
-  private final SchedulerInputs<String> inputs;
-  private final Metrics metrics;
-  private final DeploymentSettings now;
-  private final BiConsumer<Duration, Runnable> later;
-  private final Function<Machine, String> nameOf;
-  private final Function<String, Machine> ours;
+  /** A final response without an acceptance. */
+  private record Decision(ClientResponse.Kind kind, Duration retryAfter) {}
 
-  /** Asked what customers' rules say of our VMs. */
-  private final SchedulerActions rules;
+  /** A VM as both schedulers have it, and what both decided in the end. */
+  private static final class ShadowedVm {
+    final Vm primary;
+    final Vm shadow;
+    Optional<Decision> primaryDecision = Optional.empty();
+    Optional<Decision> shadowDecision = Optional.empty();
 
-  private final Map<Vm, ShadowVm> byReal = new IdentityHashMap<>();
-  private final Map<Vm, ShadowVm> byOwn = new IdentityHashMap<>();
-  private final Map<Machine, String> names = new HashMap<>();
+    ShadowedVm(Vm primary, Vm shadow) {
+      this.primary = primary;
+      this.shadow = shadow;
+    }
+
+    /** The shadow's attempt in flight or accepted, if there is one. */
+    Optional<PlacementAttempt> shadowAttempt() {
+      return Optional.ofNullable(shadow.lastAttempt()).filter(PlacementAttempt::isInFlight);
+    }
+  }
+
+  private final DeploymentSettings primarySettings;
+  private final Metrics metrics;
+  private final Primary primary;
+  private final SchedulerInputs<String> inputs;
+  private final IdentityHashMap<Vm, ShadowedVm> byPrimary = new IdentityHashMap<>();
+  private final IdentityHashMap<Vm, ShadowedVm> byShadow = new IdentityHashMap<>();
+  private final Map<Machine, String> machineNames = new HashMap<>();
 
   ShadowScheduler(
-      DeploymentSettings now,
-      DeploymentSettings next,
+      DeploymentSettings primarySettings,
+      DeploymentSettings shadowSettings,
       int position,
       long seed,
-      ToLongFunction<String> number,
       Metrics metrics,
-      BiConsumer<Duration, Runnable> later,
-      Function<Machine, String> nameOf,
-      Function<String, Machine> ours,
-      SchedulerActions rules) {
-    this.now = now;
+      Primary primary) {
+    this.primarySettings = primarySettings;
     this.metrics = metrics;
-    this.later = later;
-    this.nameOf = nameOf;
-    this.ours = ours;
-    this.rules = rules;
-    inputs = new SchedulerInputs<>(this, number);
-    inputs.scheduler.start(seed, SchedulerSettingsMapper.of(next, position));
+    this.primary = primary;
+    inputs = new SchedulerInputs<>(this, SchedulerInputs::number);
+    inputs.scheduler.start(seed, SchedulerSettingsMapper.of(shadowSettings, position));
   }
 
-  // ---- What the placer's own module heard
-  // ------------------------------------------------------------
+  // The primary's inputs.
 
-  void at(Duration clock) {
-    inputs.scheduler.advanceTo(clock);
+  void advanceTo(Duration now) {
+    inputs.scheduler.advanceTo(now);
   }
 
-  void shared(int among) {
-    inputs.scheduler.schedulerCountChanged(among);
+  void schedulerCountChanged(int count) {
+    inputs.scheduler.schedulerCountChanged(count);
   }
 
-  void list(boolean whole, boolean old, List<SchedulerInputs.ListedMachine<String>> lines) {
-    lines.forEach(l -> names.put(inputs.machine(l.key()), l.key()));
-    inputs.list(whole, old, lines);
+  void machineListReceived(
+      boolean isSnapshot, boolean isStale, List<SchedulerInputs.ListedMachine<String>> machines) {
+    machines.forEach(listed -> machineNames.put(inputs.machine(listed.key()), listed.key()));
+    inputs.list(isSnapshot, isStale, machines);
   }
 
-  void report(String machine, double spareCores, double spareMemory, double busy, Duration at) {
-    inputs.report(inputs.machine(machine), spareCores, spareMemory, busy, at);
+  void setLoad(String machine, LoadReport report, Duration now) {
+    inputs.report(
+        inputs.machine(machine),
+        report.spareCores(),
+        report.spareMemory(),
+        report.utilization(),
+        now);
   }
 
-  void reported(String machine) {
-    inputs.scheduler.loadReported(machine == null ? null : inputs.machine(machine));
+  void loadReported(String machine) {
+    inputs.scheduler.loadReported(inputs.machine(machine));
   }
 
-  void heard(String note) {
-    inputs.scheduler.gossipReceived(note);
+  void capacityMayHaveChanged() {
+    inputs.scheduler.loadReported(null);
   }
 
-  void stops() {
-    inputs.scheduler.shutdownStarted();
+  void gossipReceived(String message) {
+    inputs.scheduler.gossipReceived(message);
   }
 
-  void probed(String machine, boolean ok, Duration took) {
-    inputs.scheduler.probeCompleted(inputs.machine(machine), ok, ok, took);
+  void shutdownStarted() {
+    inputs.scheduler.shutdownStarted();
   }
 
-  private ShadowVm twin(Vm real) {
-    Vm own = new Vm(real.id);
-    own.priorityClass = real.priorityClass;
-    own.tenant = real.tenant;
-    own.service = real.service;
-    own.cores = real.cores;
-    own.memory = real.memory;
-    own.isClientRetry = real.isClientRetry;
-    own.arrivedAt = real.arrivedAt;
-    own.deadline = real.deadline;
-    own.expectedLifetime = real.expectedLifetime;
-    ShadowVm t = new ShadowVm(real, own);
-    byReal.put(real, t);
-    byOwn.put(own, t);
-    inputs.add(own);
-    return t;
+  void probeCompleted(String machine, boolean isHealthy, Duration roundTrip) {
+    inputs.scheduler.probeCompleted(inputs.machine(machine), isHealthy, isHealthy, roundTrip);
   }
 
-  void runsAlready(Vm real, String machine) {
-    inputs.scheduler.vmAdopted(twin(real).own, inputs.machine(machine));
+  void vmAdopted(Vm vm, String machine) {
+    inputs.scheduler.vmAdopted(shadowOf(vm).shadow, inputs.machine(machine));
   }
 
-  /** A new VM, before ours decides on it: what rules allow is as ours will find it. */
-  void arrives(Vm real) {
-    inputs.scheduler.vmRequested(twin(real).own);
+  /** A new VM, before the primary decides: the constraints are as the primary will find them. */
+  void vmRequested(Vm vm) {
+    inputs.scheduler.vmRequested(shadowOf(vm).shadow);
   }
 
-  /** Ours has decided: what both did at once is compared. */
-  void arrived(Vm real) {
-    ShadowVm t = byReal.get(real);
-    if (t == null) {
+  /** The primary has decided on a new VM: what both did at once is compared. */
+  void vmDecided(Vm vm) {
+    ShadowedVm shadowed = byPrimary.get(vm);
+    if (shadowed == null) {
       return;
     }
-    Vm own = t.own;
-    if (real.attempts.isEmpty() != own.attempts.isEmpty()) {
-      metrics.otherwise(own.attempts.isEmpty() ? "hold" : "place");
-    } else if (!own.attempts.isEmpty()
-        && !Objects.equals(
-            nameOf.apply(real.attempts.get(0).machine), names.get(own.attempts.get(0).machine))) {
+    Vm shadow = shadowed.shadow;
+    if (vm.attempts.isEmpty() != shadow.attempts.isEmpty()) {
+      metrics.otherwise(shadow.attempts.isEmpty() ? "hold" : "place");
+    } else if (!shadow.attempts.isEmpty()
+        && !isSameMachine(vm.attempts.get(0), shadow.attempts.get(0))) {
       metrics.otherwise("machine");
     }
   }
 
-  void bound(Vm real) {
-    ShadowVm t = byReal.get(real);
-    PlacementAttempt own = t == null ? null : out(t);
-    if (own != null && own.acceptedAt == null) {
-      inputs.scheduler.attemptAccepted(own);
+  void vmAccepted(Vm vm) {
+    ShadowedVm shadowed = byPrimary.get(vm);
+    if (shadowed != null) {
+      shadowed.shadowAttempt().ifPresent(this::acceptIfUnanswered);
     }
   }
 
-  /** A note on a VM that runs. */
-  void told(Vm real, BiConsumer<fordridge.scheduling.Scheduler, PlacementAttempt> what) {
-    ShadowVm t = byReal.get(real);
-    if (t != null && t.own.acceptedAttempt != null && t.own.acceptedAttempt.isInFlight()) {
-      what.accept(inputs.scheduler, t.own.acceptedAttempt);
+  /** A report on a running VM; {@code input} is the scheduler's input for it. */
+  void vmReported(Vm vm, BiConsumer<Scheduler, PlacementAttempt> input) {
+    ShadowedVm shadowed = byPrimary.get(vm);
+    if (shadowed == null) {
+      return;
+    }
+    PlacementAttempt accepted = shadowed.shadow.acceptedAttempt;
+    if (accepted != null && accepted.isInFlight()) {
+      input.accept(inputs.scheduler, accepted);
     }
   }
 
-  void ended(PlacementAttempt real, Outcome end, OutcomeReason why, boolean over) {
-    ShadowVm t = byReal.get(real.vm);
-    if (t == null) {
+  void attemptEnded(
+      PlacementAttempt attempt, Outcome outcome, OutcomeReason reason, boolean wasAccepted) {
+    ShadowedVm shadowed = byPrimary.get(attempt.vm);
+    if (shadowed == null) {
       return;
     }
-    PlacementAttempt own = out(t);
-    boolean sameMachine =
-        own != null && Objects.equals(nameOf.apply(real.machine), names.get(own.machine));
-    if (own != null && (over || sameMachine)) {
-      inputs.scheduler.attemptEnded(own, end, why, over);
-    } else if (own != null && own.acceptedAt == null) {
-      inputs.scheduler.attemptAccepted(own);
+    Optional<PlacementAttempt> own = shadowed.shadowAttempt();
+    if (own.isPresent()) {
+      if (wasAccepted || isSameMachine(attempt, own.get())) {
+        inputs.scheduler.attemptEnded(own.get(), outcome, reason, wasAccepted);
+      } else {
+        acceptIfUnanswered(own.get());
+      }
     }
-    if (over) {
-      drop(t);
+    if (wasAccepted) {
+      drop(shadowed);
     }
   }
 
-  void left(Vm real) {
-    ShadowVm t = byReal.get(real);
-    if (t != null) {
-      PlacementAttempt own = out(t);
-      inputs.scheduler.clientLeft(t.own);
-      if (own != null) {
-        inputs.scheduler.attemptEnded(own, Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, true);
-      }
-      drop(t);
+  void clientLeft(Vm vm) {
+    ShadowedVm shadowed = byPrimary.get(vm);
+    if (shadowed == null) {
+      return;
+    }
+    Optional<PlacementAttempt> attempt = shadowed.shadowAttempt();
+    inputs.scheduler.clientLeft(shadowed.shadow);
+    attempt.ifPresent(
+        own ->
+            inputs.scheduler.attemptEnded(own, Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, true));
+    drop(shadowed);
+  }
+
+  /** The primary rejected the VM. */
+  void vmRejected(Vm vm, Duration retryAfter) {
+    primaryDecided(vm, new Decision(ClientResponse.Kind.REJECTED, retryAfter));
+  }
+
+  /** The primary failed the VM. */
+  void vmFailed(Vm vm) {
+    primaryDecided(vm, new Decision(ClientResponse.Kind.FAILED, Duration.ZERO));
+  }
+
+  private ShadowedVm shadowOf(Vm vm) {
+    Vm shadow = new Vm(vm.id);
+    shadow.priorityClass = vm.priorityClass;
+    shadow.tenant = vm.tenant;
+    shadow.service = vm.service;
+    shadow.cores = vm.cores;
+    shadow.memory = vm.memory;
+    shadow.isClientRetry = vm.isClientRetry;
+    shadow.arrivedAt = vm.arrivedAt;
+    shadow.deadline = vm.deadline;
+    shadow.expectedLifetime = vm.expectedLifetime;
+    ShadowedVm shadowed = new ShadowedVm(vm, shadow);
+    byPrimary.put(vm, shadowed);
+    byShadow.put(shadow, shadowed);
+    inputs.add(shadow);
+    return shadowed;
+  }
+
+  private boolean isSameMachine(PlacementAttempt primaryAttempt, PlacementAttempt shadowAttempt) {
+    return Objects.equals(
+        primary.nameOf(primaryAttempt.machine), machineNames.get(shadowAttempt.machine));
+  }
+
+  private void acceptIfUnanswered(PlacementAttempt attempt) {
+    if (attempt.acceptedAt == null) {
+      inputs.scheduler.attemptAccepted(attempt);
     }
   }
 
-  /** Ours gave its final answer without a bind. */
-  void answered(Vm real, String how, Duration advice) {
-    ShadowVm t = byReal.get(real);
-    if (t != null) {
-      t.realAnswer = how;
-      t.realAdvice = advice;
-      compare(t);
+  private void primaryDecided(Vm vm, Decision decision) {
+    ShadowedVm shadowed = byPrimary.get(vm);
+    if (shadowed != null) {
+      shadowed.primaryDecision = Optional.of(decision);
+      compare(shadowed);
     }
   }
 
-  private void compare(ShadowVm t) {
-    if (t.realAnswer == null && t.ownAnswer == null || !byReal.containsKey(t.real)) {
+  private void compare(ShadowedVm shadowed) {
+    Optional<Decision> ours = shadowed.primaryDecision;
+    Optional<Decision> shadows = shadowed.shadowDecision;
+    if ((ours.isEmpty() && shadows.isEmpty()) || !byPrimary.containsKey(shadowed.primary)) {
       return;
     }
-    boolean ownPlaced = t.ownAnswer == null && out(t) != null;
-    boolean realPlaced = t.realAnswer == null && t.real.inFlightAttempts() > 0;
-    if (ownPlaced || realPlaced) {
+    boolean shadowPlaced = shadows.isEmpty() && shadowed.shadowAttempt().isPresent();
+    boolean primaryPlaced = ours.isEmpty() && shadowed.primary.inFlightAttempts() > 0;
+    if (shadowPlaced || primaryPlaced) {
       metrics.otherwise("answer");
-      left(t.real);
-    } else if (t.realAnswer != null && t.ownAnswer != null) {
-      if (!t.realAnswer.equals(t.ownAnswer)) {
-        metrics.otherwise("answer");
-      } else if (!t.realAdvice.equals(t.ownAdvice)) {
-        metrics.otherwise("retry_after");
-      }
-      drop(t);
+      clientLeft(shadowed.primary);
+    } else if (ours.isPresent() && shadows.isPresent()) {
+      compareDecisions(ours.get(), shadows.get());
+      drop(shadowed);
     }
   }
 
-  private static PlacementAttempt out(ShadowVm t) {
-    PlacementAttempt last = t.own.lastAttempt();
-    return last != null && last.isInFlight() ? last : null;
+  private void compareDecisions(Decision ours, Decision shadows) {
+    if (ours.kind() != shadows.kind()) {
+      metrics.otherwise("answer");
+    } else if (!ours.retryAfter().equals(shadows.retryAfter())) {
+      metrics.otherwise("retry_after");
+    }
   }
 
-  private void drop(ShadowVm t) {
-    if (out(t) == null && !t.own.isFinished) {
-      inputs.scheduler.clientLeft(t.own);
+  private void drop(ShadowedVm shadowed) {
+    if (shadowed.shadowAttempt().isEmpty() && !shadowed.shadow.isFinished) {
+      inputs.scheduler.clientLeft(shadowed.shadow);
     }
-    byReal.remove(t.real);
-    byOwn.remove(t.own);
-    inputs.forget(t.own);
+    byPrimary.remove(shadowed.primary);
+    byShadow.remove(shadowed.shadow);
+    inputs.forget(shadowed.shadow);
   }
 
-  // ---- What this one would do: nothing of it is done
-  // ------------------------------------------------
+  // What this scheduler would do: nothing of it is done.
 
   @Override
-  public void sendAttempt(PlacementAttempt c, Duration within) {
-    ShadowVm t = byOwn.get(c.vm);
-    if (t != null && t.realAnswer != null) {
-      later.accept(Duration.ZERO, () -> compare(t));
+  public void sendAttempt(PlacementAttempt attempt, Duration within) {
+    ShadowedVm shadowed = byShadow.get(attempt.vm);
+    if (shadowed != null && shadowed.primaryDecision.isPresent()) {
+      primary.schedule(Duration.ZERO, () -> compare(shadowed));
     }
   }
 
   @Override
-  public void reject(Vm own, Duration retryAfter) {
-    answers(own, "denied", retryAfter);
+  public void reject(Vm vm, Duration retryAfter) {
+    shadowDecided(vm, new Decision(ClientResponse.Kind.REJECTED, retryAfter));
   }
 
   @Override
-  public void fail(Vm own) {
-    answers(own, "errored", Duration.ZERO);
+  public void fail(Vm vm) {
+    shadowDecided(vm, new Decision(ClientResponse.Kind.FAILED, Duration.ZERO));
   }
 
-  private void answers(Vm own, String how, Duration advice) {
-    ShadowVm t = byOwn.get(own);
-    if (t != null) {
-      t.ownAnswer = how;
-      t.ownAdvice = advice;
-      later.accept(Duration.ZERO, () -> compare(t));
+  private void shadowDecided(Vm vm, Decision decision) {
+    ShadowedVm shadowed = byShadow.get(vm);
+    if (shadowed != null) {
+      shadowed.shadowDecision = Optional.of(decision);
+      primary.schedule(Duration.ZERO, () -> compare(shadowed));
     }
   }
 
   @Override
-  public void migrate(Vm own) {
+  public void migrate(Vm vm) {
     metrics.otherwise("move");
   }
 
-  /** Customers' rules speak to both alike. */
+  /** Tenants' constraints hold for both alike. */
   @Override
-  public double constraintPenalty(Vm own, Machine m) {
-    ShadowVm t = byOwn.get(own);
-    return t == null ? 0 : rules.constraintPenalty(t.real, ours.apply(names.get(m)));
+  public double constraintPenalty(Vm vm, Machine machine) {
+    ShadowedVm shadowed = byShadow.get(vm);
+    return shadowed == null
+        ? 0
+        : primary.constraintPenalty(shadowed.primary, primary.machine(machineNames.get(machine)));
   }
 
   @Override
-  public boolean isConstrained(Vm own) {
-    ShadowVm t = byOwn.get(own);
-    return t != null && rules.isConstrained(t.real);
+  public boolean isConstrained(Vm vm) {
+    ShadowedVm shadowed = byShadow.get(vm);
+    return shadowed != null && primary.isConstrained(shadowed.primary);
   }
 
   @Override
-  public void cancelAttempt(PlacementAttempt c) {}
+  public void cancelAttempt(PlacementAttempt attempt) {}
 
   @Override
-  public void probe(Machine m) {
-    // Ours may ask in the same input, behind this; then its answer is this one's too.
-    later.accept(
-        Duration.ZERO,
-        () -> {
-          if (!ours.apply(names.get(m)).probing) {
-            metrics.otherwise("probe");
-            // Nobody was asked: it is told neither of trouble nor of a report, and may ask again.
-            later.accept(
-                now.connectTimeout,
-                () -> inputs.scheduler.probeCompleted(m, true, false, now.connectTimeout));
-          }
-        });
+  public void probe(Machine machine) {
+    // The primary may probe in the same input, behind this; then its answer is this one's too.
+    primary.schedule(Duration.ZERO, () -> answerProbeUnlessPrimaryProbes(machine));
+  }
+
+  private void answerProbeUnlessPrimaryProbes(Machine machine) {
+    if (primary.machine(machineNames.get(machine)).probing) {
+      return;
+    }
+    metrics.otherwise("probe");
+    // No machine was probed: the shadow gets neither a fault nor a load report, and may probe
+    // again.
+    Duration roundTrip = primarySettings.connectTimeout;
+    primary.schedule(
+        roundTrip, () -> inputs.scheduler.probeCompleted(machine, true, false, roundTrip));
   }
 
   @Override
-  public void gossip(String note) {
-    if (!now.notes) {
+  public void gossip(String message) {
+    if (!primarySettings.notes) {
       metrics.otherwise("note");
     }
   }
 
   @Override
-  public void scheduleTimer(Duration in) {
-    later.accept(in, inputs.scheduler::timerFired);
+  public void scheduleTimer(Duration delay) {
+    primary.schedule(delay, inputs.scheduler::timerFired);
   }
 
   @Override
   public void log(String line) {}
 
   @Override
-  public void watchMachineList(boolean on) {
-    if (now.listComes.equals("push")) {
+  public void watchMachineList(boolean isWanted) {
+    if (primarySettings.listComes.equals("push")) {
       metrics.otherwise("list_ask");
     }
-    later.accept(Duration.ZERO, () -> inputs.list(false, false, List.of()));
+    primary.schedule(Duration.ZERO, () -> inputs.list(false, false, List.of()));
   }
 
   @Override
--- a/src/main/java/fordridge/session/ClientResponse.java
+++ b/src/main/java/fordridge/session/ClientResponse.java
@@ -8,65 +8,60 @@
  * Terminated} may follow an acceptance.
  */
 public sealed interface ClientResponse {
+  /** The kinds of responses, one for each record. */
+  enum Kind {
+    ACCEPTED,
+    REJECTED,
+    FAILED,
+    TERMINATED
+  }
+
   /** The VM's name as its client knows it. */
   String vm();
 
+  /** Which of the records it is. */
+  Kind kind();
+
   /** Whether this is the one response that settles the placement request. */
-  boolean isFinal();
+  default boolean isFinal() {
+    return kind() != Kind.TERMINATED;
+  }
 
   /** Whether nothing more is sent about the VM after this. */
-  boolean isLast();
+  default boolean isLast() {
+    return kind() != Kind.ACCEPTED;
+  }
 
   /** The VM runs, or is accepted by a machine, by the placement attempt of the given number. */
   record Accepted(String vm, String machine, int attemptNumber, Duration startLatency)
       implements ClientResponse {
     @Override
-    public boolean isFinal() {
-      return true;
-    }
-
-    @Override
-    public boolean isLast() {
-      return false;
+    public Kind kind() {
+      return Kind.ACCEPTED;
     }
   }
 
   /** The VM does not run, and a retry does no harm; a zero {@code retryAfter} gives no advice. */
   record Rejected(String vm, Duration retryAfter, String reason) implements ClientResponse {
     @Override
-    public boolean isFinal() {
-      return true;
-    }
-
-    @Override
-    public boolean isLast() {
-      return true;
+    public Kind kind() {
+      return Kind.REJECTED;
     }
   }
 
   /** The outcome is unknown: the VM may have run. */
   record Failed(String vm, String reason) implements ClientResponse {
     @Override
-    public boolean isFinal() {
-      return true;
-    }
-
-    @Override
-    public boolean isLast() {
-      return true;
+    public Kind kind() {
+      return Kind.FAILED;
     }
   }
 
   /** A VM that was accepted runs no longer. */
   record Terminated(String vm, TerminationCause cause) implements ClientResponse {
     @Override
-    public boolean isFinal() {
-      return false;
-    }
-
-    @Override
-    public boolean isLast() {
-      return true;
+    public Kind kind() {
+      return Kind.TERMINATED;
     }
   }
 
@@ -74,7 +69,7 @@
   enum TerminationCause {
     /** It ran to its end, or its client stopped it. */
     COMPLETED,
-    /** Its machine ran out of memory or violated a limit and gave it up. */
+    /** Its machine gave it up for lack of capacity. */
     EVICTED,
     /** Its machine gave its place to a VM of a higher priority. */
     PREEMPTED,
--- a/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
+++ b/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
@@ -12,35 +12,37 @@
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
 
-/** What happens between a group being whole and its plan being known. */
+/** What happens between a group's last member being requested and its plan being computed. */
 class GroupPlacementTest {
-  private final Deque<Consumer<GroupPlan>> thinking = new ArrayDeque<>();
-  private final List<String> done = new ArrayList<>();
+  private static final GroupCoordinator.GroupId GROUP = new GroupCoordinator.GroupId("c", "g");
+
+  private final Deque<Consumer<GroupPlan>> pendingPlans = new ArrayDeque<>();
+  private final List<String> actions = new ArrayList<>();
   private final GroupCoordinator groups =
       new GroupCoordinator(
           new GroupCoordinator.Actions() {
             @Override
-            public void plan(List<Vm> members, Consumer<GroupPlan> then) {
-              thinking.add(then);
+            public void plan(List<Vm> members, Consumer<GroupPlan> listener) {
+              pendingPlans.add(listener);
             }
 
             @Override
-            public void arrive(Vm vm) {
-              done.add("place " + vm.id);
+            public void schedule(Vm vm) {
+              actions.add("place " + vm.id);
             }
 
             @Override
-            public void say(Vm vm, ClientResponse answer) {
-              done.add(answer.getClass().getSimpleName() + " " + vm.id);
+            public void respond(Vm vm, ClientResponse response) {
+              actions.add(response.kind() + " " + vm.id);
             }
 
             @Override
             public void stop(Vm vm) {
-              done.add("stop " + vm.id);
+              actions.add("stop " + vm.id);
             }
 
             @Override
-            public boolean callOff(Vm vm) {
+            public boolean cancel(Vm vm) {
               return false;
             }
 
@@ -50,7 +52,7 @@
             }
 
             @Override
-            public String owned(Vm vm) {
+            public String nameAtClient(Vm vm) {
               return vm.id;
             }
           });
@@ -61,31 +63,31 @@
 
   private Vm join(String id) {
     Vm vm = new Vm(id);
-    assertThat(groups.join(vm, "c", "g", 2, false)).isNull();
+    assertThat(groups.join(vm, GROUP, 2, false)).isEmpty();
     return vm;
   }
 
   @Example
-  void aChangeWhileItIsThoughtAboutHasItThoughtAboutAnew() {
+  void aPlanOutdatedByAChangeIsComputedAgain() {
     join("a");
     join("b");
-    groups.letGoOfPlans();
-    thinking.remove().accept(GroupPlan.free(List.of("a", "b")));
-    assertThat(done).isEmpty();
-    thinking.remove().accept(GroupPlan.free(List.of("b", "a")));
-    assertThat(done).containsExactly("place b", "place a");
+    groups.discardPlans();
+    pendingPlans.remove().accept(GroupPlan.free(List.of("a", "b")));
+    assertThat(actions).isEmpty();
+    pendingPlans.remove().accept(GroupPlan.free(List.of("b", "a")));
+    assertThat(actions).containsExactly("place b", "place a");
   }
 
   @Example
-  void aGroupThatEndedMeanwhileStaysEnded() {
+  void aPlanComputedForAnEndedGroupIsNotUsedForANewOneOfItsName() {
     Vm a = join("a");
     Vm b = join("b");
-    groups.due(a);
-    assertThat(done).containsExactly("Rejected a", "Rejected b");
-    assertThat(groups.of(b)).isNull();
+    groups.formationTimedOut(a);
+    assertThat(actions).containsExactly("REJECTED a", "REJECTED b");
+    assertThat(groups.isMember(b)).isFalse();
     join("a");
-    Consumer<GroupPlan> old = thinking.remove();
-    old.accept(GroupPlan.free(List.of("a", "b")));
-    assertThat(done).as("its name was used again: the old plan is not the new group's").hasSize(2);
+    Consumer<GroupPlan> outdated = pendingPlans.remove();
+    outdated.accept(GroupPlan.free(List.of("a", "b")));
+    assertThat(actions).as("the outdated plan is not the new group's").hasSize(2);
   }
 }
--- a/src/test/java/fordridge/server/grpc/GrpcServerTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcServerTest.java
@@ -215,7 +215,7 @@
       m.holds(ClaimName.newBuilder().setVm("c/old").setNumber(1).build(), Held.State.RUNNING);
       p.place("");
       until(() -> m.streams == 1);
-      until(() -> p.program.streams() == 1);
+      until(() -> p.program.establishedStreams() == 1);
       ClientPeer c = p.client("c").open(true).hello().want("old", "once");
       until(() -> c.count(BodyCase.BOUND) == 1);
       assertThat(m.offers).isEmpty();
@@ -276,7 +276,7 @@
       ClientPeer c = p.client("c").open(true).hello().want("first", "safe");
       until(() -> c.count(BodyCase.BOUND) == 1);
       p.list("m0 draining");
-      until(() -> p.program.listVersion() > 1);
+      until(() -> p.program.machineListVersion() > 1);
       int before = p.machines.get(0).offers.size();
       for (int i = 0; i < 20; i++) {
         c.want("v" + i, "safe");
@@ -329,7 +329,7 @@
           "{ name = mute, address = \"127.0.0.1:"
               + mute.getLocalPort()
               + "\", kind = k, state = live, free_cores = 500, free_memory = 500 }");
-      until(() -> p.program.listVersion() > 1);
+      until(() -> p.program.machineListVersion() > 1);
       ClientPeer c = p.client("c").open(true).hello();
       for (int i = 0; i < 10; i++) {
         c.want("v" + i, "once");
@@ -439,8 +439,8 @@
                       .setWant(fordridge.v1.Want.newBuilder().setCores(999))
                       .build())
               .build());
-      until(() -> p.program.inHand() == 2);
-      assertThat(p.program.stop()).isTrue();
+      until(() -> p.program.pendingRequests() == 2);
+      assertThat(p.program.shutdown()).isTrue();
       until(() -> c.count(BodyCase.ERRORED) + c.count(BodyCase.DENIED) == 2);
       assertThat(c.count(BodyCase.DENIED)).as("what never went out is denied").isEqualTo(1);
     }
@@ -640,7 +640,7 @@
       c.wantTogether("g", 3, "a", "safe").wantTogether("g", 3, "b", "once").want("alone", "safe");
       until(() -> c.count(BodyCase.BOUND) == 1);
       long from = System.nanoTime();
-      assertThat(p.program.stop()).isTrue();
+      assertThat(p.program.shutdown()).isTrue();
       until(() -> c.count(BodyCase.DENIED) == 2);
       assertThat(System.nanoTime() - from)
           .as("well before their own time is up")
@@ -792,9 +792,9 @@
           new java.io.File(p.folder, "list.conf").toPath(), "version = 1\nmachines = [{\n");
       ClientPeer c = p.client("c").open(true).hello().want("v", "safe");
       until(() -> c.count(BodyCase.BOUND) == 1);
-      assertThat(p.program.listVersion()).isEqualTo(1);
+      assertThat(p.program.machineListVersion()).isEqualTo(1);
       p.list("m0 gone");
-      until(() -> p.program.listVersion() == 2);
+      until(() -> p.program.machineListVersion() == 2);
     }
   }
 
@@ -847,7 +847,7 @@
               + other.getLocalPort()
               + "\"] }\n"
               + "cluster { notes = true, settle = 60s }");
-      InetSocketAddress to = new InetSocketAddress("127.0.0.1", p.program.notesPort(0));
+      InetSocketAddress to = new InetSocketAddress("127.0.0.1", p.program.gossipPort(0));
       ClientPeer c = p.client("c").open(true).hello();
       c.want("v", "safe");
       until(() -> c.count(BodyCase.BOUND) == 1);
@@ -921,7 +921,7 @@
       MachinePeer m = p.machines.get(0);
       m.holds(ClaimName.newBuilder().setVm("c/old").setNumber(1).build(), Held.State.RUNNING);
       p.place("watch.terms = next.conf\nconstraints.file = rules.txt");
-      until(() -> p.program.streams() > 0 && m.streams == 1);
+      until(() -> p.program.establishedStreams() > 0 && m.streams == 1);
       ClientPeer c = p.client("c").open(true).hello().want("old", "once");
       until(() -> c.count(BodyCase.BOUND) == 1);
       for (int i = 0; i < 9; i++) {
