--- a/src/main/java/fordridge/grpc/ProtoConversions.java
+++ b/src/main/java/fordridge/grpc/ProtoConversions.java
@@ -65,7 +65,7 @@
   static Outcome end(Finished f) {
     return switch (f.getHow()) {
       case DONE -> Outcome.DONE;
-      case CANCELLED -> f.getRan() ? Outcome.CANCELLED : Outcome.MOOT;
+      case CANCELLED -> f.getRan() ? Outcome.CANCELLED : Outcome.NOT_SENT;
       case EVICTED, PUSHED_OUT, SENT_AWAY -> f.getRan() ? Outcome.RESET : Outcome.FULL;
       default -> Outcome.ERROR;
     };
--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -243,7 +243,7 @@
     return switch (cause) {
       case 34 -> Outcome.FULL;
       case 47 -> Outcome.ERROR;
-      case 102 -> Outcome.MOOT;
+      case 102 -> Outcome.NOT_SENT;
       default -> Outcome.RESET;
     };
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -188,13 +188,13 @@
    */
   public void offer(PlacementAttempt attempt, Duration within, boolean again, Duration now) {
     if (gone || draining) {
-      fate.ended(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      fate.ended(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
       return;
     }
     Connection s = free(again, now);
     if (s == null) {
       // Every descriptor is taken: not sent at all.
-      fate.ended(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      fate.ended(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
       return;
     }
     PlacementRequest u = new PlacementRequest(attempt, now.plus(within));
@@ -226,7 +226,7 @@
       }
     }
     if (attempt.isInFlight() && attempt.acceptedAt == null) {
-      fate.ended(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      fate.ended(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     }
   }
 
@@ -277,7 +277,7 @@
       for (Connection s : List.copyOf(connections)) {
         if (s.stage == Connection.Stage.OPENING) {
           for (PlacementRequest u : takeAll(s)) {
-            fate.ended(u.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+            fate.ended(u.attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
           }
         }
       }
--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -1,10 +1,10 @@
 package fordridge.machine;
 
+import fordridge.model.Durations;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.SchedulerSettings;
 import fordridge.model.SeededRandom;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -248,7 +248,7 @@
   public void drains() {
     for (Entry e : List.copyOf(queue)) {
       drop(e);
-      fate.ended(e.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      fate.ended(e.attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     }
   }
 
@@ -364,7 +364,8 @@
     } else if (e.stage != Stage.ABANDONED) {
       // It remembers what it took in since its start: the offer never reached it, unless it started
       // anew.
-      fate.ended(e.attempt, restarted ? Outcome.RESET : Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      fate.ended(
+          e.attempt, restarted ? Outcome.RESET : Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     }
   }
 
@@ -583,13 +584,13 @@
 
   /** Doubles with each failure from the least to the most, drawn from its upper half. */
   private Duration wait(int after) {
-    double most = SchedulerSettings.seconds(connectionTimeouts.retryMost);
+    double most = Durations.toSeconds(connectionTimeouts.retryMost);
     double full =
         Math.min(
             most,
-            SchedulerSettings.seconds(connectionTimeouts.retryLeast)
+            Durations.toSeconds(connectionTimeouts.retryLeast)
                 * Math.pow(2, Math.min(after - 1, 30)));
-    return SchedulerSettings.seconds(full * (0.5 + chance.next() / 2));
+    return Durations.ofSeconds(full * (0.5 + chance.next() / 2));
   }
 
   private static Duration min(Duration a, Duration b) {
--- a/src/main/java/fordridge/model/Machine.java
+++ b/src/main/java/fordridge/model/Machine.java
@@ -95,7 +95,7 @@
   public final Set<PlacementAttempt> hostedAttempts = new LinkedHashSet<>();
   public final Map<Long, HostedService> programs = new HashMap<>();
   public Duration ejectedUntil = Duration.ZERO;
-  public final Map<String, RejectionBackoff> refusals = new HashMap<>();
+  public final Map<TenantClass, RejectionBackoff> refusals = new HashMap<>();
   public Duration lastAttemptAt;
 
   /** Room found for the VM that is being placed. */
@@ -110,14 +110,4 @@
   public Machine(long id) {
     this.id = id;
   }
-
-  /** Whether both stand in one place of that kind. */
-  public boolean together(String place, Machine other) {
-    return switch (place) {
-      case "all" -> true;
-      case "zone" -> zone.equals(other.zone);
-      case "machine" -> this == other;
-      default -> cell == other.cell;
-    };
-  }
 }
--- a/src/main/java/fordridge/model/PlacementAttempt.java
+++ b/src/main/java/fordridge/model/PlacementAttempt.java
@@ -4,16 +4,35 @@
 
 /** One offer of a VM to a machine, from its sending to its outcome. */
 public final class PlacementAttempt {
-  /** How a claim ended. */
+  /** How an attempt ended. */
   public enum Outcome {
-    DONE,
-    ERROR,
-    FULL,
-    TIMEOUT,
-    UNREACHABLE,
-    RESET,
-    CANCELLED,
-    MOOT
+    /** The VM ran to its end. */
+    DONE("done"),
+    /** The machine failed to start it; it may have run. */
+    ERROR("error"),
+    /** The machine rejected it; it never ran. */
+    FULL("full"),
+    /** No response within the attempt's timeout; it may run. */
+    TIMEOUT("timeout"),
+    /** No connection to the machine; it never ran. */
+    UNREACHABLE("unreachable"),
+    /** The connection or the VM was lost; it may have run. */
+    RESET("reset"),
+    /** Cancelled by the scheduler or stopped by its client. */
+    CANCELLED("cancelled"),
+    /** Ended before it was sent; it never ran. */
+    NOT_SENT("moot");
+
+    private final String metricTag;
+
+    Outcome(String metricTag) {
+      this.metricTag = metricTag;
+    }
+
+    /** The value of the tag {@code kind} of the counter of outcomes, which stays as it is. */
+    public String metricTag() {
+      return metricTag;
+    }
   }
 
   /** Why it ended so, where the machine says. */
@@ -50,7 +69,7 @@
 
   /** Its outcome proves that it never ran. */
   public boolean hasNeverRun() {
-    return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.MOOT;
+    return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
   }
 
   public boolean isInFlight() {
--- a/src/main/java/fordridge/model/SchedulerSettings.java
+++ b/src/main/java/fordridge/model/SchedulerSettings.java
@@ -2,78 +2,114 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 
 /**
- * What was read at start, by name, nested names joined by dots; and spans of time. It only reads.
+ * Everything that a deployment tells the scheduler, typed and complete.
+ *
+ * @param schedulerCount schedulers that share the cluster, this one among them
+ * @param position this scheduler's number among them, from 0
+ * @param zone the zone that this scheduler is in
+ * @param machineKinds the kinds of machine with their sizes
+ * @param priorityClasses at least one
+ * @param tenants names of the tenants; one empty name where there are none
+ * @param detectionTimeout after this long a fault, or a change at a machine, counts as known
  */
-public final class SchedulerSettings {
-  private final Map<String, Object> values;
+public record SchedulerSettings(
+    double schedulerCount,
+    long position,
+    String zone,
+    List<MachineKind> machineKinds,
+    List<PriorityClass> priorityClasses,
+    List<String> tenants,
+    Duration detectionTimeout,
+    Capacity capacity,
+    Discovery discovery,
+    Attempts attempts,
+    SlowStart slowStart,
+    Monitoring monitoring,
+    Prices prices) {
 
-  public SchedulerSettings(Map<String, Object> values) {
-    this.values = values;
+  /** What an accepted attempt proves. */
+  public enum AcceptanceMode {
+    /** A machine accepts a VM when it runs. */
+    RUNNING,
+    /** A machine accepts a VM when it is admitted; that it runs is reported later. */
+    ADMITTED
   }
 
-  /** Nested names joined by dots; a list of objects becomes its length and numbered names. */
-  public static void flatten(String prefix, Map<String, Object> from, Map<String, Object> into) {
-    for (Map.Entry<String, Object> e : from.entrySet()) {
-      flatten(prefix + e.getKey(), e.getValue(), into);
-    }
+  /** What load reports count. */
+  public enum LoadReportBasis {
+    USED,
+    REQUESTED
   }
 
-  @SuppressWarnings("unchecked")
-  private static void flatten(String name, Object value, Map<String, Object> into) {
-    if (value instanceof Map) {
-      flatten(name + ".", (Map<String, Object>) value, into);
-    } else if (value instanceof List<?> list && !list.isEmpty() && list.get(0) instanceof Map) {
-      into.put(name, (long) list.size());
-      for (int i = 0; i < list.size(); i++) {
-        flatten(name + "." + i, list.get(i), into);
-      }
-    } else if (value != null) {
-      into.put(name, value);
-    }
+  /** How load reports come. */
+  public enum LoadReportMode {
+    OFF,
+    WITH_RESPONSES,
+    WITH_PROBES
   }
 
-  public double num(String name, double absent) {
-    return values.get(name) instanceof Number n ? n.doubleValue() : absent;
+  /** How the machine list comes. */
+  public enum DiscoveryMode {
+    /** It is sent unasked. */
+    PUSH,
+    /** It must be watched. */
+    WATCH
   }
 
-  public boolean flag(String name, boolean absent) {
-    return values.get(name) instanceof Boolean b ? b : absent;
-  }
-
-  public String text(String name, String absent) {
-    return values.get(name) instanceof String s ? s : absent;
-  }
-
-  public List<?> list(String name) {
-    return values.get(name) instanceof List<?> l ? l : List.of();
-  }
+  /**
+   * What machines accept and report.
+   *
+   * @param acceptedCoresFactor requested cores that a machine accepts, as a multiple of its size
+   * @param acceptedMemoryFactor the same of memory
+   * @param listsFreeCapacity whether the machine list has the free capacity of each machine
+   * @param reportBasis what load reports count
+   * @param meanVmCores cores that a VM requests on average
+   */
+  public record Capacity(
+      double acceptedCoresFactor,
+      double acceptedMemoryFactor,
+      boolean listsFreeCapacity,
+      LoadReportBasis reportBasis,
+      double meanVmCores) {}
 
-  public double item(String name, int i, double absent) {
-    return i < list(name).size() && list(name).get(i) instanceof Number n
-        ? n.doubleValue()
-        : absent;
-  }
+  /**
+   * The machine list.
+   *
+   * @param pollInterval a list must be fetched within this span to count as current
+   */
+  public record Discovery(DiscoveryMode mode, Duration pollInterval) {}
 
-  public Duration micros(String name, double absent) {
-    return Duration.ofNanos((long) (num(name, absent) * 1000));
-  }
+  /**
+   * Attempts and final responses.
+   *
+   * @param maxAttempts attempts that a VM may get
+   * @param sendsRetryAfter whether a rejection may say when to request again
+   */
+  public record Attempts(int maxAttempts, boolean sendsRetryAfter, AcceptanceMode acceptance) {}
 
-  public static double seconds(Duration d) {
-    return d.toNanos() / 1e9;
-  }
+  /**
+   * Slow start of machines that came up recently.
+   *
+   * @param warmUpTime how long a machine warms up
+   * @param overloadSpan the span over which attempts are counted
+   * @param initialShare the share of {@code attemptsPerSpan} that it bears at first
+   * @param attemptsPerSpan attempts of all schedulers that a warm machine bears in a span
+   */
+  public record SlowStart(
+      Duration warmUpTime, Duration overloadSpan, double initialShare, double attemptsPerSpan) {}
 
-  public static Duration seconds(double s) {
-    return Duration.ofNanos((long) (s * 1e9));
-  }
+  /** Load reports, probes, and gossip between schedulers. */
+  public record Monitoring(
+      LoadReportMode loadReports, boolean probesAllowed, boolean gossipAllowed) {}
 
   /**
-   * Duration's own product and quotient go through big decimals: dear where each machine is looked
-   * at.
+   * Prices of what a placement causes; 0 where it costs nothing.
+   *
+   * @param machineInUse a machine in use
+   * @param otherZone a placement in another zone
+   * @param gossipMessage 256 bytes of gossip at one receiver
    */
-  public static Duration times(Duration d, double by) {
-    return Duration.ofNanos((long) (d.toNanos() * by));
-  }
+  public record Prices(double machineInUse, double otherZone, double gossipMessage) {}
 }
--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -20,7 +20,7 @@
   public SeededRandom chance = new SeededRandom(0);
 
   /** What was read at start. */
-  public SchedulerSettings terms = new SchedulerSettings(Map.of());
+  public SchedulerSettings settings;
 
   /** How many placers share the cluster, this one among them. */
   public double placers = 1;
@@ -56,7 +56,7 @@
   public long probes;
 
   /** When VMs of a customer and flavour were last refused without a reason. */
-  public final Map<String, Duration> refusedAt = new HashMap<>();
+  public final Map<TenantClass, Duration> refusedAt = new HashMap<>();
 
   public Duration probeAt = Duration.ZERO;
   public Duration wakeAt;
--- a/src/main/java/fordridge/model/Vm.java
+++ b/src/main/java/fordridge/model/Vm.java
@@ -30,6 +30,7 @@
    */
   PendingQueue.Group heldIn;
 
+  private TenantClass tenantClass;
   long heldAs;
   int heldRank;
   Duration giveUpAt;
@@ -44,9 +45,12 @@
     this.id = id;
   }
 
-  /** What refusals of one customer's VMs of one flavour are booked under. */
-  public String tenantClass() {
-    return tenant + " " + priorityClass;
+  /** Its tenant and priority class, which must not change after the first call. */
+  public TenantClass tenantClass() {
+    if (tenantClass == null) {
+      tenantClass = new TenantClass(tenant, priorityClass);
+    }
+    return tenantClass;
   }
 
   /** Its latest claim, or null. */
--- a/src/main/java/fordridge/observability/Metrics.java
+++ b/src/main/java/fordridge/observability/Metrics.java
@@ -26,7 +26,7 @@
 
   public Metrics() {
     for (Outcome e : Outcome.values()) {
-      outcomes.put(e, registry.counter("fordridge.outcomes", "kind", e.name().toLowerCase()));
+      outcomes.put(e, registry.counter("fordridge.outcomes", "kind", e.metricTag()));
     }
     for (String a : new String[] {"bound", "denied", "errored"}) {
       answers.put(a, registry.counter("fordridge.answers", "kind", a));
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -1,11 +1,13 @@
 package fordridge.scheduling;
 
-import static fordridge.model.SchedulerSettings.seconds;
-import static fordridge.model.SchedulerSettings.times;
+import static fordridge.model.Durations.ofSeconds;
+import static fordridge.model.Durations.scale;
+import static fordridge.model.Durations.toSeconds;
 
 import fordridge.model.*;
 import fordridge.model.Machine.Lifecycle;
-import fordridge.model.PlacementAttempt.*;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
 import java.time.Duration;
 import java.util.*;
 import java.util.function.*;
@@ -27,29 +29,9 @@
    */
   private record Rule(BooleanSupplier when, Runnable then) {}
 
-  private enum Effect {
-    REBUILDABLE,
-    TOKENED,
-    ONE_SHOT
-  }
-
-  /**
-   * A flavour's terms, and how long its starts have been taking with the program at hand and
-   * without.
-   */
-  private static final class PriorityClass {
-    int rank;
-    Effect effect;
-    String group;
-    Duration window;
-    Duration target;
-    Duration patience;
-    String kind;
-    String spread;
-    int most;
-    double calm;
-    double fade;
-    double startWorth;
+  /** Settings of a priority class and what was learned of it. */
+  private static final class ClassState {
+    PriorityClass settings;
     double life;
     double startWarm;
     double startCold;
@@ -58,6 +40,15 @@
     double seen;
   }
 
+  static final Duration DEFAULT_DETECTION_TIMEOUT = Duration.ofSeconds(3);
+  static final Duration DEFAULT_POLL_INTERVAL = Duration.ofSeconds(10);
+  static final Duration DEFAULT_START_OBJECTIVE = Duration.ofSeconds(1);
+  static final Duration DEFAULT_START_DEADLINE = Duration.ofSeconds(5);
+  static final int DEFAULT_MAX_ATTEMPTS = 4;
+  static final Duration DEFAULT_WARM_UP_TIME = Duration.ofSeconds(20);
+  static final Duration DEFAULT_OVERLOAD_SPAN = Duration.ofSeconds(1);
+  static final double DEFAULT_INITIAL_SHARE = 0.2;
+
   private static final double THRESHOLD = 0.9;
 
   /**
@@ -79,10 +70,10 @@
 
   private final SchedulerActions actions;
   private final SchedulerState me = new SchedulerState();
-  private final Map<String, PriorityClass> priorityClasses = new TreeMap<>();
+  private final Map<String, ClassState> priorityClasses = new TreeMap<>();
 
   /** Customers and flavours as notes number them. */
-  private final List<String> kins = new ArrayList<>();
+  private final List<TenantClass> kins = new ArrayList<>();
 
   /** Kinds of machine that some flavour cannot do without. */
   private final Set<String> neededKinds = new HashSet<>();
@@ -129,15 +120,15 @@
     me.now = now;
   }
 
-  public void start(long seed, Map<String, Object> terms) {
+  public void start(long seed, SchedulerSettings settings) {
     me.chance = new SeededRandom(seed);
     me.startedAt = me.now;
-    me.terms = new SchedulerSettings(terms);
-    me.placers = me.terms.num("nInstances", 1);
+    me.settings = settings;
+    me.placers = settings.schedulerCount();
     // Until notes tell, use is what lets a machine bear all it accepts: a high guess opens too
     // many.
-    coresRatio = new RunningMean(1 / me.terms.num("extra.admitCores", 1));
-    memoryRatio = new RunningMean(1 / me.terms.num("extra.memBooking", 1));
+    coresRatio = new RunningMean(1 / me.settings.capacity().acceptedCoresFactor());
+    memoryRatio = new RunningMean(1 / me.settings.capacity().acceptedMemoryFactor());
     readTerms();
     settleRules();
   }
@@ -146,55 +137,32 @@
    * Other terms hold from now on; flavours keep what was learned; none may leave or change its
    * effect.
    */
-  public void settingsChanged(Map<String, Object> terms) {
-    me.terms = new SchedulerSettings(terms);
+  public void settingsChanged(SchedulerSettings settings) {
+    me.settings = settings;
     readTerms();
     lookAgain();
   }
 
   private void readTerms() {
-    settle = me.terms.micros("extra.settleUs", 3e6);
+    settle = me.settings.detectionTimeout();
     neededKinds.clear();
     topRank = 0;
-    int n = (int) me.terms.num("lanes", 0);
-    for (int i = 0; i < n; i++) {
-      String lane = "lanes." + i + ".";
-      PriorityClass f =
-          priorityClasses.computeIfAbsent(
-              me.terms.text(lane + "name", ""), name -> new PriorityClass());
-      f.rank = (int) me.terms.item("extra.precedence", i, 0);
-      topRank = Math.max(topRank, f.rank);
-      f.effect =
-          switch (me.terms.text(lane + "semantics", "fragile")) {
-            case "retryable" -> Effect.REBUILDABLE;
-            case "dedup" -> Effect.TOKENED;
-            default -> Effect.ONE_SHOT;
-          };
-      f.group = me.terms.text(lane + "dedupScope", "cell");
-      f.window = me.terms.micros(lane + "windowUs", 0);
-      f.target = me.terms.micros(lane + "promiseUs", 1e6);
-      f.patience = me.terms.micros(lane + "giveUpUs", 5e6);
-      int kind = (int) me.terms.item("extra.kindByClass", i, -1);
-      f.kind = kind < 0 ? null : (String) me.terms.list("kinds").get(kind);
-      List<?> spreads = me.terms.list("extra.classSpread");
-      f.spread = spreads.size() > i ? (String) spreads.get(i) : "off";
-      f.most = (int) me.terms.item("extra.classMost", i, Integer.MAX_VALUE);
-      f.calm = me.terms.item("extra.calmLevel", i, 1);
-      f.fade = me.terms.item("extra.fadeSpan", i, 0);
-      f.startWorth = me.terms.item("extra.startSeconds", i, 0);
+    for (PriorityClass c : me.settings.priorityClasses()) {
+      ClassState f = priorityClasses.computeIfAbsent(c.name(), name -> new ClassState());
+      f.settings = c;
+      topRank = Math.max(topRank, c.rank());
       if (f.life == 0) {
-        f.life = Math.max(1, f.startWorth);
-        f.startWarm = seconds(f.target) / 2;
-        f.startCold = 2 * seconds(f.target);
+        f.life = Math.max(1, c.startValueSeconds());
+        f.startWarm = toSeconds(c.startObjective()) / 2;
+        f.startCold = 2 * toSeconds(c.startObjective());
       }
-      if (f.kind != null) {
-        neededKinds.add(f.kind);
+      if (c.requiredKind() != null) {
+        neededKinds.add(c.requiredKind());
       }
     }
     kins.clear();
-    for (int i = 0; i < Math.max(1, me.terms.num("tenants", 0)); i++) {
-      String tenant = me.terms.text("tenants." + i + ".name", "");
-      priorityClasses.keySet().forEach(f -> kins.add(tenant + " " + f));
+    for (String tenant : me.settings.tenants()) {
+      priorityClasses.keySet().forEach(f -> kins.add(new TenantClass(tenant, f)));
     }
   }
 
@@ -226,9 +194,15 @@
       m.reportedAt = null;
       m.ejectedUntil = Duration.ZERO;
     }
-    int kind = me.terms.list("kinds").indexOf(m.kind);
-    m.cores = kind < 0 ? 0 : me.terms.item("extra.cpuOfKind", kind, 0);
-    m.memory = kind < 0 ? 0 : me.terms.item("extra.memoryByKind", kind, 0);
+    MachineKind kind = MachineKind.UNKNOWN;
+    for (MachineKind k : me.settings.machineKinds()) {
+      if (k.name().equals(m.kind)) {
+        kind = k;
+        break;
+      }
+    }
+    m.cores = kind.cores();
+    m.memory = kind.memory();
     m.startedAt = startedAt;
     m.lifecycle = lifecycle;
     m.listedAt = me.now;
@@ -249,7 +223,7 @@
   public void machineListFailed() {
     me.asked = false;
     me.following = false;
-    me.askListAt = me.now.plus(times(settle, 1.0 / 4));
+    me.askListAt = me.now.plus(scale(settle, 1.0 / 4));
     settleRules();
   }
 
@@ -278,7 +252,7 @@
     r.span = r.span.dividedBy(2);
     r.tookAt = me.now;
     c.vm.acceptedAttempt = c;
-    if (me.terms.text("extra.saysYes", "running").equals("running")) {
+    if (me.settings.attempts().acceptance() == SchedulerSettings.AcceptanceMode.RUNNING) {
       started(c);
     }
     lookAgain();
@@ -335,8 +309,8 @@
       m.reservedSinceReport.remove(c);
     }
     if (wasBound && end == Outcome.DONE) {
-      PriorityClass f = priorityClass(vm);
-      f.life += (seconds(me.now.minus(c.acceptedAt)) - f.life) / 16;
+      ClassState f = priorityClass(vm);
+      f.life += (toSeconds(me.now.minus(c.acceptedAt)) - f.life) / 16;
     }
     blame(c, end, why, wasBound);
     if (over || wasBound) {
@@ -397,12 +371,12 @@
     String what = note.substring(3);
     if (what.isEmpty()) {
       m.ejectedUntil =
-          Collections.max(List.of(m.ejectedUntil, me.now.plus(times(settle, 1.0 / 3))));
+          Collections.max(List.of(m.ejectedUntil, me.now.plus(scale(settle, 1.0 / 3))));
     } else if (what.length() == 1) {
       int kin = GossipCodec.whole(what.charAt(0));
       if (kin >= 0 && kin < kins.size()) {
         Machine.RejectionBackoff r = refusal(kins.get(kin), m);
-        r.until = Collections.max(List.of(r.until, me.now.plus(times(settle, 2))));
+        r.until = Collections.max(List.of(r.until, me.now.plus(scale(settle, 2))));
       }
     } else {
       m.spareCores = (1 - GossipCodec.share(what.charAt(0))) * m.cores;
@@ -450,7 +424,7 @@
   }
 
   private boolean asks() {
-    return me.terms.text("discovery", "push").equals("ask");
+    return me.settings.discovery().mode() == SchedulerSettings.DiscoveryMode.WATCH;
   }
 
   private boolean listWanted() {
@@ -468,7 +442,7 @@
   private boolean listTrusted() {
     // The rule gives four times as long after a call that failed, and only such calls leave it
     // unheard.
-    Duration told = me.terms.micros("obligations.askWithinUs", 1e7);
+    Duration told = me.settings.discovery().pollInterval();
     return !asks() || me.following || since(me.heardListAt).compareTo(told.multipliedBy(4)) < 0;
   }
 
@@ -487,23 +461,26 @@
       giveUp(vm);
       return;
     }
-    PriorityClass f = priorityClass(vm);
+    ClassState f = priorityClass(vm);
     PlacementAttempt last = vm.lastAttempt();
     // Where a claim may have run, earlier machines bind the choice too: such a VM speaks for itself
     // only.
     Object own =
-        f.effect != Effect.REBUILDABLE && mayHaveRun(vm) != null
+        f.settings.retrySafety() != RetrySafety.IDEMPOTENT && mayHaveRun(vm) != null
             ? vm
             : last == null ? null : last.machine;
-    long service = f.spread.equals("off") && !actions.isConstrained(vm) ? 0L : vm.service;
+    long service =
+        f.settings.spreadDomain() == TopologyDomain.NONE && !actions.isConstrained(vm)
+            ? 0L
+            : vm.service;
     // Behind the others of its rank once its first start can hardly come in time: kept in the order
     // of
     // arrival, an overload would make every start late.
-    Duration inTime = vm.arrivedAt.plus(times(f.target, 3.0 / 4));
+    Duration inTime = vm.arrivedAt.plus(scale(f.settings.startObjective(), 3.0 / 4));
     boolean late = vm.isClientRetry || me.now.compareTo(inTime) >= 0;
     me.held.add(
         vm,
-        2 * f.rank + (late ? 0 : 1),
+        2 * f.settings.rank() + (late ? 0 : 1),
         List.of(vm.tenantClass(), vm.cores, vm.memory, service, Optional.ofNullable(own), late),
         late ? hopelessAt(vm) : Collections.min(List.of(inTime, hopelessAt(vm))));
   }
@@ -531,7 +508,7 @@
     Machine m = pick(vm);
     boolean plain =
         vm.attempts.isEmpty()
-            && priorityClass(vm).spread.equals("off")
+            && priorityClass(vm).settings.spreadDomain() == TopologyDomain.NONE
             && !me.refusedAt.containsKey(vm.tenantClass())
             && !actions.isConstrained(vm);
     if (m != null) {
@@ -546,7 +523,7 @@
    * Not for its claims, refusals or its service's spread, but as no machine has room for so much.
    */
   private boolean noRoomFor(Vm vm) {
-    PriorityClass f = priorityClass(vm);
+    ClassState f = priorityClass(vm);
     return withRoom(vm, me.machines.stream().filter(m -> open(f, m)).toList()).isEmpty();
   }
 
@@ -569,8 +546,8 @@
     boolean waits =
         last != null
             && last.outcome == Outcome.FULL
-            && vm.attempts.size() + 1 >= me.terms.num("caps.mostTries", 4)
-            && me.now.minus(last.sentAt).compareTo(times(settle, 1.0 / 6)) < 0;
+            && vm.attempts.size() + 1 >= me.settings.attempts().maxAttempts()
+            && me.now.minus(last.sentAt).compareTo(scale(settle, 1.0 / 6)) < 0;
     if (waits || !listTrusted()) {
       return null;
     }
@@ -580,22 +557,22 @@
       meanUse();
     }
     List<Machine> can = new ArrayList<>(me.machines);
-    PriorityClass f = priorityClass(vm);
+    ClassState f = priorityClass(vm);
     can.removeIf(m -> !eligible(vm, f, m));
     // While such VMs are refused without a reason, those that took one lately come first: machines
     // that
     // refuse stay empty, and by room alone would draw every try.
-    boolean refused = since(me.refusedAt.get(vm.tenantClass())).compareTo(times(settle, 2)) < 0;
+    boolean refused = since(me.refusedAt.get(vm.tenantClass())).compareTo(scale(settle, 2)) < 0;
     List<Machine> proven = refused ? can.stream().filter(m -> took(vm, m)).toList() : List.of();
     List<Machine> room = proven.isEmpty() ? proven : withRoom(vm, proven);
     // So do machines where the service runs or, by a hash that all placers share, should run.
     if (room.isEmpty()) {
-      List<Machine> used = me.terms.num("prices.fleet", 0) > 0 ? narrow(can, this::inUse) : can;
+      List<Machine> used = me.settings.prices().machineInUse() > 0 ? narrow(can, this::inUse) : can;
       List<Machine> homes = RendezvousHashing.of(vm.service, used, SAMPLE);
       room = withRoom(vm, narrow(used, m -> knowsProgram(m, vm.service) || homes.contains(m)));
     }
     // Where machines in use have a price, an empty one is opened only when none in use has room.
-    if (room.isEmpty() && me.terms.num("prices.fleet", 0) > 0) {
+    if (room.isEmpty() && me.settings.prices().machineInUse() > 0) {
       room = withRoom(vm, narrow(can, this::inUse));
     }
     room = room.isEmpty() ? withRoom(vm, can) : room;
@@ -603,14 +580,14 @@
     double least = room.stream().mapToDouble(m -> actions.constraintPenalty(vm, m)).min().orElse(0);
     room = narrow(room, m -> actions.constraintPenalty(vm, m) <= least);
     room = shared(vm, narrow(room, m -> load(m) <= THRESHOLD), room);
-    if (priorityClass(vm).kind == null) {
+    if (priorityClass(vm).settings.requiredKind() == null) {
       // Kinds that some flavour cannot do without are spared, but not till the others are fuller.
       List<Machine> others = narrow(room, m -> !neededKinds.contains(m.kind));
       room = mean(others, this::load) <= mean(room, this::load) ? others : room;
     }
     room = narrow(room, m -> knowsProgram(m, vm.service));
-    if (me.terms.num("prices.crossZone", 0) > 0) {
-      room = narrow(room, m -> m.zone.equals(me.terms.text("zone", "")));
+    if (me.settings.prices().otherZone() > 0) {
+      room = narrow(room, m -> m.zone.equals(me.settings.zone()));
     }
     return room.isEmpty() ? null : leastGrieved(vm, room);
   }
@@ -634,10 +611,10 @@
   /**
    * Cores that others have bound since what the list shows, if all asked for is renewed each life.
    */
-  private double unseen(PriorityClass f) {
+  private double unseen(ClassState f) {
     double n = me.placers;
-    Duration age = since(me.heardListAt).plus(times(settle, 1.0 / 3));
-    return askedCores / f.life * (n - 1) / n * seconds(age);
+    Duration age = since(me.heardListAt).plus(scale(settle, 1.0 / 3));
+    return askedCores / f.life * (n - 1) / n * toSeconds(age);
   }
 
   private static List<Machine> having(List<Machine> from, ToDoubleFunction<Machine> room) {
@@ -686,7 +663,7 @@
     return drawn;
   }
 
-  private boolean eligible(Vm vm, PriorityClass f, Machine m) {
+  private boolean eligible(Vm vm, ClassState f, Machine m) {
     return (m.refusals.isEmpty() || me.now.compareTo(refusal(vm.tenantClass(), m).until) >= 0)
         && open(f, m)
         && allowedAgain(vm, f, m)
@@ -698,9 +675,9 @@
    * Open to such VMs, whoever owns them, whatever became of their claims, wherever their service
    * runs.
    */
-  private boolean open(PriorityClass f, Machine m) {
+  private boolean open(ClassState f, Machine m) {
     return m.lifecycle == Lifecycle.LIVE
-        && (f.kind == null || f.kind.equals(m.kind))
+        && (f.settings.requiredKind() == null || f.settings.requiredKind().equals(m.kind))
         && me.now.compareTo(m.ejectedUntil) >= 0
         && coldPaceKept(m)
         && trusted(f, m);
@@ -712,13 +689,13 @@
    * and halve with each VM taken; others go on. It also answers a quota or a wrong limit; it may
    * hurt where reasons are never told, as room that frees is then found later.
    */
-  private static Machine.RejectionBackoff refusal(String kin, Machine m) {
+  private static Machine.RejectionBackoff refusal(TenantClass kin, Machine m) {
     return m.refusals.computeIfAbsent(kin, k -> new Machine.RejectionBackoff());
   }
 
   private boolean took(Vm vm, Machine m) {
     return !m.refusals.isEmpty()
-        && since(refusal(vm.tenantClass(), m).tookAt).compareTo(times(settle, 4)) < 0;
+        && since(refusal(vm.tenantClass(), m).tookAt).compareTo(scale(settle, 4)) < 0;
   }
 
   /** Room as a share of the size, by the resource that has least; 0 where the VM does not fit. */
@@ -729,7 +706,7 @@
   }
 
   private double regularRoom(Vm vm, Machine m) {
-    return me.terms.flag("extra.freeInList", false)
+    return me.settings.capacity().listsFreeCapacity()
         ? room(
             vm,
             m,
@@ -739,14 +716,15 @@
   }
 
   private double opportunisticRoom(Vm vm, Machine m) {
-    PriorityClass f = priorityClass(vm);
-    boolean late = since(vm.arrivedAt).compareTo(times(f.target, 1.0 / 8)) >= 0;
+    ClassState f = priorityClass(vm);
+    boolean late = since(vm.arrivedAt).compareTo(scale(f.settings.startObjective(), 1.0 / 8)) >= 0;
     // The more of what comes is of a lower flavour, the more of it must be kept from filling all.
-    double part = f.rank < topRank ? Math.min(1, 2 * f.seen / Math.max(1, me.arrivals)) : 0;
+    double part =
+        f.settings.rank() < topRank ? Math.min(1, 2 * f.seen / Math.max(1, me.arrivals)) : 0;
     double mine = THRESHOLD - (THRESHOLD - SPARING) * part;
     double level = late ? crowd(f) : THRESHOLD;
-    double moreCores = (me.terms.num("extra.admitCores", 1) - 1) * m.cores;
-    double moreMemory = (me.terms.num("extra.memBooking", 1) - 1) * m.memory;
+    double moreCores = (me.settings.capacity().acceptedCoresFactor() - 1) * m.cores;
+    double moreMemory = (me.settings.capacity().acceptedMemoryFactor() - 1) * m.memory;
     double allowed =
         room(
             vm,
@@ -767,9 +745,14 @@
    * to the level at which one more start is worth what it takes from those that run; else the
    * threshold.
    */
-  private double crowd(PriorityClass f) {
-    double level = (f.calm + f.fade * (1 + f.startWorth / f.life)) / 2;
-    return Math.max(THRESHOLD, Math.min(level, f.calm + f.fade));
+  private double crowd(ClassState f) {
+    double level =
+        (f.settings.fullSpeedUtilization()
+                + f.settings.degradationSpan() * (1 + f.settings.startValueSeconds() / f.life))
+            / 2;
+    return Math.max(
+        THRESHOLD,
+        Math.min(level, f.settings.fullSpeedUtilization() + f.settings.degradationSpan()));
   }
 
   /**
@@ -778,8 +761,8 @@
    * others come first.
    */
   private double load(Machine m) {
-    double most = me.terms.num("extra.admitCores", 1) * m.cores;
-    double mostMemory = me.terms.num("extra.memBooking", 1) * m.memory;
+    double most = me.settings.capacity().acceptedCoresFactor() * m.cores;
+    double mostMemory = me.settings.capacity().acceptedMemoryFactor() * m.memory;
     double asked =
         Math.max(
             (m.cores - m.freeCores + m.reservedSinceList.cores) / most,
@@ -805,13 +788,13 @@
    * before.
    */
   private boolean clearBooks(Machine m) {
-    Duration listed = me.heardListAt.minus(times(settle, 1.0 / 3));
+    Duration listed = me.heardListAt.minus(scale(settle, 1.0 / 3));
     while (!m.reservedSinceList.attempts.isEmpty()
         && m.reservedSinceList.attempts.peekFirst().sentAt.compareTo(listed) < 0) {
       m.reservedSinceList.remove(m.reservedSinceList.attempts.peekFirst());
     }
     Duration reported =
-        fresh(m) ? m.reportedAt.minus(times(settle, 1.0 / 6)) : me.now.minus(settle);
+        fresh(m) ? m.reportedAt.minus(scale(settle, 1.0 / 6)) : me.now.minus(settle);
     m.reservedSinceReport.attempts.stream()
         .filter(
             c ->
@@ -825,7 +808,7 @@
   private boolean fresh(Machine m) {
     return m.reportedAt != null
         && !Double.isNaN(m.spareCores)
-        && me.now.minus(m.reportedAt).compareTo(times(settle, 2)) < 0;
+        && me.now.minus(m.reportedAt).compareTo(scale(settle, 2)) < 0;
   }
 
   private double useCores(Machine m) {
@@ -840,7 +823,7 @@
 
   private double usedCores(Machine m) {
     double used = m.cores - m.spareCores;
-    if (me.terms.text("extra.reportCounts", "used").equals("asked")) {
+    if (me.settings.capacity().reportBasis() == SchedulerSettings.LoadReportBasis.REQUESTED) {
       used *= coresRatio.value;
     }
     return Double.isNaN(m.utilization) ? used : Math.max(used, m.utilization * m.cores);
@@ -848,7 +831,7 @@
 
   private double usedMemory(Machine m) {
     double used = m.memory - m.spareMemory;
-    return me.terms.text("extra.reportCounts", "used").equals("asked")
+    return me.settings.capacity().reportBasis() == SchedulerSettings.LoadReportBasis.REQUESTED
         ? used * memoryRatio.value
         : used;
   }
@@ -874,13 +857,13 @@
     double askedMemory = mean(told, m -> 1 - m.freeMemory / m.memory);
     // A note costs as one of 16 bytes or more, to each who hears it; a life is taken as four
     // settlings.
-    double starts = askedCores / me.terms.num("extra.meanCores", 1) / (4 * seconds(settle));
-    double note = (me.placers - 1) * 16 / 256 * me.terms.num("prices.peer", 0);
-    double every = Math.max(seconds(settle) / 6, live.size() * note / TALK / Math.max(1, starts));
+    double starts = askedCores / me.settings.capacity().meanVmCores() / (4 * toSeconds(settle));
+    double note = (me.placers - 1) * 16 / 256 * me.settings.prices().gossipMessage();
+    double every = Math.max(toSeconds(settle) / 6, live.size() * note / TALK / Math.max(1, starts));
     me.tellEvery =
-        me.placers < 2 || every > seconds(settle) || !me.terms.flag("caps.peerMessages", false)
+        me.placers < 2 || every > toSeconds(settle) || !me.settings.monitoring().gossipAllowed()
             ? null
-            : seconds(every);
+            : ofSeconds(every);
     usedPerAsk = asked > 0 ? usedCores / asked : coresRatio.value;
     usedPerAskMemory = askedMemory > 0 ? usedMemory / askedMemory : memoryRatio.value;
   }
@@ -928,12 +911,12 @@
   }
 
   private Duration within(Vm vm, PlacementAttempt c) {
-    PriorityClass f = priorityClass(vm);
+    ClassState f = priorityClass(vm);
     double start = c.isWarmStart ? f.startWarm : f.startCold;
     Duration wait =
-        f.effect == Effect.REBUILDABLE
-            ? seconds(Math.max(2 * seconds(f.target), 4 * start))
-            : times(f.patience, 0.5);
+        f.settings.retrySafety() == RetrySafety.IDEMPOTENT
+            ? ofSeconds(Math.max(2 * toSeconds(f.settings.startObjective()), 4 * start))
+            : scale(f.settings.startDeadline(), 0.5);
     return Collections.min(List.of(wait, vm.deadline.minus(me.now)));
   }
 
@@ -942,44 +925,53 @@
     return vm.attempts.stream().filter(c -> !c.hasNeverRun()).findFirst().orElse(null);
   }
 
-  private boolean allowedAgain(Vm vm, PriorityClass f, Machine m) {
+  private boolean allowedAgain(Vm vm, ClassState f, Machine m) {
     PlacementAttempt ran = mayHaveRun(vm);
-    if (ran == null || f.effect == Effect.REBUILDABLE) {
+    if (ran == null || f.settings.retrySafety() == RetrySafety.IDEMPOTENT) {
       return vm.lastAttempt() == null || vm.lastAttempt().machine != m;
     }
-    if (f.effect == Effect.ONE_SHOT || me.now.compareTo(ran.sentAt.plus(f.window)) >= 0) {
+    if (f.settings.retrySafety() == RetrySafety.NON_IDEMPOTENT
+        || me.now.compareTo(ran.sentAt.plus(f.settings.deduplicationWindow())) >= 0) {
       return false;
     }
-    return vm.attempts.stream().allMatch(c -> c.hasNeverRun() || m.together(f.group, c.machine));
+    return vm.attempts.stream()
+        .allMatch(c -> c.hasNeverRun() || f.settings.idempotencyScope().contains(m, c.machine));
   }
 
   private boolean mayDeny(Vm vm) {
-    PriorityClass f = priorityClass(vm);
-    return f.effect == Effect.REBUILDABLE
+    ClassState f = priorityClass(vm);
+    return f.settings.retrySafety() == RetrySafety.IDEMPOTENT
         || mayHaveRun(vm) == null
-        || f.effect == Effect.TOKENED && f.group.equals("all");
+        || f.settings.retrySafety() == RetrySafety.IDEMPOTENT_WITH_KEY
+            && f.settings.idempotencyScope() == TopologyDomain.CLUSTER;
   }
 
   /** When nothing more can be done for it, or it was held for as long as a VM is held. */
   private Duration hopelessAt(Vm vm) {
-    PriorityClass f = priorityClass(vm);
-    if (me.stopping || vm.attempts.size() >= me.terms.num("caps.mostTries", 4)) {
+    ClassState f = priorityClass(vm);
+    if (me.stopping || vm.attempts.size() >= me.settings.attempts().maxAttempts()) {
       return Duration.ZERO;
     }
-    Duration most = vm.arrivedAt.plus(times(vm.deadline.minus(vm.arrivedAt), 7.0 / 8));
-    PlacementAttempt ran = f.effect == Effect.REBUILDABLE ? null : mayHaveRun(vm);
+    Duration most = vm.arrivedAt.plus(scale(vm.deadline.minus(vm.arrivedAt), 7.0 / 8));
+    PlacementAttempt ran =
+        f.settings.retrySafety() == RetrySafety.IDEMPOTENT ? null : mayHaveRun(vm);
     if (ran == null) {
       return most;
     }
-    Duration window = ran.sentAt.plus(f.window);
-    return f.effect == Effect.ONE_SHOT ? Duration.ZERO : window.compareTo(most) < 0 ? window : most;
+    Duration window = ran.sentAt.plus(f.settings.deduplicationWindow());
+    return f.settings.retrySafety() == RetrySafety.NON_IDEMPOTENT
+        ? Duration.ZERO
+        : window.compareTo(most) < 0 ? window : most;
   }
 
   private void giveUp(Vm vm) {
     vm.isFinished = true;
     if (mayDeny(vm)) {
       actions.reject(
-          vm, me.terms.flag("caps.retryAfter", false) ? priorityClass(vm).target : Duration.ZERO);
+          vm,
+          me.settings.attempts().sendsRetryAfter()
+              ? priorityClass(vm).settings.startObjective()
+              : Duration.ZERO);
     } else {
       actions.fail(vm);
     }
@@ -989,28 +981,31 @@
     // In time for the shortest build timeout: a wake counted in ticks came too late where those are
     // long.
     double shortest =
-        priorityClasses.values().stream().mapToDouble(f -> seconds(f.patience)).min().orElse(1);
-    me.wakeAt = me.now.plus(seconds(shortest / 32));
+        priorityClasses.values().stream()
+            .mapToDouble(f -> toSeconds(f.settings.startDeadline()))
+            .min()
+            .orElse(1);
+    me.wakeAt = me.now.plus(ofSeconds(shortest / 32));
     actions.scheduleTimer(me.wakeAt.minus(me.now));
   }
 
   /**
    * Rule 5: what this placer has of the service in one place, with this one, stays within the most.
    */
-  private boolean spreadKept(Vm vm, PriorityClass f, Machine m) {
-    if (f.spread.equals("off")) {
+  private boolean spreadKept(Vm vm, ClassState f, Machine m) {
+    if (f.settings.spreadDomain() == TopologyDomain.NONE) {
       return true;
     }
     int there = 1;
     for (Machine o : me.hosts.getOrDefault(vm.service, Set.of())) {
-      there += m.together(f.spread, o) ? o.programs.get(vm.service).held : 0;
+      there += f.settings.spreadDomain().contains(m, o) ? o.programs.get(vm.service).held : 0;
     }
-    return there <= f.most;
+    return there <= f.settings.maxPerDomain();
   }
 
   private boolean cold(Machine m) {
     return m.startedAt != null
-        && me.now.minus(m.startedAt).compareTo(me.terms.micros("obligations.warmAfterUs", 2e7)) < 0;
+        && me.now.minus(m.startedAt).compareTo(me.settings.slowStart().warmUpTime()) < 0;
   }
 
   /**
@@ -1023,7 +1018,7 @@
     if (!cold(m)) {
       return true;
     }
-    Duration span = me.terms.micros("obligations.overloadForUs", 1e6);
+    Duration span = me.settings.slowStart().overloadSpan();
     while (!m.slowStartAttempts.isEmpty()
         && m.slowStartAttempts.peekFirst().plus(span).compareTo(me.now) <= 0) {
       m.slowStartAttempts.removeFirst();
@@ -1033,16 +1028,15 @@
       return false;
     }
     long turn = me.now.minus(m.startedAt).toNanos() / span.toNanos();
-    double age = turn * seconds(span) / seconds(me.terms.micros("obligations.warmAfterUs", 2e7));
-    double from = me.terms.num("obligations.coldFrom", 0.2);
+    double age = turn * toSeconds(span) / toSeconds(me.settings.slowStart().warmUpTime());
+    double from = me.settings.slowStart().initialShare();
     double pace = Math.max(0.5, from + (1 - from) * age);
-    double part = pace * me.terms.num("extra.coldBears", 1) / me.placers;
+    double part = pace * me.settings.slowStart().attemptsPerSpan() / me.placers;
     if (part >= 1) {
       return m.slowStartAttempts.size() < (int) part;
     }
     long turns = (long) Math.ceil(2 / part);
-    return m.slowStartAttempts.isEmpty()
-        && (turn + m.id) % turns == (long) me.terms.num("position", 0) % turns;
+    return m.slowStartAttempts.isEmpty() && (turn + m.id) % turns == me.settings.position() % turns;
   }
 
   // ---- Health
@@ -1057,7 +1051,7 @@
   private double faultScore(Machine m) {
     return m.faultScore == 0
         ? 0
-        : m.faultScore * Math.pow(2, -seconds(me.now.minus(m.faultScoreAt)) / seconds(settle));
+        : m.faultScore * Math.pow(2, -toSeconds(me.now.minus(m.faultScoreAt)) / toSeconds(settle));
   }
 
   /** How long the oldest claim there waits for an answer, in usual starts. */
@@ -1066,9 +1060,12 @@
       return 0;
     }
     PlacementAttempt c = m.unansweredAttempts.iterator().next();
-    PriorityClass f = priorityClass(c.vm);
-    double usual = Math.max(seconds(f.target), 2 * (c.isWarmStart ? f.startWarm : f.startCold));
-    return seconds(me.now.minus(c.sentAt)) / usual;
+    ClassState f = priorityClass(c.vm);
+    double usual =
+        Math.max(
+            toSeconds(f.settings.startObjective()),
+            2 * (c.isWarmStart ? f.startWarm : f.startCold));
+    return toSeconds(me.now.minus(c.sentAt)) / usual;
   }
 
   private double sorrow(Machine m) {
@@ -1078,13 +1075,13 @@
   /**
    * A machine that stands out by its troubles gets one rebuildable VM at a time, until they fade.
    */
-  private boolean trusted(PriorityClass f, Machine m) {
+  private boolean trusted(ClassState f, Machine m) {
     double sorrow = sorrow(m);
     return sorrow < SHUNNED
         || sorrow < SHUNNED * fleetGrief
-        || f.effect == Effect.REBUILDABLE
+        || f.settings.retrySafety() == RetrySafety.IDEMPOTENT
             && m.unansweredAttempts.isEmpty()
-            && since(m.lastAttemptAt).compareTo(times(settle, 1.0 / 2)) > 0;
+            && since(m.lastAttemptAt).compareTo(scale(settle, 1.0 / 2)) > 0;
   }
 
   private void blame(PlacementAttempt c, Outcome end, OutcomeReason why, boolean wasBound) {
@@ -1092,14 +1089,14 @@
     if (c.vm.isMigrating
         || end == Outcome.DONE
         || end == Outcome.CANCELLED
-        || end == Outcome.MOOT) {
+        || end == Outcome.NOT_SENT) {
       return;
     }
     if (end == Outcome.FULL && why == OutcomeReason.UNSPECIFIED
         || end == Outcome.ERROR && !wasBound) {
       Machine.RejectionBackoff r = refusal(c.vm.tenantClass(), m);
-      double spans = 4 * seconds(r.span) / seconds(settle);
-      r.span = seconds(Math.max(2, Math.min(spans, 8)) * seconds(settle));
+      double spans = 4 * toSeconds(r.span) / toSeconds(settle);
+      r.span = ofSeconds(Math.max(2, Math.min(spans, 8)) * toSeconds(settle));
       r.until = me.now.plus(r.span);
       r.tookAt = null;
       if (end == Outcome.FULL) {
@@ -1114,7 +1111,11 @@
     } else if (end == Outcome.FULL) {
       m.ejectedUntil =
           me.now.plus(
-              times(why == OutcomeReason.QUEUE_FULL ? priorityClass(c.vm).target : settle, 0.5));
+              scale(
+                  why == OutcomeReason.QUEUE_FULL
+                      ? priorityClass(c.vm).settings.startObjective()
+                      : settle,
+                  0.5));
       recordFault(m, 0.5);
     } else if (end == Outcome.RESET && wasBound && why != OutcomeReason.UNSPECIFIED) {
       recordFault(m, why == OutcomeReason.EVICTED ? 1 : 0);
@@ -1127,21 +1128,21 @@
         // Down, however the rest of the fleet fares (a VM lost without a word tells it first): each
         // knock waits longer, so that a mass outage burns no claims. A new start opens it.
         double spans = Math.min(faultScore(m), 4 * SHUNNED) / 4;
-        m.ejectedUntil = me.now.plus(seconds(spans * seconds(settle) / 2));
+        m.ejectedUntil = me.now.plus(ofSeconds(spans * toSeconds(settle) / 2));
       }
     }
   }
 
   private void started(PlacementAttempt c) {
-    PriorityClass f = priorityClass(c.vm);
+    ClassState f = priorityClass(c.vm);
     c.runningSince = me.now;
-    double took = seconds(me.now.minus(c.sentAt));
+    double took = toSeconds(me.now.minus(c.sentAt));
     if (c.isWarmStart) {
       f.startWarm += (took - f.startWarm) / 16;
     } else {
       f.startCold += (took - f.startCold) / 16;
     }
-    if (took > seconds(f.target)) {
+    if (took > toSeconds(f.settings.startObjective())) {
       recordFault(c.machine, 0.3);
     } else {
       recordFault(c.machine, -faultScore(c.machine) / 5);
@@ -1153,10 +1154,10 @@
    * Seldom looked for again where none was stale: no input may cost work that grows with the fleet.
    */
   private void probeStale() {
-    Duration stale = times(settle, 1.0 / 2);
-    me.probeAt = me.now.plus(times(stale, 1.0 / 8));
-    if (!me.terms.flag("caps.probes", false)
-        || me.terms.text("loadReport.via", "off").equals("off")) {
+    Duration stale = scale(settle, 1.0 / 2);
+    me.probeAt = me.now.plus(scale(stale, 1.0 / 8));
+    if (!me.settings.monitoring().probesAllowed()
+        || me.settings.monitoring().loadReports() == SchedulerSettings.LoadReportMode.OFF) {
       return;
     }
     Machine oldest = null;
@@ -1186,7 +1187,7 @@
     return then == null ? me.now : me.now.minus(then);
   }
 
-  private PriorityClass priorityClass(Vm vm) {
+  private ClassState priorityClass(Vm vm) {
     return priorityClasses.get(vm.priorityClass);
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/scheduling/SchedulerSettingsReader.java
@@ -0,0 +1,180 @@
+package fordridge.scheduling;
+
+import fordridge.model.MachineKind;
+import fordridge.model.PriorityClass;
+import fordridge.model.RetrySafety;
+import fordridge.model.SchedulerSettings;
+import fordridge.model.SchedulerSettings.AcceptanceMode;
+import fordridge.model.SchedulerSettings.DiscoveryMode;
+import fordridge.model.SchedulerSettings.LoadReportBasis;
+import fordridge.model.SchedulerSettings.LoadReportMode;
+import fordridge.model.SettingsValues;
+import fordridge.model.TopologyDomain;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads {@link SchedulerSettings} out of settings as they were received.
+ *
+ * <p>It knows the names and words of the wire and nothing else; where a default is a judgement, it
+ * is a constant of the class that decides by it.
+ */
+public final class SchedulerSettingsReader {
+  private static final int NO_KIND = -1;
+
+  private final SettingsValues values;
+
+  private SchedulerSettingsReader(SettingsValues values) {
+    this.values = values;
+  }
+
+  /** The settings under the given values; what they do not name has its default. */
+  public static SchedulerSettings read(SettingsValues values) {
+    return new SchedulerSettingsReader(values).settings();
+  }
+
+  private SchedulerSettings settings() {
+    return new SchedulerSettings(
+        values.number("nInstances", 1),
+        (long) values.number("position", 0),
+        values.text("zone", ""),
+        machineKinds(),
+        priorityClasses(),
+        tenants(),
+        values.micros("extra.settleUs", Scheduler.DEFAULT_DETECTION_TIMEOUT),
+        capacity(),
+        discovery(),
+        attempts(),
+        slowStart(),
+        monitoring(),
+        prices());
+  }
+
+  private List<MachineKind> machineKinds() {
+    List<?> names = values.list("kinds");
+    List<MachineKind> kinds = new ArrayList<>(names.size());
+    for (int i = 0; i < names.size(); i++) {
+      kinds.add(
+          new MachineKind(
+              String.valueOf(names.get(i)),
+              values.item("extra.cpuOfKind", i, 0),
+              values.item("extra.memoryByKind", i, 0)));
+    }
+    return kinds;
+  }
+
+  private List<PriorityClass> priorityClasses() {
+    int count = (int) values.number("lanes", 0);
+    List<PriorityClass> classes = new ArrayList<>(Math.max(0, count));
+    for (int i = 0; i < count; i++) {
+      classes.add(priorityClass(i, "lanes." + i + "."));
+    }
+    return classes;
+  }
+
+  private PriorityClass priorityClass(int index, String prefix) {
+    return new PriorityClass(
+        values.text(prefix + "name", ""),
+        (int) values.item("extra.precedence", index, 0),
+        retrySafety(values.text(prefix + "semantics", "fragile")),
+        domain(values.text(prefix + "dedupScope", "cell")),
+        values.micros(prefix + "windowUs", Duration.ZERO),
+        values.micros(prefix + "promiseUs", Scheduler.DEFAULT_START_OBJECTIVE),
+        values.micros(prefix + "giveUpUs", Scheduler.DEFAULT_START_DEADLINE),
+        requiredKind((int) values.item("extra.kindByClass", index, NO_KIND)),
+        spreadDomain(index),
+        (int) values.item("extra.classMost", index, Integer.MAX_VALUE),
+        values.item("extra.calmLevel", index, 1),
+        values.item("extra.fadeSpan", index, 0),
+        values.item("extra.startSeconds", index, 0));
+  }
+
+  private static RetrySafety retrySafety(String word) {
+    return switch (word) {
+      case "retryable" -> RetrySafety.IDEMPOTENT;
+      case "dedup" -> RetrySafety.IDEMPOTENT_WITH_KEY;
+      default -> RetrySafety.NON_IDEMPOTENT;
+    };
+  }
+
+  private static TopologyDomain domain(String word) {
+    return switch (word) {
+      case "machine" -> TopologyDomain.MACHINE;
+      case "zone" -> TopologyDomain.ZONE;
+      case "all" -> TopologyDomain.CLUSTER;
+      default -> TopologyDomain.CELL;
+    };
+  }
+
+  private String requiredKind(int index) {
+    return index < 0 ? null : String.valueOf(values.list("kinds").get(index));
+  }
+
+  private TopologyDomain spreadDomain(int index) {
+    List<?> words = values.list("extra.classSpread");
+    boolean isLimited = index < words.size() && !words.get(index).equals("off");
+    return isLimited ? domain(String.valueOf(words.get(index))) : TopologyDomain.NONE;
+  }
+
+  private List<String> tenants() {
+    int count = (int) Math.ceil(Math.max(1, values.number("tenants", 0)));
+    List<String> tenants = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      tenants.add(values.text("tenants." + i + ".name", ""));
+    }
+    return tenants;
+  }
+
+  private SchedulerSettings.Capacity capacity() {
+    return new SchedulerSettings.Capacity(
+        values.number("extra.admitCores", 1),
+        values.number("extra.memBooking", 1),
+        values.flag("extra.freeInList", false),
+        values.text("extra.reportCounts", "used").equals("asked")
+            ? LoadReportBasis.REQUESTED
+            : LoadReportBasis.USED,
+        values.number("extra.meanCores", 1));
+  }
+
+  private SchedulerSettings.Discovery discovery() {
+    boolean watched = values.text("discovery", "push").equals("ask");
+    return new SchedulerSettings.Discovery(
+        watched ? DiscoveryMode.WATCH : DiscoveryMode.PUSH,
+        values.micros("obligations.askWithinUs", Scheduler.DEFAULT_POLL_INTERVAL));
+  }
+
+  private SchedulerSettings.Attempts attempts() {
+    boolean onStart = values.text("extra.saysYes", "running").equals("running");
+    return new SchedulerSettings.Attempts(
+        (int) Math.ceil(values.number("caps.mostTries", Scheduler.DEFAULT_MAX_ATTEMPTS)),
+        values.flag("caps.retryAfter", false),
+        onStart ? AcceptanceMode.RUNNING : AcceptanceMode.ADMITTED);
+  }
+
+  private SchedulerSettings.SlowStart slowStart() {
+    return new SchedulerSettings.SlowStart(
+        values.micros("obligations.warmAfterUs", Scheduler.DEFAULT_WARM_UP_TIME),
+        values.micros("obligations.overloadForUs", Scheduler.DEFAULT_OVERLOAD_SPAN),
+        values.number("obligations.coldFrom", Scheduler.DEFAULT_INITIAL_SHARE),
+        values.number("extra.coldBears", 1));
+  }
+
+  private SchedulerSettings.Monitoring monitoring() {
+    return new SchedulerSettings.Monitoring(
+        switch (values.text("loadReport.via", "off")) {
+          case "off" -> LoadReportMode.OFF;
+          case "on_probe" -> LoadReportMode.WITH_PROBES;
+          default -> LoadReportMode.WITH_RESPONSES;
+        },
+        values.flag("caps.probes", false),
+        values.flag("caps.peerMessages", false));
+  }
+
+  private SchedulerSettings.Prices prices() {
+    return new SchedulerSettings.Prices(
+        values.number("prices.fleet", 0),
+        values.number("prices.crossZone", 0),
+        values.number("prices.peer", 0));
+  }
+}
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -1156,7 +1156,7 @@
           if (wasBound
               || end == Outcome.FULL
               || end == Outcome.UNREACHABLE
-              || end == Outcome.MOOT) {
+              || end == Outcome.NOT_SENT) {
             book.gone(c);
           } else {
             book.doubted(c);
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -9,12 +9,13 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.SchedulerSettings;
+import fordridge.model.SettingsValues;
 import fordridge.model.Vm;
 import fordridge.runtime.EventLoopLag;
 import fordridge.runtime.EventSequencer;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.scheduling.SchedulerActions;
+import fordridge.scheduling.SchedulerSettingsReader;
 import fordridge.session.PendingResponses;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
@@ -162,7 +163,7 @@
   private final Map<String, MachineClient.RequestPayload> carried = new HashMap<>();
   private final MachineClient.ConnectionQuota share;
   private MachineConnectionPool.ConnectionTimeouts connectionTimeouts;
-  private SchedulerSettings terms;
+  private SettingsValues terms;
   private Map<String, Object> values;
   private final Set<String> priorityClasses = new HashSet<>();
 
@@ -207,7 +208,7 @@
   /** On the loop: starts the module with its terms and the list as known, then keeps time. */
   void begin(ServerConfiguration p, ClientServer front) {
     this.front = front;
-    enter(() -> inputs.scheduler.start(p.seed, p.terms));
+    enter(() -> inputs.scheduler.start(p.seed, SchedulerSettingsReader.read(terms)));
     for (Object event : p.known) {
       event(JsonFields.object(JsonFields.object(event, "known").get("hosts"), "known.hosts"));
     }
@@ -227,28 +228,29 @@
         r.connectionPool.connectionTimeouts(connectionTimeouts);
         r.line.timeout(connectionTimeouts.connectTimeout());
       }
-      enter(() -> inputs.scheduler.settingsChanged(next.terms));
+      enter(() -> inputs.scheduler.settingsChanged(SchedulerSettingsReader.read(terms)));
     }
   }
 
   private void read(Map<String, Object> values) {
-    terms = new SchedulerSettings(values);
+    terms = new SettingsValues(values);
     this.values = values;
     connectionTimeouts =
         new MachineConnectionPool.ConnectionTimeouts(
-            terms.micros("caps.connectTimeoutUs", 250_000), terms.micros("extra.settleUs", 3e6));
+            terms.micros("caps.connectTimeoutUs", Duration.ofMillis(250)),
+            terms.micros("extra.settleUs", Duration.ofSeconds(3)));
     priorityClasses.clear();
     again.clear();
     tenants.clear();
-    for (int i = 0; i < terms.num("lanes", 0); i++) {
+    for (int i = 0; i < terms.number("lanes", 0); i++) {
       String name = terms.text("lanes." + i + ".name", "");
       priorityClasses.add(name);
       if (terms.text("lanes." + i + ".semantics", "fragile").equals("retryable")) {
         again.add(name);
       }
-      patience.put(name, terms.micros("lanes." + i + ".giveUpUs", 5e6));
+      patience.put(name, terms.micros("lanes." + i + ".giveUpUs", Duration.ofSeconds(5)));
     }
-    for (int i = 0; i < terms.num("tenants", 0); i++) {
+    for (int i = 0; i < terms.number("tenants", 0); i++) {
       tenants.add(terms.text("tenants." + i + ".name", ""));
     }
     mostCores = most("extra.cpuOfKind");
--- a/src/main/java/fordridge/server/json/ServerConfiguration.java
+++ b/src/main/java/fordridge/server/json/ServerConfiguration.java
@@ -1,7 +1,7 @@
 package fordridge.server.json;
 
 import fordridge.json.JsonFields;
-import fordridge.model.SchedulerSettings;
+import fordridge.model.SettingsValues;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -50,7 +50,7 @@
     Map<String, Object> events = JsonFields.object(from.get("known"), "configuration.known");
     pos = JsonFields.whole(events, "pos", "configuration.known");
     known = JsonFields.list(events, "entries", "configuration.known");
-    SchedulerSettings.flatten(
+    SettingsValues.flatten(
         "", JsonFields.object(from.get("settings"), "configuration.settings"), terms);
     if (!(terms.get("lanes") instanceof Long n) || n < 1) {
       throw new JsonFields.MalformedInputException(
--- a/src/main/java/fordridge/server/json/WarmUp.java
+++ b/src/main/java/fordridge/server/json/WarmUp.java
@@ -5,10 +5,11 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.SchedulerSettings;
+import fordridge.model.SettingsValues;
 import fordridge.model.Vm;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.scheduling.SchedulerActions;
+import fordridge.scheduling.SchedulerSettingsReader;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
@@ -39,7 +40,7 @@
     WarmUp w = new WarmUp();
     long until = System.nanoTime() + most.toNanos();
     w.begin(p.seed, p.terms);
-    String priorityClass = new SchedulerSettings(p.terms).text("lanes.0.name", "");
+    String priorityClass = new SettingsValues(p.terms).text("lanes.0.name", "");
     EmbeddedChannel channel = new EmbeddedChannel();
     ClientServer.embed(w, channel.pipeline());
     for (int i = 0; i < VMS && System.nanoTime() < until; i++) {
@@ -69,8 +70,8 @@
 
   private void begin(long seed, Map<String, Object> values) {
     inputs.scheduler.advanceTo(now);
-    inputs.scheduler.start(seed, values);
-    SchedulerSettings terms = new SchedulerSettings(values);
+    SettingsValues terms = new SettingsValues(values);
+    inputs.scheduler.start(seed, SchedulerSettingsReader.read(terms));
     List<SchedulerInputs.ListedMachine<String>> lines = new ArrayList<>();
     for (int i = 0; i < MACHINES; i++) {
       int kind = i % Math.max(1, terms.list("kinds").size());
--- a/src/main/java/fordridge/settings/SchedulerSettingsMapper.java
+++ b/src/main/java/fordridge/settings/SchedulerSettingsMapper.java
@@ -1,9 +1,10 @@
 package fordridge.settings;
 
 import fordridge.model.SchedulerSettings;
+import fordridge.model.SettingsValues;
+import fordridge.scheduling.SchedulerSettingsReader;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +20,7 @@
     return d.toNanos() / 1000;
   }
 
-  public static Map<String, Object> of(DeploymentSettings d, int position) {
+  public static SchedulerSettings of(DeploymentSettings d, int position) {
     Map<String, Object> t = new LinkedHashMap<>();
     List<Object> kinds = new ArrayList<>();
     List<Object> cores = new ArrayList<>();
@@ -92,9 +93,7 @@
     List<Object> tenants = new ArrayList<>();
     d.tenants.forEach(c -> tenants.add(Map.of("name", c.name(), "share", c.share())));
     t.put("tenants", tenants);
-    Map<String, Object> flat = new HashMap<>();
-    SchedulerSettings.flatten("", t, flat);
-    return flat;
+    return SchedulerSettingsReader.read(SettingsValues.ofNested(t));
   }
 
   private static void column(Map<String, List<Object>> columns, String name, Object value) {
--- a/src/main/java/fordridge/simulation/SimulatedScheduler.java
+++ b/src/main/java/fordridge/simulation/SimulatedScheduler.java
@@ -4,17 +4,17 @@
 import fordridge.json.JsonFields;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
-import fordridge.model.SchedulerSettings;
+import fordridge.model.SettingsValues;
 import fordridge.model.Vm;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.scheduling.Scheduler;
 import fordridge.scheduling.SchedulerActions;
+import fordridge.scheduling.SchedulerSettingsReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -46,10 +46,9 @@
     scheduler.advanceTo(clock);
     switch (msg) {
       case "create" -> {
-        Map<String, Object> terms = new HashMap<>();
-        SchedulerSettings.flatten(
-            "", JsonFields.object(ev.get("profileData"), at + ".profileData"), terms);
-        scheduler.start(JsonFields.whole(ev, "entropy", at), terms);
+        SettingsValues values =
+            SettingsValues.ofNested(JsonFields.object(ev.get("profileData"), at + ".profileData"));
+        scheduler.start(JsonFields.whole(ev, "entropy", at), SchedulerSettingsReader.read(values));
       }
       case "discovery" -> discovery(ev, at, lists);
       case "arrival" -> {
@@ -183,7 +182,7 @@
           case 521 -> PlacementAttempt.Outcome.UNREACHABLE;
           case 520 -> PlacementAttempt.Outcome.RESET;
           case 444 -> PlacementAttempt.Outcome.CANCELLED;
-          case 409 -> PlacementAttempt.Outcome.MOOT;
+          case 409 -> PlacementAttempt.Outcome.NOT_SENT;
           default ->
               throw new JsonFields.MalformedInputException(
                   at + ": field 'rc' is not a known result");
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -108,7 +108,7 @@
     @Override
     public void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       assertThat(attempt.vm.id).as("nothing that runs is taken for lost").startsWith("new");
-      unsent += end == Outcome.MOOT ? 1 : 0;
+      unsent += end == Outcome.NOT_SENT ? 1 : 0;
     }
 
     @Override
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -197,9 +197,9 @@
     PlacementAttempt out = w.carried();
     PlacementAttempt waits = w.offer();
     w.connectionPool.listed(Machine.Lifecycle.DRAINING, w.now);
-    assertThat(w.ends).containsExactly(Map.entry(waits, Outcome.MOOT));
+    assertThat(w.ends).containsExactly(Map.entry(waits, Outcome.NOT_SENT));
     PlacementAttempt late = w.offer();
-    assertThat(w.ends.get(late)).as("decided before it was told").isEqualTo(Outcome.MOOT);
+    assertThat(w.ends.get(late)).as("decided before it was told").isEqualTo(Outcome.NOT_SENT);
     w.connectionPool.stands(w.open.get(0), out.vm.id, "d", w.now);
     assertThat(w.bound).containsOnlyKeys(out);
   }
@@ -311,7 +311,7 @@
     w.open.clear();
     assertThat(w.ends).containsOnlyKeys(one, two);
     w.most = 0;
-    assertThat(w.ends.get(w.offer())).isEqualTo(Outcome.MOOT);
+    assertThat(w.ends.get(w.offer())).isEqualTo(Outcome.NOT_SENT);
   }
 
   @Example
--- a/src/test/java/fordridge/machine/MachineStreamTest.java
+++ b/src/test/java/fordridge/machine/MachineStreamTest.java
@@ -204,7 +204,7 @@
     w.breaks();
     w.pass(150);
     w.holding(1);
-    assertThat(c.outcome).isEqualTo(Outcome.MOOT);
+    assertThat(c.outcome).isEqualTo(Outcome.NOT_SENT);
     assertThat(c.hasNeverRun()).isTrue();
   }
 
@@ -270,7 +270,7 @@
     PlacementAttempt c = w.offer(false);
     w.holding(1);
     w.link.drains();
-    assertThat(c.outcome).isEqualTo(Outcome.MOOT);
+    assertThat(c.outcome).isEqualTo(Outcome.NOT_SENT);
     w.ready = true;
     w.link.ready(w.now);
     assertThat(w.offered).isEmpty();
--- a/src/test/java/fordridge/scheduling/SchedulerFixture.java
+++ b/src/test/java/fordridge/scheduling/SchedulerFixture.java
@@ -6,6 +6,8 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.SchedulerSettings;
+import fordridge.model.SettingsValues;
 import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -83,7 +85,7 @@
 
   void begin(long seed, int count) {
     scheduler.advanceTo(now);
-    scheduler.start(seed, terms);
+    scheduler.start(seed, settings());
     scheduler.machineListStarted(true, true);
     for (int i = 0; i < count; i++) {
       scheduler.machineListed(machine(i), Lifecycle.LIVE, null);
@@ -91,6 +93,16 @@
     scheduler.machineListCompleted();
   }
 
+  SchedulerSettings settings() {
+    return SchedulerSettingsReader.read(new SettingsValues(terms));
+  }
+
+  /** Tells the scheduler that a setting changed. */
+  void change(String name, Object value) {
+    terms.put(name, value);
+    scheduler.settingsChanged(settings());
+  }
+
   private Machine machine(int i) {
     Machine m = new Machine(100 + i);
     m.kind = i % 2 == 0 ? "small" : "big";
@@ -208,7 +220,7 @@
                     Outcome.UNREACHABLE,
                     Outcome.RESET,
                     Outcome.TIMEOUT,
-                    Outcome.MOOT
+                    Outcome.NOT_SENT
                   };
           end(
               c,
@@ -255,7 +267,7 @@
   private static boolean hasNeverRun(PlacementAttempt c) {
     return c.outcome == Outcome.FULL
         || c.outcome == Outcome.UNREACHABLE
-        || c.outcome == Outcome.MOOT;
+        || c.outcome == Outcome.NOT_SENT;
   }
 
   private boolean sameGroup(Machine a, Machine b) {
--- a/src/test/java/fordridge/scheduling/SchedulerTest.java
+++ b/src/test/java/fordridge/scheduling/SchedulerTest.java
@@ -86,7 +86,7 @@
   void regularRoomIsLeftToThePartOfVmsThatItHolds() {
     SchedulerFixture w = calm(8);
     w.terms.put("nInstances", 200L);
-    w.terms.put("caps.mostTries", 1L);
+    w.change("caps.mostTries", 1L);
     w.machines.forEach(m -> m.freeCores = -1);
     w.machines.get(0).freeCores = 2;
     w.machines.forEach(m -> report(w, m, m.cores * 0.7, m.memory * 0.7));
@@ -207,13 +207,11 @@
   @Example
   void termsToldLaterHoldFromThenOn() {
     SchedulerFixture w = calm(3);
-    w.terms.put("caps.mostTries", 1L);
-    w.scheduler.settingsChanged(w.terms);
+    w.change("caps.mostTries", 1L);
     Vm first = w.arrive("retryable", 1, 1, 1);
     w.end(first.attempts.get(0), Outcome.FULL, OutcomeReason.INSUFFICIENT_CORES);
     assertThat(w.denied).isEqualTo(1);
-    w.terms.put("caps.mostTries", 3L);
-    w.scheduler.settingsChanged(w.terms);
+    w.change("caps.mostTries", 3L);
     Vm second = w.arrive("retryable", 1, 1, 1);
     w.end(second.attempts.get(0), Outcome.FULL, OutcomeReason.INSUFFICIENT_CORES);
     assertThat(second.attempts.size()).isEqualTo(2);
--- a/src/test/java/fordridge/scheduling/SlowStartFleetTest.java
+++ b/src/test/java/fordridge/scheduling/SlowStartFleetTest.java
@@ -6,6 +6,7 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.SettingsValues;
 import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -130,7 +131,7 @@
       terms.put("obligations.overloadForUs", fleet.span.toNanos() / 1000);
       terms.put("obligations.coldFrom", 0.2);
       scheduler.advanceTo(now());
-      scheduler.start(fleet.r.nextLong(), terms);
+      scheduler.start(fleet.r.nextLong(), SchedulerSettingsReader.read(new SettingsValues(terms)));
     }
 
     private Duration now() {
--- a/src/test/java/fordridge/settings/DeploymentSettingsTest.java
+++ b/src/test/java/fordridge/settings/DeploymentSettingsTest.java
@@ -4,11 +4,13 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import fordridge.discovery.MachineListFile;
+import fordridge.model.RetrySafety;
 import fordridge.model.SchedulerSettings;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import net.jqwik.api.Example;
 
@@ -36,20 +38,19 @@
   void goodOnesAreReadWithDefaults() throws Exception {
     DeploymentSettings d = DeploymentSettings.read(file(GOOD));
     assertThat(d.priorityClasses.get("f").rebuildable()).isTrue();
-    SchedulerSettings t = new SchedulerSettings(SchedulerSettingsMapper.of(d, 3));
-    assertThat(t.text("lanes.0.semantics", "")).isEqualTo("retryable");
-    assertThat(t.num("lanes.0.promiseUs", 0)).isEqualTo(600_000.0);
-    assertThat(t.num("position", -1)).isEqualTo(3.0);
-    assertThat(t.item("extra.cpuOfKind", 0, 0)).isEqualTo(8.0);
+    SchedulerSettings t = SchedulerSettingsMapper.of(d, 3);
+    assertThat(t.priorityClasses().get(0).retrySafety()).isEqualTo(RetrySafety.IDEMPOTENT);
+    assertThat(t.priorityClasses().get(0).startObjective()).isEqualTo(Duration.ofMillis(600));
+    assertThat(t.position()).isEqualTo(3);
+    assertThat(t.machineKinds().get(0).cores()).isEqualTo(8.0);
   }
 
   @Example
   void aForgottenEffectIsTheStrictest() throws Exception {
     DeploymentSettings d =
         DeploymentSettings.read(file(GOOD.replace("effect = rebuildable, ", "")));
-    assertThat(
-            new SchedulerSettings(SchedulerSettingsMapper.of(d, 0)).text("lanes.0.semantics", ""))
-        .isEqualTo("fragile");
+    assertThat(SchedulerSettingsMapper.of(d, 0).priorityClasses().get(0).retrySafety())
+        .isEqualTo(RetrySafety.NON_IDEMPOTENT);
   }
 
   @Example
@@ -92,27 +93,25 @@
   /** What the module was told before these could be set stays what it is told by default. */
   @Example
   void theShapeOfADeploymentIsPassedOnAndItsDefaultsAreWhatHeldBefore() throws Exception {
-    SchedulerSettings t =
-        new SchedulerSettings(SchedulerSettingsMapper.of(DeploymentSettings.read(file(GOOD)), 0));
-    assertThat(t.flag("caps.retryAfter", false)).isTrue();
-    assertThat(t.flag("caps.peerMessages", true)).isFalse();
-    assertThat(t.text("discovery", "")).isEqualTo("push");
-    assertThat(t.num("obligations.askWithinUs", 0)).isEqualTo(10_000_000.0);
+    SchedulerSettings t = SchedulerSettingsMapper.of(DeploymentSettings.read(file(GOOD)), 0);
+    assertThat(t.attempts().sendsRetryAfter()).isTrue();
+    assertThat(t.monitoring().gossipAllowed()).isFalse();
+    assertThat(t.discovery().mode()).isEqualTo(SchedulerSettings.DiscoveryMode.PUSH);
+    assertThat(t.discovery().pollInterval()).isEqualTo(Duration.ofSeconds(10));
     t =
-        new SchedulerSettings(
-            SchedulerSettingsMapper.of(
-                DeploymentSettings.read(
-                    file(
-                        GOOD
-                            + "cluster { retry_after = false, list_comes = ask, "
-                            + "ask_within = 20s, notes = true, mean_cores = 1.5 }\nprices.note = 0.01\n")),
-                0));
-    assertThat(t.flag("caps.retryAfter", true)).isFalse();
-    assertThat(t.flag("caps.peerMessages", false)).isTrue();
-    assertThat(t.text("discovery", "")).isEqualTo("ask");
-    assertThat(t.num("obligations.askWithinUs", 0)).isEqualTo(20_000_000.0);
-    assertThat(t.num("extra.meanCores", 0)).isEqualTo(1.5);
-    assertThat(t.num("prices.peer", 0)).isEqualTo(0.01);
+        SchedulerSettingsMapper.of(
+            DeploymentSettings.read(
+                file(
+                    GOOD
+                        + "cluster { retry_after = false, list_comes = ask, "
+                        + "ask_within = 20s, notes = true, mean_cores = 1.5 }\nprices.note = 0.01\n")),
+            0);
+    assertThat(t.attempts().sendsRetryAfter()).isFalse();
+    assertThat(t.monitoring().gossipAllowed()).isTrue();
+    assertThat(t.discovery().mode()).isEqualTo(SchedulerSettings.DiscoveryMode.WATCH);
+    assertThat(t.discovery().pollInterval()).isEqualTo(Duration.ofSeconds(20));
+    assertThat(t.capacity().meanVmCores()).isEqualTo(1.5);
+    assertThat(t.prices().gossipMessage()).isEqualTo(0.01);
   }
 
   @Example
