--- a/src/main/java/fordridge/runtime/EventSequencer.java
+++ b/src/main/java/fordridge/runtime/EventSequencer.java
@@ -73,6 +73,14 @@
    */
   public boolean enter(Runnable input) {
     readWatchIfDue();
+    return enterFromWatch(input);
+  }
+
+  /**
+   * Enters what the watch itself says, whoever reads it, as {@link #enter} does: the watch is not
+   * read for it.
+   */
+  public boolean enterFromWatch(Runnable input) {
     waiting.addLast(input);
     if (inside) {
       return false;
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -382,7 +382,9 @@
         addresses.put(id, ServerConfiguration.address(at));
       }
     }
-    enter(() -> listed(whole, lines, addresses));
+    if (sequencer.enterFromWatch(() -> listed(whole, lines, addresses)) && front != null) {
+      front.flush();
+    }
   }
 
   private static double amount(List<?> of, int i) {
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -142,6 +142,20 @@
     assertThat(ends.ends).hasSize(OFFERS - line.writtenAt.size()).containsValue(Outcome.NOT_SENT);
   }
 
+  /**
+   * Guards the figure of the latest offer, counted from the last read that did not know of a drain.
+   */
+  @Example
+  void whatTheLoopReadFromTheWatchIsNoReadOfItsOwn() {
+    List<Duration> known = new ArrayList<>();
+    sequencer.watch(() -> {}, READ_EVERY);
+    time = READ_EVERY;
+    sequencer.enter(() -> {});
+    time = time.plus(READ_EVERY.multipliedBy(2));
+    sequencer.enterFromWatch(() -> known.add(sequencer.watchReadAt()));
+    assertThat(known).containsExactly(READ_EVERY);
+  }
+
   @Example
   void theWatchIsReadNoMoreOftenThanItIsDueAndNeverFromWithin() {
     List<Duration> reads = new ArrayList<>();
