Pending responses with typed states; errors of fields quote the value

PendingResponses (was a set of flags and a bare cause): states of an entry are an enum, the cause of a termination notice is the outcome, and connectionClosed documents what becomes of a closed connection. JsonFields names the path and quotes the offending value.

--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -72,7 +72,7 @@
       String text = line.toString(StandardCharsets.UTF_8).trim();
       try {
         if (text.startsWith("{")) {
-          event(JsonFields.line(text));
+          event(JsonFields.parse(text));
         } else if (!text.isEmpty() && Long.parseLong(text) > pos) {
           throw new JsonFields.MalformedInputException(
               "the journal is at " + text + ", and told only up to " + pos);
--- a/src/main/java/fordridge/json/JsonFields.java
+++ b/src/main/java/fordridge/json/JsonFields.java
@@ -13,43 +13,71 @@
 import java.util.Map;
 
 /**
- * Reads one line of JSON into plain values, and takes typed fields out of them with plain
- * complaints.
+ * Parses one JSON object into maps, lists, strings, numbers and booleans, and reads typed fields
+ * from it. Every complaint names the path of the field and the offending value.
  */
 public final class JsonFields {
-  /** A line that the wire does not allow; the message says what and where. */
+  /**
+   * Input that its protocol does not allow; the message says where, what it is and what it isn't.
+   */
   public static final class MalformedInputException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    public MalformedInputException(String what) {
-      super(what, null, false, false);
+    /** The longest piece of an offending value that is quoted. */
+    private static final int MAX_QUOTED_CHARS = 64;
+
+    /** Without a stack trace: it is the sender's fault, and may come in floods. */
+    public MalformedInputException(String message) {
+      super(message, null, false, false);
+    }
+
+    static MalformedInputException missing(String path, String name) {
+      return new MalformedInputException(path + ": field '" + name + "' is missing");
+    }
+
+    static MalformedInputException unexpected(
+        String path, String name, String expected, Object value) {
+      return new MalformedInputException(
+          path + ": field '" + name + "' is not " + expected + ": " + quote(value));
+    }
+
+    private static String quote(Object value) {
+      String text = String.valueOf(value).replace('\n', ' ').replace('\r', ' ');
+      return text.length() <= MAX_QUOTED_CHARS ? text : text.substring(0, MAX_QUOTED_CHARS) + "...";
     }
   }
 
   private static final JsonFactory FACTORY = new JsonFactory();
 
-  /** For what strangers send: no name twice, nothing learned from their names, no deep nesting. */
-  private static final JsonFactory STRICT =
+  private static final int MAX_UNTRUSTED_NESTING = 32;
+  private static final int MAX_UNTRUSTED_NUMBER_CHARS = 64;
+
+  /** For untrusted input: no duplicate names, no caching of names, bounded nesting. */
+  private static final JsonFactory STRICT_FACTORY =
       JsonFactory.builder()
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
           .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
           .streamReadConstraints(
-              StreamReadConstraints.builder().maxNestingDepth(32).maxNumberLength(64).build())
+              StreamReadConstraints.builder()
+                  .maxNestingDepth(MAX_UNTRUSTED_NESTING)
+                  .maxNumberLength(MAX_UNTRUSTED_NUMBER_CHARS)
+                  .build())
           .build();
 
   private JsonFields() {}
 
-  public static Map<String, Object> line(String text) throws IOException {
-    return line(FACTORY, text);
+  /** Parses a text from a trusted source that holds one JSON object and nothing else. */
+  public static Map<String, Object> parse(String text) throws IOException {
+    return parse(FACTORY, text);
   }
 
-  /** As {@link #line}, of a line that a stranger sent. */
-  public static Map<String, Object> strict(String text) throws IOException {
-    return line(STRICT, text);
+  /** As {@link #parse}, for untrusted input. */
+  public static Map<String, Object> parseStrict(String text) throws IOException {
+    return parse(STRICT_FACTORY, text);
   }
 
-  private static Map<String, Object> line(JsonFactory factory, String text) throws IOException {
+  private static Map<String, Object> parse(JsonFactory factory, String text) throws IOException {
     try (JsonParser in = factory.createParser(text)) {
       if (in.nextToken() != JsonToken.START_OBJECT) {
         throw new MalformedInputException("the line is not a JSON object");
@@ -102,75 +130,85 @@
     }
   }
 
-  private static Object needed(Map<String, Object> from, String name, String where) {
-    Object v = from.get(name);
-    if (v == null) {
-      throw new MalformedInputException(where + ": field '" + name + "' is missing");
+  private static Object require(Map<String, Object> from, String name, String path) {
+    Object value = from.get(name);
+    if (value == null) {
+      throw MalformedInputException.missing(path, name);
     }
-    return v;
-  }
-
-  private static MalformedInputException wrong(String name, String where, String wanted) {
-    return new MalformedInputException(where + ": field '" + name + "' is not " + wanted);
+    return value;
   }
 
-  public static long whole(Map<String, Object> from, String name, String where) {
-    if (needed(from, name, where) instanceof Long v) {
-      return v;
+  /** A required whole number. */
+  public static long whole(Map<String, Object> from, String name, String path) {
+    Object value = require(from, name, path);
+    if (value instanceof Long number) {
+      return number;
     }
-    throw wrong(name, where, "a whole number");
+    throw MalformedInputException.unexpected(path, name, "a whole number", value);
   }
 
-  public static long whole(Map<String, Object> from, String name, String where, long absent) {
-    return from.get(name) == null ? absent : whole(from, name, where);
+  /** A whole number, or {@code absent}. */
+  public static long whole(Map<String, Object> from, String name, String path, long absent) {
+    return from.get(name) == null ? absent : whole(from, name, path);
   }
 
-  public static double number(Map<String, Object> from, String name, String where) {
-    if (needed(from, name, where) instanceof Number v) {
-      return v.doubleValue();
+  /** A required number. */
+  public static double number(Map<String, Object> from, String name, String path) {
+    Object value = require(from, name, path);
+    if (value instanceof Number number) {
+      return number.doubleValue();
     }
-    throw wrong(name, where, "a number");
+    throw MalformedInputException.unexpected(path, name, "a number", value);
   }
 
-  public static double number(Map<String, Object> from, String name, String where, double absent) {
-    return from.get(name) == null ? absent : number(from, name, where);
+  /** A number, or {@code absent}. */
+  public static double number(Map<String, Object> from, String name, String path, double absent) {
+    return from.get(name) == null ? absent : number(from, name, path);
   }
 
-  public static String text(Map<String, Object> from, String name, String where) {
-    if (needed(from, name, where) instanceof String v) {
-      return v;
+  /** A required string. */
+  public static String text(Map<String, Object> from, String name, String path) {
+    Object value = require(from, name, path);
+    if (value instanceof String text) {
+      return text;
     }
-    throw wrong(name, where, "a string");
+    throw MalformedInputException.unexpected(path, name, "a string", value);
   }
 
-  public static String text(Map<String, Object> from, String name, String where, String absent) {
-    return from.get(name) == null ? absent : text(from, name, where);
+  /** A string, or {@code absent}. */
+  public static String text(Map<String, Object> from, String name, String path, String absent) {
+    return from.get(name) == null ? absent : text(from, name, path);
   }
 
-  public static boolean flag(Map<String, Object> from, String name, String where) {
-    Object v = from.get(name);
-    if (v == null) {
+  /** True or false; false if absent. */
+  public static boolean flag(Map<String, Object> from, String name, String path) {
+    Object value = from.get(name);
+    if (value == null) {
       return false;
     }
-    if (v instanceof Boolean b) {
-      return b;
+    if (value instanceof Boolean flag) {
+      return flag;
     }
-    throw wrong(name, where, "true or false");
+    throw MalformedInputException.unexpected(path, name, "true or false", value);
   }
 
+  /** The value as an object; the keys of parsed JSON are strings. */
   @SuppressWarnings("unchecked")
-  public static Map<String, Object> object(Object v, String where) {
-    if (v instanceof Map) {
-      return (Map<String, Object>) v;
+  public static Map<String, Object> object(Object value, String path) {
+    if (value instanceof Map) {
+      return (Map<String, Object>) value;
     }
-    throw new MalformedInputException(where + " is not an object");
+    throw new MalformedInputException(
+        path + " is not an object: " + MalformedInputException.quote(value));
   }
 
+  /** A required array. */
   @SuppressWarnings("unchecked")
-  public static List<Object> list(Map<String, Object> from, String name, String where) {
-    if (needed(from, name, where) instanceof List<?> v) {
-      return (List<Object>) v;
+  public static List<Object> list(Map<String, Object> from, String name, String path) {
+    Object value = require(from, name, path);
+    if (value instanceof List<?>) {
+      return (List<Object>) value;
     }
-    throw wrong(name, where, "an array");
+    throw MalformedInputException.unexpected(path, name, "an array", value);
   }
 }
--- a/src/main/java/fordridge/json/LineCodec.java
+++ b/src/main/java/fordridge/json/LineCodec.java
@@ -66,7 +66,7 @@
 
   private void read(ByteBuf line) throws IOException {
     String text = text(line);
-    Map<String, Object> m = JsonFields.strict(text);
+    Map<String, Object> m = JsonFields.parseStrict(text);
     String type = JsonFields.text(m, "t", "line");
     String id = JsonFields.text(m, "ref", "line");
     if (!ID.matcher(id).matches()) {
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -317,7 +317,7 @@
       r.connectionPool.tick(now);
     }
     ConnectionBudget.relieve(connectionPools, share.staying(), share.most(), now);
-    pendingResponses.tidy(now);
+    pendingResponses.expireNotices(now);
   }
 
   // ---- The list
@@ -409,7 +409,7 @@
 
   @Override
   public boolean busy(ClientServer.ClientConnection owner) {
-    return pendingResponses.on(owner) > 0;
+    return pendingResponses.isInUse(owner);
   }
 
   @Override
@@ -433,9 +433,9 @@
             runsAlready(owner, vm, at);
             return;
           }
-          switch (pendingResponses.ask(id, owner)) {
-            case TWICE -> refuse(owner, id, "an id that is in hand already");
-            case OVER -> owner.write("down", id, REFUSED, null);
+          switch (pendingResponses.requestReceived(id, owner)) {
+            case DUPLICATE -> refuse(owner, id, "an id that is in hand already");
+            case OVER_CAPACITY -> owner.write("down", id, REFUSED, null);
             default -> takes(owner, vm, fields, description);
           }
         });
@@ -456,7 +456,7 @@
         () -> {
           // Should the module fail on an input, nobody is left without an answer: this one promises
           // nothing.
-          if (pendingResponses.waits(vm.id)) {
+          if (pendingResponses.isAwaitingResponse(vm.id)) {
             log.accept("no decision in time: " + vm.id);
             answer(vm, "down", ERRORED, null, false);
             // After its answer nothing more is sent for it, whatever the module would do.
@@ -468,8 +468,8 @@
 
   private void unpark() {
     for (PendingResponses.AddressedNotice<ClientServer.ClientConnection> t :
-        pendingResponses.unpark(now)) {
-      t.line().write("down", t.release().vm(), t.release().cause(), null);
+        pendingResponses.takeDeferredNotices(now)) {
+      t.connection().write("down", t.notice().vmId(), cause(t.notice().outcome()), null);
     }
   }
 
@@ -481,7 +481,7 @@
     if (bad++ < 20) {
       log.accept("not taken: " + id + ": " + wrong);
     }
-    List<String> inHand = pendingResponses.asksOn(owner);
+    List<String> inHand = pendingResponses.pendingRequestsOf(owner);
     if (!inHand.contains(id)) {
       owner.write("down", id, ERRORED, null);
     }
@@ -552,7 +552,7 @@
   }
 
   private void runsAlready(ClientServer.ClientConnection owner, Vm vm, String at) {
-    if (at.isEmpty() || !pendingResponses.stands(vm.id, owner)) {
+    if (at.isEmpty() || !pendingResponses.adoptRunning(vm.id, owner)) {
       return;
     }
     unpark();
@@ -584,7 +584,7 @@
     enter(
         () -> {
           Vm vm = inputs.vm(id);
-          if (vm == null || !pendingResponses.ends(id)) {
+          if (vm == null || !pendingResponses.endedByClient(id)) {
             return;
           }
           if (vm.acceptedAttempt != null) {
@@ -610,7 +610,7 @@
   public void closed(ClientServer.ClientConnection owner) {
     enter(
         () -> {
-          for (String id : pendingResponses.closed(owner)) {
+          for (String id : pendingResponses.connectionClosed(owner)) {
             Vm vm = inputs.vm(id);
             if (vm != null && vm.acceptedAttempt == null) {
               givenUp(vm);
@@ -622,17 +622,23 @@
 
   @Override
   public void hears(ClientServer.ClientConnection owner, String id) {
-    enter(() -> pendingResponses.heard(id, owner));
+    enter(() -> pendingResponses.noticeAcknowledged(id, owner));
   }
 
   private void answer(
       Vm vm, String type, int cause, String description, boolean stands, String... fields) {
-    ClientServer.ClientConnection owner = pendingResponses.answer(vm.id, stands);
+    ClientServer.ClientConnection owner =
+        (stands ? pendingResponses.takeAccepted(vm.id) : pendingResponses.takeDeclined(vm.id))
+            .orElse(null);
     if (owner != null) {
       owner.write(type, vm.id, cause, description, fields);
     }
   }
 
+  private static int cause(Outcome outcome) {
+    return outcome == Outcome.DONE ? DONE : LOST;
+  }
+
   private void forget(Vm vm) {
     sequencer.behind(
         () -> {
@@ -685,10 +691,11 @@
 
   @Override
   public void migrate(Vm vm) {
-    ClientServer.ClientConnection owner = pendingResponses.release(vm.id, LOST, now);
+    ClientServer.ClientConnection owner =
+        pendingResponses.vmTerminated(vm.id, Outcome.RESET, now).orElse(null);
     if (owner != null) {
       owner.write("shift", vm.id, -1, null);
-      pendingResponses.heard(vm.id, owner);
+      pendingResponses.noticeAcknowledged(vm.id, owner);
     }
     byMachine.get(vm.acceptedAttempt.machine).connectionPool.stop(vm.acceptedAttempt, now);
   }
@@ -760,12 +767,12 @@
           ends.merge(end, 1L, Long::sum);
           inputs.scheduler.attemptEnded(c, end, why, wasBound || c.vm.isFinished);
           if (wasBound && end == Outcome.CANCELLED) {
-            pendingResponses.ends(c.vm.id);
+            pendingResponses.endedByClient(c.vm.id);
           } else if (wasBound) {
-            int cause = end == Outcome.DONE ? DONE : LOST;
-            ClientServer.ClientConnection owner = pendingResponses.release(c.vm.id, cause, now);
+            ClientServer.ClientConnection owner =
+                pendingResponses.vmTerminated(c.vm.id, end, now).orElse(null);
             if (owner != null) {
-              owner.write("down", c.vm.id, cause, null);
+              owner.write("down", c.vm.id, cause(end), null);
             }
           }
           forget(c.vm);
@@ -798,11 +805,11 @@
 
   /** Releases that have not been heard yet, or wait for a connection. */
   int untold() {
-    return pendingResponses.untold();
+    return pendingResponses.undeliveredNotices();
   }
 
   int inHand() {
-    return pendingResponses.inHand();
+    return pendingResponses.pendingRequests();
   }
 
   Duration longestPatience() {
@@ -813,18 +820,18 @@
   int kept() {
     return inputs.size()
         + carried.size()
-        + pendingResponses.inHand()
-        + pendingResponses.standing()
-        + pendingResponses.untold();
+        + pendingResponses.pendingRequests()
+        + pendingResponses.runningVms()
+        + pendingResponses.undeliveredNotices();
   }
 
   String state() {
     return "in hand "
-        + pendingResponses.inHand()
+        + pendingResponses.pendingRequests()
         + ", standing "
-        + pendingResponses.standing()
+        + pendingResponses.runningVms()
         + ", untold "
-        + pendingResponses.untold()
+        + pendingResponses.undeliveredNotices()
         + ", machines "
         + machineHandles.size()
         + ", connections to machines "
--- a/src/main/java/fordridge/server/json/ServerConfiguration.java
+++ b/src/main/java/fordridge/server/json/ServerConfiguration.java
@@ -60,7 +60,7 @@
 
   /** Reads it whole, or says what is wrong with it. */
   public static ServerConfiguration read(Path file) throws IOException {
-    return new ServerConfiguration(JsonFields.line(Files.readString(file)));
+    return new ServerConfiguration(JsonFields.parse(Files.readString(file)));
   }
 
   static InetSocketAddress address(String hostPort) {
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -1,5 +1,6 @@
 package fordridge.session;
 
+import fordridge.model.PlacementAttempt.Outcome;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,271 +11,315 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * Which owner's line is owed which answer, where an ask is bound to the connection that it came on
- * and what stands is bound to none. Free of I/O, threads and clocks. An ask gets one answer; what
- * stands, one release.
+ * Keeps which client connection gets which response: one final response for each placement request,
+ * and one termination notice for each VM that was accepted.
  *
- * @param <L> an owner's connection
+ * <p>A request belongs to the connection that carried it. A running VM outlives its connection: its
+ * termination notice then goes to another connection of a client. Notices are sent at least once:
+ * they are kept until the client acknowledges them or they expire.
+ *
+ * <p>Free of I/O, threads and clocks: the caller writes what is returned, and brings the time. To
+ * be used by one thread only.
+ *
+ * @param <C> a client's connection
  */
-public final class PendingResponses<L> {
-  /** What becomes of an ask. */
+public final class PendingResponses<C> {
+  /** Whether a placement request was taken up. */
   public enum Admission {
-    NEW,
-    /** An ask under this name is in hand, or stands. */
-    TWICE,
-    /** Too many are in hand. */
-    OVER
+    ADMITTED,
+    /** A request with this id is pending already, or its VM runs. */
+    DUPLICATE,
+    /** The maximum number of requests is pending. */
+    OVER_CAPACITY
   }
 
-  /** That a VM that stood is over, for as long as it is worth telling. */
-  public record TerminationNotice(String vm, int cause, Duration until) {}
+  /** That a VM which ran is over, and until when this is worth sending. */
+  public record TerminationNotice(String vmId, Outcome outcome, Duration expiresAt) {}
 
-  /** A release, and the line that it goes out on now. */
-  public record AddressedNotice<L>(L line, TerminationNotice release) {}
+  /** A termination notice, and the connection to send it on. */
+  public record AddressedNotice<C>(C connection, TerminationNotice notice) {}
+
+  private enum State {
+    AWAITING_RESPONSE,
+    RUNNING
+  }
 
-  private static final class PendingResponse<L> {
-    L line;
-    boolean stands;
+  private static final class Entry<C> {
+    /** Null once it has closed while the VM runs. */
+    C connection;
 
-    PendingResponse(L line, boolean stands) {
-      this.line = line;
-      this.stands = stands;
+    State state;
+
+    Entry(C connection, State state) {
+      this.connection = connection;
+      this.state = state;
     }
   }
 
-  private final int most;
-  private final Duration keeps;
-  private final Map<String, PendingResponse<L>> duties = new HashMap<>();
-  private final Map<L, Set<String>> lines = new HashMap<>();
+  private final int maxPending;
+  private final Duration noticeLifetime;
+  private final Map<String, Entry<C>> entries = new HashMap<>();
+  private final Map<C, Set<String>> vmIdsByConnection = new HashMap<>();
 
-  /** Lines that have carried an ask, the latest last. */
-  private final LinkedHashSet<L> owners = new LinkedHashSet<>();
+  /** Open connections that have carried a request, the most recent last. */
+  private final LinkedHashSet<C> requestConnections = new LinkedHashSet<>();
 
-  /** Of these, the ones on which something was said to be heard, the latest last. */
-  private final LinkedHashSet<L> hearing = new LinkedHashSet<>();
+  /** Of these, the ones that have acknowledged a notice, the most recent last. */
+  private final LinkedHashSet<C> acknowledgingConnections = new LinkedHashSet<>();
 
-  /** Releases that no line could carry yet. */
-  private final Deque<TerminationNotice> parked = new ArrayDeque<>();
+  /** Notices for which there was no connection yet, the oldest first. */
+  private final Deque<TerminationNotice> deferredNotices = new ArrayDeque<>();
 
-  /**
-   * Releases that went out and were not heard yet, the oldest first: what closes a line may have
-   * met them on the way.
-   */
-  private final Map<String, AddressedNotice<L>> unheard = new LinkedHashMap<>();
+  /** Notices that were sent and not acknowledged yet, by VM, the oldest first. */
+  private final Map<String, AddressedNotice<C>> unacknowledgedNotices = new LinkedHashMap<>();
 
-  private int inHand;
+  private int pendingRequests;
 
-  /** At most so many asks in hand and as many releases, and those kept for so long. */
-  public PendingResponses(int most, Duration keeps) {
-    this.most = most;
-    this.keeps = keeps;
+  /**
+   * Creates an empty registry.
+   *
+   * @param maxPending the maximum number of pending requests, of deferred and of unacknowledged
+   *     notices each
+   * @param noticeLifetime how long an undelivered termination notice is kept
+   */
+  public PendingResponses(int maxPending, Duration noticeLifetime) {
+    this.maxPending = maxPending;
+    this.noticeLifetime = noticeLifetime;
   }
 
-  public Admission ask(String vm, L line) {
-    if (duties.containsKey(vm)) {
-      return Admission.TWICE;
+  /** A client requests a placement; if admitted, it is pending until its response is taken. */
+  public Admission requestReceived(String vmId, C connection) {
+    if (entries.containsKey(vmId)) {
+      return Admission.DUPLICATE;
     }
-    if (inHand >= most) {
-      return Admission.OVER;
+    if (pendingRequests >= maxPending) {
+      return Admission.OVER_CAPACITY;
     }
-    inHand++;
-    put(vm, line, false);
-    return Admission.NEW;
+    pendingRequests++;
+    put(vmId, connection, State.AWAITING_RESPONSE);
+    return Admission.ADMITTED;
   }
 
-  /** A VM that runs already: no answer is owed, its end is. False if it is known already. */
-  public boolean stands(String vm, L line) {
-    if (duties.containsKey(vm)) {
+  /**
+   * A client reports a VM that runs already: it gets no response, only the termination notice.
+   * False if the id is known already, and nothing is changed.
+   */
+  public boolean adoptRunning(String vmId, C connection) {
+    if (entries.containsKey(vmId)) {
       return false;
     }
-    put(vm, line, true);
+    put(vmId, connection, State.RUNNING);
     return true;
   }
 
-  private void put(String vm, L line, boolean stands) {
-    duties.put(vm, new PendingResponse<>(line, stands));
-    lines.computeIfAbsent(line, l -> new LinkedHashSet<>()).add(vm);
-    owners.remove(line);
-    owners.add(line);
+  private void put(String vmId, C connection, State state) {
+    entries.put(vmId, new Entry<>(connection, state));
+    vmIdsByConnection.computeIfAbsent(connection, c -> new LinkedHashSet<>()).add(vmId);
+    requestConnections.remove(connection);
+    requestConnections.add(connection);
   }
 
-  /**
-   * The line to be told the one answer; null if none is owed (any more). From then on it stands, or
-   * is over.
-   */
-  public L answer(String vm, boolean stands) {
-    PendingResponse<L> d = duties.get(vm);
-    if (d == null || d.stands) {
-      return null;
+  /** The request is accepted and the VM runs: where to say so; empty if it is not pending. */
+  public Optional<C> takeAccepted(String vmId) {
+    Entry<C> entry = entries.get(vmId);
+    if (entry == null || entry.state != State.AWAITING_RESPONSE) {
+      return Optional.empty();
     }
-    inHand--;
-    if (stands) {
-      d.stands = true;
-    } else {
-      drop(vm, d);
+    pendingRequests--;
+    entry.state = State.RUNNING;
+    return Optional.of(entry.connection);
+  }
+
+  /** The request is rejected or failed: where to say so; empty if it is not pending. */
+  public Optional<C> takeDeclined(String vmId) {
+    Entry<C> entry = entries.get(vmId);
+    if (entry == null || entry.state != State.AWAITING_RESPONSE) {
+      return Optional.empty();
     }
-    return d.line;
+    remove(vmId, entry);
+    return Optional.of(entry.connection);
   }
 
   /**
-   * What stood is over: the line to be told; null if nothing is owed, or no line is there and it is
-   * parked.
+   * A running VM is over: where to send its termination notice now. Empty if the VM is not running,
+   * or if no connection is open and the notice was deferred, see {@link #takeDeferredNotices}.
    */
-  public L release(String vm, int cause, Duration now) {
-    PendingResponse<L> d = duties.get(vm);
-    if (d == null || !d.stands) {
-      return null;
+  public Optional<C> vmTerminated(String vmId, Outcome outcome, Duration now) {
+    Entry<C> entry = entries.get(vmId);
+    if (entry == null || entry.state != State.RUNNING) {
+      return Optional.empty();
     }
-    drop(vm, d);
-    TerminationNotice r = new TerminationNotice(vm, cause, now.plus(keeps));
-    L line = d.line == null ? latest() : d.line;
-    if (line == null) {
-      park(r);
+    remove(vmId, entry);
+    TerminationNotice notice = new TerminationNotice(vmId, outcome, now.plus(noticeLifetime));
+    C connection = entry.connection == null ? alternativeConnection() : entry.connection;
+    if (connection == null) {
+      defer(notice);
     } else {
-      goesOut(line, r);
+      awaitAcknowledgement(connection, notice);
+    }
+    return Optional.ofNullable(connection);
+  }
+
+  /** The client acknowledges, on this connection, the termination notice of a VM. */
+  public void noticeAcknowledged(String vmId, C connection) {
+    unacknowledgedNotices.remove(vmId);
+    if (requestConnections.contains(connection)) {
+      acknowledgingConnections.remove(connection);
+      acknowledgingConnections.add(connection);
     }
-    return line;
   }
 
-  /** Its owner says, on this line, that it heard the release. */
-  public void heard(String vm, L line) {
-    unheard.remove(vm);
-    if (owners.contains(line)) {
-      hearing.remove(line);
-      hearing.add(line);
+  /** The client ends a VM or withdraws a request: it gets no response. False if it is unknown. */
+  public boolean endedByClient(String vmId) {
+    Entry<C> entry = entries.get(vmId);
+    if (entry == null) {
+      return false;
     }
+    remove(vmId, entry);
+    return true;
   }
 
   /**
-   * The line of an owner that is known to hear, else the one that has asked last: not every line
-   * that asks listens.
+   * A connection has closed. This is the one place that decides what becomes of all that it
+   * carried:
+   *
+   * <ul>
+   *   <li>its pending requests are abandoned: they are returned, get no response, and their ids may
+   *       be used again;
+   *   <li>its running VMs go on, and their termination notices will go to another connection;
+   *   <li>its notices that were not acknowledged may have been lost on the way: they are deferred,
+   *       see {@link #takeDeferredNotices}.
+   * </ul>
    */
-  private L latest() {
-    L line = null;
-    for (L l : hearing.isEmpty() ? owners : hearing) {
-      line = l;
+  public List<String> connectionClosed(C connection) {
+    requestConnections.remove(connection);
+    acknowledgingConnections.remove(connection);
+    deferUnacknowledged(connection);
+    List<String> abandonedRequests = new ArrayList<>();
+    Set<String> vmIds = vmIdsByConnection.remove(connection);
+    if (vmIds != null) {
+      for (String vmId : vmIds) {
+        Entry<C> entry = entries.get(vmId);
+        if (entry.state == State.RUNNING) {
+          entry.connection = null;
+        } else {
+          pendingRequests--;
+          entries.remove(vmId);
+          abandonedRequests.add(vmId);
+        }
+      }
     }
-    return line;
+    return abandonedRequests;
   }
 
-  private void park(TerminationNotice r) {
-    if (parked.size() >= most) {
-      parked.removeFirst();
+  private void deferUnacknowledged(C connection) {
+    Iterator<AddressedNotice<C>> sent = unacknowledgedNotices.values().iterator();
+    while (sent.hasNext()) {
+      AddressedNotice<C> addressed = sent.next();
+      if (addressed.connection.equals(connection)) {
+        sent.remove();
+        defer(addressed.notice);
+      }
     }
-    parked.addLast(r);
   }
 
-  private void goesOut(L line, TerminationNotice r) {
-    if (unheard.size() >= most) {
-      unheard.remove(unheard.keySet().iterator().next());
+  /** The deferred notices to be sent now: all that have not expired, if a connection is open. */
+  public List<AddressedNotice<C>> takeDeferredNotices(Duration now) {
+    expireNotices(now);
+    List<AddressedNotice<C>> due = new ArrayList<>();
+    C connection = alternativeConnection();
+    while (connection != null && !deferredNotices.isEmpty()) {
+      TerminationNotice notice = deferredNotices.removeFirst();
+      awaitAcknowledgement(connection, notice);
+      due.add(new AddressedNotice<>(connection, notice));
     }
-    unheard.put(r.vm, new AddressedNotice<>(line, r));
+    return due;
   }
 
-  /** Its owner ended it: nothing is owed. True if it was known. */
-  public boolean ends(String vm) {
-    PendingResponse<L> d = duties.get(vm);
-    if (d == null) {
-      return false;
-    }
-    if (!d.stands) {
-      inHand--;
-    }
-    drop(vm, d);
-    return true;
+  /** Drops the notices that are no longer worth sending. */
+  public void expireNotices(Duration now) {
+    deferredNotices.removeIf(notice -> notice.expiresAt.compareTo(now) <= 0);
+    unacknowledgedNotices.values().removeIf(sent -> sent.notice.expiresAt.compareTo(now) <= 0);
   }
 
-  public boolean waits(String vm) {
-    PendingResponse<L> d = duties.get(vm);
-    return d != null && !d.stands;
+  /** Whether the request is pending: its client has got no response yet. */
+  public boolean isAwaitingResponse(String vmId) {
+    Entry<C> entry = entries.get(vmId);
+    return entry != null && entry.state == State.AWAITING_RESPONSE;
   }
 
-  /**
-   * The line is no more: its asks are given up (their names come back), what stands goes on without
-   * it, and releases that were not heard on it wait for another, see {@link #unpark}.
-   */
-  public List<String> closed(L line) {
-    owners.remove(line);
-    hearing.remove(line);
-    for (Iterator<AddressedNotice<L>> i = unheard.values().iterator(); i.hasNext(); ) {
-      AddressedNotice<L> t = i.next();
-      if (t.line.equals(line)) {
-        i.remove();
-        park(t.release);
-      }
-    }
-    Set<String> own = lines.remove(line);
-    List<String> asks = new ArrayList<>();
-    if (own != null) {
-      for (String vm : own) {
-        PendingResponse<L> d = duties.get(vm);
-        if (d.stands) {
-          d.line = null;
-        } else {
-          inHand--;
-          duties.remove(vm);
-          asks.add(vm);
-        }
-      }
-    }
-    return asks;
+  /** The number of notices that are deferred or not acknowledged. */
+  public int undeliveredNotices() {
+    return deferredNotices.size() + unacknowledgedNotices.size();
   }
 
-  /**
-   * Releases that waited for a line, if one that has carried an ask is there now; those too old are
-   * let go.
-   */
-  public List<AddressedNotice<L>> unpark(Duration now) {
-    tidy(now);
-    List<AddressedNotice<L>> due = new ArrayList<>();
-    L line = latest();
-    for (TerminationNotice r = line == null ? null : parked.pollFirst();
-        r != null;
-        r = parked.pollFirst()) {
-      goesOut(line, r);
-      due.add(new AddressedNotice<>(line, r));
-    }
-    return due;
+  /** Whether the connection has a pending request or a running VM. */
+  public boolean isInUse(C connection) {
+    return vmIdsByConnection.containsKey(connection);
   }
 
-  public void tidy(Duration now) {
-    parked.removeIf(r -> r.until.compareTo(now) <= 0);
-    unheard.values().removeIf(t -> t.release.until.compareTo(now) <= 0);
+  /** The ids of the pending requests of the connection, in the order in which they came. */
+  public List<String> pendingRequestsOf(C connection) {
+    List<String> pending = new ArrayList<>();
+    for (String vmId : vmIdsByConnection.getOrDefault(connection, Set.of())) {
+      if (isAwaitingResponse(vmId)) {
+        pending.add(vmId);
+      }
+    }
+    return pending;
   }
 
-  /** Releases that wait for a line, or to be heard. */
-  public int untold() {
-    return parked.size() + unheard.size();
+  /** The number of pending requests. */
+  public int pendingRequests() {
+    return pendingRequests;
   }
 
-  /** Asks in hand on the line, and what stands by it. */
-  public int on(L line) {
-    return lines.getOrDefault(line, Set.of()).size();
+  /** The number of VMs that run. */
+  public int runningVms() {
+    return entries.size() - pendingRequests;
   }
 
-  /** The asks in hand on the line. */
-  public List<String> asksOn(L line) {
-    return lines.getOrDefault(line, Set.of()).stream().filter(this::waits).toList();
+  /**
+   * For a notice whose own connection has closed: the last one that acknowledged a notice, else the
+   * last one that carried a request (not every client that requests listens); null if none is open.
+   */
+  private C alternativeConnection() {
+    C last = null;
+    for (C connection :
+        acknowledgingConnections.isEmpty() ? requestConnections : acknowledgingConnections) {
+      last = connection;
+    }
+    return last;
   }
 
-  public int inHand() {
-    return inHand;
+  private void defer(TerminationNotice notice) {
+    if (deferredNotices.size() >= maxPending) {
+      deferredNotices.removeFirst();
+    }
+    deferredNotices.addLast(notice);
   }
 
-  public int standing() {
-    return duties.size() - inHand;
+  private void awaitAcknowledgement(C connection, TerminationNotice notice) {
+    if (unacknowledgedNotices.size() >= maxPending) {
+      unacknowledgedNotices.remove(unacknowledgedNotices.keySet().iterator().next());
+    }
+    unacknowledgedNotices.put(notice.vmId, new AddressedNotice<>(connection, notice));
   }
 
-  private void drop(String vm, PendingResponse<L> d) {
-    duties.remove(vm);
-    Set<String> own = d.line == null ? null : lines.get(d.line);
-    if (own != null) {
-      own.remove(vm);
-      if (own.isEmpty()) {
-        lines.remove(d.line);
+  private void remove(String vmId, Entry<C> entry) {
+    if (entry.state == State.AWAITING_RESPONSE) {
+      pendingRequests--;
+    }
+    entries.remove(vmId);
+    Set<String> vmIds = entry.connection == null ? null : vmIdsByConnection.get(entry.connection);
+    if (vmIds != null) {
+      vmIds.remove(vmId);
+      if (vmIds.isEmpty()) {
+        vmIdsByConnection.remove(entry.connection);
       }
     }
   }
--- a/src/main/java/fordridge/simulation/SimulatorAdapter.java
+++ b/src/main/java/fordridge/simulation/SimulatorAdapter.java
@@ -42,7 +42,7 @@
       number++;
       byte[] reply;
       try {
-        reply = batch(JsonFields.line(line));
+        reply = batch(JsonFields.parse(line));
       } catch (JsonFields.MalformedInputException e) {
         err.println("fordridge drill: line " + number + ": " + e.getMessage());
         return 1;
--- a/src/test/java/fordridge/server/json/JsonServerTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerTest.java
@@ -38,10 +38,10 @@
               "cores:1;memory:2;service:00000000b4d65521",
               "x\\r\\nc=\\u00e9 \\\"q\\\"\\u0001"));
       JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
-      assertThat(JsonFields.line(line[0]))
+      assertThat(JsonFields.parse(line[0]))
           .containsEntry("ref", ref(1))
           .containsEntry("d", "x\r\nc=é \"q\"\u0001");
-      assertThat(JsonFields.object(JsonFields.line(line[0]).get("f"), "f"))
+      assertThat(JsonFields.object(JsonFields.parse(line[0]).get("f"), "f"))
           .containsOnlyKeys("class", "key", "left")
           .containsEntry("key", "7f3a9c21e0b4d655");
       m.say(word("wait", 1, ""));
@@ -49,7 +49,7 @@
       m.say(word("up", 1, ",\"d\":\"d\\u0007\\r\\n\\u20ac\""));
       m.say(word("up", 1, ",\"d\":\"a second copy\""));
       String up = owner.next("\"up\"");
-      assertThat(JsonFields.line(up))
+      assertThat(JsonFields.parse(up))
           .containsEntry("d", "d\u0007\r\n€")
           .containsEntry("ref", ref(1));
       m.say(word("down", 1, ",\"c\":16"));
@@ -66,11 +66,11 @@
       JsonTestPeers.Wire owner = p.owner();
       owner.say(ask(1, "a").replace("\"key\"", "\"idem\":\"T-\\u00e91\",\"key\""));
       p.machine.carrying(ref(1), line).say(word("up", 1, ",\"d\":\"d\""));
-      assertThat(JsonFields.object(JsonFields.line(line[0]).get("f"), "f"))
+      assertThat(JsonFields.object(JsonFields.parse(line[0]).get("f"), "f"))
           .containsEntry("idem", "T-é1");
       owner.say(ask(2, "a"));
       p.machine.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d\""));
-      assertThat(JsonFields.object(JsonFields.line(line[0]).get("f"), "f"))
+      assertThat(JsonFields.object(JsonFields.parse(line[0]).get("f"), "f"))
           .doesNotContainKey("idem");
     }
   }
--- a/src/test/java/fordridge/session/PendingResponsesTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.session.PendingResponses.AddressedNotice;
+import fordridge.session.PendingResponses.Admission;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,183 +18,195 @@
 import net.jqwik.api.Property;
 
 class PendingResponsesTest {
-  private static final Duration T = Duration.ofSeconds(10);
-  private final PendingResponses<String> pendingResponses =
-      new PendingResponses<>(3, Duration.ofSeconds(8));
+  private static final Duration NOW = Duration.ofSeconds(10);
+  private static final Duration NOTICE_LIFETIME = Duration.ofSeconds(8);
+  private static final int MAX_PENDING = 3;
+
+  private final PendingResponses<String> responses =
+      new PendingResponses<>(MAX_PENDING, NOTICE_LIFETIME);
+
+  private static String describe(AddressedNotice<String> addressed) {
+    return addressed.connection() + " " + addressed.notice().vmId();
+  }
 
   @Example
-  void anAskGetsOneAnswerAndWhatStandsOneRelease() {
-    assertThat(pendingResponses.ask("a", "line")).isEqualTo(PendingResponses.Admission.NEW);
-    assertThat(pendingResponses.ask("a", "other")).isEqualTo(PendingResponses.Admission.TWICE);
-    assertThat(pendingResponses.release("a", 16, T)).isNull();
-    assertThat(pendingResponses.answer("a", true)).isEqualTo("line");
-    assertThat(pendingResponses.answer("a", false)).isNull();
-    assertThat(pendingResponses.release("a", 16, T)).isEqualTo("line");
-    assertThat(pendingResponses.release("a", 16, T)).isNull();
-    assertThat(pendingResponses.standing()).isZero();
+  void requestGetsOneResponseAndRunningVmOneTerminationNotice() {
+    assertThat(responses.requestReceived("a", "connection")).isEqualTo(Admission.ADMITTED);
+    assertThat(responses.requestReceived("a", "other")).isEqualTo(Admission.DUPLICATE);
+    assertThat(responses.vmTerminated("a", Outcome.DONE, NOW)).isEmpty();
+    assertThat(responses.takeAccepted("a")).contains("connection");
+    assertThat(responses.takeDeclined("a")).isEmpty();
+    assertThat(responses.vmTerminated("a", Outcome.DONE, NOW)).contains("connection");
+    assertThat(responses.vmTerminated("a", Outcome.DONE, NOW)).isEmpty();
+    assertThat(responses.runningVms()).isZero();
   }
 
   @Example
-  void asksBeyondTheBoundAreNotTaken() {
-    for (String vm : List.of("a", "b", "c")) {
-      assertThat(pendingResponses.ask(vm, "line")).isEqualTo(PendingResponses.Admission.NEW);
+  void requestsOverTheBoundAreNotAdmitted() {
+    for (String vmId : List.of("a", "b", "c")) {
+      assertThat(responses.requestReceived(vmId, "connection")).isEqualTo(Admission.ADMITTED);
     }
-    assertThat(pendingResponses.ask("d", "line")).isEqualTo(PendingResponses.Admission.OVER);
-    pendingResponses.answer("a", false);
-    assertThat(pendingResponses.ask("d", "line")).isEqualTo(PendingResponses.Admission.NEW);
+    assertThat(responses.requestReceived("d", "connection")).isEqualTo(Admission.OVER_CAPACITY);
+    responses.takeDeclined("a");
+    assertThat(responses.requestReceived("d", "connection")).isEqualTo(Admission.ADMITTED);
   }
 
   @Example
-  void aLineThatClosesGivesUpItsAsksAndWhatStandsIsToldOnAnother() {
-    pendingResponses.ask("waits", "line");
-    pendingResponses.ask("stands", "line");
-    pendingResponses.answer("stands", true);
-    pendingResponses.ask("other", "second");
-    assertThat(pendingResponses.closed("line")).containsExactly("waits");
-    assertThat(pendingResponses.answer("waits", true)).isNull();
-    assertThat(pendingResponses.release("stands", 16, T)).isEqualTo("second");
+  void closedConnectionAbandonsItsRequestsAndNoticesOfItsVmsGoToAnother() {
+    responses.requestReceived("pending", "connection");
+    responses.requestReceived("running", "connection");
+    responses.takeAccepted("running");
+    responses.requestReceived("other", "second");
+    assertThat(responses.connectionClosed("connection")).containsExactly("pending");
+    assertThat(responses.takeAccepted("pending")).isEmpty();
+    assertThat(responses.vmTerminated("running", Outcome.DONE, NOW)).contains("second");
   }
 
   @Example
-  void aReleaseWithoutAnyLineWaitsForOneAWhile() {
-    pendingResponses.stands("one", "line");
-    pendingResponses.stands("two", "line");
-    pendingResponses.closed("line");
-    assertThat(pendingResponses.release("one", 41, T)).isNull();
-    assertThat(pendingResponses.release("two", 16, T.plusSeconds(5))).isNull();
-    assertThat(pendingResponses.unpark(T.plusSeconds(9))).as("no line is there").isEmpty();
-    pendingResponses.ask("new", "another");
-    assertThat(pendingResponses.unpark(T.plusSeconds(9)))
-        .extracting(t -> t.line() + " " + t.release().vm())
+  void noticeWithoutAnyConnectionIsDeferredUntilItExpires() {
+    responses.adoptRunning("one", "connection");
+    responses.adoptRunning("two", "connection");
+    responses.connectionClosed("connection");
+    assertThat(responses.vmTerminated("one", Outcome.RESET, NOW)).isEmpty();
+    assertThat(responses.vmTerminated("two", Outcome.DONE, NOW.plusSeconds(5))).isEmpty();
+    assertThat(responses.takeDeferredNotices(NOW.plusSeconds(9)))
+        .as("no connection is open")
+        .isEmpty();
+    responses.requestReceived("new", "another");
+    assertThat(responses.takeDeferredNotices(NOW.plusSeconds(9)))
+        .extracting(PendingResponsesTest::describe)
         .containsExactly("another two");
-    assertThat(pendingResponses.unpark(T.plusSeconds(9))).isEmpty();
+    assertThat(responses.takeDeferredNotices(NOW.plusSeconds(9))).isEmpty();
   }
 
-  /** Guards releases that went to whoever had asked last, which may be one that never listens. */
+  /** Notices used to go to the last connection with a request, whose client may never listen. */
   @Example
-  void aReleaseWhoseLineIsGoneGoesToOneThatIsKnownToHear() {
-    pendingResponses.ask("one", "line");
-    pendingResponses.answer("one", true);
-    pendingResponses.ask("two", "hears");
-    pendingResponses.answer("two", true);
-    assertThat(pendingResponses.release("two", 16, T)).isEqualTo("hears");
-    pendingResponses.heard("two", "hears");
-    pendingResponses.ask("three", "asks and never listens");
-    pendingResponses.closed("line");
-    assertThat(pendingResponses.release("one", 16, T)).isEqualTo("hears");
-    pendingResponses.closed("hears");
-    assertThat(pendingResponses.unpark(T))
-        .extracting(t -> t.line() + " " + t.release().vm())
-        .containsExactly("asks and never listens one");
+  void noticeOfClosedConnectionGoesToOneThatHasAcknowledgedBefore() {
+    responses.requestReceived("one", "connection");
+    responses.takeAccepted("one");
+    responses.requestReceived("two", "acknowledging");
+    responses.takeAccepted("two");
+    assertThat(responses.vmTerminated("two", Outcome.DONE, NOW)).contains("acknowledging");
+    responses.noticeAcknowledged("two", "acknowledging");
+    responses.requestReceived("three", "never listening");
+    responses.connectionClosed("connection");
+    assertThat(responses.vmTerminated("one", Outcome.DONE, NOW)).contains("acknowledging");
+    responses.connectionClosed("acknowledging");
+    assertThat(responses.takeDeferredNotices(NOW))
+        .extracting(PendingResponsesTest::describe)
+        .containsExactly("never listening one");
   }
 
   @Example
-  void whatItsOwnerEndedIsOwedNothing() {
-    pendingResponses.ask("a", "line");
-    pendingResponses.answer("a", true);
-    assertThat(pendingResponses.ends("a")).isTrue();
-    assertThat(pendingResponses.ends("a")).isFalse();
-    assertThat(pendingResponses.release("a", 31, T)).isNull();
-    assertThat(pendingResponses.unpark(T)).isEmpty();
+  void vmEndedByItsClientGetsNoNotice() {
+    responses.requestReceived("a", "connection");
+    responses.takeAccepted("a");
+    assertThat(responses.endedByClient("a")).isTrue();
+    assertThat(responses.endedByClient("a")).isFalse();
+    assertThat(responses.vmTerminated("a", Outcome.CANCELLED, NOW)).isEmpty();
+    assertThat(responses.takeDeferredNotices(NOW)).isEmpty();
   }
 
-  /**
-   * Random lives: one answer each while the line is there, counts that fit, and nothing remembered
-   * at the end.
-   */
+  /** One response each while the connection is open, consistent counts, and nothing left over. */
   @Property(tries = 200, seed = "1212")
-  void nothingIsSaidTwiceOrKept(@ForAll long seed) {
-    Random r = new Random(seed);
-    PendingResponses<Integer> o = new PendingResponses<>(20, Duration.ofSeconds(8));
-    Map<String, Integer> asked = new HashMap<>();
+  void noResponseIsSentTwiceAndNothingIsKept(@ForAll long seed) {
+    Random random = new Random(seed);
+    PendingResponses<Integer> registry = new PendingResponses<>(20, NOTICE_LIFETIME);
+    Map<String, Integer> requested = new HashMap<>();
     Set<String> answered = new HashSet<>();
-    List<String> names = new ArrayList<>();
+    List<String> vmIds = new ArrayList<>();
     for (int i = 0; i < 300; i++) {
-      int line = r.nextInt(5);
-      String vm =
-          names.isEmpty() || r.nextInt(3) == 0 ? "vm" + i : names.get(r.nextInt(names.size()));
-      switch (r.nextInt(5)) {
+      int connection = random.nextInt(5);
+      String vmId =
+          vmIds.isEmpty() || random.nextInt(3) == 0
+              ? "vm" + i
+              : vmIds.get(random.nextInt(vmIds.size()));
+      switch (random.nextInt(5)) {
         case 0 -> {
-          if (o.ask(vm, line) == PendingResponses.Admission.NEW) {
-            names.add(vm);
-            asked.put(vm, line);
-            answered.remove(vm);
+          if (registry.requestReceived(vmId, connection) == Admission.ADMITTED) {
+            vmIds.add(vmId);
+            requested.put(vmId, connection);
+            answered.remove(vmId);
           }
         }
         case 1 -> {
-          Integer to = o.answer(vm, r.nextBoolean());
-          if (to != null) {
-            assertThat(to).isEqualTo(asked.get(vm));
-            assertThat(answered.add(vm)).isTrue();
-          }
+          boolean accepted = random.nextBoolean();
+          (accepted ? registry.takeAccepted(vmId) : registry.takeDeclined(vmId))
+              .ifPresent(
+                  recipient -> {
+                    assertThat(recipient).isEqualTo(requested.get(vmId));
+                    assertThat(answered.add(vmId)).isTrue();
+                  });
         }
-        case 2 -> o.release(vm, 16, T);
-        case 3 -> o.ends(vm);
-        default -> o.closed(line).forEach(gone -> assertThat(answered).doesNotContain(gone));
+        case 2 -> registry.vmTerminated(vmId, Outcome.DONE, NOW);
+        case 3 -> registry.endedByClient(vmId);
+        default ->
+            registry
+                .connectionClosed(connection)
+                .forEach(abandoned -> assertThat(answered).doesNotContain(abandoned));
       }
-      assertThat(o.inHand()).isBetween(0, 20);
+      assertThat(registry.pendingRequests()).isBetween(0, 20);
     }
-    for (String vm : names) {
-      o.ends(vm);
+    for (String vmId : vmIds) {
+      registry.endedByClient(vmId);
     }
-    o.tidy(T.plusSeconds(9));
-    assertThat(o.inHand() + o.standing()).isZero();
-    assertThat(o.unpark(T)).isEmpty();
-    for (int line = 0; line < 5; line++) {
-      assertThat(o.on(line)).isZero();
+    registry.expireNotices(NOW.plusSeconds(9));
+    assertThat(registry.pendingRequests() + registry.runningVms()).isZero();
+    assertThat(registry.takeDeferredNotices(NOW)).isEmpty();
+    for (int connection = 0; connection < 5; connection++) {
+      assertThat(registry.isInUse(connection)).isFalse();
     }
   }
 
   /**
-   * Lines come, close and sometimes say that they heard: no release is forgotten, and none told
-   * once it was heard.
+   * Connections open, close and sometimes acknowledge: no notice is lost, none sent again after.
    */
   @Property(tries = 200, seed = "1414")
-  void everyReleaseIsToldUntilItIsHeard(@ForAll long seed) {
-    Random r = new Random(seed);
-    PendingResponses<Integer> o = new PendingResponses<>(500, Duration.ofSeconds(8));
-    Map<String, Integer> standing = new HashMap<>();
-    Map<String, Integer> due = new HashMap<>();
+  void everyNoticeIsSentUntilItIsAcknowledged(@ForAll long seed) {
+    Random random = new Random(seed);
+    PendingResponses<Integer> registry = new PendingResponses<>(500, NOTICE_LIFETIME);
+    Set<String> running = new HashSet<>();
+    Map<String, Integer> sentTo = new HashMap<>();
     Set<Integer> open = new HashSet<>();
     for (int i = 0; i < 300; i++) {
-      int line = r.nextInt(5);
-      switch (r.nextInt(5)) {
+      int connection = random.nextInt(5);
+      switch (random.nextInt(5)) {
         case 0, 1 -> {
-          o.ask("vm" + i, line);
-          open.add(line);
-          o.answer("vm" + i, true);
-          standing.put("vm" + i, line);
+          registry.requestReceived("vm" + i, connection);
+          open.add(connection);
+          registry.takeAccepted("vm" + i);
+          running.add("vm" + i);
         }
         case 2 ->
-            standing.keySet().stream()
+            running.stream()
                 .findAny()
                 .ifPresent(
-                    vm -> {
-                      standing.remove(vm);
-                      due.put(vm, o.release(vm, 16, T));
+                    vmId -> {
+                      running.remove(vmId);
+                      sentTo.put(vmId, registry.vmTerminated(vmId, Outcome.DONE, NOW).orElse(null));
                     });
         case 3 ->
-            due.keySet().stream()
-                .filter(vm -> due.get(vm) != null)
+            sentTo.keySet().stream()
+                .filter(vmId -> sentTo.get(vmId) != null)
                 .findAny()
-                .ifPresent(vm -> o.heard(vm, due.remove(vm)));
+                .ifPresent(vmId -> registry.noticeAcknowledged(vmId, sentTo.remove(vmId)));
         default -> {
-          o.closed(line);
-          open.remove(line);
-          due.replaceAll((vm, on) -> on != null && on == line ? null : on);
+          registry.connectionClosed(connection);
+          open.remove(connection);
+          sentTo.replaceAll((vmId, to) -> to != null && to == connection ? null : to);
         }
       }
-      for (PendingResponses.AddressedNotice<Integer> t : o.unpark(T)) {
-        assertThat(open).contains(t.line());
-        assertThat(due).as("waits to be told").containsEntry(t.release().vm(), null);
-        due.put(t.release().vm(), t.line());
+      for (AddressedNotice<Integer> due : registry.takeDeferredNotices(NOW)) {
+        assertThat(open).contains(due.connection());
+        assertThat(sentTo).as("deferred").containsEntry(due.notice().vmId(), null);
+        sentTo.put(due.notice().vmId(), due.connection());
       }
       if (!open.isEmpty()) {
-        assertThat(due.values()).as("told wherever a line is there").doesNotContainNull();
+        assertThat(sentTo.values()).as("sent while a connection is open").doesNotContainNull();
       }
-      assertThat(o.untold()).isEqualTo(due.size());
+      assertThat(registry.undeliveredNotices()).isEqualTo(sentTo.size());
     }
-    o.tidy(T.plusSeconds(8));
-    assertThat(o.untold()).isZero();
+    registry.expireNotices(NOW.plus(NOTICE_LIFETIME));
+    assertThat(registry.undeliveredNotices()).isZero();
   }
 }
