--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -31,6 +31,12 @@
   public interface Listener extends AttemptListener {
     /** The machine accepted the VM; the description is the one that the machine gave for it. */
     void attemptAccepted(PlacementAttempt attempt, String description);
+
+    /**
+     * The VM ran on the machine and is over there, and the answer to its placement request never
+     * came: it must not be placed again, and its client has to be notified at once that it failed.
+     */
+    void attemptEndedUnanswered(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason);
   }
 
   /** How long a machine with VMs may go without a connection while descriptors are short. */
@@ -315,6 +321,17 @@
     closeIfSpent(s);
   }
 
+  /**
+   * The machine reported on a VM, as it does only for one that runs: the answer to its placement
+   * request may be late or lost.
+   */
+  public void vmReported(MachineConnection s, String vm) {
+    PlacementRequest u = s.placementRequests.get(vm);
+    if (u != null) {
+      u.markReportedRunning();
+    }
+  }
+
   /**
    * The machine ends a set-up on this connection, or what stands (on any); unknown ids are passed
    * over.
@@ -324,7 +341,12 @@
     PlacementRequest u = s.placementRequests.remove(vm);
     if (u != null) {
       s.lastUsedAt = now;
-      listener.attemptEnded(u.attempt(), termination.outcomeIfPending(), termination.reason());
+      if (u.isReportedRunning() && termination.outcomeIfRunning().isPresent()) {
+        listener.attemptEndedUnanswered(
+            u.attempt(), termination.outcomeIfRunning().get(), termination.reason());
+      } else {
+        listener.attemptEnded(u.attempt(), termination.outcomeIfPending(), termination.reason());
+      }
       closeIfSpent(s);
       return;
     }
