--- a/src/main/java/fordridge/json/TerminationCause.java
+++ b/src/main/java/fordridge/json/TerminationCause.java
@@ -19,7 +19,7 @@
   /** Failed: it may have run. */
   FAILED(47, Outcome.ERROR, Optional.empty()),
   /** The request was never sent. */
-  MOOT(102, Outcome.MOOT, Optional.empty());
+  MOOT(102, Outcome.NOT_SENT, Optional.empty());
 
   private final int code;
   private final Outcome outcomeIfPending;
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -103,13 +103,13 @@
    */
   public void offer(PlacementAttempt attempt, Duration within, boolean again, Duration now) {
     if (gone || draining) {
-      listener.attemptEnded(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
       return;
     }
     MachineConnection s = free(again, now);
     if (s == null) {
       // Every descriptor is taken: not sent at all.
-      listener.attemptEnded(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
       return;
     }
     PlacementRequest u = new PlacementRequest(attempt, now.plus(within));
@@ -142,7 +142,7 @@
       }
     }
     if (attempt.isInFlight() && attempt.acceptedAt == null) {
-      listener.attemptEnded(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     }
   }
 
@@ -193,7 +193,7 @@
       for (MachineConnection s : List.copyOf(connections)) {
         if (s.state == MachineConnection.State.OPENING) {
           for (PlacementRequest u : takeAll(s)) {
-            listener.attemptEnded(u.attempt(), Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+            listener.attemptEnded(u.attempt(), Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
           }
         }
       }
--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -1,10 +1,10 @@
 package fordridge.machine;
 
+import fordridge.model.Durations;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.SchedulerSettings;
 import fordridge.model.SeededRandom;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -198,7 +198,7 @@
   public void machineDraining() {
     for (Entry e : List.copyOf(queue)) {
       drop(e);
-      listener.attemptEnded(e.attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      listener.attemptEnded(e.attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     }
   }
 
@@ -315,7 +315,7 @@
       // It remembers what it took in since its start: the offer never reached it, unless it started
       // anew.
       listener.attemptEnded(
-          e.attempt, restarted ? Outcome.RESET : Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+          e.attempt, restarted ? Outcome.RESET : Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     }
   }
 
@@ -534,13 +534,12 @@
 
   /** Doubles with each failure from the least to the most, drawn from its upper half. */
   private Duration wait(int after) {
-    double most = SchedulerSettings.seconds(settings.maxBackoff());
+    double most = Durations.toSeconds(settings.maxBackoff());
     double full =
         Math.min(
             most,
-            SchedulerSettings.seconds(settings.minBackoff())
-                * Math.pow(2, Math.min(after - 1, 30)));
-    return SchedulerSettings.seconds(full * (0.5 + chance.next() / 2));
+            Durations.toSeconds(settings.minBackoff()) * Math.pow(2, Math.min(after - 1, 30)));
+    return Durations.ofSeconds(full * (0.5 + chance.next() / 2));
   }
 
   private static Duration min(Duration a, Duration b) {
--- a/src/test/java/fordridge/machine/MachineStreamTest.java
+++ b/src/test/java/fordridge/machine/MachineStreamTest.java
@@ -206,7 +206,7 @@
     w.breaks();
     w.pass(150);
     w.holding(1);
-    assertThat(c.outcome).isEqualTo(Outcome.MOOT);
+    assertThat(c.outcome).isEqualTo(Outcome.NOT_SENT);
     assertThat(c.hasNeverRun()).isTrue();
   }
 
@@ -272,7 +272,7 @@
     PlacementAttempt c = w.offer(false);
     w.holding(1);
     w.link.machineDraining();
-    assertThat(c.outcome).isEqualTo(Outcome.MOOT);
+    assertThat(c.outcome).isEqualTo(Outcome.NOT_SENT);
     w.ready = true;
     w.link.transportReady(w.now);
     assertThat(w.offered).isEmpty();
