--- /dev/null
+++ b/src/main/java/fordridge/json/ClientRequest.java
@@ -0,0 +1,62 @@
+package fordridge.json;
+
+import java.util.Map;
+
+/**
+ * A client's placement request as it came on the wire, its fields not validated yet: a field that
+ * is absent is null, and numbers are text still.
+ *
+ * @param vmId the id of the VM, 16 hex digits
+ * @param priorityClass the name of the priority class
+ * @param tenant the name of the tenant
+ * @param key the routing key; null also where it is not a string
+ * @param idempotencyKey the idempotency key
+ * @param timeLeftMillis how long the client waits for a response
+ * @param lifetimeHintMillis how long the VM is expected to run
+ * @param isRetry whether the field that marks a client's retry is set
+ * @param extras further fields, as {@code name:value} joined by semicolons
+ * @param description the VM's description, forwarded as it is
+ */
+public record ClientRequest(
+    String vmId,
+    String priorityClass,
+    String tenant,
+    String key,
+    String idempotencyKey,
+    String timeLeftMillis,
+    String lifetimeHintMillis,
+    boolean isRetry,
+    String extras,
+    String description) {
+
+  static ClientRequest of(String vmId, Map<String, Object> fields, String description) {
+    return new ClientRequest(
+        vmId,
+        text(fields.get("class")),
+        text(fields.get("tenant")),
+        fields.get("key") instanceof String key ? key : null,
+        text(fields.get("idem")),
+        text(fields.get("left")),
+        text(fields.get("hint")),
+        "1".equals(text(fields.get("retry"))),
+        text(fields.get("extras")),
+        description);
+  }
+
+  private static String text(Object value) {
+    return value == null ? null : value.toString();
+  }
+
+  /** The extra of this very name, or null if there is none. */
+  public String extra(String name) {
+    if (extras == null) {
+      return null;
+    }
+    for (String part : extras.split(";")) {
+      if (part.startsWith(name + ":")) {
+        return part.substring(name.length() + 1);
+      }
+    }
+    return null;
+  }
+}
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -1,13 +1,10 @@
 package fordridge.json;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
@@ -18,266 +15,173 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
- * Where owners connect. Every connection is bounded: one read of a line's length at a turn, so that
- * none is read at the others' cost; output that is not taken in; time without anything asked for;
- * and their number.
+ * Accepts clients' connections and keeps them within bounds: one read of a few KiB from each per
+ * turn of the loop, so that none is read at the others' cost; a number of connections; a time
+ * without use. All but the construction happens on the event loop.
  */
 public final class ClientServer {
   /**
-   * Closed well within the three seconds in which whoever says nothing useful must hear something.
+   * An unused connection is closed after this; the protocol grants a silent client three seconds.
    */
-  private static final Duration SILENT = Duration.ofMillis(2000);
+  private static final Duration IDLE_TIMEOUT = Duration.ofMillis(2000);
 
-  private static final Duration SWEEP = Duration.ofMillis(250);
-
-  /** Once it has said what can't be used, a connection is read no more and closed after this. */
-  private static final Duration FAREWELL = Duration.ofMillis(500);
-
-  /**
-   * Output that the owner doesn't take in: with so much of it the connection is closed. It is read
-   * all the while: an owner that is not read from can't be seen to leave, and what it asked for
-   * would go on being offered.
-   */
-  private static final int UNREAD = 4 * LineCodec.LONGEST;
-
-  /** Whom the front tells, on its loop, in the order of the sockets. */
-  public interface ClientRequestHandler {
-    void asks(ClientConnection owner, String id, Map<String, Object> fields, String description);
-
-    /** Given up, or ended if it stands. */
-    void ends(ClientConnection owner, String id, int cause);
-
-    boolean ready();
-
-    /** All that is in hand on this connection is given up. */
-    void closed(ClientConnection owner);
-
-    /** Whether anything that was asked for on it is in hand or stands. */
-    boolean busy(ClientConnection owner);
-
-    /** The owner heard that this is over. */
-    default void hears(ClientConnection owner, String id) {}
-  }
-
-  /** One connection of an owner. */
-  public final class ClientConnection extends LineCodec {
-    private Channel channel;
-    private long usedNanos = System.nanoTime();
-    private boolean dismissed;
-
-    @Override
-    public void channelActive(ChannelHandlerContext ctx) {
-      channel = ctx.channel();
-      owners.add(this);
-      while (owners.size() > most) {
-        makeRoom(this);
-      }
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-      leaves();
-    }
-
-    /**
-     * At once, not when the loop gets to it: in a crowd one that is on its way out would make room
-     * again and again.
-     */
-    private void leaves() {
-      if (owners.remove(this)) {
-        handler.closed(this);
-      }
-    }
-
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
-      flush();
-      ctx.fireChannelReadComplete();
-    }
-
-    @Override
-    void said(String type, String id, Map<String, Object> fields, int cause, String description) {
-      if (dismissed) {
-        return;
-      }
-      switch (type) {
-        case "new" -> {
-          used();
-          handler.asks(this, id, fields, description);
-        }
-        case "down" -> handler.ends(this, id, cause);
-        case "hb" -> write("hb_ok", id, handler.ready() ? 1 : 0, null);
-        case "ack" -> handler.hears(this, id);
-        case "tell", "wait", "hb_ok", "shift" -> {}
-        default -> spoilt("line: field 't' is not a known word");
-      }
-    }
-
-    @Override
-    void unreadable(String why) {
-      close();
-    }
-
-    private void used() {
-      usedNanos = System.nanoTime();
-    }
-
-    /**
-     * Nothing more is read from it, so nothing may be in hand on it; what it was told may still
-     * reach it.
-     */
-    public void dismiss() {
-      if (!dismissed && channel != null) {
-        dismissed = true;
-        channel.config().setAutoRead(false);
-        channel.eventLoop().schedule(this::close, FAREWELL.toMillis(), TimeUnit.MILLISECONDS);
-      }
-    }
-
-    public void close() {
-      if (channel != null) {
-        leaves();
-        channel.close();
-      }
-    }
-
-    public void write(String type, String id, int cause, String description, String... fields) {
-      if (channel == null) {
-        return;
-      }
-      if (!channel.isActive()) {
-        // Gone, and the loop has not come to say so: whoever is owed something on it has to know
-        // now.
-        leaves();
-        return;
-      }
-      ByteBuf line = LineCodec.line(channel, type, id, cause, description, fields);
-      used();
-      channel.write(line, channel.voidPromise());
-      wet.add(this);
-      if (channel.unsafe().outboundBuffer().totalPendingWriteBytes() > UNREAD) {
-        flush();
-      }
-    }
-
-    private void flush() {
-      if (wet.remove(this)) {
-        channel.flush();
-        ChannelOutboundBuffer left = channel.unsafe().outboundBuffer();
-        if (left != null && left.totalPendingWriteBytes() > UNREAD) {
-          close();
-        }
-      }
-    }
-  }
+  private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(250);
+  private static final int ACCEPT_BACKLOG = 1024;
+  private static final int READ_BYTES_PER_TURN = 4096;
 
   private final EventLoopGroup loop;
+  private final EventLoopTimers timers;
   private final ClientRequestHandler handler;
-  private int most;
-  private final Set<ClientConnection> owners = new LinkedHashSet<>();
-  private final Set<ClientConnection> wet = new LinkedHashSet<>();
-  private Channel server;
+  private int maxConnections;
+  private final Set<ClientConnection> connections = new LinkedHashSet<>();
+
+  /** Connections with output that was written and not flushed yet. */
+  private final Set<ClientConnection> unflushed = new LinkedHashSet<>();
 
-  /** At most so many connections are held. */
-  public ClientServer(EventLoopGroup loop, ClientRequestHandler handler, int most) {
+  private Channel serverChannel;
+
+  /** Creates a server that listens nowhere yet, for at most so many connections at once. */
+  public ClientServer(
+      EventLoopGroup loop,
+      EventLoopTimers timers,
+      ClientRequestHandler handler,
+      int maxConnections) {
     this.loop = loop;
+    this.timers = timers;
     this.handler = handler;
-    this.most = most;
+    this.maxConnections = maxConnections;
   }
 
-  public ChannelFuture listen(InetSocketAddress at) {
-    ServerBootstrap b =
+  /** Starts to listen; the future completes once the address is bound. */
+  public ChannelFuture listen(InetSocketAddress address) {
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop)
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1024)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.RECVBUF_ALLOCATOR,
-                new FixedRecvByteBufAllocator(4096).maxMessagesPerRead(1))
+                new FixedRecvByteBufAllocator(READ_BYTES_PER_TURN).maxMessagesPerRead(1))
             .childHandler(
                 new ChannelInitializer<NioSocketChannel>() {
                   @Override
-                  protected void initChannel(NioSocketChannel ch) {
-                    new ClientConnection().into(ch.pipeline());
+                  protected void initChannel(NioSocketChannel channel) {
+                    new ClientConnection(ClientServer.this).addTo(channel.pipeline());
                   }
                 });
-    loop.next()
-        .scheduleAtFixedRate(
-            this::sweep, SWEEP.toMillis(), SWEEP.toMillis(), TimeUnit.MILLISECONDS);
-    ChannelFuture f = b.bind(at);
-    server = f.channel();
-    return f;
+    timers.runEvery(IDLE_CHECK_INTERVAL, this::closeIdleConnections);
+    ChannelFuture bound = bootstrap.bind(address);
+    serverChannel = bound.channel();
+    return bound;
   }
 
+  /** The address that is listened at. */
   public InetSocketAddress address() {
-    return (InetSocketAddress) server.localAddress();
+    return (InetSocketAddress) serverChannel.localAddress();
   }
 
-  /** One owner's end of a channel that needs no socket. */
+  /** Adds a client's connection to a channel that needs no socket and no event loop. */
   public static void embed(ClientRequestHandler handler, ChannelPipeline pipeline) {
-    ClientConnection o = new ClientServer(null, handler, 1).new ClientConnection();
-    o.into(pipeline);
-    o.channelActive(pipeline.firstContext());
+    ClientConnection connection = new ClientConnection(new ClientServer(null, null, handler, 1));
+    connection.addTo(pipeline);
+    connection.channelActive(pipeline.firstContext());
   }
 
-  /** What was written in this turn of the loop goes out. */
+  /** Sends what was written in this turn of the loop. */
   public void flush() {
-    while (!wet.isEmpty()) {
-      wet.iterator().next().flush();
+    while (!unflushed.isEmpty()) {
+      unflushed.iterator().next().flush();
     }
   }
 
-  /** Another bound from now on: it holds with the next connection that comes. */
-  public void most(int next) {
-    most = next;
+  /** Changes the maximum number of connections; it holds from the next connection on. */
+  public void setMaxConnections(int newMaxConnections) {
+    maxConnections = newMaxConnections;
   }
 
-  /** Whether any connection has not taken in yet what it was told. */
-  public boolean unwritten() {
-    return owners.stream()
-        .anyMatch(
-            o ->
-                o.channel.unsafe().outboundBuffer() != null
-                    && o.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0);
+  /** Whether any client has not taken in yet what was written to it. */
+  public boolean hasPendingOutput() {
+    for (ClientConnection connection : connections) {
+      if (connection.pendingOutputBytes() > 0) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  public int connections() {
-    return owners.size();
+  public int connectionCount() {
+    return connections.size();
   }
 
-  private void sweep() {
-    long now = System.nanoTime();
-    for (ClientConnection o : List.copyOf(owners)) {
-      if (now - o.usedNanos > SILENT.toNanos() && !handler.busy(o)) {
-        o.close();
-      }
+  /** Stops listening and closes all connections. */
+  public void close() {
+    if (serverChannel != null) {
+      closeServerChannel();
     }
+    List.copyOf(connections).forEach(ClientConnection::close);
   }
 
-  /**
-   * Over the bound, the one that has been idle longest goes; the newcomer itself if all are in use.
-   */
-  private void makeRoom(ClientConnection newcomer) {
-    ClientConnection goes = newcomer;
-    for (ClientConnection o : new ArrayList<>(owners)) {
-      if (o != newcomer && !handler.busy(o) && (goes == newcomer || o.usedNanos < goes.usedNanos)) {
-        goes = o;
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing depends on the end of the close.
+  private void closeServerChannel() {
+    serverChannel.close();
+  }
+
+  ClientRequestHandler handler() {
+    return handler;
+  }
+
+  EventLoopTimers timers() {
+    return timers;
+  }
+
+  void connectionOpened(ClientConnection connection) {
+    connections.add(connection);
+    while (connections.size() > maxConnections) {
+      makeRoomFor(connection);
+    }
+  }
+
+  /** Passes on the first call for each connection. */
+  void connectionClosed(ClientConnection connection) {
+    if (connections.remove(connection)) {
+      handler.connectionClosed(connection);
+    }
+  }
+
+  void flushLater(ClientConnection connection) {
+    unflushed.add(connection);
+  }
+
+  /** Whether the connection had anything to flush. */
+  boolean cancelFlush(ClientConnection connection) {
+    return unflushed.remove(connection);
+  }
+
+  private void closeIdleConnections() {
+    long now = System.nanoTime();
+    for (ClientConnection connection : List.copyOf(connections)) {
+      if (now - connection.lastUsedNanos() > IDLE_TIMEOUT.toNanos()
+          && !handler.isInUse(connection)) {
+        connection.close();
       }
     }
-    goes.close();
   }
 
-  public void close() {
-    if (server != null) {
-      server.close();
+  /** Closes the connection that was idle longest; the newcomer itself if all others are in use. */
+  private void makeRoomFor(ClientConnection newcomer) {
+    ClientConnection idlest = newcomer;
+    for (ClientConnection connection : new ArrayList<>(connections)) {
+      if (connection != newcomer
+          && !handler.isInUse(connection)
+          && (idlest == newcomer || connection.lastUsedNanos() < idlest.lastUsedNanos())) {
+        idlest = connection;
+      }
     }
-    List.copyOf(owners).forEach(ClientConnection::close);
+    idlest.close();
   }
 }
--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -1,5 +1,6 @@
 package fordridge.json;
 
+import fordridge.json.JsonFields.MalformedInputException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -19,223 +20,245 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * Follows the journal from the number held, over any number of connections: broken off, silent or
- * told something that can't be read, it asks again from there; what is told twice is passed over.
+ * Watches the machine list: follows the numbered events of a server (the journal, on the wire) over
+ * any number of connections. When a connection breaks, falls silent or brings what can't be read,
+ * it asks again from the last event that was taken; events that come twice are skipped. All methods
+ * are to be called on the event loop.
  */
 public final class EndpointWatcher {
-  /** A number comes every second; without it for this long the journal is taken to have stopped. */
-  private static final Duration SILENT = Duration.ofMillis(1700);
+  /** The server sends its position every second; silent for this long it is taken to hang. */
+  private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(1700);
 
-  private static final Duration RETRY = Duration.ofMillis(100);
-  private static final Duration CONNECT = Duration.ofMillis(1000);
-  private static final int LONGEST = 1 << 20;
+  private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(200);
+  private static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
+  private static final int MAX_EVENT_BYTES = 1 << 20;
+  private static final int READ_BYTES = 1 << 15;
 
   /**
-   * Read to its end in each round of the loop: what it told must be known before anything goes out
+   * All that has come is read in each turn of the loop: it must be known before anything goes out
    * to a machine.
    */
-  private static final int READ = 1 << 15;
+  private static final int MAX_READS_PER_TURN = 64;
 
-  private static final int READS = 64;
+  private static final long NO_POSITION = -1;
 
-  /** Whom it tells. */
+  /** Receives the events, in their order and each once. */
   public interface Listener {
-    /** One change to the list of machines; Malformed if it can't be. */
-    void event(Map<String, Object> hosts);
+    /** The machine list has changed. */
+    void machineListChanged(MachineListEvent event);
   }
 
   private final class ConnectionHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private long heardNanos = System.nanoTime();
+    private long lastReceivedNanos = System.nanoTime();
     private Channel channel;
 
-    /**
-     * It said what can't be taken: what came behind that in the same breath is asked for again with
-     * it.
-     */
-    private boolean spoilt;
+    /** What follows a line that could not be taken is asked for again with it. */
+    private boolean isInputRejected;
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-      heardNanos = System.nanoTime();
-      ctx.writeAndFlush(ByteBufUtil.writeUtf8(ctx.alloc(), "tail " + pos + "\n"));
+      lastReceivedNanos = System.nanoTime();
+      ctx.writeAndFlush(
+          ByteBufUtil.writeUtf8(ctx.alloc(), "tail " + position + "\n"),
+          ctx.channel().voidPromise());
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-      if (this != wire || spoilt) {
+      if (this != current || isInputRejected) {
         return;
       }
-      heardNanos = System.nanoTime();
-      taking = true;
+      lastReceivedNanos = System.nanoTime();
+      isTakingLine = true;
       try {
-        take(ctx, line);
+        lineReceived(line.toString(StandardCharsets.UTF_8).trim());
+      } catch (MalformedInputException | NumberFormatException | IOException e) {
+        log.accept("machine list watch: event not taken: " + e.getMessage());
+        isInputRejected = true;
+        close();
       } finally {
-        taking = false;
-      }
-    }
-
-    private void take(ChannelHandlerContext ctx, ByteBuf line) {
-      String text = line.toString(StandardCharsets.UTF_8).trim();
-      try {
-        if (text.startsWith("{")) {
-          event(JsonFields.parse(text));
-        } else if (!text.isEmpty() && Long.parseLong(text) > pos) {
-          throw new JsonFields.MalformedInputException(
-              "the journal is at " + text + ", and told only up to " + pos);
-        }
-      } catch (JsonFields.MalformedInputException | NumberFormatException | IOException e) {
-        log.accept("journal: " + e.getMessage());
-        spoilt = true;
-        ctx.close();
+        isTakingLine = false;
       }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      again(this);
+      reconnectLater(this);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      ctx.close();
+      log.accept("machine list watch: connection failed: " + cause.getMessage());
+      close();
+    }
+
+    boolean isSilent() {
+      return channel.isActive()
+          && System.nanoTime() - lastReceivedNanos > SILENCE_TIMEOUT.toNanos();
+    }
+
+    @SuppressWarnings(
+        "FutureReturnValueIgnored") // The end of the close is seen in channelInactive.
+    void close() {
+      channel.close();
     }
   }
 
   private final EventLoopGroup loop;
-  private final Listener reader;
+  private final EventLoopTimers timers;
+  private final Listener listener;
   private final Consumer<String> log;
   private InetSocketAddress address;
-  private long pos;
 
-  /** The number after which a gap was seen last. */
-  private long gapAfter = -1;
+  /** The number of the last event that was taken. */
+  private long position;
 
-  private ConnectionHandler wire;
-  private boolean closed;
+  /** The position behind which events were missing last. */
+  private long lastGapPosition = NO_POSITION;
 
-  /** A line is being taken: nothing more may be read from within. */
-  private boolean taking;
+  /** The connection in use or being opened; null while waiting to reconnect. */
+  private ConnectionHandler current;
 
-  /** To be called on the loop, as all else here. */
-  public EndpointWatcher(EventLoopGroup loop, long pos, Listener reader, Consumer<String> log) {
+  private boolean isClosed;
+
+  /** A line is being taken: nothing may be read from within, or events would be taken twice. */
+  private boolean isTakingLine;
+
+  /** Creates a watcher that has the events up to {@code position} and follows no server yet. */
+  public EndpointWatcher(
+      EventLoopGroup loop,
+      EventLoopTimers timers,
+      long position,
+      Listener listener,
+      Consumer<String> log) {
     this.loop = loop;
-    this.pos = pos;
-    this.reader = reader;
+    this.timers = timers;
+    this.position = position;
+    this.listener = listener;
     this.log = log;
-    loop.next().scheduleAtFixedRate(this::watch, 200, 200, TimeUnit.MILLISECONDS);
+    timers.runEvery(SILENCE_CHECK_INTERVAL, this::closeIfSilent);
   }
 
-  public long pos() {
-    return pos;
+  /** The number of the last event that was taken. */
+  public long position() {
+    return position;
   }
 
-  /**
-   * Follows it there from now on, from the number held; where it is followed already, all stays as
-   * it is.
-   */
-  public void follow(InetSocketAddress at) {
-    if (at.equals(address) && !closed) {
+  /** Follows the server at this address from the current position; no change if it does already. */
+  public void watch(InetSocketAddress newAddress) {
+    if (newAddress.equals(address) && !isClosed) {
       return;
     }
-    address = at;
-    ConnectionHandler old = wire;
-    wire = null;
-    if (old != null) {
-      old.channel.close();
+    address = newAddress;
+    ConnectionHandler previous = current;
+    current = null;
+    if (previous != null) {
+      previous.close();
     }
     connect();
   }
 
   /**
-   * Reads what has come by now, not only when the loop gets to this connection; nothing if none is
-   * up.
+   * Reads what has come by now, not only when the loop gets to this connection; does nothing if
+   * none is open, or from within {@link Listener#machineListChanged}.
    */
   public void readNow() {
-    if (!taking
-        && wire != null
-        && wire.channel instanceof AbstractNioChannel nio
-        && nio.isActive()) {
-      nio.unsafe().read();
+    if (!isTakingLine
+        && current != null
+        && current.channel instanceof AbstractNioChannel channel
+        && channel.isActive()) {
+      channel.unsafe().read();
     }
   }
 
+  /** Ends the watch. */
   public void close() {
-    closed = true;
-    if (wire != null) {
-      wire.channel.close();
+    isClosed = true;
+    if (current != null) {
+      current.close();
+    }
+  }
+
+  private void lineReceived(String line) throws IOException {
+    if (line.startsWith("{")) {
+      eventReceived(JsonFields.parse(line));
+    } else if (!line.isEmpty() && Long.parseLong(line) > position) {
+      throw new MalformedInputException(
+          "the server is at " + line + ", and sent events only up to " + position);
     }
   }
 
-  private void event(Map<String, Object> event) {
-    long at = JsonFields.whole(event, "pos", "event");
-    if (at <= pos) {
+  private void eventReceived(Map<String, Object> event) {
+    long eventPosition = JsonFields.whole(event, "pos", "event");
+    if (eventPosition <= position) {
       return;
     }
     Map<String, Object> hosts = JsonFields.object(event.get("hosts"), "event.hosts");
-    // A gap is asked for once more: what was skipped may be a drain. A whole list needs nothing
-    // before it, and a
-    // journal that has no more than that to tell is believed.
-    if (at > pos + 1 && !JsonFields.flag(hosts, "complete", "event.hosts") && gapAfter != pos) {
-      gapAfter = pos;
-      throw new JsonFields.MalformedInputException("the journal went from " + pos + " to " + at);
+    boolean hasGap =
+        eventPosition > position + 1 && !JsonFields.flag(hosts, "complete", "event.hosts");
+    // Missing events are asked for once: one of them may be a drain. A complete list needs none
+    // before it, and a server that has no more than that is believed.
+    if (hasGap && lastGapPosition != position) {
+      lastGapPosition = position;
+      throw new MalformedInputException(
+          "events are missing between " + position + " and " + eventPosition);
     }
-    reader.event(hosts);
-    pos = at;
+    listener.machineListChanged(MachineListEvent.read(hosts));
+    position = eventPosition;
   }
 
   private void connect() {
-    ConnectionHandler w = new ConnectionHandler();
-    wire = w;
-    ChannelFuture f =
+    ConnectionHandler handler = new ConnectionHandler();
+    current = handler;
+    ChannelFuture connected =
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
-                new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(READS))
+                new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(MAX_READS_PER_TURN))
             .handler(
                 new ChannelInitializer<NioSocketChannel>() {
                   @Override
-                  protected void initChannel(NioSocketChannel ch) {
-                    ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST, true, true), w);
+                  protected void initChannel(NioSocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new LineBasedFrameDecoder(MAX_EVENT_BYTES, true, true), handler);
                   }
                 })
             .connect(address);
-    w.channel = f.channel();
-    f.addListener(
-        x -> {
-          if (!x.isSuccess()) {
-            again(w);
+    handler.channel = connected.channel();
+    connected.addListener(
+        outcome -> {
+          if (!outcome.isSuccess()) {
+            reconnectLater(handler);
           }
         });
   }
 
-  private void again(ConnectionHandler of) {
-    if (of == wire && !closed) {
-      wire = null;
-      loop.next()
-          .schedule(
-              () -> {
-                if (wire == null && !closed) {
-                  connect();
-                }
-              },
-              RETRY.toMillis(),
-              TimeUnit.MILLISECONDS);
+  private void reconnectLater(ConnectionHandler closed) {
+    if (closed == current && !isClosed) {
+      current = null;
+      timers.runAfter(
+          RECONNECT_DELAY,
+          () -> {
+            if (current == null && !isClosed) {
+              connect();
+            }
+          });
     }
   }
 
-  private void watch() {
-    ConnectionHandler w = wire;
-    if (w != null && w.channel.isActive() && System.nanoTime() - w.heardNanos > SILENT.toNanos()) {
-      log.accept("journal: silent; asked again from " + pos);
-      w.channel.close();
+  private void closeIfSilent() {
+    if (current != null && current.isSilent()) {
+      log.accept("machine list watch: server silent; watching again from " + position);
+      current.close();
     }
   }
 }
--- a/src/main/java/fordridge/json/LineCodec.java
+++ b/src/main/java/fordridge/json/LineCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import fordridge.json.JsonFields.MalformedInputException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufOutputStream;
 import io.netty.channel.Channel;
@@ -18,159 +19,170 @@
 import java.util.regex.Pattern;
 
 /**
- * One end of a connection of JSON lines: bounded lines, strict UTF-8 and JSON, ids of 16 hex
- * digits. What can't be read is told once, and nothing after it is looked at.
+ * Decodes and encodes the lines of one connection: bounded length, strict UTF-8 and JSON, ids of 16
+ * hex digits. After the first line that is malformed nothing more is decoded. Confined to the
+ * connection's event loop.
  */
 abstract class LineCodec extends SimpleChannelInboundHandler<ByteBuf> {
-  /** The longest line, its line feed not counted. */
-  static final int LONGEST = 16 * 1024;
+  /** The longest line in bytes, its line feed not counted. */
+  static final int MAX_LINE_BYTES = 16 * 1024;
 
+  /** In place of a code where a message has none. */
+  static final int NO_CODE = -1;
+
+  private static final int MAX_CODE = 127;
+  private static final int USUAL_LINE_BYTES = 256;
   private static final JsonFactory FACTORY = new JsonFactory();
   private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
-  private static final Map<String, Object> NONE = Map.of();
+  private static final Map<String, Object> NO_FIELDS = Map.of();
 
-  /** For those on call: -Dfordridge.trace=true writes every line to standard error, both ways. */
-  private static final boolean TRACED = Boolean.getBoolean("fordridge.trace");
+  /** For diagnosis: {@code -Dfordridge.trace=true} writes every line to standard error. */
+  private static final boolean IS_TRACING = Boolean.getBoolean("fordridge.trace");
 
-  private boolean deaf;
+  private boolean isInputRejected;
 
-  void into(ChannelPipeline pipeline) {
-    pipeline.addLast(new LineBasedFrameDecoder(LONGEST, true, true));
+  /** Adds the splitting into lines, and this codec, to a connection's handlers. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(new LineBasedFrameDecoder(MAX_LINE_BYTES, true, true));
     pipeline.addLast(this);
   }
 
-  /** One message; cause -1 and description null where the line has none. */
-  abstract void said(
-      String type, String id, Map<String, Object> fields, int cause, String description);
+  /** One message; the code is {@link #NO_CODE} and the description null where the line has none. */
+  abstract void messageReceived(
+      String type, String id, Map<String, Object> fields, int code, String description);
 
-  abstract void unreadable(String why);
+  /** The peer sent what can't be decoded; called once, and nothing is decoded after it. */
+  abstract void malformedInput(String reason);
 
   /** A whole line came, whatever it says. */
-  void heard() {}
+  void lineReceived() {}
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-    if (deaf) {
+    if (isInputRejected) {
       return;
     }
-    heard();
+    lineReceived();
     try {
-      if (TRACED) {
-        trace(ctx.channel(), "<", line);
+      if (IS_TRACING) {
+        trace(ctx.channel(), "< " + line.toString(StandardCharsets.UTF_8).trim());
       }
-      read(line);
-    } catch (JsonFields.MalformedInputException | IOException e) {
-      spoilt(e.getMessage());
+      decode(line);
+    } catch (MalformedInputException | IOException e) {
+      rejectInput(e.getMessage());
     }
   }
 
-  private void read(ByteBuf line) throws IOException {
-    String text = text(line);
-    Map<String, Object> m = JsonFields.parseStrict(text);
-    String type = JsonFields.text(m, "t", "line");
-    String id = JsonFields.text(m, "ref", "line");
+  private void decode(ByteBuf line) throws IOException {
+    Map<String, Object> message = JsonFields.parseStrict(text(line));
+    String type = JsonFields.text(message, "t", "line");
+    String id = JsonFields.text(message, "ref", "line");
     if (!ID.matcher(id).matches()) {
-      throw new JsonFields.MalformedInputException("line: field 'ref' is not 16 hex digits");
-    }
-    Map<String, Object> fields =
-        m.get("f") == null ? NONE : JsonFields.object(m.get("f"), "line.f");
-    for (Object v : fields.values()) {
-      if (!(v instanceof String) && !(v instanceof Number)) {
-        throw new JsonFields.MalformedInputException(
-            "line.f: a field is neither a string nor a number");
-      }
-    }
-    long cause = JsonFields.whole(m, "c", "line", -1);
-    if (cause < -1 || cause > 127) {
-      throw new JsonFields.MalformedInputException("line: field 'c' is out of range");
+      throw MalformedInputException.unexpected("line", "ref", "16 hex digits", id);
     }
-    String d = JsonFields.text(m, "d", "line", null);
-    if (d != null && !StandardCharsets.UTF_8.newEncoder().canEncode(d)) {
-      throw new JsonFields.MalformedInputException("line: field 'd' has half a character");
-    }
-    said(type, id, fields, (int) cause, d);
+    messageReceived(type, id, fields(message), code(message), description(message));
   }
 
-  private static String text(ByteBuf line) throws IOException {
+  private static String text(ByteBuf line) {
     try {
       return StandardCharsets.UTF_8.newDecoder().decode(line.nioBuffer()).toString();
     } catch (CharacterCodingException e) {
-      throw new JsonFields.MalformedInputException("the line is not UTF-8");
+      throw new MalformedInputException("the line is not UTF-8");
     }
   }
 
-  static void trace(Channel channel, String way, ByteBuf line) {
-    System.err.println(
-        System.currentTimeMillis()
-            + " "
-            + channel.id().asShortText()
-            + " "
-            + channel.remoteAddress()
-            + " "
-            + way
-            + " "
-            + line.toString(StandardCharsets.UTF_8).trim());
+  private static Map<String, Object> fields(Map<String, Object> message) {
+    if (message.get("f") == null) {
+      return NO_FIELDS;
+    }
+    Map<String, Object> fields = JsonFields.object(message.get("f"), "line.f");
+    for (Map.Entry<String, Object> field : fields.entrySet()) {
+      if (!(field.getValue() instanceof String) && !(field.getValue() instanceof Number)) {
+        throw MalformedInputException.unexpected(
+            "line.f", field.getKey(), "a string or a number", field.getValue());
+      }
+    }
+    return fields;
   }
 
-  static void trace(Channel channel, String what) {
-    if (TRACED) {
-      System.err.println(
-          System.currentTimeMillis()
-              + " "
-              + channel.id().asShortText()
-              + " "
-              + channel.remoteAddress()
-              + " "
-              + what);
+  private static int code(Map<String, Object> message) {
+    long code = JsonFields.whole(message, "c", "line", NO_CODE);
+    if (code < NO_CODE || code > MAX_CODE) {
+      throw MalformedInputException.unexpected("line", "c", "within -1 to " + MAX_CODE, code);
+    }
+    return (int) code;
+  }
+
+  private static String description(Map<String, Object> message) {
+    String description = JsonFields.text(message, "d", "line", null);
+    if (description != null && !StandardCharsets.UTF_8.newEncoder().canEncode(description)) {
+      throw new MalformedInputException("line: field 'd' has half a surrogate pair");
     }
+    return description;
   }
 
-  final void spoilt(String why) {
-    if (!deaf) {
-      if (TRACED) {
-        System.err.println(System.currentTimeMillis() + " spoilt: " + why);
+  /** Takes no more input from this connection. */
+  final void rejectInput(String reason) {
+    if (!isInputRejected) {
+      if (IS_TRACING) {
+        System.err.println(System.currentTimeMillis() + " malformed input: " + reason);
       }
-      deaf = true;
-      unreadable(why);
+      isInputRejected = true;
+      malformedInput(reason);
     }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    // A line too long is told by the decoder as soon as it is; a reset comes here too.
-    spoilt(String.valueOf(cause.getMessage()));
+    // The decoder reports a line that is too long here, and the channel a reset.
+    rejectInput(String.valueOf(cause.getMessage()));
   }
 
-  /** Writes one line; fields are pairs of name and value, null values left out. */
-  static ByteBuf line(
-      Channel to, String type, String id, int cause, String description, String... fields) {
-    ByteBuf out = to.alloc().buffer(256);
-    try (JsonGenerator gen = FACTORY.createGenerator((OutputStream) new ByteBufOutputStream(out))) {
-      gen.writeStartObject();
-      gen.writeStringField("t", type);
-      gen.writeStringField("ref", id);
-      gen.writeObjectFieldStart("f");
+  /** Encodes one line; fields are pairs of name and value, those with a null value are left out. */
+  static ByteBuf encode(
+      Channel channel, String type, String id, int code, String description, String... fields) {
+    ByteBuf line = channel.alloc().buffer(USUAL_LINE_BYTES);
+    try (JsonGenerator json =
+        FACTORY.createGenerator((OutputStream) new ByteBufOutputStream(line))) {
+      json.writeStartObject();
+      json.writeStringField("t", type);
+      json.writeStringField("ref", id);
+      json.writeObjectFieldStart("f");
       for (int i = 0; i < fields.length; i += 2) {
         if (fields[i + 1] != null) {
-          gen.writeStringField(fields[i], fields[i + 1]);
+          json.writeStringField(fields[i], fields[i + 1]);
         }
       }
-      gen.writeEndObject();
-      if (cause >= 0) {
-        gen.writeNumberField("c", cause);
+      json.writeEndObject();
+      if (code != NO_CODE) {
+        json.writeNumberField("c", code);
       }
       if (description != null) {
-        gen.writeStringField("d", description);
+        json.writeStringField("d", description);
       }
-      gen.writeEndObject();
+      json.writeEndObject();
     } catch (IOException e) {
-      out.release();
+      line.release();
       throw new UncheckedIOException(e);
     }
-    out.writeByte('\n');
-    if (TRACED) {
-      trace(to, ">", out);
+    line.writeByte('\n');
+    if (IS_TRACING) {
+      trace(channel, "> " + line.toString(StandardCharsets.UTF_8).trim());
+    }
+    return line;
+  }
+
+  /** Writes an event of the connection to standard error if lines are traced. */
+  static void trace(Channel channel, String event) {
+    if (IS_TRACING) {
+      System.err.println(
+          System.currentTimeMillis()
+              + " "
+              + channel.id().asShortText()
+              + " "
+              + channel.remoteAddress()
+              + " "
+              + event);
     }
-    return out;
   }
 }
--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -94,19 +94,20 @@
     }
 
     @Override
-    void heard() {
+    void lineReceived() {
       if (!over || leaving) {
         heard.messageReceived();
       }
     }
 
     @Override
-    void unreadable(String why) {
+    void malformedInput(String why) {
       ends(why);
     }
 
     @Override
-    void said(String type, String id, Map<String, Object> fields, int cause, String description) {
+    void messageReceived(
+        String type, String id, Map<String, Object> fields, int cause, String description) {
       if (over && !leaving) {
         return;
       }
@@ -124,7 +125,7 @@
       switch (type) {
         case "up" -> {
           if (description == null) {
-            spoilt("an answer without a description");
+            rejectInput("an answer without a description");
           } else {
             heard.vmAccepted(connection, id, description);
           }
@@ -152,14 +153,14 @@
             heard.probeAnswered(connection, cause == 1, fields.get("load") instanceof String);
         case "hb" -> write("hb_ok", id, 1, null);
         case "wait", "ack", "shift" -> {}
-        default -> spoilt("line: field 't' is not a known word");
+        default -> rejectInput("line: field 't' is not a known word");
       }
     }
 
     void write(String type, String id, int cause, String description, String... fields) {
       if (channel.isActive() && !leaving) {
         channel.writeAndFlush(
-            LineCodec.line(channel, type, id, cause, description, fields), channel.voidPromise());
+            LineCodec.encode(channel, type, id, cause, description, fields), channel.voidPromise());
       }
     }
   }
@@ -260,7 +261,7 @@
                 new ChannelInitializer<NioSocketChannel>() {
                   @Override
                   protected void initChannel(NioSocketChannel ch) {
-                    w.into(ch.pipeline());
+                    w.addTo(ch.pipeline());
                   }
                 })
             .connect(address);
--- /dev/null
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -0,0 +1,137 @@
+package fordridge.server.json;
+
+import fordridge.machine.MachineConnectionPool;
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Vm;
+import fordridge.runtime.SchedulerInputs;
+import fordridge.session.PendingResponses;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * Reports what the connections to machines conclude on attempts to the scheduler, and to clients
+ * what they wait for. It is called from within an input; all it does is entered behind it. Confined
+ * to the event loop.
+ */
+final class AttemptOutcomeHandler implements MachineConnectionPool.Listener {
+  private final SchedulerEventLoop loop;
+  private final SchedulerInputs<String> inputs;
+  private final PendingResponses<?> pendingResponses;
+  private final ClientResponder clients;
+  private final ActiveRequests requests;
+  private MachineRegistry machines;
+  private final Map<Outcome, Long> outcomeCounts = new EnumMap<>(Outcome.class);
+  private long passedProbes;
+  private long failedProbes;
+
+  AttemptOutcomeHandler(
+      SchedulerEventLoop loop,
+      SchedulerInputs<String> inputs,
+      PendingResponses<?> pendingResponses,
+      ClientResponder clients,
+      ActiveRequests requests) {
+    this.loop = loop;
+    this.inputs = inputs;
+    this.pendingResponses = pendingResponses;
+    this.clients = clients;
+    this.requests = requests;
+  }
+
+  /** To be called once, before the first outcome. */
+  void attach(MachineRegistry machines) {
+    this.machines = machines;
+  }
+
+  @Override
+  public void attemptAccepted(PlacementAttempt attempt, String description) {
+    loop.enterBehind(
+        () -> {
+          if (!attempt.isInFlight()) {
+            return;
+          }
+          if (attempt.vm.isFinished) {
+            machines.poolOf(attempt).terminate(attempt, loop.now());
+            return;
+          }
+          inputs.scheduler.attemptAccepted(attempt);
+          requests.accepted(attempt.vm);
+          clients.accept(attempt.vm, description);
+        });
+  }
+
+  @Override
+  public void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
+    loop.enterBehind(
+        () -> {
+          if (!attempt.isInFlight()) {
+            return;
+          }
+          Vm vm = attempt.vm;
+          boolean wasAccepted = attempt.acceptedAt != null;
+          count(outcome);
+          inputs.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted || vm.isFinished);
+          if (wasAccepted && outcome == Outcome.CANCELLED) {
+            pendingResponses.endedByClient(vm.id);
+          } else if (wasAccepted) {
+            clients.notifyTerminated(vm, outcome, loop.now());
+          }
+          requests.forgetIfOver(vm);
+        });
+  }
+
+  @Override
+  public void attemptEndedUnanswered(
+      PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
+    loop.enterBehind(
+        () -> {
+          if (!attempt.isInFlight()) {
+            return;
+          }
+          Vm vm = attempt.vm;
+          count(outcome);
+          inputs.scheduler.attemptEnded(attempt, outcome, reason, true);
+          if (pendingResponses.isAwaitingResponse(vm.id)) {
+            clients.fail(vm);
+            // After its response nothing more is sent for it.
+            requests.abandon(vm, machines);
+          } else {
+            requests.forgetIfOver(vm);
+          }
+        });
+  }
+
+  private void count(Outcome outcome) {
+    outcomeCounts.merge(outcome, 1L, Long::sum);
+  }
+
+  @Override
+  public void probeCompleted(
+      Machine machine, boolean healthy, boolean withLoadReport, Duration roundTrip) {
+    loop.enterBehind(
+        () -> {
+          if (healthy) {
+            passedProbes++;
+          } else {
+            failedProbes++;
+          }
+          inputs.scheduler.probeCompleted(machine, healthy, withLoadReport, roundTrip);
+        });
+  }
+
+  /** How many attempts had each outcome since the start. */
+  Map<Outcome, Long> outcomeCounts() {
+    return outcomeCounts;
+  }
+
+  long passedProbes() {
+    return passedProbes;
+  }
+
+  long failedProbes() {
+    return failedProbes;
+  }
+}
--- a/src/main/java/fordridge/server/json/ClassArchiveTraining.java
+++ b/src/main/java/fordridge/server/json/ClassArchiveTraining.java
@@ -32,7 +32,7 @@
         ServerSocket journal = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       serve(machine, ClassArchiveTraining::machine);
       serve(journal, (line, out) -> say(out, "7\n"));
-      Path file = Files.createTempFile("rehearsal", ".json");
+      Path file = Files.createTempFile("class-archive-training", ".json");
       try {
         Files.writeString(file, configuration(machine.getLocalPort(), journal.getLocalPort()));
         try (ServeCommand program = new ServeCommand(file, err)) {
@@ -40,7 +40,7 @@
           int stood = owner(program.port());
           program.reload();
           program.stop();
-          program.awaitEnd(Duration.ofSeconds(10));
+          program.awaitStopped(Duration.ofSeconds(10));
           err.println("rehearsed: " + stood + " of " + ASKS + " asks stood");
           return stood == ASKS ? 0 : 1;
         }
@@ -151,7 +151,7 @@
 
   private static String configuration(int machine, int journal) {
     return "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"cores\":1,\"memory_mb\":64,"
-        + "\"sockets\":256},\"journal\":\"127.0.0.1:"
+               + "\"sockets\":256},\"journal\":\"127.0.0.1:"
         + journal
         + "\",\"known\":{\"pos\":7,\"entries\":[{\"pos\":7,"
         + "\"hosts\":{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
--- /dev/null
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -0,0 +1,208 @@
+package fordridge.server.json;
+
+import fordridge.json.ClientConnection;
+import fordridge.json.ClientRequest;
+import fordridge.json.ClientRequestHandler;
+import fordridge.json.RequestPayload;
+import fordridge.json.TerminationCause;
+import fordridge.model.Machine;
+import fordridge.model.Vm;
+import fordridge.runtime.SchedulerInputs;
+import fordridge.session.PendingResponses;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Takes in what clients request: validates it, bounds what is pending, and enters it as inputs of
+ * the scheduler. Confined to the event loop.
+ */
+final class ClientRequestIntake implements ClientRequestHandler {
+  /** How many invalid requests are logged; a flood must not fill the log. */
+  private static final int MAX_LOGGED_INVALID_REQUESTS = 20;
+
+  private final SchedulerEventLoop loop;
+  private final SchedulerInputs<String> inputs;
+  private final RequestValidator validator;
+  private final PendingResponses<ClientConnection> pendingResponses;
+  private final ClientResponder clients;
+  private final ActiveRequests requests;
+  private final MachineRegistry machines;
+  private final Consumer<String> log;
+  private Duration machineFailureTimeout;
+  private boolean isReady;
+  private long invalidRequestCount;
+
+  ClientRequestIntake(
+      SchedulerEventLoop loop,
+      SchedulerInputs<String> inputs,
+      ServerSettings settings,
+      PendingResponses<ClientConnection> pendingResponses,
+      ClientResponder clients,
+      ActiveRequests requests,
+      MachineRegistry machines,
+      Consumer<String> log) {
+    this.loop = loop;
+    this.inputs = inputs;
+    this.pendingResponses = pendingResponses;
+    this.clients = clients;
+    this.requests = requests;
+    this.machines = machines;
+    this.log = log;
+    validator = new RequestValidator(settings);
+    machineFailureTimeout = settings.timeouts().failureTimeout();
+  }
+
+  /** Other settings hold from the next request on. */
+  void setSettings(ServerSettings settings) {
+    validator.setSettings(settings);
+    machineFailureTimeout = settings.timeouts().failureTimeout();
+  }
+
+  /** The scheduler has started. */
+  void markReady() {
+    isReady = true;
+  }
+
+  @Override
+  public boolean isReady() {
+    return isReady;
+  }
+
+  @Override
+  public boolean isInUse(ClientConnection connection) {
+    return pendingResponses.isInUse(connection);
+  }
+
+  @Override
+  public void placementRequested(ClientConnection connection, ClientRequest request) {
+    loop.enter(
+        () -> {
+          try {
+            receive(connection, request);
+          } catch (InvalidRequestException e) {
+            reject(connection, request.vmId(), e);
+          }
+        });
+  }
+
+  private void receive(ClientConnection connection, ClientRequest request)
+      throws InvalidRequestException {
+    Vm vm = validator.validate(request, loop.now(), loop.lag(loop.now()));
+    String runningAt = request.extra("at");
+    if (runningAt != null) {
+      adopt(connection, vm, runningAt);
+      return;
+    }
+    switch (pendingResponses.requestReceived(vm.id, connection)) {
+      case DUPLICATE ->
+          throw new InvalidRequestException("ref", vm.id, "an id that is not pending or running");
+      case OVER_CAPACITY -> connection.sendRejected(vm.id, Duration.ZERO);
+      case ADMITTED -> place(vm, request);
+    }
+  }
+
+  private void place(Vm vm, ClientRequest request) {
+    clients.sendDeferredNotices(loop.now());
+    requests.add(
+        vm, new RequestPayload(request.key(), request.idempotencyKey(), request.description()));
+    Duration timeLeft = vm.deadline.minus(loop.now());
+    loop.enterAfter(
+        timeLeft.plus(RequestValidator.RESPONSE_MARGIN.dividedBy(2)), () -> failIfPending(vm));
+    inputs.scheduler.vmRequested(vm);
+  }
+
+  /** Should the scheduler have failed on an input, its clients get a response all the same. */
+  private void failIfPending(Vm vm) {
+    if (pendingResponses.isAwaitingResponse(vm.id)) {
+      log.accept("no decision in time: " + vm.id);
+      clients.fail(vm);
+      // After its response nothing more is sent for it, whatever the scheduler would do.
+      requests.abandon(vm, machines);
+    }
+  }
+
+  /** A client reports a VM that runs already, placed by an earlier scheduler. */
+  private void adopt(ClientConnection connection, Vm vm, String machineId) {
+    if (machineId.isEmpty() || !pendingResponses.adoptRunning(vm.id, connection)) {
+      return;
+    }
+    clients.sendDeferredNotices(loop.now());
+    requests.addRunning(vm);
+    MachineHandle handle = machines.findOrAdd(machineId);
+    Machine machine = handle.machine();
+    inputs.scheduler.vmAdopted(vm, machine);
+    handle.pool().adopt(vm.acceptedAttempt, loop.now());
+    if (!machine.isListed || machine.lifecycle == Machine.Lifecycle.GONE) {
+      // The list may name it yet.
+      loop.enterAfter(machineFailureTimeout, () -> loseIfMachineGone(vm, handle));
+    }
+  }
+
+  private void loseIfMachineGone(Vm vm, MachineHandle handle) {
+    if (handle.machine().lifecycle == Machine.Lifecycle.GONE && vm.acceptedAttempt.isInFlight()) {
+      handle.pool().machineListed(Machine.Lifecycle.GONE, loop.now());
+      handle.pool().vmLost(vm.id);
+    }
+  }
+
+  /**
+   * Fails the request and all that are pending on its connection, and reads no more from it: a
+   * client that does not keep to the protocol can't be understood further.
+   */
+  private void reject(ClientConnection connection, String vmId, InvalidRequestException reason) {
+    if (invalidRequestCount++ < MAX_LOGGED_INVALID_REQUESTS) {
+      log.accept("invalid request: " + vmId + ": " + reason.getMessage());
+    }
+    List<String> pending = pendingResponses.pendingRequestsOf(connection);
+    if (!pending.contains(vmId)) {
+      connection.sendTerminated(vmId, TerminationCause.FAILED);
+    }
+    for (String pendingId : pending) {
+      Vm vm = requests.find(pendingId);
+      clients.fail(vm);
+      requests.abandon(vm, machines);
+    }
+    connection.closeAfterResponse();
+  }
+
+  @Override
+  public void terminationRequested(ClientConnection connection, String vmId) {
+    loop.enter(
+        () -> {
+          Vm vm = requests.find(vmId);
+          if (vm == null || !pendingResponses.endedByClient(vmId)) {
+            return;
+          }
+          if (vm.acceptedAttempt == null) {
+            requests.abandon(vm, machines);
+            return;
+          }
+          connection.sendTerminationAccepted(vmId);
+          machines.poolOf(vm.acceptedAttempt).terminate(vm.acceptedAttempt, loop.now());
+        });
+  }
+
+  @Override
+  public void terminationAcknowledged(ClientConnection connection, String vmId) {
+    loop.enter(() -> pendingResponses.noticeAcknowledged(vmId, connection));
+  }
+
+  @Override
+  public void connectionClosed(ClientConnection connection) {
+    loop.enter(
+        () -> {
+          for (String vmId : pendingResponses.connectionClosed(connection)) {
+            Vm vm = requests.find(vmId);
+            if (vm != null && vm.acceptedAttempt == null) {
+              requests.abandon(vm, machines);
+            }
+          }
+          clients.sendDeferredNotices(loop.now());
+        });
+  }
+
+  long invalidRequestCount() {
+    return invalidRequestCount;
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/json/ClientResponder.java
@@ -0,0 +1,73 @@
+package fordridge.server.json;
+
+import fordridge.json.ClientConnection;
+import fordridge.json.TerminationCause;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.Vm;
+import fordridge.session.PendingResponses;
+import fordridge.session.PendingResponses.AddressedNotice;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Sends each response and termination notice on the connection that {@link PendingResponses} names
+ * for it. Confined to the event loop.
+ */
+final class ClientResponder {
+  private final PendingResponses<ClientConnection> pending;
+
+  ClientResponder(PendingResponses<ClientConnection> pending) {
+    this.pending = pending;
+  }
+
+  void accept(Vm vm, String description) {
+    Optional<ClientConnection> client = pending.takeAccepted(vm.id);
+    if (client.isPresent()) {
+      client.get().sendAccepted(vm.id, description);
+    }
+  }
+
+  /** Rejects the request; it may be repeated after {@code retryAfter}, zero: no advice. */
+  void reject(Vm vm, Duration retryAfter) {
+    Optional<ClientConnection> client = pending.takeDeclined(vm.id);
+    if (client.isPresent()) {
+      client.get().sendRejected(vm.id, retryAfter);
+    }
+  }
+
+  /** Fails the request, without a promise on whether the VM ran. */
+  void fail(Vm vm) {
+    Optional<ClientConnection> client = pending.takeDeclined(vm.id);
+    if (client.isPresent()) {
+      client.get().sendTerminated(vm.id, TerminationCause.FAILED);
+    }
+  }
+
+  /** A running VM is over. */
+  void notifyTerminated(Vm vm, Outcome outcome, Duration now) {
+    Optional<ClientConnection> client = pending.vmTerminated(vm.id, outcome, now);
+    if (client.isPresent()) {
+      client.get().sendTerminated(vm.id, causeOf(outcome));
+    }
+  }
+
+  /** A running VM is being stopped for its client to request it anew; needs no acknowledgement. */
+  void notifyMigrated(Vm vm, Duration now) {
+    Optional<ClientConnection> client = pending.vmTerminated(vm.id, Outcome.RESET, now);
+    if (client.isPresent()) {
+      client.get().sendMigration(vm.id);
+      pending.noticeAcknowledged(vm.id, client.get());
+    }
+  }
+
+  /** Sends the notices that have waited for a connection, if one is open now. */
+  void sendDeferredNotices(Duration now) {
+    for (AddressedNotice<ClientConnection> due : pending.takeDeferredNotices(now)) {
+      due.connection().sendTerminated(due.notice().vmId(), causeOf(due.notice().outcome()));
+    }
+  }
+
+  private static TerminationCause causeOf(Outcome outcome) {
+    return outcome == Outcome.DONE ? TerminationCause.DONE : TerminationCause.RESET;
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/json/GracefulShutdown.java
@@ -0,0 +1,85 @@
+package fordridge.server.json;
+
+import fordridge.json.ClientServer;
+import fordridge.json.EventLoopTimers;
+import fordridge.model.Durations;
+import java.time.Duration;
+
+/**
+ * Ends a server within the time between SIGTERM and SIGKILL. For as long as it can, all goes on as
+ * before: pending requests may still find capacity, and running VMs may end. Then nothing more is
+ * placed, and the end comes once all is answered. Confined to the event loop.
+ */
+final class GracefulShutdown {
+  /**
+   * The platform sends SIGKILL no sooner than this after SIGTERM, or than the longest start
+   * deadline if that is shorter, plus a grace period.
+   */
+  private static final Duration KILL_DELAY = Duration.ofSeconds(3);
+
+  private static final Duration KILL_GRACE_PERIOD = Duration.ofMillis(700);
+
+  /** The last part of that time is kept for the responses to what is pending then. */
+  private static final Duration FINAL_RESPONSES_TIME = Duration.ofMillis(900);
+
+  /** Clients go on sending requests for 0.6 s after SIGTERM, however short their deadlines. */
+  private static final Duration MIN_SERVING_TIME = Duration.ofMillis(650);
+
+  /** How long output and notices that clients don't take in delay the end. */
+  private static final Duration MAX_LINGER = Duration.ofMillis(400);
+
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
+
+  private final EventLoopTimers timers;
+  private final JsonSchedulerServer server;
+  private final ClientServer clients;
+  private final long signalNanos;
+  private final Duration servingTime;
+  private final Runnable onComplete;
+
+  /**
+   * Creates a shutdown.
+   *
+   * @param signalNanos when the signal came, by {@link System#nanoTime}
+   * @param onComplete what is run once the process may end, possibly more than once
+   */
+  GracefulShutdown(
+      EventLoopTimers timers,
+      JsonSchedulerServer server,
+      ClientServer clients,
+      long signalNanos,
+      Runnable onComplete) {
+    this.timers = timers;
+    this.server = server;
+    this.clients = clients;
+    this.signalNanos = signalNanos;
+    this.onComplete = onComplete;
+    Duration untilKill =
+        Durations.min(server.maxStartDeadline(), KILL_DELAY).plus(KILL_GRACE_PERIOD);
+    servingTime = Durations.max(untilKill.minus(FINAL_RESPONSES_TIME), MIN_SERVING_TIME);
+  }
+
+  void start() {
+    timers.runAfter(
+        servingTime.minus(sinceSignal()),
+        () -> {
+          server.startShutdown();
+          timers.runEvery(CHECK_INTERVAL, this::checkComplete);
+        });
+  }
+
+  private void checkComplete() {
+    if (server.pendingRequestCount() == 0 && !isLingering()) {
+      onComplete.run();
+    }
+  }
+
+  private boolean isLingering() {
+    return sinceSignal().compareTo(servingTime.plus(MAX_LINGER)) < 0
+        && (server.undeliveredNoticeCount() > 0 || clients.hasPendingOutput());
+  }
+
+  private Duration sinceSignal() {
+    return Duration.ofNanos(System.nanoTime() - signalNanos);
+  }
+}
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -1,915 +1,183 @@
 package fordridge.server.json;
 
+import fordridge.json.ClientConnection;
+import fordridge.json.ClientRequestHandler;
 import fordridge.json.ClientServer;
-import fordridge.json.ConnectionQuota;
-import fordridge.json.JsonFields;
-import fordridge.json.MachineClient;
-import fordridge.json.RequestPayload;
-import fordridge.machine.ConnectionBudget;
-import fordridge.machine.ConnectionTimeouts;
-import fordridge.machine.LoadReport;
-import fordridge.machine.MachineConnection;
-import fordridge.machine.MachineConnectionPool;
-import fordridge.machine.VmReportKind;
-import fordridge.machine.VmTermination;
-import fordridge.model.Machine;
-import fordridge.model.PlacementAttempt;
-import fordridge.model.PlacementAttempt.Outcome;
-import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.SettingsValues;
-import fordridge.model.Vm;
-import fordridge.runtime.EventLoopLag;
-import fordridge.runtime.EventSequencer;
+import fordridge.json.EndpointWatcher;
+import fordridge.json.EventLoopTimers;
+import fordridge.json.MachineListEvent;
 import fordridge.runtime.SchedulerInputs;
-import fordridge.scheduling.SchedulerActions;
-import fordridge.scheduling.SchedulerSettingsReader;
 import fordridge.session.PendingResponses;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * One placer on lines of JSON: its module, who is owed what, and a trunk to each machine, on one
- * event loop. It turns lines into calls of the module, and what the module does into lines. It
- * decides nothing.
+ * One scheduler on JSON lines: builds the parts around it, starts them, and passes on changes of
+ * the configuration and the shutdown. It decides nothing. All but the construction is to be called
+ * on the event loop.
  */
-final class JsonSchedulerServer
-    implements SchedulerActions, ClientServer.ClientRequestHandler, MachineConnectionPool.Listener {
-  private static final Duration FEELS = Duration.ofMillis(25);
-
-  /**
-   * How old what is known of the machines may be when an input is entered, on this placer's own
-   * clock.
-   */
-  private static final Duration READ_WATCH = Duration.ofMillis(10);
-
-  private static final Duration TICK = Duration.ofMillis(50);
-
-  /** What an answer may take from here to its owner. */
-  private static final Duration MARGIN = Duration.ofMillis(15);
-
-  /** Asks in hand at once, each with a description of up to a line: a bound on memory. */
-  private static final int MOST = 1000;
-
-  /** How long an ended VM's release waits for a line to be sent on. */
-  private static final Duration KEEPS = Duration.ofSeconds(8);
-
-  private static final int REFUSED = 34;
-  private static final int ERRORED = 47;
-  private static final int DONE = 16;
-  private static final int LOST = 41;
-
-  /** A machine as this placer reaches it. */
-  private final class MachineHandle implements MachineClient.Listener {
-    final String id;
-    final Machine machine;
-    final MachineClient line;
-    final MachineConnectionPool connectionPool;
-
-    /** When a set-up was last written to it. */
-    Duration offeredAt;
-
-    MachineHandle(String id) {
-      this.id = id;
-      machine = inputs.machine(id);
-      line =
-          new MachineClient(loop, share, connectionTimeouts.connectTimeout(), this::offered, this);
-      connectionPool =
-          new MachineConnectionPool(machine, connectionTimeouts, line, JsonSchedulerServer.this);
-    }
-
-    /** At the instant of the write. */
-    private RequestPayload offered(Vm vm) {
-      offeredAt = sequencer.clock();
-      return carried.get(vm.id);
-    }
-
-    @Override
-    public void messageReceived() {
-      connectionPool.messageReceived(sequencer.clock());
-    }
-
-    @Override
-    public void connectionEstablished(MachineConnection s) {
-      behindReads(() -> connectionPool.connectionEstablished(s, now));
-    }
-
-    @Override
-    public void connectionFailed(MachineConnection s, boolean refused) {
-      enter(() -> connectionPool.connectionFailed(s, refused, now));
-    }
-
-    @Override
-    public void connectionLost(MachineConnection s, String why) {
-      enter(() -> connectionPool.connectionLost(s, now));
-    }
-
-    @Override
-    public void vmAccepted(MachineConnection s, String vm, String description) {
-      enter(() -> connectionPool.vmAccepted(s, vm, description, now));
-    }
-
-    @Override
-    public void vmTerminated(MachineConnection s, VmTermination termination) {
-      enter(() -> connectionPool.vmTerminated(s, termination, now));
-    }
-
-    @Override
-    public void probeAnswered(MachineConnection s, boolean ok, boolean told) {
-      enter(() -> connectionPool.probeAnswered(s, ok, told, now));
-    }
-
-    @Override
-    public void vmReported(MachineConnection s, String vm, VmReportKind kind, double amount) {
-      enter(
-          () -> {
-            connectionPool.vmReported(s, vm);
-            PlacementAttempt c = connectionPool.findRunningAttempt(vm).orElse(null);
-            if (c == null || !Double.isFinite(amount) && kind != VmReportKind.STARTED) {
-              return;
-            }
-            switch (kind) {
-              case STARTED -> inputs.scheduler.vmStarted(c);
-              case CORE_USAGE -> inputs.scheduler.coreUsageReported(c, amount);
-              case MEMORY_USAGE -> inputs.scheduler.memoryUsageReported(c, amount);
-              case SERVICE_LEVEL -> inputs.scheduler.serviceLevelReported(c, amount);
-              case MEMORY_PRESSURE -> inputs.scheduler.memoryPressureReported(c, amount);
-              default -> {}
-            }
-          });
-    }
-
-    @Override
-    public void loadReported(LoadReport report, boolean answersProbe) {
-      enter(
-          () -> {
-            reports++;
-            inputs.report(
-                machine, report.spareCores(), report.spareMemory(), report.utilization(), now);
-            if (!answersProbe) {
-              inputs.scheduler.loadReported(machine);
-            }
-          });
-    }
-  }
-
-  private final EventLoopGroup loop;
-  private final Consumer<String> log;
-  private final long wallStart = System.currentTimeMillis();
-  private final EventSequencer sequencer;
-  private final SchedulerInputs<String> inputs =
-      new SchedulerInputs<>(this, SchedulerInputs::number);
-  private final PendingResponses<ClientServer.ClientConnection> pendingResponses =
-      new PendingResponses<>(MOST, KEEPS);
-  private final EventLoopLag lateness = new EventLoopLag(Duration.ofSeconds(2));
-  private final Map<String, MachineHandle> machineHandles = new HashMap<>();
-  private final Map<Machine, MachineHandle> byMachine = new HashMap<>();
-  private final List<MachineConnectionPool> connectionPools = new ArrayList<>();
-  private final Map<String, RequestPayload> carried = new HashMap<>();
-  private final ConnectionQuota share;
-  private ConnectionTimeouts connectionTimeouts;
-  private SettingsValues terms;
-  private Map<String, Object> values;
-  private final Set<String> priorityClasses = new HashSet<>();
-
-  /** Of these, the ones that may simply be sent again. */
-  private final Set<String> again = new HashSet<>();
-
-  private final Set<String> tenants = new HashSet<>();
-  private final Map<String, Duration> patience = new HashMap<>();
-  private double mostCores;
-  private double mostMemory;
-  private Duration now = Duration.ZERO;
-  private ClientServer front;
-  private boolean inRound;
-  private boolean ready;
-  private long bad;
-
-  /** What the module was told, for holding it against the traffic. */
-  private long reports;
-
-  private long probesPassed;
-  private long probesFailed;
-
-  /**
-   * How long after a drain was told the latest offer to its machine may have been written, at most.
-   */
-  private Duration latestOffer = Duration.ZERO;
-
-  private final Map<Outcome, Long> ends = new java.util.EnumMap<>(Outcome.class);
+final class JsonSchedulerServer {
+  /** Pending requests, each with up to a line of description: a bound on memory. */
+  private static final int MAX_PENDING_REQUESTS = 1000;
+
+  /** How long a termination notice waits for a connection to be sent on. */
+  private static final Duration NOTICE_LIFETIME = Duration.ofSeconds(8);
+
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+
+  private final EventLoopTimers timers;
+  private final SchedulerEventLoop loop;
+  private final PendingResponses<ClientConnection> pendingResponses =
+      new PendingResponses<>(MAX_PENDING_REQUESTS, NOTICE_LIFETIME);
+  private final ClientResponder clients = new ClientResponder(pendingResponses);
+  private final JsonSchedulerActions actions;
+  private final SchedulerInputs<String> inputs;
+  private final ActiveRequests requests;
+  private final AttemptOutcomeHandler outcomes;
+  private final MachineRegistry machines;
+  private final MachineListIntake machineList;
+  private final ClientRequestIntake intake;
+  private ServerConfiguration configuration;
+  private ClientServer clientServer;
 
   JsonSchedulerServer(
-      EventLoopGroup loop, ServerConfiguration p, int machineSockets, Consumer<String> log) {
-    this.loop = loop;
-    this.log = log;
-    sequencer =
-        new EventSequencer(
-            System::nanoTime,
-            this::turn,
-            e -> {
-              // This one is lost to the module, those behind it are not; its VM is answered by its
-              // time-out.
-              log.accept("an input failed: " + e);
-              e.printStackTrace();
-            });
-    share = new ConnectionQuota(machineSockets);
-    read(p.terms);
-  }
-
-  /** On the loop: starts the module with its terms and the list as known, then keeps time. */
-  void begin(ServerConfiguration p, ClientServer front) {
-    this.front = front;
-    enter(() -> inputs.scheduler.start(p.seed, SchedulerSettingsReader.read(terms)));
-    for (Object event : p.known) {
-      event(JsonFields.object(JsonFields.object(event, "known").get("hosts"), "known.hosts"));
-    }
-    loop.next()
-        .scheduleAtFixedRate(
-            () -> enter(this::tick), TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
-    feelLateness();
-    ready = true;
-  }
-
-  /**
-   * How the watch of the machine list is read at once; it is, every so often, whatever else there
-   * is to read.
-   */
-  void watch(Runnable read) {
-    sequencer.watch(read, READ_WATCH);
-  }
-
-  /** Other terms and limits hold for all that comes from here on. */
-  void told(ServerConfiguration next, int machineSockets) {
-    share.setLimit(machineSockets);
-    if (!next.terms.equals(values)) {
-      read(next.terms);
-      for (MachineHandle r : machineHandles.values()) {
-        r.connectionPool.setTimeouts(connectionTimeouts);
-        r.line.setConnectTimeout(connectionTimeouts.connectTimeout());
-      }
-      enter(() -> inputs.scheduler.settingsChanged(SchedulerSettingsReader.read(terms)));
-    }
-  }
-
-  private void read(Map<String, Object> values) {
-    terms = new SettingsValues(values);
-    this.values = values;
-    connectionTimeouts =
-        new ConnectionTimeouts(
-            terms.micros("caps.connectTimeoutUs", Duration.ofMillis(250)),
-            terms.micros("extra.settleUs", Duration.ofSeconds(3)));
-    priorityClasses.clear();
-    again.clear();
-    tenants.clear();
-    for (int i = 0; i < terms.number("lanes", 0); i++) {
-      String name = terms.text("lanes." + i + ".name", "");
-      priorityClasses.add(name);
-      if (terms.text("lanes." + i + ".semantics", "fragile").equals("retryable")) {
-        again.add(name);
-      }
-      patience.put(name, terms.micros("lanes." + i + ".giveUpUs", Duration.ofSeconds(5)));
-    }
-    for (int i = 0; i < terms.number("tenants", 0); i++) {
-      tenants.add(terms.text("tenants." + i + ".name", ""));
-    }
-    mostCores = most("extra.cpuOfKind");
-    mostMemory = most("extra.memoryByKind");
-  }
-
-  private double most(String name) {
-    double most = 0;
-    for (int i = 0; i < terms.list(name).size(); i++) {
-      most = Math.max(most, terms.item(name, i, 0));
-    }
-    return most;
-  }
-
-  // ---- The order of inputs
-  // ---------------------------------------------------------------------------
-
-  /**
-   * All that one round of the loop brings bears one time, as the events of one tick do for the
-   * module: what is held is gone through once for them, not once for each, however much comes at
-   * once.
-   */
-  private void turn(Duration at) {
-    if (!inRound) {
-      inRound = true;
-      loop.next().execute(() -> inRound = false);
-      now = at;
-      inputs.scheduler.advanceTo(at);
-    }
-  }
-
-  private void enter(Runnable input) {
-    if (sequencer.enter(input) && front != null) {
-      front.flush();
-    }
-  }
-
-  private void at(Duration in, Runnable input) {
-    loop.next().schedule(() -> enter(input), Math.max(0, in.toNanos()), TimeUnit.NANOSECONDS);
-  }
-
-  /**
-   * For what begins an attempt: entered once the loop has read what its sockets had to say, in this
-   * round, or in the next for what time has brought, so that an owner whose leaving or cancelling
-   * has come in is known to have gone.
-   */
-  private void behindReads(Runnable input) {
-    loop.next().schedule(() -> enter(input), 0, TimeUnit.NANOSECONDS);
-  }
-
-  private void feelLateness() {
-    long due = System.nanoTime() + FEELS.toNanos();
-    loop.next()
-        .schedule(
-            () -> {
-              lateness.seen(
-                  Duration.ofNanos(Math.max(0, System.nanoTime() - due)), sequencer.clock());
-              feelLateness();
-            },
-            FEELS.toNanos(),
-            TimeUnit.NANOSECONDS);
+      EventLoopGroup group,
+      EventLoopTimers timers,
+      ServerConfiguration configuration,
+      Consumer<String> log) {
+    this.timers = timers;
+    this.configuration = configuration;
+    ServerSettings settings = configuration.serverSettings();
+    long startedAtEpochMillis = System.currentTimeMillis();
+    loop = new SchedulerEventLoop(group.next(), timers, log);
+    actions = new JsonSchedulerActions(loop, clients, settings, log);
+    inputs = new SchedulerInputs<>(actions, SchedulerInputs::number);
+    requests = new ActiveRequests(loop, inputs);
+    outcomes = new AttemptOutcomeHandler(loop, inputs, pendingResponses, clients, requests);
+    machines =
+        new MachineRegistry(
+            group,
+            loop,
+            inputs,
+            requests,
+            outcomes,
+            settings.timeouts(),
+            configuration.maxMachineConnections());
+    machineList = new MachineListIntake(loop, inputs, machines, startedAtEpochMillis);
+    intake =
+        new ClientRequestIntake(
+            loop, inputs, settings, pendingResponses, clients, requests, machines, log);
+    loop.attach(inputs.scheduler);
+    actions.attach(inputs, machines, requests);
+    outcomes.attach(machines);
+  }
+
+  /** Receives what clients request. */
+  ClientRequestHandler clientRequestHandler() {
+    return intake;
+  }
+
+  /** Receives changes of the machine list. */
+  EndpointWatcher.Listener machineListListener() {
+    return machineList;
+  }
+
+  /** Starts the scheduler with the machine list of the configuration, and the periodic tasks. */
+  void start(ClientServer newClientServer) {
+    clientServer = newClientServer;
+    loop.start(newClientServer);
+    loop.enter(
+        () -> inputs.scheduler.start(configuration.seed(), configuration.schedulerSettings()));
+    for (MachineListEvent event : configuration.readInitialMachineList()) {
+      machineList.machineListChanged(event);
+    }
+    timers.runEvery(TICK_INTERVAL, () -> loop.enter(this::tick));
+    intake.markReady();
+  }
+
+  /** How the machine list is read at once. */
+  void watchMachineList(Runnable readNow) {
+    loop.watchMachineList(readNow);
   }
 
   private void tick() {
-    for (MachineHandle r : List.copyOf(machineHandles.values())) {
-      r.connectionPool.tick(now);
-    }
-    ConnectionBudget.rebalance(connectionPools, share.inUseCount(), share.limit(), now);
-    pendingResponses.expireNotices(now);
+    machines.tick();
+    pendingResponses.expireNotices(loop.now());
   }
 
-  // ---- The list
-  // --------------------------------------------------------------------------------------
-
-  /** One event of the journal; what is wrong with it is thrown before anything is done. */
-  void event(Map<String, Object> hosts) {
-    boolean whole = JsonFields.flag(hosts, "complete", "hosts");
-    List<SchedulerInputs.ListedMachine<String>> lines = new ArrayList<>();
-    Map<String, java.net.InetSocketAddress> addresses = new HashMap<>();
-    for (Object o : JsonFields.list(hosts, "members", "hosts")) {
-      Map<String, Object> l = JsonFields.object(o, "hosts.members");
-      String id = JsonFields.text(l, "id", "hosts.members");
-      List<?> unasked = l.get("unasked") instanceof List<?> u ? u : List.of();
-      long up = JsonFields.whole(l, "up_since_ms", "hosts.members", 0);
-      lines.add(
-          new SchedulerInputs.ListedMachine<>(
-              id,
-              JsonFields.text(l, "locality", "hosts.members", ""),
-              JsonFields.text(l, "flavor", "hosts.members", ""),
-              (int) JsonFields.whole(l, "cell", "hosts.members", 0),
-              amount(unasked, 0),
-              amount(unasked, 1),
-              switch (JsonFields.text(l, "phase", "hosts.members")) {
-                case "SERVING" -> Machine.Lifecycle.LIVE;
-                case "DRAINING" -> Machine.Lifecycle.DRAINING;
-                case "DELETED" -> Machine.Lifecycle.GONE;
-                default ->
-                    throw new JsonFields.MalformedInputException(
-                        "hosts.members: field 'phase' is not a known word");
-              },
-              up == 0 ? null : Duration.ofMillis(up - wallStart)));
-      if (l.get("host_port") instanceof String at) {
-        addresses.put(id, ServerConfiguration.address(at));
-      }
-    }
-    enter(() -> listed(whole, lines, addresses));
-  }
-
-  private static double amount(List<?> of, int i) {
-    return of.size() > i && of.get(i) instanceof Number n ? n.doubleValue() : 0;
-  }
-
-  private void listed(
-      boolean whole,
-      List<SchedulerInputs.ListedMachine<String>> lines,
-      Map<String, java.net.InetSocketAddress> addresses) {
-    Set<String> named = new HashSet<>();
-    for (SchedulerInputs.ListedMachine<String> l : lines) {
-      MachineHandle r = reach(l.key());
-      named.add(l.key());
-      if (addresses.containsKey(l.key())) {
-        r.line.setAddress(addresses.get(l.key()));
-      }
-      if (l.lifecycle() != Machine.Lifecycle.LIVE
-          && r.machine.lifecycle == Machine.Lifecycle.LIVE) {
-        noteLatestOffer(r);
-      }
-      boolean anew = l.startedAt() != null && !l.startedAt().equals(r.machine.startedAt);
-      r.connectionPool.machineListed(l.lifecycle(), now);
-      if (anew) {
-        r.connectionPool.machineRestarted(l.startedAt());
-      }
-    }
-    if (whole) {
-      for (MachineHandle r : List.copyOf(machineHandles.values())) {
-        if (!named.contains(r.id)) {
-          r.connectionPool.machineListed(Machine.Lifecycle.GONE, now);
-        }
-      }
+  /** Another configuration holds for all that comes from here on. */
+  void reconfigure(ServerConfiguration next) {
+    machines.setMaxConnections(next.maxMachineConnections());
+    if (!next.hasSameSettings(configuration)) {
+      ServerSettings settings = next.serverSettings();
+      intake.setSettings(settings);
+      actions.setSettings(settings);
+      machines.setTimeouts(settings.timeouts());
+      loop.enter(() -> inputs.scheduler.settingsChanged(next.schedulerSettings()));
     }
-    inputs.list(whole, false, lines);
+    configuration = next;
   }
 
   /**
-   * It drains or is gone since some time after the watch was read before: what was offered since
-   * may have come later.
+   * Places nothing more from here on: pending requests are answered at once, or with the outcome of
+   * their attempt in flight.
    */
-  private void noteLatestOffer(MachineHandle r) {
-    if (r.offeredAt != null) {
-      Duration after = r.offeredAt.minus(sequencer.watchReadAt());
-      latestOffer = after.compareTo(latestOffer) > 0 ? after : latestOffer;
-    }
+  void startShutdown() {
+    loop.enter(inputs.scheduler::shutdownStarted);
   }
 
-  private MachineHandle reach(String id) {
-    MachineHandle r = machineHandles.get(id);
-    if (r == null) {
-      r = new MachineHandle(id);
-      machineHandles.put(id, r);
-      byMachine.put(r.machine, r);
-      connectionPools.add(r.connectionPool);
-    }
-    return r;
+  /** How long clients wait for a start at the most. */
+  Duration maxStartDeadline() {
+    return configuration.serverSettings().maxStartDeadline();
   }
 
-  // ---- Owners
-  // ----------------------------------------------------------------------------------------
-
-  @Override
-  public boolean ready() {
-    return ready;
-  }
-
-  @Override
-  public boolean busy(ClientServer.ClientConnection owner) {
-    return pendingResponses.isInUse(owner);
-  }
-
-  @Override
-  public void asks(
-      ClientServer.ClientConnection owner,
-      String id,
-      Map<String, Object> fields,
-      String description) {
-    enter(
-        () -> {
-          Vm vm = new Vm(id);
-          String wrong = vm(vm, fields, description);
-          if (wrong != null) {
-            refuse(owner, id, wrong);
-            return;
-          }
-          // Its own field, not any that ends so: what is taken for one that runs already gets no
-          // answer.
-          String at = field(String.valueOf(fields.get("extras")), "at");
-          if (at != null) {
-            runsAlready(owner, vm, at);
-            return;
-          }
-          switch (pendingResponses.requestReceived(id, owner)) {
-            case DUPLICATE -> refuse(owner, id, "an id that is in hand already");
-            case OVER_CAPACITY -> owner.write("down", id, REFUSED, null);
-            default -> takes(owner, vm, fields, description);
-          }
-        });
-  }
-
-  private void takes(
-      ClientServer.ClientConnection owner, Vm vm, Map<String, Object> fields, String description) {
-    unpark();
-    carried.put(
-        vm.id,
-        new RequestPayload(
-            String.valueOf(fields.get("key")),
-            fields.get("idem") == null ? null : String.valueOf(fields.get("idem")),
-            description));
-    inputs.add(vm);
-    at(
-        vm.deadline.minus(now).plus(MARGIN.dividedBy(2)),
-        () -> {
-          // Should the module fail on an input, nobody is left without an answer: this one promises
-          // nothing.
-          if (pendingResponses.isAwaitingResponse(vm.id)) {
-            log.accept("no decision in time: " + vm.id);
-            answer(vm, "down", ERRORED, null, false);
-            // After its answer nothing more is sent for it, whatever the module would do.
-            givenUp(vm);
-          }
-        });
-    inputs.scheduler.vmRequested(vm);
-  }
-
-  private void unpark() {
-    for (PendingResponses.AddressedNotice<ClientServer.ClientConnection> t :
-        pendingResponses.takeDeferredNotices(now)) {
-      t.connection().write("down", t.notice().vmId(), cause(t.notice().outcome()), null);
-    }
-  }
-
-  /**
-   * Says what is wrong and reads no more from whoever sends it: what is in hand for it ends with
-   * that.
-   */
-  private void refuse(ClientServer.ClientConnection owner, String id, String wrong) {
-    if (bad++ < 20) {
-      log.accept("not taken: " + id + ": " + wrong);
-    }
-    List<String> inHand = pendingResponses.pendingRequestsOf(owner);
-    if (!inHand.contains(id)) {
-      owner.write("down", id, ERRORED, null);
-    }
-    for (String other : inHand) {
-      Vm vm = inputs.vm(other);
-      answer(vm, "down", ERRORED, null, false);
-      givenUp(vm);
-    }
-    owner.dismiss();
-  }
-
-  private static String field(String extras, String name) {
-    for (String part : extras.split(";")) {
-      if (part.startsWith(name + ":")) {
-        return part.substring(name.length() + 1);
-      }
-    }
-    return null;
-  }
-
-  /** Fills in what is asked for, or says what is wrong with it. */
-  private String vm(Vm vm, Map<String, Object> fields, String description) {
-    try {
-      vm.priorityClass = String.valueOf(fields.get("class"));
-      if (!priorityClasses.contains(vm.priorityClass)) {
-        return "no such flavour";
-      }
-      vm.tenant = fields.get("tenant") == null ? "" : String.valueOf(fields.get("tenant"));
-      if (!tenants.isEmpty() && !tenants.contains(vm.tenant)) {
-        return "no such customer";
-      }
-      if (description == null) {
-        return "no description";
-      }
-      Object key = fields.get("key");
-      if (!(key instanceof String k) || !k.matches("[0-9a-fA-F]{1,16}")) {
-        return "no key";
-      }
-      String extras = String.valueOf(fields.get("extras"));
-      vm.cores = Double.parseDouble(String.valueOf(field(extras, "cores")));
-      vm.memory = Double.parseDouble(String.valueOf(field(extras, "memory")));
-      if (!(vm.cores > 0 && vm.cores <= mostCores && vm.memory > 0 && vm.memory <= mostMemory)) {
-        return "cores or memory out of range";
-      }
-      String service = field(extras, "service");
-      vm.service = service == null ? 0 : Long.parseUnsignedLong(service, 16);
-      vm.isClientRetry =
-          "1".equals(String.valueOf(fields.get("retry"))) || "1".equals(field(extras, "again"));
-      double left = Double.parseDouble(String.valueOf(fields.get("left")));
-      if (!(left > 0 && left <= 3.6e6) && field(extras, "at") == null) {
-        return "time left out of range";
-      }
-      Duration time = Duration.ofNanos((long) (left * 1e6));
-      Duration most = patience.get(vm.priorityClass);
-      vm.arrivedAt = now;
-      vm.deadline =
-          now.plus(time.compareTo(most) > 0 ? most : time)
-              .minus(MARGIN)
-              .minus(lateness.allowance(now));
-      if (fields.get("hint") != null) {
-        double hint = Double.parseDouble(String.valueOf(fields.get("hint")));
-        vm.expectedLifetime = hint > 0 && hint < 1e9 ? Duration.ofNanos((long) (hint * 1e6)) : null;
-      }
-      return null;
-    } catch (NumberFormatException e) {
-      return "a figure that is no number";
-    }
-  }
-
-  private void runsAlready(ClientServer.ClientConnection owner, Vm vm, String at) {
-    if (at.isEmpty() || !pendingResponses.adoptRunning(vm.id, owner)) {
-      return;
-    }
-    unpark();
-    inputs.add(vm);
-    MachineHandle r = reach(at);
-    inputs.scheduler.vmAdopted(vm, r.machine);
-    r.connectionPool.adopt(vm.acceptedAttempt, now);
-    if (!r.machine.isListed || r.machine.lifecycle == Machine.Lifecycle.GONE) {
-      // A machine that the list has not named, or no longer does: it gets a while to.
-      at(
-          connectionTimeouts.failureTimeout(),
-          () -> {
-            if (r.machine.lifecycle == Machine.Lifecycle.GONE && vm.acceptedAttempt.isInFlight()) {
-              r.connectionPool.machineListed(Machine.Lifecycle.GONE, now);
-              r.connectionPool.vmLost(vm.id);
-            }
-          });
-    }
-  }
-
-  @Override
-  public void ends(ClientServer.ClientConnection owner, String id, int cause) {
-    enter(
-        () -> {
-          Vm vm = inputs.vm(id);
-          if (vm == null || !pendingResponses.endedByClient(id)) {
-            return;
-          }
-          if (vm.acceptedAttempt != null) {
-            owner.write("ack", id, -1, null);
-            byMachine
-                .get(vm.acceptedAttempt.machine)
-                .connectionPool
-                .terminate(vm.acceptedAttempt, now);
-          } else {
-            givenUp(vm);
-          }
-        });
-  }
-
-  private void givenUp(Vm vm) {
-    inputs.scheduler.clientLeft(vm);
-    for (PlacementAttempt c : List.copyOf(vm.attempts)) {
-      if (c.isInFlight()) {
-        byMachine.get(c.machine).connectionPool.cancel(c, Outcome.CANCELLED, now);
-      }
-    }
-    forget(vm);
-  }
-
-  @Override
-  public void closed(ClientServer.ClientConnection owner) {
-    enter(
-        () -> {
-          for (String id : pendingResponses.connectionClosed(owner)) {
-            Vm vm = inputs.vm(id);
-            if (vm != null && vm.acceptedAttempt == null) {
-              givenUp(vm);
-            }
-          }
-          unpark();
-        });
-  }
-
-  @Override
-  public void hears(ClientServer.ClientConnection owner, String id) {
-    enter(() -> pendingResponses.noticeAcknowledged(id, owner));
-  }
-
-  private void answer(
-      Vm vm, String type, int cause, String description, boolean stands, String... fields) {
-    ClientServer.ClientConnection owner =
-        (stands ? pendingResponses.takeAccepted(vm.id) : pendingResponses.takeDeclined(vm.id))
-            .orElse(null);
-    if (owner != null) {
-      owner.write(type, vm.id, cause, description, fields);
-    }
-  }
-
-  private static int cause(Outcome outcome) {
-    return outcome == Outcome.DONE ? DONE : LOST;
-  }
-
-  private void forget(Vm vm) {
-    sequencer.behind(
-        () -> {
-          if (inputs.forget(vm) || inputs.vm(vm.id) == null) {
-            carried.remove(vm.id);
-          }
-        });
-  }
-
-  // ---- What the module does
-  // --------------------------------------------------------------------------
-
-  @Override
-  public void sendAttempt(PlacementAttempt c, Duration within) {
-    behindReads(
-        () -> {
-          if (c.isInFlight()) {
-            MachineHandle r = byMachine.get(c.machine);
-            r.connectionPool.offer(
-                c, within.minus(now.minus(c.sentAt)), again.contains(c.vm.priorityClass), now);
-          }
-        });
-    at(
-        within,
-        () -> {
-          if (c.isInFlight() && c.acceptedAt == null) {
-            byMachine.get(c.machine).connectionPool.cancel(c, Outcome.TIMEOUT, now);
-          }
-        });
-  }
-
-  @Override
-  public void reject(Vm vm, Duration retryAfter) {
-    answer(
-        vm,
-        "down",
-        REFUSED,
-        null,
-        false,
-        "wait",
-        retryAfter.isZero() ? null : Long.toString(retryAfter.toMillis()));
-    forget(vm);
-  }
-
-  @Override
-  public void fail(Vm vm) {
-    answer(vm, "down", ERRORED, null, false);
-    forget(vm);
-  }
-
-  @Override
-  public void migrate(Vm vm) {
-    ClientServer.ClientConnection owner =
-        pendingResponses.vmTerminated(vm.id, Outcome.RESET, now).orElse(null);
-    if (owner != null) {
-      owner.write("shift", vm.id, -1, null);
-      pendingResponses.noticeAcknowledged(vm.id, owner);
-    }
-    byMachine.get(vm.acceptedAttempt.machine).connectionPool.terminate(vm.acceptedAttempt, now);
-  }
-
-  @Override
-  public void cancelAttempt(PlacementAttempt c) {
-    sequencer.behind(
-        () -> {
-          if (c.isInFlight() && c.acceptedAt == null) {
-            byMachine.get(c.machine).connectionPool.cancel(c, Outcome.CANCELLED, now);
-          }
-        });
-  }
-
-  @Override
-  public void probe(Machine m) {
-    sequencer.behind(() -> byMachine.get(m).connectionPool.probe(now));
-  }
-
-  @Override
-  public void scheduleTimer(Duration in) {
-    at(in, inputs.scheduler::timerFired);
-  }
-
-  @Override
-  public void log(String line) {
-    log.accept(line);
-  }
-
-  @Override
-  public void watchMachineList(boolean on) {
-    // The journal pushes every change.
-    sequencer.behind(() -> inputs.list(false, false, List.of()));
-  }
-
-  @Override
-  public void fetchMachineList() {
-    // The list is pushed here.
-  }
-
-  // ---- What the trunks conclude
-  // ----------------------------------------------------------------------
-
-  @Override
-  public void attemptAccepted(PlacementAttempt c, String description) {
-    sequencer.behind(
-        () -> {
-          if (!c.isInFlight()) {
-            return;
-          }
-          if (c.vm.isFinished) {
-            byMachine.get(c.machine).connectionPool.terminate(c, now);
-            return;
-          }
-          inputs.scheduler.attemptAccepted(c);
-          carried.remove(c.vm.id);
-          answer(c.vm, "up", -1, description, true);
-        });
-  }
-
-  @Override
-  public void attemptEnded(PlacementAttempt c, Outcome end, OutcomeReason why) {
-    sequencer.behind(
-        () -> {
-          if (!c.isInFlight()) {
-            return;
-          }
-          boolean wasBound = c.acceptedAt != null;
-          ends.merge(end, 1L, Long::sum);
-          inputs.scheduler.attemptEnded(c, end, why, wasBound || c.vm.isFinished);
-          if (wasBound && end == Outcome.CANCELLED) {
-            pendingResponses.endedByClient(c.vm.id);
-          } else if (wasBound) {
-            ClientServer.ClientConnection owner =
-                pendingResponses.vmTerminated(c.vm.id, end, now).orElse(null);
-            if (owner != null) {
-              owner.write("down", c.vm.id, cause(end), null);
-            }
-          }
-          forget(c.vm);
-        });
-  }
-
-  @Override
-  public void attemptEndedUnanswered(PlacementAttempt c, Outcome end, OutcomeReason why) {
-    sequencer.behind(
-        () -> {
-          if (!c.isInFlight()) {
-            return;
-          }
-          ends.merge(end, 1L, Long::sum);
-          inputs.scheduler.attemptEnded(c, end, why, true);
-          if (pendingResponses.isAwaitingResponse(c.vm.id)) {
-            answer(c.vm, "down", ERRORED, null, false);
-            // After its answer nothing more is sent for it.
-            givenUp(c.vm);
-          } else {
-            forget(c.vm);
-          }
-        });
-  }
-
-  @Override
-  public void probeCompleted(Machine m, boolean ok, boolean told, Duration took) {
-    sequencer.behind(
-        () -> {
-          if (ok) {
-            probesPassed++;
-          } else {
-            probesFailed++;
-          }
-          inputs.scheduler.probeCompleted(m, ok, told, took);
-        });
-  }
-
-  // ---- Ends
-  // ------------------------------------------------------------------------------------------
-
-  /**
-   * Nothing more is placed from here on: what is held is answered at once, what is out when its
-   * claim ends.
-   */
-  void stops() {
-    enter(inputs.scheduler::shutdownStarted);
-  }
-
-  /** Releases that have not been heard yet, or wait for a connection. */
-  int untold() {
-    return pendingResponses.undeliveredNotices();
-  }
-
-  int inHand() {
+  int pendingRequestCount() {
     return pendingResponses.pendingRequests();
   }
 
-  Duration longestPatience() {
-    return patience.values().stream().max(Duration::compareTo).orElse(Duration.ZERO);
+  /** Termination notices that were not acknowledged yet, or wait for a connection. */
+  int undeliveredNoticeCount() {
+    return pendingResponses.undeliveredNotices();
   }
 
-  /** Asks, VMs and descriptions held, of whatever kind. */
-  int kept() {
-    return inputs.size()
-        + carried.size()
+  /** Requests, VMs, descriptions and notices that are kept. */
+  int retainedCount() {
+    return requests.size()
         + pendingResponses.pendingRequests()
         + pendingResponses.runningVms()
         + pendingResponses.undeliveredNotices();
   }
 
-  String state() {
-    return "in hand "
-        + pendingResponses.pendingRequests()
-        + ", standing "
-        + pendingResponses.runningVms()
-        + ", untold "
-        + pendingResponses.undeliveredNotices()
-        + ", machines "
-        + machineHandles.size()
-        + ", connections to machines "
-        + share.openCount()
-        + ", owners' lines "
-        + (front == null ? 0 : front.connections())
-        + ", bad asks "
-        + bad
-        + ", reports "
-        + reports
-        + ", probes passed "
-        + probesPassed
-        + " failed "
-        + probesFailed
-        + ", late "
-        + lateness.allowance(sequencer.clock()).toMillis()
-        + " ms, latest offer after a drain "
-        + latestOffer.toMillis()
-        + " ms, ends "
-        + ends;
+  /** The server's state in one line. */
+  String status() {
+    return new StringBuilder(512)
+        .append("pending requests ")
+        .append(pendingResponses.pendingRequests())
+        .append(", running VMs ")
+        .append(pendingResponses.runningVms())
+        .append(", undelivered notices ")
+        .append(pendingResponses.undeliveredNotices())
+        .append(", machines ")
+        .append(machines.size())
+        .append(", machine connections ")
+        .append(machines.openConnectionCount())
+        .append(", client connections ")
+        .append(clientServer == null ? 0 : clientServer.connectionCount())
+        .append(", invalid requests ")
+        .append(intake.invalidRequestCount())
+        .append(", load reports ")
+        .append(machines.loadReportCount())
+        .append(", probes passed ")
+        .append(outcomes.passedProbes())
+        .append(" failed ")
+        .append(outcomes.failedProbes())
+        .append(", loop lag ")
+        .append(loop.lag(loop.clock()).toMillis())
+        .append(" ms, latest offer after a drain ")
+        .append(machineList.latestOfferAfterDrain().toMillis())
+        .append(" ms, attempt outcomes ")
+        .append(outcomes.outcomeCounts())
+        .toString();
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -0,0 +1,154 @@
+package fordridge.server.json;
+
+import fordridge.json.MachineClient;
+import fordridge.json.RequestPayload;
+import fordridge.machine.LoadReport;
+import fordridge.machine.MachineConnection;
+import fordridge.machine.MachineConnectionPool;
+import fordridge.machine.VmReportKind;
+import fordridge.machine.VmTermination;
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.Vm;
+import fordridge.runtime.SchedulerInputs;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * One machine and its connections: enters what they bring as inputs of the scheduler. Confined to
+ * the event loop.
+ */
+final class MachineHandle implements MachineClient.Listener {
+  private final String id;
+  private final Machine machine;
+  private final SchedulerEventLoop loop;
+  private final SchedulerInputs<String> inputs;
+  private final ActiveRequests requests;
+  private MachineClient client;
+  private MachineConnectionPool pool;
+
+  /** When a placement request was last written to the machine; null if none was. */
+  private Duration lastOfferAt;
+
+  private long loadReportCount;
+
+  MachineHandle(
+      String id, SchedulerEventLoop loop, SchedulerInputs<String> inputs, ActiveRequests requests) {
+    this.id = id;
+    this.loop = loop;
+    this.inputs = inputs;
+    this.requests = requests;
+    machine = inputs.machine(id);
+  }
+
+  /** To be called once, before anything else. */
+  void attach(MachineClient client, MachineConnectionPool pool) {
+    this.client = client;
+    this.pool = pool;
+  }
+
+  String id() {
+    return id;
+  }
+
+  Machine machine() {
+    return machine;
+  }
+
+  MachineClient client() {
+    return client;
+  }
+
+  MachineConnectionPool pool() {
+    return pool;
+  }
+
+  Optional<Duration> lastOfferAt() {
+    return Optional.ofNullable(lastOfferAt);
+  }
+
+  long loadReportCount() {
+    return loadReportCount;
+  }
+
+  /** What is forwarded of the request; called at the instant at which it is written. */
+  RequestPayload payloadToOffer(Vm vm) {
+    lastOfferAt = loop.clock();
+    return requests.payloadOf(vm);
+  }
+
+  @Override
+  public void messageReceived() {
+    pool.messageReceived(loop.clock());
+  }
+
+  @Override
+  public void connectionEstablished(MachineConnection connection) {
+    loop.enterBehindReads(() -> pool.connectionEstablished(connection, loop.now()));
+  }
+
+  @Override
+  public void connectionFailed(MachineConnection connection, boolean refused) {
+    loop.enter(() -> pool.connectionFailed(connection, refused, loop.now()));
+  }
+
+  @Override
+  public void connectionLost(MachineConnection connection, String reason) {
+    loop.enter(() -> pool.connectionLost(connection, loop.now()));
+  }
+
+  @Override
+  public void vmAccepted(MachineConnection connection, String vmId, String description) {
+    loop.enter(() -> pool.vmAccepted(connection, vmId, description, loop.now()));
+  }
+
+  @Override
+  public void vmTerminated(MachineConnection connection, VmTermination termination) {
+    loop.enter(() -> pool.vmTerminated(connection, termination, loop.now()));
+  }
+
+  @Override
+  public void probeAnswered(MachineConnection connection, boolean healthy, boolean withLoadReport) {
+    loop.enter(() -> pool.probeAnswered(connection, healthy, withLoadReport, loop.now()));
+  }
+
+  @Override
+  public void vmReported(
+      MachineConnection connection, String vmId, VmReportKind kind, double value) {
+    loop.enter(
+        () -> {
+          pool.vmReported(connection, vmId);
+          Optional<PlacementAttempt> running = pool.findRunningAttempt(vmId);
+          if (running.isPresent()) {
+            reportVm(running.get(), kind, value);
+          }
+        });
+  }
+
+  private void reportVm(PlacementAttempt attempt, VmReportKind kind, double value) {
+    if (kind != VmReportKind.STARTED && !Double.isFinite(value)) {
+      return;
+    }
+    switch (kind) {
+      case STARTED -> inputs.scheduler.vmStarted(attempt);
+      case CORE_USAGE -> inputs.scheduler.coreUsageReported(attempt, value);
+      case MEMORY_USAGE -> inputs.scheduler.memoryUsageReported(attempt, value);
+      case SERVICE_LEVEL -> inputs.scheduler.serviceLevelReported(attempt, value);
+      case MEMORY_PRESSURE -> inputs.scheduler.memoryPressureReported(attempt, value);
+      case UNKNOWN -> {}
+    }
+  }
+
+  @Override
+  public void loadReported(LoadReport report, boolean answersProbe) {
+    loop.enter(
+        () -> {
+          loadReportCount++;
+          inputs.report(
+              machine, report.spareCores(), report.spareMemory(), report.utilization(), loop.now());
+          if (!answersProbe) {
+            inputs.scheduler.loadReported(machine);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -0,0 +1,117 @@
+package fordridge.server.json;
+
+import fordridge.json.EndpointWatcher;
+import fordridge.json.MachineListEvent;
+import fordridge.model.Durations;
+import fordridge.model.Machine;
+import fordridge.runtime.SchedulerInputs;
+import fordridge.runtime.SchedulerInputs.ListedMachine;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Enters changes of the machine list: first the connections to the machines learn of them, then the
+ * scheduler. Confined to the event loop.
+ */
+final class MachineListIntake implements EndpointWatcher.Listener {
+  private final SchedulerEventLoop loop;
+  private final SchedulerInputs<String> inputs;
+  private final MachineRegistry machines;
+
+  /** The wall clock's time at the start of the scheduler's clock. */
+  private final long startedAtEpochMillis;
+
+  /**
+   * The longest that a placement request may have been written after its machine's drain was
+   * announced, as far as can be told from here.
+   */
+  private Duration latestOfferAfterDrain = Duration.ZERO;
+
+  MachineListIntake(
+      SchedulerEventLoop loop,
+      SchedulerInputs<String> inputs,
+      MachineRegistry machines,
+      long startedAtEpochMillis) {
+    this.loop = loop;
+    this.inputs = inputs;
+    this.machines = machines;
+    this.startedAtEpochMillis = startedAtEpochMillis;
+  }
+
+  @Override
+  public void machineListChanged(MachineListEvent event) {
+    List<ListedMachine<String>> listed = new ArrayList<>(event.machines().size());
+    for (MachineListEvent.Entry entry : event.machines()) {
+      listed.add(
+          new ListedMachine<>(
+              entry.id(),
+              entry.zone(),
+              entry.kind(),
+              entry.cell(),
+              entry.freeCores(),
+              entry.freeMemory(),
+              entry.lifecycle(),
+              startedAt(entry)));
+    }
+    loop.enter(
+        () -> {
+          updateConnections(event, listed);
+          inputs.list(event.isComplete(), false, listed);
+        });
+  }
+
+  /** By the scheduler's clock; null if it is not known. */
+  private Duration startedAt(MachineListEvent.Entry entry) {
+    return entry.startedAtEpochMillis() == 0
+        ? null
+        : Duration.ofMillis(entry.startedAtEpochMillis() - startedAtEpochMillis);
+  }
+
+  private void updateConnections(MachineListEvent event, List<ListedMachine<String>> listed) {
+    Set<String> listedIds = new HashSet<>();
+    for (int i = 0; i < listed.size(); i++) {
+      ListedMachine<String> entry = listed.get(i);
+      listedIds.add(entry.key());
+      MachineHandle handle = machines.findOrAdd(entry.key());
+      if (event.machines().get(i).address() != null) {
+        handle.client().setAddress(event.machines().get(i).address());
+      }
+      updateConnections(handle, entry);
+    }
+    if (event.isComplete()) {
+      for (MachineHandle handle : machines.all()) {
+        if (!listedIds.contains(handle.id())) {
+          handle.pool().machineListed(Machine.Lifecycle.GONE, loop.now());
+        }
+      }
+    }
+  }
+
+  private void updateConnections(MachineHandle handle, ListedMachine<String> entry) {
+    Machine machine = handle.machine();
+    if (entry.lifecycle() != Machine.Lifecycle.LIVE
+        && machine.lifecycle == Machine.Lifecycle.LIVE) {
+      recordLatestOffer(handle);
+    }
+    boolean isRestarted = entry.startedAt() != null && !entry.startedAt().equals(machine.startedAt);
+    handle.pool().machineListed(entry.lifecycle(), loop.now());
+    if (isRestarted) {
+      handle.pool().machineRestarted(entry.startedAt());
+    }
+  }
+
+  /** The drain was announced at some time after the list was last read. */
+  private void recordLatestOffer(MachineHandle handle) {
+    if (handle.lastOfferAt().isPresent()) {
+      Duration after = handle.lastOfferAt().get().minus(loop.machineListReadAt());
+      latestOfferAfterDrain = Durations.max(latestOfferAfterDrain, after);
+    }
+  }
+
+  Duration latestOfferAfterDrain() {
+    return latestOfferAfterDrain;
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -0,0 +1,120 @@
+package fordridge.server.json;
+
+import fordridge.json.ConnectionQuota;
+import fordridge.json.MachineClient;
+import fordridge.machine.ConnectionBudget;
+import fordridge.machine.ConnectionTimeouts;
+import fordridge.machine.MachineConnectionPool;
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.runtime.SchedulerInputs;
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All machines that the list or a client has named, with their connections, and the quota that
+ * these share. Confined to the event loop.
+ */
+final class MachineRegistry {
+  private final EventLoopGroup group;
+  private final SchedulerEventLoop loop;
+  private final SchedulerInputs<String> inputs;
+  private final ActiveRequests requests;
+  private final MachineConnectionPool.Listener listener;
+  private final ConnectionQuota quota;
+  private ConnectionTimeouts timeouts;
+  private final Map<String, MachineHandle> handlesById = new HashMap<>();
+  private final Map<Machine, MachineHandle> handlesByMachine = new HashMap<>();
+  private final List<MachineConnectionPool> pools = new ArrayList<>();
+
+  MachineRegistry(
+      EventLoopGroup group,
+      SchedulerEventLoop loop,
+      SchedulerInputs<String> inputs,
+      ActiveRequests requests,
+      MachineConnectionPool.Listener listener,
+      ConnectionTimeouts timeouts,
+      int maxConnections) {
+    this.group = group;
+    this.loop = loop;
+    this.inputs = inputs;
+    this.requests = requests;
+    this.listener = listener;
+    this.timeouts = timeouts;
+    quota = new ConnectionQuota(maxConnections);
+  }
+
+  /** The machine of this id, registered if it is new. */
+  MachineHandle findOrAdd(String id) {
+    MachineHandle handle = handlesById.get(id);
+    if (handle == null) {
+      handle = new MachineHandle(id, loop, inputs, requests);
+      MachineClient client =
+          new MachineClient(
+              group, quota, timeouts.connectTimeout(), handle::payloadToOffer, handle);
+      handle.attach(
+          client, new MachineConnectionPool(handle.machine(), timeouts, client, listener));
+      handlesById.put(id, handle);
+      handlesByMachine.put(handle.machine(), handle);
+      pools.add(handle.pool());
+    }
+    return handle;
+  }
+
+  /** A copy of the list of all machines. */
+  List<MachineHandle> all() {
+    return List.copyOf(handlesById.values());
+  }
+
+  /** The connections to a machine that is registered. */
+  MachineConnectionPool poolOf(Machine machine) {
+    return handlesByMachine.get(machine).pool();
+  }
+
+  /** The connections to the machine of an attempt. */
+  MachineConnectionPool poolOf(PlacementAttempt attempt) {
+    return poolOf(attempt.machine);
+  }
+
+  /** Changes the number of connections over all machines; those above it stay open. */
+  void setMaxConnections(int maxConnections) {
+    quota.setLimit(maxConnections);
+  }
+
+  /** Other timeouts hold from now on. */
+  void setTimeouts(ConnectionTimeouts newTimeouts) {
+    timeouts = newTimeouts;
+    for (MachineHandle handle : handlesById.values()) {
+      handle.pool().setTimeouts(newTimeouts);
+      handle.client().setConnectTimeout(newTimeouts.connectTimeout());
+    }
+  }
+
+  /** Lets timeouts take effect and shares out the connections; to be called periodically. */
+  void tick() {
+    for (MachineHandle handle : all()) {
+      handle.pool().tick(loop.now());
+    }
+    ConnectionBudget.rebalance(pools, quota.inUseCount(), quota.limit(), loop.now());
+  }
+
+  int size() {
+    return handlesById.size();
+  }
+
+  int openConnectionCount() {
+    return quota.openCount();
+  }
+
+  /** Load reports of all machines since the start. */
+  long loadReportCount() {
+    long count = 0;
+    for (MachineHandle handle : handlesById.values()) {
+      count += handle.loadReportCount();
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -0,0 +1,127 @@
+package fordridge.server.json;
+
+import fordridge.json.ClientServer;
+import fordridge.json.EventLoopTimers;
+import fordridge.runtime.EventLoopLag;
+import fordridge.runtime.EventSequencer;
+import fordridge.scheduling.Scheduler;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/**
+ * Feeds inputs to the scheduler one after another, each with the scheduler's clock set, and sends
+ * what they caused. It also measures how late the loop runs. Confined to the event loop.
+ *
+ * <p>All inputs of one turn of the loop share one time: the scheduler goes through its pending
+ * requests once for them, not once for each, however much arrives at once.
+ */
+final class SchedulerEventLoop {
+  private static final Duration LAG_SAMPLE_INTERVAL = Duration.ofMillis(25);
+  private static final Duration LAG_WINDOW = Duration.ofSeconds(2);
+
+  /** How old the machine list may be when an input is entered in the middle of a long turn. */
+  private static final Duration MACHINE_LIST_READ_INTERVAL = Duration.ofMillis(10);
+
+  private final EventLoop loop;
+  private final EventLoopTimers timers;
+  private final EventSequencer sequencer;
+  private final EventLoopLag lag = new EventLoopLag(LAG_WINDOW);
+  private Scheduler scheduler;
+  private ClientServer clients;
+  private Duration now = Duration.ZERO;
+  private boolean isTurnStarted;
+
+  SchedulerEventLoop(EventLoop loop, EventLoopTimers timers, Consumer<String> log) {
+    this.loop = loop;
+    this.timers = timers;
+    // An input that fails is lost to the scheduler, those behind it are not; a request that it
+    // leaves without a decision fails at its deadline.
+    sequencer =
+        new EventSequencer(
+            System::nanoTime,
+            this::setTime,
+            e -> log.accept("scheduler input failed: " + EventLoopTimers.stackTrace(e)));
+  }
+
+  /** Which scheduler's clock is set; to be called before the first input. */
+  void attach(Scheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  /** From now on output to these clients is flushed behind each input, and the lag is measured. */
+  void start(ClientServer clients) {
+    this.clients = clients;
+    sampleLag();
+  }
+
+  /** How the machine list is read at once, which is done before an input if it is due. */
+  void watchMachineList(Runnable readNow) {
+    sequencer.watch(readNow, MACHINE_LIST_READ_INTERVAL);
+  }
+
+  /** When the machine list was last read to its end. */
+  Duration machineListReadAt() {
+    return sequencer.watchReadAt();
+  }
+
+  private void setTime(Duration time) {
+    if (!isTurnStarted) {
+      isTurnStarted = true;
+      loop.execute(() -> isTurnStarted = false);
+      now = time;
+      scheduler.advanceTo(time);
+    }
+  }
+
+  /** The time of this turn's inputs, since the start. */
+  Duration now() {
+    return now;
+  }
+
+  /** The time since the start; it goes on within a turn. */
+  Duration clock() {
+    return sequencer.clock();
+  }
+
+  /** Enters an input now, or behind the one that is being entered. */
+  void enter(Runnable input) {
+    if (sequencer.enter(input) && clients != null) {
+      clients.flush();
+    }
+  }
+
+  /** Enters what follows from an input: behind the one that is being entered. */
+  void enterBehind(Runnable input) {
+    sequencer.behind(input);
+  }
+
+  /** Enters an input after a delay. */
+  void enterAfter(Duration delay, Runnable input) {
+    timers.runAfter(delay, () -> enter(input));
+  }
+
+  /**
+   * Enters what begins an attempt once the loop has read its sockets, in this turn or the next: a
+   * client whose close or cancellation has arrived is then known to be gone.
+   */
+  void enterBehindReads(Runnable input) {
+    enterAfter(Duration.ZERO, input);
+  }
+
+  /** The most that the loop was late within the last seconds. */
+  Duration lag(Duration at) {
+    return lag.allowance(at);
+  }
+
+  private void sampleLag() {
+    long dueNanos = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
+    timers.runAfter(
+        LAG_SAMPLE_INTERVAL,
+        () -> {
+          long lateNanos = Math.max(0, System.nanoTime() - dueNanos);
+          lag.seen(Duration.ofNanos(lateNanos), clock());
+          sampleLag();
+        });
+  }
+}
--- a/src/main/java/fordridge/server/json/WarmUp.java
+++ b/src/main/java/fordridge/server/json/WarmUp.java
@@ -1,15 +1,20 @@
 package fordridge.server.json;
 
+import fordridge.json.ClientConnection;
+import fordridge.json.ClientRequest;
+import fordridge.json.ClientRequestHandler;
 import fordridge.json.ClientServer;
 import fordridge.model.Machine;
+import fordridge.model.MachineKind;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.SettingsValues;
+import fordridge.model.SchedulerSettings;
 import fordridge.model.Vm;
 import fordridge.runtime.SchedulerInputs;
+import fordridge.runtime.SchedulerInputs.ListedMachine;
 import fordridge.scheduling.SchedulerActions;
-import fordridge.scheduling.SchedulerSettingsReader;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
@@ -18,109 +23,126 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 
 /**
- * Has a module of its own and the codec of lines work for a moment before the placer listens. On a
- * part of a core a JVM that has compiled nothing yet reads its first asks most of a second late,
- * and by then hundreds have come.
+ * Runs requests through a scheduler of its own, and lines through the codec, before the server
+ * listens. On a part of a core a JVM that has compiled nothing yet reads its first requests most of
+ * a second late, and by then hundreds have come.
  */
-final class WarmUp implements SchedulerActions, ClientServer.ClientRequestHandler {
-  private static final int VMS = 260;
+final class WarmUp implements SchedulerActions, ClientRequestHandler {
+  private static final int MAX_REQUESTS = 260;
   private static final int MACHINES = 12;
-
-  private final Deque<Runnable> follows = new ArrayDeque<>();
+  private static final int SERVICES = 7;
+  private static final Duration REQUEST_INTERVAL = Duration.ofMillis(40);
+  private static final Duration RUN_TIME = Duration.ofMillis(1);
+  private static final Duration START_DEADLINE = Duration.ofSeconds(4);
+  private static final Duration PROBE_ROUND_TRIP = Duration.ofMillis(2);
+
+  private final SchedulerSettings settings;
+  private final String priorityClass;
   private final SchedulerInputs<String> inputs =
       new SchedulerInputs<>(this, SchedulerInputs::number);
+
+  /** Inputs that follow from what the scheduler did, entered once it returns. */
+  private final Deque<Runnable> followingInputs = new ArrayDeque<>();
+
   private Duration now = Duration.ofSeconds(1);
-  private int answers;
-
-  /** At most {@code most} long; the result is how many asks were gone through. */
-  static int run(ServerConfiguration p, Duration most) {
-    WarmUp w = new WarmUp();
-    long until = System.nanoTime() + most.toNanos();
-    w.begin(p.seed, p.terms);
-    String priorityClass = new SettingsValues(p.terms).text("lanes.0.name", "");
+  private int requestsReceived;
+
+  private WarmUp(SchedulerSettings settings) {
+    this.settings = settings;
+    priorityClass = settings.priorityClasses().get(0).name();
+  }
+
+  /** Runs for at most {@code maxTime}; the result is the number of requests that were read. */
+  static int run(ServerConfiguration configuration, Duration maxTime) {
+    long startedNanos = System.nanoTime();
+    WarmUp warmUp = new WarmUp(configuration.schedulerSettings());
+    warmUp.start(configuration.seed());
     EmbeddedChannel channel = new EmbeddedChannel();
-    ClientServer.embed(w, channel.pipeline());
-    for (int i = 0; i < VMS && System.nanoTime() < until; i++) {
-      w.one(i, priorityClass);
-      String id = String.format("%016x", i);
-      channel.writeInbound(
-          Unpooled.copiedBuffer(
-              "{\"t\":\"new\",\"ref\":\""
-                  + id
-                  + "\",\"f\":{\"class\":\""
-                  + priorityClass
-                  + "\",\"left\":\"1500\",\"key\":\""
-                  + id
-                  + "\",\"extras\":\"cores:1;memory:2;service:"
-                  + id
-                  + "\"},\"d\":\"c=\\r\\nm=\"}\n",
-              StandardCharsets.UTF_8));
-      for (io.netty.buffer.ByteBuf b = channel.readOutbound();
-          b != null;
-          b = channel.readOutbound()) {
-        b.release();
-      }
+    ClientServer.embed(warmUp, channel.pipeline());
+    for (int i = 0; i < MAX_REQUESTS && System.nanoTime() - startedNanos < maxTime.toNanos(); i++) {
+      warmUp.schedule(i);
+      warmUp.sendRequest(i, channel);
     }
     channel.finishAndReleaseAll();
-    return w.answers;
+    return warmUp.requestsReceived;
   }
 
-  private void begin(long seed, Map<String, Object> values) {
+  private void start(long seed) {
     inputs.scheduler.advanceTo(now);
-    SettingsValues terms = new SettingsValues(values);
-    inputs.scheduler.start(seed, SchedulerSettingsReader.read(terms));
-    List<SchedulerInputs.ListedMachine<String>> lines = new ArrayList<>();
+    inputs.scheduler.start(seed, settings);
+    List<MachineKind> kinds = settings.machineKinds();
+    List<ListedMachine<String>> machines = new ArrayList<>();
     for (int i = 0; i < MACHINES; i++) {
-      int kind = i % Math.max(1, terms.list("kinds").size());
-      lines.add(
-          new SchedulerInputs.ListedMachine<>(
+      MachineKind kind = kinds.get(i % Math.max(1, kinds.size()));
+      machines.add(
+          new ListedMachine<>(
               "m" + i,
-              terms.text("zone", ""),
-              String.valueOf(terms.list("kinds").get(kind)),
+              settings.zone(),
+              kind.name(),
               0,
-              terms.item("extra.cpuOfKind", kind, 1),
-              terms.item("extra.memoryByKind", kind, 1),
+              kind.cores(),
+              kind.memory(),
               Machine.Lifecycle.LIVE,
               null));
     }
-    inputs.list(true, false, lines);
+    inputs.list(true, false, machines);
   }
 
-  private void one(int i, String priorityClass) {
-    now = now.plusMillis(40);
+  private void schedule(int number) {
+    now = now.plus(REQUEST_INTERVAL);
     inputs.scheduler.advanceTo(now);
-    Vm vm = new Vm("vm" + i);
+    Vm vm = new Vm("vm" + number);
     vm.priorityClass = priorityClass;
-    vm.service = i % 7;
+    vm.service = number % SERVICES;
     vm.cores = 1;
     vm.memory = 1;
     vm.arrivedAt = now;
-    vm.deadline = now.plusSeconds(4);
+    vm.deadline = now.plus(START_DEADLINE);
     inputs.add(vm);
     inputs.scheduler.vmRequested(vm);
-    while (!follows.isEmpty()) {
-      follows.removeFirst().run();
+    while (!followingInputs.isEmpty()) {
+      followingInputs.removeFirst().run();
+    }
+    Machine machine = inputs.machine("m" + number % MACHINES);
+    inputs.report(machine, machine.cores / 2, machine.memory / 2, 0.5, now);
+    inputs.scheduler.loadReported(machine);
+  }
+
+  private void sendRequest(int number, EmbeddedChannel channel) {
+    String id = String.format("%016x", number);
+    String line =
+        "{\"t\":\"new\",\"ref\":\""
+            + id
+            + "\",\"f\":{\"class\":\""
+            + priorityClass
+            + "\",\"left\":\"1500\",\"key\":\""
+            + id
+            + "\",\"extras\":\"cores:1;memory:2;service:"
+            + id
+            + "\"},\"d\":\"c=\\r\\nm=\"}\n";
+    channel.writeInbound(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8));
+    ByteBuf response = channel.readOutbound();
+    while (response != null) {
+      response.release();
+      response = channel.readOutbound();
     }
-    Machine m = inputs.machine("m" + i % MACHINES);
-    inputs.report(m, m.cores / 2, m.memory / 2, 0.5, now);
-    inputs.scheduler.loadReported(m);
   }
 
   @Override
-  public void sendAttempt(PlacementAttempt c, Duration within) {
-    follows.addLast(
-        () -> {
-          inputs.scheduler.attemptAccepted(c);
-          inputs.scheduler.coreUsageReported(c, 0.5);
-          inputs.scheduler.memoryUsageReported(c, 0.5);
-          now = now.plusMillis(1);
-          inputs.scheduler.advanceTo(now);
-          inputs.scheduler.attemptEnded(c, Outcome.DONE, OutcomeReason.UNSPECIFIED, true);
-          inputs.forget(c.vm);
-        });
+  public void sendAttempt(PlacementAttempt attempt, Duration within) {
+    followingInputs.addLast(() -> runVm(attempt));
+  }
+
+  private void runVm(PlacementAttempt attempt) {
+    inputs.scheduler.attemptAccepted(attempt);
+    inputs.scheduler.coreUsageReported(attempt, 0.5);
+    inputs.scheduler.memoryUsageReported(attempt, 0.5);
+    now = now.plus(RUN_TIME);
+    inputs.scheduler.advanceTo(now);
+    inputs.scheduler.attemptEnded(attempt, Outcome.DONE, OutcomeReason.UNSPECIFIED, true);
+    inputs.forget(attempt.vm);
   }
 
   @Override
@@ -140,13 +162,14 @@
   public void cancelAttempt(PlacementAttempt attempt) {}
 
   @Override
-  public void probe(Machine m) {
-    follows.addLast(() -> inputs.scheduler.probeCompleted(m, true, true, Duration.ofMillis(2)));
+  public void probe(Machine machine) {
+    followingInputs.addLast(
+        () -> inputs.scheduler.probeCompleted(machine, true, true, PROBE_ROUND_TRIP));
   }
 
   @Override
-  public void scheduleTimer(Duration in) {
-    follows.addLast(inputs.scheduler::timerFired);
+  public void scheduleTimer(Duration delay) {
+    followingInputs.addLast(inputs.scheduler::timerFired);
   }
 
   @Override
@@ -159,28 +182,27 @@
   public void fetchMachineList() {}
 
   @Override
-  public void asks(
-      ClientServer.ClientConnection owner,
-      String id,
-      Map<String, Object> fields,
-      String description) {
-    answers++;
-    owner.write("up", id, -1, description);
+  public boolean isReady() {
+    return false;
   }
 
   @Override
-  public void ends(ClientServer.ClientConnection owner, String id, int cause) {}
+  public boolean isInUse(ClientConnection connection) {
+    return false;
+  }
 
   @Override
-  public boolean ready() {
-    return false;
+  public void placementRequested(ClientConnection connection, ClientRequest request) {
+    requestsReceived++;
+    connection.sendAccepted(request.vmId(), request.description());
   }
 
   @Override
-  public void closed(ClientServer.ClientConnection owner) {}
+  public void terminationRequested(ClientConnection connection, String vmId) {}
 
   @Override
-  public boolean busy(ClientServer.ClientConnection owner) {
-    return false;
-  }
+  public void terminationAcknowledged(ClientConnection connection, String vmId) {}
+
+  @Override
+  public void connectionClosed(ClientConnection connection) {}
 }
--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -58,7 +58,7 @@
       owner.say(ask(1, "once"));
       assertThat(owner.untilTested()).isEmpty();
       owner.close();
-      await().until(() -> p.program.kept() == 0);
+      await().until(() -> p.program.retainedCount() == 0);
       assertThat(barrier.lift().untilTested())
           .as("its owner had left before a connection came up")
           .isEmpty();
@@ -110,7 +110,7 @@
         JsonTestPeers.Wire there = late.next();
         assertThat(there.next("tail")).isEqualTo("tail 3");
         there.say(event(4, false, member("s-1", p.machine.port(), "DRAINING")));
-        await().until(() -> p.program.journalPos() == 4);
+        await().until(() -> p.program.machineListPosition() == 4);
         JsonTestPeers.Wire owner = p.owner();
         owner.say(ask(1, "a", "700", "cores:1;memory:1;service:1", "any"));
         assertThat(owner.next(ref(1)))
@@ -128,9 +128,10 @@
       JsonTestPeers.Wire tail = p.journal.next();
       assertThat(tail.next("tail")).isEqualTo("tail 3");
       p.program.reload();
-      await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("read anew"));
+      await()
+          .until(() -> p.log.toString(StandardCharsets.UTF_8).contains("configuration reloaded"));
       tail.say(event(4, false, member("s-2", p.machine.port(), "SERVING")));
-      await().until(() -> p.program.journalPos() == 4);
+      await().until(() -> p.program.machineListPosition() == 4);
       assertThat(p.journal.wires).isEmpty();
     }
   }
@@ -145,14 +146,15 @@
           p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING"))
               .replace("\"sockets\":256", "\"sockets\":64"));
       p.program.reload();
-      await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("read anew"));
+      await()
+          .until(() -> p.log.toString(StandardCharsets.UTF_8).contains("configuration reloaded"));
       List<Socket> crowd = new ArrayList<>();
       for (int i = 0; i < 60; i++) {
         crowd.add(new Socket(InetAddress.getLoopbackAddress(), p.program.port()));
       }
       JsonTestPeers.Wire owner = p.owner();
       assertThat(owner.untilTested()).isEmpty();
-      assertThat(p.program.connections())
+      assertThat(p.program.connectionCount())
           .as("three eighths of the descriptors")
           .isLessThanOrEqualTo(24);
       for (Socket s : crowd) {
@@ -174,7 +176,7 @@
       assertThat(tail.next("tail")).isEqualTo("tail 3");
       JsonTestPeers.Wire owner = p.owner();
       assertThat(owner.untilTested()).isEmpty();
-      p.holdLoopAtLog("read anew");
+      p.holdLoopAtLog("configuration reloaded");
       p.program.reload();
       p.held.await();
       String[] others = new String[300];
@@ -216,14 +218,14 @@
       open.say(word("up", 1, ",\"d\":\"d\""));
       assertThat(owner.next(ref(1))).contains("\"up\"");
       open.untilTested();
-      p.holdLoopAtLog("read anew");
+      p.holdLoopAtLog("configuration reloaded");
       p.program.reload();
       p.held.await();
       // Read in one round; one of the two takes the loop long, and the drain is told meanwhile.
       owner.say(ask(2, "a"));
       bad.say(ask(3, "no such flavour"));
       p.atLog(
-          "not taken",
+          "invalid request",
           () -> {
             try {
               tail.say(
@@ -260,10 +262,10 @@
       JsonTestPeers.Wire third = p.journal.next();
       assertThat(third.next("tail")).isEqualTo("tail 3");
       third.say(drains + "\n" + joins);
-      await().until(() -> p.program.journalPos() == 5);
+      await().until(() -> p.program.machineListPosition() == 5);
       // Numbers that run back say nothing new; a whole list stands for all before it.
       third.say("2\n" + drains + "\n" + event(9, true, member("s-3", p.machine.port(), "SERVING")));
-      await().until(() -> p.program.journalPos() == 9);
+      await().until(() -> p.program.machineListPosition() == 9);
     }
   }
 
@@ -354,7 +356,7 @@
       assertThat(other.next(ref(1))).contains("\"down\"").contains("\"c\":16");
       other.say(word("ack", 1, ""));
       other.say(word("down", 2, ",\"c\":16"));
-      await().until(() -> p.program.kept() == 0);
+      await().until(() -> p.program.retainedCount() == 0);
     }
   }
 
@@ -388,7 +390,7 @@
             to = find(p, ref(i));
             Thread.onSpinWait();
             // Neither taken nor closed: it is read no more.
-            open = p.program.connections() == 2 && n < 2000;
+            open = p.program.connectionCount() == 2 && n < 2000;
           }
           if (to != null) {
             to.say(word("up", i, ",\"d\":\"" + big + "\""));
@@ -456,7 +458,7 @@
         JsonTestPeers.Wire again = back.next();
         assertThat(again.next("tail")).isEqualTo("tail 3");
         again.say(event(4, false, member("s-2", p.machine.port(), "SERVING")));
-        await().until(() -> p.program.journalPos() == 4);
+        await().until(() -> p.program.machineListPosition() == 4);
       }
       JsonTestPeers.Wire owner = p.owner();
       owner.say(ask(1, "a"));
@@ -481,13 +483,13 @@
       JsonTestPeers.Wire owner = p.owner();
       p.program.stop();
       p.program.stop();
-      assertThat(p.program.awaitEnd(Duration.ofMillis(550)))
+      assertThat(p.program.awaitStopped(Duration.ofMillis(550)))
           .as("requests come for 0.6 s")
           .isFalse();
       owner.say(ask(1, "a", "500", "cores:1;memory:1;service:1", "any"));
       p.machine.carrying(ref(1), line).say(word("up", 1, ",\"d\":\"d\""));
       assertThat(owner.next(ref(1))).contains("\"up\"");
-      assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
+      assertThat(p.program.awaitStopped(Duration.ofSeconds(5))).isTrue();
     }
   }
 
@@ -504,11 +506,11 @@
       m.say(word("up", 1, ",\"d\":\"d\""));
       assertThat(owner.next(ref(1))).contains("\"up\"");
       owner.close();
-      await().until(() -> p.program.connections() == 0);
+      await().until(() -> p.program.connectionCount() == 0);
       p.program.stop();
       m.say(word("down", 1, ",\"c\":16"));
       assertThat(m.next("ack")).contains(ref(1));
-      assertThat(p.program.awaitEnd(Duration.ofMillis(450))).isFalse();
+      assertThat(p.program.awaitStopped(Duration.ofMillis(450))).isFalse();
       JsonTestPeers.Wire other = p.owner();
       other.say(ask(2, "a", "500", "cores:1;memory:1;service:1", "any"));
       assertThat(other.next(ref(1)))
@@ -518,7 +520,7 @@
       other.say(word("ack", 1, ""));
       p.machine.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d\""));
       assertThat(other.next(ref(2))).contains("\"up\"");
-      assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
+      assertThat(p.program.awaitStopped(Duration.ofSeconds(5))).isTrue();
     }
   }
 
@@ -536,7 +538,7 @@
     try (JsonTestPeers p = new JsonTestPeers()) {
       p.write(p.configuration(p.journal.port(), member("s-1", p.machine.port(), "SERVING")));
       p.program.stop();
-      assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
+      assertThat(p.program.awaitStopped(Duration.ofSeconds(5))).isTrue();
     }
   }
 }
--- a/src/test/java/fordridge/server/json/JsonServerTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerTest.java
@@ -173,7 +173,7 @@
                 false,
                 member("s-1", p.machine.port(), "DRAINING"),
                 member("s-2", other.port(), "SERVING")));
-        await().until(() -> p.program.journalPos() == 4);
+        await().until(() -> p.program.machineListPosition() == 4);
         m.say(word("down", 1, ",\"c\":" + cause));
         assertThat(owner.next("\"t\"")).contains("\"down\"").contains(ref(1)).contains("\"c\":47");
         m.say(word("up", 1, ",\"d\":\"late\""));
@@ -300,7 +300,7 @@
       JsonTestPeers.Wire last = p.owner();
       last.say(word("hb", 0, ",\"c\":0"));
       assertThat(last.next("hb_ok")).isNotNull();
-      assertThat(p.program.connections()).isLessThanOrEqualTo(96);
+      assertThat(p.program.connectionCount()).isLessThanOrEqualTo(96);
       m.say(word("up", 1, ",\"d\":\"d\""));
       assertThat(owner.next("\"up\"")).contains(ref(1));
       for (Socket s : crowd) {
@@ -335,7 +335,7 @@
       assertThat(p.journal.next().next("tail")).isEqualTo("tail 3");
       Files.writeString(p.file, "{\"name\":");
       p.program.reload();
-      await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("not read anew"));
+      await().until(() -> p.log.toString(StandardCharsets.UTF_8).contains("not reloaded"));
       Files.writeString(
           p.file, p.configuration(other.port(), member("s-1", p.machine.port(), "SERVING")));
       p.program.reload();
@@ -355,12 +355,12 @@
       JsonTestPeers.Wire m = p.machine.carrying("\"new\"", line);
       p.owner().say(ask(2, "a"));
       p.machine.carrying(ref(2), line).say(word("up", 2, ",\"d\":\"d2\""));
-      assertThat(p.program.awaitEnd(Duration.ofMillis(900)))
+      assertThat(p.program.awaitStopped(Duration.ofMillis(900)))
           .as("the platform lets it go on")
           .isFalse();
       m.say(word("up", 1, ",\"d\":\"d\""));
       assertThat(owner.next("\"up\"")).contains(ref(1));
-      assertThat(p.program.awaitEnd(Duration.ofSeconds(5))).isTrue();
+      assertThat(p.program.awaitStopped(Duration.ofSeconds(5))).isTrue();
     }
   }
 
@@ -385,7 +385,7 @@
           assertThat(owner.next("\"down\"")).contains(ref(i));
         }
       }
-      await().until(() -> p.program.kept() == 0);
+      await().until(() -> p.program.retainedCount() == 0);
     }
   }
 
@@ -397,7 +397,7 @@
             {"\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"x\"", "seed"},
             {"\"sockets\":256", "\"sockets\":8", "sockets"},
             {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "address"},
-            {"\"lanes\"", "\"lines\"", "flavours"}
+            {"\"lanes\"", "\"lines\"", "priority classes"}
           }) {
         String good = p.configuration(1, member("s-1", 1, "SERVING"));
         assertThatThrownBy(() -> p.start(good.replace(bad[0], bad[1])))
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -250,7 +250,7 @@
    */
   String configuration(int journalPort, String member) {
     return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
-        + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
+               + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
         + journalPort
         + "\",\"known\":{\"pos\":3,"
         + "\"entries\":["
