--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -128,6 +128,7 @@
     channel.close();
   }
 
+  @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
   private void write(String type, String id, int code, String description, String... fields) {
     if (channel == null) {
       return;
--- a/src/main/java/fordridge/json/ClientRequest.java
+++ b/src/main/java/fordridge/json/ClientRequest.java
@@ -52,10 +52,15 @@
     if (extras == null) {
       return null;
     }
-    for (String part : extras.split(";")) {
-      if (part.startsWith(name + ":")) {
-        return part.substring(name.length() + 1);
+    String prefix = name + ":";
+    int start = 0;
+    while (start <= extras.length()) {
+      int separator = extras.indexOf(';', start);
+      int end = separator < 0 ? extras.length() : separator;
+      if (extras.startsWith(prefix, start)) {
+        return extras.substring(start + prefix.length(), end);
       }
+      start = end + 1;
     }
     return null;
   }
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -20,13 +20,13 @@
 /**
  * Accepts clients' connections and keeps them within bounds: one read of a few KiB from each per
  * turn of the loop, so that none is read at the others' cost; a number of connections; a time
- * without use. All but the construction happens on the event loop.
+ * without use. Confined to the event loop but for the construction and {@link #listen}.
  */
 public final class ClientServer {
   /**
    * An unused connection is closed after this; the protocol grants a silent client three seconds.
    */
-  private static final Duration IDLE_TIMEOUT = Duration.ofMillis(2000);
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(2);
 
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(250);
   private static final int ACCEPT_BACKLOG = 1024;
@@ -114,6 +114,7 @@
     return false;
   }
 
+  /** The number of open connections. */
   public int connectionCount() {
     return connections.size();
   }
--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -34,7 +34,7 @@
 
   private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(200);
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAX_EVENT_BYTES = 1 << 20;
   private static final int READ_BYTES = 1 << 15;
 
@@ -60,6 +60,7 @@
     private boolean isInputRejected;
 
     @Override
+    @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
     public void channelActive(ChannelHandlerContext ctx) {
       lastReceivedNanos = System.nanoTime();
       ctx.writeAndFlush(
@@ -211,6 +212,8 @@
     position = eventPosition;
   }
 
+  @SuppressWarnings(
+      "FutureReturnValueIgnored") // addListener returns the future that it is called on.
   private void connect() {
     ConnectionHandler handler = new ConnectionHandler();
     current = handler;
--- a/src/main/java/fordridge/json/JsonFields.java
+++ b/src/main/java/fordridge/json/JsonFields.java
@@ -104,30 +104,32 @@
   }
 
   private static Object value(JsonParser in) throws IOException {
-    switch (in.currentToken()) {
-      case START_OBJECT:
-        return object(in);
-      case START_ARRAY:
-        List<Object> list = new ArrayList<>();
-        while (in.nextToken() != JsonToken.END_ARRAY) {
-          list.add(value(in));
-        }
-        return list;
-      case VALUE_NUMBER_INT:
-        return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-            ? (Object) in.getDoubleValue()
-            : (Object) in.getLongValue();
-      case VALUE_NUMBER_FLOAT:
-        return in.getDoubleValue();
-      case VALUE_TRUE:
-        return Boolean.TRUE;
-      case VALUE_FALSE:
-        return Boolean.FALSE;
-      case VALUE_NULL:
-        return null;
-      default:
-        return in.getText();
+    return switch (in.currentToken()) {
+      case START_OBJECT -> object(in);
+      case START_ARRAY -> array(in);
+      case VALUE_NUMBER_INT -> wholeNumber(in);
+      case VALUE_NUMBER_FLOAT -> in.getDoubleValue();
+      case VALUE_TRUE -> true;
+      case VALUE_FALSE -> false;
+      case VALUE_NULL -> null;
+      default -> in.getText();
+    };
+  }
+
+  private static List<Object> array(JsonParser in) throws IOException {
+    List<Object> list = new ArrayList<>();
+    while (in.nextToken() != JsonToken.END_ARRAY) {
+      list.add(value(in));
     }
+    return list;
+  }
+
+  /** A long, or a double if it is too big for that. */
+  private static Object wholeNumber(JsonParser in) throws IOException {
+    if (in.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+      return in.getDoubleValue();
+    }
+    return in.getLongValue();
   }
 
   private static Object require(Map<String, Object> from, String name, String path) {
