--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
-# Starts the placer within the limits that its configuration tells: heap, direct memory and stacks are held to the
-# told memory, and classes come from the archive that the build made. See docs/platform.md. Where it is started, no
-# other program may be: the configuration is read by the shell's own words, and exec makes the shell the placer.
+# Starts the scheduler within the limits of its configuration: heap, direct memory and stacks are bounded by the
+# configured memory, and classes come from the archive that the build made. See docs/platform.md. Where it is started, no
+# other program may be: the configuration is read by shell built-ins, and exec makes the shell the scheduler.
 LC_ALL=C
 mb=
 if [[ -r ${LB_CONFIG-} ]]; then
-  mapfile -t told < "$LB_CONFIG"
-  [[ ${told[*]} =~ \"memory_mb\"[^0-9]*([0-9]+) ]] && mb=${BASH_REMATCH[1]}
+  mapfile -t lines < "$LB_CONFIG"
+  [[ ${lines[*]} =~ \"memory_mb\"[^0-9]*([0-9]+) ]] && mb=${BASH_REMATCH[1]}
 fi
-unset told LC_ALL
+unset lines LC_ALL
 . deploy/classpath.sh
 heap=$(( 10#${mb:-64} / 4 ))
 (( heap >= 10 )) || heap=10
--- a/src/main/java/fordridge/server/json/ClassArchiveTraining.java
+++ b/src/main/java/fordridge/server/json/ClassArchiveTraining.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,150 +17,195 @@
 import java.util.regex.Pattern;
 
 /**
- * Plays a few asks through a whole placer on loopback, against a machine and a journal of its own.
- * The build does so once, to record the classes that serving needs: read from an archive, they cost
- * a starting placer less of its part of a core.
+ * The training run for the class archive (class data sharing): serves some requests on loopback,
+ * with an emulated machine and an emulated server of the machine list. The build does so once, for
+ * the JVM to record the classes that serving needs: read from the archive, they cost a starting
+ * scheduler less of its part of a core.
  */
 public final class ClassArchiveTraining {
-  private static final int ASKS = 40;
-  private static final Pattern REF = Pattern.compile("\"ref\":\"([0-9a-f]+)\"");
+  private static final int REQUESTS = 40;
+  private static final int BACKLOG = 50;
+  private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(10);
+  private static final int MACHINE_LIST_POSITION = 7;
+  private static final Pattern ID = Pattern.compile("\"ref\":\"([0-9a-f]+)\"");
+
+  /** How an emulated peer answers a line. */
+  private interface LineHandler {
+    void lineReceived(String line, OutputStream out) throws IOException;
+  }
 
   private ClassArchiveTraining() {}
 
-  /** The exit code: 0 if every ask was answered with a VM that stands. */
+  /**
+   * Runs the training.
+   *
+   * @return the exit code: 0 if every request was accepted
+   */
   public static int run(PrintStream err) throws IOException, InterruptedException {
-    try (ServerSocket machine = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        ServerSocket journal = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      serve(machine, ClassArchiveTraining::machine);
-      serve(journal, (line, out) -> say(out, "7\n"));
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (ServerSocket machine = new ServerSocket(0, BACKLOG, loopback);
+        ServerSocket machineList = new ServerSocket(0, BACKLOG, loopback)) {
+      startServing(machine, ClassArchiveTraining::answerAsMachine, err);
+      startServing(machineList, (line, out) -> write(out, MACHINE_LIST_POSITION + "\n"), err);
       Path file = Files.createTempFile("class-archive-training", ".json");
       try {
-        Files.writeString(file, configuration(machine.getLocalPort(), journal.getLocalPort()));
-        try (ServeCommand program = new ServeCommand(file, err)) {
-          program.start();
-          int stood = owner(program.port());
-          program.reload();
-          program.stop();
-          program.awaitStopped(Duration.ofSeconds(10));
-          err.println("rehearsed: " + stood + " of " + ASKS + " asks stood");
-          return stood == ASKS ? 0 : 1;
-        }
+        Files.writeString(file, configuration(machine.getLocalPort(), machineList.getLocalPort()));
+        return train(file, err);
       } finally {
         Files.delete(file);
       }
     }
   }
 
-  private interface LineWriter {
-    void answer(String line, OutputStream out) throws IOException;
+  private static int train(Path file, PrintStream err) throws IOException, InterruptedException {
+    try (ServeCommand command = new ServeCommand(file, err)) {
+      command.start();
+      int accepted = requestAll(command.port());
+      command.reload();
+      command.stop();
+      if (!command.awaitStopped(SHUTDOWN_TIMEOUT)) {
+        err.println("class archive training: no end within " + SHUTDOWN_TIMEOUT);
+      }
+      err.println("class archive training: " + accepted + " of " + REQUESTS + " requests accepted");
+      return accepted == REQUESTS ? 0 : 1;
+    }
+  }
+
+  private static void startServing(ServerSocket server, LineHandler handler, PrintStream err) {
+    startDaemon(
+        () -> {
+          try {
+            while (true) {
+              Socket socket = server.accept();
+              startDaemon(() -> readLines(socket, handler, err));
+            }
+          } catch (SocketException e) {
+            // The training is over: its sockets are closed.
+          } catch (IOException e) {
+            err.println("class archive training: " + e);
+          }
+        });
   }
 
-  private static void serve(ServerSocket at, LineWriter says) {
-    Thread accepts =
-        new Thread(
-            () -> {
-              while (!at.isClosed()) {
-                try {
-                  Socket s = at.accept();
-                  Thread reads = new Thread(() -> read(s, says));
-                  reads.setDaemon(true);
-                  reads.start();
-                } catch (IOException e) {
-                  return;
-                }
-              }
-            });
-    accepts.setDaemon(true);
-    accepts.start();
+  private static void startDaemon(Runnable task) {
+    Thread thread = new Thread(task);
+    thread.setDaemon(true);
+    thread.start();
   }
 
-  private static void read(Socket s, LineWriter says) {
-    try (s;
-        BufferedReader in =
-            new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8))) {
+  private static void readLines(Socket socket, LineHandler handler, PrintStream err) {
+    try (socket;
+        BufferedReader in = reader(socket)) {
       for (String line = in.readLine(); line != null; line = in.readLine()) {
-        says.answer(line, s.getOutputStream());
+        handler.lineReceived(line, socket.getOutputStream());
       }
+    } catch (SocketException e) {
+      // The scheduler has ended before its peer.
     } catch (IOException e) {
-      // The placer ends first.
-      return;
+      err.println("class archive training: " + e);
     }
   }
 
-  private static void say(OutputStream out, String text) throws IOException {
+  private static BufferedReader reader(Socket socket) throws IOException {
+    return new BufferedReader(
+        new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+  }
+
+  private static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.UTF_8));
     out.flush();
   }
 
-  private static void machine(String line, OutputStream out) throws IOException {
-    Matcher m = REF.matcher(line);
-    if (!m.find()) {
+  /** Accepts each VM, reports on it and ends it; answers health checks with a load report. */
+  private static void answerAsMachine(String line, OutputStream out) throws IOException {
+    Matcher matcher = ID.matcher(line);
+    if (!matcher.find()) {
       return;
     }
-    String ref = m.group(1);
+    String id = matcher.group(1);
     if (line.contains("\"t\":\"new\"")) {
-      say(
+      write(
           out,
-          "{\"t\":\"wait\",\"ref\":\""
-              + ref
-              + "\",\"f\":{}}\n{\"t\":\"up\",\"ref\":\""
-              + ref
-              + "\",\"f\":{},\"d\":\"here\"}\n{\"t\":\"tell\",\"ref\":\""
-              + ref
-              + "\",\"f\":{\"note\":\"c\",\"value\":\"0.5\"}}\n{\"t\":\"down\",\"ref\":\""
-              + ref
-              + "\",\"f\":{},\"c\":16}\n");
+          message("wait", id, "", "")
+              + message("up", id, "", ",\"d\":\"here\"")
+              + message("tell", id, "\"note\":\"c\",\"value\":\"0.5\"", "")
+              + message("down", id, "", ",\"c\":16"));
     } else if (line.contains("\"t\":\"hb\"")) {
-      say(
-          out,
-          "{\"t\":\"hb_ok\",\"ref\":\""
-              + ref
-              + "\",\"f\":{\"load\":\"x0:12;x1:40;utilization:0.2\"},\"c\":1}\n");
+      write(out, message("hb_ok", id, "\"load\":\"x0:12;x1:40;utilization:0.2\"", ",\"c\":1"));
     }
   }
 
-  private static int owner(int port) throws IOException {
-    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
-        BufferedReader in =
-            new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8))) {
-      s.setSoTimeout(10_000);
-      say(s.getOutputStream(), "{\"t\":\"hb\",\"ref\":\"0000000000000000\",\"f\":{},\"c\":0}\n");
-      int stood = 0;
-      for (int i = 1; i <= ASKS; i++) {
-        String ref = String.format("%016x", i);
-        say(
-            s.getOutputStream(),
-            "{\"t\":\"new\",\"ref\":\""
-                + ref
-                + "\",\"f\":{\"class\":\"a\",\"left\":\"4000\","
-                + "\"key\":\""
-                + ref
-                + "\",\"extras\":\"cores:1;memory:1;service:"
-                + ref
-                + "\"},\"d\":\"any\"}\n");
-        for (String line = in.readLine(); line != null; line = in.readLine()) {
-          if (line.contains("\"t\":\"up\"")) {
-            stood++;
-          } else if (line.contains("\"t\":\"down\"") && line.contains(ref)) {
-            break;
-          }
-        }
+  private static String message(String type, String id, String fields, String more) {
+    return "{\"t\":\"" + type + "\",\"ref\":\"" + id + "\",\"f\":{" + fields + "}" + more + "}\n";
+  }
+
+  /** Requests one VM after the other as a client; the result is how many were accepted. */
+  private static int requestAll(int port) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        BufferedReader in = reader(socket)) {
+      socket.setSoTimeout((int) RESPONSE_TIMEOUT.toMillis());
+      OutputStream out = socket.getOutputStream();
+      write(out, message("hb", "0000000000000000", "", ",\"c\":0"));
+      int accepted = 0;
+      for (int i = 1; i <= REQUESTS; i++) {
+        String id = String.format("%016x", i);
+        write(out, request(id));
+        accepted += countAcceptedUntilEnd(id, in);
+      }
+      return accepted;
+    }
+  }
+
+  private static String request(String id) {
+    String fields =
+        "\"class\":\"a\",\"left\":\"4000\",\"key\":\""
+            + id
+            + "\",\"extras\":\"cores:1;memory:1;service:"
+            + id
+            + "\"";
+    return message("new", id, fields, ",\"d\":\"any\"");
+  }
+
+  private static int countAcceptedUntilEnd(String id, BufferedReader in) throws IOException {
+    int accepted = 0;
+    for (String line = in.readLine(); line != null; line = in.readLine()) {
+      if (line.contains("\"t\":\"up\"")) {
+        accepted++;
+      } else if (line.contains("\"t\":\"down\"") && line.contains(id)) {
+        break;
       }
-      return stood;
     }
+    return accepted;
   }
 
-  private static String configuration(int machine, int journal) {
-    return "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"cores\":1,\"memory_mb\":64,"
-               + "\"sockets\":256},\"journal\":\"127.0.0.1:"
-        + journal
-        + "\",\"known\":{\"pos\":7,\"entries\":[{\"pos\":7,"
-        + "\"hosts\":{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
-        + machine
-        + "\",\"locality\":\"z\",\"flavor\":\"k\",\"cell\":1,\"phase\":\"SERVING\",\"up_since_ms\":0,"
-        + "\"unasked\":[90,90]}]}}]},\"settings\":{\"kinds\":[\"k\"],\"lanes\":[{\"name\":\"a\",\"giveUpUs\":4000000,"
-        + "\"promiseUs\":500000,\"semantics\":\"retryable\"}],\"caps\":{\"probes\":true,\"mostTries\":3},"
-        + "\"loadReport\":{\"via\":\"on_probe\"},\"extra\":{\"cpuOfKind\":[99],\"memoryByKind\":[99],"
-        + "\"freeInList\":true,\"admitCores\":2,\"memBooking\":2}}}";
+  private static String configuration(int machinePort, int machineListPort) {
+    String machine =
+        "{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
+            + machinePort
+            + "\",\"locality\":\"z\",\"flavor\":\"k\",\"cell\":1,\"phase\":\"SERVING\","
+            + "\"up_since_ms\":0,\"unasked\":[90,90]}";
+    String event =
+        "{\"pos\":"
+            + MACHINE_LIST_POSITION
+            + ",\"hosts\":{\"revision\":1,\"complete\":true,\"members\":["
+            + machine
+            + "]}}";
+    String settings =
+        "{\"kinds\":[\"k\"],\"lanes\":[{\"name\":\"a\",\"giveUpUs\":4000000,"
+            + "\"promiseUs\":500000,\"semantics\":\"retryable\"}],"
+            + "\"caps\":{\"probes\":true,\"mostTries\":3},\"loadReport\":{\"via\":\"on_probe\"},"
+            + "\"extra\":{\"cpuOfKind\":[99],\"memoryByKind\":[99],\"freeInList\":true,"
+            + "\"admitCores\":2,\"memBooking\":2}}";
+    return "{\"name\":\"class-archive-training\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\","
+        + "\"limits\":{\"cores\":1,\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
+        + machineListPort
+        + "\",\"known\":{\"pos\":"
+        + MACHINE_LIST_POSITION
+        + ",\"entries\":["
+        + event
+        + "]},\"settings\":"
+        + settings
+        + "}";
   }
 }
