--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -202,16 +202,16 @@
       java.util.List<fordridge.constraint.PlacementConstraint> rules;
       try {
         rules =
-            fordridge.constraint.ConstraintParser.read(
-                text, fordridge.constraint.ConstraintParser.Names.ANY);
-      } catch (fordridge.constraint.ConstraintParser.ConstraintSyntaxException e) {
+            fordridge.constraint.ConstraintParser.parse(
+                text, fordridge.constraint.ConstraintParser.KnownNames.UNCHECKED);
+      } catch (fordridge.constraint.ConstraintSyntaxException e) {
         throw new DeploymentSettings.InvalidSettingsException(
-            e.complaints.stream().map(c -> file + ":" + c).toList());
+            e.messages().stream().map(c -> file + ":" + c).toList());
       }
       if (config != null) {
         rules = fordridge.server.grpc.PlacerCommand.readRules(text, read(config, Map.of()));
       }
-      System.out.print(fordridge.constraint.ConstraintParser.print(rules));
+      System.out.print(fordridge.constraint.ConstraintParser.format(rules));
       return 0;
     }
   }
--- a/src/main/java/fordridge/constraint/ConstraintIndex.java
+++ b/src/main/java/fordridge/constraint/ConstraintIndex.java
@@ -1,6 +1,5 @@
 package fordridge.constraint;
 
-import fordridge.constraint.PlacementConstraint.Domain;
 import fordridge.constraint.PlacementConstraint.Scope;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -24,24 +23,9 @@
  * bound that is meant over all placers is held by each keeping to its share of it.
  */
 public final class ConstraintIndex {
-  /** A machine's labels. */
-  public record MachineTopology(String name, String kind, String zone, int cell) {}
-
-  /** Why a VM may not go to a machine, in the customer's words. */
-  public record Reason(PlacementConstraint rule, String what) {}
-
-  /** A set that promises what no placer can keep. */
-  public static final class UnsatisfiableConstraintsException extends Exception {
-    private static final long serialVersionUID = 1L;
-
-    UnsatisfiableConstraintsException(String what) {
-      super(what);
-    }
-  }
-
   /** VMs of a scope (and of one service, where each service counts by itself) by domain. */
   private final class Counter {
-    final Domain per;
+    final TopologyLevel per;
     final boolean sure;
     final Map<String, Integer> at = new HashMap<>();
 
@@ -50,7 +34,7 @@
 
     int total;
 
-    Counter(Domain per, boolean sure) {
+    Counter(TopologyLevel per, boolean sure) {
       this.per = per;
       this.sure = sure;
     }
@@ -75,14 +59,12 @@
   static final long ANY = Long.MIN_VALUE;
 
   /** With {@code sure}, without those of which it is not known whether they run. */
-  private record CounterKey(Scope scope, Domain per, long service, boolean sure) {
-    CounterKey(Scope scope, Domain per, long service) {
+  private record CounterKey(Scope scope, TopologyLevel per, long service, boolean sure) {
+    CounterKey(Scope scope, TopologyLevel per, long service) {
       this(scope, per, service, false);
     }
   }
 
-  private record VmKind(String tenant, String priorityClass, long service) {}
-
   /** What of the rules touches VMs of one kin; found once. */
   private static final class ConstraintState {
     final List<PlacementConstraint> about = new ArrayList<>();
@@ -113,19 +95,19 @@
   /** Of these, the ones that drain: what runs there counts, and nothing new goes there. */
   private final RoaringBitmap drains = new RoaringBitmap();
 
-  private final Map<Domain, Map<String, RoaringBitmap>> members = new HashMap<>();
+  private final Map<TopologyLevel, Map<String, RoaringBitmap>> members = new HashMap<>();
   private final Map<PlacementConstraint, RoaringBitmap> on = new HashMap<>();
   private final Map<CounterKey, Counter> counters = new HashMap<>();
 
   /** Counters that each kin's VMs are counted in. */
-  private final Map<VmKind, List<Counter>> countedIn = new HashMap<>();
+  private final Map<VmAttributes, List<Counter>> countedIn = new HashMap<>();
 
-  private final Map<VmKind, ConstraintState> matters = new HashMap<>();
+  private final Map<VmAttributes, ConstraintState> matters = new HashMap<>();
   private final Map<Object, Placed> placed = new LinkedHashMap<>();
   private final Set<Object> doubted = new HashSet<>();
   private long version;
 
-  private record Placed(VmKind kin, int spot) {}
+  private record Placed(VmAttributes kin, int spot) {}
 
   /**
    * Takes rules that {@code placers} placers each keep by themselves; refuses what they could not.
@@ -135,19 +117,19 @@
     this.rules = List.copyOf(rules);
     this.placers = placers;
     for (PlacementConstraint r : rules) {
-      if (r.clause() instanceof PlacementConstraint.Most m
-          && m.overall()
-          && r.required()
-          && m.most() < placers) {
+      if (r.clause() instanceof PlacementConstraint.SpreadLimit m
+          && m.clusterWide()
+          && r.isRequired()
+          && m.limit() < placers) {
         throw new UnsatisfiableConstraintsException(
             "rule '"
                 + r.name()
                 + "' (line "
                 + r.line()
                 + "): at most "
-                + m.most()
+                + m.limit()
                 + " per "
-                + m.per()
+                + m.level()
                 + " over all placers cannot be shared among "
                 + placers
                 + " placers that do not talk; "
@@ -158,9 +140,9 @@
     }
   }
 
-  public static final int MOST_STRAYED = 100;
+  public static final int MAX_IMPROVABLE_REPORTED = 100;
 
-  public List<PlacementConstraint> rules() {
+  public List<PlacementConstraint> constraints() {
     return rules;
   }
 
@@ -171,7 +153,7 @@
    * All machines that there are; VMs on those that left stay counted where they were until they are
    * known gone.
    */
-  public void machines(Collection<MachineTopology> all) {
+  public void machineListReceived(Collection<MachineTopology> all) {
     present.clear();
     for (MachineTopology s : all) {
       Integer i = index.get(s.name());
@@ -187,7 +169,7 @@
     members.clear();
     on.clear();
     for (int i = 0; i < spots.size(); i++) {
-      for (Domain d : Domain.values()) {
+      for (TopologyLevel d : TopologyLevel.values()) {
         members
             .computeIfAbsent(d, x -> new HashMap<>())
             .computeIfAbsent(domain(i, d), x -> new RoaringBitmap())
@@ -198,7 +180,7 @@
   }
 
   /** Which of the machines drain, by name. */
-  public void draining(Collection<String> names) {
+  public void drainingMachinesChanged(Collection<String> names) {
     drains.clear();
     names.stream().map(index::get).filter(Objects::nonNull).forEach(i -> drains.add((int) i));
     version++;
@@ -213,11 +195,11 @@
     placed.forEach((id, p) -> count(id, p, 1));
   }
 
-  private String domain(int spot, Domain per) {
+  private String domain(int spot, TopologyLevel per) {
     return domain(spots.get(spot), per);
   }
 
-  static String domain(MachineTopology s, Domain per) {
+  static String domain(MachineTopology s, TopologyLevel per) {
     return switch (per) {
       case MACHINE -> s.name();
       case CELL -> s.zone() + "/" + s.cell();
@@ -225,7 +207,7 @@
     };
   }
 
-  private RoaringBitmap members(Domain per, String domain) {
+  private RoaringBitmap members(TopologyLevel per, String domain) {
     return members.getOrDefault(per, Map.of()).getOrDefault(domain, EMPTY);
   }
 
@@ -235,12 +217,12 @@
   // -------------------------------------------------------------------------------------------
 
   /** A claim for a VM goes out to a machine; {@code id} is the claim's own. */
-  public void goes(Object id, String tenant, String priorityClass, long service, String machine) {
+  public void attemptSent(Object id, VmAttributes vm, String machine) {
     Integer spot = index.get(machine);
     if (spot == null || placed.containsKey(id)) {
       return;
     }
-    Placed p = new Placed(new VmKind(tenant, priorityClass, service), spot);
+    Placed p = new Placed(vm, spot);
     placed.put(id, p);
     count(id, p, 1);
     version++;
@@ -250,7 +232,7 @@
    * It may run or not, and nobody waits for it: it keeps its place against every bound, but draws
    * no other near.
    */
-  public void doubted(Object id) {
+  public void attemptOutcomeUnknown(Object id) {
     Placed p = placed.get(id);
     if (p != null && doubted.add(id)) {
       count(p, -1, true);
@@ -259,7 +241,7 @@
   }
 
   /** It is known not to be there any more. */
-  public void gone(Object id) {
+  public void attemptEnded(Object id) {
     Placed p = placed.remove(id);
     if (p != null) {
       count(p, -1, false);
@@ -270,7 +252,7 @@
     }
   }
 
-  public int size() {
+  public int attemptCount() {
     return placed.size();
   }
 
@@ -290,11 +272,11 @@
     }
   }
 
-  private List<Counter> countersOf(VmKind k) {
+  private List<Counter> countersOf(VmAttributes k) {
     List<Counter> some = new ArrayList<>();
     for (PlacementConstraint r : rules) {
-      for (CounterKey key : keys(r, k.service)) {
-        if (key.scope.covers(k.tenant, k.priorityClass, k.service)) {
+      for (CounterKey key : keys(r, k.service())) {
+        if (key.scope.covers(k)) {
           Counter c = counter(key);
           if (!some.contains(c)) {
             some.add(c);
@@ -311,19 +293,20 @@
 
   /** What a rule counts. */
   private static List<CounterKey> keys(PlacementConstraint r, long service) {
-    if (r.clause() instanceof PlacementConstraint.Near n) {
+    if (r.clause() instanceof PlacementConstraint.Affinity n) {
       return List.of(
-          new CounterKey(n.other(), n.per(), ANY, true), new CounterKey(n.other(), n.per(), ANY));
+          new CounterKey(n.other(), n.level(), ANY, true),
+          new CounterKey(n.other(), n.level(), ANY));
     }
-    if (r.clause() instanceof PlacementConstraint.Apart a) {
+    if (r.clause() instanceof PlacementConstraint.AntiAffinity a) {
       return List.of(
-          new CounterKey(a.other(), a.per(), ANY), new CounterKey(r.scope(), a.per(), ANY));
+          new CounterKey(a.other(), a.level(), ANY), new CounterKey(r.scope(), a.level(), ANY));
     }
-    if (r.clause() instanceof PlacementConstraint.Most m) {
-      return List.of(new CounterKey(r.scope(), m.per(), m.eachService() ? service : ANY));
+    if (r.clause() instanceof PlacementConstraint.SpreadLimit m) {
+      return List.of(new CounterKey(r.scope(), m.level(), m.perService() ? service : ANY));
     }
-    if (r.clause() instanceof PlacementConstraint.Skew s) {
-      return List.of(new CounterKey(r.scope(), s.per(), s.eachService() ? service : ANY));
+    if (r.clause() instanceof PlacementConstraint.SpreadSkew s) {
+      return List.of(new CounterKey(r.scope(), s.level(), s.perService() ? service : ANY));
     }
     return List.of();
   }
@@ -332,20 +315,21 @@
   // -----------------------------------------------------------------------------
 
   /** Whether all required rules let it go there. */
-  public boolean allows(String tenant, String priorityClass, long service, String machine) {
+  public boolean isAllowed(VmAttributes vm, String machine) {
     if (rules.isEmpty()) {
       return true;
     }
     Integer spot = index.get(machine);
-    return spot != null && allowed(new VmKind(tenant, priorityClass, service)).contains(spot);
+    return spot != null && allowed(vm).contains(spot);
   }
 
   /**
-   * As {@link #allows}, for a VM whose place near others is settled by a plan for all of its group.
+   * As {@link #isAllowed}, for a VM whose place near others is settled by a plan for all of its
+   * group.
    */
-  public boolean allowsButNear(String tenant, String priorityClass, long service, String machine) {
+  public boolean isAllowedIgnoringAffinity(VmAttributes vm, String machine) {
     Integer spot = index.get(machine);
-    VmKind k = new VmKind(tenant, priorityClass, service);
+    VmAttributes k = vm;
     ConstraintState m = matters.computeIfAbsent(k, this::matter);
     if (m.anyNearAt != version) {
       m.anyNear = open(m, k, false);
@@ -354,7 +338,7 @@
     return spot != null && m.anyNear.contains(spot);
   }
 
-  private RoaringBitmap allowed(VmKind k) {
+  private RoaringBitmap allowed(VmAttributes k) {
     ConstraintState m = matters.computeIfAbsent(k, this::matter);
     if (m.allowedAt != version) {
       m.allowed = open(m, k, true);
@@ -363,29 +347,29 @@
     return m.allowed;
   }
 
-  private RoaringBitmap open(ConstraintState m, VmKind k, boolean near) {
+  private RoaringBitmap open(ConstraintState m, VmAttributes k, boolean near) {
     RoaringBitmap a = RoaringBitmap.andNot(present, drains);
     for (PlacementConstraint r : m.about) {
-      if (r.required() && (near || !(r.clause() instanceof PlacementConstraint.Near))) {
+      if (r.isRequired() && (near || !(r.clause() instanceof PlacementConstraint.Affinity))) {
         narrow(a, r, k);
       }
     }
     for (PlacementConstraint r : m.against) {
-      PlacementConstraint.Apart apart = (PlacementConstraint.Apart) r.clause();
-      a.andNot(counter(new CounterKey(r.scope(), apart.per(), ANY)).occupied);
+      PlacementConstraint.AntiAffinity apart = (PlacementConstraint.AntiAffinity) r.clause();
+      a.andNot(counter(new CounterKey(r.scope(), apart.level(), ANY)).occupied);
     }
     return a;
   }
 
-  private ConstraintState matter(VmKind k) {
+  private ConstraintState matter(VmAttributes k) {
     ConstraintState m = new ConstraintState();
     for (PlacementConstraint r : rules) {
-      if (r.scope().covers(k.tenant, k.priorityClass, k.service)) {
+      if (r.scope().covers(k)) {
         m.about.add(r);
       }
-      if (r.required()
-          && r.clause() instanceof PlacementConstraint.Apart a
-          && a.other().covers(k.tenant, k.priorityClass, k.service)) {
+      if (r.isRequired()
+          && r.clause() instanceof PlacementConstraint.AntiAffinity a
+          && a.other().covers(k)) {
         m.against.add(r);
       }
     }
@@ -393,50 +377,45 @@
   }
 
   /** Takes out of {@code a} what the rule keeps a VM of that kin from. */
-  private void narrow(RoaringBitmap a, PlacementConstraint r, VmKind k) {
-    if (r.clause() instanceof PlacementConstraint.On o) {
-      a.and(on.computeIfAbsent(r, x -> where(o.where())));
-    } else if (r.clause() instanceof PlacementConstraint.Near n) {
+  private void narrow(RoaringBitmap a, PlacementConstraint r, VmAttributes k) {
+    if (r.clause() instanceof PlacementConstraint.MachineLabels o) {
+      a.and(on.computeIfAbsent(r, x -> where(o.predicate())));
+    } else if (r.clause() instanceof PlacementConstraint.Affinity n) {
       Counter c = nearTo(n);
       if (c.total > 0) {
         a.and(c.occupied);
       }
-    } else if (r.clause() instanceof PlacementConstraint.Apart ap) {
-      a.andNot(counter(new CounterKey(ap.other(), ap.per(), ANY)).occupied);
-    } else if (r.clause() instanceof PlacementConstraint.Most m) {
-      int most = share(m, placers);
-      Counter c = counter(new CounterKey(r.scope(), m.per(), m.eachService() ? k.service : ANY));
+    } else if (r.clause() instanceof PlacementConstraint.AntiAffinity ap) {
+      a.andNot(counter(new CounterKey(ap.other(), ap.level(), ANY)).occupied);
+    } else if (r.clause() instanceof PlacementConstraint.SpreadLimit m) {
+      int most = m.limitPerScheduler(placers);
+      Counter c = counter(new CounterKey(r.scope(), m.level(), m.perService() ? k.service() : ANY));
       c.at.forEach(
           (domain, n) -> {
             if (n >= most) {
-              a.andNot(members(m.per(), domain));
+              a.andNot(members(m.level(), domain));
             }
           });
-    } else if (r.clause() instanceof PlacementConstraint.Skew s) {
-      Counter c = counter(new CounterKey(r.scope(), s.per(), s.eachService() ? k.service : ANY));
-      int least = least(a, s.per(), c);
+    } else if (r.clause() instanceof PlacementConstraint.SpreadSkew s) {
+      Counter c = counter(new CounterKey(r.scope(), s.level(), s.perService() ? k.service() : ANY));
+      int least = least(a, s.level(), c);
       c.at.forEach(
           (domain, n) -> {
-            if (n + 1 - least > s.skew()) {
-              a.andNot(members(s.per(), domain));
+            if (n + 1 - least > s.maxSkew()) {
+              a.andNot(members(s.level(), domain));
             }
           });
     }
   }
 
   /** Those that are sure to run or on their way; where there are none, those that may. */
-  private Counter nearTo(PlacementConstraint.Near n) {
-    Counter sure = counter(new CounterKey(n.other(), n.per(), ANY, true));
-    return sure.total > 0 ? sure : counter(new CounterKey(n.other(), n.per(), ANY));
-  }
-
-  /** How many one placer may have. */
-  static int share(PlacementConstraint.Most m, int placers) {
-    return m.overall() ? Math.max(1, m.most() / placers) : m.most();
+  private Counter nearTo(PlacementConstraint.Affinity n) {
+    Counter sure = counter(new CounterKey(n.other(), n.level(), ANY, true));
+    return sure.total > 0 ? sure : counter(new CounterKey(n.other(), n.level(), ANY));
   }
 
   /** The fewest in any domain that the VM could go to by the rules before this one. */
-  private int least(RoaringBitmap a, Domain per, Counter c) {
+  private int least(RoaringBitmap a, TopologyLevel per, Counter c) {
     int least = Integer.MAX_VALUE;
     for (Map.Entry<String, RoaringBitmap> e : members.getOrDefault(per, Map.of()).entrySet()) {
       int n = c.count(e.getKey());
@@ -447,44 +426,22 @@
     return least;
   }
 
-  private RoaringBitmap where(PlacementConstraint.Predicate p) {
+  private RoaringBitmap where(PlacementConstraint.LabelPredicate p) {
     RoaringBitmap b = new RoaringBitmap();
     for (int i = 0; i < spots.size(); i++) {
-      if (holds(p, spots.get(i))) {
+      if (p.matches(spots.get(i))) {
         b.add(i);
       }
     }
     return b;
   }
 
-  static boolean holds(PlacementConstraint.Predicate p, MachineTopology s) {
-    if (p instanceof PlacementConstraint.Label l) {
-      return l.values()
-          .contains(
-              switch (l.field()) {
-                case "kind" -> s.kind();
-                case "zone" -> s.zone();
-                case "cell" -> Integer.toString(s.cell());
-                default -> s.name();
-              });
-    }
-    if (p instanceof PlacementConstraint.Not n) {
-      return !holds(n.of(), s);
-    }
-    if (p instanceof PlacementConstraint.Both b) {
-      return holds(b.a(), s) && holds(b.b(), s);
-    }
-    PlacementConstraint.Either e = (PlacementConstraint.Either) p;
-    return holds(e.a(), s) || holds(e.b(), s);
-  }
-
   /** Whether any rule speaks of such VMs. */
-  public boolean touches(String tenant, String priorityClass, long service) {
+  public boolean hasConstraintsFor(VmAttributes vm) {
     if (rules.isEmpty()) {
       return false;
     }
-    ConstraintState m =
-        matters.computeIfAbsent(new VmKind(tenant, priorityClass, service), this::matter);
+    ConstraintState m = matters.computeIfAbsent(vm, this::matter);
     return !m.about.isEmpty() || !m.against.isEmpty();
   }
 
@@ -492,14 +449,13 @@
    * A smallest set of required rules that no machine of the list can meet together whatever runs
    * where, each needed for that; empty where there is a machine that can.
    */
-  public List<PlacementConstraint> conflict(String tenant, String priorityClass, long service) {
+  public List<PlacementConstraint> findUnsatisfiableConstraints(VmAttributes vm) {
     if (rules.isEmpty() || present.isEmpty()) {
       return List.of();
     }
     List<PlacementConstraint> fixed = new ArrayList<>();
-    for (PlacementConstraint r :
-        matters.computeIfAbsent(new VmKind(tenant, priorityClass, service), this::matter).about) {
-      if (r.required() && r.clause() instanceof PlacementConstraint.On) {
+    for (PlacementConstraint r : matters.computeIfAbsent(vm, this::matter).about) {
+      if (r.isRequired() && r.clause() instanceof PlacementConstraint.MachineLabels) {
         fixed.add(r);
       }
     }
@@ -521,7 +477,8 @@
     fixed.forEach(
         r ->
             a.and(
-                on.computeIfAbsent(r, x -> where(((PlacementConstraint.On) r.clause()).where()))));
+                on.computeIfAbsent(
+                    r, x -> where(((PlacementConstraint.MachineLabels) r.clause()).predicate()))));
     return a;
   }
 
@@ -529,25 +486,26 @@
    * The question whether some VMs can run all at once beside what runs now; {@code room} is asked
    * for every machine by name. It is a copy: what changes later does not bear on it.
    */
-  public GroupFeasibility together(
-      List<GroupFeasibility.Part> parts, Function<String, GroupFeasibility.Room> room) {
+  public GroupFeasibility groupFeasibility(
+      List<GroupMember> parts, Function<String, MachineCapacity> room) {
     List<PlacementConstraint> some = new ArrayList<>();
     Map<GroupFeasibility.Held, Map<String, Integer>> held = new HashMap<>();
     for (PlacementConstraint r : rules) {
       boolean speaks = false;
-      for (GroupFeasibility.Part p : parts) {
-        boolean about = r.scope().covers(p.tenant(), p.priorityClass(), p.service());
-        if (r.required()
+      for (GroupMember p : parts) {
+        boolean about = r.scope().covers(p.vm());
+        if (r.isRequired()
             && (about
-                || r.clause() instanceof PlacementConstraint.Apart a
-                    && a.other().covers(p.tenant(), p.priorityClass(), p.service()))) {
+                || r.clause() instanceof PlacementConstraint.AntiAffinity a
+                    && a.other().covers(p.vm()))) {
           speaks = true;
-          if (r.clause() instanceof PlacementConstraint.Near n) {
+          if (r.clause() instanceof PlacementConstraint.Affinity n) {
             held.put(
-                new GroupFeasibility.Held(n.other(), n.per(), ANY, true), Map.copyOf(nearTo(n).at));
+                new GroupFeasibility.Held(n.other(), n.level(), ANY, true),
+                Map.copyOf(nearTo(n).at));
             continue;
           }
-          for (CounterKey key : keys(r, p.service())) {
+          for (CounterKey key : keys(r, p.vm().service())) {
             held.put(
                 new GroupFeasibility.Held(key.scope, key.per, key.service, false),
                 Map.copyOf(counter(key).at));
@@ -571,18 +529,17 @@
   }
 
   /** The weight of the preferences that a machine goes against; 0 where it meets them all. */
-  public double constraintPenalty(
-      String tenant, String priorityClass, long service, String machine) {
+  public double preferencePenalty(VmAttributes vm, String machine) {
     if (rules.isEmpty()) {
       return 0;
     }
-    VmKind k = new VmKind(tenant, priorityClass, service);
+    VmAttributes k = vm;
     Integer spot = index.get(machine);
     ConstraintState m = matters.computeIfAbsent(k, this::matter);
     if (m.metAt != version) {
       m.metAt = version;
       m.about.stream()
-          .filter(r -> !r.required())
+          .filter(r -> !r.isRequired())
           .forEach(
               r -> {
                 RoaringBitmap one = RoaringBitmap.andNot(present, drains);
@@ -597,7 +554,7 @@
     return sum;
   }
 
-  private boolean against(PlacementConstraint r, VmKind k, int spot) {
+  private boolean against(PlacementConstraint r, VmAttributes k, int spot) {
     RoaringBitmap one = RoaringBitmap.andNot(present, drains);
     one.add(spot);
     narrow(one, r, k);
@@ -610,51 +567,56 @@
   /**
    * Every rule, required or preferred, that speaks against the machine; none where it may go there.
    */
-  public List<Reason> why(String tenant, String priorityClass, long service, String machine) {
-    VmKind k = new VmKind(tenant, priorityClass, service);
+  public List<RejectionReason> explainRejection(VmAttributes vm, String machine) {
+    VmAttributes k = vm;
     Integer spot = index.get(machine);
-    List<Reason> some = new ArrayList<>();
+    List<RejectionReason> some = new ArrayList<>();
     if (spot == null || !present.contains(spot)) {
-      some.add(new Reason(null, "no machine '" + machine + "' in the list"));
+      some.add(
+          RejectionReason.withoutConstraint(
+              RejectionReason.Cause.MACHINE_NOT_LISTED,
+              "no machine '" + machine + "' in the list"));
       return some;
     }
     if (drains.contains(spot)) {
-      some.add(new Reason(null, "it drains: nothing new goes there"));
+      some.add(
+          RejectionReason.withoutConstraint(
+              RejectionReason.Cause.MACHINE_DRAINING, "it drains: nothing new goes there"));
     }
     ConstraintState m = matters.computeIfAbsent(k, this::matter);
     for (PlacementConstraint r : m.about) {
       if (against(r, k, spot)) {
         some.add(
-            new Reason(
+            RejectionReason.violated(
                 r,
-                (r.required() ? "required" : "preferred, weight " + Math.round(r.weight()))
+                (r.isRequired() ? "required" : "preferred, weight " + Math.round(r.weight()))
                     + ": "
                     + r.clause()
                     + detail(r, k, spot)));
       }
     }
     for (PlacementConstraint r : m.against) {
-      PlacementConstraint.Apart a = (PlacementConstraint.Apart) r.clause();
-      Counter c = counter(new CounterKey(r.scope(), a.per(), ANY));
+      PlacementConstraint.AntiAffinity a = (PlacementConstraint.AntiAffinity) r.clause();
+      Counter c = counter(new CounterKey(r.scope(), a.level(), ANY));
       if (c.occupied.contains(spot)) {
         some.add(
-            new Reason(
+            RejectionReason.violated(
                 r,
                 "required of others: "
                     + r.scope()
                     + " keeps apart from these, and "
-                    + c.count(domain(spot, a.per()))
+                    + c.count(domain(spot, a.level()))
                     + " of it run in "
-                    + a.per()
+                    + a.level()
                     + " "
-                    + domain(spot, a.per())));
+                    + domain(spot, a.level())));
       }
     }
     return some;
   }
 
-  private String detail(PlacementConstraint r, VmKind k, int spot) {
-    for (CounterKey key : keys(r, k.service)) {
+  private String detail(PlacementConstraint r, VmAttributes k, int spot) {
+    for (CounterKey key : keys(r, k.service())) {
       String d = domain(spot, key.per);
       return " (" + counter(key).count(d) + " in " + key.per + " " + d + ")";
     }
@@ -671,17 +633,18 @@
    * VMs that run where a new set, or their machine's new labels, would not let them go: named, not
    * stopped.
    */
-  public Map<Object, List<Reason>> misfits() {
-    Map<Object, List<Reason>> some = new LinkedHashMap<>();
+  public Map<Object, List<RejectionReason>> findViolatingPlacements() {
+    Map<Object, List<RejectionReason>> some = new LinkedHashMap<>();
     for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
       Placed p = e.getValue();
-      List<Reason> why = new ArrayList<>();
-      without(
-          e.getKey(),
-          () ->
-              why.addAll(
-                  why(p.kin.tenant, p.kin.priorityClass, p.kin.service, spots.get(p.spot).name())));
-      why.removeIf(x -> x.rule() == null ? drains.contains(p.spot) : !x.rule().required());
+      List<RejectionReason> why = new ArrayList<>();
+      withoutAttempt(
+          e.getKey(), () -> why.addAll(explainRejection(p.kin, spots.get(p.spot).name())));
+      why.removeIf(
+          x ->
+              x.constraint().isEmpty()
+                  ? drains.contains(p.spot)
+                  : !x.constraint().get().isRequired());
       if (!why.isEmpty()) {
         some.put(e.getKey(), why);
       }
@@ -690,7 +653,7 @@
   }
 
   /** Looks at the book as if one VM were not there. */
-  public void without(Object id, Runnable look) {
+  public void withoutAttempt(Object id, Runnable look) {
     Placed p = placed.get(id);
     if (p == null) {
       look.run();
@@ -705,32 +668,38 @@
 
   /**
    * VMs that a shortage put where they go against preferences that a machine open to them would
-   * meet better now, at most so many as are of use to a reader ({@link #MOST_STRAYED}); with what
-   * speaks against where they are, and one of the machines.
+   * meet better now, at most so many as are of use to a reader ({@link #MAX_IMPROVABLE_REPORTED});
+   * with what speaks against where they are, and one of the machines.
    */
-  public Map<Object, List<Reason>> strayed(int most) {
-    Map<Object, List<Reason>> some = new LinkedHashMap<>();
+  public Map<Object, List<RejectionReason>> findImprovablePlacements(int most) {
+    Map<Object, List<RejectionReason>> some = new LinkedHashMap<>();
     for (Map.Entry<Object, Placed> e : new ArrayList<>(placed.entrySet())) {
-      VmKind k = e.getValue().kin;
+      VmAttributes k = e.getValue().kin;
       if (some.size() < most
-          && matters.computeIfAbsent(k, this::matter).about.stream().anyMatch(r -> !r.required())) {
-        without(e.getKey(), () -> stray(e.getKey(), k, spots.get(e.getValue().spot).name(), some));
+          && matters.computeIfAbsent(k, this::matter).about.stream()
+              .anyMatch(r -> !r.isRequired())) {
+        withoutAttempt(
+            e.getKey(), () -> stray(e.getKey(), k, spots.get(e.getValue().spot).name(), some));
       }
     }
     return some;
   }
 
-  private void stray(Object id, VmKind k, String here, Map<Object, List<Reason>> some) {
-    double constraintPenalty = constraintPenalty(k.tenant, k.priorityClass, k.service, here);
+  private void stray(
+      Object id, VmAttributes k, String here, Map<Object, List<RejectionReason>> some) {
+    double constraintPenalty = preferencePenalty(k, here);
     if (constraintPenalty == 0) {
       return;
     }
     for (int spot : allowed(k)) {
       String there = spots.get(spot).name();
-      if (constraintPenalty(k.tenant, k.priorityClass, k.service, there) < constraintPenalty) {
-        List<Reason> why = why(k.tenant, k.priorityClass, k.service, here);
-        why.removeIf(r -> r.rule() == null || r.rule().required());
-        why.add(new Reason(null, "machine " + there + " would do better"));
+      if (preferencePenalty(k, there) < constraintPenalty) {
+        List<RejectionReason> why = explainRejection(k, here);
+        why.removeIf(r -> r.cause() != RejectionReason.Cause.PREFERENCE);
+        why.add(
+            RejectionReason.withoutConstraint(
+                RejectionReason.Cause.BETTER_MACHINE_AVAILABLE,
+                "machine " + there + " would do better"));
         some.put(id, why);
         return;
       }
@@ -738,7 +707,7 @@
   }
 
   /** The same VMs and machines under another set; the old book is done with. */
-  public ConstraintIndex with(List<PlacementConstraint> others, int amongPlacers)
+  public ConstraintIndex withConstraints(List<PlacementConstraint> others, int amongPlacers)
       throws UnsatisfiableConstraintsException {
     ConstraintIndex b = new ConstraintIndex(others, amongPlacers);
     List<MachineTopology> now = new ArrayList<>();
@@ -747,7 +716,7 @@
     b.index.putAll(index);
     b.placed.putAll(placed);
     b.doubted.addAll(doubted);
-    b.machines(now);
+    b.machineListReceived(now);
     b.drains.or(drains);
     return b;
   }
--- /dev/null
+++ b/src/main/java/fordridge/constraint/ConstraintTreeReader.java
@@ -0,0 +1,232 @@
+package fordridge.constraint;
+
+import fordridge.constraint.ConstraintParser.KnownNames;
+import fordridge.constraint.PlacementConstraint.LabelKey;
+import fordridge.constraint.PlacementConstraint.LabelPredicate;
+import fordridge.constraint.PlacementConstraint.Scope;
+import fordridge.constraint.grammar.ConstraintsBaseVisitor;
+import fordridge.constraint.grammar.ConstraintsLexer;
+import fordridge.constraint.grammar.ConstraintsParser;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+import org.antlr.v4.runtime.ParserRuleContext;
+import org.antlr.v4.runtime.Token;
+
+/**
+ * Turns the parser's tree into constraints, and reports what the grammar cannot see: unknown names,
+ * names used twice, numbers out of range.
+ */
+final class ConstraintTreeReader extends ConstraintsBaseVisitor<PlacementConstraint.Clause> {
+  private static final int MAX_NUMBER = 1_000_000;
+  private static final Pattern SERVICE_NUMBER = Pattern.compile("[0-9]{1,19}");
+  private static final Pattern CELL_NUMBER = Pattern.compile("[0-9]{1,9}");
+
+  private final SourceText source;
+  private final KnownNames knownNames;
+  private final List<ConstraintSyntaxException.Problem> problems;
+  private final Map<String, Integer> lineByName = new HashMap<>();
+
+  ConstraintTreeReader(
+      SourceText source, KnownNames knownNames, List<ConstraintSyntaxException.Problem> problems) {
+    this.source = source;
+    this.knownNames = knownNames;
+    this.problems = problems;
+  }
+
+  /** All constraints of a file; of use only if no problem was reported. */
+  List<PlacementConstraint> readAll(ConstraintsParser.FileContext file) {
+    List<PlacementConstraint> constraints = new ArrayList<>();
+    for (ConstraintsParser.Rule_Context context : file.rule_()) {
+      PlacementConstraint constraint = readConstraint(context);
+      checkNameIsNew(context.name);
+      constraints.add(constraint);
+    }
+    return constraints;
+  }
+
+  private PlacementConstraint readConstraint(ConstraintsParser.Rule_Context context) {
+    ConstraintsParser.StrengthContext strength = context.strength();
+    double weight = strength.PREFER() == null ? 0 : readNumber(strength.weight);
+    Scope scope = readScope(context.scope());
+    PlacementConstraint.Clause clause = visit(context.clause());
+    return new PlacementConstraint(
+        context.name.getText(), scope, weight, clause, context.name.getLine());
+  }
+
+  private void checkNameIsNew(Token name) {
+    Integer firstLine = lineByName.putIfAbsent(name.getText(), name.getLine());
+    if (firstLine != null) {
+      report(
+          name,
+          "rule '" + name.getText() + "' stands already in line " + firstLine + "; each name once");
+    }
+  }
+
+  private Scope readScope(ConstraintsParser.ScopeContext context) {
+    Set<String> tenants = new LinkedHashSet<>();
+    Set<String> priorityClasses = new LinkedHashSet<>();
+    Set<String> services = new LinkedHashSet<>();
+    for (ConstraintsParser.SelectorContext selector : context.selector()) {
+      switch (selector.field.getType()) {
+        case ConstraintsLexer.CUSTOMER -> readNames(selector, tenants, knownNames.tenants());
+        case ConstraintsLexer.FLAVOUR ->
+            readNames(selector, priorityClasses, knownNames.priorityClasses());
+        default -> readServices(selector, services);
+      }
+    }
+    return new Scope(Set.copyOf(tenants), Set.copyOf(priorityClasses), Set.copyOf(services));
+  }
+
+  private void readNames(
+      ConstraintsParser.SelectorContext selector, Set<String> into, Set<String> allowed) {
+    checkFirstOfScope(selector, into);
+    for (ConstraintsParser.ValueContext value : selector.value()) {
+      String name = textOf(value);
+      into.add(name);
+      checkKnown(value.start, name, allowed, selector.field.getText());
+    }
+  }
+
+  private void readServices(ConstraintsParser.SelectorContext selector, Set<String> into) {
+    checkFirstOfScope(selector, into);
+    for (ConstraintsParser.ValueContext value : selector.value()) {
+      String number = textOf(value);
+      into.add(number);
+      if (!SERVICE_NUMBER.matcher(number).matches()) {
+        report(value.start, "service '" + number + "' is not a number");
+      }
+    }
+  }
+
+  private void checkFirstOfScope(
+      ConstraintsParser.SelectorContext selector, Set<String> valuesSoFar) {
+    if (!valuesSoFar.isEmpty()) {
+      report(
+          selector.field,
+          "'" + selector.field.getText() + "' twice in one scope; list its values with commas");
+    }
+  }
+
+  @Override
+  public PlacementConstraint.Clause visitNear(ConstraintsParser.NearContext context) {
+    return new PlacementConstraint.Affinity(
+        readScope(context.scope()), readLevel(context.domain()));
+  }
+
+  @Override
+  public PlacementConstraint.Clause visitApart(ConstraintsParser.ApartContext context) {
+    return new PlacementConstraint.AntiAffinity(
+        readScope(context.scope()), readLevel(context.domain()));
+  }
+
+  @Override
+  public PlacementConstraint.Clause visitMost(ConstraintsParser.MostContext context) {
+    boolean isClusterWide = context.reach() != null && context.reach().OVERALL() != null;
+    return new PlacementConstraint.SpreadLimit(
+        readNumber(context.most),
+        context.EACH() != null,
+        readLevel(context.domain()),
+        isClusterWide);
+  }
+
+  @Override
+  public PlacementConstraint.Clause visitSkew(ConstraintsParser.SkewContext context) {
+    return new PlacementConstraint.SpreadSkew(
+        readNumber(context.skew), context.EACH() != null, readLevel(context.domain()));
+  }
+
+  @Override
+  public PlacementConstraint.Clause visitOn(ConstraintsParser.OnContext context) {
+    return new PlacementConstraint.MachineLabels(readPredicate(context.predicate()));
+  }
+
+  private LabelPredicate readPredicate(ParserRuleContext context) {
+    if (context instanceof ConstraintsParser.NestedContext nested) {
+      return readPredicate(nested.predicate());
+    }
+    if (context instanceof ConstraintsParser.NotContext not) {
+      return new PlacementConstraint.Not(readPredicate(not.predicate()));
+    }
+    if (context instanceof ConstraintsParser.BothContext both) {
+      return new PlacementConstraint.And(
+          readPredicate(both.predicate(0)), readPredicate(both.predicate(1)));
+    }
+    if (context instanceof ConstraintsParser.EitherContext either) {
+      return new PlacementConstraint.Or(
+          readPredicate(either.predicate(0)), readPredicate(either.predicate(1)));
+    }
+    return readLabel((ConstraintsParser.LabelContext) context);
+  }
+
+  private PlacementConstraint.Label readLabel(ConstraintsParser.LabelContext context) {
+    LabelKey key = LabelKey.valueOf(context.field.getText().toUpperCase(Locale.ROOT));
+    Set<String> values = new LinkedHashSet<>();
+    for (ConstraintsParser.ValueContext value : context.value()) {
+      String text = textOf(value);
+      values.add(text);
+      checkLabelValue(value.start, key, text);
+    }
+    return new PlacementConstraint.Label(key, Set.copyOf(values));
+  }
+
+  private void checkLabelValue(Token token, LabelKey key, String value) {
+    switch (key) {
+      case KIND -> checkKnown(token, value, knownNames.kinds(), key.toString());
+      case ZONE -> checkKnown(token, value, knownNames.zones(), key.toString());
+      case CELL -> {
+        if (!CELL_NUMBER.matcher(value).matches()) {
+          report(token, "cell '" + value + "' is not a number");
+        }
+      }
+      case MACHINE -> {
+        // Machines come and go: any name may be used.
+      }
+    }
+  }
+
+  private int readNumber(Token token) {
+    try {
+      int number = Integer.parseInt(token.getText());
+      if (number >= 1 && number <= MAX_NUMBER) {
+        return number;
+      }
+    } catch (NumberFormatException e) {
+      // Too large for an int: reported below as out of range.
+    }
+    report(token, "found " + token.getText() + ", allowed: a number from 1 to " + MAX_NUMBER);
+    return 1;
+  }
+
+  private static TopologyLevel readLevel(ConstraintsParser.DomainContext context) {
+    return TopologyLevel.valueOf(context.getText().toUpperCase(Locale.ROOT));
+  }
+
+  private static String textOf(ConstraintsParser.ValueContext value) {
+    String text = value.getText();
+    return value.STRING() == null ? text : text.substring(1, text.length() - 1);
+  }
+
+  private void checkKnown(Token token, String name, Set<String> allowed, String field) {
+    if (!allowed.isEmpty() && !allowed.contains(name)) {
+      report(
+          token,
+          "no "
+              + field
+              + " '"
+              + name
+              + "'; there are "
+              + String.join(", ", new TreeSet<>(allowed)));
+    }
+  }
+
+  private void report(Token token, String description) {
+    problems.add(source.problemAt(token.getLine(), token.getCharPositionInLine(), description));
+  }
+}
--- a/src/main/java/fordridge/constraint/ConstraintValidator.java
+++ b/src/main/java/fordridge/constraint/ConstraintValidator.java
@@ -1,6 +1,5 @@
 package fordridge.constraint;
 
-import fordridge.constraint.PlacementConstraint.Domain;
 import fordridge.constraint.PlacementConstraint.Scope;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,22 +22,8 @@
  * soon as one of those runs.
  */
 public final class ConstraintValidator {
-  /** VMs of a kind that can go nowhere, and why. */
-  public record Conflict(String vms, List<PlacementConstraint> rules, String what) {
-    @Override
-    public String toString() {
-      return rules.stream()
-              .map(r -> "rule '" + r.name() + "' (line " + r.line() + ": " + r.clause() + ")")
-              .collect(Collectors.joining(" and "))
-          + " "
-          + what
-          + ", for VMs of "
-          + vms;
-    }
-  }
-
   /** Longest that a set is looked into. */
-  public static final Duration THINKS = Duration.ofSeconds(1);
+  public static final Duration TIME_LIMIT = Duration.ofSeconds(1);
 
   /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
   private static final int MOST_KINDS = 200;
@@ -49,34 +34,33 @@
    * All clashes; with no machines known yet only those that hold on any. {@code stop} ends a long
    * search: what was found by then is told.
    */
-  public static List<Conflict> of(
-      List<PlacementConstraint> rules,
-      Collection<ConstraintIndex.MachineTopology> machines,
-      BooleanSupplier stop) {
+  public static List<ConstraintConflict> findConflicts(
+      List<PlacementConstraint> rules, Collection<MachineTopology> machines, BooleanSupplier stop) {
     ConstraintIndex book;
     try {
       // Shares among placers do not bear on it.
       book =
           new ConstraintIndex(
               rules.stream()
-                  .filter(r -> !(r.clause() instanceof PlacementConstraint.Most))
+                  .filter(r -> !(r.clause() instanceof PlacementConstraint.SpreadLimit))
                   .toList(),
               1);
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+    } catch (UnsatisfiableConstraintsException e) {
       throw new IllegalStateException(e);
     }
-    book.machines(machines);
-    Map<String, Conflict> found = new LinkedHashMap<>();
+    book.machineListReceived(machines);
+    Map<String, ConstraintConflict> found = new LinkedHashMap<>();
     for (String tenant : values(rules, 0)) {
       for (String priorityClass : values(rules, 1)) {
         for (String service : stop.getAsBoolean() ? Set.<String>of() : values(rules, 2)) {
           long number = service.isEmpty() ? -1 : Long.parseLong(service);
           String vms = words(tenant, priorityClass, service);
-          List<PlacementConstraint> labels = book.conflict(tenant, priorityClass, number);
+          List<PlacementConstraint> labels =
+              book.findUnsatisfiableConstraints(new VmAttributes(tenant, priorityClass, number));
           if (!labels.isEmpty()) {
             found.putIfAbsent(
                 names(labels),
-                new Conflict(
+                new ConstraintConflict(
                     vms,
                     labels,
                     labels.size() == 1
@@ -102,25 +86,26 @@
       ConstraintIndex book,
       List<PlacementConstraint> rules,
       BooleanSupplier stop,
-      Map<String, Conflict> found) {
-    Map<String, GroupFeasibility.Part> kinds = new LinkedHashMap<>();
+      Map<String, ConstraintConflict> found) {
+    Map<String, GroupMember> kinds = new LinkedHashMap<>();
     for (PlacementConstraint r : rules) {
       List<Scope> scopes = new ArrayList<>();
-      if (r.required()) {
+      if (r.isRequired()) {
         scopes.add(r.scope());
-        if (r.clause() instanceof PlacementConstraint.Near n) {
+        if (r.clause() instanceof PlacementConstraint.Affinity n) {
           scopes.add(n.other());
-        } else if (r.clause() instanceof PlacementConstraint.Apart a) {
+        } else if (r.clause() instanceof PlacementConstraint.AntiAffinity a) {
           scopes.add(a.other());
         }
       }
       for (Scope s : scopes) {
-        GroupFeasibility.Part one =
-            new GroupFeasibility.Part(
+        GroupMember one =
+            new GroupMember(
                 words(first(s.tenants()), first(s.priorityClasses()), first(s.services())),
-                first(s.tenants()),
-                first(s.priorityClasses()),
-                s.services().isEmpty() ? -1 : Long.parseLong(first(s.services())),
+                new VmAttributes(
+                    first(s.tenants()),
+                    first(s.priorityClasses()),
+                    s.services().isEmpty() ? -1 : Long.parseLong(first(s.services()))),
                 0,
                 0);
         if (kinds.size() < MOST_KINDS) {
@@ -128,24 +113,24 @@
         }
       }
     }
-    List<GroupFeasibility.Part> parts = List.copyOf(kinds.values());
-    GroupFeasibility.Outcome o =
-        book.together(parts, m -> new GroupFeasibility.Room(1, 1)).kinds().solve(stop);
-    if (o.verdict() == GroupFeasibility.Verdict.NO) {
+    List<GroupMember> parts = List.copyOf(kinds.values());
+    FeasibilityResult o =
+        book.groupFeasibility(parts, m -> new MachineCapacity(1, 1)).kinds().solve(stop);
+    if (o.verdict() == FeasibilityResult.Verdict.INFEASIBLE) {
       found.put(
-          names(o.rules()),
-          new Conflict(
+          names(o.conflictingConstraints()),
+          new ConstraintConflict(
               parts.stream()
-                  .filter(p -> o.rules().stream().anyMatch(r -> speaks(r, p)))
-                  .map(GroupFeasibility.Part::id)
+                  .filter(p -> o.conflictingConstraints().stream().anyMatch(r -> speaks(r, p)))
+                  .map(GroupMember::id)
                   .collect(Collectors.joining(" and ")),
-              o.rules(),
+              o.conflictingConstraints(),
               "leave no places for one of each at once"));
     }
   }
 
-  private static boolean speaks(PlacementConstraint r, GroupFeasibility.Part p) {
-    return r.scope().covers(p.tenant(), p.priorityClass(), p.service());
+  private static boolean speaks(PlacementConstraint r, GroupMember p) {
+    return r.scope().covers(p.vm());
   }
 
   private static String first(Set<String> values) {
@@ -158,22 +143,25 @@
       String priorityClass,
       long service,
       String vms,
-      Map<String, Conflict> found) {
+      Map<String, ConstraintConflict> found) {
     List<PlacementConstraint> mine =
         rules.stream()
-            .filter(r -> r.required() && r.scope().covers(tenant, priorityClass, service))
+            .filter(
+                r ->
+                    r.isRequired()
+                        && r.scope().covers(new VmAttributes(tenant, priorityClass, service)))
             .toList();
     for (PlacementConstraint n : mine) {
-      if (!(n.clause() instanceof PlacementConstraint.Near near)) {
+      if (!(n.clause() instanceof PlacementConstraint.Affinity near)) {
         continue;
       }
       for (PlacementConstraint a : mine) {
-        if (a.clause() instanceof PlacementConstraint.Apart apart
+        if (a.clause() instanceof PlacementConstraint.AntiAffinity apart
             && within(near.other(), apart.other())
-            && atLeast(apart.per(), near.per())) {
+            && atLeast(apart.level(), near.level())) {
           found.putIfAbsent(
               names(List.of(n, a)),
-              new Conflict(
+              new ConstraintConflict(
                   vms,
                   List.of(n, a),
                   "leave no place as soon as one of " + near.other() + " runs"));
@@ -194,7 +182,7 @@
   }
 
   /** A domain of the first kind holds the whole of any of the second that it touches. */
-  private static boolean atLeast(Domain large, Domain small) {
+  private static boolean atLeast(TopologyLevel large, TopologyLevel small) {
     return large.ordinal() >= small.ordinal();
   }
 
--- a/src/main/java/fordridge/constraint/GroupFeasibility.java
+++ b/src/main/java/fordridge/constraint/GroupFeasibility.java
@@ -1,6 +1,5 @@
 package fordridge.constraint;
 
-import fordridge.constraint.PlacementConstraint.Domain;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -25,31 +24,6 @@
  * so a no is a no, and a yes is a place for each that the order may still spoil.
  */
 public final class GroupFeasibility {
-  /** One of the VMs, and what it asks for. */
-  public record Part(
-      String id, String tenant, String priorityClass, long service, double cores, double memory) {}
-
-  /** What may be had of a machine. */
-  public record Room(double cores, double memory) {}
-
-  /** How it came out. */
-  public enum Verdict {
-    YES,
-    NO,
-    NOT_KNOWN
-  }
-
-  /**
-   * For YES a machine for each VM, those first that others must be near; for NO the fewest rules
-   * that clash ({@code room} if machines are too small beside them), or as few as were found before
-   * the end.
-   */
-  public record Outcome(
-      Verdict verdict,
-      Map<String, String> machines,
-      List<PlacementConstraint> rules,
-      boolean room) {}
-
   /**
    * Fails of the search before it is given up as not known: the bound that does not hang on the
    * machine's speed.
@@ -58,9 +32,9 @@
 
   private static final int SCALE = 1000;
 
-  private final List<ConstraintIndex.MachineTopology> spots;
-  private final List<Room> rooms;
-  private final List<Part> parts;
+  private final List<MachineTopology> spots;
+  private final List<MachineCapacity> rooms;
+  private final List<GroupMember> parts;
   private final List<PlacementConstraint> rules;
   private final int placers;
   private final boolean ofKinds;
@@ -68,16 +42,16 @@
   /** VMs that run: by rule, side (scope or other) and service, how many are in which domain. */
   private final Map<Held, Map<String, Integer>> held;
 
-  private final Map<Domain, int[]> domains = new EnumMap<>(Domain.class);
-  private final Map<Domain, List<String>> names = new EnumMap<>(Domain.class);
+  private final Map<TopologyLevel, int[]> domains = new EnumMap<>(TopologyLevel.class);
+  private final Map<TopologyLevel, List<String>> names = new EnumMap<>(TopologyLevel.class);
 
   /** What a count is of. */
-  record Held(PlacementConstraint.Scope scope, Domain per, long service, boolean near) {}
+  record Held(PlacementConstraint.Scope scope, TopologyLevel per, long service, boolean near) {}
 
   GroupFeasibility(
-      List<ConstraintIndex.MachineTopology> spots,
-      List<Room> rooms,
-      List<Part> parts,
+      List<MachineTopology> spots,
+      List<MachineCapacity> rooms,
+      List<GroupMember> parts,
       List<PlacementConstraint> rules,
       int placers,
       Map<Held, Map<String, Integer>> held,
@@ -89,7 +63,7 @@
     this.rules = List.copyOf(rules);
     this.placers = placers;
     this.held = held;
-    for (Domain d : Domain.values()) {
+    for (TopologyLevel d : TopologyLevel.values()) {
       int[] of = new int[spots.size()];
       Map<String, Integer> numbers = new LinkedHashMap<>();
       for (int i = 0; i < of.length; i++) {
@@ -110,22 +84,23 @@
   }
 
   /** Answers; {@code stop} is asked now and then, and ends it with what is known by then. */
-  public Outcome solve(BooleanSupplier stop) {
+  public FeasibilityResult solve(BooleanSupplier stop) {
     if (spots.isEmpty()) {
-      return new Outcome(Verdict.NOT_KNOWN, Map.of(), List.of(), false);
+      return new FeasibilityResult(FeasibilityResult.Verdict.UNKNOWN, Map.of(), List.of(), false);
     }
     if (parts.isEmpty()) {
-      return new Outcome(Verdict.YES, Map.of(), List.of(), false);
+      return new FeasibilityResult(FeasibilityResult.Verdict.FEASIBLE, Map.of(), List.of(), false);
     }
-    Outcome all = new Try(rules, true, stop).outcome();
-    if (all.verdict != Verdict.NO) {
+    FeasibilityResult all = new Try(rules, true, stop).outcome();
+    if (all.verdict() != FeasibilityResult.Verdict.INFEASIBLE) {
       return all;
     }
     // Room is asked first, then the rules: what clashes already without room is the customers' own.
     List<PlacementConstraint> some = rules;
-    boolean room = new Try(rules, false, stop).outcome().verdict != Verdict.NO;
+    boolean room =
+        new Try(rules, false, stop).outcome().verdict() != FeasibilityResult.Verdict.INFEASIBLE;
     some = fewest(List.of(), List.of(), some, room, stop);
-    return new Outcome(Verdict.NO, Map.of(), some, room);
+    return new FeasibilityResult(FeasibilityResult.Verdict.INFEASIBLE, Map.of(), some, room);
   }
 
   /**
@@ -139,7 +114,7 @@
       boolean room,
       BooleanSupplier stop) {
     if (!added.isEmpty() || base.isEmpty() && added.isEmpty() && !from.isEmpty()) {
-      if (new Try(base, room, stop).outcome().verdict == Verdict.NO) {
+      if (new Try(base, room, stop).outcome().verdict() == FeasibilityResult.Verdict.INFEASIBLE) {
         return List.of();
       }
     }
@@ -163,17 +138,17 @@
   /**
    * The smallest kind of domain that a VM must share with another of these; null if it need not.
    */
-  Domain bound(Part p) {
-    Domain least = null;
+  TopologyLevel bound(GroupMember p) {
+    TopologyLevel least = null;
     for (PlacementConstraint r : rules) {
-      if (r.clause() instanceof PlacementConstraint.Near n
+      if (r.clause() instanceof PlacementConstraint.Affinity n
           && parts.stream()
               .anyMatch(
                   o ->
                       o != p
                           && (of(r.scope(), p) && of(n.other(), o)
                               || of(r.scope(), o) && of(n.other(), p)))) {
-        least = least == null || n.per().compareTo(least) < 0 ? n.per() : least;
+        least = least == null || n.level().compareTo(least) < 0 ? n.level() : least;
       }
     }
     return least;
@@ -185,23 +160,24 @@
     return Arrays.stream(t.at).mapToInt(IntVar::getDomainSize).min().orElse(0);
   }
 
-  ConstraintIndex.MachineTopology spot(String machine) {
+  MachineTopology spot(String machine) {
     return spots.stream().filter(s -> s.name().equals(machine)).findFirst().orElseThrow();
   }
 
-  private Map<String, Integer> held(PlacementConstraint.Scope scope, Domain per, long service) {
+  private Map<String, Integer> held(
+      PlacementConstraint.Scope scope, TopologyLevel per, long service) {
     return held.getOrDefault(new Held(scope, per, service, false), Map.of());
   }
 
-  private static boolean of(PlacementConstraint.Scope s, Part p) {
-    return s.covers(p.tenant, p.priorityClass, p.service);
+  private static boolean of(PlacementConstraint.Scope s, GroupMember p) {
+    return s.covers(p.vm());
   }
 
   /** One run of the solver under some of the rules. */
   private final class Try {
     private final Model model = new Model("together");
     private final IntVar[] at = new IntVar[parts.size()];
-    private final Map<Domain, IntVar[]> in = new EnumMap<>(Domain.class);
+    private final Map<TopologyLevel, IntVar[]> in = new EnumMap<>(TopologyLevel.class);
     private final BooleanSupplier stop;
     private boolean impossible;
 
@@ -214,47 +190,49 @@
         return;
       }
       for (PlacementConstraint r : some) {
-        if (r.clause() instanceof PlacementConstraint.Apart a) {
+        if (r.clause() instanceof PlacementConstraint.AntiAffinity a) {
           apart(r, a);
-        } else if (r.clause() instanceof PlacementConstraint.Most m) {
+        } else if (r.clause() instanceof PlacementConstraint.SpreadLimit m) {
           most(r, m);
-        } else if (r.clause() instanceof PlacementConstraint.Near n) {
+        } else if (r.clause() instanceof PlacementConstraint.Affinity n) {
           near(r, n);
         }
       }
       if (room) {
-        pack(p -> parts.get(p).cores, m -> rooms.get(m).cores);
-        pack(p -> parts.get(p).memory, m -> rooms.get(m).memory);
+        pack(p -> parts.get(p).cores(), m -> rooms.get(m).cores());
+        pack(p -> parts.get(p).memory(), m -> rooms.get(m).memory());
       }
     }
 
     /** Machines that no rule forbids whatever the others do. */
     private int[] machinesFor(int p, List<PlacementConstraint> some, boolean room) {
-      Part part = parts.get(p);
+      GroupMember part = parts.get(p);
       boolean[] no = new boolean[spots.size()];
       for (int m = 0; room && m < no.length; m++) {
-        no[m] = part.cores > rooms.get(m).cores || part.memory > rooms.get(m).memory;
+        no[m] = part.cores() > rooms.get(m).cores() || part.memory() > rooms.get(m).memory();
       }
       for (PlacementConstraint r : some) {
-        if (r.clause() instanceof PlacementConstraint.Apart a) {
+        if (r.clause() instanceof PlacementConstraint.AntiAffinity a) {
           if (of(r.scope(), part)) {
-            forbid(no, a.per(), held(a.other(), a.per(), ConstraintIndex.ANY), 1);
+            forbid(no, a.level(), held(a.other(), a.level(), ConstraintIndex.ANY), 1);
           }
           if (of(a.other(), part)) {
-            forbid(no, a.per(), held(r.scope(), a.per(), ConstraintIndex.ANY), 1);
+            forbid(no, a.level(), held(r.scope(), a.level(), ConstraintIndex.ANY), 1);
           }
         } else if (of(r.scope(), part)) {
-          if (r.clause() instanceof PlacementConstraint.On on) {
+          if (r.clause() instanceof PlacementConstraint.MachineLabels on) {
             for (int m = 0; m < no.length; m++) {
-              no[m] |= !ConstraintIndex.holds(on.where(), spots.get(m));
+              no[m] |= !on.predicate().matches(spots.get(m));
             }
-          } else if (r.clause() instanceof PlacementConstraint.Most most) {
+          } else if (r.clause() instanceof PlacementConstraint.SpreadLimit most) {
             forbid(
                 no,
-                most.per(),
+                most.level(),
                 held(
-                    r.scope(), most.per(), most.eachService() ? part.service : ConstraintIndex.ANY),
-                ConstraintIndex.share(most, placers));
+                    r.scope(),
+                    most.level(),
+                    most.perService() ? part.vm().service() : ConstraintIndex.ANY),
+                most.limitPerScheduler(placers));
           }
         }
       }
@@ -264,7 +242,7 @@
     }
 
     /** Closes domains that hold so many already. */
-    private void forbid(boolean[] no, Domain per, Map<String, Integer> counts, int most) {
+    private void forbid(boolean[] no, TopologyLevel per, Map<String, Integer> counts, int most) {
       if (counts.isEmpty()) {
         return;
       }
@@ -273,8 +251,8 @@
       }
     }
 
-    private IntVar in(int p, Domain per) {
-      if (per == Domain.MACHINE) {
+    private IntVar in(int p, TopologyLevel per) {
+      if (per == TopologyLevel.MACHINE) {
         return at[p];
       }
       IntVar[] of = in.computeIfAbsent(per, d -> new IntVar[parts.size()]);
@@ -286,11 +264,11 @@
       return of[p];
     }
 
-    private void apart(PlacementConstraint r, PlacementConstraint.Apart a) {
+    private void apart(PlacementConstraint r, PlacementConstraint.AntiAffinity a) {
       List<IntVar> each = new ArrayList<>();
       for (int u = 0; u < at.length; u++) {
         if (of(r.scope(), parts.get(u)) && of(a.other(), parts.get(u))) {
-          each.add(in(u, a.per()));
+          each.add(in(u, a.level()));
         }
       }
       if (each.size() > 1 && !ofKinds) {
@@ -300,37 +278,37 @@
         for (int w = 0; w < at.length; w++) {
           boolean both = of(r.scope(), parts.get(w)) && of(a.other(), parts.get(u));
           if (u != w && of(r.scope(), parts.get(u)) && of(a.other(), parts.get(w)) && !both) {
-            model.arithm(in(u, a.per()), "!=", in(w, a.per())).post();
+            model.arithm(in(u, a.level()), "!=", in(w, a.level())).post();
           }
         }
       }
     }
 
-    private void most(PlacementConstraint r, PlacementConstraint.Most m) {
-      int most = ConstraintIndex.share(m, placers);
+    private void most(PlacementConstraint r, PlacementConstraint.SpreadLimit m) {
+      int most = m.limitPerScheduler(placers);
       Map<Long, List<Integer>> kin = new TreeMap<>();
       for (int p = 0; p < at.length; p++) {
         if (of(r.scope(), parts.get(p))) {
           kin.computeIfAbsent(
-                  m.eachService() ? parts.get(p).service : ConstraintIndex.ANY,
+                  m.perService() ? parts.get(p).vm().service() : ConstraintIndex.ANY,
                   s -> new ArrayList<>())
               .add(p);
         }
       }
       kin.forEach(
           (service, some) -> {
-            Map<String, Integer> counts = held(r.scope(), m.per(), service);
+            Map<String, Integer> counts = held(r.scope(), m.level(), service);
             int fewestLeft =
                 most - counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
             if (some.size() <= fewestLeft) {
               return;
             }
-            IntVar[] vars = some.stream().map(p -> in(p, m.per())).toArray(IntVar[]::new);
+            IntVar[] vars = some.stream().map(p -> in(p, m.level())).toArray(IntVar[]::new);
             if (most == 1) {
               model.allDifferent(vars).post();
               return;
             }
-            List<String> all = names.get(m.per());
+            List<String> all = names.get(m.level());
             int[] values = new int[all.size()];
             IntVar[] times = new IntVar[values.length];
             for (int i = 0; i < values.length; i++) {
@@ -345,12 +323,12 @@
           });
     }
 
-    private void near(PlacementConstraint r, PlacementConstraint.Near n) {
+    private void near(PlacementConstraint r, PlacementConstraint.Affinity n) {
       Map<String, Integer> counts =
-          held.getOrDefault(new Held(n.other(), n.per(), ConstraintIndex.ANY, true), Map.of());
+          held.getOrDefault(new Held(n.other(), n.level(), ConstraintIndex.ANY, true), Map.of());
       int[] already =
-          java.util.stream.IntStream.range(0, names.get(n.per()).size())
-              .filter(i -> counts.containsKey(names.get(n.per()).get(i)))
+          java.util.stream.IntStream.range(0, names.get(n.level()).size())
+              .filter(i -> counts.containsKey(names.get(n.level()).get(i)))
               .toArray();
       boolean away = already.length == 0 && !counts.isEmpty();
       for (int u = 0; u < at.length; u++) {
@@ -359,11 +337,11 @@
         }
         List<Constraint> ways = new ArrayList<>();
         if (already.length > 0) {
-          ways.add(model.member(in(u, n.per()), already));
+          ways.add(model.member(in(u, n.level()), already));
         }
         for (int w = 0; w < at.length; w++) {
           if (w != u && of(n.other(), parts.get(w))) {
-            ways.add(model.arithm(in(u, n.per()), "=", in(w, n.per())));
+            ways.add(model.arithm(in(u, n.level()), "=", in(w, n.level())));
           }
         }
         if (ways.size() == 1) {
@@ -400,18 +378,22 @@
       }
     }
 
-    Outcome outcome() {
+    FeasibilityResult outcome() {
       if (impossible) {
-        return new Outcome(Verdict.NO, Map.of(), List.of(), false);
+        return new FeasibilityResult(
+            FeasibilityResult.Verdict.INFEASIBLE, Map.of(), List.of(), false);
       }
       model.getSolver().setSearch(Search.domOverWDegSearch(at));
       model.getSolver().limitFail(FAILS);
       model.getSolver().addStopCriterion(stop::getAsBoolean);
       if (model.getSolver().solve()) {
-        return new Outcome(Verdict.YES, inOrder(), List.of(), false);
+        return new FeasibilityResult(
+            FeasibilityResult.Verdict.FEASIBLE, inOrder(), List.of(), false);
       }
-      return new Outcome(
-          model.getSolver().isStopCriterionMet() ? Verdict.NOT_KNOWN : Verdict.NO,
+      return new FeasibilityResult(
+          model.getSolver().isStopCriterionMet()
+              ? FeasibilityResult.Verdict.UNKNOWN
+              : FeasibilityResult.Verdict.INFEASIBLE,
           Map.of(),
           List.of(),
           false);
@@ -423,7 +405,7 @@
       for (boolean seeks : new boolean[] {false, true}) {
         for (int p = 0; p < at.length; p++) {
           if (seeks(parts.get(p)) == seeks) {
-            places.put(parts.get(p).id, spots.get(at[p].getValue()).name());
+            places.put(parts.get(p).id(), spots.get(at[p].getValue()).name());
           }
         }
       }
@@ -431,8 +413,8 @@
     }
   }
 
-  private boolean seeks(Part p) {
+  private boolean seeks(GroupMember p) {
     return rules.stream()
-        .anyMatch(r -> r.clause() instanceof PlacementConstraint.Near && of(r.scope(), p));
+        .anyMatch(r -> r.clause() instanceof PlacementConstraint.Affinity && of(r.scope(), p));
   }
 }
--- a/src/main/java/fordridge/constraint/GroupPlan.java
+++ b/src/main/java/fordridge/constraint/GroupPlan.java
@@ -1,13 +1,10 @@
 package fordridge.constraint;
 
-import fordridge.constraint.GroupFeasibility.Outcome;
-import fordridge.constraint.GroupFeasibility.Part;
-import fordridge.constraint.GroupFeasibility.Verdict;
-import fordridge.constraint.PlacementConstraint.Domain;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
@@ -31,9 +28,9 @@
   private static final int AMPLE = 4;
 
   /** Longest that it is looked into. */
-  public static final Duration THINKS = Duration.ofSeconds(1);
+  public static final Duration TIME_LIMIT = Duration.ofSeconds(1);
 
-  private record Held(Domain per, String domain) {}
+  private record Held(TopologyLevel per, String domain) {}
 
   private final Map<String, Held> held = new HashMap<>();
   private final Map<String, String> led = new HashMap<>();
@@ -49,25 +46,25 @@
    * Settles it, by the room that there is now, else by the whole of each machine, as room may come
    * free in time; only what not even empty machines could take is refused.
    */
-  public static GroupPlan of(
-      GroupFeasibility now, GroupFeasibility empty, List<Part> parts, BooleanSupplier stop) {
-    Outcome o = now.solve(stop);
+  public static GroupPlan compute(
+      GroupFeasibility now, GroupFeasibility empty, List<GroupMember> parts, BooleanSupplier stop) {
+    FeasibilityResult o = now.solve(stop);
     GroupFeasibility of = now;
-    if (o.verdict() != Verdict.YES) {
+    if (o.verdict() != FeasibilityResult.Verdict.FEASIBLE) {
       o = empty.solve(stop);
       of = empty;
     }
-    if (o.verdict() == Verdict.NO) {
+    if (o.verdict() == FeasibilityResult.Verdict.INFEASIBLE) {
       return new GroupPlan(List.of(), refusal(o, parts.size()));
     }
-    if (o.verdict() == Verdict.NOT_KNOWN) {
-      return new GroupPlan(parts.stream().map(Part::id).toList(), null);
+    if (o.verdict() == FeasibilityResult.Verdict.UNKNOWN) {
+      return new GroupPlan(parts.stream().map(GroupMember::id).toList(), null);
     }
-    GroupPlan plan = new GroupPlan(List.copyOf(o.machines().keySet()), null);
+    GroupPlan plan = new GroupPlan(List.copyOf(o.machineByMember().keySet()), null);
     boolean scarce = of.fewestOpen() < AMPLE * parts.size();
-    for (Part p : parts) {
-      String machine = o.machines().get(p.id());
-      Domain per = of.bound(p);
+    for (GroupMember p : parts) {
+      String machine = o.machineByMember().get(p.id());
+      TopologyLevel per = of.bound(p);
       if (per != null) {
         plan.held.put(p.id(), new Held(per, ConstraintIndex.domain(of.spot(machine), per)));
       }
@@ -79,29 +76,31 @@
   }
 
   /** Nothing speaks of these. */
-  public static GroupPlan free(List<String> order) {
+  public static GroupPlan unconstrained(List<String> order) {
     return new GroupPlan(List.copyOf(order), null);
   }
 
-  private static String refusal(Outcome o, int size) {
+  private static String refusal(FeasibilityResult o, int size) {
     String rules =
-        o.rules().stream()
+        o.conflictingConstraints().stream()
             .map(r -> "rule '" + r.name() + "' (" + r.clause() + ")")
             .collect(Collectors.joining(" and "));
     return "no placing of all "
         + size
         + " meets "
         + (rules.isEmpty() ? "" : rules)
-        + (o.room() ? (rules.isEmpty() ? "" : " and ") + "the size of the machines" : "");
+        + (o.isCapacityExceeded()
+            ? (rules.isEmpty() ? "" : " and ") + "the size of the machines"
+            : "");
   }
 
-  /** Why the group can never be placed, or null. */
-  public String refusal() {
-    return refusal;
+  /** Why the group can never be placed; empty where it may be. */
+  public Optional<String> rejectionReason() {
+    return Optional.ofNullable(refusal);
   }
 
   /** In which order its VMs are best placed. */
-  public List<String> order() {
+  public List<String> placementOrder() {
     return order;
   }
 
@@ -109,12 +108,12 @@
    * Whether its place near others is settled here, so that their not being there yet does not
    * count.
    */
-  public boolean settlesNear(String id) {
+  public boolean hasFixedDomain(String id) {
     return held.containsKey(id);
   }
 
   /** What speaks against a machine for a member: infinite where it must not go. */
-  public double constraintPenalty(String id, ConstraintIndex.MachineTopology spot) {
+  public double placementPenalty(String id, MachineTopology spot) {
     Held h = held.get(id);
     if (h != null && !ConstraintIndex.domain(spot, h.per).equals(h.domain)) {
       return Double.POSITIVE_INFINITY;
--- /dev/null
+++ b/src/main/java/fordridge/constraint/MachineCapacity.java
@@ -0,0 +1,9 @@
+package fordridge.constraint;
+
+/**
+ * Capacity of one machine that a group may use.
+ *
+ * @param cores available cores
+ * @param memory available memory, in the unit of the members' requests
+ */
+public record MachineCapacity(double cores, double memory) {}
--- a/src/main/java/fordridge/constraint/PlacementConstraint.java
+++ b/src/main/java/fordridge/constraint/PlacementConstraint.java
@@ -1,73 +1,26 @@
 package fordridge.constraint;
 
-import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /**
- * One sentence of the language: whose VMs, how binding, and what is asked of the machines they go
- * to. What prints here is what the parser reads back to the same.
+ * One sentence of the constraint language: which VMs it speaks of, how binding it is, and what it
+ * asks of the machines they go to. Its text form parses back to an equal constraint.
+ *
+ * @param name unique within its set
+ * @param scope the VMs that it speaks of
+ * @param weight 0 for a required constraint, else the weight of the preference
+ * @param clause what is asked of the machines
+ * @param line the line of the set's text that it begins in, from 1
  */
 public record PlacementConstraint(
     String name, Scope scope, double weight, Clause clause, int line) {
-  /** Required rules have no weight. */
-  public boolean required() {
-    return weight == 0;
-  }
-
-  /** Where VMs are counted: together by machine, cell or zone. */
-  public enum Domain {
-    MACHINE,
-    CELL,
-    ZONE;
-
-    @Override
-    public String toString() {
-      return name().toLowerCase();
-    }
-  }
 
-  /** VMs by customer, flavour and service; an empty set of values is any. */
-  public record Scope(Set<String> tenants, Set<String> priorityClasses, Set<String> services) {
-    public static final Scope ALL = new Scope(Set.of(), Set.of(), Set.of());
-
-    public boolean covers(String tenant, String priorityClass, long service) {
-      return (tenants.isEmpty() || tenants.contains(tenant))
-          && (priorityClasses.isEmpty() || priorityClasses.contains(priorityClass))
-          && (services.isEmpty() || services.contains(Long.toString(service)));
-    }
-
-    @Override
-    public String toString() {
-      StringBuilder s = new StringBuilder();
-      part(s, "customer", tenants);
-      part(s, "flavour", priorityClasses);
-      part(s, "service", services);
-      return s.length() == 0 ? "all" : s.toString();
-    }
-
-    private static void part(StringBuilder s, String field, Set<String> values) {
-      if (!values.isEmpty()) {
-        s.append(s.length() == 0 ? "" : " and ").append(field).append(' ').append(values(values));
-      }
-    }
-  }
-
-  static String values(Set<String> values) {
-    return new TreeSet<>(values)
-        .stream().map(PlacementConstraint::quoted).collect(Collectors.joining(", "));
-  }
-
-  /** Words of the language and odd characters need quotes. */
-  static String quoted(String v) {
-    return v.matches("[0-9]+") || v.matches("[A-Za-z_][A-Za-z0-9_.-]*") && !WORDS.contains(v)
-        ? v
-        : '"' + v + '"';
-  }
-
-  private static final List<String> WORDS =
-      List.of(
+  /** Keywords of the language; a value that equals one is quoted. */
+  private static final Set<String> KEYWORDS =
+      Set.of(
           "rule",
           "require",
           "prefer",
@@ -95,93 +48,217 @@
           "cell",
           "zone");
 
-  /** What is asked. */
-  public sealed interface Clause permits Near, Apart, Most, Skew, On {}
+  /** Whether no VM may be placed against it; otherwise it is a preference with a weight. */
+  public boolean isRequired() {
+    return weight == 0;
+  }
+
+  /** VMs by tenant, priority class and service number; an empty set of values selects any. */
+  public record Scope(Set<String> tenants, Set<String> priorityClasses, Set<String> services) {
+    /** Selects every VM. */
+    public static final Scope ALL = new Scope(Set.of(), Set.of(), Set.of());
+
+    /** Whether it selects the VM. */
+    public boolean covers(VmAttributes vm) {
+      return (tenants.isEmpty() || tenants.contains(vm.tenant()))
+          && (priorityClasses.isEmpty() || priorityClasses.contains(vm.priorityClass()))
+          && (services.isEmpty() || services.contains(Long.toString(vm.service())));
+    }
 
-  /** In a domain that holds one of the others; anywhere while there is none of them. */
-  public record Near(Scope other, Domain per) implements Clause {
     @Override
     public String toString() {
-      return "near " + other + " per " + per;
+      StringBuilder text = new StringBuilder();
+      appendSelector(text, "customer", tenants);
+      appendSelector(text, "flavour", priorityClasses);
+      appendSelector(text, "service", services);
+      return text.length() == 0 ? "all" : text.toString();
+    }
+
+    private static void appendSelector(StringBuilder text, String field, Set<String> values) {
+      if (values.isEmpty()) {
+        return;
+      }
+      if (text.length() > 0) {
+        text.append(" and ");
+      }
+      text.append(field).append(' ').append(formatValues(values));
     }
   }
 
-  /** In no domain that holds one of the others; and they in none that holds one of these. */
-  public record Apart(Scope other, Domain per) implements Clause {
+  /** What a constraint asks of the machines that the VMs of its scope go to. */
+  public sealed interface Clause
+      permits Affinity, AntiAffinity, SpreadLimit, SpreadSkew, MachineLabels {}
+
+  /** Keyword near: in a domain that holds one of the others; anywhere while there is none. */
+  public record Affinity(Scope other, TopologyLevel level) implements Clause {
     @Override
     public String toString() {
-      return "apart " + other + " per " + per;
+      return "near " + other + " per " + level;
     }
   }
 
-  /** At most so many in one domain; overall, over all placers. */
-  public record Most(int most, boolean eachService, Domain per, boolean overall) implements Clause {
+  /**
+   * Keyword apart: in no domain that holds one of the others, and the others in none that holds one
+   * of the scope's VMs.
+   */
+  public record AntiAffinity(Scope other, TopologyLevel level) implements Clause {
+    @Override
+    public String toString() {
+      return "apart " + other + " per " + level;
+    }
+  }
+
+  /**
+   * Keywords spread at most: no domain holds more than the limit.
+   *
+   * @param limit most VMs in one domain
+   * @param perService whether each service is counted by itself
+   * @param level the domains that are counted
+   * @param clusterWide whether the limit is meant over the VMs of all schedulers
+   */
+  public record SpreadLimit(int limit, boolean perService, TopologyLevel level, boolean clusterWide)
+      implements Clause {
     @Override
     public String toString() {
       return "spread at most "
-          + most
-          + (eachService ? " of each service" : "")
+          + limit
+          + (perService ? " of each service" : "")
           + " per "
-          + per
-          + (overall ? " overall" : "");
+          + level
+          + (clusterWide ? " overall" : "");
+    }
+
+    /** The limit for one of several schedulers that do not coordinate; at least 1. */
+    int limitPerScheduler(int schedulerCount) {
+      return clusterWide ? Math.max(1, limit / schedulerCount) : limit;
     }
   }
 
-  /** No domain holds more than so many more than the one with fewest that the VM could go to. */
-  public record Skew(int skew, boolean eachService, Domain per) implements Clause {
+  /**
+   * Keywords spread within: with the VM placed, its domain holds at most so many more than the
+   * domain with fewest that the VM could go to.
+   */
+  public record SpreadSkew(int maxSkew, boolean perService, TopologyLevel level) implements Clause {
     @Override
     public String toString() {
-      return "spread within " + skew + (eachService ? " of each service" : "") + " per " + per;
+      return "spread within " + maxSkew + (perService ? " of each service" : "") + " per " + level;
     }
   }
 
-  /** Only machines of which the predicate holds. */
-  public record On(Predicate where) implements Clause {
+  /** Keyword on: only machines whose labels meet the predicate. */
+  public record MachineLabels(LabelPredicate predicate) implements Clause {
+    @Override
+    public String toString() {
+      return "on " + predicate;
+    }
+  }
+
+  /** The labels of a machine. */
+  public enum LabelKey {
+    /** Its hardware kind. */
+    KIND,
+    /** The number of its cell. */
+    CELL,
+    /** Its zone. */
+    ZONE,
+    /** Its name. */
+    MACHINE;
+
+    /** The machine's value of this label. */
+    public String valueOf(MachineTopology machine) {
+      return switch (this) {
+        case KIND -> machine.kind();
+        case CELL -> Integer.toString(machine.cell());
+        case ZONE -> machine.zone();
+        case MACHINE -> machine.name();
+      };
+    }
+
+    /** The label's keyword in the constraint language. */
     @Override
     public String toString() {
-      return "on " + where;
+      return name().toLowerCase(Locale.ROOT);
     }
   }
 
-  /** Of a machine's labels. */
-  public sealed interface Predicate permits Label, Not, Both, Either {}
+  /** A condition on a machine's labels. */
+  public sealed interface LabelPredicate permits Label, Not, And, Or {
+    /** Whether the machine's labels meet it. */
+    boolean matches(MachineTopology machine);
+  }
+
+  /** The label has one of the values. */
+  public record Label(LabelKey key, Set<String> values) implements LabelPredicate {
+    @Override
+    public boolean matches(MachineTopology machine) {
+      return values.contains(key.valueOf(machine));
+    }
 
-  public record Label(String field, Set<String> values) implements Predicate {
     @Override
     public String toString() {
-      return field + " " + PlacementConstraint.values(values);
+      return key + " " + formatValues(values);
     }
   }
 
-  public record Not(Predicate of) implements Predicate {
+  /** The predicate is not met. */
+  public record Not(LabelPredicate negated) implements LabelPredicate {
+    @Override
+    public boolean matches(MachineTopology machine) {
+      return !negated.matches(machine);
+    }
+
     @Override
     public String toString() {
-      return "not (" + of + ")";
+      return "not (" + negated + ")";
     }
   }
 
-  public record Both(Predicate a, Predicate b) implements Predicate {
+  /** Both predicates are met. */
+  public record And(LabelPredicate left, LabelPredicate right) implements LabelPredicate {
+    @Override
+    public boolean matches(MachineTopology machine) {
+      return left.matches(machine) && right.matches(machine);
+    }
+
     @Override
     public String toString() {
-      return "(" + a + ") and (" + b + ")";
+      return "(" + left + ") and (" + right + ")";
     }
   }
 
-  public record Either(Predicate a, Predicate b) implements Predicate {
+  /** At least one of the predicates is met. */
+  public record Or(LabelPredicate left, LabelPredicate right) implements LabelPredicate {
+    @Override
+    public boolean matches(MachineTopology machine) {
+      return left.matches(machine) || right.matches(machine);
+    }
+
     @Override
     public String toString() {
-      return "(" + a + ") or (" + b + ")";
+      return "(" + left + ") or (" + right + ")";
     }
   }
 
+  /** The constraint as the language writes it. */
   @Override
   public String toString() {
     return "rule "
         + name
         + ": "
         + scope
-        + (required() ? " require " : " prefer " + Math.round(weight) + " ")
+        + (isRequired() ? " require " : " prefer " + Math.round(weight) + " ")
         + clause
         + ";";
   }
+
+  private static String formatValues(Set<String> values) {
+    return new TreeSet<>(values)
+        .stream().map(PlacementConstraint::quoteIfNeeded).collect(Collectors.joining(", "));
+  }
+
+  private static String quoteIfNeeded(String value) {
+    boolean isNumber = value.matches("[0-9]+");
+    boolean isIdentifier = value.matches("[A-Za-z_][A-Za-z0-9_.-]*") && !KEYWORDS.contains(value);
+    return isNumber || isIdentifier ? value : '"' + value + '"';
+  }
 }
--- /dev/null
+++ b/src/main/java/fordridge/constraint/SourceText.java
@@ -0,0 +1,41 @@
+package fordridge.constraint;
+
+import java.util.Optional;
+
+/** The text of a constraint set by lines, for locating problems in it. */
+final class SourceText {
+  private static final int MAX_EXCERPT_CHARACTERS = 80;
+
+  private final String[] lines;
+
+  SourceText(String text) {
+    lines = text.split("\n", -1);
+  }
+
+  /**
+   * A problem at a place as the lexer counts it.
+   *
+   * @param line from 1
+   * @param zeroBasedColumn from 0
+   */
+  ConstraintSyntaxException.Problem problemAt(int line, int zeroBasedColumn, String description) {
+    return new ConstraintSyntaxException.Problem(
+        line, zeroBasedColumn + 1, Optional.of(excerpt(line)), description);
+  }
+
+  /** A problem of the text as a whole, placed at its beginning. */
+  static ConstraintSyntaxException.Problem problemOfWholeText(String description) {
+    return new ConstraintSyntaxException.Problem(1, 1, Optional.empty(), description);
+  }
+
+  private String excerpt(int line) {
+    if (line < 1 || line > lines.length) {
+      return "";
+    }
+    String stripped = lines[line - 1].strip();
+    if (stripped.length() <= MAX_EXCERPT_CHARACTERS) {
+      return stripped;
+    }
+    return stripped.substring(0, MAX_EXCERPT_CHARACTERS) + "...";
+  }
+}
--- a/src/main/java/fordridge/emulator/ConstraintChecker.java
+++ b/src/main/java/fordridge/emulator/ConstraintChecker.java
@@ -1,9 +1,11 @@
 package fordridge.emulator;
 
 import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.ConstraintSyntaxException;
 import fordridge.constraint.PlacementConstraint;
-import fordridge.constraint.PlacementConstraint.Domain;
 import fordridge.constraint.PlacementConstraint.Scope;
+import fordridge.constraint.TopologyLevel;
+import fordridge.constraint.VmAttributes;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -21,8 +23,10 @@
 final class ConstraintChecker {
   /** A machine's labels. */
   record MachineTopology(String name, String kind, String zone, long cell) {
-    String domain(Domain per) {
-      return per == Domain.MACHINE ? name : per == Domain.ZONE ? zone : zone + "/" + cell;
+    String domain(TopologyLevel per) {
+      return per == TopologyLevel.MACHINE
+          ? name
+          : per == TopologyLevel.ZONE ? zone : zone + "/" + cell;
     }
   }
 
@@ -60,9 +64,9 @@
   /** A set is in force; for a while after that the one before it is as good. */
   void set(String text, int among, long t) {
     try {
-      sets.addLast(ConstraintParser.read(text, ConstraintParser.Names.ANY));
-    } catch (ConstraintParser.ConstraintSyntaxException e) {
-      throw new IllegalArgumentException("rules in the tap: " + e.complaints);
+      sets.addLast(ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED));
+    } catch (ConstraintSyntaxException e) {
+      throw new IllegalArgumentException("rules in the tap: " + e.messages());
     }
     if (sets.size() > 2) {
       sets.removeFirst();
@@ -95,7 +99,7 @@
 
   private String broken(List<PlacementConstraint> rules, List<Placed> own, Placed p) {
     for (PlacementConstraint r : rules) {
-      if (r.required() && !keeps(r, own, p)) {
+      if (r.isRequired() && !keeps(r, own, p)) {
         return "rule '" + r.name() + "' (" + r.clause() + ")";
       }
     }
@@ -104,36 +108,36 @@
 
   private boolean keeps(PlacementConstraint r, List<Placed> own, Placed p) {
     boolean about = covers(r.scope(), p);
-    if (r.clause() instanceof PlacementConstraint.Apart a) {
+    if (r.clause() instanceof PlacementConstraint.AntiAffinity a) {
       return own.stream()
           .noneMatch(
               o ->
                   running(o)
-                      && same(o, p, a.per())
+                      && same(o, p, a.level())
                       && (about && covers(a.other(), o)
                           || covers(a.other(), p) && covers(r.scope(), o)));
     }
     if (!about) {
       return true;
     }
-    if (r.clause() instanceof PlacementConstraint.On on) {
-      return holds(on.where(), p.spot);
+    if (r.clause() instanceof PlacementConstraint.MachineLabels on) {
+      return holds(on.predicate(), p.spot);
     }
-    if (r.clause() instanceof PlacementConstraint.Most m) {
-      int most = m.overall() ? Math.max(1, m.most() / placers) : m.most();
+    if (r.clause() instanceof PlacementConstraint.SpreadLimit m) {
+      int most = m.clusterWide() ? Math.max(1, m.limit() / placers) : m.limit();
       return own.stream()
               .filter(
                   o ->
                       running(o)
-                          && same(o, p, m.per())
+                          && same(o, p, m.level())
                           && covers(r.scope(), o)
-                          && (!m.eachService() || o.service == p.service))
+                          && (!m.perService() || o.service == p.service))
               .count()
           < most;
     }
-    if (r.clause() instanceof PlacementConstraint.Near n) {
+    if (r.clause() instanceof PlacementConstraint.Affinity n) {
       return own.stream().noneMatch(o -> running(o) && covers(n.other(), o))
-          || own.stream().anyMatch(o -> covers(n.other(), o) && same(o, p, n.per()));
+          || own.stream().anyMatch(o -> covers(n.other(), o) && same(o, p, n.level()));
     }
     return true;
   }
@@ -142,30 +146,30 @@
     return p.runs && !p.over;
   }
 
-  private static boolean same(Placed a, Placed b, Domain per) {
+  private static boolean same(Placed a, Placed b, TopologyLevel per) {
     return a.spot.domain(per).equals(b.spot.domain(per));
   }
 
   private static boolean covers(Scope s, Placed p) {
-    return s.covers(p.tenant, p.priorityClass, p.service);
+    return s.covers(new VmAttributes(p.tenant, p.priorityClass, p.service));
   }
 
-  private static boolean holds(PlacementConstraint.Predicate p, MachineTopology s) {
+  private static boolean holds(PlacementConstraint.LabelPredicate p, MachineTopology s) {
     if (p instanceof PlacementConstraint.Label l) {
       return l.values()
           .contains(
-              switch (l.field()) {
-                case "kind" -> s.kind;
-                case "zone" -> s.zone;
-                case "cell" -> Long.toString(s.cell);
-                default -> s.name;
+              switch (l.key()) {
+                case KIND -> s.kind;
+                case ZONE -> s.zone;
+                case CELL -> Long.toString(s.cell);
+                case MACHINE -> s.name;
               });
     }
     return p instanceof PlacementConstraint.Not n
-        ? !holds(n.of(), s)
-        : p instanceof PlacementConstraint.Both b
-            ? holds(b.a(), s) && holds(b.b(), s)
-            : holds(((PlacementConstraint.Either) p).a(), s)
-                || holds(((PlacementConstraint.Either) p).b(), s);
+        ? !holds(n.negated(), s)
+        : p instanceof PlacementConstraint.And b
+            ? holds(b.left(), s) && holds(b.right(), s)
+            : holds(((PlacementConstraint.Or) p).left(), s)
+                || holds(((PlacementConstraint.Or) p).right(), s);
   }
 }
--- a/src/main/java/fordridge/emulator/Scenario.java
+++ b/src/main/java/fordridge/emulator/Scenario.java
@@ -4,8 +4,11 @@
 import com.typesafe.config.ConfigValueFactory;
 import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.ConstraintSyntaxException;
 import fordridge.constraint.ConstraintValidator;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.UnsatisfiableConstraintsException;
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.settings.DeploymentSettings;
 import io.netty.channel.EventLoopGroup;
@@ -168,12 +171,11 @@
    */
   private void sets(ScheduledExecutorService clock, EmulatedEtcd etcd, WireRecorder tap) {
     RandomConstraints make = new RandomConstraints(plan);
-    List<ConstraintIndex.MachineTopology> spots =
+    List<MachineTopology> spots =
         machines.stream()
             .map(
                 m ->
-                    new ConstraintIndex.MachineTopology(
-                        m.make.name(), m.make.kind(), m.make.zone(), m.make.cell()))
+                    new MachineTopology(m.make.name(), m.make.kind(), m.make.zone(), m.make.cell()))
             .toList();
     int[] refused = {0};
     double[] slowest = {0};
@@ -186,14 +188,13 @@
             boolean kept;
             try {
               List<PlacementConstraint> rules =
-                  ConstraintParser.read(text, ConstraintParser.Names.ANY);
+                  ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED);
               new ConstraintIndex(rules, plan.deployment.allPlacers());
               kept =
-                  ConstraintValidator.of(
+                  ConstraintValidator.findConflicts(
                           rules, spots, () -> System.nanoTime() - from > 1_000_000_000L)
                       .isEmpty();
-            } catch (ConstraintParser.ConstraintSyntaxException
-                | ConstraintIndex.UnsatisfiableConstraintsException e) {
+            } catch (ConstraintSyntaxException | UnsatisfiableConstraintsException e) {
               kept = false;
             }
             double millis = (System.nanoTime() - from) / 1e6;
--- a/src/main/java/fordridge/grpc/OperatorService.java
+++ b/src/main/java/fordridge/grpc/OperatorService.java
@@ -1,6 +1,8 @@
 package fordridge.grpc;
 
 import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.RejectionReason;
+import fordridge.constraint.VmAttributes;
 import fordridge.v1.ExplainReply;
 import fordridge.v1.ExplainRequest;
 import fordridge.v1.Misfit;
@@ -54,37 +56,37 @@
       return;
     }
     b.setRunsOn(vm.machine);
-    book.without(
+    book.withoutAttempt(
         vm.attempt,
         () -> {
           for (String m : books.machines()) {
             Spot.Builder s =
                 Spot.newBuilder()
                     .setMachine(m)
-                    .setAllowed(book.allows(vm.tenant, vm.priorityClass, vm.service, m))
-                    .setUnfit(book.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, m));
-            book.why(vm.tenant, vm.priorityClass, vm.service, m)
-                .forEach(w -> s.addReasons(words(w)));
+                    .setAllowed(
+                        book.isAllowed(
+                            new VmAttributes(vm.tenant, vm.priorityClass, vm.service), m))
+                    .setUnfit(
+                        book.preferencePenalty(
+                            new VmAttributes(vm.tenant, vm.priorityClass, vm.service), m));
+            book.explainRejection(new VmAttributes(vm.tenant, vm.priorityClass, vm.service), m)
+                .forEach(w -> s.addReasons(w.toString()));
             b.addSpots(s);
           }
         });
-    book.misfits().forEach((attempt, why) -> b.addMisfits(misfit(attempt, why)));
-    book.strayed(ConstraintIndex.MOST_STRAYED)
+    book.findViolatingPlacements().forEach((attempt, why) -> b.addMisfits(misfit(attempt, why)));
+    book.findImprovablePlacements(ConstraintIndex.MAX_IMPROVABLE_REPORTED)
         .forEach((attempt, why) -> b.addStrayed(misfit(attempt, why)));
     to.onNext(b.build());
     to.onCompleted();
   }
 
-  private Misfit misfit(Object attempt, List<ConstraintIndex.Reason> why) {
+  private Misfit misfit(Object attempt, List<RejectionReason> why) {
     List<String> named = books.named(attempt);
     return Misfit.newBuilder()
         .setVm(named.get(0))
         .setMachine(named.get(1))
-        .addAllReasons(why.stream().map(OperatorService::words).toList())
+        .addAllReasons(why.stream().map(RejectionReason::toString).toList())
         .build();
   }
-
-  private static String words(ConstraintIndex.Reason w) {
-    return (w.rule() == null ? "" : "rule '" + w.rule().name() + "' ") + w.what();
-  }
 }
--- a/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -1,9 +1,13 @@
 package fordridge.server.grpc;
 
+import fordridge.constraint.ConstraintConflict;
 import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.ConstraintSyntaxException;
 import fordridge.constraint.ConstraintValidator;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.UnsatisfiableConstraintsException;
 import fordridge.discovery.MachineListSource;
 import fordridge.settings.DeploymentSettings;
 import fordridge.settings.SettingsUpdate;
@@ -42,7 +46,7 @@
   private String seen;
   private int version;
   private List<PlacementConstraint> inForce = List.of();
-  private Set<ConstraintIndex.MachineTopology> sensedFor = Set.of();
+  private Set<MachineTopology> sensedFor = Set.of();
   private List<String> clashing = List.of();
 
   ConstraintUpdater(DeploymentSettings d, MachineListSource list) {
@@ -123,15 +127,15 @@
     }
   }
 
-  private List<ConstraintIndex.MachineTopology> spots() {
+  private List<MachineTopology> spots() {
     return list.latest().entries().stream()
-        .map(e -> new ConstraintIndex.MachineTopology(e.name(), e.kind(), e.zone(), e.cell()))
+        .map(e -> new MachineTopology(e.name(), e.kind(), e.zone(), e.cell()))
         .toList();
   }
 
   /** A set that this deployment's placers can read and keep. */
   static List<PlacementConstraint> read(
-      String text, DeploymentSettings d, List<ConstraintIndex.MachineTopology> machines)
+      String text, DeploymentSettings d, List<MachineTopology> machines)
       throws DeploymentSettings.InvalidSettingsException {
     Set<String> tenants = new HashSet<>();
     d.tenants.forEach(c -> tenants.add(c.name()));
@@ -139,32 +143,33 @@
     d.kinds.forEach(k -> kinds.add(k.name()));
     try {
       List<PlacementConstraint> rules =
-          ConstraintParser.read(
+          ConstraintParser.parse(
               text,
-              new ConstraintParser.Names(tenants, d.priorityClasses.keySet(), kinds, Set.of()));
+              new ConstraintParser.KnownNames(
+                  tenants, d.priorityClasses.keySet(), kinds, Set.of()));
       new ConstraintIndex(rules, d.allPlacers());
-      List<ConstraintValidator.Conflict> clashes = clashes(rules, machines);
+      List<ConstraintConflict> clashes = clashes(rules, machines);
       if (!clashes.isEmpty()) {
         throw new DeploymentSettings.InvalidSettingsException(
             clashes.stream().map(Object::toString).toList());
       }
       return rules;
-    } catch (ConstraintParser.ConstraintSyntaxException e) {
-      throw new DeploymentSettings.InvalidSettingsException(e.complaints);
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+    } catch (ConstraintSyntaxException e) {
+      throw new DeploymentSettings.InvalidSettingsException(e.messages());
+    } catch (UnsatisfiableConstraintsException e) {
       throw new DeploymentSettings.InvalidSettingsException(List.of(e.getMessage()));
     }
   }
 
-  private static List<ConstraintValidator.Conflict> clashes(
-      List<PlacementConstraint> rules, List<ConstraintIndex.MachineTopology> machines) {
-    long until = System.nanoTime() + ConstraintValidator.THINKS.toNanos();
-    return ConstraintValidator.of(rules, machines, () -> System.nanoTime() - until > 0);
+  private static List<ConstraintConflict> clashes(
+      List<PlacementConstraint> rules, List<MachineTopology> machines) {
+    long until = System.nanoTime() + ConstraintValidator.TIME_LIMIT.toNanos();
+    return ConstraintValidator.findConflicts(rules, machines, () -> System.nanoTime() - until > 0);
   }
 
   /** A set in force that machines coming and going made impossible stays in force, and is named. */
   private void senseAgain() {
-    List<ConstraintIndex.MachineTopology> spots = spots();
+    List<MachineTopology> spots = spots();
     if (inForce.isEmpty() || new HashSet<>(spots).equals(sensedFor)) {
       return;
     }
--- a/src/main/java/fordridge/server/grpc/GroupCoordinator.java
+++ b/src/main/java/fordridge/server/grpc/GroupCoordinator.java
@@ -1,7 +1,7 @@
 package fordridge.server.grpc;
 
-import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.GroupPlan;
+import fordridge.constraint.MachineTopology;
 import fordridge.group.VmGroup;
 import fordridge.model.Vm;
 import fordridge.session.ClientResponse;
@@ -140,26 +140,26 @@
           }
           if (asked != changes) {
             whole(members);
-          } else if (plan.refusal() != null) {
-            g.gaveUp(plan.refusal());
+          } else if (plan.rejectionReason().isPresent()) {
+            g.gaveUp(plan.rejectionReason().get());
             tidy(g);
           } else {
             members.forEach(id -> plans.put(id, plan));
-            g.go(plan.order());
+            g.go(plan.placementOrder());
           }
         });
   }
 
   /** What speaks against a machine for a member, by its group's plan. */
-  double constraintPenalty(Vm vm, ConstraintIndex.MachineTopology spot) {
+  double constraintPenalty(Vm vm, MachineTopology spot) {
     GroupPlan plan = plans.get(vm.id);
-    return plan == null ? 0 : plan.constraintPenalty(vm.id, spot);
+    return plan == null ? 0 : plan.placementPenalty(vm.id, spot);
   }
 
   /** Whether its plan settles what it is near to. */
   boolean settlesNear(Vm vm) {
     GroupPlan plan = plans.get(vm.id);
-    return plan != null && plan.settlesNear(vm.id);
+    return plan != null && plan.hasFixedDomain(vm.id);
   }
 
   /** Nobody joins any more: groups that are not all here are given up. */
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -2,8 +2,13 @@
 
 import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.GroupFeasibility;
+import fordridge.constraint.GroupMember;
 import fordridge.constraint.GroupPlan;
+import fordridge.constraint.MachineCapacity;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.UnsatisfiableConstraintsException;
+import fordridge.constraint.VmAttributes;
 import fordridge.discovery.MachineListSource;
 import fordridge.group.VmGroup;
 import fordridge.grpc.ClientService;
@@ -205,7 +210,7 @@
   private Duration now = Duration.ZERO;
 
   /** Machines that were asked once what they hold of this placer. */
-  private final Map<String, ConstraintIndex.MachineTopology> spots = new LinkedHashMap<>();
+  private final Map<String, MachineTopology> spots = new LinkedHashMap<>();
 
   private final Set<String> draining = new LinkedHashSet<>();
   private final Set<Machine> called = new HashSet<>();
@@ -247,7 +252,7 @@
     inputs = new SchedulerInputs<>(this, SchedulerInputs::number);
     try {
       book = new ConstraintIndex(List.of(), d.allPlacers());
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+    } catch (UnsatisfiableConstraintsException e) {
       throw new IllegalStateException(e);
     }
     sessions =
@@ -444,8 +449,8 @@
           }
         });
     if (standElsewhere(list)) {
-      book.machines(spots.values());
-      book.draining(draining);
+      book.machineListReceived(spots.values());
+      book.drainingMachinesChanged(draining);
       groups.letGoOfPlans();
     }
     inputs.list(list.whole(), list.old(), lines);
@@ -465,12 +470,11 @@
     Set<String> named = new HashSet<>();
     for (MachineListSource.Entry e : list.entries()) {
       named.add(e.name());
-      ConstraintIndex.MachineTopology spot =
+      MachineTopology spot =
           e.lifecycle() == Machine.Lifecycle.GONE
               ? null
-              : new ConstraintIndex.MachineTopology(e.name(), e.kind(), e.zone(), e.cell());
-      ConstraintIndex.MachineTopology was =
-          spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
+              : new MachineTopology(e.name(), e.kind(), e.zone(), e.cell());
+      MachineTopology was = spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
       news |= !java.util.Objects.equals(was, spot);
       news |=
           e.lifecycle() == Machine.Lifecycle.DRAINING
@@ -506,10 +510,10 @@
             enter(
                 () -> {
                   try {
-                    book = book.with(rules, d.allPlacers());
+                    book = book.withConstraints(rules, d.allPlacers());
                     rulesVersion = version;
                     groups.letGoOfPlans();
-                    book.misfits()
+                    book.findViolatingPlacements()
                         .forEach(
                             (attempt, why) ->
                                 line(
@@ -517,7 +521,10 @@
                                     "runs where rules of version "
                                         + version
                                         + " would not let it go: "
-                                        + why.get(0).rule().name(),
+                                        + why.get(0)
+                                            .constraint()
+                                            .map(PlacementConstraint::name)
+                                            .orElse(why.get(0).description()),
                                     ((PlacementAttempt) attempt).vm,
                                     ((PlacementAttempt) attempt).machine));
                     line(
@@ -527,7 +534,7 @@
                         null);
                     inputs.scheduler.loadReported(null);
                     seen(w -> w.reported(null));
-                  } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+                  } catch (UnsatisfiableConstraintsException e) {
                     line(Level.ERROR, "rules stay as they were: " + e.getMessage(), null, null);
                   }
                 }));
@@ -578,26 +585,31 @@
 
   @Override
   public double constraintPenalty(Vm vm, Machine m) {
-    if (book.rules().isEmpty()) {
+    if (book.constraints().isEmpty()) {
       return 0;
     }
     String machine = machineHandles.get(m).name;
     if (!(groups.settlesNear(vm)
-        ? book.allowsButNear(vm.tenant, vm.priorityClass, vm.service, machine)
-        : book.allows(vm.tenant, vm.priorityClass, vm.service, machine))) {
+        ? book.isAllowedIgnoringAffinity(
+            new VmAttributes(vm.tenant, vm.priorityClass, vm.service), machine)
+        : book.isAllowed(new VmAttributes(vm.tenant, vm.priorityClass, vm.service), machine))) {
       return Double.POSITIVE_INFINITY;
     }
     return groups.constraintPenalty(vm, spots.get(machine))
-        + book.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, machine);
+        + book.preferencePenalty(
+            new VmAttributes(vm.tenant, vm.priorityClass, vm.service), machine);
   }
 
   @Override
   public boolean isConstrained(Vm vm) {
-    return book.touches(vm.tenant, vm.priorityClass, vm.service);
+    return book.hasConstraintsFor(new VmAttributes(vm.tenant, vm.priorityClass, vm.service));
   }
 
   private void placeTaken(PlacementAttempt c) {
-    book.goes(c, c.vm.tenant, c.vm.priorityClass, c.vm.service, machineHandles.get(c.machine).name);
+    book.attemptSent(
+        c,
+        new VmAttributes(c.vm.tenant, c.vm.priorityClass, c.vm.service),
+        machineHandles.get(c.machine).name);
   }
 
   @Override
@@ -605,7 +617,7 @@
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
-            book.gone(c);
+            book.attemptEnded(c);
             inputs.scheduler.loadReported(c.machine);
             seen(w -> w.reported(machineHandles.get(c.machine).name));
           }
@@ -735,39 +747,43 @@
     @Override
     public void plan(List<Vm> members, Consumer<GroupPlan> then) {
       if (members.stream().noneMatch(GrpcSchedulerServer.this::isConstrained)) {
-        then.accept(GroupPlan.free(members.stream().map(v -> v.id).toList()));
+        then.accept(GroupPlan.unconstrained(members.stream().map(v -> v.id).toList()));
         return;
       }
-      List<GroupFeasibility.Part> parts =
+      List<GroupMember> parts =
           members.stream()
               .map(
                   v ->
-                      new GroupFeasibility.Part(
-                          v.id, v.tenant, v.priorityClass, v.service, v.cores, v.memory))
+                      new GroupMember(
+                          v.id,
+                          new VmAttributes(v.tenant, v.priorityClass, v.service),
+                          v.cores,
+                          v.memory))
               .toList();
       GroupFeasibility spare =
-          book.together(
+          book.groupFeasibility(
               parts,
               name -> {
                 Machine m = inputs.machine(name);
-                return new GroupFeasibility.Room(
+                return new MachineCapacity(
                     m.freeCores - m.reservedSinceList.cores,
                     m.freeMemory - m.reservedSinceList.memory);
               });
       GroupFeasibility empty =
-          book.together(
+          book.groupFeasibility(
               parts,
               name -> {
                 Machine m = inputs.machine(name);
-                return new GroupFeasibility.Room(m.cores, m.memory);
+                return new MachineCapacity(m.cores, m.memory);
               });
-      long until = System.nanoTime() + GroupPlan.THINKS.toNanos();
-      GroupPlan free = GroupPlan.free(members.stream().map(v -> v.id).toList());
+      long until = System.nanoTime() + GroupPlan.TIME_LIMIT.toNanos();
+      GroupPlan free = GroupPlan.unconstrained(members.stream().map(v -> v.id).toList());
       try {
         thinker.execute(
             () ->
                 think(
-                    () -> GroupPlan.of(spare, empty, parts, () -> System.nanoTime() - until > 0),
+                    () ->
+                        GroupPlan.compute(spare, empty, parts, () -> System.nanoTime() - until > 0),
                     free,
                     then));
       } catch (RejectedExecutionException e) {
@@ -910,7 +926,8 @@
    */
   private String conflict(Want w) {
     List<PlacementConstraint> rules =
-        book.conflict(w.getCustomer(), w.getFlavour(), w.getService());
+        book.findUnsatisfiableConstraints(
+            new VmAttributes(w.getCustomer(), w.getFlavour(), w.getService()));
     return rules.isEmpty()
         ? null
         : "no machine meets "
@@ -1157,9 +1174,9 @@
               || end == Outcome.FULL
               || end == Outcome.UNREACHABLE
               || end == Outcome.MOOT) {
-            book.gone(c);
+            book.attemptEnded(c);
           } else {
-            book.doubted(c);
+            book.attemptOutcomeUnknown(c);
           }
           metrics.ended(end);
           if (LOG.isDebugEnabled()) {
--- a/src/main/java/fordridge/server/grpc/PlacerCommand.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -163,7 +163,7 @@
         machines.stream()
             .map(
                 e ->
-                    new fordridge.constraint.ConstraintIndex.MachineTopology(
+                    new fordridge.constraint.MachineTopology(
                         e.name(), e.kind(), e.zone(), e.cell()))
             .toList());
   }
--- a/src/test/java/fordridge/constraint/ConstraintIndexTest.java
+++ b/src/test/java/fordridge/constraint/ConstraintIndexTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import fordridge.constraint.ConstraintIndex.MachineTopology;
-import fordridge.constraint.PlacementConstraint.Domain;
 import fordridge.constraint.PlacementConstraint.Scope;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -27,15 +25,15 @@
 
   private static ConstraintIndex book(String text) throws Exception {
     ConstraintIndex b =
-        new ConstraintIndex(ConstraintParser.read(text, ConstraintParser.Names.ANY), 1);
-    b.machines(FLEET);
+        new ConstraintIndex(ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED), 1);
+    b.machineListReceived(FLEET);
     return b;
   }
 
   private static List<String> open(ConstraintIndex b, String priorityClass, long service) {
     List<String> some = new ArrayList<>();
     for (MachineTopology s : FLEET) {
-      if (b.allows("", priorityClass, service, s.name())) {
+      if (b.isAllowed(new VmAttributes("", priorityClass, service), s.name())) {
         some.add(s.name());
       }
     }
@@ -48,14 +46,16 @@
         book(
             "rule n: flavour w require near flavour a per zone;\nrule p: flavour w require apart flavour b per zone;");
     assertThat(open(b, "w", 1)).as("near nothing yet: anywhere").hasSize(5);
-    b.goes(1, "", "a", 1, "a");
+    b.attemptSent(1, new VmAttributes("", "a", 1), "a");
     assertThat(open(b, "w", 1)).containsExactly("a", "b");
-    b.goes(2, "", "b", 1, "b");
+    b.attemptSent(2, new VmAttributes("", "b", 1), "b");
     assertThat(open(b, "w", 1)).isEmpty();
-    assertThat(b.why("", "w", 1, "a")).extracting(r -> r.rule().name()).containsExactly("p");
-    b.goes(3, "", "a", 1, "d");
+    assertThat(b.explainRejection(new VmAttributes("", "w", 1), "a"))
+        .extracting(r -> r.constraint().orElseThrow().name())
+        .containsExactly("p");
+    b.attemptSent(3, new VmAttributes("", "a", 1), "d");
     assertThat(open(b, "w", 1)).containsExactly("c", "d");
-    b.gone(2);
+    b.attemptEnded(2);
     assertThat(open(b, "w", 1)).containsExactly("a", "b", "c", "d");
   }
 
@@ -64,17 +64,17 @@
     ConstraintIndex b =
         book(
             "rule n: flavour w require near flavour a per zone;\nrule p: flavour b require apart flavour a per zone;");
-    b.goes(1, "", "a", 1, "a");
-    b.goes(2, "", "a", 1, "c");
-    b.doubted(1);
+    b.attemptSent(1, new VmAttributes("", "a", 1), "a");
+    b.attemptSent(2, new VmAttributes("", "a", 1), "c");
+    b.attemptOutcomeUnknown(1);
     assertThat(open(b, "w", 1)).containsExactly("c", "d");
     assertThat(open(b, "b", 1)).containsExactly("e");
-    b.gone(2);
+    b.attemptEnded(2);
     assertThat(open(b, "w", 1))
         .as("better where one may run than where none does")
         .containsExactly("a", "b");
-    b.doubted(1);
-    b.gone(1);
+    b.attemptOutcomeUnknown(1);
+    b.attemptEnded(1);
     assertThat(open(b, "w", 1)).hasSize(5);
     assertThat(open(b, "b", 1)).hasSize(5);
   }
@@ -85,44 +85,45 @@
         book(
             "rule m: flavour w require spread at most 1 of each service per zone;\n"
                 + "rule n: flavour v require near flavour w per zone;");
-    b.goes(1, "", "w", 5, "a");
+    b.attemptSent(1, new VmAttributes("", "w", 5), "a");
     assertThat(open(b, "w", 0)).as("another service is no bar").hasSize(5);
-    b.goes(2, "", "w", 0, "c");
+    b.attemptSent(2, new VmAttributes("", "w", 0), "c");
     assertThat(open(b, "w", 0)).containsExactly("a", "b", "e");
   }
 
   @Example
   void apartHoldsBothWays() throws Exception {
     ConstraintIndex b = book("rule p: flavour w require apart flavour b per machine;");
-    b.goes(1, "", "w", 1, "a");
+    b.attemptSent(1, new VmAttributes("", "w", 1), "a");
     assertThat(open(b, "b", 1)).doesNotContain("a").hasSize(4);
-    assertThat(b.why("", "b", 1, "a").get(0).what()).contains("keeps apart");
+    assertThat(b.explainRejection(new VmAttributes("", "b", 1), "a").get(0).description())
+        .contains("keeps apart");
   }
 
   @Example
   void spreadOverThreeZonesWithOneDraining() throws Exception {
     ConstraintIndex b = book("rule s: flavour w require spread within 1 of each service per zone;");
-    b.goes(1, "", "w", 7, "a");
+    b.attemptSent(1, new VmAttributes("", "w", 7), "a");
     assertThat(open(b, "w", 7)).containsExactly("c", "d", "e");
-    b.goes(2, "", "w", 7, "c");
-    b.goes(3, "", "w", 7, "e");
-    b.draining(Set.of("e"));
-    b.goes(4, "", "w", 7, "b");
+    b.attemptSent(2, new VmAttributes("", "w", 7), "c");
+    b.attemptSent(3, new VmAttributes("", "w", 7), "e");
+    b.drainingMachinesChanged(Set.of("e"));
+    b.attemptSent(4, new VmAttributes("", "w", 7), "b");
     assertThat(open(b, "w", 7))
         .as("zone z holds one and takes no more: zone y is next")
         .containsExactly("c", "d");
-    b.goes(5, "", "w", 7, "d");
+    b.attemptSent(5, new VmAttributes("", "w", 7), "d");
     assertThat(open(b, "w", 7))
         .as("the zone that drains keeps nobody waiting")
         .containsExactly("a", "b", "c", "d");
-    assertThat(b.why("", "w", 7, "e"))
-        .extracting(ConstraintIndex.Reason::what)
+    assertThat(b.explainRejection(new VmAttributes("", "w", 7), "e"))
+        .extracting(RejectionReason::description)
         .anyMatch(w -> w.contains("drains"));
-    assertThat(b.misfits()).isEmpty();
+    assertThat(b.findViolatingPlacements()).isEmpty();
     for (int i = 3; i <= 5; i++) {
-      b.gone(i);
+      b.attemptEnded(i);
     }
-    b.machines(FLEET.subList(0, 4));
+    b.machineListReceived(FLEET.subList(0, 4));
     // Zone z left the list: the fewest among what is left counts, else nothing could be placed any
     // more.
     assertThat(open(b, "w", 7)).containsExactly("a", "b", "c", "d");
@@ -134,9 +135,9 @@
         book(
             "rule x: flavour a require near flavour b per cell;\nrule y: flavour b require near flavour a per cell;");
     assertThat(open(b, "a", 1)).hasSize(5);
-    b.goes(1, "", "a", 1, "c");
+    b.attemptSent(1, new VmAttributes("", "a", 1), "c");
     assertThat(open(b, "b", 1)).containsExactly("c");
-    b.goes(2, "", "b", 1, "c");
+    b.attemptSent(2, new VmAttributes("", "b", 1), "c");
     assertThat(open(b, "a", 1)).containsExactly("c");
   }
 
@@ -145,30 +146,32 @@
     ConstraintIndex b =
         book(
             "rule k: flavour w require on kind std;\nrule m: flavour w require spread at most 1 per zone;");
-    b.goes(1, "", "w", 1, "a");
+    b.attemptSent(1, new VmAttributes("", "w", 1), "a");
     List<MachineTopology> other = new ArrayList<>(FLEET);
     other.set(0, new MachineTopology("a", "big", "y", 1));
-    b.machines(other);
-    assertThat(b.misfits().get(1)).extracting(r -> r.rule().name()).containsExactly("k");
-    assertThat(b.allows("", "w", 2, "c")).as("its zone is y now").isFalse();
+    b.machineListReceived(other);
+    assertThat(b.findViolatingPlacements().get(1))
+        .extracting(r -> r.constraint().orElseThrow().name())
+        .containsExactly("k");
+    assertThat(b.isAllowed(new VmAttributes("", "w", 2), "c")).as("its zone is y now").isFalse();
   }
 
   @Example
   void aNewSetTakesOverWhatRuns() throws Exception {
     ConstraintIndex b = book("rule m: flavour w require spread at most 2 per machine;");
-    b.goes(1, "", "w", 1, "a");
-    b.goes(2, "", "w", 1, "a");
+    b.attemptSent(1, new VmAttributes("", "w", 1), "a");
+    b.attemptSent(2, new VmAttributes("", "w", 1), "a");
     ConstraintIndex next =
-        b.with(
-            ConstraintParser.read(
+        b.withConstraints(
+            ConstraintParser.parse(
                 "rule m: flavour w require spread at most 1 per machine;",
-                ConstraintParser.Names.ANY),
+                ConstraintParser.KnownNames.UNCHECKED),
             1);
-    assertThat(next.misfits().keySet()).containsExactly(1, 2);
-    assertThat(next.allows("", "w", 1, "a")).isFalse();
-    next.gone(1);
-    next.gone(2);
-    assertThat(next.allows("", "w", 1, "a")).isTrue();
+    assertThat(next.findViolatingPlacements().keySet()).containsExactly(1, 2);
+    assertThat(next.isAllowed(new VmAttributes("", "w", 1), "a")).isFalse();
+    next.attemptEnded(1);
+    next.attemptEnded(2);
+    assertThat(next.isAllowed(new VmAttributes("", "w", 1), "a")).isTrue();
   }
 
   @Example
@@ -177,78 +180,83 @@
         book(
             "rule one: all require on zone x, y;\nrule two: flavour w require on kind big;\n"
                 + "rule three: service 5 require on not kind big;\nrule four: service 5 prefer 3 on zone x;");
-    assertThat(b.conflict("", "w", 5))
+    assertThat(b.findUnsatisfiableConstraints(new VmAttributes("", "w", 5)))
         .extracting(PlacementConstraint::name)
         .containsExactly("two", "three");
-    assertThat(b.conflict("", "w", 6)).isEmpty();
-    b.machines(FLEET.subList(4, 5));
-    assertThat(b.conflict("", "v", 6)).extracting(PlacementConstraint::name).containsExactly("one");
+    assertThat(b.findUnsatisfiableConstraints(new VmAttributes("", "w", 6))).isEmpty();
+    b.machineListReceived(FLEET.subList(4, 5));
+    assertThat(b.findUnsatisfiableConstraints(new VmAttributes("", "v", 6)))
+        .extracting(PlacementConstraint::name)
+        .containsExactly("one");
   }
 
   @Example
   void setsThatLeaveNoPlaceAreFoundWhenRead() throws Exception {
     String near = "rule n: flavour w require near service 4 per zone;\n";
     assertThat(
-            ConstraintValidator.of(
-                ConstraintParser.read(
+            ConstraintValidator.findConflicts(
+                ConstraintParser.parse(
                     near + "rule a: all require apart service 4, 5 per zone;",
-                    ConstraintParser.Names.ANY),
+                    ConstraintParser.KnownNames.UNCHECKED),
                 FLEET,
                 () -> false))
-        .extracting(ConstraintValidator.Conflict::toString)
+        .extracting(ConstraintConflict::toString)
         .anyMatch(
             c ->
                 c.startsWith("rule 'n' (line 1: near service 4 per " + "zone) and rule 'a' (line 2")
                     && c.contains("leave no place as soon as one of service 4 runs"));
     assertThat(
-            ConstraintValidator.of(
-                ConstraintParser.read(
+            ConstraintValidator.findConflicts(
+                ConstraintParser.parse(
                     near + "rule a: all require apart service 4 per machine;",
-                    ConstraintParser.Names.ANY),
+                    ConstraintParser.KnownNames.UNCHECKED),
                 FLEET,
                 () -> false))
         .as("another machine of the zone will do")
         .isEmpty();
     assertThat(
-            ConstraintValidator.of(
-                ConstraintParser.read(
+            ConstraintValidator.findConflicts(
+                ConstraintParser.parse(
                     "rule a: flavour w require on zone x;\nrule b: service 1 require on zone y;\n"
                         + "rule c: service 1 require on kind big;",
-                    ConstraintParser.Names.ANY),
+                    ConstraintParser.KnownNames.UNCHECKED),
                 FLEET,
                 () -> false))
-        .extracting(c -> c.rules().size())
+        .extracting(c -> c.constraints().size())
         .containsExactly(2);
   }
 
   @Example
   void kindsThatCouldNeverRunAtOnceAreFoundWhenReadAndWhenMachinesVanish() throws Exception {
     List<PlacementConstraint> circle =
-        ConstraintParser.read(
+        ConstraintParser.parse(
             "rule n: flavour w require near flavour a per zone;\n"
                 + "rule p: flavour w require apart flavour b per zone;\nrule q: flavour b require near flavour a per zone;\n"
                 + "rule k: all require on not machine e;\nrule m: all require spread at most 1 per machine;",
-            ConstraintParser.Names.ANY);
-    List<ConstraintValidator.Conflict> found = ConstraintValidator.of(circle, FLEET, () -> false);
+            ConstraintParser.KnownNames.UNCHECKED);
+    List<ConstraintConflict> found = ConstraintValidator.findConflicts(circle, FLEET, () -> false);
     assertThat(found).hasSize(1);
-    assertThat(found.get(0).rules())
+    assertThat(found.get(0).constraints())
         .extracting(PlacementConstraint::name)
         .containsExactlyInAnyOrder("n", "p", "q");
     assertThat(found.get(0).toString()).contains("leave no places for one of each at once");
     List<PlacementConstraint> apart =
-        ConstraintParser.read(
+        ConstraintParser.parse(
             "rule x: flavour a require apart flavour b per zone;\n"
                 + "rule y: flavour a require apart flavour c per zone;\nrule z: flavour b require apart flavour c per zone;\n"
                 + "rule self: flavour a require apart flavour a per zone;\n"
                 + "rule north: customer north and flavour a require on kind std;",
-            ConstraintParser.Names.ANY);
-    assertThat(ConstraintValidator.of(apart, FLEET, () -> false))
+            ConstraintParser.KnownNames.UNCHECKED);
+    assertThat(ConstraintValidator.findConflicts(apart, FLEET, () -> false))
         .as("three zones for three")
         .isEmpty();
-    assertThat(ConstraintValidator.of(apart, FLEET.subList(0, 4), () -> false).get(0).rules())
+    assertThat(
+            ConstraintValidator.findConflicts(apart, FLEET.subList(0, 4), () -> false)
+                .get(0)
+                .constraints())
         .extracting(PlacementConstraint::name)
         .containsExactlyInAnyOrder("x", "y", "z");
-    assertThat(ConstraintValidator.of(apart, List.of(), () -> false))
+    assertThat(ConstraintValidator.findConflicts(apart, List.of(), () -> false))
         .as("nothing is known of machines yet")
         .isEmpty();
   }
@@ -261,9 +269,9 @@
     for (int i = 0; i < 1 + r.nextInt(5); i++) {
       rules.add(rule(r, i));
     }
-    List<ConstraintValidator.Conflict> labels =
-        ConstraintValidator.of(rules, FLEET, () -> false).stream()
-            .filter(c -> c.what().contains("no machine"))
+    List<ConstraintConflict> labels =
+        ConstraintValidator.findConflicts(rules, FLEET, () -> false).stream()
+            .filter(c -> c.description().contains("no machine"))
             .toList();
     boolean stuck = false;
     for (String f : List.of("", "f0", "f1", "f2")) {
@@ -271,17 +279,17 @@
         stuck |= FLEET.stream().noneMatch(at -> plain(rules, FLEET, List.of(), f, s, at));
       }
     }
-    assertThat(!labels.isEmpty()).as(ConstraintParser.print(rules)).isEqualTo(stuck);
+    assertThat(!labels.isEmpty()).as(ConstraintParser.format(rules)).isEqualTo(stuck);
   }
 
   @Example
   void whatNoPlacerCanKeepForAllIsRefused() throws Exception {
     List<PlacementConstraint> rules =
-        ConstraintParser.read(
+        ConstraintParser.parse(
             "rule m: flavour w require spread at most 3 per zone overall;",
-            ConstraintParser.Names.ANY);
+            ConstraintParser.KnownNames.UNCHECKED);
     assertThatThrownBy(() -> new ConstraintIndex(rules, 4))
-        .isInstanceOf(ConstraintIndex.UnsatisfiableConstraintsException.class)
+        .isInstanceOf(UnsatisfiableConstraintsException.class)
         .hasMessageContaining("rule 'm'")
         .hasMessageContaining("4 placers");
     ConstraintIndex[] own = {
@@ -289,10 +297,10 @@
     };
     int n = 0;
     for (ConstraintIndex b : own) {
-      b.machines(FLEET);
+      b.machineListReceived(FLEET);
       for (int i = 0; i < 9; i++) {
-        if (b.allows("", "w", 1, "a")) {
-          b.goes(i, "", "w", 1, "a");
+        if (b.isAllowed(new VmAttributes("", "w", 1), "a")) {
+          b.attemptSent(i, new VmAttributes("", "w", 1), "a");
           n++;
         }
       }
@@ -305,17 +313,17 @@
     ConstraintIndex b =
         book(
             "rule x: flavour w prefer 5 on zone x;\nrule m: flavour w require spread at most 1 per machine;");
-    b.goes(1, "", "w", 1, "a");
-    b.goes(2, "", "w", 1, "b");
-    b.goes(3, "", "w", 1, "c");
-    assertThat(b.strayed(9)).as("nothing better is open").isEmpty();
-    b.gone(1);
-    assertThat(b.strayed(9).get(3))
-        .extracting(ConstraintIndex.Reason::what)
+    b.attemptSent(1, new VmAttributes("", "w", 1), "a");
+    b.attemptSent(2, new VmAttributes("", "w", 1), "b");
+    b.attemptSent(3, new VmAttributes("", "w", 1), "c");
+    assertThat(b.findImprovablePlacements(9)).as("nothing better is open").isEmpty();
+    b.attemptEnded(1);
+    assertThat(b.findImprovablePlacements(9).get(3))
+        .extracting(RejectionReason::description)
         .anyMatch(w -> w.contains("machine a would do better"));
-    assertThat(b.strayed(0)).isEmpty();
-    assertThat(b.allows("", "w", 1, "c")).as("it counts as before").isFalse();
-    b.without(3, () -> assertThat(b.allows("", "w", 1, "c")).isTrue());
+    assertThat(b.findImprovablePlacements(0)).isEmpty();
+    assertThat(b.isAllowed(new VmAttributes("", "w", 1), "c")).as("it counts as before").isFalse();
+    b.withoutAttempt(3, () -> assertThat(b.isAllowed(new VmAttributes("", "w", 1), "c")).isTrue());
   }
 
   @Example
@@ -323,9 +331,9 @@
     ConstraintIndex b =
         book("rule x: flavour w prefer 5 on zone x;\nrule y: flavour w prefer 2 on kind std;");
     assertThat(open(b, "w", 1)).hasSize(5);
-    assertThat(b.constraintPenalty("", "w", 1, "a")).isEqualTo(0.0);
-    assertThat(b.constraintPenalty("", "w", 1, "b")).isEqualTo(2.0);
-    assertThat(b.constraintPenalty("", "w", 1, "d")).isEqualTo(7.0);
+    assertThat(b.preferencePenalty(new VmAttributes("", "w", 1), "a")).isEqualTo(0.0);
+    assertThat(b.preferencePenalty(new VmAttributes("", "w", 1), "b")).isEqualTo(2.0);
+    assertThat(b.preferencePenalty(new VmAttributes("", "w", 1), "d")).isEqualTo(7.0);
   }
 
   // ---- Against a plain scan
@@ -342,40 +350,46 @@
     };
     Scope a = scopes[r.nextInt(4)];
     Scope b = scopes[1 + r.nextInt(3)];
-    Domain d = Domain.values()[r.nextInt(3)];
+    TopologyLevel d = TopologyLevel.values()[r.nextInt(3)];
     PlacementConstraint.Clause c =
         switch (r.nextInt(5)) {
-          case 0 -> new PlacementConstraint.Near(b, d);
-          case 1 -> new PlacementConstraint.Apart(b, d);
-          case 2 -> new PlacementConstraint.Most(1 + r.nextInt(3), r.nextBoolean(), d, false);
-          case 3 -> new PlacementConstraint.Skew(1 + r.nextInt(2), r.nextBoolean(), d);
-          default -> new PlacementConstraint.On(predicate(r, 2));
+          case 0 -> new PlacementConstraint.Affinity(b, d);
+          case 1 -> new PlacementConstraint.AntiAffinity(b, d);
+          case 2 ->
+              new PlacementConstraint.SpreadLimit(1 + r.nextInt(3), r.nextBoolean(), d, false);
+          case 3 -> new PlacementConstraint.SpreadSkew(1 + r.nextInt(2), r.nextBoolean(), d);
+          default -> new PlacementConstraint.MachineLabels(predicate(r, 2));
         };
     return new PlacementConstraint("r" + i, a, r.nextInt(4) == 0 ? 1 + r.nextInt(9) : 0, c, i + 1);
   }
 
-  private static PlacementConstraint.Predicate predicate(Random r, int depth) {
+  private static PlacementConstraint.LabelPredicate predicate(Random r, int depth) {
     return switch (depth == 0 ? 3 : r.nextInt(4)) {
       case 0 -> new PlacementConstraint.Not(predicate(r, depth - 1));
-      case 1 -> new PlacementConstraint.Both(predicate(r, depth - 1), predicate(r, depth - 1));
-      case 2 -> new PlacementConstraint.Either(predicate(r, depth - 1), predicate(r, depth - 1));
+      case 1 -> new PlacementConstraint.And(predicate(r, depth - 1), predicate(r, depth - 1));
+      case 2 -> new PlacementConstraint.Or(predicate(r, depth - 1), predicate(r, depth - 1));
       default ->
           r.nextBoolean()
-              ? new PlacementConstraint.Label("kind", Set.of(r.nextBoolean() ? "std" : "big"))
-              : new PlacementConstraint.Label("zone", Set.of("x", r.nextBoolean() ? "y" : "z"));
+              ? new PlacementConstraint.Label(
+                  PlacementConstraint.LabelKey.KIND, Set.of(r.nextBoolean() ? "std" : "big"))
+              : new PlacementConstraint.Label(
+                  PlacementConstraint.LabelKey.ZONE, Set.of("x", r.nextBoolean() ? "y" : "z"));
     };
   }
 
-  private static String domain(MachineTopology s, Domain d) {
-    return d == Domain.MACHINE ? s.name() : d == Domain.CELL ? s.zone() + s.cell() : s.zone();
+  private static String domain(MachineTopology s, TopologyLevel d) {
+    return d == TopologyLevel.MACHINE
+        ? s.name()
+        : d == TopologyLevel.CELL ? s.zone() + s.cell() : s.zone();
   }
 
-  private static Map<String, Integer> counts(List<Vm> vms, Scope scope, Domain d, long service) {
+  private static Map<String, Integer> counts(
+      List<Vm> vms, Scope scope, TopologyLevel d, long service) {
     Map<String, Integer> n = new HashMap<>();
     vms.stream()
         .filter(
             v ->
-                scope.covers("", v.priorityClass, v.service)
+                scope.covers(new VmAttributes("", v.priorityClass, v.service))
                     && (service < 0 || v.service == service))
         .forEach(v -> n.merge(domain(v.at, d), 1, Integer::sum));
     return n;
@@ -402,45 +416,45 @@
       MachineTopology at) {
     for (int i = 0; i < upTo; i++) {
       PlacementConstraint r = rules.get(i);
-      boolean mine = r.scope().covers("", f, s);
-      if (!r.required() || !mine) {
+      boolean mine = r.scope().covers(new VmAttributes("", f, s));
+      if (!r.isRequired() || !mine) {
         continue;
       }
-      if (r.clause() instanceof PlacementConstraint.On o && !ConstraintIndex.holds(o.where(), at)) {
+      if (r.clause() instanceof PlacementConstraint.MachineLabels o && !o.predicate().matches(at)) {
         return false;
-      } else if (r.clause() instanceof PlacementConstraint.Near n) {
-        Map<String, Integer> c = counts(vms, n.other(), n.per(), -1);
-        if (!c.isEmpty() && !c.containsKey(domain(at, n.per()))) {
+      } else if (r.clause() instanceof PlacementConstraint.Affinity n) {
+        Map<String, Integer> c = counts(vms, n.other(), n.level(), -1);
+        if (!c.isEmpty() && !c.containsKey(domain(at, n.level()))) {
           return false;
         }
-      } else if (r.clause() instanceof PlacementConstraint.Apart a
-          && counts(vms, a.other(), a.per(), -1).containsKey(domain(at, a.per()))) {
+      } else if (r.clause() instanceof PlacementConstraint.AntiAffinity a
+          && counts(vms, a.other(), a.level(), -1).containsKey(domain(at, a.level()))) {
         return false;
-      } else if (r.clause() instanceof PlacementConstraint.Most m
-          && counts(vms, r.scope(), m.per(), m.eachService() ? s : -1)
-                  .getOrDefault(domain(at, m.per()), 0)
-              >= m.most()) {
+      } else if (r.clause() instanceof PlacementConstraint.SpreadLimit m
+          && counts(vms, r.scope(), m.level(), m.perService() ? s : -1)
+                  .getOrDefault(domain(at, m.level()), 0)
+              >= m.limit()) {
         return false;
-      } else if (r.clause() instanceof PlacementConstraint.Skew k) {
-        Map<String, Integer> c = counts(vms, r.scope(), k.per(), k.eachService() ? s : -1);
+      } else if (r.clause() instanceof PlacementConstraint.SpreadSkew k) {
+        Map<String, Integer> c = counts(vms, r.scope(), k.level(), k.perService() ? s : -1);
         int least = Integer.MAX_VALUE;
         for (MachineTopology o : fleet) {
           if (plain(rules, i, fleet, vms, f, s, o)) {
-            least = Math.min(least, c.getOrDefault(domain(o, k.per()), 0));
+            least = Math.min(least, c.getOrDefault(domain(o, k.level()), 0));
           }
         }
-        int here = c.getOrDefault(domain(at, k.per()), 0);
-        if (here > 0 && here + 1 - least > k.skew()) {
+        int here = c.getOrDefault(domain(at, k.level()), 0);
+        if (here > 0 && here + 1 - least > k.maxSkew()) {
           return false;
         }
       }
     }
     for (int i = 0; i < rules.size() && upTo == rules.size(); i++) {
       PlacementConstraint r = rules.get(i);
-      if (r.required()
-          && r.clause() instanceof PlacementConstraint.Apart a
-          && a.other().covers("", f, s)
-          && counts(vms, r.scope(), a.per(), -1).containsKey(domain(at, a.per()))) {
+      if (r.isRequired()
+          && r.clause() instanceof PlacementConstraint.AntiAffinity a
+          && a.other().covers(new VmAttributes("", f, s))
+          && counts(vms, r.scope(), a.level(), -1).containsKey(domain(at, a.level()))) {
         return false;
       }
     }
@@ -456,34 +470,35 @@
     }
     ConstraintIndex b = new ConstraintIndex(rules, 1);
     List<MachineTopology> fleet = FLEET;
-    b.machines(fleet);
+    b.machineListReceived(fleet);
     Map<Integer, Vm> running = new HashMap<>();
     for (int step = 0; step < 40; step++) {
       String f = "f" + r.nextInt(3);
       long s = r.nextInt(3);
       for (MachineTopology at : fleet) {
         boolean plain = plain(rules, fleet, List.copyOf(running.values()), f, s, at);
-        assertThat(b.allows("", f, s, at.name()))
-            .as(ConstraintParser.print(rules) + running + f + s + at)
+        assertThat(b.isAllowed(new VmAttributes("", f, s), at.name()))
+            .as(ConstraintParser.format(rules) + running + f + s + at)
             .isEqualTo(plain);
         assertThat(
-                b.why("", f, s, at.name()).stream()
+                b.explainRejection(new VmAttributes("", f, s), at.name()).stream()
                     .noneMatch(
                         x ->
-                            x.rule().required()
-                                && !(x.rule().clause() instanceof PlacementConstraint.Skew)))
+                            x.constraint().orElseThrow().isRequired()
+                                && !(x.constraint().orElseThrow().clause()
+                                    instanceof PlacementConstraint.SpreadSkew)))
             .as("why agrees")
             .matches(ok -> ok || !plain);
       }
       MachineTopology at = fleet.get(r.nextInt(fleet.size()));
-      if (b.allows("", f, s, at.name())) {
-        b.goes(step, "", f, s, at.name());
+      if (b.isAllowed(new VmAttributes("", f, s), at.name())) {
+        b.attemptSent(step, new VmAttributes("", f, s), at.name());
         running.put(step, new Vm(f, s, at));
       }
       if (r.nextInt(3) == 0 && !running.isEmpty()) {
         Integer out = running.keySet().iterator().next();
         running.remove(out);
-        b.gone(out);
+        b.attemptEnded(out);
       }
     }
   }
@@ -495,7 +510,9 @@
     for (int i = 0; i < 4; i++) {
       rules.add(rule(r, i));
     }
-    assertThat(ConstraintParser.read(ConstraintParser.print(rules), ConstraintParser.Names.ANY))
+    assertThat(
+            ConstraintParser.parse(
+                ConstraintParser.format(rules), ConstraintParser.KnownNames.UNCHECKED))
         .isEqualTo(rules);
   }
 
@@ -542,9 +559,9 @@
       t.append(words[r.nextInt(words.length)]).append(r.nextInt(5) > 0 ? " " : "");
     }
     try {
-      ConstraintParser.read(t.toString(), ConstraintParser.Names.ANY);
-    } catch (ConstraintParser.ConstraintSyntaxException e) {
-      assertThat(e.complaints).allMatch(c -> c.matches("(?s)[0-9]+:[0-9]+: .*"));
+      ConstraintParser.parse(t.toString(), ConstraintParser.KnownNames.UNCHECKED);
+    } catch (ConstraintSyntaxException e) {
+      assertThat(e.messages()).allMatch(c -> c.matches("(?s)[0-9]+:[0-9]+: .*"));
     }
   }
 
@@ -552,30 +569,30 @@
   void errorsNameLineColumnExcerptAndWhatWouldBeRight() {
     assertThatThrownBy(
             () ->
-                ConstraintParser.read(
+                ConstraintParser.parse(
                     "rule a: all require on kind std;\nrule b: flavour w require close flavour x;",
-                    ConstraintParser.Names.ANY))
+                    ConstraintParser.KnownNames.UNCHECKED))
         .hasMessageContaining("2:27: in 'rule b: flavour w require close flavour x;'")
         .hasMessageContaining("'near'");
     assertThatThrownBy(
             () ->
-                ConstraintParser.read(
+                ConstraintParser.parse(
                     "rule a: flavour mtcher require on kind std;",
-                    new ConstraintParser.Names(
+                    new ConstraintParser.KnownNames(
                         Set.of(), Set.of("matcher", "lobby"), Set.of("std"), Set.of())))
         .hasMessageContaining("1:17")
         .hasMessageContaining("no flavour 'mtcher'; there are lobby, matcher");
     assertThatThrownBy(
             () ->
-                ConstraintParser.read(
+                ConstraintParser.parse(
                     "rule a: all require on kind x;\nrule a: all require on kind y;",
-                    ConstraintParser.Names.ANY))
+                    ConstraintParser.KnownNames.UNCHECKED))
         .hasMessageContaining("stands already in line 1");
     assertThatThrownBy(
             () ->
-                ConstraintParser.read(
+                ConstraintParser.parse(
                     "rule a: all require on " + "(".repeat(5000) + "kind x;",
-                    ConstraintParser.Names.ANY))
+                    ConstraintParser.KnownNames.UNCHECKED))
         .hasMessageContaining("nested");
   }
 }
--- a/src/test/java/fordridge/constraint/ConstraintParserFuzz.java
+++ b/src/test/java/fordridge/constraint/ConstraintParserFuzz.java
@@ -14,20 +14,22 @@
   public static void fuzzerTestOneInput(byte[] input) {
     String text = new String(input, StandardCharsets.UTF_8);
     try {
-      List<PlacementConstraint> rules = ConstraintParser.read(text, ConstraintParser.Names.ANY);
-      String printed = ConstraintParser.print(rules);
+      List<PlacementConstraint> rules =
+          ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED);
+      String printed = ConstraintParser.format(rules);
       String again =
-          ConstraintParser.print(ConstraintParser.read(printed, ConstraintParser.Names.ANY));
+          ConstraintParser.format(
+              ConstraintParser.parse(printed, ConstraintParser.KnownNames.UNCHECKED));
       if (!again.equals(printed)) {
         throw new IllegalStateException("prints as '" + printed + "', then as '" + again + "'");
       }
-    } catch (ConstraintParser.ConstraintSyntaxException e) {
-      for (String c : e.complaints) {
+    } catch (ConstraintSyntaxException e) {
+      for (String c : e.messages()) {
         if (!c.matches("(?s)\\d+:\\d+: .+")) {
           throw new IllegalStateException("not placed: " + c);
         }
       }
-      if (e.complaints.isEmpty()) {
+      if (e.messages().isEmpty()) {
         throw new IllegalStateException("refused without a complaint");
       }
     }
--- a/src/test/java/fordridge/constraint/GroupFeasibilityTest.java
+++ b/src/test/java/fordridge/constraint/GroupFeasibilityTest.java
@@ -2,12 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.constraint.ConstraintIndex.MachineTopology;
-import fordridge.constraint.GroupFeasibility.Outcome;
-import fordridge.constraint.GroupFeasibility.Part;
-import fordridge.constraint.GroupFeasibility.Room;
-import fordridge.constraint.GroupFeasibility.Verdict;
-import fordridge.constraint.PlacementConstraint.Domain;
 import fordridge.constraint.PlacementConstraint.Scope;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -28,25 +22,25 @@
 
   private static ConstraintIndex book(String text) throws Exception {
     ConstraintIndex b =
-        new ConstraintIndex(ConstraintParser.read(text, ConstraintParser.Names.ANY), 1);
-    b.machines(FLEET);
+        new ConstraintIndex(ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED), 1);
+    b.machineListReceived(FLEET);
     return b;
   }
 
-  private static List<Part> group(String... priorityClasses) {
-    List<Part> some = new ArrayList<>();
+  private static List<GroupMember> group(String... priorityClasses) {
+    List<GroupMember> some = new ArrayList<>();
     for (String f : priorityClasses) {
-      some.add(new Part("p" + some.size(), "", f, some.size(), 8, 8));
+      some.add(new GroupMember("p" + some.size(), new VmAttributes("", f, some.size()), 8, 8));
     }
     return some;
   }
 
-  private static Outcome solve(ConstraintIndex b, List<Part> group) {
-    return b.together(group, m -> new Room(16, 16)).solve(() -> false);
+  private static FeasibilityResult solve(ConstraintIndex b, List<GroupMember> group) {
+    return b.groupFeasibility(group, m -> new MachineCapacity(16, 16)).solve(() -> false);
   }
 
-  private static List<String> names(Outcome o) {
-    return o.rules().stream().map(PlacementConstraint::name).toList();
+  private static List<String> names(FeasibilityResult o) {
+    return o.conflictingConstraints().stream().map(PlacementConstraint::name).toList();
   }
 
   @Example
@@ -54,11 +48,12 @@
     String set =
         "rule n: flavour w require near flavour a per zone;\nrule p: flavour w require apart flavour b per zone;\n"
             + "rule q: flavour b require near flavour a per zone;\nrule r: flavour a require spread at most 4 per cell;\n";
-    Outcome one = solve(book(set), group("w", "a", "b"));
-    assertThat(one.verdict()).isEqualTo(Verdict.NO);
+    FeasibilityResult one = solve(book(set), group("w", "a", "b"));
+    assertThat(one.verdict()).isEqualTo(FeasibilityResult.Verdict.INFEASIBLE);
     assertThat(names(one)).containsExactlyInAnyOrder("n", "p", "q");
-    assertThat(one.room()).isFalse();
-    assertThat(solve(book(set), group("w", "a", "b", "a")).verdict()).isEqualTo(Verdict.YES);
+    assertThat(one.isCapacityExceeded()).isFalse();
+    assertThat(solve(book(set), group("w", "a", "b", "a")).verdict())
+        .isEqualTo(FeasibilityResult.Verdict.FEASIBLE);
   }
 
   @Example
@@ -66,12 +61,14 @@
     ConstraintIndex b =
         book(
             "rule n: flavour w require near flavour w per machine;\nrule s: flavour w require on kind std;");
-    Outcome o = solve(b, group("w", "w", "w"));
-    assertThat(o.verdict()).isEqualTo(Verdict.NO);
-    assertThat(o.room()).isTrue();
+    FeasibilityResult o = solve(b, group("w", "w", "w"));
+    assertThat(o.verdict()).isEqualTo(FeasibilityResult.Verdict.INFEASIBLE);
+    assertThat(o.isCapacityExceeded()).isTrue();
     assertThat(names(o)).containsExactly("n");
-    assertThat(solve(b, group("w", "w")).verdict()).isEqualTo(Verdict.YES);
-    assertThat(solve(book(""), group("v", "v", "v", "v", "v", "v", "v", "v", "v")).room())
+    assertThat(solve(b, group("w", "w")).verdict()).isEqualTo(FeasibilityResult.Verdict.FEASIBLE);
+    assertThat(
+            solve(book(""), group("v", "v", "v", "v", "v", "v", "v", "v", "v"))
+                .isCapacityExceeded())
         .as("nine eights in 4 x 16")
         .isTrue();
   }
@@ -81,13 +78,13 @@
     ConstraintIndex b =
         book(
             "rule m: flavour w require spread at most 1 per zone;\nrule k: all require on kind std;");
-    assertThat(solve(b, group("w", "w")).verdict()).isEqualTo(Verdict.YES);
-    b.goes("x", "", "w", 9, "b");
-    Outcome o = solve(b, group("w", "w"));
-    assertThat(o.verdict()).isEqualTo(Verdict.NO);
+    assertThat(solve(b, group("w", "w")).verdict()).isEqualTo(FeasibilityResult.Verdict.FEASIBLE);
+    b.attemptSent("x", new VmAttributes("", "w", 9), "b");
+    FeasibilityResult o = solve(b, group("w", "w"));
+    assertThat(o.verdict()).isEqualTo(FeasibilityResult.Verdict.INFEASIBLE);
     assertThat(names(o)).containsExactly("m");
-    b.gone("x");
-    b.machines(FLEET.subList(0, 2));
+    b.attemptEnded("x");
+    b.machineListReceived(FLEET.subList(0, 2));
     assertThat(names(solve(b, group("w", "w")))).as("a zone vanished").containsExactly("m");
   }
 
@@ -95,10 +92,10 @@
   void itStopsWhenItIsToldTo() throws Exception {
     ConstraintIndex b = book("rule m: flavour w require spread at most 1 per cell;");
     assertThat(
-            b.together(group("w", "w", "w", "w"), m -> new Room(16, 16))
+            b.groupFeasibility(group("w", "w", "w", "w"), m -> new MachineCapacity(16, 16))
                 .solve(() -> true)
                 .verdict())
-        .isNotEqualTo(Verdict.YES);
+        .isNotEqualTo(FeasibilityResult.Verdict.FEASIBLE);
   }
 
   /**
@@ -120,7 +117,7 @@
           .append(";\n");
     }
     List<PlacementConstraint> rules =
-        ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
+        ConstraintParser.parse(text.toString(), ConstraintParser.KnownNames.UNCHECKED);
     List<MachineTopology> fleet = new ArrayList<>();
     int machines = 1 + r.nextInt(5);
     for (int i = 0; i < machines; i++) {
@@ -129,36 +126,45 @@
               "m" + i, r.nextBoolean() ? "std" : "big", "z" + r.nextInt(2), r.nextInt(2)));
     }
     ConstraintIndex b = new ConstraintIndex(rules, 1);
-    b.machines(fleet);
-    List<Part> running = new ArrayList<>();
+    b.machineListReceived(fleet);
+    List<GroupMember> running = new ArrayList<>();
     Map<String, String> at = new LinkedHashMap<>();
     for (int i = r.nextInt(3); i > 0; i--) {
-      Part p = new Part("old" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1, 1);
+      GroupMember p =
+          new GroupMember("old" + i, new VmAttributes("", "f" + r.nextInt(3), r.nextInt(2)), 1, 1);
       running.add(p);
       at.put(p.id(), "m" + r.nextInt(machines));
-      b.goes(p.id(), "", p.priorityClass(), p.service(), at.get(p.id()));
+      b.attemptSent(
+          p.id(), new VmAttributes("", p.vm().priorityClass(), p.vm().service()), at.get(p.id()));
     }
-    List<Part> group = new ArrayList<>();
+    List<GroupMember> group = new ArrayList<>();
     for (int i = 1 + r.nextInt(4); i > 0; i--) {
-      group.add(new Part("new" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1 + r.nextInt(3), 1));
+      group.add(
+          new GroupMember(
+              "new" + i,
+              new VmAttributes("", "f" + r.nextInt(3), r.nextInt(2)),
+              1 + r.nextInt(3),
+              1));
     }
     double most = 2 + r.nextInt(4);
-    Outcome o = b.together(group, m -> new Room(most, 100)).solve(() -> false);
+    FeasibilityResult o =
+        b.groupFeasibility(group, m -> new MachineCapacity(most, 100)).solve(() -> false);
     boolean some = any(rules, fleet, running, group, at, 0, most);
     assertThat(o.verdict())
         .as(text + " " + fleet + " " + at + " " + group)
-        .isEqualTo(some ? Verdict.YES : Verdict.NO);
+        .isEqualTo(
+            some ? FeasibilityResult.Verdict.FEASIBLE : FeasibilityResult.Verdict.INFEASIBLE);
     if (some) {
       Map<String, String> all = new LinkedHashMap<>(at);
-      all.putAll(o.machines());
+      all.putAll(o.machineByMember());
       assertThat(keeps(rules, fleet, running, group, all, most)).as(text + " " + o).isTrue();
     } else {
-      double room = o.room() ? most : 1e6;
-      assertThat(any(o.rules(), fleet, running, group, at, 0, room))
+      double room = o.isCapacityExceeded() ? most : 1e6;
+      assertThat(any(o.conflictingConstraints(), fleet, running, group, at, 0, room))
           .as("what is named clashes")
           .isFalse();
-      for (PlacementConstraint x : o.rules()) {
-        List<PlacementConstraint> fewer = new ArrayList<>(o.rules());
+      for (PlacementConstraint x : o.conflictingConstraints()) {
+        List<PlacementConstraint> fewer = new ArrayList<>(o.conflictingConstraints());
         fewer.remove(x);
         assertThat(any(fewer, fleet, running, group, at, 0, room))
             .as(text + ": " + x + " is needed")
@@ -174,7 +180,7 @@
   }
 
   static String clause(Random r) {
-    String per = " per " + Domain.values()[r.nextInt(3)];
+    String per = " per " + TopologyLevel.values()[r.nextInt(3)];
     return switch (r.nextInt(5)) {
       case 0 -> "near " + scope(r) + per;
       case 1 -> "apart " + scope(r) + per;
@@ -191,8 +197,8 @@
   private static boolean any(
       List<PlacementConstraint> rules,
       List<MachineTopology> fleet,
-      List<Part> running,
-      List<Part> group,
+      List<GroupMember> running,
+      List<GroupMember> group,
       Map<String, String> at,
       int next,
       double most) {
@@ -216,54 +222,59 @@
   static boolean keeps(
       List<PlacementConstraint> rules,
       List<MachineTopology> fleet,
-      List<Part> running,
-      List<Part> group,
+      List<GroupMember> running,
+      List<GroupMember> group,
       Map<String, String> at,
       double most) {
-    List<Part> all = new ArrayList<>(running);
+    List<GroupMember> all = new ArrayList<>(running);
     all.addAll(group);
     for (MachineTopology s : fleet) {
-      if (group.stream().filter(p -> at.get(p.id()).equals(s.name())).mapToDouble(Part::cores).sum()
+      if (group.stream()
+              .filter(p -> at.get(p.id()).equals(s.name()))
+              .mapToDouble(GroupMember::cores)
+              .sum()
           > most) {
         return false;
       }
     }
     for (PlacementConstraint rule : rules) {
-      for (Part u : group) {
+      for (GroupMember u : group) {
         boolean about = covers(rule.scope(), u);
-        if (rule.clause() instanceof PlacementConstraint.Apart a) {
-          for (Part w : all) {
+        if (rule.clause() instanceof PlacementConstraint.AntiAffinity a) {
+          for (GroupMember w : all) {
             boolean one =
                 about && covers(a.other(), w) || covers(a.other(), u) && covers(rule.scope(), w);
             if (w != u
                 && one
-                && where(fleet, at, w, a.per()).equals(where(fleet, at, u, a.per()))) {
+                && where(fleet, at, w, a.level()).equals(where(fleet, at, u, a.level()))) {
               return false;
             }
           }
-        } else if (about && rule.clause() instanceof PlacementConstraint.Near n) {
-          List<Part> others = all.stream().filter(w -> w != u && covers(n.other(), w)).toList();
+        } else if (about && rule.clause() instanceof PlacementConstraint.Affinity n) {
+          List<GroupMember> others =
+              all.stream().filter(w -> w != u && covers(n.other(), w)).toList();
           if (!others.isEmpty()
               && others.stream()
                   .noneMatch(
-                      w -> where(fleet, at, w, n.per()).equals(where(fleet, at, u, n.per())))) {
+                      w -> where(fleet, at, w, n.level()).equals(where(fleet, at, u, n.level())))) {
             return false;
           }
-        } else if (about && rule.clause() instanceof PlacementConstraint.Most m) {
+        } else if (about && rule.clause() instanceof PlacementConstraint.SpreadLimit m) {
           long count =
               all.stream()
                   .filter(
                       w ->
                           covers(rule.scope(), w)
-                              && (!m.eachService() || w.service() == u.service())
-                              && where(fleet, at, w, m.per()).equals(where(fleet, at, u, m.per())))
+                              && (!m.perService() || w.vm().service() == u.vm().service())
+                              && where(fleet, at, w, m.level())
+                                  .equals(where(fleet, at, u, m.level())))
                   .count();
-          if (count > m.most()) {
+          if (count > m.limit()) {
             return false;
           }
         } else if (about
-            && rule.clause() instanceof PlacementConstraint.On on
-            && !ConstraintIndex.holds(on.where(), spot(fleet, at, u))) {
+            && rule.clause() instanceof PlacementConstraint.MachineLabels on
+            && !on.predicate().matches(spot(fleet, at, u))) {
           return false;
         }
       }
@@ -271,19 +282,20 @@
     return true;
   }
 
-  private static boolean covers(Scope s, Part p) {
-    return s.covers(p.tenant(), p.priorityClass(), p.service());
+  private static boolean covers(Scope s, GroupMember p) {
+    return s.covers(p.vm());
   }
 
-  private static MachineTopology spot(List<MachineTopology> fleet, Map<String, String> at, Part p) {
+  private static MachineTopology spot(
+      List<MachineTopology> fleet, Map<String, String> at, GroupMember p) {
     return fleet.stream().filter(s -> s.name().equals(at.get(p.id()))).findFirst().orElseThrow();
   }
 
   private static String where(
-      List<MachineTopology> fleet, Map<String, String> at, Part p, Domain per) {
+      List<MachineTopology> fleet, Map<String, String> at, GroupMember p, TopologyLevel per) {
     MachineTopology s = spot(fleet, at, p);
-    return per == Domain.MACHINE
+    return per == TopologyLevel.MACHINE
         ? s.name()
-        : per == Domain.ZONE ? s.zone() : s.zone() + "/" + s.cell();
+        : per == TopologyLevel.ZONE ? s.zone() : s.zone() + "/" + s.cell();
   }
 }
--- a/src/test/java/fordridge/constraint/GroupPlanTest.java
+++ b/src/test/java/fordridge/constraint/GroupPlanTest.java
@@ -2,9 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.constraint.ConstraintIndex.MachineTopology;
-import fordridge.constraint.GroupFeasibility.Part;
-import fordridge.constraint.GroupFeasibility.Room;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,10 +22,11 @@
     return some;
   }
 
-  private static GroupPlan plan(ConstraintIndex b, List<Part> group, double now, double empty) {
-    return GroupPlan.of(
-        b.together(group, m -> new Room(now, 100)),
-        b.together(group, m -> new Room(empty, 100)),
+  private static GroupPlan plan(
+      ConstraintIndex b, List<GroupMember> group, double now, double empty) {
+    return GroupPlan.compute(
+        b.groupFeasibility(group, m -> new MachineCapacity(now, 100)),
+        b.groupFeasibility(group, m -> new MachineCapacity(empty, 100)),
         group,
         () -> false);
   }
@@ -37,18 +35,24 @@
    * Places as the module does: any machine that is allowed and least unfit. Null if one finds none.
    */
   private static Map<String, String> place(
-      ConstraintIndex b, GroupPlan plan, List<Part> group, List<MachineTopology> fleet, Random r) {
+      ConstraintIndex b,
+      GroupPlan plan,
+      List<GroupMember> group,
+      List<MachineTopology> fleet,
+      Random r) {
     Map<String, String> at = new HashMap<>();
-    for (String id : plan.order()) {
-      Part p = group.stream().filter(x -> x.id().equals(id)).findFirst().orElseThrow();
+    for (String id : plan.placementOrder()) {
+      GroupMember p = group.stream().filter(x -> x.id().equals(id)).findFirst().orElseThrow();
       List<String> best = new ArrayList<>();
       double least = Double.POSITIVE_INFINITY;
       for (MachineTopology s : fleet) {
         boolean open =
-            plan.settlesNear(id)
-                ? b.allowsButNear("", p.priorityClass(), p.service(), s.name())
-                : b.allows("", p.priorityClass(), p.service(), s.name());
-        double constraintPenalty = open ? plan.constraintPenalty(id, s) : Double.POSITIVE_INFINITY;
+            plan.hasFixedDomain(id)
+                ? b.isAllowedIgnoringAffinity(
+                    new VmAttributes("", p.vm().priorityClass(), p.vm().service()), s.name())
+                : b.isAllowed(
+                    new VmAttributes("", p.vm().priorityClass(), p.vm().service()), s.name());
+        double constraintPenalty = open ? plan.placementPenalty(id, s) : Double.POSITIVE_INFINITY;
         if (constraintPenalty < least) {
           least = constraintPenalty;
           best.clear();
@@ -61,7 +65,7 @@
         return null;
       }
       at.put(id, best.get(r.nextInt(best.size())));
-      b.goes(id, "", p.priorityClass(), p.service(), at.get(id));
+      b.attemptSent(id, new VmAttributes("", p.vm().priorityClass(), p.vm().service()), at.get(id));
     }
     return at;
   }
@@ -93,16 +97,17 @@
           .append(";\n");
     }
     List<PlacementConstraint> rules =
-        ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
+        ConstraintParser.parse(text.toString(), ConstraintParser.KnownNames.UNCHECKED);
     List<MachineTopology> fleet = fleet(r, machines);
     ConstraintIndex b = new ConstraintIndex(rules, 1);
-    b.machines(fleet);
-    List<Part> group = new ArrayList<>();
+    b.machineListReceived(fleet);
+    List<GroupMember> group = new ArrayList<>();
     for (int i = 2 + r.nextInt(3); i > 0; i--) {
-      group.add(new Part("new" + i, "", "f" + r.nextInt(3), r.nextInt(2), 1, 1));
+      group.add(
+          new GroupMember("new" + i, new VmAttributes("", "f" + r.nextInt(3), r.nextInt(2)), 1, 1));
     }
     GroupPlan plan = plan(b, group, 100, 100);
-    if (plan.refusal() != null) {
+    if (plan.rejectionReason().isPresent()) {
       return;
     }
     Map<String, String> at = place(b, plan, group, fleet, r);
@@ -120,25 +125,28 @@
   void roomThatMayComeFreeIsNoReasonToRefuse() throws Exception {
     ConstraintIndex b =
         new ConstraintIndex(
-            ConstraintParser.read(
+            ConstraintParser.parse(
                 "rule n: flavour w require near flavour w per machine;",
-                ConstraintParser.Names.ANY),
+                ConstraintParser.KnownNames.UNCHECKED),
             1);
-    b.machines(
+    b.machineListReceived(
         List.of(new MachineTopology("a", "std", "x", 0), new MachineTopology("b", "std", "x", 0)));
-    List<Part> group = List.of(new Part("1", "", "w", 1, 8, 8), new Part("2", "", "w", 1, 8, 8));
-    assertThat(plan(b, group, 10, 16).refusal()).as("full now").isNull();
-    assertThat(plan(b, group, 10, 10).refusal())
+    List<GroupMember> group =
+        List.of(
+            new GroupMember("1", new VmAttributes("", "w", 1), 8, 8),
+            new GroupMember("2", new VmAttributes("", "w", 1), 8, 8));
+    assertThat(plan(b, group, 10, 16).rejectionReason()).as("full now").isEmpty();
+    assertThat(plan(b, group, 10, 10).rejectionReason().orElseThrow())
         .contains("rule 'n'")
         .contains("the size of the machines");
     assertThat(
-            GroupPlan.of(
-                    b.together(group, m -> new Room(10, 100)),
-                    b.together(group, m -> new Room(10, 100)),
+            GroupPlan.compute(
+                    b.groupFeasibility(group, m -> new MachineCapacity(10, 100)),
+                    b.groupFeasibility(group, m -> new MachineCapacity(10, 100)),
                     group,
                     () -> true)
-                .refusal())
+                .rejectionReason())
         .as("stopped before it was known")
-        .isNull();
+        .isEmpty();
   }
 }
--- a/src/test/java/fordridge/constraint/PlacementBenchmark.java
+++ b/src/test/java/fordridge/constraint/PlacementBenchmark.java
@@ -1,6 +1,5 @@
 package fordridge.constraint;
 
-import fordridge.constraint.ConstraintIndex.MachineTopology;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -67,16 +66,19 @@
           .append(clauses[i % clauses.length])
           .append(";\n");
     }
-    set = ConstraintParser.read(text.toString(), ConstraintParser.Names.ANY);
+    set = ConstraintParser.parse(text.toString(), ConstraintParser.KnownNames.UNCHECKED);
     for (int i = 0; i < machines; i++) {
       fleet.add(new MachineTopology("m" + i, i % 10 == 0 ? "old" : "std", "z" + i % 3, i / 8));
     }
     book = new ConstraintIndex(set, 1);
-    book.machines(fleet);
+    book.machineListReceived(fleet);
     Random r = new Random(7);
     for (int i = 0; i < 2 * machines; i++) {
       placed.add(new Placed("f" + r.nextInt(5), r.nextInt(500), fleet.get(r.nextInt(machines))));
-      book.goes(i, "", placed.get(i).priorityClass, placed.get(i).service, placed.get(i).at.name());
+      book.attemptSent(
+          i,
+          new VmAttributes("", placed.get(i).priorityClass, placed.get(i).service),
+          placed.get(i).at.name());
     }
   }
 
@@ -84,17 +86,17 @@
   public double byTheBook() {
     int i = next++ % placed.size();
     Placed p = placed.get(i);
-    book.gone(i);
+    book.attemptEnded(i);
     double sum = 0;
-    if (!book.rules().isEmpty()) {
+    if (!book.constraints().isEmpty()) {
       for (MachineTopology s : fleet) {
         sum +=
-            book.allows("", p.priorityClass, p.service, s.name())
-                ? book.constraintPenalty("", p.priorityClass, p.service, s.name())
+            book.isAllowed(new VmAttributes("", p.priorityClass, p.service), s.name())
+                ? book.preferencePenalty(new VmAttributes("", p.priorityClass, p.service), s.name())
                 : 1;
       }
     }
-    book.goes(i, "", p.priorityClass, p.service, p.at.name());
+    book.attemptSent(i, new VmAttributes("", p.priorityClass, p.service), p.at.name());
     return sum;
   }
 
@@ -104,7 +106,7 @@
     double sum = 0;
     for (MachineTopology s : fleet) {
       for (PlacementConstraint r : set) {
-        if (r.scope().covers("", p.priorityClass, p.service)) {
+        if (r.scope().covers(new VmAttributes("", p.priorityClass, p.service))) {
           sum += against(r, p, s) ? 1 : 0;
         }
       }
@@ -113,35 +115,35 @@
   }
 
   private boolean against(PlacementConstraint r, Placed p, MachineTopology s) {
-    if (r.clause() instanceof PlacementConstraint.On on) {
-      return !ConstraintIndex.holds(on.where(), s);
+    if (r.clause() instanceof PlacementConstraint.MachineLabels on) {
+      return !on.predicate().matches(s);
     }
-    PlacementConstraint.Domain per =
-        r.clause() instanceof PlacementConstraint.Near n
-            ? n.per()
-            : r.clause() instanceof PlacementConstraint.Apart a
-                ? a.per()
-                : ((PlacementConstraint.Most) r.clause()).per();
+    TopologyLevel per =
+        r.clause() instanceof PlacementConstraint.Affinity n
+            ? n.level()
+            : r.clause() instanceof PlacementConstraint.AntiAffinity a
+                ? a.level()
+                : ((PlacementConstraint.SpreadLimit) r.clause()).level();
     PlacementConstraint.Scope of =
-        r.clause() instanceof PlacementConstraint.Near n
+        r.clause() instanceof PlacementConstraint.Affinity n
             ? n.other()
-            : r.clause() instanceof PlacementConstraint.Apart a ? a.other() : r.scope();
-    boolean each = r.clause() instanceof PlacementConstraint.Most m && m.eachService();
+            : r.clause() instanceof PlacementConstraint.AntiAffinity a ? a.other() : r.scope();
+    boolean each = r.clause() instanceof PlacementConstraint.SpreadLimit m && m.perService();
     String here = ConstraintIndex.domain(s, per);
     int count = 0;
     for (Placed o : placed) {
       if (o != p
-          && of.covers("", o.priorityClass, o.service)
+          && of.covers(new VmAttributes("", o.priorityClass, o.service))
           && (!each || o.service == p.service)
           && ConstraintIndex.domain(o.at, per).equals(here)) {
         count++;
       }
     }
-    return r.clause() instanceof PlacementConstraint.Near
+    return r.clause() instanceof PlacementConstraint.Affinity
         ? count == 0
-        : r.clause() instanceof PlacementConstraint.Apart
+        : r.clause() instanceof PlacementConstraint.AntiAffinity
             ? count > 0
-            : count >= ((PlacementConstraint.Most) r.clause()).most();
+            : count >= ((PlacementConstraint.SpreadLimit) r.clause()).limit();
   }
 
   public static void main(String[] args) throws Exception {
--- a/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
+++ b/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
@@ -70,9 +70,9 @@
     join("a");
     join("b");
     groups.letGoOfPlans();
-    thinking.remove().accept(GroupPlan.free(List.of("a", "b")));
+    thinking.remove().accept(GroupPlan.unconstrained(List.of("a", "b")));
     assertThat(done).isEmpty();
-    thinking.remove().accept(GroupPlan.free(List.of("b", "a")));
+    thinking.remove().accept(GroupPlan.unconstrained(List.of("b", "a")));
     assertThat(done).containsExactly("place b", "place a");
   }
 
@@ -85,7 +85,7 @@
     assertThat(groups.of(b)).isNull();
     join("a");
     Consumer<GroupPlan> old = thinking.remove();
-    old.accept(GroupPlan.free(List.of("a", "b")));
+    old.accept(GroupPlan.unconstrained(List.of("a", "b")));
     assertThat(done).as("its name was used again: the old plan is not the new group's").hasSize(2);
   }
 }
