--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -49,7 +49,7 @@
 
     void probed(MachineConnectionPool.Connection s, boolean ok, boolean told);
 
-    void note(String vm, String what, double amount);
+    void note(MachineConnectionPool.Connection s, String vm, String what, double amount);
 
     void report(Map<String, Double> values, boolean answersProbe);
   }
@@ -168,6 +168,7 @@
         }
         case "tell" ->
             heard.note(
+                connection,
                 id,
                 String.valueOf(fields.get("note")),
                 fields.get("value") instanceof Number n
@@ -243,7 +244,7 @@
     return switch (cause) {
       case 34 -> Outcome.FULL;
       case 47 -> Outcome.ERROR;
-      case 102 -> Outcome.MOOT;
+      case 102 -> Outcome.NOT_SENT;
       default -> Outcome.RESET;
     };
   }
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -1173,7 +1173,7 @@
           if (wasBound
               || end == Outcome.FULL
               || end == Outcome.UNREACHABLE
-              || end == Outcome.MOOT) {
+              || end == Outcome.NOT_SENT) {
             book.attemptEnded(c);
           } else {
             book.attemptOutcomeUnknown(c);
