--- /dev/null
+++ b/src/main/java/fordridge/constraint/ConstraintEvaluator.java
@@ -0,0 +1,95 @@
+package fordridge.constraint;
+
+import java.util.Map;
+import org.roaringbitmap.RoaringBitmap;
+
+/** Evaluates single constraints against what is counted: which machines they leave open to a VM. */
+final class ConstraintEvaluator {
+  private final MachineCatalog catalog;
+  private final PlacementCounters counters;
+  private final int schedulerCount;
+
+  ConstraintEvaluator(MachineCatalog catalog, PlacementCounters counters, int schedulerCount) {
+    this.catalog = catalog;
+    this.counters = counters;
+    this.schedulerCount = schedulerCount;
+  }
+
+  /** Takes out of the candidates what the constraint keeps the VM from. */
+  void restrict(RoaringBitmap candidates, PlacementConstraint constraint, VmAttributes vm) {
+    PlacementConstraint.Clause clause = constraint.clause();
+    if (clause instanceof PlacementConstraint.MachineLabels labels) {
+      candidates.and(catalog.machinesMatching(labels.predicate()));
+    } else if (clause instanceof PlacementConstraint.Affinity affinity) {
+      restrictToAffinity(candidates, affinity);
+    } else if (clause instanceof PlacementConstraint.AntiAffinity antiAffinity) {
+      candidates.andNot(
+          counters
+              .counter(CounterKey.allServices(antiAffinity.other(), antiAffinity.level()))
+              .occupiedMachines());
+    } else if (clause instanceof PlacementConstraint.SpreadLimit limit) {
+      DomainCounter counter =
+          counters.counter(CounterKey.of(constraint.scope(), limit, vm.service()));
+      removeFullDomains(candidates, counter, limit.limitPerScheduler(schedulerCount));
+    } else if (clause instanceof PlacementConstraint.SpreadSkew skew) {
+      DomainCounter counter =
+          counters.counter(CounterKey.of(constraint.scope(), skew, vm.service()));
+      restrictToSkew(candidates, skew, counter);
+    }
+  }
+
+  /** Takes out of the candidates where VMs run that another scope's anti-affinity keeps away. */
+  void restrictByOthers(RoaringBitmap candidates, PlacementConstraint antiAffinityOfOthers) {
+    CounterKey key = ApplicableConstraints.scopeCounterKey(antiAffinityOfOthers);
+    candidates.andNot(counters.counter(key).occupiedMachines());
+  }
+
+  /** Whether the constraint alone keeps the VM from the machine. */
+  boolean isViolated(PlacementConstraint constraint, VmAttributes vm, int machine) {
+    RoaringBitmap candidates = catalog.openMachines();
+    candidates.add(machine);
+    restrict(candidates, constraint, vm);
+    return !candidates.contains(machine);
+  }
+
+  private void restrictToAffinity(RoaringBitmap candidates, PlacementConstraint.Affinity affinity) {
+    DomainCounter counter = counters.affinityCounter(affinity);
+    if (!counter.isEmpty()) {
+      candidates.and(counter.occupiedMachines());
+    }
+  }
+
+  private void removeFullDomains(RoaringBitmap candidates, DomainCounter counter, int limit) {
+    counter.forEachOccupiedDomain(
+        (domain, count) -> {
+          if (count >= limit) {
+            candidates.andNot(catalog.machinesIn(domain));
+          }
+        });
+  }
+
+  private void restrictToSkew(
+      RoaringBitmap candidates, PlacementConstraint.SpreadSkew skew, DomainCounter counter) {
+    int fewest = fewestInOpenDomain(candidates, skew.level(), counter);
+    counter.forEachOccupiedDomain(
+        (domain, count) -> {
+          if (count + 1 - fewest > skew.maxSkew()) {
+            candidates.andNot(catalog.machinesIn(domain));
+          }
+        });
+  }
+
+  /** The fewest VMs in any domain with a candidate; the largest int where there is none. */
+  private int fewestInOpenDomain(
+      RoaringBitmap candidates, TopologyLevel level, DomainCounter counter) {
+    int fewest = Integer.MAX_VALUE;
+    for (Map.Entry<TopologyDomain, RoaringBitmap> entry :
+        catalog.machinesByDomainOf(level).entrySet()) {
+      int count = counter.count(entry.getKey());
+      if (count < fewest && RoaringBitmap.intersects(candidates, entry.getValue())) {
+        fewest = count;
+      }
+    }
+    return fewest;
+  }
+}
--- a/src/main/java/fordridge/constraint/ConstraintTreeReader.java
+++ b/src/main/java/fordridge/constraint/ConstraintTreeReader.java
@@ -99,12 +99,24 @@
     for (ConstraintsParser.ValueContext value : selector.value()) {
       String number = textOf(value);
       into.add(number);
-      if (!SERVICE_NUMBER.matcher(number).matches()) {
+      if (!isServiceNumber(number)) {
         report(value.start, "service '" + number + "' is not a number");
       }
     }
   }
 
+  private static boolean isServiceNumber(String text) {
+    if (!SERVICE_NUMBER.matcher(text).matches()) {
+      return false;
+    }
+    try {
+      Long.parseLong(text);
+      return true;
+    } catch (NumberFormatException e) {
+      return false;
+    }
+  }
+
   private void checkFirstOfScope(
       ConstraintsParser.SelectorContext selector, Set<String> valuesSoFar) {
     if (!valuesSoFar.isEmpty()) {
--- a/src/main/java/fordridge/constraint/ConstraintValidator.java
+++ b/src/main/java/fordridge/constraint/ConstraintValidator.java
@@ -1,6 +1,9 @@
 package fordridge.constraint;
 
+import fordridge.constraint.PlacementConstraint.Affinity;
+import fordridge.constraint.PlacementConstraint.AntiAffinity;
 import fordridge.constraint.PlacementConstraint.Scope;
+import fordridge.constraint.PlacementConstraint.SpreadLimit;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,205 +13,231 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
- * Finds in a set of rules what no placing could ever meet, before any VM is refused for it. Looks
- * at one VM of each kind that the rules tell apart, and names a smallest set of rules that clash.
+ * Finds in a constraint set what no placement could ever meet, before any VM is rejected for it.
+ * Looks at one VM of each class that the set tells apart, and names a smallest set of conflicting
+ * constraints.
  *
- * <p>By counts alone nothing is impossible for the first VM (near holds while there is none of the
- * other, a spread has room for one); so what can be said for good is: labels that no machine has
- * together, and a VM that must be near what it must also keep apart from, which could go nowhere as
- * soon as one of those runs.
+ * <p>By counts alone nothing is impossible for the first VM: an affinity holds while there is none
+ * of the others, a spread has room for one. So what can be found is: labels that no machine has
+ * together; a VM that must be near what it must also keep apart from, which could go nowhere as
+ * soon as one of those runs; and classes of which one VM each could never run at once.
  */
 public final class ConstraintValidator {
-  /** Longest that a set is looked into. */
+  /** Longest time that validating one set may take. */
   public static final Duration TIME_LIMIT = Duration.ofSeconds(1);
 
-  /** Kinds looked at together; rules beyond these are still looked at one kind at a time. */
-  private static final int MOST_KINDS = 200;
+  /** Most classes that are judged together; further ones are judged one at a time only. */
+  private static final int MAX_CLASSES_TOGETHER = 200;
 
-  private ConstraintValidator() {}
+  private static final MachineCapacity ANY_CAPACITY = new MachineCapacity(1, 1);
 
-  /**
-   * All clashes; with no machines known yet only those that hold on any. {@code stop} ends a long
-   * search: what was found by then is told.
-   */
-  public static List<ConstraintConflict> findConflicts(
-      List<PlacementConstraint> rules, Collection<MachineTopology> machines, BooleanSupplier stop) {
-    ConstraintIndex book;
-    try {
-      // Shares among placers do not bear on it.
-      book =
-          new ConstraintIndex(
-              rules.stream()
-                  .filter(r -> !(r.clause() instanceof PlacementConstraint.SpreadLimit))
-                  .toList(),
-              1);
-    } catch (UnsatisfiableConstraintsException e) {
-      throw new IllegalStateException(e);
+  /** One VM of a class; an empty value stands for one that no constraint names. */
+  private record SampleVm(String tenant, String priorityClass, String service) {
+    private static final long UNNAMED_SERVICE = -1;
+
+    static SampleVm of(Scope scope) {
+      return new SampleVm(
+          firstOf(scope.tenants()), firstOf(scope.priorityClasses()), firstOf(scope.services()));
     }
-    book.machineListReceived(machines);
-    Map<String, ConstraintConflict> found = new LinkedHashMap<>();
-    for (String tenant : values(rules, 0)) {
-      for (String priorityClass : values(rules, 1)) {
-        for (String service : stop.getAsBoolean() ? Set.<String>of() : values(rules, 2)) {
-          long number = service.isEmpty() ? -1 : Long.parseLong(service);
-          String vms = words(tenant, priorityClass, service);
-          List<PlacementConstraint> labels =
-              book.findUnsatisfiableConstraints(new VmAttributes(tenant, priorityClass, number));
-          if (!labels.isEmpty()) {
-            found.putIfAbsent(
-                names(labels),
-                new ConstraintConflict(
-                    vms,
-                    labels,
-                    labels.size() == 1
-                        ? "is met by no machine"
-                        : "are met by no machine together"));
-          }
-          nearAndApart(rules, tenant, priorityClass, number, vms, found);
-        }
+
+    private static String firstOf(Set<String> values) {
+      return values.isEmpty() ? "" : new TreeSet<>(values).first();
+    }
+
+    VmAttributes attributes() {
+      long number = service.isEmpty() ? UNNAMED_SERVICE : Long.parseLong(service);
+      return new VmAttributes(tenant, priorityClass, number);
+    }
+
+    /** The class in the words of the constraint language. */
+    @Override
+    public String toString() {
+      List<String> selectors = new ArrayList<>();
+      addSelector(selectors, "customer ", tenant);
+      addSelector(selectors, "flavour ", priorityClass);
+      addSelector(selectors, "service ", service);
+      return selectors.isEmpty() ? "any kind" : String.join(" ", selectors);
+    }
+
+    private static void addSelector(List<String> selectors, String field, String value) {
+      if (!value.isEmpty()) {
+        selectors.add(field + value);
       }
     }
-    if (found.isEmpty()) {
-      oneOfEach(book, rules, stop, found);
+  }
+
+  private final List<PlacementConstraint> constraints;
+  private final ConstraintIndex index;
+  private final BooleanSupplier shouldStop;
+
+  /** By the names of the conflicting constraints, in the order in which they were found. */
+  private final Map<Set<String>, ConstraintConflict> conflicts = new LinkedHashMap<>();
+
+  private ConstraintValidator(
+      List<PlacementConstraint> constraints,
+      Collection<MachineTopology> machines,
+      BooleanSupplier shouldStop) {
+    this.constraints = constraints;
+    this.shouldStop = shouldStop;
+    index = indexWithoutSpreadLimits(constraints);
+    index.machineListReceived(machines);
+  }
+
+  /** How a limit is shared among schedulers does not bear on what is possible at all. */
+  private static ConstraintIndex indexWithoutSpreadLimits(List<PlacementConstraint> constraints) {
+    List<PlacementConstraint> unlimited =
+        constraints.stream()
+            .filter(constraint -> !(constraint.clause() instanceof SpreadLimit))
+            .toList();
+    try {
+      return new ConstraintIndex(unlimited, 1);
+    } catch (UnsatisfiableConstraintsException e) {
+      throw new IllegalStateException("a set without limits was rejected", e);
     }
-    return List.copyOf(found.values());
   }
 
   /**
-   * One VM of each scope that the rules name must be able to run at once: by labels, near and
-   * apart. How many of a kind a spread lets run is no clash, nor are VMs of one kind that keep
-   * apart from each other.
+   * All conflicts; without machines only those that hold on any. {@code shouldStop} is polled and
+   * ends a long search with what was found by then.
    */
-  private static void oneOfEach(
-      ConstraintIndex book,
-      List<PlacementConstraint> rules,
-      BooleanSupplier stop,
-      Map<String, ConstraintConflict> found) {
-    Map<String, GroupMember> kinds = new LinkedHashMap<>();
-    for (PlacementConstraint r : rules) {
-      List<Scope> scopes = new ArrayList<>();
-      if (r.isRequired()) {
-        scopes.add(r.scope());
-        if (r.clause() instanceof PlacementConstraint.Affinity n) {
-          scopes.add(n.other());
-        } else if (r.clause() instanceof PlacementConstraint.AntiAffinity a) {
-          scopes.add(a.other());
+  public static List<ConstraintConflict> findConflicts(
+      List<PlacementConstraint> constraints,
+      Collection<MachineTopology> machines,
+      BooleanSupplier shouldStop) {
+    return new ConstraintValidator(constraints, machines, shouldStop).findConflicts();
+  }
+
+  private List<ConstraintConflict> findConflicts() {
+    Set<String> services = namedValues(Scope::services);
+    for (String tenant : namedValues(Scope::tenants)) {
+      for (String priorityClass : namedValues(Scope::priorityClasses)) {
+        if (shouldStop.getAsBoolean()) {
+          continue;
         }
-      }
-      for (Scope s : scopes) {
-        GroupMember one =
-            new GroupMember(
-                words(first(s.tenants()), first(s.priorityClasses()), first(s.services())),
-                new VmAttributes(
-                    first(s.tenants()),
-                    first(s.priorityClasses()),
-                    s.services().isEmpty() ? -1 : Long.parseLong(first(s.services()))),
-                0,
-                0);
-        if (kinds.size() < MOST_KINDS) {
-          kinds.putIfAbsent(one.id(), one);
+        for (String service : services) {
+          checkOne(new SampleVm(tenant, priorityClass, service));
         }
       }
     }
-    List<GroupMember> parts = List.copyOf(kinds.values());
-    FeasibilityResult o =
-        book.groupFeasibility(parts, m -> new MachineCapacity(1, 1)).kinds().solve(stop);
-    if (o.verdict() == FeasibilityResult.Verdict.INFEASIBLE) {
-      found.put(
-          names(o.conflictingConstraints()),
-          new ConstraintConflict(
-              parts.stream()
-                  .filter(p -> o.conflictingConstraints().stream().anyMatch(r -> speaks(r, p)))
-                  .map(GroupMember::id)
-                  .collect(Collectors.joining(" and ")),
-              o.conflictingConstraints(),
-              "leave no places for one of each at once"));
+    if (conflicts.isEmpty()) {
+      checkOneOfEachTogether();
     }
+    return List.copyOf(conflicts.values());
   }
 
-  private static boolean speaks(PlacementConstraint r, GroupMember p) {
-    return r.scope().covers(p.vm());
+  /** The values that the scopes name, and the empty one for a value that none names. */
+  private Set<String> namedValues(Function<Scope, Set<String>> field) {
+    Set<String> values = new TreeSet<>();
+    values.add("");
+    constraints.forEach(constraint -> values.addAll(field.apply(constraint.scope())));
+    return values;
   }
 
-  private static String first(Set<String> values) {
-    return values.isEmpty() ? "" : new TreeSet<>(values).first();
+  private void checkOne(SampleVm vm) {
+    checkLabels(vm);
+    checkAffinityAgainstAntiAffinity(vm);
   }
 
-  private static void nearAndApart(
-      List<PlacementConstraint> rules,
-      String tenant,
-      String priorityClass,
-      long service,
-      String vms,
-      Map<String, ConstraintConflict> found) {
-    List<PlacementConstraint> mine =
-        rules.stream()
-            .filter(
-                r ->
-                    r.isRequired()
-                        && r.scope().covers(new VmAttributes(tenant, priorityClass, service)))
+  private void checkLabels(SampleVm vm) {
+    List<PlacementConstraint> conflicting = index.findUnsatisfiableConstraints(vm.attributes());
+    if (!conflicting.isEmpty()) {
+      String description =
+          conflicting.size() == 1 ? "is met by no machine" : "are met by no machine together";
+      add(vm.toString(), conflicting, description);
+    }
+  }
+
+  private void checkAffinityAgainstAntiAffinity(SampleVm vm) {
+    VmAttributes attributes = vm.attributes();
+    List<PlacementConstraint> required =
+        constraints.stream()
+            .filter(PlacementConstraint::isRequired)
+            .filter(constraint -> constraint.scope().covers(attributes))
             .toList();
-    for (PlacementConstraint n : mine) {
-      if (!(n.clause() instanceof PlacementConstraint.Affinity near)) {
+    for (PlacementConstraint first : required) {
+      if (!(first.clause() instanceof Affinity affinity)) {
         continue;
       }
-      for (PlacementConstraint a : mine) {
-        if (a.clause() instanceof PlacementConstraint.AntiAffinity apart
-            && within(near.other(), apart.other())
-            && atLeast(apart.level(), near.level())) {
-          found.putIfAbsent(
-              names(List.of(n, a)),
-              new ConstraintConflict(
-                  vms,
-                  List.of(n, a),
-                  "leave no place as soon as one of " + near.other() + " runs"));
+      for (PlacementConstraint second : required) {
+        if (second.clause() instanceof AntiAffinity antiAffinity
+            && isContradicted(affinity, antiAffinity)) {
+          String description = "leave no place as soon as one of " + affinity.other() + " runs";
+          add(vm.toString(), List.of(first, second), description);
         }
       }
     }
   }
 
-  /** Every VM of the one scope is of the other. */
-  private static boolean within(Scope part, Scope whole) {
-    return within(part.tenants(), whole.tenants())
-        && within(part.priorityClasses(), whole.priorityClasses())
-        && within(part.services(), whole.services());
+  /** Whether all that the affinity draws to is kept away from, in domains at least as large. */
+  private static boolean isContradicted(Affinity affinity, AntiAffinity antiAffinity) {
+    return isWithin(affinity.other(), antiAffinity.other())
+        && antiAffinity.level().compareTo(affinity.level()) >= 0;
+  }
+
+  private static boolean isWithin(Scope part, Scope whole) {
+    return isWithin(part.tenants(), whole.tenants())
+        && isWithin(part.priorityClasses(), whole.priorityClasses())
+        && isWithin(part.services(), whole.services());
   }
 
-  private static boolean within(Set<String> part, Set<String> whole) {
+  private static boolean isWithin(Set<String> part, Set<String> whole) {
     return whole.isEmpty() || !part.isEmpty() && whole.containsAll(part);
   }
 
-  /** A domain of the first kind holds the whole of any of the second that it touches. */
-  private static boolean atLeast(TopologyLevel large, TopologyLevel small) {
-    return large.ordinal() >= small.ordinal();
+  /**
+   * One VM of each class that the required constraints name must be able to run at once, by labels,
+   * affinities and anti-affinities. How many of a class a spread lets run is no conflict, nor are
+   * VMs of one class that keep apart from each other.
+   */
+  private void checkOneOfEachTogether() {
+    List<GroupMember> classes =
+        namedClasses().stream()
+            .map(vm -> new GroupMember(vm.toString(), vm.attributes(), 0, 0))
+            .toList();
+    FeasibilityResult result =
+        index.classFeasibility(classes, machine -> ANY_CAPACITY).solve(shouldStop);
+    if (result.verdict() == FeasibilityResult.Verdict.INFEASIBLE) {
+      List<PlacementConstraint> conflicting = result.conflictingConstraints();
+      String affected =
+          classes.stream()
+              .filter(vm -> isCoveredByAny(vm, conflicting))
+              .map(GroupMember::id)
+              .collect(Collectors.joining(" and "));
+      add(affected, conflicting, "leave no places for one of each at once");
+    }
+  }
+
+  private List<SampleVm> namedClasses() {
+    return constraints.stream()
+        .filter(PlacementConstraint::isRequired)
+        .flatMap(constraint -> namedScopes(constraint).stream())
+        .map(SampleVm::of)
+        .distinct()
+        .limit(MAX_CLASSES_TOGETHER)
+        .toList();
   }
 
-  /** Values that the rules speak of, and one that none speaks of. */
-  private static Set<String> values(List<PlacementConstraint> rules, int field) {
-    Set<String> some = new TreeSet<>();
-    some.add("");
-    List<Scope> scopes = new ArrayList<>();
-    for (PlacementConstraint r : rules) {
-      scopes.add(r.scope());
+  private static List<Scope> namedScopes(PlacementConstraint constraint) {
+    if (constraint.clause() instanceof Affinity affinity) {
+      return List.of(constraint.scope(), affinity.other());
     }
-    for (Scope s : scopes) {
-      some.addAll(field == 0 ? s.tenants() : field == 1 ? s.priorityClasses() : s.services());
+    if (constraint.clause() instanceof AntiAffinity antiAffinity) {
+      return List.of(constraint.scope(), antiAffinity.other());
     }
-    return some;
+    return List.of(constraint.scope());
   }
 
-  private static String names(List<PlacementConstraint> rules) {
-    return rules.stream().map(PlacementConstraint::name).sorted().collect(Collectors.joining(" "));
+  private static boolean isCoveredByAny(GroupMember member, List<PlacementConstraint> constraints) {
+    return constraints.stream().anyMatch(constraint -> constraint.scope().covers(member.vm()));
   }
 
-  private static String words(String tenant, String priorityClass, String service) {
-    String s =
-        (tenant.isEmpty() ? "" : " customer " + tenant)
-            + (priorityClass.isEmpty() ? "" : " flavour " + priorityClass)
-            + (service.isEmpty() ? "" : " service " + service);
-    return s.isEmpty() ? "any kind" : s.substring(1);
+  private void add(String affectedVms, List<PlacementConstraint> conflicting, String description) {
+    Set<String> names =
+        conflicting.stream().map(PlacementConstraint::name).collect(Collectors.toSet());
+    conflicts.putIfAbsent(names, new ConstraintConflict(affectedVms, conflicting, description));
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/constraint/GroupModel.java
@@ -0,0 +1,286 @@
+package fordridge.constraint;
+
+import fordridge.constraint.PlacementConstraint.Affinity;
+import fordridge.constraint.PlacementConstraint.AntiAffinity;
+import fordridge.constraint.PlacementConstraint.Scope;
+import fordridge.constraint.PlacementConstraint.SpreadLimit;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntToDoubleFunction;
+import java.util.stream.IntStream;
+import org.chocosolver.solver.Model;
+import org.chocosolver.solver.constraints.Constraint;
+import org.chocosolver.solver.search.strategy.Search;
+import org.chocosolver.solver.variables.BoolVar;
+import org.chocosolver.solver.variables.IntVar;
+
+/**
+ * One constraint model of a group for the Choco solver, under some of its constraints: a variable
+ * for each member's machine, derived ones for its cell and zone. Solved at most once.
+ */
+final class GroupModel {
+  /** Failures of the search before the answer is unknown: a bound independent of the clock. */
+  private static final int MAX_SEARCH_FAILURES = 20_000;
+
+  /** The solver counts in integers: cores and memory in thousandths of their unit. */
+  private static final int CAPACITY_SCALE = 1000;
+
+  /** Larger capacities are cut to this, in the unit of the request. */
+  private static final double MAX_CAPACITY = 1e6;
+
+  private static final int MAX_SCALED_LOAD = Integer.MAX_VALUE / 4;
+
+  private final GroupProblem problem;
+  private final BooleanSupplier shouldStop;
+  private final Model model = new Model("group");
+  private final IntVar[] machineOfMember;
+  private final Map<TopologyLevel, IntVar[]> domainOfMember = new EnumMap<>(TopologyLevel.class);
+  private boolean isTriviallyInfeasible;
+
+  /**
+   * Builds the model.
+   *
+   * @param constraints those that hold; the problem's others are left out
+   * @param withCapacity whether members must fit into the machines' capacity
+   */
+  GroupModel(
+      GroupProblem problem,
+      List<PlacementConstraint> constraints,
+      boolean withCapacity,
+      BooleanSupplier shouldStop) {
+    this.problem = problem;
+    this.shouldStop = shouldStop;
+    machineOfMember = new IntVar[problem.memberCount()];
+    createMachineVariables(new OpenMachines(problem, constraints, withCapacity));
+    if (isTriviallyInfeasible) {
+      return;
+    }
+    constraints.forEach(this::post);
+    if (withCapacity) {
+      postCapacity(
+          member -> problem.member(member).cores(), machine -> problem.capacity(machine).cores());
+      postCapacity(
+          member -> problem.member(member).memory(), machine -> problem.capacity(machine).memory());
+    }
+  }
+
+  private void createMachineVariables(OpenMachines openMachines) {
+    for (int member = 0; member < machineOfMember.length; member++) {
+      int[] open = openMachines.find(member);
+      if (open.length == 0) {
+        isTriviallyInfeasible = true;
+        return;
+      }
+      machineOfMember[member] = model.intVar("machine" + member, open);
+    }
+  }
+
+  private void post(PlacementConstraint constraint) {
+    if (constraint.clause() instanceof AntiAffinity antiAffinity) {
+      postAntiAffinity(constraint.scope(), antiAffinity);
+    } else if (constraint.clause() instanceof SpreadLimit limit) {
+      postSpreadLimit(constraint.scope(), limit);
+    } else if (constraint.clause() instanceof Affinity affinity) {
+      postAffinity(constraint.scope(), affinity);
+    }
+  }
+
+  /** The variable for a member's domain of a level. */
+  private IntVar domainOf(int member, TopologyLevel level) {
+    if (level == TopologyLevel.MACHINE) {
+      return machineOfMember[member];
+    }
+    IntVar[] variables =
+        domainOfMember.computeIfAbsent(level, any -> new IntVar[machineOfMember.length]);
+    if (variables[member] == null) {
+      int lastDomain = problem.domains(level).size() - 1;
+      variables[member] = model.intVar(level.toString() + member, 0, lastDomain);
+      model
+          .element(variables[member], problem.domainByMachine(level), machineOfMember[member])
+          .post();
+    }
+    return variables[member];
+  }
+
+  private void postAntiAffinity(Scope scope, AntiAffinity antiAffinity) {
+    Scope other = antiAffinity.other();
+    TopologyLevel level = antiAffinity.level();
+    List<IntVar> mutuallyApart = new ArrayList<>();
+    for (int member = 0; member < machineOfMember.length; member++) {
+      if (problem.isCovered(member, scope) && problem.isCovered(member, other)) {
+        mutuallyApart.add(domainOf(member, level));
+      }
+    }
+    if (mutuallyApart.size() > 1 && !problem.membersAreClasses()) {
+      model.allDifferent(mutuallyApart.toArray(new IntVar[0])).post();
+    }
+    for (int member = 0; member < machineOfMember.length; member++) {
+      for (int second = 0; second < machineOfMember.length; second++) {
+        if (member != second && isApartOneWay(scope, other, member, second)) {
+          model.arithm(domainOf(member, level), "!=", domainOf(second, level)).post();
+        }
+      }
+    }
+  }
+
+  /** Whether the first keeps apart from the second, and not the second from the first as well. */
+  private boolean isApartOneWay(Scope scope, Scope other, int first, int second) {
+    boolean isFirstApart = problem.isCovered(first, scope) && problem.isCovered(second, other);
+    boolean isSecondApart = problem.isCovered(second, scope) && problem.isCovered(first, other);
+    return isFirstApart && !isSecondApart;
+  }
+
+  private void postSpreadLimit(Scope scope, SpreadLimit limit) {
+    Map<Long, List<Integer>> membersByService = new TreeMap<>();
+    for (int member = 0; member < machineOfMember.length; member++) {
+      if (problem.isCovered(member, scope)) {
+        long service = problem.member(member).vm().service();
+        membersByService.computeIfAbsent(service, any -> new ArrayList<>()).add(member);
+      }
+    }
+    if (limit.perService()) {
+      membersByService.forEach(
+          (service, members) ->
+              postSpreadLimit(limit, members, CounterKey.of(scope, limit, service)));
+    } else if (!membersByService.isEmpty()) {
+      List<Integer> members =
+          membersByService.values().stream().flatMap(Collection::stream).sorted().toList();
+      postSpreadLimit(limit, members, CounterKey.allServices(scope, limit.level()));
+    }
+  }
+
+  private void postSpreadLimit(SpreadLimit limit, List<Integer> members, CounterKey key) {
+    int most = limit.limitPerScheduler(problem.constraints().schedulerCount());
+    Map<TopologyDomain, Integer> counts = problem.constraints().counts(key);
+    int fullest = counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    if (members.size() <= most - fullest) {
+      return;
+    }
+    IntVar[] domains =
+        members.stream().map(member -> domainOf(member, limit.level())).toArray(IntVar[]::new);
+    if (most == 1) {
+      model.allDifferent(domains).post();
+    } else {
+      postDomainCounts(domains, limit.level(), most, counts);
+    }
+  }
+
+  /** Bounds how many of the variables take each domain, by what each holds already. */
+  private void postDomainCounts(
+      IntVar[] variables, TopologyLevel level, int most, Map<TopologyDomain, Integer> counts) {
+    List<TopologyDomain> domains = problem.domains(level);
+    int[] values = new int[domains.size()];
+    IntVar[] occurrences = new IntVar[domains.size()];
+    for (int domain = 0; domain < values.length; domain++) {
+      int left = most - counts.getOrDefault(domains.get(domain), 0);
+      values[domain] = domain;
+      occurrences[domain] = model.intVar(0, Math.max(0, Math.min(variables.length, left)));
+    }
+    model.globalCardinality(variables, values, occurrences, false).post();
+  }
+
+  private void postAffinity(Scope scope, Affinity affinity) {
+    Set<TopologyDomain> occupied = problem.constraints().domains(affinity);
+    List<TopologyDomain> domains = problem.domains(affinity.level());
+    int[] occupiedNumbers =
+        IntStream.range(0, domains.size())
+            .filter(number -> occupied.contains(domains.get(number)))
+            .toArray();
+    boolean runsOnlyElsewhere = occupiedNumbers.length == 0 && !occupied.isEmpty();
+    for (int member = 0; member < machineOfMember.length; member++) {
+      if (problem.isCovered(member, scope)) {
+        List<Constraint> alternatives = affinityAlternatives(member, affinity, occupiedNumbers);
+        postAnyOf(alternatives);
+        isTriviallyInfeasible |= alternatives.isEmpty() && runsOnlyElsewhere;
+      }
+    }
+  }
+
+  /** The ways in which a member can be near: one that runs already, or each other member. */
+  private List<Constraint> affinityAlternatives(
+      int member, Affinity affinity, int[] occupiedNumbers) {
+    TopologyLevel level = affinity.level();
+    List<Constraint> alternatives = new ArrayList<>();
+    if (occupiedNumbers.length > 0) {
+      alternatives.add(model.member(domainOf(member, level), occupiedNumbers));
+    }
+    for (int second = 0; second < machineOfMember.length; second++) {
+      if (second != member && problem.isCovered(second, affinity.other())) {
+        alternatives.add(model.arithm(domainOf(member, level), "=", domainOf(second, level)));
+      }
+    }
+    return alternatives;
+  }
+
+  private void postAnyOf(List<Constraint> alternatives) {
+    if (alternatives.size() == 1) {
+      alternatives.get(0).post();
+    } else if (!alternatives.isEmpty()) {
+      model.or(alternatives.stream().map(Constraint::reify).toArray(BoolVar[]::new)).post();
+    }
+  }
+
+  /** No machine takes more of a resource than it has; posted only where that could happen. */
+  private void postCapacity(IntToDoubleFunction requested, IntToDoubleFunction available) {
+    int[] sizes = new int[machineOfMember.length];
+    long sum = 0;
+    for (int member = 0; member < sizes.length; member++) {
+      sizes[member] = (int) Math.floor(requested.applyAsDouble(member) * CAPACITY_SCALE);
+      sum += sizes[member];
+    }
+    IntVar[] loads = new IntVar[problem.machineCount()];
+    boolean canExceed = false;
+    for (int machine = 0; machine < loads.length; machine++) {
+      double capped = Math.min(available.applyAsDouble(machine), MAX_CAPACITY);
+      long most = Math.max(0, (long) Math.ceil(capped * CAPACITY_SCALE));
+      canExceed |= most < sum;
+      loads[machine] = model.intVar(0, (int) Math.min(most, Math.min(sum, MAX_SCALED_LOAD)));
+    }
+    if (canExceed) {
+      model.binPacking(machineOfMember, sizes, loads, 0).post();
+    }
+  }
+
+  /** Searches for a placement; the reasons of an infeasible one are not looked for. */
+  FeasibilityResult solve() {
+    if (isTriviallyInfeasible) {
+      return FeasibilityResult.infeasible(List.of(), false);
+    }
+    model.getSolver().setSearch(Search.domOverWDegSearch(machineOfMember));
+    model.getSolver().limitFail(MAX_SEARCH_FAILURES);
+    model.getSolver().addStopCriterion(shouldStop::getAsBoolean);
+    if (model.getSolver().solve()) {
+      return FeasibilityResult.feasible(solutionInPlacementOrder());
+    }
+    return model.getSolver().isStopCriterionMet()
+        ? FeasibilityResult.unknown()
+        : FeasibilityResult.infeasible(List.of(), false);
+  }
+
+  /** Members without an affinity come first: the others look for them. */
+  private Map<String, String> solutionInPlacementOrder() {
+    Map<String, String> machineByMember = new LinkedHashMap<>();
+    for (boolean withAffinity : new boolean[] {false, true}) {
+      for (int member = 0; member < machineOfMember.length; member++) {
+        if (hasAffinity(member) == withAffinity) {
+          int machine = machineOfMember[member].getValue();
+          machineByMember.put(problem.member(member).id(), problem.machine(machine).name());
+        }
+      }
+    }
+    return machineByMember;
+  }
+
+  private boolean hasAffinity(int member) {
+    return problem.constraints().constraints().stream()
+        .filter(constraint -> constraint.clause() instanceof Affinity)
+        .anyMatch(constraint -> problem.isCovered(member, constraint.scope()));
+  }
+}
--- a/src/main/java/fordridge/constraint/GroupPlan.java
+++ b/src/main/java/fordridge/constraint/GroupPlan.java
@@ -1,5 +1,6 @@
 package fordridge.constraint;
 
+import fordridge.constraint.FeasibilityResult.Verdict;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -9,116 +10,125 @@
 import java.util.stream.Collectors;
 
 /**
- * What is settled for VMs that go together before the first is placed: that they never could, or
- * where each must keep to so that the last still finds its place. Free of I/O and clocks.
+ * What is decided for a group before its first member is placed: that it can never be placed, or
+ * where each member must keep to so that the last still finds its place. Immutable once computed;
+ * free of I/O and clocks.
  *
- * <p>The module goes on choosing machines. A VM that must be near another of its group, or that
- * another must be near, is held to the domain that was found for it; where few machines are open to
- * a member, all are led to the ones that were found, as a choice made for one could take the last
+ * <p>The scheduler still selects the machines. A member that must be near another, or that another
+ * must be near, is bound to the domain that was found for it. Where few machines are open to some
+ * member, each prefers the machine that was found for it, as a free choice could take the only
  * place of another.
  */
 public final class GroupPlan {
-  /** Leads to the machine that was found before any preference of a customer. */
-  private static final double LED = 1e6;
+  /** Penalty of a machine that was not found for a member; outweighs the tenants' preferences. */
+  private static final double NOT_PLANNED_PENALTY = 1e6;
 
-  /**
-   * Machines open to a member, as a multiple of the group's size, under which all of the group are
-   * led.
-   */
-  private static final int AMPLE = 4;
+  /** Below this many open machines for each member of the group, members prefer what was found. */
+  private static final int AMPLE_MACHINES_PER_MEMBER = 4;
 
-  /** Longest that it is looked into. */
+  /** Longest time that computing one plan may take. */
   public static final Duration TIME_LIMIT = Duration.ofSeconds(1);
 
-  private record Held(TopologyLevel per, String domain) {}
-
-  private final Map<String, Held> held = new HashMap<>();
-  private final Map<String, String> led = new HashMap<>();
-  private final List<String> order;
-  private final String refusal;
+  private final List<String> placementOrder;
+  private final Optional<String> rejectionReason;
+  private final Map<String, TopologyDomain> fixedDomainByMember;
+  private final Map<String, String> preferredMachineByMember;
 
-  private GroupPlan(List<String> order, String refusal) {
-    this.order = order;
-    this.refusal = refusal;
+  private GroupPlan(
+      List<String> placementOrder,
+      Optional<String> rejectionReason,
+      Map<String, TopologyDomain> fixedDomainByMember,
+      Map<String, String> preferredMachineByMember) {
+    this.placementOrder = placementOrder;
+    this.rejectionReason = rejectionReason;
+    this.fixedDomainByMember = fixedDomainByMember;
+    this.preferredMachineByMember = preferredMachineByMember;
   }
 
   /**
-   * Settles it, by the room that there is now, else by the whole of each machine, as room may come
-   * free in time; only what not even empty machines could take is refused.
+   * Computes a plan by the capacity that is free now, else by the machines' total capacity, as some
+   * may come free in time; only what not even empty machines could take is rejected. A group for
+   * which no answer was found in time is placed without a plan.
    */
   public static GroupPlan compute(
-      GroupFeasibility now, GroupFeasibility empty, List<GroupMember> parts, BooleanSupplier stop) {
-    FeasibilityResult o = now.solve(stop);
-    GroupFeasibility of = now;
-    if (o.verdict() != FeasibilityResult.Verdict.FEASIBLE) {
-      o = empty.solve(stop);
-      of = empty;
-    }
-    if (o.verdict() == FeasibilityResult.Verdict.INFEASIBLE) {
-      return new GroupPlan(List.of(), refusal(o, parts.size()));
-    }
-    if (o.verdict() == FeasibilityResult.Verdict.UNKNOWN) {
-      return new GroupPlan(parts.stream().map(GroupMember::id).toList(), null);
+      GroupFeasibility withFreeCapacity,
+      GroupFeasibility withTotalCapacity,
+      List<GroupMember> members,
+      BooleanSupplier shouldStop) {
+    FeasibilityResult result = withFreeCapacity.solve(shouldStop);
+    if (result.verdict() == Verdict.FEASIBLE) {
+      return fromSolution(result, withFreeCapacity, members);
     }
-    GroupPlan plan = new GroupPlan(List.copyOf(o.machineByMember().keySet()), null);
-    boolean scarce = of.fewestOpen() < AMPLE * parts.size();
-    for (GroupMember p : parts) {
-      String machine = o.machineByMember().get(p.id());
-      TopologyLevel per = of.bound(p);
-      if (per != null) {
-        plan.held.put(p.id(), new Held(per, ConstraintIndex.domain(of.spot(machine), per)));
-      }
-      if (scarce) {
-        plan.led.put(p.id(), machine);
-      }
-    }
-    return plan;
+    result = withTotalCapacity.solve(shouldStop);
+    return switch (result.verdict()) {
+      case FEASIBLE -> fromSolution(result, withTotalCapacity, members);
+      case INFEASIBLE -> rejected(result, members.size());
+      case UNKNOWN -> unconstrained(members.stream().map(GroupMember::id).toList());
+    };
   }
 
-  /** Nothing speaks of these. */
-  public static GroupPlan unconstrained(List<String> order) {
-    return new GroupPlan(List.copyOf(order), null);
+  /** A plan that binds no member. */
+  public static GroupPlan unconstrained(List<String> placementOrder) {
+    return new GroupPlan(List.copyOf(placementOrder), Optional.empty(), Map.of(), Map.of());
   }
 
-  private static String refusal(FeasibilityResult o, int size) {
-    String rules =
-        o.conflictingConstraints().stream()
-            .map(r -> "rule '" + r.name() + "' (" + r.clause() + ")")
+  private static GroupPlan fromSolution(
+      FeasibilityResult solution, GroupFeasibility feasibility, List<GroupMember> members) {
+    boolean isScarce =
+        feasibility.fewestOpenMachines() < AMPLE_MACHINES_PER_MEMBER * members.size();
+    Map<String, TopologyDomain> fixedDomains = new HashMap<>();
+    for (GroupMember member : members) {
+      MachineTopology machine =
+          feasibility.machineNamed(solution.machineByMember().get(member.id()));
+      feasibility
+          .levelSharedWithOthers(member)
+          .ifPresent(level -> fixedDomains.put(member.id(), TopologyDomain.of(machine, level)));
+    }
+    return new GroupPlan(
+        List.copyOf(solution.machineByMember().keySet()),
+        Optional.empty(),
+        fixedDomains,
+        isScarce ? Map.copyOf(solution.machineByMember()) : Map.of());
+  }
+
+  private static GroupPlan rejected(FeasibilityResult result, int groupSize) {
+    String constraints =
+        result.conflictingConstraints().stream()
+            .map(constraint -> "rule '" + constraint.name() + "' (" + constraint.clause() + ")")
             .collect(Collectors.joining(" and "));
-    return "no placing of all "
-        + size
-        + " meets "
-        + (rules.isEmpty() ? "" : rules)
-        + (o.isCapacityExceeded()
-            ? (rules.isEmpty() ? "" : " and ") + "the size of the machines"
-            : "");
+    StringBuilder reason = new StringBuilder("no placing of all " + groupSize + " meets ");
+    reason.append(constraints);
+    if (result.isCapacityExceeded()) {
+      reason.append(constraints.isEmpty() ? "" : " and ").append("the size of the machines");
+    }
+    return new GroupPlan(List.of(), Optional.of(reason.toString()), Map.of(), Map.of());
   }
 
   /** Why the group can never be placed; empty where it may be. */
   public Optional<String> rejectionReason() {
-    return Optional.ofNullable(refusal);
+    return rejectionReason;
   }
 
-  /** In which order its VMs are best placed. */
+  /** The members' ids in the order in which they are best placed; empty for a rejected group. */
   public List<String> placementOrder() {
-    return order;
+    return placementOrder;
   }
 
   /**
-   * Whether its place near others is settled here, so that their not being there yet does not
-   * count.
+   * Whether a member's place near others is decided here, so that it may be placed before they are
+   * there.
    */
-  public boolean hasFixedDomain(String id) {
-    return held.containsKey(id);
+  public boolean hasFixedDomain(String memberId) {
+    return fixedDomainByMember.containsKey(memberId);
   }
 
-  /** What speaks against a machine for a member: infinite where it must not go. */
-  public double placementPenalty(String id, MachineTopology spot) {
-    Held h = held.get(id);
-    if (h != null && !ConstraintIndex.domain(spot, h.per).equals(h.domain)) {
+  /** The penalty of a machine for a member; infinite where it must not go. */
+  public double placementPenalty(String memberId, MachineTopology machine) {
+    TopologyDomain fixed = fixedDomainByMember.get(memberId);
+    if (fixed != null && !TopologyDomain.of(machine, fixed.level()).equals(fixed)) {
       return Double.POSITIVE_INFINITY;
     }
-    String machine = led.get(id);
-    return machine == null || machine.equals(spot.name()) ? 0 : LED;
+    String preferred = preferredMachineByMember.get(memberId);
+    return preferred == null || preferred.equals(machine.name()) ? 0 : NOT_PLANNED_PENALTY;
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/constraint/MachineCatalog.java
@@ -0,0 +1,150 @@
+package fordridge.constraint;
+
+import fordridge.constraint.PlacementConstraint.LabelPredicate;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * The machines that were ever listed, each under a dense number that it keeps, with their domains
+ * and label matches as bitmaps of these numbers. Bitmaps that are handed out must not be changed.
+ */
+final class MachineCatalog {
+  /** The number of a machine that was never listed. */
+  static final int NOT_LISTED = -1;
+
+  private static final RoaringBitmap NO_MACHINES = new RoaringBitmap();
+
+  private final Map<String, Integer> numberByName = new LinkedHashMap<>();
+  private final List<MachineTopology> machines = new ArrayList<>();
+  private final List<Map<TopologyLevel, TopologyDomain>> domainsByMachine = new ArrayList<>();
+  private final Map<TopologyLevel, Map<TopologyDomain, RoaringBitmap>> machinesByDomain =
+      new EnumMap<>(TopologyLevel.class);
+  private final Map<LabelPredicate, RoaringBitmap> machinesByPredicate = new HashMap<>();
+  private final RoaringBitmap listed = new RoaringBitmap();
+  private final RoaringBitmap draining = new RoaringBitmap();
+  private long version;
+
+  MachineCatalog() {}
+
+  /** A copy that changes independently. */
+  MachineCatalog(MachineCatalog other) {
+    numberByName.putAll(other.numberByName);
+    machines.addAll(other.machines);
+    listed.or(other.listed);
+    draining.or(other.draining);
+    indexDomains();
+  }
+
+  /** Replaces the machines that are listed; those that left keep their number and last labels. */
+  void replaceListed(Collection<MachineTopology> nowListed) {
+    listed.clear();
+    for (MachineTopology machine : nowListed) {
+      Integer number = numberByName.get(machine.name());
+      if (number == null) {
+        number = machines.size();
+        numberByName.put(machine.name(), number);
+        machines.add(machine);
+      } else {
+        machines.set(number, machine);
+      }
+      listed.add(number);
+    }
+    indexDomains();
+    version++;
+  }
+
+  private void indexDomains() {
+    machinesByPredicate.clear();
+    machinesByDomain.clear();
+    domainsByMachine.clear();
+    for (int number = 0; number < machines.size(); number++) {
+      Map<TopologyLevel, TopologyDomain> domains = new EnumMap<>(TopologyLevel.class);
+      for (TopologyLevel level : TopologyLevel.values()) {
+        TopologyDomain domain = TopologyDomain.of(machines.get(number), level);
+        domains.put(level, domain);
+        machinesByDomain
+            .computeIfAbsent(level, any -> new HashMap<>())
+            .computeIfAbsent(domain, any -> new RoaringBitmap())
+            .add(number);
+      }
+      domainsByMachine.add(domains);
+    }
+  }
+
+  /** Replaces the set of draining machines; names that were never listed are ignored. */
+  void replaceDraining(Collection<String> names) {
+    draining.clear();
+    names.stream()
+        .map(numberByName::get)
+        .filter(Objects::nonNull)
+        .forEach(number -> draining.add(number.intValue()));
+    version++;
+  }
+
+  /** Increases with every change. */
+  long version() {
+    return version;
+  }
+
+  /** The machine's number, or {@link #NOT_LISTED}. */
+  int numberOf(String name) {
+    return numberByName.getOrDefault(name, NOT_LISTED);
+  }
+
+  MachineTopology machine(int number) {
+    return machines.get(number);
+  }
+
+  boolean isListed(int number) {
+    return number != NOT_LISTED && listed.contains(number);
+  }
+
+  boolean isDraining(int number) {
+    return number != NOT_LISTED && draining.contains(number);
+  }
+
+  RoaringBitmap listedMachines() {
+    return listed;
+  }
+
+  /** A new bitmap of the machines that are listed and not draining. */
+  RoaringBitmap openMachines() {
+    return RoaringBitmap.andNot(listed, draining);
+  }
+
+  TopologyDomain domainOf(int number, TopologyLevel level) {
+    return domainsByMachine.get(number).get(level);
+  }
+
+  /** All machines of a domain, also those that left the list. */
+  RoaringBitmap machinesIn(TopologyDomain domain) {
+    return machinesByDomainOf(domain.level()).getOrDefault(domain, NO_MACHINES);
+  }
+
+  /** All domains of a level with their machines. */
+  Map<TopologyDomain, RoaringBitmap> machinesByDomainOf(TopologyLevel level) {
+    return machinesByDomain.getOrDefault(level, Map.of());
+  }
+
+  /** All machines whose labels meet the predicate, also those that left the list. */
+  RoaringBitmap machinesMatching(LabelPredicate predicate) {
+    return machinesByPredicate.computeIfAbsent(predicate, this::findMatching);
+  }
+
+  private RoaringBitmap findMatching(LabelPredicate predicate) {
+    RoaringBitmap matching = new RoaringBitmap();
+    for (int number = 0; number < machines.size(); number++) {
+      if (predicate.matches(machines.get(number))) {
+        matching.add(number);
+      }
+    }
+    return matching;
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/constraint/PlacementAuditor.java
@@ -0,0 +1,110 @@
+package fordridge.constraint;
+
+import fordridge.constraint.AttemptTracker.TrackedAttempt;
+import fordridge.constraint.RejectionReason.Cause;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+
+/**
+ * Looks over what runs for VMs that stand against the constraints. Each VM is judged as if it alone
+ * were not there. The cost grows with what runs: meant for operators and new sets, not for
+ * placements.
+ */
+final class PlacementAuditor {
+  private final MachineCatalog catalog;
+  private final AttemptTracker tracker;
+  private final CandidateFilter filter;
+  private final RejectionExplainer explainer;
+
+  PlacementAuditor(
+      MachineCatalog catalog,
+      AttemptTracker tracker,
+      CandidateFilter filter,
+      RejectionExplainer explainer) {
+    this.catalog = catalog;
+    this.tracker = tracker;
+    this.filter = filter;
+    this.explainer = explainer;
+  }
+
+  /** Attempts where a required constraint, or the machine's absence, speaks against their place. */
+  Map<Object, List<RejectionReason>> findViolatingPlacements() {
+    Map<Object, List<RejectionReason>> violating = new LinkedHashMap<>();
+    tracker
+        .attempts()
+        .forEach(
+            (attempt, tracked) -> {
+              List<RejectionReason> reasons = reasonsAgainstPlace(attempt, tracked);
+              reasons.removeIf(reason -> isNoViolation(reason, tracked.machine()));
+              if (!reasons.isEmpty()) {
+                violating.put(attempt, reasons);
+              }
+            });
+    return violating;
+  }
+
+  /** What runs on a draining machine may stay there, and preferences do not bind. */
+  private boolean isNoViolation(RejectionReason reason, int machine) {
+    return reason.constraint().isEmpty()
+        ? catalog.isDraining(machine)
+        : reason.cause() == Cause.PREFERENCE;
+  }
+
+  /**
+   * At most so many attempts that another open machine would suit better, with one such machine.
+   */
+  Map<Object, List<RejectionReason>> findImprovablePlacements(int limit) {
+    Map<Object, List<RejectionReason>> improvable = new LinkedHashMap<>();
+    tracker
+        .attempts()
+        .forEach(
+            (attempt, tracked) -> {
+              if (improvable.size() < limit
+                  && filter.applicableConstraints(tracked.vm()).hasPreferences()) {
+                tracker.runWithout(attempt, () -> addIfImprovable(attempt, tracked, improvable));
+              }
+            });
+    return improvable;
+  }
+
+  private void addIfImprovable(
+      Object attempt, TrackedAttempt tracked, Map<Object, List<RejectionReason>> improvable) {
+    OptionalInt better = findBetterMachine(tracked);
+    if (better.isEmpty()) {
+      return;
+    }
+    List<RejectionReason> reasons = explain(tracked);
+    reasons.removeIf(reason -> reason.cause() != Cause.PREFERENCE);
+    reasons.add(
+        RejectionReason.withoutConstraint(
+            Cause.BETTER_MACHINE_AVAILABLE,
+            "machine " + catalog.machine(better.getAsInt()).name() + " would do better"));
+    improvable.put(attempt, reasons);
+  }
+
+  private OptionalInt findBetterMachine(TrackedAttempt tracked) {
+    double penalty = filter.preferencePenalty(tracked.vm(), tracked.machine());
+    if (penalty == 0) {
+      return OptionalInt.empty();
+    }
+    for (int machine : filter.allowedMachines(tracked.vm())) {
+      if (filter.preferencePenalty(tracked.vm(), machine) < penalty) {
+        return OptionalInt.of(machine);
+      }
+    }
+    return OptionalInt.empty();
+  }
+
+  private List<RejectionReason> reasonsAgainstPlace(Object attempt, TrackedAttempt tracked) {
+    List<RejectionReason> reasons = new ArrayList<>();
+    tracker.runWithout(attempt, () -> reasons.addAll(explain(tracked)));
+    return reasons;
+  }
+
+  private List<RejectionReason> explain(TrackedAttempt tracked) {
+    return explainer.explain(tracked.vm(), catalog.machine(tracked.machine()).name());
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/constraint/PlacementCounters.java
@@ -0,0 +1,86 @@
+package fordridge.constraint;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * All counters that a constraint set needs. Which counters a VM counts in is found once for each
+ * combination of tenant, class and service.
+ */
+final class PlacementCounters {
+  private record CountersOfVm(List<DomainCounter> all, List<DomainCounter> confirmedOnly) {}
+
+  private final List<PlacementConstraint> constraints;
+  private final MachineCatalog catalog;
+  private final Map<CounterKey, DomainCounter> counters = new HashMap<>();
+  private final Map<VmAttributes, CountersOfVm> countersByVm = new HashMap<>();
+  private long version;
+
+  PlacementCounters(List<PlacementConstraint> constraints, MachineCatalog catalog) {
+    this.constraints = constraints;
+    this.catalog = catalog;
+  }
+
+  /** Forgets all counts. */
+  void clear() {
+    counters.clear();
+    countersByVm.clear();
+    version++;
+  }
+
+  /** Adds VMs to, or takes them out of, the counters that count every attempt. */
+  void add(VmAttributes vm, int machine, int delta) {
+    addTo(countersOf(vm).all, machine, delta);
+  }
+
+  /** Adds VMs to, or takes them out of, the counters that leave out unknown outcomes. */
+  void addConfirmed(VmAttributes vm, int machine, int delta) {
+    addTo(countersOf(vm).confirmedOnly, machine, delta);
+  }
+
+  private void addTo(List<DomainCounter> some, int machine, int delta) {
+    some.forEach(counter -> counter.add(machine, delta));
+    version++;
+  }
+
+  /** Increases with every change. */
+  long version() {
+    return version;
+  }
+
+  DomainCounter counter(CounterKey key) {
+    return counters.computeIfAbsent(key, absent -> new DomainCounter(catalog, absent.level()));
+  }
+
+  /**
+   * The VMs that an affinity draws to: those that run or were just sent; attempts of unknown
+   * outcome only while there are none of these.
+   */
+  DomainCounter affinityCounter(PlacementConstraint.Affinity affinity) {
+    DomainCounter confirmed = counter(CounterKey.confirmedOnly(affinity.other(), affinity.level()));
+    return confirmed.isEmpty()
+        ? counter(CounterKey.allServices(affinity.other(), affinity.level()))
+        : confirmed;
+  }
+
+  private CountersOfVm countersOf(VmAttributes vm) {
+    return countersByVm.computeIfAbsent(vm, this::findCounters);
+  }
+
+  private CountersOfVm findCounters(VmAttributes vm) {
+    Set<DomainCounter> all = new LinkedHashSet<>();
+    Set<DomainCounter> confirmedOnly = new LinkedHashSet<>();
+    for (PlacementConstraint constraint : constraints) {
+      for (CounterKey key : CounterKey.keysOf(constraint, vm.service())) {
+        if (key.covers(vm)) {
+          (key.confirmedOnly() ? confirmedOnly : all).add(counter(key));
+        }
+      }
+    }
+    return new CountersOfVm(new ArrayList<>(all), new ArrayList<>(confirmedOnly));
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/constraint/RejectionExplainer.java
@@ -0,0 +1,104 @@
+package fordridge.constraint;
+
+import fordridge.constraint.RejectionReason.Cause;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Explains to operators what speaks against placing a VM on a machine. */
+final class RejectionExplainer {
+  private final MachineCatalog catalog;
+  private final PlacementCounters counters;
+  private final ConstraintEvaluator evaluator;
+  private final CandidateFilter filter;
+
+  RejectionExplainer(
+      MachineCatalog catalog,
+      PlacementCounters counters,
+      ConstraintEvaluator evaluator,
+      CandidateFilter filter) {
+    this.catalog = catalog;
+    this.counters = counters;
+    this.evaluator = evaluator;
+    this.filter = filter;
+  }
+
+  /** Every reason, in the order of the set; each constraint is judged by itself. */
+  List<RejectionReason> explain(VmAttributes vm, String machineName) {
+    int machine = catalog.numberOf(machineName);
+    List<RejectionReason> reasons = new ArrayList<>();
+    if (!catalog.isListed(machine)) {
+      reasons.add(
+          RejectionReason.withoutConstraint(
+              Cause.MACHINE_NOT_LISTED, "no machine '" + machineName + "' in the list"));
+      return reasons;
+    }
+    if (catalog.isDraining(machine)) {
+      reasons.add(
+          RejectionReason.withoutConstraint(
+              Cause.MACHINE_DRAINING, "it drains: nothing new goes there"));
+    }
+    ApplicableConstraints applicable = filter.applicableConstraints(vm);
+    addOwnViolations(applicable.own(), vm, machine, reasons);
+    addViolationsOfOthers(applicable.antiAffinitiesOfOthers(), machine, reasons);
+    return reasons;
+  }
+
+  private void addOwnViolations(
+      List<PlacementConstraint> constraints,
+      VmAttributes vm,
+      int machine,
+      List<RejectionReason> reasons) {
+    for (PlacementConstraint constraint : constraints) {
+      if (evaluator.isViolated(constraint, vm, machine)) {
+        String strength =
+            constraint.isRequired()
+                ? "required"
+                : "preferred, weight " + Math.round(constraint.weight());
+        reasons.add(
+            RejectionReason.violated(
+                constraint,
+                strength + ": " + constraint.clause() + circumstances(constraint, vm, machine)));
+      }
+    }
+  }
+
+  private void addViolationsOfOthers(
+      List<PlacementConstraint> constraints, int machine, List<RejectionReason> reasons) {
+    for (PlacementConstraint constraint : constraints) {
+      CounterKey key = ApplicableConstraints.scopeCounterKey(constraint);
+      DomainCounter counter = counters.counter(key);
+      if (counter.occupiedMachines().contains(machine)) {
+        TopologyDomain domain = catalog.domainOf(machine, key.level());
+        reasons.add(
+            RejectionReason.violated(
+                constraint,
+                "required of others: "
+                    + constraint.scope()
+                    + " keeps apart from these, and "
+                    + counter.count(domain)
+                    + " of it run in "
+                    + key.level()
+                    + " "
+                    + domain));
+      }
+    }
+  }
+
+  /** The count that the constraint judged by, or the machine's labels. */
+  private String circumstances(PlacementConstraint constraint, VmAttributes vm, int machine) {
+    List<CounterKey> keys = CounterKey.keysOf(constraint, vm.service());
+    if (keys.isEmpty()) {
+      MachineTopology topology = catalog.machine(machine);
+      return " (it is kind "
+          + topology.kind()
+          + ", zone "
+          + topology.zone()
+          + ", cell "
+          + topology.cell()
+          + ")";
+    }
+    CounterKey key = keys.get(0);
+    TopologyDomain domain = catalog.domainOf(machine, key.level());
+    return " (" + counters.counter(key).count(domain) + " in " + key.level() + " " + domain + ")";
+  }
+}
--- a/src/test/java/fordridge/constraint/PlacementBenchmark.java
+++ b/src/test/java/fordridge/constraint/PlacementBenchmark.java
@@ -129,13 +129,13 @@
             ? n.other()
             : r.clause() instanceof PlacementConstraint.AntiAffinity a ? a.other() : r.scope();
     boolean each = r.clause() instanceof PlacementConstraint.SpreadLimit m && m.perService();
-    String here = ConstraintIndex.domain(s, per);
+    TopologyDomain here = TopologyDomain.of(s, per);
     int count = 0;
     for (Placed o : placed) {
       if (o != p
           && of.covers(new VmAttributes("", o.priorityClass, o.service))
           && (!each || o.service == p.service)
-          && ConstraintIndex.domain(o.at, per).equals(here)) {
+          && TopologyDomain.of(o.at, per).equals(here)) {
         count++;
       }
     }
