--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -245,7 +245,7 @@
   @Override
   public void open(MachineConnection s) {
     ConnectionHandler w = new ConnectionHandler(s);
-    s.handle = w;
+    s.attach(w);
     share.connectionOpened();
     ChannelFuture f =
         new Bootstrap()
@@ -280,7 +280,7 @@
 
   @Override
   public void close(MachineConnection s) {
-    ConnectionHandler w = (ConnectionHandler) s.handle;
+    ConnectionHandler w = (ConnectionHandler) s.attachment();
     w.over = true;
     if (w.channel.isActive()) {
       // What the machine writes in this moment would be lost with the connection, and a VM's end is
@@ -301,7 +301,7 @@
   @Override
   public void requestPlacement(MachineConnection s, PlacementAttempt attempt, Duration within) {
     RequestPayload c = carried.apply(attempt.vm);
-    ((ConnectionHandler) s.handle)
+    ((ConnectionHandler) s.attachment())
         .write(
             "new",
             attempt.vm.id,
@@ -319,16 +319,16 @@
 
   @Override
   public void cancel(MachineConnection s, String vm) {
-    ((ConnectionHandler) s.handle).write("down", vm, TerminationCause.DONE.code(), null);
+    ((ConnectionHandler) s.attachment()).write("down", vm, TerminationCause.DONE.code(), null);
   }
 
   @Override
   public void terminate(MachineConnection s, String vm) {
-    ((ConnectionHandler) s.handle).write("down", vm, TerminationCause.CANCELLED.code(), null);
+    ((ConnectionHandler) s.attachment()).write("down", vm, TerminationCause.CANCELLED.code(), null);
   }
 
   @Override
   public void probe(MachineConnection s) {
-    ((ConnectionHandler) s.handle).write("hb", String.format("%016x", ++probes), 1, null);
+    ((ConnectionHandler) s.attachment()).write("hb", String.format("%016x", ++probes), 1, null);
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/machine/ExecutionEvidence.java
@@ -0,0 +1,32 @@
+package fordridge.machine;
+
+import fordridge.model.PlacementAttempt.Outcome;
+
+/**
+ * What is known of an attempt's execution when its connection or its machine fails. The outcome of
+ * the attempt follows from it: only an attempt that provably never ran may be repeated freely.
+ */
+enum ExecutionEvidence {
+  /** The placement request was never written to a connection: the VM never ran. */
+  NEVER_SENT(Outcome.UNREACHABLE),
+  /** The placement request was written and has no answer: the VM may have run, or may run. */
+  MAY_HAVE_RUN(Outcome.RESET),
+  /** The machine has accepted the VM. A broken connection alone ends no such attempt. */
+  RUNNING(Outcome.RESET);
+
+  private final Outcome outcomeOnFailure;
+
+  ExecutionEvidence(Outcome outcomeOnFailure) {
+    this.outcomeOnFailure = outcomeOnFailure;
+  }
+
+  /** The outcome of the attempt if nothing more will be heard of it. */
+  Outcome outcomeOnFailure() {
+    return outcomeOnFailure;
+  }
+
+  /** The outcome of the attempt if the scheduler cancels it for the given reason. */
+  Outcome outcomeOnCancel(Outcome reason) {
+    return this == NEVER_SENT ? outcomeOnFailure : reason;
+  }
+}
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -1,28 +1,169 @@
 package fordridge.machine;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
-/** One connection to a machine, as its {@link MachineConnectionPool} sees it. */
+/**
+ * One connection to a machine: its state, and what it carries. Owned by one {@link
+ * MachineConnectionPool}, which makes every transition; not thread-safe.
+ *
+ * <pre>
+ * state     established  request cancelled or   last request  failed, lost
+ *                        health check timed out answered      or closed
+ * OPENING   OPEN         -                      -             CLOSED
+ * OPEN      -            RETIRING               -             CLOSED
+ * RETIRING  -            RETIRING               CLOSED        CLOSED
+ * </pre>
+ */
 public final class MachineConnection {
+  /** Where the connection is in its life cycle. */
   enum State {
+    /** Being opened; placement requests and a health check wait for it. */
     OPENING,
+    /** Carries placement requests and health checks. */
     OPEN,
-    SPENT,
+    /**
+     * Takes no new placement request: a late answer to what was cancelled on it could be mistaken
+     * for the answer to a later request. Closed once its pending requests have their answers.
+     */
+    RETIRING,
+    /** Nothing more is concluded from it. */
     CLOSED
   }
 
-  /** What the transport keeps for this connection. */
-  public Object handle;
+  private final Duration connectBy;
+  private final Map<String, PlacementRequest> placementRequests = new LinkedHashMap<>();
+  private State state = State.OPENING;
+  private Duration lastUsedAt;
+  private Duration probeSentAt;
+  private Object attachment;
 
-  State state = State.OPENING;
-  Duration connectBy;
-  Duration lastUsedAt;
-  Duration probeSentAt;
-  final Map<String, PlacementRequest> placementRequests = new LinkedHashMap<>();
+  MachineConnection(Duration openedAt, Duration connectBy) {
+    this.lastUsedAt = openedAt;
+    this.connectBy = connectBy;
+  }
+
+  /** Keeps the transport's own object for this connection. */
+  public void attach(Object transportHandle) {
+    attachment = transportHandle;
+  }
+
+  /** The object that the transport attached, null before. */
+  public Object attachment() {
+    return attachment;
+  }
+
+  State state() {
+    return state;
+  }
 
+  boolean isOpening() {
+    return state == State.OPENING;
+  }
+
+  boolean isOpen() {
+    return state == State.OPEN;
+  }
+
+  /** Whether the connection is open and carries neither a placement request nor a health check. */
   boolean isIdle() {
-    return placementRequests.isEmpty() && probeSentAt == null;
+    return state == State.OPEN && placementRequests.isEmpty() && probeSentAt == null;
+  }
+
+  boolean hasConnectTimedOut(Duration now) {
+    return state == State.OPENING && now.compareTo(connectBy) >= 0;
+  }
+
+  /** What is known of the execution of the attempts whose requests it carries. */
+  ExecutionEvidence evidence() {
+    return state == State.OPENING ? ExecutionEvidence.NEVER_SENT : ExecutionEvidence.MAY_HAVE_RUN;
+  }
+
+  // Transitions
+
+  void established(Duration now) {
+    state = State.OPEN;
+    lastUsedAt = now;
+  }
+
+  void retire() {
+    state = State.RETIRING;
+  }
+
+  void closed() {
+    state = State.CLOSED;
+  }
+
+  /** Whether it is to be closed, as it takes no new request and carries none. */
+  boolean isRetired() {
+    return state == State.RETIRING && placementRequests.isEmpty();
+  }
+
+  // Placement requests
+
+  void add(PlacementRequest request) {
+    placementRequests.put(request.attempt().vm.id, request);
+  }
+
+  Optional<PlacementRequest> find(String vmId) {
+    return Optional.ofNullable(placementRequests.get(vmId));
+  }
+
+  Optional<PlacementRequest> remove(String vmId) {
+    return Optional.ofNullable(placementRequests.remove(vmId));
+  }
+
+  Collection<PlacementRequest> placementRequests() {
+    return List.copyOf(placementRequests.values());
+  }
+
+  /** Removes all placement requests, in the order in which they came. */
+  List<PlacementRequest> takePlacementRequests() {
+    List<PlacementRequest> taken = new ArrayList<>(placementRequests.values());
+    placementRequests.clear();
+    return taken;
+  }
+
+  int placementRequestCount() {
+    return placementRequests.size();
+  }
+
+  // Use and health checks
+
+  Duration lastUsedAt() {
+    return lastUsedAt;
+  }
+
+  void used(Duration now) {
+    lastUsedAt = now;
+  }
+
+  void probeRequested(Duration now) {
+    probeSentAt = now;
+  }
+
+  boolean isProbing() {
+    return probeSentAt != null;
+  }
+
+  boolean hasProbeTimedOut(Duration timeout, Duration now) {
+    return state != State.OPENING
+        && probeSentAt != null
+        && now.minus(probeSentAt).compareTo(timeout) >= 0;
+  }
+
+  /** Ends the health check in progress, if any, and returns how long it took. */
+  Optional<Duration> endProbe(Duration now) {
+    if (probeSentAt == null) {
+      return Optional.empty();
+    }
+    Duration roundTrip = now.minus(probeSentAt);
+    probeSentAt = null;
+    return Optional.of(roundTrip);
   }
 }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -5,26 +5,37 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /**
- * What one placer may conclude of its claims on one machine where each set-up is bound to the
- * connection that carries it, and what stands is bound to none: which never ran, which may have
- * run, which run. Free of I/O, threads and clocks: the time comes in, and it acts through {@link
- * MachineTransport} and {@link Listener}.
+ * The connections of one scheduler to one machine on the JSON lines protocol, and what may be
+ * concluded from them about the attempts on that machine. Here a placement request is bound to the
+ * connection that carries it, and a running VM to none.
  *
- * <p>A set-up that no connection has carried yet never ran. One on a connection that breaks, or
- * says what can't be read, may have run. So a connection carries one set-up at a time while there
- * are connections to be had: what spoils one takes no other with it. What stands is lost on the
- * machine's own word, on the list's, or when the machine is dead: it refuses connections twice in a
- * row, or is silent and lets no connection come up for a while.
+ * <p>Free of I/O, threads and clocks: the time is a parameter, and it acts through {@link
+ * MachineTransport} and {@link Listener}. Not thread-safe; all methods belong on one event loop.
+ *
+ * <p>What a failure proves ({@link ExecutionEvidence}): a placement request that no connection has
+ * carried yet never ran; one on a connection that breaks, or that receives something malformed, may
+ * have run. Therefore a connection carries one placement request at a time while more connections
+ * can be opened: a broken one takes no other attempt with it. A running VM is lost by the machine's
+ * termination notice, by the machine list, or by the failure of the machine ({@link
+ * LivenessDetector}).
+ *
+ * <p>The states and transitions of a single connection are in {@link MachineConnection}. The pool
+ * itself follows the machine's life cycle in the machine list:
+ *
+ * <pre>
+ * life cycle  new attempt   unsent requests    sent requests      running VMs
+ * LIVE        is sent       wait               wait               run on
+ * DRAINING    MOOT          MOOT               wait               run on
+ * GONE        MOOT          MOOT               RESET              RESET
+ * failed      is sent       UNREACHABLE        RESET              RESET
+ * </pre>
  */
 public final class MachineConnectionPool {
   /** Receives what is concluded from the connections to a machine. */
@@ -43,526 +54,467 @@
   private static final Duration MAX_TIME_UNCONNECTED = Duration.ofSeconds(4);
 
   private final Machine machine;
-  private ConnectionTimeouts connectionTimeouts;
   private final MachineTransport transport;
   private final Listener listener;
   private final Set<MachineConnection> connections = new LinkedHashSet<>();
-  private final Map<String, PlacementAttempt> standing = new HashMap<>();
-
-  /** VMs that their owner has ended, until the machine says so. */
-  private final Map<String, Duration> stopping = new HashMap<>();
-
-  private boolean gone;
-  private boolean draining;
-  private Duration heardAt = Duration.ZERO;
-  private Duration triedAt = Duration.ZERO;
-  private int refusals;
-  private int timeouts;
+  private final RunningVms runningVms = new RunningVms();
+  private final LivenessDetector liveness = new LivenessDetector();
+  private ConnectionTimeouts timeouts;
+  private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
 
-  /** It was left without a connection for the others' sake. */
-  private boolean spared;
+  /** Its last connection was closed in favour of other machines. */
+  private boolean yieldedConnection;
 
-  private boolean wants;
+  private boolean needsConnection;
 
+  /** Creates a pool without connections for a machine that is live. */
   public MachineConnectionPool(
-      Machine machine,
-      ConnectionTimeouts connectionTimeouts,
-      MachineTransport transport,
-      Listener listener) {
+      Machine machine, ConnectionTimeouts timeouts, MachineTransport transport, Listener listener) {
     this.machine = machine;
-    this.connectionTimeouts = connectionTimeouts;
+    this.timeouts = timeouts;
     this.transport = transport;
     this.listener = listener;
   }
 
-  /** Other spans hold from now on. */
-  public void setTimeouts(ConnectionTimeouts next) {
-    connectionTimeouts = next;
+  /** Replaces the timeouts, for all that starts from now on. */
+  public void setTimeouts(ConnectionTimeouts newTimeouts) {
+    timeouts = newTimeouts;
   }
 
-  public int connectionCount() {
-    return connections.size();
+  /** The running attempt of the VM, if it runs on this machine. */
+  public Optional<PlacementAttempt> findRunningAttempt(String vmId) {
+    return runningVms.find(vmId);
   }
 
-  public int runningVmCount() {
-    return standing.size();
+  int runningVmCount() {
+    return runningVms.size();
   }
 
-  /** Nothing is known of it any more, and nothing is owed to it. */
-  public boolean isRetired() {
-    return gone && connections.isEmpty() && standing.isEmpty();
+  /** Whether the machine is gone and nothing is left of it. */
+  boolean isRetired() {
+    return isGone() && connections.isEmpty() && runningVms.isEmpty();
   }
 
-  // ---- What the placer wants
-  // -------------------------------------------------------------------------
+  // Requests of the scheduler
 
   /**
-   * {@code again}: should a connection turn out to be dead, the VM can go elsewhere all the same,
-   * so an open one will do; else only one that proves by not coming up that nothing ran, or was
-   * good a moment ago.
+   * Sends an attempt on a connection that can carry it, at once or when it comes up. Ends as {@link
+   * Outcome#MOOT} if there is none to be had or the machine takes no new VMs.
+   *
+   * @param timeLeft time in which the machine has to answer
+   * @param idempotent whether the VM may be placed again without harm should the connection turn
+   *     out to be dead; if not, the connection is a new one, which proves by not coming up that
+   *     nothing ran, or one that was good a moment ago
    */
-  public void offer(PlacementAttempt attempt, Duration within, boolean again, Duration now) {
-    if (gone || draining) {
-      listener.attemptEnded(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+  public void offer(PlacementAttempt attempt, Duration timeLeft, boolean idempotent, Duration now) {
+    Optional<MachineConnection> connection =
+        lifecycle == Machine.Lifecycle.LIVE ? acquire(idempotent, now) : Optional.empty();
+    if (connection.isEmpty()) {
+      end(attempt, Outcome.MOOT);
       return;
     }
-    MachineConnection s = free(again, now);
-    if (s == null) {
-      // Every descriptor is taken: not sent at all.
-      listener.attemptEnded(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
-      return;
-    }
-    PlacementRequest u = new PlacementRequest(attempt, now.plus(within));
-    s.placementRequests.put(attempt.vm.id, u);
-    if (s.state == MachineConnection.State.OPEN) {
-      carry(s, u, now);
+    PlacementRequest request = new PlacementRequest(attempt, now.plus(timeLeft));
+    connection.get().add(request);
+    if (connection.get().isOpen()) {
+      send(connection.get(), request, now);
     }
   }
 
   /**
-   * The placer waits no longer; ends as {@code how} if a connection has carried it, else it never
-   * ran.
+   * Ends an attempt that the scheduler waits for no longer: with the given outcome if a connection
+   * has carried it, else as one that never ran.
    */
-  public void cancel(PlacementAttempt attempt, Outcome how, Duration now) {
-    for (MachineConnection s : connections) {
-      PlacementRequest u = s.placementRequests.get(attempt.vm.id);
-      if (u != null && u.attempt() == attempt) {
-        s.placementRequests.remove(attempt.vm.id);
-        boolean carried = s.state != MachineConnection.State.OPENING;
-        if (carried) {
-          transport.cancel(s, attempt.vm.id);
-          // What comes late on it must not be taken for the answer to a later set-up of the same
-          // VM.
-          s.state = MachineConnection.State.SPENT;
+  public void cancel(PlacementAttempt attempt, Outcome outcome, Duration now) {
+    String vmId = attempt.vm.id;
+    for (MachineConnection connection : connections) {
+      if (connection.find(vmId).filter(request -> request.attempt() == attempt).isPresent()) {
+        connection.remove(vmId);
+        ExecutionEvidence evidence = connection.evidence();
+        if (evidence != ExecutionEvidence.NEVER_SENT) {
+          transport.cancel(connection, vmId);
+          connection.retire();
         }
-        closeIfSpent(s);
-        listener.attemptEnded(
-            attempt, carried ? how : Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
+        closeIfRetired(connection);
+        end(attempt, evidence.outcomeOnCancel(outcome));
         return;
       }
     }
     if (attempt.isInFlight() && attempt.acceptedAt == null) {
-      listener.attemptEnded(attempt, Outcome.MOOT, OutcomeReason.UNSPECIFIED);
+      end(attempt, Outcome.MOOT);
     }
   }
 
   /**
-   * Its owner, or a move, ends a VM that stands. The machine's word ends the claim, or its silence
-   * does.
+   * Terminates a running VM, for its client or for a migration. The attempt ends with the machine's
+   * confirmation, or without it after a while.
    */
   public void terminate(PlacementAttempt attempt, Duration now) {
-    if (standing.get(attempt.vm.id) == attempt && !stopping.containsKey(attempt.vm.id)) {
-      stopping.put(attempt.vm.id, now.plus(connectionTimeouts.idleTimeout()));
-      MachineConnection s = any();
-      if (s != null) {
-        transport.terminate(s, attempt.vm.id);
-      }
+    if (runningVms.startTermination(attempt, now.plus(timeouts.idleTimeout()))) {
+      lastUsable().ifPresent(connection -> transport.terminate(connection, attempt.vm.id));
     }
   }
 
+  /** Starts a health check; it fails at once if no connection is to be had. */
   public void probe(Duration now) {
-    MachineConnection s = gone ? null : free(true, now);
-    if (s == null) {
+    Optional<MachineConnection> connection = isGone() ? Optional.empty() : acquire(true, now);
+    if (connection.isEmpty()) {
       listener.probeCompleted(machine, false, false, Duration.ZERO);
       return;
     }
-    s.probeSentAt = now;
-    if (s.state == MachineConnection.State.OPEN) {
-      sendProbe(s, now);
+    connection.get().probeRequested(now);
+    if (connection.get().isOpen()) {
+      transport.probe(connection.get());
     }
   }
 
-  /** A VM that runs there already. */
+  /** Takes over a VM that runs on the machine since before this scheduler's start. */
   public void adopt(PlacementAttempt attempt, Duration now) {
-    standing.put(attempt.vm.id, attempt);
-    if (heardAt.equals(Duration.ZERO)) {
-      heardAt = now;
-    }
+    runningVms.add(attempt);
+    liveness.vmAdopted(now);
   }
 
-  // ---- What the list says
-  // ----------------------------------------------------------------------------
+  // Events of the machine list
 
-  /**
-   * What the list says of it now. Draining or gone, what no connection has carried yet is taken
-   * back.
-   */
-  public void machineListed(Machine.Lifecycle as, Duration now) {
-    draining = as != Machine.Lifecycle.LIVE;
-    if (draining) {
-      for (MachineConnection s : List.copyOf(connections)) {
-        if (s.state == MachineConnection.State.OPENING) {
-          for (PlacementRequest u : takeAll(s)) {
-            listener.attemptEnded(u.attempt(), Outcome.MOOT, OutcomeReason.UNSPECIFIED);
-          }
-        }
-      }
+  /** The machine list shows the machine in that state. */
+  public void machineListed(Machine.Lifecycle listedLifecycle, Duration now) {
+    boolean wasGone = isGone();
+    lifecycle = listedLifecycle;
+    if (lifecycle != Machine.Lifecycle.LIVE) {
+      withdrawUnsentRequests();
     }
-    boolean isGone = as == Machine.Lifecycle.GONE;
-    if (isGone && !gone) {
-      dies(now);
+    if (isGone() && !wasGone) {
+      machineFailed(now);
     }
-    gone = isGone;
   }
 
-  /** It started anew at that time: what stood before is no more. */
-  public void machineRestarted(Duration at) {
-    for (PlacementAttempt c : List.copyOf(standing.values())) {
-      if (c.acceptedAt != null && c.acceptedAt.compareTo(at) < 0) {
-        lost(c);
+  /** The machine started anew at that time: VMs that were accepted before are lost. */
+  public void machineRestarted(Duration startedAt) {
+    for (PlacementAttempt attempt : runningVms.all()) {
+      if (attempt.acceptedAt != null && attempt.acceptedAt.compareTo(startedAt) < 0) {
+        vmLost(attempt.vm.id);
       }
     }
   }
 
   /** The VM is known to run no longer, by other means than the machine's own notice. */
   public void vmLost(String vmId) {
-    PlacementAttempt attempt = standing.get(vmId);
-    if (attempt != null) {
-      lost(attempt);
-    }
-  }
-
-  private void lost(PlacementAttempt c) {
-    standing.remove(c.vm.id);
-    stopping.remove(c.vm.id);
-    listener.attemptEnded(c, Outcome.RESET, OutcomeReason.UNSPECIFIED);
+    runningVms
+        .remove(vmId)
+        .ifPresent(attempt -> end(attempt, ExecutionEvidence.RUNNING.outcomeOnFailure()));
   }
 
-  /** The process is no more, or can't be reached: nothing that it held is waited for. */
-  private void dies(Duration now) {
-    for (MachineConnection s : List.copyOf(connections)) {
-      boolean carried = s.state != MachineConnection.State.OPENING;
-      for (PlacementRequest u : takeAll(s)) {
-        listener.attemptEnded(
-            u.attempt(), carried ? Outcome.RESET : Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-      }
-      shut(s, now);
-    }
-    for (PlacementAttempt c : List.copyOf(standing.values())) {
-      lost(c);
-    }
-  }
+  // Events of the connections
 
-  // ---- What the connections do
-  // ---------------------------------------------------------------------------
-
-  public void connectionEstablished(MachineConnection s, Duration now) {
-    if (s.state != MachineConnection.State.OPENING) {
+  /** The connection came up. */
+  public void connectionEstablished(MachineConnection connection, Duration now) {
+    if (!connection.isOpening()) {
       return;
     }
     messageReceived(now);
-    s.state = MachineConnection.State.OPEN;
-    s.connectBy = null;
-    s.lastUsedAt = now;
-    for (PlacementRequest u : List.copyOf(s.placementRequests.values())) {
-      carry(s, u, now);
-    }
-    // Said on a connection that broke, or on none: a machine that heard it already passes it over.
-    stopping.keySet().forEach(vm -> transport.terminate(s, vm));
-    if (s.probeSentAt != null) {
-      sendProbe(s, now);
+    connection.established(now);
+    connection.placementRequests().forEach(request -> send(connection, request, now));
+    // Repeats what was said on a connection that broke, or on none; the machine ignores it if it
+    // knows.
+    runningVms.terminating().forEach(vmId -> transport.terminate(connection, vmId));
+    if (connection.isProbing()) {
+      transport.probe(connection);
     }
   }
 
-  /** Anything at all came from the machine. */
+  /** Anything at all came from the machine, whatever it says. */
   public void messageReceived(Duration now) {
-    heardAt = now;
-    refusals = 0;
-    timeouts = 0;
+    liveness.messageReceived(now);
   }
 
-  /** No connection came up: refused, or no word in time. */
-  public void connectionFailed(MachineConnection s, boolean refused, Duration now) {
-    if (!connections.remove(s)) {
+  /** The connection did not come up: it was refused, or timed out. */
+  public void connectionFailed(MachineConnection connection, boolean refused, Duration now) {
+    if (!connections.remove(connection)) {
       return;
     }
-    s.state = MachineConnection.State.CLOSED;
-    refusals = refused ? refusals + 1 : 0;
-    timeouts += refused ? 0 : 1;
-    for (PlacementRequest u : takeAll(s)) {
-      listener.attemptEnded(u.attempt(), Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-    }
-    probeFails(s, now);
-    if (refusals >= 2
-        || timeouts >= 2
-            && now.minus(heardAt).compareTo(connectionTimeouts.failureTimeout()) >= 0) {
-      // Nobody listens there any more, or nothing has come up for long: what ran was cut with the
-      // process.
-      dies(now);
+    connection.closed();
+    liveness.connectFailed(refused);
+    endRequests(connection, ExecutionEvidence.NEVER_SENT);
+    failProbe(connection, now);
+    if (liveness.hasFailed(timeouts, now)) {
+      machineFailed(now);
     }
   }
 
   /**
-   * A connection broke, was closed, or said what can't be read: all that it carried may have run.
+   * The connection broke, was closed by the machine, or received something malformed. Where this is
+   * received before the connection is known to be established, nothing was sent on it.
    */
-  public void connectionLost(MachineConnection s, Duration now) {
-    if (!connections.remove(s)) {
+  public void connectionLost(MachineConnection connection, Duration now) {
+    if (!connections.remove(connection)) {
       return;
     }
-    // It had come up, even where this is heard before that: what it had not carried yet never ran.
-    boolean carried = s.state != MachineConnection.State.OPENING;
-    s.state = MachineConnection.State.CLOSED;
-    for (PlacementRequest u : takeAll(s)) {
-      listener.attemptEnded(
-          u.attempt(), carried ? Outcome.RESET : Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-    }
-    probeFails(s, now);
+    ExecutionEvidence evidence = connection.evidence();
+    connection.closed();
+    endRequests(connection, evidence);
+    failProbe(connection, now);
   }
 
-  /** The machine says that a VM stands; passed over unless this connection carries its set-up. */
-  public void vmAccepted(MachineConnection s, String vm, String description, Duration now) {
-    PlacementRequest u = s.placementRequests.remove(vm);
-    if (u == null) {
+  /** The machine accepted a VM; ignored unless this connection carries its placement request. */
+  public void vmAccepted(
+      MachineConnection connection, String vmId, String description, Duration now) {
+    Optional<PlacementRequest> request = connection.remove(vmId);
+    if (request.isEmpty()) {
       return;
     }
-    s.lastUsedAt = now;
-    standing.put(vm, u.attempt());
-    listener.attemptAccepted(u.attempt(), description);
-    closeIfSpent(s);
+    PlacementAttempt attempt = request.get().attempt();
+    connection.used(now);
+    runningVms.add(attempt);
+    listener.attemptAccepted(attempt, description);
+    closeIfRetired(connection);
   }
 
   /**
    * The machine reported on a VM, as it does only for one that runs: the answer to its placement
    * request may be late or lost.
    */
-  public void vmReported(MachineConnection s, String vm) {
-    PlacementRequest u = s.placementRequests.get(vm);
-    if (u != null) {
-      u.markReportedRunning();
-    }
+  public void vmReported(MachineConnection connection, String vmId) {
+    connection.find(vmId).ifPresent(PlacementRequest::markReportedRunning);
   }
 
   /**
-   * The machine ends a set-up on this connection, or what stands (on any); unknown ids are passed
-   * over.
+   * The machine ended the placement request that this connection carries, or a running VM, on
+   * whichever connection; ignored if it is neither.
    */
-  public void vmTerminated(MachineConnection s, VmTermination termination, Duration now) {
-    String vm = termination.vmId();
-    PlacementRequest u = s.placementRequests.remove(vm);
-    if (u != null) {
-      s.lastUsedAt = now;
-      if (u.isReportedRunning() && termination.outcomeIfRunning().isPresent()) {
-        listener.attemptEndedUnanswered(
-            u.attempt(), termination.outcomeIfRunning().get(), termination.reason());
-      } else {
-        listener.attemptEnded(u.attempt(), termination.outcomeIfPending(), termination.reason());
-      }
-      closeIfSpent(s);
+  public void vmTerminated(MachineConnection connection, VmTermination termination, Duration now) {
+    Optional<PlacementRequest> request = connection.remove(termination.vmId());
+    if (request.isPresent()) {
+      connection.used(now);
+      endRequest(request.get(), termination);
+      closeIfRetired(connection);
       return;
     }
-    PlacementAttempt c = termination.outcomeIfRunning().isEmpty() ? null : standing.remove(vm);
-    if (c != null) {
-      stopping.remove(vm);
-      listener.attemptEnded(c, termination.outcomeIfRunning().get(), termination.reason());
-    }
+    termination
+        .outcomeIfRunning()
+        .ifPresent(
+            outcome ->
+                runningVms
+                    .remove(termination.vmId())
+                    .ifPresent(
+                        attempt -> listener.attemptEnded(attempt, outcome, termination.reason())));
   }
 
+  /** The machine answered a health check. */
   public void probeAnswered(
-      MachineConnection s, boolean healthy, boolean withLoadReport, Duration now) {
-    if (s.probeSentAt != null) {
-      Duration took = now.minus(s.probeSentAt);
-      s.probeSentAt = null;
-      s.lastUsedAt = now;
-      listener.probeCompleted(machine, healthy, withLoadReport, took);
-      closeIfSpent(s);
+      MachineConnection connection, boolean healthy, boolean withLoadReport, Duration now) {
+    Optional<Duration> roundTrip = connection.endProbe(now);
+    if (roundTrip.isPresent()) {
+      connection.used(now);
+      listener.probeCompleted(machine, healthy, withLoadReport, roundTrip.get());
+      closeIfRetired(connection);
     }
   }
 
-  /** The claim that stands there under this name. */
-  public Optional<PlacementAttempt> findRunningAttempt(String vm) {
-    return Optional.ofNullable(standing.get(vm));
-  }
-
-  // ---- What time does
-  // --------------------------------------------------------------------------------
+  // Time
 
   /**
-   * To be called every now and then, a few times within the time a connection may take; {@link
-   * ConnectionBudget} behind it.
+   * Applies the timeouts. To be called several times within the connect timeout; {@link
+   * ConnectionBudget#rebalance} follows the ticks of all pools.
    */
   public void tick(Duration now) {
-    if (!connections.isEmpty()) {
-      look(now);
-    }
-    if (!stopping.isEmpty()) {
-      for (Map.Entry<String, Duration> e : List.copyOf(stopping.entrySet())) {
-        if (now.compareTo(e.getValue()) >= 0) {
-          stopping.remove(e.getKey());
-          PlacementAttempt c = standing.remove(e.getKey());
-          if (c != null) {
-            listener.attemptEnded(c, Outcome.CANCELLED, OutcomeReason.UNSPECIFIED);
-          }
-        }
-      }
-    }
-    if (gone || standing.isEmpty()) {
-      wants = false;
-      return;
-    }
-    boolean silent = now.minus(heardAt).compareTo(connectionTimeouts.silenceTimeout()) >= 0;
-    boolean bare =
-        connections.isEmpty()
-            && (!spared || now.minus(triedAt).compareTo(MAX_TIME_UNCONNECTED) >= 0);
-    wants =
-        (bare || silent && !opening())
-            && now.minus(triedAt).compareTo(connectionTimeouts.connectTimeout()) >= 0;
-  }
-
-  private void look(Duration now) {
-    boolean kept = false;
-    for (MachineConnection s : connections.toArray(new MachineConnection[0])) {
-      if (s.state == MachineConnection.State.OPENING && now.compareTo(s.connectBy) >= 0) {
-        transport.close(s);
-        connectionFailed(s, false, now);
-      } else if (s.state != MachineConnection.State.OPENING
-          && s.probeSentAt != null
-          && now.minus(s.probeSentAt).compareTo(connectionTimeouts.connectTimeout()) >= 0) {
-        probeFails(s, now);
-        s.state = MachineConnection.State.SPENT;
-        closeIfSpent(s);
-      } else if (s.state == MachineConnection.State.OPEN && s.isIdle()) {
-        // One is kept, for what the machine has to say of what stands; the others go once unused.
-        if (kept && now.minus(s.lastUsedAt).compareTo(connectionTimeouts.idleTimeout()) >= 0) {
-          shut(s, now);
-        }
-        kept = true;
-      }
-    }
+    applyConnectionTimeouts(now);
+    runningVms.takeUnconfirmed(now).forEach(attempt -> end(attempt, Outcome.CANCELLED));
+    needsConnection = isConnectionNeeded(now);
   }
 
   /**
-   * Whether it has to be connected to, by the last tick: there are VMs that may end, and nothing to
-   * hear it by.
+   * Whether the last tick found that a connection is to be opened: the machine has VMs that may
+   * end, and nothing would be heard of it.
    */
-  public boolean needsConnection() {
-    return wants;
+  boolean needsConnection() {
+    return needsConnection;
   }
 
-  /** When it was connected to last, or tried to be. */
-  public Duration lastConnectAttemptAt() {
-    return triedAt;
+  Duration lastConnectAttemptAt() {
+    return liveness.lastConnectAt();
   }
 
-  /** Connects to it if there is a descriptor left. */
-  public void reconnect(Duration now) {
+  /** Opens a connection if one more may be opened. */
+  void reconnect(Duration now) {
     if (transport.canOpen()) {
-      wants = false;
+      needsConnection = false;
       open(now);
     }
   }
 
-  /**
-   * Since when one of its connections has been of no use but for what the machine may say; empty:
-   * none is.
-   */
-  public Optional<Duration> idleSince() {
-    return idlest().map(s -> s.lastUsedAt);
+  /** Since when the connection that is idle for longest has been so; empty if none is idle. */
+  Optional<Duration> idleSince() {
+    return longestIdle().map(MachineConnection::lastUsedAt);
   }
 
-  /** Closes that connection, for another machine's sake. */
-  public void closeIdleConnection(Duration now) {
-    idlest()
+  /** Closes the connection that is idle for longest, in favour of another machine. */
+  void closeIdleConnection(Duration now) {
+    longestIdle()
         .ifPresent(
-            s -> {
-              shut(s, now);
-              spared = connections.isEmpty();
+            connection -> {
+              close(connection, now);
+              yieldedConnection = connections.isEmpty();
             });
   }
 
-  private Optional<MachineConnection> idlest() {
-    return connections.stream()
-        .filter(s -> s.state == MachineConnection.State.OPEN && s.isIdle())
-        .min(Comparator.comparing(s -> s.lastUsedAt));
+  private void applyConnectionTimeouts(Duration now) {
+    boolean idleConnectionKept = false;
+    for (MachineConnection connection : List.copyOf(connections)) {
+      if (connection.hasConnectTimedOut(now)) {
+        transport.close(connection);
+        connectionFailed(connection, false, now);
+      } else if (connection.hasProbeTimedOut(timeouts.connectTimeout(), now)) {
+        failProbe(connection, now);
+        connection.retire();
+        closeIfRetired(connection);
+      } else if (connection.isIdle()) {
+        // One is kept for termination notices; the others are closed once they are unused.
+        if (idleConnectionKept && isUnusedFor(timeouts.idleTimeout(), connection, now)) {
+          close(connection, now);
+        }
+        idleConnectionKept = true;
+      }
+    }
   }
 
-  private boolean opening() {
-    return connections.stream().anyMatch(s -> s.state == MachineConnection.State.OPENING);
+  private boolean isConnectionNeeded(Duration now) {
+    if (isGone() || runningVms.isEmpty()) {
+      return false;
+    }
+    boolean unconnected =
+        connections.isEmpty()
+            && (!yieldedConnection || liveness.isUntriedFor(MAX_TIME_UNCONNECTED, now));
+    boolean silent =
+        liveness.isSilentFor(timeouts.silenceTimeout(), now)
+            && connections.stream().noneMatch(MachineConnection::isOpening);
+    return (unconnected || silent) && liveness.isUntriedFor(timeouts.connectTimeout(), now);
   }
 
-  // ---- Within
-  // ----------------------------------------------------------------------------------------
+  // Private steps
 
-  /**
-   * A connection that carries nothing and was good a moment ago (or where any will do, of a machine
-   * that was heard from of late: a handshake is the dearest part of most set-ups); else a new one;
-   * else the one that carries least.
-   */
-  private MachineConnection free(boolean any, Duration now) {
-    Duration proven = any ? connectionTimeouts.idleTimeout() : connectionTimeouts.provenFor();
-    MachineConnection least = null;
-    for (MachineConnection s : connections) {
-      if (s.state == MachineConnection.State.OPEN) {
-        Duration good = any && heardAt.compareTo(s.lastUsedAt) > 0 ? heardAt : s.lastUsedAt;
-        if (s.isIdle() && now.minus(good).compareTo(proven) < 0) {
-          return s;
-        }
-        if (least == null || s.placementRequests.size() < least.placementRequests.size()) {
-          least = s;
-        }
+  private boolean isGone() {
+    return lifecycle == Machine.Lifecycle.GONE;
+  }
+
+  /** The process is gone or can't be reached: nothing that it held is waited for. */
+  private void machineFailed(Duration now) {
+    for (MachineConnection connection : List.copyOf(connections)) {
+      endRequests(connection, connection.evidence());
+      close(connection, now);
+    }
+    for (PlacementAttempt attempt : runningVms.all()) {
+      vmLost(attempt.vm.id);
+    }
+  }
+
+  private void withdrawUnsentRequests() {
+    for (MachineConnection connection : List.copyOf(connections)) {
+      if (connection.isOpening()) {
+        connection.takePlacementRequests().forEach(request -> end(request.attempt(), Outcome.MOOT));
       }
     }
-    return transport.canOpen() ? open(now) : least;
   }
 
-  private MachineConnection any() {
-    MachineConnection some = null;
-    for (MachineConnection s : connections) {
-      if (s.state == MachineConnection.State.OPEN || s.state == MachineConnection.State.SPENT) {
-        some = s;
+  /**
+   * Finds an idle connection that is known to be good; else opens a new one; else, if none can be
+   * opened, takes the open one that carries least. For an idempotent use a connection is good for
+   * longer, and anything heard from its machine counts, as the handshake is most of the cost of
+   * most placement requests.
+   */
+  private Optional<MachineConnection> acquire(boolean idempotent, Duration now) {
+    Duration goodFor = idempotent ? timeouts.idleTimeout() : timeouts.provenFor();
+    MachineConnection leastLoaded = null;
+    for (MachineConnection connection : connections) {
+      if (!connection.isOpen()) {
+        continue;
+      }
+      if (connection.isIdle()
+          && now.minus(lastGoodAt(connection, idempotent)).compareTo(goodFor) < 0) {
+        return Optional.of(connection);
+      }
+      if (leastLoaded == null
+          || connection.placementRequestCount() < leastLoaded.placementRequestCount()) {
+        leastLoaded = connection;
       }
     }
-    return some;
+    return transport.canOpen() ? Optional.of(open(now)) : Optional.ofNullable(leastLoaded);
+  }
+
+  private Duration lastGoodAt(MachineConnection connection, boolean idempotent) {
+    Duration heardAt = liveness.lastHeardAt();
+    Duration usedAt = connection.lastUsedAt();
+    return idempotent && heardAt.compareTo(usedAt) > 0 ? heardAt : usedAt;
   }
 
   private MachineConnection open(Duration now) {
-    MachineConnection s = new MachineConnection();
-    s.connectBy = now.plus(connectionTimeouts.connectTimeout());
-    s.lastUsedAt = now;
-    triedAt = now;
-    spared = false;
-    connections.add(s);
-    transport.open(s);
-    return s;
+    MachineConnection connection = new MachineConnection(now, now.plus(timeouts.connectTimeout()));
+    liveness.connectStarted(now);
+    yieldedConnection = false;
+    connections.add(connection);
+    transport.open(connection);
+    return connection;
   }
 
-  private void carry(MachineConnection s, PlacementRequest u, Duration now) {
-    Duration left = u.answerBy().minus(now);
-    s.lastUsedAt = now;
-    transport.requestPlacement(s, u.attempt(), left);
+  /** The newest connection on which something can be said to the machine. */
+  private Optional<MachineConnection> lastUsable() {
+    return connections.stream()
+        .filter(connection -> !connection.isOpening())
+        .reduce((earlier, later) -> later);
   }
 
-  private void sendProbe(MachineConnection s, Duration now) {
-    transport.probe(s);
+  private Optional<MachineConnection> longestIdle() {
+    return connections.stream()
+        .filter(MachineConnection::isIdle)
+        .min(Comparator.comparing(MachineConnection::lastUsedAt));
   }
 
-  private void probeFails(MachineConnection s, Duration now) {
-    if (s.probeSentAt != null) {
-      Duration took = now.minus(s.probeSentAt);
-      s.probeSentAt = null;
-      listener.probeCompleted(machine, false, false, took);
+  private static boolean isUnusedFor(Duration span, MachineConnection connection, Duration now) {
+    return now.minus(connection.lastUsedAt()).compareTo(span) >= 0;
+  }
+
+  private void send(MachineConnection connection, PlacementRequest request, Duration now) {
+    connection.used(now);
+    transport.requestPlacement(connection, request.attempt(), request.answerBy().minus(now));
+  }
+
+  private void endRequests(MachineConnection connection, ExecutionEvidence evidence) {
+    for (PlacementRequest request : connection.takePlacementRequests()) {
+      end(request.attempt(), evidence.outcomeOnFailure());
     }
   }
 
-  private static List<PlacementRequest> takeAll(MachineConnection s) {
-    List<PlacementRequest> all = new ArrayList<>(s.placementRequests.values());
-    s.placementRequests.clear();
-    return all;
+  private void endRequest(PlacementRequest request, VmTermination termination) {
+    Optional<Outcome> outcomeIfRunning = termination.outcomeIfRunning();
+    if (request.isReportedRunning() && outcomeIfRunning.isPresent()) {
+      listener.attemptEndedUnanswered(
+          request.attempt(), outcomeIfRunning.get(), termination.reason());
+    } else {
+      listener.attemptEnded(
+          request.attempt(), termination.outcomeIfPending(), termination.reason());
+    }
+  }
+
+  private void end(PlacementAttempt attempt, Outcome outcome) {
+    listener.attemptEnded(attempt, outcome, OutcomeReason.UNSPECIFIED);
+  }
+
+  private void failProbe(MachineConnection connection, Duration now) {
+    connection
+        .endProbe(now)
+        .ifPresent(roundTrip -> listener.probeCompleted(machine, false, false, roundTrip));
   }
 
-  private void closeIfSpent(MachineConnection s) {
-    if (s.state == MachineConnection.State.SPENT
-        && s.placementRequests.isEmpty()
-        && connections.remove(s)) {
-      s.state = MachineConnection.State.CLOSED;
-      transport.close(s);
+  private void closeIfRetired(MachineConnection connection) {
+    if (connection.isRetired() && connections.remove(connection)) {
+      connection.closed();
+      transport.close(connection);
     }
   }
 
-  private void shut(MachineConnection s, Duration now) {
-    if (connections.remove(s)) {
-      s.state = MachineConnection.State.CLOSED;
-      probeFails(s, now);
-      transport.close(s);
+  private void close(MachineConnection connection, Duration now) {
+    if (connections.remove(connection)) {
+      connection.closed();
+      failProbe(connection, now);
+      transport.close(connection);
     }
   }
 }
--- a/src/main/java/fordridge/machine/ReconnectPacer.java
+++ b/src/main/java/fordridge/machine/ReconnectPacer.java
@@ -7,64 +7,68 @@
 import java.util.Set;
 
 /**
- * Whether every machine that was listed when this placer started has said what it still holds of an
- * earlier life of it. Until then a VM that was asked for in that life may run somewhere unseen. A
- * machine is settled by its word, or by the list's that it is gone; one that cannot be reached is
- * not.
+ * Paces the reconciliation after a scheduler's start, and knows when it is complete: when every
+ * machine of the first machine list has sent its inventory, or is listed as gone. Until then a VM
+ * that was requested from an earlier incarnation of this scheduler may run on a machine that has
+ * not said so; a machine that can't be reached is not reconciled.
  *
- * <p>It goes by turns: a few machines are called at once and the next when one of these has
- * answered or failed, however many there are. To open a stream costs the loop a millisecond or two,
- * and thousands due in one span would keep every VM waiting behind them.
+ * <p>A few machines are connected to at once, and the next when one of these has sent its inventory
+ * or failed, however many there are. To open a stream costs the event loop a millisecond or two,
+ * and thousands due at the same time would delay every VM behind them. Not thread-safe.
+ *
+ * @param <M> identifies a machine
  */
 public final class ReconnectPacer<M> {
-  /**
-   * Calls without a word as yet; ten or so milliseconds of the loop's work at most stand before a
-   * VM.
-   */
-  private static final int AT_ONCE = 8;
+  /** Machines that are connected to and have not answered: some 10 ms of the event loop's time. */
+  private static final int MAX_CONCURRENT = 8;
 
-  private final Set<M> open = new HashSet<>();
-  private final Set<M> due = new LinkedHashSet<>();
-  private final Set<M> called = new HashSet<>();
-  private boolean begun;
+  private final Set<M> unreconciled = new HashSet<>();
+  private final Set<M> scheduled = new LinkedHashSet<>();
+  private final Set<M> connecting = new HashSet<>();
+  private boolean started;
 
-  /** The first list: these are the machines that an earlier life may have used. */
+  /** The first machine list has come; later calls are ignored. */
   public void start(Set<? extends M> machines) {
-    if (!begun) {
-      begun = true;
-      open.addAll(machines);
+    if (!started) {
+      started = true;
+      unreconciled.addAll(machines);
     }
   }
 
-  /** It is to be called when its turn comes. */
+  /** The machine is to be connected to when its turn comes. */
   public void schedule(M machine) {
-    due.add(machine);
+    scheduled.add(machine);
   }
 
-  /** The next to call now; empty while enough are under way, or none is due. */
+  /** The next machine to connect to; empty while enough are under way or none is scheduled. */
   public Optional<M> next() {
-    Iterator<M> first = due.iterator();
-    if (called.size() >= AT_ONCE || !first.hasNext()) {
+    Iterator<M> first = scheduled.iterator();
+    if (connecting.size() >= MAX_CONCURRENT || !first.hasNext()) {
       return Optional.empty();
     }
     M machine = first.next();
     first.remove();
-    called.add(machine);
+    connecting.add(machine);
     return Optional.of(machine);
   }
 
-  /** Its stream broke, or took too long: others get their turn while its link tries on. */
+  /**
+   * The machine's stream broke or did not come up in time: it makes way for others while its {@link
+   * MachineStream} goes on trying.
+   */
   public void connectionFailed(M machine) {
-    called.remove(machine);
+    connecting.remove(machine);
   }
 
+  /** The machine has sent its inventory, or is gone. */
   public void reconciled(M machine) {
-    open.remove(machine);
-    due.remove(machine);
-    called.remove(machine);
+    unreconciled.remove(machine);
+    scheduled.remove(machine);
+    connecting.remove(machine);
   }
 
+  /** Whether all VMs of earlier incarnations are known. */
   public boolean isComplete() {
-    return begun && open.isEmpty();
+    return started && unreconciled.isEmpty();
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/machine/RunningVms.java
@@ -0,0 +1,73 @@
+package fordridge.machine;
+
+import fordridge.model.PlacementAttempt;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The VMs that run on one machine, by id, and which of them are being terminated. Bound to no
+ * connection; not thread-safe.
+ */
+final class RunningVms {
+  private final Map<String, PlacementAttempt> attempts = new HashMap<>();
+
+  /** By VM id, the time by which the machine has to confirm a termination. */
+  private final Map<String, Duration> terminationDeadlines = new HashMap<>();
+
+  int size() {
+    return attempts.size();
+  }
+
+  boolean isEmpty() {
+    return attempts.isEmpty();
+  }
+
+  Optional<PlacementAttempt> find(String vmId) {
+    return Optional.ofNullable(attempts.get(vmId));
+  }
+
+  List<PlacementAttempt> all() {
+    return List.copyOf(attempts.values());
+  }
+
+  void add(PlacementAttempt attempt) {
+    attempts.put(attempt.vm.id, attempt);
+  }
+
+  /** Removes a VM, and its termination if it is being terminated. */
+  Optional<PlacementAttempt> remove(String vmId) {
+    terminationDeadlines.remove(vmId);
+    return Optional.ofNullable(attempts.remove(vmId));
+  }
+
+  /** Records that the VM is to be terminated; false if it is already, or does not run here. */
+  boolean startTermination(PlacementAttempt attempt, Duration confirmBy) {
+    String vmId = attempt.vm.id;
+    if (attempts.get(vmId) != attempt || terminationDeadlines.containsKey(vmId)) {
+      return false;
+    }
+    terminationDeadlines.put(vmId, confirmBy);
+    return true;
+  }
+
+  /** Ids of the VMs whose termination the machine has not confirmed yet. */
+  Set<String> terminating() {
+    return terminationDeadlines.keySet();
+  }
+
+  /** Removes the VMs whose termination was not confirmed in time. */
+  List<PlacementAttempt> takeUnconfirmed(Duration now) {
+    List<PlacementAttempt> unconfirmed = new ArrayList<>();
+    for (Map.Entry<String, Duration> deadline : List.copyOf(terminationDeadlines.entrySet())) {
+      if (now.compareTo(deadline.getValue()) >= 0) {
+        remove(deadline.getKey()).ifPresent(unconfirmed::add);
+      }
+    }
+    return unconfirmed;
+  }
+}
