--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -32,8 +32,8 @@
  * <pre>
  * life cycle  new attempt   unsent requests    sent requests      running VMs
  * LIVE        is sent       wait               wait               run on
- * DRAINING    MOOT          MOOT               wait               run on
- * GONE        MOOT          MOOT               RESET              RESET
+ * DRAINING    NOT_SENT          NOT_SENT               wait               run on
+ * GONE        NOT_SENT          NOT_SENT               RESET              RESET
  * failed      is sent       UNREACHABLE        RESET              RESET
  * </pre>
  */
@@ -99,7 +99,7 @@
 
   /**
    * Sends an attempt on a connection that can carry it, at once or when it comes up. Ends as {@link
-   * Outcome#MOOT} if there is none to be had or the machine takes no new VMs.
+   * Outcome#NOT_SENT} if there is none to be had or the machine takes no new VMs.
    *
    * @param timeLeft time in which the machine has to answer
    * @param idempotent whether the VM may be placed again without harm should the connection turn
@@ -110,7 +110,7 @@
     Optional<MachineConnection> connection =
         lifecycle == Machine.Lifecycle.LIVE ? acquire(idempotent, now) : Optional.empty();
     if (connection.isEmpty()) {
-      end(attempt, Outcome.MOOT);
+      end(attempt, Outcome.NOT_SENT);
       return;
     }
     PlacementRequest request = new PlacementRequest(attempt, now.plus(timeLeft));
@@ -140,7 +140,7 @@
       }
     }
     if (attempt.isInFlight() && attempt.acceptedAt == null) {
-      end(attempt, Outcome.MOOT);
+      end(attempt, Outcome.NOT_SENT);
     }
   }
 
@@ -409,7 +409,9 @@
   private void withdrawUnsentRequests() {
     for (MachineConnection connection : List.copyOf(connections)) {
       if (connection.isOpening()) {
-        connection.takePlacementRequests().forEach(request -> end(request.attempt(), Outcome.MOOT));
+        connection
+            .takePlacementRequests()
+            .forEach(request -> end(request.attempt(), Outcome.NOT_SENT));
       }
     }
   }
