--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -32,8 +32,8 @@
  * <pre>
  * life cycle  new attempt   unsent requests    sent requests      running VMs
  * LIVE        is sent       wait               wait               run on
- * DRAINING    NOT_SENT          NOT_SENT               wait               run on
- * GONE        NOT_SENT          NOT_SENT               RESET              RESET
+ * DRAINING    NOT_SENT      NOT_SENT           wait               run on
+ * GONE        NOT_SENT      NOT_SENT           RESET              RESET
  * failed      is sent       UNREACHABLE        RESET              RESET
  * </pre>
  */
