--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -1,33 +1,39 @@
 package fordridge.machine;
 
-import fordridge.model.Durations;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.SeededRandom;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.stream.Stream;
 
 /**
- * What one placer may conclude of its claims on one machine from what its stream to it does: which
- * never ran, which may have run, which run. Free of I/O, threads and clocks: the time comes in, and
- * it acts through {@link MachineStreamTransport} and {@link Listener}.
+ * The stream of one scheduler to one machine on the gRPC protocol, and what may be concluded from
+ * it about the attempts on that machine. The machine opens each stream with an inventory of the
+ * attempts that it knows.
  *
- * <p>A claim whose offer was not written never ran. One whose offer was written and not answered
- * when the stream broke may have run; if it must not run twice, the stream gets a short while to
- * come back, and the machine then says whether it holds it. A VM that runs is lost only on the
- * machine's own word or on the list's, never because a stream broke: it may well run on behind a
- * broken path.
+ * <p>Free of I/O, threads and clocks: the time is a parameter, and it acts through {@link
+ * MachineStreamTransport} and {@link Listener}. Not thread-safe; all methods belong on one event
+ * loop.
+ *
+ * <p>What a failure proves ({@link ExecutionEvidence}): an attempt whose offer was not written
+ * never ran. One whose offer was written and not answered when the stream broke may have run; if it
+ * is not idempotent, the stream has a while to come back, and the inventory then tells. A running
+ * VM is lost by the machine's inventory or notice or by the machine list, never because a stream
+ * broke: it may well run on behind a broken path.
+ *
+ * <pre>
+ * state        wanted      inventory    lost or timed out  pause over          idle
+ * CLOSED       CONNECTING  -            -                  -                   -
+ * CONNECTING   -           ESTABLISHED  BACKING_OFF        -                   -
+ * ESTABLISHED  -           -            BACKING_OFF        -                   CLOSED
+ * BACKING_OFF  -           -            -                  CLOSED, CONNECTING  -
+ * </pre>
+ *
+ * <p>Once the machine is listed as gone, a stream that is not established, or breaks, is CLOSED.
  */
 public final class MachineStream {
   /** Where the stream is in its life cycle. */
@@ -57,420 +63,263 @@
     void connectionLost(Machine machine, String reason);
   }
 
-  private enum Stage {
-    QUEUED,
-    WRITTEN,
-    UNSURE,
-    BOUND,
-    ABANDONED
-  }
-
-  private static final class Entry {
-    final AttemptId name;
-    final PlacementAttempt attempt;
-    final boolean mayRepeat;
-    Duration by;
-    Stage stage = Stage.QUEUED;
-    Duration unsureUntil;
-
-    Entry(AttemptId name, PlacementAttempt attempt, boolean mayRepeat) {
-      this.name = name;
-      this.attempt = attempt;
-      this.mayRepeat = mayRepeat;
-    }
-  }
+  private static final String CONNECT_TIMED_OUT = "no message from the machine in time";
 
   private final Machine machine;
   private final MachineStreamSettings settings;
   private final MachineStreamTransport transport;
   private final Listener listener;
-  private final SeededRandom chance;
-  private final Map<AttemptId, Entry> entries = new LinkedHashMap<>();
-  private final Deque<Entry> queue = new ArrayDeque<>();
+  private final ExponentialBackoff backoff;
+  private final StreamAttempts attempts;
   private State state = State.CLOSED;
   private boolean gone;
-  private boolean callWanted;
+  private boolean inventoryWanted;
   private boolean probeQueued;
-  private Duration probeSentAt;
-  private long incarnation = -1;
-  private int failures;
+  private Duration probeRequestedAt;
+  private Optional<Long> incarnation = Optional.empty();
   private Duration connectBy;
   private Duration retryAt;
-  private Duration usedAt = Duration.ZERO;
+  private Duration lastUsedAt = Duration.ZERO;
 
+  /** Creates a closed stream to a machine that is not gone. */
   public MachineStream(
       Machine machine,
       MachineStreamSettings settings,
       MachineStreamTransport transport,
       Listener listener,
-      SeededRandom chance) {
+      SeededRandom random) {
     this.machine = machine;
     this.settings = settings;
     this.transport = transport;
     this.listener = listener;
-    this.chance = chance;
+    backoff = new ExponentialBackoff(settings.minBackoff(), settings.maxBackoff(), random);
+    attempts = new StreamAttempts(machine, settings, transport, listener);
   }
 
   public State state() {
     return state;
   }
 
-  public int attemptCount() {
-    return entries.size();
+  /** The attempt of that id, unless the scheduler has cancelled it. */
+  public Optional<PlacementAttempt> findAttempt(AttemptId id) {
+    return attempts.find(id).filter(entry -> !entry.isCancelled()).map(StreamAttempt::attempt);
   }
 
-  public int queuedCount() {
-    return queue.size();
+  int attemptCount() {
+    return attempts.size();
   }
 
-  // ---- What the placer wants
-  // -------------------------------------------------------------------------
+  // Requests of the scheduler
 
-  /** Offers a claim; {@code mayRepeat} if a second run does no harm. */
+  /**
+   * Offers an attempt as soon as the stream allows, and opens the stream if need be. Ends at once
+   * as {@link Outcome#UNREACHABLE} while the stream backs off, and as {@link Outcome#FULL} if too
+   * many offers wait.
+   *
+   * @param idempotent whether the VM may be placed again without harm, even if it may have run
+   * @param timeLeft time in which the machine has to answer
+   */
   public void offer(
-      PlacementAttempt attempt, AttemptId name, boolean mayRepeat, Duration within, Duration now) {
-    usedAt = now;
-    if (state == State.BACKING_OFF || gone) {
-      // The last try failed a moment ago: known not to have run, and no cheaper word for it.
-      listener.attemptEnded(attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-    } else if (queue.size() >= settings.maxQueuedOffers()) {
+      PlacementAttempt attempt, AttemptId id, boolean idempotent, Duration timeLeft, Duration now) {
+    lastUsedAt = now;
+    if (!isReachable()) {
+      // The last stream failed a moment ago: known not to have run, and cheaper than to connect.
+      Outcome outcome = ExecutionEvidence.NEVER_SENT.outcomeOnFailure();
+      listener.attemptEnded(attempt, outcome, OutcomeReason.UNSPECIFIED);
+    } else if (attempts.isQueueFull()) {
       listener.attemptEnded(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
     } else {
-      Entry e = new Entry(name, attempt, mayRepeat);
-      e.by = now.plus(within);
-      entries.put(name, e);
-      queue.addLast(e);
-      wantStream(now);
-      pump(now);
+      attempts.enqueue(StreamAttempt.queued(id, attempt, idempotent, now.plus(timeLeft)));
+      connectIfClosed(now);
+      writeQueued(now);
     }
   }
 
-  /** The placer waits no longer; true if the machine was never offered the claim. */
+  /**
+   * The scheduler waits for the attempt no longer. Its outcome is the caller's to record.
+   *
+   * @return whether the machine was never offered the attempt
+   */
   public boolean cancel(PlacementAttempt attempt, Duration now) {
-    Entry e = entryOf(attempt);
-    if (e == null) {
-      return false;
-    }
-    if (e.stage == Stage.QUEUED) {
-      drop(e);
-      return true;
-    }
-    abandon(e);
-    return false;
+    return attempts.cancel(attempt, state == State.ESTABLISHED);
   }
 
-  /** Stops a bound VM. */
+  /** Terminates a running VM, if the stream is established; the machine confirms. */
   public void terminate(PlacementAttempt attempt, Duration now) {
-    Entry e = entryOf(attempt);
-    if (e != null && state == State.ESTABLISHED) {
-      transport.terminate(e.name);
+    if (state == State.ESTABLISHED) {
+      attempts.terminate(attempt);
     }
-    usedAt = now;
+    lastUsedAt = now;
   }
 
+  /** Starts a health check; it fails at once while the stream backs off. */
   public void probe(Duration now) {
-    usedAt = now;
-    if (state == State.BACKING_OFF || gone) {
+    lastUsedAt = now;
+    if (!isReachable()) {
       listener.probeCompleted(machine, false, false, Duration.ZERO);
       return;
     }
     probeQueued = true;
-    probeSentAt = now;
-    wantStream(now);
-    pump(now);
+    probeRequestedAt = now;
+    connectIfClosed(now);
+    writeQueued(now);
   }
 
-  /** Opens a stream only to learn what the machine holds, as after the placer's own start. */
+  /** Opens a stream for the sake of the machine's inventory, as after the scheduler's start. */
   public void reconcile(Duration now) {
-    callWanted = true;
-    usedAt = now;
-    if (state == State.CLOSED && !gone) {
-      wantStream(now);
+    inventoryWanted = true;
+    lastUsedAt = now;
+    if (!gone) {
+      connectIfClosed(now);
     }
   }
 
-  // ---- What the list says
-  // ----------------------------------------------------------------------------
+  /** Takes over a VM that an earlier incarnation of the scheduler started. */
+  public void adopt(AttemptId id, PlacementAttempt attempt) {
+    attempts.adopt(StreamAttempt.adopted(id, attempt));
+  }
 
-  /**
-   * Told that it drains: what was decided but not yet written is taken back, and goes elsewhere.
-   */
+  // Events of the machine list
+
+  /** The machine takes no new VMs: what was not offered yet is withdrawn. */
   public void machineDraining() {
-    for (Entry e : List.copyOf(queue)) {
-      drop(e);
-      listener.attemptEnded(e.attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
-    }
+    attempts.withdrawQueued();
   }
 
-  /** Told that it is gone, or listed again. */
+  /** The machine list has the machine, or has it no more. */
   public void machineListed(boolean isGone, Duration now) {
-    boolean news = isGone != gone;
-    gone = isGone;
-    if (!news) {
+    if (isGone == gone) {
       return;
     }
+    gone = isGone;
     if (gone) {
-      machineDraining();
-      if (state != State.ESTABLISHED) {
-        lose();
-        if (state == State.CONNECTING) {
-          transport.close("the machine is listed as gone");
-        }
-        state = State.CLOSED;
-      }
+      machineGone();
     } else {
-      failures = 0;
+      backoff.reset();
       if (state == State.BACKING_OFF) {
         retryAt = now;
       }
     }
   }
 
-  /**
-   * Gone for good, by the list and without a stream: what ran there is lost, what may have run may
-   * have run.
-   */
-  private void lose() {
-    for (Entry e : List.copyOf(entries.values())) {
-      drop(e);
-      if (e.stage != Stage.ABANDONED) {
-        listener.attemptEnded(
-            e.attempt,
-            e.stage == Stage.QUEUED ? Outcome.UNREACHABLE : Outcome.RESET,
-            OutcomeReason.UNSPECIFIED);
-      }
-    }
-  }
-
-  // ---- What the stream does
-  // --------------------------------------------------------------------------
+  // Events of the stream
 
-  /** The first word of a stream: what the machine holds of ours. */
-  public void inventoryReceived(long itsIncarnation, Collection<ReportedVm> helds, Duration now) {
+  /** The machine's first message on a stream: the attempts of this scheduler that it knows. */
+  public void inventoryReceived(
+      long machineIncarnation, Collection<ReportedVm> inventory, Duration now) {
     if (state != State.CONNECTING) {
       return;
     }
-    state = State.ESTABLISHED;
-    failures = 0;
-    callWanted = false;
-    connectBy = null;
-    usedAt = now;
-    boolean restarted = incarnation >= 0 && incarnation != itsIncarnation;
-    incarnation = itsIncarnation;
-    Set<AttemptId> named = new HashSet<>();
-    for (ReportedVm h : helds) {
-      named.add(h.attemptId());
-      Entry e = entries.get(h.attemptId());
-      if (e != null) {
-        resume(e, h, now);
-      } else if (h.state() == ReportedVm.State.RUNNING) {
-        listener.unknownVmReported(h, machine);
-      } else if (h.state() == ReportedVm.State.QUEUED) {
-        // Offered by an earlier life of this placer: nobody waits for it.
-        transport.cancel(h.attemptId());
-      }
-    }
-    for (Entry e : List.copyOf(entries.values())) {
-      if (e.stage != Stage.QUEUED && !named.contains(e.name)) {
-        drop(e);
-        missing(e, restarted);
-      }
-    }
-    pump(now);
-  }
-
-  /** The machine still knows a claim of ours. */
-  private void resume(Entry e, ReportedVm h, Duration now) {
-    if (e.stage == Stage.ABANDONED) {
-      if (h.state() == ReportedVm.State.RUNNING || h.state() == ReportedVm.State.QUEUED) {
-        transport.cancel(e.name);
-      } else {
-        drop(e);
-      }
-      return;
-    }
-    switch (h.state()) {
-      case RUNNING -> vmStarted(e.name, now);
-      case QUEUED -> {
-        if (e.stage != Stage.BOUND) {
-          e.stage = Stage.WRITTEN;
-        }
-      }
-      case ENDED ->
-          attemptEnded(
-              e.name,
-              e.stage == Stage.BOUND ? Outcome.DONE : Outcome.ERROR,
-              OutcomeReason.UNSPECIFIED,
-              now);
-      case REJECTED -> attemptRejected(e.name, OutcomeReason.UNSPECIFIED, now);
-      default -> throw new IllegalStateException(h.state().name());
-    }
+    established(now);
+    boolean restarted = incarnation.isPresent() && incarnation.get() != machineIncarnation;
+    incarnation = Optional.of(machineIncarnation);
+    attempts.reconcile(inventory, restarted);
+    writeQueued(now);
   }
 
-  /** The machine knows nothing of a claim that was written to it. */
-  private void missing(Entry e, boolean restarted) {
-    if (e.stage == Stage.BOUND) {
-      listener.attemptEnded(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-    } else if (e.stage != Stage.ABANDONED) {
-      // It remembers what it took in since its start: the offer never reached it, unless it started
-      // anew.
-      listener.attemptEnded(
-          e.attempt, restarted ? Outcome.RESET : Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
-    }
-  }
-
-  /** More can be written. */
+  /** The transport can write again. */
   public void transportReady(Duration now) {
-    pump(now);
+    writeQueued(now);
   }
 
-  /** The stream broke, could not be opened, or said what it may not. */
-  public void connectionLost(String why, Duration now) {
+  /** The stream broke, could not be opened, or received what violates the protocol. */
+  public void connectionLost(String reason, Duration now) {
     if (state != State.CONNECTING && state != State.ESTABLISHED) {
       return;
     }
-    boolean was = state == State.ESTABLISHED;
-    state = State.BACKING_OFF;
-    failures++;
-    connectBy = null;
-    retryAt = now.plus(wait(failures));
-    probeFailed(now);
-    for (Entry e : List.copyOf(entries.values())) {
-      if (e.stage == Stage.QUEUED) {
-        drop(e);
-        listener.attemptEnded(e.attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-      } else if (e.stage == Stage.WRITTEN && e.mayRepeat) {
-        e.stage = Stage.ABANDONED;
-        listener.attemptEnded(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-      } else if (e.stage == Stage.WRITTEN) {
-        e.stage = Stage.UNSURE;
-        e.unsureUntil = min(now.plus(settings.resumeTimeout()), e.by);
-      }
-    }
-    if (was || failures == 1) {
-      listener.connectionLost(machine, why);
+    boolean wasEstablished = state == State.ESTABLISHED;
+    backOff(now);
+    failProbe(now);
+    attempts.connectionLost(now);
+    if (wasEstablished || backoff.failures() == 1) {
+      listener.connectionLost(machine, reason);
     }
     if (gone) {
-      lose();
+      attempts.machineLost();
       state = State.CLOSED;
     }
   }
 
-  public void attemptAccepted(AttemptId name, Duration now) {
-    Entry e = entries.get(name);
-    if (e != null && e.stage == Stage.WRITTEN && settings.acceptanceIsFinal()) {
-      e.stage = Stage.BOUND;
-      listener.attemptAccepted(e.attempt, false);
-    }
-  }
-
-  public void vmStarted(AttemptId name, Duration now) {
-    Entry e = entries.get(name);
-    if (e == null || e.stage == Stage.ABANDONED) {
-      return;
-    }
-    e.stage = Stage.BOUND;
-    listener.attemptAccepted(e.attempt, true);
-  }
-
-  public void attemptRejected(AttemptId name, OutcomeReason why, Duration now) {
-    Entry e = entries.get(name);
-    if (e != null) {
-      drop(e);
-      if (e.stage != Stage.ABANDONED) {
-        listener.attemptEnded(
-            e.attempt, e.stage == Stage.BOUND ? Outcome.RESET : Outcome.FULL, why);
-      }
-    }
-    usedAt = now;
+  /** The machine has queued the VM. */
+  public void attemptAccepted(AttemptId id) {
+    attempts.attemptAccepted(id);
   }
 
-  public void attemptEnded(AttemptId name, Outcome end, OutcomeReason why, Duration now) {
-    Entry e = entries.get(name);
-    if (e != null) {
-      drop(e);
-      if (e.stage != Stage.ABANDONED) {
-        listener.attemptEnded(e.attempt, end, why);
-      }
-    }
-    usedAt = now;
+  /** The machine has started the VM. */
+  public void vmStarted(AttemptId id) {
+    attempts.vmStarted(id);
   }
 
-  /** The claim that goes by that name and is still ours to hear of. */
-  public Optional<PlacementAttempt> findAttempt(AttemptId name) {
-    Entry e = entries.get(name);
-    return e == null || e.stage == Stage.ABANDONED ? Optional.empty() : Optional.of(e.attempt);
+  /** The machine rejected the VM: it never ran, unless the machine had accepted it before. */
+  public void attemptRejected(AttemptId id, OutcomeReason reason, Duration now) {
+    attempts.attemptRejected(id, reason);
+    lastUsedAt = now;
   }
 
-  /** A VM of an earlier life runs there: from now on it is one of ours. */
-  public void adopt(AttemptId name, PlacementAttempt attempt) {
-    Entry e = new Entry(name, attempt, false);
-    e.stage = Stage.BOUND;
-    entries.put(name, e);
+  /** The machine ended the attempt. */
+  public void attemptEnded(AttemptId id, Outcome outcome, OutcomeReason reason, Duration now) {
+    attempts.attemptEnded(id, outcome, reason);
+    lastUsedAt = now;
   }
 
+  /** The machine reported its load. */
   public void loadReported(boolean answersProbe, Duration now) {
-    if (answersProbe && probeSentAt != null) {
-      Duration took = now.minus(probeSentAt);
-      probeSentAt = null;
-      listener.probeCompleted(machine, true, true, took);
+    if (answersProbe && probeRequestedAt != null) {
+      Duration roundTrip = now.minus(probeRequestedAt);
+      probeRequestedAt = null;
+      listener.probeCompleted(machine, true, true, roundTrip);
     }
   }
 
-  // ---- What time does
-  // --------------------------------------------------------------------------------
+  // Time
 
-  /** When {@link #tick} has something to do, if ever. */
+  /** When {@link #tick} has to be called next; empty if nothing has a deadline. */
   public Optional<Duration> nextDeadline() {
-    Duration due = null;
-    for (Entry e : entries.values()) {
-      if (e.stage == Stage.UNSURE) {
-        due = min(due, e.unsureUntil);
-      }
-    }
-    if (probeSentAt != null) {
-      due = min(due, probeSentAt.plus(settings.probeTimeout()));
-    }
-    if (state == State.CONNECTING) {
-      due = min(due, connectBy);
-    } else if (state == State.BACKING_OFF) {
-      due = min(due, retryAt);
-    } else if (state == State.ESTABLISHED && entries.isEmpty()) {
-      due = min(due, usedAt.plus(settings.idleTimeout()));
-    }
-    return Optional.ofNullable(due);
+    return Stream.of(attempts.nextConfirmationDeadline(), probeDeadline(), stateDeadline())
+        .flatMap(Optional::stream)
+        .min(Duration::compareTo);
   }
 
+  /** Applies the timeouts that are due. */
   public void tick(Duration now) {
-    for (Entry e : List.copyOf(entries.values())) {
-      if (e.stage == Stage.UNSURE && now.compareTo(e.unsureUntil) >= 0) {
-        e.stage = Stage.ABANDONED;
-        listener.attemptEnded(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-      }
+    attempts.cancelUnconfirmed(now);
+    if (isDue(probeDeadline(), now)) {
+      failProbe(now);
     }
-    if (probeSentAt != null && now.compareTo(probeSentAt.plus(settings.probeTimeout())) >= 0) {
-      probeFailed(now);
+    if (!isDue(stateDeadline(), now)) {
+      return;
     }
-    if (state == State.CONNECTING && now.compareTo(connectBy) >= 0) {
-      transport.close("no word from the machine in time");
-      connectionLost("no word from the machine in time", now);
-    } else if (state == State.BACKING_OFF && now.compareTo(retryAt) >= 0) {
-      state = State.CLOSED;
-      if ((callWanted || !entries.isEmpty()) && !gone) {
-        wantStream(now);
-      }
-    } else if (state == State.ESTABLISHED
-        && entries.isEmpty()
-        && now.compareTo(usedAt.plus(settings.idleTimeout())) >= 0) {
-      transport.close("idle");
-      state = State.CLOSED;
+    switch (state) {
+      case CONNECTING -> connectTimedOut(now);
+      case BACKING_OFF -> pauseOver(now);
+      case ESTABLISHED -> closeIdle();
+      case CLOSED -> {}
     }
   }
 
-  // ---- Within
-  // ----------------------------------------------------------------------------------------
+  private Optional<Duration> probeDeadline() {
+    return Optional.ofNullable(probeRequestedAt).map(at -> at.plus(settings.probeTimeout()));
+  }
+
+  private Optional<Duration> stateDeadline() {
+    return switch (state) {
+      case CONNECTING -> Optional.of(connectBy);
+      case BACKING_OFF -> Optional.of(retryAt);
+      case ESTABLISHED ->
+          attempts.isEmpty()
+              ? Optional.of(lastUsedAt.plus(settings.idleTimeout()))
+              : Optional.empty();
+      case CLOSED -> Optional.empty();
+    };
+  }
 
-  private void wantStream(Duration now) {
+  private static boolean isDue(Optional<Duration> deadline, Duration now) {
+    return deadline.isPresent() && now.compareTo(deadline.get()) >= 0;
+  }
+
+  // Transitions
+
+  private void connectIfClosed(Duration now) {
     if (state == State.CLOSED) {
       state = State.CONNECTING;
       connectBy = now.plus(settings.connectTimeout());
@@ -478,80 +327,70 @@
     }
   }
 
-  private void pump(Duration now) {
-    if (state != State.ESTABLISHED) {
-      return;
-    }
-    while (!queue.isEmpty() && transport.isReady()) {
-      Entry e = queue.removeFirst();
-      e.stage = Stage.WRITTEN;
-      Duration left = e.by.minus(now);
-      transport.offer(e.attempt, e.name, left.isNegative() ? Duration.ZERO : left);
-    }
-    if (probeQueued && transport.isReady()) {
-      probeQueued = false;
-      transport.probe();
-    }
+  private void established(Duration now) {
+    state = State.ESTABLISHED;
+    backoff.reset();
+    inventoryWanted = false;
+    lastUsedAt = now;
   }
 
-  private void abandon(Entry e) {
-    if (e.stage == Stage.ABANDONED) {
-      return;
-    }
-    e.stage = Stage.ABANDONED;
-    if (state == State.ESTABLISHED) {
-      transport.cancel(e.name);
-    }
+  private void backOff(Duration now) {
+    state = State.BACKING_OFF;
+    retryAt = now.plus(backoff.nextPause());
   }
 
-  private void probeFailed(Duration now) {
-    probeQueued = false;
-    if (probeSentAt != null) {
-      Duration took = now.minus(probeSentAt);
-      probeSentAt = null;
-      listener.probeCompleted(machine, false, false, took);
-    }
+  private void connectTimedOut(Duration now) {
+    transport.close(CONNECT_TIMED_OUT);
+    connectionLost(CONNECT_TIMED_OUT, now);
   }
 
-  private void drop(Entry e) {
-    entries.remove(e.name);
-    if (e.stage == Stage.ABANDONED) {
-      listener.attemptReleased(e.attempt);
-    }
-    if (e.stage == Stage.QUEUED) {
-      queue.remove(e);
+  private void pauseOver(Duration now) {
+    state = State.CLOSED;
+    if ((inventoryWanted || !attempts.isEmpty()) && !gone) {
+      connectIfClosed(now);
     }
   }
 
-  private Entry entryOf(PlacementAttempt attempt) {
-    for (Entry e : entries.values()) {
-      if (e.attempt == attempt) {
-        return e;
-      }
+  private void closeIdle() {
+    transport.close("idle");
+    state = State.CLOSED;
+  }
+
+  private void machineGone() {
+    machineDraining();
+    if (state == State.ESTABLISHED) {
+      return;
+    }
+    attempts.machineLost();
+    if (state == State.CONNECTING) {
+      transport.close("the machine is listed as gone");
     }
-    return null;
+    state = State.CLOSED;
   }
 
-  /** Doubles with each failure from the least to the most, drawn from its upper half. */
-  private Duration wait(int after) {
-    double most = Durations.toSeconds(settings.maxBackoff());
-    double full =
-        Math.min(
-            most,
-            Durations.toSeconds(settings.minBackoff()) * Math.pow(2, Math.min(after - 1, 30)));
-    return Durations.ofSeconds(full * (0.5 + chance.next() / 2));
+  // Private steps
+
+  private boolean isReachable() {
+    return state != State.BACKING_OFF && !gone;
   }
 
-  private static Duration min(Duration a, Duration b) {
-    return a == null || b != null && b.compareTo(a) < 0 ? b : a;
+  private void writeQueued(Duration now) {
+    if (state != State.ESTABLISHED) {
+      return;
+    }
+    attempts.writeQueued(now);
+    if (probeQueued && transport.isReady()) {
+      probeQueued = false;
+      transport.probe();
+    }
   }
 
-  /** Names of what the machine may still hold though the placer gave it up, for those on call. */
-  public List<AttemptId> abandonedAttempts() {
-    List<AttemptId> some = new ArrayList<>();
-    entries.values().stream()
-        .filter(e -> e.stage == Stage.ABANDONED)
-        .forEach(e -> some.add(e.name));
-    return some;
+  private void failProbe(Duration now) {
+    probeQueued = false;
+    if (probeRequestedAt != null) {
+      Duration roundTrip = now.minus(probeRequestedAt);
+      probeRequestedAt = null;
+      listener.probeCompleted(machine, false, false, roundTrip);
+    }
   }
 }
--- a/src/test/java/fordridge/machine/MachineStreamTest.java
+++ b/src/test/java/fordridge/machine/MachineStreamTest.java
@@ -237,8 +237,8 @@
     PlacementAttempt stays = w.offer(true);
     PlacementAttempt lost = w.offer(true);
     w.holding(1);
-    w.link.vmStarted(World.name(stays), w.now);
-    w.link.vmStarted(World.name(lost), w.now);
+    w.link.vmStarted(World.name(stays));
+    w.link.vmStarted(World.name(lost));
     w.breaks();
     w.pass(60);
     assertThat(stays.outcome).isNull();
@@ -285,7 +285,7 @@
     w.holding(1);
     assertThat(w.link.cancel(c, w.now)).isFalse();
     c.outcome = Outcome.TIMEOUT;
-    w.link.vmStarted(World.name(c), w.now);
+    w.link.vmStarted(World.name(c));
     w.link.attemptEnded(World.name(c), Outcome.CANCELLED, OutcomeReason.UNSPECIFIED, w.now);
     assertThat(w.bound).isEmpty();
     assertThat(w.link.attemptCount()).isEqualTo(0);
@@ -359,7 +359,7 @@
             there.put(n, ReportedVm.State.RUNNING);
             ran.add(n);
             if (w.link.state() == MachineStream.State.ESTABLISHED && r.nextInt(3) > 0) {
-              w.link.vmStarted(n, w.now);
+              w.link.vmStarted(n);
             }
           }
         }
