--- a/src/main/java/fordridge/grpc/OperatorService.java
+++ b/src/main/java/fordridge/grpc/OperatorService.java
@@ -1,6 +1,8 @@
 package fordridge.grpc;
 
 import fordridge.constraint.ConstraintIndex;
+import fordridge.constraint.RejectionReason;
+import fordridge.constraint.VmAttributes;
 import fordridge.v1.ExplainReply;
 import fordridge.v1.ExplainRequest;
 import fordridge.v1.Misfit;
@@ -23,13 +25,7 @@
    * @param id the scheduler's id of the VM, CLIENT/VM
    * @param machine the name of the attempt's machine
    */
-  public record RunningVm(
-      Object attempt,
-      String id,
-      String tenant,
-      String priorityClass,
-      long service,
-      String machine) {}
+  public record RunningVm(Object attempt, String id, VmAttributes attributes, String machine) {}
 
   /** What the queries read of a scheduler; called on its event loop. */
   public interface ClusterView {
@@ -77,19 +73,24 @@
     }
     return Optional.of(
         new RunningVm(
-            null, "", request.getCustomer(), request.getFlavour(), request.getService(), ""));
+            null,
+            "",
+            new VmAttributes(request.getCustomer(), request.getFlavour(), request.getService()),
+            ""));
   }
 
   private ExplainReply explain(RunningVm vm) {
     ConstraintIndex constraints = cluster.constraints();
     ExplainReply.Builder reply =
         ExplainReply.newBuilder().setVersion(cluster.constraintsVersion()).setRunsOn(vm.machine());
-    constraints.without(
+    constraints.withoutAttempt(
         vm.attempt(),
         () -> cluster.machineNames().forEach(machine -> reply.addSpots(spot(vm, machine))));
-    constraints.misfits().forEach((attempt, reasons) -> reply.addMisfits(misfit(attempt, reasons)));
     constraints
-        .strayed(ConstraintIndex.MOST_STRAYED)
+        .findViolatingPlacements()
+        .forEach((attempt, reasons) -> reply.addMisfits(misfit(attempt, reasons)));
+    constraints
+        .findImprovablePlacements(ConstraintIndex.MAX_IMPROVABLE_REPORTED)
         .forEach((attempt, reasons) -> reply.addStrayed(misfit(attempt, reasons)));
     return reply.build();
   }
@@ -98,15 +99,13 @@
     ConstraintIndex constraints = cluster.constraints();
     return Spot.newBuilder()
         .setMachine(machine)
-        .setAllowed(constraints.allows(vm.tenant(), vm.priorityClass(), vm.service(), machine))
-        .setUnfit(
-            constraints.constraintPenalty(vm.tenant(), vm.priorityClass(), vm.service(), machine))
-        .addAllReasons(
-            texts(constraints.why(vm.tenant(), vm.priorityClass(), vm.service(), machine)))
+        .setAllowed(constraints.isAllowed(vm.attributes(), machine))
+        .setUnfit(constraints.preferencePenalty(vm.attributes(), machine))
+        .addAllReasons(texts(constraints.explainRejection(vm.attributes(), machine)))
         .build();
   }
 
-  private Misfit misfit(Object attempt, List<ConstraintIndex.Reason> reasons) {
+  private Misfit misfit(Object attempt, List<RejectionReason> reasons) {
     RunningVm vm = cluster.describeAttempt(attempt);
     return Misfit.newBuilder()
         .setVm(vm.id())
@@ -115,11 +114,7 @@
         .build();
   }
 
-  private static List<String> texts(List<ConstraintIndex.Reason> reasons) {
-    return reasons.stream().map(OperatorService::text).toList();
-  }
-
-  private static String text(ConstraintIndex.Reason reason) {
-    return (reason.rule() == null ? "" : "rule '" + reason.rule().name() + "' ") + reason.what();
+  private static List<String> texts(List<RejectionReason> reasons) {
+    return reasons.stream().map(RejectionReason::toString).toList();
   }
 }
--- a/src/main/java/fordridge/server/grpc/AttemptTracker.java
+++ b/src/main/java/fordridge/server/grpc/AttemptTracker.java
@@ -104,7 +104,7 @@
   }
 
   private static boolean isKnownNotToRun(Outcome outcome) {
-    return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.MOOT;
+    return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
   }
 
   private void logEnd(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
--- a/src/main/java/fordridge/server/grpc/ClusterOperatorView.java
+++ b/src/main/java/fordridge/server/grpc/ClusterOperatorView.java
@@ -49,6 +49,6 @@
   private RunningVm describe(PlacementAttempt attempt) {
     Vm vm = attempt.vm;
     String machine = context.machines.nameOf(attempt.machine);
-    return new RunningVm(attempt, vm.id, vm.tenant, vm.priorityClass, vm.service, machine);
+    return new RunningVm(attempt, vm.id, ConstraintState.attributesOf(vm), machine);
   }
 }
--- a/src/main/java/fordridge/server/grpc/ConstraintState.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintState.java
@@ -1,8 +1,11 @@
 package fordridge.server.grpc;
 
 import fordridge.constraint.ConstraintIndex;
-import fordridge.constraint.ConstraintIndex.MachineTopology;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.RejectionReason;
+import fordridge.constraint.UnsatisfiableConstraintsException;
+import fordridge.constraint.VmAttributes;
 import fordridge.discovery.MachineListSource;
 import fordridge.model.Machine;
 import fordridge.model.Machine.Lifecycle;
@@ -34,11 +37,16 @@
     this.context = context;
     try {
       index = new ConstraintIndex(List.of(), context.settings().allPlacers());
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+    } catch (UnsatisfiableConstraintsException e) {
       throw new IllegalStateException("an empty set of constraints can be satisfied", e);
     }
   }
 
+  /** What constraints are about in a VM. */
+  static VmAttributes attributesOf(Vm vm) {
+    return new VmAttributes(vm.tenant, vm.priorityClass, vm.service);
+  }
+
   ConstraintIndex index() {
     return index;
   }
@@ -55,8 +63,8 @@
   /** A new set holds for all that is placed from here on; what runs and violates it is logged. */
   void constraintsReceived(List<PlacementConstraint> constraints, int newVersion) {
     try {
-      index = index.with(constraints, context.settings().allPlacers());
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+      index = index.withConstraints(constraints, context.settings().allPlacers());
+    } catch (UnsatisfiableConstraintsException e) {
       context
           .log
           .error()
@@ -68,10 +76,9 @@
     version = newVersion;
     context.groups.discardPlans();
     index
-        .misfits()
+        .findViolatingPlacements()
         .forEach(
-            (attempt, reasons) ->
-                logViolation((PlacementAttempt) attempt, reasons.get(0).rule().name()));
+            (attempt, reasons) -> logViolation((PlacementAttempt) attempt, nameOf(reasons.get(0))));
     context
         .log
         .info()
@@ -92,14 +99,18 @@
         .log("running vm violates a constraint");
   }
 
+  private static String nameOf(RejectionReason reason) {
+    return reason.constraint().map(PlacementConstraint::name).orElse(reason.description());
+  }
+
   /**
    * The index is updated only when machines came, went, were relabelled or drain, as it counts
    * everything anew.
    */
   void machineListReceived(MachineListSource.Update list) {
     if (updateTopology(list)) {
-      index.machines(topology.values());
-      index.draining(drainingMachines);
+      index.machineListReceived(topology.values());
+      index.drainingMachinesChanged(drainingMachines);
       context.groups.discardPlans();
     }
   }
@@ -133,30 +144,32 @@
 
   /** How much speaks against the machine: infinite where a constraint or its group forbids it. */
   double penalty(Vm vm, Machine machine) {
-    if (index.rules().isEmpty()) {
+    if (index.constraints().isEmpty()) {
       return 0;
     }
     String name = context.machines.nameOf(machine);
+    VmAttributes attributes = attributesOf(vm);
     boolean isAllowed =
         context.groups.hasPlannedDomain(vm)
-            ? index.allowsButNear(vm.tenant, vm.priorityClass, vm.service, name)
-            : index.allows(vm.tenant, vm.priorityClass, vm.service, name);
+            ? index.isAllowedIgnoringAffinity(attributes, name)
+            : index.isAllowed(attributes, name);
     if (!isAllowed) {
       return Double.POSITIVE_INFINITY;
     }
     return context.groups.planPenalty(vm, topology.get(name))
-        + index.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, name);
+        + index.preferencePenalty(attributes, name);
   }
 
   /** Whether any constraint is about such VMs. */
   boolean isConstrained(Vm vm) {
-    return index.touches(vm.tenant, vm.priorityClass, vm.service);
+    return index.hasConstraintsFor(attributesOf(vm));
   }
 
   /** Why no listed machine can take the VM: the constraints that can't be met together. */
   Optional<String> unsatisfiableReason(Want request) {
     List<PlacementConstraint> conflicting =
-        index.conflict(request.getCustomer(), request.getFlavour(), request.getService());
+        index.findUnsatisfiableConstraints(
+            new VmAttributes(request.getCustomer(), request.getFlavour(), request.getService()));
     if (conflicting.isEmpty()) {
       return Optional.empty();
     }
@@ -169,18 +182,17 @@
 
   /** An attempt occupies its machine from now on. */
   void attemptSent(PlacementAttempt attempt) {
-    Vm vm = attempt.vm;
     String machine = context.machines.nameOf(attempt.machine);
-    index.goes(attempt, vm.tenant, vm.priorityClass, vm.service, machine);
+    index.attemptSent(attempt, attributesOf(attempt.vm), machine);
   }
 
   /** An attempt is known not to run any more. */
   void attemptReleased(PlacementAttempt attempt) {
-    index.gone(attempt);
+    index.attemptEnded(attempt);
   }
 
   /** An attempt ended and may still run: it counts until it is released. */
   void attemptOutcomeUnknown(PlacementAttempt attempt) {
-    index.doubted(attempt);
+    index.attemptOutcomeUnknown(attempt);
   }
 }
--- a/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -1,10 +1,12 @@
 package fordridge.server.grpc;
 
 import fordridge.constraint.ConstraintIndex;
-import fordridge.constraint.ConstraintIndex.MachineTopology;
 import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.ConstraintSyntaxException;
 import fordridge.constraint.ConstraintValidator;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.UnsatisfiableConstraintsException;
 import fordridge.discovery.MachineListSource;
 import fordridge.settings.DeploymentSettings;
 import fordridge.settings.SettingsUpdate;
@@ -176,7 +178,7 @@
       String text, DeploymentSettings settings, List<MachineTopology> machines)
       throws DeploymentSettings.InvalidSettingsException {
     try {
-      List<PlacementConstraint> constraints = ConstraintParser.read(text, knownNames(settings));
+      List<PlacementConstraint> constraints = ConstraintParser.parse(text, knownNames(settings));
       // Only to find out whether the schedulers' shares of each limit can be satisfied.
       ConstraintIndex unused = new ConstraintIndex(constraints, settings.allPlacers());
       List<String> conflicts = findConflicts(constraints, machines);
@@ -184,25 +186,26 @@
         throw new DeploymentSettings.InvalidSettingsException(conflicts);
       }
       return constraints;
-    } catch (ConstraintParser.ConstraintSyntaxException e) {
-      throw new DeploymentSettings.InvalidSettingsException(e.complaints);
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+    } catch (ConstraintSyntaxException e) {
+      throw new DeploymentSettings.InvalidSettingsException(e.messages());
+    } catch (UnsatisfiableConstraintsException e) {
       throw new DeploymentSettings.InvalidSettingsException(List.of(e.getMessage()));
     }
   }
 
-  private static ConstraintParser.Names knownNames(DeploymentSettings settings) {
+  private static ConstraintParser.KnownNames knownNames(DeploymentSettings settings) {
     Set<String> tenants = new HashSet<>();
     settings.tenants.forEach(tenant -> tenants.add(tenant.name()));
     Set<String> kinds = new HashSet<>();
     settings.kinds.forEach(kind -> kinds.add(kind.name()));
-    return new ConstraintParser.Names(tenants, settings.priorityClasses.keySet(), kinds, Set.of());
+    return new ConstraintParser.KnownNames(
+        tenants, settings.priorityClasses.keySet(), kinds, Set.of());
   }
 
   private static List<String> findConflicts(
       List<PlacementConstraint> constraints, List<MachineTopology> machines) {
-    long deadlineNanos = System.nanoTime() + ConstraintValidator.THINKS.toNanos();
-    return ConstraintValidator.of(
+    long deadlineNanos = System.nanoTime() + ConstraintValidator.TIME_LIMIT.toNanos();
+    return ConstraintValidator.findConflicts(
             constraints, machines, () -> System.nanoTime() - deadlineNanos > 0)
         .stream()
         .map(Object::toString)
--- a/src/main/java/fordridge/server/grpc/GroupActions.java
+++ b/src/main/java/fordridge/server/grpc/GroupActions.java
@@ -2,7 +2,9 @@
 
 import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.GroupFeasibility;
+import fordridge.constraint.GroupMember;
 import fordridge.constraint.GroupPlan;
+import fordridge.constraint.MachineCapacity;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -29,7 +31,8 @@
 
   @Override
   public void plan(List<Vm> members, Consumer<GroupPlan> listener) {
-    GroupPlan withoutConstraints = GroupPlan.free(members.stream().map(vm -> vm.id).toList());
+    GroupPlan withoutConstraints =
+        GroupPlan.unconstrained(members.stream().map(vm -> vm.id).toList());
     if (members.stream().noneMatch(context.constraints::isConstrained)) {
       listener.accept(withoutConstraints);
       return;
@@ -44,31 +47,33 @@
   }
 
   private Supplier<GroupPlan> computation(List<Vm> members) {
-    List<GroupFeasibility.Part> parts = members.stream().map(GroupActions::part).toList();
+    List<GroupMember> groupMembers = members.stream().map(GroupActions::groupMember).toList();
     ConstraintIndex index = context.constraints.index();
-    GroupFeasibility withFreeCapacity = index.together(parts, this::freeCapacity);
-    GroupFeasibility withFullCapacity = index.together(parts, this::fullCapacity);
-    long deadlineNanos = System.nanoTime() + GroupPlan.THINKS.toNanos();
+    GroupFeasibility withFreeCapacity = index.groupFeasibility(groupMembers, this::freeCapacity);
+    GroupFeasibility withFullCapacity = index.groupFeasibility(groupMembers, this::fullCapacity);
+    long deadlineNanos = System.nanoTime() + GroupPlan.TIME_LIMIT.toNanos();
     return () ->
-        GroupPlan.of(
-            withFreeCapacity, withFullCapacity, parts, () -> System.nanoTime() - deadlineNanos > 0);
+        GroupPlan.compute(
+            withFreeCapacity,
+            withFullCapacity,
+            groupMembers,
+            () -> System.nanoTime() - deadlineNanos > 0);
   }
 
-  private static GroupFeasibility.Part part(Vm vm) {
-    return new GroupFeasibility.Part(
-        vm.id, vm.tenant, vm.priorityClass, vm.service, vm.cores, vm.memory);
+  private static GroupMember groupMember(Vm vm) {
+    return new GroupMember(vm.id, ConstraintState.attributesOf(vm), vm.cores, vm.memory);
   }
 
-  private GroupFeasibility.Room freeCapacity(String machineName) {
+  private MachineCapacity freeCapacity(String machineName) {
     Machine machine = context.scheduler.inputs().machine(machineName);
-    return new GroupFeasibility.Room(
+    return new MachineCapacity(
         machine.freeCores - machine.reservedSinceList.cores,
         machine.freeMemory - machine.reservedSinceList.memory);
   }
 
-  private GroupFeasibility.Room fullCapacity(String machineName) {
+  private MachineCapacity fullCapacity(String machineName) {
     Machine machine = context.scheduler.inputs().machine(machineName);
-    return new GroupFeasibility.Room(machine.cores, machine.memory);
+    return new MachineCapacity(machine.cores, machine.memory);
   }
 
   /** On a planner's thread. */
--- a/src/main/java/fordridge/server/grpc/GroupCoordinator.java
+++ b/src/main/java/fordridge/server/grpc/GroupCoordinator.java
@@ -1,7 +1,7 @@
 package fordridge.server.grpc;
 
-import fordridge.constraint.ConstraintIndex.MachineTopology;
 import fordridge.constraint.GroupPlan;
+import fordridge.constraint.MachineTopology;
 import fordridge.group.VmGroup;
 import fordridge.model.Vm;
 import fordridge.session.ClientResponse;
@@ -178,12 +178,12 @@
 
   /** What speaks against a machine for a member, by its group's plan; 0 without one. */
   double planPenalty(Vm vm, MachineTopology machine) {
-    return planOf(vm).map(plan -> plan.constraintPenalty(vm.id, machine)).orElse(0.0);
+    return planOf(vm).map(plan -> plan.placementPenalty(vm.id, machine)).orElse(0.0);
   }
 
   /** Whether the VM's group has a plan that fixes the domain which its affinity asks for. */
   boolean hasPlannedDomain(Vm vm) {
-    return planOf(vm).map(plan -> plan.settlesNear(vm.id)).orElse(false);
+    return planOf(vm).map(plan -> plan.hasFixedDomain(vm.id)).orElse(false);
   }
 
   @Override
@@ -201,12 +201,12 @@
     }
     if (version != planVersion) {
       allMembersJoined(members);
-    } else if (plan.refusal() != null) {
-      tracked.group.abandon(plan.refusal());
+    } else if (plan.rejectionReason().isPresent()) {
+      tracked.group.abandon(plan.rejectionReason().get());
       removeIfOver(tracked);
     } else {
       members.forEach(id -> membersByVmId.get(id).plan = Optional.of(plan));
-      tracked.group.planFound(plan.order());
+      tracked.group.planFound(plan.placementOrder());
     }
   }
 
--- a/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
+++ b/src/test/java/fordridge/server/grpc/GroupPlacementTest.java
@@ -72,9 +72,9 @@
     join("a");
     join("b");
     groups.discardPlans();
-    pendingPlans.remove().accept(GroupPlan.free(List.of("a", "b")));
+    pendingPlans.remove().accept(GroupPlan.unconstrained(List.of("a", "b")));
     assertThat(actions).isEmpty();
-    pendingPlans.remove().accept(GroupPlan.free(List.of("b", "a")));
+    pendingPlans.remove().accept(GroupPlan.unconstrained(List.of("b", "a")));
     assertThat(actions).containsExactly("place b", "place a");
   }
 
@@ -87,7 +87,7 @@
     assertThat(groups.isMember(b)).isFalse();
     join("a");
     Consumer<GroupPlan> outdated = pendingPlans.remove();
-    outdated.accept(GroupPlan.free(List.of("a", "b")));
+    outdated.accept(GroupPlan.unconstrained(List.of("a", "b")));
     assertThat(actions).as("the outdated plan is not the new group's").hasSize(2);
   }
 }
