--- a/src/main/java/fordridge/grpc/GrpcMachineTransport.java
+++ b/src/main/java/fordridge/grpc/GrpcMachineTransport.java
@@ -6,6 +6,7 @@
 import fordridge.v1.Cancel;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Greeting;
+import fordridge.v1.Holding;
 import fordridge.v1.MachineGrpc;
 import fordridge.v1.Offer;
 import fordridge.v1.Probe;
@@ -26,187 +27,106 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The stream to one machine on gRPC: a channel for each stream, opened and closed as the link says.
- * What happens on it is handed over with the stream's number, so that a late word of an old stream
- * is known as such.
+ * The gRPC stream to one machine: a channel for each stream, opened and closed as the {@link
+ * fordridge.machine.MachineStream} decides. What happens on a stream that is not the newest is
+ * ignored. Confined to its event loop.
  */
 public final class GrpcMachineTransport implements MachineStreamTransport {
-  /** Whom the stream tells; on the placer's loop, in the order of the socket. */
+  /** Receives what happens on the stream; on the event loop, in the order of the socket. */
   public interface Listener {
-    void inventoryReceived(fordridge.v1.Holding holding);
+    /** The machine's first message, which opens the stream. */
+    void inventoryReceived(Holding inventory);
 
+    /** Any later message. */
     void messageReceived(FromMachine message);
 
+    /** More can be written. */
     void transportReady();
 
-    void connectionLost(String why);
+    /** The stream broke, could not be opened, or its first message was not the inventory. */
+    void connectionLost(String reason);
   }
 
-  /** How an offer is filled in beyond the claim's own fields. */
+  /** Completes an offer with what the attempt itself does not know. */
   public interface VmDescriber {
+    /** Sets the fields of the offer beyond those of the attempt. */
     void fill(PlacementAttempt attempt, Offer.Builder offer);
   }
 
-  private final String placer;
-  private final EventLoop loop;
+  private static final int FLOW_CONTROL_WINDOW_BYTES = 1 << 18;
+
+  private final String schedulerName;
+  private final EventLoop eventLoop;
   private final Duration connectTimeout;
-  private final Duration keepalive;
-  private final int maxMessage;
-  private final Listener heard;
-  private final VmDescriber describe;
+  private final Duration keepAlive;
+  private final int maxMessageBytes;
+  private final Listener listener;
+  private final VmDescriber describer;
   private InetSocketAddress address;
   private ManagedChannel channel;
-  private ClientCallStreamObserver<ToMachine> to;
+  private ClientCallStreamObserver<ToMachine> requests;
+
+  /** Numbers the streams: events of any but the newest are ignored. */
   private int generation;
-  private long probes;
 
+  private long lastProbeNumber;
+
+  /**
+   * Creates a transport without a stream.
+   *
+   * @param keepAlive interval and timeout of the keep-alive pings
+   * @param maxMessageBytes bound on a message of the machine
+   */
   public GrpcMachineTransport(
-      String placer,
-      EventLoop loop,
+      String schedulerName,
+      EventLoop eventLoop,
       Duration connectTimeout,
-      Duration keepalive,
-      int maxMessage,
-      Listener heard,
-      VmDescriber describe) {
-    this.placer = placer;
-    this.loop = loop;
+      Duration keepAlive,
+      int maxMessageBytes,
+      Listener listener,
+      VmDescriber describer) {
+    this.schedulerName = schedulerName;
+    this.eventLoop = eventLoop;
     this.connectTimeout = connectTimeout;
-    this.keepalive = keepalive;
-    this.maxMessage = maxMessage;
-    this.heard = heard;
-    this.describe = describe;
+    this.keepAlive = keepAlive;
+    this.maxMessageBytes = maxMessageBytes;
+    this.listener = listener;
+    this.describer = describer;
   }
 
-  public void setAddress(InetSocketAddress to) {
-    address = to;
+  /** Sets the address to which the next streams are opened. */
+  public void setAddress(InetSocketAddress newAddress) {
+    address = newAddress;
   }
 
   @Override
   public void connect() {
-    // Not in the context of the client's call that may have brought this about: its end would end
-    // the stream.
+    // Not in the context of the client's call that may have caused this: its end would end the
+    // stream.
     Context.ROOT.run(this::open);
   }
 
-  private void open() {
-    int mine = ++generation;
-    channel =
-        NettyChannelBuilder.forAddress(address)
-            .eventLoopGroup(loop)
-            .channelType(NioSocketChannel.class)
-            .directExecutor()
-            .offloadExecutor(loop)
-            .usePlaintext()
-            .disableRetry()
-            .maxInboundMessageSize(maxMessage)
-            .flowControlWindow(1 << 18)
-            .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
-            .keepAliveTime(keepalive.toMillis(), TimeUnit.MILLISECONDS)
-            .keepAliveTimeout(keepalive.toMillis(), TimeUnit.MILLISECONDS)
-            .build();
-    MachineGrpc.newStub(channel)
-        .serve(
-            new ClientResponseObserver<ToMachine, FromMachine>() {
-              private boolean greeted;
-
-              @Override
-              public void beforeStart(ClientCallStreamObserver<ToMachine> stream) {
-                to = stream;
-                stream.disableAutoRequestWithInitial(1);
-                stream.setOnReadyHandler(
-                    () -> {
-                      if (mine == generation) {
-                        heard.transportReady();
-                      }
-                    });
-              }
-
-              @Override
-              public void onNext(FromMachine m) {
-                if (mine != generation) {
-                  return;
-                }
-                if (!greeted) {
-                  if (m.getBodyCase() != FromMachine.BodyCase.HOLDING) {
-                    close("its first message was " + m.getBodyCase() + ", not holding");
-                    heard.connectionLost("its first message was not what it holds");
-                    return;
-                  }
-                  greeted = true;
-                  heard.inventoryReceived(m.getHolding());
-                } else {
-                  heard.messageReceived(m);
-                }
-                if (mine == generation) {
-                  to.request(1);
-                }
-              }
-
-              @Override
-              public void onError(Throwable t) {
-                over(Status.fromThrowable(t));
-              }
-
-              @Override
-              public void onCompleted() {
-                over(Status.OK.withDescription("the machine ended the stream"));
-              }
-
-              private void over(Status status) {
-                if (mine == generation) {
-                  drop();
-                  heard.connectionLost(
-                      status.getCode()
-                          + (status.getDescription() == null
-                              ? ""
-                              : ": " + status.getDescription()));
-                }
-              }
-            });
-    if (mine == generation) {
-      to.onNext(
-          ToMachine.newBuilder().setGreeting(Greeting.newBuilder().setPlacer(placer)).build());
-    }
-  }
-
-  private void drop() {
-    generation++;
-    if (channel != null) {
-      channel.shutdownNow();
-    }
-    channel = null;
-    to = null;
-  }
-
   @Override
-  public void close(String why) {
-    ClientCallStreamObserver<ToMachine> old = to;
-    ManagedChannel its = channel;
-    generation++;
-    to = null;
-    channel = null;
-    if (old != null) {
-      old.cancel(why, null);
+  public void close(String reason) {
+    ClientCallStreamObserver<ToMachine> oldRequests = requests;
+    ManagedChannel oldChannel = channel;
+    forgetStream();
+    if (oldRequests != null) {
+      oldRequests.cancel(reason, null);
     }
-    if (its != null) {
-      its.shutdownNow();
+    if (oldChannel != null) {
+      oldChannel.shutdownNow();
     }
   }
 
   @Override
   public boolean isReady() {
-    return to != null && to.isReady();
-  }
-
-  private void write(ToMachine.Builder m) {
-    if (to != null) {
-      to.onNext(m.build());
-    }
+    return requests != null && requests.isReady();
   }
 
   @Override
-  public void offer(PlacementAttempt attempt, AttemptId attemptId, Duration within) {
-    Offer.Builder o =
+  public void offer(PlacementAttempt attempt, AttemptId attemptId, Duration timeLeft) {
+    Offer.Builder offer =
         Offer.newBuilder()
             .setClaim(ProtoConversions.name(attemptId))
             .setFlavour(attempt.vm.priorityClass)
@@ -214,35 +134,143 @@
             .setCustomer(attempt.vm.tenant)
             .setCores(attempt.vm.cores)
             .setMemory(attempt.vm.memory)
-            .setWithinUs(ProtoConversions.micros(within));
+            .setWithinUs(ProtoConversions.micros(timeLeft));
     if (attempt.vm.expectedLifetime != null) {
-      o.setLastsUs(ProtoConversions.micros(attempt.vm.expectedLifetime));
+      offer.setLastsUs(ProtoConversions.micros(attempt.vm.expectedLifetime));
     }
-    describe.fill(attempt, o);
-    write(ToMachine.newBuilder().setOffer(o));
+    describer.fill(attempt, offer);
+    write(ToMachine.newBuilder().setOffer(offer));
   }
 
   @Override
   public void cancel(AttemptId attemptId) {
-    write(
-        ToMachine.newBuilder()
-            .setCancel(Cancel.newBuilder().setClaim(ProtoConversions.name(attemptId))));
+    Cancel.Builder cancel = Cancel.newBuilder().setClaim(ProtoConversions.name(attemptId));
+    write(ToMachine.newBuilder().setCancel(cancel));
   }
 
   @Override
   public void terminate(AttemptId attemptId) {
-    write(
-        ToMachine.newBuilder()
-            .setStop(Stop.newBuilder().setClaim(ProtoConversions.name(attemptId))));
+    Stop.Builder stop = Stop.newBuilder().setClaim(ProtoConversions.name(attemptId));
+    write(ToMachine.newBuilder().setStop(stop));
   }
 
   @Override
   public void probe() {
-    write(ToMachine.newBuilder().setProbe(Probe.newBuilder().setNumber(++probes)));
+    lastProbeNumber++;
+    write(ToMachine.newBuilder().setProbe(Probe.newBuilder().setNumber(lastProbeNumber)));
   }
 
-  /** Whether the report answers the newest probe. */
+  /** Whether the report answers the newest health check. */
   public boolean answersProbe(Report report) {
-    return report.getProbe() == probes && probes > 0;
+    return lastProbeNumber > 0 && report.getProbe() == lastProbeNumber;
+  }
+
+  private void open() {
+    generation++;
+    channel = newChannel();
+    MachineStreamObserver observer = new MachineStreamObserver(generation);
+    MachineGrpc.newStub(channel).serve(observer);
+    if (observer.isCurrent()) {
+      Greeting.Builder greeting = Greeting.newBuilder().setPlacer(schedulerName);
+      requests.onNext(ToMachine.newBuilder().setGreeting(greeting).build());
+    }
+  }
+
+  private ManagedChannel newChannel() {
+    return NettyChannelBuilder.forAddress(address)
+        .eventLoopGroup(eventLoop)
+        .channelType(NioSocketChannel.class)
+        .directExecutor()
+        .offloadExecutor(eventLoop)
+        .usePlaintext()
+        .disableRetry()
+        .maxInboundMessageSize(maxMessageBytes)
+        .flowControlWindow(FLOW_CONTROL_WINDOW_BYTES)
+        .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+        .keepAliveTime(keepAlive.toMillis(), TimeUnit.MILLISECONDS)
+        .keepAliveTimeout(keepAlive.toMillis(), TimeUnit.MILLISECONDS)
+        .build();
+  }
+
+  private void write(ToMachine.Builder message) {
+    if (requests != null) {
+      requests.onNext(message.build());
+    }
+  }
+
+  private void forgetStream() {
+    generation++;
+    channel = null;
+    requests = null;
+  }
+
+  /** Hands on the events of one stream as long as it is the newest. */
+  private final class MachineStreamObserver
+      implements ClientResponseObserver<ToMachine, FromMachine> {
+    private final int ownGeneration;
+    private boolean inventoryReceived;
+
+    MachineStreamObserver(int ownGeneration) {
+      this.ownGeneration = ownGeneration;
+    }
+
+    boolean isCurrent() {
+      return ownGeneration == generation;
+    }
+
+    @Override
+    public void beforeStart(ClientCallStreamObserver<ToMachine> stream) {
+      requests = stream;
+      stream.disableAutoRequestWithInitial(1);
+      stream.setOnReadyHandler(
+          () -> {
+            if (isCurrent()) {
+              listener.transportReady();
+            }
+          });
+    }
+
+    @Override
+    public void onNext(FromMachine message) {
+      if (!isCurrent()) {
+        return;
+      }
+      if (inventoryReceived) {
+        listener.messageReceived(message);
+      } else if (message.getBodyCase() == FromMachine.BodyCase.HOLDING) {
+        inventoryReceived = true;
+        listener.inventoryReceived(message.getHolding());
+      } else {
+        close("first message was " + message.getBodyCase() + ", expected the inventory");
+        listener.connectionLost("first message was not the inventory");
+        return;
+      }
+      if (isCurrent()) {
+        requests.request(1);
+      }
+    }
+
+    @Override
+    public void onError(Throwable error) {
+      ended(Status.fromThrowable(error));
+    }
+
+    @Override
+    public void onCompleted() {
+      ended(Status.OK.withDescription("the machine ended the stream"));
+    }
+
+    private void ended(Status status) {
+      if (!isCurrent()) {
+        return;
+      }
+      ManagedChannel oldChannel = channel;
+      forgetStream();
+      if (oldChannel != null) {
+        oldChannel.shutdownNow();
+      }
+      String description = status.getDescription();
+      listener.connectionLost(status.getCode() + (description == null ? "" : ": " + description));
+    }
   }
 }
--- a/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
+++ b/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
@@ -5,94 +5,117 @@
 import fordridge.machine.MachineStream;
 import fordridge.machine.ReportedVm;
 import fordridge.machine.VmReportKind;
+import fordridge.v1.Finished;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Holding;
 import fordridge.v1.Note;
+import fordridge.v1.Refused;
 import fordridge.v1.Report;
+import fordridge.v1.Started;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 
 /**
- * Turns what a machine says into calls of its link, and hands on reports and notes. It decides
- * nothing.
+ * Turns a machine's messages into calls of its {@link MachineStream}, and into typed reports for
+ * the scheduler. Stateless.
  */
 public final class MachineMessageDispatcher {
-  /** Takes what is not the link's matter. */
+  /** Receives what does not concern the stream's attempts. */
   public interface Listener {
+    /** The machine reported its load, by itself or with another message. */
     void loadReported(LoadReport report);
 
-    /** A report stands by itself: nothing else follows that the module is told. */
+    /** The report was a message of its own and answers no health check. */
     void loadReportCompleted();
 
+    /** The machine reported on one VM. */
     void vmReported(AttemptId attemptId, VmReportKind kind, double value);
 
+    /** The machine sent what the protocol does not allow. */
     void protocolViolated(String reason);
   }
 
   private MachineMessageDispatcher() {}
 
-  public static void dispatchInventory(Holding h, MachineStream link, Duration now) {
-    List<ReportedVm> held = new ArrayList<>(h.getHeldCount());
-    h.getHeldList().forEach(x -> held.add(ProtoConversions.held(x)));
-    link.inventoryReceived(h.getIncarnation(), held, now);
+  /** Hands the inventory on to the stream. */
+  public static void dispatchInventory(Holding inventory, MachineStream stream, Duration now) {
+    List<ReportedVm> reportedVms =
+        inventory.getHeldList().stream().map(ProtoConversions::held).toList();
+    stream.inventoryReceived(inventory.getIncarnation(), reportedVms, now);
   }
 
+  /** Hands any later message on to the stream or to the listener. */
   public static void dispatch(
-      FromMachine m,
-      MachineStream link,
-      GrpcMachineTransport stream,
-      Listener further,
+      FromMachine message,
+      MachineStream stream,
+      GrpcMachineTransport transport,
+      Listener listener,
       Duration now) {
-    switch (m.getBodyCase()) {
-      case ACCEPTED -> link.attemptAccepted(ProtoConversions.name(m.getAccepted().getClaim()));
-      case REFUSED -> {
-        if (m.getRefused().hasReport()) {
-          report(m.getRefused().getReport(), further);
-        }
-        link.attemptRejected(
-            ProtoConversions.name(m.getRefused().getClaim()),
-            ProtoConversions.why(m.getRefused().getReason()),
-            now);
-      }
-      case STARTED -> {
-        if (m.getStarted().hasReport()) {
-          report(m.getStarted().getReport(), further);
-        }
-        link.vmStarted(ProtoConversions.name(m.getStarted().getClaim()));
-      }
-      case FINISHED ->
-          link.attemptEnded(
-              ProtoConversions.name(m.getFinished().getClaim()),
-              ProtoConversions.end(m.getFinished()),
-              ProtoConversions.why(m.getFinished().getHow()),
-              now);
-      case NOTE ->
-          further.vmReported(
-              ProtoConversions.name(m.getNote().getClaim()),
-              kind(m.getNote().getWhat()),
-              m.getNote().getAmount());
-      case REPORT -> {
-        report(m.getReport(), further);
-        if (m.getReport().getProbe() > 0) {
-          link.loadReported(stream.answersProbe(m.getReport()), now);
-        } else {
-          further.loadReportCompleted();
-        }
-      }
+    switch (message.getBodyCase()) {
+      case ACCEPTED ->
+          stream.attemptAccepted(ProtoConversions.name(message.getAccepted().getClaim()));
+      case REFUSED -> rejected(message.getRefused(), stream, listener, now);
+      case STARTED -> started(message.getStarted(), stream, listener);
+      case FINISHED -> finished(message.getFinished(), stream, now);
+      case NOTE -> vmReported(message.getNote(), listener);
+      case REPORT -> loadReported(message.getReport(), stream, transport, listener, now);
       default ->
-          further.protocolViolated(
-              "a message out of order or without a known body: " + m.getBodyCase());
+          listener.protocolViolated(
+              "a message out of order or without a known body: " + message.getBodyCase());
     }
   }
 
-  private static void report(Report r, Listener further) {
-    further.loadReported(
-        new LoadReport(
-            r.getSpareCores(), r.getSpareMemory(), r.getBusy() < 0 ? Double.NaN : r.getBusy()));
+  private static void rejected(
+      Refused rejection, MachineStream stream, Listener listener, Duration now) {
+    if (rejection.hasReport()) {
+      listener.loadReported(loadReport(rejection.getReport()));
+    }
+    stream.attemptRejected(
+        ProtoConversions.name(rejection.getClaim()),
+        ProtoConversions.why(rejection.getReason()),
+        now);
+  }
+
+  private static void started(Started start, MachineStream stream, Listener listener) {
+    if (start.hasReport()) {
+      listener.loadReported(loadReport(start.getReport()));
+    }
+    stream.vmStarted(ProtoConversions.name(start.getClaim()));
+  }
+
+  private static void finished(Finished end, MachineStream stream, Duration now) {
+    stream.attemptEnded(
+        ProtoConversions.name(end.getClaim()),
+        ProtoConversions.end(end),
+        ProtoConversions.why(end.getHow()),
+        now);
+  }
+
+  private static void vmReported(Note note, Listener listener) {
+    listener.vmReported(
+        ProtoConversions.name(note.getClaim()), reportKind(note.getWhat()), note.getAmount());
+  }
+
+  private static void loadReported(
+      Report report,
+      MachineStream stream,
+      GrpcMachineTransport transport,
+      Listener listener,
+      Duration now) {
+    listener.loadReported(loadReport(report));
+    if (report.getProbe() > 0) {
+      stream.loadReported(transport.answersProbe(report), now);
+    } else {
+      listener.loadReportCompleted();
+    }
+  }
+
+  private static LoadReport loadReport(Report report) {
+    double utilization = report.getBusy() < 0 ? Double.NaN : report.getBusy();
+    return new LoadReport(report.getSpareCores(), report.getSpareMemory(), utilization);
   }
 
-  private static VmReportKind kind(Note.What what) {
+  private static VmReportKind reportKind(Note.What what) {
     return switch (what) {
       case CORES -> VmReportKind.CORE_USAGE;
       case MEMORY -> VmReportKind.MEMORY_USAGE;
