Machine client by concern; the tests of machine connections by case, fixtures merged

Cause: MachineClient held the transport, the state of a connection on the wire and the decoding; the tests' fixtures stood twice and were named by the old words. Change: MachineConnectionHandler (a table of states; decoding into typed events) beside MachineClient (the transport). PoolFixture, StreamFixture and MachinePoolStub for the tests; the long properties in steps, with the same draws. Timers' and listeners' calls as before.

--- /dev/null
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -0,0 +1,233 @@
+package fordridge.json;
+
+import fordridge.machine.LoadReport;
+import fordridge.machine.MachineConnection;
+import fordridge.machine.VmReportKind;
+import fordridge.machine.VmTermination;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.SocketChannel;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection to a machine on the wire: decodes what the machine sends into events, and writes
+ * messages. Confined to the connection's event loop.
+ *
+ * <pre>
+ * state       connected    failed    lost or malformed  closed by the scheduler
+ * CONNECTING  ESTABLISHED  CLOSED    CLOSED             CLOSED
+ * ESTABLISHED -            -         CLOSED             DRAINING
+ * DRAINING    -            -         -                  -
+ * CLOSED      -            -         -                  -
+ * </pre>
+ */
+final class MachineConnectionHandler extends LineCodec {
+  private enum State {
+    CONNECTING,
+    ESTABLISHED,
+    /**
+     * Half-closed by the scheduler: nothing is concluded from it as a connection, and nothing is
+     * written, but it is read to its end.
+     */
+    DRAINING,
+    /** Nothing more is concluded from it. */
+    CLOSED
+  }
+
+  /** How long a half-closed connection waits for the machine to close its side. */
+  private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(1);
+
+  private static final int HEALTHY = 1;
+
+  private static final Map<String, OutcomeReason> OUTCOME_REASONS =
+      Map.of(
+          "nc", OutcomeReason.INSUFFICIENT_CORES,
+          "nm", OutcomeReason.INSUFFICIENT_MEMORY,
+          "nq", OutcomeReason.QUEUE_FULL,
+          "nh", OutcomeReason.NOT_ELIGIBLE,
+          "ev", OutcomeReason.EVICTED,
+          "pre", OutcomeReason.PREEMPTED,
+          "dr", OutcomeReason.DRAINED);
+
+  private static final Map<String, VmReportKind> VM_REPORT_KINDS =
+      Map.of(
+          "live", VmReportKind.STARTED,
+          "c", VmReportKind.CORE_USAGE,
+          "m", VmReportKind.MEMORY_USAGE,
+          "s", VmReportKind.SERVICE_LEVEL,
+          "p", VmReportKind.MEMORY_PRESSURE);
+
+  private final MachineConnection connection;
+  private final ConnectionQuota quota;
+  private final MachineClient.Listener listener;
+  private Channel channel;
+  private State state = State.CONNECTING;
+
+  MachineConnectionHandler(
+      MachineConnection connection, ConnectionQuota quota, MachineClient.Listener listener) {
+    this.connection = connection;
+    this.quota = quota;
+    this.listener = listener;
+  }
+
+  /** Sets the channel, as soon as there is one and before anything comes of it. */
+  void setChannel(Channel newChannel) {
+    channel = newChannel;
+  }
+
+  boolean isDraining() {
+    return state == State.DRAINING;
+  }
+
+  // Transitions
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    trace(ctx.channel(), "established");
+    if (state == State.CONNECTING) {
+      state = State.ESTABLISHED;
+      listener.connectionEstablished(connection);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    trace(ctx.channel(), "inactive, state " + state);
+    if (state == State.ESTABLISHED) {
+      lost("closed by the machine");
+    }
+  }
+
+  /** The connection did not come up. */
+  void connectFailed(boolean refused) {
+    if (state == State.CONNECTING || state == State.ESTABLISHED) {
+      state = State.CLOSED;
+      listener.connectionFailed(connection, refused);
+    }
+  }
+
+  @Override
+  void malformedInput(String reason) {
+    lost(reason);
+  }
+
+  private void lost(String reason) {
+    if (state == State.CONNECTING || state == State.ESTABLISHED) {
+      state = State.CLOSED;
+      channel.close();
+      listener.connectionLost(connection, reason);
+    }
+  }
+
+  /** Closes the connection, for the scheduler; a connection that is up is read to its end. */
+  void close() {
+    if (!channel.isActive()) {
+      state = State.CLOSED;
+      channel.close();
+      return;
+    }
+    // What the machine writes at this moment would be lost with the connection, and a termination
+    // is notified once: so only this side is closed, and the rest is read until the machine closes
+    // its own.
+    state = State.DRAINING;
+    quota.connectionClosing();
+    trace(channel, "closing");
+    ((SocketChannel) channel).shutdownOutput();
+    channel
+        .eventLoop()
+        .schedule(() -> channel.close(), DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  // Messages
+
+  /** Writes a message, unless the connection is closed or being closed. */
+  void write(String type, String id, int code, String description, String... fields) {
+    if (channel.isActive() && state != State.DRAINING) {
+      channel.writeAndFlush(
+          LineCodec.encode(channel, type, id, code, description, fields), channel.voidPromise());
+    }
+  }
+
+  @Override
+  void lineReceived() {
+    if (state != State.CLOSED) {
+      listener.messageReceived();
+    }
+  }
+
+  @Override
+  void messageReceived(
+      String type, String id, Map<String, Object> fields, int code, String description) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    boolean answersProbe = type.equals("hb_ok");
+    boolean withLoadReport = fields.get("load") instanceof String;
+    if (fields.get("load") instanceof String load) {
+      listener.loadReported(loadReport(load), answersProbe);
+    }
+    switch (type) {
+      case "up" -> accepted(id, description);
+      case "down" -> terminated(id, code, String.valueOf(fields.get("note")));
+      case "tell" -> vmReported(id, fields);
+      case "hb_ok" -> listener.probeAnswered(connection, code == HEALTHY, withLoadReport);
+      case "hb" -> write("hb_ok", id, HEALTHY, null);
+      case "wait", "ack", "shift" -> {}
+      default -> rejectInput("line: field 't' is not a known message type: " + type);
+    }
+  }
+
+  private void accepted(String vmId, String description) {
+    if (description == null) {
+      rejectInput("line: an answer without field 'd'");
+    } else {
+      listener.vmAccepted(connection, vmId, description);
+    }
+  }
+
+  private void terminated(String vmId, int code, String note) {
+    write("ack", vmId, NO_CODE, null);
+    TerminationCause cause = TerminationCause.fromCode(code);
+    OutcomeReason reason = OUTCOME_REASONS.getOrDefault(note, OutcomeReason.UNSPECIFIED);
+    listener.vmTerminated(
+        connection,
+        new VmTermination(vmId, cause.outcomeIfPending(), cause.outcomeIfRunning(), reason));
+  }
+
+  private void vmReported(String vmId, Map<String, Object> fields) {
+    String note = String.valueOf(fields.get("note"));
+    VmReportKind kind = VM_REPORT_KINDS.getOrDefault(note, VmReportKind.UNKNOWN);
+    listener.vmReported(connection, vmId, kind, number(fields.get("value")));
+  }
+
+  /** Reads pairs of name and value, as in {@code x0:12.5;x1:64;utilization:0.3}. */
+  private static LoadReport loadReport(String load) {
+    Map<String, Double> values = new HashMap<>();
+    for (String pair : load.split(";")) {
+      int colon = pair.indexOf(':');
+      if (colon > 0) {
+        values.put(pair.substring(0, colon), number(pair.substring(colon + 1)));
+      }
+    }
+    return new LoadReport(
+        values.getOrDefault("x0", Double.NaN),
+        values.getOrDefault("x1", Double.NaN),
+        values.getOrDefault("utilization", values.getOrDefault("util", Double.NaN)));
+  }
+
+  /** The value as a number, NaN where it is none. */
+  private static double number(Object value) {
+    if (value instanceof Number number) {
+      return number.doubleValue();
+    }
+    try {
+      return value == null ? Double.NaN : Double.parseDouble(value.toString());
+    } catch (NumberFormatException e) {
+      return Double.NaN;
+    }
+  }
+}
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -6,11 +6,8 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
-import fordridge.model.Vm;
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,125 +17,6 @@
 import net.jqwik.api.Property;
 
 class MachineConnectionPoolTest {
-  /** A line and a fate that keep what they were told, and complain of what may never happen. */
-  private static final class World implements MachineTransport, MachineConnectionPool.Listener {
-    final Machine machine = new Machine(7);
-    final MachineConnectionPool connectionPool =
-        new MachineConnectionPool(machine, new ConnectionTimeouts(ms(250), ms(3000)), this, this);
-    final List<MachineConnection> open = new ArrayList<>();
-    final Map<MachineConnection, List<String>> said = new LinkedHashMap<>();
-    final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
-    final Map<PlacementAttempt, String> bound = new HashMap<>();
-    final List<PlacementAttempt> unanswered = new ArrayList<>();
-    final List<Boolean> probes = new ArrayList<>();
-    Duration now = ms(10_000);
-    int most = 100;
-    int made;
-    boolean again;
-
-    static Duration ms(long n) {
-      return Duration.ofMillis(n);
-    }
-
-    PlacementAttempt offer() {
-      PlacementAttempt c = new PlacementAttempt(new Vm("vm" + made++), machine, 0, now);
-      c.vm.attempts.add(c);
-      connectionPool.offer(c, ms(1000), again, now);
-      return c;
-    }
-
-    /** A claim whose set-up a connection has carried. */
-    PlacementAttempt carried() {
-      PlacementAttempt c = offer();
-      for (MachineConnection s : List.copyOf(open)) {
-        connectionPool.connectionEstablished(s, now);
-      }
-      return c;
-    }
-
-    PlacementAttempt standing() {
-      PlacementAttempt c = carried();
-      connectionPool.vmAccepted(last(), c.vm.id, "d", now);
-      return c;
-    }
-
-    MachineConnection last() {
-      return open.get(open.size() - 1);
-    }
-
-    void pass(long millis) {
-      Duration until = now.plus(ms(millis));
-      while (now.compareTo(until) < 0) {
-        now = now.plus(ms(50));
-        connectionPool.tick(now);
-        ConnectionBudget.rebalance(List.of(connectionPool), open.size(), most, now);
-      }
-    }
-
-    @Override
-    public boolean canOpen() {
-      return open.size() < most;
-    }
-
-    @Override
-    public void open(MachineConnection s) {
-      open.add(s);
-      said.put(s, new ArrayList<>());
-    }
-
-    @Override
-    public void close(MachineConnection s) {
-      open.remove(s);
-    }
-
-    @Override
-    public void requestPlacement(MachineConnection s, PlacementAttempt attempt, Duration within) {
-      assertThat(ends).doesNotContainKey(attempt);
-      said.get(s).add("new " + attempt.vm.id);
-    }
-
-    @Override
-    public void cancel(MachineConnection s, String vm) {
-      said.get(s).add("given up " + vm);
-    }
-
-    @Override
-    public void terminate(MachineConnection s, String vm) {
-      said.get(s).add("cut " + vm);
-    }
-
-    @Override
-    public void probe(MachineConnection s) {
-      said.get(s).add("probe");
-    }
-
-    @Override
-    public void attemptAccepted(PlacementAttempt attempt, String description) {
-      assertThat(ends).doesNotContainKey(attempt);
-      assertThat(bound.put(attempt, description)).isNull();
-      attempt.acceptedAt = now;
-    }
-
-    @Override
-    public void attemptEnded(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
-      assertThat(ends.put(attempt, end)).as("a second end of " + attempt.vm.id).isNull();
-      attempt.outcome = end;
-    }
-
-    @Override
-    public void attemptEndedUnanswered(
-        PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
-      unanswered.add(attempt);
-      attemptEnded(attempt, outcome, reason);
-    }
-
-    @Override
-    public void probeCompleted(
-        Machine m, boolean healthy, boolean withLoadReport, Duration roundTrip) {
-      probes.add(healthy);
-    }
-  }
-
   private static VmTermination termination(
       PlacementAttempt attempt, Outcome ifPending, Outcome ifRunning) {
     return new VmTermination(
@@ -146,288 +24,318 @@
   }
 
   @Example
-  void whatNoConnectionHasCarriedNeverRan() {
-    World w = new World();
-    PlacementAttempt refused = w.offer();
-    w.connectionPool.connectionFailed(w.last(), true, w.now);
-    assertThat(w.ends.get(refused)).isEqualTo(Outcome.UNREACHABLE);
-    PlacementAttempt slow = w.offer();
-    w.pass(300);
-    assertThat(w.ends.get(slow)).isEqualTo(Outcome.UNREACHABLE);
-    PlacementAttempt givenUp = w.offer();
-    w.connectionPool.cancel(givenUp, Outcome.TIMEOUT, w.now);
-    assertThat(w.ends.get(givenUp)).isEqualTo(Outcome.UNREACHABLE);
+  void unsentRequestsEndAsUnreachable() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt refused = fixture.offer();
+    fixture.pool.connectionFailed(fixture.newestConnection(), true, fixture.now);
+    assertThat(fixture.outcomes.get(refused)).isEqualTo(Outcome.UNREACHABLE);
+    PlacementAttempt slow = fixture.offer();
+    fixture.advance(300);
+    assertThat(fixture.outcomes.get(slow)).isEqualTo(Outcome.UNREACHABLE);
+    PlacementAttempt cancelled = fixture.offer();
+    fixture.pool.cancel(cancelled, Outcome.TIMEOUT, fixture.now);
+    assertThat(fixture.outcomes.get(cancelled)).isEqualTo(Outcome.UNREACHABLE);
   }
 
   @Example
-  void aConnectionThatBreaksEndsWhatItCarriesAndNothingElse() {
-    World w = new World();
-    PlacementAttempt stands = w.standing();
-    PlacementAttempt one = w.carried();
-    MachineConnection broken = w.last();
-    PlacementAttempt other = w.carried();
-    assertThat(w.last()).isNotSameAs(broken);
-    w.connectionPool.connectionLost(broken, w.now);
-    assertThat(w.ends).containsOnlyKeys(one).containsEntry(one, Outcome.RESET);
-    w.connectionPool.vmAccepted(w.last(), other.vm.id, "d", w.now);
-    assertThat(w.bound).containsOnlyKeys(stands, other);
+  void brokenConnectionEndsOnlyTheRequestItCarries() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt running = fixture.startVm();
+    PlacementAttempt one = fixture.offerAndConnect();
+    MachineConnection broken = fixture.newestConnection();
+    PlacementAttempt other = fixture.offerAndConnect();
+    assertThat(fixture.newestConnection()).isNotSameAs(broken);
+    fixture.pool.connectionLost(broken, fixture.now);
+    assertThat(fixture.outcomes).containsOnlyKeys(one).containsEntry(one, Outcome.RESET);
+    fixture.pool.vmAccepted(fixture.newestConnection(), other.vm.id, "d", fixture.now);
+    assertThat(fixture.accepted).containsOnlyKeys(running, other);
   }
 
   @Example
-  void lateRepeatedAndUnknownWordsArePassedOver() {
-    World w = new World();
-    PlacementAttempt c = w.carried();
-    MachineConnection s = w.last();
-    w.connectionPool.vmAccepted(s, "of somebody else", "x", w.now);
-    w.connectionPool.vmAccepted(s, c.vm.id, "d", w.now);
-    w.connectionPool.vmAccepted(s, c.vm.id, "d again", w.now);
-    assertThat(w.bound).containsExactly(Map.entry(c, "d"));
-    w.connectionPool.vmTerminated(s, termination(c, Outcome.FULL, null), w.now);
-    assertThat(w.ends).isEmpty();
-    w.connectionPool.vmTerminated(s, termination(c, Outcome.RESET, Outcome.DONE), w.now);
-    w.connectionPool.vmTerminated(s, termination(c, Outcome.RESET, Outcome.DONE), w.now);
-    assertThat(w.ends).containsExactly(Map.entry(c, Outcome.DONE));
+  void lateRepeatedAndUnknownMessagesAreIgnored() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt attempt = fixture.offerAndConnect();
+    MachineConnection connection = fixture.newestConnection();
+    fixture.pool.vmAccepted(connection, "of somebody else", "x", fixture.now);
+    fixture.pool.vmAccepted(connection, attempt.vm.id, "d", fixture.now);
+    fixture.pool.vmAccepted(connection, attempt.vm.id, "d again", fixture.now);
+    assertThat(fixture.accepted).containsExactly(Map.entry(attempt, "d"));
+    fixture.pool.vmTerminated(connection, termination(attempt, Outcome.FULL, null), fixture.now);
+    assertThat(fixture.outcomes).isEmpty();
+    fixture.pool.vmTerminated(
+        connection, termination(attempt, Outcome.RESET, Outcome.DONE), fixture.now);
+    fixture.pool.vmTerminated(
+        connection, termination(attempt, Outcome.RESET, Outcome.DONE), fixture.now);
+    assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.DONE));
   }
 
   /**
    * Guards a VM that ran, was cut before its late answer came, and was placed once more elsewhere.
    */
   @Example
-  void aReleaseOfAVmThatItsMachineHadNotedIsNoResetOfItsSetUp() {
+  void terminationOfAReportedVmEndsItUnanswered() {
     for (Outcome after : List.of(Outcome.DONE, Outcome.RESET)) {
-      World w = new World();
-      PlacementAttempt noted = w.carried();
-      w.connectionPool.vmReported(w.last(), noted.vm.id);
-      w.connectionPool.vmTerminated(
-          w.last(),
-          new VmTermination(noted.vm.id, Outcome.RESET, Optional.of(after), OutcomeReason.DRAINED),
-          w.now);
-      assertThat(w.ends.get(noted)).isEqualTo(after);
-      assertThat(w.unanswered).containsExactly(noted);
-      w.connectionPool.vmAccepted(w.last(), noted.vm.id, "late", w.now);
-      assertThat(w.bound).isEmpty();
-      assertThat(w.connectionPool.runningVmCount()).isZero();
+      PoolFixture fixture = new PoolFixture();
+      PlacementAttempt reported = fixture.offerAndConnect();
+      fixture.pool.vmReported(fixture.newestConnection(), reported.vm.id);
+      fixture.pool.vmTerminated(
+          fixture.newestConnection(),
+          new VmTermination(
+              reported.vm.id, Outcome.RESET, Optional.of(after), OutcomeReason.DRAINED),
+          fixture.now);
+      assertThat(fixture.outcomes.get(reported)).isEqualTo(after);
+      assertThat(fixture.unanswered).containsExactly(reported);
+      fixture.pool.vmAccepted(fixture.newestConnection(), reported.vm.id, "late", fixture.now);
+      assertThat(fixture.accepted).isEmpty();
+      assertThat(fixture.pool.runningVmCount()).isZero();
     }
   }
 
   @Example
-  void aReleaseWithoutANoteOrThatSaysItNeverRanEndsTheSetUpAlone() {
-    World w = new World();
-    PlacementAttempt unnoted = w.carried();
-    w.connectionPool.vmReported(w.last(), "another");
-    w.connectionPool.vmTerminated(
-        w.last(), termination(unnoted, Outcome.RESET, Outcome.RESET), w.now);
-    PlacementAttempt refused = w.carried();
-    w.connectionPool.vmReported(w.last(), refused.vm.id);
-    w.connectionPool.vmTerminated(w.last(), termination(refused, Outcome.FULL, null), w.now);
-    assertThat(w.ends).containsEntry(unnoted, Outcome.RESET).containsEntry(refused, Outcome.FULL);
-    assertThat(w.unanswered).isEmpty();
+  void terminationOfAnUnreportedOrRejectedVmEndsTheRequest() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt unreported = fixture.offerAndConnect();
+    fixture.pool.vmReported(fixture.newestConnection(), "another");
+    fixture.pool.vmTerminated(
+        fixture.newestConnection(),
+        termination(unreported, Outcome.RESET, Outcome.RESET),
+        fixture.now);
+    PlacementAttempt rejected = fixture.offerAndConnect();
+    fixture.pool.vmReported(fixture.newestConnection(), rejected.vm.id);
+    fixture.pool.vmTerminated(
+        fixture.newestConnection(), termination(rejected, Outcome.FULL, null), fixture.now);
+    assertThat(fixture.outcomes)
+        .containsEntry(unreported, Outcome.RESET)
+        .containsEntry(rejected, Outcome.FULL);
+    assertThat(fixture.unanswered).isEmpty();
   }
 
   @Example
-  void aConnectionOnWhichASetUpWasGivenUpCarriesNoOther() {
-    World w = new World();
-    PlacementAttempt c = w.carried();
-    MachineConnection s = w.last();
-    w.connectionPool.cancel(c, Outcome.TIMEOUT, w.now);
-    assertThat(w.said.get(s)).containsExactly("new vm0", "given up vm0");
-    assertThat(w.open).doesNotContain(s);
-    w.connectionPool.vmAccepted(s, c.vm.id, "late", w.now);
-    assertThat(w.bound).isEmpty();
-    assertThat(w.ends).containsExactly(Map.entry(c, Outcome.TIMEOUT));
+  void connectionIsClosedAfterACancelledRequest() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt attempt = fixture.offerAndConnect();
+    MachineConnection connection = fixture.newestConnection();
+    fixture.pool.cancel(attempt, Outcome.TIMEOUT, fixture.now);
+    assertThat(fixture.sent.get(connection)).containsExactly("new vm0", "cancel vm0");
+    assertThat(fixture.connections).doesNotContain(connection);
+    fixture.pool.vmAccepted(connection, attempt.vm.id, "late", fixture.now);
+    assertThat(fixture.accepted).isEmpty();
+    assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.TIMEOUT));
   }
 
   @Example
-  void toldThatItDrainsWhatWaitsIsTakenBackAndWhatIsOutIsNot() {
-    World w = new World();
-    PlacementAttempt out = w.carried();
-    PlacementAttempt waits = w.offer();
-    w.connectionPool.machineListed(Machine.Lifecycle.DRAINING, w.now);
-    assertThat(w.ends).containsExactly(Map.entry(waits, Outcome.NOT_SENT));
-    PlacementAttempt late = w.offer();
-    assertThat(w.ends.get(late)).as("decided before it was told").isEqualTo(Outcome.NOT_SENT);
-    w.connectionPool.vmAccepted(w.open.get(0), out.vm.id, "d", w.now);
-    assertThat(w.bound).containsOnlyKeys(out);
+  void drainingWithdrawsUnsentRequestsAndKeepsSentOnes() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt sent = fixture.offerAndConnect();
+    PlacementAttempt unsent = fixture.offer();
+    fixture.pool.machineListed(Machine.Lifecycle.DRAINING, fixture.now);
+    assertThat(fixture.outcomes).containsExactly(Map.entry(unsent, Outcome.NOT_SENT));
+    PlacementAttempt late = fixture.offer();
+    assertThat(fixture.outcomes.get(late))
+        .as("decided before the notification")
+        .isEqualTo(Outcome.NOT_SENT);
+    fixture.pool.vmAccepted(fixture.connections.get(0), sent.vm.id, "d", fixture.now);
+    assertThat(fixture.accepted).containsOnlyKeys(sent);
   }
 
   @Example
-  void whatStandsIsLostWhenNobodyListens() {
-    World w = new World();
-    PlacementAttempt c = w.standing();
-    w.connectionPool.connectionLost(w.last(), w.now);
-    w.open.clear();
-    w.pass(300);
-    w.connectionPool.connectionFailed(w.last(), true, w.now);
-    assertThat(w.ends).as("one refusal may be chance").isEmpty();
-    w.pass(300);
-    w.connectionPool.connectionFailed(w.last(), true, w.now);
-    assertThat(w.ends).containsExactly(Map.entry(c, Outcome.RESET));
+  void twoRefusedConnectionsLoseRunningVms() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt attempt = fixture.startVm();
+    fixture.pool.connectionLost(fixture.newestConnection(), fixture.now);
+    fixture.connections.clear();
+    fixture.advance(300);
+    fixture.pool.connectionFailed(fixture.newestConnection(), true, fixture.now);
+    assertThat(fixture.outcomes).as("one refusal proves nothing").isEmpty();
+    fixture.advance(300);
+    fixture.pool.connectionFailed(fixture.newestConnection(), true, fixture.now);
+    assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.RESET));
   }
 
   @Example
-  void whatStandsIsLostOnAMachineThatIsSilentAndLetsNothingComeUp() {
-    World w = new World();
-    PlacementAttempt c = w.standing();
-    w.pass(4000);
-    assertThat(w.ends).isEmpty();
-    w.pass(1500);
-    assertThat(w.ends).containsExactly(Map.entry(c, Outcome.RESET));
-    assertThat(w.open).isEmpty();
+  void silenceAndTimedOutConnectionsLoseRunningVms() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt attempt = fixture.startVm();
+    fixture.advance(4000);
+    assertThat(fixture.outcomes).isEmpty();
+    fixture.advance(1500);
+    assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.RESET));
+    assertThat(fixture.connections).isEmpty();
   }
 
   @Example
-  void whatStandsOnAMachineThatIsSilentButThereGoesOn() {
-    World w = new World();
-    w.standing();
+  void silentMachineThatAcceptsConnectionsKeepsItsVms() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.startVm();
     for (int i = 0; i < 100; i++) {
-      w.pass(100);
-      for (MachineConnection s : List.copyOf(w.open)) {
-        w.connectionPool.connectionEstablished(s, w.now);
+      fixture.advance(100);
+      for (MachineConnection connection : List.copyOf(fixture.connections)) {
+        fixture.pool.connectionEstablished(connection, fixture.now);
       }
     }
-    assertThat(w.ends).isEmpty();
-    assertThat(w.open.size()).isLessThanOrEqualTo(4);
+    assertThat(fixture.outcomes).isEmpty();
+    assertThat(fixture.connections.size()).isLessThanOrEqualTo(4);
   }
 
   @Example
-  void aNewStartEndsWhatStoodBeforeIt() {
-    World w = new World();
-    PlacementAttempt before = w.standing();
-    w.now = w.now.plusMillis(100);
-    PlacementAttempt after = w.standing();
-    w.connectionPool.machineRestarted(w.now.minusMillis(50));
-    assertThat(w.ends).containsExactly(Map.entry(before, Outcome.RESET));
-    assertThat(w.connectionPool.findRunningAttempt(after.vm.id)).containsSame(after);
+  void restartLosesTheVmsAcceptedBefore() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt before = fixture.startVm();
+    fixture.now = fixture.now.plusMillis(100);
+    PlacementAttempt after = fixture.startVm();
+    fixture.pool.machineRestarted(fixture.now.minusMillis(50));
+    assertThat(fixture.outcomes).containsExactly(Map.entry(before, Outcome.RESET));
+    assertThat(fixture.pool.findRunningAttempt(after.vm.id)).containsSame(after);
   }
 
   @Example
-  void anOwnersEndIsPassedOnAndConcludedWithoutAWordToo() {
-    World w = new World();
-    PlacementAttempt c = w.standing();
-    w.connectionPool.terminate(c, w.now);
-    w.connectionPool.terminate(c, w.now);
-    assertThat(w.said.get(w.last())).containsExactly("new vm0", "cut vm0");
-    w.pass(1600);
-    assertThat(w.ends).containsExactly(Map.entry(c, Outcome.CANCELLED));
+  void terminationIsSentOnceAndConcludedWithoutConfirmation() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt attempt = fixture.startVm();
+    fixture.pool.terminate(attempt, fixture.now);
+    fixture.pool.terminate(attempt, fixture.now);
+    assertThat(fixture.sent.get(fixture.newestConnection()))
+        .containsExactly("new vm0", "terminate vm0");
+    fixture.advance(1600);
+    assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.CANCELLED));
   }
 
   /**
-   * Guards a cut that was said on no connection: the machine went on with a VM that nobody owns.
+   * Guards against a termination that was sent on no connection: the machine went on with a VM that
+   * no client has.
    */
   @Example
-  void anOwnersEndThatNoConnectionCouldCarryIsPassedOnByTheNext() {
-    World w = new World();
-    PlacementAttempt c = w.standing();
-    w.connectionPool.connectionLost(w.last(), w.now);
-    w.open.clear();
-    w.connectionPool.terminate(c, w.now);
-    w.pass(300);
-    w.connectionPool.connectionEstablished(w.last(), w.now);
-    assertThat(w.said.get(w.last())).containsExactly("cut vm0");
-    w.connectionPool.vmTerminated(
-        w.last(), termination(c, Outcome.RESET, Outcome.CANCELLED), w.now);
-    assertThat(w.ends).containsExactly(Map.entry(c, Outcome.CANCELLED));
+  void terminationWithoutAConnectionIsSentOnTheNext() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt attempt = fixture.startVm();
+    fixture.pool.connectionLost(fixture.newestConnection(), fixture.now);
+    fixture.connections.clear();
+    fixture.pool.terminate(attempt, fixture.now);
+    fixture.advance(300);
+    fixture.pool.connectionEstablished(fixture.newestConnection(), fixture.now);
+    assertThat(fixture.sent.get(fixture.newestConnection())).containsExactly("terminate vm0");
+    fixture.pool.vmTerminated(
+        fixture.newestConnection(),
+        termination(attempt, Outcome.RESET, Outcome.CANCELLED),
+        fixture.now);
+    assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.CANCELLED));
   }
 
   /**
-   * Guards two resets in a row of connections just up, taken for a machine where nobody listens.
+   * Guards against two resets in a row of connections that just came up being taken for a failed
+   * machine.
    */
   @Example
-  void aConnectionThatBreaksAsItComesUpSaysNothingOfTheMachine() {
-    World w = new World();
-    w.standing();
-    w.connectionPool.connectionLost(w.last(), w.now);
-    w.open.clear();
+  void connectionsLostWhileOpeningDoNotFailTheMachine() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.startVm();
+    fixture.pool.connectionLost(fixture.newestConnection(), fixture.now);
+    fixture.connections.clear();
     for (int i = 0; i < 3; i++) {
-      PlacementAttempt c = w.offer();
-      w.connectionPool.connectionLost(w.last(), w.now);
-      assertThat(w.ends.get(c)).as("no connection had carried it").isEqualTo(Outcome.UNREACHABLE);
+      PlacementAttempt attempt = fixture.offer();
+      fixture.pool.connectionLost(fixture.newestConnection(), fixture.now);
+      assertThat(fixture.outcomes.get(attempt))
+          .as("it was never sent")
+          .isEqualTo(Outcome.UNREACHABLE);
     }
-    assertThat(w.connectionPool.runningVmCount()).isEqualTo(1);
+    assertThat(fixture.pool.runningVmCount()).isEqualTo(1);
   }
 
   @Example
-  void withoutADescriptorLeftSetUpsShareAConnection() {
-    World w = new World();
-    w.most = 1;
-    PlacementAttempt one = w.carried();
-    PlacementAttempt two = w.offer();
-    assertThat(w.said.get(w.last())).containsExactly("new vm0", "new vm1");
-    w.connectionPool.connectionLost(w.last(), w.now);
-    w.open.clear();
-    assertThat(w.ends).containsOnlyKeys(one, two);
-    w.most = 0;
-    assertThat(w.ends.get(w.offer())).isEqualTo(Outcome.NOT_SENT);
+  void requestsShareAConnectionWhenNoneCanBeOpened() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.maxConnections = 1;
+    PlacementAttempt one = fixture.offerAndConnect();
+    PlacementAttempt two = fixture.offer();
+    assertThat(fixture.sent.get(fixture.newestConnection())).containsExactly("new vm0", "new vm1");
+    fixture.pool.connectionLost(fixture.newestConnection(), fixture.now);
+    fixture.connections.clear();
+    assertThat(fixture.outcomes).containsOnlyKeys(one, two);
+    fixture.maxConnections = 0;
+    assertThat(fixture.outcomes.get(fixture.offer())).isEqualTo(Outcome.NOT_SENT);
   }
 
   @Example
-  void anOpenConnectionCarriesWhatMayBeSentAgainAndNoOneShot() {
-    World w = new World();
-    w.standing();
-    w.pass(500);
-    w.connectionPool.messageReceived(w.now);
-    w.pass(500);
-    w.offer();
-    assertThat(w.open).as("half a second after it was used it proves nothing").hasSize(2);
-    w.again = true;
-    w.offer();
-    assertThat(w.open).as("the machine was heard from of late").hasSize(2);
-    assertThat(w.said.get(w.open.get(0))).containsExactly("new vm0", "new vm2");
+  void idleConnectionIsReusedForIdempotentRequestsOnly() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.startVm();
+    fixture.advance(500);
+    fixture.pool.messageReceived(fixture.now);
+    fixture.advance(500);
+    fixture.offer();
+    assertThat(fixture.connections)
+        .as("half a second after it was used it proves nothing")
+        .hasSize(2);
+    fixture.idempotent = true;
+    fixture.offer();
+    assertThat(fixture.connections).as("the machine was heard from recently").hasSize(2);
+    assertThat(fixture.sent.get(fixture.connections.get(0))).containsExactly("new vm0", "new vm2");
   }
 
   @Example
-  void aProbeWithoutAnAnswerFails() {
-    World w = new World();
-    w.connectionPool.probe(w.now);
-    w.connectionPool.connectionEstablished(w.last(), w.now);
-    assertThat(w.said.get(w.last())).containsExactly("probe");
-    w.pass(300);
-    assertThat(w.probes).containsExactly(false);
+  void unansweredProbeFails() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.pool.probe(fixture.now);
+    fixture.pool.connectionEstablished(fixture.newestConnection(), fixture.now);
+    assertThat(fixture.sent.get(fixture.newestConnection())).containsExactly("probe");
+    fixture.advance(300);
+    assertThat(fixture.probeResults).containsExactly(false);
   }
 
   /**
-   * Whatever happens in whatever order: each claim ends at most once, stands at most once, and
-   * nothing is left.
+   * Whatever happens in whatever order: each attempt ends exactly once and is accepted at most
+   * once.
    */
   @Property(tries = 300, seed = "1313")
-  void everyAttemptEndsOnce(@ForAll long seed) {
-    World w = new World();
-    Random r = new Random(seed);
+  void everyAttemptEndsExactlyOnce(@ForAll long seed) {
+    PoolFixture fixture = new PoolFixture();
+    Random random = new Random(seed);
     List<PlacementAttempt> attempts = new ArrayList<>();
     for (int i = 0; i < 200; i++) {
-      MachineConnection s =
-          w.said.isEmpty() ? null : new ArrayList<>(w.said.keySet()).get(r.nextInt(w.said.size()));
-      PlacementAttempt c = attempts.isEmpty() ? null : attempts.get(r.nextInt(attempts.size()));
-      switch (r.nextInt(11)) {
-        case 0, 1 -> attempts.add(w.offer());
-        case 2 -> w.pass(r.nextInt(400));
-        case 3 ->
-            w.connectionPool.machineListed(
-                r.nextInt(3) == 0 ? Machine.Lifecycle.DRAINING : Machine.Lifecycle.LIVE, w.now);
+      MachineConnection connection = anyOf(fixture.sent.keySet(), random);
+      PlacementAttempt attempt = anyOf(attempts, random);
+      switch (random.nextInt(11)) {
+        case 0, 1 -> attempts.add(fixture.offer());
+        case 2 -> fixture.advance(random.nextInt(400));
+        case 3 -> fixture.pool.machineListed(anyListedLifecycle(random), fixture.now);
         default -> {
-          if (s == null || c == null) {
-            continue;
-          }
-          switch (r.nextInt(9)) {
-            case 0, 1 -> w.connectionPool.connectionEstablished(s, w.now);
-            case 2 -> w.connectionPool.connectionFailed(s, r.nextBoolean(), w.now);
-            case 3 -> w.connectionPool.connectionLost(s, w.now);
-            case 4, 5 -> w.connectionPool.vmAccepted(s, c.vm.id, "d", w.now);
-            case 6 ->
-                w.connectionPool.vmTerminated(
-                    s, termination(c, Outcome.FULL, r.nextBoolean() ? Outcome.DONE : null), w.now);
-            case 7 -> w.connectionPool.terminate(c, w.now);
-            default -> {
-              if (c.isInFlight() && c.acceptedAt == null) {
-                w.connectionPool.cancel(c, Outcome.TIMEOUT, w.now);
-              }
-            }
+          if (connection != null && attempt != null) {
+            randomEvent(fixture, connection, attempt, random);
           }
         }
       }
     }
-    w.connectionPool.machineListed(Machine.Lifecycle.GONE, w.now);
-    assertThat(w.ends.keySet()).containsExactlyInAnyOrderElementsOf(attempts);
-    assertThat(w.connectionPool.isRetired()).isTrue();
+    fixture.pool.machineListed(Machine.Lifecycle.GONE, fixture.now);
+    assertThat(fixture.outcomes.keySet()).containsExactlyInAnyOrderElementsOf(attempts);
+    assertThat(fixture.pool.isRetired()).isTrue();
+  }
+
+  private static void randomEvent(
+      PoolFixture fixture, MachineConnection connection, PlacementAttempt attempt, Random random) {
+    MachineConnectionPool pool = fixture.pool;
+    switch (random.nextInt(9)) {
+      case 0, 1 -> pool.connectionEstablished(connection, fixture.now);
+      case 2 -> pool.connectionFailed(connection, random.nextBoolean(), fixture.now);
+      case 3 -> pool.connectionLost(connection, fixture.now);
+      case 4, 5 -> pool.vmAccepted(connection, attempt.vm.id, "d", fixture.now);
+      case 6 -> {
+        Outcome ifRunning = random.nextBoolean() ? Outcome.DONE : null;
+        pool.vmTerminated(connection, termination(attempt, Outcome.FULL, ifRunning), fixture.now);
+      }
+      case 7 -> pool.terminate(attempt, fixture.now);
+      default -> {
+        if (attempt.isInFlight() && attempt.acceptedAt == null) {
+          pool.cancel(attempt, Outcome.TIMEOUT, fixture.now);
+        }
+      }
+    }
+  }
+
+  private static Machine.Lifecycle anyListedLifecycle(Random random) {
+    return random.nextInt(3) == 0 ? Machine.Lifecycle.DRAINING : Machine.Lifecycle.LIVE;
+  }
+
+  private static <T> T anyOf(Collection<T> items, Random random) {
+    return items.isEmpty() ? null : new ArrayList<>(items).get(random.nextInt(items.size()));
   }
 }
--- /dev/null
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -0,0 +1,68 @@
+package fordridge.machine;
+
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Vm;
+import java.time.Duration;
+
+/** A pool with a transport and a listener that do nothing; tests override what they look at. */
+abstract class MachinePoolStub implements MachineTransport, MachineConnectionPool.Listener {
+  private static final ConnectionTimeouts TIMEOUTS =
+      new ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3));
+
+  final Machine machine;
+  final MachineConnectionPool pool;
+
+  MachinePoolStub(int machineId) {
+    machine = new Machine(machineId);
+    pool = new MachineConnectionPool(machine, TIMEOUTS, this, this);
+  }
+
+  PlacementAttempt newAttempt(String vmId, Duration now) {
+    PlacementAttempt attempt = new PlacementAttempt(new Vm(vmId), machine, 0, now);
+    attempt.vm.attempts.add(attempt);
+    return attempt;
+  }
+
+  @Override
+  public boolean canOpen() {
+    return true;
+  }
+
+  @Override
+  public void open(MachineConnection connection) {}
+
+  @Override
+  public void close(MachineConnection connection) {}
+
+  @Override
+  public void requestPlacement(
+      MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {}
+
+  @Override
+  public void cancel(MachineConnection connection, String vmId) {}
+
+  @Override
+  public void terminate(MachineConnection connection, String vmId) {}
+
+  @Override
+  public void probe(MachineConnection connection) {}
+
+  @Override
+  public void attemptAccepted(PlacementAttempt attempt, String description) {}
+
+  @Override
+  public void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {}
+
+  @Override
+  public void attemptEndedUnanswered(
+      PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
+    throw new AssertionError("unexpected report on " + attempt.vm.id);
+  }
+
+  @Override
+  public void probeCompleted(
+      Machine probed, boolean healthy, boolean withLoadReport, Duration roundTrip) {}
+}
--- a/src/test/java/fordridge/machine/ReconnectPacerTest.java
+++ b/src/test/java/fordridge/machine/ReconnectPacerTest.java
@@ -5,58 +5,60 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
 class ReconnectPacerTest {
-  /**
-   * Whatever answers, fails or leaves: each is called once, few at a time, and none is left out.
-   */
+  private static final int MACHINES = 100;
+  private static final int MAX_CONCURRENT = 8;
+
+  /** Whatever answers, fails or leaves. */
   @Property(tries = 200, seed = "4711")
-  void everyMachineIsCalledOnceAndFewAtATime(@ForAll long seed) {
-    Random r = new Random(seed);
-    ReconnectPacer<Object> roll = new ReconnectPacer<>();
-    Set<Object> all = new HashSet<>();
-    for (int i = 0; i < 100; i++) {
+  void everyMachineIsConnectedToOnceAndFewAtATime(@ForAll long seed) {
+    Random random = new Random(seed);
+    ReconnectPacer<String> pacer = new ReconnectPacer<>();
+    Set<String> all = new HashSet<>();
+    for (int i = 0; i < MACHINES; i++) {
       all.add("m" + i);
     }
-    roll.start(all);
-    all.forEach(roll::schedule);
-    List<Object> out = new ArrayList<>();
-    Set<Object> seen = new HashSet<>();
-    Set<Object> failed = new HashSet<>();
-    Set<Object> gone = new HashSet<>();
+    pacer.start(all);
+    all.forEach(pacer::schedule);
+    List<String> connecting = new ArrayList<>();
+    Set<String> seen = new HashSet<>();
+    Set<String> failed = new HashSet<>();
+    Set<String> gone = new HashSet<>();
     while (true) {
-      for (Object m = roll.next().orElse(null); m != null; m = roll.next().orElse(null)) {
-        assertThat(seen.add(m)).isTrue();
-        assertThat(gone).doesNotContain(m);
-        out.add(m);
+      for (Optional<String> next = pacer.next(); next.isPresent(); next = pacer.next()) {
+        assertThat(seen.add(next.get())).isTrue();
+        assertThat(gone).doesNotContain(next.get());
+        connecting.add(next.get());
       }
-      assertThat(out.size()).isLessThanOrEqualTo(8);
-      if (out.isEmpty()) {
+      assertThat(connecting).hasSizeLessThanOrEqualTo(MAX_CONCURRENT);
+      if (connecting.isEmpty()) {
         break;
       }
-      Object m = out.remove(r.nextInt(out.size()));
-      if (r.nextInt(4) == 0) {
-        roll.connectionFailed(m);
-        failed.add(m);
+      String machine = connecting.remove(random.nextInt(connecting.size()));
+      if (random.nextInt(4) == 0) {
+        pacer.connectionFailed(machine);
+        failed.add(machine);
       } else {
-        roll.reconciled(m);
+        pacer.reconciled(machine);
       }
-      if (r.nextInt(10) == 0) {
-        Object leaves = "m" + r.nextInt(100);
-        roll.reconciled(leaves);
-        gone.add(leaves);
-        failed.remove(leaves);
-        out.remove(leaves);
+      if (random.nextInt(10) == 0) {
+        String leaving = "m" + random.nextInt(MACHINES);
+        pacer.reconciled(leaving);
+        gone.add(leaving);
+        failed.remove(leaving);
+        connecting.remove(leaving);
       }
     }
     seen.addAll(gone);
     assertThat(seen).isEqualTo(all);
-    assertThat(roll.isComplete()).isEqualTo(failed.isEmpty());
-    failed.forEach(roll::reconciled);
-    assertThat(roll.isComplete()).isTrue();
+    assertThat(pacer.isComplete()).isEqualTo(failed.isEmpty());
+    failed.forEach(pacer::reconciled);
+    assertThat(pacer.isComplete()).isTrue();
   }
 }
