--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -1,5 +1,6 @@
 package fordridge.machine;
 
+import fordridge.model.PlacementAttempt;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -58,10 +59,6 @@
     return attachment;
   }
 
-  State state() {
-    return state;
-  }
-
   boolean isOpening() {
     return state == State.OPENING;
   }
@@ -114,6 +111,10 @@
     return Optional.ofNullable(placementRequests.get(vmId));
   }
 
+  boolean carries(PlacementAttempt attempt) {
+    return find(attempt.vm.id).filter(request -> request.attempt() == attempt).isPresent();
+  }
+
   Optional<PlacementRequest> remove(String vmId) {
     return Optional.ofNullable(placementRequests.remove(vmId));
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -5,11 +5,7 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import java.time.Duration;
-import java.util.Comparator;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * The connections of one scheduler to one machine on the JSON lines protocol, and what may be
@@ -56,7 +52,7 @@
   private final Machine machine;
   private final MachineTransport transport;
   private final Listener listener;
-  private final Set<MachineConnection> connections = new LinkedHashSet<>();
+  private final ConnectionSet connections = new ConnectionSet();
   private final RunningVms runningVms = new RunningVms();
   private final LivenessDetector liveness = new LivenessDetector();
   private ConnectionTimeouts timeouts;
@@ -125,21 +121,10 @@
    * has carried it, else as one that never ran.
    */
   public void cancel(PlacementAttempt attempt, Outcome outcome, Duration now) {
-    String vmId = attempt.vm.id;
-    for (MachineConnection connection : connections) {
-      if (connection.find(vmId).filter(request -> request.attempt() == attempt).isPresent()) {
-        connection.remove(vmId);
-        ExecutionEvidence evidence = connection.evidence();
-        if (evidence != ExecutionEvidence.NEVER_SENT) {
-          transport.cancel(connection, vmId);
-          connection.retire();
-        }
-        closeIfRetired(connection);
-        end(attempt, evidence.outcomeOnCancel(outcome));
-        return;
-      }
-    }
-    if (attempt.isInFlight() && attempt.acceptedAt == null) {
+    Optional<MachineConnection> carrier = connections.findCarrier(attempt);
+    if (carrier.isPresent()) {
+      cancelOn(carrier.get(), attempt, outcome);
+    } else if (attempt.isInFlight() && attempt.acceptedAt == null) {
       end(attempt, Outcome.NOT_SENT);
     }
   }
@@ -150,7 +135,9 @@
    */
   public void terminate(PlacementAttempt attempt, Duration now) {
     if (runningVms.startTermination(attempt, now.plus(timeouts.idleTimeout()))) {
-      lastUsable().ifPresent(connection -> transport.terminate(connection, attempt.vm.id));
+      connections
+          .newestWritable()
+          .ifPresent(connection -> transport.terminate(connection, attempt.vm.id));
     }
   }
 
@@ -343,12 +330,13 @@
 
   /** Since when the connection that is idle for longest has been so; empty if none is idle. */
   Optional<Duration> idleSince() {
-    return longestIdle().map(MachineConnection::lastUsedAt);
+    return connections.longestIdle().map(MachineConnection::lastUsedAt);
   }
 
   /** Closes the connection that is idle for longest, in favour of another machine. */
   void closeIdleConnection(Duration now) {
-    longestIdle()
+    connections
+        .longestIdle()
         .ifPresent(
             connection -> {
               close(connection, now);
@@ -358,7 +346,7 @@
 
   private void applyConnectionTimeouts(Duration now) {
     boolean idleConnectionKept = false;
-    for (MachineConnection connection : List.copyOf(connections)) {
+    for (MachineConnection connection : connections.all()) {
       if (connection.hasConnectTimedOut(now)) {
         transport.close(connection);
         connectionFailed(connection, false, now);
@@ -384,8 +372,7 @@
         connections.isEmpty()
             && (!yieldedConnection || liveness.isUntriedFor(MAX_TIME_UNCONNECTED, now));
     boolean silent =
-        liveness.isSilentFor(timeouts.silenceTimeout(), now)
-            && connections.stream().noneMatch(MachineConnection::isOpening);
+        liveness.isSilentFor(timeouts.silenceTimeout(), now) && !connections.hasOpening();
     return (unconnected || silent) && liveness.isUntriedFor(timeouts.connectTimeout(), now);
   }
 
@@ -397,7 +384,7 @@
 
   /** The process is gone or can't be reached: nothing that it held is waited for. */
   private void machineFailed(Duration now) {
-    for (MachineConnection connection : List.copyOf(connections)) {
+    for (MachineConnection connection : connections.all()) {
       endRequests(connection, connection.evidence());
       close(connection, now);
     }
@@ -407,7 +394,7 @@
   }
 
   private void withdrawUnsentRequests() {
-    for (MachineConnection connection : List.copyOf(connections)) {
+    for (MachineConnection connection : connections.all()) {
       if (connection.isOpening()) {
         connection
             .takePlacementRequests()
@@ -424,27 +411,12 @@
    */
   private Optional<MachineConnection> acquire(boolean idempotent, Duration now) {
     Duration goodFor = idempotent ? timeouts.idleTimeout() : timeouts.provenFor();
-    MachineConnection leastLoaded = null;
-    for (MachineConnection connection : connections) {
-      if (!connection.isOpen()) {
-        continue;
-      }
-      if (connection.isIdle()
-          && now.minus(lastGoodAt(connection, idempotent)).compareTo(goodFor) < 0) {
-        return Optional.of(connection);
-      }
-      if (leastLoaded == null
-          || connection.placementRequestCount() < leastLoaded.placementRequestCount()) {
-        leastLoaded = connection;
-      }
+    Duration proofAt = idempotent ? liveness.lastHeardAt() : Duration.ZERO;
+    Optional<MachineConnection> proven = connections.findProvenIdle(goodFor, proofAt, now);
+    if (proven.isPresent()) {
+      return proven;
     }
-    return transport.canOpen() ? Optional.of(open(now)) : Optional.ofNullable(leastLoaded);
-  }
-
-  private Duration lastGoodAt(MachineConnection connection, boolean idempotent) {
-    Duration heardAt = liveness.lastHeardAt();
-    Duration usedAt = connection.lastUsedAt();
-    return idempotent && heardAt.compareTo(usedAt) > 0 ? heardAt : usedAt;
+    return transport.canOpen() ? Optional.of(open(now)) : connections.leastLoaded();
   }
 
   private MachineConnection open(Duration now) {
@@ -456,19 +428,6 @@
     return connection;
   }
 
-  /** The newest connection on which something can be said to the machine. */
-  private Optional<MachineConnection> lastUsable() {
-    return connections.stream()
-        .filter(connection -> !connection.isOpening())
-        .reduce((earlier, later) -> later);
-  }
-
-  private Optional<MachineConnection> longestIdle() {
-    return connections.stream()
-        .filter(MachineConnection::isIdle)
-        .min(Comparator.comparing(MachineConnection::lastUsedAt));
-  }
-
   private static boolean isUnusedFor(Duration span, MachineConnection connection, Duration now) {
     return now.minus(connection.lastUsedAt()).compareTo(span) >= 0;
   }
@@ -478,6 +437,17 @@
     transport.requestPlacement(connection, request.attempt(), request.answerBy().minus(now));
   }
 
+  private void cancelOn(MachineConnection carrier, PlacementAttempt attempt, Outcome outcome) {
+    carrier.remove(attempt.vm.id);
+    ExecutionEvidence evidence = carrier.evidence();
+    if (evidence != ExecutionEvidence.NEVER_SENT) {
+      transport.cancel(carrier, attempt.vm.id);
+      carrier.retire();
+    }
+    closeIfRetired(carrier);
+    end(attempt, evidence.outcomeOnCancel(outcome));
+  }
+
   private void endRequests(MachineConnection connection, ExecutionEvidence evidence) {
     for (PlacementRequest request : connection.takePlacementRequests()) {
       end(request.attempt(), evidence.outcomeOnFailure());
