--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -136,7 +136,7 @@
     assertThat(latest)
         .isGreaterThan(DRAINED_AT.minus(INPUT_COST))
         .isLessThanOrEqualTo(DRAINED_AT.plus(LATEST_OFFER));
-    assertThat(ends.ends).hasSize(OFFERS - line.writtenAt.size()).containsValue(Outcome.MOOT);
+    assertThat(ends.ends).hasSize(OFFERS - line.writtenAt.size()).containsValue(Outcome.NOT_SENT);
   }
 
   @Example
