--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -1,5 +1,7 @@
 package fordridge.server.json;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -16,17 +18,28 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.awaitility.Awaitility;
 
-/** Scripted peers of a real placer on loopback: they do just what a test tells them. */
+/**
+ * A scheduler on loopback with scripted peers: clients, one machine and a server of the machine
+ * list, which do just what a test tells them.
+ */
 final class JsonTestPeers implements AutoCloseable {
-  static final String END = "(closed)";
+  /** In place of a line: the connection was closed. */
+  static final String CLOSED = "(closed)";
+
+  private static final long TIMEOUT_SECONDS = 10;
 
-  /** One connection, its lines as they come, {@link #END} last. */
-  static final class Wire implements AutoCloseable {
+  /** One connection, its lines as they come, {@link #CLOSED} last. */
+  static final class LineConnection implements AutoCloseable {
     final Socket socket;
     final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
 
-    Wire(Socket socket) {
+    /** The line by which a {@link LineServer} has found this connection. */
+    private volatile String foundBy;
+
+    LineConnection(Socket socket) {
       this.socket = socket;
       Thread t =
           new Thread(
@@ -37,49 +50,50 @@
                   for (String l = in.readLine(); l != null; l = in.readLine()) {
                     lines.add(l);
                   }
-                  lines.add(END);
-                  // Kept open: a peer may still write after the placer has closed its side.
+                  lines.add(CLOSED);
+                  // Kept open: a peer may still write after the scheduler has closed its side.
                   Thread.sleep(60_000);
                 } catch (IOException | InterruptedException e) {
-                  lines.add(END);
+                  lines.add(CLOSED);
                 }
               });
       t.setDaemon(true);
       t.start();
     }
 
-    void say(String text) throws IOException {
+    void send(String text) throws IOException {
       socket.getOutputStream().write((text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
-    /** The next line that holds this, others are passed over; null if none comes in time. */
-    String next(String holding) throws InterruptedException {
-      long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-      for (String l; (l = lines.poll(until - System.nanoTime(), TimeUnit.NANOSECONDS)) != null; ) {
-        if (l.contains(holding)) {
-          return l;
-        }
-        if (l.equals(END)) {
-          return END;
-        }
+    /** The next line with this fragment, others are skipped; null if none comes in time. */
+    String receive(String fragment) throws InterruptedException {
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+      String line = lines.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      while (line != null && !line.contains(fragment) && !line.equals(CLOSED)) {
+        line = lines.poll(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
       }
-      return null;
+      return line;
+    }
+
+    /** The line by which this connection was found. */
+    String foundBy() {
+      return foundBy;
     }
 
-    /** All that has come until the peer answers a test: what it sent before, it has sent. */
-    List<String> untilTested() throws IOException, InterruptedException {
-      say(word("hb", 0, ",\"c\":0"));
+    /** All lines until the scheduler answers a health check: it has sent what was due before. */
+    List<String> receiveUntilHealthCheck() throws IOException, InterruptedException {
+      send(message("hb", 0, ",\"c\":0"));
       List<String> before = new ArrayList<>();
-      for (String l = next(""); l != null && !l.equals(END); l = next("")) {
-        if (l.contains("\"hb_ok\"")) {
+      for (String line = receive(""); line != null && !line.equals(CLOSED); line = receive("")) {
+        if (line.contains("\"hb_ok\"")) {
           return before;
         }
-        before.add(l);
+        before.add(line);
       }
-      throw new IOException("no answer to a test; before: " + before);
+      throw new IOException("no answer to a health check; before: " + before);
     }
 
-    /** A reset, not an orderly end. */
+    /** Closes with a reset, not in order. */
     void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
@@ -91,13 +105,13 @@
     }
   }
 
-  /** A listener, and the connections it was given in order. */
-  static final class Listener implements AutoCloseable {
+  /** A server, and the connections that it has accepted. */
+  static final class LineServer implements AutoCloseable {
     final ServerSocket server;
-    final BlockingQueue<Wire> wires = new LinkedBlockingQueue<>();
-    final List<Wire> all = new ArrayList<>();
+    final BlockingQueue<LineConnection> newConnections = new LinkedBlockingQueue<>();
+    private final List<LineConnection> allConnections = new ArrayList<>();
 
-    Listener(int port) throws IOException {
+    LineServer(int port) throws IOException {
       server = new ServerSocket();
       server.setReuseAddress(true);
       server.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
@@ -106,11 +120,11 @@
               () -> {
                 try {
                   while (true) {
-                    Wire w = new Wire(server.accept());
-                    synchronized (all) {
-                      all.add(w);
+                    LineConnection connection = new LineConnection(server.accept());
+                    synchronized (allConnections) {
+                      allConnections.add(connection);
                     }
-                    wires.add(w);
+                    newConnections.add(connection);
                   }
                 } catch (IOException e) {
                   return;
@@ -124,28 +138,48 @@
       return server.getLocalPort();
     }
 
-    Wire next() throws InterruptedException {
-      return wires.poll(10, TimeUnit.SECONDS);
+    /** The next connection that comes, null if none does in time. */
+    LineConnection accept() throws InterruptedException {
+      return newConnections.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
-    /** The next connection on which a line that holds this comes, probes on others passed over. */
-    Wire carrying(String holding, String[] line) throws InterruptedException {
-      long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-      while (System.nanoTime() < until) {
-        List<Wire> some;
-        synchronized (all) {
-          some = List.copyOf(all);
+    /** The connections that came so far. */
+    List<LineConnection> connections() {
+      synchronized (allConnections) {
+        return List.copyOf(allConnections);
+      }
+    }
+
+    /**
+     * The first connection on which a line with this fragment comes, null if none does in time;
+     * lines on others are left alone.
+     */
+    LineConnection await(String fragment) throws InterruptedException {
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+      while (System.nanoTime() < deadline) {
+        LineConnection connection = find(line -> line.contains(fragment));
+        if (connection != null) {
+          return connection;
         }
-        for (Wire w : some) {
-          for (String l : w.lines) {
-            if (l.contains(holding)) {
-              w.lines.remove(l);
-              line[0] = l;
-              return w;
-            }
+        Thread.onSpinWait();
+      }
+      return null;
+    }
+
+    /** The connection on which a placement request for this VM came, null if there is none. */
+    LineConnection findRequest(String vmId) {
+      return find(line -> line.contains(vmId) && line.contains("\"new\""));
+    }
+
+    private LineConnection find(Predicate<String> isWanted) {
+      for (LineConnection connection : connections()) {
+        for (String line : connection.lines) {
+          if (isWanted.test(line)) {
+            connection.lines.remove(line);
+            connection.foundBy = line;
+            return connection;
           }
         }
-        Thread.onSpinWait();
       }
       return null;
     }
@@ -153,20 +187,18 @@
     @Override
     public void close() throws IOException {
       server.close();
-      synchronized (all) {
-        for (Wire w : all) {
-          w.close();
-        }
+      for (LineConnection connection : connections()) {
+        connection.close();
       }
     }
   }
 
-  /** A listener at which nothing comes up until it is let: its queue of connections is full. */
-  static final class Barrier implements AutoCloseable {
+  /** A server at which no connection comes up until it starts to accept: its backlog is full. */
+  static final class StalledServer implements AutoCloseable {
     final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     private final List<Socket> fillers = new ArrayList<>();
 
-    Barrier() throws IOException {
+    StalledServer() throws IOException {
       for (boolean full = false; !full; ) {
         Socket s = new Socket();
         try {
@@ -183,14 +215,14 @@
       return server.getLocalPort();
     }
 
-    /** Lets connections come up; the first that is not one of its own. */
-    Wire lift() throws IOException {
+    /** Accepts connections; the first that is not one of its own fillers. */
+    LineConnection acceptFirst() throws IOException {
       List<Integer> own = fillers.stream().map(Socket::getLocalPort).toList();
       server.setSoTimeout(10_000);
       while (true) {
         Socket s = server.accept();
         if (!own.contains(s.getPort())) {
-          return new Wire(s);
+          return new LineConnection(s);
         }
         s.close();
       }
@@ -205,23 +237,23 @@
     }
   }
 
-  final Listener machine = new Listener(0);
-  final Listener journal = new Listener(0);
+  final LineServer machine = new LineServer(0);
+  final LineServer machineList = new LineServer(0);
   final Path file = Files.createTempFile("configuration", ".json");
   final java.io.ByteArrayOutputStream log = new java.io.ByteArrayOutputStream();
 
-  /** The loop stands at the line of its log that it was to be held at. */
-  final CountDownLatch held = new CountDownLatch(1);
+  /** Counted down once the event loop is blocked. */
+  final CountDownLatch loopBlocked = new CountDownLatch(1);
 
-  final CountDownLatch letGo = new CountDownLatch(1);
-  private volatile String holdAt;
-  private volatile String actAt;
-  private volatile Runnable action;
-  ServeCommand program;
+  private final CountDownLatch loopUnblocked = new CountDownLatch(1);
+  private volatile String blockAtLogLine;
+  private volatile String runAtLogLine;
+  private volatile Runnable runAtLog;
+  ServeCommand server;
 
   JsonTestPeers() throws IOException {}
 
-  static String member(String id, int port, String phase) {
+  static String machineEntry(String id, int port, String phase) {
     return "{\"id\":\""
         + id
         + "\",\"host_port\":\"127.0.0.1:"
@@ -232,29 +264,32 @@
         + "\",\"size\":1,\"up_since_ms\":0,\"unasked\":[90,90]}";
   }
 
-  static String event(int pos, boolean whole, String... members) {
+  /** An event of the machine list. */
+  static String listEvent(int position, boolean isComplete, String... machines) {
     return "{\"pos\":"
-        + pos
+        + position
         + ",\"hosts\":{\"revision\":"
-        + pos
+        + position
         + ",\"complete\":"
-        + whole
+        + isComplete
         + ",\"members\":["
-        + String.join(",", members)
+        + String.join(",", machines)
         + "]}}";
   }
 
-  /**
-   * A configuration with one machine, one rebuildable flavour 'a' and one that must not run twice,
-   * 'once'.
-   */
-  String configuration(int journalPort, String member) {
+  /** The standard configuration, with the one machine listed as live. */
+  String configuration() {
+    return configuration(machineList.port(), machineEntry("s-1", machine.port(), "SERVING"));
+  }
+
+  /** A configuration with one machine, an idempotent class 'a', and 'once', that is not. */
+  String configuration(int machineListPort, String machineEntry) {
     return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
                + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
-        + journalPort
+        + machineListPort
         + "\",\"known\":{\"pos\":3,"
         + "\"entries\":["
-        + event(3, true, member)
+        + listEvent(3, true, machineEntry)
         + "]},\"settings\":{\"kinds\":[\"k\"],\"lanes\":["
         + "{\"name\":\"a\",\"giveUpUs\":4000000,\"promiseUs\":300000,\"semantics\":\"retryable\"},"
         + "{\"name\":\"once\",\"giveUpUs\":4000000,\"promiseUs\":300000,\"semantics\":\"fragile\"}],"
@@ -265,35 +300,35 @@
   }
 
   void start() throws Exception {
-    start(configuration(journal.port(), member("s-1", machine.port(), "SERVING")));
+    start(configuration());
   }
 
   void start(String configuration) throws Exception {
-    write(configuration);
-    program.start();
+    create(configuration);
+    server.start();
   }
 
-  /** The program with this configuration, not started yet. */
-  void write(String configuration) throws Exception {
+  /** Creates the scheduler with this configuration, not started yet. */
+  void create(String configuration) throws Exception {
     Files.writeString(file, configuration);
-    program =
+    server =
         new ServeCommand(
             file,
             new PrintStream(log, true, StandardCharsets.UTF_8) {
               @Override
               public void println(String line) {
                 super.println(line);
-                String acts = actAt;
-                if (acts != null && line.contains(acts)) {
-                  actAt = null;
-                  action.run();
+                String runAt = runAtLogLine;
+                if (runAt != null && line.contains(runAt)) {
+                  runAtLogLine = null;
+                  runAtLog.run();
                 }
-                String at = holdAt;
-                if (at != null && line.contains(at)) {
-                  holdAt = null;
-                  held.countDown();
+                String blockAt = blockAtLogLine;
+                if (blockAt != null && line.contains(blockAt)) {
+                  blockAtLogLine = null;
+                  loopBlocked.countDown();
                   try {
-                    letGo.await();
+                    loopUnblocked.await();
                   } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                   }
@@ -302,28 +337,67 @@
             });
   }
 
-  /** Holds whoever logs such a line, and with it the loop, till it is let go. */
-  void holdLoopAtLog(String line) {
-    holdAt = line;
+  /** Blocks the event loop when it logs a line with this fragment, until {@link #unblockLoop}. */
+  void blockLoopAtLog(String fragment) {
+    blockAtLogLine = fragment;
+  }
+
+  void unblockLoop() {
+    loopUnblocked.countDown();
   }
 
-  /** Whoever logs such a line next, the loop mostly, first does this. */
-  void atLog(String line, Runnable then) {
-    action = then;
-    actAt = line;
+  /** Runs the task on the event loop when it next logs a line with this fragment. */
+  void runAtLog(String fragment, Runnable task) {
+    runAtLog = task;
+    runAtLogLine = fragment;
   }
 
-  Wire owner() throws IOException {
-    return new Wire(new Socket(InetAddress.getLoopbackAddress(), program.port()));
+  /** Waits until a line with this fragment is logged. */
+  void awaitLog(String fragment) {
+    Awaitility.await().until(() -> log.toString(StandardCharsets.UTF_8).contains(fragment));
   }
 
-  static String ask(int n, String priorityClass) {
-    return ask(n, priorityClass, "4000", "cores:1;memory:1;service:00000000b4d65521", "any");
+  /** Accepts the next watch of the machine list, which must ask for what follows this position. */
+  LineConnection acceptWatch(int position) throws InterruptedException {
+    return acceptWatch(machineList, position);
+  }
+
+  /** As {@link #acceptWatch(int)}, at another server. */
+  static LineConnection acceptWatch(LineServer server, int position) throws InterruptedException {
+    LineConnection watch = server.accept();
+    assertThat(watch.receive("tail")).isEqualTo("tail " + position);
+    return watch;
+  }
+
+  /** Opens connections to the scheduler that send nothing. */
+  List<Socket> openIdleConnections(int count) throws IOException {
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      sockets.add(new Socket(InetAddress.getLoopbackAddress(), server.port()));
+    }
+    return sockets;
   }
 
-  static String ask(int n, String priorityClass, String left, String extras, String description) {
+  static void closeAll(List<Socket> sockets) throws IOException {
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  LineConnection connectClient() throws IOException {
+    return new LineConnection(new Socket(InetAddress.getLoopbackAddress(), server.port()));
+  }
+
+  /** A placement request with four seconds left. */
+  static String request(int number, String priorityClass) {
+    return request(
+        number, priorityClass, "4000", "cores:1;memory:1;service:00000000b4d65521", "any");
+  }
+
+  static String request(
+      int number, String priorityClass, String left, String extras, String description) {
     return "{\"t\":\"new\",\"ref\":\""
-        + ref(n)
+        + id(number)
         + "\",\"f\":{\"class\":\""
         + priorityClass
         + "\",\"left\":\""
@@ -335,21 +409,23 @@
         + "\"}";
   }
 
-  static String ref(int n) {
-    return String.format("9b1f03aa%08x", n);
+  /** The id of the VM of this number. */
+  static String id(int number) {
+    return String.format("9b1f03aa%08x", number);
   }
 
-  static String word(String type, int n, String more) {
-    return "{\"t\":\"" + type + "\",\"ref\":\"" + ref(n) + "\",\"f\":{}" + more + "}";
+  /** A message on the VM of this number, with more top-level fields. */
+  static String message(String type, int number, String more) {
+    return "{\"t\":\"" + type + "\",\"ref\":\"" + id(number) + "\",\"f\":{}" + more + "}";
   }
 
   @Override
   public void close() throws Exception {
-    if (program != null) {
-      program.close();
+    if (server != null) {
+      server.close();
     }
     machine.close();
-    journal.close();
+    machineList.close();
     Files.delete(file);
   }
 }
--- a/src/test/java/fordridge/server/json/ServeScriptTest.java
+++ b/src/test/java/fordridge/server/json/ServeScriptTest.java
@@ -11,58 +11,58 @@
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 
-/**
- * The script that the platform starts: one process from first to last, bounded by the told memory.
- */
+/** The start script: one process from first to last, with a heap bounded by the configuration. */
 class ServeScriptTest {
   private static final Path BASH = Path.of("/bin/bash");
 
-  /**
-   * Runs it with nothing on its path but a java that says what it was started with; the process id
-   * comes first.
-   */
-  private static List<String> start(Path dir, String config, long[] pid)
+  /** What the script started: its process id, and the arguments of the JVM. */
+  private record Started(long scriptPid, long jvmPid, List<String> arguments) {}
+
+  /** Runs the script with nothing on its path but a java that prints its pid and arguments. */
+  private static Started start(Path dir, String configuration)
       throws IOException, InterruptedException {
     Path java = dir.resolve("java");
     Files.writeString(java, "#!" + BASH + "\nprintf '%s\\n' $$ \"$@\"\n");
     Files.setPosixFilePermissions(java, PosixFilePermissions.fromString("rwx------"));
-    Path told = dir.resolve("config.json");
-    Files.writeString(told, config);
-    ProcessBuilder b =
+    Path file = dir.resolve("config.json");
+    Files.writeString(file, configuration);
+    ProcessBuilder builder =
         new ProcessBuilder(BASH.toString(), "deploy/serve.sh").redirectErrorStream(true);
-    b.environment().clear();
-    b.environment().put("PATH", dir.toString());
-    b.environment().put("LB_CONFIG", told.toString());
-    Process p = b.start();
-    pid[0] = p.pid();
-    List<String> said =
-        new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines().toList();
-    assertThat(p.waitFor(10, TimeUnit.SECONDS)).isTrue();
-    return said;
+    builder.environment().clear();
+    builder.environment().put("PATH", dir.toString());
+    builder.environment().put("LB_CONFIG", file.toString());
+    Process process = builder.start();
+    List<String> output =
+        new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+            .lines()
+            .toList();
+    assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+    return new Started(
+        process.pid(), Long.parseLong(output.get(0)), output.subList(1, output.size()));
   }
 
   @Example
-  void itBecomesThePlacerAndStartsNoOtherProgram() throws Exception {
+  void scriptBecomesTheSchedulerWithAQuarterOfTheMemoryAsHeap() throws Exception {
     Path dir = Files.createTempDirectory("serve");
-    long[] pid = new long[1];
-    for (String[] c :
-        new String[][] {{"32", "10"}, {"64", "16"}, {"100", "25"}, {"192", "32"}, {"2048", "32"}}) {
-      List<String> said =
+    String[][] memoryAndHeapMb = {
+      {"32", "10"}, {"64", "16"}, {"100", "25"}, {"192", "32"}, {"2048", "32"}
+    };
+    for (String[] expected : memoryAndHeapMb) {
+      Started started =
           start(
               dir,
               "{\"known\":{\"entries\":[{\"x\":"
                   + "1".repeat(20_000)
                   + "}]},\"limits\":{\"cores\":0.5,\n\"memory_mb\": "
-                  + c[0]
-                  + ",\"sockets\":576}}",
-              pid);
-      assertThat(said.get(0)).as("exec, so the same process").isEqualTo(Long.toString(pid[0]));
-      assertThat(said)
-          .contains("-Xmx" + c[1] + "m", "-Xms" + c[1] + "m", "fordridge.Main", "serve");
+                  + expected[0]
+                  + ",\"sockets\":576}}");
+      String heap = expected[1] + "m";
+      assertThat(started.jvmPid()).as("exec, so the same process").isEqualTo(started.scriptPid());
+      assertThat(started.arguments())
+          .contains("-Xmx" + heap, "-Xms" + heap, "fordridge.Main", "serve");
     }
-    List<String> untold = start(dir, "", pid);
-    assertThat(untold)
-        .as("the placer itself says what is wrong with it")
+    assertThat(start(dir, "").arguments())
+        .as("the scheduler itself reports what is wrong with the configuration")
         .contains("-Xmx16m", "serve");
   }
 }
