--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -151,33 +151,31 @@
 
   /** The server's state in one line. */
   String status() {
-    return new StringBuilder(512)
-        .append("pending requests ")
-        .append(pendingResponses.pendingRequests())
-        .append(", running VMs ")
-        .append(pendingResponses.runningVms())
-        .append(", undelivered notices ")
-        .append(pendingResponses.undeliveredNotices())
-        .append(", machines ")
-        .append(machines.size())
-        .append(", machine connections ")
-        .append(machines.openConnectionCount())
-        .append(", client connections ")
-        .append(clientServer == null ? 0 : clientServer.connectionCount())
-        .append(", invalid requests ")
-        .append(intake.invalidRequestCount())
-        .append(", load reports ")
-        .append(machines.loadReportCount())
-        .append(", probes passed ")
-        .append(outcomes.passedProbes())
-        .append(" failed ")
-        .append(outcomes.failedProbes())
-        .append(", loop lag ")
-        .append(loop.lag(loop.clock()).toMillis())
-        .append(" ms, latest offer after a drain ")
-        .append(machineList.latestOfferAfterDrain().toMillis())
-        .append(" ms, attempt outcomes ")
-        .append(outcomes.outcomeCounts())
-        .toString();
+    return "pending requests "
+        + pendingResponses.pendingRequests()
+        + ", running VMs "
+        + pendingResponses.runningVms()
+        + ", undelivered notices "
+        + pendingResponses.undeliveredNotices()
+        + ", machines "
+        + machines.size()
+        + ", machine connections "
+        + machines.openConnectionCount()
+        + ", client connections "
+        + (clientServer == null ? 0 : clientServer.connectionCount())
+        + ", invalid requests "
+        + intake.invalidRequestCount()
+        + ", load reports "
+        + machines.loadReportCount()
+        + ", probes passed "
+        + outcomes.passedProbes()
+        + " failed "
+        + outcomes.failedProbes()
+        + ", loop lag "
+        + loop.lag(loop.clock()).toMillis()
+        + " ms, latest offer after a drain "
+        + machineList.latestOfferAfterDrain().toMillis()
+        + " ms, attempt outcomes "
+        + outcomes.outcomeCounts();
   }
 }
--- a/src/main/java/fordridge/server/json/MachineListIntake.java
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -56,7 +56,7 @@
               entry.lifecycle(),
               startedAt(entry)));
     }
-    loop.enter(
+    loop.enterFromMachineList(
         () -> {
           updateConnections(event, listed);
           inputs.list(event.isComplete(), false, listed);
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -86,7 +86,16 @@
 
   /** Enters an input now, or behind the one that is being entered. */
   void enter(Runnable input) {
-    if (sequencer.enter(input) && clients != null) {
+    flushIf(sequencer.enter(input));
+  }
+
+  /** Enters a change of the machine list, whoever read it: the list is not read for it again. */
+  void enterFromMachineList(Runnable input) {
+    flushIf(sequencer.enterFromWatch(input));
+  }
+
+  private void flushIf(boolean isEntered) {
+    if (isEntered && clients != null) {
       clients.flush();
     }
   }
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -420,7 +420,7 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() throws IOException {
     if (server != null) {
       server.close();
     }
