--- a/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
+++ b/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
@@ -45,7 +45,7 @@
       Listener further,
       Duration now) {
     switch (m.getBodyCase()) {
-      case ACCEPTED -> link.attemptAccepted(ProtoConversions.name(m.getAccepted().getClaim()), now);
+      case ACCEPTED -> link.attemptAccepted(ProtoConversions.name(m.getAccepted().getClaim()));
       case REFUSED -> {
         if (m.getRefused().hasReport()) {
           report(m.getRefused().getReport(), further);
@@ -59,7 +59,7 @@
         if (m.getStarted().hasReport()) {
           report(m.getStarted().getReport(), further);
         }
-        link.vmStarted(ProtoConversions.name(m.getStarted().getClaim()), now);
+        link.vmStarted(ProtoConversions.name(m.getStarted().getClaim()));
       }
       case FINISHED ->
           link.attemptEnded(
--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -14,6 +14,7 @@
 import fordridge.server.json.JsonTestPeers.StalledServer;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -94,12 +95,10 @@
   /** The new server comes up late, and the drain is announced after the old one was left. */
   @Example
   void drainBetweenOldAndNewMachineListServerIsNotMissed() throws Exception {
-    try (JsonTestPeers peers = new JsonTestPeers();
-        LineServer other = new LineServer(0)) {
+    try (JsonTestPeers peers = new JsonTestPeers()) {
       peers.start();
       LineConnection watch = peers.acceptWatch(3);
-      int port = other.port();
-      other.close();
+      int port = JsonTestPeers.unusedPort();
       Files.writeString(
           peers.file,
           peers.configuration(port, machineEntry("s-1", peers.machine.port(), "SERVING")));
@@ -350,44 +349,44 @@
   void clientThatReadsNothingIsDisconnected() throws Exception {
     try (JsonTestPeers peers = new JsonTestPeers()) {
       peers.start();
-      LineConnection held = peers.connectClient();
-      held.send(request(0, "a"));
+      LineConnection other = peers.connectClient();
+      other.send(request(0, "a"));
       LineConnection first = peers.machine.await(id(0));
-      // No reader on this one.
-      try (Socket s = new Socket()) {
-        s.setReceiveBufferSize(4096);
-        s.connect(
-            new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), peers.server.port()));
-        OutputStream out = s.getOutputStream();
-        String big = "x".repeat(15_000);
+      LineConnection machine;
+      // Nothing is read from this socket.
+      try (Socket socket = new Socket()) {
+        socket.setReceiveBufferSize(4096);
+        socket.connect(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), peers.server.port()));
+        OutputStream out = socket.getOutputStream();
+        String bigDescription = "x".repeat(15_000);
         out.write((request(1, "once") + "\n").getBytes(StandardCharsets.UTF_8));
-        LineConnection machine = peers.machine.await(id(1));
+        machine = peers.machine.await(id(1));
         boolean open = true;
         for (int i = 2; open && i < 900; i++) {
           out.write(
               (request(i, "a", "4000", "cores:0.01;memory:0.01;service:1", "x") + "\n")
                   .getBytes(StandardCharsets.UTF_8));
-          LineConnection to = null;
-          for (int n = 0; open && to == null; n++) {
-            to = peers.machine.findRequest(id(i));
+          LineConnection carrier = null;
+          for (int n = 0; open && carrier == null; n++) {
+            carrier = peers.machine.findRequest(id(i));
             Thread.onSpinWait();
             // Neither admitted nor closed would mean that it is read no more.
             open = peers.server.connectionCount() == 2 && n < 2000;
           }
-          if (to != null) {
-            to.send(message("up", i, ",\"d\":\"" + big + "\""));
-            to.send(message("down", i, ",\"c\":16"));
+          if (carrier != null) {
+            carrier.send(message("up", i, ",\"d\":\"" + bigDescription + "\""));
+            carrier.send(message("down", i, ",\"c\":16"));
           }
         }
         assertThat(open).as("its responses fill the buffers").isFalse();
-        s.close();
-        assertThat(machine.receive("\"down\""))
-            .as("cancelled with its client")
-            .contains(id(1))
-            .contains("\"c\":16");
       }
+      assertThat(machine.receive("\"down\""))
+          .as("cancelled with its client")
+          .contains(id(1))
+          .contains("\"c\":16");
       first.send(message("up", 0, ",\"d\":\"d\""));
-      assertThat(held.receive(id(0))).as("other clients are not affected").contains("\"up\"");
+      assertThat(other.receive(id(0))).as("other clients are not affected").contains("\"up\"");
     }
   }
 
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -369,6 +369,13 @@
     return watch;
   }
 
+  /** A port at which nothing listens. */
+  static int unusedPort() throws IOException {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return server.getLocalPort();
+    }
+  }
+
   /** Opens connections to the scheduler that send nothing. */
   List<Socket> openIdleConnections(int count) throws IOException {
     List<Socket> sockets = new ArrayList<>();
