--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -86,13 +86,14 @@
   /** Starts the scheduler with the machine list of the configuration, and the periodic tasks. */
   void start(ClientServer newClientServer) {
     clientServer = newClientServer;
-    loop.start(newClientServer);
+    loop.setClients(newClientServer);
     loop.enter(
         () -> inputs.scheduler.start(configuration.seed(), configuration.schedulerSettings()));
     for (MachineListEvent event : configuration.readInitialMachineList()) {
       machineList.machineListChanged(event);
     }
     timers.runEvery(TICK_INTERVAL, () -> loop.enter(this::tick));
+    loop.sampleLag();
     intake.markReady();
   }
 
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -49,10 +49,24 @@
     this.scheduler = scheduler;
   }
 
-  /** From now on output to these clients is flushed behind each input, and the lag is measured. */
-  void start(ClientServer clients) {
+  /** From now on output to these clients is flushed behind each input. */
+  void setClients(ClientServer clients) {
     this.clients = clients;
-    sampleLag();
+  }
+
+  /**
+   * Measures the lag again and again; to be called once, behind the long inputs of the start, which
+   * would count as lag.
+   */
+  void sampleLag() {
+    long dueNanos = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
+    timers.runAfter(
+        LAG_SAMPLE_INTERVAL,
+        () -> {
+          long lateNanos = Math.max(0, System.nanoTime() - dueNanos);
+          lag.seen(Duration.ofNanos(lateNanos), clock());
+          sampleLag();
+        });
   }
 
   /** How the machine list is read at once, which is done before an input if it is due. */
@@ -122,15 +136,4 @@
   Duration lag(Duration at) {
     return lag.allowance(at);
   }
-
-  private void sampleLag() {
-    long dueNanos = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
-    timers.runAfter(
-        LAG_SAMPLE_INTERVAL,
-        () -> {
-          long lateNanos = Math.max(0, System.nanoTime() - dueNanos);
-          lag.seen(Duration.ofNanos(lateNanos), clock());
-          sampleLag();
-        });
-  }
 }
