--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -1,608 +1,396 @@
 package fordridge.machine;
 
-import fordridge.model.Durations;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.SeededRandom;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
- * What one placer may conclude of its claims on one machine from what its stream to it does: which
- * never ran, which may have run, which run. Free of I/O, threads and clocks: the time comes in, and
- * it acts through {@link Line} and {@link Fate}.
+ * The stream of one scheduler to one machine on the gRPC protocol, and what may be concluded from
+ * it about the attempts on that machine. The machine opens each stream with an inventory of the
+ * attempts that it knows.
  *
- * <p>A claim whose offer was not written never ran. One whose offer was written and not answered
- * when the stream broke may have run; if it must not run twice, the stream gets a short while to
- * come back, and the machine then says whether it holds it. A VM that runs is lost only on the
- * machine's own word or on the list's, never because a stream broke: it may well run on behind a
- * broken path.
+ * <p>Free of I/O, threads and clocks: the time is a parameter, and it acts through {@link
+ * MachineStreamTransport} and {@link Listener}. Not thread-safe; all methods belong on one event
+ * loop.
+ *
+ * <p>What a failure proves ({@link ExecutionEvidence}): an attempt whose offer was not written
+ * never ran. One whose offer was written and not answered when the stream broke may have run; if it
+ * is not idempotent, the stream has a while to come back, and the inventory then tells. A running
+ * VM is lost by the machine's inventory or notice or by the machine list, never because a stream
+ * broke: it may well run on behind a broken path.
+ *
+ * <pre>
+ * state        wanted      inventory    lost or timed out  pause over          idle
+ * CLOSED       CONNECTING  -            -                  -                   -
+ * CONNECTING   -           ESTABLISHED  BACKING_OFF        -                   -
+ * ESTABLISHED  -           -            BACKING_OFF        -                   CLOSED
+ * BACKING_OFF  -           -            -                  CLOSED, CONNECTING  -
+ * </pre>
+ *
+ * <p>Once the machine is listed as gone, a stream that is not established, or breaks, is CLOSED.
  */
 public final class MachineStream {
-  /**
-   * Closed: no stream wanted. Waiting: a try failed, the next is due later. Greeted: Holding has
-   * come.
-   */
-  public enum Phase {
+  /** Where the stream is in its life cycle. */
+  public enum State {
+    /** No stream is wanted. */
     CLOSED,
+    /** The stream is being opened, or the machine has not sent its inventory yet. */
     CONNECTING,
-    GREETED,
-    WAITING
-  }
-
-  /** A claim as both sides name it. */
-  public record AttemptId(String vm, int number) {}
-
-  /** One line of what a machine says it holds. */
-  public record ReportedVm(
-      AttemptId name,
-      State state,
-      String priorityClass,
-      long service,
-      String tenant,
-      double cores,
-      double memory,
-      String client) {
-    public enum State {
-      IN_LINE,
-      RUNNING,
-      ENDED,
-      REFUSED
-    }
+    /** The machine has sent its inventory. */
+    ESTABLISHED,
+    /** The last stream failed; the next is opened after a pause. */
+    BACKING_OFF
   }
 
-  /** The stream, as far as the link may act on it. */
-  public interface Transport {
-    void connect();
-
-    void close(String why);
+  /** Receives what is concluded from the stream to a machine. */
+  public interface Listener extends AttemptListener {
+    /** The machine accepted the VM or, if {@code running}, has started it. */
+    void attemptAccepted(PlacementAttempt attempt, boolean running);
 
-    /** Whether a message would be written now rather than queue up. */
-    boolean ready();
+    /** The machine runs a VM of an earlier incarnation of this scheduler. */
+    void unknownVmReported(ReportedVm reportedVm, Machine machine);
 
-    void offer(PlacementAttempt attempt, AttemptId name, Duration within);
+    /** A cancelled attempt is now known to hold nothing on its machine any more. */
+    void attemptReleased(PlacementAttempt attempt);
 
-    void cancel(AttemptId name);
-
-    void stop(AttemptId name);
-
-    void probe();
+    /** The stream broke, or the first attempt to connect failed. */
+    void connectionLost(Machine machine, String reason);
   }
 
-  /** What the link concludes, handed to the module. */
-  public interface AttemptListener {
-    void bound(PlacementAttempt attempt, boolean running);
-
-    void ended(PlacementAttempt attempt, Outcome end, OutcomeReason why);
-
-    void runsAlready(ReportedVm held, Machine machine);
-
-    void probed(Machine machine, boolean ok, Duration took);
-
-    /** A claim that was given up is now known not to be there any more. */
-    void cleared(PlacementAttempt attempt);
-
-    /** News of the stream for those on call. */
-    void note(Machine machine, String line);
-  }
-
-  /** How streams are opened, kept and given up; spans from the settings. */
-  public record ConnectionTimeouts(
-      Duration connectTimeout,
-      Duration idle,
-      Duration retryLeast,
-      Duration retryMost,
-      Duration unsure,
-      Duration probeTimeout,
-      int line,
-      boolean yesAtAcceptance) {}
-
-  private enum Stage {
-    QUEUED,
-    WRITTEN,
-    UNSURE,
-    BOUND,
-    ABANDONED
-  }
-
-  private static final class Entry {
-    final AttemptId name;
-    final PlacementAttempt attempt;
-    final boolean mayRepeat;
-    Duration by;
-    Stage stage = Stage.QUEUED;
-    Duration unsureUntil;
-
-    Entry(AttemptId name, PlacementAttempt attempt, boolean mayRepeat) {
-      this.name = name;
-      this.attempt = attempt;
-      this.mayRepeat = mayRepeat;
-    }
-  }
+  private static final String CONNECT_TIMED_OUT = "no message from the machine in time";
 
   private final Machine machine;
-  private final ConnectionTimeouts connectionTimeouts;
-  private final Transport line;
-  private final AttemptListener fate;
-  private final SeededRandom chance;
-  private final Map<AttemptId, Entry> entries = new LinkedHashMap<>();
-  private final Deque<Entry> queue = new ArrayDeque<>();
-  private Phase phase = Phase.CLOSED;
+  private final MachineStreamSettings settings;
+  private final MachineStreamTransport transport;
+  private final Listener listener;
+  private final ExponentialBackoff backoff;
+  private final StreamAttempts attempts;
+  private State state = State.CLOSED;
   private boolean gone;
-  private boolean callWanted;
+  private boolean inventoryWanted;
   private boolean probeQueued;
-  private Duration probeSentAt;
-  private long incarnation = -1;
-  private int failures;
+  private Duration probeRequestedAt;
+  private Optional<Long> incarnation = Optional.empty();
   private Duration connectBy;
   private Duration retryAt;
-  private Duration usedAt = Duration.ZERO;
+  private Duration lastUsedAt = Duration.ZERO;
 
+  /** Creates a closed stream to a machine that is not gone. */
   public MachineStream(
       Machine machine,
-      ConnectionTimeouts connectionTimeouts,
-      Transport line,
-      AttemptListener fate,
-      SeededRandom chance) {
+      MachineStreamSettings settings,
+      MachineStreamTransport transport,
+      Listener listener,
+      SeededRandom random) {
     this.machine = machine;
-    this.connectionTimeouts = connectionTimeouts;
-    this.line = line;
-    this.fate = fate;
-    this.chance = chance;
+    this.settings = settings;
+    this.transport = transport;
+    this.listener = listener;
+    backoff = new ExponentialBackoff(settings.minBackoff(), settings.maxBackoff(), random);
+    attempts = new StreamAttempts(machine, settings, transport, listener);
   }
 
-  public Phase phase() {
-    return phase;
+  public State state() {
+    return state;
   }
 
-  public int attempts() {
-    return entries.size();
+  /** The attempt of that id, unless the scheduler has cancelled it. */
+  public Optional<PlacementAttempt> findAttempt(AttemptId id) {
+    return attempts.find(id).filter(entry -> !entry.isCancelled()).map(StreamAttempt::attempt);
   }
 
-  public int queued() {
-    return queue.size();
+  int attemptCount() {
+    return attempts.size();
   }
 
-  // ---- What the placer wants
-  // -------------------------------------------------------------------------
+  // Requests of the scheduler
 
-  /** Offers a claim; {@code mayRepeat} if a second run does no harm. */
+  /**
+   * Offers an attempt as soon as the stream allows, and opens the stream if need be. Ends at once
+   * as {@link Outcome#UNREACHABLE} while the stream backs off, and as {@link Outcome#FULL} if too
+   * many offers wait.
+   *
+   * @param idempotent whether the VM may be placed again without harm, even if it may have run
+   * @param timeLeft time in which the machine has to answer
+   */
   public void offer(
-      PlacementAttempt attempt, AttemptId name, boolean mayRepeat, Duration within, Duration now) {
-    usedAt = now;
-    if (phase == Phase.WAITING || gone) {
-      // The last try failed a moment ago: known not to have run, and no cheaper word for it.
-      fate.ended(attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-    } else if (queue.size() >= connectionTimeouts.line) {
-      fate.ended(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
+      PlacementAttempt attempt, AttemptId id, boolean idempotent, Duration timeLeft, Duration now) {
+    lastUsedAt = now;
+    if (!isReachable()) {
+      // The last stream failed a moment ago: known not to have run, and cheaper than to connect.
+      Outcome outcome = ExecutionEvidence.NEVER_SENT.outcomeOnFailure();
+      listener.attemptEnded(attempt, outcome, OutcomeReason.UNSPECIFIED);
+    } else if (attempts.isQueueFull()) {
+      listener.attemptEnded(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
     } else {
-      Entry e = new Entry(name, attempt, mayRepeat);
-      e.by = now.plus(within);
-      entries.put(name, e);
-      queue.addLast(e);
-      wantStream(now);
-      pump(now);
+      attempts.enqueue(StreamAttempt.queued(id, attempt, idempotent, now.plus(timeLeft)));
+      connectIfClosed(now);
+      writeQueued(now);
     }
   }
 
-  /** The placer waits no longer; true if the machine was never offered the claim. */
-  public boolean giveUp(PlacementAttempt attempt, Duration now) {
-    Entry e = entryOf(attempt);
-    if (e == null) {
-      return false;
-    }
-    if (e.stage == Stage.QUEUED) {
-      drop(e);
-      return true;
-    }
-    abandon(e);
-    return false;
+  /**
+   * The scheduler waits for the attempt no longer. Its outcome is the caller's to record.
+   *
+   * @return whether the machine was never offered the attempt
+   */
+  public boolean cancel(PlacementAttempt attempt, Duration now) {
+    return attempts.cancel(attempt, state == State.ESTABLISHED);
   }
 
-  /** Stops a bound VM. */
-  public void stop(PlacementAttempt attempt, Duration now) {
-    Entry e = entryOf(attempt);
-    if (e != null && phase == Phase.GREETED) {
-      line.stop(e.name);
+  /** Terminates a running VM, if the stream is established; the machine confirms. */
+  public void terminate(PlacementAttempt attempt, Duration now) {
+    if (state == State.ESTABLISHED) {
+      attempts.terminate(attempt);
     }
-    usedAt = now;
+    lastUsedAt = now;
   }
 
+  /** Starts a health check; it fails at once while the stream backs off. */
   public void probe(Duration now) {
-    usedAt = now;
-    if (phase == Phase.WAITING || gone) {
-      fate.probed(machine, false, Duration.ZERO);
+    lastUsedAt = now;
+    if (!isReachable()) {
+      listener.probeCompleted(machine, false, false, Duration.ZERO);
       return;
     }
     probeQueued = true;
-    probeSentAt = now;
-    wantStream(now);
-    pump(now);
+    probeRequestedAt = now;
+    connectIfClosed(now);
+    writeQueued(now);
   }
 
-  /** Opens a stream only to learn what the machine holds, as after the placer's own start. */
-  public void call(Duration now) {
-    callWanted = true;
-    usedAt = now;
-    if (phase == Phase.CLOSED && !gone) {
-      wantStream(now);
+  /** Opens a stream for the sake of the machine's inventory, as after the scheduler's start. */
+  public void reconcile(Duration now) {
+    inventoryWanted = true;
+    lastUsedAt = now;
+    if (!gone) {
+      connectIfClosed(now);
     }
   }
 
-  // ---- What the list says
-  // ----------------------------------------------------------------------------
+  /** Takes over a VM that an earlier incarnation of the scheduler started. */
+  public void adopt(AttemptId id, PlacementAttempt attempt) {
+    attempts.adopt(StreamAttempt.adopted(id, attempt));
+  }
 
-  /**
-   * Told that it drains: what was decided but not yet written is taken back, and goes elsewhere.
-   */
-  public void drains() {
-    for (Entry e : List.copyOf(queue)) {
-      drop(e);
-      fate.ended(e.attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
-    }
+  // Events of the machine list
+
+  /** The machine takes no new VMs: what was not offered yet is withdrawn. */
+  public void machineDraining() {
+    attempts.withdrawQueued();
   }
 
-  /** Told that it is gone, or listed again. */
-  public void listed(boolean isGone, Duration now) {
-    boolean news = isGone != gone;
-    gone = isGone;
-    if (!news) {
+  /** The machine list has the machine, or has it no more. */
+  public void machineListed(boolean isGone, Duration now) {
+    if (isGone == gone) {
       return;
     }
+    gone = isGone;
     if (gone) {
-      drains();
-      if (phase != Phase.GREETED) {
-        lose();
-        if (phase == Phase.CONNECTING) {
-          line.close("the machine is listed as gone");
-        }
-        phase = Phase.CLOSED;
-      }
+      machineGone();
     } else {
-      failures = 0;
-      if (phase == Phase.WAITING) {
+      backoff.reset();
+      if (state == State.BACKING_OFF) {
         retryAt = now;
       }
     }
   }
 
-  /**
-   * Gone for good, by the list and without a stream: what ran there is lost, what may have run may
-   * have run.
-   */
-  private void lose() {
-    for (Entry e : List.copyOf(entries.values())) {
-      drop(e);
-      if (e.stage != Stage.ABANDONED) {
-        fate.ended(
-            e.attempt,
-            e.stage == Stage.QUEUED ? Outcome.UNREACHABLE : Outcome.RESET,
-            OutcomeReason.UNSPECIFIED);
-      }
+  // Events of the stream
+
+  /** The machine's first message on a stream: the attempts of this scheduler that it knows. */
+  public void inventoryReceived(
+      long machineIncarnation, Collection<ReportedVm> inventory, Duration now) {
+    if (state != State.CONNECTING) {
+      return;
     }
+    established(now);
+    boolean restarted = incarnation.isPresent() && incarnation.get() != machineIncarnation;
+    incarnation = Optional.of(machineIncarnation);
+    attempts.reconcile(inventory, restarted);
+    writeQueued(now);
   }
 
-  // ---- What the stream does
-  // --------------------------------------------------------------------------
+  /** The transport can write again. */
+  public void transportReady(Duration now) {
+    writeQueued(now);
+  }
 
-  /** The first word of a stream: what the machine holds of ours. */
-  public void holding(long itsIncarnation, Collection<ReportedVm> helds, Duration now) {
-    if (phase != Phase.CONNECTING) {
+  /** The stream broke, could not be opened, or received what violates the protocol. */
+  public void connectionLost(String reason, Duration now) {
+    if (state != State.CONNECTING && state != State.ESTABLISHED) {
       return;
     }
-    phase = Phase.GREETED;
-    failures = 0;
-    callWanted = false;
-    connectBy = null;
-    usedAt = now;
-    boolean restarted = incarnation >= 0 && incarnation != itsIncarnation;
-    incarnation = itsIncarnation;
-    Set<AttemptId> named = new HashSet<>();
-    for (ReportedVm h : helds) {
-      named.add(h.name);
-      Entry e = entries.get(h.name);
-      if (e != null) {
-        resume(e, h, now);
-      } else if (h.state == ReportedVm.State.RUNNING) {
-        fate.runsAlready(h, machine);
-      } else if (h.state == ReportedVm.State.IN_LINE) {
-        // Offered by an earlier life of this placer: nobody waits for it.
-        line.cancel(h.name);
-      }
+    boolean wasEstablished = state == State.ESTABLISHED;
+    backOff(now);
+    failProbe(now);
+    attempts.connectionLost(now);
+    if (wasEstablished || backoff.failures() == 1) {
+      listener.connectionLost(machine, reason);
     }
-    for (Entry e : List.copyOf(entries.values())) {
-      if (e.stage != Stage.QUEUED && !named.contains(e.name)) {
-        drop(e);
-        missing(e, restarted);
-      }
+    if (gone) {
+      attempts.machineLost();
+      state = State.CLOSED;
     }
-    pump(now);
   }
 
-  /** The machine still knows a claim of ours. */
-  private void resume(Entry e, ReportedVm h, Duration now) {
-    if (e.stage == Stage.ABANDONED) {
-      if (h.state == ReportedVm.State.RUNNING || h.state == ReportedVm.State.IN_LINE) {
-        line.cancel(e.name);
-      } else {
-        drop(e);
-      }
-      return;
-    }
-    switch (h.state) {
-      case RUNNING -> started(e.name, now);
-      case IN_LINE -> {
-        if (e.stage != Stage.BOUND) {
-          e.stage = Stage.WRITTEN;
-        }
-      }
-      case ENDED ->
-          finished(
-              e.name,
-              e.stage == Stage.BOUND ? Outcome.DONE : Outcome.ERROR,
-              OutcomeReason.UNSPECIFIED,
-              now);
-      case REFUSED -> refused(e.name, OutcomeReason.UNSPECIFIED, now);
-      default -> throw new IllegalStateException(h.state.name());
-    }
+  /** The machine has queued the VM. */
+  public void attemptAccepted(AttemptId id) {
+    attempts.attemptAccepted(id);
   }
 
-  /** The machine knows nothing of a claim that was written to it. */
-  private void missing(Entry e, boolean restarted) {
-    if (e.stage == Stage.BOUND) {
-      fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-    } else if (e.stage != Stage.ABANDONED) {
-      // It remembers what it took in since its start: the offer never reached it, unless it started
-      // anew.
-      fate.ended(
-          e.attempt, restarted ? Outcome.RESET : Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
-    }
+  /** The machine has started the VM. */
+  public void vmStarted(AttemptId id) {
+    attempts.vmStarted(id);
   }
 
-  /** More can be written. */
-  public void ready(Duration now) {
-    pump(now);
+  /** The machine rejected the VM: it never ran, unless the machine had accepted it before. */
+  public void attemptRejected(AttemptId id, OutcomeReason reason, Duration now) {
+    attempts.attemptRejected(id, reason);
+    lastUsedAt = now;
   }
 
-  /** The stream broke, could not be opened, or said what it may not. */
-  public void broke(String why, Duration now) {
-    if (phase != Phase.CONNECTING && phase != Phase.GREETED) {
-      return;
-    }
-    boolean was = phase == Phase.GREETED;
-    phase = Phase.WAITING;
-    failures++;
-    connectBy = null;
-    retryAt = now.plus(wait(failures));
-    probeFailed(now);
-    for (Entry e : List.copyOf(entries.values())) {
-      if (e.stage == Stage.QUEUED) {
-        drop(e);
-        fate.ended(e.attempt, Outcome.UNREACHABLE, OutcomeReason.UNSPECIFIED);
-      } else if (e.stage == Stage.WRITTEN && e.mayRepeat) {
-        e.stage = Stage.ABANDONED;
-        fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-      } else if (e.stage == Stage.WRITTEN) {
-        e.stage = Stage.UNSURE;
-        e.unsureUntil = min(now.plus(connectionTimeouts.unsure), e.by);
-      }
-    }
-    if (was || failures == 1) {
-      fate.note(machine, "stream broke: " + why);
-    }
-    if (gone) {
-      lose();
-      phase = Phase.CLOSED;
-    }
+  /** The machine ended the attempt. */
+  public void attemptEnded(AttemptId id, Outcome outcome, OutcomeReason reason, Duration now) {
+    attempts.attemptEnded(id, outcome, reason);
+    lastUsedAt = now;
   }
 
-  public void accepted(AttemptId name, Duration now) {
-    Entry e = entries.get(name);
-    if (e != null && e.stage == Stage.WRITTEN && connectionTimeouts.yesAtAcceptance) {
-      e.stage = Stage.BOUND;
-      fate.bound(e.attempt, false);
+  /** The machine reported its load. */
+  public void loadReported(boolean answersProbe, Duration now) {
+    if (answersProbe && probeRequestedAt != null) {
+      Duration roundTrip = now.minus(probeRequestedAt);
+      probeRequestedAt = null;
+      listener.probeCompleted(machine, true, true, roundTrip);
     }
   }
 
-  public void started(AttemptId name, Duration now) {
-    Entry e = entries.get(name);
-    if (e == null || e.stage == Stage.ABANDONED) {
-      return;
-    }
-    e.stage = Stage.BOUND;
-    fate.bound(e.attempt, true);
-  }
+  // Time
 
-  public void refused(AttemptId name, OutcomeReason why, Duration now) {
-    Entry e = entries.get(name);
-    if (e != null) {
-      drop(e);
-      if (e.stage != Stage.ABANDONED) {
-        fate.ended(e.attempt, e.stage == Stage.BOUND ? Outcome.RESET : Outcome.FULL, why);
-      }
-    }
-    usedAt = now;
+  /** When {@link #tick} has to be called next; empty if nothing has a deadline. */
+  public Optional<Duration> nextDeadline() {
+    return Stream.of(attempts.nextConfirmationDeadline(), probeDeadline(), stateDeadline())
+        .flatMap(Optional::stream)
+        .min(Duration::compareTo);
   }
 
-  public void finished(AttemptId name, Outcome end, OutcomeReason why, Duration now) {
-    Entry e = entries.get(name);
-    if (e != null) {
-      drop(e);
-      if (e.stage != Stage.ABANDONED) {
-        fate.ended(e.attempt, end, why);
-      }
+  /** Applies the timeouts that are due. */
+  public void tick(Duration now) {
+    attempts.cancelUnconfirmed(now);
+    if (isDue(probeDeadline(), now)) {
+      failProbe(now);
+    }
+    if (!isDue(stateDeadline(), now)) {
+      return;
+    }
+    switch (state) {
+      case CONNECTING -> connectTimedOut(now);
+      case BACKING_OFF -> pauseOver(now);
+      case ESTABLISHED -> closeIdle();
+      case CLOSED -> {}
     }
-    usedAt = now;
   }
 
-  /** The claim that goes by that name and is still ours to hear of, or null. */
-  public PlacementAttempt attempt(AttemptId name) {
-    Entry e = entries.get(name);
-    return e == null || e.stage == Stage.ABANDONED ? null : e.attempt;
+  private Optional<Duration> probeDeadline() {
+    return Optional.ofNullable(probeRequestedAt).map(at -> at.plus(settings.probeTimeout()));
   }
 
-  /** A VM of an earlier life runs there: from now on it is one of ours. */
-  public void adopt(AttemptId name, PlacementAttempt attempt) {
-    Entry e = new Entry(name, attempt, false);
-    e.stage = Stage.BOUND;
-    entries.put(name, e);
+  private Optional<Duration> stateDeadline() {
+    return switch (state) {
+      case CONNECTING -> Optional.of(connectBy);
+      case BACKING_OFF -> Optional.of(retryAt);
+      case ESTABLISHED ->
+          attempts.isEmpty()
+              ? Optional.of(lastUsedAt.plus(settings.idleTimeout()))
+              : Optional.empty();
+      case CLOSED -> Optional.empty();
+    };
   }
 
-  public void reported(boolean answersProbe, Duration now) {
-    if (answersProbe && probeSentAt != null) {
-      Duration took = now.minus(probeSentAt);
-      probeSentAt = null;
-      fate.probed(machine, true, took);
-    }
+  private static boolean isDue(Optional<Duration> deadline, Duration now) {
+    return deadline.isPresent() && now.compareTo(deadline.get()) >= 0;
   }
 
-  // ---- What time does
-  // --------------------------------------------------------------------------------
+  // Transitions
 
-  /** When {@link #tick} has something to do, or null. */
-  public Duration due() {
-    Duration due = null;
-    for (Entry e : entries.values()) {
-      if (e.stage == Stage.UNSURE) {
-        due = min(due, e.unsureUntil);
-      }
-    }
-    if (probeSentAt != null) {
-      due = min(due, probeSentAt.plus(connectionTimeouts.probeTimeout));
-    }
-    if (phase == Phase.CONNECTING) {
-      due = min(due, connectBy);
-    } else if (phase == Phase.WAITING) {
-      due = min(due, retryAt);
-    } else if (phase == Phase.GREETED && entries.isEmpty()) {
-      due = min(due, usedAt.plus(connectionTimeouts.idle));
+  private void connectIfClosed(Duration now) {
+    if (state == State.CLOSED) {
+      state = State.CONNECTING;
+      connectBy = now.plus(settings.connectTimeout());
+      transport.connect();
     }
-    return due;
   }
 
-  public void tick(Duration now) {
-    for (Entry e : List.copyOf(entries.values())) {
-      if (e.stage == Stage.UNSURE && now.compareTo(e.unsureUntil) >= 0) {
-        e.stage = Stage.ABANDONED;
-        fate.ended(e.attempt, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-      }
-    }
-    if (probeSentAt != null
-        && now.compareTo(probeSentAt.plus(connectionTimeouts.probeTimeout)) >= 0) {
-      probeFailed(now);
-    }
-    if (phase == Phase.CONNECTING && now.compareTo(connectBy) >= 0) {
-      line.close("no word from the machine in time");
-      broke("no word from the machine in time", now);
-    } else if (phase == Phase.WAITING && now.compareTo(retryAt) >= 0) {
-      phase = Phase.CLOSED;
-      if ((callWanted || !entries.isEmpty()) && !gone) {
-        wantStream(now);
-      }
-    } else if (phase == Phase.GREETED
-        && entries.isEmpty()
-        && now.compareTo(usedAt.plus(connectionTimeouts.idle)) >= 0) {
-      line.close("idle");
-      phase = Phase.CLOSED;
-    }
+  private void established(Duration now) {
+    state = State.ESTABLISHED;
+    backoff.reset();
+    inventoryWanted = false;
+    lastUsedAt = now;
   }
 
-  // ---- Within
-  // ----------------------------------------------------------------------------------------
-
-  private void wantStream(Duration now) {
-    if (phase == Phase.CLOSED) {
-      phase = Phase.CONNECTING;
-      connectBy = now.plus(connectionTimeouts.connectTimeout);
-      line.connect();
-    }
+  private void backOff(Duration now) {
+    state = State.BACKING_OFF;
+    retryAt = now.plus(backoff.nextPause());
   }
 
-  private void pump(Duration now) {
-    if (phase != Phase.GREETED) {
-      return;
-    }
-    while (!queue.isEmpty() && line.ready()) {
-      Entry e = queue.removeFirst();
-      e.stage = Stage.WRITTEN;
-      Duration left = e.by.minus(now);
-      line.offer(e.attempt, e.name, left.isNegative() ? Duration.ZERO : left);
-    }
-    if (probeQueued && line.ready()) {
-      probeQueued = false;
-      line.probe();
-    }
+  private void connectTimedOut(Duration now) {
+    transport.close(CONNECT_TIMED_OUT);
+    connectionLost(CONNECT_TIMED_OUT, now);
   }
 
-  private void abandon(Entry e) {
-    if (e.stage == Stage.ABANDONED) {
-      return;
-    }
-    e.stage = Stage.ABANDONED;
-    if (phase == Phase.GREETED) {
-      line.cancel(e.name);
+  private void pauseOver(Duration now) {
+    state = State.CLOSED;
+    if ((inventoryWanted || !attempts.isEmpty()) && !gone) {
+      connectIfClosed(now);
     }
   }
 
-  private void probeFailed(Duration now) {
-    probeQueued = false;
-    if (probeSentAt != null) {
-      Duration took = now.minus(probeSentAt);
-      probeSentAt = null;
-      fate.probed(machine, false, took);
-    }
+  private void closeIdle() {
+    transport.close("idle");
+    state = State.CLOSED;
   }
 
-  private void drop(Entry e) {
-    entries.remove(e.name);
-    if (e.stage == Stage.ABANDONED) {
-      fate.cleared(e.attempt);
+  private void machineGone() {
+    machineDraining();
+    if (state == State.ESTABLISHED) {
+      return;
     }
-    if (e.stage == Stage.QUEUED) {
-      queue.remove(e);
+    attempts.machineLost();
+    if (state == State.CONNECTING) {
+      transport.close("the machine is listed as gone");
     }
+    state = State.CLOSED;
   }
 
-  private Entry entryOf(PlacementAttempt attempt) {
-    for (Entry e : entries.values()) {
-      if (e.attempt == attempt) {
-        return e;
-      }
-    }
-    return null;
-  }
+  // Private steps
 
-  /** Doubles with each failure from the least to the most, drawn from its upper half. */
-  private Duration wait(int after) {
-    double most = Durations.toSeconds(connectionTimeouts.retryMost);
-    double full =
-        Math.min(
-            most,
-            Durations.toSeconds(connectionTimeouts.retryLeast)
-                * Math.pow(2, Math.min(after - 1, 30)));
-    return Durations.ofSeconds(full * (0.5 + chance.next() / 2));
+  private boolean isReachable() {
+    return state != State.BACKING_OFF && !gone;
   }
 
-  private static Duration min(Duration a, Duration b) {
-    return a == null || b != null && b.compareTo(a) < 0 ? b : a;
+  private void writeQueued(Duration now) {
+    if (state != State.ESTABLISHED) {
+      return;
+    }
+    attempts.writeQueued(now);
+    if (probeQueued && transport.isReady()) {
+      probeQueued = false;
+      transport.probe();
+    }
   }
 
-  /** Names of what the machine may still hold though the placer gave it up, for those on call. */
-  public List<AttemptId> abandoned() {
-    List<AttemptId> some = new ArrayList<>();
-    entries.values().stream()
-        .filter(e -> e.stage == Stage.ABANDONED)
-        .forEach(e -> some.add(e.name));
-    return some;
+  private void failProbe(Duration now) {
+    probeQueued = false;
+    if (probeRequestedAt != null) {
+      Duration roundTrip = now.minus(probeRequestedAt);
+      probeRequestedAt = null;
+      listener.probeCompleted(machine, false, false, roundTrip);
+    }
   }
 }
