Invariant checker: one class for each invariant over a shared observed state

Now fordridge.emulator.record has the typed recorder and reader (RecordKind, RecordField: their text on disk is as before) and fordridge.emulator.invariant one class for each invariant, the shared state, and the findings. Figures and invariants are enums.

--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -2,8 +2,9 @@
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
-import fordridge.emulator.InvariantChecker;
 import fordridge.emulator.Scenario;
+import fordridge.emulator.invariant.InvariantChecker;
+import fordridge.emulator.invariant.Verdict;
 import fordridge.observability.Logging;
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.server.json.ServeCommand;
@@ -335,7 +336,7 @@
 
     @Override
     public Integer call() throws Exception {
-      InvariantChecker.Verdict v = InvariantChecker.judge(tap);
+      Verdict v = InvariantChecker.check(tap);
       System.out.print(v.text());
       return v.kept() ? 0 : 1;
     }
--- a/src/main/java/fordridge/emulator/EmulatedClient.java
+++ b/src/main/java/fordridge/emulator/EmulatedClient.java
@@ -1,5 +1,8 @@
 package fordridge.emulator;
 
+import fordridge.emulator.record.RecordField;
+import fordridge.emulator.record.RecordKind;
+import fordridge.emulator.record.WireRecorder;
 import fordridge.settings.DeploymentSettings;
 import fordridge.v1.Ack;
 import fordridge.v1.ClientMessage;
@@ -165,7 +168,10 @@
                 broken(mine, "completed");
               }
             });
-    tap.line(name, "hello", "resume", !token.isEmpty(), "seen", seen);
+    tap.event(name, RecordKind.HELLO)
+        .with(RecordField.IS_RESUMING, !token.isEmpty())
+        .with(RecordField.LAST_SEEN_SEQUENCE, seen)
+        .write();
     write(
         ClientMessage.newBuilder()
             .setHello(Hello.newBuilder().setClient(name).setResumeToken(token).setSeen(seen)));
@@ -176,7 +182,7 @@
       to = null;
       welcome = false;
       generation++;
-      tap.line(name, "stream-broken", "why", why);
+      tap.event(name, RecordKind.STREAM_BROKEN).with(RecordField.REASON, why).write();
       loop.schedule(this::connect, 20 + chance.nextInt(60), TimeUnit.MILLISECONDS);
     }
   }
@@ -190,7 +196,7 @@
     to = null;
     welcome = false;
     generation++;
-    tap.line(name, "cut");
+    tap.event(name, RecordKind.CUT).write();
     old.cancel("cut", null);
     loop.schedule(this::connect, away.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -223,7 +229,7 @@
   }
 
   private void heard(PlacerMessage m) {
-    long t = tap.now();
+    long t = tap.nowUs();
     if (m.hasBound() && cutsLeft > 0) {
       cutsLeft--;
       cut(cutsAway);
@@ -231,14 +237,16 @@
     }
     if (m.getSeq() > 0) {
       if (m.getSeq() <= seen) {
-        tap.line(name, "repeated", "seq", m.getSeq());
+        tap.event(name, RecordKind.REPEATED).with(RecordField.SEQUENCE, m.getSeq()).write();
         return;
       }
       seen = m.getSeq();
     }
     switch (m.getBodyCase()) {
       case WELCOME -> {
-        tap.line(name, "welcome", "resumed", m.getWelcome().getResumed());
+        tap.event(name, RecordKind.WELCOME)
+            .with(RecordField.IS_RESUMED, m.getWelcome().getResumed())
+            .write();
         if (!m.getWelcome().getResumed()) {
           seen = 0;
           acked = 0;
@@ -252,7 +260,7 @@
       }
       case BOUND -> bound(m.getBound().getVm(), m.getBound().getMachine(), t);
       case DENIED -> {
-        tap.line(name, "denied", "vm", m.getDenied().getVm());
+        tap.event(name, RecordKind.DENIED).with(RecordField.VM, m.getDenied().getVm()).write();
         RequestedVm w = waiting.remove(m.getDenied().getVm());
         if (w != null) {
           score.denied(w.service);
@@ -260,7 +268,7 @@
         }
       }
       case ERRORED -> {
-        tap.line(name, "errored", "vm", m.getErrored().getVm());
+        tap.event(name, RecordKind.ERRORED).with(RecordField.VM, m.getErrored().getVm()).write();
         RequestedVm w = waiting.remove(m.getErrored().getVm());
         if (w != null) {
           score.errored(w.service);
@@ -272,13 +280,13 @@
       }
       case ENDED -> ended(m.getEnded().getVm(), m.getEnded().getHow(), t);
       case MOVED -> {
-        tap.line(name, "moved", "vm", m.getMoved().getVm());
+        tap.event(name, RecordKind.MOVED).with(RecordField.VM, m.getMoved().getVm()).write();
         RequestedVm w = running.remove(m.getMoved().getVm());
         if (w != null) {
           again(w, 50_000);
         }
       }
-      default -> tap.line(name, "unknown");
+      default -> tap.event(name, RecordKind.UNKNOWN_MESSAGE).write();
     }
     if (seen - acked >= 16) {
       acked = seen;
@@ -287,7 +295,10 @@
   }
 
   private void bound(String vm, String machine, long t) {
-    tap.line(name, "bound", "vm", vm, "machine", machine);
+    tap.event(name, RecordKind.BOUND)
+        .with(RecordField.VM, vm)
+        .with(RecordField.MACHINE, machine)
+        .write();
     RequestedVm w = waiting.remove(vm);
     if (w == null) {
       return;
@@ -302,7 +313,10 @@
   }
 
   private void ended(String vm, Ended.How how, long t) {
-    tap.line(name, "ended", "vm", vm, "how", how);
+    tap.event(name, RecordKind.ENDED)
+        .with(RecordField.VM, vm)
+        .with(RecordField.END_KIND, how)
+        .write();
     RequestedVm w = running.remove(vm);
     if (w == null) {
       return;
@@ -341,7 +355,7 @@
     double wait = -Math.log(1 - chance.nextDouble()) * plan.batch / rate;
     loop.schedule(
         () -> {
-          if (tap.now() >= untilUs) {
+          if (tap.nowUs() >= untilUs) {
             return;
           }
           Service s = services.get(chance.nextInt(services.size()));
@@ -357,7 +371,7 @@
 
   private void wish(Service s) {
     double life = Math.max(1, s.lifeSeconds * -Math.log(1 - chance.nextDouble() * 0.95));
-    RequestedVm w = new RequestedVm(name + "-" + ++number, s, tap.now(), (long) (life * 1e6));
+    RequestedVm w = new RequestedVm(name + "-" + ++number, s, tap.nowUs(), (long) (life * 1e6));
     score.asked(s);
     ask(w);
   }
@@ -367,7 +381,7 @@
     for (String vm : List.copyOf(running.keySet())) {
       if (chance.nextDouble() < share) {
         RequestedVm w = running.remove(vm);
-        tap.line(name, "unwant", "vm", vm);
+        tap.event(name, RecordKind.REQUEST_WITHDRAWN).with(RecordField.VM, vm).write();
         write(ClientMessage.newBuilder().setUnwant(Unwant.newBuilder().setVm(vm)));
         if (w.service.priorityClass.rebuildable()) {
           again(w, 1 + chance.nextInt((int) Math.max(1, within.toNanos() / 1000)));
@@ -379,7 +393,7 @@
   private void ask(RequestedVm w) {
     w.asked++;
     w.vm = w.workload + "." + w.asked;
-    w.until = tap.now() + w.service.priorityClass.buildTimeout().toNanos() / 1000;
+    w.until = tap.nowUs() + w.service.priorityClass.buildTimeout().toNanos() / 1000;
     unsent.addLast(w);
     sendWhileReady();
   }
@@ -395,30 +409,25 @@
   }
 
   private void send(RequestedVm w) {
-    long left = w.until - tap.now();
+    long left = w.until - tap.nowUs();
     if (left <= 50_000) {
       return;
     }
     w.waits = true;
     waiting.put(w.vm, w);
     Service s = w.service;
-    tap.line(
-        name,
-        "want",
-        "vm",
-        w.vm,
-        "workload",
-        w.workload,
-        "flavour",
-        s.priorityClass.name(),
-        "left",
-        left);
+    tap.event(name, RecordKind.PLACEMENT_REQUESTED)
+        .with(RecordField.VM, w.vm)
+        .with(RecordField.WORKLOAD, w.workload)
+        .with(RecordField.PRIORITY_CLASS, s.priorityClass.name())
+        .with(RecordField.TIME_LEFT, left)
+        .write();
     write(w);
   }
 
   private void write(RequestedVm w) {
     Service s = w.service;
-    long left = Math.max(1, w.until - tap.now());
+    long left = Math.max(1, w.until - tap.nowUs());
     write(
         ClientMessage.newBuilder()
             .setWant(
--- a/src/main/java/fordridge/emulator/EmulatedMachine.java
+++ b/src/main/java/fordridge/emulator/EmulatedMachine.java
@@ -3,6 +3,9 @@
 import fordridge.emulator.MachineModel.EndKind;
 import fordridge.emulator.MachineModel.HostedVm;
 import fordridge.emulator.MachineModel.Reason;
+import fordridge.emulator.record.RecordField;
+import fordridge.emulator.record.RecordKind;
+import fordridge.emulator.record.WireRecorder;
 import fordridge.v1.Accepted;
 import fordridge.v1.ClaimName;
 import fordridge.v1.Finished;
@@ -175,7 +178,7 @@
               return;
             }
             placer = m.getGreeting().getPlacer();
-            tap.line(name(), "greeting", "placer", placer);
+            tap.event(name(), RecordKind.GREETING).with(RecordField.SCHEDULER, placer).write();
             if (!mute) {
               streams.put(placer, out);
               if (cutNow(CutPoint.GREETED, null)) {
@@ -203,7 +206,7 @@
         private void closed() {
           if (placer != null) {
             streams.remove(placer, out);
-            tap.line(name(), "stream-closed", "placer", placer);
+            tap.event(name(), RecordKind.STREAM_CLOSED).with(RecordField.SCHEDULER, placer).write();
           }
         }
       };
@@ -230,7 +233,10 @@
               .setMemory(t.memory)
               .setClient(t.client));
     }
-    tap.line(name(), "holding", "placer", placer, "held", h.getHeldCount());
+    tap.event(name(), RecordKind.HOLDING)
+        .with(RecordField.SCHEDULER, placer)
+        .with(RecordField.HELD_COUNT, h.getHeldCount())
+        .write();
     out.onNext(FromMachine.newBuilder().setHolding(h).build());
   }
 
@@ -238,23 +244,15 @@
     switch (m.getBodyCase()) {
       case OFFER -> {
         Offer o = m.getOffer();
-        tap.line(
-            name(),
-            "offer",
-            "placer",
-            placer,
-            "vm",
-            o.getClaim().getVm(),
-            "n",
-            o.getClaim().getNumber(),
-            "flavour",
-            o.getFlavour(),
-            "service",
-            o.getService(),
-            "customer",
-            o.getCustomer(),
-            "within",
-            o.getWithinUs());
+        tap.event(name(), RecordKind.OFFER)
+            .with(RecordField.SCHEDULER, placer)
+            .with(RecordField.VM, o.getClaim().getVm())
+            .with(RecordField.ATTEMPT_NUMBER, o.getClaim().getNumber())
+            .with(RecordField.PRIORITY_CLASS, o.getFlavour())
+            .with(RecordField.SERVICE, o.getService())
+            .with(RecordField.TENANT, o.getCustomer())
+            .with(RecordField.TIME_LEFT_AT_OFFER, o.getWithinUs())
+            .write();
         if (cutNow(CutPoint.OFFER_READ, o.getFlavour())) {
           cut(placer);
         }
@@ -276,34 +274,27 @@
                 Duration.ofNanos(o.getLastsUs() * 1000)));
       }
       case CANCEL -> {
-        tap.line(
-            name(),
-            "cancel",
-            "placer",
-            placer,
-            "vm",
-            m.getCancel().getClaim().getVm(),
-            "n",
-            m.getCancel().getClaim().getNumber());
+        tap.event(name(), RecordKind.CANCEL)
+            .with(RecordField.SCHEDULER, placer)
+            .with(RecordField.VM, m.getCancel().getClaim().getVm())
+            .with(RecordField.ATTEMPT_NUMBER, m.getCancel().getClaim().getNumber())
+            .write();
         model.end(key(placer, m.getCancel().getClaim()));
       }
       case STOP -> {
-        tap.line(
-            name(),
-            "stop",
-            "placer",
-            placer,
-            "vm",
-            m.getStop().getClaim().getVm(),
-            "n",
-            m.getStop().getClaim().getNumber());
+        tap.event(name(), RecordKind.STOP)
+            .with(RecordField.SCHEDULER, placer)
+            .with(RecordField.VM, m.getStop().getClaim().getVm())
+            .with(RecordField.ATTEMPT_NUMBER, m.getStop().getClaim().getNumber())
+            .write();
         model.end(key(placer, m.getStop().getClaim()));
       }
       case PROBE -> {
-        tap.line(name(), "probe", "placer", placer);
+        tap.event(name(), RecordKind.PROBE).with(RecordField.SCHEDULER, placer).write();
         model.probe(placer, m.getProbe().getNumber());
       }
-      default -> tap.line(name(), "unknown", "placer", placer);
+      default ->
+          tap.event(name(), RecordKind.UNKNOWN_MESSAGE).with(RecordField.SCHEDULER, placer).write();
     }
   }
 
@@ -318,18 +309,11 @@
   /**
    * Writes to a placer, unless a fault keeps it back; answers can get lost, probes' reports do not.
    */
-  private void say(
-      String placer, FromMachine.Builder m, boolean answer, String what, Object... fields) {
+  private void say(String placer, FromMachine.Builder m, boolean answer, WireRecorder.Event event) {
     ServerCallStreamObserver<FromMachine> out = streams.get(placer);
     boolean lost =
         hung || out == null || out.isCancelled() || answer && chance.nextDouble() < loses;
-    Object[] all = new Object[fields.length + 4];
-    System.arraycopy(fields, 0, all, 0, fields.length);
-    all[fields.length] = "placer";
-    all[fields.length + 1] = placer;
-    all[fields.length + 2] = "lost";
-    all[fields.length + 3] = lost;
-    tap.line(name(), what, all);
+    event.with(RecordField.SCHEDULER, placer).with(RecordField.IS_LOST, lost).write();
     if (!lost) {
       out.onNext(m.build());
     } else if (answer && resets && out != null) {
@@ -337,6 +321,12 @@
     }
   }
 
+  private WireRecorder.Event event(RecordKind kind, HostedVm t) {
+    return tap.event(name(), kind)
+        .with(RecordField.VM, t.vm)
+        .with(RecordField.ATTEMPT_NUMBER, t.number);
+  }
+
   private Report.Builder load(long probe) {
     return Report.newBuilder()
         .setProbe(probe)
@@ -354,11 +344,7 @@
         t.placer,
         FromMachine.newBuilder().setAccepted(Accepted.newBuilder().setClaim(name(t))),
         true,
-        "accepted",
-        "vm",
-        t.vm,
-        "n",
-        t.number);
+        event(RecordKind.ACCEPTED, t));
   }
 
   @Override
@@ -379,13 +365,7 @@
                         })
                     .setReport(load(0))),
         true,
-        "refused",
-        "vm",
-        t.vm,
-        "n",
-        t.number,
-        "why",
-        why);
+        event(RecordKind.REFUSED, t).with(RecordField.REASON, why));
   }
 
   @Override
@@ -398,13 +378,7 @@
         FromMachine.newBuilder()
             .setStarted(Started.newBuilder().setClaim(name(t)).setReport(load(0))),
         true,
-        "started",
-        "vm",
-        t.vm,
-        "n",
-        t.number,
-        "flavour",
-        t.priorityClass);
+        event(RecordKind.STARTED, t).with(RecordField.PRIORITY_CLASS, t.priorityClass));
     if (cutNow(CutPoint.AFTER_ANSWER, t.priorityClass)) {
       cut(t.placer);
     }
@@ -429,22 +403,21 @@
                           default -> Finished.How.ERROR;
                         })),
         true,
-        "finished",
-        "vm",
-        t.vm,
-        "n",
-        t.number,
-        "how",
-        how,
-        "ran",
-        ran);
+        event(RecordKind.FINISHED, t)
+            .with(RecordField.END_KIND, how)
+            .with(RecordField.HAS_RUN, ran));
   }
 
   private void note(HostedVm t, Note.What what, double amount) {
     ServerCallStreamObserver<FromMachine> out = streams.get(t.placer);
     // Notes are news, not answers: they give way when the stream is slow.
     if (!hung && out != null && out.isReady()) {
-      tap.line(name(), "note", "placer", t.placer, "vm", t.vm, "of", what, "amount", amount);
+      tap.event(name(), RecordKind.USAGE_NOTE)
+          .with(RecordField.SCHEDULER, t.placer)
+          .with(RecordField.VM, t.vm)
+          .with(RecordField.SUBJECT, what)
+          .with(RecordField.AMOUNT, amount)
+          .write();
       out.onNext(
           FromMachine.newBuilder()
               .setNote(Note.newBuilder().setClaim(name(t)).setWhat(what).setAmount(amount))
@@ -474,12 +447,16 @@
 
   @Override
   public void report(String placer, long probe) {
-    say(placer, FromMachine.newBuilder().setReport(load(probe)), false, "report", "probe", probe);
+    say(
+        placer,
+        FromMachine.newBuilder().setReport(load(probe)),
+        false,
+        tap.event(name(), RecordKind.LOAD_REPORT).with(RecordField.PROBE_NUMBER, probe));
   }
 
   @Override
   public void fell() {
-    tap.line(name(), "fell");
+    tap.event(name(), RecordKind.MACHINE_OVERLOADED).write();
     loop.execute(() -> silence(true));
   }
 
@@ -556,7 +533,7 @@
     for (String p : placer == null ? List.copyOf(streams.keySet()) : List.of(placer)) {
       ServerCallStreamObserver<FromMachine> out = streams.remove(p);
       if (out != null) {
-        tap.line(name(), "cut", "placer", p);
+        tap.event(name(), RecordKind.CUT).with(RecordField.SCHEDULER, p).write();
         out.onError(Status.UNAVAILABLE.withDescription("cut").asRuntimeException());
       }
     }
@@ -564,7 +541,7 @@
 
   /** The process dies: streams reset, what ran is lost. */
   void crash() {
-    tap.line(name(), "crash");
+    tap.event(name(), RecordKind.CRASH).write();
     model.die();
     streams.clear();
     hung = true;
@@ -577,7 +554,7 @@
   void rise() {
     try {
       if (silent) {
-        tap.line(name(), "crash");
+        tap.event(name(), RecordKind.CRASH).write();
         server.shutdownNow();
         children.forEach(Channel::close);
         children.clear();
@@ -588,25 +565,20 @@
       hung = false;
       model.trouble.paused = false;
       model.restart(now());
-      tap.line(
-          name(),
-          "born",
-          "bears",
-          make.coldBears(),
-          "multiple",
-          make.fallMultiple(),
-          "over",
-          make.fallOver().toNanos() / 1000,
-          "from",
-          make.coldFrom(),
-          "warm",
-          make.warmAfter().toNanos() / 1000,
-          "rate",
-          make.starts() * make.speed() / (make.work().toNanos() / 1e9));
+      tap.event(name(), RecordKind.MACHINE_STARTED)
+          .with(RecordField.MIN_WARMING_OFFERS, make.coldBears())
+          .with(RecordField.OVERLOAD_MULTIPLE, make.fallMultiple())
+          .with(RecordField.OVERLOAD_SPAN, make.fallOver().toNanos() / 1000)
+          .with(RecordField.INITIAL_PACE, make.coldFrom())
+          .with(RecordField.WARM_UP, make.warmAfter().toNanos() / 1000)
+          .with(RecordField.FULL_RATE, make.starts() * make.speed() / (make.work().toNanos() / 1e9))
+          .write();
       Server old = server;
       listenSoon(old, 0);
     } catch (RuntimeException e) {
-      tap.line(name(), "rise-failed", "why", e.toString());
+      tap.event(name(), RecordKind.MACHINE_START_FAILED)
+          .with(RecordField.REASON, e.toString())
+          .write();
     }
   }
 
@@ -625,7 +597,9 @@
                     Thread.sleep(20);
                   }
                 }
-                tap.line(name(), "rise-failed", "why", "port in use");
+                tap.event(name(), RecordKind.MACHINE_START_FAILED)
+                    .with(RecordField.REASON, "port in use")
+                    .write();
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
               }
--- a/src/main/java/fordridge/emulator/EmulatedRegistry.java
+++ b/src/main/java/fordridge/emulator/EmulatedRegistry.java
@@ -1,5 +1,8 @@
 package fordridge.emulator;
 
+import fordridge.emulator.record.RecordField;
+import fordridge.emulator.record.RecordKind;
+import fordridge.emulator.record.WireRecorder;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -98,16 +101,18 @@
                               k.machine.model().freeMemory())));
       now = new LinkedHashMap<>(known);
     }
-    shots.addLast(new Snapshot(tap.now(), now));
+    shots.addLast(new Snapshot(tap.nowUs(), now));
     Snapshot due = null;
-    while (!shots.isEmpty() && shots.peekFirst().at + lateUs <= tap.now()) {
+    while (!shots.isEmpty() && shots.peekFirst().at + lateUs <= tap.nowUs()) {
       due = shots.removeFirst();
     }
     if (due != null) {
       try {
         write(due.known);
       } catch (IOException e) {
-        tap.line("registry", "failed", "why", e.toString());
+        tap.event("registry", RecordKind.FAULT_FAILED)
+            .with(RecordField.REASON, e.toString())
+            .write();
       }
     }
   }
@@ -198,15 +203,11 @@
           }
           String news = k.state + " " + k.started;
           if (!news.equals(published.put(name, news))) {
-            tap.line(
-                "registry",
-                "listed",
-                "machine",
-                name,
-                "state",
-                k.state,
-                "started",
-                k.started == null ? "" : k.started.toString());
+            tap.event("registry", RecordKind.MACHINE_LISTED)
+                .with(RecordField.MACHINE, name)
+                .with(RecordField.STATE, k.state)
+                .with(RecordField.STARTED_AT, k.started == null ? "" : k.started.toString())
+                .write();
           }
         });
   }
--- a/src/main/java/fordridge/emulator/FaultInjector.java
+++ b/src/main/java/fordridge/emulator/FaultInjector.java
@@ -1,5 +1,8 @@
 package fordridge.emulator;
 
+import fordridge.emulator.record.RecordField;
+import fordridge.emulator.record.RecordKind;
+import fordridge.emulator.record.WireRecorder;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -46,7 +49,9 @@
       at(
           f.at(),
           () -> {
-            tap.line("faults", "begins", "kind", f.kind());
+            tap.event("faults", RecordKind.FAULT_BEGINS)
+                .with(RecordField.FAULT_KIND, f.kind())
+                .write();
             begin(f, draw);
           });
     }
@@ -58,7 +63,9 @@
           try {
             what.run();
           } catch (RuntimeException e) {
-            tap.line("faults", "failed", "why", e.toString());
+            tap.event("faults", RecordKind.FAULT_FAILED)
+                .with(RecordField.REASON, e.toString())
+                .write();
           }
         },
         in.toMillis(),
@@ -216,7 +223,7 @@
     for (EmulatedMachine m : some) {
       m.act(
           () -> {
-            tap.line(m.name(), "vanish");
+            tap.event(m.name(), RecordKind.VANISH).write();
             m.silence(true);
           });
       at(min(away, Duration.ofSeconds(3)), () -> registry.set(m, "gone", null));
@@ -243,7 +250,7 @@
       registry.set(m, "draining", null);
       m.act(
           () -> {
-            tap.line(m.name(), "drain");
+            tap.event(m.name(), RecordKind.DRAIN).write();
             m.model().drain(notice);
           });
       at(
--- a/src/main/java/fordridge/emulator/Scenario.java
+++ b/src/main/java/fordridge/emulator/Scenario.java
@@ -6,6 +6,11 @@
 import fordridge.constraint.ConstraintParser;
 import fordridge.constraint.ConstraintValidator;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.emulator.invariant.InvariantChecker;
+import fordridge.emulator.invariant.Verdict;
+import fordridge.emulator.record.RecordField;
+import fordridge.emulator.record.RecordKind;
+import fordridge.emulator.record.WireRecorder;
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.settings.DeploymentSettings;
 import io.netty.channel.EventLoopGroup;
@@ -35,7 +40,7 @@
   /** What a day came to. */
   public record Outcome(
       String table,
-      InvariantChecker.Verdict verdict,
+      Verdict verdict,
       double inTime,
       double p50,
       double p99,
@@ -83,14 +88,17 @@
     EmulatedEtcd etcd = null;
     WireRecorder tap = new WireRecorder(tapFile);
     try (tap) {
-      InvariantChecker.header(tap, plan);
+      recordSettings(tap, plan.deployment);
       if (!plan.rules.isBlank()) {
         File rules = new File(folder, "rules.txt");
         Files.writeString(rules.toPath(), plan.rules);
         plan.deploymentText =
             plan.deploymentText.withValue(
                 "constraints.file", ConfigValueFactory.fromAnyRef(rules.getAbsolutePath()));
-        tap.line("rig", "rules", "text", plan.rules, "placers", plan.deployment.allPlacers());
+        tap.event("rig", RecordKind.CONSTRAINTS_PUBLISHED)
+            .with(RecordField.CONSTRAINT_TEXT, plan.rules)
+            .with(RecordField.SCHEDULER_COUNT, plan.deployment.allPlacers())
+            .write();
       }
       fleet(machineLoops, tap);
       if (plan.registryEtcd) {
@@ -124,20 +132,20 @@
       feelStalls(clock, tap, System.nanoTime());
       double cpuBefore = placers.cpuSeconds();
       long begun = System.nanoTime();
-      long until = tap.now() + plan.length.toNanos() / 1000;
+      long until = tap.nowUs() + plan.length.toNanos() / 1000;
       owners.forEach(o -> o.act(() -> o.arrivals(until)));
       watch(begun);
       String costs = placers.costs(cpuBefore, (System.nanoTime() - begun) / 1e9);
       owners.forEach(o -> o.act(o::close));
       boolean answered = placers.stop();
-      tap.line("rig", "ends", "answered", answered);
+      tap.event("rig", RecordKind.SCENARIO_ENDS).with(RecordField.IS_ANSWERED, answered).write();
       Thread.sleep(100);
       placers = null;
       registry.close();
       machines.forEach(m -> m.act(m::close));
       spares.forEach(m -> m.act(m::close));
       tap.close();
-      InvariantChecker.Verdict verdict = InvariantChecker.judge(tapFile);
+      Verdict verdict = InvariantChecker.check(tapFile);
       return new Outcome(
           score.table(),
           verdict,
@@ -200,7 +208,10 @@
             slowest[0] = Math.max(slowest[0], millis);
             refused[0] += kept ? 0 : 1;
             if (kept) {
-              tap.line("rig", "rules", "text", text, "placers", plan.deployment.allPlacers());
+              tap.event("rig", RecordKind.CONSTRAINTS_PUBLISHED)
+                  .with(RecordField.CONSTRAINT_TEXT, text)
+                  .with(RecordField.SCHEDULER_COUNT, plan.deployment.allPlacers())
+                  .write();
             }
             etcd.put(plan.deployment.etcdPrefix + "/terms/constraints", text);
             if (number + 1 == plan.sets) {
@@ -221,12 +232,33 @@
   private static void feelStalls(ScheduledExecutorService clock, WireRecorder tap, long due) {
     long late = (System.nanoTime() - due) / 1000;
     if (late > 20_000) {
-      tap.line("rig", "stalled", "for", late);
+      tap.event("rig", RecordKind.EMULATOR_STALLED).with(RecordField.STALL, late).write();
     }
     long next = System.nanoTime() + 10_000_000;
     clock.schedule(() -> feelStalls(clock, tap, next), 10, TimeUnit.MILLISECONDS);
   }
 
+  /** Records what the invariants depend on. */
+  private static void recordSettings(WireRecorder recorder, DeploymentSettings settings) {
+    recorder
+        .event("rig", RecordKind.SETTINGS)
+        .with(RecordField.DRAIN_GRACE, settings.drainGrace.toNanos() / 1000)
+        .with(RecordField.POLL_INTERVAL, settings.poll.toNanos() / 1000)
+        .with(RecordField.ACCEPTANCE_SIGNAL, settings.yes)
+        .write();
+    for (DeploymentSettings.PriorityClass priorityClass : settings.priorityClasses.values()) {
+      recorder
+          .event("rig", RecordKind.PRIORITY_CLASS)
+          .with(RecordField.NAME, priorityClass.name())
+          .with(RecordField.RETRY_SAFETY, priorityClass.effect())
+          .with(RecordField.DEDUPLICATION_DOMAIN, priorityClass.group())
+          .with(RecordField.DEDUPLICATION_WINDOW, priorityClass.window().toNanos() / 1000)
+          .with(RecordField.SPREAD_DOMAIN, priorityClass.spread())
+          .with(RecordField.SPREAD_LIMIT, priorityClass.most())
+          .write();
+    }
+  }
+
   private void watch(long begun) throws InterruptedException {
     long total = plan.length.plus(plan.settle).toSeconds();
     long last = -1;
@@ -290,19 +322,13 @@
       EmulatedMachine m =
           new EmulatedMachine(make, plan.uses, plan.seed * 7919 + i, loops.next(), tap, begun);
       (i < plan.machines ? machines : spares).add(m);
-      tap.line(
-          m.name(),
-          "machine",
-          "kind",
-          make.kind(),
-          "zone",
-          make.zone(),
-          "cell",
-          make.cell(),
-          "cores",
-          make.cores(),
-          "memory",
-          make.memory());
+      tap.event(m.name(), RecordKind.MACHINE)
+          .with(RecordField.MACHINE_KIND, make.kind())
+          .with(RecordField.ZONE, make.zone())
+          .with(RecordField.CELL, make.cell())
+          .with(RecordField.CORES, make.cores())
+          .with(RecordField.MEMORY, make.memory())
+          .write();
     }
   }
 
@@ -391,7 +417,7 @@
     @Override
     public void snapshot(String who) {
       closed.remove(who);
-      tap.line("etcd", "told-all", "placer", who);
+      tap.event("etcd", RecordKind.SNAPSHOT_SENT).with(RecordField.SCHEDULER, who).write();
     }
 
     @Override
@@ -403,17 +429,12 @@
       boolean closes = of.equals("drain") != deleted;
       Set<String> its = closed.computeIfAbsent(who, k -> new HashSet<>());
       if (!of.isEmpty() && (closes ? its.add(key) : its.remove(key))) {
-        tap.line(
-            "etcd",
-            "told",
-            "placer",
-            who,
-            "machine",
-            key.substring(key.lastIndexOf('/') + 1),
-            "of",
-            of,
-            "closed",
-            closes);
+        tap.event("etcd", RecordKind.CHANGE_SENT)
+            .with(RecordField.SCHEDULER, who)
+            .with(RecordField.MACHINE, key.substring(key.lastIndexOf('/') + 1))
+            .with(RecordField.SUBJECT, of)
+            .with(RecordField.IS_CLOSED, closes)
+            .write();
       }
     }
   }
--- /dev/null
+++ b/src/main/java/fordridge/emulator/invariant/InvariantChecker.java
@@ -0,0 +1,234 @@
+package fordridge.emulator.invariant;
+
+import fordridge.emulator.record.RecordField;
+import fordridge.emulator.record.RecordKind;
+import fordridge.emulator.record.RecordedEvent;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+
+/**
+ * Checks the invariants from a wire recording alone.
+ *
+ * <p>What a machine did counts even where its answer was lost. What a scheduler was notified of
+ * counts from when it was published, plus the time that the settings give a scheduler to see it.
+ * Tenants' constraints are checked where the recording has them.
+ */
+public final class InvariantChecker {
+  private final ObservedState state = new ObservedState();
+  private final Findings findings = new Findings();
+  private final ResponseInvariant responses = new ResponseInvariant(state, findings);
+  private final DuplicateEffectInvariant duplicates = new DuplicateEffectInvariant(state, findings);
+  private final DrainInvariant drains = new DrainInvariant(state, findings);
+  private final SlowStartInvariant slowStarts = new SlowStartInvariant(state, findings);
+  private final SpreadInvariant spread = new SpreadInvariant(state, findings);
+  private final ConstraintInvariant constraints = new ConstraintInvariant(state, findings);
+
+  private InvariantChecker() {}
+
+  /** Reads a recording and checks it. */
+  public static Verdict check(File recording) throws IOException {
+    InvariantChecker checker = new InvariantChecker();
+    try (BufferedReader in = Files.newBufferedReader(recording.toPath())) {
+      long lineNumber = 0;
+      for (String line = in.readLine(); line != null; line = in.readLine()) {
+        lineNumber++;
+        checker.findings.moveTo(lineNumber);
+        if (!line.isBlank()) {
+          RecordedEvent event = RecordedEvent.parse(line, lineNumber);
+          event.kind().ifPresent(kind -> checker.observe(event, kind));
+        }
+      }
+    }
+    checker.finish();
+    return checker.findings.verdict();
+  }
+
+  private void observe(RecordedEvent event, RecordKind kind) {
+    switch (kind) {
+      case SETTINGS, PRIORITY_CLASS, EMULATOR_STALLED, CONSTRAINTS_PUBLISHED ->
+          observeEmulator(event, kind);
+      case MACHINE,
+          MACHINE_LISTED,
+          SNAPSHOT_SENT,
+          CHANGE_SENT,
+          MACHINE_STARTED,
+          MACHINE_OVERLOADED,
+          CRASH ->
+          observeFleet(event, kind);
+      case OFFER, CANCEL, ACCEPTED, REFUSED, STARTED, FINISHED -> observeAttempt(event, kind);
+      case CUT, STREAM_CLOSED -> {
+        if (state.isMachine(event.source())) {
+          connectionBroken(event);
+        } else {
+          responses.clientDisconnected(event);
+        }
+      }
+      case STREAM_BROKEN -> responses.clientDisconnected(event);
+      case WELCOME,
+          PLACEMENT_REQUESTED,
+          REQUEST_WITHDRAWN,
+          BOUND,
+          DENIED,
+          ERRORED,
+          ENDED,
+          MOVED,
+          REPEATED ->
+          observeClient(event, kind);
+      default -> {
+        // The other kinds are for the reader of a recording.
+      }
+    }
+  }
+
+  private void observeEmulator(RecordedEvent event, RecordKind kind) {
+    switch (kind) {
+      case SETTINGS -> state.settingsRecorded(event);
+      case PRIORITY_CLASS -> state.priorityClassRecorded(event);
+      case EMULATOR_STALLED -> {
+        state.emulatorStalled(event);
+        findings.maximum(Figure.LONGEST_EMULATOR_STALL_US, event.whole(RecordField.STALL));
+      }
+      case CONSTRAINTS_PUBLISHED -> constraints.constraintsPublished(event);
+      default -> throw unexpected(kind);
+    }
+  }
+
+  private void observeFleet(RecordedEvent event, RecordKind kind) {
+    switch (kind) {
+      case MACHINE -> state.machine(event.source()).described(event);
+      case MACHINE_LISTED ->
+          state
+              .machine(event.text(RecordField.MACHINE))
+              .listed(event.text(RecordField.STATE).equals("live"), event.timeUs());
+      case SNAPSHOT_SENT -> drains.snapshotSent(event);
+      case CHANGE_SENT -> drains.changeSent(event);
+      case MACHINE_STARTED -> state.machine(event.source()).started(event);
+      case MACHINE_OVERLOADED -> slowStarts.machineOverloaded(event);
+      case CRASH -> crashed(event);
+      default -> throw unexpected(kind);
+    }
+  }
+
+  private void observeClient(RecordedEvent event, RecordKind kind) {
+    switch (kind) {
+      case WELCOME -> responses.clientConnected(event);
+      case PLACEMENT_REQUESTED -> responses.placementRequested(event);
+      case REQUEST_WITHDRAWN -> responses.requestWithdrawn(event);
+      case BOUND, ERRORED -> responses.responded(event, kind);
+      case DENIED ->
+          responses
+              .responded(event, kind)
+              .ifPresent(priorityClass -> duplicates.requestRejected(event, priorityClass));
+      case ENDED, MOVED -> responses.terminated(event);
+      case REPEATED -> responses.sequenceRepeated(event);
+      default -> throw unexpected(kind);
+    }
+  }
+
+  private void observeAttempt(RecordedEvent event, RecordKind kind) {
+    if (kind == RecordKind.OFFER) {
+      offered(new ObservedAttempt(event));
+      return;
+    }
+    for (ObservedAttempt attempt : state.attemptsOf(event)) {
+      switch (kind) {
+        case CANCEL -> attempt.cancelled(event.timeUs());
+        case ACCEPTED -> attempt.isAnswered |= state.isAcceptanceAnAnswer() && isHeard(event);
+        case REFUSED -> refused(attempt, event);
+        case STARTED -> started(attempt, event);
+        case FINISHED -> finished(attempt, event);
+        default -> throw unexpected(kind);
+      }
+    }
+  }
+
+  private void offered(ObservedAttempt attempt) {
+    duplicates.attemptOffered(attempt);
+    state.add(attempt);
+    constraints.attemptOffered(attempt);
+    drains.attemptOffered(attempt);
+    slowStarts.attemptOffered(attempt);
+    spread.attemptOffered(attempt);
+  }
+
+  private void refused(ObservedAttempt attempt, RecordedEvent event) {
+    attempt.hasNeverRun = true;
+    attempt.isAnswered |= isHeard(event);
+    over(attempt, event.timeUs());
+    duplicates.attemptRefused(attempt);
+  }
+
+  private void started(ObservedAttempt attempt, RecordedEvent event) {
+    attempt.isAnswered |= isHeard(event);
+    if (attempt.isStarted()) {
+      // The answer is repeated after a repeated offer or to a scheduler that reconnected.
+      return;
+    }
+    attempt.started(event.timeUs());
+    constraints.attemptStarted(attempt);
+    duplicates.attemptStarted(attempt);
+  }
+
+  private void finished(ObservedAttempt attempt, RecordedEvent event) {
+    attempt.hasNeverRun |=
+        event.isFalse(RecordField.HAS_RUN) && event.text(RecordField.END_KIND).equals("CANCELLED");
+    if (!isHeard(event) && attempt.isAnswered) {
+      constraints.endLost(attempt);
+    }
+    attempt.isAnswered |= isHeard(event);
+    over(attempt, event.timeUs());
+  }
+
+  /** The machine counts nothing for the attempt any more. */
+  private void over(ObservedAttempt attempt, long nowUs) {
+    if (attempt.isOver) {
+      return;
+    }
+    attempt.isOver = true;
+    constraints.attemptOver(attempt, nowUs);
+    spread.attemptOver(attempt);
+  }
+
+  private void connectionBroken(RecordedEvent event) {
+    String scheduler = event.text(RecordField.SCHEDULER);
+    state.forEachOpenAttempt(
+        event.source(),
+        attempt -> {
+          if (attempt.scheduler.equals(scheduler)) {
+            attempt.connectionBroken(event.timeUs());
+          }
+        });
+  }
+
+  private void crashed(RecordedEvent event) {
+    state.forEachOpenAttempt(
+        event.source(),
+        attempt -> {
+          attempt.connectionBroken(event.timeUs());
+          over(attempt, event.timeUs());
+        });
+  }
+
+  private void finish() {
+    duplicates.finish();
+    responses.finish();
+    findings.set(
+        Figure.ATTEMPTS, state.allAttempts().stream().mapToLong(attempts -> attempts.size()).sum());
+    findings.set(
+        Figure.ATTEMPTS_STARTED,
+        state.allAttempts().stream()
+            .flatMap(attempts -> attempts.stream())
+            .filter(ObservedAttempt::isStarted)
+            .count());
+  }
+
+  private static boolean isHeard(RecordedEvent event) {
+    return !event.isTrue(RecordField.IS_LOST);
+  }
+
+  private static IllegalArgumentException unexpected(RecordKind kind) {
+    return new IllegalArgumentException("unexpected kind of event: " + kind);
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/emulator/invariant/Verdict.java
@@ -0,0 +1,50 @@
+package fordridge.emulator.invariant;
+
+import java.util.List;
+import java.util.Map;
+
+/** The result of checking a recording. */
+public record Verdict(List<Violation> violations, Map<Figure, Long> figures) {
+  private static final int MAX_VIOLATIONS_SHOWN = 5;
+
+  /** Whether no invariant was broken. */
+  public boolean kept() {
+    return violations.isEmpty();
+  }
+
+  /** A report of several lines: the invariants with their first violations, then the figures. */
+  public String text() {
+    StringBuilder text = new StringBuilder();
+    for (Invariant invariant : Invariant.values()) {
+      if (isChecked(invariant)) {
+        append(text, invariant);
+      }
+    }
+    figures.forEach(
+        (figure, value) -> text.append(String.format("  %-52s %d%n", figure.label(), value)));
+    return text.toString();
+  }
+
+  private boolean isChecked(Invariant invariant) {
+    return invariant != Invariant.TENANT_CONSTRAINTS_RESPECTED
+        || figures.containsKey(Figure.OFFERS_CHECKED_AGAINST_CONSTRAINTS);
+  }
+
+  private void append(StringBuilder text, Invariant invariant) {
+    List<Violation> broken =
+        violations.stream().filter(violation -> violation.invariant() == invariant).toList();
+    text.append(
+        String.format(
+            "rule %d, %s: %s%n",
+            invariant.number(),
+            invariant.title(),
+            broken.isEmpty() ? "kept" : "BROKEN " + broken.size() + " times"));
+    for (Violation violation : broken.subList(0, Math.min(MAX_VIOLATIONS_SHOWN, broken.size()))) {
+      text.append("    line ")
+          .append(violation.line())
+          .append(": ")
+          .append(violation.description())
+          .append('\n');
+    }
+  }
+}
--- a/src/test/java/fordridge/emulator/ScenarioTest.java
+++ b/src/test/java/fordridge/emulator/ScenarioTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import fordridge.emulator.invariant.Figure;
 import java.io.File;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -20,9 +21,9 @@
             Map.of(),
             out,
             new PrintStream(OutputStream.nullOutputStream()));
-    assertThat(o.verdict().breaks()).as(o.verdict().text()).isEmpty();
+    assertThat(o.verdict().violations()).as(o.verdict().text()).isEmpty();
     assertThat(o.asked()).isGreaterThan(300);
-    assertThat(o.verdict().figures().get("one-shot starts")).isGreaterThan(10);
+    assertThat(o.verdict().figures().get(Figure.NON_IDEMPOTENT_STARTS)).isGreaterThan(10);
     assertThat(o.inTime()).as(o.table()).isGreaterThan(0.5);
   }
 }
--- a/src/test/java/fordridge/emulator/InvariantCheckerTest.java
+++ b/src/test/java/fordridge/emulator/invariant/InvariantCheckerTest.java
@@ -1,4 +1,4 @@
-package fordridge.emulator;
+package fordridge.emulator.invariant;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -24,7 +24,7 @@
   };
 
   /** Lines as "t at what name=value ..."; whole numbers and true, false as such. */
-  private static InvariantChecker.Verdict judge(String... lines) throws IOException {
+  private static Verdict judge(String... lines) throws IOException {
     File f = Files.createTempFile("tap", ".jsonl").toFile();
     f.deleteOnExit();
     List<String> all = new ArrayList<>(Arrays.asList(TERMS));
@@ -50,7 +50,7 @@
       text.append("}\n");
     }
     Files.writeString(f.toPath(), text);
-    return InvariantChecker.judge(f);
+    return InvariantChecker.check(f);
   }
 
   private static String want(long t, String vm, String priorityClass) {
@@ -84,14 +84,16 @@
         + more;
   }
 
-  private static void broken(InvariantChecker.Verdict v, int rule, String words) {
-    assertThat(v.breaks()).as(v.text()).anyMatch(b -> b.rule() == rule && b.what().contains(words));
+  private static void broken(Verdict v, int rule, String words) {
+    assertThat(v.violations())
+        .as(v.text())
+        .anyMatch(b -> b.invariant().number() == rule && b.description().contains(words));
     assertThat(v.kept()).isFalse();
   }
 
   @Example
   void aSoundTapIsPassed() throws IOException {
-    InvariantChecker.Verdict v =
+    Verdict v =
         judge(
             want(1000, "v", "once"),
             offer(2000, "m1", "v", 0, "once"),
@@ -101,7 +103,7 @@
             "91000 o bound vm=v machine=m2",
             said(900000, "m2", "finished", "v", 1, "how=DONE ran=true"),
             "901000 o ended vm=v how=DONE");
-    assertThat(v.breaks()).as(v.text()).isEmpty();
+    assertThat(v.violations()).as(v.text()).isEmpty();
   }
 
   @Example
@@ -279,7 +281,7 @@
     File f = Files.createTempFile("tap", ".jsonl").toFile();
     f.deleteOnExit();
     Files.writeString(f.toPath(), "{\"t\":1,\"at\":\"x\",\"what\":\"y\"}\n{\"t\":\n");
-    assertThatThrownBy(() -> InvariantChecker.judge(f)).hasMessageContaining("line 2");
+    assertThatThrownBy(() -> InvariantChecker.check(f)).hasMessageContaining("line 2");
   }
 
   @Example
@@ -289,7 +291,7 @@
                     want(1000, "v", "safe"),
                     "4100000 rig stalled for=120000",
                     "4130000 o denied vm=v")
-                .breaks())
+                .violations())
         .isEmpty();
     broken(
         judge(want(1000, "v", "safe"), "4100000 rig stalled for=60000", "4130000 o denied vm=v"),
@@ -305,8 +307,8 @@
     return t + " rig rules placers=2 text=" + text.replace(' ', '~');
   }
 
-  private static long sixth(InvariantChecker.Verdict v) {
-    return v.breaks().stream().filter(b -> b.rule() == 6).count();
+  private static long sixth(Verdict v) {
+    return v.violations().stream().filter(b -> b.invariant().number() == 6).count();
   }
 
   @Example
