--- a/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
+++ b/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
@@ -116,7 +116,7 @@
       List<PlacementConstraint> constraints, List<Placement> others, Placement placement) {
     for (PlacementConstraint constraint : constraints) {
       if (constraint.required() && !isKept(constraint, others, placement)) {
-        return Optional.of("rule '" + constraint.name() + "' (" + constraint.clause() + ")");
+        return Optional.of("constraint '" + constraint.name() + "' (" + constraint.clause() + ")");
       }
     }
     return Optional.empty();
--- a/src/main/java/fordridge/emulator/invariant/DrainInvariant.java
+++ b/src/main/java/fordridge/emulator/invariant/DrainInvariant.java
@@ -67,7 +67,8 @@
     long lateUs = attempt.offeredAtUs - sinceUs;
     findings.maximum(Figure.LATEST_OFFER_AFTER_DRAIN_SENT_US, lateUs);
     if (lateUs > state.drainGraceUs()) {
-      findings.violated(DRAIN_RESPECTED, describe(attempt, lateUs) + " ms after it was told");
+      findings.violated(
+          DRAIN_RESPECTED, describe(attempt, lateUs) + " ms after the change was sent");
     }
   }
 
--- a/src/main/java/fordridge/emulator/invariant/DuplicateEffectInvariant.java
+++ b/src/main/java/fordridge/emulator/invariant/DuplicateEffectInvariant.java
@@ -49,7 +49,11 @@
     long nowUs = attempt.offeredAtUs;
     boolean isOutstanding = earlier.isOutstanding(nowUs, ObservedState.TOLERANCE_US);
     String description =
-        describe(attempt) + " sent while claim " + earlier.number + " is out on " + earlier.machine;
+        describe(attempt)
+            + " offered while attempt "
+            + earlier.number
+            + " is outstanding on "
+            + earlier.machine;
     if (isOutstanding && nowUs >= earlier.deadlineUs - CANCELLATION_WINDOW_US) {
       possibleDuplicates.add(new PossibleDuplicate(findings.line(), earlier, nowUs, description));
     } else if (isOutstanding || earlier.isKnownToRun(nowUs, state.toleranceUs(nowUs))) {
@@ -68,34 +72,36 @@
       case NON_IDEMPOTENT ->
           findings.violated(
               NO_DUPLICATE_EFFECT,
-              "claim "
+              "attempt "
                   + attempt.number
-                  + " of one-shot "
+                  + " of non-idempotent "
                   + attempt.vm
-                  + " sent though claim "
+                  + " offered though attempt "
                   + earlier.number
                   + " on "
                   + earlier.machine
-                  + " is not known not to have run");
+                  + " may have run");
     }
   }
 
   private void checkIdempotencyKey(
       ObservedAttempt attempt, ObservedAttempt earlier, PriorityClassSettings settings) {
-    String description = "claim " + attempt.number + " of tokened " + attempt.vm;
+    String description = "attempt " + attempt.number + " of idempotent " + attempt.vm;
     ObservedMachine machine = state.machine(attempt.machine);
     ObservedMachine earlierMachine = state.machine(earlier.machine);
     if (!settings.deduplicationDomain().isSame(machine, earlierMachine)) {
-      findings.violated(NO_DUPLICATE_EFFECT, description + " sent out of its group");
+      findings.violated(
+          NO_DUPLICATE_EFFECT, description + " offered outside its deduplication domain");
     }
     long windowEndUs = earlier.offeredAtUs + settings.deduplicationWindowUs();
     if (attempt.offeredAtUs > windowEndUs + ObservedState.TOLERANCE_US) {
-      findings.violated(NO_DUPLICATE_EFFECT, description + " sent past its window");
+      findings.violated(
+          NO_DUPLICATE_EFFECT, description + " offered after its deduplication window");
     }
   }
 
   private static String describe(ObservedAttempt attempt) {
-    return "claim " + attempt.number + " of " + attempt.vm;
+    return "attempt " + attempt.number + " of " + attempt.vm;
   }
 
   /** A VM started for the first time in this attempt; the state has it already. */
@@ -108,7 +114,8 @@
       findings.count(Figure.NON_IDEMPOTENT_STARTS);
       if (starts > 1) {
         findings.violated(
-            NO_DUPLICATE_EFFECT, "one-shot " + attempt.vm + " was started " + starts + " times");
+            NO_DUPLICATE_EFFECT,
+            "non-idempotent " + attempt.vm + " was started " + starts + " times");
       }
     } else if (starts > 1) {
       findings.count(Figure.REPEATED_IDEMPOTENT_STARTS);
@@ -132,7 +139,7 @@
       if (attempt.isStarted()) {
         findings.violated(
             NO_DUPLICATE_EFFECT,
-            vm + " denied though claim " + attempt.number + " ran on " + attempt.machine);
+            vm + " rejected though attempt " + attempt.number + " ran on " + attempt.machine);
       }
     }
   }
--- a/src/main/java/fordridge/emulator/invariant/Invariant.java
+++ b/src/main/java/fordridge/emulator/invariant/Invariant.java
@@ -2,12 +2,12 @@
 
 /** The promises of the schedulers that are checked against a recording. */
 public enum Invariant {
-  TIMELY_RESPONSE(1, "one answer in time"),
-  NO_DUPLICATE_EFFECT(2, "no double effect"),
-  DRAIN_RESPECTED(3, "drains kept"),
-  SLOW_START_RESPECTED(4, "no cold machine pushed over"),
-  SPREAD_RESPECTED(5, "spread kept"),
-  TENANT_CONSTRAINTS_RESPECTED(6, "customers' rules kept");
+  TIMELY_RESPONSE(1, "one final response in time"),
+  NO_DUPLICATE_EFFECT(2, "no duplicate effect"),
+  DRAIN_RESPECTED(3, "drains respected"),
+  SLOW_START_RESPECTED(4, "no overload while warming up"),
+  SPREAD_RESPECTED(5, "spread respected"),
+  TENANT_CONSTRAINTS_RESPECTED(6, "tenants' constraints respected");
 
   private final int number;
   private final String title;
--- a/src/main/java/fordridge/emulator/invariant/ResponseInvariant.java
+++ b/src/main/java/fordridge/emulator/invariant/ResponseInvariant.java
@@ -89,13 +89,13 @@
     findings.count(figureOf(response));
     if (request == null) {
       findings.violated(
-          TIMELY_RESPONSE, response.text() + " for " + vm + ", which was not asked for");
+          TIMELY_RESPONSE, describe(response) + " for " + vm + ", which was not requested");
       return Optional.empty();
     }
     if (request.response.isPresent()) {
       findings.violated(
           TIMELY_RESPONSE,
-          response.text() + " after " + request.response.get().text() + " for " + vm);
+          describe(response) + " after " + describe(request.response.get()) + " for " + vm);
       return Optional.empty();
     }
     request.response = Optional.of(response);
@@ -112,18 +112,26 @@
     };
   }
 
+  private static String describe(RecordKind response) {
+    return switch (response) {
+      case BOUND -> "accepted";
+      case DENIED -> "rejected";
+      default -> "failed";
+    };
+  }
+
   private void checkInTime(RecordedEvent event, RecordKind response, ObservedRequest request) {
     long nowUs = event.timeUs();
     boolean isLate = nowUs > request.deadlineUs + state.toleranceUs(nowUs);
     if (isLate && !request.isWithdrawn && !wasDisconnected(event.source(), request.deadlineUs)) {
       findings.violated(
           TIMELY_RESPONSE,
-          response.text()
+          describe(response)
               + " for "
               + qualifiedVm(event)
               + " "
               + (nowUs - request.deadlineUs) / 1000
-              + " ms too late");
+              + " ms after the deadline");
     }
   }
 
@@ -137,16 +145,17 @@
     ObservedRequest request = requestsByVm.get(qualifiedVm(event));
     String vm = event.text(RecordField.VM);
     if (request == null || !request.response.equals(Optional.of(RecordKind.BOUND))) {
-      findings.violated(TIMELY_RESPONSE, "ended without bound for " + vm);
+      findings.violated(
+          TIMELY_RESPONSE, "termination notice without an accepted request for " + vm);
     } else if (request.isClosed) {
-      findings.violated(TIMELY_RESPONSE, "a second end for " + vm);
+      findings.violated(TIMELY_RESPONSE, "a second termination notice for " + vm);
     } else {
       request.isClosed = true;
     }
   }
 
   void sequenceRepeated(RecordedEvent event) {
-    findings.violated(TIMELY_RESPONSE, "said twice under one number at " + event.source());
+    findings.violated(TIMELY_RESPONSE, "a sequence number repeated at " + event.source());
   }
 
   /** The recording is over: what was not answered by now never will be. */
@@ -154,7 +163,7 @@
     requestsByVm.forEach(
         (vm, request) -> {
           if (request.response.isEmpty() && !request.isWithdrawn) {
-            findings.violated(TIMELY_RESPONSE, vm + " has no answer");
+            findings.violated(TIMELY_RESPONSE, vm + " has no final response");
           }
         });
   }
--- a/src/main/java/fordridge/emulator/invariant/SlowStartInvariant.java
+++ b/src/main/java/fordridge/emulator/invariant/SlowStartInvariant.java
@@ -29,14 +29,14 @@
           offers
               + " offers to "
               + machine.name
-              + " within its span, "
+              + " within the overload span, "
               + Math.round(machine.ageUs(nowUs) / 1e4) / 100.0
-              + " s after it came up; it bears "
+              + " s after it came up; its limit is "
               + Math.round(limit * 10) / 10.0);
     }
   }
 
   void machineOverloaded(RecordedEvent event) {
-    findings.violated(SLOW_START_RESPECTED, event.source() + " was pushed over while cold");
+    findings.violated(SLOW_START_RESPECTED, event.source() + " was overloaded while warming up");
   }
 }
--- a/src/main/java/fordridge/emulator/invariant/Verdict.java
+++ b/src/main/java/fordridge/emulator/invariant/Verdict.java
@@ -35,7 +35,7 @@
         violations.stream().filter(violation -> violation.invariant() == invariant).toList();
     text.append(
         String.format(
-            "rule %d, %s: %s%n",
+            "invariant %d, %s: %s%n",
             invariant.number(),
             invariant.title(),
             broken.isEmpty() ? "kept" : "BROKEN " + broken.size() + " times"));
