--- a/src/main/java/fordridge/emulator/ConstraintPublisher.java
+++ b/src/main/java/fordridge/emulator/ConstraintPublisher.java
@@ -2,8 +2,11 @@
 
 import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.ConstraintSyntaxException;
 import fordridge.constraint.ConstraintValidator;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.UnsatisfiableConstraintsException;
 import fordridge.emulator.machine.MachineSpec;
 import fordridge.emulator.record.RecordField;
 import fordridge.emulator.record.RecordKind;
@@ -26,7 +29,7 @@
   private final WireRecorder recorder;
   private final PrintStream out;
   private final RandomConstraints generator;
-  private final List<ConstraintIndex.MachineTopology> fleet;
+  private final List<MachineTopology> fleet;
   private int refusedSets;
   private double slowestMillis;
 
@@ -44,9 +47,9 @@
     fleet = machines.stream().map(ConstraintPublisher::topology).toList();
   }
 
-  private static ConstraintIndex.MachineTopology topology(EmulatedMachine machine) {
+  private static MachineTopology topology(EmulatedMachine machine) {
     MachineSpec.Labels labels = machine.spec().labels();
-    return new ConstraintIndex.MachineTopology(
+    return new MachineTopology(
         machine.name(), labels.kind(), labels.zone(), labels.cell());
   }
 
@@ -80,11 +83,10 @@
   private boolean isValid(String text, long startNanos) {
     try {
       List<PlacementConstraint> constraints =
-          ConstraintParser.read(text, ConstraintParser.Names.ANY);
+          ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED);
       new ConstraintIndex(constraints, plan.deployment().allPlacers());
-      return ConstraintValidator.of(constraints, fleet, () -> isTimedOut(startNanos)).isEmpty();
-    } catch (ConstraintParser.ConstraintSyntaxException
-        | ConstraintIndex.UnsatisfiableConstraintsException e) {
+      return ConstraintValidator.findConflicts(constraints, fleet, () -> isTimedOut(startNanos)).isEmpty();
+    } catch (ConstraintSyntaxException | UnsatisfiableConstraintsException e) {
       return false;
     }
   }
--- a/src/main/java/fordridge/emulator/EmulatedMachine.java
+++ b/src/main/java/fordridge/emulator/EmulatedMachine.java
@@ -349,7 +349,10 @@
     model.faults().setPaused(false);
     model.restart(now());
     recordStart();
-    startServerAgain();
+    // A spare machine that joins the fleet listens already.
+    if (server.takeKilled()) {
+      startServerAgain();
+    }
   }
 
   private void recordStart() {
--- a/src/main/java/fordridge/emulator/MachineServer.java
+++ b/src/main/java/fordridge/emulator/MachineServer.java
@@ -30,6 +30,7 @@
   private Optional<Channel> listener = Optional.empty();
   private volatile Server server;
   private volatile int port;
+  private boolean isKilled;
 
   MachineServer(EventLoop loop, BindableService service) {
     this.loop = loop;
@@ -76,8 +77,16 @@
     listener.ifPresent(channel -> channel.config().setAutoRead(on));
   }
 
+  /** Whether it was killed since this was last asked: it is to be started again then. */
+  boolean takeKilled() {
+    boolean wasKilled = isKilled;
+    isKilled = false;
+    return wasKilled;
+  }
+
   /** Stops listening and closes all connections without a word. */
   void kill() {
+    isKilled = true;
     server.shutdownNow();
     connections.forEach(Channel::close);
     connections.clear();
--- a/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
+++ b/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
@@ -1,9 +1,11 @@
 package fordridge.emulator.invariant;
 
 import fordridge.constraint.ConstraintParser;
+import fordridge.constraint.ConstraintSyntaxException;
 import fordridge.constraint.PlacementConstraint;
-import fordridge.constraint.PlacementConstraint.Domain;
 import fordridge.constraint.PlacementConstraint.Scope;
+import fordridge.constraint.TopologyLevel;
+import fordridge.constraint.VmAttributes;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -55,12 +57,12 @@
       return isOver && !isEndLost && overAtUs < nowUs - END_NOTICE_US;
     }
 
-    private boolean isInSameDomain(Placement other, Domain per) {
-      return machine.domain(per).equals(other.machine.domain(per));
+    private boolean isInSameDomain(Placement other, TopologyLevel level) {
+      return machine.domain(level).equals(other.machine.domain(level));
     }
 
     private boolean isCoveredBy(Scope scope) {
-      return scope.covers(tenant, priorityClass, service);
+      return scope.covers(new VmAttributes(tenant, priorityClass, service));
     }
   }
 
@@ -74,9 +76,9 @@
   /** A set is published; for a while the one before it is as good. */
   void constraintsPublished(String text, int schedulers, long nowUs) {
     try {
-      sets.addLast(ConstraintParser.read(text, ConstraintParser.Names.ANY));
-    } catch (ConstraintParser.ConstraintSyntaxException e) {
-      throw new IllegalArgumentException("constraints in the recording: " + e.complaints, e);
+      sets.addLast(ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED));
+    } catch (ConstraintSyntaxException e) {
+      throw new IllegalArgumentException("constraints in the recording: " + e.messages(), e);
     }
     if (sets.size() > 2) {
       sets.removeFirst();
@@ -115,7 +117,7 @@
   private Optional<String> firstBroken(
       List<PlacementConstraint> constraints, List<Placement> others, Placement placement) {
     for (PlacementConstraint constraint : constraints) {
-      if (constraint.required() && !isKept(constraint, others, placement)) {
+      if (constraint.isRequired() && !isKept(constraint, others, placement)) {
         return Optional.of("constraint '" + constraint.name() + "' (" + constraint.clause() + ")");
       }
     }
@@ -124,31 +126,31 @@
 
   private boolean isKept(
       PlacementConstraint constraint, List<Placement> others, Placement placement) {
-    if (constraint.clause() instanceof PlacementConstraint.Apart apart) {
-      return isApart(constraint.scope(), apart, others, placement);
+    if (constraint.clause() instanceof PlacementConstraint.AntiAffinity antiAffinity) {
+      return isApart(constraint.scope(), antiAffinity, others, placement);
     }
     if (!placement.isCoveredBy(constraint.scope())) {
       return true;
     }
-    if (constraint.clause() instanceof PlacementConstraint.On on) {
-      return placement.machine.satisfies(on.where());
+    if (constraint.clause() instanceof PlacementConstraint.MachineLabels labels) {
+      return placement.machine.satisfies(labels.predicate());
     }
-    if (constraint.clause() instanceof PlacementConstraint.Most most) {
-      return isUnderLimit(constraint.scope(), most, others, placement);
+    if (constraint.clause() instanceof PlacementConstraint.SpreadLimit spread) {
+      return isUnderLimit(constraint.scope(), spread, others, placement);
     }
-    if (constraint.clause() instanceof PlacementConstraint.Near near) {
-      return isNear(near, others, placement);
+    if (constraint.clause() instanceof PlacementConstraint.Affinity affinity) {
+      return isNear(affinity, others, placement);
     }
     return true;
   }
 
   private static boolean isApart(
-      Scope scope, PlacementConstraint.Apart apart, List<Placement> others, Placement placement) {
+      Scope scope, PlacementConstraint.AntiAffinity antiAffinity, List<Placement> others, Placement placement) {
     for (Placement other : others) {
       boolean isConflict =
-          placement.isCoveredBy(scope) && other.isCoveredBy(apart.other())
-              || placement.isCoveredBy(apart.other()) && other.isCoveredBy(scope);
-      if (isConflict && other.isRunning() && other.isInSameDomain(placement, apart.per())) {
+          placement.isCoveredBy(scope) && other.isCoveredBy(antiAffinity.other())
+              || placement.isCoveredBy(antiAffinity.other()) && other.isCoveredBy(scope);
+      if (isConflict && other.isRunning() && other.isInSameDomain(placement, antiAffinity.level())) {
         return false;
       }
     }
@@ -156,27 +158,27 @@
   }
 
   private boolean isUnderLimit(
-      Scope scope, PlacementConstraint.Most most, List<Placement> others, Placement placement) {
+      Scope scope, PlacementConstraint.SpreadLimit spread, List<Placement> others, Placement placement) {
     // An overall limit is divided among the schedulers, at least one for each.
-    int limit = most.overall() ? Math.max(1, most.most() / schedulerCount) : most.most();
+    int limit = spread.clusterWide() ? Math.max(1, spread.limit() / schedulerCount) : spread.limit();
     long count =
         others.stream()
             .filter(Placement::isRunning)
-            .filter(other -> other.isInSameDomain(placement, most.per()))
+            .filter(other -> other.isInSameDomain(placement, spread.level()))
             .filter(other -> other.isCoveredBy(scope))
-            .filter(other -> !most.eachService() || other.service == placement.service)
+            .filter(other -> !spread.perService() || other.service == placement.service)
             .count();
     return count < limit;
   }
 
   private static boolean isNear(
-      PlacementConstraint.Near near, List<Placement> others, Placement placement) {
+      PlacementConstraint.Affinity affinity, List<Placement> others, Placement placement) {
     boolean hasNeighbour =
-        others.stream().anyMatch(other -> other.isRunning() && other.isCoveredBy(near.other()));
+        others.stream().anyMatch(other -> other.isRunning() && other.isCoveredBy(affinity.other()));
     return !hasNeighbour
         || others.stream()
             .anyMatch(
                 other ->
-                    other.isCoveredBy(near.other()) && other.isInSameDomain(placement, near.per()));
+                    other.isCoveredBy(affinity.other()) && other.isInSameDomain(placement, affinity.level()));
   }
 }
--- a/src/main/java/fordridge/emulator/invariant/MachineTopology.java
+++ b/src/main/java/fordridge/emulator/invariant/MachineTopology.java
@@ -1,41 +1,41 @@
 package fordridge.emulator.invariant;
 
 import fordridge.constraint.PlacementConstraint;
-import fordridge.constraint.PlacementConstraint.Domain;
+import fordridge.constraint.TopologyLevel;
 
 /** The labels of a machine that constraints refer to. */
 record MachineTopology(String name, String kind, String zone, long cell) {
 
   /** The name of the domain that the machine is in. */
-  String domain(Domain per) {
-    return switch (per) {
+  String domain(TopologyLevel level) {
+    return switch (level) {
       case MACHINE -> name;
       case ZONE -> zone;
-      default -> zone + "/" + cell;
+      case CELL -> zone + "/" + cell;
     };
   }
 
   /** Whether the labels satisfy a constraint's predicate. */
-  boolean satisfies(PlacementConstraint.Predicate predicate) {
+  boolean satisfies(PlacementConstraint.LabelPredicate predicate) {
     if (predicate instanceof PlacementConstraint.Label label) {
-      return label.values().contains(label(label.field()));
+      return label.values().contains(label(label.key()));
     }
     if (predicate instanceof PlacementConstraint.Not not) {
-      return !satisfies(not.of());
+      return !satisfies(not.negated());
     }
-    if (predicate instanceof PlacementConstraint.Both both) {
-      return satisfies(both.a()) && satisfies(both.b());
+    if (predicate instanceof PlacementConstraint.And and) {
+      return satisfies(and.left()) && satisfies(and.right());
     }
-    PlacementConstraint.Either either = (PlacementConstraint.Either) predicate;
-    return satisfies(either.a()) || satisfies(either.b());
+    PlacementConstraint.Or or = (PlacementConstraint.Or) predicate;
+    return satisfies(or.left()) || satisfies(or.right());
   }
 
-  private String label(String field) {
-    return switch (field) {
-      case "kind" -> kind;
-      case "zone" -> zone;
-      case "cell" -> Long.toString(cell);
-      default -> name;
+  private String label(PlacementConstraint.LabelKey key) {
+    return switch (key) {
+      case KIND -> kind;
+      case ZONE -> zone;
+      case CELL -> Long.toString(cell);
+      case MACHINE -> name;
     };
   }
 }
