Lint of the machine part: futures that nobody needs say why, doc comments, precedence

Cause: seven warnings of Error Prone and three of Checkstyle in the part's files. Change: suppressions stand on small methods with the reason; nothing else changes. Result: the package's tests green, none of these warnings left.

--- a/src/main/java/fordridge/json/ConnectionQuota.java
+++ b/src/main/java/fordridge/json/ConnectionQuota.java
@@ -21,10 +21,12 @@
     limit = newLimit;
   }
 
+  /** The limit on all connections. */
   public int limit() {
     return limit;
   }
 
+  /** Connections that are open, or being opened or closed. */
   public int openCount() {
     return openCount;
   }
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -118,7 +118,7 @@
   private void lost(String reason) {
     if (state == State.CONNECTING || state == State.ESTABLISHED) {
       state = State.CLOSED;
-      channel.close();
+      closeChannel();
       listener.connectionLost(connection, reason);
     }
   }
@@ -127,7 +127,7 @@
   void close() {
     if (!channel.isActive()) {
       state = State.CLOSED;
-      channel.close();
+      closeChannel();
       return;
     }
     // What the machine writes at this moment would be lost with the connection, and a termination
@@ -136,15 +136,26 @@
     state = State.DRAINING;
     quota.connectionClosing();
     trace(channel, "closing");
+    halfClose();
+  }
+
+  @SuppressWarnings("FutureReturnValueIgnored") // Failures close the channel; nothing is cancelled.
+  private void halfClose() {
     ((SocketChannel) channel).shutdownOutput();
     channel
         .eventLoop()
-        .schedule(() -> channel.close(), DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        .schedule(this::closeChannel, DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @SuppressWarnings("FutureReturnValueIgnored") // The end of the close is seen in the close future.
+  private void closeChannel() {
+    channel.close();
   }
 
   // Messages
 
   /** Writes a message, unless the connection is closed or being closed. */
+  @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
   void write(String type, String id, int code, String description, String... fields) {
     if (channel.isActive() && state != State.DRAINING) {
       channel.writeAndFlush(
@@ -207,7 +218,7 @@
   /** Reads pairs of name and value, as in {@code x0:12.5;x1:64;utilization:0.3}. */
   private static LoadReport loadReport(String load) {
     Map<String, Double> values = new HashMap<>();
-    for (String pair : load.split(";")) {
+    for (String pair : load.split(";", -1)) {
       int colon = pair.indexOf(':');
       if (colon > 0) {
         values.put(pair.substring(0, colon), number(pair.substring(colon + 1)));
--- a/src/main/java/fordridge/machine/LivenessDetector.java
+++ b/src/main/java/fordridge/machine/LivenessDetector.java
@@ -46,7 +46,7 @@
   boolean hasFailed(ConnectionTimeouts connectionTimeouts, Duration now) {
     boolean refuses = refusals >= FAILED_CONNECTS_IN_A_ROW;
     boolean timesOut = timeouts >= FAILED_CONNECTS_IN_A_ROW;
-    return refuses || timesOut && isSilentFor(connectionTimeouts.failureTimeout(), now);
+    return refuses || (timesOut && isSilentFor(connectionTimeouts.failureTimeout(), now));
   }
 
   boolean isSilentFor(Duration span, Duration now) {
--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -96,6 +96,7 @@
     attempts = new StreamAttempts(machine, settings, transport, listener);
   }
 
+  /** Where the stream is in its life cycle. */
   public State state() {
     return state;
   }
