--- a/src/main/java/fordridge/constraint/ConstraintIndex.java
+++ b/src/main/java/fordridge/constraint/ConstraintIndex.java
@@ -82,11 +82,11 @@
               + limit.limit()
               + " per "
               + limit.level()
-              + " over all placers cannot be shared among "
+              + " over all schedulers cannot be shared among "
               + schedulerCount
-              + " placers that do not talk; allow at least "
+              + " schedulers, which do not coordinate; allow at least "
               + schedulerCount
-              + ", or say it of one placer's own VMs");
+              + ", or limit each scheduler's own VMs");
     }
   }
 
--- a/src/test/java/fordridge/constraint/ConstraintIndexTest.java
+++ b/src/test/java/fordridge/constraint/ConstraintIndexTest.java
@@ -213,7 +213,7 @@
     assertThatThrownBy(() -> new ConstraintIndex(constraints, 4))
         .isInstanceOf(UnsatisfiableConstraintsException.class)
         .hasMessageContaining("rule 'm'")
-        .hasMessageContaining("4 placers");
+        .hasMessageContaining("4 schedulers");
   }
 
   @Example
