--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -2,8 +2,9 @@
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
-import fordridge.emulator.InvariantChecker;
 import fordridge.emulator.Scenario;
+import fordridge.emulator.invariant.InvariantChecker;
+import fordridge.emulator.invariant.Verdict;
 import fordridge.observability.Logging;
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.server.json.ServeCommand;
@@ -122,11 +123,11 @@
       PlacerCommand program = new PlacerCommand(d);
       if (portsFile != null) {
         StringBuilder text = new StringBuilder();
-        for (int i = 0; i < program.count(); i++) {
+        for (int i = 0; i < program.instanceCount(); i++) {
           text.append(program.name(i)).append(' ').append(program.port(i)).append('\n');
         }
-        if (program.metricsPort() >= 0) {
-          text.append("metrics ").append(program.metricsPort()).append('\n');
+        if (program.metricsPort().isPresent()) {
+          text.append("metrics ").append(program.metricsPort().getAsInt()).append('\n');
         }
         File next = new File(portsFile.getPath() + ".next");
         Files.writeString(next.toPath(), text.toString());
@@ -139,7 +140,7 @@
               new Thread(
                   () -> {
                     try {
-                      code[0] = program.stop() ? 0 : 1;
+                      code[0] = program.shutdown() ? 0 : 1;
                     } catch (InterruptedException e) {
                       code[0] = 1;
                     }
@@ -171,7 +172,7 @@
     @Override
     public Integer call() throws Exception {
       DeploymentSettings d = read(file, Map.of());
-      PlacerCommand.watched(d);
+      PlacerCommand.readShadowSettings(d);
       if (d.listFile().isFile()) {
         int n = fordridge.discovery.MachineListFile.read(d.listFile(), d, 1).entries().size();
         System.out.println(file + ": fine; " + n + " machines in " + d.listFile());
@@ -209,7 +210,7 @@
             e.messages().stream().map(c -> file + ":" + c).toList());
       }
       if (config != null) {
-        rules = fordridge.server.grpc.PlacerCommand.readRules(text, read(config, Map.of()));
+        rules = fordridge.server.grpc.PlacerCommand.readConstraints(text, read(config, Map.of()));
       }
       System.out.print(fordridge.constraint.ConstraintParser.format(rules));
       return 0;
@@ -251,7 +252,7 @@
     @Override
     public Integer call() throws Exception {
       Logging.start("plain", "warn");
-      Scenario.Outcome o = Scenario.play(script, changes, out, System.out);
+      Scenario.Outcome o = Scenario.run(script, changes, out, System.out);
       System.out.println();
       System.out.print(o.table());
       System.out.println();
@@ -302,7 +303,7 @@
         Map<String, Object> with = new HashMap<>(changes);
         with.put("owners.rate", rate);
         Scenario.Outcome o =
-            Scenario.play(
+            Scenario.run(
                 script,
                 with,
                 out,
@@ -311,13 +312,13 @@
         System.out.printf(
             "%8.0f %8d %7.1f%% %9.1f %9.1f  %s; %s%n",
             rate,
-            o.asked(),
-            100 * o.inTime(),
-            o.p50(),
-            o.p99(),
+            o.requested(),
+            100 * o.inTimeShare(),
+            o.p50Millis(),
+            o.p99Millis(),
             o.verdict().kept() ? "kept" : "BROKEN",
             o.costs());
-        if (o.inTime() < least) {
+        if (o.inTimeShare() < least) {
           break;
         }
       }
@@ -335,7 +336,7 @@
 
     @Override
     public Integer call() throws Exception {
-      InvariantChecker.Verdict v = InvariantChecker.judge(tap);
+      Verdict v = InvariantChecker.check(tap);
       System.out.print(v.text());
       return v.kept() ? 0 : 1;
     }
