--- a/src/main/java/fordridge/constraint/ConflictMinimizer.java
+++ b/src/main/java/fordridge/constraint/ConflictMinimizer.java
@@ -36,7 +36,7 @@
       List<PlacementConstraint> background,
       List<PlacementConstraint> latestPart,
       List<PlacementConstraint> candidates) {
-    boolean needsCheck = !latestPart.isEmpty() || background.isEmpty() && !candidates.isEmpty();
+    boolean needsCheck = !latestPart.isEmpty() || (background.isEmpty() && !candidates.isEmpty());
     if (needsCheck && isInfeasible(background)) {
       return List.of();
     }
--- a/src/main/java/fordridge/constraint/ConstraintValidator.java
+++ b/src/main/java/fordridge/constraint/ConstraintValidator.java
@@ -185,7 +185,7 @@
   }
 
   private static boolean isWithin(Set<String> part, Set<String> whole) {
-    return whole.isEmpty() || !part.isEmpty() && whole.containsAll(part);
+    return whole.isEmpty() || (!part.isEmpty() && whole.containsAll(part));
   }
 
   /**
--- a/src/main/java/fordridge/constraint/GroupConstraints.java
+++ b/src/main/java/fordridge/constraint/GroupConstraints.java
@@ -53,8 +53,8 @@
 
   private static boolean concerns(PlacementConstraint constraint, GroupMember member) {
     return constraint.scope().covers(member.vm())
-        || constraint.clause() instanceof PlacementConstraint.AntiAffinity antiAffinity
-            && antiAffinity.other().covers(member.vm());
+        || (constraint.clause() instanceof PlacementConstraint.AntiAffinity antiAffinity
+            && antiAffinity.other().covers(member.vm()));
   }
 
   /** Running VMs by domain; empty where none is counted. */
--- a/src/main/java/fordridge/constraint/GroupFeasibility.java
+++ b/src/main/java/fordridge/constraint/GroupFeasibility.java
@@ -66,11 +66,11 @@
   private boolean isTiedToAnother(
       GroupMember member, PlacementConstraint.Scope scope, PlacementConstraint.Scope other) {
     return problem.members().stream()
-        .filter(candidate -> candidate != member)
+        .filter(candidate -> !candidate.id().equals(member.id()))
         .anyMatch(
             candidate ->
-                scope.covers(member.vm()) && other.covers(candidate.vm())
-                    || scope.covers(candidate.vm()) && other.covers(member.vm()));
+                (scope.covers(member.vm()) && other.covers(candidate.vm()))
+                    || (scope.covers(candidate.vm()) && other.covers(member.vm())));
   }
 
   /**
--- a/src/test/java/fordridge/constraint/ConstraintFixtures.java
+++ b/src/test/java/fordridge/constraint/ConstraintFixtures.java
@@ -18,6 +18,8 @@
           new MachineTopology("d", "big", "y", 2),
           new MachineTopology("e", "std", "z", 3));
 
+  private static final List<TopologyLevel> LEVELS = List.of(TopologyLevel.values());
+
   private ConstraintFixtures() {}
 
   static List<PlacementConstraint> parse(String text) throws ConstraintSyntaxException {
@@ -71,7 +73,7 @@
   }
 
   private static String randomClause(Random random) {
-    String per = " per " + TopologyLevel.values()[random.nextInt(3)];
+    String per = " per " + LEVELS.get(random.nextInt(LEVELS.size()));
     return switch (random.nextInt(5)) {
       case 0 -> "near " + randomScope(random) + per;
       case 1 -> "apart " + randomScope(random) + per;
@@ -106,7 +108,7 @@
     };
     Scope scope = scopes[random.nextInt(4)];
     Scope other = scopes[1 + random.nextInt(3)];
-    TopologyLevel level = TopologyLevel.values()[random.nextInt(3)];
+    TopologyLevel level = LEVELS.get(random.nextInt(LEVELS.size()));
     PlacementConstraint.Clause clause = randomClause(random, other, level);
     double weight = random.nextInt(4) == 0 ? 1 + random.nextInt(9) : 0;
     return new PlacementConstraint("r" + number, scope, weight, clause, number + 1);
--- a/src/test/java/fordridge/constraint/ConstraintIndexTest.java
+++ b/src/test/java/fordridge/constraint/ConstraintIndexTest.java
@@ -39,8 +39,9 @@
   void affinityAndAntiAffinityFollowWhatRuns() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule n: flavour w require near flavour a per zone;\n"
-                + "rule p: flavour w require apart flavour b per zone;");
+            """
+            rule n: flavour w require near flavour a per zone;
+            rule p: flavour w require apart flavour b per zone;""");
     assertThat(allowedMachines(index, "w", 1)).as("near nothing yet: anywhere").hasSize(5);
     index.attemptSent(1, vm("a", 1), "a");
     assertThat(allowedMachines(index, "w", 1)).containsExactly("a", "b");
@@ -57,8 +58,9 @@
   void attemptOfUnknownOutcomeKeepsItsPlaceButDrawsNoOtherNear() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule n: flavour w require near flavour a per zone;\n"
-                + "rule p: flavour b require apart flavour a per zone;");
+            """
+            rule n: flavour w require near flavour a per zone;
+            rule p: flavour b require apart flavour a per zone;""");
     index.attemptSent(1, vm("a", 1), "a");
     index.attemptSent(2, vm("a", 1), "c");
     index.attemptOutcomeUnknown(1);
@@ -78,8 +80,9 @@
   void serviceNumberZeroIsCountedByItself() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule m: flavour w require spread at most 1 of each service per zone;\n"
-                + "rule n: flavour v require near flavour w per zone;");
+            """
+            rule m: flavour w require spread at most 1 of each service per zone;
+            rule n: flavour v require near flavour w per zone;""");
     index.attemptSent(1, vm("w", 5), "a");
     assertThat(allowedMachines(index, "w", 0)).as("another service is no bar").hasSize(5);
     index.attemptSent(2, vm("w", 0), "c");
@@ -129,8 +132,9 @@
   void cycleOfAffinitiesIsBegunByWhoeverComesFirst() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule x: flavour a require near flavour b per cell;\n"
-                + "rule y: flavour b require near flavour a per cell;");
+            """
+            rule x: flavour a require near flavour b per cell;
+            rule y: flavour b require near flavour a per cell;""");
     assertThat(allowedMachines(index, "a", 1)).hasSize(5);
     index.attemptSent(1, vm("a", 1), "c");
     assertThat(allowedMachines(index, "b", 1)).containsExactly("c");
@@ -142,8 +146,9 @@
   void relabelledMachineCountsItsVmsInItsNewDomainsAndNamesThem() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule k: flavour w require on kind std;\n"
-                + "rule m: flavour w require spread at most 1 per zone;");
+            """
+            rule k: flavour w require on kind std;
+            rule m: flavour w require spread at most 1 per zone;""");
     index.attemptSent(1, vm("w", 1), "a");
     List<MachineTopology> relabelled = new ArrayList<>(FLEET);
     relabelled.set(0, new MachineTopology("a", "big", "y", 1));
@@ -192,9 +197,11 @@
   void unsatisfiableLabelsNameTheFewestConstraints() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule one: all require on zone x, y;\nrule two: flavour w require on kind big;\n"
-                + "rule three: service 5 require on not kind big;\n"
-                + "rule four: service 5 prefer 3 on zone x;");
+            """
+            rule one: all require on zone x, y;
+            rule two: flavour w require on kind big;
+            rule three: service 5 require on not kind big;
+            rule four: service 5 prefer 3 on zone x;""");
     assertThat(index.findUnsatisfiableConstraints(vm("w", 5)))
         .extracting(PlacementConstraint::name)
         .containsExactly("two", "three");
@@ -238,8 +245,9 @@
   void vmAgainstItsPreferenceIsNamedOnceABetterMachineIsOpen() throws Exception {
     ConstraintIndex index =
         indexOf(
-            "rule x: flavour w prefer 5 on zone x;\n"
-                + "rule m: flavour w require spread at most 1 per machine;");
+            """
+            rule x: flavour w prefer 5 on zone x;
+            rule m: flavour w require spread at most 1 per machine;""");
     index.attemptSent(1, vm("w", 1), "a");
     index.attemptSent(2, vm("w", 1), "b");
     index.attemptSent(3, vm("w", 1), "c");
--- a/src/test/java/fordridge/constraint/ConstraintParserTest.java
+++ b/src/test/java/fordridge/constraint/ConstraintParserTest.java
@@ -78,8 +78,9 @@
     assertThatThrownBy(
             () ->
                 parse(
-                    "rule a: all require on kind std;\n"
-                        + "rule b: flavour w require close flavour x;"))
+                    """
+                    rule a: all require on kind std;
+                    rule b: flavour w require close flavour x;"""))
         .hasMessageContaining("2:27: in 'rule b: flavour w require close flavour x;'")
         .hasMessageContaining("'near'");
   }
--- a/src/test/java/fordridge/constraint/ConstraintValidatorTest.java
+++ b/src/test/java/fordridge/constraint/ConstraintValidatorTest.java
@@ -45,9 +45,10 @@
     assertThat(
             findConflicts(
                 parse(
-                    "rule a: flavour w require on zone x;\n"
-                        + "rule b: service 1 require on zone y;\n"
-                        + "rule c: service 1 require on kind big;"),
+                    """
+                    rule a: flavour w require on zone x;
+                    rule b: service 1 require on zone y;
+                    rule c: service 1 require on kind big;"""),
                 FLEET))
         .extracting(conflict -> conflict.constraints().size())
         .containsExactly(2);
@@ -57,11 +58,12 @@
   void circleOfAffinityAndAntiAffinityIsAConflict() throws Exception {
     List<PlacementConstraint> circle =
         parse(
-            "rule n: flavour w require near flavour a per zone;\n"
-                + "rule p: flavour w require apart flavour b per zone;\n"
-                + "rule q: flavour b require near flavour a per zone;\n"
-                + "rule k: all require on not machine e;\n"
-                + "rule m: all require spread at most 1 per machine;");
+            """
+            rule n: flavour w require near flavour a per zone;
+            rule p: flavour w require apart flavour b per zone;
+            rule q: flavour b require near flavour a per zone;
+            rule k: all require on not machine e;
+            rule m: all require spread at most 1 per machine;""");
 
     List<ConstraintConflict> conflicts = findConflicts(circle, FLEET);
 
@@ -76,11 +78,12 @@
   void classesThatKeepApartConflictOnceMachinesVanish() throws Exception {
     List<PlacementConstraint> apart =
         parse(
-            "rule x: flavour a require apart flavour b per zone;\n"
-                + "rule y: flavour a require apart flavour c per zone;\n"
-                + "rule z: flavour b require apart flavour c per zone;\n"
-                + "rule self: flavour a require apart flavour a per zone;\n"
-                + "rule north: customer north and flavour a require on kind std;");
+            """
+            rule x: flavour a require apart flavour b per zone;
+            rule y: flavour a require apart flavour c per zone;
+            rule z: flavour b require apart flavour c per zone;
+            rule self: flavour a require apart flavour a per zone;
+            rule north: customer north and flavour a require on kind std;""");
 
     assertThat(findConflicts(apart, FLEET)).as("three zones for three").isEmpty();
     assertThat(findConflicts(apart, FLEET.subList(0, 4)).get(0).constraints())
--- a/src/test/java/fordridge/constraint/GroupFeasibilityTest.java
+++ b/src/test/java/fordridge/constraint/GroupFeasibilityTest.java
@@ -44,10 +44,12 @@
   @Example
   void circleOfAffinityAndAntiAffinityIsInfeasible() throws Exception {
     String set =
-        "rule n: flavour w require near flavour a per zone;\n"
-            + "rule p: flavour w require apart flavour b per zone;\n"
-            + "rule q: flavour b require near flavour a per zone;\n"
-            + "rule r: flavour a require spread at most 4 per cell;\n";
+        """
+        rule n: flavour w require near flavour a per zone;
+        rule p: flavour w require apart flavour b per zone;
+        rule q: flavour b require near flavour a per zone;
+        rule r: flavour a require spread at most 4 per cell;
+        """;
     FeasibilityResult withOneTarget = solve(index(set), group("w", "a", "b"));
     assertThat(withOneTarget.verdict()).isEqualTo(Verdict.INFEASIBLE);
     assertThat(namesOfConflict(withOneTarget)).containsExactlyInAnyOrder("n", "p", "q");
@@ -59,8 +61,9 @@
   void groupLargerThanAnyMachineIsInfeasibleForCapacity() throws Exception {
     ConstraintIndex index =
         index(
-            "rule n: flavour w require near flavour w per machine;\n"
-                + "rule s: flavour w require on kind std;");
+            """
+            rule n: flavour w require near flavour w per machine;
+            rule s: flavour w require on kind std;""");
     FeasibilityResult result = solve(index, group("w", "w", "w"));
     assertThat(result.verdict()).isEqualTo(Verdict.INFEASIBLE);
     assertThat(result.isCapacityExceeded()).isTrue();
@@ -77,8 +80,9 @@
   void runningVmsTakeTheirPlaces() throws Exception {
     ConstraintIndex index =
         index(
-            "rule m: flavour w require spread at most 1 per zone;\n"
-                + "rule k: all require on kind std;");
+            """
+            rule m: flavour w require spread at most 1 per zone;
+            rule k: all require on kind std;""");
     assertThat(solve(index, group("w", "w")).verdict()).isEqualTo(Verdict.FEASIBLE);
     index.attemptSent("x", vm("w", 9), "b");
     FeasibilityResult result = solve(index, group("w", "w"));
--- a/src/test/java/fordridge/constraint/GroupOracle.java
+++ b/src/test/java/fordridge/constraint/GroupOracle.java
@@ -89,22 +89,22 @@
   private boolean keepsAntiAffinity(
       Scope scope, AntiAffinity antiAffinity, GroupMember member, Map<String, String> machineByVm) {
     return allVms().stream()
-        .filter(second -> second != member)
+        .filter(second -> !second.id().equals(member.id()))
         .filter(second -> areKeptApart(scope, antiAffinity.other(), member, second))
         .noneMatch(second -> sharesDomain(member, second, antiAffinity.level(), machineByVm));
   }
 
   private static boolean areKeptApart(
       Scope scope, Scope other, GroupMember first, GroupMember second) {
-    return scope.covers(first.vm()) && other.covers(second.vm())
-        || scope.covers(second.vm()) && other.covers(first.vm());
+    return (scope.covers(first.vm()) && other.covers(second.vm()))
+        || (scope.covers(second.vm()) && other.covers(first.vm()));
   }
 
   private boolean keepsAffinity(
       Affinity affinity, GroupMember member, Map<String, String> machineByVm) {
     List<GroupMember> others =
         allVms().stream()
-            .filter(second -> second != member)
+            .filter(second -> !second.id().equals(member.id()))
             .filter(second -> affinity.other().covers(second.vm()))
             .toList();
     return others.isEmpty()
--- a/src/test/java/fordridge/constraint/PlacementBenchmark.java
+++ b/src/test/java/fordridge/constraint/PlacementBenchmark.java
@@ -113,31 +113,31 @@
   /** Every machine judged for one VM by a scan of all that run. */
   @Benchmark
   public double placeByScan() {
-    PlacedVm placed = placedVms.get(next++ % placedVms.size());
+    int attempt = next++ % placedVms.size();
+    PlacedVm placed = placedVms.get(attempt);
     double sum = 0;
     for (MachineTopology machine : fleet) {
       for (PlacementConstraint constraint : constraints) {
         if (constraint.scope().covers(placed.vm)) {
-          sum += isViolated(constraint, placed, machine) ? 1 : 0;
+          sum += isViolated(constraint, attempt, machine) ? 1 : 0;
         }
       }
     }
     return sum;
   }
 
-  private boolean isViolated(
-      PlacementConstraint constraint, PlacedVm placed, MachineTopology machine) {
+  private boolean isViolated(PlacementConstraint constraint, int attempt, MachineTopology machine) {
     if (constraint.clause() instanceof MachineLabels labels) {
       return !labels.predicate().matches(machine);
     }
     if (constraint.clause() instanceof Affinity affinity) {
-      return count(affinity.other(), affinity.level(), false, placed, machine) == 0;
+      return count(affinity.other(), affinity.level(), false, attempt, machine) == 0;
     }
     if (constraint.clause() instanceof AntiAffinity antiAffinity) {
-      return count(antiAffinity.other(), antiAffinity.level(), false, placed, machine) > 0;
+      return count(antiAffinity.other(), antiAffinity.level(), false, attempt, machine) > 0;
     }
     SpreadLimit limit = (SpreadLimit) constraint.clause();
-    int count = count(constraint.scope(), limit.level(), limit.perService(), placed, machine);
+    int count = count(constraint.scope(), limit.level(), limit.perService(), attempt, machine);
     return count >= limit.limit();
   }
 
@@ -145,14 +145,16 @@
       PlacementConstraint.Scope scope,
       TopologyLevel level,
       boolean ownServiceOnly,
-      PlacedVm placed,
+      int attempt,
       MachineTopology machine) {
+    long ownService = placedVms.get(attempt).vm.service();
     TopologyDomain domain = TopologyDomain.of(machine, level);
     int count = 0;
-    for (PlacedVm other : placedVms) {
-      if (other != placed
+    for (int i = 0; i < placedVms.size(); i++) {
+      PlacedVm other = placedVms.get(i);
+      if (i != attempt
           && scope.covers(other.vm)
-          && (!ownServiceOnly || other.vm.service() == placed.vm.service())
+          && (!ownServiceOnly || other.vm.service() == ownService)
           && TopologyDomain.of(other.machine, level).equals(domain)) {
         count++;
       }
