--- a/src/main/java/fordridge/model/Machine.java
+++ b/src/main/java/fordridge/model/Machine.java
@@ -1,113 +1,140 @@
 package fordridge.model;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 
-/** One machine as this placer knows it. */
+/**
+ * A machine as this scheduler knows it.
+ *
+ * <p>Belongs to the thread that calls the scheduler. Times are spans since that thread's clock
+ * began; null means never, unless said otherwise. Cores and memory are in the machine list's units.
+ */
 public final class Machine {
+  /** What the machine list says of a machine's life. */
   public enum Lifecycle {
     LIVE,
+    /** Runs what it has and takes no more. */
     DRAINING,
     GONE
   }
 
-  /** What the placer holds of one service on a machine. */
-  public static final class HostedService {
-    public int held;
-    public Duration lastHeld;
-  }
-
-  /** How long VMs of one customer and flavour stay away after refusals without a reason. */
-  public static final class RejectionBackoff {
-    public Duration span = Duration.ZERO;
-    public Duration until = Duration.ZERO;
-
-    /** When it last took one. */
-    public Duration tookAt;
-  }
-
-  /** Own claims at full ask, oldest first, with their sums. */
-  public static final class ReservationLedger {
-    public final Deque<PlacementAttempt> attempts = new ArrayDeque<>();
-    public double cores;
-    public double memory;
-
-    public void add(PlacementAttempt c) {
-      attempts.addLast(c);
-      cores += c.vm.cores;
-      memory += c.vm.memory;
-    }
-
-    public void remove(PlacementAttempt c) {
-      if (attempts.remove(c)) {
-        cores -= c.vm.cores;
-        memory -= c.vm.memory;
-      }
-    }
-  }
-
   public final long id;
 
-  // As the list tells it.
+  // From the machine list.
   public Lifecycle lifecycle = Lifecycle.GONE;
   public String zone = "";
   public String kind = "";
   public int cell;
+
+  /** Size, by its kind. */
   public double cores;
+
   public double memory;
+
+  /** Size less what all VMs there request; below 0 where more is accepted than it has. */
   public double freeCores;
+
   public double freeMemory;
+
+  /** When it came up, null where that is not known. */
   public Duration startedAt;
+
+  /** When a list last named it; null while a complete list that has not named it is coming. */
   public Duration listedAt;
 
-  /** A list has named it. */
+  /** Whether any list has named it. */
   public boolean isListed;
 
-  // As its last report tells it; NaN where not told.
+  // From its last load report; NaN where it does not say.
   public double spareCores = Double.NaN;
   public double spareMemory = Double.NaN;
+
+  /** Share of the cores that is busy. */
   public double utilization = Double.NaN;
+
   public Duration reportedAt;
-  public Duration probedAt;
-  public boolean probing;
 
-  /** When any placer last told the others its report, as far as heard. */
+  /** When any scheduler last gossiped a report of it, as far as known. */
   public Duration gossipedAt;
 
-  // What this placer did there.
-  /** Own claims that the list's free room may not include yet. */
+  public Duration probedAt;
+  public boolean isProbing;
+
+  // Attempts of this scheduler.
+  /** Attempts that the free capacity of the machine list may not include yet. */
   public final ReservationLedger reservedSinceList = new ReservationLedger();
 
-  /** Own claims whose use the reports may not include yet. */
+  /** Attempts whose use the load reports may not include yet. */
   public final ReservationLedger reservedSinceReport = new ReservationLedger();
 
-  /** Claims without an answer, oldest first. */
+  /** Attempts without a response, oldest first. */
   public final Set<PlacementAttempt> unansweredAttempts = new LinkedHashSet<>();
 
-  /** When offers were sent while it was recently started. */
-  public final Deque<Duration> slowStartAttempts = new ArrayDeque<>();
-
+  /** Attempts in flight or running. */
   public final Set<PlacementAttempt> hostedAttempts = new LinkedHashSet<>();
-  public final Map<Long, HostedService> programs = new HashMap<>();
-  public Duration ejectedUntil = Duration.ZERO;
-  public final Map<TenantClass, RejectionBackoff> refusals = new HashMap<>();
+
+  /** By service. */
+  public final Map<Long, HostedService> hostedServices = new HashMap<>();
+
+  /** Attempts that were sent while it warmed up. */
+  public final SlidingWindow slowStartAttempts = new SlidingWindow();
+
   public Duration lastAttemptAt;
 
-  /** Room found for the VM that is being placed. */
-  public double room;
+  // Health.
+  public final DecayingScore faultScore = new DecayingScore();
+
+  /** No attempt is sent before this time. */
+  public Duration ejectedUntil = Duration.ZERO;
+
+  private final Map<TenantClass, RejectionBackoff> rejectionBackoffs = new HashMap<>();
 
-  /** Where it stands for the service of that VM. */
-  public long rank;
+  // Scratch values of the placement that is being decided.
+  /** Capacity found for the VM, in cores. */
+  public double headroomCores;
 
-  public double faultScore;
-  public Duration faultScoreAt = Duration.ZERO;
+  /** Its rank for the VM's service, see {@link RendezvousHashing}. */
+  long hashRank;
 
   public Machine(long id) {
     this.id = id;
   }
+
+  /** The backoff for VMs of that tenant class, which begins with no span. */
+  public RejectionBackoff rejectionBackoff(TenantClass tenantClass) {
+    return rejectionBackoffs.computeIfAbsent(tenantClass, key -> new RejectionBackoff());
+  }
+
+  /** Whether it has a backoff for any tenant class. */
+  public boolean hasRejectionBackoffs() {
+    return !rejectionBackoffs.isEmpty();
+  }
+
+  /** Whether it is live and its size is known. */
+  public boolean isUsable() {
+    return lifecycle == Lifecycle.LIVE && cores > 0;
+  }
+
+  /** Takes the size of its kind. */
+  public void resize(MachineKind size) {
+    cores = size.cores();
+    memory = size.memory();
+  }
+
+  /** Takes over a load report that another scheduler gossiped. */
+  public void loadGossiped(GossipMessage.LoadReported load, Duration now) {
+    spareCores = (1 - load.usedCores()) * cores;
+    spareMemory = (1 - load.usedMemory()) * memory;
+    utilization = Double.NaN;
+    reportedAt = now;
+    gossipedAt = now;
+  }
+
+  /** Forgets services that it hosted before, as after a restart. */
+  public void forgetPastServices() {
+    hostedServices.values().removeIf(service -> service.count == 0);
+  }
 }
--- a/src/main/java/fordridge/model/PendingQueue.java
+++ b/src/main/java/fordridge/model/PendingQueue.java
@@ -5,104 +5,165 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 
 /**
- * VMs held for want of room: in groups, by rank and age, and by the time at which each is given up.
+ * VMs that wait for capacity: in groups of one shape, ordered by rank and age, and by the time at
+ * which each is due.
  */
 public final class PendingQueue {
-  /** VMs of one shape, oldest first; where it stands among the groups goes by its oldest. */
-  static final class Group {
-    private final Object shape;
+  /**
+   * What VMs of one group have in common.
+   *
+   * @param tenantClass their tenant and priority class
+   * @param cores cores that they request
+   * @param memory memory that they request
+   * @param service their service, 0 where any will do
+   * @param boundTo an earlier machine, or a VM that is a group of its own, or null
+   * @param isLate whether their starts come late in any case
+   */
+  public record Shape(
+      TenantClass tenantClass,
+      double cores,
+      double memory,
+      long service,
+      Object boundTo,
+      boolean isLate) {
+    /** The shape of a VM by what it requests. */
+    public static Shape of(Vm vm, long service, Object boundTo, boolean isLate) {
+      return new Shape(vm.tenantClass(), vm.cores, vm.memory, service, boundTo, isLate);
+    }
+
+    // Written out, as the generated methods are linked at run time, which delays the first use.
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Shape that
+          && tenantClass.equals(that.tenantClass)
+          && Double.compare(cores, that.cores) == 0
+          && Double.compare(memory, that.memory) == 0
+          && service == that.service
+          && Objects.equals(boundTo, that.boundTo)
+          && isLate == that.isLate;
+    }
+
+    @Override
+    public int hashCode() {
+      int hash = tenantClass.hashCode();
+      hash = 31 * hash + Double.hashCode(cores);
+      hash = 31 * hash + Double.hashCode(memory);
+      hash = 31 * hash + Long.hashCode(service);
+      hash = 31 * hash + Objects.hashCode(boundTo);
+      return 31 * hash + Boolean.hashCode(isLate);
+    }
+  }
+
+  /** VMs of one shape, oldest first; its age is that of the oldest. */
+  private static final class Group {
+    private final Shape shape;
     private final int rank;
     private final Set<Vm> vms = new LinkedHashSet<>();
     private long age;
 
-    private Group(Object shape, int rank) {
+    private Group(Shape shape, int rank) {
       this.shape = shape;
       this.rank = rank;
     }
   }
 
-  private static final Comparator<Group> ORDER =
-      Comparator.<Group>comparingInt(g -> -g.rank).thenComparingLong(g -> g.age);
+  /** Where a VM is in the queue. */
+  static final class Entry {
+    private final Group group;
+    private final long number;
+    private final Duration dueAt;
 
-  private final Map<Object, Group> groups = new HashMap<>();
-  private final TreeSet<Group> order = new TreeSet<>(ORDER);
-  private final TreeSet<Vm> dues =
-      new TreeSet<>(
-          Comparator.<Vm, Duration>comparing(v -> v.giveUpAt).thenComparing(v -> v.heldAs));
+    private Entry(Group group, long number, Duration dueAt) {
+      this.group = group;
+      this.number = number;
+      this.dueAt = dueAt;
+    }
+  }
+
+  private static final Comparator<Group> BY_RANK_AND_AGE =
+      Comparator.<Group>comparingInt(group -> -group.rank).thenComparingLong(group -> group.age);
+
+  private static final Comparator<Vm> BY_DUE_TIME =
+      Comparator.<Vm, Duration>comparing(vm -> vm.pendingEntry.dueAt)
+          .thenComparingLong(vm -> vm.pendingEntry.number);
+
+  private final Map<Shape, Group> groups = new HashMap<>();
+  private final TreeSet<Group> order = new TreeSet<>(BY_RANK_AND_AGE);
+  private final TreeSet<Vm> byDueTime = new TreeSet<>(BY_DUE_TIME);
   private long added;
-  private int size;
 
+  /** Whether no VM waits. */
   public boolean isEmpty() {
-    return size == 0;
+    return byDueTime.isEmpty();
   }
 
+  /** How many VMs wait. */
   public int size() {
-    return size;
+    return byDueTime.size();
   }
 
-  public void add(Vm vm, int rank, Object shape, Duration giveUpAt) {
-    Group g = groups.computeIfAbsent(shape, s -> new Group(s, rank));
-    vm.heldIn = g;
-    vm.heldAs = added++;
-    vm.heldRank = rank;
-    vm.giveUpAt = giveUpAt;
-    if (g.vms.isEmpty()) {
-      g.age = vm.heldAs;
-      order.add(g);
+  /** Adds a VM that is not in the queue; VMs of one shape must have one rank. */
+  public void add(Vm vm, int rank, Shape shape, Duration dueAt) {
+    Group group = groups.computeIfAbsent(shape, key -> new Group(key, rank));
+    vm.pendingEntry = new Entry(group, added++, dueAt);
+    if (group.vms.isEmpty()) {
+      group.age = vm.pendingEntry.number;
+      order.add(group);
     }
-    g.vms.add(vm);
-    dues.add(vm);
-    size++;
+    group.vms.add(vm);
+    byDueTime.add(vm);
   }
 
-  /** Takes it out, if it is held. */
+  /** Takes a VM out, if it is in the queue. */
   public void remove(Vm vm) {
-    Group g = vm.heldIn;
-    if (g == null) {
+    if (vm.pendingEntry == null || !byDueTime.remove(vm)) {
       return;
     }
-    order.remove(g);
-    g.vms.remove(vm);
-    vm.heldIn = null;
-    dues.remove(vm);
-    size--;
-    if (g.vms.isEmpty()) {
-      groups.remove(g.shape);
+    Group group = vm.pendingEntry.group;
+    order.remove(group);
+    group.vms.remove(vm);
+    if (group.vms.isEmpty()) {
+      groups.remove(group.shape);
     } else {
-      g.age = g.vms.iterator().next().heldAs;
-      order.add(g);
+      group.age = group.vms.iterator().next().pendingEntry.number;
+      order.add(group);
     }
   }
 
+  /** Takes out the VM that is due first; the queue must not be empty. */
   public Vm takeFirst() {
-    Vm vm = dues.first();
+    Vm vm = byDueTime.first();
     remove(vm);
     return vm;
   }
 
-  /** Takes out the next that is due to be given up, or null. */
-  public Vm due(Duration now) {
-    Vm vm = dues.isEmpty() ? null : dues.first();
-    if (vm == null || vm.giveUpAt.compareTo(now) > 0) {
-      return null;
+  /** Takes out VMs that are due, the first first; {@code action} may add them again. */
+  public void takeAllDue(Duration now, Consumer<Vm> action) {
+    while (!byDueTime.isEmpty() && byDueTime.first().pendingEntry.dueAt.compareTo(now) <= 0) {
+      action.accept(takeFirst());
     }
-    remove(vm);
-    return vm;
   }
 
   /**
-   * The oldest of the group that comes after the one this VM was held in (null: of the first); by
-   * rank, then age. A group whose VM was taken out meanwhile comes again where its next oldest
-   * stands.
+   * The oldest VM of the group that comes, by rank and then age, after the one that this VM was in;
+   * of the first group for null. A group whose VM was taken out meanwhile comes again in the place
+   * of its next oldest.
    */
-  public Vm after(Vm vm) {
-    Group at = new Group(null, vm == null ? 0 : vm.heldRank);
-    at.age = vm == null ? -1 : vm.heldAs;
-    Group g = vm == null ? (order.isEmpty() ? null : order.first()) : order.higher(at);
-    return g == null ? null : g.vms.iterator().next();
+  public Vm next(Vm vm) {
+    Group group;
+    if (vm == null) {
+      group = order.isEmpty() ? null : order.first();
+    } else {
+      Group position = new Group(null, vm.pendingEntry.group.rank);
+      position.age = vm.pendingEntry.number;
+      group = order.higher(position);
+    }
+    return group == null ? null : group.vms.iterator().next();
   }
 }
--- a/src/main/java/fordridge/model/PlacementAttempt.java
+++ b/src/main/java/fordridge/model/PlacementAttempt.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** One offer of a VM to a machine, from its sending to its outcome. */
+/** One offer of a VM to a machine, from its sending to its outcome; null times mean not yet. */
 public final class PlacementAttempt {
   /** How an attempt ended. */
   public enum Outcome {
@@ -35,7 +35,7 @@
     }
   }
 
-  /** Why it ended so, where the machine says. */
+  /** Why an attempt ended so, where the machine says. */
   public enum OutcomeReason {
     UNSPECIFIED,
     INSUFFICIENT_CORES,
@@ -49,15 +49,24 @@
 
   public final Vm vm;
   public final Machine machine;
+
+  /** Its index among the VM's attempts. */
   public final int number;
+
   public final Duration sentAt;
+
+  /** How long its response is waited for. */
   public Duration timeout = Duration.ZERO;
+
   public Duration acceptedAt;
 
-  /** When it was told to run, null before. */
+  /** When the VM was reported to run. */
   public Duration runningSince;
 
+  /** Whether the machine had the program of the VM's service when it was sent. */
   public boolean isWarmStart;
+
+  /** Null while in flight or running. */
   public Outcome outcome;
 
   public PlacementAttempt(Vm vm, Machine machine, int number, Duration sentAt) {
@@ -67,11 +76,32 @@
     this.sentAt = sentAt;
   }
 
-  /** Its outcome proves that it never ran. */
+  /** The attempt by which a VM runs that some earlier scheduler placed. */
+  public static PlacementAttempt adopted(Vm vm, Machine machine, Duration now) {
+    PlacementAttempt attempt = new PlacementAttempt(vm, machine, 0, now);
+    attempt.acceptedAt = now;
+    attempt.runningSince = now;
+    vm.attempts.add(attempt);
+    vm.acceptedAttempt = attempt;
+    return attempt;
+  }
+
+  /** Whether its outcome proves that the VM never ran by it. */
   public boolean hasNeverRun() {
     return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
   }
 
+  /** Whether the machine accepted it. */
+  public boolean wasAccepted() {
+    return acceptedAt != null;
+  }
+
+  /** Whether its VM was reported to run before that time. */
+  public boolean ranBefore(Duration time) {
+    return runningSince != null && runningSince.compareTo(time) < 0;
+  }
+
+  /** Whether it has no outcome yet. */
   public boolean isInFlight() {
     return outcome == null;
   }
--- a/src/main/java/fordridge/model/PriorityClass.java
+++ b/src/main/java/fordridge/model/PriorityClass.java
@@ -39,6 +39,22 @@
     return requiredKind == null || requiredKind.equals(kind);
   }
 
+  /** Whether VMs of one service may be anywhere. */
+  public boolean isSpreadUnlimited() {
+    return spreadDomain == TopologyDomain.NONE;
+  }
+
+  /** Whether its idempotency keys are known on all machines. */
+  public boolean isIdempotentWithKeyAnywhere() {
+    return retrySafety == RetrySafety.IDEMPOTENT_WITH_KEY
+        && idempotencyScope == TopologyDomain.CLUSTER;
+  }
+
+  /** Whether it may run at most once, even with a key. */
+  public boolean isNonIdempotent() {
+    return retrySafety == RetrySafety.NON_IDEMPOTENT;
+  }
+
   /** Whether a VM may be offered again whatever became of its earlier attempts. */
   public boolean isIdempotent() {
     return retrySafety == RetrySafety.IDEMPOTENT;
--- a/src/main/java/fordridge/model/RendezvousHashing.java
+++ b/src/main/java/fordridge/model/RendezvousHashing.java
@@ -4,28 +4,30 @@
 import java.util.List;
 
 /**
- * The machines that stand foremost for a service, by a hash that is the same wherever it is asked
- * for (rendezvous).
+ * Rendezvous hashing: the machines that rank first for a service, which are the same at each
+ * scheduler without their talking to each other.
  */
 public final class RendezvousHashing {
+  private static final long GOLDEN_GAMMA = 0x9E3779B97F4A7C15L;
+
   private RendezvousHashing() {}
 
   /**
-   * At most so many, the foremost first. Goes through them once and keeps no more: it is asked for
-   * each placing.
+   * At most {@code limit} machines, the first of them first. One pass that keeps no more than
+   * these, as it runs for each placement.
    */
-  public static List<Machine> of(long service, List<Machine> among, int most) {
-    List<Machine> first = new ArrayList<>(most + 1);
-    for (Machine m : among) {
-      m.rank = mixed(service * 0x9E3779B97F4A7C15L + m.id);
-      int at = first.size();
-      while (at > 0 && first.get(at - 1).rank < m.rank) {
-        at--;
+  public static List<Machine> first(long service, List<Machine> machines, int limit) {
+    List<Machine> first = new ArrayList<>(limit + 1);
+    for (Machine machine : machines) {
+      machine.hashRank = mix(service * GOLDEN_GAMMA + machine.id);
+      int index = first.size();
+      while (index > 0 && first.get(index - 1).hashRank < machine.hashRank) {
+        index--;
       }
-      if (at < most) {
-        first.add(at, m);
-        if (first.size() > most) {
-          first.remove(most);
+      if (index < limit) {
+        first.add(index, machine);
+        if (first.size() > limit) {
+          first.remove(limit);
         }
       }
     }
@@ -33,12 +35,12 @@
   }
 
   /**
-   * SplitMix64's finisher: a CRC is linear, and would give each machine the same neighbours for
-   * every service.
+   * The finisher of SplitMix64. A CRC would not do: it is linear, and gives each machine the same
+   * neighbours for every service.
    */
-  private static long mixed(long x) {
-    long y = (x ^ x >>> 30) * 0xBF58476D1CE4E5B9L;
-    y = (y ^ y >>> 27) * 0x94D049BB133111EBL;
-    return y ^ y >>> 31;
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
   }
 }
--- a/src/main/java/fordridge/model/RunningMean.java
+++ b/src/main/java/fordridge/model/RunningMean.java
@@ -1,18 +1,40 @@
 package fordridge.model;
 
-/** A running mean: plain over the first values, then over about as many as its user says. */
+/**
+ * A mean that follows its samples: plain over the first ones, exponentially weighted once a window
+ * of them was seen.
+ */
 public final class RunningMean {
-  public double value;
-  private int heard;
+  private final int window;
+  private double value;
+  private int samples;
 
-  public RunningMean(double guess) {
-    value = guess;
+  private RunningMean(double value, int window, int samples) {
+    this.value = value;
+    this.window = window;
+    this.samples = samples;
   }
 
-  public void hear(double x, int over) {
-    if (Double.isFinite(x)) {
-      heard++;
-      value += (x - value) / Math.min(over, heard);
+  /** A mean whose first sample replaces the guess. */
+  public static RunningMean ofGuess(double guess, int window) {
+    return new RunningMean(guess, window, 0);
+  }
+
+  /** A mean whose guess weighs as much as a window of samples. */
+  public static RunningMean ofPrior(double guess, int window) {
+    return new RunningMean(guess, window, window);
+  }
+
+  /** The mean, or the guess before the first sample. */
+  public double value() {
+    return value;
+  }
+
+  /** Adds a sample; one that is not finite is passed over. */
+  public void add(double sample) {
+    if (Double.isFinite(sample)) {
+      samples++;
+      value += (sample - value) / Math.min(window, samples);
     }
   }
 }
--- a/src/main/java/fordridge/model/SchedulerSettings.java
+++ b/src/main/java/fordridge/model/SchedulerSettings.java
@@ -29,6 +29,35 @@
     Monitoring monitoring,
     Prices prices) {
 
+  /** The size of a machine by its kind. */
+  public MachineKind kindOf(Machine machine) {
+    for (MachineKind kind : machineKinds) {
+      if (kind.name().equals(machine.kind)) {
+        return kind;
+      }
+    }
+    return MachineKind.UNKNOWN;
+  }
+
+  /** Whether some priority class cannot do without that kind of machine. */
+  public boolean isKindRequired(String kind) {
+    for (PriorityClass priorityClass : priorityClasses) {
+      if (kind.equals(priorityClass.requiredKind())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** The highest rank of any priority class. */
+  public int topRank() {
+    int top = 0;
+    for (PriorityClass priorityClass : priorityClasses) {
+      top = Math.max(top, priorityClass.rank());
+    }
+    return top;
+  }
+
   /** What an accepted attempt proves. */
   public enum AcceptanceMode {
     /** A machine accepts a VM when it runs. */
@@ -72,14 +101,25 @@
       double acceptedMemoryFactor,
       boolean listsFreeCapacity,
       LoadReportBasis reportBasis,
-      double meanVmCores) {}
+      double meanVmCores) {
+
+    /** Whether load reports count what is requested, not what is used. */
+    public boolean reportsCountRequests() {
+      return reportBasis == LoadReportBasis.REQUESTED;
+    }
+  }
 
   /**
    * The machine list.
    *
    * @param pollInterval a list must be fetched within this span to count as current
    */
-  public record Discovery(DiscoveryMode mode, Duration pollInterval) {}
+  public record Discovery(DiscoveryMode mode, Duration pollInterval) {
+    /** Whether the list must be watched. */
+    public boolean isWatched() {
+      return mode == DiscoveryMode.WATCH;
+    }
+  }
 
   /**
    * Attempts and final responses.
@@ -87,7 +127,12 @@
    * @param maxAttempts attempts that a VM may get
    * @param sendsRetryAfter whether a rejection may say when to request again
    */
-  public record Attempts(int maxAttempts, boolean sendsRetryAfter, AcceptanceMode acceptance) {}
+  public record Attempts(int maxAttempts, boolean sendsRetryAfter, AcceptanceMode acceptance) {
+    /** Whether a VM runs when its machine accepts it. */
+    public boolean acceptedIsRunning() {
+      return acceptance == AcceptanceMode.RUNNING;
+    }
+  }
 
   /**
    * Slow start of machines that came up recently.
@@ -102,7 +147,12 @@
 
   /** Load reports, probes, and gossip between schedulers. */
   public record Monitoring(
-      LoadReportMode loadReports, boolean probesAllowed, boolean gossipAllowed) {}
+      LoadReportMode loadReports, boolean probesAllowed, boolean gossipAllowed) {
+    /** Whether a probe may be sent and brings a load report. */
+    public boolean probesReportLoad() {
+      return probesAllowed && loadReports != LoadReportMode.OFF;
+    }
+  }
 
   /**
    * Prices of what a placement causes; 0 where it costs nothing.
--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -5,73 +5,286 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
-/** What one instance knows for as long as it lives. */
+/**
+ * What one scheduler instance knows for as long as it runs. It keeps books and decides nothing.
+ *
+ * <p>Belongs to the thread that calls the scheduler. Times are spans since that thread's clock
+ * began; null means never, unless said otherwise.
+ */
 public final class SchedulerState {
+  /** The time of the input that is being handled. */
   public Duration now = Duration.ZERO;
 
-  /** When this life of it began. */
+  /** When this instance started. */
   public Duration startedAt = Duration.ZERO;
 
-  public SeededRandom chance = new SeededRandom(0);
+  public SeededRandom random = new SeededRandom(0);
 
-  /** What was read at start. */
+  /** The settings of now, null before the start. */
   public SchedulerSettings settings;
 
-  /** How many placers share the cluster, this one among them. */
-  public double placers = 1;
+  /** Schedulers that share the cluster, this one among them. */
+  public double schedulerCount = 1;
 
-  /** Machines in the order in which the list first named them. */
+  /** After the shutdown began nothing more is placed. */
+  public boolean isStopping;
+
+  // Priority classes.
+  /** By name; a class that the settings no longer name stays. */
+  public final Map<String, PriorityClassState> priorityClasses = new TreeMap<>();
+
+  /** In the order by which gossip numbers them. */
+  public final List<TenantClass> tenantClasses = new ArrayList<>();
+
+  /** When VMs of a tenant class were last rejected without a reason. */
+  public final Map<TenantClass, Duration> rejectedAt = new HashMap<>();
+
+  public final FleetUsage usage = new FleetUsage();
+
+  // Machines.
+  /** In the order in which the list first named them. */
   public final List<Machine> machines = new ArrayList<>();
 
-  /** Machines by their names in notes; null where two bear one. */
-  public final Map<String, Machine> byName = new HashMap<>();
+  /** Machines with attempts in their ledgers. */
+  public final Set<Machine> machinesWithReservations = new LinkedHashSet<>();
+
+  /** By short name; null where several machines have one. */
+  private final Map<String, Machine> machinesByGossipName = new HashMap<>();
+
+  /** When means over the fleet were last refreshed. */
+  public Duration meansRefreshedAt;
+
+  private final Map<Long, Set<Machine>> hostsByService = new HashMap<>();
 
-  /**
-   * How long a machine's report stands before the next is told to the other placers; null: none is
-   * told.
-   */
-  public Duration tellEvery;
+  // The machine list.
+  /** Whether the list that is coming is complete: what it does not name is gone. */
+  public boolean isListComplete;
 
-  /** Machines that hold VMs of a service, by service. */
-  public final Map<Long, Set<Machine>> hosts = new HashMap<>();
+  public boolean isWatching;
+  public boolean isWatchRequested;
 
-  /** Machines with claims in their books. */
-  public final Set<Machine> booked = new LinkedHashSet<>();
+  /** When the list was last received. */
+  public Duration listReceivedAt = Duration.ZERO;
 
-  /** VMs taken and neither placed, out on a claim, nor answered. */
-  public final PendingQueue held = new PendingQueue();
+  /** A watch is not requested again before this time. */
+  public Duration nextWatchAt = Duration.ZERO;
 
-  /** VMs that found no room since anything could have grown it. */
-  public final List<Vm> without = new ArrayList<>();
+  // VMs that wait.
+  /** VMs that are neither placed, in flight nor answered. */
+  public final PendingQueue pending = new PendingQueue();
 
-  /** VMs not tried yet since they came or their last claim ended. */
+  /** VMs that were not tried since they came or since their last attempt ended. */
   public final Deque<Vm> untried = new ArrayDeque<>();
 
-  public long arrivals;
-  public long probes;
+  /** Those found since any capacity could have grown. */
+  public final UnplaceableVms unplaceable = new UnplaceableVms();
+
+  /** Whether capacity may have grown since the pending VMs were last tried. */
+  public boolean mayHaveGrown;
+
+  /** When pending VMs were last tried. */
+  public Duration pendingTriedAt;
+
+  /** When the timer fires, null if none is set. */
+  public Duration timerAt;
+
+  // Monitoring.
+  public long requestCount;
+  public long probeCount;
+
+  /** No stale machine is looked for before this time. */
+  public Duration nextProbeAt = Duration.ZERO;
+
+  /** How old the last report gossiped of a machine must be for the next; null: none is. */
+  public Duration gossipInterval;
+
+  /** Whether that time has come. */
+  public boolean isPast(Duration time) {
+    return now.compareTo(time) >= 0;
+  }
+
+  /** The time since then; null counts as since the clock began. */
+  public Duration since(Duration then) {
+    return then == null ? now : now.minus(then);
+  }
+
+  /** Whether it is less than that span since then; null counts as since the clock began. */
+  public boolean isWithin(Duration span, Duration then) {
+    return since(then).compareTo(span) < 0;
+  }
+
+  /** The time since then in seconds. */
+  public double secondsSince(Duration then) {
+    return Durations.toSeconds(now.minus(then));
+  }
+
+  /** Whether the machine list must be watched. */
+  public boolean isListWatched() {
+    return settings.discovery().isWatched();
+  }
+
+  /** So many detection timeouts. */
+  public Duration detectionTimeouts(double count) {
+    return Durations.scale(settings.detectionTimeout(), count);
+  }
+
+  /** The settings of a VM's priority class. */
+  public PriorityClass settingsOf(Vm vm) {
+    return classOf(vm).settings;
+  }
+
+  /** The priority class of a VM. */
+  public PriorityClassState classOf(Vm vm) {
+    return priorityClasses.get(vm.priorityClass);
+  }
+
+  /** Numbers the tenant classes anew, by tenant as in the settings and by name of the class. */
+  public void numberTenantClasses() {
+    tenantClasses.clear();
+    for (String tenant : settings.tenants()) {
+      for (String priorityClass : priorityClasses.keySet()) {
+        tenantClasses.add(new TenantClass(tenant, priorityClass));
+      }
+    }
+  }
+
+  /** Whether gossip numbers a tenant class so. */
+  public boolean isTenantClass(int index) {
+    return index >= 0 && index < tenantClasses.size();
+  }
+
+  /** The shortest start deadline of any priority class, in seconds. */
+  public double shortestStartDeadlineSeconds() {
+    double shortest = Double.POSITIVE_INFINITY;
+    for (PriorityClassState priorityClass : priorityClasses.values()) {
+      shortest = Math.min(shortest, Durations.toSeconds(priorityClass.settings.startDeadline()));
+    }
+    return priorityClasses.isEmpty() ? 1 : shortest;
+  }
+
+  /** A machine list begins. */
+  public void listStarted(boolean isComplete, boolean mayBeStale) {
+    isListComplete = isComplete;
+    listReceivedAt = now;
+    if (!mayBeStale) {
+      isWatchRequested = false;
+      isWatching = true;
+    }
+    if (isComplete) {
+      machines.forEach(machine -> machine.listedAt = null);
+    }
+  }
+
+  /** The machine list names a machine. */
+  public void listed(Machine machine, Machine.Lifecycle lifecycle, Duration startedAt) {
+    register(machine);
+    machine.resize(settings.kindOf(machine));
+    machine.startedAt = startedAt;
+    machine.lifecycle = lifecycle;
+    machine.listedAt = now;
+  }
+
+  private void register(Machine machine) {
+    if (!machine.isListed) {
+      machine.isListed = true;
+      machines.add(machine);
+      String name = GossipCodec.machineName(machine.id);
+      machinesByGossipName.put(name, machinesByGossipName.containsKey(name) ? null : machine);
+    }
+  }
+
+  /** A machine list ends: what a complete one did not name is gone. */
+  public void listCompleted() {
+    if (!isListComplete) {
+      return;
+    }
+    for (Machine machine : machines) {
+      if (machine.listedAt == null) {
+        machine.lifecycle = Machine.Lifecycle.GONE;
+      }
+    }
+  }
+
+  /** The only machine with that short name, or null. */
+  public Machine machineByGossipName(String name) {
+    return machinesByGossipName.get(name);
+  }
+
+  /** An attempt is sent: it is reserved until lists and reports can include it. */
+  public void attemptSent(PlacementAttempt attempt) {
+    Machine machine = attempt.machine;
+    attempt.vm.attempts.add(attempt);
+    machine.unansweredAttempts.add(attempt);
+    machine.lastAttemptAt = now;
+    machine.reservedSinceList.add(attempt);
+    machine.reservedSinceReport.add(attempt);
+    machinesWithReservations.add(machine);
+    addHosted(attempt);
+  }
 
-  /** When VMs of a customer and flavour were last refused without a reason. */
-  public final Map<TenantClass, Duration> refusedAt = new HashMap<>();
+  /** A machine accepted an attempt. */
+  public void attemptAccepted(PlacementAttempt attempt) {
+    attempt.machine.unansweredAttempts.remove(attempt);
+    attempt.acceptedAt = now;
+    attempt.vm.acceptedAttempt = attempt;
+  }
 
-  public Duration probeAt = Duration.ZERO;
-  public Duration wakeAt;
+  /** An attempt ended. */
+  public void attemptEnded(PlacementAttempt attempt, PlacementAttempt.Outcome outcome) {
+    attempt.outcome = outcome;
+    attempt.machine.unansweredAttempts.remove(attempt);
+    removeHosted(attempt);
+    if (attempt.hasNeverRun()) {
+      attempt.machine.reservedSinceList.remove(attempt);
+      attempt.machine.reservedSinceReport.remove(attempt);
+    }
+  }
 
-  /** Room may have grown since the held VMs were last gone through. */
-  public boolean lookAgain;
+  /** A VM needs no response any more. */
+  public void finish(Vm vm) {
+    vm.isFinished = true;
+    pending.remove(vm);
+  }
 
-  public Duration lookedAt;
+  /** Counts an attempt at its machine from now on. */
+  public void addHosted(PlacementAttempt attempt) {
+    Machine machine = attempt.machine;
+    machine.hostedAttempts.add(attempt);
+    HostedService service =
+        machine.hostedServices.computeIfAbsent(attempt.vm.service, key -> new HostedService());
+    service.count++;
+    service.lastHostedAt = now;
+    hostsByService.computeIfAbsent(attempt.vm.service, key -> new HashSet<>()).add(machine);
+  }
 
-  /** Told to stop: nothing more is placed. */
-  public boolean stopping;
+  /** Counts an attempt at its machine no longer. */
+  private void removeHosted(PlacementAttempt attempt) {
+    Machine machine = attempt.machine;
+    machine.hostedAttempts.remove(attempt);
+    HostedService service = machine.hostedServices.get(attempt.vm.service);
+    service.count--;
+    service.lastHostedAt = now;
+    if (service.count == 0) {
+      hostsByService.computeIfPresent(
+          attempt.vm.service, (key, on) -> on.remove(machine) && on.isEmpty() ? null : on);
+    }
+  }
 
-  // The list of machines.
-  public boolean following;
-  public boolean asked;
-  public Duration heardListAt = Duration.ZERO;
-  public Duration askListAt = Duration.ZERO;
+  /** How many VMs of a service this scheduler has in the same domain as the machine. */
+  public int countHosted(long service, TopologyDomain domain, Machine machine) {
+    int count = 0;
+    for (Machine host : hostsByService.getOrDefault(service, Set.of())) {
+      if (domain.contains(machine, host)) {
+        count += host.hostedServices.get(service).count;
+      }
+    }
+    return count;
+  }
 }
--- a/src/main/java/fordridge/model/SeededRandom.java
+++ b/src/main/java/fordridge/model/SeededRandom.java
@@ -3,10 +3,15 @@
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32;
 
-/** Numbers from 0 to under 1, drawn from the instance's seed and a counter. */
+/**
+ * Numbers from 0 to under 1: the CRC-32 of the seed and a counter, so that the same seed gives the
+ * same numbers everywhere. Not for secrets.
+ */
 public final class SeededRandom {
+  private static final double RANGE = 4294967296.0;
+
   private final CRC32 crc = new CRC32();
-  private final ByteBuffer draw = ByteBuffer.allocate(16);
+  private final ByteBuffer input = ByteBuffer.allocate(2 * Long.BYTES);
   private final long seed;
   private long draws;
 
@@ -14,11 +19,12 @@
     this.seed = seed;
   }
 
+  /** The next number. */
   public double next() {
-    draw.clear();
-    draw.putLong(seed).putLong(draws++);
+    input.clear();
+    input.putLong(seed).putLong(draws++);
     crc.reset();
-    crc.update(draw.array());
-    return crc.getValue() / 4294967296.0;
+    crc.update(input.array());
+    return crc.getValue() / RANGE;
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/model/SlidingWindow.java
@@ -0,0 +1,23 @@
+package fordridge.model;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Counts events of the last span. */
+public final class SlidingWindow {
+  private final Deque<Duration> times = new ArrayDeque<>();
+
+  /** Adds an event; times must not go back. */
+  public void add(Duration time) {
+    times.addLast(time);
+  }
+
+  /** How many events lie less than a span back; older ones are forgotten. */
+  public int count(Duration now, Duration span) {
+    while (!times.isEmpty() && times.peekFirst().plus(span).compareTo(now) <= 0) {
+      times.removeFirst();
+    }
+    return times.size();
+  }
+}
--- a/src/main/java/fordridge/model/Vm.java
+++ b/src/main/java/fordridge/model/Vm.java
@@ -4,48 +4,57 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One ask to have a VM placed, and the VM itself once it is. */
+/**
+ * A VM: the request to place it, and the VM itself once it runs.
+ *
+ * <p>Belongs to the thread that calls the scheduler. What was requested is set before the scheduler
+ * gets it and not changed after.
+ */
 public final class Vm {
-  /** The name it bears at the door; the module only hands it back. */
+  /** Its name at the client; the scheduler only hands it back. */
   public final String id;
 
+  // What was requested.
   public String priorityClass;
   public String tenant = "";
   public long service;
   public double cores;
   public double memory;
+
+  /** Whether the client requested it before. */
   public boolean isClientRetry;
+
   public Duration arrivedAt;
+
+  /** When the client gives up. */
   public Duration deadline;
 
-  /** Expected life, null where not told. */
+  /** How long it will run, null where that is not known. */
   public Duration expectedLifetime;
 
+  // What became of it.
+  /** Oldest first; the index of each is its number. */
   public final List<PlacementAttempt> attempts = new ArrayList<>();
-  public PlacementAttempt acceptedAttempt;
-
-  /**
-   * Among which VMs it is held, null when it is not; its place in that order, and when it is given
-   * up.
-   */
-  PendingQueue.Group heldIn;
 
-  private TenantClass tenantClass;
-  long heldAs;
-  int heldRank;
-  Duration giveUpAt;
+  /** The attempt by which it runs, or null. */
+  public PlacementAttempt acceptedAttempt;
 
-  /** Final answer given, or the end told. */
+  /** Whether the final response was sent, or its end was reported. */
   public boolean isFinished;
 
-  /** Stopped by a move of ours; what follows is no fault of the machine. */
+  /** Whether the scheduler stopped it to migrate it, which is no fault of the machine. */
   public boolean isMigrating;
 
+  /** Its place in the queue that it is in, or was in last; null before. */
+  PendingQueue.Entry pendingEntry;
+
+  private TenantClass tenantClass;
+
   public Vm(String id) {
     this.id = id;
   }
 
-  /** Its tenant and priority class, which must not change after the first call. */
+  /** Its tenant and priority class. */
   public TenantClass tenantClass() {
     if (tenantClass == null) {
       tenantClass = new TenantClass(tenant, priorityClass);
@@ -53,18 +62,39 @@
     return tenantClass;
   }
 
-  /** Its latest claim, or null. */
+  /** Its latest attempt, or null. */
   public PlacementAttempt lastAttempt() {
     return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
   }
 
+  /** Its first attempt that may have run, or null. */
+  public PlacementAttempt firstThatMayHaveRun() {
+    for (PlacementAttempt attempt : attempts) {
+      if (!attempt.hasNeverRun()) {
+        return attempt;
+      }
+    }
+    return null;
+  }
+
+  /** Whether all attempts that may have run were in one domain with the machine. */
+  public boolean mayHaveRunOnlyNear(Machine machine, TopologyDomain domain) {
+    for (PlacementAttempt attempt : attempts) {
+      if (!attempt.hasNeverRun() && !domain.contains(machine, attempt.machine)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** How many attempts have no outcome yet; a running VM's attempt counts. */
   public int inFlightAttempts() {
-    int n = 0;
-    for (PlacementAttempt c : attempts) {
-      if (c.isInFlight()) {
-        n++;
+    int count = 0;
+    for (PlacementAttempt attempt : attempts) {
+      if (attempt.isInFlight()) {
+        count++;
       }
     }
-    return n;
+    return count;
   }
 }
--- /dev/null
+++ b/src/main/java/fordridge/scheduling/HealthChecker.java
@@ -0,0 +1,99 @@
+package fordridge.scheduling;
+
+import static fordridge.model.Durations.ofSeconds;
+import static fordridge.model.Durations.scale;
+import static fordridge.model.Durations.toSeconds;
+
+import fordridge.model.GossipCodec;
+import fordridge.model.Machine;
+import fordridge.model.SchedulerState;
+import java.time.Duration;
+
+/** Decides which machines are probed, and what other schedulers are told about machines. */
+record HealthChecker(SchedulerState state, SchedulerActions actions) {
+  /** What gossip of load reports may cost, as a share of what all VMs are worth. */
+  private static final double GOSSIP_COST_SHARE = 0.005;
+
+  /** What a gossip message counts as at each receiver, and the bytes that have a price. */
+  private static final int MESSAGE_BYTES = 16;
+
+  private static final int PRICED_BYTES = 256;
+
+  /** How often reports are gossiped, by cost; a VM is taken to run four detection timeouts. */
+  void refreshGossipInterval(int machines) {
+    double timeout = toSeconds(state.settings.detectionTimeout());
+    double meanCores = state.settings.capacity().meanVmCores();
+    double starts = state.usage.requestedCores / meanCores / (4 * timeout);
+    double price = state.settings.prices().gossipMessage();
+    double cost = (state.schedulerCount - 1) * MESSAGE_BYTES / PRICED_BYTES * price;
+    double affordable = machines * cost / GOSSIP_COST_SHARE / Math.max(1, starts);
+    double interval = Math.max(timeout / 6, affordable);
+    boolean isAlone = state.schedulerCount < 2;
+    boolean isOff = isAlone || interval > timeout || !state.settings.monitoring().gossipAllowed();
+    state.gossipInterval = isOff ? null : ofSeconds(interval);
+  }
+
+  /** Gossips a report that is new and complete, unless one was gossiped lately. */
+  void loadReported(Machine machine) {
+    if (state.gossipInterval != null
+        && state.now.equals(machine.reportedAt)
+        && Double.isFinite(machine.spareCores + machine.spareMemory)
+        && (machine.gossipedAt == null
+            || !state.isWithin(state.gossipInterval, machine.gossipedAt))) {
+      machine.gossipedAt = state.now;
+      double cores = 1 - machine.spareCores / machine.cores;
+      double memory = 1 - machine.spareMemory / machine.memory;
+      actions.gossip(GossipCodec.loadReported(machine, cores, memory));
+    }
+  }
+
+  void machineUnreachable(Machine machine) {
+    if (state.gossipInterval != null) {
+      actions.gossip(GossipCodec.unreachable(machine));
+    }
+  }
+
+  void tenantClassRejected(Machine machine, int tenantClass) {
+    if (state.gossipInterval != null && tenantClass >= 0) {
+      actions.gossip(GossipCodec.tenantClassRejected(machine, tenantClass));
+    }
+  }
+
+  /**
+   * Probes the machine whose report is oldest, if it is stale and a probe for each request allows
+   * it. It looks again only after a while, as no input may cost work that grows with the fleet.
+   */
+  void probeStalest() {
+    Duration stale = state.detectionTimeouts(1.0 / 2);
+    state.nextProbeAt = state.now.plus(scale(stale, 1.0 / 8));
+    if (!state.settings.monitoring().probesReportLoad()) {
+      return;
+    }
+    Machine stalest = findStalest(stale);
+    if (stalest != null && state.probeCount < state.requestCount) {
+      state.probeCount++;
+      stalest.isProbing = true;
+      stalest.probedAt = state.now;
+      actions.probe(stalest);
+      state.nextProbeAt = state.now.plusNanos(1);
+    }
+  }
+
+  /** From a random machine on: else all schedulers probe the first of the list, others never. */
+  private Machine findStalest(Duration stale) {
+    Machine stalest = null;
+    Duration oldest = stale;
+    int first = (int) (state.random.next() * state.machines.size());
+    for (int i = 0; i < state.machines.size(); i++) {
+      Machine machine = state.machines.get((first + i) % state.machines.size());
+      if (machine.lifecycle == Machine.Lifecycle.LIVE
+          && !machine.isProbing
+          && state.since(machine.probedAt).compareTo(stale) > 0
+          && state.since(machine.reportedAt).compareTo(oldest) > 0) {
+        stalest = machine;
+        oldest = state.since(machine.reportedAt);
+      }
+    }
+    return stalest;
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/scheduling/OutlierDetector.java
@@ -0,0 +1,160 @@
+package fordridge.scheduling;
+
+import static fordridge.model.Durations.ofSeconds;
+import static fordridge.model.Durations.scale;
+import static fordridge.model.Durations.toSeconds;
+
+import fordridge.model.Machine;
+import fordridge.model.MachineLists;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.PriorityClass;
+import fordridge.model.RejectionBackoff;
+import fordridge.model.SchedulerState;
+import fordridge.model.Vm;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Keeps a fault score of each machine, ejects machines that are down, and backs off where VMs of
+ * one tenant and priority class are rejected.
+ */
+record OutlierDetector(SchedulerState state, HealthChecker health) {
+  /** Severity of an outlier, if it is also that many times the fleet's mean. */
+  private static final double OUTLIER_SEVERITY = 3;
+
+  void refreshMeans(List<Machine> live) {
+    state.usage.meanFaultSeverity = MachineLists.mean(live, this::severity);
+  }
+
+  /** Faults halve over each detection timeout. */
+  void recordFault(Machine machine, double score) {
+    machine.faultScore.add(score, state.now, state.settings.detectionTimeout());
+  }
+
+  double faultScore(Machine machine) {
+    return machine.faultScore.at(state.now, state.settings.detectionTimeout());
+  }
+
+  /** An outlier gets one idempotent VM at a time, until its faults fade. */
+  boolean isTrusted(PriorityClass settings, Machine machine) {
+    double severity = severity(machine);
+    return severity < OUTLIER_SEVERITY
+        || severity < OUTLIER_SEVERITY * state.usage.meanFaultSeverity
+        || (settings.isIdempotent()
+            && machine.unansweredAttempts.isEmpty()
+            && state.since(machine.lastAttemptAt).compareTo(state.detectionTimeouts(1.0 / 2)) > 0);
+  }
+
+  private double severity(Machine machine) {
+    return faultScore(machine) + (isSilent(machine) ? OUTLIER_SEVERITY : 0);
+  }
+
+  /** Whether the oldest attempt there waits for a response for longer than starts usually take. */
+  private boolean isSilent(Machine machine) {
+    if (machine.unansweredAttempts.isEmpty()) {
+      return false;
+    }
+    PlacementAttempt oldest = machine.unansweredAttempts.iterator().next();
+    double objective = toSeconds(state.settingsOf(oldest.vm).startObjective());
+    double start = state.classOf(oldest.vm).startSeconds(oldest.isWarmStart).value();
+    return state.secondsSince(oldest.sentAt) / Math.max(objective, 2 * start) > 1;
+  }
+
+  /** A late start is a fault, one in time shrinks the score. */
+  void vmStarted(PlacementAttempt attempt, double seconds) {
+    boolean isLate = seconds > toSeconds(state.settingsOf(attempt.vm).startObjective());
+    recordFault(attempt.machine, isLate ? 0.3 : -faultScore(attempt.machine) / 5);
+  }
+
+  void attemptAccepted(PlacementAttempt attempt) {
+    RejectionBackoff backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
+    backoff.span = backoff.span.dividedBy(2);
+    backoff.acceptedAt = state.now;
+  }
+
+  /** Draws what follows for the machine from how an attempt there ended. */
+  void attemptEnded(PlacementAttempt attempt, OutcomeReason reason) {
+    Outcome outcome = attempt.outcome;
+    boolean isExpected =
+        outcome == Outcome.DONE || outcome == Outcome.CANCELLED || outcome == Outcome.NOT_SENT;
+    if (attempt.vm.isMigrating || isExpected) {
+      return;
+    }
+    boolean hasReason = reason != OutcomeReason.UNSPECIFIED;
+    if (outcome == Outcome.FULL && hasReason) {
+      full(attempt, reason);
+    } else if (outcome == Outcome.FULL || (outcome == Outcome.ERROR && !attempt.wasAccepted())) {
+      rejected(attempt);
+    } else if (outcome == Outcome.RESET && attempt.wasAccepted() && hasReason) {
+      recordFault(attempt.machine, reason == OutcomeReason.EVICTED ? 1 : 0);
+    } else {
+      lost(attempt);
+    }
+  }
+
+  private void full(PlacementAttempt attempt, OutcomeReason reason) {
+    Duration objective = state.settingsOf(attempt.vm).startObjective();
+    boolean isQueue = reason == OutcomeReason.QUEUE_FULL;
+    Duration span = scale(isQueue ? objective : state.settings.detectionTimeout(), 0.5);
+    attempt.machine.ejectedUntil = state.now.plus(span);
+    recordFault(attempt.machine, 0.5);
+  }
+
+  /**
+   * Backs off for this tenant class: a machine that is truly full says of what, one that does not
+   * rejects these VMs whatever it has free, by a quota or a fault; others go on. Where reasons are
+   * never given, capacity that becomes free is found later by it.
+   */
+  private void rejected(PlacementAttempt attempt) {
+    RejectionBackoff backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
+    double timeout = toSeconds(state.settings.detectionTimeout());
+    double timeouts = 4 * toSeconds(backoff.span) / timeout;
+    backoff.span = ofSeconds(Math.max(2, Math.min(timeouts, 8)) * timeout);
+    backoff.until = state.now.plus(backoff.span);
+    backoff.acceptedAt = null;
+    if (attempt.outcome == Outcome.FULL) {
+      state.rejectedAt.put(attempt.vm.tenantClass(), state.now);
+    } else {
+      recordFault(attempt.machine, 0.5);
+    }
+    health.tenantClassRejected(
+        attempt.machine, state.tenantClasses.indexOf(attempt.vm.tenantClass()));
+  }
+
+  /**
+   * A machine that cannot be reached, or that lost a VM without a word, is down however the rest of
+   * the fleet fares: it is ejected for longer each time, so that a mass outage uses up no attempts.
+   */
+  private void lost(PlacementAttempt attempt) {
+    Machine machine = attempt.machine;
+    boolean isUnreachable = attempt.outcome == Outcome.UNREACHABLE;
+    recordFault(machine, attempt.wasAccepted() ? 0.5 : 2);
+    if (isUnreachable && state.isPast(machine.ejectedUntil)) {
+      health.machineUnreachable(machine);
+    }
+    if (isUnreachable || attempt.wasAccepted()) {
+      double timeouts = Math.min(faultScore(machine), 4 * OUTLIER_SEVERITY) / 4;
+      double timeout = toSeconds(state.settings.detectionTimeout());
+      machine.ejectedUntil = state.now.plus(ofSeconds(timeouts * timeout / 2));
+    }
+  }
+
+  boolean isBackedOff(Vm vm, Machine machine) {
+    return machine.hasRejectionBackoffs()
+        && !state.isPast(machine.rejectionBackoff(vm.tenantClass()).until);
+  }
+
+  /** Whether VMs of this tenant class are being rejected without a reason. */
+  boolean isBeingRejected(Vm vm) {
+    return state.isWithin(state.detectionTimeouts(2), state.rejectedAt.get(vm.tenantClass()));
+  }
+
+  /** Whether the machine accepted a VM of this tenant class lately. */
+  boolean acceptedLately(Vm vm, Machine machine) {
+    return machine.hasRejectionBackoffs()
+        && state.isWithin(
+            state.detectionTimeouts(4), machine.rejectionBackoff(vm.tenantClass()).acceptedAt);
+  }
+}
--- a/src/main/java/fordridge/scheduling/SchedulerSettingsReader.java
+++ b/src/main/java/fordridge/scheduling/SchedulerSettingsReader.java
@@ -80,8 +80,8 @@
         retrySafety(values.text(prefix + "semantics", "fragile")),
         domain(values.text(prefix + "dedupScope", "cell")),
         values.micros(prefix + "windowUs", Duration.ZERO),
-        values.micros(prefix + "promiseUs", Scheduler.DEFAULT_START_OBJECTIVE),
-        values.micros(prefix + "giveUpUs", Scheduler.DEFAULT_START_DEADLINE),
+        values.micros(prefix + "promiseUs", RetryPolicy.DEFAULT_START_OBJECTIVE),
+        values.micros(prefix + "giveUpUs", RetryPolicy.DEFAULT_START_DEADLINE),
         requiredKind((int) values.item("extra.kindByClass", index, NO_KIND)),
         spreadDomain(index),
         (int) values.item("extra.classMost", index, Integer.MAX_VALUE),
@@ -147,16 +147,16 @@
   private SchedulerSettings.Attempts attempts() {
     boolean onStart = values.text("extra.saysYes", "running").equals("running");
     return new SchedulerSettings.Attempts(
-        (int) Math.ceil(values.number("caps.mostTries", Scheduler.DEFAULT_MAX_ATTEMPTS)),
+        (int) Math.ceil(values.number("caps.mostTries", RetryPolicy.DEFAULT_MAX_ATTEMPTS)),
         values.flag("caps.retryAfter", false),
         onStart ? AcceptanceMode.RUNNING : AcceptanceMode.ADMITTED);
   }
 
   private SchedulerSettings.SlowStart slowStart() {
     return new SchedulerSettings.SlowStart(
-        values.micros("obligations.warmAfterUs", Scheduler.DEFAULT_WARM_UP_TIME),
-        values.micros("obligations.overloadForUs", Scheduler.DEFAULT_OVERLOAD_SPAN),
-        values.number("obligations.coldFrom", Scheduler.DEFAULT_INITIAL_SHARE),
+        values.micros("obligations.warmAfterUs", SlowStart.DEFAULT_WARM_UP_TIME),
+        values.micros("obligations.overloadForUs", SlowStart.DEFAULT_OVERLOAD_SPAN),
+        values.number("obligations.coldFrom", SlowStart.DEFAULT_INITIAL_SHARE),
         values.number("extra.coldBears", 1));
   }
 
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -751,8 +751,8 @@
               name -> {
                 Machine m = inputs.machine(name);
                 return new GroupFeasibility.Room(
-                    m.freeCores - m.reservedSinceList.cores,
-                    m.freeMemory - m.reservedSinceList.memory);
+                    m.freeCores - m.reservedSinceList.cores(),
+                    m.freeMemory - m.reservedSinceList.memory());
               });
       GroupFeasibility empty =
           book.together(
@@ -1231,7 +1231,7 @@
   public void probed(Machine machine, boolean ok, Duration took) {
     sequencer.behind(
         () -> {
-          inputs.scheduler.probeCompleted(machine, ok, ok, took);
+          inputs.scheduler.probeCompleted(machine, ok, ok);
           seen(w -> w.probed(machineHandles.get(machine).name, ok, took));
         });
   }
--- a/src/main/java/fordridge/server/grpc/ShadowScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -113,7 +113,7 @@
   }
 
   void probed(String machine, boolean ok, Duration took) {
-    inputs.scheduler.probeCompleted(inputs.machine(machine), ok, ok, took);
+    inputs.scheduler.probeCompleted(inputs.machine(machine), ok, ok);
   }
 
   private ShadowVm twin(Vm real) {
@@ -305,12 +305,10 @@
     later.accept(
         Duration.ZERO,
         () -> {
-          if (!ours.apply(names.get(m)).probing) {
+          if (!ours.apply(names.get(m)).isProbing) {
             metrics.otherwise("probe");
             // Nobody was asked: it is told neither of trouble nor of a report, and may ask again.
-            later.accept(
-                now.connectTimeout,
-                () -> inputs.scheduler.probeCompleted(m, true, false, now.connectTimeout));
+            later.accept(now.connectTimeout, () -> inputs.scheduler.probeCompleted(m, true, false));
           }
         });
   }
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -847,7 +847,7 @@
           } else {
             probesFailed++;
           }
-          inputs.scheduler.probeCompleted(m, ok, told, took);
+          inputs.scheduler.probeCompleted(m, ok, told);
         });
   }
 
--- a/src/main/java/fordridge/server/json/WarmUp.java
+++ b/src/main/java/fordridge/server/json/WarmUp.java
@@ -141,7 +141,7 @@
 
   @Override
   public void probe(Machine m) {
-    follows.addLast(() -> inputs.scheduler.probeCompleted(m, true, true, Duration.ofMillis(2)));
+    follows.addLast(() -> inputs.scheduler.probeCompleted(m, true, true));
   }
 
   @Override
--- a/src/main/java/fordridge/simulation/SimulatedScheduler.java
+++ b/src/main/java/fordridge/simulation/SimulatedScheduler.java
@@ -96,7 +96,8 @@
         if (m != null) {
           boolean ok = JsonFields.whole(ev, "rc", at) == 200;
           boolean told = report(m, ev, at, clock);
-          scheduler.probeCompleted(m, ok, told, micros(JsonFields.whole(ev, "elapsedUs", at, 0)));
+          JsonFields.whole(ev, "elapsedUs", at, 0);
+          scheduler.probeCompleted(m, ok, told);
         }
       }
       case "noteFrom" -> scheduler.gossipReceived(JsonFields.text(ev, "data", at));
--- a/src/test/java/fordridge/scheduling/SchedulerFixture.java
+++ b/src/test/java/fordridge/scheduling/SchedulerFixture.java
@@ -234,14 +234,15 @@
         m.spareCores = r.nextDouble() * m.cores;
         m.spareMemory = r.nextDouble() * m.memory;
         m.reportedAt = now;
-        scheduler.probeCompleted(m, r.nextBoolean(), true, Duration.ofMillis(2));
+        scheduler.probeCompleted(m, r.nextBoolean(), true);
       }
       case 11 -> {
         char[] what = new char[r.nextInt(4)];
         for (int i = 0; i < what.length; i++) {
-          what[i] = GossipCodec.whole(r.nextInt(94));
+          what[i] = GossipCodec.digit(r.nextInt(94));
         }
-        scheduler.gossipReceived(GossipCodec.name(r.nextInt(3) == 0 ? 7 : m.id) + new String(what));
+        scheduler.gossipReceived(
+            GossipCodec.machineName(r.nextInt(3) == 0 ? 7 : m.id) + new String(what));
       }
       case 13 -> resize(machines.size() < 60 && r.nextBoolean());
       default -> {
--- a/src/test/java/fordridge/scheduling/SchedulerTest.java
+++ b/src/test/java/fordridge/scheduling/SchedulerTest.java
@@ -63,7 +63,7 @@
     m.spareCores = cores;
     m.spareMemory = memory;
     m.reportedAt = w.now;
-    w.scheduler.probeCompleted(m, true, true, Duration.ofMillis(2));
+    w.scheduler.probeCompleted(m, true, true);
   }
 
   @Example
@@ -94,7 +94,7 @@
       Vm vm = w.arrive("retryable", 0.5, 0.5, i);
       w.end(vm.attempts.get(0), Outcome.FULL, OutcomeReason.QUEUE_FULL);
       w.machines.forEach(m -> m.ejectedUntil = Duration.ZERO);
-      w.machines.forEach(m -> m.faultScore = 0);
+      w.machines.forEach(m -> m.faultScore.clear());
       w.pass(Duration.ofMillis(10));
     }
     long there = w.vms.stream().filter(v -> v.attempts.get(0).machine == w.machines.get(0)).count();
@@ -438,7 +438,8 @@
     w.pass(Duration.ofMillis(100));
     report(w, w.machines.get(0), 4, 8);
     assertThat(w.notes)
-        .containsExactly(GossipCodec.name(100) + GossipCodec.share(0.75) + GossipCodec.share(0.75));
+        .containsExactly(
+            GossipCodec.machineName(100) + GossipCodec.share(0.75) + GossipCodec.share(0.75));
     w.pass(Duration.ofMillis(500));
     report(w, w.machines.get(0), 4, 8);
     assertThat(w.notes.size()).isEqualTo(2);
@@ -456,14 +457,15 @@
     SchedulerFixture w = noting(2);
     w.machines.forEach(m -> m.freeCores = 0);
     w.scheduler.gossipReceived(
-        GossipCodec.name(100) + GossipCodec.share(1) + GossipCodec.share(0.1));
+        GossipCodec.machineName(100) + GossipCodec.share(1) + GossipCodec.share(0.1));
     w.scheduler.gossipReceived(
-        GossipCodec.name(101) + GossipCodec.share(0.1) + GossipCodec.share(0.1));
-    w.scheduler.gossipReceived(GossipCodec.name(555) + GossipCodec.share(0) + GossipCodec.share(0));
+        GossipCodec.machineName(101) + GossipCodec.share(0.1) + GossipCodec.share(0.1));
+    w.scheduler.gossipReceived(
+        GossipCodec.machineName(555) + GossipCodec.share(0) + GossipCodec.share(0));
     w.scheduler.gossipReceived("?");
-    w.scheduler.gossipReceived(GossipCodec.name(100) + " ");
-    w.scheduler.gossipReceived(GossipCodec.name(100) + "\u2022");
-    w.scheduler.gossipReceived(GossipCodec.name(100) + "\u2022\u2022");
+    w.scheduler.gossipReceived(GossipCodec.machineName(100) + " ");
+    w.scheduler.gossipReceived(GossipCodec.machineName(100) + "\u2022");
+    w.scheduler.gossipReceived(GossipCodec.machineName(100) + "\u2022\u2022");
     assertThat(w.arrive("retryable", 2, 2, 1).attempts.get(0).machine).isSameAs(w.machines.get(1));
     assertThat(w.notes).isEmpty();
   }
@@ -471,8 +473,8 @@
   @Example
   void noAnswerHeardOfShutsTheMachineForAWhile() {
     SchedulerFixture w = noting(2);
-    w.scheduler.gossipReceived(GossipCodec.name(100));
-    w.scheduler.gossipReceived(GossipCodec.name(101));
+    w.scheduler.gossipReceived(GossipCodec.machineName(100));
+    w.scheduler.gossipReceived(GossipCodec.machineName(101));
     Vm vm = w.arrive("retryable", 2, 2, 1);
     assertThat(vm.attempts).isEmpty();
     w.pass(Duration.ofMillis(1200));
@@ -486,13 +488,13 @@
   @Example
   void turnedAwayElsewhereIsTurnedAwayHere() {
     SchedulerFixture w = noting(2);
-    w.scheduler.gossipReceived(GossipCodec.name(100) + GossipCodec.whole(2));
-    w.scheduler.gossipReceived(GossipCodec.name(101) + GossipCodec.whole(2));
+    w.scheduler.gossipReceived(GossipCodec.machineName(100) + GossipCodec.digit(2));
+    w.scheduler.gossipReceived(GossipCodec.machineName(101) + GossipCodec.digit(2));
     assertThat(w.arrive("retryable", 1, 1, 1).attempts).isEmpty();
     assertThat(w.arrive("dedup", 1, 1, 1).attempts.size()).isEqualTo(1);
     w.end(w.attempts.get(0), Outcome.FULL, OutcomeReason.UNSPECIFIED);
     assertThat(w.notes)
-        .contains(GossipCodec.name(w.attempts.get(0).machine.id) + GossipCodec.whole(0));
+        .contains(GossipCodec.machineName(w.attempts.get(0).machine.id) + GossipCodec.digit(0));
   }
 
   /**
@@ -605,7 +607,8 @@
     java.util.Map<String, List<Long>> ids = new java.util.HashMap<>();
     List<Long> alike = null;
     for (long id = 1000; alike == null; id++) {
-      List<Long> same = ids.computeIfAbsent(GossipCodec.name(id), n -> new java.util.ArrayList<>());
+      List<Long> same =
+          ids.computeIfAbsent(GossipCodec.machineName(id), n -> new java.util.ArrayList<>());
       same.add(id);
       alike = same.size() == 3 ? same : null;
     }
@@ -614,7 +617,7 @@
     three.forEach(m -> w.scheduler.machineListed(m, Lifecycle.LIVE, null));
     w.scheduler.machineListCompleted();
     w.scheduler.gossipReceived(
-        GossipCodec.name(alike.get(0)) + GossipCodec.share(1) + GossipCodec.share(1));
+        GossipCodec.machineName(alike.get(0)) + GossipCodec.share(1) + GossipCodec.share(1));
     assertThat(three).allMatch(m -> m.reportedAt == null);
   }
 
