--- a/src/main/java/fordridge/model/GossipCodec.java
+++ b/src/main/java/fordridge/model/GossipCodec.java
@@ -43,9 +43,11 @@
     return machineName(machine.id) + digit(tenantClass);
   }
 
-  /** Tells the load of a machine, as shares of its size. */
-  public static String loadReported(Machine machine, double usedCores, double usedMemory) {
-    return machineName(machine.id) + share(usedCores) + share(usedMemory);
+  /** Tells the last load report of a machine. */
+  public static String loadReported(Machine machine) {
+    char usedCores = share(1 - machine.spareCores / machine.cores);
+    char usedMemory = share(1 - machine.spareMemory / machine.memory);
+    return machineName(machine.id) + usedCores + usedMemory;
   }
 
   /** Reads a message; null if it is none. */
--- a/src/main/java/fordridge/model/Machine.java
+++ b/src/main/java/fordridge/model/Machine.java
@@ -113,6 +113,16 @@
     return !rejectionBackoffs.isEmpty();
   }
 
+  /** Sends no attempt before that time, or the later one that was set before. */
+  public void ejectUntil(Duration time) {
+    ejectedUntil = Durations.max(ejectedUntil, time);
+  }
+
+  /** Whether any scheduler gossiped a report of it less than that span ago. */
+  public boolean wasGossipedWithin(Duration span, Duration now) {
+    return gossipedAt != null && now.minus(gossipedAt).compareTo(span) < 0;
+  }
+
   /** Whether it is live and its size is known. */
   public boolean isUsable() {
     return lifecycle == Lifecycle.LIVE && cores > 0;
--- a/src/main/java/fordridge/model/RejectionBackoff.java
+++ b/src/main/java/fordridge/model/RejectionBackoff.java
@@ -12,4 +12,9 @@
 
   /** When the machine last accepted one since the last rejection, or null. */
   public Duration acceptedAt;
+
+  /** Goes on until that time at least. */
+  public void extendUntil(Duration time) {
+    until = Durations.max(until, time);
+  }
 }
--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * What one scheduler instance knows for as long as it runs. It keeps books and decides nothing.
@@ -135,6 +136,11 @@
     return Durations.scale(settings.detectionTimeout(), count);
   }
 
+  /** The time in so many detection timeouts. */
+  public Duration inTimeouts(double count) {
+    return now.plus(detectionTimeouts(count));
+  }
+
   /** The settings of a VM's priority class. */
   public PriorityClass settingsOf(Vm vm) {
     return classOf(vm).settings;
@@ -145,8 +151,16 @@
     return priorityClasses.get(vm.priorityClass);
   }
 
-  /** Numbers the tenant classes anew, by tenant as in the settings and by name of the class. */
-  public void numberTenantClasses() {
+  /**
+   * Takes over settings. Priority classes stay and keep what was learned; {@code unlearned} makes
+   * the state of a new one. Tenant classes are numbered anew, by tenant and name of the class.
+   */
+  public void apply(
+      SchedulerSettings newSettings, Function<PriorityClass, PriorityClassState> unlearned) {
+    settings = newSettings;
+    for (PriorityClass each : settings.priorityClasses()) {
+      priorityClasses.computeIfAbsent(each.name(), name -> unlearned.apply(each)).settings = each;
+    }
     tenantClasses.clear();
     for (String tenant : settings.tenants()) {
       for (String priorityClass : priorityClasses.keySet()) {
@@ -155,9 +169,24 @@
     }
   }
 
-  /** Whether gossip numbers a tenant class so. */
-  public boolean isTenantClass(int index) {
-    return index >= 0 && index < tenantClasses.size();
+  /** Whether the machine list must be requested now. */
+  public boolean needsMachineList() {
+    return isListWatched() && !isWatching && !isWatchRequested && isPast(nextWatchAt);
+  }
+
+  /** Whether pending VMs wait that no one will place any more. */
+  public boolean mustDropPending() {
+    return isStopping && !pending.isEmpty();
+  }
+
+  /** Whether VMs are pending for which capacity may have grown, and were not tried now. */
+  public boolean mayPlacePending() {
+    return mayHaveGrown && !pending.isEmpty() && !now.equals(pendingTriedAt);
+  }
+
+  /** Whether something waits for time to pass and no timer is set. */
+  public boolean needsTimer() {
+    return timerAt == null && (!pending.isEmpty() || (isListWatched() && !isWatching));
   }
 
   /** The shortest start deadline of any priority class, in seconds. */
@@ -212,9 +241,19 @@
     }
   }
 
-  /** The only machine with that short name, or null. */
-  public Machine machineByGossipName(String name) {
-    return machinesByGossipName.get(name);
+  /** The machine that a gossip message is about, or null if it cannot be told or used. */
+  public Machine machineOf(GossipMessage message) {
+    boolean isUnknown =
+        message == null
+            || (message instanceof GossipMessage.TenantClassRejected rejected
+                && (rejected.tenantClass() < 0 || rejected.tenantClass() >= tenantClasses.size()));
+    return isUnknown ? null : machinesByGossipName.get(message.machineName());
+  }
+
+  /** Whether the machine hosts a service, or did within that span. */
+  public boolean isHostedWithin(Duration span, Machine machine, long service) {
+    HostedService hosted = machine.hostedServices.get(service);
+    return hosted != null && (hosted.count > 0 || isWithin(span, hosted.lastHostedAt));
   }
 
   /** An attempt is sent: it is reserved until lists and reports can include it. */
--- a/src/main/java/fordridge/scheduling/HealthChecker.java
+++ b/src/main/java/fordridge/scheduling/HealthChecker.java
@@ -14,18 +14,16 @@
   /** What gossip of load reports may cost, as a share of what all VMs are worth. */
   private static final double GOSSIP_COST_SHARE = 0.005;
 
-  /** What a gossip message counts as at each receiver, and the bytes that have a price. */
+  /** What a gossip message counts as at each receiver, by its price of 256 bytes. */
   private static final int MESSAGE_BYTES = 16;
 
-  private static final int PRICED_BYTES = 256;
-
   /** How often reports are gossiped, by cost; a VM is taken to run four detection timeouts. */
   void refreshGossipInterval(int machines) {
     double timeout = toSeconds(state.settings.detectionTimeout());
     double meanCores = state.settings.capacity().meanVmCores();
     double starts = state.usage.requestedCores / meanCores / (4 * timeout);
     double price = state.settings.prices().gossipMessage();
-    double cost = (state.schedulerCount - 1) * MESSAGE_BYTES / PRICED_BYTES * price;
+    double cost = (state.schedulerCount - 1) * MESSAGE_BYTES / 256 * price;
     double affordable = machines * cost / GOSSIP_COST_SHARE / Math.max(1, starts);
     double interval = Math.max(timeout / 6, affordable);
     boolean isAlone = state.schedulerCount < 2;
@@ -38,24 +36,16 @@
     if (state.gossipInterval != null
         && state.now.equals(machine.reportedAt)
         && Double.isFinite(machine.spareCores + machine.spareMemory)
-        && (machine.gossipedAt == null
-            || !state.isWithin(state.gossipInterval, machine.gossipedAt))) {
+        && !machine.wasGossipedWithin(state.gossipInterval, state.now)) {
       machine.gossipedAt = state.now;
-      double cores = 1 - machine.spareCores / machine.cores;
-      double memory = 1 - machine.spareMemory / machine.memory;
-      actions.gossip(GossipCodec.loadReported(machine, cores, memory));
+      gossip(GossipCodec.loadReported(machine));
     }
   }
 
-  void machineUnreachable(Machine machine) {
+  /** Tells the other schedulers, if gossip is worth its price at all. */
+  void gossip(String message) {
     if (state.gossipInterval != null) {
-      actions.gossip(GossipCodec.unreachable(machine));
-    }
-  }
-
-  void tenantClassRejected(Machine machine, int tenantClass) {
-    if (state.gossipInterval != null && tenantClass >= 0) {
-      actions.gossip(GossipCodec.tenantClassRejected(machine, tenantClass));
+      actions.gossip(message);
     }
   }
 
--- a/src/main/java/fordridge/scheduling/MachineSelector.java
+++ b/src/main/java/fordridge/scheduling/MachineSelector.java
@@ -53,10 +53,7 @@
 
   /** Whether the machine hosts the service or did lately: a start there is a warm start. */
   boolean hasProgram(Machine machine, long service) {
-    var hosted = machine.hostedServices.get(service);
-    return hosted != null
-        && (hosted.count > 0
-            || state.isWithin(state.settings.detectionTimeout(), hosted.lastHostedAt));
+    return state.isHostedWithin(state.settings.detectionTimeout(), machine, service);
   }
 
   /** Those with capacity, in the first of the preferred groups where any has. */
@@ -75,9 +72,10 @@
    * reject stay empty, and by capacity alone would draw every attempt.
    */
   private List<Machine> withCapacityAmongProven(Vm vm, List<Machine> eligible) {
-    boolean isRejected = outliers.isBeingRejected(vm);
-    List<Machine> proven =
-        isRejected ? filter(eligible, m -> outliers.acceptedLately(vm, m)) : List.of();
+    if (!outliers.isBeingRejected(vm)) {
+      return List.of();
+    }
+    List<Machine> proven = filter(eligible, m -> outliers.acceptedLately(vm, m));
     return proven.isEmpty() ? proven : withCapacity(vm, proven);
   }
 
--- a/src/main/java/fordridge/scheduling/OutlierDetector.java
+++ b/src/main/java/fordridge/scheduling/OutlierDetector.java
@@ -4,13 +4,13 @@
 import static fordridge.model.Durations.scale;
 import static fordridge.model.Durations.toSeconds;
 
+import fordridge.model.GossipCodec;
 import fordridge.model.Machine;
 import fordridge.model.MachineLists;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.PriorityClass;
-import fordridge.model.RejectionBackoff;
 import fordridge.model.SchedulerState;
 import fordridge.model.Vm;
 import java.time.Duration;
@@ -69,7 +69,7 @@
   }
 
   void attemptAccepted(PlacementAttempt attempt) {
-    RejectionBackoff backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
+    var backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
     backoff.span = backoff.span.dividedBy(2);
     backoff.acceptedAt = state.now;
   }
@@ -97,18 +97,17 @@
   private void full(PlacementAttempt attempt, OutcomeReason reason) {
     Duration objective = state.settingsOf(attempt.vm).startObjective();
     boolean isQueue = reason == OutcomeReason.QUEUE_FULL;
-    Duration span = scale(isQueue ? objective : state.settings.detectionTimeout(), 0.5);
-    attempt.machine.ejectedUntil = state.now.plus(span);
+    Duration span = isQueue ? objective : state.settings.detectionTimeout();
+    attempt.machine.ejectedUntil = state.now.plus(scale(span, 0.5));
     recordFault(attempt.machine, 0.5);
   }
 
   /**
-   * Backs off for this tenant class: a machine that is truly full says of what, one that does not
-   * rejects these VMs whatever it has free, by a quota or a fault; others go on. Where reasons are
-   * never given, capacity that becomes free is found later by it.
+   * A machine that is truly full says of what; one that does not rejects this tenant class whatever
+   * it has free, by a quota or a fault. Where reasons are never given, this may cost capacity.
    */
   private void rejected(PlacementAttempt attempt) {
-    RejectionBackoff backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
+    var backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
     double timeout = toSeconds(state.settings.detectionTimeout());
     double timeouts = 4 * toSeconds(backoff.span) / timeout;
     backoff.span = ofSeconds(Math.max(2, Math.min(timeouts, 8)) * timeout);
@@ -119,8 +118,10 @@
     } else {
       recordFault(attempt.machine, 0.5);
     }
-    health.tenantClassRejected(
-        attempt.machine, state.tenantClasses.indexOf(attempt.vm.tenantClass()));
+    int tenantClass = state.tenantClasses.indexOf(attempt.vm.tenantClass());
+    if (tenantClass >= 0) {
+      health.gossip(GossipCodec.tenantClassRejected(attempt.machine, tenantClass));
+    }
   }
 
   /**
@@ -132,7 +133,7 @@
     boolean isUnreachable = attempt.outcome == Outcome.UNREACHABLE;
     recordFault(machine, attempt.wasAccepted() ? 0.5 : 2);
     if (isUnreachable && state.isPast(machine.ejectedUntil)) {
-      health.machineUnreachable(machine);
+      health.gossip(GossipCodec.unreachable(machine));
     }
     if (isUnreachable || attempt.wasAccepted()) {
       double timeouts = Math.min(faultScore(machine), 4 * OUTLIER_SEVERITY) / 4;
@@ -153,8 +154,8 @@
 
   /** Whether the machine accepted a VM of this tenant class lately. */
   boolean acceptedLately(Vm vm, Machine machine) {
+    Duration span = state.detectionTimeouts(4);
     return machine.hasRejectionBackoffs()
-        && state.isWithin(
-            state.detectionTimeouts(4), machine.rejectionBackoff(vm.tenantClass()).acceptedAt);
+        && state.isWithin(span, machine.rejectionBackoff(vm.tenantClass()).acceptedAt);
   }
 }
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -1,6 +1,5 @@
 package fordridge.scheduling;
 
-import static fordridge.model.Durations.max;
 import static fordridge.model.Durations.min;
 import static fordridge.model.Durations.ofSeconds;
 import static fordridge.model.Durations.scale;
@@ -12,15 +11,17 @@
 import fordridge.model.MachineLists;
 import fordridge.model.PendingQueue;
 import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.PriorityClass;
 import fordridge.model.PriorityClassState;
 import fordridge.model.SchedulerSettings;
 import fordridge.model.SchedulerState;
 import fordridge.model.SeededRandom;
 import fordridge.model.Vm;
+import fordridge.scheduling.RuleList.Rule;
 import java.time.Duration;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
 /**
  * Places VMs on machines: utilization-aware scheduling after UBIS (docs/design.md) for one
@@ -31,9 +32,6 @@
  * SchedulerActions} before the call returns. For one thread; it reads no clock.
  */
 public final class Scheduler {
-  /** Where the condition holds, the action follows, and the rules are gone through again. */
-  private record Rule(BooleanSupplier condition, Runnable action) {}
-
   static final Duration DEFAULT_DETECTION_TIMEOUT = Duration.ofSeconds(3);
   static final Duration DEFAULT_POLL_INTERVAL = Duration.ofSeconds(10);
 
@@ -48,7 +46,7 @@
   private final HealthChecker health;
   private final OutlierDetector outliers;
   private final MachineSelector selector;
-  private final List<Rule> rules;
+  private final RuleList rules;
 
   public Scheduler(SchedulerActions actions) {
     this.actions = actions;
@@ -57,15 +55,15 @@
     var candidates = new CandidateFilter(state, actions, retries, slowStart, outliers);
     selector = new MachineSelector(state, actions, capacity, candidates, outliers);
     rules =
-        List.of(
+        new RuleList(
             // The list first: nothing is placed by a list that no longer counts as current.
-            new Rule(this::needsMachineList, this::watchMachineList),
-            new Rule(this::mustDropPending, () -> giveUp(state.pending.takeFirst())),
+            new Rule(state::needsMachineList, this::watchMachineList),
+            new Rule(state::mustDropPending, () -> giveUp(state.pending.takeFirst())),
             // What can be placed is placed before anything is given up.
             new Rule(() -> !state.untried.isEmpty(), () -> placeOrHold(state.untried.remove())),
-            new Rule(this::mayPlacePending, this::tryPending),
+            new Rule(state::mayPlacePending, this::tryPending),
             new Rule(() -> state.isPast(state.nextProbeAt), health::probeStalest),
-            new Rule(this::needsTimer, this::setTimer));
+            new Rule(state::needsTimer, this::setTimer));
   }
 
   /** The time of the inputs that follow; it never goes back. */
@@ -81,25 +79,17 @@
     state.random = new SeededRandom(seed);
     state.startedAt = state.now;
     state.schedulerCount = settings.schedulerCount();
-    apply(settings);
+    state.apply(settings, Scheduler::unlearned);
     capacity.start();
-    applyRules();
+    rules.apply();
   }
 
   /** Other settings hold from now on; priority classes stay, and what was learned of them. */
   public void settingsChanged(SchedulerSettings settings) {
-    apply(settings);
+    state.apply(settings, Scheduler::unlearned);
     capacityMayHaveGrown();
   }
 
-  private void apply(SchedulerSettings settings) {
-    state.settings = settings;
-    for (PriorityClass each : settings.priorityClasses()) {
-      state.priorityClasses.computeIfAbsent(each.name(), n -> unlearned(each)).settings = each;
-    }
-    state.numberTenantClasses();
-  }
-
   private static PriorityClassState unlearned(PriorityClass settings) {
     double objective = toSeconds(settings.startObjective());
     double lifetime = Math.max(1, settings.startValueSeconds());
@@ -132,8 +122,8 @@
   public void machineListFailed() {
     state.isWatchRequested = false;
     state.isWatching = false;
-    state.nextWatchAt = state.now.plus(state.detectionTimeouts(1.0 / 4));
-    applyRules();
+    state.nextWatchAt = state.inTimeouts(1.0 / 4);
+    rules.apply();
   }
 
   /** A client requests a VM. */
@@ -141,13 +131,13 @@
     state.requestCount++;
     state.classOf(vm).requests++;
     state.untried.add(vm);
-    applyRules();
+    rules.apply();
   }
 
   /** A VM that runs already counts as placed by this scheduler. */
   public void vmAdopted(Vm vm, Machine machine) {
     state.addHosted(PlacementAttempt.adopted(vm, machine, state.now));
-    applyRules();
+    rules.apply();
   }
 
   /** The machine accepted the VM. */
@@ -165,7 +155,7 @@
     if (attempt.runningSince == null) {
       started(attempt);
     }
-    applyRules();
+    rules.apply();
   }
 
   private void started(PlacementAttempt attempt) {
@@ -199,18 +189,15 @@
   public void clientLeft(Vm vm) {
     state.finish(vm);
     state.untried.remove(vm);
-    applyRules();
+    rules.apply();
   }
 
   /** An attempt ended; {@code isFinal} if its VM needs no response any more. */
   public void attemptEnded(
-      PlacementAttempt attempt,
-      PlacementAttempt.Outcome outcome,
-      PlacementAttempt.OutcomeReason reason,
-      boolean isFinal) {
+      PlacementAttempt attempt, Outcome outcome, OutcomeReason reason, boolean isFinal) {
     Vm vm = attempt.vm;
     state.attemptEnded(attempt, outcome);
-    if (attempt.wasAccepted() && outcome == PlacementAttempt.Outcome.DONE) {
+    if (attempt.wasAccepted() && outcome == Outcome.DONE) {
       state.classOf(vm).lifetimeSeconds.add(state.secondsSince(attempt.acceptedAt));
     }
     outliers.attemptEnded(attempt, reason);
@@ -237,7 +224,7 @@
       loadReported(machine);
     } else if (!isHealthy) {
       outliers.recordFault(machine, 1);
-      health.machineUnreachable(machine);
+      health.gossip(GossipCodec.unreachable(machine));
     }
     capacityMayHaveGrown();
   }
@@ -245,7 +232,7 @@
   /** Gossip of another scheduler; passed over unless our own list names its machine. */
   public void gossipReceived(String text) {
     GossipMessage message = GossipCodec.decode(text);
-    Machine machine = message == null ? null : state.machineByGossipName(message.machineName());
+    Machine machine = state.machineOf(message);
     if (machine == null) {
       return;
     }
@@ -253,12 +240,10 @@
       machine.loadGossiped(load, state.now);
       capacityMayHaveGrown();
     } else if (message instanceof GossipMessage.Unreachable) {
-      Duration until = state.now.plus(state.detectionTimeouts(1.0 / 3));
-      machine.ejectedUntil = max(machine.ejectedUntil, until);
-    } else if (message instanceof GossipMessage.TenantClassRejected rejected
-        && state.isTenantClass(rejected.tenantClass())) {
-      var backoff = machine.rejectionBackoff(state.tenantClasses.get(rejected.tenantClass()));
-      backoff.until = max(backoff.until, state.now.plus(state.detectionTimeouts(2)));
+      machine.ejectUntil(state.inTimeouts(1.0 / 3));
+    } else if (message instanceof GossipMessage.TenantClassRejected rejected) {
+      var tenantClass = state.tenantClasses.get(rejected.tenantClass());
+      machine.rejectionBackoff(tenantClass).extendUntil(state.inTimeouts(2));
     }
   }
 
@@ -271,7 +256,7 @@
   /** Nothing more is placed: pending VMs are answered at once, others when their attempt ends. */
   public void shutdownStarted() {
     state.isStopping = true;
-    applyRules();
+    rules.apply();
   }
 
   /** The timer that was set fired. */
@@ -283,24 +268,7 @@
   private void capacityMayHaveGrown() {
     state.mayHaveGrown = true;
     state.unplaceable.clear();
-    applyRules();
-  }
-
-  private void applyRules() {
-    for (int i = 0; i < rules.size(); ) {
-      Rule rule = rules.get(i);
-      if (rule.condition().getAsBoolean()) {
-        rule.action().run();
-        i = 0;
-      } else {
-        i++;
-      }
-    }
-  }
-
-  private boolean needsMachineList() {
-    boolean isMissing = state.isListWatched() && !state.isWatching;
-    return isMissing && !state.isWatchRequested && state.isPast(state.nextWatchAt);
+    rules.apply();
   }
 
   private void watchMachineList() {
@@ -315,10 +283,6 @@
     return !state.isListWatched() || state.isWatching || !isSilent;
   }
 
-  private boolean mustDropPending() {
-    return state.isStopping && !state.pending.isEmpty();
-  }
-
   private void giveUp(Vm vm) {
     vm.isFinished = true;
     if (retries.mayReject(vm)) {
@@ -410,11 +374,6 @@
     return PendingQueue.Shape.of(vm, isAnyService ? 0 : vm.service, boundTo, isLate);
   }
 
-  private boolean mayPlacePending() {
-    boolean isNew = !state.now.equals(state.pendingTriedAt);
-    return state.mayHaveGrown && !state.pending.isEmpty() && isNew;
-  }
-
   /**
    * Once an instant: first what is due to be given up or to count as late, then each group through
    * its oldest VM, by priority and age, and again only while its VMs find capacity. So the work for
@@ -431,11 +390,6 @@
     }
   }
 
-  private boolean needsTimer() {
-    boolean isWaiting = !state.pending.isEmpty() || (state.isListWatched() && !state.isWatching);
-    return state.timerAt == null && isWaiting;
-  }
-
   /** In time for the shortest start deadline: one counted in ticks may come too late. */
   private void setTimer() {
     state.timerAt = state.now.plus(ofSeconds(state.shortestStartDeadlineSeconds() / 32));
