--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * What one scheduler instance knows for as long as it runs. It keeps books and decides nothing.
@@ -131,6 +132,16 @@
     return settings.discovery().isWatched();
   }
 
+  /** Machines that are live and whose size is known, or all where none is. */
+  public List<Machine> usableMachines() {
+    return MachineLists.prefer(machines, Machine::isUsable);
+  }
+
+  /** The detection timeout in seconds. */
+  public double timeoutSeconds() {
+    return Durations.toSeconds(settings.detectionTimeout());
+  }
+
   /** So many detection timeouts. */
   public Duration detectionTimeouts(double count) {
     return Durations.scale(settings.detectionTimeout(), count);
@@ -169,6 +180,23 @@
     }
   }
 
+  /**
+   * The machine with the oldest report of those that match and whose report is older than that; the
+   * first of equals, from an index of the list on. Null if there is none.
+   */
+  public Machine findOldestReport(int from, Duration age, Predicate<Machine> condition) {
+    Machine oldest = null;
+    Duration oldestAge = age;
+    for (int i = 0; i < machines.size(); i++) {
+      Machine machine = machines.get((from + i) % machines.size());
+      if (condition.test(machine) && since(machine.reportedAt).compareTo(oldestAge) > 0) {
+        oldest = machine;
+        oldestAge = since(machine.reportedAt);
+      }
+    }
+    return oldest;
+  }
+
   /** Whether the machine list must be requested now. */
   public boolean needsMachineList() {
     return isListWatched() && !isWatching && !isWatchRequested && isPast(nextWatchAt);
--- a/src/main/java/fordridge/scheduling/CapacityModel.java
+++ b/src/main/java/fordridge/scheduling/CapacityModel.java
@@ -2,7 +2,6 @@
 
 import static fordridge.model.Durations.scale;
 import static fordridge.model.MachineLists.filter;
-import static fordridge.model.MachineLists.mean;
 import static fordridge.model.MachineLists.withHeadroom;
 
 import fordridge.model.FleetUsage;
@@ -34,27 +33,16 @@
   }
 
   void refreshMeans(List<Machine> live) {
-    List<Machine> reporting = filter(live, this::hasFreshReport);
-    usage.reportingShare = reporting.size() / Math.max(1.0, live.size());
-    usage.requestedCores = mean(live, m -> m.cores - m.freeCores) * live.size();
-    usage.meanUsedCores = mean(reporting, m -> usedCores(m) / m.cores);
-    usage.meanUsedMemory = mean(reporting, m -> usedMemory(m) / m.memory);
-    double cores = mean(reporting, m -> 1 - m.freeCores / m.cores);
-    double memory = mean(reporting, m -> 1 - m.freeMemory / m.memory);
-    usage.usedPerRequestedCore =
-        cores > 0 ? usage.meanUsedCores / cores : usage.usedCoresRatio.value();
-    usage.usedPerRequestedMemory =
-        memory > 0 ? usage.meanUsedMemory / memory : usage.usedMemoryRatio.value();
+    usage.refresh(live, filter(live, this::hasFreshReport), this::usedCores, this::usedMemory);
   }
 
   /** Reservations go once a list or report that can include them came; true if none is left. */
   boolean releaseReservations(Machine m) {
     var listed = state.listReceivedAt.minus(state.detectionTimeouts(1.0 / 3));
-    var reported =
-        hasFreshReport(m)
-            ? m.reportedAt.minus(state.detectionTimeouts(1.0 / 6))
-            : state.now.minus(state.settings.detectionTimeout());
     m.reservedSinceList.removeSentBefore(listed);
+    boolean isFresh = hasFreshReport(m);
+    var lag = isFresh ? state.detectionTimeouts(1.0 / 6) : state.settings.detectionTimeout();
+    var reported = (isFresh ? m.reportedAt : state.now).minus(lag);
     m.reservedSinceReport.removeIf(a -> a.outcome != null || a.ranBefore(reported));
     return m.reservedSinceList.isEmpty() && m.reservedSinceReport.isEmpty();
   }
@@ -106,10 +94,7 @@
     return UTILIZATION_LIMIT - (UTILIZATION_LIMIT - LOW_RANK_MEMORY_LIMIT) * part;
   }
 
-  /**
-   * How busy cores may get: for a VM that waited, where its class degrades slowly, up to the level
-   * at which one more start is worth what it takes from the VMs that run.
-   */
+  /** For a VM that waited, up to where one more start is worth what it takes from other VMs. */
   private double coresLimit(Vm vm) {
     var settings = state.settingsOf(vm);
     if (state.isWithin(scale(settings.startObjective(), 1.0 / 8), vm.arrivedAt)) {
--- a/src/main/java/fordridge/scheduling/HealthChecker.java
+++ b/src/main/java/fordridge/scheduling/HealthChecker.java
@@ -2,7 +2,6 @@
 
 import static fordridge.model.Durations.ofSeconds;
 import static fordridge.model.Durations.scale;
-import static fordridge.model.Durations.toSeconds;
 
 import fordridge.model.GossipCodec;
 import fordridge.model.Machine;
@@ -19,15 +18,16 @@
 
   /** How often reports are gossiped, by cost; a VM is taken to run four detection timeouts. */
   void refreshGossipInterval(int machines) {
-    double timeout = toSeconds(state.settings.detectionTimeout());
-    double meanCores = state.settings.capacity().meanVmCores();
-    double starts = state.usage.requestedCores / meanCores / (4 * timeout);
-    double price = state.settings.prices().gossipMessage();
-    double cost = (state.schedulerCount - 1) * MESSAGE_BYTES / 256 * price;
+    double timeout = state.timeoutSeconds();
+    var settings = state.settings;
+    double vms = state.usage.requestedCores / settings.capacity().meanVmCores();
+    double starts = vms / (4 * timeout);
+    double receivers = state.schedulerCount - 1;
+    double cost = receivers * MESSAGE_BYTES / 256 * settings.prices().gossipMessage();
     double affordable = machines * cost / GOSSIP_COST_SHARE / Math.max(1, starts);
     double interval = Math.max(timeout / 6, affordable);
-    boolean isAlone = state.schedulerCount < 2;
-    boolean isOff = isAlone || interval > timeout || !state.settings.monitoring().gossipAllowed();
+    boolean isAllowed = state.schedulerCount >= 2 && settings.monitoring().gossipAllowed();
+    boolean isOff = !isAllowed || interval > timeout;
     state.gossipInterval = isOff ? null : ofSeconds(interval);
   }
 
@@ -59,7 +59,9 @@
     if (!state.settings.monitoring().probesReportLoad()) {
       return;
     }
-    Machine stalest = findStalest(stale);
+    // From a random machine on: else all schedulers probe the first of the list, others never.
+    int from = (int) (state.random.next() * state.machines.size());
+    Machine stalest = state.findOldestReport(from, stale, machine -> mayProbe(machine, stale));
     if (stalest != null && state.probeCount < state.requestCount) {
       state.probeCount++;
       stalest.isProbing = true;
@@ -69,21 +71,8 @@
     }
   }
 
-  /** From a random machine on: else all schedulers probe the first of the list, others never. */
-  private Machine findStalest(Duration stale) {
-    Machine stalest = null;
-    Duration oldest = stale;
-    int first = (int) (state.random.next() * state.machines.size());
-    for (int i = 0; i < state.machines.size(); i++) {
-      Machine machine = state.machines.get((first + i) % state.machines.size());
-      if (machine.lifecycle == Machine.Lifecycle.LIVE
-          && !machine.isProbing
-          && state.since(machine.probedAt).compareTo(stale) > 0
-          && state.since(machine.reportedAt).compareTo(oldest) > 0) {
-        stalest = machine;
-        oldest = state.since(machine.reportedAt);
-      }
-    }
-    return stalest;
+  private boolean mayProbe(Machine machine, Duration stale) {
+    boolean isDue = state.since(machine.probedAt).compareTo(stale) > 0;
+    return isDue && machine.lifecycle == Machine.Lifecycle.LIVE && !machine.isProbing;
   }
 }
--- a/src/main/java/fordridge/scheduling/MachineSelector.java
+++ b/src/main/java/fordridge/scheduling/MachineSelector.java
@@ -67,10 +67,7 @@
     return found.isEmpty() ? withCapacity(vm, eligible) : found;
   }
 
-  /**
-   * While such VMs are rejected without a reason, machines that accepted one lately: those that
-   * reject stay empty, and by capacity alone would draw every attempt.
-   */
+  /** While such VMs are rejected: those that reject stay empty, and would draw every attempt. */
   private List<Machine> withCapacityAmongProven(Vm vm, List<Machine> eligible) {
     if (!outliers.isBeingRejected(vm)) {
       return List.of();
@@ -96,9 +93,8 @@
   }
 
   /**
-   * What all schedulers prefer by the same outdated list, others fill before the list shows it:
-   * where they place more than the preferred machines have free, only that part of the VMs goes
-   * there, by chance.
+   * All schedulers prefer the same by one outdated list: where they place more than the preferred
+   * machines have free, only that part of the VMs goes there, by chance.
    */
   private List<Machine> shareOut(Vm vm, List<Machine> preferred, List<Machine> otherwise) {
     double headroom = totalHeadroom(preferred);
@@ -125,9 +121,8 @@
   }
 
   /**
-   * The least pressed of a sample. Where no machine has the program, the sample is those that rank
-   * first for the service, so that schedulers meet there. Else it is drawn by headroom: many
-   * schedulers read the same outdated list, and drawn evenly, all fill the same few machines.
+   * The least pressed of a sample: those that rank first for the service where no machine has its
+   * program, so that schedulers meet there; else drawn by headroom, as evenly all fill the same.
    */
   private Machine leastPressed(Vm vm, List<Machine> machines) {
     boolean isDrawn = hasProgram(machines.get(0), vm.service);
@@ -141,10 +136,7 @@
     return best;
   }
 
-  /**
-   * The fault score, and utilization past the limit as if it were a report of memory pressure:
-   * where such reports are not sent, it is all that shows overload.
-   */
+  /** Utilization past the limit counts like reports of pressure, which are not always sent. */
   private double pressure(Machine machine) {
     double limit = CapacityModel.UTILIZATION_LIMIT;
     double overload = Math.max(0, capacity.utilization(machine) - limit) / (1 - limit);
--- a/src/main/java/fordridge/scheduling/OutlierDetector.java
+++ b/src/main/java/fordridge/scheduling/OutlierDetector.java
@@ -108,9 +108,8 @@
    */
   private void rejected(PlacementAttempt attempt) {
     var backoff = attempt.machine.rejectionBackoff(attempt.vm.tenantClass());
-    double timeout = toSeconds(state.settings.detectionTimeout());
-    double timeouts = 4 * toSeconds(backoff.span) / timeout;
-    backoff.span = ofSeconds(Math.max(2, Math.min(timeouts, 8)) * timeout);
+    double timeouts = 4 * toSeconds(backoff.span) / state.timeoutSeconds();
+    backoff.span = ofSeconds(Math.max(2, Math.min(timeouts, 8)) * state.timeoutSeconds());
     backoff.until = state.now.plus(backoff.span);
     backoff.acceptedAt = null;
     if (attempt.outcome == Outcome.FULL) {
@@ -124,10 +123,7 @@
     }
   }
 
-  /**
-   * A machine that cannot be reached, or that lost a VM without a word, is down however the rest of
-   * the fleet fares: it is ejected for longer each time, so that a mass outage uses up no attempts.
-   */
+  /** A machine that is down is ejected for longer each time: an outage must not use up attempts. */
   private void lost(PlacementAttempt attempt) {
     Machine machine = attempt.machine;
     boolean isUnreachable = attempt.outcome == Outcome.UNREACHABLE;
@@ -137,8 +133,7 @@
     }
     if (isUnreachable || attempt.wasAccepted()) {
       double timeouts = Math.min(faultScore(machine), 4 * OUTLIER_SEVERITY) / 4;
-      double timeout = toSeconds(state.settings.detectionTimeout());
-      machine.ejectedUntil = state.now.plus(ofSeconds(timeouts * timeout / 2));
+      machine.ejectedUntil = state.now.plus(ofSeconds(timeouts * state.timeoutSeconds() / 2));
     }
   }
 
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -8,7 +8,6 @@
 import fordridge.model.GossipCodec;
 import fordridge.model.GossipMessage;
 import fordridge.model.Machine;
-import fordridge.model.MachineLists;
 import fordridge.model.PendingQueue;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -24,12 +23,9 @@
 import java.util.List;
 
 /**
- * Places VMs on machines: utilization-aware scheduling after UBIS (docs/design.md) for one
- * scheduler instance.
- *
- * <p>Each call is {@link #advanceTo} with the time and then one input, {@link #start} first. An
- * input changes the state, then the rules are applied until none holds; they act through {@link
- * SchedulerActions} before the call returns. For one thread; it reads no clock.
+ * Places VMs on machines: utilization-aware scheduling after UBIS (docs/design.md). It is called by
+ * one thread with {@link #advanceTo} and then one input, {@link #start} first. An input changes the
+ * state, then the rules act through {@link SchedulerActions} until none holds.
  */
 public final class Scheduler {
   static final Duration DEFAULT_DETECTION_TIMEOUT = Duration.ofSeconds(3);
@@ -278,9 +274,10 @@
 
   /** A list that must be watched counts as current for four intervals after a failure. */
   private boolean isMachineListCurrent() {
-    Duration span = state.settings.discovery().pollInterval().multipliedBy(4);
-    boolean isSilent = !state.isWithin(span, state.listReceivedAt);
-    return !state.isListWatched() || state.isWatching || !isSilent;
+    Duration interval = state.settings.discovery().pollInterval();
+    return !state.isListWatched()
+        || state.isWatching
+        || state.isWithin(interval.multipliedBy(4), state.listReceivedAt);
   }
 
   private void giveUp(Vm vm) {
@@ -331,7 +328,7 @@
   }
 
   private void refreshMeans() {
-    List<Machine> live = MachineLists.prefer(state.machines, Machine::isUsable);
+    List<Machine> live = state.usableMachines();
     outliers.refreshMeans(live);
     capacity.refreshMeans(live);
     health.refreshGossipInterval(live.size());
@@ -347,10 +344,7 @@
     actions.sendAttempt(attempt, attempt.timeout);
   }
 
-  /**
-   * Behind others of its rank once its first start can hardly come in time: in the order of arrival
-   * an overload would make every start late.
-   */
+  /** Behind others of its rank once it comes late: else, in overload, every start would be late. */
   private void hold(Vm vm) {
     Duration giveUpAt = retries.giveUpAt(vm);
     if (state.isPast(giveUpAt)) {
@@ -375,9 +369,8 @@
   }
 
   /**
-   * Once an instant: first what is due to be given up or to count as late, then each group through
-   * its oldest VM, by priority and age, and again only while its VMs find capacity. So the work for
-   * one input grows with the number of shapes, not of VMs.
+   * Once an instant: what is due first, then each group through its oldest VM, by rank and age, as
+   * long as its VMs find capacity. So the work grows with the number of shapes, not of VMs.
    */
   private void tryPending() {
     state.mayHaveGrown = false;
