--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -107,6 +107,26 @@
   /** How old the last report gossiped of a machine must be for the next; null: none is. */
   public Duration gossipInterval;
 
+  /** The time of the next input. */
+  public void advanceTo(Duration time) {
+    if (!time.equals(now)) {
+      unplaceable.clear();
+    }
+    now = time;
+  }
+
+  /** Capacity may have grown: what found none is worth another look. */
+  public void capacityMayHaveGrown() {
+    mayHaveGrown = true;
+    unplaceable.clear();
+  }
+
+  /** Pending VMs are tried now. */
+  public void pendingTried() {
+    mayHaveGrown = false;
+    pendingTriedAt = now;
+  }
+
   /** Whether that time has come. */
   public boolean isPast(Duration time) {
     return now.compareTo(time) >= 0;
@@ -269,13 +289,19 @@
     }
   }
 
-  /** The machine that a gossip message is about, or null if it cannot be told or used. */
-  public Machine machineOf(GossipMessage message) {
-    boolean isUnknown =
-        message == null
+  /** A gossip message on a machine and tenant class that are known, else null. */
+  public GossipMessage usableGossip(String text) {
+    GossipMessage message = GossipCodec.decode(text);
+    boolean isUnusable =
+        machineOf(message) == null
             || (message instanceof GossipMessage.TenantClassRejected rejected
                 && (rejected.tenantClass() < 0 || rejected.tenantClass() >= tenantClasses.size()));
-    return isUnknown ? null : machinesByGossipName.get(message.machineName());
+    return isUnusable ? null : message;
+  }
+
+  /** The machine that a gossip message is about, or null. */
+  public Machine machineOf(GossipMessage message) {
+    return message == null ? null : machinesByGossipName.get(message.machineName());
   }
 
   /** Whether the machine hosts a service, or did within that span. */
--- a/src/main/java/fordridge/scheduling/CapacityModel.java
+++ b/src/main/java/fordridge/scheduling/CapacityModel.java
@@ -12,10 +12,7 @@
 import fordridge.model.Vm;
 import java.util.List;
 
-/**
- * Estimates what machines have free: regular capacity, which nobody requested, and opportunistic
- * capacity, which was requested but is not used (UBIS).
- */
+/** Estimates regular capacity, which nobody requested, and opportunistic capacity (UBIS). */
 record CapacityModel(SchedulerState state, FleetUsage usage) {
   /** Utilization up to which machines are filled. */
   static final double UTILIZATION_LIMIT = 0.9;
@@ -87,10 +84,9 @@
   /** The more of what comes is of a lower class, the more it must be kept from filling all. */
   private double memoryLimit(Vm vm) {
     var priorityClass = state.classOf(vm);
-    double part =
-        priorityClass.settings.rank() < state.settings.topRank()
-            ? Math.min(1, 2 * priorityClass.requests / Math.max(1, state.requestCount))
-            : 0;
+    boolean isLowRank = priorityClass.settings.rank() < state.settings.topRank();
+    double requestShare = priorityClass.requests / Math.max(1, state.requestCount);
+    double part = isLowRank ? Math.min(1, 2 * requestShare) : 0;
     return UTILIZATION_LIMIT - (UTILIZATION_LIMIT - LOW_RANK_MEMORY_LIMIT) * part;
   }
 
--- a/src/main/java/fordridge/scheduling/HealthChecker.java
+++ b/src/main/java/fordridge/scheduling/HealthChecker.java
@@ -34,6 +34,7 @@
   /** Gossips a report that is new and complete, unless one was gossiped lately. */
   void loadReported(Machine machine) {
     if (state.gossipInterval != null
+        && machine != null
         && state.now.equals(machine.reportedAt)
         && Double.isFinite(machine.spareCores + machine.spareMemory)
         && !machine.wasGossipedWithin(state.gossipInterval, state.now)) {
--- a/src/main/java/fordridge/scheduling/MachineSelector.java
+++ b/src/main/java/fordridge/scheduling/MachineSelector.java
@@ -126,8 +126,7 @@
    */
   private Machine leastPressed(Vm vm, List<Machine> machines) {
     boolean isDrawn = hasProgram(machines.get(0), vm.service);
-    List<Machine> sample =
-        isDrawn ? machines : RendezvousHashing.first(vm.service, machines, SAMPLE_SIZE);
+    var sample = isDrawn ? machines : RendezvousHashing.first(vm.service, machines, SAMPLE_SIZE);
     Machine best = null;
     for (int i = 0; i < SAMPLE_SIZE && i < machines.size(); i++) {
       Machine machine = isDrawn ? drawByHeadroom(machines, state.random) : sample.get(i);
--- a/src/main/java/fordridge/scheduling/OutlierDetector.java
+++ b/src/main/java/fordridge/scheduling/OutlierDetector.java
@@ -6,7 +6,6 @@
 
 import fordridge.model.GossipCodec;
 import fordridge.model.Machine;
-import fordridge.model.MachineLists;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
@@ -14,7 +13,6 @@
 import fordridge.model.SchedulerState;
 import fordridge.model.Vm;
 import java.time.Duration;
-import java.util.List;
 
 /**
  * Keeps a fault score of each machine, ejects machines that are down, and backs off where VMs of
@@ -24,10 +22,6 @@
   /** Severity of an outlier, if it is also that many times the fleet's mean. */
   private static final double OUTLIER_SEVERITY = 3;
 
-  void refreshMeans(List<Machine> live) {
-    state.usage.meanFaultSeverity = MachineLists.mean(live, this::severity);
-  }
-
   /** Faults halve over each detection timeout. */
   void recordFault(Machine machine, double score) {
     machine.faultScore.add(score, state.now, state.settings.detectionTimeout());
@@ -47,7 +41,7 @@
             && state.since(machine.lastAttemptAt).compareTo(state.detectionTimeouts(1.0 / 2)) > 0);
   }
 
-  private double severity(Machine machine) {
+  double severity(Machine machine) {
     return faultScore(machine) + (isSilent(machine) ? OUTLIER_SEVERITY : 0);
   }
 
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -4,6 +4,7 @@
 import static fordridge.model.Durations.ofSeconds;
 import static fordridge.model.Durations.scale;
 import static fordridge.model.Durations.toSeconds;
+import static fordridge.model.MachineLists.mean;
 
 import fordridge.model.GossipCodec;
 import fordridge.model.GossipMessage;
@@ -64,10 +65,7 @@
 
   /** The time of the inputs that follow; it never goes back. */
   public void advanceTo(Duration now) {
-    if (!now.equals(state.now)) {
-      state.unplaceable.clear();
-    }
-    state.now = now;
+    state.advanceTo(now);
   }
 
   /** Starts it; the same seed, settings and inputs give the same actions. */
@@ -207,9 +205,7 @@
 
   /** A machine reported its load; null where capacity changed at large. */
   public void loadReported(Machine machine) {
-    if (machine != null) {
-      health.loadReported(machine);
-    }
+    health.loadReported(machine);
     capacityMayHaveGrown();
   }
 
@@ -227,11 +223,8 @@
 
   /** Gossip of another scheduler; passed over unless our own list names its machine. */
   public void gossipReceived(String text) {
-    GossipMessage message = GossipCodec.decode(text);
+    GossipMessage message = state.usableGossip(text);
     Machine machine = state.machineOf(message);
-    if (machine == null) {
-      return;
-    }
     if (message instanceof GossipMessage.LoadReported load) {
       machine.loadGossiped(load, state.now);
       capacityMayHaveGrown();
@@ -262,8 +255,7 @@
   }
 
   private void capacityMayHaveGrown() {
-    state.mayHaveGrown = true;
-    state.unplaceable.clear();
+    state.capacityMayHaveGrown();
     rules.apply();
   }
 
@@ -291,8 +283,7 @@
   }
 
   private void placeOrHold(Vm vm) {
-    boolean isHopeless = state.isPast(retries.giveUpAt(vm)) || state.unplaceable.covers(vm);
-    if (isHopeless || !place(vm)) {
+    if (state.isPast(retries.giveUpAt(vm)) || state.unplaceable.covers(vm) || !place(vm)) {
       hold(vm);
     }
   }
@@ -329,7 +320,7 @@
 
   private void refreshMeans() {
     List<Machine> live = state.usableMachines();
-    outliers.refreshMeans(live);
+    state.usage.meanFaultSeverity = mean(live, outliers::severity);
     capacity.refreshMeans(live);
     health.refreshGossipInterval(live.size());
   }
@@ -355,17 +346,14 @@
     Duration inTime = vm.arrivedAt.plus(scale(settings.startObjective(), 3.0 / 4));
     boolean isLate = vm.isClientRetry || state.isPast(inTime);
     int rank = 2 * settings.rank() + (isLate ? 0 : 1);
-    Duration dueAt = isLate ? giveUpAt : min(inTime, giveUpAt);
-    state.pending.add(vm, rank, shape(vm, settings, isLate), dueAt);
-  }
-
-  /** VMs of one shape differ in nothing that a machine is chosen by. */
-  private PendingQueue.Shape shape(Vm vm, PriorityClass settings, boolean isLate) {
-    // Where an attempt may have run, earlier machines bind the choice: it has its own shape.
+    // VMs of one shape differ in nothing that a machine is chosen by. Where an attempt may have
+    // run,
+    // earlier machines bind the choice: such a VM has a shape of its own.
     boolean isBound = !settings.isIdempotent() && vm.firstThatMayHaveRun() != null;
     Object boundTo = isBound ? vm : vm.lastAttempt() == null ? null : vm.lastAttempt().machine;
     boolean isAnyService = settings.isSpreadUnlimited() && !actions.isConstrained(vm);
-    return PendingQueue.Shape.of(vm, isAnyService ? 0 : vm.service, boundTo, isLate);
+    var shape = PendingQueue.Shape.of(vm, isAnyService ? 0 : vm.service, boundTo, isLate);
+    state.pending.add(vm, rank, shape, isLate ? giveUpAt : min(inTime, giveUpAt));
   }
 
   /**
@@ -373,8 +361,7 @@
    * long as its VMs find capacity. So the work grows with the number of shapes, not of VMs.
    */
   private void tryPending() {
-    state.mayHaveGrown = false;
-    state.pendingTriedAt = state.now;
+    state.pendingTried();
     state.pending.takeAllDue(state.now, this::hold);
     for (Vm vm = state.pending.next(null); vm != null; vm = state.pending.next(vm)) {
       if (!state.unplaceable.covers(vm) && place(vm)) {
