--- a/src/main/java/fordridge/server/grpc/ShadowedScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowedScheduler.java
@@ -111,13 +111,9 @@
   }
 
   void probeCompleted(
-      Machine machine,
-      String machineName,
-      boolean isHealthy,
-      boolean withLoadReport,
-      Duration roundTrip) {
-    inputs.scheduler.probeCompleted(machine, isHealthy, withLoadReport, roundTrip);
-    toShadow(s -> s.probeCompleted(machineName, isHealthy, roundTrip));
+      Machine machine, String machineName, boolean isHealthy, boolean withLoadReport) {
+    inputs.scheduler.probeCompleted(machine, isHealthy, withLoadReport);
+    toShadow(s -> s.probeCompleted(machineName, isHealthy));
   }
 
   void gossipReceived(String message) {
