--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -284,15 +284,16 @@
 
   /** A configuration with one machine, an idempotent class 'a', and 'once', that is not. */
   String configuration(int machineListPort, String machineEntry) {
-    return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
-               + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
+    return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\","
+        + "\"limits\":{\"cores\":1,\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
         + machineListPort
         + "\",\"known\":{\"pos\":3,"
         + "\"entries\":["
         + listEvent(3, true, machineEntry)
         + "]},\"settings\":{\"kinds\":[\"k\"],\"lanes\":["
         + "{\"name\":\"a\",\"giveUpUs\":4000000,\"promiseUs\":300000,\"semantics\":\"retryable\"},"
-        + "{\"name\":\"once\",\"giveUpUs\":4000000,\"promiseUs\":300000,\"semantics\":\"fragile\"}],"
+        + "{\"name\":\"once\",\"giveUpUs\":4000000,\"promiseUs\":300000,"
+        + "\"semantics\":\"fragile\"}],"
         + "\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
         + "\"caps\":{\"mostTries\":3,\"retryAfter\":true,\"connectTimeoutUs\":250000},"
         + "\"loadReport\":{\"via\":\"off\"},\"extra\":{\"cpuOfKind\":[99],\"memoryByKind\":[99],"
