--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -14,8 +14,8 @@
  * MachineConnectionPool}, which makes every transition; not thread-safe.
  *
  * <pre>
- * state     established  request cancelled or   last pending  failed, lost
- *                        health check timed out answer        or closed
+ * state     established  request cancelled or   last request  failed, lost
+ *                        health check timed out answered      or closed
  * OPENING   OPEN         -                      -             CLOSED
  * OPEN      -            RETIRING               -             CLOSED
  * RETIRING  -            RETIRING               CLOSED        CLOSED
@@ -30,8 +30,7 @@
     OPEN,
     /**
      * Takes no new placement request: a late answer to what was cancelled on it could be mistaken
-     * for the answer to a later request. Closed once its pending requests and health check have
-     * their answers.
+     * for the answer to a later request. Closed once its pending requests have their answers.
      */
     RETIRING,
     /** Nothing more is concluded from it. */
@@ -97,9 +96,9 @@
     state = State.CLOSED;
   }
 
-  /** Whether it is to be closed, as it takes nothing new and nothing on it is pending. */
+  /** Whether it is to be closed, as it takes no new request and carries none. */
   boolean isRetired() {
-    return state == State.RETIRING && placementRequests.isEmpty() && probeSentAt == null;
+    return state == State.RETIRING && placementRequests.isEmpty();
   }
 
   // Placement requests
