--- a/src/main/java/fordridge/model/FleetUsage.java
+++ b/src/main/java/fordridge/model/FleetUsage.java
@@ -39,7 +39,7 @@
       ToDoubleFunction<Machine> usedCores,
       ToDoubleFunction<Machine> usedMemory) {
     reportingShare = reporting.size() / Math.max(1.0, live.size());
-    requestedCores = MachineLists.mean(live, m -> m.cores - m.freeCores) * live.size();
+    requestedCores = MachineLists.mean(live, Machine::requestedCores) * live.size();
     meanUsedCores = MachineLists.mean(reporting, m -> usedCores.applyAsDouble(m) / m.cores);
     meanUsedMemory = MachineLists.mean(reporting, m -> usedMemory.applyAsDouble(m) / m.memory);
     double cores = MachineLists.mean(reporting, m -> 1 - m.freeCores / m.cores);
--- a/src/main/java/fordridge/model/Machine.java
+++ b/src/main/java/fordridge/model/Machine.java
@@ -123,6 +123,16 @@
     return gossipedAt != null && now.minus(gossipedAt).compareTo(span) < 0;
   }
 
+  /** Cores that all VMs there request. */
+  public double requestedCores() {
+    return cores - freeCores;
+  }
+
+  /** Memory that all VMs there request. */
+  public double requestedMemory() {
+    return memory - freeMemory;
+  }
+
   /** Whether it is live and its size is known. */
   public boolean isUsable() {
     return lifecycle == Lifecycle.LIVE && cores > 0;
--- a/src/main/java/fordridge/scheduling/CapacityModel.java
+++ b/src/main/java/fordridge/scheduling/CapacityModel.java
@@ -34,20 +34,19 @@
   }
 
   /** Reservations go once a list or report that can include them came; true if none is left. */
-  boolean releaseReservations(Machine m) {
+  boolean releaseReservations(Machine machine) {
     var listed = state.listReceivedAt.minus(state.detectionTimeouts(1.0 / 3));
-    m.reservedSinceList.removeSentBefore(listed);
-    boolean isFresh = hasFreshReport(m);
+    machine.reservedSinceList.removeSentBefore(listed);
+    boolean isFresh = hasFreshReport(machine);
     var lag = isFresh ? state.detectionTimeouts(1.0 / 6) : state.settings.detectionTimeout();
-    var reported = (isFresh ? m.reportedAt : state.now).minus(lag);
-    m.reservedSinceReport.removeIf(a -> a.outcome != null || a.ranBefore(reported));
-    return m.reservedSinceList.isEmpty() && m.reservedSinceReport.isEmpty();
+    var reported = (isFresh ? machine.reportedAt : state.now).minus(lag);
+    machine.reservedSinceReport.removeIf(a -> a.outcome != null || a.ranBefore(reported));
+    return machine.reservedSinceList.isEmpty() && machine.reservedSinceReport.isEmpty();
   }
 
   List<Machine> withRegularCapacity(Vm vm, List<Machine> machines) {
-    return state.settings.capacity().listsFreeCapacity()
-        ? withHeadroom(machines, m -> acceptedShare(vm, m, 1, 1))
-        : List.of();
+    boolean isListed = state.settings.capacity().listsFreeCapacity();
+    return isListed ? withHeadroom(machines, m -> acceptedShare(vm, m, 1, 1)) : List.of();
   }
 
   /** All priority classes are opted in to opportunistic capacity. */
@@ -63,22 +62,29 @@
                 acceptedShare(vm, m, cores, memory), unusedShare(vm, m, coresLimit, memoryLimit)));
   }
 
-  private static double acceptedShare(Vm vm, Machine m, double coresFactor, double memoryFactor) {
-    double cores = m.freeCores + (coresFactor - 1) * m.cores - m.reservedSinceList.cores();
-    double memory = m.freeMemory + (memoryFactor - 1) * m.memory - m.reservedSinceList.memory();
-    return freeShare(vm, m, cores, memory);
+  private static double acceptedShare(
+      Vm vm, Machine machine, double coresFactor, double memoryFactor) {
+    double cores =
+        machine.freeCores + (coresFactor - 1) * machine.cores - machine.reservedSinceList.cores();
+    double memory =
+        machine.freeMemory
+            + (memoryFactor - 1) * machine.memory
+            - machine.reservedSinceList.memory();
+    return freeShare(vm, machine, cores, memory);
   }
 
-  private double unusedShare(Vm vm, Machine m, double coresLimit, double memoryLimit) {
-    double cores = coresLimit * m.cores - usedCores(m) - m.reservedSinceReport.cores();
-    double memory = memoryLimit * m.memory - usedMemory(m) - m.reservedSinceReport.memory();
-    return freeShare(vm, m, cores, memory);
+  private double unusedShare(Vm vm, Machine machine, double coresLimit, double memoryLimit) {
+    double cores =
+        coresLimit * machine.cores - usedCores(machine) - machine.reservedSinceReport.cores();
+    double memory =
+        memoryLimit * machine.memory - usedMemory(machine) - machine.reservedSinceReport.memory();
+    return freeShare(vm, machine, cores, memory);
   }
 
   /** Free capacity as a share of the size, by the scarcer resource; 0 if the VM does not fit. */
-  private static double freeShare(Vm vm, Machine m, double cores, double memory) {
+  private static double freeShare(Vm vm, Machine machine, double cores, double memory) {
     boolean fits = vm.cores <= cores && vm.memory <= memory;
-    return fits ? Math.min(cores / m.cores, memory / m.memory) : 0;
+    return fits ? Math.min(cores / machine.cores, memory / machine.memory) : 0;
   }
 
   /** The more of what comes is of a lower class, the more it must be kept from filling all. */
@@ -107,37 +113,41 @@
    * The share of the machine in use, with reservations at learned use; or, if that is more, the
    * requested share of what it accepts: near the top of it, others come first.
    */
-  double utilization(Machine m) {
-    double mostCores = state.settings.capacity().acceptedCoresFactor() * m.cores;
-    double mostMemory = state.settings.capacity().acceptedMemoryFactor() * m.memory;
-    double requestedCores = m.cores - m.freeCores + m.reservedSinceList.cores();
-    double requestedMemory = m.memory - m.freeMemory + m.reservedSinceList.memory();
+  double utilization(Machine machine) {
+    double mostCores = state.settings.capacity().acceptedCoresFactor() * machine.cores;
+    double mostMemory = state.settings.capacity().acceptedMemoryFactor() * machine.memory;
+    double requestedCores = machine.requestedCores() + machine.reservedSinceList.cores();
+    double requestedMemory = machine.requestedMemory() + machine.reservedSinceList.memory();
     double requested = Math.max(requestedCores / mostCores, requestedMemory / mostMemory);
-    double cores = usedCores(m) + m.reservedSinceReport.cores() * usage.usedCoresRatio.value();
-    double memory = usedMemory(m) + m.reservedSinceReport.memory() * usage.usedMemoryRatio.value();
-    return Math.max(requested, Math.max(cores / m.cores, memory / m.memory));
+    double cores =
+        usedCores(machine) + machine.reservedSinceReport.cores() * usage.usedCoresRatio.value();
+    double memory =
+        usedMemory(machine) + machine.reservedSinceReport.memory() * usage.usedMemoryRatio.value();
+    return Math.max(requested, Math.max(cores / machine.cores, memory / machine.memory));
   }
 
-  private boolean hasFreshReport(Machine m) {
-    return m.reportedAt != null
-        && !Double.isNaN(m.spareCores)
-        && state.isWithin(state.detectionTimeouts(2), m.reportedAt);
+  private boolean hasFreshReport(Machine machine) {
+    return machine.reportedAt != null
+        && !Double.isNaN(machine.spareCores)
+        && state.isWithin(state.detectionTimeouts(2), machine.reportedAt);
   }
 
-  private double usedCores(Machine m) {
-    if (!hasFreshReport(m)) {
-      double requested = m.cores - m.freeCores;
-      return estimate(usage.meanUsedCores, m.cores, requested, usage.usedPerRequestedCore);
+  private double usedCores(Machine machine) {
+    if (!hasFreshReport(machine)) {
+      double requested = machine.requestedCores();
+      return estimate(usage.meanUsedCores, machine.cores, requested, usage.usedPerRequestedCore);
     }
-    double used = (m.cores - m.spareCores) * reportedRatio(usage.usedCoresRatio);
-    return Double.isNaN(m.utilization) ? used : Math.max(used, m.utilization * m.cores);
+    double used = (machine.cores - machine.spareCores) * reportedRatio(usage.usedCoresRatio);
+    return Double.isNaN(machine.utilization)
+        ? used
+        : Math.max(used, machine.utilization * machine.cores);
   }
 
-  private double usedMemory(Machine m) {
-    double requested = m.memory - m.freeMemory;
-    return hasFreshReport(m)
-        ? (m.memory - m.spareMemory) * reportedRatio(usage.usedMemoryRatio)
-        : estimate(usage.meanUsedMemory, m.memory, requested, usage.usedPerRequestedMemory);
+  private double usedMemory(Machine machine) {
+    double requested = machine.requestedMemory();
+    return hasFreshReport(machine)
+        ? (machine.memory - machine.spareMemory) * reportedRatio(usage.usedMemoryRatio)
+        : estimate(usage.meanUsedMemory, machine.memory, requested, usage.usedPerRequestedMemory);
   }
 
   private double reportedRatio(RunningMean ratio) {
--- a/src/main/java/fordridge/scheduling/HealthChecker.java
+++ b/src/main/java/fordridge/scheduling/HealthChecker.java
@@ -50,10 +50,7 @@
     }
   }
 
-  /**
-   * Probes the machine whose report is oldest, if it is stale and a probe for each request allows
-   * it. It looks again only after a while, as no input may cost work that grows with the fleet.
-   */
+  /** Probes the stalest machine, one a request at most; looked for seldom, as that is costly. */
   void probeStalest() {
     Duration stale = state.detectionTimeouts(1.0 / 2);
     state.nextProbeAt = state.now.plus(scale(stale, 1.0 / 8));
--- a/src/main/java/fordridge/scheduling/OutlierDetector.java
+++ b/src/main/java/fordridge/scheduling/OutlierDetector.java
@@ -14,10 +14,7 @@
 import fordridge.model.Vm;
 import java.time.Duration;
 
-/**
- * Keeps a fault score of each machine, ejects machines that are down, and backs off where VMs of
- * one tenant and priority class are rejected.
- */
+/** Scores faults of machines, ejects those that are down, backs off where VMs are rejected. */
 record OutlierDetector(SchedulerState state, HealthChecker health) {
   /** Severity of an outlier, if it is also that many times the fleet's mean. */
   private static final double OUTLIER_SEVERITY = 3;
--- a/src/main/java/fordridge/scheduling/RetryPolicy.java
+++ b/src/main/java/fordridge/scheduling/RetryPolicy.java
@@ -52,9 +52,8 @@
   /** Whether a rejection is true: requesting the VM again does not run it a second time. */
   boolean mayReject(Vm vm) {
     PriorityClass settings = state.settingsOf(vm);
-    return settings.isIdempotent()
-        || vm.firstThatMayHaveRun() == null
-        || settings.isIdempotentWithKeyAnywhere();
+    boolean neverRan = vm.firstThatMayHaveRun() == null;
+    return neverRan || settings.isIdempotent() || settings.isIdempotentWithKeyAnywhere();
   }
 
   /** When no attempt is allowed any more, or the VM was pending for as long as VMs may be. */
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -267,9 +267,8 @@
   /** A list that must be watched counts as current for four intervals after a failure. */
   private boolean isMachineListCurrent() {
     Duration interval = state.settings.discovery().pollInterval();
-    return !state.isListWatched()
-        || state.isWatching
-        || state.isWithin(interval.multipliedBy(4), state.listReceivedAt);
+    boolean isPushed = !state.isListWatched() || state.isWatching;
+    return isPushed || state.isWithin(interval.multipliedBy(4), state.listReceivedAt);
   }
 
   private void giveUp(Vm vm) {
--- a/src/main/java/fordridge/scheduling/SlowStart.java
+++ b/src/main/java/fordridge/scheduling/SlowStart.java
@@ -6,10 +6,7 @@
 import fordridge.model.SchedulerState;
 import java.time.Duration;
 
-/**
- * Limits attempts at machines that came up recently: to this scheduler's part of what such a
- * machine bears, rising with its age.
- */
+/** Limits attempts at machines that came up lately: to a part that rises with their age. */
 record SlowStart(SchedulerState state) {
   static final Duration DEFAULT_WARM_UP_TIME = Duration.ofSeconds(20);
   static final Duration DEFAULT_OVERLOAD_SPAN = Duration.ofSeconds(1);
