--- /dev/null
+++ b/src/main/java/fordridge/emulator/EtcdWatchStream.java
@@ -0,0 +1,206 @@
+package fordridge.emulator;
+
+import fordridge.etcd.api.Event;
+import fordridge.etcd.api.WatchCreateRequest;
+import fordridge.etcd.api.WatchRequest;
+import fordridge.etcd.api.WatchResponse;
+import io.grpc.Status;
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A client's stream of watches. Its state is guarded by the lock of {@link EtcdState}. */
+final class EtcdWatchStream implements StreamObserver<WatchRequest> {
+  /** Progress that a client asks for is about all the watches of its stream. */
+  private static final long ALL_WATCHES = -1;
+
+  private static final int REPEATED_REVISIONS = 3;
+
+  private final EtcdState state;
+  private final ServerCallStreamObserver<WatchResponse> responses;
+  private final String client = EtcdClientInterceptor.currentClient();
+  private final Map<Long, EtcdWatch> watches = new TreeMap<>();
+  private final Deque<WatchResponse> delayed = new ArrayDeque<>();
+  private long lastId;
+  private boolean isOver;
+  private int sentFragments;
+
+  EtcdWatchStream(EtcdState state, ServerCallStreamObserver<WatchResponse> responses) {
+    this.state = state;
+    this.responses = responses;
+    responses.setOnCancelHandler(this::cancelled);
+  }
+
+  int watches() {
+    return watches.size();
+  }
+
+  private void cancelled() {
+    synchronized (state) {
+      isOver = true;
+      state.remove(this);
+    }
+  }
+
+  @Override
+  public void onNext(WatchRequest request) {
+    synchronized (state) {
+      switch (request.getRequestUnionCase()) {
+        case CREATE_REQUEST -> create(request.getCreateRequest());
+        case CANCEL_REQUEST -> cancel(request.getCancelRequest().getWatchId());
+        default -> sendProgress(ALL_WATCHES);
+      }
+    }
+  }
+
+  private void create(WatchCreateRequest request) {
+    long id = request.getWatchId() != 0 ? request.getWatchId() : lastId + 1;
+    lastId = Math.max(lastId, id);
+    EtcdWatch watch = new EtcdWatch(id, request, firstRevision(request.getStartRevision()));
+    send(response(id).setCreated(true).build());
+    watches.put(id, watch);
+    sendPending();
+  }
+
+  private long firstRevision(long startRevision) {
+    if (startRevision <= 0) {
+      return state.store().revision() + 1;
+    }
+    if (state.faults().repeatsEvents) {
+      return Math.max(state.store().compacted() + 1, startRevision - REPEATED_REVISIONS);
+    }
+    return startRevision;
+  }
+
+  private void cancel(long id) {
+    if (watches.remove(id) != null) {
+      send(response(id).setCanceled(true).build());
+    }
+  }
+
+  private WatchResponse.Builder response(long id) {
+    return WatchResponse.newBuilder().setHeader(state.header()).setWatchId(id);
+  }
+
+  /** Sends progress to the watches that want it now and then. */
+  void sendRequestedProgress() {
+    for (EtcdWatch watch : List.copyOf(watches.values())) {
+      if (watch.wantsProgress()) {
+        sendProgress(watch.id());
+      }
+    }
+  }
+
+  private void sendProgress(long id) {
+    long revision = state.store().revision();
+    boolean isCaughtUp = watches.values().stream().allMatch(watch -> watch.isCaughtUp(revision));
+    if (!state.faults().isSilent && isCaughtUp && delayed.isEmpty()) {
+      send(response(id).build());
+    }
+  }
+
+  /** Sends each watch the events that it was not sent yet. */
+  void sendPending() {
+    if (state.faults().isSilent || isOver) {
+      return;
+    }
+    for (EtcdWatch watch : List.copyOf(watches.values())) {
+      try {
+        sendFragments(watch, watch.takePending(state.store()));
+      } catch (MvccStore.RevisionUnavailableException e) {
+        watches.remove(watch.id());
+        send(
+            response(watch.id())
+                .setCanceled(true)
+                .setCompactRevision(state.store().compacted())
+                .setCancelReason("etcdserver: mvcc: required revision has been compacted")
+                .build());
+      }
+    }
+  }
+
+  private void sendFragments(EtcdWatch watch, List<Event> events) {
+    int size = watch.allowsFragments() ? state.faults().fragmentEvents : Integer.MAX_VALUE;
+    for (int start = 0; start < events.size(); start += size) {
+      int end = (int) Math.min(events.size(), (long) start + size);
+      send(
+          response(watch.id())
+              .setFragment(end < events.size())
+              .addAllEvents(events.subList(start, end))
+              .build());
+      sentFragments++;
+      if (isResetDue()) {
+        state.faults().resetAfterFragments = 0;
+        end(Status.UNAVAILABLE.withDescription("transport is closing"));
+        return;
+      }
+    }
+  }
+
+  private boolean isResetDue() {
+    int resetAfter = state.faults().resetAfterFragments;
+    return resetAfter > 0 && sentFragments >= resetAfter;
+  }
+
+  private void send(WatchResponse response) {
+    if (isOver) {
+      return;
+    }
+    long delayMillis = state.faults().eventDelayMillis;
+    boolean isDelayed = delayMillis > 0 && response.getEventsCount() > 0;
+    // What follows a delayed response waits behind it.
+    if (!isDelayed && delayed.isEmpty()) {
+      write(response);
+      return;
+    }
+    delayed.addLast(response);
+    Timers.schedule(
+        state.executor(), Duration.ofMillis(Math.max(1, delayMillis)), this::sendFirstDelayed);
+  }
+
+  private void sendFirstDelayed() {
+    synchronized (state) {
+      WatchResponse first = delayed.pollFirst();
+      if (first != null && !isOver) {
+        write(first);
+      }
+    }
+  }
+
+  private void write(WatchResponse response) {
+    for (Event event : response.getEventsList()) {
+      boolean isDeleted = event.getType() == Event.EventType.DELETE;
+      state.sendListener().recordSent(client, event.getKv().getKey().toStringUtf8(), isDeleted);
+    }
+    responses.onNext(response);
+  }
+
+  /** Ends the stream with an error. */
+  void end(Status reason) {
+    if (!isOver) {
+      isOver = true;
+      state.remove(this);
+      responses.onError(reason.asRuntimeException());
+    }
+  }
+
+  @Override
+  public void onError(Throwable cause) {
+    cancelled();
+  }
+
+  @Override
+  public void onCompleted() {
+    synchronized (state) {
+      if (!isOver) {
+        cancelled();
+        responses.onCompleted();
+      }
+    }
+  }
+}
--- a/src/main/java/fordridge/emulator/MvccStore.java
+++ b/src/main/java/fordridge/emulator/MvccStore.java
@@ -10,103 +10,113 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
- * Keys with all their revisions since the last compaction, in memory; what the stand-in for etcd
- * answers from.
+ * A multi-version store in memory: keys with all their revisions since the last compaction. It
+ * knows nothing of clients or watches. Not thread-safe.
  */
 final class MvccStore {
-  /** A revision that is no longer, or not yet, there. */
+  /** A revision that is compacted, or yet to come. */
   static final class RevisionUnavailableException extends Exception {
     private static final long serialVersionUID = 1L;
-    final boolean compacted;
+    private final boolean isCompacted;
 
-    RevisionUnavailableException(boolean compacted) {
-      this.compacted = compacted;
+    RevisionUnavailableException(long revision, boolean isCompacted) {
+      super("revision " + revision + (isCompacted ? " is compacted" : " is yet to come"));
+      this.isCompacted = isCompacted;
+    }
+
+    boolean isCompacted() {
+      return isCompacted;
     }
   }
 
-  private static final Comparator<ByteString> ORDER =
+  private static final Comparator<ByteString> KEY_ORDER =
       ByteString.unsignedLexicographicalComparator();
 
-  private final NavigableMap<ByteString, NavigableMap<Long, KeyValue>> keys = new TreeMap<>(ORDER);
+  /** For each key its versions by revision; one of version 0 says that the key was deleted. */
+  private final NavigableMap<ByteString, NavigableMap<Long, KeyValue>> versionsByKey =
+      new TreeMap<>(KEY_ORDER);
+
   private final NavigableMap<Long, List<Event>> history = new TreeMap<>();
-  private final Map<Long, Set<ByteString>> leased = new HashMap<>();
+  private final Map<Long, Set<ByteString>> keysByLease = new HashMap<>();
   private long revision = 1;
   private long compacted;
-  private List<Event> batch;
+  private List<Event> pendingEvents = new ArrayList<>();
 
   long revision() {
     return revision;
   }
 
+  /** The revision up to which the history is compacted. */
   long compacted() {
     return compacted;
   }
 
-  // ---- Reading
-  // ---------------------------------------------------------------------------------------
+  // Reading.
 
-  private NavigableMap<ByteString, NavigableMap<Long, KeyValue>> within(
+  /**
+   * The entries of a range in the order of their keys.
+   *
+   * @param end the key after the range; empty for the one key, a zero byte for all from there on
+   * @param atRevision 0 for the present one
+   */
+  List<KeyValue> range(ByteString key, ByteString end, long atRevision)
+      throws RevisionUnavailableException {
+    if (atRevision > revision || atRevision > 0 && atRevision < compacted) {
+      throw new RevisionUnavailableException(atRevision, atRevision < compacted);
+    }
+    long readRevision = atRevision == 0 ? revision : atRevision;
+    List<KeyValue> found = new ArrayList<>();
+    for (NavigableMap<Long, KeyValue> versions : versionsIn(key, end).values()) {
+      Map.Entry<Long, KeyValue> version = versions.floorEntry(readRevision);
+      if (version != null && isPresent(version.getValue())) {
+        found.add(version.getValue());
+      }
+    }
+    return found;
+  }
+
+  private NavigableMap<ByteString, NavigableMap<Long, KeyValue>> versionsIn(
       ByteString key, ByteString end) {
     if (end.isEmpty()) {
-      return keys.subMap(key, true, key, true);
+      return versionsByKey.subMap(key, true, key, true);
     }
-    if (end.size() == 1 && end.byteAt(0) == 0) {
-      return keys.tailMap(key, true);
+    boolean isUnbounded = end.size() == 1 && end.byteAt(0) == 0;
+    if (isUnbounded) {
+      return versionsByKey.tailMap(key, true);
     }
-    return ORDER.compare(key, end) < 0 ? keys.subMap(key, true, end, false) : new TreeMap<>(ORDER);
+    return KEY_ORDER.compare(key, end) < 0
+        ? versionsByKey.subMap(key, true, end, false)
+        : new TreeMap<>(KEY_ORDER);
   }
 
-  /** The range as it stood at a revision, in order of keys; 0 for now. */
-  List<KeyValue> range(ByteString key, ByteString end, long at)
-      throws RevisionUnavailableException {
-    if (at > revision || at > 0 && at < compacted) {
-      throw new RevisionUnavailableException(at < compacted);
-    }
-    long when = at == 0 ? revision : at;
-    List<KeyValue> found = new ArrayList<>();
-    within(key, end)
-        .values()
-        .forEach(
-            versions -> {
-              Map.Entry<Long, KeyValue> e = versions.floorEntry(when);
-              if (e != null && e.getValue().getVersion() > 0) {
-                found.add(e.getValue());
-              }
-            });
-    return found;
+  private static boolean isPresent(KeyValue entry) {
+    return entry.getVersion() > 0;
   }
 
-  private KeyValue last(ByteString key) {
-    NavigableMap<Long, KeyValue> versions = keys.get(key);
-    KeyValue kv = versions == null ? null : versions.lastEntry().getValue();
-    return kv == null || kv.getVersion() == 0 ? null : kv;
+  private Optional<KeyValue> latest(ByteString key) {
+    return Optional.ofNullable(versionsByKey.get(key))
+        .map(versions -> versions.lastEntry().getValue())
+        .filter(MvccStore::isPresent);
   }
 
-  /** Events from a revision on, in order; batches of one revision stay together. */
-  List<List<Event>> since(long from) throws RevisionUnavailableException {
-    if (from <= compacted) {
-      throw new RevisionUnavailableException(true);
+  /** The events from a revision on, a list for each revision. */
+  List<List<Event>> since(long firstRevision) throws RevisionUnavailableException {
+    if (firstRevision <= compacted) {
+      throw new RevisionUnavailableException(firstRevision, true);
     }
-    return new ArrayList<>(history.tailMap(from, true).values());
+    return new ArrayList<>(history.tailMap(firstRevision, true).values());
   }
 
-  boolean holds(Compare c) {
-    KeyValue kv = last(c.getKey());
-    int order =
-        switch (c.getTarget()) {
-          case VERSION -> Long.compare(kv == null ? 0 : kv.getVersion(), c.getVersion());
-          case CREATE ->
-              Long.compare(kv == null ? 0 : kv.getCreateRevision(), c.getCreateRevision());
-          case MOD -> Long.compare(kv == null ? 0 : kv.getModRevision(), c.getModRevision());
-          case LEASE -> Long.compare(kv == null ? 0 : kv.getLease(), c.getLease());
-          default -> kv == null ? -1 : ORDER.compare(kv.getValue(), c.getValue());
-        };
-    return switch (c.getResult()) {
+  /** Whether a transaction's comparison holds. */
+  boolean holds(Compare comparison) {
+    int order = compare(comparison, latest(comparison.getKey()));
+    return switch (comparison.getResult()) {
       case EQUAL -> order == 0;
       case GREATER -> order > 0;
       case LESS -> order < 0;
@@ -114,28 +124,41 @@
     };
   }
 
-  // ---- Writing
-  // ---------------------------------------------------------------------------------------
+  /** A key that is not there has zeros, and a value less than any. */
+  private static int compare(Compare comparison, Optional<KeyValue> entry) {
+    KeyValue present = entry.orElse(KeyValue.getDefaultInstance());
+    return switch (comparison.getTarget()) {
+      case VERSION -> Long.compare(present.getVersion(), comparison.getVersion());
+      case CREATE -> Long.compare(present.getCreateRevision(), comparison.getCreateRevision());
+      case MOD -> Long.compare(present.getModRevision(), comparison.getModRevision());
+      case LEASE -> Long.compare(present.getLease(), comparison.getLease());
+      default ->
+          entry.isEmpty() ? -1 : KEY_ORDER.compare(present.getValue(), comparison.getValue());
+    };
+  }
+
+  // Writing.
 
-  /** Begins a change; all that is written till {@link #commit} bears one revision. */
+  /** Begins a change; all that is written until {@link #commit} has one revision. */
   void begin() {
-    batch = new ArrayList<>();
+    pendingEvents = new ArrayList<>();
   }
 
-  /** Ends it; the events, or none if nothing was written. */
+  /** Ends the change; its events, none if nothing was written. */
   List<Event> commit() {
-    List<Event> done = batch;
-    batch = null;
-    if (!done.isEmpty()) {
+    List<Event> events = pendingEvents;
+    pendingEvents = new ArrayList<>();
+    if (!events.isEmpty()) {
       revision++;
-      history.put(revision, done);
+      history.put(revision, events);
     }
-    return done;
+    return events;
   }
 
+  /** Puts a value; the entry before, null if there was none. */
   KeyValue put(ByteString key, ByteString value, long lease) {
-    KeyValue old = last(key);
-    KeyValue kv =
+    KeyValue old = latest(key).orElse(null);
+    KeyValue entry =
         KeyValue.newBuilder()
             .setKey(key)
             .setValue(value)
@@ -144,90 +167,97 @@
             .setCreateRevision(old == null ? revision + 1 : old.getCreateRevision())
             .setVersion(old == null ? 1 : old.getVersion() + 1)
             .build();
-    write(key, kv, old, Event.EventType.PUT);
+    write(Event.EventType.PUT, entry, old);
     if (lease != 0) {
-      leased.computeIfAbsent(lease, l -> new TreeSet<>(ORDER)).add(key);
+      keysByLease.computeIfAbsent(lease, id -> new TreeSet<>(KEY_ORDER)).add(key);
     }
     return old;
   }
 
+  /** Deletes a range; the entries that were there. */
   List<KeyValue> delete(ByteString key, ByteString end) {
-    List<KeyValue> gone = new ArrayList<>();
-    for (ByteString k : new ArrayList<>(within(key, end).keySet())) {
-      KeyValue old = last(k);
-      if (old != null) {
-        gone.add(old);
-        write(
-            k,
-            KeyValue.newBuilder().setKey(k).setModRevision(revision + 1).build(),
-            old,
-            Event.EventType.DELETE);
-      }
+    List<KeyValue> deleted = new ArrayList<>();
+    for (ByteString each : new ArrayList<>(versionsIn(key, end).keySet())) {
+      latest(each)
+          .ifPresent(
+              old -> {
+                deleted.add(old);
+                KeyValue entry =
+                    KeyValue.newBuilder().setKey(each).setModRevision(revision + 1).build();
+                write(Event.EventType.DELETE, entry, old);
+              });
     }
-    return gone;
+    return deleted;
   }
 
-  private void write(ByteString key, KeyValue kv, KeyValue old, Event.EventType type) {
-    keys.computeIfAbsent(key, k -> new TreeMap<>()).put(revision + 1, kv);
-    if (old != null && old.getLease() != 0 && leased.containsKey(old.getLease())) {
-      leased.get(old.getLease()).remove(key);
-    }
-    Event.Builder e = Event.newBuilder().setType(type).setKv(kv);
+  private void write(Event.EventType type, KeyValue entry, KeyValue old) {
+    versionsByKey.computeIfAbsent(entry.getKey(), key -> new TreeMap<>()).put(revision + 1, entry);
+    Event.Builder event = Event.newBuilder().setType(type).setKv(entry);
     if (old != null) {
-      e.setPrevKv(old);
+      event.setPrevKv(old);
+      Set<ByteString> leasedWithOld = keysByLease.get(old.getLease());
+      if (leasedWithOld != null) {
+        leasedWithOld.remove(entry.getKey());
+      }
     }
-    batch.add(e.build());
+    pendingEvents.add(event.build());
   }
 
+  /** The keys that go with a lease. */
   Set<ByteString> leased(long lease) {
-    return leased.getOrDefault(lease, Set.of());
+    return keysByLease.getOrDefault(lease, Set.of());
   }
 
   void dropLease(long lease) {
-    leased.remove(lease);
+    keysByLease.remove(lease);
   }
 
-  /** Forgets what was replaced or deleted before a revision. */
-  void compact(long at) throws RevisionUnavailableException {
-    if (at <= compacted || at > revision) {
-      throw new RevisionUnavailableException(at <= compacted);
+  /** Forgets what was replaced or deleted up to a revision. */
+  void compact(long atRevision) throws RevisionUnavailableException {
+    if (atRevision <= compacted || atRevision > revision) {
+      throw new RevisionUnavailableException(atRevision, atRevision <= compacted);
     }
-    compacted = at;
-    history.headMap(at, true).clear();
-    keys.values()
+    compacted = atRevision;
+    history.headMap(atRevision, true).clear();
+    versionsByKey
+        .values()
         .removeIf(
             versions -> {
-              Long last = versions.floorKey(at);
-              if (last != null) {
-                versions.headMap(last, false).clear();
-                if (versions.get(last).getVersion() == 0) {
-                  versions.remove(last);
-                }
-              }
+              dropReplaced(versions, atRevision);
               return versions.isEmpty();
             });
   }
 
+  private static void dropReplaced(NavigableMap<Long, KeyValue> versions, long atRevision) {
+    Long last = versions.floorKey(atRevision);
+    if (last == null) {
+      return;
+    }
+    versions.headMap(last, false).clear();
+    if (!isPresent(versions.get(last))) {
+      versions.remove(last);
+    }
+  }
+
   /** As after a restore from an old backup: the same keys, a lower revision, no history. */
   void restore(long atRevision) {
-    List<KeyValue> now = new ArrayList<>();
-    keys.values()
-        .forEach(
-            v -> {
-              KeyValue kv = v.lastEntry().getValue();
-              if (kv.getVersion() > 0) {
-                now.add(kv);
-              }
-            });
-    keys.clear();
+    List<KeyValue> present = new ArrayList<>();
+    for (NavigableMap<Long, KeyValue> versions : versionsByKey.values()) {
+      KeyValue latest = versions.lastEntry().getValue();
+      if (isPresent(latest)) {
+        present.add(latest);
+      }
+    }
+    versionsByKey.clear();
     history.clear();
     revision = atRevision;
     compacted = atRevision;
-    for (KeyValue kv : now) {
-      keys.computeIfAbsent(kv.getKey(), k -> new TreeMap<>())
-          .put(
-              atRevision,
-              kv.toBuilder().setModRevision(atRevision).setCreateRevision(atRevision).build());
+    for (KeyValue entry : present) {
+      KeyValue restored =
+          entry.toBuilder().setModRevision(atRevision).setCreateRevision(atRevision).build();
+      versionsByKey
+          .computeIfAbsent(entry.getKey(), key -> new TreeMap<>())
+          .put(atRevision, restored);
     }
   }
 }
--- a/src/main/java/fordridge/emulator/WatchBenchmark.java
+++ b/src/main/java/fordridge/emulator/WatchBenchmark.java
@@ -9,7 +9,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
 import java.lang.management.ThreadMXBean;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,35 +19,44 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.HdrHistogram.ConcurrentHistogram;
 
 /**
- * What following the stand-in for etcd costs, by the number of machines: news, catching up, resync,
- * memory.
+ * Measures what watching the emulated etcd costs, by the number of machines: the latency of a
+ * change, catching up, a new snapshot, processor time and memory.
  */
 public final class WatchBenchmark {
   private static final String PREFIX = "/fordridge";
+  private static final int PROGRESS_MILLIS = 200;
+  private static final int LATENCY_CHANGES = 200;
+  private static final int CATCH_UP_CHANGES = 10_000;
+  private static final int CATCH_UP_BATCH = 100;
+  private static final long MAX_LATENCY_US = 60_000_000L;
+  private static final Duration WAIT_TIMEOUT = Duration.ofMinutes(2);
 
-  private WatchBenchmark() {}
+  /** The name of the threads on which the lists work. */
+  private static final String WATCH_THREAD = "etcd";
 
-  private static String record(int i, int n) {
-    return "{\"v\":2,\"address\":\"127.0.0.1:"
-        + (1024 + i % 60000)
-        + "\",\"kind\":\"k\",\"zone\":\"z"
-        + i % 3
-        + "\",\"cell\":"
-        + i / 8
-        + ",\"cores\":28,\"memory\":60,\"free_cores\":"
-        + n % 28
-        + "}";
-  }
+  private final EmulatedEtcd etcd;
+  private final int machines;
+  private final List<EtcdMachineList> lists = new ArrayList<>();
+  private final ConcurrentHistogram latencyUs = new ConcurrentHistogram(MAX_LATENCY_US, 3);
+  private final Map<String, Long> changedAtNanos = new ConcurrentHashMap<>();
+  private final AtomicInteger receivedChanges = new AtomicInteger();
 
-  private static String key(int i) {
-    return String.format("%s/machines/m%06d", PREFIX, i);
+  private WatchBenchmark(EmulatedEtcd etcd, int machines) {
+    this.etcd = etcd;
+    this.machines = machines;
   }
 
-  /** One row for each size; {@code lists} followers share the process. */
-  public static void run(int[] sizes, int lists, PrintStream out)
+  /**
+   * Prints a row for each size.
+   *
+   * @param sizes numbers of machines
+   * @param listCount how many machine lists watch, all in this process
+   */
+  public static void run(int[] sizes, int listCount, PrintStream out)
       throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
     out.printf(
         "%9s %6s %11s %11s %12s %11s %13s %12s%n",
@@ -57,153 +68,194 @@
         "resync",
         "CPU a change",
         "heap a list");
-    for (int n : sizes) {
-      try (EmulatedEtcd etcd = new EmulatedEtcd(0, 200)) {
-        row(etcd, n, lists, out);
+    for (int machines : sizes) {
+      try (EmulatedEtcd etcd = new EmulatedEtcd(0, PROGRESS_MILLIS)) {
+        WatchBenchmark benchmark = new WatchBenchmark(etcd, machines);
+        try {
+          out.println(benchmark.measure(listCount));
+        } finally {
+          benchmark.lists.forEach(EtcdMachineList::close);
+        }
       }
     }
   }
 
-  private static void row(EmulatedEtcd etcd, int n, int lists, PrintStream out)
+  private String measure(int listCount)
       throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
-    Map<String, String> all = new LinkedHashMap<>();
-    for (int i = 0; i < n; i++) {
-      all.put(key(i), record(i, 0));
+    publishMachines();
+    long heapBefore = usedHeapBytes();
+    startLists(listCount);
+    double heapMegabytes = (usedHeapBytes() - heapBefore) / 1e6 / listCount;
+    measureLatency();
+    long cpuBefore = watchCpuNanos();
+    double catchUpMillis = measureCatchUp();
+    double cpuMicros = (watchCpuNanos() - cpuBefore) / 1e3 / CATCH_UP_CHANGES / listCount;
+    double resyncMillis = measureResync();
+    return String.format(
+        Locale.ROOT,
+        "%9d %6d %8.2f ms %8.2f ms %9.0f ms %8.0f ms %10.1f us %9.2f MB",
+        machines,
+        listCount,
+        latencyUs.getValueAtPercentile(50) / 1000.0,
+        latencyUs.getValueAtPercentile(99) / 1000.0,
+        catchUpMillis,
+        resyncMillis,
+        cpuMicros,
+        heapMegabytes);
+  }
+
+  private void publishMachines() {
+    Map<String, String> records = new LinkedHashMap<>();
+    for (int i = 0; i < machines; i++) {
+      records.put(machineKey(i), machineRecord(i, 0));
     }
-    etcd.putAll(all);
-    DeploymentSettings d =
-        DeploymentSettings.read(
-            ConfigFactory.parseString(
-                "kinds = [{ name = k, cores = 28, memory = 60 }]\n"
-                    + "flavours = [{ name = f }]\nmachines.source = etcd\netcd { endpoints = [\"127.0.0.1:"
-                    + etcd.port()
-                    + "\"], prefix = \""
-                    + PREFIX
-                    + "\", register = false, silence = 5s, start_within = 60s, call = 30s }"),
-            new File("."));
-    long before = heap();
-    List<EtcdMachineList> some = new ArrayList<>();
-    try {
-      ConcurrentHistogram known = new ConcurrentHistogram(60_000_000L, 3);
-      Map<String, Long> sentAt = new ConcurrentHashMap<>();
-      AtomicInteger drained = new AtomicInteger();
-      AtomicInteger changes = new AtomicInteger();
-      for (int i = 0; i < lists; i++) {
-        EtcdMachineList l = new EtcdMachineList(d, "p" + i, i + 1);
-        some.add(l);
-        l.follow(u -> heard(u, sentAt, known, drained, changes));
-      }
-      double heapOfOne = (heap() - before) / 1e6 / lists;
-      int puts = 200;
-      for (int i = 0; i < puts; i++) {
-        String name = String.format("m%06d", i % n);
-        boolean on = i / n % 2 == 0;
-        sentAt.put(name, System.nanoTime());
-        if (on) {
-          etcd.put(PREFIX + "/drains/" + name, "{\"v\":2}");
-        } else {
-          etcd.delete(PREFIX + "/drains/" + name);
-        }
-        int due = (i + 1) * lists;
-        await(() -> drained.get() >= due);
-      }
-      sentAt.clear();
-      long cpu = cpu(some.size());
-      changes.set(0);
-      long from = System.nanoTime();
-      for (int k = 0; k < 10_000; k += 100) {
-        Map<String, String> batch = new LinkedHashMap<>();
-        for (int i = 0; i < 100; i++) {
-          batch.put(key((k + i) % n), record((k + i) % n, k / 100 + 1));
-        }
-        etcd.putAll(batch);
-      }
-      long last = etcd.put(PREFIX + "/drains/m000000", "{\"v\":2,\"reason\":\"last\"}");
-      String marker = String.format("m%06d", n - 1);
-      etcd.delete(PREFIX + "/machines/" + marker);
-      for (EtcdMachineList l : some) {
-        await(() -> l.latest().entries().stream().noneMatch(e -> e.name().equals(marker)));
-      }
-      double caught = (System.nanoTime() - from) / 1e6;
-      double cpuOfChange = (cpu(some.size()) - cpu) / 1e3 / 10_000 / lists;
-      long[] resyncs = some.stream().mapToLong(EtcdMachineList::resyncs).toArray();
-      etcd.leaderless(true);
-      etcd.put(PREFIX + "/machines/" + marker, record(n - 1, 3));
-      etcd.compactNow();
-      from = System.nanoTime();
-      etcd.leaderless(false);
-      for (int i = 0; i < lists; i++) {
-        EtcdMachineList l = some.get(i);
-        long was = resyncs[i];
-        await(
-            () ->
-                l.resyncs() > was
-                    && l.latest().entries().stream().anyMatch(e -> e.name().equals(marker)));
-      }
-      out.printf(
-          Locale.ROOT,
-          "%9d %6d %8.2f ms %8.2f ms %9.0f ms %8.0f ms %10.1f us %9.2f MB%n",
-          n,
-          lists,
-          known.getValueAtPercentile(50) / 1000.0,
-          known.getValueAtPercentile(99) / 1000.0,
-          caught,
-          (System.nanoTime() - from) / 1e6,
-          cpuOfChange,
-          heapOfOne);
-    } finally {
-      some.forEach(EtcdMachineList::close);
+    etcd.putAll(records);
+  }
+
+  private void startLists(int count)
+      throws IOException, DeploymentSettings.InvalidSettingsException {
+    DeploymentSettings settings = settings();
+    for (int i = 0; i < count; i++) {
+      EtcdMachineList list = new EtcdMachineList(settings, "p" + i, i + 1);
+      lists.add(list);
+      list.follow(this::received);
     }
   }
 
-  private static void heard(
-      MachineListSource.Update u,
-      Map<String, Long> sentAt,
-      ConcurrentHistogram known,
-      AtomicInteger drained,
-      AtomicInteger changes) {
-    long now = System.nanoTime();
-    changes.addAndGet(u.entries().size());
-    if (u.whole()) {
+  private DeploymentSettings settings() throws DeploymentSettings.InvalidSettingsException {
+    String text =
+        "kinds = [{ name = k, cores = 28, memory = 60 }]\n"
+            + "flavours = [{ name = f }]\n"
+            + "machines.source = etcd\n"
+            + "etcd { endpoints = [\"127.0.0.1:"
+            + etcd.port()
+            + "\"], prefix = \""
+            + PREFIX
+            + "\", register = false, silence = 5s, start_within = 60s, call = 30s }";
+    return DeploymentSettings.read(ConfigFactory.parseString(text), new File("."));
+  }
+
+  private void received(MachineListSource.Update update) {
+    long nowNanos = System.nanoTime();
+    if (update.whole()) {
       return;
     }
-    for (MachineListSource.Entry e : u.entries()) {
-      Long at = sentAt.get(e.name());
-      if (at != null && (e.lifecycle() == Lifecycle.DRAINING || e.lifecycle() == Lifecycle.LIVE)) {
-        known.recordValue(Math.min((now - at) / 1000, 60_000_000L));
-        drained.incrementAndGet();
+    for (MachineListSource.Entry entry : update.entries()) {
+      Long changedAt = changedAtNanos.get(entry.name());
+      boolean isOpenOrDraining =
+          entry.lifecycle() == Lifecycle.DRAINING || entry.lifecycle() == Lifecycle.LIVE;
+      if (changedAt != null && isOpenOrDraining) {
+        latencyUs.recordValue(Math.min((nowNanos - changedAt) / 1000, MAX_LATENCY_US));
+        receivedChanges.incrementAndGet();
       }
     }
   }
 
-  private interface Condition {
-    boolean now();
+  /** Drains begin and end, one at a time. */
+  private void measureLatency() throws InterruptedException {
+    for (int i = 0; i < LATENCY_CHANGES; i++) {
+      String name = machineName(i % machines);
+      boolean isDrained = i / machines % 2 == 0;
+      changedAtNanos.put(name, System.nanoTime());
+      if (isDrained) {
+        etcd.put(drainKey(name), "{\"v\":2}");
+      } else {
+        etcd.delete(drainKey(name));
+      }
+      int expected = (i + 1) * lists.size();
+      await(() -> receivedChanges.get() >= expected);
+    }
+    changedAtNanos.clear();
+  }
+
+  /** Many changes at once; the time until all lists have them. */
+  private double measureCatchUp() throws InterruptedException {
+    long startNanos = System.nanoTime();
+    for (int first = 0; first < CATCH_UP_CHANGES; first += CATCH_UP_BATCH) {
+      Map<String, String> batch = new LinkedHashMap<>();
+      for (int i = first; i < first + CATCH_UP_BATCH; i++) {
+        int machine = i % machines;
+        batch.put(machineKey(machine), machineRecord(machine, first / CATCH_UP_BATCH + 1));
+      }
+      etcd.putAll(batch);
+    }
+    etcd.put(drainKey(machineName(0)), "{\"v\":2,\"reason\":\"last\"}");
+    etcd.delete(machineKey(machines - 1));
+    for (EtcdMachineList list : lists) {
+      await(() -> !hasLastMachine(list));
+    }
+    return (System.nanoTime() - startNanos) / 1e6;
+  }
+
+  /** A change that the lists can't watch, as it is compacted: the time until all have it. */
+  private double measureResync() throws InterruptedException {
+    long[] resyncsBefore = lists.stream().mapToLong(EtcdMachineList::resyncs).toArray();
+    etcd.leaderless(true);
+    etcd.put(machineKey(machines - 1), machineRecord(machines - 1, 3));
+    etcd.compactNow();
+    long startNanos = System.nanoTime();
+    etcd.leaderless(false);
+    for (int i = 0; i < lists.size(); i++) {
+      EtcdMachineList list = lists.get(i);
+      long before = resyncsBefore[i];
+      await(() -> list.resyncs() > before && hasLastMachine(list));
+    }
+    return (System.nanoTime() - startNanos) / 1e6;
+  }
+
+  private boolean hasLastMachine(EtcdMachineList list) {
+    String name = machineName(machines - 1);
+    return list.latest().entries().stream().anyMatch(entry -> entry.name().equals(name));
+  }
+
+  private static String machineName(int machine) {
+    return String.format("m%06d", machine);
+  }
+
+  private static String machineKey(int machine) {
+    return PREFIX + "/machines/" + machineName(machine);
+  }
+
+  private static String drainKey(String machineName) {
+    return PREFIX + "/drains/" + machineName;
+  }
+
+  private static String machineRecord(int machine, int version) {
+    return "{\"v\":2,\"address\":\"127.0.0.1:"
+        + (1024 + machine % 60000)
+        + "\",\"kind\":\"k\",\"zone\":\"z"
+        + machine % 3
+        + "\",\"cell\":"
+        + machine / 8
+        + ",\"cores\":28,\"memory\":60,\"free_cores\":"
+        + version % 28
+        + "}";
   }
 
-  private static void await(Condition what) throws InterruptedException {
-    long until = System.nanoTime() + 120_000_000_000L;
-    while (!what.now()) {
-      if (System.nanoTime() > until) {
-        throw new IllegalStateException("waited two minutes in vain");
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long deadlineNanos = System.nanoTime() + WAIT_TIMEOUT.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadlineNanos) {
+        throw new IllegalStateException("no change within " + WAIT_TIMEOUT);
       }
       Thread.sleep(0, 200_000);
     }
   }
 
-  private static long heap() throws InterruptedException {
+  private static long usedHeapBytes() throws InterruptedException {
     System.gc();
     Thread.sleep(100);
     System.gc();
     return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
   }
 
-  /** Nanoseconds that the lists' own threads have used. */
-  private static long cpu(int lists) {
+  /** Processor time of the lists' own threads so far. */
+  private static long watchCpuNanos() {
     ThreadMXBean threads = ManagementFactory.getThreadMXBean();
     long sum = 0;
     for (long id : threads.getAllThreadIds()) {
-      var info = threads.getThreadInfo(id);
-      if (info != null && info.getThreadName().equals("etcd")) {
+      ThreadInfo thread = threads.getThreadInfo(id);
+      if (thread != null && thread.getThreadName().equals(WATCH_THREAD)) {
         sum += Math.max(0, threads.getThreadCpuTime(id));
       }
     }
--- a/src/main/java/fordridge/emulator/machine/HostedVm.java
+++ b/src/main/java/fordridge/emulator/machine/HostedVm.java
@@ -43,6 +43,7 @@
     return offer;
   }
 
+  /** Where it is in its life on the machine. */
   public State state() {
     return state;
   }
