--- a/src/main/java/fordridge/emulator/InProcessSchedulers.java
+++ b/src/main/java/fordridge/emulator/InProcessSchedulers.java
@@ -35,13 +35,13 @@
         metrics.percentile("loop", 0.99),
         metrics.percentile("decide", 0.5),
         metrics.percentile("decide", 0.99),
-        command.streams());
+        command.establishedStreams());
   }
 
   @Override
   public boolean stop() throws InterruptedException {
     isStopped = true;
-    return command.stop();
+    return command.shutdown();
   }
 
   @Override
