--- a/src/main/java/fordridge/constraint/ConstraintIndex.java
+++ b/src/main/java/fordridge/constraint/ConstraintIndex.java
@@ -82,11 +82,11 @@
               + limit.limit()
               + " per "
               + limit.level()
-              + " over all schedulers cannot be shared among "
+              + " over all placers cannot be shared among "
               + schedulerCount
-              + " schedulers, which do not coordinate; allow at least "
+              + " placers that do not talk; allow at least "
               + schedulerCount
-              + ", or limit each scheduler's own VMs");
+              + ", or say it of one placer's own VMs");
     }
   }
 
