Emulator: Error Prone and javac warnings mended

Loopback by InetAddress, explicit grouping, the ignored close futures named, close() of the scheduler fleets without InterruptedException, no IdentityHashMap behind a Map.

--- a/src/main/java/fordridge/emulator/EmulatedEtcd.java
+++ b/src/main/java/fordridge/emulator/EmulatedEtcd.java
@@ -4,6 +4,7 @@
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -58,7 +59,7 @@
    */
   public EmulatedEtcd(int port, long progressMillis) throws IOException {
     server =
-        NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", port))
+        NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
             .intercept(interceptor)
             .addService(new EtcdKvService(state))
             .addService(new EtcdWatchService(state))
--- a/src/main/java/fordridge/emulator/FleetFaults.java
+++ b/src/main/java/fordridge/emulator/FleetFaults.java
@@ -100,7 +100,7 @@
     int batchSize = Math.max(1, (int) Math.round(fault.size() * peers.machines().size()));
     int batches = (machines.size() + batchSize - 1) / batchSize;
     Duration notice =
-        Duration.ofMillis((long) Math.max(MIN_DEPLOY_NOTICE.toMillis(), fault.extra()));
+        Duration.ofMillis(Math.max(MIN_DEPLOY_NOTICE.toMillis(), (long) fault.extra()));
     for (int i = 0; i < batches; i++) {
       int end = Math.min(machines.size(), (i + 1) * batchSize);
       List<EmulatedMachine> batch = machines.subList(i * batchSize, end);
--- a/src/main/java/fordridge/emulator/InProcessSchedulers.java
+++ b/src/main/java/fordridge/emulator/InProcessSchedulers.java
@@ -45,9 +45,13 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
+  public void close() {
     if (!isStopped) {
-      stop();
+      try {
+        stop();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
   }
 }
--- a/src/main/java/fordridge/emulator/MachineServer.java
+++ b/src/main/java/fordridge/emulator/MachineServer.java
@@ -7,10 +7,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,7 +20,6 @@
  * over restarts. To be used on the machine's event loop, {@link #start} aside.
  */
 final class MachineServer {
-  private static final String LOOPBACK = "127.0.0.1";
   private static final int MIN_KEEP_ALIVE_MILLIS = 50;
   private static final int SHUTDOWN_WAIT_SECONDS = 2;
   private static final int MAX_BIND_ATTEMPTS = 50;
@@ -40,7 +41,7 @@
   /** Begins to listen. Waits for the event loop, so it must not be called on it. */
   void start() throws IOException {
     Server started =
-        NettyServerBuilder.forAddress(new InetSocketAddress(LOOPBACK, port))
+        NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
             .bossEventLoopGroup(loop)
             .workerEventLoopGroup(loop)
             .channelFactory(ListeningChannel::new)
@@ -88,7 +89,9 @@
   void kill() {
     isKilled = true;
     server.shutdownNow();
-    connections.forEach(Channel::close);
+    for (Channel connection : connections) {
+      Future<?> unused = connection.close();
+    }
     connections.clear();
   }
 
--- a/src/main/java/fordridge/emulator/MvccStore.java
+++ b/src/main/java/fordridge/emulator/MvccStore.java
@@ -67,7 +67,7 @@
    */
   List<KeyValue> range(ByteString key, ByteString end, long atRevision)
       throws RevisionUnavailableException {
-    if (atRevision > revision || atRevision > 0 && atRevision < compacted) {
+    if (atRevision > revision || (atRevision > 0 && atRevision < compacted)) {
       throw new RevisionUnavailableException(atRevision, atRevision < compacted);
     }
     long readRevision = atRevision == 0 ? revision : atRevision;
--- a/src/main/java/fordridge/emulator/SchedulerFleet.java
+++ b/src/main/java/fordridge/emulator/SchedulerFleet.java
@@ -14,7 +14,7 @@
   /** Stops the schedulers; true if all of them answered what was pending. */
   boolean stop() throws InterruptedException;
 
-  /** Stops them if they still run. */
+  /** Stops them if they still run; an interrupt ends the wait. */
   @Override
-  void close() throws InterruptedException;
+  void close();
 }
--- a/src/main/java/fordridge/emulator/SchedulerProcess.java
+++ b/src/main/java/fordridge/emulator/SchedulerProcess.java
@@ -157,9 +157,13 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
+  public void close() {
     if (process.isAlive()) {
-      stop();
+      try {
+        stop();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
   }
 }
--- a/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
+++ b/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
@@ -151,8 +151,8 @@
       Placement placement) {
     for (Placement other : others) {
       boolean isConflict =
-          placement.isCoveredBy(scope) && other.isCoveredBy(antiAffinity.other())
-              || placement.isCoveredBy(antiAffinity.other()) && other.isCoveredBy(scope);
+          (placement.isCoveredBy(scope) && other.isCoveredBy(antiAffinity.other()))
+              || (placement.isCoveredBy(antiAffinity.other()) && other.isCoveredBy(scope));
       if (isConflict
           && other.isRunning()
           && other.isInSameDomain(placement, antiAffinity.level())) {
--- a/src/main/java/fordridge/emulator/invariant/ConstraintInvariant.java
+++ b/src/main/java/fordridge/emulator/invariant/ConstraintInvariant.java
@@ -4,7 +4,7 @@
 
 import fordridge.emulator.record.RecordField;
 import fordridge.emulator.record.RecordedEvent;
-import java.util.IdentityHashMap;
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -15,8 +15,7 @@
   private final ObservedState state;
   private final Findings findings;
   private final ConstraintChecker checker = new ConstraintChecker();
-  private final Map<ObservedAttempt, ConstraintChecker.Placement> placements =
-      new IdentityHashMap<>();
+  private final Map<ObservedAttempt, ConstraintChecker.Placement> placements = new HashMap<>();
 
   ConstraintInvariant(ObservedState state, Findings findings) {
     this.state = state;
--- a/src/main/java/fordridge/emulator/invariant/PriorityClassSettings.java
+++ b/src/main/java/fordridge/emulator/invariant/PriorityClassSettings.java
@@ -33,7 +33,7 @@
   /** Whether a start whose outcome is unknown may be followed by another one anywhere. */
   boolean mayStartAgainAnywhere() {
     return retrySafety == RetrySafety.IDEMPOTENT
-        || retrySafety == RetrySafety.IDEMPOTENT_WITH_KEY
-            && deduplicationDomain == FailureDomain.ALL;
+        || (retrySafety == RetrySafety.IDEMPOTENT_WITH_KEY
+            && deduplicationDomain == FailureDomain.ALL);
   }
 }
--- a/src/main/java/fordridge/emulator/machine/UsageSampler.java
+++ b/src/main/java/fordridge/emulator/machine/UsageSampler.java
@@ -90,7 +90,7 @@
     int priority = vm.offer().priority();
     int otherPriority = other.offer().priority();
     return priority < otherPriority
-        || priority == otherPriority && vm.memoryShare() > other.memoryShare();
+        || (priority == otherPriority && vm.memoryShare() > other.memoryShare());
   }
 
   private double usedMemory() {
