--- a/src/main/java/fordridge/model/Machine.java
+++ b/src/main/java/fordridge/model/Machine.java
@@ -99,6 +99,7 @@
   /** Its rank for the VM's service, see {@link RendezvousHashing}. */
   long hashRank;
 
+  /** A machine that no list has named yet. */
   public Machine(long id) {
     this.id = id;
   }
--- a/src/main/java/fordridge/model/PlacementAttempt.java
+++ b/src/main/java/fordridge/model/PlacementAttempt.java
@@ -69,6 +69,7 @@
   /** Null while in flight or running. */
   public Outcome outcome;
 
+  /** An attempt that is sent now. */
   public PlacementAttempt(Vm vm, Machine machine, int number, Duration sentAt) {
     this.vm = vm;
     this.machine = machine;
--- a/src/main/java/fordridge/model/SeededRandom.java
+++ b/src/main/java/fordridge/model/SeededRandom.java
@@ -15,6 +15,7 @@
   private final long seed;
   private long draws;
 
+  /** A sequence of its own for each seed. */
   public SeededRandom(long seed) {
     this.seed = seed;
   }
--- a/src/main/java/fordridge/model/SettingsValues.java
+++ b/src/main/java/fordridge/model/SettingsValues.java
@@ -16,6 +16,7 @@
 
   private final Map<String, Object> values;
 
+  /** Values whose nested names are joined already. */
   public SettingsValues(Map<String, Object> values) {
     this.values = values;
   }
--- a/src/main/java/fordridge/model/Vm.java
+++ b/src/main/java/fordridge/model/Vm.java
@@ -50,6 +50,7 @@
 
   private TenantClass tenantClass;
 
+  /** A VM of which nothing but the name is set. */
   public Vm(String id) {
     this.id = id;
   }
--- a/src/main/java/fordridge/runtime/EventLoopLag.java
+++ b/src/main/java/fordridge/runtime/EventLoopLag.java
@@ -3,40 +3,44 @@
 import java.time.Duration;
 
 /**
- * How long an ask may have waited to be read: the most that the loop was late within the last
- * while. An owner's time runs from when it asked, and the placer's from when it read; under load
- * the difference is the loop's own lateness, and answers must be early by as much. Free of clocks:
- * lateness comes in.
+ * The longest lag of an event loop over the last one to two windows: how long a request may have
+ * waited to be read.
+ *
+ * <p>A client's deadline runs from when it sent its request, the scheduler's from when that was
+ * read; under load the difference is the lag of the loop, and responses must come earlier by as
+ * much. Belongs to the loop's thread; it reads no clock.
  */
 public final class EventLoopLag {
-  private final Duration remembers;
-  private Duration now = Duration.ZERO;
-  private Duration before = Duration.ZERO;
-  private Duration since = Duration.ZERO;
+  private final Duration window;
+  private Duration windowStart = Duration.ZERO;
+  private Duration longest = Duration.ZERO;
+  private Duration longestBefore = Duration.ZERO;
 
-  public EventLoopLag(Duration remembers) {
-    this.remembers = remembers;
+  /** Remembers lags for at least that window. */
+  public EventLoopLag(Duration window) {
+    this.window = window;
   }
 
-  /** The loop was late by so much. */
-  public void seen(Duration late, Duration at) {
-    turn(at);
-    if (late.compareTo(now) > 0) {
-      now = late;
+  /** The loop lagged by so much at that time. */
+  public void seen(Duration lag, Duration at) {
+    rotate(at);
+    if (lag.compareTo(longest) > 0) {
+      longest = lag;
     }
   }
 
-  /** What to take off an owner's time. */
+  /** What to take off a client's time. */
   public Duration allowance(Duration at) {
-    turn(at);
-    return now.compareTo(before) > 0 ? now : before;
+    rotate(at);
+    return longest.compareTo(longestBefore) > 0 ? longest : longestBefore;
   }
 
-  private void turn(Duration at) {
-    if (at.minus(since).compareTo(remembers) >= 0) {
-      before = at.minus(since).compareTo(remembers.multipliedBy(2)) >= 0 ? Duration.ZERO : now;
-      now = Duration.ZERO;
-      since = at;
+  private void rotate(Duration at) {
+    Duration age = at.minus(windowStart);
+    if (age.compareTo(window) >= 0) {
+      longestBefore = age.compareTo(window.multipliedBy(2)) >= 0 ? Duration.ZERO : longest;
+      longest = Duration.ZERO;
+      windowStart = at;
     }
   }
 }
--- a/src/main/java/fordridge/runtime/EventSequencer.java
+++ b/src/main/java/fordridge/runtime/EventSequencer.java
@@ -7,46 +7,52 @@
 import java.util.function.LongSupplier;
 
 /**
- * The order in which a feeder's inputs are entered, and their clock: one after another as they were
- * met, each at the time of a clock that only goes forward; what follows from one is entered behind
- * it. For one thread.
+ * Runs the inputs of a scheduler one after another in the order in which they come, and gives each
+ * its time.
+ *
+ * <p>What follows from an input is queued behind it. The clock only goes forward and counts from
+ * the making of the sequencer. For one thread.
  */
 public final class EventSequencer {
-  private final LongSupplier nanos;
-  private final Consumer<Duration> before;
-  private final Consumer<RuntimeException> failed;
-  private final long startedNanos;
-  private final Deque<Runnable> waiting = new ArrayDeque<>();
-  private boolean inside;
-  private Runnable readWatch = () -> {};
-  private Duration watchEvery = Duration.ZERO;
+  private final LongSupplier nanoClock;
+  private final Consumer<Duration> beforeInput;
+  private final Consumer<RuntimeException> onFailure;
+  private final long startNanos;
+  private final Deque<Runnable> queue = new ArrayDeque<>();
+  private boolean isRunning;
+  private Runnable watchReader = () -> {};
+  private Duration watchReadInterval = Duration.ZERO;
   private Duration watchReadAt = Duration.ZERO;
-  private boolean readingWatch;
+  private boolean isReadingWatch;
 
   /**
-   * {@code before} hears the time of each input; {@code failed} of one that threw, and those behind
-   * it go on.
+   * A sequencer whose clock is {@code nanoClock}.
+   *
+   * @param beforeInput gets the time of each input before it runs
+   * @param onFailure gets what an input threw; the inputs behind it run all the same
    */
   public EventSequencer(
-      LongSupplier nanos, Consumer<Duration> before, Consumer<RuntimeException> failed) {
-    this.nanos = nanos;
-    this.before = before;
-    this.failed = failed;
-    startedNanos = nanos.getAsLong();
+      LongSupplier nanoClock,
+      Consumer<Duration> beforeInput,
+      Consumer<RuntimeException> onFailure) {
+    this.nanoClock = nanoClock;
+    this.beforeInput = beforeInput;
+    this.onFailure = onFailure;
+    startNanos = nanoClock.getAsLong();
   }
 
+  /** The time since the start. */
   public Duration clock() {
-    return Duration.ofNanos(nanos.getAsLong() - startedNanos);
+    return Duration.ofNanos(nanoClock.getAsLong() - startNanos);
   }
 
   /**
-   * Before an input, {@code read} is run if it was last run {@code every} ago or longer: what the
-   * watch has to say is known to whatever begins then, however many inputs wait. What it reads may
-   * be entered from within.
+   * Lets {@code reader} run before an input if it last ran that interval ago or longer: the events
+   * of the watch are known to each input, however many inputs wait. The reader may enter inputs.
    */
-  public void watch(Runnable read, Duration every) {
-    readWatch = read;
-    watchEvery = every;
+  public void watch(Runnable reader, Duration interval) {
+    watchReader = reader;
+    watchReadInterval = interval;
   }
 
   /** When the watch was last read to its end; while it is read, when it was read before that. */
@@ -54,52 +60,55 @@
     return watchReadAt;
   }
 
-  private void readWatchIfDue() {
-    Duration at = clock();
-    if (inside || readingWatch || at.minus(watchReadAt).compareTo(watchEvery) < 0) {
-      return;
-    }
-    readingWatch = true;
-    try {
-      readWatch.run();
-    } finally {
-      readingWatch = false;
-    }
-    watchReadAt = at;
-  }
-
   /**
-   * Enters one and all that follows from it; false if it stands behind one that is being entered.
+   * Runs an input and all that follows from it; false if it was queued, as another input is
+   * running.
    */
   public boolean enter(Runnable input) {
     readWatchIfDue();
     return enterFromWatch(input);
   }
 
-  /**
-   * Enters what the watch itself says, whoever reads it, as {@link #enter} does: the watch is not
-   * read for it.
-   */
+  /** As {@link #enter}, for an event of the watch itself: the watch is not read for it. */
   public boolean enterFromWatch(Runnable input) {
-    waiting.addLast(input);
-    if (inside) {
+    queue.addLast(input);
+    if (isRunning) {
       return false;
     }
-    inside = true;
-    for (Runnable next = waiting.pollFirst(); next != null; next = waiting.pollFirst()) {
-      try {
-        before.accept(clock());
-        next.run();
-      } catch (RuntimeException e) {
-        failed.accept(e);
-      }
+    isRunning = true;
+    for (Runnable next = queue.pollFirst(); next != null; next = queue.pollFirst()) {
+      run(next);
     }
-    inside = false;
+    isRunning = false;
     return true;
   }
 
-  /** To be entered behind the one that is being entered. */
+  /** Queues an input behind the one that is running; it runs with the next that is entered. */
   public void behind(Runnable input) {
-    waiting.addLast(input);
+    queue.addLast(input);
+  }
+
+  private void run(Runnable input) {
+    try {
+      beforeInput.accept(clock());
+      input.run();
+    } catch (RuntimeException e) {
+      onFailure.accept(e);
+    }
+  }
+
+  private void readWatchIfDue() {
+    Duration at = clock();
+    boolean isDue = at.minus(watchReadAt).compareTo(watchReadInterval) >= 0;
+    if (isRunning || isReadingWatch || !isDue) {
+      return;
+    }
+    isReadingWatch = true;
+    try {
+      watchReader.run();
+    } finally {
+      isReadingWatch = false;
+    }
+    watchReadAt = at;
   }
 }
--- a/src/main/java/fordridge/runtime/SchedulerInputs.java
+++ b/src/main/java/fordridge/runtime/SchedulerInputs.java
@@ -14,14 +14,16 @@
 import java.util.zip.CRC32;
 
 /**
- * What every feeder of the module needs: VMs by name, machines by key, whole or changed lists,
- * reports. It decides nothing; the simulator's adapter and the placer differ only in where their
- * inputs come from.
+ * A scheduler with what every caller of it needs: VMs by id, machines by key, machine lists and
+ * load reports.
+ *
+ * <p>It decides nothing; the simulator's adapter and the servers differ only in where their inputs
+ * come from. Belongs to the thread that calls the scheduler.
  *
  * @param <K> what names a machine where the inputs come from
  */
 public final class SchedulerInputs<K> {
-  /** One line of a list of machines. */
+  /** A machine of a machine list; cores and memory are what is free, in the list's units. */
   public record ListedMachine<K>(
       K key,
       String zone,
@@ -37,70 +39,84 @@
   private final Map<String, Vm> vms = new HashMap<>();
   private final Map<K, Machine> machines = new HashMap<>();
 
+  /** A scheduler of its own; {@code idOf} gives the id of a machine by its key. */
   public SchedulerInputs(SchedulerActions actions, ToLongFunction<K> idOf) {
     this.scheduler = new Scheduler(actions);
     this.idOf = idOf;
   }
 
-  /** The same at every placer: placers take turns at cold machines by it. */
-  public static long number(String machine) {
+  /** An id for a machine's name, the same at each scheduler: they take turns by it. */
+  public static long number(String name) {
     CRC32 crc = new CRC32();
-    crc.update(machine.getBytes(StandardCharsets.UTF_8));
+    crc.update(name.getBytes(StandardCharsets.UTF_8));
     return crc.getValue();
   }
 
+  /** The VM with that id, or null. */
   public Vm vm(String id) {
     return vms.get(id);
   }
 
+  /** Adds a VM that the scheduler will get. */
   public void add(Vm vm) {
     vms.put(vm.id, vm);
   }
 
+  /** How many VMs are known. */
   public int size() {
     return vms.size();
   }
 
-  /** The claim of that number, or null where its VM is no longer held. */
-  public PlacementAttempt attempt(String id, int number) {
-    Vm vm = vms.get(id);
+  /** The attempt of that number, or null where its VM is no longer known. */
+  public PlacementAttempt attempt(String vmId, int number) {
+    Vm vm = vms.get(vmId);
     return vm == null || number < 0 || number >= vm.attempts.size()
         ? null
         : vm.attempts.get(number);
   }
 
-  /** A VM that is over and has no claim out will not be heard of again. */
+  /**
+   * Forgets a VM that is finished and has no attempt in flight; false if it is not or was not
+   * known.
+   */
   public boolean forget(Vm vm) {
     return vm.isFinished && vm.inFlightAttempts() == 0 && vms.remove(vm.id) != null;
   }
 
+  /** The machine with that key, made when it is first asked for. */
   public Machine machine(K key) {
     return machines.computeIfAbsent(key, k -> new Machine(idOf.applyAsLong(k)));
   }
 
+  /** The machine with that key, or null. */
   public Machine known(K key) {
     return machines.get(key);
   }
 
-  public void list(boolean whole, boolean old, List<ListedMachine<K>> lines) {
-    scheduler.machineListStarted(whole, old);
-    for (ListedMachine<K> l : lines) {
-      Machine m = machine(l.key);
-      m.zone = l.zone;
-      m.kind = l.kind;
-      m.cell = l.cell;
-      m.freeCores = l.freeCores;
-      m.freeMemory = l.freeMemory;
-      scheduler.machineListed(m, l.lifecycle, l.startedAt);
+  /** A machine list came: complete or changes, perhaps out of date. */
+  public void list(boolean isComplete, boolean mayBeStale, List<ListedMachine<K>> listed) {
+    scheduler.machineListStarted(isComplete, mayBeStale);
+    for (ListedMachine<K> each : listed) {
+      Machine machine = machine(each.key);
+      machine.zone = each.zone;
+      machine.kind = each.kind;
+      machine.cell = each.cell;
+      machine.freeCores = each.freeCores;
+      machine.freeMemory = each.freeMemory;
+      scheduler.machineListed(machine, each.lifecycle, each.startedAt);
     }
     scheduler.machineListCompleted();
   }
 
-  /** A load report that came with what the module is told next. */
-  public void report(Machine m, double spareCores, double spareMemory, double busy, Duration now) {
-    m.spareCores = spareCores;
-    m.spareMemory = spareMemory;
-    m.utilization = busy;
-    m.reportedAt = now;
+  /**
+   * A load report came; the input that it came with follows. {@code utilization} is the busy share
+   * of the cores; what was not reported is NaN.
+   */
+  public void report(
+      Machine machine, double spareCores, double spareMemory, double utilization, Duration now) {
+    machine.spareCores = spareCores;
+    machine.spareMemory = spareMemory;
+    machine.utilization = utilization;
+    machine.reportedAt = now;
   }
 }
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -21,7 +21,6 @@
 import fordridge.model.Vm;
 import fordridge.scheduling.RuleList.Rule;
 import java.time.Duration;
-import java.util.List;
 
 /**
  * Places VMs on machines: utilization-aware scheduling after UBIS (docs/design.md). It is called by
@@ -45,6 +44,7 @@
   private final MachineSelector selector;
   private final RuleList rules;
 
+  /** A scheduler that acts through {@code actions}. */
   public Scheduler(SchedulerActions actions) {
     this.actions = actions;
     health = new HealthChecker(state, actions);
@@ -318,7 +318,7 @@
   }
 
   private void refreshMeans() {
-    List<Machine> live = state.usableMachines();
+    var live = state.usableMachines();
     state.usage.meanFaultSeverity = mean(live, outliers::severity);
     capacity.refreshMeans(live);
     health.refreshGossipInterval(live.size());
--- a/src/main/java/fordridge/scheduling/SchedulerActions.java
+++ b/src/main/java/fordridge/scheduling/SchedulerActions.java
@@ -5,55 +5,61 @@
 import fordridge.model.Vm;
 import java.time.Duration;
 
-/** All that the module can do to the world. Whoever feeds the module implements it. */
+/**
+ * Output port of the scheduler: everything that it can do. Whoever calls the scheduler implements
+ * it.
+ *
+ * <p>Called on the thread of the input; it must not call the scheduler back before that input
+ * returns.
+ */
 public interface SchedulerActions {
-  /**
-   * Offers the claim's VM to the claim's machine; zero {@code within} waits until the owner stops.
-   */
-  void sendAttempt(PlacementAttempt attempt, Duration within);
+  /** Offers the attempt's VM to its machine; a timeout of zero waits until the client leaves. */
+  void sendAttempt(PlacementAttempt attempt, Duration timeout);
 
   /**
-   * How much customers' rules speak against the VM's going there: infinite where one forbids it, 0
-   * where nothing does. Where there are no rules it is 0 throughout.
+   * How much the tenants' constraints speak against the VM's going there: infinite where one
+   * forbids it, 0 where none does.
    */
   default double constraintPenalty(Vm vm, Machine machine) {
     return 0;
   }
 
-  /** Whether any rule speaks of such VMs, so that one of its shape does not speak for others. */
+  /** Whether any constraint applies to such VMs, so that others of its shape may find capacity. */
   default boolean isConstrained(Vm vm) {
     return false;
   }
 
-  /** Final answer: no, and asking again does no harm; zero gives no advice on when. */
+  /**
+   * Final response: not placed, and requesting it again does no harm; zero gives no advice when.
+   */
   void reject(Vm vm, Duration retryAfter);
 
-  /** Final answer: no promise about what ran. */
+  /** Final response: not placed as far as is known; it may have run. */
   void fail(Vm vm);
 
-  /** Stops a placed VM; its owner asks again. */
+  /** Stops a running VM; its client requests it again. */
   void migrate(Vm vm);
 
-  /** Gives up waiting for one claim. */
+  /** Gives up waiting for an attempt. */
   void cancelAttempt(PlacementAttempt attempt);
 
-  /** Asks a machine for a report. */
+  /** Requests a load report of a machine. */
   void probe(Machine machine);
 
   /**
-   * Sends a note to every other placer; it may be late or lost. Only where the terms allow notes.
+   * Sends a message to each other scheduler; it may be late or lost. Only where gossip is allowed.
    */
-  default void gossip(String note) {}
+  default void gossip(String message) {}
 
-  /** Asks to be woken once, this much later. */
-  void scheduleTimer(Duration in);
+  /** Lets the timer fire once after that delay. */
+  void scheduleTimer(Duration delay);
 
-  /** Leaves a line for those on call. */
+  /** Writes a line to the log. */
   void log(String line);
 
-  /** Subscribes to changes of the list of machines, or ends that. */
-  void watchMachineList(boolean on);
+  /** Begins or ends the watch of the machine list. */
+  void watchMachineList(boolean enabled);
 
-  /** Asks for the whole list once. */
+  /** Fetches the complete machine list once. */
   void fetchMachineList();
 }
--- a/src/main/java/fordridge/simulation/SimulatedScheduler.java
+++ b/src/main/java/fordridge/simulation/SimulatedScheduler.java
@@ -7,6 +7,7 @@
 import fordridge.model.SettingsValues;
 import fordridge.model.Vm;
 import fordridge.runtime.SchedulerInputs;
+import fordridge.runtime.SchedulerInputs.ListedMachine;
 import fordridge.scheduling.Scheduler;
 import fordridge.scheduling.SchedulerActions;
 import fordridge.scheduling.SchedulerSettingsReader;
@@ -19,276 +20,304 @@
 import java.util.Map;
 
 /**
- * One instance: turns its events into calls of the module, and what the module does into actions.
+ * One scheduler of the simulation: turns its events into inputs, and what it does into actions of
+ * the wire.
  */
 final class SimulatedScheduler implements SchedulerActions {
   private final SchedulerInputs<Long> inputs = new SchedulerInputs<>(this, id -> id);
   private final Scheduler scheduler = inputs.scheduler;
-  private JsonGenerator gen;
-
-  private static Duration micros(long us) {
-    return Duration.of(us, ChronoUnit.MICROS);
-  }
-
-  private static long micros(Duration d) {
-    return d.toNanos() / 1000;
-  }
-
-  void event(
-      String msg,
-      Map<String, Object> ev,
-      String at,
-      Duration clock,
-      JsonGenerator to,
-      Map<Long, List<Object>> lists)
-      throws IOException {
-    gen = to;
-    scheduler.advanceTo(clock);
-    switch (msg) {
-      case "create" -> {
-        SettingsValues values =
-            SettingsValues.ofNested(JsonFields.object(ev.get("profileData"), at + ".profileData"));
-        scheduler.start(JsonFields.whole(ev, "entropy", at), SchedulerSettingsReader.read(values));
-      }
-      case "discovery" -> discovery(ev, at, lists);
-      case "arrival" -> {
-        Vm vm = vm(ev, at, clock);
-        inputs.add(vm);
-        scheduler.vmRequested(vm);
-      }
-      case "resident" -> {
-        Vm vm = vm(ev, at, clock);
-        inputs.add(vm);
-        scheduler.vmAdopted(vm, inputs.machine(JsonFields.whole(ev, "machine", at)));
-      }
-      case "bound" -> {
-        PlacementAttempt c =
-            inputs.attempt(JsonFields.text(ev, "req", at), (int) JsonFields.whole(ev, "seqNo", at));
-        if (c != null) {
-          scheduler.attemptAccepted(c);
-        }
-      }
-      case "interim" -> {
-        PlacementAttempt c =
-            inputs.attempt(JsonFields.text(ev, "req", at), (int) JsonFields.whole(ev, "seqNo", at));
-        if (c != null) {
-          double amount = JsonFields.number(ev, "amount", at, 0);
-          switch ((int) JsonFields.whole(ev, "what", at)) {
-            case 1 -> scheduler.vmStarted(c);
-            case 2 -> scheduler.coreUsageReported(c, amount);
-            case 3 -> scheduler.memoryUsageReported(c, amount);
-            case 4 -> scheduler.serviceLevelReported(c, amount);
-            case 5 -> scheduler.memoryPressureReported(c, amount);
-            default -> {}
-          }
-        }
-      }
-      case "response" -> response(ev, at, clock);
-      case "clientGone" -> {
-        Vm vm = inputs.vm(JsonFields.text(ev, "req", at));
-        if (vm != null) {
-          scheduler.clientLeft(vm);
-          inputs.forget(vm);
-        }
-      }
-      case "echo" -> {
-        Machine m = inputs.known(JsonFields.whole(ev, "machine", at));
-        if (m != null) {
-          boolean ok = JsonFields.whole(ev, "rc", at) == 200;
-          boolean told = report(m, ev, at, clock);
-          JsonFields.whole(ev, "elapsedUs", at, 0);
-          scheduler.probeCompleted(m, ok, told);
-        }
-      }
-      case "noteFrom" -> scheduler.gossipReceived(JsonFields.text(ev, "data", at));
-      case "due" -> {
-        JsonFields.whole(ev, "handle", at);
-        scheduler.timerFired();
-      }
+  private final Map<Long, List<Object>> machineLists;
+
+  /** Takes the actions of the event that is being handled. */
+  private JsonGenerator actions;
+
+  /** A scheduler whose events refer to those machine lists by their slots. */
+  SimulatedScheduler(Map<Long, List<Object>> machineLists) {
+    this.machineLists = machineLists;
+  }
+
+  /** Handles an event; its actions are written before this returns. */
+  void handle(SimulatorEvent event, JsonGenerator to) {
+    actions = to;
+    scheduler.advanceTo(event.clock());
+    switch (event.name()) {
+      case "create" -> start(event);
+      case "discovery" -> machineListReceived(event);
+      case "arrival" -> scheduler.vmRequested(addVm(event));
+      case "resident" -> vmAdopted(event);
+      case "bound" -> attemptAccepted(event);
+      case "interim" -> vmReported(event);
+      case "response" -> attemptEnded(event);
+      case "clientGone" -> clientLeft(event);
+      case "echo" -> probeCompleted(event);
+      case "noteFrom" -> scheduler.gossipReceived(event.text("data"));
+      case "due" -> timerFired(event);
       default -> {}
     }
   }
 
-  private void discovery(Map<String, Object> ev, String at, Map<Long, List<Object>> lists) {
-    String how = JsonFields.text(ev, "how", at);
+  private void start(SimulatorEvent event) {
+    SettingsValues values = SettingsValues.ofNested(event.object("profileData"));
+    scheduler.start(event.whole("entropy"), SchedulerSettingsReader.read(values));
+  }
+
+  private void machineListReceived(SimulatorEvent event) {
+    String how = event.text("how");
     if (how.equals("error")) {
       scheduler.machineListFailed();
       return;
     }
-    List<Object> lines = lists.get(JsonFields.whole(ev, "slot", at));
+    List<Object> lines = machineLists.get(event.whole("slot"));
     if (lines == null) {
       throw new JsonFields.MalformedInputException(
-          at + ": field 'slot' names a list that never came");
+          event.path() + ": field 'slot' names a list that never came");
     }
-    List<SchedulerInputs.ListedMachine<Long>> told = new ArrayList<>(lines.size());
-    int i = 0;
-    for (Object o : lines) {
-      String where = at + ".lines[" + i++ + "]";
-      Map<String, Object> l = JsonFields.object(o, where);
-      long ready = JsonFields.whole(l, "readyAtUs", where, 0);
-      told.add(
-          new SchedulerInputs.ListedMachine<>(
-              JsonFields.whole(l, "machine", where),
-              JsonFields.text(l, "site", where, ""),
-              JsonFields.text(l, "generationHw", where, ""),
-              (int) JsonFields.whole(l, "pod", where, 0),
-              JsonFields.number(l, "freeCores", where, 0),
-              JsonFields.number(l, "memoryFree", where, 0),
-              switch (JsonFields.text(l, "lifecycle", where)) {
-                case "live" -> Machine.Lifecycle.LIVE;
-                case "quiescing" -> Machine.Lifecycle.DRAINING;
-                case "dead" -> Machine.Lifecycle.GONE;
-                default ->
-                    throw new JsonFields.MalformedInputException(
-                        where + ": field 'lifecycle' is not a known word");
-              },
-              ready == 0 ? null : micros(ready)));
+    List<ListedMachine<Long>> listed = new ArrayList<>(lines.size());
+    for (int i = 0; i < lines.size(); i++) {
+      listed.add(listedMachine(lines.get(i), event.path() + ".lines[" + i + "]"));
     }
-    inputs.list(!how.equals("diff"), how.equals("disk"), told);
-  }
-
-  private Vm vm(Map<String, Object> ev, String at, Duration clock) {
-    Vm vm = new Vm(JsonFields.text(ev, "req", at));
-    vm.priorityClass = JsonFields.text(ev, "profile", at);
-    Object group = ev.get("clientGroup");
-    vm.tenant = group instanceof String s ? s : "";
-    vm.service = JsonFields.whole(ev, "deployment", at, 0);
-    vm.cores = JsonFields.number(ev, "wantCores", at);
-    vm.memory = JsonFields.number(ev, "mem", at);
-    vm.isClientRetry = JsonFields.flag(ev, "cameBack", at) || JsonFields.flag(ev, "retry", at);
-    vm.arrivedAt = clock;
-    vm.deadline = clock.plus(micros(JsonFields.whole(ev, "patienceLeftUs", at)));
-    long lasts = JsonFields.whole(ev, "lastsUs", at, 0);
-    vm.expectedLifetime = lasts > 0 ? micros(lasts) : null;
+    inputs.list(!how.equals("diff"), how.equals("disk"), listed);
+  }
+
+  private static ListedMachine<Long> listedMachine(Object line, String path) {
+    Map<String, Object> fields = JsonFields.object(line, path);
+    long startedAtMicros = JsonFields.whole(fields, "readyAtUs", path, 0);
+    return new ListedMachine<>(
+        JsonFields.whole(fields, "machine", path),
+        JsonFields.text(fields, "site", path, ""),
+        JsonFields.text(fields, "generationHw", path, ""),
+        (int) JsonFields.whole(fields, "pod", path, 0),
+        JsonFields.number(fields, "freeCores", path, 0),
+        JsonFields.number(fields, "memoryFree", path, 0),
+        lifecycle(JsonFields.text(fields, "lifecycle", path), path),
+        startedAtMicros == 0 ? null : micros(startedAtMicros));
+  }
+
+  private static Machine.Lifecycle lifecycle(String word, String path) {
+    return switch (word) {
+      case "live" -> Machine.Lifecycle.LIVE;
+      case "quiescing" -> Machine.Lifecycle.DRAINING;
+      case "dead" -> Machine.Lifecycle.GONE;
+      default ->
+          throw new JsonFields.MalformedInputException(
+              path + ": field 'lifecycle' is not a known word");
+    };
+  }
+
+  private Vm addVm(SimulatorEvent event) {
+    Vm vm = new Vm(event.text("req"));
+    vm.priorityClass = event.text("profile");
+    vm.tenant = event.fields().get("clientGroup") instanceof String tenant ? tenant : "";
+    vm.service = event.whole("deployment", 0);
+    vm.cores = event.number("wantCores");
+    vm.memory = event.number("mem");
+    vm.isClientRetry = event.flag("cameBack") || event.flag("retry");
+    vm.arrivedAt = event.clock();
+    vm.deadline = event.clock().plus(event.micros("patienceLeftUs"));
+    long lifetimeMicros = event.whole("lastsUs", 0);
+    vm.expectedLifetime = lifetimeMicros > 0 ? micros(lifetimeMicros) : null;
+    inputs.add(vm);
     return vm;
   }
 
-  private void response(Map<String, Object> ev, String at, Duration clock) {
-    Machine m = inputs.known(JsonFields.whole(ev, "machine", at));
-    if (m != null && report(m, ev, at, clock)) {
-      scheduler.loadReported(m);
+  private void vmAdopted(SimulatorEvent event) {
+    Vm vm = addVm(event);
+    scheduler.vmAdopted(vm, inputs.machine(event.whole("machine")));
+  }
+
+  private void attemptAccepted(SimulatorEvent event) {
+    PlacementAttempt attempt = attempt(event);
+    if (attempt != null) {
+      scheduler.attemptAccepted(attempt);
+    }
+  }
+
+  private void vmReported(SimulatorEvent event) {
+    PlacementAttempt attempt = attempt(event);
+    if (attempt == null) {
+      return;
+    }
+    double amount = event.number("amount", 0);
+    switch ((int) event.whole("what")) {
+      case 1 -> scheduler.vmStarted(attempt);
+      case 2 -> scheduler.coreUsageReported(attempt, amount);
+      case 3 -> scheduler.memoryUsageReported(attempt, amount);
+      case 4 -> scheduler.serviceLevelReported(attempt, amount);
+      case 5 -> scheduler.memoryPressureReported(attempt, amount);
+      default -> {}
+    }
+  }
+
+  private void attemptEnded(SimulatorEvent event) {
+    Machine machine = inputs.known(event.whole("machine"));
+    if (machine != null && takeLoadReport(machine, event)) {
+      scheduler.loadReported(machine);
+    }
+    PlacementAttempt attempt = attempt(event);
+    if (attempt == null) {
+      return;
+    }
+    PlacementAttempt.Outcome outcome = outcome((int) event.whole("rc"), event.path());
+    PlacementAttempt.OutcomeReason reason = reason((int) event.whole("info", 0));
+    scheduler.attemptEnded(attempt, outcome, reason, event.flag("noMore"));
+    inputs.forget(attempt.vm);
+  }
+
+  private static PlacementAttempt.Outcome outcome(int code, String path) {
+    return switch (code) {
+      case 200 -> PlacementAttempt.Outcome.DONE;
+      case 502 -> PlacementAttempt.Outcome.ERROR;
+      case 429 -> PlacementAttempt.Outcome.FULL;
+      case 408 -> PlacementAttempt.Outcome.TIMEOUT;
+      case 521 -> PlacementAttempt.Outcome.UNREACHABLE;
+      case 520 -> PlacementAttempt.Outcome.RESET;
+      case 444 -> PlacementAttempt.Outcome.CANCELLED;
+      case 409 -> PlacementAttempt.Outcome.NOT_SENT;
+      default ->
+          throw new JsonFields.MalformedInputException(path + ": field 'rc' is not a known result");
+    };
+  }
+
+  /** The wire numbers reasons as the enum does. */
+  private static PlacementAttempt.OutcomeReason reason(int code) {
+    PlacementAttempt.OutcomeReason[] reasons = PlacementAttempt.OutcomeReason.values();
+    boolean isKnown = code > 0 && code < reasons.length;
+    return isKnown ? reasons[code] : PlacementAttempt.OutcomeReason.UNSPECIFIED;
+  }
+
+  private void clientLeft(SimulatorEvent event) {
+    Vm vm = inputs.vm(event.text("req"));
+    if (vm != null) {
+      scheduler.clientLeft(vm);
+      inputs.forget(vm);
     }
-    PlacementAttempt c =
-        inputs.attempt(JsonFields.text(ev, "req", at), (int) JsonFields.whole(ev, "seqNo", at));
-    if (c == null) {
+  }
+
+  private void probeCompleted(SimulatorEvent event) {
+    Machine machine = inputs.known(event.whole("machine"));
+    if (machine == null) {
       return;
     }
-    int rc = (int) JsonFields.whole(ev, "rc", at);
-    PlacementAttempt.Outcome end =
-        switch (rc) {
-          case 200 -> PlacementAttempt.Outcome.DONE;
-          case 502 -> PlacementAttempt.Outcome.ERROR;
-          case 429 -> PlacementAttempt.Outcome.FULL;
-          case 408 -> PlacementAttempt.Outcome.TIMEOUT;
-          case 521 -> PlacementAttempt.Outcome.UNREACHABLE;
-          case 520 -> PlacementAttempt.Outcome.RESET;
-          case 444 -> PlacementAttempt.Outcome.CANCELLED;
-          case 409 -> PlacementAttempt.Outcome.NOT_SENT;
-          default ->
-              throw new JsonFields.MalformedInputException(
-                  at + ": field 'rc' is not a known result");
-        };
-    int info = (int) JsonFields.whole(ev, "info", at, 0);
-    PlacementAttempt.OutcomeReason[] whys = PlacementAttempt.OutcomeReason.values();
-    PlacementAttempt.OutcomeReason why =
-        info > 0 && info < whys.length ? whys[info] : PlacementAttempt.OutcomeReason.UNSPECIFIED;
-    scheduler.attemptEnded(c, end, why, JsonFields.flag(ev, "noMore", at));
-    inputs.forget(c.vm);
-  }
-
-  private boolean report(Machine m, Map<String, Object> ev, String at, Duration clock) {
-    if (ev.get("healthInfo") == null) {
+    boolean isHealthy = event.whole("rc") == 200;
+    boolean hasReport = takeLoadReport(machine, event);
+    event.whole("elapsedUs", 0); // not used, but an event with a wrong one is malformed
+    scheduler.probeCompleted(machine, isHealthy, hasReport);
+  }
+
+  private void timerFired(SimulatorEvent event) {
+    event.whole("handle"); // not used, but an event without it is malformed
+    scheduler.timerFired();
+  }
+
+  private PlacementAttempt attempt(SimulatorEvent event) {
+    return inputs.attempt(event.text("req"), (int) event.whole("seqNo"));
+  }
+
+  private boolean takeLoadReport(Machine machine, SimulatorEvent event) {
+    if (event.fields().get("healthInfo") == null) {
       return false;
     }
-    Map<String, Object> r = JsonFields.object(ev.get("healthInfo"), at + ".healthInfo");
+    Map<String, Object> report = event.object("healthInfo");
     inputs.report(
-        m,
-        JsonFields.number(r, "x0", at, Double.NaN),
-        JsonFields.number(r, "x1", at, Double.NaN),
-        JsonFields.number(r, "utilization", at, Double.NaN),
-        clock);
+        machine,
+        JsonFields.number(report, "x0", event.path(), Double.NaN),
+        JsonFields.number(report, "x1", event.path(), Double.NaN),
+        JsonFields.number(report, "utilization", event.path(), Double.NaN),
+        event.clock());
     return true;
   }
 
-  /**
-   * Writes one action: its name, then pairs of field and value (a VM's id, a machine's id, a
-   * number...).
-   */
-  private void act(String msg, Object... fields) {
+  private static Duration micros(long micros) {
+    return Duration.of(micros, ChronoUnit.MICROS);
+  }
+
+  private static long toMicros(Duration duration) {
+    return duration.toNanos() / 1000;
+  }
+
+  /** Writes an action: its name, then pairs of a field and its value. */
+  private void write(String name, Object... fields) {
     try {
-      gen.writeStartObject();
-      gen.writeStringField("msg", msg);
+      actions.writeStartObject();
+      actions.writeStringField("msg", name);
       for (int i = 0; i < fields.length; i += 2) {
-        gen.writeFieldName((String) fields[i]);
-        Object v = fields[i + 1];
-        if (v instanceof Long n) {
-          gen.writeNumber(n);
-        } else if (v instanceof Boolean b) {
-          gen.writeBoolean(b);
+        actions.writeFieldName((String) fields[i]);
+        Object value = fields[i + 1];
+        if (value instanceof Long number) {
+          actions.writeNumber(number);
+        } else if (value instanceof Boolean flag) {
+          actions.writeBoolean(flag);
         } else {
-          gen.writeString((String) v);
+          actions.writeString((String) value);
         }
       }
-      gen.writeEndObject();
+      actions.writeEndObject();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
   @Override
-  public void sendAttempt(PlacementAttempt attempt, Duration within) {
-    act("propose", "req", attempt.vm.id, "machine", attempt.machine.id, "withinUs", micros(within));
+  public void sendAttempt(PlacementAttempt attempt, Duration timeout) {
+    write(
+        "propose",
+        "req",
+        attempt.vm.id,
+        "machine",
+        attempt.machine.id,
+        "withinUs",
+        toMicros(timeout));
   }
 
   @Override
   public void reject(Vm vm, Duration retryAfter) {
-    act("deny", "req", vm.id, "backoffUs", micros(retryAfter));
+    write("deny", "req", vm.id, "backoffUs", toMicros(retryAfter));
     inputs.forget(vm);
   }
 
   @Override
   public void fail(Vm vm) {
-    act("dropRequest", "req", vm.id);
+    write("dropRequest", "req", vm.id);
     inputs.forget(vm);
   }
 
   @Override
   public void migrate(Vm vm) {
-    act("vacate", "req", vm.id);
+    write("vacate", "req", vm.id);
   }
 
   @Override
   public void cancelAttempt(PlacementAttempt attempt) {
-    act("undoSend", "req", attempt.vm.id, "seqNo", (long) attempt.number);
+    write("undoSend", "req", attempt.vm.id, "seqNo", (long) attempt.number);
   }
 
   @Override
   public void probe(Machine machine) {
-    act("inspect", "machine", machine.id);
+    write("inspect", "machine", machine.id);
   }
 
   @Override
-  public void gossip(String note) {
-    act("memoTo", "addressee", "*", "data", note);
+  public void gossip(String message) {
+    write("memoTo", "addressee", "*", "data", message);
   }
 
   @Override
-  public void scheduleTimer(Duration in) {
-    act("after", "inUs", micros(in), "handle", 0L);
+  public void scheduleTimer(Duration delay) {
+    write("after", "inUs", toMicros(delay), "handle", 0L);
   }
 
   @Override
   public void log(String line) {
-    act("journalLine", "reasonText", line);
+    write("journalLine", "reasonText", line);
   }
 
   @Override
-  public void watchMachineList(boolean on) {
-    act("follow", "enable", on);
+  public void watchMachineList(boolean enabled) {
+    write("follow", "enable", enabled);
   }
 
   @Override
   public void fetchMachineList() {
-    act("lookup", new Object[0]);
+    write("lookup", new Object[0]);
   }
 }
