A withdrawn request repeated in a new session no longer counts as pending for ever

Cause: the count of a session rose for any known request without a response, also for one that was closed by its withdrawal and never gets one. Such a session never expired, and after sessions.open of them its client was rejected. Change: only a pending request counts. A test names the case.

--- a/src/main/java/fordridge/session/ClientSessions.java
+++ b/src/main/java/fordridge/session/ClientSessions.java
@@ -175,7 +175,7 @@
       return;
     }
     request.session = session;
-    if (request.responses.isEmpty()) {
+    if (request.state == RequestState.PENDING) {
       session.requestAdded();
     }
     request.responses.forEach(response -> append(session, response));
--- a/src/test/java/fordridge/session/ClientSessionsTest.java
+++ b/src/test/java/fordridge/session/ClientSessionsTest.java
@@ -98,6 +98,21 @@
     assertThat(drain(fresh)).extracting(ClientResponse::vm).containsExactly("2");
   }
 
+  @Example
+  void aWithdrawnRequestDoesNotCountAsPendingWhenANewSessionRepeatsIt() {
+    ClientSession session = sessions.clientConnected("a", "", 0);
+    sessions.requestReceived(session, "1");
+    sessions.requestWithdrawn(session, "1", START);
+
+    ClientSession fresh = sessions.clientConnected("a", "", 0);
+    sessions.requestReceived(fresh, "1");
+
+    assertThat(sessions.pendingRequests()).isEqualTo(0);
+    assertThat(fresh.pendingRequests()).isEqualTo(0);
+    sessions.clientDisconnected(fresh, START);
+    assertThat(sessions.expireSessions(RETENTION)).containsExactly("a");
+  }
+
   @Example
   void limitsOfPendingUnwrittenAndClosedRequestsHold() {
     ClientSession session = sessions.clientConnected("a", "", 0);
