Tests of the gRPC server by concern; names say the case and what is expected

GrpcTestPeers closes without checked exceptions, counts with atomics in place of updates of volatiles, and keeps its settings in a text block.

--- a/src/main/java/fordridge/emulator/ConstraintPublisher.java
+++ b/src/main/java/fordridge/emulator/ConstraintPublisher.java
@@ -49,8 +49,7 @@
 
   private static MachineTopology topology(EmulatedMachine machine) {
     MachineSpec.Labels labels = machine.spec().labels();
-    return new MachineTopology(
-        machine.name(), labels.kind(), labels.zone(), labels.cell());
+    return new MachineTopology(machine.name(), labels.kind(), labels.zone(), labels.cell());
   }
 
   /** Schedules all sets, counted from now. */
@@ -85,7 +84,8 @@
       List<PlacementConstraint> constraints =
           ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED);
       new ConstraintIndex(constraints, plan.deployment().allPlacers());
-      return ConstraintValidator.findConflicts(constraints, fleet, () -> isTimedOut(startNanos)).isEmpty();
+      return ConstraintValidator.findConflicts(constraints, fleet, () -> isTimedOut(startNanos))
+          .isEmpty();
     } catch (ConstraintSyntaxException | UnsatisfiableConstraintsException e) {
       return false;
     }
--- a/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
+++ b/src/main/java/fordridge/emulator/invariant/ConstraintChecker.java
@@ -145,12 +145,17 @@
   }
 
   private static boolean isApart(
-      Scope scope, PlacementConstraint.AntiAffinity antiAffinity, List<Placement> others, Placement placement) {
+      Scope scope,
+      PlacementConstraint.AntiAffinity antiAffinity,
+      List<Placement> others,
+      Placement placement) {
     for (Placement other : others) {
       boolean isConflict =
           placement.isCoveredBy(scope) && other.isCoveredBy(antiAffinity.other())
               || placement.isCoveredBy(antiAffinity.other()) && other.isCoveredBy(scope);
-      if (isConflict && other.isRunning() && other.isInSameDomain(placement, antiAffinity.level())) {
+      if (isConflict
+          && other.isRunning()
+          && other.isInSameDomain(placement, antiAffinity.level())) {
         return false;
       }
     }
@@ -158,9 +163,13 @@
   }
 
   private boolean isUnderLimit(
-      Scope scope, PlacementConstraint.SpreadLimit spread, List<Placement> others, Placement placement) {
+      Scope scope,
+      PlacementConstraint.SpreadLimit spread,
+      List<Placement> others,
+      Placement placement) {
     // An overall limit is divided among the schedulers, at least one for each.
-    int limit = spread.clusterWide() ? Math.max(1, spread.limit() / schedulerCount) : spread.limit();
+    int limit =
+        spread.clusterWide() ? Math.max(1, spread.limit() / schedulerCount) : spread.limit();
     long count =
         others.stream()
             .filter(Placement::isRunning)
@@ -179,6 +188,7 @@
         || others.stream()
             .anyMatch(
                 other ->
-                    other.isCoveredBy(affinity.other()) && other.isInSameDomain(placement, affinity.level()));
+                    other.isCoveredBy(affinity.other())
+                        && other.isInSameDomain(placement, affinity.level()));
   }
 }
--- /dev/null
+++ b/src/test/java/fordridge/server/grpc/GrpcConstraintTest.java
@@ -0,0 +1,178 @@
+package fordridge.server.grpc;
+
+import static fordridge.server.grpc.GrpcTestPeers.awaitUntil;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import fordridge.emulator.EmulatedEtcd;
+import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
+import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
+import fordridge.settings.DeploymentSettings;
+import fordridge.v1.ExplainRequest;
+import fordridge.v1.Finished;
+import fordridge.v1.FromMachine;
+import fordridge.v1.OperatingGrpc;
+import fordridge.v1.PlacerMessage.BodyCase;
+import net.jqwik.api.Example;
+
+/** Tenants' constraints at a real scheduler with scripted peers on loopback. */
+class GrpcConstraintTest {
+  @Example
+  void constraintsAreObeyedAndExplainedAndANewVersionTakesOver() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(3)) {
+      peers.writeConstraints("rule one: flavour once require spread at most 1 per machine;\n");
+      peers.startScheduler("constraints.file = rules.txt");
+      ClientPeer client = peers.client("c").open(true).hello();
+      for (int i = 0; i < 3; i++) {
+        client.request("v" + i, "once");
+      }
+      awaitUntil(() -> client.count(BodyCase.BOUND) == 3);
+      peers.machines.forEach(m -> assertThat(m.offers.size()).isEqualTo(1));
+      var why =
+          OperatingGrpc.newBlockingStub(client.channel())
+              .explain(ExplainRequest.newBuilder().setFlavour("once").setService(1).build());
+      assertThat(why.getSpotsList())
+          .hasSize(3)
+          .allMatch(
+              x ->
+                  !x.getAllowed()
+                      && x.getReasons(0).contains("rule 'one'")
+                      && x.getReasons(0).contains("1 in machine"));
+      var own =
+          OperatingGrpc.newBlockingStub(client.channel())
+              .explain(ExplainRequest.newBuilder().setVm("c/v0").build());
+      assertThat(own.getSpotsList().stream().filter(x -> x.getAllowed()).map(x -> x.getMachine()))
+          .as("a VM is no obstacle to itself")
+          .containsExactly(own.getRunsOn());
+      assertThatThrownBy(
+              () ->
+                  OperatingGrpc.newBlockingStub(client.channel())
+                      .explain(ExplainRequest.newBuilder().setVm("c/none").build()))
+          .hasMessageContaining("no VM 'c/none'");
+      client.to.onNext(ClientPeer.requestMessage("fourth", "once", 600_000).build());
+      awaitUntil(() -> client.count(BodyCase.DENIED) == 1);
+      // A version that cannot be read leaves the old one in force; a good one takes over for what
+      // is placed from then on.
+      peers.writeConstraints("rule one: flavour nope require;\n");
+      peers.writeConstraints("rule two: flavour once require spread at most 2 per machine;\n");
+      awaitUntil(
+          () -> {
+            int bound = (int) client.count(BodyCase.BOUND);
+            client.to.onNext(
+                ClientPeer.requestMessage("w" + System.nanoTime(), "once", 300_000).build());
+            return bound == 6;
+          });
+      peers.machines.forEach(m -> assertThat(m.offers.size()).isEqualTo(2));
+    }
+  }
+
+  @Example
+  void anAttemptWithUnknownOutcomeCountsForConstraintsUntilItIsReleased() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(2)) {
+      peers.writeConstraints("rule away: flavour safe require apart flavour once per machine;\n");
+      peers.startScheduler("constraints.file = rules.txt");
+      peers.machines.forEach(m -> m.onOffer = o -> {});
+      ClientPeer client = peers.client("c").open(true).hello().request("v", "once");
+      awaitUntil(() -> client.count(BodyCase.ERRORED) == 1);
+      MachinePeer held =
+          peers.machines.get(0).offers.isEmpty() ? peers.machines.get(1) : peers.machines.get(0);
+      MachinePeer free =
+          held == peers.machines.get(0) ? peers.machines.get(1) : peers.machines.get(0);
+      peers.machines.forEach(m -> m.onOffer = m::reportStarted);
+      for (int i = 0; i < 10; i++) {
+        client.request("w" + i, "safe");
+      }
+      awaitUntil(() -> client.count(BodyCase.BOUND) == 10);
+      assertThat(held.offers.size())
+          .as("its outcome is not known: nothing else may go there")
+          .isEqualTo(1);
+      held.send(
+          FromMachine.newBuilder()
+              .setFinished(
+                  Finished.newBuilder()
+                      .setClaim(held.offers.get(0).getClaim())
+                      .setHow(Finished.How.CANCELLED))
+              .build());
+      free.onOffer = free::reject;
+      client.request("last", "safe");
+      awaitUntil(() -> held.offers.size() == 2);
+    }
+  }
+
+  /** A constraint that could be satisfied when it was read, until its machine left the list. */
+  @Example
+  void aRequestThatNoMachineSatisfiesIsRejectedWithItsConstraints() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(2)) {
+      peers.writeConstraints("rule a: flavour once require on machine m1;\n");
+      peers.startScheduler("constraints.file = rules.txt");
+      ClientPeer client = peers.client("c").open(true).hello().request("v", "once");
+      awaitUntil(() -> client.count(BodyCase.BOUND) == 1);
+      peers.writeMachineList("m1 gone");
+      awaitUntil(
+          () -> {
+            client.to.onNext(ClientPeer.requestMessage("w" + System.nanoTime(), "once", 0).build());
+            return client.count(BodyCase.DENIED) > 0;
+          });
+      String reason = client.received.get(client.received.size() - 1).getDenied().getReason();
+      assertThat(reason).contains("rule 'a' (on machine m1)");
+    }
+  }
+
+  @Example
+  void settingsAndConstraintsInTheStoreTakeOverWhileRunning() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(1);
+        EmulatedEtcd etcd = new EmulatedEtcd()) {
+      etcd.put(
+          "/c/machines/m0",
+          "{\"v\":2,\"address\":\"127.0.0.1:"
+              + peers.machines.get(0).port
+              + "\",\"kind\":\"k\",\"cores\":16,\"memory\":64}");
+      peers.startScheduler(
+          "machines.source = etcd, etcd { endpoints = [\"127.0.0.1:"
+              + etcd.port()
+              + "\"], prefix = \"/c\" }");
+      ClientPeer client = peers.client("c").open(true).hello().request("v", "fresh");
+      awaitUntil(() -> client.count(BodyCase.DENIED) == 1);
+      String own =
+          "flavours = [{ name = safe, effect = rebuildable, build_target = 300ms, build_timeout = 4s }, "
+              + "{ name = once, effect = one-shot, build_target = 300ms, build_timeout = 4s }";
+      etcd.put("/c/terms/deployment", "flavours = [{ name = safe }]");
+      etcd.put("/c/terms/deployment", own + ", { name = fresh, effect = rebuildable }]");
+      awaitUntil(
+          () -> {
+            client.request("w" + System.nanoTime(), "fresh");
+            return client.count(BodyCase.BOUND) > 0;
+          });
+      etcd.put("/c/terms/constraints", "rule none: flavour fresh require on machine elsewhere;");
+      etcd.put(
+          "/c/terms/constraints", "rule one: flavour once require spread at most 1 per machine;");
+      awaitUntil(
+          () -> {
+            client.to.onNext(
+                ClientPeer.requestMessage("x" + System.nanoTime(), "once", 300_000).build());
+            return client.received.stream()
+                    .filter(m -> m.hasDenied() && m.getDenied().getVm().startsWith("x"))
+                    .count()
+                > 0;
+          });
+    }
+  }
+
+  @Example
+  void constraintsThatCannotBeReadOrSatisfiedPreventTheStart() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(1)) {
+      peers.writeConstraints("rule a: flavour nope require on kind k;\n");
+      assertThatThrownBy(() -> peers.startScheduler("constraints.file = rules.txt"))
+          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .hasMessageContaining("no flavour 'nope'");
+      peers.writeConstraints(
+          "rule a: flavour once require on kind k;\nrule b: service 3 require on not kind k;\n");
+      assertThatThrownBy(() -> peers.startScheduler("constraints.file = rules.txt"))
+          .hasMessageContaining("rule 'b' (line 2: on not (kind k)) is met by no machine");
+      peers.writeConstraints("rule a: flavour once require spread at most 1 per zone overall;\n");
+      assertThatThrownBy(
+              () -> peers.startScheduler("constraints.file = rules.txt, placer.placers = 5"))
+          .hasMessageContaining("5 placers");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/fordridge/server/grpc/GrpcShadowTest.java
@@ -0,0 +1,135 @@
+package fordridge.server.grpc;
+
+import static fordridge.server.grpc.GrpcTestPeers.awaitUntil;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
+import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
+import fordridge.settings.DeploymentSettings;
+import fordridge.v1.ClaimName;
+import fordridge.v1.ClientMessage;
+import fordridge.v1.Held;
+import fordridge.v1.PlacerMessage.BodyCase;
+import java.nio.file.Files;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+
+/** A shadow scheduler beside a real one with scripted peers on loopback. */
+class GrpcShadowTest {
+  /** With time left in microseconds; 0 for the whole build timeout. */
+  private static ClientMessage requestWithCores(String vm, double cores, long timeLeftUs) {
+    ClientMessage.Builder m = ClientPeer.requestMessage(vm, "safe", timeLeftUs);
+    m.getWantBuilder().setCores(cores);
+    return m.build();
+  }
+
+  private static double shadowDifferences(GrpcTestPeers peers) {
+    return Stream.of(
+            "machine",
+            "hold",
+            "place",
+            "answer",
+            "retry_after",
+            "probe",
+            "note",
+            "list_ask",
+            "move")
+        .mapToDouble(peers.scheduler.metrics()::otherwises)
+        .sum();
+  }
+
+  private static void startWithShadow(GrpcTestPeers peers, String settings) throws Exception {
+    Files.writeString(peers.folder.toPath().resolve("next.conf"), settings);
+    peers.startScheduler("watch.terms = next.conf");
+  }
+
+  /** Under the same settings nothing is decided differently. */
+  @Example
+  void theSameSettingsDecideTheSame() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(3)) {
+      startWithShadow(peers, "cluster.most_claims = 3");
+      ClientPeer client = peers.client("c").open(true).hello();
+      for (int i = 0; i < 30; i++) {
+        client.request("v" + i, i % 3 == 0 ? "once" : "safe");
+      }
+      awaitUntil(() -> client.count(BodyCase.BOUND) == 30);
+      client.to.onNext(requestWithCores("big", 999, 1_000_000));
+      awaitUntil(() -> client.count(BodyCase.DENIED) == 1);
+      assertThat(shadowDifferences(peers)).isEqualTo(0);
+    }
+  }
+
+  /**
+   * VMs of an earlier incarnation, and tenants' constraints, are known to the shadow as they are to
+   * the primary.
+   */
+  @Example
+  void theSameSettingsDecideTheSameUnderConstraintsAndAfterARestart() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(3)) {
+      Files.writeString(peers.folder.toPath().resolve("next.conf"), "cluster.most_claims = 3");
+      Files.writeString(
+          peers.folder.toPath().resolve("rules.txt"),
+          "rule few: flavour safe require spread at most 4 per machine;\n");
+      MachinePeer machine = peers.machines.get(0);
+      machine.addToInventory(
+          ClaimName.newBuilder().setVm("c/old").setNumber(1).build(), Held.State.RUNNING);
+      peers.startScheduler("watch.terms = next.conf\nconstraints.file = rules.txt");
+      awaitUntil(() -> peers.scheduler.establishedStreams() > 0 && machine.streamCount() == 1);
+      ClientPeer client = peers.client("c").open(true).hello().request("old", "once");
+      awaitUntil(() -> client.count(BodyCase.BOUND) == 1);
+      for (int i = 0; i < 9; i++) {
+        int n = i + 2;
+        client.request("v" + i, "safe");
+        awaitUntil(() -> client.count(BodyCase.BOUND) >= n);
+      }
+      assertThat(peers.machines.stream().mapToInt(x -> x.offers.size()).max().getAsInt())
+          .isLessThanOrEqualTo(4);
+      assertThat(shadowDifferences(peers)).isEqualTo(0);
+    }
+  }
+
+  /**
+   * The scheduler decides as before; where the shadow would hold a VM back, or give no retry-after,
+   * that is counted.
+   */
+  @Example
+  void otherSettingsAreCountedByKindAndChangeNothing() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(1)) {
+      startWithShadow(
+          peers,
+          "cluster { free_in_list = false, retry_after = false, list_comes = ask, ask_within = 10s }");
+      ClientPeer client = peers.client("c").open(true).hello();
+      client.to.onNext(requestWithCores("fits", 15, 0));
+      awaitUntil(() -> client.count(BodyCase.BOUND) == 1);
+      client.to.onNext(requestWithCores("big", 999, 1_000_000));
+      awaitUntil(() -> client.count(BodyCase.DENIED) == 1);
+      assertThat(
+              client.received.stream()
+                  .filter(m -> m.getBodyCase() == BodyCase.DENIED)
+                  .findFirst()
+                  .get()
+                  .getDenied()
+                  .getRetryAfterUs())
+          .isGreaterThan(0);
+      awaitUntil(() -> peers.scheduler.metrics().otherwises("retry_after") == 1);
+      assertThat(peers.scheduler.metrics().otherwises("hold")).isEqualTo(1);
+      assertThat(peers.scheduler.metrics().otherwises("list_ask")).isEqualTo(1);
+      assertThat(peers.scheduler.metrics().otherwises("machine")).isEqualTo(0);
+      assertThat(peers.scheduler.metrics().scrape())
+          .contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
+    }
+  }
+
+  @Example
+  void shadowSettingsAreValidatedBeforeTheStart() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(1)) {
+      assertThatThrownBy(() -> startWithShadow(peers, "cluster.list_comes = shout"))
+          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .hasMessageContaining("watch.terms")
+          .hasMessageContaining("push, ask");
+      assertThatThrownBy(() -> peers.startScheduler("watch.terms = nowhere.conf"))
+          .hasMessageContaining("no such file");
+    }
+  }
+}
--- a/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
+++ b/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
@@ -29,6 +29,7 @@
 import io.grpc.stub.StreamObserver;
 import java.io.File;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.StandardCopyOption;
@@ -37,92 +38,124 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
-/** Scripted peers of a real placer on loopback: they do just what a test tells them. */
+/** A real scheduler on loopback with scripted peers, which do just what a test tells them. */
 final class GrpcTestPeers implements AutoCloseable {
+  private static final String DEFAULT_SETTINGS =
+      """
+      kinds = [{ name = k, cores = 16, memory = 64 }]
+      flavours = [
+        { name = safe, effect = rebuildable, build_target = 300ms, build_timeout = 4s },
+        { name = once, effect = one-shot, build_target = 300ms, build_timeout = 4s }
+      ]
+      placer.listen.port = 0
+      placer.seed = 5
+      machines { list = list.conf, poll = 20ms, connect_timeout = 8s }
+      """;
+
   final File folder;
   final List<MachinePeer> machines = new ArrayList<>();
-  private final List<AutoCloseable> open = new ArrayList<>();
-  PlacerCommand program;
+  private final List<Peer> peers = new ArrayList<>();
+  PlacerCommand scheduler;
+
+  /** One end of a connection to the scheduler. */
+  private interface Peer extends AutoCloseable {
+    @Override
+    void close();
+  }
 
-  GrpcTestPeers(int machines) throws Exception {
+  GrpcTestPeers(int machineCount) throws IOException {
     folder = Files.createTempDirectory("fordridge").toFile();
-    for (int i = 0; i < machines; i++) {
-      MachinePeer m = new MachinePeer("m" + i);
-      this.machines.add(m);
-      open.add(m);
+    for (int i = 0; i < machineCount; i++) {
+      MachinePeer machine = new MachinePeer("m" + i);
+      machines.add(machine);
+      peers.add(machine);
     }
   }
 
-  static void until(Callable<Boolean> what) {
-    await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(5)).until(what);
+  static void awaitUntil(Callable<Boolean> condition) {
+    await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(5)).until(condition);
   }
 
-  void place(String more) throws IOException, DeploymentSettings.InvalidSettingsException {
-    list("");
-    program =
+  /** Starts the scheduler under these settings, laid over the defaults of the tests. */
+  void startScheduler(String overrides)
+      throws IOException, DeploymentSettings.InvalidSettingsException {
+    writeMachineList("");
+    scheduler =
         new PlacerCommand(
             DeploymentSettings.read(
-                ConfigFactory.parseString(more)
-                    .withFallback(
-                        ConfigFactory.parseString(
-                            "kinds = [{ name = k, cores = 16, memory = 64 }]\n"
-                                + "flavours = [{ name = safe, effect = rebuildable, build_target = 300ms, build_timeout = 4s },\n"
-                                + "{ name = once, effect = one-shot, build_target = 300ms, build_timeout = 4s }]\n"
-                                + "placer.listen.port = 0, placer.seed = 5, machines { list = list.conf, poll = 20ms, connect_timeout = 8s }\n")),
+                ConfigFactory.parseString(overrides)
+                    .withFallback(ConfigFactory.parseString(DEFAULT_SETTINGS)),
                 folder));
   }
 
-  /** Writes the list: every machine live, those named in {@code but} as "name state". */
-  void list(String but, String... more) throws IOException {
-    StringBuilder t = new StringBuilder("version = 1\nmachines = [\n");
-    for (MachinePeer m : machines) {
-      String state = but.startsWith(m.name + " ") ? but.substring(m.name.length() + 1) : "live";
-      t.append("{ name = ")
-          .append(m.name)
+  /** Writes the list: every machine live except one, as "name state"; and further entries. */
+  void writeMachineList(String exception, String... furtherEntries) throws IOException {
+    StringBuilder text = new StringBuilder("version = 1\nmachines = [\n");
+    for (MachinePeer machine : machines) {
+      String state =
+          exception.startsWith(machine.name + " ")
+              ? exception.substring(machine.name.length() + 1)
+              : "live";
+      text.append("{ name = ")
+          .append(machine.name)
           .append(", address = \"127.0.0.1:")
-          .append(m.port)
+          .append(machine.port)
           .append("\", kind = k, state = ")
           .append(state)
           .append(", free_cores = 16, free_memory = 64 }\n");
     }
-    for (String l : more) {
-      t.append(l).append('\n');
+    for (String entry : furtherEntries) {
+      text.append(entry).append('\n');
     }
     File next = new File(folder, "list.next");
-    Files.writeString(next.toPath(), t.append("]\n"));
+    Files.writeString(next.toPath(), text.append("]\n"));
     Files.move(
         next.toPath(), new File(folder, "list.conf").toPath(), StandardCopyOption.REPLACE_EXISTING);
   }
 
+  /** Replaces the file of constraints in one step. */
+  void writeConstraints(String text) throws IOException {
+    File next = new File(folder, "rules.next");
+    Files.writeString(next.toPath(), text);
+    Files.move(
+        next.toPath(), new File(folder, "rules.txt").toPath(), StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  /** Waits for the machine's first offer, which must be its only one so far. */
+  static Offer onlyOffer(MachinePeer machine) {
+    awaitUntil(() -> machine.offers.size() == 1);
+    return machine.offers.get(0);
+  }
+
   ClientPeer client(String name) {
-    ClientPeer c = new ClientPeer(name, program.port(0));
-    open.add(c);
-    return c;
+    ClientPeer client = new ClientPeer(name, scheduler.port(0));
+    peers.add(client);
+    return client;
   }
 
   @Override
-  public void close() throws Exception {
-    for (AutoCloseable c : open) {
-      c.close();
-    }
-    if (program != null) {
-      program.close();
+  public void close() {
+    peers.forEach(Peer::close);
+    if (scheduler != null) {
+      scheduler.close();
     }
   }
 
-  /** A machine that answers each offer as it was told. */
-  static final class MachinePeer extends MachineGrpc.MachineImplBase implements AutoCloseable {
+  /** A machine that reacts to each offer as the test says. */
+  static final class MachinePeer extends MachineGrpc.MachineImplBase implements Peer {
     final String name;
     int port;
     final List<Offer> offers = new CopyOnWriteArrayList<>();
-    final List<ToMachine> heard = new CopyOnWriteArrayList<>();
-    final List<Held> holds = new CopyOnWriteArrayList<>();
+    final List<ToMachine> received = new CopyOnWriteArrayList<>();
+    private final List<Held> inventory = new CopyOnWriteArrayList<>();
     volatile StreamObserver<FromMachine> out;
-    volatile int streams;
-    volatile long incarnation = 1;
-    volatile Consumer<Offer> onOffer = this::start;
+    private final AtomicInteger streams = new AtomicInteger();
+    private final AtomicLong incarnation = new AtomicLong(1);
+    volatile Consumer<Offer> onOffer = this::reportStarted;
     private Server server;
 
     MachinePeer(String name) throws IOException {
@@ -132,7 +165,8 @@
 
     void listen() throws IOException {
       server =
-          NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", port))
+          NettyServerBuilder.forAddress(
+                  new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
               .addService(this)
               .build()
               .start();
@@ -147,14 +181,14 @@
           switch (m.getBodyCase()) {
             case GREETING -> {
               out = to;
-              streams++;
+              streams.incrementAndGet();
               to.onNext(
                   FromMachine.newBuilder()
                       .setHolding(
                           Holding.newBuilder()
                               .setMachine(name)
-                              .setIncarnation(incarnation)
-                              .addAllHeld(holds))
+                              .setIncarnation(incarnation.get())
+                              .addAllHeld(inventory))
                       .build());
             }
             case OFFER -> {
@@ -172,11 +206,12 @@
                         .build());
             default -> {}
           }
-          heard.add(m);
+          received.add(m);
         }
 
+        /** The scheduler left, as it may at any time. */
         @Override
-        public void onError(Throwable t) {}
+        public void onError(Throwable cause) {}
 
         @Override
         public void onCompleted() {
@@ -185,25 +220,40 @@
       };
     }
 
-    void start(Offer o) {
+    /** Streams that the scheduler has opened so far. */
+    int streamCount() {
+      return streams.get();
+    }
+
+    /** Its next inventory is that of a new incarnation. */
+    void restart() {
+      incarnation.incrementAndGet();
+    }
+
+    void reportStarted(Offer offer) {
       out.onNext(
-          FromMachine.newBuilder().setStarted(Started.newBuilder().setClaim(o.getClaim())).build());
+          FromMachine.newBuilder()
+              .setStarted(Started.newBuilder().setClaim(offer.getClaim()))
+              .build());
     }
 
-    void refuse(Offer o) {
+    void reject(Offer offer) {
       out.onNext(
           FromMachine.newBuilder()
               .setRefused(
-                  Refused.newBuilder().setClaim(o.getClaim()).setReason(Refused.Reason.NO_CORES))
+                  Refused.newBuilder()
+                      .setClaim(offer.getClaim())
+                      .setReason(Refused.Reason.NO_CORES))
               .build());
     }
 
-    void say(FromMachine m) {
-      out.onNext(m);
+    void send(FromMachine message) {
+      out.onNext(message);
     }
 
-    void holds(ClaimName attempt, Held.State state) {
-      holds.add(
+    /** Adds a VM to what it reports at the start of a stream. */
+    void addToInventory(ClaimName attempt, Held.State state) {
+      inventory.add(
           Held.newBuilder()
               .setClaim(attempt)
               .setState(state)
@@ -214,14 +264,14 @@
               .build());
     }
 
-    /** Breaks the stream in place; the machine goes on. */
-    void cut() {
+    /** Breaks the stream; the machine goes on. */
+    void breakStream() {
       StreamObserver<FromMachine> old = out;
       out = null;
       old.onError(Status.UNAVAILABLE.asRuntimeException());
     }
 
-    void down() throws InterruptedException {
+    void stopListening() throws InterruptedException {
       server.shutdownNow().awaitTermination();
     }
 
@@ -232,13 +282,13 @@
   }
 
   /** A client that reads when told to. */
-  static final class ClientPeer implements AutoCloseable {
+  static final class ClientPeer implements Peer {
     final String name;
-    final List<PlacerMessage> heard = new CopyOnWriteArrayList<>();
+    final List<PlacerMessage> received = new CopyOnWriteArrayList<>();
     volatile Status status;
     volatile ClientCallStreamObserver<ClientMessage> to;
     private final ManagedChannel channel;
-    private volatile int stream;
+    private final AtomicInteger stream = new AtomicInteger();
 
     ClientPeer(String name, int port) {
       this.name = name;
@@ -254,7 +304,7 @@
     }
 
     ClientPeer open(boolean reads) {
-      int mine = ++stream;
+      int mine = stream.incrementAndGet();
       status = null;
       PlacingGrpc.newStub(channel)
           .place(
@@ -271,14 +321,14 @@
                 public void onNext(PlacerMessage m) {
                   // A stream that was broken off may still hand over what it had: the client has
                   // left it.
-                  if (mine == stream) {
-                    heard.add(m);
+                  if (mine == stream.get()) {
+                    received.add(m);
                   }
                 }
 
                 @Override
                 public void onError(Throwable t) {
-                  if (mine == stream) {
+                  if (mine == stream.get()) {
                     status = Status.fromThrowable(t);
                   }
                 }
@@ -303,12 +353,13 @@
       return this;
     }
 
-    ClientPeer want(String vm, String priorityClass) {
-      to.onNext(wanted(vm, priorityClass, 0).build());
+    ClientPeer request(String vm, String priorityClass) {
+      to.onNext(requestMessage(vm, priorityClass, 0).build());
       return this;
     }
 
-    static ClientMessage.Builder wanted(String vm, String priorityClass, long leftUs) {
+    /** With the time left in microseconds; 0 for the whole start deadline. */
+    static ClientMessage.Builder requestMessage(String vm, String priorityClass, long timeLeftUs) {
       return ClientMessage.newBuilder()
           .setWant(
               Want.newBuilder()
@@ -317,23 +368,24 @@
                   .setService(1)
                   .setCores(0.001)
                   .setMemory(0.001)
-                  .setTimeLeftUs(leftUs));
+                  .setTimeLeftUs(timeLeftUs));
     }
 
-    ClientPeer wantTogether(String group, int size, String vm, String priorityClass) {
-      return wantTogether(group, size, vm, priorityClass, 0.001);
+    ClientPeer requestInGroup(String group, int size, String vm, String priorityClass) {
+      return requestInGroup(group, size, vm, priorityClass, 0.001);
     }
 
-    ClientPeer wantTogether(String group, int size, String vm, String priorityClass, double cores) {
-      ClientMessage.Builder m = wanted(vm, priorityClass, 0);
+    ClientPeer requestInGroup(
+        String group, int size, String vm, String priorityClass, double cores) {
+      ClientMessage.Builder m = requestMessage(vm, priorityClass, 0);
       m.getWantBuilder().setGroup(group).setGroupSize(size).setCores(cores);
       to.onNext(m.build());
       return this;
     }
 
     String token() {
-      until(() -> heard.stream().anyMatch(PlacerMessage::hasWelcome));
-      return heard.stream()
+      awaitUntil(() -> received.stream().anyMatch(PlacerMessage::hasWelcome));
+      return received.stream()
           .filter(PlacerMessage::hasWelcome)
           .reduce((a, b) -> b)
           .get()
@@ -341,16 +393,16 @@
           .getResumeToken();
     }
 
-    long count(PlacerMessage.BodyCase what) {
-      return heard.stream().filter(m -> m.getBodyCase() == what).count();
+    long count(PlacerMessage.BodyCase kind) {
+      return received.stream().filter(m -> m.getBodyCase() == kind).count();
     }
 
-    long last() {
-      return heard.stream().mapToLong(PlacerMessage::getSeq).max().orElse(0);
+    long lastSequence() {
+      return received.stream().mapToLong(PlacerMessage::getSeq).max().orElse(0);
     }
 
-    void breaks() {
-      stream++;
+    void breakStream() {
+      stream.incrementAndGet();
       to.cancel("test", null);
     }
 
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -285,7 +285,7 @@
   /** A configuration with one machine, an idempotent class 'a', and 'once', that is not. */
   String configuration(int machineListPort, String machineEntry) {
     return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
-               + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
+        + "\"memory_mb\":64,\"sockets\":256},\"journal\":\"127.0.0.1:"
         + machineListPort
         + "\",\"known\":{\"pos\":3,"
         + "\"entries\":["
