--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -118,7 +118,7 @@
           } else {
             failedProbes++;
           }
-          inputs.scheduler.probeCompleted(machine, healthy, withLoadReport, roundTrip);
+          inputs.scheduler.probeCompleted(machine, healthy, withLoadReport);
         });
   }
 
--- a/src/main/java/fordridge/server/json/WarmUp.java
+++ b/src/main/java/fordridge/server/json/WarmUp.java
@@ -36,7 +36,6 @@
   private static final Duration REQUEST_INTERVAL = Duration.ofMillis(40);
   private static final Duration RUN_TIME = Duration.ofMillis(1);
   private static final Duration START_DEADLINE = Duration.ofSeconds(4);
-  private static final Duration PROBE_ROUND_TRIP = Duration.ofMillis(2);
 
   private final SchedulerSettings settings;
   private final String priorityClass;
@@ -163,8 +162,7 @@
 
   @Override
   public void probe(Machine machine) {
-    followingInputs.addLast(
-        () -> inputs.scheduler.probeCompleted(machine, true, true, PROBE_ROUND_TRIP));
+    followingInputs.addLast(() -> inputs.scheduler.probeCompleted(machine, true, true));
   }
 
   @Override
