--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -8,6 +8,7 @@
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.server.json.ServeCommand;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.simulation.SimulatorAdapter;
 import java.io.File;
 import java.io.IOException;
@@ -58,8 +59,8 @@
 
   /** One plain line for each complaint; never a stack trace alone. */
   private static void complain(Exception e) {
-    if (e instanceof DeploymentSettings.InvalidSettingsException r) {
-      r.complaints.forEach(c -> System.err.println("fordridge: " + c));
+    if (e instanceof InvalidSettingsException r) {
+      r.messages().forEach(c -> System.err.println("fordridge: " + c));
       return;
     }
     Throwable cause = e;
@@ -118,7 +119,7 @@
     public Integer call() throws Exception {
       DeploymentSettings d =
           read(config, placers == null ? Map.of() : Map.of("placer.count", placers));
-      Logging.start(d.logFormat, d.logLevel);
+      Logging.configure(d.logging().format(), d.logging().level());
       PlacerCommand program = new PlacerCommand(d);
       if (portsFile != null) {
         StringBuilder text = new StringBuilder();
@@ -153,7 +154,7 @@
   }
 
   static DeploymentSettings read(File file, Map<String, ?> changes)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     Config own = DeploymentSettings.parse(file);
     return DeploymentSettings.read(
         ConfigFactory.parseMap(changes, "command line").withFallback(own),
@@ -172,11 +173,12 @@
     public Integer call() throws Exception {
       DeploymentSettings d = read(file, Map.of());
       PlacerCommand.watched(d);
-      if (d.listFile().isFile()) {
-        int n = fordridge.discovery.MachineListFile.read(d.listFile(), d, 1).entries().size();
-        System.out.println(file + ": fine; " + n + " machines in " + d.listFile());
+      if (d.machineListFile().isFile()) {
+        int n =
+            fordridge.discovery.MachineListFile.read(d.machineListFile(), d, 1).entries().size();
+        System.out.println(file + ": fine; " + n + " machines in " + d.machineListFile());
       } else {
-        System.out.println(file + ": fine; no list of machines at " + d.listFile() + " yet");
+        System.out.println(file + ": fine; no list of machines at " + d.machineListFile() + " yet");
       }
       return 0;
     }
@@ -205,7 +207,7 @@
             fordridge.constraint.ConstraintParser.read(
                 text, fordridge.constraint.ConstraintParser.Names.ANY);
       } catch (fordridge.constraint.ConstraintParser.ConstraintSyntaxException e) {
-        throw new DeploymentSettings.InvalidSettingsException(
+        throw InvalidSettingsException.ofMessages(
             e.complaints.stream().map(c -> file + ":" + c).toList());
       }
       if (config != null) {
@@ -250,7 +252,7 @@
 
     @Override
     public Integer call() throws Exception {
-      Logging.start("plain", "warn");
+      Logging.configure("plain", "warn");
       Scenario.Outcome o = Scenario.play(script, changes, out, System.out);
       System.out.println();
       System.out.print(o.table());
@@ -293,7 +295,7 @@
 
     @Override
     public Integer call() throws Exception {
-      Logging.start("plain", "warn");
+      Logging.configure("plain", "warn");
       boolean kept = true;
       System.out.printf(
           "%8s %8s %8s %9s %9s  %s%n",
@@ -354,7 +356,7 @@
 
     @Override
     public Integer call() throws Exception {
-      Logging.start("plain", "error");
+      Logging.configure("plain", "error");
       fordridge.emulator.WatchBenchmark.run(machines, lists, System.out);
       return 0;
     }
--- a/src/main/java/fordridge/discovery/MachineListFile.java
+++ b/src/main/java/fordridge/discovery/MachineListFile.java
@@ -4,6 +4,8 @@
 import fordridge.model.Machine.Lifecycle;
 import fordridge.settings.ConfigReader;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
+import fordridge.settings.SettingError;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -45,13 +47,12 @@
   private volatile Update latest;
   private String seen;
 
-  public MachineListFile(File file, DeploymentSettings deployment)
-      throws DeploymentSettings.InvalidSettingsException {
+  public MachineListFile(File file, DeploymentSettings deployment) throws InvalidSettingsException {
     this.file = file;
     this.deployment = deployment;
     seen = mark();
     latest = read(file, deployment, 1);
-    long every = deployment.poll.toMillis();
+    long every = deployment.machineList().pollInterval().toMillis();
     looks.scheduleWithFixedDelay(this::look, every, every, TimeUnit.MILLISECONDS);
   }
 
@@ -75,10 +76,10 @@
       for (Consumer<Update> t : takers) {
         t.accept(latest);
       }
-    } catch (DeploymentSettings.InvalidSettingsException e) {
+    } catch (InvalidSettingsException e) {
       LOG.atError()
           .addKeyValue("list", file.getName())
-          .log("the list of machines stays as it was: " + String.join("; ", e.complaints));
+          .log("the list of machines stays as it was: " + String.join("; ", e.messages()));
     } catch (RuntimeException e) {
       LOG.error("the list of machines stays as it was", e);
     }
@@ -86,41 +87,41 @@
 
   /** Reads the file whole, with every complaint at once. */
   public static Update read(File file, DeploymentSettings d, long version)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     Config c = DeploymentSettings.parse(file);
-    List<String> errors = new ArrayList<>();
+    List<SettingError> errors = new ArrayList<>();
     ConfigReader r = new ConfigReader(c, "", errors);
-    if (r.whole("version", 1, 1_000_000) != 1) {
-      r.error("version", "another", "1");
+    if (r.integer("version", 1, 1_000_000) != 1) {
+      r.reject("version", "another", "1");
     }
     Set<String> kinds = new HashSet<>();
-    d.kinds.forEach(k -> kinds.add(k.name()));
+    d.kinds().forEach(k -> kinds.add(k.name()));
     List<Entry> entries = new ArrayList<>();
     Set<String> names = new HashSet<>();
-    for (ConfigReader m : r.each("machines", null)) {
+    for (ConfigReader m : r.objects("machines")) {
       entries.add(entry(m, kinds, names));
-      m.refuseUnknown();
+      m.rejectUnknownKeys();
     }
-    r.refuseUnknown();
+    r.rejectUnknownKeys();
     if (!errors.isEmpty()) {
-      throw new DeploymentSettings.InvalidSettingsException(errors);
+      throw new InvalidSettingsException(errors);
     }
     return new Update(version, true, false, entries);
   }
 
   private static Entry entry(ConfigReader m, Set<String> kinds, Set<String> names) {
-    String name = m.text("name", 100);
+    String name = m.string("name", 100);
     if (!names.add(name)) {
-      m.error("name", "'" + name + "' twice", "each name once");
+      m.reject("name", "'" + name + "' twice", "each name once");
     }
-    String kind = m.text("kind", 100);
+    String kind = m.string("kind", 100);
     if (!kinds.contains(kind)) {
-      m.error(
+      m.reject(
           "kind",
           "'" + kind + "'",
           "a kind of the settings: " + String.join(", ", new java.util.TreeSet<>(kinds)));
     }
-    String address = m.text("address", 300);
+    String address = m.string("address", 300);
     int colon = address.lastIndexOf(':');
     InetSocketAddress at = null;
     try {
@@ -128,19 +129,19 @@
           new InetSocketAddress(
               address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-      m.error("address", "'" + address + "'", "host:port");
+      m.reject("address", "'" + address + "'", "host:port");
     }
     Instant started = null;
     if (m.has("started")) {
-      String s = m.text("started", 100);
+      String s = m.string("started", 100);
       try {
         started = Instant.parse(s);
       } catch (DateTimeParseException e) {
-        m.error("started", "'" + s + "'", "an instant, as 2026-01-31T12:00:00Z");
+        m.reject("started", "'" + s + "'", "an instant, as 2026-01-31T12:00:00Z");
       }
     }
     Lifecycle lifecycle =
-        switch (m.word("state", "live", "draining", "gone")) {
+        switch (m.oneOf("state", "live", "draining", "gone")) {
           case "draining" -> Lifecycle.DRAINING;
           case "gone" -> Lifecycle.GONE;
           default -> Lifecycle.LIVE;
@@ -149,11 +150,11 @@
         name,
         at,
         kind,
-        m.has("zone") ? m.text("zone", 100) : "",
-        m.has("cell") ? m.whole("cell", 0, 1_000_000) : 0,
+        m.has("zone") ? m.string("zone", 100) : "",
+        m.has("cell") ? m.integer("cell", 0, 1_000_000) : 0,
         lifecycle,
-        m.has("free_cores") ? m.number("free_cores", -1e6, 1e6) : 0,
-        m.has("free_memory") ? m.number("free_memory", -1e9, 1e9) : 0,
+        m.has("free_cores") ? m.decimal("free_cores", -1e6, 1e6) : 0,
+        m.has("free_memory") ? m.decimal("free_memory", -1e9, 1e9) : 0,
         started);
   }
 
@@ -163,7 +164,7 @@
   }
 
   @Override
-  public void follow(Consumer<Update> taker) {
+  public void watch(Consumer<Update> taker) {
     looks.execute(
         () -> {
           takers.add(taker);
@@ -178,6 +179,6 @@
 
   /** For writers of such files: how long a change takes to be seen at most, beyond its reading. */
   public static Duration delay(DeploymentSettings d) {
-    return d.poll;
+    return d.machineList().pollInterval();
   }
 }
--- a/src/main/java/fordridge/discovery/MachineListSource.java
+++ b/src/main/java/fordridge/discovery/MachineListSource.java
@@ -4,16 +4,22 @@
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
- * Where the list of machines comes from. Whatever stands behind it gives whole lists, each newer
- * than the last.
+ * A source of the machine list: a file, or etcd.
+ *
+ * <p>All methods may be called from any thread.
  */
 public interface MachineListSource extends AutoCloseable {
   /**
-   * One machine; {@code started} is null for long ago, and changes only when the machine starts
-   * anew.
+   * One machine.
+   *
+   * @param cell number of the failure domain within its zone
+   * @param freeCores cores that nobody has reserved; the same for {@code freeMemory}
+   * @param startedAt when the machine started, null for long ago; it changes only when the machine
+   *     starts anew
    */
   record Entry(
       String name,
@@ -24,31 +30,35 @@
       Lifecycle lifecycle,
       double freeCores,
       double freeMemory,
-      Instant started) {}
+      Instant startedAt) {}
 
   /**
-   * A list, whole (what it does not name is gone) or of changes only; {@code old} if it may be
-   * stale by more than its source allows.
+   * A new version of the list.
+   *
+   * @param version grows with each update
+   * @param isSnapshot whether the entries are the whole list, so that a machine that is not among
+   *     them is gone; otherwise they are the changed ones
+   * @param isStale whether the list may be older than its source allows
    */
-  record Update(long version, boolean whole, boolean old, List<Entry> entries) {}
+  record Update(long version, boolean isSnapshot, boolean isStale, List<Entry> entries) {}
 
-  /** The latest whole list. */
+  /** The latest version, as a snapshot. */
   Update latest();
 
   /**
-   * Tells of the latest list, then of each change, on a thread of its own; the taker hands it to
-   * its loop.
+   * Passes the latest snapshot and then each update to a listener, on a thread of the source. The
+   * listener must not block.
    */
-  void follow(Consumer<Update> taker);
+  void watch(Consumer<Update> listener);
 
-  /** How many placers share the cluster, where the source knows; 0 where it does not. */
-  default int placers() {
+  /** How many schedulers share the cluster; 0 where the source does not know. */
+  default int schedulerCount() {
     return 0;
   }
 
-  /** A term that the source holds under that name, or null. */
-  default String term(String name) {
-    return null;
+  /** The text of a setting that the source holds for all schedulers, by name. */
+  default Optional<String> sharedSetting(String name) {
+    return Optional.empty();
   }
 
   @Override
--- a/src/main/java/fordridge/emulator/ClientOutcomes.java
+++ b/src/main/java/fordridge/emulator/ClientOutcomes.java
@@ -36,7 +36,7 @@
   }
 
   synchronized void served(EmulatedClient.Service s, long tookUs, long second) {
-    boolean inTime = tookUs <= s.priorityClass().buildTarget().toNanos() / 1000;
+    boolean inTime = tookUs <= s.priorityClass().startLatencyObjective().toNanos() / 1000;
     for (Row r : rows(s)) {
       r.served++;
       r.inTime += inTime ? 1 : 0;
--- a/src/main/java/fordridge/emulator/EmulatedClient.java
+++ b/src/main/java/fordridge/emulator/EmulatedClient.java
@@ -1,6 +1,6 @@
 package fordridge.emulator;
 
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.PriorityClassSettings;
 import fordridge.v1.Ack;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.Ended;
@@ -33,7 +33,7 @@
   /** A service and what its VMs ask for. */
   record Service(
       long number,
-      DeploymentSettings.PriorityClass priorityClass,
+      PriorityClassSettings priorityClass,
       String tenant,
       ScenarioPlan.Shape shape,
       double lifeSeconds) {}
@@ -265,7 +265,7 @@
         if (w != null) {
           score.errored(w.service);
           // A careful owner: what must not run twice and may be running is not asked for again.
-          if (w.service.priorityClass.rebuildable()) {
+          if (w.service.priorityClass.isIdempotent()) {
             again(w, pause());
           }
         }
@@ -369,7 +369,7 @@
         RequestedVm w = running.remove(vm);
         tap.line(name, "unwant", "vm", vm);
         write(ClientMessage.newBuilder().setUnwant(Unwant.newBuilder().setVm(vm)));
-        if (w.service.priorityClass.rebuildable()) {
+        if (w.service.priorityClass.isIdempotent()) {
           again(w, 1 + chance.nextInt((int) Math.max(1, within.toNanos() / 1000)));
         }
       }
@@ -379,7 +379,7 @@
   private void ask(RequestedVm w) {
     w.asked++;
     w.vm = w.workload + "." + w.asked;
-    w.until = tap.now() + w.service.priorityClass.buildTimeout().toNanos() / 1000;
+    w.until = tap.now() + w.service.priorityClass.startDeadline().toNanos() / 1000;
     unsent.addLast(w);
     sendWhileReady();
   }
--- a/src/main/java/fordridge/emulator/FaultInjector.java
+++ b/src/main/java/fordridge/emulator/FaultInjector.java
@@ -182,10 +182,10 @@
 
   private void throttle(EmulatedMachine m, ScenarioPlan.Fault f) {
     MachineModel.ActiveFault t = m.trouble();
-    boolean tenant = plan.deployment.tenants.stream().anyMatch(c -> c.name().equals(f.of()));
+    boolean tenant = plan.deployment.tenants().stream().anyMatch(c -> c.name().equals(f.of()));
     t.throttled =
-        f.of().isEmpty() && !plan.deployment.tenants.isEmpty()
-            ? plan.deployment.tenants.get(0).name()
+        f.of().isEmpty() && !plan.deployment.tenants().isEmpty()
+            ? plan.deployment.tenants().get(0).name()
             : f.of();
     t.throttleByTenant = tenant || f.of().isEmpty();
     t.throttleRate = f.size();
--- a/src/main/java/fordridge/emulator/InvariantChecker.java
+++ b/src/main/java/fordridge/emulator/InvariantChecker.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.PriorityClassSettings;
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
@@ -161,27 +162,27 @@
         "rig",
         "terms",
         "grace",
-        d.drainGrace.toNanos() / 1000,
+        d.cluster().drainGracePeriod().toNanos() / 1000,
         "poll",
-        d.poll.toNanos() / 1000,
+        d.machineList().pollInterval().toNanos() / 1000,
         "yes",
-        d.yes);
-    for (DeploymentSettings.PriorityClass f : d.priorityClasses.values()) {
+        d.cluster().acceptancePoint().configWord());
+    for (PriorityClassSettings f : d.priorityClasses().values()) {
       tap.line(
           "rig",
           "flavour",
           "name",
           f.name(),
           "effect",
-          f.effect(),
+          f.retrySafety().configWord(),
           "group",
-          f.group(),
+          f.deduplicationScope().configWord(),
           "window",
-          f.window().toNanos() / 1000,
+          f.deduplicationWindow().toNanos() / 1000,
           "spread",
-          f.spread(),
+          f.spreadScope().configWord(),
           "most",
-          f.most());
+          f.maxPerSpreadScope());
     }
   }
 
--- a/src/main/java/fordridge/emulator/RandomConstraints.java
+++ b/src/main/java/fordridge/emulator/RandomConstraints.java
@@ -19,13 +19,13 @@
 
   RandomConstraints(ScenarioPlan plan) {
     seed = plan.seed;
-    priorityClasses = plan.deployment.priorityClasses.keySet().toArray(new String[0]);
-    tenants = plan.deployment.tenants.stream().map(c -> c.name()).toArray(String[]::new);
-    kinds = plan.deployment.kinds.stream().map(k -> k.name()).toArray(String[]::new);
+    priorityClasses = plan.deployment.priorityClasses().keySet().toArray(new String[0]);
+    tenants = plan.deployment.tenants().stream().map(c -> c.name()).toArray(String[]::new);
+    kinds = plan.deployment.kinds().stream().map(k -> k.name()).toArray(String[]::new);
     zones = plan.zones;
     cells = Math.max(1, (plan.machines + plan.cellSize - 1) / plan.cellSize);
     services = plan.services;
-    placers = plan.deployment.allPlacers();
+    placers = plan.deployment.totalSchedulers();
   }
 
   String make(int number) {
--- a/src/main/java/fordridge/emulator/Scenario.java
+++ b/src/main/java/fordridge/emulator/Scenario.java
@@ -6,8 +6,13 @@
 import fordridge.constraint.ConstraintParser;
 import fordridge.constraint.ConstraintValidator;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.observability.Metrics;
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
+import fordridge.settings.MachineKind;
+import fordridge.settings.PriorityClassSettings;
+import fordridge.settings.TenantShare;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -58,12 +63,11 @@
 
   /** Reads the script, with changes to its keys from the command line, and plays it. */
   public static Outcome play(File script, Map<String, ?> changes, File folder, PrintStream out)
-      throws DeploymentSettings.InvalidSettingsException, IOException, InterruptedException {
+      throws InvalidSettingsException, IOException, InterruptedException {
     return new Scenario(ScenarioPlan.read(script, changes), folder, out).play();
   }
 
-  private Outcome play()
-      throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
+  private Outcome play() throws IOException, InterruptedException, InvalidSettingsException {
     Files.createDirectories(folder.toPath());
     File tapFile = new File(folder, "tap.jsonl");
     int cores = Runtime.getRuntime().availableProcessors();
@@ -90,12 +94,12 @@
         plan.deploymentText =
             plan.deploymentText.withValue(
                 "constraints.file", ConfigValueFactory.fromAnyRef(rules.getAbsolutePath()));
-        tap.line("rig", "rules", "text", plan.rules, "placers", plan.deployment.allPlacers());
+        tap.line("rig", "rules", "text", plan.rules, "placers", plan.deployment.totalSchedulers());
       }
       fleet(machineLoops, tap);
       if (plan.registryEtcd) {
         etcd = new EmulatedEtcd(0, 200);
-        etcd.tap(new WatchDelayRecorder(tap, plan.deployment.etcdPrefix));
+        etcd.tap(new WatchDelayRecorder(tap, plan.deployment.etcd().prefix()));
         plan.deploymentText =
             plan.deploymentText
                 .withValue("machines.source", ConfigValueFactory.fromAnyRef("etcd"))
@@ -107,7 +111,7 @@
           new EmulatedRegistry(
               new File(folder, "machines.conf"),
               etcd,
-              plan.deployment.etcdPrefix,
+              plan.deployment.etcd().prefix(),
               tap,
               plan.registryLate.toNanos() / 1000);
       for (EmulatedMachine m : machines) {
@@ -187,7 +191,7 @@
             try {
               List<PlacementConstraint> rules =
                   ConstraintParser.read(text, ConstraintParser.Names.ANY);
-              new ConstraintIndex(rules, plan.deployment.allPlacers());
+              new ConstraintIndex(rules, plan.deployment.totalSchedulers());
               kept =
                   ConstraintValidator.of(
                           rules, spots, () -> System.nanoTime() - from > 1_000_000_000L)
@@ -200,9 +204,9 @@
             slowest[0] = Math.max(slowest[0], millis);
             refused[0] += kept ? 0 : 1;
             if (kept) {
-              tap.line("rig", "rules", "text", text, "placers", plan.deployment.allPlacers());
+              tap.line("rig", "rules", "text", text, "placers", plan.deployment.totalSchedulers());
             }
-            etcd.put(plan.deployment.etcdPrefix + "/terms/constraints", text);
+            etcd.put(plan.deployment.etcd().prefix() + "/terms/constraints", text);
             if (number + 1 == plan.sets) {
               out.printf(
                   "%d sets of rules, %d refused; the slowest check took %.0f ms%n",
@@ -251,17 +255,17 @@
     UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed);
     DeploymentSettings d = plan.deployment;
     long begun = System.nanoTime();
-    double all = d.kinds.stream().mapToDouble(k -> plan.kindShares.get(k.name())).sum();
+    double all = d.kinds().stream().mapToDouble(k -> plan.kindShares.get(k.name())).sum();
     int total = plan.machines + plan.spares;
-    double[] due = new double[d.kinds.size()];
+    double[] due = new double[d.kinds().size()];
     for (int i = 0; i < total; i++) {
       int pick = 0;
       for (int k = 0; k < due.length; k++) {
-        due[k] += plan.kindShares.get(d.kinds.get(k).name()) / all;
+        due[k] += plan.kindShares.get(d.kinds().get(k).name()) / all;
         pick = due[k] > due[pick] ? k : pick;
       }
       due[pick] -= 1;
-      DeploymentSettings.Kind kind = d.kinds.get(pick);
+      MachineKind kind = d.kinds().get(pick);
       MachineModel.MachineSpec make =
           new MachineModel.MachineSpec(
               String.format("m%03d", i),
@@ -274,13 +278,13 @@
               plan.line,
               millis(draw(chance, plan.admit)),
               plan.starts,
-              d.acceptCores,
-              d.acceptMemory,
-              d.coldFrom,
-              d.warmAfter,
-              d.fallMultiple,
-              d.fallOver,
-              d.coldBears,
+              d.cluster().coreOvercommitRatio(),
+              d.cluster().memoryOvercommitRatio(),
+              d.cluster().slowStart().initialStartRate(),
+              d.cluster().slowStart().warmUpTime(),
+              d.cluster().slowStart().overloadMultiple(),
+              d.cluster().slowStart().overloadWindow(),
+              d.cluster().slowStart().minOffersInWindow(),
               plan.kept,
               plan.setup,
               plan.sample,
@@ -317,13 +321,13 @@
   private void owners(SchedulerFleet placers, EventLoopGroup loops, WireRecorder tap) {
     UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed ^ 0xabcdef);
     List<EmulatedClient.Service> services = new ArrayList<>();
-    List<DeploymentSettings.PriorityClass> priorityClasses =
-        new ArrayList<>(plan.deployment.priorityClasses.values());
+    List<PriorityClassSettings> priorityClasses =
+        new ArrayList<>(plan.deployment.priorityClasses().values());
     double sum = plan.priorityClassShares.values().stream().mapToDouble(Double::doubleValue).sum();
     for (int i = 0; i < plan.services; i++) {
       double at = chance.nextDouble() * sum;
-      DeploymentSettings.PriorityClass f = priorityClasses.get(priorityClasses.size() - 1);
-      for (DeploymentSettings.PriorityClass o : priorityClasses) {
+      PriorityClassSettings f = priorityClasses.get(priorityClasses.size() - 1);
+      for (PriorityClassSettings o : priorityClasses) {
         at -= plan.priorityClassShares.get(o.name());
         if (at < 0) {
           f = o;
@@ -332,7 +336,7 @@
       }
       String tenant = "";
       double share = chance.nextDouble();
-      for (DeploymentSettings.Tenant c : plan.deployment.tenants) {
+      for (TenantShare c : plan.deployment.tenants()) {
         share -= c.share();
         if (share < 0 || tenant.isEmpty()) {
           tenant = c.name();
@@ -349,7 +353,7 @@
               plan.shapes.get(chance.nextInt(plan.shapes.size())),
               draw(chance, plan.life)));
     }
-    int n = plan.deployment.count;
+    int n = plan.deployment.instance().count();
     // Most owners carry little traffic, some far more.
     double[] weight = new double[n];
     double whole = 0;
@@ -431,8 +435,7 @@
     boolean stop() throws InterruptedException;
   }
 
-  private DeploymentSettings settings()
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+  private DeploymentSettings settings() throws IOException, InvalidSettingsException {
     String text =
         plan.deploymentText
             .root()
@@ -445,7 +448,7 @@
   private final class InProcessFleet implements SchedulerFleet {
     private final PlacerCommand program;
 
-    InProcessFleet() throws IOException, DeploymentSettings.InvalidSettingsException {
+    InProcessFleet() throws IOException, InvalidSettingsException {
       program = new PlacerCommand(settings());
     }
 
@@ -464,10 +467,10 @@
       return String.format(
           "in one process with the stand-ins; %.0f offers, loop lag p99 %.1f ms, input p50 "
               + "%.3f and p99 %.2f ms, %d streams to machines open",
-          program.metrics().offers(),
-          program.metrics().percentile("loop", 0.99),
-          program.metrics().percentile("decide", 0.5),
-          program.metrics().percentile("decide", 0.99),
+          program.metrics().offerCount(),
+          program.metrics().percentileMillis(Metrics.Latency.EVENT_LOOP_LAG, 0.99),
+          program.metrics().percentileMillis(Metrics.Latency.DECISION, 0.5),
+          program.metrics().percentileMillis(Metrics.Latency.DECISION, 0.99),
           program.streams());
     }
 
@@ -483,8 +486,7 @@
     private final List<Integer> ports = new ArrayList<>();
     private int metricsServer;
 
-    ChildProcessFleet()
-        throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
+    ChildProcessFleet() throws IOException, InterruptedException, InvalidSettingsException {
       plan.deploymentText =
           plan.deploymentText.withValue("metrics.port", ConfigValueFactory.fromAnyRef(0));
       settings();
@@ -557,7 +559,11 @@
       return String.format(
           "placers' process: %.1f s of CPU in %.1f s (%.2f ms a second for each), %s resident;%n"
               + "%s",
-          cpu, seconds, 1000 * cpu / seconds / plan.deployment.count, rss, picked(text));
+          cpu,
+          seconds,
+          1000 * cpu / seconds / plan.deployment.instance().count(),
+          rss,
+          picked(text));
     }
 
     private String picked(String text) {
--- a/src/main/java/fordridge/emulator/ScenarioPlan.java
+++ b/src/main/java/fordridge/emulator/ScenarioPlan.java
@@ -5,6 +5,10 @@
 import com.typesafe.config.ConfigValueFactory;
 import fordridge.settings.ConfigReader;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
+import fordridge.settings.MachineKind;
+import fordridge.settings.PriorityClassSettings;
+import fordridge.settings.SettingError;
 import java.io.File;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -114,8 +118,7 @@
 
   private ScenarioPlan() {}
 
-  static ScenarioPlan read(File file, Map<String, ?> changes)
-      throws DeploymentSettings.InvalidSettingsException {
+  static ScenarioPlan read(File file, Map<String, ?> changes) throws InvalidSettingsException {
     Config own =
         ConfigFactory.parseMap(changes, "command line")
             .withFallback(DeploymentSettings.parse(file))
@@ -124,7 +127,7 @@
         own.withFallback(
             ConfigFactory.parseResources(
                 ScenarioPlan.class.getClassLoader(), "fordridge-day-reference.conf"));
-    List<String> errors = new ArrayList<>();
+    List<SettingError> errors = new ArrayList<>();
     ScenarioPlan p = new ScenarioPlan();
     ConfigReader r = new ConfigReader(all.withoutPath("deployment"), "", errors);
     p.deploymentText =
@@ -133,92 +136,93 @@
             .withValue("placer.listen.port", ConfigValueFactory.fromAnyRef(0));
     try {
       p.deployment = DeploymentSettings.read(p.deploymentText, new File("."));
-    } catch (DeploymentSettings.InvalidSettingsException e) {
-      errors.addAll(e.complaints);
-      throw new DeploymentSettings.InvalidSettingsException(errors);
+    } catch (InvalidSettingsException e) {
+      errors.addAll(e.errors());
+      throw new InvalidSettingsException(errors);
     }
     p.take(r);
-    r.refuseUnknown();
+    r.rejectUnknownKeys();
     if (!errors.isEmpty()) {
-      throw new DeploymentSettings.InvalidSettingsException(errors);
+      throw new InvalidSettingsException(errors);
     }
     return p;
   }
 
   private void take(ConfigReader r) {
     Duration ms = Duration.ofMillis(1);
-    name = r.text("name", 100);
-    sets = r.whole("sets.count", 0, 100_000);
-    setEvery = r.span("sets.every", Duration.ofMillis(10), LONG);
-    rules = r.has("rules") ? r.text("rules", 1_000_000) : "";
-    seed = r.any("seed");
-    length = r.span("length", Duration.ofSeconds(1), LONG);
-    settle = r.span("settle", Duration.ofSeconds(1), LONG);
-    ownProcess = r.flag("own_process");
-    machines = r.whole("fleet.machines", 1, 10_000);
-    spares = r.whole("fleet.spares", 0, 10_000);
-    zones = r.whole("fleet.zones", 1, 100);
-    cellSize = r.whole("fleet.cell_size", 1, 1000);
+    name = r.string("name", 100);
+    sets = r.integer("sets.count", 0, 100_000);
+    setEvery = r.duration("sets.every", Duration.ofMillis(10), LONG);
+    rules = r.has("rules") ? r.string("rules", 1_000_000) : "";
+    seed = r.longInteger("seed");
+    length = r.duration("length", Duration.ofSeconds(1), LONG);
+    settle = r.duration("settle", Duration.ofSeconds(1), LONG);
+    ownProcess = r.bool("own_process");
+    machines = r.integer("fleet.machines", 1, 10_000);
+    spares = r.integer("fleet.spares", 0, 10_000);
+    zones = r.integer("fleet.zones", 1, 100);
+    cellSize = r.integer("fleet.cell_size", 1, 1000);
     admit = range(r, "fleet.admit_ms", 0.1, 10_000);
     work = range(r, "fleet.work_ms", 0.1, 100_000);
     speed = range(r, "fleet.speed", 0.01, 100);
-    line = r.whole("fleet.line", 1, 10_000);
-    starts = r.whole("fleet.starts", 1, 1000);
-    kept = r.whole("fleet.kept", 0, 10_000);
-    setup = r.number("fleet.setup", 1, 1000);
-    sample = r.span("fleet.sample", Duration.ofMillis(10), LONG);
-    preempts = r.flag("fleet.preempts");
-    drainManner = r.word("fleet.drain_sends", "at_once", "paced", "none");
-    rate = r.number("owners.rate", 0.01, 1e6);
-    services = r.whole("owners.services", 1, 100_000);
-    batch = r.number("owners.batch", 1, 1000);
+    line = r.integer("fleet.line", 1, 10_000);
+    starts = r.integer("fleet.starts", 1, 1000);
+    kept = r.integer("fleet.kept", 0, 10_000);
+    setup = r.decimal("fleet.setup", 1, 1000);
+    sample = r.duration("fleet.sample", Duration.ofMillis(10), LONG);
+    preempts = r.bool("fleet.preempts");
+    drainManner = r.oneOf("fleet.drain_sends", "at_once", "paced", "none");
+    rate = r.decimal("owners.rate", 0.01, 1e6);
+    services = r.integer("owners.services", 1, 100_000);
+    batch = r.decimal("owners.batch", 1, 1000);
     life = range(r, "owners.life_s", 0.1, 100_000);
     again = range(r, "owners.again_ms", 1, 1_000_000);
-    tries = r.whole("owners.tries", 1, 1000);
-    registryEtcd = r.word("registry.in", "file", "etcd").equals("etcd");
-    registryEvery = r.span("registry.every", ms, LONG);
-    registryLate = r.span("registry.late", Duration.ZERO, LONG);
-    for (DeploymentSettings.PriorityClass f : deployment.priorityClasses.values()) {
+    tries = r.integer("owners.tries", 1, 1000);
+    registryEtcd = r.oneOf("registry.in", "file", "etcd").equals("etcd");
+    registryEvery = r.duration("registry.every", ms, LONG);
+    registryLate = r.duration("registry.late", Duration.ZERO, LONG);
+    for (PriorityClassSettings f : deployment.priorityClasses().values()) {
       String key = "flavours." + f.name();
-      priorityClassShares.put(f.name(), r.has(key + ".share") ? r.number(key + ".share", 0, 1) : 1);
+      priorityClassShares.put(
+          f.name(), r.has(key + ".share") ? r.decimal(key + ".share", 0, 1) : 1);
       uses.put(
           f.name(),
           new MachineModel.UsageModel(
-              r.has(key + ".cores_use") ? r.number(key + ".cores_use", 0, 10) : 0.5,
-              r.has(key + ".memory_use") ? r.number(key + ".memory_use", 0, 10) : 0.7,
-              r.has(key + ".sigma") ? r.number(key + ".sigma", 0, 5) : 0.5,
-              f.calm(),
-              f.fade()));
+              r.has(key + ".cores_use") ? r.decimal(key + ".cores_use", 0, 10) : 0.5,
+              r.has(key + ".memory_use") ? r.decimal(key + ".memory_use", 0, 10) : 0.7,
+              r.has(key + ".sigma") ? r.decimal(key + ".sigma", 0, 5) : 0.5,
+              f.fullSpeedUtilization(),
+              f.degradationSpan()));
     }
-    for (DeploymentSettings.Kind k : deployment.kinds) {
+    for (MachineKind k : deployment.kinds()) {
       String key = "fleet.shares." + k.name();
-      kindShares.put(k.name(), r.has(key) ? r.number(key, 0, 1) : 1);
+      kindShares.put(k.name(), r.has(key) ? r.decimal(key, 0, 1) : 1);
     }
-    for (ConfigReader s : r.each("owners.shapes", null)) {
-      shapes.add(new Shape(s.number("cores", 0.01, 1e6), s.number("memory", 0.01, 1e9)));
-      s.refuseUnknown();
+    for (ConfigReader s : r.objects("owners.shapes")) {
+      shapes.add(new Shape(s.decimal("cores", 0.01, 1e6), s.decimal("memory", 0.01, 1e9)));
+      s.rejectUnknownKeys();
     }
-    for (ConfigReader f : r.each("faults", "fault_defaults")) {
+    for (ConfigReader f : r.objectsWithDefaults("faults", "fault_defaults")) {
       faults.add(
           new Fault(
-              f.word("kind", KINDS.toArray(new String[0])),
-              f.span("at", Duration.ZERO, LONG),
-              f.span("for", Duration.ZERO, LONG),
-              f.number("part", 0, 1),
-              f.number("size", 0, 1e6),
-              f.number("extra", 0, 1e6),
-              f.text("of", 100),
-              f.word("by", "any", "zone", "cell", "kind")));
-      f.refuseUnknown();
+              f.oneOf("kind", KINDS.toArray(new String[0])),
+              f.duration("at", Duration.ZERO, LONG),
+              f.duration("for", Duration.ZERO, LONG),
+              f.decimal("part", 0, 1),
+              f.decimal("size", 0, 1e6),
+              f.decimal("extra", 0, 1e6),
+              f.string("of", 100),
+              f.oneOf("by", "any", "zone", "cell", "kind")));
+      f.rejectUnknownKeys();
     }
     for (String key : List.of("kind", "at", "for", "part", "size", "extra", "of", "by")) {
-      r.knows("fault_defaults." + key);
+      r.markKnown("fault_defaults." + key);
     }
   }
 
   private static double[] range(ConfigReader r, String key, double least, double most) {
     return new double[] {
-      r.number(key + ".least", least, most), r.number(key + ".most", least, most)
+      r.decimal(key + ".least", least, most), r.decimal(key + ".most", least, most)
     };
   }
 }
--- a/src/main/java/fordridge/emulator/WatchBenchmark.java
+++ b/src/main/java/fordridge/emulator/WatchBenchmark.java
@@ -5,6 +5,7 @@
 import fordridge.etcd.EtcdMachineList;
 import fordridge.model.Machine.Lifecycle;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -46,7 +47,7 @@
 
   /** One row for each size; {@code lists} followers share the process. */
   public static void run(int[] sizes, int lists, PrintStream out)
-      throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
+      throws IOException, InvalidSettingsException, InterruptedException {
     out.printf(
         "%9s %6s %11s %11s %12s %11s %13s %12s%n",
         "machines",
@@ -65,7 +66,7 @@
   }
 
   private static void row(EmulatedEtcd etcd, int n, int lists, PrintStream out)
-      throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
+      throws IOException, InvalidSettingsException, InterruptedException {
     Map<String, String> all = new LinkedHashMap<>();
     for (int i = 0; i < n; i++) {
       all.put(key(i), record(i, 0));
@@ -91,7 +92,7 @@
       for (int i = 0; i < lists; i++) {
         EtcdMachineList l = new EtcdMachineList(d, "p" + i, i + 1);
         some.add(l);
-        l.follow(u -> heard(u, sentAt, known, drained, changes));
+        l.watch(u -> heard(u, sentAt, known, drained, changes));
       }
       double heapOfOne = (heap() - before) / 1e6 / lists;
       int puts = 200;
@@ -126,7 +127,7 @@
       }
       double caught = (System.nanoTime() - from) / 1e6;
       double cpuOfChange = (cpu(some.size()) - cpu) / 1e3 / 10_000 / lists;
-      long[] resyncs = some.stream().mapToLong(EtcdMachineList::resyncs).toArray();
+      long[] resyncs = some.stream().mapToLong(EtcdMachineList::snapshotCount).toArray();
       etcd.leaderless(true);
       etcd.put(PREFIX + "/machines/" + marker, record(n - 1, 3));
       etcd.compactNow();
@@ -137,7 +138,7 @@
         long was = resyncs[i];
         await(
             () ->
-                l.resyncs() > was
+                l.snapshotCount() > was
                     && l.latest().entries().stream().anyMatch(e -> e.name().equals(marker)));
       }
       out.printf(
@@ -164,7 +165,7 @@
       AtomicInteger changes) {
     long now = System.nanoTime();
     changes.addAndGet(u.entries().size());
-    if (u.whole()) {
+    if (u.isSnapshot()) {
       return;
     }
     for (MachineListSource.Entry e : u.entries()) {
--- a/src/main/java/fordridge/etcd/EtcdMachineList.java
+++ b/src/main/java/fordridge/etcd/EtcdMachineList.java
@@ -40,6 +40,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
@@ -97,25 +98,25 @@
   public EtcdMachineList(DeploymentSettings d, String self, long seed) throws IOException {
     this.d = d;
     this.self = self;
-    keys = new StoreKeys(d.etcdPrefix);
-    believed = new MachineListReplica(d.etcdSilence);
-    endpoints = new EndpointRotation(d.etcdEndpoints.size(), new SeededRandom(seed));
-    headcount = new SchedulerCount(d.allPlacers(), d.etcdLease);
+    keys = new StoreKeys(d.etcd().prefix());
+    believed = new MachineListReplica(d.etcd().silenceTimeout());
+    endpoints = new EndpointRotation(d.etcd().endpoints().size(), new SeededRandom(seed));
+    headcount = new SchedulerCount(d.totalSchedulers(), d.etcd().leaseTtl());
     placers = headcount.counted();
     thread.execute(this::connect);
-    long third = Math.max(5, d.etcdSilence.toMillis() / 3);
+    long third = Math.max(5, d.etcd().silenceTimeout().toMillis() / 3);
     thread.scheduleWithFixedDelay(this::guarded, third, third, TimeUnit.MILLISECONDS);
     try {
-      first.get(d.etcdStart.toMillis(), TimeUnit.MILLISECONDS);
+      first.get(d.etcd().startTimeout().toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException | ExecutionException e) {
       close();
       throw new IOException(
           "no list of machines from etcd at "
-              + d.etcdEndpoints
+              + d.etcd().endpoints()
               + " under "
-              + d.etcdPrefix
+              + d.etcd().prefix()
               + " within "
-              + d.etcdStart.toMillis()
+              + d.etcd().startTimeout().toMillis()
               + "ms"
               + (lastError.isEmpty() ? "" : ": " + lastError));
     } catch (InterruptedException e) {
@@ -150,17 +151,17 @@
 
   private void connect() {
     int mine = ++attempt;
-    String[] at = d.etcdEndpoints.get(endpoints.current()).split(":");
+    String[] at = d.etcd().endpoints().get(endpoints.current()).split(":");
     channel =
         NettyChannelBuilder.forAddress(new InetSocketAddress(at[0], Integer.parseInt(at[1])))
             .usePlaintext()
             .directExecutor()
             .disableRetry()
             .userAgent("fordridge/" + self)
-            .intercept(token(d.etcdToken))
+            .intercept(token(d.etcd().token()))
             .maxInboundMessageSize(64 << 20)
-            .keepAliveTime(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS)
-            .keepAliveTimeout(d.etcdSilence.toMillis(), TimeUnit.MILLISECONDS)
+            .keepAliveTime(d.etcd().silenceTimeout().toMillis(), TimeUnit.MILLISECONDS)
+            .keepAliveTimeout(d.etcd().silenceTimeout().toMillis(), TimeUnit.MILLISECONDS)
             .build();
     if (believed.revision() > 0 && believed.footing() == MachineListReplica.SyncState.OLD) {
       watchFrom(believed.revision() + 1);
@@ -198,7 +199,7 @@
     }
     tellOld();
     LOG.atInfo()
-        .addKeyValue("endpoint", d.etcdEndpoints.get(endpoints.current()))
+        .addKeyValue("endpoint", d.etcd().endpoints().get(endpoints.current()))
         .log("etcd: " + why);
     int mine = attempt;
     thread.schedule(
@@ -215,7 +216,8 @@
   }
 
   private KVGrpc.KVStub kv() {
-    return KVGrpc.newStub(channel).withDeadlineAfter(d.etcdCall.toMillis(), TimeUnit.MILLISECONDS);
+    return KVGrpc.newStub(channel)
+        .withDeadlineAfter(d.etcd().callTimeout().toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -268,7 +270,7 @@
             RangeRequest.newBuilder()
                 .setKey(from)
                 .setRangeEnd(end(keys.all()))
-                .setLimit(d.etcdPage)
+                .setLimit(d.etcd().snapshotPageSize())
                 .setRevision(revision)
                 .build(),
             new One<RangeResponse>(r -> paged(r, revision), this::pageFailed));
@@ -419,7 +421,7 @@
       if (watch != null
           && believed.footing() == MachineListReplica.SyncState.FOLLOWING
           && believed.silent(now())) {
-        failed("silent for " + d.etcdSilence.toMillis() + "ms");
+        failed("silent for " + d.etcd().silenceTimeout().toMillis() + "ms");
         return;
       }
       if (watch != null) {
@@ -430,7 +432,8 @@
       }
       if (watch != null
           && believed.footing() == MachineListReplica.SyncState.OLD
-          && now().minus(believed.heardAt()).compareTo(d.etcdSilence.multipliedBy(2)) > 0) {
+          && now().minus(believed.heardAt()).compareTo(d.etcd().silenceTimeout().multipliedBy(2))
+              > 0) {
         failed("no word on a resumed watch");
         return;
       }
@@ -444,14 +447,16 @@
   // ----------------------------------------------------------------------------------
 
   private void register() {
-    if (!d.etcdRegisters || registering) {
+    if (!d.etcd().isRegistering() || registering) {
       return;
     }
     registering = true;
     LeaseGrpc.newStub(channel)
-        .withDeadlineAfter(d.etcdCall.toMillis(), TimeUnit.MILLISECONDS)
+        .withDeadlineAfter(d.etcd().callTimeout().toMillis(), TimeUnit.MILLISECONDS)
         .leaseGrant(
-            LeaseGrantRequest.newBuilder().setTTL(Math.max(1, d.etcdLease.toSeconds())).build(),
+            LeaseGrantRequest.newBuilder()
+                .setTTL(Math.max(1, d.etcd().leaseTtl().toSeconds()))
+                .build(),
             new One<>(
                 g -> {
                   lease = g.getID();
@@ -463,10 +468,10 @@
         () -> {
           registering = false;
         },
-        d.etcdCall.toMillis(),
+        d.etcd().callTimeout().toMillis(),
         TimeUnit.MILLISECONDS);
     thread.schedule(
-        () -> on(mine, this::keepLease), d.etcdLease.toMillis() / 3, TimeUnit.MILLISECONDS);
+        () -> on(mine, this::keepLease), d.etcd().leaseTtl().toMillis() / 3, TimeUnit.MILLISECONDS);
   }
 
   private void put() {
@@ -513,11 +518,11 @@
     }
     keepAlive.onNext(LeaseKeepAliveRequest.newBuilder().setID(lease).build());
     thread.schedule(
-        () -> on(mine, this::keepLease), d.etcdLease.toMillis() / 3, TimeUnit.MILLISECONDS);
+        () -> on(mine, this::keepLease), d.etcd().leaseTtl().toMillis() / 3, TimeUnit.MILLISECONDS);
   }
 
   private void count() {
-    if (d.etcdRegisters && believed.footing() == MachineListReplica.SyncState.FOLLOWING) {
+    if (d.etcd().isRegistering() && believed.footing() == MachineListReplica.SyncState.FOLLOWING) {
       int n = headcount.heard(believed.placers(), now());
       if (n != placers) {
         LOG.info("etcd: {} placers share the cluster, {} before", n, placers);
@@ -536,8 +541,8 @@
     Instant started =
         m.startedAtMillis() > 0
             ? Instant.ofEpochMilli(m.startedAtMillis())
-            : l.anew() ? Instant.now() : before == null ? null : before.started();
-    if (l.anew() && before != null && started != null && started.equals(before.started())) {
+            : l.anew() ? Instant.now() : before == null ? null : before.startedAt();
+    if (l.anew() && before != null && started != null && started.equals(before.startedAt())) {
       // Another machine under the name, or one that forgot to say when it started: cold from now.
       started = Instant.now();
     }
@@ -599,7 +604,7 @@
   }
 
   @Override
-  public void follow(Consumer<Update> taker) {
+  public void watch(Consumer<Update> taker) {
     thread.execute(
         () -> {
           takers.add(taker);
@@ -608,17 +613,17 @@
   }
 
   @Override
-  public int placers() {
+  public int schedulerCount() {
     return placers;
   }
 
   @Override
-  public String term(String name) {
-    return terms.get(name);
+  public Optional<String> sharedSetting(String name) {
+    return Optional.ofNullable(terms.get(name));
   }
 
   /** Snapshots taken so far. */
-  public long resyncs() {
+  public long snapshotCount() {
     return resyncs;
   }
 
--- a/src/main/java/fordridge/observability/Logging.java
+++ b/src/main/java/fordridge/observability/Logging.java
@@ -10,21 +10,32 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Sets up logging once, as the settings say: plain lines or JSON lines, on standard error. */
+/** Configures logging to standard error, as plain lines or as JSON lines. */
 public final class Logging {
+  private static final String PLAIN_PATTERN =
+      "%d{HH:mm:ss.SSS} %-5level %logger{0} %msg %kvp{NONE}%n";
+  private static final String OWN_LOGGERS = "fordridge";
+
   private Logging() {}
 
-  public static void start(String format, String level) {
+  /**
+   * Replaces the configuration of the whole process.
+   *
+   * @param format {@code json}, or anything else for plain lines
+   * @param level level of this project's loggers; those of libraries log warnings and errors
+   */
+  public static void configure(String format, String level) {
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     context.reset();
-    Encoder<ILoggingEvent> encoder;
-    if (format.equals("json")) {
-      encoder = new LogstashEncoder();
-    } else {
-      PatternLayoutEncoder plain = new PatternLayoutEncoder();
-      plain.setPattern("%d{HH:mm:ss.SSS} %-5level %logger{0} %msg %kvp{NONE}%n");
-      encoder = plain;
-    }
+    ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+    root.addAppender(standardError(context, format));
+    root.setLevel(Level.WARN);
+    context.getLogger(OWN_LOGGERS).setLevel(Level.toLevel(level));
+  }
+
+  private static ConsoleAppender<ILoggingEvent> standardError(
+      LoggerContext context, String format) {
+    Encoder<ILoggingEvent> encoder = encoder(format);
     encoder.setContext(context);
     encoder.start();
     ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
@@ -32,9 +43,15 @@
     appender.setTarget("System.err");
     appender.setEncoder(encoder);
     appender.start();
-    ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
-    root.addAppender(appender);
-    root.setLevel(Level.WARN);
-    context.getLogger("fordridge").setLevel(Level.toLevel(level));
+    return appender;
+  }
+
+  private static Encoder<ILoggingEvent> encoder(String format) {
+    if (format.equals("json")) {
+      return new LogstashEncoder();
+    }
+    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+    encoder.setPattern(PLAIN_PATTERN);
+    return encoder;
   }
 }
--- a/src/main/java/fordridge/observability/Metrics.java
+++ b/src/main/java/fordridge/observability/Metrics.java
@@ -1,117 +1,194 @@
 package fordridge.observability;
 
 import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.session.ClientResponse;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.distribution.ValueAtPercentile;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
- * What a process counts, over all its instances. Percentiles come from Micrometer's HdrHistograms.
+ * Counters and timers of a process, over all its scheduler instances.
+ *
+ * <p>Names and tags of metrics are an interface to dashboards: they stay when the code is renamed.
+ * All methods may be called from any thread.
  */
 public final class Metrics {
+  private static final double MEDIAN = 0.5;
+  private static final double P99 = 0.99;
+  private static final double P999 = 0.999;
+  private static final double PERCENTILE_TOLERANCE = 1e-9;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** The durations that are measured. */
+  public enum Latency {
+    START("fordridge.bind"),
+    EVENT_LOOP_LAG("fordridge.loop.lag"),
+    DECISION("fordridge.decide");
+
+    private final String metricName;
+
+    Latency(String metricName) {
+      this.metricName = metricName;
+    }
+  }
+
+  /** What shadow settings would have decided differently. */
+  public enum ShadowDifference {
+    MACHINE("machine"),
+    HOLD("hold"),
+    PLACE("place"),
+    ANSWER("answer"),
+    RETRY_AFTER("retry_after"),
+    PROBE("probe"),
+    NOTE("note"),
+    LIST_ASK("list_ask"),
+    MOVE("move");
+
+    private final String tag;
+
+    ShadowDifference(String tag) {
+      this.tag = tag;
+    }
+  }
+
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Counter offers = registry.counter("fordridge.offers");
-  private final Map<Outcome, Counter> outcomes = new EnumMap<>(Outcome.class);
-  private final Map<String, Counter> answers = new java.util.TreeMap<>();
-  private final Timer bind = timer("fordridge.bind");
-  private final Timer lag = timer("fordridge.loop.lag");
-  private final Timer decide = timer("fordridge.decide");
+  private final Map<Outcome, Counter> attemptOutcomes = new EnumMap<>(Outcome.class);
+  private final Map<ClientResponse.Kind, Counter> responses =
+      new EnumMap<>(ClientResponse.Kind.class);
+  private final Map<Latency, Timer> timers = new EnumMap<>(Latency.class);
 
+  /** Metrics with a registry of their own; all counters start at 0. */
   public Metrics() {
-    for (Outcome e : Outcome.values()) {
-      outcomes.put(e, registry.counter("fordridge.outcomes", "kind", e.name().toLowerCase()));
+    for (Outcome outcome : Outcome.values()) {
+      attemptOutcomes.put(outcome, registry.counter("fordridge.outcomes", "kind", tag(outcome)));
     }
-    for (String a : new String[] {"bound", "denied", "errored"}) {
-      answers.put(a, registry.counter("fordridge.answers", "kind", a));
+    responses.put(ClientResponse.Kind.BOUND, responseCounter("bound"));
+    responses.put(ClientResponse.Kind.DENIED, responseCounter("denied"));
+    responses.put(ClientResponse.Kind.ERRORED, responseCounter("errored"));
+    for (Latency latency : Latency.values()) {
+      timers.put(latency, timer(latency.metricName));
     }
   }
 
+  private static String tag(Outcome outcome) {
+    return switch (outcome) {
+      case DONE -> "done";
+      case ERROR -> "error";
+      case FULL -> "full";
+      case TIMEOUT -> "timeout";
+      case UNREACHABLE -> "unreachable";
+      case RESET -> "reset";
+      case CANCELLED -> "cancelled";
+      case MOOT -> "moot";
+    };
+  }
+
+  private Counter responseCounter(String tag) {
+    return registry.counter("fordridge.answers", "kind", tag);
+  }
+
   private Timer timer(String name) {
-    return Timer.builder(name).publishPercentiles(0.5, 0.99, 0.999).register(registry);
+    return Timer.builder(name).publishPercentiles(MEDIAN, P99, P999).register(registry);
   }
 
-  public void offered() {
+  /** An offer was sent to a machine. */
+  public void offerSent() {
     offers.increment();
   }
 
-  public void ended(Outcome how) {
-    outcomes.get(how).increment();
+  /** A placement attempt finished. */
+  public void attemptFinished(Outcome outcome) {
+    attemptOutcomes.get(outcome).increment();
+  }
+
+  /** A final response was sent to a client. */
+  public void responseSent(ClientResponse.Kind kind) {
+    responses.get(kind).increment();
   }
 
-  public void answered(String kind) {
-    answers.get(kind).increment();
+  /** A VM was accepted so long after its request arrived. */
+  public void vmAccepted(Duration latency) {
+    timers.get(Latency.START).record(latency);
   }
 
-  public void bound(Duration took) {
-    bind.record(took);
+  /** The event loop ran a task so long after it was due. */
+  public void eventLoopLagged(Duration lag) {
+    timers.get(Latency.EVENT_LOOP_LAG).record(lag);
   }
 
-  public void lagged(Duration by) {
-    lag.record(by);
+  /** The scheduler took so long for one input. */
+  public void decisionTook(long nanos) {
+    timers.get(Latency.DECISION).record(nanos, TimeUnit.NANOSECONDS);
   }
 
-  /** Time that one input took in the module. */
-  public void decided(long nanos) {
-    decide.record(nanos, java.util.concurrent.TimeUnit.NANOSECONDS);
+  /** A gossip message was sent. */
+  public void gossipSent() {
+    gossip("sent").increment();
   }
 
-  /** A note between placers: sent or heard. */
-  public void note(String way) {
-    registry.counter("fordridge.notes", "way", way).increment();
+  /** A gossip message was received. */
+  public void gossipReceived() {
+    gossip("heard").increment();
   }
 
-  public double notes(String way) {
-    return registry.counter("fordridge.notes", "way", way).count();
+  /** Gossip messages received so far. */
+  public double gossipReceivedCount() {
+    return gossip("heard").count();
   }
 
-  /** Something that the settings being watched would have decided otherwise. */
-  public void otherwise(String kind) {
-    registry.counter("fordridge.watch.otherwise", "kind", kind).increment();
+  private Counter gossip(String direction) {
+    return registry.counter("fordridge.notes", "way", direction);
   }
 
-  public double otherwises(String kind) {
-    return registry.counter("fordridge.watch.otherwise", "kind", kind).count();
+  /** The shadow settings would have decided differently. */
+  public void shadowDiffered(ShadowDifference difference) {
+    shadowCounter(difference).increment();
   }
 
+  /** How often the shadow settings would have decided differently. */
+  public double shadowDifferences(ShadowDifference difference) {
+    return shadowCounter(difference).count();
+  }
+
+  private Counter shadowCounter(ShadowDifference difference) {
+    return registry.counter("fordridge.watch.otherwise", "kind", difference.tag);
+  }
+
+  /** Registers a value that is read at each scrape. */
   public void gauge(String name, Supplier<Number> value) {
     Gauge.builder(name, value).register(registry);
   }
 
-  public double offers() {
+  /** Offers sent so far. */
+  public double offerCount() {
     return offers.count();
   }
 
-  public double ended(String kind) {
-    return outcomes.get(Outcome.valueOf(kind)).count();
-  }
-
-  /** In milliseconds, of the last minutes: loop, decide or bind. */
-  public double percentile(String of, double p) {
-    Timer t =
-        switch (of) {
-          case "loop" -> lag;
-          case "decide" -> decide;
-          default -> bind;
-        };
-    for (var v : t.takeSnapshot().percentileValues()) {
-      if (Math.abs(v.percentile() - p) < 1e-9) {
-        return v.value(java.util.concurrent.TimeUnit.NANOSECONDS) / 1e6;
+  /**
+   * A percentile of the last minutes in milliseconds; not a number where it is not published.
+   *
+   * @param percentile 0.5, 0.99 or 0.999
+   */
+  public double percentileMillis(Latency latency, double percentile) {
+    for (ValueAtPercentile value : timers.get(latency).takeSnapshot().percentileValues()) {
+      if (Math.abs(value.percentile() - percentile) < PERCENTILE_TOLERANCE) {
+        return value.value(TimeUnit.NANOSECONDS) / NANOS_PER_MILLI;
       }
     }
     return Double.NaN;
   }
 
-  public double mostLagMillis() {
-    return lag.max(java.util.concurrent.TimeUnit.NANOSECONDS) / 1e6;
-  }
-
+  /** All metrics in the text format of Prometheus. */
   public String scrape() {
     return registry.scrape();
   }
--- a/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -6,6 +6,7 @@
 import fordridge.constraint.PlacementConstraint;
 import fordridge.discovery.MachineListSource;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.settings.SettingsUpdate;
 import java.io.File;
 import java.io.IOException;
@@ -55,13 +56,13 @@
    * thrown.
    */
   void follow(BiConsumer<List<PlacementConstraint>, Integer> taker)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     seen = text();
     if (seen != null) {
       inForce = read(seen, d, spots());
       taker.accept(inForce, ++version);
     }
-    long every = d.poll.toMillis();
+    long every = d.machineList().pollInterval().toMillis();
     looks.scheduleWithFixedDelay(() -> look(taker), every, every, TimeUnit.MILLISECONDS);
   }
 
@@ -74,23 +75,23 @@
     String[] seenTerms = {null};
     looks.scheduleWithFixedDelay(
         () -> {
-          String text = list.term(DEPLOYMENT);
+          String text = list.sharedSetting(DEPLOYMENT).orElse(null);
           if (text == null || text.equals(seenTerms[0])) {
             return;
           }
           seenTerms[0] = text;
           try {
-            now[0] = SettingsUpdate.over(d, now[0], text);
+            now[0] = SettingsUpdate.apply(d, now[0], text);
             taker.accept(now[0]);
             LOG.info("terms of the cluster taken over");
-          } catch (DeploymentSettings.InvalidSettingsException e) {
-            LOG.error("terms stay as they were: {}", String.join("; ", e.complaints));
+          } catch (InvalidSettingsException e) {
+            LOG.error("terms stay as they were: {}", String.join("; ", e.messages()));
           } catch (RuntimeException e) {
             LOG.error("terms stay as they were", e);
           }
         },
         0,
-        d.poll.toMillis(),
+        d.machineList().pollInterval().toMillis(),
         TimeUnit.MILLISECONDS);
   }
 
@@ -103,23 +104,23 @@
         taker.accept(inForce, ++version);
       }
       senseAgain();
-    } catch (DeploymentSettings.InvalidSettingsException e) {
-      LOG.error("rules stay as they were: {}", String.join("; ", e.complaints));
+    } catch (InvalidSettingsException e) {
+      LOG.error("rules stay as they were: {}", String.join("; ", e.messages()));
     } catch (RuntimeException e) {
       LOG.error("rules stay as they were", e);
     }
   }
 
-  private String text() throws DeploymentSettings.InvalidSettingsException {
-    String term = list.term(TERM);
-    File file = d.constraintsFile();
+  private String text() throws InvalidSettingsException {
+    String term = list.sharedSetting(TERM).orElse(null);
+    File file = d.constraintsFile().orElse(null);
     if (term != null || file == null) {
       return term;
     }
     try {
       return Files.readString(file.toPath());
     } catch (IOException e) {
-      throw new DeploymentSettings.InvalidSettingsException(List.of(file + ": " + e));
+      throw InvalidSettingsException.ofMessages(List.of(file + ": " + e));
     }
   }
 
@@ -132,27 +133,26 @@
   /** A set that this deployment's placers can read and keep. */
   static List<PlacementConstraint> read(
       String text, DeploymentSettings d, List<ConstraintIndex.MachineTopology> machines)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     Set<String> tenants = new HashSet<>();
-    d.tenants.forEach(c -> tenants.add(c.name()));
+    d.tenants().forEach(c -> tenants.add(c.name()));
     Set<String> kinds = new HashSet<>();
-    d.kinds.forEach(k -> kinds.add(k.name()));
+    d.kinds().forEach(k -> kinds.add(k.name()));
     try {
       List<PlacementConstraint> rules =
           ConstraintParser.read(
               text,
-              new ConstraintParser.Names(tenants, d.priorityClasses.keySet(), kinds, Set.of()));
-      new ConstraintIndex(rules, d.allPlacers());
+              new ConstraintParser.Names(tenants, d.priorityClasses().keySet(), kinds, Set.of()));
+      new ConstraintIndex(rules, d.totalSchedulers());
       List<ConstraintValidator.Conflict> clashes = clashes(rules, machines);
       if (!clashes.isEmpty()) {
-        throw new DeploymentSettings.InvalidSettingsException(
-            clashes.stream().map(Object::toString).toList());
+        throw InvalidSettingsException.ofMessages(clashes.stream().map(Object::toString).toList());
       }
       return rules;
     } catch (ConstraintParser.ConstraintSyntaxException e) {
-      throw new DeploymentSettings.InvalidSettingsException(e.complaints);
+      throw InvalidSettingsException.ofMessages(e.complaints);
     } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
-      throw new DeploymentSettings.InvalidSettingsException(List.of(e.getMessage()));
+      throw InvalidSettingsException.ofMessages(List.of(e.getMessage()));
     }
   }
 
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -29,6 +29,7 @@
 import fordridge.session.ClientSession;
 import fordridge.session.ClientSessions;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.PriorityClassSettings;
 import fordridge.settings.SchedulerSettingsMapper;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Holding;
@@ -88,9 +89,9 @@
           new GrpcMachineTransport(
               GrpcSchedulerServer.this.name,
               loop,
-              d.connectTimeout,
-              d.keepalive,
-              d.maxMessage,
+              d.connections().connectTimeout(),
+              d.connections().keepaliveInterval(),
+              d.connections().maxMessageBytes(),
               this,
               GrpcSchedulerServer.this::describe);
       link =
@@ -236,23 +237,29 @@
     this.metrics = metrics;
     connectionTimeouts =
         new MachineStream.ConnectionTimeouts(
-            d.connectTimeout,
-            d.idle,
-            d.retryLeast,
-            d.retryMost,
-            d.unsure,
-            d.connectTimeout,
-            d.line,
-            d.yes.equals("accepted"));
+            d.connections().connectTimeout(),
+            d.connections().idleTimeout(),
+            d.connections().minReconnectDelay(),
+            d.connections().maxReconnectDelay(),
+            d.connections().unknownOutcomeTimeout(),
+            d.connections().connectTimeout(),
+            d.connections().maxQueuedOffers(),
+            d.cluster().confirmsOnAcceptance());
     inputs = new SchedulerInputs<>(this, SchedulerInputs::number);
     try {
-      book = new ConstraintIndex(List.of(), d.allPlacers());
+      book = new ConstraintIndex(List.of(), d.totalSchedulers());
     } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
       throw new IllegalStateException(e);
     }
     sessions =
         new ClientSessions(
-            new ClientSessions.Bounds(d.maxOpen, d.open, d.unread, d.keepAnswers, d.keep), seed);
+            new ClientSessions.Bounds(
+                d.instance().maxOpenRequests(),
+                d.sessions().maxOpenRequests(),
+                d.sessions().maxUnreadResponses(),
+                d.sessions().maxRetainedResponses(),
+                d.sessions().retention()),
+            seed);
     this.position = position;
     loop.execute(
         () ->
@@ -292,7 +299,7 @@
     if (!sequencer.enter(input)) {
       return;
     }
-    metrics.decided(System.nanoTime() - from);
+    metrics.decisionTook(System.nanoTime() - from);
     while (!talkative.isEmpty()) {
       ClientSession s = talkative.iterator().next();
       talkative.remove(s);
@@ -411,10 +418,10 @@
               e.freeCores(),
               e.freeMemory(),
               e.lifecycle(),
-              e.started() == null ? null : Duration.between(startedAt, e.started())));
+              e.startedAt() == null ? null : Duration.between(startedAt, e.startedAt())));
     }
     for (MachineHandle r :
-        list.whole()
+        list.isSnapshot()
             ? List.copyOf(machineHandles.values())
             : told.keySet().stream().map(machineHandles::get).toList()) {
       Machine.Lifecycle lifecycle = told.getOrDefault(r.machine, Machine.Lifecycle.GONE);
@@ -428,7 +435,9 @@
         // What an earlier life of this placer left running is asked for once, spread over a
         // settling time.
         at(
-            Duration.ofMillis(Math.floorMod(r.machine.id ^ seed, d.settle.toMillis())),
+            Duration.ofMillis(
+                Math.floorMod(
+                    r.machine.id ^ seed, d.cluster().unknownOutcomeRetryAfter().toMillis())),
             () -> {
               rollCall.due(r.machine);
               callSome();
@@ -448,10 +457,10 @@
       book.draining(draining);
       groups.letGoOfPlans();
     }
-    inputs.list(list.whole(), list.old(), lines);
-    seen(w -> w.list(list.whole(), list.old(), lines));
-    listOld = list.old();
-    if (listOld && d.listComes.equals("ask")) {
+    inputs.list(list.isSnapshot(), list.isStale(), lines);
+    seen(w -> w.list(list.isSnapshot(), list.isStale(), lines));
+    listOld = list.isStale();
+    if (listOld && !d.cluster().isListPushed()) {
       inputs.scheduler.machineListFailed();
     }
   }
@@ -477,7 +486,7 @@
               ? draining.add(e.name())
               : draining.remove(e.name());
     }
-    return list.whole() && spots.keySet().removeIf(n -> !named.contains(n)) || news;
+    return list.isSnapshot() && spots.keySet().removeIf(n -> !named.contains(n)) || news;
   }
 
   private void callSome() {
@@ -506,7 +515,7 @@
             enter(
                 () -> {
                   try {
-                    book = book.with(rules, d.allPlacers());
+                    book = book.with(rules, d.totalSchedulers());
                     rulesVersion = version;
                     groups.letGoOfPlans();
                     book.misfits()
@@ -661,7 +670,7 @@
   }
 
   private void wanted(ClientSession s, Want w) {
-    DeploymentSettings.PriorityClass f = d.priorityClasses.get(w.getFlavour());
+    PriorityClassSettings f = d.priorityClasses().get(w.getFlavour());
     ClientSessions.Admission taken = sessions.want(s, w.getVm(), now);
     talkative.add(s);
     if (taken == ClientSessions.Admission.KNOWN) {
@@ -673,14 +682,18 @@
             : stopped != null
                 ? "the placer is stopping"
                 : f == null
-                    ? "flavour '" + w.getFlavour() + "' is not one of " + d.priorityClasses.keySet()
+                    ? "flavour '"
+                        + w.getFlavour()
+                        + "' is not one of "
+                        + d.priorityClasses().keySet()
                     : conflict(w);
     if (no != null) {
       sessions.refuse(
           s,
-          ClientResponse.denied(w.getVm(), f == null ? Duration.ZERO : f.buildTarget(), no),
+          ClientResponse.denied(
+              w.getVm(), f == null ? Duration.ZERO : f.startLatencyObjective(), no),
           now);
-      metrics.answered("denied");
+      metrics.responseSent(ClientResponse.Kind.DENIED);
       return;
     }
     Vm vm = new Vm(s.client + "/" + w.getVm());
@@ -692,15 +705,16 @@
     vm.isClientRetry = w.getAgain();
     vm.arrivedAt = now;
     Duration left =
-        w.getTimeLeftUs() == 0 ? f.buildTimeout() : Duration.ofNanos(w.getTimeLeftUs() * 1000);
-    left = left.compareTo(f.buildTimeout()) > 0 ? f.buildTimeout() : left;
-    vm.deadline = now.plus(left).minus(d.answerMargin).minus(lateness.allowance(now));
+        w.getTimeLeftUs() == 0 ? f.startDeadline() : Duration.ofNanos(w.getTimeLeftUs() * 1000);
+    left = left.compareTo(f.startDeadline()) > 0 ? f.startDeadline() : left;
+    vm.deadline =
+        now.plus(left).minus(d.instance().responseMargin()).minus(lateness.allowance(now));
     vm.expectedLifetime = w.getLastsUs() > 0 ? Duration.ofNanos(w.getLastsUs() * 1000) : null;
     owners.put(vm, s.client);
     // Should the module fail on an input, nobody is left without an answer: this one promises
     // nothing.
     at(
-        vm.deadline.minus(now).plus(d.answerMargin.dividedBy(2)),
+        vm.deadline.minus(now).plus(d.instance().responseMargin().dividedBy(2)),
         () -> {
           if (sessions.waits(s.client, w.getVm())) {
             say(
@@ -711,10 +725,10 @@
           }
         });
     if (w.getGroup().isEmpty()) {
-      arrives(vm, s, w.getVm(), !f.rebuildable() && s.strayed());
+      arrives(vm, s, w.getVm(), !f.isIdempotent() && s.strayed());
       return;
     }
-    if (!f.rebuildable() && s.strayed() && !rollCall.complete()) {
+    if (!f.isIdempotent() && s.strayed() && !rollCall.complete()) {
       say(
           vm,
           ClientResponse.Kind.ERRORED,
@@ -723,7 +737,7 @@
       return;
     }
     at(VmGroup.gaveUpAfter(vm.deadline.minus(now)), () -> groups.due(vm));
-    String apart = groups.join(vm, s.client, w.getGroup(), w.getGroupSize(), f.rebuildable());
+    String apart = groups.join(vm, s.client, w.getGroup(), w.getGroupSize(), f.isIdempotent());
     if (apart != null) {
       say(vm, ClientResponse.Kind.DENIED, ClientResponse.denied(w.getVm(), Duration.ZERO, apart));
       owners.remove(vm);
@@ -803,7 +817,7 @@
 
     @Override
     public void say(Vm vm, ClientResponse answer) {
-      metrics.answered(answer.kind().name().toLowerCase());
+      metrics.responseSent(answer.kind());
       GrpcSchedulerServer.this.say(vm, answer.kind(), answer);
     }
 
@@ -855,9 +869,9 @@
         decide(vm);
       }
     } else if (now.compareTo(vm.deadline) < 0) {
-      at(d.poll, () -> arrives(vm, s, id, true));
+      at(d.machineList().pollInterval(), () -> arrives(vm, s, id, true));
     } else if (sessions.waits(s.client, id)) {
-      metrics.answered("errored");
+      metrics.responseSent(ClientResponse.Kind.ERRORED);
       say(
           vm,
           ClientResponse.Kind.ERRORED,
@@ -955,7 +969,7 @@
 
   @Override
   public void sendAttempt(PlacementAttempt c, Duration within) {
-    metrics.offered();
+    metrics.offerSent();
     placeTaken(c);
     sequencer.behind(
         () -> {
@@ -963,7 +977,7 @@
             return;
           }
           MachineHandle r = machineHandles.get(c.machine);
-          boolean mayRepeat = d.priorityClasses.get(c.vm.priorityClass).rebuildable();
+          boolean mayRepeat = d.priorityClasses().get(c.vm.priorityClass).isIdempotent();
           r.link.offer(c, new MachineStream.AttemptId(c.vm.id, c.number), mayRepeat, within, now);
           watch(r);
         });
@@ -985,7 +999,7 @@
   }
 
   private void describe(PlacementAttempt c, Offer.Builder o) {
-    o.setPriority(d.priorityClasses.get(c.vm.priorityClass).priority());
+    o.setPriority(d.priorityClasses().get(c.vm.priorityClass).priority());
     String client = owners.get(c.vm);
     o.setClient(client == null ? "" : client);
   }
@@ -1002,7 +1016,7 @@
         vm,
         ClientResponse.Kind.DENIED,
         ClientResponse.denied(owned(vm, client), retryAfter, "no room found in time"));
-    metrics.answered("denied");
+    metrics.responseSent(ClientResponse.Kind.DENIED);
     sequencer.behind(() -> forget(vm));
   }
 
@@ -1019,7 +1033,7 @@
         vm,
         ClientResponse.Kind.ERRORED,
         ClientResponse.errored(owned(vm, client), "it may have run; its outcome is not known"));
-    metrics.answered("errored");
+    metrics.responseSent(ClientResponse.Kind.ERRORED);
     sequencer.behind(() -> forget(vm));
   }
 
@@ -1073,7 +1087,7 @@
   public void gossip(String note) {
     if (notes != null) {
       notes.send(note);
-      metrics.note("sent");
+      metrics.gossipSent();
     }
   }
 
@@ -1083,7 +1097,7 @@
   }
 
   void heard(String note) {
-    metrics.note("heard");
+    metrics.gossipReceived();
     enter(
         () -> {
           inputs.scheduler.gossipReceived(note);
@@ -1124,7 +1138,7 @@
           if (first) {
             Duration took = now.minus(c.vm.arrivedAt);
             String client = owners.get(c.vm);
-            metrics.bound(took);
+            metrics.vmAccepted(took);
             inputs.scheduler.attemptAccepted(c);
             seen(w -> w.bound(c.vm));
             if (client != null) {
@@ -1134,12 +1148,12 @@
               if (groups.of(c.vm) != null) {
                 groups.bound(c.vm, bound);
               } else {
-                metrics.answered("bound");
+                metrics.responseSent(ClientResponse.Kind.BOUND);
                 say(c.vm, ClientResponse.Kind.BOUND, bound);
               }
             }
           }
-          if (running && d.yes.equals("accepted")) {
+          if (running && d.cluster().confirmsOnAcceptance()) {
             both(c, Scheduler::vmStarted);
           }
         });
@@ -1161,7 +1175,7 @@
           } else {
             book.doubted(c);
           }
-          metrics.ended(end);
+          metrics.attemptFinished(end);
           if (LOG.isDebugEnabled()) {
             LOG.atDebug()
                 .addKeyValue("placer", name)
@@ -1198,7 +1212,7 @@
   public void runsAlready(MachineStream.ReportedVm held, Machine machine) {
     MachineHandle r = machineHandles.get(machine);
     if (inputs.vm(held.name().vm()) != null
-        || !d.priorityClasses.containsKey(held.priorityClass())) {
+        || !d.priorityClasses().containsKey(held.priorityClass())) {
       // Asked for anew before its machine came back, or of a flavour no longer known: nobody would
       // own it.
       r.stream.cancel(held.name());
--- a/src/main/java/fordridge/server/grpc/PlacerCommand.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -9,6 +9,7 @@
 import fordridge.observability.Metrics;
 import fordridge.observability.MetricsServer;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.settings.SettingsUpdate;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
@@ -75,36 +76,49 @@
    * Starts all; what cannot be had (a port, the list) is said in one line and nothing is left
    * running.
    */
-  public PlacerCommand(DeploymentSettings d)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+  public PlacerCommand(DeploymentSettings d) throws IOException, InvalidSettingsException {
     this.d = d;
-    int threads = Math.min(d.count, Runtime.getRuntime().availableProcessors());
+    int threads = Math.min(d.instance().count(), Runtime.getRuntime().availableProcessors());
     loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
     MetricsServer port = null;
     long seed;
     try {
-      boolean etcd = d.listSource.equals("etcd");
+      boolean etcd = d.machineList().isInEtcd();
       if (!etcd) {
         // One follower of the file serves all: reading it decides nothing.
-        lists.add(new MachineListFile(d.listFile(), d));
+        lists.add(new MachineListFile(d.machineListFile(), d));
       }
       DeploymentSettings watched = watched(d);
-      seed = d.seed != 0 ? d.seed : System.nanoTime() ^ ProcessHandle.current().pid();
-      for (int i = 0; i < d.count; i++) {
-        String name = d.count == 1 ? d.name : d.name + "-" + (d.position + i);
+      seed =
+          d.instance().seed() != 0
+              ? d.instance().seed()
+              : System.nanoTime() ^ ProcessHandle.current().pid();
+      for (int i = 0; i < d.instance().count(); i++) {
+        String name =
+            d.instance().count() == 1
+                ? d.instance().name()
+                : d.instance().name() + "-" + (d.instance().position() + i);
         GrpcSchedulerServer it =
             new GrpcSchedulerServer(
-                d, watched, d.position + i, name, seed + i, loops.next(), thinker, metrics);
+                d,
+                watched,
+                d.instance().position() + i,
+                name,
+                seed + i,
+                loops.next(),
+                thinker,
+                metrics);
         instances.add(it);
-        if (d.notes) {
+        if (d.gossip().isEnabled()) {
           List<InetSocketAddress> others = new ArrayList<>();
-          for (String o : d.notesTo) {
+          for (String o : d.gossip().peers()) {
             others.add(address(o));
           }
           GossipSocket post =
               new GossipSocket(
                   it.loop,
-                  new InetSocketAddress(d.notesHost, d.notesPort == 0 ? 0 : d.notesPort + i),
+                  new InetSocketAddress(
+                      d.gossip().host(), d.gossip().port() == 0 ? 0 : d.gossip().port() + i),
                   others,
                   it::heard);
           it.loop.execute(() -> it.notes(post));
@@ -114,10 +128,10 @@
           lists.add(new EtcdMachineList(d, name, seed + i));
         }
         MachineListSource list = lists.get(lists.size() - 1);
-        list.follow(it::list);
+        list.watch(it::list);
         it.loop.scheduleAtFixedRate(
-            () -> it.shared(list.placers()), 200, 200, TimeUnit.MILLISECONDS);
-        servers.add(serve(it, d.port == 0 ? 0 : d.port + i));
+            () -> it.shared(list.schedulerCount()), 200, 200, TimeUnit.MILLISECONDS);
+        servers.add(serve(it, d.instance().listenPort() == 0 ? 0 : d.instance().listenPort() + i));
       }
       for (int i = 0; i < Math.min(threads, instances.size()); i++) {
         watchLag(instances.get(i).loop);
@@ -130,17 +144,17 @@
       metrics.gauge(
           "fordridge.streams",
           () -> instances.stream().mapToInt(GrpcSchedulerServer::streamsOpen).sum());
-      if (d.metricsPort >= 0) {
-        port = new MetricsServer(d.metricsPort, metrics, loops);
+      if (d.metricsPort() >= 0) {
+        port = new MetricsServer(d.metricsPort(), metrics, loops);
       }
-    } catch (IOException | RuntimeException | DeploymentSettings.InvalidSettingsException e) {
+    } catch (IOException | RuntimeException | InvalidSettingsException e) {
       close();
       throw e;
     }
     metricsServer = port;
     LOG.atInfo()
         .addKeyValue("seed", seed)
-        .addKeyValue("instances", d.count)
+        .addKeyValue("instances", d.instance().count())
         .addKeyValue("machines", lists.get(0).latest().entries().size())
         .addKeyValue("port", port(0))
         .addKeyValue("metrics", metricsServer == null ? "none" : metricsServer.port())
@@ -152,10 +166,10 @@
    * that is there.
    */
   public static List<fordridge.constraint.PlacementConstraint> readRules(
-      String text, DeploymentSettings d) throws DeploymentSettings.InvalidSettingsException {
+      String text, DeploymentSettings d) throws InvalidSettingsException {
     List<MachineListSource.Entry> machines =
-        d.listSource.equals("file") && d.listFile().isFile()
-            ? MachineListFile.read(d.listFile(), d, 1).entries()
+        !d.machineList().isInEtcd() && d.machineListFile().isFile()
+            ? MachineListFile.read(d.machineListFile(), d, 1).entries()
             : List.of();
     return ConstraintUpdater.read(
         text,
@@ -173,31 +187,29 @@
    * are watched.
    */
   public static DeploymentSettings watched(DeploymentSettings d)
-      throws DeploymentSettings.InvalidSettingsException, IOException {
-    File f = d.watchFile();
+      throws InvalidSettingsException, IOException {
+    File f = d.shadowSettingsFile().orElse(null);
     if (f == null) {
       return null;
     }
     if (!f.isFile()) {
-      throw new DeploymentSettings.InvalidSettingsException(
-          List.of("watch.terms: " + f + ": no such file"));
+      throw InvalidSettingsException.ofMessages(List.of("watch.terms: " + f + ": no such file"));
     }
     try {
-      return SettingsUpdate.over(d, d, Files.readString(f.toPath()));
-    } catch (DeploymentSettings.InvalidSettingsException e) {
-      throw new DeploymentSettings.InvalidSettingsException(
-          e.complaints.stream().map(c -> "watch.terms: " + f + ": " + c).toList());
+      return SettingsUpdate.apply(d, d, Files.readString(f.toPath()));
+    } catch (InvalidSettingsException e) {
+      throw InvalidSettingsException.ofMessages(
+          e.messages().stream().map(c -> "watch.terms: " + f + ": " + c).toList());
     }
   }
 
-  private static InetSocketAddress address(String hostPort)
-      throws DeploymentSettings.InvalidSettingsException {
+  private static InetSocketAddress address(String hostPort) throws InvalidSettingsException {
     int colon = hostPort.lastIndexOf(':');
     InetSocketAddress at =
         new InetSocketAddress(
             hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
     if (at.isUnresolved()) {
-      throw new DeploymentSettings.InvalidSettingsException(
+      throw InvalidSettingsException.ofMessages(
           List.of("placer.notes.to: '" + hostPort + "': no such host"));
     }
     return at;
@@ -209,16 +221,16 @@
   }
 
   private Server serve(GrpcSchedulerServer it, int port) throws IOException {
-    return NettyServerBuilder.forAddress(new InetSocketAddress(d.host, port))
+    return NettyServerBuilder.forAddress(new InetSocketAddress(d.instance().listenHost(), port))
         .bossEventLoopGroup(it.loop)
         .workerEventLoopGroup(it.loop)
         .channelType(NioServerSocketChannel.class)
         .directExecutor()
-        .maxInboundMessageSize(ClientService.transportLimit(d.maxMessage))
+        .maxInboundMessageSize(ClientService.transportLimit(d.connections().maxMessageBytes()))
         .flowControlWindow(CLIENT_WINDOW)
         .permitKeepAliveTime(100, TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(new ClientService(it, d.maxMessage))
+        .addService(new ClientService(it, d.connections().maxMessageBytes()))
         .addService(new OperatorService(it))
         .build()
         .start();
@@ -228,7 +240,7 @@
     long[] due = {System.nanoTime() + LAG_EVERY.toNanos()};
     loop.scheduleAtFixedRate(
         () -> {
-          metrics.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - due[0])));
+          metrics.eventLoopLagged(Duration.ofNanos(Math.max(0, System.nanoTime() - due[0])));
           due[0] = System.nanoTime() + LAG_EVERY.toNanos();
         },
         LAG_EVERY.toNanos(),
@@ -275,11 +287,11 @@
    */
   public boolean stop() throws InterruptedException {
     List<CompletableFuture<Void>> done = new ArrayList<>();
-    instances.forEach(i -> done.add(i.stop(d.stopWithin)));
+    instances.forEach(i -> done.add(i.stop(d.instance().shutdownTimeout())));
     boolean all = true;
     try {
       CompletableFuture.allOf(done.toArray(new CompletableFuture<?>[0]))
-          .get(d.stopWithin.toMillis(), TimeUnit.MILLISECONDS);
+          .get(d.instance().shutdownTimeout().toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException | ExecutionException e) {
       all = false;
     }
--- a/src/main/java/fordridge/server/grpc/ShadowScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -151,11 +151,12 @@
     }
     Vm own = t.own;
     if (real.attempts.isEmpty() != own.attempts.isEmpty()) {
-      metrics.otherwise(own.attempts.isEmpty() ? "hold" : "place");
+      metrics.shadowDiffered(
+          own.attempts.isEmpty() ? Metrics.ShadowDifference.HOLD : Metrics.ShadowDifference.PLACE);
     } else if (!own.attempts.isEmpty()
         && !Objects.equals(
             nameOf.apply(real.attempts.get(0).machine), names.get(own.attempts.get(0).machine))) {
-      metrics.otherwise("machine");
+      metrics.shadowDiffered(Metrics.ShadowDifference.MACHINE);
     }
   }
 
@@ -222,13 +223,13 @@
     boolean ownPlaced = t.ownAnswer == null && out(t) != null;
     boolean realPlaced = t.realAnswer == null && t.real.inFlightAttempts() > 0;
     if (ownPlaced || realPlaced) {
-      metrics.otherwise("answer");
+      metrics.shadowDiffered(Metrics.ShadowDifference.ANSWER);
       left(t.real);
     } else if (t.realAnswer != null && t.ownAnswer != null) {
       if (!t.realAnswer.equals(t.ownAnswer)) {
-        metrics.otherwise("answer");
+        metrics.shadowDiffered(Metrics.ShadowDifference.ANSWER);
       } else if (!t.realAdvice.equals(t.ownAdvice)) {
-        metrics.otherwise("retry_after");
+        metrics.shadowDiffered(Metrics.ShadowDifference.RETRY_AFTER);
       }
       drop(t);
     }
@@ -280,7 +281,7 @@
 
   @Override
   public void migrate(Vm own) {
-    metrics.otherwise("move");
+    metrics.shadowDiffered(Metrics.ShadowDifference.MOVE);
   }
 
   /** Customers' rules speak to both alike. */
@@ -306,19 +307,21 @@
         Duration.ZERO,
         () -> {
           if (!ours.apply(names.get(m)).probing) {
-            metrics.otherwise("probe");
+            metrics.shadowDiffered(Metrics.ShadowDifference.PROBE);
             // Nobody was asked: it is told neither of trouble nor of a report, and may ask again.
             later.accept(
-                now.connectTimeout,
-                () -> inputs.scheduler.probeCompleted(m, true, false, now.connectTimeout));
+                now.connections().connectTimeout(),
+                () ->
+                    inputs.scheduler.probeCompleted(
+                        m, true, false, now.connections().connectTimeout()));
           }
         });
   }
 
   @Override
   public void gossip(String note) {
-    if (!now.notes) {
-      metrics.otherwise("note");
+    if (!now.gossip().isEnabled()) {
+      metrics.shadowDiffered(Metrics.ShadowDifference.NOTE);
     }
   }
 
@@ -332,8 +335,8 @@
 
   @Override
   public void watchMachineList(boolean on) {
-    if (now.listComes.equals("push")) {
-      metrics.otherwise("list_ask");
+    if (now.cluster().isListPushed()) {
+      metrics.shadowDiffered(Metrics.ShadowDifference.LIST_ASK);
     }
     later.accept(Duration.ZERO, () -> inputs.list(false, false, List.of()));
   }
--- /dev/null
+++ b/src/main/java/fordridge/settings/ConnectionSettings.java
@@ -0,0 +1,53 @@
+package fordridge.settings;
+
+import static fordridge.settings.Limits.MAX_DURATION;
+import static fordridge.settings.Limits.MIN_DURATION;
+
+import java.time.Duration;
+
+/**
+ * Connections to machines (block {@code machines}).
+ *
+ * @param idleTimeout a stream without an attempt on it is closed after this
+ * @param minReconnectDelay first delay of the exponential backoff after a failed connect
+ * @param maxReconnectDelay longest delay of that backoff
+ * @param maxQueuedOffers offers not yet written to one machine; above it further ones are rejected
+ * @param unknownOutcomeTimeout how long a broken stream may take to come back and report whether
+ *     the machine holds an attempt that must not run twice
+ * @param keepaliveInterval a quiet stream is pinged after this, and closed without an answer in it
+ * @param maxMessageBytes larger messages are rejected, from machines and from clients
+ */
+public record ConnectionSettings(
+    Duration connectTimeout,
+    Duration idleTimeout,
+    Duration minReconnectDelay,
+    Duration maxReconnectDelay,
+    int maxQueuedOffers,
+    Duration unknownOutcomeTimeout,
+    Duration keepaliveInterval,
+    int maxMessageBytes) {
+  private static final Duration MAX_CONNECT_TIMEOUT = Duration.ofMinutes(1);
+  private static final int MIN_MESSAGE_BYTES = 1024;
+  private static final int MAX_MESSAGE_BYTES = 16 << 20;
+
+  static ConnectionSettings read(ConfigReader reader) {
+    return new ConnectionSettings(
+        reader.duration("machines.connect_timeout", Duration.ofMillis(10), MAX_CONNECT_TIMEOUT),
+        reader.duration("machines.idle", Duration.ofMillis(100), MAX_DURATION),
+        reader.duration("machines.retry_least", MIN_DURATION, MAX_DURATION),
+        reader.duration("machines.retry_most", MIN_DURATION, MAX_DURATION),
+        reader.integer("machines.line", 1, 100_000),
+        reader.duration("machines.unsure", Duration.ZERO, Duration.ofMinutes(1)),
+        reader.duration("machines.keepalive", Duration.ofMillis(200), MAX_DURATION),
+        reader.byteSize("machines.max_message", MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES));
+  }
+
+  void check(ConfigReader reader) {
+    if (minReconnectDelay.compareTo(maxReconnectDelay) > 0) {
+      reader.reject(
+          "machines.retry_least",
+          minReconnectDelay.toMillis() + "ms",
+          "at most machines.retry_most");
+    }
+  }
+}
--- a/src/main/java/fordridge/settings/SchedulerSettingsMapper.java
+++ b/src/main/java/fordridge/settings/SchedulerSettingsMapper.java
@@ -24,7 +24,7 @@
     List<Object> kinds = new ArrayList<>();
     List<Object> cores = new ArrayList<>();
     List<Object> memory = new ArrayList<>();
-    for (DeploymentSettings.Kind k : d.kinds) {
+    for (MachineKind k : d.kinds()) {
       kinds.add(k.name());
       cores.add(k.cores());
       memory.add(k.memory());
@@ -34,63 +34,66 @@
     t.put("extra.memoryByKind", memory);
     Map<String, List<Object>> columns = new LinkedHashMap<>();
     List<Object> lanes = new ArrayList<>();
-    for (DeploymentSettings.PriorityClass f : d.priorityClasses.values()) {
+    for (PriorityClassSettings f : d.priorityClasses().values()) {
       lanes.add(lane(f));
       column(columns, "precedence", (long) f.priority());
-      column(columns, "kindByClass", f.kind().isEmpty() ? -1L : (long) kinds.indexOf(f.kind()));
-      column(columns, "classSpread", f.spread());
-      column(columns, "classMost", (long) f.most());
-      column(columns, "calmLevel", f.calm());
-      column(columns, "fadeSpan", f.fade());
-      column(columns, "startSeconds", f.startWorth());
+      column(
+          columns,
+          "kindByClass",
+          f.requiredKind().isEmpty() ? -1L : (long) kinds.indexOf(f.requiredKind()));
+      column(columns, "classSpread", f.spreadScope().configWord());
+      column(columns, "classMost", (long) f.maxPerSpreadScope());
+      column(columns, "calmLevel", f.fullSpeedUtilization());
+      column(columns, "fadeSpan", f.degradationSpan());
+      column(columns, "startSeconds", f.startValueSeconds());
     }
     columns.forEach((name, values) -> t.put("extra." + name, values));
     t.put("lanes", lanes);
-    t.put("extra.admitCores", d.acceptCores);
-    t.put("extra.memBooking", d.acceptMemory);
-    t.put("extra.saysYes", d.yes);
-    t.put("extra.reportCounts", d.reportCounts);
-    t.put("extra.freeInList", d.freeInList);
-    t.put("extra.settleUs", micros(d.settle));
-    t.put("extra.coldBears", d.coldBears);
-    t.put("caps.mostTries", (long) d.mostAttempts);
-    t.put("caps.retryAfter", d.retryAfter);
-    t.put("caps.peerMessages", d.notes);
-    t.put("caps.maxRetryAfterUs", micros(d.mostRetryAfter));
-    t.put("caps.probes", d.probes);
+    t.put("extra.admitCores", d.cluster().coreOvercommitRatio());
+    t.put("extra.memBooking", d.cluster().memoryOvercommitRatio());
+    t.put("extra.saysYes", d.cluster().acceptancePoint().configWord());
+    t.put("extra.reportCounts", d.cluster().freeCapacityBasis().configWord());
+    t.put("extra.freeInList", d.cluster().isFreeCapacityListed());
+    t.put("extra.settleUs", micros(d.cluster().unknownOutcomeRetryAfter()));
+    t.put("extra.coldBears", d.cluster().slowStart().minOffersInWindow());
+    t.put("caps.mostTries", (long) d.cluster().maxAttempts());
+    t.put("caps.retryAfter", d.cluster().sendsRetryAfter());
+    t.put("caps.peerMessages", d.gossip().isEnabled());
+    t.put("caps.maxRetryAfterUs", micros(d.cluster().maxRetryAfter()));
+    t.put("caps.probes", d.cluster().hasHealthChecks());
     t.put("caps.mayCancel", true);
     t.put("caps.secondCopies", false);
-    t.put("caps.maxOpen", (long) d.maxOpen);
+    t.put("caps.maxOpen", (long) d.instance().maxOpenRequests());
     t.put(
         "loadReport.via",
-        switch (d.reports) {
-          case "answers" -> "inline";
-          case "probes" -> "on_probe";
-          default -> "off";
+        switch (d.cluster().loadReportChannel()) {
+          case RESPONSES_AND_HEALTH_CHECKS -> "inline";
+          case HEALTH_CHECKS -> "on_probe";
+          case NONE -> "off";
         });
-    t.put("obligations.drainGraceUs", micros(d.drainGrace));
-    t.put("obligations.coldFrom", d.coldFrom);
-    t.put("obligations.warmAfterUs", micros(d.warmAfter));
-    t.put("obligations.fallMultiple", d.fallMultiple);
-    t.put("obligations.overloadForUs", micros(d.fallOver));
-    t.put("obligations.askWithinUs", micros(d.askWithin));
-    t.put("discovery", d.listComes);
-    t.put("extra.meanCores", d.meanCores);
-    t.put("nInstances", (long) d.allPlacers());
+    t.put("obligations.drainGraceUs", micros(d.cluster().drainGracePeriod()));
+    t.put("obligations.coldFrom", d.cluster().slowStart().initialStartRate());
+    t.put("obligations.warmAfterUs", micros(d.cluster().slowStart().warmUpTime()));
+    t.put("obligations.fallMultiple", d.cluster().slowStart().overloadMultiple());
+    t.put("obligations.overloadForUs", micros(d.cluster().slowStart().overloadWindow()));
+    t.put("obligations.askWithinUs", micros(d.cluster().maxListAge()));
+    t.put("discovery", d.cluster().listDelivery().configWord());
+    t.put("extra.meanCores", d.cluster().meanVmCores());
+    t.put("nInstances", (long) d.totalSchedulers());
     t.put("position", (long) position);
-    t.put("zone", d.zone);
-    t.put("prices.fleet", d.prices.get("machines"));
-    t.put("prices.crossZone", d.prices.get("other_zone"));
-    t.put("prices.moves", d.prices.get("moves"));
-    t.put("prices.waste", d.prices.get("waste"));
-    t.put("prices.probe", d.prices.get("probe"));
-    t.put("prices.peer", d.prices.get("note"));
-    t.put("goal.whole", d.goal.get("whole"));
-    t.put("goal.worstWindow", d.goal.get("worst_window"));
-    t.put("goal.worstClass", d.goal.get("worst_flavour"));
-    t.put("goal.worstTenant", d.goal.get("worst_customer"));
+    t.put("zone", d.instance().zone());
+    t.put("prices.fleet", d.prices().machines());
+    t.put("prices.crossZone", d.prices().otherZone());
+    t.put("prices.moves", d.prices().migrations());
+    t.put("prices.waste", d.prices().waste());
+    t.put("prices.probe", d.prices().healthCheck());
+    t.put("prices.peer", d.prices().gossip());
+    t.put("goal.whole", d.goal().overall());
+    t.put("goal.worstWindow", d.goal().worstWindow());
+    t.put("goal.worstClass", d.goal().worstPriorityClass());
+    t.put("goal.worstTenant", d.goal().worstTenant());
     List<Object> tenants = new ArrayList<>();
-    d.tenants.forEach(c -> tenants.add(Map.of("name", c.name(), "share", c.share())));
+    d.tenants().forEach(c -> tenants.add(Map.of("name", c.name(), "share", c.share())));
     t.put("tenants", tenants);
     Map<String, Object> flat = new HashMap<>();
     SchedulerSettings.flatten("", t, flat);
@@ -101,21 +104,21 @@
     columns.computeIfAbsent(name, n -> new ArrayList<>()).add(value);
   }
 
-  private static Map<String, Object> lane(DeploymentSettings.PriorityClass f) {
+  private static Map<String, Object> lane(PriorityClassSettings f) {
     Map<String, Object> lane = new LinkedHashMap<>();
     lane.put("name", f.name());
     lane.put(
         "semantics",
-        switch (f.effect()) {
-          case "rebuildable" -> "retryable";
-          case "tokened" -> "dedup";
-          default -> "fragile";
+        switch (f.retrySafety()) {
+          case IDEMPOTENT -> "retryable";
+          case IDEMPOTENT_WITH_KEY -> "dedup";
+          case NON_IDEMPOTENT -> "fragile";
         });
-    lane.put("dedupScope", f.group());
-    lane.put("windowUs", micros(f.window()));
-    lane.put("promiseUs", micros(f.buildTarget()));
-    lane.put("giveUpUs", micros(f.buildTimeout()));
-    lane.put("worth", f.revenue());
+    lane.put("dedupScope", f.deduplicationScope().configWord());
+    lane.put("windowUs", micros(f.deduplicationWindow()));
+    lane.put("promiseUs", micros(f.startLatencyObjective()));
+    lane.put("giveUpUs", micros(f.startDeadline()));
+    lane.put("worth", f.priorityWeight());
     return lane;
   }
 }
--- a/src/test/java/fordridge/etcd/EtcdMachineListTest.java
+++ b/src/test/java/fordridge/etcd/EtcdMachineListTest.java
@@ -11,6 +11,7 @@
 import fordridge.emulator.EmulatedEtcd;
 import fordridge.model.Machine.Lifecycle;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import java.io.File;
 import java.io.IOException;
 import java.time.Duration;
@@ -26,7 +27,7 @@
  */
 class EtcdMachineListTest {
   private static DeploymentSettings settings(String ports, String more)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     return DeploymentSettings.read(
         ConfigFactory.parseString(
             "kinds = [{ name = k, cores = 8, memory = 16 }]\n"
@@ -86,7 +87,7 @@
         until(() -> state(l, "m00002") == Lifecycle.LIVE);
         etcd.delete("/c/machines/m00003");
         until(() -> entry(l, "m00003") == null);
-        assertThat(l.resyncs()).isEqualTo(1);
+        assertThat(l.snapshotCount()).isEqualTo(1);
       }
     }
   }
@@ -109,7 +110,7 @@
         compactor.join();
         until(() -> entry(l, "m00001").address().getPort() == 2);
         assertThat(l.latest().entries().size()).isEqualTo(40);
-        assertThat(l.resyncs()).isGreaterThan(1);
+        assertThat(l.snapshotCount()).isGreaterThan(1);
       }
     }
   }
@@ -129,7 +130,7 @@
         etcd.leaderless(false);
         until(() -> entry(l, "m00001") == null);
         assertThat(entry(l, "m00002").address().getPort()).isEqualTo(77);
-        assertThat(entry(l, "m00002").started())
+        assertThat(entry(l, "m00002").startedAt())
             .as("another machine under the name is cold")
             .isNotNull();
         assertThat(state(l, "m00003")).isEqualTo(Lifecycle.DRAINING);
@@ -148,19 +149,19 @@
         etcd.put("/c/drains/m00001", "{}");
         until(() -> state(l, "m00001") == Lifecycle.DRAINING);
         List<Update> heard = new CopyOnWriteArrayList<>();
-        l.follow(heard::add);
+        l.watch(heard::add);
         until(() -> heard.size() == 1);
         etcd.cut();
         etcd.put("/c/machines/m00009", machine(9, 1));
         until(() -> entry(l, "m00009") != null);
-        assertThat(l.resyncs()).isEqualTo(1);
+        assertThat(l.snapshotCount()).isEqualTo(1);
         assertThat(heard)
             .noneMatch(
                 u ->
                     u.entries().stream()
                         .anyMatch(
                             e -> e.name().equals("m00001") && e.lifecycle() == Lifecycle.LIVE));
-        assertThat(heard).anyMatch(Update::old);
+        assertThat(heard).anyMatch(Update::isStale);
       }
     }
   }
@@ -209,7 +210,7 @@
         both.put("/c/drains/m00001", "{}");
         etcd.putAll(both);
         until(() -> state(l, "m00001") == Lifecycle.DRAINING);
-        assertThat(entry(l, "m00001").started()).isNotNull();
+        assertThat(entry(l, "m00001").startedAt()).isNotNull();
       }
     }
   }
@@ -223,7 +224,7 @@
       }
       try (EtcdMachineList l = open(etcd, "")) {
         etcd.restore(5, false);
-        until(() -> l.resyncs() >= 2);
+        until(() -> l.snapshotCount() >= 2);
         etcd.put("/c/drains/m00002", "{}");
         until(() -> state(l, "m00002") == Lifecycle.DRAINING);
       }
@@ -275,12 +276,12 @@
               new EtcdMachineList(settings("\"127.0.0.1:" + etcd.port() + "\"", ""), "a", 1);
           EtcdMachineList b =
               new EtcdMachineList(settings("\"127.0.0.1:" + etcd.port() + "\"", ""), "b", 2)) {
-        until(() -> a.placers() == 2 && b.placers() == 2);
+        until(() -> a.schedulerCount() == 2 && b.schedulerCount() == 2);
         long before = etcd.revision();
         etcd.revokeAll();
-        assertThat(a.placers()).as("no share rises on an expired lease").isEqualTo(2);
+        assertThat(a.schedulerCount()).as("no share rises on an expired lease").isEqualTo(2);
         until(() -> etcd.revision() >= before + 3);
-        until(() -> a.placers() == 2);
+        until(() -> a.schedulerCount() == 2);
       }
     }
   }
@@ -292,7 +293,7 @@
       fill(etcd, 50);
       try (EtcdMachineList l = open(etcd, "etcd.silence = 10s")) {
         List<String> drained = new CopyOnWriteArrayList<>();
-        l.follow(
+        l.watch(
             u -> {
               u.entries().stream()
                   .filter(e -> e.lifecycle() == Lifecycle.DRAINING)
@@ -308,7 +309,7 @@
         etcd.put("/c/machines/m00049", machine(7, 3));
         until(() -> entry(l, "m00049").address().getPort() == 7);
         assertThat(drained).contains("m00000", "m00001", "m00002", "m00003", "m00004", "m00005");
-        assertThat(l.resyncs()).isEqualTo(1);
+        assertThat(l.snapshotCount()).isEqualTo(1);
       }
     }
   }
--- a/src/test/java/fordridge/server/grpc/GrpcServerTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcServerTest.java
@@ -4,9 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import fordridge.observability.Metrics;
 import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
 import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.v1.Ack;
 import fordridge.v1.ClaimName;
 import fordridge.v1.ClientMessage;
@@ -772,7 +773,7 @@
     try (GrpcTestPeers p = new GrpcTestPeers(1)) {
       rules(p, "rule a: flavour nope require on kind k;\n");
       assertThatThrownBy(() -> p.place("constraints.file = rules.txt"))
-          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .isInstanceOf(InvalidSettingsException.class)
           .hasMessageContaining("no flavour 'nope'");
       rules(
           p, "rule a: flavour once require on kind k;\nrule b: service 3 require on not kind k;\n");
@@ -805,7 +806,7 @@
       assertThatThrownBy(() -> p.place("placer.listen.port = " + taken.getLocalPort()))
           .hasMessageContaining(String.valueOf(taken.getLocalPort()));
       assertThatThrownBy(() -> p.place("machines.list = nowhere.conf"))
-          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .isInstanceOf(InvalidSettingsException.class)
           .hasMessageContaining("nowhere.conf: no such file");
     }
   }
@@ -863,7 +864,7 @@
       byte[] noAnswer = note.substring(0, 3).getBytes(StandardCharsets.UTF_8);
       stranger.send(new DatagramPacket(noAnswer, 3, to));
       other.send(new DatagramPacket(noAnswer, 3, to));
-      until(() -> p.program.metrics().notes("heard") == 1);
+      until(() -> p.program.metrics().gossipReceivedCount() == 1);
       int before = took.offers.size();
       c.want("w", "safe");
       until(() -> c.count(BodyCase.BOUND) == 2);
@@ -877,17 +878,8 @@
   }
 
   private static double otherwise(GrpcTestPeers p) {
-    return Stream.of(
-            "machine",
-            "hold",
-            "place",
-            "answer",
-            "retry_after",
-            "probe",
-            "note",
-            "list_ask",
-            "move")
-        .mapToDouble(p.program.metrics()::otherwises)
+    return Stream.of(Metrics.ShadowDifference.values())
+        .mapToDouble(p.program.metrics()::shadowDifferences)
         .sum();
   }
 
@@ -965,10 +957,12 @@
                   .getDenied()
                   .getRetryAfterUs())
           .isGreaterThan(0);
-      until(() -> p.program.metrics().otherwises("retry_after") == 1);
-      assertThat(p.program.metrics().otherwises("hold")).isEqualTo(1);
-      assertThat(p.program.metrics().otherwises("list_ask")).isEqualTo(1);
-      assertThat(p.program.metrics().otherwises("machine")).isEqualTo(0);
+      until(() -> p.program.metrics().shadowDifferences(Metrics.ShadowDifference.RETRY_AFTER) == 1);
+      assertThat(p.program.metrics().shadowDifferences(Metrics.ShadowDifference.HOLD)).isEqualTo(1);
+      assertThat(p.program.metrics().shadowDifferences(Metrics.ShadowDifference.LIST_ASK))
+          .isEqualTo(1);
+      assertThat(p.program.metrics().shadowDifferences(Metrics.ShadowDifference.MACHINE))
+          .isEqualTo(0);
       assertThat(p.program.metrics().scrape())
           .contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
     }
@@ -978,7 +972,7 @@
   void watchedTermsAreCheckedBeforeAnythingStarts() throws Exception {
     try (GrpcTestPeers p = new GrpcTestPeers(1)) {
       assertThatThrownBy(() -> watched(p, "cluster.list_comes = shout"))
-          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .isInstanceOf(InvalidSettingsException.class)
           .hasMessageContaining("watch.terms")
           .hasMessageContaining("push, ask");
       assertThatThrownBy(() -> p.place("watch.terms = nowhere.conf"))
--- a/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
+++ b/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
@@ -4,6 +4,7 @@
 
 import com.typesafe.config.ConfigFactory;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.v1.ClaimName;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.FromMachine;
@@ -59,7 +60,7 @@
     await().atMost(Duration.ofSeconds(20)).pollInterval(Duration.ofMillis(5)).until(what);
   }
 
-  void place(String more) throws IOException, DeploymentSettings.InvalidSettingsException {
+  void place(String more) throws IOException, InvalidSettingsException {
     list("");
     program =
         new PlacerCommand(
--- a/src/test/java/fordridge/settings/DeploymentSettingsTest.java
+++ b/src/test/java/fordridge/settings/DeploymentSettingsTest.java
@@ -27,15 +27,15 @@
     try {
       DeploymentSettings.read(file(text));
       return List.of();
-    } catch (DeploymentSettings.InvalidSettingsException e) {
-      return e.complaints;
+    } catch (InvalidSettingsException e) {
+      return e.messages();
     }
   }
 
   @Example
   void goodOnesAreReadWithDefaults() throws Exception {
     DeploymentSettings d = DeploymentSettings.read(file(GOOD));
-    assertThat(d.priorityClasses.get("f").rebuildable()).isTrue();
+    assertThat(d.priorityClasses().get("f").isIdempotent()).isTrue();
     SchedulerSettings t = new SchedulerSettings(SchedulerSettingsMapper.of(d, 3));
     assertThat(t.text("lanes.0.semantics", "")).isEqualTo("retryable");
     assertThat(t.num("lanes.0.promiseUs", 0)).isEqualTo(600_000.0);
@@ -155,22 +155,22 @@
   void termsOfTheClusterAreLaidOverAndCheckedWhole() throws Exception {
     DeploymentSettings d = DeploymentSettings.read(file(GOOD));
     DeploymentSettings next =
-        SettingsUpdate.over(
+        SettingsUpdate.apply(
             d,
             d,
             "cluster.most_claims = 2\nflavours = [{ name = f, effect = rebuildable, "
                 + "build_target = 800ms, build_timeout = 6s }, { name = g, effect = one-shot }]");
-    assertThat(next.mostAttempts).isEqualTo(2);
-    assertThat(next.priorityClasses.keySet()).containsExactly("f", "g");
-    assertThatThrownBy(() -> SettingsUpdate.over(d, next, "cluster.most_claims = 2"))
+    assertThat(next.cluster().maxAttempts()).isEqualTo(2);
+    assertThat(next.priorityClasses().keySet()).containsExactly("f", "g");
+    assertThatThrownBy(() -> SettingsUpdate.apply(d, next, "cluster.most_claims = 2"))
         .hasMessageContaining("flavour 'g' is missing");
     assertThatThrownBy(
-            () -> SettingsUpdate.over(d, d, "flavours = [{ name = f, effect = one-shot }]"))
+            () -> SettingsUpdate.apply(d, d, "flavours = [{ name = f, effect = one-shot }]"))
         .hasMessageContaining("changes its effect");
-    assertThatThrownBy(() -> SettingsUpdate.over(d, d, "placer.name = other"))
+    assertThatThrownBy(() -> SettingsUpdate.apply(d, d, "placer.name = other"))
         .hasMessageContaining("each placer's own");
-    assertThatThrownBy(() -> SettingsUpdate.over(d, d, "cluster.most_claims = none"))
+    assertThatThrownBy(() -> SettingsUpdate.apply(d, d, "cluster.most_claims = none"))
         .hasMessageContaining("most_claims");
-    assertThatThrownBy(() -> SettingsUpdate.over(d, d, "cluster {")).hasMessageContaining("1");
+    assertThatThrownBy(() -> SettingsUpdate.apply(d, d, "cluster {")).hasMessageContaining("1");
   }
 }
