--- a/src/main/java/fordridge/observability/Metrics.java
+++ b/src/main/java/fordridge/observability/Metrics.java
@@ -70,7 +70,8 @@
   /** Metrics with a registry of their own; all counters start at 0. */
   public Metrics() {
     for (Outcome outcome : Outcome.values()) {
-      attemptOutcomes.put(outcome, registry.counter("fordridge.outcomes", "kind", tag(outcome)));
+      attemptOutcomes.put(
+          outcome, registry.counter("fordridge.outcomes", "kind", outcome.metricTag()));
     }
     responses.put(ClientResponse.Kind.BOUND, responseCounter("bound"));
     responses.put(ClientResponse.Kind.DENIED, responseCounter("denied"));
@@ -80,19 +81,6 @@
     }
   }
 
-  private static String tag(Outcome outcome) {
-    return switch (outcome) {
-      case DONE -> "done";
-      case ERROR -> "error";
-      case FULL -> "full";
-      case TIMEOUT -> "timeout";
-      case UNREACHABLE -> "unreachable";
-      case RESET -> "reset";
-      case CANCELLED -> "cancelled";
-      case MOOT -> "moot";
-    };
-  }
-
   private Counter responseCounter(String tag) {
     return registry.counter("fordridge.answers", "kind", tag);
   }
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -1170,7 +1170,7 @@
           if (wasBound
               || end == Outcome.FULL
               || end == Outcome.UNREACHABLE
-              || end == Outcome.MOOT) {
+              || end == Outcome.NOT_SENT) {
             book.gone(c);
           } else {
             book.doubted(c);
