--- /dev/null
+++ b/src/main/java/fordridge/cli/CtlTermsCommand.java
@@ -0,0 +1,68 @@
+package fordridge.cli;
+
+import fordridge.etcd.EtcdAdmin;
+import fordridge.etcd.EtcdAdmin.SharedSetting;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code ctl terms}: the settings that all schedulers share. */
+@Command(
+    name = "terms",
+    description = "Reads and writes terms.",
+    mixinStandardHelpOptions = true,
+    subcommands = {CtlTermsCommand.Get.class, CtlTermsCommand.Put.class})
+final class CtlTermsCommand extends CommandGroup {
+  /** {@code ctl terms get}. */
+  @Command(
+      name = "get",
+      description = "Prints all terms with their revisions.",
+      mixinStandardHelpOptions = true)
+  static final class Get implements Callable<Integer> {
+    @Mixin private EtcdOptions etcd;
+
+    @Override
+    public Integer call() throws IOException {
+      try (EtcdAdmin admin = etcd.connect()) {
+        for (SharedSetting setting : admin.sharedSettings()) {
+          System.out.println(setting.name() + " @" + setting.revision() + " = " + setting.text());
+        }
+      }
+      return ExitCode.OK;
+    }
+  }
+
+  /** {@code ctl terms put}. */
+  @Command(
+      name = "put",
+      description = "Writes a term that is still at the revision given.",
+      mixinStandardHelpOptions = true)
+  static final class Put implements Callable<Integer> {
+    @Mixin private EtcdOptions etcd;
+
+    @Parameters(index = "0", paramLabel = "NAME")
+    private String name;
+
+    @Parameters(index = "1", paramLabel = "VALUE")
+    private String value;
+
+    @Option(
+        names = "--at",
+        required = true,
+        paramLabel = "REVISION",
+        description = "The revision that get showed; 0 for a new one.")
+    private long revision;
+
+    @Override
+    public Integer call() throws IOException {
+      try (EtcdAdmin admin = etcd.connect()) {
+        long newRevision = admin.putSharedSetting(name, value, revision);
+        System.out.println(name + " is at revision " + newRevision);
+      }
+      return ExitCode.OK;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/fordridge/cli/EtcdOptions.java
@@ -0,0 +1,41 @@
+package fordridge.cli;
+
+import fordridge.etcd.EtcdAdmin;
+import fordridge.settings.HostAndPort;
+import java.time.Duration;
+import java.util.List;
+import picocli.CommandLine.Option;
+
+/** Options of all commands that read or change the store. */
+final class EtcdOptions {
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+
+  @Option(
+      names = "--etcd",
+      required = true,
+      split = ",",
+      paramLabel = "HOST:PORT,...",
+      description = "Endpoints, tried in turn.")
+  private List<String> endpoints;
+
+  @Option(
+      names = "--prefix",
+      description = "Where the cluster's records stand (default: ${DEFAULT-VALUE}).")
+  private String prefix = "/fordridge";
+
+  @Option(names = "--json", description = "JSON lines in place of a table.")
+  private boolean isJson;
+
+  boolean isJson() {
+    return isJson;
+  }
+
+  EtcdAdmin connect() {
+    for (String endpoint : endpoints) {
+      if (!HostAndPort.hasValidForm(endpoint)) {
+        throw new IllegalArgumentException("--etcd: '" + endpoint + "' is not host:port");
+      }
+    }
+    return new EtcdAdmin(endpoints, prefix, CALL_TIMEOUT);
+  }
+}
--- a/src/main/java/fordridge/etcd/EtcdAdmin.java
+++ b/src/main/java/fordridge/etcd/EtcdAdmin.java
@@ -10,25 +10,38 @@
 import fordridge.etcd.api.RangeResponse;
 import fordridge.etcd.api.RequestOp;
 import fordridge.etcd.api.TxnRequest;
-import fordridge.membership.MachineListReplica;
+import fordridge.etcd.api.TxnResponse;
+import fordridge.membership.MachineRecord;
+import fordridge.membership.RecordKind;
 import fordridge.membership.StoreKeys;
+import fordridge.membership.StoreRecord;
 import io.grpc.ManagedChannel;
 import io.grpc.StatusRuntimeException;
-import io.grpc.netty.NettyChannelBuilder;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** What operators do to the store, each change only if the record still is as it was read. */
+/**
+ * Reads and changes the store for operators; a change takes effect only if the record still is as
+ * it was read. Calls block; not safe for use by several threads.
+ */
 public final class EtcdAdmin implements AutoCloseable {
-  /** One machine as it stands in the store. */
-  public record Row(
+  private static final int PAGE_SIZE = 500;
+  private static final long LATEST_REVISION = 0;
+  private static final long NOT_CREATED = 0;
+
+  /**
+   * One machine as it is in the store.
+   *
+   * @param state {@code live}, {@code draining} or {@code unreadable}
+   * @param note why it drains, or what is wrong with its record
+   */
+  public record MachineRow(
       String name,
       String state,
       String kind,
@@ -40,215 +53,227 @@
       long revision,
       String note) {}
 
+  /** A setting that all schedulers share, with the revision of its last change. */
+  public record SharedSetting(String name, long revision, String text) {}
+
   /** A record that changed between reading and writing it, or is not there. */
   public static final class ConcurrentUpdateException extends IOException {
     private static final long serialVersionUID = 1L;
 
-    ConcurrentUpdateException(String what) {
-      super(what);
+    ConcurrentUpdateException(String message) {
+      super(message);
     }
   }
 
+  private interface Call<T> {
+    T on(KVGrpc.KVBlockingStub stub);
+  }
+
   private final StoreKeys keys;
   private final List<String> endpoints;
-  private final Duration within;
+  private final Duration callTimeout;
   private ManagedChannel channel;
 
-  public EtcdAdmin(List<String> endpoints, String prefix, Duration within) {
-    this.endpoints = endpoints;
+  /** A client that connects with the first call; the endpoints are tried in turn. */
+  public EtcdAdmin(List<String> endpoints, String prefix, Duration callTimeout) {
+    this.endpoints = List.copyOf(endpoints);
     this.keys = new StoreKeys(prefix);
-    this.within = within;
-  }
-
-  private interface Call<T> {
-    T on(KVGrpc.KVBlockingStub stub);
+    this.callTimeout = callTimeout;
   }
 
-  /** Tries each endpoint in turn; the last one's error is told with all their names. */
-  private <T> T call(Call<T> call) throws IOException {
-    StatusRuntimeException last = null;
-    for (String e : endpoints) {
-      int colon = e.lastIndexOf(':');
-      if (channel == null) {
-        channel =
-            NettyChannelBuilder.forAddress(
-                    new InetSocketAddress(
-                        e.substring(0, colon), Integer.parseInt(e.substring(colon + 1))))
-                .usePlaintext()
-                .maxInboundMessageSize(64 << 20)
-                .build();
-      }
-      try {
-        return call.on(
-            KVGrpc.newBlockingStub(channel)
-                .withDeadlineAfter(within.toMillis(), TimeUnit.MILLISECONDS));
-      } catch (StatusRuntimeException wrong) {
-        last = wrong;
-        close();
-        channel = null;
+  /** All machines of the store, by name. */
+  public List<MachineRow> machines() throws IOException {
+    Map<String, KeyValue> drains = new HashMap<>();
+    List<StoreRecord> machines = new ArrayList<>();
+    for (KeyValue keyValue : readAll()) {
+      StoreRecord record = StoreRecordCodec.decode(keyValue, keys);
+      if (record.kind() == RecordKind.DRAIN) {
+        drains.put(record.name(), keyValue);
+      } else if (record.kind() == RecordKind.MACHINE) {
+        machines.add(record);
       }
     }
-    throw new IOException(
-        "etcd at " + endpoints + ": " + (last == null ? "no endpoint" : last.getStatus()));
-  }
-
-  private static ByteString bytes(String s) {
-    return ByteString.copyFromUtf8(s);
-  }
-
-  private KeyValue read(String key) throws IOException {
-    RangeResponse r = call(kv -> kv.range(RangeRequest.newBuilder().setKey(bytes(key)).build()));
-    return r.getKvsCount() == 0 ? null : r.getKvs(0);
+    return machines.stream().map(record -> row(record, drains.get(record.name()))).toList();
   }
 
-  private List<KeyValue> all() throws IOException {
-    List<KeyValue> all = new ArrayList<>();
-    ByteString from = bytes(keys.all());
-    byte[] end = from.toByteArray();
-    end[end.length - 1]++;
-    long revision = 0;
-    while (true) {
-      ByteString key = from;
-      long at = revision;
-      RangeResponse r =
-          call(
-              kv ->
-                  kv.range(
-                      RangeRequest.newBuilder()
-                          .setKey(key)
-                          .setRangeEnd(ByteString.copyFrom(end))
-                          .setLimit(500)
-                          .setRevision(at)
-                          .build()));
-      revision = revision == 0 ? r.getHeader().getRevision() : revision;
-      all.addAll(r.getKvsList());
-      if (!r.getMore()) {
-        return all;
-      }
-      from = r.getKvs(r.getKvsCount() - 1).getKey().concat(ByteString.copyFrom(new byte[] {0}));
+  private static MachineRow row(StoreRecord record, KeyValue drain) {
+    if (record.value() instanceof MachineRecord machine) {
+      return new MachineRow(
+          record.name(),
+          drain == null ? "live" : "draining",
+          machine.kind(),
+          machine.zone(),
+          machine.cell(),
+          machine.freeCores(),
+          machine.freeMemory(),
+          machine.address(),
+          record.modRevision(),
+          drain == null ? "" : describeDrain(drain));
     }
+    String problem = record.value() instanceof StoreRecord.Unreadable bad ? bad.reason() : "";
+    return new MachineRow(
+        record.name(), "unreadable", "", "", 0, 0, 0, "", record.modRevision(), problem);
   }
 
-  public List<Row> machines() throws IOException {
-    Map<String, KeyValue> drains = new LinkedHashMap<>();
-    List<KeyValue> machines = new ArrayList<>();
-    for (KeyValue kv : all()) {
-      String key = kv.getKey().toStringUtf8();
-      switch (keys.kind(key)) {
-        case DRAIN -> drains.put(keys.name(key), kv);
-        case MACHINE -> machines.add(kv);
-        default -> {}
-      }
-    }
-    List<Row> rows = new ArrayList<>();
-    for (KeyValue kv : machines) {
-      MachineListReplica.StoreRecord i = StoreRecordCodec.item(kv, keys);
-      KeyValue drain = drains.get(i.name());
-      String note = i.complaint() != null ? i.complaint() : drain == null ? "" : reason(drain);
-      MachineListReplica.Machine m = i.machine();
-      rows.add(
-          new Row(
-              i.name(),
-              i.complaint() != null ? "unreadable" : drain != null ? "draining" : "live",
-              m == null ? "" : m.kind(),
-              m == null ? "" : m.zone(),
-              m == null ? 0 : m.cell(),
-              m == null ? 0 : m.freeCores(),
-              m == null ? 0 : m.freeMemory(),
-              m == null ? "" : m.address(),
-              i.modRevision(),
-              note));
-    }
-    return rows;
-  }
-
-  private static String reason(KeyValue drain) {
+  private static String describeDrain(KeyValue drain) {
     try {
-      Map<String, Object> f = StoreRecordCodec.fields(drain.getValue().toStringUtf8());
-      return f.getOrDefault("reason", "")
-          + (f.containsKey("since") ? " since " + f.get("since") : "");
-    } catch (IllegalArgumentException e) {
+      StoredJson json = StoredJson.parse(drain.getValue().toStringUtf8());
+      String since = json.has("since") ? " since " + json.describe("since") : "";
+      return json.describe("reason") + since;
+    } catch (RecordFormatException e) {
       return "unreadable drain: " + e.getMessage();
     }
   }
 
-  /** Drains a machine that is there and not draining yet; gives the revision. */
-  public long drain(String machine, String reason, Instant now) throws IOException {
+  /**
+   * Drains a machine; returns the revision of the change.
+   *
+   * @throws ConcurrentUpdateException if there is no such machine, or it drains already
+   */
+  public long drain(String machine, String reason, Instant since) throws IOException {
     if (read(keys.machine(machine)) == null) {
       throw new ConcurrentUpdateException("no machine '" + machine + "' in the store");
     }
-    Map<String, Object> f = new LinkedHashMap<>();
-    f.put("v", (long) StoreRecordCodec.CURRENT);
-    f.put("reason", reason);
-    f.put("since", now.toString());
-    return swap(
-        keys.drain(machine),
-        0,
-        StoreRecordCodec.write(f),
+    String key = keys.drain(machine);
+    return commit(
+        key,
+        NOT_CREATED,
+        put(key, StoreRecordCodec.encodeDrain(reason, since)),
         "machine '" + machine + "' drains already");
   }
 
+  /**
+   * Ends a machine's drain; returns the revision of the change.
+   *
+   * @throws ConcurrentUpdateException if it does not drain, or its drain changed meanwhile
+   */
   public long undrain(String machine) throws IOException {
-    KeyValue old = read(keys.drain(machine));
-    if (old == null) {
+    String key = keys.drain(machine);
+    KeyValue drain = read(key);
+    if (drain == null) {
       throw new ConcurrentUpdateException("machine '" + machine + "' does not drain");
     }
-    return swap(
-        keys.drain(machine),
-        old.getModRevision(),
-        null,
+    return commit(
+        key,
+        drain.getModRevision(),
+        delete(key),
         "the drain of '" + machine + "' was changed meanwhile");
   }
 
-  public Map<String, String> terms() throws IOException {
-    Map<String, String> t = new LinkedHashMap<>();
-    for (KeyValue kv : all()) {
-      String key = kv.getKey().toStringUtf8();
-      if (keys.kind(key) == MachineListReplica.StoreRecord.Kind.TERM) {
-        t.put(keys.name(key) + " @" + kv.getModRevision(), kv.getValue().toStringUtf8());
+  /** All settings that the schedulers share, by name. */
+  public List<SharedSetting> sharedSettings() throws IOException {
+    List<SharedSetting> settings = new ArrayList<>();
+    for (KeyValue keyValue : readAll()) {
+      String key = keyValue.getKey().toStringUtf8();
+      if (keys.kind(key) == RecordKind.SHARED_SETTING) {
+        settings.add(
+            new SharedSetting(
+                keys.name(key), keyValue.getModRevision(), keyValue.getValue().toStringUtf8()));
+      }
+    }
+    return settings;
+  }
+
+  /**
+   * Writes a shared setting; returns the revision of the change.
+   *
+   * @param expectedRevision the setting's revision, 0 for a new one
+   * @throws ConcurrentUpdateException if it is not at that revision
+   */
+  public long putSharedSetting(String name, String text, long expectedRevision) throws IOException {
+    String key = keys.sharedSetting(name);
+    return commit(
+        key,
+        expectedRevision,
+        put(key, text),
+        "term '" + name + "' is not at revision " + expectedRevision);
+  }
+
+  private KeyValue read(String key) throws IOException {
+    RangeRequest request = RangeRequest.newBuilder().setKey(EtcdRequests.bytes(key)).build();
+    RangeResponse response = call(store -> store.range(request));
+    return response.getKvsCount() == 0 ? null : response.getKvs(0);
+  }
+
+  private List<KeyValue> readAll() throws IOException {
+    String prefix = keys.commonPrefix();
+    List<KeyValue> records = new ArrayList<>();
+    ByteString from = EtcdRequests.bytes(prefix);
+    long revision = LATEST_REVISION;
+    while (true) {
+      RangeRequest request = EtcdRequests.page(from, prefix, PAGE_SIZE, revision);
+      RangeResponse page = call(store -> store.range(request));
+      records.addAll(page.getKvsList());
+      if (!page.getMore()) {
+        return records;
       }
+      revision = revision == LATEST_REVISION ? page.getHeader().getRevision() : revision;
+      from = EtcdRequests.nextPage(page);
     }
-    return t;
   }
 
-  /** Writes a term if it still is at that revision (0: not there yet). */
-  public long putTerm(String name, String value, long revision) throws IOException {
-    return swap(
-        keys.term(name), revision, value, "term '" + name + "' is not at revision " + revision);
+  private static RequestOp put(String key, String value) {
+    return RequestOp.newBuilder()
+        .setRequestPut(
+            PutRequest.newBuilder()
+                .setKey(EtcdRequests.bytes(key))
+                .setValue(EtcdRequests.bytes(value)))
+        .build();
+  }
+
+  private static RequestOp delete(String key) {
+    return RequestOp.newBuilder()
+        .setRequestDeleteRange(DeleteRangeRequest.newBuilder().setKey(EtcdRequests.bytes(key)))
+        .build();
   }
 
-  private long swap(String key, long revision, String value, String otherwise) throws IOException {
-    RequestOp.Builder then = RequestOp.newBuilder();
-    if (value == null) {
-      then.setRequestDeleteRange(DeleteRangeRequest.newBuilder().setKey(bytes(key)));
-    } else {
-      then.setRequestPut(PutRequest.newBuilder().setKey(bytes(key)).setValue(bytes(value)));
+  /** Applies a change of a key if the key still is at the expected revision. */
+  private long commit(String key, long expectedRevision, RequestOp change, String conflict)
+      throws IOException {
+    ByteString keyBytes = EtcdRequests.bytes(key);
+    TxnRequest transaction =
+        TxnRequest.newBuilder()
+            .addCompare(
+                Compare.newBuilder()
+                    .setKey(keyBytes)
+                    .setTarget(Compare.CompareTarget.MOD)
+                    .setResult(Compare.CompareResult.EQUAL)
+                    .setModRevision(expectedRevision))
+            .addSuccess(change)
+            .addFailure(
+                RequestOp.newBuilder().setRequestRange(RangeRequest.newBuilder().setKey(keyBytes)))
+            .build();
+    TxnResponse response = call(store -> store.txn(transaction));
+    if (!response.getSucceeded()) {
+      RangeResponse current = response.getResponses(0).getResponseRange();
+      throw new ConcurrentUpdateException(conflict + " (it is at " + revisionOf(current) + ")");
     }
-    var r =
-        call(
-            kv ->
-                kv.txn(
-                    TxnRequest.newBuilder()
-                        .addCompare(
-                            Compare.newBuilder()
-                                .setKey(bytes(key))
-                                .setTarget(Compare.CompareTarget.MOD)
-                                .setResult(Compare.CompareResult.EQUAL)
-                                .setModRevision(revision))
-                        .addSuccess(then)
-                        .addFailure(
-                            RequestOp.newBuilder()
-                                .setRequestRange(RangeRequest.newBuilder().setKey(bytes(key))))
-                        .build()));
-    if (!r.getSucceeded()) {
-      var now = r.getResponses(0).getResponseRange();
-      throw new ConcurrentUpdateException(
-          otherwise
-              + " (it is at "
-              + (now.getKvsCount() == 0 ? "none" : "revision " + now.getKvs(0).getModRevision())
-              + ")");
+    return response.getHeader().getRevision();
+  }
+
+  private static String revisionOf(RangeResponse current) {
+    return current.getKvsCount() == 0 ? "none" : "revision " + current.getKvs(0).getModRevision();
+  }
+
+  /** Tries each endpoint in turn; the last one's error is reported with all their names. */
+  private <T> T call(Call<T> call) throws IOException {
+    StatusRuntimeException lastFailure = null;
+    for (String endpoint : endpoints) {
+      if (channel == null) {
+        channel = EtcdRequests.channelTo(endpoint).build();
+      }
+      try {
+        return call.on(
+            KVGrpc.newBlockingStub(channel)
+                .withDeadlineAfter(callTimeout.toMillis(), TimeUnit.MILLISECONDS));
+      } catch (StatusRuntimeException e) {
+        lastFailure = e;
+        close();
+        channel = null;
+      }
     }
-    return r.getHeader().getRevision();
+    String reason = lastFailure == null ? "no endpoint" : lastFailure.getStatus().toString();
+    throw new IOException("etcd at " + endpoints + ": " + reason);
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/fordridge/etcd/SchedulerRegistration.java
@@ -0,0 +1,139 @@
+package fordridge.etcd;
+
+import fordridge.etcd.api.KVGrpc;
+import fordridge.etcd.api.LeaseGrantRequest;
+import fordridge.etcd.api.LeaseGrpc;
+import fordridge.etcd.api.LeaseKeepAliveRequest;
+import fordridge.etcd.api.LeaseKeepAliveResponse;
+import fordridge.etcd.api.PutRequest;
+import io.grpc.ManagedChannel;
+import io.grpc.stub.StreamObserver;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Registers this scheduler under a lease, and keeps the lease alive while the connection lasts.
+ *
+ * <p>A lease that was lost, or could not be had, is granted anew at the next keepalive. Confined to
+ * the client's thread; one instance for each connection.
+ */
+final class SchedulerRegistration {
+  private static final Logger LOG = LoggerFactory.getLogger(SchedulerRegistration.class);
+  private static final String RECORD = "{\"v\":2}";
+  private static final int KEEPALIVES_PER_TTL = 3;
+
+  private final ManagedChannel channel;
+  private final ConnectionScheduler.Scope scope;
+  private final String key;
+  private final Duration leaseTtl;
+  private final Duration callTimeout;
+  private boolean isGranting;
+  private boolean hasLease;
+  private long leaseId;
+  private StreamObserver<LeaseKeepAliveRequest> keepAlives;
+
+  SchedulerRegistration(
+      ManagedChannel channel,
+      ConnectionScheduler.Scope scope,
+      String key,
+      Duration leaseTtl,
+      Duration callTimeout) {
+    this.channel = channel;
+    this.scope = scope;
+    this.key = key;
+    this.leaseTtl = leaseTtl;
+    this.callTimeout = callTimeout;
+  }
+
+  /** Registers the scheduler, and goes on until the scope ends. */
+  void start() {
+    grantLease();
+    scheduleKeepAlive();
+  }
+
+  /** Ends the keepalives; the registration expires with its lease. */
+  void stop() {
+    if (keepAlives != null) {
+      keepAlives.onCompleted();
+      keepAlives = null;
+    }
+  }
+
+  private void grantLease() {
+    if (isGranting) {
+      return;
+    }
+    isGranting = true;
+    long ttlSeconds = Math.max(1, leaseTtl.toSeconds());
+    LeaseGrpc.newStub(channel)
+        .withDeadlineAfter(callTimeout.toMillis(), TimeUnit.MILLISECONDS)
+        .leaseGrant(
+            LeaseGrantRequest.newBuilder().setTTL(ttlSeconds).build(),
+            new ScopedObserver<>(
+                scope, lease -> leaseGranted(lease.getID()), status -> isGranting = false));
+  }
+
+  private void leaseGranted(long id) {
+    leaseId = id;
+    hasLease = true;
+    PutRequest put =
+        PutRequest.newBuilder()
+            .setKey(EtcdRequests.bytes(key))
+            .setValue(EtcdRequests.bytes(RECORD))
+            .setLease(id)
+            .build();
+    KVGrpc.newStub(channel)
+        .withDeadlineAfter(callTimeout.toMillis(), TimeUnit.MILLISECONDS)
+        .put(
+            put,
+            new ScopedObserver<>(
+                scope, response -> isGranting = false, status -> isGranting = false));
+  }
+
+  private void scheduleKeepAlive() {
+    scope.schedule(this::keepAlive, leaseTtl.dividedBy(KEEPALIVES_PER_TTL));
+  }
+
+  private void keepAlive() {
+    if (hasLease) {
+      if (keepAlives == null) {
+        keepAlives = LeaseGrpc.newStub(channel).leaseKeepAlive(new KeepAliveObserver());
+      }
+      keepAlives.onNext(LeaseKeepAliveRequest.newBuilder().setID(leaseId).build());
+    } else {
+      grantLease();
+    }
+    scheduleKeepAlive();
+  }
+
+  private final class KeepAliveObserver implements StreamObserver<LeaseKeepAliveResponse> {
+    @Override
+    public void onNext(LeaseKeepAliveResponse response) {
+      scope.execute(
+          () -> {
+            boolean isExpired = response.getTTL() <= 0;
+            if (isExpired && response.getID() == leaseId) {
+              leaseLost();
+            }
+          });
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+      scope.execute(() -> keepAlives = null);
+    }
+
+    @Override
+    public void onCompleted() {
+      scope.execute(() -> keepAlives = null);
+    }
+  }
+
+  private void leaseLost() {
+    LOG.warn("etcd: the lease expired while this scheduler runs; registering anew");
+    hasLease = false;
+    grantLease();
+  }
+}
--- a/src/main/java/fordridge/etcd/StoreRecordCodec.java
+++ b/src/main/java/fordridge/etcd/StoreRecordCodec.java
@@ -1,194 +1,130 @@
 package fordridge.etcd;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
 import com.google.protobuf.ByteString;
 import fordridge.etcd.api.KeyValue;
-import fordridge.membership.MachineListReplica;
-import fordridge.membership.MachineListReplica.StoreRecord;
+import fordridge.membership.MachineRecord;
+import fordridge.membership.RecordKind;
 import fordridge.membership.StoreKeys;
+import fordridge.membership.StoreRecord;
+import fordridge.settings.HostAndPort;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
-import java.util.LinkedHashMap;
-import java.util.Map;
 
 /**
- * Our records in the store, as JSON with a schema number v. Reads 1 (machines without zone and
- * cell) and 2; writes 2. Fields that it does not know are kept where a record is written again.
+ * The records of the store: JSON with a schema version {@code v}.
+ *
+ * <p>Reads version 1 (machines without zone and cell) and 2; writes 2. Fields that it does not know
+ * are ignored.
  */
-public final class StoreRecordCodec {
-  public static final int CURRENT = 2;
-  private static final int MOST_BYTES = 64 << 10;
-  private static final JsonFactory FACTORY = new JsonFactory();
+final class StoreRecordCodec {
+  private static final int SCHEMA_VERSION = 2;
+  private static final int FIRST_VERSION_WITH_ZONES = 2;
+  private static final int MAX_VALUE_BYTES = 64 << 10;
 
   private StoreRecordCodec() {}
 
-  /** Reads a key as far as it can be read; what it cannot is a complaint, never an exception. */
-  public static StoreRecord item(KeyValue kv, StoreKeys at) {
-    String key = kv.getKey().toStringUtf8();
-    StoreRecord.Kind kind = at.kind(key);
-    MachineListReplica.Machine machine = null;
-    MachineListReplica.Drain drain = null;
-    String text = null;
-    String complaint = null;
-    try {
-      if (!kv.getKey().isValidUtf8()) {
-        throw new IllegalArgumentException("the key is not UTF-8");
-      }
-      if (kv.getValue().size() > MOST_BYTES) {
-        throw new IllegalArgumentException(kv.getValue().size() + " bytes, at most " + MOST_BYTES);
-      }
-      text = utf8(kv.getValue());
-      if (kind == StoreRecord.Kind.MACHINE) {
-        machine = machine(fields(text));
-      } else if (kind == StoreRecord.Kind.DRAIN) {
-        drain =
-            new MachineListReplica.Drain(String.valueOf(fields(text).getOrDefault("reason", "")));
-      }
-    } catch (IllegalArgumentException e) {
-      complaint = e.getMessage();
-    }
+  /** Decodes a record as far as it can be; what cannot is {@link StoreRecord.Unreadable}. */
+  static StoreRecord decode(KeyValue keyValue, StoreKeys keys) {
+    String key = keyValue.getKey().toStringUtf8();
+    RecordKind kind = keys.kind(key);
     return new StoreRecord(
         key,
         kind,
-        at.name(key),
-        kv.getModRevision(),
-        kv.getCreateRevision(),
-        machine,
-        drain,
-        text == null ? "" : text,
-        complaint);
+        keys.name(key),
+        keyValue.getModRevision(),
+        keyValue.getCreateRevision(),
+        decodeValue(keyValue, kind));
   }
 
-  private static String utf8(ByteString bytes) {
+  private static StoreRecord.Value decodeValue(KeyValue keyValue, RecordKind kind) {
+    try {
+      if (!keyValue.getKey().isValidUtf8()) {
+        throw new RecordFormatException("the key is not UTF-8");
+      }
+      String text = decodeText(keyValue.getValue());
+      return switch (kind) {
+        case MACHINE -> machine(StoredJson.parse(text));
+        case DRAIN -> new StoreRecord.Drain(StoredJson.parse(text).describe("reason"));
+        case SHARED_SETTING, SCHEDULER, OTHER -> new StoreRecord.Text(text);
+      };
+    } catch (RecordFormatException e) {
+      return new StoreRecord.Unreadable(e.getMessage());
+    }
+  }
+
+  private static String decodeText(ByteString bytes) throws RecordFormatException {
+    if (bytes.size() > MAX_VALUE_BYTES) {
+      throw new RecordFormatException(bytes.size() + " bytes, at most " + MAX_VALUE_BYTES);
+    }
     try {
       return StandardCharsets.UTF_8
           .newDecoder()
           .decode(ByteBuffer.wrap(bytes.toByteArray()))
           .toString();
     } catch (CharacterCodingException e) {
-      throw new IllegalArgumentException("the value is not UTF-8");
-    }
-  }
-
-  /** Flat fields of a record: texts, numbers, booleans; nested ones are refused. */
-  public static Map<String, Object> fields(String text) {
-    Map<String, Object> m = new LinkedHashMap<>();
-    try (JsonParser p = FACTORY.createParser(text)) {
-      if (p.nextToken() != JsonToken.START_OBJECT) {
-        throw new IllegalArgumentException("not a JSON object");
-      }
-      while (p.nextToken() == JsonToken.FIELD_NAME) {
-        String name = p.currentName();
-        JsonToken v = p.nextToken();
-        if (v.isStructStart()) {
-          throw new IllegalArgumentException("field '" + name + "' is nested");
-        }
-        m.put(
-            name,
-            v == JsonToken.VALUE_NUMBER_INT
-                ? (Object) p.getLongValue()
-                : v == JsonToken.VALUE_NUMBER_FLOAT
-                    ? (Object) p.getDoubleValue()
-                    : v.isBoolean() ? (Object) p.getBooleanValue() : p.getText());
-      }
-    } catch (JsonProcessingException e) {
-      throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage());
-    } catch (IOException e) {
-      throw new IllegalArgumentException("not JSON: " + e.getMessage());
+      throw new RecordFormatException("the value is not UTF-8", e);
     }
-    return m;
   }
 
-  private static MachineListReplica.Machine machine(Map<String, Object> f) {
-    long v = whole(f, "v", 1);
-    if (v > CURRENT) {
-      throw new IllegalArgumentException("schema " + v + ", this placer reads up to " + CURRENT);
+  private static MachineRecord machine(StoredJson json) throws RecordFormatException {
+    long version = json.wholeNumber("v", 1);
+    if (version > SCHEMA_VERSION) {
+      throw new RecordFormatException(
+          "schema " + version + ", this scheduler reads up to " + SCHEMA_VERSION);
     }
-    String address = text(f, "address", null);
-    if (!address.matches("[^:]+:[0-9]{1,5}")) {
-      throw new IllegalArgumentException("field 'address' is '" + address + "', not host:port");
-    }
-    double cores = number(f, "cores", 0);
-    double memory = number(f, "memory", 0);
-    return new MachineListReplica.Machine(
+    boolean hasZone = version >= FIRST_VERSION_WITH_ZONES;
+    String address = address(json);
+    double cores = json.number("cores", 0);
+    double memory = json.number("memory", 0);
+    return new MachineRecord(
         address,
-        text(f, "kind", null),
-        v < 2 ? "" : text(f, "zone", ""),
-        v < 2 ? 0 : (int) whole(f, "cell", 0),
+        json.requiredString("kind"),
+        hasZone ? json.string("zone", "") : "",
+        hasZone ? (int) json.wholeNumber("cell", 0) : 0,
         cores,
         memory,
-        number(f, "free_cores", cores),
-        number(f, "free_memory", memory),
-        whole(f, "incarnation", 0),
-        started(text(f, "started", "")));
+        json.number("free_cores", cores),
+        json.number("free_memory", memory),
+        json.wholeNumber("incarnation", 0),
+        startedAtEpochMillis(json));
   }
 
-  private static long started(String s) {
-    try {
-      return s.isEmpty() ? 0 : Instant.parse(s).toEpochMilli();
-    } catch (DateTimeParseException e) {
-      throw new IllegalArgumentException("field 'started' is '" + s + "', not an instant");
+  private static String address(StoredJson json) throws RecordFormatException {
+    String address = json.requiredString("address");
+    if (!HostAndPort.isValid(address)) {
+      throw new RecordFormatException("field 'address' is '" + address + "', not host:port");
     }
+    return address;
   }
 
-  private static String text(Map<String, Object> f, String name, String absent) {
-    Object v = f.get(name);
-    if (v == null && absent == null) {
-      throw new IllegalArgumentException("field '" + name + "' is missing");
-    }
-    if (v != null && !(v instanceof String)) {
-      throw new IllegalArgumentException("field '" + name + "' is not a text");
-    }
-    return v == null ? absent : (String) v;
-  }
-
-  private static double number(Map<String, Object> f, String name, double absent) {
-    Object v = f.get(name);
-    if (v != null && !(v instanceof Number)) {
-      throw new IllegalArgumentException("field '" + name + "' is not a number");
-    }
-    return v == null ? absent : ((Number) v).doubleValue();
-  }
-
-  private static long whole(Map<String, Object> f, String name, long absent) {
-    Object v = f.get(name);
-    if (v != null && !(v instanceof Long)) {
-      throw new IllegalArgumentException("field '" + name + "' is not a whole number");
+  private static long startedAtEpochMillis(StoredJson json) throws RecordFormatException {
+    String started = json.string("started", "");
+    try {
+      return started.isEmpty() ? 0 : Instant.parse(started).toEpochMilli();
+    } catch (DateTimeParseException e) {
+      throw new RecordFormatException("field 'started' is '" + started + "', not an instant", e);
     }
-    return v == null ? absent : (Long) v;
   }
 
-  /** A record as it is written. */
-  public static String write(Map<String, Object> fields) {
-    StringWriter out = new StringWriter();
-    try (JsonGenerator g = FACTORY.createGenerator(out)) {
-      g.writeStartObject();
-      for (Map.Entry<String, Object> e : fields.entrySet()) {
-        g.writeFieldName(e.getKey());
-        Object v = e.getValue();
-        if (v instanceof Long || v instanceof Integer) {
-          g.writeNumber(((Number) v).longValue());
-        } else if (v instanceof Number n) {
-          g.writeNumber(n.doubleValue());
-        } else if (v instanceof Boolean b) {
-          g.writeBoolean(b);
-        } else {
-          g.writeString(String.valueOf(v));
-        }
-      }
-      g.writeEndObject();
+  /** A drain's record. */
+  static String encodeDrain(String reason, Instant since) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = StoredJson.FACTORY.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeNumberField("v", SCHEMA_VERSION);
+      json.writeStringField("reason", reason);
+      json.writeStringField("since", since.toString());
+      json.writeEndObject();
     } catch (IOException e) {
-      throw new IllegalStateException(e);
+      throw new UncheckedIOException(e);
     }
-    return out.toString();
+    return text.toString();
   }
 }
--- a/src/main/java/fordridge/membership/MachineListReplica.java
+++ b/src/main/java/fordridge/membership/MachineListReplica.java
@@ -14,354 +14,350 @@
 import java.util.TreeMap;
 
 /**
- * What the store of machines is believed to hold, from snapshots and events that may come twice,
- * late, in part or not at all. Free of I/O, threads and clocks; times are spans since the start.
+ * A local replica of the store's records, built from snapshots and watch events that may be
+ * repeated, late, partial or missing.
  *
- * <p>Each key's last revision is kept, also of deleted ones, and a lower or equal one is never
- * applied; so an old word cannot undo a newer one, whatever the order. A snapshot is compared with
- * what is believed: what it does not name was deleted meanwhile, and what was made anew since is
- * another machine under an old name. What was told to drain stays so until the store says
+ * <p>The last revision of every key is kept, also of deleted ones, and an event at or below it is
+ * ignored: an old event cannot undo a newer one, whatever the order. A snapshot is compared with
+ * the replica: keys that it does not contain were deleted meanwhile, and a key that was created
+ * anew since belongs to another machine. A machine that drains does so until the store says
  * otherwise.
+ *
+ * <p>Free of I/O, threads and clocks; confined to one thread; times are durations since the start.
+ *
+ * <table>
+ *   <caption>Transitions of {@link SyncState}</caption>
+ *   <tr><th>from</th><th>input</th><th>to</th></tr>
+ *   <tr><td>any</td><td>{@link #snapshotStarted}</td><td>LOADING_SNAPSHOT</td></tr>
+ *   <tr><td>LOADING_SNAPSHOT</td><td>{@link #snapshotCompleted}</td><td>IN_SYNC</td></tr>
+ *   <tr><td>LOADING_SNAPSHOT, IN_SYNC</td><td>{@link #connectionLost}</td><td>STALE</td></tr>
+ *   <tr><td>IN_SYNC</td><td>{@link #checkSilence}, too long after the last input</td>
+ *   <td>STALE</td></tr>
+ *   <tr><td>STALE</td><td>{@link #progressConfirmed}</td><td>IN_SYNC</td></tr>
+ * </table>
  */
 public final class MachineListReplica {
-  /** A machine's record as its owner wrote it. */
-  public record Machine(
-      String address,
-      String kind,
-      String zone,
-      int cell,
-      double cores,
-      double memory,
-      double freeCores,
-      double freeMemory,
-      long incarnation,
-      long startedAtMillis) {}
-
-  /** Why a machine takes nothing new. */
-  public record Drain(String reason) {}
-
-  /** One key of the store, read as far as it can be. Exactly one of the values, or a complaint. */
-  public record StoreRecord(
-      String key,
-      Kind kind,
-      String name,
-      long modRevision,
-      long createRevision,
-      Machine machine,
-      Drain drain,
-      String text,
-      String complaint) {
-    public enum Kind {
-      MACHINE,
-      DRAIN,
-      TERM,
-      PLACER,
-      OTHER
-    }
-  }
-
-  /** A change of what is believed, for the placer. */
-  public record MachineUpdate(String name, Lifecycle lifecycle, Machine machine, boolean anew) {}
-
-  /** How far the belief can be relied on. */
+  /** How far the replica can be relied on. */
   public enum SyncState {
-    NONE,
-    SNAPSHOT_COMING,
-    FOLLOWING,
-    OLD
+    /** Nothing is known yet. */
+    EMPTY,
+    /** A snapshot is being loaded. */
+    LOADING_SNAPSHOT,
+    /** The watch delivers all changes. */
+    IN_SYNC,
+    /** Changes may be missing. */
+    STALE
   }
 
-  private static final class TrackedMachine {
+  private static final String UNREADABLE_DRAIN = "unreadable";
+
+  /** What is known of one key. */
+  private static final class TrackedKey {
     long modRevision;
     long createRevision;
-    Machine machine;
-    Drain drain;
-    String text;
-    boolean there;
+    boolean isPresent;
+    MachineRecord machine;
+    StoreRecord.Drain drain;
   }
 
-  private final Duration silence;
-  private final Map<String, TrackedMachine> keys = new HashMap<>();
+  private final StoreKeys keys;
+  private final Duration silenceTimeout;
+  private final Map<String, TrackedKey> trackedKeys = new HashMap<>();
 
-  /** Names of machines to the revision at which the record of that name was last made. */
-  private final Map<String, Long> made = new HashMap<>();
+  /** The create revision of each machine's record, by the machine's name. */
+  private final Map<String, Long> machineCreateRevisions = new HashMap<>();
 
-  private final Map<String, MachineUpdate> told = new LinkedHashMap<>();
-  private final Set<String> touched = new LinkedHashSet<>();
-  private final TreeMap<String, String> terms = new TreeMap<>();
-  private final Set<String> placers = new HashSet<>();
-  private final List<String> complaints = new ArrayList<>();
-  private SyncState footing = SyncState.NONE;
+  /** The same, as of the machine's last published update. */
+  private final Map<String, Long> publishedCreateRevisions = new HashMap<>();
+
+  private final Map<String, MachineUpdate> published = new LinkedHashMap<>();
+  private final Set<String> changedMachines = new LinkedHashSet<>();
+  private final Map<String, String> sharedSettings = new TreeMap<>();
+  private final Set<String> schedulers = new HashSet<>();
+  private final List<String> warnings = new ArrayList<>();
+  private SyncState syncState = SyncState.EMPTY;
   private long clusterId;
   private long revision;
   private long snapshotRevision;
-  private Set<String> snapshotNamed;
-  private Duration heardAt = Duration.ZERO;
-  private boolean termsChanged;
-  private boolean placersChanged;
+  private Set<String> snapshotKeys;
+  private Duration lastHeardAt = Duration.ZERO;
+  private boolean haveSharedSettingsChanged;
 
-  public MachineListReplica(Duration silence) {
-    this.silence = silence;
+  /**
+   * An empty replica.
+   *
+   * @param keys the layout of the store's keys
+   * @param silenceTimeout after this long without input the replica counts as stale
+   */
+  public MachineListReplica(StoreKeys keys, Duration silenceTimeout) {
+    this.keys = keys;
+    this.silenceTimeout = silenceTimeout;
   }
 
-  public SyncState footing() {
-    return footing;
+  /**
+   * A snapshot at one revision starts.
+   *
+   * <p>A cluster of another id, or a revision below the known one, is a store restored from an
+   * older state: it is reported, and the replica follows the new one, whatever its revisions.
+   */
+  public void snapshotStarted(long newClusterId, long atRevision, Duration now) {
+    boolean isOtherCluster = newClusterId != clusterId;
+    if (clusterId != 0 && (isOtherCluster || atRevision < revision)) {
+      warnings.add(
+          isOtherCluster ? otherClusterWarning(newClusterId) : restoredStoreWarning(atRevision));
+      forgetRevisions();
+    }
+    clusterId = newClusterId;
+    snapshotRevision = atRevision;
+    snapshotKeys = new HashSet<>();
+    lastHeardAt = now;
+    syncState = SyncState.LOADING_SNAPSHOT;
   }
 
-  /** All up to this revision is known; a watch resumes at the next. */
-  public long revision() {
-    return revision;
+  private String otherClusterWarning(long newClusterId) {
+    return "the store is another cluster than before ("
+        + Long.toHexString(newClusterId)
+        + " in place of "
+        + Long.toHexString(clusterId)
+        + "): all is taken anew";
   }
 
-  public long clusterId() {
-    return clusterId;
+  private String restoredStoreWarning(long atRevision) {
+    return "the store went back from revision "
+        + revision
+        + " to "
+        + atRevision
+        + ", as after a restore: all is taken anew";
   }
 
-  // ---- Snapshots
-  // -------------------------------------------------------------------------------------
-
-  /**
-   * A snapshot at one revision begins. A cluster of another id, or a revision below what was known,
-   * is a store restored from an older state: it is said, and the new one holds from here on, lower
-   * revisions and all.
-   */
-  public void snapshotBegins(long cluster, long atRevision, Duration now) {
-    if (clusterId != 0 && (cluster != clusterId || atRevision < revision)) {
-      complaints.add(
-          cluster != clusterId
-              ? "the store is another cluster than before ("
-                  + Long.toHexString(cluster)
-                  + " in place of "
-                  + Long.toHexString(clusterId)
-                  + "): all is taken anew"
-              : "the store went back from revision "
-                  + revision
-                  + " to "
-                  + atRevision
-                  + ", as after a restore: all is taken anew");
-      keys.values()
-          .forEach(
-              k -> {
-                k.modRevision = 0;
-                // Whether it is the same machine cannot be told by revisions of another history.
-                k.createRevision = 0;
-              });
+  /** Revisions of another history do not tell whether a record is newer or of the same machine. */
+  private void forgetRevisions() {
+    for (TrackedKey tracked : trackedKeys.values()) {
+      tracked.modRevision = 0;
+      tracked.createRevision = 0;
     }
-    clusterId = cluster;
-    snapshotRevision = atRevision;
-    snapshotNamed = new HashSet<>();
-    heardAt = now;
-    footing = SyncState.SNAPSHOT_COMING;
   }
 
-  /** A page; pages of another revision than the snapshot's are the caller's fault. */
-  public void snapshotPage(List<StoreRecord> items, Duration now) {
-    heardAt = now;
-    for (StoreRecord i : items) {
-      snapshotNamed.add(i.key());
-      put(i);
+  /** A page of the snapshot, read at the snapshot's revision. */
+  public void snapshotPageReceived(List<StoreRecord> records, Duration now) {
+    lastHeardAt = now;
+    for (StoreRecord record : records) {
+      snapshotKeys.add(record.key());
+      put(record);
     }
   }
 
-  /** What it did not name and was last heard of before it is gone. */
-  public void snapshotEnds(Duration now) {
-    for (Map.Entry<String, TrackedMachine> e : keys.entrySet()) {
-      TrackedMachine k = e.getValue();
-      if (k.there && !snapshotNamed.contains(e.getKey()) && k.modRevision <= snapshotRevision) {
-        delete(e.getKey(), snapshotRevision);
+  /** The snapshot is complete: known keys that it does not contain were deleted. */
+  public void snapshotCompleted(Duration now) {
+    for (Map.Entry<String, TrackedKey> entry : trackedKeys.entrySet()) {
+      TrackedKey tracked = entry.getValue();
+      if (tracked.isPresent
+          && !snapshotKeys.contains(entry.getKey())
+          && tracked.modRevision <= snapshotRevision) {
+        delete(entry.getKey(), snapshotRevision);
       }
     }
-    snapshotNamed = null;
+    snapshotKeys = null;
     revision = snapshotRevision;
-    heardAt = now;
-    footing = SyncState.FOLLOWING;
+    lastHeardAt = now;
+    syncState = SyncState.IN_SYNC;
   }
 
-  // ---- Events
-  // ----------------------------------------------------------------------------------------
+  /** The watch delivered a new or changed record. */
+  public void recordPut(StoreRecord record, Duration now) {
+    lastHeardAt = now;
+    put(record);
+    revision = Math.max(revision, record.modRevision());
+  }
 
-  /** One event of the watch; {@code deleted} names no value. */
-  public void event(StoreRecord item, boolean deleted, Duration now) {
-    heardAt = now;
-    if (deleted) {
-      delete(item.key(), item.modRevision());
-    } else {
-      put(item);
-    }
-    revision = Math.max(revision, item.modRevision());
+  /** The watch delivered the deletion of a key. */
+  public void recordDeleted(String key, long atRevision, Duration now) {
+    lastHeardAt = now;
+    delete(key, atRevision);
+    revision = Math.max(revision, atRevision);
   }
 
-  /** The stream proved that it is alive and that all up to this revision was sent. */
-  public void progress(long upTo, Duration now) {
-    heardAt = now;
-    revision = Math.max(revision, upTo);
-    if (footing == SyncState.OLD) {
-      footing = SyncState.FOLLOWING;
+  /** The watch is alive and has delivered all changes up to this revision. */
+  public void progressConfirmed(long upToRevision, Duration now) {
+    lastHeardAt = now;
+    revision = Math.max(revision, upToRevision);
+    if (syncState == SyncState.STALE) {
+      syncState = SyncState.IN_SYNC;
     }
   }
 
-  /** The stream broke or was refused: what is believed may be old from here on. */
-  public void cutOff() {
-    if (footing == SyncState.FOLLOWING || footing == SyncState.SNAPSHOT_COMING) {
-      footing = SyncState.OLD;
-      snapshotNamed = null;
+  /** The watch broke or was rejected: changes may be missing from here on. */
+  public void connectionLost() {
+    if (syncState == SyncState.IN_SYNC || syncState == SyncState.LOADING_SNAPSHOT) {
+      syncState = SyncState.STALE;
+      snapshotKeys = null;
     }
   }
 
-  /** Whether nothing was heard for longer than the bound; the belief then counts as old. */
-  public boolean silent(Duration now) {
-    if (footing == SyncState.FOLLOWING && now.minus(heardAt).compareTo(silence) >= 0) {
-      footing = SyncState.OLD;
+  /** Whether the replica has just become stale because nothing came for too long. */
+  public boolean checkSilence(Duration now) {
+    boolean isSilent = now.minus(lastHeardAt).compareTo(silenceTimeout) >= 0;
+    if (syncState == SyncState.IN_SYNC && isSilent) {
+      syncState = SyncState.STALE;
       return true;
     }
     return false;
   }
 
-  public Duration heardAt() {
-    return heardAt;
-  }
-
-  // ---- Keys
-  // ------------------------------------------------------------------------------------------
-
-  private void put(StoreRecord i) {
-    TrackedMachine k = keys.computeIfAbsent(i.key(), x -> new TrackedMachine());
-    if (i.modRevision() <= k.modRevision) {
+  private void put(StoreRecord record) {
+    TrackedKey tracked = trackedKeys.computeIfAbsent(record.key(), key -> new TrackedKey());
+    if (record.modRevision() <= tracked.modRevision) {
       return;
     }
-    k.modRevision = i.modRevision();
-    if (i.complaint() != null) {
-      // The last good record stands; that the key is there is known all the same.
-      complaints.add(i.key() + " at revision " + i.modRevision() + ": " + i.complaint());
-      k.there = k.there || k.machine != null || k.drain != null;
-      if (i.kind() == StoreRecord.Kind.DRAIN && !k.there) {
-        // A drain that cannot be read is a drain: the careful reading.
-        k.there = true;
-        k.drain = new Drain("unreadable");
-        touched.add(i.name());
-      }
+    tracked.modRevision = record.modRevision();
+    if (record.value() instanceof StoreRecord.Unreadable unreadable) {
+      putUnreadable(record, tracked, unreadable.reason());
       return;
     }
-    boolean sameLife = k.there && k.createRevision == i.createRevision();
-    k.there = true;
-    switch (i.kind()) {
-      case MACHINE -> {
-        if (!sameLife) {
-          made.put(i.name(), i.createRevision());
-        }
-        k.machine = i.machine();
-        touched.add(i.name());
-      }
-      case DRAIN -> {
-        k.drain = i.drain();
-        touched.add(i.name());
-      }
-      case TERM -> {
-        termsChanged |= !i.text().equals(terms.put(i.name(), i.text()));
-        k.text = i.text();
-      }
-      case PLACER -> placersChanged |= placers.add(i.name());
-      default -> k.text = i.text();
+    boolean isSameKey = tracked.isPresent && tracked.createRevision == record.createRevision();
+    tracked.isPresent = true;
+    tracked.createRevision = record.createRevision();
+    if (record.value() instanceof MachineRecord machine) {
+      putMachine(record, tracked, machine, isSameKey);
+    } else if (record.value() instanceof StoreRecord.Drain drain) {
+      tracked.drain = drain;
+      changedMachines.add(record.name());
+    } else if (record.value() instanceof StoreRecord.Text text) {
+      putText(record, text.text());
+    }
+  }
+
+  /** The last good record stays; a drain that cannot be read is a drain. */
+  private void putUnreadable(StoreRecord record, TrackedKey tracked, String reason) {
+    warnings.add(record.key() + " at revision " + record.modRevision() + ": " + reason);
+    if (record.kind() == RecordKind.DRAIN && !tracked.isPresent) {
+      tracked.isPresent = true;
+      tracked.drain = new StoreRecord.Drain(UNREADABLE_DRAIN);
+      changedMachines.add(record.name());
+    }
+  }
+
+  private void putMachine(
+      StoreRecord record, TrackedKey tracked, MachineRecord machine, boolean isSameKey) {
+    if (!isSameKey) {
+      machineCreateRevisions.put(record.name(), record.createRevision());
+    }
+    tracked.machine = machine;
+    changedMachines.add(record.name());
+  }
+
+  private void putText(StoreRecord record, String text) {
+    if (record.kind() == RecordKind.SHARED_SETTING) {
+      haveSharedSettingsChanged |= !text.equals(sharedSettings.put(record.name(), text));
+    } else if (record.kind() == RecordKind.SCHEDULER) {
+      schedulers.add(record.name());
     }
-    k.createRevision = i.createRevision();
   }
 
   private void delete(String key, long atRevision) {
-    TrackedMachine k = keys.computeIfAbsent(key, x -> new TrackedMachine());
-    if (atRevision < k.modRevision || atRevision == k.modRevision && !k.there) {
+    TrackedKey tracked = trackedKeys.computeIfAbsent(key, newKey -> new TrackedKey());
+    if (atRevision < tracked.modRevision
+        || atRevision == tracked.modRevision && !tracked.isPresent) {
       return;
     }
-    k.modRevision = atRevision;
-    k.there = false;
-    String name = key.substring(key.lastIndexOf('/') + 1);
-    if (k.machine != null || k.drain != null) {
-      touched.add(name);
+    tracked.modRevision = atRevision;
+    tracked.isPresent = false;
+    String name = keys.name(key);
+    if (tracked.machine != null || tracked.drain != null) {
+      changedMachines.add(name);
     }
-    k.machine = null;
-    k.drain = null;
-    k.text = null;
-    if (key.contains(StoreKeys.TERMS)) {
-      termsChanged |= terms.remove(name) != null;
-    } else if (key.contains(StoreKeys.PLACERS)) {
-      placersChanged |= placers.remove(name);
+    tracked.machine = null;
+    tracked.drain = null;
+    switch (keys.kind(key)) {
+      case SHARED_SETTING -> haveSharedSettingsChanged |= sharedSettings.remove(name) != null;
+      case SCHEDULER -> schedulers.remove(name);
+      default -> {}
     }
   }
 
-  // ---- What follows
-  // ----------------------------------------------------------------------------------
-
-  /** Lines that changed since they were last taken; a machine's drain and record count together. */
-  public List<MachineUpdate> takeChanges(StoreKeys at) {
-    List<MachineUpdate> some = new ArrayList<>();
-    for (String name : touched) {
-      MachineUpdate before = told.get(name);
-      MachineUpdate now = line(name, at, before);
-      if (now != null && !now.equals(before)) {
-        some.add(now);
-        told.put(name, new MachineUpdate(now.name, now.lifecycle, now.machine, false));
+  /** Machines that changed since the last call; record and drain of a machine count together. */
+  public List<MachineUpdate> takeUpdates() {
+    List<MachineUpdate> updates = new ArrayList<>();
+    for (String name : changedMachines) {
+      MachineUpdate before = published.get(name);
+      MachineUpdate update = update(name, before);
+      if (update != null && !update.equals(before)) {
+        updates.add(update);
+        published.put(name, new MachineUpdate(name, update.lifecycle(), update.machine(), false));
       }
     }
-    touched.clear();
-    return some;
+    changedMachines.clear();
+    return updates;
+  }
+
+  private MachineUpdate update(String name, MachineUpdate before) {
+    TrackedKey machine = trackedKeys.get(keys.machine(name));
+    if (machine == null || !machine.isPresent || machine.machine == null) {
+      return before == null
+          ? null
+          : new MachineUpdate(name, Lifecycle.GONE, before.machine(), false);
+    }
+    TrackedKey drain = trackedKeys.get(keys.drain(name));
+    boolean isDraining = drain != null && drain.isPresent;
+    boolean isNewMachine = before != null && isNewMachine(name, before, machine.machine);
+    publishedCreateRevisions.putIfAbsent(name, machineCreateRevisions.get(name));
+    Lifecycle lifecycle = isDraining ? Lifecycle.DRAINING : Lifecycle.LIVE;
+    return new MachineUpdate(name, lifecycle, machine.machine, isNewMachine);
   }
 
-  private MachineUpdate line(String name, StoreKeys at, MachineUpdate before) {
-    TrackedMachine m = keys.get(at.machine(name));
-    TrackedMachine d = keys.get(at.drain(name));
-    if (m == null || !m.there || m.machine == null) {
-      return before == null ? null : new MachineUpdate(name, Lifecycle.GONE, before.machine, false);
+  private boolean isNewMachine(String name, MachineUpdate before, MachineRecord machine) {
+    if (before.lifecycle() == Lifecycle.GONE
+        || before.machine().incarnation() != machine.incarnation()) {
+      return true;
     }
-    boolean drained = d != null && d.there;
-    boolean anew =
-        before != null
-            && (before.lifecycle == Lifecycle.GONE
-                || before.machine == null
-                || before.machine.incarnation() != m.machine.incarnation()
-                || !Objects.equals(madeAt.put(name, made.get(name)), made.get(name)));
-    madeAt.putIfAbsent(name, made.get(name));
-    return new MachineUpdate(name, drained ? Lifecycle.DRAINING : Lifecycle.LIVE, m.machine, anew);
+    Long createRevision = machineCreateRevisions.get(name);
+    return !Objects.equals(publishedCreateRevisions.put(name, createRevision), createRevision);
   }
 
-  private final Map<String, Long> madeAt = new HashMap<>();
+  /** The last update of every machine that was ever known. */
+  public List<MachineUpdate> publishedUpdates() {
+    return List.copyOf(published.values());
+  }
 
-  /** Everything that is believed, as a whole list. */
-  public List<MachineUpdate> all() {
-    return List.copyOf(told.values());
+  /** The shared settings by name. */
+  public Map<String, String> sharedSettings() {
+    return Map.copyOf(sharedSettings);
   }
 
-  public Map<String, String> terms() {
-    return terms;
+  /** Whether a shared setting changed since the last call. */
+  public boolean takeSharedSettingsChanged() {
+    boolean haveChanged = haveSharedSettingsChanged;
+    haveSharedSettingsChanged = false;
+    return haveChanged;
   }
 
-  public boolean takeTermsChanged() {
-    boolean was = termsChanged;
-    termsChanged = false;
-    return was;
+  /** Schedulers that are registered. */
+  public int registeredSchedulers() {
+    return schedulers.size();
   }
 
-  public int placers() {
-    return placers.size();
+  /** Warnings for operators since the last call. */
+  public List<String> takeWarnings() {
+    List<String> taken = List.copyOf(warnings);
+    warnings.clear();
+    return taken;
   }
 
-  public boolean takePlacersChanged() {
-    boolean was = placersChanged;
-    placersChanged = false;
-    return was;
+  public SyncState syncState() {
+    return syncState;
   }
 
-  public List<String> takeComplaints() {
-    List<String> some = List.copyOf(complaints);
-    complaints.clear();
-    return some;
+  /** All changes up to this revision are known; a watch resumes at the next. */
+  public long revision() {
+    return revision;
   }
 
-  /** Keys that are remembered, the deleted among them. */
-  public int remembered() {
-    return keys.size();
+  public long clusterId() {
+    return clusterId;
   }
 
-  /** Lets go of keys deleted at or before a revision that no late event can reach any more. */
-  public void forget(long upTo) {
-    keys.values().removeIf(k -> !k.there && k.modRevision <= upTo);
+  /** When the last input came. */
+  public Duration lastHeardAt() {
+    return lastHeardAt;
   }
 }
--- a/src/main/java/fordridge/membership/SchedulerCount.java
+++ b/src/main/java/fordridge/membership/SchedulerCount.java
@@ -3,49 +3,61 @@
 import java.time.Duration;
 
 /**
- * How many placers share a cold machine's budget, from how many are registered. More placers count
- * at once: each may already be sending. Fewer count only when they have been fewer for longer than
- * a lease and its keeper's errors can last, so that a placer whose registration expired while it
- * still runs does not find its share given away.
+ * The number of schedulers that share the start rate of a machine in slow start, from the number of
+ * registrations.
+ *
+ * <p>More schedulers count at once: each may already be sending. Fewer count only after twice the
+ * lease's time to live, so that the share of a scheduler whose registration expired while it still
+ * runs is not given away. Confined to one thread.
  */
 public final class SchedulerCount {
-  private final Duration surelyOut;
-  private int counted;
-  private int most;
+  private static final int LEASES_UNTIL_GONE = 2;
+
+  private final Duration decreaseDelay;
+  private int count;
+  private int highestWhileWaiting;
   private Duration fewerSince;
 
-  /** {@code told} is what the settings say; registrations never count below one. */
-  public SchedulerCount(int told, Duration lease) {
-    counted = Math.max(1, told);
-    surelyOut = lease.multipliedBy(2);
+  /**
+   * Starts with the configured number.
+   *
+   * @param leaseTtl time to live of a registration's lease
+   */
+  public SchedulerCount(int configuredCount, Duration leaseTtl) {
+    count = Math.max(1, configuredCount);
+    decreaseDelay = leaseTtl.multipliedBy(LEASES_UNTIL_GONE);
   }
 
-  /** The registered number, whenever it is heard and now and then; gives the number to share by. */
-  public int heard(int registered, Duration now) {
-    int n = Math.max(1, registered);
-    if (n >= counted) {
-      counted = n;
+  /** Takes the number of registrations, at any time; returns the number to share by. */
+  public int registrationsCounted(int registrations, Duration now) {
+    int registered = Math.max(1, registrations);
+    if (registered >= count) {
+      count = registered;
       fewerSince = null;
     } else if (fewerSince == null) {
       fewerSince = now;
-      most = n;
+      highestWhileWaiting = registered;
     } else {
-      // The highest number seen while waiting is what it falls to.
-      most = Math.max(most, n);
-      if (now.minus(fewerSince).compareTo(surelyOut) >= 0) {
-        counted = most;
-        fewerSince = null;
-      }
+      highestWhileWaiting = Math.max(highestWhileWaiting, registered);
+      decreaseAfterDelay(now);
+    }
+    return count;
+  }
+
+  private void decreaseAfterDelay(Duration now) {
+    if (now.minus(fewerSince).compareTo(decreaseDelay) >= 0) {
+      count = highestWhileWaiting;
+      fewerSince = null;
     }
-    return counted;
   }
 
-  /** The store cannot be heard: nothing is given away on silence. */
-  public void cutOff() {
+  /** The store cannot be reached: a decrease must be seen anew. */
+  public void connectionLost() {
     fewerSince = null;
   }
 
-  public int counted() {
-    return counted;
+  /** The number to share by. */
+  public int count() {
+    return count;
   }
 }
--- a/src/main/java/fordridge/membership/StoreKeys.java
+++ b/src/main/java/fordridge/membership/StoreKeys.java
@@ -1,45 +1,60 @@
 package fordridge.membership;
 
-/** Where what stands in the store: one prefix for a cluster, one folder for each kind of record. */
+/**
+ * The layout of the store's keys: one prefix for a cluster, one folder for each kind of record.
+ *
+ * @param prefix prefix of all keys, without a slash at its end
+ */
 public record StoreKeys(String prefix) {
-  static final String MACHINES = "/machines/";
-  static final String DRAINS = "/drains/";
-  static final String TERMS = "/terms/";
-  static final String PLACERS = "/placers/";
+  private static final String MACHINES = "/machines/";
+  private static final String DRAINS = "/drains/";
+  private static final String SHARED_SETTINGS = "/terms/";
+  private static final String SCHEDULERS = "/placers/";
 
+  /** The key of a machine's record. */
   public String machine(String name) {
     return prefix + MACHINES + name;
   }
 
-  public String drain(String name) {
-    return prefix + DRAINS + name;
+  /** The key of a machine's drain. */
+  public String drain(String machineName) {
+    return prefix + DRAINS + machineName;
   }
 
-  public String term(String name) {
-    return prefix + TERMS + name;
+  /** The key of a setting that all schedulers share. */
+  public String sharedSetting(String name) {
+    return prefix + SHARED_SETTINGS + name;
   }
 
-  public String placer(String name) {
-    return prefix + PLACERS + name;
+  /** The key of a scheduler's registration. */
+  public String scheduler(String name) {
+    return prefix + SCHEDULERS + name;
   }
 
-  public String all() {
+  /** What all keys of the cluster begin with. */
+  public String commonPrefix() {
     return prefix + "/";
   }
 
-  public MachineListReplica.StoreRecord.Kind kind(String key) {
-    String rest = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
-    return rest.startsWith(MACHINES)
-        ? MachineListReplica.StoreRecord.Kind.MACHINE
-        : rest.startsWith(DRAINS)
-            ? MachineListReplica.StoreRecord.Kind.DRAIN
-            : rest.startsWith(TERMS)
-                ? MachineListReplica.StoreRecord.Kind.TERM
-                : rest.startsWith(PLACERS)
-                    ? MachineListReplica.StoreRecord.Kind.PLACER
-                    : MachineListReplica.StoreRecord.Kind.OTHER;
+  /** What a key's record is about. */
+  public RecordKind kind(String key) {
+    if (!key.startsWith(prefix)) {
+      return RecordKind.OTHER;
+    }
+    String relativeKey = key.substring(prefix.length());
+    if (relativeKey.startsWith(MACHINES)) {
+      return RecordKind.MACHINE;
+    }
+    if (relativeKey.startsWith(DRAINS)) {
+      return RecordKind.DRAIN;
+    }
+    if (relativeKey.startsWith(SHARED_SETTINGS)) {
+      return RecordKind.SHARED_SETTING;
+    }
+    return relativeKey.startsWith(SCHEDULERS) ? RecordKind.SCHEDULER : RecordKind.OTHER;
   }
 
+  /** The name of what a key's record is about. */
   public String name(String key) {
     return key.substring(key.lastIndexOf('/') + 1);
   }
--- a/src/main/java/fordridge/settings/HostAndPort.java
+++ b/src/main/java/fordridge/settings/HostAndPort.java
@@ -15,7 +15,7 @@
   }
 
   /** Whether a text is a host and a port that exists. */
-  static boolean isValid(String hostAndPort) {
+  public static boolean isValid(String hostAndPort) {
     return hasValidForm(hostAndPort) && port(hostAndPort) <= Limits.MAX_PORT;
   }
 
--- a/src/test/java/fordridge/etcd/EtcdAdminTest.java
+++ b/src/test/java/fordridge/etcd/EtcdAdminTest.java
@@ -34,10 +34,13 @@
           .hasMessageContaining("no machine 'c'");
       ctl.undrain("a");
       assertThatThrownBy(() -> ctl.undrain("a")).hasMessageContaining("does not drain");
-      long at = ctl.putTerm("t", "1", 0);
-      assertThatThrownBy(() -> ctl.putTerm("t", "2", 0)).hasMessageContaining("revision " + at);
-      ctl.putTerm("t", "2", at);
-      assertThat(ctl.terms().values()).containsExactly("2");
+      long at = ctl.putSharedSetting("t", "1", 0);
+      assertThatThrownBy(() -> ctl.putSharedSetting("t", "2", 0))
+          .hasMessageContaining("revision " + at);
+      ctl.putSharedSetting("t", "2", at);
+      assertThat(ctl.sharedSettings())
+          .extracting(EtcdAdmin.SharedSetting::text)
+          .containsExactly("2");
     }
     try (EtcdAdmin ctl = new EtcdAdmin(List.of("127.0.0.1:1"), "/c", Duration.ofSeconds(3))) {
       assertThatThrownBy(ctl::machines)
--- a/src/test/java/fordridge/membership/MachineListReplicaTest.java
+++ b/src/test/java/fordridge/membership/MachineListReplicaTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import fordridge.membership.MachineListReplica.StoreRecord;
+import fordridge.membership.MachineListReplica.SyncState;
 import fordridge.model.Machine.Lifecycle;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,229 +16,256 @@
 import net.jqwik.api.Property;
 
 class MachineListReplicaTest {
-  private static final StoreKeys AT = new StoreKeys("/c");
-  private static final Duration T = Duration.ZERO;
+  private static final StoreKeys KEYS = new StoreKeys("/c");
+  private static final Duration START = Duration.ZERO;
+  private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(2);
+  private static final long CLUSTER = 1;
+  private static final long SNAPSHOT_REVISION = 10;
 
-  private static StoreRecord machine(String name, long mod, long create, long incarnation) {
+  private static StoreRecord machine(
+      String name, long modRevision, long createRevision, long incarnation) {
     return new StoreRecord(
-        AT.machine(name),
-        StoreRecord.Kind.MACHINE,
+        KEYS.machine(name),
+        RecordKind.MACHINE,
         name,
-        mod,
-        create,
-        new MachineListReplica.Machine("h:1", "k", "", 0, 8, 16, 8, 16, incarnation, 0),
-        null,
-        "",
-        null);
+        modRevision,
+        createRevision,
+        new MachineRecord("h:1", "k", "", 0, 8, 16, 8, 16, incarnation, 0));
   }
 
-  private static StoreRecord drain(String name, long mod, long create) {
+  private static StoreRecord drain(String name, long modRevision, long createRevision) {
     return new StoreRecord(
-        AT.drain(name),
-        StoreRecord.Kind.DRAIN,
+        KEYS.drain(name),
+        RecordKind.DRAIN,
         name,
-        mod,
-        create,
-        null,
-        new MachineListReplica.Drain(""),
-        "",
-        null);
+        modRevision,
+        createRevision,
+        new StoreRecord.Drain(""));
   }
 
-  private static StoreRecord gone(StoreRecord i, long mod) {
-    return new StoreRecord(i.key(), i.kind(), i.name(), mod, 0, null, null, "", null);
+  private static StoreRecord unreadable(StoreRecord record, String reason) {
+    return new StoreRecord(
+        record.key(),
+        record.kind(),
+        record.name(),
+        record.modRevision(),
+        record.createRevision(),
+        new StoreRecord.Unreadable(reason));
+  }
+
+  private static void loadSnapshot(
+      MachineListReplica replica, long revision, List<StoreRecord> records) {
+    replica.snapshotStarted(CLUSTER, revision, START);
+    replica.snapshotPageReceived(records, START);
+    replica.snapshotCompleted(START);
   }
 
-  private static void snapshot(MachineListReplica b, long revision, StoreRecord... items) {
-    b.snapshotBegins(1, revision, T);
-    b.snapshotPage(List.of(items), T);
-    b.snapshotEnds(T);
+  private static MachineListReplica replicaOf(StoreRecord... records) {
+    MachineListReplica replica = new MachineListReplica(KEYS, SILENCE_TIMEOUT);
+    loadSnapshot(replica, SNAPSHOT_REVISION, List.of(records));
+    return replica;
   }
 
-  private static MachineListReplica begun(StoreRecord... items) {
-    MachineListReplica b = new MachineListReplica(Duration.ofSeconds(2));
-    snapshot(b, 10, items);
-    return b;
+  private static void deleteDrain(MachineListReplica replica, String name, long revision) {
+    replica.recordDeleted(KEYS.drain(name), revision, START);
   }
 
-  private static Map<String, Lifecycle> state(MachineListReplica b) {
-    b.takeChanges(AT);
-    Map<String, Lifecycle> m = new TreeMap<>();
-    for (MachineListReplica.MachineUpdate l : b.all()) {
-      if (l.lifecycle() != Lifecycle.GONE) {
-        m.put(l.name(), l.lifecycle());
+  private static Map<String, Lifecycle> lifecycles(MachineListReplica replica) {
+    replica.takeUpdates();
+    Map<String, Lifecycle> lifecycles = new TreeMap<>();
+    for (MachineUpdate update : replica.publishedUpdates()) {
+      if (update.lifecycle() != Lifecycle.GONE) {
+        lifecycles.put(update.name(), update.lifecycle());
       }
     }
-    return m;
+    return lifecycles;
   }
 
   @Example
-  void aDeleteAndARemakeInTheGapIsAnotherMachine() {
-    MachineListReplica b = begun(machine("a", 5, 5, 1), machine("b", 6, 6, 1));
-    b.takeChanges(AT);
-    b.cutOff();
-    snapshot(b, 40, machine("a", 33, 33, 1));
-    List<MachineListReplica.MachineUpdate> changes = b.takeChanges(AT);
-    assertThat(changes).anyMatch(l -> l.name().equals("a") && l.anew());
-    assertThat(changes).anyMatch(l -> l.name().equals("b") && l.lifecycle() == Lifecycle.GONE);
+  void keyDeletedAndCreatedInAGapIsAnotherMachine() {
+    MachineListReplica replica = replicaOf(machine("a", 5, 5, 1), machine("b", 6, 6, 1));
+    replica.takeUpdates();
+    replica.connectionLost();
+    loadSnapshot(replica, 40, List.of(machine("a", 33, 33, 1)));
+    List<MachineUpdate> updates = replica.takeUpdates();
+    assertThat(updates).anyMatch(u -> u.name().equals("a") && u.isNewMachine());
+    assertThat(updates).anyMatch(u -> u.name().equals("b") && u.lifecycle() == Lifecycle.GONE);
   }
 
   @Example
-  void aDrainThatArrivesJustAsTheMachineReturnsColdHolds() {
-    MachineListReplica b = begun(machine("a", 5, 5, 1));
-    b.takeChanges(AT);
-    b.event(drain("a", 12, 12), false, T);
-    b.event(machine("a", 13, 5, 2), false, T);
-    List<MachineListReplica.MachineUpdate> changes = b.takeChanges(AT);
-    assertThat(changes.size()).isEqualTo(1);
-    assertThat(changes.get(0).lifecycle()).isEqualTo(Lifecycle.DRAINING);
-    assertThat(changes.get(0).anew()).isTrue();
+  void drainThatArrivesAsTheMachineRestartsHolds() {
+    MachineListReplica replica = replicaOf(machine("a", 5, 5, 1));
+    replica.takeUpdates();
+    replica.recordPut(drain("a", 12, 12), START);
+    replica.recordPut(machine("a", 13, 5, 2), START);
+    List<MachineUpdate> updates = replica.takeUpdates();
+    assertThat(updates.size()).isEqualTo(1);
+    assertThat(updates.get(0).lifecycle()).isEqualTo(Lifecycle.DRAINING);
+    assertThat(updates.get(0).isNewMachine()).isTrue();
   }
 
   @Example
   void drainUndrainDrainInOneBatchEndsDraining() {
-    MachineListReplica b = begun(machine("a", 5, 5, 1));
-    b.event(drain("a", 11, 11), false, T);
-    b.event(gone(drain("a", 0, 0), 12), true, T);
-    b.event(drain("a", 13, 13), false, T);
-    assertThat(state(b)).containsEntry("a", Lifecycle.DRAINING);
+    MachineListReplica replica = replicaOf(machine("a", 5, 5, 1));
+    replica.recordPut(drain("a", 11, 11), START);
+    deleteDrain(replica, "a", 12);
+    replica.recordPut(drain("a", 13, 13), START);
+    assertThat(lifecycles(replica)).containsEntry("a", Lifecycle.DRAINING);
   }
 
   @Example
-  void anOlderWordNeverUndoesANewerOne() {
-    MachineListReplica b = begun(machine("a", 5, 5, 1), drain("a", 9, 9));
-    b.event(gone(drain("a", 0, 0), 8), true, T);
-    assertThat(state(b)).containsEntry("a", Lifecycle.DRAINING);
-    b.event(gone(drain("a", 0, 0), 14), true, T);
-    b.event(drain("a", 13, 13), false, T);
-    assertThat(state(b)).containsEntry("a", Lifecycle.LIVE);
+  void olderEventNeverUndoesANewerOne() {
+    MachineListReplica replica = replicaOf(machine("a", 5, 5, 1), drain("a", 9, 9));
+    deleteDrain(replica, "a", 8);
+    assertThat(lifecycles(replica)).containsEntry("a", Lifecycle.DRAINING);
+    deleteDrain(replica, "a", 14);
+    replica.recordPut(drain("a", 13, 13), START);
+    assertThat(lifecycles(replica)).containsEntry("a", Lifecycle.LIVE);
   }
 
   @Example
-  void aBadRecordIsSaidAndTheLastGoodOneStands() {
-    MachineListReplica b = begun(machine("a", 5, 5, 1));
-    b.event(
-        new StoreRecord(
-            AT.machine("a"), StoreRecord.Kind.MACHINE, "a", 12, 5, null, null, "", "no address"),
-        false,
-        T);
-    assertThat(state(b)).containsEntry("a", Lifecycle.LIVE);
-    assertThat(b.takeComplaints())
-        .anyMatch(c -> c.contains("/c/machines/a") && c.contains("no address"));
-    b.event(
-        new StoreRecord(
-            AT.drain("a"), StoreRecord.Kind.DRAIN, "a", 13, 13, null, null, "", "not JSON"),
-        false,
-        T);
-    assertThat(state(b))
+  void unreadableRecordIsReportedAndTheLastGoodOneStays() {
+    MachineListReplica replica = replicaOf(machine("a", 5, 5, 1));
+    replica.recordPut(unreadable(machine("a", 12, 5, 1), "no address"), START);
+    assertThat(lifecycles(replica)).containsEntry("a", Lifecycle.LIVE);
+    assertThat(replica.takeWarnings())
+        .anyMatch(w -> w.contains("/c/machines/a") && w.contains("no address"));
+    replica.recordPut(unreadable(drain("a", 13, 13), "not JSON"), START);
+    assertThat(lifecycles(replica))
         .as("a drain that cannot be read is a drain")
         .containsEntry("a", Lifecycle.DRAINING);
   }
 
   @Example
-  void aRestoredStoreIsSaidAndTakenAnew() {
-    MachineListReplica b = begun(machine("a", 8, 8, 1), machine("b", 9, 9, 1));
-    snapshot(b, 4, machine("a", 4, 4, 1));
-    assertThat(b.takeComplaints()).anyMatch(c -> c.contains("went back from revision 10 to 4"));
-    assertThat(state(b)).containsOnlyKeys("a");
-    b.event(drain("a", 5, 5), false, T);
-    assertThat(state(b)).containsEntry("a", Lifecycle.DRAINING);
+  void restoredStoreIsReportedAndReplacesTheReplica() {
+    MachineListReplica replica = replicaOf(machine("a", 8, 8, 1), machine("b", 9, 9, 1));
+    loadSnapshot(replica, 4, List.of(machine("a", 4, 4, 1)));
+    assertThat(replica.takeWarnings())
+        .anyMatch(w -> w.contains("went back from revision 10 to 4"));
+    assertThat(lifecycles(replica)).containsOnlyKeys("a");
+    replica.recordPut(drain("a", 5, 5), START);
+    assertThat(lifecycles(replica)).containsEntry("a", Lifecycle.DRAINING);
   }
 
   @Example
-  void silenceMakesItOldAndProofMakesItGood() {
-    MachineListReplica b = begun();
-    assertThat(b.silent(Duration.ofMillis(1900))).isFalse();
-    assertThat(b.silent(Duration.ofMillis(2000))).isTrue();
-    assertThat(b.footing()).isEqualTo(MachineListReplica.SyncState.OLD);
-    b.progress(10, Duration.ofMillis(2100));
-    assertThat(b.footing()).isEqualTo(MachineListReplica.SyncState.FOLLOWING);
+  void silenceMakesTheReplicaStaleAndProgressMakesItCurrent() {
+    MachineListReplica replica = replicaOf();
+    assertThat(replica.checkSilence(Duration.ofMillis(1900))).isFalse();
+    assertThat(replica.checkSilence(Duration.ofMillis(2000))).isTrue();
+    assertThat(replica.syncState()).isEqualTo(SyncState.STALE);
+    replica.progressConfirmed(SNAPSHOT_REVISION, Duration.ofMillis(2100));
+    assertThat(replica.syncState()).isEqualTo(SyncState.IN_SYNC);
   }
 
   /**
-   * Two registrations that expire at once may both be of placers that live: no share rises before
-   * they are out.
+   * Two registrations that expire at once may both be of schedulers that run: no share rises before
+   * they are surely gone.
    */
   @Example
-  void aShrinkingCountRaisesNoShareEarly() {
-    SchedulerCount h = new SchedulerCount(1, Duration.ofSeconds(10));
-    assertThat(h.heard(5, T)).isEqualTo(5);
-    assertThat(h.heard(3, Duration.ofSeconds(1))).isEqualTo(5);
-    assertThat(h.heard(5, Duration.ofSeconds(3))).isEqualTo(5);
-    assertThat(h.heard(3, Duration.ofSeconds(4))).isEqualTo(5);
-    assertThat(h.heard(3, Duration.ofSeconds(23))).isEqualTo(5);
-    h.cutOff();
-    assertThat(h.heard(2, Duration.ofSeconds(25))).isEqualTo(5);
-    assertThat(h.heard(4, Duration.ofSeconds(30))).isEqualTo(5);
-    assertThat(h.heard(3, Duration.ofSeconds(45))).as("the most seen while waiting").isEqualTo(4);
+  void decreasingSchedulerCountRaisesNoShareEarly() {
+    SchedulerCount count = new SchedulerCount(1, Duration.ofSeconds(10));
+    assertThat(count.registrationsCounted(5, START)).isEqualTo(5);
+    assertThat(count.registrationsCounted(3, Duration.ofSeconds(1))).isEqualTo(5);
+    assertThat(count.registrationsCounted(5, Duration.ofSeconds(3))).isEqualTo(5);
+    assertThat(count.registrationsCounted(3, Duration.ofSeconds(4))).isEqualTo(5);
+    assertThat(count.registrationsCounted(3, Duration.ofSeconds(23))).isEqualTo(5);
+    count.connectionLost();
+    assertThat(count.registrationsCounted(2, Duration.ofSeconds(25))).isEqualTo(5);
+    assertThat(count.registrationsCounted(4, Duration.ofSeconds(30))).isEqualTo(5);
+    assertThat(count.registrationsCounted(3, Duration.ofSeconds(45)))
+        .as("the most seen while waiting")
+        .isEqualTo(4);
   }
 
   /**
-   * Any legal run of events, repeats, gaps and snapshots ends equal to the store, and no drain is
-   * forgotten.
+   * After any legal sequence of events, repeats, gaps and snapshots the replica equals the store,
+   * and no drain is forgotten.
    */
   @Property(tries = 500, seed = "321")
-  void endsEqualToTheStore(@ForAll long seed) {
-    Random r = new Random(seed);
-    MachineListReplica b = new MachineListReplica(Duration.ofSeconds(2));
-    Map<String, StoreRecord> store = new HashMap<>();
-    List<StoreRecord> log = new ArrayList<>();
-    List<Boolean> deleted = new ArrayList<>();
-    long revision = 1;
-    int sent = 0;
-    boolean following = false;
-    for (int i = 0; i < 150; i++) {
-      String name = "m" + r.nextInt(5);
-      if (r.nextInt(3) > 0) {
-        revision++;
-        boolean drain = r.nextBoolean();
-        String key = drain ? AT.drain(name) : AT.machine(name);
-        StoreRecord old = store.get(key);
-        boolean delete = old != null && r.nextInt(3) == 0;
-        long create = old == null ? revision : old.createRevision();
-        StoreRecord it =
-            drain
-                ? drain(name, revision, create)
-                : machine(name, revision, create, 1 + r.nextInt(2));
-        if (delete) {
-          store.remove(key);
-        } else {
-          store.put(key, it);
-        }
-        log.add(delete ? gone(it, revision) : it);
-        deleted.add(delete);
+  void replicaEndsEqualToTheStore(@ForAll long seed) {
+    Random random = new Random(seed);
+    MachineListReplica replica = new MachineListReplica(KEYS, SILENCE_TIMEOUT);
+    RandomStore store = new RandomStore(random);
+    boolean isWatching = false;
+    for (int step = 0; step < 150; step++) {
+      store.changeAtRandom();
+      if (!isWatching || random.nextInt(25) == 0) {
+        replica.connectionLost();
+        loadSnapshot(replica, store.revision, List.copyOf(store.records.values()));
+        store.skipToSnapshot();
+        isWatching = true;
+      }
+      store.deliver(replica, random.nextInt(4));
+      if (random.nextInt(4) == 0) {
+        replica.takeUpdates();
       }
-      if (!following || r.nextInt(25) == 0) {
-        // A gap: what was not sent is never sent; a snapshot, perhaps with events after it sent
-        // twice.
-        b.cutOff();
-        b.snapshotBegins(1, revision, T);
-        b.snapshotPage(List.copyOf(store.values()), T);
-        b.snapshotEnds(T);
-        sent = Math.max(0, log.size() - r.nextInt(4));
-        following = true;
+    }
+    store.deliver(replica, Integer.MAX_VALUE);
+    assertThat(lifecycles(replica)).isEqualTo(store.lifecycles());
+  }
+
+  /** A store of machines and drains that change at random, with the log of its changes. */
+  private static final class RandomStore {
+    private record Change(StoreRecord record, boolean isDeletion) {}
+
+    private final Random random;
+    private final Map<String, StoreRecord> records = new HashMap<>();
+    private final List<Change> log = new ArrayList<>();
+    private long revision = 1;
+    private int deliveredChanges;
+
+    RandomStore(Random random) {
+      this.random = random;
+    }
+
+    void changeAtRandom() {
+      String name = "m" + random.nextInt(5);
+      if (random.nextInt(3) == 0) {
+        return;
       }
-      int some = r.nextInt(4);
-      for (int k = 0; k < some && sent < log.size(); k++) {
-        b.event(log.get(sent), deleted.get(sent), T);
-        sent++;
+      revision++;
+      boolean isDrain = random.nextBoolean();
+      StoreRecord before = records.get(isDrain ? KEYS.drain(name) : KEYS.machine(name));
+      boolean isDeletion = before != null && random.nextInt(3) == 0;
+      long createRevision = before == null ? revision : before.createRevision();
+      StoreRecord record =
+          isDrain
+              ? drain(name, revision, createRevision)
+              : machine(name, revision, createRevision, 1 + random.nextInt(2));
+      if (isDeletion) {
+        records.remove(record.key());
+      } else {
+        records.put(record.key(), record);
       }
-      if (r.nextInt(4) == 0) {
-        b.takeChanges(AT);
+      log.add(new Change(record, isDeletion));
+    }
+
+    /** What was not delivered never is; some changes before the snapshot may be once more. */
+    void skipToSnapshot() {
+      deliveredChanges = Math.max(0, log.size() - random.nextInt(4));
+    }
+
+    void deliver(MachineListReplica replica, int maxChanges) {
+      for (int i = 0; i < maxChanges && deliveredChanges < log.size(); i++) {
+        Change change = log.get(deliveredChanges);
+        deliveredChanges++;
+        if (change.isDeletion()) {
+          replica.recordDeleted(change.record().key(), change.record().modRevision(), START);
+        } else {
+          replica.recordPut(change.record(), START);
+        }
       }
     }
-    while (sent < log.size()) {
-      b.event(log.get(sent), deleted.get(sent), T);
-      sent++;
+
+    Map<String, Lifecycle> lifecycles() {
+      Map<String, Lifecycle> lifecycles = new TreeMap<>();
+      for (StoreRecord record : records.values()) {
+        if (record.kind() == RecordKind.MACHINE) {
+          boolean isDraining = records.containsKey(KEYS.drain(record.name()));
+          lifecycles.put(record.name(), isDraining ? Lifecycle.DRAINING : Lifecycle.LIVE);
+        }
+      }
+      return lifecycles;
     }
-    Map<String, Lifecycle> expected = new TreeMap<>();
-    store.values().stream()
-        .filter(x -> x.kind() == StoreRecord.Kind.MACHINE)
-        .forEach(
-            x ->
-                expected.put(
-                    x.name(),
-                    store.containsKey(AT.drain(x.name())) ? Lifecycle.DRAINING : Lifecycle.LIVE));
-    assertThat(state(b)).isEqualTo(expected);
   }
 }
