--- /dev/null
+++ b/src/main/java/fordridge/machine/ConnectionSet.java
@@ -0,0 +1,82 @@
+package fordridge.machine;
+
+import fordridge.model.Durations;
+import fordridge.model.PlacementAttempt;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The connections to one machine that are not closed, oldest first, and the choice among them. Not
+ * thread-safe.
+ */
+final class ConnectionSet {
+  private final Set<MachineConnection> connections = new LinkedHashSet<>();
+
+  void add(MachineConnection connection) {
+    connections.add(connection);
+  }
+
+  /** Removes the connection; false if it was removed before. */
+  boolean remove(MachineConnection connection) {
+    return connections.remove(connection);
+  }
+
+  boolean isEmpty() {
+    return connections.isEmpty();
+  }
+
+  /** A copy, so that connections may be closed while it is gone through. */
+  List<MachineConnection> all() {
+    return List.copyOf(connections);
+  }
+
+  boolean hasOpening() {
+    return connections.stream().anyMatch(MachineConnection::isOpening);
+  }
+
+  /** The oldest connection that carries the request of this attempt. */
+  Optional<MachineConnection> findCarrier(PlacementAttempt attempt) {
+    return connections.stream().filter(connection -> connection.carries(attempt)).findFirst();
+  }
+
+  /**
+   * The oldest idle connection that was proven good recently.
+   *
+   * @param proofAt when the machine was last proven alive by other means than its own use
+   */
+  Optional<MachineConnection> findProvenIdle(Duration goodFor, Duration proofAt, Duration now) {
+    return connections.stream()
+        .filter(MachineConnection::isIdle)
+        .filter(idle -> isWithin(goodFor, Durations.max(idle.lastUsedAt(), proofAt), now))
+        .findFirst();
+  }
+
+  /** The open connection that carries the fewest placement requests, the oldest of these. */
+  Optional<MachineConnection> leastLoaded() {
+    return connections.stream()
+        .filter(MachineConnection::isOpen)
+        .min(Comparator.comparingInt(MachineConnection::placementRequestCount));
+  }
+
+  /** The newest connection on which something can be said to the machine. */
+  Optional<MachineConnection> newestWritable() {
+    return connections.stream()
+        .filter(connection -> !connection.isOpening())
+        .reduce((earlier, later) -> later);
+  }
+
+  /** The connection that is idle for longest. */
+  Optional<MachineConnection> longestIdle() {
+    return connections.stream()
+        .filter(MachineConnection::isIdle)
+        .min(Comparator.comparing(MachineConnection::lastUsedAt));
+  }
+
+  private static boolean isWithin(Duration span, Duration since, Duration now) {
+    return now.minus(since).compareTo(span) < 0;
+  }
+}
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -2,8 +2,13 @@
 
 import fordridge.constraint.ConstraintIndex;
 import fordridge.constraint.GroupFeasibility;
+import fordridge.constraint.GroupMember;
 import fordridge.constraint.GroupPlan;
+import fordridge.constraint.MachineCapacity;
+import fordridge.constraint.MachineTopology;
 import fordridge.constraint.PlacementConstraint;
+import fordridge.constraint.UnsatisfiableConstraintsException;
+import fordridge.constraint.VmAttributes;
 import fordridge.discovery.MachineListSource;
 import fordridge.group.VmGroup;
 import fordridge.grpc.ClientService;
@@ -11,8 +16,13 @@
 import fordridge.grpc.GrpcMachineTransport;
 import fordridge.grpc.MachineMessageDispatcher;
 import fordridge.grpc.OperatorService;
+import fordridge.machine.AttemptId;
+import fordridge.machine.LoadReport;
 import fordridge.machine.MachineStream;
+import fordridge.machine.MachineStreamSettings;
 import fordridge.machine.ReconnectPacer;
+import fordridge.machine.ReportedVm;
+import fordridge.machine.VmReportKind;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -33,7 +43,6 @@
 import fordridge.settings.SchedulerSettingsMapper;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Holding;
-import fordridge.v1.Note;
 import fordridge.v1.Offer;
 import fordridge.v1.Want;
 import io.netty.channel.EventLoop;
@@ -67,7 +76,7 @@
 final class GrpcSchedulerServer
     implements SchedulerActions,
         ClientService.RequestHandler,
-        MachineStream.AttemptListener,
+        MachineStream.Listener,
         OperatorService.ClusterView {
   private static final Logger LOG = LoggerFactory.getLogger("fordridge.placer");
 
@@ -97,74 +106,77 @@
       link =
           new MachineStream(
               machine,
-              connectionTimeouts,
+              streamSettings,
               stream,
               GrpcSchedulerServer.this,
               new SeededRandom(seed ^ machine.id));
     }
 
     @Override
-    public void holding(Holding h) {
+    public void inventoryReceived(Holding h) {
       enter(
           () -> {
-            MachineMessageDispatcher.holding(h, link, now);
-            rollCall.settled(machine);
+            MachineMessageDispatcher.dispatchInventory(h, link, now);
+            rollCall.reconciled(machine);
             callSome();
           });
     }
 
     @Override
-    public void said(FromMachine m) {
-      enter(() -> MachineMessageDispatcher.said(m, link, stream, this, now));
+    public void messageReceived(FromMachine m) {
+      enter(() -> MachineMessageDispatcher.dispatch(m, link, stream, this, now));
     }
 
     @Override
-    public void ready() {
-      enter(() -> link.ready(now));
+    public void transportReady() {
+      enter(() -> link.transportReady(now));
     }
 
     @Override
-    public void broke(String why) {
+    public void connectionLost(String why) {
       enter(
           () -> {
-            link.broke(why, now);
-            rollCall.failed(machine);
+            link.connectionLost(why, now);
+            rollCall.connectionFailed(machine);
             callSome();
           });
     }
 
     @Override
-    public void report(double spareCores, double spareMemory, double busy) {
-      inputs.report(machine, spareCores, spareMemory, busy, now);
-      seen(w -> w.report(name, spareCores, spareMemory, busy, now));
+    public void loadReported(LoadReport report) {
+      double spareCores = report.spareCores();
+      double spareMemory = report.spareMemory();
+      double utilization = report.utilization();
+      inputs.report(machine, spareCores, spareMemory, utilization, now);
+      seen(w -> w.report(name, spareCores, spareMemory, utilization, now));
     }
 
     @Override
-    public void reported() {
+    public void loadReportCompleted() {
       inputs.scheduler.loadReported(machine);
       seen(w -> w.reported(name));
     }
 
     @Override
-    public void note(MachineStream.AttemptId named, Note.What what, double amount) {
-      PlacementAttempt c = link.attempt(named);
+    public void vmReported(AttemptId named, VmReportKind kind, double amount) {
+      PlacementAttempt c = link.findAttempt(named).orElse(null);
       if (c == null) {
         return;
       }
-      switch (what) {
-        case CORES -> both(c, (l, of) -> l.coreUsageReported(of, amount));
-        case MEMORY -> both(c, (l, of) -> l.memoryUsageReported(of, amount));
-        case SERVICE -> both(c, (l, of) -> l.serviceLevelReported(of, amount));
-        case PRESSURE -> both(c, (l, of) -> l.memoryPressureReported(of, amount));
+      switch (kind) {
+        case CORE_USAGE -> both(c, (l, of) -> l.coreUsageReported(of, amount));
+        case MEMORY_USAGE -> both(c, (l, of) -> l.memoryUsageReported(of, amount));
+        case SERVICE_LEVEL -> both(c, (l, of) -> l.serviceLevelReported(of, amount));
+        case MEMORY_PRESSURE -> both(c, (l, of) -> l.memoryPressureReported(of, amount));
         default -> {}
       }
     }
 
     @Override
-    public void wrong(String what) {
+    public void protocolViolated(String what) {
       line(Level.WARN, "machine says what it may not: " + what, null, machine);
       stream.close("said what it may not");
-      link.broke(what, now);
+      link.connectionLost(what, now);
     }
   }
 
@@ -180,7 +192,7 @@
   private final long seed;
   private final int position;
   private final Metrics metrics;
-  private final MachineStream.ConnectionTimeouts connectionTimeouts;
+  private final MachineStreamSettings streamSettings;
   private final SchedulerInputs<String> inputs;
   private final ClientSessions sessions;
   private final GroupCoordinator groups = new GroupCoordinator(new GroupActions());
@@ -206,11 +218,11 @@
   private Duration now = Duration.ZERO;
 
   /** Machines that were asked once what they hold of this placer. */
-  private final Map<String, ConstraintIndex.MachineTopology> spots = new LinkedHashMap<>();
+  private final Map<String, MachineTopology> spots = new LinkedHashMap<>();
 
   private final Set<String> draining = new LinkedHashSet<>();
   private final Set<Machine> called = new HashSet<>();
-  private final ReconnectPacer rollCall = new ReconnectPacer();
+  private final ReconnectPacer<Machine> rollCall = new ReconnectPacer<>();
   private CompletableFuture<Void> stopped;
   private int shared;
   private boolean listOld = true;
@@ -235,8 +247,8 @@
     this.seed = seed;
     this.loop = loop;
     this.metrics = metrics;
-    connectionTimeouts =
-        new MachineStream.ConnectionTimeouts(
+    streamSettings =
+        new MachineStreamSettings(
             d.connections().connectTimeout(),
             d.connections().idleTimeout(),
             d.connections().minReconnectDelay(),
@@ -248,7 +260,7 @@
     inputs = new SchedulerInputs<>(this, SchedulerInputs::number);
     try {
       book = new ConstraintIndex(List.of(), d.totalSchedulers());
-    } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+    } catch (UnsatisfiableConstraintsException e) {
       throw new IllegalStateException(e);
     }
     sessions =
@@ -363,7 +375,7 @@
 
   /** Lets a link's own time pass when it is due. */
   private void watch(MachineHandle r) {
-    Duration due = r.link.due();
+    Duration due = r.link.nextDeadline().orElse(null);
     if (due != null && (r.tickAt == null || due.compareTo(r.tickAt) < 0)) {
       r.tickAt = due;
       at(
@@ -371,8 +383,8 @@
           () -> {
             r.tickAt = null;
             r.link.tick(now);
-            if (r.link.phase() == MachineStream.Phase.WAITING) {
-              rollCall.failed(r.machine);
+            if (r.link.state() == MachineStream.State.BACKING_OFF) {
+              rollCall.connectionFailed(r.machine);
               callSome();
             }
             watch(r);
@@ -408,7 +420,7 @@
     for (MachineListSource.Entry e : list.entries()) {
       MachineHandle r = reach(e.name());
       told.put(r.machine, e.lifecycle());
-      r.stream.address(e.address());
+      r.stream.setAddress(e.address());
       lines.add(
           new SchedulerInputs.ListedMachine<>(
               e.name(),
@@ -425,12 +437,12 @@
             ? List.copyOf(machineHandles.values())
             : told.keySet().stream().map(machineHandles::get).toList()) {
       Machine.Lifecycle lifecycle = told.getOrDefault(r.machine, Machine.Lifecycle.GONE);
-      r.link.listed(lifecycle == Machine.Lifecycle.GONE, now);
+      r.link.machineListed(lifecycle == Machine.Lifecycle.GONE, now);
       if (lifecycle != Machine.Lifecycle.LIVE) {
-        r.link.drains();
+        r.link.machineDraining();
       }
       if (lifecycle == Machine.Lifecycle.GONE) {
-        rollCall.settled(r.machine);
+        rollCall.reconciled(r.machine);
       } else if (called.add(r.machine)) {
         // What an earlier life of this placer left running is asked for once, spread over a
         // settling time.
@@ -439,22 +451,22 @@
                 Math.floorMod(
                     r.machine.id ^ seed, d.cluster().unknownOutcomeRetryAfter().toMillis())),
             () -> {
-              rollCall.due(r.machine);
+              rollCall.schedule(r.machine);
               callSome();
             });
       }
       watch(r);
     }
-    rollCall.begins(told.keySet());
+    rollCall.start(told.keySet());
     told.forEach(
         (m, lifecycle) -> {
           if (lifecycle == Machine.Lifecycle.GONE) {
-            rollCall.settled(m);
+            rollCall.reconciled(m);
           }
         });
     if (standElsewhere(list)) {
-      book.machines(spots.values());
-      book.draining(draining);
+      book.machineListReceived(spots.values());
+      book.drainingMachinesChanged(draining);
       groups.letGoOfPlans();
     }
     inputs.list(list.isSnapshot(), list.isStale(), lines);
@@ -474,12 +486,11 @@
     Set<String> named = new HashSet<>();
     for (MachineListSource.Entry e : list.entries()) {
       named.add(e.name());
-      ConstraintIndex.MachineTopology spot =
+      MachineTopology spot =
           e.lifecycle() == Machine.Lifecycle.GONE
               ? null
-              : new ConstraintIndex.MachineTopology(e.name(), e.kind(), e.zone(), e.cell());
-      ConstraintIndex.MachineTopology was =
-          spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
+              : new MachineTopology(e.name(), e.kind(), e.zone(), e.cell());
+      MachineTopology was = spot == null ? spots.remove(e.name()) : spots.put(e.name(), spot);
       news |= !java.util.Objects.equals(was, spot);
       news |=
           e.lifecycle() == Machine.Lifecycle.DRAINING
@@ -490,9 +501,9 @@
   }
 
   private void callSome() {
-    for (Object m = rollCall.next(); m != null; m = rollCall.next()) {
+    for (Machine m = rollCall.next().orElse(null); m != null; m = rollCall.next().orElse(null)) {
       MachineHandle r = machineHandles.get(m);
-      r.link.call(now);
+      r.link.reconcile(now);
       watch(r);
     }
   }
@@ -515,10 +526,10 @@
             enter(
                 () -> {
                   try {
-                    book = book.with(rules, d.totalSchedulers());
+                    book = book.withConstraints(rules, d.totalSchedulers());
                     rulesVersion = version;
                     groups.letGoOfPlans();
-                    book.misfits()
+                    book.findViolatingPlacements()
                         .forEach(
                             (attempt, why) ->
                                 line(
@@ -526,7 +537,10 @@
                                     "runs where rules of version "
                                         + version
                                         + " would not let it go: "
-                                        + why.get(0).rule().name(),
+                                        + why.get(0)
+                                            .constraint()
+                                            .map(PlacementConstraint::name)
+                                            .orElse(why.get(0).description()),
                                     ((PlacementAttempt) attempt).vm,
                                     ((PlacementAttempt) attempt).machine));
                     line(
@@ -536,7 +550,7 @@
                         null);
                     inputs.scheduler.loadReported(null);
                     seen(w -> w.reported(null));
-                  } catch (ConstraintIndex.UnsatisfiableConstraintsException e) {
+                  } catch (UnsatisfiableConstraintsException e) {
                     line(Level.ERROR, "rules stay as they were: " + e.getMessage(), null, null);
                   }
                 }));
@@ -587,34 +601,39 @@
 
   @Override
   public double constraintPenalty(Vm vm, Machine m) {
-    if (book.rules().isEmpty()) {
+    if (book.constraints().isEmpty()) {
       return 0;
     }
     String machine = machineHandles.get(m).name;
     if (!(groups.settlesNear(vm)
-        ? book.allowsButNear(vm.tenant, vm.priorityClass, vm.service, machine)
-        : book.allows(vm.tenant, vm.priorityClass, vm.service, machine))) {
+        ? book.isAllowedIgnoringAffinity(
+            new VmAttributes(vm.tenant, vm.priorityClass, vm.service), machine)
+        : book.isAllowed(new VmAttributes(vm.tenant, vm.priorityClass, vm.service), machine))) {
       return Double.POSITIVE_INFINITY;
     }
     return groups.constraintPenalty(vm, spots.get(machine))
-        + book.constraintPenalty(vm.tenant, vm.priorityClass, vm.service, machine);
+        + book.preferencePenalty(
+            new VmAttributes(vm.tenant, vm.priorityClass, vm.service), machine);
   }
 
   @Override
   public boolean isConstrained(Vm vm) {
-    return book.touches(vm.tenant, vm.priorityClass, vm.service);
+    return book.hasConstraintsFor(new VmAttributes(vm.tenant, vm.priorityClass, vm.service));
   }
 
   private void placeTaken(PlacementAttempt c) {
-    book.goes(c, c.vm.tenant, c.vm.priorityClass, c.vm.service, machineHandles.get(c.machine).name);
+    book.attemptSent(
+        c,
+        new VmAttributes(c.vm.tenant, c.vm.priorityClass, c.vm.service),
+        machineHandles.get(c.machine).name);
   }
 
   @Override
-  public void cleared(PlacementAttempt c) {
+  public void attemptReleased(PlacementAttempt c) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
-            book.gone(c);
+            book.attemptEnded(c);
             inputs.scheduler.loadReported(c.machine);
             seen(w -> w.reported(machineHandles.get(c.machine).name));
           }
@@ -728,7 +747,7 @@
       arrives(vm, s, w.getVm(), !f.isIdempotent() && s.strayed());
       return;
     }
-    if (!f.isIdempotent() && s.strayed() && !rollCall.complete()) {
+    if (!f.isIdempotent() && s.strayed() && !rollCall.isComplete()) {
       say(
           vm,
           ClientResponse.Kind.ERRORED,
@@ -749,39 +768,43 @@
     @Override
     public void plan(List<Vm> members, Consumer<GroupPlan> then) {
       if (members.stream().noneMatch(GrpcSchedulerServer.this::isConstrained)) {
-        then.accept(GroupPlan.free(members.stream().map(v -> v.id).toList()));
+        then.accept(GroupPlan.unconstrained(members.stream().map(v -> v.id).toList()));
         return;
       }
-      List<GroupFeasibility.Part> parts =
+      List<GroupMember> parts =
           members.stream()
               .map(
                   v ->
-                      new GroupFeasibility.Part(
-                          v.id, v.tenant, v.priorityClass, v.service, v.cores, v.memory))
+                      new GroupMember(
+                          v.id,
+                          new VmAttributes(v.tenant, v.priorityClass, v.service),
+                          v.cores,
+                          v.memory))
               .toList();
       GroupFeasibility spare =
-          book.together(
+          book.groupFeasibility(
               parts,
               name -> {
                 Machine m = inputs.machine(name);
-                return new GroupFeasibility.Room(
+                return new MachineCapacity(
                     m.freeCores - m.reservedSinceList.cores,
                     m.freeMemory - m.reservedSinceList.memory);
               });
       GroupFeasibility empty =
-          book.together(
+          book.groupFeasibility(
               parts,
               name -> {
                 Machine m = inputs.machine(name);
-                return new GroupFeasibility.Room(m.cores, m.memory);
+                return new MachineCapacity(m.cores, m.memory);
               });
-      long until = System.nanoTime() + GroupPlan.THINKS.toNanos();
-      GroupPlan free = GroupPlan.free(members.stream().map(v -> v.id).toList());
+      long until = System.nanoTime() + GroupPlan.TIME_LIMIT.toNanos();
+      GroupPlan free = GroupPlan.unconstrained(members.stream().map(v -> v.id).toList());
       try {
         thinker.execute(
             () ->
                 think(
-                    () -> GroupPlan.of(spare, empty, parts, () -> System.nanoTime() - until > 0),
+                    () ->
+                        GroupPlan.compute(spare, empty, parts, () -> System.nanoTime() - until > 0),
                     free,
                     then));
       } catch (RejectedExecutionException e) {
@@ -824,7 +847,7 @@
     @Override
     public void stop(Vm vm) {
       if (vm.acceptedAttempt != null && vm.acceptedAttempt.isInFlight()) {
-        machineHandles.get(vm.acceptedAttempt.machine).link.stop(vm.acceptedAttempt, now);
+        machineHandles.get(vm.acceptedAttempt.machine).link.terminate(vm.acceptedAttempt, now);
       }
     }
 
@@ -863,7 +886,7 @@
    * must not run twice, only once every machine has said what it holds.
    */
   private void arrives(Vm vm, ClientSession s, String id, boolean mayRunUnseen) {
-    if (!mayRunUnseen || rollCall.complete()) {
+    if (!mayRunUnseen || rollCall.isComplete()) {
       if (sessions.waits(s.client, id)) {
         inputs.add(vm);
         decide(vm);
@@ -904,7 +927,7 @@
             if (c.isInFlight()) {
               MachineHandle r = machineHandles.get(c.machine);
               if (c == vm.acceptedAttempt) {
-                r.link.stop(c, now);
+                r.link.terminate(c, now);
               } else {
                 giveUp(c, Outcome.CANCELLED);
               }
@@ -924,7 +947,8 @@
    */
   private String conflict(Want w) {
     List<PlacementConstraint> rules =
-        book.conflict(w.getCustomer(), w.getFlavour(), w.getService());
+        book.findUnsatisfiableConstraints(
+            new VmAttributes(w.getCustomer(), w.getFlavour(), w.getService()));
     return rules.isEmpty()
         ? null
         : "no machine meets "
@@ -978,7 +1002,7 @@
           }
           MachineHandle r = machineHandles.get(c.machine);
           boolean mayRepeat = d.priorityClasses().get(c.vm.priorityClass).isIdempotent();
-          r.link.offer(c, new MachineStream.AttemptId(c.vm.id, c.number), mayRepeat, within, now);
+          r.link.offer(c, new AttemptId(c.vm.id, c.number), mayRepeat, within, now);
           watch(r);
         });
     at(
@@ -993,8 +1017,8 @@
   /** Waits no longer for a claim: known not to have run if its offer was never written. */
   private void giveUp(PlacementAttempt c, Outcome end) {
     MachineHandle r = machineHandles.get(c.machine);
-    boolean neverWritten = r.link.giveUp(c, now);
-    ended(c, neverWritten ? Outcome.UNREACHABLE : end, OutcomeReason.UNSPECIFIED);
+    boolean neverWritten = r.link.cancel(c, now);
+    attemptEnded(c, neverWritten ? Outcome.UNREACHABLE : end, OutcomeReason.UNSPECIFIED);
     watch(r);
   }
 
@@ -1050,7 +1074,7 @@
         vm,
         ClientResponse.Kind.MOVED,
         ClientResponse.ended(owned(vm, owners.get(vm)), ClientResponse.Kind.MOVED));
-    machineHandles.get(vm.acceptedAttempt.machine).link.stop(vm.acceptedAttempt, now);
+    machineHandles.get(vm.acceptedAttempt.machine).link.terminate(vm.acceptedAttempt, now);
   }
 
   @Override
@@ -1128,7 +1152,7 @@
   // -----------------------------------------------------------------------
 
   @Override
-  public void bound(PlacementAttempt c, boolean running) {
+  public void attemptAccepted(PlacementAttempt c, boolean running) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight() || c.vm.isFinished) {
@@ -1160,7 +1184,7 @@
   }
 
   @Override
-  public void ended(PlacementAttempt c, Outcome end, OutcomeReason why) {
+  public void attemptEnded(PlacementAttempt c, Outcome end, OutcomeReason why) {
     sequencer.behind(
         () -> {
           if (!c.isInFlight()) {
@@ -1171,9 +1195,9 @@
               || end == Outcome.FULL
               || end == Outcome.UNREACHABLE
               || end == Outcome.NOT_SENT) {
-            book.gone(c);
+            book.attemptEnded(c);
           } else {
-            book.doubted(c);
+            book.attemptOutcomeUnknown(c);
           }
           metrics.attemptFinished(end);
           if (LOG.isDebugEnabled()) {
@@ -1209,16 +1233,16 @@
   }
 
   @Override
-  public void runsAlready(MachineStream.ReportedVm held, Machine machine) {
+  public void unknownVmReported(ReportedVm held, Machine machine) {
     MachineHandle r = machineHandles.get(machine);
-    if (inputs.vm(held.name().vm()) != null
+    if (inputs.vm(held.attemptId().vmId()) != null
         || !d.priorityClasses().containsKey(held.priorityClass())) {
       // Asked for anew before its machine came back, or of a flavour no longer known: nobody would
       // own it.
-      r.stream.cancel(held.name());
+      r.stream.cancel(held.attemptId());
       return;
     }
-    Vm vm = new Vm(held.name().vm());
+    Vm vm = new Vm(held.attemptId().vmId());
     vm.priorityClass = held.priorityClass();
     vm.tenant = held.tenant();
     vm.service = held.service();
@@ -1229,30 +1253,30 @@
     inputs.add(vm);
     inputs.scheduler.vmAdopted(vm, machine);
     seen(w -> w.runsAlready(vm, r.name));
-    r.link.adopt(held.name(), vm.acceptedAttempt);
+    r.link.adopt(held.attemptId(), vm.acceptedAttempt);
     placeTaken(vm.acceptedAttempt);
     owners.put(vm, held.client());
     String id = vm.id.startsWith(held.client() + "/") ? owned(vm, held.client()) : vm.id;
     sessions.found(
         held.client(),
         id,
-        ClientResponse.bound(id, r.name, held.name().number(), Duration.ZERO),
+        ClientResponse.bound(id, r.name, held.attemptId().number(), Duration.ZERO),
         now);
     talkOf(held.client());
   }
 
   @Override
-  public void probed(Machine machine, boolean ok, Duration took) {
+  public void probeCompleted(Machine machine, boolean ok, boolean withLoadReport, Duration took) {
     sequencer.behind(
         () -> {
-          inputs.scheduler.probeCompleted(machine, ok, ok, took);
+          inputs.scheduler.probeCompleted(machine, ok, withLoadReport, took);
           seen(w -> w.probed(machineHandles.get(machine).name, ok, took));
         });
   }
 
   @Override
-  public void note(Machine machine, String text) {
-    line(Level.INFO, text, null, machine);
+  public void connectionLost(Machine machine, String reason) {
+    line(Level.INFO, "machine connection lost: " + reason, null, machine);
   }
 
   private void line(Level level, String text, Vm vm, Machine machine) {
@@ -1301,7 +1325,7 @@
   int streamsOpen() {
     int n = 0;
     for (MachineHandle r : machineHandles.values()) {
-      n += r.link.phase() == MachineStream.Phase.GREETED ? 1 : 0;
+      n += r.link.state() == MachineStream.State.ESTABLISHED ? 1 : 0;
     }
     return n;
   }
--- a/src/test/java/fordridge/membership/MachineListReplicaTest.java
+++ b/src/test/java/fordridge/membership/MachineListReplicaTest.java
@@ -140,8 +140,7 @@
   void restoredStoreIsReportedAndReplacesTheReplica() {
     MachineListReplica replica = replicaOf(machine("a", 8, 8, 1), machine("b", 9, 9, 1));
     loadSnapshot(replica, 4, List.of(machine("a", 4, 4, 1)));
-    assertThat(replica.takeWarnings())
-        .anyMatch(w -> w.contains("went back from revision 10 to 4"));
+    assertThat(replica.takeWarnings()).anyMatch(w -> w.contains("went back from revision 10 to 4"));
     assertThat(lifecycles(replica)).containsOnlyKeys("a");
     replica.recordPut(drain("a", 5, 5), START);
     assertThat(lifecycles(replica)).containsEntry("a", Lifecycle.DRAINING);
