--- a/src/main/java/fordridge/emulator/ScenarioPlan.java
+++ b/src/main/java/fordridge/emulator/ScenarioPlan.java
@@ -3,6 +3,8 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import com.typesafe.config.ConfigValueFactory;
+import fordridge.emulator.machine.DrainPolicy;
+import fordridge.emulator.machine.UsageProfile;
 import fordridge.settings.ConfigReader;
 import fordridge.settings.DeploymentSettings;
 import fordridge.settings.InvalidSettingsException;
@@ -14,215 +16,287 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
- * A scripted day, read from HOCON and checked whole: the fleet, the owners, the registry and what
- * goes wrong.
+ * A scenario as read from HOCON: the run, the fleet, the clients, the registry and the faults. All
+ * of it is checked before anything starts.
+ *
+ * @param deploymentConfig the deployment's part of the file, for the schedulers' own
+ * @param deployment the same, read
  */
-final class ScenarioPlan {
-  /** A trouble: kinds and meanings are in docs/rig.md. */
-  record Fault(
-      String kind,
-      Duration at,
-      Duration lasts,
-      double part,
-      double size,
-      double extra,
-      String of,
-      String by) {}
+record ScenarioPlan(
+    Run run,
+    Config deploymentConfig,
+    DeploymentSettings deployment,
+    Fleet fleet,
+    Clients clients,
+    Registry registry,
+    Constraints constraints,
+    List<FaultPlan> faults) {
 
+  private static final Duration MAX_DURATION = Duration.ofHours(2);
+  private static final double DEFAULT_CORES_USE = 0.5;
+  private static final double DEFAULT_MEMORY_USE = 0.7;
+  private static final double DEFAULT_SIGMA = 0.5;
+
+  /**
+   * The run as a whole.
+   *
+   * @param length while VMs are requested
+   * @param settle the longest wait for the last responses after that
+   * @param isOwnProcess whether the schedulers run in a process of their own
+   */
+  record Run(String name, long seed, Duration length, Duration settle, boolean isOwnProcess) {}
+
+  /**
+   * The machines.
+   *
+   * @param spares machines that come up later, by a fault
+   * @param cellSize machines in a cell
+   * @param kindShares the share of each kind of machine
+   * @param usageProfiles how VMs use their resources, by priority class
+   */
+  record Fleet(
+      int machines,
+      int spares,
+      int zones,
+      int cellSize,
+      MachineTemplate template,
+      Map<String, Double> kindShares,
+      Map<String, UsageProfile> usageProfiles) {}
+
+  /** What all machines have in common, and the ranges that their own values are drawn from. */
+  record MachineTemplate(
+      AdmissionTemplate admission,
+      StartUpTemplate startUp,
+      Duration sampleInterval,
+      DrainPolicy drainPolicy) {}
+
+  /** How offers are examined. */
+  record AdmissionTemplate(Range timeMillis, int queueLimit, boolean preempts) {}
+
+  /** How VMs start. */
+  record StartUpTemplate(
+      Range workMillis,
+      Range speed,
+      int parallelStarts,
+      int cachedPrograms,
+      double uncachedFactor) {}
+
+  /**
+   * The clients and what they request.
+   *
+   * @param ratePerSecond requests for VMs of all clients
+   * @param batch mean number of VMs that are requested together
+   * @param maxAttempts how often a client requests a VM at most
+   * @param priorityClassShares the share of services in each priority class
+   */
+  record Clients(
+      double ratePerSecond,
+      int services,
+      double batch,
+      Range lifeSeconds,
+      Range retryMillis,
+      int maxAttempts,
+      Map<String, Double> priorityClassShares,
+      List<Shape> shapes) {}
+
+  /** What a VM requests. */
   record Shape(double cores, double memory) {}
 
-  static final List<String> KINDS =
-      List.of(
-          "slow",
-          "vanish",
-          "hang",
-          "crash",
-          "fast_errors",
-          "pauses",
-          "neighbour",
-          "answer_lost",
-          "throttle",
-          "drain",
-          "deploy",
-          "mass_restart",
-          "preempt",
-          "zone_loss",
-          "grow",
-          "burst",
-          "hot_key",
-          "flush",
-          "reconnect",
-          "cut_clients",
-          "cut_machines",
-          "cut_offers",
-          "cut_before_answer",
-          "cut_after_answer",
-          "cut_greetings",
-          "cut_binds",
-          "mute",
-          "etcd_compact",
-          "etcd_silence",
-          "etcd_cut",
-          "etcd_delay",
-          "etcd_restore",
-          "etcd_leases");
-
-  private static final Duration LONG = Duration.ofHours(2);
-
-  String name;
-  long seed;
-  Duration length;
-  Duration settle;
-  boolean ownProcess;
-  Config deploymentText;
-  DeploymentSettings deployment;
-  int machines;
-  int spares;
-  int zones;
-  int cellSize;
-  double[] admit;
-  double[] work;
-  double[] speed;
-  int line;
-  int starts;
-  int kept;
-  double setup;
-  Duration sample;
-  boolean preempts;
-  String drainManner;
-  Map<String, Double> kindShares = new LinkedHashMap<>();
-  Map<String, MachineModel.UsageModel> uses = new LinkedHashMap<>();
-  double rate;
-  int services;
-  double batch;
-  double[] life;
-  double[] again;
-
-  /** Customers' rules in force all day; empty for none. */
-  String rules;
-
-  /** Generated sets that follow each other through the store. */
-  int sets;
-
-  Duration setEvery;
-  int tries;
-  Map<String, Double> priorityClassShares = new LinkedHashMap<>();
-  List<Shape> shapes = new ArrayList<>();
-  boolean registryEtcd;
-  Duration registryEvery;
-  Duration registryLate;
-  final List<Fault> faults = new ArrayList<>();
-
-  private ScenarioPlan() {}
-
-  static ScenarioPlan read(File file, Map<String, ?> changes) throws InvalidSettingsException {
-    Config own =
-        ConfigFactory.parseMap(changes, "command line")
+  /**
+   * The registry that publishes the machine list.
+   *
+   * @param delay how old the state is that it publishes
+   */
+  record Registry(boolean isInEtcd, Duration interval, Duration delay) {}
+
+  /**
+   * Tenants' constraints.
+   *
+   * @param text in force from the start; empty for none
+   * @param generatedSets how many generated sets follow each other through the store
+   */
+  record Constraints(String text, int generatedSets, Duration setInterval) {}
+
+  /**
+   * Reads and checks a scenario.
+   *
+   * @param overrides keys of the file that the command line replaces
+   */
+  static ScenarioPlan read(File file, Map<String, ?> overrides) throws InvalidSettingsException {
+    Config scenario =
+        ConfigFactory.parseMap(overrides, "command line")
             .withFallback(DeploymentSettings.parse(file))
-            .resolve();
-    Config all =
-        own.withFallback(
-            ConfigFactory.parseResources(
-                ScenarioPlan.class.getClassLoader(), "fordridge-day-reference.conf"));
+            .resolve()
+            .withFallback(
+                ConfigFactory.parseResources(
+                    ScenarioPlan.class.getClassLoader(), "fordridge-day-reference.conf"));
     List<SettingError> errors = new ArrayList<>();
-    ScenarioPlan p = new ScenarioPlan();
-    ConfigReader r = new ConfigReader(all.withoutPath("deployment"), "", errors);
-    p.deploymentText =
-        all.getConfig("deployment")
+    Config deploymentConfig =
+        scenario
+            .getConfig("deployment")
             .withValue("machines.list", ConfigValueFactory.fromAnyRef("machines.conf"))
             .withValue("placer.listen.port", ConfigValueFactory.fromAnyRef(0));
-    try {
-      p.deployment = DeploymentSettings.read(p.deploymentText, new File("."));
-    } catch (InvalidSettingsException e) {
-      errors.addAll(e.errors());
-      throw new InvalidSettingsException(errors);
-    }
-    p.take(r);
-    r.rejectUnknownKeys();
+    DeploymentSettings deployment = DeploymentSettings.read(deploymentConfig, new File("."));
+    ConfigReader reader = new ConfigReader(scenario.withoutPath("deployment"), "", errors);
+    ScenarioPlan plan =
+        new ScenarioPlan(
+            readRun(reader),
+            deploymentConfig,
+            deployment,
+            readFleet(reader, deployment),
+            readClients(reader, deployment),
+            readRegistry(reader),
+            readConstraints(reader),
+            readFaults(reader));
+    reader.rejectUnknownKeys();
     if (!errors.isEmpty()) {
       throw new InvalidSettingsException(errors);
     }
-    return p;
+    return plan;
+  }
+
+  private static Run readRun(ConfigReader reader) {
+    return new Run(
+        reader.string("name", 100),
+        reader.longInteger("seed"),
+        reader.duration("length", Duration.ofSeconds(1), MAX_DURATION),
+        reader.duration("settle", Duration.ofSeconds(1), MAX_DURATION),
+        reader.bool("own_process"));
+  }
+
+  private static Fleet readFleet(ConfigReader reader, DeploymentSettings deployment) {
+    return new Fleet(
+        reader.integer("fleet.machines", 1, 10_000),
+        reader.integer("fleet.spares", 0, 10_000),
+        reader.integer("fleet.zones", 1, 100),
+        reader.integer("fleet.cell_size", 1, 1000),
+        readTemplate(reader),
+        readKindShares(reader, deployment),
+        readUsageProfiles(reader, deployment));
+  }
+
+  private static MachineTemplate readTemplate(ConfigReader reader) {
+    return new MachineTemplate(
+        new AdmissionTemplate(
+            readRange(reader, "fleet.admit_ms", 0.1, 10_000),
+            reader.integer("fleet.line", 1, 10_000),
+            reader.bool("fleet.preempts")),
+        new StartUpTemplate(
+            readRange(reader, "fleet.work_ms", 0.1, 100_000),
+            readRange(reader, "fleet.speed", 0.01, 100),
+            reader.integer("fleet.starts", 1, 1000),
+            reader.integer("fleet.kept", 0, 10_000),
+            reader.decimal("fleet.setup", 1, 1000)),
+        reader.duration("fleet.sample", Duration.ofMillis(10), MAX_DURATION),
+        drainPolicy(reader.oneOf("fleet.drain_sends", "at_once", "paced", "none")));
+  }
+
+  private static DrainPolicy drainPolicy(String text) {
+    return DrainPolicy.valueOf(text.toUpperCase(Locale.ROOT));
+  }
+
+  private static Map<String, Double> readKindShares(
+      ConfigReader reader, DeploymentSettings deployment) {
+    Map<String, Double> shares = new LinkedHashMap<>();
+    for (MachineKind kind : deployment.kinds()) {
+      shares.put(kind.name(), readOptional(reader, "fleet.shares." + kind.name(), 1, 1));
+    }
+    return shares;
   }
 
-  private void take(ConfigReader r) {
-    Duration ms = Duration.ofMillis(1);
-    name = r.string("name", 100);
-    sets = r.integer("sets.count", 0, 100_000);
-    setEvery = r.duration("sets.every", Duration.ofMillis(10), LONG);
-    rules = r.has("rules") ? r.string("rules", 1_000_000) : "";
-    seed = r.longInteger("seed");
-    length = r.duration("length", Duration.ofSeconds(1), LONG);
-    settle = r.duration("settle", Duration.ofSeconds(1), LONG);
-    ownProcess = r.bool("own_process");
-    machines = r.integer("fleet.machines", 1, 10_000);
-    spares = r.integer("fleet.spares", 0, 10_000);
-    zones = r.integer("fleet.zones", 1, 100);
-    cellSize = r.integer("fleet.cell_size", 1, 1000);
-    admit = range(r, "fleet.admit_ms", 0.1, 10_000);
-    work = range(r, "fleet.work_ms", 0.1, 100_000);
-    speed = range(r, "fleet.speed", 0.01, 100);
-    line = r.integer("fleet.line", 1, 10_000);
-    starts = r.integer("fleet.starts", 1, 1000);
-    kept = r.integer("fleet.kept", 0, 10_000);
-    setup = r.decimal("fleet.setup", 1, 1000);
-    sample = r.duration("fleet.sample", Duration.ofMillis(10), LONG);
-    preempts = r.bool("fleet.preempts");
-    drainManner = r.oneOf("fleet.drain_sends", "at_once", "paced", "none");
-    rate = r.decimal("owners.rate", 0.01, 1e6);
-    services = r.integer("owners.services", 1, 100_000);
-    batch = r.decimal("owners.batch", 1, 1000);
-    life = range(r, "owners.life_s", 0.1, 100_000);
-    again = range(r, "owners.again_ms", 1, 1_000_000);
-    tries = r.integer("owners.tries", 1, 1000);
-    registryEtcd = r.oneOf("registry.in", "file", "etcd").equals("etcd");
-    registryEvery = r.duration("registry.every", ms, LONG);
-    registryLate = r.duration("registry.late", Duration.ZERO, LONG);
-    for (PriorityClassSettings f : deployment.priorityClasses().values()) {
-      String key = "flavours." + f.name();
-      priorityClassShares.put(
-          f.name(), r.has(key + ".share") ? r.decimal(key + ".share", 0, 1) : 1);
-      uses.put(
-          f.name(),
-          new MachineModel.UsageModel(
-              r.has(key + ".cores_use") ? r.decimal(key + ".cores_use", 0, 10) : 0.5,
-              r.has(key + ".memory_use") ? r.decimal(key + ".memory_use", 0, 10) : 0.7,
-              r.has(key + ".sigma") ? r.decimal(key + ".sigma", 0, 5) : 0.5,
-              f.fullSpeedUtilization(),
-              f.degradationSpan()));
+  private static Map<String, UsageProfile> readUsageProfiles(
+      ConfigReader reader, DeploymentSettings deployment) {
+    Map<String, UsageProfile> profiles = new LinkedHashMap<>();
+    for (PriorityClassSettings priorityClass : deployment.priorityClasses().values()) {
+      String key = "flavours." + priorityClass.name();
+      profiles.put(
+          priorityClass.name(),
+          new UsageProfile(
+              readOptional(reader, key + ".cores_use", 10, DEFAULT_CORES_USE),
+              readOptional(reader, key + ".memory_use", 10, DEFAULT_MEMORY_USE),
+              readOptional(reader, key + ".sigma", 5, DEFAULT_SIGMA),
+              priorityClass.fullSpeedUtilization(),
+              priorityClass.degradationSpan()));
     }
-    for (MachineKind k : deployment.kinds()) {
-      String key = "fleet.shares." + k.name();
-      kindShares.put(k.name(), r.has(key) ? r.decimal(key, 0, 1) : 1);
+    return profiles;
+  }
+
+  private static Clients readClients(ConfigReader reader, DeploymentSettings deployment) {
+    return new Clients(
+        reader.decimal("owners.rate", 0.01, 1e6),
+        reader.integer("owners.services", 1, 100_000),
+        reader.decimal("owners.batch", 1, 1000),
+        readRange(reader, "owners.life_s", 0.1, 100_000),
+        readRange(reader, "owners.again_ms", 1, 1_000_000),
+        reader.integer("owners.tries", 1, 1000),
+        readPriorityClassShares(reader, deployment),
+        readShapes(reader));
+  }
+
+  private static Map<String, Double> readPriorityClassShares(
+      ConfigReader reader, DeploymentSettings deployment) {
+    Map<String, Double> shares = new LinkedHashMap<>();
+    for (String name : deployment.priorityClasses().keySet()) {
+      shares.put(name, readOptional(reader, "flavours." + name + ".share", 1, 1));
     }
-    for (ConfigReader s : r.objects("owners.shapes")) {
-      shapes.add(new Shape(s.decimal("cores", 0.01, 1e6), s.decimal("memory", 0.01, 1e9)));
-      s.rejectUnknownKeys();
+    return shares;
+  }
+
+  private static List<Shape> readShapes(ConfigReader reader) {
+    List<Shape> shapes = new ArrayList<>();
+    for (ConfigReader shape : reader.objects("owners.shapes")) {
+      shapes.add(new Shape(shape.decimal("cores", 0.01, 1e6), shape.decimal("memory", 0.01, 1e9)));
+      shape.rejectUnknownKeys();
     }
-    for (ConfigReader f : r.objectsWithDefaults("faults", "fault_defaults")) {
+    return shapes;
+  }
+
+  private static Registry readRegistry(ConfigReader reader) {
+    return new Registry(
+        reader.oneOf("registry.in", "file", "etcd").equals("etcd"),
+        reader.duration("registry.every", Duration.ofMillis(1), MAX_DURATION),
+        reader.duration("registry.late", Duration.ZERO, MAX_DURATION));
+  }
+
+  private static Constraints readConstraints(ConfigReader reader) {
+    return new Constraints(
+        reader.has("rules") ? reader.string("rules", 1_000_000) : "",
+        reader.integer("sets.count", 0, 100_000),
+        reader.duration("sets.every", Duration.ofMillis(10), MAX_DURATION));
+  }
+
+  private static List<FaultPlan> readFaults(ConfigReader reader) {
+    List<FaultPlan> faults = new ArrayList<>();
+    for (ConfigReader fault : reader.objectsWithDefaults("faults", "fault_defaults")) {
       faults.add(
-          new Fault(
-              f.oneOf("kind", KINDS.toArray(new String[0])),
-              f.duration("at", Duration.ZERO, LONG),
-              f.duration("for", Duration.ZERO, LONG),
-              f.decimal("part", 0, 1),
-              f.decimal("size", 0, 1e6),
-              f.decimal("extra", 0, 1e6),
-              f.string("of", 100),
-              f.oneOf("by", "any", "zone", "cell", "kind")));
-      f.rejectUnknownKeys();
+          new FaultPlan(
+              FaultKind.of(fault.oneOf("kind", FaultKind.texts())),
+              fault.duration("at", Duration.ZERO, MAX_DURATION),
+              fault.duration("for", Duration.ZERO, MAX_DURATION),
+              fault.decimal("part", 0, 1),
+              fault.decimal("size", 0, 1e6),
+              fault.decimal("extra", 0, 1e6),
+              fault.string("of", 100),
+              FaultPlan.Scope.of(fault.oneOf("by", "any", "zone", "cell", "kind"))));
+      fault.rejectUnknownKeys();
     }
     for (String key : List.of("kind", "at", "for", "part", "size", "extra", "of", "by")) {
-      r.markKnown("fault_defaults." + key);
+      reader.markKnown("fault_defaults." + key);
     }
+    return faults;
+  }
+
+  private static double readOptional(
+      ConfigReader reader, String key, double most, double defaultValue) {
+    return reader.has(key) ? reader.decimal(key, 0, most) : defaultValue;
   }
 
-  private static double[] range(ConfigReader r, String key, double least, double most) {
-    return new double[] {
-      r.decimal(key + ".least", least, most), r.decimal(key + ".most", least, most)
-    };
+  private static Range readRange(ConfigReader reader, String key, double least, double most) {
+    return new Range(
+        reader.decimal(key + ".least", least, most), reader.decimal(key + ".most", least, most));
   }
 }
--- a/src/main/java/fordridge/server/json/ProcessSignals.java
+++ b/src/main/java/fordridge/server/json/ProcessSignals.java
@@ -1,7 +1,9 @@
 package fordridge.server.json;
 
-/** Handles signals to the process, for which Java has no supported interface. */
-@SuppressWarnings("sunapi") // No other way to act on SIGHUP, or on SIGTERM before the exit.
+/**
+ * Handles signals to the process. Java has no supported interface for it; without this one a SIGHUP
+ * could not be acted on, nor a SIGTERM before the exit has begun.
+ */
 final class ProcessSignals {
   private ProcessSignals() {}
 
