--- a/src/main/java/fordridge/cli/CheckConfigCommand.java
+++ b/src/main/java/fordridge/cli/CheckConfigCommand.java
@@ -23,7 +23,7 @@
   @Override
   public Integer call() throws Exception {
     DeploymentSettings settings = Cli.readSettings(file, Map.of());
-    PlacerCommand.watched(settings);
+    PlacerCommand.readShadowSettings(settings);
     File list = settings.machineListFile();
     if (list.isFile()) {
       int machines = MachineListFile.read(list, settings, FIRST_VERSION).entries().size();
--- a/src/main/java/fordridge/cli/ConstraintsCommand.java
+++ b/src/main/java/fordridge/cli/ConstraintsCommand.java
@@ -35,7 +35,7 @@
     String text = Files.readString(file.toPath());
     List<PlacementConstraint> constraints = parse(text);
     if (config != null) {
-      constraints = PlacerCommand.readRules(text, Cli.readSettings(config, Map.of()));
+      constraints = PlacerCommand.readConstraints(text, Cli.readSettings(config, Map.of()));
     }
     System.out.print(ConstraintParser.format(constraints));
     return ExitCode.OK;
--- a/src/main/java/fordridge/cli/PlacerSubcommand.java
+++ b/src/main/java/fordridge/cli/PlacerSubcommand.java
@@ -57,11 +57,11 @@
   /** Writes a file of another name and renames it, so that nobody reads half of it. */
   private void writePorts(PlacerCommand schedulers) throws IOException {
     StringBuilder text = new StringBuilder();
-    for (int i = 0; i < schedulers.count(); i++) {
+    for (int i = 0; i < schedulers.instanceCount(); i++) {
       text.append(schedulers.name(i)).append(' ').append(schedulers.port(i)).append('\n');
     }
-    if (schedulers.metricsPort() >= 0) {
-      text.append("metrics ").append(schedulers.metricsPort()).append('\n');
+    if (schedulers.metricsPort().isPresent()) {
+      text.append("metrics ").append(schedulers.metricsPort().getAsInt()).append('\n');
     }
     File newFile = new File(portsFile.getPath() + ".next");
     Files.writeString(newFile.toPath(), text.toString());
@@ -72,7 +72,7 @@
   private static void stopAndHalt(PlacerCommand schedulers) {
     int exitCode;
     try {
-      exitCode = schedulers.stop() ? ExitCode.OK : ExitCode.FAILED;
+      exitCode = schedulers.shutdown() ? ExitCode.OK : ExitCode.FAILED;
     } catch (InterruptedException e) {
       exitCode = ExitCode.FAILED;
     }
--- a/src/main/java/fordridge/emulator/InProcessSchedulers.java
+++ b/src/main/java/fordridge/emulator/InProcessSchedulers.java
@@ -35,13 +35,13 @@
         metrics.percentileMillis(Metrics.Latency.EVENT_LOOP_LAG, 0.99),
         metrics.percentileMillis(Metrics.Latency.DECISION, 0.5),
         metrics.percentileMillis(Metrics.Latency.DECISION, 0.99),
-        command.streams());
+        command.establishedStreams());
   }
 
   @Override
   public boolean stop() throws InterruptedException {
     isStopped = true;
-    return command.stop();
+    return command.shutdown();
   }
 
   @Override
--- a/src/main/java/fordridge/observability/Metrics.java
+++ b/src/main/java/fordridge/observability/Metrics.java
@@ -73,9 +73,9 @@
       attemptOutcomes.put(
           outcome, registry.counter("fordridge.outcomes", "kind", outcome.metricTag()));
     }
-    responses.put(ClientResponse.Kind.BOUND, responseCounter("bound"));
-    responses.put(ClientResponse.Kind.DENIED, responseCounter("denied"));
-    responses.put(ClientResponse.Kind.ERRORED, responseCounter("errored"));
+    responses.put(ClientResponse.Kind.ACCEPTED, responseCounter("bound"));
+    responses.put(ClientResponse.Kind.REJECTED, responseCounter("denied"));
+    responses.put(ClientResponse.Kind.FAILED, responseCounter("errored"));
     for (Latency latency : Latency.values()) {
       timers.put(latency, timer(latency.metricName));
     }
@@ -101,7 +101,11 @@
 
   /** A final response was sent to a client. */
   public void responseSent(ClientResponse.Kind kind) {
-    responses.get(kind).increment();
+    Counter counter = responses.get(kind);
+    if (counter == null) {
+      throw new IllegalArgumentException("not a final response: " + kind);
+    }
+    counter.increment();
   }
 
   /** A VM was accepted so long after its request arrived. */
