--- a/src/main/java/fordridge/server/grpc/AttemptTracker.java
+++ b/src/main/java/fordridge/server/grpc/AttemptTracker.java
@@ -181,7 +181,7 @@
     context.loop.processBehind(
         () ->
             context.scheduler.probeCompleted(
-                machine, context.machines.nameOf(machine), healthy, withLoadReport, roundTrip));
+                machine, context.machines.nameOf(machine), healthy, withLoadReport));
   }
 
   @Override
--- a/src/main/java/fordridge/server/grpc/GroupActions.java
+++ b/src/main/java/fordridge/server/grpc/GroupActions.java
@@ -67,8 +67,8 @@
   private MachineCapacity freeCapacity(String machineName) {
     Machine machine = context.scheduler.inputs().machine(machineName);
     return new MachineCapacity(
-        machine.freeCores - machine.reservedSinceList.cores,
-        machine.freeMemory - machine.reservedSinceList.memory);
+        machine.freeCores - machine.reservedSinceList.cores(),
+        machine.freeMemory - machine.reservedSinceList.memory());
   }
 
   private MachineCapacity fullCapacity(String machineName) {
--- a/src/main/java/fordridge/server/grpc/ShadowScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -137,8 +137,8 @@
     inputs.scheduler.shutdownStarted();
   }
 
-  void probeCompleted(String machine, boolean isHealthy, Duration roundTrip) {
-    inputs.scheduler.probeCompleted(inputs.machine(machine), isHealthy, isHealthy, roundTrip);
+  void probeCompleted(String machine, boolean isHealthy) {
+    inputs.scheduler.probeCompleted(inputs.machine(machine), isHealthy, isHealthy);
   }
 
   void vmAdopted(Vm vm, String machine) {
@@ -358,15 +358,15 @@
   }
 
   private void answerProbeUnlessPrimaryProbes(Machine machine) {
-    if (primary.machine(machineNames.get(machine)).probing) {
+    if (primary.machine(machineNames.get(machine)).isProbing) {
       return;
     }
     metrics.shadowDiffered(Metrics.ShadowDifference.PROBE);
     // No machine was probed: the shadow gets neither a fault nor a load report, and may probe
     // again.
-    Duration roundTrip = primarySettings.connections().connectTimeout();
     primary.schedule(
-        roundTrip, () -> inputs.scheduler.probeCompleted(machine, true, false, roundTrip));
+        primarySettings.connections().connectTimeout(),
+        () -> inputs.scheduler.probeCompleted(machine, true, false));
   }
 
   @Override
