--- a/src/main/java/fordridge/discovery/MachineListFile.java
+++ b/src/main/java/fordridge/discovery/MachineListFile.java
@@ -3,7 +3,9 @@
 import com.typesafe.config.Config;
 import fordridge.model.Machine.Lifecycle;
 import fordridge.settings.ConfigReader;
+import fordridge.settings.ConfigWord;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.HostAndPort;
 import fordridge.settings.InvalidSettingsException;
 import fordridge.settings.SettingError;
 import java.io.File;
@@ -11,7 +13,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.attribute.BasicFileAttributes;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
@@ -27,135 +28,195 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The list of machines in a HOCON file that is looked at again and again. A file that cannot be
- * read leaves the last good list in force, and says why once for each state of the file. Writers
- * replace it by renaming over it.
+ * The machine list in a HOCON file that is polled for changes on a thread of its own.
+ *
+ * <p>A file that cannot be read leaves the last good list in force, and is logged once for each of
+ * its states. Writers replace it by renaming a new file over it.
  */
 public final class MachineListFile implements MachineListSource {
   private static final Logger LOG = LoggerFactory.getLogger(MachineListFile.class);
+  private static final String THREAD_NAME = "list-file";
+  private static final int FORMAT_VERSION = 1;
+  private static final int MAX_FORMAT_VERSION = 1_000_000;
+  private static final int MAX_NAME_LENGTH = 100;
+  private static final int MAX_ADDRESS_LENGTH = 300;
+  private static final int MAX_CELL = 1_000_000;
+  private static final double MAX_FREE_CORES = 1e6;
+  private static final double MAX_FREE_MEMORY = 1e9;
+  private static final String UNREADABLE_STATE = "unreadable";
+
+  /** A machine's state as it is written in the file. */
+  private enum ListedState implements ConfigWord {
+    LIVE("live", Lifecycle.LIVE),
+    DRAINING("draining", Lifecycle.DRAINING),
+    GONE("gone", Lifecycle.GONE);
+
+    private final String configWord;
+    private final Lifecycle lifecycle;
+
+    ListedState(String configWord, Lifecycle lifecycle) {
+      this.configWord = configWord;
+      this.lifecycle = lifecycle;
+    }
+
+    @Override
+    public String configWord() {
+      return configWord;
+    }
+  }
 
   private final File file;
   private final DeploymentSettings deployment;
-  private final List<Consumer<Update>> takers = new CopyOnWriteArrayList<>();
-  private final ScheduledExecutorService looks =
-      Executors.newSingleThreadScheduledExecutor(
-          r -> {
-            Thread t = new Thread(r, "list-file");
-            t.setDaemon(true);
-            return t;
-          });
+  private final List<Consumer<Update>> listeners = new CopyOnWriteArrayList<>();
+  private final ScheduledExecutorService poller =
+      Executors.newSingleThreadScheduledExecutor(MachineListFile::daemon);
   private volatile Update latest;
-  private String seen;
+  private String lastFileState;
 
+  /**
+   * Reads the file, and polls it until {@link #close()}.
+   *
+   * @throws InvalidSettingsException if the file cannot be read now
+   */
   public MachineListFile(File file, DeploymentSettings deployment) throws InvalidSettingsException {
     this.file = file;
     this.deployment = deployment;
-    seen = mark();
+    lastFileState = fileState();
     latest = read(file, deployment, 1);
-    long every = deployment.machineList().pollInterval().toMillis();
-    looks.scheduleWithFixedDelay(this::look, every, every, TimeUnit.MILLISECONDS);
+    startPolling(deployment.machineList().pollInterval().toMillis());
   }
 
-  private String mark() {
-    try {
-      BasicFileAttributes a = Files.readAttributes(file.toPath(), BasicFileAttributes.class);
-      return a.lastModifiedTime().to(TimeUnit.NANOSECONDS) + " " + a.size() + " " + a.fileKey();
-    } catch (IOException e) {
-      return "unreadable";
-    }
+  private static Thread daemon(Runnable task) {
+    Thread thread = new Thread(task, THREAD_NAME);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  @SuppressWarnings("FutureReturnValueIgnored") // poll() throws nothing, and ends with the poller.
+  private void startPolling(long intervalMillis) {
+    poller.scheduleWithFixedDelay(
+        this::poll, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
   }
 
-  private void look() {
+  private void poll() {
     try {
-      String mark = mark();
-      if (mark.equals(seen)) {
+      String fileState = fileState();
+      if (fileState.equals(lastFileState)) {
         return;
       }
-      seen = mark;
+      lastFileState = fileState;
       latest = read(file, deployment, latest.version() + 1);
-      for (Consumer<Update> t : takers) {
-        t.accept(latest);
+      for (Consumer<Update> listener : listeners) {
+        listener.accept(latest);
       }
     } catch (InvalidSettingsException e) {
       LOG.atError()
           .addKeyValue("list", file.getName())
-          .log("the list of machines stays as it was: " + String.join("; ", e.messages()));
+          .log("machine list rejected, the last one stays: {}", String.join("; ", e.messages()));
     } catch (RuntimeException e) {
-      LOG.error("the list of machines stays as it was", e);
+      LOG.error("machine list rejected, the last one stays", e);
     }
   }
 
-  /** Reads the file whole, with every complaint at once. */
-  public static Update read(File file, DeploymentSettings d, long version)
+  /** What changes whenever the file is replaced or written. */
+  private String fileState() {
+    try {
+      BasicFileAttributes attributes =
+          Files.readAttributes(file.toPath(), BasicFileAttributes.class);
+      return attributes.lastModifiedTime().to(TimeUnit.NANOSECONDS)
+          + " "
+          + attributes.size()
+          + " "
+          + attributes.fileKey();
+    } catch (IOException e) {
+      // Reading the file will say why.
+      return UNREADABLE_STATE;
+    }
+  }
+
+  /**
+   * Reads and checks a file.
+   *
+   * @param version version of the list returned
+   * @throws InvalidSettingsException with every error in the file
+   */
+  public static Update read(File file, DeploymentSettings deployment, long version)
       throws InvalidSettingsException {
-    Config c = DeploymentSettings.parse(file);
+    Config config = DeploymentSettings.parse(file);
     List<SettingError> errors = new ArrayList<>();
-    ConfigReader r = new ConfigReader(c, "", errors);
-    if (r.integer("version", 1, 1_000_000) != 1) {
-      r.reject("version", "another", "1");
+    ConfigReader reader = new ConfigReader(config, "", errors);
+    if (reader.integer("version", 1, MAX_FORMAT_VERSION) != FORMAT_VERSION) {
+      reader.reject("version", "another", String.valueOf(FORMAT_VERSION));
     }
-    Set<String> kinds = new HashSet<>();
-    d.kinds().forEach(k -> kinds.add(k.name()));
     List<Entry> entries = new ArrayList<>();
     Set<String> names = new HashSet<>();
-    for (ConfigReader m : r.objects("machines")) {
-      entries.add(entry(m, kinds, names));
-      m.rejectUnknownKeys();
+    for (ConfigReader machine : reader.objects("machines")) {
+      entries.add(readEntry(machine, deployment.kindNames(), names));
+      machine.rejectUnknownKeys();
     }
-    r.rejectUnknownKeys();
+    reader.rejectUnknownKeys();
     if (!errors.isEmpty()) {
       throw new InvalidSettingsException(errors);
     }
     return new Update(version, true, false, entries);
   }
 
-  private static Entry entry(ConfigReader m, Set<String> kinds, Set<String> names) {
-    String name = m.string("name", 100);
+  private static Entry readEntry(ConfigReader machine, Set<String> kinds, Set<String> names) {
+    return new Entry(
+        readName(machine, names),
+        readAddress(machine),
+        readKind(machine, kinds),
+        machine.has("zone") ? machine.string("zone", MAX_NAME_LENGTH) : "",
+        machine.has("cell") ? machine.integer("cell", 0, MAX_CELL) : 0,
+        machine.constant("state", ListedState.values()).lifecycle,
+        readFree(machine, "free_cores", MAX_FREE_CORES),
+        readFree(machine, "free_memory", MAX_FREE_MEMORY),
+        readStartedAt(machine));
+  }
+
+  private static String readName(ConfigReader machine, Set<String> names) {
+    String name = machine.string("name", MAX_NAME_LENGTH);
     if (!names.add(name)) {
-      m.reject("name", "'" + name + "' twice", "each name once");
+      machine.reject("name", "'" + name + "' twice", "each name once");
     }
-    String kind = m.string("kind", 100);
+    return name;
+  }
+
+  private static InetSocketAddress readAddress(ConfigReader machine) {
+    String address = machine.string("address", MAX_ADDRESS_LENGTH);
+    try {
+      return HostAndPort.parse(address);
+    } catch (IllegalArgumentException e) {
+      machine.reject("address", "'" + address + "'", "host:port");
+      return null;
+    }
+  }
+
+  private static String readKind(ConfigReader machine, Set<String> kinds) {
+    String kind = machine.string("kind", MAX_NAME_LENGTH);
     if (!kinds.contains(kind)) {
-      m.reject(
-          "kind",
-          "'" + kind + "'",
-          "a kind of the settings: " + String.join(", ", new java.util.TreeSet<>(kinds)));
+      machine.reject(
+          "kind", "'" + kind + "'", "a kind of the settings: " + String.join(", ", kinds));
     }
-    String address = m.string("address", 300);
-    int colon = address.lastIndexOf(':');
-    InetSocketAddress at = null;
-    try {
-      at =
-          new InetSocketAddress(
-              address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-      m.reject("address", "'" + address + "'", "host:port");
+    return kind;
+  }
+
+  /** Free capacity may be negative: more may be reserved than there is. */
+  private static double readFree(ConfigReader machine, String key, double most) {
+    return machine.has(key) ? machine.decimal(key, -most, most) : 0;
+  }
+
+  private static Instant readStartedAt(ConfigReader machine) {
+    if (!machine.has("started")) {
+      return null;
     }
-    Instant started = null;
-    if (m.has("started")) {
-      String s = m.string("started", 100);
-      try {
-        started = Instant.parse(s);
-      } catch (DateTimeParseException e) {
-        m.reject("started", "'" + s + "'", "an instant, as 2026-01-31T12:00:00Z");
-      }
+    String started = machine.string("started", MAX_NAME_LENGTH);
+    try {
+      return Instant.parse(started);
+    } catch (DateTimeParseException e) {
+      machine.reject("started", "'" + started + "'", "an instant, as 2026-01-31T12:00:00Z");
+      return null;
     }
-    Lifecycle lifecycle =
-        switch (m.oneOf("state", "live", "draining", "gone")) {
-          case "draining" -> Lifecycle.DRAINING;
-          case "gone" -> Lifecycle.GONE;
-          default -> Lifecycle.LIVE;
-        };
-    return new Entry(
-        name,
-        at,
-        kind,
-        m.has("zone") ? m.string("zone", 100) : "",
-        m.has("cell") ? m.integer("cell", 0, 1_000_000) : 0,
-        lifecycle,
-        m.has("free_cores") ? m.decimal("free_cores", -1e6, 1e6) : 0,
-        m.has("free_memory") ? m.decimal("free_memory", -1e9, 1e9) : 0,
-        started);
   }
 
   @Override
@@ -164,21 +225,16 @@
   }
 
   @Override
-  public void watch(Consumer<Update> taker) {
-    looks.execute(
+  public void watch(Consumer<Update> listener) {
+    poller.execute(
         () -> {
-          takers.add(taker);
-          taker.accept(latest);
+          listeners.add(listener);
+          listener.accept(latest);
         });
   }
 
   @Override
   public void close() {
-    looks.shutdownNow();
-  }
-
-  /** For writers of such files: how long a change takes to be seen at most, beyond its reading. */
-  public static Duration delay(DeploymentSettings d) {
-    return d.machineList().pollInterval();
+    poller.shutdownNow();
   }
 }
--- a/src/main/java/fordridge/emulator/RandomConstraints.java
+++ b/src/main/java/fordridge/emulator/RandomConstraints.java
@@ -1,6 +1,6 @@
 package fordridge.emulator;
 
-import fordridge.settings.MachineKind;
+import fordridge.model.MachineKind;
 import fordridge.settings.TenantShare;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
--- a/src/main/java/fordridge/membership/MachineListReplica.java
+++ b/src/main/java/fordridge/membership/MachineListReplica.java
@@ -306,12 +306,12 @@
   }
 
   private boolean isNewMachine(String name, MachineUpdate before, MachineRecord machine) {
-    if (before.lifecycle() == Lifecycle.GONE
-        || before.machine().incarnation() != machine.incarnation()) {
-      return true;
-    }
     Long createRevision = machineCreateRevisions.get(name);
-    return !Objects.equals(publishedCreateRevisions.put(name, createRevision), createRevision);
+    boolean isNewKey =
+        !Objects.equals(publishedCreateRevisions.put(name, createRevision), createRevision);
+    return isNewKey
+        || before.lifecycle() == Lifecycle.GONE
+        || before.machine().incarnation() != machine.incarnation();
   }
 
   /** The last update of every machine that was ever known. */
@@ -343,6 +343,7 @@
     return taken;
   }
 
+  /** How far the replica can be relied on. */
   public SyncState syncState() {
     return syncState;
   }
@@ -352,6 +353,7 @@
     return revision;
   }
 
+  /** Id of the cluster that the records are of; 0 before the first snapshot. */
   public long clusterId() {
     return clusterId;
   }
--- a/src/main/java/fordridge/observability/MetricsServer.java
+++ b/src/main/java/fordridge/observability/MetricsServer.java
@@ -21,40 +21,59 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 
-/** The plain metrics of a process on a loopback port. */
+/** Serves the metrics of a process over HTTP at {@code /metrics}, on the loopback address. */
 public final class MetricsServer implements AutoCloseable {
+  private static final String PATH = "/metrics";
+  private static final int MAX_REQUEST_BYTES = 8192;
+
   private final Channel channel;
 
-  public MetricsServer(int port, Metrics metrics, EventLoopGroup loops) {
+  /**
+   * Binds the port; blocks until it is bound.
+   *
+   * @param port 0 for a free one
+   * @param eventLoops where connections are served; the caller closes them
+   */
+  public MetricsServer(int port, Metrics metrics, EventLoopGroup eventLoops) {
     channel =
         new ServerBootstrap()
-            .group(loops)
+            .group(eventLoops)
             .channel(NioServerSocketChannel.class)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel c) {
-                    c.pipeline()
-                        .addLast(
-                            new HttpServerCodec(),
-                            new HttpObjectAggregator(8192),
-                            new RequestHandler(metrics));
-                  }
-                })
+            .childHandler(new ConnectionInitializer(metrics))
             .bind(InetAddress.getLoopbackAddress(), port)
             .syncUninterruptibly()
             .channel();
   }
 
+  /** The port that is bound. */
   public int port() {
     return ((InetSocketAddress) channel.localAddress()).getPort();
   }
 
   @Override
+  @SuppressWarnings("FutureReturnValueIgnored") // The event loops' owner waits for their end.
   public void close() {
     channel.close();
   }
 
+  private static final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+    private final Metrics metrics;
+
+    ConnectionInitializer(Metrics metrics) {
+      this.metrics = metrics;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel connection) {
+      connection
+          .pipeline()
+          .addLast(
+              new HttpServerCodec(),
+              new HttpObjectAggregator(MAX_REQUEST_BYTES),
+              new RequestHandler(metrics));
+    }
+  }
+
   private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final Metrics metrics;
 
@@ -63,17 +82,22 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-      boolean known = request.uri().equals("/metrics");
-      FullHttpResponse r =
+    @SuppressWarnings("FutureReturnValueIgnored") // The listener closes, whatever the outcome.
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      FullHttpResponse response =
+          request.uri().equals(PATH)
+              ? response(HttpResponseStatus.OK, metrics.scrape())
+              : response(HttpResponseStatus.NOT_FOUND, "only /metrics is here\n");
+      context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private static FullHttpResponse response(HttpResponseStatus status, String text) {
+      FullHttpResponse response =
           new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1,
-              known ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND,
-              Unpooled.copiedBuffer(
-                  known ? metrics.scrape() : "only /metrics is here\n", StandardCharsets.UTF_8));
-      r.headers().set("content-type", "text/plain; version=0.0.4; charset=utf-8");
-      r.headers().setInt("content-length", r.content().readableBytes());
-      ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+              HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+      response.headers().set("content-type", "text/plain; version=0.0.4; charset=utf-8");
+      response.headers().setInt("content-length", response.content().readableBytes());
+      return response;
     }
   }
 }
--- a/src/main/java/fordridge/settings/DeploymentSettings.java
+++ b/src/main/java/fordridge/settings/DeploymentSettings.java
@@ -5,6 +5,7 @@
 import com.typesafe.config.ConfigFactory;
 import com.typesafe.config.ConfigParseOptions;
 import com.typesafe.config.ConfigSyntax;
+import fordridge.model.MachineKind;
 import java.io.File;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -67,7 +68,7 @@
     shadowSettingsPath = reader.string("watch.terms", Limits.MAX_PATH_LENGTH);
     prices = PriceSettings.read(reader);
     goal = GoalSettings.read(reader);
-    kinds = reader.objects("kinds").stream().map(MachineKind::read).toList();
+    kinds = reader.objects("kinds").stream().map(DeploymentSettings::readKind).toList();
     priorityClasses = readPriorityClasses(reader);
     tenants = reader.objects("customers").stream().map(TenantShare::read).toList();
     logging = LoggingSettings.read(reader);
@@ -123,6 +124,16 @@
     return settings;
   }
 
+  private static MachineKind readKind(ConfigReader reader) {
+    MachineKind kind =
+        new MachineKind(
+            reader.string("name", Limits.MAX_NAME_LENGTH),
+            reader.decimal("cores", 0.01, 1e6),
+            reader.decimal("memory", 0.01, 1e9));
+    reader.rejectUnknownKeys();
+    return kind;
+  }
+
   private static Map<String, PriorityClassSettings> readPriorityClasses(ConfigReader reader) {
     PriorityClassSettings.markDefaultsKnown(reader);
     Map<String, PriorityClassSettings> byName = new LinkedHashMap<>();
@@ -207,42 +218,52 @@
     }
   }
 
+  /** The scheduler instances of this process. */
   public InstanceSettings instance() {
     return instance;
   }
 
+  /** What is retained for clients. */
   public SessionSettings sessions() {
     return sessions;
   }
 
+  /** Where the machine list comes from. */
   public MachineListSettings machineList() {
     return machineList;
   }
 
+  /** Access to etcd. */
   public EtcdSettings etcd() {
     return etcd;
   }
 
+  /** Connections to machines. */
   public ConnectionSettings connections() {
     return connections;
   }
 
+  /** What is configured of the cluster. */
   public ClusterSettings cluster() {
     return cluster;
   }
 
+  /** Gossip between schedulers. */
   public GossipSettings gossip() {
     return gossip;
   }
 
+  /** Prices of what a placement causes. */
   public PriceSettings prices() {
     return prices;
   }
 
+  /** Weights of the parts of the result. */
   public GoalSettings goal() {
     return goal;
   }
 
+  /** The kinds of machine. */
   public List<MachineKind> kinds() {
     return kinds;
   }
@@ -259,10 +280,12 @@
     return priorityClasses;
   }
 
+  /** The tenants and their shares; may be empty. */
   public List<TenantShare> tenants() {
     return tenants;
   }
 
+  /** How the process logs. */
   public LoggingSettings logging() {
     return logging;
   }
--- a/src/main/java/fordridge/settings/InvalidSettingsException.java
+++ b/src/main/java/fordridge/settings/InvalidSettingsException.java
@@ -27,6 +27,7 @@
     return ofMessages(List.of(message));
   }
 
+  /** Every error that was found. */
   public List<SettingError> errors() {
     return errors;
   }
--- a/src/main/java/fordridge/settings/SettingsUpdate.java
+++ b/src/main/java/fordridge/settings/SettingsUpdate.java
@@ -3,6 +3,7 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigFactory;
+import fordridge.model.MachineKind;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/test/java/fordridge/etcd/JetcdTest.java
+++ b/src/test/java/fordridge/etcd/JetcdTest.java
@@ -5,8 +5,11 @@
 import fordridge.emulator.EmulatedEtcd;
 import io.etcd.jetcd.ByteSequence;
 import io.etcd.jetcd.Client;
+import io.etcd.jetcd.KV;
+import io.etcd.jetcd.Lease;
 import io.etcd.jetcd.Watch;
 import io.etcd.jetcd.kv.GetResponse;
+import io.etcd.jetcd.kv.TxnResponse;
 import io.etcd.jetcd.op.Cmp;
 import io.etcd.jetcd.op.CmpTarget;
 import io.etcd.jetcd.op.Op;
@@ -18,118 +21,140 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import org.awaitility.Awaitility;
+import org.awaitility.core.ConditionFactory;
 
-/** A client that nobody here wrote finds the stand-in to speak as etcd does. */
+/** The emulated etcd serves jetcd, a client that is developed elsewhere, as etcd does. */
 class JetcdTest {
-  private static ByteSequence b(String s) {
-    return ByteSequence.from(s, StandardCharsets.UTF_8);
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final String PREFIX = "a/";
+
+  private static ByteSequence bytes(String text) {
+    return ByteSequence.from(text, StandardCharsets.UTF_8);
+  }
+
+  private static <T> T get(CompletableFuture<T> future) throws Exception {
+    return future.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  private static ConditionFactory await() {
+    return Awaitility.await().atMost(TIMEOUT);
   }
 
-  private static <T> T get(java.util.concurrent.CompletableFuture<T> f) throws Exception {
-    return f.get(10, TimeUnit.SECONDS);
+  private static Client connect(EmulatedEtcd etcd) {
+    return Client.builder().endpoints("http://127.0.0.1:" + etcd.port()).build();
+  }
+
+  private static Watch.Watcher watch(Client client, List<String> events) {
+    return client
+        .getWatchClient()
+        .watch(
+            bytes(PREFIX),
+            WatchOption.builder().isPrefix(true).withPrevKV(true).build(),
+            response -> response.getEvents().forEach(event -> events.add(describe(event))));
+  }
+
+  private static String describe(WatchEvent event) {
+    String before =
+        event.getEventType() == WatchEvent.EventType.DELETE
+            ? " was " + event.getPrevKV().getValue()
+            : "";
+    return event.getEventType() + " " + event.getKeyValue().getKey() + before;
+  }
+
+  private static GetResponse lastTwo(KV store) throws Exception {
+    return get(
+        store.get(
+            bytes(PREFIX),
+            GetOption.builder()
+                .isPrefix(true)
+                .withLimit(2)
+                .withSortField(GetOption.SortTarget.KEY)
+                .withSortOrder(GetOption.SortOrder.DESCEND)
+                .build()));
+  }
+
+  private static TxnResponse replaceIfAt(KV store, String key, long revision, String value)
+      throws Exception {
+    return get(
+        store
+            .txn()
+            .If(new Cmp(bytes(key), Cmp.Op.EQUAL, CmpTarget.modRevision(revision)))
+            .Then(Op.put(bytes(key), bytes(value), PutOption.DEFAULT))
+            .Else(Op.get(bytes(key), GetOption.DEFAULT))
+            .commit());
   }
 
   @Example
-  void putGetTxnLeaseAndWatch() throws Exception {
+  void putGetTransactionAndWatchWork() throws Exception {
     try (EmulatedEtcd etcd = new EmulatedEtcd();
-        Client client = Client.builder().endpoints("http://127.0.0.1:" + etcd.port()).build()) {
-      List<String> seen = new CopyOnWriteArrayList<>();
-      Watch.Watcher watcher =
-          client
-              .getWatchClient()
-              .watch(
-                  b("a/"),
-                  WatchOption.builder().isPrefix(true).withPrevKV(true).build(),
-                  r ->
-                      r.getEvents()
-                          .forEach(
-                              e ->
-                                  seen.add(
-                                      e.getEventType()
-                                          + " "
-                                          + e.getKeyValue().getKey()
-                                          + (e.getEventType() == WatchEvent.EventType.DELETE
-                                              ? " was " + e.getPrevKV().getValue()
-                                              : ""))));
-      Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> etcd.watchers() == 1);
+        Client client = connect(etcd)) {
+      KV store = client.getKVClient();
+      List<String> events = new CopyOnWriteArrayList<>();
+      Watch.Watcher watcher = watch(client, events);
+      await().until(() -> etcd.watchers() == 1);
       for (int i = 0; i < 5; i++) {
-        get(client.getKVClient().put(b("a/" + i), b("v" + i)));
+        get(store.put(bytes(PREFIX + i), bytes("v" + i)));
       }
-      GetResponse page =
-          get(
-              client
-                  .getKVClient()
-                  .get(
-                      b("a/"),
-                      GetOption.builder()
-                          .isPrefix(true)
-                          .withLimit(2)
-                          .withSortField(GetOption.SortTarget.KEY)
-                          .withSortOrder(GetOption.SortOrder.DESCEND)
-                          .build()));
+
+      GetResponse page = lastTwo(store);
       assertThat(page.getKvs().size()).isEqualTo(2);
       assertThat(page.isMore()).isTrue();
       assertThat(page.getCount()).isEqualTo(5);
       assertThat(page.getKvs().get(0).getValue().toString()).isEqualTo("v4");
-      long mod = page.getKvs().get(0).getModRevision();
-      assertThat(
-              get(client
-                      .getKVClient()
-                      .txn()
-                      .If(new Cmp(b("a/4"), Cmp.Op.EQUAL, CmpTarget.modRevision(mod)))
-                      .Then(Op.put(b("a/4"), b("new"), PutOption.DEFAULT))
-                      .commit())
-                  .isSucceeded())
-          .isTrue();
-      assertThat(
-              get(client
-                      .getKVClient()
-                      .txn()
-                      .If(new Cmp(b("a/4"), Cmp.Op.EQUAL, CmpTarget.modRevision(mod)))
-                      .Then(Op.put(b("a/4"), b("newer"), PutOption.DEFAULT))
-                      .Else(Op.get(b("a/4"), GetOption.DEFAULT))
-                      .commit())
-                  .isSucceeded())
-          .isFalse();
-      assertThat(
-              get(client.getKVClient().get(b("a/4"), GetOption.builder().withRevision(mod).build()))
-                  .getKvs()
-                  .get(0)
-                  .getValue()
-                  .toString())
+
+      long revision = page.getKvs().get(0).getModRevision();
+      assertThat(replaceIfAt(store, "a/4", revision, "new").isSucceeded()).isTrue();
+      assertThat(replaceIfAt(store, "a/4", revision, "newer").isSucceeded()).isFalse();
+      GetOption atRevision = GetOption.builder().withRevision(revision).build();
+      assertThat(get(store.get(bytes("a/4"), atRevision)).getKvs().get(0).getValue().toString())
           .isEqualTo("v4");
-      assertThat(
-              get(client
-                      .getKVClient()
-                      .delete(b("a/"), DeleteOption.builder().isPrefix(true).build()))
-                  .getDeleted())
-          .isEqualTo(5);
-      Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> seen.size() == 11);
-      assertThat(seen).contains("PUT a/0", "DELETE a/4 was new");
+
+      DeleteOption byPrefix = DeleteOption.builder().isPrefix(true).build();
+      assertThat(get(store.delete(bytes(PREFIX), byPrefix)).getDeleted()).isEqualTo(5);
+      await().until(() -> events.size() == 11);
+      assertThat(events).contains("PUT a/0", "DELETE a/4 was new");
       watcher.close();
-      long lease = get(client.getLeaseClient().grant(1)).getID();
-      get(
-          client
-              .getKVClient()
-              .put(b("held"), b("x"), PutOption.builder().withLeaseId(lease).build()));
-      assertThat(get(client.getLeaseClient().keepAliveOnce(lease)).getTTL()).isEqualTo(1);
-      Awaitility.await()
-          .atMost(Duration.ofSeconds(10))
-          .until(() -> get(client.getKVClient().get(b("held"))).getKvs().isEmpty());
+    }
+  }
+
+  @Example
+  void keyOfAnExpiredLeaseIsDeleted() throws Exception {
+    try (EmulatedEtcd etcd = new EmulatedEtcd();
+        Client client = connect(etcd)) {
+      KV store = client.getKVClient();
+      Lease leases = client.getLeaseClient();
+      long lease = get(leases.grant(1)).getID();
+      PutOption underLease = PutOption.builder().withLeaseId(lease).build();
+      get(store.put(bytes("held"), bytes("x"), underLease));
+      assertThat(get(leases.keepAliveOnce(lease)).getTTL()).isEqualTo(1);
+      await().until(() -> get(store.get(bytes("held"))).getKvs().isEmpty());
+    }
+  }
+
+  @Example
+  void watchFromACompactedRevisionFails() throws Exception {
+    try (EmulatedEtcd etcd = new EmulatedEtcd();
+        Client client = connect(etcd)) {
+      for (int i = 0; i < 5; i++) {
+        get(client.getKVClient().put(bytes(PREFIX + i), bytes("v" + i)));
+      }
       etcd.compactNow();
       List<Throwable> errors = new CopyOnWriteArrayList<>();
-      client
-          .getWatchClient()
-          .watch(
-              b("a/"),
-              WatchOption.builder().isPrefix(true).withRevision(2).build(),
-              Watch.listener(r -> {}, errors::add));
-      Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> !errors.isEmpty());
+      Watch.Watcher watcher =
+          client
+              .getWatchClient()
+              .watch(
+                  bytes(PREFIX),
+                  WatchOption.builder().isPrefix(true).withRevision(2).build(),
+                  Watch.listener(response -> {}, errors::add));
+      await().until(() -> !errors.isEmpty());
       assertThat(errors.get(0)).hasMessageContaining("compacted");
+      watcher.close();
     }
   }
 }
--- a/src/test/java/fordridge/membership/MachineListReplicaTest.java
+++ b/src/test/java/fordridge/membership/MachineListReplicaTest.java
@@ -33,6 +33,27 @@
         new MachineRecord("h:1", "k", "", 0, 8, 16, 8, 16, incarnation, 0));
   }
 
+  private static StoreRecord withFreeCores(StoreRecord record, double freeCores) {
+    MachineRecord machine = (MachineRecord) record.value();
+    return new StoreRecord(
+        record.key(),
+        record.kind(),
+        record.name(),
+        record.modRevision(),
+        record.createRevision(),
+        new MachineRecord(
+            machine.address(),
+            machine.kind(),
+            machine.zone(),
+            machine.cell(),
+            machine.cores(),
+            machine.memory(),
+            freeCores,
+            machine.freeMemory(),
+            machine.incarnation(),
+            machine.startedAtEpochMillis()));
+  }
+
   private static StoreRecord drain(String name, long modRevision, long createRevision) {
     return new StoreRecord(
         KEYS.drain(name),
@@ -92,6 +113,18 @@
     assertThat(updates).anyMatch(u -> u.name().equals("b") && u.lifecycle() == Lifecycle.GONE);
   }
 
+  @Example
+  void machineThatReturnedUnderItsNameIsNewOnlyOnce() {
+    MachineListReplica replica = replicaOf(machine("a", 5, 5, 1));
+    replica.takeUpdates();
+    replica.recordDeleted(KEYS.machine("a"), 11, START);
+    replica.takeUpdates();
+    replica.recordPut(machine("a", 12, 12, 1), START);
+    assertThat(replica.takeUpdates()).allMatch(MachineUpdate::isNewMachine).hasSize(1);
+    replica.recordPut(withFreeCores(machine("a", 13, 12, 1), 4), START);
+    assertThat(replica.takeUpdates()).noneMatch(MachineUpdate::isNewMachine).hasSize(1);
+  }
+
   @Example
   void drainThatArrivesAsTheMachineRestartsHolds() {
     MachineListReplica replica = replicaOf(machine("a", 5, 5, 1));
