--- a/src/test/java/fordridge/etcd/EtcdMachineListTest.java
+++ b/src/test/java/fordridge/etcd/EtcdMachineListTest.java
@@ -255,6 +255,7 @@
       etcd.put("/c/machines/newer", "{\"v\":9,\"address\":\"127.0.0.1:5\",\"kind\":\"k\"}");
       etcd.put("/c/machines/odd", ByteString.copyFrom(new byte[] {(byte) 0xff, (byte) 0xfe}), 0);
       etcd.put("/c/machines/large", "x".repeat(70_000));
+      etcd.put("/c/machines/port", "{\"address\":\"127.0.0.1:70000\",\"kind\":\"k\"}");
       etcd.put("/c/machines/here", "{\"address\":\"here\",\"kind\":\"k\"}");
       try (EtcdMachineList l = open(etcd, "")) {
         assertThat(l.latest().entries())
@@ -286,6 +287,24 @@
     }
   }
 
+  @Example
+  void leaseLostAfterACompactionIsRegisteredAnew() throws Exception {
+    try (EmulatedEtcd etcd = new EmulatedEtcd()) {
+      fill(etcd, 3);
+      try (EtcdMachineList list = open(etcd, "")) {
+        until(() -> etcd.watchers() == 1);
+        etcd.leaderless(true);
+        etcd.put("/c/drains/m00001", "{}");
+        etcd.compactNow();
+        etcd.leaderless(false);
+        until(() -> list.snapshotCount() == 2 && etcd.watchers() == 1);
+        etcd.revokeAll();
+        long revisionWithoutRegistration = etcd.revision();
+        until(() -> etcd.revision() > revisionWithoutRegistration);
+      }
+    }
+  }
+
   /** A taker slower than the changes: the latest state wins, and no drain is dropped on the way. */
   @Example
   void fallingBehindEndsAtTheLatestStateWithEveryDrain() throws Exception {
