--- a/src/main/java/fordridge/cli/CtlMachinesCommand.java
+++ b/src/main/java/fordridge/cli/CtlMachinesCommand.java
@@ -15,10 +15,6 @@
 @Command(name = "machines", description = "Lists the machines.", mixinStandardHelpOptions = true)
 final class CtlMachinesCommand implements Callable<Integer> {
   private static final JsonFactory JSON = new JsonFactory();
-  private static final String HEADER_FORMAT =
-      "%-24s %-10s %-10s %-8s %5s %10s %10s %-22s %9s  %s%n";
-  private static final String ROW_FORMAT =
-      "%-24s %-10s %-10s %-8s %5d %10.1f %10.1f %-22s %9d  %s%n";
 
   @Mixin private EtcdOptions etcd;
 
@@ -41,7 +37,7 @@
 
   private static void printHeader() {
     System.out.printf(
-        HEADER_FORMAT,
+        "%-24s %-10s %-10s %-8s %5s %10s %10s %-22s %9s  %s%n",
         "machine",
         "state",
         "kind",
@@ -57,7 +53,7 @@
   private static void printRow(MachineRow machine) {
     System.out.printf(
         Locale.ROOT,
-        ROW_FORMAT,
+        "%-24s %-10s %-10s %-8s %5d %10.1f %10.1f %-22s %9d  %s%n",
         machine.name(),
         machine.state(),
         machine.kind(),
--- a/src/main/java/fordridge/etcd/EtcdMachineList.java
+++ b/src/main/java/fordridge/etcd/EtcdMachineList.java
@@ -246,8 +246,8 @@
     @Override
     public boolean isExpected(ResponseHeader header) {
       return header.getRevision() <= 0
-          || header.getRevision() >= replica.revision()
-              && header.getClusterId() == replica.clusterId();
+          || (header.getRevision() >= replica.revision()
+              && header.getClusterId() == replica.clusterId());
     }
 
     @Override
--- a/src/main/java/fordridge/membership/EndpointRotation.java
+++ b/src/main/java/fordridge/membership/EndpointRotation.java
@@ -51,6 +51,6 @@
 
   private double backoffNanos() {
     int exponent = Math.min(MAX_BACKOFF_EXPONENT, Math.max(0, consecutiveFailures - endpointCount));
-    return Math.min(MAX_DELAY.toNanos(), MIN_DELAY.toNanos() * Math.pow(2, exponent));
+    return Math.min((double) MAX_DELAY.toNanos(), MIN_DELAY.toNanos() * Math.pow(2, exponent));
   }
 }
--- a/src/main/java/fordridge/membership/MachineListReplica.java
+++ b/src/main/java/fordridge/membership/MachineListReplica.java
@@ -257,7 +257,7 @@
   private void delete(String key, long atRevision) {
     TrackedKey tracked = trackedKeys.computeIfAbsent(key, newKey -> new TrackedKey());
     if (atRevision < tracked.modRevision
-        || atRevision == tracked.modRevision && !tracked.isPresent) {
+        || (atRevision == tracked.modRevision && !tracked.isPresent)) {
       return;
     }
     tracked.modRevision = atRevision;
--- a/src/main/java/fordridge/settings/ConfigReader.java
+++ b/src/main/java/fordridge/settings/ConfigReader.java
@@ -93,8 +93,7 @@
   }
 
   /** The constant whose word is set; the first one given where it is none of them. */
-  @SafeVarargs
-  public final <T extends ConfigWord> T constant(String key, T... constants) {
+  public <T extends ConfigWord> T constant(String key, T[] constants) {
     String[] words = Arrays.stream(constants).map(ConfigWord::configWord).toArray(String[]::new);
     return constants[Arrays.asList(words).indexOf(oneOf(key, words))];
   }
@@ -250,7 +249,7 @@
 
   private ConfigValue valueAt(String key) {
     ConfigValue value = config.root();
-    for (String step : key.split("\\.")) {
+    for (String step : key.split("\\.", 0)) {
       value = value instanceof ConfigObject object ? object.get(step) : null;
     }
     return value;
--- a/src/main/java/fordridge/settings/MachineListSettings.java
+++ b/src/main/java/fordridge/settings/MachineListSettings.java
@@ -29,7 +29,7 @@
 
   static MachineListSettings read(ConfigReader reader) {
     return new MachineListSettings(
-        reader.constant("machines.source", Origin.FILE, Origin.ETCD),
+        reader.constant("machines.source", Origin.values()),
         reader.string("machines.list", Limits.MAX_PATH_LENGTH),
         reader.duration("machines.poll", Duration.ofMillis(10), Duration.ofMinutes(1)));
   }
--- a/src/test/java/fordridge/membership/MachineListReplicaTest.java
+++ b/src/test/java/fordridge/membership/MachineListReplicaTest.java
@@ -183,7 +183,7 @@
   void silenceMakesTheReplicaStaleAndProgressMakesItCurrent() {
     MachineListReplica replica = replicaOf();
     assertThat(replica.checkSilence(Duration.ofMillis(1900))).isFalse();
-    assertThat(replica.checkSilence(Duration.ofMillis(2000))).isTrue();
+    assertThat(replica.checkSilence(Duration.ofSeconds(2))).isTrue();
     assertThat(replica.syncState()).isEqualTo(SyncState.STALE);
     replica.progressConfirmed(SNAPSHOT_REVISION, Duration.ofMillis(2100));
     assertThat(replica.syncState()).isEqualTo(SyncState.IN_SYNC);
--- a/src/test/java/fordridge/settings/DeploymentSettingsTest.java
+++ b/src/test/java/fordridge/settings/DeploymentSettingsTest.java
@@ -16,8 +16,10 @@
 
 class DeploymentSettingsTest {
   private static final String GOOD =
-      "kinds = [{ name = std, cores = 8, memory = 16 }]\n"
-          + "flavours = [{ name = f, effect = rebuildable, build_target = 600ms, build_timeout = 5s }]\n";
+      """
+      kinds = [{ name = std, cores = 8, memory = 16 }]
+      flavours = [{ name = f, effect = rebuildable, build_target = 600ms, build_timeout = 5s }]
+      """;
 
   private static File file(String text) throws IOException {
     Path f = Files.createTempFile("fordridge", ".conf");
