--- a/src/main/java/fordridge/Main.java
+++ b/src/main/java/fordridge/Main.java
@@ -6,18 +6,21 @@
 import fordridge.simulation.SimulatorAdapter;
 
 /**
- * Entry point. Drill and serve are started often, or in little memory, so they do without the
- * command line's library.
+ * Entry point of the program.
+ *
+ * <p>{@code drill} and {@code serve} are started often, or with little memory, so they bypass the
+ * library of the command line.
  */
 public final class Main {
   private Main() {}
 
+  /** Runs the command that the arguments name, and ends the process with its exit code. */
   public static void main(String[] args) throws Exception {
     if (args.length == 1 && args[0].equals("drill")) {
       System.exit(new SimulatorAdapter(System.in, System.out, System.err).run());
     }
     if (args.length == 1 && args[0].equals("serve")) {
-      // Ends at once: what is written has gone out, and the platform waits for nothing else.
+      // Without shutdown hooks: all output is written, and nothing else has to be waited for.
       Runtime.getRuntime().halt(ServeCommand.run(System.err));
     }
     if (args.length == 2 && args[0].equals("serve") && args[1].equals("--rehearse")) {
--- a/src/main/java/fordridge/emulator/ClientBuilder.java
+++ b/src/main/java/fordridge/emulator/ClientBuilder.java
@@ -1,7 +1,8 @@
 package fordridge.emulator;
 
 import fordridge.emulator.record.WireRecorder;
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.PriorityClassSettings;
+import fordridge.settings.TenantShare;
 import io.netty.channel.EventLoopGroup;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,7 +36,7 @@
   /** Builds the clients, which are yet to be opened. */
   List<EmulatedClient> build(IntUnaryOperator schedulerPort, EventLoopGroup loops) {
     List<ServiceProfile> services = drawServices();
-    double[] weights = drawWeights(plan.deployment().count);
+    double[] weights = drawWeights(plan.deployment().instance().count());
     double sumOfWeights = 0;
     for (double weight : weights) {
       sumOfWeights += weight;
@@ -66,7 +67,7 @@
     List<ServiceProfile> services = new ArrayList<>();
     List<ScenarioPlan.Shape> shapes = plan.clients().shapes();
     for (int number = 1; number <= plan.clients().services(); number++) {
-      DeploymentSettings.PriorityClass priorityClass = drawPriorityClass();
+      PriorityClassSettings priorityClass = drawPriorityClass();
       String tenant = drawTenant();
       ScenarioPlan.Shape shape = shapes.get(random.nextInt(shapes.size()));
       double meanLifeSeconds = plan.clients().lifeSeconds().draw(random);
@@ -75,14 +76,14 @@
     return services;
   }
 
-  private DeploymentSettings.PriorityClass drawPriorityClass() {
+  private PriorityClassSettings drawPriorityClass() {
     double sumOfShares =
         plan.clients().priorityClassShares().values().stream()
             .mapToDouble(Double::doubleValue)
             .sum();
     double left = random.nextDouble() * sumOfShares;
-    DeploymentSettings.PriorityClass last = null;
-    for (DeploymentSettings.PriorityClass candidate : plan.deployment().priorityClasses.values()) {
+    PriorityClassSettings last = null;
+    for (PriorityClassSettings candidate : plan.deployment().priorityClasses().values()) {
       left -= plan.clients().priorityClassShares().get(candidate.name());
       if (left < 0) {
         return candidate;
@@ -95,8 +96,8 @@
   /** The first tenant where the shares don't add up to one; an empty name without tenants. */
   private String drawTenant() {
     double left = random.nextDouble();
-    List<DeploymentSettings.Tenant> tenants = plan.deployment().tenants;
-    for (DeploymentSettings.Tenant tenant : tenants) {
+    List<TenantShare> tenants = plan.deployment().tenants();
+    for (TenantShare tenant : tenants) {
       left -= tenant.share();
       if (left < 0) {
         return tenant.name();
--- a/src/main/java/fordridge/emulator/ClientOutcomes.java
+++ b/src/main/java/fordridge/emulator/ClientOutcomes.java
@@ -77,7 +77,8 @@
 
   /** A VM runs for the first time, so long after its first request. */
   synchronized void running(ServiceProfile service, long latencyUs) {
-    boolean isInTime = latencyUs <= service.priorityClass().buildTarget().toNanos() / 1000;
+    boolean isInTime =
+        latencyUs <= service.priorityClass().startLatencyObjective().toNanos() / 1000;
     for (Counts counts : countsFor(service)) {
       counts.running++;
       counts.inTime += isInTime ? 1 : 0;
--- a/src/main/java/fordridge/emulator/FleetBuilder.java
+++ b/src/main/java/fordridge/emulator/FleetBuilder.java
@@ -4,6 +4,7 @@
 import fordridge.emulator.record.RecordField;
 import fordridge.emulator.record.RecordKind;
 import fordridge.emulator.record.WireRecorder;
+import fordridge.model.MachineKind;
 import fordridge.settings.DeploymentSettings;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -51,15 +52,15 @@
 
   /** Spreads the kinds evenly over the machines, by their shares. */
   private final class KindSequence {
-    private final List<DeploymentSettings.Kind> kinds = plan.deployment().kinds;
+    private final List<MachineKind> kinds = plan.deployment().kinds();
     private final double[] due = new double[kinds.size()];
     private final double sumOfShares = kinds.stream().mapToDouble(this::share).sum();
 
-    private double share(DeploymentSettings.Kind kind) {
+    private double share(MachineKind kind) {
       return plan.fleet().kindShares().get(kind.name());
     }
 
-    DeploymentSettings.Kind next() {
+    MachineKind next() {
       int mostDue = 0;
       for (int i = 0; i < due.length; i++) {
         due[i] += share(kinds.get(i)) / sumOfShares;
@@ -70,7 +71,7 @@
     }
   }
 
-  private MachineSpec spec(int number, DeploymentSettings.Kind kind) {
+  private MachineSpec spec(int number, MachineKind kind) {
     DeploymentSettings deployment = plan.deployment();
     ScenarioPlan.MachineTemplate template = plan.fleet().template();
     ScenarioPlan.StartUpTemplate startUp = template.startUp();
@@ -82,7 +83,10 @@
         new MachineSpec.Labels(
             kind.name(), "z" + number % plan.fleet().zones(), number / plan.fleet().cellSize()),
         new MachineSpec.Capacity(
-            kind.cores(), kind.memory(), deployment.acceptCores, deployment.acceptMemory),
+            kind.cores(),
+            kind.memory(),
+            deployment.cluster().coreOvercommitRatio(),
+            deployment.cluster().memoryOvercommitRatio()),
         new MachineSpec.Admission(
             template.admission().queueLimit(), admissionTime, template.admission().preempts()),
         new MachineSpec.StartUp(
@@ -92,11 +96,11 @@
             startUp.cachedPrograms(),
             startUp.uncachedFactor()),
         new MachineSpec.SlowStart(
-            deployment.coldFrom,
-            deployment.warmAfter,
-            deployment.fallMultiple,
-            deployment.fallOver,
-            deployment.coldBears),
+            deployment.cluster().slowStart().initialStartRate(),
+            deployment.cluster().slowStart().warmUpTime(),
+            deployment.cluster().slowStart().overloadMultiple(),
+            deployment.cluster().slowStart().overloadWindow(),
+            deployment.cluster().slowStart().minOffersInWindow()),
         template.sampleInterval(),
         template.drainPolicy());
   }
--- a/src/main/java/fordridge/emulator/RandomConstraints.java
+++ b/src/main/java/fordridge/emulator/RandomConstraints.java
@@ -1,6 +1,7 @@
 package fordridge.emulator;
 
-import fordridge.settings.DeploymentSettings;
+import fordridge.model.MachineKind;
+import fordridge.settings.TenantShare;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -32,14 +33,14 @@
 
   RandomConstraints(ScenarioPlan plan) {
     seed = plan.run().seed();
-    priorityClasses = List.copyOf(plan.deployment().priorityClasses.keySet());
-    tenants = plan.deployment().tenants.stream().map(DeploymentSettings.Tenant::name).toList();
-    kinds = plan.deployment().kinds.stream().map(DeploymentSettings.Kind::name).toList();
+    priorityClasses = List.copyOf(plan.deployment().priorityClasses().keySet());
+    tenants = plan.deployment().tenants().stream().map(TenantShare::name).toList();
+    kinds = plan.deployment().kinds().stream().map(MachineKind::name).toList();
     zones = plan.fleet().zones();
     int cellSize = plan.fleet().cellSize();
     cells = Math.max(1, (plan.fleet().machines() + cellSize - 1) / cellSize);
     services = plan.clients().services();
-    schedulers = plan.deployment().allPlacers();
+    schedulers = plan.deployment().totalSchedulers();
   }
 
   /** The text of the set with this number. */
--- a/src/main/java/fordridge/emulator/RequestedVm.java
+++ b/src/main/java/fordridge/emulator/RequestedVm.java
@@ -34,7 +34,7 @@
   }
 
   private long startDeadlineNanos() {
-    return service.priorityClass().buildTimeout().toNanos();
+    return service.priorityClass().startDeadline().toNanos();
   }
 
   /** Its name in the present request. */
@@ -72,6 +72,6 @@
 
   /** Whether a lost start does no harm, so that it may be requested again. */
   boolean isIdempotent() {
-    return service.priorityClass().rebuildable();
+    return service.priorityClass().isIdempotent();
   }
 }
--- a/src/main/java/fordridge/emulator/ServiceProfile.java
+++ b/src/main/java/fordridge/emulator/ServiceProfile.java
@@ -1,6 +1,6 @@
 package fordridge.emulator;
 
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.PriorityClassSettings;
 
 /**
  * A service and what its VMs request.
@@ -10,7 +10,7 @@
  */
 record ServiceProfile(
     long number,
-    DeploymentSettings.PriorityClass priorityClass,
+    PriorityClassSettings priorityClass,
     String tenant,
     ScenarioPlan.Shape shape,
     double meanLifeSeconds) {}
--- a/src/main/java/fordridge/server/grpc/AttemptTracker.java
+++ b/src/main/java/fordridge/server/grpc/AttemptTracker.java
@@ -8,6 +8,7 @@
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
 import fordridge.scheduling.Scheduler;
+import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Accepted;
 import fordridge.session.ClientResponse.Terminated;
 import fordridge.session.ClientResponse.TerminationCause;
@@ -51,7 +52,7 @@
           if (attempt.acceptedAt == null) {
             firstAccepted(attempt);
           }
-          if (isRunning && context.settings().yes.equals("accepted")) {
+          if (isRunning && context.settings().cluster().confirmsOnAcceptance()) {
             context.scheduler.vmReported(attempt, Scheduler::vmStarted);
           }
         });
@@ -60,7 +61,7 @@
   private void firstAccepted(PlacementAttempt attempt) {
     Vm vm = attempt.vm;
     Duration startLatency = context.loop.now().minus(vm.arrivedAt);
-    context.metrics.bound(startLatency);
+    context.metrics.vmAccepted(startLatency);
     context.scheduler.attemptAccepted(attempt);
     if (context.clients.clientOf(vm).isEmpty()) {
       return;
@@ -70,7 +71,7 @@
       String name = context.clients.nameAtClient(vm);
       context.groups.memberAccepted(vm, new Accepted(name, machine, attempt.number, startLatency));
     } else {
-      context.metrics.answered("bound");
+      context.metrics.responseSent(ClientResponse.Kind.ACCEPTED);
       context.clients.respond(
           vm, name -> new Accepted(name, machine, attempt.number, startLatency));
     }
@@ -93,7 +94,7 @@
     } else {
       context.constraints.attemptOutcomeUnknown(attempt);
     }
-    context.metrics.ended(outcome);
+    context.metrics.attemptFinished(outcome);
     logEnd(attempt, outcome, reason);
     context.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted);
     if (wasAccepted && !context.groups.memberTerminated(attempt.vm)) {
@@ -149,7 +150,7 @@
   public void unknownVmReported(ReportedVm reported, Machine machine) {
     MachineHandle handle = context.machines.get(machine);
     if (context.scheduler.inputs().vm(reported.attemptId().vmId()) != null
-        || !context.settings().priorityClasses.containsKey(reported.priorityClass())) {
+        || !context.settings().priorityClasses().containsKey(reported.priorityClass())) {
       // Requested again before its machine reconnected, or of a priority class that is no longer
       // configured: it would belong to no client.
       handle.transport().cancel(reported.attemptId());
--- a/src/main/java/fordridge/server/grpc/ConstraintState.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintState.java
@@ -36,7 +36,7 @@
   ConstraintState(InstanceContext context) {
     this.context = context;
     try {
-      index = new ConstraintIndex(List.of(), context.settings().allPlacers());
+      index = new ConstraintIndex(List.of(), context.settings().totalSchedulers());
     } catch (UnsatisfiableConstraintsException e) {
       throw new IllegalStateException("an empty set of constraints can be satisfied", e);
     }
@@ -63,7 +63,7 @@
   /** A new set holds for all that is placed from here on; what runs and violates it is logged. */
   void constraintsReceived(List<PlacementConstraint> constraints, int newVersion) {
     try {
-      index = index.withConstraints(constraints, context.settings().allPlacers());
+      index = index.withConstraints(constraints, context.settings().totalSchedulers());
     } catch (UnsatisfiableConstraintsException e) {
       context
           .log
@@ -123,7 +123,7 @@
       hasChanged |= updateLabels(entry);
       hasChanged |= updateDraining(entry);
     }
-    return (list.whole() && topology.keySet().removeIf(name -> !listed.contains(name)))
+    return (list.isSnapshot() && topology.keySet().removeIf(name -> !listed.contains(name)))
         || hasChanged;
   }
 
--- a/src/main/java/fordridge/server/grpc/MachineHandle.java
+++ b/src/main/java/fordridge/server/grpc/MachineHandle.java
@@ -43,9 +43,9 @@
     return new GrpcMachineTransport(
         context.name,
         context.eventLoop,
-        context.settings().connectTimeout,
-        context.settings().keepalive,
-        context.settings().maxMessage,
+        context.settings().connections().connectTimeout(),
+        context.settings().connections().keepaliveInterval(),
+        context.settings().connections().maxMessageBytes(),
         this,
         context.machines::describeVm);
   }
--- a/src/main/java/fordridge/server/grpc/MachineListIntake.java
+++ b/src/main/java/fordridge/server/grpc/MachineListIntake.java
@@ -45,16 +45,16 @@
           }
         });
     context.constraints.machineListReceived(list);
-    context.scheduler.machineListReceived(list.whole(), list.old(), listed);
-    isStale = list.old();
-    if (isStale && context.settings().listComes.equals("ask")) {
+    context.scheduler.machineListReceived(list.isSnapshot(), list.isStale(), listed);
+    isStale = list.isStale();
+    if (isStale && !context.settings().cluster().isListPushed()) {
       context.scheduler.inputs().scheduler.machineListFailed();
     }
   }
 
   private ListedMachine<String> listedMachine(MachineListSource.Entry entry) {
     Duration started =
-        entry.started() == null ? null : Duration.between(startedAt, entry.started());
+        entry.startedAt() == null ? null : Duration.between(startedAt, entry.startedAt());
     return new ListedMachine<>(
         entry.name(),
         entry.zone(),
@@ -85,7 +85,7 @@
   /** A snapshot says something of every machine: those that it does not name are gone. */
   private Collection<MachineHandle> affected(
       MachineListSource.Update list, Map<Machine, Lifecycle> lifecycles) {
-    return list.whole()
+    return list.isSnapshot()
         ? context.machines.all()
         : lifecycles.keySet().stream().map(context.machines::get).toList();
   }
--- a/src/main/java/fordridge/server/grpc/MachineRegistry.java
+++ b/src/main/java/fordridge/server/grpc/MachineRegistry.java
@@ -39,14 +39,14 @@
 
   private static MachineStreamSettings streamSettings(DeploymentSettings settings) {
     return new MachineStreamSettings(
-        settings.connectTimeout,
-        settings.idle,
-        settings.retryLeast,
-        settings.retryMost,
-        settings.unsure,
-        settings.connectTimeout,
-        settings.line,
-        settings.yes.equals("accepted"));
+        settings.connections().connectTimeout(),
+        settings.connections().idleTimeout(),
+        settings.connections().minReconnectDelay(),
+        settings.connections().maxReconnectDelay(),
+        settings.connections().unknownOutcomeTimeout(),
+        settings.connections().connectTimeout(),
+        settings.connections().maxQueuedOffers(),
+        settings.cluster().confirmsOnAcceptance());
   }
 
   MachineStreamSettings streamSettings() {
@@ -96,7 +96,7 @@
     if (!reconciliationScheduled.add(machine)) {
       return;
     }
-    long spreadMillis = context.settings().settle.toMillis();
+    long spreadMillis = context.settings().cluster().unknownOutcomeRetryAfter().toMillis();
     context.loop.schedule(
         Duration.ofMillis(Math.floorMod(machine.id ^ context.seed, spreadMillis)),
         () -> {
@@ -134,7 +134,8 @@
 
   /** Adds to an offer what the machine needs to know of the VM's priority and client. */
   void describeVm(PlacementAttempt attempt, Offer.Builder offer) {
-    offer.setPriority(context.settings().priorityClasses.get(attempt.vm.priorityClass).priority());
+    offer.setPriority(
+        context.settings().priorityClasses().get(attempt.vm.priorityClass).priority());
     offer.setClient(context.clients.clientOf(attempt.vm).orElse(""));
   }
 
--- a/src/test/java/fordridge/server/grpc/GrpcConstraintTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcConstraintTest.java
@@ -7,7 +7,7 @@
 import fordridge.emulator.EmulatedEtcd;
 import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
 import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.v1.ExplainRequest;
 import fordridge.v1.Finished;
 import fordridge.v1.FromMachine;
@@ -163,7 +163,7 @@
     try (GrpcTestPeers peers = new GrpcTestPeers(1)) {
       peers.writeConstraints("rule a: flavour nope require on kind k;\n");
       assertThatThrownBy(() -> peers.startScheduler("constraints.file = rules.txt"))
-          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .isInstanceOf(InvalidSettingsException.class)
           .hasMessageContaining("no flavour 'nope'");
       peers.writeConstraints(
           "rule a: flavour once require on kind k;\nrule b: service 3 require on not kind k;\n");
--- a/src/test/java/fordridge/server/grpc/GrpcShadowTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcShadowTest.java
@@ -4,9 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import fordridge.observability.Metrics;
 import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
 import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.v1.ClaimName;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.Held;
@@ -25,17 +26,8 @@
   }
 
   private static double shadowDifferences(GrpcTestPeers peers) {
-    return Stream.of(
-            "machine",
-            "hold",
-            "place",
-            "answer",
-            "retry_after",
-            "probe",
-            "note",
-            "list_ask",
-            "move")
-        .mapToDouble(peers.scheduler.metrics()::otherwises)
+    return Stream.of(Metrics.ShadowDifference.values())
+        .mapToDouble(peers.scheduler.metrics()::shadowDifferences)
         .sum();
   }
 
@@ -112,10 +104,16 @@
                   .getDenied()
                   .getRetryAfterUs())
           .isGreaterThan(0);
-      awaitUntil(() -> peers.scheduler.metrics().otherwises("retry_after") == 1);
-      assertThat(peers.scheduler.metrics().otherwises("hold")).isEqualTo(1);
-      assertThat(peers.scheduler.metrics().otherwises("list_ask")).isEqualTo(1);
-      assertThat(peers.scheduler.metrics().otherwises("machine")).isEqualTo(0);
+      awaitUntil(
+          () ->
+              peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.RETRY_AFTER)
+                  == 1);
+      assertThat(peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.HOLD))
+          .isEqualTo(1);
+      assertThat(peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.LIST_ASK))
+          .isEqualTo(1);
+      assertThat(peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.MACHINE))
+          .isEqualTo(0);
       assertThat(peers.scheduler.metrics().scrape())
           .contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
     }
@@ -125,7 +123,7 @@
   void shadowSettingsAreValidatedBeforeTheStart() throws Exception {
     try (GrpcTestPeers peers = new GrpcTestPeers(1)) {
       assertThatThrownBy(() -> startWithShadow(peers, "cluster.list_comes = shout"))
-          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .isInstanceOf(InvalidSettingsException.class)
           .hasMessageContaining("watch.terms")
           .hasMessageContaining("push, ask");
       assertThatThrownBy(() -> peers.startScheduler("watch.terms = nowhere.conf"))
