--- a/src/test/java/fordridge/server/json/JsonServerTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerTest.java
@@ -315,7 +315,7 @@
           listEvent(5, false, machineEntry("s-3", peers.machine.port(), "SERVING"))
               .substring(0, 40));
       watch.close();
-      LineConnection again = peers.acceptWatch(4);
+      peers.acceptWatch(4);
       // Open and silent, without even the position: watched again.
       peers.acceptWatch(4);
     }
