--- a/src/main/java/fordridge/emulator/ConstraintPublisher.java
+++ b/src/main/java/fordridge/emulator/ConstraintPublisher.java
@@ -67,11 +67,11 @@
     boolean isValid = isValid(text, startNanos);
     slowestMillis = Math.max(slowestMillis, (System.nanoTime() - startNanos) / 1e6);
     if (isValid) {
-      recordConstraints(recorder, text, plan.deployment().allPlacers());
+      recordConstraints(recorder, text, plan.deployment().totalSchedulers());
     } else {
       refusedSets++;
     }
-    etcd.put(plan.deployment().etcdPrefix + KEY, text);
+    etcd.put(plan.deployment().etcd().prefix() + KEY, text);
     if (number + 1 == plan.constraints().generatedSets()) {
       out.printf(
           "%d sets of constraints, %d refused; the slowest validation took %.0f ms%n",
@@ -83,7 +83,7 @@
     try {
       List<PlacementConstraint> constraints =
           ConstraintParser.parse(text, ConstraintParser.KnownNames.UNCHECKED);
-      new ConstraintIndex(constraints, plan.deployment().allPlacers());
+      new ConstraintIndex(constraints, plan.deployment().totalSchedulers());
       return ConstraintValidator.findConflicts(constraints, fleet, () -> isTimedOut(startNanos))
           .isEmpty();
     } catch (ConstraintSyntaxException | UnsatisfiableConstraintsException e) {
--- a/src/main/java/fordridge/emulator/InProcessSchedulers.java
+++ b/src/main/java/fordridge/emulator/InProcessSchedulers.java
@@ -3,6 +3,7 @@
 import fordridge.observability.Metrics;
 import fordridge.server.grpc.PlacerCommand;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import java.io.IOException;
 
 /** Schedulers in the emulator's own process. */
@@ -10,8 +11,7 @@
   private final PlacerCommand command;
   private boolean isStopped;
 
-  InProcessSchedulers(DeploymentSettings settings)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+  InProcessSchedulers(DeploymentSettings settings) throws IOException, InvalidSettingsException {
     command = new PlacerCommand(settings);
   }
 
@@ -31,10 +31,10 @@
     return String.format(
         "in one process with the emulator; %.0f offers, loop lag p99 %.1f ms, input p50 "
             + "%.3f and p99 %.2f ms, %d streams to machines open",
-        metrics.offers(),
-        metrics.percentile("loop", 0.99),
-        metrics.percentile("decide", 0.5),
-        metrics.percentile("decide", 0.99),
+        metrics.offerCount(),
+        metrics.percentileMillis(Metrics.Latency.EVENT_LOOP_LAG, 0.99),
+        metrics.percentileMillis(Metrics.Latency.DECISION, 0.5),
+        metrics.percentileMillis(Metrics.Latency.DECISION, 0.99),
         command.establishedStreams());
   }
 
--- a/src/main/java/fordridge/emulator/MachineFaults.java
+++ b/src/main/java/fordridge/emulator/MachineFaults.java
@@ -139,10 +139,10 @@
   private ActiveFaults.Throttle throttle(FaultPlan fault) {
     String subject = fault.subject();
     boolean isTenant =
-        deployment.tenants.stream().anyMatch(tenant -> tenant.name().equals(subject));
+        deployment.tenants().stream().anyMatch(tenant -> tenant.name().equals(subject));
     boolean isUnnamed = subject.isEmpty();
     String name =
-        isUnnamed && !deployment.tenants.isEmpty() ? deployment.tenants.get(0).name() : subject;
+        isUnnamed && !deployment.tenants().isEmpty() ? deployment.tenants().get(0).name() : subject;
     return new ActiveFaults.Throttle(
         isTenant || isUnnamed
             ? ActiveFaults.ThrottleSubject.TENANT
--- a/src/main/java/fordridge/emulator/Scenario.java
+++ b/src/main/java/fordridge/emulator/Scenario.java
@@ -9,6 +9,8 @@
 import fordridge.emulator.record.RecordKind;
 import fordridge.emulator.record.WireRecorder;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
+import fordridge.settings.PriorityClassSettings;
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -76,12 +78,11 @@
    * @param out progress is printed there
    */
   public static Outcome run(File file, Map<String, ?> overrides, File folder, PrintStream out)
-      throws DeploymentSettings.InvalidSettingsException, IOException, InterruptedException {
+      throws InvalidSettingsException, IOException, InterruptedException {
     return new Scenario(ScenarioPlan.read(file, overrides), folder, out).run();
   }
 
-  private Outcome run()
-      throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
+  private Outcome run() throws IOException, InterruptedException, InvalidSettingsException {
     Files.createDirectories(folder.toPath());
     File recording = new File(folder, "tap.jsonl");
     String costs;
@@ -100,7 +101,7 @@
   }
 
   private String runRecorded(ScenarioResources resources, WireRecorder recorder)
-      throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
+      throws IOException, InterruptedException, InvalidSettingsException {
     recordSettings(recorder);
     Config config = publishConstraints(recorder);
     List<EmulatedMachine> fleet = new FleetBuilder(plan, recorder).build(resources.machineLoops());
@@ -110,7 +111,7 @@
           resources, recorder, fleet, config, Optional.empty(), new FilePublisher(listFile));
     }
     try (EmulatedEtcd etcd = new EmulatedEtcd(0, ETCD_PROGRESS_MILLIS)) {
-      String prefix = plan.deployment().etcdPrefix;
+      String prefix = plan.deployment().etcd().prefix();
       etcd.setSendListener(new StoreChangeRecorder(recorder, prefix));
       return runAgainst(
           resources,
@@ -136,7 +137,7 @@
       Config config,
       Optional<EmulatedEtcd> etcd,
       MachineListPublisher publisher)
-      throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
+      throws IOException, InterruptedException, InvalidSettingsException {
     int machineCount = plan.fleet().machines();
     List<EmulatedMachine> machines = new ArrayList<>(fleet.subList(0, machineCount));
     List<EmulatedMachine> spares = fleet.subList(machineCount, fleet.size());
@@ -169,19 +170,19 @@
     DeploymentSettings settings = plan.deployment();
     recorder
         .event(SOURCE, RecordKind.SETTINGS)
-        .with(RecordField.DRAIN_GRACE, micros(settings.drainGrace))
-        .with(RecordField.POLL_INTERVAL, micros(settings.poll))
-        .with(RecordField.ACCEPTANCE_SIGNAL, settings.yes)
+        .with(RecordField.DRAIN_GRACE, micros(settings.cluster().drainGracePeriod()))
+        .with(RecordField.POLL_INTERVAL, micros(settings.machineList().pollInterval()))
+        .with(RecordField.ACCEPTANCE_SIGNAL, settings.cluster().acceptancePoint().configWord())
         .write();
-    for (DeploymentSettings.PriorityClass priorityClass : settings.priorityClasses.values()) {
+    for (PriorityClassSettings priorityClass : settings.priorityClasses().values()) {
       recorder
           .event(SOURCE, RecordKind.PRIORITY_CLASS)
           .with(RecordField.NAME, priorityClass.name())
-          .with(RecordField.RETRY_SAFETY, priorityClass.effect())
-          .with(RecordField.DEDUPLICATION_DOMAIN, priorityClass.group())
-          .with(RecordField.DEDUPLICATION_WINDOW, micros(priorityClass.window()))
-          .with(RecordField.SPREAD_DOMAIN, priorityClass.spread())
-          .with(RecordField.SPREAD_LIMIT, priorityClass.most())
+          .with(RecordField.RETRY_SAFETY, priorityClass.retrySafety().configWord())
+          .with(RecordField.DEDUPLICATION_DOMAIN, priorityClass.deduplicationScope().configWord())
+          .with(RecordField.DEDUPLICATION_WINDOW, micros(priorityClass.deduplicationWindow()))
+          .with(RecordField.SPREAD_DOMAIN, priorityClass.spreadScope().configWord())
+          .with(RecordField.SPREAD_LIMIT, priorityClass.maxPerSpreadScope())
           .write();
     }
   }
@@ -198,13 +199,13 @@
     }
     File file = new File(folder, "rules.txt");
     Files.writeString(file.toPath(), text);
-    ConstraintPublisher.recordConstraints(recorder, text, plan.deployment().allPlacers());
+    ConstraintPublisher.recordConstraints(recorder, text, plan.deployment().totalSchedulers());
     return plan.deploymentConfig()
         .withValue("constraints.file", ConfigValueFactory.fromAnyRef(file.getAbsolutePath()));
   }
 
   private SchedulerFleet startSchedulers(Config config)
-      throws IOException, InterruptedException, DeploymentSettings.InvalidSettingsException {
+      throws IOException, InterruptedException, InvalidSettingsException {
     if (plan.run().isOwnProcess()) {
       writeSettings(config.withValue("metrics.port", ConfigValueFactory.fromAnyRef(0)));
       return new SchedulerProcess(folder);
@@ -213,7 +214,7 @@
   }
 
   private DeploymentSettings writeSettings(Config config)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+      throws IOException, InvalidSettingsException {
     File file = new File(folder, "placer.conf");
     ConfigRenderOptions options =
         ConfigRenderOptions.defaults().setOriginComments(false).setJson(false);
--- a/src/main/java/fordridge/emulator/ScenarioPlan.java
+++ b/src/main/java/fordridge/emulator/ScenarioPlan.java
@@ -7,6 +7,10 @@
 import fordridge.emulator.machine.UsageProfile;
 import fordridge.settings.ConfigReader;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
+import fordridge.settings.MachineKind;
+import fordridge.settings.PriorityClassSettings;
+import fordridge.settings.SettingError;
 import java.io.File;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -122,8 +126,7 @@
    *
    * @param overrides keys of the file that the command line replaces
    */
-  static ScenarioPlan read(File file, Map<String, ?> overrides)
-      throws DeploymentSettings.InvalidSettingsException {
+  static ScenarioPlan read(File file, Map<String, ?> overrides) throws InvalidSettingsException {
     Config scenario =
         ConfigFactory.parseMap(overrides, "command line")
             .withFallback(DeploymentSettings.parse(file))
@@ -131,7 +134,7 @@
             .withFallback(
                 ConfigFactory.parseResources(
                     ScenarioPlan.class.getClassLoader(), "fordridge-day-reference.conf"));
-    List<String> errors = new ArrayList<>();
+    List<SettingError> errors = new ArrayList<>();
     Config deploymentConfig =
         scenario
             .getConfig("deployment")
@@ -149,28 +152,28 @@
             readRegistry(reader),
             readConstraints(reader),
             readFaults(reader));
-    reader.refuseUnknown();
+    reader.rejectUnknownKeys();
     if (!errors.isEmpty()) {
-      throw new DeploymentSettings.InvalidSettingsException(errors);
+      throw new InvalidSettingsException(errors);
     }
     return plan;
   }
 
   private static Run readRun(ConfigReader reader) {
     return new Run(
-        reader.text("name", 100),
-        reader.any("seed"),
-        reader.span("length", Duration.ofSeconds(1), MAX_DURATION),
-        reader.span("settle", Duration.ofSeconds(1), MAX_DURATION),
-        reader.flag("own_process"));
+        reader.string("name", 100),
+        reader.longInteger("seed"),
+        reader.duration("length", Duration.ofSeconds(1), MAX_DURATION),
+        reader.duration("settle", Duration.ofSeconds(1), MAX_DURATION),
+        reader.bool("own_process"));
   }
 
   private static Fleet readFleet(ConfigReader reader, DeploymentSettings deployment) {
     return new Fleet(
-        reader.whole("fleet.machines", 1, 10_000),
-        reader.whole("fleet.spares", 0, 10_000),
-        reader.whole("fleet.zones", 1, 100),
-        reader.whole("fleet.cell_size", 1, 1000),
+        reader.integer("fleet.machines", 1, 10_000),
+        reader.integer("fleet.spares", 0, 10_000),
+        reader.integer("fleet.zones", 1, 100),
+        reader.integer("fleet.cell_size", 1, 1000),
         readTemplate(reader),
         readKindShares(reader, deployment),
         readUsageProfiles(reader, deployment));
@@ -180,16 +183,16 @@
     return new MachineTemplate(
         new AdmissionTemplate(
             readRange(reader, "fleet.admit_ms", 0.1, 10_000),
-            reader.whole("fleet.line", 1, 10_000),
-            reader.flag("fleet.preempts")),
+            reader.integer("fleet.line", 1, 10_000),
+            reader.bool("fleet.preempts")),
         new StartUpTemplate(
             readRange(reader, "fleet.work_ms", 0.1, 100_000),
             readRange(reader, "fleet.speed", 0.01, 100),
-            reader.whole("fleet.starts", 1, 1000),
-            reader.whole("fleet.kept", 0, 10_000),
-            reader.number("fleet.setup", 1, 1000)),
-        reader.span("fleet.sample", Duration.ofMillis(10), MAX_DURATION),
-        drainPolicy(reader.word("fleet.drain_sends", "at_once", "paced", "none")));
+            reader.integer("fleet.starts", 1, 1000),
+            reader.integer("fleet.kept", 0, 10_000),
+            reader.decimal("fleet.setup", 1, 1000)),
+        reader.duration("fleet.sample", Duration.ofMillis(10), MAX_DURATION),
+        drainPolicy(reader.oneOf("fleet.drain_sends", "at_once", "paced", "none")));
   }
 
   private static DrainPolicy drainPolicy(String text) {
@@ -199,7 +202,7 @@
   private static Map<String, Double> readKindShares(
       ConfigReader reader, DeploymentSettings deployment) {
     Map<String, Double> shares = new LinkedHashMap<>();
-    for (DeploymentSettings.Kind kind : deployment.kinds) {
+    for (MachineKind kind : deployment.kinds()) {
       shares.put(kind.name(), readOptional(reader, "fleet.shares." + kind.name(), 1, 1));
     }
     return shares;
@@ -208,7 +211,7 @@
   private static Map<String, UsageProfile> readUsageProfiles(
       ConfigReader reader, DeploymentSettings deployment) {
     Map<String, UsageProfile> profiles = new LinkedHashMap<>();
-    for (DeploymentSettings.PriorityClass priorityClass : deployment.priorityClasses.values()) {
+    for (PriorityClassSettings priorityClass : deployment.priorityClasses().values()) {
       String key = "flavours." + priorityClass.name();
       profiles.put(
           priorityClass.name(),
@@ -216,20 +219,20 @@
               readOptional(reader, key + ".cores_use", 10, DEFAULT_CORES_USE),
               readOptional(reader, key + ".memory_use", 10, DEFAULT_MEMORY_USE),
               readOptional(reader, key + ".sigma", 5, DEFAULT_SIGMA),
-              priorityClass.calm(),
-              priorityClass.fade()));
+              priorityClass.fullSpeedUtilization(),
+              priorityClass.degradationSpan()));
     }
     return profiles;
   }
 
   private static Clients readClients(ConfigReader reader, DeploymentSettings deployment) {
     return new Clients(
-        reader.number("owners.rate", 0.01, 1e6),
-        reader.whole("owners.services", 1, 100_000),
-        reader.number("owners.batch", 1, 1000),
+        reader.decimal("owners.rate", 0.01, 1e6),
+        reader.integer("owners.services", 1, 100_000),
+        reader.decimal("owners.batch", 1, 1000),
         readRange(reader, "owners.life_s", 0.1, 100_000),
         readRange(reader, "owners.again_ms", 1, 1_000_000),
-        reader.whole("owners.tries", 1, 1000),
+        reader.integer("owners.tries", 1, 1000),
         readPriorityClassShares(reader, deployment),
         readShapes(reader));
   }
@@ -237,7 +240,7 @@
   private static Map<String, Double> readPriorityClassShares(
       ConfigReader reader, DeploymentSettings deployment) {
     Map<String, Double> shares = new LinkedHashMap<>();
-    for (String name : deployment.priorityClasses.keySet()) {
+    for (String name : deployment.priorityClasses().keySet()) {
       shares.put(name, readOptional(reader, "flavours." + name + ".share", 1, 1));
     }
     return shares;
@@ -245,55 +248,55 @@
 
   private static List<Shape> readShapes(ConfigReader reader) {
     List<Shape> shapes = new ArrayList<>();
-    for (ConfigReader shape : reader.each("owners.shapes", null)) {
-      shapes.add(new Shape(shape.number("cores", 0.01, 1e6), shape.number("memory", 0.01, 1e9)));
-      shape.refuseUnknown();
+    for (ConfigReader shape : reader.objects("owners.shapes")) {
+      shapes.add(new Shape(shape.decimal("cores", 0.01, 1e6), shape.decimal("memory", 0.01, 1e9)));
+      shape.rejectUnknownKeys();
     }
     return shapes;
   }
 
   private static Registry readRegistry(ConfigReader reader) {
     return new Registry(
-        reader.word("registry.in", "file", "etcd").equals("etcd"),
-        reader.span("registry.every", Duration.ofMillis(1), MAX_DURATION),
-        reader.span("registry.late", Duration.ZERO, MAX_DURATION));
+        reader.oneOf("registry.in", "file", "etcd").equals("etcd"),
+        reader.duration("registry.every", Duration.ofMillis(1), MAX_DURATION),
+        reader.duration("registry.late", Duration.ZERO, MAX_DURATION));
   }
 
   private static Constraints readConstraints(ConfigReader reader) {
     return new Constraints(
-        reader.has("rules") ? reader.text("rules", 1_000_000) : "",
-        reader.whole("sets.count", 0, 100_000),
-        reader.span("sets.every", Duration.ofMillis(10), MAX_DURATION));
+        reader.has("rules") ? reader.string("rules", 1_000_000) : "",
+        reader.integer("sets.count", 0, 100_000),
+        reader.duration("sets.every", Duration.ofMillis(10), MAX_DURATION));
   }
 
   private static List<FaultPlan> readFaults(ConfigReader reader) {
     List<FaultPlan> faults = new ArrayList<>();
-    for (ConfigReader fault : reader.each("faults", "fault_defaults")) {
+    for (ConfigReader fault : reader.objectsWithDefaults("faults", "fault_defaults")) {
       faults.add(
           new FaultPlan(
-              FaultKind.of(fault.word("kind", FaultKind.texts())),
-              fault.span("at", Duration.ZERO, MAX_DURATION),
-              fault.span("for", Duration.ZERO, MAX_DURATION),
-              fault.number("part", 0, 1),
-              fault.number("size", 0, 1e6),
-              fault.number("extra", 0, 1e6),
-              fault.text("of", 100),
-              FaultPlan.Scope.of(fault.word("by", "any", "zone", "cell", "kind"))));
-      fault.refuseUnknown();
+              FaultKind.of(fault.oneOf("kind", FaultKind.texts())),
+              fault.duration("at", Duration.ZERO, MAX_DURATION),
+              fault.duration("for", Duration.ZERO, MAX_DURATION),
+              fault.decimal("part", 0, 1),
+              fault.decimal("size", 0, 1e6),
+              fault.decimal("extra", 0, 1e6),
+              fault.string("of", 100),
+              FaultPlan.Scope.of(fault.oneOf("by", "any", "zone", "cell", "kind"))));
+      fault.rejectUnknownKeys();
     }
     for (String key : List.of("kind", "at", "for", "part", "size", "extra", "of", "by")) {
-      reader.knows("fault_defaults." + key);
+      reader.markKnown("fault_defaults." + key);
     }
     return faults;
   }
 
   private static double readOptional(
       ConfigReader reader, String key, double most, double defaultValue) {
-    return reader.has(key) ? reader.number(key, 0, most) : defaultValue;
+    return reader.has(key) ? reader.decimal(key, 0, most) : defaultValue;
   }
 
   private static Range readRange(ConfigReader reader, String key, double least, double most) {
     return new Range(
-        reader.number(key + ".least", least, most), reader.number(key + ".most", least, most));
+        reader.decimal(key + ".least", least, most), reader.decimal(key + ".most", least, most));
   }
 }
--- a/src/main/java/fordridge/emulator/WatchBenchmark.java
+++ b/src/main/java/fordridge/emulator/WatchBenchmark.java
@@ -5,6 +5,7 @@
 import fordridge.etcd.EtcdMachineList;
 import fordridge.model.Machine.Lifecycle;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -57,7 +58,7 @@
    * @param listCount how many machine lists watch, all in this process
    */
   public static void run(int[] sizes, int listCount, PrintStream out)
-      throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
+      throws IOException, InvalidSettingsException, InterruptedException {
     out.printf(
         "%9s %6s %11s %11s %12s %11s %13s %12s%n",
         "machines",
@@ -81,7 +82,7 @@
   }
 
   private String measure(int listCount)
-      throws IOException, DeploymentSettings.InvalidSettingsException, InterruptedException {
+      throws IOException, InvalidSettingsException, InterruptedException {
     publishMachines();
     long heapBefore = usedHeapBytes();
     startLists(listCount);
@@ -112,17 +113,16 @@
     etcd.putAll(records);
   }
 
-  private void startLists(int count)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+  private void startLists(int count) throws IOException, InvalidSettingsException {
     DeploymentSettings settings = settings();
     for (int i = 0; i < count; i++) {
       EtcdMachineList list = new EtcdMachineList(settings, "p" + i, i + 1);
       lists.add(list);
-      list.follow(this::received);
+      list.watch(this::received);
     }
   }
 
-  private DeploymentSettings settings() throws DeploymentSettings.InvalidSettingsException {
+  private DeploymentSettings settings() throws InvalidSettingsException {
     String text =
         "kinds = [{ name = k, cores = 28, memory = 60 }]\n"
             + "flavours = [{ name = f }]\n"
@@ -137,7 +137,7 @@
 
   private void received(MachineListSource.Update update) {
     long nowNanos = System.nanoTime();
-    if (update.whole()) {
+    if (update.isSnapshot()) {
       return;
     }
     for (MachineListSource.Entry entry : update.entries()) {
@@ -189,7 +189,7 @@
 
   /** A change that the lists can't watch, as it is compacted: the time until all have it. */
   private double measureResync() throws InterruptedException {
-    long[] resyncsBefore = lists.stream().mapToLong(EtcdMachineList::resyncs).toArray();
+    long[] resyncsBefore = lists.stream().mapToLong(EtcdMachineList::snapshotCount).toArray();
     etcd.leaderless(true);
     etcd.put(machineKey(machines - 1), machineRecord(machines - 1, 3));
     etcd.compactNow();
@@ -198,7 +198,7 @@
     for (int i = 0; i < lists.size(); i++) {
       EtcdMachineList list = lists.get(i);
       long before = resyncsBefore[i];
-      await(() -> list.resyncs() > before && hasLastMachine(list));
+      await(() -> list.snapshotCount() > before && hasLastMachine(list));
     }
     return (System.nanoTime() - startNanos) / 1e6;
   }
--- a/src/main/java/fordridge/server/grpc/ClientConnections.java
+++ b/src/main/java/fordridge/server/grpc/ClientConnections.java
@@ -36,7 +36,11 @@
 
   private static ClientSessions.Limits limits(DeploymentSettings settings) {
     return new ClientSessions.Limits(
-        settings.maxOpen, settings.open, settings.unread, settings.keepAnswers, settings.keep);
+        settings.instance().maxOpenRequests(),
+        settings.sessions().maxOpenRequests(),
+        settings.sessions().maxUnreadResponses(),
+        settings.sessions().maxRetainedResponses(),
+        settings.sessions().retention());
   }
 
   /** Begins to expire the sessions of clients that stay away. */
--- a/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
@@ -6,12 +6,13 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.Vm;
+import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Failed;
 import fordridge.session.ClientResponse.Rejected;
 import fordridge.session.ClientSession;
 import fordridge.session.ClientSessions;
 import fordridge.settings.DeploymentSettings;
-import fordridge.settings.DeploymentSettings.PriorityClass;
+import fordridge.settings.PriorityClassSettings;
 import fordridge.v1.Want;
 import java.time.Duration;
 import java.util.Optional;
@@ -74,7 +75,7 @@
     if (admission == ClientSessions.Admission.DUPLICATE) {
       return;
     }
-    PriorityClass priorityClass = settings().priorityClasses.get(request.getFlavour());
+    PriorityClassSettings priorityClass = settings().priorityClasses().get(request.getFlavour());
     Optional<String> rejection = rejectionReason(admission, priorityClass, request);
     if (rejection.isPresent()) {
       reject(session, request, priorityClass, rejection.get());
@@ -83,7 +84,7 @@
     Vm vm = newVm(session, request, priorityClass);
     context.clients.register(vm, session.client());
     scheduleBackstop(vm, session, request.getVm());
-    boolean mayAlreadyRun = !priorityClass.rebuildable() && session.isFromEarlierIncarnation();
+    boolean mayAlreadyRun = !priorityClass.isIdempotent() && session.isFromEarlierIncarnation();
     if (request.getGroup().isEmpty()) {
       scheduleOnceReconciled(vm, session, request.getVm(), mayAlreadyRun);
     } else {
@@ -92,7 +93,7 @@
   }
 
   private Optional<String> rejectionReason(
-      ClientSessions.Admission admission, PriorityClass priorityClass, Want request) {
+      ClientSessions.Admission admission, PriorityClassSettings priorityClass, Want request) {
     if (admission == ClientSessions.Admission.LIMIT_EXCEEDED) {
       return Optional.of("too many VMs in hand");
     }
@@ -104,20 +105,21 @@
           "flavour '"
               + request.getFlavour()
               + "' is not one of "
-              + settings().priorityClasses.keySet());
+              + settings().priorityClasses().keySet());
     }
     return context.constraints.unsatisfiableReason(request);
   }
 
   private void reject(
-      ClientSession session, Want request, PriorityClass priorityClass, String reason) {
-    Duration retryAfter = priorityClass == null ? Duration.ZERO : priorityClass.buildTarget();
+      ClientSession session, Want request, PriorityClassSettings priorityClass, String reason) {
+    Duration retryAfter =
+        priorityClass == null ? Duration.ZERO : priorityClass.startLatencyObjective();
     sessions()
         .reject(session, new Rejected(request.getVm(), retryAfter, reason), context.loop.now());
-    context.metrics.answered("denied");
+    context.metrics.responseSent(ClientResponse.Kind.REJECTED);
   }
 
-  private Vm newVm(ClientSession session, Want request, PriorityClass priorityClass) {
+  private Vm newVm(ClientSession session, Want request, PriorityClassSettings priorityClass) {
     Vm vm = new Vm(ClientConnections.vmId(session.client(), request.getVm()));
     vm.priorityClass = priorityClass.name();
     vm.tenant = request.getCustomer();
@@ -132,8 +134,8 @@
   }
 
   /** The client's deadline, less what the response and a late event loop may take of it. */
-  private Duration deadline(Want request, PriorityClass priorityClass) {
-    Duration startDeadline = priorityClass.buildTimeout();
+  private Duration deadline(Want request, PriorityClassSettings priorityClass) {
+    Duration startDeadline = priorityClass.startDeadline();
     Duration timeLeft =
         request.getTimeLeftUs() == 0 ? startDeadline : ofMicros(request.getTimeLeftUs());
     Duration bounded = timeLeft.compareTo(startDeadline) > 0 ? startDeadline : timeLeft;
@@ -141,7 +143,7 @@
         .loop
         .now()
         .plus(bounded)
-        .minus(settings().answerMargin)
+        .minus(settings().instance().responseMargin())
         .minus(context.loop.lagAllowance());
   }
 
@@ -154,7 +156,7 @@
    * nothing, and so is always allowed.
    */
   private void scheduleBackstop(Vm vm, ClientSession session, String name) {
-    Duration answerMargin = settings().answerMargin;
+    Duration answerMargin = settings().instance().responseMargin();
     context.loop.schedule(
         vm.deadline.minus(context.loop.now()).plus(answerMargin.dividedBy(2)),
         () -> {
@@ -181,9 +183,11 @@
         context.scheduler.vmRequested(vm);
       }
     } else if (context.loop.now().compareTo(vm.deadline) < 0) {
-      context.loop.schedule(settings().poll, () -> scheduleOnceReconciled(vm, session, name, true));
+      context.loop.schedule(
+          settings().machineList().pollInterval(),
+          () -> scheduleOnceReconciled(vm, session, name, true));
     } else if (isPending) {
-      context.metrics.answered("errored");
+      context.metrics.responseSent(ClientResponse.Kind.FAILED);
       failUnreconciled(vm, "; not every machine has said what it holds");
     }
   }
@@ -198,7 +202,7 @@
       Vm vm,
       ClientSession session,
       Want request,
-      PriorityClass priorityClass,
+      PriorityClassSettings priorityClass,
       boolean mayAlreadyRun) {
     if (mayAlreadyRun && !context.machines.isReconciled()) {
       failUnreconciled(vm, "");
@@ -211,7 +215,7 @@
         new GroupCoordinator.GroupId(session.client(), request.getGroup());
     context
         .groups
-        .join(vm, group, request.getGroupSize(), priorityClass.rebuildable())
+        .join(vm, group, request.getGroupSize(), priorityClass.isIdempotent())
         .ifPresent(
             reason -> {
               context.clients.respond(vm, name -> new Rejected(name, Duration.ZERO, reason));
--- a/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -9,6 +9,7 @@
 import fordridge.constraint.UnsatisfiableConstraintsException;
 import fordridge.discovery.MachineListSource;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.settings.SettingsUpdate;
 import java.io.File;
 import java.io.IOException;
@@ -69,12 +70,12 @@
    * first version that is rejected is thrown.
    */
   void watchConstraints(BiConsumer<List<PlacementConstraint>, Integer> listener)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     String text = readText();
     if (text != null) {
       apply(text, listener);
     }
-    poll(settings.poll.toMillis(), () -> updateConstraints(listener));
+    poll(settings.machineList().pollInterval().toMillis(), () -> updateConstraints(listener));
   }
 
   /** Passes the settings under each new version in the store to the listener. */
@@ -85,7 +86,7 @@
 
   /** The tasks guard themselves: one that threw would not run again. */
   private void poll(long initialDelayMillis, Runnable task) {
-    long intervalMillis = settings.poll.toMillis();
+    long intervalMillis = settings.machineList().pollInterval().toMillis();
     Future<?> unused =
         poller.scheduleWithFixedDelay(
             task, initialDelayMillis, intervalMillis, TimeUnit.MILLISECONDS);
@@ -104,18 +105,18 @@
     }
 
     void update() {
-      String text = machineList.term(DEPLOYMENT_KEY);
+      String text = machineList.sharedSetting(DEPLOYMENT_KEY).orElse(null);
       if (text == null || text.equals(latestText)) {
         return;
       }
       latestText = text;
       try {
-        latest = SettingsUpdate.over(settings, latest, text);
+        latest = SettingsUpdate.apply(settings, latest, text);
         listener.accept(latest);
         LOG.info("settings applied");
-      } catch (DeploymentSettings.InvalidSettingsException e) {
+      } catch (InvalidSettingsException e) {
         LOG.atError()
-            .addKeyValue("reason", String.join("; ", e.complaints))
+            .addKeyValue("reason", String.join("; ", e.messages()))
             .log("settings rejected, the previous ones stay in force");
       } catch (RuntimeException e) {
         LOG.error("settings rejected, the previous ones stay in force", e);
@@ -130,9 +131,9 @@
         apply(text, listener);
       }
       validateAgain();
-    } catch (DeploymentSettings.InvalidSettingsException e) {
+    } catch (InvalidSettingsException e) {
       LOG.atError()
-          .addKeyValue("reason", String.join("; ", e.complaints))
+          .addKeyValue("reason", String.join("; ", e.messages()))
           .log("constraints rejected, the previous ones stay in force");
     } catch (RuntimeException e) {
       LOG.error("constraints rejected, the previous ones stay in force", e);
@@ -140,7 +141,7 @@
   }
 
   private void apply(String text, BiConsumer<List<PlacementConstraint>, Integer> listener)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     latestText = text;
     inForce = read(text, settings, topology());
     version++;
@@ -148,16 +149,16 @@
   }
 
   /** The constraints' text in the store, or else in the file; null where there is neither. */
-  private String readText() throws DeploymentSettings.InvalidSettingsException {
-    String stored = machineList.term(CONSTRAINTS_KEY);
-    File file = settings.constraintsFile();
+  private String readText() throws InvalidSettingsException {
+    String stored = machineList.sharedSetting(CONSTRAINTS_KEY).orElse(null);
+    File file = settings.constraintsFile().orElse(null);
     if (stored != null || file == null) {
       return stored;
     }
     try {
       return Files.readString(file.toPath());
     } catch (IOException e) {
-      throw new DeploymentSettings.InvalidSettingsException(List.of(file + ": " + e));
+      throw InvalidSettingsException.ofMessages(List.of(file + ": " + e));
     }
   }
 
@@ -176,30 +177,30 @@
   /** Reads constraints that this deployment's schedulers can satisfy on these machines. */
   static List<PlacementConstraint> read(
       String text, DeploymentSettings settings, List<MachineTopology> machines)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     try {
       List<PlacementConstraint> constraints = ConstraintParser.parse(text, knownNames(settings));
       // Only to find out whether the schedulers' shares of each limit can be satisfied.
-      ConstraintIndex unused = new ConstraintIndex(constraints, settings.allPlacers());
+      ConstraintIndex unused = new ConstraintIndex(constraints, settings.totalSchedulers());
       List<String> conflicts = findConflicts(constraints, machines);
       if (!conflicts.isEmpty()) {
-        throw new DeploymentSettings.InvalidSettingsException(conflicts);
+        throw InvalidSettingsException.ofMessages(conflicts);
       }
       return constraints;
     } catch (ConstraintSyntaxException e) {
-      throw new DeploymentSettings.InvalidSettingsException(e.messages());
+      throw InvalidSettingsException.ofMessages(e.messages());
     } catch (UnsatisfiableConstraintsException e) {
-      throw new DeploymentSettings.InvalidSettingsException(List.of(e.getMessage()));
+      throw InvalidSettingsException.ofMessages(List.of(e.getMessage()));
     }
   }
 
   private static ConstraintParser.KnownNames knownNames(DeploymentSettings settings) {
     Set<String> tenants = new HashSet<>();
-    settings.tenants.forEach(tenant -> tenants.add(tenant.name()));
+    settings.tenants().forEach(tenant -> tenants.add(tenant.name()));
     Set<String> kinds = new HashSet<>();
-    settings.kinds.forEach(kind -> kinds.add(kind.name()));
+    settings.kinds().forEach(kind -> kinds.add(kind.name()));
     return new ConstraintParser.KnownNames(
-        tenants, settings.priorityClasses.keySet(), kinds, Set.of());
+        tenants, settings.priorityClasses().keySet(), kinds, Set.of());
   }
 
   private static List<String> findConflicts(
--- a/src/main/java/fordridge/server/grpc/Gossip.java
+++ b/src/main/java/fordridge/server/grpc/Gossip.java
@@ -20,7 +20,7 @@
   void send(String message) {
     if (socket.isPresent()) {
       socket.get().send(message);
-      metrics.note("sent");
+      metrics.gossipSent();
     }
   }
 
--- a/src/main/java/fordridge/server/grpc/GroupActions.java
+++ b/src/main/java/fordridge/server/grpc/GroupActions.java
@@ -103,19 +103,10 @@
 
   @Override
   public void respond(Vm vm, ClientResponse response) {
-    context.metrics.answered(metricTag(response));
+    context.metrics.responseSent(response.kind());
     context.clients.respond(vm, name -> response);
   }
 
-  private static String metricTag(ClientResponse response) {
-    return switch (response.kind()) {
-      case ACCEPTED -> "bound";
-      case REJECTED -> "denied";
-      case FAILED -> "errored";
-      case TERMINATED -> throw new IllegalArgumentException("not a final response: " + response);
-    };
-  }
-
   @Override
   public void stop(Vm vm) {
     if (vm.acceptedAttempt != null && vm.acceptedAttempt.isInFlight()) {
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
@@ -7,6 +7,7 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.Vm;
 import fordridge.scheduling.SchedulerActions;
+import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Failed;
 import fordridge.session.ClientResponse.Rejected;
 import fordridge.session.ClientResponse.Terminated;
@@ -33,7 +34,7 @@
 
   @Override
   public void sendAttempt(PlacementAttempt attempt, Duration within) {
-    context.metrics.offered();
+    context.metrics.offerSent();
     context.constraints.attemptSent(attempt);
     context.loop.processBehind(
         () -> {
@@ -53,7 +54,7 @@
   private void offer(PlacementAttempt attempt, Duration within) {
     MachineHandle machine = context.machines.get(attempt.machine);
     boolean mayRunAgain =
-        context.settings().priorityClasses.get(attempt.vm.priorityClass).rebuildable();
+        context.settings().priorityClasses().get(attempt.vm.priorityClass).isIdempotent();
     AttemptId id = new AttemptId(attempt.vm.id, attempt.number);
     MachineStream stream = machine.stream();
     stream.offer(attempt, id, mayRunAgain, within, context.loop.now());
@@ -82,7 +83,7 @@
       return;
     }
     context.clients.respond(vm, name -> new Rejected(name, retryAfter, NO_CAPACITY));
-    context.metrics.answered("denied");
+    context.metrics.responseSent(ClientResponse.Kind.REJECTED);
     context.loop.processBehind(() -> context.forget(vm));
   }
 
@@ -94,7 +95,7 @@
       return;
     }
     context.clients.respond(vm, name -> new Failed(name, OUTCOME_UNKNOWN));
-    context.metrics.answered("errored");
+    context.metrics.responseSent(ClientResponse.Kind.FAILED);
     context.loop.processBehind(() -> context.forget(vm));
   }
 
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -129,7 +129,7 @@
 
   /** On the event loop. */
   void gossipReceived(String message) {
-    context.metrics.note("heard");
+    context.metrics.gossipReceived();
     context.loop.process(() -> context.scheduler.gossipReceived(message));
   }
 
--- a/src/main/java/fordridge/server/grpc/InputLoop.java
+++ b/src/main/java/fordridge/server/grpc/InputLoop.java
@@ -98,7 +98,7 @@
     if (!sequencer.enter(input)) {
       return;
     }
-    metrics.decided(System.nanoTime() - startNanos);
+    metrics.decisionTook(System.nanoTime() - startNanos);
     afterInputs.run();
   }
 
--- a/src/main/java/fordridge/server/grpc/PlacerCommand.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -10,6 +10,7 @@
 import fordridge.observability.Metrics;
 import fordridge.observability.MetricsServer;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.settings.SettingsUpdate;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
@@ -79,18 +80,20 @@
    * Starts everything. If something cannot be had (a port, the machine list), the exception says
    * what in one line, and nothing is left running.
    */
-  public PlacerCommand(DeploymentSettings settings)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+  public PlacerCommand(DeploymentSettings settings) throws IOException, InvalidSettingsException {
     this.settings = settings;
-    seed = settings.seed != 0 ? settings.seed : System.nanoTime() ^ ProcessHandle.current().pid();
-    int threads = Math.min(settings.count, Runtime.getRuntime().availableProcessors());
+    seed =
+        settings.instance().seed() != 0
+            ? settings.instance().seed()
+            : System.nanoTime() ^ ProcessHandle.current().pid();
+    int threads = Math.min(settings.instance().count(), Runtime.getRuntime().availableProcessors());
     eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
     try {
       startInstances();
       startLagMetrics(threads);
       watchConstraintsAndSettings();
       startMetrics();
-    } catch (IOException | RuntimeException | DeploymentSettings.InvalidSettingsException e) {
+    } catch (IOException | RuntimeException | InvalidSettingsException e) {
       close();
       throw e;
     }
@@ -111,21 +114,24 @@
         });
   }
 
-  private void startInstances() throws IOException, DeploymentSettings.InvalidSettingsException {
+  private void startInstances() throws IOException, InvalidSettingsException {
     if (!isListInEtcd()) {
       // One watcher of the file serves all instances.
-      machineLists.add(new MachineListFile(settings.listFile(), settings));
+      machineLists.add(new MachineListFile(settings.machineListFile(), settings));
     }
     Optional<DeploymentSettings> shadowSettings = readShadowSettings(settings);
-    for (int i = 0; i < settings.count; i++) {
+    for (int i = 0; i < settings.instance().count(); i++) {
       startInstance(i, shadowSettings);
     }
   }
 
   private void startInstance(int index, Optional<DeploymentSettings> shadowSettings)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
-    int position = settings.position + index;
-    String name = settings.count == 1 ? settings.name : settings.name + "-" + position;
+      throws IOException, InvalidSettingsException {
+    int position = settings.instance().position() + index;
+    String name =
+        settings.instance().count() == 1
+            ? settings.instance().name()
+            : settings.instance().name() + "-" + position;
     GrpcSchedulerServer instance =
         new GrpcSchedulerServer(
             settings,
@@ -137,18 +143,18 @@
             groupPlanner,
             metrics);
     instances.add(instance);
-    if (settings.notes) {
-      openGossipSocket(instance, portOfInstance(settings.notesPort, index));
+    if (settings.gossip().isEnabled()) {
+      openGossipSocket(instance, portOfInstance(settings.gossip().port(), index));
     }
     if (isListInEtcd()) {
       machineLists.add(new EtcdMachineList(settings, name, seed + index));
     }
     watchMachineList(instance, machineLists.get(machineLists.size() - 1));
-    servers.add(startServer(instance, portOfInstance(settings.port, index)));
+    servers.add(startServer(instance, portOfInstance(settings.instance().listenPort(), index)));
   }
 
   private boolean isListInEtcd() {
-    return settings.listSource.equals("etcd");
+    return settings.machineList().isInEtcd();
   }
 
   /** The instances' ports follow each other; port 0 is any free one for each. */
@@ -157,53 +163,55 @@
   }
 
   private void openGossipSocket(GrpcSchedulerServer instance, int port)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+      throws IOException, InvalidSettingsException {
     List<InetSocketAddress> peers = new ArrayList<>();
-    for (String peer : settings.notesTo) {
+    for (String peer : settings.gossip().peers()) {
       peers.add(resolve(peer));
     }
     GossipSocket socket =
         new GossipSocket(
             instance.eventLoop(),
-            new InetSocketAddress(settings.notesHost, port),
+            new InetSocketAddress(settings.gossip().host(), port),
             peers,
             instance::gossipReceived);
     instance.gossipSocketOpened(socket);
     gossipSockets.add(socket);
   }
 
-  private static InetSocketAddress resolve(String hostAndPort)
-      throws DeploymentSettings.InvalidSettingsException {
+  private static InetSocketAddress resolve(String hostAndPort) throws InvalidSettingsException {
     int colon = hostAndPort.lastIndexOf(':');
     InetSocketAddress address =
         new InetSocketAddress(
             hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
     if (address.isUnresolved()) {
-      throw new DeploymentSettings.InvalidSettingsException(
+      throw InvalidSettingsException.ofMessages(
           List.of("placer.notes.to: '" + hostAndPort + "': no such host"));
     }
     return address;
   }
 
   private static void watchMachineList(GrpcSchedulerServer instance, MachineListSource list) {
-    list.follow(instance::machineListReceived);
+    list.watch(instance::machineListReceived);
     runPeriodically(
         instance.eventLoop(),
         SCHEDULER_COUNT_INTERVAL,
-        () -> instance.schedulerCountReceived(list.placers()));
+        () -> instance.schedulerCountReceived(list.schedulerCount()));
   }
 
   private Server startServer(GrpcSchedulerServer instance, int port) throws IOException {
-    return NettyServerBuilder.forAddress(new InetSocketAddress(settings.host, port))
+    return NettyServerBuilder.forAddress(
+            new InetSocketAddress(settings.instance().listenHost(), port))
         .bossEventLoopGroup(instance.eventLoop())
         .workerEventLoopGroup(instance.eventLoop())
         .channelType(NioServerSocketChannel.class)
         .directExecutor()
-        .maxInboundMessageSize(ClientService.transportLimit(settings.maxMessage))
+        .maxInboundMessageSize(
+            ClientService.transportLimit(settings.connections().maxMessageBytes()))
         .flowControlWindow(CLIENT_FLOW_CONTROL_WINDOW)
         .permitKeepAliveTime(MIN_CLIENT_KEEPALIVE.toMillis(), TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(new ClientService(instance.requestHandler(), settings.maxMessage))
+        .addService(
+            new ClientService(instance.requestHandler(), settings.connections().maxMessageBytes()))
         .addService(new OperatorService(instance.clusterView()))
         .build()
         .start();
@@ -219,7 +227,7 @@
         eventLoop,
         LAG_SAMPLE_INTERVAL,
         () -> {
-          metrics.lagged(Duration.ofNanos(Math.max(0, System.nanoTime() - dueNanos[0])));
+          metrics.eventLoopLagged(Duration.ofNanos(Math.max(0, System.nanoTime() - dueNanos[0])));
           dueNanos[0] = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
         });
   }
@@ -236,7 +244,7 @@
             });
   }
 
-  private void watchConstraintsAndSettings() throws DeploymentSettings.InvalidSettingsException {
+  private void watchConstraintsAndSettings() throws InvalidSettingsException {
     ConstraintUpdater updater = new ConstraintUpdater(settings, machineLists.get(0));
     constraintUpdater = Optional.of(updater);
     updater.watchConstraints(
@@ -248,8 +256,8 @@
   private void startMetrics() throws IOException {
     metrics.gauge("fordridge.held", this::pendingRequests);
     metrics.gauge("fordridge.streams", this::establishedStreams);
-    if (settings.metricsPort >= 0) {
-      metricsServer = Optional.of(new MetricsServer(settings.metricsPort, metrics, eventLoops));
+    if (settings.metricsPort() >= 0) {
+      metricsServer = Optional.of(new MetricsServer(settings.metricsPort(), metrics, eventLoops));
     }
   }
 
@@ -257,7 +265,7 @@
     String port = metricsServer.map(server -> String.valueOf(server.port())).orElse("none");
     LOG.atInfo()
         .addKeyValue("seed", seed)
-        .addKeyValue("instances", settings.count)
+        .addKeyValue("instances", settings.instance().count())
         .addKeyValue("machines", machineLists.get(0).latest().entries().size())
         .addKeyValue("port", port(0))
         .addKeyValue("metrics_port", port)
@@ -269,10 +277,10 @@
    * is a file that is there.
    */
   public static List<PlacementConstraint> readConstraints(String text, DeploymentSettings settings)
-      throws DeploymentSettings.InvalidSettingsException {
+      throws InvalidSettingsException {
     List<MachineListSource.Entry> machines =
-        settings.listSource.equals("file") && settings.listFile().isFile()
-            ? MachineListFile.read(settings.listFile(), settings, 1).entries()
+        !settings.machineList().isInEtcd() && settings.machineListFile().isFile()
+            ? MachineListFile.read(settings.machineListFile(), settings, 1).entries()
             : List.of();
     return ConstraintUpdater.read(text, settings, ConstraintUpdater.topology(machines));
   }
@@ -282,20 +290,19 @@
    * and checked as if they were in force; empty where none is named.
    */
   public static Optional<DeploymentSettings> readShadowSettings(DeploymentSettings settings)
-      throws DeploymentSettings.InvalidSettingsException, IOException {
-    File file = settings.watchFile();
+      throws InvalidSettingsException, IOException {
+    File file = settings.shadowSettingsFile().orElse(null);
     if (file == null) {
       return Optional.empty();
     }
     if (!file.isFile()) {
-      throw new DeploymentSettings.InvalidSettingsException(
-          List.of("watch.terms: " + file + ": no such file"));
+      throw InvalidSettingsException.ofMessages(List.of("watch.terms: " + file + ": no such file"));
     }
     try {
-      return Optional.of(SettingsUpdate.over(settings, settings, Files.readString(file.toPath())));
-    } catch (DeploymentSettings.InvalidSettingsException e) {
-      throw new DeploymentSettings.InvalidSettingsException(
-          e.complaints.stream().map(error -> "watch.terms: " + file + ": " + error).toList());
+      return Optional.of(SettingsUpdate.apply(settings, settings, Files.readString(file.toPath())));
+    } catch (InvalidSettingsException e) {
+      throw InvalidSettingsException.ofMessages(
+          e.messages().stream().map(error -> "watch.terms: " + file + ": " + error).toList());
     }
   }
 
@@ -366,15 +373,15 @@
   private boolean awaitFinalResponses() throws InterruptedException {
     CompletableFuture<?>[] completions =
         instances.stream()
-            .map(instance -> instance.shutdown(settings.stopWithin))
+            .map(instance -> instance.shutdown(settings.instance().shutdownTimeout()))
             .toArray(CompletableFuture<?>[]::new);
     try {
       CompletableFuture.allOf(completions)
-          .get(settings.stopWithin.toMillis(), TimeUnit.MILLISECONDS);
+          .get(settings.instance().shutdownTimeout().toMillis(), TimeUnit.MILLISECONDS);
       return true;
     } catch (TimeoutException e) {
       LOG.atWarn()
-          .addKeyValue("timeout", settings.stopWithin)
+          .addKeyValue("timeout", settings.instance().shutdownTimeout())
           .addKeyValue("pending", pendingRequests())
           .log("shutdown timed out with requests pending");
       return false;
--- a/src/main/java/fordridge/server/grpc/ShadowScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -158,10 +158,13 @@
     }
     Vm shadow = shadowed.shadow;
     if (vm.attempts.isEmpty() != shadow.attempts.isEmpty()) {
-      metrics.otherwise(shadow.attempts.isEmpty() ? "hold" : "place");
+      metrics.shadowDiffered(
+          shadow.attempts.isEmpty()
+              ? Metrics.ShadowDifference.HOLD
+              : Metrics.ShadowDifference.PLACE);
     } else if (!shadow.attempts.isEmpty()
         && !isSameMachine(vm.attempts.get(0), shadow.attempts.get(0))) {
-      metrics.otherwise("machine");
+      metrics.shadowDiffered(Metrics.ShadowDifference.MACHINE);
     }
   }
 
@@ -272,7 +275,7 @@
     boolean shadowPlaced = shadows.isEmpty() && shadowed.shadowAttempt().isPresent();
     boolean primaryPlaced = ours.isEmpty() && shadowed.primary.inFlightAttempts() > 0;
     if (shadowPlaced || primaryPlaced) {
-      metrics.otherwise("answer");
+      metrics.shadowDiffered(Metrics.ShadowDifference.ANSWER);
       clientLeft(shadowed.primary);
     } else if (ours.isPresent() && shadows.isPresent()) {
       compareDecisions(ours.get(), shadows.get());
@@ -282,9 +285,9 @@
 
   private void compareDecisions(Decision ours, Decision shadows) {
     if (ours.kind() != shadows.kind()) {
-      metrics.otherwise("answer");
+      metrics.shadowDiffered(Metrics.ShadowDifference.ANSWER);
     } else if (!ours.retryAfter().equals(shadows.retryAfter())) {
-      metrics.otherwise("retry_after");
+      metrics.shadowDiffered(Metrics.ShadowDifference.RETRY_AFTER);
     }
   }
 
@@ -327,7 +330,7 @@
 
   @Override
   public void migrate(Vm vm) {
-    metrics.otherwise("move");
+    metrics.shadowDiffered(Metrics.ShadowDifference.MOVE);
   }
 
   /** Tenants' constraints hold for both alike. */
@@ -358,18 +361,18 @@
     if (primary.machine(machineNames.get(machine)).isProbing) {
       return;
     }
-    metrics.otherwise("probe");
+    metrics.shadowDiffered(Metrics.ShadowDifference.PROBE);
     // No machine was probed: the shadow gets neither a fault nor a load report, and may probe
     // again.
     primary.schedule(
-        primarySettings.connectTimeout,
+        primarySettings.connections().connectTimeout(),
         () -> inputs.scheduler.probeCompleted(machine, true, false));
   }
 
   @Override
   public void gossip(String message) {
-    if (!primarySettings.notes) {
-      metrics.otherwise("note");
+    if (!primarySettings.gossip().isEnabled()) {
+      metrics.shadowDiffered(Metrics.ShadowDifference.NOTE);
     }
   }
 
@@ -383,8 +386,8 @@
 
   @Override
   public void watchMachineList(boolean isWanted) {
-    if (primarySettings.listComes.equals("push")) {
-      metrics.otherwise("list_ask");
+    if (primarySettings.cluster().isListPushed()) {
+      metrics.shadowDiffered(Metrics.ShadowDifference.LIST_ASK);
     }
     primary.schedule(Duration.ZERO, () -> inputs.list(false, false, List.of()));
   }
--- a/src/test/java/fordridge/server/grpc/GrpcLifecycleTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcLifecycleTest.java
@@ -7,7 +7,7 @@
 
 import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
 import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
-import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.FromMachine;
 import fordridge.v1.PlacerMessage.BodyCase;
@@ -68,7 +68,7 @@
       assertThatThrownBy(() -> peers.startScheduler("placer.listen.port = " + taken.getLocalPort()))
           .hasMessageContaining(String.valueOf(taken.getLocalPort()));
       assertThatThrownBy(() -> peers.startScheduler("machines.list = nowhere.conf"))
-          .isInstanceOf(DeploymentSettings.InvalidSettingsException.class)
+          .isInstanceOf(InvalidSettingsException.class)
           .hasMessageContaining("nowhere.conf: no such file");
     }
   }
@@ -102,7 +102,7 @@
       byte[] noAnswer = note.substring(0, 3).getBytes(StandardCharsets.UTF_8);
       stranger.send(new DatagramPacket(noAnswer, 3, to));
       other.send(new DatagramPacket(noAnswer, 3, to));
-      awaitUntil(() -> peers.scheduler.metrics().notes("heard") == 1);
+      awaitUntil(() -> peers.scheduler.metrics().gossipReceivedCount() == 1);
       int before = took.offers.size();
       client.request("w", "safe");
       awaitUntil(() -> client.count(BodyCase.BOUND) == 2);
--- a/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
+++ b/src/test/java/fordridge/server/grpc/GrpcTestPeers.java
@@ -4,6 +4,7 @@
 
 import com.typesafe.config.ConfigFactory;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InvalidSettingsException;
 import fordridge.v1.ClaimName;
 import fordridge.v1.ClientMessage;
 import fordridge.v1.FromMachine;
@@ -81,8 +82,7 @@
   }
 
   /** Starts the scheduler under these settings, laid over the defaults of the tests. */
-  void startScheduler(String overrides)
-      throws IOException, DeploymentSettings.InvalidSettingsException {
+  void startScheduler(String overrides) throws IOException, InvalidSettingsException {
     writeMachineList("");
     scheduler =
         new PlacerCommand(
