--- a/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
@@ -156,9 +156,9 @@
    * nothing, and so is always allowed.
    */
   private void scheduleBackstop(Vm vm, ClientSession session, String name) {
-    Duration answerMargin = settings().instance().responseMargin();
+    Duration responseMargin = settings().instance().responseMargin();
     context.loop.schedule(
-        vm.deadline.minus(context.loop.now()).plus(answerMargin.dividedBy(2)),
+        vm.deadline.minus(context.loop.now()).plus(responseMargin.dividedBy(2)),
         () -> {
           if (sessions().isPending(session.client(), name)) {
             context.clients.respond(vm, its -> new Failed(its, "no decision in time"));
--- a/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
+++ b/src/main/java/fordridge/server/grpc/ConstraintUpdater.java
@@ -197,10 +197,8 @@
   private static ConstraintParser.KnownNames knownNames(DeploymentSettings settings) {
     Set<String> tenants = new HashSet<>();
     settings.tenants().forEach(tenant -> tenants.add(tenant.name()));
-    Set<String> kinds = new HashSet<>();
-    settings.kinds().forEach(kind -> kinds.add(kind.name()));
     return new ConstraintParser.KnownNames(
-        tenants, settings.priorityClasses().keySet(), kinds, Set.of());
+        tenants, settings.priorityClasses().keySet(), settings.kindNames(), Set.of());
   }
 
   private static List<String> findConflicts(
--- a/src/main/java/fordridge/server/grpc/MachineRegistry.java
+++ b/src/main/java/fordridge/server/grpc/MachineRegistry.java
@@ -5,6 +5,7 @@
 import fordridge.machine.ReconnectPacer;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
+import fordridge.settings.ConnectionSettings;
 import fordridge.settings.DeploymentSettings;
 import fordridge.v1.Offer;
 import java.time.Duration;
@@ -38,14 +39,15 @@
   }
 
   private static MachineStreamSettings streamSettings(DeploymentSettings settings) {
+    ConnectionSettings connections = settings.connections();
     return new MachineStreamSettings(
-        settings.connections().connectTimeout(),
-        settings.connections().idleTimeout(),
-        settings.connections().minReconnectDelay(),
-        settings.connections().maxReconnectDelay(),
-        settings.connections().unknownOutcomeTimeout(),
-        settings.connections().connectTimeout(),
-        settings.connections().maxQueuedOffers(),
+        connections.connectTimeout(),
+        connections.idleTimeout(),
+        connections.minReconnectDelay(),
+        connections.maxReconnectDelay(),
+        connections.unknownOutcomeTimeout(),
+        connections.connectTimeout(),
+        connections.maxQueuedOffers(),
         settings.cluster().confirmsOnAcceptance());
   }
 
--- a/src/main/java/fordridge/server/grpc/PlacerCommand.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -10,6 +10,7 @@
 import fordridge.observability.Metrics;
 import fordridge.observability.MetricsServer;
 import fordridge.settings.DeploymentSettings;
+import fordridge.settings.InstanceSettings;
 import fordridge.settings.InvalidSettingsException;
 import fordridge.settings.SettingsUpdate;
 import io.grpc.Server;
@@ -82,11 +83,10 @@
    */
   public PlacerCommand(DeploymentSettings settings) throws IOException, InvalidSettingsException {
     this.settings = settings;
+    InstanceSettings instance = settings.instance();
     seed =
-        settings.instance().seed() != 0
-            ? settings.instance().seed()
-            : System.nanoTime() ^ ProcessHandle.current().pid();
-    int threads = Math.min(settings.instance().count(), Runtime.getRuntime().availableProcessors());
+        instance.seed() != 0 ? instance.seed() : System.nanoTime() ^ ProcessHandle.current().pid();
+    int threads = Math.min(instance.count(), Runtime.getRuntime().availableProcessors());
     eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
     try {
       startInstances();
@@ -127,11 +127,12 @@
 
   private void startInstance(int index, Optional<DeploymentSettings> shadowSettings)
       throws IOException, InvalidSettingsException {
-    int position = settings.instance().position() + index;
+    InstanceSettings instanceSettings = settings.instance();
+    int position = instanceSettings.position() + index;
     String name =
-        settings.instance().count() == 1
-            ? settings.instance().name()
-            : settings.instance().name() + "-" + position;
+        instanceSettings.count() == 1
+            ? instanceSettings.name()
+            : instanceSettings.name() + "-" + position;
     GrpcSchedulerServer instance =
         new GrpcSchedulerServer(
             settings,
@@ -150,7 +151,7 @@
       machineLists.add(new EtcdMachineList(settings, name, seed + index));
     }
     watchMachineList(instance, machineLists.get(machineLists.size() - 1));
-    servers.add(startServer(instance, portOfInstance(settings.instance().listenPort(), index)));
+    servers.add(startServer(instance, portOfInstance(instanceSettings.listenPort(), index)));
   }
 
   private boolean isListInEtcd() {
@@ -199,19 +200,18 @@
   }
 
   private Server startServer(GrpcSchedulerServer instance, int port) throws IOException {
+    int maxMessageBytes = settings.connections().maxMessageBytes();
     return NettyServerBuilder.forAddress(
             new InetSocketAddress(settings.instance().listenHost(), port))
         .bossEventLoopGroup(instance.eventLoop())
         .workerEventLoopGroup(instance.eventLoop())
         .channelType(NioServerSocketChannel.class)
         .directExecutor()
-        .maxInboundMessageSize(
-            ClientService.transportLimit(settings.connections().maxMessageBytes()))
+        .maxInboundMessageSize(ClientService.transportLimit(maxMessageBytes))
         .flowControlWindow(CLIENT_FLOW_CONTROL_WINDOW)
         .permitKeepAliveTime(MIN_CLIENT_KEEPALIVE.toMillis(), TimeUnit.MILLISECONDS)
         .permitKeepAliveWithoutCalls(true)
-        .addService(
-            new ClientService(instance.requestHandler(), settings.connections().maxMessageBytes()))
+        .addService(new ClientService(instance.requestHandler(), maxMessageBytes))
         .addService(new OperatorService(instance.clusterView()))
         .build()
         .start();
@@ -291,10 +291,11 @@
    */
   public static Optional<DeploymentSettings> readShadowSettings(DeploymentSettings settings)
       throws InvalidSettingsException, IOException {
-    File file = settings.shadowSettingsFile().orElse(null);
-    if (file == null) {
+    Optional<File> configured = settings.shadowSettingsFile();
+    if (configured.isEmpty()) {
       return Optional.empty();
     }
+    File file = configured.get();
     if (!file.isFile()) {
       throw InvalidSettingsException.ofMessages(List.of("watch.terms: " + file + ": no such file"));
     }
@@ -371,17 +372,17 @@
   }
 
   private boolean awaitFinalResponses() throws InterruptedException {
+    Duration timeout = settings.instance().shutdownTimeout();
     CompletableFuture<?>[] completions =
         instances.stream()
-            .map(instance -> instance.shutdown(settings.instance().shutdownTimeout()))
+            .map(instance -> instance.shutdown(timeout))
             .toArray(CompletableFuture<?>[]::new);
     try {
-      CompletableFuture.allOf(completions)
-          .get(settings.instance().shutdownTimeout().toMillis(), TimeUnit.MILLISECONDS);
+      CompletableFuture.allOf(completions).get(timeout.toMillis(), TimeUnit.MILLISECONDS);
       return true;
     } catch (TimeoutException e) {
       LOG.atWarn()
-          .addKeyValue("timeout", settings.instance().shutdownTimeout())
+          .addKeyValue("timeout", timeout)
           .addKeyValue("pending", pendingRequests())
           .log("shutdown timed out with requests pending");
       return false;
--- a/src/main/java/fordridge/server/grpc/ShadowScheduler.java
+++ b/src/main/java/fordridge/server/grpc/ShadowScheduler.java
@@ -7,6 +7,7 @@
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
 import fordridge.observability.Metrics;
+import fordridge.observability.Metrics.ShadowDifference;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.scheduling.Scheduler;
 import fordridge.scheduling.SchedulerActions;
@@ -159,12 +160,10 @@
     Vm shadow = shadowed.shadow;
     if (vm.attempts.isEmpty() != shadow.attempts.isEmpty()) {
       metrics.shadowDiffered(
-          shadow.attempts.isEmpty()
-              ? Metrics.ShadowDifference.HOLD
-              : Metrics.ShadowDifference.PLACE);
+          shadow.attempts.isEmpty() ? ShadowDifference.HOLD : ShadowDifference.PLACE);
     } else if (!shadow.attempts.isEmpty()
         && !isSameMachine(vm.attempts.get(0), shadow.attempts.get(0))) {
-      metrics.shadowDiffered(Metrics.ShadowDifference.MACHINE);
+      metrics.shadowDiffered(ShadowDifference.MACHINE);
     }
   }
 
@@ -275,7 +274,7 @@
     boolean shadowPlaced = shadows.isEmpty() && shadowed.shadowAttempt().isPresent();
     boolean primaryPlaced = ours.isEmpty() && shadowed.primary.inFlightAttempts() > 0;
     if (shadowPlaced || primaryPlaced) {
-      metrics.shadowDiffered(Metrics.ShadowDifference.ANSWER);
+      metrics.shadowDiffered(ShadowDifference.ANSWER);
       clientLeft(shadowed.primary);
     } else if (ours.isPresent() && shadows.isPresent()) {
       compareDecisions(ours.get(), shadows.get());
@@ -285,9 +284,9 @@
 
   private void compareDecisions(Decision ours, Decision shadows) {
     if (ours.kind() != shadows.kind()) {
-      metrics.shadowDiffered(Metrics.ShadowDifference.ANSWER);
+      metrics.shadowDiffered(ShadowDifference.ANSWER);
     } else if (!ours.retryAfter().equals(shadows.retryAfter())) {
-      metrics.shadowDiffered(Metrics.ShadowDifference.RETRY_AFTER);
+      metrics.shadowDiffered(ShadowDifference.RETRY_AFTER);
     }
   }
 
@@ -330,7 +329,7 @@
 
   @Override
   public void migrate(Vm vm) {
-    metrics.shadowDiffered(Metrics.ShadowDifference.MOVE);
+    metrics.shadowDiffered(ShadowDifference.MOVE);
   }
 
   /** Tenants' constraints hold for both alike. */
@@ -361,7 +360,7 @@
     if (primary.machine(machineNames.get(machine)).isProbing) {
       return;
     }
-    metrics.shadowDiffered(Metrics.ShadowDifference.PROBE);
+    metrics.shadowDiffered(ShadowDifference.PROBE);
     // No machine was probed: the shadow gets neither a fault nor a load report, and may probe
     // again.
     primary.schedule(
@@ -372,7 +371,7 @@
   @Override
   public void gossip(String message) {
     if (!primarySettings.gossip().isEnabled()) {
-      metrics.shadowDiffered(Metrics.ShadowDifference.NOTE);
+      metrics.shadowDiffered(ShadowDifference.NOTE);
     }
   }
 
@@ -387,7 +386,7 @@
   @Override
   public void watchMachineList(boolean isWanted) {
     if (primarySettings.cluster().isListPushed()) {
-      metrics.shadowDiffered(Metrics.ShadowDifference.LIST_ASK);
+      metrics.shadowDiffered(ShadowDifference.LIST_ASK);
     }
     primary.schedule(Duration.ZERO, () -> inputs.list(false, false, List.of()));
   }
