--- a/src/main/java/fordridge/grpc/GrpcMachineTransport.java
+++ b/src/main/java/fordridge/grpc/GrpcMachineTransport.java
@@ -128,15 +128,15 @@
   public void offer(PlacementAttempt attempt, AttemptId attemptId, Duration timeLeft) {
     Offer.Builder offer =
         Offer.newBuilder()
-            .setClaim(ProtoConversions.name(attemptId))
+            .setClaim(ProtoConversions.toClaimName(attemptId))
             .setFlavour(attempt.vm.priorityClass)
             .setService(attempt.vm.service)
             .setCustomer(attempt.vm.tenant)
             .setCores(attempt.vm.cores)
             .setMemory(attempt.vm.memory)
-            .setWithinUs(ProtoConversions.micros(timeLeft));
+            .setWithinUs(ProtoConversions.toMicros(timeLeft));
     if (attempt.vm.expectedLifetime != null) {
-      offer.setLastsUs(ProtoConversions.micros(attempt.vm.expectedLifetime));
+      offer.setLastsUs(ProtoConversions.toMicros(attempt.vm.expectedLifetime));
     }
     describer.fill(attempt, offer);
     write(ToMachine.newBuilder().setOffer(offer));
@@ -144,13 +144,13 @@
 
   @Override
   public void cancel(AttemptId attemptId) {
-    Cancel.Builder cancel = Cancel.newBuilder().setClaim(ProtoConversions.name(attemptId));
+    Cancel.Builder cancel = Cancel.newBuilder().setClaim(ProtoConversions.toClaimName(attemptId));
     write(ToMachine.newBuilder().setCancel(cancel));
   }
 
   @Override
   public void terminate(AttemptId attemptId) {
-    Stop.Builder stop = Stop.newBuilder().setClaim(ProtoConversions.name(attemptId));
+    Stop.Builder stop = Stop.newBuilder().setClaim(ProtoConversions.toClaimName(attemptId));
     write(ToMachine.newBuilder().setStop(stop));
   }
 
--- a/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
+++ b/src/main/java/fordridge/grpc/MachineMessageDispatcher.java
@@ -40,7 +40,7 @@
   /** Hands the inventory on to the stream. */
   public static void dispatchInventory(Holding inventory, MachineStream stream, Duration now) {
     List<ReportedVm> reportedVms =
-        inventory.getHeldList().stream().map(ProtoConversions::held).toList();
+        inventory.getHeldList().stream().map(ProtoConversions::toReportedVm).toList();
     stream.inventoryReceived(inventory.getIncarnation(), reportedVms, now);
   }
 
@@ -53,7 +53,7 @@
       Duration now) {
     switch (message.getBodyCase()) {
       case ACCEPTED ->
-          stream.attemptAccepted(ProtoConversions.name(message.getAccepted().getClaim()));
+          stream.attemptAccepted(ProtoConversions.toAttemptId(message.getAccepted().getClaim()));
       case REFUSED -> rejected(message.getRefused(), stream, listener, now);
       case STARTED -> started(message.getStarted(), stream, listener);
       case FINISHED -> finished(message.getFinished(), stream, now);
@@ -71,8 +71,8 @@
       listener.loadReported(loadReport(rejection.getReport()));
     }
     stream.attemptRejected(
-        ProtoConversions.name(rejection.getClaim()),
-        ProtoConversions.why(rejection.getReason()),
+        ProtoConversions.toAttemptId(rejection.getClaim()),
+        ProtoConversions.toOutcomeReason(rejection.getReason()),
         now);
   }
 
@@ -80,20 +80,22 @@
     if (start.hasReport()) {
       listener.loadReported(loadReport(start.getReport()));
     }
-    stream.vmStarted(ProtoConversions.name(start.getClaim()));
+    stream.vmStarted(ProtoConversions.toAttemptId(start.getClaim()));
   }
 
   private static void finished(Finished end, MachineStream stream, Duration now) {
     stream.attemptEnded(
-        ProtoConversions.name(end.getClaim()),
-        ProtoConversions.end(end),
-        ProtoConversions.why(end.getHow()),
+        ProtoConversions.toAttemptId(end.getClaim()),
+        ProtoConversions.toOutcome(end),
+        ProtoConversions.toOutcomeReason(end.getHow()),
         now);
   }
 
   private static void vmReported(Note note, Listener listener) {
     listener.vmReported(
-        ProtoConversions.name(note.getClaim()), reportKind(note.getWhat()), note.getAmount());
+        ProtoConversions.toAttemptId(note.getClaim()),
+        reportKind(note.getWhat()),
+        note.getAmount());
   }
 
   private static void loadReported(
--- a/src/main/java/fordridge/grpc/ProtoConversions.java
+++ b/src/main/java/fordridge/grpc/ProtoConversions.java
@@ -18,42 +18,45 @@
 import fordridge.v1.Refused;
 import java.time.Duration;
 
-/** The protocol's messages and our own words for the same, and nothing else. */
+/** Converts between the protocol's messages and the types behind them. */
 final class ProtoConversions {
+  private static final long NANOS_PER_MICRO = 1000;
+
   private ProtoConversions() {}
 
-  static long micros(Duration d) {
-    return d.isNegative() ? 0 : d.toNanos() / 1000;
+  /** Whole microseconds; 0 for a negative duration. */
+  static long toMicros(Duration duration) {
+    return duration.isNegative() ? 0 : duration.toNanos() / NANOS_PER_MICRO;
   }
 
-  static AttemptId name(ClaimName n) {
-    return new AttemptId(n.getVm(), n.getNumber());
+  static AttemptId toAttemptId(ClaimName name) {
+    return new AttemptId(name.getVm(), name.getNumber());
   }
 
-  static ClaimName name(AttemptId n) {
-    return ClaimName.newBuilder().setVm(n.vmId()).setNumber(n.number()).build();
+  static ClaimName toClaimName(AttemptId id) {
+    return ClaimName.newBuilder().setVm(id.vmId()).setNumber(id.number()).build();
   }
 
-  static ReportedVm held(Held h) {
+  static ReportedVm toReportedVm(Held held) {
     ReportedVm.State state =
-        switch (h.getState()) {
+        switch (held.getState()) {
           case RUNNING -> ReportedVm.State.RUNNING;
           case ENDED -> ReportedVm.State.ENDED;
           case REFUSED -> ReportedVm.State.REJECTED;
           default -> ReportedVm.State.QUEUED;
         };
     return new ReportedVm(
-        name(h.getClaim()),
+        toAttemptId(held.getClaim()),
         state,
-        h.getFlavour(),
-        h.getService(),
-        h.getCustomer(),
-        h.getCores(),
-        h.getMemory(),
-        h.getClient());
+        held.getFlavour(),
+        held.getService(),
+        held.getCustomer(),
+        held.getCores(),
+        held.getMemory(),
+        held.getClient());
   }
 
-  static OutcomeReason why(Refused.Reason reason) {
+  static OutcomeReason toOutcomeReason(Refused.Reason reason) {
     return switch (reason) {
       case NO_CORES -> OutcomeReason.INSUFFICIENT_CORES;
       case NO_MEMORY -> OutcomeReason.INSUFFICIENT_MEMORY;
@@ -63,16 +66,16 @@
     };
   }
 
-  static Outcome end(Finished f) {
-    return switch (f.getHow()) {
+  static Outcome toOutcome(Finished finished) {
+    return switch (finished.getHow()) {
       case DONE -> Outcome.DONE;
-      case CANCELLED -> f.getRan() ? Outcome.CANCELLED : Outcome.NOT_SENT;
-      case EVICTED, PUSHED_OUT, SENT_AWAY -> f.getRan() ? Outcome.RESET : Outcome.FULL;
+      case CANCELLED -> finished.getRan() ? Outcome.CANCELLED : Outcome.NOT_SENT;
+      case EVICTED, PUSHED_OUT, SENT_AWAY -> finished.getRan() ? Outcome.RESET : Outcome.FULL;
       default -> Outcome.ERROR;
     };
   }
 
-  static OutcomeReason why(Finished.How how) {
+  static OutcomeReason toOutcomeReason(Finished.How how) {
     return switch (how) {
       case EVICTED -> OutcomeReason.EVICTED;
       case PUSHED_OUT -> OutcomeReason.PREEMPTED;
@@ -90,12 +93,12 @@
               .setVm(accepted.vm())
               .setMachine(accepted.machine())
               .setClaim(accepted.attemptNumber())
-              .setTookUs(micros(accepted.startLatency())));
+              .setTookUs(toMicros(accepted.startLatency())));
     } else if (response instanceof ClientResponse.Rejected rejected) {
       message.setDenied(
           Denied.newBuilder()
               .setVm(rejected.vm())
-              .setRetryAfterUs(micros(rejected.retryAfter()))
+              .setRetryAfterUs(toMicros(rejected.retryAfter()))
               .setReason(rejected.reason()));
     } else if (response instanceof ClientResponse.Failed failed) {
       message.setErrored(Errored.newBuilder().setVm(failed.vm()).setReason(failed.reason()));
