--- a/src/test/java/fordridge/server/grpc/GrpcShadowTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcShadowTest.java
@@ -4,7 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import fordridge.observability.Metrics;
+import fordridge.observability.Metrics.ShadowDifference;
 import fordridge.server.grpc.GrpcTestPeers.ClientPeer;
 import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
 import fordridge.settings.InvalidSettingsException;
@@ -26,7 +26,7 @@
   }
 
   private static double shadowDifferences(GrpcTestPeers peers) {
-    return Stream.of(Metrics.ShadowDifference.values())
+    return Stream.of(ShadowDifference.values())
         .mapToDouble(peers.scheduler.metrics()::shadowDifferences)
         .sum();
   }
@@ -105,14 +105,11 @@
                   .getRetryAfterUs())
           .isGreaterThan(0);
       awaitUntil(
-          () ->
-              peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.RETRY_AFTER)
-                  == 1);
-      assertThat(peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.HOLD))
+          () -> peers.scheduler.metrics().shadowDifferences(ShadowDifference.RETRY_AFTER) == 1);
+      assertThat(peers.scheduler.metrics().shadowDifferences(ShadowDifference.HOLD)).isEqualTo(1);
+      assertThat(peers.scheduler.metrics().shadowDifferences(ShadowDifference.LIST_ASK))
           .isEqualTo(1);
-      assertThat(peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.LIST_ASK))
-          .isEqualTo(1);
-      assertThat(peers.scheduler.metrics().shadowDifferences(Metrics.ShadowDifference.MACHINE))
+      assertThat(peers.scheduler.metrics().shadowDifferences(ShadowDifference.MACHINE))
           .isEqualTo(0);
       assertThat(peers.scheduler.metrics().scrape())
           .contains("fordridge_watch_otherwise_total{kind=\"hold\"} 1.0");
