--- a/src/main/java/fordridge/cli/CheckConfigCommand.java
+++ b/src/main/java/fordridge/cli/CheckConfigCommand.java
@@ -12,7 +12,7 @@
 /** {@code check-config}: checks a settings file, and its machine list where that is a file. */
 @Command(
     name = "check-config",
-    description = "Checks a settings file whole, and its list of machines.",
+    description = "Checks a settings file whole, and its machine list.",
     mixinStandardHelpOptions = true)
 final class CheckConfigCommand implements Callable<Integer> {
   private static final long FIRST_VERSION = 1;
--- a/src/main/java/fordridge/cli/ConstraintsCommand.java
+++ b/src/main/java/fordridge/cli/ConstraintsCommand.java
@@ -18,7 +18,7 @@
 /** {@code constraints}: checks the tenants' constraints, and prints them in their normal form. */
 @Command(
     name = "constraints",
-    description = "Reads a set of customers' rules; prints it as the language writes it.",
+    description = "Checks a set of tenants' constraints and prints it in normal form.",
     mixinStandardHelpOptions = true)
 final class ConstraintsCommand implements Callable<Integer> {
   @Parameters(paramLabel = "FILE")
--- a/src/main/java/fordridge/cli/CtlCommand.java
+++ b/src/main/java/fordridge/cli/CtlCommand.java
@@ -5,7 +5,7 @@
 /** {@code ctl}: what operators do to the store, and ask of a running scheduler. */
 @Command(
     name = "ctl",
-    description = "Looks at and changes the store of machines.",
+    description = "Reads and changes the store of machines and settings.",
     mixinStandardHelpOptions = true,
     subcommands = {
       CtlMachinesCommand.class,
--- a/src/main/java/fordridge/cli/CtlExplainCommand.java
+++ b/src/main/java/fordridge/cli/CtlExplainCommand.java
@@ -19,7 +19,7 @@
 /** {@code ctl explain}: why a running scheduler may or may not place VMs on each machine. */
 @Command(
     name = "explain",
-    description = "Where VMs of a kind may go by a placer's rules, machine by machine.",
+    description = "Prints which machines the constraints in force allow for a VM.",
     mixinStandardHelpOptions = true)
 final class CtlExplainCommand implements Callable<Integer> {
   private static final int MAX_MESSAGE_BYTES = 64 << 20;
--- a/src/main/java/fordridge/cli/CtlTermsCommand.java
+++ b/src/main/java/fordridge/cli/CtlTermsCommand.java
@@ -12,14 +12,14 @@
 /** {@code ctl terms}: the settings that all schedulers share. */
 @Command(
     name = "terms",
-    description = "Reads and writes terms.",
+    description = "Reads and writes shared settings.",
     mixinStandardHelpOptions = true,
     subcommands = {CtlTermsCommand.Get.class, CtlTermsCommand.Put.class})
 final class CtlTermsCommand extends CommandGroup {
   /** {@code ctl terms get}. */
   @Command(
       name = "get",
-      description = "Prints all terms with their revisions.",
+      description = "Prints all settings with their revisions.",
       mixinStandardHelpOptions = true)
   static final class Get implements Callable<Integer> {
     @Mixin private EtcdOptions etcd;
@@ -38,7 +38,7 @@
   /** {@code ctl terms put}. */
   @Command(
       name = "put",
-      description = "Writes a term that is still at the revision given.",
+      description = "Writes a setting that is still at the revision given.",
       mixinStandardHelpOptions = true)
   static final class Put implements Callable<Integer> {
     @Mixin private EtcdOptions etcd;
--- a/src/main/java/fordridge/cli/CtlUndrainCommand.java
+++ b/src/main/java/fordridge/cli/CtlUndrainCommand.java
@@ -10,7 +10,7 @@
 /** {@code ctl undrain}: ends a machine's drain. */
 @Command(
     name = "undrain",
-    description = "Lets a machine be used again.",
+    description = "Ends the drain of a machine.",
     mixinStandardHelpOptions = true)
 final class CtlUndrainCommand implements Callable<Integer> {
   @Mixin private EtcdOptions etcd;
--- a/src/main/java/fordridge/cli/EmulatorCommand.java
+++ b/src/main/java/fordridge/cli/EmulatorCommand.java
@@ -19,7 +19,7 @@
 /** {@code rig}: emulated clients, machines and etcd, and the checker of invariants. */
 @Command(
     name = "rig",
-    description = "Stand-ins, scripted days and their judging.",
+    description = "Emulates machines, clients and etcd, and checks invariants.",
     mixinStandardHelpOptions = true,
     subcommands = {
       EmulatorCommand.Day.class,
@@ -35,19 +35,19 @@
   /** {@code rig day}: runs a scenario. */
   @Command(
       name = "day",
-      description = "Plays a scripted day against real placers and judges the five rules.",
+      description = "Runs a scenario against real schedulers and checks the invariants.",
       mixinStandardHelpOptions = true)
   static final class Day implements Callable<Integer> {
-    @Parameters(paramLabel = "FILE", description = "The day's script, in HOCON.")
+    @Parameters(paramLabel = "FILE", description = "The scenario, in HOCON.")
     private File script;
 
     @Option(
         names = "--out",
         paramLabel = "DIR",
-        description = "Where tap and logs go (default: ${DEFAULT-VALUE}).")
+        description = "Where recording and logs go (default: ${DEFAULT-VALUE}).")
     private File out = new File("target/day");
 
-    @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Changes a key of the script.")
+    @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Changes a scenario key.")
     private final Map<String, String> changes = new HashMap<>();
 
     @Override
@@ -66,12 +66,12 @@
   /** {@code rig climb}: runs a scenario at rising request rates. */
   @Command(
       name = "climb",
-      description = "Plays a day's load at rising rates, till the build target is missed.",
+      description = "Runs a scenario at rising rates, until too few VMs start in time.",
       mixinStandardHelpOptions = true)
   static final class Climb implements Callable<Integer> {
     private static final String RATE_KEY = "owners.rate";
 
-    @Parameters(paramLabel = "FILE", description = "The day's script, in HOCON.")
+    @Parameters(paramLabel = "FILE", description = "The scenario, in HOCON.")
     private File script;
 
     @Option(
@@ -90,10 +90,10 @@
     @Option(
         names = "--out",
         paramLabel = "DIR",
-        description = "Where taps go (default: ${DEFAULT-VALUE}).")
+        description = "Where recordings go (default: ${DEFAULT-VALUE}).")
     private File out = new File("target/climb");
 
-    @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Changes a key of the script.")
+    @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Changes a scenario key.")
     private final Map<String, String> changes = new HashMap<>();
 
     @Override
@@ -139,10 +139,10 @@
   /** {@code rig check}: checks the invariants in a recording. */
   @Command(
       name = "check",
-      description = "Judges the five rules from a tap.",
+      description = "Checks the invariants in a recording.",
       mixinStandardHelpOptions = true)
   static final class Check implements Callable<Integer> {
-    @Parameters(paramLabel = "TAP")
+    @Parameters(paramLabel = "RECORDING")
     private File recording;
 
     @Override
@@ -156,13 +156,13 @@
   /** {@code rig watch}: measures the watch of the machine list. */
   @Command(
       name = "watch",
-      description = "Measures what following a stand-in for etcd costs.",
+      description = "Measures what watching the emulated etcd costs.",
       mixinStandardHelpOptions = true)
   static final class Watch implements Callable<Integer> {
     @Option(names = "--machines", split = ",", paramLabel = "N,...", description = "Sizes.")
     private int[] machines = {100, 1000, 10000};
 
-    @Option(names = "--lists", description = "Followers (default: ${DEFAULT-VALUE}).")
+    @Option(names = "--lists", description = "Watching lists (default: ${DEFAULT-VALUE}).")
     private int lists = 4;
 
     @Override
--- a/src/main/java/fordridge/cli/EtcdOptions.java
+++ b/src/main/java/fordridge/cli/EtcdOptions.java
@@ -20,7 +20,7 @@
 
   @Option(
       names = "--prefix",
-      description = "Where the cluster's records stand (default: ${DEFAULT-VALUE}).")
+      description = "Prefix of the cluster's records (default: ${DEFAULT-VALUE}).")
   private String prefix = "/fordridge";
 
   @Option(names = "--json", description = "JSON lines in place of a table.")
--- a/src/main/java/fordridge/cli/ServeSubcommand.java
+++ b/src/main/java/fordridge/cli/ServeSubcommand.java
@@ -7,7 +7,7 @@
 /** {@code serve}: the scheduler with its JSON protocol. */
 @Command(
     name = "serve",
-    description = "Serves owners on lines of JSON, by the configuration that LB_CONFIG names.",
+    description = "Schedules for clients on JSON lines, configured by the file in LB_CONFIG.",
     mixinStandardHelpOptions = true)
 final class ServeSubcommand implements Callable<Integer> {
   @Override
