Event loop timers and lag measurement stand once for both servers

Cause: InputLoop and SchedulerEventLoop each had timers that report failures and the same sampling of the loop's lag; Cli had a second formatting of stack traces. Change: fordridge.eventloop (EventLoopTimers, EventLoopLagMonitor) and StackTraces, used by both; a periodic task of the gRPC server that throws goes on now, as in the JSON server.

--- a/src/main/java/fordridge/cli/Cli.java
+++ b/src/main/java/fordridge/cli/Cli.java
@@ -2,12 +2,11 @@
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
+import fordridge.observability.StackTraces;
 import fordridge.settings.DeploymentSettings;
 import fordridge.settings.InvalidSettingsException;
 import java.io.File;
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.util.Map;
 import picocli.AutoComplete;
 import picocli.CommandLine;
@@ -61,7 +60,7 @@
       System.err.println(ERROR_PREFIX + withRootCause(exception));
     } else {
       System.err.println(ERROR_PREFIX + exception);
-      System.err.print(stackTrace(exception));
+      System.err.print(StackTraces.format(exception));
     }
   }
 
@@ -73,10 +72,4 @@
     return exception.getMessage()
         + (rootCause.equals(exception) ? "" : ": " + rootCause.getMessage());
   }
-
-  private static String stackTrace(Exception exception) {
-    StringWriter trace = new StringWriter();
-    exception.printStackTrace(new PrintWriter(trace, true));
-    return trace.toString();
-  }
 }
--- /dev/null
+++ b/src/main/java/fordridge/eventloop/EventLoopLagMonitor.java
@@ -0,0 +1,46 @@
+package fordridge.eventloop;
+
+import fordridge.runtime.EventLoopLag;
+import java.time.Duration;
+import java.util.function.Supplier;
+
+/**
+ * Measures how late an event loop runs its timers, and with them whatever waits to be read.
+ * Confined to the event loop.
+ */
+public final class EventLoopLagMonitor {
+  private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(25);
+
+  /** How long a measured lag counts. */
+  private static final Duration WINDOW = Duration.ofSeconds(2);
+
+  private final EventLoopTimers timers;
+  private final Supplier<Duration> clock;
+  private final EventLoopLag lag = new EventLoopLag(WINDOW);
+
+  /** Creates a monitor; the clock gives the time since the start. */
+  public EventLoopLagMonitor(EventLoopTimers timers, Supplier<Duration> clock) {
+    this.timers = timers;
+    this.clock = clock;
+  }
+
+  /**
+   * Measures from now on; to be called once, behind the long inputs of the start, which would count
+   * as lag.
+   */
+  public void start() {
+    long dueNanos = System.nanoTime() + SAMPLE_INTERVAL.toNanos();
+    timers.runAfter(
+        SAMPLE_INTERVAL,
+        () -> {
+          long lateNanos = Math.max(0, System.nanoTime() - dueNanos);
+          lag.seen(Duration.ofNanos(lateNanos), clock.get());
+          start();
+        });
+  }
+
+  /** How long a message may have waited to be read: the longest lag of the last window or two. */
+  public Duration allowance(Duration at) {
+    return lag.allowance(at);
+  }
+}
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -1,5 +1,6 @@
 package fordridge.json;
 
+import fordridge.eventloop.EventLoopTimers;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -1,5 +1,6 @@
 package fordridge.json;
 
+import fordridge.eventloop.EventLoopTimers;
 import fordridge.json.JsonFields.MalformedInputException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -56,7 +56,7 @@
           shadowSettings.ifPresent(this::startShadow);
         });
     context.clients.startExpiry();
-    context.loop.startLagSampling();
+    context.loop.startLagMonitor();
   }
 
   private void startShadow(DeploymentSettings shadowSettings) {
--- a/src/main/java/fordridge/server/grpc/InputLoop.java
+++ b/src/main/java/fordridge/server/grpc/InputLoop.java
@@ -1,12 +1,11 @@
 package fordridge.server.grpc;
 
+import fordridge.eventloop.EventLoopLagMonitor;
+import fordridge.eventloop.EventLoopTimers;
 import fordridge.observability.Metrics;
-import fordridge.runtime.EventLoopLag;
 import fordridge.runtime.EventSequencer;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -15,18 +14,13 @@
  * {@link #submit} may be called on any thread, everything else on the event loop only.
  */
 final class InputLoop {
-  /** How often the event loop's lag is measured. */
-  private static final Duration LAG_SAMPLE_INTERVAL = Duration.ofMillis(25);
-
-  /** How long a measured lag counts. */
-  private static final Duration LAG_WINDOW = Duration.ofSeconds(2);
-
   private final EventLoop eventLoop;
   private final Metrics metrics;
   private final SchedulerLog log;
   private final EventSequencer sequencer;
   private final Runnable afterInputs;
-  private final EventLoopLag lag = new EventLoopLag(LAG_WINDOW);
+  private final EventLoopTimers timers;
+  private final EventLoopLagMonitor lag;
   private Duration now = Duration.ZERO;
 
   /**
@@ -53,18 +47,13 @@
               beforeInput.accept(time);
             },
             this::inputFailed);
+    timers = new EventLoopTimers(eventLoop, this::taskFailed);
+    lag = new EventLoopLagMonitor(timers, sequencer::clock);
   }
 
-  /** Begins to measure the event loop's lag. */
-  void startLagSampling() {
-    long dueNanos = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
-    runAfter(
-        LAG_SAMPLE_INTERVAL,
-        () -> {
-          Duration late = Duration.ofNanos(Math.max(0, System.nanoTime() - dueNanos));
-          lag.seen(late, sequencer.clock());
-          startLagSampling();
-        });
+  /** Measures the event loop's lag from now on. */
+  void startLagMonitor() {
+    lag.start();
   }
 
   /** The time of the input that is being processed, since the start. */
@@ -109,28 +98,16 @@
 
   /** Processes an input after a delay; a negative delay counts as none. */
   void schedule(Duration delay, Runnable input) {
-    runAfter(delay, () -> process(input));
+    timers.runAfter(delay, () -> process(input));
   }
 
   /** Processes an input again and again. */
   void scheduleAtFixedRate(Duration interval, Runnable input) {
-    logFailure(
-        eventLoop.scheduleAtFixedRate(
-            () -> process(input), interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS));
-  }
-
-  private void runAfter(Duration delay, Runnable task) {
-    logFailure(eventLoop.schedule(task, Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS));
+    timers.runEvery(interval, () -> process(input));
   }
 
-  /** Without this a task that threw outside of its input would leave no trace. */
-  private void logFailure(Future<?> task) {
-    task.addListener(
-        done -> {
-          if (done.cause() != null && !done.isCancelled()) {
-            log.error().setCause(done.cause()).log("event loop task failed");
-          }
-        });
+  private void taskFailed(Throwable cause) {
+    log.error().setCause(cause).log("event loop task failed");
   }
 
   /**
--- a/src/main/java/fordridge/server/json/GracefulShutdown.java
+++ b/src/main/java/fordridge/server/json/GracefulShutdown.java
@@ -1,7 +1,7 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.EventLoopTimers;
 import fordridge.json.ClientServer;
-import fordridge.json.EventLoopTimers;
 import fordridge.model.Durations;
 import java.time.Duration;
 
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -1,10 +1,10 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.EventLoopTimers;
 import fordridge.json.ClientConnection;
 import fordridge.json.ClientRequestHandler;
 import fordridge.json.ClientServer;
 import fordridge.json.EndpointWatcher;
-import fordridge.json.EventLoopTimers;
 import fordridge.json.MachineListEvent;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.session.PendingResponses;
@@ -93,7 +93,7 @@
       machineList.machineListChanged(event);
     }
     timers.runEvery(TICK_INTERVAL, () -> loop.enter(this::tick));
-    loop.sampleLag();
+    loop.startLagMonitor();
     intake.markReady();
   }
 
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -1,8 +1,9 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.EventLoopLagMonitor;
+import fordridge.eventloop.EventLoopTimers;
 import fordridge.json.ClientServer;
-import fordridge.json.EventLoopTimers;
-import fordridge.runtime.EventLoopLag;
+import fordridge.observability.StackTraces;
 import fordridge.runtime.EventSequencer;
 import fordridge.scheduling.Scheduler;
 import io.netty.channel.EventLoop;
@@ -17,16 +18,13 @@
  * requests once for them, not once for each, however much arrives at once.
  */
 final class SchedulerEventLoop {
-  private static final Duration LAG_SAMPLE_INTERVAL = Duration.ofMillis(25);
-  private static final Duration LAG_WINDOW = Duration.ofSeconds(2);
-
   /** How old the machine list may be when an input is entered in the middle of a long turn. */
   private static final Duration MACHINE_LIST_READ_INTERVAL = Duration.ofMillis(10);
 
   private final EventLoop loop;
   private final EventLoopTimers timers;
   private final EventSequencer sequencer;
-  private final EventLoopLag lag = new EventLoopLag(LAG_WINDOW);
+  private final EventLoopLagMonitor lag;
   private Scheduler scheduler;
   private ClientServer clients;
   private Duration now = Duration.ZERO;
@@ -41,7 +39,8 @@
         new EventSequencer(
             System::nanoTime,
             this::setTime,
-            e -> log.accept("scheduler input failed: " + EventLoopTimers.stackTrace(e)));
+            e -> log.accept("scheduler input failed: " + StackTraces.format(e)));
+    lag = new EventLoopLagMonitor(timers, sequencer::clock);
   }
 
   /** Which scheduler's clock is set; to be called before the first input. */
@@ -54,19 +53,9 @@
     this.clients = clients;
   }
 
-  /**
-   * Measures the lag again and again; to be called once, behind the long inputs of the start, which
-   * would count as lag.
-   */
-  void sampleLag() {
-    long dueNanos = System.nanoTime() + LAG_SAMPLE_INTERVAL.toNanos();
-    timers.runAfter(
-        LAG_SAMPLE_INTERVAL,
-        () -> {
-          long lateNanos = Math.max(0, System.nanoTime() - dueNanos);
-          lag.seen(Duration.ofNanos(lateNanos), clock());
-          sampleLag();
-        });
+  /** Measures the lag from now on, see {@link EventLoopLagMonitor#start}. */
+  void startLagMonitor() {
+    lag.start();
   }
 
   /** How the machine list is read at once, which is done before an input if it is due. */
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -1,8 +1,9 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.EventLoopTimers;
 import fordridge.json.ClientServer;
 import fordridge.json.EndpointWatcher;
-import fordridge.json.EventLoopTimers;
+import fordridge.observability.StackTraces;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -57,7 +58,7 @@
     this.file = file;
     configuration = ServerConfiguration.read(file);
     loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    timers = new EventLoopTimers(loop.next(), this::log);
+    timers = new EventLoopTimers(loop.next(), this::logTaskFailure);
   }
 
   /**
@@ -96,6 +97,10 @@
     return 0;
   }
 
+  private void logTaskFailure(Throwable failure) {
+    log("event loop task failed: " + StackTraces.format(failure));
+  }
+
   private void log(String line) {
     err.println(System.currentTimeMillis() + " " + configuration.name() + " " + line);
   }
--- a/src/test/java/fordridge/ArchitectureTest.java
+++ b/src/test/java/fordridge/ArchitectureTest.java
@@ -47,7 +47,11 @@
         .definedBy("fordridge.server..", "fordridge.simulation..")
         .layer("transport")
         .definedBy(
-            "fordridge.grpc..", "fordridge.observability..", "fordridge.etcd..", "fordridge.json..")
+            "fordridge.grpc..",
+            "fordridge.observability..",
+            "fordridge.etcd..",
+            "fordridge.json..",
+            "fordridge.eventloop..")
         .layer("decisions")
         .definedBy(
             "fordridge.machine..",
