--- /dev/null
+++ b/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
@@ -0,0 +1,98 @@
+package fordridge.eventloop;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+
+/** Passes every call on to another I/O handler, and times its turns for a monitor. */
+public final class MonitoredIoHandler implements IoHandler {
+  private final IoHandler handler;
+  private final LoopTurnMonitor monitor;
+  private long activeIoNanos;
+
+  private MonitoredIoHandler(IoHandler handler, LoopTurnMonitor monitor) {
+    this.handler = handler;
+    this.monitor = monitor;
+  }
+
+  /** Handlers of {@code factory}, timed; for a group of one event loop. */
+  public static IoHandlerFactory newFactory(IoHandlerFactory factory, LoopTurnMonitor monitor) {
+    return executor -> new MonitoredIoHandler(factory.newHandler(executor), monitor);
+  }
+
+  @Override
+  public int run(IoHandlerContext context) {
+    monitor.waitStarted(System.nanoTime());
+    activeIoNanos = 0;
+    int readySockets = handler.run(new TimedContext(context));
+    monitor.ioCompleted(readySockets, activeIoNanos, System.nanoTime());
+    return readySockets;
+  }
+
+  /** Asks the handler for the time that it spends on ready sockets. */
+  private final class TimedContext implements IoHandlerContext {
+    private final IoHandlerContext context;
+
+    TimedContext(IoHandlerContext context) {
+      this.context = context;
+    }
+
+    @Override
+    public boolean canBlock() {
+      return context.canBlock();
+    }
+
+    @Override
+    public long delayNanos(long currentTimeNanos) {
+      return context.delayNanos(currentTimeNanos);
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return context.deadlineNanos();
+    }
+
+    @Override
+    public boolean shouldReportActiveIoTime() {
+      return true;
+    }
+
+    @Override
+    public void reportActiveIoTime(long nanos) {
+      activeIoNanos += nanos;
+      context.reportActiveIoTime(nanos);
+    }
+  }
+
+  @Override
+  public void initialize() {
+    handler.initialize();
+  }
+
+  @Override
+  public void prepareToDestroy() {
+    handler.prepareToDestroy();
+  }
+
+  @Override
+  public void destroy() {
+    handler.destroy();
+  }
+
+  @Override
+  public IoRegistration register(IoHandle handle) throws Exception {
+    return handler.register(handle);
+  }
+
+  @Override
+  public void wakeup() {
+    handler.wakeup();
+  }
+
+  @Override
+  public boolean isCompatible(Class<? extends IoHandle> handleType) {
+    return handler.isCompatible(handleType);
+  }
+}
--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -41,7 +41,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    server.connectionClosed(this);
+    server.connectionClosed(this, CloseReason.BY_CLIENT);
   }
 
   @Override
@@ -72,7 +72,7 @@
 
   @Override
   void malformedInput(String reason) {
-    close();
+    close(channel.isActive() ? CloseReason.MALFORMED_INPUT : CloseReason.BY_CLIENT);
   }
 
   /** The VM runs; the description is the one that its machine gave. */
@@ -109,16 +109,16 @@
     if (!isReadingStopped && channel != null) {
       isReadingStopped = true;
       channel.config().setAutoRead(false);
-      server.timers().runAfter(CLOSE_DELAY, this::close);
+      server.timers().runAfter(CLOSE_DELAY, () -> close(CloseReason.INVALID_REQUEST));
     }
   }
 
   /** Closes the connection; the handler is told before this returns. */
-  public void close() {
+  public void close(CloseReason reason) {
     if (channel != null) {
       // Not when the loop gets to it: under a flood the same connection would be chosen to make
       // room again and again.
-      server.connectionClosed(this);
+      server.connectionClosed(this, reason);
       closeChannel();
     }
   }
@@ -135,7 +135,7 @@
     }
     if (!channel.isActive()) {
       // Closed, and the loop has not come to say so: what was to be sent must go elsewhere now.
-      server.connectionClosed(this);
+      server.connectionClosed(this, CloseReason.BY_CLIENT);
       return;
     }
     ByteBuf line = encode(channel, type, id, code, description, fields);
@@ -151,7 +151,7 @@
     if (server.cancelFlush(this)) {
       channel.flush();
       if (pendingOutputBytes() > MAX_PENDING_OUTPUT_BYTES) {
-        close();
+        close(CloseReason.OUTPUT_NOT_READ);
       }
     }
   }
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -14,8 +14,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -42,6 +44,7 @@
   /** Connections with output that was written and not flushed yet. */
   private final Set<ClientConnection> unflushed = new LinkedHashSet<>();
 
+  private final Map<CloseReason, Long> closeCounts = new EnumMap<>(CloseReason.class);
   private Channel serverChannel;
 
   /** Creates a server that listens nowhere yet, for at most so many connections at once. */
@@ -115,6 +118,11 @@
     return false;
   }
 
+  /** How many connections were closed since the start, and why. */
+  public Map<CloseReason, Long> closeCounts() {
+    return closeCounts;
+  }
+
   /** The number of open connections. */
   public int connectionCount() {
     return connections.size();
@@ -125,7 +133,9 @@
     if (serverChannel != null) {
       closeServerChannel();
     }
-    List.copyOf(connections).forEach(ClientConnection::close);
+    for (ClientConnection connection : List.copyOf(connections)) {
+      connection.close(CloseReason.SHUTDOWN);
+    }
   }
 
   @SuppressWarnings("FutureReturnValueIgnored") // Nothing depends on the end of the close.
@@ -149,8 +159,9 @@
   }
 
   /** Passes on the first call for each connection. */
-  void connectionClosed(ClientConnection connection) {
+  void connectionClosed(ClientConnection connection, CloseReason reason) {
     if (connections.remove(connection)) {
+      closeCounts.merge(reason, 1L, Long::sum);
       handler.connectionClosed(connection);
     }
   }
@@ -169,7 +180,7 @@
     for (ClientConnection connection : List.copyOf(connections)) {
       if (now - connection.lastUsedNanos() > IDLE_TIMEOUT.toNanos()
           && !handler.isInUse(connection)) {
-        connection.close();
+        connection.close(CloseReason.IDLE);
       }
     }
   }
@@ -184,6 +195,6 @@
         idlest = connection;
       }
     }
-    idlest.close();
+    idlest.close(CloseReason.OVER_LIMIT);
   }
 }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -7,6 +7,7 @@
 import fordridge.json.TerminationCause;
 import fordridge.model.Machine;
 import fordridge.model.Vm;
+import fordridge.runtime.InputKind;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.session.PendingResponses;
 import java.time.Duration;
@@ -77,6 +78,7 @@
   @Override
   public void placementRequested(ClientConnection connection, ClientRequest request) {
     loop.enter(
+        InputKind.CLIENT_REQUEST,
         () -> {
           try {
             receive(connection, request);
@@ -108,7 +110,9 @@
         vm, new RequestPayload(request.key(), request.idempotencyKey(), request.description()));
     Duration timeLeft = vm.deadline.minus(loop.now());
     loop.enterAfter(
-        timeLeft.plus(RequestValidator.RESPONSE_MARGIN.dividedBy(2)), () -> failIfPending(vm));
+        timeLeft.plus(RequestValidator.RESPONSE_MARGIN.dividedBy(2)),
+        InputKind.RESPONSE_DEADLINE,
+        () -> failIfPending(vm));
     inputs.scheduler.vmRequested(vm);
   }
 
@@ -135,7 +139,8 @@
     handle.pool().adopt(vm.acceptedAttempt, loop.now());
     if (!machine.isListed || machine.lifecycle == Machine.Lifecycle.GONE) {
       // The list may name it yet.
-      loop.enterAfter(machineFailureTimeout, () -> loseIfMachineGone(vm, handle));
+      loop.enterAfter(
+          machineFailureTimeout, InputKind.ADOPTION_CHECK, () -> loseIfMachineGone(vm, handle));
     }
   }
 
@@ -169,6 +174,7 @@
   @Override
   public void terminationRequested(ClientConnection connection, String vmId) {
     loop.enter(
+        InputKind.CLIENT_TERMINATION,
         () -> {
           Vm vm = requests.find(vmId);
           if (vm == null || !pendingResponses.endedByClient(vmId)) {
@@ -185,12 +191,15 @@
 
   @Override
   public void terminationAcknowledged(ClientConnection connection, String vmId) {
-    loop.enter(() -> pendingResponses.noticeAcknowledged(vmId, connection));
+    loop.enter(
+        InputKind.CLIENT_ACKNOWLEDGEMENT,
+        () -> pendingResponses.noticeAcknowledged(vmId, connection));
   }
 
   @Override
   public void connectionClosed(ClientConnection connection) {
     loop.enter(
+        InputKind.CLIENT_CLOSED,
         () -> {
           for (String vmId : pendingResponses.connectionClosed(connection)) {
             Vm vm = requests.find(vmId);
--- a/src/main/java/fordridge/server/json/GracefulShutdown.java
+++ b/src/main/java/fordridge/server/json/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import fordridge.json.ClientServer;
 import fordridge.model.Durations;
 import java.time.Duration;
+import java.util.function.Consumer;
 
 /**
  * Ends a server within the time between SIGTERM and SIGKILL. For as long as it can, all goes on as
@@ -35,24 +36,28 @@
   private final ClientServer clients;
   private final long signalNanos;
   private final Duration servingTime;
+  private final Consumer<String> log;
   private final Runnable onComplete;
+  private boolean isCompleted;
 
   /**
    * Creates a shutdown.
    *
    * @param signalNanos when the signal came, by {@link System#nanoTime}
-   * @param onComplete what is run once the process may end, possibly more than once
+   * @param onComplete what is run once the process may end
    */
   GracefulShutdown(
       EventLoopTimers timers,
       JsonSchedulerServer server,
       ClientServer clients,
       long signalNanos,
+      Consumer<String> log,
       Runnable onComplete) {
     this.timers = timers;
     this.server = server;
     this.clients = clients;
     this.signalNanos = signalNanos;
+    this.log = log;
     this.onComplete = onComplete;
     Duration untilKill =
         Durations.min(server.maxStartDeadline(), KILL_DELAY).plus(KILL_GRACE_PERIOD);
@@ -63,13 +68,16 @@
     timers.runAfter(
         servingTime.minus(sinceSignal()),
         () -> {
+          log.accept(describe("placing nothing more"));
           server.startShutdown();
           timers.runEvery(CHECK_INTERVAL, this::checkComplete);
         });
   }
 
   private void checkComplete() {
-    if (server.pendingRequestCount() == 0 && !isLingering()) {
+    if (!isCompleted && server.pendingRequestCount() == 0 && !isLingering()) {
+      isCompleted = true;
+      log.accept(describe("shutdown complete"));
       onComplete.run();
     }
   }
@@ -79,6 +87,10 @@
         && (server.undeliveredNoticeCount() > 0 || clients.hasPendingOutput());
   }
 
+  private String describe(String step) {
+    return step + " after " + sinceSignal().toMillis() + " ms; owed: " + server.owed();
+  }
+
   private Duration sinceSignal() {
     return Duration.ofNanos(System.nanoTime() - signalNanos);
   }
--- a/src/main/java/fordridge/server/json/JsonSchedulerActions.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerActions.java
@@ -5,6 +5,7 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.Vm;
+import fordridge.runtime.InputKind;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.scheduling.SchedulerActions;
 import java.time.Duration;
@@ -50,8 +51,9 @@
 
   @Override
   public void sendAttempt(PlacementAttempt attempt, Duration within) {
-    loop.enterBehindReads(() -> offer(attempt, within));
-    loop.enterAfter(within, () -> cancelIfPending(attempt, Outcome.TIMEOUT));
+    loop.enterBehindReads(InputKind.OFFER, () -> offer(attempt, within));
+    loop.enterAfter(
+        within, InputKind.ATTEMPT_TIMEOUT, () -> cancelIfPending(attempt, Outcome.TIMEOUT));
   }
 
   private void offer(PlacementAttempt attempt, Duration within) {
@@ -99,7 +101,7 @@
 
   @Override
   public void scheduleTimer(Duration delay) {
-    loop.enterAfter(delay, inputs.scheduler::timerFired);
+    loop.enterAfter(delay, InputKind.SCHEDULER_TIMER, inputs.scheduler::timerFired);
   }
 
   @Override
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -6,10 +6,13 @@
 import fordridge.json.ClientServer;
 import fordridge.json.EndpointWatcher;
 import fordridge.json.MachineListEvent;
+import fordridge.runtime.InputKind;
+import fordridge.runtime.InputStatistics;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.session.PendingResponses;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -45,12 +48,13 @@
       EventLoopGroup group,
       EventLoopTimers timers,
       ServerConfiguration configuration,
+      InputStatistics inputStatistics,
       Consumer<String> log) {
     this.timers = timers;
     this.configuration = configuration;
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
-    loop = new SchedulerEventLoop(group.next(), timers, log);
+    loop = new SchedulerEventLoop(group.next(), timers, inputStatistics, log);
     actions = new JsonSchedulerActions(loop, clients, settings, log);
     inputs = new SchedulerInputs<>(actions, SchedulerInputs::number);
     requests = new ActiveRequests(loop, inputs);
@@ -88,11 +92,12 @@
     clientServer = newClientServer;
     loop.setClients(newClientServer);
     loop.enter(
+        InputKind.START,
         () -> inputs.scheduler.start(configuration.seed(), configuration.schedulerSettings()));
     for (MachineListEvent event : configuration.readInitialMachineList()) {
       machineList.machineListChanged(event);
     }
-    timers.runEvery(TICK_INTERVAL, () -> loop.enter(this::tick));
+    timers.runEvery(TICK_INTERVAL, () -> loop.enter(InputKind.TICK, this::tick));
     loop.startLagMonitor();
     intake.markReady();
   }
@@ -115,7 +120,8 @@
       intake.setSettings(settings);
       actions.setSettings(settings);
       machines.setTimeouts(settings.timeouts());
-      loop.enter(() -> inputs.scheduler.settingsChanged(next.schedulerSettings()));
+      loop.enter(
+          InputKind.SETTINGS, () -> inputs.scheduler.settingsChanged(next.schedulerSettings()));
     }
     configuration = next;
   }
@@ -125,7 +131,7 @@
    * their attempt in flight.
    */
   void startShutdown() {
-    loop.enter(inputs.scheduler::shutdownStarted);
+    loop.enter(InputKind.SHUTDOWN, inputs.scheduler::shutdownStarted);
   }
 
   /** How long clients wait for a start at the most. */
@@ -150,20 +156,22 @@
         + pendingResponses.undeliveredNotices();
   }
 
+  /** What is owed to clients, for the log. */
+  String owed() {
+    return pendingResponses.describe();
+  }
+
   /** The server's state in one line. */
   String status() {
-    return "pending requests "
-        + pendingResponses.pendingRequests()
-        + ", running VMs "
-        + pendingResponses.runningVms()
-        + ", undelivered notices "
-        + pendingResponses.undeliveredNotices()
+    return owed()
         + ", machines "
         + machines.size()
         + ", machine connections "
         + machines.openConnectionCount()
         + ", client connections "
         + (clientServer == null ? 0 : clientServer.connectionCount())
+        + ", closed "
+        + (clientServer == null ? Map.of() : clientServer.closeCounts())
         + ", invalid requests "
         + intake.invalidRequestCount()
         + ", load reports "
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -10,6 +10,7 @@
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.Vm;
+import fordridge.runtime.InputKind;
 import fordridge.runtime.SchedulerInputs;
 import java.time.Duration;
 import java.util.Optional;
@@ -84,38 +85,47 @@
 
   @Override
   public void connectionEstablished(MachineConnection connection) {
-    loop.enterBehindReads(() -> pool.connectionEstablished(connection, loop.now()));
+    loop.enterBehindReads(
+        InputKind.MACHINE_CONNECTED, () -> pool.connectionEstablished(connection, loop.now()));
   }
 
   @Override
   public void connectionFailed(MachineConnection connection, boolean refused) {
-    loop.enter(() -> pool.connectionFailed(connection, refused, loop.now()));
+    loop.enter(
+        InputKind.MACHINE_CONNECT_FAILED,
+        () -> pool.connectionFailed(connection, refused, loop.now()));
   }
 
   @Override
   public void connectionLost(MachineConnection connection, String reason) {
-    loop.enter(() -> pool.connectionLost(connection, loop.now()));
+    loop.enter(
+        InputKind.MACHINE_CONNECTION_LOST, () -> pool.connectionLost(connection, loop.now()));
   }
 
   @Override
   public void vmAccepted(MachineConnection connection, String vmId, String description) {
-    loop.enter(() -> pool.vmAccepted(connection, vmId, description, loop.now()));
+    loop.enter(
+        InputKind.VM_ACCEPTED, () -> pool.vmAccepted(connection, vmId, description, loop.now()));
   }
 
   @Override
   public void vmTerminated(MachineConnection connection, VmTermination termination) {
-    loop.enter(() -> pool.vmTerminated(connection, termination, loop.now()));
+    loop.enter(
+        InputKind.VM_TERMINATED, () -> pool.vmTerminated(connection, termination, loop.now()));
   }
 
   @Override
   public void probeAnswered(MachineConnection connection, boolean healthy, boolean withLoadReport) {
-    loop.enter(() -> pool.probeAnswered(connection, healthy, withLoadReport, loop.now()));
+    loop.enter(
+        InputKind.PROBE_ANSWERED,
+        () -> pool.probeAnswered(connection, healthy, withLoadReport, loop.now()));
   }
 
   @Override
   public void vmReported(
       MachineConnection connection, String vmId, VmReportKind kind, double value) {
     loop.enter(
+        InputKind.VM_REPORTED,
         () -> {
           pool.vmReported(connection, vmId);
           Optional<PlacementAttempt> running = pool.findRunningAttempt(vmId);
@@ -142,6 +152,7 @@
   @Override
   public void loadReported(LoadReport report, boolean answersProbe) {
     loop.enter(
+        InputKind.LOAD_REPORTED,
         () -> {
           loadReportCount++;
           inputs.report(
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -5,6 +5,8 @@
 import fordridge.json.ClientServer;
 import fordridge.observability.StackTraces;
 import fordridge.runtime.EventSequencer;
+import fordridge.runtime.InputKind;
+import fordridge.runtime.InputStatistics;
 import fordridge.scheduling.Scheduler;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -24,15 +26,21 @@
   private final EventLoop loop;
   private final EventLoopTimers timers;
   private final EventSequencer sequencer;
+  private final InputStatistics inputStatistics;
   private final EventLoopLagMonitor lag;
   private Scheduler scheduler;
   private ClientServer clients;
   private Duration now = Duration.ZERO;
   private boolean isTurnStarted;
 
-  SchedulerEventLoop(EventLoop loop, EventLoopTimers timers, Consumer<String> log) {
+  SchedulerEventLoop(
+      EventLoop loop,
+      EventLoopTimers timers,
+      InputStatistics inputStatistics,
+      Consumer<String> log) {
     this.loop = loop;
     this.timers = timers;
+    this.inputStatistics = inputStatistics;
     // An input that fails is lost to the scheduler, those behind it are not; a request that it
     // leaves without a decision fails at its deadline.
     sequencer =
@@ -88,13 +96,17 @@
   }
 
   /** Enters an input now, or behind the one that is being entered. */
-  void enter(Runnable input) {
+  void enter(InputKind kind, Runnable input) {
+    long startedNanos = System.nanoTime();
     flushIf(sequencer.enter(input));
+    inputStatistics.record(kind, System.nanoTime() - startedNanos);
   }
 
   /** Enters a change of the machine list, whoever read it: the list is not read for it again. */
   void enterFromMachineList(Runnable input) {
+    long startedNanos = System.nanoTime();
     flushIf(sequencer.enterFromWatch(input));
+    inputStatistics.record(InputKind.MACHINE_LIST, System.nanoTime() - startedNanos);
   }
 
   private void flushIf(boolean isEntered) {
@@ -109,16 +121,16 @@
   }
 
   /** Enters an input after a delay. */
-  void enterAfter(Duration delay, Runnable input) {
-    timers.runAfter(delay, () -> enter(input));
+  void enterAfter(Duration delay, InputKind kind, Runnable input) {
+    timers.runAfter(delay, () -> enter(kind, input));
   }
 
   /**
    * Enters what begins an attempt once the loop has read its sockets, in this turn or the next: a
    * client whose close or cancellation has arrived is then known to be gone.
    */
-  void enterBehindReads(Runnable input) {
-    enterAfter(Duration.ZERO, input);
+  void enterBehindReads(InputKind kind, Runnable input) {
+    enterAfter(Duration.ZERO, kind, input);
   }
 
   /** The most that the loop was late within the last seconds. */
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -1,9 +1,12 @@
 package fordridge.server.json;
 
 import fordridge.eventloop.EventLoopTimers;
+import fordridge.eventloop.LoopTurnMonitor;
+import fordridge.eventloop.MonitoredIoHandler;
 import fordridge.json.ClientServer;
 import fordridge.json.EndpointWatcher;
 import fordridge.observability.StackTraces;
+import fordridge.runtime.InputStatistics;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -33,6 +36,8 @@
 
   private final PrintStream err;
   private final Path file;
+  private final InputStatistics inputStatistics = new InputStatistics();
+  private final LoopTurnMonitor turns;
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -57,7 +62,10 @@
     this.err = err;
     this.file = file;
     configuration = ServerConfiguration.read(file);
-    loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    turns = new LoopTurnMonitor(inputStatistics, this::log);
+    loop =
+        new MultiThreadIoEventLoopGroup(
+            1, MonitoredIoHandler.newFactory(NioIoHandler.newFactory(), turns));
     timers = new EventLoopTimers(loop.next(), this::logTaskFailure);
   }
 
@@ -107,7 +115,7 @@
 
   /** Starts the scheduler, warms up, and listens; returns once clients may connect. */
   public void start() throws IOException, InterruptedException {
-    server = new JsonSchedulerServer(loop, timers, configuration, this::log);
+    server = new JsonSchedulerServer(loop, timers, configuration, inputStatistics, this::log);
     clients =
         new ClientServer(
             loop, timers, server.clientRequestHandler(), configuration.maxClientConnections());
@@ -158,6 +166,7 @@
 
   private void logStatus() {
     log("status: " + server.status() + ", machine list position " + machineListWatcher.position());
+    log("event loop: " + turns.takeSummary());
   }
 
   /** The number of clients' connections that are open. */
@@ -227,7 +236,8 @@
     }
     isShutdownStarted = true;
     log("shutting down: " + server.status());
-    new GracefulShutdown(timers, server, clients, signalNanos, stopped::countDown).start();
+    new GracefulShutdown(timers, server, clients, signalNanos, this::log, stopped::countDown)
+        .start();
   }
 
   /** Waits for the end of a graceful shutdown; false if it has not come within that time. */
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -78,6 +78,8 @@
   private final Map<String, AddressedNotice<C>> unacknowledgedNotices = new LinkedHashMap<>();
 
   private int pendingRequests;
+  private long expiredNotices;
+  private long displacedNotices;
 
   /**
    * Creates an empty registry.
@@ -242,8 +244,10 @@
 
   /** Drops the notices that are no longer worth sending. */
   public void expireNotices(Duration now) {
+    int before = undeliveredNotices();
     deferredNotices.removeIf(notice -> notice.expiresAt.compareTo(now) <= 0);
     unacknowledgedNotices.values().removeIf(sent -> sent.notice.expiresAt.compareTo(now) <= 0);
+    expiredNotices += before - undeliveredNotices();
   }
 
   /** Whether the request is pending: its client has got no response yet. */
@@ -257,6 +261,22 @@
     return deferredNotices.size() + unacknowledgedNotices.size();
   }
 
+  /** What is owed to clients, for the log. */
+  public String describe() {
+    return "pending requests "
+        + pendingRequests
+        + ", running VMs "
+        + runningVms()
+        + ", notices without a connection "
+        + deferredNotices.size()
+        + ", not acknowledged "
+        + unacknowledgedNotices.size()
+        + ", expired "
+        + expiredNotices
+        + ", displaced "
+        + displacedNotices;
+  }
+
   /** Whether the connection has a pending request or a running VM. */
   public boolean isInUse(C connection) {
     return vmIdsByConnection.containsKey(connection);
@@ -299,6 +319,7 @@
   private void defer(TerminationNotice notice) {
     if (deferredNotices.size() >= maxPending) {
       deferredNotices.removeFirst();
+      displacedNotices++;
     }
     deferredNotices.addLast(notice);
   }
@@ -306,6 +327,7 @@
   private void awaitAcknowledgement(C connection, TerminationNotice notice) {
     if (unacknowledgedNotices.size() >= maxPending) {
       unacknowledgedNotices.remove(unacknowledgedNotices.keySet().iterator().next());
+      displacedNotices++;
     }
     unacknowledgedNotices.put(notice.vmId, new AddressedNotice<>(connection, notice));
   }
