--- a/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
+++ b/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
@@ -6,8 +6,18 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 
-/** Passes every call on to another I/O handler, and times its turns for a monitor. */
+/**
+ * Passes every call on to another I/O handler, times its turns for a monitor, and lets it wait for
+ * whole milliseconds only.
+ *
+ * <p>The selector can't wait for less than a millisecond: Netty polls it without a pause while the
+ * next timer is due within half a millisecond. That uses up processor time which the loop lacks
+ * later, for seconds where the time used is charged in one go. So a timer runs up to a millisecond
+ * late instead.
+ */
 public final class MonitoredIoHandler implements IoHandler {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final IoHandler handler;
   private final LoopTurnMonitor monitor;
   private long activeIoNanos;
@@ -31,7 +41,15 @@
     return readySockets;
   }
 
-  /** Asks the handler for the time that it spends on ready sockets. */
+  /** The delay rounded up to whole milliseconds; none, and one without end, stay as they are. */
+  static long wholeMillis(long delayNanos) {
+    if (delayNanos <= 0 || delayNanos > Long.MAX_VALUE - NANOS_PER_MILLI) {
+      return delayNanos;
+    }
+    return (delayNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI * NANOS_PER_MILLI;
+  }
+
+  /** Asks the handler for the time that it spends on ready sockets, and rounds its waits. */
   private final class TimedContext implements IoHandlerContext {
     private final IoHandlerContext context;
 
@@ -46,7 +64,7 @@
 
     @Override
     public long delayNanos(long currentTimeNanos) {
-      return context.delayNanos(currentTimeNanos);
+      return wholeMillis(context.delayNanos(currentTimeNanos));
     }
 
     @Override
--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.SocketChannel;
 import java.time.Duration;
 import java.util.Map;
 
@@ -113,6 +114,16 @@
     }
   }
 
+  /** Stops reading, and ends the output behind what was written. */
+  @SuppressWarnings("FutureReturnValueIgnored") // Failures close the channel.
+  void finishOutput() {
+    if (channel instanceof SocketChannel socket && channel.isActive()) {
+      isReadingStopped = true;
+      channel.config().setAutoRead(false);
+      socket.shutdownOutput();
+    }
+  }
+
   /** Closes the connection; the handler is told before this returns. */
   public void close(CloseReason reason) {
     if (channel != null) {
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -38,6 +38,7 @@
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final ClientRequestHandler handler;
+  private final AcceptRetryHandler acceptRetry;
   private int maxConnections;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
@@ -57,6 +58,7 @@
     this.timers = timers;
     this.handler = handler;
     this.maxConnections = maxConnections;
+    acceptRetry = new AcceptRetryHandler(timers);
   }
 
   /** Starts to listen; the future completes once the address is bound. */
@@ -67,6 +69,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .handler(acceptRetry)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.RECVBUF_ALLOCATOR,
@@ -118,6 +121,11 @@
     return false;
   }
 
+  /** How often the system could not accept a connection since the start. */
+  public long acceptFailureCount() {
+    return acceptRetry.failureCount();
+  }
+
   /** How many connections were closed since the start, and why. */
   public Map<CloseReason, Long> closeCounts() {
     return closeCounts;
@@ -128,6 +136,21 @@
     return connections.size();
   }
 
+  /**
+   * Stops listening, and tells all clients that nothing more is read from them and nothing more
+   * comes. What was written before still arrives, which it may not where a connection is closed
+   * with unread input. No request may be pending.
+   */
+  public void finishOutput() {
+    if (serverChannel != null) {
+      closeServerChannel();
+    }
+    flush();
+    for (ClientConnection connection : List.copyOf(connections)) {
+      connection.finishOutput();
+    }
+  }
+
   /** Stops listening and closes all connections. */
   public void close() {
     if (serverChannel != null) {
@@ -153,7 +176,8 @@
 
   void connectionOpened(ClientConnection connection) {
     connections.add(connection);
-    while (connections.size() > maxConnections) {
+    // Ends with the newcomer: after a reload with a lower limit more may be in use than it allows.
+    while (connections.size() > maxConnections && connections.contains(connection)) {
       makeRoomFor(connection);
     }
   }
@@ -176,15 +200,31 @@
   }
 
   private void closeIdleConnections() {
-    long now = System.nanoTime();
-    for (ClientConnection connection : List.copyOf(connections)) {
-      if (now - connection.lastUsedNanos() > IDLE_TIMEOUT.toNanos()
-          && !handler.isInUse(connection)) {
+    List<ClientConnection> idle = new ArrayList<>();
+    for (ClientConnection connection : connections) {
+      if (isIdle(connection)) {
+        idle.add(connection);
+      }
+    }
+    // Where the loop was late, a request may have come long ago: the sockets are read first.
+    if (!idle.isEmpty()) {
+      timers.runAfter(Duration.ZERO, () -> closeThoseStillIdle(idle));
+    }
+  }
+
+  private void closeThoseStillIdle(List<ClientConnection> candidates) {
+    for (ClientConnection connection : candidates) {
+      if (isIdle(connection)) {
         connection.close(CloseReason.IDLE);
       }
     }
   }
 
+  private boolean isIdle(ClientConnection connection) {
+    return System.nanoTime() - connection.lastUsedNanos() > IDLE_TIMEOUT.toNanos()
+        && !handler.isInUse(connection);
+  }
+
   /** Closes the connection that was idle longest; the newcomer itself if all others are in use. */
   private void makeRoomFor(ClientConnection newcomer) {
     ClientConnection idlest = newcomer;
--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -1,5 +1,6 @@
 package fordridge.json;
 
+import fordridge.machine.ConnectFailure;
 import fordridge.machine.LoadReport;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineTransport;
@@ -11,13 +12,12 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -35,7 +35,7 @@
     void connectionEstablished(MachineConnection connection);
 
     /** The connection did not come up. */
-    void connectionFailed(MachineConnection connection, boolean refused);
+    void connectionFailed(MachineConnection connection, ConnectFailure failure);
 
     /** The connection broke, was closed by the machine, or received something malformed. */
     void connectionLost(MachineConnection connection, String reason);
@@ -57,6 +57,7 @@
   }
 
   private static final int RECEIVE_BUFFER_BYTES = 4096;
+  private static final Duration LOCAL_FAILURE_RETRY_DELAY = Duration.ofMillis(10);
 
   private final EventLoopGroup eventLoop;
   private final ConnectionQuota quota;
@@ -104,6 +105,10 @@
   public void open(MachineConnection connection) {
     MachineConnectionHandler handler = new MachineConnectionHandler(connection, quota, listener);
     connection.attach(handler);
+    connect(handler);
+  }
+
+  private void connect(MachineConnectionHandler handler) {
     quota.connectionOpened();
     ChannelFuture connected = bootstrap(handler).connect(address);
     handler.setChannel(connected.channel());
@@ -114,11 +119,21 @@
     connected.addListener(
         result -> {
           if (!result.isSuccess()) {
-            handler.connectFailed(isRefusal(result.cause()));
+            connectFailed(handler, result.cause());
           }
         });
   }
 
+  @Override
+  public boolean failedLocally(MachineConnection connection) {
+    return handler(connection).failedLocally();
+  }
+
+  /** Tells the machine that a termination notice was heard. */
+  public void acknowledge(MachineConnection connection, String vmId) {
+    handler(connection).write("ack", vmId, LineCodec.NO_CODE, null);
+  }
+
   @Override
   public void close(MachineConnection connection) {
     handler(connection).close();
@@ -181,8 +196,26 @@
             });
   }
 
-  private static boolean isRefusal(Throwable cause) {
-    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for the retry.
+  private void connectFailed(MachineConnectionHandler handler, Throwable cause) {
+    ConnectFailure failure = ConnectFailures.classify(cause);
+    if (failure == ConnectFailure.LOCAL && handler.isConnecting()) {
+      // Tried again until the pool's connect timeout: what waits for the connection goes on
+      // waiting.
+      handler.markFailedLocally();
+      eventLoop
+          .next()
+          .schedule(
+              () -> retry(handler), LOCAL_FAILURE_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    } else {
+      handler.connectFailed(failure);
+    }
+  }
+
+  private void retry(MachineConnectionHandler handler) {
+    if (handler.isConnecting()) {
+      connect(handler);
+    }
   }
 
   private static MachineConnectionHandler handler(MachineConnection connection) {
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -1,5 +1,6 @@
 package fordridge.json;
 
+import fordridge.machine.ConnectFailure;
 import fordridge.machine.LoadReport;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.VmReportKind;
@@ -66,6 +67,7 @@
   private final MachineClient.Listener listener;
   private Channel channel;
   private State state = State.CONNECTING;
+  private boolean failedLocally;
 
   MachineConnectionHandler(
       MachineConnection connection, ConnectionQuota quota, MachineClient.Listener listener) {
@@ -79,6 +81,19 @@
     channel = newChannel;
   }
 
+  boolean isConnecting() {
+    return state == State.CONNECTING;
+  }
+
+  /** The last attempt to connect failed for a reason on the scheduler's own host. */
+  void markFailedLocally() {
+    failedLocally = true;
+  }
+
+  boolean failedLocally() {
+    return failedLocally;
+  }
+
   boolean isDraining() {
     return state == State.DRAINING;
   }
@@ -103,10 +118,10 @@
   }
 
   /** The connection did not come up. */
-  void connectFailed(boolean refused) {
+  void connectFailed(ConnectFailure failure) {
     if (state == State.CONNECTING || state == State.ESTABLISHED) {
       state = State.CLOSED;
-      listener.connectionFailed(connection, refused);
+      listener.connectionFailed(connection, failure);
     }
   }
 
@@ -201,7 +216,6 @@
   }
 
   private void terminated(String vmId, int code, String note) {
-    write("ack", vmId, NO_CODE, null);
     TerminationCause cause = TerminationCause.fromCode(code);
     OutcomeReason reason = OUTCOME_REASONS.getOrDefault(note, OutcomeReason.UNSPECIFIED);
     listener.vmTerminated(
--- a/src/main/java/fordridge/machine/LivenessDetector.java
+++ b/src/main/java/fordridge/machine/LivenessDetector.java
@@ -33,10 +33,16 @@
     lastConnectAt = now;
   }
 
-  /** A connection did not come up: refused, or timed out. */
-  void connectFailed(boolean refused) {
-    refusals = refused ? refusals + 1 : 0;
-    timeouts += refused ? 0 : 1;
+  /** A connection did not come up. */
+  void connectFailed(ConnectFailure failure) {
+    switch (failure) {
+      case REFUSED -> refusals++;
+      case UNREACHABLE -> {
+        refusals = 0;
+        timeouts++;
+      }
+      case LOCAL -> {}
+    }
   }
 
   /**
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -54,6 +54,7 @@
   private final Listener listener;
   private final ConnectionSet connections = new ConnectionSet();
   private final RunningVms runningVms = new RunningVms();
+  private final UnclaimedTerminations unclaimedTerminations = new UnclaimedTerminations();
   private final LivenessDetector liveness = new LivenessDetector();
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
@@ -158,6 +159,10 @@
   public void adopt(PlacementAttempt attempt, Duration now) {
     runningVms.add(attempt);
     liveness.vmAdopted(now);
+    // The machine may have notified its end before the client has reported it.
+    unclaimedTerminations
+        .take(attempt.vm.id, now)
+        .ifPresent(termination -> endRunning(termination));
   }
 
   // Events of the machine list
@@ -213,14 +218,20 @@
     liveness.messageReceived(now);
   }
 
-  /** The connection did not come up: it was refused, or timed out. */
-  public void connectionFailed(MachineConnection connection, boolean refused, Duration now) {
+  /** The connection did not come up. What it was to carry never ran. */
+  public void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
     if (!connections.remove(connection)) {
       return;
     }
     connection.closed();
-    liveness.connectFailed(refused);
-    endRequests(connection, ExecutionEvidence.NEVER_SENT);
+    liveness.connectFailed(failure);
+    if (failure == ConnectFailure.LOCAL) {
+      connection
+          .takePlacementRequests()
+          .forEach(request -> end(request.attempt(), Outcome.NOT_SENT));
+    } else {
+      endRequests(connection, ExecutionEvidence.NEVER_SENT);
+    }
     failProbe(connection, now);
     if (liveness.hasFailed(timeouts, now)) {
       machineFailed(now);
@@ -275,14 +286,21 @@
       closeIfRetired(connection);
       return;
     }
-    termination
-        .outcomeIfRunning()
-        .ifPresent(
-            outcome ->
-                runningVms
-                    .remove(termination.vmId())
-                    .ifPresent(
-                        attempt -> listener.attemptEnded(attempt, outcome, termination.reason())));
+    if (termination.outcomeIfRunning().isEmpty()) {
+      return;
+    }
+    if (runningVms.find(termination.vmId()).isPresent()) {
+      endRunning(termination);
+    } else {
+      unclaimedTerminations.add(termination, now);
+    }
+  }
+
+  private void endRunning(VmTermination termination) {
+    Outcome outcome = termination.outcomeIfRunning().orElseThrow();
+    runningVms
+        .remove(termination.vmId())
+        .ifPresent(attempt -> listener.attemptEnded(attempt, outcome, termination.reason()));
   }
 
   /** The machine answered a health check. */
@@ -348,8 +366,10 @@
     boolean idleConnectionKept = false;
     for (MachineConnection connection : connections.all()) {
       if (connection.hasConnectTimedOut(now)) {
+        boolean isLocal = transport.failedLocally(connection);
         transport.close(connection);
-        connectionFailed(connection, false, now);
+        connectionFailed(
+            connection, isLocal ? ConnectFailure.LOCAL : ConnectFailure.UNREACHABLE, now);
       } else if (connection.hasProbeTimedOut(timeouts.connectTimeout(), now)) {
         failProbe(connection, now);
         connection.retire();
--- a/src/main/java/fordridge/machine/MachineTransport.java
+++ b/src/main/java/fordridge/machine/MachineTransport.java
@@ -11,6 +11,9 @@
   /** Starts to connect; the outcome is reported to the pool later. */
   void open(MachineConnection connection);
 
+  /** Whether a connection that did not come up yet was kept from it on the scheduler's own host. */
+  boolean failedLocally(MachineConnection connection);
+
   /** Closes the connection; nothing more is reported of it as a connection. */
   void close(MachineConnection connection);
 
--- a/src/main/java/fordridge/runtime/EventSequencer.java
+++ b/src/main/java/fordridge/runtime/EventSequencer.java
@@ -16,7 +16,7 @@
 public final class EventSequencer {
   private final LongSupplier nanoClock;
   private final Consumer<Duration> beforeInput;
-  private final Consumer<RuntimeException> onFailure;
+  private final Consumer<Throwable> onFailure;
   private final long startNanos;
   private final Deque<Runnable> queue = new ArrayDeque<>();
   private boolean isRunning;
@@ -32,9 +32,7 @@
    * @param onFailure gets what an input threw; the inputs behind it run all the same
    */
   public EventSequencer(
-      LongSupplier nanoClock,
-      Consumer<Duration> beforeInput,
-      Consumer<RuntimeException> onFailure) {
+      LongSupplier nanoClock, Consumer<Duration> beforeInput, Consumer<Throwable> onFailure) {
     this.nanoClock = nanoClock;
     this.beforeInput = beforeInput;
     this.onFailure = onFailure;
@@ -92,7 +90,8 @@
     try {
       beforeInput.accept(clock());
       input.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
+      // An error must not leave the sequencer as running: no input would ever run again.
       onFailure.accept(e);
     }
   }
--- a/src/main/java/fordridge/server/grpc/InputLoop.java
+++ b/src/main/java/fordridge/server/grpc/InputLoop.java
@@ -114,7 +114,7 @@
    * This input is lost to the scheduler, those behind it are not; its VM is answered when its time
    * is up.
    */
-  private void inputFailed(RuntimeException cause) {
+  private void inputFailed(Throwable cause) {
     log.error().setCause(cause).log("scheduler input failed");
   }
 }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -126,6 +126,15 @@
     }
   }
 
+  /** Fails every pending request, whatever its attempts are doing. */
+  void failPendingRequests() {
+    for (String vmId : pendingResponses.pendingRequestIds()) {
+      Vm vm = requests.find(vmId);
+      clients.fail(vm);
+      requests.abandon(vm, machines);
+    }
+  }
+
   /** A client reports a VM that runs already, placed by an earlier scheduler. */
   private void adopt(ClientConnection connection, Vm vm, String machineId) {
     if (machineId.isEmpty() || !pendingResponses.adoptRunning(vm.id, connection)) {
--- a/src/main/java/fordridge/server/json/ClientResponder.java
+++ b/src/main/java/fordridge/server/json/ClientResponder.java
@@ -67,6 +67,13 @@
     }
   }
 
+  /** Sends the notices again that were not acknowledged in time, on other connections. */
+  void resendOverdueNotices(Duration now) {
+    for (AddressedNotice<ClientConnection> due : pending.takeOverdueNotices(now)) {
+      due.connection().sendTerminated(due.notice().vmId(), causeOf(due.notice().outcome()));
+    }
+  }
+
   private static TerminationCause causeOf(Outcome outcome) {
     return outcome == Outcome.DONE ? TerminationCause.DONE : TerminationCause.RESET;
   }
--- a/src/main/java/fordridge/server/json/GracefulShutdown.java
+++ b/src/main/java/fordridge/server/json/GracefulShutdown.java
@@ -23,6 +23,15 @@
   /** The last part of that time is kept for the responses to what is pending then. */
   private static final Duration FINAL_RESPONSES_TIME = Duration.ofMillis(900);
 
+  /**
+   * The responses to what is pending so long before SIGKILL don't wait for machines any more: a
+   * machine may hang through the whole of a shutdown.
+   */
+  private static final Duration LAST_RESPONSES_TIME = Duration.ofMillis(450);
+
+  /** Between the end of the output to clients and the close: they have seen it by then. */
+  private static final Duration CLOSE_DELAY = Duration.ofMillis(150);
+
   /** Clients go on sending requests for 0.6 s after SIGTERM, however short their deadlines. */
   private static final Duration MIN_SERVING_TIME = Duration.ofMillis(650);
 
@@ -36,6 +45,7 @@
   private final ClientServer clients;
   private final long signalNanos;
   private final Duration servingTime;
+  private final Duration lastResponsesAt;
   private final Consumer<String> log;
   private final Runnable onComplete;
   private boolean isCompleted;
@@ -62,6 +72,7 @@
     Duration untilKill =
         Durations.min(server.maxStartDeadline(), KILL_DELAY).plus(KILL_GRACE_PERIOD);
     servingTime = Durations.max(untilKill.minus(FINAL_RESPONSES_TIME), MIN_SERVING_TIME);
+    lastResponsesAt = Durations.max(untilKill.minus(LAST_RESPONSES_TIME), servingTime);
   }
 
   void start() {
@@ -75,15 +86,29 @@
   }
 
   private void checkComplete() {
-    if (!isCompleted && server.pendingRequestCount() == 0 && !isLingering()) {
+    if (isCompleted) {
+      return;
+    }
+    if (sinceSignal().compareTo(lastResponsesAt) >= 0 && server.pendingRequestCount() > 0) {
+      log.accept(describe("failing what is pending"));
+      server.failPendingRequests();
+    }
+    if (server.pendingRequestCount() == 0 && !isLingering()) {
       isCompleted = true;
-      log.accept(describe("shutdown complete"));
-      onComplete.run();
+      finish();
     }
   }
 
+  private void finish() {
+    server.stopListeningToMachines();
+    clients.finishOutput();
+    log.accept(describe("shutdown complete"));
+    timers.runAfter(CLOSE_DELAY, onComplete);
+  }
+
   private boolean isLingering() {
     return sinceSignal().compareTo(servingTime.plus(MAX_LINGER)) < 0
+        && sinceSignal().compareTo(lastResponsesAt) < 0
         && (server.undeliveredNoticeCount() > 0 || clients.hasPendingOutput());
   }
 
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -110,6 +110,7 @@
   private void tick() {
     machines.tick();
     pendingResponses.expireNotices(loop.now());
+    clients.resendOverdueNotices(loop.now());
   }
 
   /** Another configuration holds for all that comes from here on. */
@@ -134,6 +135,16 @@
     loop.enter(InputKind.SHUTDOWN, inputs.scheduler::shutdownStarted);
   }
 
+  /** Fails all pending requests at once; their attempts are cancelled. */
+  void failPendingRequests() {
+    loop.enter(InputKind.SHUTDOWN, intake::failPendingRequests);
+  }
+
+  /** Takes in no more termination notices of machines. */
+  void stopListeningToMachines() {
+    machines.stopListening();
+  }
+
   /** How long clients wait for a start at the most. */
   Duration maxStartDeadline() {
     return configuration.serverSettings().maxStartDeadline();
@@ -172,6 +183,8 @@
         + (clientServer == null ? 0 : clientServer.connectionCount())
         + ", closed "
         + (clientServer == null ? Map.of() : clientServer.closeCounts())
+        + ", accept failures "
+        + (clientServer == null ? 0 : clientServer.acceptFailureCount())
         + ", invalid requests "
         + intake.invalidRequestCount()
         + ", load reports "
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -2,6 +2,7 @@
 
 import fordridge.json.MachineClient;
 import fordridge.json.RequestPayload;
+import fordridge.machine.ConnectFailure;
 import fordridge.machine.LoadReport;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineConnectionPool;
@@ -32,6 +33,7 @@
   private Duration lastOfferAt;
 
   private long loadReportCount;
+  private boolean isStopped;
 
   MachineHandle(
       String id, SchedulerEventLoop loop, SchedulerInputs<String> inputs, ActiveRequests requests) {
@@ -90,10 +92,10 @@
   }
 
   @Override
-  public void connectionFailed(MachineConnection connection, boolean refused) {
+  public void connectionFailed(MachineConnection connection, ConnectFailure failure) {
     loop.enter(
         InputKind.MACHINE_CONNECT_FAILED,
-        () -> pool.connectionFailed(connection, refused, loop.now()));
+        () -> pool.connectionFailed(connection, failure, loop.now()));
   }
 
   @Override
@@ -108,10 +110,20 @@
         InputKind.VM_ACCEPTED, () -> pool.vmAccepted(connection, vmId, description, loop.now()));
   }
 
+  /** From now on nothing is taken in or acknowledged: there is no client left to tell. */
+  void stopListening() {
+    isStopped = true;
+  }
+
   @Override
   public void vmTerminated(MachineConnection connection, VmTermination termination) {
+    if (isStopped) {
+      return;
+    }
     loop.enter(
         InputKind.VM_TERMINATED, () -> pool.vmTerminated(connection, termination, loop.now()));
+    // Behind the notice to the client: until then the machine is to say it again to whoever comes.
+    client.acknowledge(connection, termination.vmId());
   }
 
   @Override
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -101,6 +101,11 @@
     ConnectionBudget.rebalance(pools, quota.inUseCount(), quota.limit(), loop.now());
   }
 
+  /** Takes in no more termination notices: the machines keep them for the next scheduler. */
+  void stopListening() {
+    all().forEach(MachineHandle::stopListening);
+  }
+
   int size() {
     return handlesById.size();
   }
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -40,8 +40,12 @@
   /** That a VM which ran is over, and until when this is worth sending. */
   public record TerminationNotice(String vmId, Outcome outcome, Duration expiresAt) {}
 
-  /** A termination notice, and the connection to send it on. */
-  public record AddressedNotice<C>(C connection, TerminationNotice notice) {}
+  /** A termination notice, the connection to send it on, and when, for the first or second time. */
+  public record AddressedNotice<C>(
+      C connection, TerminationNotice notice, Duration sentAt, boolean isResent) {}
+
+  /** A notice has to arrive within a second; the rest of it is left for the second try. */
+  private static final Duration ACKNOWLEDGEMENT_TIMEOUT = Duration.ofMillis(500);
 
   private enum State {
     AWAITING_RESPONSE,
@@ -80,6 +84,7 @@
   private int pendingRequests;
   private long expiredNotices;
   private long displacedNotices;
+  private long resentNotices;
 
   /**
    * Creates an empty registry.
@@ -161,7 +166,7 @@
     if (connection == null) {
       defer(notice);
     } else {
-      awaitAcknowledgement(connection, notice);
+      awaitAcknowledgement(connection, notice, now, false);
     }
     return Optional.ofNullable(connection);
   }
@@ -236,12 +241,34 @@
     C connection = alternativeConnection();
     while (connection != null && !deferredNotices.isEmpty()) {
       TerminationNotice notice = deferredNotices.removeFirst();
-      awaitAcknowledgement(connection, notice);
-      due.add(new AddressedNotice<>(connection, notice));
+      due.add(awaitAcknowledgement(connection, notice, now, false));
     }
     return due;
   }
 
+  /**
+   * The notices to be sent once more, and no more than once, on another connection: their own has
+   * acknowledged nothing for a while, and its client may be gone without a word. Only where a
+   * client that acknowledges is connected elsewhere; a client that never does would get everything
+   * twice.
+   */
+  public List<AddressedNotice<C>> takeOverdueNotices(Duration now) {
+    List<AddressedNotice<C>> overdue = new ArrayList<>();
+    C alternative = acknowledgingConnections.isEmpty() ? null : alternativeConnection();
+    if (alternative == null) {
+      return overdue;
+    }
+    for (AddressedNotice<C> sent : List.copyOf(unacknowledgedNotices.values())) {
+      boolean isOverdue = now.minus(sent.sentAt).compareTo(ACKNOWLEDGEMENT_TIMEOUT) >= 0;
+      if (isOverdue && !sent.isResent && !sent.connection.equals(alternative)) {
+        resentNotices++;
+        unacknowledgedNotices.remove(sent.notice.vmId);
+        overdue.add(awaitAcknowledgement(alternative, sent.notice, now, true));
+      }
+    }
+    return overdue;
+  }
+
   /** Drops the notices that are no longer worth sending. */
   public void expireNotices(Duration now) {
     int before = undeliveredNotices();
@@ -274,7 +301,9 @@
         + ", expired "
         + expiredNotices
         + ", displaced "
-        + displacedNotices;
+        + displacedNotices
+        + ", resent "
+        + resentNotices;
   }
 
   /** Whether the connection has a pending request or a running VM. */
@@ -293,6 +322,18 @@
     return pending;
   }
 
+  /** The ids of all pending requests. */
+  public List<String> pendingRequestIds() {
+    List<String> pending = new ArrayList<>();
+    entries.forEach(
+        (vmId, entry) -> {
+          if (entry.state == State.AWAITING_RESPONSE) {
+            pending.add(vmId);
+          }
+        });
+    return pending;
+  }
+
   /** The number of pending requests. */
   public int pendingRequests() {
     return pendingRequests;
@@ -324,12 +365,15 @@
     deferredNotices.addLast(notice);
   }
 
-  private void awaitAcknowledgement(C connection, TerminationNotice notice) {
+  private AddressedNotice<C> awaitAcknowledgement(
+      C connection, TerminationNotice notice, Duration now, boolean isResent) {
     if (unacknowledgedNotices.size() >= maxPending) {
       unacknowledgedNotices.remove(unacknowledgedNotices.keySet().iterator().next());
       displacedNotices++;
     }
-    unacknowledgedNotices.put(notice.vmId, new AddressedNotice<>(connection, notice));
+    AddressedNotice<C> addressed = new AddressedNotice<>(connection, notice, now, isResent);
+    unacknowledgedNotices.put(notice.vmId, addressed);
+    return addressed;
   }
 
   private void remove(String vmId, Entry<C> entry) {
--- a/src/test/java/fordridge/faults/FaultRigTest.java
+++ b/src/test/java/fordridge/faults/FaultRigTest.java
@@ -10,6 +10,8 @@
  * few drawn plans. {@link FaultCampaign} plays more.
  */
 class FaultRigTest {
+  private static final long FIRST_SEED = 1;
+  private static final int SEEDS = 8;
   private static final int MAX_EMPTY_POLLS = 10_000;
   private static final int LOG_LINES_SHOWN = 40;
 
@@ -54,4 +56,13 @@
                 "MACHINE_HOP_RESET@2020=0"));
     assertThat(result.declined()).isZero();
   }
+
+  @Example
+  void drawnPlansAreKept() throws Exception {
+    List<FaultRig.Result> broken = FaultCampaign.play(FIRST_SEED, SEEDS);
+    for (FaultRig.Result result : broken) {
+      System.out.println("broken: " + result.plan() + " " + result.violations());
+    }
+    assertThat(broken).as(() -> describe(broken.get(0))).isEmpty();
+  }
 }
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -37,6 +37,11 @@
   @Override
   public void close(MachineConnection connection) {}
 
+  @Override
+  public boolean failedLocally(MachineConnection connection) {
+    return false;
+  }
+
   @Override
   public void requestPlacement(
       MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {}
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -47,6 +47,11 @@
     @Override
     public void close(MachineConnection connection) {}
 
+    @Override
+    public boolean failedLocally(MachineConnection connection) {
+      return false;
+    }
+
     @Override
     public void requestPlacement(
         MachineConnection connection, PlacementAttempt attempt, Duration within) {
