--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -24,6 +24,12 @@
   /** Pending requests, each with up to a line of description: a bound on memory. */
   private static final int MAX_PENDING_REQUESTS = 1000;
 
+  /**
+   * Termination notices, some hundred bytes each: more than VMs run on a scheduler, as all of them
+   * may end while no client is connected.
+   */
+  private static final int MAX_NOTICES = 8000;
+
   /** How long a termination notice waits for a connection to be sent on. */
   private static final Duration NOTICE_LIFETIME = Duration.ofSeconds(8);
 
@@ -32,7 +38,7 @@
   private final EventLoopTimers timers;
   private final SchedulerEventLoop loop;
   private final PendingResponses<ClientConnection> pendingResponses =
-      new PendingResponses<>(MAX_PENDING_REQUESTS, NOTICE_LIFETIME);
+      new PendingResponses<>(MAX_PENDING_REQUESTS, MAX_NOTICES, NOTICE_LIFETIME);
   private final ClientResponder clients = new ClientResponder(pendingResponses);
   private final JsonSchedulerActions actions;
   private final SchedulerInputs<String> inputs;
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -65,6 +65,7 @@
   }
 
   private final int maxPending;
+  private final int maxNotices;
   private final Duration noticeLifetime;
   private final Map<String, Entry<C>> entries = new HashMap<>();
   private final Map<C, Set<String>> vmIdsByConnection = new HashMap<>();
@@ -89,12 +90,14 @@
   /**
    * Creates an empty registry.
    *
-   * @param maxPending the maximum number of pending requests, of deferred and of unacknowledged
-   *     notices each
+   * @param maxPending the maximum number of pending requests
+   * @param maxNotices the maximum number of deferred and of unacknowledged notices each; beyond it
+   *     the oldest is displaced, and counted
    * @param noticeLifetime how long an undelivered termination notice is kept
    */
-  public PendingResponses(int maxPending, Duration noticeLifetime) {
+  public PendingResponses(int maxPending, int maxNotices, Duration noticeLifetime) {
     this.maxPending = maxPending;
+    this.maxNotices = maxNotices;
     this.noticeLifetime = noticeLifetime;
   }
 
@@ -358,7 +361,7 @@
   }
 
   private void defer(TerminationNotice notice) {
-    if (deferredNotices.size() >= maxPending) {
+    if (deferredNotices.size() >= maxNotices) {
       deferredNotices.removeFirst();
       displacedNotices++;
     }
@@ -367,7 +370,7 @@
 
   private AddressedNotice<C> awaitAcknowledgement(
       C connection, TerminationNotice notice, Duration now, boolean isResent) {
-    if (unacknowledgedNotices.size() >= maxPending) {
+    if (unacknowledgedNotices.size() >= maxNotices) {
       unacknowledgedNotices.remove(unacknowledgedNotices.keySet().iterator().next());
       displacedNotices++;
     }
--- a/src/test/java/fordridge/faults/EmulatedClients.java
+++ b/src/test/java/fordridge/faults/EmulatedClients.java
@@ -126,7 +126,7 @@
           ended.add(id);
           ledger.noticeReceived(id);
           client.connection.send(Message.of(Message.ACKNOWLEDGED, id, 0));
-        } else if (ended.contains(id) || ledger.isAbandoned(id)) {
+        } else if (ended.contains(id) || ledger.mayHaveMissedResponse(id)) {
           client.connection.send(Message.of(Message.ACKNOWLEDGED, id, 0));
         } else {
           client.open.remove(id);
--- a/src/test/java/fordridge/faults/ObligationLedger.java
+++ b/src/test/java/fordridge/faults/ObligationLedger.java
@@ -140,9 +140,10 @@
     }
   }
 
-  synchronized boolean isAbandoned(String id) {
+  /** Whether the client may have missed the response, as its connection broke. */
+  synchronized boolean mayHaveMissedResponse(String id) {
     Entry entry = entries.get(id);
-    return entry != null && entry.isExcused;
+    return entry != null && (entry.isExcused || entry.clientLeftAt >= 0);
   }
 
   /** The scheduler closed a connection on which this request was open. */
--- /dev/null
+++ b/src/test/java/fordridge/server/json/LoweredLimitTest.java
@@ -0,0 +1,41 @@
+package fordridge.server.json;
+
+import static fordridge.server.json.JsonTestPeers.CLOSED;
+import static fordridge.server.json.JsonTestPeers.request;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import fordridge.server.json.JsonTestPeers.LineConnection;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** A reload that allows fewer clients than have requests pending. */
+class LoweredLimitTest {
+  private static final int CLIENTS = 40;
+
+  @Example
+  void newcomerIsTurnedAwayAndTheOthersGoOn() throws Exception {
+    try (JsonTestPeers peers = new JsonTestPeers()) {
+      peers.start();
+      List<LineConnection> clients = new ArrayList<>();
+      for (int i = 0; i < CLIENTS; i++) {
+        LineConnection client = peers.connectClient();
+        client.send(request(i, "a"));
+        clients.add(client);
+        assertThat(client.receiveUntilHealthCheck()).isEmpty();
+      }
+
+      Files.writeString(
+          peers.file, peers.configuration().replace("\"sockets\":256", "\"sockets\":64"));
+      peers.server.reload();
+      peers.awaitLog("configuration reloaded");
+      LineConnection newcomer = peers.connectClient();
+
+      assertThat(newcomer.receive(CLOSED)).isEqualTo(CLOSED);
+      assertThat(clients.get(0).receiveUntilHealthCheck())
+          .allSatisfy(line -> assertThat(line).contains("\"t\":"));
+      assertThat(peers.server.connectionCount()).isEqualTo(CLIENTS);
+    }
+  }
+}
--- a/src/test/java/fordridge/session/PendingResponsesTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -23,7 +23,7 @@
   private static final int MAX_PENDING = 3;
 
   private final PendingResponses<String> responses =
-      new PendingResponses<>(MAX_PENDING, NOTICE_LIFETIME);
+      new PendingResponses<>(MAX_PENDING, MAX_PENDING, NOTICE_LIFETIME);
 
   private static String describe(AddressedNotice<String> addressed) {
     return addressed.connection() + " " + addressed.notice().vmId();
@@ -41,6 +41,26 @@
     assertThat(responses.runningVms()).isZero();
   }
 
+  @Example
+  void noticeThatIsNotAcknowledgedGoesOnceToAClientThatAcknowledges() {
+    responses.requestReceived("a", "silent");
+    responses.takeAccepted("a");
+    responses.requestReceived("b", "lively");
+    responses.takeAccepted("b");
+    responses.vmTerminated("a", Outcome.DONE, NOW);
+    Duration later = NOW.plusMillis(600);
+    assertThat(responses.takeOverdueNotices(later)).isEmpty();
+
+    responses.vmTerminated("b", Outcome.DONE, NOW);
+    responses.noticeAcknowledged("b", "lively");
+    assertThat(responses.takeOverdueNotices(NOW.plusMillis(400))).isEmpty();
+    assertThat(responses.takeOverdueNotices(later))
+        .extracting(PendingResponsesTest::describe)
+        .containsExactly("lively a");
+    assertThat(responses.takeOverdueNotices(later.plusSeconds(2))).isEmpty();
+    assertThat(responses.undeliveredNotices()).isEqualTo(1);
+  }
+
   @Example
   void requestsOverTheBoundAreNotAdmitted() {
     for (String vmId : List.of("a", "b", "c")) {
@@ -111,7 +131,7 @@
   @Property(tries = 200, seed = "1212")
   void noResponseIsSentTwiceAndNothingIsKept(@ForAll long seed) {
     Random random = new Random(seed);
-    PendingResponses<Integer> registry = new PendingResponses<>(20, NOTICE_LIFETIME);
+    PendingResponses<Integer> registry = new PendingResponses<>(20, 20, NOTICE_LIFETIME);
     Map<String, Integer> requested = new HashMap<>();
     Set<String> answered = new HashSet<>();
     List<String> vmIds = new ArrayList<>();
@@ -164,7 +184,7 @@
   @Property(tries = 200, seed = "1414")
   void everyNoticeIsSentUntilItIsAcknowledged(@ForAll long seed) {
     Random random = new Random(seed);
-    PendingResponses<Integer> registry = new PendingResponses<>(500, NOTICE_LIFETIME);
+    PendingResponses<Integer> registry = new PendingResponses<>(500, 500, NOTICE_LIFETIME);
     Set<String> running = new HashSet<>();
     Map<String, Integer> sentTo = new HashMap<>();
     Set<Integer> open = new HashSet<>();
