--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -85,6 +85,7 @@
       } finally {
         isTakingLine = false;
       }
+      firstHeard();
     }
 
     @Override
@@ -126,6 +127,7 @@
   private ConnectionHandler current;
 
   private boolean isClosed;
+  private Runnable onFirstHeard = () -> {};
 
   /** A line is being taken: nothing may be read from within, or events would be taken twice. */
   private boolean isTakingLine;
@@ -164,6 +166,20 @@
     connect();
   }
 
+  /**
+   * Runs the task once the server has told something, or the first attempt to reach it has failed:
+   * what happened between the making of the configuration and the watch is then known.
+   */
+  public void whenFirstHeard(Runnable task) {
+    onFirstHeard = task;
+  }
+
+  private void firstHeard() {
+    Runnable task = onFirstHeard;
+    onFirstHeard = () -> {};
+    task.run();
+  }
+
   /**
    * Reads what has come by now, not only when the loop gets to this connection; does nothing if
    * none is open, or from within {@link Listener#machineListChanged}.
@@ -241,6 +257,7 @@
     connected.addListener(
         outcome -> {
           if (!outcome.isSuccess()) {
+            firstHeard();
             reconnectLater(handler);
           }
         });
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -31,6 +31,10 @@
 public final class ServeCommand implements AutoCloseable {
   private static final String CONFIGURATION_VARIABLE = "LB_CONFIG";
   private static final Duration MAX_WARM_UP_TIME = Duration.ofMillis(1500);
+
+  /** The server tells missed events at once, and its position every second otherwise. */
+  private static final Duration MAX_MACHINE_LIST_WAIT = Duration.ofMillis(300);
+
   private static final Duration STATUS_INTERVAL = Duration.ofSeconds(5);
   private static final Logger NETTY_LOGGER = Logger.getLogger("io.netty");
 
@@ -41,6 +45,7 @@
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final CountDownLatch machineListHeard = new CountDownLatch(1);
   private volatile boolean isStopping;
   private volatile ServerConfiguration configuration;
   private volatile JsonSchedulerServer server;
@@ -124,6 +129,7 @@
       throw new IOException(started.cause().getMessage(), started.cause());
     }
     warmUp();
+    awaitMachineList();
     if (isStopping) {
       return;
     }
@@ -149,6 +155,7 @@
             configuration.machineListPosition(),
             server.machineListListener(),
             this::log);
+    watcher.whenFirstHeard(machineListHeard::countDown);
     watcher.watch(configuration.machineListAddress());
     server.watchMachineList(watcher::readNow);
     machineListWatcher = watcher;
@@ -164,6 +171,16 @@
     log("warmed up with " + requests + " requests in " + millis + " ms");
   }
 
+  /**
+   * The list of the configuration is as old as the process: a machine that has been drained since
+   * must not be offered the first requests.
+   */
+  private void awaitMachineList() throws InterruptedException {
+    if (!machineListHeard.await(MAX_MACHINE_LIST_WAIT.toMillis(), TimeUnit.MILLISECONDS)) {
+      log("machine list watch: nothing heard within " + MAX_MACHINE_LIST_WAIT.toMillis() + " ms");
+    }
+  }
+
   private void logStatus() {
     log("status: " + server.status() + ", machine list position " + machineListWatcher.position());
     log("event loop: " + turns.takeSummary());
