--- a/src/main/java/fordridge/machine/ExecutionEvidence.java
+++ b/src/main/java/fordridge/machine/ExecutionEvidence.java
@@ -7,6 +7,11 @@
  * the attempt follows from it: only an attempt that provably never ran may be repeated freely.
  */
 enum ExecutionEvidence {
+  /**
+   * The placement request was never written, for a reason that is not the machine's: the VM never
+   * ran, and nothing is known of the machine.
+   */
+  NOT_ATTEMPTED(Outcome.NOT_SENT),
   /** The placement request was never written to a connection: the VM never ran. */
   NEVER_SENT(Outcome.UNREACHABLE),
   /** The placement request was written and has no answer: the VM may have run, or may run. */
@@ -27,6 +32,6 @@
 
   /** The outcome of the attempt if the scheduler cancels it for the given reason. */
   Outcome outcomeOnCancel(Outcome reason) {
-    return this == NEVER_SENT ? outcomeOnFailure : reason;
+    return this == NEVER_SENT || this == NOT_ATTEMPTED ? outcomeOnFailure : reason;
   }
 }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -54,7 +54,6 @@
   private final Listener listener;
   private final ConnectionSet connections = new ConnectionSet();
   private final RunningVms runningVms = new RunningVms();
-  private final UnclaimedTerminations unclaimedTerminations = new UnclaimedTerminations();
   private final LivenessDetector liveness = new LivenessDetector();
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
@@ -157,12 +156,8 @@
 
   /** Takes over a VM that runs on the machine since before this scheduler's start. */
   public void adopt(PlacementAttempt attempt, Duration now) {
-    runningVms.add(attempt);
     liveness.vmAdopted(now);
-    // The machine may have notified its end before the client has reported it.
-    unclaimedTerminations
-        .take(attempt.vm.id, now)
-        .ifPresent(termination -> endRunning(termination));
+    runningVms.adopt(attempt, now).ifPresent(termination -> endRunning(termination, now));
   }
 
   // Events of the machine list
@@ -225,13 +220,9 @@
     }
     connection.closed();
     liveness.connectFailed(failure);
-    if (failure == ConnectFailure.LOCAL) {
-      connection
-          .takePlacementRequests()
-          .forEach(request -> end(request.attempt(), Outcome.NOT_SENT));
-    } else {
-      endRequests(connection, ExecutionEvidence.NEVER_SENT);
-    }
+    boolean isLocal = failure == ConnectFailure.LOCAL;
+    endRequests(
+        connection, isLocal ? ExecutionEvidence.NOT_ATTEMPTED : ExecutionEvidence.NEVER_SENT);
     failProbe(connection, now);
     if (liveness.hasFailed(timeouts, now)) {
       machineFailed(now);
@@ -286,20 +277,15 @@
       closeIfRetired(connection);
       return;
     }
-    if (termination.outcomeIfRunning().isEmpty()) {
-      return;
-    }
-    if (runningVms.find(termination.vmId()).isPresent()) {
-      endRunning(termination);
-    } else {
-      unclaimedTerminations.add(termination, now);
+    if (termination.outcomeIfRunning().isPresent()) {
+      endRunning(termination, now);
     }
   }
 
-  private void endRunning(VmTermination termination) {
+  private void endRunning(VmTermination termination, Duration now) {
     Outcome outcome = termination.outcomeIfRunning().orElseThrow();
     runningVms
-        .remove(termination.vmId())
+        .terminated(termination, now)
         .ifPresent(attempt -> listener.attemptEnded(attempt, outcome, termination.reason()));
   }
 
@@ -416,9 +402,7 @@
   private void withdrawUnsentRequests() {
     for (MachineConnection connection : connections.all()) {
       if (connection.isOpening()) {
-        connection
-            .takePlacementRequests()
-            .forEach(request -> end(request.attempt(), Outcome.NOT_SENT));
+        endRequests(connection, ExecutionEvidence.NOT_ATTEMPTED);
       }
     }
   }
--- a/src/main/java/fordridge/machine/RunningVms.java
+++ b/src/main/java/fordridge/machine/RunningVms.java
@@ -16,6 +16,8 @@
 final class RunningVms {
   private final Map<String, PlacementAttempt> attempts = new HashMap<>();
 
+  private final UnclaimedTerminations unclaimedTerminations = new UnclaimedTerminations();
+
   /** By VM id, the time by which the machine has to confirm a termination. */
   private final Map<String, Duration> terminationDeadlines = new HashMap<>();
 
@@ -39,6 +41,24 @@
     attempts.put(attempt.vm.id, attempt);
   }
 
+  /**
+   * Takes over a VM that runs since before the scheduler's start. The result is the machine's
+   * notice of its end, if that came before.
+   */
+  Optional<VmTermination> adopt(PlacementAttempt attempt, Duration now) {
+    add(attempt);
+    return unclaimedTerminations.take(attempt.vm.id, now);
+  }
+
+  /** Removes the VM that a notice is about; a notice of an unknown VM is kept for its adoption. */
+  Optional<PlacementAttempt> terminated(VmTermination termination, Duration now) {
+    Optional<PlacementAttempt> attempt = remove(termination.vmId());
+    if (attempt.isEmpty()) {
+      unclaimedTerminations.add(termination, now);
+    }
+    return attempt;
+  }
+
   /** Removes a VM, and its termination if it is being terminated. */
   Optional<PlacementAttempt> remove(String vmId) {
     terminationDeadlines.remove(vmId);
