--- a/src/main/java/fordridge/json/EndpointWatcher.java
+++ b/src/main/java/fordridge/json/EndpointWatcher.java
@@ -64,6 +64,7 @@
     @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
     public void channelActive(ChannelHandlerContext ctx) {
       lastReceivedNanos = System.nanoTime();
+      isUnreachable = false;
       ctx.writeAndFlush(
           ByteBufUtil.writeUtf8(ctx.alloc(), "tail " + position + "\n"),
           ctx.channel().voidPromise());
@@ -127,6 +128,10 @@
   private ConnectionHandler current;
 
   private boolean isClosed;
+
+  /** The last attempt to connect has failed. */
+  private boolean isUnreachable;
+
   private Runnable onFirstHeard = () -> {};
 
   /** A line is being taken: nothing may be read from within, or events would be taken twice. */
@@ -257,12 +262,21 @@
     connected.addListener(
         outcome -> {
           if (!outcome.isSuccess()) {
+            logConnectFailure(outcome.cause());
             firstHeard();
             reconnectLater(handler);
           }
         });
   }
 
+  /** The first of a row is logged: it is tried again ten times a second. */
+  private void logConnectFailure(Throwable cause) {
+    if (!isUnreachable) {
+      isUnreachable = true;
+      log.accept("machine list watch: can't connect: " + cause.getMessage());
+    }
+  }
+
   private void reconnectLater(ConnectionHandler closed) {
     if (closed == current && !isClosed) {
       current = null;
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -103,6 +103,7 @@
     for (MachineListEvent event : configuration.readInitialMachineList()) {
       machineList.machineListChanged(event);
     }
+    machineList.markWatching();
     timers.runEvery(TICK_INTERVAL, () -> loop.enter(InputKind.TICK, this::tick));
     loop.startLagMonitor();
     intake.markReady();
--- a/src/main/java/fordridge/server/json/MachineListIntake.java
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -4,6 +4,7 @@
 import fordridge.json.MachineListEvent;
 import fordridge.model.Durations;
 import fordridge.model.Machine;
+import fordridge.runtime.MachineStartTimes;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.runtime.SchedulerInputs.ListedMachine;
 import java.time.Duration;
@@ -21,8 +22,10 @@
   private final SchedulerInputs<String> inputs;
   private final MachineRegistry machines;
 
-  /** The wall clock's time at the start of the scheduler's clock. */
-  private final long startedAtEpochMillis;
+  private final MachineStartTimes startTimes;
+
+  /** Whether what comes is told by the watch, not by the configuration. */
+  private boolean isWatching;
 
   /**
    * The longest that a placement request may have been written after its machine's drain was
@@ -38,7 +41,12 @@
     this.loop = loop;
     this.inputs = inputs;
     this.machines = machines;
-    this.startedAtEpochMillis = startedAtEpochMillis;
+    startTimes = new MachineStartTimes(startedAtEpochMillis);
+  }
+
+  /** The list of the configuration is read: from now on changes are told by the watch. */
+  void markWatching() {
+    isWatching = true;
   }
 
   @Override
@@ -65,9 +73,13 @@
 
   /** By the scheduler's clock; null if it is not known. */
   private Duration startedAt(MachineListEvent.Entry entry) {
+    if (entry.lifecycle() == Machine.Lifecycle.GONE) {
+      startTimes.forget(entry.id());
+      return null;
+    }
     return entry.startedAtEpochMillis() == 0
         ? null
-        : Duration.ofMillis(entry.startedAtEpochMillis() - startedAtEpochMillis);
+        : startTimes.startedAt(entry.id(), entry.startedAtEpochMillis(), isWatching, loop.clock());
   }
 
   private void updateConnections(MachineListEvent event, List<ListedMachine<String>> listed) {
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -208,6 +208,7 @@
 
   /** Reads the configuration again; a malformed one is logged and changes nothing. */
   public void reload() {
+    log("configuration: reload requested");
     loop.execute(this::reloadOnLoop);
   }
 
