--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -209,7 +209,8 @@
   /** Reads the configuration again; a malformed one is logged and changes nothing. */
   public void reload() {
     log("configuration: reload requested");
-    loop.execute(this::reloadOnLoop);
+    // As a timer: what a plain task of the loop throws is seen by nobody.
+    timers.runAfter(Duration.ZERO, this::reloadOnLoop);
   }
 
   private void reloadOnLoop() {
@@ -241,7 +242,7 @@
   public void stop() {
     long signalNanos = System.nanoTime();
     isStopping = true;
-    loop.execute(() -> stopOnLoop(signalNanos));
+    timers.runAfter(Duration.ZERO, () -> stopOnLoop(signalNanos));
   }
 
   private void stopOnLoop(long signalNanos) {
