--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -73,7 +73,12 @@
 
   @Override
   void malformedInput(String reason) {
-    close(channel.isActive() ? CloseReason.MALFORMED_INPUT : CloseReason.BY_CLIENT);
+    if (!channel.isActive()) {
+      close(CloseReason.BY_CLIENT);
+      return;
+    }
+    server.handler().malformedInputReceived(this);
+    closeAfterResponse(CloseReason.MALFORMED_INPUT);
   }
 
   /** The VM runs; the description is the one that its machine gave. */
@@ -106,11 +111,11 @@
    * Stops reading, and closes the connection once what was written had time to arrive. No request
    * of the connection may be pending by then.
    */
-  public void closeAfterResponse() {
+  public void closeAfterResponse(CloseReason reason) {
     if (!isReadingStopped && channel != null) {
       isReadingStopped = true;
       channel.config().setAutoRead(false);
-      server.timers().runAfter(CLOSE_DELAY, () -> close(CloseReason.INVALID_REQUEST));
+      server.timers().runAfter(CLOSE_DELAY, () -> close(reason));
     }
   }
 
--- a/src/main/java/fordridge/json/ClientRequestHandler.java
+++ b/src/main/java/fordridge/json/ClientRequestHandler.java
@@ -22,4 +22,9 @@
 
   /** The connection is closed, from either side; called once for each. */
   void connectionClosed(ClientConnection connection);
+
+  /**
+   * The connection received what can't be decoded; it is closed once what is written now is out.
+   */
+  void malformedInputReceived(ClientConnection connection);
 }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -3,6 +3,7 @@
 import fordridge.json.ClientConnection;
 import fordridge.json.ClientRequest;
 import fordridge.json.ClientRequestHandler;
+import fordridge.json.CloseReason;
 import fordridge.json.RequestPayload;
 import fordridge.json.TerminationCause;
 import fordridge.model.Machine;
@@ -128,7 +129,18 @@
 
   /** Fails every pending request, whatever its attempts are doing. */
   void failPendingRequests() {
-    for (String vmId : pendingResponses.pendingRequestIds()) {
+    fail(pendingResponses.pendingRequestIds());
+  }
+
+  /** What was received before is answered: it has been read, and its attempts may have run. */
+  @Override
+  public void malformedInputReceived(ClientConnection connection) {
+    loop.enter(
+        InputKind.CLIENT_REQUEST, () -> fail(pendingResponses.pendingRequestsOf(connection)));
+  }
+
+  private void fail(List<String> vmIds) {
+    for (String vmId : vmIds) {
       Vm vm = requests.find(vmId);
       clients.fail(vm);
       requests.abandon(vm, machines);
@@ -168,16 +180,11 @@
     if (invalidRequestCount++ < MAX_LOGGED_INVALID_REQUESTS) {
       log.accept("invalid request: " + vmId + ": " + reason.getMessage());
     }
-    List<String> pending = pendingResponses.pendingRequestsOf(connection);
-    if (!pending.contains(vmId)) {
+    if (!pendingResponses.pendingRequestsOf(connection).contains(vmId)) {
       connection.sendTerminated(vmId, TerminationCause.FAILED);
     }
-    for (String pendingId : pending) {
-      Vm vm = requests.find(pendingId);
-      clients.fail(vm);
-      requests.abandon(vm, machines);
-    }
-    connection.closeAfterResponse();
+    fail(pendingResponses.pendingRequestsOf(connection));
+    connection.closeAfterResponse(CloseReason.INVALID_REQUEST);
   }
 
   @Override
--- a/src/main/java/fordridge/server/json/ProcessSignals.java
+++ b/src/main/java/fordridge/server/json/ProcessSignals.java
@@ -7,8 +7,15 @@
 final class ProcessSignals {
   private ProcessSignals() {}
 
-  /** Runs the handler on a thread of its own for each signal of that name, as {@code HUP}. */
-  static void handle(String name, Runnable handler) {
-    sun.misc.Signal.handle(new sun.misc.Signal(name), signal -> handler.run());
+  /**
+   * Runs the handler on a thread of its own for each signal of that name, as {@code HUP}.
+   *
+   * @return false if the process was started with the signal ignored, as by {@code nohup}: the JVM
+   *     leaves it so, and the handler never runs
+   */
+  static boolean handle(String name, Runnable handler) {
+    sun.misc.SignalHandler previous =
+        sun.misc.Signal.handle(new sun.misc.Signal(name), signal -> handler.run());
+    return !previous.equals(sun.misc.SignalHandler.SIG_IGN);
   }
 }
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -82,13 +82,18 @@
   public static int run(PrintStream err) throws InterruptedException {
     // Before anything else: without a handler a SIGHUP ends the JVM.
     ServeCommand[] command = new ServeCommand[1];
-    ProcessSignals.handle(
-        "HUP",
-        () -> {
-          if (command[0] != null) {
-            command[0].reload();
-          }
-        });
+    boolean canReload =
+        ProcessSignals.handle(
+            "HUP",
+            () -> {
+              if (command[0] != null) {
+                command[0].reload();
+              }
+            });
+    if (!canReload) {
+      err.println(
+          "fordridge serve: started with SIGHUP ignored: the configuration can't be reloaded");
+    }
     String path = System.getenv(CONFIGURATION_VARIABLE);
     if (path == null) {
       err.println(
--- a/src/main/java/fordridge/server/json/WarmUp.java
+++ b/src/main/java/fordridge/server/json/WarmUp.java
@@ -203,4 +203,7 @@
 
   @Override
   public void connectionClosed(ClientConnection connection) {}
+
+  @Override
+  public void malformedInputReceived(ClientConnection connection) {}
 }
