--- a/src/test/java/fordridge/faults/FaultCampaign.java
+++ b/src/test/java/fordridge/faults/FaultCampaign.java
@@ -76,6 +76,7 @@
     for (FaultRig.Result result : broken) {
       System.out.println("smallest: " + result.plan());
       result.violations().forEach(violation -> System.out.println("  " + violation));
+      result.log().forEach(line -> System.out.println("  | " + line));
     }
     System.out.println(broken.size() + " plans broken");
     System.exit(broken.isEmpty() ? 0 : 1);
