Log why requests were handed over in vain, offered late, ended, rejected or abandoned

RequestLog writes a bounded number of lines with ids for handovers that are ignored, offers that are written over 100 ms after their request was read (with the time since the decision and the count of the service there), attempts that end before acceptance, rejected, failed and abandoned requests; the counts of all go into a line beside the status line.

Measured: JsonServerTest, JsonServerRaceTest, WatchReadTest, ArchitectureTest and FaultRigTest pass. No change of behaviour.

--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -23,6 +23,7 @@
   private final PendingResponses<?> pendingResponses;
   private final ClientResponder clients;
   private final ActiveRequests requests;
+  private final RequestLog requestLog;
   private MachineRegistry machines;
   private final Map<Outcome, Long> outcomeCounts = new EnumMap<>(Outcome.class);
   private long passedProbes;
@@ -33,12 +34,14 @@
       SchedulerInputs<String> inputs,
       PendingResponses<?> pendingResponses,
       ClientResponder clients,
-      ActiveRequests requests) {
+      ActiveRequests requests,
+      RequestLog requestLog) {
     this.loop = loop;
     this.inputs = inputs;
     this.pendingResponses = pendingResponses;
     this.clients = clients;
     this.requests = requests;
+    this.requestLog = requestLog;
   }
 
   /** To be called once, before the first outcome. */
@@ -73,6 +76,9 @@
           Vm vm = attempt.vm;
           boolean wasAccepted = attempt.acceptedAt != null;
           count(outcome);
+          if (!wasAccepted) {
+            logEnd(attempt, outcome, reason);
+          }
           inputs.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted || vm.isFinished);
           if (wasAccepted && outcome == Outcome.CANCELLED) {
             pendingResponses.endedByClient(vm.id);
@@ -93,6 +99,7 @@
           }
           Vm vm = attempt.vm;
           count(outcome);
+          logEnd(attempt, outcome, reason);
           inputs.scheduler.attemptEnded(attempt, outcome, reason, true);
           if (pendingResponses.isAwaitingResponse(vm.id)) {
             clients.fail(vm);
@@ -104,6 +111,11 @@
         });
   }
 
+  private void logEnd(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
+    requestLog.attemptEnded(
+        attempt, machines.handleOf(attempt.machine).id(), outcome, reason, loop.clock());
+  }
+
   private void count(Outcome outcome) {
     outcomeCounts.merge(outcome, 1L, Long::sum);
   }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -30,6 +30,7 @@
   private final ClientResponder clients;
   private final ActiveRequests requests;
   private final MachineRegistry machines;
+  private final RequestLog requestLog;
   private final Consumer<String> log;
   private Duration machineFailureTimeout;
   private boolean isReady;
@@ -43,6 +44,7 @@
       ClientResponder clients,
       ActiveRequests requests,
       MachineRegistry machines,
+      RequestLog requestLog,
       Consumer<String> log) {
     this.loop = loop;
     this.inputs = inputs;
@@ -50,6 +52,7 @@
     this.clients = clients;
     this.requests = requests;
     this.machines = machines;
+    this.requestLog = requestLog;
     this.log = log;
     validator = new RequestValidator(settings);
     machineFailureTimeout = settings.timeouts().failureTimeout();
@@ -121,6 +124,7 @@
   private void failIfPending(Vm vm) {
     if (pendingResponses.isAwaitingResponse(vm.id)) {
       log.accept("no decision in time: " + vm.id);
+      requestLog.failed(vm, loop.clock());
       clients.fail(vm);
       // After its response nothing more is sent for it, whatever the scheduler would do.
       requests.abandon(vm, machines);
@@ -142,6 +146,7 @@
   private void fail(List<String> vmIds) {
     for (String vmId : vmIds) {
       Vm vm = requests.find(vmId);
+      requestLog.failed(vm, loop.clock());
       clients.fail(vm);
       requests.abandon(vm, machines);
     }
@@ -149,7 +154,9 @@
 
   /** A client reports a VM that runs already, placed by an earlier scheduler. */
   private void adopt(ClientConnection connection, Vm vm, String machineId) {
-    if (machineId.isEmpty() || !pendingResponses.adoptRunning(vm.id, connection)) {
+    RequestLog.Handover result = registerHandover(connection, vm, machineId);
+    requestLog.handoverReceived(vm, machineId, result);
+    if (result != RequestLog.Handover.ADOPTED) {
       return;
     }
     clients.sendDeferredNotices(loop.now());
@@ -165,6 +172,16 @@
     }
   }
 
+  private RequestLog.Handover registerHandover(
+      ClientConnection connection, Vm vm, String machineId) {
+    if (machineId.isEmpty()) {
+      return RequestLog.Handover.WITHOUT_MACHINE;
+    }
+    return pendingResponses.adoptRunning(vm.id, connection)
+        ? RequestLog.Handover.ADOPTED
+        : RequestLog.Handover.KNOWN_ALREADY;
+  }
+
   private void loseIfMachineGone(Vm vm, MachineHandle handle) {
     if (handle.machine().lifecycle == Machine.Lifecycle.GONE && vm.acceptedAttempt.isInFlight()) {
       handle.pool().machineListed(Machine.Lifecycle.GONE, loop.now());
@@ -217,7 +234,9 @@
     loop.enter(
         InputKind.CLIENT_CLOSED,
         () -> {
-          for (String vmId : pendingResponses.connectionClosed(connection)) {
+          List<String> abandoned = pendingResponses.connectionClosed(connection);
+          requestLog.abandoned(abandoned);
+          for (String vmId : abandoned) {
             Vm vm = requests.find(vmId);
             if (vm != null && vm.acceptedAttempt == null) {
               requests.abandon(vm, machines);
--- a/src/main/java/fordridge/server/json/JsonSchedulerActions.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerActions.java
@@ -20,6 +20,7 @@
 final class JsonSchedulerActions implements SchedulerActions {
   private final SchedulerEventLoop loop;
   private final ClientResponder clients;
+  private final RequestLog requestLog;
   private final Consumer<String> log;
   private ServerSettings settings;
   private SchedulerInputs<String> inputs;
@@ -30,10 +31,12 @@
       SchedulerEventLoop loop,
       ClientResponder clients,
       ServerSettings settings,
+      RequestLog requestLog,
       Consumer<String> log) {
     this.loop = loop;
     this.clients = clients;
     this.settings = settings;
+    this.requestLog = requestLog;
     this.log = log;
   }
 
@@ -78,12 +81,14 @@
   @Override
   public void reject(Vm vm, Duration retryAfter) {
     clients.reject(vm, retryAfter);
+    requestLog.rejected(vm, loop.clock());
     requests.forgetIfOver(vm);
   }
 
   @Override
   public void fail(Vm vm) {
     clients.fail(vm);
+    requestLog.failed(vm, loop.clock());
     requests.forgetIfOver(vm);
   }
 
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -40,6 +40,7 @@
   private final PendingResponses<ClientConnection> pendingResponses =
       new PendingResponses<>(MAX_PENDING_REQUESTS, MAX_NOTICES, NOTICE_LIFETIME);
   private final ClientResponder clients = new ClientResponder(pendingResponses);
+  private final RequestLog requestLog;
   private final JsonSchedulerActions actions;
   private final SchedulerInputs<String> inputs;
   private final ActiveRequests requests;
@@ -60,24 +61,27 @@
     this.configuration = configuration;
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
+    requestLog = new RequestLog(log);
     loop = new SchedulerEventLoop(group.next(), timers, inputStatistics, log);
-    actions = new JsonSchedulerActions(loop, clients, settings, log);
+    actions = new JsonSchedulerActions(loop, clients, settings, requestLog, log);
     inputs = new SchedulerInputs<>(actions, SchedulerInputs::number);
     requests = new ActiveRequests(loop, inputs);
-    outcomes = new AttemptOutcomeHandler(loop, inputs, pendingResponses, clients, requests);
+    outcomes =
+        new AttemptOutcomeHandler(loop, inputs, pendingResponses, clients, requests, requestLog);
     machines =
         new MachineRegistry(
             group,
             loop,
             inputs,
             requests,
+            requestLog,
             outcomes,
             settings.timeouts(),
             configuration.maxMachineConnections());
     machineList = new MachineListIntake(loop, inputs, machines, startedAtEpochMillis);
     intake =
         new ClientRequestIntake(
-            loop, inputs, settings, pendingResponses, clients, requests, machines, log);
+            loop, inputs, settings, pendingResponses, clients, requests, machines, requestLog, log);
     loop.attach(inputs.scheduler);
     actions.attach(inputs, machines, requests);
     outcomes.attach(machines);
@@ -179,6 +183,11 @@
     return pendingResponses.describe();
   }
 
+  /** What became of the requests, for the log. */
+  String takeRequestSummary() {
+    return requestLog.takeSummary();
+  }
+
   /** The server's state in one line. */
   String status() {
     return owed()
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -26,6 +26,7 @@
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final ActiveRequests requests;
+  private final RequestLog requestLog;
   private MachineClient client;
   private MachineConnectionPool pool;
 
@@ -36,11 +37,16 @@
   private boolean isStopped;
 
   MachineHandle(
-      String id, SchedulerEventLoop loop, SchedulerInputs<String> inputs, ActiveRequests requests) {
+      String id,
+      SchedulerEventLoop loop,
+      SchedulerInputs<String> inputs,
+      ActiveRequests requests,
+      RequestLog requestLog) {
     this.id = id;
     this.loop = loop;
     this.inputs = inputs;
     this.requests = requests;
+    this.requestLog = requestLog;
     machine = inputs.machine(id);
   }
 
@@ -77,6 +83,7 @@
   /** What is forwarded of the request; called at the instant at which it is written. */
   RequestPayload payloadToOffer(Vm vm) {
     lastOfferAt = loop.clock();
+    requestLog.offerWritten(vm, id, machine.hostedServices.get(vm.service), lastOfferAt);
     return requests.payloadOf(vm);
   }
 
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -23,6 +23,7 @@
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final ActiveRequests requests;
+  private final RequestLog requestLog;
   private final MachineConnectionPool.Listener listener;
   private final ConnectionQuota quota;
   private ConnectionTimeouts timeouts;
@@ -35,6 +36,7 @@
       SchedulerEventLoop loop,
       SchedulerInputs<String> inputs,
       ActiveRequests requests,
+      RequestLog requestLog,
       MachineConnectionPool.Listener listener,
       ConnectionTimeouts timeouts,
       int maxConnections) {
@@ -42,6 +44,7 @@
     this.loop = loop;
     this.inputs = inputs;
     this.requests = requests;
+    this.requestLog = requestLog;
     this.listener = listener;
     this.timeouts = timeouts;
     quota = new ConnectionQuota(maxConnections);
@@ -51,7 +54,7 @@
   MachineHandle findOrAdd(String id) {
     MachineHandle handle = handlesById.get(id);
     if (handle == null) {
-      handle = new MachineHandle(id, loop, inputs, requests);
+      handle = new MachineHandle(id, loop, inputs, requests, requestLog);
       MachineClient client =
           new MachineClient(
               group, quota, timeouts.connectTimeout(), handle::payloadToOffer, handle);
@@ -69,9 +72,14 @@
     return List.copyOf(handlesById.values());
   }
 
+  /** A machine that is registered. */
+  MachineHandle handleOf(Machine machine) {
+    return handlesByMachine.get(machine);
+  }
+
   /** The connections to a machine that is registered. */
   MachineConnectionPool poolOf(Machine machine) {
-    return handlesByMachine.get(machine).pool();
+    return handleOf(machine).pool();
   }
 
   /** The connections to the machine of an attempt. */
--- /dev/null
+++ b/src/main/java/fordridge/server/json/RequestLog.java
@@ -0,0 +1,182 @@
+package fordridge.server.json;
+
+import fordridge.model.HostedService;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Vm;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.StringJoiner;
+import java.util.function.Consumer;
+
+/**
+ * Logs the state transitions of requests that took long or did not end with a VM, with the ids by
+ * which they can be followed at clients and machines, and counts all transitions. Lines are bounded
+ * in each reporting period, as a flood of requests must not fill the log. Confined to the event
+ * loop.
+ */
+final class RequestLog {
+  /** What became of a VM that a client handed over. */
+  enum Handover {
+    ADOPTED,
+    /** Its id is pending or running already. */
+    KNOWN_ALREADY,
+    /** It names no machine. */
+    WITHOUT_MACHINE
+  }
+
+  /** An offer that is written later than this after its request was read is logged. */
+  private static final Duration SLOW_OFFER = Duration.ofMillis(100);
+
+  private static final int MAX_LINES_PER_PERIOD = 40;
+
+  private final Consumer<String> log;
+  private final Map<Handover, Long> handovers = new EnumMap<>(Handover.class);
+  private final Map<Outcome, Long> outcomesBeforeAcceptance = new EnumMap<>(Outcome.class);
+  private Duration slowestOffer = Duration.ZERO;
+  private long offers;
+  private long rejected;
+  private long failed;
+  private long abandoned;
+  private int linesInPeriod;
+  private long suppressedLines;
+
+  RequestLog(Consumer<String> log) {
+    this.log = log;
+  }
+
+  /** A client handed over a VM that runs on the machine. */
+  void handoverReceived(Vm vm, String machineId, Handover result) {
+    handovers.merge(result, 1L, Long::sum);
+    if (result != Handover.ADOPTED) {
+      write("handover ignored", vm, "machine " + machineId + ", " + result);
+    }
+  }
+
+  /** The offer of an attempt is being written to its machine. */
+  void offerWritten(Vm vm, String machineId, HostedService hosted, Duration now) {
+    offers++;
+    Duration underway = now.minus(vm.arrivedAt);
+    if (underway.compareTo(slowestOffer) > 0) {
+      slowestOffer = underway;
+    }
+    if (underway.compareTo(SLOW_OFFER) > 0 && vm.lastAttempt() != null) {
+      Duration sinceDecision = now.minus(vm.lastAttempt().sentAt);
+      write(
+          "slow offer",
+          vm,
+          "machine "
+              + machineId
+              + ", written "
+              + underway.toMillis()
+              + " ms after it was read, "
+              + sinceDecision.toMillis()
+              + " ms after it was decided, hosted there of the service "
+              + (hosted == null ? 0 : hosted.count));
+    }
+  }
+
+  /** An attempt ended without having been accepted. */
+  void attemptEnded(
+      PlacementAttempt attempt,
+      String machineId,
+      Outcome outcome,
+      OutcomeReason reason,
+      Duration now) {
+    outcomesBeforeAcceptance.merge(outcome, 1L, Long::sum);
+    write(
+        "attempt ended",
+        attempt.vm,
+        "machine "
+            + machineId
+            + ", "
+            + outcome
+            + (reason == OutcomeReason.UNSPECIFIED ? "" : " " + reason)
+            + ", attempt "
+            + attempt.number
+            + ", "
+            + now.minus(attempt.sentAt).toMillis()
+            + " ms after it was decided");
+  }
+
+  /** The client was told that its request is rejected. */
+  void rejected(Vm vm, Duration now) {
+    rejected++;
+    write("rejected", vm, describeWait(vm, now));
+  }
+
+  /** The client was told that its request has failed. */
+  void failed(Vm vm, Duration now) {
+    failed++;
+    write("failed", vm, describeWait(vm, now));
+  }
+
+  /** The client's connection closed under these requests. */
+  void abandoned(Collection<String> vmIds) {
+    abandoned += vmIds.size();
+    if (!vmIds.isEmpty()) {
+      write("abandoned by their client: " + String.join(" ", vmIds));
+    }
+  }
+
+  private static String describeWait(Vm vm, Duration now) {
+    StringJoiner outcomes = new StringJoiner(" ", "[", "]");
+    for (PlacementAttempt attempt : vm.attempts) {
+      outcomes.add(attempt.outcome == null ? "IN_FLIGHT" : attempt.outcome.name());
+    }
+    return "after "
+        + now.minus(vm.arrivedAt).toMillis()
+        + " ms, "
+        + vm.deadline.minus(now).toMillis()
+        + " ms left, attempts "
+        + outcomes;
+  }
+
+  private void write(String event, Vm vm, String details) {
+    write(
+        event
+            + ": vm "
+            + vm.id
+            + ", class "
+            + vm.priorityClass
+            + ", service "
+            + Long.toHexString(vm.service)
+            + ", "
+            + details);
+  }
+
+  private void write(String line) {
+    if (linesInPeriod++ < MAX_LINES_PER_PERIOD) {
+      log.accept(line);
+    } else {
+      suppressedLines++;
+    }
+  }
+
+  /** The counts since the start and the slowest offer since the last call, for the status line. */
+  String takeSummary() {
+    String summary =
+        "handovers "
+            + handovers
+            + ", offers written "
+            + offers
+            + ", slowest "
+            + slowestOffer.toMillis()
+            + " ms after its request, attempts ended before acceptance "
+            + outcomesBeforeAcceptance
+            + ", rejected "
+            + rejected
+            + ", failed "
+            + failed
+            + ", abandoned "
+            + abandoned
+            + ", log lines left out "
+            + suppressedLines;
+    slowestOffer = Duration.ZERO;
+    linesInPeriod = 0;
+    return summary;
+  }
+}
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -188,6 +188,7 @@
 
   private void logStatus() {
     log("status: " + server.status() + ", machine list position " + machineListWatcher.position());
+    log("requests: " + server.takeRequestSummary());
     log("event loop: " + turns.takeSummary());
   }
 
