--- a/src/test/java/fordridge/faults/EmulatedClients.java
+++ b/src/test/java/fordridge/faults/EmulatedClients.java
@@ -10,18 +10,48 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
 
 /** Clients of one scheduler: some connections, requests on them, and what comes back. */
 final class EmulatedClients implements AutoCloseable {
   /** A request that crosses the close of its connection within this time is not taken. */
   private static final long CROSSING_MILLIS = 50 + 50;
 
+  /** Handovers come on so many connections of their own. */
+  private static final int HANDOVER_CONNECTIONS = 3;
+
+  private static final int SERVICES = 40;
+
+  /** Fewer, so that the limit binds. */
+  private static final int LIMITED_SERVICES = 16;
+
+  /** How long a scheduler that listens may take to answer a health check. */
+  private static final long READY_MILLIS = 5000;
+
   private static final long LEFT_MILLIS = 1400;
   private static final long LEFT_MILLIS_ONCE = 2900;
 
   /**
    * One connection and the requests that are open on it, with the times at which they were sent.
    */
+  private static final class Request {
+    final long service;
+    final boolean mayRunTwice;
+
+    Request(long service, boolean mayRunTwice) {
+      this.service = service;
+      this.mayRunTwice = mayRunTwice;
+    }
+
+    String priorityClass() {
+      return mayRunTwice ? RigConfiguration.REPEATABLE_CLASS : RigConfiguration.LIMITED_CLASS;
+    }
+
+    String extras() {
+      return "cores:1;memory:1;service:" + String.format("%016x", service);
+    }
+  }
+
   private final class Client {
     final Socket socket;
     final LineConnection connection;
@@ -42,22 +72,46 @@
   private final InetAddress address;
   private final int port;
   private final int connectionCount;
+  private final IntSupplier schedulerPort;
   private final ObligationLedger ledger;
+  private final PlacementLedger placements;
   private final SplittableRandom random;
   private final List<Client> clients = new ArrayList<>();
 
+  /** Connections past the proxy; nothing is requested on them but right after a start. */
+  private final List<Client> directClients = new ArrayList<>();
+
+  private final List<Socket> crowd = new ArrayList<>();
+
+  /** By VM, the service and class it was requested with. */
+  private final Map<String, Request> requests = new HashMap<>();
+
   /** Running VMs and the machine that each runs on. */
   private final Map<String, String> running = new HashMap<>();
 
   private final Set<String> ended = new HashSet<>();
   private long requestNumber;
 
+  /**
+   * Clients that open connections as they need them.
+   *
+   * @param port where the proxy before the scheduler listens
+   * @param schedulerPort where the scheduler itself listens
+   */
   EmulatedClients(
-      InetAddress address, int port, int connectionCount, ObligationLedger ledger, long seed) {
+      InetAddress address,
+      int port,
+      IntSupplier schedulerPort,
+      int connectionCount,
+      ObligationLedger ledger,
+      PlacementLedger placements,
+      long seed) {
     this.address = address;
     this.port = port;
+    this.schedulerPort = schedulerPort;
     this.connectionCount = connectionCount;
     this.ledger = ledger;
+    this.placements = placements;
     random = new SplittableRandom(seed);
     requestNumber = seed << 24;
   }
@@ -85,21 +139,35 @@
   }
 
   private void sendRequest(Client client) {
-    String id = String.format("%016x", ++requestNumber & 0xffffffffffffL);
     boolean mayRunTwice = random.nextInt(4) > 0;
+    int service = 1 + random.nextInt(mayRunTwice ? SERVICES : LIMITED_SERVICES);
+    sendRequest(client, new Request(service, mayRunTwice));
+  }
+
+  private void sendRequest(Client client, Request request) {
+    String id = newId();
+    requests.put(id, request);
     client.open.put(id, ledger.now());
-    long left = mayRunTwice ? LEFT_MILLIS : LEFT_MILLIS_ONCE;
-    ledger.requestSent(id, left, mayRunTwice);
-    String service = String.format("%016x", random.nextInt(40) + 1);
-    String line =
-        Message.request(
-            id, mayRunTwice ? "a" : "once", left, "cores:1;memory:1;service:" + service);
+    long left = request.mayRunTwice ? LEFT_MILLIS : LEFT_MILLIS_ONCE;
+    ledger.requestSent(id, left, request.mayRunTwice);
+    placements.requested(id, request.service, !request.mayRunTwice);
+    String line = Message.request(id, request.priorityClass(), left, request.extras());
     if (!client.connection.send(line)) {
       client.open.remove(id);
       ledger.requestNotTaken(id);
     }
   }
 
+  private String newId() {
+    return String.format("%016x", ++requestNumber & 0xffffffffffffL);
+  }
+
+  private List<Client> allClients() {
+    List<Client> all = new ArrayList<>(clients);
+    all.addAll(directClients);
+    return all;
+  }
+
   private Client pick() {
     clients.removeIf(client -> !client.connection.isOpen());
     while (clients.size() < connectionCount) {
@@ -200,21 +268,28 @@
     new Client(port).connection.sendRaw("{\"t\":\"new\",\"ref\":\"zz\"\nhalf a li");
   }
 
-  /** The process was killed: what was open on it is excused. */
-  synchronized void schedulerKilled() {
-    for (Client client : clients) {
+  /** From here on what is open on the scheduler is excused: it is killed next. */
+  synchronized void schedulerWillBeKilled() {
+    for (Client client : allClients()) {
       client.isCutByFault = true;
       client.open.keySet().forEach(ledger::killedUnanswered);
-      client.connection.close();
     }
+  }
+
+  /** The process has ended. */
+  synchronized void schedulerEnded() {
+    schedulerWillBeKilled();
+    allClients().forEach(client -> client.connection.close());
     clients.clear();
+    directClients.clear();
+    placements.schedulerEnded();
     ledger.noticeObstructed();
   }
 
   /** Whether requests are open that were sent longer ago than this. */
   synchronized List<String> openFor(long millis) {
     List<String> old = new ArrayList<>();
-    for (Client client : clients) {
+    for (Client client : allClients()) {
       client.open.forEach(
           (id, sentAt) -> {
             if (!client.isCutByFault && ledger.now() - sentAt > millis) {
@@ -225,23 +300,85 @@
     return old;
   }
 
-  /** Hands the running VMs to a scheduler that was started anew, once it says that it is ready. */
-  void handOver() throws IOException, InterruptedException {
-    Client client = new Client(port);
-    for (int tries = 0; tries < 200 && !isHealthy(client); tries++) {
-      client.connection.send(Message.of(Message.HEALTH_CHECK, "00000000000000aa", 0));
+  /**
+   * Connects to a scheduler that was started anew, and waits until it says that it is ready. What
+   * follows comes on these connections.
+   */
+  void awaitReady() throws IOException, InterruptedException {
+    List<Client> connected = new ArrayList<>();
+    for (int i = 0; i <= HANDOVER_CONNECTIONS; i++) {
+      connected.add(new Client(schedulerPort.getAsInt()));
+    }
+    Client first = connected.get(0);
+    long until = ledger.now() + READY_MILLIS;
+    while (!isHealthy(first) && ledger.now() < until) {
+      first.connection.send(Message.of(Message.HEALTH_CHECK, "00000000000000aa", 0));
       Thread.sleep(10);
     }
+    if (!isHealthy(first)) {
+      ledger.violation("no answer to a health check within " + READY_MILLIS + " ms of listening");
+    }
     synchronized (this) {
-      if (!client.isHealthy) {
-        ledger.violation("no answer to a health check within 2 s of listening");
+      directClients.addAll(connected);
+    }
+  }
+
+  /** Sends requests of services that run already on the first of the new connections. */
+  synchronized void sendRequestsAtStart(int count) {
+    for (int i = 0; i < count; i++) {
+      int service = 1 + random.nextInt(LIMITED_SERVICES);
+      sendRequest(directClients.get(0), new Request(service, random.nextInt(4) == 0));
+    }
+  }
+
+  /** Hands the running VMs over on the other new connections. */
+  synchronized void handOver() {
+    int next = 0;
+    for (Map.Entry<String, String> vm : running.entrySet()) {
+      Request request = requests.get(vm.getKey());
+      Client client = directClients.get(1 + next++ % HANDOVER_CONNECTIONS);
+      boolean isSent =
+          client.connection.send(
+              Message.request(
+                  vm.getKey(),
+                  request.priorityClass(),
+                  0,
+                  request.extras() + ";at:" + vm.getValue()));
+      if (isSent) {
+        placements.handedOver(vm.getKey(), vm.getValue());
+      }
+    }
+  }
+
+  /** How many VMs of the service the clients know to run on the machine. */
+  synchronized int countRunning(long service, String machine) {
+    int count = 0;
+    for (Map.Entry<String, String> vm : running.entrySet()) {
+      boolean isSame = requests.get(vm.getKey()).service == service;
+      count += isSame && vm.getValue().equals(machine) ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** The clients know of a VM of the service that was placed on the machine before. */
+  synchronized String knowVm(long service, String machine) {
+    String id = newId();
+    Request request = new Request(service, random.nextInt(4) == 0);
+    requests.put(id, request);
+    ledger.vmKnown(id, machine, request.mayRunTwice);
+    placements.requested(id, service, !request.mayRunTwice);
+    running.put(id, machine);
+    return id;
+  }
+
+  /** So many clients connect, and say nothing. */
+  synchronized void connectCrowd(int count) {
+    for (int i = 0; i < count; i++) {
+      try {
+        crowd.add(new Socket(address, schedulerPort.getAsInt()));
+      } catch (IOException e) {
+        return;
       }
-      clients.add(client);
-      running.forEach(
-          (id, machine) ->
-              client.connection.send(
-                  Message.request(
-                      id, "a", 0, "cores:1;memory:1;service:" + id + ";at:" + machine)));
     }
   }
 
@@ -250,10 +387,13 @@
   }
 
   @Override
-  public synchronized void close() {
-    for (Client client : clients) {
+  public synchronized void close() throws IOException {
+    for (Client client : allClients()) {
       client.isCutByFault = true;
       client.connection.close();
     }
+    for (Socket socket : crowd) {
+      socket.close();
+    }
   }
 }
--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -3,20 +3,29 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 /** A machine on a real socket that runs VMs for a while, and tells what becomes of them. */
 final class EmulatedMachine implements AutoCloseable {
+  private static final int ACCEPT_BACKLOG = 64;
+
+  /** The queue takes one more than its length, and some may be accepted meanwhile. */
+  private static final int QUEUE_FILLERS = ACCEPT_BACKLOG + 4;
+
   private final String id;
+  private final String kind;
   private final ServerSocket server;
   private final ScheduledExecutorService timers;
   private final ObligationLedger ledger;
+  private final PlacementLedger placements;
   private final SplittableRandom random;
   private final int room;
   private final List<LineConnection> connections = new ArrayList<>();
@@ -24,29 +33,35 @@
   /** Requests that were not answered yet, and where they came. */
   private final Map<String, LineConnection> open = new HashMap<>();
 
-  /** VMs that run, and the connection of their request. */
-  private final Map<String, LineConnection> running = new HashMap<>();
+  /** VMs that run, and the connection of their request if it is known. */
+  private final Map<String, Optional<LineConnection>> running = new HashMap<>();
 
   /** Releases that were not heard yet; they are repeated on the next connection. */
   private final Map<String, Integer> unheard = new HashMap<>();
 
   private volatile long silentUntilNanos;
+  private volatile long acceptsFromNanos = System.nanoTime();
   private boolean isDead;
 
   EmulatedMachine(
       String id,
+      String kind,
       InetAddress address,
       int room,
       ScheduledExecutorService timers,
       ObligationLedger ledger,
+      PlacementLedger placements,
       long seed)
       throws IOException {
     this.id = id;
+    this.kind = kind;
     this.room = room;
     this.timers = timers;
     this.ledger = ledger;
+    this.placements = placements;
+    placements.machineAdded(id, kind);
     random = new SplittableRandom(seed);
-    server = new ServerSocket(0, 256, address);
+    server = new ServerSocket(0, ACCEPT_BACKLOG, address);
     Thread acceptor = new Thread(this::accept, "machine-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
@@ -56,6 +71,10 @@
     return id;
   }
 
+  String kind() {
+    return kind;
+  }
+
   /** Where it listens, as {@code HOST:PORT}. */
   String hostAndPort() {
     return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
@@ -64,6 +83,7 @@
   private void accept() {
     try {
       while (true) {
+        awaitAccepting();
         var socket = server.accept();
         LineConnection[] self = new LineConnection[1];
         synchronized (this) {
@@ -74,14 +94,56 @@
           unheard.forEach((vm, cause) -> self[0].send(Message.of(Message.ENDED, vm, cause)));
         }
       }
-    } catch (IOException e) {
+    } catch (IOException | InterruptedException e) {
       // Closed.
     }
   }
 
+  private void awaitAccepting() throws InterruptedException {
+    for (long nanos = acceptsFromNanos - System.nanoTime();
+        nanos > 0;
+        nanos = acceptsFromNanos - System.nanoTime()) {
+      Thread.sleep(1 + nanos / 1_000_000);
+    }
+  }
+
+  /** Its accept queue is full for this long: no connection comes up until some time after. */
+  void acceptLate(long millis) throws IOException {
+    acceptsFromNanos = System.nanoTime() + millis * 1_000_000;
+    List<SocketChannel> fillers = new ArrayList<>();
+    for (int i = 0; i < QUEUE_FILLERS; i++) {
+      SocketChannel filler = SocketChannel.open();
+      filler.configureBlocking(false);
+      filler.connect(server.getLocalSocketAddress());
+      fillers.add(filler);
+    }
+    later(millis, () -> fillers.forEach(EmulatedMachine::closeQuietly));
+  }
+
+  private static void closeQuietly(SocketChannel channel) {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // Nothing is left to be closed.
+    }
+  }
+
+  /** Lets a VM run that was placed before the rig began, for a long time. */
+  synchronized void host(String vm) {
+    running.put(vm, Optional.empty());
+    ledger.vmStarted(vm, id);
+    later(longLifetimeMillis(), () -> finish(vm));
+  }
+
+  private long longLifetimeMillis() {
+    return random.nextInt(15_000, 30_000);
+  }
+
   private synchronized void ended(LineConnection[] self) {
     connections.remove(self[0]);
-    open.values().removeIf(connection -> connection == self[0]);
+    List.copyOf(open.entrySet()).stream()
+        .filter(request -> request.getValue() == self[0])
+        .forEach(request -> withdraw(request.getKey()));
   }
 
   private synchronized void received(LineConnection[] self, Message message) {
@@ -99,6 +161,7 @@
   private void requested(LineConnection connection, Message message) {
     String vm = message.id();
     ledger.attemptReceived(vm, id, message.timeLeftMillis());
+    placements.attemptReceived(vm, id);
     open.put(vm, connection);
     boolean isFull = running.size() >= room;
     later(random.nextInt(2, 25), () -> answer(vm, connection, isFull));
@@ -109,22 +172,25 @@
       return;
     }
     if (isFull) {
+      placements.ended(vm, id);
       connection.send(Message.of(Message.ENDED, vm, Message.CAUSE_FULL));
       return;
     }
-    running.put(vm, connection);
+    running.put(vm, Optional.of(connection));
     ledger.vmStarted(vm, id);
     connection.send(Message.accepted(vm, id + "/" + vm));
-    later(random.nextInt(100, 1500), () -> finish(vm));
+    boolean isLong = random.nextInt(8) == 0;
+    later(isLong ? longLifetimeMillis() : random.nextInt(100, 1500), () -> finish(vm));
   }
 
   private synchronized void finish(String vm) {
-    LineConnection own = running.remove(vm);
-    if (own == null || isDead) {
+    if (isDead || !running.containsKey(vm)) {
       return;
     }
+    Optional<LineConnection> own = running.remove(vm);
+    placements.ended(vm, id);
     unheard.put(vm, Message.CAUSE_DONE);
-    LineConnection carrier = own.isOpen() ? own : anyOpen();
+    LineConnection carrier = own.filter(LineConnection::isOpen).orElseGet(this::anyOpen);
     ledger.vmOver(vm, id, carrier != null);
     if (carrier != null) {
       carrier.send(Message.of(Message.ENDED, vm, Message.CAUSE_DONE));
@@ -141,15 +207,23 @@
   }
 
   private void terminated(LineConnection connection, String vm) {
-    if (open.remove(vm) != null) {
+    if (open.containsKey(vm)) {
+      withdraw(vm);
       return;
     }
-    if (running.remove(vm) != null) {
+    if (running.containsKey(vm)) {
+      running.remove(vm);
+      placements.ended(vm, id);
       ledger.vmCut(vm);
       connection.send(Message.of(Message.ENDED, vm, Message.CAUSE_CANCELLED));
     }
   }
 
+  private void withdraw(String vm) {
+    open.remove(vm);
+    placements.ended(vm, id);
+  }
+
   /** Says nothing for this long; what is due then is said late. */
   void hang(long millis) {
     silentUntilNanos = System.nanoTime() + millis * 1_000_000;
@@ -172,6 +246,7 @@
     server.close();
     resetConnections();
     for (String vm : running.keySet()) {
+      placements.ended(vm, id);
       ledger.vmOver(vm, id, false);
     }
     running.clear();
--- a/src/test/java/fordridge/faults/Fault.java
+++ b/src/test/java/fordridge/faults/Fault.java
@@ -41,8 +41,10 @@
     LIST_SILENT(500, 3000),
     /** The process is stopped for so many milliseconds, then goes on. */
     PROCESS_STOPPED(100, 1200),
-    PROCESS_KILLED(0, 1),
-    PROCESS_TERMINATED(0, 1),
+    /** Killed and started again; so many requests come before its VMs are handed over. */
+    PROCESS_KILLED(0, 200),
+    /** SIGTERM, so many further signals until its end, and a new start. */
+    PROCESS_TERMINATED(0, 4),
     PROCESS_RELOADED(0, 1),
     /** So many calls fail; the error is drawn from the amount. */
     ACCEPT_FAILS(1, 6),
@@ -55,7 +57,17 @@
     /** The wall clock is stepped by so many seconds. */
     WALL_CLOCK_STEPPED(-3600, 3600),
     /** Time used is charged when the process waits, every so many milliseconds at the latest. */
-    CLOCK_METERED(100, 300);
+    CLOCK_METERED(100, 300),
+    /** The scheduler shares one core with so many busy processes, from its next start on. */
+    CORE_CONTENDED(1, 3),
+    /** The next handover comes while the process is stopped for so many milliseconds. */
+    HANDOVER_STOPPED(300, 900),
+    /** The next handover comes while connections to machines take a second to come up. */
+    HANDOVER_CONNECTS_LATE(300, 900),
+    /** One machine's accept queue is full for so many milliseconds. */
+    MACHINE_ACCEPTS_LATE(100, 900),
+    /** So many clients connect and say nothing. */
+    CLIENT_CROWD(50, 300);
 
     final int least;
     final int most;
--- a/src/test/java/fordridge/faults/FaultRig.java
+++ b/src/test/java/fordridge/faults/FaultRig.java
@@ -31,6 +31,21 @@
 
   private static final AtomicInteger RIGS = new AtomicInteger();
   private static final int MACHINES = 6;
+
+  /** Every third machine is of the kind that the limited class does not run on. */
+  private static final int PLAIN_KIND_EVERY = 3;
+
+  private static final long CONNECT_TIMEOUT_MILLIS = 250;
+  private static final long LONG_CONNECT_TIMEOUT_MILLIS = 3000;
+
+  /** Between the requests that come right after a start, and the handover. */
+  private static final long HANDOVER_DELAY_MILLIS = 20;
+
+  private static final long LATE_HANDOVER_DELAY_MILLIS = 100;
+
+  /** Of each service, the limit runs on all machines of its kind but one. */
+  private static final int SERVICES_AT_START = 16;
+
   private static final int MACHINE_ROOM = 40;
   private static final int CLIENT_CONNECTIONS = 4;
   private static final long REQUEST_INTERVAL_MILLIS = 12;
@@ -39,10 +54,9 @@
   /** The longest deadline of the settings, and what SIGKILL leaves beyond it. */
   private static final long KILL_DELAY_MILLIS = 3000 + 700;
 
-  /** A reset so soon behind a handover may have lost it: the clients hand over again. */
-  private static final long HANDOVER_MILLIS = 1000;
-
   private static final long NEW_CONNECTIONS_AFTER_TERM_MILLIS = 300;
+  private static final long SIGNAL_INTERVAL_MILLIS = 150;
+  private static final int CORES = Runtime.getRuntime().availableProcessors();
 
   /** Told at the latest after the list's server fell silent. */
   private static final long SILENT_LIST_TOLD_MILLIS = 4000;
@@ -64,6 +78,7 @@
   private final FaultPlan plan;
   private final SplittableRandom random;
   private final ObligationLedger ledger = new ObligationLedger();
+  private final PlacementLedger placements = new PlacementLedger(ledger::now);
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
   private final List<EmulatedMachine> machines = new ArrayList<>();
   private final List<EmulatedMachine> liveMachines = new ArrayList<>();
@@ -77,8 +92,10 @@
   private final Path configuration = Files.createTempFile("fault-rig", ".json");
   private final List<String> log = new ArrayList<>();
   private ServeProcess process;
+  private Optional<BusyProcesses> contention = Optional.empty();
+  private int handoverStoppedMillis;
+  private int handoverConnectsLateMillis;
   private long listSilentUntil;
-  private long handedOverAt = Long.MIN_VALUE / 2;
   private int machineNumber;
 
   private FaultRig(FaultPlan plan) throws IOException, InterruptedException {
@@ -91,7 +108,14 @@
     listHop = new FaultProxy(address, machineList::port);
     clientHop = new FaultProxy(address, () -> listenPort);
     clients =
-        new EmulatedClients(address, clientHop.port(), CLIENT_CONNECTIONS, ledger, plan.seed());
+        new EmulatedClients(
+            address,
+            clientHop.port(),
+            () -> listenPort,
+            CLIENT_CONNECTIONS,
+            ledger,
+            placements,
+            plan.seed());
     shim = SystemCallShim.create();
   }
 
@@ -102,6 +126,7 @@
       rig.runLoad();
       rig.settle();
       rig.log.addAll(rig.process.log());
+      rig.placements.violations().forEach(rig.ledger::violation);
       int emptyPolls = rig.shim.map(shim -> shim.get(Slot.EMPTY_POLLS)).orElse(0);
       return new Result(
           plan,
@@ -127,9 +152,22 @@
   }
 
   private EmulatedMachine addMachine() throws IOException {
+    boolean isPlain = machineNumber % PLAIN_KIND_EVERY == PLAIN_KIND_EVERY - 1;
+    return addMachine(isPlain ? RigConfiguration.PLAIN_KIND : PlacementLedger.LIMITED_CLASS_KIND);
+  }
+
+  private EmulatedMachine addMachine(String kind) throws IOException {
     String id = "s-" + machineNumber++;
     EmulatedMachine machine =
-        new EmulatedMachine(id, address, MACHINE_ROOM, timers, ledger, plan.seed() + machineNumber);
+        new EmulatedMachine(
+            id,
+            kind,
+            address,
+            MACHINE_ROOM,
+            timers,
+            ledger,
+            placements,
+            plan.seed() + machineNumber);
     machines.add(machine);
     liveMachines.add(machine);
     return machine;
@@ -137,30 +175,24 @@
 
   private void start() throws IOException, InterruptedException {
     Files.writeString(configuration, configurationText());
-    process = new ServeProcess(configuration, shim);
+    process =
+        new ServeProcess(
+            configuration,
+            shim,
+            contention.isPresent() ? BusyProcesses.onCore(contention.get().core()) : List.of());
     process.awaitListening();
   }
 
   private String configurationText() {
-    return "{\"name\":\"n\",\"listen\":\""
-        + address.getHostAddress()
-        + ":"
-        + listenPort
-        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":0.5,\"memory_mb\":128,"
-        + "\"sockets\":256},\"journal\":\""
-        + address.getHostAddress()
-        + ":"
-        + listHop.port()
-        + "\",\"known\":"
-        + machineList.known()
-        + ",\"settings\":{\"kinds\":[\"k\"],\"lanes\":["
-        + "{\"name\":\"a\",\"giveUpUs\":1500000,\"promiseUs\":300000,\"semantics\":\"retryable\"},"
-        + "{\"name\":\"once\",\"giveUpUs\":3000000,\"promiseUs\":300000,"
-        + "\"semantics\":\"fragile\"}],\"tenants\":[{\"name\":\"acme\",\"share\":1}],"
-        + "\"caps\":{\"mostTries\":3,\"retryAfter\":true,\"connectTimeoutUs\":250000,"
-        + "\"connIdleUs\":15000000},\"obligations\":{\"drainGraceUs\":500000},"
-        + "\"loadReport\":{\"via\":\"off\"},\"extra\":{\"cpuOfKind\":[99],\"memoryByKind\":[99],"
-        + "\"freeInList\":true,\"admitCores\":2,\"memBooking\":2,\"settleUs\":600000}}}";
+    boolean connectsLate =
+        plan.has(Fault.Kind.HANDOVER_CONNECTS_LATE) || plan.has(Fault.Kind.MACHINE_ACCEPTS_LATE);
+    return new RigConfiguration(
+            address.getHostAddress(),
+            listenPort,
+            listHop.port(),
+            machineList.known(),
+            connectsLate ? LONG_CONNECT_TIMEOUT_MILLIS : CONNECT_TIMEOUT_MILLIS)
+        .text();
   }
 
   private void runLoad() throws IOException, InterruptedException {
@@ -239,8 +271,19 @@
         ledger.schedulerPaused(amount);
         process.signal("CONT");
       }
-      case PROCESS_KILLED -> killProcess();
-      case PROCESS_TERMINATED -> terminateProcess();
+      case PROCESS_KILLED -> killProcess(amount);
+      case PROCESS_TERMINATED -> terminateProcess(amount);
+      case CORE_CONTENDED -> {
+        stopContention();
+        contention = Optional.of(BusyProcesses.start(random.nextInt(CORES), amount));
+      }
+      case HANDOVER_STOPPED -> handoverStoppedMillis = amount;
+      case HANDOVER_CONNECTS_LATE -> handoverConnectsLateMillis = amount;
+      case MACHINE_ACCEPTS_LATE -> {
+        ledger.machineUnreachable();
+        anyMachine().acceptLate(amount);
+      }
+      case CLIENT_CROWD -> clients.connectCrowd(amount);
       case PROCESS_RELOADED -> {
         Files.writeString(configuration, configurationText());
         process.signal("HUP");
@@ -249,12 +292,9 @@
     }
   }
 
-  private void resetClients() throws IOException, InterruptedException {
+  private void resetClients() {
     clients.connectionsCutByFault();
     clientHop.resetConnections();
-    if (ledger.now() - handedOverAt < HANDOVER_MILLIS) {
-      clients.handOver();
-    }
   }
 
   private void injectIntoSystemCalls(Fault fault) {
@@ -305,7 +345,7 @@
     machineList.list(drained, "DRAINING", 0);
     long toldIn = ledger.now() < listSilentUntil ? SILENT_LIST_TOLD_MILLIS : 0;
     timers.schedule(() -> ledger.machineDrains(drained.id()), toldIn, TimeUnit.MILLISECONDS);
-    machineList.list(addMachine(), "SERVING", System.currentTimeMillis());
+    machineList.list(addMachine(drained.kind()), "SERVING", System.currentTimeMillis());
   }
 
   @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
@@ -320,35 +360,86 @@
         () -> machineList.list(killed, "DELETED", 0), listedAfterMillis, TimeUnit.MILLISECONDS);
   }
 
-  private void killProcess() throws IOException, InterruptedException {
+  private void killProcess(int requestsBeforeHandover) throws IOException, InterruptedException {
     long begin = ledger.now();
     // Before the signal: what the clients see of it must not count as the scheduler's doing.
-    clients.schedulerKilled();
+    clients.schedulerWillBeKilled();
     process.signal("KILL");
     process.awaitEnd(2000);
-    restart(begin);
+    restart(begin, requestsBeforeHandover);
   }
 
-  private void restart(long killedAt) throws IOException, InterruptedException {
-    clients.schedulerKilled();
+  private void restart(long killedAt, int requestsBeforeHandover)
+      throws IOException, InterruptedException {
+    clients.schedulerEnded();
     log.addAll(process.log());
     process.close();
+    hostEarlierVms();
     start();
+    clients.awaitReady();
     ledger.schedulerPaused(ledger.now() - killedAt);
-    clients.handOver();
+    handOver(requestsBeforeHandover);
     ledger.noticeObstructed();
-    handedOverAt = ledger.now();
   }
 
-  /** SIGTERM, requests on open connections until SIGKILL, and a new start. */
-  private void terminateProcess() throws IOException, InterruptedException {
+  /** VMs of a busier past: the limit of each service on all machines of the kind but one. */
+  private void hostEarlierVms() {
+    for (int service = 1; service <= SERVICES_AT_START; service++) {
+      int spared = random.nextInt(liveMachines.size());
+      for (int i = 0; i < liveMachines.size(); i++) {
+        EmulatedMachine machine = liveMachines.get(i);
+        if (i != spared && machine.kind().equals(PlacementLedger.LIMITED_CLASS_KIND)) {
+          hostUpToLimit(service, machine);
+        }
+      }
+    }
+  }
+
+  private void hostUpToLimit(int service, EmulatedMachine machine) {
+    int count = clients.countRunning(service, machine.id());
+    for (int i = count; i < PlacementLedger.MOST_PER_MACHINE; i++) {
+      machine.host(clients.knowVm(service, machine.id()));
+    }
+  }
+
+  private void handOver(int requestsBefore) throws IOException, InterruptedException {
+    boolean connectsLate = handoverConnectsLateMillis > 0;
+    if (connectsLate) {
+      for (EmulatedMachine machine : liveMachines) {
+        machine.acceptLate(handoverConnectsLateMillis);
+      }
+      ledger.machineUnreachable();
+    }
+    long stoppedAt = ledger.now();
+    if (handoverStoppedMillis > 0) {
+      process.signal("STOP");
+    }
+    clients.sendRequestsAtStart(requestsBefore);
+    Thread.sleep(connectsLate ? LATE_HANDOVER_DELAY_MILLIS : HANDOVER_DELAY_MILLIS);
+    clients.handOver();
+    if (handoverStoppedMillis > 0) {
+      Thread.sleep(handoverStoppedMillis);
+      process.signal("CONT");
+      ledger.schedulerPaused(ledger.now() - stoppedAt);
+    }
+    handoverStoppedMillis = 0;
+    handoverConnectsLateMillis = 0;
+  }
+
+  /** SIGTERM, requests on open connections until SIGKILL, further signals, and a new start. */
+  private void terminateProcess(int furtherSignals) throws IOException, InterruptedException {
     long begin = ledger.now();
     process.signal("TERM");
+    int signals = 0;
     while (ledger.now() - begin < KILL_DELAY_MILLIS && process.isAlive()) {
       boolean connectionsCome = ledger.now() - begin < NEW_CONNECTIONS_AFTER_TERM_MILLIS;
       if (connectionsCome || clients.hasOpenConnection()) {
         clients.sendRequestOnOpen(connectionsCome);
       }
+      if (signals < furtherSignals
+          && ledger.now() - begin > (signals + 1) * SIGNAL_INTERVAL_MILLIS) {
+        process.signal(signals++ % 2 == 0 ? "HUP" : "TERM");
+      }
       Thread.sleep(REQUEST_INTERVAL_MILLIS);
     }
     if (process.isAlive()) {
@@ -360,11 +451,17 @@
     process.awaitEnd(2000);
     // What the process wrote before its end is still read.
     Thread.sleep(100);
-    restart(ledger.now());
+    restart(ledger.now(), 0);
+  }
+
+  private void stopContention() {
+    contention.ifPresent(BusyProcesses::close);
+    contention = Optional.empty();
   }
 
   @Override
   public void close() throws IOException {
+    stopContention();
     clients.close();
     if (process != null) {
       process.close();
--- a/src/test/java/fordridge/faults/MachineListServer.java
+++ b/src/test/java/fordridge/faults/MachineListServer.java
@@ -38,7 +38,9 @@
         + machine.id()
         + "\",\"host_port\":\""
         + machine.hostAndPort()
-        + "\",\"locality\":\"z\",\"flavor\":\"k\",\"cell\":1,\"phase\":\""
+        + "\",\"locality\":\"z\",\"flavor\":\""
+        + machine.kind()
+        + "\",\"cell\":1,\"phase\":\""
         + phase
         + "\",\"size\":1,\"up_since_ms\":"
         + upSinceMillis
--- a/src/test/java/fordridge/faults/ObligationLedger.java
+++ b/src/test/java/fordridge/faults/ObligationLedger.java
@@ -92,6 +92,16 @@
     entries.put(id, entry);
   }
 
+  /** The client knows of a VM that was accepted before the rig began. */
+  synchronized void vmKnown(String id, String machine, boolean mayRunTwice) {
+    Entry entry = new Entry();
+    entry.mayRunTwice = mayRunTwice;
+    entry.isAnswered = true;
+    entry.isAccepted = true;
+    entry.machine = machine;
+    entries.put(id, entry);
+  }
+
   /** The request never got to the scheduler, or its connection crossed it: nothing is owed. */
   synchronized void requestNotTaken(String id) {
     Entry entry = entries.get(id);
--- a/src/test/java/fordridge/faults/ServeProcess.java
+++ b/src/test/java/fordridge/faults/ServeProcess.java
@@ -19,8 +19,13 @@
   private final List<String> log = new ArrayList<>();
   private final CountDownLatch listening = new CountDownLatch(1);
 
-  /** Starts a process with this configuration; it may not listen yet. */
-  ServeProcess(Path configuration, Optional<SystemCallShim> shim) throws IOException {
+  /**
+   * Starts a process with this configuration; it may not listen yet.
+   *
+   * @param commandPrefix a command that ends by becoming the one that follows it, or nothing
+   */
+  ServeProcess(Path configuration, Optional<SystemCallShim> shim, List<String> commandPrefix)
+      throws IOException {
     ProcessBuilder builder =
         new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -36,6 +41,7 @@
     if (Boolean.getBoolean("fordridge.faults.trace")) {
       builder.command().add(1, "-Dfordridge.trace=true");
     }
+    builder.command().addAll(0, commandPrefix);
     builder.redirectErrorStream(true);
     builder.environment().put("LB_CONFIG", configuration.toString());
     shim.ifPresent(each -> each.addTo(builder.environment()));
