--- a/src/main/java/fordridge/eventloop/EventLoopLagMonitor.java
+++ b/src/main/java/fordridge/eventloop/EventLoopLagMonitor.java
@@ -18,6 +18,9 @@
   private final Supplier<Duration> clock;
   private final EventLoopLag lag = new EventLoopLag(WINDOW);
 
+  /** When the next sample is due; 0 before the start. */
+  private long sampleDueNanos;
+
   /** Creates a monitor; the clock gives the time since the start. */
   public EventLoopLagMonitor(EventLoopTimers timers, Supplier<Duration> clock) {
     this.timers = timers;
@@ -29,18 +32,28 @@
    * as lag.
    */
   public void start() {
-    long dueNanos = System.nanoTime() + SAMPLE_INTERVAL.toNanos();
+    sampleDueNanos = System.nanoTime() + SAMPLE_INTERVAL.toNanos();
     timers.runAfter(
         SAMPLE_INTERVAL,
         () -> {
-          long lateNanos = Math.max(0, System.nanoTime() - dueNanos);
-          lag.seen(Duration.ofNanos(lateNanos), clock.get());
+          lag.seen(overdue(), clock.get());
           start();
         });
   }
 
-  /** How long a message may have waited to be read: the longest lag of the last window or two. */
+  /**
+   * How long a message may have waited to be read: the longest lag of the last window or two. What
+   * is read at the end of a long turn comes before the sample that would tell of it: so a sample
+   * that is overdue counts already.
+   */
   public Duration allowance(Duration at) {
-    return lag.allowance(at);
+    Duration seen = lag.allowance(at);
+    Duration overdue = overdue();
+    return overdue.compareTo(seen) > 0 ? overdue : seen;
+  }
+
+  private Duration overdue() {
+    long lateNanos = sampleDueNanos == 0 ? 0 : System.nanoTime() - sampleDueNanos;
+    return Duration.ofNanos(Math.max(0, lateNanos));
   }
 }
--- a/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
+++ b/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
@@ -27,9 +27,19 @@
     this.monitor = monitor;
   }
 
-  /** Handlers of {@code factory}, timed; for a group of one event loop. */
-  public static IoHandlerFactory newFactory(IoHandlerFactory factory, LoopTurnMonitor monitor) {
-    return executor -> new MonitoredIoHandler(factory.newHandler(executor), monitor);
+  /** Handlers of {@code factory}, timed and polled; for a group of one event loop. */
+  public static IoHandlerFactory newFactory(
+      IoHandlerFactory factory, LoopTurnMonitor monitor, SocketPoller poller) {
+    return executor -> {
+      MonitoredIoHandler handler = new MonitoredIoHandler(factory.newHandler(executor), monitor);
+      poller.attach(handler);
+      return handler;
+    };
+  }
+
+  /** Reads the sockets that are ready within a turn that has waited for them before. */
+  int readReady(IoHandlerContext nonBlocking) {
+    return handler.run(nonBlocking);
   }
 
   @Override
--- a/src/main/java/fordridge/json/AcceptRetryHandler.java
+++ b/src/main/java/fordridge/json/AcceptRetryHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.time.Duration;
+import java.util.function.IntConsumer;
 
 /**
  * Goes on accepting soon after the system could not accept a connection (out of descriptors or
@@ -16,10 +17,27 @@
   private static final Duration RETRY_DELAY = Duration.ofMillis(5);
 
   private final EventLoopTimers timers;
+  private final IntConsumer onCycleCompleted;
+  private int accepted;
   private long failureCount;
 
-  AcceptRetryHandler(EventLoopTimers timers) {
+  /** The consumer gets how many connections each cycle of accepting brought. */
+  AcceptRetryHandler(EventLoopTimers timers, IntConsumer onCycleCompleted) {
     this.timers = timers;
+    this.onCycleCompleted = onCycleCompleted;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object connection) {
+    accepted++;
+    ctx.fireChannelRead(connection);
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    onCycleCompleted.accept(accepted);
+    accepted = 0;
+    ctx.fireChannelReadComplete();
   }
 
   @Override
--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -4,6 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.time.Duration;
 import java.util.Map;
@@ -34,6 +36,29 @@
     this.server = server;
   }
 
+  /** Adds this connection to a channel's handlers, behind what watches its reads. */
+  void addWithReadProgressTo(ChannelPipeline pipeline) {
+    pipeline.addLast(new ReadProgress(isReadToEnd -> server.readCycleCompleted(this, isReadToEnd)));
+    addTo(pipeline);
+  }
+
+  /** Reads what has come by now, not only when the loop gets to this connection. */
+  void readNow() {
+    if (channel instanceof AbstractNioChannel nioChannel && channel.isActive() && isRead()) {
+      nioChannel.unsafe().read();
+    }
+  }
+
+  /** For how long it has had more input than could be read: what is read now came before. */
+  public Duration unreadFor() {
+    return server.unreadFor(this);
+  }
+
+  /** Whether what its client sends is still taken in. */
+  boolean isRead() {
+    return !isReadingStopped;
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -115,6 +140,7 @@
     if (!isReadingStopped && channel != null) {
       isReadingStopped = true;
       channel.config().setAutoRead(false);
+      server.readCycleCompleted(this, true);
       server.timers().runAfter(CLOSE_DELAY, () -> close(reason));
     }
   }
@@ -125,6 +151,7 @@
     if (channel instanceof SocketChannel socket && channel.isActive()) {
       isReadingStopped = true;
       channel.config().setAutoRead(false);
+      server.readCycleCompleted(this, true);
       socket.shutdownOutput();
     }
   }
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -8,22 +8,23 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * Accepts clients' connections and keeps them within bounds: one read of a few KiB from each per
- * turn of the loop, so that none is read at the others' cost; a number of connections; a time
- * without use. Confined to the event loop but for the construction and {@link #listen}.
+ * Accepts clients' connections and keeps them within bounds: some KiB are read from each per turn
+ * of the loop, so that none is read at the others' cost; a number of connections; a time without
+ * use. It tells whether anything is left unread. Confined to the event loop but for the
+ * construction and {@link #listen}.
  */
 public final class ClientServer {
   /**
@@ -33,7 +34,15 @@
 
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(250);
   private static final int ACCEPT_BACKLOG = 1024;
-  private static final int READ_BYTES_PER_TURN = 4096;
+
+  /** The default of the listening channel; a cycle with fewer has emptied the queue. */
+  private static final int MAX_ACCEPTS_PER_CYCLE = 16;
+
+  /**
+   * A connection that brings more than can be read for so long holds up the others no longer: what
+   * it sends is taken in as it is read.
+   */
+  private static final Duration MAX_UNREAD_TIME = Duration.ofSeconds(2);
 
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
@@ -42,6 +51,11 @@
   private int maxConnections;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
+  /** Connections whose last read cycle ended before their input did, and since when that is so. */
+  private final Map<ClientConnection, Long> unreadSinceNanos = new HashMap<>();
+
+  private boolean mayHoldUnaccepted;
+
   /** Connections with output that was written and not flushed yet. */
   private final Set<ClientConnection> unflushed = new LinkedHashSet<>();
 
@@ -58,7 +72,9 @@
     this.timers = timers;
     this.handler = handler;
     this.maxConnections = maxConnections;
-    acceptRetry = new AcceptRetryHandler(timers);
+    acceptRetry =
+        new AcceptRetryHandler(
+            timers, accepted -> mayHoldUnaccepted = accepted >= MAX_ACCEPTS_PER_CYCLE);
   }
 
   /** Starts to listen; the future completes once the address is bound. */
@@ -71,14 +87,13 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .handler(acceptRetry)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(
-                ChannelOption.RECVBUF_ALLOCATOR,
-                new FixedRecvByteBufAllocator(READ_BYTES_PER_TURN).maxMessagesPerRead(1))
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadProgress.newAllocator())
             .childHandler(
                 new ChannelInitializer<NioSocketChannel>() {
                   @Override
                   protected void initChannel(NioSocketChannel channel) {
-                    new ClientConnection(ClientServer.this).addTo(channel.pipeline());
+                    new ClientConnection(ClientServer.this)
+                        .addWithReadProgressTo(channel.pipeline());
                   }
                 });
     timers.runEvery(IDLE_CHECK_INTERVAL, this::closeIdleConnections);
@@ -111,6 +126,35 @@
     maxConnections = newMaxConnections;
   }
 
+  /** Whether connections may wait to be accepted, or input to be read, after the last pass. */
+  public boolean hasUnreadInput() {
+    if (mayHoldUnaccepted) {
+      return true;
+    }
+    long nowNanos = System.nanoTime();
+    for (long sinceNanos : unreadSinceNanos.values()) {
+      if (nowNanos - sinceNanos < MAX_UNREAD_TIME.toNanos()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** For how long the connection has had input that is not read yet. */
+  Duration unreadFor(ClientConnection connection) {
+    Long sinceNanos = unreadSinceNanos.get(connection);
+    return sinceNanos == null ? Duration.ZERO : Duration.ofNanos(System.nanoTime() - sinceNanos);
+  }
+
+  /** A connection was read, to its end or not; one that is not read any more holds up nothing. */
+  void readCycleCompleted(ClientConnection connection, boolean isReadToEnd) {
+    if (isReadToEnd || !connection.isRead() || !connections.contains(connection)) {
+      unreadSinceNanos.remove(connection);
+    } else {
+      unreadSinceNanos.putIfAbsent(connection, System.nanoTime());
+    }
+  }
+
   /** Whether any client has not taken in yet what was written to it. */
   public boolean hasPendingOutput() {
     for (ClientConnection connection : connections) {
@@ -176,6 +220,8 @@
 
   void connectionOpened(ClientConnection connection) {
     connections.add(connection);
+    // What it has sent already counts when it is chosen which connection is closed.
+    connection.readNow();
     // Ends with the newcomer: after a reload with a lower limit more may be in use than it allows.
     while (connections.size() > maxConnections && connections.contains(connection)) {
       makeRoomFor(connection);
@@ -184,6 +230,7 @@
 
   /** Passes on the first call for each connection. */
   void connectionClosed(ClientConnection connection, CloseReason reason) {
+    unreadSinceNanos.remove(connection);
     if (connections.remove(connection)) {
       closeCounts.merge(reason, 1L, Long::sum);
       handler.connectionClosed(connection);
@@ -225,16 +272,30 @@
         && !handler.isInUse(connection);
   }
 
-  /** Closes the connection that was idle longest; the newcomer itself if all others are in use. */
+  /**
+   * Closes the connection that was idle longest, unless it is found in use; the newcomer itself if
+   * all others are in use.
+   */
   private void makeRoomFor(ClientConnection newcomer) {
+    ClientConnection idlest = idlestBut(newcomer);
+    if (idlest != newcomer) {
+      // A handover may wait in its socket, and would be lost with it.
+      idlest.readNow();
+    }
+    if (idlest == newcomer || !handler.isInUse(idlest)) {
+      idlest.close(CloseReason.OVER_LIMIT);
+    }
+  }
+
+  private ClientConnection idlestBut(ClientConnection newcomer) {
     ClientConnection idlest = newcomer;
-    for (ClientConnection connection : new ArrayList<>(connections)) {
+    for (ClientConnection connection : connections) {
       if (connection != newcomer
           && !handler.isInUse(connection)
           && (idlest == newcomer || connection.lastUsedNanos() < idlest.lastUsedNanos())) {
         idlest = connection;
       }
     }
-    idlest.close(CloseReason.OVER_LIMIT);
+    return idlest;
   }
 }
--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -34,6 +34,9 @@
     /** The connection came up. */
     void connectionEstablished(MachineConnection connection);
 
+    /** What was written to the connection has gone out, after some of it had to wait. */
+    void connectionWritable(MachineConnection connection);
+
     /** The connection did not come up. */
     void connectionFailed(MachineConnection connection, ConnectFailure failure);
 
@@ -124,6 +127,16 @@
         });
   }
 
+  @Override
+  public boolean isConnected(MachineConnection connection) {
+    return handler(connection).isConnected();
+  }
+
+  @Override
+  public boolean isWritable(MachineConnection connection) {
+    return handler(connection).isWritable();
+  }
+
   @Override
   public boolean failedLocally(MachineConnection connection) {
     return handler(connection).failedLocally();
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -7,7 +7,9 @@
 import fordridge.machine.VmTermination;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import java.time.Duration;
 import java.util.HashMap;
@@ -81,6 +83,16 @@
     channel = newChannel;
   }
 
+  boolean isConnected() {
+    return state == State.ESTABLISHED && channel.isActive();
+  }
+
+  /** Whether nothing that was written waits to go out. */
+  boolean isWritable() {
+    ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+    return isConnected() && pending != null && pending.totalPendingWriteBytes() == 0;
+  }
+
   boolean isConnecting() {
     return state == State.CONNECTING;
   }
@@ -170,11 +182,19 @@
   // Messages
 
   /** Writes a message, unless the connection is closed or being closed. */
-  @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
+  @SuppressWarnings("FutureReturnValueIgnored") // addListener returns the future it is called on.
   void write(String type, String id, int code, String description, String... fields) {
     if (channel.isActive() && state != State.DRAINING) {
-      channel.writeAndFlush(
-          LineCodec.encode(channel, type, id, code, description, fields), channel.voidPromise());
+      ChannelFuture written =
+          channel.writeAndFlush(LineCodec.encode(channel, type, id, code, description, fields));
+      if (!written.isDone()) {
+        written.addListener(
+            result -> {
+              if (result.isSuccess()) {
+                listener.connectionWritable(connection);
+              }
+            });
+      }
     }
   }
 
--- a/src/main/java/fordridge/machine/AttemptListener.java
+++ b/src/main/java/fordridge/machine/AttemptListener.java
@@ -11,6 +11,12 @@
  * methods are called on the thread that calls the pool or stream.
  */
 public interface AttemptListener {
+  /**
+   * The first byte of the offer could be written at this instant: whether the attempt may still go,
+   * by all that is known by now. If not, it ends as one that was not sent.
+   */
+  boolean confirmSend(PlacementAttempt attempt);
+
   /** The attempt has its outcome; called at most once for each attempt. */
   void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason);
 
--- a/src/main/java/fordridge/machine/ExecutionEvidence.java
+++ b/src/main/java/fordridge/machine/ExecutionEvidence.java
@@ -30,6 +30,11 @@
     return outcomeOnFailure;
   }
 
+  /** Whether its VM may run on although nothing more will be heard of it. */
+  boolean mayStillRun() {
+    return this == MAY_HAVE_RUN || this == RUNNING;
+  }
+
   /** The outcome of the attempt if the scheduler cancels it for the given reason. */
   Outcome outcomeOnCancel(Outcome reason) {
     return this == NEVER_SENT || this == NOT_ATTEMPTED ? outcomeOnFailure : reason;
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -3,7 +3,6 @@
 import fordridge.model.PlacementAttempt;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -76,11 +75,6 @@
     return state == State.OPENING && now.compareTo(connectBy) >= 0;
   }
 
-  /** What is known of the execution of the attempts whose requests it carries. */
-  ExecutionEvidence evidence() {
-    return state == State.OPENING ? ExecutionEvidence.NEVER_SENT : ExecutionEvidence.MAY_HAVE_RUN;
-  }
-
   // Transitions
 
   void established(Duration now) {
@@ -119,8 +113,15 @@
     return Optional.ofNullable(placementRequests.remove(vmId));
   }
 
-  Collection<PlacementRequest> placementRequests() {
-    return List.copyOf(placementRequests.values());
+  /** Those of which nothing was written yet, in the order in which they came. */
+  List<PlacementRequest> unsentRequests() {
+    List<PlacementRequest> unsent = new ArrayList<>();
+    for (PlacementRequest request : placementRequests.values()) {
+      if (!request.isSent()) {
+        unsent.add(request);
+      }
+    }
+    return unsent;
   }
 
   /** Removes all placement requests, in the order in which they came. */
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -39,6 +39,9 @@
     /** The machine accepted the VM; the description is the one that the machine gave for it. */
     void attemptAccepted(PlacementAttempt attempt, String description);
 
+    /** The machine said that a VM is over which is not known to run there. */
+    void unknownVmEnded(String vmId, Machine machine);
+
     /**
      * The VM ran on the machine and is over there, and the answer to its placement request never
      * came: it must not be placed again, and its client has to be notified at once that it failed.
@@ -109,11 +112,8 @@
       end(attempt, Outcome.NOT_SENT);
       return;
     }
-    PlacementRequest request = new PlacementRequest(attempt, now.plus(timeLeft));
-    connection.get().add(request);
-    if (connection.get().isOpen()) {
-      send(connection.get(), request, now);
-    }
+    connection.get().add(new PlacementRequest(attempt, now.plus(timeLeft)));
+    sendWaiting(connection.get(), now);
   }
 
   /**
@@ -187,7 +187,7 @@
   public void vmLost(String vmId) {
     runningVms
         .remove(vmId)
-        .ifPresent(attempt -> end(attempt, ExecutionEvidence.RUNNING.outcomeOnFailure()));
+        .ifPresent(attempt -> endWithoutWord(attempt, ExecutionEvidence.RUNNING));
   }
 
   // Events of the connections
@@ -199,7 +199,7 @@
     }
     messageReceived(now);
     connection.established(now);
-    connection.placementRequests().forEach(request -> send(connection, request, now));
+    sendWaiting(connection, now);
     // Repeats what was said on a connection that broke, or on none; the machine ignores it if it
     // knows.
     runningVms.terminating().forEach(vmId -> transport.terminate(connection, vmId));
@@ -208,6 +208,11 @@
     }
   }
 
+  /** What was written to the connection has gone out. */
+  public void connectionWritable(MachineConnection connection, Duration now) {
+    sendWaiting(connection, now);
+  }
+
   /** Anything at all came from the machine, whatever it says. */
   public void messageReceived(Duration now) {
     liveness.messageReceived(now);
@@ -220,9 +225,10 @@
     }
     connection.closed();
     liveness.connectFailed(failure);
-    boolean isLocal = failure == ConnectFailure.LOCAL;
-    endRequests(
-        connection, isLocal ? ExecutionEvidence.NOT_ATTEMPTED : ExecutionEvidence.NEVER_SENT);
+    if (failure == ConnectFailure.LOCAL) {
+      withdrawUnsentRequests(connection);
+    }
+    endRequests(connection);
     failProbe(connection, now);
     if (liveness.hasFailed(timeouts, now)) {
       machineFailed(now);
@@ -237,9 +243,8 @@
     if (!connections.remove(connection)) {
       return;
     }
-    ExecutionEvidence evidence = connection.evidence();
     connection.closed();
-    endRequests(connection, evidence);
+    endRequests(connection);
     failProbe(connection, now);
   }
 
@@ -286,7 +291,9 @@
     Outcome outcome = termination.outcomeIfRunning().orElseThrow();
     runningVms
         .terminated(termination, now)
-        .ifPresent(attempt -> listener.attemptEnded(attempt, outcome, termination.reason()));
+        .ifPresentOrElse(
+            attempt -> listener.attemptEnded(attempt, outcome, termination.reason()),
+            () -> listener.unknownVmEnded(termination.vmId(), machine));
   }
 
   /** The machine answered a health check. */
@@ -308,7 +315,7 @@
    */
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
-    runningVms.takeUnconfirmed(now).forEach(attempt -> end(attempt, Outcome.CANCELLED));
+    runningVms.takeUnconfirmed(now).forEach(this::endUnconfirmed);
     needsConnection = isConnectionNeeded(now);
   }
 
@@ -351,7 +358,7 @@
   private void applyConnectionTimeouts(Duration now) {
     boolean idleConnectionKept = false;
     for (MachineConnection connection : connections.all()) {
-      if (connection.hasConnectTimedOut(now)) {
+      if (connection.hasConnectTimedOut(now) && !transport.isConnected(connection)) {
         boolean isLocal = transport.failedLocally(connection);
         transport.close(connection);
         connectionFailed(
@@ -391,7 +398,7 @@
   /** The process is gone or can't be reached: nothing that it held is waited for. */
   private void machineFailed(Duration now) {
     for (MachineConnection connection : connections.all()) {
-      endRequests(connection, connection.evidence());
+      endRequests(connection);
       close(connection, now);
     }
     for (PlacementAttempt attempt : runningVms.all()) {
@@ -400,13 +407,20 @@
   }
 
   private void withdrawUnsentRequests() {
-    for (MachineConnection connection : connections.all()) {
-      if (connection.isOpening()) {
-        endRequests(connection, ExecutionEvidence.NOT_ATTEMPTED);
-      }
+    connections.all().forEach(this::withdrawUnsentRequests);
+  }
+
+  private void withdrawUnsentRequests(MachineConnection connection) {
+    for (PlacementRequest request : connection.unsentRequests()) {
+      withdraw(connection, request);
     }
   }
 
+  private void withdraw(MachineConnection connection, PlacementRequest request) {
+    connection.remove(request.attempt().vm.id);
+    end(request.attempt(), ExecutionEvidence.NOT_ATTEMPTED.outcomeOnFailure());
+  }
+
   /**
    * Finds an idle connection that is known to be good; else opens a new one; else, if none can be
    * opened, takes the open one that carries least. For an idempotent use a connection is good for
@@ -436,25 +450,42 @@
     return now.minus(connection.lastUsedAt()).compareTo(span) >= 0;
   }
 
+  /**
+   * Sends what waits on the connection, as far as its first byte goes out at once. What was decided
+   * earlier is confirmed at this instant: an offer can't be taken back.
+   */
+  private void sendWaiting(MachineConnection connection, Duration now) {
+    for (PlacementRequest request : connection.unsentRequests()) {
+      if (!connection.isOpen() || !transport.isWritable(connection)) {
+        return;
+      }
+      if (listener.confirmSend(request.attempt())) {
+        send(connection, request, now);
+      } else {
+        withdraw(connection, request);
+      }
+    }
+  }
+
   private void send(MachineConnection connection, PlacementRequest request, Duration now) {
     connection.used(now);
+    request.markSent();
     transport.requestPlacement(connection, request.attempt(), request.answerBy().minus(now));
   }
 
   private void cancelOn(MachineConnection carrier, PlacementAttempt attempt, Outcome outcome) {
-    carrier.remove(attempt.vm.id);
-    ExecutionEvidence evidence = carrier.evidence();
-    if (evidence != ExecutionEvidence.NEVER_SENT) {
+    PlacementRequest request = carrier.remove(attempt.vm.id).orElseThrow();
+    if (request.isSent()) {
       transport.cancel(carrier, attempt.vm.id);
       carrier.retire();
     }
     closeIfRetired(carrier);
-    end(attempt, evidence.outcomeOnCancel(outcome));
+    end(attempt, request.evidence().outcomeOnCancel(outcome));
   }
 
-  private void endRequests(MachineConnection connection, ExecutionEvidence evidence) {
+  private void endRequests(MachineConnection connection) {
     for (PlacementRequest request : connection.takePlacementRequests()) {
-      end(request.attempt(), evidence.outcomeOnFailure());
+      endWithoutWord(request.attempt(), request.evidence());
     }
   }
 
@@ -469,6 +500,18 @@
     }
   }
 
+  /** It failed, and the machine has not said what became of it. */
+  private void endWithoutWord(PlacementAttempt attempt, ExecutionEvidence evidence) {
+    attempt.mayStillRun = evidence.mayStillRun();
+    end(attempt, evidence.outcomeOnFailure());
+  }
+
+  /** The machine has not confirmed its termination, and may never have heard of it. */
+  private void endUnconfirmed(PlacementAttempt attempt) {
+    attempt.mayStillRun = true;
+    end(attempt, Outcome.CANCELLED);
+  }
+
   private void end(PlacementAttempt attempt, Outcome outcome) {
     listener.attemptEnded(attempt, outcome, OutcomeReason.UNSPECIFIED);
   }
--- a/src/main/java/fordridge/machine/MachineTransport.java
+++ b/src/main/java/fordridge/machine/MachineTransport.java
@@ -11,6 +11,14 @@
   /** Starts to connect; the outcome is reported to the pool later. */
   void open(MachineConnection connection);
 
+  /** Whether the connection is up, which the pool may not have been told yet. */
+  boolean isConnected(MachineConnection connection);
+
+  /**
+   * Whether the next byte that is written goes out at once. If not, the pool is told once it does.
+   */
+  boolean isWritable(MachineConnection connection);
+
   /** Whether a connection that did not come up yet was kept from it on the scheduler's own host. */
   boolean failedLocally(MachineConnection connection);
 
--- a/src/main/java/fordridge/machine/PlacementRequest.java
+++ b/src/main/java/fordridge/machine/PlacementRequest.java
@@ -7,6 +7,7 @@
 final class PlacementRequest {
   private final PlacementAttempt attempt;
   private final Duration answerBy;
+  private boolean sent;
   private boolean reportedRunning;
 
   PlacementRequest(PlacementAttempt attempt, Duration answerBy) {
@@ -23,6 +24,20 @@
     return answerBy;
   }
 
+  /** Whether its first byte was written. */
+  boolean isSent() {
+    return sent;
+  }
+
+  void markSent() {
+    sent = true;
+  }
+
+  /** What is known of its execution while it has no answer. */
+  ExecutionEvidence evidence() {
+    return sent ? ExecutionEvidence.MAY_HAVE_RUN : ExecutionEvidence.NEVER_SENT;
+  }
+
   /**
    * Whether the machine has sent something that it sends only for a VM that runs, although its
    * answer is still outstanding.
--- a/src/main/java/fordridge/machine/StreamAttempts.java
+++ b/src/main/java/fordridge/machine/StreamAttempts.java
@@ -71,10 +71,19 @@
     attemptsById.put(entry.id(), entry);
   }
 
-  /** Offers what waits, as far as the transport takes it; the stream is established. */
+  /**
+   * Offers what waits, as far as the transport takes it; the stream is established. What was
+   * decided earlier is confirmed at this instant: an offer can't be taken back.
+   */
   void writeQueued(Duration now) {
     while (!queue.isEmpty() && transport.isReady()) {
-      StreamAttempt entry = queue.removeFirst();
+      StreamAttempt entry = queue.getFirst();
+      if (!listener.confirmSend(entry.attempt())) {
+        remove(entry);
+        end(entry, Outcome.NOT_SENT);
+        continue;
+      }
+      queue.removeFirst();
       entry.sent();
       Duration timeLeft = entry.answerBy().minus(now);
       transport.offer(
@@ -239,6 +248,7 @@
   private void sentWhenConnectionLost(StreamAttempt entry, Duration now) {
     if (entry.isIdempotent()) {
       entry.cancelled();
+      entry.attempt().mayStillRun = true;
       end(entry, ExecutionEvidence.MAY_HAVE_RUN.outcomeOnFailure());
     } else {
       Duration resumeBy = now.plus(settings.resumeTimeout());
@@ -251,6 +261,7 @@
     for (StreamAttempt entry : List.copyOf(attemptsById.values())) {
       if (entry.isConfirmationOverdue(now)) {
         entry.cancelled();
+        entry.attempt().mayStillRun = true;
         end(entry, ExecutionEvidence.MAY_HAVE_RUN.outcomeOnFailure());
       }
     }
--- a/src/main/java/fordridge/model/PlacementAttempt.java
+++ b/src/main/java/fordridge/model/PlacementAttempt.java
@@ -58,6 +58,9 @@
   /** How long its response is waited for. */
   public Duration timeout = Duration.ZERO;
 
+  /** When it was last counted against the quota of a machine in slow start, or null. */
+  public Duration slowStartCountedAt;
+
   public Duration acceptedAt;
 
   /** When the VM was reported to run. */
@@ -66,6 +69,12 @@
   /** Whether the machine had the program of the VM's service when it was sent. */
   public boolean isWarmStart;
 
+  /**
+   * Whether it ended by a conclusion of this scheduler, without a word of its machine: its VM may
+   * run there all the same.
+   */
+  public boolean mayStillRun;
+
   /** Null while in flight or running. */
   public Outcome outcome;
 
--- a/src/main/java/fordridge/model/SlidingWindow.java
+++ b/src/main/java/fordridge/model/SlidingWindow.java
@@ -13,6 +13,11 @@
     times.addLast(time);
   }
 
+  /** Removes one event of that time, if there is one. */
+  public void remove(Duration time) {
+    times.removeFirstOccurrence(time);
+  }
+
   /** How many events lie less than a span back; older ones are forgotten. */
   public int count(Duration now, Duration span) {
     while (!times.isEmpty() && times.peekFirst().plus(span).compareTo(now) <= 0) {
--- a/src/main/java/fordridge/scheduling/RetryPolicy.java
+++ b/src/main/java/fordridge/scheduling/RetryPolicy.java
@@ -1,5 +1,6 @@
 package fordridge.scheduling;
 
+import static fordridge.model.Durations.max;
 import static fordridge.model.Durations.min;
 import static fordridge.model.Durations.ofSeconds;
 import static fordridge.model.Durations.scale;
@@ -15,6 +16,12 @@
 /** Decides how long an attempt may take, where a VM may be tried again, and when it is given up. */
 record RetryPolicy(SchedulerState state) {
   static final int DEFAULT_MAX_ATTEMPTS = 4;
+
+  /** How long a VM is taken to run of which nothing is heard: some lifetimes, and at least this. */
+  private static final Duration MIN_TIME_COUNTED = Duration.ofSeconds(60);
+
+  private static final double LIFETIMES_COUNTED = 10;
+  private static final Duration NOT_SENT_RETRY_DELAY = Duration.ofMillis(20);
   static final Duration DEFAULT_START_OBJECTIVE = Duration.ofSeconds(1);
   static final Duration DEFAULT_START_DEADLINE = Duration.ofSeconds(5);
 
@@ -33,22 +40,56 @@
   boolean allowsMachine(Vm vm, PriorityClass settings, Machine machine) {
     PlacementAttempt ran = vm.firstThatMayHaveRun();
     if (ran == null || settings.isIdempotent()) {
-      return vm.lastAttempt() == null || vm.lastAttempt().machine != machine;
+      return excludedMachine(vm) != machine;
     }
-    return !settings.isNonIdempotent()
-        && !state.isPast(ran.sentAt.plus(settings.deduplicationWindow()))
+    return isDeduplicated(ran, settings)
         && vm.mayHaveRunOnlyNear(machine, settings.idempotencyScope());
   }
 
+  /**
+   * The machine of the last attempt, or null: another is tried next. One that was not sent says
+   * nothing of its machine, which may well be the only one that will do.
+   */
+  Machine excludedMachine(Vm vm) {
+    PlacementAttempt last = vm.lastAttempt();
+    return last == null || last.outcome == PlacementAttempt.Outcome.NOT_SENT ? null : last.machine;
+  }
+
+  /** Whether an attempt that was decided earlier may still be sent after those before it. */
+  boolean allowsResend(PlacementAttempt attempt) {
+    PriorityClass settings = state.settingsOf(attempt.vm);
+    PlacementAttempt ran = attempt.vm.firstThatMayHaveRunBefore(attempt.number);
+    return ran == null || settings.isIdempotent() || isDeduplicated(ran, settings);
+  }
+
+  private boolean isDeduplicated(PlacementAttempt ran, PriorityClass settings) {
+    return !settings.isNonIdempotent()
+        && !state.isPast(ran.sentAt.plus(settings.deduplicationWindow()));
+  }
+
+  /** What could not be sent a moment ago can't be sent at once either, as a rule. */
+  boolean waitsAfterNotSent(Vm vm) {
+    PlacementAttempt last = vm.lastAttempt();
+    return last != null
+        && last.outcome == PlacementAttempt.Outcome.NOT_SENT
+        && state.isWithin(NOT_SENT_RETRY_DELAY, last.sentAt);
+  }
+
   /** The last attempt waits after a rejection: at once, all would be decided by one old list. */
   boolean waitsForNewList(Vm vm) {
     PlacementAttempt last = vm.lastAttempt();
     return last != null
         && last.outcome == PlacementAttempt.Outcome.FULL
-        && vm.attempts.size() + 1 >= state.settings.attempts().maxAttempts()
+        && vm.sentAttempts() + 1 >= state.settings.attempts().maxAttempts()
         && state.isWithin(state.detectionTimeouts(1.0 / 6), last.sentAt);
   }
 
+  /** How long a VM is taken to run whose attempt ended without a word of its machine. */
+  Duration mayRunFor(Vm vm) {
+    double lifetimes = LIFETIMES_COUNTED * state.classOf(vm).lifetimeSeconds.value();
+    return max(ofSeconds(lifetimes), MIN_TIME_COUNTED);
+  }
+
   /** Whether a rejection is true: requesting the VM again does not run it a second time. */
   boolean mayReject(Vm vm) {
     PriorityClass settings = state.settingsOf(vm);
@@ -59,7 +100,7 @@
   /** When no attempt is allowed any more, or the VM was pending for as long as VMs may be. */
   Duration giveUpAt(Vm vm) {
     PriorityClass settings = state.settingsOf(vm);
-    if (state.isStopping || vm.attempts.size() >= state.settings.attempts().maxAttempts()) {
+    if (state.isStopping || vm.sentAttempts() >= state.settings.attempts().maxAttempts()) {
       return Duration.ZERO;
     }
     Duration latest = vm.arrivedAt.plus(scale(vm.deadline.minus(vm.arrivedAt), 7.0 / 8));
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -41,6 +41,7 @@
   private final CapacityModel capacity = new CapacityModel(state, state.usage);
   private final HealthChecker health;
   private final OutlierDetector outliers;
+  private final CandidateFilter candidates;
   private final MachineSelector selector;
   private final RuleList rules;
 
@@ -49,7 +50,7 @@
     this.actions = actions;
     health = new HealthChecker(state, actions);
     outliers = new OutlierDetector(state, health);
-    var candidates = new CandidateFilter(state, actions, retries, slowStart, outliers);
+    candidates = new CandidateFilter(state, actions, retries, slowStart, outliers);
     selector = new MachineSelector(state, actions, capacity, candidates, outliers);
     rules =
         new RuleList(
@@ -57,8 +58,10 @@
             new Rule(state::needsMachineList, this::watchMachineList),
             new Rule(state::mustDropPending, () -> giveUp(state.pending.takeFirst())),
             // What can be placed is placed before anything is given up.
-            new Rule(() -> !state.untried.isEmpty(), () -> placeOrHold(state.untried.remove())),
-            new Rule(state::mayPlacePending, this::tryPending),
+            new Rule(
+                () -> !state.untried.isEmpty() && actions.isInputRead(),
+                () -> placeOrHold(state.untried.remove())),
+            new Rule(() -> state.mayPlacePending() && actions.isInputRead(), this::tryPending),
             new Rule(() -> state.isPast(state.nextProbeAt), health::probeStalest),
             new Rule(state::needsTimer, this::setTimer));
   }
@@ -128,6 +131,19 @@
     rules.apply();
   }
 
+  /** All that peers had sent is taken in: what waits for a decision is decided. */
+  public void inputRead() {
+    rules.apply();
+  }
+
+  /**
+   * The first byte of an offer could be written now: whether the attempt may still go, by all that
+   * is known by now. If so, it counts as sent at this instant; if not, it has to end as not sent.
+   */
+  public boolean confirmSend(PlacementAttempt attempt) {
+    return candidates.mayStillSend(attempt) && slowStart.confirmSend(attempt);
+  }
+
   /** A VM that runs already counts as placed by this scheduler. */
   public void vmAdopted(Vm vm, Machine machine) {
     state.addHosted(PlacementAttempt.adopted(vm, machine, state.now));
@@ -190,7 +206,7 @@
   public void attemptEnded(
       PlacementAttempt attempt, Outcome outcome, OutcomeReason reason, boolean isFinal) {
     Vm vm = attempt.vm;
-    state.attemptEnded(attempt, outcome);
+    state.attemptEnded(attempt, outcome, state.now.plus(retries.mayRunFor(vm)));
     if (attempt.wasAccepted() && outcome == Outcome.DONE) {
       state.classOf(vm).lifetimeSeconds.add(state.secondsSince(attempt.acceptedAt));
     }
@@ -203,6 +219,12 @@
     capacityMayHaveGrown();
   }
 
+  /** A machine said of a VM whose attempt had ended without its word that it runs no longer. */
+  public void endConfirmed(String vmId, Machine machine) {
+    state.endConfirmed(vmId, machine);
+    capacityMayHaveGrown();
+  }
+
   /** A machine reported its load; null where capacity changed at large. */
   public void loadReported(Machine machine) {
     health.loadReported(machine);
@@ -306,7 +328,7 @@
   }
 
   private Machine select(Vm vm) {
-    if (retries.waitsForNewList(vm) || !isMachineListCurrent()) {
+    if (retries.waitsForNewList(vm) || retries.waitsAfterNotSent(vm) || !isMachineListCurrent()) {
       return null;
     }
     if (!state.now.equals(state.meansRefreshedAt)) {
@@ -328,9 +350,7 @@
     attempt.isWarmStart = selector.hasProgram(attempt.machine, attempt.vm.service);
     attempt.timeout = retries.timeout(attempt);
     state.attemptSent(attempt);
-    if (slowStart.isWarmingUp(attempt.machine)) {
-      attempt.machine.slowStartAttempts.add(state.now);
-    }
+    slowStart.attemptSent(attempt);
     actions.sendAttempt(attempt, attempt.timeout);
   }
 
@@ -349,7 +369,7 @@
     // run,
     // earlier machines bind the choice: such a VM has a shape of its own.
     boolean isBound = !settings.isIdempotent() && vm.firstThatMayHaveRun() != null;
-    Object boundTo = isBound ? vm : vm.lastAttempt() == null ? null : vm.lastAttempt().machine;
+    Object boundTo = isBound ? vm : retries.excludedMachine(vm);
     boolean isAnyService = settings.isSpreadUnlimited() && !actions.isConstrained(vm);
     var shape = PendingQueue.Shape.of(vm, isAnyService ? 0 : vm.service, boundTo, isLate);
     state.pending.add(vm, rank, shape, isLate ? giveUpAt : min(inTime, giveUpAt));
@@ -357,15 +377,25 @@
 
   /**
    * Once an instant: what is due first, then each group through its oldest VM, by rank and age, as
-   * long as its VMs find capacity. So the work grows with the number of shapes, not of VMs.
+   * long as its VMs find capacity. So the work grows with the number of shapes, not of VMs. Where
+   * input has to be read in between, it goes on behind the last group that was tried.
    */
   private void tryPending() {
     state.pendingTried();
     state.pending.takeAllDue(state.now, this::hold);
-    for (Vm vm = state.pending.next(null); vm != null; vm = state.pending.next(vm)) {
+    Vm vm = state.pending.next(state.lastPendingTried);
+    while (vm != null && actions.isInputRead()) {
       if (!state.unplaceable.covers(vm) && place(vm)) {
         state.pending.remove(vm);
       }
+      state.lastPendingTried = vm;
+      vm = state.pending.next(vm);
+    }
+    if (vm == null) {
+      state.lastPendingTried = null;
+    } else {
+      // The rest has its turn once the input is read again.
+      state.capacityMayHaveGrown();
     }
   }
 
--- a/src/main/java/fordridge/scheduling/SchedulerActions.java
+++ b/src/main/java/fordridge/scheduling/SchedulerActions.java
@@ -13,6 +13,14 @@
  * returns.
  */
 public interface SchedulerActions {
+  /**
+   * Whether all that peers had sent a moment ago has been taken in, so that a decision may be made
+   * now. Where that is not so, {@link Scheduler#inputRead} is to be called once it is.
+   */
+  default boolean isInputRead() {
+    return true;
+  }
+
   /** Offers the attempt's VM to its machine; a timeout of zero waits until the client leaves. */
   void sendAttempt(PlacementAttempt attempt, Duration timeout);
 
--- a/src/main/java/fordridge/scheduling/SlowStart.java
+++ b/src/main/java/fordridge/scheduling/SlowStart.java
@@ -3,6 +3,7 @@
 import static fordridge.model.Durations.toSeconds;
 
 import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
 import fordridge.model.SchedulerState;
 import java.time.Duration;
 
@@ -18,6 +19,34 @@
     return machine.startedAt != null && state.isWithin(warmUpTime, machine.startedAt);
   }
 
+  /** The attempt was decided: it takes its place in the quota from now on. */
+  void attemptSent(PlacementAttempt attempt) {
+    if (isWarmingUp(attempt.machine)) {
+      attempt.machine.slowStartAttempts.add(state.now);
+      attempt.slowStartCountedAt = state.now;
+    }
+  }
+
+  /**
+   * Whether the attempt may be sent now, by the quota of now; if so it counts as sent at this
+   * instant, and no longer as when it was decided: what waited for a connection falls on the
+   * machine together with what is sent by now.
+   */
+  boolean confirmSend(PlacementAttempt attempt) {
+    if (!isWarmingUp(attempt.machine) || state.now.equals(attempt.slowStartCountedAt)) {
+      return true;
+    }
+    if (attempt.slowStartCountedAt != null) {
+      attempt.machine.slowStartAttempts.remove(attempt.slowStartCountedAt);
+      attempt.slowStartCountedAt = null;
+    }
+    if (!allowsAttempt(attempt.machine)) {
+      return false;
+    }
+    attemptSent(attempt);
+    return true;
+  }
+
   /**
    * Where the quota is under one attempt in a span, schedulers take turns by position, at each
    * machine at another time: else, after an outage, a scheduler's turn comes everywhere at once.
--- a/src/main/java/fordridge/server/grpc/AttemptTracker.java
+++ b/src/main/java/fordridge/server/grpc/AttemptTracker.java
@@ -42,6 +42,11 @@
     context.machines.get(attempt.machine).stream().terminate(attempt, context.loop.now());
   }
 
+  @Override
+  public boolean confirmSend(PlacementAttempt attempt) {
+    return context.scheduler.inputs().scheduler.confirmSend(attempt);
+  }
+
   @Override
   public void attemptAccepted(PlacementAttempt attempt, boolean isRunning) {
     context.loop.processBehind(
@@ -140,6 +145,7 @@
         () -> {
           if (!attempt.isInFlight()) {
             context.constraints.attemptReleased(attempt);
+            context.scheduler.inputs().scheduler.endConfirmed(attempt.vm.id, attempt.machine);
             String machine = context.machines.nameOf(attempt.machine);
             context.scheduler.loadReported(attempt.machine, machine);
           }
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -49,6 +49,11 @@
     this.machines = machines;
   }
 
+  @Override
+  public boolean confirmSend(PlacementAttempt attempt) {
+    return inputs.scheduler.confirmSend(attempt);
+  }
+
   @Override
   public void attemptAccepted(PlacementAttempt attempt, String description) {
     loop.enterBehind(
@@ -89,6 +94,11 @@
         });
   }
 
+  @Override
+  public void unknownVmEnded(String vmId, Machine machine) {
+    loop.enterBehind(() -> inputs.scheduler.endConfirmed(vmId, machine));
+  }
+
   @Override
   public void attemptEndedUnanswered(
       PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -94,7 +94,8 @@
 
   private void receive(ClientConnection connection, ClientRequest request)
       throws InvalidRequestException {
-    Vm vm = validator.validate(request, loop.now(), loop.lag(loop.now()));
+    Duration unread = loop.lag(loop.now()).plus(connection.unreadFor());
+    Vm vm = validator.validate(request, loop.now(), unread);
     String runningAt = request.extra("at");
     if (runningAt != null) {
       adopt(connection, vm, runningAt);
--- a/src/main/java/fordridge/server/json/JsonSchedulerActions.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerActions.java
@@ -19,6 +19,7 @@
  */
 final class JsonSchedulerActions implements SchedulerActions {
   private final SchedulerEventLoop loop;
+  private final InputGate gate;
   private final ClientResponder clients;
   private final RequestLog requestLog;
   private final Consumer<String> log;
@@ -29,11 +30,13 @@
 
   JsonSchedulerActions(
       SchedulerEventLoop loop,
+      InputGate gate,
       ClientResponder clients,
       ServerSettings settings,
       RequestLog requestLog,
       Consumer<String> log) {
     this.loop = loop;
+    this.gate = gate;
     this.clients = clients;
     this.settings = settings;
     this.requestLog = requestLog;
@@ -52,10 +55,15 @@
     settings = newSettings;
   }
 
+  @Override
+  public boolean isInputRead() {
+    return gate.mayDecide();
+  }
+
   @Override
   public void sendAttempt(PlacementAttempt attempt, Duration within) {
-    loop.enterBehindReads(InputKind.OFFER, () -> offer(attempt, within));
-    loop.enterAfter(
+    gate.enterWhenRead(InputKind.OFFER, () -> offer(attempt, within));
+    loop.enterBehindReadsAfter(
         within, InputKind.ATTEMPT_TIMEOUT, () -> cancelIfPending(attempt, Outcome.TIMEOUT));
   }
 
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -1,6 +1,7 @@
 package fordridge.server.json;
 
 import fordridge.eventloop.EventLoopTimers;
+import fordridge.eventloop.SocketPoller;
 import fordridge.json.ClientConnection;
 import fordridge.json.ClientRequestHandler;
 import fordridge.json.ClientServer;
@@ -37,6 +38,7 @@
 
   private final EventLoopTimers timers;
   private final SchedulerEventLoop loop;
+  private final InputGate gate;
   private final PendingResponses<ClientConnection> pendingResponses =
       new PendingResponses<>(MAX_PENDING_REQUESTS, MAX_NOTICES, NOTICE_LIFETIME);
   private final ClientResponder clients = new ClientResponder(pendingResponses);
@@ -54,6 +56,7 @@
   JsonSchedulerServer(
       EventLoopGroup group,
       EventLoopTimers timers,
+      SocketPoller poller,
       ServerConfiguration configuration,
       InputStatistics inputStatistics,
       Consumer<String> log) {
@@ -63,7 +66,8 @@
     long startedAtEpochMillis = System.currentTimeMillis();
     requestLog = new RequestLog(log);
     loop = new SchedulerEventLoop(group.next(), timers, inputStatistics, log);
-    actions = new JsonSchedulerActions(loop, clients, settings, requestLog, log);
+    gate = new InputGate(loop, timers, poller);
+    actions = new JsonSchedulerActions(loop, gate, clients, settings, requestLog, log);
     inputs = new SchedulerInputs<>(actions, SchedulerInputs::number);
     requests = new ActiveRequests(loop, inputs);
     outcomes =
@@ -72,6 +76,7 @@
         new MachineRegistry(
             group,
             loop,
+            gate,
             inputs,
             requests,
             requestLog,
@@ -83,6 +88,7 @@
         new ClientRequestIntake(
             loop, inputs, settings, pendingResponses, clients, requests, machines, requestLog, log);
     loop.attach(inputs.scheduler);
+    gate.attach(inputs.scheduler::inputRead);
     actions.attach(inputs, machines, requests);
     outcomes.attach(machines);
   }
@@ -101,6 +107,7 @@
   void start(ClientServer newClientServer) {
     clientServer = newClientServer;
     loop.setClients(newClientServer);
+    gate.setClients(newClientServer);
     loop.enter(
         InputKind.START,
         () -> inputs.scheduler.start(configuration.seed(), configuration.schedulerSettings()));
@@ -108,7 +115,8 @@
       machineList.machineListChanged(event);
     }
     machineList.markWatching();
-    timers.runEvery(TICK_INTERVAL, () -> loop.enter(InputKind.TICK, this::tick));
+    timers.runEvery(
+        TICK_INTERVAL, () -> loop.enterBehindReadsAfter(Duration.ZERO, InputKind.TICK, this::tick));
     loop.startLagMonitor();
     intake.markReady();
   }
@@ -161,6 +169,10 @@
     return configuration.serverSettings().maxStartDeadline();
   }
 
+  int machineConnectionCount() {
+    return machines.openConnectionCount();
+  }
+
   int pendingRequestCount() {
     return pendingResponses.pendingRequests();
   }
@@ -185,7 +197,7 @@
 
   /** What became of the requests, for the log. */
   String takeRequestSummary() {
-    return requestLog.takeSummary();
+    return requestLog.takeSummary() + ", " + gate.describe();
   }
 
   /** The server's state in one line. */
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -24,6 +24,7 @@
   private final String id;
   private final Machine machine;
   private final SchedulerEventLoop loop;
+  private final InputGate gate;
   private final SchedulerInputs<String> inputs;
   private final ActiveRequests requests;
   private final RequestLog requestLog;
@@ -39,11 +40,13 @@
   MachineHandle(
       String id,
       SchedulerEventLoop loop,
+      InputGate gate,
       SchedulerInputs<String> inputs,
       ActiveRequests requests,
       RequestLog requestLog) {
     this.id = id;
     this.loop = loop;
+    this.gate = gate;
     this.inputs = inputs;
     this.requests = requests;
     this.requestLog = requestLog;
@@ -94,10 +97,16 @@
 
   @Override
   public void connectionEstablished(MachineConnection connection) {
-    loop.enterBehindReads(
+    gate.enterWhenRead(
         InputKind.MACHINE_CONNECTED, () -> pool.connectionEstablished(connection, loop.now()));
   }
 
+  @Override
+  public void connectionWritable(MachineConnection connection) {
+    gate.enterWhenRead(
+        InputKind.MACHINE_WRITABLE, () -> pool.connectionWritable(connection, loop.now()));
+  }
+
   @Override
   public void connectionFailed(MachineConnection connection, ConnectFailure failure) {
     loop.enter(
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -21,6 +21,7 @@
 final class MachineRegistry {
   private final EventLoopGroup group;
   private final SchedulerEventLoop loop;
+  private final InputGate gate;
   private final SchedulerInputs<String> inputs;
   private final ActiveRequests requests;
   private final RequestLog requestLog;
@@ -34,6 +35,7 @@
   MachineRegistry(
       EventLoopGroup group,
       SchedulerEventLoop loop,
+      InputGate gate,
       SchedulerInputs<String> inputs,
       ActiveRequests requests,
       RequestLog requestLog,
@@ -42,6 +44,7 @@
       int maxConnections) {
     this.group = group;
     this.loop = loop;
+    this.gate = gate;
     this.inputs = inputs;
     this.requests = requests;
     this.requestLog = requestLog;
@@ -54,7 +57,7 @@
   MachineHandle findOrAdd(String id) {
     MachineHandle handle = handlesById.get(id);
     if (handle == null) {
-      handle = new MachineHandle(id, loop, inputs, requests, requestLog);
+      handle = new MachineHandle(id, loop, gate, inputs, requests, requestLog);
       MachineClient client =
           new MachineClient(
               group, quota, timeouts.connectTimeout(), handle::payloadToOffer, handle);
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -85,6 +85,11 @@
     }
   }
 
+  /** What is entered next has a time of its own, as at the beginning of a turn. */
+  void startTimeAnew() {
+    isTurnStarted = false;
+  }
+
   /** The time of this turn's inputs, since the start. */
   Duration now() {
     return now;
@@ -126,11 +131,11 @@
   }
 
   /**
-   * Enters what begins an attempt once the loop has read its sockets, in this turn or the next: a
-   * client whose close or cancellation has arrived is then known to be gone.
+   * Enters an input after a delay, once the loop has read its sockets behind it: a timeout where
+   * the answer may have arrived while the loop was busy.
    */
-  void enterBehindReads(InputKind kind, Runnable input) {
-    enterAfter(Duration.ZERO, kind, input);
+  void enterBehindReadsAfter(Duration delay, InputKind kind, Runnable input) {
+    timers.runAfter(delay, () -> enterAfter(Duration.ZERO, kind, input));
   }
 
   /** The most that the loop was late within the last seconds. */
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -3,6 +3,7 @@
 import fordridge.eventloop.EventLoopTimers;
 import fordridge.eventloop.LoopTurnMonitor;
 import fordridge.eventloop.MonitoredIoHandler;
+import fordridge.eventloop.SocketPoller;
 import fordridge.json.ClientServer;
 import fordridge.json.EndpointWatcher;
 import fordridge.observability.StackTraces;
@@ -42,6 +43,7 @@
   private final Path file;
   private final InputStatistics inputStatistics = new InputStatistics();
   private final LoopTurnMonitor turns;
+  private final SocketPoller poller = new SocketPoller();
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -70,7 +72,7 @@
     turns = new LoopTurnMonitor(inputStatistics, this::log);
     loop =
         new MultiThreadIoEventLoopGroup(
-            1, MonitoredIoHandler.newFactory(NioIoHandler.newFactory(), turns));
+            1, MonitoredIoHandler.newFactory(NioIoHandler.newFactory(), turns, poller));
     timers = new EventLoopTimers(loop.next(), this::logTaskFailure);
   }
 
@@ -125,7 +127,8 @@
 
   /** Starts the scheduler, warms up, and listens; returns once clients may connect. */
   public void start() throws IOException, InterruptedException {
-    server = new JsonSchedulerServer(loop, timers, configuration, inputStatistics, this::log);
+    server =
+        new JsonSchedulerServer(loop, timers, poller, configuration, inputStatistics, this::log);
     clients =
         new ClientServer(
             loop, timers, server.clientRequestHandler(), configuration.maxClientConnections());
@@ -197,6 +200,11 @@
     return loop.submit(clients::connectionCount).get();
   }
 
+  /** The number of connections to machines that are open or being opened. */
+  public int machineConnectionCount() throws InterruptedException, ExecutionException {
+    return loop.submit(server::machineConnectionCount).get();
+  }
+
   /** The number of requests, VMs, descriptions and notices that are kept. */
   public int retainedCount() throws InterruptedException, ExecutionException {
     return loop.submit(server::retainedCount).get();
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -37,6 +37,21 @@
   @Override
   public void close(MachineConnection connection) {}
 
+  @Override
+  public boolean isConnected(MachineConnection connection) {
+    return false;
+  }
+
+  @Override
+  public boolean isWritable(MachineConnection connection) {
+    return true;
+  }
+
+  @Override
+  public boolean confirmSend(PlacementAttempt attempt) {
+    return true;
+  }
+
   @Override
   public boolean failedLocally(MachineConnection connection) {
     return false;
@@ -61,6 +76,9 @@
   @Override
   public void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {}
 
+  @Override
+  public void unknownVmEnded(String vmId, Machine ended) {}
+
   @Override
   public void attemptEndedUnanswered(
       PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
--- a/src/test/java/fordridge/machine/PoolFixture.java
+++ b/src/test/java/fordridge/machine/PoolFixture.java
@@ -9,9 +9,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A pool whose transport and listener record every call, and fail on what must never happen. */
 final class PoolFixture extends MachinePoolStub {
@@ -24,6 +26,11 @@
   final Map<PlacementAttempt, String> accepted = new HashMap<>();
   final List<PlacementAttempt> unanswered = new ArrayList<>();
   final List<Boolean> probeResults = new ArrayList<>();
+
+  /** Attempts that may not be sent any more. */
+  final Set<PlacementAttempt> forbidden = new HashSet<>();
+
+  boolean isWritable = true;
   Duration now = ms(10_000);
   int maxConnections = 100;
   boolean idempotent;
@@ -71,6 +78,16 @@
     }
   }
 
+  @Override
+  public boolean confirmSend(PlacementAttempt attempt) {
+    return !forbidden.contains(attempt);
+  }
+
+  @Override
+  public boolean isWritable(MachineConnection connection) {
+    return isWritable;
+  }
+
   @Override
   public boolean canOpen() {
     return connections.size() < maxConnections;
--- a/src/test/java/fordridge/machine/StreamFixture.java
+++ b/src/test/java/fordridge/machine/StreamFixture.java
@@ -35,6 +35,10 @@
   final Set<PlacementAttempt> accepted = new HashSet<>();
   final Set<AttemptId> offered = new HashSet<>();
   final List<ReportedVm> unknownVms = new ArrayList<>();
+
+  /** Attempts that may not be sent any more. */
+  final Set<PlacementAttempt> forbidden = new HashSet<>();
+
   boolean isOpen;
   boolean isReady = true;
   Duration now = Duration.ZERO;
@@ -80,6 +84,11 @@
     now = end;
   }
 
+  @Override
+  public boolean confirmSend(PlacementAttempt attempt) {
+    return !forbidden.contains(attempt);
+  }
+
   @Override
   public void connect() {
     assertThat(isOpen).as("one stream at a time").isFalse();
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -47,6 +47,16 @@
     @Override
     public void close(MachineConnection connection) {}
 
+    @Override
+    public boolean isConnected(MachineConnection connection) {
+      return false;
+    }
+
+    @Override
+    public boolean isWritable(MachineConnection connection) {
+      return true;
+    }
+
     @Override
     public boolean failedLocally(MachineConnection connection) {
       return false;
@@ -72,6 +82,11 @@
   private static final class Ends implements MachineConnectionPool.Listener {
     final Map<PlacementAttempt, Outcome> ends = new HashMap<>();
 
+    @Override
+    public boolean confirmSend(PlacementAttempt attempt) {
+      return true;
+    }
+
     @Override
     public void attemptAccepted(PlacementAttempt attempt, String description) {}
 
@@ -80,6 +95,9 @@
       ends.put(attempt, end);
     }
 
+    @Override
+    public void unknownVmEnded(String vmId, Machine ended) {}
+
     @Override
     public void attemptEndedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
       ends.put(attempt, end);
