Inventories before limited classes in placer; a test for each fact that forbids a waiting offer

placer placed a request of a class with a spread limit before the machines had said what they run of an earlier incarnation (the limit of one machine is kept by the confirmation at the first byte, as a stream starts with its inventory; that of a cell or zone was not). Scheduler.inventoryAwaited and inventoryReceived: nothing with a limit is placed near a machine that has not said it, or is not gone.

Only what the last pass has read counts now.

Tests: ConfirmSendTest has one for each fact (handover, other attempts, client gone, deadline, drain, removal, kind, ejection, lowered limit, shutdown, slow start, window, inventory, VM that may still run), UnreadInputTest for requests, pending VMs and a retry after NOT_SENT.

--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -54,6 +54,9 @@
   /** Connections whose last read cycle ended before their input did, and since when that is so. */
   private final Map<ClientConnection, Long> unreadSinceNanos = new HashMap<>();
 
+  /** Of these, the ones that the last pass has read, and not to their end. */
+  private final Set<ClientConnection> leftUnreadInPass = new LinkedHashSet<>();
+
   private boolean mayHoldUnaccepted;
 
   /** Connections with output that was written and not flushed yet. */
@@ -126,8 +129,15 @@
     maxConnections = newMaxConnections;
   }
 
+  /** A pass over all sockets that are ready begins: what it does not read has nothing to read. */
+  public void startReadPass() {
+    mayHoldUnaccepted = false;
+    leftUnreadInPass.clear();
+  }
+
   /** Whether connections may wait to be accepted, or input to be read, after the last pass. */
   public boolean hasUnreadInput() {
+    unreadSinceNanos.keySet().retainAll(leftUnreadInPass);
     if (mayHoldUnaccepted) {
       return true;
     }
@@ -150,8 +160,10 @@
   void readCycleCompleted(ClientConnection connection, boolean isReadToEnd) {
     if (isReadToEnd || !connection.isRead() || !connections.contains(connection)) {
       unreadSinceNanos.remove(connection);
+      leftUnreadInPass.remove(connection);
     } else {
       unreadSinceNanos.putIfAbsent(connection, System.nanoTime());
+      leftUnreadInPass.add(connection);
     }
   }
 
@@ -231,6 +243,7 @@
   /** Passes on the first call for each connection. */
   void connectionClosed(ClientConnection connection, CloseReason reason) {
     unreadSinceNanos.remove(connection);
+    leftUnreadInPass.remove(connection);
     if (connections.remove(connection)) {
       closeCounts.merge(reason, 1L, Long::sum);
       handler.connectionClosed(connection);
--- a/src/main/java/fordridge/machine/ReconnectPacer.java
+++ b/src/main/java/fordridge/machine/ReconnectPacer.java
@@ -27,12 +27,14 @@
   private final Set<M> connecting = new HashSet<>();
   private boolean started;
 
-  /** The first machine list has come; later calls are ignored. */
-  public void start(Set<? extends M> machines) {
-    if (!started) {
-      started = true;
-      unreconciled.addAll(machines);
+  /** The first machine list has come; false for later calls, which are ignored. */
+  public boolean start(Set<? extends M> machines) {
+    if (started) {
+      return false;
     }
+    started = true;
+    unreconciled.addAll(machines);
+    return true;
   }
 
   /** The machine is to be connected to when its turn comes. */
--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -60,6 +60,9 @@
   /** By short name; null where several machines have one. */
   private final Map<String, Machine> machinesByGossipName = new HashMap<>();
 
+  /** Machines that have not said yet what they run of an earlier incarnation of the scheduler. */
+  private final Set<Machine> inventoryAwaited = new LinkedHashSet<>();
+
   /** When means over the fleet were last refreshed. */
   public Duration meansRefreshedAt;
 
@@ -403,6 +406,26 @@
     }
   }
 
+  /** What the machine runs of an earlier incarnation is not known until its inventory comes. */
+  public void awaitInventory(Machine machine) {
+    inventoryAwaited.add(machine);
+  }
+
+  /** The machine has said what it runs, or is gone. */
+  public void inventoryReceived(Machine machine) {
+    inventoryAwaited.remove(machine);
+  }
+
+  /** Whether VMs may run in the domain of the machine that are not known yet. */
+  public boolean isInventoryAwaitedNear(Machine machine, TopologyDomain domain) {
+    for (Machine awaited : inventoryAwaited) {
+      if (domain.contains(machine, awaited)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** How many VMs of a service this scheduler has in the same domain as the machine. */
   public int countHosted(long service, TopologyDomain domain, Machine machine) {
     int count = 0;
--- a/src/main/java/fordridge/scheduling/CandidateFilter.java
+++ b/src/main/java/fordridge/scheduling/CandidateFilter.java
@@ -52,13 +52,15 @@
   }
 
   /**
-   * This scheduler's VMs of the service in one domain, with this one, stay within the limit.
+   * This scheduler's VMs of the service in one domain, with this one, stay within the limit; not
+   * known while a machine there has not said what it runs.
    *
    * @param own how many of those that are counted are attempts of this VM
    */
   private boolean keepsSpread(Vm vm, PriorityClass settings, Machine machine, int own) {
     return settings.isSpreadUnlimited()
-        || state.countHosted(vm.service, settings.spreadDomain(), machine) - own
-            < settings.maxPerDomain();
+        || (state.countHosted(vm.service, settings.spreadDomain(), machine) - own
+                < settings.maxPerDomain()
+            && !state.isInventoryAwaitedNear(machine, settings.spreadDomain()));
   }
 }
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -150,6 +150,20 @@
     rules.apply();
   }
 
+  /**
+   * Until the machine has sent its inventory, it may run VMs of an earlier incarnation of this
+   * scheduler that are not known: nothing with a spread limit is placed near it.
+   */
+  public void inventoryAwaited(Machine machine) {
+    state.awaitInventory(machine);
+  }
+
+  /** The machine has sent its inventory, and what it runs was adopted; or it is gone. */
+  public void inventoryReceived(Machine machine) {
+    state.inventoryReceived(machine);
+    capacityMayHaveGrown();
+  }
+
   /** The machine accepted the VM. */
   public void attemptAccepted(PlacementAttempt attempt) {
     state.attemptAccepted(attempt);
--- a/src/main/java/fordridge/server/grpc/MachineRegistry.java
+++ b/src/main/java/fordridge/server/grpc/MachineRegistry.java
@@ -89,7 +89,9 @@
 
   /** The first list names the machines that an earlier incarnation may have used. */
   void startReconciliation(Set<Machine> listed) {
-    reconciliation.start(listed);
+    if (reconciliation.start(listed)) {
+      listed.forEach(machine -> context.scheduler.inputs().scheduler.inventoryAwaited(machine));
+    }
   }
 
   /** Asks a machine once for its inventory, at a time spread over the settling time. */
@@ -110,11 +112,13 @@
   /** The machine is gone: there is nothing to reconcile with. */
   void machineGone(Machine machine) {
     reconciliation.reconciled(machine);
+    context.scheduler.inputs().scheduler.inventoryReceived(machine);
   }
 
   /** The machine sent its inventory. */
   void reconciled(MachineHandle handle) {
     reconciliation.reconciled(handle.machine());
+    context.scheduler.inputs().scheduler.inventoryReceived(handle.machine());
     reconcileNext();
   }
 
--- a/src/main/java/fordridge/server/json/InputGate.java
+++ b/src/main/java/fordridge/server/json/InputGate.java
@@ -123,8 +123,7 @@
     Duration passAt = startedAt;
     boolean isComplete = false;
     while (!isComplete && passAt.minus(startedAt).compareTo(MAX_READ_TIME) < 0) {
-      poller.readReady();
-      isComplete = clients == null || !clients.hasUnreadInput();
+      isComplete = readOnce();
       readAt = isComplete ? passAt : readAt;
       passAt = loop.clock();
     }
@@ -136,6 +135,17 @@
     return isComplete;
   }
 
+  /** Reads each socket that is ready once; false if any may have more. */
+  private boolean readOnce() {
+    if (clients == null) {
+      poller.readReady();
+      return true;
+    }
+    clients.startReadPass();
+    poller.readReady();
+    return !clients.hasUnreadInput();
+  }
+
   /** Reads since the start, for the status line. */
   String describe() {
     return "complete reads "
--- a/src/test/java/fordridge/faults/FaultRig.java
+++ b/src/test/java/fordridge/faults/FaultRig.java
@@ -57,6 +57,9 @@
   /** The longest deadline of the settings, and what SIGKILL leaves beyond it. */
   private static final long KILL_DELAY_MILLIS = 3000 + 700;
 
+  /** What the hop to the clients may need to pass on what it had held back. */
+  private static final long HOP_MILLIS = 50;
+
   private static final long NEW_CONNECTIONS_AFTER_TERM_MILLIS = 300;
   private static final long SIGNAL_INTERVAL_MILLIS = 150;
   private static final int CORES = Runtime.getRuntime().availableProcessors();
@@ -95,6 +98,8 @@
   private final List<String> log = new ArrayList<>();
   private ServeProcess process;
   private Optional<BusyProcesses> contention = Optional.empty();
+  private long clientsSilentFrom;
+  private long clientsSilentUntil;
   private int handoverStoppedMillis;
   private int handoverConnectsLateMillis;
   private long listSilentUntil;
@@ -231,6 +236,8 @@
       case CLIENT_HOP_RESET -> resetClients();
       case CLIENT_HOP_SILENT -> {
         clientHop.fallSilent(amount);
+        clientsSilentFrom = ledger.now();
+        clientsSilentUntil = ledger.now() + amount + HOP_MILLIS;
         ledger.schedulerPaused(amount);
         ledger.requestsDelayed(amount);
       }
@@ -367,6 +374,9 @@
     clients.schedulerWillBeKilled();
     process.signal("KILL");
     process.awaitEnd(2000);
+    if (begin < clientsSilentUntil) {
+      ledger.noticesSwallowedSince(clientsSilentFrom);
+    }
     restart(begin, requestsBeforeHandover);
   }
 
--- a/src/test/java/fordridge/faults/ObligationLedger.java
+++ b/src/test/java/fordridge/faults/ObligationLedger.java
@@ -244,6 +244,19 @@
     }
   }
 
+  /**
+   * The scheduler was killed while the hop to its clients passed nothing on: the notices that it
+   * had written since that time were lost with the hop, and their machines have been told that they
+   * were heard.
+   */
+  synchronized void noticesSwallowedSince(long millis) {
+    for (Entry entry : entries.values()) {
+      if (entry.isAccepted && !entry.noticeReceived && entry.run().overAt >= millis) {
+        entry.isCut = true;
+      }
+    }
+  }
+
   /** The scheduler ended the VM for its client. */
   synchronized void vmCut(String id) {
     Entry entry = entries.get(id);
--- /dev/null
+++ b/src/test/java/fordridge/scheduling/ConfirmSendTest.java
@@ -0,0 +1,195 @@
+package fordridge.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import fordridge.model.Machine;
+import fordridge.model.Machine.Lifecycle;
+import fordridge.model.PlacementAttempt;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Vm;
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/**
+ * An attempt that was decided waits to be sent, and something is learned meanwhile that forbids it:
+ * one test for each such fact. The class is limited to two VMs of a service on a machine, and to
+ * one kind, of which there is one machine.
+ */
+class ConfirmSendTest {
+  private static final long SERVICE = 7;
+
+  private final SchedulerFixture fixture = SchedulerFixture.started(2);
+  private final Machine machine = fixture.machines.get(1);
+  private Duration ejectedUntil = Duration.ZERO;
+  private final PlacementAttempt waiting = decide("fragile");
+
+  private PlacementAttempt decide(String priorityClass) {
+    Vm vm = fixture.request(priorityClass, 1, 1, SERVICE);
+    assertThat(vm.attempts).hasSize(1);
+    return vm.lastAttempt();
+  }
+
+  private Vm handOver(long service) {
+    Vm vm = new Vm("adopted" + fixture.vms.size() + service);
+    vm.priorityClass = "fragile";
+    vm.cores = 1;
+    vm.memory = 1;
+    vm.service = service;
+    fixture.scheduler.vmAdopted(vm, machine);
+    return vm;
+  }
+
+  private boolean maySend() {
+    machine.ejectedUntil = ejectedUntil;
+    fixture.scheduler.advanceTo(fixture.now);
+    return fixture.scheduler.confirmSend(waiting);
+  }
+
+  @Example
+  void nothingWasLearned() {
+    handOver(SERVICE + 1);
+    handOver(SERVICE);
+    fixture.now = fixture.now.plusMillis(500);
+    assertThat(waiting.machine).isSameAs(machine);
+    assertThat(maySend()).isTrue();
+  }
+
+  @Example
+  void vmsOfItsServiceWereHandedOver() {
+    handOver(SERVICE);
+    handOver(SERVICE);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void vmsWereHandedOverAndOneHasEnded() {
+    Vm ended = handOver(SERVICE);
+    handOver(SERVICE);
+    fixture.end(ended.acceptedAttempt, Outcome.DONE, OutcomeReason.UNSPECIFIED);
+    assertThat(maySend()).isTrue();
+  }
+
+  @Example
+  void aVmOfItsServiceWasHandedOverWhileAnotherAttemptIsOut() {
+    decide("fragile");
+    handOver(SERVICE);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void anAttemptMayStillRunThoughItsConnectionBroke() {
+    handOver(SERVICE);
+    PlacementAttempt broken = decideElsewhereOfService();
+    broken.mayStillRun = true;
+    fixture.end(broken, Outcome.RESET, OutcomeReason.UNSPECIFIED);
+    assertThat(maySend()).as("the broken one may run").isFalse();
+
+    fixture.scheduler.endConfirmed(broken.vm.id, machine);
+    assertThat(maySend()).as("its machine has said that it does not").isTrue();
+  }
+
+  /** Another attempt of the service at the same machine, which its limit of two allows. */
+  private PlacementAttempt decideElsewhereOfService() {
+    Vm vm = new Vm("broken");
+    vm.priorityClass = "fragile";
+    vm.cores = 1;
+    vm.memory = 1;
+    vm.service = SERVICE;
+    fixture.scheduler.vmAdopted(vm, machine);
+    return vm.acceptedAttempt;
+  }
+
+  @Example
+  void aMachineThatRestartedRunsNothingOfWhatWasLost() {
+    PlacementAttempt lost = decideElsewhereOfService();
+    lost.mayStillRun = true;
+    fixture.end(lost, Outcome.RESET, OutcomeReason.UNSPECIFIED);
+    fixture.now = fixture.now.plusSeconds(30);
+    fixture.scheduler.advanceTo(fixture.now);
+    fixture.listMachine(machine, Lifecycle.LIVE, fixture.now.minusSeconds(20));
+    assertThat(fixture.request("fragile", 1, 1, SERVICE).attempts).hasSize(1);
+  }
+
+  @Example
+  void itsClientHasLeft() {
+    fixture.finished.add(waiting.vm);
+    fixture.scheduler.clientLeft(waiting.vm);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void itsDeadlineHasPassed() {
+    fixture.now = waiting.vm.deadline;
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void itsMachineDrainsOrIsGone() {
+    fixture.listMachine(machine, Lifecycle.DRAINING, null);
+    assertThat(maySend()).isFalse();
+    fixture.listMachine(machine, Lifecycle.GONE, null);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void itsMachineIsOfAnotherKind() {
+    machine.kind = "small";
+    fixture.listMachine(machine, Lifecycle.LIVE, null);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void itsMachineWasEjected() {
+    ejectedUntil = fixture.now.plusSeconds(1);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void theLimitWasLoweredByAReload() {
+    handOver(SERVICE);
+    assertThat(maySend()).isTrue();
+    fixture.change("extra.classMost", List.of(9L, 3L, 1L));
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void theShutdownHasBegun() {
+    fixture.scheduler.shutdownStarted();
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void itsMachineRestartedAndTheQuotaOfSlowStartIsUsedUp() {
+    fixture.now = fixture.now.plusSeconds(2);
+    fixture.scheduler.advanceTo(fixture.now);
+    fixture.listMachine(machine, Lifecycle.LIVE, fixture.now.minusMillis(10));
+    int sent = 0;
+    while (sent < 20 && fixture.request("fragile", 1, 1, 100 + sent).attempts.size() == 1) {
+      sent++;
+    }
+    assertThat(sent).as("attempts within the quota").isBetween(1, 19);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Example
+  void anInventoryIsAwaitedThatMayNameVmsOfItsService() {
+    fixture.scheduler.inventoryAwaited(machine);
+    assertThat(maySend()).isFalse();
+    fixture.scheduler.inventoryReceived(machine);
+    assertThat(maySend()).isTrue();
+  }
+
+  @Example
+  void theWindowOfAnEarlierAttemptHasPassed() {
+    Vm vm = fixture.request("dedup", 1, 1, 50);
+    fixture.end(vm.lastAttempt(), Outcome.RESET, OutcomeReason.UNSPECIFIED);
+    PlacementAttempt second = vm.lastAttempt();
+    assertThat(second.number).as("tried again near the first").isEqualTo(1);
+    assertThat(fixture.scheduler.confirmSend(second)).isTrue();
+    fixture.now = fixture.now.plus(Duration.ofSeconds(3));
+    fixture.scheduler.advanceTo(fixture.now);
+    assertThat(fixture.scheduler.confirmSend(second)).isFalse();
+  }
+}
--- a/src/test/java/fordridge/scheduling/SchedulerFixture.java
+++ b/src/test/java/fordridge/scheduling/SchedulerFixture.java
@@ -49,6 +49,10 @@
   Duration now = Duration.ofSeconds(5);
   Duration wakeAt;
   boolean isWatching;
+
+  /** Whether the scheduler may decide. */
+  boolean isInputRead = true;
+
   String tenant = "";
   int rejectedCount;
   int failedCount;
@@ -324,6 +328,11 @@
     };
   }
 
+  @Override
+  public boolean isInputRead() {
+    return isInputRead;
+  }
+
   @Override
   public void sendAttempt(PlacementAttempt attempt, Duration timeout) {
     Machine machine = attempt.machine;
--- /dev/null
+++ b/src/test/java/fordridge/scheduling/UnreadInputTest.java
@@ -0,0 +1,83 @@
+package fordridge.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
+import fordridge.model.Vm;
+import java.time.Duration;
+import net.jqwik.api.Example;
+
+/** Nothing is decided while input waits to be read, and all that waits is decided behind it. */
+class UnreadInputTest {
+  private final SchedulerFixture fixture = SchedulerFixture.started(4);
+
+  @Example
+  void requestWaitsForWhatIsUnread() {
+    fixture.isInputRead = false;
+    Vm vm = fixture.request("retryable", 1, 1, 1);
+    assertThat(vm.attempts).isEmpty();
+
+    fixture.isInputRead = true;
+    fixture.scheduler.inputRead();
+
+    assertThat(vm.attempts).hasSize(1);
+  }
+
+  @Example
+  void vmsThatAreHandedOverMeanwhileCount() {
+    fixture.isInputRead = false;
+    Vm vm = fixture.request("fragile", 1, 1, 1);
+    for (Machine machine : fixture.machines) {
+      handOver(machine);
+      handOver(machine);
+    }
+
+    fixture.isInputRead = true;
+    fixture.scheduler.inputRead();
+
+    assertThat(vm.attempts).isEmpty();
+  }
+
+  private void handOver(Machine machine) {
+    Vm vm = new Vm("adopted" + machine.id + machine.hostedAttempts.size());
+    vm.priorityClass = "fragile";
+    vm.cores = 1;
+    vm.memory = 1;
+    vm.service = 1;
+    fixture.scheduler.vmAdopted(vm, machine);
+  }
+
+  @Example
+  void pendingVmIsNotTriedOnUnreadInput() {
+    fixture.machines.forEach(machine -> machine.freeMemory = -100);
+    Vm vm = fixture.request("retryable", 1, 1, 1);
+    fixture.machines.forEach(machine -> machine.freeMemory = 30);
+    fixture.isInputRead = false;
+    fixture.advance(Duration.ofMillis(300));
+    fixture.scheduler.loadReported(fixture.machines.get(0));
+    assertThat(vm.attempts).isEmpty();
+
+    fixture.isInputRead = true;
+    fixture.scheduler.inputRead();
+
+    assertThat(vm.attempts).hasSize(1);
+  }
+
+  /** It had no machine to go to but the one that it was decided for. */
+  @Example
+  void requestThatWasNotSentIsTriedAgainOnTheSameMachine() {
+    SchedulerFixture single = SchedulerFixture.started(1);
+    Vm vm = single.request("retryable", 1, 1, 1);
+    int maxTries = 3;
+    for (int i = 0; i < 2 * maxTries; i++) {
+      int attempts = vm.attempts.size();
+      single.end(vm.lastAttempt(), Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
+      assertThat(i > 0 || vm.attempts.size() == 1).as("not tried again at once").isTrue();
+      single.advance(Duration.ofMillis(250));
+      assertThat(vm.attempts).as("no limit on what never went out").hasSizeGreaterThan(attempts);
+    }
+    assertThat(vm.isFinished).isFalse();
+  }
+}
