--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -358,10 +358,6 @@
     } else {
       releaseService(attempt);
     }
-    if (attempt.hasNeverRun()) {
-      attempt.machine.reservedSinceList.remove(attempt);
-      attempt.machine.reservedSinceReport.remove(attempt);
-    }
   }
 
   /** A VM needs no response any more. */
--- a/src/main/java/fordridge/scheduling/CapacityModel.java
+++ b/src/main/java/fordridge/scheduling/CapacityModel.java
@@ -6,6 +6,7 @@
 
 import fordridge.model.FleetUsage;
 import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
 import fordridge.model.RunningMean;
 import fordridge.model.SchedulerSettings;
 import fordridge.model.SchedulerState;
@@ -44,6 +45,21 @@
     return machine.reservedSinceList.isEmpty() && machine.reservedSinceReport.isEmpty();
   }
 
+  /**
+   * What the list says is free does not include an attempt that is still reserved, or includes it
+   * though it is over: either way its reservation is not needed any more. The list may have no news
+   * for long while VMs come and go.
+   */
+  void attemptEnded(PlacementAttempt attempt) {
+    if (attempt.mayStillRun) {
+      return;
+    }
+    attempt.machine.reservedSinceList.remove(attempt);
+    if (attempt.hasNeverRun()) {
+      attempt.machine.reservedSinceReport.remove(attempt);
+    }
+  }
+
   List<Machine> withRegularCapacity(Vm vm, List<Machine> machines) {
     boolean isListed = state.settings.capacity().listsFreeCapacity();
     return isListed ? withHeadroom(machines, m -> acceptedShare(vm, m, 1, 1)) : List.of();
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -221,6 +221,7 @@
       PlacementAttempt attempt, Outcome outcome, OutcomeReason reason, boolean isFinal) {
     Vm vm = attempt.vm;
     state.attemptEnded(attempt, outcome, state.now.plus(retries.mayRunFor(vm)));
+    capacity.attemptEnded(attempt);
     if (attempt.wasAccepted() && outcome == Outcome.DONE) {
       state.classOf(vm).lifetimeSeconds.add(state.secondsSince(attempt.acceptedAt));
     }
--- a/src/test/java/fordridge/faults/EmulatedClients.java
+++ b/src/test/java/fordridge/faults/EmulatedClients.java
@@ -17,8 +17,8 @@
   /** A request that crosses the close of its connection within this time is not taken. */
   private static final long CROSSING_MILLIS = 50 + 50;
 
-  /** Handovers come on so many connections of their own. */
-  private static final int HANDOVER_CONNECTIONS = 3;
+  /** Connections that are opened right after a start, the one for requests among them. */
+  private static final int CONNECTIONS_AT_START = 4;
 
   private static final int SERVICES = 40;
 
@@ -306,7 +306,7 @@
    */
   void awaitReady() throws IOException, InterruptedException {
     List<Client> connected = new ArrayList<>();
-    for (int i = 0; i <= HANDOVER_CONNECTIONS; i++) {
+    for (int i = 0; i < CONNECTIONS_AT_START; i++) {
       connected.add(new Client(schedulerPort.getAsInt()));
     }
     Client first = connected.get(0);
@@ -331,12 +331,16 @@
     }
   }
 
-  /** Hands the running VMs over on the other new connections. */
-  synchronized void handOver() {
+  /**
+   * Hands the running VMs over: behind the requests on the first of the new connections, on others,
+   * and on one that is opened only now and may have to wait to be accepted.
+   */
+  synchronized void handOver() throws IOException {
+    directClients.add(new Client(schedulerPort.getAsInt()));
     int next = 0;
     for (Map.Entry<String, String> vm : running.entrySet()) {
       Request request = requests.get(vm.getKey());
-      Client client = directClients.get(1 + next++ % HANDOVER_CONNECTIONS);
+      Client client = directClients.get(next++ % directClients.size());
       boolean isSent =
           client.connection.send(
               Message.request(
--- a/src/test/java/fordridge/scheduling/PendingVmTest.java
+++ b/src/test/java/fordridge/scheduling/PendingVmTest.java
@@ -4,6 +4,8 @@
 
 import fordridge.model.Machine;
 import fordridge.model.Machine.Lifecycle;
+import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.List;
@@ -23,6 +25,18 @@
     assertThat(fixture.rejectedCount).isEqualTo(1);
   }
 
+  /** VMs come and go between two changes of the list, more than the machine could hold at once. */
+  @Example
+  void vmsThatAreOverGiveTheirCapacityBackThoughTheListHasNoNews() {
+    SchedulerFixture fixture = SchedulerFixture.started(1);
+    for (int i = 0; i < 60; i++) {
+      Vm vm = fixture.request("retryable", 1, 1, 1);
+      assertThat(vm.attempts).as("VM %s", i).hasSize(1);
+      fixture.accept(vm.lastAttempt());
+      fixture.end(vm.lastAttempt(), Outcome.DONE, OutcomeReason.UNSPECIFIED);
+    }
+  }
+
   @Example
   void pendingVmIsPlacedAsSoonAsTheListShowsCapacity() {
     SchedulerFixture fixture = SchedulerFixture.started(1);
