--- a/src/test/java/fordridge/faults/FaultRig.java
+++ b/src/test/java/fordridge/faults/FaultRig.java
@@ -67,20 +67,6 @@
   /** Told at the latest after the list's server fell silent. */
   private static final long SILENT_LIST_TOLD_MILLIS = 4000;
 
-  private static final int[] ACCEPT_ERRORS = {
-    SystemCallShim.ECONNABORTED,
-    SystemCallShim.ENFILE,
-    SystemCallShim.ENOBUFS,
-    SystemCallShim.EMFILE
-  };
-  private static final int[] CONNECT_ERRORS = {
-    SystemCallShim.EADDRNOTAVAIL,
-    SystemCallShim.ENETUNREACH,
-    SystemCallShim.ETIMEDOUT,
-    SystemCallShim.EHOSTUNREACH
-  };
-  private static final int[] SOCKET_ERRORS = {SystemCallShim.ENFILE, SystemCallShim.ENOBUFS};
-
   private final FaultPlan plan;
   private final SplittableRandom random;
   private final ObligationLedger ledger = new ObligationLedger();
@@ -309,37 +295,10 @@
     if (shim.isEmpty()) {
       return;
     }
-    int amount = fault.amount();
-    switch (fault.kind()) {
-      case ACCEPT_FAILS -> {
-        shim.get()
-            .fail(
-                Slot.ACCEPT_COUNT,
-                Slot.ACCEPT_ERRNO,
-                ACCEPT_ERRORS[amount % ACCEPT_ERRORS.length],
-                amount);
-        clients.closeOne(false);
-      }
-      case CONNECT_FAILS ->
-          shim.get()
-              .fail(
-                  Slot.CONNECT_COUNT,
-                  Slot.CONNECT_ERRNO,
-                  CONNECT_ERRORS[amount % CONNECT_ERRORS.length],
-                  amount);
-      case SOCKET_FAILS ->
-          shim.get()
-              .fail(
-                  Slot.SOCKET_COUNT,
-                  Slot.SOCKET_ERRNO,
-                  SOCKET_ERRORS[amount % SOCKET_ERRORS.length],
-                  amount);
-      case SHORT_READS -> shim.get().set(Slot.READ_MAX, amount);
-      case SHORT_WRITES -> shim.get().set(Slot.WRITE_MAX, amount);
-      case WAITS_INTERRUPTED -> shim.get().set(Slot.EPOLL_INTERRUPTS, amount);
-      case WALL_CLOCK_STEPPED -> shim.get().set(Slot.WALL_CLOCK_SECONDS, amount);
-      case CLOCK_METERED -> shim.get().set(Slot.METERED_CLOCK_MILLIS, amount);
-      default -> throw new IllegalArgumentException(fault.toString());
+    SystemCallFaults.inject(fault, shim.get());
+    if (fault.kind() == Fault.Kind.ACCEPT_FAILS) {
+      // So that there is something to accept.
+      clients.closeOne(false);
     }
   }
 
