--- a/src/test/java/fordridge/faults/FaultRig.java
+++ b/src/test/java/fordridge/faults/FaultRig.java
@@ -296,6 +296,9 @@
       return;
     }
     SystemCallFaults.inject(fault, shim.get());
+    if (fault.kind() == Fault.Kind.CLOCK_METERED) {
+      ledger.clocksMetered(fault.amount());
+    }
     if (fault.kind() == Fault.Kind.ACCEPT_FAILS) {
       // So that there is something to accept.
       clients.closeOne(false);
