A connection is closed for the limit only if nothing was read on it

Change: room is made first, the newcomer is read only if it stays; an idle connection on which anything was read just now is not closed, the next one is.

Measured: LoweredLimitTest and ReadCycleTest pass.

--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -232,12 +232,18 @@
 
   void connectionOpened(ClientConnection connection) {
     connections.add(connection);
-    // What it has sent already counts when it is chosen which connection is closed.
-    connection.readNow();
     // Ends with the newcomer: after a reload with a lower limit more may be in use than it allows.
-    while (connections.size() > maxConnections && connections.contains(connection)) {
-      makeRoomFor(connection);
+    for (int tries = connections.size(); isOverLimitWith(connection); tries--) {
+      makeRoomFor(connection, tries > 0);
     }
+    // Only now: what is read has to be answered, and a newcomer may have been closed.
+    if (connections.contains(connection)) {
+      connection.readNow();
+    }
+  }
+
+  private boolean isOverLimitWith(ClientConnection newcomer) {
+    return connections.size() > maxConnections && connections.contains(newcomer);
   }
 
   /** Passes on the first call for each connection. */
@@ -289,13 +295,15 @@
    * Closes the connection that was idle longest, unless it is found in use; the newcomer itself if
    * all others are in use.
    */
-  private void makeRoomFor(ClientConnection newcomer) {
-    ClientConnection idlest = idlestBut(newcomer);
+  private void makeRoomFor(ClientConnection newcomer, boolean mayCloseOthers) {
+    ClientConnection idlest = mayCloseOthers ? idlestBut(newcomer) : newcomer;
+    long usedNanos = idlest.lastUsedNanos();
     if (idlest != newcomer) {
       // A handover may wait in its socket, and would be lost with it.
       idlest.readNow();
     }
-    if (idlest == newcomer || !handler.isInUse(idlest)) {
+    // What was read just now has to be answered, or is answered and not sent yet.
+    if (idlest.lastUsedNanos() == usedNanos && !handler.isInUse(idlest)) {
       idlest.close(CloseReason.OVER_LIMIT);
     }
   }
--- a/src/test/java/fordridge/server/json/LoweredLimitTest.java
+++ b/src/test/java/fordridge/server/json/LoweredLimitTest.java
@@ -38,4 +38,30 @@
       assertThat(peers.server.connectionCount()).isEqualTo(CLIENTS);
     }
   }
+
+  /** A request that is read has to be answered: that of a newcomer that is closed is not read. */
+  @Example
+  void requestOfANewcomerThatIsTurnedAwayIsNotRead() throws Exception {
+    try (JsonTestPeers peers = new JsonTestPeers()) {
+      peers.start();
+      for (int i = 0; i < CLIENTS; i++) {
+        LineConnection client = peers.connectClient();
+        client.send(request(i, "a"));
+        assertThat(client.receiveUntilHealthCheck()).isEmpty();
+      }
+      Files.writeString(
+          peers.file, peers.configuration().replace("\"sockets\":256", "\"sockets\":64"));
+      peers.blockLoopAtLog("configuration reloaded");
+      peers.server.reload();
+      peers.awaitLog("configuration reloaded");
+      LineConnection newcomer = peers.connectClient();
+      newcomer.send(request(CLIENTS, "a"));
+      int retained = CLIENTS;
+      peers.unblockLoop();
+
+      assertThat(newcomer.receive(CLOSED)).isEqualTo(CLOSED);
+      assertThat(peers.server.connectionCount()).isEqualTo(retained);
+      assertThat(peers.machine.findRequest(JsonTestPeers.id(CLIENTS))).isNull();
+    }
+  }
 }
