--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -17,6 +17,8 @@
 final class EmulatedMachine implements AutoCloseable {
   private static final int ACCEPT_BACKLOG = 64;
 
+  private static final long ACCEPTOR_MILLIS = 20;
+
   /** The queue takes one more than its length, and some may be accepted meanwhile. */
   private static final int QUEUE_FILLERS = ACCEPT_BACKLOG + 4;
 
@@ -108,16 +110,23 @@
   }
 
   /** Its accept queue is full for this long: no connection comes up until some time after. */
-  void acceptLate(long millis) throws IOException {
+  void acceptLate(long millis) throws IOException, InterruptedException {
     acceptsFromNanos = System.nanoTime() + millis * 1_000_000;
     List<SocketChannel> fillers = new ArrayList<>();
+    fillQueue(fillers);
+    // The acceptor may have waited within accept, and has taken one: its place is filled too.
+    Thread.sleep(ACCEPTOR_MILLIS);
+    fillQueue(fillers);
+    later(millis, () -> fillers.forEach(EmulatedMachine::closeQuietly));
+  }
+
+  private void fillQueue(List<SocketChannel> fillers) throws IOException {
     for (int i = 0; i < QUEUE_FILLERS; i++) {
       SocketChannel filler = SocketChannel.open();
       filler.configureBlocking(false);
       filler.connect(server.getLocalSocketAddress());
       fillers.add(filler);
     }
-    later(millis, () -> fillers.forEach(EmulatedMachine::closeQuietly));
   }
 
   private static void closeQuietly(SocketChannel channel) {
