--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -85,7 +85,7 @@
     machineList = new MachineListIntake(loop, inputs, machines, startedAtEpochMillis);
     intake =
         new ClientRequestIntake(
-            loop, inputs, settings, pendingResponses, clients, requests, machines, requestLog, log);
+            loop, inputs, settings, pendingResponses, clients, requests, machines, log);
     loop.attach(inputs.scheduler);
     gate.attach(inputs.scheduler::inputRead);
     actions.attach(inputs, machines, requests);
