The gate of inputs in placer too; why an offer was not sent; refused accepts count as unread

A read's lag is bounded by the pass before, not only by samples. VMs of machines that a complete list does not name are cleared; the withdrawal of an attempt that has not gone out counts on, in placer until the machine has confirmed it.

confirmSend names the obstacle (spread, slow start, deadline, ...): logged with ids, counted in the status line and as fordridge.offers.withdrawn. Counted now: connections that held up no decision any more, ends without a word added, confirmed, cleared, expired, displaced.

--- a/src/main/java/fordridge/eventloop/EventLoopLagMonitor.java
+++ b/src/main/java/fordridge/eventloop/EventLoopLagMonitor.java
@@ -1,5 +1,6 @@
 package fordridge.eventloop;
 
+import fordridge.model.Durations;
 import fordridge.runtime.EventLoopLag;
 import java.time.Duration;
 import java.util.function.Supplier;
@@ -47,9 +48,15 @@
    * that is overdue counts already.
    */
   public Duration allowance(Duration at) {
-    Duration seen = lag.allowance(at);
-    Duration overdue = overdue();
-    return overdue.compareTo(seen) > 0 ? overdue : seen;
+    return Durations.max(lag.allowance(at), overdue());
+  }
+
+  /**
+   * As {@link #allowance(Duration)}, where it is known how long ago the sockets were looked at
+   * before. While a loop is idle, its samples let it look at them once an interval.
+   */
+  public Duration allowance(Duration at, Duration sincePreviousPoll) {
+    return Durations.max(allowance(at), sincePreviousPoll.minus(SAMPLE_INTERVAL));
   }
 
   private Duration overdue() {
--- a/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
+++ b/src/main/java/fordridge/eventloop/MonitoredIoHandler.java
@@ -20,18 +20,21 @@
 
   private final IoHandler handler;
   private final LoopTurnMonitor monitor;
+  private final SocketPoller poller;
   private long activeIoNanos;
 
-  private MonitoredIoHandler(IoHandler handler, LoopTurnMonitor monitor) {
+  private MonitoredIoHandler(IoHandler handler, LoopTurnMonitor monitor, SocketPoller poller) {
     this.handler = handler;
     this.monitor = monitor;
+    this.poller = poller;
   }
 
   /** Handlers of {@code factory}, timed and polled; for a group of one event loop. */
   public static IoHandlerFactory newFactory(
       IoHandlerFactory factory, LoopTurnMonitor monitor, SocketPoller poller) {
     return executor -> {
-      MonitoredIoHandler handler = new MonitoredIoHandler(factory.newHandler(executor), monitor);
+      MonitoredIoHandler handler =
+          new MonitoredIoHandler(factory.newHandler(executor), monitor, poller);
       poller.attach(handler);
       return handler;
     };
@@ -47,7 +50,9 @@
     monitor.waitStarted(System.nanoTime());
     activeIoNanos = 0;
     int readySockets = handler.run(new TimedContext(context));
-    monitor.ioCompleted(readySockets, activeIoNanos, System.nanoTime());
+    long nowNanos = System.nanoTime();
+    poller.passCompleted(nowNanos - activeIoNanos);
+    monitor.ioCompleted(readySockets, activeIoNanos, nowNanos);
     return readySockets;
   }
 
--- a/src/main/java/fordridge/json/AcceptRetryHandler.java
+++ b/src/main/java/fordridge/json/AcceptRetryHandler.java
@@ -16,10 +16,18 @@
 final class AcceptRetryHandler extends ChannelInboundHandlerAdapter {
   private static final Duration RETRY_DELAY = Duration.ofMillis(5);
 
+  /** A failure so long after the one before begins a new row. */
+  private static final Duration ROW_GAP = Duration.ofMillis(200);
+
   private final EventLoopTimers timers;
   private final IntConsumer onCycleCompleted;
   private int accepted;
   private long failureCount;
+  private boolean isPaused;
+  private long lastFailureNanos;
+
+  /** The first of a row of failures, of which each comes soon after the one before. */
+  private long firstFailureNanos;
 
   /** The consumer gets how many connections each cycle of accepting brought. */
   AcceptRetryHandler(EventLoopTimers timers, IntConsumer onCycleCompleted) {
@@ -43,10 +51,32 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     failureCount++;
-    if (ctx.channel().config().isAutoRead()) {
+    recordFailure(System.nanoTime());
+    if (!isPaused) {
+      isPaused = true;
       ctx.channel().config().setAutoRead(false);
-      timers.runAfter(RETRY_DELAY, () -> ctx.channel().config().setAutoRead(true));
+      timers.runAfter(RETRY_DELAY, () -> resume(ctx));
+    }
+  }
+
+  private void recordFailure(long nowNanos) {
+    if (failureCount == 1 || nowNanos - lastFailureNanos > ROW_GAP.toNanos()) {
+      firstFailureNanos = nowNanos;
     }
+    lastFailureNanos = nowNanos;
+  }
+
+  private void resume(ChannelHandlerContext ctx) {
+    isPaused = false;
+    ctx.channel().config().setAutoRead(true);
+  }
+
+  /**
+   * Whether connections may wait that the system has just refused to hand out; not after a row of
+   * failures that is longer than {@code limit}.
+   */
+  boolean isRefused(Duration limit) {
+    return isPaused && System.nanoTime() - firstFailureNanos < limit.toNanos();
   }
 
   /** How often the system could not accept a connection. */
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -57,6 +57,10 @@
   /** Of these, the ones that the last pass has read, and not to their end. */
   private final Set<ClientConnection> leftUnreadInPass = new LinkedHashSet<>();
 
+  /** Of these, the ones that have been so for too long. */
+  private final Set<ClientConnection> unreadTooLong = new LinkedHashSet<>();
+
+  private long unreadTooLongCount;
   private boolean mayHoldUnaccepted;
 
   /** Connections with output that was written and not flushed yet. */
@@ -138,14 +142,17 @@
   /** Whether connections may wait to be accepted, or input to be read, after the last pass. */
   public boolean hasUnreadInput() {
     unreadSinceNanos.keySet().retainAll(leftUnreadInPass);
+    unreadTooLong.retainAll(leftUnreadInPass);
     if (mayHoldUnaccepted) {
       return true;
     }
-    long nowNanos = System.nanoTime();
-    for (long sinceNanos : unreadSinceNanos.values()) {
-      if (nowNanos - sinceNanos < MAX_UNREAD_TIME.toNanos()) {
+    for (ClientConnection connection : unreadSinceNanos.keySet()) {
+      if (unreadFor(connection).compareTo(MAX_UNREAD_TIME) < 0) {
         return true;
       }
+      if (unreadTooLong.add(connection)) {
+        unreadTooLongCount++;
+      }
     }
     return false;
   }
@@ -156,6 +163,16 @@
     return sinceNanos == null ? Duration.ZERO : Duration.ofNanos(System.nanoTime() - sinceNanos);
   }
 
+  /** Whether the system refuses to hand out connections that may wait; for a while only. */
+  public boolean isAcceptingRefused() {
+    return acceptRetry.isRefused(MAX_UNREAD_TIME);
+  }
+
+  /** Connections that brought more than could be read for so long that they held up no others. */
+  public long unreadTooLongCount() {
+    return unreadTooLongCount;
+  }
+
   /** A connection was read, to its end or not; one that is not read any more holds up nothing. */
   void readCycleCompleted(ClientConnection connection, boolean isReadToEnd) {
     if (isReadToEnd || !connection.isRead() || !connections.contains(connection)) {
@@ -250,6 +267,7 @@
   void connectionClosed(ClientConnection connection, CloseReason reason) {
     unreadSinceNanos.remove(connection);
     leftUnreadInPass.remove(connection);
+    unreadTooLong.remove(connection);
     if (connections.remove(connection)) {
       closeCounts.merge(reason, 1L, Long::sum);
       handler.connectionClosed(connection);
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -436,6 +436,8 @@
     PlacementRequest request = carrier.remove(attempt.vm.id).orElseThrow();
     if (request.isSent()) {
       transport.cancel(carrier, attempt.vm.id);
+      // Until its withdrawal has gone out the machine may start it.
+      attempt.mayStillRun = !transport.isWritable(carrier);
       carrier.retire();
     }
     closeIfRetired(carrier);
--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -299,6 +299,7 @@
     for (Machine machine : machines) {
       if (machine.listedAt == null) {
         machine.lifecycle = Machine.Lifecycle.GONE;
+        unconfirmedEnds.machineCleared(machine, now);
       }
     }
   }
@@ -390,6 +391,11 @@
     unconfirmedEnds.confirmed(vmId, machine);
   }
 
+  /** Counts of VMs whose attempts ended without their machine's word, for the log. */
+  public String describeUnconfirmedEnds() {
+    return unconfirmedEnds.describe();
+  }
+
   /** Counts an attempt among the VMs of its service no longer. */
   private void releaseService(PlacementAttempt attempt) {
     Machine machine = attempt.machine;
--- a/src/main/java/fordridge/model/UnconfirmedEnds.java
+++ b/src/main/java/fordridge/model/UnconfirmedEnds.java
@@ -20,6 +20,12 @@
 
   private final Consumer<PlacementAttempt> onReleased;
 
+  private long addedCount;
+  private long confirmedCount;
+  private long clearedCount;
+  private long expiredCount;
+  private long displacedCount;
+
   /** The consumer gets each attempt when it counts no longer. */
   UnconfirmedEnds(Consumer<PlacementAttempt> onReleased) {
     this.onReleased = onReleased;
@@ -28,35 +34,57 @@
   /** The attempt counts until then, unless its machine says before that it has ended. */
   void add(PlacementAttempt attempt, Duration until) {
     countsUntil.put(attempt, until);
+    addedCount++;
     if (countsUntil.size() > MAX_KEPT) {
       PlacementAttempt oldest = countsUntil.keySet().iterator().next();
-      release((each, eachUntil) -> each == oldest);
+      displacedCount += release((each, eachUntil) -> each == oldest);
     }
   }
 
   /** The VM is known to run on the machine no longer. */
   void confirmed(String vmId, Machine machine) {
-    release((attempt, until) -> attempt.machine == machine && attempt.vm.id.equals(vmId));
+    confirmedCount +=
+        release((attempt, until) -> attempt.machine == machine && attempt.vm.id.equals(vmId));
   }
 
   /** The machine runs nothing of what was sent to it before that time. */
   void machineCleared(Machine machine, Duration before) {
-    release((attempt, until) -> attempt.machine == machine && attempt.sentAt.compareTo(before) < 0);
+    clearedCount +=
+        release(
+            (attempt, until) -> attempt.machine == machine && attempt.sentAt.compareTo(before) < 0);
   }
 
   /** Releases those whose time is over. */
   void expire(Duration now) {
-    release((attempt, until) -> until.compareTo(now) <= 0);
+    expiredCount += release((attempt, until) -> until.compareTo(now) <= 0);
   }
 
-  private void release(BiPredicate<PlacementAttempt, Duration> condition) {
+  private int release(BiPredicate<PlacementAttempt, Duration> condition) {
+    int released = 0;
     Iterator<Map.Entry<PlacementAttempt, Duration>> entries = countsUntil.entrySet().iterator();
     while (entries.hasNext()) {
       Map.Entry<PlacementAttempt, Duration> entry = entries.next();
       if (condition.test(entry.getKey(), entry.getValue())) {
         entries.remove();
         onReleased.accept(entry.getKey());
+        released++;
       }
     }
+    return released;
+  }
+
+  /** How many there are and were, and why they count no longer. */
+  String describe() {
+    return countsUntil.size()
+        + " of "
+        + addedCount
+        + ", confirmed "
+        + confirmedCount
+        + ", cleared by the list "
+        + clearedCount
+        + ", expired "
+        + expiredCount
+        + ", displaced "
+        + displacedCount;
   }
 }
--- a/src/main/java/fordridge/observability/Metrics.java
+++ b/src/main/java/fordridge/observability/Metrics.java
@@ -94,6 +94,11 @@
     offers.increment();
   }
 
+  /** An offer that was decided could not be sent any more; the obstacle is a tag. */
+  public void offerWithdrawn(String obstacle) {
+    registry.counter("fordridge.offers.withdrawn", "obstacle", obstacle).increment();
+  }
+
   /** A placement attempt finished. */
   public void attemptFinished(Outcome outcome) {
     attemptOutcomes.get(outcome).increment();
--- a/src/main/java/fordridge/scheduling/CandidateFilter.java
+++ b/src/main/java/fordridge/scheduling/CandidateFilter.java
@@ -5,6 +5,7 @@
 import fordridge.model.PriorityClass;
 import fordridge.model.SchedulerState;
 import fordridge.model.Vm;
+import java.util.Optional;
 
 /** Decides which machines a VM may be offered to at all. */
 record CandidateFilter(
@@ -23,23 +24,51 @@
   }
 
   /**
-   * Whether an attempt that waited since it was decided may still be sent: nothing that was learned
-   * meanwhile forbids it. Its own place among the VMs of its service is not counted against it.
+   * What was learned since an attempt was decided and forbids that it is sent, if anything. Its own
+   * place among the VMs of its service, and in the quota of slow start, is not held against it.
    */
-  boolean mayStillSend(PlacementAttempt attempt) {
-    Vm vm = attempt.vm;
+  Optional<OfferObstacle> findObstacle(PlacementAttempt attempt) {
+    Optional<OfferObstacle> atClient = findObstacleAtClient(attempt);
+    return atClient.isPresent() ? atClient : findObstacleAtMachine(attempt);
+  }
+
+  private Optional<OfferObstacle> findObstacleAtClient(PlacementAttempt attempt) {
+    if (!attempt.isInFlight()) {
+      return Optional.of(OfferObstacle.ATTEMPT_ENDED);
+    }
+    if (attempt.vm.isFinished) {
+      return Optional.of(OfferObstacle.CLIENT_LEFT);
+    }
+    if (state.isPast(attempt.vm.deadline)) {
+      return Optional.of(OfferObstacle.DEADLINE_PASSED);
+    }
+    if (!retries.allowsResend(attempt)) {
+      return Optional.of(OfferObstacle.WINDOW_CLOSED);
+    }
+    return state.isStopping ? Optional.of(OfferObstacle.SHUTDOWN) : Optional.empty();
+  }
+
+  private Optional<OfferObstacle> findObstacleAtMachine(PlacementAttempt attempt) {
     Machine machine = attempt.machine;
-    PriorityClass settings = state.settingsOf(vm);
-    return attempt.isInFlight()
-        && !vm.isFinished
-        && !state.isStopping
-        && !state.isPast(vm.deadline)
-        && machine.lifecycle == Machine.Lifecycle.LIVE
-        && settings.allowsKind(machine.kind)
-        && state.isPast(machine.ejectedUntil)
-        && !outliers.isBackedOff(vm, machine)
-        && retries.allowsResend(attempt)
-        && keepsSpread(vm, settings, machine, 1);
+    PriorityClass settings = state.settingsOf(attempt.vm);
+    if (machine.lifecycle != Machine.Lifecycle.LIVE) {
+      return Optional.of(OfferObstacle.MACHINE_NOT_LIVE);
+    }
+    if (!settings.allowsKind(machine.kind)) {
+      return Optional.of(OfferObstacle.KIND_NOT_ALLOWED);
+    }
+    if (!state.isPast(machine.ejectedUntil)) {
+      return Optional.of(OfferObstacle.MACHINE_EJECTED);
+    }
+    if (outliers.isBackedOff(attempt.vm, machine)) {
+      return Optional.of(OfferObstacle.BACKED_OFF);
+    }
+    if (!keepsSpread(attempt.vm, settings, machine, 1)) {
+      return Optional.of(OfferObstacle.SPREAD_LIMIT);
+    }
+    return slowStart.confirmSend(attempt)
+        ? Optional.empty()
+        : Optional.of(OfferObstacle.SLOW_START);
   }
 
   /** Open to the class, whatever became of a VM's attempts and wherever its service runs. */
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -21,6 +21,7 @@
 import fordridge.model.Vm;
 import fordridge.scheduling.RuleList.Rule;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Places VMs on machines: utilization-aware scheduling after UBIS (docs/design.md). It is called by
@@ -137,11 +138,16 @@
   }
 
   /**
-   * The first byte of an offer could be written now: whether the attempt may still go, by all that
-   * is known by now. If so, it counts as sent at this instant; if not, it has to end as not sent.
+   * The first byte of an offer could be written now: what forbids it, by all that is known by now.
+   * If nothing does, the attempt counts as sent at this instant; else it has to end as not sent.
    */
-  public boolean confirmSend(PlacementAttempt attempt) {
-    return candidates.mayStillSend(attempt) && slowStart.confirmSend(attempt);
+  public Optional<OfferObstacle> confirmSend(PlacementAttempt attempt) {
+    return candidates.findObstacle(attempt);
+  }
+
+  /** Counts of VMs whose attempts ended without their machine's word, for the log. */
+  public String describeUnconfirmedEnds() {
+    return state.describeUnconfirmedEnds();
   }
 
   /** A VM that runs already counts as placed by this scheduler. */
--- a/src/main/java/fordridge/server/grpc/AttemptTracker.java
+++ b/src/main/java/fordridge/server/grpc/AttemptTracker.java
@@ -7,12 +7,15 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
+import fordridge.scheduling.OfferObstacle;
 import fordridge.scheduling.Scheduler;
 import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Accepted;
 import fordridge.session.ClientResponse.Terminated;
 import fordridge.session.ClientResponse.TerminationCause;
 import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
 
 /**
  * Takes in what becomes of placement attempts: tells the scheduler and the constraints, and
@@ -33,6 +36,8 @@
   void abandon(PlacementAttempt attempt, Outcome outcome) {
     MachineHandle machine = context.machines.get(attempt.machine);
     boolean neverWritten = machine.stream().cancel(attempt, context.loop.now());
+    // Counts at its machine until that has confirmed the withdrawal, see attemptReleased.
+    attempt.mayStillRun = !neverWritten;
     attemptEnded(attempt, neverWritten ? Outcome.UNREACHABLE : outcome, OutcomeReason.UNSPECIFIED);
     machine.scheduleTick();
   }
@@ -44,7 +49,9 @@
 
   @Override
   public boolean confirmSend(PlacementAttempt attempt) {
-    return context.scheduler.inputs().scheduler.confirmSend(attempt);
+    Optional<OfferObstacle> obstacle = context.scheduler.inputs().scheduler.confirmSend(attempt);
+    obstacle.ifPresent(found -> logWithdrawal(attempt, found));
+    return obstacle.isEmpty();
   }
 
   @Override
@@ -113,6 +120,18 @@
     return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
   }
 
+  private void logWithdrawal(PlacementAttempt attempt, OfferObstacle obstacle) {
+    context.metrics.offerWithdrawn(obstacle.name().toLowerCase(Locale.ROOT));
+    context
+        .log
+        .info()
+        .addKeyValue("vm", attempt.vm.id)
+        .addKeyValue("attempt", attempt.number)
+        .addKeyValue("machine", context.machines.nameOf(attempt.machine))
+        .addKeyValue("obstacle", obstacle)
+        .log("offer not sent");
+  }
+
   private void logEnd(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
     context
         .log
--- a/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/grpc/ClientRequestIntake.java
@@ -6,6 +6,7 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.Vm;
+import fordridge.runtime.InputKind;
 import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Failed;
 import fordridge.session.ClientResponse.Rejected;
@@ -15,6 +16,8 @@
 import fordridge.settings.PriorityClassSettings;
 import fordridge.v1.Want;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -24,6 +27,9 @@
 final class ClientRequestIntake implements ClientService.RequestHandler {
   private final InstanceContext context;
 
+  /** By id, the admitted VMs that the scheduler has not been asked to place yet. */
+  private final Map<String, Vm> waiting = new HashMap<>();
+
   ClientRequestIntake(InstanceContext context) {
     this.context = context;
   }
@@ -86,6 +92,7 @@
     scheduleBackstop(vm, session, request.getVm());
     boolean mayAlreadyRun = !priorityClass.isIdempotent() && session.isFromEarlierIncarnation();
     if (request.getGroup().isEmpty()) {
+      waiting.put(vm.id, vm);
       scheduleOnceReconciled(vm, session, request.getVm(), mayAlreadyRun);
     } else {
       joinGroup(vm, session, request, priorityClass, mayAlreadyRun);
@@ -179,16 +186,32 @@
       Vm vm, ClientSession session, String name, boolean mayAlreadyRun) {
     boolean isPending = sessions().isPending(session.client(), name);
     if (!mayAlreadyRun || context.machines.isReconciled()) {
-      if (isPending) {
-        context.scheduler.vmRequested(vm);
-      }
+      context.gate.enterWhenRead(InputKind.CLIENT_REQUEST, () -> schedule(vm));
     } else if (context.loop.now().compareTo(vm.deadline) < 0) {
       context.loop.schedule(
           settings().machineList().pollInterval(),
           () -> scheduleOnceReconciled(vm, session, name, true));
-    } else if (isPending) {
+    } else {
+      waiting.remove(vm.id, vm);
+      giveUpUnreconciled(vm, isPending);
+    }
+  }
+
+  private void giveUpUnreconciled(Vm vm, boolean isPending) {
+    if (isPending) {
       context.metrics.responseSent(ClientResponse.Kind.FAILED);
       failUnreconciled(vm, "; not every machine has said what it holds");
+    } else {
+      context.clients.unregister(vm);
+    }
+  }
+
+  /** Unless it was withdrawn, or answered at its deadline, while it waited. */
+  private void schedule(Vm vm) {
+    if (waiting.remove(vm.id, vm) && context.clients.isPending(vm)) {
+      context.scheduler.vmRequested(vm);
+    } else {
+      context.clients.unregister(vm);
     }
   }
 
@@ -227,6 +250,7 @@
     String id = ClientConnections.vmId(session.client(), name);
     Vm vm = context.scheduler.inputs().vm(id);
     sessions().requestWithdrawn(session, name, context.loop.now());
+    waiting.remove(id);
     withdrawFromGroup(id, vm != null);
     if (vm == null || vm.isFinished) {
       return;
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
@@ -6,6 +6,7 @@
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.Vm;
+import fordridge.runtime.InputKind;
 import fordridge.scheduling.SchedulerActions;
 import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Failed;
@@ -36,7 +37,8 @@
   public void sendAttempt(PlacementAttempt attempt, Duration within) {
     context.metrics.offerSent();
     context.constraints.attemptSent(attempt);
-    context.loop.processBehind(
+    context.gate.enterWhenRead(
+        InputKind.OFFER,
         () -> {
           if (attempt.isInFlight()) {
             offer(attempt, within);
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerServer.java
@@ -2,6 +2,7 @@
 
 import fordridge.constraint.PlacementConstraint;
 import fordridge.discovery.MachineListSource;
+import fordridge.eventloop.PolledEventLoop;
 import fordridge.grpc.ClientService;
 import fordridge.grpc.GossipSocket;
 import fordridge.grpc.OperatorService;
@@ -38,7 +39,7 @@
       int position,
       String name,
       long seed,
-      EventLoop eventLoop,
+      PolledEventLoop eventLoop,
       Executor groupPlanner,
       Metrics metrics) {
     gossip = new Gossip(metrics);
--- a/src/main/java/fordridge/server/grpc/InputLoop.java
+++ b/src/main/java/fordridge/server/grpc/InputLoop.java
@@ -2,8 +2,11 @@
 
 import fordridge.eventloop.EventLoopLagMonitor;
 import fordridge.eventloop.EventLoopTimers;
+import fordridge.eventloop.InputGate;
+import fordridge.eventloop.SocketPoller;
 import fordridge.observability.Metrics;
 import fordridge.runtime.EventSequencer;
+import fordridge.runtime.InputKind;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -51,6 +54,40 @@
     lag = new EventLoopLagMonitor(timers, sequencer::clock);
   }
 
+  /** A gate whose inputs are processed on this loop once its sockets are read. */
+  InputGate newGate(SocketPoller poller) {
+    return new InputGate(timers, new SocketsPort(poller), () -> {});
+  }
+
+  /** One pass reads each stream as far as its flow control lets it send. */
+  private final class SocketsPort implements InputGate.Port {
+    private final SocketPoller poller;
+
+    SocketsPort(SocketPoller poller) {
+      this.poller = poller;
+    }
+
+    @Override
+    public InputGate.ReadResult readSockets() {
+      poller.readReady();
+      return InputGate.ReadResult.TO_THE_END;
+    }
+
+    @Override
+    public Duration clock() {
+      return sequencer.clock();
+    }
+
+    /** Nothing to do: each input has a time of its own. */
+    @Override
+    public void refreshTime() {}
+
+    @Override
+    public void enter(InputKind kind, Runnable input) {
+      process(input);
+    }
+  }
+
   /** Measures the event loop's lag from now on. */
   void startLagMonitor() {
     lag.start();
--- a/src/main/java/fordridge/server/grpc/InstanceContext.java
+++ b/src/main/java/fordridge/server/grpc/InstanceContext.java
@@ -1,5 +1,7 @@
 package fordridge.server.grpc;
 
+import fordridge.eventloop.InputGate;
+import fordridge.eventloop.PolledEventLoop;
 import fordridge.model.Vm;
 import fordridge.observability.Metrics;
 import fordridge.settings.DeploymentSettings;
@@ -18,6 +20,10 @@
   final Metrics metrics;
   final SchedulerLog log;
   final InputLoop loop;
+
+  /** Before what may not be decided or sent on input that is not read yet. */
+  final InputGate gate;
+
   final EventLoop eventLoop;
   final ShadowedScheduler scheduler;
   final ClientConnections clients;
@@ -36,7 +42,7 @@
       int position,
       String name,
       long seed,
-      EventLoop eventLoop,
+      PolledEventLoop polledLoop,
       Executor groupPlanner,
       Metrics metrics,
       Gossip gossip) {
@@ -44,10 +50,11 @@
     this.position = position;
     this.name = name;
     this.seed = seed;
-    this.eventLoop = eventLoop;
+    eventLoop = polledLoop.loop();
     this.metrics = metrics;
     log = new SchedulerLog(name);
     loop = new InputLoop(eventLoop, metrics, log, this::beforeInput, this::afterInputs);
+    gate = loop.newGate(polledLoop.poller());
     scheduler = new ShadowedScheduler(new GrpcSchedulerActions(this, gossip), log);
     clients = new ClientConnections(this);
     constraints = new ConstraintState(this);
--- a/src/main/java/fordridge/server/grpc/PlacerCommand.java
+++ b/src/main/java/fordridge/server/grpc/PlacerCommand.java
@@ -4,6 +4,7 @@
 import fordridge.discovery.MachineListFile;
 import fordridge.discovery.MachineListSource;
 import fordridge.etcd.EtcdMachineList;
+import fordridge.eventloop.PolledEventLoops;
 import fordridge.grpc.ClientService;
 import fordridge.grpc.GossipSocket;
 import fordridge.grpc.OperatorService;
@@ -16,9 +17,6 @@
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.File;
 import java.io.IOException;
@@ -67,7 +65,7 @@
 
   private final DeploymentSettings settings;
   private final long seed;
-  private final EventLoopGroup eventLoops;
+  private final PolledEventLoops eventLoops;
   private final ExecutorService groupPlanner = newGroupPlanner();
   private final Metrics metrics = new Metrics();
   private final List<MachineListSource> machineLists = new ArrayList<>();
@@ -87,7 +85,7 @@
     seed =
         instance.seed() != 0 ? instance.seed() : System.nanoTime() ^ ProcessHandle.current().pid();
     int threads = Math.min(instance.count(), Runtime.getRuntime().availableProcessors());
-    eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+    eventLoops = new PolledEventLoops(threads, line -> LOG.atWarn().log(line));
     try {
       startInstances();
       startLagMetrics(threads);
@@ -257,7 +255,8 @@
     metrics.gauge("fordridge.held", this::pendingRequests);
     metrics.gauge("fordridge.streams", this::establishedStreams);
     if (settings.metricsPort() >= 0) {
-      metricsServer = Optional.of(new MetricsServer(settings.metricsPort(), metrics, eventLoops));
+      metricsServer =
+          Optional.of(new MetricsServer(settings.metricsPort(), metrics, eventLoops.group()));
     }
   }
 
@@ -394,7 +393,7 @@
 
   @Override
   public void close() {
-    if (eventLoops.isShuttingDown()) {
+    if (eventLoops.group().isShuttingDown()) {
       return;
     }
     constraintUpdater.ifPresent(ConstraintUpdater::close);
@@ -404,6 +403,6 @@
     metricsServer.ifPresent(MetricsServer::close);
     groupPlanner.shutdownNow();
     // Daemon-like: its own two seconds are enough, and nobody waits for its end.
-    var unused = eventLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+    var unused = eventLoops.group().shutdownGracefully(0, 2, TimeUnit.SECONDS);
   }
 }
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -7,10 +7,12 @@
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
 import fordridge.runtime.SchedulerInputs;
+import fordridge.scheduling.OfferObstacle;
 import fordridge.session.PendingResponses;
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Reports what the connections to machines conclude on attempts to the scheduler, and to clients
@@ -51,7 +53,12 @@
 
   @Override
   public boolean confirmSend(PlacementAttempt attempt) {
-    return inputs.scheduler.confirmSend(attempt);
+    Optional<OfferObstacle> obstacle = inputs.scheduler.confirmSend(attempt);
+    if (obstacle.isPresent()) {
+      String machineId = machines.handleOf(attempt.machine).id();
+      requestLog.offerWithdrawn(attempt, machineId, obstacle.get(), loop.clock());
+    }
+    return obstacle.isEmpty();
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/fordridge/server/json/JsonInputPort.java
@@ -0,0 +1,57 @@
+package fordridge.server.json;
+
+import fordridge.eventloop.InputGate;
+import fordridge.eventloop.InputGate.ReadResult;
+import fordridge.eventloop.SocketPoller;
+import fordridge.json.ClientServer;
+import fordridge.runtime.InputKind;
+import java.time.Duration;
+
+/**
+ * What the gate of inputs reads on JSON lines: all sockets of the loop, until no client's
+ * connection has more and none waits to be accepted. Confined to the event loop.
+ */
+final class JsonInputPort implements InputGate.Port {
+  private final SchedulerEventLoop loop;
+  private final SocketPoller poller;
+  private ClientServer clients;
+
+  JsonInputPort(SchedulerEventLoop loop, SocketPoller poller) {
+    this.loop = loop;
+    this.poller = poller;
+  }
+
+  /** Whose connections have to be read to their end. */
+  void setClients(ClientServer newClients) {
+    clients = newClients;
+  }
+
+  @Override
+  public ReadResult readSockets() {
+    if (clients == null) {
+      poller.readReady();
+      return ReadResult.TO_THE_END;
+    }
+    clients.startReadPass();
+    poller.readReady();
+    if (clients.hasUnreadInput()) {
+      return ReadResult.MORE_MAY_WAIT;
+    }
+    return clients.isAcceptingRefused() ? ReadResult.REFUSED : ReadResult.TO_THE_END;
+  }
+
+  @Override
+  public Duration clock() {
+    return loop.clock();
+  }
+
+  @Override
+  public void refreshTime() {
+    loop.startTimeAnew();
+  }
+
+  @Override
+  public void enter(InputKind kind, Runnable input) {
+    loop.enter(kind, input);
+  }
+}
--- a/src/main/java/fordridge/server/json/JsonSchedulerActions.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerActions.java
@@ -1,5 +1,6 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.InputGate;
 import fordridge.machine.MachineConnectionPool;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -1,6 +1,7 @@
 package fordridge.server.json;
 
 import fordridge.eventloop.EventLoopTimers;
+import fordridge.eventloop.InputGate;
 import fordridge.eventloop.SocketPoller;
 import fordridge.json.ClientConnection;
 import fordridge.json.ClientRequestHandler;
@@ -38,6 +39,7 @@
 
   private final EventLoopTimers timers;
   private final SchedulerEventLoop loop;
+  private final JsonInputPort inputPort;
   private final InputGate gate;
   private final PendingResponses<ClientConnection> pendingResponses =
       new PendingResponses<>(MAX_PENDING_REQUESTS, MAX_NOTICES, NOTICE_LIFETIME);
@@ -65,8 +67,9 @@
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
     requestLog = new RequestLog(log);
-    loop = new SchedulerEventLoop(group.next(), timers, inputStatistics, log);
-    gate = new InputGate(loop, timers, poller);
+    loop = new SchedulerEventLoop(group.next(), timers, poller, inputStatistics, log);
+    inputPort = new JsonInputPort(loop, poller);
+    gate = new InputGate(timers, inputPort, this::decide);
     actions = new JsonSchedulerActions(loop, gate, clients, settings, requestLog, log);
     inputs = new SchedulerInputs<>(actions, SchedulerInputs::number);
     requests = new ActiveRequests(loop, inputs, requestLog);
@@ -87,7 +90,6 @@
         new ClientRequestIntake(
             loop, inputs, settings, pendingResponses, clients, requests, machines, log);
     loop.attach(inputs.scheduler);
-    gate.attach(inputs.scheduler::inputRead);
     actions.attach(inputs, machines, requests);
     outcomes.attach(machines);
   }
@@ -106,7 +108,7 @@
   void start(ClientServer newClientServer) {
     clientServer = newClientServer;
     loop.setClients(newClientServer);
-    gate.setClients(newClientServer);
+    inputPort.setClients(newClientServer);
     loop.enter(
         InputKind.START,
         () -> inputs.scheduler.start(configuration.seed(), configuration.schedulerSettings()));
@@ -125,6 +127,10 @@
     loop.watchMachineList(readNow);
   }
 
+  private void decide() {
+    inputs.scheduler.inputRead();
+  }
+
   private void tick() {
     machines.tick();
     pendingResponses.expireNotices(loop.now());
@@ -196,7 +202,13 @@
 
   /** What became of the requests, for the log. */
   String takeRequestSummary() {
-    return requestLog.takeSummary() + ", " + gate.describe();
+    return requestLog.takeSummary()
+        + ", "
+        + gate.describe()
+        + ", connections unread for too long "
+        + (clientServer == null ? 0 : clientServer.unreadTooLongCount())
+        + ", VMs that may run without a word of their machine "
+        + inputs.scheduler.describeUnconfirmedEnds();
   }
 
   /** The server's state in one line. */
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -1,5 +1,6 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.InputGate;
 import fordridge.json.ConnectionQuota;
 import fordridge.json.MachineClient;
 import fordridge.machine.ConnectionBudget;
--- a/src/main/java/fordridge/server/json/RequestLog.java
+++ b/src/main/java/fordridge/server/json/RequestLog.java
@@ -5,6 +5,7 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import fordridge.model.Vm;
+import fordridge.scheduling.OfferObstacle;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -36,6 +37,7 @@
   private final Consumer<String> log;
   private final Map<Handover, Long> handovers = new EnumMap<>(Handover.class);
   private final Map<Outcome, Long> outcomesBeforeAcceptance = new EnumMap<>(Outcome.class);
+  private final Map<OfferObstacle, Long> withdrawnOffers = new EnumMap<>(OfferObstacle.class);
   private Duration slowestOffer = Duration.ZERO;
   private long offers;
   private long rejected;
@@ -79,6 +81,22 @@
     }
   }
 
+  /** An attempt that was decided may not be sent any more. */
+  void offerWithdrawn(
+      PlacementAttempt attempt, String machineId, OfferObstacle obstacle, Duration now) {
+    withdrawnOffers.merge(obstacle, 1L, Long::sum);
+    write(
+        "offer not sent",
+        attempt.vm,
+        "machine "
+            + machineId
+            + ", "
+            + obstacle
+            + ", "
+            + now.minus(attempt.sentAt).toMillis()
+            + " ms after it was decided");
+  }
+
   /** An attempt ended without having been accepted. */
   void attemptEnded(
       PlacementAttempt attempt,
@@ -165,7 +183,9 @@
             + offers
             + ", slowest "
             + slowestOffer.toMillis()
-            + " ms after its request, attempts ended before acceptance "
+            + " ms after its request, not sent "
+            + withdrawnOffers
+            + ", attempts ended before acceptance "
             + outcomesBeforeAcceptance
             + ", rejected "
             + rejected
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -2,6 +2,7 @@
 
 import fordridge.eventloop.EventLoopLagMonitor;
 import fordridge.eventloop.EventLoopTimers;
+import fordridge.eventloop.SocketPoller;
 import fordridge.json.ClientServer;
 import fordridge.observability.StackTraces;
 import fordridge.runtime.EventSequencer;
@@ -25,6 +26,7 @@
 
   private final EventLoop loop;
   private final EventLoopTimers timers;
+  private final SocketPoller poller;
   private final EventSequencer sequencer;
   private final InputStatistics inputStatistics;
   private final EventLoopLagMonitor lag;
@@ -36,10 +38,12 @@
   SchedulerEventLoop(
       EventLoop loop,
       EventLoopTimers timers,
+      SocketPoller poller,
       InputStatistics inputStatistics,
       Consumer<String> log) {
     this.loop = loop;
     this.timers = timers;
+    this.poller = poller;
     this.inputStatistics = inputStatistics;
     // An input that fails is lost to the scheduler, those behind it are not; a request that it
     // leaves without a decision fails at its deadline.
@@ -138,8 +142,8 @@
     timers.runAfter(delay, () -> enterAfter(Duration.ZERO, kind, input));
   }
 
-  /** The most that the loop was late within the last seconds. */
+  /** How long what is read now may have waited; at least the most of the last seconds. */
   Duration lag(Duration at) {
-    return lag.allowance(at);
+    return lag.allowance(at, poller.sincePreviousPoll());
   }
 }
--- a/src/test/java/fordridge/scheduling/ConfirmSendTest.java
+++ b/src/test/java/fordridge/scheduling/ConfirmSendTest.java
@@ -10,6 +10,7 @@
 import fordridge.model.Vm;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.Example;
 
 /**
@@ -41,7 +42,7 @@
     return vm;
   }
 
-  private boolean maySend() {
+  private Optional<OfferObstacle> obstacle() {
     machine.ejectedUntil = ejectedUntil;
     fixture.scheduler.advanceTo(fixture.now);
     return fixture.scheduler.confirmSend(waiting);
@@ -53,14 +54,14 @@
     handOver(SERVICE);
     fixture.now = fixture.now.plusMillis(500);
     assertThat(waiting.machine).isSameAs(machine);
-    assertThat(maySend()).isTrue();
+    assertThat(obstacle()).isEmpty();
   }
 
   @Example
   void vmsOfItsServiceWereHandedOver() {
     handOver(SERVICE);
     handOver(SERVICE);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.SPREAD_LIMIT);
   }
 
   @Example
@@ -68,14 +69,14 @@
     Vm ended = handOver(SERVICE);
     handOver(SERVICE);
     fixture.end(ended.acceptedAttempt, Outcome.DONE, OutcomeReason.UNSPECIFIED);
-    assertThat(maySend()).isTrue();
+    assertThat(obstacle()).isEmpty();
   }
 
   @Example
   void aVmOfItsServiceWasHandedOverWhileAnotherAttemptIsOut() {
     decide("fragile");
     handOver(SERVICE);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.SPREAD_LIMIT);
   }
 
   @Example
@@ -84,10 +85,10 @@
     PlacementAttempt broken = decideElsewhereOfService();
     broken.mayStillRun = true;
     fixture.end(broken, Outcome.RESET, OutcomeReason.UNSPECIFIED);
-    assertThat(maySend()).as("the broken one may run").isFalse();
+    assertThat(obstacle()).as("the broken one may run").contains(OfferObstacle.SPREAD_LIMIT);
 
     fixture.scheduler.endConfirmed(broken.vm.id, machine);
-    assertThat(maySend()).as("its machine has said that it does not").isTrue();
+    assertThat(obstacle()).as("its machine has said that it does not").isEmpty();
   }
 
   /** Another attempt of the service at the same machine, which its limit of two allows. */
@@ -116,48 +117,48 @@
   void itsClientHasLeft() {
     fixture.finished.add(waiting.vm);
     fixture.scheduler.clientLeft(waiting.vm);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.CLIENT_LEFT);
   }
 
   @Example
   void itsDeadlineHasPassed() {
     fixture.now = waiting.vm.deadline;
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.DEADLINE_PASSED);
   }
 
   @Example
   void itsMachineDrainsOrIsGone() {
     fixture.listMachine(machine, Lifecycle.DRAINING, null);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.MACHINE_NOT_LIVE);
     fixture.listMachine(machine, Lifecycle.GONE, null);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.MACHINE_NOT_LIVE);
   }
 
   @Example
   void itsMachineIsOfAnotherKind() {
     machine.kind = "small";
     fixture.listMachine(machine, Lifecycle.LIVE, null);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.KIND_NOT_ALLOWED);
   }
 
   @Example
   void itsMachineWasEjected() {
     ejectedUntil = fixture.now.plusSeconds(1);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.MACHINE_EJECTED);
   }
 
   @Example
   void theLimitWasLoweredByAReload() {
     handOver(SERVICE);
-    assertThat(maySend()).isTrue();
+    assertThat(obstacle()).isEmpty();
     fixture.change("extra.classMost", List.of(9L, 3L, 1L));
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.SPREAD_LIMIT);
   }
 
   @Example
   void theShutdownHasBegun() {
     fixture.scheduler.shutdownStarted();
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.SHUTDOWN);
   }
 
   @Example
@@ -170,15 +171,15 @@
       sent++;
     }
     assertThat(sent).as("attempts within the quota").isBetween(1, 19);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.SLOW_START);
   }
 
   @Example
   void anInventoryIsAwaitedThatMayNameVmsOfItsService() {
     fixture.scheduler.inventoryAwaited(machine);
-    assertThat(maySend()).isFalse();
+    assertThat(obstacle()).contains(OfferObstacle.SPREAD_LIMIT);
     fixture.scheduler.inventoryReceived(machine);
-    assertThat(maySend()).isTrue();
+    assertThat(obstacle()).isEmpty();
   }
 
   @Example
@@ -187,9 +188,9 @@
     fixture.end(vm.lastAttempt(), Outcome.RESET, OutcomeReason.UNSPECIFIED);
     PlacementAttempt second = vm.lastAttempt();
     assertThat(second.number).as("tried again near the first").isEqualTo(1);
-    assertThat(fixture.scheduler.confirmSend(second)).isTrue();
+    assertThat(fixture.scheduler.confirmSend(second)).isEmpty();
     fixture.now = fixture.now.plus(Duration.ofSeconds(3));
     fixture.scheduler.advanceTo(fixture.now);
-    assertThat(fixture.scheduler.confirmSend(second)).isFalse();
+    assertThat(fixture.scheduler.confirmSend(second)).contains(OfferObstacle.WINDOW_CLOSED);
   }
 }
