Log what becomes of VMs that run, of unknown ends, and why machine connections broke

Change: VmLog logs and counts ends (with whether a notice was sent), ends and acceptances of unknown VMs, late handovers, VMs ended by their client, notices resent or dropped, and the reason of each lost machine connection with its requests; BoundedLog bounds the lines by event. Measured: JsonServer*, PendingResponses, MachineConnectionPool, WatchRead and Architecture tests pass. The whole suite was not run here.

--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -131,6 +131,11 @@
     return taken;
   }
 
+  /** The ids of the VMs whose placement requests it carries. */
+  public List<String> placementRequestIds() {
+    return List.copyOf(placementRequests.keySet());
+  }
+
   int placementRequestCount() {
     return placementRequests.size();
   }
@@ -141,6 +146,10 @@
     return lastUsedAt;
   }
 
+  boolean isUnusedFor(Duration span, Duration now) {
+    return now.minus(lastUsedAt).compareTo(span) >= 0;
+  }
+
   void used(Duration now) {
     lastUsedAt = now;
   }
--- a/src/main/java/fordridge/machine/MachineConnectionListener.java
+++ b/src/main/java/fordridge/machine/MachineConnectionListener.java
@@ -11,7 +11,10 @@
   void attemptAccepted(PlacementAttempt attempt, String description);
 
   /** The machine said that a VM is over which is not known to run there. */
-  void unknownVmEnded(String vmId, Machine machine);
+  void unknownVmEnded(VmTermination termination, Machine machine);
+
+  /** The machine accepted a VM that is not requested from it, or no longer. */
+  void unknownVmAccepted(String vmId, Machine machine);
 
   /**
    * The VM ran on the machine and is over there, and the answer to its placement request never
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -227,6 +227,7 @@
       MachineConnection connection, String vmId, String description, Duration now) {
     Optional<PlacementRequest> request = connection.remove(vmId);
     if (request.isEmpty()) {
+      listener.unknownVmAccepted(vmId, machine);
       return;
     }
     PlacementAttempt attempt = request.get().attempt();
@@ -267,7 +268,7 @@
         .terminated(termination, now)
         .ifPresentOrElse(
             attempt -> listener.attemptEnded(attempt, outcome, termination.reason()),
-            () -> listener.unknownVmEnded(termination.vmId(), machine));
+            () -> listener.unknownVmEnded(termination, machine));
   }
 
   /** The machine answered a health check. */
@@ -338,7 +339,7 @@
         closeIfRetired(connection);
       } else if (connection.isIdle()) {
         // One is kept for termination notices; the others are closed once they are unused.
-        if (idleConnectionKept && isUnusedFor(timeouts.idleTimeout(), connection, now)) {
+        if (idleConnectionKept && connection.isUnusedFor(timeouts.idleTimeout(), now)) {
           close(connection, now);
         }
         idleConnectionKept = true;
@@ -408,10 +409,6 @@
     return connection;
   }
 
-  private static boolean isUnusedFor(Duration span, MachineConnection connection, Duration now) {
-    return now.minus(connection.lastUsedAt()).compareTo(span) >= 0;
-  }
-
   /** Sends what waits and may still go: an offer can't be taken back. */
   private void sendWaiting(MachineConnection connection, Duration now) {
     for (PlacementRequest request : connection.unsentRequests()) {
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -1,6 +1,7 @@
 package fordridge.server.json;
 
 import fordridge.machine.MachineConnectionListener;
+import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -93,17 +94,25 @@
           }
           inputs.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted || vm.isFinished);
           if (wasAccepted && outcome == Outcome.CANCELLED) {
-            pendingResponses.endedByClient(vm.id);
+            boolean wasOwed = pendingResponses.endedByClient(vm.id);
+            logEndOfVm(attempt, outcome, reason, wasOwed ? "dropped" : "not owed");
           } else if (wasAccepted) {
-            clients.notifyTerminated(vm, outcome, loop.now());
+            boolean isSent = clients.notifyTerminated(vm, outcome, loop.now());
+            logEndOfVm(attempt, outcome, reason, isSent ? "sent" : "not sent");
           }
           requests.forgetIfOver(vm);
         });
   }
 
   @Override
-  public void unknownVmEnded(String vmId, Machine machine) {
-    loop.enterBehind(() -> inputs.scheduler.endConfirmed(vmId, machine));
+  public void unknownVmEnded(VmTermination termination, Machine machine) {
+    requestLog.vms().unknownEnded(termination, machines.handleOf(machine).id());
+    loop.enterBehind(() -> inputs.scheduler.endConfirmed(termination.vmId(), machine));
+  }
+
+  @Override
+  public void unknownVmAccepted(String vmId, Machine machine) {
+    requestLog.vms().unknownAccepted(vmId, machines.handleOf(machine).id());
   }
 
   @Override
@@ -117,6 +126,8 @@
           Vm vm = attempt.vm;
           count(outcome);
           logEnd(attempt, outcome, reason);
+          String machineId = machines.handleOf(attempt.machine).id();
+          requestLog.vms().endedUnanswered(attempt, machineId, outcome);
           inputs.scheduler.attemptEnded(attempt, outcome, reason, true);
           if (pendingResponses.isAwaitingResponse(vm.id)) {
             clients.fail(vm);
@@ -133,6 +144,12 @@
         attempt, machines.handleOf(attempt.machine).id(), outcome, reason, loop.clock());
   }
 
+  private void logEndOfVm(
+      PlacementAttempt attempt, Outcome outcome, OutcomeReason reason, String notified) {
+    String machineId = machines.handleOf(attempt.machine).id();
+    requestLog.vms().ended(attempt, machineId, outcome, reason, "notice " + notified);
+  }
+
   private void count(Outcome outcome) {
     outcomeCounts.merge(outcome, 1L, Long::sum);
   }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -7,6 +7,7 @@
 import fordridge.json.RequestPayload;
 import fordridge.json.TerminationCause;
 import fordridge.model.Machine;
+import fordridge.model.PlacementAttempt;
 import fordridge.model.Vm;
 import fordridge.runtime.InputKind;
 import fordridge.runtime.SchedulerInputs;
@@ -23,6 +24,9 @@
   /** How many invalid requests are logged; a flood must not fill the log. */
   private static final int MAX_LOGGED_INVALID_REQUESTS = 20;
 
+  /** After a start clients hand over all that they have running; later ones are logged. */
+  private static final Duration HANDOVERS_EXPECTED_FOR = Duration.ofSeconds(2);
+
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final RequestValidator validator;
@@ -34,6 +38,10 @@
   private final Consumer<String> log;
   private Duration machineFailureTimeout;
   private boolean isReady;
+
+  /** Handovers after this are logged. */
+  private Duration handoversExpectedUntil = Duration.ZERO;
+
   private long invalidRequestCount;
 
   ClientRequestIntake(
@@ -66,6 +74,7 @@
   /** The scheduler has started. */
   void markReady() {
     isReady = true;
+    handoversExpectedUntil = loop.clock().plus(HANDOVERS_EXPECTED_FOR);
   }
 
   @Override
@@ -156,6 +165,9 @@
   private void adopt(ClientConnection connection, Vm vm, String machineId) {
     RequestLog.Handover result = registerHandover(connection, vm, machineId);
     requestLog.handoverReceived(vm, machineId, result);
+    if (loop.now().compareTo(handoversExpectedUntil) > 0) {
+      requestLog.vms().lateHandover(vm.id, machineId, result.name());
+    }
     if (result != RequestLog.Handover.ADOPTED) {
       return;
     }
@@ -217,8 +229,10 @@
             requests.abandon(vm, machines);
             return;
           }
+          PlacementAttempt running = vm.acceptedAttempt;
+          requestLog.vms().endedByClient(running, machines.handleOf(running.machine).id());
           connection.sendTerminationAccepted(vmId);
-          machines.poolOf(vm.acceptedAttempt).terminate(vm.acceptedAttempt, loop.now());
+          machines.poolOf(running).terminate(running, loop.now());
         });
   }
 
--- a/src/main/java/fordridge/server/json/ClientResponder.java
+++ b/src/main/java/fordridge/server/json/ClientResponder.java
@@ -6,6 +6,7 @@
 import fordridge.model.Vm;
 import fordridge.session.PendingResponses;
 import fordridge.session.PendingResponses.AddressedNotice;
+import fordridge.session.PendingResponses.TerminationNotice;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -15,9 +16,11 @@
  */
 final class ClientResponder {
   private final PendingResponses<ClientConnection> pending;
+  private final VmLog log;
 
-  ClientResponder(PendingResponses<ClientConnection> pending) {
+  ClientResponder(PendingResponses<ClientConnection> pending, VmLog log) {
     this.pending = pending;
+    this.log = log;
   }
 
   void accept(Vm vm, String description) {
@@ -43,12 +46,13 @@
     }
   }
 
-  /** A running VM is over. */
-  void notifyTerminated(Vm vm, Outcome outcome, Duration now) {
+  /** A running VM is over. Whether a notice was sent; if not, it waits or none is owed. */
+  boolean notifyTerminated(Vm vm, Outcome outcome, Duration now) {
     Optional<ClientConnection> client = pending.vmTerminated(vm.id, outcome, now);
     if (client.isPresent()) {
       client.get().sendTerminated(vm.id, causeOf(outcome));
     }
+    return client.isPresent();
   }
 
   /** A running VM is being stopped for its client to request it anew; needs no acknowledgement. */
@@ -62,6 +66,7 @@
 
   /** Sends the notices that have waited for a connection, if one is open now. */
   void sendDeferredNotices(Duration now) {
+    expireNotices(now);
     for (AddressedNotice<ClientConnection> due : pending.takeDeferredNotices(now)) {
       due.connection().sendTerminated(due.notice().vmId(), causeOf(due.notice().outcome()));
     }
@@ -70,10 +75,18 @@
   /** Sends the notices again that were not acknowledged in time, on other connections. */
   void resendOverdueNotices(Duration now) {
     for (AddressedNotice<ClientConnection> due : pending.takeOverdueNotices(now)) {
+      log.noticeResent(due.notice());
       due.connection().sendTerminated(due.notice().vmId(), causeOf(due.notice().outcome()));
     }
   }
 
+  /** Drops the notices that are no longer worth sending. */
+  void expireNotices(Duration now) {
+    for (TerminationNotice expired : pending.expireNotices(now)) {
+      log.noticeDropped(expired, "not acknowledged in its time");
+    }
+  }
+
   private static TerminationCause causeOf(Outcome outcome) {
     return outcome == Outcome.DONE ? TerminationCause.DONE : TerminationCause.RESET;
   }
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -43,7 +43,7 @@
   private final InputGate gate;
   private final PendingResponses<ClientConnection> pendingResponses =
       new PendingResponses<>(MAX_PENDING_REQUESTS, MAX_NOTICES, NOTICE_LIFETIME);
-  private final ClientResponder clients = new ClientResponder(pendingResponses);
+  private final ClientResponder clients;
   private final RequestLog requestLog;
   private final JsonSchedulerActions actions;
   private final SchedulerInputs<String> inputs;
@@ -67,6 +67,7 @@
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
     requestLog = new RequestLog(log);
+    clients = new ClientResponder(pendingResponses, requestLog.vms());
     loop = new SchedulerEventLoop(group.next(), timers, poller, inputStatistics, log);
     inputPort = new JsonInputPort(loop, poller);
     gate = new InputGate(timers, inputPort, this::decide);
@@ -133,7 +134,7 @@
 
   private void tick() {
     machines.tick();
-    pendingResponses.expireNotices(loop.now());
+    clients.expireNotices(loop.now());
     clients.resendOverdueNotices(loop.now());
   }
 
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -117,6 +117,7 @@
 
   @Override
   public void connectionLost(MachineConnection connection, String reason) {
+    requestLog.vms().machineConnectionLost(id, reason, connection.placementRequestIds());
     loop.enter(
         InputKind.MACHINE_CONNECTION_LOST, () -> pool.connectionLost(connection, loop.now()));
   }
--- a/src/main/java/fordridge/server/json/RequestLog.java
+++ b/src/main/java/fordridge/server/json/RequestLog.java
@@ -15,9 +15,8 @@
 
 /**
  * Logs the state transitions of requests that took long or did not end with a VM, with the ids by
- * which they can be followed at clients and machines, and counts all transitions. Lines are bounded
- * in each reporting period, as a flood of requests must not fill the log. Confined to the event
- * loop.
+ * which they can be followed at clients and machines, and counts all transitions. Lines are
+ * bounded, see {@link BoundedLog}. Confined to the event loop.
  */
 final class RequestLog {
   /** What became of a VM that a client handed over. */
@@ -32,9 +31,8 @@
   /** An offer that is written later than this after its request was read is logged. */
   private static final Duration SLOW_OFFER = Duration.ofMillis(100);
 
-  private static final int MAX_LINES_PER_PERIOD = 40;
-
-  private final Consumer<String> log;
+  private final BoundedLog log;
+  private final VmLog vms;
   private final Map<Handover, Long> handovers = new EnumMap<>(Handover.class);
   private final Map<Outcome, Long> outcomesBeforeAcceptance = new EnumMap<>(Outcome.class);
   private final Map<OfferObstacle, Long> withdrawnOffers = new EnumMap<>(OfferObstacle.class);
@@ -43,11 +41,15 @@
   private long rejected;
   private long failed;
   private long abandoned;
-  private int linesInPeriod;
-  private long suppressedLines;
 
   RequestLog(Consumer<String> log) {
-    this.log = log;
+    this.log = new BoundedLog(log);
+    vms = new VmLog(this.log);
+  }
+
+  /** Where the state transitions of VMs that run are logged. */
+  VmLog vms() {
+    return vms;
   }
 
   /** A client handed over a VM that runs on the machine. */
@@ -136,7 +138,7 @@
   void abandoned(Collection<String> vmIds) {
     abandoned += vmIds.size();
     if (!vmIds.isEmpty()) {
-      write("abandoned by their client: " + String.join(" ", vmIds));
+      log.write("abandoned by their client", String.join(" ", vmIds));
     }
   }
 
@@ -154,9 +156,9 @@
   }
 
   private void write(String event, Vm vm, String details) {
-    write(
-        event
-            + ": vm "
+    log.write(
+        event,
+        "vm "
             + vm.id
             + ", class "
             + vm.priorityClass
@@ -166,14 +168,6 @@
             + details);
   }
 
-  private void write(String line) {
-    if (linesInPeriod++ < MAX_LINES_PER_PERIOD) {
-      log.accept(line);
-    } else {
-      suppressedLines++;
-    }
-  }
-
   /** The counts since the start and the slowest offer since the last call, for the status line. */
   String takeSummary() {
     String summary =
@@ -194,9 +188,11 @@
             + ", abandoned "
             + abandoned
             + ", log lines left out "
-            + suppressedLines;
+            + log.suppressedLines()
+            + ", "
+            + vms.summary();
     slowestOffer = Duration.ZERO;
-    linesInPeriod = 0;
+    log.startPeriod();
     return summary;
   }
 }
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -272,12 +272,26 @@
     return overdue;
   }
 
-  /** Drops the notices that are no longer worth sending. */
-  public void expireNotices(Duration now) {
-    int before = undeliveredNotices();
-    deferredNotices.removeIf(notice -> notice.expiresAt.compareTo(now) <= 0);
-    unacknowledgedNotices.values().removeIf(sent -> sent.notice.expiresAt.compareTo(now) <= 0);
-    expiredNotices += before - undeliveredNotices();
+  /** Drops the notices that are no longer worth sending, and returns them. */
+  public List<TerminationNotice> expireNotices(Duration now) {
+    List<TerminationNotice> expired = new ArrayList<>();
+    for (TerminationNotice notice : deferredNotices) {
+      addIfExpired(notice, now, expired);
+    }
+    for (AddressedNotice<C> sent : unacknowledgedNotices.values()) {
+      addIfExpired(sent.notice, now, expired);
+    }
+    deferredNotices.removeAll(expired);
+    expired.forEach(notice -> unacknowledgedNotices.remove(notice.vmId));
+    expiredNotices += expired.size();
+    return expired;
+  }
+
+  private static void addIfExpired(
+      TerminationNotice notice, Duration now, List<TerminationNotice> expired) {
+    if (notice.expiresAt.compareTo(now) <= 0) {
+      expired.add(notice);
+    }
   }
 
   /** Whether the request is pending: its client has got no response yet. */
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -77,7 +77,10 @@
   public void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {}
 
   @Override
-  public void unknownVmEnded(String vmId, Machine ended) {}
+  public void unknownVmEnded(VmTermination termination, Machine ended) {}
+
+  @Override
+  public void unknownVmAccepted(String vmId, Machine accepting) {}
 
   @Override
   public void attemptEndedUnanswered(
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -7,6 +7,7 @@
 import fordridge.machine.MachineConnectionListener;
 import fordridge.machine.MachineConnectionPool;
 import fordridge.machine.MachineTransport;
+import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -97,7 +98,10 @@
     }
 
     @Override
-    public void unknownVmEnded(String vmId, Machine ended) {}
+    public void unknownVmEnded(VmTermination termination, Machine ended) {}
+
+    @Override
+    public void unknownVmAccepted(String vmId, Machine accepting) {}
 
     @Override
     public void attemptEndedUnanswered(PlacementAttempt attempt, Outcome end, OutcomeReason why) {
