--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A machine on a real socket that runs VMs for a while, and tells what becomes of them. */
-final class EmulatedMachine implements AutoCloseable {
+final class EmulatedMachine implements ListedMachine, AutoCloseable {
   private static final int ACCEPT_BACKLOG = 64;
 
   private static final long ACCEPTOR_MILLIS = 20;
@@ -69,16 +69,18 @@
     acceptor.start();
   }
 
-  String id() {
+  @Override
+  public String id() {
     return id;
   }
 
-  String kind() {
+  @Override
+  public String kind() {
     return kind;
   }
 
-  /** Where it listens, as {@code HOST:PORT}. */
-  String hostAndPort() {
+  @Override
+  public String hostAndPort() {
     return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
   }
 
--- /dev/null
+++ b/src/test/java/fordridge/faults/EndOfVmToldTest.java
@@ -0,0 +1,304 @@
+package fordridge.faults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.awaitility.Awaitility;
+
+/**
+ * A real scheduler process tells a client once that its VM is over, whatever else the end of the VM
+ * crosses. Each crossing is forced by a script.
+ */
+class EndOfVmToldTest {
+  /** A notice is due within a second of the machine's word; the rest is for a busy test machine. */
+  private static final Duration TOLD_WITHIN = Duration.ofMillis(1000 + 400);
+
+  /** Where the machine could not say so. */
+  private static final Duration TOLD_WITHIN_UNSAID = Duration.ofMillis(8000 + 400);
+
+  private static final long CROSSING_MILLIS = 100;
+  private static final long LEFT_MILLIS = 1400;
+  private static final String REPEATABLE = RigConfiguration.REPEATABLE_CLASS;
+  private static final String ONCE = RigConfiguration.LIMITED_CLASS;
+
+  private interface Crossing {
+    void play(ScriptedRig rig) throws Exception;
+  }
+
+  private int service = 1;
+
+  /** A VM whose request a machine has and has not answered. */
+  private record Offered(
+      String vm,
+      ScriptedClient client,
+      ScriptedMachine machine,
+      ScriptedMachine.Connection connection) {
+    void accept() {
+      machine.accept(connection, vm);
+      client.awaitAccepted(vm);
+    }
+  }
+
+  private Offered offer(ScriptedRig rig, ScriptedMachine machine, ScriptedClient client) {
+    String vm = rig.newVmId();
+    client.request(vm, REPEATABLE, LEFT_MILLIS, service++);
+    return new Offered(vm, client, machine, machine.awaitRequest(vm));
+  }
+
+  /** Two requests that the machine has, each on a connection of its own. */
+  private List<Offered> offerTwo(ScriptedRig rig) throws Exception {
+    ScriptedMachine machine = rig.addMachine();
+    ScriptedClient client = rig.connect();
+    Offered first = offer(rig, machine, client);
+    Offered second = offer(rig, machine, client);
+    assertThat(second.connection).isNotSameAs(first.connection);
+    return List.of(first, second);
+  }
+
+  private static void awaitTold(Duration within, String vm, ScriptedClient... clients) {
+    Awaitility.await("the end of " + vm + " is told")
+        .pollInterval(Duration.ofMillis(10))
+        .atMost(within)
+        .until(() -> List.of(clients).stream().anyMatch(client -> client.isTold(vm)));
+  }
+
+  private static void pause() throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(CROSSING_MILLIS);
+  }
+
+  private void endOnAnotherConnectionOvertakesTheAnswer(ScriptedRig rig) throws Exception {
+    List<Offered> offered = offerTwo(rig);
+    Offered over = offered.get(0);
+    offered.get(1).connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_DONE));
+    pause();
+    over.machine.accept(over.connection, over.vm);
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+  }
+
+  private void doneBeforeTheAnswer(ScriptedRig rig) throws Exception {
+    endedBeforeTheAnswer(rig, Message.CAUSE_DONE, "");
+  }
+
+  private void cutByADrainBeforeTheAnswer(ScriptedRig rig) throws Exception {
+    endedBeforeTheAnswer(rig, Message.CAUSE_RESET, "dr");
+  }
+
+  private void endedBeforeTheAnswer(ScriptedRig rig, int cause, String note) throws Exception {
+    Offered over = offer(rig, rig.addMachine(), rig.connect());
+    ScriptedMachine other = rig.addMachine();
+    over.connection.send(Message.ended(over.vm, cause, note));
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+    assertThat(other.hasReceived(Message.REQUEST, over.vm)).as("placed again").isFalse();
+  }
+
+  private void resetAfterAReport(ScriptedRig rig) throws Exception {
+    failsAfterAReport(rig, over -> over.connection.reset());
+  }
+
+  private void unreadableLineAfterAReport(ScriptedRig rig) throws Exception {
+    failsAfterAReport(rig, over -> over.connection.sendUnreadable());
+  }
+
+  private void machineDiesAfterAReport(ScriptedRig rig) throws Exception {
+    failsAfterAReport(
+        rig,
+        over -> {
+          over.machine.die();
+          rig.removeMachine(over.machine);
+        });
+  }
+
+  private interface Failure {
+    void befall(Offered over) throws Exception;
+  }
+
+  private void failsAfterAReport(ScriptedRig rig, Failure failure) throws Exception {
+    Offered over = offer(rig, rig.addMachine(), rig.connect());
+    ScriptedMachine other = rig.addMachine();
+    over.connection.send(Message.report(over.vm));
+    pause();
+    failure.befall(over);
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+    assertThat(other.hasReceived(Message.REQUEST, over.vm)).as("placed again").isFalse();
+  }
+
+  private void resetAfterAReportOnAnotherConnection(ScriptedRig rig) throws Exception {
+    List<Offered> offered = offerTwo(rig);
+    Offered over = offered.get(0);
+    ScriptedMachine other = rig.addMachine();
+    offered.get(1).connection.send(Message.report(over.vm));
+    pause();
+    over.connection.reset();
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+    assertThat(other.hasReceived(Message.REQUEST, over.vm)).as("placed again").isFalse();
+  }
+
+  private void cancelledByItsMachineThoughNoClientEndedIt(ScriptedRig rig) throws Exception {
+    Offered over = offer(rig, rig.addMachine(), rig.connect());
+    over.accept();
+    over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_CANCELLED));
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+  }
+
+  private void handedOverAfterItsTerminationWasAskedFor(ScriptedRig rig) throws Exception {
+    Offered over = offer(rig, rig.addMachine(), rig.connect());
+    over.accept();
+    over.client.terminate(over.vm);
+    Awaitility.await().until(() -> over.machine.hasReceived(Message.ENDED, over.vm));
+    over.client.handOver(over.vm, REPEATABLE, over.machine.id(), 1);
+    pause();
+    over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_CANCELLED));
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+  }
+
+  private void handedOverOnceMoreOnAnotherConnection(ScriptedRig rig) throws Exception {
+    Offered over = offer(rig, rig.addMachine(), rig.connect());
+    over.accept();
+    over.client.fallSilent();
+    ScriptedClient again = rig.connect();
+    again.handOver(over.vm, REPEATABLE, over.machine.id(), 1);
+    pause();
+    over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_DONE));
+    awaitTold(TOLD_WITHIN, over.vm, again);
+  }
+
+  private void handedOverWhileItsRequestIsPendingOnADeadConnection(ScriptedRig rig)
+      throws Exception {
+    ScriptedClient silent = rig.connect();
+    String vm = rig.newVmId();
+    ScriptedMachine machine = rig.addMachine();
+    silent.request(vm, ONCE, 2900, service++);
+    ScriptedMachine.Connection connection = machine.awaitRequest(vm);
+    silent.fallSilent();
+    ScriptedClient again = rig.connect();
+    again.handOver(vm, ONCE, machine.id(), 1);
+    pause();
+    connection.send(Message.ended(vm, Message.CAUSE_RESET, "dr"));
+    awaitTold(TOLD_WITHIN, vm, again);
+  }
+
+  private void ownConnectionIsSilentAndOthersAcknowledge(ScriptedRig rig) throws Exception {
+    ScriptedMachine machine = rig.addMachine();
+    ScriptedClient other = rig.connect();
+    ScriptedClient silent = rig.connect();
+    for (ScriptedClient client : List.of(other, silent)) {
+      Offered earlier = offer(rig, machine, client);
+      earlier.accept();
+      earlier.connection.send(Message.of(Message.ENDED, earlier.vm, Message.CAUSE_DONE));
+      awaitTold(TOLD_WITHIN, earlier.vm, client);
+    }
+    Offered over = offer(rig, machine, silent);
+    over.accept();
+    silent.fallSilent();
+    over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_DONE));
+    awaitTold(TOLD_WITHIN, over.vm, other);
+  }
+
+  private void strangerAcknowledgesWhatNobodyKnows(ScriptedRig rig) throws Exception {
+    ScriptedMachine machine = rig.addMachine();
+    ScriptedClient own = rig.connect();
+    Offered over = offer(rig, machine, own);
+    over.accept();
+    ScriptedClient owner = rig.connect();
+    Offered others = offer(rig, machine, owner);
+    others.accept();
+    ScriptedClient stranger = rig.connect();
+    Offered strangers = offer(rig, machine, stranger);
+    strangers.accept();
+    stranger.fallSilent();
+    for (int i = 0; i < 3; i++) {
+      stranger.acknowledge(rig.newVmId());
+    }
+    own.close();
+    pause();
+    over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_DONE));
+    awaitTold(TOLD_WITHIN_UNSAID, over.vm, owner);
+  }
+
+  private void moreEndsThanOneMachineHasRoomFor(ScriptedRig rig) throws Exception {
+    ScriptedMachine machine = rig.addMachine();
+    ScriptedClient client = rig.connect();
+    Offered first = offer(rig, machine, client);
+    first.accept();
+    List<String> vms = new ArrayList<>();
+    for (int i = 0; i < 700; i++) {
+      vms.add(rig.newVmId());
+    }
+    vms.forEach(vm -> first.connection.send(Message.of(Message.ENDED, vm, Message.CAUSE_DONE)));
+    pause();
+    vms.forEach(vm -> client.handOver(vm, REPEATABLE, machine.id(), 1));
+    Awaitility.await("all ends are told")
+        .atMost(TOLD_WITHIN_UNSAID)
+        .until(() -> vms.stream().allMatch(client::isTold));
+  }
+
+  private void machineHearsThatItsWordIsDelivered(ScriptedRig rig) throws Exception {
+    Offered over = offer(rig, rig.addMachine(), rig.connect());
+    over.accept();
+    over.client.fallSilent();
+    over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_DONE));
+    pause();
+    assertThat(over.machine.hasReceived(Message.ACKNOWLEDGED, over.vm))
+        .as("acknowledged before any client has heard it")
+        .isFalse();
+    over.client.acknowledge(over.vm);
+    Awaitility.await().until(() -> over.machine.hasReceived(Message.ACKNOWLEDGED, over.vm));
+  }
+
+  private Map<String, Crossing> crossings() {
+    Map<String, Crossing> crossings = new LinkedHashMap<>();
+    crossings.put(
+        "end on another connection overtakes the answer",
+        this::endOnAnotherConnectionOvertakesTheAnswer);
+    crossings.put("done before the answer", this::doneBeforeTheAnswer);
+    crossings.put("cut by a drain before the answer", this::cutByADrainBeforeTheAnswer);
+    crossings.put("reset after a report", this::resetAfterAReport);
+    crossings.put("unreadable line after a report", this::unreadableLineAfterAReport);
+    crossings.put("machine dies after a report", this::machineDiesAfterAReport);
+    crossings.put(
+        "reset after a report on another connection", this::resetAfterAReportOnAnotherConnection);
+    crossings.put(
+        "cancelled by its machine, not its client",
+        this::cancelledByItsMachineThoughNoClientEndedIt);
+    crossings.put(
+        "handed over after its termination was asked for",
+        this::handedOverAfterItsTerminationWasAskedFor);
+    crossings.put(
+        "handed over once more on another connection", this::handedOverOnceMoreOnAnotherConnection);
+    crossings.put(
+        "handed over while its request is pending on a dead connection",
+        this::handedOverWhileItsRequestIsPendingOnADeadConnection);
+    crossings.put(
+        "own connection is silent, others acknowledge",
+        this::ownConnectionIsSilentAndOthersAcknowledge);
+    crossings.put(
+        "a stranger acknowledges what nobody knows", this::strangerAcknowledgesWhatNobodyKnows);
+    crossings.put(
+        "more ends than one machine has room for", this::moreEndsThanOneMachineHasRoomFor);
+    crossings.put(
+        "machine hears that its word is delivered", this::machineHearsThatItsWordIsDelivered);
+    return crossings;
+  }
+
+  @Example
+  void endIsToldWhateverItCrosses() throws Exception {
+    List<String> broken = new ArrayList<>();
+    try (ScriptedRig rig = new ScriptedRig(1)) {
+      for (Map.Entry<String, Crossing> crossing : crossings().entrySet()) {
+        try {
+          crossing.getValue().play(rig);
+        } catch (AssertionError | org.awaitility.core.ConditionTimeoutException e) {
+          broken.add(crossing.getKey() + ": " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        rig.removeMachines();
+      }
+      assertThat(broken).as(() -> String.join("\n", rig.log())).isEmpty();
+    }
+  }
+}
--- a/src/test/java/fordridge/faults/MachineListServer.java
+++ b/src/test/java/fordridge/faults/MachineListServer.java
@@ -20,10 +20,10 @@
 
   @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
   MachineListServer(
-      InetAddress address, ScheduledExecutorService timers, List<EmulatedMachine> machines)
+      InetAddress address, ScheduledExecutorService timers, List<? extends ListedMachine> machines)
       throws IOException {
     server = new ServerSocket(0, 64, address);
-    for (EmulatedMachine machine : machines) {
+    for (ListedMachine machine : machines) {
       entries.put(machine.id(), entry(machine, "SERVING", 0));
     }
     events.add(event(1, true, entries.values()));
@@ -33,7 +33,7 @@
     timers.scheduleAtFixedRate(this::tellPosition, 1, 1, TimeUnit.SECONDS);
   }
 
-  private static String entry(EmulatedMachine machine, String phase, long upSinceMillis) {
+  private static String entry(ListedMachine machine, String phase, long upSinceMillis) {
     return "{\"id\":\""
         + machine.id()
         + "\",\"host_port\":\""
@@ -115,7 +115,7 @@
   }
 
   /** Lists the machine in this phase; {@code upSinceMillis} is the Unix time of a late start. */
-  synchronized void list(EmulatedMachine machine, String phase, long upSinceMillis) {
+  synchronized void list(ListedMachine machine, String phase, long upSinceMillis) {
     String entry = entry(machine, phase, upSinceMillis);
     if (phase.equals("DELETED")) {
       entries.remove(machine.id());
--- a/src/test/java/fordridge/faults/Message.java
+++ b/src/test/java/fordridge/faults/Message.java
@@ -25,8 +25,12 @@
   static final int CAUSE_CANCELLED = 31;
   static final int CAUSE_FULL = 34;
   static final int CAUSE_OVERLOADED = 42;
+  static final int CAUSE_RESET = 41;
   static final int CAUSE_NEVER_SENT = 102;
 
+  /** A machine's report on a VM that runs. */
+  static final String REPORT = "tell";
+
   private static String group(Pattern pattern, String text) {
     Matcher matcher = pattern.matcher(text);
     return matcher.find() ? matcher.group(1) : "";
@@ -59,6 +63,21 @@
     return "{\"t\":\"" + type + "\",\"ref\":\"" + id + "\",\"f\":{},\"c\":" + cause + "}";
   }
 
+  /** The end of a VM, with the machine's note on why. */
+  static String ended(String id, int cause, String note) {
+    return "{\"t\":\"down\",\"ref\":\""
+        + id
+        + "\",\"f\":{\"note\":\""
+        + note
+        + "\"},\"c\":"
+        + cause
+        + "}";
+  }
+
+  static String report(String id) {
+    return "{\"t\":\"tell\",\"ref\":\"" + id + "\",\"f\":{\"note\":\"c\",\"value\":\"0.5\"}}";
+  }
+
   static String accepted(String id, String description) {
     return "{\"t\":\"up\",\"ref\":\"" + id + "\",\"f\":{},\"d\":\"" + description + "\"}";
   }
--- /dev/null
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -0,0 +1,131 @@
+package fordridge.faults;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.awaitility.Awaitility;
+
+/** A machine on a real socket that says only what a test has it say, on the connection it names. */
+final class ScriptedMachine implements ListedMachine, AutoCloseable {
+  /** One connection from the scheduler, and what came on it. */
+  static final class Connection {
+    private LineConnection line;
+    private final List<Message> received = new ArrayList<>();
+
+    void send(String message) {
+      line.send(message);
+    }
+
+    /** Sends a line that is no message. */
+    void sendUnreadable() {
+      line.send("{\"t\":\"up\",\"ref\"");
+    }
+
+    void reset() {
+      line.reset();
+    }
+
+    boolean isOpen() {
+      return line.isOpen();
+    }
+
+    synchronized boolean hasReceived(String type, String vm) {
+      return received.stream().anyMatch(each -> each.type().equals(type) && each.id().equals(vm));
+    }
+
+    private synchronized void receive(Message message) {
+      received.add(message);
+      if (message.type().equals(Message.HEALTH_CHECK)) {
+        send(Message.of(Message.HEALTHY, message.id(), 1));
+      }
+    }
+  }
+
+  private final String id;
+  private final ServerSocket server;
+  private final List<Connection> connections = new ArrayList<>();
+
+  ScriptedMachine(String id, InetAddress address) throws IOException {
+    this.id = id;
+    server = new ServerSocket(0, 256, address);
+    Thread acceptor = new Thread(this::accept, "scripted-" + id);
+    acceptor.setDaemon(true);
+    acceptor.start();
+  }
+
+  @Override
+  public String id() {
+    return id;
+  }
+
+  @Override
+  public String kind() {
+    return PlacementLedger.LIMITED_CLASS_KIND;
+  }
+
+  @Override
+  public String hostAndPort() {
+    return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        Connection connection = new Connection();
+        synchronized (connection) {
+          connection.line =
+              new LineConnection(socket, line -> connection.receive(new Message(line)), () -> {});
+        }
+        synchronized (this) {
+          connections.add(connection);
+        }
+      }
+    } catch (IOException e) {
+      // Closed.
+    }
+  }
+
+  /** The connections so far, the oldest first. */
+  synchronized List<Connection> connections() {
+    return List.copyOf(connections);
+  }
+
+  /** The open connections, the oldest first. */
+  List<Connection> openConnections() {
+    return connections().stream().filter(Connection::isOpen).toList();
+  }
+
+  /** Whether any connection has brought that message on the VM. */
+  boolean hasReceived(String type, String vm) {
+    return connections().stream().anyMatch(connection -> connection.hasReceived(type, vm));
+  }
+
+  /** The connection that brings the VM's placement request, once it has come. */
+  Connection awaitRequest(String vm) {
+    Awaitility.await("request " + vm).until(() -> hasReceived(Message.REQUEST, vm));
+    return connections().stream()
+        .filter(connection -> connection.hasReceived(Message.REQUEST, vm))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Accepts the VM; what its client is told names the machine. */
+  void accept(Connection connection, String vm) {
+    connection.send(Message.accepted(vm, id + "/" + vm));
+  }
+
+  /** The process dies: nobody listens, and all connections are reset. */
+  void die() throws IOException {
+    server.close();
+    connections().forEach(Connection::reset);
+  }
+
+  @Override
+  public void close() throws IOException {
+    die();
+  }
+}
--- /dev/null
+++ b/src/test/java/fordridge/faults/ScriptedRig.java
@@ -0,0 +1,97 @@
+package fordridge.faults;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** One real {@code serve} process between clients and machines that follow a test's script. */
+final class ScriptedRig implements AutoCloseable {
+  private static final int LISTEN_PORT = 21_000;
+  private static final long CONNECT_TIMEOUT_MILLIS = 250;
+
+  private final InetAddress address;
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+  private final MachineListServer machineList;
+  private final Path configuration = Files.createTempFile("scripted-rig", ".json");
+  private final List<ScriptedMachine> machines = new ArrayList<>();
+  private final List<ScriptedClient> clients = new ArrayList<>();
+  private final List<ScriptedMachine> listed = new ArrayList<>();
+  private final ServeProcess process;
+  private int machineNumber;
+  private int vmNumber;
+
+  /** Starts the process; {@code number} tells apart rigs that run at the same time. */
+  ScriptedRig(int number) throws IOException, InterruptedException {
+    byte part = (byte) (64 + ProcessHandle.current().pid() % 128);
+    address = InetAddress.getByAddress(new byte[] {127, part, (byte) 200, (byte) number});
+    machineList = new MachineListServer(address, timers, List.of());
+    String text =
+        new RigConfiguration(
+                address.getHostAddress(),
+                LISTEN_PORT,
+                machineList.port(),
+                machineList.known(),
+                CONNECT_TIMEOUT_MILLIS)
+            .text();
+    Files.writeString(configuration, text);
+    process = new ServeProcess(configuration, Optional.empty(), List.of());
+    process.awaitListening();
+  }
+
+  /** A machine that is listed from now on. */
+  ScriptedMachine addMachine() throws IOException {
+    ScriptedMachine machine = new ScriptedMachine("m-" + machineNumber++, address);
+    machines.add(machine);
+    listed.add(machine);
+    machineList.list(machine, "SERVING", 0);
+    return machine;
+  }
+
+  /** The list says that the machine is gone. */
+  void removeMachine(ScriptedMachine machine) {
+    if (listed.remove(machine)) {
+      machineList.list(machine, "DELETED", 0);
+    }
+  }
+
+  /** All machines of an earlier script are gone. */
+  void removeMachines() throws IOException {
+    for (ScriptedMachine machine : List.copyOf(listed)) {
+      removeMachine(machine);
+      machine.die();
+    }
+  }
+
+  ScriptedClient connect() throws IOException {
+    ScriptedClient client = new ScriptedClient(address, LISTEN_PORT);
+    clients.add(client);
+    return client;
+  }
+
+  /** An id that no VM had before. */
+  String newVmId() {
+    return String.format("%016x", 0xfa0000 + vmNumber++);
+  }
+
+  List<String> log() {
+    return process.log();
+  }
+
+  @Override
+  public void close() throws IOException {
+    clients.forEach(ScriptedClient::close);
+    for (ScriptedMachine machine : machines) {
+      machine.close();
+    }
+    process.close();
+    machineList.close();
+    timers.shutdownNow();
+    Files.delete(configuration);
+  }
+}
