A machine's word on a VM is applied by its id, whatever connection it comes on

Seen by callers: a VM of which the machine had said that it runs, or that it is over, was placed once more, and the end of the first run was never told; or the answer that the end had overtaken was passed on, and the VM counted as running for ever. Cause: MachineConnectionPool took a word only for the request on the same connection, a reset or a lost connection after a report as if nothing were known, and an end before the answer (16, or 41 with a note that only a running VM has) as a reset. Change: VmExecutions, one state machine a VM and machine that only goes forward; from 'known to run' on an attempt that fails is answered to the client and not placed again. Words on the connection of a withdrawn request stay with that request. Ends of unknown VMs: 4,096 are kept, not 512, and those displaced are counted. A handover drops the deadline of an earlier termination. A bare reset (41 without note) is repeated as before.

--- a/src/main/java/fordridge/machine/ConnectionSet.java
+++ b/src/main/java/fordridge/machine/ConnectionSet.java
@@ -43,6 +43,29 @@
     return connections.stream().filter(connection -> connection.carries(attempt)).findFirst();
   }
 
+  /**
+   * The connection that carries the sent request which the machine speaks of: the one that it
+   * speaks on, else any other. What it says on a connection where the VM's request was withdrawn,
+   * or elsewhere while an earlier attempt there is unsettled, may be about that one: empty.
+   */
+  Optional<MachineConnection> findCarrier(String vmId, MachineConnection heardOn) {
+    if (heardOn.findSent(vmId).isPresent()) {
+      return Optional.of(heardOn);
+    }
+    if (heardOn.hasWithdrawn(vmId)) {
+      return Optional.empty();
+    }
+    return findCarrier(vmId)
+        .filter(carrier -> !carrier.findSent(vmId).orElseThrow().hasUnsettledPredecessor());
+  }
+
+  /** The oldest connection that carries a sent request of this VM. */
+  Optional<MachineConnection> findCarrier(String vmId) {
+    return connections.stream()
+        .filter(connection -> connection.findSent(vmId).isPresent())
+        .findFirst();
+  }
+
   /**
    * The oldest idle connection that was proven good recently.
    *
--- a/src/main/java/fordridge/machine/ExecutionEvidence.java
+++ b/src/main/java/fordridge/machine/ExecutionEvidence.java
@@ -16,7 +16,7 @@
   NEVER_SENT(Outcome.UNREACHABLE),
   /** The placement request was written and has no answer: the VM may have run, or may run. */
   MAY_HAVE_RUN(Outcome.RESET),
-  /** The machine has accepted the VM. A broken connection alone ends no such attempt. */
+  /** The machine has accepted the VM, or said otherwise that it runs: nothing places it again. */
   RUNNING(Outcome.RESET);
 
   private final Outcome outcomeOnFailure;
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -3,10 +3,12 @@
 import fordridge.model.PlacementAttempt;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One connection to a machine: its state, and what it carries. Owned by one {@link
@@ -38,6 +40,10 @@
 
   private final Duration connectBy;
   private final Map<String, PlacementRequest> placementRequests = new LinkedHashMap<>();
+
+  /** Ids whose request was withdrawn on it: what still comes on them is about that request. */
+  private final Set<String> withdrawnVmIds = new HashSet<>();
+
   private State state = State.OPENING;
   private Duration lastUsedAt;
   private Duration probeSentAt;
@@ -105,6 +111,20 @@
     return Optional.ofNullable(placementRequests.get(vmId));
   }
 
+  /** The request of this VM, if it was written. */
+  Optional<PlacementRequest> findSent(String vmId) {
+    return find(vmId).filter(PlacementRequest::isSent);
+  }
+
+  /** The request of this VM was written and is withdrawn. */
+  void markWithdrawn(String vmId) {
+    withdrawnVmIds.add(vmId);
+  }
+
+  boolean hasWithdrawn(String vmId) {
+    return withdrawnVmIds.contains(vmId);
+  }
+
   boolean carries(PlacementAttempt attempt) {
     return find(attempt.vm.id).filter(request -> request.attempt() == attempt).isPresent();
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -3,7 +3,6 @@
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
-import fordridge.model.PlacementAttempt.OutcomeReason;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -38,7 +37,8 @@
   private final MachineTransport transport;
   private final MachineConnectionListener listener;
   private final ConnectionSet connections = new ConnectionSet();
-  private final RunningVms runningVms = new RunningVms();
+  private final VmExecutions executions;
+  private final RunningVms runningVms;
   private final LivenessDetector liveness = new LivenessDetector();
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
@@ -58,6 +58,8 @@
     this.timeouts = timeouts;
     this.transport = transport;
     this.listener = listener;
+    executions = new VmExecutions(machine, connections, listener);
+    runningVms = executions.runningVms();
   }
 
   /** Replaces the timeouts, for all that starts from now on. */
@@ -90,7 +92,7 @@
     Optional<MachineConnection> connection =
         lifecycle == Machine.Lifecycle.LIVE ? acquire(idempotent, now) : Optional.empty();
     if (connection.isEmpty()) {
-      end(attempt, Outcome.NOT_SENT);
+      executions.end(attempt, Outcome.NOT_SENT);
       return;
     }
     connection.get().add(new PlacementRequest(attempt, now.plus(timeLeft)));
@@ -106,7 +108,7 @@
     if (carrier.isPresent()) {
       cancelOn(carrier.get(), attempt, outcome);
     } else if (attempt.isInFlight() && attempt.acceptedAt == null) {
-      end(attempt, Outcome.NOT_SENT);
+      executions.end(attempt, Outcome.NOT_SENT);
     }
   }
 
@@ -132,10 +134,18 @@
     }
   }
 
-  /** Takes over a VM that runs on the machine since before this scheduler's start. */
+  /**
+   * A client that hands a VM over takes the place of whoever had it here before: an attempt that is
+   * running, being terminated or unanswered ends as cancelled, and the machine is not told.
+   */
+  public void supersede(String vmId) {
+    executions.supersede(vmId);
+  }
+
+  /** Takes over a VM that a client says runs on the machine. */
   public void adopt(PlacementAttempt attempt, Duration now) {
     liveness.vmAdopted(now);
-    runningVms.adopt(attempt, now).ifPresent(termination -> endRunning(termination, now));
+    executions.adopt(attempt, now);
   }
 
   /** The machine list shows the machine in that state. */
@@ -152,18 +162,12 @@
 
   /** The machine started anew at that time: VMs that were accepted before are lost. */
   public void machineRestarted(Duration startedAt) {
-    for (PlacementAttempt attempt : runningVms.all()) {
-      if (attempt.acceptedAt != null && attempt.acceptedAt.compareTo(startedAt) < 0) {
-        vmLost(attempt.vm.id);
-      }
-    }
+    executions.vmsLostBefore(startedAt);
   }
 
   /** The VM is known to run no longer, by other means than the machine's own notice. */
   public void vmLost(String vmId) {
-    runningVms
-        .remove(vmId)
-        .ifPresent(attempt -> endWithoutWord(attempt, ExecutionEvidence.RUNNING));
+    executions.vmLost(vmId);
   }
 
   /** The connection came up. */
@@ -202,7 +206,7 @@
     if (failure == ConnectFailure.LOCAL) {
       withdrawUnsentRequests(connection);
     }
-    endRequests(connection);
+    executions.requestsLost(connection);
     failProbe(connection, now);
     if (liveness.hasFailed(timeouts, now)) {
       machineFailed(now);
@@ -218,23 +222,16 @@
       return;
     }
     connection.closed();
-    endRequests(connection);
+    executions.requestsLost(connection);
     failProbe(connection, now);
   }
 
-  /** The machine accepted a VM; ignored unless this connection carries its placement request. */
+  /** The machine accepted a VM, on whichever connection; ignored if it is not requested here. */
   public void vmAccepted(
       MachineConnection connection, String vmId, String description, Duration now) {
-    Optional<PlacementRequest> request = connection.remove(vmId);
-    if (request.isEmpty()) {
-      listener.unknownVmAccepted(vmId, machine);
-      return;
-    }
-    PlacementAttempt attempt = request.get().attempt();
-    connection.used(now);
-    runningVms.add(attempt);
-    listener.attemptAccepted(attempt, description);
-    closeIfRetired(connection);
+    executions
+        .accepted(connection, vmId, description)
+        .ifPresent(carrier -> requestEnded(carrier, connection, now));
   }
 
   /**
@@ -242,33 +239,37 @@
    * request may be late or lost.
    */
   public void vmReported(MachineConnection connection, String vmId) {
-    connection.find(vmId).ifPresent(PlacementRequest::markReportedRunning);
+    executions.reported(connection, vmId);
   }
 
   /**
-   * The machine ended the placement request that this connection carries, or a running VM, on
-   * whichever connection; ignored if it is neither.
+   * The machine ended the placement request that this connection carries, or a VM that runs, on
+   * whichever connection. That of an unknown VM is kept for a client that hands it over.
    */
   public void vmTerminated(MachineConnection connection, VmTermination termination, Duration now) {
-    Optional<PlacementRequest> request = connection.remove(termination.vmId());
-    if (request.isPresent()) {
-      connection.used(now);
-      endRequest(request.get(), termination);
-      closeIfRetired(connection);
-      return;
-    }
-    if (termination.outcomeIfRunning().isPresent()) {
-      endRunning(termination, now);
-    }
+    executions
+        .terminated(connection, termination, now)
+        .ifPresent(carrier -> requestEnded(carrier, connection, now));
+  }
+
+  private void requestEnded(MachineConnection carrier, MachineConnection heardOn, Duration now) {
+    heardOn.used(now);
+    closeIfRetired(carrier);
   }
 
-  private void endRunning(VmTermination termination, Duration now) {
-    Outcome outcome = termination.outcomeIfRunning().orElseThrow();
-    runningVms
-        .terminated(termination, now)
-        .ifPresentOrElse(
-            attempt -> listener.attemptEnded(attempt, outcome, termination.reason()),
-            () -> listener.unknownVmEnded(termination, machine));
+  /** The machine heard that a VM is to be terminated, and so has cut it. */
+  public void terminationAcknowledged(String vmId) {
+    executions.terminationAcknowledged(vmId);
+  }
+
+  /** Whether the end of a VM that is not known to run here was notified and is kept. */
+  public boolean isEndKept(String vmId, Duration now) {
+    return runningVms.isEndKept(vmId, now);
+  }
+
+  /** Ends of unknown VMs that gave way to later ones since the start. */
+  public long displacedEndCount() {
+    return runningVms.displacedEndCount();
   }
 
   /** The machine answered a health check. */
@@ -288,7 +289,7 @@
    */
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
-    runningVms.takeUnconfirmed(now).forEach(this::endUnconfirmed);
+    executions.endUnconfirmed(now);
     needsConnection = isConnectionNeeded(now);
   }
 
@@ -366,12 +367,10 @@
   /** The process is gone or can't be reached: nothing that it held is waited for. */
   private void machineFailed(Duration now) {
     for (MachineConnection connection : connections.all()) {
-      endRequests(connection);
+      executions.requestsLost(connection);
       close(connection, now);
     }
-    for (PlacementAttempt attempt : runningVms.all()) {
-      vmLost(attempt.vm.id);
-    }
+    executions.allVmsLost();
   }
 
   private void withdrawUnsentRequests() {
@@ -386,7 +385,7 @@
 
   private void withdraw(MachineConnection connection, PlacementRequest request) {
     connection.remove(request.attempt().vm.id);
-    end(request.attempt(), ExecutionEvidence.NOT_ATTEMPTED.outcomeOnFailure());
+    executions.end(request.attempt(), ExecutionEvidence.NOT_ATTEMPTED.outcomeOnFailure());
   }
 
   /** An idle connection known to be good, else a new one, else the open one that carries least. */
@@ -433,45 +432,13 @@
     PlacementRequest request = carrier.remove(attempt.vm.id).orElseThrow();
     if (request.isSent()) {
       transport.cancel(carrier, attempt.vm.id);
+      carrier.markWithdrawn(attempt.vm.id);
       // Until its withdrawal has gone out the machine may start it.
       attempt.mayStillRun = !transport.isWritable(carrier);
       carrier.retire();
     }
     closeIfRetired(carrier);
-    end(attempt, request.evidence().outcomeOnCancel(outcome));
-  }
-
-  private void endRequests(MachineConnection connection) {
-    for (PlacementRequest request : connection.takePlacementRequests()) {
-      endWithoutWord(request.attempt(), request.evidence());
-    }
-  }
-
-  private void endRequest(PlacementRequest request, VmTermination termination) {
-    Optional<Outcome> outcomeIfRunning = termination.outcomeIfRunning();
-    if (request.isReportedRunning() && outcomeIfRunning.isPresent()) {
-      listener.attemptEndedUnanswered(
-          request.attempt(), outcomeIfRunning.get(), termination.reason());
-    } else {
-      listener.attemptEnded(
-          request.attempt(), termination.outcomeIfPending(), termination.reason());
-    }
-  }
-
-  /** It failed, and the machine has not said what became of it. */
-  private void endWithoutWord(PlacementAttempt attempt, ExecutionEvidence evidence) {
-    attempt.mayStillRun = evidence.mayStillRun();
-    end(attempt, evidence.outcomeOnFailure());
-  }
-
-  /** The machine has not confirmed its termination, and may never have heard of it. */
-  private void endUnconfirmed(PlacementAttempt attempt) {
-    attempt.mayStillRun = true;
-    end(attempt, Outcome.CANCELLED);
-  }
-
-  private void end(PlacementAttempt attempt, Outcome outcome) {
-    listener.attemptEnded(attempt, outcome, OutcomeReason.UNSPECIFIED);
+    executions.end(attempt, request.evidence().outcomeOnCancel(outcome));
   }
 
   private void failProbe(MachineConnection connection, Duration now) {
--- a/src/main/java/fordridge/machine/PlacementRequest.java
+++ b/src/main/java/fordridge/machine/PlacementRequest.java
@@ -35,17 +35,28 @@
 
   /** What is known of its execution while it has no answer. */
   ExecutionEvidence evidence() {
-    return sent ? ExecutionEvidence.MAY_HAVE_RUN : ExecutionEvidence.NEVER_SENT;
+    if (!sent) {
+      return ExecutionEvidence.NEVER_SENT;
+    }
+    return reportedRunning ? ExecutionEvidence.RUNNING : ExecutionEvidence.MAY_HAVE_RUN;
   }
 
-  /**
-   * Whether the machine has sent something that it sends only for a VM that runs, although its
-   * answer is still outstanding.
-   */
-  boolean isReportedRunning() {
-    return reportedRunning;
+  /** Whether the VM is known to run although its answer is still outstanding. */
+  boolean isKnownToRun() {
+    return evidence() == ExecutionEvidence.RUNNING;
   }
 
+  /** Whether an earlier attempt of the VM on the same machine ended without the machine's word. */
+  boolean hasUnsettledPredecessor() {
+    return attempt.vm.attempts.stream()
+        .anyMatch(
+            earlier ->
+                earlier.number < attempt.number
+                    && earlier.machine == attempt.machine
+                    && earlier.mayStillRun);
+  }
+
+  /** The machine has sent something that it sends only for a VM that runs. */
   void markReportedRunning() {
     reportedRunning = true;
   }
--- a/src/main/java/fordridge/machine/RunningVms.java
+++ b/src/main/java/fordridge/machine/RunningVms.java
@@ -46,6 +46,7 @@
    * notice of its end, if that came before.
    */
   Optional<VmTermination> adopt(PlacementAttempt attempt, Duration now) {
+    terminationDeadlines.remove(attempt.vm.id);
     add(attempt);
     return unclaimedTerminations.take(attempt.vm.id, now);
   }
@@ -59,6 +60,21 @@
     return attempt;
   }
 
+  /** Whether the end of a VM that is not known to run here was notified and is kept. */
+  boolean isEndKept(String vmId, Duration now) {
+    return unclaimedTerminations.contains(vmId, now);
+  }
+
+  /** Ends of unknown VMs that gave way to later ones since the start. */
+  long displacedEndCount() {
+    return unclaimedTerminations.displacedCount();
+  }
+
+  /** Whether the VM is being terminated. */
+  boolean isTerminating(String vmId) {
+    return terminationDeadlines.containsKey(vmId);
+  }
+
   /** Removes a VM, and its termination if it is being terminated. */
   Optional<PlacementAttempt> remove(String vmId) {
     terminationDeadlines.remove(vmId);
--- a/src/main/java/fordridge/machine/UnclaimedTerminations.java
+++ b/src/main/java/fordridge/machine/UnclaimedTerminations.java
@@ -12,23 +12,25 @@
  * most {@value #MAX_KEPT} are kept, the latest, each for a while. Not thread-safe.
  */
 final class UnclaimedTerminations {
-  static final int MAX_KEPT = 512;
+  static final int MAX_KEPT = 4096;
   static final Duration KEPT_FOR = Duration.ofSeconds(10);
 
   private record Kept(VmTermination termination, Duration receivedAt) {}
 
   private final Map<String, Kept> byVm = new LinkedHashMap<>();
+  private long displaced;
 
   /** A termination came that nobody waits for yet. */
   void add(VmTermination termination, Duration now) {
-    byVm.remove(termination.vmId());
-    byVm.put(termination.vmId(), new Kept(termination, now));
+    // The first time counts: a machine repeats what is not acknowledged.
+    byVm.putIfAbsent(termination.vmId(), new Kept(termination, now));
     Iterator<Kept> oldest = byVm.values().iterator();
     while (oldest.hasNext()) {
       boolean isOld = now.minus(oldest.next().receivedAt).compareTo(KEPT_FOR) >= 0;
       if (!isOld && byVm.size() <= MAX_KEPT) {
         return;
       }
+      displaced += isOld ? 0 : 1;
       oldest.remove();
     }
   }
@@ -41,6 +43,17 @@
         .map(Kept::termination);
   }
 
+  /** Whether a termination of this VM is kept. */
+  boolean contains(String vmId, Duration now) {
+    Kept kept = byVm.get(vmId);
+    return kept != null && now.minus(kept.receivedAt).compareTo(KEPT_FOR) < 0;
+  }
+
+  /** Terminations that gave way to later ones since the start. */
+  long displacedCount() {
+    return displaced;
+  }
+
   int size() {
     return byVm.size();
   }
--- a/src/main/java/fordridge/machine/VmTermination.java
+++ b/src/main/java/fordridge/machine/VmTermination.java
@@ -16,4 +16,19 @@
     String vmId,
     Outcome outcomeIfPending,
     Optional<Outcome> outcomeIfRunning,
-    OutcomeReason reason) {}
+    OutcomeReason reason) {
+  /**
+   * Whether the notice by itself proves that the VM ran. One that has to go before it runs is
+   * rejected, so what is evicted, preempted or drained without a rejection had run; so had what
+   * came to its end or was cancelled as a VM. A bare reset may have broken on its way.
+   */
+  boolean provesExecution() {
+    boolean hasReasonOfRunningVm =
+        reason == OutcomeReason.EVICTED
+            || reason == OutcomeReason.PREEMPTED
+            || reason == OutcomeReason.DRAINED;
+    return outcomeIfRunning
+        .filter(outcome -> outcome != Outcome.RESET || hasReasonOfRunningVm)
+        .isPresent();
+  }
+}
--- a/src/main/java/fordridge/runtime/SchedulerInputs.java
+++ b/src/main/java/fordridge/runtime/SchedulerInputs.java
@@ -77,10 +77,10 @@
 
   /**
    * Forgets a VM that is finished and has no attempt in flight; false if it is not or was not
-   * known.
+   * known, also where another VM has its id by now.
    */
   public boolean forget(Vm vm) {
-    return vm.isFinished && vm.inFlightAttempts() == 0 && vms.remove(vm.id) != null;
+    return vm.isFinished && vm.inFlightAttempts() == 0 && vms.remove(vm.id, vm);
   }
 
   /** The machine with that key, made when it is first asked for. */
--- a/src/test/java/fordridge/faults/EndOfVmToldTest.java
+++ b/src/test/java/fordridge/faults/EndOfVmToldTest.java
@@ -195,6 +195,7 @@
     }
     Offered over = offer(rig, machine, silent);
     over.accept();
+    other.own(over.vm);
     silent.fallSilent();
     over.connection.send(Message.of(Message.ENDED, over.vm, Message.CAUSE_DONE));
     awaitTold(TOLD_WITHIN, over.vm, other);
@@ -206,6 +207,7 @@
     Offered over = offer(rig, machine, own);
     over.accept();
     ScriptedClient owner = rig.connect();
+    owner.own(over.vm);
     Offered others = offer(rig, machine, owner);
     others.accept();
     ScriptedClient stranger = rig.connect();
--- a/src/test/java/fordridge/faults/ScriptedClient.java
+++ b/src/test/java/fordridge/faults/ScriptedClient.java
@@ -5,17 +5,21 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.awaitility.Awaitility;
 
 /**
- * One client's connection that says what a test has it say, and acknowledges unless told not to.
+ * One client's connection that says what a test has it say, and acknowledges the ends of its own
+ * VMs unless told not to.
  */
 final class ScriptedClient implements AutoCloseable {
   private final LineConnection connection;
   private final List<String> words = new ArrayList<>();
   private final Map<String, Long> endedNanos = new HashMap<>();
+  private final Set<String> ownVms = new HashSet<>();
   private volatile boolean acknowledges = true;
 
   ScriptedClient(InetAddress address, int port) throws IOException {
@@ -32,7 +36,7 @@
     }
     if (isDown) {
       endedNanos.putIfAbsent(message.id(), System.nanoTime());
-      if (acknowledges) {
+      if (acknowledges && ownVms.contains(message.id())) {
         acknowledge(message.id());
       }
     }
@@ -48,12 +52,19 @@
     connection.send(Message.of(Message.ACKNOWLEDGED, vm, 0));
   }
 
+  /** A VM of the same client that another of its connections has brought. */
+  synchronized void own(String vm) {
+    ownVms.add(vm);
+  }
+
   void request(String vm, String priorityClass, long leftMillis, int service) {
+    own(vm);
     connection.send(Message.request(vm, priorityClass, leftMillis, extras(service)));
   }
 
   /** Hands over a VM that runs on the machine. */
   void handOver(String vm, String priorityClass, String machine, int service) {
+    own(vm);
     connection.send(Message.request(vm, priorityClass, 0, extras(service) + ";at:" + machine));
   }
 
