A VM that its machine cancelled is told to the client that has not ended it

Seen by callers: cause 31 from a machine, or a termination that it did not confirm, ended a VM in the books without a word to its client, also where the client had not ended it, as where it had handed it over meanwhile. An acceptance of an attempt that had ended was left running. Cause: AttemptOutcomeHandler took CANCELLED for proof that the client had ended the VM, and dropped what was owed. Evidence: crossing 'cancelled by its machine, not its client' of EndOfVmToldTest, not told within 1.4 s before; passes with this. Change: the client's own termination has removed its entry already, so every end of an accepted VM goes through the notices, unless another VM has the id by now. An accepted attempt that nobody waits for is terminated at its machine.

--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -66,10 +66,8 @@
   public void attemptAccepted(PlacementAttempt attempt, String description) {
     loop.enterBehind(
         () -> {
-          if (!attempt.isInFlight()) {
-            return;
-          }
-          if (attempt.vm.isFinished) {
+          if (!attempt.isInFlight() || attempt.vm.isFinished) {
+            // Nobody waits for it: it must not run on without an owner.
             machines.poolOf(attempt).terminate(attempt, loop.now());
             return;
           }
@@ -93,10 +91,8 @@
             logEnd(attempt, outcome, reason);
           }
           inputs.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted || vm.isFinished);
-          if (wasAccepted && outcome == Outcome.CANCELLED) {
-            boolean wasOwed = pendingResponses.endedByClient(vm.id);
-            logEndOfVm(attempt, outcome, reason, wasOwed ? "dropped" : "not owed");
-          } else if (wasAccepted) {
+          if (wasAccepted && requests.find(vm.id) == vm) {
+            // A client that has ended its VM itself is owed nothing more, and nothing is sent.
             boolean isSent = clients.notifyTerminated(vm, outcome, loop.now());
             logEndOfVm(attempt, outcome, reason, isSent ? "sent" : "not sent");
           }
