Termination notices follow their client, and only its acknowledgement ends them

Seen by callers: a VM's end was told to a stranger alone, or on a silent connection alone, or after 2.2 s. Cause: any ack, also of an id that nobody knows, made its connection the chosen one; a notice was not sent again where that was the connection it had gone to; a VM handed over once more bound nothing; one whose request was still pending on a dead connection was ignored. Change: NoticeDeliveries keeps each notice until a connection that it was sent on acknowledges it; every 350 ms it goes to a further one, the client's former ones first, then those that have acknowledged most. A handover binds the VM to its connection, and takes the place of a request or termination of the same id. The log names the connection told. PendingResponsesTest: the second connection is now due by 400 ms, not 600.

--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 
@@ -54,6 +55,13 @@
     return server.unreadFor(this);
   }
 
+  /** Its number at the client's host, for logs; zero where it has none. */
+  public int remotePort() {
+    return channel != null && channel.remoteAddress() instanceof InetSocketAddress address
+        ? address.getPort()
+        : 0;
+  }
+
   /** Whether what its client sends is still taken in. */
   boolean isRead() {
     return !isReadingStopped;
--- a/src/main/java/fordridge/server/json/ActiveRequests.java
+++ b/src/main/java/fordridge/server/json/ActiveRequests.java
@@ -69,6 +69,16 @@
     forgetIfOver(vm);
   }
 
+  /**
+   * A client hands the VM over by which it was requested or ended before: its attempt on that
+   * machine gives way to the handover, others are cancelled.
+   */
+  void supersede(Vm vm, MachineHandle runningAt, MachineRegistry machines) {
+    inputs.scheduler.clientLeft(vm);
+    runningAt.pool().supersede(vm.id);
+    abandon(vm, machines);
+  }
+
   /** Forgets the VM, behind what is being entered, unless it still has attempts in flight. */
   void forgetIfOver(Vm vm) {
     loop.enterBehind(
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -93,8 +93,8 @@
           inputs.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted || vm.isFinished);
           if (wasAccepted && requests.find(vm.id) == vm) {
             // A client that has ended its VM itself is owed nothing more, and nothing is sent.
-            boolean isSent = clients.notifyTerminated(vm, outcome, loop.now());
-            logEndOfVm(attempt, outcome, reason, isSent ? "sent" : "not sent");
+            String notice = clients.notifyTerminated(vm, outcome, loop.now());
+            logEndOfVm(attempt, outcome, reason, notice);
           }
           requests.forgetIfOver(vm);
         });
--- a/src/main/java/fordridge/server/json/BoundedLog.java
+++ b/src/main/java/fordridge/server/json/BoundedLog.java
@@ -9,7 +9,7 @@
  * fills the log nor hides the others, and counts all events. Confined to one thread.
  */
 final class BoundedLog {
-  static final int MAX_LINES_PER_EVENT = 40;
+  static final int MAX_LINES_PER_EVENT = 60;
 
   private final Consumer<String> log;
   private final Map<String, Integer> linesInPeriod = new HashMap<>();
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -163,6 +163,7 @@
 
   /** A client reports a VM that runs already, placed by an earlier scheduler. */
   private void adopt(ClientConnection connection, Vm vm, String machineId) {
+    Vm known = requests.find(vm.id);
     RequestLog.Handover result = registerHandover(connection, vm, machineId);
     requestLog.handoverReceived(vm, machineId, result);
     if (loop.now().compareTo(handoversExpectedUntil) > 0) {
@@ -172,8 +173,11 @@
       return;
     }
     clients.sendDeferredNotices(loop.now());
-    requests.addRunning(vm);
     MachineHandle handle = machines.findOrAdd(machineId);
+    if (known != null) {
+      requests.supersede(known, handle, machines);
+    }
+    requests.addRunning(vm);
     Machine machine = handle.machine();
     inputs.scheduler.vmAdopted(vm, machine);
     handle.pool().adopt(vm.acceptedAttempt, loop.now());
@@ -189,9 +193,17 @@
     if (machineId.isEmpty()) {
       return RequestLog.Handover.WITHOUT_MACHINE;
     }
-    return pendingResponses.adoptRunning(vm.id, connection)
-        ? RequestLog.Handover.ADOPTED
-        : RequestLog.Handover.KNOWN_ALREADY;
+    return switch (pendingResponses.adoptRunning(vm.id, connection)) {
+      case ADOPTED -> RequestLog.Handover.ADOPTED;
+      case REBOUND -> RequestLog.Handover.REBOUND;
+      case PENDING_HERE -> RequestLog.Handover.PENDING_HERE;
+      case PENDING_ELSEWHERE -> {
+        // Its client has left that connection: it would not claim the VM while it waits for it.
+        clients.fail(vm);
+        pendingResponses.adoptRunning(vm.id, connection);
+        yield RequestLog.Handover.ADOPTED;
+      }
+    };
   }
 
   private void loseIfMachineGone(Vm vm, MachineHandle handle) {
@@ -248,6 +260,10 @@
     loop.enter(
         InputKind.CLIENT_CLOSED,
         () -> {
+          int runningVms = pendingResponses.runningVmsOf(connection);
+          if (runningVms > 0) {
+            requestLog.vms().clientLeft(connection.remotePort(), runningVms);
+          }
           List<String> abandoned = pendingResponses.connectionClosed(connection);
           requestLog.abandoned(abandoned);
           for (String vmId : abandoned) {
--- a/src/main/java/fordridge/server/json/ClientResponder.java
+++ b/src/main/java/fordridge/server/json/ClientResponder.java
@@ -46,13 +46,15 @@
     }
   }
 
-  /** A running VM is over. Whether a notice was sent; if not, it waits or none is owed. */
-  boolean notifyTerminated(Vm vm, Outcome outcome, Duration now) {
+  /** A running VM is over. What became of its notice, for the log. */
+  String notifyTerminated(Vm vm, Outcome outcome, Duration now) {
+    boolean isOwn = pending.hasOwnConnection(vm.id);
     Optional<ClientConnection> client = pending.vmTerminated(vm.id, outcome, now);
-    if (client.isPresent()) {
-      client.get().sendTerminated(vm.id, causeOf(outcome));
+    if (client.isEmpty()) {
+      return pending.isNoticeUndelivered(vm.id) ? "waits for a connection" : "not owed";
     }
-    return client.isPresent();
+    client.get().sendTerminated(vm.id, causeOf(outcome));
+    return "sent to " + client.get().remotePort() + (isOwn ? "" : ", not its own connection");
   }
 
   /** A running VM is being stopped for its client to request it anew; needs no acknowledgement. */
@@ -75,7 +77,7 @@
   /** Sends the notices again that were not acknowledged in time, on other connections. */
   void resendOverdueNotices(Duration now) {
     for (AddressedNotice<ClientConnection> due : pending.takeOverdueNotices(now)) {
-      log.noticeResent(due.notice());
+      log.noticeResent(due.notice(), due.connection().remotePort());
       due.connection().sendTerminated(due.notice().vmId(), causeOf(due.notice().outcome()));
     }
   }
--- a/src/main/java/fordridge/server/json/RequestLog.java
+++ b/src/main/java/fordridge/server/json/RequestLog.java
@@ -22,8 +22,10 @@
   /** What became of a VM that a client handed over. */
   enum Handover {
     ADOPTED,
-    /** Its id is pending or running already. */
-    KNOWN_ALREADY,
+    /** It is known to run: its client has come on another connection. */
+    REBOUND,
+    /** Its request is pending on the same connection. */
+    PENDING_HERE,
     /** It names no machine. */
     WITHOUT_MACHINE
   }
@@ -55,7 +57,7 @@
   /** A client handed over a VM that runs on the machine. */
   void handoverReceived(Vm vm, String machineId, Handover result) {
     handovers.merge(result, 1L, Long::sum);
-    if (result != Handover.ADOPTED) {
+    if (result == Handover.PENDING_HERE || result == Handover.WITHOUT_MACHINE) {
       write("handover ignored", vm, "machine " + machineId + ", " + result);
     }
   }
--- a/src/main/java/fordridge/server/json/VmLog.java
+++ b/src/main/java/fordridge/server/json/VmLog.java
@@ -84,8 +84,13 @@
   }
 
   /** A termination notice was not acknowledged in time and is sent on another connection. */
-  void noticeResent(TerminationNotice notice) {
-    write("notice resent", "vm " + notice.vmId());
+  void noticeResent(TerminationNotice notice, int remotePort) {
+    write("notice resent", "vm " + notice.vmId() + ", to " + remotePort);
+  }
+
+  /** A client's connection closed, with VMs that run on. */
+  void clientLeft(int remotePort, int runningVms) {
+    write("client left", "connection " + remotePort + ", running VMs " + runningVms);
   }
 
   /** A termination notice is no longer worth sending, or gave way to later ones. */
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -2,12 +2,8 @@
 
 import fordridge.model.PlacementAttempt.Outcome;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -40,12 +36,11 @@
   /** That a VM which ran is over, and until when this is worth sending. */
   public record TerminationNotice(String vmId, Outcome outcome, Duration expiresAt) {}
 
-  /** A termination notice, the connection to send it on, and when, for the first or second time. */
-  public record AddressedNotice<C>(
-      C connection, TerminationNotice notice, Duration sentAt, boolean isResent) {}
+  /** A termination notice, and the connection to send it on. */
+  public record AddressedNotice<C>(C connection, TerminationNotice notice) {}
 
-  /** A notice has to arrive within a second; the rest of it is left for the second try. */
-  private static final Duration ACKNOWLEDGEMENT_TIMEOUT = Duration.ofMillis(500);
+  /** A client that moves on more often has left the first ones. */
+  private static final int MAX_FORMER_CONNECTIONS = 3;
 
   private enum State {
     AWAITING_RESPONSE,
@@ -58,6 +53,9 @@
 
     State state;
 
+    /** Where its client was before it handed the VM over once more, the most recent first. */
+    final List<C> formerConnections = new ArrayList<>();
+
     Entry(C connection, State state) {
       this.connection = connection;
       this.state = state;
@@ -65,39 +63,24 @@
   }
 
   private final int maxPending;
-  private final int maxNotices;
   private final Duration noticeLifetime;
   private final Map<String, Entry<C>> entries = new HashMap<>();
   private final Map<C, Set<String>> vmIdsByConnection = new HashMap<>();
 
-  /** Open connections that have carried a request, the most recent last. */
-  private final LinkedHashSet<C> requestConnections = new LinkedHashSet<>();
-
-  /** Of these, the ones that have acknowledged a notice, the most recent last. */
-  private final LinkedHashSet<C> acknowledgingConnections = new LinkedHashSet<>();
-
-  /** Notices for which there was no connection yet, the oldest first. */
-  private final Deque<TerminationNotice> deferredNotices = new ArrayDeque<>();
-
-  /** Notices that were sent and not acknowledged yet, by VM, the oldest first. */
-  private final Map<String, AddressedNotice<C>> unacknowledgedNotices = new LinkedHashMap<>();
-
+  private final NoticeDeliveries<C> notices;
   private int pendingRequests;
-  private long expiredNotices;
-  private long displacedNotices;
-  private long resentNotices;
 
   /**
    * Creates an empty registry.
    *
    * @param maxPending the maximum number of pending requests
-   * @param maxNotices the maximum number of deferred and of unacknowledged notices each; beyond it
-   *     the oldest is displaced, and counted
+   * @param maxNotices the maximum number of notices that are not acknowledged; beyond it the oldest
+   *     is displaced, and counted
    * @param noticeLifetime how long an undelivered termination notice is kept
    */
   public PendingResponses(int maxPending, int maxNotices, Duration noticeLifetime) {
     this.maxPending = maxPending;
-    this.maxNotices = maxNotices;
+    notices = new NoticeDeliveries<>(maxNotices);
     this.noticeLifetime = noticeLifetime;
   }
 
@@ -114,23 +97,61 @@
     return Admission.ADMITTED;
   }
 
+  /** What is known of a VM that a client hands over. */
+  public enum Adoption {
+    /** It was not known, and is now. */
+    ADOPTED,
+    /** It runs; its termination notice goes to this connection from now on. */
+    REBOUND,
+    /** It is pending on this connection: nothing is changed. */
+    PENDING_HERE,
+    /** It is pending on another connection: nothing is changed. */
+    PENDING_ELSEWHERE
+  }
+
   /**
    * A client reports a VM that runs already: it gets no response, only the termination notice.
-   * False if the id is known already, and nothing is changed.
+   * Where that is known, its client has come on another connection.
    */
-  public boolean adoptRunning(String vmId, C connection) {
-    if (entries.containsKey(vmId)) {
-      return false;
+  public Adoption adoptRunning(String vmId, C connection) {
+    Entry<C> entry = entries.get(vmId);
+    if (entry == null) {
+      put(vmId, connection, State.RUNNING);
+      return Adoption.ADOPTED;
     }
-    put(vmId, connection, State.RUNNING);
-    return true;
+    if (entry.state == State.AWAITING_RESPONSE) {
+      return connection.equals(entry.connection)
+          ? Adoption.PENDING_HERE
+          : Adoption.PENDING_ELSEWHERE;
+    }
+    rebind(vmId, entry, connection);
+    return Adoption.REBOUND;
+  }
+
+  private void rebind(String vmId, Entry<C> entry, C connection) {
+    if (connection.equals(entry.connection)) {
+      return;
+    }
+    if (entry.connection != null) {
+      detach(vmId, entry.connection);
+      entry.formerConnections.remove(entry.connection);
+      entry.formerConnections.add(0, entry.connection);
+    }
+    if (entry.formerConnections.size() > MAX_FORMER_CONNECTIONS) {
+      entry.formerConnections.remove(MAX_FORMER_CONNECTIONS);
+    }
+    entry.connection = connection;
+    attach(vmId, connection);
   }
 
   private void put(String vmId, C connection, State state) {
     entries.put(vmId, new Entry<>(connection, state));
+    attach(vmId, connection);
+  }
+
+  private void attach(String vmId, C connection) {
     vmIdsByConnection.computeIfAbsent(connection, c -> new LinkedHashSet<>()).add(vmId);
-    requestConnections.remove(connection);
-    requestConnections.add(connection);
+    notices.connectionUsed(connection);
   }
 
   /** The request is accepted and the VM runs: where to say so; empty if it is not pending. */
@@ -165,22 +186,15 @@
     }
     remove(vmId, entry);
     TerminationNotice notice = new TerminationNotice(vmId, outcome, now.plus(noticeLifetime));
-    C connection = entry.connection == null ? alternativeConnection() : entry.connection;
-    if (connection == null) {
-      defer(notice);
-    } else {
-      awaitAcknowledgement(connection, notice, now, false);
-    }
-    return Optional.ofNullable(connection);
+    return notices.add(notice, Optional.ofNullable(entry.connection), entry.formerConnections, now);
   }
 
-  /** The client acknowledges, on this connection, the termination notice of a VM. */
+  /**
+   * The client acknowledges, on this connection, the termination notice of a VM; without effect
+   * unless the notice was sent on it.
+   */
   public void noticeAcknowledged(String vmId, C connection) {
-    unacknowledgedNotices.remove(vmId);
-    if (requestConnections.contains(connection)) {
-      acknowledgingConnections.remove(connection);
-      acknowledgingConnections.add(connection);
-    }
+    notices.acknowledged(vmId, connection);
   }
 
   /** The client ends a VM or withdraws a request: it gets no response. False if it is unknown. */
@@ -206,9 +220,7 @@
    * </ul>
    */
   public List<String> connectionClosed(C connection) {
-    requestConnections.remove(connection);
-    acknowledgingConnections.remove(connection);
-    deferUnacknowledged(connection);
+    notices.connectionClosed(connection);
     List<String> abandonedRequests = new ArrayList<>();
     Set<String> vmIds = vmIdsByConnection.remove(connection);
     if (vmIds != null) {
@@ -226,72 +238,28 @@
     return abandonedRequests;
   }
 
-  private void deferUnacknowledged(C connection) {
-    Iterator<AddressedNotice<C>> sent = unacknowledgedNotices.values().iterator();
-    while (sent.hasNext()) {
-      AddressedNotice<C> addressed = sent.next();
-      if (addressed.connection.equals(connection)) {
-        sent.remove();
-        defer(addressed.notice);
-      }
-    }
-  }
-
   /** The deferred notices to be sent now: all that have not expired, if a connection is open. */
   public List<AddressedNotice<C>> takeDeferredNotices(Duration now) {
     expireNotices(now);
-    List<AddressedNotice<C>> due = new ArrayList<>();
-    C connection = alternativeConnection();
-    while (connection != null && !deferredNotices.isEmpty()) {
-      TerminationNotice notice = deferredNotices.removeFirst();
-      due.add(awaitAcknowledgement(connection, notice, now, false));
-    }
-    return due;
+    return notices.takeDeferred(now);
   }
 
   /**
-   * The notices to be sent once more, and no more than once, on another connection: their own has
-   * acknowledged nothing for a while, and its client may be gone without a word. Only where a
-   * client that acknowledges is connected elsewhere; a client that never does would get everything
-   * twice.
+   * The notices to be sent on a further connection, on each once: those before have acknowledged
+   * nothing for a while, and their client may be gone without a word.
    */
   public List<AddressedNotice<C>> takeOverdueNotices(Duration now) {
-    List<AddressedNotice<C>> overdue = new ArrayList<>();
-    C alternative = acknowledgingConnections.isEmpty() ? null : alternativeConnection();
-    if (alternative == null) {
-      return overdue;
-    }
-    for (AddressedNotice<C> sent : List.copyOf(unacknowledgedNotices.values())) {
-      boolean isOverdue = now.minus(sent.sentAt).compareTo(ACKNOWLEDGEMENT_TIMEOUT) >= 0;
-      if (isOverdue && !sent.isResent && !sent.connection.equals(alternative)) {
-        resentNotices++;
-        unacknowledgedNotices.remove(sent.notice.vmId);
-        overdue.add(awaitAcknowledgement(alternative, sent.notice, now, true));
-      }
-    }
-    return overdue;
+    return notices.takeOverdue(now);
   }
 
   /** Drops the notices that are no longer worth sending, and returns them. */
   public List<TerminationNotice> expireNotices(Duration now) {
-    List<TerminationNotice> expired = new ArrayList<>();
-    for (TerminationNotice notice : deferredNotices) {
-      addIfExpired(notice, now, expired);
-    }
-    for (AddressedNotice<C> sent : unacknowledgedNotices.values()) {
-      addIfExpired(sent.notice, now, expired);
-    }
-    deferredNotices.removeAll(expired);
-    expired.forEach(notice -> unacknowledgedNotices.remove(notice.vmId));
-    expiredNotices += expired.size();
-    return expired;
+    return notices.expire(now);
   }
 
-  private static void addIfExpired(
-      TerminationNotice notice, Duration now, List<TerminationNotice> expired) {
-    if (notice.expiresAt.compareTo(now) <= 0) {
-      expired.add(notice);
-    }
+  /** Whether the notice of the VM's end is kept, as no client has acknowledged it yet. */
+  public boolean isNoticeUndelivered(String vmId) {
+    return notices.isUndelivered(vmId);
   }
 
   /** Whether the request is pending: its client has got no response yet. */
@@ -302,7 +270,7 @@
 
   /** The number of notices that are deferred or not acknowledged. */
   public int undeliveredNotices() {
-    return deferredNotices.size() + unacknowledgedNotices.size();
+    return notices.size();
   }
 
   /** What is owed to clients, for the log. */
@@ -311,16 +279,20 @@
         + pendingRequests
         + ", running VMs "
         + runningVms()
-        + ", notices without a connection "
-        + deferredNotices.size()
-        + ", not acknowledged "
-        + unacknowledgedNotices.size()
-        + ", expired "
-        + expiredNotices
-        + ", displaced "
-        + displacedNotices
-        + ", resent "
-        + resentNotices;
+        + ", "
+        + notices.describe();
+  }
+
+  /** Whether the client of a running VM is on a connection that is known and open. */
+  public boolean hasOwnConnection(String vmId) {
+    Entry<C> entry = entries.get(vmId);
+    return entry != null && entry.connection != null;
+  }
+
+  /** The number of VMs that run and whose client was last on this connection. */
+  public int runningVmsOf(C connection) {
+    Set<String> vmIds = vmIdsByConnection.getOrDefault(connection, Set.of());
+    return vmIds.size() - pendingRequestsOf(connection).size();
   }
 
   /** Whether the connection has a pending request or a running VM. */
@@ -361,48 +333,22 @@
     return entries.size() - pendingRequests;
   }
 
-  /**
-   * For a notice whose own connection has closed: the last one that acknowledged a notice, else the
-   * last one that carried a request (not every client that requests listens); null if none is open.
-   */
-  private C alternativeConnection() {
-    C last = null;
-    for (C connection :
-        acknowledgingConnections.isEmpty() ? requestConnections : acknowledgingConnections) {
-      last = connection;
-    }
-    return last;
-  }
-
-  private void defer(TerminationNotice notice) {
-    if (deferredNotices.size() >= maxNotices) {
-      deferredNotices.removeFirst();
-      displacedNotices++;
-    }
-    deferredNotices.addLast(notice);
-  }
-
-  private AddressedNotice<C> awaitAcknowledgement(
-      C connection, TerminationNotice notice, Duration now, boolean isResent) {
-    if (unacknowledgedNotices.size() >= maxNotices) {
-      unacknowledgedNotices.remove(unacknowledgedNotices.keySet().iterator().next());
-      displacedNotices++;
-    }
-    AddressedNotice<C> addressed = new AddressedNotice<>(connection, notice, now, isResent);
-    unacknowledgedNotices.put(notice.vmId, addressed);
-    return addressed;
-  }
-
   private void remove(String vmId, Entry<C> entry) {
     if (entry.state == State.AWAITING_RESPONSE) {
       pendingRequests--;
     }
     entries.remove(vmId);
-    Set<String> vmIds = entry.connection == null ? null : vmIdsByConnection.get(entry.connection);
+    if (entry.connection != null) {
+      detach(vmId, entry.connection);
+    }
+  }
+
+  private void detach(String vmId, C connection) {
+    Set<String> vmIds = vmIdsByConnection.get(connection);
     if (vmIds != null) {
       vmIds.remove(vmId);
       if (vmIds.isEmpty()) {
-        vmIdsByConnection.remove(entry.connection);
+        vmIdsByConnection.remove(connection);
       }
     }
   }
--- a/src/test/java/fordridge/session/PendingResponsesTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -53,8 +53,8 @@
 
     responses.vmTerminated("b", Outcome.DONE, NOW);
     responses.noticeAcknowledged("b", "lively");
-    assertThat(responses.takeOverdueNotices(NOW.plusMillis(400))).isEmpty();
-    assertThat(responses.takeOverdueNotices(later))
+    assertThat(responses.takeOverdueNotices(NOW.plusMillis(300))).isEmpty();
+    assertThat(responses.takeOverdueNotices(NOW.plusMillis(400)))
         .extracting(PendingResponsesTest::describe)
         .containsExactly("lively a");
     assertThat(responses.takeOverdueNotices(later.plusSeconds(2))).isEmpty();
