A machine's word is acknowledged once it is delivered; its ack confirms a termination

Seen by callers: a scheduler that was killed between its ack to the machine and its client's left an end that nobody says again; a machine that answers a termination with an ack alone kept the VM's place for a minute and more. Cause: MachineHandle acknowledged at once; the machine's ack was ignored. Change: MachineAcknowledgements answers when no notice and no unclaimed end of the VM is kept any more. The machine's ack ends a VM that is being terminated.

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -49,6 +49,9 @@
     /** The machine ended a placement request or a running VM. */
     void vmTerminated(MachineConnection connection, VmTermination termination);
 
+    /** The machine heard that a VM is to be terminated. */
+    void terminationAcknowledged(MachineConnection connection, String vmId);
+
     /** The machine answered a health check. */
     void probeAnswered(MachineConnection connection, boolean healthy, boolean withLoadReport);
 
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -222,7 +222,8 @@
       case "tell" -> vmReported(id, fields);
       case "hb_ok" -> listener.probeAnswered(connection, code == HEALTHY, withLoadReport);
       case "hb" -> write("hb_ok", id, HEALTHY, null);
-      case "wait", "ack", "shift" -> {}
+      case "ack" -> listener.terminationAcknowledged(connection, id);
+      case "wait", "shift" -> {}
       default -> rejectInput("line: field 't' is not a known message type: " + type);
     }
   }
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -93,6 +93,7 @@
     loop.attach(inputs.scheduler);
     actions.attach(inputs, machines, requests);
     outcomes.attach(machines);
+    machines.attach(pendingResponses::isNoticeUndelivered);
   }
 
   /** Receives what clients request. */
@@ -233,6 +234,8 @@
         + outcomes.passedProbes()
         + " failed "
         + outcomes.failedProbes()
+        + ", unknown ends displaced "
+        + machines.displacedEndCount()
         + ", loop lag "
         + loop.lag(loop.clock()).toMillis()
         + " ms, latest offer after a drain "
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -16,6 +16,7 @@
 import fordridge.runtime.SchedulerInputs;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * One machine and its connections: enters what they bring as inputs of the scheduler. Confined to
@@ -29,6 +30,7 @@
   private final SchedulerInputs<String> inputs;
   private final ActiveRequests requests;
   private final RequestLog requestLog;
+  private final MachineAcknowledgements acknowledgements;
   private MachineClient client;
   private MachineConnectionPool pool;
 
@@ -44,7 +46,8 @@
       InputGate gate,
       SchedulerInputs<String> inputs,
       ActiveRequests requests,
-      RequestLog requestLog) {
+      RequestLog requestLog,
+      Predicate<String> isNoticeUndelivered) {
     this.id = id;
     this.loop = loop;
     this.gate = gate;
@@ -52,6 +55,10 @@
     this.requests = requests;
     this.requestLog = requestLog;
     machine = inputs.machine(id);
+    acknowledgements =
+        new MachineAcknowledgements(
+            vmId -> isNoticeUndelivered.test(vmId) || pool.isEndKept(vmId, loop.clock()),
+            this::acknowledge);
   }
 
   /** To be called once, before anything else. */
@@ -128,6 +135,18 @@
         InputKind.VM_ACCEPTED, () -> pool.vmAccepted(connection, vmId, description, loop.now()));
   }
 
+  private void acknowledge(MachineConnection connection, String vmId) {
+    if (!isStopped) {
+      client.acknowledge(connection, vmId);
+    }
+  }
+
+  /** Lets timeouts take effect; to be called periodically. */
+  void tick() {
+    pool.tick(loop.now());
+    acknowledgements.sendDue();
+  }
+
   /** From now on nothing is taken in or acknowledged: there is no client left to tell. */
   void stopListening() {
     isStopped = true;
@@ -139,9 +158,13 @@
       return;
     }
     loop.enter(
-        InputKind.VM_TERMINATED, () -> pool.vmTerminated(connection, termination, loop.now()));
-    // Behind the notice to the client: until then the machine is to say it again to whoever comes.
-    client.acknowledge(connection, termination.vmId());
+        InputKind.VM_TERMINATED,
+        () -> {
+          pool.vmTerminated(connection, termination, loop.now());
+          // Behind the notice to the client.
+          loop.enterBehind(
+              () -> acknowledgements.terminationReceived(connection, termination.vmId()));
+        });
   }
 
   @Override
@@ -165,6 +188,11 @@
         });
   }
 
+  @Override
+  public void terminationAcknowledged(MachineConnection connection, String vmId) {
+    loop.enter(InputKind.VM_TERMINATED, () -> pool.terminationAcknowledged(vmId));
+  }
+
   private void reportVm(PlacementAttempt attempt, VmReportKind kind, double value) {
     if (kind != VmReportKind.STARTED && !Double.isFinite(value)) {
       return;
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * All machines that the list or a client has named, with their connections, and the quota that
@@ -29,6 +30,7 @@
   private final RequestLog requestLog;
   private final MachineConnectionListener listener;
   private final ConnectionQuota quota;
+  private Predicate<String> isNoticeUndelivered = vmId -> false;
   private ConnectionTimeouts timeouts;
   private final Map<String, MachineHandle> handlesById = new HashMap<>();
   private final Map<Machine, MachineHandle> handlesByMachine = new HashMap<>();
@@ -54,11 +56,16 @@
     quota = new ConnectionQuota(maxConnections);
   }
 
+  /** How it is told whether the notice of a VM's end is kept; to be called once, at first. */
+  void attach(Predicate<String> noticeUndelivered) {
+    isNoticeUndelivered = noticeUndelivered;
+  }
+
   /** The machine of this id, registered if it is new. */
   MachineHandle findOrAdd(String id) {
     MachineHandle handle = handlesById.get(id);
     if (handle == null) {
-      handle = new MachineHandle(id, loop, gate, inputs, requests, requestLog);
+      handle = new MachineHandle(id, loop, gate, inputs, requests, requestLog, isNoticeUndelivered);
       MachineClient client =
           new MachineClient(
               group, quota, timeouts.connectTimeout(), handle::payloadToOffer, handle);
@@ -108,7 +115,7 @@
   /** Lets timeouts take effect and shares out the connections; to be called periodically. */
   void tick() {
     for (MachineHandle handle : all()) {
-      handle.pool().tick(loop.now());
+      handle.tick();
     }
     ConnectionBudget.rebalance(pools, quota.inUseCount(), quota.limit(), loop.now());
   }
@@ -126,6 +133,15 @@
     return quota.openCount();
   }
 
+  /** Ends of VMs unknown here that gave way to later ones, of all machines since the start. */
+  long displacedEndCount() {
+    long count = 0;
+    for (MachineConnectionPool pool : pools) {
+      count += pool.displacedEndCount();
+    }
+    return count;
+  }
+
   /** Load reports of all machines since the start. */
   long loadReportCount() {
     long count = 0;
--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -34,10 +34,6 @@
         .replace("\"connectTimeoutUs\":250000", "\"connectTimeoutUs\":3500000");
   }
 
-  private static void awaitMachineConnection(JsonTestPeers peers) {
-    await().until(() -> peers.server.machineConnectionCount() > 0);
-  }
-
   @Example
   void requestCancelledWhileConnectingIsNeverSent() throws Exception {
     try (JsonTestPeers peers = new JsonTestPeers();
@@ -46,7 +42,7 @@
       LineConnection client = peers.connectClient();
       client.send(request(1, "a"));
       // Cancelled before the connection is begun, none would be.
-      awaitMachineConnection(peers);
+      peers.awaitMachineConnection();
       client.send(message("down", 1, ",\"c\":16"));
       assertThat(client.receiveUntilHealthCheck()).isEmpty();
       assertThat(stalled.acceptFirst().receiveUntilHealthCheck())
@@ -62,7 +58,7 @@
       peers.start(slowToConnect(peers, stalled));
       LineConnection client = peers.connectClient();
       client.send(request(1, "once"));
-      awaitMachineConnection(peers);
+      peers.awaitMachineConnection();
       client.close();
       await().until(() -> peers.server.retainedCount() == 0);
       assertThat(stalled.acceptFirst().receiveUntilHealthCheck())
@@ -464,7 +460,6 @@
       await().until(() -> peers.server.connectionCount() == 0);
       peers.server.stop();
       machine.send(message("down", 1, ",\"c\":16"));
-      assertThat(machine.receive("ack")).contains(id(1));
       assertThat(peers.server.awaitStopped(Duration.ofMillis(450))).isFalse();
       LineConnection other = peers.connectClient();
       other.send(request(2, "a", "500", "cores:1;memory:1;service:1", "any"));
@@ -472,7 +467,9 @@
           .as("deferred until a connection has sent a request")
           .contains("\"down\"")
           .contains("\"c\":16");
+      assertThat(machine.lines).as("before any client has heard it").isEmpty();
       other.send(message("ack", 1, ""));
+      assertThat(machine.receive("ack")).contains(id(1));
       peers.machine.await(id(2)).send(message("up", 2, ",\"d\":\"d\""));
       assertThat(other.receive(id(2))).contains("\"up\"");
       assertThat(peers.server.awaitStopped(Duration.ofSeconds(5))).isTrue();
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -353,6 +353,11 @@
     runAtLogLine = fragment;
   }
 
+  /** Waits until a connection to a machine is open or being opened. */
+  void awaitMachineConnection() {
+    Awaitility.await().until(() -> server.machineConnectionCount() > 0);
+  }
+
   /** Waits until a line with this fragment is logged. */
   void awaitLog(String fragment) {
     Awaitility.await().until(() -> log.toString(StandardCharsets.UTF_8).contains(fragment));
