placer: a VM that is over before its acceptance came fails, and is not placed again

Cause: AttemptTracker took any end without an acceptance for a failed attempt; StreamAttempts turned an inventory's ENDED into an error. Change: an end that only a VM that ran has is final: the client or the group gets 'failed' at once. OutcomeReason.isOfRunningVm is shared.

--- a/src/main/java/fordridge/machine/StreamAttempts.java
+++ b/src/main/java/fordridge/machine/StreamAttempts.java
@@ -207,9 +207,7 @@
           entry.sent();
         }
       }
-      case ENDED ->
-          removeAndEnd(
-              entry, wasAccepted ? Outcome.DONE : Outcome.ERROR, OutcomeReason.UNSPECIFIED);
+      case ENDED -> removeAndEnd(entry, Outcome.DONE, OutcomeReason.UNSPECIFIED);
       case REJECTED ->
           removeAndEnd(
               entry, wasAccepted ? Outcome.RESET : Outcome.FULL, OutcomeReason.UNSPECIFIED);
--- a/src/main/java/fordridge/machine/VmTermination.java
+++ b/src/main/java/fordridge/machine/VmTermination.java
@@ -23,12 +23,8 @@
    * came to its end or was cancelled as a VM. A bare reset may have broken on its way.
    */
   boolean provesExecution() {
-    boolean hasReasonOfRunningVm =
-        reason == OutcomeReason.EVICTED
-            || reason == OutcomeReason.PREEMPTED
-            || reason == OutcomeReason.DRAINED;
     return outcomeIfRunning
-        .filter(outcome -> outcome != Outcome.RESET || hasReasonOfRunningVm)
+        .filter(outcome -> outcome != Outcome.RESET || reason.isOfRunningVm())
         .isPresent();
   }
 }
--- a/src/main/java/fordridge/model/PlacementAttempt.java
+++ b/src/main/java/fordridge/model/PlacementAttempt.java
@@ -44,7 +44,14 @@
     NOT_ELIGIBLE,
     EVICTED,
     PREEMPTED,
-    DRAINED
+    DRAINED;
+
+    /**
+     * Whether only a VM that has run ends for this reason: one that has to go before is rejected.
+     */
+    public boolean isOfRunningVm() {
+      return this == EVICTED || this == PREEMPTED || this == DRAINED;
+    }
   }
 
   public final Vm vm;
--- a/src/main/java/fordridge/server/grpc/AttemptTracker.java
+++ b/src/main/java/fordridge/server/grpc/AttemptTracker.java
@@ -11,6 +11,7 @@
 import fordridge.scheduling.Scheduler;
 import fordridge.session.ClientResponse;
 import fordridge.session.ClientResponse.Accepted;
+import fordridge.session.ClientResponse.Failed;
 import fordridge.session.ClientResponse.Terminated;
 import fordridge.session.ClientResponse.TerminationCause;
 import java.time.Duration;
@@ -23,6 +24,8 @@
  * behind it. Confined to the event loop.
  */
 final class AttemptTracker implements MachineStream.Listener {
+  private static final String OVER_UNANSWERED = "the VM was over before its acceptance came";
+
   private final InstanceContext context;
 
   AttemptTracker(InstanceContext context) {
@@ -101,14 +104,18 @@
 
   private void end(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
     boolean wasAccepted = attempt.acceptedAt != null;
-    if (wasAccepted || isKnownNotToRun(outcome)) {
+    boolean isOverUnanswered = !wasAccepted && isOver(outcome, reason);
+    if (wasAccepted || isOverUnanswered || isKnownNotToRun(outcome)) {
       context.constraints.attemptReleased(attempt);
     } else {
       context.constraints.attemptOutcomeUnknown(attempt);
     }
     context.metrics.attemptFinished(outcome);
     logEnd(attempt, outcome, reason);
-    context.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted);
+    context.scheduler.attemptEnded(attempt, outcome, reason, wasAccepted || isOverUnanswered);
+    if (isOverUnanswered) {
+      failUnanswered(attempt.vm);
+    }
     if (wasAccepted && !context.groups.memberTerminated(attempt.vm)) {
       TerminationCause cause = terminationCause(outcome, reason);
       context.clients.respond(attempt.vm, name -> new Terminated(name, cause));
@@ -116,6 +123,21 @@
     context.forget(attempt.vm);
   }
 
+  /** Whether the machine said of an attempt that its VM has run and is over. */
+  private static boolean isOver(Outcome outcome, OutcomeReason reason) {
+    return outcome == Outcome.DONE || (outcome == Outcome.RESET && reason.isOfRunningVm());
+  }
+
+  /** The VM is over and its acceptance never came: it must not be placed again. */
+  private void failUnanswered(Vm vm) {
+    if (context.groups.isMember(vm)) {
+      context.groups.memberFailed(vm, OVER_UNANSWERED);
+    } else {
+      context.metrics.responseSent(ClientResponse.Kind.FAILED);
+      context.clients.respond(vm, name -> new Failed(name, OVER_UNANSWERED));
+    }
+  }
+
   private static boolean isKnownNotToRun(Outcome outcome) {
     return outcome == Outcome.FULL || outcome == Outcome.UNREACHABLE || outcome == Outcome.NOT_SENT;
   }
--- a/src/test/java/fordridge/server/grpc/GrpcMachineStreamTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcMachineStreamTest.java
@@ -7,6 +7,7 @@
 import fordridge.server.grpc.GrpcTestPeers.MachinePeer;
 import fordridge.v1.ClaimName;
 import fordridge.v1.Ended;
+import fordridge.v1.Finished;
 import fordridge.v1.FromMachine;
 import fordridge.v1.Held;
 import fordridge.v1.PlacerMessage.BodyCase;
@@ -51,6 +52,29 @@
     }
   }
 
+  @Example
+  void aVmThatIsOverBeforeItsAcceptanceFailsAndIsNotPlacedAgain() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(2)) {
+      peers.startScheduler("");
+      peers.machines.forEach(
+          m ->
+              m.onOffer =
+                  o ->
+                      m.send(
+                          FromMachine.newBuilder()
+                              .setFinished(
+                                  Finished.newBuilder()
+                                      .setClaim(o.getClaim())
+                                      .setHow(Finished.How.DONE)
+                                      .setRan(true))
+                              .build()));
+      ClientPeer client = peers.client("c").open(true).hello().request("v", "safe");
+      awaitUntil(() -> client.count(BodyCase.ERRORED) == 1);
+      assertThat(peers.machines.stream().mapToInt(m -> m.offers.size()).sum()).isEqualTo(1);
+      assertThat(client.count(BodyCase.BOUND) + client.count(BodyCase.DENIED)).isZero();
+    }
+  }
+
   @Example
   void aVmFoundRunningAfterAReconnectIsAccepted() throws Exception {
     try (GrpcTestPeers peers = new GrpcTestPeers(2)) {
