An end that comes after its request's connection was lost stops the second placement

Seen by callers: a request whose connection was reset is placed again, as its class allows; when the machine then says on another connection that the VM was over, the second placement went on and its client was not told of the first. Cause: AttemptOutcomeHandler.unknownVmEnded only gave back the VM's place. Evidence: EndOfVmToldTest.endOnAnotherConnectionAfterTheRequestsOwnWasReset fails twice of two before (not told within 0.5 s; the second attempt's time-out answers at 0.9 s), passes with this, as the other 15. Change: if the attempt at that machine had ended with its connection and the request has no response, it fails, and what is out is withdrawn. The rig's ledger: a word counts as shown unless its connection is reset within 250 ms of its writing.

--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -103,7 +103,35 @@
   @Override
   public void unknownVmEnded(VmTermination termination, Machine machine) {
     requestLog.vms().unknownEnded(termination, machines.handleOf(machine).id());
-    loop.enterBehind(() -> inputs.scheduler.endConfirmed(termination.vmId(), machine));
+    loop.enterBehind(
+        () -> {
+          Vm vm = requests.find(termination.vmId());
+          boolean ranUnanswered = vm != null && hasLostAttempt(vm, machine);
+          inputs.scheduler.endConfirmed(termination.vmId(), machine);
+          if (ranUnanswered && pendingResponses.isAwaitingResponse(vm.id)) {
+            // It ran after all, and is over: what was done since to place it again is taken back.
+            failOver(vm);
+          }
+        });
+  }
+
+  /**
+   * Whether an attempt on the machine ended with its connection, and without the machine's word.
+   */
+  private static boolean hasLostAttempt(Vm vm, Machine machine) {
+    return vm.attempts.stream()
+        .anyMatch(
+            attempt ->
+                attempt.machine == machine
+                    && attempt.outcome == Outcome.RESET
+                    && attempt.mayStillRun);
+  }
+
+  /** The VM has run and is over: its request fails, and nothing more is sent for it. */
+  private void failOver(Vm vm) {
+    requestLog.failed(vm, loop.clock());
+    clients.fail(vm);
+    requests.abandon(vm, machines);
   }
 
   @Override
@@ -126,9 +154,7 @@
           requestLog.vms().endedUnanswered(attempt, machineId, outcome);
           inputs.scheduler.attemptEnded(attempt, outcome, reason, true);
           if (pendingResponses.isAwaitingResponse(vm.id)) {
-            clients.fail(vm);
-            // After its response nothing more is sent for it.
-            requests.abandon(vm, machines);
+            failOver(vm);
           } else {
             requests.forgetIfOver(vm);
           }
--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -294,6 +294,7 @@
 
   /** Resets all its connections; the process and its VMs live on. */
   synchronized void resetConnections() {
+    ledger.wordsLost(id);
     List.copyOf(connections).forEach(LineConnection::reset);
   }
 
