--- a/src/test/java/fordridge/session/PendingResponsesTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -5,6 +5,7 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.session.PendingResponses.AddressedNotice;
 import fordridge.session.PendingResponses.Admission;
+import fordridge.session.PendingResponses.Adoption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -117,6 +118,19 @@
         .containsExactly("never listening one");
   }
 
+  @Example
+  void vmThatIsHandedOverOnceMoreIsToldWhereItsClientHasCome() {
+    responses.requestReceived("running", "first");
+    responses.takeAccepted("running");
+    responses.requestReceived("pending", "first");
+    assertThat(responses.adoptRunning("running", "second")).isEqualTo(Adoption.REBOUND);
+    assertThat(responses.adoptRunning("pending", "first")).isEqualTo(Adoption.PENDING_HERE);
+    assertThat(responses.adoptRunning("pending", "second")).isEqualTo(Adoption.PENDING_ELSEWHERE);
+    assertThat(responses.connectionClosed("first")).containsExactly("pending");
+    assertThat(responses.vmTerminated("running", Outcome.DONE, NOW)).contains("second");
+    assertThat(responses.isInUse("second")).isFalse();
+  }
+
   @Example
   void vmEndedByItsClientGetsNoNotice() {
     responses.requestReceived("a", "connection");
