--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -202,7 +202,9 @@
 
   private void requested(LineConnection connection, Message message) {
     String vm = message.id();
-    ledger.attemptReceived(vm, id, message.timeLeftMillis(), keptWaiting.contains(connection));
+    boolean wasKeptWaiting =
+        keptWaiting.contains(connection) && System.nanoTime() < keptWaitingUntilNanos;
+    ledger.attemptReceived(vm, id, message.timeLeftMillis(), wasKeptWaiting);
     placements.attemptReceived(vm, id);
     open.put(vm, connection);
     boolean isFull = running.size() >= room;
