Race test: wait for the connection that is to be slow before the drain is announced

Cause: the request is decided only once all inputs are read, so on a busy machine the drain could be read before the decision; then the request goes to the other machine and no connection to the draining one is ever begun. That is allowed; the race the test is about had not been set up. Traced beside 30 busy processes: no connection had been begun at the drain in 4 of 4 failures, one had in 81 of 81 passes.

Change: the test waits until the connection is begun, as its two neighbours do. The assertions are the same. Under the same load: 82 of 82 pass.

--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -75,6 +75,8 @@
       LineConnection watch = peers.machineList.accept();
       LineConnection client = peers.connectClient();
       client.send(request(1, "once"));
+      // Had the drain been read before the decision, no connection would be begun.
+      peers.awaitMachineConnection();
       assertThat(client.receiveUntilHealthCheck()).isEmpty();
       watch.send(
           listEvent(
