placer: a full queue of unsent offers is no fault of the machine

Callers saw: a client's 20 VMs all rejected at their deadline ("no room found in time") beside an empty machine, after another client's burst had come while the stream to the machine was not up.

Cause: an offer beyond machines.line (64) ended as FULL for a full queue, which is what a machine says of its own queue. The outlier detector booked each as a fault and ejected the machine; 56 of them made it an outlier that gets one VM at a time, and the 64 that were queued were withdrawn as it was ejected.

Change: such an offer ends as not sent, which says nothing of the machine, and a machine whose queue is full is no candidate until one of its offers is sent or ends. Each of these is an event of the stream, so pending VMs are looked at again without a timer.

--- a/src/main/java/fordridge/machine/MachineStream.java
+++ b/src/main/java/fordridge/machine/MachineStream.java
@@ -106,6 +106,11 @@
     return attempts.find(id).filter(entry -> !entry.isCancelled()).map(StreamAttempt::attempt);
   }
 
+  /** Whether as many offers wait as may, so that a further one would end at once. */
+  public boolean isQueueFull() {
+    return attempts.isQueueFull();
+  }
+
   int attemptCount() {
     return attempts.size();
   }
@@ -114,8 +119,8 @@
 
   /**
    * Offers an attempt as soon as the stream allows, and opens the stream if need be. Ends at once
-   * as {@link Outcome#UNREACHABLE} while the stream backs off, and as {@link Outcome#FULL} if too
-   * many offers wait.
+   * as {@link Outcome#UNREACHABLE} while the stream backs off, and as {@link Outcome#NOT_SENT} if
+   * too many offers wait.
    *
    * @param idempotent whether the VM may be placed again without harm, even if it may have run
    * @param timeLeft time in which the machine has to answer
@@ -128,7 +133,8 @@
       Outcome outcome = ExecutionEvidence.NEVER_SENT.outcomeOnFailure();
       listener.attemptEnded(attempt, outcome, OutcomeReason.UNSPECIFIED);
     } else if (attempts.isQueueFull()) {
-      listener.attemptEnded(attempt, Outcome.FULL, OutcomeReason.QUEUE_FULL);
+      // Our own limit: it says nothing of the machine.
+      listener.attemptEnded(attempt, Outcome.NOT_SENT, OutcomeReason.UNSPECIFIED);
     } else {
       attempts.enqueue(StreamAttempt.queued(id, attempt, idempotent, now.plus(timeLeft)));
       connectIfClosed(now);
--- a/src/main/java/fordridge/scheduling/CandidateFilter.java
+++ b/src/main/java/fordridge/scheduling/CandidateFilter.java
@@ -18,6 +18,7 @@
   boolean isEligible(Vm vm, PriorityClass settings, Machine machine) {
     return !outliers.isBackedOff(vm, machine)
         && isOpen(settings, machine)
+        && !actions.isSendQueueFull(machine)
         && retries.allowsMachine(vm, settings, machine)
         && keepsSpread(vm, settings, machine, 0)
         && actions.constraintPenalty(vm, machine) < Double.POSITIVE_INFINITY;
--- a/src/main/java/fordridge/scheduling/SchedulerActions.java
+++ b/src/main/java/fordridge/scheduling/SchedulerActions.java
@@ -32,6 +32,14 @@
     return 0;
   }
 
+  /**
+   * Whether this scheduler's queue of unsent offers to the machine is full. What waits there ends
+   * or is sent with a later event of the machine, after which the answer may differ.
+   */
+  default boolean isSendQueueFull(Machine machine) {
+    return false;
+  }
+
   /** Whether any constraint applies to such VMs, so that others of its shape may find capacity. */
   default boolean isConstrained(Vm vm) {
     return false;
--- a/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
+++ b/src/main/java/fordridge/server/grpc/GrpcSchedulerActions.java
@@ -72,6 +72,11 @@
     return context.constraints.penalty(vm, machine);
   }
 
+  @Override
+  public boolean isSendQueueFull(Machine machine) {
+    return context.machines.get(machine).stream().isQueueFull();
+  }
+
   @Override
   public boolean isConstrained(Vm vm) {
     return context.constraints.isConstrained(vm);
--- a/src/main/java/fordridge/settings/ConnectionSettings.java
+++ b/src/main/java/fordridge/settings/ConnectionSettings.java
@@ -11,7 +11,7 @@
  * @param idleTimeout a stream without an attempt on it is closed after this
  * @param minReconnectDelay first delay of the exponential backoff after a failed connect
  * @param maxReconnectDelay longest delay of that backoff
- * @param maxQueuedOffers offers not yet written to one machine; above it further ones are rejected
+ * @param maxQueuedOffers offers not yet written to one machine; at it no further one is made there
  * @param unknownOutcomeTimeout how long a broken stream may take to come back and report whether
  *     the machine holds an attempt that must not run twice
  * @param keepaliveInterval a quiet stream is pinged after this, and closed without an answer in it
--- a/src/test/java/fordridge/server/grpc/GrpcMachineStreamTest.java
+++ b/src/test/java/fordridge/server/grpc/GrpcMachineStreamTest.java
@@ -34,6 +34,25 @@
     }
   }
 
+  /** A machine used to be distrusted for more offers than its stream, not up yet, could queue. */
+  @Example
+  void aFullQueueOfUnsentOffersIsNoFaultOfTheMachine() throws Exception {
+    try (GrpcTestPeers peers = new GrpcTestPeers(1)) {
+      MachinePeer machine = peers.machines.get(0);
+      machine.holdsInventoryBack = true;
+      peers.startScheduler("machines.line = 4");
+      ClientPeer client = peers.client("c").open(true).hello();
+      for (int i = 0; i < 30; i++) {
+        client.request("v" + i, "safe");
+      }
+      awaitUntil(() -> peers.scheduler.pendingRequests() == 30 && machine.out != null);
+      machine.sendInventory();
+      awaitUntil(() -> client.count(BodyCase.BOUND) + client.count(BodyCase.DENIED) == 30);
+      assertThat(client.count(BodyCase.DENIED)).isZero();
+      assertThat(machine.offers.size()).isEqualTo(30);
+    }
+  }
+
   @Example
   void aNonIdempotentVmWithoutAnOutcomeFailsAndItsAttemptIsCancelled() throws Exception {
     try (GrpcTestPeers peers = new GrpcTestPeers(2)) {
