Log each displaced notice, the reason of an end without an answer, and bound the counts

Left over from the incident: a termination notice that gave way to later ones was counted without a line, though the log's description said otherwise; "vm ended unanswered" lacked the reason, so a drain's cut could not be told from other ends; and the counts of lost machine connections had a key for each reason, which is free text that nothing bounds.

Change: displaced notices are handed to whoever logs them, with the VM's id; the line has the reason; beyond 64 events further ones are counted together as "other".

--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -151,7 +151,7 @@
           count(outcome);
           logEnd(attempt, outcome, reason);
           String machineId = machines.handleOf(attempt.machine).id();
-          requestLog.vms().endedUnanswered(attempt, machineId, outcome);
+          requestLog.vms().endedUnanswered(attempt, machineId, outcome, reason);
           inputs.scheduler.attemptEnded(attempt, outcome, reason, true);
           if (pendingResponses.isAwaitingResponse(vm.id)) {
             failOver(vm);
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -41,8 +41,7 @@
   private final SchedulerEventLoop loop;
   private final JsonInputPort inputPort;
   private final InputGate gate;
-  private final PendingResponses<ClientConnection> pendingResponses =
-      new PendingResponses<>(MAX_PENDING_REQUESTS, MAX_NOTICES, NOTICE_LIFETIME);
+  private final PendingResponses<ClientConnection> pendingResponses;
   private final ClientResponder clients;
   private final RequestLog requestLog;
   private final JsonSchedulerActions actions;
@@ -67,6 +66,12 @@
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
     requestLog = new RequestLog(log);
+    pendingResponses =
+        new PendingResponses<>(
+            MAX_PENDING_REQUESTS,
+            MAX_NOTICES,
+            NOTICE_LIFETIME,
+            displaced -> requestLog.vms().noticeDropped(displaced, "displaced by later ones"));
     clients = new ClientResponder(pendingResponses, requestLog.vms());
     loop = new SchedulerEventLoop(group.next(), timers, poller, inputStatistics, log);
     inputPort = new JsonInputPort(loop, poller);
--- a/src/main/java/fordridge/server/json/VmLog.java
+++ b/src/main/java/fordridge/server/json/VmLog.java
@@ -15,6 +15,11 @@
  * and why connections to machines ended. Confined to the event loop.
  */
 final class VmLog {
+  /** Reasons of lost connections are free text: beyond so many events all others count as one. */
+  static final int MAX_COUNTED_EVENTS = 64;
+
+  private static final String OTHER_EVENTS = "other";
+
   private final BoundedLog log;
   private final Map<String, Long> counts = new TreeMap<>();
 
@@ -60,7 +65,8 @@
   }
 
   /** A VM ran and is over, or was lost, without an answer to its placement request. */
-  void endedUnanswered(PlacementAttempt attempt, String machineId, Outcome outcome) {
+  void endedUnanswered(
+      PlacementAttempt attempt, String machineId, Outcome outcome, OutcomeReason reason) {
     write(
         "vm ended unanswered",
         "vm "
@@ -68,7 +74,7 @@
             + ", machine "
             + machineId
             + ", "
-            + outcome
+            + describe(outcome, reason)
             + ", attempt "
             + attempt.number);
   }
@@ -118,7 +124,8 @@
   }
 
   private void count(String event) {
-    counts.merge(event, 1L, Long::sum);
+    boolean hasOwnCount = counts.containsKey(event) || counts.size() < MAX_COUNTED_EVENTS;
+    counts.merge(hasOwnCount ? event : OTHER_EVENTS, 1L, Long::sum);
   }
 
   /** How often each transition happened since the start, for the status line. */
--- a/src/main/java/fordridge/session/NoticeDeliveries.java
+++ b/src/main/java/fordridge/session/NoticeDeliveries.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Delivers termination notices at least once: each is kept from its VM's end until the client
@@ -56,6 +57,7 @@
   }
 
   private final int maxDeliveries;
+  private final Consumer<TerminationNotice> displacedNotices;
 
   /** Open connections that have carried a request, the most recent last. */
   private final LinkedHashSet<C> openConnections = new LinkedHashSet<>();
@@ -79,9 +81,11 @@
    *
    * @param maxDeliveries the maximum number of notices that are kept; beyond it the oldest is
    *     displaced, and counted
+   * @param displacedNotices receives each notice that is displaced
    */
-  NoticeDeliveries(int maxDeliveries) {
+  NoticeDeliveries(int maxDeliveries, Consumer<TerminationNotice> displacedNotices) {
     this.maxDeliveries = maxDeliveries;
+    this.displacedNotices = displacedNotices;
   }
 
   /** The connection is open and has carried a request. */
@@ -109,8 +113,10 @@
    */
   Optional<C> add(TerminationNotice notice, Optional<C> own, List<C> former, Duration now) {
     if (deliveries.size() >= maxDeliveries) {
-      remove(deliveries.keySet().iterator().next());
+      TerminationNotice oldest = deliveries.values().iterator().next().notice;
+      remove(oldest.vmId());
       displaced++;
+      displacedNotices.accept(oldest);
     }
     Delivery<C> delivery = new Delivery<>(notice, own.isPresent(), former);
     deliveries.put(notice.vmId(), delivery);
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Keeps which client connection gets which response: one final response for each placement request,
@@ -77,10 +78,15 @@
    * @param maxNotices the maximum number of notices that are not acknowledged; beyond it the oldest
    *     is displaced, and counted
    * @param noticeLifetime how long an undelivered termination notice is kept
+   * @param displacedNotices receives each notice that is displaced
    */
-  public PendingResponses(int maxPending, int maxNotices, Duration noticeLifetime) {
+  public PendingResponses(
+      int maxPending,
+      int maxNotices,
+      Duration noticeLifetime,
+      Consumer<TerminationNotice> displacedNotices) {
     this.maxPending = maxPending;
-    notices = new NoticeDeliveries<>(maxNotices);
+    notices = new NoticeDeliveries<>(maxNotices, displacedNotices);
     this.noticeLifetime = noticeLifetime;
   }
 
--- a/src/test/java/fordridge/session/NoticeDeliveriesTest.java
+++ b/src/test/java/fordridge/session/NoticeDeliveriesTest.java
@@ -6,6 +6,7 @@
 import fordridge.session.PendingResponses.AddressedNotice;
 import fordridge.session.PendingResponses.TerminationNotice;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Example;
@@ -13,7 +14,8 @@
 class NoticeDeliveriesTest {
   private static final Duration LIFETIME = Duration.ofSeconds(8);
 
-  private final NoticeDeliveries<String> deliveries = new NoticeDeliveries<>(3);
+  private final List<TerminationNotice> displaced = new ArrayList<>();
+  private final NoticeDeliveries<String> deliveries = new NoticeDeliveries<>(3, displaced::add);
   private Duration now = Duration.ofSeconds(10);
 
   private Optional<String> end(String vmId, String own, String... former) {
@@ -96,6 +98,7 @@
     }
     assertThat(deliveries.isUndelivered("one")).isFalse();
     assertThat(deliveries.describe()).contains("without a connection 3", "displaced 1");
+    assertThat(displaced).extracting(TerminationNotice::vmId).containsExactly("one");
     assertThat(deliveries.expire(now.plus(LIFETIME)))
         .extracting(TerminationNotice::vmId)
         .containsExactly("two", "three", "four");
--- a/src/test/java/fordridge/session/PendingResponsesTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -24,7 +24,7 @@
   private static final int MAX_PENDING = 3;
 
   private final PendingResponses<String> responses =
-      new PendingResponses<>(MAX_PENDING, MAX_PENDING, NOTICE_LIFETIME);
+      new PendingResponses<>(MAX_PENDING, MAX_PENDING, NOTICE_LIFETIME, displaced -> {});
 
   private static String describe(AddressedNotice<String> addressed) {
     return addressed.connection() + " " + addressed.notice().vmId();
@@ -145,7 +145,8 @@
   @Property(tries = 200, seed = "1212")
   void noResponseIsSentTwiceAndNothingIsKept(@ForAll long seed) {
     Random random = new Random(seed);
-    PendingResponses<Integer> registry = new PendingResponses<>(20, 20, NOTICE_LIFETIME);
+    PendingResponses<Integer> registry =
+        new PendingResponses<>(20, 20, NOTICE_LIFETIME, displaced -> {});
     Map<String, Integer> requested = new HashMap<>();
     Set<String> answered = new HashSet<>();
     List<String> vmIds = new ArrayList<>();
@@ -198,7 +199,8 @@
   @Property(tries = 200, seed = "1414")
   void everyNoticeIsSentUntilItIsAcknowledged(@ForAll long seed) {
     Random random = new Random(seed);
-    PendingResponses<Integer> registry = new PendingResponses<>(500, 500, NOTICE_LIFETIME);
+    PendingResponses<Integer> registry =
+        new PendingResponses<>(500, 500, NOTICE_LIFETIME, displaced -> {});
     Set<String> running = new HashSet<>();
     Map<String, Integer> sentTo = new HashMap<>();
     Set<Integer> open = new HashSet<>();
