An attempt whose VM is reported to run is not timed out and placed again

Callers saw: a VM that its machine had shown to run was ended by the scheduler's own withdrawal and placed again on another machine, or its client was told 34, "trying again is harmless", or 47 long before its deadline, though only the answer was late.

Cause: an attempt's time-out cancelled its request whatever the machine had said of it since.

Change: a time-out passes over an attempt that is known to run, with a log line ("answer awaited"); at the client's deadline its request fails and it is withdrawn, as before for any other.

--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -112,6 +112,15 @@
     }
   }
 
+  /** Whether the machine has shown that the VM of an attempt without an answer runs. */
+  public boolean isKnownToRun(PlacementAttempt attempt) {
+    return connections
+        .findCarrier(attempt)
+        .flatMap(carrier -> carrier.find(attempt.vm.id))
+        .filter(PlacementRequest::isKnownToRun)
+        .isPresent();
+  }
+
   /** Terminates a running VM; the attempt ends with the machine's confirmation or a timeout. */
   public void terminate(PlacementAttempt attempt, Duration now) {
     if (runningVms.startTermination(attempt, now.plus(timeouts.idleTimeout()))) {
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -15,11 +15,11 @@
  * word: that its request failed, or that the VM is over.
  *
  * <pre>
- * state     accepted  reported  end that a VM has   rejected, reset  connection fails
- * SENT      RUNNING   KNOWN     over, unanswered    may be repeated  may be repeated
- * KNOWN     RUNNING   -         over, unanswered    over, unanswered over, unanswered
- * RUNNING   -         -         over                -                -
- * unknown   -         -         kept for an owner   -                -
+ * state     accepted  reported  end that a VM has   rejected, reset  connection fails  times out
+ * SENT      RUNNING   KNOWN     over, unanswered    may be repeated  may be repeated   withdrawn
+ * KNOWN     RUNNING   -         over, unanswered    over, unanswered over, unanswered  -
+ * RUNNING   -         -         over                -                -                 -
+ * unknown   -         -         kept for an owner   -                -                 -
  * </pre>
  *
  * <p>SENT and KNOWN are requests that a {@link MachineConnection} carries, RUNNING is in {@link
--- a/src/main/java/fordridge/server/json/JsonSchedulerActions.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerActions.java
@@ -64,8 +64,7 @@
   @Override
   public void sendAttempt(PlacementAttempt attempt, Duration within) {
     gate.enterWhenRead(InputKind.OFFER, () -> offer(attempt, within));
-    loop.enterBehindReadsAfter(
-        within, InputKind.ATTEMPT_TIMEOUT, () -> cancelIfPending(attempt, Outcome.TIMEOUT));
+    loop.enterBehindReadsAfter(within, InputKind.ATTEMPT_TIMEOUT, () -> attemptTimedOut(attempt));
   }
 
   private void offer(PlacementAttempt attempt, Duration within) {
@@ -81,6 +80,16 @@
     loop.enterBehind(() -> cancelIfPending(attempt, Outcome.CANCELLED));
   }
 
+  private void attemptTimedOut(PlacementAttempt attempt) {
+    if (machines.poolOf(attempt).isKnownToRun(attempt)) {
+      // Only its answer is late. Withdrawn, it would end, and be placed again: it is waited for
+      // until its client's deadline.
+      requestLog.vms().answerAwaited(attempt, machines.handleOf(attempt.machine).id());
+    } else {
+      cancelIfPending(attempt, Outcome.TIMEOUT);
+    }
+  }
+
   private void cancelIfPending(PlacementAttempt attempt, Outcome outcome) {
     if (attempt.isInFlight() && attempt.acceptedAt == null) {
       machines.poolOf(attempt).cancel(attempt, outcome, loop.now());
--- a/src/main/java/fordridge/server/json/VmLog.java
+++ b/src/main/java/fordridge/server/json/VmLog.java
@@ -79,6 +79,13 @@
             + attempt.number);
   }
 
+  /** An attempt's time is over, and its machine has shown that the VM runs. */
+  void answerAwaited(PlacementAttempt attempt, String machineId) {
+    write(
+        "answer awaited",
+        "vm " + attempt.vm.id + ", machine " + machineId + ", attempt " + attempt.number);
+  }
+
   /** A client ended a VM that runs. */
   void endedByClient(PlacementAttempt attempt, String machineId) {
     write("vm ended by its client", "vm " + attempt.vm.id + ", machine " + machineId);
--- a/src/test/java/fordridge/faults/EndOfVmToldTest.java
+++ b/src/test/java/fordridge/faults/EndOfVmToldTest.java
@@ -26,9 +26,20 @@
   /** Where the machine could not say so. */
   private static final Duration TOLD_WITHIN_UNSAID = Duration.ofMillis(8000 + 400);
 
+  /** The protocol grants half a second past the deadline; the rest is for a busy test machine. */
+  private static final Duration ANSWERED_WITHIN = Duration.ofMillis(500 + 250);
+
   private static final long CROSSING_MILLIS = 100;
+
+  /** Longer than an attempt waits that is not repeatable, half of its start deadline of 3 s. */
+  private static final long LATE_ANSWER_MILLIS = 1900;
+
   private static final long LEFT_MILLIS = 1400;
   private static final long LEFT_MILLIS_ONCE = 2900;
+
+  /** Quick starts, after which an attempt of a repeatable VM waits for twice its objective only. */
+  private static final int STARTS_LEARNED_FROM = 16;
+
   private static final String REPEATABLE = RigConfiguration.REPEATABLE_CLASS;
   private static final String ONCE = RigConfiguration.LIMITED_CLASS;
 
@@ -63,8 +74,13 @@
   }
 
   private Offered offer(ScriptedMachine machine, ScriptedClient client) {
+    return offer(machine, client, REPEATABLE, LEFT_MILLIS);
+  }
+
+  private Offered offer(
+      ScriptedMachine machine, ScriptedClient client, String priorityClass, long leftMillis) {
     String vm = rig.newVmId();
-    client.request(vm, REPEATABLE, LEFT_MILLIS, service++);
+    client.request(vm, priorityClass, leftMillis, service++);
     return new Offered(vm, client, machine, machine.awaitRequest(vm));
   }
 
@@ -150,6 +166,32 @@
     assertThat(other.hasReceived(Message.REQUEST, over.vm)).as("placed again").isFalse();
   }
 
+  @Example
+  void attemptOfAVmThatIsReportedToRunDoesNotTimeOut() throws Exception {
+    Offered late = offer(rig.addMachine(), rig.connect(), ONCE, LEFT_MILLIS_ONCE);
+    late.connection.send(Message.report(late.vm));
+    TimeUnit.MILLISECONDS.sleep(LATE_ANSWER_MILLIS);
+    assertThat(late.connection.hasReceived(Message.ENDED, late.vm)).as("withdrawn").isFalse();
+    late.accept();
+  }
+
+  @Example
+  void reportedToRunAndNeverAnswered() throws Exception {
+    ScriptedMachine machine = rig.addMachine();
+    ScriptedClient client = rig.connect();
+    for (int i = 0; i < STARTS_LEARNED_FROM; i++) {
+      offer(machine, client).accept();
+    }
+    Offered over = offer(machine, client);
+    ScriptedMachine other = rig.addMachine();
+    over.connection.send(Message.report(over.vm));
+    awaitTold(Duration.ofMillis(LEFT_MILLIS).plus(ANSWERED_WITHIN), over.vm, over.client);
+    Awaitility.await("withdrawal of " + over.vm)
+        .until(() -> over.connection.hasReceived(Message.ENDED, over.vm));
+    assertThat(over.client.causeOfEnd(over.vm)).isEqualTo(Message.CAUSE_FAILED);
+    assertThat(other.hasReceived(Message.REQUEST, over.vm)).as("placed again").isFalse();
+  }
+
   @Example
   void resetAfterAReportOnAnotherConnection() throws Exception {
     List<Offered> offered = offerTwo();
--- a/src/test/java/fordridge/faults/Message.java
+++ b/src/test/java/fordridge/faults/Message.java
@@ -26,6 +26,7 @@
   static final int CAUSE_FULL = 34;
   static final int CAUSE_OVERLOADED = 42;
   static final int CAUSE_RESET = 41;
+  static final int CAUSE_FAILED = 47;
   static final int CAUSE_NEVER_SENT = 102;
 
   /** A machine's report on a VM that runs. */
--- a/src/test/java/fordridge/faults/ScriptedClient.java
+++ b/src/test/java/fordridge/faults/ScriptedClient.java
@@ -18,7 +18,7 @@
 final class ScriptedClient implements AutoCloseable {
   private final LineConnection connection;
   private final List<String> words = new ArrayList<>();
-  private final Map<String, Long> endedNanos = new HashMap<>();
+  private final Map<String, Integer> causes = new HashMap<>();
   private final Set<String> ownVms = new HashSet<>();
   private volatile boolean acknowledges = true;
 
@@ -35,7 +35,7 @@
       words.add(message.id() + " " + message.type());
     }
     if (isDown) {
-      endedNanos.putIfAbsent(message.id(), System.nanoTime());
+      causes.putIfAbsent(message.id(), message.cause());
       if (acknowledges && ownVms.contains(message.id())) {
         acknowledge(message.id());
       }
@@ -89,6 +89,11 @@
     return wordsOn(vm).contains(Message.ENDED);
   }
 
+  /** The cause of the first {@code down} on the VM, which has come. */
+  synchronized int causeOfEnd(String vm) {
+    return causes.get(vm);
+  }
+
   void awaitAccepted(String vm) {
     Awaitility.await("acceptance of " + vm).until(() -> wordsOn(vm).contains(Message.ACCEPTED));
   }
