Rig: a request counts from when it is read, not from when the busy rig gets to it

Cause, by the trace: the offers' time left was right when they were written, 0.7 to 2.3 s before the rig counted them. The connections had been accepted and waited up to 3.4 s in the rig's own queue, behind the 260 connections with which it had filled a machine's accept queue (filling took 0.9 and 1.1 s of the 0.5 s planned), or the reader waited for the monitor of the emulated machine.

Change: connections that fill the queue are closed as they are accepted; each other one is read without the machine's monitor; arrival is the time at which the line was read; the 3.2 s after a full queue count from when it was last full, not from when it was planned to be.

--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -57,10 +59,17 @@
   /** VMs that run and whose answers are held up. */
   private final Set<String> unanswered = new HashSet<>();
 
+  /** Local ports of the connections that fill the accept queue. */
+  private final Set<Integer> fillerPorts = ConcurrentHashMap.newKeySet();
+
   /** Connections that a full accept queue may have kept waiting. */
-  private final Set<LineConnection> keptWaiting = new HashSet<>();
+  private final Set<LineConnection> keptWaiting = ConcurrentHashMap.newKeySet();
+
+  private volatile boolean isQueueFilled;
+
+  /** When the last of those that filled it was accepted; before that, when it will be at best. */
+  private volatile long queueFullAtNanos;
 
-  private volatile long keptWaitingUntilNanos = System.nanoTime();
   private volatile long answerDelayMillis;
   private volatile long silentUntilNanos;
   private volatile long acceptsFromNanos = System.nanoTime();
@@ -111,26 +120,46 @@
       while (true) {
         awaitAccepting();
         Socket socket = server.accept();
-        accepted.execute(() -> serve(socket));
+        if (fillerPorts.remove(socket.getPort())) {
+          socket.close();
+          queueFullAtNanos = System.nanoTime();
+        } else {
+          boolean isKeptWaiting = mayHaveBeenKeptWaiting();
+          accepted.execute(() -> serve(socket, isKeptWaiting));
+        }
       }
     } catch (IOException | InterruptedException | RejectedExecutionException e) {
       // Closed.
     }
   }
 
-  private synchronized void serve(Socket socket) {
+  /** Reads from the connection at once, whoever has the machine's monitor. */
+  private void serve(Socket socket, boolean isKeptWaiting) {
     LineConnection[] self = new LineConnection[1];
     try {
-      self[0] =
-          new LineConnection(socket, line -> received(self, new Message(line)), () -> ended(self));
+      synchronized (self) {
+        self[0] =
+            new LineConnection(
+                socket, line -> received(self, new Message(line), ledger.now()), () -> ended(self));
+      }
     } catch (IOException e) {
       return;
     }
-    connections.add(self[0]);
-    if (System.nanoTime() < keptWaitingUntilNanos) {
-      keptWaiting.add(self[0]);
+    opened(self[0]);
+  }
+
+  private synchronized void opened(LineConnection connection) {
+    if (!connection.isOpen()) {
+      return;
     }
-    unheard.forEach((vm, cause) -> self[0].send(Message.of(Message.ENDED, vm, cause)));
+    connections.add(connection);
+    unheard.forEach((vm, cause) -> connection.send(Message.of(Message.ENDED, vm, cause)));
+  }
+
+  /** Whether the handshake of a connection may have been repeated, as the queue was full. */
+  private boolean mayHaveBeenKeptWaiting() {
+    long sinceFull = System.nanoTime() - queueFullAtNanos;
+    return isQueueFilled && sinceFull < HANDSHAKE_REPEATED_MILLIS * 1_000_000;
   }
 
   private void awaitAccepting() throws InterruptedException {
@@ -144,7 +173,8 @@
   /** Its accept queue is full for this long: no connection comes up until some time after. */
   void acceptLate(long millis) throws IOException, InterruptedException {
     acceptsFromNanos = System.nanoTime() + millis * 1_000_000;
-    keptWaitingUntilNanos = acceptsFromNanos + HANDSHAKE_REPEATED_MILLIS * 1_000_000;
+    queueFullAtNanos = acceptsFromNanos;
+    isQueueFilled = true;
     List<SocketChannel> fillers = new ArrayList<>();
     fillQueue(fillers, QUEUE_FILLERS);
     // The acceptor may have waited within accept, and has taken one: its place is filled too.
@@ -157,6 +187,8 @@
     for (int i = 0; i < count; i++) {
       SocketChannel filler = SocketChannel.open();
       filler.configureBlocking(false);
+      filler.bind(new InetSocketAddress(server.getInetAddress(), 0));
+      fillerPorts.add(((InetSocketAddress) filler.getLocalAddress()).getPort());
       filler.connect(server.getLocalSocketAddress());
       fillers.add(filler);
     }
@@ -188,10 +220,13 @@
         .forEach(request -> withdraw(request.getKey()));
   }
 
-  private synchronized void received(LineConnection[] self, Message message) {
-    LineConnection connection = self[0];
+  private synchronized void received(LineConnection[] self, Message message, long readAt) {
+    LineConnection connection;
+    synchronized (self) {
+      connection = self[0];
+    }
     switch (message.type()) {
-      case Message.REQUEST -> requested(connection, message);
+      case Message.REQUEST -> requested(connection, message, readAt);
       case Message.ENDED -> terminated(connection, message.id());
       case Message.HEALTH_CHECK ->
           later(1, () -> connection.send(Message.of(Message.HEALTHY, message.id(), 1)));
@@ -200,12 +235,11 @@
     }
   }
 
-  private void requested(LineConnection connection, Message message) {
+  private void requested(LineConnection connection, Message message, long readAt) {
     String vm = message.id();
-    boolean wasKeptWaiting =
-        keptWaiting.contains(connection) && System.nanoTime() < keptWaitingUntilNanos;
-    ledger.attemptReceived(vm, id, message.timeLeftMillis(), wasKeptWaiting);
-    placements.attemptReceived(vm, id);
+    boolean wasKeptWaiting = keptWaiting.contains(connection) && mayHaveBeenKeptWaiting();
+    ledger.attemptReceived(vm, id, message.timeLeftMillis(), readAt, wasKeptWaiting);
+    placements.attemptReceived(vm, id, readAt);
     open.put(vm, connection);
     boolean isFull = running.size() >= room;
     later(random.nextInt(2, 25), () -> answer(vm, connection, isFull));
--- a/src/test/java/fordridge/faults/ObligationLedger.java
+++ b/src/test/java/fordridge/faults/ObligationLedger.java
@@ -207,17 +207,17 @@
   /**
    * A request reached a machine whole.
    *
+   * @param at when its last byte was read, in milliseconds of {@link #now}
    * @param wasKeptWaiting whether it may have waited at the machine's host after it was sent, for a
    *     time that is not known
    */
   synchronized void attemptReceived(
-      String id, String machine, long leftMillis, boolean wasKeptWaiting) {
+      String id, String machine, long leftMillis, long at, boolean wasKeptWaiting) {
     Entry entry = entries.get(id);
     if (entry == null) {
       violations.add(now() + " " + id + ": " + machine + " got a request that no client sent");
       return;
     }
-    long at = now();
     if (entry.clientLeftAt >= 0 && at > entry.clientLeftAt + ATTEMPT_AFTER_CLIENT_LEFT) {
       violations.add(
           at + " " + id + ": sent to " + machine + ", its client left at " + entry.clientLeftAt);
--- a/src/test/java/fordridge/faults/PlacementLedger.java
+++ b/src/test/java/fordridge/faults/PlacementLedger.java
@@ -88,9 +88,8 @@
     }
   }
 
-  /** A request reached the machine whole. */
-  synchronized void attemptReceived(String id, String machine) {
-    long at = clock.getAsLong();
+  /** A request reached the machine whole; its last byte was read at that time. */
+  synchronized void attemptReceived(String id, String machine, long at) {
     arrivals.add(new Arrival(id, machine, at));
     count(id, machine, at, true);
   }
