--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -142,6 +142,9 @@
         self[0] =
             new LineConnection(
                 socket, line -> received(self, new Message(line), ledger.now()), () -> ended(self));
+        if (isKeptWaiting) {
+          keptWaiting.add(self[0]);
+        }
       }
     } catch (IOException e) {
       return;
