--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -2,6 +2,7 @@
 
 import fordridge.machine.ConnectFailure;
 import fordridge.machine.LoadReport;
+import fordridge.machine.MachineCloseReason;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineTransport;
 import fordridge.machine.VmReportKind;
@@ -43,6 +44,16 @@
     /** The connection broke, was closed by the machine, or received something malformed. */
     void connectionLost(MachineConnection connection, String reason);
 
+    /** The scheduler closes the connection. */
+    void connectionClosed(MachineConnection connection, MachineCloseReason reason);
+
+    /**
+     * A connection that the scheduler has closed has ended.
+     *
+     * @param isReadByMachine whether the machine has closed its side behind all that was written
+     */
+    void connectionDrained(MachineConnection connection, boolean isReadByMachine);
+
     /** The machine accepted a VM. */
     void vmAccepted(MachineConnection connection, String vmId, String description);
 
@@ -151,7 +162,8 @@
   }
 
   @Override
-  public void close(MachineConnection connection) {
+  public void close(MachineConnection connection, MachineCloseReason reason) {
+    listener.connectionClosed(connection, reason);
     handler(connection).close();
   }
 
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -71,6 +71,9 @@
   private State state = State.CONNECTING;
   private boolean failedLocally;
 
+  /** Whether the channel's end, once it comes, is the machine's own close. */
+  private boolean isEndOfInputRead = true;
+
   MachineConnectionHandler(
       MachineConnection connection, ConnectionQuota quota, MachineClient.Listener listener) {
     this.connection = connection;
@@ -89,8 +92,12 @@
 
   /** Whether nothing that was written waits to go out. */
   boolean isWritable() {
+    return isConnected() && !hasPendingOutput();
+  }
+
+  private boolean hasPendingOutput() {
     ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
-    return isConnected() && pending != null && pending.totalPendingWriteBytes() == 0;
+    return pending == null || pending.totalPendingWriteBytes() > 0;
   }
 
   boolean isConnecting() {
@@ -126,6 +133,8 @@
     trace(ctx.channel(), "inactive, state " + state);
     if (state == State.ESTABLISHED) {
       lost("closed by the machine");
+    } else if (state == State.DRAINING) {
+      listener.connectionDrained(connection, isEndOfInputRead);
     }
   }
 
@@ -139,6 +148,7 @@
 
   @Override
   void malformedInput(String reason) {
+    isEndOfInputRead = false;
     lost(reason);
   }
 
@@ -161,6 +171,8 @@
     // is notified once: so only this side is closed, and the rest is read until the machine closes
     // its own.
     state = State.DRAINING;
+    // Output that waits is dropped with the half-close.
+    isEndOfInputRead &= !hasPendingOutput();
     quota.connectionClosing();
     trace(channel, "closing");
     halfClose();
@@ -171,7 +183,12 @@
     ((SocketChannel) channel).shutdownOutput();
     channel
         .eventLoop()
-        .schedule(this::closeChannel, DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        .schedule(this::drainTimedOut, DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void drainTimedOut() {
+    isEndOfInputRead = false;
+    closeChannel();
   }
 
   @SuppressWarnings("FutureReturnValueIgnored") // The end of the close is seen in the close future.
--- a/src/main/java/fordridge/machine/LivenessDetector.java
+++ b/src/main/java/fordridge/machine/LivenessDetector.java
@@ -1,6 +1,7 @@
 package fordridge.machine;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Decides whether a machine has failed, from what came from it and from what became of the attempts
@@ -49,10 +50,14 @@
    * Whether no process listens there any more, or nothing came up for long: what ran there is lost
    * with the process.
    */
-  boolean hasFailed(ConnectionTimeouts connectionTimeouts, Duration now) {
-    boolean refuses = refusals >= FAILED_CONNECTS_IN_A_ROW;
+  Optional<MachineFailure> failure(ConnectionTimeouts connectionTimeouts, Duration now) {
+    if (refusals >= FAILED_CONNECTS_IN_A_ROW) {
+      return Optional.of(MachineFailure.REFUSES_CONNECTIONS);
+    }
     boolean timesOut = timeouts >= FAILED_CONNECTS_IN_A_ROW;
-    return refuses || (timesOut && isSilentFor(connectionTimeouts.failureTimeout(), now));
+    return timesOut && isSilentFor(connectionTimeouts.failureTimeout(), now)
+        ? Optional.of(MachineFailure.UNREACHABLE)
+        : Optional.empty();
   }
 
   boolean isSilentFor(Duration span, Duration now) {
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -38,6 +38,7 @@
     CLOSED
   }
 
+  private final Duration openedAt;
   private final Duration connectBy;
   private final Map<String, PlacementRequest> placementRequests = new LinkedHashMap<>();
 
@@ -50,6 +51,7 @@
   private Object attachment;
 
   MachineConnection(Duration openedAt, Duration connectBy) {
+    this.openedAt = openedAt;
     this.lastUsedAt = openedAt;
     this.connectBy = connectBy;
   }
@@ -162,6 +164,11 @@
 
   // Use and health checks
 
+  /** When it was started to be opened. */
+  public Duration openedAt() {
+    return openedAt;
+  }
+
   Duration lastUsedAt() {
     return lastUsedAt;
   }
--- a/src/main/java/fordridge/machine/MachineConnectionListener.java
+++ b/src/main/java/fordridge/machine/MachineConnectionListener.java
@@ -21,4 +21,14 @@
    * came: it must not be placed again, and its client has to be notified at once that it failed.
    */
   void attemptEndedUnanswered(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason);
+
+  /**
+   * The withdrawal of an attempt was written.
+   *
+   * @param hasGoneOut whether it went to the network, and waits behind no earlier output
+   */
+  void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut);
+
+  /** Nothing runs on the machine any more, or it can't be told; so many VMs were known to run. */
+  void machineFailed(Machine machine, MachineFailure failure, int runningVms);
 }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -165,7 +165,7 @@
       withdrawUnsentRequests();
     }
     if (isGone() && !wasGone) {
-      machineFailed(now);
+      machineFailed(MachineFailure.LISTED_GONE, now);
     }
   }
 
@@ -217,9 +217,7 @@
     }
     executions.requestsLost(connection);
     failProbe(connection, now);
-    if (liveness.hasFailed(timeouts, now)) {
-      machineFailed(now);
-    }
+    liveness.failure(timeouts, now).ifPresent(reason -> machineFailed(reason, now));
   }
 
   /**
@@ -330,7 +328,7 @@
         .longestIdle()
         .ifPresent(
             connection -> {
-              close(connection, now);
+              close(connection, MachineCloseReason.YIELDED, now);
               yieldedConnection = connections.isEmpty();
             });
   }
@@ -340,7 +338,7 @@
     for (MachineConnection connection : connections.all()) {
       if (connection.hasConnectTimedOut(now) && !transport.isConnected(connection)) {
         boolean isLocal = transport.failedLocally(connection);
-        transport.close(connection);
+        transport.close(connection, MachineCloseReason.CONNECT_TIMED_OUT);
         connectionFailed(
             connection, isLocal ? ConnectFailure.LOCAL : ConnectFailure.UNREACHABLE, now);
       } else if (connection.hasProbeTimedOut(timeouts.connectTimeout(), now)) {
@@ -350,7 +348,7 @@
       } else if (connection.isIdle()) {
         // One is kept for termination notices; the others are closed once they are unused.
         if (idleConnectionKept && connection.isUnusedFor(timeouts.idleTimeout(), now)) {
-          close(connection, now);
+          close(connection, MachineCloseReason.IDLE, now);
         }
         idleConnectionKept = true;
       }
@@ -374,10 +372,11 @@
   }
 
   /** The process is gone or can't be reached: nothing that it held is waited for. */
-  private void machineFailed(Duration now) {
+  private void machineFailed(MachineFailure failure, Duration now) {
+    listener.machineFailed(machine, failure, runningVms.size());
     for (MachineConnection connection : connections.all()) {
       executions.requestsLost(connection);
-      close(connection, now);
+      close(connection, MachineCloseReason.MACHINE_FAILED, now);
     }
     executions.allVmsLost();
   }
@@ -444,6 +443,7 @@
       carrier.markWithdrawn(attempt.vm.id);
       // Until its withdrawal has gone out the machine may start it.
       attempt.mayStillRun = !transport.isWritable(carrier);
+      listener.attemptWithdrawn(attempt, !attempt.mayStillRun);
       carrier.retire();
     }
     closeIfRetired(carrier);
@@ -459,15 +459,15 @@
   private void closeIfRetired(MachineConnection connection) {
     if (connection.isRetired() && connections.remove(connection)) {
       connection.closed();
-      transport.close(connection);
+      transport.close(connection, MachineCloseReason.RETIRED);
     }
   }
 
-  private void close(MachineConnection connection, Duration now) {
+  private void close(MachineConnection connection, MachineCloseReason reason, Duration now) {
     if (connections.remove(connection)) {
       connection.closed();
       failProbe(connection, now);
-      transport.close(connection);
+      transport.close(connection, reason);
     }
   }
 }
--- a/src/main/java/fordridge/machine/MachineTransport.java
+++ b/src/main/java/fordridge/machine/MachineTransport.java
@@ -23,7 +23,7 @@
   boolean failedLocally(MachineConnection connection);
 
   /** Closes the connection; nothing more is reported of it as a connection. */
-  void close(MachineConnection connection);
+  void close(MachineConnection connection, MachineCloseReason reason);
 
   /** Sends a placement request that the machine has to answer within {@code timeLeft}. */
   void requestPlacement(MachineConnection connection, PlacementAttempt attempt, Duration timeLeft);
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -1,6 +1,7 @@
 package fordridge.server.json;
 
 import fordridge.machine.MachineConnectionListener;
+import fordridge.machine.MachineFailure;
 import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
@@ -56,8 +57,7 @@
   public boolean confirmSend(PlacementAttempt attempt) {
     Optional<OfferObstacle> obstacle = inputs.scheduler.confirmSend(attempt);
     if (obstacle.isPresent()) {
-      String machineId = machines.handleOf(attempt.machine).id();
-      requestLog.offerWithdrawn(attempt, machineId, obstacle.get(), loop.clock());
+      requestLog.offerWithdrawn(attempt, machineIdOf(attempt), obstacle.get(), loop.clock());
     }
     return obstacle.isEmpty();
   }
@@ -68,9 +68,11 @@
         () -> {
           if (!attempt.isInFlight() || attempt.vm.isFinished) {
             // Nobody waits for it: it must not run on without an owner.
+            requestLog.vms().acceptedTooLate(attempt, machineIdOf(attempt));
             machines.poolOf(attempt).terminate(attempt, loop.now());
             return;
           }
+          requestLog.vms().accepted(attempt, machineIdOf(attempt), loop.clock());
           inputs.scheduler.attemptAccepted(attempt);
           requests.accepted(attempt.vm);
           clients.accept(attempt.vm, description);
@@ -95,6 +97,8 @@
             // A client that has ended its VM itself is owed nothing more, and nothing is sent.
             String notice = clients.notifyTerminated(vm, outcome, loop.now());
             logEndOfVm(attempt, outcome, reason, notice);
+          } else if (wasAccepted) {
+            logEndOfVm(attempt, outcome, reason, "not owed, its id is another's");
           }
           requests.forgetIfOver(vm);
         });
@@ -150,8 +154,7 @@
           Vm vm = attempt.vm;
           count(outcome);
           logEnd(attempt, outcome, reason);
-          String machineId = machines.handleOf(attempt.machine).id();
-          requestLog.vms().endedUnanswered(attempt, machineId, outcome, reason);
+          requestLog.vms().endedUnanswered(attempt, machineIdOf(attempt), outcome, reason);
           inputs.scheduler.attemptEnded(attempt, outcome, reason, true);
           if (pendingResponses.isAwaitingResponse(vm.id)) {
             failOver(vm);
@@ -161,15 +164,27 @@
         });
   }
 
+  @Override
+  public void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut) {
+    requestLog.vms().withdrawn(attempt, machineIdOf(attempt), hasGoneOut);
+  }
+
+  @Override
+  public void machineFailed(Machine machine, MachineFailure failure, int runningVms) {
+    requestLog.vms().machineFailed(machines.handleOf(machine).id(), failure, runningVms);
+  }
+
+  private String machineIdOf(PlacementAttempt attempt) {
+    return machines.handleOf(attempt.machine).id();
+  }
+
   private void logEnd(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
-    requestLog.attemptEnded(
-        attempt, machines.handleOf(attempt.machine).id(), outcome, reason, loop.clock());
+    requestLog.attemptEnded(attempt, machineIdOf(attempt), outcome, reason, loop.clock());
   }
 
   private void logEndOfVm(
       PlacementAttempt attempt, Outcome outcome, OutcomeReason reason, String notified) {
-    String machineId = machines.handleOf(attempt.machine).id();
-    requestLog.vms().ended(attempt, machineId, outcome, reason, "notice " + notified);
+    requestLog.vms().ended(attempt, machineIdOf(attempt), outcome, reason, "notice " + notified);
   }
 
   private void count(Outcome outcome) {
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -112,7 +112,10 @@
     switch (pendingResponses.requestReceived(vm.id, connection)) {
       case DUPLICATE ->
           throw new InvalidRequestException("ref", vm.id, "an id that is not pending or running");
-      case OVER_CAPACITY -> connection.sendRejected(vm.id, Duration.ZERO);
+      case OVER_CAPACITY -> {
+        requestLog.overCapacity(vm);
+        connection.sendRejected(vm.id, Duration.ZERO);
+      }
       case ADMITTED -> place(vm, request);
     }
   }
@@ -166,9 +169,8 @@
     Vm known = requests.find(vm.id);
     RequestLog.Handover result = registerHandover(connection, vm, machineId);
     requestLog.handoverReceived(vm, machineId, result);
-    if (loop.now().compareTo(handoversExpectedUntil) > 0) {
-      requestLog.vms().lateHandover(vm.id, machineId, result.name());
-    }
+    boolean isLate = loop.now().compareTo(handoversExpectedUntil) > 0;
+    requestLog.vms().handedOver(vm.id, machineId, result.name(), isLate, connection.remotePort());
     if (result != RequestLog.Handover.ADOPTED) {
       return;
     }
@@ -238,6 +240,7 @@
             return;
           }
           if (vm.acceptedAttempt == null) {
+            requestLog.withdrawnByClient(vmId);
             requests.abandon(vm, machines);
             return;
           }
@@ -252,7 +255,11 @@
   public void terminationAcknowledged(ClientConnection connection, String vmId) {
     loop.enter(
         InputKind.CLIENT_ACKNOWLEDGEMENT,
-        () -> pendingResponses.noticeAcknowledged(vmId, connection));
+        () -> {
+          if (pendingResponses.noticeAcknowledged(vmId, connection)) {
+            requestLog.vms().noticeAcknowledged(vmId, connection.remotePort());
+          }
+        });
   }
 
   @Override
@@ -262,7 +269,7 @@
         () -> {
           int runningVms = pendingResponses.runningVmsOf(connection);
           if (runningVms > 0) {
-            requestLog.vms().clientLeft(connection.remotePort(), runningVms);
+            requestLog.clientLeft(connection.remotePort(), runningVms);
           }
           List<String> abandoned = pendingResponses.connectionClosed(connection);
           requestLog.abandoned(abandoned);
--- a/src/main/java/fordridge/server/json/ClientResponder.java
+++ b/src/main/java/fordridge/server/json/ClientResponder.java
@@ -61,6 +61,7 @@
   void notifyMigrated(Vm vm, Duration now) {
     Optional<ClientConnection> client = pending.vmTerminated(vm.id, Outcome.RESET, now);
     if (client.isPresent()) {
+      log.migrated(vm.id, client.get().remotePort());
       client.get().sendMigration(vm.id);
       pending.noticeAcknowledged(vm.id, client.get());
     }
@@ -70,6 +71,7 @@
   void sendDeferredNotices(Duration now) {
     expireNotices(now);
     for (AddressedNotice<ClientConnection> due : pending.takeDeferredNotices(now)) {
+      log.noticeSentLate(due.notice(), due.connection().remotePort());
       due.connection().sendTerminated(due.notice().vmId(), causeOf(due.notice().outcome()));
     }
   }
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -91,7 +91,8 @@
             outcomes,
             settings.timeouts(),
             configuration.maxMachineConnections());
-    machineList = new MachineListIntake(loop, inputs, machines, startedAtEpochMillis);
+    machineList =
+        new MachineListIntake(loop, inputs, machines, startedAtEpochMillis, requestLog.vms());
     intake =
         new ClientRequestIntake(
             loop, inputs, settings, pendingResponses, clients, requests, machines, log);
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -5,6 +5,7 @@
 import fordridge.json.RequestPayload;
 import fordridge.machine.ConnectFailure;
 import fordridge.machine.LoadReport;
+import fordridge.machine.MachineCloseReason;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineConnectionPool;
 import fordridge.machine.VmReportKind;
@@ -15,6 +16,7 @@
 import fordridge.runtime.InputKind;
 import fordridge.runtime.SchedulerInputs;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
 
@@ -105,6 +107,7 @@
 
   @Override
   public void connectionEstablished(MachineConnection connection) {
+    requestLog.vms().machineConnectionUp(id, loop.clock().minus(connection.openedAt()));
     gate.enterWhenRead(
         InputKind.MACHINE_CONNECTED, () -> pool.connectionEstablished(connection, loop.now()));
   }
@@ -117,6 +120,8 @@
 
   @Override
   public void connectionFailed(MachineConnection connection, ConnectFailure failure) {
+    Duration openFor = loop.clock().minus(connection.openedAt());
+    requestLog.vms().machineConnectionFailed(id, failure, openFor);
     loop.enter(
         InputKind.MACHINE_CONNECT_FAILED,
         () -> pool.connectionFailed(connection, failure, loop.now()));
@@ -124,11 +129,24 @@
 
   @Override
   public void connectionLost(MachineConnection connection, String reason) {
-    requestLog.vms().machineConnectionLost(id, reason, connection.placementRequestIds());
+    Duration openFor = loop.clock().minus(connection.openedAt());
+    List<String> requestIds = connection.placementRequestIds();
+    requestLog.vms().machineConnectionLost(id, reason, openFor, requestIds);
     loop.enter(
         InputKind.MACHINE_CONNECTION_LOST, () -> pool.connectionLost(connection, loop.now()));
   }
 
+  @Override
+  public void connectionClosed(MachineConnection connection, MachineCloseReason reason) {
+    Duration openFor = loop.clock().minus(connection.openedAt());
+    requestLog.vms().machineConnectionClosed(id, reason, openFor);
+  }
+
+  @Override
+  public void connectionDrained(MachineConnection connection, boolean isReadByMachine) {
+    requestLog.vms().machineConnectionDrained(isReadByMachine);
+  }
+
   @Override
   public void vmAccepted(MachineConnection connection, String vmId, String description) {
     loop.enter(
--- a/src/main/java/fordridge/server/json/MachineListIntake.java
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -23,6 +23,7 @@
   private final MachineRegistry machines;
 
   private final MachineStartTimes startTimes;
+  private final VmLog log;
 
   /** Whether what comes is told by the watch, not by the configuration. */
   private boolean isWatching;
@@ -37,8 +38,10 @@
       SchedulerEventLoop loop,
       SchedulerInputs<String> inputs,
       MachineRegistry machines,
-      long startedAtEpochMillis) {
+      long startedAtEpochMillis,
+      VmLog log) {
     this.loop = loop;
+    this.log = log;
     this.inputs = inputs;
     this.machines = machines;
     startTimes = new MachineStartTimes(startedAtEpochMillis);
@@ -51,6 +54,9 @@
 
   @Override
   public void machineListChanged(MachineListEvent event) {
+    if (isWatching) {
+      log.machineListChanged(event);
+    }
     List<ListedMachine<String>> listed = new ArrayList<>(event.machines().size());
     for (MachineListEvent.Entry entry : event.machines()) {
       listed.add(
--- a/src/main/java/fordridge/server/json/RequestLog.java
+++ b/src/main/java/fordridge/server/json/RequestLog.java
@@ -46,7 +46,7 @@
 
   RequestLog(Consumer<String> log) {
     this.log = new BoundedLog(log);
-    vms = new VmLog(this.log);
+    vms = new VmLog(log, System::nanoTime);
   }
 
   /** Where the state transitions of VMs that run are logged. */
@@ -65,6 +65,9 @@
   /** The offer of an attempt is being written to its machine. */
   void offerWritten(Vm vm, String machineId, HostedService hosted, Duration now) {
     offers++;
+    if (vm.lastAttempt() != null) {
+      vms.offered(vm.lastAttempt(), machineId);
+    }
     Duration underway = now.minus(vm.arrivedAt);
     if (underway.compareTo(slowestOffer) > 0) {
       slowestOffer = underway;
@@ -109,39 +112,42 @@
       OutcomeReason reason,
       Duration now) {
     outcomesBeforeAcceptance.merge(outcome, 1L, Long::sum);
-    write(
-        "attempt ended",
-        attempt.vm,
-        "machine "
-            + machineId
-            + ", "
-            + outcome
-            + (reason == OutcomeReason.UNSPECIFIED ? "" : " " + reason)
-            + ", attempt "
-            + attempt.number
-            + ", "
-            + now.minus(attempt.sentAt).toMillis()
-            + " ms after it was decided");
+    vms.attemptEnded(attempt, machineId, outcome, reason, now);
   }
 
   /** The client was told that its request is rejected. */
   void rejected(Vm vm, Duration now) {
     rejected++;
-    write("rejected", vm, describeWait(vm, now));
+    vms.requestEnded(vm.id, "rejected", describeWait(vm, now));
   }
 
   /** The client was told that its request has failed. */
   void failed(Vm vm, Duration now) {
     failed++;
-    write("failed", vm, describeWait(vm, now));
+    vms.requestEnded(vm.id, "failed", describeWait(vm, now));
   }
 
   /** The client's connection closed under these requests. */
   void abandoned(Collection<String> vmIds) {
     abandoned += vmIds.size();
-    if (!vmIds.isEmpty()) {
-      log.write("abandoned by their client", String.join(" ", vmIds));
-    }
+    vmIds.forEach(vmId -> vms.requestEnded(vmId, "abandoned", "its client's connection closed"));
+  }
+
+  /** The client withdrew its request. */
+  void withdrawnByClient(String vmId) {
+    abandoned++;
+    vms.requestEnded(vmId, "abandoned", "withdrawn by its client");
+  }
+
+  /** A request was rejected, as the maximum number is pending. */
+  void overCapacity(Vm vm) {
+    rejected++;
+    vms.requestEnded(vm.id, "rejected", "too many are pending");
+  }
+
+  /** A client's connection closed, with VMs that run on. */
+  void clientLeft(int remotePort, int runningVms) {
+    log.write("client left", "connection " + remotePort + ", running VMs " + runningVms);
   }
 
   private static String describeWait(Vm vm, Duration now) {
@@ -190,7 +196,7 @@
             + ", abandoned "
             + abandoned
             + ", log lines left out "
-            + log.suppressedLines()
+            + (log.suppressedLines() + vms.suppressedLines())
             + ", "
             + vms.summary();
     slowestOffer = Duration.ZERO;
--- a/src/main/java/fordridge/session/NoticeDeliveries.java
+++ b/src/main/java/fordridge/session/NoticeDeliveries.java
@@ -128,17 +128,19 @@
 
   /**
    * A client acknowledges the notice of a VM. Without effect on a connection that the notice was
-   * not sent on: it may be another client's, and says nothing of who listens there.
+   * not sent on: it may be another client's, and says nothing of who listens there. False if it was
+   * without effect.
    */
-  void acknowledged(String vmId, C connection) {
+  boolean acknowledged(String vmId, C connection) {
     Delivery<C> delivery = deliveries.get(vmId);
     if (delivery == null || !delivery.triedConnections.contains(connection)) {
-      return;
+      return false;
     }
     remove(vmId);
     if (openConnections.contains(connection)) {
       acknowledgements.merge(connection, 1, Integer::sum);
     }
+    return true;
   }
 
   /** The notices that have waited for a connection and are to be sent now. */
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -197,10 +197,10 @@
 
   /**
    * The client acknowledges, on this connection, the termination notice of a VM; without effect
-   * unless the notice was sent on it.
+   * unless the notice was sent on it. False if it was without effect.
    */
-  public void noticeAcknowledged(String vmId, C connection) {
-    notices.acknowledged(vmId, connection);
+  public boolean noticeAcknowledged(String vmId, C connection) {
+    return notices.acknowledged(vmId, connection);
   }
 
   /** The client ends a VM or withdraws a request: it gets no response. False if it is unknown. */
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -67,7 +67,7 @@
     }
 
     @Override
-    public void close(MachineConnection connection) {
+    public void close(MachineConnection connection, MachineCloseReason reason) {
       established.remove(connection);
       closingCount++;
       nextTick.add(
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -35,7 +35,7 @@
   public void open(MachineConnection connection) {}
 
   @Override
-  public void close(MachineConnection connection) {}
+  public void close(MachineConnection connection, MachineCloseReason reason) {}
 
   @Override
   public boolean isConnected(MachineConnection connection) {
@@ -88,6 +88,12 @@
     throw new AssertionError("unexpected report on " + attempt.vm.id);
   }
 
+  @Override
+  public void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut) {}
+
+  @Override
+  public void machineFailed(Machine failed, MachineFailure failure, int runningVms) {}
+
   @Override
   public void probeCompleted(
       Machine probed, boolean healthy, boolean withLoadReport, Duration roundTrip) {}
--- a/src/test/java/fordridge/machine/PoolFixture.java
+++ b/src/test/java/fordridge/machine/PoolFixture.java
@@ -100,7 +100,7 @@
   }
 
   @Override
-  public void close(MachineConnection connection) {
+  public void close(MachineConnection connection, MachineCloseReason reason) {
     connections.remove(connection);
   }
 
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import fordridge.machine.ConnectionTimeouts;
+import fordridge.machine.MachineCloseReason;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineConnectionListener;
 import fordridge.machine.MachineConnectionPool;
+import fordridge.machine.MachineFailure;
 import fordridge.machine.MachineTransport;
 import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
@@ -47,7 +49,7 @@
     }
 
     @Override
-    public void close(MachineConnection connection) {}
+    public void close(MachineConnection connection, MachineCloseReason reason) {}
 
     @Override
     public boolean isConnected(MachineConnection connection) {
@@ -108,6 +110,12 @@
       ends.put(attempt, end);
     }
 
+    @Override
+    public void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut) {}
+
+    @Override
+    public void machineFailed(Machine failed, MachineFailure failure, int runningVms) {}
+
     @Override
     public void probeCompleted(
         Machine machine, boolean healthy, boolean withLoadReport, Duration roundTrip) {}
