--- a/src/main/java/fordridge/server/json/VmLog.java
+++ b/src/main/java/fordridge/server/json/VmLog.java
@@ -29,9 +29,6 @@
   /** Reasons of lost connections are free text: beyond so many events all others count as one. */
   static final int MAX_COUNTED_EVENTS = 64;
 
-  /** Connections that came up faster are not logged. */
-  private static final Duration SLOW_CONNECT = Duration.ofMillis(100);
-
   private static final String OTHER_EVENTS = "other";
 
   private final Consumer<String> log;
@@ -47,16 +44,20 @@
 
   /** The offer of an attempt is being written to its machine. */
   void offered(PlacementAttempt attempt, String machineId) {
-    write(attempt.vm.id, "offered", machineId + " attempt " + attempt.number);
+    write(attempt.vm.id, "offered", machineId + " #" + attempt.number);
   }
 
-  /** An attempt ended without having been accepted. */
+  /** An attempt ended without having been accepted; one that was never sent is only counted. */
   void attemptEnded(
       PlacementAttempt attempt,
       String machineId,
       Outcome outcome,
       OutcomeReason reason,
       Duration now) {
+    if (outcome == Outcome.NOT_SENT) {
+      count("attempt not sent");
+      return;
+    }
     write(
         attempt.vm.id,
         "attempt ended",
@@ -184,12 +185,10 @@
 
   // Machines and their connections
 
-  /** A connection to a machine came up; logged if that took long. */
+  /** A connection to a machine came up. */
   void machineConnectionUp(String machineId, Duration openedFor) {
     count("connection up");
-    if (openedFor.compareTo(SLOW_CONNECT) >= 0) {
-      writeConnection(machineId, "up", openedFor);
-    }
+    writeConnection(machineId, "up", openedFor);
   }
 
   /** A connection to a machine did not come up. */
@@ -242,7 +241,7 @@
   }
 
   private static String describe(PlacementAttempt attempt, String machineId) {
-    return machineId + " attempt " + attempt.number;
+    return machineId + " #" + attempt.number;
   }
 
   private static String describe(Outcome outcome, OutcomeReason reason) {
--- a/src/test/java/fordridge/server/json/VmLogTest.java
+++ b/src/test/java/fordridge/server/json/VmLogTest.java
@@ -22,7 +22,7 @@
     PlacementAttempt attempt =
         new PlacementAttempt(new Vm("vm"), new Machine(1), 0, Duration.ofSeconds(1));
     log.endedUnanswered(attempt, "s-1", Outcome.RESET, OutcomeReason.DRAINED);
-    assertThat(lines).containsExactly("vm vm ended unanswered: s-1 attempt 0, RESET DRAINED");
+    assertThat(lines).containsExactly("vm vm ended unanswered: s-1 #0, RESET DRAINED");
   }
 
   @Example
