--- a/src/test/java/fordridge/faults/ScriptedRig.java
+++ b/src/test/java/fordridge/faults/ScriptedRig.java
@@ -1,6 +1,7 @@
 package fordridge.faults;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -53,6 +54,11 @@
     return machine;
   }
 
+  /** The list says that the machine drains: nothing new is placed there. */
+  void drain(ScriptedMachine machine) {
+    machineList.list(machine, "DRAINING", 0);
+  }
+
   /** The list says that the machine is gone. */
   void removeMachine(ScriptedMachine machine) {
     if (listed.remove(machine)) {
@@ -74,8 +80,17 @@
     return client;
   }
 
+  /** As {@link #connect}, for other threads of a test. */
+  ScriptedClient connectUnchecked() {
+    try {
+      return connect();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** An id that no VM had before. */
-  String newVmId() {
+  synchronized String newVmId() {
     return String.format("%016x", 0xfa0000 + vmNumber++);
   }
 
