Offers leave connections for hearing of running VMs

Cause: where offers wait long for their answers they used every connection to machines that descriptors allow; ConnectionBudget then closed the idle connections of machines with VMs, and opened one for a machine that waits only if an eighth of all were free, which they never were. A draining machine gets no offer, so nothing else connected to it; its word on its VMs had no way, for as long as the load lasted. Change: a quarter of the connections, or as many as there are machines to hear of that carry no offer, may carry no offers (OfferAllowance, set at each tick); a machine that waits may use that share at once, and idle connections of machines that have others are closed for it. Why it works: the share is out of the offers' reach, and machines take turns in it, so the longest wait depends on machines and share and not on load.

--- a/src/main/java/fordridge/machine/ConnectionBudget.java
+++ b/src/main/java/fordridge/machine/ConnectionBudget.java
@@ -19,6 +19,13 @@
   /** The fraction of all connections that remains for placement requests is one in this many. */
   private static final int RESERVED_ONE_IN = 8;
 
+  /**
+   * The fraction of all connections that placement requests leave for hearing of running VMs is one
+   * in this many: with it, machines of some times that number are connected to in turn within
+   * seconds, whatever is being placed.
+   */
+  private static final int LISTENING_ONE_IN = 4;
+
   /**
    * Connections opened at once are bounded by this number and a fraction of the machines that need
    * one: after a start hundreds may, and a placement request that comes then must not wait behind
@@ -31,34 +38,79 @@
   private ConnectionBudget() {}
 
   /**
-   * Opens and closes connections where it is due. To be called behind the ticks of all pools.
+   * Opens and closes connections where it is due, and sets how many more may carry placement
+   * requests. To be called behind the ticks of all pools.
    *
    * @param inUseCount connections in use, of all machines
    * @param limit bound on {@code inUseCount}
    */
   public static void rebalance(
-      Collection<MachineConnectionPool> pools, int inUseCount, int limit, Duration now) {
-    int free = limit - inUseCount - Math.max(1, limit / RESERVED_ONE_IN);
+      Collection<MachineConnectionPool> pools,
+      int inUseCount,
+      int limit,
+      OfferAllowance offers,
+      Duration now) {
+    Demand demand = Demand.of(pools, limit);
+    offers.set(demand.remainingForOffers(limit));
+    int places = Math.max(0, limit - inUseCount);
+    int reserved = Math.min(Math.max(1, limit / RESERVED_ONE_IN), offers.remaining());
+    int guaranteed = Math.min(demand.unheard(), places);
+    int free = Math.max(places - reserved, guaranteed);
+
     List<MachineConnectionPool> waiting = new ArrayList<>();
     for (MachineConnectionPool pool : pools) {
       if (pool.needsConnection()) {
         waiting.add(pool);
       }
     }
-    if (free > 0) {
-      reconnectLeastRecent(waiting, free, now);
-    }
-    int lacking = waiting.size() - free;
+    int atOnce =
+        Math.min(waiting.size(), MIN_OPENED_AT_ONCE + waiting.size() / OPENED_AT_ONCE_ONE_IN);
+    reconnectLeastRecent(waiting, Math.min(free, atOnce), now);
+    int lacking = atOnce - (places - reserved);
     if (lacking > 0) {
       closeLongestIdle(pools, lacking, now);
     }
+    int lackingToHear = Math.min(atOnce, demand.unheard()) - guaranteed;
+    if (lackingToHear > 0) {
+      closeSurplus(pools, lackingToHear, now);
+    }
+  }
+
+  /**
+   * What the connections are needed for.
+   *
+   * @param carrying connections that carry placement requests
+   * @param listening connections that are to be left for machines which carry none and have to be
+   *     heard of
+   * @param unheard how many of the latter are not open
+   */
+  private record Demand(int carrying, int listening, int unheard) {
+    static Demand of(Collection<MachineConnectionPool> pools, int limit) {
+      int carrying = 0;
+      int machinesToHear = 0;
+      int heard = 0;
+      for (MachineConnectionPool pool : pools) {
+        int ofMachine = pool.carrierCount();
+        carrying += ofMachine;
+        if (ofMachine == 0 && pool.hasToHear()) {
+          machinesToHear++;
+          heard += pool.isUnconnected() ? 0 : 1;
+        }
+      }
+      int listening = Math.min(limit / LISTENING_ONE_IN, machinesToHear);
+      return new Demand(carrying, listening, Math.max(0, listening - heard));
+    }
+
+    /** Connections that may carry placement requests, beyond those that do. */
+    int remainingForOffers(int limit) {
+      return Math.max(0, limit - listening - carrying);
+    }
   }
 
   private static void reconnectLeastRecent(
-      List<MachineConnectionPool> waiting, int free, Duration now) {
+      List<MachineConnectionPool> waiting, int count, Duration now) {
     waiting.sort(Comparator.comparing(MachineConnectionPool::lastConnectAttemptAt));
-    int atOnce = Math.min(free, MIN_OPENED_AT_ONCE + waiting.size() / OPENED_AT_ONCE_ONE_IN);
-    for (MachineConnectionPool pool : waiting.subList(0, Math.min(atOnce, waiting.size()))) {
+    for (MachineConnectionPool pool : waiting.subList(0, count)) {
       pool.reconnect(now);
     }
   }
@@ -77,6 +129,18 @@
     }
   }
 
+  /** Closes idle connections of machines that have others, however short they are idle. */
+  private static void closeSurplus(
+      Collection<MachineConnectionPool> pools, int count, Duration now) {
+    int remaining = count;
+    for (MachineConnectionPool pool : pools) {
+      if (remaining > 0 && pool.hasSurplusIdle()) {
+        pool.closeIdleConnection(now);
+        remaining--;
+      }
+    }
+  }
+
   private static boolean isIdleLongEnough(Duration since, Duration now) {
     return now.minus(since).compareTo(MIN_IDLE_TIME) >= 0;
   }
--- a/src/main/java/fordridge/machine/ConnectionSet.java
+++ b/src/main/java/fordridge/machine/ConnectionSet.java
@@ -29,6 +29,10 @@
     return connections.isEmpty();
   }
 
+  int size() {
+    return connections.size();
+  }
+
   /** A copy, so that connections may be closed while it is gone through. */
   List<MachineConnection> all() {
     return List.copyOf(connections);
@@ -85,6 +89,22 @@
         .min(Comparator.comparingInt(MachineConnection::placementRequestCount));
   }
 
+  /** The open connection that carries the fewest placement requests, if any carries some. */
+  Optional<MachineConnection> leastLoadedCarrier() {
+    return connections.stream()
+        .filter(connection -> connection.isOpen() && connection.isCarrier())
+        .min(Comparator.comparingInt(MachineConnection::placementRequestCount));
+  }
+
+  /** How many connections carry placement requests. */
+  int carrierCount() {
+    int count = 0;
+    for (MachineConnection connection : connections) {
+      count += connection.isCarrier() ? 1 : 0;
+    }
+    return count;
+  }
+
   /** The newest connection on which something can be said to the machine. */
   Optional<MachineConnection> newestWritable() {
     return connections.stream()
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -79,6 +79,11 @@
     return state == State.OPEN && placementRequests.isEmpty() && probeSentAt == null;
   }
 
+  /** Whether it carries placement requests, or will once it is up. */
+  boolean isCarrier() {
+    return !placementRequests.isEmpty();
+  }
+
   boolean hasConnectTimedOut(Duration now) {
     return state == State.OPENING && now.compareTo(connectBy) >= 0;
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -40,6 +40,7 @@
   private final VmExecutions executions;
   private final RunningVms runningVms;
   private final LivenessDetector liveness = new LivenessDetector();
+  private final OfferAllowance offers;
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
 
@@ -48,14 +49,20 @@
 
   private boolean needsConnection;
 
-  /** Creates a pool without connections for a machine that is live. */
+  /**
+   * Creates a pool without connections for a machine that is live.
+   *
+   * @param offers shared by the pools of all machines
+   */
   public MachineConnectionPool(
       Machine machine,
       ConnectionTimeouts timeouts,
+      OfferAllowance offers,
       MachineTransport transport,
       MachineConnectionListener listener) {
     this.machine = machine;
     this.timeouts = timeouts;
+    this.offers = offers;
     this.transport = transport;
     this.listener = listener;
     executions = new VmExecutions(machine, connections, listener);
@@ -90,7 +97,7 @@
    */
   public void offer(PlacementAttempt attempt, Duration timeLeft, boolean idempotent, Duration now) {
     Optional<MachineConnection> connection =
-        lifecycle == Machine.Lifecycle.LIVE ? acquire(idempotent, now) : Optional.empty();
+        lifecycle == Machine.Lifecycle.LIVE ? acquireForOffer(idempotent, now) : Optional.empty();
     if (connection.isEmpty()) {
       executions.end(attempt, Outcome.NOT_SENT);
       return;
@@ -300,6 +307,25 @@
     needsConnection = isConnectionNeeded(now);
   }
 
+  /** How many of its connections carry placement requests. */
+  int carrierCount() {
+    return connections.carrierCount();
+  }
+
+  boolean isUnconnected() {
+    return connections.isEmpty();
+  }
+
+  /** Whether it has an idle connection that is not its only one. */
+  boolean hasSurplusIdle() {
+    return connections.size() > 1 && connections.longestIdle().isPresent();
+  }
+
+  /** Whether the machine may have something to say of VMs that run there. */
+  boolean hasToHear() {
+    return !isGone() && !runningVms.isEmpty();
+  }
+
   /** Whether the last tick found that a connection is needed to hear of running VMs. */
   boolean needsConnection() {
     return needsConnection;
@@ -356,7 +382,7 @@
   }
 
   private boolean isConnectionNeeded(Duration now) {
-    if (isGone() || runningVms.isEmpty()) {
+    if (!hasToHear()) {
       return false;
     }
     boolean unconnected =
@@ -396,6 +422,18 @@
     executions.end(request.attempt(), ExecutionEvidence.NOT_ATTEMPTED.outcomeOnFailure());
   }
 
+  /** Once no further connection may carry placement requests: one that carries some already. */
+  private Optional<MachineConnection> acquireForOffer(boolean idempotent, Duration now) {
+    if (offers.isExhausted()) {
+      return connections.leastLoadedCarrier();
+    }
+    Optional<MachineConnection> connection = acquire(idempotent, now);
+    if (connection.filter(MachineConnection::isCarrier).isEmpty()) {
+      offers.take();
+    }
+    return connection;
+  }
+
   /** An idle connection known to be good, else a new one, else the open one that carries least. */
   private Optional<MachineConnection> acquire(boolean idempotent, Duration now) {
     Duration goodFor = idempotent ? timeouts.idleTimeout() : timeouts.provenFor();
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -7,6 +7,7 @@
 import fordridge.machine.ConnectionTimeouts;
 import fordridge.machine.MachineConnectionListener;
 import fordridge.machine.MachineConnectionPool;
+import fordridge.machine.OfferAllowance;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.runtime.SchedulerInputs;
@@ -30,6 +31,7 @@
   private final RequestLog requestLog;
   private final MachineConnectionListener listener;
   private final ConnectionQuota quota;
+  private final OfferAllowance offers = new OfferAllowance();
   private Predicate<String> isNoticeUndelivered = vmId -> false;
   private ConnectionTimeouts timeouts;
   private final Map<String, MachineHandle> handlesById = new HashMap<>();
@@ -70,7 +72,7 @@
           new MachineClient(
               group, quota, timeouts.connectTimeout(), handle::payloadToOffer, handle);
       handle.attach(
-          client, new MachineConnectionPool(handle.machine(), timeouts, client, listener));
+          client, new MachineConnectionPool(handle.machine(), timeouts, offers, client, listener));
       handlesById.put(id, handle);
       handlesByMachine.put(handle.machine(), handle);
       pools.add(handle.pool());
@@ -117,7 +119,7 @@
     for (MachineHandle handle : all()) {
       handle.tick();
     }
-    ConnectionBudget.rebalance(pools, quota.inUseCount(), quota.limit(), loop.now());
+    ConnectionBudget.rebalance(pools, quota.inUseCount(), quota.limit(), offers, loop.now());
   }
 
   /** Takes in no more termination notices: the machines keep them for the next scheduler. */
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -22,6 +22,8 @@
   private static final Duration MAX_TIME_UNCONNECTED = Duration.ofSeconds(7);
   private static final int MACHINES = 208;
   private static final int MAX_CONNECTIONS = 60;
+  private static final int RUNNING_MACHINES = 50;
+  private static final int HANGING_OFFERS_A_TICK = 4;
   private static final int TICKS = 1200;
   private static final int TICKS_BEFORE_OFFERS = 20;
 
@@ -29,16 +31,18 @@
   private int openCount;
   private int closingCount;
   private int notSentCount;
+  private final List<PlacementAttempt> unanswered = new ArrayList<>();
   private final List<Runnable> nextTick = new ArrayList<>();
+  private final OfferAllowance sharedOffers = new OfferAllowance();
 
   /** A machine that runs one VM, rejects all others, and answers in the next tick. */
-  private final class FullMachine extends MachinePoolStub {
+  private class FullMachine extends MachinePoolStub {
     final Set<MachineConnection> established = new HashSet<>();
     Duration longestUnconnected = Duration.ZERO;
     Duration lastConnectedAt = now;
 
     FullMachine(int id) {
-      super(id);
+      super(id, sharedOffers);
       pool.adopt(new PlacementAttempt(new Vm("runs" + id), machine, 0, now), now);
     }
 
@@ -111,7 +115,8 @@
         target.pool.offer(attempt, TIME_LEFT, tick % 4 == 0, now);
       }
       pools.forEach(pool -> pool.tick(now));
-      ConnectionBudget.rebalance(pools, openCount - closingCount, MAX_CONNECTIONS, now);
+      ConnectionBudget.rebalance(
+          pools, openCount - closingCount, MAX_CONNECTIONS, sharedOffers, now);
       machines.forEach(FullMachine::measure);
       assertThat(openCount).isLessThanOrEqualTo(MAX_CONNECTIONS);
     }
@@ -121,6 +126,61 @@
     assertThat(notSentCount).as("of " + offered + " requests").isLessThan(offered / 50);
   }
 
+  /** A machine that runs nothing and never answers. */
+  private final class HangingMachine extends FullMachine {
+    HangingMachine(int id) {
+      super(id);
+      pool.vmLost("runs" + id);
+    }
+
+    @Override
+    public void requestPlacement(
+        MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {
+      unanswered.add(attempt);
+    }
+
+    @Override
+    public void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {}
+  }
+
+  @Example
+  void machinesWithVmsAreConnectedToInTurnThoughOffersHangElsewhere() {
+    List<FullMachine> running = new ArrayList<>();
+    List<FullMachine> hanging = new ArrayList<>();
+    for (int i = 0; i < RUNNING_MACHINES; i++) {
+      running.add(new FullMachine(i));
+      hanging.add(new HangingMachine(RUNNING_MACHINES + i));
+    }
+    List<MachineConnectionPool> pools = new ArrayList<>();
+    running.forEach(machine -> pools.add(machine.pool));
+    hanging.forEach(machine -> pools.add(machine.pool));
+    int offered = 0;
+    for (int tick = 0; tick < TICKS; tick++) {
+      now = now.plus(TICK);
+      runDueEvents();
+      for (int i = 0; i < HANGING_OFFERS_A_TICK; i++) {
+        FullMachine target = hanging.get(offered % RUNNING_MACHINES);
+        PlacementAttempt attempt = target.newAttempt("new" + offered++, now);
+        target.pool.offer(attempt, TIME_LEFT, true, now);
+      }
+      while (unanswered.size() > MAX_CONNECTIONS * 2) {
+        PlacementAttempt oldest = unanswered.remove(0);
+        hanging
+            .get((int) oldest.machine.id - RUNNING_MACHINES)
+            .pool
+            .cancel(oldest, Outcome.TIMEOUT, now);
+      }
+      pools.forEach(pool -> pool.tick(now));
+      ConnectionBudget.rebalance(
+          pools, openCount - closingCount, MAX_CONNECTIONS, sharedOffers, now);
+      running.forEach(FullMachine::measure);
+      assertThat(openCount).isLessThanOrEqualTo(MAX_CONNECTIONS);
+    }
+    assertThat(running)
+        .allSatisfy(
+            machine -> assertThat(machine.longestUnconnected).isLessThan(MAX_TIME_UNCONNECTED));
+  }
+
   private void runDueEvents() {
     List<Runnable> due = List.copyOf(nextTick);
     nextTick.clear();
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -12,12 +12,19 @@
   private static final ConnectionTimeouts TIMEOUTS =
       new ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3));
 
+  final OfferAllowance offers;
   final Machine machine;
   final MachineConnectionPool pool;
 
   MachinePoolStub(int machineId) {
+    this(machineId, new OfferAllowance());
+  }
+
+  /** One of several pools that share the connections which may carry placement requests. */
+  MachinePoolStub(int machineId, OfferAllowance offers) {
+    this.offers = offers;
     machine = new Machine(machineId);
-    pool = new MachineConnectionPool(machine, TIMEOUTS, this, this);
+    pool = new MachineConnectionPool(machine, TIMEOUTS, offers, this, this);
   }
 
   PlacementAttempt newAttempt(String vmId, Duration now) {
--- a/src/test/java/fordridge/machine/PoolFixture.java
+++ b/src/test/java/fordridge/machine/PoolFixture.java
@@ -74,7 +74,7 @@
     while (now.compareTo(until) < 0) {
       now = now.plus(TICK);
       pool.tick(now);
-      ConnectionBudget.rebalance(List.of(pool), connections.size(), maxConnections, now);
+      ConnectionBudget.rebalance(List.of(pool), connections.size(), maxConnections, offers, now);
     }
   }
 
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -9,6 +9,7 @@
 import fordridge.machine.MachineConnectionPool;
 import fordridge.machine.MachineFailure;
 import fordridge.machine.MachineTransport;
+import fordridge.machine.OfferAllowance;
 import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
@@ -128,6 +129,7 @@
       new MachineConnectionPool(
           machine,
           new ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3)),
+          new OfferAllowance(),
           line,
           ends);
   private Duration time = Duration.ZERO;
