An attempt that is given up is owed until its machine has settled it

What callers saw: a VM that nobody has stands at its machine; its client heard 47, or has the VM elsewhere, and nobody hears of its end. Cause: the books of an attempt ended with this scheduler's decision: a lost connection, a withdrawal that was written once, an unconfirmed termination and a machine out of reach each forgot it, and a later answer was only logged. Change: UnsettledAttempts keeps each such attempt; its release is written on any open connection with a health check behind it, whose answer proves that it was read; until then, or the machine's word, or its end, it is repeated, also on a machine that was out of reach. A connection on which a request was withdrawn is closed once the machine has answered that check, or not in time. An end by our release is no end of the VM's own. SIGTERM waits for it within its 0.4 s. Status: unsettled attempts by reason, the oldest, displaced. Tests that said otherwise, each replaced by one as strict: a connection is closed behind a cancelled request once that is read, not at once, and takes no other request meanwhile; an unasked acceptance is released, and still nothing else is said to the machine before the client has heard an end.

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -47,13 +47,6 @@
     /** The scheduler closes the connection. */
     void connectionClosed(MachineConnection connection, MachineCloseReason reason);
 
-    /**
-     * A connection that the scheduler has closed has ended.
-     *
-     * @param isReadByMachine whether the machine has closed its side behind all that was written
-     */
-    void connectionDrained(MachineConnection connection, boolean isReadByMachine);
-
     /** The machine accepted a VM. */
     void vmAccepted(MachineConnection connection, String vmId, String description);
 
@@ -74,6 +67,8 @@
   }
 
   private static final int RECEIVE_BUFFER_BYTES = 4096;
+  private static final int WITHOUT_LOAD_REPORT = 0;
+  private static final int WITH_LOAD_REPORT = 1;
   private static final Duration LOCAL_FAILURE_RETRY_DELAY = Duration.ofMillis(10);
 
   private final EventLoopGroup eventLoop;
@@ -200,8 +195,17 @@
 
   @Override
   public void probe(MachineConnection connection) {
+    sendHealthCheck(connection, WITH_LOAD_REPORT);
+  }
+
+  @Override
+  public void ping(MachineConnection connection) {
+    sendHealthCheck(connection, WITHOUT_LOAD_REPORT);
+  }
+
+  private void sendHealthCheck(MachineConnection connection, int code) {
     probesSent++;
-    handler(connection).write("hb", String.format("%016x", probesSent), 1, null);
+    handler(connection).write("hb", String.format("%016x", probesSent), code, null);
   }
 
   private Bootstrap bootstrap(MachineConnectionHandler handler) {
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -71,9 +71,6 @@
   private State state = State.CONNECTING;
   private boolean failedLocally;
 
-  /** Whether the channel's end, once it comes, is the machine's own close. */
-  private boolean isEndOfInputRead = true;
-
   MachineConnectionHandler(
       MachineConnection connection, ConnectionQuota quota, MachineClient.Listener listener) {
     this.connection = connection;
@@ -92,12 +89,8 @@
 
   /** Whether nothing that was written waits to go out. */
   boolean isWritable() {
-    return isConnected() && !hasPendingOutput();
-  }
-
-  private boolean hasPendingOutput() {
     ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
-    return pending == null || pending.totalPendingWriteBytes() > 0;
+    return isConnected() && pending != null && pending.totalPendingWriteBytes() == 0;
   }
 
   boolean isConnecting() {
@@ -133,8 +126,6 @@
     trace(ctx.channel(), "inactive, state " + state);
     if (state == State.ESTABLISHED) {
       lost("closed by the machine");
-    } else if (state == State.DRAINING) {
-      listener.connectionDrained(connection, isEndOfInputRead);
     }
   }
 
@@ -148,7 +139,6 @@
 
   @Override
   void malformedInput(String reason) {
-    isEndOfInputRead = false;
     lost(reason);
   }
 
@@ -171,8 +161,6 @@
     // is notified once: so only this side is closed, and the rest is read until the machine closes
     // its own.
     state = State.DRAINING;
-    // Output that waits is dropped with the half-close.
-    isEndOfInputRead &= !hasPendingOutput();
     quota.connectionClosing();
     trace(channel, "closing");
     halfClose();
@@ -183,12 +171,7 @@
     ((SocketChannel) channel).shutdownOutput();
     channel
         .eventLoop()
-        .schedule(this::drainTimedOut, DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-  }
-
-  private void drainTimedOut() {
-    isEndOfInputRead = false;
-    closeChannel();
+        .schedule(this::closeChannel, DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   @SuppressWarnings("FutureReturnValueIgnored") // The end of the close is seen in the close future.
--- a/src/main/java/fordridge/machine/ConnectionBudget.java
+++ b/src/main/java/fordridge/machine/ConnectionBudget.java
@@ -51,10 +51,11 @@
       OfferAllowance offers,
       Duration now) {
     Demand demand = Demand.of(pools, limit);
-    offers.set(demand.remainingForOffers(limit));
     int places = Math.max(0, limit - inUseCount);
-    int reserved = Math.min(Math.max(1, limit / RESERVED_ONE_IN), offers.remaining());
+    int offerCarriers = demand.remainingForOffers(limit);
+    int reserved = Math.min(Math.max(1, limit / RESERVED_ONE_IN), offerCarriers);
     int guaranteed = Math.min(demand.unheard(), places);
+    offers.set(offerCarriers, places - guaranteed);
     int free = Math.max(places - reserved, guaranteed);
 
     List<MachineConnectionPool> waiting = new ArrayList<>();
@@ -66,14 +67,12 @@
     int atOnce =
         Math.min(waiting.size(), MIN_OPENED_AT_ONCE + waiting.size() / OPENED_AT_ONCE_ONE_IN);
     reconnectLeastRecent(waiting, Math.min(free, atOnce), now);
-    int lacking = atOnce - (places - reserved);
-    if (lacking > 0) {
-      closeLongestIdle(pools, lacking, now);
-    }
-    int lackingToHear = Math.min(atOnce, demand.unheard()) - guaranteed;
-    if (lackingToHear > 0) {
-      closeSurplus(pools, lackingToHear, now);
-    }
+    // Turns among the machines that wait; for offers only what is beyond the share of the others.
+    int lackingForTurns = atOnce - free;
+    int lackingForOffers = reserved - places;
+    int closed = closeSurplus(pools, Math.max(lackingForTurns, lackingForOffers), now);
+    int closable = Math.min(lackingForOffers - closed, demand.heard() - demand.listening());
+    closeLongestIdle(pools, Math.max(lackingForTurns - closed, closable), now);
   }
 
   /**
@@ -82,9 +81,9 @@
    * @param carrying connections that carry placement requests
    * @param listening connections that are to be left for machines which carry none and have to be
    *     heard of
-   * @param unheard how many of the latter are not open
+   * @param heard how many of these machines have a connection
    */
-  private record Demand(int carrying, int listening, int unheard) {
+  private record Demand(int carrying, int listening, int heard) {
     static Demand of(Collection<MachineConnectionPool> pools, int limit) {
       int carrying = 0;
       int machinesToHear = 0;
@@ -98,7 +97,12 @@
         }
       }
       int listening = Math.min(limit / LISTENING_ONE_IN, machinesToHear);
-      return new Demand(carrying, listening, Math.max(0, listening - heard));
+      return new Demand(carrying, listening, heard);
+    }
+
+    /** How many connections of the share are not open. */
+    int unheard() {
+      return Math.max(0, listening - heard);
     }
 
     /** Connections that may carry placement requests, beyond those that do. */
@@ -117,6 +121,9 @@
 
   private static void closeLongestIdle(
       Collection<MachineConnectionPool> pools, int count, Duration now) {
+    if (count <= 0) {
+      return;
+    }
     List<MachineConnectionPool> idle = new ArrayList<>();
     for (MachineConnectionPool pool : pools) {
       if (pool.idleSince().filter(since -> isIdleLongEnough(since, now)).isPresent()) {
@@ -129,16 +136,21 @@
     }
   }
 
-  /** Closes idle connections of machines that have others, however short they are idle. */
-  private static void closeSurplus(
+  /**
+   * Closes idle connections of machines that have others, however short they are idle.
+   *
+   * @return how many
+   */
+  private static int closeSurplus(
       Collection<MachineConnectionPool> pools, int count, Duration now) {
-    int remaining = count;
+    int closed = 0;
     for (MachineConnectionPool pool : pools) {
-      if (remaining > 0 && pool.hasSurplusIdle()) {
+      if (closed < count && pool.hasSurplusIdle()) {
         pool.closeIdleConnection(now);
-        remaining--;
+        closed++;
       }
     }
+    return closed;
   }
 
   private static boolean isIdleLongEnough(Duration since, Duration now) {
--- a/src/main/java/fordridge/machine/ConnectionSet.java
+++ b/src/main/java/fordridge/machine/ConnectionSet.java
@@ -112,6 +112,11 @@
         .reduce((earlier, later) -> later);
   }
 
+  /** The newest connection that is open and not retiring. */
+  Optional<MachineConnection> newestOpen() {
+    return connections.stream().filter(MachineConnection::isOpen).reduce((earlier, later) -> later);
+  }
+
   /** The connection that is idle for longest. */
   Optional<MachineConnection> longestIdle() {
     return connections.stream()
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -2,7 +2,9 @@
 
 import fordridge.model.PlacementAttempt;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,6 +40,9 @@
     CLOSED
   }
 
+  /** A health check without an answer; {@code isProbe}: the scheduler waits for its result. */
+  private record HealthCheck(Duration sentAt, boolean isProbe) {}
+
   private final Duration openedAt;
   private final Duration connectBy;
   private final Map<String, PlacementRequest> placementRequests = new LinkedHashMap<>();
@@ -47,7 +52,9 @@
 
   private State state = State.OPENING;
   private Duration lastUsedAt;
-  private Duration probeSentAt;
+  private final Deque<HealthCheck> healthChecks = new ArrayDeque<>();
+  private long healthCheckCount;
+  private long answeredHealthCheckCount;
   private Object attachment;
 
   MachineConnection(Duration openedAt, Duration connectBy) {
@@ -76,7 +83,7 @@
 
   /** Whether the connection is open and carries neither a placement request nor a health check. */
   boolean isIdle() {
-    return state == State.OPEN && placementRequests.isEmpty() && probeSentAt == null;
+    return state == State.OPEN && placementRequests.isEmpty() && healthChecks.isEmpty();
   }
 
   /** Whether it carries placement requests, or will once it is up. */
@@ -105,7 +112,7 @@
 
   /** Whether it is to be closed, as it takes no new request and carries none. */
   boolean isRetired() {
-    return state == State.RETIRING && placementRequests.isEmpty();
+    return state == State.RETIRING && placementRequests.isEmpty() && healthChecks.isEmpty();
   }
 
   // Placement requests
@@ -187,26 +194,54 @@
   }
 
   void probeRequested(Duration now) {
-    probeSentAt = now;
+    healthCheckCount++;
+    healthChecks.add(new HealthCheck(now, true));
+  }
+
+  /** A health check of which only the answer counts; its number on this connection. */
+  long pingSent(Duration now) {
+    healthCheckCount++;
+    healthChecks.add(new HealthCheck(now, false));
+    return healthCheckCount;
   }
 
   boolean isProbing() {
-    return probeSentAt != null;
+    return healthChecks.stream().anyMatch(HealthCheck::isProbe);
   }
 
-  boolean hasProbeTimedOut(Duration timeout, Duration now) {
+  boolean hasHealthCheckTimedOut(Duration timeout, Duration now) {
     return state != State.OPENING
-        && probeSentAt != null
-        && now.minus(probeSentAt).compareTo(timeout) >= 0;
+        && !healthChecks.isEmpty()
+        && now.minus(healthChecks.peek().sentAt).compareTo(timeout) >= 0;
   }
 
-  /** Ends the health check in progress, if any, and returns how long it took. */
-  Optional<Duration> endProbe(Duration now) {
-    if (probeSentAt == null) {
+  /**
+   * The first health check without an answer has been answered. How long that took, if it is a
+   * probe; empty if it is not, or there is none.
+   */
+  Optional<Duration> healthCheckAnswered(Duration now) {
+    HealthCheck answered = healthChecks.poll();
+    if (answered == null) {
       return Optional.empty();
     }
-    Duration roundTrip = now.minus(probeSentAt);
-    probeSentAt = null;
-    return Optional.of(roundTrip);
+    answeredHealthCheckCount++;
+    return Optional.of(answered).filter(HealthCheck::isProbe).map(check -> now.minus(check.sentAt));
+  }
+
+  /** The number of the health check that was answered last, from 1 on. */
+  long answeredHealthCheckCount() {
+    return answeredHealthCheckCount;
+  }
+
+  /** No answer is waited for any more; for each probe, how long it was. */
+  List<Duration> takeProbes(Duration now) {
+    List<Duration> probes = new ArrayList<>();
+    for (HealthCheck check : healthChecks) {
+      if (check.isProbe) {
+        probes.add(now.minus(check.sentAt));
+      }
+    }
+    healthChecks.clear();
+    return probes;
   }
 }
--- a/src/main/java/fordridge/machine/MachineConnectionListener.java
+++ b/src/main/java/fordridge/machine/MachineConnectionListener.java
@@ -29,6 +29,12 @@
    */
   void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut);
 
+  /** The machine is asked to release a VM that may run there and that nobody owns. */
+  void releaseSent(String vmId, Machine machine);
+
+  /** Nothing is left of a VM that the machine was asked to release: it has read or said so. */
+  void releaseSettled(String vmId, Machine machine);
+
   /** Nothing runs on the machine any more, or it can't be told; so many VMs were known to run. */
   void machineFailed(Machine machine, MachineFailure failure, int runningVms);
 }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -40,13 +40,11 @@
   private final VmExecutions executions;
   private final RunningVms runningVms;
   private final LivenessDetector liveness = new LivenessDetector();
-  private final OfferAllowance offers;
+  private final ConnectionOpener opener;
+  private final UnownedVmReleaser releaser;
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
 
-  /** Its last connection was closed in favour of other machines. */
-  private boolean yieldedConnection;
-
   private boolean needsConnection;
 
   /**
@@ -62,16 +60,18 @@
       MachineConnectionListener listener) {
     this.machine = machine;
     this.timeouts = timeouts;
-    this.offers = offers;
     this.transport = transport;
     this.listener = listener;
     executions = new VmExecutions(machine, connections, listener);
     runningVms = executions.runningVms();
+    opener = new ConnectionOpener(timeouts, offers, transport, connections, liveness);
+    releaser = new UnownedVmReleaser(machine, executions, connections, transport, listener);
   }
 
   /** Replaces the timeouts, for all that starts from now on. */
   public void setTimeouts(ConnectionTimeouts newTimeouts) {
     timeouts = newTimeouts;
+    opener.setTimeouts(newTimeouts);
   }
 
   /** The running attempt of the VM, if it runs on this machine. */
@@ -97,7 +97,9 @@
    */
   public void offer(PlacementAttempt attempt, Duration timeLeft, boolean idempotent, Duration now) {
     Optional<MachineConnection> connection =
-        lifecycle == Machine.Lifecycle.LIVE ? acquireForOffer(idempotent, now) : Optional.empty();
+        lifecycle == Machine.Lifecycle.LIVE
+            ? opener.acquireForOffer(idempotent, now)
+            : Optional.empty();
     if (connection.isEmpty()) {
       executions.end(attempt, Outcome.NOT_SENT);
       return;
@@ -113,7 +115,7 @@
   public void cancel(PlacementAttempt attempt, Outcome outcome, Duration now) {
     Optional<MachineConnection> carrier = connections.findCarrier(attempt);
     if (carrier.isPresent()) {
-      cancelOn(carrier.get(), attempt, outcome);
+      cancelOn(carrier.get(), attempt, outcome, now);
     } else if (attempt.isInFlight() && attempt.acceptedAt == null) {
       executions.end(attempt, Outcome.NOT_SENT);
     }
@@ -139,7 +141,8 @@
 
   /** Starts a health check; it fails at once if no connection is to be had. */
   public void probe(Duration now) {
-    Optional<MachineConnection> connection = isGone() ? Optional.empty() : acquire(true, now);
+    Optional<MachineConnection> connection =
+        isGone() ? Optional.empty() : opener.acquireForHealthCheck(now);
     if (connection.isEmpty()) {
       listener.probeCompleted(machine, false, false, Duration.ZERO);
       return;
@@ -200,6 +203,7 @@
     if (connection.isProbing()) {
       transport.probe(connection);
     }
+    releaser.releaseWhereDue(now);
   }
 
   /** What was written to the connection has gone out. */
@@ -219,10 +223,13 @@
     }
     connection.closed();
     liveness.connectFailed(failure);
+    if (failure == ConnectFailure.UNREACHABLE) {
+      releaser.waitUntil(now.plus(timeouts.silenceTimeout()));
+    }
     if (failure == ConnectFailure.LOCAL) {
       withdrawUnsentRequests(connection);
     }
-    executions.requestsLost(connection);
+    executions.requestsLost(connection, now);
     failProbe(connection, now);
     liveness.failure(timeouts, now).ifPresent(reason -> machineFailed(reason, now));
   }
@@ -236,16 +243,18 @@
       return;
     }
     connection.closed();
-    executions.requestsLost(connection);
+    executions.requestsLost(connection, now);
     failProbe(connection, now);
+    releaser.releaseWhereDue(now);
   }
 
   /** The machine accepted a VM, on whichever connection; ignored if it is not requested here. */
   public void vmAccepted(
       MachineConnection connection, String vmId, String description, Duration now) {
     executions
-        .accepted(connection, vmId, description)
+        .accepted(connection, vmId, description, now)
         .ifPresent(carrier -> requestEnded(carrier, connection, now));
+    releaser.releaseWhereDue(now);
   }
 
   /**
@@ -281,6 +290,11 @@
     return runningVms.isEndKept(vmId, now);
   }
 
+  /** VMs that may run there and that nobody owns. */
+  public UnsettledAttempts unsettled() {
+    return executions.unsettled();
+  }
+
   /** Ends of unknown VMs that gave way to later ones since the start. */
   public long displacedEndCount() {
     return runningVms.displacedEndCount();
@@ -289,12 +303,13 @@
   /** The machine answered a health check. */
   public void probeAnswered(
       MachineConnection connection, boolean healthy, boolean withLoadReport, Duration now) {
-    Optional<Duration> roundTrip = connection.endProbe(now);
+    Optional<Duration> roundTrip = connection.healthCheckAnswered(now);
+    executions.readByMachine(connection);
     if (roundTrip.isPresent()) {
       connection.used(now);
       listener.probeCompleted(machine, healthy, withLoadReport, roundTrip.get());
-      closeIfRetired(connection);
     }
+    closeIfRetired(connection);
   }
 
   /**
@@ -304,6 +319,7 @@
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
     executions.endUnconfirmed(now);
+    releaser.releaseWhereDue(now);
     needsConnection = isConnectionNeeded(now);
   }
 
@@ -323,7 +339,7 @@
 
   /** Whether the machine may have something to say of VMs that run there. */
   boolean hasToHear() {
-    return !isGone() && !runningVms.isEmpty();
+    return !isGone() && !(runningVms.isEmpty() && executions.releasable().isEmpty());
   }
 
   /** Whether the last tick found that a connection is needed to hear of running VMs. */
@@ -339,7 +355,7 @@
   void reconnect(Duration now) {
     if (transport.canOpen()) {
       needsConnection = false;
-      open(now);
+      opener.open(now);
     }
   }
 
@@ -355,7 +371,7 @@
         .ifPresent(
             connection -> {
               close(connection, MachineCloseReason.YIELDED, now);
-              yieldedConnection = connections.isEmpty();
+              opener.connectionYielded();
             });
   }
 
@@ -367,8 +383,9 @@
         transport.close(connection, MachineCloseReason.CONNECT_TIMED_OUT);
         connectionFailed(
             connection, isLocal ? ConnectFailure.LOCAL : ConnectFailure.UNREACHABLE, now);
-      } else if (connection.hasProbeTimedOut(timeouts.connectTimeout(), now)) {
+      } else if (connection.hasHealthCheckTimedOut(timeouts.connectTimeout(), now)) {
         failProbe(connection, now);
+        releaser.checkTimedOut(connection, now.plus(timeouts.idleTimeout()));
         connection.retire();
         closeIfRetired(connection);
       } else if (connection.isIdle()) {
@@ -382,15 +399,18 @@
   }
 
   private boolean isConnectionNeeded(Duration now) {
-    if (!hasToHear()) {
-      return false;
-    }
+    return !isGone()
+        && (isNeededForRunningVms(now) || releaser.needsConnection(now))
+        && liveness.isUntriedFor(timeouts.connectTimeout(), now);
+  }
+
+  private boolean isNeededForRunningVms(Duration now) {
     boolean unconnected =
         connections.isEmpty()
-            && (!yieldedConnection || liveness.isUntriedFor(MAX_TIME_UNCONNECTED, now));
+            && (!opener.hasYielded() || liveness.isUntriedFor(MAX_TIME_UNCONNECTED, now));
     boolean silent =
         liveness.isSilentFor(timeouts.silenceTimeout(), now) && !connections.hasOpening();
-    return (unconnected || silent) && liveness.isUntriedFor(timeouts.connectTimeout(), now);
+    return !runningVms.isEmpty() && (unconnected || silent);
   }
 
   private boolean isGone() {
@@ -401,10 +421,10 @@
   private void machineFailed(MachineFailure failure, Duration now) {
     listener.machineFailed(machine, failure, runningVms.size());
     for (MachineConnection connection : connections.all()) {
-      executions.requestsLost(connection);
+      executions.requestsLost(connection, now);
       close(connection, MachineCloseReason.MACHINE_FAILED, now);
     }
-    executions.allVmsLost();
+    executions.allVmsLost(failure, now);
   }
 
   private void withdrawUnsentRequests() {
@@ -422,38 +442,6 @@
     executions.end(request.attempt(), ExecutionEvidence.NOT_ATTEMPTED.outcomeOnFailure());
   }
 
-  /** Once no further connection may carry placement requests: one that carries some already. */
-  private Optional<MachineConnection> acquireForOffer(boolean idempotent, Duration now) {
-    if (offers.isExhausted()) {
-      return connections.leastLoadedCarrier();
-    }
-    Optional<MachineConnection> connection = acquire(idempotent, now);
-    if (connection.filter(MachineConnection::isCarrier).isEmpty()) {
-      offers.take();
-    }
-    return connection;
-  }
-
-  /** An idle connection known to be good, else a new one, else the open one that carries least. */
-  private Optional<MachineConnection> acquire(boolean idempotent, Duration now) {
-    Duration goodFor = idempotent ? timeouts.idleTimeout() : timeouts.provenFor();
-    Duration proofAt = idempotent ? liveness.lastHeardAt() : Duration.ZERO;
-    Optional<MachineConnection> proven = connections.findProvenIdle(goodFor, proofAt, now);
-    if (proven.isPresent()) {
-      return proven;
-    }
-    return transport.canOpen() ? Optional.of(open(now)) : connections.leastLoaded();
-  }
-
-  private MachineConnection open(Duration now) {
-    MachineConnection connection = new MachineConnection(now, now.plus(timeouts.connectTimeout()));
-    liveness.connectStarted(now);
-    yieldedConnection = false;
-    connections.add(connection);
-    transport.open(connection);
-    return connection;
-  }
-
   /** Sends what waits and may still go: an offer can't be taken back. */
   private void sendWaiting(MachineConnection connection, Duration now) {
     for (PlacementRequest request : connection.unsentRequests()) {
@@ -474,7 +462,8 @@
     transport.requestPlacement(connection, request.attempt(), request.answerBy().minus(now));
   }
 
-  private void cancelOn(MachineConnection carrier, PlacementAttempt attempt, Outcome outcome) {
+  private void cancelOn(
+      MachineConnection carrier, PlacementAttempt attempt, Outcome outcome, Duration now) {
     PlacementRequest request = carrier.remove(attempt.vm.id).orElseThrow();
     if (request.isSent()) {
       transport.cancel(carrier, attempt.vm.id);
@@ -482,6 +471,7 @@
       // Until its withdrawal has gone out the machine may start it.
       attempt.mayStillRun = !transport.isWritable(carrier);
       listener.attemptWithdrawn(attempt, !attempt.mayStillRun);
+      releaser.withdrawn(carrier, attempt.vm.id, now);
       carrier.retire();
     }
     closeIfRetired(carrier);
@@ -489,9 +479,9 @@
   }
 
   private void failProbe(MachineConnection connection, Duration now) {
-    connection
-        .endProbe(now)
-        .ifPresent(roundTrip -> listener.probeCompleted(machine, false, false, roundTrip));
+    for (Duration roundTrip : connection.takeProbes(now)) {
+      listener.probeCompleted(machine, false, false, roundTrip);
+    }
   }
 
   private void closeIfRetired(MachineConnection connection) {
--- a/src/main/java/fordridge/machine/MachineTransport.java
+++ b/src/main/java/fordridge/machine/MachineTransport.java
@@ -34,6 +34,9 @@
   /** Asks the machine to terminate a running VM. */
   void terminate(MachineConnection connection, String vmId);
 
-  /** Sends a health check. */
+  /** Sends a health check that asks for a load report. */
   void probe(MachineConnection connection);
+
+  /** Sends a health check that asks for nothing but an answer. */
+  void ping(MachineConnection connection);
 }
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -19,9 +19,11 @@
  * SENT      RUNNING   KNOWN     over, unanswered    may be repeated  may be repeated   withdrawn
  * KNOWN     RUNNING   -         over, unanswered    over, unanswered over, unanswered  -
  * RUNNING   -         -         over                -                -                 -
- * unknown   -         -         kept for an owner   -                -                 -
+ * unknown   released  -         kept for an owner   -                -                 -
  * </pre>
  *
+ * <p>An attempt that ends without the machine's word goes on in {@link UnsettledAttempts}.
+ *
  * <p>SENT and KNOWN are requests that a {@link MachineConnection} carries, RUNNING is in {@link
  * RunningVms}. An end that a VM has is one that {@link VmTermination#provesExecution}, or that
  * comes on another connection than the request's. Not thread-safe.
@@ -31,6 +33,7 @@
   private final ConnectionSet connections;
   private final MachineConnectionListener listener;
   private final RunningVms runningVms = new RunningVms();
+  private final UnsettledAttempts unsettled = new UnsettledAttempts();
 
   /** Nothing runs; {@code connections} are those to the machine, which the caller changes. */
   VmExecutions(Machine machine, ConnectionSet connections, MachineConnectionListener listener) {
@@ -43,16 +46,23 @@
     return runningVms;
   }
 
+  UnsettledAttempts unsettled() {
+    return unsettled;
+  }
+
   // Words of the machine; the result is the connection of the request that ended by it
 
   /** The machine accepted a VM. */
-  Optional<MachineConnection> accepted(MachineConnection heardOn, String vmId, String description) {
+  Optional<MachineConnection> accepted(
+      MachineConnection heardOn, String vmId, String description, Duration now) {
     Optional<MachineConnection> carrier = connections.findCarrier(vmId, heardOn);
     if (carrier.isPresent()) {
+      unsettled.settle(vmId);
       PlacementAttempt attempt = carrier.get().remove(vmId).orElseThrow().attempt();
       runningVms.add(attempt);
       listener.attemptAccepted(attempt, description);
     } else if (runningVms.find(vmId).isEmpty()) {
+      unsettled.add(vmId, UnsettledReason.ACCEPTED_UNASKED, now);
       listener.unknownVmAccepted(vmId, machine);
     }
     return carrier;
@@ -74,21 +84,41 @@
       endRequest(heardOn, termination, termination.provesExecution());
       return Optional.of(heardOn);
     }
+    boolean isRunning = runningVms.find(vmId).isPresent();
+    if (!isRunning && settledByWord(termination)) {
+      return Optional.empty();
+    }
     if (termination.outcomeIfRunning().isEmpty()) {
       return Optional.empty();
     }
     Optional<MachineConnection> carrier =
-        runningVms.find(vmId).isPresent()
-            ? Optional.empty()
-            : connections.findCarrier(vmId, heardOn);
+        isRunning ? Optional.empty() : connections.findCarrier(vmId, heardOn);
     // On another connection than the request's a machine speaks of VMs that run, and of no others.
     carrier.ifPresentOrElse(
         found -> endRequest(found, termination, true), () -> endRunning(termination, now));
     return carrier;
   }
 
+  /**
+   * Whether the machine has ended a VM that was given up, and nothing more follows from it: the end
+   * is that of a request, or may be this scheduler's own doing, as the VM was to be released.
+   */
+  private boolean settledByWord(VmTermination termination) {
+    Optional<Boolean> wasReleased = unsettled.settle(termination.vmId());
+    boolean endedByItself =
+        termination.outcomeIfRunning().filter(outcome -> outcome == Outcome.DONE).isPresent();
+    boolean isNoEndOfItsOwn = wasReleased.isPresent() && wasReleased.get() && !endedByItself;
+    if (isNoEndOfItsOwn) {
+      listener.releaseSettled(termination.vmId(), machine);
+    }
+    return isNoEndOfItsOwn;
+  }
+
   /** The machine heard that a VM is to be terminated, and so has cut it. */
   void terminationAcknowledged(String vmId) {
+    if (unsettled.settle(vmId).isPresent()) {
+      listener.releaseSettled(vmId, machine);
+    }
     if (runningVms.isTerminating(vmId)) {
       runningVms.remove(vmId).ifPresent(attempt -> end(attempt, Outcome.CANCELLED));
     }
@@ -120,6 +150,7 @@
 
   /** Takes over a VM that a client says runs on the machine. */
   void adopt(PlacementAttempt attempt, Duration now) {
+    unsettled.settle(attempt.vm.id);
     runningVms.adopt(attempt, now).ifPresent(termination -> endRunning(termination, now));
   }
 
@@ -139,8 +170,12 @@
   // Conclusions without a word of the machine
 
   /** The requests that the connection carries will get no answer. */
-  void requestsLost(MachineConnection connection) {
+  void requestsLost(MachineConnection connection, Duration now) {
+    unsettled.connectionEnded(connection);
     for (PlacementRequest request : connection.takePlacementRequests()) {
+      if (request.evidence().mayStillRun()) {
+        unsettled.add(request.attempt().vm.id, UnsettledReason.CONNECTION_LOST, now);
+      }
       if (request.isKnownToRun()) {
         lostUnanswered(request.attempt());
       } else {
@@ -162,11 +197,15 @@
         .ifPresent(attempt -> endWithoutWord(attempt, ExecutionEvidence.RUNNING));
   }
 
-  /** The process of the machine is gone, with all that ran there. */
-  void allVmsLost() {
+  /** The machine has failed, with all that ran there or so that it can't be told. */
+  void allVmsLost(MachineFailure failure, Duration now) {
     for (PlacementAttempt attempt : runningVms.all()) {
+      unsettled.add(attempt.vm.id, UnsettledReason.UNREACHABLE, now);
       vmLost(attempt.vm.id);
     }
+    if (failure != MachineFailure.UNREACHABLE) {
+      unsettled.settleAll();
+    }
   }
 
   /** The machine started anew at that time: VMs that were accepted before are lost. */
@@ -183,10 +222,26 @@
     List<PlacementAttempt> unconfirmed = runningVms.takeUnconfirmed(now);
     for (PlacementAttempt attempt : unconfirmed) {
       attempt.mayStillRun = true;
+      unsettled.add(attempt.vm.id, UnsettledReason.TERMINATION_UNCONFIRMED, now);
       end(attempt, Outcome.CANCELLED);
     }
   }
 
+  // Release of what was given up
+
+  /** The ids of the VMs whose release is to be written: not those that somebody owns here. */
+  List<String> releasable() {
+    return unsettled.pending(
+        vmId -> runningVms.find(vmId).isEmpty() && connections.findCarrier(vmId).isEmpty());
+  }
+
+  /** The machine has read what was written to the connection before that health check. */
+  void readByMachine(MachineConnection connection) {
+    for (String vmId : unsettled.settleRead(connection, connection.answeredHealthCheckCount())) {
+      listener.releaseSettled(vmId, machine);
+    }
+  }
+
   /** It failed, and the machine has not said what became of it. */
   private void endWithoutWord(PlacementAttempt attempt, ExecutionEvidence evidence) {
     attempt.mayStillRun = evidence.mayStillRun();
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -169,6 +169,17 @@
     requestLog.vms().withdrawn(attempt, machineIdOf(attempt), hasGoneOut);
   }
 
+  @Override
+  public void releaseSent(String vmId, Machine machine) {
+    requestLog.vms().releaseSent(vmId, machines.handleOf(machine).id());
+  }
+
+  @Override
+  public void releaseSettled(String vmId, Machine machine) {
+    requestLog.vms().releaseSettled(vmId, machines.handleOf(machine).id());
+    loop.enterBehind(() -> inputs.scheduler.endConfirmed(vmId, machine));
+  }
+
   @Override
   public void machineFailed(Machine machine, MachineFailure failure, int runningVms) {
     requestLog.vms().machineFailed(machines.handleOf(machine).id(), failure, runningVms);
--- a/src/main/java/fordridge/server/json/GracefulShutdown.java
+++ b/src/main/java/fordridge/server/json/GracefulShutdown.java
@@ -35,7 +35,7 @@
   /** Clients go on sending requests for 0.6 s after SIGTERM, however short their deadlines. */
   private static final Duration MIN_SERVING_TIME = Duration.ofMillis(650);
 
-  /** How long output and notices that clients don't take in delay the end. */
+  /** How long output, notices and releases that peers don't take in delay the end. */
   private static final Duration MAX_LINGER = Duration.ofMillis(400);
 
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
@@ -109,7 +109,9 @@
   private boolean isLingering() {
     return sinceSignal().compareTo(servingTime.plus(MAX_LINGER)) < 0
         && sinceSignal().compareTo(lastResponsesAt) < 0
-        && (server.undeliveredNoticeCount() > 0 || clients.hasPendingOutput());
+        && (server.undeliveredNoticeCount() > 0
+            || server.hasUnsettledAttempts()
+            || clients.hasPendingOutput());
   }
 
   private String describe(String step) {
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -195,6 +195,11 @@
     return pendingResponses.undeliveredNotices();
   }
 
+  /** Whether a machine may run a VM that nobody owns, and has not read that it is to release it. */
+  boolean hasUnsettledAttempts() {
+    return machines.hasUnsettled();
+  }
+
   /** Requests, VMs, descriptions and notices that are kept. */
   int retainedCount() {
     return requests.size()
@@ -216,7 +221,9 @@
         + ", connections unread for too long "
         + (clientServer == null ? 0 : clientServer.unreadTooLongCount())
         + ", VMs that may run without a word of their machine "
-        + inputs.scheduler.describeUnconfirmedEnds();
+        + inputs.scheduler.describeUnconfirmedEnds()
+        + ", unsettled attempts "
+        + machines.describeUnsettled();
   }
 
   /** The server's state in one line. */
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -142,11 +142,6 @@
     requestLog.vms().machineConnectionClosed(id, reason, openFor);
   }
 
-  @Override
-  public void connectionDrained(MachineConnection connection, boolean isReadByMachine) {
-    requestLog.vms().machineConnectionDrained(isReadByMachine);
-  }
-
   @Override
   public void vmAccepted(MachineConnection connection, String vmId, String description) {
     loop.enter(
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -8,14 +8,19 @@
 import fordridge.machine.MachineConnectionListener;
 import fordridge.machine.MachineConnectionPool;
 import fordridge.machine.OfferAllowance;
+import fordridge.machine.UnsettledReason;
+import fordridge.model.Durations;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
 import fordridge.runtime.SchedulerInputs;
 import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
@@ -144,6 +149,27 @@
     return count;
   }
 
+  /** VMs that may run at a machine and that nobody owns, for the log. */
+  String describeUnsettled() {
+    Map<UnsettledReason, Integer> counts = new EnumMap<>(UnsettledReason.class);
+    Duration oldest = Duration.ZERO;
+    long displaced = 0;
+    for (MachineConnectionPool pool : pools) {
+      pool.unsettled().countInto(counts);
+      displaced += pool.unsettled().displacedCount();
+      Optional<Duration> since = pool.unsettled().oldestSince();
+      if (since.isPresent()) {
+        oldest = Durations.max(oldest, loop.clock().minus(since.get()));
+      }
+    }
+    return counts + ", oldest " + oldest.toMillis() + " ms, displaced " + displaced;
+  }
+
+  /** Whether a VM may run at a machine that is not known to be gone, and that nobody owns. */
+  boolean hasUnsettled() {
+    return pools.stream().anyMatch(pool -> pool.unsettled().oldestSince().isPresent());
+  }
+
   /** Load reports of all machines since the start. */
   long loadReportCount() {
     long count = 0;
--- a/src/main/java/fordridge/server/json/VmLog.java
+++ b/src/main/java/fordridge/server/json/VmLog.java
@@ -143,6 +143,16 @@
         machineId + ", " + describe(termination.outcomeIfPending(), termination.reason()));
   }
 
+  /** The machine is asked to release a VM that may run there and that nobody owns. */
+  void releaseSent(String vmId, String machineId) {
+    write(vmId, "release sent", machineId);
+  }
+
+  /** The machine has read or said that such a VM is released. */
+  void releaseSettled(String vmId, String machineId) {
+    write(vmId, "release settled", machineId);
+  }
+
   /** A client ended a VM that runs. */
   void endedByClient(PlacementAttempt attempt, String machineId) {
     write(attempt.vm.id, "ended by its client", machineId);
@@ -211,11 +221,6 @@
     writeConnection(machineId, "closed " + reason, openedFor);
   }
 
-  /** A connection that this scheduler has closed ended, by the machine's close or without. */
-  void machineConnectionDrained(boolean isReadByMachine) {
-    count(isReadByMachine ? "close read by the machine" : "close not read by the machine");
-  }
-
   /** Nothing runs on a machine any more, or it can't be told. */
   void machineFailed(String machineId, MachineFailure failure, int runningVms) {
     count("machine failed " + failure);
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -111,16 +111,20 @@
   }
 
   @Example
-  void connectionIsClosedAfterACancelledRequest() {
+  void connectionIsClosedOnceTheMachineHasReadThatItsRequestIsCancelled() {
     PoolFixture fixture = new PoolFixture();
     PlacementAttempt attempt = fixture.offerAndConnect();
     MachineConnection connection = fixture.newestConnection();
     fixture.pool.cancel(attempt, Outcome.TIMEOUT, fixture.now);
-    assertThat(fixture.sent.get(connection)).containsExactly("new vm0", "cancel vm0");
-    assertThat(fixture.connections).doesNotContain(connection);
+    assertThat(fixture.sent.get(connection)).containsExactly("new vm0", "cancel vm0", "ping");
+    fixture.offerAndConnect();
+    assertThat(fixture.sent.get(connection)).as("takes no other request").hasSize(3);
     fixture.pool.vmAccepted(connection, attempt.vm.id, "late", fixture.now);
     assertThat(fixture.accepted).isEmpty();
     assertThat(fixture.outcomes).containsExactly(Map.entry(attempt, Outcome.TIMEOUT));
+    fixture.pool.probeAnswered(connection, true, false, fixture.now);
+    assertThat(fixture.connections).doesNotContain(connection);
+    assertThat(fixture.probeResults).as("asked for by the scheduler").isEmpty();
   }
 
   @Example
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -98,6 +98,15 @@
   @Override
   public void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut) {}
 
+  @Override
+  public void ping(MachineConnection connection) {}
+
+  @Override
+  public void releaseSent(String vmId, Machine asked) {}
+
+  @Override
+  public void releaseSettled(String vmId, Machine asked) {}
+
   @Override
   public void machineFailed(Machine failed, MachineFailure failure, int runningVms) {}
 
--- a/src/test/java/fordridge/machine/PoolFixture.java
+++ b/src/test/java/fordridge/machine/PoolFixture.java
@@ -25,6 +25,7 @@
   final Map<PlacementAttempt, Outcome> outcomes = new HashMap<>();
   final Map<PlacementAttempt, String> accepted = new HashMap<>();
   final List<PlacementAttempt> unanswered = new ArrayList<>();
+  final List<String> settled = new ArrayList<>();
   final List<Boolean> probeResults = new ArrayList<>();
 
   /** Attempts that may not be sent any more. */
@@ -121,6 +122,16 @@
     sent.get(connection).add("terminate " + vmId);
   }
 
+  @Override
+  public void ping(MachineConnection connection) {
+    sent.get(connection).add("ping");
+  }
+
+  @Override
+  public void releaseSettled(String vmId, Machine asked) {
+    settled.add(vmId);
+  }
+
   @Override
   public void probe(MachineConnection connection) {
     sent.get(connection).add("probe");
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -81,6 +81,9 @@
 
     @Override
     public void probe(MachineConnection connection) {}
+
+    @Override
+    public void ping(MachineConnection connection) {}
   }
 
   /** How each claim ended. */
@@ -114,6 +117,12 @@
     @Override
     public void attemptWithdrawn(PlacementAttempt attempt, boolean hasGoneOut) {}
 
+    @Override
+    public void releaseSent(String vmId, Machine asked) {}
+
+    @Override
+    public void releaseSettled(String vmId, Machine asked) {}
+
     @Override
     public void machineFailed(Machine failed, MachineFailure failure, int runningVms) {}
 
--- a/src/test/java/fordridge/server/json/JsonServerTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerTest.java
@@ -54,6 +54,8 @@
           .containsEntry("ref", id(1));
       machine.send(message("down", 1, ",\"c\":16"));
       assertThat(client.receive("\"t\":")).contains("\"down\"").contains("\"c\":16");
+      assertThat(machine.receive("\"down\"")).as("the one that was not asked for").contains(id(2));
+      assertThat(machine.receive("\"hb\"")).isNotNull();
       assertThat(machine.lines).as("before its client has heard it").isEmpty();
       client.send(message("ack", 1, ""));
       assertThat(machine.receive("ack")).contains(id(1));
