A machine whose address is listed for another one is gone

Cause: connections come up at the address and are taken for a sign of life of the first machine. Evidence: EndOfVmToldTest.machineDiesAndAnotherIsListedAtItsAddressFirst, red before (not told in 1.4 s), green now. Change: an address has one machine; when the list names another there, the former holder's VMs and attempts end as with a machine that is gone, and nothing more is sent to the address in its name. Why it works: an address is given anew only once its machine has gone (protocol).

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -108,6 +108,13 @@
     address = newAddress;
   }
 
+  /**
+   * The address to which connections are opened; null if it has none, or another machine has it.
+   */
+  public InetSocketAddress address() {
+    return address;
+  }
+
   @Override
   public boolean canOpen() {
     return address != null && !quota.isExhausted();
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -179,6 +179,11 @@
     }
   }
 
+  /** The machine list names another machine at its address: this one's process is gone. */
+  public void addressTaken(Duration now) {
+    machineFailed(MachineFailure.ADDRESS_TAKEN, now);
+  }
+
   /** The machine started anew at that time: VMs that were accepted before are lost. */
   public void machineRestarted(Duration startedAt) {
     executions.vmsLostBefore(startedAt);
@@ -234,10 +239,7 @@
     liveness.failure(timeouts, now).ifPresent(reason -> machineFailed(reason, now));
   }
 
-  /**
-   * The connection broke, was closed by the machine, or received something malformed. Where this is
-   * received before the connection is known to be established, nothing was sent on it.
-   */
+  /** The connection broke, was closed by the machine, or received something malformed. */
   public void connectionLost(MachineConnection connection, Duration now) {
     if (!connections.remove(connection)) {
       return;
@@ -257,10 +259,7 @@
     releaser.releaseWhereDue(now);
   }
 
-  /**
-   * The machine reported on a VM, as it does only for one that runs: the answer to its placement
-   * request may be late or lost.
-   */
+  /** The machine reported on a VM, as it does only for one that runs. */
   public void vmReported(MachineConnection connection, String vmId) {
     executions.reported(connection, vmId);
   }
--- a/src/main/java/fordridge/server/json/MachineListIntake.java
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -7,10 +7,13 @@
 import fordridge.runtime.MachineStartTimes;
 import fordridge.runtime.SchedulerInputs;
 import fordridge.runtime.SchedulerInputs.ListedMachine;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -23,6 +26,10 @@
   private final MachineRegistry machines;
 
   private final MachineStartTimes startTimes;
+
+  /** Whom the list named last at each address; as many as there are addresses. */
+  private final Map<InetSocketAddress, MachineHandle> handlesByAddress = new HashMap<>();
+
   private final VmLog log;
 
   /** Whether what comes is told by the watch, not by the configuration. */
@@ -95,7 +102,7 @@
       listedIds.add(entry.key());
       MachineHandle handle = machines.findOrAdd(entry.key());
       if (event.machines().get(i).address() != null) {
-        handle.client().setAddress(event.machines().get(i).address());
+        setAddress(handle, event.machines().get(i));
       }
       updateConnections(handle, entry);
     }
@@ -108,6 +115,19 @@
     }
   }
 
+  /** An address has one machine: whoever had it before is gone, whenever the list says so. */
+  private void setAddress(MachineHandle handle, MachineListEvent.Entry entry) {
+    if (entry.lifecycle() == Machine.Lifecycle.GONE) {
+      return;
+    }
+    MachineHandle former = handlesByAddress.put(entry.address(), handle);
+    if (former != null && former != handle && entry.address().equals(former.client().address())) {
+      former.client().setAddress(null);
+      former.pool().addressTaken(loop.now());
+    }
+    handle.client().setAddress(entry.address());
+  }
+
   private void updateConnections(MachineHandle handle, ListedMachine<String> entry) {
     Machine machine = handle.machine();
     if (entry.lifecycle() != Machine.Lifecycle.LIVE
--- a/src/test/java/fordridge/faults/EndOfVmToldTest.java
+++ b/src/test/java/fordridge/faults/EndOfVmToldTest.java
@@ -341,4 +341,16 @@
     over.client.acknowledge(over.vm);
     Awaitility.await().until(() -> over.machine.hasReceived(Message.ACKNOWLEDGED, over.vm));
   }
+
+  @Example
+  void machineDiesAndAnotherIsListedAtItsAddressFirst() throws Exception {
+    Offered over = offer(rig.addMachine(), rig.connect());
+    over.accept();
+    ScriptedMachine successor = rig.replaceAtItsAddress(over.machine);
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+    Offered next = offer(successor, over.client);
+    next.accept();
+    next.connection.send(Message.of(Message.ENDED, next.vm, Message.CAUSE_DONE));
+    awaitTold(TOLD_WITHIN, next.vm, next.client);
+  }
 }
--- a/src/test/java/fordridge/faults/ScriptedMachine.java
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -79,8 +80,15 @@
   private volatile long answerDelayMillis;
 
   ScriptedMachine(String id, InetAddress address) throws IOException {
+    this(id, address, 0);
+  }
+
+  /** A machine that listens at that port, or at any if it is zero. */
+  ScriptedMachine(String id, InetAddress address, int port) throws IOException {
     this.id = id;
-    server = new ServerSocket(0, 256, address);
+    server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(address, port), 256);
     Thread acceptor = new Thread(this::accept, "scripted-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
@@ -91,6 +99,10 @@
     return id;
   }
 
+  int port() {
+    return server.getLocalPort();
+  }
+
   @Override
   public String kind() {
     return PlacementLedger.LIMITED_CLASS_KIND;
--- a/src/test/java/fordridge/faults/ScriptedRig.java
+++ b/src/test/java/fordridge/faults/ScriptedRig.java
@@ -54,6 +54,20 @@
     return machine;
   }
 
+  /**
+   * The machine dies, and another one listens at its address; the list names that one and says
+   * nothing of the first.
+   */
+  ScriptedMachine replaceAtItsAddress(ScriptedMachine machine) throws IOException {
+    int port = machine.port();
+    machine.die();
+    ScriptedMachine successor = new ScriptedMachine("m-" + machineNumber++, address, port);
+    machines.add(successor);
+    listed.add(successor);
+    machineList.list(successor, "SERVING", 0);
+    return successor;
+  }
+
   /** The list says that the machine drains: nothing new is placed there. */
   void drain(ScriptedMachine machine) {
     machineList.list(machine, "DRAINING", 0);
