Rig: lost and misplaced answers, withdrawals under way, addresses taken; unowned VMs counted

New faults: answers lost with their connections, answers on another connection, requests withdrawn while under way, a machine whose address another takes while the list is late.

--- a/src/test/java/fordridge/faults/EmulatedClients.java
+++ b/src/test/java/fordridge/faults/EmulatedClients.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.IntSupplier;
@@ -90,6 +91,7 @@
   private final Map<String, String> running = new HashMap<>();
 
   private final Set<String> ended = new HashSet<>();
+  private final Set<String> withdrawn = new HashSet<>();
   private long requestNumber;
 
   /**
@@ -144,7 +146,28 @@
     sendRequest(client, new Request(service, mayRunTwice));
   }
 
-  private void sendRequest(Client client, Request request) {
+  /** Sends a request, which {@link #withdraw} may withdraw; empty if none could be sent. */
+  synchronized Optional<String> sendRequestToWithdraw() {
+    Client client = pick();
+    if (client == null) {
+      return Optional.empty();
+    }
+    return Optional.of(sendRequest(client, new Request(1 + random.nextInt(SERVICES), true)));
+  }
+
+  /** The client waits no longer, and says so on the request's connection if that is open. */
+  synchronized void withdraw(String id) {
+    for (Client client : clients) {
+      if (client.open.containsKey(id)
+          && client.connection.send(Message.of(Message.ENDED, id, Message.CAUSE_WITHDRAWN))) {
+        client.open.remove(id);
+        withdrawn.add(id);
+        ledger.requestWithdrawn(id);
+      }
+    }
+  }
+
+  private String sendRequest(Client client, Request request) {
     String id = newId();
     requests.put(id, request);
     client.open.put(id, ledger.now());
@@ -156,6 +179,7 @@
       client.open.remove(id);
       ledger.requestNotTaken(id);
     }
+    return id;
   }
 
   private String newId() {
@@ -182,6 +206,13 @@
 
   private synchronized void received(Client client, Message message) {
     String id = message.id();
+    if (withdrawn.contains(id)) {
+      // Crossed the withdrawal: of no meaning any more.
+      if (message.type().equals(Message.ENDED)) {
+        client.connection.send(Message.of(Message.ACKNOWLEDGED, id, 0));
+      }
+      return;
+    }
     switch (message.type()) {
       case Message.ACCEPTED -> {
         client.open.remove(id);
@@ -286,6 +317,7 @@
     clients.clear();
     directClients.clear();
     placements.schedulerEnded();
+    ledger.schedulerEnded();
     ledger.noticeObstructed();
   }
 
--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -27,6 +27,7 @@
   private static final int ACCEPT_BACKLOG = 256;
 
   private static final long ACCEPTOR_MILLIS = 20;
+  private static final long ANSWER_ELSEWHERE_MILLIS = 30;
 
   /**
    * While the accept queue is full, a connection may be up for its client alone, and what it sends
@@ -72,6 +73,8 @@
   private volatile long queueFullAtNanos;
 
   private volatile long answerDelayMillis;
+  private int answersLost;
+  private int answersElsewhere;
   private volatile long silentUntilNanos;
   private volatile long acceptsFromNanos = System.nanoTime();
   private boolean isDead;
@@ -86,6 +89,20 @@
       PlacementLedger placements,
       long seed)
       throws IOException {
+    this(id, kind, new InetSocketAddress(address, 0), room, timers, ledger, placements, seed);
+  }
+
+  /** A machine that listens at that address, or at any port of it if that is zero. */
+  EmulatedMachine(
+      String id,
+      String kind,
+      InetSocketAddress address,
+      int room,
+      ScheduledExecutorService timers,
+      ObligationLedger ledger,
+      PlacementLedger placements,
+      long seed)
+      throws IOException {
     this.id = id;
     this.kind = kind;
     this.room = room;
@@ -94,7 +111,9 @@
     this.placements = placements;
     placements.machineAdded(id, kind);
     random = new SplittableRandom(seed);
-    server = new ServerSocket(0, ACCEPT_BACKLOG, address);
+    server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(address, ACCEPT_BACKLOG);
     Thread acceptor = new Thread(this::accept, "machine-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
@@ -110,6 +129,10 @@
     return kind;
   }
 
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
   @Override
   public String hostAndPort() {
     return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
@@ -266,6 +289,11 @@
     }
     running.put(vm, Optional.of(connection));
     ledger.vmStarted(vm, id);
+    if (answersLost > 0 || answersElsewhere > 0) {
+      loseAnswer(vm, connection);
+      scheduleEnd(vm);
+      return;
+    }
     ledger.vmShown(vm, id);
     if (answerDelayMillis == 0) {
       connection.send(Message.accepted(vm, id + "/" + vm));
@@ -274,10 +302,43 @@
       unanswered.add(vm);
       later(answerDelayMillis, () -> answerLate(vm, connection));
     }
+    scheduleEnd(vm);
+  }
+
+  private void scheduleEnd(String vm) {
     boolean isLong = random.nextInt(8) == 0;
     later(isLong ? longLifetimeMillis() : random.nextInt(100, 1500), () -> finish(vm));
   }
 
+  /** The VM runs, and its answer does not come, or comes on another connection a little later. */
+  private void loseAnswer(String vm, LineConnection connection) {
+    boolean isElsewhere = answersLost == 0;
+    if (isElsewhere) {
+      answersElsewhere--;
+      later(ANSWER_ELSEWHERE_MILLIS, () -> answerElsewhere(vm));
+    } else {
+      answersLost--;
+    }
+    connection.reset();
+  }
+
+  private synchronized void answerElsewhere(String vm) {
+    LineConnection other = anyOpen();
+    if (other != null && running.containsKey(vm)) {
+      other.send(Message.accepted(vm, id + "/" + vm));
+    }
+  }
+
+  /** Its next so many answers are lost with their connections. */
+  synchronized void loseAnswers(int count) {
+    answersLost += count;
+  }
+
+  /** Its next so many answers come on another connection than their requests'. */
+  synchronized void answerElsewhere(int count) {
+    answersElsewhere += count;
+  }
+
   private synchronized void answerLate(String vm, LineConnection connection) {
     unanswered.remove(vm);
     connection.send(Message.accepted(vm, id + "/" + vm));
--- a/src/test/java/fordridge/faults/Fault.java
+++ b/src/test/java/fordridge/faults/Fault.java
@@ -71,7 +71,15 @@
     /** One machine's answers come so many milliseconds late, and its other words overtake them. */
     MACHINE_ANSWERS_LATE(100, 900),
     /** Three machines are drained, cut their VMs after so many milliseconds and are gone. */
-    MACHINES_REPLACED(100, 900);
+    MACHINES_REPLACED(100, 900),
+    /** One machine's next so many answers are lost: their VMs run, and the connection is reset. */
+    MACHINE_ANSWERS_LOST(1, 12),
+    /** So many answers come on another connection, as their own is reset before. */
+    MACHINE_ANSWERS_ELSEWHERE(1, 12),
+    /** So many requests are withdrawn while they are under way. */
+    CLIENTS_GIVE_UP(5, 60),
+    /** One machine dies, another listens at its address; the first is listed as gone later. */
+    MACHINE_ADDRESS_TAKEN(0, 3000);
 
     final int least;
     final int most;
--- a/src/test/java/fordridge/faults/FaultRig.java
+++ b/src/test/java/fordridge/faults/FaultRig.java
@@ -44,6 +44,9 @@
   /** Between the requests that come right after a start, and the handover. */
   private static final long HANDOVER_DELAY_MILLIS = 20;
 
+  /** Longer than machines take to answer. */
+  private static final int MAX_GIVE_UP_MILLIS = 40;
+
   private static final long LATE_HANDOVER_DELAY_MILLIS = 100;
 
   /** Of each service, the limit runs on all machines of its kind but one. */
@@ -258,6 +261,10 @@
           replace(amount);
         }
       }
+      case MACHINE_ANSWERS_LOST -> anyMachine().loseAnswers(amount);
+      case MACHINE_ANSWERS_ELSEWHERE -> anyMachine().answerElsewhere(amount);
+      case CLIENTS_GIVE_UP -> giveUp(amount);
+      case MACHINE_ADDRESS_TAKEN -> takeAddress(amount);
       case LIST_HOP_RESET -> listHop.resetConnections();
       case LIST_SILENT -> {
         machineList.fallSilent(amount);
@@ -360,6 +367,45 @@
         () -> machineList.list(killed, "DELETED", 0), listedAfterMillis, TimeUnit.MILLISECONDS);
   }
 
+  /** Another machine at the address of one that dies, which is listed as gone later. */
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
+  private void takeAddress(int listedAfterMillis) throws IOException {
+    EmulatedMachine former = anyMachine();
+    liveMachines.remove(former);
+    former.die();
+    String id = "s-" + machineNumber++;
+    EmulatedMachine successor =
+        new EmulatedMachine(
+            id,
+            former.kind(),
+            former.address(),
+            MACHINE_ROOM,
+            timers,
+            ledger,
+            placements,
+            plan.seed() + machineNumber);
+    machines.add(successor);
+    liveMachines.add(successor);
+    machineList.list(successor, "SERVING", System.currentTimeMillis());
+    timers.schedule(
+        () -> machineList.list(former, "DELETED", 0), listedAfterMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Requests that their clients withdraw while machines are about to answer them. */
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
+  private void giveUp(int requests) {
+    for (int i = 0; i < requests; i++) {
+      clients
+          .sendRequestToWithdraw()
+          .ifPresent(
+              id ->
+                  timers.schedule(
+                      () -> clients.withdraw(id),
+                      random.nextInt(MAX_GIVE_UP_MILLIS),
+                      TimeUnit.MILLISECONDS));
+    }
+  }
+
   private void killProcess(int requestsBeforeHandover) throws IOException, InterruptedException {
     long begin = ledger.now();
     // Before the signal: what the clients see of it must not count as the scheduler's doing.
--- a/src/test/java/fordridge/faults/FaultRigTest.java
+++ b/src/test/java/fordridge/faults/FaultRigTest.java
@@ -69,6 +69,21 @@
             "MACHINES_REPLACED@1500=400"));
   }
 
+  /** Answers are lost, crossed by withdrawals or come elsewhere: what runs of it is released. */
+  @Example
+  void vmsThatNobodyOwnsAreReleased() throws Exception {
+    assertKept(
+        FaultPlan.of(
+            "MACHINE_ANSWERS_LOST@300=12",
+            "CLIENTS_GIVE_UP@600=60",
+            "MACHINE_ANSWERS_ELSEWHERE@900=12",
+            "MACHINE_HOP_RESET@1000=0",
+            "CLIENTS_GIVE_UP@1400=60",
+            "MACHINE_HOP_RESET@1420=0",
+            "MACHINE_ADDRESS_TAKEN@1800=3000",
+            "MACHINE_ANSWERS_LOST@2200=12"));
+  }
+
   @Example
   void drawnPlansAreKept() throws Exception {
     List<FaultRig.Result> broken = FaultCampaign.play(FIRST_SEED, SEEDS);
--- a/src/test/java/fordridge/faults/ObligationLedger.java
+++ b/src/test/java/fordridge/faults/ObligationLedger.java
@@ -36,6 +36,7 @@
     boolean noticeReceived;
     boolean isTaken;
     boolean isExcused;
+    boolean isWithdrawn;
 
     /** What each machine did with it that accepted it. */
     final Map<String, Run> runs = new HashMap<>();
@@ -71,6 +72,23 @@
 
     /** The scheduler has ended it. */
     boolean isCut;
+
+    /** Nobody owns it: it has to be released at its machine by then; zero while somebody does. */
+    long releaseBy;
+
+    boolean awaitsRelease() {
+      return releaseBy > 0 && overAt < 0 && !isCut;
+    }
+
+    boolean wasReleasedTooLate(long at) {
+      return releaseBy > 0 && !isCut && (overAt < 0 ? at : overAt) > releaseBy;
+    }
+
+    void disowned(long at) {
+      if (releaseBy == 0) {
+        releaseBy = at + NOTICE_TIME_UNSENT;
+      }
+    }
   }
 
   private final long startNanos = System.nanoTime();
@@ -101,7 +119,10 @@
   synchronized void schedulerPaused(long millis) {
     for (Entry entry : entries.values()) {
       entry.deadline += millis;
-      entry.runs.values().forEach(run -> run.noticeBy += millis);
+      for (Run run : entry.runs.values()) {
+        run.noticeBy += millis;
+        run.releaseBy += run.releaseBy > 0 ? millis : 0;
+      }
     }
     drainToldAt.replaceAll((machine, at) -> at + millis);
   }
@@ -158,11 +179,41 @@
     accepted += isAcceptance ? 1 : 0;
     declined += isAcceptance ? 0 : 1;
     entry.machine = machine;
+    disownRuns(entry);
     if (isAcceptance && !entry.runs.containsKey(machine)) {
       violations.add(now() + " " + id + ": accepted, and no machine did: " + machine);
     }
   }
 
+  /**
+   * The runs of an answered request that its client does not have: of all but the accepting one.
+   */
+  private void disownRuns(Entry entry) {
+    entry.runs.forEach(
+        (machine, run) -> {
+          boolean isOwned = entry.isAccepted && machine.equals(entry.machine);
+          if (!isOwned && !entry.isExcused) {
+            run.disowned(now());
+          }
+        });
+  }
+
+  /** The client withdrew the request on its open connection: nobody owns what runs of it. */
+  synchronized void requestWithdrawn(String id) {
+    Entry entry = entries.get(id);
+    entry.clientLeftAt = now();
+    entry.isWithdrawn = true;
+    entry.runs.values().forEach(run -> run.disowned(now()));
+  }
+
+  /** The process has ended, and what it knew of VMs that nobody owns. */
+  synchronized void schedulerEnded() {
+    for (Entry entry : entries.values()) {
+      entry.isExcused |= entry.isWithdrawn;
+      entry.runs.values().forEach(run -> run.releaseBy = 0);
+    }
+  }
+
   /** The client gave the request up, or its connection was cut between it and the scheduler. */
   synchronized void clientLeft(String id) {
     Entry entry = entries.get(id);
@@ -248,6 +299,9 @@
   synchronized void vmStarted(String id, String machine) {
     Entry entry = entries.get(id);
     entry.runs.put(machine, new Run());
+    if (entry.isAnswered || entry.isWithdrawn) {
+      disownRuns(entry);
+    }
     if (entry.runs.size() > 1 && !entry.mayRunTwice) {
       violations.add(now() + " " + id + ": runs on two machines: " + entry.runs.keySet());
     }
@@ -338,7 +392,8 @@
   /** Whether nothing is owed any more. */
   synchronized boolean isSettled() {
     for (Entry entry : entries.values()) {
-      if (entry.awaitsResponse() || entry.awaitsNotice()) {
+      boolean awaitsRelease = entry.runs.values().stream().anyMatch(Run::awaitsRelease);
+      if (entry.awaitsResponse() || entry.awaitsNotice() || awaitsRelease) {
         return false;
       }
     }
@@ -356,6 +411,13 @@
             violations.add(
                 id + ": over at " + entry.run().overAt + " on " + entry.machine + ", not told");
           }
+          entry.runs.forEach(
+              (machine, run) -> {
+                if (run.wasReleasedTooLate(now())) {
+                  violations.add(
+                      id + ": nobody owns it on " + machine + ", not released by " + run.releaseBy);
+                }
+              });
           for (String machine : entry.runs.keySet()) {
             if (entry.wasPlacedAgainAfter(machine)) {
               violations.add(
