--- a/src/test/java/fordridge/faults/FaultRig.java
+++ b/src/test/java/fordridge/faults/FaultRig.java
@@ -33,11 +33,6 @@
   /** Below the ports that the kernel gives to others: a machine could get a port that is free. */
   private static final int LISTEN_PORT = 21_000;
 
-  private static final int MACHINES = 6;
-
-  /** Every third machine is of the kind that the limited class does not run on. */
-  private static final int PLAIN_KIND_EVERY = 3;
-
   private static final long CONNECT_TIMEOUT_MILLIS = 250;
   private static final long LONG_CONNECT_TIMEOUT_MILLIS = 3000;
 
@@ -52,16 +47,12 @@
   /** Of each service, the limit runs on all machines of its kind but one. */
   private static final int SERVICES_AT_START = 16;
 
-  private static final int MACHINE_ROOM = 40;
   private static final int CLIENT_CONNECTIONS = 4;
   private static final long REQUEST_INTERVAL_MILLIS = 12;
   private static final long SETTLE_MILLIS = 10_500;
 
   private static final int MACHINES_REPLACED_AT_ONCE = 3;
 
-  /** Between the words on a machine's VMs and its end. */
-  private static final long DEATH_AFTER_CUT_MILLIS = 80;
-
   /** The longest deadline of the settings, and what SIGKILL leaves beyond it. */
   private static final long KILL_DELAY_MILLIS = 3000 + 700;
 
@@ -69,16 +60,12 @@
   private static final long SIGNAL_INTERVAL_MILLIS = 150;
   private static final int CORES = Runtime.getRuntime().availableProcessors();
 
-  /** Told at the latest after the list's server fell silent. */
-  private static final long SILENT_LIST_TOLD_MILLIS = 4000;
-
   private final FaultPlan plan;
   private final SplittableRandom random;
   private final ObligationLedger ledger = new ObligationLedger();
   private final PlacementLedger placements = new PlacementLedger(ledger::now);
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
-  private final List<EmulatedMachine> machines = new ArrayList<>();
-  private final List<EmulatedMachine> liveMachines = new ArrayList<>();
+  private final MachineFleet fleet;
   private final MachineListServer machineList;
   private final FaultProxy listHop;
   private final FaultProxy clientHop;
@@ -91,16 +78,13 @@
   private Optional<BusyProcesses> contention = Optional.empty();
   private int handoverStoppedMillis;
   private int handoverConnectsLateMillis;
-  private long listSilentUntil;
-  private int machineNumber;
 
   private FaultRig(FaultPlan plan) throws IOException, InterruptedException {
     this.plan = plan;
     random = new SplittableRandom(plan.seed());
-    for (int i = 0; i < MACHINES; i++) {
-      addMachine();
-    }
-    machineList = new MachineListServer(address, timers, machines);
+    fleet = new MachineFleet(address, timers, ledger, placements, plan.seed());
+    machineList = new MachineListServer(address, timers, fleet.all());
+    fleet.listedBy(machineList);
     listHop = new FaultProxy(address, machineList::port);
     clientHop = new FaultProxy(address, () -> LISTEN_PORT);
     clients =
@@ -146,28 +130,6 @@
         });
   }
 
-  private EmulatedMachine addMachine() throws IOException {
-    boolean isPlain = machineNumber % PLAIN_KIND_EVERY == PLAIN_KIND_EVERY - 1;
-    return addMachine(isPlain ? RigConfiguration.PLAIN_KIND : PlacementLedger.LIMITED_CLASS_KIND);
-  }
-
-  private EmulatedMachine addMachine(String kind) throws IOException {
-    String id = "s-" + machineNumber++;
-    EmulatedMachine machine =
-        new EmulatedMachine(
-            id,
-            kind,
-            address,
-            MACHINE_ROOM,
-            timers,
-            ledger,
-            placements,
-            plan.seed() + machineNumber);
-    machines.add(machine);
-    liveMachines.add(machine);
-    return machine;
-  }
-
   private void start() throws IOException, InterruptedException {
     Files.writeString(configuration, configurationText());
     process =
@@ -214,10 +176,6 @@
     }
   }
 
-  private EmulatedMachine anyMachine() {
-    return liveMachines.get(random.nextInt(liveMachines.size()));
-  }
-
   private void inject(Fault fault) throws IOException, InterruptedException {
     log.add(ledger.now() + " fault " + fault);
     int amount = fault.amount();
@@ -242,33 +200,33 @@
         listHop.splitInto(amount);
       }
       case MACHINE_HOP_RESET, MACHINE_HOP_CUT -> {
-        anyMachine().resetConnections();
+        fleet.any().resetConnections();
         ledger.noticeObstructed();
       }
       case MACHINE_HOP_SILENT, MACHINE_HANGS -> {
         ledger.machineUnreachable();
-        anyMachine().hang(amount);
+        fleet.any().hang(amount);
       }
       case ALL_MACHINES_HANG -> {
         ledger.machineUnreachable();
-        machines.forEach(machine -> machine.hang(amount));
+        fleet.all().forEach(machine -> machine.hang(amount));
       }
-      case MACHINE_DRAINS -> drain();
-      case MACHINE_DIES -> kill(amount);
-      case MACHINE_ANSWERS_LATE -> anyMachine().answerLate(amount);
+      case MACHINE_DRAINS -> fleet.drain();
+      case MACHINE_DIES -> fleet.kill(amount);
+      case MACHINE_ANSWERS_LATE -> fleet.any().answerLate(amount);
       case MACHINES_REPLACED -> {
         for (int i = 0; i < MACHINES_REPLACED_AT_ONCE; i++) {
-          replace(amount);
+          fleet.replace(amount);
         }
       }
-      case MACHINE_ANSWERS_LOST -> anyMachine().loseAnswers(amount);
-      case MACHINE_ANSWERS_ELSEWHERE -> anyMachine().answerElsewhere(amount);
+      case MACHINE_ANSWERS_LOST -> fleet.any().loseAnswers(amount);
+      case MACHINE_ANSWERS_ELSEWHERE -> fleet.any().answerElsewhere(amount);
       case CLIENTS_GIVE_UP -> giveUp(amount);
-      case MACHINE_ADDRESS_TAKEN -> takeAddress(amount);
+      case MACHINE_ADDRESS_TAKEN -> fleet.takeAddress(amount);
       case LIST_HOP_RESET -> listHop.resetConnections();
       case LIST_SILENT -> {
         machineList.fallSilent(amount);
-        listSilentUntil = ledger.now() + amount;
+        fleet.listSilentFor(amount);
       }
       default -> injectIntoProcess(fault);
     }
@@ -298,7 +256,7 @@
       case HANDOVER_CONNECTS_LATE -> handoverConnectsLateMillis = amount;
       case MACHINE_ACCEPTS_LATE -> {
         ledger.machineUnreachable();
-        anyMachine().acceptLate(amount);
+        fleet.any().acceptLate(amount);
       }
       case CLIENT_CROWD -> clients.connectCrowd(amount);
       case PROCESS_RELOADED -> {
@@ -323,74 +281,6 @@
     }
   }
 
-  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
-  private void replace(int cutAfterMillis) throws IOException {
-    Optional<EmulatedMachine> replaced = drain();
-    if (replaced.isPresent()) {
-      EmulatedMachine machine = replaced.get();
-      timers.schedule(machine::cutVms, cutAfterMillis, TimeUnit.MILLISECONDS);
-      timers.schedule(
-          () -> {
-            machine.die();
-            machineList.list(machine, "DELETED", 0);
-            return null;
-          },
-          cutAfterMillis + DEATH_AFTER_CUT_MILLIS,
-          TimeUnit.MILLISECONDS);
-    }
-  }
-
-  /** The machine that drains from now on; empty if too few would be left. */
-  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
-  private Optional<EmulatedMachine> drain() throws IOException {
-    if (liveMachines.size() <= 2) {
-      return Optional.empty();
-    }
-    EmulatedMachine drained = anyMachine();
-    liveMachines.remove(drained);
-    machineList.list(drained, "DRAINING", 0);
-    long toldIn = ledger.now() < listSilentUntil ? SILENT_LIST_TOLD_MILLIS : 0;
-    timers.schedule(() -> ledger.machineDrains(drained.id()), toldIn, TimeUnit.MILLISECONDS);
-    machineList.list(addMachine(drained.kind()), "SERVING", System.currentTimeMillis());
-    return Optional.of(drained);
-  }
-
-  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
-  private void kill(int listedAfterMillis) throws IOException {
-    if (liveMachines.size() <= 2) {
-      return;
-    }
-    EmulatedMachine killed = anyMachine();
-    liveMachines.remove(killed);
-    killed.die();
-    timers.schedule(
-        () -> machineList.list(killed, "DELETED", 0), listedAfterMillis, TimeUnit.MILLISECONDS);
-  }
-
-  /** Another machine at the address of one that dies, which is listed as gone later. */
-  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
-  private void takeAddress(int listedAfterMillis) throws IOException {
-    EmulatedMachine former = anyMachine();
-    liveMachines.remove(former);
-    former.die();
-    String id = "s-" + machineNumber++;
-    EmulatedMachine successor =
-        new EmulatedMachine(
-            id,
-            former.kind(),
-            former.address(),
-            MACHINE_ROOM,
-            timers,
-            ledger,
-            placements,
-            plan.seed() + machineNumber);
-    machines.add(successor);
-    liveMachines.add(successor);
-    machineList.list(successor, "SERVING", System.currentTimeMillis());
-    timers.schedule(
-        () -> machineList.list(former, "DELETED", 0), listedAfterMillis, TimeUnit.MILLISECONDS);
-  }
-
   /** Requests that their clients withdraw while machines are about to answer them. */
   @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
   private void giveUp(int requests) {
@@ -431,9 +321,9 @@
   /** VMs of a busier past: the limit of each service on all machines of the kind but one. */
   private void hostEarlierVms() {
     for (int service = 1; service <= SERVICES_AT_START; service++) {
-      int spared = random.nextInt(liveMachines.size());
-      for (int i = 0; i < liveMachines.size(); i++) {
-        EmulatedMachine machine = liveMachines.get(i);
+      int spared = random.nextInt(fleet.live().size());
+      for (int i = 0; i < fleet.live().size(); i++) {
+        EmulatedMachine machine = fleet.live().get(i);
         if (i != spared && machine.kind().equals(PlacementLedger.LIMITED_CLASS_KIND)) {
           hostUpToLimit(service, machine);
         }
@@ -451,7 +341,7 @@
   private void handOver(int requestsBefore) throws IOException, InterruptedException {
     boolean connectsLate = handoverConnectsLateMillis > 0;
     if (connectsLate) {
-      for (EmulatedMachine machine : liveMachines) {
+      for (EmulatedMachine machine : fleet.live()) {
         machine.acceptLate(handoverConnectsLateMillis);
       }
       ledger.machineUnreachable();
@@ -516,7 +406,7 @@
     clientHop.close();
     listHop.close();
     machineList.close();
-    for (EmulatedMachine machine : machines) {
+    for (EmulatedMachine machine : fleet.all()) {
       machine.close();
     }
     if (shim.isPresent()) {
