--- a/src/test/java/fordridge/faults/EmulatedMachine.java
+++ b/src/test/java/fordridge/faults/EmulatedMachine.java
@@ -111,9 +111,7 @@
     this.placements = placements;
     placements.machineAdded(id, kind);
     random = new SplittableRandom(seed);
-    server = new ServerSocket();
-    server.setReuseAddress(true);
-    server.bind(address, ACCEPT_BACKLOG);
+    server = ListeningSocket.open(address, ACCEPT_BACKLOG);
     Thread acceptor = new Thread(this::accept, "machine-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
--- a/src/test/java/fordridge/faults/ScriptedMachine.java
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -86,9 +86,7 @@
   /** A machine that listens at that port, or at any if it is zero. */
   ScriptedMachine(String id, InetAddress address, int port) throws IOException {
     this.id = id;
-    server = new ServerSocket();
-    server.setReuseAddress(true);
-    server.bind(new InetSocketAddress(address, port), 256);
+    server = ListeningSocket.open(new InetSocketAddress(address, port), 256);
     Thread acceptor = new Thread(this::accept, "scripted-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
