--- a/src/test/java/fordridge/faults/FaultRigTest.java
+++ b/src/test/java/fordridge/faults/FaultRigTest.java
@@ -13,7 +13,7 @@
   private static final long FIRST_SEED = 1;
   private static final int SEEDS = 16;
   private static final int MAX_EMPTY_POLLS = 10_000;
-  private static final int LOG_LINES_SHOWN = 40;
+  private static final int LOG_LINES_SHOWN = 2000;
 
   private static FaultRig.Result assertKept(FaultPlan plan) throws Exception {
     FaultRig.Result result = FaultRig.play(plan);
--- a/src/test/java/fordridge/faults/StartWithHandoverTest.java
+++ b/src/test/java/fordridge/faults/StartWithHandoverTest.java
@@ -11,7 +11,7 @@
  * class is not allowed.
  */
 class StartWithHandoverTest {
-  private static final int LOG_LINES_SHOWN = 60;
+  private static final int LOG_LINES_SHOWN = 2000;
 
   private static void assertKept(String... faults) throws Exception {
     FaultRig.Result result = FaultRig.play(FaultPlan.of(faults));
