--- a/src/test/java/fordridge/faults/EndOfVmToldTest.java
+++ b/src/test/java/fordridge/faults/EndOfVmToldTest.java
@@ -353,4 +353,18 @@
     next.connection.send(Message.of(Message.ENDED, next.vm, Message.CAUSE_DONE));
     awaitTold(TOLD_WITHIN, next.vm, next.client);
   }
+
+  @Example
+  void machineThatLostItsAddressIsListedOnceMore() throws Exception {
+    Offered over = offer(rig.addMachine(), rig.connect());
+    over.accept();
+    ScriptedMachine successor = rig.replaceAtItsAddress(over.machine);
+    awaitTold(TOLD_WITHIN, over.vm, over.client);
+    Offered next = offer(successor, over.client);
+    next.accept();
+    rig.drain(over.machine);
+    pause();
+    assertThat(next.client.isTold(next.vm)).as("told to be over, and runs").isFalse();
+    offer(successor, over.client).accept();
+  }
 }
