--- a/review/standins/fordridge/review/Case.java
+++ b/review/standins/fordridge/review/Case.java
@@ -16,6 +16,7 @@
   Placer placer;
 
   private final List<Placer> placers = new ArrayList<>();
+  private final List<Runnable> closeActions = new ArrayList<>();
 
   /** Plays the case; returns what broke the rule, or null if it held. */
   abstract String play() throws Exception;
@@ -95,7 +96,13 @@
     throw new IllegalStateException("no Welcome");
   }
 
+  /** Runs at the end of the case, however it ends. */
+  final void onClose(Runnable action) {
+    closeActions.add(action);
+  }
+
   final void close() {
+    closeActions.forEach(Runnable::run);
     placers.forEach(Placer::close);
     machines.forEach(StandInMachine::close);
   }
