--- a/review/standins/fordridge/review/MachineList.java
+++ b/review/standins/fordridge/review/MachineList.java
@@ -24,6 +24,16 @@
         "  { name = \"" + machine + "\", address = \"127.0.0.1:" + port
             + "\", kind = \"std\", zone = \"a\", cell = 0, state = live, free_cores = "
             + freeCores + ", free_memory = " + freeMemory + " }\n");
+    write();
+  }
+
+  /** Removes a machine from the list. */
+  synchronized void remove(String machine) throws IOException {
+    machines.remove(machine);
+    write();
+  }
+
+  private void write() throws IOException {
     Path next = folder.resolve("machines.next");
     Files.writeString(
         next, "version = 1\nmachines = [\n" + String.join("", machines.values()) + "]\n");
