--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 rm -rf review/build
 mkdir -p review/build
-javac -nowarn -d review/build -cp "target/classes:target/lib/*" review/standins/fordridge/review/*.java
+javac -nowarn -d review/build -cp "target/fordridge.jar:target/lib/*" review/standins/fordridge/review/*.java
 echo "stand-ins compiled into review/build"
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -5,7 +5,7 @@
 cd "$root" || exit 2
 [[ -f target/fordridge.jar && -d review/build ]] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
 tmp=$(mktemp -d) || exit 2
-java -Dlogback.configurationFile=review/standins/logback.xml -cp "review/build:target/classes:target/lib/*" "fordridge.review.$2" "$folder" "$tmp" &
+java -Dlogback.configurationFile=review/standins/logback.xml -cp "review/build:target/fordridge.jar:target/lib/*" "fordridge.review.$2" "$folder" "$tmp" &
 child=$!
 trap 'kill "$child" 2>/dev/null; wait "$child"; rm -rf "$tmp"; exit 2' INT TERM
 wait "$child"
