Review: an evicted VM is reported as run to completion after one reset

Cause: after the stream to a machine with a running VM breaks, nothing schedules the tick that opens the next one (MachineHandle.connectionLost), so the machine's word on the VM's end has no way. When a change of the list brings a new stream at last, ENDED in the inventory becomes Outcome.DONE (StreamAttempts.reconcileKnown), and the client is told that the VM ran to completion.

--- a/review/standins/fordridge/review/StandInMachine.java
+++ b/review/standins/fordridge/review/StandInMachine.java
@@ -41,6 +41,9 @@
     Held.State state = Held.State.IN_LINE;
     boolean hasRun;
 
+    /** How it ended; null while it has not. */
+    Finished.How end;
+
     HostedVm(String scheduler, Offer offer, long startBy) {
       this.scheduler = scheduler;
       this.offer = offer;
@@ -62,6 +65,7 @@
   private final Server server;
   private volatile ToLongFunction<Offer> startMillis;
   private volatile Consumer<Offer> offerListener = offer -> {};
+  private volatile boolean repeatsEnds;
   private volatile int starts;
 
   /** Listens on a free loopback port; a start takes {@code startMillis}. */
@@ -114,6 +118,23 @@
         .get();
   }
 
+  /** The machine sends, behind each inventory, how its ended VMs ended. */
+  void repeatEnds() {
+    repeatsEnds = true;
+  }
+
+  /** Evicts the VM of this name (CLIENT/VM), as a machine does that runs short of memory. */
+  void evict(String vm) throws Exception {
+    thread
+        .submit(
+            () ->
+                vms.values().stream()
+                    .filter(v -> v.offer.getClaim().getVm().equals(vm))
+                    .filter(v -> v.state == Held.State.RUNNING)
+                    .forEach(v -> end(v, Finished.How.EVICTED)))
+        .get();
+  }
+
   void close() {
     server.shutdownNow();
     thread.shutdownNow();
@@ -191,6 +212,11 @@
     }
     record.line(name, "inventory to " + scheduler + ":" + (text.length() == 0 ? " empty" : text));
     send(scheduler, FromMachine.newBuilder().setHolding(holding));
+    if (repeatsEnds) {
+      vms.values().stream()
+          .filter(vm -> vm.scheduler.equals(scheduler) && vm.end != null)
+          .forEach(vm -> finished(vm, vm.end));
+    }
   }
 
   private void received(String scheduler, ToMachine message) {
@@ -277,6 +303,7 @@
 
   private void end(HostedVm vm, Finished.How how) {
     vm.state = Held.State.ENDED;
+    vm.end = how;
     record.line(name, "END " + label(vm.offer.getClaim()) + " " + how);
     finished(vm, how);
   }
