Review: a record ends with the verdict of its case

Cause: streams that break as a case ends its processes were still written to record.txt, behind the verdict.

Change: the record is closed with the verdict.

--- a/review/standins/fordridge/review/Case.java
+++ b/review/standins/fordridge/review/Case.java
@@ -46,6 +46,7 @@
       theCase.record.line("case", theCase.trouble ? "with the disruption" : "TROUBLE=0");
       String broken = theCase.play();
       theCase.record.line("case", broken == null ? "RULE HELD" : "RULE BROKEN: " + broken);
+      theCase.record.close();
       code = broken == null ? 0 : 1;
     } catch (Throwable e) {
       if (theCase.record != null) {
--- a/review/standins/fordridge/review/Record.java
+++ b/review/standins/fordridge/review/Record.java
@@ -9,6 +9,7 @@
 final class Record implements AutoCloseable {
   private final long startNanos = System.nanoTime();
   private final PrintWriter out;
+  private boolean closed;
 
   Record(Path file) throws IOException {
     out = new PrintWriter(Files.newBufferedWriter(file));
@@ -18,7 +19,11 @@
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
 
+  /** Writes a line; without effect once the record is closed. */
   synchronized void line(String who, String what) {
+    if (closed) {
+      return;
+    }
     String text = String.format("%6d ms  %-10s %s", millis(), who, what);
     out.println(text);
     out.flush();
@@ -27,6 +32,7 @@
 
   @Override
   public synchronized void close() {
+    closed = true;
     out.close();
   }
 }
