Bound the bytes that pending requests retain, not only their number

What callers saw: 990 valid requests of 16 KB on one connection ended the process with OutOfMemoryError within a second, at 192 MB configured; all clients lost their connections, and requests that had been taken from others were never answered.

Cause: PendingResponses bounded pending requests by their number alone. Each keeps its description, and its idempotency key, as a String of two bytes a character once one is beyond Latin-1: 1,000 lines of 16 KiB retain 32 MB, the whole heap. JsonSchedulerServer.MAX_PENDING_REQUESTS claimed to bound the memory.

Change: PendingRequestBudget bounds both, the bytes to a quarter of the heap, counting the fields as they are kept and 2 KiB for everything else. What does not fit is rejected at once, as at the bound on the number. The last quarter of either bound is for connections that use at most a sixteenth of it, so that one client's flood leaves room for the others. The status line shows the bytes now, at most and of the bound, and the refusals; each refusal is logged within the log's limits.

Evidence: MemoryBoundsTest starts serve.sh at 64, 96 and 192 MB. PendingResponsesTest states its limits by the new type, same numbers.

--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -30,6 +30,12 @@
    */
   private static final Duration HANDOVER_WINDOW = Duration.ofSeconds(2);
 
+  /**
+   * The bytes that a pending request retains besides its payload: the VM, its attempts, its timers
+   * and its entries in maps.
+   */
+  private static final long REQUEST_OVERHEAD_BYTES = 2048;
+
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final RequestValidator validator;
@@ -112,21 +118,27 @@
       adopt(connection, vm, machineId);
       return;
     }
-    switch (pendingResponses.requestReceived(vm.id, connection)) {
+    RequestPayload payload =
+        new RequestPayload(request.key(), request.idempotencyKey(), request.description());
+    long bytes = REQUEST_OVERHEAD_BYTES + payload.retainedBytes();
+    switch (pendingResponses.requestReceived(vm.id, connection, bytes)) {
       case DUPLICATE ->
           throw new InvalidRequestException("ref", vm.id, "an id that is not pending or running");
       case OVER_CAPACITY -> {
         requestLog.overCapacity(vm);
         connection.sendRejected(vm.id, Duration.ZERO);
       }
-      case ADMITTED -> admit(vm, request);
+      case OUT_OF_MEMORY -> {
+        requestLog.outOfMemory(vm, bytes, pendingResponses.describe());
+        connection.sendRejected(vm.id, Duration.ZERO);
+      }
+      case ADMITTED -> admit(vm, payload);
     }
   }
 
-  private void admit(Vm vm, ClientRequest request) {
+  private void admit(Vm vm, RequestPayload payload) {
     clients.sendDeferredNotices(loop.now());
-    requests.add(
-        vm, new RequestPayload(request.key(), request.idempotencyKey(), request.description()));
+    requests.add(vm, payload);
     Duration timeLeft = vm.deadline.minus(loop.now());
     loop.submitAfter(
         timeLeft.plus(RequestValidator.RESPONSE_MARGIN.dividedBy(2)),
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -11,6 +11,7 @@
 import fordridge.runtime.InputKind;
 import fordridge.runtime.InputStatistics;
 import fordridge.runtime.SchedulerInputs;
+import fordridge.session.PendingRequestLimits;
 import fordridge.session.PendingResponses;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
@@ -23,7 +24,7 @@
  * All methods but the constructor are to be called on the event loop.
  */
 final class JsonSchedulerServer {
-  /** Bounds the memory for pending requests, each of which has a description of up to a line. */
+  /** Bounds the work for pending requests; their memory is bounded by {@link HeapBudget}. */
   private static final int MAX_PENDING_REQUESTS = 1000;
 
   /**
@@ -65,10 +66,11 @@
     this.configuration = configuration;
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
+    HeapBudget heap = HeapBudget.ofThisProcess();
     requestLog = new RequestLog(log);
     pendingResponses =
         new PendingResponses<>(
-            MAX_PENDING_REQUESTS,
+            new PendingRequestLimits(MAX_PENDING_REQUESTS, heap.pendingRequestBytes()),
             MAX_NOTICES,
             NOTICE_LIFETIME,
             displaced -> requestLog.vmLog().noticeDropped(displaced, "displaced by newer notices"));
--- a/src/main/java/fordridge/server/json/RequestLog.java
+++ b/src/main/java/fordridge/server/json/RequestLog.java
@@ -145,6 +145,13 @@
     vmLog.requestEnded(vm.id, "rejected", "too many requests are pending");
   }
 
+  /** A request was rejected, as the pending requests retain too many bytes. */
+  void outOfMemory(Vm vm, long bytes, String held) {
+    rejected++;
+    vmLog.requestEnded(vm.id, "rejected", "memory for pending requests is used up");
+    log.write("request rejected for memory", "bytes " + bytes + ", " + held);
+  }
+
   /** A client's connection closed while VMs of the client run. */
   void clientLeft(int remotePort, int runningVms) {
     log.write("client disconnected", "connection " + remotePort + ", running VMs " + runningVms);
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -30,8 +30,10 @@
     ADMITTED,
     /** A request with this id is pending already, or its VM is running. */
     DUPLICATE,
-    /** The maximum number of requests is pending already. */
-    OVER_CAPACITY
+    /** Too many requests are pending, of all clients or on this connection. */
+    OVER_CAPACITY,
+    /** The pending requests retain too many bytes, of all clients or on this connection. */
+    OUT_OF_MEMORY
   }
 
   /** The notice that a running VM has terminated; it is not sent after {@code expiresAt}. */
@@ -57,58 +59,65 @@
 
     State state;
 
+    /** The bytes that are reserved for the pending request. */
+    final long reservedBytes;
+
     /**
      * The client's connections before it handed the VM over again on another one, most recent
      * first.
      */
     final List<C> formerConnections = new ArrayList<>();
 
-    Entry(C connection, State state) {
+    Entry(C connection, State state, long reservedBytes) {
       this.connection = connection;
       this.state = state;
+      this.reservedBytes = reservedBytes;
     }
   }
 
-  private final int maxPending;
+  private final PendingRequestBudget<C> budget;
   private final Duration noticeLifetime;
   private final Map<String, Entry<C>> entries = new HashMap<>();
   private final Map<C, Set<String>> vmIdsByConnection = new HashMap<>();
 
   private final NoticeDeliveries<C> notices;
-  private int pendingRequests;
 
   /**
    * Creates an empty registry.
    *
-   * @param maxPending the maximum number of pending requests
+   * @param limits the bounds on the pending requests
    * @param maxNotices the maximum number of unacknowledged notices; beyond it the oldest is
    *     displaced and counted
    * @param noticeLifetime how long an undelivered termination notice is kept
    * @param displacedNotices receives each notice that is displaced
    */
   public PendingResponses(
-      int maxPending,
+      PendingRequestLimits limits,
       int maxNotices,
       Duration noticeLifetime,
       Consumer<TerminationNotice> displacedNotices) {
-    this.maxPending = maxPending;
+    budget = new PendingRequestBudget<>(limits);
     notices = new NoticeDeliveries<>(maxNotices, displacedNotices);
     this.noticeLifetime = noticeLifetime;
   }
 
   /**
    * A client requests a placement; if admitted, the request is pending until its response is taken.
+   *
+   * @param bytes the bytes that the request retains while it is pending
    */
-  public Admission requestReceived(String vmId, C connection) {
+  public Admission requestReceived(String vmId, C connection, long bytes) {
     if (entries.containsKey(vmId)) {
       return Admission.DUPLICATE;
     }
-    if (pendingRequests >= maxPending) {
-      return Admission.OVER_CAPACITY;
-    }
-    pendingRequests++;
-    put(vmId, connection, State.AWAITING_RESPONSE);
-    return Admission.ADMITTED;
+    return switch (budget.reserve(connection, bytes)) {
+      case TOO_MANY_REQUESTS -> Admission.OVER_CAPACITY;
+      case TOO_MANY_BYTES -> Admission.OUT_OF_MEMORY;
+      case GRANTED -> {
+        put(vmId, new Entry<>(connection, State.AWAITING_RESPONSE, bytes));
+        yield Admission.ADMITTED;
+      }
+    };
   }
 
   /** The result of a client's handover of a running VM. */
@@ -132,7 +141,7 @@
   public Adoption adoptRunning(String vmId, C connection) {
     Entry<C> entry = entries.get(vmId);
     if (entry == null) {
-      put(vmId, connection, State.RUNNING);
+      put(vmId, new Entry<>(connection, State.RUNNING, 0));
       return Adoption.ADOPTED;
     }
     if (entry.state == State.AWAITING_RESPONSE) {
@@ -160,9 +169,9 @@
     attach(vmId, connection);
   }
 
-  private void put(String vmId, C connection, State state) {
-    entries.put(vmId, new Entry<>(connection, state));
-    attach(vmId, connection);
+  private void put(String vmId, Entry<C> entry) {
+    entries.put(vmId, entry);
+    attach(vmId, entry.connection);
   }
 
   private void attach(String vmId, C connection) {
@@ -179,7 +188,7 @@
     if (entry == null || entry.state != State.AWAITING_RESPONSE) {
       return Optional.empty();
     }
-    pendingRequests--;
+    budget.release(entry.connection, entry.reservedBytes);
     entry.state = State.RUNNING;
     return Optional.of(entry.connection);
   }
@@ -256,7 +265,7 @@
         if (entry.state == State.RUNNING) {
           entry.connection = null;
         } else {
-          pendingRequests--;
+          budget.release(connection, entry.reservedBytes);
           entries.remove(vmId);
           abandonedRequests.add(vmId);
         }
@@ -307,7 +316,9 @@
   /** The counts of pending requests, running VMs and undelivered notices, for the log. */
   public String describe() {
     return "pending requests "
-        + pendingRequests
+        + pendingRequests()
+        + ", bytes of pending requests "
+        + budget.describe()
         + ", running VMs "
         + runningVms()
         + ", "
@@ -356,17 +367,17 @@
 
   /** The number of pending requests. */
   public int pendingRequests() {
-    return pendingRequests;
+    return budget.requests();
   }
 
   /** The number of running VMs. */
   public int runningVms() {
-    return entries.size() - pendingRequests;
+    return entries.size() - pendingRequests();
   }
 
   private void remove(String vmId, Entry<C> entry) {
     if (entry.state == State.AWAITING_RESPONSE) {
-      pendingRequests--;
+      budget.release(entry.connection, entry.reservedBytes);
     }
     entries.remove(vmId);
     if (entry.connection != null) {
--- /dev/null
+++ b/src/test/java/fordridge/server/json/MemoryBoundsTest.java
@@ -0,0 +1,115 @@
+package fordridge.server.json;
+
+import static fordridge.server.json.JsonTestPeers.id;
+import static fordridge.server.json.JsonTestPeers.request;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import fordridge.server.json.JsonTestPeers.LineConnection;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Example;
+
+/** The heap that {@code deploy/serve.sh} sets suffices for whatever clients send. */
+class MemoryBoundsTest {
+  /** Memory in MB as the configuration states it. */
+  private static final int[] CONFIGURED_MEMORY_MB = {64, 96, 192};
+
+  private static final int LINE_BYTES = 16 * 1024;
+  private static final int USUAL_REQUESTS = 5;
+
+  /** A cluster without free capacity, whose machine answers nothing: requests wait. */
+  private static ServeScriptProcess start(JsonTestPeers peers, int memoryMb) throws Exception {
+    String configuration =
+        peers
+            .configuration()
+            .replace("\"unasked\":[90,90]", "\"unasked\":[0,0]")
+            .replace("\"memory_mb\":64", "\"memory_mb\":" + memoryMb)
+            .replace("\"sockets\":256", "\"sockets\":1024");
+    return start(peers, configuration);
+  }
+
+  private static ServeScriptProcess start(JsonTestPeers peers, String configuration)
+      throws Exception {
+    Files.writeString(peers.file, configuration);
+    return new ServeScriptProcess(peers.file);
+  }
+
+  /** Fills the text with the character up to the maximum length of a line in UTF-8. */
+  private static String fill(String line, String character) {
+    int count = (LINE_BYTES - line.length()) / character.getBytes(StandardCharsets.UTF_8).length;
+    return line.replace("FILL", character.repeat(count));
+  }
+
+  private static void send(LineConnection client, List<String> lines) throws IOException {
+    OutputStream out = new BufferedOutputStream(client.socket.getOutputStream(), LINE_BYTES);
+    for (String line : lines) {
+      out.write((line + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+    out.flush();
+  }
+
+  /** Sends a few requests, during the test beside another client's. */
+  private static LineConnection startUsualClient(ServeScriptProcess process) throws IOException {
+    LineConnection usual = new LineConnection(process.connect());
+    for (int i = 0; i < USUAL_REQUESTS; i++) {
+      usual.send(request(i, "a"));
+    }
+    return usual;
+  }
+
+  private static void assertAllAnswered(ServeScriptProcess process, LineConnection usual)
+      throws InterruptedException {
+    Set<String> answers = new HashSet<>();
+    for (int i = 0; i < USUAL_REQUESTS; i++) {
+      answers.add(String.valueOf(usual.receive("\"down\"")).replaceFirst(".*\"ref\":", ""));
+    }
+    assertThat(process.isAlive()).as("log: %s", process.lastLines()).isTrue();
+    for (int i = 0; i < USUAL_REQUESTS; i++) {
+      String vmId = id(i);
+      assertThat(answers).as("answer to each").anyMatch(answer -> answer.contains(vmId));
+    }
+  }
+
+  /** Fewer requests than the bound on their number, each of the maximum size, in one burst. */
+  private static void assertSurvivesFlood(String requestTemplate, String character)
+      throws Exception {
+    for (int memoryMb : CONFIGURED_MEMORY_MB) {
+      try (JsonTestPeers peers = new JsonTestPeers();
+          ServeScriptProcess process = start(peers, memoryMb)) {
+        LineConnection usual = startUsualClient(process);
+        LineConnection flood = new LineConnection(process.connect());
+        String line = fill(requestTemplate, character);
+        try {
+          for (int i = 0; i < 990; i++) {
+            send(flood, List.of(line.replace(id(0), id(1_000 + i))));
+          }
+        } catch (IOException e) {
+          assertThat(process.lastLines()).as("the process has ended").isEmpty();
+        }
+        assertAllAnswered(process, usual);
+      }
+    }
+  }
+
+  /**
+   * Guards against an OutOfMemoryError by pending requests that are few, but large: descriptions
+   * that take two bytes a character.
+   */
+  @Example
+  void requestsWithLargeDescriptionsDoNotExhaustTheHeap() throws Exception {
+    assertSurvivesFlood(request(0, "a", "4000", "cores:1;memory:1;service:1", "\u20acFILL"), "x");
+  }
+
+  /** Guards against the same by another field that is kept, the idempotency key. */
+  @Example
+  void requestsWithLargeIdempotencyKeysDoNotExhaustTheHeap() throws Exception {
+    assertSurvivesFlood(
+        request(0, "a").replace("\"extras\":", "\"idem\":\"\u20acFILL\",\"extras\":"), "\u00e9");
+  }
+}
--- a/src/test/java/fordridge/session/PendingResponsesTest.java
+++ b/src/test/java/fordridge/session/PendingResponsesTest.java
@@ -22,9 +22,12 @@
   private static final Duration NOW = Duration.ofSeconds(10);
   private static final Duration NOTICE_LIFETIME = Duration.ofSeconds(8);
   private static final int MAX_PENDING = 3;
+  private static final long REQUEST_BYTES = 100;
+  private static final PendingRequestLimits LIMITS =
+      new PendingRequestLimits(MAX_PENDING, 1_000_000);
 
   private final PendingResponses<String> responses =
-      new PendingResponses<>(MAX_PENDING, MAX_PENDING, NOTICE_LIFETIME, displaced -> {});
+      new PendingResponses<>(LIMITS, MAX_PENDING, NOTICE_LIFETIME, displaced -> {});
 
   private static String describe(AddressedNotice<String> addressed) {
     return addressed.connection() + " " + addressed.notice().vmId();
@@ -32,8 +35,10 @@
 
   @Example
   void requestGetsOneResponseAndRunningVmOneTerminationNotice() {
-    assertThat(responses.requestReceived("a", "connection")).isEqualTo(Admission.ADMITTED);
-    assertThat(responses.requestReceived("a", "other")).isEqualTo(Admission.DUPLICATE);
+    assertThat(responses.requestReceived("a", "connection", REQUEST_BYTES))
+        .isEqualTo(Admission.ADMITTED);
+    assertThat(responses.requestReceived("a", "other", REQUEST_BYTES))
+        .isEqualTo(Admission.DUPLICATE);
     assertThat(responses.vmTerminated("a", Outcome.DONE, NOW)).isEmpty();
     assertThat(responses.takeAccepted("a")).contains("connection");
     assertThat(responses.takeUnaccepted("a")).isEmpty();
@@ -44,9 +49,9 @@
 
   @Example
   void unacknowledgedNoticeIsResentOnceToAClientThatAcknowledges() {
-    responses.requestReceived("a", "silent");
+    responses.requestReceived("a", "silent", REQUEST_BYTES);
     responses.takeAccepted("a");
-    responses.requestReceived("b", "acknowledging");
+    responses.requestReceived("b", "acknowledging", REQUEST_BYTES);
     responses.takeAccepted("b");
     responses.vmTerminated("a", Outcome.DONE, NOW);
     Duration later = NOW.plusMillis(600);
@@ -65,19 +70,22 @@
   @Example
   void requestsOverTheLimitAreNotAdmitted() {
     for (String vmId : List.of("a", "b", "c")) {
-      assertThat(responses.requestReceived(vmId, "connection")).isEqualTo(Admission.ADMITTED);
+      assertThat(responses.requestReceived(vmId, "connection", REQUEST_BYTES))
+          .isEqualTo(Admission.ADMITTED);
     }
-    assertThat(responses.requestReceived("d", "connection")).isEqualTo(Admission.OVER_CAPACITY);
+    assertThat(responses.requestReceived("d", "connection", REQUEST_BYTES))
+        .isEqualTo(Admission.OVER_CAPACITY);
     responses.takeUnaccepted("a");
-    assertThat(responses.requestReceived("d", "connection")).isEqualTo(Admission.ADMITTED);
+    assertThat(responses.requestReceived("d", "connection", REQUEST_BYTES))
+        .isEqualTo(Admission.ADMITTED);
   }
 
   @Example
   void closedConnectionAbandonsItsRequestsAndNoticesOfItsVmsGoToAnother() {
-    responses.requestReceived("pending", "connection");
-    responses.requestReceived("running", "connection");
+    responses.requestReceived("pending", "connection", REQUEST_BYTES);
+    responses.requestReceived("running", "connection", REQUEST_BYTES);
     responses.takeAccepted("running");
-    responses.requestReceived("other", "second");
+    responses.requestReceived("other", "second", REQUEST_BYTES);
     assertThat(responses.connectionClosed("connection")).containsExactly("pending");
     assertThat(responses.takeAccepted("pending")).isEmpty();
     assertThat(responses.vmTerminated("running", Outcome.DONE, NOW)).contains("second");
@@ -93,7 +101,7 @@
     assertThat(responses.takeDeferredNotices(NOW.plusSeconds(9)))
         .as("no connection is open")
         .isEmpty();
-    responses.requestReceived("new", "another");
+    responses.requestReceived("new", "another", REQUEST_BYTES);
     assertThat(responses.takeDeferredNotices(NOW.plusSeconds(9)))
         .extracting(PendingResponsesTest::describe)
         .containsExactly("another two");
@@ -106,13 +114,13 @@
    */
   @Example
   void noticeOfAClosedConnectionGoesToOneThatHasAcknowledgedBefore() {
-    responses.requestReceived("one", "connection");
+    responses.requestReceived("one", "connection", REQUEST_BYTES);
     responses.takeAccepted("one");
-    responses.requestReceived("two", "acknowledging");
+    responses.requestReceived("two", "acknowledging", REQUEST_BYTES);
     responses.takeAccepted("two");
     assertThat(responses.vmTerminated("two", Outcome.DONE, NOW)).contains("acknowledging");
     responses.noticeAcknowledged("two", "acknowledging");
-    responses.requestReceived("three", "never acknowledging");
+    responses.requestReceived("three", "never acknowledging", REQUEST_BYTES);
     responses.connectionClosed("connection");
     assertThat(responses.vmTerminated("one", Outcome.DONE, NOW)).contains("acknowledging");
     responses.connectionClosed("acknowledging");
@@ -123,9 +131,9 @@
 
   @Example
   void noticeOfAVmHandedOverAgainGoesToTheNewConnection() {
-    responses.requestReceived("running", "first");
+    responses.requestReceived("running", "first", REQUEST_BYTES);
     responses.takeAccepted("running");
-    responses.requestReceived("pending", "first");
+    responses.requestReceived("pending", "first", REQUEST_BYTES);
     assertThat(responses.adoptRunning("running", "second")).isEqualTo(Adoption.REBOUND);
     assertThat(responses.adoptRunning("pending", "first")).isEqualTo(Adoption.PENDING_HERE);
     assertThat(responses.adoptRunning("pending", "second")).isEqualTo(Adoption.PENDING_ELSEWHERE);
@@ -136,7 +144,7 @@
 
   @Example
   void vmEndedByItsClientGetsNoNotice() {
-    responses.requestReceived("a", "connection");
+    responses.requestReceived("a", "connection", REQUEST_BYTES);
     responses.takeAccepted("a");
     assertThat(responses.terminatedByClient("a")).isTrue();
     assertThat(responses.terminatedByClient("a")).isFalse();
@@ -152,7 +160,8 @@
   void noResponseIsSentTwiceAndNoStateIsLeft(@ForAll long seed) {
     Random random = new Random(seed);
     PendingResponses<Integer> registry =
-        new PendingResponses<>(20, 20, NOTICE_LIFETIME, displaced -> {});
+        new PendingResponses<>(
+            new PendingRequestLimits(20, 1_000_000), 20, NOTICE_LIFETIME, displaced -> {});
     Map<String, Integer> requested = new HashMap<>();
     Set<String> responded = new HashSet<>();
     List<String> vmIds = new ArrayList<>();
@@ -164,7 +173,7 @@
               : vmIds.get(random.nextInt(vmIds.size()));
       switch (random.nextInt(5)) {
         case 0 -> {
-          if (registry.requestReceived(vmId, connection) == Admission.ADMITTED) {
+          if (registry.requestReceived(vmId, connection, REQUEST_BYTES) == Admission.ADMITTED) {
             vmIds.add(vmId);
             requested.put(vmId, connection);
             responded.remove(vmId);
@@ -207,7 +216,8 @@
   void everyNoticeIsSentUntilItIsAcknowledged(@ForAll long seed) {
     Random random = new Random(seed);
     PendingResponses<Integer> registry =
-        new PendingResponses<>(500, 500, NOTICE_LIFETIME, displaced -> {});
+        new PendingResponses<>(
+            new PendingRequestLimits(500, 1_000_000), 500, NOTICE_LIFETIME, displaced -> {});
     Set<String> running = new HashSet<>();
     Map<String, Integer> sentTo = new HashMap<>();
     Set<Integer> open = new HashSet<>();
@@ -215,7 +225,7 @@
       int connection = random.nextInt(5);
       switch (random.nextInt(5)) {
         case 0, 1 -> {
-          registry.requestReceived("vm" + i, connection);
+          registry.requestReceived("vm" + i, connection, REQUEST_BYTES);
           open.add(connection);
           registry.takeAccepted("vm" + i);
           running.add("vm" + i);
