Cancel timers once what they guard is over

What callers saw: a client that sends requests and withdraws them at full speed ended the process with OutOfMemoryError within seconds, though no more than a handful of its requests were ever pending.

Cause: ClientRequestIntake.admit set a timer for each request's deadline that refers to the VM, and nothing cancelled it. A request that was answered or withdrawn stayed in memory until its deadline. The timers of attempts (JsonSchedulerActions.sendAttempt), of the check after a handover and of a connection's delayed close outlived their subjects likewise.

Change: EventLoopTimers.runAfter returns a timer that can be cancelled, which takes its task out of the event loop's queue. ActiveRequests keeps the deadline's timer with the payload and drops both together, AttemptTimers keeps the one timer of each attempt until its outcome, and a client's connection cancels its own. The payload of a request whose VM is handed over on another connection is dropped as well; it stayed until that VM's end.

--- a/src/main/java/fordridge/eventloop/EventLoopTimers.java
+++ b/src/main/java/fordridge/eventloop/EventLoopTimers.java
@@ -1,6 +1,7 @@
 package fordridge.eventloop;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -10,6 +11,15 @@
  * task continues after it: a plain scheduled future would keep the exception and stop the timer.
  */
 public final class EventLoopTimers {
+  /** A task that is to run once after a delay. */
+  public interface Timer {
+    /**
+     * Drops the task, with all that it refers to, unless it has run; to be called on the event
+     * loop.
+     */
+    void cancel();
+  }
+
   private final EventLoop loop;
   private final Consumer<Throwable> failureHandler;
 
@@ -22,11 +32,14 @@
   /**
    * Runs the task once after the delay. Even if the delay is zero, the loop reads the input that is
    * available by then before it runs the task. A negative delay counts as zero.
+   *
+   * @return the timer, which keeps the task until it has run or is cancelled
    */
-  @SuppressWarnings("FutureReturnValueIgnored") // Failures are reported, and nothing is cancelled.
-  public void runAfter(Duration delay, Runnable task) {
+  public Timer runAfter(Duration delay, Runnable task) {
     long nanos = Math.max(0, delay.toNanos());
-    loop.schedule(() -> runAndReportFailure(task), nanos, TimeUnit.NANOSECONDS);
+    Future<?> scheduled =
+        loop.schedule(() -> runAndReportFailure(task), nanos, TimeUnit.NANOSECONDS);
+    return () -> scheduled.cancel(false);
   }
 
   /** Runs the task periodically, the first time after one interval. */
--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -1,5 +1,6 @@
 package fordridge.json;
 
+import fordridge.eventloop.EventLoopTimers.Timer;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -36,6 +37,9 @@
   private long lastUsedNanos = System.nanoTime();
   private boolean isReadingStopped;
 
+  /** The timer of {@link #closeAfterResponse}; null if the close is not scheduled. */
+  private Timer closeTimer;
+
   ClientConnection(ClientServer server) {
     this.server = server;
   }
@@ -85,6 +89,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    if (closeTimer != null) {
+      closeTimer.cancel();
+    }
     server.connectionClosed(this, ClientConnectionCloseReason.BY_CLIENT);
   }
 
@@ -162,7 +169,7 @@
       isReadingStopped = true;
       channel.config().setAutoRead(false);
       server.readCycleCompleted(this, true);
-      server.timers().runAfter(CLOSE_DELAY, () -> close(reason));
+      closeTimer = server.timers().runAfter(CLOSE_DELAY, () -> close(reason));
     }
   }
 
--- a/src/main/java/fordridge/server/json/ActiveRequests.java
+++ b/src/main/java/fordridge/server/json/ActiveRequests.java
@@ -1,5 +1,6 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.EventLoopTimers.Timer;
 import fordridge.json.RequestPayload;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
@@ -10,16 +11,23 @@
 import java.util.Map;
 
 /**
- * The pending requests and running VMs, with the payload that is forwarded to machines for each
- * pending request. Confined to the event loop.
+ * The pending requests and running VMs, with the payload and the response deadline of each pending
+ * request. Confined to the event loop.
  */
 final class ActiveRequests {
+  /**
+   * What a request retains only while it is pending.
+   *
+   * @param responseDeadline the timer that fails the request; it refers to the VM
+   */
+  private record PendingRequest(Vm vm, RequestPayload payload, Timer responseDeadline) {}
+
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final RequestLog requestLog;
 
   /** By VM id, until a machine has accepted the VM. */
-  private final Map<String, RequestPayload> payloads = new HashMap<>();
+  private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
 
   ActiveRequests(SchedulerEventLoop loop, SchedulerInputs<String> inputs, RequestLog requestLog) {
     this.requestLog = requestLog;
@@ -32,9 +40,13 @@
     return requestLog;
   }
 
-  /** Adds a request that was admitted. */
-  void add(Vm vm, RequestPayload payload) {
-    payloads.put(vm.id, payload);
+  /** Adds a request that was admitted, with the timer that fails it at its deadline. */
+  void add(Vm vm, RequestPayload payload, Timer responseDeadline) {
+    PendingRequest previous =
+        pendingRequests.put(vm.id, new PendingRequest(vm, payload, responseDeadline));
+    if (previous != null) {
+      previous.responseDeadline.cancel();
+    }
     inputs.addVm(vm);
   }
 
@@ -50,12 +62,21 @@
 
   /** The part of the request that is forwarded to a machine; null once the VM was accepted. */
   RequestPayload payloadOf(Vm vm) {
-    return payloads.get(vm.id);
+    PendingRequest request = pendingRequests.get(vm.id);
+    return request == null ? null : request.payload;
   }
 
-  /** Drops the payload of a VM that a machine has accepted: its request is not forwarded again. */
+  /** A machine has accepted the VM: its request is not forwarded again and has its response. */
   void requestAccepted(Vm vm) {
-    payloads.remove(vm.id);
+    dropPendingRequest(vm);
+  }
+
+  private void dropPendingRequest(Vm vm) {
+    PendingRequest request = pendingRequests.get(vm.id);
+    if (request != null && request.vm == vm) {
+      pendingRequests.remove(vm.id);
+      request.responseDeadline.cancel();
+    }
   }
 
   /** Cancels the attempts of a VM that no client waits for any more. */
@@ -84,14 +105,15 @@
   void removeIfFinished(Vm vm) {
     loop.enqueue(
         () -> {
-          if (inputs.removeIfFinished(vm) || inputs.findVm(vm.id) == null) {
-            payloads.remove(vm.id);
+          inputs.removeIfFinished(vm);
+          if (inputs.findVm(vm.id) != vm) {
+            dropPendingRequest(vm);
           }
         });
   }
 
-  /** The number of VMs and payloads that are retained. */
+  /** The number of VMs and pending requests that are retained. */
   int retainedCount() {
-    return inputs.vmCount() + payloads.size();
+    return inputs.vmCount() + pendingRequests.size();
   }
 }
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -28,6 +28,7 @@
   private final ClientResponder clients;
   private final ActiveRequests requests;
   private final RequestLog requestLog;
+  private final AttemptTimers attemptTimers;
   private MachineRegistry machines;
   private final Map<Outcome, Long> outcomeCounts = new EnumMap<>(Outcome.class);
   private long passedProbes;
@@ -39,13 +40,15 @@
       PendingResponses<?> pendingResponses,
       ClientResponder clients,
       ActiveRequests requests,
-      RequestLog requestLog) {
+      RequestLog requestLog,
+      AttemptTimers attemptTimers) {
     this.loop = loop;
     this.inputs = inputs;
     this.pendingResponses = pendingResponses;
     this.clients = clients;
     this.requests = requests;
     this.requestLog = requestLog;
+    this.attemptTimers = attemptTimers;
   }
 
   /** Sets the machines; to be called once, before the first outcome. */
@@ -66,6 +69,7 @@
   public void attemptAccepted(PlacementAttempt attempt, String description) {
     loop.enqueue(
         () -> {
+          attemptTimers.cancel(attempt);
           if (!attempt.isInFlight() || attempt.vm.isFinished) {
             // No client waits for the VM, and it must not run on without an owner.
             requestLog.vmLog().acceptedTooLate(attempt, machineIdOf(attempt));
@@ -83,6 +87,7 @@
   public void attemptEnded(PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
     loop.enqueue(
         () -> {
+          attemptTimers.cancel(attempt);
           if (!attempt.isInFlight()) {
             return;
           }
@@ -150,6 +155,7 @@
       PlacementAttempt attempt, Outcome outcome, OutcomeReason reason) {
     loop.enqueue(
         () -> {
+          attemptTimers.cancel(attempt);
           if (!attempt.isInFlight()) {
             return;
           }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -1,5 +1,6 @@
 package fordridge.server.json;
 
+import fordridge.eventloop.EventLoopTimers.Timer;
 import fordridge.json.ClientConnection;
 import fordridge.json.ClientConnectionCloseReason;
 import fordridge.json.ClientRequest;
@@ -43,6 +44,7 @@
   private final ClientResponder clients;
   private final ActiveRequests requests;
   private final MachineRegistry machines;
+  private final AttemptTimers attemptTimers;
   private final RequestLog requestLog;
   private final Consumer<String> log;
   private Duration machineFailureTimeout;
@@ -61,6 +63,7 @@
       ClientResponder clients,
       ActiveRequests requests,
       MachineRegistry machines,
+      AttemptTimers attemptTimers,
       Consumer<String> log) {
     this.loop = loop;
     this.inputs = inputs;
@@ -68,6 +71,7 @@
     this.clients = clients;
     this.requests = requests;
     this.machines = machines;
+    this.attemptTimers = attemptTimers;
     requestLog = requests.log();
     this.log = log;
     validator = new RequestValidator(settings);
@@ -138,12 +142,13 @@
 
   private void admit(Vm vm, RequestPayload payload) {
     clients.sendDeferredNotices(loop.now());
-    requests.add(vm, payload);
     Duration timeLeft = vm.deadline.minus(loop.now());
-    loop.submitAfter(
-        timeLeft.plus(RequestValidator.RESPONSE_MARGIN.dividedBy(2)),
-        InputKind.RESPONSE_DEADLINE,
-        () -> failIfPending(vm));
+    Timer responseDeadline =
+        loop.submitAfter(
+            timeLeft.plus(RequestValidator.RESPONSE_MARGIN.dividedBy(2)),
+            InputKind.RESPONSE_DEADLINE,
+            () -> failIfPending(vm));
+    requests.add(vm, payload, responseDeadline);
     inputs.scheduler.vmRequested(vm);
   }
 
@@ -206,8 +211,12 @@
     handle.pool().adopt(vm.acceptedAttempt, loop.now());
     if (!machine.isListed || machine.lifecycle == Machine.Lifecycle.GONE) {
       // The machine may still be listed.
-      loop.submitAfter(
-          machineFailureTimeout, InputKind.ADOPTION_CHECK, () -> markLostIfMachineGone(vm, handle));
+      attemptTimers.add(
+          vm.acceptedAttempt,
+          loop.submitAfter(
+              machineFailureTimeout,
+              InputKind.ADOPTION_CHECK,
+              () -> markLostIfMachineGone(vm, handle)));
     }
   }
 
--- a/src/main/java/fordridge/server/json/JsonSchedulerActions.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerActions.java
@@ -23,6 +23,7 @@
   private final InputGate gate;
   private final ClientResponder clients;
   private final RequestLog requestLog;
+  private final AttemptTimers attemptTimers;
   private final Consumer<String> log;
   private ServerSettings settings;
   private SchedulerInputs<String> inputs;
@@ -35,12 +36,14 @@
       ClientResponder clients,
       ServerSettings settings,
       RequestLog requestLog,
+      AttemptTimers attemptTimers,
       Consumer<String> log) {
     this.loop = loop;
     this.gate = gate;
     this.clients = clients;
     this.settings = settings;
     this.requestLog = requestLog;
+    this.attemptTimers = attemptTimers;
     this.log = log;
   }
 
@@ -67,7 +70,10 @@
   @Override
   public void sendAttempt(PlacementAttempt attempt, Duration timeout) {
     gate.submitAfterRead(InputKind.OFFER, () -> offer(attempt, timeout));
-    loop.submitAfterSocketRead(timeout, InputKind.ATTEMPT_TIMEOUT, () -> attemptTimedOut(attempt));
+    attemptTimers.add(
+        attempt,
+        loop.submitAfterSocketRead(
+            timeout, InputKind.ATTEMPT_TIMEOUT, () -> attemptTimedOut(attempt)));
   }
 
   private void offer(PlacementAttempt attempt, Duration timeout) {
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -78,11 +78,14 @@
     loop = new SchedulerEventLoop(group.next(), timers, poller, inputStatistics, log);
     inputPort = new JsonInputPort(loop, poller);
     gate = new InputGate(timers, inputPort, this::decide);
-    actions = new JsonSchedulerActions(loop, gate, clients, settings, requestLog, log);
+    AttemptTimers attemptTimers = new AttemptTimers();
+    actions =
+        new JsonSchedulerActions(loop, gate, clients, settings, requestLog, attemptTimers, log);
     inputs = new SchedulerInputs<>(actions, SchedulerInputs::machineId);
     requests = new ActiveRequests(loop, inputs, requestLog);
     outcomes =
-        new AttemptOutcomeHandler(loop, inputs, pendingResponses, clients, requests, requestLog);
+        new AttemptOutcomeHandler(
+            loop, inputs, pendingResponses, clients, requests, requestLog, attemptTimers);
     machines =
         new MachineRegistry(
             group,
@@ -97,7 +100,15 @@
         new MachineListIntake(loop, inputs, machines, startedAtEpochMillis, requestLog.vmLog());
     intake =
         new ClientRequestIntake(
-            loop, inputs, settings, pendingResponses, clients, requests, machines, log);
+            loop,
+            inputs,
+            settings,
+            pendingResponses,
+            clients,
+            requests,
+            machines,
+            attemptTimers,
+            log);
     loop.attach(inputs.scheduler);
     actions.attach(inputs, machines, requests);
     outcomes.attach(machines);
--- a/src/main/java/fordridge/server/json/SchedulerEventLoop.java
+++ b/src/main/java/fordridge/server/json/SchedulerEventLoop.java
@@ -2,6 +2,7 @@
 
 import fordridge.eventloop.EventLoopLagMonitor;
 import fordridge.eventloop.EventLoopTimers;
+import fordridge.eventloop.EventLoopTimers.Timer;
 import fordridge.eventloop.SocketPoller;
 import fordridge.json.ClientServer;
 import fordridge.observability.StackTraces;
@@ -136,17 +137,18 @@
     sequencer.enqueue(input);
   }
 
-  /** Submits an input after a delay. */
-  void submitAfter(Duration delay, InputKind kind, Runnable input) {
-    timers.runAfter(delay, () -> submit(kind, input));
+  /** Submits an input after a delay, unless the returned timer is cancelled. */
+  Timer submitAfter(Duration delay, InputKind kind, Runnable input) {
+    return timers.runAfter(delay, () -> submit(kind, input));
   }
 
   /**
    * Submits an input after a delay and a read of the sockets that follows it. For timeouts, as the
-   * answer may have arrived while the loop was busy.
+   * answer may have arrived while the loop was busy. The returned timer can be cancelled until that
+   * read.
    */
-  void submitAfterSocketRead(Duration delay, InputKind kind, Runnable input) {
-    timers.runAfter(delay, () -> submitAfter(Duration.ZERO, kind, input));
+  Timer submitAfterSocketRead(Duration delay, InputKind kind, Runnable input) {
+    return timers.runAfter(delay, () -> submitAfter(Duration.ZERO, kind, input));
   }
 
   /**
--- a/src/test/java/fordridge/server/json/MemoryBoundsTest.java
+++ b/src/test/java/fordridge/server/json/MemoryBoundsTest.java
@@ -1,6 +1,7 @@
 package fordridge.server.json;
 
 import static fordridge.server.json.JsonTestPeers.id;
+import static fordridge.server.json.JsonTestPeers.message;
 import static fordridge.server.json.JsonTestPeers.request;
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,6 +11,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -23,19 +25,26 @@
   private static final int LINE_BYTES = 16 * 1024;
   private static final int USUAL_REQUESTS = 5;
 
+  /** At 100 bytes each they would fill the heap of 16 MB. */
+  private static final int WITHDRAWN_REQUESTS = 160_000;
+
+  private static final int WITHDRAWN_AT_ONCE = 100;
+
   /** A cluster without free capacity, whose machine answers nothing: requests wait. */
   private static ServeScriptProcess start(JsonTestPeers peers, int memoryMb) throws Exception {
+    return start(peers, memoryMb, "", "");
+  }
+
+  /** As above, with a change of the configuration. */
+  private static ServeScriptProcess start(
+      JsonTestPeers peers, int memoryMb, String replaced, String replacement) throws Exception {
     String configuration =
         peers
             .configuration()
             .replace("\"unasked\":[90,90]", "\"unasked\":[0,0]")
             .replace("\"memory_mb\":64", "\"memory_mb\":" + memoryMb)
-            .replace("\"sockets\":256", "\"sockets\":1024");
-    return start(peers, configuration);
-  }
-
-  private static ServeScriptProcess start(JsonTestPeers peers, String configuration)
-      throws Exception {
+            .replace("\"sockets\":256", "\"sockets\":1024")
+            .replace(replaced, replacement);
     Files.writeString(peers.file, configuration);
     return new ServeScriptProcess(peers.file);
   }
@@ -54,6 +63,16 @@
     out.flush();
   }
 
+  /** Sends the lines; a failure to do so is the end of the process, whose log is reported. */
+  private static void sendUntilEnded(
+      ServeScriptProcess process, LineConnection client, List<String> lines) {
+    try {
+      send(client, lines);
+    } catch (IOException e) {
+      assertThat(process.lastLines()).as("the process has ended").isEmpty();
+    }
+  }
+
   /** Sends a few requests, during the test beside another client's. */
   private static LineConnection startUsualClient(ServeScriptProcess process) throws IOException {
     LineConnection usual = new LineConnection(process.connect());
@@ -85,12 +104,8 @@
         LineConnection usual = startUsualClient(process);
         LineConnection flood = new LineConnection(process.connect());
         String line = fill(requestTemplate, character);
-        try {
-          for (int i = 0; i < 990; i++) {
-            send(flood, List.of(line.replace(id(0), id(1_000 + i))));
-          }
-        } catch (IOException e) {
-          assertThat(process.lastLines()).as("the process has ended").isEmpty();
+        for (int i = 0; i < 990; i++) {
+          sendUntilEnded(process, flood, List.of(line.replace(id(0), id(1_000 + i))));
         }
         assertAllAnswered(process, usual);
       }
@@ -112,4 +127,29 @@
     assertSurvivesFlood(
         request(0, "a").replace("\"extras\":", "\"idem\":\"\u20acFILL\",\"extras\":"), "\u00e9");
   }
+
+  /**
+   * Guards against an OutOfMemoryError by requests that are over: the timers of their deadlines
+   * kept them.
+   */
+  @Example
+  void withdrawnRequestsAreNotKeptUntilTheirDeadline() throws Exception {
+    try (JsonTestPeers peers = new JsonTestPeers();
+        ServeScriptProcess process =
+            start(peers, 64, "\"giveUpUs\":4000000", "\"giveUpUs\":600000000")) {
+      LineConnection flood = new LineConnection(process.connect());
+      String extras = "cores:1;memory:1;service:1";
+      for (int i = 0; i < WITHDRAWN_REQUESTS; i += WITHDRAWN_AT_ONCE) {
+        List<String> lines = new ArrayList<>();
+        for (int j = i; j < i + WITHDRAWN_AT_ONCE; j++) {
+          lines.add(request(j, "a", "600000", extras, "any"));
+          lines.add(message("down", j, ",\"c\":16"));
+        }
+        sendUntilEnded(process, flood, lines);
+      }
+      LineConnection usual = startUsualClient(process);
+      assertThat(usual.receiveUntilHealthCheck()).isEmpty();
+      assertThat(process.isAlive()).as("log: %s", process.lastLines()).isTrue();
+    }
+  }
 }
