Forget the services of ended VMs once a start there is no longer warm

Cause: Machine.hostedServices kept an entry for every service that a machine had ever hosted, until the machine restarted. Services are 64-bit numbers that clients choose, so the map grew with time and input: at 64 MB a client that hands over VMs of ever new services and ends them left 114,231 entries of 84 bytes within 16 s, 13.2 MB live of a heap of 16 MB.

Change: SchedulerState queues each service that a machine no longer hosts (PastServices) and removes the entry after the detection timeout, when a start there stops counting as warm; so no decision changes.

--- a/src/main/java/fordridge/model/SchedulerState.java
+++ b/src/main/java/fordridge/model/SchedulerState.java
@@ -71,6 +71,8 @@
 
   private final Map<Long, Set<Machine>> hostsByService = new HashMap<>();
 
+  private final PastServices pastServices = new PastServices();
+
   private final UnconfirmedEnds unconfirmedEnds = new UnconfirmedEnds(this::releaseService);
 
   // The machine list.
@@ -429,6 +431,9 @@
       hostsByService.computeIfPresent(
           attempt.vm.service,
           (key, hosts) -> hosts.remove(machine) && hosts.isEmpty() ? null : hosts);
+      pastServices.add(machine, attempt.vm.service, now);
+      // A start is warm within the detection timeout, see isHostedWithin.
+      pastServices.forgetUpTo(now.minus(settings.detectionTimeout()));
     }
   }
 
