Keep the configuration without its parsed machine list

Cause: ServerConfiguration kept the machine list events of the file as parsed JSON maps for as long as the configuration was in use, also those of a reloaded file, which are never applied.

Change: the server applies the events at its start and keeps a copy of the configuration without them; a reloaded configuration is kept without them from the beginning.

--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -137,6 +137,7 @@
     for (MachineListEvent event : configuration.readInitialMachineList()) {
       machineList.machineListChanged(event);
     }
+    configuration = configuration.withoutMachineList();
     machineList.markWatching();
     timers.runEvery(
         TICK_INTERVAL, () -> loop.submitAfterSocketRead(Duration.ZERO, InputKind.TICK, this::tick));
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -162,6 +162,7 @@
 
   private void startOnLoop() {
     server.start(clients);
+    configuration = configuration.withoutMachineList();
     MachineListWatcher watcher =
         new MachineListWatcher(
             loop,
@@ -240,7 +241,7 @@
       return;
     }
     try {
-      ServerConfiguration next = ServerConfiguration.read(configurationFile);
+      ServerConfiguration next = ServerConfiguration.read(configurationFile).withoutMachineList();
       server.reconfigure(next);
       clients.setMaxConnections(next.maxClientConnections());
       if (!next.listenAddress().equals(configuration.listenAddress())
--- a/src/main/java/fordridge/server/json/ServerConfiguration.java
+++ b/src/main/java/fordridge/server/json/ServerConfiguration.java
@@ -41,12 +41,13 @@
   private final List<Object> machineListEvents;
 
   /** All settings by name, including those that this process does not read. */
-  private final Map<String, Object> settingsByName = new HashMap<>();
+  private final Map<String, Object> settingsByName;
 
   private final SchedulerSettings schedulerSettings;
   private final ServerSettings serverSettings;
 
   private ServerConfiguration(Map<String, Object> file) {
+    settingsByName = new HashMap<>();
     name = JsonFields.text(file, "name", ROOT);
     listenAddress = SocketAddresses.parse(JsonFields.text(file, "listen", ROOT));
     machineListAddress = SocketAddresses.parse(JsonFields.text(file, "journal", ROOT));
@@ -68,6 +69,21 @@
     serverSettings = ServerSettings.read(settingsValues, schedulerSettings);
   }
 
+  /** A copy without the machine list events. */
+  private ServerConfiguration(ServerConfiguration other) {
+    name = other.name;
+    listenAddress = other.listenAddress;
+    machineListAddress = other.machineListAddress;
+    seed = other.seed;
+    maxSockets = other.maxSockets;
+    limits = other.limits;
+    machineListPosition = other.machineListPosition;
+    machineListEvents = List.of();
+    settingsByName = other.settingsByName;
+    schedulerSettings = other.schedulerSettings;
+    serverSettings = other.serverSettings;
+  }
+
   private static long readSeed(String hex) {
     try {
       return Long.parseUnsignedLong(hex, HEX_RADIX);
@@ -131,6 +147,14 @@
     return machineListPosition;
   }
 
+  /**
+   * The same configuration without its machine list events, to be kept once they were applied: as
+   * parsed JSON they take up more memory than the machines themselves.
+   */
+  ServerConfiguration withoutMachineList() {
+    return new ServerConfiguration(this);
+  }
+
   /** Reads the machine list events in the configuration. */
   List<MachineListEvent> readInitialMachineList() {
     List<MachineListEvent> events = new ArrayList<>(machineListEvents.size());
