Keep incomplete lines on the heap, and bound their sum

What callers saw: while some hundred connections each had sent most of a line, the scheduler answered nobody. The process stayed up; a health check got no answer in 10 s, and none of a usual client's 61 requests was answered.

Cause: the receive buffers are direct, and Netty's decoder keeps an incomplete line in the buffer in which it came, which it grows to 32 KiB. Direct memory is limited to 4 MB, which 128 such lines use up. From then on every read of every connection allocates in vain: Bits.reserveMemory sleeps for half a second and throws, on the event loop ("Cannot reserve 32768 bytes of direct buffer memory", thread dump in Bits.reserveMemory). Nothing bounded the sum.

Change: LineDecoder copies what is incomplete to a heap buffer of about its size and reports it to InputMemory, which bounds the sum for all clients, and for all machines, to a sixteenth of the heap each. Above that the connection whose line takes up most is closed as one with a line that is too long: its pending requests are answered. The status line has the bytes now and at most and the rejected lines.

--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -47,7 +47,7 @@
   /** Adds this connection to a channel's pipeline, behind the handler that tracks its reads. */
   void addWithReadProgressTo(ChannelPipeline pipeline) {
     pipeline.addLast(new ReadProgress(isReadToEnd -> server.readCycleCompleted(this, isReadToEnd)));
-    addTo(pipeline);
+    addTo(pipeline, server.inputMemory());
   }
 
   /**
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -51,6 +51,7 @@
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final ClientRequestHandler handler;
+  private final InputMemory inputMemory;
   private final AcceptRetryHandler acceptRetry;
   private int maxConnections;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -79,15 +80,21 @@
       new EnumMap<>(ClientConnectionCloseReason.class);
   private Channel serverChannel;
 
-  /** Creates a server that does not listen yet, for at most {@code maxConnections} connections. */
+  /**
+   * Creates a server that does not listen yet, for at most {@code maxConnections} connections.
+   *
+   * @param inputMemory the bound on incomplete lines of all connections
+   */
   public ClientServer(
       EventLoopGroup loop,
       EventLoopTimers timers,
       ClientRequestHandler handler,
+      InputMemory inputMemory,
       int maxConnections) {
     this.loop = loop;
     this.timers = timers;
     this.handler = handler;
+    this.inputMemory = inputMemory;
     this.maxConnections = maxConnections;
     acceptRetry =
         new AcceptRetryHandler(
@@ -126,8 +133,10 @@
 
   /** Adds a client connection to a channel that needs no socket and no event loop. */
   public static void addEmbeddedConnection(ClientRequestHandler handler, ChannelPipeline pipeline) {
-    ClientConnection connection = new ClientConnection(new ClientServer(null, null, handler, 1));
-    connection.addTo(pipeline);
+    InputMemory unbounded = new InputMemory(Long.MAX_VALUE);
+    ClientConnection connection =
+        new ClientConnection(new ClientServer(null, null, handler, unbounded, 1));
+    connection.addTo(pipeline, unbounded);
     connection.channelActive(pipeline.firstContext());
   }
 
@@ -264,6 +273,11 @@
     serverChannel.close();
   }
 
+  /** The bound on incomplete lines of all clients. */
+  InputMemory inputMemory() {
+    return inputMemory;
+  }
+
   ClientRequestHandler handler() {
     return handler;
   }
--- a/src/main/java/fordridge/json/LineCodec.java
+++ b/src/main/java/fordridge/json/LineCodec.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
@@ -44,8 +43,8 @@
   /**
    * Adds a decoder that splits the input into lines, and this codec, to a connection's pipeline.
    */
-  void addTo(ChannelPipeline pipeline) {
-    pipeline.addLast(new LineBasedFrameDecoder(MAX_LINE_BYTES, true, true));
+  void addTo(ChannelPipeline pipeline, InputMemory memory) {
+    pipeline.addLast(new LineDecoder(MAX_LINE_BYTES, memory));
     pipeline.addLast(this);
   }
 
--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -76,6 +76,7 @@
 
   private final EventLoopGroup eventLoop;
   private final ConnectionQuota quota;
+  private final InputMemory inputMemory;
   private final Function<Vm, RequestPayload> payloads;
   private final Listener listener;
   private Duration connectTimeout;
@@ -86,17 +87,20 @@
    * Creates a client without connections and without an address.
    *
    * @param quota the quota shared by the clients of all machines
+   * @param inputMemory the bound on incomplete lines of all machines
    * @param payloads returns the part of a VM's request that is forwarded; called when the request
    *     is written
    */
   public MachineClient(
       EventLoopGroup eventLoop,
       ConnectionQuota quota,
+      InputMemory inputMemory,
       Duration connectTimeout,
       Function<Vm, RequestPayload> payloads,
       Listener listener) {
     this.eventLoop = eventLoop;
     this.quota = quota;
+    this.inputMemory = inputMemory;
     this.connectTimeout = connectTimeout;
     this.payloads = payloads;
     this.listener = listener;
@@ -235,7 +239,7 @@
             new ChannelInitializer<NioSocketChannel>() {
               @Override
               protected void initChannel(NioSocketChannel channel) {
-                handler.addTo(channel.pipeline());
+                handler.addTo(channel.pipeline(), inputMemory);
               }
             });
   }
--- a/src/main/java/fordridge/server/json/HeapBudget.java
+++ b/src/main/java/fordridge/server/json/HeapBudget.java
@@ -12,6 +12,7 @@
 record HeapBudget(long heapBytes) {
   private static final int PENDING_REQUESTS_FRACTION = 6;
   private static final int VMS_FRACTION = 4;
+  private static final int INPUT_FRACTION = 16;
 
   /** What a VM that runs retains, with its attempt and its entries in maps. */
   private static final long VM_BYTES = 1024;
@@ -28,6 +29,11 @@
     return heapBytes / PENDING_REQUESTS_FRACTION;
   }
 
+  /** The maximum of the bytes of incomplete lines, of all clients or of all machines. */
+  long inputBytes() {
+    return heapBytes / INPUT_FRACTION;
+  }
+
   /** The maximum number of VMs that are known at once, pending, running or being terminated. */
   int maxVms() {
     return (int) (heapBytes / VMS_FRACTION / VM_BYTES);
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -6,6 +6,7 @@
 import fordridge.json.ClientConnection;
 import fordridge.json.ClientRequestHandler;
 import fordridge.json.ClientServer;
+import fordridge.json.InputMemory;
 import fordridge.json.MachineListEvent;
 import fordridge.json.MachineListWatcher;
 import fordridge.runtime.InputKind;
@@ -43,6 +44,8 @@
   private final JsonInputPort inputPort;
   private final InputGate gate;
   private final PendingResponses<ClientConnection> pendingResponses;
+  private final InputMemory clientInput;
+  private final InputMemory machineInput;
   private final ClientResponder clients;
   private final RequestLog requestLog;
   private final JsonSchedulerActions actions;
@@ -67,6 +70,8 @@
     ServerSettings settings = configuration.serverSettings();
     long startedAtEpochMillis = System.currentTimeMillis();
     HeapBudget heap = HeapBudget.ofThisProcess();
+    clientInput = new InputMemory(heap.inputBytes());
+    machineInput = new InputMemory(heap.inputBytes());
     requestLog = new RequestLog(log);
     pendingResponses =
         new PendingResponses<>(
@@ -95,6 +100,7 @@
             requests,
             outcomes,
             settings.timeouts(),
+            machineInput,
             configuration.maxMachineConnections());
     machineList =
         new MachineListIntake(loop, inputs, machines, startedAtEpochMillis, requestLog.vmLog());
@@ -121,6 +127,11 @@
     return intake;
   }
 
+  /** The bound on incomplete lines of all clients. */
+  InputMemory clientInputMemory() {
+    return clientInput;
+  }
+
   /** The listener for changes of the machine list. */
   MachineListWatcher.Listener machineListListener() {
     return machineList;
@@ -254,6 +265,10 @@
         + (clientServer == null ? Map.of() : clientServer.closeCounts())
         + ", accept failures "
         + (clientServer == null ? 0 : clientServer.acceptFailureCount())
+        + ", bytes of incomplete lines of clients "
+        + clientInput.describe()
+        + ", of machines "
+        + machineInput.describe()
         + ", invalid requests "
         + intake.invalidRequestCount()
         + ", load reports "
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -2,6 +2,7 @@
 
 import fordridge.eventloop.InputGate;
 import fordridge.json.ConnectionQuota;
+import fordridge.json.InputMemory;
 import fordridge.json.MachineClient;
 import fordridge.machine.ConnectionBudget;
 import fordridge.machine.ConnectionTimeouts;
@@ -47,6 +48,7 @@
   private final RequestLog requestLog;
   private final MachineConnectionListener listener;
   private final ConnectionQuota quota;
+  private final InputMemory inputMemory;
   private final OfferConnectionQuota offers = new OfferConnectionQuota();
   private Predicate<String> isNoticeUndelivered = vmId -> false;
   private ConnectionTimeouts timeouts;
@@ -65,6 +67,7 @@
       ActiveRequests requests,
       MachineConnectionListener listener,
       ConnectionTimeouts timeouts,
+      InputMemory inputMemory,
       int maxConnections) {
     this.group = group;
     this.loop = loop;
@@ -74,6 +77,7 @@
     requestLog = requests.log();
     this.listener = listener;
     this.timeouts = timeouts;
+    this.inputMemory = inputMemory;
     quota = new ConnectionQuota(maxConnections);
   }
 
@@ -92,7 +96,7 @@
       handle = new MachineHandle(id, loop, gate, inputs, requests, requestLog, isNoticeUndelivered);
       MachineClient client =
           new MachineClient(
-              group, quota, timeouts.connectTimeout(), handle::payloadToOffer, handle);
+              group, quota, inputMemory, timeouts.connectTimeout(), handle::payloadToOffer, handle);
       handle.attach(
           client, new MachineConnectionPool(handle.machine(), timeouts, offers, client, listener));
       handlesById.put(id, handle);
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -137,7 +137,11 @@
         new JsonSchedulerServer(loop, timers, poller, configuration, inputStatistics, this::log);
     clients =
         new ClientServer(
-            loop, timers, server.clientRequestHandler(), configuration.maxClientConnections());
+            loop,
+            timers,
+            server.clientRequestHandler(),
+            server.clientInputMemory(),
+            configuration.maxClientConnections());
     Future<?> started = loop.submit(this::startOnLoop).await();
     if (!started.isSuccess()) {
       throw new IOException(started.cause().getMessage(), started.cause());
--- a/src/test/java/fordridge/server/json/MemoryBoundsTest.java
+++ b/src/test/java/fordridge/server/json/MemoryBoundsTest.java
@@ -30,6 +30,9 @@
   /** At 100 bytes each they would fill the heap of 16 MB. */
   private static final int WITHDRAWN_REQUESTS = 160_000;
 
+  /** Fewer than the 384 that are allowed to clients. */
+  private static final int CONNECTIONS = 370;
+
   private static final int WITHDRAWN_AT_ONCE = 100;
 
   /** At 320 bytes each they would fill the heap of 16 MB. */
@@ -184,4 +187,22 @@
       assertAllAnswered(process, startUsualClient(process));
     }
   }
+
+  /**
+   * Guards against an event loop that waits for direct memory, which the incomplete lines of many
+   * connections had used up: no other client got an answer.
+   */
+  @Example
+  void incompleteLinesOfManyConnectionsDoNotStopTheOthers() throws Exception {
+    try (JsonTestPeers peers = new JsonTestPeers();
+        ServeScriptProcess process = start(peers, 64)) {
+      byte[] halfALine = "x".repeat(LINE_BYTES).getBytes(StandardCharsets.UTF_8);
+      for (int i = 0; i < CONNECTIONS; i++) {
+        process.connect().getOutputStream().write(halfALine);
+      }
+      LineConnection usual = new LineConnection(process.connect());
+      assertThat(usual.receiveUntilHealthCheck()).isEmpty();
+      assertAllAnswered(process, startUsualClient(process));
+    }
+  }
 }
