Bound what is retained about VMs that do not run over all machines together

Cause: termination notices of unknown VMs (4,096) and unsettled attempts (1,024) were bounded for each machine alone, so that their sum grew with the number of machines; and a notice expired only when the same machine sent another one.

Notices expire with the tick.

--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -50,18 +50,20 @@
    * Creates a pool without connections for a machine that is live.
    *
    * @param offers the quota that the pools of all machines share
+   * @param retained the counts that the pools of all machines share
    */
   public MachineConnectionPool(
       Machine machine,
       ConnectionTimeouts timeouts,
       OfferConnectionQuota offers,
+      RetainedEntries retained,
       MachineTransport transport,
       MachineConnectionListener listener) {
     this.machine = machine;
     this.timeouts = timeouts;
     this.transport = transport;
     this.listener = listener;
-    executions = new VmExecutions(machine, connections, listener);
+    executions = new VmExecutions(machine, connections, retained, listener);
     runningVms = executions.runningVms();
     opener = new ConnectionOpener(timeouts, offers, transport, connections, liveness);
     releaser = new OrphanedVmReleaser(machine, executions, connections, transport, listener);
@@ -316,6 +318,7 @@
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
     executions.endUnconfirmedTerminations(now);
+    runningVms.expireUnclaimedTerminations(now);
     releaser.releaseIfDue(now);
     needsConnection = isConnectionNeeded(now);
   }
--- a/src/main/java/fordridge/machine/RunningVms.java
+++ b/src/main/java/fordridge/machine/RunningVms.java
@@ -16,11 +16,15 @@
 final class RunningVms {
   private final Map<String, PlacementAttempt> attempts = new HashMap<>();
 
-  private final UnclaimedTerminations unclaimedTerminations = new UnclaimedTerminations();
+  private final UnclaimedTerminations unclaimedTerminations;
 
   /** The time by which the machine has to confirm a termination, by VM id. */
   private final Map<String, Duration> terminationDeadlines = new HashMap<>();
 
+  RunningVms(RetainedEntries retained) {
+    unclaimedTerminations = new UnclaimedTerminations(retained.unclaimedTerminations);
+  }
+
   int size() {
     return attempts.size();
   }
@@ -65,6 +69,11 @@
     return unclaimedTerminations.contains(vmId, now);
   }
 
+  /** Drops the termination notices of unknown VMs that have expired. */
+  void expireUnclaimedTerminations(Duration now) {
+    unclaimedTerminations.removeSurplus(now);
+  }
+
   /** Number of notices for unknown VMs that were displaced by later ones since the start. */
   long displacedTerminationCount() {
     return unclaimedTerminations.displacedCount();
--- a/src/main/java/fordridge/machine/UnsettledAttempts.java
+++ b/src/main/java/fordridge/machine/UnsettledAttempts.java
@@ -24,8 +24,8 @@
  * RELEASED  -                settled            PENDING            PENDING
  * </pre>
  *
- * <p>At most the latest {@value #MAX_ENTRIES} are kept; displaced ones are counted. Not
- * thread-safe.
+ * <p>At most the latest {@value #MAX_ENTRIES} are kept, and fewer if those of all machines are too
+ * many; displaced ones are counted. Not thread-safe.
  */
 public final class UnsettledAttempts {
   static final int MAX_ENTRIES = 1024;
@@ -50,17 +50,38 @@
   /** Entries by VM id, in the order in which the attempts were given up. */
   private final Map<String, Entry> entriesByVmId = new LinkedHashMap<>();
 
+  private final SharedEntryCount ofAllMachines;
   private long displacedCount;
 
+  UnsettledAttempts(SharedEntryCount ofAllMachines) {
+    this.ofAllMachines = ofAllMachines;
+  }
+
   /** Adds an attempt that was given up; the release of its VM is pending. */
   void add(String vmId, UnsettledReason reason, Duration now) {
-    entriesByVmId.computeIfAbsent(vmId, id -> new Entry(reason, now)).releasedOn = null;
-    if (entriesByVmId.size() > MAX_ENTRIES) {
-      entriesByVmId.remove(entriesByVmId.keySet().iterator().next());
+    Entry known = entriesByVmId.get(vmId);
+    if (known != null) {
+      known.releasedOn = null;
+      return;
+    }
+    entriesByVmId.put(vmId, new Entry(reason, now));
+    ofAllMachines.added();
+    while (isOverLimit(entriesByVmId.size())) {
+      remove(entriesByVmId.keySet().iterator().next());
       displacedCount++;
     }
   }
 
+  private boolean isOverLimit(int entries) {
+    return entries > MAX_ENTRIES || (entries > 0 && ofAllMachines.isExceededBy(entries));
+  }
+
+  private Optional<Entry> remove(String vmId) {
+    Optional<Entry> removed = Optional.ofNullable(entriesByVmId.remove(vmId));
+    ofAllMachines.removed(removed.isPresent() ? 1 : 0);
+    return removed;
+  }
+
   /** The release was written to the connection, followed by the health check of that number. */
   void released(String vmId, MachineConnection connection, long healthCheckNumber) {
     Entry entry = entriesByVmId.get(vmId);
@@ -77,7 +98,7 @@
    * unsettled.
    */
   Optional<Boolean> settle(String vmId) {
-    return Optional.ofNullable(entriesByVmId.remove(vmId)).map(entry -> entry.wasReleased);
+    return remove(vmId).map(entry -> entry.wasReleased);
   }
 
   /**
@@ -92,6 +113,7 @@
       if (entry.getValue().releasedOn == connection
           && entry.getValue().healthCheckNumber <= healthCheckNumber) {
         entries.remove();
+        ofAllMachines.removed(1);
         settled.add(entry.getKey());
       }
     }
@@ -112,6 +134,7 @@
 
   /** Settles all attempts: the machine is gone with all its VMs. */
   void settleAll() {
+    ofAllMachines.removed(entriesByVmId.size());
     entriesByVmId.clear();
   }
 
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -34,15 +34,22 @@
   private final Machine machine;
   private final ConnectionSet connections;
   private final MachineConnectionListener listener;
-  private final RunningVms runningVms = new RunningVms();
-  private final UnsettledAttempts unsettled = new UnsettledAttempts();
+  private final RunningVms runningVms;
+  private final UnsettledAttempts unsettled;
 
   /**
    * Creates the state of a machine without VMs.
    *
    * @param connections the connections to the machine, which the caller adds and removes
+   * @param retained the counts that all machines share
    */
-  VmExecutions(Machine machine, ConnectionSet connections, MachineConnectionListener listener) {
+  VmExecutions(
+      Machine machine,
+      ConnectionSet connections,
+      RetainedEntries retained,
+      MachineConnectionListener listener) {
+    runningVms = new RunningVms(retained);
+    unsettled = new UnsettledAttempts(retained.unsettledAttempts);
     this.machine = machine;
     this.connections = connections;
     this.listener = listener;
--- a/src/main/java/fordridge/server/json/HeapBudget.java
+++ b/src/main/java/fordridge/server/json/HeapBudget.java
@@ -1,6 +1,6 @@
 package fordridge.server.json;
 
-import fordridge.session.SharedLimit;
+import fordridge.model.SharedLimit;
 
 /**
  * Divides the heap of the process among the structures that grow with the input of peers, so that
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -9,6 +9,7 @@
 import fordridge.machine.MachineConnectionListener;
 import fordridge.machine.MachineConnectionPool;
 import fordridge.machine.OfferConnectionQuota;
+import fordridge.machine.RetainedEntries;
 import fordridge.machine.UnsettledReason;
 import fordridge.model.Durations;
 import fordridge.model.Machine;
@@ -50,6 +51,7 @@
   private final ConnectionQuota quota;
   private final InputMemory inputMemory;
   private final OfferConnectionQuota offers = new OfferConnectionQuota();
+  private final RetainedEntries retained = new RetainedEntries();
   private Predicate<String> isNoticeUndelivered = vmId -> false;
   private ConnectionTimeouts timeouts;
   private final Map<String, MachineHandle> handlesById = new HashMap<>();
@@ -98,7 +100,9 @@
           new MachineClient(
               group, quota, inputMemory, timeouts.connectTimeout(), handle::payloadToOffer, handle);
       handle.attach(
-          client, new MachineConnectionPool(handle.machine(), timeouts, offers, client, listener));
+          client,
+          new MachineConnectionPool(
+              handle.machine(), timeouts, offers, retained, client, listener));
       handlesById.put(id, handle);
       handlesByMachine.put(handle.machine(), handle);
       pools.add(handle.pool());
--- a/src/main/java/fordridge/session/PendingRequestBudget.java
+++ b/src/main/java/fordridge/session/PendingRequestBudget.java
@@ -1,5 +1,6 @@
 package fordridge.session;
 
+import fordridge.model.SharedLimit;
 import java.util.HashMap;
 import java.util.Map;
 
--- a/src/test/java/fordridge/machine/ConnectFailureTest.java
+++ b/src/test/java/fordridge/machine/ConnectFailureTest.java
@@ -103,7 +103,8 @@
 
   @Example
   void unclaimedTerminationsAreBoundedAndExpire() {
-    UnclaimedTerminations terminations = new UnclaimedTerminations();
+    UnclaimedTerminations terminations =
+        new UnclaimedTerminations(new RetainedEntries().unclaimedTerminations);
     for (int i = 0; i < 3 * UnclaimedTerminations.MAX_ENTRIES; i++) {
       terminations.add(
           new VmTermination(
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -24,7 +24,7 @@
   MachinePoolStub(int machineId, OfferConnectionQuota offers) {
     this.offers = offers;
     machine = new Machine(machineId);
-    pool = new MachineConnectionPool(machine, TIMEOUTS, offers, this, this);
+    pool = new MachineConnectionPool(machine, TIMEOUTS, offers, new RetainedEntries(), this, this);
   }
 
   PlacementAttempt newAttempt(String vmId, Duration now) {
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -10,6 +10,7 @@
 import fordridge.machine.MachineFailure;
 import fordridge.machine.MachineTransport;
 import fordridge.machine.OfferConnectionQuota;
+import fordridge.machine.RetainedEntries;
 import fordridge.machine.VmTermination;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
@@ -141,6 +142,7 @@
           machine,
           new ConnectionTimeouts(Duration.ofMillis(250), Duration.ofSeconds(3)),
           new OfferConnectionQuota(),
+          new RetainedEntries(),
           transport,
           outcomes);
   private Duration time = Duration.ZERO;
