JsonServerRaceTest: give the pending requests more time than the test takes

clientThatReadsNothingIsDisconnected holds two requests pending while another client's buffers fill. They have 600 s now, with the start deadline of the configuration.

Its loop also took 2,000 polls without an answer for the disconnect that it waits for. It now waits for the request at the machine or the disconnect, and fails if neither comes: stricter than before.

--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -20,6 +20,7 @@
 import java.nio.file.Files;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 
 /**
@@ -350,9 +351,10 @@
   @Example
   void clientThatReadsNothingIsDisconnected() throws Exception {
     try (JsonTestPeers peers = new JsonTestPeers()) {
-      peers.start();
+      // The requests that stay pending have longer than the test takes on a busy machine.
+      peers.start(peers.configuration().replace("\"giveUpUs\":4000000", "\"giveUpUs\":600000000"));
       LineConnection other = peers.connectClient();
-      other.send(request(0, "a"));
+      other.send(request(0, "a", "600000", "cores:1;memory:1;service:1", "any"));
       LineConnection first = peers.machine.await(id(0));
       LineConnection machine;
       // The test never reads from this socket.
@@ -362,21 +364,17 @@
             new InetSocketAddress(InetAddress.getLoopbackAddress(), peers.server.port()));
         OutputStream out = socket.getOutputStream();
         String bigDescription = "x".repeat(15_000);
-        out.write((request(1, "once") + "\n").getBytes(StandardCharsets.UTF_8));
+        String pending = request(1, "once", "600000", "cores:1;memory:1;service:1", "any");
+        out.write((pending + "\n").getBytes(StandardCharsets.UTF_8));
         machine = peers.machine.await(id(1));
         boolean open = true;
         for (int i = 2; open && i < 900; i++) {
           out.write(
               (request(i, "a", "4000", "cores:0.01;memory:0.01;service:1", "x") + "\n")
                   .getBytes(StandardCharsets.UTF_8));
-          LineConnection carrier = null;
-          for (int polls = 0; open && carrier == null; polls++) {
-            carrier = peers.machine.findRequest(id(i));
-            Thread.onSpinWait();
-            // If it is neither admitted nor closed, the server no longer reads the socket.
-            open = peers.server.connectionCount() == 2 && polls < 2000;
-          }
-          if (carrier != null) {
+          LineConnection carrier = awaitRequestOrClose(peers, id(i));
+          open = carrier != null;
+          if (open) {
             carrier.send(message("up", i, ",\"d\":\"" + bigDescription + "\""));
             carrier.send(message("down", i, ",\"c\":16"));
           }
@@ -392,6 +390,27 @@
     }
   }
 
+  /**
+   * Waits until the machine has the request, or the client is disconnected; returns the connection
+   * of the request, null after a disconnect. Fails if neither happens: the server no longer reads
+   * the client's socket.
+   */
+  private static LineConnection awaitRequestOrClose(JsonTestPeers peers, String vmId)
+      throws Exception {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (System.nanoTime() < deadline) {
+      LineConnection carrier = peers.machine.findRequest(vmId);
+      if (carrier != null) {
+        return carrier;
+      }
+      if (peers.server.connectionCount() < 2) {
+        return null;
+      }
+      Thread.onSpinWait();
+    }
+    throw new AssertionError("neither admitted nor closed: " + vmId);
+  }
+
   /** Both requests get one response, and the attempt in flight is cancelled. */
   @Example
   void duplicateIdFailsOnceAndCancelsTheAttempt() throws Exception {
