--- a/src/test/java/fordridge/server/json/MemoryBoundsTest.java
+++ b/src/test/java/fordridge/server/json/MemoryBoundsTest.java
@@ -10,6 +10,7 @@
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.util.ArrayList;
@@ -197,12 +198,15 @@
     try (JsonTestPeers peers = new JsonTestPeers();
         ServeScriptProcess process = start(peers, 64)) {
       byte[] halfALine = "x".repeat(LINE_BYTES).getBytes(StandardCharsets.UTF_8);
+      List<Socket> sockets = new ArrayList<>();
       for (int i = 0; i < CONNECTIONS; i++) {
-        process.connect().getOutputStream().write(halfALine);
+        sockets.add(process.connect());
+        sockets.get(i).getOutputStream().write(halfALine);
       }
       LineConnection usual = new LineConnection(process.connect());
       assertThat(usual.receiveUntilHealthCheck()).isEmpty();
       assertAllAnswered(process, startUsualClient(process));
+      JsonTestPeers.closeAll(sockets);
     }
   }
 }
