--- a/src/main/java/fordridge/json/InputMemory.java
+++ b/src/main/java/fordridge/json/InputMemory.java
@@ -1,9 +1,7 @@
 package fordridge.json;
 
-import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * Bounds the memory of incomplete lines, of all connections of one kind together: whether a line is
@@ -12,7 +10,10 @@
  */
 public final class InputMemory {
   private final long maxBytes;
-  private final Map<LineDecoder, Integer> bytesByDecoder = new HashMap<>();
+
+  /** Decoders with an incomplete line, the one with the oldest line first. */
+  private final Map<LineDecoder, Integer> bytesByDecoder = new LinkedHashMap<>();
+
   private long totalBytes;
   private long peakBytes;
   private long rejectedCount;
@@ -23,32 +24,37 @@
   }
 
   /**
-   * Records what the decoder retains now. While all retain more than the bound, the decoder that
-   * retains most rejects its line.
+   * Records what the decoder retains now. While all retain more than the bound, the decoder with
+   * the oldest incomplete line rejects it: a line that is still being sent completes soon.
+   *
+   * @param isNewLine whether a line was completed since the last call, so that what is retained now
+   *     is of another one
    */
-  void update(LineDecoder decoder, int bytes) {
-    Integer before =
-        bytes == 0 ? bytesByDecoder.remove(decoder) : bytesByDecoder.put(decoder, bytes);
-    totalBytes += bytes - (before == null ? 0 : before);
+  void update(LineDecoder decoder, int bytes, boolean isNewLine) {
+    if (bytes == 0 || isNewLine) {
+      remove(decoder);
+    }
+    if (bytes > 0) {
+      Integer before = bytesByDecoder.put(decoder, bytes);
+      totalBytes += bytes - (before == null ? 0 : before);
+    }
     peakBytes = Math.max(peakBytes, totalBytes);
     while (totalBytes > maxBytes) {
-      rejectLargest();
+      rejectOldest();
     }
   }
 
-  private void rejectLargest() {
-    Optional<LineDecoder> largest =
-        bytesByDecoder.entrySet().stream()
-            .max(Comparator.comparingInt(Map.Entry::getValue))
-            .map(Map.Entry::getKey);
+  private void rejectOldest() {
+    LineDecoder oldest = bytesByDecoder.keySet().iterator().next();
     rejectedCount++;
-    remove(largest.orElseThrow());
-    largest.get().rejectLine();
+    remove(oldest);
+    oldest.rejectLine();
   }
 
   /** The decoder retains nothing any more. */
   void remove(LineDecoder decoder) {
-    update(decoder, 0);
+    Integer before = bytesByDecoder.remove(decoder);
+    totalBytes -= before == null ? 0 : before;
   }
 
   /** The bytes retained now and at most, and the number of lines rejected, for the log. */
--- a/src/main/java/fordridge/json/LineDecoder.java
+++ b/src/main/java/fordridge/json/LineDecoder.java
@@ -21,6 +21,9 @@
   /** Set once input was read. */
   private ChannelHandlerContext context;
 
+  /** Whether a line was completed in the current read cycle. */
+  private boolean hasCompletedLine;
+
   LineDecoder(int maxLineBytes, InputMemory memory) {
     super(maxLineBytes, true, true);
     this.memory = memory;
@@ -46,12 +49,21 @@
     return (bytes + GROWTH_BYTES - 1) / GROWTH_BYTES * GROWTH_BYTES;
   }
 
+  @Override
+  protected Object decode(ChannelHandlerContext ctx, ByteBuf buffer) throws Exception {
+    Object line = super.decode(ctx, buffer);
+    hasCompletedLine |= line != null;
+    return line;
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
     context = ctx;
     super.channelReadComplete(ctx);
     if (!ctx.isRemoved()) {
-      memory.update(this, actualReadableBytes() == 0 ? 0 : internalBuffer().capacity());
+      int bytes = actualReadableBytes() == 0 ? 0 : internalBuffer().capacity();
+      memory.update(this, bytes, hasCompletedLine);
+      hasCompletedLine = false;
     }
   }
 
