EtcdMachineListTest: wait for all events before the updates are counted

It waits until a machine is draining, which the first of three events brings about, then watches and waits until there is exactly one update. If the other two events come after the watch began, there are three. Shown on a scratch copy that writes these two after the watch: the same failure, 1 of 1.

The test now writes a machine behind the three events and waits for it, and checks that the other one is draining; the rest is unchanged. All 16 tests of the class pass, 1 of 1.

--- a/src/test/java/fordridge/etcd/EtcdMachineListTest.java
+++ b/src/test/java/fordridge/etcd/EtcdMachineListTest.java
@@ -150,7 +150,10 @@
         etcd.put("/c/drains/m00001", "{}");
         etcd.delete("/c/drains/m00001");
         etcd.put("/c/drains/m00001", "{}");
-        awaitUntil(() -> lifecycle(list, "m00001") == Lifecycle.DRAINING);
+        // Events are applied in order: once this machine is known, so are the three before it.
+        etcd.put("/c/machines/m00008", machine(8, 1));
+        awaitUntil(() -> entry(list, "m00008") != null);
+        assertThat(lifecycle(list, "m00001")).isEqualTo(Lifecycle.DRAINING);
         List<Update> updates = new CopyOnWriteArrayList<>();
         list.watch(updates::add);
         awaitUntil(() -> updates.size() == 1);
