--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -12,8 +12,7 @@
  * connection that carries it; a running VM is not bound to a connection.
  *
  * <p>Free of I/O, threads and clocks: the time is a parameter, and the pool acts through {@link
- * MachineTransport} and {@link MachineConnectionListener}. Not thread-safe; all methods must be
- * called on one event loop.
+ * MachineTransport} and {@link MachineConnectionListener}. Confined to one event loop.
  *
  * <p>{@link ExecutionEvidence} defines what a failure proves. A connection carries one placement
  * request at a time while more can be opened, so that a lost connection affects one attempt only.
@@ -49,8 +48,7 @@
   /**
    * Creates a pool without connections for a machine that is live.
    *
-   * @param offers the quota that the pools of all machines share
-   * @param retained the counts that the pools of all machines share
+   * @param offers the quota, and {@code retained} the counts, that the pools of all machines share
    */
   public MachineConnectionPool(
       Machine machine,
@@ -318,7 +316,6 @@
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
     executions.endUnconfirmedTerminations(now);
-    runningVms.expireUnclaimedTerminations(now);
     releaser.releaseIfDue(now);
     needsConnection = isConnectionNeeded(now);
   }
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -232,10 +232,11 @@
   }
 
   /**
-   * Ends the attempts whose termination the machine has not confirmed in time; it may not have
-   * received the request.
+   * Ends the attempts whose termination the machine has not confirmed in time, as it may not have
+   * received the request, and drops the expired notices of unknown VMs.
    */
   void endUnconfirmedTerminations(Duration now) {
+    runningVms.expireUnclaimedTerminations(now);
     List<PlacementAttempt> unconfirmed = runningVms.takeUnconfirmed(now);
     for (PlacementAttempt attempt : unconfirmed) {
       attempt.mayStillRun = true;
--- a/src/main/java/fordridge/server/json/ActiveRequests.java
+++ b/src/main/java/fordridge/server/json/ActiveRequests.java
@@ -4,6 +4,7 @@
 import fordridge.json.RequestPayload;
 import fordridge.model.PlacementAttempt;
 import fordridge.model.PlacementAttempt.Outcome;
+import fordridge.model.SharedLimit;
 import fordridge.model.Vm;
 import fordridge.runtime.SchedulerInputs;
 import java.util.HashMap;
@@ -24,17 +25,33 @@
 
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
+  private final int maxVms;
+  private final SharedLimit handoverLimit;
+  private final AttemptTimers attemptTimers;
   private final RequestLog requestLog;
 
   /** By VM id, until a machine has accepted the VM. */
   private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
 
-  ActiveRequests(SchedulerEventLoop loop, SchedulerInputs<String> inputs, RequestLog requestLog) {
+  ActiveRequests(
+      SchedulerEventLoop loop,
+      SchedulerInputs<String> inputs,
+      HeapBudget heap,
+      AttemptTimers attemptTimers,
+      RequestLog requestLog) {
+    maxVms = heap.maxVms();
+    handoverLimit = heap.handoverLimit();
+    this.attemptTimers = attemptTimers;
     this.requestLog = requestLog;
     this.loop = loop;
     this.inputs = inputs;
   }
 
+  /** The timers of the attempts. */
+  AttemptTimers attemptTimers() {
+    return attemptTimers;
+  }
+
   /** The log of the requests' state transitions. */
   RequestLog log() {
     return requestLog;
@@ -112,9 +129,18 @@
         });
   }
 
-  /** The number of VMs that are pending, running or being terminated. */
-  int vmCount() {
-    return inputs.vmCount();
+  /** Whether no further VM may be known: as many are pending, running or being terminated. */
+  boolean isFull() {
+    return inputs.vmCount() >= maxVms;
+  }
+
+  /**
+   * Whether a client may hand over one more VM.
+   *
+   * @param vmsOfConnection the VMs of the client's connection, without that one
+   */
+  boolean admitsHandover(int vmsOfConnection) {
+    return handoverLimit.admits(inputs.vmCount() + 1L, vmsOfConnection + 1L);
   }
 
   /** The number of VMs and pending requests that are retained. */
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -9,7 +9,6 @@
 import fordridge.json.TerminationCode;
 import fordridge.model.Machine;
 import fordridge.model.PlacementAttempt;
-import fordridge.model.SharedLimit;
 import fordridge.model.Vm;
 import fordridge.runtime.InputKind;
 import fordridge.runtime.SchedulerInputs;
@@ -46,9 +45,6 @@
   private final ClientResponder clients;
   private final ActiveRequests requests;
   private final MachineRegistry machines;
-  private final AttemptTimers attemptTimers;
-  private final int maxVms;
-  private final SharedLimit handoverLimit;
   private final RequestLog requestLog;
   private final Consumer<String> log;
   private Duration machineFailureTimeout;
@@ -67,8 +63,6 @@
       ClientResponder clients,
       ActiveRequests requests,
       MachineRegistry machines,
-      AttemptTimers attemptTimers,
-      HeapBudget heap,
       Consumer<String> log) {
     this.loop = loop;
     this.inputs = inputs;
@@ -76,9 +70,6 @@
     this.clients = clients;
     this.requests = requests;
     this.machines = machines;
-    this.attemptTimers = attemptTimers;
-    maxVms = heap.maxVms();
-    handoverLimit = heap.handoverLimit();
     requestLog = requests.log();
     this.log = log;
     validator = new RequestValidator(settings);
@@ -132,7 +123,7 @@
     RequestPayload payload =
         new RequestPayload(request.key(), request.idempotencyKey(), request.description());
     long bytes = REQUEST_OVERHEAD_BYTES + payload.retainedBytes();
-    if (requests.vmCount() >= maxVms && requests.find(vm.id) == null) {
+    if (requests.isFull() && requests.find(vm.id) == null) {
       rejectForMemory(connection, vm, bytes);
       return;
     }
@@ -225,12 +216,14 @@
     handle.pool().adopt(vm.acceptedAttempt, loop.now());
     if (!handle.machine().isListed || handle.machine().lifecycle == Machine.Lifecycle.GONE) {
       // The machine may still be listed.
-      attemptTimers.add(
-          vm.acceptedAttempt,
-          loop.submitAfter(
-              machineFailureTimeout,
-              InputKind.ADOPTION_CHECK,
-              () -> markLostIfMachineGone(vm, handle)));
+      requests
+          .attemptTimers()
+          .add(
+              vm.acceptedAttempt,
+              loop.submitAfter(
+                  machineFailureTimeout,
+                  InputKind.ADOPTION_CHECK,
+                  () -> markLostIfMachineGone(vm, handle)));
     }
   }
 
@@ -243,9 +236,7 @@
       return RequestLog.Handover.UNKNOWN_MACHINE;
     }
     boolean isNew = requests.find(vm.id) == null;
-    if (isNew
-        && !handoverLimit.admits(
-            requests.vmCount() + 1L, pendingResponses.vmsOf(connection) + 1L)) {
+    if (isNew && !requests.admitsHandover(pendingResponses.vmsOf(connection))) {
       return RequestLog.Handover.TOO_MANY_VMS;
     }
     return switch (pendingResponses.adoptRunning(vm.id, connection)) {
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -87,7 +87,7 @@
     actions =
         new JsonSchedulerActions(loop, gate, clients, settings, requestLog, attemptTimers, log);
     inputs = new SchedulerInputs<>(actions, SchedulerInputs::machineId);
-    requests = new ActiveRequests(loop, inputs, requestLog);
+    requests = new ActiveRequests(loop, inputs, heap, attemptTimers, requestLog);
     outcomes =
         new AttemptOutcomeHandler(
             loop, inputs, pendingResponses, clients, requests, requestLog, attemptTimers);
@@ -99,23 +99,13 @@
             inputs,
             requests,
             outcomes,
-            settings.timeouts(),
-            machineInput,
-            configuration.maxMachineConnections());
+            new MachineConnectionSettings(
+                settings.timeouts(), machineInput, configuration.maxMachineConnections()));
     machineList =
         new MachineListIntake(loop, inputs, machines, startedAtEpochMillis, requestLog.vmLog());
     intake =
         new ClientRequestIntake(
-            loop,
-            inputs,
-            settings,
-            pendingResponses,
-            clients,
-            requests,
-            machines,
-            attemptTimers,
-            heap,
-            log);
+            loop, inputs, settings, pendingResponses, clients, requests, machines, log);
     loop.attach(inputs.scheduler);
     actions.attach(inputs, machines, requests);
     outcomes.attach(machines);
--- a/src/main/java/fordridge/server/json/MachineRegistry.java
+++ b/src/main/java/fordridge/server/json/MachineRegistry.java
@@ -68,9 +68,7 @@
       SchedulerInputs<String> inputs,
       ActiveRequests requests,
       MachineConnectionListener listener,
-      ConnectionTimeouts timeouts,
-      InputMemory inputMemory,
-      int maxConnections) {
+      MachineConnectionSettings settings) {
     this.group = group;
     this.loop = loop;
     this.gate = gate;
@@ -78,9 +76,9 @@
     this.requests = requests;
     requestLog = requests.log();
     this.listener = listener;
-    this.timeouts = timeouts;
-    this.inputMemory = inputMemory;
-    quota = new ConnectionQuota(maxConnections);
+    timeouts = settings.timeouts();
+    inputMemory = settings.inputMemory();
+    quota = new ConnectionQuota(settings.maxConnections());
   }
 
   /**
--- a/src/test/java/fordridge/server/json/JsonServerRaceTest.java
+++ b/src/test/java/fordridge/server/json/JsonServerRaceTest.java
@@ -20,7 +20,6 @@
 import java.nio.file.Files;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 
 /**
@@ -372,7 +371,7 @@
           out.write(
               (request(i, "a", "4000", "cores:0.01;memory:0.01;service:1", "x") + "\n")
                   .getBytes(StandardCharsets.UTF_8));
-          LineConnection carrier = awaitRequestOrClose(peers, id(i));
+          LineConnection carrier = peers.awaitRequestOrClose(id(i), 2);
           open = carrier != null;
           if (open) {
             carrier.send(message("up", i, ",\"d\":\"" + bigDescription + "\""));
@@ -390,27 +389,6 @@
     }
   }
 
-  /**
-   * Waits until the machine has the request, or the client is disconnected; returns the connection
-   * of the request, null after a disconnect. Fails if neither happens: the server no longer reads
-   * the client's socket.
-   */
-  private static LineConnection awaitRequestOrClose(JsonTestPeers peers, String vmId)
-      throws Exception {
-    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-    while (System.nanoTime() < deadline) {
-      LineConnection carrier = peers.machine.findRequest(vmId);
-      if (carrier != null) {
-        return carrier;
-      }
-      if (peers.server.connectionCount() < 2) {
-        return null;
-      }
-      Thread.onSpinWait();
-    }
-    throw new AssertionError("neither admitted nor closed: " + vmId);
-  }
-
   /** Both requests get one response, and the attempt in flight is cancelled. */
   @Example
   void duplicateIdFailsOnceAndCancelsTheAttempt() throws Exception {
--- a/src/test/java/fordridge/server/json/JsonTestPeers.java
+++ b/src/test/java/fordridge/server/json/JsonTestPeers.java
@@ -371,6 +371,23 @@
     Awaitility.await().until(() -> server.machineConnectionCount() > 0);
   }
 
+  /**
+   * Waits until the machine has the request, or fewer clients than that are connected; returns the
+   * connection of the request, null after a disconnect. Fails if neither happens: the server no
+   * longer reads the client's socket.
+   */
+  LineConnection awaitRequestOrClose(String vmId, int clients) throws Exception {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(3 * TIMEOUT_SECONDS);
+    while (System.nanoTime() < deadline) {
+      LineConnection carrier = machine.findRequest(vmId);
+      if (carrier != null || server.connectionCount() < clients) {
+        return carrier;
+      }
+      Thread.onSpinWait();
+    }
+    throw new AssertionError("neither admitted nor closed: " + vmId);
+  }
+
   /** Waits until a line with this fragment is logged. */
   void awaitLog(String fragment) {
     Awaitility.await().until(() -> log.toString(StandardCharsets.UTF_8).contains(fragment));
