--- a/review/stand-ins-2/src/standins/Bench.java
+++ b/review/stand-ins-2/src/standins/Bench.java
@@ -373,6 +373,9 @@
 
     volatile boolean isDraining;
     volatile long startMillis = 30;
+
+    /** How long a task stands until it ends by itself; 0 for ever. */
+    volatile long lifeMillis;
     private static final long NOTE_INTERVAL_MILLIS = 1000;
 
     /** A task is first noted when it has stood for this long. */
@@ -403,8 +406,8 @@
       return isDraining ? 34 : 0;
     }
 
-    /** A task stands now. */
-    void taskStands(Task task) {}
+    /** A set-up was taken: the task is among the machine's from now on. */
+    void setUpTaken(Task task) {}
 
     private void accept() {
       try {
@@ -460,13 +463,16 @@
       }
       Task task = new Task(message.ref(), (String) message.fields().get("key"), wire);
       tasks.put(task.ref, task);
+      setUpTaken(task);
       timer.schedule(
           () -> {
             if (tasks.get(task.ref) == task) {
               task.standsSince = millis();
               task.stands = true;
               send(wire, Message.line("up", task.ref, -1, "made by " + id + " for " + task.ref));
-              taskStands(task);
+              if (lifeMillis > 0) {
+                timer.schedule(() -> finish(task.ref), lifeMillis, TimeUnit.MILLISECONDS);
+              }
             }
           },
           startMillis,
