--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,5 @@
 # the case could not run.
 case_folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$case_folder/../.." || exit 2
-[[ -f review/stand-ins-2/build/standins/SlowJournal.class && -f target/fordridge-serve.jar ]] || exit 2
-exec java -Xmx128m -cp review/stand-ins-2/build standins.SlowJournal "$case_folder/record.txt"
+[[ -f review/stand-ins-2/build/standins/TakenAddress.class && -f target/fordridge-serve.jar ]] || exit 2
+exec java -Xmx128m -cp review/stand-ins-2/build standins.TakenAddress "$case_folder/record.txt"
--- a/review/stand-ins-2/src/standins/Bench.java
+++ b/review/stand-ins-2/src/standins/Bench.java
@@ -364,7 +364,8 @@
    */
   class Machine {
     final String id;
-    final ServerSocket server;
+    final int port;
+    private volatile ServerSocket server;
     final Map<String, Task> tasks = new ConcurrentHashMap<>();
     private final List<Wire> wires = new CopyOnWriteArrayList<>();
 
@@ -372,10 +373,14 @@
     private final Map<String, String> owed = new ConcurrentHashMap<>();
 
     volatile boolean isDraining;
+    private volatile boolean isDead;
     volatile long startMillis = 30;
 
     /** How long a task stands until it ends by itself; 0 for ever. */
     volatile long lifeMillis;
+    /** How many connections the machine takes; it refuses others. */
+    volatile int maxConnections = Integer.MAX_VALUE;
+
     private static final long NOTE_INTERVAL_MILLIS = 1000;
 
     /** A task is first noted when it has stood for this long. */
@@ -384,18 +389,20 @@
     Machine(String id, int port) throws IOException {
       this.id = id;
       server = listen(port, 50);
+      this.port = server.getLocalPort();
       daemon(this::accept).start();
       timer.scheduleAtFixedRate(
           this::sendNotes, NOTE_INTERVAL_MILLIS, NOTE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     String address() {
-      return HOST + ":" + server.getLocalPort();
+      return HOST + ":" + port;
     }
 
     /** Ends the process: connections are reset and tasks cut. */
     void die() throws IOException {
       log(id + ": dies, tasks " + tasks.keySet());
+      isDead = true;
       server.close();
       tasks.clear();
       wires.forEach(Wire::reset);
@@ -411,29 +418,48 @@
 
     private void accept() {
       try {
-        while (true) {
-          Wire wire = new Wire(server.accept(), id);
-          wires.add(wire);
-          log(id + ": connection from " + wire.socket.getPort());
-          owed.forEach(
-              (ref, line) -> {
-                log(id + ": repeats on the new connection " + line);
-                wire.write(line);
-              });
-          owed.clear();
-          wire.read(
-              line -> received(wire, Message.read(line)),
-              () -> {
-                wires.remove(wire);
-                tasks.values().removeIf(task -> task.setUpOn == wire && !task.stands);
-                log(id + ": connection from " + wire.socket.getPort() + " ended");
-              });
+        while (!isDead) {
+          if (wires.size() < maxConnections) {
+            connected(new Wire(server.accept(), id));
+          } else {
+            refuseWhileFull();
+          }
         }
-      } catch (IOException e) {
+      } catch (IOException | InterruptedException e) {
         log(id + ": " + e);
       }
     }
 
+    private void refuseWhileFull() throws IOException, InterruptedException {
+      server.close();
+      log(id + ": has all the connections that it takes, refuses others");
+      while (wires.size() >= maxConnections && !isDead) {
+        Thread.sleep(2);
+      }
+      if (!isDead) {
+        server = listen(port, 50);
+        log(id + ": takes connections again");
+      }
+    }
+
+    private void connected(Wire wire) {
+      wires.add(wire);
+      log(id + ": connection from " + wire.socket.getPort());
+      owed.forEach(
+          (ref, line) -> {
+            log(id + ": repeats on the new connection " + line);
+            wire.write(line);
+          });
+      owed.clear();
+      wire.read(
+          line -> received(wire, Message.read(line)),
+          () -> {
+            wires.remove(wire);
+            tasks.values().removeIf(task -> task.setUpOn == wire && !task.stands);
+            log(id + ": connection from " + wire.socket.getPort() + " ended");
+          });
+    }
+
     private void received(Wire wire, Message message) {
       if (!message.type().equals("hb")) {
         log(id + ": got " + message + " on " + wire.socket.getPort());
@@ -555,6 +581,10 @@
     private final int port;
     final Map<String, Request> requests = new ConcurrentHashMap<>();
     private Wire wire;
+    private volatile long connectedAt;
+
+    /** Whether no request was sent on the connection. */
+    private volatile boolean isWithoutTask;
 
     Client(int port) {
       this.port = port;
@@ -586,12 +616,39 @@
       connect();
     }
 
+    /**
+     * Tests the scheduler, on a new connection if there is none. A connection that has carried only
+     * tests is closed after four seconds.
+     */
+    void test() {
+      try {
+        if (isConnected() && isWithoutTask && millis() - connectedAt > 4_000) {
+          wire.close();
+        }
+        if (!isConnected()) {
+          connect();
+        }
+        wire.write(Message.line("hb", "00000000000000aa", 0, null));
+      } catch (IOException e) {
+        log("client: " + e);
+      }
+    }
+
+    /** Resets the client's connection. */
+    void reset() {
+      log("client: resets " + wire.socket.getLocalPort());
+      wire.reset();
+    }
+
     Wire connect() throws IOException {
       Wire connected = new Wire(new Socket(HOST, port), "client");
       connected.read(
           line -> received(connected, Message.read(line)),
           () -> log("client: connection " + connected.socket.getLocalPort() + " ended"));
+      log("client: connected from " + connected.socket.getLocalPort());
       wire = connected;
+      connectedAt = millis();
+      isWithoutTask = true;
       return connected;
     }
 
@@ -628,6 +685,7 @@
       if (!isConnected()) {
         connect();
       }
+      isWithoutTask = false;
       Request request = new Request(ref);
       requests.put(ref, request);
       String line =
--- a/review/stand-ins-2/src/standins/LostRelease.java
+++ b/review/stand-ins-2/src/standins/LostRelease.java
@@ -112,7 +112,7 @@
     Bench.Machine machine = bench.new Machine("s-00000001", 0);
     // The tasks start slowly enough that both set-ups are open at once.
     machine.startMillis = 200;
-    Network network = new Network(bench, machine.server.getLocalPort());
+    Network network = new Network(bench, machine.port);
     Bench.Journal journal = bench.new Journal();
     journal.add(true, Bench.entry(machine.id, network.address(), 0, "SERVING", 0));
     int port =
--- a/review/stand-ins-2/src/standins/TakenAddress.java
+++ b/review/stand-ins-2/src/standins/TakenAddress.java
@@ -56,7 +56,7 @@
     Bench.Journal journal = bench.new Journal();
     Counting old = new Counting(bench, "s-00000001", 0);
     Counting other = new Counting(bench, "s-00000002", 0);
-    int machinePort = old.server.getLocalPort();
+    int machinePort = old.port;
     String address = old.address();
     journal.add(
         true,
