--- a/review/stand-ins-2/src/standins/Bench.java
+++ b/review/stand-ins-2/src/standins/Bench.java
@@ -175,6 +175,13 @@
     throw new CannotRun("deploy/balancer.toml has no line run");
   }
 
+  /** Sends the scheduler's process a signal. */
+  void signal(String name) throws IOException, InterruptedException {
+    Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(scheduler.pid())).start();
+    require(kill.waitFor() == 0, "the signal " + name + " could not be sent");
+    log("platform: signal " + name);
+  }
+
   boolean isSchedulerAlive() {
     return scheduler != null && scheduler.isAlive();
   }
@@ -399,6 +406,10 @@
       return HOST + ":" + port;
     }
 
+    int connectionCount() {
+      return wires.size();
+    }
+
     /** Ends the process: connections are reset and tasks cut. */
     void die() throws IOException {
       log(id + ": dies, tasks " + tasks.keySet());
@@ -581,6 +592,7 @@
     private final int port;
     final Map<String, Request> requests = new ConcurrentHashMap<>();
     private Wire wire;
+    volatile String tenant = "kasi-motors";
     private volatile long connectedAt;
 
     /** Whether no request was sent on the connection. */
@@ -691,7 +703,7 @@
       String line =
           Message.line(
               "new", ref, -1, "description of " + ref, "class", priorityClass, "left",
-              Long.toString(leftMillis), "tenant", "kasi-motors", "key", ref, "extras",
+              Long.toString(leftMillis), "tenant", tenant, "key", ref, "extras",
               "cores:1;memory:1;service:" + service + moreExtras);
       request.sentAt = millis();
       log("client: sends " + line + " on " + wire.socket.getLocalPort());
--- a/review/stand-ins-2/src/standins/RefusedConnections.java
+++ b/review/stand-ins-2/src/standins/RefusedConnections.java
@@ -33,14 +33,17 @@
         "the first tasks were not placed");
     // Connections that are not used any more are closed meanwhile.
     bench.sleep(2500);
-    machine.startMillis = 600;
+    machine.startMillis = 1500;
     machine.maxConnections = Bench.TROUBLE ? MAX_CONNECTIONS : Integer.MAX_VALUE;
     int number = STANDING_TASKS;
     for (int i = 0; i < MAX_CONNECTIONS; i++) {
       number++;
       client.ask(ref(number), "race-host", 8000, Integer.toHexString(number));
     }
-    bench.sleep(150);
+    bench.require(
+        bench.await(1000, () -> machine.connectionCount() >= MAX_CONNECTIONS),
+        "the machine did not get as many connections as it takes");
+    bench.sleep(50);
     for (int i = 0; i < 3; i++) {
       number++;
       client.ask(ref(number), "race-host", 8000, Integer.toHexString(number));
