--- a/review/stand-ins-2/src/standins/Bench.java
+++ b/review/stand-ins-2/src/standins/Bench.java
@@ -41,6 +41,9 @@
   private Process scheduler;
   private Path folder;
 
+  /** Schedulers of the deployment that get no requests, and their folders. */
+  private final Map<Process, Path> others = new ConcurrentHashMap<>();
+
   /** What a case does with the stand-ins. */
   interface Body {
     void run(Bench bench) throws Exception;
@@ -141,29 +144,57 @@
     return port;
   }
 
+  /** Starts a further scheduler of the deployment, to which no request is sent. */
+  Process startOther(
+      String name, String journal, String knownEvents, long knownPosition, String settings)
+      throws IOException {
+    Path ownFolder = Files.createTempDirectory("fordridge-case");
+    Process other;
+    try (ServerSocket free = listen(0, 1)) {
+      other =
+          start(
+              ownFolder, name, free.getLocalPort(), journal, knownEvents, knownPosition, settings);
+    }
+    others.put(other, ownFolder);
+    log("scheduler " + name + " started");
+    return other;
+  }
+
   void startScheduler(
       int port, String journal, String knownEvents, long knownPosition, String settings)
       throws IOException {
     if (folder == null) {
       folder = Files.createTempDirectory("fordridge-case");
     }
+    scheduler = start(folder, "n1", port, journal, knownEvents, knownPosition, settings);
+    log("scheduler started at port " + port);
+  }
+
+  private static Process start(
+      Path folder,
+      String name,
+      int port,
+      String journal,
+      String knownEvents,
+      long knownPosition,
+      String settings)
+      throws IOException {
     Path config = folder.resolve("config.json");
     Files.writeString(
         config,
-        "{\"name\":\"n1\",\"listen\":\"" + HOST + ":" + port + "\",\"seed\":\""
+        "{\"name\":\"" + name + "\",\"listen\":\"" + HOST + ":" + port + "\",\"seed\":\""
             + "8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":128,\"sockets\":256},"
             + "\"journal\":\"" + journal + "\",\"known\":{\"pos\":" + knownPosition
             + ",\"entries\":[" + knownEvents + "]},\"settings\":" + settings + "}\n");
     Path temporary = Files.createDirectories(folder.resolve("tmp"));
     ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
     builder.environment().put("LB_CONFIG", config.toString());
-    builder.environment().put("LB_NAME", "n1");
+    builder.environment().put("LB_NAME", name);
     builder.environment().put("LB_LISTEN", HOST + ":" + port);
     builder.environment().put("TMPDIR", temporary.toString());
     builder.redirectErrorStream(true);
     builder.redirectOutput(folder.resolve("scheduler.log").toFile());
-    scheduler = builder.start();
-    log("scheduler started at port " + port);
+    return builder.start();
   }
 
   private static String runCommand() throws IOException {
@@ -177,9 +208,13 @@
 
   /** Sends the scheduler's process a signal. */
   void signal(String name) throws IOException, InterruptedException {
-    Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(scheduler.pid())).start();
+    signal(name, scheduler);
+  }
+
+  void signal(String name, Process process) throws IOException, InterruptedException {
+    Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
     require(kill.waitFor() == 0, "the signal " + name + " could not be sent");
-    log("platform: signal " + name);
+    log("platform: signal " + name + " to " + (process == scheduler ? "n1" : "another scheduler"));
   }
 
   boolean isSchedulerAlive() {
@@ -187,6 +222,18 @@
   }
 
   private synchronized void endScheduler() {
+    for (Map.Entry<Process, Path> other : others.entrySet()) {
+      other.getKey().destroyForcibly();
+      try {
+        other.getKey().waitFor(5, TimeUnit.SECONDS);
+        for (String file : List.of("scheduler.log", "config.json", "tmp", "")) {
+          Files.deleteIfExists(other.getValue().resolve(file));
+        }
+      } catch (IOException | InterruptedException e) {
+        record.println("folder of a scheduler not removed: " + e);
+      }
+    }
+    others.clear();
     if (scheduler == null) {
       return;
     }
--- a/review/stand-ins-2/src/standins/StoppedDrain.java
+++ b/review/stand-ins-2/src/standins/StoppedDrain.java
@@ -45,9 +45,15 @@
       entries[i] = Bench.entry(machines[i].id, machines[i].address(), i, "SERVING", 0);
     }
     journal.add(true, entries);
+    String settings = Bench.settings().replace("\"nInstances\":1", "\"nInstances\":3");
     int port =
         bench.startScheduler(
-            journal.address(), journal.allEvents(), journal.position(), Bench.settings());
+            journal.address(), journal.allEvents(), journal.position(), settings);
+    // Two of three schedulers stand still; the third and the second get no requests.
+    Process second =
+        bench.startOther(
+            "n2", journal.address(), journal.allEvents(), journal.position(), settings);
+    bench.startOther("n3", journal.address(), journal.allEvents(), journal.position(), settings);
     Bench.Client client = bench.new Client(port);
     client.connectWhenReady();
     int number = 0;
@@ -55,6 +61,7 @@
       number = ask(bench, client, number, BETWEEN_STOPS_MILLIS / 2);
       if (Bench.TROUBLE) {
         bench.signal("STOP");
+        bench.signal("STOP", second);
       }
       long stoppedAt = bench.millis();
       // The machine that holds more tasks is drained.
@@ -66,6 +73,7 @@
       number = ask(bench, client, number, stoppedAt + STOP_MILLIS - bench.millis());
       if (Bench.TROUBLE) {
         bench.signal("CONT");
+        bench.signal("CONT", second);
       }
       number = ask(bench, client, number, BETWEEN_STOPS_MILLIS / 2);
       drainedAt.remove(machine.id);
