Refused connections beside an established one no longer lose a machine's VMs

Cause: LivenessDetector took two refusals in a row for the end of the machine's process. A process that has ended has no connections left; here one was up and answered. Refusals now count only while no connection is established, and anew after a loss; after a failed attempt a health check on an established connection shows whether the machine still answers.

--- a/src/main/java/fordridge/machine/ConnectionSet.java
+++ b/src/main/java/fordridge/machine/ConnectionSet.java
@@ -29,6 +29,10 @@
     return connections.isEmpty();
   }
 
+  boolean hasEstablished() {
+    return connections.stream().anyMatch(connection -> !connection.isOpening());
+  }
+
   int size() {
     return connections.size();
   }
--- a/src/main/java/fordridge/machine/LivenessDetector.java
+++ b/src/main/java/fordridge/machine/LivenessDetector.java
@@ -5,9 +5,10 @@
 
 /**
  * Decides whether a machine has failed, from the messages received from it and the results of
- * connection attempts. A machine is considered failed if it refuses two connections in a row, or if
- * two connection attempts in a row time out and no message has arrived for the failure timeout. Not
- * thread-safe.
+ * connection attempts. A machine is considered failed if it refuses two connections in a row while
+ * none is established, or if two connection attempts in a row time out and no message has arrived
+ * for the failure timeout. An established connection belongs to a process that runs, which may
+ * refuse further ones. Not thread-safe.
  */
 final class LivenessDetector {
   private static final int CONSECUTIVE_CONNECT_FAILURES = 2;
@@ -38,6 +39,11 @@
     lastConnectStartedAt = now;
   }
 
+  /** An established connection has ended: only refusals after that show that nobody listens. */
+  void connectionLost() {
+    refusals = 0;
+  }
+
   /** A connection attempt failed. */
   void connectFailed(ConnectFailure failure) {
     switch (failure) {
@@ -53,9 +59,12 @@
   /**
    * Returns why the machine is considered failed, so that its VMs count as lost; empty if it is
    * not.
+   *
+   * @param hasEstablished whether any connection to the machine is established
    */
-  Optional<MachineFailure> detectFailure(ConnectionTimeouts connectionTimeouts, Duration now) {
-    if (refusals >= CONSECUTIVE_CONNECT_FAILURES) {
+  Optional<MachineFailure> detectFailure(
+      ConnectionTimeouts connectionTimeouts, boolean hasEstablished, Duration now) {
+    if (refusals >= CONSECUTIVE_CONNECT_FAILURES && !hasEstablished) {
       return Optional.of(MachineFailure.REFUSES_CONNECTIONS);
     }
     boolean timesOut = timeouts >= CONSECUTIVE_CONNECT_FAILURES;
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -213,6 +213,11 @@
     return healthCheckCount;
   }
 
+  /** Whether a health check of any kind is pending. */
+  boolean hasHealthCheck() {
+    return !healthChecks.isEmpty();
+  }
+
   boolean isProbing() {
     return healthChecks.stream().anyMatch(HealthCheck::isProbe);
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -41,6 +41,8 @@
   private final LivenessDetector liveness = new LivenessDetector();
   private final ConnectionOpener opener;
   private final OrphanedVmReleaser releaser;
+  private final PlacementRequestSender requestSender;
+  private final ConnectionHealthChecker healthChecker;
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
   private boolean needsConnection;
@@ -64,6 +66,8 @@
     executions = new VmExecutions(machine, connections, retained, listener);
     runningVms = executions.runningVms();
     opener = new ConnectionOpener(timeouts, offers, transport, connections, liveness);
+    healthChecker = new ConnectionHealthChecker(machine, connections, transport, listener);
+    requestSender = new PlacementRequestSender(executions, transport, listener);
     releaser = new OrphanedVmReleaser(machine, executions, connections, transport, listener);
   }
 
@@ -104,7 +108,7 @@
       return;
     }
     connection.get().add(new PlacementRequest(attempt, now.plus(timeLeft)));
-    sendPending(connection.get(), now);
+    requestSender.sendPending(connection.get(), now);
   }
 
   /**
@@ -140,16 +144,7 @@
 
   /** Starts a health check; it fails at once if no connection is available. */
   public void probe(Duration now) {
-    Optional<MachineConnection> connection =
-        isGone() ? Optional.empty() : opener.acquireForHealthCheck(now);
-    if (connection.isEmpty()) {
-      listener.probeCompleted(machine, false, false, Duration.ZERO);
-      return;
-    }
-    connection.get().probeRequested(now);
-    if (connection.get().isOpen()) {
-      transport.probe(connection.get());
-    }
+    healthChecker.probe(isGone() ? Optional.empty() : opener.acquireForHealthCheck(now), now);
   }
 
   /**
@@ -171,7 +166,7 @@
     boolean wasGone = isGone();
     lifecycle = listedLifecycle;
     if (lifecycle != Machine.Lifecycle.LIVE) {
-      withdrawUnsentRequests();
+      connections.all().forEach(requestSender::withdrawUnsent);
     }
     if (isGone() && !wasGone) {
       machineFailed(MachineFailure.LISTED_GONE, now);
@@ -200,18 +195,16 @@
     }
     messageReceived(now);
     connection.established(now);
-    sendPending(connection, now);
+    requestSender.sendPending(connection, now);
     // Terminations may be lost with a connection, or had none; the machine ignores duplicates.
     runningVms.terminating().forEach(vmId -> transport.terminate(connection, vmId));
-    if (connection.isProbing()) {
-      transport.probe(connection);
-    }
+    healthChecker.connectionEstablished(connection);
     releaser.releaseIfDue(now);
   }
 
   /** All earlier output of the connection was passed to the network. */
   public void connectionWritable(MachineConnection connection, Duration now) {
-    sendPending(connection, now);
+    requestSender.sendPending(connection, now);
   }
 
   /** A message of any kind arrived from the machine. */
@@ -230,11 +223,15 @@
       releaser.waitUntil(now.plus(timeouts.silenceTimeout()));
     }
     if (failure == ConnectFailure.LOCAL) {
-      withdrawUnsentRequests(connection);
+      requestSender.withdrawUnsent(connection);
+    } else {
+      healthChecker.checkEstablished(now);
     }
     executions.requestsLost(connection, now);
-    failProbes(connection, now);
-    liveness.detectFailure(timeouts, now).ifPresent(reason -> machineFailed(reason, now));
+    healthChecker.failProbes(connection, now);
+    liveness
+        .detectFailure(timeouts, connections.hasEstablished(), now)
+        .ifPresent(reason -> machineFailed(reason, now));
   }
 
   /** The connection broke, was closed by the machine, or received malformed input. */
@@ -243,8 +240,9 @@
       return;
     }
     connection.closed();
+    liveness.connectionLost();
     executions.requestsLost(connection, now);
-    failProbes(connection, now);
+    healthChecker.failProbes(connection, now);
     releaser.releaseIfDue(now);
   }
 
@@ -381,7 +379,7 @@
         connectionFailed(
             connection, isLocal ? ConnectFailure.LOCAL : ConnectFailure.UNREACHABLE, now);
       } else if (connection.hasHealthCheckTimedOut(timeouts.connectTimeout(), now)) {
-        failProbes(connection, now);
+        healthChecker.failProbes(connection, now);
         releaser.healthCheckTimedOut(connection, now.plus(timeouts.idleTimeout()));
         connection.retire();
         closeIfRetired(connection);
@@ -425,41 +423,6 @@
     executions.allVmsLost(failure, now);
   }
 
-  private void withdrawUnsentRequests() {
-    connections.all().forEach(this::withdrawUnsentRequests);
-  }
-
-  private void withdrawUnsentRequests(MachineConnection connection) {
-    for (PlacementRequest request : connection.unsentRequests()) {
-      withdraw(connection, request);
-    }
-  }
-
-  private void withdraw(MachineConnection connection, PlacementRequest request) {
-    connection.remove(request.attempt().vm.id);
-    executions.end(request.attempt(), ExecutionEvidence.WITHDRAWN_BEFORE_SEND.outcomeOnFailure());
-  }
-
-  /** Sends the queued requests that are still valid; a sent offer can't be taken back. */
-  private void sendPending(MachineConnection connection, Duration now) {
-    for (PlacementRequest request : connection.unsentRequests()) {
-      if (!connection.isOpen() || !transport.isWritable(connection)) {
-        return;
-      }
-      if (listener.confirmSend(request.attempt())) {
-        send(connection, request, now);
-      } else {
-        withdraw(connection, request);
-      }
-    }
-  }
-
-  private void send(MachineConnection connection, PlacementRequest request, Duration now) {
-    connection.markUsed(now);
-    request.markSent();
-    transport.requestPlacement(connection, request.attempt(), request.answerDeadline().minus(now));
-  }
-
   private void cancelOn(
       MachineConnection connection, PlacementAttempt attempt, Outcome outcome, Duration now) {
     PlacementRequest request = connection.remove(attempt.vm.id).orElseThrow();
@@ -476,12 +439,6 @@
     executions.end(attempt, request.evidence().outcomeOnCancel(outcome));
   }
 
-  private void failProbes(MachineConnection connection, Duration now) {
-    for (Duration roundTrip : connection.takeProbes(now)) {
-      listener.probeCompleted(machine, false, false, roundTrip);
-    }
-  }
-
   private void closeIfRetired(MachineConnection connection) {
     if (connection.isRetired() && connections.remove(connection)) {
       connection.closed();
@@ -493,7 +450,7 @@
       MachineConnection connection, MachineConnectionCloseReason reason, Duration now) {
     if (connections.remove(connection)) {
       connection.closed();
-      failProbes(connection, now);
+      healthChecker.failProbes(connection, now);
       transport.close(connection, reason);
     }
   }
--- /dev/null
+++ b/src/main/java/fordridge/machine/PlacementRequestSender.java
@@ -0,0 +1,52 @@
+package fordridge.machine;
+
+import java.time.Duration;
+
+/**
+ * Sends the placement requests that are queued on a connection, or withdraws them. A request that
+ * was sent can't be taken back. Stateless; not thread-safe.
+ */
+final class PlacementRequestSender {
+  private final VmExecutions executions;
+  private final MachineTransport transport;
+  private final MachineConnectionListener listener;
+
+  PlacementRequestSender(
+      VmExecutions executions, MachineTransport transport, MachineConnectionListener listener) {
+    this.executions = executions;
+    this.transport = transport;
+    this.listener = listener;
+  }
+
+  /** Sends the queued requests that are still valid, as far as the connection is writable. */
+  void sendPending(MachineConnection connection, Duration now) {
+    for (PlacementRequest request : connection.unsentRequests()) {
+      if (!connection.isOpen() || !transport.isWritable(connection)) {
+        return;
+      }
+      if (listener.confirmSend(request.attempt())) {
+        send(connection, request, now);
+      } else {
+        withdraw(connection, request);
+      }
+    }
+  }
+
+  /** Withdraws the requests that were not sent yet. */
+  void withdrawUnsent(MachineConnection connection) {
+    for (PlacementRequest request : connection.unsentRequests()) {
+      withdraw(connection, request);
+    }
+  }
+
+  private void send(MachineConnection connection, PlacementRequest request, Duration now) {
+    connection.markUsed(now);
+    request.markSent();
+    transport.requestPlacement(connection, request.attempt(), request.answerDeadline().minus(now));
+  }
+
+  private void withdraw(MachineConnection connection, PlacementRequest request) {
+    connection.remove(request.attempt().vm.id);
+    executions.end(request.attempt(), ExecutionEvidence.WITHDRAWN_BEFORE_SEND.outcomeOnFailure());
+  }
+}
--- a/src/test/java/fordridge/faults/ScriptedMachine.java
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -194,6 +194,11 @@
     }
   }
 
+  /** The machine takes no further connections; those that are open stay. */
+  void refuseConnections() throws IOException {
+    server.close();
+  }
+
   /** The machine dies: stops listening, and resets all connections. */
   void die() throws IOException {
     server.close();
--- a/src/test/java/fordridge/faults/TerminationNoticeDeliveryTest.java
+++ b/src/test/java/fordridge/faults/TerminationNoticeDeliveryTest.java
@@ -244,6 +244,24 @@
     assertThat(offered.client.messageTypes(offered.vm)).containsExactly(Message.ENDED);
   }
 
+  /** Guards against taking a machine for dead that refuses connections beside an open one. */
+  @Example
+  void vmsOfAMachineThatRefusesFurtherConnectionsAreKept() throws Exception {
+    OfferedVm offered = offer(harness.addMachine(), harness.connect());
+    offered.accept();
+    offered.machine.refuseConnections();
+    for (int i = 0; i < 3; i++) {
+      // The last use of the open connection is too long ago for a VM that can't be placed again.
+      TimeUnit.MILLISECONDS.sleep(4 * PAUSE_MILLIS);
+      String vm = harness.newVmId();
+      offered.client.request(vm, NON_REPEATABLE, NON_REPEATABLE_TIME_LEFT_MILLIS, service++);
+    }
+    TimeUnit.MILLISECONDS.sleep(2 * NON_REPEATABLE_TIME_LEFT_MILLIS);
+    assertThat(offered.client.hasEndNotice(offered.vm)).as("notice, but the VM runs").isFalse();
+    offered.connection.send(Message.of(Message.ENDED, offered.vm, Message.CAUSE_DONE));
+    awaitEndNotice(NOTICE_WITHIN, offered.vm, offered.client);
+  }
+
   @Example
   void cancelledByMachineWithoutClientRequest() throws Exception {
     OfferedVm offered = offer(harness.addMachine(), harness.connect());
--- a/src/test/java/fordridge/machine/ConnectFailureTest.java
+++ b/src/test/java/fordridge/machine/ConnectFailureTest.java
@@ -70,6 +70,30 @@
     assertThat(stub.ended).containsEntry(running, Outcome.RESET);
   }
 
+  /** Guards against taking a machine for dead that only takes no further connections. */
+  @Example
+  void refusalsBesideAnEstablishedConnectionLoseNoVm() {
+    RecordingStub stub = new RecordingStub();
+    PlacementAttempt running = stub.newAttempt("running", NOW);
+    stub.pool.offer(running, Duration.ofSeconds(1), true, NOW);
+    MachineConnection established = stub.opened.get(0);
+    stub.pool.connectionEstablished(established, NOW);
+    stub.pool.vmAccepted(established, "running", "d", NOW);
+
+    PlacementAttempt carried = stub.newAttempt("carried", NOW);
+    stub.pool.offer(carried, Duration.ofSeconds(1), true, NOW);
+    for (int i = 0; i < 5; i++) {
+      stub.offerAndFail("vm" + i, ConnectFailure.REFUSED);
+    }
+    assertThat(stub.ended).doesNotContainKey(running);
+
+    stub.pool.connectionLost(established, NOW);
+    stub.offerAndFail("first after the loss", ConnectFailure.REFUSED);
+    assertThat(stub.ended).as("earlier refusals prove nothing").doesNotContainKey(running);
+    stub.offerAndFail("second after the loss", ConnectFailure.REFUSED);
+    assertThat(stub.ended).containsEntry(running, Outcome.RESET);
+  }
+
   @Example
   void connectTimeoutsOfARecentlyHeardMachineLoseNoVm() {
     RecordingStub stub = new RecordingStub();
