Fetch termination notices that were lost with one of several connections

The notice was lost with one of two connections to the machine.

Cause: a machine repeats a notice on the next connection that is opened, and the pool opened one only if none was left or the machine was silent for 4 s. LostNoticeRecovery opens one after every loss while VMs run, repeats that every 4 s until the machine has written about the VMs whose connection was lost (it may learn of the loss as late as it writes the notice), and backs off if connections fail or are lost soon. Closes by the scheduler report whether the connection was read to its end; if not, they count as a loss.

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -48,7 +48,14 @@
     void connectionLost(MachineConnection connection, String reason);
 
     /** The scheduler is closing the connection. */
-    void connectionClosed(MachineConnection connection, MachineConnectionCloseReason reason);
+    void connectionClosing(MachineConnection connection, MachineConnectionCloseReason reason);
+
+    /**
+     * A connection that the scheduler closed has ended.
+     *
+     * @param isReadToEnd whether all that the machine wrote to it was received
+     */
+    void connectionClosed(MachineConnection connection, boolean isReadToEnd);
 
     /** The machine accepted a VM. */
     void vmAccepted(MachineConnection connection, String vmId, String description);
@@ -143,7 +150,7 @@
     connected
         .channel()
         .closeFuture()
-        .addListener(closed -> quota.connectionClosed(handler.isDraining()));
+        .addListener(closed -> quota.connectionClosed(handler.isHalfClosed()));
     connected.addListener(
         result -> {
           if (!result.isSuccess()) {
@@ -174,7 +181,7 @@
 
   @Override
   public void close(MachineConnection connection, MachineConnectionCloseReason reason) {
-    listener.connectionClosed(connection, reason);
+    listener.connectionClosing(connection, reason);
     handler(connection).close();
   }
 
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -26,7 +26,7 @@
  * state       connected    failed    lost or malformed  closed by the scheduler
  * CONNECTING  ESTABLISHED  CLOSED    CLOSED             CLOSED
  * ESTABLISHED -            -         CLOSED             DRAINING
- * DRAINING    -            -         -                  -
+ * DRAINING    -            -         CLOSED             -
  * CLOSED      -            -         -                  -
  * </pre>
  */
@@ -36,7 +36,7 @@
     ESTABLISHED,
     /**
      * Half-closed by the scheduler: its messages are still reported, but nothing is written, and
-     * its close is not reported.
+     * its end is reported as a close and not as a loss.
      */
     DRAINING,
     /** No further event is reported. */
@@ -72,6 +72,7 @@
   private Channel channel;
   private State state = State.CONNECTING;
   private boolean failedLocally;
+  private boolean isHalfClosed;
 
   MachineConnectionHandler(
       MachineConnection connection, ConnectionQuota quota, MachineClient.Listener listener) {
@@ -108,8 +109,9 @@
     return failedLocally;
   }
 
-  boolean isDraining() {
-    return state == State.DRAINING;
+  /** Whether the scheduler has closed its side of the connection. */
+  boolean isHalfClosed() {
+    return isHalfClosed;
   }
 
   // Transitions
@@ -126,7 +128,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     trace(ctx.channel(), "inactive, state " + state);
-    if (state == State.ESTABLISHED) {
+    if (state == State.DRAINING) {
+      drainEnded(true);
+    } else if (state == State.ESTABLISHED) {
       connectionLost("closed by the machine");
     }
   }
@@ -141,7 +145,19 @@
 
   @Override
   void malformedInput(String reason) {
-    connectionLost(reason);
+    if (state == State.DRAINING) {
+      drainEnded(false);
+    } else {
+      connectionLost(reason);
+    }
+  }
+
+  private void drainEnded(boolean isReadToEnd) {
+    if (state == State.DRAINING) {
+      state = State.CLOSED;
+      closeChannel();
+      listener.connectionClosed(connection, isReadToEnd);
+    }
   }
 
   private void connectionLost(String reason) {
@@ -157,14 +173,19 @@
    */
   void close() {
     if (!channel.isActive()) {
+      boolean wasEstablished = state == State.ESTABLISHED;
       state = State.CLOSED;
       closeChannel();
+      if (wasEstablished) {
+        listener.connectionClosed(connection, false);
+      }
       return;
     }
     // The machine may be writing at this moment, and sends each termination notice only once; it
     // would be lost with the connection. So only the scheduler's side is closed, and input is read
     // until the machine closes its side.
     state = State.DRAINING;
+    isHalfClosed = true;
     quota.connectionClosing();
     trace(channel, "closing");
     halfClose();
@@ -175,7 +196,7 @@
     ((SocketChannel) channel).shutdownOutput();
     channel
         .eventLoop()
-        .schedule(this::closeChannel, DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        .schedule(() -> drainEnded(false), DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   @SuppressWarnings("FutureReturnValueIgnored") // The close future reports the close.
--- a/src/main/java/fordridge/machine/ConnectionOpener.java
+++ b/src/main/java/fordridge/machine/ConnectionOpener.java
@@ -12,6 +12,7 @@
   private final MachineTransport transport;
   private final ConnectionSet connections;
   private final LivenessDetector liveness;
+  private final LostNoticeRecovery recovery;
   private ConnectionTimeouts timeouts;
 
   /** Whether the machine's last connection was closed to free it for other machines. */
@@ -22,12 +23,14 @@
       OfferConnectionQuota offers,
       MachineTransport transport,
       ConnectionSet connections,
-      LivenessDetector liveness) {
+      LivenessDetector liveness,
+      LostNoticeRecovery recovery) {
     this.timeouts = timeouts;
     this.offers = offers;
     this.transport = transport;
     this.connections = connections;
     this.liveness = liveness;
+    this.recovery = recovery;
   }
 
   void setTimeouts(ConnectionTimeouts newTimeouts) {
@@ -81,6 +84,7 @@
     liveness.connectStarted(now);
     isLastConnectionReclaimed = false;
     connections.add(connection);
+    recovery.connectionOpened(connection);
     transport.open(connection);
     return connection;
   }
--- a/src/main/java/fordridge/machine/ConnectionSet.java
+++ b/src/main/java/fordridge/machine/ConnectionSet.java
@@ -29,6 +29,10 @@
     return connections.isEmpty();
   }
 
+  boolean contains(MachineConnection connection) {
+    return connections.contains(connection);
+  }
+
   boolean hasEstablished() {
     return connections.stream().anyMatch(connection -> !connection.isOpening());
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -41,6 +41,7 @@
   private final LivenessDetector liveness = new LivenessDetector();
   private final ConnectionOpener opener;
   private final OrphanedVmReleaser releaser;
+  private final LostNoticeRecovery recovery;
   private final PlacementRequestSender requestSender;
   private final ConnectionHealthChecker healthChecker;
   private ConnectionTimeouts timeouts;
@@ -65,7 +66,8 @@
     this.listener = listener;
     executions = new VmExecutions(machine, connections, retained, listener);
     runningVms = executions.runningVms();
-    opener = new ConnectionOpener(timeouts, offers, transport, connections, liveness);
+    recovery = new LostNoticeRecovery(runningVms, connections, timeouts);
+    opener = new ConnectionOpener(timeouts, offers, transport, connections, liveness, recovery);
     healthChecker = new ConnectionHealthChecker(machine, connections, transport, listener);
     requestSender = new PlacementRequestSender(executions, transport, listener);
     releaser = new OrphanedVmReleaser(machine, executions, connections, transport, listener);
@@ -75,6 +77,7 @@
   public void setTimeouts(ConnectionTimeouts newTimeouts) {
     timeouts = newTimeouts;
     opener.setTimeouts(newTimeouts);
+    recovery.setTimeouts(newTimeouts);
   }
 
   /** Returns the running attempt of the VM, if it runs on this machine. */
@@ -195,6 +198,7 @@
     }
     messageReceived(now);
     connection.established(now);
+    recovery.connectionEstablished(connection);
     requestSender.sendPending(connection, now);
     // Terminations may be lost with a connection, or had none; the machine ignores duplicates.
     runningVms.terminating().forEach(vmId -> transport.terminate(connection, vmId));
@@ -219,6 +223,7 @@
     }
     connection.closed();
     liveness.connectFailed(failure);
+    recovery.connectionFailed(connection, failure, now);
     if (failure == ConnectFailure.UNREACHABLE) {
       releaser.waitUntil(now.plus(timeouts.silenceTimeout()));
     }
@@ -242,10 +247,24 @@
     connection.closed();
     liveness.connectionLost();
     executions.requestsLost(connection, now);
+    recovery.connectionLost(connection, now);
     healthChecker.failProbes(connection, now);
     releaser.releaseIfDue(now);
   }
 
+  /**
+   * A connection that the pool has closed has ended.
+   *
+   * @param isReadToEnd whether all that the machine wrote to it was received
+   */
+  public void connectionClosed(MachineConnection connection, boolean isReadToEnd, Duration now) {
+    if (isReadToEnd) {
+      recovery.connectionClosed(connection, now);
+    } else {
+      recovery.connectionLost(connection, now);
+    }
+  }
+
   /** The machine accepted a VM, on any connection; one that is unknown here is released. */
   public void vmAccepted(
       MachineConnection connection, String vmId, String description, Duration now) {
@@ -258,6 +277,9 @@
   /** The machine sent a report on a VM, which it does only for a running VM. */
   public void vmReported(MachineConnection connection, String vmId) {
     executions.reported(connection, vmId);
+    if (connections.contains(connection)) {
+      recovery.vmReported(vmId);
+    }
   }
 
   /**
@@ -395,7 +417,9 @@
 
   private boolean isConnectionNeeded(Duration now) {
     return !isGone()
-        && (isNeededForRunningVms(now) || releaser.needsConnection(now))
+        && (isNeededForRunningVms(now)
+            || releaser.needsConnection(now)
+            || recovery.isConnectionDue(now))
         && liveness.isLastConnectOlderThan(timeouts.connectTimeout(), now);
   }
 
@@ -442,6 +466,7 @@
   private void closeIfRetired(MachineConnection connection) {
     if (connection.isRetired() && connections.remove(connection)) {
       connection.closed();
+      recovery.connectionClosing(connection);
       transport.close(connection, MachineConnectionCloseReason.RETIRED);
     }
   }
@@ -450,6 +475,7 @@
       MachineConnection connection, MachineConnectionCloseReason reason, Duration now) {
     if (connections.remove(connection)) {
       connection.closed();
+      recovery.connectionClosing(connection);
       healthChecker.failProbes(connection, now);
       transport.close(connection, reason);
     }
--- a/src/main/java/fordridge/machine/RunningVms.java
+++ b/src/main/java/fordridge/machine/RunningVms.java
@@ -16,6 +16,9 @@
 final class RunningVms {
   private final Map<String, PlacementAttempt> attempts = new HashMap<>();
 
+  /** The connection of each VM's placement request, by VM id; adopted VMs have none. */
+  private final Map<String, MachineConnection> setUpConnections = new HashMap<>();
+
   private final UnclaimedTerminations unclaimedTerminations;
 
   /** The time by which the machine has to confirm a termination, by VM id. */
@@ -41,8 +44,28 @@
     return List.copyOf(attempts.values());
   }
 
-  void add(PlacementAttempt attempt) {
+  /** Returns a copy of the ids of the VMs. */
+  Set<String> ids() {
+    return Set.copyOf(attempts.keySet());
+  }
+
+  /** Adds a VM whose placement request was sent on the given connection. */
+  void add(PlacementAttempt attempt, MachineConnection setUpConnection) {
     attempts.put(attempt.vm.id, attempt);
+    setUpConnections.put(attempt.vm.id, setUpConnection);
+  }
+
+  /**
+   * Returns the connection on which the VM's placement request was sent, which may be closed; empty
+   * if the VM was adopted or doesn't run here.
+   */
+  Optional<MachineConnection> setUpConnection(String vmId) {
+    return Optional.ofNullable(setUpConnections.get(vmId));
+  }
+
+  /** Whether the placement request of any of the VMs was sent on the connection. */
+  boolean isAnySetUpOn(MachineConnection connection) {
+    return setUpConnections.containsValue(connection);
   }
 
   /**
@@ -51,7 +74,8 @@
    */
   Optional<VmTermination> adopt(PlacementAttempt attempt, Duration now) {
     terminationDeadlines.remove(attempt.vm.id);
-    add(attempt);
+    setUpConnections.remove(attempt.vm.id);
+    attempts.put(attempt.vm.id, attempt);
     return unclaimedTerminations.take(attempt.vm.id, now);
   }
 
@@ -87,6 +111,7 @@
   /** Removes a VM, and its confirmation deadline if it is being terminated. */
   Optional<PlacementAttempt> remove(String vmId) {
     terminationDeadlines.remove(vmId);
+    setUpConnections.remove(vmId);
     return Optional.ofNullable(attempts.remove(vmId));
   }
 
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -72,7 +72,7 @@
     if (sentOn.isPresent()) {
       unsettled.settle(vmId);
       PlacementAttempt attempt = sentOn.get().remove(vmId).orElseThrow().attempt();
-      runningVms.add(attempt);
+      runningVms.add(attempt, sentOn.get());
       listener.attemptAccepted(attempt, description);
     } else if (runningVms.find(vmId).isEmpty()) {
       unsettled.add(vmId, UnsettledReason.ACCEPTED_UNASKED, now);
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -138,11 +138,18 @@
   }
 
   @Override
-  public void connectionClosed(MachineConnection connection, MachineConnectionCloseReason reason) {
+  public void connectionClosing(MachineConnection connection, MachineConnectionCloseReason reason) {
     Duration openFor = loop.clock().minus(connection.openedAt());
     requestLog.vmLog().machineConnectionClosed(id, reason, openFor);
   }
 
+  @Override
+  public void connectionClosed(MachineConnection connection, boolean isReadToEnd) {
+    loop.submit(
+        InputKind.MACHINE_CONNECTION_LOST,
+        () -> pool.connectionClosed(connection, isReadToEnd, loop.now()));
+  }
+
   @Override
   public void vmAccepted(MachineConnection connection, String vmId, String description) {
     loop.submit(
--- a/src/test/java/fordridge/faults/ScriptedMachine.java
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -194,6 +194,14 @@
     }
   }
 
+  /**
+   * Sends the message on the next connection that is opened, as the protocol requires of a notice
+   * that was lost with another one.
+   */
+  synchronized void sendOnNextConnection(String message) {
+    queuedMessages.add(message);
+  }
+
   /** The machine takes no further connections; those that are open stay. */
   void refuseConnections() throws IOException {
     server.close();
--- a/src/test/java/fordridge/faults/TerminationNoticeDeliveryTest.java
+++ b/src/test/java/fordridge/faults/TerminationNoticeDeliveryTest.java
@@ -262,6 +262,47 @@
     awaitEndNotice(NOTICE_WITHIN, offered.vm, offered.client);
   }
 
+  /**
+   * Guards against a notice that is lost with one of two connections and never fetched, as the
+   * other connection carried messages.
+   */
+  @Example
+  void endLostWithOneOfTwoConnections() throws Exception {
+    List<OfferedVm> offers = offerTwo();
+    offers.forEach(OfferedVm::accept);
+    checkLostEndIsFetched(offers, () -> offers.get(1).connection.reset());
+  }
+
+  /** As above, but the scheduler closes the second connection, which is no longer used. */
+  @Example
+  void endThatCrossesTheCloseOfAnUnusedConnection() throws Exception {
+    List<OfferedVm> offers = offerTwo();
+    offers.forEach(OfferedVm::accept);
+    checkLostEndIsFetched(offers, () -> {});
+  }
+
+  /** The machine loses the end of the second VM, and keeps sending reports on the first one. */
+  private static void checkLostEndIsFetched(List<OfferedVm> offers, Runnable lossOfConnection) {
+    OfferedVm reported = offers.get(0);
+    OfferedVm ended = offers.get(1);
+    lossOfConnection.run();
+    Awaitility.await("end of one connection")
+        .until(() -> !ended.connection.isOpen() || !reported.connection.isOpen());
+    OfferedVm disconnected = ended.connection.isOpen() ? reported : ended;
+    OfferedVm connected = ended.connection.isOpen() ? ended : reported;
+    disconnected.machine.sendOnNextConnection(
+        Message.of(Message.ENDED, disconnected.vm, Message.CAUSE_DONE));
+    Awaitility.await("notice of the lost end")
+        .pollInterval(Duration.ofMillis(PAUSE_MILLIS))
+        .atMost(NOTICE_WITHIN_UNREPORTED)
+        .until(
+            () -> {
+              connected.connection.send(Message.report(connected.vm));
+              return disconnected.client.hasEndNotice(disconnected.vm);
+            });
+    assertThat(connected.client.hasEndNotice(connected.vm)).as("the other VM runs").isFalse();
+  }
+
   @Example
   void cancelledByMachineWithoutClientRequest() throws Exception {
     OfferedVm offered = offer(harness.addMachine(), harness.connect());
