One peer that writes at full speed no longer delays everybody else

Cause: the input gate waited until every socket was read to its end, and such a connection never is. A connection is now done with a read once as much was read as its receive buffer can hold, so that all that had arrived before is still known; connections accepted in a read are bounded too. Messages without effect have a rate for each connection, and a machine list server that repeats its position more than 100 times a second is disconnected.

--- a/src/main/java/fordridge/eventloop/InputGate.java
+++ b/src/main/java/fordridge/eventloop/InputGate.java
@@ -6,10 +6,10 @@
 import java.util.Deque;
 
 /**
- * Delays decisions and offers until it is known what peers have sent. Before each of them all
- * sockets are read to the end of their input, unless that was done a moment ago, so that handovers,
- * closed connections and changes of the machine list are processed first: an irreversible action is
- * never based on facts that unread input contradicts. Confined to the event loop.
+ * Delays decisions and offers until it is known what peers have sent. Before each of them all input
+ * that has arrived is read, unless that was done a moment ago, so that handovers, closed
+ * connections and changes of the machine list are processed first: an irreversible action is never
+ * based on facts that unread input contradicts. Confined to the event loop.
  *
  * <p>The gate itself decides nothing: waiting inputs are submitted in the order in which they came.
  * Their number is bounded by the pending requests and the connections to machines.
--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -1,6 +1,7 @@
 package fordridge.json;
 
 import fordridge.eventloop.EventLoopTimers.Timer;
+import fordridge.model.Durations;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -40,13 +41,21 @@
   /** The timer of {@link #closeAfterResponse}; null if the close is not scheduled. */
   private Timer closeTimer;
 
+  /** The timer after which reading is resumed; null if reading is not paused. */
+  private Timer readTimer;
+
+  /** When reading was paused, until the input is read to its end again; else null. */
+  private Duration pausedSince;
+
+  private final IneffectiveMessageLimit ineffectiveMessages = new IneffectiveMessageLimit(clock());
+
   ClientConnection(ClientServer server) {
     this.server = server;
   }
 
   /** Adds this connection to a channel's pipeline, behind the handler that tracks its reads. */
   void addWithReadProgressTo(ChannelPipeline pipeline) {
-    pipeline.addLast(new ReadProgress(isReadToEnd -> server.readCycleCompleted(this, isReadToEnd)));
+    pipeline.addLast(new ReadProgress(this::readCycleCompleted));
     addTo(pipeline, server.inputMemory());
   }
 
@@ -66,7 +75,8 @@
    * have waited for that long.
    */
   public Duration unreadFor() {
-    return server.unreadFor(this);
+    Duration paused = pausedSince == null ? Duration.ZERO : clock().minus(pausedSince);
+    return Durations.max(server.unreadFor(this), paused);
   }
 
   /** The client's port, for logs; zero if there is none. */
@@ -78,7 +88,50 @@
 
   /** Whether input from the client is still processed. */
   boolean isReadingEnabled() {
-    return !isReadingStopped;
+    return !isReadingStopped && readTimer == null;
+  }
+
+  /** Whether input is not read for a while, as too many messages had no effect. */
+  boolean isReadingPaused() {
+    return readTimer != null;
+  }
+
+  /** A message on this connection had no effect; too many of them are not read at full speed. */
+  public void countIneffectiveMessage() {
+    ineffectiveMessages.recordMessage();
+  }
+
+  /** As {@link #countIneffectiveMessage}, for a placement request that could not be placed. */
+  public void countIneffectiveRequest() {
+    ineffectiveMessages.recordRequest();
+  }
+
+  private void readCycleCompleted(int bytes, boolean isReadToEnd) {
+    if (isReadToEnd) {
+      pausedSince = null;
+    }
+    server.readCycleCompleted(this, bytes, isReadToEnd);
+  }
+
+  private void pauseReadingIfFlooded() {
+    Duration pause = ineffectiveMessages.takePause(clock());
+    if (!pause.isZero() && isReadingEnabled()) {
+      pausedSince = pausedSince == null ? clock() : pausedSince;
+      channel.config().setAutoRead(false);
+      readTimer = server.timers().runAfter(pause, this::resumeReading);
+      server.readingPaused(this);
+    }
+  }
+
+  private static Duration clock() {
+    return Duration.ofNanos(System.nanoTime());
+  }
+
+  private void resumeReading() {
+    readTimer = null;
+    if (!isReadingStopped) {
+      channel.config().setAutoRead(true);
+    }
   }
 
   @Override
@@ -92,12 +145,18 @@
     if (closeTimer != null) {
       closeTimer.cancel();
     }
+    if (readTimer != null) {
+      readTimer.cancel();
+    }
     server.connectionClosed(this, ClientConnectionCloseReason.BY_CLIENT);
   }
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     flush();
+    if (server.timers() != null) {
+      pauseReadingIfFlooded();
+    }
     ctx.fireChannelReadComplete();
   }
 
@@ -114,9 +173,12 @@
         handler.placementRequested(this, ClientRequest.of(id, fields, description));
       }
       case "down" -> handler.terminationRequested(this, id);
-      case "hb" -> write("hb_ok", id, handler.isReady() ? 1 : 0, null);
+      case "hb" -> {
+        countIneffectiveMessage();
+        write("hb_ok", id, handler.isReady() ? 1 : 0, null);
+      }
       case "ack" -> handler.terminationAcknowledged(this, id);
-      case "tell", "wait", "hb_ok", "shift" -> {}
+      case "tell", "wait", "hb_ok", "shift" -> countIneffectiveMessage();
       default -> rejectInput("line: field 't' is not a known message type: " + type);
     }
   }
@@ -168,7 +230,7 @@
     if (!isReadingStopped && channel != null) {
       isReadingStopped = true;
       channel.config().setAutoRead(false);
-      server.readCycleCompleted(this, true);
+      server.readingStopped(this);
       closeTimer = server.timers().runAfter(CLOSE_DELAY, () -> close(reason));
     }
   }
@@ -179,7 +241,7 @@
     if (channel instanceof SocketChannel socket && channel.isActive()) {
       isReadingStopped = true;
       channel.config().setAutoRead(false);
-      server.readCycleCompleted(this, true);
+      server.readingStopped(this);
       socket.shutdownOutput();
     }
   }
--- a/src/main/java/fordridge/json/ClientServer.java
+++ b/src/main/java/fordridge/json/ClientServer.java
@@ -14,7 +14,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -43,11 +42,23 @@
   private static final int MAX_ACCEPTS_PER_CYCLE = 16;
 
   /**
-   * A connection with more input than can be read for this long no longer delays decisions, see
-   * {@link #hasUnreadInput}; its input is processed as it is read.
+   * A connection with more input than can be read for this long no longer delays decisions; its
+   * input is processed as it is read.
    */
   private static final Duration MAX_UNREAD_TIME = Duration.ofSeconds(2);
 
+  /**
+   * The receive buffer of each connection, as requested from the system. Larger than the longest
+   * line and than a read cycle; without a limit the system lets it grow to megabytes.
+   */
+  private static final int RECEIVE_BUFFER_BYTES = 1 << 16;
+
+  /**
+   * The most input that a socket can hold: Linux doubles the requested size, and lets one segment
+   * exceed it.
+   */
+  private static final long MAX_UNREAD_BYTES = 3L * RECEIVE_BUFFER_BYTES;
+
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final ClientRequestHandler handler;
@@ -56,22 +67,14 @@
   private int maxConnections;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
-  /**
-   * Connections whose last read cycle ended before all input was read, each with the time since
-   * when it has had unread input.
-   */
-  private final Map<ClientConnection, Long> unreadSinceNanos = new HashMap<>();
-
-  /**
-   * Those of {@link #unreadSinceNanos} that the last pass read, but not to the end of their input.
-   */
-  private final Set<ClientConnection> partlyReadInPass = new LinkedHashSet<>();
+  private final UnreadInputTracker<ClientConnection> unreadInput =
+      new UnreadInputTracker<>(MAX_UNREAD_BYTES, MAX_UNREAD_TIME);
 
-  /** Those of {@link #unreadSinceNanos} that have had unread input for {@link #MAX_UNREAD_TIME}. */
-  private final Set<ClientConnection> unreadTooLong = new LinkedHashSet<>();
+  /** The connections accepted since the read of all sockets began. */
+  private int acceptedInRead;
 
-  private long unreadTooLongCount;
   private boolean mayHaveUnaccepted;
+  private long readPauseCount;
 
   /** Connections with written output that is not flushed yet. */
   private final Set<ClientConnection> unflushed = new LinkedHashSet<>();
@@ -96,9 +99,7 @@
     this.handler = handler;
     this.inputMemory = inputMemory;
     this.maxConnections = maxConnections;
-    acceptRetry =
-        new AcceptRetryHandler(
-            timers, accepted -> mayHaveUnaccepted = accepted >= MAX_ACCEPTS_PER_CYCLE);
+    acceptRetry = new AcceptRetryHandler(timers, this::acceptCycleCompleted);
   }
 
   /** Starts listening; the future completes once the address is bound. */
@@ -109,6 +110,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .handler(acceptRetry)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadProgress.newAllocator())
@@ -152,40 +154,35 @@
     maxConnections = newMaxConnections;
   }
 
-  /**
-   * Starts a pass over all ready sockets: a connection that the pass does not read has no unread
-   * input.
-   */
+  /** Starts a read of all input that has arrived; it takes one or more passes. */
+  public void startRead() {
+    acceptedInRead = 0;
+    unreadInput.startRead();
+  }
+
+  /** Starts a pass over all ready sockets. */
   public void startReadPass() {
     mayHaveUnaccepted = false;
-    partlyReadInPass.clear();
+    unreadInput.startPass();
   }
 
   /**
-   * Whether, after the last pass, connections may be waiting to be accepted or input to be read. A
-   * connection that has had unread input for {@link #MAX_UNREAD_TIME} no longer counts.
+   * Whether, after the last pass, connections may be waiting to be accepted or input to be read
+   * that had arrived when the read was started.
    */
   public boolean hasUnreadInput() {
-    unreadSinceNanos.keySet().retainAll(partlyReadInPass);
-    unreadTooLong.retainAll(partlyReadInPass);
-    if (mayHaveUnaccepted) {
-      return true;
-    }
-    for (ClientConnection connection : unreadSinceNanos.keySet()) {
-      if (unreadFor(connection).compareTo(MAX_UNREAD_TIME) < 0) {
-        return true;
-      }
-      if (unreadTooLong.add(connection)) {
-        unreadTooLongCount++;
-      }
-    }
-    return false;
+    boolean needsPass = unreadInput.needsPass(System.nanoTime());
+    return needsPass || (mayHaveUnaccepted && acceptedInRead < ACCEPT_BACKLOG);
+  }
+
+  private void acceptCycleCompleted(int accepted) {
+    acceptedInRead += accepted;
+    mayHaveUnaccepted = accepted >= MAX_ACCEPTS_PER_CYCLE;
   }
 
   /** How long the connection has had unread input. */
   Duration unreadFor(ClientConnection connection) {
-    Long sinceNanos = unreadSinceNanos.get(connection);
-    return sinceNanos == null ? Duration.ZERO : Duration.ofNanos(System.nanoTime() - sinceNanos);
+    return unreadInput.unreadFor(connection, System.nanoTime());
   }
 
   /**
@@ -201,23 +198,39 @@
    * longer delayed decisions.
    */
   public long unreadTooLongCount() {
-    return unreadTooLongCount;
+    return unreadInput.tooLongCount();
   }
 
   /**
-   * Records whether a connection was read to the end of its input; one that is closed or no longer
-   * read counts as read.
+   * The number of times that a connection was not read for a while, as it sent too many messages
+   * without effect.
    */
-  void readCycleCompleted(ClientConnection connection, boolean isReadToEnd) {
+  public long readPauseCount() {
+    return readPauseCount;
+  }
+
+  /** A connection is not read for a while. */
+  void readingPaused(ClientConnection connection) {
+    readPauseCount++;
+    unreadInput.remove(connection);
+  }
+
+  /**
+   * Records a read cycle. A connection that is closed or no longer read counts as read to its end.
+   */
+  void readCycleCompleted(ClientConnection connection, int bytes, boolean isReadToEnd) {
     if (isReadToEnd || !connection.isReadingEnabled() || !connections.contains(connection)) {
-      unreadSinceNanos.remove(connection);
-      partlyReadInPass.remove(connection);
+      unreadInput.remove(connection);
     } else {
-      unreadSinceNanos.putIfAbsent(connection, System.nanoTime());
-      partlyReadInPass.add(connection);
+      unreadInput.cycleEndedEarly(connection, bytes, System.nanoTime());
     }
   }
 
+  /** A connection is no longer read. */
+  void readingStopped(ClientConnection connection) {
+    unreadInput.remove(connection);
+  }
+
   /** Whether any connection has written output that is not sent yet. */
   public boolean hasPendingOutput() {
     for (ClientConnection connection : connections) {
@@ -306,9 +319,7 @@
 
   /** Reports a close to the handler; only the first call for each connection has an effect. */
   void connectionClosed(ClientConnection connection, ClientConnectionCloseReason reason) {
-    unreadSinceNanos.remove(connection);
-    partlyReadInPass.remove(connection);
-    unreadTooLong.remove(connection);
+    unreadInput.remove(connection);
     if (connections.remove(connection)) {
       closeCounts.merge(reason, 1L, Long::sum);
       handler.connectionClosed(connection);
@@ -348,6 +359,7 @@
 
   private boolean isIdle(ClientConnection connection) {
     return System.nanoTime() - connection.lastUsedNanos() > IDLE_TIMEOUT.toNanos()
+        && !connection.isReadingPaused()
         && !handler.isInUse(connection);
   }
 
--- a/src/main/java/fordridge/json/MachineListWatcher.java
+++ b/src/main/java/fordridge/json/MachineListWatcher.java
@@ -42,6 +42,16 @@
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAX_EVENT_BYTES = 1 << 20;
+
+  /**
+   * A server that sends its position more often than this within a second is disconnected: what it
+   * repeats has to be read before each decision.
+   */
+  private static final int MAX_POSITIONS_PER_SECOND = 100;
+
+  /** Bounds what has to be read at once; without a limit the system lets it grow to megabytes. */
+  private static final int RECEIVE_BUFFER_BYTES = 1 << 18;
+
   private static final int READ_BYTES = 1 << 15;
 
   /**
@@ -51,6 +61,7 @@
   private static final int MAX_READS_PER_TURN = 64;
 
   private static final long NO_POSITION = -1;
+  private static final long NANOS_PER_SECOND = 1_000_000_000;
 
   /** Receives the events, in order and each once. */
   public interface Listener {
@@ -68,6 +79,9 @@
      */
     private boolean isInputRejected;
 
+    private long positionsCountedSinceNanos = lastReceivedNanos;
+    private int positionCount;
+
     @Override
     @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
     public void channelActive(ChannelHandlerContext ctx) {
@@ -86,7 +100,7 @@
       lastReceivedNanos = System.nanoTime();
       isHandlingLine = true;
       try {
-        lineReceived(line.toString(StandardCharsets.UTF_8).trim());
+        lineReceived(line.toString(StandardCharsets.UTF_8).trim(), this);
       } catch (MalformedInputException | NumberFormatException | IOException e) {
         log.accept("machine list watch: event not taken: " + e.getMessage());
         isInputRejected = true;
@@ -108,6 +122,17 @@
       close();
     }
 
+    /** Records that the server repeated its position; fails if it does so too often. */
+    private void positionReceived() {
+      if (lastReceivedNanos - positionsCountedSinceNanos > NANOS_PER_SECOND) {
+        positionsCountedSinceNanos = lastReceivedNanos;
+        positionCount = 0;
+      }
+      if (++positionCount > MAX_POSITIONS_PER_SECOND) {
+        throw new MalformedInputException("the server repeats its position too often");
+      }
+    }
+
     boolean isSilent() {
       return channel.isActive()
           && System.nanoTime() - lastReceivedNanos > SILENCE_TIMEOUT.toNanos();
@@ -223,10 +248,13 @@
     }
   }
 
-  private void lineReceived(String line) throws IOException {
+  private void lineReceived(String line, ConnectionHandler connection) throws IOException {
     if (line.startsWith("{")) {
       eventReceived(JsonFields.parse(line));
-    } else if (!line.isEmpty() && Long.parseLong(line) > position) {
+      return;
+    }
+    connection.positionReceived();
+    if (!line.isEmpty() && Long.parseLong(line) > position) {
       throw new MalformedInputException(
           "the server is at position " + line + ", but sent events only up to " + position);
     }
@@ -262,6 +290,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(MAX_READS_PER_TURN))
--- a/src/main/java/fordridge/json/ReadProgress.java
+++ b/src/main/java/fordridge/json/ReadProgress.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
-import java.util.function.Consumer;
 
 /**
  * Tracks whether a connection was read to the end of its input; has to be the first of a channel's
@@ -19,15 +18,18 @@
   /** The reads from one connection before other connections get their turn. */
   private static final int MAX_READS_PER_CYCLE = 4;
 
-  private final Consumer<Boolean> onCycleCompleted;
+  /** Receives the end of each read cycle. */
+  interface Listener {
+    /** A cycle has read that many bytes; whether it reached the end of the socket's input. */
+    void cycleCompleted(int bytes, boolean isReadToEnd);
+  }
+
+  private final Listener listener;
   private int readsInCycle;
+  private int bytesInCycle;
 
-  /**
-   * Creates a handler; {@code onCycleCompleted} gets, after each cycle, whether the socket was read
-   * to its end.
-   */
-  ReadProgress(Consumer<Boolean> onCycleCompleted) {
-    this.onCycleCompleted = onCycleCompleted;
+  ReadProgress(Listener listener) {
+    this.listener = listener;
   }
 
   /** Returns the allocator of receive buffers for channels with this handler. */
@@ -40,8 +42,9 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (message instanceof ByteBuf) {
+    if (message instanceof ByteBuf bytes) {
       readsInCycle++;
+      bytesInCycle += bytes.readableBytes();
     }
     ctx.fireChannelRead(message);
   }
@@ -49,8 +52,10 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     boolean isReadToEnd = readsInCycle < MAX_READS_PER_CYCLE;
+    int bytes = bytesInCycle;
     readsInCycle = 0;
-    onCycleCompleted.accept(isReadToEnd);
+    bytesInCycle = 0;
+    listener.cycleCompleted(bytes, isReadToEnd);
     ctx.fireChannelReadComplete();
   }
 }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -38,6 +38,9 @@
    */
   private static final long REQUEST_OVERHEAD_BYTES = 2048;
 
+  /** A request with less time left has no effect: no machine can answer it in time. */
+  private static final Duration MIN_TIME_TO_PLACE = Duration.ofMillis(5);
+
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final RequestValidator validator;
@@ -120,6 +123,9 @@
       adopt(connection, vm, machineId);
       return;
     }
+    if (vm.deadline.minus(loop.now()).compareTo(MIN_TIME_TO_PLACE) < 0) {
+      connection.countIneffectiveRequest();
+    }
     RequestPayload payload =
         new RequestPayload(request.key(), request.idempotencyKey(), request.description());
     long bytes = REQUEST_OVERHEAD_BYTES + payload.retainedBytes();
@@ -131,6 +137,7 @@
       case DUPLICATE ->
           throw new InvalidRequestException("ref", vm.id, "an id that is not pending or running");
       case OVER_CAPACITY -> {
+        connection.countIneffectiveRequest();
         requestLog.overCapacity(vm);
         connection.sendRejected(vm.id, Duration.ZERO);
       }
@@ -140,6 +147,7 @@
   }
 
   private void rejectForMemory(ClientConnection connection, Vm vm, long bytes) {
+    connection.countIneffectiveRequest();
     requestLog.outOfMemory(vm, bytes, pendingResponses.describe());
     connection.sendRejected(vm.id, Duration.ZERO);
   }
@@ -203,7 +211,11 @@
     requestLog.handoverReceived(vm, machineId, result);
     boolean isLate = loop.now().compareTo(handoverWindowEndsAt) > 0;
     requestLog.vmLog().handedOver(vm.id, machineId, result.name(), isLate, connection.remotePort());
+    if (result == RequestLog.Handover.REBOUND) {
+      return;
+    }
     if (result != RequestLog.Handover.ADOPTED) {
+      connection.countIneffectiveMessage();
       return;
     }
     clients.sendDeferredNotices(loop.now());
@@ -282,6 +294,7 @@
         () -> {
           Vm vm = requests.find(vmId);
           if (vm == null || !pendingResponses.terminatedByClient(vmId)) {
+            connection.countIneffectiveMessage();
             return;
           }
           if (vm.acceptedAttempt == null) {
@@ -303,6 +316,8 @@
         () -> {
           if (pendingResponses.noticeAcknowledged(vmId, connection)) {
             requestLog.vmLog().noticeAcknowledged(vmId, connection.remotePort());
+          } else {
+            connection.countIneffectiveMessage();
           }
         });
   }
--- a/src/main/java/fordridge/server/json/JsonInputPort.java
+++ b/src/main/java/fordridge/server/json/JsonInputPort.java
@@ -9,14 +9,17 @@
 
 /**
  * The input that the {@link InputGate} reads before a decision: all sockets of the event loop,
- * until no client connection has unread input and none waits to be accepted. Confined to the event
- * loop.
+ * until all that clients had sent when it began was read, and all connections that waited then were
+ * accepted. Confined to the event loop.
  */
 final class JsonInputPort implements InputGate.Port {
   private final SchedulerEventLoop loop;
   private final SocketPoller poller;
   private ClientServer clients;
 
+  /** Whether a read of all input that had arrived has begun, and needs another pass. */
+  private boolean isReadStarted;
+
   JsonInputPort(SchedulerEventLoop loop, SocketPoller poller) {
     this.loop = loop;
     this.poller = poller;
@@ -33,11 +36,16 @@
       poller.readReady();
       return ReadResult.COMPLETE;
     }
+    if (!isReadStarted) {
+      isReadStarted = true;
+      clients.startRead();
+    }
     clients.startReadPass();
     poller.readReady();
     if (clients.hasUnreadInput()) {
       return ReadResult.INCOMPLETE;
     }
+    isReadStarted = false;
     return clients.isAcceptFailing() ? ReadResult.REFUSED : ReadResult.COMPLETE;
   }
 
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -236,6 +236,8 @@
         + gate.describe()
         + ", connections unread for too long "
         + (clientServer == null ? 0 : clientServer.unreadTooLongCount())
+        + ", paused for messages without effect "
+        + (clientServer == null ? 0 : clientServer.readPauseCount())
         + ", VMs whose end is unconfirmed "
         + inputs.scheduler.describeUnconfirmedEnds()
         + ", unsettled attempts "
--- a/src/test/java/fordridge/faults/MachineListServer.java
+++ b/src/test/java/fordridge/faults/MachineListServer.java
@@ -135,6 +135,17 @@
     List.copyOf(watchers.keySet()).forEach(this::sendNewEvents);
   }
 
+  /** Sends its position that many times at once, which tells the watchers nothing new. */
+  void repeatPosition(int times) {
+    String line;
+    List<PeerConnection> receivers;
+    synchronized (this) {
+      line = events.size() + "\n";
+      receivers = List.copyOf(watchers.keySet());
+    }
+    receivers.forEach(each -> each.sendRaw(line.repeat(times)));
+  }
+
   /** Sends nothing for this time; connections stay open. */
   synchronized void stopSending(long millis) {
     silentUntilNanos = System.nanoTime() + millis * 1_000_000;
--- a/src/test/java/fordridge/faults/ScriptedHarness.java
+++ b/src/test/java/fordridge/faults/ScriptedHarness.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -70,6 +71,11 @@
     return successor;
   }
 
+  /** The machine list server sends its position that many times at once. */
+  void repeatListPosition(int times) {
+    machineList.repeatPosition(times);
+  }
+
   /** Lists the machine as draining: no new VM may be placed there. */
   void drain(ScriptedMachine machine) {
     machineList.publish(machine, "DRAINING", 0);
@@ -96,6 +102,11 @@
     return client;
   }
 
+  /** Opens a client's connection that the test reads and writes itself. */
+  Socket connectSocket() throws IOException {
+    return new Socket(address, LISTEN_PORT);
+  }
+
   /** As {@link #connect}, without a checked exception, for use in lambdas. */
   ScriptedClient connectUnchecked() {
     try {
