Keep the VMs that a new process accepted at an old machine's address

Cause: the end of an id, or another id at its address, was taken for the end of all VMs under that id, whichever process had accepted them. Processes are now told apart by their connections (ProcessIncarnations); the VMs of the one that is connected are handed over to the new id once it has answered a health check (ProcessEndHandler, AddressTakeover), as the reset of the old process may be unread. Nothing with a spread limit is placed there until then.

MachineConnectionPoolTest.everyAttemptEndsExactlyOnce wanted every attempt to end with the id. That is wrong for a process that may be another machine's: the test now ends that process as well, and a new test, endOfTheOnlyProcessLosesItsVmsAndRequestsAtOnce, checks the immediate end.

--- a/src/main/java/fordridge/machine/ConnectionHealthChecker.java
+++ b/src/main/java/fordridge/machine/ConnectionHealthChecker.java
@@ -55,6 +55,15 @@
         .ifPresent(connection -> ping(connection, now));
   }
 
+  /** Checks all established connections, however many health checks are pending there. */
+  void checkEachEstablished(Duration now) {
+    for (MachineConnection connection : connections.all()) {
+      if (!connection.isOpening()) {
+        ping(connection, now);
+      }
+    }
+  }
+
   private void ping(MachineConnection connection, Duration now) {
     connection.pingSent(now);
     transport.ping(connection);
--- a/src/main/java/fordridge/machine/LostNoticeRecovery.java
+++ b/src/main/java/fordridge/machine/LostNoticeRecovery.java
@@ -98,9 +98,14 @@
     }
   }
 
-  /** The machine sent a message on the VM on a connection that is open. */
-  void vmReported(String vmId) {
-    unheardVmIds.remove(vmId);
+  /** The machine sent a message on the VM: it writes about it on that connection, if it is open. */
+  void vmReported(MachineConnection connection, String vmId) {
+    if (connections.contains(connection)) {
+      unheardVmIds.remove(vmId);
+      if (!isSetUpConnectionOpen(vmId)) {
+        runningVms.setConnection(vmId, connection);
+      }
+    }
   }
 
   /** The scheduler closes the connection. */
--- a/src/main/java/fordridge/machine/MachineConnection.java
+++ b/src/main/java/fordridge/machine/MachineConnection.java
@@ -57,6 +57,10 @@
 
   private State state = State.OPENING;
   private Duration lastUsedAt;
+
+  /** The number of the process that it leads to, see {@link ProcessIncarnations}. */
+  private int incarnation;
+
   private final Deque<HealthCheck> healthChecks = new ArrayDeque<>();
   private long healthCheckCount;
   private long answeredHealthCheckCount;
@@ -102,6 +106,14 @@
 
   // Transitions
 
+  int incarnation() {
+    return incarnation;
+  }
+
+  void setIncarnation(int newIncarnation) {
+    incarnation = newIncarnation;
+  }
+
   void established(Duration now) {
     state = State.OPEN;
     lastUsedAt = now;
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -17,8 +17,8 @@
  * <p>{@link ExecutionEvidence} defines what a failure proves. A connection carries one placement
  * request at a time while more can be opened, so that a lost connection affects one attempt only.
  *
- * <p>{@link MachineConnection} has the states and transitions of a single connection. The pool
- * itself follows the machine's life cycle in the machine list:
+ * <p>{@link MachineConnection} has the states of a single connection. The pool itself follows the
+ * machine's life cycle in the machine list:
  *
  * <pre>
  * life cycle  new attempt   unsent requests    sent requests      running VMs
@@ -44,6 +44,8 @@
   private final LostNoticeRecovery recovery;
   private final PlacementRequestSender requestSender;
   private final ConnectionHealthChecker healthChecker;
+  private final ProcessIncarnations incarnations = new ProcessIncarnations(connections);
+  private final ProcessEndHandler endHandler;
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
   private boolean needsConnection;
@@ -69,6 +71,9 @@
     recovery = new LostNoticeRecovery(runningVms, connections, timeouts);
     opener = new ConnectionOpener(timeouts, offers, transport, connections, liveness, recovery);
     healthChecker = new ConnectionHealthChecker(machine, connections, transport, listener);
+    endHandler =
+        new ProcessEndHandler(
+            machine, connections, executions, incarnations, listener, healthChecker, this::close);
     requestSender = new PlacementRequestSender(executions, transport, listener);
     releaser = new OrphanedVmReleaser(machine, executions, connections, transport, listener);
   }
@@ -172,13 +177,21 @@
       connections.all().forEach(requestSender::withdrawUnsent);
     }
     if (isGone() && !wasGone) {
-      machineFailed(MachineFailure.LISTED_GONE, now);
+      endHandler.listedGone(now);
     }
   }
 
-  /** The machine list names another machine at its address: this machine's process has ended. */
+  /**
+   * The machine list names another machine at its address: this machine's process has ended. VMs
+   * that the other machine's process runs are kept, see {@link #processEnd}.
+   */
   public void addressReassigned(Duration now) {
-    machineFailed(MachineFailure.ADDRESS_TAKEN, now);
+    endHandler.addressTaken(now);
+  }
+
+  /** What is kept for another machine whose process listens at the address by now. */
+  public ProcessEndHandler processEnd() {
+    return endHandler;
   }
 
   /** The machine restarted at that time: VMs that it accepted earlier are lost. */
@@ -197,6 +210,7 @@
       return;
     }
     messageReceived(now);
+    incarnations.connectionEstablishing(connection);
     connection.established(now);
     recovery.connectionEstablished(connection);
     requestSender.sendPending(connection, now);
@@ -236,7 +250,7 @@
     healthChecker.failProbes(connection, now);
     liveness
         .detectFailure(timeouts, connections.hasEstablished(), now)
-        .ifPresent(reason -> machineFailed(reason, now));
+        .ifPresent(reason -> endHandler.machineFailed(reason, now));
   }
 
   /** The connection broke, was closed by the machine, or received malformed input. */
@@ -277,9 +291,7 @@
   /** The machine sent a report on a VM, which it does only for a running VM. */
   public void vmReported(MachineConnection connection, String vmId) {
     executions.reported(connection, vmId);
-    if (connections.contains(connection)) {
-      recovery.vmReported(vmId);
-    }
+    recovery.vmReported(connection, vmId);
   }
 
   /**
@@ -322,6 +334,9 @@
       MachineConnection connection, boolean healthy, boolean withLoadReport, Duration now) {
     Optional<Duration> roundTrip = connection.healthCheckAnswered(now);
     executions.healthCheckAnswered(connection);
+    if (connections.contains(connection)) {
+      endHandler.healthCheckAnswered();
+    }
     if (roundTrip.isPresent()) {
       connection.markUsed(now);
       listener.probeCompleted(machine, healthy, withLoadReport, roundTrip.get());
@@ -336,6 +351,12 @@
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
     executions.endUnconfirmedTerminations(now);
+    if (endHandler.isEnded(isGone())) {
+      endHandler.checkSuccessor(now);
+      if (liveness.isSilentFor(timeouts.silenceTimeout(), now)) {
+        healthChecker.checkEstablished(now);
+      }
+    }
     releaser.releaseIfDue(now);
     needsConnection = isConnectionNeeded(now);
   }
@@ -378,7 +399,9 @@
 
   /** When the connection that has been idle longest was last used; empty if none is idle. */
   Optional<Duration> idleSince() {
-    return connections.longestIdle().map(MachineConnection::lastUsedAt);
+    return isGone() && !runningVms.isEmpty()
+        ? Optional.empty()
+        : connections.longestIdle().map(MachineConnection::lastUsedAt);
   }
 
   /** Closes the connection that has been idle longest, to free it for another machine. */
@@ -437,16 +460,6 @@
     return lifecycle == Machine.Lifecycle.GONE;
   }
 
-  /** The process has ended or can't be reached: its requests and VMs count as lost. */
-  private void machineFailed(MachineFailure failure, Duration now) {
-    listener.machineFailed(machine, failure, runningVms.size());
-    for (MachineConnection connection : connections.all()) {
-      executions.requestsLost(connection, now);
-      close(connection, MachineConnectionCloseReason.MACHINE_FAILED, now);
-    }
-    executions.allVmsLost(failure, now);
-  }
-
   private void cancelOn(
       MachineConnection connection, PlacementAttempt attempt, Outcome outcome, Duration now) {
     PlacementRequest request = connection.remove(attempt.vm.id).orElseThrow();
--- a/src/main/java/fordridge/machine/RunningVms.java
+++ b/src/main/java/fordridge/machine/RunningVms.java
@@ -63,6 +63,13 @@
     return Optional.ofNullable(setUpConnections.get(vmId));
   }
 
+  /** The machine sent a message on the VM, which runs here, on another connection. */
+  void setConnection(String vmId, MachineConnection connection) {
+    if (attempts.containsKey(vmId)) {
+      setUpConnections.put(vmId, connection);
+    }
+  }
+
   /** Whether the placement request of any of the VMs was sent on the connection. */
   boolean isAnySetUpOn(MachineConnection connection) {
     return setUpConnections.containsValue(connection);
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -5,6 +5,7 @@
 import fordridge.model.PlacementAttempt.Outcome;
 import fordridge.model.PlacementAttempt.OutcomeReason;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -211,6 +212,26 @@
         .ifPresent(attempt -> endWithoutReport(attempt, ExecutionEvidence.RUNNING));
   }
 
+  /** The VMs that the process has accepted or written about to which the connections lead now. */
+  List<PlacementAttempt> vmsOfCurrentProcess(ProcessIncarnations incarnations) {
+    List<PlacementAttempt> found = new ArrayList<>();
+    for (PlacementAttempt attempt : runningVms.all()) {
+      if (runningVms.setUpConnection(attempt.vm.id).filter(incarnations::isCurrent).isPresent()) {
+        found.add(attempt);
+      }
+    }
+    return found;
+  }
+
+  /** The process that listened earlier has ended: all VMs but those given are lost. */
+  void vmsLostExcept(List<PlacementAttempt> kept) {
+    for (PlacementAttempt attempt : runningVms.all()) {
+      if (!kept.contains(attempt)) {
+        vmLost(attempt.vm.id);
+      }
+    }
+  }
+
   /** The machine has failed; its VMs are lost or, if it is unreachable, may still run. */
   void allVmsLost(MachineFailure failure, Duration now) {
     for (PlacementAttempt attempt : runningVms.all()) {
--- a/src/main/java/fordridge/model/Vm.java
+++ b/src/main/java/fordridge/model/Vm.java
@@ -58,6 +58,21 @@
     this.id = id;
   }
 
+  /** A VM with the same id and requested values, without attempts. */
+  public Vm copyOfRequest() {
+    Vm copy = new Vm(id);
+    copy.priorityClass = priorityClass;
+    copy.tenant = tenant;
+    copy.service = service;
+    copy.cores = cores;
+    copy.memory = memory;
+    copy.isClientRetry = isClientRetry;
+    copy.arrivedAt = arrivedAt;
+    copy.deadline = deadline;
+    copy.expectedLifetime = expectedLifetime;
+    return copy;
+  }
+
   /** Its tenant and priority class. */
   public TenantClass tenantClass() {
     if (tenantClass == null) {
--- a/src/main/java/fordridge/scheduling/Scheduler.java
+++ b/src/main/java/fordridge/scheduling/Scheduler.java
@@ -163,6 +163,11 @@
     return state.describeUnconfirmedEnds();
   }
 
+  /** Whether the VM's priority class may run on a machine of that kind. */
+  public boolean isKindAllowed(Vm vm, Machine machine) {
+    return state.settingsOf(vm).allowsKind(machine.kind);
+  }
+
   /** Adopts a running VM: it counts as placed by this scheduler from now on. */
   public void vmAdopted(Vm vm, Machine machine) {
     state.addHosted(PlacementAttempt.adopted(vm, machine, state.now));
--- a/src/main/java/fordridge/server/json/JsonSchedulerServer.java
+++ b/src/main/java/fordridge/server/json/JsonSchedulerServer.java
@@ -102,7 +102,8 @@
             new MachineConnectionSettings(
                 settings.timeouts(), machineInput, configuration.maxMachineConnections()));
     machineList =
-        new MachineListIntake(loop, inputs, machines, startedAtEpochMillis, requestLog.vmLog());
+        new MachineListIntake(
+            loop, inputs, machines, requests, startedAtEpochMillis, requestLog.vmLog());
     intake =
         new ClientRequestIntake(
             loop, inputs, settings, pendingResponses, clients, requests, machines, log);
@@ -157,6 +158,7 @@
 
   private void tick() {
     machines.tick();
+    machineList.advanceTakeovers();
     clients.expireNotices(loop.now());
     clients.resendOverdueNotices(loop.now());
   }
--- a/src/main/java/fordridge/server/json/MachineHandle.java
+++ b/src/main/java/fordridge/server/json/MachineHandle.java
@@ -42,6 +42,9 @@
   private long loadReportCount;
   private boolean isStopped;
 
+  /** The machine that has taken over the address and the VMs of the process there; or null. */
+  private MachineHandle successor;
+
   MachineHandle(
       String id,
       SchedulerEventLoop loop,
@@ -156,6 +159,17 @@
         InputKind.VM_ACCEPTED, () -> pool.vmAccepted(connection, vmId, description, loop.now()));
   }
 
+  /** Another machine has taken over the address and the VMs of the process there. */
+  void setSuccessor(MachineHandle newSuccessor) {
+    successor = newSuccessor;
+  }
+
+  /** The pool that knows the VM; its messages may still arrive on connections of this machine. */
+  private MachineConnectionPool poolOf(String vmId) {
+    boolean isTakenOver = successor != null && successor.pool.findRunningAttempt(vmId).isPresent();
+    return isTakenOver ? successor.pool : pool;
+  }
+
   private void acknowledge(MachineConnection connection, String vmId) {
     if (!isStopped) {
       client.acknowledge(connection, vmId);
@@ -184,7 +198,7 @@
     loop.submit(
         InputKind.VM_TERMINATED,
         () -> {
-          pool.vmTerminated(connection, termination, loop.now());
+          poolOf(termination.vmId()).vmTerminated(connection, termination, loop.now());
           // Queued after the notice to the client.
           loop.enqueue(() -> acknowledgements.terminationReceived(connection, termination.vmId()));
         });
@@ -213,7 +227,7 @@
 
   @Override
   public void terminationAcknowledged(MachineConnection connection, String vmId) {
-    loop.submit(InputKind.VM_TERMINATED, () -> pool.terminationAcknowledged(vmId));
+    loop.submit(InputKind.VM_TERMINATED, () -> poolOf(vmId).terminationAcknowledged(vmId));
   }
 
   private void reportVm(PlacementAttempt attempt, VmReportKind kind, double value) {
--- a/src/main/java/fordridge/server/json/MachineListIntake.java
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -24,7 +25,7 @@
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
   private final MachineRegistry machines;
-
+  private final ActiveRequests requests;
   private final MachineStartTimes startTimes;
 
   /** The machine that the list last named at each address; bounded by the number of addresses. */
@@ -32,6 +33,9 @@
 
   private final VmLog log;
 
+  /** The takeovers of addresses that are not completed; each machine has at most one. */
+  private final List<AddressTakeover> pendingTakeovers = new ArrayList<>();
+
   /** Whether events come from the watch rather than from the configuration. */
   private boolean isWatching;
 
@@ -45,12 +49,14 @@
       SchedulerEventLoop loop,
       SchedulerInputs<String> inputs,
       MachineRegistry machines,
+      ActiveRequests requests,
       long startedAtEpochMillis,
       VmLog log) {
     this.loop = loop;
     this.log = log;
     this.inputs = inputs;
     this.machines = machines;
+    this.requests = requests;
     startTimes = new MachineStartTimes(startedAtEpochMillis);
   }
 
@@ -79,11 +85,18 @@
     }
     loop.submitMachineListChange(
         () -> {
-          updateConnections(event, listed);
+          List<AddressTakeover> takeovers = updateConnections(event, listed);
           inputs.machineListReceived(event.isComplete(), false, listed);
+          takeovers.forEach(each -> each.start(inputs));
+          pendingTakeovers.addAll(takeovers);
         });
   }
 
+  /** Completes the takeovers of addresses that are confirmed; to be called periodically. */
+  void advanceTakeovers() {
+    pendingTakeovers.removeIf(each -> each.advance(inputs, requests, machines, loop.now()));
+  }
+
   /** The machine's start time by the scheduler's clock; null if it is not known. */
   private Duration startedAt(MachineListEvent.MachineEntry entry) {
     if (entry.lifecycle() == Machine.Lifecycle.GONE) {
@@ -95,16 +108,21 @@
         : startTimes.startedAt(entry.id(), entry.startedAtEpochMillis(), isWatching, loop.clock());
   }
 
-  private void updateConnections(MachineListEvent event, List<ListedMachine<String>> listed) {
+  private List<AddressTakeover> updateConnections(
+      MachineListEvent event, List<ListedMachine<String>> listed) {
+    List<AddressTakeover> takeovers = new ArrayList<>();
     Set<String> listedIds = new HashSet<>();
     for (int i = 0; i < listed.size(); i++) {
       ListedMachine<String> entry = listed.get(i);
       listedIds.add(entry.key());
       MachineHandle handle = machines.findOrAdd(entry.key());
+      // Before the end of the machine that had the address: its VMs may be the new machine's.
       if (event.machines().get(i).address() != null) {
-        setAddress(handle, event.machines().get(i));
+        setAddress(handle, event.machines().get(i)).ifPresent(takeovers::add);
       }
-      updateConnections(handle, entry);
+    }
+    for (ListedMachine<String> entry : listed) {
+      updateConnections(machines.findOrAdd(entry.key()), entry);
     }
     if (event.isComplete()) {
       for (MachineHandle handle : machines.all()) {
@@ -113,24 +131,29 @@
         }
       }
     }
+    return takeovers;
   }
 
   /**
    * Assigns an address to a machine. An address has one machine: the one that had it before is
-   * gone, even if the list has not reported that yet.
+   * gone, even if the list has not reported that yet. Returns its takeover, if there is one.
    */
-  private void setAddress(MachineHandle handle, MachineListEvent.MachineEntry entry) {
+  private Optional<AddressTakeover> setAddress(
+      MachineHandle handle, MachineListEvent.MachineEntry entry) {
     if (entry.lifecycle() == Machine.Lifecycle.GONE) {
-      return;
+      return Optional.empty();
     }
+    Optional<AddressTakeover> takeover = Optional.empty();
     MachineHandle previous = handlesByAddress.put(entry.address(), handle);
     if (previous != null
         && previous != handle
         && entry.address().equals(previous.client().address())) {
       previous.client().setAddress(null);
+      takeover = Optional.of(new AddressTakeover(previous, handle));
       previous.pool().addressReassigned(loop.now());
     }
     handle.client().setAddress(entry.address());
+    return takeover;
   }
 
   private void updateConnections(MachineHandle handle, ListedMachine<String> entry) {
--- a/src/test/java/fordridge/faults/ScriptedHarness.java
+++ b/src/test/java/fordridge/faults/ScriptedHarness.java
@@ -76,6 +76,21 @@
     machineList.repeatPosition(times);
   }
 
+  /** Kills the machine and starts another one at its address, which is not listed yet. */
+  ScriptedMachine startAtSameAddress(ScriptedMachine machine) throws IOException {
+    int port = machine.port();
+    machine.die();
+    ScriptedMachine successor = new ScriptedMachine("m-" + machineNumber++, address, port);
+    machines.add(successor);
+    return successor;
+  }
+
+  /** Lists a machine that was started unlisted as serving, from now on. */
+  void list(ScriptedMachine machine) {
+    listedMachines.add(machine);
+    machineList.publish(machine, "SERVING", System.currentTimeMillis());
+  }
+
   /** Lists the machine as draining: no new VM may be placed there. */
   void drain(ScriptedMachine machine) {
     machineList.publish(machine, "DRAINING", 0);
--- a/src/test/java/fordridge/faults/TerminationNoticeDeliveryTest.java
+++ b/src/test/java/fordridge/faults/TerminationNoticeDeliveryTest.java
@@ -436,6 +436,50 @@
     awaitEndNotice(NOTICE_WITHIN, next.vm, next.client);
   }
 
+  /**
+   * Guards against taking VMs for lost that a new process accepted at the address of one that had
+   * gone, before the list told of either.
+   */
+  @Example
+  void vmsOfANewProcessAreKeptWhenTheListNamesItLate() throws Exception {
+    checkLateList(
+        (old, successor) -> {
+          harness.removeMachine(old);
+          pause();
+          harness.list(successor);
+        });
+  }
+
+  /** As above, but the list names the new machine first, and the end of the old one never. */
+  @Example
+  void vmsOfANewProcessAreKeptWhenTheListReassignsTheAddress() throws Exception {
+    checkLateList((old, successor) -> harness.list(successor));
+  }
+
+  private interface LateList {
+    void publish(ScriptedMachine old, ScriptedMachine successor) throws Exception;
+  }
+
+  private void checkLateList(LateList list) throws Exception {
+    OfferedVm ofOldProcess = offer(harness.addMachine(), harness.connect());
+    ofOldProcess.accept();
+    ScriptedMachine successor = harness.startAtSameAddress(ofOldProcess.machine);
+    pause();
+    OfferedVm ofNewProcess = offer(successor, ofOldProcess.client);
+    ofNewProcess.accept();
+    list.publish(ofOldProcess.machine, successor);
+    awaitEndNotice(NOTICE_WITHIN, ofOldProcess.vm, ofOldProcess.client);
+    Awaitility.await("another connection to the successor")
+        .until(
+            () -> successor.openConnections().stream().anyMatch(c -> c != ofNewProcess.connection));
+    assertThat(ofNewProcess.client.hasEndNotice(ofNewProcess.vm))
+        .as("notice of an end, but the VM runs")
+        .isFalse();
+    successor.sendOnAnyConnection(Message.of(Message.ENDED, ofNewProcess.vm, Message.CAUSE_DONE));
+    awaitEndNotice(NOTICE_WITHIN, ofNewProcess.vm, ofNewProcess.client);
+    assertThat(ofNewProcess.client.causeOfEnd(ofNewProcess.vm)).isEqualTo(Message.CAUSE_DONE);
+  }
+
   @Example
   void machineListedAgainDoesNotReclaimItsAddress() throws Exception {
     OfferedVm offered = offer(harness.addMachine(), harness.connect());
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -143,6 +143,64 @@
     assertThat(fixture.accepted).containsOnlyKeys(sent);
   }
 
+  @Example
+  void endOfTheOnlyProcessLosesItsVmsAndRequestsAtOnce() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt running = fixture.startVm();
+    PlacementAttempt sent = fixture.offerAndConnect();
+    fixture.pool.machineListed(Machine.Lifecycle.GONE, fixture.now);
+    assertThat(fixture.outcomes).containsOnlyKeys(running, sent);
+    assertThat(fixture.pool.isRetired()).isTrue();
+  }
+
+  /** Guards against reporting VMs as lost that a later process at the address has accepted. */
+  @Example
+  void endOfTheFirstProcessKeepsTheVmsOfTheOneThatIsConnected() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt earlier = fixture.startVm();
+    fixture.connections.remove(fixture.newestConnection());
+    fixture.pool.connectionLost(fixture.sent.keySet().iterator().next(), fixture.now);
+    PlacementAttempt later = fixture.startVm();
+    fixture.pool.machineListed(Machine.Lifecycle.GONE, fixture.now);
+    assertThat(fixture.outcomes).containsOnlyKeys(earlier);
+    fixture.pool.addressReassigned(fixture.now);
+    assertThat(fixture.pool.processEnd().isSuccessorConfirmed()).isFalse();
+    fixture.pool.probeAnswered(fixture.newestConnection(), true, false, fixture.now);
+    assertThat(fixture.pool.processEnd().isSuccessorConfirmed()).isTrue();
+    assertThat(fixture.pool.processEnd().successorVms()).containsExactly(later);
+    MachineConnection last = fixture.newestConnection();
+    fixture.connections.remove(last);
+    fixture.pool.connectionLost(last, fixture.now);
+    fixture.advance(50);
+    assertThat(fixture.outcomes).as("that process has ended too").containsOnlyKeys(earlier, later);
+  }
+
+  /** A reset of all connections by the network does not end the VMs that the machine runs. */
+  @Example
+  void vmReportedAfterALossOfAllConnectionsBelongsToTheProcessThatIsConnected() {
+    PoolFixture fixture = new PoolFixture();
+    PlacementAttempt earlier = fixture.startVm();
+    fixture.connections.remove(fixture.newestConnection());
+    fixture.pool.connectionLost(fixture.sent.keySet().iterator().next(), fixture.now);
+    fixture.startVm();
+    fixture.pool.vmReported(fixture.newestConnection(), earlier.vm.id);
+    fixture.pool.machineListed(Machine.Lifecycle.GONE, fixture.now);
+    assertThat(fixture.outcomes).isEmpty();
+  }
+
+  /** A VM is kept waiting for the successor only while the process answers. */
+  @Example
+  void silentProcessAtTheAddressOfAGoneMachineLosesItsVms() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.startVm();
+    fixture.connections.remove(fixture.newestConnection());
+    fixture.pool.connectionLost(fixture.sent.keySet().iterator().next(), fixture.now);
+    PlacementAttempt later = fixture.startVm();
+    fixture.pool.machineListed(Machine.Lifecycle.GONE, fixture.now);
+    fixture.advance(4500);
+    assertThat(fixture.outcomes).containsKey(later);
+  }
+
   @Example
   void twoRefusedConnectionsLoseRunningVms() {
     PoolFixture fixture = new PoolFixture();
@@ -310,6 +368,12 @@
       }
     }
     fixture.pool.machineListed(Machine.Lifecycle.GONE, fixture.now);
+    // A process that was connected to later may belong to another machine: it ends as well.
+    for (MachineConnection connection : List.copyOf(fixture.connections)) {
+      fixture.connections.remove(connection);
+      fixture.pool.connectionLost(connection, fixture.now);
+    }
+    fixture.advance(50);
     assertThat(fixture.outcomes.keySet()).containsExactlyInAnyOrderElementsOf(attempts);
     assertThat(fixture.pool.isRetired()).isTrue();
   }
