A machine that is listed again does not take back its former address

What callers saw: a machine lost its address to a successor; when the list then told of its drain, it took the address back, the successor's VMs were reported as lost, and nothing was placed there any more.

Cause: MachineListIntake.setAddress gave an address to whichever entry named it last. An address that the machine has lost to another one, which is not gone, is ignored now.

--- a/src/main/java/fordridge/server/json/MachineListIntake.java
+++ b/src/main/java/fordridge/server/json/MachineListIntake.java
@@ -33,6 +33,9 @@
 
   private final VmLog log;
 
+  /** The address that each machine has lost to another one last. */
+  private final Map<MachineHandle, InetSocketAddress> lostAddresses = new HashMap<>();
+
   /** The takeovers of addresses that are not completed; each machine has at most one. */
   private final List<AddressTakeover> pendingTakeovers = new ArrayList<>();
 
@@ -144,11 +147,15 @@
       return Optional.empty();
     }
     Optional<AddressTakeover> takeover = Optional.empty();
+    if (hasLostAddressTo(handlesByAddress.get(entry.address()), handle, entry.address())) {
+      return Optional.empty();
+    }
     MachineHandle previous = handlesByAddress.put(entry.address(), handle);
     if (previous != null
         && previous != handle
         && entry.address().equals(previous.client().address())) {
       previous.client().setAddress(null);
+      lostAddresses.put(previous, entry.address());
       takeover = Optional.of(new AddressTakeover(previous, handle));
       previous.pool().addressReassigned(loop.now());
     }
@@ -156,6 +163,15 @@
     return takeover;
   }
 
+  /** Whether the machine had the address before its present holder, which is not gone. */
+  private boolean hasLostAddressTo(
+      MachineHandle holder, MachineHandle handle, InetSocketAddress address) {
+    return holder != null
+        && holder != handle
+        && address.equals(lostAddresses.get(handle))
+        && holder.machine().lifecycle != Machine.Lifecycle.GONE;
+  }
+
   private void updateConnections(MachineHandle handle, ListedMachine<String> entry) {
     Machine machine = handle.machine();
     if (entry.lifecycle() != Machine.Lifecycle.LIVE
