After a standstill the watch of the machine list is read before it is judged silent

Cause: closeIfSilent compared the time of the last line that was read with the clock. After a standstill the selector returns without ready sockets and timers run first, so a watch with the drain in its socket was closed unread, and requests were placed before the next connection had delivered the event.

Change: the time is taken first, then the socket is read, then the watch is judged by that time.

--- a/src/main/java/fordridge/json/MachineListWatcher.java
+++ b/src/main/java/fordridge/json/MachineListWatcher.java
@@ -133,9 +133,8 @@
       }
     }
 
-    boolean isSilent() {
-      return channel.isActive()
-          && System.nanoTime() - lastReceivedNanos > SILENCE_TIMEOUT.toNanos();
+    boolean isSilent(long nowNanos) {
+      return channel.isActive() && nowNanos - lastReceivedNanos > SILENCE_TIMEOUT.toNanos();
     }
 
     @SuppressWarnings("FutureReturnValueIgnored") // channelInactive reports the close.
@@ -336,8 +335,14 @@
     }
   }
 
+  /**
+   * Reads what had arrived at the time for which silence is checked: if the process stood still,
+   * the socket may hold events that were sent in time.
+   */
   private void closeIfSilent() {
-    if (current != null && current.isSilent()) {
+    long nowNanos = System.nanoTime();
+    readNow();
+    if (current != null && current.isSilent(nowNanos)) {
       log.accept("machine list watch: server silent; watching again from " + position);
       current.close();
     }
--- a/src/test/java/fordridge/faults/ScriptedHarness.java
+++ b/src/test/java/fordridge/faults/ScriptedHarness.java
@@ -35,6 +35,12 @@
     byte part = (byte) (64 + ProcessHandle.current().pid() % 128);
     address = InetAddress.getByAddress(new byte[] {127, part, (byte) 200, 1});
     machineList = new MachineListServer(address, timers, List.of());
+    writeConfiguration();
+    process = new ServeProcess(configuration, Optional.empty(), List.of());
+    process.awaitListening();
+  }
+
+  private void writeConfiguration() throws IOException {
     String text =
         new HarnessConfiguration(
                 address.getHostAddress(),
@@ -44,8 +50,15 @@
                 CONNECT_TIMEOUT_MILLIS)
             .text();
     Files.writeString(configuration, text);
-    process = new ServeProcess(configuration, Optional.empty(), List.of());
-    process.awaitListening();
+  }
+
+  /** The process stands still until {@link #continueProcess}. */
+  void stopProcess() throws IOException, InterruptedException {
+    process.signal("STOP");
+  }
+
+  void continueProcess() throws IOException, InterruptedException {
+    process.signal("CONT");
   }
 
   /** Adds a machine and lists it as serving. */
@@ -96,6 +109,11 @@
     machineList.publish(machine, "DRAINING", 0);
   }
 
+  /** Lists the machine as serving again. */
+  void endDrain(ScriptedMachine machine) {
+    machineList.publish(machine, "SERVING", 0);
+  }
+
   /** Lists the machine as deleted, unless that was done before. */
   void removeMachine(ScriptedMachine machine) {
     if (listedMachines.remove(machine)) {
--- a/src/test/java/fordridge/faults/ScriptedMachine.java
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -67,6 +67,9 @@
       if (message.type().equals(Message.HEALTH_CHECK) && answersHealthChecks) {
         send(Message.of(Message.HEALTHY, message.id(), 1));
       }
+      if (message.type().equals(Message.REQUEST)) {
+        lastRequestNanos = System.nanoTime();
+      }
       if (message.type().equals(Message.REQUEST) && answerDelayMillis > 0) {
         scheduleAnswer(() -> acceptAndEnd(this, message.id()));
       }
@@ -82,6 +85,9 @@
   /** The delay of automatic answers; zero if only the test answers. */
   private volatile long answerDelayMillis;
 
+  /** When the last placement request was received, by {@link System#nanoTime}. */
+  private volatile long lastRequestNanos = System.nanoTime();
+
   ScriptedMachine(String id, InetAddress address) throws IOException {
     this(id, address, 0);
   }
@@ -135,6 +141,11 @@
     }
   }
 
+  /** When the last placement request was received, by {@link System#nanoTime}. */
+  long lastRequestNanos() {
+    return lastRequestNanos;
+  }
+
   /** All connections so far, the oldest first. */
   synchronized List<Connection> connections() {
     return List.copyOf(connections);
