A slow machine list server is heard: a second watch beside the late one

Cause: the limit of 1.7 s, which follows from the position that comes each second, was applied to the first line of a new watch and to lines whose bytes keep coming; and each failed wait began again with the same time, so that none got through.

Change: HedgedWatch, free of I/O, decides which connections are open. A late one is kept and a second one opened beside it; both are read until one confirms the position. Waiting longer on one connection would leave a hung server unasked for too long, so connect, silence, a running line, an answer and the older connection's patience have times of their own, the last doubled after each that is given up.

--- a/src/main/java/fordridge/json/MachineListWatcher.java
+++ b/src/main/java/fordridge/json/MachineListWatcher.java
@@ -2,12 +2,15 @@
 
 import fordridge.eventloop.EventLoopTimers;
 import fordridge.json.JsonFields.MalformedInputException;
+import fordridge.membership.HedgedWatch;
+import fordridge.model.SeededRandom;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -26,21 +29,18 @@
 /**
  * Watches the machine list: follows the numbered events of a server over any number of connections.
  * If a connection breaks, is silent for too long or delivers an event that can't be read, the
- * watcher reconnects and requests the events after the last one that it applied; repeated events
- * are skipped. All methods have to be called on the event loop.
+ * watcher opens another one and requests the events after the last one that it applied; repeated
+ * events are skipped. {@link HedgedWatch} decides which connections are open. All methods have to
+ * be called on the event loop.
  *
  * <p>The configuration and the protocol call this stream of events the journal.
  */
 public final class MachineListWatcher {
-  /**
-   * The server sends its position every second; a server that is silent for this long is assumed to
-   * hang.
-   */
-  private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(1700);
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+  /** The system repeats a lost packet of the handshake after one second. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1500);
 
-  private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(200);
-  private static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
   /**
@@ -61,7 +61,7 @@
   private static final int MAX_READS_PER_TURN = 64;
 
   private static final long NO_POSITION = -1;
-  private static final long NANOS_PER_SECOND = 1_000_000_000;
+  private static final Duration POSITION_COUNT_INTERVAL = Duration.ofSeconds(1);
 
   /** Receives the events, in order and each once. */
   public interface Listener {
@@ -69,8 +69,22 @@
     void machineListChanged(MachineListEvent event);
   }
 
+  /** Records the bytes that arrive on a connection, whether they complete a line or not. */
+  private final class ReceivedBytes extends ChannelInboundHandlerAdapter {
+    private final ConnectionHandler connection;
+
+    ReceivedBytes(ConnectionHandler connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      connections.bytesReceived(connection, clock());
+      ctx.fireChannelRead(message);
+    }
+  }
+
   private final class ConnectionHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private long lastReceivedNanos = System.nanoTime();
     private Channel channel;
 
     /**
@@ -79,13 +93,12 @@
      */
     private boolean isInputRejected;
 
-    private long positionsCountedSinceNanos = lastReceivedNanos;
+    private Duration positionsCountedSince = clock();
     private int positionCount;
 
     @Override
     @SuppressWarnings("FutureReturnValueIgnored") // A void promise: failures reach exceptionCaught.
     public void channelActive(ChannelHandlerContext ctx) {
-      lastReceivedNanos = System.nanoTime();
       isUnreachable = false;
       ctx.writeAndFlush(
           ByteBufUtil.writeUtf8(ctx.alloc(), "tail " + position + "\n"),
@@ -94,13 +107,13 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-      if (this != current || isInputRejected) {
+      if (isInputRejected) {
         return;
       }
-      lastReceivedNanos = System.nanoTime();
+      boolean isPositionConfirmed = false;
       isHandlingLine = true;
       try {
-        lineReceived(line.toString(StandardCharsets.UTF_8).trim(), this);
+        isPositionConfirmed = lineReceived(line.toString(StandardCharsets.UTF_8).trim(), this);
       } catch (MalformedInputException | NumberFormatException | IOException e) {
         log.accept("machine list watch: event not taken: " + e.getMessage());
         isInputRejected = true;
@@ -108,12 +121,18 @@
       } finally {
         isHandlingLine = false;
       }
+      if (!isInputRejected) {
+        connections.lineReceived(this, clock());
+      }
+      if (isPositionConfirmed) {
+        connections.positionConfirmed(this);
+      }
       runFirstContactTask();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      reconnectLater(this);
+      connectionEnded(this);
     }
 
     @Override
@@ -124,8 +143,9 @@
 
     /** Records that the server repeated its position; fails if it does so too often. */
     private void positionReceived() {
-      if (lastReceivedNanos - positionsCountedSinceNanos > NANOS_PER_SECOND) {
-        positionsCountedSinceNanos = lastReceivedNanos;
+      Duration now = clock();
+      if (now.minus(positionsCountedSince).compareTo(POSITION_COUNT_INTERVAL) > 0) {
+        positionsCountedSince = now;
         positionCount = 0;
       }
       if (++positionCount > MAX_POSITIONS_PER_SECOND) {
@@ -133,20 +153,43 @@
       }
     }
 
-    boolean isSilent(long nowNanos) {
-      return channel.isActive() && nowNanos - lastReceivedNanos > SILENCE_TIMEOUT.toNanos();
+    /** Reads what has arrived, without waiting for the event loop to get to this connection. */
+    private void readNow() {
+      if (channel instanceof AbstractNioChannel nioChannel && nioChannel.isActive()) {
+        nioChannel.unsafe().read();
+      }
     }
 
     @SuppressWarnings("FutureReturnValueIgnored") // channelInactive reports the close.
-    void close() {
+    private void close() {
       channel.close();
     }
   }
 
+  /** Opens and closes connections as {@link HedgedWatch} tells. */
+  private final class Connections implements HedgedWatch.Connections<ConnectionHandler> {
+    @Override
+    public ConnectionHandler create() {
+      return new ConnectionHandler();
+    }
+
+    @Override
+    public void open(ConnectionHandler connection) {
+      connect(connection);
+    }
+
+    @Override
+    public void close(ConnectionHandler connection) {
+      connection.readNow();
+      connection.close();
+    }
+  }
+
   private final EventLoopGroup loop;
   private final EventLoopTimers timers;
   private final Listener listener;
   private final Consumer<String> log;
+  private final HedgedWatch<ConnectionHandler> connections;
   private InetSocketAddress address;
 
   /** The position of the last event that was applied. */
@@ -155,9 +198,6 @@
   /** The position after which events were missing most recently. */
   private long lastGapPosition = NO_POSITION;
 
-  /** The connection that is in use or being opened; null while waiting to reconnect. */
-  private ConnectionHandler current;
-
   private boolean isClosed;
 
   /** Whether the last attempt to connect failed. */
@@ -174,10 +214,13 @@
   /**
    * Creates a watcher that has the events up to {@code position} and is not connected to a server
    * yet.
+   *
+   * @param seed of the jitter of delays
    */
   public MachineListWatcher(
       EventLoopGroup loop,
       EventLoopTimers timers,
+      long seed,
       long position,
       Listener listener,
       Consumer<String> log) {
@@ -186,7 +229,12 @@
     this.position = position;
     this.listener = listener;
     this.log = log;
-    timers.runEvery(SILENCE_CHECK_INTERVAL, this::closeIfSilent);
+    connections = new HedgedWatch<>(new Connections(), new SeededRandom(seed));
+    timers.runEvery(CHECK_INTERVAL, this::checkConnections);
+  }
+
+  private static Duration clock() {
+    return Duration.ofNanos(System.nanoTime());
   }
 
   /** The position of the last event that was applied. */
@@ -202,12 +250,7 @@
       return;
     }
     address = newAddress;
-    ConnectionHandler previous = current;
-    current = null;
-    if (previous != null) {
-      previous.close();
-    }
-    connect();
+    connections.addressChanged(clock());
   }
 
   /**
@@ -226,37 +269,42 @@
   }
 
   /**
-   * Reads the events that have arrived, without waiting for the event loop to get to this
-   * connection; does nothing if no connection is open, or if called from within {@link
-   * Listener#machineListChanged}.
+   * Reads the events that have arrived on all connections, without waiting for the event loop to
+   * get to them; does nothing if called from within {@link Listener#machineListChanged}.
    */
   public void readNow() {
-    if (!isHandlingLine
-        && current != null
-        && current.channel instanceof AbstractNioChannel channel
-        && channel.isActive()) {
-      channel.unsafe().read();
+    if (!isHandlingLine) {
+      connections.connections().forEach(ConnectionHandler::readNow);
     }
   }
 
+  /** The counts of connections since the start, for the status line. */
+  public String describe() {
+    return connections.describe();
+  }
+
   /** Stops the watch. */
   public void close() {
     isClosed = true;
-    if (current != null) {
-      current.close();
-    }
+    connections.connections().forEach(ConnectionHandler::close);
   }
 
-  private void lineReceived(String line, ConnectionHandler connection) throws IOException {
+  /** Applies a line; returns whether it is the position of the last event that was applied. */
+  private boolean lineReceived(String line, ConnectionHandler connection) throws IOException {
     if (line.startsWith("{")) {
       eventReceived(JsonFields.parse(line));
-      return;
+      return false;
     }
     connection.positionReceived();
-    if (!line.isEmpty() && Long.parseLong(line) > position) {
+    if (line.isEmpty()) {
+      return false;
+    }
+    long serverPosition = Long.parseLong(line);
+    if (serverPosition > position) {
       throw new MalformedInputException(
           "the server is at position " + line + ", but sent events only up to " + position);
     }
+    return serverPosition == position;
   }
 
   private void eventReceived(Map<String, Object> event) {
@@ -280,9 +328,7 @@
 
   @SuppressWarnings(
       "FutureReturnValueIgnored") // addListener returns the future that it is called on.
-  private void connect() {
-    ConnectionHandler handler = new ConnectionHandler();
-    current = handler;
+  private void connect(ConnectionHandler handler) {
     ChannelFuture connected =
         new Bootstrap()
             .group(loop)
@@ -299,7 +345,10 @@
                   protected void initChannel(NioSocketChannel channel) {
                     channel
                         .pipeline()
-                        .addLast(new LineBasedFrameDecoder(MAX_EVENT_BYTES, true, true), handler);
+                        .addLast(
+                            new ReceivedBytes(handler),
+                            new LineBasedFrameDecoder(MAX_EVENT_BYTES, true, true),
+                            handler);
                   }
                 })
             .connect(address);
@@ -309,7 +358,7 @@
           if (!outcome.isSuccess()) {
             logConnectFailure(outcome.cause());
             runFirstContactTask();
-            reconnectLater(handler);
+            connectionEnded(handler);
           }
         });
   }
@@ -322,29 +371,33 @@
     }
   }
 
-  private void reconnectLater(ConnectionHandler closed) {
-    if (closed == current && !isClosed) {
-      current = null;
-      timers.runAfter(
-          RECONNECT_DELAY,
-          () -> {
-            if (current == null && !isClosed) {
-              connect();
-            }
-          });
+  private void connectionEnded(ConnectionHandler connection) {
+    if (isClosed) {
+      return;
     }
+    Duration now = clock();
+    connections.closed(connection, now);
+    timers.runAfter(connections.retryDelay(now), this::checkConnections);
   }
 
   /**
-   * Reads what had arrived at the time for which silence is checked: if the process stood still,
-   * the socket may hold events that were sent in time.
+   * Opens and closes connections whose time has come. The sockets are read first: if the process
+   * stood still, what a connection is waiting for may have arrived meanwhile.
    */
-  private void closeIfSilent() {
-    long nowNanos = System.nanoTime();
+  private void checkConnections() {
+    Duration now = clock();
+    if (isClosed || address == null || !connections.isDue(now)) {
+      return;
+    }
     readNow();
-    if (current != null && current.isSilent(nowNanos)) {
-      log.accept("machine list watch: server silent; watching again from " + position);
-      current.close();
+    boolean wasHedged = connections.isHedged();
+    connections.advance(now);
+    if (connections.isHedged() && !wasHedged) {
+      log.accept(
+          "machine list watch: no line in time; watching beside it from "
+              + position
+              + "; "
+              + connections.describe());
     }
   }
 }
--- a/src/main/java/fordridge/server/json/ServeCommand.java
+++ b/src/main/java/fordridge/server/json/ServeCommand.java
@@ -171,6 +171,7 @@
         new MachineListWatcher(
             loop,
             timers,
+            configuration.seed(),
             configuration.machineListPosition(),
             server.machineListListener(),
             this::log);
@@ -202,7 +203,13 @@
   }
 
   private void logStatus() {
-    log("status: " + server.status() + ", machine list position " + machineListWatcher.position());
+    log(
+        "status: "
+            + server.status()
+            + ", machine list position "
+            + machineListWatcher.position()
+            + ", machine list watches "
+            + machineListWatcher.describe());
     log("requests: " + server.takeRequestSummary());
     log("event loop: " + turnMonitor.takeSummary());
   }
--- a/src/test/java/fordridge/faults/MachineListServer.java
+++ b/src/test/java/fordridge/faults/MachineListServer.java
@@ -14,9 +14,20 @@
  * A fake server of the machine list, which sends numbered events, and its position every second.
  */
 final class MachineListServer implements AutoCloseable {
-  private final ServerSocket server;
+  /** After a change of the address the former one closes its connections after this time. */
+  private static final long CLOSE_DELAY_MILLIS = 1500;
+
+  private static final int SLOW_LINE_PIECES = 30;
+
+  private final InetAddress address;
+  private final ScheduledExecutorService timers;
+  private ServerSocket server;
   private final List<String> events = new ArrayList<>();
   private final Map<PeerConnection, Integer> watchers = new LinkedHashMap<>();
+
+  private long firstLineDelayMillis;
+  private long firstLineMillis;
+  private int watchCount;
   private final Map<String, String> entries = new LinkedHashMap<>();
   private long silentUntilNanos;
 
@@ -26,24 +37,29 @@
       ScheduledExecutorService timers,
       List<? extends MachineEndpoint> machines)
       throws IOException {
+    this.address = address;
+    this.timers = timers;
     server = new ServerSocket(0, 64, address);
     for (MachineEndpoint machine : machines) {
       entries.put(machine.id(), entry(machine, "SERVING", 0));
     }
     events.add(event(1, true, entries.values()));
-    Thread acceptor = new Thread(this::accept, "machine-list");
-    acceptor.setDaemon(true);
-    acceptor.start();
+    startAccepting(server);
     timers.scheduleAtFixedRate(this::sendPosition, 1, 1, TimeUnit.SECONDS);
   }
 
   private static String entry(MachineEndpoint machine, String phase, long upSinceMillis) {
+    return entry(machine.id(), machine.hostAndPort(), machine.kind(), phase, upSinceMillis);
+  }
+
+  private static String entry(
+      String id, String hostAndPort, String kind, String phase, long upSinceMillis) {
     return "{\"id\":\""
-        + machine.id()
+        + id
         + "\",\"host_port\":\""
-        + machine.hostAndPort()
+        + hostAndPort
         + "\",\"locality\":\"z\",\"flavor\":\""
-        + machine.kind()
+        + kind
         + "\",\"cell\":1,\"phase\":\""
         + phase
         + "\",\"size\":1,\"up_since_ms\":"
@@ -63,20 +79,29 @@
         + "]}}";
   }
 
-  int port() {
+  synchronized int port() {
     return server.getLocalPort();
   }
 
+  private void startAccepting(ServerSocket listening) {
+    Thread acceptor = new Thread(() -> accept(listening), "machine-list");
+    acceptor.setDaemon(true);
+    acceptor.start();
+  }
+
   /** A snapshot of the list, in the format of the configuration's {@code known}. */
   synchronized String knownEvents() {
-    String snapshot = event(events.size(), true, entries.values());
-    return "{\"pos\":" + events.size() + ",\"entries\":[" + snapshot + "]}";
+    return "{\"pos\":" + events.size() + ",\"entries\":[" + snapshot() + "]}";
+  }
+
+  private String snapshot() {
+    return event(events.size(), true, entries.values());
   }
 
-  private void accept() {
+  private void accept(ServerSocket listening) {
     try {
       while (true) {
-        var socket = server.accept();
+        var socket = listening.accept();
         PeerConnection[] self = new PeerConnection[1];
         synchronized (this) {
           self[0] =
@@ -95,11 +120,49 @@
 
   private synchronized void lineReceived(PeerConnection[] self, String line) {
     if (line.startsWith("tail ")) {
-      watchers.put(self[0], Integer.parseInt(line.substring(5).trim()));
-      sendNewEvents(self[0]);
+      watchCount++;
+      int from = Integer.parseInt(line.substring(5).trim());
+      startWatch(self[0], from);
+    }
+  }
+
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
+  private void startWatch(PeerConnection watcher, int from) {
+    if (firstLineMillis > 0) {
+      sendSlowly(watcher, firstLineMillis);
+    } else if (firstLineDelayMillis > 0) {
+      timers.schedule(() -> addWatcher(watcher, from), firstLineDelayMillis, TimeUnit.MILLISECONDS);
+    } else {
+      addWatcher(watcher, from);
+    }
+  }
+
+  private synchronized void addWatcher(PeerConnection watcher, int from) {
+    if (watcher.isOpen()) {
+      watchers.put(watcher, from);
+      sendNewEvents(watcher);
+      sendPosition(watcher);
+    }
+  }
+
+  /** Sends the complete list as one line whose bytes keep coming for that time. */
+  private void sendSlowly(PeerConnection watcher, long millis) {
+    String line = snapshot() + "\n";
+    int pieceLength = (line.length() + SLOW_LINE_PIECES - 1) / SLOW_LINE_PIECES;
+    for (int i = 0; i < SLOW_LINE_PIECES; i++) {
+      String piece =
+          line.substring(
+              Math.min(line.length(), i * pieceLength),
+              Math.min(line.length(), (i + 1) * pieceLength));
+      scheduleRaw(watcher, piece, millis * (i + 1) / SLOW_LINE_PIECES);
     }
   }
 
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
+  private void scheduleRaw(PeerConnection watcher, String text, long delayMillis) {
+    timers.schedule(() -> watcher.sendRaw(text), delayMillis, TimeUnit.MILLISECONDS);
+  }
+
   private void sendNewEvents(PeerConnection watcher) {
     if (System.nanoTime() < silentUntilNanos) {
       return;
@@ -114,9 +177,13 @@
   private synchronized void sendPosition() {
     for (PeerConnection watcher : List.copyOf(watchers.keySet())) {
       sendNewEvents(watcher);
-      if (System.nanoTime() >= silentUntilNanos) {
-        watcher.send(Integer.toString(events.size()));
-      }
+      sendPosition(watcher);
+    }
+  }
+
+  private void sendPosition(PeerConnection watcher) {
+    if (System.nanoTime() >= silentUntilNanos) {
+      watcher.send(Integer.toString(events.size()));
     }
   }
 
@@ -135,6 +202,14 @@
     List.copyOf(watchers.keySet()).forEach(this::sendNewEvents);
   }
 
+  /** Lists that many machines in the next complete list, at addresses where none listens. */
+  synchronized void addToCompleteList(int machines) {
+    for (int i = 0; i < machines; i++) {
+      String id = "absent-" + i;
+      entries.put(id, entry(id, "127.255.255.1:9", "absent", "DRAINING", 0));
+    }
+  }
+
   /** Sends its position that many times at once, which tells the watchers nothing new. */
   void repeatPosition(int times) {
     String line;
@@ -151,12 +226,47 @@
     silentUntilNanos = System.nanoTime() + millis * 1_000_000;
   }
 
+  /** From now on the first line of each new watch is sent after that time. */
+  synchronized void delayFirstLines(long millis) {
+    firstLineDelayMillis = millis;
+  }
+
+  /** From now on the bytes of the first line of each new watch keep coming for that time. */
+  synchronized void sendFirstLinesOver(long millis) {
+    firstLineMillis = millis;
+  }
+
+  /** Sends nothing more on the connections that are open now, and leaves them open. */
+  synchronized void hang() {
+    watchers.clear();
+  }
+
+  /** The number of requests for events so far. */
+  synchronized int watchCount() {
+    return watchCount;
+  }
+
+  /**
+   * Listens at another port from now on; the former one sends nothing more, and its connections are
+   * closed later.
+   */
+  @SuppressWarnings("FutureReturnValueIgnored") // Nothing waits for it.
+  synchronized void changeAddress() throws IOException {
+    server.close();
+    List<PeerConnection> former = List.copyOf(watchers.keySet());
+    watchers.clear();
+    timers.schedule(
+        () -> former.forEach(PeerConnection::close), CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    server = new ServerSocket(0, 64, address);
+    startAccepting(server);
+  }
+
   synchronized void resetConnections() {
     List.copyOf(watchers.keySet()).forEach(PeerConnection::reset);
   }
 
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
     server.close();
     resetConnections();
   }
--- a/src/test/java/fordridge/faults/ScriptedHarness.java
+++ b/src/test/java/fordridge/faults/ScriptedHarness.java
@@ -52,6 +52,18 @@
     Files.writeString(configuration, text);
   }
 
+  /** The server of the machine list. */
+  MachineListServer machineList() {
+    return machineList;
+  }
+
+  /** The machine list moves to another address, which a new configuration names. */
+  void changeMachineListAddress() throws IOException, InterruptedException {
+    machineList.changeAddress();
+    writeConfiguration();
+    process.signal("HUP");
+  }
+
   /** The process stands still until {@link #continueProcess}. */
   void stopProcess() throws IOException, InterruptedException {
     process.signal("STOP");
