Nothing is begun for a client while a pause may hide that it has left

Cause: a connection with too many messages without effect is not read for up to 0.5 s. What was read before went on, and so did requests read later, while the close lay behind them; the read of all sockets before an offer skips such a connection.

Change: from the pause until its input was read to the end, new requests of the connection are held, and attempts decided before are withdrawn at their first byte (CLIENT_INPUT_UNREAD, decided again later). A close that is found abandons both. After a pause the connection is read at once, and paused again only for new messages without effect, so a client that has stopped flooding gets its requests placed. The limit itself is as before.

--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -47,6 +47,9 @@
   /** When reading was paused, until the input is read to its end again; else null. */
   private Duration pausedSince;
 
+  /** Whether the handler has to be told once the input is read to its end. */
+  private boolean isInputDelayReported;
+
   private final IneffectiveMessageLimit ineffectiveMessages = new IneffectiveMessageLimit(clock());
 
   ClientConnection(ClientServer server) {
@@ -96,6 +99,14 @@
     return readTimer != null;
   }
 
+  /**
+   * Whether input is left unread because reading was paused: a close may be waiting behind it. True
+   * from the pause until the input has been read to its end.
+   */
+  public boolean isInputDelayed() {
+    return pausedSince != null;
+  }
+
   /** A message on this connection had no effect; too many of them are not read at full speed. */
   public void countIneffectiveMessage() {
     ineffectiveMessages.recordMessage();
@@ -117,6 +128,7 @@
     Duration pause = ineffectiveMessages.takePause(clock());
     if (!pause.isZero() && isReadingEnabled()) {
       pausedSince = pausedSince == null ? clock() : pausedSince;
+      isInputDelayReported = true;
       channel.config().setAutoRead(false);
       readTimer = server.timers().runAfter(pause, this::resumeReading);
       server.readingPaused(this);
@@ -131,6 +143,15 @@
     readTimer = null;
     if (!isReadingStopped) {
       channel.config().setAutoRead(true);
+      // Even if nothing has arrived: it is known then that the client has not left.
+      readNow();
+    }
+  }
+
+  private void reportDelayedInputRead() {
+    if (isInputDelayReported && !isInputDelayed()) {
+      isInputDelayReported = false;
+      server.handler().delayedInputRead(this);
     }
   }
 
@@ -157,6 +178,7 @@
     if (server.timers() != null) {
       pauseReadingIfFlooded();
     }
+    reportDelayedInputRead();
     ctx.fireChannelReadComplete();
   }
 
--- a/src/main/java/fordridge/json/ClientRequestHandler.java
+++ b/src/main/java/fordridge/json/ClientRequestHandler.java
@@ -14,6 +14,12 @@
   /** A client requests the placement of a VM. */
   void placementRequested(ClientConnection connection, ClientRequest request);
 
+  /**
+   * The input of a connection was read to its end after a time in which it was not read, see {@link
+   * ClientConnection#isInputDelayed}: its client had not left until then.
+   */
+  void delayedInputRead(ClientConnection connection);
+
   /** A client withdraws a pending request or terminates a running VM. */
   void terminationRequested(ClientConnection connection, String vmId);
 
--- a/src/main/java/fordridge/json/IneffectiveMessageLimit.java
+++ b/src/main/java/fordridge/json/IneffectiveMessageLimit.java
@@ -23,6 +23,9 @@
   private double tokens = BURST;
   private Duration refilledAt;
 
+  /** Whether a message was recorded since the last pause was taken. */
+  private boolean hasNewMessages;
+
   /** Creates a full bucket. */
   IneffectiveMessageLimit(Duration now) {
     refilledAt = now;
@@ -30,20 +33,27 @@
 
   /** A message had no effect. */
   void recordMessage() {
+    hasNewMessages = true;
     tokens--;
   }
 
   /** A placement request had no effect. */
   void recordRequest() {
+    hasNewMessages = true;
     tokens -= REQUEST_COST;
   }
 
-  /** Refills the bucket; returns how long the connection is not to be read, zero if it is. */
+  /**
+   * Refills the bucket; returns how long the connection is not to be read, zero if it is. A
+   * connection that has sent no message without effect since the last call is read.
+   */
   Duration takePause(Duration now) {
     double refill = Durations.toSeconds(now.minus(refilledAt)) * MESSAGES_PER_SECOND;
     tokens = Math.min(BURST, tokens + refill);
     refilledAt = now;
-    return tokens >= 0
+    boolean isOverLimit = hasNewMessages && tokens < 0;
+    hasNewMessages = false;
+    return !isOverLimit
         ? Duration.ZERO
         : Durations.min(Durations.ofSeconds(-tokens / MESSAGES_PER_SECOND), MAX_PAUSE);
   }
--- a/src/main/java/fordridge/scheduling/NotSentReason.java
+++ b/src/main/java/fordridge/scheduling/NotSentReason.java
@@ -6,6 +6,8 @@
   ATTEMPT_ENDED,
   /** The client has left or already has its final response. */
   CLIENT_LEFT,
+  /** Input of the client is left unread for a while, and it may have left. */
+  CLIENT_INPUT_UNREAD,
   /** The client's deadline has passed. */
   DEADLINE_PASSED,
   /** The scheduler is shutting down. */
--- a/src/main/java/fordridge/server/json/ActiveRequests.java
+++ b/src/main/java/fordridge/server/json/ActiveRequests.java
@@ -10,18 +10,28 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The pending requests and running VMs, with the payload and the response deadline of each pending
  * request. Confined to the event loop.
  */
 final class ActiveRequests {
-  /**
-   * What a request retains only while it is pending.
-   *
-   * @param responseDeadline the timer that fails the request; it refers to the VM
-   */
-  private record PendingRequest(Vm vm, RequestPayload payload, Timer responseDeadline) {}
+  /** What a request retains only while it is pending; the timer fails it at its deadline. */
+  private static final class PendingRequest {
+    final Vm vm;
+    final RequestPayload payload;
+    final Timer responseDeadline;
+
+    /** Whether the scheduler does not know of the request yet. */
+    boolean isHeld;
+
+    PendingRequest(Vm vm, RequestPayload payload, Timer responseDeadline) {
+      this.vm = vm;
+      this.payload = payload;
+      this.responseDeadline = responseDeadline;
+    }
+  }
 
   private final SchedulerEventLoop loop;
   private final SchedulerInputs<String> inputs;
@@ -67,6 +77,21 @@
     inputs.addVm(vm);
   }
 
+  /** Keeps a request that was added from the scheduler until {@link #takeHeld}. */
+  void hold(Vm vm) {
+    pendingRequests.get(vm.id).isHeld = true;
+  }
+
+  /** The VM of this id if its request is held, which it no longer is after the call. */
+  Optional<Vm> takeHeld(String vmId) {
+    PendingRequest request = pendingRequests.get(vmId);
+    if (request == null || !request.isHeld) {
+      return Optional.empty();
+    }
+    request.isHeld = false;
+    return Optional.of(request.vm);
+  }
+
   /** Adds a VM that runs already. */
   void addRunning(Vm vm) {
     inputs.addVm(vm);
--- a/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
+++ b/src/main/java/fordridge/server/json/AttemptOutcomeHandler.java
@@ -58,7 +58,10 @@
 
   @Override
   public boolean confirmSend(PlacementAttempt attempt) {
-    Optional<NotSentReason> notSentReason = inputs.scheduler.confirmSend(attempt);
+    Optional<NotSentReason> notSentReason =
+        clients.isInputDelayed(attempt.vm)
+            ? Optional.of(NotSentReason.CLIENT_INPUT_UNREAD)
+            : inputs.scheduler.confirmSend(attempt);
     if (notSentReason.isPresent()) {
       requestLog.offerWithdrawn(attempt, machineIdOf(attempt), notSentReason.get(), loop.clock());
     }
--- a/src/main/java/fordridge/server/json/ClientRequestIntake.java
+++ b/src/main/java/fordridge/server/json/ClientRequestIntake.java
@@ -142,7 +142,7 @@
         connection.sendRejected(vm.id, Duration.ZERO);
       }
       case OUT_OF_MEMORY -> rejectForMemory(connection, vm, bytes);
-      case ADMITTED -> admit(vm, payload);
+      case ADMITTED -> admit(connection, vm, payload);
     }
   }
 
@@ -152,7 +152,11 @@
     connection.sendRejected(vm.id, Duration.ZERO);
   }
 
-  private void admit(Vm vm, RequestPayload payload) {
+  /**
+   * Passes the request to the scheduler; holds it back while input of its client is left unread, as
+   * the client may have left meanwhile.
+   */
+  private void admit(ClientConnection connection, Vm vm, RequestPayload payload) {
     clients.sendDeferredNotices(loop.now());
     Duration timeLeft = vm.deadline.minus(loop.now());
     Timer responseDeadline =
@@ -161,7 +165,22 @@
             InputKind.RESPONSE_DEADLINE,
             () -> failIfPending(vm));
     requests.add(vm, payload, responseDeadline);
-    inputs.scheduler.vmRequested(vm);
+    if (connection.isInputDelayed()) {
+      requests.hold(vm);
+    } else {
+      inputs.scheduler.vmRequested(vm);
+    }
+  }
+
+  @Override
+  public void delayedInputRead(ClientConnection connection) {
+    loop.submit(
+        InputKind.CLIENT_REQUEST,
+        () -> {
+          for (String vmId : pendingResponses.pendingRequestsOf(connection)) {
+            requests.takeHeld(vmId).ifPresent(inputs.scheduler::vmRequested);
+          }
+        });
   }
 
   /**
--- a/src/main/java/fordridge/server/json/ClientResponder.java
+++ b/src/main/java/fordridge/server/json/ClientResponder.java
@@ -23,6 +23,11 @@
     this.log = log;
   }
 
+  /** Whether input of the VM's client is left unread for a while, so that it may have left. */
+  boolean isInputDelayed(Vm vm) {
+    return pending.connectionOf(vm.id).filter(ClientConnection::isInputDelayed).isPresent();
+  }
+
   void sendAccepted(Vm vm, String description) {
     Optional<ClientConnection> client = pending.takeAccepted(vm.id);
     if (client.isPresent()) {
--- a/src/main/java/fordridge/server/json/WarmUp.java
+++ b/src/main/java/fordridge/server/json/WarmUp.java
@@ -195,6 +195,9 @@
     connection.sendAccepted(request.vmId(), request.description());
   }
 
+  @Override
+  public void delayedInputRead(ClientConnection connection) {}
+
   @Override
   public void terminationRequested(ClientConnection connection, String vmId) {}
 
--- a/src/main/java/fordridge/session/PendingResponses.java
+++ b/src/main/java/fordridge/session/PendingResponses.java
@@ -325,10 +325,15 @@
         + notices.describe();
   }
 
+  /** The connection of the VM's client, if it is known and open. */
+  public Optional<C> connectionOf(String vmId) {
+    Entry<C> entry = entries.get(vmId);
+    return entry == null ? Optional.empty() : Optional.ofNullable(entry.connection);
+  }
+
   /** Whether the connection of the VM's client is known and open. */
   public boolean isClientConnected(String vmId) {
-    Entry<C> entry = entries.get(vmId);
-    return entry != null && entry.connection != null;
+    return connectionOf(vmId).isPresent();
   }
 
   /** The number of running VMs whose client was last on this connection. */
--- a/src/test/java/fordridge/faults/ScriptedMachine.java
+++ b/src/test/java/fordridge/faults/ScriptedMachine.java
@@ -7,7 +7,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -69,6 +71,7 @@
       }
       if (message.type().equals(Message.REQUEST)) {
         lastRequestNanos = System.nanoTime();
+        requestNanos.putIfAbsent(message.id(), lastRequestNanos);
       }
       if (message.type().equals(Message.REQUEST) && answerDelayMillis > 0) {
         scheduleAnswer(() -> acceptAndEnd(this, message.id()));
@@ -85,6 +88,9 @@
   /** The delay of automatic answers; zero if only the test answers. */
   private volatile long answerDelayMillis;
 
+  /** When each VM's first placement request was received, by {@link System#nanoTime}. */
+  private final Map<String, Long> requestNanos = new ConcurrentHashMap<>();
+
   /** When the last placement request was received, by {@link System#nanoTime}. */
   private volatile long lastRequestNanos = System.nanoTime();
 
@@ -146,6 +152,11 @@
     return lastRequestNanos;
   }
 
+  /** When the VM's first placement request was received, by {@link System#nanoTime}. */
+  Optional<Long> requestNanos(String vm) {
+    return Optional.ofNullable(requestNanos.get(vm));
+  }
+
   /** All connections so far, the oldest first. */
   synchronized List<Connection> connections() {
     return List.copyOf(connections);
