A slow etcd is read at last: more time for a page after each round of failures

The same shape as the slow machine list server: each failed wait began again with the same time.

Change: EndpointRotation doubles a factor with each round of failures, up to 16, and SnapshotReader's deadline follows it; success resets it. The time for a resumed watch is read to have the same shape; it is not run and not changed.

--- a/src/main/java/fordridge/etcd/EtcdMachineList.java
+++ b/src/main/java/fordridge/etcd/EtcdMachineList.java
@@ -91,7 +91,7 @@
         new SnapshotReader(
             keys.commonPrefix(),
             settings.snapshotPageSize(),
-            settings.callTimeout(),
+            () -> settings.callTimeout().multipliedBy(endpoints.timeoutFactor()),
             new SnapshotListener());
     executor.execute(() -> executor.newScope().execute(this::connect));
     executor.executeRepeatedly(this::checkLiveness, watchdogInterval());
--- a/src/main/java/fordridge/etcd/SnapshotReader.java
+++ b/src/main/java/fordridge/etcd/SnapshotReader.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Reads all records of the cluster page by page, each page at the revision of the first one.
@@ -36,11 +37,12 @@
 
   private final String keyPrefix;
   private final int pageSize;
-  private final Duration callTimeout;
+  private final Supplier<Duration> callTimeout;
   private final Listener listener;
   private volatile int snapshotCount;
 
-  SnapshotReader(String keyPrefix, int pageSize, Duration callTimeout, Listener listener) {
+  SnapshotReader(
+      String keyPrefix, int pageSize, Supplier<Duration> callTimeout, Listener listener) {
     this.keyPrefix = keyPrefix;
     this.pageSize = pageSize;
     this.callTimeout = callTimeout;
@@ -62,7 +64,7 @@
   private void requestPage(
       ManagedChannel channel, ConnectionExecutor.Scope scope, ByteString from, long revision) {
     KVGrpc.newStub(channel)
-        .withDeadlineAfter(callTimeout.toMillis(), TimeUnit.MILLISECONDS)
+        .withDeadlineAfter(callTimeout.get().toMillis(), TimeUnit.MILLISECONDS)
         .range(
             EtcdRequests.page(from, keyPrefix, pageSize, revision),
             new ScopedObserver<>(
--- a/src/main/java/fordridge/membership/EndpointRotation.java
+++ b/src/main/java/fordridge/membership/EndpointRotation.java
@@ -13,6 +13,8 @@
   private static final Duration MIN_DELAY = Duration.ofMillis(100);
   private static final Duration MAX_DELAY = Duration.ofSeconds(2);
 
+  private static final int MAX_TIMEOUT_FACTOR = 16;
+
   /** Prevents overflow of the backoff factor, a power of two. */
   private static final int MAX_BACKOFF_EXPONENT = 30;
 
@@ -28,6 +30,19 @@
     current = (int) (random.nextDouble() * endpointCount);
   }
 
+  /**
+   * By how much timeouts are to be extended: doubled with each round of failures up to {@link
+   * #MAX_TIMEOUT_FACTOR}, so that endpoints that are all slow are heard at last.
+   */
+  public int timeoutFactor() {
+    int rounds = consecutiveFailures / endpointCount;
+    int factor = 1;
+    for (int i = 0; i < rounds && factor < MAX_TIMEOUT_FACTOR; i++) {
+      factor *= 2;
+    }
+    return factor;
+  }
+
   /** The index of the current endpoint. */
   public int current() {
     return current;
--- a/src/test/java/fordridge/etcd/EtcdMachineListTest.java
+++ b/src/test/java/fordridge/etcd/EtcdMachineListTest.java
@@ -195,6 +195,23 @@
     }
   }
 
+  /**
+   * Guards against a store that is slower than the call timeout and was cut off after the same time
+   * again and again.
+   */
+  @Example
+  void storeThatIsSlowerThanTheCallTimeoutIsReadAtLast() throws Exception {
+    try (EmulatedEtcd etcd = new EmulatedEtcd()) {
+      putMachines(etcd, 3);
+      etcd.setRangeDelayMillis(900);
+
+      try (EtcdMachineList list = openList(etcd, "etcd { call = 300ms, start_within = 10s }")) {
+        assertThat(list.latest().entries().size()).isEqualTo(3);
+        assertThat(list.snapshotCount()).isBetween(2, 4);
+      }
+    }
+  }
+
   @Example
   void resetWithinAFragmentedResponseLosesNoChange() throws Exception {
     try (EmulatedEtcd etcd = new EmulatedEtcd()) {
