A request whose write to a machine failed counts as never sent

Cause: a connection may be reset before the event loop reads the reset. A request that is written then fails with ECONNRESET or EPIPE, and the kernel takes nothing of it, or not all. The result of the write was not looked at: the attempt ended as RESET (may have run), so a VM that may not be placed twice failed.

Change: MachineTransport.requestPlacement returns whether the machine may receive the request; if not, the request stays unsent and ends as UNREACHABLE with the connection.

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -186,11 +186,11 @@
   }
 
   @Override
-  public void requestPlacement(
+  public boolean requestPlacement(
       MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {
     Vm vm = attempt.vm;
     RequestPayload payload = payloads.apply(vm);
-    handler(connection)
+    return handler(connection)
         .write(
             "new",
             vm.id,
--- a/src/main/java/fordridge/json/MachineConnectionHandler.java
+++ b/src/main/java/fordridge/json/MachineConnectionHandler.java
@@ -206,21 +206,28 @@
 
   // Messages
 
-  /** Writes a message, unless the connection is closed or being closed. */
+  /**
+   * Writes a message, unless the connection is closed or being closed.
+   *
+   * @return whether the machine may receive the message; if not, the kernel has not taken all of it
+   */
   @SuppressWarnings("FutureReturnValueIgnored") // addListener returns the future it is called on.
-  void write(String type, String id, int code, String description, String... fields) {
-    if (channel.isActive() && state != State.DRAINING) {
-      ChannelFuture written =
-          channel.writeAndFlush(LineCodec.encode(channel, type, id, code, description, fields));
-      if (!written.isDone()) {
-        written.addListener(
-            result -> {
-              if (result.isSuccess()) {
-                listener.connectionWritable(connection);
-              }
-            });
-      }
+  boolean write(String type, String id, int code, String description, String... fields) {
+    if (!channel.isActive() || state == State.DRAINING) {
+      return false;
+    }
+    ChannelFuture written =
+        channel.writeAndFlush(LineCodec.encode(channel, type, id, code, description, fields));
+    if (!written.isDone()) {
+      written.addListener(
+          result -> {
+            if (result.isSuccess()) {
+              listener.connectionWritable(connection);
+            }
+          });
+      return true;
     }
+    return written.isSuccess();
   }
 
   @Override
--- a/src/main/java/fordridge/machine/MachineTransport.java
+++ b/src/main/java/fordridge/machine/MachineTransport.java
@@ -28,8 +28,14 @@
   /** Closes the connection; no further events of the connection are reported. */
   void close(MachineConnection connection, MachineConnectionCloseReason reason);
 
-  /** Sends a placement request; the machine has to answer within {@code timeLeft}. */
-  void requestPlacement(MachineConnection connection, PlacementAttempt attempt, Duration timeLeft);
+  /**
+   * Sends a placement request; the machine has to answer within {@code timeLeft}.
+   *
+   * @return whether the machine may receive the request; if not, the connection had failed before
+   *     the whole request was passed to the network, and its loss is reported later
+   */
+  boolean requestPlacement(
+      MachineConnection connection, PlacementAttempt attempt, Duration timeLeft);
 
   /** Withdraws an unanswered placement request. */
   void cancel(MachineConnection connection, String vmId);
--- a/src/main/java/fordridge/machine/PlacementRequest.java
+++ b/src/main/java/fordridge/machine/PlacementRequest.java
@@ -24,7 +24,7 @@
     return answerDeadline;
   }
 
-  /** Whether its first byte was written. */
+  /** Whether the machine may have received it. */
   boolean isSent() {
     return sent;
   }
--- a/src/main/java/fordridge/machine/PlacementRequestSender.java
+++ b/src/main/java/fordridge/machine/PlacementRequestSender.java
@@ -41,8 +41,10 @@
 
   private void send(MachineConnection connection, PlacementRequest request, Duration now) {
     connection.markUsed(now);
-    request.markSent();
-    transport.requestPlacement(connection, request.attempt(), request.answerDeadline().minus(now));
+    Duration timeLeft = request.answerDeadline().minus(now);
+    if (transport.requestPlacement(connection, request.attempt(), timeLeft)) {
+      request.markSent();
+    }
   }
 
   private void withdraw(MachineConnection connection, PlacementRequest request) {
--- a/src/test/java/fordridge/machine/ConnectionBudgetTest.java
+++ b/src/test/java/fordridge/machine/ConnectionBudgetTest.java
@@ -82,12 +82,13 @@
     }
 
     @Override
-    public void requestPlacement(
+    public boolean requestPlacement(
         MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {
       VmTermination rejection =
           new VmTermination(
               attempt.vm.id, Outcome.FULL, Optional.empty(), OutcomeReason.UNSPECIFIED);
       nextTick.add(() -> pool.vmTerminated(connection, rejection, now));
+      return true;
     }
 
     @Override
@@ -134,9 +135,10 @@
     }
 
     @Override
-    public void requestPlacement(
+    public boolean requestPlacement(
         MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {
       unanswered.add(attempt);
+      return true;
     }
 
     @Override
--- a/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
+++ b/src/test/java/fordridge/machine/MachineConnectionPoolTest.java
@@ -37,6 +37,20 @@
     assertThat(fixture.outcomes.get(cancelled)).isEqualTo(Outcome.UNREACHABLE);
   }
 
+  @Example
+  void requestThatTheNetworkDidNotTakeEndsAsUnreachable() {
+    PoolFixture fixture = new PoolFixture();
+    fixture.writesFail = true;
+    PlacementAttempt attempt = fixture.offerAndConnect();
+    MachineConnection connection = fixture.newestConnection();
+    fixture.pool.connectionLost(connection, fixture.now);
+    assertThat(fixture.sent.get(connection)).containsExactly("new " + attempt.vm.id);
+    assertThat(fixture.outcomes)
+        .containsOnlyKeys(attempt)
+        .containsEntry(attempt, Outcome.UNREACHABLE);
+    assertThat(attempt.mayStillRun).isFalse();
+  }
+
   @Example
   void brokenConnectionEndsOnlyTheRequestItCarries() {
     PoolFixture fixture = new PoolFixture();
--- a/src/test/java/fordridge/machine/MachinePoolStub.java
+++ b/src/test/java/fordridge/machine/MachinePoolStub.java
@@ -65,8 +65,10 @@
   }
 
   @Override
-  public void requestPlacement(
-      MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {}
+  public boolean requestPlacement(
+      MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {
+    return true;
+  }
 
   @Override
   public void cancel(MachineConnection connection, String vmId) {}
--- a/src/test/java/fordridge/machine/PoolFixture.java
+++ b/src/test/java/fordridge/machine/PoolFixture.java
@@ -32,6 +32,10 @@
   final Set<PlacementAttempt> unsendable = new HashSet<>();
 
   boolean isWritable = true;
+
+  /** Whether requests are not passed to the network, as their connection has failed. */
+  boolean writesFail;
+
   Duration now = ms(10_000);
   int maxConnections = 100;
   boolean idempotent;
@@ -106,10 +110,11 @@
   }
 
   @Override
-  public void requestPlacement(
+  public boolean requestPlacement(
       MachineConnection connection, PlacementAttempt attempt, Duration timeLeft) {
     assertThat(outcomes).doesNotContainKey(attempt);
     sent.get(connection).add("new " + attempt.vm.id);
+    return !writesFail;
   }
 
   @Override
--- a/src/test/java/fordridge/runtime/WatchReadTest.java
+++ b/src/test/java/fordridge/runtime/WatchReadTest.java
@@ -70,9 +70,10 @@
     }
 
     @Override
-    public void requestPlacement(
+    public boolean requestPlacement(
         MachineConnection connection, PlacementAttempt attempt, Duration within) {
       writtenAt.add(time);
+      return true;
     }
 
     @Override
