--- a/src/test/java/fordridge/faults/PeerConnection.java
+++ b/src/test/java/fordridge/faults/PeerConnection.java
@@ -12,6 +12,8 @@
  * thread.
  */
 final class PeerConnection {
+  private static final long MAX_INPUT_WAIT_MILLIS = 100;
+
   private final Socket socket;
   private volatile boolean isOpen = true;
   private volatile long readsStoppedUntilNanos;
@@ -52,6 +54,25 @@
     readsStoppedUntilNanos = System.nanoTime() + millis * 1_000_000;
   }
 
+  /**
+   * Waits until the reader has taken all that has arrived, at most {@link #MAX_INPUT_WAIT_MILLIS}.
+   * A reset discards what the reader has not taken.
+   */
+  void awaitInputRead() {
+    long startNanos = System.nanoTime();
+    while (hasUnreadInput() && System.nanoTime() - startNanos < MAX_INPUT_WAIT_MILLIS * 1_000_000) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private boolean hasUnreadInput() {
+    try {
+      return isOpen && socket.getInputStream().available() > 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   boolean isOpen() {
     return isOpen;
   }
