Keep a late connection to a machine with VMs for up to two seconds

Cause: the connect timeout is the time that requests wait for a connection and also that the connection may take. An attempt was closed at 250 ms and the next began anew, so a machine whose connections take longer was never reached, and after two such attempts and one and a half detection timeouts its running VMs counted as lost.

Change: LateConnection keeps one connection beside the newer attempts; once established it is used like any other. It is closed after 2 s, or when connections are short, or the machine has gone, failed or lost its address. Requests, probes and the time to the failure of a machine that accepts nothing stay as they are.

Not shown on real sockets.

--- a/src/main/java/fordridge/json/MachineClient.java
+++ b/src/main/java/fordridge/json/MachineClient.java
@@ -1,6 +1,7 @@
 package fordridge.json;
 
 import fordridge.machine.ConnectFailure;
+import fordridge.machine.ConnectionTimeouts;
 import fordridge.machine.LoadReport;
 import fordridge.machine.MachineConnection;
 import fordridge.machine.MachineConnectionCloseReason;
@@ -232,8 +233,8 @@
   }
 
   private Bootstrap bootstrap(MachineConnectionHandler handler) {
-    // The pool applies the connect timeout itself; Netty's own timeout is a fallback.
-    int backstopMillis = (int) (2 * connectTimeout.toMillis());
+    // The pool applies its timeouts itself; Netty's own timeout is a fallback.
+    int backstopMillis = (int) connectTimeout.plus(ConnectionTimeouts.MAX_CONNECT_TIME).toMillis();
     return new Bootstrap()
         .group(eventLoop)
         .channel(NioSocketChannel.class)
--- a/src/main/java/fordridge/machine/ConnectionBudget.java
+++ b/src/main/java/fordridge/machine/ConnectionBudget.java
@@ -61,6 +61,10 @@
     offers.set(remainingForOffers, available - reservedForMonitoring);
     int availableForMonitoring = Math.max(available - reservedForOffers, reservedForMonitoring);
 
+    if (available <= reservedForOffers) {
+      pools.forEach(pool -> pool.closeLateConnection(now));
+    }
+
     List<MachineConnectionPool> waiting = new ArrayList<>();
     for (MachineConnectionPool pool : pools) {
       if (pool.needsConnection()) {
--- a/src/main/java/fordridge/machine/ConnectionTimeouts.java
+++ b/src/main/java/fordridge/machine/ConnectionTimeouts.java
@@ -5,11 +5,18 @@
 /**
  * Timeouts of a {@link MachineConnectionPool}.
  *
- * @param connectTimeout maximum time to establish a connection or to answer a health check
+ * @param connectTimeout maximum time that requests and health checks wait for a connection, or a
+ *     health check for its answer
  * @param detectionTimeout time within which a machine's failure has to be detected; the other
  *     timeouts are derived from it
  */
 public record ConnectionTimeouts(Duration connectTimeout, Duration detectionTimeout) {
+  /**
+   * How long a connection that was not established within the connect timeout is kept after it was
+   * opened, in case the machine accepts it late; a lost SYN is repeated after one second.
+   */
+  public static final Duration MAX_CONNECT_TIME = Duration.ofSeconds(2);
+
   /**
    * Maximum time without a message before a machine with VMs is checked. The protocol allows 8 s
    * from a VM's end to its termination notice; half of that may pass before the check.
--- a/src/main/java/fordridge/machine/LostNoticeRecovery.java
+++ b/src/main/java/fordridge/machine/LostNoticeRecovery.java
@@ -33,6 +33,9 @@
   /** The connections opened since the last loss; tracked only while one has to be opened. */
   private final Set<MachineConnection> openedSinceLoss = new HashSet<>();
 
+  /** A connection that is late and was opened since the last loss; null if there is none. */
+  private MachineConnection delayed;
+
   /** VMs whose notices the machine may still write to a connection that was lost. */
   private final Set<String> unheardVmIds = new HashSet<>();
 
@@ -63,12 +66,21 @@
   /** A connection was established: the machine repeats lost notices on it. */
   void connectionEstablished(MachineConnection connection) {
     lastEstablishedOpenedAt = Durations.max(lastEstablishedOpenedAt, connection.openedAt());
-    if (openedSinceLoss.contains(connection)) {
+    if (openedSinceLoss.contains(connection) || connection == delayed) {
       dueAt = null;
+      delayed = null;
       openedSinceLoss.clear();
     }
   }
 
+  /** A connection attempt is late: another one may be made beside it. */
+  void connectionDelayed(MachineConnection connection, Duration now) {
+    if (openedSinceLoss.remove(connection)) {
+      delayed = connection;
+    }
+    delayNextAttempt(connection, now);
+  }
+
   /** A connection attempt failed; the connection was removed from the set. */
   void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
     openedSinceLoss.remove(connection);
@@ -117,6 +129,7 @@
   boolean isConnectionDue(Duration now) {
     if (runningVms.isEmpty()) {
       dueAt = null;
+      delayed = null;
       openedSinceLoss.clear();
       unheardVmIds.clear();
       return false;
@@ -144,6 +157,7 @@
     if (runningVms.isEmpty()) {
       return;
     }
+    delayed = null;
     dueAt = dueAt == null || newDueAt.compareTo(dueAt) < 0 ? newDueAt : dueAt;
     openedSinceLoss.clear();
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -39,6 +39,7 @@
   private final VmExecutions executions;
   private final RunningVms runningVms;
   private final LivenessDetector liveness = new LivenessDetector();
+  private final LateConnection lateConnection;
   private final ConnectionOpener opener;
   private final OrphanedVmReleaser releaser;
   private final LostNoticeRecovery recovery;
@@ -66,6 +67,7 @@
     this.timeouts = timeouts;
     this.transport = transport;
     this.listener = listener;
+    lateConnection = new LateConnection(transport);
     executions = new VmExecutions(machine, connections, retained, listener);
     runningVms = executions.runningVms();
     recovery = new LostNoticeRecovery(runningVms, connections, timeouts);
@@ -96,7 +98,7 @@
 
   /** Whether the machine is gone and has neither connections nor running VMs left. */
   boolean isRetired() {
-    return isGone() && connections.isEmpty() && runningVms.isEmpty();
+    return isGone() && isUnconnected() && runningVms.isEmpty() && lateConnection.isEmpty();
   }
 
   /**
@@ -177,6 +179,7 @@
       connections.all().forEach(requestSender::withdrawUnsent);
     }
     if (isGone() && !wasGone) {
+      lateConnection.close();
       endHandler.listedGone(now);
     }
   }
@@ -186,6 +189,7 @@
    * that the other machine's process runs are kept, see {@link #processEnd}.
    */
   public void addressReassigned(Duration now) {
+    lateConnection.close();
     endHandler.addressTaken(now);
   }
 
@@ -209,6 +213,9 @@
     if (!connection.isOpening()) {
       return;
     }
+    if (lateConnection.remove(connection)) {
+      connections.add(connection);
+    }
     messageReceived(now);
     incarnations.connectionEstablishing(connection);
     connection.established(now);
@@ -232,12 +239,31 @@
 
   /** The connection attempt failed. The requests queued on the connection never ran. */
   public void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
+    if (lateConnection.remove(connection)) {
+      lateConnectionFailed(connection, failure, now);
+      return;
+    }
     if (!connections.remove(connection)) {
       return;
     }
     connection.closed();
-    liveness.connectFailed(failure);
     recovery.connectionFailed(connection, failure, now);
+    attemptFailed(connection, failure, now);
+  }
+
+  /** That it was not established in time has been counted before. */
+  private void lateConnectionFailed(
+      MachineConnection connection, ConnectFailure failure, Duration now) {
+    connection.closed();
+    recovery.connectionFailed(connection, failure, now);
+    if (failure == ConnectFailure.REFUSED) {
+      liveness.connectFailed(failure);
+      endIfFailed(now);
+    }
+  }
+
+  private void attemptFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
+    liveness.connectFailed(failure);
     if (failure == ConnectFailure.UNREACHABLE) {
       releaser.waitUntil(now.plus(timeouts.silenceTimeout()));
     }
@@ -248,9 +274,16 @@
     }
     executions.requestsLost(connection, now);
     healthChecker.failProbes(connection, now);
-    liveness
-        .detectFailure(timeouts, connections.hasEstablished(), now)
-        .ifPresent(reason -> endHandler.machineFailed(reason, now));
+    endIfFailed(now);
+  }
+
+  private void endIfFailed(Duration now) {
+    Optional<MachineFailure> failure =
+        liveness.detectFailure(timeouts, connections.hasEstablished(), now);
+    if (failure.isPresent()) {
+      lateConnection.close();
+      endHandler.machineFailed(failure.get(), now);
+    }
   }
 
   /** The connection broke, was closed by the machine, or received malformed input. */
@@ -350,6 +383,9 @@
    */
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
+    lateConnection
+        .closeIfOverdue(now)
+        .ifPresent(late -> recovery.connectionFailed(late, ConnectFailure.UNREACHABLE, now));
     executions.endUnconfirmedTerminations(now);
     if (endHandler.isEnded(isGone())) {
       endHandler.checkSuccessor(now);
@@ -397,6 +433,13 @@
     }
   }
 
+  /** Closes a connection that is late, to free it for another machine. */
+  void closeLateConnection(Duration now) {
+    lateConnection
+        .close()
+        .ifPresent(late -> recovery.connectionFailed(late, ConnectFailure.UNREACHABLE, now));
+  }
+
   /** When the connection that has been idle longest was last used; empty if none is idle. */
   Optional<Duration> idleSince() {
     return isGone() && !runningVms.isEmpty()
@@ -419,10 +462,7 @@
     boolean idleConnectionKept = false;
     for (MachineConnection connection : connections.all()) {
       if (connection.hasConnectTimedOut(now) && !transport.isConnected(connection)) {
-        boolean isLocal = transport.failedLocally(connection);
-        transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
-        connectionFailed(
-            connection, isLocal ? ConnectFailure.LOCAL : ConnectFailure.UNREACHABLE, now);
+        connectTimedOut(connection, now);
       } else if (connection.hasHealthCheckTimedOut(timeouts.connectTimeout(), now)) {
         healthChecker.failProbes(connection, now);
         releaser.healthCheckTimedOut(connection, now.plus(timeouts.idleTimeout()));
@@ -438,6 +478,20 @@
     }
   }
 
+  private void connectTimedOut(MachineConnection connection, Duration now) {
+    if (transport.failedLocally(connection)) {
+      transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
+      connectionFailed(connection, ConnectFailure.LOCAL, now);
+    } else if (needsMonitoring() && transport.canOpen() && lateConnection.keep(connection)) {
+      connections.remove(connection);
+      recovery.connectionDelayed(connection, now);
+      attemptFailed(connection, ConnectFailure.UNREACHABLE, now);
+    } else {
+      transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
+      connectionFailed(connection, ConnectFailure.UNREACHABLE, now);
+    }
+  }
+
   private boolean isConnectionNeeded(Duration now) {
     return !isGone()
         && (isNeededForRunningVms(now)
