etcd: a resumed watch has its time from its opening, and more after each round

Cause: a resumed watch had to confirm progress within twice etcd.silence, counted from the last input of the connection before it and the same at every try. After an outage it was given up at the first check, and a slow store was never heard.

--- a/src/main/java/fordridge/etcd/EtcdMachineList.java
+++ b/src/main/java/fordridge/etcd/EtcdMachineList.java
@@ -9,6 +9,7 @@
 import fordridge.membership.MachineListReplica.SyncState;
 import fordridge.membership.SchedulerCount;
 import fordridge.membership.StoreKeys;
+import fordridge.model.Durations;
 import fordridge.model.SeededRandom;
 import fordridge.settings.DeploymentSettings;
 import fordridge.settings.EtcdSettings;
@@ -44,7 +45,10 @@
   private static final int PROGRESS_REQUESTS_PER_SILENCE = 3;
   private static final Duration MIN_WATCHDOG_INTERVAL = Duration.ofMillis(5);
 
-  /** A resumed watch must confirm progress within this multiple of the silence timeout. */
+  /**
+   * A resumed watch must confirm progress within this multiple of the silence timeout, which is
+   * extended after each round of failures.
+   */
   private static final int RESUME_TIMEOUT_FACTOR = 2;
 
   private final EtcdSettings settings;
@@ -64,6 +68,7 @@
   private ConnectionExecutor.Scope connection;
   private ManagedChannel channel;
   private WatchStream watch;
+  private Duration watchOpenedAt = Duration.ZERO;
   private SchedulerRegistration registration;
 
   // Written on the thread of the executor, read on any thread.
@@ -159,6 +164,7 @@
   }
 
   private void openWatch(long fromRevision) {
+    watchOpenedAt = now();
     watch =
         WatchStream.open(
             channel, connection, keys.commonPrefix(), fromRevision, new WatchListener());
@@ -333,9 +339,13 @@
   }
 
   private boolean isResumeOverdue() {
-    Duration timeout = settings.silenceTimeout().multipliedBy(RESUME_TIMEOUT_FACTOR);
+    Duration timeout =
+        settings
+            .silenceTimeout()
+            .multipliedBy((long) RESUME_TIMEOUT_FACTOR * endpoints.timeoutFactor());
+    Duration waitingSince = Durations.max(watchOpenedAt, replica.lastInputAt());
     return replica.syncState() == SyncState.STALE
-        && now().minus(replica.lastInputAt()).compareTo(timeout) > 0;
+        && now().minus(waitingSince).compareTo(timeout) > 0;
   }
 
   private void updateSchedulerCount() {
--- a/src/test/java/fordridge/etcd/EtcdMachineListTest.java
+++ b/src/test/java/fordridge/etcd/EtcdMachineListTest.java
@@ -27,6 +27,9 @@
  * silent watches, fragmented responses, and restores.
  */
 class EtcdMachineListTest {
+  /** Longer than a resumed watch may take to confirm progress. */
+  private static final Duration OUTAGE = Duration.ofMillis(1200);
+
   private static DeploymentSettings settings(String quotedEndpoints, String extraSettings)
       throws InvalidSettingsException {
     return DeploymentSettings.read(
@@ -212,6 +215,43 @@
     }
   }
 
+  /**
+   * Guards against a store whose first response to a resumed watch takes longer than the timeout:
+   * each watch was given up after the same time.
+   */
+  @Example
+  void storeThatIsSlowerThanTheResumeTimeoutIsHeardAtLast() throws Exception {
+    try (EmulatedEtcd etcd = new EmulatedEtcd()) {
+      putMachines(etcd, 3);
+      try (EtcdMachineList list = openList(etcd, "")) {
+        awaitUntil(() -> etcd.watchCount() == 1);
+        etcd.setEventDelayMillis(1500);
+        etcd.endWatchStreams();
+        etcd.put("/c/drains/m00001", "{}");
+        awaitUntil(() -> lifecycle(list, "m00001") == Lifecycle.DRAINING);
+        assertThat(list.snapshotCount()).isEqualTo(1);
+      }
+    }
+  }
+
+  /** The time without a store does not count as time that the resumed watch has had. */
+  @Example
+  void resumedWatchHasItsWholeTimeAfterAnOutage() throws Exception {
+    try (EmulatedEtcd etcd = new EmulatedEtcd()) {
+      putMachines(etcd, 3);
+      try (EtcdMachineList list = openList(etcd, "")) {
+        awaitUntil(() -> etcd.watchCount() == 1);
+        etcd.setEventDelayMillis(500);
+        etcd.setLeaderless(true);
+        etcd.put("/c/drains/m00001", "{}");
+        long outageNanos = System.nanoTime();
+        awaitUntil(() -> System.nanoTime() - outageNanos > OUTAGE.toNanos());
+        etcd.setLeaderless(false);
+        awaitUntil(() -> lifecycle(list, "m00001") == Lifecycle.DRAINING);
+      }
+    }
+  }
+
   @Example
   void resetWithinAFragmentedResponseLosesNoChange() throws Exception {
     try (EmulatedEtcd etcd = new EmulatedEtcd()) {
