FloodingClientLeavesTest requires that the flood has paused the reads

Cause: the three cases of clients that flood and leave would also pass if no connection were paused, which is what hid the close from the scheduler.

Change: each case waits for the next status line and requires that its count of paused reads has grown. No bound changes.

--- a/src/test/java/fordridge/faults/FloodingClientLeavesTest.java
+++ b/src/test/java/fordridge/faults/FloodingClientLeavesTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.LongFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterContainer;
 import net.jqwik.api.lifecycle.BeforeContainer;
@@ -31,6 +33,12 @@
   /** Within this time the scheduler has read all that a client had sent before it closed. */
   private static final Duration OBSERVATION = Duration.ofSeconds(4);
 
+  /** How often the process logs its status. */
+  private static final Duration STATUS_INTERVAL = Duration.ofSeconds(5);
+
+  private static final Pattern PAUSE_COUNT =
+      Pattern.compile("paused for messages without effect (\\d+)");
+
   private static final long TIME_LEFT_MILLIS = 3000;
   private static final int REQUESTS = 40;
   private static final int LINES_PER_WRITE = 200;
@@ -44,6 +52,9 @@
   private static ScriptedMachine machine;
   private static int service = 1;
 
+  /** The number of pauses that the process had logged when it was last looked at. */
+  private static long pauses;
+
   @BeforeContainer
   static void startScheduler() throws Exception {
     harness = new ScriptedHarness();
@@ -157,12 +168,39 @@
     }
     awaitPassed(OBSERVATION);
 
+    assertThat(newPauses()).as("connections that were not read for a while").isPositive();
     for (FloodingClient each : floods) {
       assertThat(each.vms).isNotEmpty();
       assertThat(each.vms).filteredOn(vm -> isOfferedTooLate(vm, each.closedNanos)).isEmpty();
     }
   }
 
+  /** How often connections were not read for a while since the last call. */
+  private static long newPauses() {
+    int logged = harness.log().size();
+    Awaitility.await("status line")
+        .atMost(STATUS_INTERVAL.multipliedBy(2))
+        .until(() -> hasPauseCountAfter(logged));
+    long before = pauses;
+    pauses = lastPauseCount();
+    return pauses - before;
+  }
+
+  private static boolean hasPauseCountAfter(int firstLine) {
+    List<String> log = harness.log();
+    return log.subList(firstLine, log.size()).stream()
+        .anyMatch(line -> PAUSE_COUNT.matcher(line).find());
+  }
+
+  private static long lastPauseCount() {
+    long count = 0;
+    for (String line : harness.log()) {
+      Matcher matcher = PAUSE_COUNT.matcher(line);
+      count = matcher.find() ? Long.parseLong(matcher.group(1)) : count;
+    }
+    return count;
+  }
+
   private static void awaitPassed(Duration time) {
     long startedNanos = System.nanoTime();
     Awaitility.await()
