FloodingPeerTest looks for each answer on the connection of its request

Cause: with a connection for each request, an answer was looked for on the newest connection only.

Change: the answer is looked for on the request's own connection; the bound stays.

--- a/src/test/java/fordridge/faults/FloodingPeerTest.java
+++ b/src/test/java/fordridge/faults/FloodingPeerTest.java
@@ -133,7 +133,8 @@
         client.request(vm, HarnessConfiguration.REPEATABLE_CLASS, TIME_LEFT_MILLIS, service++);
       }
       for (String vm : sentNanos.keySet()) {
-        if (!answeredNanos.containsKey(vm) && client.messageTypes(vm).contains(Message.ACCEPTED)) {
+        if (!answeredNanos.containsKey(vm)
+            && clients.get(vm).messageTypes(vm).contains(Message.ACCEPTED)) {
           answeredNanos.put(vm, System.nanoTime());
         }
       }
