Split connect failures from the connection pool, and the checker's records

Change: ConnectFailureHandler handles connection attempts that fail or take too long; TrackedRequest and TrackedRun have files of their own; ClientConnection.mustReportDelayedInputRead says what the flag means. No change of behaviour.

--- a/src/main/java/fordridge/json/ClientConnection.java
+++ b/src/main/java/fordridge/json/ClientConnection.java
@@ -48,7 +48,7 @@
   private Duration pausedSince;
 
   /** Whether the handler has to be told once the input is read to its end. */
-  private boolean isInputDelayReported;
+  private boolean mustReportDelayedInputRead;
 
   private final IneffectiveMessageLimit ineffectiveMessages = new IneffectiveMessageLimit(clock());
 
@@ -128,7 +128,7 @@
     Duration pause = ineffectiveMessages.takePause(clock());
     if (!pause.isZero() && isReadingEnabled()) {
       pausedSince = pausedSince == null ? clock() : pausedSince;
-      isInputDelayReported = true;
+      mustReportDelayedInputRead = true;
       channel.config().setAutoRead(false);
       readTimer = server.timers().runAfter(pause, this::resumeReading);
       server.readingPaused(this);
@@ -149,8 +149,8 @@
   }
 
   private void reportDelayedInputRead() {
-    if (isInputDelayReported && !isInputDelayed()) {
-      isInputDelayReported = false;
+    if (mustReportDelayedInputRead && !isInputDelayed()) {
+      mustReportDelayedInputRead = false;
       server.handler().delayedInputRead(this);
     }
   }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -39,7 +39,6 @@
   private final VmExecutions executions;
   private final RunningVms runningVms;
   private final LivenessDetector liveness = new LivenessDetector();
-  private final LateConnection lateConnection;
   private final ConnectionOpener opener;
   private final OrphanedVmReleaser releaser;
   private final LostNoticeRecovery recovery;
@@ -47,6 +46,7 @@
   private final ConnectionHealthChecker healthChecker;
   private final ProcessIncarnations incarnations = new ProcessIncarnations(connections);
   private final ProcessEndHandler endHandler;
+  private final ConnectFailureHandler connectFailures;
   private ConnectionTimeouts timeouts;
   private Machine.Lifecycle lifecycle = Machine.Lifecycle.LIVE;
   private boolean needsConnection;
@@ -67,7 +67,6 @@
     this.timeouts = timeouts;
     this.transport = transport;
     this.listener = listener;
-    lateConnection = new LateConnection(transport);
     executions = new VmExecutions(machine, connections, retained, listener);
     runningVms = executions.runningVms();
     recovery = new LostNoticeRecovery(runningVms, connections, timeouts);
@@ -78,6 +77,18 @@
             machine, connections, executions, incarnations, listener, healthChecker, this::close);
     requestSender = new PlacementRequestSender(executions, transport, listener);
     releaser = new OrphanedVmReleaser(machine, executions, connections, transport, listener);
+    connectFailures =
+        new ConnectFailureHandler(
+            timeouts,
+            connections,
+            transport,
+            liveness,
+            recovery,
+            executions,
+            requestSender,
+            healthChecker,
+            releaser,
+            endHandler);
   }
 
   /** Replaces the timeouts; deadlines that were already set stay as they are. */
@@ -85,6 +96,7 @@
     timeouts = newTimeouts;
     opener.setTimeouts(newTimeouts);
     recovery.setTimeouts(newTimeouts);
+    connectFailures.setTimeouts(newTimeouts);
   }
 
   /** Returns the running attempt of the VM, if it runs on this machine. */
@@ -98,7 +110,7 @@
 
   /** Whether the machine is gone and has neither connections nor running VMs left. */
   boolean isRetired() {
-    return isGone() && isUnconnected() && runningVms.isEmpty() && lateConnection.isEmpty();
+    return isGone() && isUnconnected() && runningVms.isEmpty() && !connectFailures.hasLate();
   }
 
   /**
@@ -179,7 +191,7 @@
       connections.all().forEach(requestSender::withdrawUnsent);
     }
     if (isGone() && !wasGone) {
-      lateConnection.close();
+      connectFailures.closeLate(now);
       endHandler.listedGone(now);
     }
   }
@@ -189,7 +201,7 @@
    * that the other machine's process runs are kept, see {@link #processEnd}.
    */
   public void addressReassigned(Duration now) {
-    lateConnection.close();
+    connectFailures.closeLate(now);
     endHandler.addressTaken(now);
   }
 
@@ -213,9 +225,7 @@
     if (!connection.isOpening()) {
       return;
     }
-    if (lateConnection.remove(connection)) {
-      connections.add(connection);
-    }
+    connectFailures.connectionEstablishing(connection);
     messageReceived(now);
     incarnations.connectionEstablishing(connection);
     connection.established(now);
@@ -239,51 +249,7 @@
 
   /** The connection attempt failed. The requests queued on the connection never ran. */
   public void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
-    if (lateConnection.remove(connection)) {
-      lateConnectionFailed(connection, failure, now);
-      return;
-    }
-    if (!connections.remove(connection)) {
-      return;
-    }
-    connection.closed();
-    recovery.connectionFailed(connection, failure, now);
-    attemptFailed(connection, failure, now);
-  }
-
-  /** That it was not established in time has been counted before. */
-  private void lateConnectionFailed(
-      MachineConnection connection, ConnectFailure failure, Duration now) {
-    connection.closed();
-    recovery.connectionFailed(connection, failure, now);
-    if (failure == ConnectFailure.REFUSED) {
-      liveness.connectFailed(failure);
-      endIfFailed(now);
-    }
-  }
-
-  private void attemptFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
-    liveness.connectFailed(failure);
-    if (failure == ConnectFailure.UNREACHABLE) {
-      releaser.waitUntil(now.plus(timeouts.silenceTimeout()));
-    }
-    if (failure == ConnectFailure.LOCAL) {
-      requestSender.withdrawUnsent(connection);
-    } else {
-      healthChecker.checkEstablished(now);
-    }
-    executions.requestsLost(connection, now);
-    healthChecker.failProbes(connection, now);
-    endIfFailed(now);
-  }
-
-  private void endIfFailed(Duration now) {
-    Optional<MachineFailure> failure =
-        liveness.detectFailure(timeouts, connections.hasEstablished(), now);
-    if (failure.isPresent()) {
-      lateConnection.close();
-      endHandler.machineFailed(failure.get(), now);
-    }
+    connectFailures.connectionFailed(connection, failure, now);
   }
 
   /** The connection broke, was closed by the machine, or received malformed input. */
@@ -383,9 +349,7 @@
    */
   public void tick(Duration now) {
     applyConnectionTimeouts(now);
-    lateConnection
-        .closeIfOverdue(now)
-        .ifPresent(late -> recovery.connectionFailed(late, ConnectFailure.UNREACHABLE, now));
+    connectFailures.closeOverdue(now);
     executions.endUnconfirmedTerminations(now);
     if (endHandler.isEnded(isGone())) {
       endHandler.checkSuccessor(now);
@@ -435,9 +399,7 @@
 
   /** Closes a connection that is late, to free it for another machine. */
   void closeLateConnection(Duration now) {
-    lateConnection
-        .close()
-        .ifPresent(late -> recovery.connectionFailed(late, ConnectFailure.UNREACHABLE, now));
+    connectFailures.closeLate(now);
   }
 
   /** When the connection that has been idle longest was last used; empty if none is idle. */
@@ -462,7 +424,7 @@
     boolean idleConnectionKept = false;
     for (MachineConnection connection : connections.all()) {
       if (connection.hasConnectTimedOut(now) && !transport.isConnected(connection)) {
-        connectTimedOut(connection, now);
+        connectFailures.connectTimedOut(connection, needsMonitoring(), now);
       } else if (connection.hasHealthCheckTimedOut(timeouts.connectTimeout(), now)) {
         healthChecker.failProbes(connection, now);
         releaser.healthCheckTimedOut(connection, now.plus(timeouts.idleTimeout()));
@@ -478,20 +440,6 @@
     }
   }
 
-  private void connectTimedOut(MachineConnection connection, Duration now) {
-    if (transport.failedLocally(connection)) {
-      transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
-      connectionFailed(connection, ConnectFailure.LOCAL, now);
-    } else if (needsMonitoring() && transport.canOpen() && lateConnection.keep(connection)) {
-      connections.remove(connection);
-      recovery.connectionDelayed(connection, now);
-      attemptFailed(connection, ConnectFailure.UNREACHABLE, now);
-    } else {
-      transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
-      connectionFailed(connection, ConnectFailure.UNREACHABLE, now);
-    }
-  }
-
   private boolean isConnectionNeeded(Duration now) {
     return !isGone()
         && (isNeededForRunningVms(now)
--- a/src/test/java/fordridge/faults/ProtocolChecker.java
+++ b/src/test/java/fordridge/faults/ProtocolChecker.java
@@ -18,9 +18,6 @@
   /** The protocol allows 1 s from the machine's message to the notice; the rest is slack. */
   private static final long NOTICE_LIMIT_MILLIS = 1000 + 50 + 400;
 
-  /** The protocol's limit where the machine or the scheduler has no connection to send it on. */
-  private static final long NOTICE_LIMIT_UNCONNECTED_MILLIS = 8000 + 50 + 400;
-
   private static final long ATTEMPT_AFTER_CLIENT_LEFT_MILLIS = 100 + 250;
   private static final long DRAIN_GRACE_MILLIS = 500 + 50 + 250;
   private static final long TIME_LEFT_SLACK_MILLIS = 150 + 100;
@@ -28,95 +25,6 @@
   /** A message written longer ago than this was read, even by a scheduler on a busy test host. */
   private static final long MAX_READ_DELAY_MILLIS = 250;
 
-  private static final class TrackedRequest {
-    long sentAt;
-    long deadline;
-    boolean isAnswered;
-    boolean isAccepted;
-    long clientLeftAt = -1;
-    boolean isRepeatable;
-
-    /** The machine that the accepting response names. */
-    String machine;
-
-    boolean noticeReceived;
-
-    /** Whether the request reached the scheduler. */
-    boolean isDelivered;
-
-    /** Whether no response or release is required, as the scheduler or connection was lost. */
-    boolean isExempt;
-
-    boolean isWithdrawn;
-
-    /** Whether a connection was lost between an offer of the VM and the machine's answer. */
-    boolean wasAnswerLost;
-
-    /** The run of the VM on each machine that accepted it. */
-    final Map<String, Run> runs = new HashMap<>();
-
-    /**
-     * Whether the scheduler had to reject the request: the VM may run already and may not be placed
-     * again.
-     */
-    boolean isInDoubt() {
-      return !isRepeatable && wasAnswerLost;
-    }
-
-    boolean awaitsResponse() {
-      return isDelivered && !isAnswered && clientLeftAt < 0 && !isExempt;
-    }
-
-    boolean awaitsNotice() {
-      return isAccepted && !run().isEndedByScheduler && !noticeReceived && run().endedAt >= 0;
-    }
-
-    /**
-     * Whether the VM was accepted on another machine though the scheduler could know of this run.
-     */
-    boolean wasPlacedAgainAfter(String runMachine) {
-      Run run = runs.get(runMachine);
-      boolean isOtherRun = isAccepted && !runMachine.equals(machine);
-      return isOtherRun
-          && run.firstReportedAt >= 0
-          && run.endedAt >= 0
-          && !run.isEndedByScheduler
-          && !isExempt;
-    }
-
-    Run run() {
-      return runs.getOrDefault(machine, new Run());
-    }
-  }
-
-  private static final class Run {
-    long endedAt = -1;
-    long noticeDueAt;
-
-    /** When the machine first wrote an answer or report on the running VM; negative if not yet. */
-    long firstReportedAt = -1;
-
-    /** Whether the scheduler has ended the VM. */
-    boolean isEndedByScheduler;
-
-    /** When the VM has to be released at its machine, as no client owns it; zero if one does. */
-    long releaseDueAt;
-
-    boolean awaitsRelease() {
-      return releaseDueAt > 0 && endedAt < 0 && !isEndedByScheduler;
-    }
-
-    boolean wasReleasedTooLate(long at) {
-      return releaseDueAt > 0 && !isEndedByScheduler && (endedAt < 0 ? at : endedAt) > releaseDueAt;
-    }
-
-    void requireRelease(long at) {
-      if (releaseDueAt == 0) {
-        releaseDueAt = at + NOTICE_LIMIT_UNCONNECTED_MILLIS;
-      }
-    }
-  }
-
   private final long startNanos = System.nanoTime();
   private final Map<String, TrackedRequest> requests = new HashMap<>();
   private final Map<String, Long> drainAnnouncedAt = new HashMap<>();
@@ -145,7 +53,7 @@
   synchronized void schedulerPaused(long millis) {
     for (TrackedRequest request : requests.values()) {
       request.deadline += millis;
-      for (Run run : request.runs.values()) {
+      for (TrackedRun run : request.runs.values()) {
         run.noticeDueAt += millis;
         run.releaseDueAt += run.releaseDueAt > 0 ? millis : 0;
       }
@@ -342,7 +250,7 @@
   /** The machine accepted the VM and runs it. */
   synchronized void vmStarted(String id, String machine) {
     TrackedRequest request = requests.get(id);
-    request.runs.put(machine, new Run());
+    request.runs.put(machine, new TrackedRun());
     if (request.isAnswered || request.isWithdrawn) {
       requireReleaseOfUnownedRuns(request);
     }
@@ -354,7 +262,7 @@
 
   /** The machine wrote an answer or report on the running VM to the scheduler. */
   synchronized void vmReported(String id, String machine) {
-    Run run = requests.get(id).runs.get(machine);
+    TrackedRun run = requests.get(id).runs.get(machine);
     if (run != null && run.firstReportedAt < 0) {
       run.firstReportedAt = now();
     }
@@ -363,7 +271,7 @@
   /** The connections of the machine are reset: its latest messages may not have been read. */
   synchronized void messagesLost(String machine) {
     for (TrackedRequest request : requests.values()) {
-      Run run = request.runs.get(machine);
+      TrackedRun run = request.runs.get(machine);
       if (run != null && run.firstReportedAt >= now() - MAX_READ_DELAY_MILLIS) {
         run.firstReportedAt = -1;
       }
@@ -374,11 +282,12 @@
    * The VM has ended on its machine; {@code wasSent}: the machine had a connection to report it on.
    */
   synchronized void vmEnded(String id, String machine, boolean wasSent) {
-    Run run = requests.get(id).runs.get(machine);
+    TrackedRun run = requests.get(id).runs.get(machine);
     if (run.endedAt < 0) {
       run.endedAt = now();
       run.noticeDueAt =
-          run.endedAt + (wasSent ? NOTICE_LIMIT_MILLIS : NOTICE_LIMIT_UNCONNECTED_MILLIS);
+          run.endedAt
+              + (wasSent ? NOTICE_LIMIT_MILLIS : TrackedRun.NOTICE_LIMIT_UNCONNECTED_MILLIS);
     }
   }
 
@@ -386,9 +295,10 @@
   synchronized void noticesObstructed() {
     long at = now();
     for (TrackedRequest request : requests.values()) {
-      for (Run run : request.runs.values()) {
+      for (TrackedRun run : request.runs.values()) {
         if (run.endedAt >= 0 && !request.noticeReceived) {
-          run.noticeDueAt = Math.max(run.noticeDueAt, at + NOTICE_LIMIT_UNCONNECTED_MILLIS);
+          run.noticeDueAt =
+              Math.max(run.noticeDueAt, at + TrackedRun.NOTICE_LIMIT_UNCONNECTED_MILLIS);
         }
       }
     }
@@ -406,7 +316,7 @@
   synchronized void noticeReceived(String id) {
     TrackedRequest request = requests.get(id);
     if (request != null) {
-      Run run = request.run();
+      TrackedRun run = request.run();
       if (!request.noticeReceived && run.endedAt >= 0 && now() > run.noticeDueAt) {
         violations.add(
             now()
@@ -448,7 +358,7 @@
   /** Whether no response, notice or release is pending. */
   synchronized boolean isSettled() {
     for (TrackedRequest request : requests.values()) {
-      boolean awaitsRelease = request.runs.values().stream().anyMatch(Run::awaitsRelease);
+      boolean awaitsRelease = request.runs.values().stream().anyMatch(TrackedRun::awaitsRelease);
       if (request.awaitsResponse() || request.awaitsNotice() || awaitsRelease) {
         return false;
       }
