ConnectFailureHandler returns a machine's failure, and takes fewer collaborators

Change: the pool acts on the returned failure; withdrawing unsent requests moved to VmExecutions, which ends them. No change of behaviour.

--- a/src/main/java/fordridge/machine/ConnectFailureHandler.java
+++ b/src/main/java/fordridge/machine/ConnectFailureHandler.java
@@ -15,10 +15,8 @@
   private final LivenessDetector liveness;
   private final LostNoticeRecovery recovery;
   private final VmExecutions executions;
-  private final PlacementRequestSender requestSender;
   private final ConnectionHealthChecker healthChecker;
   private final OrphanedVmReleaser releaser;
-  private final ProcessEndHandler endHandler;
   private ConnectionTimeouts timeouts;
 
   ConnectFailureHandler(
@@ -28,10 +26,8 @@
       LivenessDetector liveness,
       LostNoticeRecovery recovery,
       VmExecutions executions,
-      PlacementRequestSender requestSender,
       ConnectionHealthChecker healthChecker,
-      OrphanedVmReleaser releaser,
-      ProcessEndHandler endHandler) {
+      OrphanedVmReleaser releaser) {
     this.timeouts = timeouts;
     this.connections = connections;
     lateConnection = new LateConnection(transport);
@@ -39,10 +35,8 @@
     this.liveness = liveness;
     this.recovery = recovery;
     this.executions = executions;
-    this.requestSender = requestSender;
     this.healthChecker = healthChecker;
     this.releaser = releaser;
-    this.endHandler = endHandler;
   }
 
   void setTimeouts(ConnectionTimeouts newTimeouts) {
@@ -61,45 +55,53 @@
     }
   }
 
-  /** The connection attempt failed. The requests queued on the connection never ran. */
-  void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
+  /**
+   * The connection attempt failed. The requests queued on the connection never ran.
+   *
+   * @return why the machine is considered failed by now; empty if it is not
+   */
+  Optional<MachineFailure> connectionFailed(
+      MachineConnection connection, ConnectFailure failure, Duration now) {
     if (lateConnection.remove(connection)) {
-      lateConnectionFailed(connection, failure, now);
-    } else if (connections.remove(connection)) {
-      connection.closed();
-      recovery.connectionFailed(connection, failure, now);
-      attemptFailed(connection, failure, now);
+      return lateConnectionFailed(connection, failure, now);
+    }
+    if (!connections.remove(connection)) {
+      return Optional.empty();
     }
+    connection.closed();
+    recovery.connectionFailed(connection, failure, now);
+    return attemptFailed(connection, failure, now);
   }
 
   /** That it was not established in time has been counted before. */
-  private void lateConnectionFailed(
+  private Optional<MachineFailure> lateConnectionFailed(
       MachineConnection connection, ConnectFailure failure, Duration now) {
     connection.closed();
     recovery.connectionFailed(connection, failure, now);
-    if (failure == ConnectFailure.REFUSED) {
-      liveness.connectFailed(failure);
-      endIfFailed(now);
+    if (failure != ConnectFailure.REFUSED) {
+      return Optional.empty();
     }
+    liveness.connectFailed(failure);
+    return detectFailure(now);
   }
 
   /**
    * The connection was not established within the connect timeout.
    *
    * @param mayKeep whether it may be kept in case the machine accepts it late
+   * @return why the machine is considered failed by now; empty if it is not
    */
-  void connectTimedOut(MachineConnection connection, boolean mayKeep, Duration now) {
-    if (transport.failedLocally(connection)) {
-      transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
-      connectionFailed(connection, ConnectFailure.LOCAL, now);
-    } else if (mayKeep && transport.canOpen() && lateConnection.keep(connection)) {
+  Optional<MachineFailure> connectTimedOut(
+      MachineConnection connection, boolean mayKeep, Duration now) {
+    boolean isLocal = transport.failedLocally(connection);
+    if (!isLocal && mayKeep && transport.canOpen() && lateConnection.keep(connection)) {
       connections.remove(connection);
       recovery.connectionDelayed(connection, now);
-      attemptFailed(connection, ConnectFailure.UNREACHABLE, now);
-    } else {
-      transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
-      connectionFailed(connection, ConnectFailure.UNREACHABLE, now);
+      return attemptFailed(connection, ConnectFailure.UNREACHABLE, now);
     }
+    transport.close(connection, MachineConnectionCloseReason.CONNECT_TIMED_OUT);
+    return connectionFailed(
+        connection, isLocal ? ConnectFailure.LOCAL : ConnectFailure.UNREACHABLE, now);
   }
 
   /** Closes a late connection whose time is over. */
@@ -116,27 +118,28 @@
     recovery.connectionFailed(connection, ConnectFailure.UNREACHABLE, now);
   }
 
-  private void attemptFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
+  private Optional<MachineFailure> attemptFailed(
+      MachineConnection connection, ConnectFailure failure, Duration now) {
     liveness.connectFailed(failure);
     if (failure == ConnectFailure.UNREACHABLE) {
       releaser.waitUntil(now.plus(timeouts.silenceTimeout()));
     }
     if (failure == ConnectFailure.LOCAL) {
-      requestSender.withdrawUnsent(connection);
+      executions.withdrawUnsent(connection);
     } else {
       healthChecker.checkEstablished(now);
     }
     executions.requestsLost(connection, now);
     healthChecker.failProbes(connection, now);
-    endIfFailed(now);
+    return detectFailure(now);
   }
 
-  private void endIfFailed(Duration now) {
+  private Optional<MachineFailure> detectFailure(Duration now) {
     Optional<MachineFailure> failure =
         liveness.detectFailure(timeouts, connections.hasEstablished(), now);
     if (failure.isPresent()) {
       lateConnection.close();
-      endHandler.machineFailed(failure.get(), now);
     }
+    return failure;
   }
 }
--- a/src/main/java/fordridge/machine/MachineConnectionPool.java
+++ b/src/main/java/fordridge/machine/MachineConnectionPool.java
@@ -85,10 +85,8 @@
             liveness,
             recovery,
             executions,
-            requestSender,
             healthChecker,
-            releaser,
-            endHandler);
+            releaser);
   }
 
   /** Replaces the timeouts; deadlines that were already set stay as they are. */
@@ -188,7 +186,7 @@
     boolean wasGone = isGone();
     lifecycle = listedLifecycle;
     if (lifecycle != Machine.Lifecycle.LIVE) {
-      connections.all().forEach(requestSender::withdrawUnsent);
+      connections.all().forEach(executions::withdrawUnsent);
     }
     if (isGone() && !wasGone) {
       connectFailures.closeLate(now);
@@ -249,7 +247,9 @@
 
   /** The connection attempt failed. The requests queued on the connection never ran. */
   public void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
-    connectFailures.connectionFailed(connection, failure, now);
+    connectFailures
+        .connectionFailed(connection, failure, now)
+        .ifPresent(reason -> endHandler.machineFailed(reason, now));
   }
 
   /** The connection broke, was closed by the machine, or received malformed input. */
@@ -424,7 +424,9 @@
     boolean idleConnectionKept = false;
     for (MachineConnection connection : connections.all()) {
       if (connection.hasConnectTimedOut(now) && !transport.isConnected(connection)) {
-        connectFailures.connectTimedOut(connection, needsMonitoring(), now);
+        connectFailures
+            .connectTimedOut(connection, needsMonitoring(), now)
+            .ifPresent(reason -> endHandler.machineFailed(reason, now));
       } else if (connection.hasHealthCheckTimedOut(timeouts.connectTimeout(), now)) {
         healthChecker.failProbes(connection, now);
         releaser.healthCheckTimedOut(connection, now.plus(timeouts.idleTimeout()));
--- a/src/main/java/fordridge/machine/PlacementRequestSender.java
+++ b/src/main/java/fordridge/machine/PlacementRequestSender.java
@@ -27,18 +27,11 @@
       if (listener.confirmSend(request.attempt())) {
         send(connection, request, now);
       } else {
-        withdraw(connection, request);
+        executions.withdraw(connection, request);
       }
     }
   }
 
-  /** Withdraws the requests that were not sent yet. */
-  void withdrawUnsent(MachineConnection connection) {
-    for (PlacementRequest request : connection.unsentRequests()) {
-      withdraw(connection, request);
-    }
-  }
-
   private void send(MachineConnection connection, PlacementRequest request, Duration now) {
     connection.markUsed(now);
     Duration timeLeft = request.answerDeadline().minus(now);
@@ -46,9 +39,4 @@
       request.markSent();
     }
   }
-
-  private void withdraw(MachineConnection connection, PlacementRequest request) {
-    connection.remove(request.attempt().vm.id);
-    executions.end(request.attempt(), ExecutionEvidence.WITHDRAWN_BEFORE_SEND.outcomeOnFailure());
-  }
 }
--- a/src/main/java/fordridge/machine/VmExecutions.java
+++ b/src/main/java/fordridge/machine/VmExecutions.java
@@ -184,6 +184,19 @@
 
   // Events without a message from the machine
 
+  /** Withdraws the requests that were not sent yet on the connection. */
+  void withdrawUnsent(MachineConnection connection) {
+    for (PlacementRequest request : connection.unsentRequests()) {
+      withdraw(connection, request);
+    }
+  }
+
+  /** Withdraws a request that was not sent yet. */
+  void withdraw(MachineConnection connection, PlacementRequest request) {
+    connection.remove(request.attempt().vm.id);
+    end(request.attempt(), ExecutionEvidence.WITHDRAWN_BEFORE_SEND.outcomeOnFailure());
+  }
+
   /** Ends the requests that the connection carries: they will not be answered. */
   void requestsLost(MachineConnection connection, Duration now) {
     unsettled.connectionClosed(connection);
