--- a/src/main/java/fordridge/machine/LostNoticeRecovery.java
+++ b/src/main/java/fordridge/machine/LostNoticeRecovery.java
@@ -84,6 +84,7 @@
   /** A connection attempt failed; the connection was removed from the set. */
   void connectionFailed(MachineConnection connection, ConnectFailure failure, Duration now) {
     openedSinceLoss.remove(connection);
+    delayed = connection == delayed ? null : delayed;
     delayNextAttempt(connection, now);
     if (failure == ConnectFailure.UNREACHABLE) {
       // The machine may have accepted the connection late, and written to it.
--- a/src/test/java/fordridge/faults/FakeMachine.java
+++ b/src/test/java/fordridge/faults/FakeMachine.java
@@ -1,7 +1,6 @@
 package fordridge.faults;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -85,27 +84,6 @@
   private volatile long acceptsFromNanos = System.nanoTime();
   private boolean isDead;
 
-  FakeMachine(
-      String id,
-      String kind,
-      InetAddress address,
-      int capacity,
-      ScheduledExecutorService timers,
-      ProtocolChecker checker,
-      PlacementChecker placementChecker,
-      long seed)
-      throws IOException {
-    this(
-        id,
-        kind,
-        new InetSocketAddress(address, 0),
-        capacity,
-        timers,
-        checker,
-        placementChecker,
-        seed);
-  }
-
   /** A machine that listens at that address, or at any port if its port is zero. */
   FakeMachine(
       String id,
@@ -261,14 +239,21 @@
     delayedConnections.remove(connection);
     List.copyOf(pendingRequests.entrySet()).stream()
         .filter(request -> request.getValue() == connection)
-        .forEach(request -> loseOffer(request.getKey()));
+        .forEach(request -> loseOffer(request.getKey(), connection));
   }
 
-  private void loseOffer(String vm) {
-    checker.answerLost(vm);
+  private void loseOffer(String vm, PeerConnection connection) {
+    answerLost(vm, connection);
     withdraw(vm);
   }
 
+  /** An answer that is lost because the scheduler closed the connection excuses nothing. */
+  private void answerLost(String vm, PeerConnection connection) {
+    if (connection.wasReset()) {
+      checker.answerLost(vm);
+    }
+  }
+
   /** The connection, also if its reader calls back before its creator has stored it. */
   private static PeerConnection connectionOf(PeerConnection[] self) {
     synchronized (self) {
@@ -328,7 +313,7 @@
     if (connection.send(Message.accepted(vm, id + "/" + vm))) {
       checker.vmReported(vm, id);
     } else {
-      checker.answerLost(vm);
+      answerLost(vm, connection);
     }
   }
 
--- a/src/test/java/fordridge/faults/PeerConnection.java
+++ b/src/test/java/fordridge/faults/PeerConnection.java
@@ -16,6 +16,7 @@
 
   private final Socket socket;
   private volatile boolean isOpen = true;
+  private volatile boolean wasReset;
   private volatile long readsStoppedUntilNanos;
 
   /** Starts to read: calls {@code onLine} with each line, and {@code onEnd} once at the end. */
@@ -108,8 +109,14 @@
     }
   }
 
+  /** Whether this peer, and not the other, has ended the connection by a reset. */
+  boolean wasReset() {
+    return wasReset;
+  }
+
   /** Closes with a TCP reset instead of a FIN. */
   void reset() {
+    wasReset = isOpen || wasReset;
     try {
       socket.setSoLinger(true, 0);
     } catch (IOException e) {
--- a/src/test/java/fordridge/faults/ProtocolChecker.java
+++ b/src/test/java/fordridge/faults/ProtocolChecker.java
@@ -192,7 +192,7 @@
     }
   }
 
-  /** The connection that a machine got an offer on ended before the machine's answer was sent. */
+  /** A machine reset the connection of an offer before its answer was sent. */
   synchronized void answerLost(String id) {
     TrackedRequest request = requests.get(id);
     if (request != null) {
--- a/src/test/java/fordridge/faults/TrackedRequest.java
+++ b/src/test/java/fordridge/faults/TrackedRequest.java
@@ -25,7 +25,7 @@
 
   boolean isWithdrawn;
 
-  /** Whether a connection was lost between an offer of the VM and the machine's answer. */
+  /** Whether a machine reset a connection between an offer of the VM and its answer. */
   boolean wasAnswerLost;
 
   /** The run of the VM on each machine that accepted it. */
